--- /dev/null
+++ b/cmd/spanlab/main.go
@@ -0,0 +1,4 @@
+// Command spanlab is started by operators; see README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/spanlanding/main.go
@@ -0,0 +1,4 @@
+// Command spanlanding is started by operators; see README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/peer/doc.go
@@ -0,0 +1,5 @@
+// Package peer carries calls between nodes: twirp clients and the server that
+// the node's shells register with. The generated code lies in peerpb.
+//
+// It may import fleet and peerpb.
+package peer
