--- /dev/null
+++ b/internal/fleet/demand.go
@@ -0,0 +1,19 @@
+package fleet
+
+import "time"
+
+// LoadRefusal says that a model cannot be loaded now.
+type LoadRefusal struct {
+	Model  ModelVersion `json:"model"`
+	Reason string       `json:"reason"`
+	// RetryAfter is when a load may be possible.
+	RetryAfter time.Duration `json:"retryAfter"`
+}
+
+// Demand takes what waits at a node to whoever decides on loads.
+type Demand interface {
+	// Report hands over wants; it does not block.
+	Report(wants []Want)
+	// OnRefusal registers who is told of models that cannot be loaded now.
+	OnRefusal(func([]LoadRefusal))
+}
