Add stand-ins of engines, services and the platform

Cause: there was nothing outside the system to place models on, to call or to read declarations from.

Ruled out: a lock around each model, since the simulator must drive the same code; listing a machine as gone by its silence alone, since a process that is only paused goes on holding its models.

Change: an engine, a service, an object store, a list of machines and a weight store as state machines without I/O, an HTTP driver for them, faults that can be switched on, and the commands platform, engine and service of spanlab. A silent machine is listed as gone only when a connection to it is refused.

Conclusion: the path can be run against them; the other models' tests and the page of protocols are still to come.

--- a/cmd/spanlab/main.go
+++ b/cmd/spanlab/main.go
@@ -1,4 +1,27 @@
-// Command spanlab is started by operators; see README.md.
+// Command spanlab runs the stand-ins of the outside systems and the
+// laboratory around them; see README.md.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:  "spanlab",
+		Usage: "stand-ins of the outside systems, load and experiments for spanlanding",
+		Commands: []*cli.Command{
+			platformCommand(),
+			engineCommand(),
+			serviceCommand(),
+		},
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "spanlab:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/orders_test.go
@@ -0,0 +1,274 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+func TestClaimIsGrantedOnlyAboveTheGrantedFenceInTheSameIncarnation(t *testing.T) {
+	granted := fleet.NewFence(2, 5, 1)
+	cases := []struct {
+		name        string
+		fence       fleet.Fence
+		incarnation uint64
+		want        bool
+	}{
+		{"greater", granted + 1, rigIncarnation, true},
+		{"equal", granted, rigIncarnation, false},
+		{"lower", granted - 1, rigIncarnation, false},
+		{"greater, earlier incarnation", granted + 1, rigIncarnation - 1, false},
+		{"greater, later incarnation", granted + 1, rigIncarnation + 1, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, Options{})
+			r.claim(granted)
+			claim := backend.Claim{Fence: test.fence, Incarnation: test.incarnation}
+			effect := r.only(r.step(TakeClaim{Call: 9, Claim: claim}))
+			if _, got := effect.(StateRead); got != test.want {
+				t.Fatalf("got %#v", effect)
+			}
+			if test.want {
+				return
+			}
+			want := FenceRefused{Call: 9, Refusal: backend.FenceRefusal{Fence: granted, Incarnation: rigIncarnation}}
+			if diff := cmp.Diff(Effect(want), effect); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestOrderIsTakenOnlyUnderTheGrantedFenceAndIncarnation(t *testing.T) {
+	granted := fleet.NewFence(2, 5, 1)
+	cases := []struct {
+		name        string
+		fence       fleet.Fence
+		incarnation uint64
+	}{
+		{"lower fence", granted - 1, rigIncarnation},
+		{"greater fence", granted + 1, rigIncarnation},
+		{"earlier incarnation", granted, rigIncarnation - 1},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, Options{})
+			r.claim(granted)
+			effect := r.order(backend.Order{
+				ID: "1", Fence: test.fence, Incarnation: test.incarnation,
+				Action: backend.ActionLoad, Model: modelA, Bytes: GiB,
+			})
+			if _, refused := effect.(FenceRefused); !refused {
+				t.Errorf("got %#v", effect)
+			}
+			if len(r.core.models) != 0 || r.core.Book(r.now).RefusedOrders != 1 {
+				t.Errorf("models %v, book %v", r.core.models, r.core.Book(r.now))
+			}
+		})
+	}
+}
+
+func TestOrderBeforeAnyClaimIsRefused(t *testing.T) {
+	r := newRig(t, Options{})
+	effect := r.order(backend.Order{ID: "1", Action: backend.ActionLoad, Model: modelA, Bytes: GiB})
+	if _, refused := effect.(FenceRefused); !refused {
+		t.Fatalf("got %#v", effect)
+	}
+}
+
+func TestRestartForgetsFenceAndModelsAndRefusesTheOldIncarnation(t *testing.T) {
+	r := newRig(t, Options{})
+	r.ready()
+	before := r.core.State(r.now)
+	r.step(Restart{})
+	after := r.core.State(r.now)
+	if after.Incarnation == before.Incarnation || after.Fence != 0 || len(after.Models) != 0 {
+		t.Fatalf("after the restart: %+v", after)
+	}
+	effect := r.order(backend.Order{
+		ID: "2", Fence: before.Fence, Incarnation: before.Incarnation,
+		Action: backend.ActionLoad, Model: modelA, Bytes: GiB,
+	})
+	if _, refused := effect.(FenceRefused); !refused {
+		t.Fatalf("got %#v", effect)
+	}
+	if residency := r.core.Book(r.now).Residencies[0]; residency.To != r.now {
+		t.Errorf("the residency ended at %v, want %v", residency.To, r.now)
+	}
+}
+
+func TestRepeatedOrderHasNoSecondEffect(t *testing.T) {
+	r := newRig(t, Options{MemoryBytes: 20 * GiB})
+	r.claim(1)
+	r.load("1", modelA, 10*GiB)
+	r.order(backend.Order{ID: "2", Action: backend.ActionUnload, Model: modelA})
+	r.run(time.Minute)
+	if _, again := r.load("1", modelA, 10*GiB).(StateRead); !again || len(r.core.models) != 0 {
+		t.Errorf("repeated load: answered %v, models %d", again, len(r.core.models))
+	}
+}
+
+func TestRefusedOrderStaysRefusedWhenItComesAgain(t *testing.T) {
+	r := newRig(t, Options{MemoryBytes: 20 * GiB})
+	r.claim(1)
+	r.load("1", modelA, 15*GiB)
+	r.load("2", modelB, 15*GiB)
+	r.order(backend.Order{ID: "3", Action: backend.ActionUnload, Model: modelA})
+	r.run(time.Minute)
+	effect := r.load("2", modelB, 15*GiB)
+	if refused, ok := effect.(OrderRefused); !ok || refused.Reason != backend.ReasonNoMemory {
+		t.Errorf("got %#v", effect)
+	}
+}
+
+func TestOrderRefusals(t *testing.T) {
+	adapter := backend.Order{Action: backend.ActionLoadAdapter, Model: modelA, Adapter: "wind", Bytes: GiB}
+	cases := []struct {
+		name    string
+		prepare func(r *rig)
+		order   backend.Order
+		reason  string
+	}{
+		{"no memory", nil, backend.Order{Action: backend.ActionLoad, Model: modelB, Bytes: 60 * GiB}, backend.ReasonNoMemory},
+		{"negative size", nil, backend.Order{Action: backend.ActionLoad, Model: modelB, Bytes: -1}, backend.ReasonNoMemory},
+		{"loaded already", nil, backend.Order{Action: backend.ActionLoad, Model: modelA, Bytes: GiB}, backend.ReasonDuplicate},
+		{"unload of nothing", nil, backend.Order{Action: backend.ActionUnload, Model: modelB}, backend.ReasonNotLoaded},
+		{"adapter without model", nil, backend.Order{Action: backend.ActionLoadAdapter, Model: modelB, Adapter: "wind"}, backend.ReasonNotLoaded},
+		{"load while leaving", func(r *rig) { r.step(Leave{}) }, backend.Order{Action: backend.ActionLoad, Model: modelB, Bytes: GiB}, backend.ReasonLeaving},
+		{"load while unloading", func(r *rig) {
+			r.order(backend.Order{ID: "u", Action: backend.ActionUnload, Model: modelA})
+		}, backend.Order{Action: backend.ActionLoad, Model: modelA, Bytes: GiB}, backend.ReasonBusy},
+		{"unload of an adapter in use", func(r *rig) {
+			loaded := adapter
+			loaded.ID = "adapter"
+			r.order(loaded)
+			r.run(time.Second)
+			r.submit(Request{ID: "r", Adapter: "wind"})
+		}, backend.Order{Action: backend.ActionUnloadAdapter, Model: modelA, Adapter: "wind"}, backend.ReasonBusy},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, Options{MemoryBytes: 80 * GiB, KVReserveBytes: 8 * GiB})
+			r.ready()
+			if test.prepare != nil {
+				test.prepare(r)
+			}
+			test.order.ID = "tested"
+			effect := r.order(test.order)
+			if refused, ok := effect.(OrderRefused); !ok || refused.Reason != test.reason {
+				t.Errorf("got %#v, want %s", effect, test.reason)
+			}
+		})
+	}
+}
+
+func TestUnloadCancelsALoadAndItsRead(t *testing.T) {
+	r := newRig(t, Options{})
+	r.weightsAfter = -1
+	r.claim(1)
+	r.load("1", modelA, GiB)
+	load := r.core.models[0].load
+	r.order(backend.Order{ID: "2", Action: backend.ActionUnload, Model: modelA})
+	r.run(time.Second)
+	if len(r.core.models) != 0 || !cmp.Equal(r.cancelled, []LoadID{load}) {
+		t.Errorf("models %d, cancelled reads %v", len(r.core.models), r.cancelled)
+	}
+}
+
+func TestUnloadLetsAcceptedRequestsEnd(t *testing.T) {
+	r := newRig(t, Options{})
+	r.ready()
+	call := r.submit(Request{ID: "r", MaxTokens: 5})
+	r.order(backend.Order{ID: "2", Action: backend.ActionUnload, Model: modelA})
+	late := r.submit(Request{ID: "late"})
+	r.run(time.Minute)
+	chunks, _ := r.chunks(call)
+	if len(chunks) != 6 || chunks[5].Finish == "" {
+		t.Errorf("got chunks %v", chunks)
+	}
+	if r.refusal(late) != RefusedNotReady || len(r.core.models) != 0 {
+		t.Errorf("late request: %q, models %d", r.refusal(late), len(r.core.models))
+	}
+}
+
+func TestSecondLoadOfACheckpointComesFromHostMemory(t *testing.T) {
+	r := newRig(t, Options{Timing: Timing{HostLoad: time.Second}})
+	r.ready()
+	r.order(backend.Order{ID: "2", Action: backend.ActionUnload, Model: modelA})
+	r.run(time.Minute)
+	r.seen = nil
+	r.load("3", modelA, 14*GiB)
+	r.run(time.Second)
+	for _, effect := range r.seen {
+		if _, fetched := effect.(FetchWeights); fetched {
+			t.Error("the weight store was asked")
+		}
+	}
+	if state := r.core.models[0].state; state != fleet.LoadReady {
+		t.Errorf("model is %s after the host load time", state)
+	}
+}
+
+// drawOrders gives an engine drawn orders, restarts and pauses and returns the
+// most memory that was ever held.
+func drawOrders(t *rapid.T, core *Core) {
+	now := start
+	fence := fleet.Fence(0)
+	models := []fleet.ModelVersion{modelA, modelB, {Model: "swap", Version: "1"}}
+	for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+		now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
+		order := backend.Order{
+			ID:          fmt.Sprint(rapid.IntRange(0, step+1).Draw(t, "id")),
+			Fence:       fence,
+			Incarnation: core.incarnation,
+			Action: rapid.SampledFrom([]backend.Action{
+				backend.ActionLoad, backend.ActionUnload, backend.ActionLoadAdapter, backend.ActionUnloadAdapter,
+			}).Draw(t, "action"),
+			Model:   rapid.SampledFrom(models).Draw(t, "model"),
+			Adapter: rapid.SampledFrom([]fleet.AdapterName{"wind", "sea"}).Draw(t, "adapter"),
+			Bytes:   rapid.Int64Range(-GiB, 9*GiB).Draw(t, "bytes"),
+		}
+		switch rapid.IntRange(0, 9).Draw(t, "kind") {
+		case 0:
+			fence++
+			core.Step(now, TakeClaim{Claim: backend.Claim{Fence: fence, Incarnation: core.incarnation}})
+		case 1:
+			core.Step(now, WeightsDone{Load: LoadID(rapid.IntRange(0, 20).Draw(t, "load"))})
+		case 2:
+			core.Step(now, Restart{})
+		default:
+			core.Step(now, TakeOrder{Order: order})
+		}
+		state := core.State(now)
+		if state.FreeBytes() < 0 {
+			t.Fatalf("%d bytes are held of %d", state.UsedBytes(), state.MemoryBytes-state.KVReserveBytes)
+		}
+	}
+	if book := core.Book(now); book.PeakBytes > book.MemoryBytes {
+		t.Fatalf("the book tells %d bytes of %d", book.PeakBytes, book.MemoryBytes)
+	}
+}
+
+func TestMemoryIsNeverOvercommitted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawOrders(t, New(Options{Incarnation: 1, MemoryBytes: 16 * GiB, KVReserveBytes: 2 * GiB}))
+	})
+}
+
+func TestMemoryCheckFailsOnAnEngineThatDoesNotCheck(t *testing.T) {
+	core := New(Options{Incarnation: 1, MemoryBytes: GiB, Defects: Defects{NoMemoryCheck: true}})
+	core.Step(start, TakeClaim{Claim: backend.Claim{Fence: 1, Incarnation: 1}})
+	core.Step(start, TakeOrder{Order: backend.Order{
+		ID: "1", Fence: 1, Incarnation: 1, Action: backend.ActionLoad, Model: modelA, Bytes: 2 * GiB,
+	}})
+	if book := core.Book(start); book.PeakBytes <= book.MemoryBytes {
+		t.Errorf("the book does not tell the overcommitment: %d of %d", book.PeakBytes, book.MemoryBytes)
+	}
+}
--- /dev/null
+++ b/internal/standin/httpdriver/answers.go
@@ -0,0 +1,60 @@
+package httpdriver
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+)
+
+const (
+	contentTypeJSON    = "application/json"
+	contentTypeProblem = "application/problem+json"
+	contentTypeEvents  = "text/event-stream"
+
+	maxBodyBytes = 16 << 20
+)
+
+// Problem is the body of a refusal.
+type Problem struct {
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Code   string `json:"code"`
+	Detail string `json:"detail,omitempty"`
+}
+
+func writeJSON(writer http.ResponseWriter, status int, body any) {
+	writer.Header().Set("Content-Type", contentTypeJSON)
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(body)
+}
+
+func writeProblem(writer http.ResponseWriter, status int, code, detail string) {
+	writer.Header().Set("Content-Type", contentTypeProblem)
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(Problem{
+		Title:  http.StatusText(status),
+		Status: status,
+		Code:   code,
+		Detail: detail,
+	})
+}
+
+// writeNotRun refuses before anything ran.
+func writeNotRun(writer http.ResponseWriter, status int, code string) {
+	writer.Header().Set(backend.HeaderNotRun, "true")
+	if status == http.StatusServiceUnavailable {
+		writer.Header().Set("Retry-After", "1")
+	}
+	writeProblem(writer, status, code, "")
+}
+
+// readJSON decodes the body; it answers 400 and returns false if it can't.
+func readJSON(writer http.ResponseWriter, request *http.Request, into any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxBodyBytes))
+	if err := decoder.Decode(into); err != nil {
+		writeProblem(writer, http.StatusBadRequest, "bad-json", err.Error())
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/httpdriver/engine.go
@@ -0,0 +1,223 @@
+package httpdriver
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/standin/books"
+	"github.com/spanlanding/spanlanding/internal/standin/engine"
+	"github.com/spanlanding/spanlanding/internal/standin/faults"
+)
+
+// PathBooks is where a back end shows its books.
+const PathBooks = "/lab/books"
+
+// weightsRetry is the pause after a failed read from the weight store.
+const weightsRetry = 300 * time.Millisecond
+
+// WeightReader reads checkpoints from the weight store.
+type WeightReader interface {
+	// ReadWeights returns once the checkpoint has been read.
+	ReadWeights(ctx context.Context, read WeightRead) error
+}
+
+// Engine serves one engine.Core over HTTP.
+type Engine struct {
+	backend fleet.Backend
+	weights WeightReader
+	faults  *faults.Switch
+	ctx     context.Context
+	owner   *owner
+	calls   atomic.Uint64
+	leaving atomic.Bool
+
+	// The owner's goroutine alone uses what follows.
+	core    *engine.Core
+	boxes   map[engine.CallID]*outbox[engine.Effect]
+	fetches map[engine.LoadID]context.CancelFunc
+}
+
+// NewEngine starts an engine that ends with the context.
+func NewEngine(ctx context.Context, options engine.Options, weights WeightReader) *Engine {
+	created := &Engine{
+		backend: options.Backend,
+		weights: weights,
+		ctx:     ctx,
+		core:    engine.New(options),
+		boxes:   map[engine.CallID]*outbox[engine.Effect]{},
+		fetches: map[engine.LoadID]context.CancelFunc{},
+	}
+	created.faults = faults.NewSwitch(options.Backend.Zone, created.applyFaults)
+	created.owner = newOwner(ctx, created.core.NextWake, func(now time.Time) {
+		created.step(now, engine.Tick{})
+	})
+	return created
+}
+
+// Handler serves the engine's calls.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+backend.PathEngineState, e.serveState)
+	mux.HandleFunc("POST "+backend.PathEngineClaim, e.serveClaim)
+	mux.HandleFunc("POST "+backend.PathEngineOrders, e.serveOrder)
+	mux.HandleFunc("GET "+backend.PathCacheEvents, e.serveCacheEvents)
+	mux.HandleFunc("POST "+backend.PathChat, e.serveCompletion)
+	mux.HandleFunc("POST "+backend.PathCompletions, e.serveCompletion)
+	mux.HandleFunc("GET "+backend.PathRequests+"{id}/stream", e.serveResume)
+	mux.HandleFunc("DELETE "+backend.PathRequests+"{id}", e.serveCancel)
+	mux.Handle(faults.Path, e.faults)
+	mux.HandleFunc("GET "+PathBooks, func(writer http.ResponseWriter, _ *http.Request) {
+		writeJSON(writer, http.StatusOK, e.Book())
+	})
+	return e.faults.Wrap(mux)
+}
+
+// Book returns what the engine recorded.
+func (e *Engine) Book() books.Book {
+	var book books.Book
+	e.owner.do(func(now time.Time) {
+		e.step(now, engine.Tick{})
+		book = e.core.Book(now)
+	})
+	return book
+}
+
+// Leave makes the engine say that it goes away.
+func (e *Engine) Leave() {
+	e.leaving.Store(true)
+	e.owner.do(func(now time.Time) { e.step(now, engine.Leave{}) })
+}
+
+// Idle reports whether no request runs or waits.
+func (e *Engine) Idle() bool {
+	idle := true
+	e.owner.do(func(time.Time) { idle = e.core.Idle() })
+	return idle
+}
+
+// Machine is the engine's line for the machine list.
+func (e *Engine) Machine() platform.Machine {
+	return backendMachine(e.backend, e.leaving.Load())
+}
+
+func (e *Engine) applyFaults(set faults.Set) {
+	if set.Leaving {
+		e.Leave()
+	}
+	e.owner.do(func(now time.Time) {
+		e.step(now, engine.SetFaults{Faults: set.Engine})
+		if set.Restart {
+			e.step(now, engine.Restart{})
+		}
+	})
+}
+
+// call sends a message that names the call and returns where its effects come.
+func (e *Engine) call(message func(engine.CallID) engine.Message) (engine.CallID, *outbox[engine.Effect]) {
+	id := engine.CallID(e.calls.Add(1))
+	box := newOutbox[engine.Effect]()
+	e.owner.do(func(now time.Time) {
+		e.boxes[id] = box
+		e.step(now, message(id))
+	})
+	return id, box
+}
+
+// hangUp ends a call whose reader has gone away.
+func (e *Engine) hangUp(id engine.CallID) {
+	e.owner.do(func(now time.Time) {
+		if _, open := e.boxes[id]; open {
+			delete(e.boxes, id)
+			e.step(now, engine.Detach{Call: id})
+		}
+	})
+}
+
+func (e *Engine) step(now time.Time, message engine.Message) {
+	for _, effect := range e.core.Step(now, message) {
+		e.carryOut(effect)
+	}
+}
+
+func (e *Engine) carryOut(effect engine.Effect) {
+	switch f := effect.(type) {
+	case engine.FetchWeights:
+		e.fetch(f)
+	case engine.CancelFetch:
+		if cancel := e.fetches[f.Load]; cancel != nil {
+			cancel()
+			delete(e.fetches, f.Load)
+		}
+	case engine.Accepted:
+		e.hand(f.Call, f, false)
+	case engine.Emit:
+		e.hand(f.Call, f, f.Chunk.Finish != "")
+	case engine.Broken:
+		e.hand(f.Call, f, true)
+	case engine.Refused:
+		e.hand(f.Call, f, true)
+	case engine.StateRead:
+		e.hand(f.Call, f, true)
+	case engine.FenceRefused:
+		e.hand(f.Call, f, true)
+	case engine.OrderRefused:
+		e.hand(f.Call, f, true)
+	case engine.Cancelled:
+		e.hand(f.Call, f, true)
+	case engine.CacheEventsRead:
+		e.hand(f.Call, f, true)
+	}
+}
+
+func (e *Engine) hand(id engine.CallID, effect engine.Effect, last bool) {
+	box := e.boxes[id]
+	if box == nil {
+		return
+	}
+	box.put(effect)
+	if last {
+		delete(e.boxes, id)
+	}
+}
+
+func (e *Engine) fetch(effect engine.FetchWeights) {
+	ctx, cancel := context.WithCancel(e.ctx)
+	e.fetches[effect.Load] = cancel
+	read := WeightRead{
+		Engine:    e.backend.Name,
+		Load:      uint64(effect.Load),
+		Model:     effect.Model,
+		Bytes:     effect.Bytes,
+		FullSpeed: effect.FullSpeed,
+	}
+	go func() {
+		err := e.weights.ReadWeights(ctx, read)
+		if err != nil {
+			sleep(ctx, weightsRetry)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		e.owner.do(func(now time.Time) {
+			if ctx.Err() == nil {
+				cancel()
+				delete(e.fetches, effect.Load)
+				e.step(now, engine.WeightsDone{Load: effect.Load, Failed: err != nil})
+			}
+		})
+	}()
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/httpdriver/objects.go
@@ -0,0 +1,198 @@
+package httpdriver
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/standin/objects"
+)
+
+// Paths of the object API.
+const (
+	PathObjects = "/v1/objects"
+	PathWatch   = "/v1/watch"
+)
+
+// bookmarkInterval is how often a watch tells the version reached.
+const bookmarkInterval = time.Second
+
+// objectsAPI serves an objects.Store.
+type objectsAPI struct {
+	mutex sync.Mutex
+	store *objects.Store
+	// changed is closed at the next change.
+	changed chan struct{}
+}
+
+func newObjectsAPI(store *objects.Store) *objectsAPI {
+	return &objectsAPI{store: store, changed: make(chan struct{})}
+}
+
+func (o *objectsAPI) register(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+PathObjects, o.serveList)
+	mux.HandleFunc("GET "+PathObjects+"/{kind}/{name}", o.serveGet)
+	mux.HandleFunc("PUT "+PathObjects+"/{kind}/{name}", o.servePut)
+	mux.HandleFunc("DELETE "+PathObjects+"/{kind}/{name}", o.serveDelete)
+	mux.HandleFunc("GET "+PathWatch, o.serveWatch)
+}
+
+// change runs the function on the store and wakes the watches.
+func (o *objectsAPI) change(run func(store *objects.Store)) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	run(o.store)
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+func (o *objectsAPI) read(run func(store *objects.Store)) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	run(o.store)
+}
+
+func (o *objectsAPI) freeze(on bool) {
+	o.change(func(store *objects.Store) { store.Freeze(on) })
+}
+
+func pathKey(request *http.Request) platform.Key {
+	return platform.Key{Kind: request.PathValue("kind"), Name: request.PathValue("name")}
+}
+
+func wantsTombstones(request *http.Request) bool {
+	return request.URL.Query().Get("tombstones") == "true"
+}
+
+func (o *objectsAPI) serveList(writer http.ResponseWriter, request *http.Request) {
+	var list platform.ObjectList
+	o.read(func(store *objects.Store) {
+		list = store.List(request.URL.Query().Get("kind"), wantsTombstones(request))
+	})
+	writeJSON(writer, http.StatusOK, list)
+}
+
+func (o *objectsAPI) serveGet(writer http.ResponseWriter, request *http.Request) {
+	var object platform.Object
+	var found bool
+	o.read(func(store *objects.Store) { object, found = store.Get(pathKey(request)) })
+	if !found || (object.Deleted && !wantsTombstones(request)) {
+		writeProblem(writer, http.StatusNotFound, "no-object", "")
+		return
+	}
+	writeJSON(writer, http.StatusOK, object)
+}
+
+func (o *objectsAPI) servePut(writer http.ResponseWriter, request *http.Request) {
+	var write platform.WriteRequest
+	if !readJSON(writer, request, &write) {
+		return
+	}
+	if write.Object.Key() != pathKey(request) || write.Object.Deleted {
+		writeProblem(writer, http.StatusBadRequest, "wrong-object", "the body must hold the live object of the path")
+		return
+	}
+	var written platform.Object
+	var conflict *platform.Conflict
+	o.change(func(store *objects.Store) { written, conflict = store.Write(write) })
+	if conflict != nil {
+		writeJSON(writer, http.StatusConflict, conflict)
+		return
+	}
+	writeJSON(writer, http.StatusOK, written)
+}
+
+func (o *objectsAPI) serveDelete(writer http.ResponseWriter, request *http.Request) {
+	expected, err := queryUint(request, "expected")
+	if err != nil {
+		writeProblem(writer, http.StatusBadRequest, "bad-expected", err.Error())
+		return
+	}
+	query := request.URL.Query()
+	var tombstone platform.Object
+	var conflict *platform.Conflict
+	var found bool
+	o.change(func(store *objects.Store) {
+		tombstone, conflict, found = store.Delete(pathKey(request), expected, query.Get("changeId"), query.Get("changedBy"))
+	})
+	switch {
+	case !found:
+		writeProblem(writer, http.StatusNotFound, "no-object", "")
+	case conflict != nil:
+		writeJSON(writer, http.StatusConflict, conflict)
+	default:
+		writeJSON(writer, http.StatusOK, tombstone)
+	}
+}
+
+// serveWatch writes changes as JSON lines until the caller goes away or asks
+// for more than the history holds.
+func (o *objectsAPI) serveWatch(writer http.ResponseWriter, request *http.Request) {
+	since, err := queryUint(request, "since")
+	if err != nil {
+		writeProblem(writer, http.StatusBadRequest, "bad-since", err.Error())
+		return
+	}
+	watch := &watch{api: o, since: since}
+	if _, ok := watch.next(); !ok {
+		writeProblem(writer, http.StatusGone, "compacted", "list again")
+		return
+	}
+	writer.Header().Set("Content-Type", "application/x-ndjson")
+	encoder := json.NewEncoder(writer)
+	controller := http.NewResponseController(writer)
+	ticker := time.NewTicker(bookmarkInterval)
+	defer ticker.Stop()
+	watch.since = since
+	for {
+		changed := watch.changed()
+		events, ok := watch.next()
+		if !ok {
+			return
+		}
+		for _, event := range events {
+			if encoder.Encode(event) != nil {
+				return
+			}
+		}
+		if controller.Flush() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ticker.C:
+			if encoder.Encode(platform.WatchEvent{Version: watch.bookmark()}) != nil {
+				return
+			}
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
+
+// watch is one reader of changes.
+type watch struct {
+	api   *objectsAPI
+	since uint64
+}
+
+func (w *watch) changed() <-chan struct{} {
+	w.api.mutex.Lock()
+	defer w.api.mutex.Unlock()
+	return w.api.changed
+}
+
+func (w *watch) next() (events []platform.WatchEvent, ok bool) {
+	w.api.read(func(store *objects.Store) { events, ok = store.Changes(w.since) })
+	if len(events) > 0 {
+		w.since = events[len(events)-1].Version
+	}
+	return events, ok
+}
+
+// bookmark is the version up to which the reader has all changes.
+func (w *watch) bookmark() uint64 {
+	return w.since
+}
--- /dev/null
+++ b/internal/standin/httpdriver/platform.go
@@ -0,0 +1,126 @@
+package httpdriver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/standin/faults"
+	"github.com/spanlanding/spanlanding/internal/standin/machines"
+	"github.com/spanlanding/spanlanding/internal/standin/objects"
+	"github.com/spanlanding/spanlanding/internal/standin/weights"
+)
+
+// Paths of the platform beside the object API.
+const (
+	PathMachines    = "/v1/machines"
+	PathLabMachines = "/lab/machines"
+	PathWeightReads = "/lab/weights/reads"
+	PathWeights     = "/lab/weights"
+)
+
+const probeTimeout = time.Second
+
+// PlatformOptions set up a Platform.
+type PlatformOptions struct {
+	Weights  weights.Options
+	Machines machines.Options
+	// History is how many changes the object API keeps for watches; 0 means
+	// objects.DefaultHistory.
+	History int
+}
+
+// Platform serves the object API, the list of machines and the weight store.
+type Platform struct {
+	faults   *faults.Switch
+	objects  *objectsAPI
+	machines *machineList
+	weights  *weightStore
+}
+
+// NewPlatform starts a platform that ends with the context.
+func NewPlatform(ctx context.Context, options PlatformOptions) *Platform {
+	created := &Platform{
+		objects:  newObjectsAPI(objects.New(options.History)),
+		machines: newMachineList(ctx, options.Machines),
+		weights:  newWeightStore(ctx, options.Weights),
+	}
+	created.faults = faults.NewSwitch(faults.PlatformZone, func(set faults.Set) {
+		created.objects.freeze(set.StaleReads)
+		created.weights.slow(set.WeightsSlowFactor)
+	})
+	return created
+}
+
+// Handler serves the platform's calls. Faults do not touch /lab/, so that the
+// list of machines and the weight store go on while the store is down.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	p.objects.register(mux)
+	mux.HandleFunc("GET "+PathMachines, p.machines.serveList)
+	mux.HandleFunc("POST "+PathLabMachines, p.machines.serveReport)
+	mux.HandleFunc("POST "+PathWeightReads, p.weights.serveRead)
+	mux.HandleFunc("GET "+PathWeights, p.weights.serveStats)
+	mux.Handle(faults.Path, p.faults)
+	return p.faults.Wrap(mux)
+}
+
+// machineList serves a machines.Core.
+type machineList struct {
+	ctx   context.Context
+	owner *owner
+	core  *machines.Core
+}
+
+func newMachineList(ctx context.Context, options machines.Options) *machineList {
+	created := &machineList{ctx: ctx, core: machines.New(options)}
+	created.owner = newOwner(ctx, created.core.NextWake, func(now time.Time) {
+		created.step(now, machines.Tick{})
+	})
+	return created
+}
+
+func (m *machineList) step(now time.Time, message machines.Message) {
+	for _, probe := range m.core.Step(now, message) {
+		go m.probe(probe)
+	}
+}
+
+// probe dials the address: a refusal means that no process listens there.
+func (m *machineList) probe(probe machines.Probe) {
+	dialer := net.Dialer{Timeout: probeTimeout}
+	connection, err := dialer.DialContext(m.ctx, "tcp", probe.Address)
+	if err == nil {
+		_ = connection.Close()
+	}
+	refused := isRefused(err)
+	m.owner.do(func(now time.Time) {
+		m.step(now, machines.ProbeDone{Name: probe.Name, Refused: refused})
+	})
+}
+
+func (m *machineList) serveList(writer http.ResponseWriter, _ *http.Request) {
+	var list platform.MachineList
+	m.owner.do(func(now time.Time) {
+		m.step(now, machines.Tick{})
+		list = m.core.List(now)
+	})
+	writeJSON(writer, http.StatusOK, list)
+}
+
+func (m *machineList) serveReport(writer http.ResponseWriter, request *http.Request) {
+	var report MachineReport
+	if !readJSON(writer, request, &report) {
+		return
+	}
+	m.owner.do(func(now time.Time) { m.step(now, machines.Report{Machines: report.Machines}) })
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+// MachineReport is the body of POST /lab/machines: the heartbeat of all
+// machines that one process stands for.
+type MachineReport struct {
+	Machines []platform.Machine `json:"machines"`
+}
--- /dev/null
+++ b/internal/standin/httpdriver/service.go
@@ -0,0 +1,152 @@
+package httpdriver
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/standin/books"
+	"github.com/spanlanding/spanlanding/internal/standin/faults"
+	"github.com/spanlanding/spanlanding/internal/standin/service"
+)
+
+// Service serves one service.Core over HTTP.
+type Service struct {
+	backend fleet.Backend
+	faults  *faults.Switch
+	owner   *owner
+	calls   atomic.Uint64
+	leaving atomic.Bool
+
+	// The owner's goroutine alone uses what follows.
+	core  *service.Core
+	boxes map[service.CallID]*outbox[service.Effect]
+}
+
+// NewService starts a command server that ends with the context.
+func NewService(ctx context.Context, options service.Options) *Service {
+	created := &Service{
+		backend: options.Backend,
+		core:    service.New(options),
+		boxes:   map[service.CallID]*outbox[service.Effect]{},
+	}
+	created.faults = faults.NewSwitch(options.Backend.Zone, func(set faults.Set) {
+		if set.Leaving {
+			created.Leave()
+		}
+	})
+	created.owner = newOwner(ctx, created.core.NextWake, func(now time.Time) {
+		created.step(now, service.Tick{})
+	})
+	return created
+}
+
+// Handler serves any method and path as a command.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(faults.Path, s.faults)
+	mux.HandleFunc(PathBooks, func(writer http.ResponseWriter, _ *http.Request) {
+		writeJSON(writer, http.StatusOK, s.Book())
+	})
+	mux.HandleFunc("/", s.serveCommand)
+	return s.faults.Wrap(mux)
+}
+
+// Book returns what the server recorded.
+func (s *Service) Book() books.Book {
+	var book books.Book
+	s.owner.do(func(now time.Time) {
+		s.step(now, service.Tick{})
+		book = s.core.Book()
+	})
+	return book
+}
+
+// Leave makes the server say that it goes away.
+func (s *Service) Leave() {
+	s.leaving.Store(true)
+	s.owner.do(func(now time.Time) { s.step(now, service.Leave{}) })
+}
+
+// Idle reports whether no command runs.
+func (s *Service) Idle() bool {
+	idle := true
+	s.owner.do(func(time.Time) { idle = s.core.Idle() })
+	return idle
+}
+
+// Machine is the server's line for the machine list.
+func (s *Service) Machine() platform.Machine {
+	return backendMachine(s.backend, s.leaving.Load())
+}
+
+// serveCommand executes the command even if its caller goes away meanwhile.
+func (s *Service) serveCommand(writer http.ResponseWriter, request *http.Request) {
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(writer, request.Body, maxBodyBytes)); err != nil {
+		return
+	}
+	attempt, _ := strconv.Atoi(request.Header.Get(backend.HeaderAttempt))
+	box := newOutbox[service.Effect]()
+	command := service.Run{
+		Call:      service.CallID(s.calls.Add(1)),
+		RequestID: fleet.RequestID(request.Header.Get(backend.HeaderRequestID)),
+		Attempt:   attempt,
+		Key:       request.Header.Get(headerIdempotencyKey),
+		Method:    request.Method,
+		Path:      request.URL.Path,
+	}
+	s.owner.do(func(now time.Time) {
+		s.boxes[command.Call] = box
+		s.step(now, command)
+	})
+	effects, err := box.take(request.Context())
+	if err != nil {
+		return
+	}
+	switch effect := effects[0].(type) {
+	case service.Answered:
+		writeJSON(writer, http.StatusOK, effect.Answer)
+	case service.Refused:
+		writeNotRun(writer, http.StatusServiceUnavailable, "leaving")
+	}
+}
+
+func (s *Service) step(now time.Time, message service.Message) {
+	for _, effect := range s.core.Step(now, message) {
+		switch f := effect.(type) {
+		case service.Answered:
+			s.hand(f.Call, f)
+		case service.Refused:
+			s.hand(f.Call, f)
+		}
+	}
+}
+
+func (s *Service) hand(id service.CallID, effect service.Effect) {
+	if box := s.boxes[id]; box != nil {
+		box.put(effect)
+		delete(s.boxes, id)
+	}
+}
+
+func backendMachine(self fleet.Backend, leaving bool) platform.Machine {
+	state := platform.MachineLive
+	if leaving {
+		state = platform.MachineLeaving
+	}
+	return platform.Machine{
+		Role:    string(self.Kind),
+		Name:    string(self.Name),
+		Zone:    self.Zone,
+		Rack:    self.Rack,
+		State:   state,
+		Service: self.Service,
+		Address: self.Address,
+	}
+}
