--- a/internal/sim/batch_test.go
+++ b/internal/sim/batch_test.go
@@ -29,8 +29,8 @@
 	wrong := false
 	var a, b *Process
 	a = NewProcess(scheduler, trace, ProcessOptions{Name: "a", Zone: "north", Start: func(uint64) {}})
-	b = NewProcess(scheduler, trace, ProcessOptions{Name: "b", Zone: "south", Start: func(uint64) {}, Death: func() {
-		wrong = wrong || a.State() == ProcessPaused
+	b = NewProcess(scheduler, trace, ProcessOptions{Name: "b", Zone: "south", Start: func(uint64) {
+		b.OnDeath(func() { wrong = wrong || a.State() == ProcessPaused })
 	}})
 	a.Start()
 	b.Start()
--- a/internal/sim/network_test.go
+++ b/internal/sim/network_test.go
@@ -177,3 +177,54 @@
 		t.Errorf("receiver dead: outcome = %d; want refused", got)
 	}
 }
+
+func TestStreamKeepsItsOrderUntilACut(t *testing.T) {
+	options := LinkOptions{Least: time.Millisecond, Most: 50 * time.Millisecond, Loss: 0.2}
+	bench := newBench(options)
+	var arrived []int
+	broken := 0
+	stream := bench.network.OpenStream(StreamOptions{From: bench.a, To: bench.b, Detection: time.Second, Broken: func() { broken++ }})
+	send := func(value int) { stream.Send("chunk", 1, func() { arrived = append(arrived, value) }) }
+	for value := range 100 {
+		send(value)
+	}
+	bench.scheduler.Run(time.Minute)
+	for index, value := range arrived {
+		if index != value {
+			t.Fatalf("chunk %d came at place %d", value, index)
+		}
+	}
+	bench.network.CutZones("north", "south")
+	send(100)
+	bench.scheduler.Run(2 * time.Minute)
+	bench.network.HealZones("north", "south")
+	send(101)
+	bench.scheduler.Run(3 * time.Minute)
+	if len(arrived) != 100 || broken != 1 {
+		t.Errorf("%d arrived, broken %d times; want 100 and once", len(arrived), broken)
+	}
+}
+
+func TestStreamBreaksWithItsSender(t *testing.T) {
+	bench := newBench(quickLink)
+	broken := 0
+	bench.network.OpenStream(StreamOptions{From: bench.a, To: bench.b, Broken: func() { broken++ }})
+	bench.a.Die()
+	bench.scheduler.Run(time.Second)
+	if broken != 1 {
+		t.Errorf("broken %d times; want once", broken)
+	}
+}
+
+func TestSchedulerNoticesThatTimeStandsStill(t *testing.T) {
+	scheduler := NewScheduler()
+	var again func()
+	again = func() { scheduler.After(0, again) }
+	again()
+	defer func() {
+		if recover() == nil {
+			t.Error("no panic")
+		}
+	}()
+	scheduler.Run(time.Second)
+}
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -27,7 +27,8 @@
 	boot    uint64
 	held    []func()
 	onStart func(boot uint64)
-	onDeath func()
+	// onDeath is called once, at the death of the present boot.
+	onDeath []func()
 }
 
 // ProcessOptions describe a process.
@@ -38,8 +39,6 @@
 	Clock Clock
 	// Start builds the process's empty state; boot counts its starts from 1.
 	Start func(boot uint64)
-	// Death, if set, is told that the process died.
-	Death func()
 }
 
 // NewProcess returns a process that is not started yet.
@@ -51,7 +50,6 @@
 		zone:      options.Zone,
 		clock:     options.Clock,
 		onStart:   options.Start,
-		onDeath:   options.Death,
 	}
 }
 
@@ -99,11 +97,18 @@
 	p.state = ProcessDead
 	p.held = nil
 	p.trace.Record("die", p.name, p.zone, p.boot)
-	if p.onDeath != nil {
-		p.onDeath()
+	watchers := p.onDeath
+	p.onDeath = nil
+	for _, watcher := range watchers {
+		watcher()
 	}
 }
 
+// OnDeath calls the function once the present boot has died.
+func (p *Process) OnDeath(watcher func()) {
+	p.onDeath = append(p.onDeath, watcher)
+}
+
 // Pause freezes a running process.
 func (p *Process) Pause() {
 	if p.state != ProcessRunning {
--- a/internal/sim/scheduler.go
+++ b/internal/sim/scheduler.go
@@ -1,6 +1,9 @@
 package sim
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Epoch is the virtual time at which each simulation starts.
 var Epoch = time.Date(2030, time.January, 1, 0, 0, 0, 0, time.UTC)
@@ -13,8 +16,14 @@
 	sequence uint64
 	queue    []event
 	executed uint64
+	// instant counts the events at the present time.
+	instant uint64
 }
 
+// instantLimit bounds the events at one virtual time. More of them mean that
+// the time stands still: something wakes itself again and again.
+const instantLimit = 1_000_000
+
 type event struct {
 	at       time.Duration
 	sequence uint64
@@ -82,12 +91,23 @@
 		return false
 	}
 	next := s.pop()
+	s.count(next.at)
 	s.now = next.at
-	s.executed++
 	next.run()
 	return true
 }
 
+func (s *Scheduler) count(at time.Duration) {
+	s.executed++
+	if at > s.now {
+		s.instant = 0
+	}
+	s.instant++
+	if s.instant > instantLimit {
+		panic(fmt.Sprintf("sim: more than %d events at %s", instantLimit, at))
+	}
+}
+
 // Run runs all events up to the limit and leaves the clock there.
 func (s *Scheduler) Run(limit time.Duration) {
 	for s.Step(limit) {
