Read declarations strictly; the operators' commands in their first form

Cause: operators drive the system by declarations in version control, so every mistake of a folder has to be found in one pass, before anything is written.

Change: internal/spec reads YAML into typed structs with the place of each value and collects all findings; documents of a file are parsed one by one, since one syntax error would else hide the rest. internal/operator plans, applies by compare-and-set in dependency order, compares, waits, and serves a node's operators' port.

Ruled out: the YAML library's own strict decoding, which stops at the first mistake.

--- /dev/null
+++ b/cmd/spanlanding/flags.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/spanlanding/spanlanding/internal/operator"
+	"github.com/spanlanding/spanlanding/internal/spec"
+)
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+
+	// defaultTimeout bounds a command that names no other bound.
+	defaultTimeout = 10 * time.Second
+
+	flagOutput       = "output"
+	flagPlatform     = "platform"
+	flagNode         = "node"
+	flagServerMemory = "server-memory"
+	flagTimeout      = "timeout"
+)
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: flagOutput, Aliases: []string{"o"}, Value: outputText, Usage: "text or json",
+		Validator: func(value string) error {
+			if value != outputText && value != outputJSON {
+				return operator.ErrUsage.New("output %q; give text or json", value)
+			}
+			return nil
+		},
+	}
+}
+
+func platformFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: flagPlatform, Usage: "`URL` of the platform's object API", Required: true,
+		Sources: cli.EnvVars("SPANLANDING_PLATFORM"),
+	}
+}
+
+func nodeFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: flagNode, Usage: "operators' `ADDRESS` (IP:port) of a node", Required: true,
+		Sources: cli.EnvVars("SPANLANDING_NODE"),
+	}
+}
+
+func timeoutFlag(value time.Duration) cli.Flag {
+	return &cli.DurationFlag{Name: flagTimeout, Value: value, Usage: "give up after this long"}
+}
+
+func serverMemoryFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: flagServerMemory, Usage: "accelerator memory of the largest server, such as 48GiB; what fits none is reported",
+		Validator: func(value string) error {
+			_, err := spec.ParseBytes(value)
+			return err
+		},
+	}
+}
+
+// loadDeclarations reads and checks the paths given as arguments.
+func loadDeclarations(command *cli.Command) (spec.Set, spec.Findings, error) {
+	paths := command.Args().Slice()
+	if len(paths) == 0 {
+		return spec.Set{}, nil, operator.ErrUsage.New("%s: name a folder or files with declarations", command.Name)
+	}
+	options := spec.Options{}
+	if text := command.String(flagServerMemory); text != "" {
+		memory, err := spec.ParseBytes(text)
+		if err != nil {
+			return spec.Set{}, nil, operator.ErrUsage.Wrap(err, "--%s", flagServerMemory)
+		}
+		options.ServerMemory = memory
+	}
+	set, findings := options.Load(paths)
+	return set, findings, nil
+}
+
+func newNodeClient(address string) *operator.NodeClient {
+	return operator.NewNodeClient(address, http.DefaultClient)
+}
+
+// output prints the value as JSON where that is asked for, else as text.
+func output(command *cli.Command, value any, text func(io.Writer)) error {
+	writer := command.Root().Writer
+	if command.String(flagOutput) != outputJSON {
+		text(writer)
+		return nil
+	}
+	encoder := json.NewEncoder(writer)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
--- a/cmd/spanlanding/main.go
+++ b/cmd/spanlanding/main.go
@@ -1,4 +1,52 @@
-// Command spanlanding is started by operators; see README.md.
+// Command spanlanding runs a node of the fleet and the operators' commands;
+// see README.md.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/spanlanding/spanlanding/internal/operator"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := newApp().Run(ctx, os.Args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "spanlanding:", err)
+	}
+	os.Exit(int(operator.CodeOf(err)))
+}
+
+func newApp() *cli.Command {
+	return &cli.Command{
+		Name:        "spanlanding",
+		Usage:       "serve rarely used language models, run by declarations",
+		Description: exitCodes,
+		Commands: []*cli.Command{
+			nodeCommand(),
+			validateCommand(),
+			diffCommand(),
+			applyCommand(),
+			getCommand(),
+			statusCommand(),
+			waitCommand(),
+			drainCommand(),
+		},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return operator.ErrUsage.Wrap(err, "the command line is wrong")
+		},
+		// main prints the error and picks the exit code.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+}
+
+const exitCodes = `Exit codes: 0 done, 1 failed, 2 wrong command line, 3 invalid declarations or
+settings, 4 another operator's change won, 5 no answer from store or node,
+6 wait timed out, 7 diff found differences, 8 no such object.`
--- /dev/null
+++ b/internal/operator/doc.go
@@ -0,0 +1,6 @@
+// Package operator serves operators: the HTTP handler of a node's operators'
+// port, and the logic of the commands that change declarations and watch the
+// fleet.
+//
+// It may import fleet, spec, platform, views and prometheus.
+package operator
--- /dev/null
+++ b/internal/operator/objects.go
@@ -0,0 +1,57 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+// OfKind returns the objects of the kind, whatever the case of its letters;
+// all for an empty kind. Tombstones are left out.
+func OfKind(objects []platform.Object, kind string) []platform.Object {
+	chosen := []platform.Object{}
+	for _, object := range objects {
+		if !object.Deleted && (kind == "" || strings.EqualFold(kind, object.Kind)) {
+			chosen = append(chosen, object)
+		}
+	}
+	slices.SortFunc(chosen, func(left, right platform.Object) int { return compareKeys(left.Key(), right.Key()) })
+	return chosen
+}
+
+// RenderObjects prints a list of objects for people.
+func RenderObjects(writer io.Writer, listed platform.ObjectList) {
+	rows := table{}
+	rows.add("KIND", "NAME", "VERSION", "BY", "LABELS")
+	for _, object := range listed.Objects {
+		rows.add(object.Kind, object.Name, fmt.Sprint(object.Version), object.ChangedBy, labelText(object.Labels))
+	}
+	rows.write(writer)
+	fmt.Fprintf(writer, "%d objects, store version %d\n", len(listed.Objects), listed.Version)
+}
+
+func labelText(labels map[string]string) string {
+	pairs := make([]string, 0, len(labels))
+	for _, key := range slices.Sorted(maps.Keys(labels)) {
+		pairs = append(pairs, key+"="+labels[key])
+	}
+	return strings.Join(pairs, ",")
+}
+
+// RenderObject prints one object with its spec.
+func RenderObject(writer io.Writer, object platform.Object) {
+	fmt.Fprintf(writer, "%s %s\nversion: %d, by %s, change %s\nlabels: %s\n", object.Kind, object.Name,
+		object.Version, orUnnamed(object.ChangedBy), orUnnamed(object.ChangeID), labelText(object.Labels))
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, object.Spec, "", "  "); err != nil {
+		indented.Reset()
+		indented.Write(object.Spec)
+	}
+	fmt.Fprintf(writer, "spec: %s\n", indented.String())
+}
--- /dev/null
+++ b/internal/operator/render.go
@@ -0,0 +1,178 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// Width is the widest line of any text that commands print.
+const Width = 80
+
+// table lays out rows in columns no wider than Width; the last column of a
+// row that is too long is cut.
+type table struct {
+	rows [][]string
+}
+
+func (t *table) add(cells ...string) {
+	t.rows = append(t.rows, cells)
+}
+
+func (t *table) write(writer io.Writer) {
+	var widths []int
+	for _, row := range t.rows {
+		for column, cell := range row {
+			if column == len(widths) {
+				widths = append(widths, 0)
+			}
+			widths[column] = max(widths[column], len(cell))
+		}
+	}
+	shrink(widths)
+	for _, row := range t.rows {
+		var line strings.Builder
+		for column, cell := range row {
+			if column > 0 {
+				line.WriteString("  ")
+			}
+			fmt.Fprintf(&line, "%-*s", widths[column], cut(cell, widths[column]))
+		}
+		fmt.Fprintln(writer, strings.TrimRight(line.String(), " "))
+	}
+}
+
+// shrink narrows the widest columns until the row fits.
+func shrink(widths []int) {
+	const gap = 2
+	for {
+		total, widest := -gap, 0
+		for column, width := range widths {
+			total += width + gap
+			if width > widths[widest] {
+				widest = column
+			}
+		}
+		if total <= Width || len(widths) == 0 {
+			return
+		}
+		widths[widest]--
+	}
+}
+
+func cut(text string, width int) string {
+	if len(text) <= width {
+		return text
+	}
+	if width < 3 {
+		return text[:width]
+	}
+	return text[:width-2] + ".."
+}
+
+// RenderStatus prints a status for people, within Width columns.
+func RenderStatus(writer io.Writer, status Status) {
+	state := "ready"
+	if !status.Ready {
+		state = "not ready"
+	}
+	if status.Draining {
+		state += ", draining"
+	}
+	head := fmt.Sprintf("node %s  zone %s  config %d  %s", status.Node, status.Zone, status.ConfigVersion, state)
+	fmt.Fprintln(writer, cut(head, Width))
+	renderMembers(writer, status.Members)
+	renderZones(writer, status.Zones)
+	renderModels(writer, status.Models)
+	renderQueues(writer, status.Queues)
+}
+
+func renderMembers(writer io.Writer, members []fleet.Member) {
+	rows := table{}
+	rows.add("MEMBER", "ZONE", "STATE", "CONFIG", "OPERATOR")
+	for _, member := range sortMembers(members) {
+		state := string(member.State)
+		if member.Draining {
+			state += ",draining"
+		}
+		rows.add(string(member.Name), string(member.Zone), state, fmt.Sprint(member.ConfigVersion), member.Addresses.Operator)
+	}
+	section(writer, rows)
+}
+
+func renderZones(writer io.Writer, zones []ZoneStatus) {
+	rows := table{}
+	rows.add("ZONE", "LEADER", "FENCE", "TABLE AGE", "ENGINES", "SERVICES", "LEAVING")
+	for _, zone := range zones {
+		rows.add(string(zone.Zone), string(zone.Leader), zone.Fence, seconds(zone.TableAgeSeconds),
+			fmt.Sprint(zone.Engines), fmt.Sprint(zone.Services), fmt.Sprint(zone.Leaving))
+	}
+	section(writer, rows)
+}
+
+func renderModels(writer io.Writer, models []ModelStatus) {
+	rows := table{}
+	rows.add("MODEL", "DECIDED", "READY", "LOADING", "UNLOADING", "WAITING")
+	for _, model := range models {
+		rows.add(model.Model.String(), fmt.Sprint(model.Decided), fmt.Sprint(model.Ready),
+			fmt.Sprint(model.Loading), fmt.Sprint(model.Unloading), fmt.Sprint(model.Waiting))
+	}
+	section(writer, rows)
+}
+
+func renderQueues(writer io.Writer, queues []QueueStatus) {
+	rows := table{}
+	rows.add("QUEUE", "WAITING", "OLDEST")
+	for _, queue := range queues {
+		rows.add(queue.Model.String(), fmt.Sprint(queue.Waiting), seconds(queue.OldestSeconds))
+	}
+	section(writer, rows)
+}
+
+// section prints a table with a blank line before it; a table without rows is
+// left out.
+func section(writer io.Writer, rows table) {
+	if len(rows.rows) < 2 {
+		return
+	}
+	fmt.Fprintln(writer)
+	rows.write(writer)
+}
+
+func seconds(value float64) string {
+	return time.Duration(value * float64(time.Second)).Round(10 * time.Millisecond).String()
+}
+
+// RenderWait prints the end of a wait.
+func RenderWait(writer io.Writer, result WaitResult) {
+	fmt.Fprintf(writer, "version %d: in force at %d of %d live nodes\n", result.Version, result.InForce, result.Live)
+	rows := table{}
+	rows.add("LACKING", "ZONE", "CONFIG", "REASON")
+	for _, lacking := range result.Lacking {
+		rows.add(string(lacking.Node), string(lacking.Zone), fmt.Sprint(lacking.ConfigVersion), lacking.Reason)
+	}
+	section(writer, rows)
+}
+
+// RenderApply prints what an apply did; objects without a change are counted
+// only.
+func RenderApply(writer io.Writer, result ApplyResult) {
+	rows := table{}
+	unchanged := 0
+	for _, object := range result.Objects {
+		if object.Outcome == OutcomeUnchanged {
+			unchanged++
+			continue
+		}
+		version := ""
+		if object.Version > 0 {
+			version = fmt.Sprintf("version %d", object.Version)
+		}
+		rows.add(string(object.Outcome), object.Kind, object.Name, version)
+	}
+	rows.write(writer)
+	fmt.Fprintf(writer, "set %s: %d changed, %d unchanged, version %d\n", result.Owner, result.Changed(), unchanged, result.Version)
+}
--- /dev/null
+++ b/internal/spec/decode.go
@@ -0,0 +1,397 @@
+package spec
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+// maxDepth bounds the nesting of a document.
+const maxDepth = 32
+
+// decoder fills typed structs from one document and collects every finding.
+type decoder struct {
+	file     string
+	line     int
+	places   map[string]Position
+	findings Findings
+}
+
+func (d *decoder) position(found *token.Token) Position {
+	position := Position{File: d.file, Line: d.line + 1, Column: 1}
+	if found != nil && found.Position != nil {
+		position.Line = d.line + found.Position.Line
+		position.Column = found.Position.Column
+	}
+	return position
+}
+
+// start returns where the node begins.
+func (d *decoder) start(node ast.Node) Position {
+	switch typed := node.(type) {
+	case *ast.MappingNode:
+		if !typed.IsFlowStyle && len(typed.Values) > 0 {
+			return d.start(typed.Values[0].Key)
+		}
+		return d.position(typed.Start)
+	case *ast.MappingValueNode:
+		return d.start(typed.Key)
+	case *ast.MappingKeyNode:
+		return d.position(typed.Start)
+	default:
+		return d.position(node.GetToken())
+	}
+}
+
+func (d *decoder) report(position Position, problem, remedy string) {
+	d.findings = append(d.findings, Finding{Position: position, Problem: problem, Remedy: remedy})
+}
+
+// field is one key of a mapping.
+type field struct {
+	name     string
+	position Position
+	value    ast.Node
+}
+
+// fields returns the mapping's keys in order, each once. It reports keys that
+// stand twice, and returns false if the node is no mapping.
+func (d *decoder) fields(node ast.Node) ([]field, bool) {
+	var entries []*ast.MappingValueNode
+	switch typed := node.(type) {
+	case *ast.MappingNode:
+		entries = typed.Values
+	case *ast.MappingValueNode:
+		entries = []*ast.MappingValueNode{typed}
+	default:
+		return nil, false
+	}
+	seen := make(map[string]Position)
+	var fields []field
+	for _, entry := range entries {
+		position := d.start(entry.Key)
+		name, plain := keyName(entry.Key)
+		if !plain {
+			d.report(position, "the key is no plain text", "write a plain field name; merge keys, anchors and aliases are not taken")
+			continue
+		}
+		if first, found := seen[name]; found {
+			d.report(position, fmt.Sprintf("field %q stands twice", name), fmt.Sprintf("keep one; the first is at line %d", first.Line))
+			continue
+		}
+		seen[name] = position
+		fields = append(fields, field{name: name, position: position, value: entry.Value})
+	}
+	return fields, true
+}
+
+func keyName(key ast.MapKeyNode) (string, bool) {
+	switch typed := key.(type) {
+	case *ast.StringNode:
+		return typed.Value, true
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode, *ast.NullNode:
+		return typed.GetToken().Value, true
+	default:
+		return "", false
+	}
+}
+
+// object decodes a document; it returns nil where the kind is not known.
+func (d *decoder) object(body ast.Node) *Object {
+	start := d.start(body)
+	d.places[""] = start
+	fields, ok := d.fields(body)
+	if !ok {
+		d.report(start, "the document is no mapping", "write kind:, metadata: and spec:")
+		return nil
+	}
+	object := &Object{}
+	var specNode, metadataNode ast.Node
+	hasKind := false
+	for _, field := range fields {
+		switch field.name {
+		case "kind":
+			hasKind = true
+			d.places["kind"] = d.start(field.value)
+			d.value(field.value, reflect.ValueOf(&object.Kind).Elem(), "kind", 1)
+		case "metadata":
+			metadataNode = field.value
+			d.value(field.value, reflect.ValueOf(&object.Metadata).Elem(), "metadata", 1)
+		case "spec":
+			specNode = field.value
+		default:
+			d.report(field.position, fmt.Sprintf("unknown field %q", field.name), "a document has kind, metadata and spec")
+		}
+	}
+	if metadataNode == nil {
+		d.report(start, "metadata is missing", "give metadata: with a name:")
+	}
+	if !hasKind {
+		d.report(start, "kind is missing", "give one of "+kindList())
+		return nil
+	}
+	object.Spec = newSpec(object.Kind)
+	if object.Spec == nil {
+		if object.Kind != "" {
+			d.report(d.places["kind"], fmt.Sprintf("unknown kind %q", object.Kind), "give one of "+kindList())
+		}
+		return nil
+	}
+	if specNode == nil {
+		d.report(start, "spec is missing", "give spec: with the fields of a "+string(object.Kind))
+		return object
+	}
+	d.value(specNode, reflect.ValueOf(object.Spec).Elem(), "spec", 1)
+	return object
+}
+
+var (
+	bytesType    = reflect.TypeFor[Bytes]()
+	durationType = reflect.TypeFor[Duration]()
+)
+
+// value decodes a node into the target and remembers where it stands.
+func (d *decoder) value(node ast.Node, target reflect.Value, path string, depth int) {
+	position := d.start(node)
+	d.places[path] = position
+	switch node.(type) {
+	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode:
+		d.report(position, "anchors, aliases and tags are not taken", "write the value out")
+		return
+	}
+	if depth > maxDepth {
+		d.report(position, "nested too deeply", fmt.Sprintf("nest at most %d levels", maxDepth))
+		return
+	}
+	switch {
+	case target.Type() == bytesType:
+		d.bytes(node, target, path)
+	case target.Type() == durationType:
+		d.duration(node, target, path)
+	default:
+		d.byKind(node, target, path, depth)
+	}
+}
+
+func (d *decoder) byKind(node ast.Node, target reflect.Value, path string, depth int) {
+	switch target.Kind() {
+	case reflect.Struct:
+		d.structure(node, target, path, depth)
+	case reflect.Map:
+		d.stringMap(node, target, path, depth)
+	case reflect.Slice:
+		d.sequence(node, target, path, depth)
+	case reflect.String:
+		d.text(node, target, path)
+	case reflect.Int:
+		d.integer(node, target, path)
+	case reflect.Float64:
+		d.number(node, target, path)
+	default:
+		panic("spec: no decoding for " + target.Type().String())
+	}
+}
+
+func (d *decoder) structure(node ast.Node, target reflect.Value, path string, depth int) {
+	fields, ok := d.fields(node)
+	if !ok {
+		d.wrongType(node, path, "a mapping with "+strings.Join(fieldNames(target.Type()), ", "))
+		return
+	}
+	for _, field := range fields {
+		index, found := fieldIndex(target.Type(), field.name)
+		if !found {
+			names := fieldNames(target.Type())
+			d.report(field.position, fmt.Sprintf("unknown field %q", field.name), remedyForName(field.name, names))
+			continue
+		}
+		d.value(field.value, target.Field(index), path+"."+field.name, depth+1)
+	}
+}
+
+func fieldIndex(structure reflect.Type, name string) (int, bool) {
+	for index := range structure.NumField() {
+		if tagName(structure.Field(index)) == name {
+			return index, true
+		}
+	}
+	return 0, false
+}
+
+func fieldNames(structure reflect.Type) []string {
+	names := make([]string, 0, structure.NumField())
+	for index := range structure.NumField() {
+		names = append(names, tagName(structure.Field(index)))
+	}
+	return names
+}
+
+func tagName(structField reflect.StructField) string {
+	name, _, _ := strings.Cut(structField.Tag.Get("yaml"), ",")
+	return name
+}
+
+func (d *decoder) stringMap(node ast.Node, target reflect.Value, path string, depth int) {
+	fields, ok := d.fields(node)
+	if !ok {
+		d.wrongType(node, path, "a mapping of texts")
+		return
+	}
+	values := reflect.MakeMap(target.Type())
+	for _, field := range fields {
+		value := reflect.New(target.Type().Elem()).Elem()
+		d.value(field.value, value, path+"."+field.name, depth+1)
+		values.SetMapIndex(reflect.ValueOf(field.name), value)
+	}
+	target.Set(values)
+}
+
+func (d *decoder) sequence(node ast.Node, target reflect.Value, path string, depth int) {
+	list, ok := node.(*ast.SequenceNode)
+	if !ok {
+		d.wrongType(node, path, "a list")
+		return
+	}
+	values := reflect.MakeSlice(target.Type(), len(list.Values), len(list.Values))
+	for index, entry := range list.Values {
+		d.value(entry, values.Index(index), path+"["+strconv.Itoa(index)+"]", depth+1)
+	}
+	target.Set(values)
+}
+
+func (d *decoder) text(node ast.Node, target reflect.Value, path string) {
+	switch typed := node.(type) {
+	case *ast.StringNode:
+		target.SetString(typed.Value)
+	case *ast.LiteralNode:
+		target.SetString(typed.Value.Value)
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
+		d.wrongType(node, path, fmt.Sprintf("text: %q with the quotes", node.GetToken().Value))
+	default:
+		d.wrongType(node, path, "text")
+	}
+}
+
+func (d *decoder) integer(node ast.Node, target reflect.Value, path string) {
+	typed, ok := node.(*ast.IntegerNode)
+	if !ok {
+		d.wrongType(node, path, "a whole number")
+		return
+	}
+	value, err := strconv.ParseInt(fmt.Sprint(typed.Value), 10, 32)
+	if err != nil {
+		d.report(d.start(node), fmt.Sprintf("%s is %v, out of range", path, typed.Value), "give a number between -2147483648 and 2147483647")
+		return
+	}
+	target.SetInt(value)
+}
+
+func (d *decoder) number(node ast.Node, target reflect.Value, path string) {
+	switch typed := node.(type) {
+	case *ast.FloatNode:
+		target.SetFloat(typed.Value)
+	case *ast.IntegerNode:
+		value, err := strconv.ParseFloat(fmt.Sprint(typed.Value), 64)
+		if err == nil {
+			target.SetFloat(value)
+		}
+	default:
+		d.wrongType(node, path, "a number")
+	}
+}
+
+func (d *decoder) bytes(node ast.Node, target reflect.Value, path string) {
+	const wanted = "a size such as 14GiB, 300MiB or a number of bytes"
+	switch node.(type) {
+	case *ast.StringNode, *ast.IntegerNode:
+		size, err := ParseBytes(node.GetToken().Value)
+		if err != nil {
+			d.report(d.start(node), fmt.Sprintf("%s: %v", path, err), "give "+wanted)
+			return
+		}
+		target.SetInt(int64(size))
+	default:
+		d.wrongType(node, path, wanted)
+	}
+}
+
+func (d *decoder) duration(node ast.Node, target reflect.Value, path string) {
+	const wanted = "a time span such as 30s or 1m30s"
+	typed, ok := node.(*ast.StringNode)
+	if !ok {
+		d.wrongType(node, path, wanted)
+		return
+	}
+	span, err := time.ParseDuration(typed.Value)
+	if err != nil {
+		d.report(d.start(node), fmt.Sprintf("%s: %q is no time span", path, typed.Value), "give "+wanted)
+		return
+	}
+	target.SetInt(int64(span))
+}
+
+func (d *decoder) wrongType(node ast.Node, path, wanted string) {
+	d.report(d.start(node), fmt.Sprintf("%s is %s", path, nodeTypeName(node)), "give "+wanted)
+}
+
+func nodeTypeName(node ast.Node) string {
+	switch node.(type) {
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.StringNode, *ast.LiteralNode:
+		return "text"
+	case *ast.IntegerNode:
+		return "a whole number"
+	case *ast.FloatNode, *ast.InfinityNode, *ast.NanNode:
+		return "a number with a fraction"
+	case *ast.BoolNode:
+		return "true or false"
+	case *ast.NullNode:
+		return "empty"
+	default:
+		return "of a kind that is not taken"
+	}
+}
+
+// remedyForName proposes the known name that is nearest to the given one.
+func remedyForName(given string, known []string) string {
+	best, bestDistance := "", len(given)/2+1
+	for _, name := range known {
+		if distance := editDistance(strings.ToLower(given), strings.ToLower(name)); distance < bestDistance {
+			best, bestDistance = name, distance
+		}
+	}
+	if best != "" {
+		return fmt.Sprintf("did you mean %q", best)
+	}
+	return "known are " + strings.Join(known, ", ")
+}
+
+// editDistance counts the single-byte changes that turn one text into the
+// other.
+func editDistance(left, right string) int {
+	row := make([]int, len(right)+1)
+	for column := range row {
+		row[column] = column
+	}
+	for leftIndex := range len(left) {
+		diagonal := row[0]
+		row[0] = leftIndex + 1
+		for rightIndex := range len(right) {
+			substituted := diagonal
+			if left[leftIndex] != right[rightIndex] {
+				substituted++
+			}
+			diagonal = row[rightIndex+1]
+			row[rightIndex+1] = min(substituted, row[rightIndex]+1, diagonal+1)
+		}
+	}
+	return row[len(right)]
+}
--- /dev/null
+++ b/internal/spec/load.go
@@ -0,0 +1,201 @@
+package spec
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// maxFileBytes bounds a declaration file.
+const maxFileBytes = 16 << 20
+
+// Options are facts from outside that declarations are checked against.
+type Options struct {
+	// ServerMemory is the accelerator memory of the largest server that
+	// models may take; 0 is unknown.
+	ServerMemory Bytes
+}
+
+// Load reads files, and folders with their sub-folders (*.yaml and *.yml), and
+// checks them. All findings of all files come together.
+func Load(paths []string) (Set, Findings) {
+	return Options{}.Load(paths)
+}
+
+// Load reads and checks as the function Load does.
+func (o Options) Load(paths []string) (Set, Findings) {
+	loader := loader{set: Set{unread: make(map[reference]bool)}}
+	for _, path := range paths {
+		loader.loadPath(path)
+	}
+	loader.findings = append(loader.findings, check(loader.set, o)...)
+	return loader.set, loader.findings.sorted()
+}
+
+// Parse reads and checks the content of one file.
+func (o Options) Parse(file string, content []byte) (Set, Findings) {
+	loader := loader{set: Set{unread: make(map[reference]bool)}}
+	loader.loadContent(file, content)
+	loader.findings = append(loader.findings, check(loader.set, o)...)
+	return loader.set, loader.findings.sorted()
+}
+
+type loader struct {
+	set      Set
+	findings Findings
+}
+
+func (l *loader) report(position Position, problem, remedy string) {
+	l.findings = append(l.findings, Finding{Position: position, Problem: problem, Remedy: remedy})
+}
+
+func (l *loader) loadPath(path string) {
+	var files []string
+	err := filepath.WalkDir(path, func(file string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if !entry.IsDir() && (file == path || isDeclarationFile(file)) {
+			files = append(files, file)
+		}
+		return nil
+	})
+	if err != nil {
+		l.report(Position{File: path, Line: 1, Column: 1}, fmt.Sprintf("cannot be read: %v", err), "name a readable file or folder")
+		return
+	}
+	if len(files) == 0 {
+		l.report(Position{File: path, Line: 1, Column: 1}, "the folder holds no declarations", "put *.yaml files into it")
+	}
+	for _, file := range files {
+		l.loadFile(file)
+	}
+}
+
+func isDeclarationFile(file string) bool {
+	extension := filepath.Ext(file)
+	return extension == ".yaml" || extension == ".yml"
+}
+
+func (l *loader) loadFile(file string) {
+	start := Position{File: file, Line: 1, Column: 1}
+	info, err := os.Stat(file)
+	if err == nil && info.Size() > maxFileBytes {
+		l.report(start, fmt.Sprintf("the file has %d bytes", info.Size()), fmt.Sprintf("at most %d are read; split it", maxFileBytes))
+		return
+	}
+	content, err := os.ReadFile(file)
+	if err != nil {
+		l.report(start, fmt.Sprintf("cannot be read: %v", err), "name a readable file")
+		return
+	}
+	l.loadContent(file, content)
+}
+
+// document is one YAML document of a file; Line is the file's line before it.
+type document struct {
+	text []byte
+	line int
+}
+
+// splitDocuments cuts a file at its "---" lines, so that a syntax error in one
+// document does not hide what is wrong in the others.
+func splitDocuments(content []byte) []document {
+	var documents []document
+	current := document{}
+	for number, line := range bytes.SplitAfter(content, []byte("\n")) {
+		if isDocumentStart(line) {
+			documents = append(documents, current)
+			current = document{line: number + 1}
+			continue
+		}
+		current.text = append(current.text, line...)
+	}
+	return append(documents, current)
+}
+
+func isDocumentStart(line []byte) bool {
+	rest, found := bytes.CutPrefix(line, []byte("---"))
+	rest = bytes.TrimSpace(rest)
+	return found && (len(rest) == 0 || rest[0] == '#')
+}
+
+func (l *loader) loadContent(file string, content []byte) {
+	for _, document := range splitDocuments(content) {
+		l.loadDocument(file, document)
+	}
+}
+
+func (l *loader) loadDocument(file string, document document) {
+	if len(bytes.TrimSpace(document.text)) == 0 {
+		return
+	}
+	parsed, err := parser.ParseBytes(document.text, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		l.reportSyntax(file, document, err)
+		return
+	}
+	for _, body := range parsed.Docs {
+		if body.Body != nil && body.Body.Type() != ast.CommentType {
+			l.decodeDocument(file, document.line, body.Body)
+		}
+	}
+}
+
+var (
+	kindLine = regexp.MustCompile(`(?m)^kind:[ \t]*(\w+)`)
+	nameLine = regexp.MustCompile(`(?m)^[ \t]+name:[ \t]*([^\s#]+)`)
+)
+
+func (l *loader) reportSyntax(file string, document document, err error) {
+	position := Position{File: file, Line: document.line + 1, Column: 1}
+	message := err.Error()
+	var located yaml.Error
+	if errors.As(err, &located) {
+		message = located.GetMessage()
+		if token := located.GetToken(); token != nil && token.Position != nil {
+			position.Line = document.line + token.Position.Line
+			position.Column = token.Position.Column
+		}
+	}
+	message, _, _ = strings.Cut(message, "\n")
+	l.report(position, "not YAML: "+message, "mend the syntax; nothing else of this document was checked")
+	kind, name := kindLine.FindSubmatch(document.text), nameLine.FindSubmatch(document.text)
+	if kind != nil && name != nil {
+		l.set.unread[reference{Kind(kind[1]), string(name[1])}] = true
+	}
+}
+
+func (l *loader) decodeDocument(file string, line int, body ast.Node) {
+	decoder := &decoder{file: file, line: line, places: make(map[string]Position)}
+	object := decoder.object(body)
+	l.findings = append(l.findings, decoder.findings...)
+	if object == nil {
+		return
+	}
+	object.places = decoder.places
+	object.faulty = make(map[Position]bool)
+	for _, finding := range decoder.findings {
+		object.faulty[finding.Position] = true
+	}
+	l.set.objects = append(l.set.objects, object)
+}
+
+func kindList() string {
+	names := make([]string, 0, len(kindOrder))
+	for _, kind := range kindOrder {
+		names = append(names, string(kind))
+	}
+	slices.Sort(names)
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/spec/set.go
@@ -0,0 +1,167 @@
+package spec
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Declared is one object as the store takes it.
+type Declared struct {
+	Kind   Kind              `json:"kind"`
+	Name   string            `json:"name"`
+	Labels map[string]string `json:"labels,omitempty"`
+	// Spec is canonical: the same declaration gives the same bytes.
+	Spec json.RawMessage `json:"spec"`
+}
+
+// Object is one declaration with its place.
+type Object struct {
+	Kind     Kind
+	Metadata Metadata
+	// Spec points to the struct of the kind, such as *Model.
+	Spec any
+	// places holds where each field's value stands, by a path such as
+	// spec.versions[0].memory; the empty path is the document itself.
+	places map[string]Position
+	// faulty holds the places at which reading already found a mistake.
+	faulty map[Position]bool
+}
+
+// Place returns where the field of the path stands, or the nearest enclosing
+// field that is written down.
+func (o *Object) Place(path string) Position {
+	for {
+		if position, found := o.places[path]; found {
+			return position
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			return o.places[""]
+		}
+		path = path[:cut]
+	}
+}
+
+// Title names the object as messages do, such as Model "nordlys".
+func (o *Object) Title() string {
+	return fmt.Sprintf("%s %q", o.Kind, o.Metadata.Name)
+}
+
+// kindOrder lists the kinds so that each comes after those it refers to.
+var kindOrder = []Kind{
+	KindModel, KindAdapter, KindDeployment, KindCapacity, KindService, KindPreferences, KindSelector,
+}
+
+// Kinds returns the declared kinds, each after those that it refers to.
+func Kinds() []Kind {
+	return slices.Clone(kindOrder)
+}
+
+// newSpec returns a pointer to a zero spec of the kind, or nil.
+func newSpec(kind Kind) any {
+	switch kind {
+	case KindModel:
+		return &Model{}
+	case KindAdapter:
+		return &Adapter{}
+	case KindDeployment:
+		return &Deployment{}
+	case KindSelector:
+		return &Selector{}
+	case KindService:
+		return &Service{}
+	case KindCapacity:
+		return &Capacity{}
+	case KindPreferences:
+		return &Preferences{}
+	default:
+		return nil
+	}
+}
+
+// Set is all declarations of one pass.
+type Set struct {
+	objects []*Object
+	// unread holds kind and name of documents that could not be parsed, so
+	// that references to them are not reported as dangling too.
+	unread map[reference]bool
+}
+
+type reference struct {
+	kind Kind
+	name string
+}
+
+// Objects returns the declarations in an order in which none refers to a
+// later one; within a kind they are sorted by name.
+func (s Set) Objects() []Declared {
+	declared := make([]Declared, 0, len(s.objects))
+	for _, kind := range kindOrder {
+		for _, object := range s.byKind(kind) {
+			declared = append(declared, object.declared())
+		}
+	}
+	return declared
+}
+
+func (o *Object) declared() Declared {
+	encoded, err := json.Marshal(o.Spec)
+	if err != nil {
+		panic(fmt.Sprintf("spec: %s does not encode: %v", o.Title(), err))
+	}
+	return Declared{Kind: o.Kind, Name: o.Metadata.Name, Labels: maps.Clone(o.Metadata.Labels), Spec: encoded}
+}
+
+func (s Set) byKind(kind Kind) []*Object {
+	var found []*Object
+	for _, object := range s.objects {
+		if object.Kind == kind {
+			found = append(found, object)
+		}
+	}
+	slices.SortStableFunc(found, func(left, right *Object) int {
+		return strings.Compare(left.Metadata.Name, right.Metadata.Name)
+	})
+	return found
+}
+
+func (s Set) find(kind Kind, name string) *Object {
+	for _, object := range s.objects {
+		if object.Kind == kind && object.Metadata.Name == name {
+			return object
+		}
+	}
+	return nil
+}
+
+// names lists the names of a kind, for remedies.
+func (s Set) names(kind Kind) string {
+	var names []string
+	for _, object := range s.byKind(kind) {
+		names = append(names, object.Metadata.Name)
+	}
+	names = slices.Compact(names)
+	if len(names) == 0 {
+		return "none is declared"
+	}
+	const shown = 8
+	if len(names) > shown {
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:shown], ", "), len(names)-shown)
+	}
+	return strings.Join(names, ", ")
+}
+
+// Canonical returns the JSON of a kind's spec in its one form.
+func Canonical(kind Kind, raw json.RawMessage) (json.RawMessage, error) {
+	target := newSpec(kind)
+	if target == nil {
+		return nil, ErrInvalid.New("unknown kind %q", kind)
+	}
+	if err := json.Unmarshal(raw, target); err != nil {
+		return nil, ErrInvalid.Wrap(err, "no spec of a %s", kind)
+	}
+	return json.Marshal(target)
+}
