--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,81 @@
+package logging
+
+import (
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/phuslu/log"
+)
+
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// Levels are the names that settings may give.
+var Levels = map[string]log.Level{
+	"debug": log.DebugLevel,
+	"info":  log.InfoLevel,
+	"warn":  log.WarnLevel,
+	"error": log.ErrorLevel,
+}
+
+// Field is a key and value that every line of a logger carries.
+type Field struct {
+	Key   string
+	Value string
+}
+
+// New returns a logger that writes to out; fields stand on every line.
+func New(out io.Writer, level log.Level, fields ...Field) *log.Logger {
+	context := log.NewContext(nil)
+	for _, field := range fields {
+		context.Str(field.Key, field.Value)
+	}
+	return &log.Logger{
+		Level:      level,
+		TimeFormat: timeFormat,
+		Context:    context.Value(),
+		Writer:     &log.ConsoleWriter{Writer: out, Formatter: writeLine},
+	}
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *log.Logger {
+	return New(io.Discard, log.ErrorLevel)
+}
+
+// writeLine differs from phuslu/log's LogfmtFormatter in that the message gets
+// a key and a true value is written out, so that each word is key=value.
+func writeLine(out io.Writer, arguments *log.FormatterArgs) (int, error) {
+	var line strings.Builder
+	writePair(&line, "time", arguments.Time)
+	writePair(&line, "level", arguments.Level)
+	if arguments.Message != "" {
+		writePair(&line, "event", arguments.Message)
+	}
+	for _, pair := range arguments.KeyValues {
+		writePair(&line, pair.Key, pair.Value)
+	}
+	line.WriteByte('\n')
+	return io.WriteString(out, line.String())
+}
+
+func writePair(line *strings.Builder, key, value string) {
+	if line.Len() > 0 {
+		line.WriteByte(' ')
+	}
+	line.WriteString(key)
+	line.WriteByte('=')
+	if needsQuotes(value) {
+		value = strconv.Quote(value)
+	}
+	line.WriteString(value)
+}
+
+func needsQuotes(value string) bool {
+	if value == "" {
+		return true
+	}
+	return strings.ContainsFunc(value, func(char rune) bool {
+		return char <= ' ' || char == '"' || char == '=' || char == 0x7f
+	})
+}
