--- /dev/null
+++ b/internal/attempt/attempt.go
@@ -0,0 +1,216 @@
+package attempt
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// Options describe one request. Zero bounds are replaced by the defaults.
+type Options struct {
+	RequestID fleet.RequestID
+	// Deadline is when the first token, or a plain call's answer, must be there.
+	Deadline time.Time
+	// Repeatable allows a second attempt after a byte may have left.
+	Repeatable bool
+	// Resumable allows resume and continuation of an answer stream.
+	Resumable bool
+	// MaxAttempts bounds the attempts, MaxResumes the resumes in a row that
+	// bring nothing new.
+	MaxAttempts int
+	MaxResumes  int
+	// StallTimeout bounds the time between two chunks.
+	StallTimeout time.Duration
+	// ContinueTimeout bounds the search for another back end once tokens have
+	// been delivered.
+	ContinueTimeout time.Duration
+	// MaxKeptBytes bounds the delivered text that is kept for a continuation.
+	MaxKeptBytes int
+	Seed         uint64
+	Defects      Defects
+}
+
+// Defects are faults to plant. Only tests and the simulator set them.
+type Defects struct {
+	// BlindResend repeats what may not be repeated.
+	BlindResend bool
+	// NoSequenceCheck takes every chunk as the next one.
+	NoSequenceCheck bool
+	// PassTruncated takes any end of a stream as the end of the answer.
+	PassTruncated bool
+	// ClaimNotRun calls every failure not-run.
+	ClaimNotRun bool
+}
+
+// Defaults of Options.
+const (
+	DefaultMaxAttempts     = 4
+	DefaultMaxResumes      = 2
+	DefaultStallTimeout    = 10 * time.Second
+	DefaultContinueTimeout = 15 * time.Second
+	DefaultMaxKeptBytes    = 1 << 20
+
+	backoffMin = 20 * time.Millisecond
+	backoffMax = time.Second
+)
+
+func (o Options) withDefaults() Options {
+	o.MaxAttempts = cmp.Or(o.MaxAttempts, DefaultMaxAttempts)
+	o.MaxResumes = cmp.Or(o.MaxResumes, DefaultMaxResumes)
+	o.StallTimeout = cmp.Or(o.StallTimeout, DefaultStallTimeout)
+	o.ContinueTimeout = cmp.Or(o.ContinueTimeout, DefaultContinueTimeout)
+	o.MaxKeptBytes = cmp.Or(o.MaxKeptBytes, DefaultMaxKeptBytes)
+	return o
+}
+
+type phase int
+
+const (
+	phaseAssigning phase = iota
+	phaseConnected
+	phaseDone
+)
+
+// Dropped counts chunks that were not taken.
+type Dropped struct {
+	// Crossed chunks belong to another request, Late ones to an earlier
+	// attempt or connection, Duplicated ones were delivered before.
+	Crossed, Late, Duplicated int
+}
+
+// Core is one request.
+type Core struct {
+	options    Options
+	random     *rand.Rand
+	phase      phase
+	backend    fleet.BackendName
+	attempt    int
+	connection int
+	resumes    int
+	// next is the sequence number of the next token.
+	next      int
+	kept      []string
+	keptBytes int
+	finish    string
+	// wake bounds the present phase.
+	wake    time.Time
+	exclude []fleet.BackendName
+	// ran is the worst that any attempt leaves open.
+	ran     exposure
+	last    Broken
+	dropped Dropped
+	deliver Deliver
+	effects []Effect
+}
+
+// New returns a request that waits for its first back end.
+func New(options Options) *Core {
+	options = options.withDefaults()
+	return &Core{
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		wake:    options.Deadline,
+	}
+}
+
+// Step takes one message. The effects are valid until the next Step.
+func (c *Core) Step(now time.Time, message Message) []Effect {
+	clear(c.effects)
+	c.effects = c.effects[:0]
+	if c.phase == phaseDone {
+		return nil
+	}
+	switch message := message.(type) {
+	case Assigned:
+		c.assigned(now, message.Backend)
+	case Unassigned:
+		c.unassigned(message)
+	case *Chunk:
+		c.chunk(now, message)
+	case Ended:
+		c.ended(now, message)
+	case Answered:
+		c.answered(message)
+	case Broken:
+		c.broken(now, message)
+	case CallerGone:
+		c.callerGone()
+	case Tick:
+		c.tick(now)
+	}
+	return c.effects
+}
+
+// NextWake is when the present wait ends.
+func (c *Core) NextWake() time.Time {
+	if c.phase == phaseDone {
+		return time.Time{}
+	}
+	return c.wake
+}
+
+// Dropped returns the counts of chunks not taken.
+func (c *Core) Dropped() Dropped {
+	return c.dropped
+}
+
+func (c *Core) emit(effect Effect) {
+	c.effects = append(c.effects, effect)
+}
+
+func (c *Core) assigned(now time.Time, backend fleet.BackendName) {
+	if c.phase != phaseAssigning {
+		return
+	}
+	c.phase = phaseConnected
+	c.backend = backend
+	c.attempt++
+	c.connection++
+	c.resumes = 0
+	c.last = Broken{}
+	c.wake = c.bound(now)
+	c.emit(Open{Connection: c.connection, Attempt: c.attempt, Backend: backend, ContinueFrom: c.kept})
+}
+
+// bound is when the present connection must bring its next chunk.
+func (c *Core) bound(now time.Time) time.Time {
+	if c.next == 0 {
+		return c.options.Deadline
+	}
+	return now.Add(c.options.StallTimeout)
+}
+
+func (c *Core) tick(now time.Time) {
+	if now.Before(c.wake) {
+		return
+	}
+	if c.phase == phaseAssigning || c.next == 0 {
+		if c.phase == phaseConnected {
+			c.cancel()
+			c.ran = max(c.ran, exposedUnknown)
+		}
+		c.giveUp(CodeDeadline, "the deadline passed")
+		return
+	}
+	c.lost(now, Broken{Evidence: MaySent, Detail: "no token came in time"})
+}
+
+func (c *Core) callerGone() {
+	if c.phase == phaseConnected {
+		c.cancel()
+		c.ran = max(c.ran, exposedUnknown)
+	}
+	c.giveUp(CodeCallerGone, "the caller went away")
+}
+
+func (c *Core) cancel() {
+	c.emit(Cancel{Attempt: c.attempt, Backend: c.backend})
+}
+
+// Last returns what broke the latest attempt; its Evidence is 0 while it has
+// not broken.
+func (c *Core) Last() Broken {
+	return c.last
+}
--- /dev/null
+++ b/internal/backend/generate.go
@@ -0,0 +1,203 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+const (
+	engineDialTimeout     = time.Second
+	engineIdleConnections = 64
+	engineIdleTimeout     = 60 * time.Second
+	// maxRefusalBytes bounds what is read of an error answer.
+	maxRefusalBytes = 4 << 10
+	cancelTimeout   = 2 * time.Second
+)
+
+// HeaderZone tells a back end the zone of the node that calls it.
+const HeaderZone = "X-Zone"
+
+// GenerateRequest is one attempt of a model request.
+type GenerateRequest struct {
+	RequestID fleet.RequestID
+	Attempt   int
+	Priority  int
+	Model     fleet.ModelVersion
+	Adapter   fleet.AdapterName
+	// Path is PathChat or PathCompletions.
+	Path string
+	Body Body
+	// ContinueFrom holds the tokens already delivered.
+	ContinueFrom []string
+}
+
+// Generator opens answer streams at engines.
+type Generator struct {
+	transport *http.Transport
+	zone      fleet.Zone
+}
+
+// NewGenerator returns a client for the engines of the fleet.
+func NewGenerator(zone fleet.Zone) *Generator {
+	return &Generator{
+		zone: zone,
+		transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: engineDialTimeout}).DialContext,
+			MaxIdleConnsPerHost: engineIdleConnections,
+			IdleConnTimeout:     engineIdleTimeout,
+			DisableCompression:  true,
+		},
+	}
+}
+
+// Close ends the idle connections.
+func (g *Generator) Close() {
+	g.transport.CloseIdleConnections()
+}
+
+// Open sends the request. The stream lives until its Close or the context's
+// end. The error is a *SendError or a *Refusal.
+func (g *Generator) Open(ctx context.Context, address string, request GenerateRequest) (*Stream, error) {
+	body, err := request.Body.encode(request.ContinueFrom)
+	if err != nil {
+		return nil, &SendError{NeverSent: true, Err: err}
+	}
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+request.Path, bytes.NewReader(body))
+	if err != nil {
+		return nil, &SendError{NeverSent: true, Err: err}
+	}
+	header := call.Header
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderModel, request.Model.String())
+	if request.Adapter != "" {
+		header.Set(HeaderAdapter, string(request.Adapter))
+	}
+	header.Set(HeaderPriority, strconv.Itoa(request.Priority))
+	g.identify(header, request.RequestID, request.Attempt)
+	return g.stream(call)
+}
+
+// Resume asks the engine for the rest of an attempt's answer, from the given
+// sequence number on.
+func (g *Generator) Resume(ctx context.Context, address string, id fleet.RequestID, attempt, from int) (*Stream, error) {
+	target := fmt.Sprintf("http://%s%s%s/stream?from=%d", address, PathRequests, url.PathEscape(string(id)), from)
+	call, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, &SendError{NeverSent: true, Err: err}
+	}
+	g.identify(call.Header, id, attempt)
+	return g.stream(call)
+}
+
+// Cancel tells the engine that nobody waits for the attempt's answer. It bounds
+// itself and does not depend on the caller's context.
+func (g *Generator) Cancel(address string, id fleet.RequestID, attempt int) error {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	target := "http://" + address + PathRequests + url.PathEscape(string(id))
+	call, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
+	if err != nil {
+		return err
+	}
+	g.identify(call.Header, id, attempt)
+	response, err := g.transport.RoundTrip(call)
+	if err != nil {
+		return err
+	}
+	drain(response)
+	return nil
+}
+
+func (g *Generator) identify(header http.Header, id fleet.RequestID, attempt int) {
+	header.Set(HeaderRequestID, string(id))
+	header.Set(HeaderAttempt, strconv.Itoa(attempt))
+	header.Set(HeaderZone, string(g.zone))
+}
+
+// stream sends without following redirects: a redirect would send the body a
+// second time.
+func (g *Generator) stream(call *http.Request) (*Stream, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	call = call.WithContext(httptrace.WithClientTrace(call.Context(), trace))
+	response, err := g.transport.RoundTrip(call)
+	if err != nil {
+		return nil, &SendError{NeverSent: !connected.Load(), Err: err}
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, readRefusal(response)
+	}
+	return newStream(response.Body), nil
+}
+
+func readRefusal(response *http.Response) *Refusal {
+	defer response.Body.Close()
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
+	return &Refusal{
+		Status:     response.StatusCode,
+		NotRun:     response.Header.Get(HeaderNotRun) == "true",
+		RetryAfter: parseRetryAfter(response.Header.Get("Retry-After")),
+		Body:       body,
+	}
+}
+
+func parseRetryAfter(value string) time.Duration {
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || seconds < 0 || seconds > maxRetryAfterSeconds {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+const maxRetryAfterSeconds = 3600
+
+// drain reads the rest of a short answer so that its connection can be used
+// again.
+func drain(response *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
+	_ = response.Body.Close()
+}
+
+// Body is a caller's JSON body with the members that this system sets taken
+// out.
+type Body map[string]json.RawMessage
+
+// ParseBody reads a caller's body.
+func ParseBody(body []byte) (Body, error) {
+	var members Body
+	if err := json.Unmarshal(body, &members); err != nil {
+		return nil, err
+	}
+	delete(members, "continue_from")
+	delete(members, "stream")
+	return members, nil
+}
+
+// encode gives the body for an engine, which always streams.
+func (b Body) encode(continueFrom []string) ([]byte, error) {
+	members := make(map[string]json.RawMessage, len(b)+2)
+	for name, value := range b {
+		members[name] = value
+	}
+	members["stream"] = json.RawMessage("true")
+	if len(continueFrom) > 0 {
+		tokens, err := json.Marshal(continueFrom)
+		if err != nil {
+			return nil, err
+		}
+		members["continue_from"] = tokens
+	}
+	return json.Marshal(members)
+}
--- /dev/null
+++ b/internal/backend/service.go
@@ -0,0 +1,174 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+const (
+	serviceDialTimeout     = 500 * time.Millisecond
+	serviceIdleConnections = 16
+	// maxServiceAnswerBytes bounds a service's answer.
+	maxServiceAnswerBytes = 4 << 20
+)
+
+// HeaderIdempotencyKey carries the caller's key.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// ServiceCall is one attempt of a plain call.
+type ServiceCall struct {
+	RequestID fleet.RequestID
+	Attempt   int
+	Method    string
+	// Target is the path with its query.
+	Target      string
+	ContentType string
+	Accept      string
+	Key         string
+	Body        []byte
+	// Repeatable calls may use a connection again, on which net/http may send
+	// a request twice.
+	Repeatable bool
+}
+
+// ServiceAnswer is the whole answer of a plain call.
+type ServiceAnswer struct {
+	Status      int
+	ContentType string
+	Location    string
+	RetryAfter  string
+	Body        []byte
+	// NotRun is the back end's own word that nothing ran.
+	NotRun bool
+}
+
+// Services sends plain calls. A call that is not repeatable goes over a
+// connection of its own: net/http sends a request again only on a connection
+// that carried another before it, and does so also for a POST when the request
+// has an Idempotency-Key or when it believes that nothing was written.
+type Services struct {
+	zone   fleet.Zone
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+// NewServices returns a client for the service back ends of the fleet.
+func NewServices(zone fleet.Zone) *Services {
+	return &Services{
+		zone: zone,
+		pooled: &http.Transport{
+			DialContext:         dialRecorded,
+			MaxIdleConnsPerHost: serviceIdleConnections,
+			IdleConnTimeout:     engineIdleTimeout,
+			DisableCompression:  true,
+		},
+		fresh: &http.Transport{
+			DialContext:        dialRecorded,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		},
+	}
+}
+
+// Close ends the idle connections.
+func (s *Services) Close() {
+	s.pooled.CloseIdleConnections()
+	s.fresh.CloseIdleConnections()
+}
+
+// Call sends the call once and reads the whole answer. It does not follow
+// redirects. The error is a *SendError.
+func (s *Services) Call(ctx context.Context, address string, call ServiceCall) (*ServiceAnswer, error) {
+	var used atomic.Pointer[recordedConn]
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connection, _ := info.Conn.(*recordedConn)
+		used.Store(connection)
+	}})
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Target, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, &SendError{NeverSent: true, Err: err}
+	}
+	transport := s.fresh
+	if call.Repeatable {
+		transport = s.pooled
+	}
+	s.setHeader(request.Header, call)
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, &SendError{NeverSent: !used.Load().written(), Err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxServiceAnswerBytes+1))
+	if err != nil {
+		return nil, &SendError{Err: err}
+	}
+	if len(body) > maxServiceAnswerBytes {
+		return nil, &SendError{Err: &ProtocolError{Detail: "the answer is too long"}}
+	}
+	return &ServiceAnswer{
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Location:    response.Header.Get("Location"),
+		RetryAfter:  response.Header.Get("Retry-After"),
+		Body:        body,
+		NotRun:      response.Header.Get(HeaderNotRun) == "true",
+	}, nil
+}
+
+func (s *Services) setHeader(header http.Header, call ServiceCall) {
+	header.Set(HeaderRequestID, string(call.RequestID))
+	header.Set(HeaderAttempt, strconv.Itoa(call.Attempt))
+	header.Set(HeaderZone, string(s.zone))
+	setIfAny(header, "Content-Type", call.ContentType)
+	setIfAny(header, "Accept", call.Accept)
+	setIfAny(header, HeaderIdempotencyKey, call.Key)
+}
+
+func setIfAny(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
+// dialRecorded dials a connection that remembers whether it was written to.
+func dialRecorded(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: serviceDialTimeout}
+	connection, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &recordedConn{Conn: connection}, nil
+}
+
+// recordedConn remembers whether a write was begun. It hides the connection's
+// ReadFrom, so that every byte passes Write.
+type recordedConn struct {
+	net.Conn
+	began atomic.Bool
+}
+
+// Write implements io.Writer.
+func (c *recordedConn) Write(data []byte) (int, error) {
+	c.began.Store(true)
+	return c.Conn.Write(data)
+}
+
+// written reports whether any byte may have left; a call that got no
+// connection has written nothing.
+func (c *recordedConn) written() bool {
+	return c != nil && c.began.Load()
+}
+
+// RetryAfterDuration is the back end's Retry-After, or 0.
+func (a *ServiceAnswer) RetryAfterDuration() time.Duration {
+	return parseRetryAfter(a.RetryAfter)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/claim"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/queue"
+	"github.com/spanlanding/spanlanding/internal/routing"
+	"github.com/spanlanding/spanlanding/internal/views"
+)
+
+// Catalog is what the gateway asks of the declarations in force.
+type Catalog interface {
+	// ModelRoute finds the route of a request with the given labels.
+	ModelRoute(labels map[string]string) (catalog.ModelRoute, bool)
+	// ServiceRoute finds the route of a plain call.
+	ServiceRoute(method, path string) (catalog.ServiceRoute, bool)
+	// ModelNames lists, in order, what callers may name as model.
+	ModelNames() []string
+}
+
+// Options are what a gateway is built from.
+type Options struct {
+	Views *views.Views
+	// Catalog returns the declarations in force, and false while there are
+	// none.
+	Catalog func() (Catalog, bool)
+	Demand  fleet.Demand
+	Guard   claim.Guard
+	// Self names the node and its zone.
+	Self       fleet.Member
+	Logger     *log.Logger
+	Registerer prometheus.Registerer
+	Limits     Limits
+	Queue      queue.Options
+	Routing    routing.Options
+	Seed       uint64
+	// Now is the clock; nil takes time.Now.
+	Now func() time.Time
+}
+
+// Gateway serves callers. It is an http.Handler.
+type Gateway struct {
+	options   Options
+	limits    Limits
+	now       func() time.Time
+	catalog   func() (Catalog, bool)
+	models    *dispatcher
+	services  *dispatcher
+	generator *backend.Generator
+	calls     *backend.Services
+	metrics   *metrics
+	tickets   atomic.Uint64
+	bodyBytes atomic.Int64
+
+	randomMutex sync.Mutex
+	random      *rand.Rand
+
+	running running
+	cancels sync.WaitGroup
+}
+
+// New starts a gateway. Close ends it.
+func New(options Options) *Gateway {
+	now := options.Now
+	if now == nil {
+		now = time.Now
+	}
+	if options.Logger == nil {
+		options.Logger = &log.Logger{Level: log.PanicLevel}
+	}
+	if options.Registerer == nil {
+		options.Registerer = prometheus.NewRegistry()
+	}
+	options.Queue.Node = options.Self.Name
+	options.Queue.Zone = options.Self.Zone
+	options.Routing.Zone = options.Self.Zone
+	options.Routing.Seed = options.Seed
+	gateway := &Gateway{
+		options:   options,
+		limits:    options.Limits.withDefaults(),
+		now:       now,
+		catalog:   options.Catalog,
+		generator: backend.NewGenerator(options.Self.Zone),
+		calls:     backend.NewServices(options.Self.Zone),
+		metrics:   newMetrics(options.Registerer),
+		random:    rand.New(rand.NewPCG(options.Seed, seedStream)),
+	}
+	gateway.running.active = make(map[uint64]*activeRequest)
+	gateway.models = startDispatcher(gateway)
+	gateway.services = startDispatcher(gateway)
+	gateway.watch()
+	return gateway
+}
+
+// seedStream keeps the gateway's random numbers apart from the cores'.
+const seedStream = 0x676174657761790a
+
+// watch feeds what other shells publish to both dispatchers.
+func (g *Gateway) watch() {
+	for _, dispatcher := range []*dispatcher{g.models, g.services} {
+		g.options.Views.Tables.Watch(func(tables views.Tables) { dispatcher.send(tablesChanged{tables: tables}) })
+		g.options.Views.Members.Watch(func([]fleet.Member) { dispatcher.send(nodesChanged{nodes: g.usableNodes()}) })
+		g.options.Views.Machines.Watch(func(machines platform.MachineList) {
+			dispatcher.send(nodesChanged{nodes: g.usableNodes()})
+			dispatcher.send(leavingChanged{backends: leavingBackends(machines)})
+		})
+	}
+	if g.options.Demand != nil {
+		g.options.Demand.OnRefusal(func(refusals []fleet.LoadRefusal) { g.models.send(loadRefused{refusals: refusals}) })
+	}
+}
+
+// Close ends the gateway's actors and idle connections; call Drain first.
+func (g *Gateway) Close() {
+	g.models.stop()
+	g.services.stop()
+	g.cancels.Wait()
+	g.generator.Close()
+	g.calls.Close()
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	call := g.newCall(writer, request)
+	defer call.finished()
+	if !g.running.enter(call) {
+		writer.Header().Set("Connection", "close")
+		call.fail(problemStopping(g.limits.DrainRetryAfter))
+		return
+	}
+	defer g.running.leave(call)
+	current, found := g.catalog()
+	if !found {
+		call.fail(problemNoCatalog)
+		return
+	}
+	switch path := request.URL.Path; {
+	case path == backend.PathChat || path == backend.PathCompletions:
+		call.serveModel(current)
+	case path == pathModels:
+		call.serveModels(current)
+	case strings.HasPrefix(path, pathModels+"/"):
+		call.serveModelName(current, strings.TrimPrefix(path, pathModels+"/"))
+	default:
+		call.serveService(current)
+	}
+}
+
+const pathModels = "/v1/models"
+
+func (g *Gateway) nextRandom() uint64 {
+	g.randomMutex.Lock()
+	defer g.randomMutex.Unlock()
+	return g.random.Uint64()
+}
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,237 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/views"
+)
+
+var testModel = fleet.ModelVersion{Model: "notes", Version: "v1"}
+
+// fakeCatalog has one model and one service with each kind of method.
+type fakeCatalog struct {
+	model   catalog.ModelRoute
+	service catalog.ServiceRoute
+}
+
+func (f *fakeCatalog) ModelRoute(labels map[string]string) (catalog.ModelRoute, bool) {
+	return f.model, labels["model"] == testModel.Model && labels["site"] != "nowhere"
+}
+
+func (f *fakeCatalog) ServiceRoute(method, path string) (catalog.ServiceRoute, bool) {
+	route := f.service
+	route.Repeatable = method == http.MethodGet
+	return route, strings.HasPrefix(path, route.PathPrefix)
+}
+
+func (f *fakeCatalog) ModelNames() []string { return []string{testModel.Model} }
+
+// fakeDemand records wants and can refuse.
+type fakeDemand struct {
+	mutex  sync.Mutex
+	wants  []fleet.Want
+	refuse func([]fleet.LoadRefusal)
+}
+
+func (f *fakeDemand) Report(wants []fleet.Want) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.wants = append(f.wants, wants...)
+}
+
+func (f *fakeDemand) OnRefusal(told func([]fleet.LoadRefusal)) { f.refuse = told }
+
+func (f *fakeDemand) reported() []fleet.Want {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]fleet.Want(nil), f.wants...)
+}
+
+// harness is a gateway with back ends made of handlers, all over real sockets.
+type harness struct {
+	t       testing.TB
+	views   *views.Views
+	catalog *fakeCatalog
+	demand  *fakeDemand
+	gateway *Gateway
+	server  *httptest.Server
+	table   fleet.RouteTable
+}
+
+func newHarness(t testing.TB, change func(*Options)) *harness {
+	t.Helper()
+	h := &harness{
+		t:      t,
+		views:  new(views.Views),
+		demand: new(fakeDemand),
+		catalog: &fakeCatalog{
+			model: catalog.ModelRoute{Selector: "all", Deadline: 10 * time.Second,
+				Versions: []catalog.WeightedModel{{Model: testModel, Weight: 1}}},
+			service: catalog.ServiceRoute{Service: "turbines", PathPrefix: "/turbines/", Deadline: 5 * time.Second, KeyWindow: time.Minute},
+		},
+		table: fleet.RouteTable{Zone: "a", Fence: 1},
+	}
+	options := Options{
+		Views:   h.views,
+		Catalog: func() (Catalog, bool) { return h.catalog, true },
+		Demand:  h.demand,
+		Self:    fleet.Member{Name: "n1", Zone: "a"},
+		Seed:    1,
+	}
+	if change != nil {
+		change(&options)
+	}
+	h.gateway = New(options)
+	h.server = httptest.NewServer(h.gateway)
+	t.Cleanup(func() {
+		h.server.Close()
+		h.gateway.Close()
+	})
+	return h
+}
+
+// backend starts a back end and returns its address.
+func (h *harness) backend(handler http.HandlerFunc) string {
+	server := httptest.NewServer(handler)
+	h.t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func (h *harness) addEngine(name fleet.BackendName, address string) {
+	h.table.Engines = append(h.table.Engines, fleet.EngineState{
+		Backend:     fleet.Backend{Name: name, Kind: fleet.KindEngine, Zone: "a", Address: address},
+		Incarnation: 1,
+		Models:      []fleet.LoadedModel{{Model: testModel, State: fleet.LoadReady}},
+	})
+	h.publish()
+}
+
+func (h *harness) addService(name fleet.BackendName, address string) {
+	h.table.Services = append(h.table.Services, fleet.Backend{Name: name, Kind: fleet.KindService, Zone: "a",
+		Address: address, Service: "turbines"})
+	h.publish()
+}
+
+func (h *harness) publish() {
+	h.table.Sequence++
+	copied := h.table
+	copied.Engines = append([]fleet.EngineState(nil), h.table.Engines...)
+	copied.Services = append([]fleet.Backend(nil), h.table.Services...)
+	h.views.Tables.Set(views.Tables{"a": copied})
+}
+
+type response struct {
+	status  int
+	header  http.Header
+	body    string
+	problem Problem
+}
+
+func (h *harness) do(method, path, body string, header ...string) response {
+	h.t.Helper()
+	request, err := http.NewRequest(method, h.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	for index := 0; index < len(header); index += 2 {
+		request.Header.Set(header[index], header[index+1])
+	}
+	answer, err := h.server.Client().Do(request)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	result := response{status: answer.StatusCode, header: answer.Header, body: string(text)}
+	if answer.Header.Get("Content-Type") == contentTypeProblem {
+		if err := json.Unmarshal(text, &result.problem); err != nil {
+			h.t.Fatalf("problem %q: %v", text, err)
+		}
+	}
+	return result
+}
+
+// textOf joins the tokens of a streamed text completion; whole tells whether
+// the terminator came.
+func textOf(stream string) (text string, whole bool) {
+	for line := range strings.Lines(stream) {
+		data, found := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var event struct{ Choices []struct{ Text string } }
+		if json.Unmarshal([]byte(data), &event) == nil && len(event.Choices) > 0 {
+			text += event.Choices[0].Text
+		}
+	}
+	return text, false
+}
+
+// scripted answers like an engine, token by token.
+type scripted struct {
+	writer  http.ResponseWriter
+	request *http.Request
+}
+
+func (s scripted) header() backend.Chunk {
+	chunk := backend.Chunk{RequestID: fleet.RequestID(s.request.Header.Get(backend.HeaderRequestID))}
+	_, _ = fmt.Sscan(s.request.Header.Get(backend.HeaderAttempt), &chunk.Attempt)
+	return chunk
+}
+
+func (s scripted) send(chunk backend.Chunk) {
+	body, _ := json.Marshal(chunk)
+	_, _ = fmt.Fprintf(s.writer, "data: %s\n\n", body)
+	s.writer.(http.Flusher).Flush()
+}
+
+// tokens sends the tokens from..to-1 as "<n> ".
+func (s scripted) tokens(from, to int) {
+	for sequence := from; sequence < to; sequence++ {
+		chunk := s.header()
+		chunk.Sequence, chunk.Text = sequence, fmt.Sprintf("%d ", sequence)
+		s.send(chunk)
+	}
+}
+
+func (s scripted) end(sequence int) {
+	chunk := s.header()
+	chunk.Sequence, chunk.Finish = sequence, "stop"
+	s.send(chunk)
+	_, _ = io.WriteString(s.writer, "data: [DONE]\n\n")
+}
+
+func (s scripted) body() backend.CompletionRequest {
+	var request backend.CompletionRequest
+	text, _ := io.ReadAll(s.request.Body)
+	_ = json.NewDecoder(bytes.NewReader(text)).Decode(&request)
+	return request
+}
+
+const wholeText = "0 1 2 3 4 5 "
+
+const streamBody = `{"model":"notes","stream":true,"prompt":"x"}`
+
+func wholeEngine(writer http.ResponseWriter, request *http.Request) {
+	engine := scripted{writer, request}
+	engine.tokens(len(engine.body().ContinueFrom), 6)
+	engine.end(6)
+}
--- /dev/null
+++ b/internal/gateway/limits.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"cmp"
+	"time"
+)
+
+// Limits bound what callers may use of a node. Zero values are replaced by the
+// defaults.
+type Limits struct {
+	// MaxBodyBytes bounds one request body, MaxBodyBytesTotal all bodies that
+	// are held at a time.
+	MaxBodyBytes      int64
+	MaxBodyBytesTotal int64
+	// BodyTimeout bounds the reading of a body.
+	BodyTimeout time.Duration
+	// WriteTimeout bounds one write to a caller that reads slowly.
+	WriteTimeout time.Duration
+	// MaxRequests bounds the requests at a time, services apart from models.
+	MaxRequests int
+	// MaxAnswerBytes bounds an answer that is given whole.
+	MaxAnswerBytes int
+	// MaxStoredAnswerBytes bounds an answer kept for an Idempotency-Key.
+	MaxStoredAnswerBytes int
+	// MaxKeyBytes bounds an Idempotency-Key, MaxLabelBytes the labels header.
+	MaxKeyBytes   int
+	MaxLabelBytes int
+	// DefaultDeadline stands in where a route has none.
+	DefaultDeadline        time.Duration
+	DefaultServiceDeadline time.Duration
+	// StallTimeout bounds the time between two tokens of an engine.
+	StallTimeout time.Duration
+	// RetryShare is the share of the traffic that may be retries; RetryBurst
+	// is how many may be saved up.
+	RetryShare float64
+	RetryBurst float64
+	// DrainRetryAfter is told to callers while the node stops.
+	DrainRetryAfter time.Duration
+}
+
+func (l Limits) withDefaults() Limits {
+	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, 4<<20)
+	l.MaxBodyBytesTotal = cmp.Or(l.MaxBodyBytesTotal, 256<<20)
+	l.BodyTimeout = cmp.Or(l.BodyTimeout, 10*time.Second)
+	l.WriteTimeout = cmp.Or(l.WriteTimeout, 10*time.Second)
+	l.MaxRequests = cmp.Or(l.MaxRequests, 8192)
+	l.MaxAnswerBytes = cmp.Or(l.MaxAnswerBytes, 8<<20)
+	l.MaxStoredAnswerBytes = cmp.Or(l.MaxStoredAnswerBytes, 64<<10)
+	l.MaxKeyBytes = cmp.Or(l.MaxKeyBytes, 255)
+	l.MaxLabelBytes = cmp.Or(l.MaxLabelBytes, 4<<10)
+	l.DefaultDeadline = cmp.Or(l.DefaultDeadline, 30*time.Second)
+	l.DefaultServiceDeadline = cmp.Or(l.DefaultServiceDeadline, 5*time.Second)
+	l.StallTimeout = cmp.Or(l.StallTimeout, 10*time.Second)
+	l.RetryShare = cmp.Or(l.RetryShare, 0.1)
+	l.RetryBurst = cmp.Or(l.RetryBurst, 20)
+	l.DrainRetryAfter = cmp.Or(l.DrainRetryAfter, time.Second)
+	return l
+}
--- /dev/null
+++ b/internal/gateway/model.go
@@ -0,0 +1,356 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/attempt"
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// labelModel is the label that the body's model member gives.
+const labelModel = "model"
+
+// serveModel serves a chat or text completion.
+func (c *call) serveModel(current Catalog) {
+	c.record.kind = "model"
+	if c.request.Method != http.MethodPost {
+		c.writer.Header().Set("Allow", http.MethodPost)
+		c.fail(refuse(http.StatusMethodNotAllowed, codeMethod, "only POST is served here"))
+		return
+	}
+	run, failure := c.prepareModel(current)
+	if failure != nil {
+		c.fail(*failure)
+		return
+	}
+	run.serve()
+}
+
+// prepareModel reads all of the request that can be refused without a back end.
+func (c *call) prepareModel(current Catalog) (*modelRun, *failure) {
+	labels, failed := c.labels()
+	if failed != nil {
+		return nil, failed
+	}
+	text, failed := c.readBody()
+	if failed != nil {
+		return nil, failed
+	}
+	body, header, failed := parseCompletion(text)
+	if failed != nil {
+		return nil, failed
+	}
+	labels[labelModel] = header.Model
+	route, found := current.ModelRoute(labels)
+	if !found {
+		failure := noRoute(current, header.Model)
+		return nil, &failure
+	}
+	deadline, failed := c.deadline(route.Deadline, c.gateway.limits.DefaultDeadline)
+	if failed != nil {
+		return nil, failed
+	}
+	if failed := checkLength(route, text, header.MaxTokens); failed != nil {
+		return nil, failed
+	}
+	c.record.route = route.Selector
+	return newModelRun(c, route, body, header, deadline, int64(len(text))), nil
+}
+
+func parseCompletion(text []byte) (backend.Body, backend.CompletionRequest, *failure) {
+	var header backend.CompletionRequest
+	if err := json.Unmarshal(text, &header); err != nil {
+		failed := refuse(http.StatusBadRequest, codeMalformed, "the body is not a completion request: "+err.Error())
+		return nil, header, &failed
+	}
+	if header.Model == "" {
+		failed := refuse(http.StatusBadRequest, codeMalformed, "the body names no model")
+		return nil, header, &failed
+	}
+	body, err := backend.ParseBody(text)
+	if err != nil {
+		failed := refuse(http.StatusBadRequest, codeMalformed, "the body is not a JSON object: "+err.Error())
+		return nil, header, &failed
+	}
+	return body, header, nil
+}
+
+func noRoute(current Catalog, model string) failure {
+	if !slices.Contains(current.ModelNames(), model) {
+		return refuse(http.StatusNotFound, codeUnknownModel, fmt.Sprintf("no model or deployment is named %q", model))
+	}
+	return refuse(http.StatusNotFound, codeNoRoute, fmt.Sprintf("no selector matches these labels and model %q", model))
+}
+
+// maxBytesPerToken is a lower bound taken for the length of a token of text: a
+// body refused by it cannot fit.
+const maxBytesPerToken = 16
+
+// checkLength refuses what is sure to be too long for the model.
+func checkLength(route catalog.ModelRoute, text []byte, maxTokens int) *failure {
+	if route.ContextTokens <= 0 {
+		return nil
+	}
+	least := len(text)/maxBytesPerToken + maxTokens
+	if least <= route.ContextTokens {
+		return nil
+	}
+	failed := refuse(http.StatusBadRequest, codeTooLong,
+		fmt.Sprintf("prompt and answer would take at least %d tokens; the model has %d", least, route.ContextTokens))
+	return &failed
+}
+
+// serveModels lists the models in the OpenAI form.
+func (c *call) serveModels(current Catalog) {
+	c.record.kind = "models"
+	if c.request.Method != http.MethodGet && c.request.Method != http.MethodHead {
+		c.writer.Header().Set("Allow", "GET, HEAD")
+		c.fail(refuse(http.StatusMethodNotAllowed, codeMethod, "only GET is served here"))
+		return
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, name := range current.ModelNames() {
+		list.Data = append(list.Data, newModelEntry(name))
+	}
+	c.answerJSON(list)
+}
+
+// serveModelName shows one model.
+func (c *call) serveModelName(current Catalog, name string) {
+	c.record.kind = "models"
+	if !slices.Contains(current.ModelNames(), name) {
+		c.fail(noRoute(current, name))
+		return
+	}
+	c.answerJSON(newModelEntry(name))
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func newModelEntry(name string) modelEntry {
+	return modelEntry{ID: name, Object: "model", OwnedBy: "spanlanding"}
+}
+
+func (c *call) answerJSON(value any) {
+	c.record.outcome = attempt.OutcomeOK
+	c.record.status = http.StatusOK
+	body, _ := json.Marshal(value)
+	c.writer.Header().Set("Content-Type", "application/json")
+	c.extendWrite()
+	_, _ = c.writer.Write(body)
+}
+
+// modelRun is a model request on its way.
+type modelRun struct {
+	*call
+	route    catalog.ModelRoute
+	header   backend.CompletionRequest
+	body     backend.Body
+	bytes    int64
+	deadline time.Time
+	engineID fleet.RequestID
+	core     *attempt.Core
+	answer   *answer
+	prefix   []uint64
+
+	ticket  uint64
+	counted bool
+	// model and engine are those of the present attempt.
+	model  fleet.ModelVersion
+	engine fleet.Backend
+	opened time.Time
+	// began is set once the present attempt has brought a token.
+	began bool
+	link  *link
+	chunk backend.Chunk
+	piece attempt.Chunk
+}
+
+func newModelRun(c *call, route catalog.ModelRoute, body backend.Body, header backend.CompletionRequest,
+	deadline time.Time, bytes int64) *modelRun {
+	run := &modelRun{call: c, route: route, header: header, body: body, bytes: bytes, deadline: deadline}
+	run.engineID = fleet.RequestID(c.id)
+	if !c.ownID {
+		// Callers may use an identity twice at a time; engines must not mix
+		// up the two.
+		run.engineID = fleet.RequestID(fmt.Sprintf("%s~%08x", c.id, uint32(c.gateway.nextRandom())))
+	}
+	run.core = attempt.New(attempt.Options{
+		RequestID:    run.engineID,
+		Deadline:     deadline,
+		Repeatable:   true,
+		Resumable:    true,
+		StallTimeout: c.gateway.limits.StallTimeout,
+		Seed:         c.gateway.nextRandom(),
+	})
+	run.answer = newAnswer(c, header, c.request.URL.Path == backend.PathChat)
+	return run
+}
+
+// serve drives the attempt core until the request is over.
+func (r *modelRun) serve() {
+	defer r.release()
+	message := r.assign(attempt.Reassign{})
+	for {
+		next, finish := r.perform(r.core.Step(r.gateway.now(), message))
+		if finish != nil {
+			r.conclude(*finish)
+			return
+		}
+		message = next
+		if message == nil {
+			message = r.read()
+		}
+	}
+}
+
+// perform carries out the effects of one step. It returns the answer of the
+// effect that waits for something, if there was one.
+func (r *modelRun) perform(effects []attempt.Effect) (next attempt.Message, finish *attempt.Finish) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case *attempt.Deliver:
+			r.reportBegan()
+			if err := r.answer.token(effect.Text); err != nil {
+				next = r.undelivered(err)
+			}
+		case attempt.Open:
+			next = r.open(effect)
+		case attempt.Resume:
+			next = r.resume(effect)
+		case attempt.Cancel:
+			r.cancel(effect)
+		case attempt.Reassign:
+			r.endAttempt()
+			next = r.assign(effect)
+		case attempt.Finish:
+			r.endAttempt()
+			finish = &effect
+		}
+	}
+	return next, finish
+}
+
+// reportBegan tells the dispatcher once of each attempt's first token.
+func (r *modelRun) reportBegan() {
+	if r.began {
+		return
+	}
+	r.began = true
+	r.gateway.models.send(attemptBegan{ticket: r.ticket, after: r.gateway.now().Sub(r.opened)})
+}
+
+// undelivered tells the core that the caller takes no more.
+func (r *modelRun) undelivered(err error) attempt.Message {
+	r.record.detail = err.Error()
+	return attempt.CallerGone{}
+}
+
+// cancel tells the engine, without making the caller wait.
+func (r *modelRun) cancel(cancel attempt.Cancel) {
+	address := r.engine.Address
+	r.gateway.cancels.Go(func() {
+		_ = r.gateway.generator.Cancel(address, r.engineID, cancel.Attempt)
+	})
+}
+
+// assign waits for the back end of the next attempt.
+func (r *modelRun) assign(reassign attempt.Reassign) attempt.Message {
+	if !r.pause(reassign.After) {
+		return attempt.CallerGone{}
+	}
+	retry := reassign.Exclude != nil
+	answer := make(chan reply, 1)
+	r.ticket = r.gateway.tickets.Add(1)
+	r.gateway.models.send(submit{
+		ticket: r.ticket, route: r.route, model: r.model, prefix: r.prefix, deadline: r.core.NextWake(), arrived: r.arrived,
+		bytes: r.bytes, retry: retry, exclude: slices.Clone(reassign.Exclude), reply: answer,
+	})
+	select {
+	case reply := <-answer:
+		return r.assigned(reply, retry)
+	case <-r.request.Context().Done():
+		r.gateway.models.send(abandon{ticket: r.ticket})
+		r.ticket = 0
+		return attempt.CallerGone{}
+	}
+}
+
+func (r *modelRun) assigned(reply reply, retry bool) attempt.Message {
+	if reply.refusal != nil {
+		r.ticket = 0
+		r.counted = r.counted || reply.refusal.code != codeRateLimited && reply.refusal.code != codeConcurrency
+		return attempt.Unassigned{Code: reply.refusal.code, Detail: reply.refusal.detail, RetryAfter: reply.refusal.retryAfter}
+	}
+	r.counted = true
+	r.model, r.engine = reply.model, reply.backend
+	r.record.model, r.record.backend = reply.model, reply.backend.Name
+	if !retry {
+		r.record.waited = reply.waited
+		r.gateway.metrics.queueWait.Observe(reply.waited.Seconds())
+	}
+	r.record.cold = r.record.cold || reply.cold
+	return attempt.Assigned{Backend: reply.backend.Name}
+}
+
+// pause waits before a retry; it reports false when the caller went away.
+func (r *modelRun) pause(wait time.Duration) bool {
+	if wait <= 0 {
+		return true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.request.Context().Done():
+		return false
+	}
+}
+
+func (r *modelRun) release() {
+	r.closeLink()
+	if r.counted {
+		r.gateway.models.send(routeDone{route: r.route.Selector})
+	}
+}
+
+// conclude ends the caller's answer: whole, or with an explicit error.
+func (r *modelRun) conclude(finish attempt.Finish) {
+	r.record.tokens = finish.Delivered
+	r.record.attempts = finish.Attempts
+	r.record.dropped = r.core.Dropped()
+	r.gateway.metrics.tokens.Add(float64(finish.Delivered))
+	if finish.Outcome == attempt.OutcomeOK {
+		r.record.outcome, r.record.status = finish.Outcome, http.StatusOK
+		if err := r.answer.finish(finish); err != nil {
+			r.record.outcome, r.record.code = attempt.OutcomeFailed, attempt.CodeCallerGone
+			r.record.detail = err.Error()
+		}
+		return
+	}
+	failure := failureOf(finish)
+	if cause := context.Cause(r.request.Context()); cause == errCut {
+		failure.code, failure.status, failure.detail = codeStopping, http.StatusServiceUnavailable, errCut.Error()
+	}
+	r.record.detail = strings.TrimSpace(failure.detail + " " + r.record.detail)
+	r.answer.fail(failure)
+}
--- /dev/null
+++ b/internal/gateway/model_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+)
+
+func TestStreamedAnswerIsWhole(t *testing.T) {
+	h := newHarness(t, nil)
+	h.addEngine("e1", h.backend(wholeEngine))
+	got := h.do(http.MethodPost, backend.PathCompletions, streamBody)
+	text, whole := textOf(got.body)
+	if got.status != http.StatusOK || text != wholeText || !whole {
+		t.Fatalf("status %d body %q", got.status, got.body)
+	}
+	if got.header.Get(headerAttempts) != "1" || got.header.Get(backend.HeaderRequestID) == "" {
+		t.Errorf("header %v", got.header)
+	}
+}
+
+func TestRequestWaitsForALoadAndReportsIt(t *testing.T) {
+	h := newHarness(t, nil)
+	address := h.backend(wholeEngine)
+	done := make(chan response, 1)
+	go func() { done <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
+	for len(h.demand.reported()) == 0 {
+		select {
+		case early := <-done:
+			t.Fatalf("answered before any replica was ready: %+v", early)
+		default:
+		}
+	}
+	h.addEngine("e1", address)
+	got := <-done
+	if text, whole := textOf(got.body); text != wholeText || !whole || got.header.Get(headerCold) != "true" {
+		t.Fatalf("%+v", got)
+	}
+	if want := h.demand.reported()[0]; want.Model != testModel || want.Waiting != 1 || want.Arrivals != 1 {
+		t.Errorf("want %+v", want)
+	}
+}
--- /dev/null
+++ b/internal/gateway/nodes.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+// roleNode is the role of nodes on the machine list.
+const roleNode = "node"
+
+// usableNodes estimates the nodes that share the limits of a route. The
+// members known here may be those of one zone only and the machine list lags,
+// so the larger count is taken.
+func (g *Gateway) usableNodes() int {
+	members, _ := g.options.Views.Members.Get()
+	usable := 0
+	for _, member := range members {
+		if member.Usable() {
+			usable++
+		}
+	}
+	listed := 0
+	machines, _ := g.options.Views.Machines.Get()
+	for _, machine := range machines.Machines {
+		if machine.Role == roleNode && machine.State == platform.MachineLive {
+			listed++
+		}
+	}
+	return max(1, usable, listed)
+}
+
+// leavingBackends names the back ends that the machine list shows as leaving
+// or gone.
+func leavingBackends(machines platform.MachineList) []fleet.BackendName {
+	var leaving []fleet.BackendName
+	for _, machine := range machines.Machines {
+		if machine.Role != roleNode && machine.State != platform.MachineLive {
+			leaving = append(leaving, fleet.BackendName(machine.Name))
+		}
+	}
+	return leaving
+}
--- /dev/null
+++ b/internal/gateway/problem.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/attempt"
+)
+
+// Problem is the body of every answer that is not the caller's own (RFC 9457).
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	// Outcome says whether the request ran: not-run is only said where it is
+	// proved.
+	Outcome   attempt.Outcome `json:"outcome"`
+	Code      string          `json:"code"`
+	RequestID string          `json:"requestId"`
+	// RetryAfterSeconds repeats the Retry-After header; 0 for none.
+	RetryAfterSeconds int `json:"retryAfterSeconds,omitempty"`
+}
+
+const (
+	problemTypePrefix  = "urn:spanlanding:problem:"
+	contentTypeProblem = "application/problem+json"
+	// statusCallerGone is logged for callers that went away.
+	statusCallerGone = 499
+)
+
+// Codes of the gateway's own refusals.
+const (
+	codeMalformed     = "malformed-request"
+	codeBodyTooLarge  = "body-too-large"
+	codeBodyTimeout   = "body-timeout"
+	codeUnknownModel  = "unknown-model"
+	codeNoRoute       = "no-route"
+	codeMethod        = "method-not-allowed"
+	codeNoCatalog     = "no-declarations-yet"
+	codeStopping      = "node-stopping"
+	codeRateLimited   = "rate-limited"
+	codeConcurrency   = "concurrency-limited"
+	codeOverloaded    = "node-overloaded"
+	codeRetryBudget   = "retry-budget-spent"
+	codeNoBackend     = "no-backend"
+	codeTooLong       = "prompt-too-long"
+	codeKeyInProgress = "key-in-progress"
+	codeKeyMismatch   = "key-used-for-another-request"
+	codeKeyUnknown    = "key-outcome-unknown"
+	codeKeyNoMajority = "key-cannot-be-granted"
+	codeKeyBodyGone   = "key-answer-not-kept"
+	codeAnswerLarge   = "answer-too-large"
+)
+
+// failure is a Problem before it has a request identity.
+type failure struct {
+	status     int
+	code       string
+	detail     string
+	outcome    attempt.Outcome
+	retryAfter time.Duration
+}
+
+func refuse(status int, code, detail string) failure {
+	return failure{status: status, code: code, detail: detail, outcome: attempt.OutcomeNotRun}
+}
+
+func (f failure) after(retryAfter time.Duration) failure {
+	f.retryAfter = retryAfter
+	return f
+}
+
+var problemNoCatalog = refuse(http.StatusServiceUnavailable, codeNoCatalog,
+	"this node has no declarations yet").after(time.Second)
+
+func problemStopping(retryAfter time.Duration) failure {
+	return refuse(http.StatusServiceUnavailable, codeStopping, "this node is stopping; ask another one").after(retryAfter)
+}
+
+func (f failure) problem(requestID string) Problem {
+	return Problem{
+		Type:              problemTypePrefix + f.code,
+		Title:             titleOf(f.status),
+		Status:            f.status,
+		Detail:            f.detail,
+		Outcome:           f.outcome,
+		Code:              f.code,
+		RequestID:         requestID,
+		RetryAfterSeconds: seconds(f.retryAfter),
+	}
+}
+
+func titleOf(status int) string {
+	if title := http.StatusText(status); title != "" {
+		return title
+	}
+	return "Request failed"
+}
+
+func seconds(wait time.Duration) int {
+	return int(math.Ceil(wait.Seconds()))
+}
+
+// write answers with the problem, where no byte of an answer is out yet.
+func (f failure) write(writer http.ResponseWriter, requestID string) {
+	header := writer.Header()
+	header.Set("Content-Type", contentTypeProblem)
+	header.Set("Cache-Control", "no-store")
+	if f.retryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(seconds(f.retryAfter)))
+	}
+	body, _ := json.Marshal(f.problem(requestID))
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	writer.WriteHeader(f.status)
+	_, _ = writer.Write(body)
+}
+
+// statusOf maps the codes of queue and attempt to HTTP.
+func statusOf(code string) int {
+	switch code {
+	case codeRateLimited, codeConcurrency:
+		return http.StatusTooManyRequests
+	case attempt.CodeDeadline:
+		return http.StatusGatewayTimeout
+	case attempt.CodeBackend, attempt.CodeInterrupted:
+		return http.StatusBadGateway
+	case attempt.CodeCallerGone:
+		return statusCallerGone
+	}
+	return http.StatusServiceUnavailable
+}
+
+// failureOf turns the end of a request without a whole answer into a problem.
+func failureOf(finish attempt.Finish) failure {
+	result := failure{
+		status:     statusOf(finish.Code),
+		code:       finish.Code,
+		detail:     finish.Detail,
+		outcome:    finish.Outcome,
+		retryAfter: finish.RetryAfter,
+	}
+	if finish.Code == attempt.CodeRefused || finish.Code == attempt.CodeBackend {
+		if finish.Status >= http.StatusBadRequest && finish.Status < http.StatusInternalServerError {
+			result.status = finish.Status
+		}
+	}
+	if result.outcome == attempt.OutcomeNotRun && result.retryAfter == 0 &&
+		result.status >= http.StatusInternalServerError {
+		result.retryAfter = time.Second
+	}
+	return result
+}
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,318 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/attempt"
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/claim"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/routing"
+)
+
+// serveService serves a plain call.
+func (c *call) serveService(current Catalog) {
+	c.record.kind = "service"
+	route, found := current.ServiceRoute(c.request.Method, c.request.URL.Path)
+	if !found {
+		c.fail(refuse(http.StatusNotFound, codeNoRoute, fmt.Sprintf("nothing is served at %s", c.request.URL.Path)))
+		return
+	}
+	c.record.route = route.Service
+	run, failure := c.prepareService(route)
+	if failure != nil {
+		c.fail(*failure)
+		return
+	}
+	if run.key != "" {
+		run.serveKeyed()
+		return
+	}
+	run.answer(run.call())
+}
+
+func (c *call) prepareService(route catalog.ServiceRoute) (*serviceRun, *failure) {
+	key := c.request.Header.Get(backend.HeaderIdempotencyKey)
+	if len(key) > c.gateway.limits.MaxKeyBytes {
+		failed := refuse(http.StatusBadRequest, codeMalformed, "the Idempotency-Key is too long")
+		return nil, &failed
+	}
+	deadline, failed := c.deadline(route.Deadline, c.gateway.limits.DefaultServiceDeadline)
+	if failed != nil {
+		return nil, failed
+	}
+	body, failed := c.readBody()
+	if failed != nil {
+		return nil, failed
+	}
+	return &serviceRun{caller: c, route: route, key: key, body: body, deadline: deadline}, nil
+}
+
+// serviceRun is a plain call on its way.
+type serviceRun struct {
+	caller   *call
+	route    catalog.ServiceRoute
+	key      string
+	body     []byte
+	deadline time.Time
+
+	core    *attempt.Core
+	ticket  uint64
+	counted bool
+	target  fleet.Backend
+	result  *backend.ServiceAnswer
+}
+
+// serveKeyed makes the call only once the key's keepers have granted it.
+func (r *serviceRun) serveKeyed() {
+	gateway := r.caller.gateway
+	if gateway.options.Guard == nil {
+		r.caller.fail(refuse(http.StatusServiceUnavailable, codeKeyNoMajority, "no keepers of keys are there").after(time.Second))
+		return
+	}
+	ctx, stop := r.callContext()
+	defer stop()
+	key := r.route.Service + "/" + r.key
+	decision := gateway.options.Guard.Acquire(ctx, claim.Request{Key: key, Fingerprint: r.fingerprint(), Window: r.route.KeyWindow})
+	if decision.Verdict != claim.Granted {
+		r.answerVerdict(decision)
+		return
+	}
+	finish := r.call()
+	outcome, stored := r.outcome(finish)
+	complete, stopComplete := context.WithTimeout(context.WithoutCancel(r.caller.request.Context()), completeTimeout)
+	defer stopComplete()
+	gateway.options.Guard.Complete(complete, key, decision.Attempt, outcome, stored)
+	r.answer(finish)
+}
+
+// completeTimeout bounds telling the keepers how an attempt ended.
+const completeTimeout = 2 * time.Second
+
+func (r *serviceRun) fingerprint() []byte {
+	hash := sha256.New()
+	fmt.Fprintf(hash, "%s %s\n", r.caller.request.Method, r.caller.request.URL.RequestURI())
+	hash.Write(r.body)
+	return hash.Sum(nil)
+}
+
+// outcome is what the keepers are told.
+func (r *serviceRun) outcome(finish attempt.Finish) (claim.Outcome, *claim.Answer) {
+	switch {
+	case finish.Outcome == attempt.OutcomeOK:
+		answer := &claim.Answer{Status: r.result.Status, ContentType: r.result.ContentType, Body: r.result.Body}
+		if len(answer.Body) > r.caller.gateway.limits.MaxStoredAnswerBytes {
+			answer.Body, answer.BodyOmitted = nil, true
+		}
+		return claim.Ran, answer
+	case finish.Outcome == attempt.OutcomeNotRun:
+		return claim.NotRun, nil
+	}
+	return claim.Uncertain, nil
+}
+
+// answerVerdict answers a call that was not granted.
+func (r *serviceRun) answerVerdict(decision claim.Decision) {
+	wait := max(decision.RetryAfter, time.Second)
+	switch decision.Verdict {
+	case claim.Done:
+		r.answerStored(decision.Answer)
+	case claim.InProgress:
+		r.caller.fail(failure{status: http.StatusConflict, code: codeKeyInProgress,
+			detail: "another call with this Idempotency-Key is in progress", outcome: attempt.OutcomeUnknown, retryAfter: wait})
+	case claim.Mismatch:
+		r.caller.fail(refuse(http.StatusUnprocessableEntity, codeKeyMismatch,
+			"this Idempotency-Key was used with another request"))
+	case claim.Unknown:
+		r.caller.fail(failure{status: http.StatusConflict, code: codeKeyUnknown,
+			detail: "a call with this Idempotency-Key was made and its outcome is not known", outcome: attempt.OutcomeUnknown})
+	default:
+		r.caller.fail(refuse(http.StatusServiceUnavailable, codeKeyNoMajority,
+			"too few keepers of the key can be reached; nothing was sent").after(wait))
+	}
+}
+
+func (r *serviceRun) answerStored(stored *claim.Answer) {
+	if stored == nil || stored.BodyOmitted {
+		r.caller.fail(failure{status: http.StatusConflict, code: codeKeyBodyGone, outcome: attempt.OutcomeOK,
+			detail: "the call with this Idempotency-Key ran; its answer was too large to keep"})
+		return
+	}
+	r.write(stored.Status, stored.ContentType, stored.Body)
+}
+
+// callContext bounds the call. A call that may not be repeated is not given up
+// when its caller goes away: what became of it must still be learnt.
+func (r *serviceRun) callContext() (context.Context, context.CancelFunc) {
+	ctx := r.caller.request.Context()
+	if !r.route.Repeatable {
+		ctx = context.WithoutCancel(ctx)
+	}
+	left := r.deadline.Sub(r.caller.gateway.now())
+	return context.WithTimeout(ctx, left)
+}
+
+// call drives the attempt core until the call is over.
+func (r *serviceRun) call() attempt.Finish {
+	defer r.release()
+	r.core = attempt.New(attempt.Options{
+		RequestID:  fleet.RequestID(r.caller.id),
+		Deadline:   r.deadline,
+		Repeatable: r.route.Repeatable,
+		Seed:       r.caller.gateway.nextRandom(),
+	})
+	ctx, stop := r.callContext()
+	defer stop()
+	message := r.assign(ctx, attempt.Reassign{})
+	for {
+		next, finish := r.perform(ctx, r.core.Step(r.caller.gateway.now(), message))
+		if finish != nil {
+			r.caller.record.attempts = finish.Attempts
+			return *finish
+		}
+		message = next
+	}
+}
+
+func (r *serviceRun) perform(ctx context.Context, effects []attempt.Effect) (next attempt.Message, finish *attempt.Finish) {
+	next = attempt.Tick{}
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case attempt.Open:
+			next = r.send(ctx, effect)
+		case attempt.Reassign:
+			r.endAttempt(ctx)
+			next = r.assign(ctx, effect)
+		case attempt.Finish:
+			r.endAttempt(ctx)
+			finish = &effect
+		}
+	}
+	return next, finish
+}
+
+// send makes one attempt.
+func (r *serviceRun) send(ctx context.Context, open attempt.Open) attempt.Message {
+	request := r.caller.request
+	answer, err := r.caller.gateway.calls.Call(ctx, r.target.Address, backend.ServiceCall{
+		RequestID: fleet.RequestID(r.caller.id), Attempt: open.Attempt, Method: request.Method, Target: request.URL.RequestURI(),
+		ContentType: request.Header.Get("Content-Type"), Accept: request.Header.Get("Accept"), Key: r.key, Body: r.body,
+		Repeatable: r.route.Repeatable,
+	})
+	if err != nil {
+		broken := brokenBy(open.Connection, err)
+		if ctx.Err() != nil {
+			broken.Final = true
+		}
+		return broken
+	}
+	if answer.NotRun || isUnavailable(answer.Status) && r.route.Repeatable {
+		return refusedBy(open.Connection, answer)
+	}
+	r.result = answer
+	return attempt.Answered{Connection: open.Connection}
+}
+
+// isUnavailable tells the statuses with which a repeatable call is better made
+// elsewhere.
+func isUnavailable(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable
+}
+
+func refusedBy(connection int, answer *backend.ServiceAnswer) attempt.Broken {
+	evidence := attempt.AnsweredError
+	if answer.NotRun {
+		evidence = attempt.RefusedBeforeRun
+	}
+	return attempt.Broken{Connection: connection, Evidence: evidence, Status: answer.Status,
+		RetryAfter: answer.RetryAfterDuration(), Detail: fmt.Sprintf("the back end answered %d", answer.Status)}
+}
+
+// assign waits for a back end.
+func (r *serviceRun) assign(ctx context.Context, reassign attempt.Reassign) attempt.Message {
+	timer := time.NewTimer(reassign.After)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return attempt.Unassigned{Code: attempt.CodeDeadline, Detail: "the deadline passed"}
+	}
+	reply := make(chan reply, 1)
+	gateway := r.caller.gateway
+	r.ticket = gateway.tickets.Add(1)
+	gateway.services.send(submitCall{ticket: r.ticket, route: r.route, retry: reassign.Exclude != nil,
+		exclude: slices.Clone(reassign.Exclude), reply: reply})
+	select {
+	case answer := <-reply:
+		return r.assigned(answer)
+	case <-ctx.Done():
+		gateway.services.send(abandon{ticket: r.ticket})
+		r.ticket = 0
+		return attempt.Unassigned{Code: attempt.CodeDeadline, Detail: "the deadline passed"}
+	}
+}
+
+func (r *serviceRun) assigned(reply reply) attempt.Message {
+	if refusal := reply.refusal; refusal != nil {
+		r.ticket = 0
+		r.counted = r.counted || refusal.code != codeRateLimited && refusal.code != codeConcurrency
+		return attempt.Unassigned{Code: refusal.code, Detail: refusal.detail, RetryAfter: refusal.retryAfter}
+	}
+	r.counted = true
+	r.target = reply.backend
+	r.caller.record.backend = reply.backend.Name
+	return attempt.Assigned{Backend: reply.backend.Name}
+}
+
+func (r *serviceRun) endAttempt(ctx context.Context) {
+	if r.ticket == 0 {
+		return
+	}
+	result := resultOf(r.core.Last(), r.caller.request.Context().Err() != nil && ctx.Err() != nil)
+	if r.result != nil {
+		result = routing.ResultOK
+	}
+	r.caller.gateway.services.send(attemptEnded{ticket: r.ticket, result: result})
+	r.ticket = 0
+}
+
+func (r *serviceRun) release() {
+	if r.counted {
+		r.caller.gateway.services.send(routeDone{route: r.route.Service})
+	}
+}
+
+// answer gives the caller the back end's answer, or the problem.
+func (r *serviceRun) answer(finish attempt.Finish) {
+	if finish.Outcome != attempt.OutcomeOK {
+		r.caller.record.detail = finish.Detail
+		r.caller.setAttemptHeaders()
+		r.caller.fail(failureOf(finish))
+		return
+	}
+	if r.result.Location != "" {
+		r.caller.writer.Header().Set("Location", r.result.Location)
+	}
+	if r.result.RetryAfter != "" {
+		r.caller.writer.Header().Set("Retry-After", r.result.RetryAfter)
+	}
+	r.write(r.result.Status, r.result.ContentType, r.result.Body)
+}
+
+func (r *serviceRun) write(status int, contentType string, body []byte) {
+	c := r.caller
+	c.record.outcome, c.record.status = attempt.OutcomeOK, status
+	if contentType != "" {
+		c.writer.Header().Set("Content-Type", contentType)
+	}
+	c.setAttemptHeaders()
+	c.extendWrite()
+	c.writer.WriteHeader(status)
+	_, _ = c.writer.Write(body)
+}
--- /dev/null
+++ b/internal/queue/message.go
@@ -0,0 +1,118 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// Ticket names one waiting request within a node.
+type Ticket uint64
+
+// Item is one request as the queue sees it.
+type Item struct {
+	Ticket  Ticket
+	Model   fleet.ModelVersion
+	Adapter fleet.AdapterName
+	// Priority orders items; larger goes first.
+	Priority int
+	// Deadline is when the first token must be there.
+	Deadline time.Time
+	// Bytes is the memory that the item holds while it waits.
+	Bytes int64
+	// Since is when the request came to the node; zero for now. A request
+	// that is put back keeps its place.
+	Since time.Time
+	// Again is set for a request that was released before: it is not
+	// estimated again and is no new arrival.
+	Again bool
+}
+
+// Message is an input of the core.
+type Message interface{ isMessage() }
+
+// Arrive hands in a request.
+type Arrive struct{ Item Item }
+
+// Leave takes a request out whose caller has gone.
+type Leave struct{ Ticket Ticket }
+
+// Replica is one ready replica of a model with room for Free more requests.
+type Replica struct {
+	Name     fleet.BackendName
+	Free     int
+	Adapters []fleet.AdapterName
+}
+
+// Offer tells the room of all ready replicas of a model; it replaces the
+// offer before.
+type Offer struct {
+	Model    fleet.ModelVersion
+	Replicas []Replica
+	// Slots is the number of requests that the replicas run at a time.
+	Slots int
+}
+
+// Served tells how long a released request took from its release to its end,
+// so that later waits can be estimated.
+type Served struct {
+	Model   fleet.ModelVersion
+	Service time.Duration
+}
+
+// LoadRefused says that a model cannot be loaded now.
+type LoadRefused struct{ Refusals []fleet.LoadRefusal }
+
+// Close refuses all that waits and all that arrives later.
+type Close struct{ RetryAfter time.Duration }
+
+// Tick is wanted at NextWake.
+type Tick struct{}
+
+func (Arrive) isMessage()      {}
+func (Leave) isMessage()       {}
+func (Offer) isMessage()       {}
+func (Served) isMessage()      {}
+func (LoadRefused) isMessage() {}
+func (Close) isMessage()       {}
+func (Tick) isMessage()        {}
+
+// Effect is an output of the core.
+type Effect interface{ isEffect() }
+
+// Release sends the request on: a ready replica has room for it.
+type Release struct {
+	Item Item
+	// Waited is the time from arrival to release.
+	Waited time.Duration
+	// Cold is set when the request waited for a load.
+	Cold bool
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	ReasonFull       Reason = "queue-full"
+	ReasonTooLate    Reason = "deadline-cannot-be-met"
+	ReasonDeadline   Reason = "deadline-reached"
+	ReasonCannotLoad Reason = "model-cannot-be-loaded"
+	ReasonShed       Reason = "shed-for-higher-priority"
+	ReasonClosed     Reason = "node-stopping"
+)
+
+// Refuse is the final answer to a request that never ran.
+type Refuse struct {
+	Item       Item
+	Reason     Reason
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// ReportWants carries what waits to whoever decides on loads.
+type ReportWants struct{ Wants []fleet.Want }
+
+func (Release) isEffect()     {}
+func (Refuse) isEffect()      {}
+func (ReportWants) isEffect() {}
--- /dev/null
+++ b/internal/routing/message.go
@@ -0,0 +1,104 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// Ticket names one attempt within a node.
+type Ticket uint64
+
+// Message is an input of the core.
+type Message interface{ isMessage() }
+
+// Tables replaces what is known of all zones.
+type Tables struct{ Tables []fleet.RouteTable }
+
+// Leaving names back ends that take no new work, heard apart from the tables,
+// and replaces the names heard before.
+type Leaving struct{ Backends []fleet.BackendName }
+
+// Pick asks for an engine that serves the model.
+type Pick struct {
+	Ticket  Ticket
+	Model   fleet.ModelVersion
+	Adapter fleet.AdapterName
+	// Prefix are the hashes of the prompt's leading blocks.
+	Prefix []uint64
+	// Exclude are engines that this request has failed at; they are picked
+	// only where no other is left.
+	Exclude []fleet.BackendName
+}
+
+// PickService asks for a back end of a declared service.
+type PickService struct {
+	Ticket  Ticket
+	Service string
+	Exclude []fleet.BackendName
+}
+
+// Result is how an attempt ended, as far as it concerns the back end.
+type Result int
+
+// The results of an attempt.
+const (
+	// ResultOK is a whole answer, whatever its status says to the caller.
+	ResultOK Result = iota + 1
+	// ResultFailed is an error, a broken stream or a time-out.
+	ResultFailed
+	// ResultUnreachable means that no connection could be made.
+	ResultUnreachable
+	// ResultRefused means that the back end declined before running.
+	ResultRefused
+	// ResultAbandoned means that the caller left; it says nothing of the back end.
+	ResultAbandoned
+)
+
+// FirstToken tells that the attempt's answer began.
+type FirstToken struct {
+	Ticket Ticket
+	After  time.Duration
+}
+
+// Ended tells that a picked attempt is over.
+type Ended struct {
+	Ticket Ticket
+	Result Result
+}
+
+// Tick is wanted at NextWake.
+type Tick struct{}
+
+func (Tables) isMessage()      {}
+func (Leaving) isMessage()     {}
+func (Pick) isMessage()        {}
+func (PickService) isMessage() {}
+func (FirstToken) isMessage()  {}
+func (Ended) isMessage()       {}
+func (Tick) isMessage()        {}
+
+// Effect is an output of the core.
+type Effect interface{ isEffect() }
+
+// Picked answers a Pick or PickService.
+type Picked struct {
+	Ticket  Ticket
+	Backend fleet.Backend
+	// Probe is set when the attempt tries a circuit that was open.
+	Probe bool
+}
+
+// NonePicked answers a Pick or PickService that no back end passes.
+type NonePicked struct {
+	Ticket Ticket
+	// Known tells whether any back end was known that does not leave.
+	Known bool
+}
+
+// RoomChanged tells that the room for a model may have grown.
+type RoomChanged struct{ Model fleet.ModelVersion }
+
+func (Picked) isEffect()      {}
+func (NonePicked) isEffect()  {}
+func (RoomChanged) isEffect() {}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,234 @@
+package routing
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// Options are the constants of routing. Zero values are replaced by the
+// defaults.
+type Options struct {
+	Zone fleet.Zone
+	Seed uint64
+	// EngineSlots is the number of requests that an engine is taken to run at
+	// a time until its reports tell more.
+	EngineSlots int
+	// ReportLag is how old a report is taken to be when it comes in.
+	ReportLag time.Duration
+	// StaleAfter is the age from which a report alone is not believed.
+	StaleAfter time.Duration
+	// SlowStart is the time over which a fresh replica's room grows to full.
+	SlowStart time.Duration
+	// OtherZoneCost is added to the score of a back end in another zone.
+	OtherZoneCost time.Duration
+	// PrefillSaved is the time saved by each prompt block in the cache.
+	PrefillSaved time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultEngineSlots   = 16
+	DefaultReportLag     = 300 * time.Millisecond
+	DefaultStaleAfter    = 3 * time.Second
+	DefaultSlowStart     = 5 * time.Second
+	DefaultOtherZoneCost = 3 * time.Millisecond
+	DefaultPrefillSaved  = 2 * time.Millisecond
+)
+
+func (o Options) withDefaults() Options {
+	o.EngineSlots = cmp.Or(o.EngineSlots, DefaultEngineSlots)
+	o.ReportLag = cmp.Or(o.ReportLag, DefaultReportLag)
+	o.StaleAfter = cmp.Or(o.StaleAfter, DefaultStaleAfter)
+	o.SlowStart = cmp.Or(o.SlowStart, DefaultSlowStart)
+	o.OtherZoneCost = cmp.Or(o.OtherZoneCost, DefaultOtherZoneCost)
+	o.PrefillSaved = cmp.Or(o.PrefillSaved, DefaultPrefillSaved)
+	return o
+}
+
+// flight is one attempt that the node has at a back end.
+type flight struct {
+	target  *target
+	model   fleet.ModelVersion
+	started time.Time
+	probe   bool
+}
+
+// Core is the routing of one node.
+type Core struct {
+	options Options
+	random  *rand.Rand
+	targets map[fleet.BackendName]*target
+	// byModel and byService hold the targets sorted by name.
+	byModel   map[fleet.ModelVersion][]*target
+	byService map[string][]*target
+	leaving   map[fleet.BackendName]bool
+	flights   map[Ticket]*flight
+	effects   []Effect
+}
+
+// New returns a core that knows no back end.
+func New(options Options) *Core {
+	return &Core{
+		options:   options.withDefaults(),
+		random:    rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
+		targets:   make(map[fleet.BackendName]*target),
+		byModel:   make(map[fleet.ModelVersion][]*target),
+		byService: make(map[string][]*target),
+		leaving:   make(map[fleet.BackendName]bool),
+		flights:   make(map[Ticket]*flight),
+	}
+}
+
+// Step takes one message. The effects are valid until the next Step.
+func (c *Core) Step(now time.Time, message Message) []Effect {
+	clear(c.effects)
+	c.effects = c.effects[:0]
+	switch message := message.(type) {
+	case Tables:
+		c.takeTables(now, message.Tables)
+	case Leaving:
+		c.takeLeaving(message.Backends)
+	case Pick:
+		c.pick(now, message)
+	case PickService:
+		c.pickService(now, message)
+	case FirstToken:
+		if flight, found := c.flights[message.Ticket]; found {
+			flight.target.circuit.succeed()
+		}
+	case Ended:
+		c.ended(now, message)
+	case Tick:
+		c.wakeCircuits(now)
+	}
+	return c.effects
+}
+
+// NextWake is when the next open circuit may be probed.
+func (c *Core) NextWake() time.Time {
+	var wake time.Time
+	for _, target := range c.targets {
+		at := target.circuit.openUntil
+		if !at.IsZero() && !target.circuit.announced && (wake.IsZero() || at.Before(wake)) {
+			wake = at
+		}
+	}
+	return wake
+}
+
+func (c *Core) emit(effect Effect) {
+	c.effects = append(c.effects, effect)
+}
+
+func (c *Core) takeTables(now time.Time, tables []fleet.RouteTable) {
+	seen := make(map[fleet.BackendName]bool)
+	for _, table := range tables {
+		for _, engine := range table.Engines {
+			seen[engine.Name] = true
+			c.target(engine.Name).takeEngine(now, engine)
+		}
+		for _, service := range table.Services {
+			seen[service.Name] = true
+			c.target(service.Name).backend = service
+		}
+	}
+	for name, target := range c.targets {
+		if !seen[name] {
+			target.gone = true
+			delete(c.targets, name)
+		}
+	}
+	c.index()
+	for _, model := range c.models() {
+		c.emit(RoomChanged{Model: model})
+	}
+}
+
+func (c *Core) target(name fleet.BackendName) *target {
+	if known, found := c.targets[name]; found {
+		return known
+	}
+	created := newTarget()
+	c.targets[name] = created
+	return created
+}
+
+// index rebuilds the lists by model and by service.
+func (c *Core) index() {
+	names := make([]fleet.BackendName, 0, len(c.targets))
+	for name := range c.targets {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	clear(c.byModel)
+	clear(c.byService)
+	for _, name := range names {
+		target := c.targets[name]
+		for _, loaded := range target.engine.Models {
+			if loaded.State == fleet.LoadReady {
+				c.byModel[loaded.Model] = append(c.byModel[loaded.Model], target)
+			}
+		}
+		if target.backend.Kind == fleet.KindService {
+			service := target.backend.Service
+			c.byService[service] = append(c.byService[service], target)
+		}
+	}
+}
+
+func (c *Core) models() []fleet.ModelVersion {
+	models := make([]fleet.ModelVersion, 0, len(c.byModel))
+	for model := range c.byModel {
+		models = append(models, model)
+	}
+	slices.SortFunc(models, fleet.ModelVersion.Compare)
+	return models
+}
+
+func (c *Core) takeLeaving(backends []fleet.BackendName) {
+	clear(c.leaving)
+	for _, name := range backends {
+		c.leaving[name] = true
+	}
+}
+
+func (c *Core) ended(now time.Time, ended Ended) {
+	flight, found := c.flights[ended.Ticket]
+	if !found {
+		return
+	}
+	delete(c.flights, ended.Ticket)
+	target := flight.target
+	target.ended(now, flight)
+	switch ended.Result {
+	case ResultOK:
+		target.circuit.succeed()
+	case ResultFailed, ResultUnreachable:
+		target.circuit.fail(now, ended.Result == ResultUnreachable, c.random)
+	case ResultRefused, ResultAbandoned:
+		target.circuit.release()
+	}
+	if !flight.model.IsZero() {
+		c.emit(RoomChanged{Model: flight.model})
+	}
+}
+
+func (c *Core) wakeCircuits(now time.Time) {
+	for _, model := range c.models() {
+		for _, target := range c.byModel[model] {
+			circuit := &target.circuit
+			if !circuit.openUntil.IsZero() && !circuit.openUntil.After(now) && !circuit.announced {
+				c.emit(RoomChanged{Model: model})
+			}
+		}
+	}
+	for _, target := range c.targets {
+		if !target.circuit.openUntil.After(now) {
+			target.circuit.announced = true
+		}
+	}
+}
