Spread declarations by versions that only grow, and compile them to routes

Cause: a node needs the declarations in force without reading the store itself, and must never go back to an older one.

Ruled out: taking an object whose key is not held whenever no tombstone speaks against it. Drawn schedules showed that a late push brings a deleted object back once tombstones are dropped or were never seen; an unknown object up to the version in force is refused instead. Also ruled out: claiming a version by an equal hash without looking at what arrived since.

--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -1,6 +1,9 @@
 package catalog
 
 import (
+	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -60,3 +63,94 @@
 	Model       string
 	MemoryBytes int64
 }
+
+// DefaultModelDeadline bounds the time until the first token where no
+// selector says otherwise.
+const DefaultModelDeadline = 30 * time.Second
+
+const (
+	// modelLabel is the request label that carries the body's model field.
+	modelLabel = "model"
+
+	defaultServiceDeadline = 5 * time.Second
+	defaultKeyWindow       = 10 * time.Minute
+)
+
+// ModelRoute returns how a request with these labels is treated. The first
+// matching selector decides: where it leads to no deployment there is no
+// route. Where no selector matches, the label "model" may name a deployment.
+func (s *Snapshot) ModelRoute(labels map[string]string) (ModelRoute, bool) {
+	named, hasNamed := s.deploymentIndex[labels[modelLabel]]
+	for index := range s.selectors {
+		candidate := &s.selectors[index]
+		if !candidate.Match.Matches(labels) {
+			continue
+		}
+		return s.selectedRoute(candidate, named, hasNamed)
+	}
+	if !hasNamed {
+		return ModelRoute{}, false
+	}
+	route := s.routeTo(named)
+	route.Deadline = DefaultModelDeadline
+	return route, true
+}
+
+// selectedRoute prefers the deployment that the request names, and takes the
+// first by name otherwise, so that all nodes choose alike.
+func (s *Snapshot) selectedRoute(chosen *selector, named int, hasNamed bool) (ModelRoute, bool) {
+	if len(chosen.targets) == 0 {
+		return ModelRoute{}, false
+	}
+	target := chosen.targets[0]
+	if hasNamed {
+		if _, found := slices.BinarySearch(chosen.targets, named); found {
+			target = named
+		}
+	}
+	route := s.routeTo(target)
+	route.Selector = chosen.name
+	route.Priority = chosen.Priority
+	route.Deadline = chosen.deadline
+	route.Limits = chosen.Limits
+	return route, true
+}
+
+func (s *Snapshot) routeTo(index int) ModelRoute {
+	target := &s.deployments[index]
+	return ModelRoute{
+		Deployment:    target.Name,
+		Adapter:       target.Adapter,
+		Versions:      target.Versions,
+		ContextTokens: target.ContextTokens,
+	}
+}
+
+// ServiceRoute returns how a plain call is treated: the service with the
+// longest prefix of the path takes it.
+func (s *Snapshot) ServiceRoute(method, path string) (ServiceRoute, bool) {
+	for index := range s.services {
+		candidate := &s.services[index]
+		if !strings.HasPrefix(path, candidate.PathPrefix) {
+			continue
+		}
+		return ServiceRoute{
+			Service:    candidate.name,
+			PathPrefix: candidate.PathPrefix,
+			Repeatable: candidate.repeatable(method),
+			Deadline:   candidate.deadline,
+			KeyWindow:  candidate.keyWindow,
+			Limits:     candidate.Limits,
+		}, true
+	}
+	return ServiceRoute{}, false
+}
+
+func (s *service) repeatable(method string) bool {
+	if method == http.MethodGet || method == http.MethodHead {
+		return true
+	}
+	return slices.ContainsFunc(s.Repeatable, func(declared string) bool {
+		return strings.EqualFold(declared, method)
+	})
+}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -1,11 +1,103 @@
 package catalog
 
-// Snapshot is the catalog at one store revision. It is immutable.
+import (
+	"slices"
+	"strings"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/spec"
+)
+
+// Snapshot is the catalog at one store revision. It is immutable: callers
+// must not change the slices that it returns.
 type Snapshot struct {
 	version uint64
+
+	models       []ModelFacts
+	modelIndex   map[fleet.ModelVersion]int
+	adapters     []AdapterFacts
+	adapterIndex map[fleet.AdapterName]int
+	deployments  []deployment
+	// deploymentIndex finds a deployment by its name.
+	deploymentIndex map[string]int
+	// selectors are in the order in which they are tried.
+	selectors []selector
+	// services are ordered by the length of their prefix, longest first.
+	services    []service
+	preferences spec.Preferences
+}
+
+// DeploymentInfo describes a deployment to callers.
+type DeploymentInfo struct {
+	Name     fleet.DeploymentName
+	Labels   map[string]string
+	Adapter  fleet.AdapterName
+	Versions []WeightedModel
+	// ContextTokens bounds prompt and answer together; 0 is without bound.
+	ContextTokens int
+	// CreatedVersion is the store revision of the deployment's last change.
+	CreatedVersion uint64
+}
+
+// ServiceInfo describes a declared service.
+type ServiceInfo struct {
+	Name       string
+	PathPrefix string
 }
 
 // Version is the store revision that the snapshot shows.
 func (s *Snapshot) Version() uint64 {
 	return s.version
 }
+
+// Models are the facts of all declared model versions in order.
+func (s *Snapshot) Models() []ModelFacts {
+	return s.models
+}
+
+// Model returns the facts of one model version.
+func (s *Snapshot) Model(model fleet.ModelVersion) (ModelFacts, bool) {
+	index, found := s.modelIndex[model]
+	if !found {
+		return ModelFacts{}, false
+	}
+	return s.models[index], true
+}
+
+// Adapters are the facts of all declared adapters, ordered by name.
+func (s *Snapshot) Adapters() []AdapterFacts {
+	return s.adapters
+}
+
+// Adapter returns the facts of one adapter.
+func (s *Snapshot) Adapter(name fleet.AdapterName) (AdapterFacts, bool) {
+	index, found := s.adapterIndex[name]
+	if !found {
+		return AdapterFacts{}, false
+	}
+	return s.adapters[index], true
+}
+
+// Deployments describes all deployments, ordered by name.
+func (s *Snapshot) Deployments() []DeploymentInfo {
+	infos := make([]DeploymentInfo, 0, len(s.deployments))
+	for _, known := range s.deployments {
+		infos = append(infos, known.DeploymentInfo)
+	}
+	return infos
+}
+
+// Services describes all services, ordered by name.
+func (s *Snapshot) Services() []ServiceInfo {
+	infos := make([]ServiceInfo, 0, len(s.services))
+	for _, known := range s.services {
+		infos = append(infos, ServiceInfo{Name: known.name, PathPrefix: known.PathPrefix})
+	}
+	slices.SortFunc(infos, func(a, b ServiceInfo) int { return strings.Compare(a.Name, b.Name) })
+	return infos
+}
+
+// Preferences weigh the cold-start tail against idle accelerator hours.
+func (s *Snapshot) Preferences() spec.Preferences {
+	return s.preferences
+}
--- /dev/null
+++ b/internal/configsync/cluster_test.go
@@ -0,0 +1,303 @@
+package configsync
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+// testStore is the store as the schedules see it. Its history is the judge.
+type testStore struct {
+	version uint64
+	history []platform.Object
+	down    bool
+	// shown is the revision that reads show; 0 shows the newest.
+	shown uint64
+	// compacted is the revision before which events are gone.
+	compacted uint64
+}
+
+func (s *testStore) write(kind, name string, deleted bool) {
+	s.version++
+	s.history = append(s.history, platform.Object{Kind: kind, Name: name, Version: s.version, Deleted: deleted})
+}
+
+func (s *testStore) visible() uint64 {
+	if s.shown > 0 {
+		return s.shown
+	}
+	return s.version
+}
+
+// at returns the last change of each key up to a revision.
+func (s *testStore) at(version uint64) map[platform.Key]platform.Object {
+	state := make(map[platform.Key]platform.Object)
+	for _, change := range s.history {
+		if change.Version <= version {
+			state[change.Key()] = change
+		}
+	}
+	return state
+}
+
+func (s *testStore) list() platform.ObjectList {
+	list := platform.ObjectList{Version: s.visible()}
+	for _, object := range s.at(s.visible()) {
+		if !object.Deleted {
+			list.Objects = append(list.Objects, object)
+		}
+	}
+	sortObjects(list.Objects)
+	return list
+}
+
+// envelope is a message under way to a node's boot.
+type envelope struct {
+	to      fleet.NodeName
+	boot    int
+	message Message
+	// call names the digest or push that the message answers.
+	from fleet.NodeName
+}
+
+type testNode struct {
+	member fleet.Member
+	boot   int
+	core   *Core
+	watch  *WatchStore
+	// position is the last revision that the watch delivered.
+	position uint64
+	versions map[platform.Key]uint64
+	inForce  uint64
+	updated  int
+}
+
+// cluster runs several cores over a network and a store that may fail.
+type cluster struct {
+	now      time.Time
+	store    testStore
+	nodes    []*testNode
+	inFlight []envelope
+	options  Options
+	// failure is the first broken rule.
+	failure string
+	calls   uint64
+	asked   map[uint64]envelope
+}
+
+func newCluster(zones []fleet.Zone, perZone int, options Options) *cluster {
+	c := &cluster{now: time.Unix(1000, 0), options: options, asked: make(map[uint64]envelope)}
+	for _, zone := range zones {
+		for index := range perZone {
+			name := fleet.NodeName(fmt.Sprintf("%s-%d", zone, index))
+			c.nodes = append(c.nodes, &testNode{member: fleet.Member{Name: name, Zone: zone, State: fleet.MemberAlive}})
+		}
+	}
+	for _, node := range c.nodes {
+		c.start(node)
+	}
+	return c
+}
+
+func (c *cluster) start(node *testNode) {
+	node.boot++
+	options := c.options
+	options.Self = node.member
+	options.Seed = uint64(node.boot)
+	node.core = New(options)
+	node.watch = nil
+	node.versions = make(map[platform.Key]uint64)
+	node.inForce = 0
+	c.step(node, MembersChanged{Members: c.members()})
+}
+
+func (c *cluster) members() []fleet.Member {
+	members := make([]fleet.Member, 0, len(c.nodes))
+	for _, node := range c.nodes {
+		members = append(members, node.member)
+	}
+	return members
+}
+
+func (c *cluster) step(node *testNode, message Message) {
+	for _, effect := range node.core.Step(c.now, message) {
+		c.perform(node, effect)
+	}
+	c.check(node)
+}
+
+func (c *cluster) send(to *testNode, from fleet.NodeName, message Message) {
+	c.inFlight = append(c.inFlight, envelope{to: to.member.Name, boot: to.boot, from: from, message: message})
+}
+
+func (c *cluster) perform(node *testNode, effect Effect) {
+	switch effect := effect.(type) {
+	case ListStore:
+		if c.store.down {
+			c.send(node, "", ListFailed(effect))
+			return
+		}
+		c.send(node, "", Listed{Generation: effect.Generation, List: c.store.list()})
+	case WatchStore:
+		node.watch = &effect
+		node.position = effect.Since
+	case StopReading:
+		node.watch = nil
+	case SendPush:
+		if to := c.node(effect.To.Name); to != nil {
+			c.send(to, node.member.Name, PushReceived{From: node.member.Name, Push: effect.Push})
+		}
+	case SendDigest:
+		if to := c.node(effect.To.Name); to != nil {
+			c.calls++
+			c.asked[c.calls] = envelope{to: node.member.Name, boot: node.boot, from: to.member.Name}
+			c.send(to, node.member.Name, DigestReceived{Call: c.calls, From: node.member.Name, Digest: effect.Digest})
+		}
+	case AnswerDigest:
+		answer := c.asked[effect.Call]
+		answer.message = DigestAnswered{From: answer.from, Answer: effect.Answer}
+		c.inFlight = append(c.inFlight, answer)
+	case Updated:
+		node.updated++
+	}
+}
+
+func (c *cluster) node(name fleet.NodeName) *testNode {
+	for _, node := range c.nodes {
+		if node.member.Name == name {
+			return node
+		}
+	}
+	return nil
+}
+
+// deliver takes a message from the network. Messages to an earlier boot are
+// lost with it, save pushes and digests, which find the new one.
+func (c *cluster) deliver(index int, keep bool) {
+	message := c.inFlight[index]
+	if !keep {
+		c.inFlight = append(c.inFlight[:index:index], c.inFlight[index+1:]...)
+	}
+	node := c.node(message.to)
+	switch message.message.(type) {
+	case PushReceived, DigestReceived:
+	default:
+		if node.boot != message.boot {
+			return
+		}
+	}
+	c.step(node, message.message)
+}
+
+// pump delivers the next event of a node's watch.
+func (c *cluster) pump(node *testNode) {
+	if node.watch == nil {
+		return
+	}
+	generation := node.watch.Generation
+	if c.store.down {
+		node.watch = nil
+		c.step(node, WatchEnded{Generation: generation})
+		return
+	}
+	if node.position < c.store.compacted || node.position > c.store.version {
+		node.watch = nil
+		c.step(node, WatchEnded{Generation: generation, Compacted: true})
+		return
+	}
+	for _, change := range c.store.history {
+		if change.Version > node.position && change.Version <= c.store.visible() {
+			node.position = change.Version
+			c.step(node, Watched{Generation: generation, Version: change.Version, Objects: []platform.Object{change}})
+			return
+		}
+	}
+}
+
+func (c *cluster) advance(duration time.Duration) {
+	c.now = c.now.Add(duration)
+	for _, node := range c.nodes {
+		if wake := node.core.NextWake(); !wake.IsZero() && !c.now.Before(wake) {
+			c.step(node, Tick{})
+		}
+	}
+}
+
+// settle ends all faults and lets everything arrive.
+func (c *cluster) settle(rounds int) {
+	for range rounds {
+		for len(c.inFlight) > 0 {
+			c.deliver(0, false)
+		}
+		for _, node := range c.nodes {
+			for before := -1; node.watch != nil && before != int(node.position); {
+				before = int(node.position)
+				c.pump(node)
+			}
+		}
+		c.advance(100 * time.Millisecond)
+	}
+}
+
+// check holds the rules against the store's own history: versions only grow,
+// and a version is in force only where every change up to it is held.
+func (c *cluster) check(node *testNode) {
+	version, loaded := node.core.Version()
+	if version < node.inForce {
+		c.fail("%s went back from version %d to %d", node.member.Name, node.inForce, version)
+	}
+	node.inForce = version
+	for key, object := range node.core.objects.objects {
+		if object.Version < node.versions[key] {
+			c.fail("%s went back on %v from %d to %d", node.member.Name, key, node.versions[key], object.Version)
+		}
+		node.versions[key] = object.Version
+	}
+	if !loaded {
+		return
+	}
+	for key, change := range c.store.at(version) {
+		if key.Kind == platform.KindLease {
+			continue
+		}
+		held, found := node.core.Holds(key)
+		switch {
+		case !found && !change.Deleted:
+			c.fail("%s lacks %v@%d at version %d", node.member.Name, key, change.Version, version)
+		case found && held.Deleted && change.Deleted:
+			// A recreation in between may never have been seen.
+		case found && held.Version < change.Version:
+			c.fail("%s holds %v@%d instead of @%d at version %d", node.member.Name, key, held.Version, change.Version, version)
+		}
+	}
+}
+
+func (c *cluster) fail(format string, arguments ...any) {
+	if c.failure == "" {
+		c.failure = fmt.Sprintf(format, arguments...)
+	}
+}
+
+// differences tells where a node does not hold what the store holds.
+func (c *cluster) differences() string {
+	want := make(map[platform.Key]uint64)
+	for key, object := range c.store.at(c.store.version) {
+		if !object.Deleted && key.Kind != platform.KindLease {
+			want[key] = object.Version
+		}
+	}
+	for _, node := range c.nodes {
+		objects := node.core.Objects()
+		if len(objects) != len(want) {
+			return fmt.Sprintf("%s holds %d objects of %d", node.member.Name, len(objects), len(want))
+		}
+		for _, object := range objects {
+			if want[object.Key()] != object.Version {
+				return fmt.Sprintf("%s holds %v@%d of @%d", node.member.Name, object.Key(), object.Version, want[object.Key()])
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/configsync/core.go
@@ -0,0 +1,243 @@
+package configsync
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+// Defaults of the options.
+const (
+	DefaultPushDelay         = 10 * time.Millisecond
+	DefaultDigestInterval    = 4 * time.Second
+	DefaultFirstDigestRetry  = 250 * time.Millisecond
+	DefaultReadRetry         = 500 * time.Millisecond
+	DefaultMachineInterval   = 2 * time.Second
+	DefaultFullMergeInterval = time.Minute
+	DefaultTombstoneLimit    = 4096
+)
+
+const (
+	// foreignDigestShare is one in how many digests goes to another zone.
+	foreignDigestShare = 8
+	// maxReadBackoff is how many times the read retry may double.
+	maxReadBackoff = 4
+	// jitterShare is the part of an interval that is drawn.
+	jitterShare = 0.5
+)
+
+// Options configure a core. Zero durations and limits take the defaults.
+type Options struct {
+	// Self is the node's own member; only name, zone and addresses are used.
+	Self fleet.Member
+	Seed uint64
+	// PushDelay gathers changes into one push.
+	PushDelay time.Duration
+	// DigestInterval is the mean time between two digests of each space.
+	DigestInterval time.Duration
+	// FirstDigestRetry is the interval until the node has something in force.
+	FirstDigestRetry time.Duration
+	// ReadRetry is the first wait after a failed list or watch; it doubles.
+	ReadRetry time.Duration
+	// MachineInterval is how often a reader asks for the machine list.
+	MachineInterval time.Duration
+	// FullMergeInterval is the least time between two merges of all objects
+	// with peers that hold others at the same version.
+	FullMergeInterval time.Duration
+	// TombstoneLimit bounds the tombstones that are kept in each space.
+	TombstoneLimit int
+	Defects        Defects
+}
+
+// Defects are planted faults. Only tests and the simulator set them.
+type Defects struct {
+	// VersionsMayGoBack takes objects and versions that are older than what
+	// is held.
+	VersionsMayGoBack bool
+	// IgnoreGaps claims a pushed version though changes before it are missing.
+	IgnoreGaps bool
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.PushDelay, DefaultPushDelay)
+	setDefault(&o.DigestInterval, DefaultDigestInterval)
+	setDefault(&o.FirstDigestRetry, DefaultFirstDigestRetry)
+	setDefault(&o.ReadRetry, DefaultReadRetry)
+	setDefault(&o.MachineInterval, DefaultMachineInterval)
+	setDefault(&o.FullMergeInterval, DefaultFullMergeInterval)
+	setDefault(&o.TombstoneLimit, DefaultTombstoneLimit)
+	return o
+}
+
+func setDefault[T comparable](value *T, otherwise T) {
+	var zero T
+	if *value == zero {
+		*value = otherwise
+	}
+}
+
+// Core decides for one node who reads the store and who hears of changes.
+type Core struct {
+	options Options
+	random  *rand.Rand
+	members []fleet.Member
+
+	objects  *ledger
+	machines *ledger
+	// machineList holds the decoded machines of the ledger.
+	machineList map[platform.Key]platform.Machine
+
+	reader  reader
+	spread  map[Space]*spreadState
+	effects []Effect
+	// reported is the version of the last Updated.
+	reported uint64
+	// everReported is false until the first Updated.
+	everReported bool
+}
+
+// New returns a core that holds nothing.
+func New(options Options) *Core {
+	options = options.withDefaults()
+	core := &Core{
+		options:     options,
+		random:      rand.New(rand.NewPCG(options.Seed, hashText(string(options.Self.Name)))),
+		members:     []fleet.Member{options.Self},
+		objects:     newLedger(hashByVersion, options.TombstoneLimit, options.Defects),
+		machines:    newLedger(hashBySpec, options.TombstoneLimit, options.Defects),
+		machineList: make(map[platform.Key]platform.Machine),
+	}
+	core.spread = map[Space]*spreadState{
+		SpaceObjects:  {space: SpaceObjects, ledger: core.objects},
+		SpaceMachines: {space: SpaceMachines, ledger: core.machines},
+	}
+	return core
+}
+
+// Version is the store revision in force, and false while there is none.
+func (c *Core) Version() (uint64, bool) {
+	return c.objects.version, c.objects.loaded
+}
+
+// Objects lists the declared objects and system records held, without
+// tombstones, in the order of their versions.
+func (c *Core) Objects() []platform.Object {
+	return c.objects.all()
+}
+
+// Holds returns the version at which an object or its tombstone is held.
+func (c *Core) Holds(key platform.Key) (platform.Object, bool) {
+	object, found := c.objects.objects[key]
+	return object, found
+}
+
+// IsReader reports whether the node reads the store for its zone.
+func (c *Core) IsReader() bool {
+	return c.reader.active
+}
+
+// Step takes one message and returns what is to be done.
+func (c *Core) Step(now time.Time, message Message) []Effect {
+	c.effects = nil
+	switch message := message.(type) {
+	case Tick:
+	case MembersChanged:
+		c.membersChanged(now, message.Members)
+	case Listed:
+		c.listed(now, message)
+	case ListFailed:
+		c.readFailed(now, message.Generation)
+	case Watched:
+		c.watched(now, message)
+	case WatchEnded:
+		c.watchEnded(now, message)
+	case MachinesListed:
+		c.machinesListed(now, message.List)
+	case MachinesFailed:
+	case PushReceived:
+		c.pushReceived(now, message)
+	case DigestReceived:
+		c.digestReceived(message)
+	case DigestAnswered:
+		c.digestAnswered(now, message)
+	case DigestFailed:
+		c.digestFailed(now, message)
+	}
+	c.runDue(now)
+	return c.effects
+}
+
+// NextWake is the earliest time at which a Tick is wanted.
+func (c *Core) NextWake() time.Time {
+	wake := earliest(c.reader.readAt, c.reader.machinesAt)
+	for _, space := range spaces {
+		state := c.spread[space]
+		wake = earliest(wake, earliest(state.pushAt, state.digestAt))
+	}
+	return wake
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func due(at, now time.Time) bool {
+	return !at.IsZero() && !now.Before(at)
+}
+
+func (c *Core) runDue(now time.Time) {
+	c.readDue(now)
+	for _, space := range spaces {
+		c.pushDue(now, c.spread[space])
+		c.digestDue(now, c.spread[space])
+	}
+}
+
+func (c *Core) emit(effect Effect) {
+	c.effects = append(c.effects, effect)
+}
+
+// jitter draws around an interval, so that nodes do not act in step.
+func (c *Core) jitter(interval time.Duration) time.Duration {
+	return time.Duration(float64(interval) * (1 - jitterShare/2 + jitterShare*c.random.Float64()))
+}
+
+// changed tells the shell of new content of a space.
+func (c *Core) changed(space Space, changed []platform.Object) {
+	if space == SpaceMachines {
+		c.machinesChanged(changed)
+		return
+	}
+	version, loaded := c.Version()
+	if !loaded && len(changed) == 0 {
+		return
+	}
+	reachedContent := version > c.reported && c.reported < c.objects.newest
+	if len(changed) == 0 && c.everReported && !reachedContent {
+		return
+	}
+	c.everReported = c.everReported || loaded
+	c.reported = version
+	c.emit(Updated{Version: version, Changed: changed})
+}
+
+func (c *Core) machinesChanged(changed []platform.Object) {
+	if len(changed) == 0 {
+		return
+	}
+	for _, object := range changed {
+		var machine platform.Machine
+		if object.Deleted || json.Unmarshal(object.Spec, &machine) != nil {
+			delete(c.machineList, object.Key())
+			continue
+		}
+		c.machineList[object.Key()] = machine
+	}
+	c.emit(MachinesUpdated{List: c.currentMachines()})
+}
--- /dev/null
+++ b/internal/configsync/schedule_test.go
@@ -0,0 +1,117 @@
+package configsync
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+const (
+	scheduleSteps = 120
+	settleRounds  = 400
+	// defectSeeds is how many schedules may be tried to show a defect.
+	defectSeeds = 300
+)
+
+// draw chooses a number below n.
+type draw func(label string, n int) int
+
+// runSchedule draws writes, losses, repeats, delays, store faults and restarts
+// and returns the first broken rule.
+func runSchedule(draw draw, defects Defects) string {
+	cluster := newCluster([]fleet.Zone{"a", "b"}, 3, Options{
+		TombstoneLimit: 1 + draw("tombstones", 4),
+		Defects:        defects,
+	})
+	for range scheduleSteps {
+		drawStep(draw, cluster)
+		if cluster.failure != "" {
+			return cluster.failure
+		}
+	}
+	cluster.store.down = false
+	cluster.store.shown = 0
+	cluster.settle(settleRounds)
+	if cluster.failure != "" {
+		return cluster.failure
+	}
+	return cluster.differences()
+}
+
+func drawStep(draw draw, c *cluster) {
+	switch draw("step", 16) {
+	case 0, 1:
+		drawWrite(draw, c)
+	case 2:
+		c.store.write(platform.KindLease, "a", false)
+	case 3:
+		c.store.down = !c.store.down
+	case 4:
+		if c.store.shown = c.store.version; draw("fresh", 2) == 0 {
+			c.store.shown = 0
+		}
+	case 5:
+		c.store.compacted = c.store.version
+	case 6:
+		c.start(c.nodes[draw("restart", len(c.nodes))])
+	case 7:
+		if len(c.inFlight) > 0 {
+			index := draw("lost", len(c.inFlight))
+			c.inFlight = append(c.inFlight[:index:index], c.inFlight[index+1:]...)
+		}
+	case 8:
+		if len(c.inFlight) > 0 {
+			c.deliver(draw("doubled", len(c.inFlight)), true)
+		}
+	case 9, 10, 11:
+		c.advance(10 * time.Millisecond << draw("time", 10))
+	case 12, 13:
+		c.pump(c.nodes[draw("watch", len(c.nodes))])
+	default:
+		if len(c.inFlight) > 0 {
+			c.deliver(draw("delivered", len(c.inFlight)), false)
+		}
+	}
+}
+
+func drawWrite(draw draw, c *cluster) {
+	name := fmt.Sprintf("o%d", draw("object", 5))
+	current := c.store.at(c.store.version)[platform.Key{Kind: "Model", Name: name}]
+	exists := current.Version > 0 && !current.Deleted
+	c.store.write("Model", name, exists && draw("delete", 2) == 0)
+}
+
+func TestScheduleKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(t, label) }
+		if broken := runSchedule(draw, Defects{}); broken != "" {
+			t.Fatal(broken)
+		}
+	})
+}
+
+func TestSchedulesCatchPlantedDefects(t *testing.T) {
+	cases := map[string]Defects{
+		"versions may go back": {VersionsMayGoBack: true},
+		"gap ignored":          {IgnoreGaps: true},
+	}
+	for name, defects := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(defectSeeds) {
+				random := rand.New(rand.NewPCG(seed, 0))
+				draw := func(_ string, n int) int { return random.IntN(n) }
+				if broken := runSchedule(draw, defects); broken != "" {
+					t.Logf("seed %d: %s", seed, broken)
+					return
+				}
+			}
+			t.Errorf("%d schedules did not show the defect", defectSeeds)
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/config_io.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/spanlanding/spanlanding/internal/configsync"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+const (
+	listTimeout     = 30 * time.Second
+	machinesTimeout = 5 * time.Second
+	pushTimeout     = 2 * time.Second
+	digestTimeout   = 5 * time.Second
+	// watchIdleLimit ends a watch that brings nothing: its connection may be
+	// dead. The next one goes on from where it was.
+	watchIdleLimit = 10 * time.Second
+)
+
+// startReading runs one list or watch in place of the one under way.
+func (a *configActor) startReading(read func(context.Context)) {
+	a.stopReading()
+	ctx, cancel := context.WithCancel(a.lifetime)
+	a.stopReading = cancel
+	go read(ctx)
+}
+
+func (a *configActor) list(ctx context.Context, effect configsync.ListStore) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, err := a.dependencies.Platform.List(ctx, "")
+	if err != nil {
+		a.logUnavailable("store-list-failed", err)
+		a.send(configsync.ListFailed(effect))
+		return
+	}
+	a.send(configsync.Listed{Generation: effect.Generation, List: list})
+}
+
+func (a *configActor) watch(ctx context.Context, effect configsync.WatchStore) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	idle := time.AfterFunc(watchIdleLimit, cancel)
+	defer idle.Stop()
+	err := a.readWatch(ctx, effect, idle)
+	idled := ctx.Err() != nil
+	if !idled {
+		a.logUnavailable("store-watch-ended", err)
+	}
+	a.send(configsync.WatchEnded{
+		Generation: effect.Generation,
+		Compacted:  errorx.IsOfType(err, platform.Compacted),
+		Idle:       idled,
+	})
+}
+
+func (a *configActor) readWatch(ctx context.Context, effect configsync.WatchStore, idle *time.Timer) error {
+	watch, err := a.dependencies.Platform.Watch(ctx, effect.Since)
+	if err != nil {
+		return err
+	}
+	defer watch.Close()
+	for {
+		event, err := watch.Next()
+		if err != nil {
+			return err
+		}
+		idle.Reset(watchIdleLimit)
+		message := configsync.Watched{Generation: effect.Generation, Version: event.Version}
+		if event.Object != nil {
+			message.Objects = []platform.Object{*event.Object}
+		}
+		a.send(message)
+	}
+}
+
+func (a *configActor) listMachines() {
+	ctx, cancel := context.WithTimeout(a.lifetime, machinesTimeout)
+	defer cancel()
+	list, err := a.dependencies.Platform.Machines(ctx)
+	if err != nil {
+		a.logUnavailable("machine-list-failed", err)
+		a.send(configsync.MachinesFailed{})
+		return
+	}
+	a.send(configsync.MachinesListed{List: list})
+}
+
+func (a *configActor) push(to fleet.Member, request *peerpb.PushRequest) {
+	ctx, cancel := context.WithTimeout(a.lifetime, pushTimeout)
+	defer cancel()
+	if _, err := a.dependencies.Peers.To(to.Addresses.Peer).Config.Push(ctx, request); err != nil {
+		a.dependencies.Logger.Debug().Str("event", "config-push-failed").Str("peer", string(to.Name)).Err(err).Msg("")
+	}
+}
+
+func (a *configActor) digest(effect configsync.SendDigest) {
+	ctx, cancel := context.WithTimeout(a.lifetime, digestTimeout)
+	defer cancel()
+	request := encodeDigest(a.dependencies.Self.Name, effect.Digest)
+	response, err := a.dependencies.Peers.To(effect.To.Addresses.Peer).Config.Digest(ctx, request)
+	if err != nil {
+		a.dependencies.Logger.Debug().Str("event", "config-digest-failed").Str("peer", string(effect.To.Name)).Err(err).Msg("")
+		a.send(configsync.DigestFailed{To: effect.To.Name, Space: effect.Digest.Space})
+		return
+	}
+	answer, err := decodeDigestAnswer(effect.Digest.Space, response)
+	if err != nil {
+		a.logUnavailable("config-digest-unreadable", err)
+		return
+	}
+	a.send(configsync.DigestAnswered{From: effect.To.Name, Answer: answer})
+}
+
+func (a *configActor) logUnavailable(event string, err error) {
+	a.dependencies.Logger.Warn().Str("event", event).Err(err).Msg("")
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,182 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// ZoneHeader tells the platform from which zone a call comes.
+const ZoneHeader = "X-Zone"
+
+const (
+	dialTimeout     = 2 * time.Second
+	idleTimeout     = 90 * time.Second
+	idleConnections = 4
+	// maxErrorBytes bounds what is read of an error's body.
+	maxErrorBytes = 4 << 10
+	// maxListBytes bounds a list.
+	maxListBytes = 256 << 20
+)
+
+// Client calls the object API and the machine list. It is safe for concurrent
+// use. Every call must be bounded by its context.
+type Client struct {
+	base string
+	zone fleet.Zone
+	http *http.Client
+}
+
+// NewClient returns a client of the platform at the base address (a URL or
+// IP:port) for a process in the zone.
+func NewClient(address string, zone fleet.Zone) *Client {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return &Client{
+		base: strings.TrimSuffix(address, "/"),
+		zone: zone,
+		http: &http.Client{Transport: transport},
+	}
+}
+
+// Close ends idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// List returns the objects of a kind, or of all kinds where it is empty,
+// without tombstones.
+func (c *Client) List(ctx context.Context, kind string) (ObjectList, error) {
+	var list ObjectList
+	query := url.Values{}
+	if kind != "" {
+		query.Set("kind", kind)
+	}
+	err := c.call(ctx, http.MethodGet, "/v1/objects", query, nil, &list)
+	return list, err
+}
+
+// Get returns one object, or NotFound where there is none or a tombstone.
+func (c *Client) Get(ctx context.Context, key Key) (Object, error) {
+	object, err := c.read(ctx, key)
+	if err == nil && object.Deleted {
+		return object, NotFound.New("%s/%s was deleted at version %d", key.Kind, key.Name, object.Version)
+	}
+	return object, err
+}
+
+// read also returns tombstones.
+func (c *Client) read(ctx context.Context, key Key) (Object, error) {
+	var object Object
+	query := url.Values{"tombstones": {"true"}}
+	err := c.call(ctx, http.MethodGet, objectPath(key), query, nil, &object)
+	return object, err
+}
+
+// Machines returns the list of machines. It lags.
+func (c *Client) Machines(ctx context.Context) (MachineList, error) {
+	var list MachineList
+	err := c.call(ctx, http.MethodGet, "/v1/machines", nil, nil, &list)
+	return list, err
+}
+
+func objectPath(key Key) string {
+	return "/v1/objects/" + url.PathEscape(key.Kind) + "/" + url.PathEscape(key.Name)
+}
+
+// call makes one request and decodes the answer.
+func (c *Client) call(ctx context.Context, method, path string, query url.Values, body, answer any) error {
+	response, err := c.send(ctx, method, path, query, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return failure(response)
+	}
+	decoder := json.NewDecoder(io.LimitReader(response.Body, maxListBytes))
+	if err := decoder.Decode(answer); err != nil {
+		return Unavailable.Wrap(err, "answer to %s %s broke off", method, path)
+	}
+	return nil
+}
+
+func (c *Client) send(ctx context.Context, method, path string, query url.Values, body any) (*http.Response, error) {
+	var reader io.Reader
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return nil, Rejected.Wrap(err, "request cannot be encoded")
+		}
+		reader = bytes.NewReader(raw)
+	}
+	target := c.base + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, method, target, reader)
+	if err != nil {
+		return nil, Rejected.Wrap(err, "request cannot be made")
+	}
+	request.Header.Set(ZoneHeader, string(c.zone))
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := c.http.Do(request)
+	switch {
+	case err == nil:
+		return response, nil
+	case isDialError(err):
+		return nil, NotSent.Wrap(err, "%s %s", method, path)
+	default:
+		return nil, Unavailable.Wrap(err, "%s %s", method, path)
+	}
+}
+
+// isDialError tells that no connection was made.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+// failure reads an answer that is not 200.
+func failure(response *http.Response) error {
+	raw, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	text := strings.TrimSpace(string(raw))
+	switch {
+	case response.StatusCode == http.StatusConflict:
+		var conflict Conflict
+		if err := json.Unmarshal(raw, &conflict); err != nil {
+			return Unavailable.Wrap(err, "conflict cannot be read")
+		}
+		return &ConflictError{Current: conflict.Current}
+	case response.StatusCode == http.StatusNotFound:
+		return NotFound.New("%s", text)
+	case response.StatusCode == http.StatusGone:
+		return Compacted.New("%s", text)
+	case response.StatusCode == http.StatusTooManyRequests, response.StatusCode >= http.StatusInternalServerError:
+		return Unavailable.New("status %d: %s", response.StatusCode, text)
+	default:
+		return Rejected.New("status %d: %s", response.StatusCode, text)
+	}
+}
+
+func formatVersion(version uint64) string {
+	return strconv.FormatUint(version, 10)
+}
