Send open-loop load drawn from a seed

Cause: a load generator that waits for answers spares a slow system, and hides what its tail does to callers.

Change: package load draws a plan from a seed and the declared objects (Poisson arrivals, bursts of first requests at all nodes, one key through several nodes at the same moment), sends each call at its time on a connection of its own, and records how it ended. Ruled out: reused connections, on which net/http sends a request with an Idempotency-Key again by itself.

Measured: two plans of one seed are equal; arrivals behind answers of an hour are sent on time (go test ./internal/lab/load, synctest).

--- /dev/null
+++ b/internal/lab/load/load_test.go
@@ -0,0 +1,282 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/lab/history"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/spec"
+)
+
+func object(t *testing.T, kind spec.Kind, name string, labels map[string]string, value any) platform.Object {
+	t.Helper()
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.Object{Kind: string(kind), Name: name, Labels: labels, Version: 1, Spec: encoded}
+}
+
+func declaredObjects(t *testing.T) []platform.Object {
+	t.Helper()
+	model := spec.Model{Versions: []spec.ModelVersion{{Name: "v1"}, {Name: "v2"}}}
+	urgent := map[string]string{"task": "urgent"}
+	return []platform.Object{
+		object(t, spec.KindModel, "menu", nil, model),
+		object(t, spec.KindModel, "chat", nil, model),
+		object(t, spec.KindAdapter, "nuts", nil, spec.Adapter{Model: "menu"}),
+		object(t, spec.KindDeployment, "menu-nuts", urgent, spec.Deployment{
+			Model: "menu", Adapter: "nuts",
+			Versions: []spec.WeightedVersion{{Name: "v1", Weight: 1}, {Name: "v2"}},
+		}),
+		object(t, spec.KindDeployment, "chat-plain", nil, spec.Deployment{Model: "chat"}),
+		object(t, spec.KindSelector, "urgent", nil, spec.Selector{
+			Match:       spec.LabelSelector{MatchLabels: urgent},
+			Deployments: spec.LabelSelector{MatchLabels: urgent},
+			Deadline:    spec.Duration(7 * time.Second),
+		}),
+		object(t, spec.KindService, "boxes", nil, spec.Service{PathPrefix: "/boxes/"}),
+		object(t, spec.KindCapacity, "keep", nil, spec.Capacity{
+			Deployments: spec.LabelSelector{MatchLabels: urgent}, Replicas: 1,
+		}),
+	}
+}
+
+func TestClassesFollowTheDeclarations(t *testing.T) {
+	classes, err := ReadClasses(declaredObjects(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	menu := []history.Target{{Model: fleet.ModelVersion{Model: "menu", Version: "v1"}, Adapter: "nuts"}}
+	expected := Classes{
+		Models: []Class{
+			{Name: "deployment/chat-plain", Model: "chat-plain", Deadline: 30 * time.Second,
+				Targets: []history.Target{{Model: fleet.ModelVersion{Model: "chat", Version: "v2"}}}},
+			{Name: "deployment/menu-nuts", Model: "menu-nuts", Deadline: 30 * time.Second, Targets: menu, Standing: true},
+			{Name: "selector/urgent", Labels: map[string]string{"task": "urgent"}, Deadline: 7 * time.Second,
+				Targets: menu, Standing: true},
+		},
+		Services: []Class{{Name: "service/boxes", PathPrefix: "/boxes/", Deadline: 5 * time.Second}},
+	}
+	if difference := cmp.Diff(expected, classes, cmpopts.EquateEmpty()); difference != "" {
+		t.Errorf("classes (-expected +got):\n%s", difference)
+	}
+}
+
+func planOptions(t *testing.T, seed uint64) PlanOptions {
+	t.Helper()
+	classes, err := ReadClasses(declaredObjects(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	profile, err := FindProfile("fjordkurv")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return PlanOptions{
+		Seed: seed, RunID: "r", Nodes: []string{"n1", "n2", "n3"}, Classes: classes,
+		Profile: profile, Duration: 20 * time.Second, Rate: 50,
+	}
+}
+
+func TestPlanIsDrawnFromItsSeed(t *testing.T) {
+	first, second := Plan(planOptions(t, 1)), Plan(planOptions(t, 1))
+	if difference := cmp.Diff(first, second); difference != "" {
+		t.Errorf("one seed gave two plans:\n%s", difference)
+	}
+	if cmp.Equal(first, Plan(planOptions(t, 2))) {
+		t.Error("two seeds gave one plan")
+	}
+}
+
+func TestPlanHasBurstsAndRepeats(t *testing.T) {
+	plan := Plan(planOptions(t, 1))
+	burstNodes := make(map[string]bool)
+	sameMoment := make(map[string]map[string]bool)
+	steady := 0
+	for _, call := range plan {
+		switch call.Phase {
+		case PhaseBurst:
+			if call.Class.Model != "chat-plain" {
+				t.Errorf("a burst asks for %s, which is kept standing", call.Class.Name)
+			}
+			burstNodes[call.Node] = true
+		case PhaseRepeat:
+			moment := fmt.Sprint(call.Key, call.At)
+			if sameMoment[moment] == nil {
+				sameMoment[moment] = make(map[string]bool)
+			}
+			sameMoment[moment][call.Node] = true
+		case PhaseSteady:
+			steady++
+			if call.Class.Model == "chat-plain" {
+				t.Error("the steady traffic asks for the model of the burst")
+			}
+		}
+	}
+	if len(burstNodes) != 3 {
+		t.Errorf("the burst reaches %d nodes", len(burstNodes))
+	}
+	mostNodes := 0
+	for _, nodes := range sameMoment {
+		mostNodes = max(mostNodes, len(nodes))
+	}
+	if mostNodes != 3 {
+		t.Errorf("a key goes through %d nodes at one moment", mostNodes)
+	}
+	if steady < 850 || steady > 1150 {
+		t.Errorf("%d steady calls in 20 s at 50 a second", steady)
+	}
+}
+
+// slowSender takes an hour for each call and notes when it was sent.
+type slowSender struct{ start time.Time }
+
+func (s slowSender) Send(_ context.Context, call Call, id fleet.RequestID) history.Record {
+	record := history.Record{RequestID: id, Node: call.Node, Sent: time.Now(), Outcome: history.Answered}
+	time.Sleep(time.Hour)
+	return record
+}
+
+func TestArrivalsDoNotWaitForAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		plan := []Call{{At: 0}, {At: time.Second}, {At: time.Second}, {At: 5 * time.Second}}
+		records := Run(t.Context(), plan, RunOptions{RunID: "r", Sender: slowSender{start: start}})
+		for index, record := range records {
+			if sent := record.Sent.Sub(start); sent != plan[index].At {
+				t.Errorf("call %d was sent at %s, planned at %s", index, sent, plan[index].At)
+			}
+		}
+	})
+}
+
+// refusingSender can't reach one node.
+type refusingSender struct{ down string }
+
+func (s refusingSender) Send(_ context.Context, call Call, id fleet.RequestID) history.Record {
+	if call.Node == s.down {
+		return history.Record{RequestID: id, Node: call.Node, Outcome: history.Unreachable}
+	}
+	return history.Record{RequestID: id, Node: call.Node, Outcome: history.Answered}
+}
+
+func TestCallersTurnAwayFromANodeThatIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		plan := []Call{{At: 0, Node: "n1"}, {At: time.Second, Node: "n1"}, {At: 2 * time.Second, Node: "n2"}}
+		records := Run(t.Context(), plan, RunOptions{
+			Sender: refusingSender{down: "n1"}, Nodes: []string{"n1", "n2", "n3"},
+		})
+		var asked []string
+		for _, record := range records {
+			asked = append(asked, record.Node)
+		}
+		if difference := cmp.Diff([]string{"n1", "n2", "n2"}, asked); difference != "" {
+			t.Error(difference)
+		}
+	})
+}
+
+const (
+	streamStart = `data: {"id":"x","choices":[{"delta":{"role":"assistant","content":" one"}}]}` + "\n\n" +
+		`data: {"choices":[{"delta":{"content":" two"}}]}` + "\n\n"
+	streamFinish = `data: {"choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\n"
+	streamEnd    = "data: [DONE]\n\n"
+	streamError  = "event: error\ndata: {\"outcome\":\"unknown\",\"code\":\"engine-lost\"}\n\n"
+)
+
+func TestAnswersAreRead(t *testing.T) {
+	stream, whole, command := history.KindStream, history.KindWhole, history.KindCommand
+	const events, problem = "text/event-stream", "application/problem+json"
+	cases := []struct {
+		name        string
+		kind        history.Kind
+		status      int
+		contentType string
+		body        string
+		outcome     history.Outcome
+		ends        int
+		text        string
+	}{
+		{"whole stream", stream, 200, events, streamStart + streamFinish + streamEnd, history.Answered, 1, " one two"},
+		{"silent end", stream, 200, events, streamStart, history.Broken, 0, " one two"},
+		{"no finish reason", stream, 200, events, streamStart + streamEnd, history.Malformed, 0, " one two"},
+		{"error event", stream, 200, events, streamStart + streamError, history.Unknown, 1, " one two"},
+		{"error after the finish", stream, 200, events, streamStart + streamFinish + streamError, history.Unknown, 2, " one two"},
+		{"text after the end", stream, 200, events, streamStart + streamFinish + streamEnd + streamStart, history.Answered, 3, " one two"},
+		{"refusal", stream, 503, problem, `{"outcome":"not-run","code":"overloaded"}`, history.NotRun, 1, ""},
+		{"refusal without an outcome", stream, 503, problem, `{"code":"overloaded"}`, history.Malformed, 0, ""},
+		{"plain error", command, 500, "text/plain", "oops", history.Malformed, 0, ""},
+		{"whole chat answer", whole, 200, "application/json", `{"choices":[{"message":{"content":"hello"},"finish_reason":"stop"}]}`, history.Answered, 1, "hello"},
+		{"whole answer without a choice", whole, 200, "application/json", `{"choices":[]}`, history.Malformed, 1, ""},
+		{"plain answer", command, 200, "application/json", `{"executed":1}`, history.Answered, 1, `{"executed":1}`},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set("Content-Type", test.contentType)
+				writer.WriteHeader(test.status)
+				fmt.Fprint(writer, test.body)
+			}))
+			defer server.Close()
+			call := Call{
+				Node: strings.TrimPrefix(server.URL, "http://"), Kind: test.kind, Method: http.MethodPost,
+				Path: pathChat, Class: Class{Model: "m", Deadline: time.Minute},
+			}
+			record := NewClient().Send(t.Context(), call, "id")
+			if record.Outcome != test.outcome || record.Ends != test.ends || record.Text != test.text {
+				t.Errorf("got %s with %d ends and text %q (%s), expected %s with %d and %q",
+					record.Outcome, record.Ends, record.Text, record.Error, test.outcome, test.ends, test.text)
+			}
+		})
+	}
+}
+
+func TestConnectionsThatFail(t *testing.T) {
+	broken := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer broken.Close()
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	for address, expected := range map[string]history.Outcome{
+		broken.URL: history.Broken,
+		gone.URL:   history.Unreachable,
+	} {
+		call := Call{Node: strings.TrimPrefix(address, "http://"), Kind: history.KindCommand, Method: http.MethodPost, Path: "/x", Class: Class{Deadline: time.Minute}}
+		if record := NewClient().Send(t.Context(), call, "id"); record.Outcome != expected {
+			t.Errorf("got %s, expected %s (%s)", record.Outcome, expected, record.Error)
+		}
+	}
+}
+
+// TestKeyedCommandIsSentOnce guards against the resending of net/http, which
+// takes a request with an Idempotency-Key for repeatable.
+func TestKeyedCommandIsSentOnce(t *testing.T) {
+	seen := 0
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		seen++
+		if seen > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(writer, "{}")
+	}))
+	defer server.Close()
+	client := NewClient()
+	call := Call{Node: strings.TrimPrefix(server.URL, "http://"), Kind: history.KindCommand, Method: http.MethodPost, Path: "/x", Key: "k", Class: Class{Deadline: time.Minute}}
+	client.Send(t.Context(), call, "first")
+	client.Send(t.Context(), call, "second")
+	if seen != 2 {
+		t.Errorf("two sends reached the server %d times", seen)
+	}
+}
