Gather evidence while a load runs, and judge it with spanlab load

Change: package collect samples every back end's book, follows the store's changes and samples the version in force at each node; a killed back end's book stands as last sampled. Package scenario joins plan, load, evidence and judges, and names the moments at which whoever started the system brings faults about.

Not yet tried against running stand-ins and nodes.

--- /dev/null
+++ b/cmd/spanlab/load.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/spanlanding/spanlanding/internal/lab/report"
+	"github.com/spanlanding/spanlanding/internal/lab/scenario"
+)
+
+// exitViolated is the exit code of a run that broke a rule.
+const exitViolated = 1
+
+// loadCommand puts load on a running system and judges what came of it.
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "put open-loop load on a running system and judge it by the back ends' books",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "nodes", Usage: "caller addresses of the nodes", Required: true},
+			&cli.StringFlag{Name: "platform", Usage: "URL of the platform", Required: true},
+			&cli.StringSliceFlag{Name: "books", Usage: "URLs of books beside those of the listed machines"},
+			&cli.StringFlag{Name: "profile", Value: "fjordkurv", Usage: "fjordkurv or holmgaard"},
+			&cli.FloatFlag{Name: "rate", Value: 30, Usage: "mean requests a second of the steady traffic"},
+			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "how long requests are sent"},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the arrivals; drawn and printed if not set"},
+			&cli.BoolFlag{Name: "check", Usage: "fail if a rule was broken"},
+			&cli.BoolFlag{Name: "every-rule", Usage: "with --check, fail also if a rule was not exercised"},
+			&cli.StringFlag{Name: "faults", Usage: "file in which whoever brings faults about notes them, one JSON object a line"},
+			&cli.StringFlag{Name: "history", Usage: "file to write each request and its answer to"},
+			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "text", Usage: "text or json"},
+		},
+		Action: runLoad,
+	}
+}
+
+func runLoad(ctx context.Context, command *cli.Command) error {
+	seed := command.Uint64("seed")
+	if !command.IsSet("seed") {
+		seed = rand.Uint64() >> 32
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	printer := &progressPrinter{to: os.Stderr}
+	summary, err := scenario.Run(ctx, scenario.Options{
+		Nodes: command.StringSlice("nodes"), Platform: platformURL(command.String("platform")),
+		Books: command.StringSlice("books"), Profile: command.String("profile"),
+		Rate: command.Float("rate"), Duration: command.Duration("duration"), Seed: seed,
+		FaultsFile: command.String("faults"), HistoryFile: command.String("history"),
+		Answers:  engineAnswers{},
+		Announce: printer.moment, Progress: printer.progress,
+	})
+	if err != nil {
+		return err
+	}
+	if err := printSummary(os.Stdout, summary, command.String("output")); err != nil {
+		return err
+	}
+	if command.Bool("check") {
+		return verdictError(summary, command.Bool("every-rule"))
+	}
+	return nil
+}
+
+// platformURL takes IP:port as well as a URL.
+func platformURL(text string) string {
+	text = strings.TrimSuffix(text, "/")
+	if strings.Contains(text, "://") {
+		return text
+	}
+	return "http://" + text
+}
+
+func printSummary(to io.Writer, summary report.Summary, format string) error {
+	if format != "json" {
+		return summary.Text(to)
+	}
+	encoder := json.NewEncoder(to)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(summary)
+}
+
+// verdictError turns broken rules into the exit code.
+func verdictError(summary report.Summary, everyRule bool) error {
+	if broken := summary.Broken(); len(broken) > 0 {
+		return cli.Exit(fmt.Sprintf("rules broken: %v", broken), exitViolated)
+	}
+	if missing := summary.NotExercised(); everyRule && len(missing) > 0 {
+		return cli.Exit(fmt.Sprintf("rules not exercised: %v", missing), exitViolated)
+	}
+	return nil
+}
--- a/cmd/spanlab/main.go
+++ b/cmd/spanlab/main.go
@@ -18,6 +18,7 @@
 			platformCommand(),
 			engineCommand(),
 			serviceCommand(),
+			loadCommand(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
--- /dev/null
+++ b/internal/lab/collect/collector.go
@@ -0,0 +1,217 @@
+package collect
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/lab/check"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/standin/books"
+)
+
+// Options say where to gather from.
+type Options struct {
+	// Platform is the base URL of the platform.
+	Platform string
+	// Books are further URLs of books beside those of the listed machines.
+	Books []string
+	// Interval is the time between two samples.
+	Interval time.Duration
+}
+
+const (
+	defaultInterval = 250 * time.Millisecond
+	callTimeout     = 5 * time.Second
+	// samplers bounds the calls under way at one time.
+	samplers = 16
+)
+
+// Collector gathers until it is stopped. Its methods may be called from any
+// goroutine.
+type Collector struct {
+	options Options
+	client  *http.Client
+
+	mutex    sync.Mutex
+	backends map[string]string // book URL by back end name
+	nodes    map[string]string // operators' address by node name
+	books    map[bookKey]check.BookSample
+	store    storeHistory
+	samples  []check.ConfigSample
+	problems map[string]int
+}
+
+type bookKey struct {
+	name        fleet.BackendName
+	incarnation uint64
+}
+
+// New returns a collector that has gathered nothing.
+func New(options Options) *Collector {
+	options.Interval = cmp.Or(options.Interval, defaultInterval)
+	collector := &Collector{
+		options:  options,
+		client:   &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: samplers}},
+		backends: make(map[string]string),
+		nodes:    make(map[string]string),
+		books:    make(map[bookKey]check.BookSample),
+		store:    newStoreHistory(),
+		problems: make(map[string]int),
+	}
+	for _, url := range options.Books {
+		collector.backends[url] = url
+	}
+	return collector
+}
+
+// Run gathers until the context ends. It returns an error only if the store
+// cannot be read at the start.
+func (c *Collector) Run(ctx context.Context, started func()) error {
+	since, err := c.readStore(ctx)
+	if err != nil {
+		return fmt.Errorf("read the declarations: %w", err)
+	}
+	c.sample(ctx, false)
+	started()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { c.watchStore(ctx, since); return nil })
+	group.Go(func() error { c.sampleUntil(ctx); return nil })
+	return group.Wait()
+}
+
+// Finish takes the last sample, in which each book that can be read is whole.
+func (c *Collector) Finish(ctx context.Context) {
+	c.sample(ctx, true)
+}
+
+func (c *Collector) sampleUntil(ctx context.Context) {
+	ticker := time.NewTicker(c.options.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.sample(ctx, false)
+		}
+	}
+}
+
+// sample reads the machine list and then all books and nodes once.
+func (c *Collector) sample(ctx context.Context, final bool) {
+	c.readMachines(ctx)
+	c.mutex.Lock()
+	backends, nodes := maps.Clone(c.backends), maps.Clone(c.nodes)
+	c.mutex.Unlock()
+	var group errgroup.Group
+	group.SetLimit(samplers)
+	for _, url := range backends {
+		group.Go(func() error { c.readBook(ctx, url, final); return nil })
+	}
+	for name, address := range nodes {
+		group.Go(func() error { c.readNode(ctx, name, address); return nil })
+	}
+	// The reads count their own errors as problems.
+	_ = group.Wait()
+}
+
+// Roles of machines on the list.
+const (
+	roleNode    = "node"
+	roleEngine  = "engine"
+	roleService = "service"
+)
+
+func (c *Collector) readMachines(ctx context.Context) {
+	var list platform.MachineList
+	if err := c.get(ctx, c.options.Platform+"/v1/machines", &list); err != nil {
+		c.problem("machine list", err)
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, machine := range list.Machines {
+		switch machine.Role {
+		case roleEngine, roleService:
+			c.backends[machine.Name] = "http://" + machine.Address + "/lab/books"
+		case roleNode:
+			c.nodes[machine.Name] = machine.Node.Operator
+		}
+	}
+}
+
+func (c *Collector) readBook(ctx context.Context, url string, final bool) {
+	var book books.Book
+	if err := c.get(ctx, url, &book); err != nil {
+		c.problem("book", err)
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	key := bookKey{name: book.Backend.Name, incarnation: book.Incarnation}
+	c.books[key] = check.BookSample{Book: book, SampledAt: time.Now(), Final: final}
+}
+
+// nodeStatus is the part of a node's status that is sampled.
+type nodeStatus struct {
+	Node          fleet.NodeName `json:"node"`
+	ConfigVersion uint64         `json:"configVersion"`
+	Members       []fleet.Member `json:"members"`
+}
+
+func (c *Collector) readNode(ctx context.Context, name, address string) {
+	var status nodeStatus
+	if err := c.get(ctx, "http://"+address+"/status", &status); err != nil {
+		// A node may be down; the checks judge the samples that there are.
+		return
+	}
+	sample := check.ConfigSample{At: time.Now(), Node: name, Version: status.ConfigVersion}
+	for _, member := range status.Members {
+		if member.Name == status.Node {
+			sample.BootID = member.BootID
+		}
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.samples = append(c.samples, sample)
+}
+
+func (c *Collector) problem(what string, err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.problems[fmt.Sprintf("%s: %v", what, err)]++
+}
+
+// Fill puts what was gathered into the evidence.
+func (c *Collector) Fill(evidence *check.Evidence) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	evidence.Books = mergeBooks(slices.Collect(maps.Values(c.books)))
+	evidence.ConfigSamples = slices.Clone(c.samples)
+	evidence.Decisions = slices.Clone(c.store.decisions)
+	evidence.ConfigChanges = slices.Clone(c.store.changes)
+	evidence.MaxReplicas = maps.Clone(c.store.maxReplicas)
+}
+
+// Problems lists what could not be read, with how often.
+func (c *Collector) Problems() map[string]int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.problems)
+}
+
+// Objects returns the declared objects as last seen.
+func (c *Collector) Objects() []platform.Object {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.store.sortedObjects()
+}
--- /dev/null
+++ b/internal/lab/report/summary.go
@@ -0,0 +1,213 @@
+package report
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/lab/check"
+	"github.com/spanlanding/spanlanding/internal/lab/history"
+	"github.com/spanlanding/spanlanding/internal/standin/books"
+)
+
+// Summary are the figures of one run.
+type Summary struct {
+	Profile  string                          `json:"profile"`
+	Seed     uint64                          `json:"seed"`
+	Requests int                             `json:"requests"`
+	Outcomes map[history.Kind]map[string]int `json:"outcomes"`
+	Times    map[string]Quantiles            `json:"times"`
+	Loads    Loads                           `json:"loads"`
+	Faults   []history.Fault                 `json:"faults,omitempty"`
+	Verdicts []check.Verdict                 `json:"verdicts"`
+	Problems map[string]int                  `json:"problems,omitempty"`
+	OK       bool                            `json:"ok"`
+}
+
+// Names of the distributions in Summary.Times.
+const (
+	TimeFirstToken    = "firstToken"
+	TimeColdStart     = "coldStart"
+	TimeBetweenTokens = "betweenTokens"
+	TimeWhole         = "whole"
+	TimePlainCall     = "plainCall"
+	TimeLoad          = "load"
+)
+
+// Loads compares what engines were ordered to load with what was decided.
+type Loads struct {
+	// Ordered counts accepted load orders.
+	Ordered int `json:"ordered"`
+	// Models counts the model versions that were loaded at any time.
+	Models int `json:"models"`
+	// Decided adds up the largest number decided of each model version.
+	Decided int `json:"decided"`
+	// RefusedOrders counts orders that engines refused for their fence.
+	RefusedOrders int `json:"refusedOrders"`
+	// IdleSeconds and BusySeconds split the time for which models were ready.
+	IdleSeconds float64 `json:"idleSeconds"`
+	BusySeconds float64 `json:"busySeconds"`
+}
+
+// Summarize works out the figures of a run.
+func Summarize(evidence check.Evidence, judged check.Report) Summary {
+	return Summary{
+		Requests: len(evidence.Records),
+		Outcomes: outcomes(evidence.Records),
+		Times:    times(evidence),
+		Loads:    loads(evidence),
+		Faults:   evidence.Faults,
+		Verdicts: judged.Verdicts,
+		OK:       judged.Violations() == 0,
+	}
+}
+
+// outcomes counts by kind and outcome, refusals with their code.
+func outcomes(records []history.Record) map[history.Kind]map[string]int {
+	counts := make(map[history.Kind]map[string]int)
+	for _, record := range records {
+		if counts[record.Kind] == nil {
+			counts[record.Kind] = make(map[string]int)
+		}
+		name := string(record.Outcome)
+		if record.Code != "" {
+			name += "/" + record.Code
+		}
+		counts[record.Kind][name]++
+	}
+	return counts
+}
+
+func times(evidence check.Evidence) map[string]Quantiles {
+	firstToken, coldStart, between := newHistogram(), newHistogram(), newHistogram()
+	whole, plain, load := newHistogram(), newHistogram(), newHistogram()
+	ready := readyTimes(evidence.Books)
+	models := ranModels(evidence.Books)
+	for _, entry := range evidence.Records {
+		if entry.Outcome != history.Answered {
+			continue
+		}
+		if !entry.Kind.ForModel() {
+			record(plain, entry.Took())
+			continue
+		}
+		record(whole, entry.Took())
+		if entry.Kind != history.KindStream {
+			continue
+		}
+		record(firstToken, entry.ToFirstToken())
+		if model, known := models[entry.RequestID]; known && !ready.anyAt(model, entry.Sent) {
+			record(coldStart, entry.ToFirstToken())
+		}
+		for _, gap := range entry.TokenGaps {
+			record(between, gap)
+		}
+	}
+	for _, book := range evidence.Books {
+		for _, residency := range book.Residencies {
+			if !residency.ReadyAt.IsZero() {
+				record(load, residency.ReadyAt.Sub(residency.From))
+			}
+		}
+	}
+	return map[string]Quantiles{
+		TimeFirstToken: quantilesOf(firstToken), TimeColdStart: quantilesOf(coldStart),
+		TimeBetweenTokens: quantilesOf(between), TimeWhole: quantilesOf(whole),
+		TimePlainCall: quantilesOf(plain), TimeLoad: quantilesOf(load),
+	}
+}
+
+// readiness has the stays of each model.
+type readiness map[fleet.ModelVersion][]books.Residency
+
+func readyTimes(samples []check.BookSample) readiness {
+	ready := make(readiness)
+	for _, book := range samples {
+		for _, residency := range book.Residencies {
+			if !residency.ReadyAt.IsZero() {
+				ready[residency.Model] = append(ready[residency.Model], residency)
+			}
+		}
+	}
+	return ready
+}
+
+// anyAt reports whether a replica was ready at the time, so that a request
+// that came then was not cold.
+func (r readiness) anyAt(model fleet.ModelVersion, at time.Time) bool {
+	for _, residency := range r[model] {
+		if !residency.ReadyAt.After(at) && (residency.To.IsZero() || residency.To.After(at)) {
+			return true
+		}
+	}
+	return false
+}
+
+// ranModels tells the model that ran each request.
+func ranModels(samples []check.BookSample) map[fleet.RequestID]fleet.ModelVersion {
+	models := make(map[fleet.RequestID]fleet.ModelVersion)
+	for _, book := range samples {
+		for _, execution := range book.Executions {
+			if !execution.Model.IsZero() {
+				models[execution.RequestID] = execution.Model
+			}
+		}
+	}
+	return models
+}
+
+func loads(evidence check.Evidence) Loads {
+	var figures Loads
+	models := make(map[fleet.ModelVersion]bool)
+	for _, book := range evidence.Books {
+		figures.RefusedOrders += book.RefusedOrders
+		for _, residency := range book.Residencies {
+			figures.Ordered++
+			models[residency.Model] = true
+			figures.BusySeconds += residency.BusySeconds
+			figures.IdleSeconds += idleSeconds(residency, book.SampledAt)
+		}
+	}
+	figures.Models = len(models)
+	largest := make(map[fleet.ModelVersion]int)
+	for _, decision := range evidence.Decisions {
+		for model, replicas := range decision.Replicas {
+			largest[model] = max(largest[model], replicas)
+		}
+	}
+	for _, replicas := range largest {
+		figures.Decided += replicas
+	}
+	return figures
+}
+
+// idleSeconds is the time for which a replica was ready and ran nothing.
+func idleSeconds(residency books.Residency, sampledAt time.Time) float64 {
+	if residency.ReadyAt.IsZero() {
+		return 0
+	}
+	until := residency.To
+	if until.IsZero() {
+		until = sampledAt
+	}
+	return max(0, until.Sub(residency.ReadyAt).Seconds()-residency.BusySeconds)
+}
+
+// Broken lists the rules that were broken.
+func (s Summary) Broken() []check.Rule {
+	return s.rulesWith(check.Violated)
+}
+
+// NotExercised lists the rules that never came into play.
+func (s Summary) NotExercised() []check.Rule {
+	return s.rulesWith(check.NotExercised)
+}
+
+func (s Summary) rulesWith(state check.State) []check.Rule {
+	var rules []check.Rule
+	for _, verdict := range s.Verdicts {
+		if verdict.State == state {
+			rules = append(rules, verdict.Rule)
+		}
+	}
+	return rules
+}
