Add the control core in its first form: rounds, allotments, placement, tables

Cause: nothing decides yet which models are loaded where. Change: leadership claims a zone's engines in rounds and verifies the grants before it counts on them; allotments are one record written by compare-and-set; placement loads within allotment and memory; control composes the three and the shell carries out their effects.

--- /dev/null
+++ b/internal/control/candidacy.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/leadership"
+)
+
+// candidacy is whether this node is to lead its zone.
+type candidacy struct {
+	// since is when the node first found that it should lead; zero where it
+	// should not.
+	since time.Time
+	// handedOver is set by a leader that stops; it skips the wait.
+	handedOver bool
+	// excluded is a leader that said it stops.
+	excluded fleet.NodeName
+	stopping bool
+}
+
+func (c *Core) setMembers(members []fleet.Member) {
+	clear(c.members)
+	for _, member := range members {
+		c.members[member.Name] = member
+	}
+}
+
+// zoneMembers are the usable members of the zone, this node first-hand
+// included, by rank.
+func (c *Core) zoneMembers(zone fleet.Zone) []fleet.Member {
+	var members []fleet.Member
+	for _, member := range c.members {
+		if member.Zone == zone && member.Usable() {
+			members = append(members, member)
+		}
+	}
+	slices.SortFunc(members, func(a, b fleet.Member) int {
+		return cmp.Or(cmp.Compare(rank(zone, a.Name), rank(zone, b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	return members
+}
+
+// peersOfZone are the other usable members of the zone.
+func (c *Core) peersOfZone(zone fleet.Zone) []fleet.Member {
+	return slices.DeleteFunc(c.zoneMembers(zone), func(member fleet.Member) bool {
+		return member.Name == c.options.Self
+	})
+}
+
+func rank(zone fleet.Zone, name fleet.NodeName) uint64 {
+	return xxhash.Sum64String(string(zone) + "/" + string(name))
+}
+
+// candidate is the node that should lead the zone: whoever leads it and is
+// heard of, else the first-ranked usable member.
+func (c *Core) candidate() fleet.NodeName {
+	members := c.zoneMembers(c.options.Zone)
+	current, heard := c.tables.leader(c.options.Zone)
+	silent := !heard.IsZero() && c.now.Sub(heard) >= c.settings().LeaderSilence
+	for _, member := range members {
+		if member.Name == current && !silent && current != c.standing.excluded {
+			return current
+		}
+	}
+	for _, member := range members {
+		if member.Name == c.standing.excluded || (silent && member.Name == current) {
+			continue
+		}
+		return member.Name
+	}
+	if len(members) > 0 {
+		return members[0].Name
+	}
+	return ""
+}
+
+// stand tells the leadership core whether to lead.
+func (c *Core) stand() {
+	if c.standing.stopping {
+		return
+	}
+	if c.candidate() != c.options.Self {
+		c.standing.since = time.Time{}
+		c.standing.handedOver = false
+		c.stepLeader(leadership.Desired{Lead: false})
+		return
+	}
+	if c.standing.since.IsZero() {
+		c.standing.since = c.now
+	}
+	if c.standing.handedOver || c.now.Sub(c.standing.since) >= c.settings().TakeoverWait {
+		c.stepLeader(leadership.Desired{Lead: true})
+	}
+}
+
+// handOverAsked makes this node the candidate at once.
+func (c *Core) handOverAsked(asked HandOverAsked) {
+	if c.standing.stopping {
+		return
+	}
+	c.standing.excluded = asked.From
+	c.standing.handedOver = c.candidate() == c.options.Self
+}
+
+// stopRequested ends the leadership and hands it to the next-ranked member.
+func (c *Core) stopRequested() {
+	if c.standing.stopping {
+		return
+	}
+	leading, fence := c.Leading()
+	c.standing.stopping = true
+	c.stepLeader(leadership.Desired{Lead: false})
+	if peers := c.peersOfZone(c.options.Zone); leading && len(peers) > 0 {
+		c.emit(HandOver{To: peers[0], Fence: fence})
+	}
+}
--- /dev/null
+++ b/internal/control/lead.go
@@ -0,0 +1,166 @@
+package control
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/spanlanding/spanlanding/internal/allotment"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/placement"
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+const roleEngine = "engine"
+
+// stepLeader feeds the leadership core and carries its effects on.
+func (c *Core) stepLeader(message leadership.Message) {
+	for _, effect := range c.leader.Step(c.now, message) {
+		switch effect := effect.(type) {
+		case leadership.ReadEngine:
+			c.emit(ReadEngine{effect})
+		case leadership.SendClaim:
+			c.emit(SendClaim{effect})
+		case leadership.LearnRecord:
+			c.emit(c.learnRecord(effect.ID))
+		case leadership.Established:
+			c.established(effect)
+		case leadership.Ended:
+			c.ended(effect)
+		}
+	}
+}
+
+func (c *Core) established(round leadership.Established) {
+	c.adoptRecord(VersionedRecord{Record: round.Record})
+	c.beginTable(round)
+	c.polls.clear()
+	c.standing.excluded = ""
+	c.emit(LeadershipChanged{Leading: true, Fence: round.Fence})
+	c.stepPlacement(placement.RoundBegan{Fence: round.Fence, Held: round.Held, Full: round.Full})
+	for _, name := range slices.Sorted(maps.Keys(round.Held)) {
+		c.noticeLeaving(round.Held[name])
+	}
+}
+
+func (c *Core) ended(ended leadership.Ended) {
+	c.emit(LeadershipChanged{Fence: c.leader.Fence(), Reason: ended.Reason})
+	if !c.options.Defects.NoFence {
+		c.stepPlacement(placement.RoundEnded{})
+	}
+}
+
+// stepPlacement feeds the placement core and carries its effects on.
+func (c *Core) stepPlacement(message placement.Message) {
+	for _, effect := range c.placement.Step(c.now, message) {
+		switch effect := effect.(type) {
+		case placement.SendOrder:
+			c.sendOrder(effect)
+		case placement.Refuse:
+			c.refused(effect)
+		case placement.NeedRound:
+			c.stepLeader(leadership.Renew{})
+		}
+	}
+}
+
+func (c *Core) sendOrder(sent placement.SendOrder) {
+	c.polls.ordered(sent.Engine, c.leader.NextID())
+	order := sent.Order
+	if c.options.Defects.NoFence {
+		shown := c.polls.shown[sent.Engine]
+		order.Fence, order.Incarnation = shown.Fence, shown.Incarnation
+	}
+	c.emit(SendOrder{Engine: sent.Engine, Address: c.engineAddress(sent.Engine), Order: order})
+}
+
+func (c *Core) orderAnswered(answer OrderAnswered) {
+	if answer.FenceStale {
+		c.stepPlacement(placement.OrderAnswered{ID: answer.OrderID, Result: placement.OrderRefused})
+		if c.leader.Leading() && c.polls.sentInRound(answer.OrderID, c.leader.Fence()) {
+			c.stepLeader(leadership.OrderRefused{Engine: answer.Engine, Fence: answer.Fence})
+		}
+		return
+	}
+	c.stepPlacement(placement.OrderAnswered{
+		ID:     answer.OrderID,
+		Result: answer.Result,
+		Reason: answer.Reason,
+		Asked:  c.leader.LastID(),
+	})
+}
+
+// stateRead takes an engine's state, whoever asked for it.
+func (c *Core) stateRead(read leadership.StateRead) {
+	c.polls.answered(read)
+	c.stepLeader(read)
+	if read.Failed {
+		return
+	}
+	if c.options.Defects.NoFence {
+		c.polls.shown[read.Engine] = read.State
+		read.State.Fence = c.leader.Fence()
+	} else if !c.leader.Leading() {
+		return
+	}
+	if !c.polls.beforeOrder(read) {
+		c.stepPlacement(placement.StateSeen{Asked: read.ID, State: read.State})
+	}
+	c.noticeLeaving(read.State)
+	c.showEngine(read.State)
+}
+
+// setMachines takes a newer machine list.
+func (c *Core) setMachines(list platform.MachineList) {
+	if list.AsOfUnixMilli < c.machines.AsOfUnixMilli {
+		return
+	}
+	c.machines = list
+	listed := leadership.EnginesListed{
+		Addresses: make(map[fleet.BackendName]string),
+		Gone:      make(map[fleet.BackendName]bool),
+	}
+	for _, machine := range list.Machines {
+		if machine.Role != roleEngine || machine.Zone != c.options.Zone {
+			continue
+		}
+		name := fleet.BackendName(machine.Name)
+		if machine.State == platform.MachineGone {
+			listed.Gone[name] = true
+			continue
+		}
+		listed.Addresses[name] = machine.Address
+	}
+	c.stepLeader(listed)
+	c.stepPlacement(placement.EnginesGone{Engines: slices.Sorted(maps.Keys(listed.Gone))})
+	c.dropEngines(listed.Gone)
+	c.machinesLeaving()
+}
+
+func (c *Core) engineAddress(name fleet.BackendName) string {
+	for _, machine := range c.machines.Machines {
+		if machine.Role == roleEngine && machine.Name == string(name) {
+			return machine.Address
+		}
+	}
+	return ""
+}
+
+// updateLimits hands the zone's part of the record to placement.
+func (c *Core) updateLimits() {
+	changed := placement.LimitsChanged{
+		Limits:   make(map[fleet.ModelVersion]int),
+		Standing: make(map[fleet.ModelVersion]int),
+	}
+	for model, decision := range c.record.Record.Models {
+		changed.Limits[model] = decision.Zones[c.options.Zone].Limit
+	}
+	for _, facts := range c.models {
+		keep := max(facts.MinReplicas, facts.StandingReplicas)
+		changed.Standing[facts.Model] = allotment.StandingShare(c.record.Record, facts.Model, c.options.Zone, keep)
+	}
+	zones := slices.Sorted(maps.Keys(c.record.Record.Zones))
+	changed.Zones = len(zones)
+	changed.ZoneIndex = max(0, slices.Index(zones, c.options.Zone))
+	c.stepPlacement(changed)
+}
--- /dev/null
+++ b/internal/control/leaving.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"slices"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/placement"
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+const (
+	machineGone    = platform.MachineGone
+	machineLeaving = platform.MachineLeaving
+)
+
+// leavingState holds the back ends that were heard to go away. A back end that
+// comes back does so with another incarnation, or another name.
+type leavingState struct {
+	// names maps a back end to the incarnation that leaves; 0 where it is not
+	// known.
+	names map[fleet.BackendName]uint64
+}
+
+func newLeavingState() leavingState {
+	return leavingState{names: make(map[fleet.BackendName]uint64)}
+}
+
+func (l *leavingState) has(name fleet.BackendName) bool {
+	_, found := l.names[name]
+	return found
+}
+
+// mark sets the leaving flag of a state where the news is ahead of it.
+func (l *leavingState) mark(state fleet.EngineState) fleet.EngineState {
+	incarnation, found := l.names[state.Name]
+	if found && (incarnation == 0 || incarnation == state.Incarnation) {
+		state.Leaving = true
+	}
+	return state
+}
+
+// noticeLeaving spreads the news where a state shows it first.
+func (c *Core) noticeLeaving(state fleet.EngineState) {
+	if !state.Leaving || c.leaving.has(state.Name) {
+		return
+	}
+	c.leaving.names[state.Name] = state.Incarnation
+	c.spreadLeaving([]fleet.BackendName{state.Name})
+}
+
+// machinesLeaving spreads what the machine list shows first.
+func (c *Core) machinesLeaving() {
+	var news []fleet.BackendName
+	for _, machine := range c.machines.Machines {
+		name := fleet.BackendName(machine.Name)
+		if machine.Role != roleEngine && machine.Role != roleService {
+			continue
+		}
+		switch {
+		case machine.State == platform.MachineLeaving && machine.Zone == c.options.Zone && !c.leaving.has(name):
+			c.leaving.names[name] = 0
+			news = append(news, name)
+		case machine.State == platform.MachineGone:
+			delete(c.leaving.names, name)
+		}
+	}
+	c.tables.viewChanged = true
+	if len(news) > 0 {
+		c.spreadLeaving(news)
+	}
+}
+
+// leavingHeard takes the news from a peer; it is passed on by whoever heard it
+// first only.
+func (c *Core) leavingHeard(heard LeavingHeard) {
+	var news []fleet.BackendName
+	for _, name := range heard.Backends {
+		if !c.leaving.has(name) {
+			c.leaving.names[name] = c.incarnationOf(name)
+			news = append(news, name)
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	if heard.From == "" {
+		c.spreadLeaving(news)
+		return
+	}
+	c.applyLeaving(news)
+}
+
+func (c *Core) incarnationOf(name fleet.BackendName) uint64 {
+	for _, table := range c.tables.zones {
+		if state, found := table.engines[name]; found {
+			return state.Incarnation
+		}
+	}
+	return 0
+}
+
+func (c *Core) spreadLeaving(news []fleet.BackendName) {
+	slices.Sort(news)
+	c.emit(BroadcastLeaving{To: c.audience(), Backends: news})
+	c.applyLeaving(news)
+}
+
+func (c *Core) applyLeaving(news []fleet.BackendName) {
+	c.tables.viewChanged = true
+	c.stepPlacement(placement.EnginesLeaving{Engines: news})
+	table := c.ownTable()
+	if table == nil {
+		return
+	}
+	for _, name := range news {
+		if state, found := table.engines[name]; found {
+			table.engines[name] = c.leaving.mark(state)
+			c.tables.changed[name] = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/options.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/placement"
+)
+
+// Settings are the times and bounds of the core; none of the times bears on
+// safety.
+type Settings struct {
+	Leadership leadership.Settings
+	Placement  placement.Settings
+	// TakeoverWait is how long a node waits, once it finds that it should
+	// lead, before it acts.
+	TakeoverWait time.Duration
+	// LeaderSilence is how long a leader may be silent before the next node
+	// takes over.
+	LeaderSilence time.Duration
+	// PollBusy and PollIdle are the times between two reads of an engine
+	// while something loads or waits, and else.
+	PollBusy time.Duration
+	PollIdle time.Duration
+	// Heartbeat is the longest time between two publications of a table.
+	Heartbeat time.Duration
+	// PullInterval is the time between two repairs of the tables.
+	PullInterval time.Duration
+	// DecideInterval is the time between two decisions on allotments.
+	DecideInterval time.Duration
+}
+
+// DefaultSettings returns the settings used outside tests.
+func DefaultSettings() Settings {
+	return Settings{
+		Leadership:     leadership.DefaultSettings(),
+		Placement:      placement.DefaultSettings(),
+		TakeoverWait:   300 * time.Millisecond,
+		LeaderSilence:  3 * time.Second,
+		PollBusy:       250 * time.Millisecond,
+		PollIdle:       time.Second,
+		Heartbeat:      time.Second,
+		PullInterval:   2 * time.Second,
+		DecideInterval: time.Second,
+	}
+}
+
+// Defects are planted faults. Only tests and the simulator set them.
+type Defects struct {
+	// NoFence sends orders under the fence that the engine shows.
+	NoFence bool
+	// NoConservativeCount counts engines that are not held as empty.
+	NoConservativeCount bool
+	// NoVerify counts engines by the inventory of their grant alone.
+	NoVerify bool
+	// NoConfirmBeforeRaise raises a limit before the zone that gave it up has
+	// confirmed.
+	NoConfirmBeforeRaise bool
+	// StaleAllotment claims without learning the record anew.
+	StaleAllotment bool
+}
+
+// Options make a core.
+type Options struct {
+	Self   fleet.NodeName
+	Zone   fleet.Zone
+	BootID uint64
+	// Seed drives the choice of peers to repair from.
+	Seed     uint64
+	Settings Settings
+	Defects  Defects
+}
--- /dev/null
+++ b/internal/control/polls.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"strings"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/leadership"
+)
+
+// pollTimeout is when a read without answer is put again.
+const pollTimeout = 2 * time.Second
+
+// pollState is what the leader knows of its reads of engines.
+type pollState struct {
+	engines map[fleet.BackendName]*enginePoll
+	// shown are the newest states, for the planted defect only.
+	shown map[fleet.BackendName]fleet.EngineState
+}
+
+type enginePoll struct {
+	asked   uint64
+	askedAt time.Time
+	due     time.Time
+	// orderedAt is the point in the sequence of questions of the last order:
+	// states asked for before do not show it.
+	orderedAt uint64
+}
+
+func newPollState() pollState {
+	return pollState{
+		engines: make(map[fleet.BackendName]*enginePoll),
+		shown:   make(map[fleet.BackendName]fleet.EngineState),
+	}
+}
+
+func (p *pollState) clear() { clear(p.engines) }
+
+func (p *pollState) of(name fleet.BackendName) *enginePoll {
+	known := p.engines[name]
+	if known == nil {
+		known = &enginePoll{}
+		p.engines[name] = known
+	}
+	return known
+}
+
+func (p *pollState) ordered(name fleet.BackendName, id uint64) {
+	known := p.of(name)
+	known.orderedAt = id
+	known.due = time.Time{}
+}
+
+func (p *pollState) beforeOrder(read leadership.StateRead) bool {
+	return read.ID < p.of(read.Engine).orderedAt
+}
+
+func (p *pollState) answered(read leadership.StateRead) {
+	known := p.of(read.Engine)
+	if known.asked == read.ID {
+		known.asked = 0
+	}
+}
+
+// sentInRound reports whether the order was sent under the fence.
+func (p *pollState) sentInRound(orderID string, fence fleet.Fence) bool {
+	return strings.HasPrefix(orderID, fence.String()+"-")
+}
+
+// poll reads the engines of the round that are due. Engines that the round
+// does not hold are read too, so that it is noticed when they can be claimed.
+func (c *Core) poll() {
+	if !c.leader.Leading() && !(c.options.Defects.NoFence && c.leader.Fence() != 0) {
+		return
+	}
+	interval := c.settings().PollIdle
+	if c.placement.Busy() {
+		interval = c.settings().PollBusy
+	}
+	for _, name := range c.leader.Learned().Engines(c.options.Zone) {
+		address := c.engineAddress(name)
+		known := c.polls.of(name)
+		if address == "" || c.now.Before(known.due) {
+			continue
+		}
+		if known.asked != 0 && c.now.Sub(known.askedAt) < pollTimeout {
+			continue
+		}
+		known.asked, known.askedAt = c.leader.NextID(), c.now
+		known.due = c.now.Add(interval)
+		c.emit(ReadEngine{leadership.ReadEngine{ID: known.asked, Engine: name, Address: address}})
+	}
+}
--- /dev/null
+++ b/internal/control/record.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/allotment"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+// deciderState is what the node knows of its writes of the record.
+type deciderState struct {
+	// writing is the ID of the write whose answer is awaited.
+	writing uint64
+	// reading is the ID of a question put beside a round.
+	reading uint64
+	sentAt  time.Time
+	next    time.Time
+	// storeKnown is set once the store itself has answered.
+	storeKnown bool
+}
+
+const roleNode = "node"
+
+// learnRecord asks for the record as it is after this moment.
+func (c *Core) learnRecord(id uint64) LearnRecord {
+	members := c.peersOfZone(c.options.Zone)
+	return LearnRecord{ID: id, Members: members, Majority: c.zoneSize()/2 + 1}
+}
+
+// zoneSize counts the nodes of the zone by the machine list and the members,
+// whichever shows more: a cut-off part must not take itself for a majority.
+func (c *Core) zoneSize() int {
+	names := map[fleet.NodeName]bool{c.options.Self: true}
+	for _, machine := range c.machines.Machines {
+		if machine.Role == roleNode && machine.Zone == c.options.Zone && machine.State != platform.MachineGone {
+			names[fleet.NodeName(machine.Name)] = true
+		}
+	}
+	for _, member := range c.members {
+		if member.Zone == c.options.Zone && member.State != fleet.MemberLeft && member.State != fleet.MemberDead {
+			names[member.Name] = true
+		}
+	}
+	return len(names)
+}
+
+// adoptRecord takes a record that is newer than the one held.
+func (c *Core) adoptRecord(heard VersionedRecord) {
+	if heard.Record.Generation == c.record.Record.Generation {
+		c.record.StoreVersion = max(c.record.StoreVersion, heard.StoreVersion)
+		return
+	}
+	if heard.Record.Generation < c.record.Record.Generation {
+		return
+	}
+	c.record = heard
+	c.updateLimits()
+	c.stepLeader(leadership.RecordHeard{Record: heard.Record})
+}
+
+func (c *Core) recordLearned(learned RecordLearned) {
+	if !learned.Failed {
+		c.decider.storeKnown = c.decider.storeKnown || learned.FromStore
+		c.adoptRecord(learned.VersionedRecord)
+	}
+	if learned.ID == c.decider.reading {
+		c.decider.reading = 0
+		return
+	}
+	c.stepLeader(leadership.RecordLearned{
+		ID:     learned.ID,
+		Record: learned.Record,
+		Failed: learned.Failed,
+	})
+}
+
+// write sends the record where no other write is under way.
+func (c *Core) write(record allotment.Record) {
+	c.decider.writing = c.leader.NextID()
+	c.decider.sentAt = c.now
+	c.emit(WriteRecord{ID: c.decider.writing, Record: record, Expected: c.record.StoreVersion})
+}
+
+// recordWritten takes the record that stands. Where the answer was lost, the
+// record is read back before anything else is written.
+func (c *Core) recordWritten(written RecordWritten) {
+	if written.ID == c.decider.writing {
+		c.decider.writing = 0
+	}
+	if written.Result == WriteLost {
+		c.readBack()
+		return
+	}
+	c.adoptRecord(written.Current)
+}
+
+func (c *Core) readBack() {
+	c.decider.reading = c.leader.NextID()
+	c.decider.sentAt = c.now
+	c.emit(c.learnRecord(c.decider.reading))
+}
--- /dev/null
+++ b/internal/node/control_effects.go
@@ -0,0 +1,241 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/allotment"
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/control"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/placement"
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+// Bounds of the shell's calls.
+const (
+	engineCallTimeout = 900 * time.Millisecond
+	peerCallTimeout   = time.Second
+	storeCallTimeout  = time.Second
+	storeWriteTimeout = 3 * time.Second
+)
+
+// perform starts what an effect asks for; it does not wait for it.
+func (s *Control) perform(effect control.Effect) {
+	switch effect := effect.(type) {
+	case control.ReadEngine:
+		go s.readEngine(effect)
+	case control.SendClaim:
+		go s.sendClaim(effect)
+	case control.SendOrder:
+		go s.sendOrder(effect)
+	case control.LearnRecord:
+		go s.learnRecord(effect)
+	case control.WriteRecord:
+		go s.writeRecord(effect)
+	case control.PublishTable:
+		s.publishTable(effect)
+	case control.PullTables:
+		go s.pullTables(effect)
+	case control.ForwardWants:
+		go s.forwardWants(effect)
+	case control.RefuseWants:
+		s.refuseLocal(effect.Refusals)
+	case control.BroadcastLeaving:
+		s.broadcastLeaving(effect)
+	case control.HandOver:
+		go s.handOver(effect)
+	case control.TablesChanged:
+		s.dependencies.Views.Tables.Set(effect.Tables)
+	case control.LeadershipChanged:
+		s.dependencies.Logger.Info().Str("event", "leadership").Bool("leading", effect.Leading).
+			Str("fence", effect.Fence.String()).Str("reason", effect.Reason).Msg("")
+	}
+}
+
+func (s *Control) bounded(limit time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(s.lifetime, limit)
+}
+
+func (s *Control) readEngine(effect control.ReadEngine) {
+	ctx, cancel := s.bounded(engineCallTimeout)
+	defer cancel()
+	state, err := s.dependencies.Engines.State(ctx, effect.Address)
+	s.send(control.StateRead{StateRead: leadership.StateRead{
+		ID:     effect.ID,
+		Engine: effect.Engine,
+		State:  state,
+		Failed: err != nil,
+	}})
+}
+
+func (s *Control) sendClaim(effect control.SendClaim) {
+	ctx, cancel := s.bounded(engineCallTimeout)
+	defer cancel()
+	state, err := s.dependencies.Engines.Claim(ctx, effect.Address, backend.Claim{
+		Fence:       effect.Fence,
+		Incarnation: effect.Incarnation,
+		Holder:      s.dependencies.Self.Name,
+	})
+	answer := leadership.ClaimAnswered{ID: effect.ID, Engine: effect.Engine, State: state}
+	var refused *backend.FenceRefusedError
+	switch {
+	case err == nil:
+		answer.Result = leadership.ClaimGranted
+	case errors.As(err, &refused):
+		answer.Result = leadership.ClaimRefused
+		answer.Fence = refused.Refusal.Fence
+	}
+	s.send(control.ClaimAnswered{ClaimAnswered: answer})
+}
+
+func (s *Control) sendOrder(effect control.SendOrder) {
+	ctx, cancel := s.bounded(engineCallTimeout)
+	defer cancel()
+	_, err := s.dependencies.Engines.Order(ctx, effect.Address, effect.Order)
+	answer := control.OrderAnswered{Engine: effect.Engine, OrderID: effect.Order.ID}
+	var fenced *backend.FenceRefusedError
+	var refused *backend.OrderRefusedError
+	switch {
+	case err == nil:
+		answer.Result = placement.OrderAccepted
+	case errors.As(err, &fenced):
+		answer.FenceStale = true
+		answer.Fence = fenced.Refusal.Fence
+	case errors.As(err, &refused):
+		answer.Result = placement.OrderRefused
+		answer.Reason = refused.Refusal.Reason
+	}
+	s.dependencies.Logger.Info().Str("event", "order").Str("engine", string(effect.Engine)).
+		Str("action", string(effect.Order.Action)).Str("model", effect.Order.Model.String()).
+		Str("adapter", string(effect.Order.Adapter)).Str("id", effect.Order.ID).Err(err).Msg("")
+	s.send(answer)
+}
+
+func decodeRecord(object platform.Object) (control.VersionedRecord, error) {
+	var record allotment.Record
+	if err := json.Unmarshal(object.Spec, &record); err != nil {
+		return control.VersionedRecord{}, fmt.Errorf("record of allotments at version %d: %w", object.Version, err)
+	}
+	return control.VersionedRecord{Record: record, StoreVersion: object.Version}, nil
+}
+
+// learnRecord asks the store, then the members.
+func (s *Control) learnRecord(effect control.LearnRecord) {
+	answer, err := s.readStore()
+	if err != nil {
+		answer, err = s.readMajority(effect)
+	}
+	if err != nil {
+		s.logFailure("record-not-learned", err)
+	}
+	answer.ID = effect.ID
+	answer.Failed = err != nil
+	s.send(answer)
+}
+
+func (s *Control) readStore() (control.RecordLearned, error) {
+	ctx, cancel := s.bounded(storeCallTimeout)
+	defer cancel()
+	object, found, err := s.dependencies.Store.Read(ctx)
+	if err != nil || !found {
+		return control.RecordLearned{FromStore: err == nil}, err
+	}
+	record, err := decodeRecord(object)
+	return control.RecordLearned{VersionedRecord: record, FromStore: true}, err
+}
+
+// readMajority takes the newest record that a majority of the zone's members
+// vouches for, this node included.
+func (s *Control) readMajority(effect control.LearnRecord) (control.RecordLearned, error) {
+	answers := make(chan control.VersionedRecord, len(effect.Members)+1)
+	go func() { answers <- s.ownVouched() }()
+	for _, member := range effect.Members {
+		go func() { answers <- s.askRecord(member) }()
+	}
+	var newest control.VersionedRecord
+	vouched := 0
+	for range len(effect.Members) + 1 {
+		answer := <-answers
+		if answer.Record.Generation == 0 {
+			continue
+		}
+		vouched++
+		if answer.Record.Generation > newest.Record.Generation {
+			newest = answer
+		}
+	}
+	if vouched < effect.Majority {
+		return control.RecordLearned{}, fmt.Errorf("%d of the %d members needed vouch for a record", vouched, effect.Majority)
+	}
+	return control.RecordLearned{VersionedRecord: newest}, nil
+}
+
+func (s *Control) ownVouched() control.VersionedRecord {
+	record, _ := ask(s, s.lifetime, func(shell *Control) control.VersionedRecord { return shell.vouchedRecord() })
+	return record
+}
+
+// vouchedRecord is the record, or none where this process has it from hearsay
+// only.
+func (s *Control) vouchedRecord() control.VersionedRecord {
+	if !s.vouched {
+		return control.VersionedRecord{}
+	}
+	return s.core.Record()
+}
+
+func (s *Control) askRecord(member fleet.Member) control.VersionedRecord {
+	ctx, cancel := s.bounded(peerCallTimeout)
+	defer cancel()
+	response, err := s.dependencies.Peers.To(member.Addresses.Peer).Control.Allotments(ctx,
+		&peerpb.AllotmentsRequest{From: string(s.dependencies.Self.Name)})
+	if err != nil || len(response.GetRecord()) == 0 {
+		return control.VersionedRecord{}
+	}
+	record, err := decodeRecord(platform.Object{Version: response.GetVersion(), Spec: response.GetRecord()})
+	if err != nil {
+		s.logFailure("record-unreadable", err)
+	}
+	return record
+}
+
+// writeRecord writes by compare-and-set.
+func (s *Control) writeRecord(effect control.WriteRecord) {
+	answer := control.RecordWritten{ID: effect.ID}
+	standing, conflict, err := s.putRecord(effect)
+	if err == nil {
+		answer.Current, err = decodeRecord(standing)
+	}
+	switch {
+	case err != nil:
+		s.logFailure("record-write", err)
+	case conflict:
+		answer.Result = control.WriteConflict
+	default:
+		answer.Result = control.WriteDone
+	}
+	s.send(answer)
+}
+
+func (s *Control) putRecord(effect control.WriteRecord) (platform.Object, bool, error) {
+	body, err := json.Marshal(effect.Record)
+	if err != nil {
+		return platform.Object{}, false, err
+	}
+	ctx, cancel := s.bounded(storeWriteTimeout)
+	defer cancel()
+	self := s.dependencies.Self
+	return s.dependencies.Store.Write(ctx, platform.Object{
+		Kind:      platform.KindAllotments,
+		Name:      allotment.ObjectName,
+		ChangeID:  fmt.Sprintf("%s-%x-%d", self.Name, self.BootID, effect.ID),
+		ChangedBy: string(self.Name),
+		Spec:      body,
+	}, effect.Expected)
+}
--- /dev/null
+++ b/internal/placement/core.go
@@ -0,0 +1,273 @@
+package placement
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// Options make a core.
+type Options struct {
+	Settings Settings
+}
+
+// Core places the models of one zone. It is not safe for concurrent use.
+type Core struct {
+	settings Settings
+
+	models          map[fleet.ModelVersion]catalog.ModelFacts
+	adapters        map[fleet.AdapterName]catalog.AdapterFacts
+	coldStartWeight float64
+	limits          map[fleet.ModelVersion]int
+	standing        map[fleet.ModelVersion]int
+	zones           int
+	zoneIndex       int
+
+	leading bool
+	fence   fleet.Fence
+	engines map[fleet.BackendName]*engine
+	full    map[fleet.BackendName]bool
+	orders  map[string]*order
+	counter uint64
+
+	wants   map[fleet.ModelVersion]map[wantKey]timedWant
+	history map[fleet.ModelVersion]*history
+	// tokens is the zone's part of the weight store's rate.
+	tokens      float64
+	tokensSince time.Time
+	// avoid holds engines at which a load of a model failed.
+	avoid    map[placementKey]time.Time
+	effects  []Effect
+	lastPlan time.Time
+}
+
+type wantKey struct {
+	node    fleet.NodeName
+	adapter fleet.AdapterName
+}
+
+type timedWant struct {
+	fleet.Want
+	until time.Time
+}
+
+type placementKey struct {
+	engine fleet.BackendName
+	model  fleet.ModelVersion
+}
+
+// engine is an engine that the round holds.
+type engine struct {
+	state fleet.EngineState
+	// asked is the sequence of the newest state.
+	asked   uint64
+	leaving bool
+	// loadingSince is when each load was first seen or ordered.
+	loadingSince map[fleet.ModelVersion]time.Time
+}
+
+// order is one that was sent and whose effect no state has shown yet.
+type order struct {
+	backend.Order
+	engine fleet.BackendName
+	sent   time.Time
+	// answered is set once the engine took it; the effect then shows in
+	// states asked for after visibleAfter.
+	answered     bool
+	visibleAfter uint64
+}
+
+// New returns a core that holds no engine.
+func New(options Options) *Core {
+	return &Core{
+		settings: options.Settings,
+		zones:    1,
+		engines:  make(map[fleet.BackendName]*engine),
+		full:     make(map[fleet.BackendName]bool),
+		orders:   make(map[string]*order),
+		wants:    make(map[fleet.ModelVersion]map[wantKey]timedWant),
+		history:  make(map[fleet.ModelVersion]*history),
+		avoid:    make(map[placementKey]time.Time),
+	}
+}
+
+const planInterval = 250 * time.Millisecond
+
+// NextWake returns when Step(now, Tick{}) is wanted; zero for none.
+func (c *Core) NextWake() time.Time {
+	if !c.leading {
+		return time.Time{}
+	}
+	return c.lastPlan.Add(planInterval)
+}
+
+// Step takes a message and returns what is to be done.
+func (c *Core) Step(now time.Time, message Message) []Effect {
+	c.effects = nil
+	switch message := message.(type) {
+	case Tick:
+	case CatalogChanged:
+		c.setCatalog(message)
+	case RoundBegan:
+		c.begin(now, message)
+	case RoundEnded:
+		c.finish()
+	case LimitsChanged:
+		c.limits, c.standing = message.Limits, message.Standing
+		c.zones, c.zoneIndex = max(1, message.Zones), message.ZoneIndex
+	case EnginesGone:
+		c.dropGone(message.Engines)
+	case EnginesLeaving:
+		c.markLeaving(message.Engines)
+	case StateSeen:
+		c.see(now, message)
+	case WantsReported:
+		c.takeWants(now, message.Wants)
+	case OrderAnswered:
+		c.takeAnswer(now, message)
+	}
+	if c.leading {
+		c.plan(now)
+	}
+	return c.effects
+}
+
+func (c *Core) emit(effect Effect) { c.effects = append(c.effects, effect) }
+
+func (c *Core) setCatalog(changed CatalogChanged) {
+	c.models = make(map[fleet.ModelVersion]catalog.ModelFacts, len(changed.Models))
+	for _, facts := range changed.Models {
+		c.models[facts.Model] = facts
+	}
+	c.adapters = make(map[fleet.AdapterName]catalog.AdapterFacts, len(changed.Adapters))
+	for _, facts := range changed.Adapters {
+		c.adapters[facts.Adapter] = facts
+	}
+	c.coldStartWeight = changed.ColdStartWeight
+}
+
+// begin takes over the inventories of a round. Orders of earlier rounds are
+// either in them or refused for their fence.
+func (c *Core) begin(now time.Time, began RoundBegan) {
+	c.finish()
+	c.leading = true
+	c.fence = began.Fence
+	for _, name := range slices.Sorted(maps.Keys(began.Held)) {
+		state := began.Held[name]
+		held := &engine{leaving: state.Leaving, loadingSince: make(map[fleet.ModelVersion]time.Time)}
+		c.engines[name] = held
+		c.adopt(now, held, state)
+	}
+	for _, name := range began.Full {
+		c.full[name] = true
+	}
+}
+
+func (c *Core) finish() {
+	c.leading = false
+	clear(c.engines)
+	clear(c.full)
+	clear(c.orders)
+}
+
+func (c *Core) dropGone(names []fleet.BackendName) {
+	for _, name := range names {
+		delete(c.full, name)
+		delete(c.engines, name)
+		for id, order := range c.orders {
+			if order.engine == name {
+				delete(c.orders, id)
+			}
+		}
+	}
+}
+
+func (c *Core) markLeaving(names []fleet.BackendName) {
+	for _, name := range names {
+		if held := c.engines[name]; held != nil {
+			held.leaving = true
+		}
+	}
+}
+
+// see takes a newer state of a held engine.
+func (c *Core) see(now time.Time, seen StateSeen) {
+	held := c.engines[seen.State.Name]
+	if held == nil || seen.Asked < held.asked || seen.State.Fence != c.fence {
+		return
+	}
+	held.asked = seen.Asked
+	held.leaving = held.leaving || seen.State.Leaving
+	c.adopt(now, held, seen.State)
+	for id, order := range c.orders {
+		if order.engine == seen.State.Name && orderShown(order, seen) {
+			delete(c.orders, id)
+		}
+	}
+}
+
+// orderShown reports whether the state accounts for the order: it was asked
+// for after the order was taken, or it shows the effect.
+func orderShown(order *order, seen StateSeen) bool {
+	if order.answered {
+		return seen.Asked > order.visibleAfter
+	}
+	loaded := seen.State.Find(order.Model)
+	switch order.Action {
+	case backend.ActionLoad:
+		return loaded != nil
+	case backend.ActionUnload:
+		return loaded == nil || loaded.State == fleet.LoadUnloading
+	case backend.ActionLoadAdapter:
+		return loaded != nil && slices.Contains(loaded.Adapters, order.Adapter)
+	default:
+		return false
+	}
+}
+
+func (c *Core) adopt(now time.Time, held *engine, state fleet.EngineState) {
+	held.state = state
+	since := make(map[fleet.ModelVersion]time.Time)
+	for _, loaded := range state.Models {
+		if loaded.State != fleet.LoadLoading {
+			continue
+		}
+		since[loaded.Model] = now
+		if earlier, known := held.loadingSince[loaded.Model]; known {
+			since[loaded.Model] = earlier
+		}
+	}
+	held.loadingSince = since
+}
+
+func (c *Core) takeAnswer(now time.Time, answer OrderAnswered) {
+	order := c.orders[answer.ID]
+	if order == nil {
+		return
+	}
+	switch answer.Result {
+	case OrderAccepted:
+		order.answered = true
+		order.visibleAfter = answer.Asked
+	case OrderRefused:
+		delete(c.orders, answer.ID)
+		c.avoid[placementKey{order.engine, order.Model}] = now.Add(avoidAfterRefusal)
+	case OrderLost:
+	}
+}
+
+const avoidAfterRefusal = 2 * time.Second
+
+func (c *Core) send(now time.Time, name fleet.BackendName, sent backend.Order) {
+	c.counter++
+	sent.ID = fmt.Sprintf("%s-%d", c.fence, c.counter)
+	sent.Fence = c.fence
+	sent.Incarnation = c.engines[name].state.Incarnation
+	c.orders[sent.ID] = &order{Order: sent, engine: name, sent: now}
+	c.emit(SendOrder{Engine: name, Order: sent})
+}
--- /dev/null
+++ b/internal/placement/count.go
@@ -0,0 +1,81 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// count is the most replicas of the model that the zone may hold now: what the
+// held engines show, orders in flight, and one for each engine not held.
+func (c *Core) count(model fleet.ModelVersion) int {
+	total := len(c.full)
+	for name, held := range c.engines {
+		if held.state.Find(model) != nil || c.loadInFlight(name, model) {
+			total++
+		}
+	}
+	return total
+}
+
+func (c *Core) loadInFlight(name fleet.BackendName, model fleet.ModelVersion) bool {
+	for _, order := range c.orders {
+		if order.engine == name && order.Model == model && order.Action == backend.ActionLoad {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) orderInFlight(name fleet.BackendName, model fleet.ModelVersion) bool {
+	for _, order := range c.orders {
+		if order.engine == name && order.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// free is the memory that a further load may take: an order in flight holds
+// its bytes until a state accounts for it, an unload frees nothing before.
+func (c *Core) free(name fleet.BackendName) int64 {
+	free := c.engines[name].state.FreeBytes()
+	for _, order := range c.orders {
+		if order.engine != name {
+			continue
+		}
+		if order.Action == backend.ActionLoad || order.Action == backend.ActionLoadAdapter {
+			free -= order.Bytes
+		}
+	}
+	return free
+}
+
+// replicas counts the held replicas of a model that are ready or on the way.
+func (c *Core) replicas(model fleet.ModelVersion) (ready, coming int) {
+	for name, held := range c.engines {
+		loaded := held.state.Find(model)
+		switch {
+		case loaded != nil && loaded.State == fleet.LoadReady && !held.leaving:
+			ready++
+		case loaded != nil && loaded.State == fleet.LoadLoading && !held.leaving:
+			coming++
+		case loaded == nil && c.loadInFlight(name, model):
+			coming++
+		}
+	}
+	return ready, coming
+}
+
+func (c *Core) engineNames() []fleet.BackendName {
+	return slices.Sorted(maps.Keys(c.engines))
+}
+
+func (c *Core) modelNames() []fleet.ModelVersion {
+	return slices.SortedFunc(maps.Keys(c.models), fleet.ModelVersion.Compare)
+}
+
+// Count is the most replicas of the model that the zone may hold now.
+func (c *Core) Count(model fleet.ModelVersion) int { return c.count(model) }
--- /dev/null
+++ b/internal/placement/messages.go
@@ -0,0 +1,119 @@
+package placement
+
+import (
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// Message is what the core is told.
+type Message interface{ message() }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// CatalogChanged gives what is declared.
+type CatalogChanged struct {
+	Models   []catalog.ModelFacts
+	Adapters []catalog.AdapterFacts
+	// ColdStartWeight is from 0 (only idle hours count) to 1 (only the tail).
+	ColdStartWeight float64
+}
+
+// RoundBegan says that a claim round is established.
+type RoundBegan struct {
+	Fence fleet.Fence
+	Held  map[fleet.BackendName]fleet.EngineState
+	// Full are engines that count as holding every model.
+	Full []fleet.BackendName
+}
+
+// RoundEnded says that no order may be sent any more.
+type RoundEnded struct{}
+
+// LimitsChanged gives the zone's allotment.
+type LimitsChanged struct {
+	// Limits are the replicas that the zone may load up to.
+	Limits map[fleet.ModelVersion]int
+	// Standing is the zone's part of the replicas to keep ready.
+	Standing map[fleet.ModelVersion]int
+	// Zones and ZoneIndex give the zone's part of the weight store.
+	Zones     int
+	ZoneIndex int
+}
+
+// EnginesGone names engines whose machines are gone for good.
+type EnginesGone struct{ Engines []fleet.BackendName }
+
+// EnginesLeaving names engines that go away: they get no further load.
+type EnginesLeaving struct{ Engines []fleet.BackendName }
+
+// StateSeen gives a state that was asked for after the point in the sequence
+// of questions that Asked names.
+type StateSeen struct {
+	Asked uint64
+	State fleet.EngineState
+}
+
+// WantsReported gives what waits at one node; it replaces what the node
+// reported before for these models.
+type WantsReported struct{ Wants []fleet.Want }
+
+// OrderAnswered tells how an order ended.
+type OrderAnswered struct {
+	ID     string
+	Result OrderResult
+	// Reason is set where the engine refused it for another cause than its
+	// fence.
+	Reason string
+	// Asked is the point in the sequence of questions at the answer: states
+	// asked for later show the order's effect.
+	Asked uint64
+}
+
+// OrderResult is how an order ended.
+type OrderResult int
+
+// The ends of an order.
+const (
+	// OrderLost means that no answer came: it may take effect at any time
+	// until the round ends.
+	OrderLost OrderResult = iota
+	OrderAccepted
+	OrderRefused
+)
+
+func (Tick) message()           {}
+func (CatalogChanged) message() {}
+func (RoundBegan) message()     {}
+func (RoundEnded) message()     {}
+func (LimitsChanged) message()  {}
+func (EnginesGone) message()    {}
+func (EnginesLeaving) message() {}
+func (StateSeen) message()      {}
+func (WantsReported) message()  {}
+func (OrderAnswered) message()  {}
+
+// Effect is what is to be done.
+type Effect interface{ effect() }
+
+// SendOrder sends an order under the round's fence.
+type SendOrder struct {
+	Engine fleet.BackendName
+	Order  backend.Order
+}
+
+// Refuse tells nodes that models cannot be loaded in this zone now.
+type Refuse struct {
+	Refusal fleet.LoadRefusal
+	// Elsewhere is set where another zone may be able to.
+	Elsewhere bool
+}
+
+// NeedRound asks for a new round, so that a lost order can no longer take
+// effect.
+type NeedRound struct{}
+
+func (SendOrder) effect() {}
+func (Refuse) effect()    {}
+func (NeedRound) effect() {}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,238 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// plan makes every decision that the present state allows.
+func (c *Core) plan(now time.Time) {
+	c.lastPlan = now
+	c.expireWants(now)
+	c.refillTokens(now)
+	c.endSlowLoads(now)
+	c.askForRound(now)
+	for _, demand := range c.demands(now) {
+		c.serve(now, demand)
+	}
+	c.loadAdapters(now)
+	c.unloadIdle(now)
+}
+
+// demands lists what is wanted beyond what is loaded or on its way, in the
+// order in which it is served.
+func (c *Core) demands(now time.Time) []demand {
+	var demands []demand
+	for _, model := range c.modelNames() {
+		ready, coming := c.replicas(model)
+		waiting, wanted := c.demandFor(model)
+		switch {
+		case ready+coming < c.standing[model]:
+			waiting.model, waiting.standing = model, true
+			waiting.priority = max(waiting.priority, c.models[model].Priority)
+			demands = append(demands, waiting)
+		case wanted && ready+coming < c.wantedReplicas(waiting, ready):
+			demands = append(demands, waiting)
+		case ready+coming == 0 && c.likelyToWake(now, model):
+			demands = append(demands, demand{model: model, preload: true})
+		}
+	}
+	slices.SortFunc(demands, compareDemand)
+	return demands
+}
+
+// wantedReplicas is one for what waits, and one more for each full queue that
+// the ready replicas do not work off.
+func (c *Core) wantedReplicas(demand demand, ready int) int {
+	return max(1, ready+demand.waiting/c.settings.WaitingPerReplica)
+}
+
+func (c *Core) serve(now time.Time, demand demand) {
+	facts := c.models[demand.model]
+	ready, coming := c.replicas(demand.model)
+	if c.count(demand.model) >= c.limits[demand.model] {
+		if ready+coming == 0 && !demand.preload {
+			c.refuse(demand, "no-allotment", c.allotmentWait(demand.model), true)
+		}
+		return
+	}
+	choice, found := c.choose(now, facts)
+	if !found {
+		if ready+coming == 0 && !demand.preload {
+			c.refuse(demand, "no-memory", noMemoryWait, true)
+		}
+		return
+	}
+	if demand.preload && len(choice.evict) > 0 {
+		return
+	}
+	if len(choice.evict) > 0 {
+		c.evict(now, choice)
+		return
+	}
+	if choice.tier == fleet.TierRemote && !c.takeToken() {
+		return
+	}
+	c.historyOf(demand.model).loads = append(c.historyOf(demand.model).loads, now)
+	c.send(now, choice.engine, backend.Order{
+		Action:          backend.ActionLoad,
+		Model:           demand.model,
+		Bytes:           facts.MemoryBytes,
+		CheckpointBytes: facts.CheckpointBytes,
+	})
+}
+
+const (
+	noMemoryWait    = 5 * time.Second
+	noAllotmentWait = 2 * time.Second
+)
+
+func (c *Core) allotmentWait(fleet.ModelVersion) time.Duration { return noAllotmentWait }
+
+func (c *Core) refuse(demand demand, reason string, wait time.Duration, elsewhere bool) {
+	if demand.waiting == 0 {
+		return
+	}
+	c.emit(Refuse{
+		Refusal:   fleet.LoadRefusal{Model: demand.model, Reason: reason, RetryAfter: wait},
+		Elsewhere: elsewhere,
+	})
+}
+
+func (c *Core) evict(now time.Time, choice choice) {
+	for _, model := range choice.evict {
+		loaded := c.engines[choice.engine].state.Find(model)
+		if loaded.State == fleet.LoadReady && !c.orderInFlight(choice.engine, model) {
+			c.send(now, choice.engine, backend.Order{Action: backend.ActionUnload, Model: model})
+		}
+	}
+}
+
+// endSlowLoads ends loads that take too long; the model is then loaded
+// elsewhere once the engine shows that it is gone.
+func (c *Core) endSlowLoads(now time.Time) {
+	for _, name := range c.engineNames() {
+		held := c.engines[name]
+		for _, loaded := range held.state.Models {
+			since, loading := held.loadingSince[loaded.Model]
+			if !loading || now.Sub(since) < c.settings.LoadTimeout || c.orderInFlight(name, loaded.Model) {
+				continue
+			}
+			c.avoid[placementKey{name, loaded.Model}] = now.Add(avoidAfterSlowLoad)
+			c.send(now, name, backend.Order{Action: backend.ActionUnload, Model: loaded.Model})
+		}
+	}
+}
+
+const avoidAfterSlowLoad = 5 * time.Minute
+
+// askForRound asks for a new round where an order has had no answer for long:
+// only then is it sure that it does not take effect later.
+func (c *Core) askForRound(now time.Time) {
+	for _, order := range c.orders {
+		if !order.answered && now.Sub(order.sent) >= c.settings.LostOrderAge {
+			c.emit(NeedRound{})
+			return
+		}
+	}
+}
+
+// refillTokens adds the zone's part of the weight store's rate.
+func (c *Core) refillTokens(now time.Time) {
+	rate := c.settings.StoreLoadsPerSecond / float64(c.zones)
+	if !c.tokensSince.IsZero() {
+		c.tokens += rate * now.Sub(c.tokensSince).Seconds()
+	}
+	c.tokensSince = now
+	c.tokens = min(c.tokens, max(1, rate))
+}
+
+// takeToken reports whether one more load may read from the weight store now.
+func (c *Core) takeToken() bool {
+	if c.tokens < 1 || c.remoteLoads() >= c.storeShare() {
+		return false
+	}
+	c.tokens--
+	return true
+}
+
+// storeShare is the zone's part of the weight store's concurrency; what does
+// not divide goes to the first zones.
+func (c *Core) storeShare() int {
+	share := c.settings.StoreConcurrency / c.zones
+	if c.zoneIndex < c.settings.StoreConcurrency%c.zones {
+		share++
+	}
+	return max(1, share)
+}
+
+func (c *Core) remoteLoads() int {
+	loads := 0
+	for name, held := range c.engines {
+		for _, loaded := range held.state.Models {
+			if loaded.State == fleet.LoadLoading && held.tier(loaded.Model) == fleet.TierRemote {
+				loads++
+			}
+		}
+		for _, order := range c.orders {
+			if order.engine == name && order.Action == backend.ActionLoad &&
+				held.state.Find(order.Model) == nil && held.tier(order.Model) == fleet.TierRemote {
+				loads++
+			}
+		}
+	}
+	return loads
+}
+
+func (e *engine) tier(model fleet.ModelVersion) fleet.Tier {
+	if tier, known := e.state.Tiers[model]; known {
+		return tier
+	}
+	return fleet.TierRemote
+}
+
+// loadAdapters loads the adapters that are waited for beside their base.
+func (c *Core) loadAdapters(now time.Time) {
+	for _, model := range c.modelNames() {
+		demand, wanted := c.demandFor(model)
+		if !wanted {
+			continue
+		}
+		for _, adapter := range demand.adapters {
+			c.loadAdapter(now, model, adapter)
+		}
+	}
+}
+
+func (c *Core) loadAdapter(now time.Time, model fleet.ModelVersion, adapter fleet.AdapterName) {
+	facts, known := c.adapters[adapter]
+	if !known {
+		return
+	}
+	best := fleet.BackendName("")
+	for _, name := range c.engineNames() {
+		held := c.engines[name]
+		loaded := held.state.Find(model)
+		if loaded == nil || loaded.State != fleet.LoadReady || held.leaving {
+			continue
+		}
+		if slices.Contains(loaded.Adapters, adapter) || c.orderInFlight(name, model) {
+			return
+		}
+		if c.free(name) >= facts.MemoryBytes && (best == "" || c.free(name) > c.free(best)) {
+			best = name
+		}
+	}
+	if best == "" {
+		return
+	}
+	c.send(now, best, backend.Order{
+		Action:  backend.ActionLoadAdapter,
+		Model:   model,
+		Adapter: adapter,
+		Bytes:   facts.MemoryBytes,
+	})
+}
