Hold every finding of a broken folder; find ambiguous selectors fast

Change: selectors are compared only where they agree on the one label that tells most of them apart, or do not name it; faults are kept by path, so that what was unreadable is reported once. examples/broken holds every kind of mistake, and a test compares all 76 findings with their places and remedies. Labels that begin with spanlanding. are kept for apply.

--- /dev/null
+++ b/internal/spec/ambiguity.go
@@ -0,0 +1,169 @@
+package spec
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+)
+
+// rank is what decides between two selectors that both match.
+type rank struct {
+	precedence int
+	conditions int
+}
+
+func rankOf(selector *Selector) rank {
+	return rank{precedence: selector.Precedence, conditions: conditionCount(selector.Match)}
+}
+
+// ambiguousSelectors reports pairs of which neither goes before the other
+// though one request can match both and they would treat it differently.
+func (c *checker) ambiguousSelectors() {
+	byRank := make(map[rank][]*Object)
+	for _, object := range c.index.kinds(KindSelector) {
+		if c.faultyUnder(object, "spec.match") || c.faulty(object, "spec.precedence") || !object.written("spec.match") {
+			continue
+		}
+		rank := rankOf(object.Spec.(*Selector))
+		byRank[rank] = append(byRank[rank], object)
+	}
+	for _, selectors := range byRank {
+		c.ambiguousAmong(selectors)
+	}
+}
+
+// ambiguousAmong compares selectors of one rank. A large fleet has many
+// thousands, nearly all told apart by one label; only those that agree on that
+// label, or do not name it, are compared.
+func (c *checker) ambiguousAmong(selectors []*Object) {
+	key := tellingLabel(selectors)
+	byValue := make(map[string][]*Object)
+	var loose []*Object
+	for _, object := range selectors {
+		value, found := matchOf(object).MatchLabels[key]
+		if !found {
+			loose = append(loose, object)
+			continue
+		}
+		for _, earlier := range byValue[value] {
+			c.ambiguousPair(object, earlier)
+		}
+		byValue[value] = append(byValue[value], object)
+	}
+	for index, object := range loose {
+		for _, earlier := range loose[:index] {
+			c.ambiguousPair(object, earlier)
+		}
+	}
+	for _, same := range byValue {
+		for _, object := range same {
+			for _, other := range loose {
+				c.ambiguousPair(object, other)
+			}
+		}
+	}
+}
+
+func matchOf(selector *Object) LabelSelector {
+	return selector.Spec.(*Selector).Match
+}
+
+// tellingLabel returns the label key that leaves the fewest pairs to compare.
+func tellingLabel(selectors []*Object) string {
+	counts := make(map[string]map[string]int)
+	for _, object := range selectors {
+		for key, value := range matchOf(object).MatchLabels {
+			if counts[key] == nil {
+				counts[key] = make(map[string]int)
+			}
+			counts[key][value]++
+		}
+	}
+	best, fewest := "", len(selectors)*len(selectors)
+	for _, key := range slices.Sorted(maps.Keys(counts)) {
+		pairs, named := 0, 0
+		for _, count := range counts[key] {
+			pairs += count * count
+			named += count
+		}
+		pairs += (len(selectors) - named) * len(selectors)
+		if pairs < fewest {
+			best, fewest = key, pairs
+		}
+	}
+	return best
+}
+
+// ambiguousPair reports at the later of the two names, so that the finding
+// does not depend on the order of comparison.
+func (c *checker) ambiguousPair(left, right *Object) {
+	if left.Metadata.Name == right.Metadata.Name || !ambiguous(left.Spec.(*Selector), right.Spec.(*Selector)) {
+		return
+	}
+	if left.Metadata.Name < right.Metadata.Name {
+		left, right = right, left
+	}
+	c.report(left, "spec.match", fmt.Sprintf("a request can match this and %s, and neither goes first", right.Title()),
+		fmt.Sprintf("give them a different precedence or conditions that exclude each other; the other is at %s", right.Place("spec.match")))
+}
+
+// ambiguous expects selectors of the same rank.
+func ambiguous(left, right *Selector) bool {
+	return !sameEffect(left, right) && satisfiable(append(conditions(left.Match), conditions(right.Match)...))
+}
+
+func conditionCount(selector LabelSelector) int {
+	return len(selector.MatchLabels) + len(selector.MatchExpressions)
+}
+
+// sameEffect reports whether it makes no difference which of two selectors is
+// taken. Limits count per selector, so selectors with limits always differ.
+func sameEffect(left, right *Selector) bool {
+	return left.Limits == Limits{} && right.Limits == Limits{} &&
+		left.Priority == right.Priority && left.Deadline == right.Deadline &&
+		reflect.DeepEqual(left.Deployments, right.Deployments)
+}
+
+// conditions returns a selector's conditions in one form.
+func conditions(selector LabelSelector) []Requirement {
+	all := slices.Clone(selector.MatchExpressions)
+	for key, value := range selector.MatchLabels {
+		all = append(all, Requirement{Key: key, Operator: OperatorIn, Values: []string{value}})
+	}
+	return all
+}
+
+// satisfiable reports whether some labels fulfil all conditions. Keys do not
+// depend on each other, so each is looked at alone.
+func satisfiable(all []Requirement) bool {
+	byKey := make(map[string][]Requirement)
+	for _, condition := range all {
+		byKey[condition.Key] = append(byKey[condition.Key], condition)
+	}
+	for _, conditions := range byKey {
+		if !keySatisfiable(conditions) {
+			return false
+		}
+	}
+	return true
+}
+
+// keySatisfiable tries an absent label, each value that a condition names, and
+// one value that none names; no other value behaves differently.
+func keySatisfiable(conditions []Requirement) bool {
+	const unnamed = "\x00"
+	key := conditions[0].Key
+	candidates := []map[string]string{{}, {key: unnamed}}
+	for _, condition := range conditions {
+		for _, value := range condition.Values {
+			candidates = append(candidates, map[string]string{key: value})
+		}
+	}
+	for _, labels := range candidates {
+		if holds(LabelSelector{MatchExpressions: conditions}, labels) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/spec/broken_test.go
@@ -0,0 +1,33 @@
+package spec
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write testdata/broken.txt anew; read the difference before it is committed")
+
+// TestBrokenFolderYieldsEveryFinding holds each line of examples/broken
+// against testdata/broken.txt: none may be missing and none added.
+func TestBrokenFolderYieldsEveryFinding(t *testing.T) {
+	const golden = "testdata/broken.txt"
+	t.Chdir("../..")
+	_, findings := Options{ServerMemory: 48 << 30}.Load([]string{"examples/broken"})
+	t.Chdir("internal/spec")
+	got := findings.String() + "\n"
+	if *update {
+		if err := os.WriteFile(golden, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if difference := cmp.Diff(string(want), got); difference != "" {
+		t.Errorf("findings (-want +got):\n%s", difference)
+	}
+}
--- a/internal/spec/check.go
+++ b/internal/spec/check.go
@@ -11,6 +11,8 @@
 	maxNameBytes = 63
 	// callerPrefix is where callers reach models; no service may take it.
 	callerPrefix = "/v1/"
+	// reservedLabelPrefix begins labels that operators' commands write.
+	reservedLabelPrefix = "spanlanding."
 )
 
 var (
@@ -21,13 +23,14 @@
 
 // checker looks at each object and at what objects say of each other.
 type checker struct {
-	set      Set
+	set      *Set
+	index    index
 	options  Options
 	findings Findings
 }
 
-func check(set Set, options Options) Findings {
-	checker := &checker{set: set, options: options}
+func check(set *Set, options Options) Findings {
+	checker := &checker{set: set, index: newIndex(set.objects), options: options}
 	checker.names()
 	for _, object := range set.objects {
 		checker.object(object)
@@ -44,32 +47,35 @@
 
 // names checks each name's form and that it is declared once in its kind.
 func (c *checker) names() {
-	first := make(map[reference]*Object)
 	for _, object := range c.set.objects {
 		name := object.Metadata.Name
-		c.name(object, "metadata.name", "metadata.name", name)
+		if object.written("metadata") {
+			c.name(object, "metadata.name", name)
+		}
 		for key, value := range object.Metadata.Labels {
 			c.label(object, "metadata.labels."+key, key, value)
+			c.reserved(object, key)
 		}
-		if name == "" {
-			continue
-		}
-		key := reference{object.Kind, name}
-		if earlier, found := first[key]; found {
+		if earlier := c.index.find(object.Kind, name); earlier != object && name != "" {
 			c.report(object, "metadata.name", object.Title()+" is declared twice",
 				fmt.Sprintf("rename or remove one; the first is at %s", earlier.Place("metadata.name")))
-			continue
 		}
-		first[key] = object
 	}
 }
 
-func (c *checker) name(object *Object, path, field, name string) {
-	switch {
-	case name == "" && !object.written(path):
-		c.report(object, path, field+" is missing", "give a name such as nordlys-7b")
-	case len(name) > maxNameBytes || !namePattern.MatchString(name):
-		c.report(object, path, fmt.Sprintf("%s %q is no name", field, name),
+// reserved reports labels that apply writes itself.
+func (c *checker) reserved(object *Object, key string) {
+	if strings.HasPrefix(key, reservedLabelPrefix) {
+		c.report(object, "metadata.labels."+key, fmt.Sprintf("label %q begins with %s, which apply keeps for itself", key, reservedLabelPrefix), "take another key")
+	}
+}
+
+func (c *checker) name(object *Object, path, name string) {
+	if !c.required(object, path, "give a name such as nordlys-7b") || c.faulty(object, path) {
+		return
+	}
+	if len(name) > maxNameBytes || !namePattern.MatchString(name) {
+		c.report(object, path, fmt.Sprintf("%s %q is no name", path, name),
 			fmt.Sprintf("take 1 to %d of a-z, 0-9, '-' and '.', with a letter or digit at both ends", maxNameBytes))
 	}
 }
@@ -133,14 +139,14 @@
 	seen := make(map[string]bool)
 	for index, version := range model.Versions {
 		path := fmt.Sprintf("spec.versions[%d]", index)
-		c.name(object, path+".name", path+".name", version.Name)
+		c.name(object, path+".name", version.Name)
 		if version.Name != "" && seen[version.Name] {
 			c.report(object, path+".name", fmt.Sprintf("version %q stands twice", version.Name), "rename or remove one")
 		}
 		seen[version.Name] = true
 		c.size(object, path+".memory", version.Memory)
 		c.size(object, path+".checkpoint", version.Checkpoint)
-		c.fits(object, path+".memory", version.Memory)
+		c.fits(object, path+".memory", "the version", version.Memory)
 	}
 	if model.ContextTokens < 0 {
 		c.report(object, "spec.contextTokens", "spec.contextTokens is below 0", "give the tokens of prompt and answer together, or leave it out for no bound")
@@ -161,34 +167,35 @@
 }
 
 func (c *checker) size(object *Object, path string, size Bytes) {
-	if c.required(object, path, "give a size such as 14GiB") && size == 0 && !c.reportedAt(object, path) {
+	if c.required(object, path, "give a size such as 14GiB") && size == 0 && !c.faulty(object, path) {
 		c.report(object, path, path+" is 0", "give a size such as 14GiB")
 	}
 }
 
-// reportedAt reports whether the value was found unreadable already; such a
-// value is left at zero and must not be reported as zero too.
-func (c *checker) reportedAt(object *Object, path string) bool {
-	return object.faulty[object.Place(path)]
+// faulty reports whether the value was found unreadable already; such a value
+// is left at zero and must not be reported as zero too.
+func (c *checker) faulty(object *Object, path string) bool {
+	return object.faulty[path]
 }
 
-func (c *checker) fits(object *Object, path string, memory Bytes) {
+func (c *checker) fits(object *Object, path, what string, memory Bytes) {
 	if c.options.ServerMemory > 0 && memory > c.options.ServerMemory {
-		c.report(object, path, fmt.Sprintf("%s of memory fits no server", memory),
+		c.report(object, path, fmt.Sprintf("%s takes %s, which fits no server", what, memory),
 			fmt.Sprintf("the largest server has %s", c.options.ServerMemory))
 	}
 }
 
 func (c *checker) adapter(object *Object, adapter *Adapter) {
 	c.size(object, "spec.memory", adapter.Memory)
+	c.fits(object, "spec.memory", "the adapter alone", adapter.Memory)
 	model := c.modelOf(object, adapter.Model)
-	if model == nil {
-		c.fits(object, "spec.memory", adapter.Memory)
+	if model == nil || adapter.Memory > c.options.ServerMemory {
 		return
 	}
 	for _, version := range model.Versions {
+		// What is too large without the adapter is reported at the model.
 		if version.Memory <= c.options.ServerMemory {
-			c.fits(object, "spec.memory", version.Memory+adapter.Memory)
+			c.fits(object, "spec.memory", fmt.Sprintf("the adapter with %s@%s", adapter.Model, version.Name), version.Memory+adapter.Memory)
 		}
 	}
 }
@@ -206,10 +213,10 @@
 }
 
 func (c *checker) resolve(object *Object, path string, kind Kind, name string) *Object {
-	found := c.set.find(kind, name)
-	if found == nil && !c.set.unread[reference{kind, name}] && !c.reportedAt(object, path) {
+	found := c.index.find(kind, name)
+	if found == nil && !c.set.unread[reference{kind, name}] && !c.faulty(object, path) {
 		c.report(object, path, fmt.Sprintf("%s names %s %q, which is not declared", path, kind, name),
-			"declared are: "+c.set.names(kind))
+			"declared are: "+c.index.names(kind))
 	}
 	return found
 }
@@ -246,7 +253,7 @@
 			faulty = true
 			c.report(object, path+".weight", fmt.Sprintf("%s.weight is below 0", path), "give 0 or more")
 		}
-		if !c.required(object, path+".weight", "give the share of the traffic, such as 100") || c.reportedAt(object, path+".weight") {
+		if !c.required(object, path+".weight", "give the share of the traffic, such as 100") || c.faulty(object, path+".weight") {
 			faulty = true
 		}
 		if !c.required(object, path+".name", "name a version of the model") {
@@ -264,7 +271,7 @@
 }
 
 func (c *checker) versionOf(object *Object, path, version, modelName string, model *Model) {
-	if model == nil || c.reportedAt(object, path) {
+	if model == nil || c.faulty(object, path) {
 		return
 	}
 	var known []string
@@ -275,74 +282,3 @@
 		c.report(object, path, fmt.Sprintf("model %q has no version %q", modelName, version), "it has: "+strings.Join(known, ", "))
 	}
 }
-
-func (c *checker) service(object *Object, service *Service) {
-	if c.required(object, "spec.pathPrefix", "give a prefix such as /turbines/") && !c.reportedAt(object, "spec.pathPrefix") {
-		switch {
-		case !prefixPattern.MatchString(service.PathPrefix):
-			c.report(object, "spec.pathPrefix", fmt.Sprintf("%q is no path prefix", service.PathPrefix), "begin and end it with a slash, such as /turbines/")
-		case strings.HasPrefix(service.PathPrefix, callerPrefix):
-			c.report(object, "spec.pathPrefix", fmt.Sprintf("%q lies under %s, where models are reached", service.PathPrefix, callerPrefix), "take another prefix")
-		}
-	}
-	for index, method := range service.Repeatable {
-		path := fmt.Sprintf("spec.repeatable[%d]", index)
-		if !slices.Contains(repeatableMethods, method) {
-			c.report(object, path, fmt.Sprintf("%q is no method to declare repeatable", method), "give one of "+strings.Join(repeatableMethods, ", ")+"; GET and HEAD are repeatable anyway")
-		}
-	}
-	c.span(object, "spec.deadline", service.Deadline)
-	c.span(object, "spec.keyWindow", service.KeyWindow)
-	c.limits(object, service.Limits)
-}
-
-// repeatableMethods are those that a service may add to GET and HEAD.
-var repeatableMethods = []string{"DELETE", "OPTIONS", "PATCH", "POST", "PUT"}
-
-func (c *checker) span(object *Object, path string, span Duration) {
-	if object.written(path) && span <= 0 && !c.reportedAt(object, path) {
-		c.report(object, path, fmt.Sprintf("%s is %s", path, span), "give a time span above 0, or leave it out for the default")
-	}
-}
-
-func (c *checker) limits(object *Object, limits Limits) {
-	if limits.RequestsPerSecond < 0 {
-		c.report(object, "spec.limits.requestsPerSecond", "spec.limits.requestsPerSecond is below 0", "give a rate above 0, or leave it out for no limit")
-	}
-	if limits.Concurrency < 0 {
-		c.report(object, "spec.limits.concurrency", "spec.limits.concurrency is below 0", "give a count above 0, or leave it out for no limit")
-	}
-}
-
-func (c *checker) preferences(object *Object, preferences *Preferences) {
-	if !c.required(object, "spec.coldStartWeight", "give a weight from 0 to 1") {
-		return
-	}
-	if weight := preferences.ColdStartWeight; weight < 0 || weight > 1 {
-		c.report(object, "spec.coldStartWeight", fmt.Sprintf("spec.coldStartWeight is %v", weight), "give a weight from 0 (only idle hours count) to 1 (only the cold-start tail counts)")
-	}
-}
-
-func (c *checker) preferencesOnce() {
-	for index, object := range c.set.byKind(KindPreferences) {
-		if index > 0 {
-			c.report(object, "", object.Title()+" is a second Preferences", "keep one object of this kind")
-		}
-	}
-}
-
-// pathPrefixes reports services that could take the same path.
-func (c *checker) pathPrefixes() {
-	services := c.set.byKind(KindService)
-	for index, object := range services {
-		prefix := object.Spec.(*Service).PathPrefix
-		for _, earlier := range services[:index] {
-			other := earlier.Spec.(*Service).PathPrefix
-			if prefix == "" || other == "" || !(strings.HasPrefix(prefix, other) || strings.HasPrefix(other, prefix)) {
-				continue
-			}
-			c.report(object, "spec.pathPrefix", fmt.Sprintf("%q and %q of %s hold the same paths", prefix, other, earlier.Title()),
-				fmt.Sprintf("take prefixes of which neither begins with the other; the other is at %s", earlier.Place("spec.pathPrefix")))
-		}
-	}
-}
--- a/internal/spec/check_selectors.go
+++ b/internal/spec/check_selectors.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"reflect"
 	"slices"
 	"strings"
 )
@@ -34,7 +33,7 @@
 
 func (c *checker) capacityWithinBounds(object *Object, capacity *Capacity, deployment *Object) {
 	name := deployment.Spec.(*Deployment).Model
-	model := c.set.find(KindModel, name)
+	model := c.index.find(KindModel, name)
 	if model == nil {
 		return
 	}
@@ -47,7 +46,7 @@
 
 func (c *checker) selected(selector LabelSelector) []*Object {
 	var found []*Object
-	for _, deployment := range c.set.byKind(KindDeployment) {
+	for _, deployment := range c.index.candidates(selector) {
 		if holds(selector, deployment.Metadata.Labels) {
 			found = append(found, deployment)
 		}
@@ -65,8 +64,8 @@
 
 // faultyUnder reports whether something at or below the path was unreadable.
 func (c *checker) faultyUnder(object *Object, path string) bool {
-	for written, position := range object.places {
-		if strings.HasPrefix(written, path) && object.faulty[position] {
+	for faulty := range object.faulty {
+		if strings.HasPrefix(faulty, path) {
 			return true
 		}
 	}
@@ -84,7 +83,7 @@
 
 func (c *checker) deploymentLabels() string {
 	var labels []string
-	for _, deployment := range c.set.byKind(KindDeployment) {
+	for _, deployment := range c.index.kinds(KindDeployment) {
 		for key, value := range deployment.Metadata.Labels {
 			labels = append(labels, key+"="+value)
 		}
@@ -125,92 +124,8 @@
 			c.report(object, path+".values", fmt.Sprintf("%s takes no values", requirement.Operator), "remove values: or take In or NotIn")
 		}
 	default:
-		if !c.reportedAt(object, path+".operator") {
+		if !c.faulty(object, path+".operator") {
 			c.report(object, path+".operator", fmt.Sprintf("unknown operator %q", requirement.Operator), "give In, NotIn, Exists or DoesNotExist")
 		}
 	}
 }
-
-// ambiguousSelectors reports pairs of which neither goes before the other
-// though one request can match both and they would treat it differently.
-func (c *checker) ambiguousSelectors() {
-	selectors := c.set.byKind(KindSelector)
-	for index, object := range selectors {
-		for _, earlier := range selectors[:index] {
-			if object.Metadata.Name == earlier.Metadata.Name {
-				continue
-			}
-			left, right := object.Spec.(*Selector), earlier.Spec.(*Selector)
-			if c.faultyUnder(object, "spec") || c.faultyUnder(earlier, "spec") || !ambiguous(left, right) {
-				continue
-			}
-			c.report(object, "spec.match", fmt.Sprintf("a request can match this and %s, and neither goes first", earlier.Title()),
-				fmt.Sprintf("give them a different precedence or conditions that exclude each other; the other is at %s", earlier.Place("spec.match")))
-		}
-	}
-}
-
-func ambiguous(left, right *Selector) bool {
-	if left.Precedence != right.Precedence || conditionCount(left.Match) != conditionCount(right.Match) {
-		return false
-	}
-	if sameEffect(left, right) {
-		return false
-	}
-	return satisfiable(append(conditions(left.Match), conditions(right.Match)...))
-}
-
-func conditionCount(selector LabelSelector) int {
-	return len(selector.MatchLabels) + len(selector.MatchExpressions)
-}
-
-// sameEffect reports whether it makes no difference which of two selectors is
-// taken. Limits count per selector, so selectors with limits always differ.
-func sameEffect(left, right *Selector) bool {
-	return left.Limits == Limits{} && right.Limits == Limits{} &&
-		left.Priority == right.Priority && left.Deadline == right.Deadline &&
-		reflect.DeepEqual(left.Deployments, right.Deployments)
-}
-
-// conditions returns a selector's conditions in one form.
-func conditions(selector LabelSelector) []Requirement {
-	all := slices.Clone(selector.MatchExpressions)
-	for key, value := range selector.MatchLabels {
-		all = append(all, Requirement{Key: key, Operator: OperatorIn, Values: []string{value}})
-	}
-	return all
-}
-
-// satisfiable reports whether some labels fulfil all conditions. Keys do not
-// depend on each other, so each is looked at alone.
-func satisfiable(all []Requirement) bool {
-	byKey := make(map[string][]Requirement)
-	for _, condition := range all {
-		byKey[condition.Key] = append(byKey[condition.Key], condition)
-	}
-	for _, conditions := range byKey {
-		if !keySatisfiable(conditions) {
-			return false
-		}
-	}
-	return true
-}
-
-// keySatisfiable tries an absent label, each value that a condition names, and
-// one value that none names; no other value behaves differently.
-func keySatisfiable(conditions []Requirement) bool {
-	const unnamed = "\x00"
-	key := conditions[0].Key
-	candidates := []map[string]string{{}, {key: unnamed}}
-	for _, condition := range conditions {
-		for _, value := range condition.Values {
-			candidates = append(candidates, map[string]string{key: value})
-		}
-	}
-	for _, labels := range candidates {
-		if holds(LabelSelector{MatchExpressions: conditions}, labels) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/spec/decode.go
+++ b/internal/spec/decode.go
@@ -5,7 +5,6 @@
 	"reflect"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/token"
@@ -16,12 +15,20 @@
 
 // decoder fills typed structs from one document and collects every finding.
 type decoder struct {
-	file     string
-	line     int
-	places   map[string]Position
+	file   string
+	line   int
+	places map[string]Position
+	// faulty holds the paths whose value could not be read, or not wholly.
+	faulty   map[string]bool
 	findings Findings
 }
 
+// fault reports a value that could not be read.
+func (d *decoder) fault(path string, position Position, problem, remedy string) {
+	d.faulty[path] = true
+	d.report(position, problem, remedy)
+}
+
 func (d *decoder) position(found *token.Token) Position {
 	position := Position{File: d.file, Line: d.line + 1, Column: 1}
 	if found != nil && found.Position != nil {
@@ -161,11 +168,11 @@
 	d.places[path] = position
 	switch node.(type) {
 	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode:
-		d.report(position, "anchors, aliases and tags are not taken", "write the value out")
+		d.fault(path, position, "anchors, aliases and tags are not taken", "write the value out")
 		return
 	}
 	if depth > maxDepth {
-		d.report(position, "nested too deeply", fmt.Sprintf("nest at most %d levels", maxDepth))
+		d.fault(path, position, "nested too deeply", fmt.Sprintf("nest at most %d levels", maxDepth))
 		return
 	}
 	switch {
@@ -207,7 +214,7 @@
 		index, found := fieldIndex(target.Type(), field.name)
 		if !found {
 			names := fieldNames(target.Type())
-			d.report(field.position, fmt.Sprintf("unknown field %q", field.name), remedyForName(field.name, names))
+			d.fault(path, field.position, fmt.Sprintf("unknown field %q", field.name), remedyForName(field.name, names))
 			continue
 		}
 		d.value(field.value, target.Field(index), path+"."+field.name, depth+1)
@@ -263,135 +270,3 @@
 	}
 	target.Set(values)
 }
-
-func (d *decoder) text(node ast.Node, target reflect.Value, path string) {
-	switch typed := node.(type) {
-	case *ast.StringNode:
-		target.SetString(typed.Value)
-	case *ast.LiteralNode:
-		target.SetString(typed.Value.Value)
-	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
-		d.wrongType(node, path, fmt.Sprintf("text: %q with the quotes", node.GetToken().Value))
-	default:
-		d.wrongType(node, path, "text")
-	}
-}
-
-func (d *decoder) integer(node ast.Node, target reflect.Value, path string) {
-	typed, ok := node.(*ast.IntegerNode)
-	if !ok {
-		d.wrongType(node, path, "a whole number")
-		return
-	}
-	value, err := strconv.ParseInt(fmt.Sprint(typed.Value), 10, 32)
-	if err != nil {
-		d.report(d.start(node), fmt.Sprintf("%s is %v, out of range", path, typed.Value), "give a number between -2147483648 and 2147483647")
-		return
-	}
-	target.SetInt(value)
-}
-
-func (d *decoder) number(node ast.Node, target reflect.Value, path string) {
-	switch typed := node.(type) {
-	case *ast.FloatNode:
-		target.SetFloat(typed.Value)
-	case *ast.IntegerNode:
-		value, err := strconv.ParseFloat(fmt.Sprint(typed.Value), 64)
-		if err == nil {
-			target.SetFloat(value)
-		}
-	default:
-		d.wrongType(node, path, "a number")
-	}
-}
-
-func (d *decoder) bytes(node ast.Node, target reflect.Value, path string) {
-	const wanted = "a size such as 14GiB, 300MiB or a number of bytes"
-	switch node.(type) {
-	case *ast.StringNode, *ast.IntegerNode:
-		size, err := ParseBytes(node.GetToken().Value)
-		if err != nil {
-			d.report(d.start(node), fmt.Sprintf("%s: %v", path, err), "give "+wanted)
-			return
-		}
-		target.SetInt(int64(size))
-	default:
-		d.wrongType(node, path, wanted)
-	}
-}
-
-func (d *decoder) duration(node ast.Node, target reflect.Value, path string) {
-	const wanted = "a time span such as 30s or 1m30s"
-	typed, ok := node.(*ast.StringNode)
-	if !ok {
-		d.wrongType(node, path, wanted)
-		return
-	}
-	span, err := time.ParseDuration(typed.Value)
-	if err != nil {
-		d.report(d.start(node), fmt.Sprintf("%s: %q is no time span", path, typed.Value), "give "+wanted)
-		return
-	}
-	target.SetInt(int64(span))
-}
-
-func (d *decoder) wrongType(node ast.Node, path, wanted string) {
-	d.report(d.start(node), fmt.Sprintf("%s is %s", path, nodeTypeName(node)), "give "+wanted)
-}
-
-func nodeTypeName(node ast.Node) string {
-	switch node.(type) {
-	case *ast.MappingNode, *ast.MappingValueNode:
-		return "a mapping"
-	case *ast.SequenceNode:
-		return "a list"
-	case *ast.StringNode, *ast.LiteralNode:
-		return "text"
-	case *ast.IntegerNode:
-		return "a whole number"
-	case *ast.FloatNode, *ast.InfinityNode, *ast.NanNode:
-		return "a number with a fraction"
-	case *ast.BoolNode:
-		return "true or false"
-	case *ast.NullNode:
-		return "empty"
-	default:
-		return "of a kind that is not taken"
-	}
-}
-
-// remedyForName proposes the known name that is nearest to the given one.
-func remedyForName(given string, known []string) string {
-	best, bestDistance := "", len(given)/2+1
-	for _, name := range known {
-		if distance := editDistance(strings.ToLower(given), strings.ToLower(name)); distance < bestDistance {
-			best, bestDistance = name, distance
-		}
-	}
-	if best != "" {
-		return fmt.Sprintf("did you mean %q", best)
-	}
-	return "known are " + strings.Join(known, ", ")
-}
-
-// editDistance counts the single-byte changes that turn one text into the
-// other.
-func editDistance(left, right string) int {
-	row := make([]int, len(right)+1)
-	for column := range row {
-		row[column] = column
-	}
-	for leftIndex := range len(left) {
-		diagonal := row[0]
-		row[0] = leftIndex + 1
-		for rightIndex := range len(right) {
-			substituted := diagonal
-			if left[leftIndex] != right[rightIndex] {
-				substituted++
-			}
-			diagonal = row[rightIndex+1]
-			row[rightIndex+1] = min(substituted, row[rightIndex]+1, diagonal+1)
-		}
-	}
-	return row[len(right)]
-}
--- a/internal/spec/load.go
+++ b/internal/spec/load.go
@@ -38,7 +38,7 @@
 	for _, path := range paths {
 		loader.loadPath(path)
 	}
-	loader.findings = append(loader.findings, check(loader.set, o)...)
+	loader.findings = append(loader.findings, check(&loader.set, o)...)
 	return loader.set, loader.findings.sorted()
 }
 
@@ -46,7 +46,7 @@
 func (o Options) Parse(file string, content []byte) (Set, Findings) {
 	loader := loader{set: Set{unread: make(map[reference]bool)}}
 	loader.loadContent(file, content)
-	loader.findings = append(loader.findings, check(loader.set, o)...)
+	loader.findings = append(loader.findings, check(&loader.set, o)...)
 	return loader.set, loader.findings.sorted()
 }
 
@@ -154,7 +154,7 @@
 
 var (
 	kindLine = regexp.MustCompile(`(?m)^kind:[ \t]*(\w+)`)
-	nameLine = regexp.MustCompile(`(?m)^[ \t]+name:[ \t]*([^\s#]+)`)
+	nameLine = regexp.MustCompile(`\bname:[ \t]*([^\s#,}]+)`)
 )
 
 func (l *loader) reportSyntax(file string, document document, err error) {
@@ -177,17 +177,14 @@
 }
 
 func (l *loader) decodeDocument(file string, line int, body ast.Node) {
-	decoder := &decoder{file: file, line: line, places: make(map[string]Position)}
+	decoder := &decoder{file: file, line: line, places: make(map[string]Position), faulty: make(map[string]bool)}
 	object := decoder.object(body)
 	l.findings = append(l.findings, decoder.findings...)
 	if object == nil {
 		return
 	}
 	object.places = decoder.places
-	object.faulty = make(map[Position]bool)
-	for _, finding := range decoder.findings {
-		object.faulty[finding.Position] = true
-	}
+	object.faulty = decoder.faulty
 	l.set.objects = append(l.set.objects, object)
 }
 
--- a/internal/spec/set.go
+++ b/internal/spec/set.go
@@ -26,8 +26,8 @@
 	// places holds where each field's value stands, by a path such as
 	// spec.versions[0].memory; the empty path is the document itself.
 	places map[string]Position
-	// faulty holds the places at which reading already found a mistake.
-	faulty map[Position]bool
+	// faulty holds the paths at which reading already found a mistake.
+	faulty map[string]bool
 }
 
 // Place returns where the field of the path stands, or the nearest enclosing
@@ -122,38 +122,10 @@
 			found = append(found, object)
 		}
 	}
-	slices.SortStableFunc(found, func(left, right *Object) int {
-		return strings.Compare(left.Metadata.Name, right.Metadata.Name)
-	})
+	slices.SortStableFunc(found, compareNames)
 	return found
 }
 
-func (s Set) find(kind Kind, name string) *Object {
-	for _, object := range s.objects {
-		if object.Kind == kind && object.Metadata.Name == name {
-			return object
-		}
-	}
-	return nil
-}
-
-// names lists the names of a kind, for remedies.
-func (s Set) names(kind Kind) string {
-	var names []string
-	for _, object := range s.byKind(kind) {
-		names = append(names, object.Metadata.Name)
-	}
-	names = slices.Compact(names)
-	if len(names) == 0 {
-		return "none is declared"
-	}
-	const shown = 8
-	if len(names) > shown {
-		return fmt.Sprintf("%s and %d more", strings.Join(names[:shown], ", "), len(names)-shown)
-	}
-	return strings.Join(names, ", ")
-}
-
 // Canonical returns the JSON of a kind's spec in its one form.
 func Canonical(kind Kind, raw json.RawMessage) (json.RawMessage, error) {
 	target := newSpec(kind)
