Apply declarations through the object API, and name whose change won

Cause: the commands had no store yet, and wrong command lines ended with 1 like any other failure.

Change: the commands use the object API's client; each write is bounded on its own, so that one lost answer does not take the time of the run. A conflict names the version, the operator and the change that won; the very same change made by another is no conflict. Every error in the command line ends with 2.

--- a/cmd/spanlanding/apply.go
+++ b/cmd/spanlanding/apply.go
@@ -8,6 +8,7 @@
 	"os/user"
 	"path/filepath"
 
+	"github.com/joomcode/errorx"
 	"github.com/urfave/cli/v3"
 
 	"github.com/spanlanding/spanlanding/internal/operator"
@@ -23,7 +24,7 @@
 
 func planFlags() []cli.Flag {
 	return []cli.Flag{
-		outputFlag(), platformFlag(), serverMemoryFlag(), timeoutFlag(defaultTimeout),
+		outputFlag(), platformFlag(), serverMemoryFlag(), timeoutFlag(defaultApplyTimeout),
 		&cli.StringFlag{Name: flagOwner, Usage: "`NAME` of the set of declarations; default is the folder's name"},
 		&cli.BoolFlag{Name: flagPrune, Usage: "delete the set's objects that are no longer declared"},
 		&cli.BoolFlag{Name: flagTakeOver, Usage: "change also objects that belong to another set"},
@@ -44,10 +45,7 @@
 func runApply(ctx context.Context, command *cli.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, command.Duration(flagTimeout))
 	defer cancel()
-	store, err := openStore(command.String(flagPlatform))
-	if err != nil {
-		return err
-	}
+	store := openStore(command.String(flagPlatform))
 	plan, err := makePlan(ctx, command, store)
 	if err != nil {
 		return err
@@ -73,9 +71,9 @@
 	if err != nil {
 		return operator.Plan{}, err
 	}
-	listed, err := store.List(ctx)
+	listed, err := store.List(ctx, "")
 	if err != nil {
-		return operator.Plan{}, operator.ErrUnreachable.Wrap(err, "the store did not list its objects; nothing was changed")
+		return operator.Plan{}, errorx.Decorate(err, "the store did not list its objects; nothing was changed")
 	}
 	return operator.NewPlan(set.Objects(), listed.Objects, operator.PlanOptions{
 		Owner: owner, Prune: command.Bool(flagPrune), TakeOver: command.Bool(flagTakeOver),
--- a/cmd/spanlanding/diff.go
+++ b/cmd/spanlanding/diff.go
@@ -22,10 +22,7 @@
 func runDiff(ctx context.Context, command *cli.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, command.Duration(flagTimeout))
 	defer cancel()
-	store, err := openStore(command.String(flagPlatform))
-	if err != nil {
-		return err
-	}
+	store := openStore(command.String(flagPlatform))
 	plan, err := makePlan(ctx, command, store)
 	if err != nil {
 		return err
--- a/cmd/spanlanding/flags.go
+++ b/cmd/spanlanding/flags.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -18,6 +19,8 @@
 
 	// defaultTimeout bounds a command that names no other bound.
 	defaultTimeout = 10 * time.Second
+	// defaultApplyTimeout leaves time for many objects at a slow store.
+	defaultApplyTimeout = 30 * time.Second
 
 	flagOutput       = "output"
 	flagPlatform     = "platform"
@@ -31,7 +34,7 @@
 		Name: flagOutput, Aliases: []string{"o"}, Value: outputText, Usage: "text or json",
 		Validator: func(value string) error {
 			if value != outputText && value != outputJSON {
-				return operator.ErrUsage.New("output %q; give text or json", value)
+				return errors.New("give text or json")
 			}
 			return nil
 		},
--- a/cmd/spanlanding/get.go
+++ b/cmd/spanlanding/get.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 
+	"github.com/joomcode/errorx"
 	"github.com/urfave/cli/v3"
 
 	"github.com/spanlanding/spanlanding/internal/operator"
@@ -23,29 +24,26 @@
 func runGet(ctx context.Context, command *cli.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, command.Duration(flagTimeout))
 	defer cancel()
-	store, err := openStore(command.String(flagPlatform))
-	if err != nil {
-		return err
-	}
+	store := openStore(command.String(flagPlatform))
 	kind, name := command.Args().Get(0), command.Args().Get(1)
 	if name != "" {
 		return getOne(ctx, command, store, platform.Key{Kind: kind, Name: name})
 	}
-	listed, err := store.List(ctx)
+	listed, err := store.List(ctx, "")
 	if err != nil {
-		return operator.ErrUnreachable.Wrap(err, "the store did not list its objects")
+		return errorx.Decorate(err, "the store did not list its objects")
 	}
 	listed.Objects = operator.OfKind(listed.Objects, kind)
 	return output(command, listed, func(writer io.Writer) { operator.RenderObjects(writer, listed) })
 }
 
 func getOne(ctx context.Context, command *cli.Command, store operator.Store, key platform.Key) error {
-	object, found, err := store.Get(ctx, key)
-	if err != nil {
-		return operator.ErrUnreachable.Wrap(err, "the store did not answer")
-	}
-	if !found {
+	object, err := store.Get(ctx, key)
+	if errorx.IsOfType(err, platform.NotFound) {
 		return operator.ErrNotFound.New("no %s %q in the store", key.Kind, key.Name)
 	}
+	if err != nil {
+		return errorx.Decorate(err, "the store did not answer")
+	}
 	return output(command, object, func(writer io.Writer) { operator.RenderObject(writer, object) })
 }
--- a/cmd/spanlanding/main.go
+++ b/cmd/spanlanding/main.go
@@ -19,13 +19,13 @@
 	defer stop()
 	err := newApp().Run(ctx, os.Args)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "spanlanding:", err)
+		fmt.Fprintln(os.Stderr, "spanlanding: "+operator.Message(err))
 	}
 	os.Exit(int(operator.CodeOf(err)))
 }
 
 func newApp() *cli.Command {
-	return &cli.Command{
+	app := &cli.Command{
 		Name:        "spanlanding",
 		Usage:       "serve rarely used language models, run by declarations",
 		Description: exitCodes,
@@ -39,12 +39,25 @@
 			waitCommand(),
 			drainCommand(),
 		},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return operator.ErrUsage.Wrap(err, "the command line is wrong")
-		},
+		Action: unknownCommand,
 		// main prints the error and picks the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
+	for _, command := range append(app.Commands, app) {
+		command.OnUsageError = usageError
+	}
+	return app
+}
+
+func usageError(_ context.Context, command *cli.Command, err error, _ bool) error {
+	return operator.ErrUsage.Wrap(err, "%s (see %s --help)", command.Name, command.FullName())
+}
+
+func unknownCommand(_ context.Context, command *cli.Command) error {
+	if name := command.Args().First(); name != "" {
+		return operator.ErrUsage.New("no command %q (see spanlanding --help)", name)
+	}
+	return cli.ShowRootCommandHelp(command)
 }
 
 const exitCodes = `Exit codes: 0 done, 1 failed, 2 wrong command line, 3 invalid declarations or
--- /dev/null
+++ b/cmd/spanlanding/main_test.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/spanlanding/spanlanding/internal/operator"
+	"github.com/spanlanding/spanlanding/internal/standin/httpdriver"
+	"github.com/spanlanding/spanlanding/internal/standin/machines"
+)
+
+// run starts a command and returns its exit code and what it printed.
+func run(t *testing.T, arguments ...string) (operator.ExitCode, string) {
+	t.Helper()
+	var out bytes.Buffer
+	app := newApp()
+	app.Writer, app.ErrWriter = &out, &out
+	err := app.Run(t.Context(), append([]string{"spanlanding"}, arguments...))
+	return operator.CodeOf(err), out.String()
+}
+
+func TestExitCodes(t *testing.T) {
+	standIn := httpdriver.NewPlatform(t.Context(), httpdriver.PlatformOptions{
+		Machines: machines.Options{Lag: machines.DefaultLag}, History: 1000,
+	})
+	server := httptest.NewServer(standIn.Handler())
+	t.Cleanup(server.Close)
+	at := "--platform=" + server.URL
+	const fjordkurv = "../../examples/fjordkurv"
+	// In order: later cases rely on what earlier ones wrote.
+	cases := []struct {
+		line string
+		want operator.ExitCode
+	}{
+		{"validate " + fjordkurv, operator.ExitDone},
+		{"validate ../../examples/broken", operator.ExitInvalid},
+		{"validate --server-memory=16GiB " + fjordkurv, operator.ExitInvalid},
+		{"validate", operator.ExitUsage},
+		{"validate --nothing " + fjordkurv, operator.ExitUsage},
+		{"validate -o yaml " + fjordkurv, operator.ExitUsage},
+		{"nothing", operator.ExitUsage},
+		{"apply " + fjordkurv, operator.ExitUsage},
+		{"apply --platform=127.0.0.1:1 " + fjordkurv, operator.ExitUnreachable},
+		{"diff " + at + " " + fjordkurv, operator.ExitDifferent},
+		{"apply " + at + " ../../examples/broken", operator.ExitInvalid},
+		{"get " + at + " Model kurv-chat", operator.ExitNotFound},
+		{"apply " + at + " --by anna " + fjordkurv, operator.ExitDone},
+		{"diff " + at + " " + fjordkurv, operator.ExitDone},
+		{"apply " + at + " --owner=other " + fjordkurv, operator.ExitConflict},
+		{"get " + at + " Model kurv-chat", operator.ExitDone},
+		{"get " + at + " model", operator.ExitDone},
+		{"status --node=127.0.0.1:1", operator.ExitUnreachable},
+		{"wait --node=127.0.0.1:1 --version=1 --timeout=50ms", operator.ExitUnreachable},
+		{"wait --node=127.0.0.1:1", operator.ExitUsage},
+		{"drain 127.0.0.1:1", operator.ExitUnreachable},
+		{"drain vest-a-1", operator.ExitUsage},
+	}
+	for _, test := range cases {
+		if got, text := run(t, strings.Fields(test.line)...); got != test.want {
+			t.Errorf("%s: exit code %d, want %d\n%s", test.line, got, test.want, text)
+		}
+	}
+}
+
+func TestFindingsAsJSON(t *testing.T) {
+	_, text := run(t, "validate", "-o", "json", "../../examples/broken")
+	var report validation
+	if err := json.Unmarshal([]byte(text), &report); err != nil {
+		t.Fatalf("%v in:\n%s", err, text)
+	}
+	if report.Valid || len(report.Findings) == 0 || report.Findings[0].Line == 0 {
+		t.Errorf("the report is %+v", report)
+	}
+}
--- a/cmd/spanlanding/store.go
+++ b/cmd/spanlanding/store.go
@@ -2,9 +2,10 @@
 
 import (
 	"github.com/spanlanding/spanlanding/internal/operator"
+	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
-// openStore returns the object API at the URL.
-func openStore(url string) (operator.Store, error) {
-	return nil, operator.ErrUnreachable.New("%s: the store's client is not built yet", url)
+// openStore returns the object API at the URL; operators call from no zone.
+func openStore(url string) operator.Store {
+	return platform.NewClient(url, "")
 }
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -3,13 +3,19 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
 
 	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
+// writeTimeout bounds one write with its reading back, so that one lost answer
+// does not take the time of the whole run.
+const writeTimeout = 5 * time.Second
+
 // Outcome is what became of one change.
 type Outcome string
 
@@ -23,7 +29,9 @@
 	OutcomeConflict Outcome = "conflict"
 	// OutcomeUnknown: the store gave no answer; applying again settles it.
 	OutcomeUnknown Outcome = "unknown"
-	// OutcomeNotTried: an earlier change did not succeed.
+	// OutcomeRefused: the store refused the write; nothing changed.
+	OutcomeRefused Outcome = "refused"
+	// OutcomeNotTried: the store was not reached, or an earlier change did not succeed.
 	OutcomeNotTried Outcome = "not-tried"
 )
 
@@ -96,15 +104,16 @@
 	object := change.After
 	object.ChangedBy = writer.By
 	object.ChangeID = fmt.Sprintf("%s/%s/%s", writer.RunID, object.Kind, object.Name)
-	written, outcome, err := write(ctx, store, change.Action, object, change.Before.Version)
+	bounded, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	written, outcome, err := write(bounded, store, change.Action, object, change.Before.Version)
 	if err == nil {
 		applied.Outcome, applied.Version = outcome, written.Version
 		return applied, nil
 	}
-	var conflict *ConflictError
-	if !errors.As(err, &conflict) {
-		applied.Outcome = OutcomeUnknown
-		return applied, ErrUnreachable.Wrap(err, "%s %q: no answer from the store; apply again to settle it", object.Kind, object.Name)
+	conflict, lost := platform.AsConflict(err)
+	if !lost {
+		return unwritten(applied, err)
 	}
 	if alreadySo(change, conflict.Current) {
 		applied.Outcome, applied.Version = OutcomeUnchanged, conflict.Current.Version
@@ -112,13 +121,27 @@
 	}
 	applied.Outcome, applied.Version = OutcomeConflict, conflict.Current.Version
 	applied.ChangedBy, applied.ChangeID = conflict.Current.ChangedBy, conflict.Current.ChangeID
-	return applied, ErrConflict.Wrap(conflict, "%s %q: not written over version %d", object.Kind, object.Name, change.Before.Version)
+	return applied, ErrConflict.New("%s %q was not written over version %d: %s", object.Kind, object.Name, change.Before.Version, describe(conflict.Current))
+}
+
+// unwritten tells a write that may have taken effect from one that has not.
+func unwritten(applied Applied, err error) (Applied, error) {
+	if errorx.IsOfType(err, platform.Unavailable) && !errorx.IsOfType(err, platform.NotSent) {
+		applied.Outcome = OutcomeUnknown
+		return applied, ErrUnreachable.Wrap(err, "%s %q: no answer from the store; apply again to settle it", applied.Kind, applied.Name)
+	}
+	applied.Outcome = OutcomeNotTried
+	if errorx.IsOfType(err, platform.NotSent) {
+		return applied, ErrUnreachable.Wrap(err, "%s %q was not written: the store cannot be reached", applied.Kind, applied.Name)
+	}
+	applied.Outcome = OutcomeRefused
+	return applied, err
 }
 
 func write(ctx context.Context, store Store, action Action, object platform.Object, expected uint64) (platform.Object, Outcome, error) {
 	switch action {
 	case ActionDelete:
-		written, err := store.Delete(ctx, object, expected)
+		written, err := store.Delete(ctx, object.Key(), expected, object.ChangeID, object.ChangedBy)
 		return written, OutcomeDeleted, err
 	case ActionCreate:
 		written, err := store.Put(ctx, object, 0)
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -1,10 +1,11 @@
 package operator
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
 // ExitCode is what a command ends with; scripts rely on the numbers.
@@ -55,8 +56,7 @@
 	if err == nil {
 		return ExitDone
 	}
-	var conflict *ConflictError
-	if errors.As(err, &conflict) {
+	if _, conflict := platform.AsConflict(err); conflict {
 		return ExitConflict
 	}
 	for _, entry := range []struct {
@@ -70,6 +70,8 @@
 		{ErrTimeout, ExitTimeout},
 		{ErrDifferent, ExitDifferent},
 		{ErrNotFound, ExitNotFound},
+		{platform.NotFound, ExitNotFound},
+		{platform.Unavailable, ExitUnreachable},
 	} {
 		if errorx.IsOfType(err, entry.kind) {
 			return entry.code
@@ -78,17 +80,31 @@
 	return ExitFailed
 }
 
-// Error says which version and whose change stands.
-func (c *ConflictError) Error() string {
-	if c.Current.Version == 0 {
-		return fmt.Sprintf("%s %q is not in the store any more", c.Current.Kind, c.Current.Name)
+// describe says which version of an object stands, and whose change it is.
+func describe(current platform.Object) string {
+	if current.Version == 0 {
+		return "it is not in the store any more"
+	}
+	what := "version %d by %s won (change %s)"
+	if current.Deleted {
+		what = "version %d by %s deleted it (change %s)"
+	}
+	return fmt.Sprintf(what, current.Version, orUnnamed(current.ChangedBy), orUnnamed(current.ChangeID))
+}
+
+// Message returns the error's text for people, without the names of types.
+func Message(err error) string {
+	typed := errorx.Cast(err)
+	if typed == nil {
+		return err.Error()
+	}
+	if typed.Cause() == nil {
+		return typed.Message()
 	}
-	what := "stands"
-	if c.Current.Deleted {
-		what = "deleted it"
+	if typed.Message() == "" {
+		return Message(typed.Cause())
 	}
-	return fmt.Sprintf("%s %q: version %d %s, changed by %s (change %s)", c.Current.Kind, c.Current.Name,
-		c.Current.Version, what, orUnnamed(c.Current.ChangedBy), orUnnamed(c.Current.ChangeID))
+	return typed.Message() + ": " + Message(typed.Cause())
 }
 
 func orUnnamed(text string) string {
--- a/internal/operator/objects.go
+++ b/internal/operator/objects.go
@@ -28,17 +28,21 @@
 // RenderObjects prints a list of objects for people.
 func RenderObjects(writer io.Writer, listed platform.ObjectList) {
 	rows := table{}
-	rows.add("KIND", "NAME", "VERSION", "BY", "LABELS")
+	rows.add("KIND", "NAME", "VERSION", "BY", "SET", "LABELS")
 	for _, object := range listed.Objects {
-		rows.add(object.Kind, object.Name, fmt.Sprint(object.Version), object.ChangedBy, labelText(object.Labels))
+		rows.add(object.Kind, object.Name, fmt.Sprint(object.Version), object.ChangedBy, object.Labels[OwnerLabel], labelText(object.Labels))
 	}
 	rows.write(writer)
 	fmt.Fprintf(writer, "%d objects, store version %d\n", len(listed.Objects), listed.Version)
 }
 
+// labelText leaves out the owner, which is shown apart.
 func labelText(labels map[string]string) string {
 	pairs := make([]string, 0, len(labels))
 	for _, key := range slices.Sorted(maps.Keys(labels)) {
+		if key == OwnerLabel {
+			continue
+		}
 		pairs = append(pairs, key+"="+labels[key])
 	}
 	return strings.Join(pairs, ",")
@@ -46,8 +50,8 @@
 
 // RenderObject prints one object with its spec.
 func RenderObject(writer io.Writer, object platform.Object) {
-	fmt.Fprintf(writer, "%s %s\nversion: %d, by %s, change %s\nlabels: %s\n", object.Kind, object.Name,
-		object.Version, orUnnamed(object.ChangedBy), orUnnamed(object.ChangeID), labelText(object.Labels))
+	fmt.Fprintf(writer, "%s %s\nversion: %d, by %s, change %s\nset: %s\nlabels: %s\n", object.Kind, object.Name,
+		object.Version, orUnnamed(object.ChangedBy), orUnnamed(object.ChangeID), object.Labels[OwnerLabel], labelText(object.Labels))
 	var indented bytes.Buffer
 	if err := json.Indent(&indented, object.Spec, "", "  "); err != nil {
 		indented.Reset()
--- /dev/null
+++ b/internal/operator/store_test.go
@@ -0,0 +1,84 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/spec"
+	"github.com/spanlanding/spanlanding/internal/standin/faults"
+	"github.com/spanlanding/spanlanding/internal/standin/httpdriver"
+	"github.com/spanlanding/spanlanding/internal/standin/machines"
+)
+
+// testStore is the object API's stand-in over a real socket.
+type testStore struct {
+	*platform.Client
+	test *testing.T
+	base string
+}
+
+func newTestStore(t *testing.T) testStore {
+	t.Helper()
+	standIn := httpdriver.NewPlatform(t.Context(), httpdriver.PlatformOptions{
+		Machines: machines.Options{Lag: machines.DefaultLag}, History: 10_000,
+	})
+	server := httptest.NewServer(standIn.Handler())
+	t.Cleanup(server.Close)
+	client := platform.NewClient(server.URL, "")
+	t.Cleanup(client.Close)
+	return testStore{Client: client, test: t, base: server.URL}
+}
+
+func (s testStore) fault(set faults.Set) {
+	s.test.Helper()
+	body, err := json.Marshal(set)
+	if err != nil {
+		s.test.Fatal(err)
+	}
+	response, err := http.Post(s.base+faults.Path, "application/json", bytes.NewReader(body))
+	if err != nil {
+		s.test.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		s.test.Fatalf("faults were answered %s", response.Status)
+	}
+}
+
+func (s testStore) list() platform.ObjectList {
+	s.test.Helper()
+	listed, err := s.List(context.Background(), "")
+	if err != nil {
+		s.test.Fatal(err)
+	}
+	return listed
+}
+
+func (s testStore) plan(declared []spec.Declared, options PlanOptions) Plan {
+	s.test.Helper()
+	plan, err := NewPlan(declared, s.list().Objects, options)
+	if err != nil {
+		s.test.Fatal(err)
+	}
+	return plan
+}
+
+// declare reads YAML that must be valid.
+func declare(t *testing.T, text string) []spec.Declared {
+	t.Helper()
+	set, findings := spec.Options{}.Parse("test.yaml", []byte(text))
+	if err := findings.Err(); err != nil {
+		t.Fatal(err)
+	}
+	return set.Objects()
+}
+
+const modelA = "kind: Model\nmetadata: {name: a}\nspec: {versions: [{name: v1, memory: 1GiB, checkpoint: 1GiB}]}\n"
+const modelB = "kind: Model\nmetadata: {name: b}\nspec: {versions: [{name: v1, memory: 2GiB, checkpoint: 2GiB}]}\n"
+const adapterOfA = "kind: Adapter\nmetadata: {name: x}\nspec: {model: a, memory: 1MiB}\n"
+const separator = "---\n"
--- a/internal/spec/ambiguity.go
+++ b/internal/spec/ambiguity.go
@@ -14,7 +14,7 @@
 }
 
 func rankOf(selector *Selector) rank {
-	return rank{precedence: selector.Precedence, conditions: conditionCount(selector.Match)}
+	return rank{precedence: selector.Precedence, conditions: selector.Match.Conditions()}
 }
 
 // ambiguousSelectors reports pairs of which neither goes before the other
@@ -113,10 +113,6 @@
 	return !sameEffect(left, right) && satisfiable(append(conditions(left.Match), conditions(right.Match)...))
 }
 
-func conditionCount(selector LabelSelector) int {
-	return len(selector.MatchLabels) + len(selector.MatchExpressions)
-}
-
 // sameEffect reports whether it makes no difference which of two selectors is
 // taken. Limits count per selector, so selectors with limits always differ.
 func sameEffect(left, right *Selector) bool {
@@ -161,7 +157,7 @@
 		}
 	}
 	for _, labels := range candidates {
-		if holds(LabelSelector{MatchExpressions: conditions}, labels) {
+		if (LabelSelector{MatchExpressions: conditions}).Matches(labels) {
 			return true
 		}
 	}
--- a/internal/spec/ambiguity_test.go
+++ b/internal/spec/ambiguity_test.go
@@ -34,7 +34,7 @@
 				if second != "" {
 					labels["b"] = second
 				}
-				found = found || holds(LabelSelector{MatchExpressions: all}, labels)
+				found = found || LabelSelector{MatchExpressions: all}.Matches(labels)
 			}
 		}
 		if got := satisfiable(all); got != found {
--- a/internal/spec/check_selectors.go
+++ b/internal/spec/check_selectors.go
@@ -47,7 +47,7 @@
 func (c *checker) selected(selector LabelSelector) []*Object {
 	var found []*Object
 	for _, deployment := range c.index.candidates(selector) {
-		if holds(selector, deployment.Metadata.Labels) {
+		if selector.Matches(deployment.Metadata.Labels) {
 			found = append(found, deployment)
 		}
 	}
