Let operators race in a test, with and without lost answers

Cause: nothing yet proved that a race of operators loses or doubles no accepted change.

Change: three operators apply plans made before any was carried out, ten rounds, over real sockets; each accepted write must take one version of the store, one operator wins, and each loser is told of another's change.

--- /dev/null
+++ b/internal/operator/race_test.go
@@ -0,0 +1,100 @@
+package operator
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/spec"
+	"github.com/spanlanding/spanlanding/internal/standin/faults"
+)
+
+// raceOutcome is what one operator was told in one round.
+type raceOutcome struct {
+	result ApplyResult
+	err    error
+}
+
+// race lets operators apply plans that were made before any was carried out.
+func race(t *testing.T, store testStore, plans []Plan, round int) []raceOutcome {
+	t.Helper()
+	outcomes := make([]raceOutcome, len(plans))
+	var group sync.WaitGroup
+	for index, plan := range plans {
+		group.Go(func() {
+			writer := Writer{By: fmt.Sprintf("operator-%d", index), RunID: fmt.Sprintf("%d-%d", round, index)}
+			outcomes[index].result, outcomes[index].err = Apply(t.Context(), store, plan, writer)
+		})
+	}
+	group.Wait()
+	return outcomes
+}
+
+// TestRacingOperators lets three operators change the same objects at the
+// same moment, again and again. Each accepted write must take one version of
+// the store and no more, exactly one operator may win each first object, and
+// each loser must be told of a change that another operator made.
+func TestRacingOperators(t *testing.T) {
+	for _, lost := range []int{0, -1} {
+		t.Run(fmt.Sprintf("lost answers %d", lost), func(t *testing.T) {
+			store := newTestStore(t)
+			store.fault(faults.Set{LoseAnswers: lost})
+			for round := range 10 {
+				before := store.list().Version
+				outcomes := race(t, store, racingPlans(t, store, round), round)
+				accepted, winners := 0, 0
+				for index, outcome := range outcomes {
+					accepted += outcome.result.Changed()
+					if outcome.result.Objects[0].Outcome != OutcomeConflict {
+						winners++
+					}
+					checkLoser(t, index, outcome)
+				}
+				if after := store.list().Version; int(after-before) != accepted {
+					t.Errorf("round %d: %d writes were accepted, the store took %d", round, accepted, after-before)
+				}
+				if winners != 1 {
+					t.Errorf("round %d: %d operators won", round, winners)
+				}
+			}
+		})
+	}
+}
+
+func racingPlans(t *testing.T, store testStore, round int) []Plan {
+	t.Helper()
+	stored := store.list().Objects
+	var plans []Plan
+	for index := range 3 {
+		memory := fmt.Sprintf("memory: %dMiB", 1+round*10+index)
+		declared := declare(t, strings.Replace(modelA+separator+modelB, "memory: 1GiB", memory, 1))
+		plans = append(plans, mustPlan(t, declared, stored))
+	}
+	return plans
+}
+
+func mustPlan(t *testing.T, declared []spec.Declared, stored []platform.Object) Plan {
+	t.Helper()
+	plan, err := NewPlan(declared, stored, PlanOptions{Owner: "set"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return plan
+}
+
+func checkLoser(t *testing.T, index int, outcome raceOutcome) {
+	t.Helper()
+	first := outcome.result.Objects[0]
+	if first.Outcome != OutcomeConflict {
+		if outcome.err != nil {
+			t.Errorf("the winner was told %v", outcome.err)
+		}
+		return
+	}
+	own := fmt.Sprintf("operator-%d", index)
+	if CodeOf(outcome.err) != ExitConflict || first.ChangedBy == own || !strings.Contains(Message(outcome.err), first.ChangedBy) {
+		t.Errorf("%s lost to %q and was told %v", own, first.ChangedBy, outcome.err)
+	}
+}
