Hold validate against the catalog on both examples

Cause: two places check declarations, the reader of files and the node's catalog; what one passes and the other leaves out would vanish without a word.

Change: a test compiles both example fleets into a catalog, without problems, and follows three routes in each.

--- /dev/null
+++ b/internal/operator/catalog_test.go
@@ -0,0 +1,41 @@
+package operator
+
+import (
+	"testing"
+
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/spec"
+)
+
+// TestCatalogTakesWhatValidatePasses holds the two checks of declarations
+// against each other: what is valid must not be left out by a node.
+func TestCatalogTakesWhatValidatePasses(t *testing.T) {
+	routes := map[string]map[string]fleet.DeploymentName{
+		"fjordkurv": {"chat": "ingredient-chat", "box-swap": "box-swap", "replan": "overnight-replan"},
+		"holmgaard": {"alarm": "alarm-note", "fault-report": "fault-report", "letter": "owner-letters"},
+	}
+	for folder, jobs := range routes {
+		set, findings := spec.Load([]string{"../../examples/" + folder})
+		if err := findings.Err(); err != nil {
+			t.Fatal(err)
+		}
+		var objects []platform.Object
+		for index, declared := range set.Objects() {
+			object := desired(declared, folder)
+			object.Version = uint64(index + 1)
+			objects = append(objects, object)
+		}
+		snapshot, problems := catalog.Compile(uint64(len(objects)), objects)
+		for _, problem := range problems {
+			t.Errorf("%s: %v", folder, problem)
+		}
+		for job, want := range jobs {
+			route, found := snapshot.ModelRoute(map[string]string{"job": job, "model": "any"})
+			if !found || route.Deployment != want {
+				t.Errorf("%s: job=%s leads to %q, want %q", folder, job, route.Deployment, want)
+			}
+		}
+	}
+}
