Give the demo zone seeds, operators' addresses and a change that moves nothing

Cause: nodes take their seeds by zone, and no list names their operators' ports to the load's observer. Ruled out: reading them from the machine list, which holds only what the platform lists.

The change of declarations under way is one of the preferences.

--- a/cmd/spanlab/load.go
+++ b/cmd/spanlab/load.go
@@ -28,6 +28,7 @@
 		Usage: "put open-loop load on a running system and judge it by the back ends' books",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "nodes", Usage: "caller addresses of the nodes", Required: true},
+			&cli.StringSliceFlag{Name: "operators", Usage: "operators' addresses of the nodes, to watch the version in force"},
 			&cli.StringFlag{Name: "platform", Usage: "URL of the platform", Required: true},
 			&cli.StringSliceFlag{Name: "books", Usage: "URLs of books beside those of the listed machines"},
 			&cli.StringFlag{Name: "profile", Value: "fjordkurv", Usage: "fjordkurv or holmgaard"},
@@ -54,7 +55,7 @@
 	printer := &progressPrinter{to: os.Stderr}
 	summary, err := scenario.Run(ctx, scenario.Options{
 		Nodes: command.StringSlice("nodes"), Platform: platformURL(command.String("platform")),
-		Books: command.StringSlice("books"), Profile: command.String("profile"),
+		Operators: command.StringSlice("operators"), Books: command.StringSlice("books"), Profile: command.String("profile"),
 		Rate: command.Float("rate"), Duration: command.Duration("duration"), Seed: seed,
 		FaultsFile: command.String("faults"), HistoryFile: command.String("history"),
 		Answers:  engineAnswers{},
--- a/internal/lab/collect/collector.go
+++ b/internal/lab/collect/collector.go
@@ -22,6 +22,8 @@
 type Options struct {
 	// Platform is the base URL of the platform.
 	Platform string
+	// Operators are operators' addresses of nodes, beside those listed.
+	Operators []string
 	// Books are further URLs of books beside those of the listed machines.
 	Books []string
 	// Interval is the time between two samples.
@@ -43,7 +45,7 @@
 
 	mutex    sync.Mutex
 	backends map[string]string // book URL by back end name
-	nodes    map[string]string // operators' address by node name
+	nodes    map[string]bool   // operators' addresses
 	books    map[bookKey]check.BookSample
 	store    storeHistory
 	samples  []check.ConfigSample
@@ -62,11 +64,14 @@
 		options:  options,
 		client:   &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: samplers}},
 		backends: make(map[string]string),
-		nodes:    make(map[string]string),
+		nodes:    make(map[string]bool),
 		books:    make(map[bookKey]check.BookSample),
 		store:    newStoreHistory(),
 		problems: make(map[string]int),
 	}
+	for _, address := range options.Operators {
+		collector.nodes[address] = true
+	}
 	for _, url := range options.Books {
 		collector.backends[url] = url
 	}
@@ -117,8 +122,8 @@
 	for _, url := range backends {
 		group.Go(func() error { c.readBook(ctx, url, final); return nil })
 	}
-	for name, address := range nodes {
-		group.Go(func() error { c.readNode(ctx, name, address); return nil })
+	for address := range nodes {
+		group.Go(func() error { c.readNode(ctx, address); return nil })
 	}
 	// The reads count their own errors as problems.
 	_ = group.Wait()
@@ -144,7 +149,7 @@
 		case roleEngine, roleService:
 			c.backends[machine.Name] = "http://" + machine.Address + "/lab/books"
 		case roleNode:
-			c.nodes[machine.Name] = machine.Node.Operator
+			c.nodes[machine.Node.Operator] = true
 		}
 	}
 }
@@ -168,13 +173,13 @@
 	Members       []fleet.Member `json:"members"`
 }
 
-func (c *Collector) readNode(ctx context.Context, name, address string) {
+func (c *Collector) readNode(ctx context.Context, address string) {
 	var status nodeStatus
 	if err := c.get(ctx, "http://"+address+"/status", &status); err != nil {
 		// A node may be down; the checks judge the samples that there are.
 		return
 	}
-	sample := check.ConfigSample{At: time.Now(), Node: name, Version: status.ConfigVersion}
+	sample := check.ConfigSample{At: time.Now(), Node: string(status.Node), Version: status.ConfigVersion}
 	for _, member := range status.Members {
 		if member.Name == status.Node {
 			sample.BootID = member.BootID
--- a/internal/lab/load/profile.go
+++ b/internal/lab/load/profile.go
@@ -53,6 +53,8 @@
 		WholeShare: 0.2, CompletionsShare: 0.2,
 		MinTokens: 8, MaxTokens: 48, PrefixRepeats: 8,
 		Question: "Draft the box swaps of household",
+		Commands: map[string][]string{"/boxes/": {"/confirmation"}},
+		Lookups:  map[string][]string{"/slots/": {"/free"}},
 	},
 	"holmgaard": {
 		Name: "holmgaard", Popularity: 1.1, Bursts: 4, BurstPerNode: 2,
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -20,6 +20,8 @@
 	// Nodes are the caller addresses of the nodes.
 	Nodes    []string
 	Platform string
+	// Operators are the operators' addresses of the nodes.
+	Operators []string
 	// Books are URLs of books beside those of the listed machines.
 	Books    []string
 	Profile  string
@@ -74,7 +76,7 @@
 	if err != nil {
 		return report.Summary{}, err
 	}
-	collector := collect.New(collect.Options{Platform: options.Platform, Books: options.Books})
+	collector := collect.New(collect.Options{Platform: options.Platform, Operators: options.Operators, Books: options.Books})
 	stop, err := startCollecting(ctx, collector)
 	if err != nil {
 		return report.Summary{}, err
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -151,15 +151,27 @@
 }
 apply
 
-seeds=()
+declare -A gossip
 node_settings=()
 for zone in "${zones[@]}"; do
   for number in $(seq "$nodes_per_zone"); do
     take_ports 4
     node_settings+=("$zone $zone-$number $port")
-    [ "$number" -gt 1 ] || seeds+=("127.0.0.1:$((port + 3))")
+    gossip[$zone]+="127.0.0.1:$((port + 3)) "
   done
 done
+
+joined() { local IFS=,; echo "$*"; }
+
+# remote_seeds ZONE names one node of each other zone.
+remote_seeds() {
+  local zone seeds=()
+  for zone in "${zones[@]}"; do
+    [ "$zone" = "$1" ] || seeds+=("${gossip[$zone]%% *}")
+  done
+  echo "[$(joined "${seeds[@]}")]"
+}
+
 declare -A node_pid
 callers=()
 operators=()
@@ -174,7 +186,11 @@
   peer: 127.0.0.1:$((port + 2))
   gossip: 127.0.0.1:$((port + 3))
 platform: $platform
-seeds: [$(IFS=,; echo "${seeds[*]}")]
+seeds: [$(joined ${gossip[$zone]})]
+remoteSeeds: $(remote_seeds "$zone")
+weightStore:
+  loadsPerSecond: $load_rate
+  concurrentLoads: $load_concurrency
 SETTINGS
   start "$name" ./bin/spanlanding node --settings "$work/$name.yaml"
   node_pid[127.0.0.1:$port]=$started
@@ -185,14 +201,9 @@
 say "waiting until version $version is in force at ${#callers[@]} nodes"
 ./bin/spanlanding wait --node "${operators[0]}" --version "$version" --timeout 10s >&2
 
-# change declares one more selector, which matches nothing of the load.
+# change declares another weight of the preferences, which moves no model.
 change() {
-  cat >"$work/declared/demo-change.yaml" <<'CHANGE'
-kind: Preferences
-metadata: {name: fleet}
-spec:
-  coldStartWeight: 0.6
-CHANGE
+  sed -i 's/^\(  coldStartWeight: \).*/\10.55/' "$work/declared"/*.yaml
   apply
   ./bin/spanlanding wait --node "${operators[0]}" --version "$version" --timeout 5s >&2
 }
@@ -227,7 +238,8 @@
 
 say "load for $duration at $rate requests a second, seed $seed"
 mkfifo "$work/moments"
-./bin/spanlab load --nodes "$(IFS=,; echo "${callers[*]}")" --platform "$platform" --profile "$profile" \
+./bin/spanlab load --nodes "$(joined "${callers[@]}")" --operators "$(joined "${operators[@]}")" \
+  --platform "$platform" --profile "$profile" \
   --rate "$rate" --duration "$duration" --seed "$seed" --check --faults "$faults" \
   --history "$work/history.jsonl" -o "$output" >"$work/summary" 2>"$work/moments" &
 load=$!
