Run matrices of experiments and report them on one page

Change: package experiment reads a file (runner, matrix of policy, profile, load and fault, seeds), makes every run side by side, and compares two results with 95 % bootstrap intervals, by seed where both have the same ones. Runners come from a registry. Package report writes a page without any other file: tables, curves, time lines and the environment. Package batching is the first runner: one engine stand-in on a virtual clock.

Ruled out: stopping at the first run that fails; failures are reported together and the page shows the others.

--- a/cmd/spanlab/main.go
+++ b/cmd/spanlab/main.go
@@ -19,6 +19,7 @@
 			engineCommand(),
 			serviceCommand(),
 			loadCommand(),
+			experimentCommand(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
--- /dev/null
+++ b/internal/lab/report/plot.go
@@ -0,0 +1,102 @@
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/spanlanding/spanlanding/internal/lab/experiment"
+)
+
+// Sizes of a plot on the page.
+const (
+	plotWidth  = 15 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	// maxCurvePoints bounds the points of one curve, so that pages stay small.
+	maxCurvePoints = 400
+)
+
+// palette has colours that differ for most colour-blind readers too.
+var palette = []color.RGBA{
+	{0, 114, 178, 255}, {213, 94, 0, 255}, {0, 158, 115, 255}, {204, 121, 167, 255},
+	{86, 180, 233, 255}, {230, 159, 0, 255}, {0, 0, 0, 255}, {120, 94, 240, 255},
+}
+
+// curve is one named line.
+type curve struct {
+	name   string
+	points plotter.XYs
+}
+
+// figure is one plot with its lines.
+type figure struct {
+	title, x, y string
+	curves      []curve
+}
+
+// svg draws the figure for the inside of a page.
+func (f figure) svg() (template.HTML, error) {
+	drawn := plot.New()
+	drawn.Title.Text, drawn.X.Label.Text, drawn.Y.Label.Text = f.title, f.x, f.y
+	drawn.Legend.Top = true
+	drawn.Add(plotter.NewGrid())
+	for index, curve := range f.curves {
+		line, err := plotter.NewLine(curve.points)
+		if err != nil {
+			return "", fmt.Errorf("plot %s: %s: %w", f.title, curve.name, err)
+		}
+		line.Color = palette[index%len(palette)]
+		line.Width = vg.Points(1.5)
+		drawn.Add(line)
+		drawn.Legend.Add(curve.name, line)
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	drawn.Draw(draw.New(canvas))
+	var text bytes.Buffer
+	if _, err := canvas.WriteTo(&text); err != nil {
+		return "", fmt.Errorf("plot %s: %w", f.title, err)
+	}
+	return inline(text.String()), nil
+}
+
+// inline cuts off what may stand only at the top of a file.
+func inline(svg string) template.HTML {
+	if start := strings.Index(svg, "<svg"); start > 0 {
+		svg = svg[start:]
+	}
+	// The text is gonum's own drawing; names in it are escaped by vgsvg.
+	return template.HTML(svg)
+}
+
+// cumulative is the share of samples up to each value.
+func cumulative(samples []float64) plotter.XYs {
+	sorted := slices.Sorted(slices.Values(samples))
+	points := make(plotter.XYs, 0, min(len(sorted), maxCurvePoints)+1)
+	step := max(1, len(sorted)/maxCurvePoints)
+	for index := 0; index < len(sorted); index += step {
+		points = append(points, plotter.XY{X: sorted[index], Y: float64(index+1) / float64(len(sorted))})
+	}
+	if len(sorted) > 0 {
+		points = append(points, plotter.XY{X: sorted[len(sorted)-1], Y: 1})
+	}
+	return points
+}
+
+// overTime thins a series out to what a plot can show.
+func overTime(series []experiment.Point) plotter.XYs {
+	step := max(1, len(series)/maxCurvePoints)
+	points := make(plotter.XYs, 0, min(len(series), maxCurvePoints)+1)
+	for index := 0; index < len(series); index += step {
+		points = append(points, plotter.XY{X: series[index].Seconds, Y: series[index].Value})
+	}
+	return points
+}
