Keep legends off the curves, and note foreign pieces of a stream

Cause: the legend stood on the frame and on the curves' end, and a stream whose single pieces name another request was judged by its text only.

--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -244,6 +244,16 @@
 	}
 }
 
+func TestForeignPieceOfAStreamIsNoted(t *testing.T) {
+	piece := `data: {"id":%q,"choices":[{"delta":{"content":" x"}}]}` + "\n\n"
+	record := history.Record{RequestID: "own"}
+	readStream(t.Context(), &record, strings.NewReader(
+		fmt.Sprintf(piece, "own")+fmt.Sprintf(piece, "other")+fmt.Sprintf(piece, "own")+streamFinish+streamEnd))
+	if record.AnswerID != "other" {
+		t.Errorf("the identity noted is %q", record.AnswerID)
+	}
+}
+
 func TestConnectionsThatFail(t *testing.T) {
 	broken := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	defer broken.Close()
--- a/internal/lab/load/stream.go
+++ b/internal/lab/load/stream.go
@@ -16,6 +16,7 @@
 // answerChunk covers the forms in which text comes: a delta of a chat stream,
 // the text of a completions stream, a whole chat answer.
 type answerChunk struct {
+	ID      string         `json:"id"`
 	Choices []answerChoice `json:"choices"`
 	problem
 }
@@ -80,6 +81,7 @@
 		refuse(r.record, chunk.problem)
 		return
 	}
+	noteAnswerID(r.record, chunk.ID)
 	for _, choice := range chunk.Choices {
 		r.choice(choice)
 	}
@@ -106,6 +108,15 @@
 	r.text.WriteString(text)
 }
 
+// noteAnswerID keeps the identity that a piece of an answer names; one that is
+// not the request's own stays.
+func noteAnswerID(record *history.Record, id string) {
+	foreign := record.AnswerID != "" && record.AnswerID != string(record.RequestID)
+	if id != "" && !foreign {
+		record.AnswerID = id
+	}
+}
+
 // scanEvents calls the function for each event until the body ends.
 func scanEvents(body io.Reader, event func(name, data string)) error {
 	lines := bufio.NewReader(body)
@@ -155,6 +166,7 @@
 		fail(record, history.Malformed, fmt.Errorf("%d choices", len(answer.Choices)))
 		return
 	}
+	noteAnswerID(record, answer.ID)
 	record.FirstToken = time.Now()
 	record.Text = answer.Choices[0].content()
 	record.Finish = answer.Choices[0].FinishReason
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -6,6 +6,7 @@
 	"html/template"
 	"io"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/lab/experiment"
@@ -109,7 +110,8 @@
 }
 
 func (p place) title() string {
-	return fmt.Sprintf("%s, %s load %g, %s", p.metric, p.profile, p.load, p.fault)
+	parts := []string{p.metric, p.profile, fmt.Sprintf("load %g", p.load), p.fault}
+	return strings.Join(slices.DeleteFunc(parts, func(part string) bool { return part == "" }), ", ")
 }
 
 // figures draws each distribution over all seeds, and each series of the first
@@ -149,7 +151,7 @@
 func cumulativeFigures(order []place, samples map[place]map[string][]float64, policies []string) []figure {
 	drawn := make([]figure, 0, len(order))
 	for _, where := range order {
-		next := figure{title: where.title(), x: where.unit, y: "share of samples"}
+		next := figure{title: where.title(), x: where.unit, y: "share of samples", shares: true}
 		for _, policy := range policies {
 			if values := samples[where][policy]; len(values) > 0 {
 				next.curves = append(next.curves, curve{policy, cumulative(values)})
--- a/internal/lab/report/plot.go
+++ b/internal/lab/report/plot.go
@@ -21,6 +21,8 @@
 const (
 	plotWidth  = 15 * vg.Centimeter
 	plotHeight = 9 * vg.Centimeter
+	// legendMargin keeps the legend off the frame.
+	legendMargin = 3 * vg.Millimeter
 	// maxCurvePoints bounds the points of one curve, so that pages stay small.
 	maxCurvePoints = 400
 )
@@ -41,13 +43,20 @@
 type figure struct {
 	title, x, y string
 	curves      []curve
+	// shares is set for a curve of samples, which goes in steps from 0 to 1.
+	shares bool
 }
 
 // svg draws the figure for the inside of a page.
 func (f figure) svg() (template.HTML, error) {
 	drawn := plot.New()
 	drawn.Title.Text, drawn.X.Label.Text, drawn.Y.Label.Text = f.title, f.x, f.y
-	drawn.Legend.Top = true
+	drawn.Legend.Top = !f.shares
+	drawn.Legend.XOffs = -legendMargin
+	if f.shares {
+		drawn.Y.Min, drawn.Y.Max = 0, 1
+		drawn.Legend.YOffs = legendMargin
+	}
 	drawn.Add(plotter.NewGrid())
 	for index, curve := range f.curves {
 		line, err := plotter.NewLine(curve.points)
@@ -56,6 +65,9 @@
 		}
 		line.Color = palette[index%len(palette)]
 		line.Width = vg.Points(1.5)
+		if f.shares {
+			line.StepStyle = plotter.PostStep
+		}
 		drawn.Add(line)
 		drawn.Legend.Add(curve.name, line)
 	}
@@ -80,7 +92,10 @@
 // cumulative is the share of samples up to each value.
 func cumulative(samples []float64) plotter.XYs {
 	sorted := slices.Sorted(slices.Values(samples))
-	points := make(plotter.XYs, 0, min(len(sorted), maxCurvePoints)+1)
+	points := make(plotter.XYs, 0, min(len(sorted), maxCurvePoints)+2)
+	if len(sorted) > 0 {
+		points = append(points, plotter.XY{X: sorted[0], Y: 0})
+	}
 	step := max(1, len(sorted)/maxCurvePoints)
 	for index := 0; index < len(sorted); index += step {
 		points = append(points, plotter.XY{X: sorted[index], Y: float64(index+1) / float64(len(sorted))})
