--- a/internal/standin/engine/core.go
+++ b/internal/standin/engine/core.go
@@ -82,7 +82,7 @@
 	case Resume:
 		c.resume(now, m)
 	case Cancel:
-		c.emit(Cancelled{Call: m.Call, Found: c.cancel(now, c.requests[m.Request])})
+		c.emit(Cancelled{Call: m.Call, Found: c.cancel(now, c.attempt(m.Request, m.Attempt))})
 	case Detach:
 		c.detach(now, m)
 	case ReadCacheEvents:
--- a/internal/standin/engine/messages.go
+++ b/internal/standin/engine/messages.go
@@ -69,6 +69,8 @@
 type Resume struct {
 	Call    CallID
 	Request fleet.RequestID
+	// Attempt must be the one that is here; 0 takes any.
+	Attempt int
 	From    int
 }
 
@@ -76,6 +78,9 @@
 type Cancel struct {
 	Call    CallID
 	Request fleet.RequestID
+	// Attempt must be the one that is here; 0 takes any. A cancel of an earlier
+	// attempt that comes late so does not end the present one.
+	Attempt int
 }
 
 // Detach says that the reader of a stream has gone away; it cancels the
--- a/internal/standin/engine/prefix.go
+++ b/internal/standin/engine/prefix.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"container/list"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -30,14 +31,19 @@
 	limit  int
 	random *rand.Rand
 	// blocks go from the least to the most recently used.
-	blocks   []prefixKey
-	held     map[prefixKey]bool
+	blocks   *list.List
+	held     map[prefixKey]*list.Element
 	sequence uint64
 	events   []timedCacheEvent
 }
 
 func newPrefixCache(options Options, random *rand.Rand) *prefixCache {
-	return &prefixCache{limit: options.PrefixCacheBlocks, random: random, held: map[prefixKey]bool{}}
+	return &prefixCache{
+		limit:  options.PrefixCacheBlocks,
+		random: random,
+		blocks: list.New(),
+		held:   map[prefixKey]*list.Element{},
+	}
 }
 
 // use stores the request's blocks and returns how many prompt tokens were
@@ -46,15 +52,14 @@
 	hit := true
 	for _, hash := range request.PrefixHashes {
 		key := prefixKey{model: request.Model, prefix: hash}
-		hit = hit && p.held[key]
+		hit = hit && p.held[key] != nil
 		if hit {
 			cachedTokens += backend.PrefixBlockTokens
 		}
 		p.touch(now, key)
 	}
-	for len(p.blocks) > p.limit {
-		oldest := p.blocks[0]
-		p.blocks = p.blocks[1:]
+	for p.blocks.Len() > p.limit {
+		oldest := p.blocks.Remove(p.blocks.Front()).(prefixKey)
 		delete(p.held, oldest)
 		p.note(now, oldest, true)
 	}
@@ -62,14 +67,12 @@
 }
 
 func (p *prefixCache) touch(now time.Time, key prefixKey) {
-	if p.held[key] {
-		index := slices.Index(p.blocks, key)
-		p.blocks = slices.Delete(p.blocks, index, index+1)
-	} else {
-		p.held[key] = true
-		p.note(now, key, false)
+	if element := p.held[key]; element != nil {
+		p.blocks.MoveToBack(element)
+		return
 	}
-	p.blocks = append(p.blocks, key)
+	p.held[key] = p.blocks.PushBack(key)
+	p.note(now, key, false)
 }
 
 func (p *prefixCache) note(now time.Time, key prefixKey, removed bool) {
--- a/internal/standin/engine/streams.go
+++ b/internal/standin/engine/streams.go
@@ -94,8 +94,17 @@
 	c.waiting = slices.Insert(c.waiting, index, next)
 }
 
+// attempt returns the request if its attempt is the wanted one; 0 is any.
+func (c *Core) attempt(id fleet.RequestID, wanted int) *sequence {
+	found := c.requests[id]
+	if found != nil && wanted != 0 && found.request.Attempt != wanted {
+		return nil
+	}
+	return found
+}
+
 func (c *Core) resume(now time.Time, message Resume) {
-	kept := c.requests[message.Request]
+	kept := c.attempt(message.Request, message.Attempt)
 	if kept == nil || message.From < 0 {
 		c.emit(Refused{Call: message.Call, Reason: RefusedUnknown})
 		return
--- a/internal/standin/httpdriver/engine_control.go
+++ b/internal/standin/httpdriver/engine_control.go
@@ -48,9 +48,9 @@
 }
 
 func (e *Engine) serveCancel(writer http.ResponseWriter, request *http.Request) {
-	cancelled := fleet.RequestID(request.PathValue("id"))
+	cancelled, attempt := fleet.RequestID(request.PathValue("id")), headerInt(request, backend.HeaderAttempt)
 	e.answer(writer, request, func(id engine.CallID) engine.Message {
-		return engine.Cancel{Call: id, Request: cancelled}
+		return engine.Cancel{Call: id, Request: cancelled, Attempt: attempt}
 	})
 }
 
@@ -100,6 +100,12 @@
 	return effects[0], nil
 }
 
+// headerInt reads a header's number; 0 if there is none.
+func headerInt(request *http.Request, name string) int {
+	number, _ := strconv.Atoi(request.Header.Get(name))
+	return number
+}
+
 func queryUint(request *http.Request, name string) (uint64, error) {
 	text := request.URL.Query().Get(name)
 	if text == "" {
--- a/internal/standin/httpdriver/engine_streams.go
+++ b/internal/standin/httpdriver/engine_streams.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"github.com/spanlanding/spanlanding/internal/backend"
@@ -42,9 +41,13 @@
 		writeProblem(writer, http.StatusBadRequest, "bad-from", err.Error())
 		return
 	}
-	wanted := engine.Request{ID: fleet.RequestID(request.PathValue("id")), From: int(from)}
+	wanted := engine.Request{
+		ID:      fleet.RequestID(request.PathValue("id")),
+		Attempt: headerInt(request, backend.HeaderAttempt),
+		From:    int(min(from, engine.MaxAnswerTokens)),
+	}
 	id, box := e.call(func(id engine.CallID) engine.Message {
-		return engine.Resume{Call: id, Request: wanted.ID, From: wanted.From}
+		return engine.Resume{Call: id, Request: wanted.ID, Attempt: wanted.Attempt, From: wanted.From}
 	})
 	e.serveAnswer(id, box, &answerWriter{writer: writer, request: request, wanted: wanted})
 }
@@ -59,13 +62,11 @@
 	if id == "" {
 		id = fleet.RequestID(fmt.Sprintf("unnamed-%016x", rand.Uint64()))
 	}
-	attempt, _ := strconv.Atoi(header.Get(backend.HeaderAttempt))
-	priority, _ := strconv.Atoi(header.Get(backend.HeaderPriority))
 	prompt := backend.PromptText(body)
 	return engine.Request{
 		ID:           id,
-		Attempt:      attempt,
-		Priority:     priority,
+		Attempt:      headerInt(request, backend.HeaderAttempt),
+		Priority:     headerInt(request, backend.HeaderPriority),
 		Key:          header.Get(headerIdempotencyKey),
 		Model:        model,
 		Adapter:      fleet.AdapterName(header.Get(backend.HeaderAdapter)),
--- a/internal/standin/httpdriver/objects.go
+++ b/internal/standin/httpdriver/objects.go
@@ -74,11 +74,12 @@
 	writeJSON(writer, http.StatusOK, list)
 }
 
+// serveGet answers with a tombstone too, so that a delete can be read back.
 func (o *objectsAPI) serveGet(writer http.ResponseWriter, request *http.Request) {
 	var object platform.Object
 	var found bool
 	o.read(func(store *objects.Store) { object, found = store.Get(pathKey(request)) })
-	if !found || (object.Deleted && !wantsTombstones(request)) {
+	if !found {
 		writeProblem(writer, http.StatusNotFound, "no-object", "")
 		return
 	}
@@ -136,7 +137,7 @@
 		return
 	}
 	watch := &watch{api: o, since: since}
-	if _, ok := watch.next(); !ok {
+	if _, ok := watch.peek(); !ok {
 		writeProblem(writer, http.StatusGone, "compacted", "list again")
 		return
 	}
@@ -145,7 +146,6 @@
 	controller := http.NewResponseController(writer)
 	ticker := time.NewTicker(bookmarkInterval)
 	defer ticker.Stop()
-	watch.since = since
 	for {
 		changed := watch.changed()
 		events, ok := watch.next()
@@ -163,7 +163,7 @@
 		select {
 		case <-changed:
 		case <-ticker.C:
-			if encoder.Encode(platform.WatchEvent{Version: watch.bookmark()}) != nil {
+			if encoder.Encode(platform.WatchEvent{Version: watch.since}) != nil {
 				return
 			}
 		case <-request.Context().Done():
@@ -172,7 +172,7 @@
 	}
 }
 
-// watch is one reader of changes.
+// watch is one reader of changes; since is the version up to which it has all.
 type watch struct {
 	api   *objectsAPI
 	since uint64
@@ -184,15 +184,15 @@
 	return w.api.changed
 }
 
-func (w *watch) next() (events []platform.WatchEvent, ok bool) {
+func (w *watch) peek() (events []platform.WatchEvent, ok bool) {
 	w.api.read(func(store *objects.Store) { events, ok = store.Changes(w.since) })
+	return events, ok
+}
+
+func (w *watch) next() (events []platform.WatchEvent, ok bool) {
+	events, ok = w.peek()
 	if len(events) > 0 {
 		w.since = events[len(events)-1].Version
 	}
 	return events, ok
 }
-
-// bookmark is the version up to which the reader has all changes.
-func (w *watch) bookmark() uint64 {
-	return w.since
-}
--- a/internal/standin/httpdriver/service.go
+++ b/internal/standin/httpdriver/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -91,12 +90,11 @@
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(writer, request.Body, maxBodyBytes)); err != nil {
 		return
 	}
-	attempt, _ := strconv.Atoi(request.Header.Get(backend.HeaderAttempt))
 	box := newOutbox[service.Effect]()
 	command := service.Run{
 		Call:      service.CallID(s.calls.Add(1)),
 		RequestID: fleet.RequestID(request.Header.Get(backend.HeaderRequestID)),
-		Attempt:   attempt,
+		Attempt:   headerInt(request, backend.HeaderAttempt),
 		Key:       request.Header.Get(headerIdempotencyKey),
 		Method:    request.Method,
 		Path:      request.URL.Path,
