--- /dev/null
+++ b/internal/membership/core_test.go
@@ -0,0 +1,181 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// joined returns a network whose nodes all know each other.
+func joined(t *testing.T, seed uint64, zones, size int, options func(*Options)) *network {
+	t.Helper()
+	network := newNetwork(seed)
+	if options != nil {
+		network.options = options
+	}
+	network.startZones(zones, size)
+	network.until(t, time.Minute, "join", network.converged)
+	return network
+}
+
+func TestNodesJoinThroughOneSeed(t *testing.T) {
+	joined(t, 1, 3, 5, nil)
+}
+
+func TestNodeJoinsThroughMachineList(t *testing.T) {
+	network := newNetwork(1)
+	network.start(0, 1)
+	network.start(0, 2)
+	network.step(address(0, 2), Hints{Nodes: []Hint{{Name: "node-00-001", Gossip: address(0, 1)}}})
+	network.until(t, time.Minute, "join", network.converged)
+}
+
+func TestKilledNodeIsFoundDeadAndReaped(t *testing.T) {
+	network := joined(t, 2, 2, 10, nil)
+	victim := address(0, 4)
+	delete(network.nodes, victim)
+	network.until(t, 20*time.Second, "death in the zone", func() bool {
+		return network.state(address(0, 1), victim) == fleet.MemberDead &&
+			network.state(address(0, 9), victim) == fleet.MemberDead
+	})
+	network.until(t, 20*time.Second, "death in the other zone", func() bool {
+		return network.state(address(1, 1), victim) == fleet.MemberDead
+	})
+	network.run(defaultDeadRetention + 2*defaultSyncInterval)
+	if state := network.state(address(0, 1), victim); state != "" {
+		t.Fatalf("dead member is still held as %s", state)
+	}
+}
+
+func TestLeavingNodeIsNotSuspected(t *testing.T) {
+	network := joined(t, 3, 1, 10, nil)
+	leaver := address(0, 4)
+	network.step(leaver, Leave{})
+	network.run(200 * time.Millisecond)
+	delete(network.nodes, leaver)
+	network.until(t, 5*time.Second, "leave", func() bool {
+		for _, at := range network.addresses() {
+			if network.state(at, leaver) != fleet.MemberLeft {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestRestartUnderTheSameAddress(t *testing.T) {
+	for _, clock := range []struct {
+		name string
+		step time.Duration
+	}{{"forward", 100 * time.Millisecond}, {"clock went back", -time.Hour}} {
+		t.Run(clock.name, func(t *testing.T) {
+			network := joined(t, 4, 2, 5, nil)
+			at := address(0, 3)
+			network.skew[at] = clock.step
+			network.start(0, 3, address(0, 1))
+			boot := network.boots
+			network.until(t, 20*time.Second, "new start known", func() bool {
+				return network.converged() && network.boot(address(0, 1), at) == boot &&
+					network.boot(address(1, 1), at) == boot
+			})
+		})
+	}
+}
+
+func TestWholeZoneRestarts(t *testing.T) {
+	network := joined(t, 5, 3, 5, nil)
+	for index := 1; index <= 5; index++ {
+		delete(network.nodes, address(1, index))
+	}
+	network.until(t, time.Minute, "zone suspect elsewhere", func() bool {
+		return network.state(address(0, 2), address(1, 2)) == fleet.MemberSuspect
+	})
+	for index := 1; index <= 5; index++ {
+		network.start(1, index, address(0, 1))
+	}
+	network.until(t, time.Minute, "zone is back", network.converged)
+}
+
+func TestPausedNodeComesBackAndRefutes(t *testing.T) {
+	network := joined(t, 6, 1, 10, nil)
+	paused := address(0, 5)
+	network.nodes[paused].paused = true
+	network.until(t, 20*time.Second, "death", func() bool {
+		return network.state(address(0, 1), paused) == fleet.MemberDead
+	})
+	network.run(time.Minute)
+	network.resume(paused)
+	suspected := false
+	network.until(t, 20*time.Second, "return", func() bool {
+		for _, member := range network.nodes[address(0, 1)].core.Members() {
+			suspected = suspected || member.Addresses.Gossip != paused && member.State != fleet.MemberAlive
+		}
+		return network.converged()
+	})
+	if suspected {
+		t.Error("the node that came back made others suspect")
+	}
+}
+
+func TestOneWayCutKillsNobody(t *testing.T) {
+	network := joined(t, 7, 1, 8, nil)
+	network.cut = func(from, to string) bool { return from == address(0, 1) && to == address(0, 2) }
+	if died := network.deaths(2 * time.Minute); died != 0 {
+		t.Fatalf("%d views of a live member as dead", died)
+	}
+}
+
+func TestHalvesOfOneZoneHeal(t *testing.T) {
+	network := joined(t, 10, 1, 8, nil)
+	left := func(at string) bool { return at <= address(0, 4) }
+	network.cut = func(from, to string) bool { return left(from) != left(to) }
+	network.until(t, time.Minute, "halves dead to each other", func() bool {
+		return network.state(address(0, 1), address(0, 8)) == fleet.MemberDead
+	})
+	network.cut = func(string, string) bool { return false }
+	network.until(t, 2*time.Minute, "heal", network.converged)
+}
+
+func TestGoingMachineIsSuspectedAndRefutes(t *testing.T) {
+	network := joined(t, 12, 1, 5, nil)
+	hinted := address(0, 3)
+	network.step(address(0, 1), Hints{Nodes: []Hint{{Name: "node-00-003", Gossip: hinted, Going: true}}})
+	if state := network.state(address(0, 1), hinted); state != fleet.MemberSuspect {
+		t.Fatalf("listed as going, held as %s", state)
+	}
+	if died := network.deaths(30 * time.Second); died != 0 {
+		t.Fatalf("the list alone killed a member in %d views", died)
+	}
+}
+
+// TestPlantedDefectsShow proves that the checks above can fail.
+func TestPlantedDefectsShow(t *testing.T) {
+	network := joined(t, 8, 2, 10, func(options *Options) { options.Defects.NoRefutation = true })
+	network.loss = 0.2
+	if network.deaths(5*time.Minute) == 0 {
+		t.Error("without refutation nobody was declared dead under loss")
+	}
+	network = joined(t, 7, 1, 2, func(options *Options) { options.Defects.ResurrectDead = true })
+	at := address(0, 1)
+	victim := network.record(at, address(0, 2))
+	delete(network.nodes, address(0, 2))
+	network.run(20 * time.Second)
+	packet := &Receive{From: at, Packet: statePacket(victim)}
+	network.step(at, *packet)
+	if network.state(at, address(0, 2)) != fleet.MemberAlive {
+		t.Error("stale news of a dead member was not taken in spite of the defect")
+	}
+}
+
+func TestStaleNewsDoesNotResurrect(t *testing.T) {
+	network := joined(t, 7, 1, 2, nil)
+	at := address(0, 1)
+	victim := network.record(at, address(0, 2))
+	delete(network.nodes, address(0, 2))
+	network.run(20 * time.Second)
+	network.step(at, Receive{From: at, Packet: statePacket(victim)})
+	if state := network.state(at, address(0, 2)); state != fleet.MemberDead {
+		t.Fatalf("dead member is held as %s after stale news", state)
+	}
+}
--- /dev/null
+++ b/internal/membership/network_test.go
@@ -0,0 +1,253 @@
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+)
+
+// datagramOverheadBytes is what IP and UDP headers add to a packet.
+const datagramOverheadBytes = 28
+
+// network runs cores on a virtual clock over a network with faults.
+type network struct {
+	now     time.Time
+	random  *rand.Rand
+	nodes   map[string]*testNode
+	flights []flight
+	latency time.Duration
+	loss    float64
+	// cut reports whether packets from one address to the other are lost.
+	cut     func(from, to string) bool
+	options func(*Options)
+	boots   uint64
+	// skew is what a node's clock is off by.
+	skew map[string]time.Duration
+}
+
+type testNode struct {
+	core   *Core
+	paused bool
+	// inbox holds what came during a pause.
+	inbox     []Receive
+	sentBytes int
+	largest   int
+}
+
+type flight struct {
+	at       time.Time
+	order    int
+	from, to string
+	packet   []byte
+}
+
+func newNetwork(seed uint64) *network {
+	return &network{
+		now:     time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		nodes:   make(map[string]*testNode),
+		skew:    make(map[string]time.Duration),
+		latency: time.Millisecond,
+		cut:     func(string, string) bool { return false },
+		options: func(*Options) {},
+	}
+}
+
+func address(zone, index int) string { return fmt.Sprintf("10.0.%d.%d:7001", zone, index) }
+
+// start begins a node, or begins it anew under the same name and address.
+func (n *network) start(zone, index int, seeds ...string) *testNode {
+	n.boots++
+	gossip := address(zone, index)
+	host := gossip[:len(gossip)-len("7001")]
+	options := Options{
+		Self: fleet.Member{
+			Name:   fleet.NodeName(fmt.Sprintf("node-%02d-%03d", zone, index)),
+			Zone:   fleet.Zone(fmt.Sprintf("zone-%02d", zone)),
+			BootID: n.boots,
+			Addresses: fleet.Addresses{
+				Gossip: gossip, Caller: host + "7002", Operator: host + "7003", Peer: host + "7004",
+			},
+		},
+		Seeds:      seeds,
+		RandomSeed: n.random.Uint64(),
+	}
+	n.options(&options)
+	node := &testNode{core: New(options)}
+	n.nodes[gossip] = node
+	n.step(gossip, Tick{})
+	return node
+}
+
+func (n *network) step(at string, message Message) {
+	node := n.nodes[at]
+	for _, effect := range node.core.Step(n.now.Add(n.skew[at]), message) {
+		send, found := effect.(Send)
+		if !found {
+			continue
+		}
+		node.sentBytes += len(send.Packet) + datagramOverheadBytes
+		node.largest = max(node.largest, len(send.Packet))
+		if n.cut(at, send.To) || n.random.Float64() < n.loss {
+			continue
+		}
+		jitter := time.Duration(n.random.Int64N(int64(n.latency)))
+		n.flights = append(n.flights, flight{
+			at: n.now.Add(n.latency + jitter), order: len(n.flights), from: at, to: send.To, packet: send.Packet,
+		})
+	}
+}
+
+// run advances the clock in small steps.
+func (n *network) run(duration time.Duration) {
+	const tick = 5 * time.Millisecond
+	for end := n.now.Add(duration); n.now.Before(end); n.now = n.now.Add(tick) {
+		due := n.flights
+		n.flights = nil
+		slices.SortFunc(due, func(first, second flight) int {
+			return cmp.Or(first.at.Compare(second.at), cmp.Compare(first.order, second.order))
+		})
+		for _, packet := range due {
+			if packet.at.After(n.now) {
+				n.flights = append(n.flights, packet)
+				continue
+			}
+			n.deliver(packet)
+		}
+		for _, at := range n.addresses() {
+			if node := n.nodes[at]; !node.paused && !n.now.Add(n.skew[at]).Before(node.core.NextWake()) {
+				n.step(at, Tick{})
+			}
+		}
+	}
+}
+
+func (n *network) deliver(packet flight) {
+	node := n.nodes[packet.to]
+	if node == nil {
+		return
+	}
+	received := Receive{From: packet.from, Packet: packet.packet}
+	if node.paused {
+		node.inbox = append(node.inbox, received)
+		return
+	}
+	n.step(packet.to, received)
+}
+
+func (n *network) resume(at string) {
+	node := n.nodes[at]
+	node.paused = false
+	for _, received := range node.inbox {
+		n.step(at, received)
+	}
+	node.inbox = nil
+}
+
+func (n *network) addresses() []string {
+	addresses := make([]string, 0, len(n.nodes))
+	for at := range n.nodes {
+		addresses = append(addresses, at)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// state returns what one node holds of another.
+func (n *network) state(at, of string) fleet.MemberState {
+	for _, member := range n.nodes[at].core.Members() {
+		if member.Addresses.Gossip == of {
+			return member.State
+		}
+	}
+	return ""
+}
+
+// record returns what one node holds of another.
+func (n *network) record(at, of string) fleet.Member {
+	for _, held := range n.nodes[at].core.records {
+		if held.member.Addresses.Gossip == of {
+			return held.member
+		}
+	}
+	return fleet.Member{}
+}
+
+func (n *network) boot(at, of string) uint64 {
+	return n.record(at, of).BootID
+}
+
+// deaths runs for the duration and counts the views, looked at every 100 ms,
+// in which a running node holds another running one dead.
+func (n *network) deaths(duration time.Duration) int {
+	died := 0
+	for end := n.now.Add(duration); n.now.Before(end); {
+		n.run(100 * time.Millisecond)
+		for _, at := range n.addresses() {
+			for _, held := range n.nodes[at].core.records {
+				if held.member.State == fleet.MemberDead && n.nodes[held.member.Addresses.Gossip] != nil {
+					died++
+				}
+			}
+		}
+	}
+	return died
+}
+
+// statePacket tells of one member.
+func statePacket(member fleet.Member) []byte {
+	packet, _ := proto.Marshal(&peerpb.GossipPacket{
+		Kind:    peerpb.GossipPacket_STATE,
+		Members: []*peerpb.GossipMember{encodeMember(member)},
+	})
+	return packet
+}
+
+// until runs until the condition holds and returns how long it took.
+func (n *network) until(t *testing.T, limit time.Duration, what string, holds func() bool) time.Duration {
+	t.Helper()
+	const step = 50 * time.Millisecond
+	begin := n.now
+	for n.now.Sub(begin) < limit {
+		if holds() {
+			return n.now.Sub(begin)
+		}
+		n.run(step)
+	}
+	t.Fatalf("%s: not within %v", what, limit)
+	return 0
+}
+
+// converged reports whether every running node holds all others alive.
+func (n *network) converged() bool {
+	for _, at := range n.addresses() {
+		alive := 0
+		for _, member := range n.nodes[at].core.Members() {
+			if member.State == fleet.MemberAlive {
+				alive++
+			}
+		}
+		if alive != len(n.nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+// startZones starts zones of the given size, all joining through one seed.
+func (n *network) startZones(zones, size int) {
+	seed := address(0, 1)
+	for zone := range zones {
+		for index := 1; index <= size; index++ {
+			n.start(zone, index, seed)
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/options.go
@@ -0,0 +1,95 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// Options set up a Core. Zero durations and counts take the defaults.
+type Options struct {
+	// Self is this node; Incarnation and State are chosen by the core.
+	Self fleet.Member
+	// Seeds are gossip addresses to join through; a node's own is ignored.
+	Seeds []string
+	// RandomSeed makes the core's choices repeatable.
+	RandomSeed uint64
+
+	// ProbeInterval is the time between probes; one member is probed in each.
+	ProbeInterval time.Duration
+	// ProbeTimeout is how long a direct probe may take before others are asked
+	// to probe too.
+	ProbeTimeout time.Duration
+	// IndirectProbes is how many members are asked.
+	IndirectProbes int
+	// SuspicionMultiplier times the logarithm of the zone's size times the
+	// probe interval is how long a suspect has to refute.
+	SuspicionMultiplier float64
+	// RetransmitMultiplier times the logarithm of the zone's size is how often
+	// a node sends an update.
+	RetransmitMultiplier float64
+	// DeadRetention is how long a dead or departed member is remembered.
+	DeadRetention time.Duration
+	// SyncInterval is the time between comparisons of the whole table with a
+	// random member of the zone, a seed or a dead member.
+	SyncInterval time.Duration
+	// DigestInterval is the time between a delegate's exchanges with others.
+	DigestInterval time.Duration
+	// Delegates is how many members of a zone exchange with other zones.
+	Delegates int
+	// ZoneStale is how long a foreign zone may be unheard of before its
+	// members count as suspect.
+	ZoneStale time.Duration
+	// PacketBytes bounds an encoded packet.
+	PacketBytes int
+	// Defects plant faults; only tests and the simulator set it.
+	Defects Defects
+}
+
+// Defects are planted faults that the checks must find. Only tests and the
+// simulator set them; no setting or flag leads here.
+type Defects struct {
+	// NoRefutation leaves a claim that this node is suspect unanswered.
+	NoRefutation bool
+	// NoIndirectProbes suspects after the direct probe alone.
+	NoIndirectProbes bool
+	// ResurrectDead takes older news of a dead member for newer.
+	ResurrectDead bool
+}
+
+const (
+	defaultProbeInterval        = 500 * time.Millisecond
+	defaultProbeTimeout         = 200 * time.Millisecond
+	defaultIndirectProbes       = 3
+	defaultSuspicionMultiplier  = 5
+	defaultRetransmitMultiplier = 4
+	defaultDeadRetention        = 10 * time.Minute
+	defaultSyncInterval         = 5 * time.Second
+	defaultDigestInterval       = time.Second
+	defaultDelegates            = 3
+	defaultZoneStale            = 15 * time.Second
+	// defaultPacketBytes keeps a packet within one frame of any path.
+	defaultPacketBytes = 1200
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.ProbeInterval, defaultProbeInterval)
+	setDefault(&o.ProbeTimeout, defaultProbeTimeout)
+	setDefault(&o.IndirectProbes, defaultIndirectProbes)
+	setDefault(&o.SuspicionMultiplier, defaultSuspicionMultiplier)
+	setDefault(&o.RetransmitMultiplier, defaultRetransmitMultiplier)
+	setDefault(&o.DeadRetention, defaultDeadRetention)
+	setDefault(&o.SyncInterval, defaultSyncInterval)
+	setDefault(&o.DigestInterval, defaultDigestInterval)
+	setDefault(&o.Delegates, defaultDelegates)
+	setDefault(&o.ZoneStale, defaultZoneStale)
+	setDefault(&o.PacketBytes, defaultPacketBytes)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/node/membership_actor.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/phuslu/log"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/membership"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/views"
+)
+
+// MembershipDependencies is what the membership shell needs.
+type MembershipDependencies struct {
+	System *actor.ActorSystem
+	// Connection is the bound UDP socket; the shell closes it at Stop.
+	Connection net.PacketConn
+	// Core sets up the core: Self with its addresses, seeds and timings.
+	Core   membership.Options
+	Views  *views.Views
+	Logger *log.Logger
+}
+
+// Membership runs the failure detector of this node over UDP and publishes
+// views.Members.
+type Membership struct {
+	dependencies MembershipDependencies
+	core         *membership.Core
+	pid          *actor.PID
+	timer        *time.Timer
+	pending      atomic.Int64
+	stopped      chan struct{}
+	stopOnce     sync.Once
+	readers      sync.WaitGroup
+}
+
+const (
+	// maxPendingPackets bounds the packets that wait in the mailbox; UDP may
+	// lose what is above it.
+	maxPendingPackets = 4096
+	maxDatagramBytes  = 2048
+)
+
+// leaveRequest asks the actor to leave and to say when the notices are sent.
+type leaveRequest struct{ done chan struct{} }
+
+// StartMembership spawns the actor and begins to read the socket.
+func StartMembership(dependencies MembershipDependencies) *Membership {
+	shell := &Membership{
+		dependencies: dependencies,
+		core:         membership.New(dependencies.Core),
+		stopped:      make(chan struct{}),
+	}
+	props := actor.PropsFromFunc(shell.receive)
+	shell.pid = dependencies.System.Root.Spawn(props)
+	shell.readers.Add(1)
+	go shell.readPackets()
+	dependencies.Views.Machines.Watch(func(list platform.MachineList) {
+		shell.tell(membership.Hints{Nodes: hintsOf(list)})
+	})
+	return shell
+}
+
+// SetDraining tells the other members whether this node takes new work.
+func (m *Membership) SetDraining(draining bool) {
+	m.tell(membership.SetDraining{Draining: draining})
+}
+
+// SetConfigVersion tells the others the store revision in force here.
+func (m *Membership) SetConfigVersion(version uint64) {
+	m.tell(membership.SetConfigVersion{Version: version})
+}
+
+// Leave tells other members that this node goes; it returns once the notices
+// are sent or the context ends.
+func (m *Membership) Leave(ctx context.Context) {
+	request := leaveRequest{done: make(chan struct{})}
+	m.tell(request)
+	select {
+	case <-request.done:
+	case <-ctx.Done():
+	case <-m.stopped:
+	}
+}
+
+// Stop ends the actor and closes the socket, without leaving.
+func (m *Membership) Stop() {
+	m.stopOnce.Do(func() {
+		close(m.stopped)
+		_ = m.dependencies.Connection.Close()
+		m.readers.Wait()
+		_ = m.dependencies.System.Root.StopFuture(m.pid).Wait()
+	})
+}
+
+func (m *Membership) tell(message any) {
+	select {
+	case <-m.stopped:
+	default:
+		m.dependencies.System.Root.Send(m.pid, message)
+	}
+}
+
+func (m *Membership) receive(context actor.Context) {
+	switch message := context.Message().(type) {
+	case *actor.Started:
+		m.step(membership.Tick{})
+	case *actor.Stopping:
+		if m.timer != nil {
+			m.timer.Stop()
+		}
+	case leaveRequest:
+		m.step(membership.Leave{})
+		close(message.done)
+	case membership.Receive:
+		m.pending.Add(-1)
+		m.step(message)
+	case membership.Message:
+		m.step(message)
+	}
+}
+
+// step feeds the core and carries out its effects. Writing a datagram hands it
+// to the kernel and does not wait for the network.
+func (m *Membership) step(message membership.Message) {
+	for _, effect := range m.core.Step(time.Now(), message) {
+		switch effect := effect.(type) {
+		case membership.Send:
+			m.write(effect)
+		case membership.Changed:
+			m.publish()
+		}
+	}
+	m.wakeAt(m.core.NextWake())
+}
+
+func (m *Membership) write(send membership.Send) {
+	address, err := net.ResolveUDPAddr("udp", send.To)
+	if err != nil {
+		return
+	}
+	if _, err := m.dependencies.Connection.WriteTo(send.Packet, address); err != nil && !errors.Is(err, net.ErrClosed) {
+		m.dependencies.Logger.Debug().Str("event", "gossip-send-failed").Str("to", send.To).Err(err).Msg("")
+	}
+}
+
+func (m *Membership) publish() {
+	members := m.core.Members()
+	m.logChanges(members)
+	m.dependencies.Views.Members.Set(members)
+}
+
+// logChanges writes one line for each member whose state is another.
+func (m *Membership) logChanges(members []fleet.Member) {
+	before := make(map[fleet.NodeName]fleet.MemberState)
+	if earlier, found := m.dependencies.Views.Members.Get(); found {
+		for _, member := range earlier {
+			before[member.Name] = member.State
+		}
+	}
+	for _, member := range members {
+		if before[member.Name] != member.State {
+			m.dependencies.Logger.Info().Str("event", "member").Str("member", string(member.Name)).
+				Str("zone", string(member.Zone)).Str("state", string(member.State)).
+				Uint64("incarnation", member.Incarnation).Msg("")
+		}
+	}
+}
+
+func (m *Membership) wakeAt(wake time.Time) {
+	delay := max(time.Until(wake), time.Millisecond)
+	if m.timer != nil {
+		m.timer.Stop()
+	}
+	m.timer = time.AfterFunc(delay, func() { m.tell(membership.Tick{}) })
+}
+
+func (m *Membership) readPackets() {
+	defer m.readers.Done()
+	buffer := make([]byte, maxDatagramBytes)
+	for {
+		count, from, err := m.dependencies.Connection.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		if m.pending.Add(1) > maxPendingPackets {
+			m.pending.Add(-1)
+			continue
+		}
+		m.tell(membership.Receive{From: from.String(), Packet: append([]byte(nil), buffer[:count]...)})
+	}
+}
+
+// hintsOf takes the fleet's nodes from the machine list.
+func hintsOf(list platform.MachineList) []membership.Hint {
+	var hints []membership.Hint
+	for _, machine := range list.Machines {
+		if machine.Role != "node" || machine.Node.Gossip == "" {
+			continue
+		}
+		hints = append(hints, membership.Hint{
+			Name:   machine.Name,
+			Gossip: machine.Node.Gossip,
+			Going:  machine.State != platform.MachineLive,
+		})
+	}
+	return hints
+}
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -44,6 +44,9 @@
 	// KindLease holds one object for each zone's leadership, and "fleet" for
 	// the decider of allotments.
 	KindLease = "Lease"
+	// KindKeepers holds the one object named "fleet" with the keepers of
+	// idempotency keys.
+	KindKeepers = "Keepers"
 )
 
 // ObjectList answers GET /v1/objects.
