Test the control core with engines and store on a virtual clock

Cause: the control core had not been run. Change: a harness of control cores, stand-in engines and the store's core; the engines' own state is held against the record at every step.

--- /dev/null
+++ b/internal/control/harness_test.go
@@ -0,0 +1,525 @@
+package control
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/allotment"
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/placement"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/standin/engine"
+	"github.com/spanlanding/spanlanding/internal/standin/objects"
+)
+
+// cluster runs control cores, engines and a store on a virtual clock. The
+// engines' own state is the judge.
+type cluster struct {
+	now      time.Time
+	random   *rand.Rand
+	queue    eventQueue
+	sequence int
+	nodes    map[fleet.NodeName]*testNode
+	engines  map[fleet.BackendName]*testEngine
+	store    *objects.Store
+	// storeDown lets every call to the store fail.
+	storeDown bool
+	// lossShare is the share of calls whose answer is lost; half of them are
+	// carried out nevertheless, some much later.
+	lossShare  float64
+	defects    Defects
+	settings   Settings
+	models     []catalog.ModelFacts
+	violations []string
+	loads      int
+	refusals   int
+	machines   platform.MachineList
+}
+
+type testNode struct {
+	member      fleet.Member
+	core        *Core
+	boot        uint64
+	down        bool
+	pausedUntil time.Time
+	vouched     bool
+	tables      map[fleet.Zone]fleet.RouteTable
+	refused     []fleet.LoadRefusal
+	// suspects are members that this node takes for dead.
+	suspects map[fleet.NodeName]bool
+}
+
+type testEngine struct {
+	core    *engine.Core
+	backend fleet.Backend
+	down    bool
+	calls   engine.CallID
+}
+
+type event struct {
+	at       time.Time
+	sequence int
+	run      func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].sequence < q[j].sequence
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// clusterOptions size a cluster.
+type clusterOptions struct {
+	seed                 uint64
+	zones, nodes, engins int
+	models               []catalog.ModelFacts
+	defects              Defects
+}
+
+func newCluster(options clusterOptions) *cluster {
+	settings := DefaultSettings()
+	settings.Placement.StoreLoadsPerSecond = 100
+	settings.Placement.StoreConcurrency = 100
+	c := &cluster{
+		now:      testStart,
+		random:   rand.New(rand.NewPCG(options.seed, 7)),
+		nodes:    make(map[fleet.NodeName]*testNode),
+		engines:  make(map[fleet.BackendName]*testEngine),
+		store:    objects.New(0),
+		defects:  options.defects,
+		settings: settings,
+		models:   options.models,
+	}
+	for zone := range options.zones {
+		for index := range options.engins {
+			c.addEngine(fleet.Zone(fmt.Sprintf("z%d", zone)), index)
+		}
+		for index := range options.nodes {
+			c.addNode(fleet.Zone(fmt.Sprintf("z%d", zone)), index)
+		}
+	}
+	c.listMachines()
+	for _, name := range c.nodeNames() {
+		c.boot(name)
+	}
+	return c
+}
+
+const gib = int64(1) << 30
+
+func (c *cluster) addEngine(zone fleet.Zone, index int) {
+	name := fleet.BackendName(fmt.Sprintf("%s-e%d", zone, index))
+	described := fleet.Backend{Name: name, Kind: fleet.KindEngine, Zone: zone, Address: string(name)}
+	c.engines[name] = &testEngine{
+		backend: described,
+		core: engine.New(engine.Options{
+			Backend:     described,
+			Incarnation: 1,
+			MemoryBytes: 40 * gib,
+			Timing:      engine.Timing{RemoteLoad: 2 * time.Second},
+		}),
+	}
+}
+
+func (c *cluster) addNode(zone fleet.Zone, index int) {
+	name := fleet.NodeName(fmt.Sprintf("%s-n%d", zone, index))
+	c.nodes[name] = &testNode{
+		member:   fleet.Member{Name: name, Zone: zone, State: fleet.MemberAlive},
+		suspects: make(map[fleet.NodeName]bool),
+	}
+}
+
+func (c *cluster) nodeNames() []fleet.NodeName { return slices.Sorted(maps.Keys(c.nodes)) }
+
+func (c *cluster) engineNames() []fleet.BackendName { return slices.Sorted(maps.Keys(c.engines)) }
+
+func (c *cluster) listMachines() {
+	c.machines = platform.MachineList{AsOfUnixMilli: c.now.UnixMilli()}
+	for _, name := range c.engineNames() {
+		described := c.engines[name].backend
+		c.machines.Machines = append(c.machines.Machines, platform.Machine{
+			Role: "engine", Name: string(name), Zone: described.Zone, State: platform.MachineLive, Address: string(name),
+		})
+	}
+	for _, name := range c.nodeNames() {
+		c.machines.Machines = append(c.machines.Machines, platform.Machine{
+			Role: "node", Name: string(name), Zone: c.nodes[name].member.Zone, State: platform.MachineLive,
+		})
+	}
+}
+
+// boot starts a node's process: it knows nothing of what it knew before.
+func (c *cluster) boot(name fleet.NodeName) {
+	node := c.nodes[name]
+	node.boot++
+	node.down = false
+	node.vouched = false
+	node.core = New(Options{
+		Self:     name,
+		Zone:     node.member.Zone,
+		BootID:   node.boot * 1000003,
+		Seed:     uint64(len(name)) + node.boot,
+		Settings: c.settings,
+		Defects:  c.defects,
+	})
+	boot := node.boot
+	c.step(name, boot, MachinesChanged{List: c.machines})
+	c.step(name, boot, CatalogChanged{Models: c.models, ColdStartWeight: 0.5})
+	c.tick(name, boot)
+	c.spreadMembers()
+}
+
+func (c *cluster) spreadMembers() {
+	for _, name := range c.nodeNames() {
+		c.sendMembers(name)
+	}
+}
+
+func (c *cluster) sendMembers(name fleet.NodeName) {
+	node := c.nodes[name]
+	var members []fleet.Member
+	for _, other := range c.nodeNames() {
+		member := c.nodes[other].member
+		if c.nodes[other].down || node.suspects[other] {
+			member.State = fleet.MemberDead
+		}
+		members = append(members, member)
+	}
+	c.send(name, MembersChanged{Members: members})
+}
+
+func (c *cluster) after(delay time.Duration, run func()) {
+	c.sequence++
+	heap.Push(&c.queue, event{at: c.now.Add(delay), sequence: c.sequence, run: run})
+}
+
+func (c *cluster) latency() time.Duration {
+	return time.Duration(1+c.random.IntN(30)) * time.Millisecond
+}
+
+// send delivers a message to the present process of a node.
+func (c *cluster) send(name fleet.NodeName, message Message) {
+	boot := c.nodes[name].boot
+	c.after(c.latency(), func() { c.step(name, boot, message) })
+}
+
+func (c *cluster) tick(name fleet.NodeName, boot uint64) {
+	c.step(name, boot, Tick{})
+	if c.nodes[name].boot == boot {
+		c.after(100*time.Millisecond, func() { c.tick(name, boot) })
+	}
+}
+
+// step feeds a core; a paused node takes its messages when it goes on.
+func (c *cluster) step(name fleet.NodeName, boot uint64, message Message) {
+	node := c.nodes[name]
+	if node.boot != boot || node.down {
+		return
+	}
+	if c.now.Before(node.pausedUntil) {
+		c.after(node.pausedUntil.Sub(c.now), func() { c.step(name, boot, message) })
+		return
+	}
+	if learned, found := message.(RecordLearned); found && !learned.Failed && learned.Record.Generation > 0 {
+		node.vouched = true
+	}
+	for _, effect := range node.core.Step(c.now, message) {
+		c.perform(name, boot, effect)
+	}
+}
+
+// run lets the virtual clock run for the span.
+func (c *cluster) run(span time.Duration) {
+	end := c.now.Add(span)
+	for len(c.queue) > 0 && !c.queue[0].at.After(end) {
+		next := heap.Pop(&c.queue).(event)
+		c.now = next.at
+		next.run()
+		c.judge()
+	}
+	c.now = end
+}
+
+func (c *cluster) perform(name fleet.NodeName, boot uint64, effect Effect) {
+	reply := func(message Message) {
+		c.after(c.latency(), func() { c.step(name, boot, message) })
+	}
+	switch effect := effect.(type) {
+	case ReadEngine:
+		answer := leadership.StateRead{ID: effect.ID, Engine: effect.Engine, Failed: true}
+		c.call(effect.Engine, engine.ReadState{}, func(got engine.Effect) {
+			if read, found := got.(engine.StateRead); found {
+				answer.State, answer.Failed = read.State, false
+			}
+			reply(StateRead{answer})
+		})
+	case SendClaim:
+		answer := leadership.ClaimAnswered{ID: effect.ID, Engine: effect.Engine}
+		claim := backend.Claim{Fence: effect.Fence, Incarnation: effect.Incarnation, Holder: name}
+		c.call(effect.Engine, engine.TakeClaim{Claim: claim}, func(got engine.Effect) {
+			switch got := got.(type) {
+			case engine.StateRead:
+				answer.Result, answer.State = leadership.ClaimGranted, got.State
+			case engine.FenceRefused:
+				answer.Result, answer.Fence = leadership.ClaimRefused, got.Refusal.Fence
+			}
+			reply(ClaimAnswered{answer})
+		})
+	case SendOrder:
+		answer := OrderAnswered{Engine: effect.Engine, OrderID: effect.Order.ID}
+		c.call(effect.Engine, engine.TakeOrder{Order: effect.Order}, func(got engine.Effect) {
+			switch got := got.(type) {
+			case engine.StateRead:
+				answer.Result = placement.OrderAccepted
+				if effect.Order.Action == backend.ActionLoad {
+					c.loads++
+				}
+			case engine.FenceRefused:
+				answer.FenceStale, answer.Fence = true, got.Refusal.Fence
+			case engine.OrderRefused:
+				answer.Result, answer.Reason = placement.OrderRefused, got.Reason
+			}
+			reply(answer)
+		})
+	case LearnRecord:
+		c.learn(name, effect, reply)
+	case WriteRecord:
+		c.write(effect, reply)
+	case PublishTable:
+		for _, member := range effect.To {
+			c.sendLossy(member.Name, TableReceived{From: name, Update: effect.Update})
+		}
+	case PullTables:
+		source := c.nodes[effect.From.Name]
+		if !source.down && c.now.After(source.pausedUntil) {
+			tables := source.core.Tables()
+			reply(TablesPulled{From: effect.From.Name, Tables: slices.Collect(maps.Values(tables))})
+		}
+	case ForwardWants:
+		c.sendLossy(effect.To.Name, WantsReported{From: name, Wants: effect.Wants, Forwarded: effect.Forwarded})
+	case BroadcastLeaving:
+		for _, member := range effect.To {
+			c.sendLossy(member.Name, LeavingHeard{From: name, Backends: effect.Backends})
+		}
+	case HandOver:
+		c.sendLossy(effect.To.Name, HandOverAsked{From: name, Fence: effect.Fence})
+	case TablesChanged:
+		c.nodes[name].tables = effect.Tables
+	case RefuseWants:
+		c.refusals++
+		c.nodes[name].refused = append(c.nodes[name].refused, effect.Refusals...)
+	case LeadershipChanged:
+	}
+}
+
+func (c *cluster) sendLossy(name fleet.NodeName, message Message) {
+	if c.random.Float64() >= c.lossShare {
+		c.send(name, message)
+	}
+}
+
+// call makes one call to an engine. A lost call may still arrive, even late.
+func (c *cluster) call(name fleet.BackendName, message engine.Message, answered func(engine.Effect)) {
+	lost := c.random.Float64() < c.lossShare
+	if lost {
+		c.after(900*time.Millisecond, func() { answered(nil) })
+		if c.random.IntN(2) == 0 {
+			return
+		}
+	}
+	delay := c.latency()
+	if lost && c.random.IntN(2) == 0 {
+		delay += time.Duration(c.random.IntN(5000)) * time.Millisecond
+	}
+	c.after(delay, func() {
+		got := c.stepEngine(name, message)
+		if !lost {
+			answered(got)
+		}
+	})
+}
+
+// stepEngine feeds an engine and returns its answer to the message, nil where
+// it is down.
+func (c *cluster) stepEngine(name fleet.BackendName, message engine.Message) engine.Effect {
+	target := c.engines[name]
+	if target.down {
+		return nil
+	}
+	var answer engine.Effect
+	for _, effect := range target.core.Step(c.now, message) {
+		switch effect := effect.(type) {
+		case engine.FetchWeights:
+			c.after(effect.FullSpeed, func() { c.stepEngine(name, engine.WeightsDone{Load: effect.Load}) })
+		case engine.StateRead, engine.FenceRefused, engine.OrderRefused:
+			answer = effect
+		}
+	}
+	if wake := target.core.NextWake(); !wake.IsZero() {
+		c.after(max(0, wake.Sub(c.now)), func() { c.stepEngine(name, engine.Tick{}) })
+	}
+	return answer
+}
+
+func recordKey() platform.Key {
+	return platform.Key{Kind: platform.KindAllotments, Name: allotment.ObjectName}
+}
+
+// stored is the record that stands in the store.
+func (c *cluster) stored() VersionedRecord {
+	object, found := c.store.Get(recordKey())
+	if !found {
+		return VersionedRecord{}
+	}
+	return decodeObject(object)
+}
+
+func decodeObject(object platform.Object) VersionedRecord {
+	var record allotment.Record
+	if err := json.Unmarshal(object.Spec, &record); err != nil {
+		panic(err)
+	}
+	return VersionedRecord{Record: record, StoreVersion: object.Version}
+}
+
+func (c *cluster) learn(name fleet.NodeName, effect LearnRecord, reply func(Message)) {
+	lost := c.random.Float64() < c.lossShare
+	c.after(c.latency(), func() {
+		if !c.storeDown && !lost {
+			reply(RecordLearned{ID: effect.ID, VersionedRecord: c.stored(), FromStore: true})
+			return
+		}
+		answer := RecordLearned{ID: effect.ID, Failed: true}
+		vouching := 0
+		for _, asked := range append([]fleet.Member{{Name: name}}, effect.Members...) {
+			node := c.nodes[asked.Name]
+			if node.down || !node.vouched || c.now.Before(node.pausedUntil) {
+				continue
+			}
+			vouching++
+			if held := node.core.Record(); held.Record.Generation > answer.Record.Generation {
+				answer.VersionedRecord = held
+			}
+		}
+		answer.Failed = vouching < effect.Majority
+		reply(answer)
+	})
+}
+
+func (c *cluster) write(effect WriteRecord, reply func(Message)) {
+	lost := c.random.Float64() < c.lossShare
+	c.after(c.latency(), func() {
+		if c.storeDown {
+			reply(RecordWritten{ID: effect.ID})
+			return
+		}
+		body, err := json.Marshal(effect.Record)
+		if err != nil {
+			panic(err)
+		}
+		object := platform.Object{Kind: platform.KindAllotments, Name: allotment.ObjectName, Spec: body}
+		written, conflict := c.store.Write(platform.WriteRequest{Object: object, Expected: effect.Expected})
+		answer := RecordWritten{ID: effect.ID, Result: WriteDone}
+		if conflict != nil {
+			written, answer.Result = conflict.Current, WriteConflict
+		} else {
+			c.spreadRecord()
+		}
+		if lost {
+			reply(RecordWritten{ID: effect.ID})
+			return
+		}
+		answer.Current = decodeObject(written)
+		reply(answer)
+	})
+}
+
+// spreadRecord hands the stored record to all nodes, as the configuration
+// does: late, and lost by some.
+func (c *cluster) spreadRecord() {
+	stored := c.stored()
+	for _, name := range c.nodeNames() {
+		c.sendLossy(name, AllotmentsChanged{stored})
+	}
+}
+
+// want reports waiting requests at a node, as the node's queue does each
+// second.
+func (c *cluster) want(name fleet.NodeName, model fleet.ModelVersion, waiting int) {
+	node := c.nodes[name]
+	c.send(name, WantsReported{From: name, Wants: []fleet.Want{{
+		Model: model, Node: name, Zone: node.member.Zone, Waiting: waiting, Arrivals: waiting,
+		Deadline: c.now.Add(30 * time.Second),
+	}}})
+}
+
+// judge holds the engines' own books against what is recorded.
+func (c *cluster) judge() {
+	record := c.stored().Record
+	total := make(map[fleet.ModelVersion]int)
+	for _, name := range c.engineNames() {
+		state := c.engines[name].core.State(c.now)
+		if state.UsedBytes() > state.MemoryBytes-state.KVReserveBytes {
+			c.violate("memory overcommitted on %s", name)
+		}
+		for _, loaded := range state.Models {
+			total[loaded.Model]++
+		}
+	}
+	for _, model := range slices.SortedFunc(maps.Keys(total), fleet.ModelVersion.Compare) {
+		if decided := record.Models[model].Decided; total[model] > decided {
+			c.violate("%d replicas of %s, decided %d", total[model], model, decided)
+		}
+	}
+	for _, model := range record.Broken() {
+		c.violate("ceilings of %s exceed what was decided", model)
+	}
+}
+
+func (c *cluster) violate(format string, arguments ...any) {
+	c.violations = append(c.violations, c.now.Sub(testStart).String()+": "+fmt.Sprintf(format, arguments...))
+}
+
+// replicas counts the model on all engines.
+func (c *cluster) replicas(model fleet.ModelVersion) int {
+	count := 0
+	for _, name := range c.engineNames() {
+		state := c.engines[name].core.State(c.now)
+		if state.Find(model) != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// leaders are the nodes that lead under an established round.
+func (c *cluster) leaders() []fleet.NodeName {
+	var leaders []fleet.NodeName
+	for _, name := range c.nodeNames() {
+		if leading, _ := c.nodes[name].core.Leading(); leading && !c.nodes[name].down {
+			leaders = append(leaders, name)
+		}
+	}
+	return leaders
+}
