--- a/internal/allotment/decide.go
+++ b/internal/allotment/decide.go
@@ -18,6 +18,9 @@
 	Demand map[fleet.ModelVersion]map[fleet.Zone]int
 	// Idle counts the part of a zone's limit that is not loaded.
 	Idle map[fleet.ModelVersion]map[fleet.Zone]int
+	// RaiseUnconfirmed is a planted fault, set by tests and the simulator only:
+	// limits are raised without waiting for lowered ones to be confirmed.
+	RaiseUnconfirmed bool
 }
 
 // Decide returns the next record: targets from the catalog, what is free given
@@ -150,6 +153,9 @@
 // it most, then to those with the most engines for each replica they have.
 func raiseFree(decision Decision, model fleet.ModelVersion, input Input) Decision {
 	free := decision.Target - decision.CeilingSum()
+	if input.RaiseUnconfirmed {
+		free = decision.Target - limitSum(decision)
+	}
 	demand := make(map[fleet.Zone]int, len(input.Demand[model]))
 	for zone, count := range input.Demand[model] {
 		demand[zone] = count
--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -120,6 +120,8 @@
 		Engines: make(map[fleet.Zone]int),
 		Demand:  c.wants.unserved(c.now),
 		Idle:    make(map[fleet.ModelVersion]map[fleet.Zone]int),
+
+		RaiseUnconfirmed: c.options.Defects.NoConfirmBeforeRaise,
 	}
 	for _, machine := range c.machines.Machines {
 		if machine.Role == roleEngine && machine.State == platform.MachineLive {
--- /dev/null
+++ b/internal/control/schedule_test.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/standin/engine"
+)
+
+// fault is one entry of a schedule.
+type fault struct {
+	Kind   string
+	Target int
+	// Pause goes before the fault, Length is how long it lasts.
+	Pause  time.Duration
+	Length time.Duration
+}
+
+var faultKinds = []string{
+	"pause-node", "restart-node", "restart-engine", "engine-down", "store-down",
+	"suspect", "loss", "limits", "restart-zone-engines", "stop-node",
+}
+
+func drawFaults(t *rapid.T) []fault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+		return fault{
+			Kind:   rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+			Target: rapid.IntRange(0, 7).Draw(t, "target"),
+			Pause:  time.Duration(rapid.IntRange(0, 4000).Draw(t, "pause")) * time.Millisecond,
+			Length: time.Duration(rapid.IntRange(50, 8000).Draw(t, "length")) * time.Millisecond,
+		}
+	}), 1, 14).Draw(t, "faults")
+}
+
+// inject brings the fault about and takes it back after its length.
+func (c *cluster) inject(f fault) {
+	nodes, engines := c.nodeNames(), c.engineNames()
+	name, target := nodes[f.Target%len(nodes)], engines[f.Target%len(engines)]
+	node := c.nodes[name]
+	switch f.Kind {
+	case "pause-node":
+		node.pausedUntil = c.now.Add(f.Length)
+		c.suspect(name, f.Length/3, f.Length)
+	case "restart-node":
+		node.down = true
+		c.spreadMembers()
+		c.after(f.Length, func() { c.boot(name) })
+	case "stop-node":
+		c.send(name, StopRequested{})
+		c.after(f.Length, func() { c.boot(name) })
+	case "restart-engine":
+		c.stepEngine(target, engine.Restart{})
+	case "restart-zone-engines":
+		for _, other := range engines {
+			if c.engines[other].backend.Zone == c.engines[target].backend.Zone {
+				c.stepEngine(other, engine.Restart{})
+			}
+		}
+	case "engine-down":
+		c.engines[target].down = true
+		c.after(f.Length, func() {
+			c.engines[target].down = false
+			c.stepEngine(target, engine.Restart{})
+		})
+	case "store-down":
+		c.storeDown = true
+		c.after(f.Length, func() { c.storeDown = false })
+	case "suspect":
+		c.suspect(name, 0, f.Length)
+	case "loss":
+		c.lossShare = 0.2
+		c.after(f.Length, func() { c.lossShare = 0 })
+	case "limits":
+		c.changeLimits(f.Target)
+	}
+}
+
+// suspect lets all others take the node for dead for a time; the node itself
+// goes on believing in itself.
+func (c *cluster) suspect(name fleet.NodeName, delay, length time.Duration) {
+	set := func(suspected bool) {
+		for _, other := range c.nodeNames() {
+			if other != name {
+				c.nodes[other].suspects[name] = suspected
+			}
+		}
+		c.spreadMembers()
+	}
+	c.after(delay, func() { set(true) })
+	c.after(length, func() { set(false) })
+}
+
+// changeLimits declares other bounds of replicas.
+func (c *cluster) changeLimits(number int) {
+	c.models = []catalog.ModelFacts{facts(modelA, 1+number%3), facts(modelB, 1+number%2)}
+	for _, name := range c.nodeNames() {
+		c.send(name, CatalogChanged{Models: c.models, ColdStartWeight: 0.5})
+	}
+}
+
+// busySchedule keeps wants coming at all nodes while the faults come about.
+func (c *cluster) busySchedule(faults []fault) {
+	c.run(4 * time.Second)
+	begin := c.now
+	at := begin
+	for _, f := range faults {
+		at = at.Add(f.Pause)
+		c.after(at.Sub(begin), func() { c.inject(f) })
+	}
+	for c.now.Before(at.Add(10 * time.Second)) {
+		for index, name := range c.nodeNames() {
+			if c.nodes[name].down {
+				continue
+			}
+			c.want(name, modelA, 1+9*(index%2))
+			if index%2 == 0 {
+				c.want(name, modelB, 4)
+			}
+		}
+		c.run(700 * time.Millisecond)
+	}
+}
+
+func newBusyCluster(seed uint64, defects Defects) *cluster {
+	return newCluster(clusterOptions{
+		seed: seed, zones: 2, nodes: 3, engins: 2, defects: defects,
+		models: []catalog.ModelFacts{facts(modelA, 1), facts(modelB, 2)},
+	})
+}
+
+func TestReplicasAndMemoryHoldUnderDrawnSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		faults := drawFaults(t)
+		c := newBusyCluster(rapid.Uint64().Draw(t, "seed"), Defects{})
+		c.busySchedule(faults)
+		if len(c.violations) > 0 {
+			t.Fatalf("violations: %v", c.violations[:min(3, len(c.violations))])
+		}
+		c.storeDown, c.lossShare = false, 0
+		c.run(30 * time.Second)
+		for _, name := range c.nodeNames() {
+			c.want(name, modelA, 1)
+		}
+		c.run(10 * time.Second)
+		if c.replicas(modelA) == 0 {
+			t.Fatalf("the model cannot be loaded after all faults have ended; leaders %v", c.leaders())
+		}
+	})
+}
