--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -31,6 +31,7 @@
 	tables   tableState
 	wants    wantState
 	leaving  leavingState
+	gone     goneState
 
 	now     time.Time
 	effects []Effect
@@ -59,6 +60,7 @@
 		tables:    newTableState(),
 		wants:     newWantState(),
 		leaving:   newLeavingState(),
+		gone:      newGoneState(),
 	}
 }
 
@@ -85,6 +87,7 @@
 	c.effects = nil
 	c.take(message)
 	c.stand()
+	c.updateGone()
 	c.stepLeader(leadership.Tick{})
 	c.stepPlacement(placement.Tick{})
 	c.poll()
--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -75,7 +75,9 @@
 		case platform.MachineLive:
 			present = append(present, name)
 		case platform.MachineGone:
-			gone = append(gone, name)
+			if c.gone.effective[name] {
+				gone = append(gone, name)
+			}
 		case platform.MachineLeaving:
 		}
 	}
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -8,7 +8,6 @@
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
 	"github.com/spanlanding/spanlanding/internal/placement"
-	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
 const roleEngine = "engine"
@@ -93,6 +92,9 @@
 // stateRead takes an engine's state, whoever asked for it.
 func (c *Core) stateRead(read leadership.StateRead) {
 	c.polls.answered(read)
+	if !read.Failed {
+		c.engineAnswered(read.Engine)
+	}
 	c.stepLeader(read)
 	if read.Failed {
 		return
@@ -110,33 +112,6 @@
 	c.showEngine(read.State)
 }
 
-// setMachines takes a newer machine list.
-func (c *Core) setMachines(list platform.MachineList) {
-	if list.AsOfUnixMilli < c.machines.AsOfUnixMilli {
-		return
-	}
-	c.machines = list
-	listed := leadership.EnginesListed{
-		Addresses: make(map[fleet.BackendName]string),
-		Gone:      make(map[fleet.BackendName]bool),
-	}
-	for _, machine := range list.Machines {
-		if machine.Role != roleEngine || machine.Zone != c.options.Zone {
-			continue
-		}
-		name := fleet.BackendName(machine.Name)
-		if machine.State == platform.MachineGone {
-			listed.Gone[name] = true
-			continue
-		}
-		listed.Addresses[name] = machine.Address
-	}
-	c.stepLeader(listed)
-	c.stepPlacement(placement.EnginesGone{Engines: slices.Sorted(maps.Keys(listed.Gone))})
-	c.dropEngines(listed.Gone)
-	c.machinesLeaving()
-}
-
 func (c *Core) engineAddress(name fleet.BackendName) string {
 	for _, machine := range c.machines.Machines {
 		if machine.Role == roleEngine && machine.Name == string(name) {
--- /dev/null
+++ b/internal/control/machines.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/placement"
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+// goneState holds the engines that the machine list calls gone. The list lags
+// and knows names only: an engine that was started anew under its name may
+// still be called gone. So an engine counts as gone only once it has also been
+// silent for GoneSilence.
+type goneState struct {
+	// since is when the list first called the engine gone, or when it last
+	// answered after that.
+	since     map[fleet.BackendName]time.Time
+	effective map[fleet.BackendName]bool
+}
+
+func newGoneState() goneState {
+	return goneState{
+		since:     make(map[fleet.BackendName]time.Time),
+		effective: make(map[fleet.BackendName]bool),
+	}
+}
+
+// setMachines takes a newer machine list.
+func (c *Core) setMachines(list platform.MachineList) {
+	if list.AsOfUnixMilli < c.machines.AsOfUnixMilli {
+		return
+	}
+	c.machines = list
+	for _, machine := range list.Machines {
+		name := fleet.BackendName(machine.Name)
+		if machine.Role != roleEngine || machine.Zone != c.options.Zone {
+			continue
+		}
+		if machine.State != platform.MachineGone {
+			delete(c.gone.since, name)
+		} else if _, known := c.gone.since[name]; !known {
+			c.gone.since[name] = c.now
+		}
+	}
+	c.updateGone()
+	c.listEngines()
+	c.machinesLeaving()
+}
+
+// engineAnswered notes that an engine is not gone, whatever the list says.
+func (c *Core) engineAnswered(name fleet.BackendName) {
+	if _, listed := c.gone.since[name]; listed {
+		c.gone.since[name] = c.now
+		c.updateGone()
+	}
+}
+
+// updateGone moves engines in and out of those that count as gone.
+func (c *Core) updateGone() {
+	effective := make(map[fleet.BackendName]bool)
+	for name, since := range c.gone.since {
+		if c.now.Sub(since) >= c.settings().GoneSilence {
+			effective[name] = true
+		}
+	}
+	if maps.Equal(effective, c.gone.effective) {
+		return
+	}
+	c.gone.effective = effective
+	c.listEngines()
+	c.stepPlacement(placement.EnginesGone{Engines: slices.Sorted(maps.Keys(effective))})
+	c.dropEngines(effective)
+}
+
+// listEngines tells the leadership core which engines there are.
+func (c *Core) listEngines() {
+	addresses := make(map[fleet.BackendName]string)
+	for _, machine := range c.machines.Machines {
+		if machine.Role == roleEngine && machine.Zone == c.options.Zone {
+			addresses[fleet.BackendName(machine.Name)] = machine.Address
+		}
+	}
+	c.stepLeader(leadership.EnginesListed{Addresses: addresses, Gone: maps.Clone(c.gone.effective)})
+}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -27,6 +27,9 @@
 	Heartbeat time.Duration
 	// PullInterval is the time between two repairs of the tables.
 	PullInterval time.Duration
+	// GoneSilence is how long an engine must have been silent, once the machine
+	// list calls it gone, until it counts as gone.
+	GoneSilence time.Duration
 	// DecideInterval is the time between two decisions on allotments.
 	DecideInterval time.Duration
 }
@@ -42,6 +45,7 @@
 		PollIdle:       time.Second,
 		Heartbeat:      time.Second,
 		PullInterval:   2 * time.Second,
+		GoneSilence:    5 * time.Second,
 		DecideInterval: time.Second,
 	}
 }
--- a/internal/leadership/core.go
+++ b/internal/leadership/core.go
@@ -217,11 +217,14 @@
 	c.engines = nil
 }
 
-// counted are the engines that the zone may use and must count.
+// counted are the engines that the zone may use and must count: those recorded,
+// but for those gone. One that answered in this round is not gone, whatever the
+// machine list says.
 func (c *Core) counted(record allotment.Record) []fleet.BackendName {
 	var names []fleet.BackendName
 	for _, name := range record.Engines(c.options.Zone) {
-		if !c.gone[name] {
+		progress := c.engines[name]
+		if !c.gone[name] || (progress != nil && progress.read) {
 			names = append(names, name)
 		}
 	}
--- a/internal/leadership/messages.go
+++ b/internal/leadership/messages.go
@@ -16,9 +16,10 @@
 
 // EnginesListed gives the engines that the machine list shows in the zone.
 type EnginesListed struct {
-	// Addresses are those of the engines that may still run.
+	// Addresses are those of all engines listed, also of those gone.
 	Addresses map[fleet.BackendName]string
-	// Gone names the engines whose machines are gone for good.
+	// Gone names the engines whose machines are gone for good, by the list and
+	// by their own silence.
 	Gone map[fleet.BackendName]bool
 }
 
--- a/internal/leadership/round.go
+++ b/internal/leadership/round.go
@@ -52,7 +52,7 @@
 	c.notBefore = now.Add(c.options.Settings.RoundInterval)
 	c.deadline = now.Add(c.options.Settings.AnswerTimeout)
 	c.engines = make(map[fleet.BackendName]*engineProgress)
-	for _, name := range c.counted(c.record) {
+	for _, name := range c.record.Engines(c.options.Zone) {
 		c.engines[name] = &engineProgress{}
 		c.ask(name)
 	}
