--- a/internal/control/defects_test.go
+++ b/internal/control/defects_test.go
@@ -25,8 +25,9 @@
 
 func TestEachPlantedDefectIsCaught(t *testing.T) {
 	cases := map[string]Defects{
-		"no fence":              {NoFence: true},
-		"no conservative count": {NoConservativeCount: true},
+		"no confirm before raise": {NoConfirmBeforeRaise: true},
+		"no fence":                {NoFence: true},
+		"no conservative count":   {NoConservativeCount: true},
 	}
 	for name, defects := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -37,7 +37,9 @@
 	lossShare float64
 	defects   Defects
 	settings  Settings
-	models    []catalog.ModelFacts
+	// hold delays a claim on its way to the engine; nil for none.
+	hold   func(from fleet.NodeName, engine fleet.BackendName) time.Duration
+	models []catalog.ModelFacts
 	// unjudged is set where an engine or the record changed.
 	unjudged   bool
 	violations []string
@@ -55,6 +57,8 @@
 	vouched     bool
 	tables      map[fleet.Zone]fleet.RouteTable
 	refused     []fleet.LoadRefusal
+	// deaf nodes hear no records from others.
+	deaf bool
 	// suspects are members that this node takes for dead.
 	suspects map[fleet.NodeName]bool
 }
@@ -272,7 +276,7 @@
 	switch effect := effect.(type) {
 	case ReadEngine:
 		answer := leadership.StateRead{ID: effect.ID, Engine: effect.Engine, Failed: true}
-		c.call(effect.Engine, engine.ReadState{}, func(got engine.Effect) {
+		c.call(effect.Engine, 0, engine.ReadState{}, func(got engine.Effect) {
 			if read, found := got.(engine.StateRead); found {
 				answer.State, answer.Failed = read.State, false
 			}
@@ -281,7 +285,7 @@
 	case SendClaim:
 		answer := leadership.ClaimAnswered{ID: effect.ID, Engine: effect.Engine}
 		claim := backend.Claim{Fence: effect.Fence, Incarnation: effect.Incarnation, Holder: name}
-		c.call(effect.Engine, engine.TakeClaim{Claim: claim}, func(got engine.Effect) {
+		c.call(effect.Engine, c.heldBack(name, effect.Engine), engine.TakeClaim{Claim: claim}, func(got engine.Effect) {
 			switch got := got.(type) {
 			case engine.StateRead:
 				answer.Result, answer.State = leadership.ClaimGranted, got.State
@@ -292,7 +296,7 @@
 		})
 	case SendOrder:
 		answer := OrderAnswered{Engine: effect.Engine, OrderID: effect.Order.ID}
-		c.call(effect.Engine, engine.TakeOrder{Order: effect.Order}, func(got engine.Effect) {
+		c.call(effect.Engine, 0, engine.TakeOrder{Order: effect.Order}, func(got engine.Effect) {
 			switch got := got.(type) {
 			case engine.StateRead:
 				answer.Result = placement.OrderAccepted
@@ -344,7 +348,7 @@
 }
 
 // call makes one call to an engine. A lost call may still arrive, even late.
-func (c *cluster) call(name fleet.BackendName, message engine.Message, answered func(engine.Effect)) {
+func (c *cluster) call(name fleet.BackendName, held time.Duration, message engine.Message, answered func(engine.Effect)) {
 	lost := c.random.Float64() < c.lossShare
 	if lost {
 		c.after(900*time.Millisecond, func() { answered(nil) })
@@ -352,7 +356,7 @@
 			return
 		}
 	}
-	delay := c.latency()
+	delay := c.latency() + held
 	if lost && c.random.IntN(2) == 0 {
 		delay += time.Duration(c.random.IntN(5000)) * time.Millisecond
 	}
@@ -364,6 +368,13 @@
 	})
 }
 
+func (c *cluster) heldBack(from fleet.NodeName, target fleet.BackendName) time.Duration {
+	if c.hold == nil {
+		return 0
+	}
+	return c.hold(from, target)
+}
+
 // stepEngine feeds an engine and returns its answer to the message, nil where
 // it is down.
 func (c *cluster) stepEngine(name fleet.BackendName, message engine.Message) engine.Effect {
@@ -466,7 +477,9 @@
 func (c *cluster) spreadRecord() {
 	stored := c.stored()
 	for _, name := range c.nodeNames() {
-		c.sendLossy(name, AllotmentsChanged{stored})
+		if !c.nodes[name].deaf {
+			c.sendLossy(name, AllotmentsChanged{stored})
+		}
 	}
 }
 
