--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -75,7 +75,9 @@
 		case platform.MachineLive:
 			present = append(present, name)
 		case platform.MachineGone:
-			gone = append(gone, name)
+			if c.gone.effective[name] {
+				gone = append(gone, name)
+			}
 		case platform.MachineLeaving:
 		}
 	}
@@ -120,6 +122,8 @@
 		Engines: make(map[fleet.Zone]int),
 		Demand:  c.wants.unserved(c.now),
 		Idle:    make(map[fleet.ModelVersion]map[fleet.Zone]int),
+
+		RaiseUnconfirmed: c.options.Defects.NoConfirmBeforeRaise,
 	}
 	for _, machine := range c.machines.Machines {
 		if machine.Role == roleEngine && machine.State == platform.MachineLive {
