Try the load and its judges over sockets against a reference fleet

Cause: the judges were tried on made-up evidence only; whether plan, client, books and store history fit together was not shown without a node.

Change: a test fleet of three nodes, two engines, a command server and the platform's stand-ins serves right, or with one of four defects. The counter of TestKeyedCommandIsSentOnce was read without a lock; it is atomic now.

--- a/cmd/spanlab/load.go
+++ b/cmd/spanlab/load.go
@@ -58,7 +58,6 @@
 		Operators: command.StringSlice("operators"), Books: command.StringSlice("books"), Profile: command.String("profile"),
 		Rate: command.Float("rate"), Duration: command.Duration("duration"), Seed: seed,
 		FaultsFile: command.String("faults"), HistoryFile: command.String("history"),
-		Answers:  engineAnswers{},
 		Announce: printer.moment, Progress: printer.progress,
 	})
 	if err != nil {
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -273,10 +274,9 @@
 // TestKeyedCommandIsSentOnce guards against the resending of net/http, which
 // takes a request with an Idempotency-Key for repeatable.
 func TestKeyedCommandIsSentOnce(t *testing.T) {
-	seen := 0
+	var seen atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		seen++
-		if seen > 1 {
+		if seen.Add(1) > 1 {
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprint(writer, "{}")
@@ -286,7 +286,7 @@
 	call := Call{Node: strings.TrimPrefix(server.URL, "http://"), Kind: history.KindCommand, Method: http.MethodPost, Path: "/x", Key: "k", Class: Class{Deadline: time.Minute}}
 	client.Send(t.Context(), call, "first")
 	client.Send(t.Context(), call, "second")
-	if seen != 2 {
-		t.Errorf("two sends reached the server %d times", seen)
+	if seen.Load() != 2 {
+		t.Errorf("two sends reached the server %d times", seen.Load())
 	}
 }
--- a/cmd/spanlab/answers.go
+++ b/internal/lab/scenario/answers.go
@@ -1,4 +1,4 @@
-package main
+package scenario
 
 import (
 	"strings"
--- a/internal/lab/scenario/doc.go
+++ b/internal/lab/scenario/doc.go
@@ -2,5 +2,5 @@
 // judged summary, and says aloud when each fault is to be brought about. It
 // starts and ends no process; who started the system does.
 //
-// It may import the other lab packages.
+// It may import the other lab packages and standin/engine.
 package scenario
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -33,7 +33,6 @@
 	FaultsFile string
 	// HistoryFile is where the records are written, if not empty.
 	HistoryFile string
-	Answers     check.Answers
 	// Announce is called with the name of each moment of the scenario, Progress
 	// with the numbers so far; neither may block.
 	Announce func(moment Moment)
@@ -140,7 +139,7 @@
 	stop()
 	<-announced
 	options.tell(MomentEnd)
-	return check.Evidence{Records: records, Started: started, Answers: options.Answers}, ctx.Err()
+	return check.Evidence{Records: records, Started: started, Answers: engineAnswers{}}, ctx.Err()
 }
 
 // settleTime is how long after the last request the books are still followed.
--- /dev/null
+++ b/internal/lab/scenario/scenario_test.go
@@ -0,0 +1,70 @@
+package scenario
+
+import (
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/spanlanding/spanlanding/internal/lab/check"
+	"github.com/spanlanding/spanlanding/internal/lab/report"
+)
+
+func runReference(t *testing.T, wrong defects) report.Summary {
+	t.Helper()
+	nodes, platformURL := startReference(t, wrong)
+	var seen []Moment
+	summary, err := Run(t.Context(), Options{
+		Nodes: nodes, Operators: nodes, Platform: platformURL, Profile: "fjordkurv",
+		Rate: 60, Duration: 2 * time.Second, Seed: 1,
+		HistoryFile: filepath.Join(t.TempDir(), "history.jsonl"),
+		Announce:    func(moment Moment) { seen = append(seen, moment) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if seen[0] != MomentStart || seen[len(seen)-1] != MomentEnd || !slices.Contains(seen, MomentStopNode) {
+		t.Errorf("the moments were %v", seen)
+	}
+	return summary
+}
+
+// TestReferenceFleetKeepsTheRules runs the whole laboratory over real sockets
+// against a fleet that does everything right but is never disturbed.
+func TestReferenceFleetKeepsTheRules(t *testing.T) {
+	t.Parallel()
+	summary := runReference(t, defects{})
+	if broken := summary.Broken(); len(broken) > 0 {
+		t.Errorf("broken: %v", summary.Verdicts)
+	}
+	undisturbed := []check.Rule{check.RuleNotRun, check.RuleLeaving, check.RulePlannedStop, check.RuleConfig}
+	if difference := cmp.Diff(undisturbed, summary.NotExercised()); difference != "" {
+		t.Errorf("rules that did not come into play:\n%s", difference)
+	}
+	if summary.Times[report.TimeColdStart].Count == 0 || summary.Loads.Ordered != 5 {
+		t.Errorf("cold starts %s, %d loads", summary.Times[report.TimeColdStart], summary.Loads.Ordered)
+	}
+	if len(summary.Problems) > 0 {
+		t.Errorf("not read: %v", summary.Problems)
+	}
+}
+
+// TestDefectsOfTheReferenceFleetAreFound plants each defect over real sockets.
+func TestDefectsOfTheReferenceFleetAreFound(t *testing.T) {
+	cases := map[check.Rule]defects{
+		check.RuleAtMostOnce: {forgetKeys: true},
+		check.RuleNotRun:     {lie: true},
+		check.RuleOwnAnswer:  {crossAnswers: true},
+		check.RuleReplicas:   {loadTwice: true},
+	}
+	for rule, wrong := range cases {
+		t.Run(string(rule), func(t *testing.T) {
+			t.Parallel()
+			if broken := runReference(t, wrong).Broken(); !slices.Contains(broken, rule) {
+				t.Errorf("broken: %v", broken)
+			}
+		})
+	}
+}
