Bring faults of the stand-ins about while a load runs

Cause: only kills and planned stops came with a load; the store's, the engines' and the services' faults, and pairs of them, were not brought about.

Not measured yet: no node serves, so no run with faults was made.

--- a/cmd/spanlab/load.go
+++ b/cmd/spanlab/load.go
@@ -14,6 +14,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/spanlanding/spanlanding/internal/lab/inject"
 	"github.com/spanlanding/spanlanding/internal/lab/report"
 	"github.com/spanlanding/spanlanding/internal/lab/scenario"
 )
@@ -37,7 +38,8 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the arrivals; drawn and printed if not set"},
 			&cli.BoolFlag{Name: "check", Usage: "fail if a rule was broken"},
 			&cli.BoolFlag{Name: "every-rule", Usage: "with --check, fail also if a rule was not exercised"},
-			&cli.StringFlag{Name: "faults", Usage: "file in which whoever brings faults about notes them, one JSON object a line"},
+			&cli.StringSliceFlag{Name: "faults", Usage: "faults to bring about at the stand-ins: all, none or their names"},
+			&cli.StringFlag{Name: "fault-log", Usage: "file in which whoever else brings faults about notes them, one JSON object a line"},
 			&cli.StringFlag{Name: "history", Usage: "file to write each request and its answer to"},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "text", Usage: "text or json"},
 		},
@@ -50,6 +52,10 @@
 	if !command.IsSet("seed") {
 		seed = rand.Uint64() >> 32
 	}
+	kinds, err := inject.ParseKinds(command.StringSlice("faults"))
+	if err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	printer := &progressPrinter{to: os.Stderr}
@@ -57,7 +63,7 @@
 		Nodes: command.StringSlice("nodes"), Platform: platformURL(command.String("platform")),
 		Operators: command.StringSlice("operators"), Books: command.StringSlice("books"), Profile: command.String("profile"),
 		Rate: command.Float("rate"), Duration: command.Duration("duration"), Seed: seed,
-		FaultsFile: command.String("faults"), HistoryFile: command.String("history"),
+		Faults: kinds, FaultLog: command.String("fault-log"), HistoryFile: command.String("history"),
 		Announce: printer.moment, Progress: printer.progress,
 	})
 	if err != nil {
--- a/internal/lab/collect/collector.go
+++ b/internal/lab/collect/collector.go
@@ -54,6 +54,7 @@
 	store    storeHistory
 	samples  []check.ConfigSample
 	problems map[string]int
+	machines []platform.Machine
 }
 
 type bookKey struct {
@@ -143,6 +144,7 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.machines = list.Machines
 	for _, machine := range list.Machines {
 		switch machine.Role {
 		case roleEngine, roleService:
@@ -213,6 +215,13 @@
 	return maps.Clone(c.problems)
 }
 
+// Machines returns the machine list as last read.
+func (c *Collector) Machines() []platform.Machine {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Clone(c.machines)
+}
+
 // Objects returns the declared objects as last seen.
 func (c *Collector) Objects() []platform.Object {
 	c.mutex.Lock()
--- a/internal/lab/history/record.go
+++ b/internal/lab/history/record.go
@@ -125,6 +125,10 @@
 	NodePaused    FaultKind = "node-paused"
 	NodeContinued FaultKind = "node-continued"
 	EngineKilled  FaultKind = "engine-killed"
+	// FaultInjected and FaultCleared bound a fault of a stand-in; Detail has
+	// its kind.
+	FaultInjected FaultKind = "injected"
+	FaultCleared  FaultKind = "cleared"
 )
 
 // Fault is one fault brought about while the run went on. Target is the caller
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/lab/check"
 	"github.com/spanlanding/spanlanding/internal/lab/collect"
 	"github.com/spanlanding/spanlanding/internal/lab/history"
+	"github.com/spanlanding/spanlanding/internal/lab/inject"
 	"github.com/spanlanding/spanlanding/internal/lab/load"
 	"github.com/spanlanding/spanlanding/internal/lab/report"
 )
@@ -28,9 +30,11 @@
 	Rate     float64
 	Duration time.Duration
 	Seed     uint64
-	// FaultsFile is where whoever brings faults about notes them; see
+	// Faults are brought about at the stand-ins while the load runs.
+	Faults []inject.Kind
+	// FaultLog is where whoever else brings faults about notes them; see
 	// history.ReadFaults. It may be empty.
-	FaultsFile string
+	FaultLog string
 	// HistoryFile is where the records are written, if not empty.
 	HistoryFile string
 	// Announce is called with the name of each moment of the scenario, Progress
@@ -132,14 +136,40 @@
 		defer close(announced)
 		announce(announcing, options, started)
 	}()
+	injected := startFaults(announcing, options, collector)
 	records := load.Run(ctx, plan, load.RunOptions{
 		RunID: runID, Sender: load.NewClient(), Nodes: options.Nodes, Progress: options.Progress,
 	})
 	wait(ctx, started.Add(options.Duration+settleTime))
 	stop()
 	<-announced
+	injection := <-injected
 	options.tell(MomentEnd)
-	return check.Evidence{Records: records, Started: started, Answers: engineAnswers{}}, ctx.Err()
+	return check.Evidence{
+		Records: records, Faults: injection.faults, Started: started, Answers: engineAnswers{},
+	}, errors.Join(ctx.Err(), injection.err)
+}
+
+// injection is what was brought about at the stand-ins.
+type injection struct {
+	faults []history.Fault
+	err    error
+}
+
+func startFaults(ctx context.Context, options Options, collector *collect.Collector) <-chan injection {
+	done := make(chan injection, 1)
+	if len(options.Faults) == 0 {
+		done <- injection{}
+		return done
+	}
+	go func() {
+		faults, err := inject.Run(ctx, inject.Options{
+			Kinds: options.Faults, Targets: inject.Targets(options.Platform, collector.Machines()),
+			Duration: options.Duration, Seed: options.Seed,
+		})
+		done <- injection{faults: faults, err: err}
+	}()
+	return done
 }
 
 // settleTime is how long after the last request the books are still followed.
@@ -211,11 +241,12 @@
 // gather adds what was seen beside the requests.
 func gather(ctx context.Context, evidence *check.Evidence, options Options, collector *collect.Collector) error {
 	collector.Fill(evidence)
-	faults, err := awaitExits(ctx, options.FaultsFile)
+	faults, err := awaitExits(ctx, options.FaultLog)
 	if err != nil {
 		return err
 	}
-	evidence.Faults = faults
+	evidence.Faults = append(evidence.Faults, faults...)
+	slices.SortStableFunc(evidence.Faults, func(a, b history.Fault) int { return a.At.Compare(b.At) })
 	if options.HistoryFile == "" {
 		return nil
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -240,7 +240,7 @@
 mkfifo "$work/moments"
 ./bin/spanlab load --nodes "$(joined "${callers[@]}")" --operators "$(joined "${operators[@]}")" \
   --platform "$platform" --profile "$profile" \
-  --rate "$rate" --duration "$duration" --seed "$seed" --check --faults "$faults" \
+  --rate "$rate" --duration "$duration" --seed "$seed" --check --fault-log "$faults" \
   --history "$work/history.jsonl" -o "$output" >"$work/summary" 2>"$work/moments" &
 load=$!
 pids+=("$load")
