--- /dev/null
+++ b/internal/catalog/bench_test.go
@@ -0,0 +1,88 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/spec"
+)
+
+// The size to build towards.
+const (
+	benchModels    = 54
+	benchAdapters  = 8_700
+	benchSelectors = 200
+	benchTenants   = 400
+)
+
+// fleetObjects declares a fleet of the size to build towards.
+func fleetObjects(b *testing.B) []platform.Object {
+	b.Helper()
+	var objects []platform.Object
+	add := func(kind spec.Kind, name string, labels map[string]string, declared any) {
+		added := object(b, kind, name, labels, declared)
+		added.Version = uint64(len(objects) + 1)
+		objects = append(objects, added)
+	}
+	for index := range benchModels {
+		add(spec.KindModel, fmt.Sprintf("model-%02d", index), nil, spec.Model{
+			Versions: []spec.ModelVersion{{Name: "v1", Memory: 14 << 30, Checkpoint: 14 << 30}, {Name: "v2", Memory: 15 << 30, Checkpoint: 15 << 30}},
+			Replicas: spec.ReplicaBounds{Max: 40},
+		})
+	}
+	for index := range benchAdapters {
+		model := fmt.Sprintf("model-%02d", index%benchModels)
+		add(spec.KindAdapter, fmt.Sprintf("adapter-%04d", index), nil, spec.Adapter{Model: model, Memory: 64 << 20})
+		labels := map[string]string{
+			"tenant": fmt.Sprintf("tenant-%03d", index%benchTenants), "tier": []string{"gold", "basic"}[index%2], "model": model,
+		}
+		add(spec.KindDeployment, fmt.Sprintf("deployment-%04d", index), labels, spec.Deployment{
+			Model: model, Adapter: fmt.Sprintf("adapter-%04d", index),
+			Versions: []spec.WeightedVersion{{Name: "v1", Weight: 95}, {Name: "v2", Weight: 5}},
+		})
+	}
+	for index := range benchSelectors {
+		tenant := fmt.Sprintf("tenant-%03d", index)
+		add(spec.KindSelector, fmt.Sprintf("selector-%03d", index), nil, spec.Selector{
+			Match:       matching("tenant", tenant),
+			Deployments: spec.LabelSelector{MatchLabels: map[string]string{"tenant": tenant, "tier": []string{"gold", "basic"}[index%2]}},
+			Priority:    index % 10, Deadline: spec.Duration(20 * time.Second),
+		})
+		add(spec.KindCapacity, fmt.Sprintf("capacity-%03d", index), nil, spec.Capacity{Deployments: matching("tenant", tenant), Replicas: 1})
+	}
+	return objects
+}
+
+func BenchmarkCompileWhole(b *testing.B) {
+	objects := fleetObjects(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, problems := Compile(1, objects); len(problems) > 0 {
+			b.Fatal(problems)
+		}
+	}
+}
+
+func BenchmarkCompileAfterOneChange(b *testing.B) {
+	objects := fleetObjects(b)
+	compiler := NewCompiler()
+	compiler.Compile(1, objects)
+	b.ReportAllocs()
+	for b.Loop() {
+		objects[len(objects)-1].Version++
+		compiler.Compile(2, objects)
+	}
+}
+
+func BenchmarkModelRoute(b *testing.B) {
+	snapshot, _ := Compile(1, fleetObjects(b))
+	last := map[string]string{"tenant": fmt.Sprintf("tenant-%03d", benchSelectors-1), "model": "deployment-0199"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, found := snapshot.ModelRoute(last); !found {
+			b.Fatal("no route")
+		}
+	}
+}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -175,8 +175,8 @@
 	if difference := cmp.Diff(want, named); difference != "" {
 		t.Error(difference)
 	}
-	if got := len(snapshot.Deployments()); got != 3 {
-		t.Errorf("%d deployments", got)
+	if difference := cmp.Diff([]string{"chat", "report-certified", "report-plain"}, snapshot.ModelNames()); difference != "" {
+		t.Error(difference)
 	}
 }
 
--- a/internal/catalog/link.go
+++ b/internal/catalog/link.go
@@ -31,6 +31,7 @@
 		}
 		index := len(b.snapshot.deployments)
 		b.snapshot.deploymentIndex[object.name] = index
+		b.snapshot.modelNames = append(b.snapshot.modelNames, object.name)
 		b.snapshot.deployments = append(b.snapshot.deployments, deployment{DeploymentInfo{
 			Name:           fleet.DeploymentName(object.name),
 			Labels:         object.labels,
@@ -108,6 +109,34 @@
 			strings.Compare(a.name, c.name),
 		)
 	})
+	b.fileSelectors()
+}
+
+// fileSelectors files each selector under the label that the fewest others ask
+// for, so that a request looks at few.
+func (b *builder) fileSelectors() {
+	asked := make(map[labelPair]int)
+	for index := range b.snapshot.selectors {
+		for key, value := range b.snapshot.selectors[index].Match.MatchLabels {
+			asked[labelPair{key: key, value: value}]++
+		}
+	}
+	b.snapshot.selectorsByLabel = make(map[labelPair][]int)
+	for index := range b.snapshot.selectors {
+		var rarest labelPair
+		for key, value := range b.snapshot.selectors[index].Match.MatchLabels {
+			pair := labelPair{key: key, value: value}
+			byRarity := cmp.Or(cmp.Compare(asked[pair], asked[rarest]), strings.Compare(key, rarest.key))
+			if rarest == (labelPair{}) || byRarity < 0 {
+				rarest = pair
+			}
+		}
+		if rarest == (labelPair{}) {
+			b.snapshot.anySelectors = append(b.snapshot.anySelectors, index)
+			continue
+		}
+		b.snapshot.selectorsByLabel[rarest] = append(b.snapshot.selectorsByLabel[rarest], index)
+	}
 }
 
 // link resolves what selectors and capacities choose by labels.
--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -81,12 +81,8 @@
 // route. Where no selector matches, the label "model" may name a deployment.
 func (s *Snapshot) ModelRoute(labels map[string]string) (ModelRoute, bool) {
 	named, hasNamed := s.deploymentIndex[labels[modelLabel]]
-	for index := range s.selectors {
-		candidate := &s.selectors[index]
-		if !candidate.Match.Matches(labels) {
-			continue
-		}
-		return s.selectedRoute(candidate, named, hasNamed)
+	if chosen := s.firstMatching(labels); chosen != nil {
+		return s.selectedRoute(chosen, named, hasNamed)
 	}
 	if !hasNamed {
 		return ModelRoute{}, false
@@ -96,6 +92,31 @@
 	return route, true
 }
 
+// firstMatching looks only at selectors that are filed under one of the labels.
+func (s *Snapshot) firstMatching(labels map[string]string) *selector {
+	first := s.firstOf(s.anySelectors, len(s.selectors), labels)
+	for key, value := range labels {
+		first = s.firstOf(s.selectorsByLabel[labelPair{key: key, value: value}], first, labels)
+	}
+	if first == len(s.selectors) {
+		return nil
+	}
+	return &s.selectors[first]
+}
+
+// firstOf returns the first matching candidate before the limit, or the limit.
+func (s *Snapshot) firstOf(candidates []int, limit int, labels map[string]string) int {
+	for _, index := range candidates {
+		if index >= limit {
+			return limit
+		}
+		if s.selectors[index].Match.Matches(labels) {
+			return index
+		}
+	}
+	return limit
+}
+
 // selectedRoute prefers the deployment that the request names, and takes the
 // first by name otherwise, so that all nodes choose alike.
 func (s *Snapshot) selectedRoute(chosen *selector, named int, hasNamed bool) (ModelRoute, bool) {
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -20,8 +20,13 @@
 	deployments  []deployment
 	// deploymentIndex finds a deployment by its name.
 	deploymentIndex map[string]int
+	modelNames      []string
 	// selectors are in the order in which they are tried.
 	selectors []selector
+	// selectorsByLabel files each selector under one label that it asks for;
+	// anySelectors are those that ask for none by value.
+	selectorsByLabel map[labelPair][]int
+	anySelectors     []int
 	// services are ordered by the length of their prefix, longest first.
 	services    []service
 	preferences spec.Preferences
@@ -87,6 +92,11 @@
 	return infos
 }
 
+// ModelNames lists, in order, what callers may name as model.
+func (s *Snapshot) ModelNames() []string {
+	return s.modelNames
+}
+
 // Services describes all services, ordered by name.
 func (s *Snapshot) Services() []ServiceInfo {
 	infos := make([]ServiceInfo, 0, len(s.services))
--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/platform"
 )
@@ -17,6 +22,33 @@
 	shown uint64
 	// compacted is the revision before which events are gone.
 	compacted uint64
+	// machines is the machine list after each change, by the time of it.
+	machines []platform.MachineList
+}
+
+// setMachine changes one machine's state; an empty state takes it off.
+func (s *testStore) setMachine(now time.Time, name string, state platform.MachineState) {
+	list := platform.MachineList{AsOfUnixMilli: now.UnixMilli()}
+	if len(s.machines) > 0 {
+		list.Machines = slices.Clone(s.machines[len(s.machines)-1].Machines)
+	}
+	list.Machines = slices.DeleteFunc(list.Machines, func(machine platform.Machine) bool { return machine.Name == name })
+	if state != "" {
+		list.Machines = append(list.Machines, platform.Machine{Role: "engine", Name: name, State: state})
+	}
+	slices.SortFunc(list.Machines, func(a, b platform.Machine) int { return strings.Compare(a.Name, b.Name) })
+	s.machines = append(s.machines, list)
+}
+
+// machinesAt is the machine list as it was at a time.
+func (s *testStore) machinesAt(unixMilli int64) platform.MachineList {
+	shown := platform.MachineList{AsOfUnixMilli: unixMilli}
+	for _, list := range s.machines {
+		if list.AsOfUnixMilli <= unixMilli {
+			shown.Machines = list.Machines
+		}
+	}
+	return shown
 }
 
 func (s *testStore) write(kind, name string, deleted bool) {
@@ -71,7 +103,23 @@
 	position uint64
 	versions map[platform.Key]uint64
 	inForce  uint64
-	updated  int
+	machines platform.MachineList
+	// checked and checkedMachines are what the rules were last held against.
+	checked         ledgerState
+	checkedMachines [2]uint64
+}
+
+// ledgerState tells whether a ledger changed.
+type ledgerState struct {
+	loaded     bool
+	version    uint64
+	newest     uint64
+	hash       uint64
+	tombstones int
+}
+
+func stateOf(held *ledger) ledgerState {
+	return ledgerState{loaded: held.loaded, version: held.version, newest: held.newest, hash: held.hash, tombstones: held.tombstones}
 }
 
 // cluster runs several cores over a network and a store that may fail.
@@ -110,6 +158,9 @@
 	node.watch = nil
 	node.versions = make(map[platform.Key]uint64)
 	node.inForce = 0
+	node.machines = platform.MachineList{}
+	node.checked = ledgerState{}
+	node.checkedMachines = [2]uint64{}
 	c.step(node, MembersChanged{Members: c.members()})
 }
 
@@ -159,8 +210,12 @@
 		answer := c.asked[effect.Call]
 		answer.message = DigestAnswered{From: answer.from, Answer: effect.Answer}
 		c.inFlight = append(c.inFlight, answer)
-	case Updated:
-		node.updated++
+	case ListMachines:
+		if !c.store.down {
+			c.send(node, "", MachinesListed{List: c.store.machinesAt(c.now.UnixMilli())})
+		}
+	case MachinesUpdated:
+		node.machines = effect.List
 	}
 }
 
@@ -244,6 +299,12 @@
 // check holds the rules against the store's own history: versions only grow,
 // and a version is in force only where every change up to it is held.
 func (c *cluster) check(node *testNode) {
+	c.checkMachines(node)
+	state := stateOf(node.core.objects)
+	if state == node.checked {
+		return
+	}
+	node.checked = state
 	version, loaded := node.core.Version()
 	if version < node.inForce {
 		c.fail("%s went back from version %d to %d", node.member.Name, node.inForce, version)
@@ -274,6 +335,20 @@
 	}
 }
 
+// checkMachines compares what is held with what the list showed at its time.
+func (c *cluster) checkMachines(node *testNode) {
+	held := node.core.machines
+	state := [2]uint64{held.asOf, held.hash}
+	if !held.loaded || state == node.checkedMachines {
+		return
+	}
+	node.checkedMachines = state
+	want := c.store.machinesAt(int64(held.asOf))
+	if difference := cmp.Diff(want, held.list(), cmpopts.EquateEmpty()); difference != "" {
+		c.fail("%s holds other machines: %s", node.member.Name, difference)
+	}
+}
+
 func (c *cluster) fail(format string, arguments ...any) {
 	if c.failure == "" {
 		c.failure = fmt.Sprintf(format, arguments...)
@@ -288,7 +363,11 @@
 			want[key] = object.Version
 		}
 	}
+	machines := c.store.machinesAt(c.now.UnixMilli()).Machines
 	for _, node := range c.nodes {
+		if !cmp.Equal(machines, node.machines.Machines, cmpopts.EquateEmpty()) {
+			return fmt.Sprintf("%s knows machines %v instead of %v", node.member.Name, node.machines.Machines, machines)
+		}
 		objects := node.core.Objects()
 		if len(objects) != len(want) {
 			return fmt.Sprintf("%s holds %d objects of %d", node.member.Name, len(objects), len(want))
--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -1,7 +1,6 @@
 package configsync
 
 import (
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -36,18 +35,20 @@
 	Seed uint64
 	// PushDelay gathers changes into one push.
 	PushDelay time.Duration
-	// DigestInterval is the mean time between two digests of each space.
+	// DigestInterval is the mean time between two digests, of objects and of
+	// machines each.
 	DigestInterval time.Duration
 	// FirstDigestRetry is the interval until the node has something in force.
 	FirstDigestRetry time.Duration
 	// ReadRetry is the first wait after a failed list or watch; it doubles.
 	ReadRetry time.Duration
-	// MachineInterval is how often a reader asks for the machine list.
+	// MachineInterval is how often the first reader asks for the machine list
+	// while it is short.
 	MachineInterval time.Duration
 	// FullMergeInterval is the least time between two merges of all objects
 	// with peers that hold others at the same version.
 	FullMergeInterval time.Duration
-	// TombstoneLimit bounds the tombstones that are kept in each space.
+	// TombstoneLimit bounds the tombstones that are kept.
 	TombstoneLimit int
 	Defects        Defects
 }
@@ -86,13 +87,10 @@
 	members []fleet.Member
 
 	objects  *ledger
-	machines *ledger
-	// machineList holds the decoded machines of the ledger.
-	machineList map[platform.Key]platform.Machine
-
-	reader  reader
-	spread  map[Space]*spreadState
-	effects []Effect
+	machines *machineTable
+	reader   reader
+	spread   spread
+	effects  []Effect
 	// reported is the version of the last Updated.
 	reported uint64
 	// everReported is false until the first Updated.
@@ -102,19 +100,13 @@
 // New returns a core that holds nothing.
 func New(options Options) *Core {
 	options = options.withDefaults()
-	core := &Core{
-		options:     options,
-		random:      rand.New(rand.NewPCG(options.Seed, hashText(string(options.Self.Name)))),
-		members:     []fleet.Member{options.Self},
-		objects:     newLedger(hashByVersion, options.TombstoneLimit, options.Defects),
-		machines:    newLedger(hashBySpec, options.TombstoneLimit, options.Defects),
-		machineList: make(map[platform.Key]platform.Machine),
-	}
-	core.spread = map[Space]*spreadState{
-		SpaceObjects:  {space: SpaceObjects, ledger: core.objects},
-		SpaceMachines: {space: SpaceMachines, ledger: core.machines},
+	return &Core{
+		options:  options,
+		random:   rand.New(rand.NewPCG(options.Seed, hashText(string(options.Self.Name)))),
+		members:  []fleet.Member{options.Self},
+		objects:  newLedger(options.TombstoneLimit, options.Defects),
+		machines: newMachineTable(),
 	}
-	return core
 }
 
 // Version is the store revision in force, and false while there is none.
@@ -158,11 +150,23 @@
 		c.machinesListed(now, message.List)
 	case MachinesFailed:
 	case PushReceived:
-		c.pushReceived(now, message)
+		if message.Push.Space == SpaceMachines {
+			c.machinePushReceived(now, message)
+		} else {
+			c.pushReceived(now, message)
+		}
 	case DigestReceived:
-		c.digestReceived(message)
+		if message.Digest.Space == SpaceMachines {
+			c.emit(AnswerDigest{Call: message.Call, Answer: c.machines.answer(message.Digest)})
+		} else {
+			c.emit(AnswerDigest{Call: message.Call, Answer: c.answerDigest(message.Digest)})
+		}
 	case DigestAnswered:
-		c.digestAnswered(now, message)
+		if message.Answer.Space == SpaceMachines {
+			c.machineDigestAnswered(now, message)
+		} else {
+			c.digestAnswered(now, message)
+		}
 	case DigestFailed:
 		c.digestFailed(now, message)
 	}
@@ -173,11 +177,8 @@
 // NextWake is the earliest time at which a Tick is wanted.
 func (c *Core) NextWake() time.Time {
 	wake := earliest(c.reader.readAt, c.reader.machinesAt)
-	for _, space := range spaces {
-		state := c.spread[space]
-		wake = earliest(wake, earliest(state.pushAt, state.digestAt))
-	}
-	return wake
+	wake = earliest(wake, earliest(c.spread.pushAt, c.spread.digestAt))
+	return earliest(wake, earliest(c.machines.pushAt, c.machines.digestAt))
 }
 
 func earliest(a, b time.Time) time.Time {
@@ -193,10 +194,10 @@
 
 func (c *Core) runDue(now time.Time) {
 	c.readDue(now)
-	for _, space := range spaces {
-		c.pushDue(now, c.spread[space])
-		c.digestDue(now, c.spread[space])
-	}
+	c.pushDue(now)
+	c.digestDue(now)
+	c.pushMachinesDue(now)
+	c.digestMachinesDue(now)
 }
 
 func (c *Core) emit(effect Effect) {
@@ -208,12 +209,9 @@
 	return time.Duration(float64(interval) * (1 - jitterShare/2 + jitterShare*c.random.Float64()))
 }
 
-// changed tells the shell of new content of a space.
-func (c *Core) changed(space Space, changed []platform.Object) {
-	if space == SpaceMachines {
-		c.machinesChanged(changed)
-		return
-	}
+// changed tells the shell of new content, and of the first version in force
+// that reaches content it was told of before.
+func (c *Core) changed(changed []platform.Object) {
 	version, loaded := c.Version()
 	if !loaded && len(changed) == 0 {
 		return
@@ -226,18 +224,3 @@
 	c.reported = version
 	c.emit(Updated{Version: version, Changed: changed})
 }
-
-func (c *Core) machinesChanged(changed []platform.Object) {
-	if len(changed) == 0 {
-		return
-	}
-	for _, object := range changed {
-		var machine platform.Machine
-		if object.Deleted || json.Unmarshal(object.Spec, &machine) != nil {
-			delete(c.machineList, object.Key())
-			continue
-		}
-		c.machineList[object.Key()] = machine
-	}
-	c.emit(MachinesUpdated{List: c.currentMachines()})
-}
--- a/internal/configsync/ledger.go
+++ b/internal/configsync/ledger.go
@@ -22,8 +22,7 @@
 	Horizon uint64
 }
 
-// ledger holds the objects of one space with their versions, tombstones
-// included.
+// ledger holds objects with their versions, tombstones included.
 type ledger struct {
 	objects map[platform.Key]platform.Object
 	// loaded is false until the first claim of a version.
@@ -44,16 +43,13 @@
 	hash       uint64
 	tombstones int
 
-	// hashObject contributes one object to the hash.
-	hashObject     func(platform.Object) uint64
 	tombstoneLimit int
 	defects        Defects
 }
 
-func newLedger(hashObject func(platform.Object) uint64, tombstoneLimit int, defects Defects) *ledger {
+func newLedger(tombstoneLimit int, defects Defects) *ledger {
 	return &ledger{
 		objects:        make(map[platform.Key]platform.Object),
-		hashObject:     hashObject,
 		tombstoneLimit: tombstoneLimit,
 		defects:        defects,
 	}
@@ -91,7 +87,7 @@
 	if object.Deleted {
 		l.tombstones++
 	} else {
-		l.hash ^= l.hashObject(object)
+		l.hash ^= objectHash(object)
 	}
 }
 
@@ -99,7 +95,7 @@
 	if held.Deleted {
 		l.tombstones--
 	} else {
-		l.hash ^= l.hashObject(held)
+		l.hash ^= objectHash(held)
 	}
 	delete(l.objects, held.Key())
 }
@@ -231,6 +227,14 @@
 	return l.newest > l.version
 }
 
+// comparableHash is 0 where the hash says nothing about the version in force.
+func (l *ledger) comparableHash() uint64 {
+	if l.ahead() {
+		return 0
+	}
+	return l.hash
+}
+
 // since lists what changed after a version, in the order of the changes.
 func (l *ledger) since(version uint64) []platform.Object {
 	var objects []platform.Object
@@ -261,23 +265,16 @@
 	})
 }
 
-// hashByVersion tells objects apart by their version.
-func hashByVersion(object platform.Object) uint64 {
-	return hashParts(object, binary.LittleEndian.AppendUint64(nil, object.Version))
-}
-
-// hashBySpec tells objects apart by what they say, for versions that two
-// readers may give differently.
-func hashBySpec(object platform.Object) uint64 {
-	return hashParts(object, object.Spec)
+func objectHash(object platform.Object) uint64 {
+	return hashParts(object.Kind, object.Name, binary.LittleEndian.AppendUint64(nil, object.Version))
 }
 
-func hashParts(object platform.Object, rest []byte) uint64 {
+func hashParts(kind, name string, rest []byte) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
-	_, _ = digest.WriteString(object.Kind)
+	_, _ = digest.WriteString(kind)
 	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(object.Name)
+	_, _ = digest.WriteString(name)
 	_, _ = digest.Write([]byte{0})
 	_, _ = digest.Write(rest)
 	return digest.Sum64()
--- a/internal/configsync/messages.go
+++ b/internal/configsync/messages.go
@@ -102,6 +102,11 @@
 type Push struct {
 	Space   Space
 	Changes Changes
+	// BaseHash and Hash are over the whole machine list before and after the
+	// changes. They are set in SpaceMachines, where Changes.Since and Horizon
+	// mean nothing.
+	BaseHash uint64
+	Hash     uint64
 }
 
 // Digest tells what a node holds of one space.
--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -1,9 +1,7 @@
 package configsync
 
 import (
-	"bytes"
 	"cmp"
-	"encoding/json"
 	"slices"
 	"strings"
 	"time"
@@ -18,12 +16,19 @@
 // without a pause, and the store bears few readers.
 const readersPerZone = 2
 
-// kindMachine is the kind of the machine list's lines in their space.
-const kindMachine = "Machine"
+// The machine list is asked for less often as it grows, and seldom by the
+// second reader, who only stands in.
+const (
+	machineBytes          = 200
+	machineBytesPerSecond = 128 << 10
+	standInFactor         = 4
+)
 
 // reader is the state of a node that reads the store.
 type reader struct {
 	active bool
+	// rank is the node's place among its zone's readers.
+	rank int
 	// generation tells answers to the present list or watch from older ones.
 	generation uint64
 	// busy is set while a list or watch is under way.
@@ -72,7 +77,12 @@
 		self.State = fleet.MemberAlive
 		c.members = append(c.members, self)
 	}
-	active := slices.Contains(Readers(c.options.Self.Zone, c.members), c.options.Self.Name)
+	rank := slices.Index(Readers(c.options.Self.Zone, c.members), c.options.Self.Name)
+	active := rank >= 0
+	if active && rank < c.reader.rank {
+		c.reader.machinesAt = now
+	}
+	c.reader.rank = rank
 	if active == c.reader.active {
 		return
 	}
@@ -91,7 +101,7 @@
 // none or the store no longer keeps the changes since.
 func (c *Core) readDue(now time.Time) {
 	if due(c.reader.machinesAt, now) {
-		c.reader.machinesAt = now.Add(c.jitter(c.options.MachineInterval))
+		c.reader.machinesAt = now.Add(c.jitter(c.machineInterval()))
 		c.emit(ListMachines{})
 	}
 	if !due(c.reader.readAt, now) {
@@ -108,6 +118,15 @@
 	c.emit(ListStore{Generation: c.reader.generation})
 }
 
+func (c *Core) machineInterval() time.Duration {
+	bounded := time.Duration(len(c.machines.machines)) * machineBytes * time.Second / machineBytesPerSecond
+	interval := max(c.options.MachineInterval, bounded)
+	if c.reader.rank > 0 {
+		return standInFactor * interval
+	}
+	return interval
+}
+
 func (c *Core) current(generation uint64) bool {
 	return c.reader.active && c.reader.busy && generation == c.reader.generation
 }
@@ -119,14 +138,14 @@
 	c.reader.busy = false
 	list := Changes{Version: message.List.Version, Objects: spreadable(message.List.Objects)}
 	if c.objects.loaded && list.Version < c.objects.version {
-		c.takeAll(now, SpaceObjects, list, true)
+		c.takeAll(now, list, true)
 		c.storeBehind(now, list.Version)
 		return
 	}
 	c.reader.failures = 0
 	c.reader.mustList = false
 	c.reader.readAt = now
-	c.takeAll(now, SpaceObjects, list, true)
+	c.takeAll(now, list, true)
 }
 
 // storeBehind keeps listing instead of watching: a watch from the version in
@@ -162,9 +181,8 @@
 	c.reader.failures = 0
 	events := Changes{Since: c.reader.position, Version: message.Version, Objects: spreadable(message.Objects)}
 	c.reader.position = message.Version
-	state := c.spread[SpaceObjects]
-	before := state.ledger.contentVersion
-	c.taken(now, state, before, state.ledger.applyEvents(events), true)
+	before := c.objects.contentVersion
+	c.taken(now, before, c.objects.applyEvents(events), true)
 }
 
 func (c *Core) watchEnded(now time.Time, message WatchEnded) {
@@ -187,41 +205,3 @@
 		return object.Kind == platform.KindLease
 	})
 }
-
-// machinesListed turns the list into objects whose version is the time of the
-// list in which they were first seen as they are.
-func (c *Core) machinesListed(now time.Time, list platform.MachineList) {
-	version := uint64(max(list.AsOfUnixMilli, 0))
-	if c.machines.loaded && version <= c.machines.version {
-		return
-	}
-	all := Changes{Version: version, Objects: make([]platform.Object, 0, len(list.Machines))}
-	for _, machine := range list.Machines {
-		all.Objects = append(all.Objects, c.machineObject(machine, version))
-	}
-	c.takeAll(now, SpaceMachines, all, true)
-}
-
-func (c *Core) machineObject(machine platform.Machine, version uint64) platform.Object {
-	object := platform.Object{Kind: kindMachine, Name: machine.Role + "/" + machine.Name, Version: version}
-	raw, err := json.Marshal(machine)
-	if err != nil {
-		return object
-	}
-	object.Spec = raw
-	if held, found := c.machines.objects[object.Key()]; found && !held.Deleted && bytes.Equal(held.Spec, raw) {
-		return held
-	}
-	return object
-}
-
-func (c *Core) currentMachines() platform.MachineList {
-	list := platform.MachineList{AsOfUnixMilli: int64(c.machines.version)}
-	for _, machine := range c.machineList {
-		list.Machines = append(list.Machines, machine)
-	}
-	slices.SortFunc(list.Machines, func(a, b platform.Machine) int {
-		return cmp.Or(strings.Compare(a.Role, b.Role), strings.Compare(a.Name, b.Name))
-	})
-	return list
-}
--- a/internal/configsync/schedule_test.go
+++ b/internal/configsync/schedule_test.go
@@ -45,7 +45,7 @@
 }
 
 func drawStep(draw draw, c *cluster) {
-	switch draw("step", 16) {
+	switch draw("step", 17) {
 	case 0, 1:
 		drawWrite(draw, c)
 	case 2:
@@ -71,7 +71,12 @@
 		}
 	case 9, 10, 11:
 		c.advance(10 * time.Millisecond << draw("time", 10))
-	case 12, 13:
+	case 12:
+		states := []platform.MachineState{platform.MachineLive, platform.MachineLeaving, ""}
+		// A list with the time of the change shows the change.
+		c.now = c.now.Add(time.Millisecond)
+		c.store.setMachine(c.now, fmt.Sprintf("m%d", draw("machine", 3)), states[draw("state", len(states))])
+	case 13, 14:
 		c.pump(c.nodes[draw("watch", len(c.nodes))])
 	default:
 		if len(c.inFlight) > 0 {
--- a/internal/configsync/spread.go
+++ b/internal/configsync/spread.go
@@ -7,13 +7,8 @@
 	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
-// spaces in the order in which they are walked.
-var spaces = []Space{SpaceObjects, SpaceMachines}
-
-// spreadState is what is due to be sent of one space.
-type spreadState struct {
-	space  Space
-	ledger *ledger
+// spread is what is due to be sent of the objects.
+type spread struct {
 	// pushAt is when the gathered changes are pushed; zero for none.
 	pushAt time.Time
 	// pushSince is the version on which they build.
@@ -26,50 +21,51 @@
 
 // take applies changes and, where push is set, hands them on to the zone. It
 // reports whether a gap was left.
-func (c *Core) take(now time.Time, space Space, changes Changes, push bool) bool {
-	state := c.spread[space]
-	before := state.ledger.contentVersion
-	changed, gap := state.ledger.apply(changes)
-	c.taken(now, state, before, changed, push)
+func (c *Core) take(now time.Time, changes Changes, push bool) bool {
+	before := c.objects.contentVersion
+	changed, gap := c.objects.apply(changes)
+	c.taken(now, before, changed, push)
 	return gap
 }
 
-func (c *Core) takeAll(now time.Time, space Space, all Changes, push bool) {
-	state := c.spread[space]
-	before := state.ledger.contentVersion
+func (c *Core) takeAll(now time.Time, all Changes, push bool) {
+	before := c.objects.contentVersion
 	// A node that had nothing has no news: the others ask it when they need.
-	push = push && state.ledger.loaded
-	changed := state.ledger.applyAll(all)
-	c.taken(now, state, before, changed, push)
+	push = push && c.objects.loaded
+	changed := c.objects.applyAll(all)
+	c.taken(now, before, changed, push)
 }
 
-func (c *Core) taken(now time.Time, state *spreadState, before uint64, changed []platform.Object, push bool) {
-	if push && len(changed) > 0 && state.pushAt.IsZero() {
-		state.pushAt = now.Add(c.options.PushDelay)
-		state.pushSince = before
+func (c *Core) taken(now time.Time, before uint64, changed []platform.Object, push bool) {
+	if push && len(changed) > 0 && c.spread.pushAt.IsZero() {
+		c.spread.pushAt = now.Add(c.options.PushDelay)
+		c.spread.pushSince = before
 	}
-	c.changed(state.space, changed)
+	c.changed(changed)
 }
 
 // pushDue pushes all that changed since the version before the first gathered
 // change, from whichever source: so a receiver that holds that version holds
 // the pushed one afterwards.
-func (c *Core) pushDue(now time.Time, state *spreadState) {
-	if !due(state.pushAt, now) {
+func (c *Core) pushDue(now time.Time) {
+	if !due(c.spread.pushAt, now) {
 		return
 	}
-	state.pushAt = time.Time{}
+	c.spread.pushAt = time.Time{}
 	changes := Changes{
-		Since:   state.pushSince,
-		Version: state.ledger.version,
-		Objects: state.ledger.since(state.pushSince),
-		Horizon: state.ledger.horizon,
+		Since:   c.spread.pushSince,
+		Version: c.objects.version,
+		Objects: c.objects.since(c.spread.pushSince),
+		Horizon: c.objects.horizon,
 	}
-	if state.ledger.dropped > changes.Since {
+	if c.objects.dropped > changes.Since {
 		// Tombstones are gone already: the receivers must see a gap and ask.
 		changes.Since = changes.Version
 	}
-	push := Push{Space: state.space, Changes: changes}
+	c.pushToZone(Push{Space: SpaceObjects, Changes: changes})
+}
+
+func (c *Core) pushToZone(push Push) {
 	for _, member := range c.members {
 		if c.isPeer(member) && member.Zone == c.options.Self.Zone {
 			c.emit(SendPush{To: member, Push: push})
@@ -84,16 +80,11 @@
 }
 
 func (c *Core) pushReceived(now time.Time, message PushReceived) {
-	state, known := c.spread[message.Push.Space]
-	if !known {
-		return
-	}
-	gap := c.take(now, state.space, message.Push.Changes, false)
-	if gap {
+	if gap := c.take(now, message.Push.Changes, false); gap {
 		from, found := c.peerNamed(message.From)
-		c.sendDigest(from, found, state, false)
+		c.sendDigest(from, found, false)
 	}
-	c.emit(AnswerPush{Call: message.Call, Version: state.ledger.version})
+	c.emit(AnswerPush{Call: message.Call, Version: c.objects.version})
 }
 
 func (c *Core) peerNamed(name fleet.NodeName) (fleet.Member, bool) {
@@ -106,17 +97,20 @@
 }
 
 // digestDue sends a digest to a drawn peer.
-func (c *Core) digestDue(now time.Time, state *spreadState) {
-	if !state.digestAt.IsZero() && now.Before(state.digestAt) {
+func (c *Core) digestDue(now time.Time) {
+	if !c.spread.digestAt.IsZero() && now.Before(c.spread.digestAt) {
 		return
 	}
-	interval := c.options.DigestInterval
-	if !state.ledger.loaded {
-		interval = c.options.FirstDigestRetry
+	c.spread.digestAt = now.Add(c.digestInterval(c.objects.loaded))
+	member, found := c.drawPeer(c.objects.loaded)
+	c.sendDigest(member, found, false)
+}
+
+func (c *Core) digestInterval(loaded bool) time.Duration {
+	if !loaded {
+		return c.jitter(c.options.FirstDigestRetry)
 	}
-	state.digestAt = now.Add(c.jitter(interval))
-	member, found := c.drawPeer(state.ledger.loaded)
-	c.sendDigest(member, found, state, false)
+	return c.jitter(c.options.DigestInterval)
 }
 
 // drawPeer draws mostly from the own zone, and from others now and then, so
@@ -156,40 +150,24 @@
 	return c.peerNamed(readers[c.random.IntN(len(readers))])
 }
 
-func (c *Core) sendDigest(to fleet.Member, found bool, state *spreadState, wantAll bool) {
+func (c *Core) sendDigest(to fleet.Member, found bool, wantAll bool) {
 	if !found {
 		return
 	}
 	c.emit(SendDigest{To: to, Digest: Digest{
-		Space:   state.space,
-		Version: state.ledger.version,
-		Hash:    comparableHash(state),
+		Space:   SpaceObjects,
+		Version: c.objects.version,
+		Hash:    c.objects.comparableHash(),
 		WantAll: wantAll,
 	}})
 }
 
-// comparableHash is 0 where the hash says nothing about the version in force.
-func comparableHash(state *spreadState) uint64 {
-	if state.ledger.ahead() {
-		return 0
-	}
-	return state.ledger.hash
-}
-
-func (c *Core) digestReceived(message DigestReceived) {
-	state, known := c.spread[message.Digest.Space]
-	if !known {
-		return
-	}
-	c.emit(AnswerDigest{Call: message.Call, Answer: answerDigest(state, message.Digest)})
-}
-
-func answerDigest(state *spreadState, digest Digest) DigestAnswer {
-	held := state.ledger
+func (c *Core) answerDigest(digest Digest) DigestAnswer {
+	held := c.objects
 	answer := DigestAnswer{
-		Space:   state.space,
+		Space:   SpaceObjects,
 		Changes: Changes{Since: digest.Version, Version: held.version, Horizon: held.horizon},
-		Hash:    comparableHash(state),
+		Hash:    held.comparableHash(),
 		Loaded:  held.loaded,
 	}
 	comparable := digest.Hash != 0 && answer.Hash != 0
@@ -210,46 +188,49 @@
 }
 
 func (c *Core) digestAnswered(now time.Time, message DigestAnswered) {
-	state, known := c.spread[message.Answer.Space]
-	if !known || !message.Answer.Loaded {
+	if !message.Answer.Loaded {
 		return
 	}
 	from, found := c.peerNamed(message.From)
-	// What came from another zone is news to this one.
-	push := found && from.Zone != c.options.Self.Zone
+	push := found && c.isForeign(from)
 	switch {
 	case message.Answer.Same:
-		state.ledger.applySame(message.Answer.Changes.Version, message.Answer.Hash)
-		c.changed(state.space, nil)
+		c.objects.applySame(message.Answer.Changes.Version, message.Answer.Hash)
+		c.changed(nil)
 	case message.Answer.Full:
-		c.takeAll(now, state.space, message.Answer.Changes, push)
+		c.takeAll(now, message.Answer.Changes, push)
 	default:
-		c.take(now, state.space, message.Answer.Changes, push)
+		c.take(now, message.Answer.Changes, push)
 	}
-	c.compareHashes(now, state, from, found, message.Answer)
+	c.compareHashes(now, from, found, message.Answer)
+}
+
+// isForeign tells members whose news this zone may not have.
+func (c *Core) isForeign(member fleet.Member) bool {
+	return member.Zone != c.options.Self.Zone
 }
 
 // compareHashes merges everything with a peer that holds other objects at the
 // same version. That happens only where the store's history was replaced.
-func (c *Core) compareHashes(now time.Time, state *spreadState, from fleet.Member, found bool, answer DigestAnswer) {
-	own := comparableHash(state)
-	if own == 0 || answer.Hash == 0 || own == answer.Hash || state.ledger.version != answer.Changes.Version {
+func (c *Core) compareHashes(now time.Time, from fleet.Member, found bool, answer DigestAnswer) {
+	own := c.objects.comparableHash()
+	if own == 0 || answer.Hash == 0 || own == answer.Hash || c.objects.version != answer.Changes.Version {
 		return
 	}
-	if now.Before(state.fullMergeAt) {
+	if now.Before(c.spread.fullMergeAt) {
 		return
 	}
-	state.fullMergeAt = now.Add(c.options.FullMergeInterval)
-	c.emit(Diverged{Peer: from.Name, Version: state.ledger.version})
+	c.spread.fullMergeAt = now.Add(c.options.FullMergeInterval)
+	c.emit(Diverged{Peer: from.Name, Version: c.objects.version})
 	if !answer.Full {
-		c.sendDigest(from, found, state, true)
+		c.sendDigest(from, found, true)
 	}
 }
 
-// digestFailed draws another peer at once while nothing is in force.
+// digestFailed draws another peer soon while nothing is in force.
 func (c *Core) digestFailed(now time.Time, message DigestFailed) {
-	state, known := c.spread[message.Space]
-	if known && !state.ledger.loaded && state.digestAt.After(now.Add(c.options.FirstDigestRetry)) {
-		state.digestAt = now.Add(c.jitter(c.options.FirstDigestRetry))
+	soon := now.Add(c.options.FirstDigestRetry)
+	if message.Space == SpaceObjects && !c.objects.loaded && c.spread.digestAt.After(soon) {
+		c.spread.digestAt = soon
 	}
 }
--- a/internal/node/config_wire.go
+++ b/internal/node/config_wire.go
@@ -39,6 +39,8 @@
 				Objects: objects,
 				Horizon: request.GetHorizon(),
 			},
+			BaseHash: request.GetBaseHash(),
+			Hash:     request.GetHash(),
 		},
 		answer: answer,
 	})
@@ -169,12 +171,14 @@
 	}
 	e.last = &changes
 	e.request = &peerpb.PushRequest{
-		From:    string(from),
-		Version: changes.Version,
-		Since:   changes.Since,
-		Space:   string(push.Space),
-		Objects: objects,
-		Horizon: changes.Horizon,
+		From:     string(from),
+		Version:  changes.Version,
+		Since:    changes.Since,
+		Space:    string(push.Space),
+		Objects:  objects,
+		Horizon:  changes.Horizon,
+		BaseHash: push.BaseHash,
+		Hash:     push.Hash,
 	}
 	return e.request
 }
