--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/claim"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/gateway"
+	"github.com/spanlanding/spanlanding/internal/logging"
+	"github.com/spanlanding/spanlanding/internal/membership"
+	"github.com/spanlanding/spanlanding/internal/operator"
+	"github.com/spanlanding/spanlanding/internal/peer"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/queue"
+	"github.com/spanlanding/spanlanding/internal/views"
+)
+
+// Node is one running process of the fleet.
+type Node struct {
+	settings Settings
+	self     fleet.Member
+	started  time.Time
+	logger   *log.Logger
+
+	system   *actor.ActorSystem
+	views    *views.Views
+	platform *platform.Client
+	peers    *peer.Pool
+	metrics  *prometheus.Registry
+	servers  servers
+
+	membership *Membership
+	config     *Configuration
+	claims     *Claims
+	control    *Control
+	gateway    *gateway.Gateway
+	tableAges  tableAges
+
+	drainOnce sync.Once
+	draining  atomic.Bool
+	drained   chan struct{}
+	cut       []string
+}
+
+// Start binds the node's addresses and starts everything that it runs.
+func Start(settings Settings, logger *log.Logger) (*Node, error) {
+	bound, err := bind(settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	node := newNode(settings, logger)
+	node.startShells(bound)
+	node.startServers(bound)
+	logger.Info().Str("caller", settings.Listen.Caller).Str("operator", settings.Listen.Operator).
+		Uint64("boot", node.self.BootID).Msg("node_started")
+	return node, nil
+}
+
+func newNode(settings Settings, logger *log.Logger) *Node {
+	self := fleet.Member{
+		Name:      settings.Name,
+		Zone:      settings.Zone,
+		State:     fleet.MemberAlive,
+		Addresses: settings.addresses(),
+		BootID:    rand.Uint64(),
+	}
+	metrics := prometheus.NewRegistry()
+	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return &Node{
+		settings: settings,
+		self:     self,
+		started:  time.Now(),
+		logger:   logger,
+		system:   actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return logging.ForActors(logger) })),
+		views:    &views.Views{},
+		platform: platform.NewClient(settings.Platform, settings.Zone),
+		peers:    peer.NewPool(),
+		metrics:  metrics,
+		servers:  servers{logger: logger},
+		drained:  make(chan struct{}),
+	}
+}
+
+// startShells starts the actors, those first that the others listen to.
+func (n *Node) startShells(bound sockets) {
+	n.tableAges.follow(n.views)
+	n.membership = StartMembership(MembershipDependencies{
+		System:     n.system,
+		Connection: bound.gossip,
+		Core: membership.Options{
+			Self:          n.self,
+			Seeds:         append(append([]string(nil), n.settings.Seeds...), n.settings.RemoteSeeds...),
+			RandomSeed:    rand.Uint64(),
+			ProbeInterval: n.settings.ProbeInterval,
+		},
+		Views:  n.views,
+		Logger: n.logger,
+	})
+	n.control = n.startControl()
+	n.config = n.startConfiguration()
+	n.views.Catalog.Watch(func(snapshot *catalog.Snapshot) { n.membership.SetConfigVersion(snapshot.Version()) })
+	n.claims = StartClaims(ClaimDependencies{
+		System: n.system,
+		Self:   n.self,
+		Pool:   n.peers,
+		Views:  n.views,
+		Store:  n.platform,
+		Logger: n.logger,
+		Keeper: claim.KeeperOptions{},
+	})
+	n.gateway = n.startGateway()
+}
+
+func (n *Node) startGateway() *gateway.Gateway {
+	return gateway.New(gateway.Options{
+		Views:      n.views,
+		Catalog:    n.currentCatalog,
+		Demand:     n.control,
+		Guard:      n.claims,
+		Self:       n.self,
+		Logger:     n.logger,
+		Registerer: n.metrics,
+		Limits:     n.settings.gatewayLimits(),
+		Queue:      queue.Options{MaxItems: n.settings.Limits.MaxWaiting, MaxBytes: n.settings.Limits.MaxWaitingBytes},
+		Seed:       rand.Uint64(),
+	})
+}
+
+func (n *Node) startServers(bound sockets) {
+	n.servers.serve("peer", bound.peer, peer.NewHandler(peer.Handlers{
+		Config:  n.config.Server(),
+		Control: n.control.Server(),
+		Claims:  n.claims.Server(),
+	}))
+	n.servers.serve("operator", bound.operator, operator.NewHandler(source{node: n}, n.metrics))
+	n.servers.serve("caller", bound.caller, n.gateway)
+}
+
+// Drain begins a planned stop: the peers are told, new requests are refused,
+// leadership and keepers' records are handed over and what runs is finished.
+// It returns once all is done or the drain limit has passed; Cut then names
+// what was cut. A second call waits for the first.
+func (n *Node) Drain(ctx context.Context) {
+	n.drainOnce.Do(func() {
+		defer close(n.drained)
+		n.drain(ctx)
+	})
+	<-n.drained
+}
+
+func (n *Node) drain(ctx context.Context) {
+	started := time.Now()
+	limit, cancel := context.WithTimeout(ctx, n.settings.DrainLimit)
+	defer cancel()
+	n.draining.Store(true)
+	n.logger.Info().Dur("limit", n.settings.DrainLimit).Msg("drain_started")
+	n.membership.SetDraining(true)
+	var handOvers sync.WaitGroup
+	n.control.HandOver()
+	handOvers.Go(func() {
+		if err := n.claims.Drain(limit); err != nil {
+			n.logger.Warn().Err(err).Msg("keeper_records_not_handed_over")
+		}
+	})
+	n.cut = n.gateway.Drain(limit).Cut
+	handOvers.Wait()
+	n.membership.Leave(limit)
+	n.logger.Info().Dur("took", time.Since(started)).Int("cut", len(n.cut)).Msg("drain_finished")
+}
+
+// Drained is closed once a planned stop is over.
+func (n *Node) Drained() <-chan struct{} {
+	return n.drained
+}
+
+// Cut names the requests that the drain limit cut.
+func (n *Node) Cut() []string {
+	return n.cut
+}
+
+// stopTimeout bounds the end of the servers after a drain.
+const stopTimeout = 2 * time.Second
+
+// Stop ends everything at once. Drain goes before it at a planned stop.
+func (n *Node) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	n.servers.shutdown(ctx)
+	n.gateway.Close()
+	n.claims.Stop()
+	n.config.Stop()
+	n.control.Stop()
+	n.membership.Stop()
+	n.platform.Close()
+	n.logger.Info().Dur("uptime", time.Since(n.started)).Msg("node_stopped")
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -13,6 +13,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/joomcode/errorx"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/gateway"
 	"github.com/spanlanding/spanlanding/internal/logging"
 )
 
@@ -183,3 +184,21 @@
 		}
 	}
 }
+
+// addresses are the listen addresses as peers are told them.
+func (s Settings) addresses() fleet.Addresses {
+	return fleet.Addresses{
+		Caller:   s.Listen.Caller,
+		Operator: s.Listen.Operator,
+		Peer:     s.Listen.Peer,
+		Gossip:   s.Listen.Gossip,
+	}
+}
+
+// gatewayLimits are the limits as the gateway takes them.
+func (s Settings) gatewayLimits() gateway.Limits {
+	return gateway.Limits{
+		MaxBodyBytes: s.Limits.MaxBodyBytes,
+		MaxRequests:  s.Limits.MaxStreams,
+	}
+}
--- /dev/null
+++ b/internal/node/shells.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"math/rand/v2"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/control"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+// Configuration is the configuration shell as the node holds it.
+type Configuration struct {
+	system  *actor.ActorSystem
+	process *actor.PID
+	service *configService
+}
+
+// Server returns the handlers for the peers' calls.
+func (c *Configuration) Server() peerpb.Config {
+	return c.service
+}
+
+// Stop ends the shell's actor and its reading of the store.
+func (c *Configuration) Stop() {
+	_ = c.system.Root.StopFuture(c.process).Wait()
+}
+
+func (n *Node) startConfiguration() *Configuration {
+	process, service := spawnConfig(n.system, configDependencies{
+		Self:     n.self,
+		Platform: n.platform,
+		Peers:    n.peers,
+		Views:    n.views,
+		Logger:   n.logger,
+		Changed:  n.objectsChanged,
+	})
+	return &Configuration{system: n.system, process: process, service: service}
+}
+
+// objectsChanged passes the system's own records on to the control shell.
+func (n *Node) objectsChanged(_ uint64, changed []platform.Object) {
+	for _, object := range changed {
+		if object.Kind == platform.KindAllotments {
+			n.control.ObjectChanged(object)
+		}
+	}
+}
+
+func (n *Node) startControl() *Control {
+	settings := control.DefaultSettings()
+	settings.Placement.StoreLoadsPerSecond = n.settings.WeightStore.LoadsPerSecond
+	settings.Placement.StoreConcurrency = n.settings.WeightStore.ConcurrentLoads
+	return StartControl(ControlDependencies{
+		System:  n.system,
+		Self:    n.self,
+		Views:   n.views,
+		Peers:   n.peers,
+		Engines: backend.NewEngineControl(n.self.Zone),
+		Store:   recordStore{client: n.platform},
+		Logger:  n.logger,
+		Core:    control.Options{Seed: rand.Uint64(), Settings: settings},
+		Facts:   controlFacts,
+	})
+}
+
+// controlFacts takes from a catalog what decisions need.
+func controlFacts(snapshot *catalog.Snapshot) control.CatalogChanged {
+	return control.CatalogChanged{
+		Models:          snapshot.Models(),
+		Adapters:        snapshot.Adapters(),
+		ColdStartWeight: snapshot.Preferences().ColdStartWeight,
+	}
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/gateway"
+	"github.com/spanlanding/spanlanding/internal/operator"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/views"
+)
+
+var (
+	errNoCatalog = errors.New("no configuration has been received yet from the store or from peers")
+	errDraining  = errors.New("the node is draining")
+)
+
+// tableAges remembers when each zone's route table last changed here.
+type tableAges struct {
+	mutex    sync.Mutex
+	received map[fleet.Zone]time.Time
+	seen     map[fleet.Zone]uint64
+}
+
+func (t *tableAges) follow(published *views.Views) {
+	t.received = make(map[fleet.Zone]time.Time)
+	t.seen = make(map[fleet.Zone]uint64)
+	published.Tables.Watch(t.note)
+}
+
+func (t *tableAges) note(tables views.Tables) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for zone, table := range tables {
+		if sequence, known := t.seen[zone]; known && sequence == table.Sequence {
+			continue
+		}
+		t.seen[zone] = table.Sequence
+		t.received[zone] = time.Now()
+	}
+}
+
+func (t *tableAges) snapshot() map[fleet.Zone]time.Time {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return maps.Clone(t.received)
+}
+
+// source answers the operators' port from what the shells publish.
+type source struct {
+	node *Node
+}
+
+var _ operator.Source = source{}
+
+// Status implements operator.Source.
+func (s source) Status() operator.Status {
+	node := s.node
+	now := time.Now()
+	tables, _ := node.views.Tables.Get()
+	members, _ := node.views.Members.Get()
+	queues := []operator.QueueStatus{}
+	return operator.Status{
+		Node:          node.self.Name,
+		Zone:          node.self.Zone,
+		Ready:         s.Ready() == nil,
+		Draining:      node.draining.Load(),
+		ConfigVersion: node.configVersion(),
+		UptimeSeconds: now.Sub(node.started).Seconds(),
+		Members:       members,
+		Zones:         operator.ZonesOf(tables, node.tableAges.snapshot(), now),
+		Models:        operator.ModelsOf(tables, node.control.Decided(), queues),
+		Queues:        queues,
+	}
+}
+
+// Versions implements operator.Source.
+func (s source) Versions() operator.VersionReport {
+	members, _ := s.node.views.Members.Get()
+	report := operator.VersionReport{Node: s.node.self.Name, Zone: s.node.self.Zone, Members: members}
+	machines, _ := s.node.views.Machines.Get()
+	for _, machine := range machines.Machines {
+		if machine.Role == "node" && machine.State == platform.MachineLive {
+			report.Listed = append(report.Listed, fleet.NodeName(machine.Name))
+		}
+	}
+	return report
+}
+
+// Ready implements operator.Source.
+func (s source) Ready() error {
+	if s.node.draining.Load() {
+		return errDraining
+	}
+	if _, found := s.node.views.Catalog.Get(); !found {
+		return errNoCatalog
+	}
+	return nil
+}
+
+// Drain implements operator.Source.
+func (s source) Drain(context.Context) error {
+	go s.node.Drain(context.Background())
+	return nil
+}
+
+func (n *Node) configVersion() uint64 {
+	snapshot, found := n.views.Catalog.Get()
+	if !found {
+		return 0
+	}
+	return snapshot.Version()
+}
+
+// callerCatalog is the catalog as callers see it.
+type callerCatalog struct {
+	*catalog.Snapshot
+}
+
+// ModelNames implements gateway.Catalog.
+func (c callerCatalog) ModelNames() []string {
+	deployments := c.Deployments()
+	names := make([]string, 0, len(deployments))
+	for _, deployment := range deployments {
+		names = append(names, string(deployment.Name))
+	}
+	return names
+}
+
+func (n *Node) currentCatalog() (gateway.Catalog, bool) {
+	snapshot, found := n.views.Catalog.Get()
+	if !found {
+		return nil, false
+	}
+	return callerCatalog{snapshot}, true
+}
