Flush each event of an answer when it arrives

Cause: Stream.Buffered counted the blank line that ends an event as a further event, so that the gateway held every event back until the next one came. Ruled out: the stand-in (called directly it sends an event each 15 ms). Change: Buffered looks past line ends.

--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -62,9 +62,12 @@
 	}
 }
 
-// Buffered reports whether more of the stream is there without waiting.
+// Buffered reports whether a further event has begun to arrive. The blank line
+// that ends an event is none: were it taken for one, each event would wait
+// unflushed for the next.
 func (s *Stream) Buffered() bool {
-	return s.reader.Buffered() > 0
+	waiting, _ := s.reader.Peek(s.reader.Buffered())
+	return len(bytes.TrimLeft(waiting, "\r\n")) > 0
 }
 
 // Close ends the stream.
