Let labels alone select a deployment

Cause: a body without a model was refused as malformed before the selectors were asked, though declarations choose by labels. Ruled out: the load generator (the examples' selectors match without a model).

--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/spanlanding/spanlanding/internal/backend"
@@ -41,3 +42,17 @@
 		t.Errorf("want %+v", want)
 	}
 }
+
+func TestLabelsAloneSelectADeployment(t *testing.T) {
+	h := newHarness(t, nil)
+	h.addEngine("e1", h.backend(wholeEngine))
+	const noModel = `{"stream":true,"prompt":"p"}`
+	chosen := h.do(http.MethodPost, backend.PathCompletions, noModel, headerLabels, "site=chosen-by-label")
+	if text, whole := textOf(chosen.body); chosen.status != http.StatusOK || text != wholeText || !whole {
+		t.Errorf("status %d body %q", chosen.status, chosen.body)
+	}
+	other := h.do(http.MethodPost, backend.PathCompletions, noModel)
+	if other.status != http.StatusNotFound || !strings.Contains(other.body, codeNoRoute) {
+		t.Errorf("status %d body %q", other.status, other.body)
+	}
+}
