--- a/internal/control/directed_test.go
+++ b/internal/control/directed_test.go
@@ -130,6 +130,9 @@
 	record := stored.Record.Clone()
 	record.Generation++
 	share := record.Models[modelA].Zones[zone]
+	if share.Limit == 0 || c.storeDown {
+		return
+	}
 	share.Limit, share.LoweredAt = 0, record.Generation
 	record.Models[modelA].Zones[zone] = share
 	c.write(WriteRecord{Record: record, Expected: stored.StoreVersion}, func(Message) {})
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -456,11 +456,13 @@
 		}
 		object := platform.Object{Kind: platform.KindAllotments, Name: allotment.ObjectName, Spec: body}
 		c.unjudged = true
+		before := c.stored().Record
 		written, conflict := c.store.Write(platform.WriteRequest{Object: object, Expected: effect.Expected})
 		answer := RecordWritten{ID: effect.ID, Result: WriteDone}
 		if conflict != nil {
 			written, answer.Result = conflict.Current, WriteConflict
 		} else {
+			c.judgeChange(before, c.stored().Record)
 			c.spreadRecord()
 		}
 		if lost {
@@ -516,6 +518,16 @@
 	}
 }
 
+// judgeChange holds a written record against the one before: the decided number
+// grows only where the declared one does.
+func (c *cluster) judgeChange(before, after allotment.Record) {
+	for model, decision := range after.Models {
+		if decision.Decided > max(before.Models[model].Decided, decision.Target) {
+			c.violate("decided number of %s raised to %d, target %d", model, decision.Decided, decision.Target)
+		}
+	}
+}
+
 func (c *cluster) violate(format string, arguments ...any) {
 	c.violations = append(c.violations, c.now.Sub(testStart).String()+": "+fmt.Sprintf(format, arguments...))
 }
