Send what changed of a table, once for the zone and seldom to others

Cause: each poll of a busy engine published a table to every member, and each update copied the tables of all zones. Change: one stream for the zone and one for other zones, holdings at once, load reports coalesced and only where they differ by a quarter; shown tables and services are kept until they change. Silent engines serve nobody but count.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -20,9 +20,10 @@
 	leader    *leadership.Core
 	placement *placement.Core
 
-	members  map[fleet.NodeName]fleet.Member
-	machines platform.MachineList
-	models   []catalog.ModelFacts
+	members      map[fleet.NodeName]fleet.Member
+	machines     platform.MachineList
+	machineIndex machineIndex
+	models       []catalog.ModelFacts
 
 	record   VersionedRecord
 	decider  deciderState
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -91,7 +91,8 @@
 
 // stateRead takes an engine's state, whoever asked for it.
 func (c *Core) stateRead(read leadership.StateRead) {
-	c.polls.answered(read)
+	failures := c.polls.answered(read)
+	c.stepPlacement(placement.EngineSilent{Engine: read.Engine, Silent: failures >= silentAfter})
 	if !read.Failed {
 		c.engineAnswered(read.Engine)
 	}
@@ -112,15 +113,6 @@
 	c.showEngine(read.State)
 }
 
-func (c *Core) engineAddress(name fleet.BackendName) string {
-	for _, machine := range c.machines.Machines {
-		if machine.Role == roleEngine && machine.Name == string(name) {
-			return machine.Address
-		}
-	}
-	return ""
-}
-
 // updateLimits hands the zone's part of the record to placement.
 func (c *Core) updateLimits() {
 	changed := placement.LimitsChanged{
--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -64,7 +64,7 @@
 			delete(c.leaving.names, name)
 		}
 	}
-	c.tables.viewChanged = true
+	c.leavingChanged()
 	if len(news) > 0 {
 		c.spreadLeaving(news)
 	}
@@ -106,7 +106,7 @@
 }
 
 func (c *Core) applyLeaving(news []fleet.BackendName) {
-	c.tables.viewChanged = true
+	c.leavingChanged()
 	c.stepPlacement(placement.EnginesLeaving{Engines: news})
 	table := c.ownTable()
 	if table == nil {
@@ -114,8 +114,7 @@
 	}
 	for _, name := range news {
 		if state, found := table.engines[name]; found {
-			table.engines[name] = c.leaving.mark(state)
-			c.tables.changed[name] = true
+			c.showEngine(state)
 		}
 	}
 }
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -78,11 +78,12 @@
 
 // listEngines tells the leadership core which engines there are.
 func (c *Core) listEngines() {
-	addresses := make(map[fleet.BackendName]string)
+	addresses := make(map[fleet.BackendName]string, len(c.machineIndex.addresses))
 	for _, machine := range c.machines.Machines {
 		if machine.Role == roleEngine && machine.Zone == c.options.Zone {
 			addresses[fleet.BackendName(machine.Name)] = machine.Address
 		}
 	}
+	c.machineIndex.addresses = addresses
 	c.stepLeader(leadership.EnginesListed{Addresses: addresses, Gone: maps.Clone(c.gone.effective)})
 }
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -25,6 +25,12 @@
 	PollIdle time.Duration
 	// Heartbeat is the longest time between two publications of a table.
 	Heartbeat time.Duration
+	// ReportInterval is the least time between two publications of a table of
+	// which only load reports changed.
+	ReportInterval time.Duration
+	// FarReportInterval and FarHeartbeat are those for other zones.
+	FarReportInterval time.Duration
+	FarHeartbeat      time.Duration
 	// PullInterval is the time between two repairs of the tables.
 	PullInterval time.Duration
 	// GoneSilence is how long an engine must have been silent, once the machine
@@ -37,16 +43,19 @@
 // DefaultSettings returns the settings used outside tests.
 func DefaultSettings() Settings {
 	return Settings{
-		Leadership:     leadership.DefaultSettings(),
-		Placement:      placement.DefaultSettings(),
-		TakeoverWait:   300 * time.Millisecond,
-		LeaderSilence:  3 * time.Second,
-		PollBusy:       250 * time.Millisecond,
-		PollIdle:       time.Second,
-		Heartbeat:      time.Second,
-		PullInterval:   2 * time.Second,
-		GoneSilence:    5 * time.Second,
-		DecideInterval: time.Second,
+		Leadership:        leadership.DefaultSettings(),
+		Placement:         placement.DefaultSettings(),
+		TakeoverWait:      300 * time.Millisecond,
+		LeaderSilence:     3 * time.Second,
+		PollBusy:          250 * time.Millisecond,
+		PollIdle:          time.Second,
+		Heartbeat:         time.Second,
+		ReportInterval:    500 * time.Millisecond,
+		FarReportInterval: 5 * time.Second,
+		FarHeartbeat:      5 * time.Second,
+		PullInterval:      2 * time.Second,
+		GoneSilence:       5 * time.Second,
+		DecideInterval:    time.Second,
 	}
 }
 
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -8,6 +8,10 @@
 	"github.com/spanlanding/spanlanding/internal/leadership"
 )
 
+// silentAfter is the number of failed reads after which an engine counts as
+// silent.
+const silentAfter = 2
+
 // pollTimeout is when a read without answer is put again.
 const pollTimeout = 2 * time.Second
 
@@ -22,6 +26,8 @@
 	asked   uint64
 	askedAt time.Time
 	due     time.Time
+	// failures counts the reads without an answer since the last one.
+	failures int
 	// orderedAt is the point in the sequence of questions of the last order:
 	// states asked for before do not show it.
 	orderedAt uint64
@@ -55,11 +61,18 @@
 	return read.ID < p.of(read.Engine).orderedAt
 }
 
-func (p *pollState) answered(read leadership.StateRead) {
+// answered notes the answer and reports how often the engine has failed to give
+// one.
+func (p *pollState) answered(read leadership.StateRead) int {
 	known := p.of(read.Engine)
 	if known.asked == read.ID {
 		known.asked = 0
 	}
+	known.failures++
+	if !read.Failed {
+		known.failures = 0
+	}
+	return known.failures
 }
 
 // sentInRound reports whether the order was sent under the fence.
--- /dev/null
+++ b/internal/control/publish.go
@@ -0,0 +1,149 @@
+package control
+
+import (
+	"maps"
+	"math"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// stream is what one audience of the leader's table has not yet been sent. The
+// zone's own members hear every change that matters to routing; other zones
+// hear at once only what an engine holds, and the rest now and then.
+type stream struct {
+	// fresh is set where the whole table is to be sent.
+	fresh bool
+	// urgent changes go out at once, pending ones with the next update.
+	urgent  bool
+	pending map[fleet.BackendName]bool
+	removed map[fleet.BackendName]bool
+	// reports are those that were sent last.
+	reports map[fleet.BackendName]fleet.LoadReport
+	// since is the sequence of the last update.
+	since     uint64
+	published time.Time
+}
+
+func newStream() stream {
+	return stream{
+		pending: make(map[fleet.BackendName]bool),
+		removed: make(map[fleet.BackendName]bool),
+		reports: make(map[fleet.BackendName]fleet.LoadReport),
+	}
+}
+
+// changed notes an engine's newer state.
+func (s *stream) changed(before, after fleet.EngineState) {
+	delete(s.removed, after.Name)
+	if !sameHoldings(before, after) {
+		s.urgent = true
+		s.pending[after.Name] = true
+	}
+	if !similarReport(s.reports[after.Name], after.Report) {
+		s.pending[after.Name] = true
+	}
+}
+
+func (s *stream) dropped(name fleet.BackendName) {
+	delete(s.pending, name)
+	delete(s.reports, name)
+	s.removed[name] = true
+	s.urgent = true
+}
+
+// sameHoldings compares all but the report of load.
+func sameHoldings(a, b fleet.EngineState) bool {
+	a.Report, b.Report = fleet.LoadReport{}, fleet.LoadReport{}
+	return reflect.DeepEqual(a, b)
+}
+
+// reportTolerance is the relative change of a report that is not worth sending.
+const reportTolerance = 0.25
+
+func similarReport(a, b fleet.LoadReport) bool {
+	return similar(float64(a.Running), float64(b.Running)) &&
+		similar(float64(a.Waiting), float64(b.Waiting)) &&
+		similar(float64(a.QueuedTokens), float64(b.QueuedTokens)) &&
+		similar(a.TokensPerSecond, b.TokensPerSecond) &&
+		similar(float64(a.KVUsedBytes), float64(b.KVUsedBytes))
+}
+
+func similar(a, b float64) bool {
+	return math.Abs(a-b) <= reportTolerance*max(math.Abs(a), math.Abs(b))
+}
+
+// due reports whether an update is to be sent now.
+func (s *stream) due(now time.Time, reports, heartbeat time.Duration) bool {
+	elapsed := now.Sub(s.published)
+	return s.fresh || s.urgent || (len(s.pending) > 0 && elapsed >= reports) || elapsed >= heartbeat
+}
+
+// publishOwn sends the leader's table to both audiences.
+func (c *Core) publishOwn(table *zoneTable) {
+	if services := c.services(); !slices.Equal(services, table.services) {
+		table.services = services
+		c.tables.near.urgent, c.tables.far.urgent = true, true
+	}
+	settings := c.settings()
+	near := c.tables.near.due(c.now, settings.ReportInterval, settings.Heartbeat)
+	far := c.tables.far.due(c.now, settings.FarReportInterval, settings.FarHeartbeat)
+	if !near && !far {
+		return
+	}
+	table.sequence++
+	table.heard = c.now
+	if near {
+		c.tables.viewChanged = true
+		c.emit(PublishTable{To: c.peersOfZone(c.options.Zone), Update: c.update(table, &c.tables.near)})
+	}
+	if far {
+		c.emit(PublishTable{To: c.delegates(), Update: c.update(table, &c.tables.far)})
+	}
+}
+
+// update is what the audience lacks; it counts as sent.
+func (c *Core) update(table *zoneTable, stream *stream) TableUpdate {
+	update := TableUpdate{Table: fleet.RouteTable{
+		Zone:     c.options.Zone,
+		Leader:   table.leader,
+		Fence:    table.fence,
+		Sequence: table.sequence,
+		Services: table.services,
+	}}
+	if stream.fresh {
+		update.Table.Engines = table.export(c.options.Zone).Engines
+	} else {
+		update.Since = stream.since
+		for _, name := range slices.Sorted(maps.Keys(stream.pending)) {
+			update.Table.Engines = append(update.Table.Engines, table.engines[name])
+		}
+		update.Removed = slices.Sorted(maps.Keys(stream.removed))
+	}
+	for _, state := range update.Table.Engines {
+		stream.reports[state.Name] = state.Report
+	}
+	stream.fresh, stream.urgent = false, false
+	clear(stream.pending)
+	clear(stream.removed)
+	stream.since, stream.published = table.sequence, c.now
+	return update
+}
+
+// delegates are the known usable nodes of other zones.
+func (c *Core) delegates() []fleet.Member {
+	var delegates []fleet.Member
+	for _, name := range slices.Sorted(maps.Keys(c.members)) {
+		if member := c.members[name]; member.Zone != c.options.Zone && member.Usable() {
+			delegates = append(delegates, member)
+		}
+	}
+	return delegates
+}
+
+// audience are all nodes that the leader publishes to.
+func (c *Core) audience() []fleet.Member {
+	return append(c.peersOfZone(c.options.Zone), c.delegates()...)
+}
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -14,7 +14,7 @@
 	}
 	if update.Since == 0 {
 		c.replaceTable(update.Table)
-	} else if known == nil || known.fence != update.Table.Fence || known.sequence != update.Since {
+	} else if known == nil || known.fence != update.Table.Fence || known.sequence < update.Since {
 		if member, found := c.members[received.From]; found {
 			c.emit(PullTables{From: member})
 		}
@@ -53,6 +53,7 @@
 	known.leader = update.Table.Leader
 	known.heard = c.now
 	known.services = update.Table.Services
+	known.shown = nil
 	for _, state := range update.Table.Engines {
 		known.engines[state.Name] = state
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -46,7 +46,7 @@
 	for _, name := range c.engineNames() {
 		held := c.engines[name]
 		_, avoided := c.avoid[placementKey{name, facts.Model}]
-		if held.leaving || avoided || held.state.Find(facts.Model) != nil {
+		if !held.serving() || avoided || held.state.Find(facts.Model) != nil {
 			continue
 		}
 		evict, evictCost, possible := c.makeRoom(now, name, facts.MemoryBytes)
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -67,6 +67,7 @@
 	// asked is the sequence of the newest state.
 	asked   uint64
 	leaving bool
+	silent  bool
 	// loadingSince is when each load was first seen or ordered.
 	loadingSince map[fleet.ModelVersion]time.Time
 }
@@ -124,6 +125,10 @@
 		c.dropGone(message.Engines)
 	case EnginesLeaving:
 		c.markLeaving(message.Engines)
+	case EngineSilent:
+		if held := c.engines[message.Engine]; held != nil {
+			held.silent = message.Silent
+		}
 	case StateSeen:
 		c.see(now, message)
 	case WantsReported:
--- a/internal/placement/count.go
+++ b/internal/placement/count.go
@@ -58,9 +58,10 @@
 	for name, held := range c.engines {
 		loaded := held.state.Find(model)
 		switch {
-		case loaded != nil && loaded.State == fleet.LoadReady && !held.leaving:
+		case !held.serving():
+		case loaded != nil && loaded.State == fleet.LoadReady:
 			ready++
-		case loaded != nil && loaded.State == fleet.LoadLoading && !held.leaving:
+		case loaded != nil && loaded.State == fleet.LoadLoading:
 			coming++
 		case loaded == nil && c.loadInFlight(name, model):
 			coming++
@@ -69,6 +70,9 @@
 	return ready, coming
 }
 
+// serving reports whether the engine takes new work.
+func (e *engine) serving() bool { return !e.leaving && !e.silent }
+
 func (c *Core) engineNames() []fleet.BackendName {
 	return slices.Sorted(maps.Keys(c.engines))
 }
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -48,6 +48,13 @@
 // EnginesLeaving names engines that go away: they get no further load.
 type EnginesLeaving struct{ Engines []fleet.BackendName }
 
+// EngineSilent says whether an engine has stopped to answer: its replicas are
+// counted but serve nobody.
+type EngineSilent struct {
+	Engine fleet.BackendName
+	Silent bool
+}
+
 // StateSeen gives a state that was asked for after the point in the sequence
 // of questions that Asked names.
 type StateSeen struct {
@@ -90,6 +97,7 @@
 func (LimitsChanged) message()  {}
 func (EnginesGone) message()    {}
 func (EnginesLeaving) message() {}
+func (EngineSilent) message()   {}
 func (StateSeen) message()      {}
 func (WantsReported) message()  {}
 func (OrderAnswered) message()  {}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -216,7 +216,7 @@
 	for _, name := range c.engineNames() {
 		held := c.engines[name]
 		loaded := held.state.Find(model)
-		if loaded == nil || loaded.State != fleet.LoadReady || held.leaving {
+		if loaded == nil || loaded.State != fleet.LoadReady || !held.serving() {
 			continue
 		}
 		if slices.Contains(loaded.Adapters, adapter) || c.orderInFlight(name, model) {
