--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -131,6 +131,8 @@
 	options  Options
 	// failure is the first broken rule.
 	failure string
+	// reports are the StoreBehind and Diverged effects.
+	reports []Effect
 	calls   uint64
 	asked   map[uint64]envelope
 }
@@ -149,6 +151,12 @@
 	return c
 }
 
+// setMachine moves the time on: a list with the time of a change shows it.
+func (c *cluster) setMachine(name string, state platform.MachineState) {
+	c.now = c.now.Add(time.Millisecond)
+	c.store.setMachine(c.now, name, state)
+}
+
 func (c *cluster) start(node *testNode) {
 	node.boot++
 	options := c.options
@@ -216,6 +224,8 @@
 		}
 	case MachinesUpdated:
 		node.machines = effect.List
+	case StoreBehind, Diverged:
+		c.reports = append(c.reports, effect)
 	}
 }
 
--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -11,7 +11,7 @@
 // Defaults of the options.
 const (
 	DefaultPushDelay         = 10 * time.Millisecond
-	DefaultDigestInterval    = 4 * time.Second
+	DefaultDigestInterval    = 2 * time.Second
 	DefaultFirstDigestRetry  = 250 * time.Millisecond
 	DefaultReadRetry         = 500 * time.Millisecond
 	DefaultMachineInterval   = 2 * time.Second
--- a/internal/configsync/ledger.go
+++ b/internal/configsync/ledger.go
@@ -103,6 +103,7 @@
 // apply takes changes and returns the objects that were new. The version moves
 // only where the changes close the distance; gap tells that they do not.
 func (l *ledger) apply(changes Changes) (changed []platform.Object, gap bool) {
+	ahead := l.newest > changes.Since
 	changed = l.acceptAll(changes.Objects)
 	if changes.Version <= l.version && l.loaded {
 		return changed, false
@@ -110,7 +111,9 @@
 	if changes.Since > l.version && !l.defects.IgnoreGaps {
 		return changed, true
 	}
-	changed = append(changed, l.deleteUnlisted(changes, changes.Since)...)
+	if ahead {
+		changed = append(changed, l.deleteUnlisted(changes, changes.Since)...)
+	}
 	l.horizon = max(l.horizon, min(changes.Horizon, changes.Version))
 	l.advance(changes.Version, len(changed) > 0)
 	return changed, false
@@ -171,9 +174,6 @@
 // deleteUnlisted puts tombstones in place of what is held at versions after
 // since up to that of the changes and is not among them.
 func (l *ledger) deleteUnlisted(changes Changes, since uint64) []platform.Object {
-	if l.newest <= since {
-		return nil
-	}
 	listed := make(map[platform.Key]bool, len(changes.Objects))
 	for _, object := range changes.Objects {
 		listed[object.Key()] = true
@@ -237,6 +237,9 @@
 
 // since lists what changed after a version, in the order of the changes.
 func (l *ledger) since(version uint64) []platform.Object {
+	if version >= l.newest {
+		return nil
+	}
 	var objects []platform.Object
 	for _, held := range l.objects {
 		if held.Version > version {
--- a/internal/configsync/schedule_test.go
+++ b/internal/configsync/schedule_test.go
@@ -73,9 +73,7 @@
 		c.advance(10 * time.Millisecond << draw("time", 10))
 	case 12:
 		states := []platform.MachineState{platform.MachineLive, platform.MachineLeaving, ""}
-		// A list with the time of the change shows the change.
-		c.now = c.now.Add(time.Millisecond)
-		c.store.setMachine(c.now, fmt.Sprintf("m%d", draw("machine", 3)), states[draw("state", len(states))])
+		c.setMachine(fmt.Sprintf("m%d", draw("machine", 3)), states[draw("state", len(states))])
 	case 13, 14:
 		c.pump(c.nodes[draw("watch", len(c.nodes))])
 	default:
