Leave a lost write open where its object cannot be read, log outages once

Cause: a read back that found no object was taken for a conflict. A store that answers from a stale copy shows none as well, though the write may have been made: the writer was told of a conflict that there was not.

Change: only an object or tombstone above the expected version is a conflict; otherwise the outcome is unknown, and the same write may be made again. The shell logs the first failure of the store and of the machine list and their recovery, not each failure of a long outage.

--- a/internal/node/config_actor.go
+++ b/internal/node/config_actor.go
@@ -44,6 +44,9 @@
 	stopReading context.CancelFunc
 	wake        *time.Timer
 
+	storeOutage   outage
+	machineOutage outage
+
 	lastCall      uint64
 	pushAnswers   map[uint64]chan<- uint64
 	digestAnswers map[uint64]chan<- configsync.DigestAnswer
--- a/internal/node/config_io.go
+++ b/internal/node/config_io.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/phuslu/log"
 
 	"github.com/spanlanding/spanlanding/internal/configsync"
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -34,8 +36,8 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	list, err := a.dependencies.Platform.List(ctx, "")
+	a.storeOutage.note(a.dependencies.Logger, "store-read", err)
 	if err != nil {
-		a.logUnavailable("store-list-failed", err)
 		a.send(configsync.ListFailed(effect))
 		return
 	}
@@ -50,7 +52,7 @@
 	err := a.readWatch(ctx, effect, idle)
 	idled := ctx.Err() != nil
 	if !idled {
-		a.logUnavailable("store-watch-ended", err)
+		a.storeOutage.note(a.dependencies.Logger, "store-read", err)
 	}
 	a.send(configsync.WatchEnded{
 		Generation: effect.Generation,
@@ -65,6 +67,7 @@
 		return err
 	}
 	defer watch.Close()
+	a.storeOutage.note(a.dependencies.Logger, "store-read", nil)
 	for {
 		event, err := watch.Next()
 		if err != nil {
@@ -83,8 +86,8 @@
 	ctx, cancel := context.WithTimeout(a.lifetime, machinesTimeout)
 	defer cancel()
 	list, err := a.dependencies.Platform.Machines(ctx)
+	a.machineOutage.note(a.dependencies.Logger, "machine-list", err)
 	if err != nil {
-		a.logUnavailable("machine-list-failed", err)
 		a.send(configsync.MachinesFailed{})
 		return
 	}
@@ -111,12 +114,24 @@
 	}
 	answer, err := decodeDigestAnswer(effect.Digest.Space, response)
 	if err != nil {
-		a.logUnavailable("config-digest-unreadable", err)
+		a.dependencies.Logger.Warn().Str("event", "config-digest-unreadable").Str("peer", string(effect.To.Name)).Err(err).Msg("")
 		return
 	}
 	a.send(configsync.DigestAnswered{From: effect.To.Name, Answer: answer})
 }
 
-func (a *configActor) logUnavailable(event string, err error) {
-	a.dependencies.Logger.Warn().Str("event", event).Err(err).Msg("")
+// outage logs the first failure in a row and the recovery, so that a long
+// outage does not fill the log.
+type outage struct {
+	failing atomic.Bool
+}
+
+func (o *outage) note(logger *log.Logger, what string, err error) {
+	switch failed := err != nil; {
+	case failed == o.failing.Swap(failed):
+	case failed:
+		logger.Warn().Str("event", what+"-failed").Err(err).Msg("")
+	default:
+		logger.Info().Str("event", what+"-recovered").Msg("")
+	}
 }
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -81,8 +81,9 @@
 //     first, or came after and hid the write. Versions of one object grow, so
 //     the write can no longer be made; whether it was is not told apart, and
 //     the object that stands is what the writer must look at either way.
-//   - It stands as before: the request may still be under way, so that the
-//     outcome stays unknown.
+//   - It stands as before, or there is none: the request may still be under
+//     way, or the read may be stale, so that the outcome stays unknown. Where
+//     it was deleted since, the tombstone is read and is the second case.
 func (c *Client) readBack(ctx context.Context, intended Object, expected uint64, cause error) (Object, error) {
 	for attempt := range readBackAttempts {
 		if attempt > 0 && !pause(ctx, readBackPause) {
@@ -90,10 +91,6 @@
 		}
 		current, err := c.read(ctx, intended.Key())
 		switch {
-		case errorx.IsOfType(err, NotFound):
-			if expected > 0 {
-				return Object{}, &ConflictError{}
-			}
 		case err != nil:
 		case current.ChangeID == intended.ChangeID:
 			return current, nil
