Compile only what depends on a change

Ruled out: compiling within the mailbox; the shell must answer peers meanwhile.

Change: models, adapters and deployments are stages that are made anew only when their input changed; the shell hands over changes instead of all objects.

An incremental compilation equals a whole one in the test.

--- a/internal/catalog/bench_test.go
+++ b/internal/catalog/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,12 +68,21 @@
 
 func BenchmarkCompileAfterOneChange(b *testing.B) {
 	objects := fleetObjects(b)
-	compiler := NewCompiler()
-	compiler.Compile(1, objects)
-	b.ReportAllocs()
-	for b.Loop() {
-		objects[len(objects)-1].Version++
-		compiler.Compile(2, objects)
+	first := func(kind spec.Kind) platform.Object {
+		return objects[slices.IndexFunc(objects, func(object platform.Object) bool { return object.Kind == string(kind) })]
+	}
+	for _, kind := range []spec.Kind{spec.KindSelector, spec.KindDeployment, spec.KindAdapter} {
+		b.Run(string(kind), func(b *testing.B) {
+			compiler := NewCompiler()
+			compiler.Apply(objects)
+			compiler.Snapshot(1)
+			changed := []platform.Object{first(kind)}
+			b.ReportAllocs()
+			for b.Loop() {
+				compiler.Apply(changed)
+				compiler.Snapshot(2)
+			}
+		})
 	}
 }
 
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -183,15 +183,17 @@
 func TestCompilerTakesChangedObjectsAnew(t *testing.T) {
 	objects := reports(t)
 	compiler := NewCompiler()
-	compiler.Compile(1, objects)
+	compiler.Apply(objects)
+	compiler.Snapshot(1)
 	changed := object(t, spec.KindSelector, "owners", nil, spec.Selector{
 		Match: matching("tenant", "owner"), Deployments: matching("use", "report"), Priority: 9,
 	})
 	changed.Version = 2
 	objects[6] = changed
-	incremental, _ := compiler.Compile(2, objects)
+	compiler.Apply([]platform.Object{changed})
+	incremental, _ := compiler.Snapshot(2)
 	whole, _ := Compile(2, objects)
-	options := cmp.AllowUnexported(Snapshot{}, deployment{}, selector{}, service{})
+	options := cmp.AllowUnexported(Snapshot{}, selector{}, service{}, labelPair{})
 	if difference := cmp.Diff(whole, incremental, options); difference != "" {
 		t.Error(difference)
 	}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -17,7 +17,7 @@
 	modelIndex   map[fleet.ModelVersion]int
 	adapters     []AdapterFacts
 	adapterIndex map[fleet.AdapterName]int
-	deployments  []deployment
+	deployments  []DeploymentInfo
 	// deploymentIndex finds a deployment by its name.
 	deploymentIndex map[string]int
 	modelNames      []string
@@ -85,11 +85,7 @@
 
 // Deployments describes all deployments, ordered by name.
 func (s *Snapshot) Deployments() []DeploymentInfo {
-	infos := make([]DeploymentInfo, 0, len(s.deployments))
-	for _, known := range s.deployments {
-		infos = append(infos, known.DeploymentInfo)
-	}
-	return infos
+	return s.deployments
 }
 
 // ModelNames lists, in order, what callers may name as model.
--- /dev/null
+++ b/internal/catalog/stages.go
@@ -0,0 +1,172 @@
+package catalog
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/spec"
+)
+
+const defaultMaxReplicas = 1
+
+// modelStage is what the declared models give. Like the other stages it is
+// immutable once made, and shared by snapshots until its input changes.
+type modelStage struct {
+	declared map[string]spec.Model
+	// facts lack what selectors and capacities add.
+	facts    []ModelFacts
+	index    map[fleet.ModelVersion]int
+	problems []Problem
+}
+
+func compileModels(set *kindSet) modelStage {
+	stage := modelStage{declared: make(map[string]spec.Model), index: make(map[fleet.ModelVersion]int)}
+	for _, object := range set.usable(&stage.problems) {
+		model := object.value.(spec.Model)
+		stage.declared[object.key.Name] = model
+		for _, version := range model.Versions {
+			stage.facts = append(stage.facts, ModelFacts{
+				Model:           fleet.ModelVersion{Model: object.key.Name, Version: version.Name},
+				MemoryBytes:     int64(version.Memory),
+				CheckpointBytes: int64(version.Checkpoint),
+				MinReplicas:     model.Replicas.Min,
+				MaxReplicas:     cmp.Or(model.Replicas.Max, max(model.Replicas.Min, defaultMaxReplicas)),
+			})
+		}
+	}
+	slices.SortFunc(stage.facts, func(a, b ModelFacts) int { return a.Model.Compare(b.Model) })
+	for index, facts := range stage.facts {
+		stage.index[facts.Model] = index
+	}
+	return stage
+}
+
+// adapterStage is what the declared adapters give.
+type adapterStage struct {
+	facts    []AdapterFacts
+	index    map[fleet.AdapterName]int
+	problems []Problem
+}
+
+func compileAdapters(set *kindSet, models modelStage) adapterStage {
+	var stage adapterStage
+	objects := set.usable(&stage.problems)
+	stage.facts = make([]AdapterFacts, 0, len(objects))
+	stage.index = make(map[fleet.AdapterName]int, len(objects))
+	for _, object := range objects {
+		adapter := object.value.(spec.Adapter)
+		if _, found := models.declared[adapter.Model]; !found {
+			stage.problems = append(stage.problems, object.problem(fmt.Sprintf("model %q is not declared", adapter.Model)))
+			continue
+		}
+		name := fleet.AdapterName(object.key.Name)
+		stage.index[name] = len(stage.facts)
+		stage.facts = append(stage.facts, AdapterFacts{
+			Adapter:     name,
+			Model:       adapter.Model,
+			MemoryBytes: int64(adapter.Memory),
+		})
+	}
+	return stage
+}
+
+// labelPair is one label with its value.
+type labelPair struct {
+	key   string
+	value string
+}
+
+// deploymentStage is what the declared deployments give.
+type deploymentStage struct {
+	infos []DeploymentInfo
+	names []string
+	index map[string]int
+	// byLabel lists the deployments that carry a label, in order of name.
+	byLabel  map[labelPair][]int
+	problems []Problem
+}
+
+func compileDeployments(set *kindSet, models modelStage, adapters adapterStage) deploymentStage {
+	var stage deploymentStage
+	objects := set.usable(&stage.problems)
+	stage.infos = make([]DeploymentInfo, 0, len(objects))
+	stage.names = make([]string, 0, len(objects))
+	stage.index = make(map[string]int, len(objects))
+	stage.byLabel = make(map[labelPair][]int)
+	for _, object := range objects {
+		declared := object.value.(spec.Deployment)
+		versions, reason := weightedVersions(declared, models, adapters)
+		if reason != "" {
+			stage.problems = append(stage.problems, object.problem(reason))
+			continue
+		}
+		stage.add(object, DeploymentInfo{
+			Name:           fleet.DeploymentName(object.key.Name),
+			Labels:         object.labels,
+			Adapter:        fleet.AdapterName(declared.Adapter),
+			Versions:       versions,
+			ContextTokens:  models.declared[declared.Model].ContextTokens,
+			CreatedVersion: object.version,
+		})
+	}
+	return stage
+}
+
+func (s *deploymentStage) add(object decodedObject, info DeploymentInfo) {
+	index := len(s.infos)
+	s.infos = append(s.infos, info)
+	s.names = append(s.names, object.key.Name)
+	s.index[object.key.Name] = index
+	for key, value := range object.labels {
+		pair := labelPair{key: key, value: value}
+		s.byLabel[pair] = append(s.byLabel[pair], index)
+	}
+}
+
+// weightedVersions checks what a deployment refers to. Without versions the
+// model's last declared one takes all traffic; where no weight is positive,
+// all versions weigh the same.
+func weightedVersions(declared spec.Deployment, models modelStage, adapters adapterStage) ([]WeightedModel, string) {
+	model, found := models.declared[declared.Model]
+	if !found || len(model.Versions) == 0 {
+		return nil, fmt.Sprintf("model %q is not declared", declared.Model)
+	}
+	if reason := checkAdapter(declared, adapters); reason != "" {
+		return nil, reason
+	}
+	weighted := declared.Versions
+	if len(weighted) == 0 {
+		weighted = []spec.WeightedVersion{{Name: model.Versions[len(model.Versions)-1].Name, Weight: 1}}
+	}
+	weightless := !slices.ContainsFunc(weighted, func(version spec.WeightedVersion) bool { return version.Weight > 0 })
+	versions := make([]WeightedModel, 0, len(weighted))
+	for _, version := range weighted {
+		name := fleet.ModelVersion{Model: declared.Model, Version: version.Name}
+		if _, known := models.index[name]; !known {
+			return nil, fmt.Sprintf("model version %q is not declared", name)
+		}
+		switch {
+		case weightless:
+			versions = append(versions, WeightedModel{Model: name, Weight: 1})
+		case version.Weight > 0:
+			versions = append(versions, WeightedModel{Model: name, Weight: version.Weight})
+		}
+	}
+	return versions, ""
+}
+
+func checkAdapter(declared spec.Deployment, adapters adapterStage) string {
+	if declared.Adapter == "" {
+		return ""
+	}
+	index, found := adapters.index[fleet.AdapterName(declared.Adapter)]
+	if !found {
+		return fmt.Sprintf("adapter %q is not declared", declared.Adapter)
+	}
+	if adapter := adapters.facts[index]; adapter.Model != declared.Model {
+		return fmt.Sprintf("adapter %q belongs to model %q", declared.Adapter, adapter.Model)
+	}
+	return ""
+}
--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -60,6 +60,12 @@
 	VersionsMayGoBack bool
 	// IgnoreGaps claims a pushed version though changes before it are missing.
 	IgnoreGaps bool
+	// TakeUnknown takes objects that are not held whatever their version, so
+	// that deleted ones come back.
+	TakeUnknown bool
+	// IgnoreBase applies a change of the machine list to another list than it
+	// was made from.
+	IgnoreBase bool
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/configsync/ledger.go
+++ b/internal/configsync/ledger.go
@@ -75,6 +75,9 @@
 	if found && !held.Deleted {
 		return object.Version > held.Version
 	}
+	if l.defects.TakeUnknown {
+		return object.Version > held.Version
+	}
 	return object.Version > max(held.Version, l.version)
 }
 
--- a/internal/configsync/machines.go
+++ b/internal/configsync/machines.go
@@ -185,7 +185,7 @@
 	case table.loaded && push.Changes.Version <= table.asOf:
 	case table.loaded && table.hash == push.Hash:
 		table.asOf = push.Changes.Version
-	case table.loaded && table.hash == push.BaseHash:
+	case table.loaded && (table.hash == push.BaseHash || c.options.Defects.IgnoreBase):
 		c.applyMachines(now, push)
 	default:
 		if from, found := c.peerNamed(message.From); found {
--- a/internal/configsync/schedule_test.go
+++ b/internal/configsync/schedule_test.go
@@ -103,6 +103,8 @@
 	cases := map[string]Defects{
 		"versions may go back": {VersionsMayGoBack: true},
 		"gap ignored":          {IgnoreGaps: true},
+		"unknown object taken": {TakeUnknown: true},
+		"base list ignored":    {IgnoreBase: true},
 	}
 	for name, defects := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/node/config_actor.go
+++ b/internal/node/config_actor.go
@@ -53,7 +53,9 @@
 
 	compiler  *catalog.Compiler
 	compiling bool
-	// outdated is set when objects changed since the last compilation began.
+	// pending are the changes since the last compilation began; outdated is
+	// set also where only the version in force moved.
+	pending  []platform.Object
 	outdated bool
 	encoder  pushEncoder
 }
@@ -211,6 +213,7 @@
 	if a.dependencies.Changed != nil {
 		a.dependencies.Changed(effect.Version, effect.Changed)
 	}
+	a.pending = append(a.pending, effect.Changed...)
 	a.outdated = true
 	a.compile()
 }
@@ -224,10 +227,12 @@
 	}
 	a.compiling = true
 	a.outdated = false
-	objects := a.core.Objects()
+	changed := a.pending
+	a.pending = nil
 	go func() {
 		started := time.Now()
-		snapshot, problems := a.compiler.Compile(version, objects)
+		a.compiler.Apply(changed)
+		snapshot, problems := a.compiler.Snapshot(version)
 		a.send(compiled{snapshot: snapshot, problems: problems, took: time.Since(started)})
 	}()
 }
