--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -11,7 +11,7 @@
 // Defaults of the options.
 const (
 	DefaultPushDelay         = 10 * time.Millisecond
-	DefaultDigestInterval    = 4 * time.Second
+	DefaultDigestInterval    = 2 * time.Second
 	DefaultFirstDigestRetry  = 250 * time.Millisecond
 	DefaultReadRetry         = 500 * time.Millisecond
 	DefaultMachineInterval   = 2 * time.Second
@@ -60,6 +60,12 @@
 	VersionsMayGoBack bool
 	// IgnoreGaps claims a pushed version though changes before it are missing.
 	IgnoreGaps bool
+	// TakeUnknown takes objects that are not held whatever their version, so
+	// that deleted ones come back.
+	TakeUnknown bool
+	// IgnoreBase applies a change of the machine list to another list than it
+	// was made from.
+	IgnoreBase bool
 }
 
 func (o Options) withDefaults() Options {
