--- a/internal/control/schedule_test.go
+++ b/internal/control/schedule_test.go
@@ -6,6 +6,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
+
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
--- a/internal/sim/scheduler_test.go
+++ b/internal/sim/scheduler_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 func TestSchedulerRunsByTimeThenSequence(t *testing.T) {
--- a/internal/spec/ambiguity_test.go
+++ b/internal/spec/ambiguity_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 func drawRequirement(t *rapid.T) Requirement {
--- a/internal/standin/objects/store_test.go
+++ b/internal/standin/objects/store_test.go
@@ -6,6 +6,8 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
+
 	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
