Confirm lowered limits only once a majority of the zone holds them

Cause: with the store down a later leader learns the record from a majority, of which none may have heard the lowering; and nodes that never read the store could not vouch, so that nothing was loaded after the leader was lost. Ruled out: counting hearsay, which a restarted node may have from an old peer. Change: each process learns the record once at its start; a zone confirms after a majority vouches for the lowering; a record heard during a round is followed up; what a leaving engine holds is unloaded.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
 
 var (
@@ -50,3 +51,94 @@
 	}
 	return false
 }
+
+// wantEverywhere reports the want at all nodes each second.
+func (c *cluster) wantEverywhere(model fleet.ModelVersion, seconds int) {
+	for range seconds {
+		for _, name := range c.nodeNames() {
+			if !c.nodes[name].down {
+				c.want(name, model, 1)
+			}
+		}
+		c.run(time.Second)
+	}
+}
+
+func TestLeavingEngineIsMarkedAtEveryNodeAndReplaced(t *testing.T) {
+	c := newCluster(clusterOptions{seed: 2, zones: 1, nodes: 3, engins: 2, models: []catalog.ModelFacts{facts(modelA, 1)}})
+	c.run(4 * time.Second)
+	c.wantEverywhere(modelA, 5)
+	holder := c.holderOf(modelA)
+	c.stepEngine(holder, engine.Leave{})
+	c.run(1500 * time.Millisecond)
+	for _, name := range c.nodeNames() {
+		if !leavingIn(c.nodes[name].tables["z0"], holder) {
+			t.Errorf("table of %s does not mark %s as leaving", name, holder)
+		}
+	}
+	c.wantEverywhere(modelA, 6)
+	if now := c.holderOf(modelA); now == holder || now == "" {
+		t.Errorf("the model is on %q, was on the leaving %q", now, holder)
+	}
+	if len(c.violations) > 0 {
+		t.Errorf("violations: %v", c.violations)
+	}
+}
+
+func (c *cluster) holderOf(model fleet.ModelVersion) fleet.BackendName {
+	for _, name := range c.engineNames() {
+		if state := c.engines[name].core.State(c.now); state.Find(model) != nil {
+			return name
+		}
+	}
+	return ""
+}
+
+func leavingIn(table fleet.RouteTable, name fleet.BackendName) bool {
+	for _, state := range table.Engines {
+		if state.Name == name {
+			return state.Leaving
+		}
+	}
+	return false
+}
+
+func TestPlannedStopHandsTheLeadershipOver(t *testing.T) {
+	c := newCluster(clusterOptions{seed: 3, zones: 1, nodes: 3, engins: 2, models: []catalog.ModelFacts{facts(modelA, 1)}})
+	c.run(4 * time.Second)
+	before := c.leaderOf("z0")
+	c.send(before, StopRequested{})
+	c.run(time.Second)
+	after := c.leaderOf("z0")
+	if after == "" || after == before {
+		t.Errorf("leader %q after %q stopped", after, before)
+	}
+}
+
+func TestModelIsLoadedWhileTheStoreIsDown(t *testing.T) {
+	c := newCluster(clusterOptions{seed: 4, zones: 1, nodes: 3, engins: 2, models: []catalog.ModelFacts{facts(modelA, 1)}})
+	c.run(5 * time.Second)
+	c.storeDown = true
+	leader := c.leaderOf("z0")
+	c.nodes[leader].down = true
+	c.spreadMembers()
+	c.run(4 * time.Second)
+	c.wantEverywhere(modelA, 5)
+	if c.replicas(modelA) != 1 {
+		t.Errorf("%d replicas while the store is down and the leader lost; leaders %v", c.replicas(modelA), c.leaders())
+	}
+}
+
+func TestModelThatCannotBeLoadedIsRefusedAtOnce(t *testing.T) {
+	large := facts(modelA, 1)
+	large.MemoryBytes = 100 * gib
+	c := newCluster(clusterOptions{seed: 5, zones: 1, nodes: 2, engins: 2, models: []catalog.ModelFacts{large}})
+	c.run(4 * time.Second)
+	leader := c.leaderOf("z0")
+	c.want(leader, modelA, 1)
+	c.run(100 * time.Millisecond)
+	refused := c.nodes[leader].refused
+	if len(refused) == 0 || refused[0].Reason != "no-memory" || refused[0].RetryAfter <= 0 {
+		t.Errorf("refusals %v, want no-memory with a time to come back", refused)
+	}
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -62,6 +62,8 @@
 		wants:     newWantState(),
 		leaving:   newLeavingState(),
 		gone:      newGoneState(),
+		// A core with the planted defect never learns, so it vouches at once.
+		decider: deciderState{vouched: options.Defects.StaleAllotment},
 	}
 }
 
--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -12,6 +12,10 @@
 // answerPatience is when a write or read-back without answer is given up.
 const answerPatience = 5 * time.Second
 
+// vouchInterval is the time between two tries to learn the record of a node
+// that does not lead.
+const vouchInterval = 3 * time.Second
+
 // decide writes what this node has to write: as leader the engines and the
 // confirmations of its zone, as decider the decision for the fleet.
 func (c *Core) decide() {
@@ -19,6 +23,11 @@
 		return
 	}
 	c.decider.next = c.now.Add(c.settings().DecideInterval)
+	if !c.decider.vouched && !c.leadsByView() {
+		c.decider.next = c.now.Add(vouchInterval)
+		c.readBack()
+		return
+	}
 	if !c.leadsByView() {
 		return
 	}
@@ -56,7 +65,7 @@
 	if next, changed := allotment.WithEngines(record, c.options.Zone, present, gone); changed {
 		return next, true
 	}
-	if confirmed := c.confirmable(); len(confirmed) > 0 {
+	if confirmed := c.confirmable(); len(confirmed) > 0 && c.spreadKnown(confirmed) {
 		return allotment.Confirm(record, c.options.Zone, confirmed), true
 	}
 	if !c.isDecider() || len(c.models) == 0 {
@@ -65,6 +74,18 @@
 	return allotment.Decide(record, c.decisionInput())
 }
 
+// spreadKnown reports whether a majority of the zone holds the lowerings, and
+// asks where that is not known.
+func (c *Core) spreadKnown(models []fleet.ModelVersion) bool {
+	for _, model := range models {
+		if c.record.Record.Models[model].Zones[c.options.Zone].LoweredAt > c.decider.spread {
+			c.askSpread()
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Core) listedEngines(zone fleet.Zone) (present, gone []fleet.BackendName) {
 	for _, machine := range c.machines.Machines {
 		if machine.Role != roleEngine || machine.Zone != zone {
--- a/internal/control/directed_test.go
+++ b/internal/control/directed_test.go
@@ -74,9 +74,9 @@
 // moveWhilePaused moves the only replica from the first zone to the second
 // while a leader of the first is paused; then all engines of the first zone
 // restart, and the paused leader goes on with the record it had.
-func moveWhilePaused(seed uint64, defects Defects) *cluster {
+func moveWhilePaused(seed uint64, defects Defects, faulty fleet.NodeName) (*cluster, fleet.NodeName) {
 	c := newCluster(clusterOptions{
-		seed: seed, zones: 2, nodes: 2, engins: 2, defects: defects,
+		seed: seed, zones: 2, nodes: 3, engins: 2, defects: defects, faulty: faulty,
 		models: []catalog.ModelFacts{facts(modelA, 1)},
 	})
 	c.run(5 * time.Second)
@@ -86,7 +86,7 @@
 	}
 	paused := c.leaderOf(from)
 	if paused == "" {
-		return c
+		return c, paused
 	}
 	c.nodes[paused].deaf = true
 	c.nodes[paused].pausedUntil = c.now.Add(14 * time.Second)
@@ -112,7 +112,7 @@
 		}
 		c.run(time.Second)
 	}
-	return c
+	return c, paused
 }
 
 func (c *cluster) leaderOf(zone fleet.Zone) fleet.NodeName {
@@ -151,14 +151,14 @@
 func TestPausedLeaderWithAnOldRecord(t *testing.T) {
 	caught, moved := 0, 0
 	for seed := range uint64(20) {
-		c := moveWhilePaused(seed, Defects{})
+		c, paused := moveWhilePaused(seed, Defects{}, "")
 		if len(c.violations) > 0 {
 			t.Fatalf("seed %d: %v", seed, c.violations[0])
 		}
 		if c.replicas(modelA) == 1 {
 			moved++
 		}
-		if c := moveWhilePaused(seed, Defects{StaleAllotment: true}); len(c.violations) > 0 {
+		if c, _ := moveWhilePaused(seed, Defects{StaleAllotment: true}, paused); len(c.violations) > 0 {
 			caught++
 		}
 	}
--- a/internal/control/effects.go
+++ b/internal/control/effects.go
@@ -31,6 +31,10 @@
 	ID       uint64
 	Members  []fleet.Member
 	Majority int
+	// MembersOnly leaves the store out, and AtLeast is the generation that
+	// each member's record must have to count.
+	MembersOnly bool
+	AtLeast     uint64
 }
 
 // WriteRecord writes the record by compare-and-set; answer with RecordWritten.
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -36,6 +36,7 @@
 	// carried out nevertheless, some much later.
 	lossShare float64
 	defects   Defects
+	faulty    fleet.NodeName
 	settings  Settings
 	// hold delays a claim on its way to the engine; nil for none.
 	hold   func(from fleet.NodeName, engine fleet.BackendName) time.Duration
@@ -54,7 +55,6 @@
 	boot        uint64
 	down        bool
 	pausedUntil time.Time
-	vouched     bool
 	tables      map[fleet.Zone]fleet.RouteTable
 	refused     []fleet.LoadRefusal
 	// deaf nodes hear no records from others.
@@ -67,6 +67,7 @@
 	core    *engine.Core
 	backend fleet.Backend
 	down    bool
+	state   platform.MachineState
 }
 
 type event struct {
@@ -100,6 +101,8 @@
 	zones, nodes, engins int
 	models               []catalog.ModelFacts
 	defects              Defects
+	// faulty bounds the defects to one node; empty for all.
+	faulty fleet.NodeName
 }
 
 func newCluster(options clusterOptions) *cluster {
@@ -113,6 +116,7 @@
 		engines:  make(map[fleet.BackendName]*testEngine),
 		store:    objects.New(0),
 		defects:  options.defects,
+		faulty:   options.faulty,
 		settings: settings,
 		models:   options.models,
 	}
@@ -138,6 +142,7 @@
 	described := fleet.Backend{Name: name, Kind: fleet.KindEngine, Zone: zone, Address: string(name)}
 	c.engines[name] = &testEngine{
 		backend: described,
+		state:   platform.MachineLive,
 		core: engine.New(engine.Options{
 			Backend:     described,
 			Incarnation: 1,
@@ -160,11 +165,11 @@
 func (c *cluster) engineNames() []fleet.BackendName { return slices.Sorted(maps.Keys(c.engines)) }
 
 func (c *cluster) listMachines() {
-	c.machines = platform.MachineList{AsOfUnixMilli: c.now.UnixMilli()}
+	c.machines = platform.MachineList{AsOfUnixMilli: c.machines.AsOfUnixMilli + 1}
 	for _, name := range c.engineNames() {
-		described := c.engines[name].backend
+		described, state := c.engines[name].backend, c.engines[name].state
 		c.machines.Machines = append(c.machines.Machines, platform.Machine{
-			Role: "engine", Name: string(name), Zone: described.Zone, State: platform.MachineLive, Address: string(name),
+			Role: "engine", Name: string(name), Zone: described.Zone, State: state, Address: string(name),
 		})
 	}
 	for _, name := range c.nodeNames() {
@@ -179,14 +184,17 @@
 	node := c.nodes[name]
 	node.boot++
 	node.down = false
-	node.vouched = false
+	defects := c.defects
+	if c.faulty != "" && c.faulty != name {
+		defects = Defects{}
+	}
 	node.core = New(Options{
 		Self:     name,
 		Zone:     node.member.Zone,
 		BootID:   node.boot * 1000003,
 		Seed:     uint64(len(name)) + node.boot,
 		Settings: c.settings,
-		Defects:  c.defects,
+		Defects:  defects,
 	})
 	boot := node.boot
 	c.step(name, boot, MachinesChanged{List: c.machines})
@@ -246,9 +254,6 @@
 		c.after(node.pausedUntil.Sub(c.now), func() { c.step(name, boot, message) })
 		return
 	}
-	if learned, found := message.(RecordLearned); found && !learned.Failed && learned.Record.Generation > 0 {
-		node.vouched = true
-	}
 	for _, effect := range node.core.Step(c.now, message) {
 		c.perform(name, boot, effect)
 	}
@@ -422,7 +427,7 @@
 func (c *cluster) learn(name fleet.NodeName, effect LearnRecord, reply func(Message)) {
 	lost := c.random.Float64() < c.lossShare
 	c.after(c.latency(), func() {
-		if !c.storeDown && !lost {
+		if !c.storeDown && !lost && !effect.MembersOnly {
 			reply(RecordLearned{ID: effect.ID, VersionedRecord: c.stored(), FromStore: true})
 			return
 		}
@@ -430,11 +435,12 @@
 		vouching := 0
 		for _, asked := range append([]fleet.Member{{Name: name}}, effect.Members...) {
 			node := c.nodes[asked.Name]
-			if node.down || !node.vouched || c.now.Before(node.pausedUntil) {
+			held, vouched := node.core.Vouched()
+			if node.down || !vouched || c.now.Before(node.pausedUntil) || held.Record.Generation < effect.AtLeast {
 				continue
 			}
 			vouching++
-			if held := node.core.Record(); held.Record.Generation > answer.Record.Generation {
+			if held.Record.Generation > answer.Record.Generation {
 				answer.VersionedRecord = held
 			}
 		}
@@ -500,6 +506,9 @@
 	record := c.stored().Record
 	total := make(map[fleet.ModelVersion]int)
 	for _, name := range c.engineNames() {
+		if c.engines[name].state == platform.MachineGone {
+			continue
+		}
 		state := c.engines[name].core.State(c.now)
 		if state.UsedBytes() > state.MemoryBytes-state.KVReserveBytes {
 			c.violate("memory overcommitted on %s", name)
@@ -537,7 +546,7 @@
 	count := 0
 	for _, name := range c.engineNames() {
 		state := c.engines[name].core.State(c.now)
-		if state.Find(model) != nil {
+		if c.engines[name].state != platform.MachineGone && state.Find(model) != nil {
 			count++
 		}
 	}
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -17,6 +17,14 @@
 	reading uint64
 	sentAt  time.Time
 	next    time.Time
+	// spreading is the ID of the question whether a majority of the zone holds
+	// the generation asked for, spread the generation that one does.
+	spreading uint64
+	asked     uint64
+	spread    uint64
+	// vouched is set once this process has learned the record from the store
+	// or a majority: from then on it counts in a majority itself.
+	vouched bool
 	// storeKnown is set once the store itself has answered.
 	storeKnown bool
 }
@@ -61,7 +69,12 @@
 }
 
 func (c *Core) recordLearned(learned RecordLearned) {
+	if learned.ID == c.decider.spreading && learned.ID != 0 {
+		c.recordSpread(learned)
+		return
+	}
 	if !learned.Failed {
+		c.decider.vouched = c.decider.vouched || learned.Record.Generation > 0
 		c.decider.storeKnown = c.decider.storeKnown || learned.FromStore
 		c.adoptRecord(learned.VersionedRecord)
 	}
@@ -101,3 +114,31 @@
 	c.decider.sentAt = c.now
 	c.emit(c.learnRecord(c.decider.reading))
 }
+
+// askSpread asks whether a majority of the zone holds the record: a limit may be
+// confirmed as lowered only then, so that a later leader that cannot reach the
+// store still learns of it.
+func (c *Core) askSpread() {
+	if c.decider.spreading != 0 && c.now.Sub(c.decider.sentAt) < answerPatience {
+		return
+	}
+	c.decider.spreading = c.leader.NextID()
+	c.decider.asked = c.record.Record.Generation
+	c.decider.sentAt = c.now
+	question := c.learnRecord(c.decider.spreading)
+	question.MembersOnly, question.AtLeast = true, c.decider.asked
+	c.emit(question)
+}
+
+func (c *Core) recordSpread(learned RecordLearned) {
+	c.decider.spreading = 0
+	if !learned.Failed {
+		c.decider.spread = max(c.decider.spread, c.decider.asked)
+	}
+}
+
+// Vouched is the record, or false where this process has it from hearsay only
+// and so must not count in a majority.
+func (c *Core) Vouched() (VersionedRecord, bool) {
+	return c.record, c.decider.vouched
+}
--- a/internal/control/schedule_test.go
+++ b/internal/control/schedule_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
 
@@ -23,6 +24,7 @@
 var faultKinds = []string{
 	"pause-node", "restart-node", "restart-engine", "engine-down", "store-down",
 	"suspect", "loss", "limits", "restart-zone-engines", "stop-node", "move-replica",
+	"reclaim-engine", "add-engine",
 }
 
 func drawFaults(t *rapid.T) []fault {
@@ -63,6 +65,9 @@
 	case "engine-down":
 		c.engines[target].down = true
 		c.after(f.Length, func() {
+			if c.engines[target].state == platform.MachineGone {
+				return
+			}
 			c.engines[target].down = false
 			c.stepEngine(target, engine.Restart{})
 		})
@@ -74,6 +79,11 @@
 	case "loss":
 		c.lossShare = 0.2
 		c.after(f.Length, func() { c.lossShare = 0 })
+	case "reclaim-engine":
+		c.reclaim(target, f.Length)
+	case "add-engine":
+		c.addEngine(c.engines[target].backend.Zone, len(engines))
+		c.spreadMachines()
 	case "move-replica":
 		c.lower(fleet.Zone("z" + string('0'+rune(f.Target%2))))
 	case "limits":
@@ -81,6 +91,33 @@
 	}
 }
 
+// reclaim takes an engine's machine away after the length.
+func (c *cluster) reclaim(name fleet.BackendName, length time.Duration) {
+	target := c.engines[name]
+	if target.state != platform.MachineLive {
+		return
+	}
+	target.state = platform.MachineLeaving
+	c.stepEngine(name, engine.Leave{})
+	c.spreadMachines()
+	c.after(length, func() {
+		target.down = true
+		target.state = platform.MachineGone
+		c.stepEngine(name, engine.Tick{})
+		c.spreadMachines()
+	})
+}
+
+// spreadMachines hands the machine list to all nodes, late by up to a second.
+func (c *cluster) spreadMachines() {
+	c.listMachines()
+	list := c.machines
+	for _, name := range c.nodeNames() {
+		delay := time.Duration(c.random.IntN(1000)) * time.Millisecond
+		c.after(delay, func() { c.send(name, MachinesChanged{List: list}) })
+	}
+}
+
 // suspect lets all others take the node for dead for a time; the node itself
 // goes on believing in itself.
 func (c *cluster) suspect(name fleet.NodeName, delay, length time.Duration) {
--- a/internal/leadership/core.go
+++ b/internal/leadership/core.go
@@ -87,10 +87,12 @@
 	sequence  uint64
 	learnID   uint64
 	learned   allotment.Record
-	fence     fleet.Fence
-	highest   fleet.Fence
-	engines   map[fleet.BackendName]*engineProgress
-	effects   []Effect
+	// followed is the generation up to which the record asks for no new round.
+	followed uint64
+	fence    fleet.Fence
+	highest  fleet.Fence
+	engines  map[fleet.BackendName]*engineProgress
+	effects  []Effect
 }
 
 // New returns a core that does not lead.
@@ -127,7 +129,6 @@
 		c.setEngines(message)
 	case RecordHeard:
 		c.hear(message.Record)
-		c.followRecord(now)
 	case RecordLearned:
 		c.learn(now, message)
 	case StateRead:
@@ -171,9 +172,10 @@
 // followRecord ends the round where the newer record asks for one that carries
 // it: an engine was added, or a limit of the zone was lowered.
 func (c *Core) followRecord(now time.Time) {
-	if c.phase != phaseLeading || c.record.Generation <= c.learned.Generation {
+	if c.record.Generation <= c.followed {
 		return
 	}
+	c.followed = c.record.Generation
 	for _, name := range c.counted(c.record) {
 		if c.engines[name] == nil {
 			c.end(now, "an engine was added", 0)
--- a/internal/leadership/round.go
+++ b/internal/leadership/round.go
@@ -30,6 +30,7 @@
 	case phaseVerifying:
 		return (expired || c.settled()) && c.establish()
 	case phaseLeading:
+		c.followRecord(now)
 		return false
 	}
 	return false
@@ -105,6 +106,7 @@
 	}
 	c.phase = phaseClaiming
 	c.learned = record
+	c.followed = record.Generation
 	c.deadline = now.Add(c.options.Settings.AnswerTimeout)
 	c.fence = c.nextFence(record.Generation)
 	c.highest = c.fence
@@ -188,5 +190,5 @@
 		full = nil
 	}
 	c.emit(Established{Fence: c.fence, Record: c.learned, Held: held, Full: full})
-	return false
+	return true
 }
--- a/internal/node/control_actor.go
+++ b/internal/node/control_actor.go
@@ -58,9 +58,6 @@
 	lifetime     context.Context
 	end          context.CancelFunc
 	timer        *time.Timer
-	// vouched is set once the record was read from the store, or learned from
-	// a majority, since this process started.
-	vouched bool
 
 	mutex     sync.Mutex
 	onRefusal []func([]fleet.LoadRefusal)
@@ -165,7 +162,6 @@
 // step feeds the core and carries out its effects; it returns the refusals
 // that go to other nodes.
 func (s *Control) step(message control.Message) map[fleet.NodeName][]fleet.LoadRefusal {
-	s.noteVouched(message)
 	refusals := make(map[fleet.NodeName][]fleet.LoadRefusal)
 	for _, effect := range s.core.Step(time.Now(), message) {
 		if refused, found := effect.(control.RefuseWants); found && refused.Node != s.dependencies.Self.Name {
@@ -178,12 +174,6 @@
 	return refusals
 }
 
-func (s *Control) noteVouched(message control.Message) {
-	if learned, found := message.(control.RecordLearned); found && !learned.Failed && learned.Record.Generation > 0 {
-		s.vouched = true
-	}
-}
-
 func (s *Control) scheduleWake() {
 	if s.timer != nil {
 		s.timer.Stop()
--- a/internal/node/control_effects.go
+++ b/internal/node/control_effects.go
@@ -125,9 +125,16 @@
 	return control.VersionedRecord{Record: record, StoreVersion: object.Version}, nil
 }
 
+// errStoreLeftOut stands for the answer of a store that was not to be asked.
+var errStoreLeftOut = errors.New("store left out")
+
 // learnRecord asks the store, then the members.
 func (s *Control) learnRecord(effect control.LearnRecord) {
-	answer, err := s.readStore()
+	var answer control.RecordLearned
+	err := errStoreLeftOut
+	if !effect.MembersOnly {
+		answer, err = s.readStore()
+	}
 	if err != nil {
 		answer, err = s.readMajority(effect)
 	}
@@ -162,7 +169,7 @@
 	vouched := 0
 	for range len(effect.Members) + 1 {
 		answer := <-answers
-		if answer.Record.Generation == 0 {
+		if answer.Record.Generation == 0 || answer.Record.Generation < effect.AtLeast {
 			continue
 		}
 		vouched++
@@ -184,10 +191,11 @@
 // vouchedRecord is the record, or none where this process has it from hearsay
 // only.
 func (s *Control) vouchedRecord() control.VersionedRecord {
-	if !s.vouched {
+	record, vouched := s.core.Vouched()
+	if !vouched {
 		return control.VersionedRecord{}
 	}
-	return s.core.Record()
+	return record
 }
 
 func (s *Control) askRecord(member fleet.Member) control.VersionedRecord {
--- a/internal/placement/keepalive.go
+++ b/internal/placement/keepalive.go
@@ -19,15 +19,17 @@
 	preloadSpan       = time.Minute
 )
 
-// unloadIdle unloads what has been idle beyond its keep-alive, and what the
-// zone holds beyond a lowered limit.
+// unloadIdle unloads what has been idle beyond its keep-alive, what the zone
+// holds beyond a lowered limit, and what a leaving engine holds: it gets no new
+// work, and its replicas stand in the way of others.
 func (c *Core) unloadIdle(now time.Time) {
 	for _, name := range c.engineNames() {
-		for _, loaded := range c.engines[name].state.Models {
-			if loaded.State != fleet.LoadReady || c.orderInFlight(name, loaded.Model) || c.avoided(name, loaded.Model) {
+		held := c.engines[name]
+		for _, loaded := range held.state.Models {
+			if loaded.State == fleet.LoadUnloading || c.orderInFlight(name, loaded.Model) || c.avoided(name, loaded.Model) {
 				continue
 			}
-			if c.beyondLimit(loaded.Model) || c.idleTooLong(now, loaded) {
+			if held.leaving || c.beyondLimit(loaded.Model) || c.idleTooLong(now, loaded) {
 				c.send(now, name, backend.Order{Action: backend.ActionUnload, Model: loaded.Model})
 			}
 		}
@@ -64,7 +66,7 @@
 }
 
 func (c *Core) idleTooLong(now time.Time, loaded fleet.LoadedModel) bool {
-	if !c.mayEvict(now, loaded) {
+	if loaded.State != fleet.LoadReady || !c.mayEvict(now, loaded) {
 		return false
 	}
 	return now.Sub(c.idleSince(loaded)) > c.keepAlive(loaded.Model)
