Queue: refuse early, learn the waits, prove each request leaves once

Cause: deadlines were found by a walk over all that waits; a request that could not be loaded in time was kept until its deadline.

Change: heap of deadlines; low and likely estimates of load, pace and first token, admission by the low one and Retry-After by the likely one; a missed request still counts as a want, or a slow model would never be loaded; adapters that cannot be loaded are refused on their own.

Ruled out: walking all priorities anew at each age step; ranks by epoch of arrival keep their order, so nothing is sorted again.

Proof: drawn schedules against a checker (each request leaves once, not after its deadline); forgotten deadlines and silent shedding are found by it; without aging the starvation test fails.

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -147,6 +147,9 @@
 	case abandon:
 		s.abandon(now, message.ticket)
 	case attemptBegan:
+		if known, found := s.assigned[message.ticket]; found {
+			s.stepQueue(now, queue.Began{Model: known.model, After: message.after})
+		}
 		s.stepRouting(now, routing.FirstToken{Ticket: routing.Ticket(message.ticket), After: message.after})
 	case attemptEnded:
 		s.ended(now, message)
@@ -256,12 +259,12 @@
 
 // offer tells the queue the present room for a model.
 func (s *dispatcherState) offer(now time.Time, model fleet.ModelVersion) {
-	rooms, slots := s.routing.Rooms(now, model)
-	replicas := make([]queue.Replica, 0, len(rooms))
-	for _, room := range rooms {
+	rooms := s.routing.Rooms(now, model)
+	replicas := make([]queue.Replica, 0, len(rooms.Rooms))
+	for _, room := range rooms.Rooms {
 		replicas = append(replicas, queue.Replica{Name: room.Name, Free: room.Free, Adapters: room.Adapters})
 	}
-	s.stepQueue(now, queue.Offer{Model: model, Replicas: replicas, Slots: slots})
+	s.stepQueue(now, queue.Offer{Model: model, Ready: rooms.Ready, Replicas: replicas, Slots: rooms.Slots})
 }
 
 func (s *dispatcherState) stepQueue(now time.Time, message queue.Message) {
--- a/internal/queue/admit.go
+++ b/internal/queue/admit.go
@@ -1,7 +1,6 @@
 package queue
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -15,72 +14,95 @@
 	line := c.line(item.Model)
 	if !item.Again {
 		line.arrivals++
+		c.arrived = true
 	}
 	if item.Since.IsZero() {
 		item.Since = now
 	}
 	if c.closed {
-		c.emit(Refuse{Item: item, Reason: ReasonClosed, RetryAfter: c.closing})
+		c.refuse(item, ReasonClosed, c.closing)
 		return
 	}
 	if !item.Deadline.After(now) {
-		c.emit(Refuse{Item: item, Reason: ReasonDeadline, RetryAfter: minRetryAfter})
+		c.refuse(item, ReasonDeadline, 0)
 		return
 	}
-	entry := &waiting{Item: item, cold: len(line.replicas) == 0}
-	entry.rank = item.Since.UnixNano()/int64(c.options.AgingStep) - int64(item.Priority)
-	if !c.makeRoom(entry) {
-		c.emit(Refuse{Item: item, Reason: ReasonFull, RetryAfter: minRetryAfter})
+	entry := &waiting{Item: item, cold: line.ready == 0, rank: c.rank(item)}
+	if low, likely := line.expectedWait(now, entry); !item.Again && now.Add(low).After(item.Deadline) {
+		c.miss(now, line, item, likely)
 		return
 	}
-	if wait := line.expectedWait(now); !item.Again && now.Add(wait).After(item.Deadline) {
-		c.emit(Refuse{Item: item, Reason: ReasonTooLate, RetryAfter: max(wait, minRetryAfter)})
+	if !c.makeRoom(entry) {
+		c.refuse(item, ReasonFull, 0)
 		return
 	}
-	at, _ := slices.BinarySearchFunc(line.items, entry, compareWaiting)
-	line.items = slices.Insert(line.items, at, entry)
-	c.byTicket[item.Ticket] = entry
-	c.bytes += item.Bytes
+	c.insert(line, entry)
 	if entry.cold && line.coldFrom.IsZero() {
 		line.coldFrom = now
 	}
 	c.release(now, line)
-	if c.byTicket[item.Ticket] != nil && c.nextWant.IsZero() {
+	if c.byTicket[item.Ticket] != nil && (c.nextWant.IsZero() || len(line.items) == 1) {
 		c.nextWant = now
 	}
 }
 
-// expectedWait estimates when one more request would be released.
-func (l *line) expectedWait(now time.Time) time.Duration {
-	var wait time.Duration
-	if len(l.replicas) == 0 {
-		if l.coldFrom.IsZero() {
-			wait = l.load.value
-		} else {
-			wait = max(0, l.load.value-now.Sub(l.coldFrom))
-		}
+func (c *Core) rank(item Item) int64 {
+	if c.options.Defects.NoAging {
+		return -int64(item.Priority)
 	}
-	slots := max(1, l.slots)
-	return wait + time.Duration(len(l.items)/slots)*l.service.value
+	return item.Since.UnixNano()/int64(c.options.AgingStep) - int64(item.Priority)
 }
 
-func compareWaiting(a, b *waiting) int {
-	return cmp.Or(
-		cmp.Compare(a.rank, b.rank),
-		a.Deadline.Compare(b.Deadline),
-		cmp.Compare(a.Ticket, b.Ticket),
-	)
+// miss refuses at once what cannot make its deadline. The wish for the model
+// is reported all the same, or a model that loads slowly would never be loaded.
+func (c *Core) miss(now time.Time, line *line, item Item, likely time.Duration) {
+	c.refuse(item, ReasonTooLate, likely)
+	if line.ready > 0 {
+		return
+	}
+	if line.missed == 0 || item.Priority > line.missedPriority {
+		line.missedPriority = item.Priority
+	}
+	line.missed++
+	line.missedDeadline = now.Add(likely)
+	if c.nextWant.IsZero() {
+		c.nextWant = now
+	}
+}
+
+// expectedWait estimates the time until the entry's first token: a low one
+// that only luck beats, and a likely one.
+func (l *line) expectedWait(now time.Time, entry *waiting) (low, likely time.Duration) {
+	low, likely = l.firstToken.low, l.firstToken.value
+	if l.ready == 0 {
+		var loading time.Duration
+		if !l.coldFrom.IsZero() {
+			loading = now.Sub(l.coldFrom)
+		}
+		low += max(0, l.load.low-loading)
+		likely += max(0, l.load.value-loading)
+		return low, likely
+	}
+	ahead, _ := slices.BinarySearchFunc(l.items, entry, compareWaiting)
+	low += time.Duration(ahead) * l.pace.low
+	likely += time.Duration(ahead) * max(l.pace.value, l.service.value/time.Duration(max(1, l.slots)))
+	return low, likely
 }
 
 // makeRoom sheds items of a lower priority until the new one fits.
 func (c *Core) makeRoom(entry *waiting) bool {
+	if entry.Bytes > c.options.MaxBytes {
+		return false
+	}
 	for len(c.byTicket) >= c.options.MaxItems || c.bytes+entry.Bytes > c.options.MaxBytes {
 		victim := c.lowest()
 		if victim == nil || victim.Priority >= entry.Priority {
 			return false
 		}
 		c.remove(victim.Ticket)
-		c.emit(Refuse{Item: victim.Item, Reason: ReasonShed, RetryAfter: minRetryAfter})
+		if !c.options.Defects.DropShed {
+			c.refuse(victim.Item, ReasonShed, 0)
+		}
 	}
 	return true
 }
@@ -99,39 +121,27 @@
 	return lowest
 }
 
-func (c *Core) remove(ticket Ticket) {
-	entry, found := c.byTicket[ticket]
-	if !found {
-		return
-	}
-	delete(c.byTicket, ticket)
-	c.bytes -= entry.Bytes
-	line := c.lines[entry.Model]
-	at, found := slices.BinarySearchFunc(line.items, entry, compareWaiting)
-	if found {
-		line.items = slices.Delete(line.items, at, at+1)
-	}
-}
-
 // expire refuses all whose deadline has come.
 func (c *Core) expire(now time.Time) {
-	for _, model := range c.order {
-		for _, item := range slices.Clone(c.lines[model].items) {
-			if !item.Deadline.After(now) {
-				c.remove(item.Ticket)
-				c.emit(Refuse{Item: item.Item, Reason: ReasonDeadline, RetryAfter: minRetryAfter})
-			}
-		}
+	if c.options.Defects.ForgetDeadlines {
+		return
+	}
+	for len(c.deadlines) > 0 && !c.deadlines[0].Deadline.After(now) {
+		item := c.deadlines[0].Item
+		c.remove(item.Ticket)
+		c.refuse(item, ReasonDeadline, 0)
 	}
 }
 
+// loadRefused gives those that wait for a load their final answer at once. A
+// model with ready replicas is refused only to those that wait for an adapter.
 func (c *Core) loadRefused(refusals []fleet.LoadRefusal) {
 	for _, refusal := range refusals {
 		line := c.line(refusal.Model)
-		if len(line.replicas) > 0 {
-			continue
-		}
 		for _, item := range slices.Clone(line.items) {
+			if line.ready > 0 && (item.Adapter == "" || line.holds(item.Adapter)) {
+				continue
+			}
 			c.remove(item.Ticket)
 			c.emit(Refuse{Item: item.Item, Reason: ReasonCannotLoad, Detail: refusal.Reason,
 				RetryAfter: max(refusal.RetryAfter, minRetryAfter)})
@@ -146,7 +156,7 @@
 	for _, model := range c.order {
 		for _, item := range slices.Clone(c.lines[model].items) {
 			c.remove(item.Ticket)
-			c.emit(Refuse{Item: item.Item, Reason: ReasonClosed, RetryAfter: retryAfter})
+			c.refuse(item.Item, ReasonClosed, retryAfter)
 		}
 	}
 }
--- a/internal/queue/message.go
+++ b/internal/queue/message.go
@@ -44,15 +44,24 @@
 	Adapters []fleet.AdapterName
 }
 
-// Offer tells the room of all ready replicas of a model; it replaces the
-// offer before.
+// Offer tells the room of a model's replicas; it replaces the offer before.
 type Offer struct {
-	Model    fleet.ModelVersion
+	Model fleet.ModelVersion
+	// Ready counts the replicas that have the model loaded and do not leave,
+	// also those that cannot be sent to for the moment.
+	Ready int
+	// Replicas are those that may be sent to.
 	Replicas []Replica
 	// Slots is the number of requests that the replicas run at a time.
 	Slots int
 }
 
+// Began tells how long a released request waited for its first token.
+type Began struct {
+	Model fleet.ModelVersion
+	After time.Duration
+}
+
 // Served tells how long a released request took from its release to its end,
 // so that later waits can be estimated.
 type Served struct {
@@ -72,6 +81,7 @@
 func (Arrive) isMessage()      {}
 func (Leave) isMessage()       {}
 func (Offer) isMessage()       {}
+func (Began) isMessage()       {}
 func (Served) isMessage()      {}
 func (LoadRefused) isMessage() {}
 func (Close) isMessage()       {}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -1,6 +1,8 @@
 package queue
 
 import (
+	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 
@@ -19,6 +21,17 @@
 	AgingStep time.Duration
 	// WantInterval is how often wants are repeated while requests wait.
 	WantInterval time.Duration
+	Defects      Defects
+}
+
+// Defects are faults to plant. Only tests and the simulator set them.
+type Defects struct {
+	// ForgetDeadlines leaves requests waiting beyond their deadline.
+	ForgetDeadlines bool
+	// DropShed sheds without a word.
+	DropShed bool
+	// NoAging orders by priority alone.
+	NoAging bool
 }
 
 // Defaults of Options.
@@ -30,18 +43,10 @@
 )
 
 func (o Options) withDefaults() Options {
-	if o.MaxItems <= 0 {
-		o.MaxItems = DefaultMaxItems
-	}
-	if o.MaxBytes <= 0 {
-		o.MaxBytes = DefaultMaxBytes
-	}
-	if o.AgingStep <= 0 {
-		o.AgingStep = DefaultAgingStep
-	}
-	if o.WantInterval <= 0 {
-		o.WantInterval = DefaultWantInterval
-	}
+	o.MaxItems = cmp.Or(o.MaxItems, DefaultMaxItems)
+	o.MaxBytes = cmp.Or(o.MaxBytes, DefaultMaxBytes)
+	o.AgingStep = cmp.Or(o.AgingStep, DefaultAgingStep)
+	o.WantInterval = cmp.Or(o.WantInterval, DefaultWantInterval)
 	return o
 }
 
@@ -53,6 +58,8 @@
 	// epoch that it waits. All items age alike, so the rank stays as it is.
 	rank int64
 	cold bool
+	// place is the index in the heap of deadlines.
+	place int
 }
 
 // line is what waits for one model version.
@@ -60,20 +67,32 @@
 	model    fleet.ModelVersion
 	items    []*waiting
 	replicas []Replica
+	ready    int
 	slots    int
-	service  estimate
-	load     estimate
-	coldFrom time.Time
-	arrivals int
+	// service is the time from release to end, pace the time between two
+	// releases while requests wait, firstToken from release to first token,
+	// load from the first waiting request to a ready replica.
+	service, pace, firstToken, load estimate
+
+	lastRelease time.Time
+	coldFrom    time.Time
+	// arrivals and missed count since the last report: all that came, and
+	// those refused because a load would take too long.
+	arrivals, missed int
+	missedPriority   int
+	missedDeadline   time.Time
 }
 
 // Core is the queue of one node.
 type Core struct {
-	options  Options
-	lines    map[fleet.ModelVersion]*line
-	order    []fleet.ModelVersion
-	byTicket map[Ticket]*waiting
-	bytes    int64
+	options   Options
+	lines     map[fleet.ModelVersion]*line
+	order     []fleet.ModelVersion
+	byTicket  map[Ticket]*waiting
+	deadlines deadlines
+	bytes     int64
+	// arrived is set while some arrival is not reported yet.
+	arrived  bool
 	nextWant time.Time
 	closed   bool
 	closing  time.Duration
@@ -101,6 +120,8 @@
 		c.remove(message.Ticket)
 	case Offer:
 		c.offer(now, message)
+	case Began:
+		c.line(message.Model).firstToken.add(message.After)
 	case Served:
 		c.line(message.Model).service.add(message.Service)
 	case LoadRefused:
@@ -115,14 +136,9 @@
 
 // NextWake is the earliest deadline, or the time of the next report of wants.
 func (c *Core) NextWake() time.Time {
-	var wake time.Time
-	for _, item := range c.byTicket {
-		if wake.IsZero() || item.Deadline.Before(wake) {
-			wake = item.Deadline
-		}
-	}
-	if !c.nextWant.IsZero() && (wake.IsZero() || c.nextWant.Before(wake)) {
-		wake = c.nextWant
+	wake := c.nextWant
+	if len(c.deadlines) > 0 && (wake.IsZero() || c.deadlines[0].Deadline.Before(wake)) {
+		wake = c.deadlines[0].Deadline
 	}
 	return wake
 }
@@ -132,6 +148,24 @@
 	return len(c.byTicket), c.bytes
 }
 
+// LineInfo describes what waits for one model version.
+type LineInfo struct {
+	Model    fleet.ModelVersion
+	Waiting  int
+	Replicas int
+}
+
+// Lines describes the models for which something waits, in order.
+func (c *Core) Lines() []LineInfo {
+	var infos []LineInfo
+	for _, model := range c.order {
+		if line := c.lines[model]; len(line.items) > 0 {
+			infos = append(infos, LineInfo{Model: model, Waiting: len(line.items), Replicas: line.ready})
+		}
+	}
+	return infos
+}
+
 func (c *Core) line(model fleet.ModelVersion) *line {
 	if known, found := c.lines[model]; found {
 		return known
@@ -146,3 +180,39 @@
 func (c *Core) emit(effect Effect) {
 	c.effects = append(c.effects, effect)
 }
+
+func (c *Core) refuse(item Item, reason Reason, retryAfter time.Duration) {
+	c.emit(Refuse{Item: item, Reason: reason, RetryAfter: max(retryAfter, minRetryAfter)})
+}
+
+// insert puts an entry at its place.
+func (c *Core) insert(line *line, entry *waiting) {
+	at, _ := slices.BinarySearchFunc(line.items, entry, compareWaiting)
+	line.items = slices.Insert(line.items, at, entry)
+	c.byTicket[entry.Ticket] = entry
+	c.bytes += entry.Bytes
+	heap.Push(&c.deadlines, entry)
+}
+
+func (c *Core) remove(ticket Ticket) {
+	entry, found := c.byTicket[ticket]
+	if !found {
+		return
+	}
+	delete(c.byTicket, ticket)
+	c.bytes -= entry.Bytes
+	heap.Remove(&c.deadlines, entry.place)
+	line := c.lines[entry.Model]
+	if at, found := slices.BinarySearchFunc(line.items, entry, compareWaiting); found {
+		line.items = slices.Delete(line.items, at, at+1)
+	}
+}
+
+// compareWaiting orders by rank, then deadline, then arrival.
+func compareWaiting(a, b *waiting) int {
+	return cmp.Or(
+		cmp.Compare(a.rank, b.rank),
+		a.Deadline.Compare(b.Deadline),
+		cmp.Compare(a.Ticket, b.Ticket),
+	)
+}
--- a/internal/queue/release.go
+++ b/internal/queue/release.go
@@ -9,11 +9,15 @@
 
 func (c *Core) offer(now time.Time, offer Offer) {
 	line := c.line(offer.Model)
-	if len(offer.Replicas) > 0 && !line.coldFrom.IsZero() {
+	switch {
+	case offer.Ready > 0 && !line.coldFrom.IsZero():
 		line.load.add(now.Sub(line.coldFrom))
 		line.coldFrom = time.Time{}
+	case offer.Ready == 0 && line.coldFrom.IsZero() && len(line.items) > 0:
+		line.coldFrom = now
 	}
-	line.replicas = slices.Clone(offer.Replicas)
+	line.ready = offer.Ready
+	line.replicas = append(line.replicas[:0], offer.Replicas...)
 	line.slots = offer.Slots
 	c.release(now, line)
 }
@@ -30,12 +34,32 @@
 			index++
 			continue
 		}
-		replica.Free--
 		c.remove(item.Ticket)
+		if now.Add(line.firstToken.low).After(item.Deadline) && !item.Again {
+			// Its first token would come too late: the room is better used.
+			c.refuse(item.Item, ReasonTooLate, line.firstToken.value)
+			continue
+		}
+		replica.Free--
+		line.notePace(now, item)
 		c.emit(Release{Item: item.Item, Waited: now.Sub(item.Since), Cold: item.cold})
 	}
 }
 
+// notePace learns the time between releases while requests wait.
+func (l *line) notePace(now time.Time, item *waiting) {
+	if item.Since.Before(l.lastRelease) && !item.cold {
+		l.pace.add(now.Sub(l.lastRelease))
+	}
+	l.lastRelease = now
+}
+
+func (l *line) holds(adapter fleet.AdapterName) bool {
+	return slices.ContainsFunc(l.replicas, func(replica Replica) bool {
+		return slices.Contains(replica.Adapters, adapter)
+	})
+}
+
 // roomFor returns the replica with the most room that holds the adapter.
 func (l *line) roomFor(adapter fleet.AdapterName) *Replica {
 	var best *Replica
@@ -53,65 +77,3 @@
 	}
 	return best
 }
-
-// reportWants reports waiting requests at once and then at every interval, and
-// arrivals that were served without a wait at the interval.
-func (c *Core) reportWants(now time.Time) {
-	if c.nextWant.IsZero() {
-		if !c.hasArrivals() {
-			return
-		}
-		c.nextWant = now.Add(c.options.WantInterval)
-	}
-	if now.Before(c.nextWant) {
-		return
-	}
-	var wants []fleet.Want
-	for _, model := range c.order {
-		wants = c.appendWants(wants, c.lines[model])
-	}
-	c.nextWant = time.Time{}
-	if len(c.byTicket) > 0 {
-		c.nextWant = now.Add(c.options.WantInterval)
-	}
-	if len(wants) > 0 {
-		c.emit(ReportWants{Wants: wants})
-	}
-}
-
-func (c *Core) hasArrivals() bool {
-	for _, model := range c.order {
-		if c.lines[model].arrivals > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// appendWants adds one want for each adapter that waits, and one for the model
-// where nothing waits but something arrived.
-func (c *Core) appendWants(wants []fleet.Want, line *line) []fleet.Want {
-	first := len(wants)
-	for _, item := range line.items {
-		at := slices.IndexFunc(wants[first:], func(want fleet.Want) bool { return want.Adapter == item.Adapter })
-		if at < 0 {
-			at = len(wants) - first
-			wants = append(wants, fleet.Want{Model: line.model, Adapter: item.Adapter, Node: c.options.Node,
-				Zone: c.options.Zone, Priority: item.Priority, Deadline: item.Deadline})
-		}
-		want := &wants[first+at]
-		want.Waiting++
-		want.Priority = max(want.Priority, item.Priority)
-		if item.Deadline.Before(want.Deadline) {
-			want.Deadline = item.Deadline
-		}
-	}
-	if line.arrivals > 0 {
-		if len(wants) == first {
-			wants = append(wants, fleet.Want{Model: line.model, Node: c.options.Node, Zone: c.options.Zone})
-		}
-		wants[first].Arrivals = line.arrivals
-		line.arrivals = 0
-	}
-	return wants
-}
--- /dev/null
+++ b/internal/queue/schedule_test.go
@@ -0,0 +1,201 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// checker holds the queue to its promise: each request leaves exactly once, at
+// or before its deadline, and a refusal is never late.
+type checker struct {
+	core    *Core
+	now     time.Time
+	waiting map[Ticket]Item
+	fault   string
+}
+
+func (c *checker) step(message Message) {
+	for _, effect := range c.core.Step(c.now, message) {
+		switch effect := effect.(type) {
+		case Release:
+			c.left(effect.Item)
+		case Refuse:
+			c.left(effect.Item)
+		}
+	}
+	for _, ticket := range sortedTickets(c.waiting) {
+		if item := c.waiting[ticket]; !item.Deadline.After(c.now) {
+			c.report("request %d still waits after its deadline", ticket)
+		}
+	}
+	if items, bytes := c.core.Waiting(); items != len(c.waiting) {
+		c.report("%d requests wait, the queue has %d (%d bytes)", len(c.waiting), items, bytes)
+	}
+}
+
+func (c *checker) left(item Item) {
+	if _, found := c.waiting[item.Ticket]; !found {
+		c.report("request %d left twice", item.Ticket)
+	}
+	if c.now.After(item.Deadline) {
+		c.report("request %d left after its deadline", item.Ticket)
+	}
+	delete(c.waiting, item.Ticket)
+}
+
+func (c *checker) report(format string, values ...any) {
+	if c.fault == "" {
+		c.fault = fmt.Sprintf(format, values...)
+	}
+}
+
+// advance moves the clock, with a Tick at each wake as a shell does it.
+func (c *checker) advance(until time.Time) {
+	for wake := c.core.NextWake(); !wake.IsZero() && !wake.After(until); wake = c.core.NextWake() {
+		if wake.After(c.now) {
+			c.now = wake
+		}
+		c.step(Tick{})
+		if next := c.core.NextWake(); !next.IsZero() && !next.After(c.now) {
+			c.report("the wake %v does not move on", next)
+			break
+		}
+	}
+	c.now = until
+}
+
+func sortedTickets(items map[Ticket]Item) []Ticket {
+	var tickets []Ticket
+	for ticket := Ticket(1); len(tickets) < len(items); ticket++ {
+		if _, found := items[ticket]; found {
+			tickets = append(tickets, ticket)
+		}
+	}
+	return tickets
+}
+
+// runSchedule draws a schedule, ends it by letting all deadlines pass, and
+// returns the first fault.
+func runSchedule(t *rapid.T, defects Defects) string {
+	c := &checker{now: epoch, waiting: map[Ticket]Item{}, core: New(Options{MaxItems: 6, MaxBytes: 100, Defects: defects})}
+	models := []fleet.ModelVersion{{Model: "a"}, {Model: "b"}}
+	var next Ticket
+	steps := rapid.IntRange(1, 60).Draw(t, "steps")
+	for range steps {
+		model := models[rapid.IntRange(0, 1).Draw(t, "model")]
+		switch rapid.SampledFrom([]string{"arrive", "arrive", "offer", "leave", "refuse", "served", "wait"}).Draw(t, "step") {
+		case "arrive":
+			next++
+			arrived := Item{Ticket: next, Model: model, Priority: rapid.IntRange(0, 3).Draw(t, "priority"),
+				Deadline: c.now.Add(time.Duration(rapid.IntRange(-1, 40).Draw(t, "deadline")) * time.Second / 4),
+				Bytes:    int64(rapid.IntRange(1, 40).Draw(t, "bytes"))}
+			if !arrived.Deadline.After(c.now) {
+				arrived.Deadline = c.now
+			}
+			c.waiting[next] = arrived
+			c.step(Arrive{arrived})
+		case "offer":
+			ready := rapid.IntRange(0, 2).Draw(t, "ready")
+			offer := Offer{Model: model, Ready: ready, Slots: ready}
+			for index := range ready {
+				offer.Replicas = append(offer.Replicas, Replica{Name: fleet.BackendName(fmt.Sprint(index)), Free: rapid.IntRange(0, 2).Draw(t, "free")})
+			}
+			c.step(offer)
+		case "leave":
+			if tickets := sortedTickets(c.waiting); len(tickets) > 0 {
+				ticket := rapid.SampledFrom(tickets).Draw(t, "ticket")
+				delete(c.waiting, ticket)
+				c.step(Leave{ticket})
+			}
+		case "refuse":
+			c.step(LoadRefused{[]fleet.LoadRefusal{{Model: model}}})
+		case "served":
+			c.step(Served{Model: model, Service: time.Duration(rapid.IntRange(0, 3).Draw(t, "service")) * time.Second})
+			c.step(Began{Model: model, After: time.Duration(rapid.IntRange(0, 3).Draw(t, "began")) * time.Second})
+		case "wait":
+			c.advance(c.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "wait")) * 200 * time.Millisecond))
+		}
+	}
+	c.advance(c.now.Add(time.Minute))
+	if len(c.waiting) > 0 {
+		c.report("%d requests never left", len(c.waiting))
+	}
+	return c.fault
+}
+
+func TestEveryRequestLeavesOnceAndInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if fault := runSchedule(t, Defects{}); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
+
+// TestCheckerSeesPlantedDefects: a checker that cannot fail proves nothing.
+func TestCheckerSeesPlantedDefects(t *testing.T) {
+	for name, defects := range map[string]Defects{
+		"deadlines forgotten": {ForgetDeadlines: true},
+		"shed without a word": {DropShed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			found := false
+			for seed := range 200 {
+				rapid.Custom(func(t *rapid.T) bool {
+					found = found || runSchedule(t, defects) != ""
+					return true
+				}).Example(seed)
+				if found {
+					return
+				}
+			}
+			t.Error("no schedule showed the defect")
+		})
+	}
+}
+
+// TestLowPriorityIsNeverStarved: under a steady stream of urgent requests an
+// old one is served within the bound that aging gives, and without aging it is
+// not.
+func TestLowPriorityIsNeverStarved(t *testing.T) {
+	const urgent = 3
+	servedAfter := func(defects Defects) time.Duration {
+		core := New(Options{AgingStep: time.Second, MaxItems: 100, Defects: defects})
+		core.Step(epoch, Arrive{Item{Ticket: 1, Model: notes, Deadline: epoch.Add(time.Hour)}})
+		for step := range 100 {
+			now := epoch.Add(time.Duration(step) * 200 * time.Millisecond)
+			core.Step(now, Arrive{Item{Ticket: Ticket(step + 2), Model: notes, Priority: urgent, Deadline: now.Add(time.Hour)}})
+			for _, effect := range core.Step(now, room(1)) {
+				if release, isRelease := effect.(Release); isRelease && release.Item.Ticket == 1 {
+					return now.Sub(epoch)
+				}
+			}
+		}
+		return -1
+	}
+	if got := servedAfter(Defects{}); got < 0 || got > (urgent+1)*time.Second {
+		t.Errorf("with aging served after %v", got)
+	}
+	if got := servedAfter(Defects{NoAging: true}); got >= 0 {
+		t.Errorf("without aging served after %v: the check cannot fail", got)
+	}
+}
+
+func BenchmarkArriveAndRelease(b *testing.B) {
+	b.ReportAllocs()
+	core := New(Options{})
+	for ticket := range 1000 {
+		core.Step(epoch, Arrive{Item{Ticket: Ticket(ticket), Model: notes, Deadline: epoch.Add(time.Hour)}})
+	}
+	offer := room(1)
+	next := Ticket(1000)
+	for b.Loop() {
+		next++
+		core.Step(epoch, Arrive{Item{Ticket: next, Model: notes, Priority: int(next % 7), Deadline: epoch.Add(time.Hour)}})
+		core.Step(epoch, offer)
+	}
+}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -116,21 +116,35 @@
 	Adapters []fleet.AdapterName
 }
 
-// Rooms returns the room at each replica of the model that may be sent to now,
-// and the slots of them all.
-func (c *Core) Rooms(now time.Time, model fleet.ModelVersion) (rooms []Room, slots int) {
+// Rooms is what the replicas of one model can take.
+type Rooms struct {
+	// Ready counts the replicas that do not leave, Slots what those that may
+	// be sent to now run at a time.
+	Ready int
+	Slots int
+	Rooms []Room
+}
+
+// Rooms returns the room at each replica of the model.
+func (c *Core) Rooms(now time.Time, model fleet.ModelVersion) Rooms {
+	var rooms Rooms
+	for _, target := range c.byModel[model] {
+		if !c.isLeaving(target) {
+			rooms.Ready++
+		}
+	}
 	candidates, _ := c.filter(now, c.byModel[model])
 	for _, target := range candidates {
 		capacity := c.slots(now, target)
-		slots += capacity
+		rooms.Slots += capacity
 		free := capacity - target.load(c.options.ReportLag)
 		if _, probe := target.circuit.allows(now); probe {
 			free = min(free, 1)
 		}
-		rooms = append(rooms, Room{Name: target.backend.Name, Free: max(0, free),
+		rooms.Rooms = append(rooms.Rooms, Room{Name: target.backend.Name, Free: max(0, free),
 			Adapters: target.engine.Find(model).Adapters})
 	}
-	return rooms, slots
+	return rooms
 }
 
 // Weighted is one choice with its share.
