--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -97,6 +97,8 @@
 	// wake bounds the present phase.
 	wake    time.Time
 	exclude []fleet.BackendName
+	// former is set while the attempt before may still run at the back end.
+	former bool
 	// ran is the worst that any attempt leaves open.
 	ran     exposure
 	last    Broken
@@ -165,6 +167,7 @@
 		return
 	}
 	c.phase = phaseConnected
+	c.cancelFormer(backend)
 	c.backend = backend
 	c.attempt++
 	c.connection++
@@ -191,6 +194,7 @@
 			c.cancel()
 			c.ran = max(c.ran, exposedUnknown)
 		}
+		c.cancelFormer("")
 		c.giveUp(CodeDeadline, "the deadline passed")
 		return
 	}
@@ -202,13 +206,25 @@
 		c.cancel()
 		c.ran = max(c.ran, exposedUnknown)
 	}
+	c.cancelFormer("")
 	c.giveUp(CodeCallerGone, "the caller went away")
 }
 
 func (c *Core) cancel() {
+	c.former = false
 	c.emit(Cancel{Attempt: c.attempt, Backend: c.backend})
 }
 
+// cancelFormer stops the attempt before, unless the next one goes to the same
+// back end: there it takes the place of the former, and a cancel that came
+// late would stop the new one.
+func (c *Core) cancelFormer(next fleet.BackendName) {
+	if c.former && next != c.backend {
+		c.cancel()
+	}
+	c.former = false
+}
+
 // Last returns what broke the latest attempt; its Evidence is 0 while it has
 // not broken.
 func (c *Core) Last() Broken {
--- a/internal/attempt/outcome.go
+++ b/internal/attempt/outcome.go
@@ -52,6 +52,7 @@
 	if c.phase != phaseAssigning {
 		return
 	}
+	c.cancelFormer("")
 	c.phase = phaseDone
 	c.emit(Finish{Outcome: c.outcome(), Code: message.Code, Detail: message.Detail, Status: c.last.Status,
 		RetryAfter: message.RetryAfter, Delivered: c.next, Attempts: c.attempt})
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -27,10 +27,9 @@
 		return
 	}
 	c.expose(broken.Evidence)
-	if broken.Evidence == MaySent && c.options.Resumable {
-		c.cancel()
-	}
+	c.former = broken.Evidence == MaySent && c.options.Resumable
 	if !c.mayRetry(now, broken) {
+		c.cancelFormer("")
 		c.giveUp(codeOf(broken, c.next), broken.Detail)
 		return
 	}
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -62,12 +62,12 @@
 	}
 }
 
-// Buffered reports whether a further event has begun to arrive. The blank line
-// that ends an event is none: were it taken for one, each event would wait
-// unflushed for the next.
+// Buffered reports whether a further event is there without waiting. The blank
+// line that ends an event is none, and neither is a part of a line: were they
+// taken for one, an event would wait unflushed for the next.
 func (s *Stream) Buffered() bool {
 	waiting, _ := s.reader.Peek(s.reader.Buffered())
-	return len(bytes.TrimLeft(waiting, "\r\n")) > 0
+	return bytes.IndexByte(bytes.TrimLeft(waiting, "\r\n"), '\n') >= 0
 }
 
 // Close ends the stream.
