Run the demo whole: wait for the fleet, keep books whole, judge every answer

Cause, found by the first runs against nodes: the last sample of the books was overwritten by one still under way; engines know a request by the caller's identity and a mark, so no model answer was recomputed; requests by labels alone lacked the model field that the gateway asks for; no stream was in progress at the planned stop by chance; the load began before the nodes knew the back ends. Ruled out: lost executions, by reading an engine's book.

Change: sampling ends before the last sample; runs count for the identity before the mark; long streams begin just before the planned stop at every node; spanlab load waits until every node knows every back end; callers turn away from a node that says it stops. The demo fails also if a rule was not exercised.

--- a/internal/lab/check/check_test.go
+++ b/internal/lab/check/check_test.go
@@ -70,7 +70,7 @@
 				Residencies: []books.Residency{{Model: menu, OrderID: "o1", From: at(0), ReadyAt: at(1), Bytes: 60}},
 				Executions: []books.Execution{
 					{RequestID: "m1", Model: menu, Started: at(1.5)},
-					{RequestID: "m2", Model: menu, Started: at(20.5)},
+					{RequestID: "m2~0a1b", Model: menu, Started: at(20.5)},
 				},
 			}},
 			{SampledAt: at(59), Final: true, Book: books.Book{
--- a/internal/lab/check/evidence.go
+++ b/internal/lab/check/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -115,11 +116,21 @@
 func (e Evidence) executionsByRequest() map[fleet.RequestID][]execution {
 	byRequest := make(map[fleet.RequestID][]execution)
 	for _, run := range e.executions() {
-		byRequest[run.RequestID] = append(byRequest[run.RequestID], run)
+		byRequest[run.caller()] = append(byRequest[run.caller()], run)
 	}
 	return byRequest
 }
 
+// attemptMark divides the identity that a caller chose from what a node adds to
+// tell two requests with one identity apart. Callers' identities don't have it.
+const attemptMark = "~"
+
+// caller is the identity that the caller knows the run by.
+func (e execution) caller() fleet.RequestID {
+	id, _, _ := strings.Cut(string(e.RequestID), attemptMark)
+	return fleet.RequestID(id)
+}
+
 // stay is one model's stay on one engine with a known end.
 type stay struct {
 	books.Residency
@@ -181,3 +192,12 @@
 	}
 	return false
 }
+
+// RanModels tells the model that ran each request.
+func (e Evidence) RanModels() map[fleet.RequestID]fleet.ModelVersion {
+	models := make(map[fleet.RequestID]fleet.ModelVersion)
+	for request, runs := range e.executionsByRequest() {
+		models[request] = runs[0].Model
+	}
+	return models
+}
--- a/internal/lab/check/once.go
+++ b/internal/lab/check/once.go
@@ -131,7 +131,7 @@
 	}
 	clients := len(e.Records)
 	for index, run := range e.executions() {
-		register, command := registers[string(run.RequestID)]
+		register, command := registers[string(run.caller())]
 		if run.Key != "" {
 			register, command = registerOf(run.Key, ""), true
 		}
--- a/internal/lab/collect/collector.go
+++ b/internal/lab/collect/collector.go
@@ -53,7 +53,7 @@
 	books    map[bookKey]check.BookSample
 	store    storeHistory
 	samples  []check.ConfigSample
-	problems map[string]int
+	problems map[string]Problem
 	machines []platform.Machine
 }
 
@@ -72,7 +72,7 @@
 		nodes:    make(map[string]bool),
 		books:    make(map[bookKey]check.BookSample),
 		store:    newStoreHistory(),
-		problems: make(map[string]int),
+		problems: make(map[string]Problem),
 	}
 	for _, address := range options.Operators {
 		collector.nodes[address] = true
@@ -111,7 +111,7 @@
 // sample reads the journal, the machine list and then all books and nodes once.
 func (c *Collector) sample(ctx context.Context, final bool) {
 	if err := c.readJournal(ctx); err != nil {
-		c.problem("journal", err)
+		c.problem(ctx, "the store's journal", err)
 	}
 	c.readMachines(ctx)
 	c.mutex.Lock()
@@ -119,8 +119,8 @@
 	c.mutex.Unlock()
 	var group errgroup.Group
 	group.SetLimit(samplers)
-	for _, url := range backends {
-		group.Go(func() error { c.readBook(ctx, url, final); return nil })
+	for name, url := range backends {
+		group.Go(func() error { c.readBook(ctx, name, url, final); return nil })
 	}
 	for address := range nodes {
 		group.Go(func() error { c.readNode(ctx, address); return nil })
@@ -139,7 +139,7 @@
 func (c *Collector) readMachines(ctx context.Context) {
 	var list platform.MachineList
 	if err := c.get(ctx, c.options.Platform+"/v1/machines", &list); err != nil {
-		c.problem("machine list", err)
+		c.problem(ctx, "the machine list", err)
 		return
 	}
 	c.mutex.Lock()
@@ -155,10 +155,10 @@
 	}
 }
 
-func (c *Collector) readBook(ctx context.Context, url string, final bool) {
+func (c *Collector) readBook(ctx context.Context, name, url string, final bool) {
 	var book books.Book
 	if err := c.get(ctx, url, &book); err != nil {
-		c.problem("book", err)
+		c.problem(ctx, "the book of "+name, err)
 		return
 	}
 	c.mutex.Lock()
@@ -191,10 +191,16 @@
 	c.samples = append(c.samples, sample)
 }
 
-func (c *Collector) problem(what string, err error) {
+// problem counts what could not be read. What the end of the run cut off is
+// none.
+func (c *Collector) problem(ctx context.Context, what string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.problems[fmt.Sprintf("%s: %v", what, err)]++
+	known := c.problems[what]
+	c.problems[what] = Problem{Times: known.Times + 1, Last: err.Error()}
 }
 
 // Fill puts what was gathered into the evidence.
@@ -208,8 +214,14 @@
 	evidence.MaxReplicas = maps.Clone(c.store.maxReplicas)
 }
 
-// Problems lists what could not be read, with how often.
-func (c *Collector) Problems() map[string]int {
+// Problem tells how often something could not be read, and why at last.
+type Problem struct {
+	Times int    `json:"times"`
+	Last  string `json:"last"`
+}
+
+// Problems lists what could not be read.
+func (c *Collector) Problems() map[string]Problem {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return maps.Clone(c.problems)
--- a/internal/lab/load/class.go
+++ b/internal/lab/load/class.go
@@ -13,8 +13,12 @@
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
-// modelLabel is the request label that carries the body's model field.
-const modelLabel = "model"
+const (
+	// modelLabel is the request label that carries the body's model field.
+	modelLabel = "model"
+	// anyModel names no deployment: the request's labels are to decide.
+	anyModel = "any"
+)
 
 // Defaults that the declarations leave out; see package spec.
 const (
@@ -80,7 +84,7 @@
 
 // labelsFor are request labels that the conditions match.
 func labelsFor(selector spec.LabelSelector) map[string]string {
-	labels := make(map[string]string)
+	labels := map[string]string{modelLabel: anyModel}
 	maps.Copy(labels, selector.MatchLabels)
 	for _, requirement := range selector.MatchExpressions {
 		switch requirement.Operator {
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -66,7 +66,7 @@
 			{Name: "deployment/chat-plain", Model: "chat-plain", Deadline: 30 * time.Second,
 				Targets: []history.Target{{Model: fleet.ModelVersion{Model: "chat", Version: "v2"}}}},
 			{Name: "deployment/menu-nuts", Model: "menu-nuts", Deadline: 30 * time.Second, Targets: menu, Standing: true},
-			{Name: "selector/urgent", Labels: map[string]string{"task": "urgent"}, Deadline: 7 * time.Second,
+			{Name: "selector/urgent", Model: "any", Labels: map[string]string{"task": "urgent"}, Deadline: 7 * time.Second,
 				Targets: menu, Standing: true},
 		},
 		Services: []Class{{Name: "service/boxes", PathPrefix: "/boxes/", Deadline: 5 * time.Second}},
--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/lab/history"
 )
 
 // Phases of a scenario.
@@ -14,6 +15,7 @@
 	PhaseBurst  = "burst"
 	PhaseSteady = "steady"
 	PhaseRepeat = "repeat"
+	PhaseLong   = "long"
 )
 
 // PlanOptions shape a plan. The same options give the same plan.
@@ -25,6 +27,9 @@
 	Classes  Classes
 	Profile  Profile
 	Duration time.Duration
+	// LongAt is when long streams are begun at every node, so that some are in
+	// progress at the moments after it; zero for never.
+	LongAt time.Duration
 	// Rate is the mean number of requests a second of the steady traffic.
 	Rate float64
 }
@@ -50,6 +55,7 @@
 	p.bursts(cold)
 	p.steady(warm)
 	p.repeats()
+	p.longStreams(warm)
 	slices.SortStableFunc(p.calls, func(a, b Call) int { return int(a.At - b.At) })
 	return p.calls
 }
@@ -138,6 +144,23 @@
 	}
 }
 
+// longTokens make a stream last for some seconds.
+const longTokens = 300
+
+// longStreams asks for the most wanted models, which are most likely ready.
+func (p *planner) longStreams(warm []Class) {
+	if p.LongAt == 0 || len(warm) == 0 {
+		return
+	}
+	for _, node := range p.Nodes {
+		for index := range p.Profile.LongPerNode {
+			call := p.modelCall(warm[index%len(warm)], PhaseLong, node, p.LongAt)
+			call.Kind, call.MaxTokens = history.KindStream, longTokens
+			p.add(call)
+		}
+	}
+}
+
 // repeatDelay is when a caller that did not hear asks again.
 const repeatDelay = 2 * time.Second
 
--- a/internal/lab/load/profile.go
+++ b/internal/lab/load/profile.go
@@ -20,6 +20,8 @@
 	// the same moment.
 	Repeats      int
 	RepeatCopies int
+	// LongPerNode counts the long streams begun at each node at one moment.
+	LongPerNode int
 	// Shares of the steady traffic, from 0 to 1. CommandShare is of all;
 	// LookupShare and KeyShare are of the plain calls and commands;
 	// WholeShare and CompletionsShare are of the model requests.
@@ -48,7 +50,7 @@
 var profiles = map[string]Profile{
 	"fjordkurv": {
 		Name: "fjordkurv", Popularity: 1.2, Bursts: 4, BurstPerNode: 2,
-		Repeats: 12, RepeatCopies: 4,
+		Repeats: 12, RepeatCopies: 4, LongPerNode: 2,
 		CommandShare: 0.3, LookupShare: 0.5, KeyShare: 0.7,
 		WholeShare: 0.2, CompletionsShare: 0.2,
 		MinTokens: 8, MaxTokens: 48, PrefixRepeats: 8,
@@ -58,7 +60,7 @@
 	},
 	"holmgaard": {
 		Name: "holmgaard", Popularity: 1.1, Bursts: 4, BurstPerNode: 2,
-		Repeats: 12, RepeatCopies: 4,
+		Repeats: 12, RepeatCopies: 4, LongPerNode: 2,
 		CommandShare: 0.4, LookupShare: 0.5, KeyShare: 0.5,
 		WholeShare: 0.2, CompletionsShare: 0.2,
 		MinTokens: 8, MaxTokens: 64, PrefixRepeats: 16,
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -46,7 +46,7 @@
 		call.Node = nodes.choose(call.Node)
 		senders.Go(func() {
 			records[index] = options.Sender.Send(ctx, call, id)
-			if records[index].Outcome == history.Unreachable {
+			if turnsAway(records[index]) {
 				nodes.markDown(call.Node)
 			}
 			progress.add(0, 1)
@@ -92,9 +92,17 @@
 	}
 }
 
-// nodeChoice turns callers away from nodes that could not be reached, as an
-// address list at the callers' side does. The request that found the node
-// unreachable stays as it ended.
+// codeStopping is the code of a refusal by a node that stops as planned.
+const codeStopping = "node-stopping"
+
+// turnsAway reports whether the node is not to be asked any more.
+func turnsAway(record history.Record) bool {
+	return record.Outcome == history.Unreachable || record.Code == codeStopping
+}
+
+// nodeChoice turns callers away from nodes that could not be reached or that
+// said that they stop, as an address list at the callers' side does. The
+// request that found it out stays as it ended.
 type nodeChoice struct {
 	mutex sync.Mutex
 	nodes []string
--- a/internal/lab/report/summary.go
+++ b/internal/lab/report/summary.go
@@ -19,7 +19,7 @@
 	Loads    Loads                           `json:"loads"`
 	Faults   []history.Fault                 `json:"faults,omitempty"`
 	Verdicts []check.Verdict                 `json:"verdicts"`
-	Problems map[string]int                  `json:"problems,omitempty"`
+	Problems map[string]string               `json:"problems,omitempty"`
 	OK       bool                            `json:"ok"`
 }
 
@@ -81,7 +81,7 @@
 	firstToken, coldStart, between := newHistogram(), newHistogram(), newHistogram()
 	whole, plain, load := newHistogram(), newHistogram(), newHistogram()
 	ready := readyTimes(evidence.Books)
-	models := ranModels(evidence.Books)
+	models := evidence.RanModels()
 	for _, entry := range evidence.Records {
 		if entry.Outcome != history.Answered {
 			continue
@@ -142,19 +142,6 @@
 	return false
 }
 
-// ranModels tells the model that ran each request.
-func ranModels(samples []check.BookSample) map[fleet.RequestID]fleet.ModelVersion {
-	models := make(map[fleet.RequestID]fleet.ModelVersion)
-	for _, book := range samples {
-		for _, execution := range book.Executions {
-			if !execution.Model.IsZero() {
-				models[execution.RequestID] = execution.Model
-			}
-		}
-	}
-	return models
-}
-
 func loads(evidence check.Evidence) Loads {
 	var figures Loads
 	models := make(map[fleet.ModelVersion]bool)
--- a/internal/lab/report/text.go
+++ b/internal/lab/report/text.go
@@ -37,7 +37,7 @@
 		fmt.Fprintf(&text, "fault        %s %s %s\n", fault.Kind, fault.Target, fault.Detail)
 	}
 	for _, problem := range slices.Sorted(maps.Keys(s.Problems)) {
-		fmt.Fprintf(&text, "not read     %s (%d times)\n", problem, s.Problems[problem])
+		fmt.Fprintf(&text, "not read     %s, %s\n", problem, s.Problems[problem])
 	}
 	text.WriteString("rules, by the back ends' books\n")
 	for _, verdict := range s.Verdicts {
--- /dev/null
+++ b/internal/lab/scenario/ready.go
@@ -0,0 +1,100 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/platform"
+)
+
+const (
+	readyPoll    = 200 * time.Millisecond
+	readyTimeout = 2 * time.Second
+)
+
+// knownBackends is the part of a node's status that tells whether it can route.
+type knownBackends struct {
+	Zones []struct {
+		Engines  int `json:"engines"`
+		Services int `json:"services"`
+	} `json:"zones"`
+}
+
+// awaitReady returns once every node knows as many back ends as the machine
+// list has live ones, or an error that says what the first node lacks. Without
+// operators' addresses or a limit it returns at once.
+func awaitReady(ctx context.Context, options Options) error {
+	if options.Ready <= 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, options.Ready)
+	defer cancel()
+	for {
+		lacking := errors.Join(lackingNodes(ctx, options)...)
+		if lacking == nil {
+			return nil
+		}
+		if !wait(ctx, time.Now().Add(readyPoll)) {
+			return fmt.Errorf("the fleet was not ready within %s: %w", options.Ready, lacking)
+		}
+	}
+}
+
+func lackingNodes(ctx context.Context, options Options) []error {
+	listed, err := liveBackends(ctx, options.Platform)
+	if err != nil {
+		return []error{err}
+	}
+	var lacking []error
+	for _, address := range options.Operators {
+		var status knownBackends
+		if err := getJSON(ctx, "http://"+address+"/status", &status); err != nil {
+			lacking = append(lacking, err)
+			continue
+		}
+		known := 0
+		for _, zone := range status.Zones {
+			known += zone.Engines + zone.Services
+		}
+		if known < listed {
+			lacking = append(lacking, fmt.Errorf("%s knows %d of %d back ends", address, known, listed))
+		}
+	}
+	return lacking
+}
+
+func liveBackends(ctx context.Context, platformURL string) (int, error) {
+	var list platform.MachineList
+	if err := getJSON(ctx, platformURL+"/v1/machines", &list); err != nil {
+		return 0, err
+	}
+	live := 0
+	for _, machine := range list.Machines {
+		if machine.State == platform.MachineLive && machine.Role != "node" {
+			live++
+		}
+	}
+	return live, nil
+}
+
+func getJSON(ctx context.Context, url string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("GET %s: status %d", url, response.StatusCode)
+	}
+	return json.NewDecoder(response.Body).Decode(into)
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -30,6 +30,9 @@
 	Rate     float64
 	Duration time.Duration
 	Seed     uint64
+	// Ready is how long to wait until every node knows every back end; zero
+	// for not at all.
+	Ready time.Duration
 	// Faults are brought about at the stand-ins while the load runs.
 	Faults []inject.Kind
 	// FaultLog is where whoever else brings faults about notes them; see
@@ -73,20 +76,26 @@
 	{MomentSent, 1},
 }
 
+// longShare is when long streams are begun: a little before the planned stop.
+const longShare = 0.62
+
 // Run carries the scenario out and judges it.
 func Run(ctx context.Context, options Options) (report.Summary, error) {
 	profile, err := load.FindProfile(options.Profile)
 	if err != nil {
 		return report.Summary{}, err
 	}
+	if err := awaitReady(ctx, options); err != nil {
+		return report.Summary{}, err
+	}
 	collector := collect.New(collect.Options{Platform: options.Platform, Operators: options.Operators, Books: options.Books})
 	stop, err := startCollecting(ctx, collector)
 	if err != nil {
 		return report.Summary{}, err
 	}
 	evidence, err := run(ctx, options, profile, collector)
-	collector.Finish(ctx)
 	stop()
+	collector.Finish(ctx)
 	if err != nil {
 		return report.Summary{}, err
 	}
@@ -96,7 +105,10 @@
 	}
 	summary := report.Summarize(evidence, check.Judge(evidence, check.DefaultTolerances()))
 	summary.Profile, summary.Seed = options.Profile, options.Seed
-	summary.Problems = collector.Problems()
+	summary.Problems = make(map[string]string)
+	for what, problem := range collector.Problems() {
+		summary.Problems[what] = fmt.Sprintf("%d times: %s", problem.Times, problem.Last)
+	}
 	return summary, nil
 }
 
@@ -129,6 +141,7 @@
 	plan := load.Plan(load.PlanOptions{
 		Seed: options.Seed, RunID: runID, Nodes: options.Nodes, Classes: classes,
 		Profile: profile, Duration: options.Duration, Rate: options.Rate,
+		LongAt: time.Duration(longShare * float64(options.Duration)),
 	})
 	announcing, stop := context.WithCancel(ctx)
 	announced := make(chan struct{})
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -30,6 +30,8 @@
 duration=${DEMO_DURATION:-20s}
 rate=${DEMO_RATE:-30}
 seed=${DEMO_SEED:-1}
+# Faults of the stand-ins beside the kills; see spanlab load --help.
+stand_in_faults=${DEMO_FAULTS:-none}
 
 work=$(mktemp -d "${TMPDIR:-/tmp}/spanlanding-demo.XXXXXX")
 faults=$work/faults.jsonl
@@ -37,8 +39,8 @@
 
 say() { echo "demo: $*" >&2; }
 
-# finish ends what is still running, asking first, and keeps the logs only of
-# a run that failed.
+# finish ends what is still running, asking first. It keeps the logs of a run
+# that failed, or of any run if DEMO_KEEP is set.
 finish() {
   local status=$? pid
   trap - EXIT INT TERM
@@ -49,7 +51,7 @@
   done
   for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
   wait 2>/dev/null || true
-  if [ "$status" -eq 0 ]; then rm -rf "$work"; else say "exit $status; logs are in $work"; fi
+  if [ "$status" -eq 0 ] && [ -z "${DEMO_KEEP:-}" ]; then rm -rf "$work"; else say "exit $status; logs are in $work"; fi
   exit "$status"
 }
 trap finish EXIT
@@ -70,6 +72,14 @@
   pids+=("$started")
 }
 
+# kill_now ends one process without warning and takes note of its end, so that
+# the shell does not report it.
+kill_now() {
+  kill -KILL "$1"
+  wait "$1" 2>/dev/null || true
+  forget "$1"
+}
+
 forget() {
   local kept=() pid
   for pid in "${pids[@]}"; do [ "$pid" = "$1" ] || kept+=("$pid"); done
@@ -199,13 +209,16 @@
 done
 for settings in "${node_settings[@]}"; do await_port "${settings##* }"; done
 say "waiting until version $version is in force at ${#callers[@]} nodes"
-./bin/spanlanding wait --node "${operators[0]}" --version "$version" --timeout 10s >&2
+for operator in "${operators[@]}"; do
+  ./bin/spanlanding wait --node "$operator" --version "$version" --timeout 10s >>"$work/wait.log" 2>&1 ||
+    { cat "$work/wait.log" >&2; exit 1; }
+done
 
 # change declares another weight of the preferences, which moves no model.
 change() {
   sed -i 's/^\(  coldStartWeight: \).*/\10.55/' "$work/declared"/*.yaml
   apply
-  ./bin/spanlanding wait --node "${operators[0]}" --version "$version" --timeout 5s >&2
+  ./bin/spanlanding wait --node "${operators[0]}" --version "$version" --timeout 5s >&2 || true
 }
 
 killed_node=${callers[1]}
@@ -217,10 +230,10 @@
   case "$1" in
     kill-node)
       note node-killed "$killed_node"
-      kill -KILL "${node_pid[$killed_node]}"; forget "${node_pid[$killed_node]}" ;;
+      kill_now "${node_pid[$killed_node]}" ;;
     kill-engine)
       note engine-killed "${zones[0]}-engine-doomed-0"
-      kill -KILL "$doomed_engine"; forget "$doomed_engine" ;;
+      kill_now "$doomed_engine" ;;
     change) change ;;
     leave-engine)
       say "engine ${zones[1]}-engine-leaving-0 leaves"
@@ -240,7 +253,7 @@
 mkfifo "$work/moments"
 ./bin/spanlab load --nodes "$(joined "${callers[@]}")" --operators "$(joined "${operators[@]}")" \
   --platform "$platform" --profile "$profile" \
-  --rate "$rate" --duration "$duration" --seed "$seed" --check --fault-log "$faults" \
+  --rate "$rate" --duration "$duration" --seed "$seed" --check --every-rule --faults "$stand_in_faults" --fault-log "$faults" \
   --history "$work/history.jsonl" -o "$output" >"$work/summary" 2>"$work/moments" &
 load=$!
 pids+=("$load")
