Simulate membership, configuration and control under faults

Change: package world puts the product's membership, configsync, catalog and control cores on the frame, one thin part each, around the stand-ins' own models of engines, object store, machine list and weight store. Operators race by compare-and-set and read back lost answers; bursts want models at many nodes.

--- a/cmd/spanlab/main.go
+++ b/cmd/spanlab/main.go
@@ -20,6 +20,7 @@
 			serviceCommand(),
 			loadCommand(),
 			experimentCommand(),
+			simulateCommand(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -62,6 +62,10 @@
 type Disturbance struct {
 	Loss, Duplicate float64
 	ExtraDelay      time.Duration
+	// Late is the probability of a delay of up to LateMost, far beyond what
+	// callers wait for.
+	Late     float64
+	LateMost time.Duration
 }
 
 // NewNetwork returns a network with the given links within and between zones.
@@ -143,6 +147,9 @@
 	if n.disturbed.ExtraDelay > 0 {
 		delay += Between(stream, 0, n.disturbed.ExtraDelay)
 	}
+	if Chance(stream, n.disturbed.Late) {
+		delay += Between(stream, 0, n.disturbed.LateMost)
+	}
 	return delay
 }
 
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -125,11 +125,14 @@
 	}
 	p.state = ProcessRunning
 	p.trace.Record("resume", p.name, p.zone, p.boot)
-	held := p.held
-	p.held = nil
-	boot := p.boot
-	for _, action := range held {
-		p.scheduler.After(0, func() { p.Do(boot, action) })
+	p.scheduler.After(0, p.drain)
+}
+
+func (p *Process) drain() {
+	for p.state == ProcessRunning && len(p.held) > 0 {
+		action := p.held[0]
+		p.held = p.held[1:]
+		action()
 	}
 }
 
@@ -139,13 +142,14 @@
 	if boot != p.boot {
 		return
 	}
-	switch p.state {
-	case ProcessRunning:
-		action()
-	case ProcessPaused:
+	if p.state == ProcessDead {
+		return
+	}
+	if p.state == ProcessPaused || len(p.held) > 0 {
 		p.held = append(p.held, action)
-	case ProcessDead:
+		return
 	}
+	action()
 }
 
 // Timer schedules an action of this boot for a time by the process's own clock.
--- a/internal/sim/stream.go
+++ b/internal/sim/stream.go
@@ -118,3 +118,8 @@
 		}
 	})
 }
+
+// Break ends the stream at its sender, as a reset does.
+func (s *Stream) Break() {
+	s.fail(0)
+}
--- /dev/null
+++ b/internal/sim/world/corpus.go
@@ -0,0 +1,57 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spanlanding/spanlanding/internal/sim"
+)
+
+// Case is one file of the corpus: a run that once violated a rule.
+type Case struct {
+	// Cause tells what was wrong, for the reader.
+	Cause  string   `json:"cause"`
+	Config Config   `json:"config"`
+	Seed   uint64   `json:"seed"`
+	Faults sim.Plan `json:"faults"`
+	// Violates names the rules that the run violates as it is: none for a
+	// mended fault, at least one where a defect is planted.
+	Violates []sim.RuleName `json:"violates,omitempty"`
+}
+
+// Run replays the case.
+func (c Case) Run() sim.Report {
+	plan := c.Faults
+	if plan == nil {
+		plan = sim.Plan{}
+	}
+	return Run(c.Config, c.Seed, plan, nil)
+}
+
+// ReadCase reads a file of the corpus.
+func ReadCase(path string) (Case, error) {
+	var read Case
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return read, err
+	}
+	if err := json.Unmarshal(raw, &read); err != nil {
+		return read, fmt.Errorf("%s: %w", path, err)
+	}
+	return read, nil
+}
+
+// Write writes the case into a folder and returns the file's path.
+func (c Case) Write(folder string) (string, error) {
+	raw, err := json.MarshalIndent(c, "", "  ")
+	if err != nil {
+		return "", err
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return "", err
+	}
+	path := filepath.Join(folder, fmt.Sprintf("seed-%d.json", c.Seed))
+	return path, os.WriteFile(path, append(raw, '\n'), 0o644)
+}
--- /dev/null
+++ b/internal/sim/world/engine.go
@@ -0,0 +1,118 @@
+package world
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/sim"
+	"github.com/spanlanding/spanlanding/internal/standin/engine"
+)
+
+const (
+	engineMemory    = 80 * engine.GiB
+	engineKVReserve = 16 * engine.GiB
+	// remoteLoad is shorter than in earnest, so that a run sees many loads.
+	remoteLoad = 2 * time.Second
+)
+
+// engineProcess drives the stand-in's model of an engine.
+type engineProcess struct {
+	world   *World
+	process *sim.Process
+	backend fleet.Backend
+	core    *engine.Core
+	waker   *sim.Waker
+
+	lastCall engine.CallID
+	replies  map[engine.CallID]func(any)
+}
+
+func newEngineProcess(world *World, index int) *engineProcess {
+	name := fmt.Sprintf("engine%02d", index+1)
+	created := &engineProcess{world: world, replies: make(map[engine.CallID]func(any)), backend: fleet.Backend{
+		Name:    fleet.BackendName(name),
+		Kind:    fleet.KindEngine,
+		Zone:    world.zoneOf(index),
+		Rack:    fmt.Sprintf("rack%d", index%2),
+		Address: name,
+	}}
+	created.process = sim.NewProcess(world.scheduler, world.trace, sim.ProcessOptions{
+		Name:  name,
+		Zone:  string(created.backend.Zone),
+		Clock: drawClock(world.streams.Stream("clock/" + name)),
+		Start: created.start,
+	})
+	created.waker = sim.NewWaker(created.process, func() { created.step(engine.Tick{}) })
+	created.core = engine.New(engine.Options{
+		Backend:        created.backend,
+		Incarnation:    1,
+		MemoryBytes:    engineMemory,
+		KVReserveBytes: engineKVReserve,
+		Timing:         engine.Timing{RemoteLoad: remoteLoad},
+		Seed:           world.streams.Stream("engine/" + name).Uint64(),
+		Defects:        world.config.Defects.Engine,
+	})
+	return created
+}
+
+// start is called at each boot. A death forgets everything but the books.
+func (e *engineProcess) start(uint64) {
+	e.process.OnDeath(func() {
+		e.step(engine.Restart{})
+		clear(e.replies)
+	})
+	e.waker.Set(e.core.NextWake())
+}
+
+// call feeds a message that is answered by an effect with its call.
+func (e *engineProcess) call(message func(engine.CallID) engine.Message, reply func(any)) {
+	e.lastCall++
+	e.replies[e.lastCall] = reply
+	e.step(message(e.lastCall))
+}
+
+func (e *engineProcess) step(message engine.Message) {
+	effects := e.core.Step(e.process.Now(), message)
+	if order, taken := message.(engine.TakeOrder); taken {
+		e.world.judge.ordered(e, order.Order, effects)
+	}
+	for _, effect := range effects {
+		e.perform(effect)
+	}
+	e.waker.Set(e.core.NextWake())
+}
+
+func (e *engineProcess) perform(effect engine.Effect) {
+	switch effect := effect.(type) {
+	case engine.StateRead:
+		e.reply(effect.Call, effect)
+	case engine.FenceRefused:
+		e.reply(effect.Call, effect)
+	case engine.OrderRefused:
+		e.reply(effect.Call, effect)
+	case engine.FetchWeights:
+		e.world.weights.read(e, effect)
+	case engine.CancelFetch:
+		e.world.weights.cancel(e, effect)
+	}
+}
+
+func (e *engineProcess) reply(call engine.CallID, answer engine.Effect) {
+	if reply, found := e.replies[call]; found {
+		delete(e.replies, call)
+		reply(answer)
+	}
+}
+
+func (e *engineProcess) machine() platform.Machine {
+	state := platform.MachineLive
+	if e.core.Leaving() {
+		state = platform.MachineLeaving
+	}
+	return platform.Machine{
+		Role: "engine", Name: string(e.backend.Name), Zone: e.backend.Zone, Rack: e.backend.Rack,
+		State: state, Address: e.backend.Address,
+	}
+}
--- /dev/null
+++ b/internal/sim/world/inject.go
@@ -0,0 +1,216 @@
+package world
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/sim"
+)
+
+const (
+	// bothWays is the amount of a zone cut that stops both directions.
+	bothWays = 1
+	// slowestStore is the longest extra time of a call to a slow store.
+	slowestStore = 3 * time.Second
+	// lostAnswers is the share of answers that the store loses.
+	lostAnswers = 0.5
+	// disturbedDelay is the longest extra delay in a disturbed network.
+	disturbedDelay = 300 * time.Millisecond
+	// lateMessages is the share of messages that come far too late, within
+	// latestMessage, in a disturbed network.
+	lateMessages  = 0.05
+	latestMessage = 8 * time.Second
+)
+
+// Begin implements sim.Injector.
+func (w *World) Begin(fault sim.Fault) (end func()) {
+	switch fault.Kind {
+	case faultNodeKill, faultEngineKill:
+		return kill(w.processNamed(fault.Target))
+	case faultNodePause, faultEnginePause:
+		return pause(w.processNamed(fault.Target))
+	case faultLeaderPause:
+		return w.withLeader(fault.Target, func(leader *node) func() { return pause(leader.process) })
+	case faultLeaderCut:
+		return w.withLeader(fault.Target, w.cutFromPeers)
+	case faultEnginesKill:
+		return w.killEngines(fault.Target)
+	case faultZoneRestart:
+		return w.restartNodes(fault.Target)
+	case faultFleetRestart:
+		return w.restartNodes("")
+	case faultLinkCut:
+		w.network.Cut(fault.Target, fault.Other)
+		return func() { w.network.Heal(fault.Target, fault.Other) }
+	case faultZoneCut:
+		return w.cutZones(fault)
+	case faultZoneCutOff:
+		return w.cutOff(fault.Target)
+	case faultDisturbance:
+		return w.disturb(fault.Amount)
+	default:
+		return w.beginPlatform(fault)
+	}
+}
+
+func (w *World) beginPlatform(fault sim.Fault) (end func()) {
+	switch fault.Kind {
+	case faultStoreDown:
+		w.store.down++
+		w.store.breakWatches()
+		return func() { w.store.down-- }
+	case faultStoreSlow:
+		w.store.slow = slowestStore
+		return func() { w.store.slow = 0 }
+	case faultStoreStale:
+		w.store.objects.Freeze(true)
+		return func() { w.store.objects.Freeze(false) }
+	case faultAnswersLost:
+		w.store.answersLost = lostAnswers
+		return func() { w.store.answersLost = 0 }
+	case faultMachinesDown:
+		w.machines.down++
+		return func() { w.machines.down-- }
+	case faultMachinesLag:
+		return w.machines.freeze()
+	case faultWeightsSlow:
+		return w.weights.slow()
+	default:
+		panic(fmt.Sprintf("world: fault of unknown kind %q", fault.Kind))
+	}
+}
+
+func (w *World) processNamed(name string) *sim.Process {
+	for _, node := range w.nodes {
+		if string(node.name) == name {
+			return node.process
+		}
+	}
+	for _, engine := range w.engines {
+		if string(engine.backend.Name) == name {
+			return engine.process
+		}
+	}
+	panic(fmt.Sprintf("world: no process %q", name))
+}
+
+func kill(process *sim.Process) func() {
+	process.Die()
+	return process.Start
+}
+
+func pause(process *sim.Process) func() {
+	if process.State() != sim.ProcessRunning {
+		return nil
+	}
+	boot := process.Boot()
+	process.Pause()
+	return func() {
+		if process.Boot() == boot {
+			process.Resume()
+		}
+	}
+}
+
+// restartNodes kills all nodes of a zone, or of the fleet, at once.
+func (w *World) restartNodes(zone string) func() {
+	var killed []*sim.Process
+	for _, node := range w.nodes {
+		if (zone == "" || string(node.zone) == zone) && node.alive() {
+			node.process.Die()
+			killed = append(killed, node.process)
+		}
+	}
+	return func() {
+		for _, process := range killed {
+			process.Start()
+		}
+	}
+}
+
+// withLeader applies a fault to whoever leads the zone when it begins.
+func (w *World) withLeader(zone string, begin func(*node) func()) func() {
+	for _, candidate := range w.nodes {
+		if string(candidate.zone) != zone || candidate.process.State() != sim.ProcessRunning {
+			continue
+		}
+		if leading, _ := candidate.control.core.Leading(); leading {
+			return begin(candidate)
+		}
+	}
+	return nil
+}
+
+// cutFromPeers cuts a node from all nodes and from the platform, both ways,
+// but not from the engines: it goes on leading while another takes over.
+func (w *World) cutFromPeers(lonely *node) func() {
+	others := []*sim.Process{w.store.process, w.machines.process}
+	for _, other := range w.nodes {
+		if other != lonely {
+			others = append(others, other.process)
+		}
+	}
+	for _, other := range others {
+		w.network.Cut(string(lonely.name), other.Name())
+		w.network.Cut(other.Name(), string(lonely.name))
+	}
+	return func() {
+		for _, other := range others {
+			w.network.Heal(string(lonely.name), other.Name())
+			w.network.Heal(other.Name(), string(lonely.name))
+		}
+	}
+}
+
+// killEngines restarts all engines of a zone at once: each forgets its fence.
+func (w *World) killEngines(zone string) func() {
+	engines := w.enginesOf(fleet.Zone(zone))
+	for _, killed := range engines {
+		killed.process.Die()
+	}
+	return func() {
+		for _, killed := range engines {
+			killed.process.Start()
+		}
+	}
+}
+
+func (w *World) cutZones(fault sim.Fault) func() {
+	w.network.CutZones(fault.Target, fault.Other)
+	if fault.Amount != bothWays {
+		return func() { w.network.HealZones(fault.Target, fault.Other) }
+	}
+	w.network.CutZones(fault.Other, fault.Target)
+	return func() {
+		w.network.HealZones(fault.Target, fault.Other)
+		w.network.HealZones(fault.Other, fault.Target)
+	}
+}
+
+// cutOff cuts a zone from all others and from the platform, both ways.
+func (w *World) cutOff(zone string) func() {
+	others := []string{platformZone}
+	for _, other := range w.zones {
+		if string(other) != zone {
+			others = append(others, string(other))
+		}
+	}
+	for _, other := range others {
+		w.network.CutZones(zone, other)
+		w.network.CutZones(other, zone)
+	}
+	return func() {
+		for _, other := range others {
+			w.network.HealZones(zone, other)
+			w.network.HealZones(other, zone)
+		}
+	}
+}
+
+func (w *World) disturb(amount float64) func() {
+	w.network.Disturb(sim.Disturbance{
+		Loss: amount, Duplicate: amount, ExtraDelay: disturbedDelay, Late: lateMessages, LateMost: latestMessage,
+	})
+	return func() { w.network.Disturb(sim.Disturbance{}) }
+}
--- /dev/null
+++ b/internal/sim/world/judge.go
@@ -0,0 +1,184 @@
+package world
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/allotment"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/sim"
+)
+
+// The rules. Each is checked against what really is: the store's own objects,
+// the engines' own state, each node's own cores.
+const (
+	// ruleVersionsGrow: on a node neither an object nor the version in force
+	// goes back.
+	ruleVersionsGrow sim.RuleName = "versions-only-grow"
+	// ruleNoRevert: what was once in force on all live nodes is in force on
+	// every node that serves from then on.
+	ruleNoRevert sim.RuleName = "accepted-write-never-reverts"
+	// ruleInForce: an accepted write is in force on all live nodes within
+	// bounded time once faults are over.
+	ruleInForce sim.RuleName = "accepted-write-in-force"
+	// ruleMembers: all live nodes of a zone hold each other for alive within
+	// bounded time once faults are over.
+	ruleMembers sim.RuleName = "members-converge"
+)
+
+func ruleNames() []sim.RuleName {
+	return []sim.RuleName{
+		ruleVersionsGrow, ruleNoRevert, ruleInForce, ruleMembers,
+		ruleReplicas, ruleCeiling, ruleMemory, ruleLoads,
+	}
+}
+
+const (
+	// inForceBound is how long an accepted write may take once nothing fails.
+	inForceBound = 10 * time.Second
+	// quietBound is how long the fleet may take to get over the last fault.
+	quietBound = 45 * time.Second
+)
+
+// judge keeps what the rules need to know of the past.
+type judge struct {
+	world *World
+	// views are what each node was seen to hold, by boot.
+	views map[fleet.NodeName]*configView
+	// everywhere are the versions that all live nodes held at one moment.
+	everywhere map[platform.Key]uint64
+	// record is the record of allotments as it stands in the store.
+	record allotment.Record
+}
+
+// configView is what a node's present boot holds.
+type configView struct {
+	boot     uint64
+	version  uint64
+	loaded   bool
+	versions map[platform.Key]uint64
+}
+
+func newJudge(world *World) *judge {
+	return &judge{
+		world:      world,
+		views:      make(map[fleet.NodeName]*configView),
+		everywhere: make(map[platform.Key]uint64),
+	}
+}
+
+// accepted is told once an operator knows that its write took effect. The
+// check comes after the bound, counted from the end of the faults.
+func (j *judge) accepted(object platform.Object) {
+	world := j.world
+	from := max(world.scheduler.Elapsed(), world.faultsOver+quietBound-inForceBound)
+	world.scheduler.At(from+inForceBound, func() {
+		for _, node := range world.nodes {
+			j.checkInForce(node, object)
+		}
+	})
+}
+
+func (j *judge) checkInForce(node *node, object platform.Object) {
+	if node.process.State() != sim.ProcessRunning {
+		return
+	}
+	held, found := node.config.core.Holds(object.Key())
+	j.world.rules.Check(ruleInForce, found && held.Version >= object.Version,
+		"%s holds %s/%s at version %d; %d by %s was accepted", node.name, object.Kind, object.Name,
+		held.Version, object.Version, object.ChangedBy)
+}
+
+// configChanged is called after each change of what a node has in force.
+func (j *judge) configChanged(node *node, version uint64, changed []platform.Object) {
+	view := j.view(node)
+	rules := j.world.rules
+	rules.Check(ruleVersionsGrow, version >= view.version,
+		"%s went from version %d to %d", node.name, view.version, version)
+	view.version = version
+	_, view.loaded = node.config.core.Version()
+	for _, object := range changed {
+		key := object.Key()
+		rules.Check(ruleVersionsGrow, object.Version >= view.versions[key],
+			"%s went from version %d to %d of %s/%s", node.name, view.versions[key], object.Version, key.Kind, key.Name)
+		view.versions[key] = object.Version
+	}
+	if view.loaded {
+		j.checkNoRevert(node)
+		j.noteEverywhere(changed)
+	}
+}
+
+func (j *judge) view(node *node) *configView {
+	view := j.views[node.name]
+	if view == nil || view.boot != node.process.Boot() {
+		view = &configView{boot: node.process.Boot(), versions: make(map[platform.Key]uint64)}
+		j.views[node.name] = view
+	}
+	return view
+}
+
+// checkNoRevert holds what a serving node has against what was in force
+// everywhere before.
+func (j *judge) checkNoRevert(node *node) {
+	for key, version := range j.everywhere {
+		held, _ := node.config.core.Holds(key)
+		if held.Version >= version {
+			continue
+		}
+		j.world.rules.Check(ruleNoRevert, false, "%s serves %s/%s at version %d; %d was in force everywhere",
+			node.name, key.Kind, key.Name, held.Version, version)
+	}
+	j.world.rules.Check(ruleNoRevert, true, "")
+}
+
+// noteEverywhere records what all live nodes now hold of the changed objects.
+func (j *judge) noteEverywhere(changed []platform.Object) {
+	for _, object := range changed {
+		key := object.Key()
+		least, known := j.leastHeld(key)
+		if known && least > j.everywhere[key] {
+			j.everywhere[key] = least
+		}
+	}
+}
+
+func (j *judge) leastHeld(key platform.Key) (uint64, bool) {
+	least, known := uint64(0), false
+	for _, node := range j.world.nodes {
+		if !node.alive() {
+			continue
+		}
+		held, _ := node.config.core.Holds(key)
+		if !known || held.Version < least {
+			least, known = held.Version, true
+		}
+	}
+	return least, known
+}
+
+// finish checks what must hold at the end of a run.
+func (j *judge) finish() {
+	if j.world.scheduler.Elapsed() < j.world.faultsOver+quietBound {
+		return
+	}
+	for _, observer := range j.world.nodes {
+		if observer.process.State() == sim.ProcessRunning {
+			j.checkMembers(observer)
+		}
+	}
+}
+
+func (j *judge) checkMembers(observer *node) {
+	states := make(map[fleet.NodeName]fleet.MemberState)
+	for _, member := range observer.membership.core.Members() {
+		states[member.Name] = member.State
+	}
+	for _, other := range j.world.nodes {
+		if other.zone != observer.zone || other.process.State() != sim.ProcessRunning {
+			continue
+		}
+		j.world.rules.Check(ruleMembers, states[other.name] == fleet.MemberAlive,
+			"%s holds %s for %q", observer.name, other.name, states[other.name])
+	}
+}
--- /dev/null
+++ b/internal/sim/world/judge_replicas.go
@@ -0,0 +1,129 @@
+package world
+
+import (
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/sim"
+	"github.com/spanlanding/spanlanding/internal/standin/engine"
+)
+
+const (
+	// ruleReplicas: over the fleet no more replicas of a model are held, by
+	// the engines' own state, than the record in the store decides.
+	ruleReplicas sim.RuleName = "replicas-within-decided"
+	// ruleCeiling: in each zone no more than the record's ceiling.
+	ruleCeiling sim.RuleName = "replicas-within-ceiling"
+	// ruleMemory: no engine holds more than its memory, KV reserve included.
+	ruleMemory sim.RuleName = "memory-within-capacity"
+	// ruleLoads: once faults are over, a model that is wanted and may be
+	// loaded becomes ready within bounded time.
+	ruleLoads sim.RuleName = "wanted-model-becomes-ready"
+)
+
+// written is told of each change of the store as it happens.
+func (j *judge) written(object platform.Object) {
+	if object.Key() != recordKey {
+		return
+	}
+	record, decoded := decodeRecord(object)
+	if !decoded {
+		return
+	}
+	j.world.count("record-written")
+	j.record = record.Record
+	for model := range j.record.Models {
+		j.checkReplicas(model, "the record was written")
+	}
+	j.checkRemoved()
+}
+
+// checkRemoved holds models that the record no longer names to zero.
+func (j *judge) checkRemoved() {
+	for index := range modelCount {
+		if _, found := j.record.Models[modelAt(index)]; !found {
+			j.checkReplicas(modelAt(index), "the record was written without it")
+		}
+	}
+}
+
+// ordered is told of each order that an engine answered, after it took effect.
+func (j *judge) ordered(at *engineProcess, order backend.Order, effects []engine.Effect) {
+	for _, effect := range effects {
+		switch effect.(type) {
+		case engine.StateRead:
+			j.world.count("order-taken-" + string(order.Action))
+			j.world.trace.Record("order-taken/"+string(order.Action), string(at.backend.Name), order.Model.Model, uint64(order.Fence))
+			j.checkReplicas(order.Model, "an order was taken by "+string(at.backend.Name))
+			j.checkMemory(at)
+		case engine.FenceRefused:
+			j.world.count("order-refused-fence")
+		case engine.OrderRefused:
+			j.world.count("order-refused")
+		}
+	}
+}
+
+// checkReplicas counts what the engines hold of a model. Loading and unloading
+// replicas count.
+func (j *judge) checkReplicas(model fleet.ModelVersion, cause string) {
+	decision := j.record.Models[model]
+	total := 0
+	for _, zone := range j.world.zones {
+		held := j.replicas(model, zone)
+		total += held
+		ceiling := decision.Zones[zone].Ceiling
+		j.world.rules.Check(ruleCeiling, held <= ceiling, "%s: %d replicas in %s, ceiling %d in generation %d: %s",
+			model, held, zone, ceiling, j.record.Generation, cause)
+	}
+	j.world.rules.Check(ruleReplicas, total <= decision.Decided, "%s: %d replicas, decided %d in generation %d: %s",
+		model, total, decision.Decided, j.record.Generation, cause)
+}
+
+func (j *judge) replicas(model fleet.ModelVersion, zone fleet.Zone) int {
+	count := 0
+	for _, holder := range j.world.enginesOf(zone) {
+		if holder.state().Find(model) != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// state is the engine's own account of itself.
+func (e *engineProcess) state() fleet.EngineState {
+	return e.core.State(e.process.Now())
+}
+
+func (j *judge) checkMemory(at *engineProcess) {
+	state := at.state()
+	used := state.UsedBytes() + state.KVReserveBytes
+	j.world.rules.Check(ruleMemory, used <= state.MemoryBytes, "%s holds %d of %d bytes", state.Name, used, state.MemoryBytes)
+}
+
+// probeLoads wants every model that may be loaded, once the fleet had time to
+// get over the faults, at one node of each zone.
+func (j *judge) probeLoads() {
+	for index := range modelCount {
+		model := modelAt(index)
+		if j.record.Models[model].Decided == 0 || !j.mayLoad(model) {
+			continue
+		}
+		wanting := j.world.nodes[index%len(j.world.nodes)]
+		if wanting.process.State() != sim.ProcessRunning {
+			continue
+		}
+		wanting.want(model, 9, func(ready bool) {
+			j.world.rules.Check(ruleLoads, ready, "%s wanted by %s in %s was not ready after %s", model, wanting.name, wanting.zone, wantPatience)
+		})
+	}
+}
+
+func (j *judge) mayLoad(model fleet.ModelVersion) bool {
+	for _, share := range j.record.Models[model].Zones {
+		if share.Limit > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/sim/world/machines.go
@@ -0,0 +1,111 @@
+package world
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/sim"
+	"github.com/spanlanding/spanlanding/internal/standin/machines"
+)
+
+const (
+	heartbeatInterval  = time.Second
+	machineCallTimeout = 2 * time.Second
+)
+
+// machinesProcess is the platform's list of machines: the stand-in's own
+// model, fed by the heartbeats of the processes that run.
+type machinesProcess struct {
+	world   *World
+	process *sim.Process
+	core    *machines.Core
+	// down refuses calls, frozen stops the heartbeats and so ages the list.
+	down   int
+	frozen *platform.MachineList
+}
+
+func newMachinesProcess(world *World) *machinesProcess {
+	list := &machinesProcess{world: world, core: machines.New(machines.Options{})}
+	list.process = sim.NewProcess(world.scheduler, world.trace, sim.ProcessOptions{
+		Name: "machines", Zone: platformZone, Start: list.start,
+	})
+	return list
+}
+
+func (m *machinesProcess) start(uint64) {
+	m.world.scheduler.Every(heartbeatInterval, func() bool {
+		m.heartbeat()
+		return true
+	})
+}
+
+// heartbeat reports every process that runs. The platform's own channel to its
+// machines is not cut with the zones.
+func (m *machinesProcess) heartbeat() {
+	now := m.process.Now()
+	probes := m.core.Step(now, machines.Report{Machines: m.running()})
+	for _, probe := range probes {
+		m.core.Step(now, machines.ProbeDone{Name: probe.Name, Refused: m.world.isDead(probe.Name)})
+	}
+}
+
+func (m *machinesProcess) running() []platform.Machine {
+	var running []platform.Machine
+	for _, node := range m.world.nodes {
+		if node.process.State() == sim.ProcessRunning {
+			running = append(running, node.machine())
+		}
+	}
+	for _, engine := range m.world.engines {
+		if engine.process.State() == sim.ProcessRunning {
+			running = append(running, engine.machine())
+		}
+	}
+	return running
+}
+
+func (w *World) isDead(name string) bool {
+	for _, node := range w.nodes {
+		if string(node.name) == name {
+			return node.process.State() == sim.ProcessDead
+		}
+	}
+	for _, engine := range w.engines {
+		if string(engine.backend.Name) == name {
+			return engine.process.State() == sim.ProcessDead
+		}
+	}
+	return true
+}
+
+// list reads the machine list.
+func (m *machinesProcess) list(from *sim.Process, done func(platform.MachineList, sim.CallOutcome)) {
+	m.world.network.Call(sim.Call{
+		From: from, To: m.process, Kind: "machines/list", Timeout: machineCallTimeout,
+		Serve: func(reply func(any)) {
+			if m.down > 0 {
+				reply(nil)
+				return
+			}
+			if m.frozen != nil {
+				reply(*m.frozen)
+				return
+			}
+			reply(m.core.List(m.process.Now()))
+		},
+		Done: func(answer any, outcome sim.CallOutcome) {
+			list, listed := answer.(platform.MachineList)
+			if outcome == sim.Answered && !listed {
+				outcome = sim.Refused
+			}
+			done(list, outcome)
+		},
+	})
+}
+
+// freeze keeps showing the present list.
+func (m *machinesProcess) freeze() func() {
+	list := m.core.List(m.process.Now())
+	m.frozen = &list
+	return func() { m.frozen = nil }
+}
--- /dev/null
+++ b/internal/sim/world/node.go
@@ -0,0 +1,131 @@
+package world
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/control"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/sim"
+)
+
+// node is one process of the fleet: the product's cores, each with a thin part
+// that turns its effects into messages of the simulated network.
+type node struct {
+	world     *World
+	process   *sim.Process
+	name      fleet.NodeName
+	zone      fleet.Zone
+	addresses fleet.Addresses
+	// random draws what differs for each boot.
+	random *rand.Rand
+
+	// What follows is built anew at each start.
+	membership *membershipPart
+	config     *configPart
+	control    *controlPart
+	compiler   *catalog.Compiler
+	// tables are those that the node routes by.
+	tables map[fleet.Zone]fleet.RouteTable
+}
+
+func newNode(world *World, index int) *node {
+	name := fmt.Sprintf("node%02d", index+1)
+	created := &node{
+		world:  world,
+		name:   fleet.NodeName(name),
+		zone:   world.zoneOf(index),
+		random: world.streams.Stream("boot/" + name),
+		addresses: fleet.Addresses{
+			Caller: name + ":caller", Operator: name + ":operator", Peer: name + ":peer", Gossip: name + ":gossip",
+		},
+	}
+	created.process = sim.NewProcess(world.scheduler, world.trace, sim.ProcessOptions{
+		Name:  name,
+		Zone:  string(created.zone),
+		Clock: drawClock(world.streams.Stream("clock/" + name)),
+		Start: created.start,
+	})
+	return created
+}
+
+// start builds the cores of a new boot; nothing of an earlier one is left.
+func (n *node) start(uint64) {
+	self := n.member(n.random.Uint64())
+	seed := n.random.Uint64()
+	n.membership = newMembershipPart(n, self, seed)
+	n.config = newConfigPart(n, self, seed)
+	n.control = newControlPart(n, self, seed)
+	n.compiler = catalog.NewCompiler()
+	n.tables = nil
+	n.membership.start()
+	n.config.start()
+	n.control.start()
+}
+
+func (n *node) member(bootID uint64) fleet.Member {
+	return fleet.Member{
+		Name: n.name, Zone: n.zone, State: fleet.MemberAlive, Addresses: n.addresses, BootID: bootID,
+	}
+}
+
+// post runs the action in this node's process after what is under way, as a
+// message to a mailbox does; so no core is stepped within another's step.
+func (n *node) post(action func()) {
+	boot := n.process.Boot()
+	n.world.scheduler.After(0, func() { n.process.Do(boot, action) })
+}
+
+// alive reports whether the process has started and not died.
+func (n *node) alive() bool {
+	return n.process.State() != sim.ProcessDead
+}
+
+func (n *node) machine() platform.Machine {
+	return platform.Machine{
+		Role: "node", Name: string(n.name), Zone: n.zone, State: platform.MachineLive, Node: n.addresses,
+	}
+}
+
+// membersChanged is the view that membership writes.
+func (n *node) membersChanged(members []fleet.Member) {
+	n.post(func() {
+		n.config.membersChanged(members)
+		n.control.step(control.MembersChanged{Members: members})
+	})
+}
+
+// machinesChanged is the view of the machine list that configuration writes.
+func (n *node) machinesChanged(list platform.MachineList) {
+	n.post(func() {
+		n.membership.machinesChanged(list)
+		n.control.step(control.MachinesChanged{List: list})
+	})
+}
+
+// configChanged is told of each change of what is in force.
+func (n *node) configChanged(version uint64, changed []platform.Object) {
+	n.world.judge.configChanged(n, version, changed)
+	n.post(func() {
+		n.membership.configVersion(version)
+		n.compile(changed)
+		for _, object := range changed {
+			if object.Key() == recordKey {
+				n.control.recordChanged(object)
+			}
+		}
+	})
+}
+
+// compile hands what is in force to those that work by it.
+func (n *node) compile(changed []platform.Object) {
+	n.compiler.Apply(changed)
+	version, loaded := n.config.core.Version()
+	if !loaded {
+		return
+	}
+	snapshot, _ := n.compiler.Snapshot(version)
+	n.control.catalogChanged(snapshot)
+}
--- /dev/null
+++ b/internal/sim/world/node_membership.go
@@ -0,0 +1,83 @@
+package world
+
+import (
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/membership"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/sim"
+)
+
+// seedNodes is how many nodes are named as seeds to every node; the machine
+// list has to bring the rest together.
+const seedNodes = 2
+
+// membershipPart drives a node's failure detector.
+type membershipPart struct {
+	node  *node
+	core  *membership.Core
+	waker *sim.Waker
+}
+
+func newMembershipPart(node *node, self fleet.Member, seed uint64) *membershipPart {
+	part := &membershipPart{node: node}
+	part.core = membership.New(membership.Options{
+		Self:       self,
+		Seeds:      node.world.seedAddresses(),
+		RandomSeed: seed,
+		Defects:    node.world.config.Defects.Membership,
+	})
+	part.waker = sim.NewWaker(node.process, func() { part.step(membership.Tick{}) })
+	return part
+}
+
+func (w *World) seedAddresses() []string {
+	var addresses []string
+	for _, node := range w.nodes[:min(seedNodes, len(w.nodes))] {
+		addresses = append(addresses, node.addresses.Gossip)
+	}
+	return addresses
+}
+
+func (p *membershipPart) start() {
+	p.step(membership.Tick{})
+}
+
+func (p *membershipPart) step(message membership.Message) {
+	for _, effect := range p.core.Step(p.node.process.Now(), message) {
+		switch effect := effect.(type) {
+		case membership.Send:
+			p.send(effect)
+		case membership.Changed:
+			p.node.membersChanged(p.core.Members())
+		}
+	}
+	p.waker.Set(p.core.NextWake())
+}
+
+func (p *membershipPart) send(send membership.Send) {
+	target, found := p.node.world.byGossip[send.To]
+	if !found {
+		return
+	}
+	from := p.node.addresses.Gossip
+	p.node.world.network.Send(sim.Message{
+		From: p.node.process, To: target.process, Transport: sim.Datagram, Kind: "gossip", Size: uint64(len(send.Packet)),
+		Deliver: func() { target.membership.step(membership.Receive{From: from, Packet: send.Packet}) },
+	})
+}
+
+func (p *membershipPart) machinesChanged(list platform.MachineList) {
+	var hints []membership.Hint
+	for _, machine := range list.Machines {
+		if machine.Role == "node" {
+			hints = append(hints, membership.Hint{
+				Name: machine.Name, Gossip: machine.Node.Gossip, Going: machine.State != platform.MachineLive,
+			})
+		}
+	}
+	p.step(membership.Hints{Nodes: hints})
+}
+
+func (p *membershipPart) configVersion(version uint64) {
+	p.step(membership.SetConfigVersion{Version: version})
+}
--- /dev/null
+++ b/internal/sim/world/operator.go
@@ -0,0 +1,99 @@
+package world
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/sim"
+)
+
+const (
+	operatorCount     = 2
+	operatorLeast     = time.Second
+	operatorMost      = 8 * time.Second
+	operatorReadBack  = 500 * time.Millisecond
+	operatorReadTries = 60
+)
+
+// operator changes declarations by compare-and-set, as apply does: it reads,
+// writes with a change id, and reads back where the answer is lost. Operators
+// race each other on the same objects.
+type operator struct {
+	world   *World
+	process *sim.Process
+	random  *rand.Rand
+	name    string
+	changes int
+}
+
+func newOperator(world *World, index int) *operator {
+	name := fmt.Sprintf("operator%d", index+1)
+	created := &operator{world: world, name: name, random: world.streams.Stream("operator/" + name)}
+	created.process = sim.NewProcess(world.scheduler, world.trace, sim.ProcessOptions{
+		Name: name, Zone: "operators", Start: func(uint64) { created.next() },
+	})
+	return created
+}
+
+func (o *operator) next() {
+	pause := sim.Between(o.random, operatorLeast, operatorMost)
+	o.world.scheduler.After(pause, func() { o.change(o.world.drawDeclaration(o.random)) })
+}
+
+func (o *operator) change(declared platform.Object) {
+	o.changes++
+	declared.ChangeID = fmt.Sprintf("%s-%d", o.name, o.changes)
+	declared.ChangedBy = o.name
+	o.world.store.get(o.process, declared.Key(), func(answer storeAnswer, outcome sim.CallOutcome) {
+		if outcome != sim.Answered {
+			o.next()
+			return
+		}
+		o.write(platform.WriteRequest{Object: declared, Expected: answer.object.Version})
+	})
+}
+
+func (o *operator) write(request platform.WriteRequest) {
+	o.world.store.write(o.process, request, func(answer storeAnswer, outcome sim.CallOutcome) {
+		switch {
+		case outcome == sim.TimedOut:
+			o.world.count("operator-answer-lost")
+			o.readBack(request, operatorReadTries)
+			return
+		case outcome == sim.Answered && answer.conflict != nil && answer.conflict.Current.ChangeID == request.Object.ChangeID:
+			o.world.judge.accepted(answer.conflict.Current)
+		case outcome == sim.Answered && answer.conflict != nil:
+			o.world.count("operator-conflict")
+		case outcome == sim.Answered:
+			o.world.count("operator-accepted")
+			o.world.judge.accepted(answer.object)
+		}
+		o.next()
+	})
+}
+
+// readBack settles a write whose answer was lost: it was accepted if the
+// object carries its change id, and was not if it carries a later change that
+// expected the version before.
+func (o *operator) readBack(request platform.WriteRequest, tries int) {
+	if tries == 0 {
+		o.next()
+		return
+	}
+	o.world.store.get(o.process, request.Object.Key(), func(answer storeAnswer, outcome sim.CallOutcome) {
+		if outcome == sim.Answered && answer.object.ChangeID == request.Object.ChangeID {
+			o.world.count("operator-read-back")
+			o.world.judge.accepted(answer.object)
+			o.next()
+			return
+		}
+		if outcome == sim.Answered && answer.object.Version > request.Expected {
+			o.world.count("operator-conflict")
+			o.next()
+			return
+		}
+		o.world.scheduler.After(operatorReadBack, func() { o.readBack(request, tries-1) })
+	})
+}
--- /dev/null
+++ b/internal/sim/world/store.go
@@ -0,0 +1,221 @@
+package world
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/sim"
+	"github.com/spanlanding/spanlanding/internal/standin/objects"
+)
+
+const (
+	storeCallTimeout  = 2 * time.Second
+	storeServiceTime  = 3 * time.Millisecond
+	watchHeartbeat    = time.Second
+	watchDetection    = 3 * time.Second
+	storeHistoryLimit = 200
+)
+
+// storeProcess is the platform's object API: the stand-in's own model, and
+// what goes wrong around it.
+type storeProcess struct {
+	world   *World
+	process *sim.Process
+	objects *objects.Store
+	random  *rand.Rand
+	watches []*watch
+
+	// down refuses everything, slow adds to the time of each call, and
+	// answersLost is the probability that an answer is lost after its change.
+	down        int
+	slow        time.Duration
+	answersLost float64
+}
+
+// watch is one reader's stream of changes.
+type watch struct {
+	since  uint64
+	stream *sim.Stream
+	// take runs at the reader.
+	take func(version uint64, objects []platform.Object)
+}
+
+func newStoreProcess(world *World) *storeProcess {
+	store := &storeProcess{world: world, objects: objects.New(storeHistoryLimit), random: world.streams.Stream("store")}
+	store.process = sim.NewProcess(world.scheduler, world.trace, sim.ProcessOptions{
+		Name: "store", Zone: platformZone, Start: store.start,
+	})
+	return store
+}
+
+func (s *storeProcess) start(uint64) {
+	s.world.scheduler.Every(watchHeartbeat, func() bool {
+		s.pump(true)
+		return true
+	})
+}
+
+// storeAnswer is what a call to the store brings back.
+type storeAnswer struct {
+	list     platform.ObjectList
+	object   platform.Object
+	found    bool
+	conflict *platform.Conflict
+}
+
+// list reads all objects.
+func (s *storeProcess) list(from *sim.Process, done func(storeAnswer, sim.CallOutcome)) {
+	s.call(from, "store/list", func() storeAnswer {
+		return storeAnswer{list: s.objects.List("", false)}
+	}, done)
+}
+
+// get reads one object.
+func (s *storeProcess) get(from *sim.Process, key platform.Key, done func(storeAnswer, sim.CallOutcome)) {
+	s.call(from, "store/get", func() storeAnswer {
+		object, found := s.objects.Get(key)
+		return storeAnswer{object: object, found: found}
+	}, done)
+}
+
+// write changes one object by compare-and-set.
+func (s *storeProcess) write(from *sim.Process, request platform.WriteRequest, done func(storeAnswer, sim.CallOutcome)) {
+	s.call(from, "store/write", func() storeAnswer {
+		object, conflict := s.objects.Write(request)
+		if conflict == nil {
+			s.world.judge.written(object)
+			s.world.trace.Record("written", object.Name, object.Kind, object.Version)
+			s.pump(false)
+		}
+		return storeAnswer{object: object, found: conflict == nil, conflict: conflict}
+	}, done)
+}
+
+func (s *storeProcess) call(from *sim.Process, kind string, serve func() storeAnswer, done func(storeAnswer, sim.CallOutcome)) {
+	s.world.network.Call(sim.Call{
+		From: from, To: s.process, Kind: kind, Timeout: storeCallTimeout, Resent: true,
+		Serve: func(reply func(any)) { s.serve(serve, reply) },
+		Done: func(answer any, outcome sim.CallOutcome) {
+			if outcome != sim.Answered {
+				done(storeAnswer{}, outcome)
+				return
+			}
+			if answer == nil {
+				done(storeAnswer{}, sim.Refused)
+				return
+			}
+			done(answer.(storeAnswer), outcome)
+		},
+	})
+}
+
+// serve answers after the service time; nil stands for an error status before
+// anything was done.
+func (s *storeProcess) serve(serve func() storeAnswer, reply func(any)) {
+	if s.down > 0 {
+		reply(nil)
+		return
+	}
+	delay := storeServiceTime
+	if s.slow > 0 {
+		delay += sim.Between(s.random, 0, s.slow)
+	}
+	s.world.scheduler.After(delay, func() {
+		answer := serve()
+		if !sim.Chance(s.random, s.answersLost) {
+			reply(answer)
+		}
+	})
+}
+
+// watch opens a stream of changes after a version. ended runs at the reader
+// once the stream is over.
+func (s *storeProcess) watch(from *sim.Process, since uint64, take func(uint64, []platform.Object), ended func(compacted bool)) *watch {
+	opened := &watch{since: since, take: take}
+	s.world.network.Call(sim.Call{
+		From: from, To: s.process, Kind: "store/watch", Timeout: storeCallTimeout,
+		Serve: func(reply func(any)) { reply(s.openWatch(opened, from, ended)) },
+		Done: func(answer any, outcome sim.CallOutcome) {
+			if outcome != sim.Answered || answer != watchOpened {
+				opened.abandon()
+				ended(answer == watchCompacted)
+			}
+		},
+	})
+	return opened
+}
+
+// watchResult answers the opening of a watch.
+type watchResult int
+
+const (
+	watchUnavailable watchResult = iota
+	watchOpened
+	// watchCompacted means that the store no longer keeps the changes.
+	watchCompacted
+)
+
+func (s *storeProcess) openWatch(opened *watch, from *sim.Process, ended func(bool)) watchResult {
+	if s.down > 0 {
+		return watchUnavailable
+	}
+	if _, complete := s.objects.Changes(opened.since); !complete {
+		return watchCompacted
+	}
+	opened.stream = s.world.network.OpenStream(sim.StreamOptions{
+		From: s.process, To: from, Detection: watchDetection, Broken: func() { ended(false) },
+	})
+	s.watches = append(s.watches, opened)
+	s.pumpOne(opened, true)
+	return watchOpened
+}
+
+func (w *watch) abandon() {
+	if w.stream != nil {
+		w.stream.Abandon()
+	}
+}
+
+// pump sends each watch what it has not seen; a heartbeat also tells the
+// revision where nothing changed.
+func (s *storeProcess) pump(heartbeat bool) {
+	open := s.watches[:0]
+	for _, one := range s.watches {
+		if one.stream.Open() {
+			open = append(open, one)
+		}
+	}
+	s.watches = open
+	if s.down > 0 {
+		return
+	}
+	for _, one := range s.watches {
+		s.pumpOne(one, heartbeat)
+	}
+}
+
+func (s *storeProcess) pumpOne(one *watch, heartbeat bool) {
+	events, complete := s.objects.Changes(one.since)
+	if !complete {
+		return
+	}
+	var changed []platform.Object
+	for _, event := range events {
+		changed = append(changed, *event.Object)
+		one.since = event.Version
+	}
+	if len(changed) == 0 && !heartbeat {
+		return
+	}
+	version := max(one.since, s.objects.Version())
+	one.stream.Send("store/event", uint64(len(changed)), func() { one.take(version, changed) })
+}
+
+// breakWatches ends all watches, as a restart of the store does.
+func (s *storeProcess) breakWatches() {
+	for _, one := range s.watches {
+		one.stream.Break()
+	}
+	s.watches = nil
+}
