Name newer tombstones in full answers

Cause: schedules in which nodes do not agree on who lives ended in a node that claimed version 2 without an object that exists there. It had taken all objects of a peer at version 2 that held a newer tombstone of that object already, and full answers left out tombstones.

Ruled out: a change lost for good; the deletion was accepted later, and the node's content was that of a later state. The claim was wrong all the same.

Change: a full answer lists tombstones that are newer than its version.

The choice among filed selectors equals trying all, in drawn cases.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/platform"
@@ -103,6 +105,38 @@
 	}
 }
 
+// TestFiledSelectorsMatchLikeTheirList compares the choice among filed
+// selectors with trying all of them in order.
+func TestFiledSelectorsMatchLikeTheirList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		labels := rapid.MapOfN(rapid.SampledFrom([]string{"a", "b", "c"}), rapid.SampledFrom([]string{"", "1", "2"}), 0, 3)
+		var objects []platform.Object
+		for index := range rapid.IntRange(0, 12).Draw(t, "selectors") {
+			match := spec.LabelSelector{MatchLabels: labels.Draw(t, "match")}
+			if rapid.Bool().Draw(t, "exists") {
+				match.MatchExpressions = []spec.Requirement{{Key: "b", Operator: spec.OperatorExists}}
+			}
+			raw, err := json.Marshal(spec.Selector{Match: match, Precedence: rapid.IntRange(0, 2).Draw(t, "precedence")})
+			if err != nil {
+				t.Fatal(err)
+			}
+			objects = append(objects, platform.Object{Kind: string(spec.KindSelector), Name: fmt.Sprint(index), Version: 1, Spec: raw})
+		}
+		snapshot, _ := Compile(1, objects)
+		request := labels.Draw(t, "request")
+		var want *selector
+		for index := range snapshot.selectors {
+			if snapshot.selectors[index].Match.Matches(request) {
+				want = &snapshot.selectors[index]
+				break
+			}
+		}
+		if got := snapshot.firstMatching(request); got != want {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	})
+}
+
 func TestModelRouteGivesVersionsAdapterAndContext(t *testing.T) {
 	snapshot := compiled(t, reports(t))
 	route, _ := snapshot.ModelRoute(map[string]string{"model": "report-certified"})
--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -290,7 +290,17 @@
 	}
 }
 
-// settle ends all faults and lets everything arrive.
+// heal lets all nodes take each other for alive.
+func (c *cluster) heal() {
+	for _, node := range c.nodes {
+		node.member.State = fleet.MemberAlive
+	}
+	for _, node := range c.nodes {
+		c.step(node, MembersChanged{Members: c.members()})
+	}
+}
+
+// settle lets everything arrive.
 func (c *cluster) settle(rounds int) {
 	for range rounds {
 		for len(c.inFlight) > 0 {
--- a/internal/configsync/ledger.go
+++ b/internal/configsync/ledger.go
@@ -255,9 +255,19 @@
 
 // all lists what is not deleted.
 func (l *ledger) all() []platform.Object {
-	objects := make([]platform.Object, 0, len(l.objects)-l.tombstones)
+	return l.listed(func(held platform.Object) bool { return !held.Deleted })
+}
+
+// allInForce lists what exists at the version in force. A tombstone that is
+// newer stands for an object that exists at that version.
+func (l *ledger) allInForce() []platform.Object {
+	return l.listed(func(held platform.Object) bool { return !held.Deleted || held.Version > l.version })
+}
+
+func (l *ledger) listed(wanted func(platform.Object) bool) []platform.Object {
+	objects := make([]platform.Object, 0, len(l.objects))
 	for _, held := range l.objects {
-		if !held.Deleted {
+		if wanted(held) {
 			objects = append(objects, held)
 		}
 	}
--- a/internal/configsync/schedule_test.go
+++ b/internal/configsync/schedule_test.go
@@ -37,6 +37,7 @@
 	}
 	cluster.store.down = false
 	cluster.store.shown = 0
+	cluster.heal()
 	cluster.settle(settleRounds)
 	if cluster.failure != "" {
 		return cluster.failure
@@ -45,7 +46,7 @@
 }
 
 func drawStep(draw draw, c *cluster) {
-	switch draw("step", 17) {
+	switch draw("step", 18) {
 	case 0, 1:
 		drawWrite(draw, c)
 	case 2:
@@ -74,7 +75,9 @@
 	case 12:
 		states := []platform.MachineState{platform.MachineLive, platform.MachineLeaving, ""}
 		c.setMachine(fmt.Sprintf("m%d", draw("machine", 3)), states[draw("state", len(states))])
-	case 13, 14:
+	case 13:
+		drawMembership(draw, c)
+	case 14, 15:
 		c.pump(c.nodes[draw("watch", len(c.nodes))])
 	default:
 		if len(c.inFlight) > 0 {
@@ -83,6 +86,19 @@
 	}
 }
 
+// drawMembership lets some nodes take a member for dead, or for alive again, so
+// that they do not agree on who reads the store.
+func drawMembership(draw draw, c *cluster) {
+	subject := c.nodes[draw("subject", len(c.nodes))]
+	states := []fleet.MemberState{fleet.MemberAlive, fleet.MemberSuspect, fleet.MemberDead}
+	subject.member.State = states[draw("member", len(states))]
+	for _, node := range c.nodes {
+		if node != subject && draw("hears", 2) == 0 {
+			c.step(node, MembersChanged{Members: c.members()})
+		}
+	}
+}
+
 func drawWrite(draw draw, c *cluster) {
 	name := fmt.Sprintf("o%d", draw("object", 5))
 	current := c.store.at(c.store.version)[platform.Key{Kind: "Model", Name: name}]
--- a/internal/configsync/spread.go
+++ b/internal/configsync/spread.go
@@ -180,7 +180,7 @@
 	case differs || digest.WantAll || digest.Version < held.horizon:
 		answer.Full = true
 		answer.Changes.Since = 0
-		answer.Changes.Objects = held.all()
+		answer.Changes.Objects = held.allInForce()
 	default:
 		answer.Changes.Objects = held.since(digest.Version)
 	}
