Count what control sends and receives, and label processor profiles by part

Cause: nothing told what a node's control costs: its bytes, its messages, and its processor time apart from the callers' requests.

Change: connections and the gossip socket are counted by channel (peer, store, engine, gossip) and direction, bodies also by what is called; three counters with units on the operators' port. Actors and servers run under profile labels of their node and part, which what they start inherits, so that a profile of a process with several nodes tells them apart.

Ruled out: counting the messages' encoded sizes, which leaves out the headers of HTTP that are larger than most of the messages.

--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/traffic"
 )
 
 const (
@@ -66,6 +67,11 @@
 	}
 }
 
+// CountTraffic counts the calls from now on; it goes before the first call.
+func (c *EngineControl) CountTraffic(channel *traffic.Channel) {
+	channel.CountClient(c.client)
+}
+
 // Close closes idle connections.
 func (c *EngineControl) Close() { c.client.CloseIdleConnections() }
 
--- a/internal/node/claim_shell.go
+++ b/internal/node/claim_shell.go
@@ -99,7 +99,7 @@
 		attempts:     make(map[string]granted),
 		coordinator:  newCoordinator(),
 	}
-	shell.pid = dependencies.System.Root.Spawn(actor.PropsFromFunc(shell.receive))
+	shell.pid = dependencies.System.Root.Spawn(actor.PropsFromFunc(shell.receive, inPart(dependencies.Self.Name, partClaims)))
 	shell.background.Add(1)
 	go shell.followTable()
 	dependencies.Views.Members.Watch(shell.watchMembers())
--- a/internal/node/config_actor.go
+++ b/internal/node/config_actor.go
@@ -102,7 +102,8 @@
 // offers to peers.
 func spawnConfig(system *actor.ActorSystem, dependencies configDependencies) (*actor.PID, *configService) {
 	shell := newConfigActor(dependencies)
-	process := system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return shell }))
+	process := system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return shell },
+		inPart(dependencies.Self.Name, partConfig)))
 	dependencies.Views.Members.Watch(func(members []fleet.Member) {
 		system.Root.Send(process, configsync.MembersChanged{Members: members})
 	})
--- a/internal/node/control_actor.go
+++ b/internal/node/control_actor.go
@@ -86,7 +86,7 @@
 		lifetime:     lifetime,
 		end:          end,
 	}
-	shell.pid = dependencies.System.Root.Spawn(actor.PropsFromFunc(shell.receive))
+	shell.pid = dependencies.System.Root.Spawn(actor.PropsFromFunc(shell.receive, inPart(dependencies.Self.Name, partControl)))
 	shell.subscribe()
 	return shell
 }
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -5,9 +5,12 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime/pprof"
 	"time"
 
 	"github.com/phuslu/log"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
 const (
@@ -55,6 +58,7 @@
 // servers are the HTTP servers of a node.
 type servers struct {
 	logger *log.Logger
+	node   fleet.NodeName
 	all    []*http.Server
 }
 
@@ -67,12 +71,12 @@
 		IdleTimeout:       keepAliveTime,
 	}
 	s.all = append(s.all, server)
-	go func() {
+	go pprof.Do(context.Background(), partLabels(s.node, name), func(context.Context) {
 		err := server.Serve(listener)
 		if err != nil && !errors.Is(err, http.ErrServerClosed) {
 			s.logger.Error().Str("server", name).Err(err).Msg("server_failed")
 		}
-	}()
+	})
 	return server
 }
 
--- a/internal/node/membership_actor.go
+++ b/internal/node/membership_actor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime/pprof"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,10 +59,12 @@
 		core:         membership.New(dependencies.Core),
 		stopped:      make(chan struct{}),
 	}
-	props := actor.PropsFromFunc(shell.receive)
+	props := actor.PropsFromFunc(shell.receive, inPart(dependencies.Core.Self.Name, partMembership))
 	shell.pid = dependencies.System.Root.Spawn(props)
 	shell.readers.Add(1)
-	go shell.readPackets()
+	go pprof.Do(context.Background(), partLabels(dependencies.Core.Self.Name, partMembership), func(context.Context) {
+		shell.readPackets()
+	})
 	dependencies.Views.Machines.Watch(func(list platform.MachineList) {
 		shell.tell(membership.Hints{Nodes: hintsOf(list)})
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"runtime/pprof"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	"github.com/spanlanding/spanlanding/internal/peer"
 	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/queue"
+	"github.com/spanlanding/spanlanding/internal/traffic"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
@@ -39,6 +41,7 @@
 	peers    *peer.Pool
 	metrics  *prometheus.Registry
 	servers  servers
+	traffic  *traffic.Counters
 
 	membership *Membership
 	config     *Configuration
@@ -60,8 +63,10 @@
 		return nil, err
 	}
 	node := newNode(settings, logger)
-	node.startShells(bound)
-	node.startServers(bound)
+	pprof.Do(context.Background(), partLabels(settings.Name, partCallers), func(context.Context) {
+		node.startShells(bound)
+		node.startServers(bound)
+	})
 	logger.Info().Str("caller", settings.Listen.Caller).Str("operator", settings.Listen.Operator).
 		Uint64("boot", node.self.BootID).Msg("node_started")
 	return node, nil
@@ -77,7 +82,7 @@
 	}
 	metrics := prometheus.NewRegistry()
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	return &Node{
+	created := &Node{
 		settings: settings,
 		self:     self,
 		started:  time.Now(),
@@ -87,9 +92,13 @@
 		platform: platform.NewClient(settings.Platform, settings.Zone),
 		peers:    peer.NewPool(),
 		metrics:  metrics,
-		servers:  servers{logger: logger},
+		servers:  servers{logger: logger, node: self.Name},
+		traffic:  traffic.NewCounters(metrics),
 		drained:  make(chan struct{}),
 	}
+	created.platform.CountTraffic(created.traffic.Channel("store"))
+	created.peers.CountTraffic(created.traffic.Channel("peer"))
+	return created
 }
 
 // startShells starts the actors, those first that the others listen to.
@@ -97,7 +106,7 @@
 	n.tableAges.follow(n.views)
 	n.membership = StartMembership(MembershipDependencies{
 		System:     n.system,
-		Connection: bound.gossip,
+		Connection: n.traffic.Channel("gossip").PacketConn(bound.gossip),
 		Core: membership.Options{
 			Self:          n.self,
 			Seeds:         append(append([]string(nil), n.settings.Seeds...), n.settings.RemoteSeeds...),
@@ -138,13 +147,14 @@
 }
 
 func (n *Node) startServers(bound sockets) {
-	n.servers.serve("peer", bound.peer, peer.NewHandler(peer.Handlers{
+	peers := n.traffic.Channel("peer")
+	n.servers.serve(partPeers, peers.Listener(bound.peer), peers.Handler(peer.NewHandler(peer.Handlers{
 		Config:  n.config.Server(),
 		Control: n.control.Server(),
 		Claims:  n.claims.Server(),
-	}))
-	n.servers.serve("operator", bound.operator, operator.NewHandler(source{node: n}, n.metrics))
-	n.servers.serve("caller", bound.caller, n.gateway)
+	})))
+	n.servers.serve(partOperators, bound.operator, operator.NewHandler(source{node: n}, n.metrics))
+	n.servers.serve(partCallers, bound.caller, n.gateway)
 }
 
 // Drain begins a planned stop: the peers are told, new requests are refused,
--- a/internal/node/shells.go
+++ b/internal/node/shells.go
@@ -51,6 +51,8 @@
 }
 
 func (n *Node) startControl() *Control {
+	engines := backend.NewEngineControl(n.self.Zone)
+	engines.CountTraffic(n.traffic.Channel("engine"))
 	settings := control.DefaultSettings()
 	settings.Placement.StoreLoadsPerSecond = n.settings.WeightStore.LoadsPerSecond
 	settings.Placement.StoreConcurrency = n.settings.WeightStore.ConcurrentLoads
@@ -59,7 +61,7 @@
 		Self:    n.self,
 		Views:   n.views,
 		Peers:   n.peers,
-		Engines: backend.NewEngineControl(n.self.Zone),
+		Engines: engines,
 		Store:   recordStore{client: n.platform},
 		Logger:  n.logger,
 		Core:    control.Options{Seed: rand.Uint64(), Settings: settings},
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/traffic"
 )
 
 const (
@@ -65,6 +66,11 @@
 	}
 }
 
+// CountTraffic counts the calls from now on; it goes before the first call.
+func (p *Pool) CountTraffic(channel *traffic.Channel) {
+	channel.CountClient(p.client)
+}
+
 // To returns the clients of the peer that listens at the address (IP:port).
 // Each call must bound itself by its context's deadline.
 func (p *Pool) To(address string) Clients {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/traffic"
 )
 
 // ZoneHeader tells the platform from which zone a call comes.
@@ -55,6 +56,11 @@
 	}
 }
 
+// CountTraffic counts the calls from now on; it goes before the first call.
+func (c *Client) CountTraffic(channel *traffic.Channel) {
+	channel.CountClient(c.http)
+}
+
 // Close ends idle connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
--- /dev/null
+++ b/internal/traffic/traffic.go
@@ -0,0 +1,97 @@
+package traffic
+
+import (
+	"net"
+	"net/http"
+	"path"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Names of the figures.
+const (
+	MetricBytes     = "spanlanding_control_bytes_total"
+	MetricMessages  = "spanlanding_control_messages_total"
+	MetricCallBytes = "spanlanding_control_call_bytes_total"
+)
+
+// Labels of the figures.
+const (
+	LabelChannel   = "channel"
+	LabelDirection = "direction"
+	LabelCall      = "call"
+
+	Sent     = "sent"
+	Received = "received"
+)
+
+// Counters are the figures of one node.
+type Counters struct {
+	bytes     *prometheus.CounterVec
+	messages  *prometheus.CounterVec
+	callBytes *prometheus.CounterVec
+}
+
+// NewCounters registers the figures.
+func NewCounters(registerer prometheus.Registerer) *Counters {
+	created := &Counters{
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: MetricBytes,
+			Help: "Bytes on the wire, headers of HTTP included, by channel and direction."}, []string{LabelChannel, LabelDirection}),
+		messages: prometheus.NewCounterVec(prometheus.CounterOpts{Name: MetricMessages,
+			Help: "Datagrams, requests and answers by channel and direction."}, []string{LabelChannel, LabelDirection}),
+		callBytes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: MetricCallBytes,
+			Help: "Bytes of bodies by channel, call and direction."}, []string{LabelChannel, LabelCall, LabelDirection}),
+	}
+	registerer.MustRegister(created.bytes, created.messages, created.callBytes)
+	return created
+}
+
+// Channel counts what goes to and comes from one kind of partner.
+type Channel struct {
+	name                           string
+	bytesSent, bytesReceived       prometheus.Counter
+	messagesSent, messagesReceived prometheus.Counter
+	callBytes                      *prometheus.CounterVec
+}
+
+// Channel returns the counters of one kind of partner, such as peer or store.
+func (c *Counters) Channel(name string) *Channel {
+	return &Channel{
+		name:             name,
+		bytesSent:        c.bytes.WithLabelValues(name, Sent),
+		bytesReceived:    c.bytes.WithLabelValues(name, Received),
+		messagesSent:     c.messages.WithLabelValues(name, Sent),
+		messagesReceived: c.messages.WithLabelValues(name, Received),
+		callBytes:        c.callBytes,
+	}
+}
+
+// CountClient counts what the client sends and receives from now on; it must
+// not have been used yet. Its transport must be an *http.Transport with a
+// DialContext.
+func (c *Channel) CountClient(client *http.Client) {
+	transport := client.Transport.(*http.Transport)
+	transport.DialContext = c.dialer(transport.DialContext)
+	client.Transport = &roundTripper{channel: c, next: transport}
+}
+
+// Listener counts the bytes of the connections that it accepts.
+func (c *Channel) Listener(listener net.Listener) net.Listener {
+	return countedListener{Listener: listener, channel: c}
+}
+
+// PacketConn counts datagrams.
+func (c *Channel) PacketConn(connection net.PacketConn) net.PacketConn {
+	return countedPackets{PacketConn: connection, channel: c}
+}
+
+// Handler counts requests and answers.
+func (c *Channel) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		c.messagesReceived.Inc()
+		call := path.Base(request.URL.Path)
+		c.callBytes.WithLabelValues(c.name, call, Received).Add(float64(max(0, request.ContentLength)))
+		next.ServeHTTP(&countedWriter{ResponseWriter: writer, bytes: c.callBytes.WithLabelValues(c.name, call, Sent)}, request)
+		c.messagesSent.Inc()
+	})
+}
--- /dev/null
+++ b/internal/traffic/wrap.go
@@ -0,0 +1,142 @@
+package traffic
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"path"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+func (c *Channel) dialer(next dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := next(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{Conn: connection, channel: c}, nil
+	}
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	channel *Channel
+}
+
+func (c countedConn) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	c.channel.bytesReceived.Add(float64(count))
+	return count, err
+}
+
+func (c countedConn) Write(content []byte) (int, error) {
+	count, err := c.Conn.Write(content)
+	c.channel.bytesSent.Add(float64(count))
+	return count, err
+}
+
+type countedListener struct {
+	net.Listener
+	channel *Channel
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{Conn: connection, channel: l.channel}, nil
+}
+
+// countedPackets counts datagrams and their bytes.
+type countedPackets struct {
+	net.PacketConn
+	channel *Channel
+}
+
+func (p countedPackets) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	count, from, err := p.PacketConn.ReadFrom(buffer)
+	if err == nil {
+		p.channel.messagesReceived.Inc()
+		p.channel.bytesReceived.Add(float64(count))
+	}
+	return count, from, err
+}
+
+func (p countedPackets) WriteTo(packet []byte, to net.Addr) (int, error) {
+	count, err := p.PacketConn.WriteTo(packet, to)
+	if err == nil {
+		p.channel.messagesSent.Inc()
+		p.channel.bytesSent.Add(float64(count))
+	}
+	return count, err
+}
+
+// roundTripper counts requests and answers, and the bytes of their bodies by
+// what is called.
+type roundTripper struct {
+	channel *Channel
+	next    *http.Transport
+}
+
+func (r *roundTripper) RoundTrip(request *http.Request) (*http.Response, error) {
+	call := callName(request.URL.Path)
+	r.channel.messagesSent.Inc()
+	r.channel.callBytes.WithLabelValues(r.channel.name, call, Sent).Add(float64(max(0, request.ContentLength)))
+	response, err := r.next.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	r.channel.messagesReceived.Inc()
+	response.Body = countedBody{
+		ReadCloser: response.Body,
+		bytes:      r.channel.callBytes.WithLabelValues(r.channel.name, call, Received),
+	}
+	return response, nil
+}
+
+// CloseIdleConnections lets http.Client close what is idle.
+func (r *roundTripper) CloseIdleConnections() { r.next.CloseIdleConnections() }
+
+// objectPath begins the paths that end in an object's name.
+const objectPath = "/v1/objects"
+
+// callName is bounded in number: names of objects are left out.
+func callName(urlPath string) string {
+	if strings.HasPrefix(urlPath, objectPath) {
+		return "objects"
+	}
+	return path.Base(urlPath)
+}
+
+type countedBody struct {
+	io.ReadCloser
+	bytes prometheus.Counter
+}
+
+func (b countedBody) Read(buffer []byte) (int, error) {
+	count, err := b.ReadCloser.Read(buffer)
+	b.bytes.Add(float64(count))
+	return count, err
+}
+
+// countedWriter counts the bytes of an answer's body.
+type countedWriter struct {
+	http.ResponseWriter
+	bytes prometheus.Counter
+}
+
+func (w *countedWriter) Write(content []byte) (int, error) {
+	count, err := w.ResponseWriter.Write(content)
+	w.bytes.Add(float64(count))
+	return count, err
+}
+
+// Unwrap serves http.ResponseController.
+func (w *countedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
