Prove 'never sent' by sealing the connection

Cause: a call's error may come back from net/http while the write of the request is still to come (the server closes at once); looking then whether a write had begun and saying not-run was a belief, not a proof. Ruled out: httptrace.WroteHeaders (fires after the fact). Change: giving up seals an unused connection in one step, so that no byte can leave it afterwards. The test's case 'closes at once' expected that nothing is claimed; now a claim is allowed but held against the bytes that arrived, and the seal has a test of its own.

--- a/internal/backend/service_test.go
+++ b/internal/backend/service_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -49,31 +50,25 @@
 	return services.Call(ctx, address, call)
 }
 
-// answerOne serves one request on the connection and keeps it open.
-func answerOne(reader *bufio.Reader, connection net.Conn) error {
-	request, err := http.ReadRequest(reader)
-	if err != nil {
-		return err
-	}
-	_, _ = io.Copy(io.Discard, request.Body)
-	_, err = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-	return err
-}
-
 // TestNetHTTPResendsOnAUsedConnection shows the rule that calls which may not
 // be repeated must stay clear of: a server that reads the second request of a
 // connection and closes it gets the request again, POST or not, if only it has
 // an Idempotency-Key.
 func TestNetHTTPResendsOnAUsedConnection(t *testing.T) {
 	var requests atomic.Int32
-	address := rawServer(t, func(index int, connection net.Conn) {
+	address := rawServer(t, func(_ int, connection net.Conn) {
 		reader := bufio.NewReader(connection)
-		if answerOne(reader, connection) == nil {
-			requests.Add(1)
-		}
-		if request, err := http.ReadRequest(reader); err == nil {
+		for isFirst := true; ; isFirst = false {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
 			_, _ = io.Copy(io.Discard, request.Body)
 			requests.Add(1)
+			if !isFirst {
+				return
+			}
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		}
 	})
 	services := NewServices("a")
@@ -81,27 +76,37 @@
 	call := stopCommand("key-1")
 	call.Repeatable = true
 	for range 2 {
-		if _, err := callOnce(t, services, address, call); err != nil {
-			t.Fatal(err)
-		}
+		callAndAwaitIdle(t, services, address, call)
 	}
 	if got := requests.Load(); got != 3 {
 		t.Fatalf("the server read %d requests of 2 calls; the trap that the fresh connections avoid is gone, see Services", got)
 	}
 }
 
+// callAndAwaitIdle returns once the connection of the call may be used again.
+func callAndAwaitIdle(t *testing.T, services *Services, address string, call ServiceCall) {
+	t.Helper()
+	idle := make(chan error, 1)
+	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+	defer stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{PutIdleConn: func(err error) { idle <- err }})
+	if _, err := services.Call(ctx, address, call); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-idle; err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestCallThatMayNotBeRepeatedIsSentOnce(t *testing.T) {
 	tests := map[string]struct {
 		handle func(connection net.Conn)
-		// neverSent is what may be claimed.
-		neverSent bool
 	}{
 		"reads the request and closes": {handle: func(connection net.Conn) {
 			if request, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
 				_, _ = io.Copy(io.Discard, request.Body)
 			}
 		}},
-		"closes at once": {handle: func(net.Conn) {}},
 		"reads half of the request and closes": {handle: func(connection net.Conn) {
 			_, _ = io.ReadFull(connection, make([]byte, 20))
 		}},
@@ -143,6 +148,50 @@
 	}
 }
 
+// The error may come back before the request was written. Then either nothing
+// may be claimed, or nothing may ever arrive.
+func TestNeverSentIsTrueWhereTheServerClosesAtOnce(t *testing.T) {
+	const rounds = 50
+	arrived := make(chan int, rounds)
+	address := rawServer(t, func(_ int, connection net.Conn) {
+		_ = connection.(*net.TCPConn).CloseWrite()
+		count, _ := io.Copy(io.Discard, connection)
+		arrived <- int(count)
+	})
+	for range rounds {
+		services := NewServices("a")
+		answer, err := callOnce(t, services, address, stopCommand("key-1"))
+		services.Close()
+		var send *SendError
+		if !errors.As(err, &send) {
+			t.Fatalf("got %+v, %v", answer, err)
+		}
+		if count := <-arrived; send.NeverSent && count > 0 {
+			t.Fatalf("the call was said never to be sent, and %d bytes arrived", count)
+		}
+	}
+}
+
+func TestASealedConnectionLetsNothingLeave(t *testing.T) {
+	sealed := &recordedConn{}
+	if !sealed.seal() {
+		t.Fatal("an unused connection was taken for written")
+	}
+	if count, err := sealed.Write([]byte("late")); count != 0 || !errors.Is(err, errSealed) {
+		t.Errorf("a write after the seal gave %d, %v", count, err)
+	}
+	near, far := net.Pipe()
+	defer far.Close()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	written := &recordedConn{Conn: near}
+	if _, err := written.Write([]byte("early")); err != nil {
+		t.Fatal(err)
+	}
+	if written.seal() {
+		t.Error("a written connection was said to be unused")
+	}
+}
+
 func TestNeverSentIsProved(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
