Slow down rounds that end soon; write a lost record again

Cause: an engine that answers reads but no claims made a round every quarter of a second; a store that lost the record left every leader without one. Change: the time between short rounds doubles up to four seconds; a store found behind the record held is given it again.

--- a/internal/allotment/change.go
+++ b/internal/allotment/change.go
@@ -49,6 +49,9 @@
 	return next.advanced(), true
 }
 
+// Restored is the same decision as a later record, for a store that lost it.
+func (r Record) Restored() Record { return r.Clone().advanced() }
+
 func (r Record) advanced() Record {
 	r.Generation++
 	return r
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -7,6 +7,7 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
+	"github.com/spanlanding/spanlanding/internal/standin/objects"
 )
 
 var (
@@ -142,3 +143,41 @@
 		t.Errorf("refusals %v, want no-memory with a time to come back", refused)
 	}
 }
+
+func TestRecordLostByTheStoreIsWrittenAgain(t *testing.T) {
+	c := newCluster(clusterOptions{seed: 6, zones: 1, nodes: 2, engins: 2, models: []catalog.ModelFacts{facts(modelA, 1)}})
+	c.run(5 * time.Second)
+	before := c.stored().Record
+	c.store = objects.New(0)
+	// The leader notices when it begins a round.
+	c.stepEngine("z0-e0", engine.Restart{})
+	c.run(5 * time.Second)
+	after := c.stored().Record
+	if after.Generation <= before.Generation || after.Limit(modelA, "z0") != 1 {
+		t.Errorf("the store holds generation %d, had %d", after.Generation, before.Generation)
+	}
+}
+
+func TestWantIsPassedToTheZoneWithAllotment(t *testing.T) {
+	c := newCluster(clusterOptions{seed: 7, zones: 3, nodes: 2, engins: 2, models: []catalog.ModelFacts{facts(modelA, 1)}})
+	c.run(5 * time.Second)
+	record := c.stored().Record
+	var from fleet.NodeName
+	for _, name := range c.nodeNames() {
+		if record.Limit(modelA, c.nodes[name].member.Zone) == 0 {
+			from = name
+		}
+	}
+	for range 5 {
+		c.want(from, modelA, 1)
+		c.run(time.Second)
+	}
+	holder := c.holderOf(modelA)
+	if holder == "" {
+		t.Fatal("the model was not loaded")
+	}
+	zone := c.engines[holder].backend.Zone
+	if record.Limit(modelA, zone) != 1 || !ready(c.nodes[from].tables[zone], modelA) {
+		t.Errorf("loaded in %s; the table of %s shows it ready: %v", zone, from, ready(c.nodes[from].tables[zone], modelA))
+	}
+}
--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -61,6 +61,9 @@
 	if record.Generation == 0 && !c.isDecider() {
 		return record, false
 	}
+	if c.decider.storeBehind {
+		return record.Restored(), true
+	}
 	present, gone := c.listedEngines(c.options.Zone)
 	if next, changed := allotment.WithEngines(record, c.options.Zone, present, gone); changed {
 		return next, true
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -25,6 +25,8 @@
 	// vouched is set once this process has learned the record from the store
 	// or a majority: from then on it counts in a majority itself.
 	vouched bool
+	// storeBehind is set while the store holds an older record than this node.
+	storeBehind bool
 	// storeKnown is set once the store itself has answered.
 	storeKnown bool
 }
@@ -77,6 +79,7 @@
 		c.decider.vouched = c.decider.vouched || learned.Record.Generation > 0
 		c.decider.storeKnown = c.decider.storeKnown || learned.FromStore
 		c.adoptRecord(learned.VersionedRecord)
+		c.noteStore(learned)
 	}
 	if learned.ID == c.decider.reading {
 		c.decider.reading = 0
@@ -89,6 +92,19 @@
 	})
 }
 
+// noteStore compares what the store holds with the record held here. A store
+// that was set back, or lost the record, is given the newer one again: records
+// only grow, and engines refuse fences of the older one.
+func (c *Core) noteStore(learned RecordLearned) {
+	if !learned.FromStore {
+		return
+	}
+	c.decider.storeBehind = learned.Record.Generation < c.record.Record.Generation
+	if c.decider.storeBehind {
+		c.record.StoreVersion = learned.StoreVersion
+	}
+}
+
 // write sends the record where no other write is under way.
 func (c *Core) write(record allotment.Record) {
 	c.decider.writing = c.leader.NextID()
@@ -106,7 +122,9 @@
 		c.readBack()
 		return
 	}
+	c.decider.storeBehind = false
 	c.adoptRecord(written.Current)
+	c.noteStore(RecordLearned{VersionedRecord: written.Current, FromStore: true})
 }
 
 func (c *Core) readBack() {
--- a/internal/leadership/core.go
+++ b/internal/leadership/core.go
@@ -15,16 +15,19 @@
 	AnswerTimeout time.Duration
 	// Yield is how long a node waits after a greater fence was met.
 	Yield time.Duration
-	// RoundInterval is the least time between the starts of two rounds.
-	RoundInterval time.Duration
+	// RoundInterval is the least time between the starts of two rounds. It
+	// doubles, up to LongestInterval, for each round that did not last so long.
+	RoundInterval   time.Duration
+	LongestInterval time.Duration
 }
 
 // DefaultSettings returns the times used outside tests.
 func DefaultSettings() Settings {
 	return Settings{
-		AnswerTimeout: time.Second,
-		Yield:         2 * time.Second,
-		RoundInterval: 250 * time.Millisecond,
+		AnswerTimeout:   time.Second,
+		Yield:           2 * time.Second,
+		RoundInterval:   250 * time.Millisecond,
+		LongestInterval: 4 * time.Second,
 	}
 }
 
@@ -84,9 +87,13 @@
 	deadline time.Time
 	// notBefore is the earliest start of the next round.
 	notBefore time.Time
-	sequence  uint64
-	learnID   uint64
-	learned   allotment.Record
+	// interval is the present least time between rounds, began when the round
+	// did.
+	interval time.Duration
+	began    time.Time
+	sequence uint64
+	learnID  uint64
+	learned  allotment.Record
 	// followed is the generation up to which the record asks for no new round.
 	followed uint64
 	fence    fleet.Fence
@@ -205,10 +212,25 @@
 	if c.phase == phaseIdle {
 		return
 	}
+	c.adjustInterval(now)
 	c.stop(reason)
-	if next := now.Add(max(pause, c.options.Settings.RoundInterval)); next.After(c.notBefore) {
+	if next := c.began.Add(c.interval); next.After(c.notBefore) {
 		c.notBefore = next
 	}
+	if next := now.Add(pause); next.After(c.notBefore) {
+		c.notBefore = next
+	}
+}
+
+// adjustInterval slows rounds down that end soon, such as those over an engine
+// that answers reads but no claims. Waiting for a record does not count.
+func (c *Core) adjustInterval(now time.Time) {
+	settings := c.options.Settings
+	if now.Sub(c.began) >= settings.LongestInterval || c.phase == phaseLearning {
+		c.interval = settings.RoundInterval
+		return
+	}
+	c.interval = min(max(2*c.interval, settings.RoundInterval), settings.LongestInterval)
 }
 
 func (c *Core) stop(reason string) {
--- a/internal/leadership/round.go
+++ b/internal/leadership/round.go
@@ -50,6 +50,7 @@
 // learned, so that a claim cannot name an incarnation younger than the record.
 func (c *Core) startReading(now time.Time) bool {
 	c.phase = phaseReading
+	c.began = now
 	c.notBefore = now.Add(c.options.Settings.RoundInterval)
 	c.deadline = now.Add(c.options.Settings.AnswerTimeout)
 	c.engines = make(map[fleet.BackendName]*engineProgress)
--- a/internal/node/control_actor_test.go
+++ b/internal/node/control_actor_test.go
@@ -109,8 +109,8 @@
 	client := platform.NewClient(store.URL, "z")
 	defer client.Close()
 	nodes := []*controlNode{
-		startControlNode(t, "n1", NewRecordStore(client), facts),
-		startControlNode(t, "n2", NewRecordStore(client), facts),
+		startControlNode(t, "n1", recordStore{client: client}, facts),
+		startControlNode(t, "n2", recordStore{client: client}, facts),
 	}
 	machines := platform.MachineList{AsOfUnixMilli: 1, Machines: []platform.Machine{
 		{Role: "engine", Name: "e", Zone: "z", State: platform.MachineLive, Address: address},
