Test placement and allotments; deal single replicas out over zones

Cause: zones were ranked by engines first, so that the smallest of three zones got none of 60 models with one replica. Ruled out: round robin over zones, which ignores their size. Measured: each of three zones with 5, 4 and 5 engines gets between 10 and 30 of 60 models; 100 drawn sequences keep the ceilings within the decision.

--- /dev/null
+++ b/internal/allotment/allotment_test.go
@@ -0,0 +1,130 @@
+package allotment
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+func facts(name string, most int) catalog.ModelFacts {
+	return catalog.ModelFacts{Model: fleet.ModelVersion{Model: name, Version: "1"}, MaxReplicas: most}
+}
+
+func engines(counts ...int) map[fleet.Zone]int {
+	zones := make(map[fleet.Zone]int)
+	for index, count := range counts {
+		zones[fleet.Zone(fmt.Sprintf("z%d", index))] = count
+	}
+	return zones
+}
+
+func TestEveryZoneWithEnginesGetsOneBeforeAnyGetsTwo(t *testing.T) {
+	record, changed := Decide(Record{}, Input{Models: []catalog.ModelFacts{facts("a", 3)}, Engines: engines(9, 1, 4, 0)})
+	if !changed {
+		t.Fatal("nothing decided")
+	}
+	model := fleet.ModelVersion{Model: "a", Version: "1"}
+	for zone, want := range map[fleet.Zone]int{"z0": 1, "z1": 1, "z2": 1, "z3": 0} {
+		if got := record.Limit(model, zone); got != want {
+			t.Errorf("limit of %s is %d, want %d", zone, got, want)
+		}
+	}
+}
+
+func TestSingleReplicasAreSpreadOverZones(t *testing.T) {
+	var models []catalog.ModelFacts
+	for index := range 60 {
+		models = append(models, facts(fmt.Sprintf("m%d", index), 1))
+	}
+	record, _ := Decide(Record{}, Input{Models: models, Engines: engines(5, 4, 5)})
+	counts := make(map[fleet.Zone]int)
+	for _, decision := range record.Models {
+		for zone, share := range decision.Zones {
+			counts[zone] += share.Limit
+		}
+	}
+	for zone, count := range counts {
+		if count < 10 || count > 30 {
+			t.Errorf("zone %s got %d of 60 models", zone, count)
+		}
+	}
+	if len(counts) != 3 {
+		t.Errorf("models in %d zones, want 3", len(counts))
+	}
+}
+
+// TestCeilingsNeverExceedTheDecision draws bounds, engines, demand, idle
+// replicas and confirmations in any order.
+func TestCeilingsNeverExceedTheDecision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		record := Record{}
+		model := facts("a", 0).Model
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			before := record
+			if rapid.Bool().Draw(t, "confirm") {
+				zone := fleet.Zone(fmt.Sprintf("z%d", rapid.IntRange(0, 2).Draw(t, "zone")))
+				record = Confirm(record, zone, record.Unconfirmed(zone))
+			} else {
+				input := Input{
+					Models:  []catalog.ModelFacts{facts("a", rapid.IntRange(0, 5).Draw(t, "most"))},
+					Engines: engines(rapid.IntRange(0, 4).Draw(t, "e0"), 2, 3),
+					Demand:  map[fleet.ModelVersion]map[fleet.Zone]int{model: drawCounts(t, "demand")},
+					Idle:    map[fleet.ModelVersion]map[fleet.Zone]int{model: drawCounts(t, "idle")},
+				}
+				record, _ = Decide(record, input)
+			}
+			check(t, before, record, model)
+		}
+	})
+}
+
+func drawCounts(t *rapid.T, label string) map[fleet.Zone]int {
+	return engines(
+		rapid.IntRange(0, 3).Draw(t, label),
+		rapid.IntRange(0, 3).Draw(t, label),
+		rapid.IntRange(0, 3).Draw(t, label),
+	)
+}
+
+func check(t *rapid.T, before, after Record, model fleet.ModelVersion) {
+	was, is := before.Models[model], after.Models[model]
+	if is.CeilingSum() > is.Decided {
+		t.Fatalf("ceilings %v exceed %d", is.Zones, is.Decided)
+	}
+	if is.Decided > max(was.Decided, is.Target) {
+		t.Fatalf("decided number grew from %d to %d, target %d", was.Decided, is.Decided, is.Target)
+	}
+	for zone, share := range is.Zones {
+		if share.Limit > share.Ceiling || share.Limit < 0 {
+			t.Fatalf("zone %s: limit %d, ceiling %d", zone, share.Limit, share.Ceiling)
+		}
+		if share.Limit < was.Zones[zone].Limit && share.LoweredAt != after.Generation {
+			t.Fatalf("zone %s lowered without its generation", zone)
+		}
+	}
+}
+
+func TestIdleReplicaMovesToTheZoneThatWantsIt(t *testing.T) {
+	model := facts("a", 1).Model
+	input := Input{Models: []catalog.ModelFacts{facts("a", 1)}, Engines: engines(2, 2)}
+	record, _ := Decide(Record{}, input)
+	from, to := fleet.Zone("z0"), fleet.Zone("z1")
+	if record.Limit(model, from) == 0 {
+		from, to = to, from
+	}
+	input.Demand = map[fleet.ModelVersion]map[fleet.Zone]int{model: {to: 1}}
+	input.Idle = map[fleet.ModelVersion]map[fleet.Zone]int{model: {from: 1}}
+	record, _ = Decide(record, input)
+	if record.Limit(model, from) != 0 || record.Limit(model, to) != 0 {
+		t.Fatalf("before the confirmation: %v", record.Models[model].Zones)
+	}
+	record = Confirm(record, from, record.Unconfirmed(from))
+	record, _ = Decide(record, input)
+	if record.Limit(model, to) != 1 {
+		t.Errorf("after the confirmation: %v", record.Models[model].Zones)
+	}
+}
--- a/internal/allotment/decide.go
+++ b/internal/allotment/decide.go
@@ -176,10 +176,11 @@
 	return settle(decision)
 }
 
+// Zones that want a replica go before those that have none, these before all
+// others.
 const (
-	demandWeight = 1 << 40
-	emptyWeight  = 1 << 30
-	engineWeight = 1 << 10
+	demandWeight = 1 << 50
+	emptyWeight  = 1 << 40
 )
 
 // raiseScore ranks a zone for one more replica; below zero means never.
@@ -188,14 +189,14 @@
 	if share.Limit >= engines || share.Ceiling > share.Limit {
 		return -1
 	}
-	score := engines * engineWeight / (share.Limit + 1)
+	score := spread(model, zone, engines, share.Limit)
 	if share.Limit == 0 {
 		score += emptyWeight
 	}
 	if demand > 0 {
 		score += demandWeight
 	}
-	return score + spread(model, zone)
+	return score
 }
 
 func equalDecision(a, b Decision) bool {
--- a/internal/allotment/spread.go
+++ b/internal/allotment/spread.go
@@ -1,13 +1,25 @@
 package allotment
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
-// spread breaks ties by model, so that models with one replica do not all go
-// to the same zone. It is below engineWeight.
-func spread(model fleet.ModelVersion, zone fleet.Zone) int {
-	return int(xxhash.Sum64String(model.String()+"/"+string(zone)) % engineWeight)
+// spreadScale turns the weights into whole numbers; the largest possible one
+// stays below emptyWeight.
+const (
+	spreadScale   = 1 << 10
+	largestSpread = emptyWeight - 1
+)
+
+// spread ranks zones for a model by weighted rendezvous: models are dealt out
+// in proportion to the engines that a zone has for each replica it holds.
+func spread(model fleet.ModelVersion, zone fleet.Zone, engines, limit int) int {
+	hash := xxhash.Sum64String(model.String() + "/" + string(zone))
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
+	weight := float64(engines) / float64(limit+1)
+	return int(min(-weight/math.Log(uniform)*spreadScale, largestSpread))
 }
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -161,6 +161,7 @@
 func (c *Core) begin(now time.Time, began RoundBegan) {
 	c.finish()
 	c.leading = true
+	c.tokens = max(c.tokens, 1)
 	c.fence = began.Fence
 	for _, name := range slices.Sorted(maps.Keys(began.Held)) {
 		state := began.Held[name]
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,290 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const gib = int64(1) << 30
+
+func model(name string) fleet.ModelVersion { return fleet.ModelVersion{Model: name, Version: "1"} }
+
+// rig is a core with engines of 40 GiB each that it holds.
+type rig struct {
+	t      *testing.T
+	core   *Core
+	now    time.Time
+	states map[fleet.BackendName]fleet.EngineState
+	asked  uint64
+	facts  []catalog.ModelFacts
+	limits map[fleet.ModelVersion]int
+}
+
+func newRig(t *testing.T, engines int, models ...catalog.ModelFacts) *rig {
+	settings := DefaultSettings()
+	settings.StoreLoadsPerSecond, settings.StoreConcurrency = 1000, 1000
+	return newRigWith(t, settings, engines, models...)
+}
+
+func newRigWith(t *testing.T, settings Settings, engines int, models ...catalog.ModelFacts) *rig {
+	r := &rig{
+		t: t, core: New(Options{Settings: settings}), now: start,
+		states: make(map[fleet.BackendName]fleet.EngineState),
+		facts:  models, limits: make(map[fleet.ModelVersion]int),
+	}
+	for index := range engines {
+		name := fleet.BackendName(fmt.Sprintf("e%d", index))
+		r.states[name] = fleet.EngineState{
+			Backend: fleet.Backend{Name: name, Rack: fmt.Sprintf("r%d", index%2)}, Incarnation: 1, Fence: 1, MemoryBytes: 40 * gib,
+		}
+	}
+	for _, facts := range models {
+		r.limits[facts.Model] = facts.MaxReplicas
+	}
+	r.core.Step(r.now, CatalogChanged{Models: models, ColdStartWeight: 0.5})
+	r.core.Step(r.now, LimitsChanged{Limits: r.limits, Zones: 1})
+	r.now = r.now.Add(time.Second)
+	return r
+}
+
+func (r *rig) begin() []Effect {
+	return r.core.Step(r.now, RoundBegan{Fence: 1, Held: r.states})
+}
+
+func (r *rig) wait(span time.Duration) []Effect {
+	r.now = r.now.Add(span)
+	return r.core.Step(r.now, Tick{})
+}
+
+func (r *rig) want(name string, waiting, priority int) []Effect {
+	return r.core.Step(r.now, WantsReported{Wants: []fleet.Want{{
+		Model: model(name), Node: "n", Waiting: waiting, Arrivals: 1, Priority: priority, Deadline: r.now.Add(time.Minute),
+	}}})
+}
+
+// show sets what an engine holds and lets the core see it.
+func (r *rig) show(name fleet.BackendName, models ...fleet.LoadedModel) []Effect {
+	state := r.states[name]
+	state.Models = models
+	r.states[name] = state
+	r.asked++
+	return r.core.Step(r.now, StateSeen{Asked: r.asked, State: state})
+}
+
+func ready(name string, since time.Time) fleet.LoadedModel {
+	return fleet.LoadedModel{Model: model(name), State: fleet.LoadReady, Bytes: 14 * gib, ReadySince: since}
+}
+
+func facts(name string, most int) catalog.ModelFacts {
+	return catalog.ModelFacts{Model: model(name), MemoryBytes: 14 * gib, CheckpointBytes: 14 * gib, MaxReplicas: most}
+}
+
+// orders lists "action model engine" of the orders sent.
+func orders(effects []Effect) []string {
+	var sent []string
+	for _, effect := range effects {
+		if order, found := effect.(SendOrder); found {
+			sent = append(sent, fmt.Sprintf("%s %s %s", order.Order.Action, order.Order.Model.Model, order.Engine))
+		}
+	}
+	return sent
+}
+
+func (r *rig) expect(effects []Effect, want ...string) {
+	r.t.Helper()
+	if difference := cmp.Diff(want, orders(effects)); difference != "" {
+		r.t.Errorf("orders (-want +got):\n%s", difference)
+	}
+}
+
+func TestLoadGoesWhereTheCheckpointIsNearest(t *testing.T) {
+	r := newRig(t, 3, facts("a", 1))
+	state := r.states["e1"]
+	state.Tiers = map[fleet.ModelVersion]fleet.Tier{model("a"): fleet.TierDisk}
+	r.states["e1"] = state
+	r.begin()
+	r.expect(r.want("a", 1, 0), "load a e1")
+	r.expect(r.want("a", 5, 0))
+}
+
+func TestReplicasSpreadOverRacks(t *testing.T) {
+	r := newRig(t, 3, facts("a", 2))
+	r.begin()
+	r.show("e0", ready("a", r.now))
+	r.expect(r.want("a", 100, 0), "load a e1")
+}
+
+func TestEngineNotHeldCountsAsFull(t *testing.T) {
+	r := newRig(t, 2, facts("a", 1))
+	r.core.Step(r.now, RoundBegan{Fence: 1, Held: r.states, Full: []fleet.BackendName{"e9"}})
+	r.expect(r.want("a", 1, 0))
+	r.expect(r.core.Step(r.now, EnginesGone{Engines: []fleet.BackendName{"e9"}}), "load a e0")
+}
+
+func TestLostOrderStaysInFlightUntilShownOrANewRound(t *testing.T) {
+	r := newRig(t, 2, facts("a", 1))
+	r.begin()
+	r.expect(r.want("a", 1, 0), "load a e0")
+	r.expect(r.show("e0"))
+	asks := false
+	for range 8 {
+		r.want("a", 1, 0)
+		for _, effect := range r.wait(500 * time.Millisecond) {
+			if _, found := effect.(NeedRound); found {
+				asks = true
+			}
+		}
+	}
+	if !asks {
+		t.Error("no new round was asked for")
+	}
+	r.core.Step(r.now, RoundEnded{})
+	r.expect(r.begin(), "load a e0")
+}
+
+func TestAcceptedOrderIsHeldAgainstAnOlderState(t *testing.T) {
+	r := newRig(t, 2, facts("a", 1))
+	r.begin()
+	var id string
+	for _, effect := range r.want("a", 1, 0) {
+		if order, found := effect.(SendOrder); found {
+			id = order.Order.ID
+		}
+	}
+	r.core.Step(r.now, OrderAnswered{ID: id, Result: OrderAccepted, Asked: 5})
+	r.asked = 2
+	r.expect(r.show("e0"))
+	r.expect(r.want("a", 1, 0))
+}
+
+func TestUrgentModelsLoadFirstWithinTheStoresRate(t *testing.T) {
+	settings := DefaultSettings()
+	settings.StoreLoadsPerSecond, settings.StoreConcurrency = 1, 1
+	r := newRigWith(t, settings, 3, facts("a", 1), facts("b", 1), facts("c", 1))
+	r.core.Step(r.now, WantsReported{Wants: []fleet.Want{
+		{Model: model("a"), Node: "n", Waiting: 1, Deadline: r.now.Add(time.Minute)},
+		{Model: model("b"), Node: "n", Waiting: 1, Priority: 9, Deadline: r.now.Add(time.Minute)},
+		{Model: model("c"), Node: "n", Waiting: 1, Deadline: r.now.Add(time.Second)},
+	}})
+	r.expect(r.begin(), "load b e0")
+	r.expect(r.wait(time.Second))
+	r.expect(r.show("e0", ready("b", r.now)), "load c e1")
+	r.expect(r.show("e1", ready("c", r.now)))
+	r.expect(r.wait(time.Second), "load a e2")
+}
+
+func TestColdestModelIsEvictedAndStandingCapacityKept(t *testing.T) {
+	standing := facts("s", 1)
+	standing.MinReplicas = 1
+	r := newRig(t, 1, facts("a", 1), facts("b", 1), standing)
+	r.core.Step(r.now, LimitsChanged{Limits: r.limits, Standing: map[fleet.ModelVersion]int{model("s"): 1}, Zones: 1})
+	r.begin()
+	r.show("e0", ready("a", r.now), ready("s", r.now))
+	r.wait(time.Minute)
+	r.expect(r.want("b", 1, 0), "unload a e0")
+	r.expect(r.show("e0", ready("s", r.now)), "load b e0")
+}
+
+func TestModelIsUnloadedAfterItsOwnIdleTimes(t *testing.T) {
+	r := newRig(t, 1, facts("a", 1))
+	r.begin()
+	for range 10 {
+		r.want("a", 0, 0)
+		r.now = r.now.Add(2 * time.Minute)
+	}
+	r.want("a", 0, 0)
+	r.show("e0", ready("a", r.now.Add(-time.Minute)))
+	r.expect(r.wait(2 * time.Minute))
+	r.expect(r.wait(time.Minute), "unload a e0")
+}
+
+func TestLoadsOfOneModelAreBounded(t *testing.T) {
+	r := newRig(t, 1, facts("a", 1), facts("b", 1), facts("c", 1))
+	r.begin()
+	loads := 0
+	for range 600 {
+		for _, name := range []string{"a", "b", "c"} {
+			effects := r.want(name, 1, 0)
+			effects = append(effects, r.want(name, 0, 0)...)
+			for _, effect := range effects {
+				sent, found := effect.(SendOrder)
+				if !found {
+					continue
+				}
+				if sent.Order.Action == backend.ActionLoad {
+					loads++
+				}
+				r.core.Step(r.now, OrderAnswered{ID: sent.Order.ID, Result: OrderAccepted, Asked: r.asked})
+				r.show("e0", r.apply(sent.Order)...)
+			}
+			r.now = r.now.Add(time.Second)
+		}
+	}
+	// Half an hour of three models that share room for two.
+	if loads > 60 {
+		t.Errorf("%d loads in 30 minutes", loads)
+	}
+}
+
+// apply is what the engine holds after the order.
+func (r *rig) apply(order backend.Order) []fleet.LoadedModel {
+	var models []fleet.LoadedModel
+	for _, loaded := range r.states["e0"].Models {
+		if loaded.Model != order.Model {
+			models = append(models, loaded)
+		}
+	}
+	if order.Action == backend.ActionLoad {
+		models = append(models, ready(order.Model.Model, r.now))
+	}
+	return models
+}
+
+func TestLoadThatNeverEndsIsTriedElsewhere(t *testing.T) {
+	r := newRig(t, 2, facts("a", 1))
+	r.begin()
+	r.show("e0", fleet.LoadedModel{Model: model("a"), State: fleet.LoadLoading, Bytes: 14 * gib})
+	r.expect(r.wait(time.Minute))
+	r.expect(r.wait(2*time.Minute), "unload a e0")
+	r.show("e0")
+	r.expect(r.want("a", 1, 0), "load a e1")
+}
+
+func TestAdapterIsLoadedBesideItsModel(t *testing.T) {
+	r := newRig(t, 1, facts("a", 1))
+	r.core.Step(r.now, CatalogChanged{Models: r.facts, Adapters: []catalog.AdapterFacts{{Adapter: "x", Model: "a", MemoryBytes: gib}}})
+	r.begin()
+	r.show("e0", ready("a", r.now))
+	effects := r.core.Step(r.now, WantsReported{Wants: []fleet.Want{{Model: model("a"), Adapter: "x", Node: "n", Waiting: 1}}})
+	r.expect(effects, "load-adapter a e0")
+}
+
+func TestMemoryOfOrdersInFlightIsNotGivenTwice(t *testing.T) {
+	large := facts("a", 1)
+	large.MemoryBytes = 30 * gib
+	other := facts("b", 1)
+	other.MemoryBytes = 30 * gib
+	r := newRig(t, 1, large, other)
+	r.begin()
+	r.expect(r.want("a", 1, 0), "load a e0")
+	effects := r.want("b", 1, 0)
+	r.expect(effects)
+	refused := false
+	for _, effect := range effects {
+		if refusal, found := effect.(Refuse); found && refusal.Refusal.Model == model("b") && refusal.Refusal.RetryAfter > 0 {
+			refused = true
+		}
+	}
+	if !refused {
+		t.Error("the model without memory was not refused at once")
+	}
+}
