Routing by corrected load; prove the gateway's rules over sockets

Cause: routing believed reports as they came; a resume closed its former connection first, which an engine takes for a cancel; net/http's word that a connection closed before the request was written was not proved to hold for writes still to come.

Change: slots learnt from reports, own starts and ends counted once, old reports scored at the mean and kept from blocking the queue, slow start, prompt blocks, outlier ejection with a cap, own zone with one other drawn beside; the former connection is closed after a resume; a connection is sealed when not-run is claimed, so that no later write can leave.

Ruled out: a dial race that hands the connection of one call to another: the flag is the connection's own, found by GotConn, not the call's.

--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -104,7 +105,7 @@
 	s.setHeader(request.Header, call)
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return nil, &SendError{NeverSent: !used.Load().written(), Err: err}
+		return nil, &SendError{NeverSent: used.Load().seal(), Err: err}
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxServiceAnswerBytes+1))
@@ -149,23 +150,36 @@
 	return &recordedConn{Conn: connection}, nil
 }
 
+// The states of a recordedConn.
+const (
+	connFresh int32 = iota
+	connWritten
+	connSealed
+)
+
+var errSealed = errors.New("the call was given up before it was sent")
+
 // recordedConn remembers whether a write was begun. It hides the connection's
 // ReadFrom, so that every byte passes Write.
 type recordedConn struct {
 	net.Conn
-	began atomic.Bool
+	state atomic.Int32
 }
 
 // Write implements io.Writer.
 func (c *recordedConn) Write(data []byte) (int, error) {
-	c.began.Store(true)
+	c.state.CompareAndSwap(connFresh, connWritten)
+	if c.state.Load() == connSealed {
+		return 0, errSealed
+	}
 	return c.Conn.Write(data)
 }
 
-// written reports whether any byte may have left; a call that got no
-// connection has written nothing.
-func (c *recordedConn) written() bool {
-	return c != nil && c.began.Load()
+// seal reports whether no byte has left, and sees to it that none will: a
+// write that net/http is about to begin fails. A call that got no connection
+// has written nothing.
+func (c *recordedConn) seal() bool {
+	return c == nil || c.state.CompareAndSwap(connFresh, connSealed)
 }
 
 // RetryAfterDuration is the back end's Retry-After, or 0.
--- /dev/null
+++ b/internal/gateway/bench_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/catalog"
+)
+
+// cpuTime is what the process has used, user and system.
+func cpuTime() time.Duration {
+	var used syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &used)
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+// discard is a ResponseWriter that counts flushes, so that only the gateway's
+// own side is measured.
+type discard struct {
+	header  http.Header
+	flushes int
+}
+
+func (d *discard) Header() http.Header            { return d.header }
+func (d *discard) Write(data []byte) (int, error) { return len(data), nil }
+func (d *discard) WriteHeader(int)                {}
+func (d *discard) Flush()                         { d.flushes++ }
+
+// tokenBlock is one write of an engine: in the worst case one token each.
+func benchmarkRelay(b *testing.B, perWrite int) {
+	h := newHarness(b, nil)
+	h.addEngine("e1", h.backend(func(writer http.ResponseWriter, request *http.Request) {
+		engine := scripted{writer, request}
+		id, attempt := engine.header().RequestID, engine.header().Attempt
+		var block []byte
+		for sequence := range b.N {
+			block = fmt.Appendf(block, `data: {"id":%q,"attempt":%d,"sequence":%d,"text":" token"}`+"\n\n", id, attempt, sequence)
+			if (sequence+1)%perWrite == 0 {
+				_, _ = writer.Write(block)
+				writer.(http.Flusher).Flush()
+				block = block[:0]
+			}
+		}
+		_, _ = writer.Write(block)
+		engine.end(b.N)
+	}))
+	request := httptest.NewRequest(http.MethodPost, backend.PathCompletions, strings.NewReader(streamBody))
+	b.ReportAllocs()
+	b.ResetTimer()
+	before := cpuTime()
+	h.gateway.ServeHTTP(&discard{header: http.Header{}}, request)
+	b.ReportMetric(float64((cpuTime()-before).Microseconds())/float64(b.N), "cpu-us/token")
+}
+
+func BenchmarkRelayedTokenAlone(b *testing.B)    { benchmarkRelay(b, 1) }
+func BenchmarkRelayedTokenInBlocks(b *testing.B) { benchmarkRelay(b, 16) }
+
+func BenchmarkPlainCall(b *testing.B) {
+	h := newHarness(b, nil)
+	h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) }))
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		b.Run(method, func(b *testing.B) {
+			b.ReportAllocs()
+			before := cpuTime()
+			for b.Loop() {
+				h.gateway.ServeHTTP(&discard{header: http.Header{}}, httptest.NewRequest(method, "/turbines/7/ping", nil))
+			}
+			b.ReportMetric(float64((cpuTime()-before).Microseconds())/float64(b.N), "cpu-us/call")
+		})
+	}
+}
+
+// BenchmarkWaitingRequest reports the memory that one waiting request holds in
+// the gateway, its connection left out.
+func BenchmarkWaitingRequest(b *testing.B) {
+	const requests = 2000
+	h := newHarness(b, nil)
+	h.catalog.model = catalog.ModelRoute{Selector: "all", Deadline: time.Hour, Versions: h.catalog.model.Versions}
+	body := `{"model":"notes","stream":true,"prompt":"` + strings.Repeat("x", 1000) + `"}`
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		done := make(chan struct{}, requests)
+		for range requests {
+			go func() {
+				request := httptest.NewRequest(http.MethodPost, backend.PathCompletions, strings.NewReader(body))
+				h.gateway.ServeHTTP(&discard{header: http.Header{}}, request)
+				done <- struct{}{}
+			}()
+		}
+		for h.waiting() < requests {
+			runtime.Gosched()
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		used := int64(after.HeapAlloc+after.StackInuse) - int64(before.HeapAlloc+before.StackInuse)
+		b.ReportMetric(float64(used)/requests, "B/waiting")
+		h.gateway.running.cutAll(io.EOF)
+		for range requests {
+			<-done
+		}
+	}
+}
+
+func (h *harness) waiting() int {
+	count := 0
+	for _, want := range h.demand.reported() {
+		count = max(count, want.Waiting)
+	}
+	return count
+}
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -107,6 +107,8 @@
 	assigned map[uint64]assigned
 	timer    *time.Timer
 	timerAt  time.Time
+	// waiting is the number of requests that the gauge shows.
+	waiting int
 }
 
 func startDispatcher(gateway *Gateway) *dispatcher {
@@ -167,15 +169,29 @@
 		s.timerAt = time.Time{}
 		s.stepRouting(now, routing.Tick{})
 		s.stepQueue(now, queue.Tick{})
+		// Reports grow stale and ejections end without a message of their own.
+		for _, line := range s.queue.Lines() {
+			s.offer(now, line.Model)
+		}
 	case *actor.Stopping:
 		s.stopping(now)
 		return
 	default:
 		return
 	}
+	s.gauge()
 	s.arm(now)
 }
 
+// gauge shows the queue; only the models' dispatcher has one in use.
+func (s *dispatcherState) gauge() {
+	if items, bytes := s.queue.Waiting(); items != s.waiting {
+		s.waiting = items
+		s.gateway.metrics.waiting.Set(float64(items))
+		s.gateway.metrics.waitingBytes.Set(float64(bytes))
+	}
+}
+
 // arm sets the timer to the earliest wake of the cores.
 func (s *dispatcherState) arm(now time.Time) {
 	at := earliest(s.queue.NextWake(), s.routing.NextWake())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,6 +142,8 @@
 		return
 	}
 	defer g.running.leave(call)
+	g.metrics.running.Inc()
+	defer g.metrics.running.Dec()
 	current, found := g.catalog()
 	if !found {
 		call.fail(problemNoCatalog)
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -83,9 +83,12 @@
 	})
 }
 
-// connect replaces the link. It returns nil once the stream is open.
+// connect replaces the link. It returns nil once the stream is open. The former
+// link is closed only then: to an engine, a reader that leaves is a cancel.
 func (r *modelRun) connect(number int, open func(context.Context) (*backend.Stream, error)) attempt.Message {
-	r.closeLink()
+	if former := r.link; former != nil {
+		defer former.close()
+	}
 	r.link = newLink(r.request.Context(), number, r.core.NextWake(), r.gateway.now)
 	stream, err := open(r.link.ctx)
 	if err != nil {
--- /dev/null
+++ b/internal/gateway/refusal_test.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/attempt"
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/queue"
+	"github.com/spanlanding/spanlanding/internal/spec"
+)
+
+func TestBadRequestsAreRefusedClearly(t *testing.T) {
+	h := newHarness(t, func(options *Options) { options.Limits.MaxBodyBytes = 4096 })
+	h.catalog.model.ContextTokens = 50
+	tests := map[string]struct {
+		method, path, body string
+		header             []string
+		status             int
+		code               string
+	}{
+		"not JSON":        {"POST", backend.PathChat, "{", nil, 400, codeMalformed},
+		"no object":       {"POST", backend.PathChat, "[]", nil, 400, codeMalformed},
+		"no model":        {"POST", backend.PathChat, "{}", nil, 404, codeNoRoute},
+		"unknown model":   {"POST", backend.PathChat, `{"model":"nope"}`, nil, 404, codeUnknownModel},
+		"no selector":     {"POST", backend.PathChat, `{"model":"notes"}`, []string{headerLabels, "site=nowhere"}, 404, codeNoRoute},
+		"bad labels":      {"POST", backend.PathChat, `{"model":"notes"}`, []string{headerLabels, "site"}, 400, codeMalformed},
+		"long labels":     {"POST", backend.PathChat, `{"model":"notes"}`, []string{headerLabels, "k=" + strings.Repeat("v", 5000)}, 431, codeMalformed},
+		"bad deadline":    {"POST", backend.PathChat, `{"model":"notes"}`, []string{headerDeadline, "soon"}, 400, codeMalformed},
+		"past deadline":   {"POST", backend.PathChat, `{"model":"notes"}`, []string{headerDeadline, "-1s"}, 400, codeMalformed},
+		"body too large":  {"POST", backend.PathChat, `{"model":"` + strings.Repeat("x", 5000) + `"}`, nil, 413, codeBodyTooLarge},
+		"prompt too long": {"POST", backend.PathChat, `{"model":"notes","prompt":"` + strings.Repeat("x", 1000) + `"}`, nil, 400, codeTooLong},
+		"wrong method":    {"GET", backend.PathChat, "", nil, 405, codeMethod},
+		"no such path":    {"POST", "/nothing", "", nil, 404, codeNoRoute},
+		"long key":        {"POST", "/turbines/1/stop", "", []string{backend.HeaderIdempotencyKey, strings.Repeat("k", 300)}, 400, codeMalformed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := h.do(test.method, test.path, test.body, test.header...)
+			if got.status != test.status || got.problem.Code != test.code || got.problem.Outcome != attempt.OutcomeNotRun ||
+				got.problem.RequestID != got.header.Get(backend.HeaderRequestID) {
+				t.Errorf("%d %+v", got.status, got.problem)
+			}
+		})
+	}
+}
+
+func TestBodyThatNeverEndsIsRefused(t *testing.T) {
+	h := newHarness(t, func(options *Options) { options.Limits.BodyTimeout = 50 * time.Millisecond })
+	connection, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{", backend.PathChat)
+	answer, err := io.ReadAll(connection)
+	if err != nil || !strings.Contains(string(answer), "408") || !strings.Contains(string(answer), codeBodyTimeout) {
+		t.Fatalf("%q, %v", answer, err)
+	}
+}
+
+func TestDeadlineIsTightenedButNeverWidened(t *testing.T) {
+	h := newHarness(t, nil)
+	h.catalog.model.Deadline = 80 * time.Millisecond
+	for _, header := range []string{"20ms", "1h", "3600"} {
+		got := h.do(http.MethodPost, backend.PathCompletions, streamBody, headerDeadline, header)
+		if got.status != http.StatusGatewayTimeout || got.problem.Outcome != attempt.OutcomeNotRun || got.header.Get("Retry-After") == "" {
+			t.Errorf("%s: %d %+v", header, got.status, got.problem)
+		}
+	}
+}
+
+func TestModelThatCannotBeLoadedIsRefusedAtOnce(t *testing.T) {
+	h := newHarness(t, nil)
+	done := make(chan response, 1)
+	go func() { done <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
+	for len(h.demand.reported()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	h.demand.refuse([]fleet.LoadRefusal{{Model: testModel, Reason: "no allotment", RetryAfter: 7 * time.Second}})
+	got := <-done
+	if got.problem.Code != string(queue.ReasonCannotLoad) || got.header.Get("Retry-After") != "7" ||
+		got.problem.Outcome != attempt.OutcomeNotRun || got.problem.Detail != "no allotment" {
+		t.Errorf("%d %v %+v", got.status, got.header, got.problem)
+	}
+}
+
+func TestRefusalOfTheEngineIsPassedOn(t *testing.T) {
+	h := newHarness(t, nil)
+	h.addEngine("e1", h.backend(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set(backend.HeaderNotRun, "true")
+		http.Error(writer, "temperature is out of range", http.StatusUnprocessableEntity)
+	}))
+	got := h.do(http.MethodPost, backend.PathCompletions, streamBody)
+	if got.status != http.StatusUnprocessableEntity || got.problem.Outcome != attempt.OutcomeNotRun ||
+		!strings.Contains(got.problem.Detail, "temperature") || got.header.Get(headerAttempts) != "1" {
+		t.Errorf("%d %+v", got.status, got.problem)
+	}
+}
+
+func TestLimitsAreSharedByTheUsableNodes(t *testing.T) {
+	h := newHarness(t, nil)
+	h.catalog.model.Limits = spec.Limits{RequestsPerSecond: 0.02}
+	h.addEngine("e1", h.backend(wholeEngine))
+	h.views.Machines.Set(platform.MachineList{Machines: []platform.Machine{
+		{Role: roleNode, Name: "n1", State: platform.MachineLive}, {Role: roleNode, Name: "n2", State: platform.MachineLive},
+		{Role: roleNode, Name: "n3", State: platform.MachineGone},
+	}})
+	h.wantWhole(h.do(http.MethodPost, backend.PathCompletions, streamBody))
+	got := h.do(http.MethodPost, backend.PathCompletions, streamBody)
+	if got.status != http.StatusTooManyRequests || got.problem.Code != codeRateLimited || got.header.Get("Retry-After") != "100" {
+		t.Errorf("%d %v %+v", got.status, got.header, got.problem)
+	}
+}
+
+func TestLeavingMachineGetsNothingNew(t *testing.T) {
+	h := newHarness(t, nil)
+	h.catalog.model.Deadline = 50 * time.Millisecond
+	h.addEngine("e1", h.backend(wholeEngine))
+	h.wantWhole(h.do(http.MethodPost, backend.PathCompletions, streamBody))
+	h.views.Machines.Set(platform.MachineList{Machines: []platform.Machine{{Role: "engine", Name: "e1", State: platform.MachineLeaving}}})
+	if got := h.do(http.MethodPost, backend.PathCompletions, streamBody); got.status != http.StatusGatewayTimeout {
+		t.Errorf("%d %s", got.status, got.body)
+	}
+}
+
+func TestModelList(t *testing.T) {
+	h := newHarness(t, nil)
+	if got := h.do(http.MethodGet, pathModels, ""); got.status != http.StatusOK || !strings.Contains(got.body, `"id":"notes"`) {
+		t.Errorf("%d %s", got.status, got.body)
+	}
+	if got := h.do(http.MethodGet, pathModels+"/nope", ""); got.status != http.StatusNotFound {
+		t.Errorf("%d %s", got.status, got.body)
+	}
+}
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -1,9 +1,19 @@
 package gateway
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/attempt"
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/claim"
 )
 
 func TestPlainCallGoesToTheService(t *testing.T) {
@@ -18,3 +28,170 @@
 		t.Fatalf("%+v", got)
 	}
 }
+
+// fakeGuard gives one decision and records how attempts ended.
+type fakeGuard struct {
+	decision claim.Decision
+	request  claim.Request
+	outcomes chan claim.Outcome
+}
+
+func newFakeGuard(decision claim.Decision) *fakeGuard {
+	return &fakeGuard{decision: decision, outcomes: make(chan claim.Outcome, 1)}
+}
+
+func (f *fakeGuard) Acquire(_ context.Context, request claim.Request) claim.Decision {
+	f.request = request
+	return f.decision
+}
+
+func (f *fakeGuard) Complete(_ context.Context, _, _ string, outcome claim.Outcome, _ *claim.Answer) {
+	f.outcomes <- outcome
+}
+
+func TestVerdictsOfTheKeepers(t *testing.T) {
+	stored := &claim.Answer{Status: http.StatusAccepted, ContentType: "text/plain", Body: []byte("stopped")}
+	tests := map[string]struct {
+		decision   claim.Decision
+		status     int
+		code       string
+		outcome    attempt.Outcome
+		retryAfter string
+	}{
+		"done":           {claim.Decision{Verdict: claim.Done, Answer: stored}, 202, "", "", ""},
+		"done, not kept": {claim.Decision{Verdict: claim.Done, Answer: &claim.Answer{BodyOmitted: true}}, 409, codeKeyBodyGone, attempt.OutcomeOK, ""},
+		"in progress":    {claim.Decision{Verdict: claim.InProgress, RetryAfter: 2 * time.Second}, 409, codeKeyInProgress, attempt.OutcomeUnknown, "2"},
+		"mismatch":       {claim.Decision{Verdict: claim.Mismatch}, 422, codeKeyMismatch, attempt.OutcomeNotRun, ""},
+		"unknown":        {claim.Decision{Verdict: claim.Unknown}, 409, codeKeyUnknown, attempt.OutcomeUnknown, ""},
+		"no majority":    {claim.Decision{Verdict: claim.NoMajority}, 503, codeKeyNoMajority, attempt.OutcomeNotRun, "1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, func(options *Options) { options.Guard = newFakeGuard(test.decision) })
+			h.addService("s1", h.backend(func(http.ResponseWriter, *http.Request) { t.Error("sent without a grant") }))
+			got := h.do(http.MethodPost, "/turbines/7/stop", "now", backend.HeaderIdempotencyKey, "k")
+			if got.status != test.status || got.problem.Code != test.code || got.problem.Outcome != test.outcome ||
+				got.header.Get("Retry-After") != test.retryAfter {
+				t.Errorf("%d %v %+v", got.status, got.header, got.problem)
+			}
+			if test.status == http.StatusAccepted && got.body != "stopped" {
+				t.Errorf("body %q", got.body)
+			}
+		})
+	}
+}
+
+// TestOutcomesOfACallThatMayNotBeRepeated over real sockets, with and without
+// a key: what the caller and the keepers are told, and how often it was sent.
+func TestOutcomesOfACallThatMayNotBeRepeated(t *testing.T) {
+	tests := map[string]struct {
+		handler http.HandlerFunc
+		status  int
+		outcome attempt.Outcome
+		told    claim.Outcome
+	}{
+		"answers":              {func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(204) }, 204, "", claim.Ran},
+		"fails after running":  {func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(500) }, 500, "", claim.Ran},
+		"closes after reading": {func(http.ResponseWriter, *http.Request) { breakOff() }, 502, attempt.OutcomeUnknown, claim.Uncertain},
+		"refuses before running": {func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set(backend.HeaderNotRun, "true")
+			writer.WriteHeader(503)
+		}, 503, attempt.OutcomeNotRun, claim.NotRun},
+		"nobody listens": {nil, 503, attempt.OutcomeNotRun, claim.NotRun},
+	}
+	for name, test := range tests {
+		for _, key := range []string{"", "k"} {
+			t.Run(name+" "+key, func(t *testing.T) {
+				guard := newFakeGuard(claim.Decision{Verdict: claim.Granted, Attempt: "a1"})
+				h := newHarness(t, func(options *Options) { options.Guard = guard })
+				var sent atomic.Int32
+				address := h.backend(func(writer http.ResponseWriter, request *http.Request) {
+					sent.Add(1)
+					test.handler(writer, request)
+				})
+				want := int32(1)
+				if test.handler == nil {
+					address, want = deadAddress(t), 0
+				}
+				h.addService("s1", address)
+				got := h.do(http.MethodPost, "/turbines/7/stop", "now", backend.HeaderIdempotencyKey, key)
+				if got.status != test.status || got.problem.Outcome != test.outcome || sent.Load() != want {
+					t.Errorf("%d %+v, sent %d times", got.status, got.problem, sent.Load())
+				}
+				if key == "" {
+					return
+				}
+				if told := <-guard.outcomes; told != test.told || guard.request.Key != "turbines/k" || guard.request.Window != time.Minute {
+					t.Errorf("keepers were told %v of %+v", told, guard.request)
+				}
+			})
+		}
+	}
+}
+
+func deadAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func TestRepeatableCallIsMadeElsewhere(t *testing.T) {
+	h := newHarness(t, nil)
+	h.addService("s1", deadAddress(t))
+	h.addService("s2", h.backend(func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write([]byte("slots")) }))
+	for range 4 {
+		if got := h.do(http.MethodGet, "/turbines/slots", ""); got.status != http.StatusOK || got.body != "slots" {
+			t.Fatalf("%d %s", got.status, got.body)
+		}
+	}
+}
+
+// TestCallerThatGoesAwayDoesNotUndoACommand: what became of the command is
+// still learnt and told to the keepers.
+func TestCallerThatGoesAwayDoesNotUndoACommand(t *testing.T) {
+	guard := newFakeGuard(claim.Decision{Verdict: claim.Granted, Attempt: "a1"})
+	h := newHarness(t, func(options *Options) { options.Guard = guard })
+	ctx, stop := context.WithCancel(t.Context())
+	h.addService("s1", h.backend(func(writer http.ResponseWriter, request *http.Request) {
+		stop()
+		select {
+		case <-request.Context().Done():
+			t.Error("the command was cut")
+		case <-time.After(100 * time.Millisecond):
+		}
+		writer.WriteHeader(http.StatusNoContent)
+	}))
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, h.server.URL+"/turbines/7/stop", nil)
+	request.Header.Set(backend.HeaderIdempotencyKey, "k")
+	_, _ = http.DefaultTransport.RoundTrip(request)
+	if told := <-guard.outcomes; told != claim.Ran {
+		t.Errorf("keepers were told %v", told)
+	}
+}
+
+// TestCommandDoesNotWaitBehindReports: the queue is full of model requests
+// that no replica serves.
+func TestCommandDoesNotWaitBehindReports(t *testing.T) {
+	h := newHarness(t, func(options *Options) { options.Queue.MaxItems = 4 })
+	h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) }))
+	waiting, stopWaiting := context.WithCancel(t.Context())
+	defer stopWaiting()
+	for range 8 {
+		go func() {
+			request, _ := http.NewRequestWithContext(waiting, http.MethodPost, h.server.URL+backend.PathCompletions, strings.NewReader(streamBody))
+			if answer, err := http.DefaultTransport.RoundTrip(request); err == nil {
+				_ = answer.Body.Close()
+			}
+		}()
+	}
+	for len(h.demand.reported()) == 0 {
+		runtime.Gosched()
+	}
+	if got := h.do(http.MethodPost, "/turbines/7/stop", ""); got.status != http.StatusNoContent {
+		t.Errorf("%d %s", got.status, got.body)
+	}
+}
--- a/internal/routing/circuit.go
+++ b/internal/routing/circuit.go
@@ -42,6 +42,10 @@
 }
 
 func (c *circuit) fail(now time.Time, unreachable bool, random *rand.Rand) {
+	if c.openUntil.After(now) {
+		// Attempts begun before it opened tell nothing new.
+		return
+	}
 	c.probing = false
 	c.failures++
 	if !unreachable && c.failures < circuitFailures {
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -11,18 +11,21 @@
 	candidates, known := c.filter(now, c.byModel[pick.Model])
 	candidates = slices.DeleteFunc(candidates, func(t *target) bool { return !t.hasAdapter(pick.Model, pick.Adapter) })
 	candidates = avoid(candidates, pick.Exclude)
-	chosen := c.bestOfTwo(candidates, func(t *target) time.Duration { return c.score(now, t, pick) })
+	scorer := scorer{core: c, now: now, pick: pick, meanLoad: c.meanFreshLoad(now, candidates)}
+	chosen := best(c.draw(candidates, scorer), scorer.score)
+	if chosen != nil {
+		chosen.prefixes.add(pick.Prefix)
+	}
 	c.take(now, pick.Ticket, pick.Model, chosen, known)
 }
 
 func (c *Core) pickService(now time.Time, pick PickService) {
 	candidates, known := c.filter(now, c.byService[pick.Service])
 	candidates = avoid(candidates, pick.Exclude)
-	own := slices.DeleteFunc(slices.Clone(candidates), func(t *target) bool { return t.backend.Zone != c.options.Zone })
-	if len(own) > 0 {
+	if own, _ := c.byZone(candidates); len(own) > 0 {
 		candidates = own
 	}
-	chosen := c.bestOfTwo(candidates, func(t *target) time.Duration { return time.Duration(t.flying) })
+	chosen := best(c.two(candidates), func(t *target) time.Duration { return time.Duration(len(t.starts)) })
 	c.take(now, pick.Ticket, fleet.ModelVersion{}, chosen, known)
 }
 
@@ -37,7 +40,7 @@
 			candidates = append(candidates, target)
 		}
 	}
-	return candidates, known
+	return c.withoutOutliers(now, candidates), known
 }
 
 // avoid takes out the excluded targets, unless no other is left.
@@ -55,6 +58,9 @@
 }
 
 func (c *Core) isLeaving(target *target) bool {
+	if c.options.Defects.IgnoreLeaving {
+		return false
+	}
 	return target.backend.Leaving || c.leaving[target.backend.Name]
 }
 
@@ -66,111 +72,65 @@
 	_, probe := chosen.circuit.allows(now)
 	chosen.circuit.probing = probe
 	chosen.started(now)
-	c.flights[ticket] = &flight{target: chosen, model: model, started: now, probe: probe}
+	c.flights[ticket] = &flight{target: chosen, model: model, started: now}
 	c.emit(Picked{Ticket: ticket, Backend: chosen.backend, Probe: probe})
 }
 
-// bestOfTwo draws two targets and takes the one with the lower score, so that
-// nodes with the same stale reports do not all choose the same back end.
-func (c *Core) bestOfTwo(candidates []*target, score func(*target) time.Duration) *target {
-	switch len(candidates) {
-	case 0:
-		return nil
-	case 1:
-		return candidates[0]
-	}
-	first := c.random.IntN(len(candidates))
-	second := c.random.IntN(len(candidates) - 1)
-	if second >= first {
-		second++
-	}
-	if score(candidates[second]) < score(candidates[first]) {
-		return candidates[second]
+func (c *Core) byZone(candidates []*target) (own, others []*target) {
+	for _, candidate := range candidates {
+		if candidate.backend.Zone == c.options.Zone {
+			own = append(own, candidate)
+		} else {
+			others = append(others, candidate)
+		}
 	}
-	return candidates[first]
+	return own, others
 }
 
-// score estimates the time until the first token.
-func (c *Core) score(now time.Time, target *target, pick Pick) time.Duration {
-	load := float64(target.load(c.options.ReportLag))
-	slots := float64(c.slots(now, target))
-	score := time.Duration(load / slots * float64(fullEngineCost))
-	if target.backend.Zone != c.options.Zone {
-		score += c.options.OtherZoneCost
+// draw takes two candidates of the own zone, one of the others, and the one
+// that likely holds most of the prompt. Drawing keeps nodes with the same
+// stale reports from all choosing the same back end.
+func (c *Core) draw(candidates []*target, scorer scorer) []*target {
+	if c.options.Defects.FirstBest {
+		return candidates
 	}
-	return score
-}
-
-// fullEngineCost is the added time to the first token at an engine whose slots
-// are all taken.
-const fullEngineCost = 200 * time.Millisecond
-
-func (c *Core) slots(now time.Time, target *target) int {
-	return c.options.EngineSlots
-}
-
-// Room is what one ready replica can take.
-type Room struct {
-	Name     fleet.BackendName
-	Free     int
-	Adapters []fleet.AdapterName
-}
-
-// Rooms is what the replicas of one model can take.
-type Rooms struct {
-	// Ready counts the replicas that do not leave, Slots what those that may
-	// be sent to now run at a time.
-	Ready int
-	Slots int
-	Rooms []Room
-}
-
-// Rooms returns the room at each replica of the model.
-func (c *Core) Rooms(now time.Time, model fleet.ModelVersion) Rooms {
-	var rooms Rooms
-	for _, target := range c.byModel[model] {
-		if !c.isLeaving(target) {
-			rooms.Ready++
-		}
+	own, others := c.byZone(candidates)
+	var drawn []*target
+	switch {
+	case len(own) == 0:
+		drawn = c.two(others)
+	case len(others) == 0:
+		drawn = c.two(own)
+	default:
+		drawn = append(c.two(own), others[c.random.IntN(len(others))])
 	}
-	candidates, _ := c.filter(now, c.byModel[model])
-	for _, target := range candidates {
-		capacity := c.slots(now, target)
-		rooms.Slots += capacity
-		free := capacity - target.load(c.options.ReportLag)
-		if _, probe := target.circuit.allows(now); probe {
-			free = min(free, 1)
-		}
-		rooms.Rooms = append(rooms.Rooms, Room{Name: target.backend.Name, Free: max(0, free),
-			Adapters: target.engine.Find(model).Adapters})
+	if holder := scorer.longestMatch(candidates); holder != nil {
+		drawn = append(drawn, holder)
 	}
-	return rooms
-}
-
-// Weighted is one choice with its share.
-type Weighted struct {
-	Model  fleet.ModelVersion
-	Weight int
+	return drawn
 }
 
-// ChooseVersion draws one of the versions by weight.
-func (c *Core) ChooseVersion(versions []Weighted) fleet.ModelVersion {
-	total := 0
-	for _, version := range versions {
-		total += max(0, version.Weight)
+// two draws two different targets, or takes all that there are.
+func (c *Core) two(candidates []*target) []*target {
+	if len(candidates) <= 2 {
+		return slices.Clone(candidates)
 	}
-	if total == 0 {
-		if len(versions) == 0 {
-			return fleet.ModelVersion{}
-		}
-		return versions[0].Model
+	first := c.random.IntN(len(candidates))
+	second := c.random.IntN(len(candidates) - 1)
+	if second >= first {
+		second++
 	}
-	drawn := c.random.IntN(total)
-	for _, version := range versions {
-		drawn -= max(0, version.Weight)
-		if drawn < 0 {
-			return version.Model
+	return []*target{candidates[first], candidates[second]}
+}
+
+// best returns the target with the lowest score, among equals the first.
+func best(drawn []*target, score func(*target) time.Duration) *target {
+	var chosen *target
+	var lowest time.Duration
+	for _, candidate := range drawn {
+		if its := score(candidate); chosen == nil || its < lowest {
+			chosen, lowest = candidate, its
 		}
 	}
-	return versions[len(versions)-1].Model
+	return chosen
 }
--- /dev/null
+++ b/internal/routing/rooms.go
@@ -0,0 +1,84 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// Room is what one ready replica can take.
+type Room struct {
+	Name     fleet.BackendName
+	Free     int
+	Adapters []fleet.AdapterName
+}
+
+// Rooms is what the replicas of one model can take.
+type Rooms struct {
+	// Ready counts the replicas that do not leave, Slots what those that may
+	// be sent to now run at a time.
+	Ready int
+	Slots int
+	Rooms []Room
+}
+
+// Rooms returns the room at each replica of the model.
+func (c *Core) Rooms(now time.Time, model fleet.ModelVersion) Rooms {
+	var rooms Rooms
+	for _, target := range c.byModel[model] {
+		if !c.isLeaving(target) {
+			rooms.Ready++
+		}
+	}
+	candidates, _ := c.filter(now, c.byModel[model])
+	for _, target := range candidates {
+		rooms.Slots += target.slots
+		free := c.free(now, target)
+		if _, probe := target.circuit.allows(now); probe {
+			free = min(free, 1)
+		}
+		rooms.Rooms = append(rooms.Rooms, Room{Name: target.backend.Name, Free: free,
+			Adapters: target.engine.Find(model).Adapters})
+	}
+	return rooms
+}
+
+// staleShare is the part of its slots that a node may use of an engine whose
+// report is old: a report that no longer comes must not keep requests waiting.
+const staleShare = 4
+
+func (c *Core) free(now time.Time, target *target) int {
+	free := max(0, target.slots-target.load(c.options))
+	if c.isStale(now, target) {
+		free = max(free, max(1, target.slots/staleShare)-len(target.starts))
+	}
+	return free
+}
+
+// Weighted is one choice with its share.
+type Weighted struct {
+	Model  fleet.ModelVersion
+	Weight int
+}
+
+// ChooseVersion draws one of the versions by weight.
+func (c *Core) ChooseVersion(versions []Weighted) fleet.ModelVersion {
+	total := 0
+	for _, version := range versions {
+		total += max(0, version.Weight)
+	}
+	if total == 0 {
+		if len(versions) == 0 {
+			return fleet.ModelVersion{}
+		}
+		return versions[0].Model
+	}
+	drawn := c.random.IntN(total)
+	for _, version := range versions {
+		drawn -= max(0, version.Weight)
+		if drawn < 0 {
+			return version.Model
+		}
+	}
+	return versions[len(versions)-1].Model
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -27,6 +27,22 @@
 	OtherZoneCost time.Duration
 	// PrefillSaved is the time saved by each prompt block in the cache.
 	PrefillSaved time.Duration
+	// MaxEjectedShare is the part of the replicas of a model, or of the back
+	// ends of a service, that may be ejected as outliers at a time.
+	MaxEjectedShare float64
+	Defects         Defects
+}
+
+// Defects are faults to plant. Only tests and the simulator set them.
+type Defects struct {
+	// TrustReports leaves out the node's own requests in flight.
+	TrustReports bool
+	// IgnoreLeaving picks back ends that leave.
+	IgnoreLeaving bool
+	// NoEjectionCap ejects every outlier.
+	NoEjectionCap bool
+	// FirstBest takes the best of all by score in place of the best of two.
+	FirstBest bool
 }
 
 // Defaults of Options.
@@ -37,6 +53,8 @@
 	DefaultSlowStart     = 5 * time.Second
 	DefaultOtherZoneCost = 3 * time.Millisecond
 	DefaultPrefillSaved  = 2 * time.Millisecond
+
+	DefaultMaxEjectedShare = 0.34
 )
 
 func (o Options) withDefaults() Options {
@@ -46,6 +64,7 @@
 	o.SlowStart = cmp.Or(o.SlowStart, DefaultSlowStart)
 	o.OtherZoneCost = cmp.Or(o.OtherZoneCost, DefaultOtherZoneCost)
 	o.PrefillSaved = cmp.Or(o.PrefillSaved, DefaultPrefillSaved)
+	o.MaxEjectedShare = cmp.Or(o.MaxEjectedShare, DefaultMaxEjectedShare)
 	return o
 }
 
@@ -54,7 +73,6 @@
 	target  *target
 	model   fleet.ModelVersion
 	started time.Time
-	probe   bool
 }
 
 // Core is the routing of one node.
@@ -97,9 +115,7 @@
 	case PickService:
 		c.pickService(now, message)
 	case FirstToken:
-		if flight, found := c.flights[message.Ticket]; found {
-			flight.target.circuit.succeed()
-		}
+		c.firstToken(now, message)
 	case Ended:
 		c.ended(now, message)
 	case Tick:
@@ -129,16 +145,15 @@
 	for _, table := range tables {
 		for _, engine := range table.Engines {
 			seen[engine.Name] = true
-			c.target(engine.Name).takeEngine(now, engine)
+			c.target(engine.Name).takeEngine(now, engine, c.options)
 		}
 		for _, service := range table.Services {
 			seen[service.Name] = true
 			c.target(service.Name).backend = service
 		}
 	}
-	for name, target := range c.targets {
+	for name := range c.targets {
 		if !seen[name] {
-			target.gone = true
 			delete(c.targets, name)
 		}
 	}
@@ -152,7 +167,7 @@
 	if known, found := c.targets[name]; found {
 		return known
 	}
-	created := newTarget()
+	created := &target{}
 	c.targets[name] = created
 	return created
 }
@@ -196,6 +211,16 @@
 	}
 }
 
+func (c *Core) firstToken(now time.Time, message FirstToken) {
+	flight, found := c.flights[message.Ticket]
+	if !found {
+		return
+	}
+	flight.target.circuit.succeed()
+	flight.target.health.addFirstToken(message.After)
+	c.judgeSpeed(now, flight)
+}
+
 func (c *Core) ended(now time.Time, ended Ended) {
 	flight, found := c.flights[ended.Ticket]
 	if !found {
@@ -203,13 +228,18 @@
 	}
 	delete(c.flights, ended.Ticket)
 	target := flight.target
-	target.ended(now, flight)
+	target.ended(now, flight.started, c.options.ReportLag)
 	switch ended.Result {
 	case ResultOK:
 		target.circuit.succeed()
+		target.health.addResult(now, false)
 	case ResultFailed, ResultUnreachable:
 		target.circuit.fail(now, ended.Result == ResultUnreachable, c.random)
-	case ResultRefused, ResultAbandoned:
+		target.health.addResult(now, true)
+	case ResultRefused:
+		// Said before anything ran: the table may lag behind the back end.
+		target.circuit.fail(now, false, c.random)
+	case ResultAbandoned:
 		target.circuit.release()
 	}
 	if !flight.model.IsZero() {
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -15,51 +15,113 @@
 	// clocks of engines are not relied on.
 	reported time.Time
 	circuit  circuit
-	// starts and ends are the node's own attempts that the report may not
-	// show yet.
+	health   health
+	prefixes prefixMemory
+	// slots is the number of requests that the engine runs at a time, as far
+	// as its reports have shown.
+	slots int
+	// starts are the node's own attempts in flight, oldest first. ends are
+	// those over that the report may still count.
 	starts []time.Time
 	ends   []time.Time
-	flying int
-	gone   bool
+	// ready is when a model was first seen ready; zero where it was so when
+	// the target became known.
+	ready map[fleet.ModelVersion]time.Time
 }
 
-func newTarget() *target {
-	return &target{}
-}
-
-func (t *target) takeEngine(now time.Time, engine fleet.EngineState) {
-	fresh := !engine.Report.AsOf.Equal(t.engine.Report.AsOf) || engine.Incarnation != t.engine.Incarnation
-	if engine.Incarnation != t.engine.Incarnation {
-		t.circuit = circuit{}
+func (t *target) takeEngine(now time.Time, engine fleet.EngineState, options Options) {
+	known := !t.reported.IsZero()
+	restarted := engine.Incarnation != t.engine.Incarnation
+	if restarted {
+		t.circuit, t.health, t.prefixes = circuit{}, health{}, prefixMemory{}
+	}
+	t.noteReady(now, engine, known)
+	if restarted || !known || !engine.Report.AsOf.Equal(t.engine.Report.AsOf) {
+		t.reported = now
+		t.learnSlots(engine.Report, options.EngineSlots)
+		since := t.reported.Add(-options.ReportLag)
+		t.ends = slices.DeleteFunc(t.ends, func(at time.Time) bool { return at.Before(since) })
 	}
 	t.backend = engine.Backend
 	t.engine = engine
-	if fresh || t.reported.IsZero() {
-		t.reported = now
+}
+
+// noteReady remembers when each model became ready here.
+func (t *target) noteReady(now time.Time, engine fleet.EngineState, known bool) {
+	former := t.ready
+	t.ready = make(map[fleet.ModelVersion]time.Time, len(engine.Models))
+	for _, loaded := range engine.Models {
+		if loaded.State != fleet.LoadReady {
+			continue
+		}
+		since, seen := former[loaded.Model]
+		if !seen && known {
+			since = now
+		}
+		t.ready[loaded.Model] = since
+	}
+}
+
+// learnSlots takes an engine with a line of its own to be full, and one
+// without a line to have room for some more.
+func (t *target) learnSlots(report fleet.LoadReport, initial int) {
+	if t.slots == 0 {
+		t.slots = initial
+	}
+	switch {
+	case report.Waiting > 0 && report.Running > 0:
+		t.slots = report.Running
+	case report.Running >= t.slots:
+		t.slots = report.Running + slotGrowth
 	}
 }
 
+// slotGrowth is how many slots more an engine is believed to have when it
+// runs all that were believed and nothing waits.
+const slotGrowth = 2
+
 func (t *target) started(now time.Time) {
-	t.flying++
 	t.starts = append(t.starts, now)
 }
 
-func (t *target) ended(now time.Time, flight *flight) {
-	t.flying--
-	t.ends = append(t.ends, now)
+// ended takes an own attempt out. Only one that began before the report was
+// made is still counted by the report.
+func (t *target) ended(now, started time.Time, lag time.Duration) {
+	if at := slices.IndexFunc(t.starts, started.Equal); at >= 0 {
+		t.starts = slices.Delete(t.starts, at, at+1)
+	}
+	if started.Before(t.reported.Add(-lag)) && len(t.ends) < t.engine.Report.Running+t.engine.Report.Waiting {
+		t.ends = append(t.ends, now)
+	}
 }
 
 // load is the number of requests at the engine: its report, corrected by the
 // node's own starts and ends that the report cannot show yet.
-func (t *target) load(lag time.Duration) int {
-	since := t.reported.Add(-lag)
-	before := func(at time.Time) bool { return at.Before(since) }
-	t.starts = slices.DeleteFunc(t.starts, before)
-	t.ends = slices.DeleteFunc(t.ends, before)
-	load := t.engine.Report.Running + t.engine.Report.Waiting + len(t.starts) - len(t.ends)
-	return max(load, t.flying)
+func (t *target) load(options Options) int {
+	reported := t.engine.Report.Running + t.engine.Report.Waiting
+	if options.Defects.TrustReports {
+		return reported
+	}
+	since := t.reported.Add(-options.ReportLag)
+	recent := len(t.starts)
+	for recent > 0 && t.starts[len(t.starts)-recent].Before(since) {
+		recent--
+	}
+	return max(reported+recent-len(t.ends), len(t.starts))
 }
 
+// ramp is the share of its slots that a fresh replica is scored by.
+func (t *target) ramp(now time.Time, model fleet.ModelVersion, slowStart time.Duration) float64 {
+	since := t.ready[model]
+	if since.IsZero() {
+		return 1
+	}
+	return min(1, max(minRamp, float64(now.Sub(since))/float64(slowStart)))
+}
+
+// minRamp is the share that a replica begins with.
+const minRamp = 0.2
+
 func (t *target) hasAdapter(model fleet.ModelVersion, adapter fleet.AdapterName) bool {
 	if adapter == "" {
 		return true
