--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -150,6 +150,15 @@
 	return &recordedConn{Conn: connection}, nil
 }
 
+// The states of a recordedConn.
+const (
+	connFresh int32 = iota
+	connWritten
+	connSealed
+)
+
+var errSealed = errors.New("the call was given up before it was sent")
+
 // recordedConn remembers whether a write was begun. It hides the connection's
 // ReadFrom, so that every byte passes Write.
 type recordedConn struct {
@@ -157,32 +166,20 @@
 	state atomic.Int32
 }
 
-// The states of a recordedConn. It leaves connUnused once and for all.
-const (
-	connUnused int32 = iota
-	connWritten
-	connSealed
-)
-
-var errSealed = errors.New("the call was given up before anything was sent")
-
 // Write implements io.Writer.
 func (c *recordedConn) Write(data []byte) (int, error) {
-	c.state.CompareAndSwap(connUnused, connWritten)
+	c.state.CompareAndSwap(connFresh, connWritten)
 	if c.state.Load() == connSealed {
 		return 0, errSealed
 	}
 	return c.Conn.Write(data)
 }
 
-// seal reports whether no byte has left, and then lets none leave any more:
-// net/http may return an error while the write of the request is still to
-// come. A call that got no connection has written nothing.
+// seal reports whether no byte has left, and sees to it that none will: a
+// write that net/http is about to begin fails. A call that got no connection
+// has written nothing.
 func (c *recordedConn) seal() bool {
-	if c == nil {
-		return true
-	}
-	return c.state.CompareAndSwap(connUnused, connSealed)
+	return c == nil || c.state.CompareAndSwap(connFresh, connSealed)
 }
 
 // RetryAfterDuration is the back end's Retry-After, or 0.
