Begin the load only when the fleet knows the back ends it was started with

Cause: the machine list lags and was still empty at the start, so that waiting for what it listed waited for nothing, and faults found no back end. Ruled out: a fault of the injector's plan, tried with made-up machines.

A test demands that faults come to the listed back ends.

--- a/cmd/spanlab/load.go
+++ b/cmd/spanlab/load.go
@@ -35,7 +35,8 @@
 			&cli.StringFlag{Name: "profile", Value: "fjordkurv", Usage: "fjordkurv or holmgaard"},
 			&cli.FloatFlag{Name: "rate", Value: 30, Usage: "mean requests a second of the steady traffic"},
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "how long requests are sent"},
-			&cli.DurationFlag{Name: "ready", Value: 15 * time.Second, Usage: "how long to wait until every node knows every back end"},
+			&cli.IntFlag{Name: "backends", Value: 1, Usage: "back ends that every node must know before the load begins"},
+			&cli.DurationFlag{Name: "ready", Value: 15 * time.Second, Usage: "how long to wait for that"},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the arrivals; drawn and printed if not set"},
 			&cli.BoolFlag{Name: "check", Usage: "fail if a rule was broken"},
 			&cli.BoolFlag{Name: "every-rule", Usage: "with --check, fail also if a rule was not exercised"},
@@ -64,7 +65,7 @@
 		Nodes: command.StringSlice("nodes"), Platform: platformURL(command.String("platform")),
 		Operators: command.StringSlice("operators"), Books: command.StringSlice("books"), Profile: command.String("profile"),
 		Rate: command.Float("rate"), Duration: command.Duration("duration"), Seed: seed,
-		Ready:  command.Duration("ready"),
+		Backends: command.Int("backends"), Ready: command.Duration("ready"),
 		Faults: kinds, FaultLog: command.String("fault-log"), HistoryFile: command.String("history"),
 		Announce: printer.moment, Progress: printer.progress,
 	})
--- a/internal/lab/scenario/ready.go
+++ b/internal/lab/scenario/ready.go
@@ -24,13 +24,9 @@
 	} `json:"zones"`
 }
 
-// awaitReady returns once every node knows as many back ends as the machine
-// list has live ones, or an error that says what the first node lacks. Without
-// operators' addresses or a limit it returns at once.
+// awaitReady returns once the machine list and every node have the back ends,
+// or an error that says what they lack.
 func awaitReady(ctx context.Context, options Options) error {
-	if options.Ready <= 0 {
-		return nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, options.Ready)
 	defer cancel()
 	for {
@@ -50,6 +46,9 @@
 		return []error{err}
 	}
 	var lacking []error
+	if listed < options.Backends {
+		lacking = append(lacking, fmt.Errorf("the platform lists %d of %d back ends", listed, options.Backends))
+	}
 	for _, address := range options.Operators {
 		var status knownBackends
 		if err := getJSON(ctx, "http://"+address+"/status", &status); err != nil {
@@ -60,8 +59,8 @@
 		for _, zone := range status.Zones {
 			known += zone.Engines + zone.Services
 		}
-		if known < listed {
-			lacking = append(lacking, fmt.Errorf("%s knows %d of %d back ends", address, known, listed))
+		if known < options.Backends {
+			lacking = append(lacking, fmt.Errorf("%s knows %d of %d back ends", address, known, options.Backends))
 		}
 	}
 	return lacking
--- a/internal/lab/scenario/reference_test.go
+++ b/internal/lab/scenario/reference_test.go
@@ -56,7 +56,7 @@
 	mux.HandleFunc("GET /status", func(writer http.ResponseWriter, _ *http.Request) {
 		r.mutex.Lock()
 		defer r.mutex.Unlock()
-		fmt.Fprintf(writer, `{"node":%q,"configVersion":%d}`, node, r.version)
+		fmt.Fprintf(writer, `{"node":%q,"configVersion":%d,"zones":[{"engines":2,"services":1}]}`, node, r.version)
 	})
 	return mux
 }
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -30,9 +30,10 @@
 	Rate     float64
 	Duration time.Duration
 	Seed     uint64
-	// Ready is how long to wait until every node knows every back end; zero
-	// for not at all.
-	Ready time.Duration
+	// Backends is how many back ends the platform must list and every node must
+	// know before the load begins, Ready how long to wait for that.
+	Backends int
+	Ready    time.Duration
 	// Faults are brought about at the stand-ins while the load runs.
 	Faults []inject.Kind
 	// FaultLog is where whoever else brings faults about notes them; see
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/spanlanding/spanlanding/internal/lab/check"
+	"github.com/spanlanding/spanlanding/internal/lab/inject"
 	"github.com/spanlanding/spanlanding/internal/lab/report"
 )
 
@@ -17,7 +18,7 @@
 	nodes, platformURL := startReference(t, wrong)
 	var seen []Moment
 	summary, err := Run(t.Context(), Options{
-		Nodes: nodes, Operators: nodes, Platform: platformURL, Profile: "fjordkurv",
+		Nodes: nodes, Operators: nodes, Platform: platformURL, Profile: "fjordkurv", Backends: 3, Ready: time.Minute,
 		Rate: 60, Duration: 2 * time.Second, Seed: 1,
 		HistoryFile: filepath.Join(t.TempDir(), "history.jsonl"),
 		Announce:    func(moment Moment) { seen = append(seen, moment) },
@@ -68,3 +69,28 @@
 		})
 	}
 }
+
+// TestFaultsReachTheBackEnds demands that faults come to the listed back ends
+// too, and that the reference fleet's command server is found down by callers.
+func TestFaultsReachTheBackEnds(t *testing.T) {
+	t.Parallel()
+	nodes, platformURL := startReference(t, defects{})
+	summary, err := Run(t.Context(), Options{
+		Nodes: nodes, Operators: nodes, Platform: platformURL, Profile: "fjordkurv", Backends: 3, Ready: time.Minute,
+		Rate: 20, Duration: time.Second, Seed: 1, Faults: []inject.Kind{"engine-slow", "service-loses-answers"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var seen []string
+	for _, fault := range summary.Faults {
+		seen = append(seen, string(fault.Kind)+" "+fault.Detail)
+	}
+	slices.Sort(seen)
+	expected := []string{
+		"cleared engine-slow", "cleared service-loses-answers", "injected engine-slow", "injected service-loses-answers",
+	}
+	if difference := cmp.Diff(expected, seen); difference != "" {
+		t.Error(difference)
+	}
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -249,10 +249,11 @@
   esac
 }
 
+backends=$((${#zones[@]} * (engines_per_zone + ${#services[@]})))
 say "load for $duration at $rate requests a second, seed $seed"
 mkfifo "$work/moments"
 ./bin/spanlab load --nodes "$(joined "${callers[@]}")" --operators "$(joined "${operators[@]}")" \
-  --platform "$platform" --profile "$profile" \
+  --platform "$platform" --profile "$profile" --backends "$backends" \
   --rate "$rate" --duration "$duration" --seed "$seed" --check --every-rule --faults "$stand_in_faults" --fault-log "$faults" \
   --history "$work/history.jsonl" -o "$output" >"$work/summary" 2>"$work/moments" &
 load=$!
