--- a/internal/configsync/spread.go
+++ b/internal/configsync/spread.go
@@ -81,8 +81,9 @@
 
 func (c *Core) pushReceived(now time.Time, message PushReceived) {
 	if gap := c.take(now, message.Push.Changes, false); gap {
-		from, found := c.peerNamed(message.From)
-		c.sendDigest(from, found, false)
+		if from, found := c.peerNamed(message.From); found {
+			c.sendDigest(from, false)
+		}
 	}
 	c.emit(AnswerPush{Call: message.Call, Version: c.objects.version})
 }
@@ -102,8 +103,9 @@
 		return
 	}
 	c.spread.digestAt = now.Add(c.digestInterval(c.objects.loaded))
-	member, found := c.drawPeer(c.objects.loaded)
-	c.sendDigest(member, found, false)
+	if member, found := c.drawPeer(c.objects.loaded); found {
+		c.sendDigest(member, false)
+	}
 }
 
 func (c *Core) digestInterval(loaded bool) time.Duration {
@@ -150,10 +152,7 @@
 	return c.peerNamed(readers[c.random.IntN(len(readers))])
 }
 
-func (c *Core) sendDigest(to fleet.Member, found bool, wantAll bool) {
-	if !found {
-		return
-	}
+func (c *Core) sendDigest(to fleet.Member, wantAll bool) {
 	c.emit(SendDigest{To: to, Digest: Digest{
 		Space:   SpaceObjects,
 		Version: c.objects.version,
@@ -222,8 +221,8 @@
 	}
 	c.spread.fullMergeAt = now.Add(c.options.FullMergeInterval)
 	c.emit(Diverged{Peer: from.Name, Version: c.objects.version})
-	if !answer.Full {
-		c.sendDigest(from, found, true)
+	if found && !answer.Full {
+		c.sendDigest(from, true)
 	}
 }
 
