--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -83,6 +83,9 @@
 	}
 	reply := k.vote(state, request)
 	reply.Slot = state.slot
+	if k.options.Defects.IgnoresVersion {
+		reply.Slot = request.Slot
+	}
 	return reply
 }
 
