Measure what control costs as the fleet grows, with hollow nodes

Cause: nothing showed which part of a node's cost grows with what.

Change: spanlab scale runs whole nodes, several in one process, over real sockets beside a hollow platform and hollow engines, changes one property of the fleet at a time over four values, and fits a line through each figure of each role; text, JSON and CSV. Processor time is the process's, shared out by the labels of a profile.

Ruled out: dividing the process's time by the nodes, which counts the engines and the load too and cannot tell roles apart.

--- a/cmd/spanlab/main.go
+++ b/cmd/spanlab/main.go
@@ -20,6 +20,7 @@
 			serviceCommand(),
 			loadCommand(),
 			experimentCommand(),
+			scaleCommand(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
--- a/internal/node/labels.go
+++ b/internal/node/labels.go
@@ -5,6 +5,7 @@
 	"runtime/pprof"
 
 	"github.com/asynkron/protoactor-go/actor"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/views"
@@ -25,8 +26,8 @@
 	partClaims     = "claims"
 	partPeers      = "peer"
 	partOperators  = "operator"
-	// partCallers is the requests' path and all else.
-	partCallers = "caller"
+	// PartCallers is the requests' path and all that is no control.
+	PartCallers = "caller"
 )
 
 func partLabels(name fleet.NodeName, part string) pprof.LabelSet {
@@ -57,3 +58,6 @@
 
 // Views are what the node's shells publish. Readers must not set them.
 func (n *Node) Views() *views.Views { return n.views }
+
+// Metrics are the node's own figures.
+func (n *Node) Metrics() prometheus.Gatherer { return n.metrics }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	node := newNode(settings, logger)
-	pprof.Do(context.Background(), partLabels(settings.Name, partCallers), func(context.Context) {
+	pprof.Do(context.Background(), partLabels(settings.Name, PartCallers), func(context.Context) {
 		node.startShells(bound)
 		node.startServers(bound)
 	})
@@ -154,7 +154,7 @@
 		Claims:  n.claims.Server(),
 	})))
 	n.servers.serve(partOperators, bound.operator, operator.NewHandler(source{node: n}, n.metrics))
-	n.servers.serve(partCallers, bound.caller, n.gateway)
+	n.servers.serve(PartCallers, bound.caller, n.gateway)
 }
 
 // Drain begins a planned stop: the peers are told, new requests are refused,
