--- a/cmd/spanlab/main.go
+++ b/cmd/spanlab/main.go
@@ -21,6 +21,7 @@
 			loadCommand(),
 			experimentCommand(),
 			simulateCommand(),
+			scaleCommand(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
