Tell the zone that holds a model of its use elsewhere; tell the decider what waits in vain

Cause: a model used only from another zone looked idle to the leader that holds it; wants that no zone could serve stayed with the zone's own leader; two nodes that took each other for the leader passed wants back and forth. Change: arrivals for models without allotment go to the zones that have it every two seconds; refused wants go to the decider, which moves an idle replica; wants from the own zone are not passed on again.

--- a/internal/control/candidacy.go
+++ b/internal/control/candidacy.go
@@ -25,29 +25,26 @@
 
 func (c *Core) setMembers(members []fleet.Member) {
 	clear(c.members)
+	clear(c.usable)
 	for _, member := range members {
 		c.members[member.Name] = member
-	}
-}
-
-// zoneMembers are the usable members of the zone, this node first-hand
-// included, by rank.
-func (c *Core) zoneMembers(zone fleet.Zone) []fleet.Member {
-	var members []fleet.Member
-	for _, member := range c.members {
-		if member.Zone == zone && member.Usable() {
-			members = append(members, member)
+		if member.Usable() {
+			c.usable[member.Zone] = append(c.usable[member.Zone], member)
 		}
 	}
-	slices.SortFunc(members, func(a, b fleet.Member) int {
-		return cmp.Or(cmp.Compare(rank(zone, a.Name), rank(zone, b.Name)), cmp.Compare(a.Name, b.Name))
-	})
-	return members
+	for zone, usable := range c.usable {
+		slices.SortFunc(usable, func(a, b fleet.Member) int {
+			return cmp.Or(cmp.Compare(rank(zone, a.Name), rank(zone, b.Name)), cmp.Compare(a.Name, b.Name))
+		})
+	}
 }
 
+// zoneMembers are the usable members of the zone by rank; the slice is shared.
+func (c *Core) zoneMembers(zone fleet.Zone) []fleet.Member { return c.usable[zone] }
+
 // peersOfZone are the other usable members of the zone.
 func (c *Core) peersOfZone(zone fleet.Zone) []fleet.Member {
-	return slices.DeleteFunc(c.zoneMembers(zone), func(member fleet.Member) bool {
+	return slices.DeleteFunc(slices.Clone(c.zoneMembers(zone)), func(member fleet.Member) bool {
 		return member.Name == c.options.Self
 	})
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -162,12 +162,7 @@
 	c := newCluster(clusterOptions{seed: 7, zones: 3, nodes: 2, engins: 2, models: []catalog.ModelFacts{facts(modelA, 1)}})
 	c.run(5 * time.Second)
 	record := c.stored().Record
-	var from fleet.NodeName
-	for _, name := range c.nodeNames() {
-		if record.Limit(modelA, c.nodes[name].member.Zone) == 0 {
-			from = name
-		}
-	}
+	from := c.nodeWithout(modelA)
 	for range 5 {
 		c.want(from, modelA, 1)
 		c.run(time.Second)
@@ -181,3 +176,61 @@
 		t.Errorf("loaded in %s; the table of %s shows it ready: %v", zone, from, ready(c.nodes[from].tables[zone], modelA))
 	}
 }
+
+func TestModelUsedFromAnotherZoneStaysLoaded(t *testing.T) {
+	c := newCluster(clusterOptions{seed: 8, zones: 2, nodes: 2, engins: 2, models: []catalog.ModelFacts{facts(modelA, 1)}})
+	c.run(5 * time.Second)
+	from := c.nodeWithout(modelA)
+	c.want(from, modelA, 1)
+	c.run(5 * time.Second)
+	for range 25 {
+		c.arrive(from, modelA)
+		c.run(time.Minute)
+	}
+	if c.replicas(modelA) != 1 {
+		t.Error("the model was unloaded while another zone used it")
+	}
+	c.run(20 * time.Minute)
+	if c.replicas(modelA) != 0 {
+		t.Error("the model stays loaded although nobody uses it")
+	}
+}
+
+// nodeWithout is a node whose zone has no allotment of the model.
+func (c *cluster) nodeWithout(model fleet.ModelVersion) fleet.NodeName {
+	for _, name := range c.nodeNames() {
+		if c.stored().Record.Limit(model, c.nodes[name].member.Zone) == 0 {
+			return name
+		}
+	}
+	return ""
+}
+
+// arrive reports a request that did not have to wait.
+func (c *cluster) arrive(name fleet.NodeName, model fleet.ModelVersion) {
+	c.send(name, WantsReported{From: name, Wants: []fleet.Want{{
+		Model: model, Node: name, Zone: c.nodes[name].member.Zone, Arrivals: 1,
+	}}})
+}
+
+func TestReplicaMovesWhereItsZoneCannotLoadIt(t *testing.T) {
+	c := newCluster(clusterOptions{seed: 9, zones: 2, nodes: 2, engins: 1, models: []catalog.ModelFacts{facts(modelA, 1)}})
+	c.run(5 * time.Second)
+	from := c.nodeWithout(modelA)
+	full := c.engines["z0-e0"]
+	if c.nodes[from].member.Zone == "z0" {
+		full = c.engines["z1-e0"]
+	}
+	// The engine of the zone with the allotment goes away, no other comes.
+	c.reclaim(full.backend.Name, 30*time.Second)
+	for range 25 {
+		c.want(from, modelA, 1)
+		c.run(time.Second)
+	}
+	if holder := c.holderOf(modelA); holder == "" || c.engines[holder].backend.Zone != c.nodes[from].member.Zone {
+		t.Errorf("the model is on %q, wanted in the zone of %s", holder, from)
+	}
+	if len(c.violations) > 0 {
+		t.Errorf("violations: %v", c.violations)
+	}
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -20,7 +20,9 @@
 	leader    *leadership.Core
 	placement *placement.Core
 
-	members      map[fleet.NodeName]fleet.Member
+	members map[fleet.NodeName]fleet.Member
+	// usable are the usable members of each zone by rank.
+	usable       map[fleet.Zone][]fleet.Member
 	machines     platform.MachineList
 	machineIndex machineIndex
 	models       []catalog.ModelFacts
@@ -57,6 +59,7 @@
 		}),
 		placement: placement.New(placement.Options{Settings: options.Settings.Placement}),
 		members:   make(map[fleet.NodeName]fleet.Member),
+		usable:    make(map[fleet.Zone][]fleet.Member),
 		polls:     newPollState(),
 		tables:    newTableState(),
 		wants:     newWantState(),
@@ -95,6 +98,7 @@
 	c.stepPlacement(placement.Tick{})
 	c.poll()
 	c.decide()
+	c.reportArrivals()
 	c.publish()
 	c.repair()
 	c.flushRefusals()
--- a/internal/control/directed_test.go
+++ b/internal/control/directed_test.go
@@ -94,7 +94,7 @@
 	c.run(4 * time.Second)
 	c.lower(from)
 	for range 8 {
-		c.starve(to)
+		c.complain(to)
 		c.run(time.Second)
 	}
 	c.stepEngine(fleet.BackendName(from+"-e0"), engine.Restart{})
@@ -138,8 +138,8 @@
 	c.write(WriteRecord{Record: record, Expected: stored.StoreVersion}, func(Message) {})
 }
 
-// starve tells all nodes that the zone wants the model and has none.
-func (c *cluster) starve(zone fleet.Zone) {
+// complain tells all nodes that the zone wants the model and has none.
+func (c *cluster) complain(zone fleet.Zone) {
 	for _, name := range c.nodeNames() {
 		c.send(name, WantsReported{
 			From: "elsewhere", Forwarded: true,
--- a/internal/control/wants.go
+++ b/internal/control/wants.go
@@ -21,6 +21,12 @@
 	// starved counts what waits in a zone and could not be served, for the
 	// decider.
 	starved map[fleet.ModelVersion]map[fleet.Zone]time.Time
+	// complained is when the decider was last told.
+	complained map[fleet.ModelVersion]time.Time
+	// arrivals counts requests of this zone for models that only other zones
+	// hold; those must learn that the model is in use.
+	arrivals   map[fleet.ModelVersion]int
+	arrivalsAt time.Time
 	// refusals are those of this step, by node.
 	refusals map[fleet.NodeName][]fleet.LoadRefusal
 }
@@ -31,19 +37,23 @@
 }
 
 const (
-	forwardInterval = 500 * time.Millisecond
-	refusalLifetime = 2 * time.Second
-	starvedLifetime = 5 * time.Second
+	forwardInterval  = 500 * time.Millisecond
+	complainInterval = time.Second
+	arrivalsInterval = 2 * time.Second
+	refusalLifetime  = 2 * time.Second
+	starvedLifetime  = 5 * time.Second
 )
 
 func newWantState() wantState {
 	return wantState{
-		reporters: make(map[fleet.ModelVersion]map[fleet.NodeName]fleet.Want),
-		heard:     make(map[fleet.ModelVersion]time.Time),
-		forwarded: make(map[fleet.ModelVersion]time.Time),
-		remote:    make(map[fleet.ModelVersion]remoteRefusal),
-		starved:   make(map[fleet.ModelVersion]map[fleet.Zone]time.Time),
-		refusals:  make(map[fleet.NodeName][]fleet.LoadRefusal),
+		reporters:  make(map[fleet.ModelVersion]map[fleet.NodeName]fleet.Want),
+		heard:      make(map[fleet.ModelVersion]time.Time),
+		forwarded:  make(map[fleet.ModelVersion]time.Time),
+		remote:     make(map[fleet.ModelVersion]remoteRefusal),
+		starved:    make(map[fleet.ModelVersion]map[fleet.Zone]time.Time),
+		complained: make(map[fleet.ModelVersion]time.Time),
+		arrivals:   make(map[fleet.ModelVersion]int),
+		refusals:   make(map[fleet.NodeName][]fleet.LoadRefusal),
 	}
 }
 
@@ -67,19 +77,20 @@
 
 // takeWants serves wants where this node leads, else passes them to the leader.
 func (c *Core) takeWants(reported WantsReported) {
-	if reported.Forwarded && c.noteStarved(reported.Wants) {
-		return
-	}
 	if !c.leader.Leading() {
 		c.passToLeader(reported)
 		return
 	}
+	if reported.Forwarded && c.noteStarved(reported.Wants) {
+		return
+	}
 	for _, want := range reported.Wants {
 		c.wants.note(want)
 		c.wants.heard[want.Model] = c.now
 		if reported.Forwarded {
 			continue
 		}
+		c.countArrivals(want)
 		if refusal, found := c.wants.remote[want.Model]; found && c.now.Before(refusal.until) && want.Waiting > 0 {
 			c.wants.refusals[want.Node] = append(c.wants.refusals[want.Node], refusal.LoadRefusal)
 		}
@@ -108,15 +119,20 @@
 			useless = false
 			continue
 		}
-		if c.wants.starved[want.Model] == nil {
-			c.wants.starved[want.Model] = make(map[fleet.Zone]time.Time)
+		if want.Waiting > 0 {
+			c.starve(want.Model, want.Zone)
 		}
-		c.wants.starved[want.Model][want.Zone] = c.now
 	}
 	return useless
 }
 
+// passToLeader passes on what this node wants itself and what another zone
+// sent. What comes from the own zone is not passed on again: two nodes that take
+// each other for the leader would pass it back and forth.
 func (c *Core) passToLeader(reported WantsReported) {
+	if reported.From != c.options.Self && c.members[reported.From].Zone == c.options.Zone {
+		return
+	}
 	name := c.candidate()
 	member, found := c.members[name]
 	if name == c.options.Self || !found {
@@ -136,6 +152,9 @@
 		return
 	}
 	for _, node := range slices.Sorted(maps.Keys(c.wants.reporters[model])) {
+		if zone := c.wants.reporters[model][node].Zone; zone != c.options.Zone {
+			c.starve(model, zone)
+		}
 		c.wants.refusals[node] = append(c.wants.refusals[node], refusal.Refusal)
 	}
 }
@@ -149,7 +168,7 @@
 	}
 	target, found := c.zoneFor(model)
 	if !found {
-		c.starve(model)
+		c.reportStarved(model)
 		return false
 	}
 	if c.now.Sub(c.wants.forwarded[model]) >= forwardInterval {
@@ -170,44 +189,82 @@
 	return wants
 }
 
-// zoneFor is a node of the zone with the most allotment of the model, its
-// leader where that is known.
+// zoneFor is the contact of the zone with the most allotment of the model.
 func (c *Core) zoneFor(model fleet.ModelVersion) (fleet.Member, bool) {
 	var best fleet.Member
 	limit, found := 0, false
 	shares := c.record.Record.Models[model].Zones
 	for _, zone := range slices.Sorted(maps.Keys(shares)) {
-		members := c.zoneMembers(zone)
-		if zone == c.options.Zone || shares[zone].Limit <= limit || len(members) == 0 {
+		if zone == c.options.Zone || shares[zone].Limit <= limit {
 			continue
 		}
-		best, limit, found = members[0], shares[zone].Limit, true
-		if leader, _ := c.tables.leader(zone); c.members[leader].Usable() {
-			best = c.members[leader]
+		if member, known := c.contact(zone); known {
+			best, limit, found = member, shares[zone].Limit, true
 		}
 	}
 	return best, found
 }
 
-// starve tells the decider that no zone can serve the model for this one.
-func (c *Core) starve(model fleet.ModelVersion) {
+// starve notes that no zone could serve what waits in one.
+func (c *Core) starve(model fleet.ModelVersion, zone fleet.Zone) {
 	if c.wants.starved[model] == nil {
 		c.wants.starved[model] = make(map[fleet.Zone]time.Time)
 	}
-	c.wants.starved[model][c.options.Zone] = c.now
+	c.wants.starved[model][zone] = c.now
+}
+
+// reportStarved notes that no zone could serve the model for this one, and
+// tells the decider.
+func (c *Core) reportStarved(model fleet.ModelVersion) {
+	c.starve(model, c.options.Zone)
+	decider, found := c.deciderMember()
+	if !found || c.now.Sub(c.wants.complained[model]) < complainInterval {
+		return
+	}
+	if wants := c.ownWants(model); len(wants) > 0 {
+		c.wants.complained[model] = c.now
+		c.emit(ForwardWants{To: decider, Wants: wants, Forwarded: true})
+	}
+}
+
+// deciderMember is a node of the first zone that has a usable one, where that
+// is not this zone: its leader where that is known.
+func (c *Core) deciderMember() (fleet.Member, bool) {
+	first := c.options.Zone
+	for _, member := range c.members {
+		if member.Usable() && member.Zone < first {
+			first = member.Zone
+		}
+	}
+	if first == c.options.Zone {
+		return fleet.Member{}, false
+	}
+	return c.contact(first)
+}
+
+// contact is a usable node of a zone, its leader where that is known.
+func (c *Core) contact(zone fleet.Zone) (fleet.Member, bool) {
+	if leader, _ := c.tables.leader(zone); c.members[leader].Usable() {
+		return c.members[leader], true
+	}
+	members := c.zoneMembers(zone)
+	if len(members) == 0 {
+		return fleet.Member{}, false
+	}
+	return members[0], true
 }
 
 // forwardAnswered takes the refusals of whoever was asked.
 func (c *Core) forwardAnswered(answer ForwardAnswered) {
 	if answer.Failed {
 		for _, want := range answer.Wants {
-			c.starve(want.Model)
+			c.reportStarved(want.Model)
 		}
 		return
 	}
 	for _, refusal := range answer.Refusals {
 		c.wants.remote[refusal.Model] = remoteRefusal{refusal, c.now.Add(refusalLifetime)}
-		c.starve(refusal.Model)
+		c.reportStarved(refusal.Model)
 		for _, want := range answer.Wants {
 			if want.Model == refusal.Model {
 				c.wants.refusals[want.Node] = append(c.wants.refusals[want.Node], refusal)
