Wait out a refusal that is proved not to have run

Cause: a table lags behind an engine that has unloaded; requests sent there used up their attempts and the retry budget within 200 ms and failed, though nothing had run and a replica was on its way.

Change: attempts proved not to have run have a bound of their own and do not spend the retry budget; an engine that declines a model is left alone for it for 250 ms; requests at a time are bounded, services apart from models.

Ruled out: opening the circuit at a refusal: it would keep other models of the same engine away.

Proof: 30 requests that are declined are all served by the next replica with a retry burst of 1; attempts stay bounded for every kind of evidence.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -17,9 +17,11 @@
 	Repeatable bool
 	// Resumable allows resume and continuation of an answer stream.
 	Resumable bool
-	// MaxAttempts bounds the attempts, MaxResumes the resumes in a row that
-	// bring nothing new.
+	// MaxAttempts bounds the attempts that may have run, MaxRefusals those
+	// proved not to have, MaxResumes the resumes in a row that bring nothing
+	// new.
 	MaxAttempts int
+	MaxRefusals int
 	MaxResumes  int
 	// StallTimeout bounds the time between two chunks.
 	StallTimeout time.Duration
@@ -47,6 +49,7 @@
 // Defaults of Options.
 const (
 	DefaultMaxAttempts     = 4
+	DefaultMaxRefusals     = 16
 	DefaultMaxResumes      = 2
 	DefaultStallTimeout    = 10 * time.Second
 	DefaultContinueTimeout = 15 * time.Second
@@ -58,6 +61,7 @@
 
 func (o Options) withDefaults() Options {
 	o.MaxAttempts = cmp.Or(o.MaxAttempts, DefaultMaxAttempts)
+	o.MaxRefusals = cmp.Or(o.MaxRefusals, DefaultMaxRefusals)
 	o.MaxResumes = cmp.Or(o.MaxResumes, DefaultMaxResumes)
 	o.StallTimeout = cmp.Or(o.StallTimeout, DefaultStallTimeout)
 	o.ContinueTimeout = cmp.Or(o.ContinueTimeout, DefaultContinueTimeout)
@@ -87,6 +91,7 @@
 	phase      phase
 	backend    fleet.BackendName
 	attempt    int
+	refusals   int
 	connection int
 	resumes    int
 	// next is the sequence number of the next token.
--- a/internal/attempt/message.go
+++ b/internal/attempt/message.go
@@ -119,6 +119,9 @@
 type Reassign struct {
 	After   time.Duration
 	Exclude []fleet.BackendName
+	// Unspent is set where the attempt before is proved not to have run: it
+	// does not count against the retry budget.
+	Unspent bool
 }
 
 // Deliver hands the next token to the caller.
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -27,6 +27,9 @@
 		return
 	}
 	c.expose(broken.Evidence)
+	if broken.provedNotRun() {
+		c.refusals++
+	}
 	c.former = broken.Evidence == MaySent && c.options.Resumable
 	if !c.mayRetry(now, broken) {
 		c.cancelFormer("")
@@ -40,7 +43,11 @@
 	if c.next > 0 {
 		c.wake = now.Add(c.options.ContinueTimeout)
 	}
-	c.emit(Reassign{After: c.backoff(now), Exclude: c.exclude})
+	c.emit(Reassign{After: c.backoff(now), Exclude: c.exclude, Unspent: broken.provedNotRun()})
+}
+
+func (b Broken) provedNotRun() bool {
+	return b.Evidence == NeverSent || b.Evidence == RefusedBeforeRun
 }
 
 // mayResume: the same engine may still have the answer, since it took the
@@ -50,7 +57,7 @@
 }
 
 func (c *Core) mayRetry(now time.Time, broken Broken) bool {
-	if broken.Final || c.attempt >= c.options.MaxAttempts {
+	if broken.Final || c.attempt-c.refusals >= c.options.MaxAttempts || c.refusals >= c.options.MaxRefusals {
 		return false
 	}
 	if c.next == 0 && !now.Before(c.options.Deadline) {
@@ -65,10 +72,13 @@
 	return broken.Evidence == NeverSent
 }
 
+// maxBackoffSteps keeps the doubling within its range.
+const maxBackoffSteps = 10
+
 // backoff doubles with each attempt, with jitter, and leaves time before the
 // deadline.
 func (c *Core) backoff(now time.Time) time.Duration {
-	full := min(backoffMin<<(c.attempt-1), backoffMax)
+	full := min(backoffMin<<min(c.attempt-1, maxBackoffSteps), backoffMax)
 	wait := full/2 + time.Duration(c.random.Int64N(int64(full/2)))
 	return min(wait, max(0, c.wake.Sub(now)/2))
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
@@ -36,6 +37,8 @@
 	ownID   bool
 	arrived time.Time
 	held    int64
+	// counter is the count of requests at a time that the call is part of.
+	counter *atomic.Int64
 	record  record
 }
 
@@ -54,6 +57,7 @@
 		created.ownID = true
 	}
 	created.record.kind = "other"
+	created.extendWrite()
 	writer.Header().Set(backend.HeaderRequestID, created.id)
 	return created
 }
@@ -186,8 +190,21 @@
 	return wanted, err
 }
 
+// admit counts the call in, within the bound of requests at a time.
+func (c *call) admit(running *atomic.Int64) *failure {
+	c.counter = running
+	if running.Add(1) <= int64(c.gateway.limits.MaxRequests) {
+		return nil
+	}
+	refused := refuse(http.StatusServiceUnavailable, codeOverloaded, "this node has too many requests in progress").after(time.Second)
+	return &refused
+}
+
 // finished releases what the call held, and logs and counts it.
 func (c *call) finished() {
 	c.gateway.bodyBytes.Add(-c.held)
+	if c.counter != nil {
+		c.counter.Add(-1)
+	}
 	c.report()
 }
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -36,14 +36,17 @@
 		arrived  time.Time
 		bytes    int64
 		retry    bool
-		exclude  []fleet.BackendName
-		reply    chan reply
+		// unspent retries do not count against the budget.
+		unspent bool
+		exclude []fleet.BackendName
+		reply   chan reply
 	}
 	// submitCall asks for a back end of a service.
 	submitCall struct {
 		ticket  uint64
 		route   catalog.ServiceRoute
 		retry   bool
+		unspent bool
 		exclude []fleet.BackendName
 		reply   chan reply
 	}
@@ -214,7 +217,7 @@
 
 func (s *dispatcherState) submit(now time.Time, submit submit) {
 	if submit.retry {
-		if !s.budget.Spend() {
+		if !submit.unspent && !s.budget.Spend() {
 			submit.reply <- reply{refusal: &failure{code: codeRetryBudget, detail: "too many requests are being retried",
 				outcome: attempt.OutcomeNotRun, retryAfter: time.Second}}
 			return
@@ -255,7 +258,7 @@
 
 func (s *dispatcherState) submitCall(now time.Time, submit submitCall) {
 	if submit.retry {
-		if !s.budget.Spend() {
+		if !submit.unspent && !s.budget.Spend() {
 			submit.reply <- reply{refusal: &failure{code: codeRetryBudget, detail: "too many calls are being retried",
 				outcome: attempt.OutcomeNotRun, retryAfter: time.Second}}
 			return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,8 @@
 	metrics   *metrics
 	tickets   atomic.Uint64
 	bodyBytes atomic.Int64
+	// modelCalls and serviceCalls count the requests in progress.
+	modelCalls, serviceCalls atomic.Int64
 
 	randomMutex sync.Mutex
 	random      *rand.Rand
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -151,3 +151,46 @@
 		}
 	}
 }
+
+// TestRequestsBeyondTheBoundAreRefusedAndCommandsAreNot: the bound of models
+// does not touch services.
+func TestRequestsBeyondTheBoundAreRefusedAndCommandsAreNot(t *testing.T) {
+	h := newHarness(t, func(options *Options) { options.Limits.MaxRequests = 1 })
+	h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) }))
+	first := make(chan response, 1)
+	go func() { first <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
+	for len(h.demand.reported()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if got := h.do(http.MethodPost, backend.PathCompletions, streamBody); got.problem.Code != codeOverloaded {
+		t.Errorf("%d %s", got.status, got.body)
+	}
+	if got := h.do(http.MethodPost, "/turbines/7/stop", ""); got.status != http.StatusNoContent {
+		t.Errorf("%d %s", got.status, got.body)
+	}
+	h.addEngine("e1", h.backend(wholeEngine))
+	h.wantWhole(<-first)
+}
+
+// TestEngineThatHasUnloadedTheModel: the table lags, the engine declines, and
+// the requests wait for the next replica instead of failing.
+func TestEngineThatHasUnloadedTheModel(t *testing.T) {
+	const requests = 30
+	h := newHarness(t, func(options *Options) { options.Limits.RetryBurst = 1 })
+	declined := make(chan struct{}, 1000)
+	h.addEngine("e1", h.backend(func(writer http.ResponseWriter, _ *http.Request) {
+		declined <- struct{}{}
+		writer.Header().Set(backend.HeaderNotRun, "true")
+		writer.WriteHeader(http.StatusConflict)
+	}))
+	answers := make(chan response, requests)
+	for range requests {
+		go func() { answers <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
+	}
+	<-declined
+	h.table.Engines = nil
+	h.addEngine("e2", h.backend(wholeEngine))
+	for range requests {
+		h.wantWhole(<-answers)
+	}
+}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -25,6 +25,10 @@
 		return
 	}
 	c.record.route = route.Service
+	if refused := c.admit(&c.gateway.serviceCalls); refused != nil {
+		c.fail(*refused)
+		return
+	}
 	run, failure := c.prepareService(route)
 	if failure != nil {
 		c.fail(*failure)
@@ -246,7 +250,7 @@
 	reply := make(chan reply, 1)
 	gateway := r.caller.gateway
 	r.ticket = gateway.tickets.Add(1)
-	gateway.services.send(submitCall{ticket: r.ticket, route: r.route, retry: reassign.Exclude != nil,
+	gateway.services.send(submitCall{ticket: r.ticket, route: r.route, retry: reassign.Exclude != nil, unspent: reassign.Unspent,
 		exclude: slices.Clone(reassign.Exclude), reply: reply})
 	select {
 	case answer := <-reply:
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -8,7 +8,7 @@
 )
 
 func (c *Core) pick(now time.Time, pick Pick) {
-	candidates, known := c.filter(now, c.byModel[pick.Model])
+	candidates, known := c.filter(now, pick.Model, c.byModel[pick.Model])
 	candidates = slices.DeleteFunc(candidates, func(t *target) bool { return !t.hasAdapter(pick.Model, pick.Adapter) })
 	candidates = avoid(candidates, pick.Exclude)
 	scorer := scorer{core: c, now: now, pick: pick, meanLoad: c.meanFreshLoad(now, candidates)}
@@ -20,7 +20,7 @@
 }
 
 func (c *Core) pickService(now time.Time, pick PickService) {
-	candidates, known := c.filter(now, c.byService[pick.Service])
+	candidates, known := c.filter(now, fleet.ModelVersion{}, c.byService[pick.Service])
 	candidates = avoid(candidates, pick.Exclude)
 	if own, _ := c.byZone(candidates); len(own) > 0 {
 		candidates = own
@@ -30,13 +30,13 @@
 }
 
 // filter returns the targets that may be sent to, and whether any was known.
-func (c *Core) filter(now time.Time, targets []*target) (candidates []*target, known bool) {
+func (c *Core) filter(now time.Time, model fleet.ModelVersion, targets []*target) (candidates []*target, known bool) {
 	for _, target := range targets {
 		if c.isLeaving(target) {
 			continue
 		}
 		known = true
-		if allowed, _ := target.circuit.allows(now); allowed {
+		if allowed, _ := target.circuit.allows(now); allowed && !target.isRefusing(now, model) {
 			candidates = append(candidates, target)
 		}
 	}
--- a/internal/routing/rooms.go
+++ b/internal/routing/rooms.go
@@ -30,7 +30,7 @@
 			rooms.Ready++
 		}
 	}
-	candidates, _ := c.filter(now, c.byModel[model])
+	candidates, _ := c.filter(now, model, c.byModel[model])
 	for _, target := range candidates {
 		rooms.Slots += target.slots
 		free := c.free(now, target)
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -27,6 +27,28 @@
 	// ready is when a model was first seen ready; zero where it was so when
 	// the target became known.
 	ready map[fleet.ModelVersion]time.Time
+	// refused is until when a model is not asked for here again, since the
+	// back end declined it: the table may lag behind.
+	refused map[fleet.ModelVersion]time.Time
+}
+
+// refusalPause is how long a back end that declined a request is left alone.
+const refusalPause = 250 * time.Millisecond
+
+func (t *target) refuse(now time.Time, model fleet.ModelVersion) {
+	if t.refused == nil {
+		t.refused = make(map[fleet.ModelVersion]time.Time)
+	}
+	t.refused[model] = now.Add(refusalPause)
+}
+
+func (t *target) isRefusing(now time.Time, model fleet.ModelVersion) bool {
+	until, found := t.refused[model]
+	if found && !until.After(now) {
+		delete(t.refused, model)
+		return false
+	}
+	return found
 }
 
 func (t *target) takeEngine(now time.Time, engine fleet.EngineState, options Options) {
