--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
@@ -36,6 +37,8 @@
 	ownID   bool
 	arrived time.Time
 	held    int64
+	// counter is the count of requests at a time that the call is part of.
+	counter *atomic.Int64
 	record  record
 }
 
@@ -54,6 +57,7 @@
 		created.ownID = true
 	}
 	created.record.kind = "other"
+	created.extendWrite()
 	writer.Header().Set(backend.HeaderRequestID, created.id)
 	return created
 }
@@ -143,6 +147,17 @@
 	return labels, nil
 }
 
+// answerMargin is kept of every deadline for the way of the answer, so that a
+// refusal at the deadline is not late at the caller; of short deadlines a tenth.
+const (
+	answerMargin      = 25 * time.Millisecond
+	answerMarginShare = 10
+)
+
+func withMargin(deadline time.Duration) time.Duration {
+	return deadline - min(answerMargin, deadline/answerMarginShare)
+}
+
 // deadline is the route's, or the caller's where that is tighter. The caller
 // gives a duration such as 1.5s, or seconds.
 func (c *call) deadline(route, fallback time.Duration) (time.Time, *failure) {
@@ -158,7 +173,7 @@
 		}
 		route = min(route, wanted)
 	}
-	return c.arrived.Add(route), nil
+	return c.arrived.Add(withMargin(route)), nil
 }
 
 func parseDeadline(text string) (time.Duration, error) {
@@ -175,8 +190,21 @@
 	return wanted, err
 }
 
+// admit counts the call in, within the bound of requests at a time.
+func (c *call) admit(running *atomic.Int64) *failure {
+	c.counter = running
+	if running.Add(1) <= int64(c.gateway.limits.MaxRequests) {
+		return nil
+	}
+	refused := refuse(http.StatusServiceUnavailable, codeOverloaded, "this node has too many requests in progress").after(time.Second)
+	return &refused
+}
+
 // finished releases what the call held, and logs and counts it.
 func (c *call) finished() {
 	c.gateway.bodyBytes.Add(-c.held)
+	if c.counter != nil {
+		c.counter.Add(-1)
+	}
 	c.report()
 }
