Judge a run though a target of faults was killed meanwhile

Cause: a fault for an engine that the demo had killed could not be posted, and the run ended without a verdict.

Change: what could not be brought about is listed under what could not be read.

--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -158,10 +158,15 @@
 	stop()
 	<-announced
 	injection := <-injected
+	if injection.err != nil {
+		// A back end may have been killed meanwhile; the run is judged all the
+		// same.
+		collector.Note("a target of faults", injection.err)
+	}
 	options.tell(MomentEnd)
 	return check.Evidence{
 		Records: records, Faults: injection.faults, Started: started, Answers: engineAnswers{},
-	}, errors.Join(ctx.Err(), injection.err)
+	}, ctx.Err()
 }
 
 // injection is what was brought about at the stand-ins.
