Strike at the worst moment: leaders paused in an order, engines dying at a grant

Cause: faults at drawn times seldom hit the moments that the fences are for.

Change: armed faults wait in a zone for the next order, granted claim or load, and strike there; a pair cuts a leader off and restarts the zone's engines before it is back. New rules: a limit is raised only by what the ceilings leave of the target; a dead node is noticed. A wanted model that is neither served nor given up by the end fails the run; faults end early enough for that.

--- a/internal/sim/world/config.go
+++ b/internal/sim/world/config.go
@@ -40,7 +40,7 @@
 	faultsFrom = 15 * time.Second
 	// settleTime is the end of the run without faults, in which what must
 	// happen within bounded time has to happen.
-	settleTime = 75 * time.Second
+	settleTime = 90 * time.Second
 )
 
 // faultsUntil is when the last fault ends.
--- a/internal/sim/world/engine.go
+++ b/internal/sim/world/engine.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/sim"
@@ -75,6 +77,7 @@
 
 func (e *engineProcess) step(message engine.Message) {
 	effects := e.core.Step(e.process.Now(), message)
+	e.strike(message, effects)
 	if order, taken := message.(engine.TakeOrder); taken {
 		e.world.judge.ordered(e, order.Order, effects)
 	}
@@ -84,6 +87,30 @@
 	e.waker.Set(e.core.NextWake())
 }
 
+// strike lets armed faults hit the engine at a granted claim or a begun load.
+func (e *engineProcess) strike(message engine.Message, effects []engine.Effect) {
+	granted := slices.ContainsFunc(effects, func(effect engine.Effect) bool {
+		_, found := effect.(engine.StateRead)
+		return found
+	})
+	if !granted {
+		return
+	}
+	switch message := message.(type) {
+	case engine.TakeClaim:
+		if _, found := e.world.strike(faultDieAtGrant, e.backend.Zone); found {
+			e.world.dieAfter(e, 0)
+		}
+	case engine.TakeOrder:
+		if message.Order.Action != backend.ActionLoad {
+			return
+		}
+		if fault, found := e.world.strike(faultDieInLoad, e.backend.Zone); found {
+			e.world.dieAfter(e, fault.For)
+		}
+	}
+}
+
 func (e *engineProcess) perform(effect engine.Effect) {
 	switch effect := effect.(type) {
 	case engine.StateRead:
--- a/internal/sim/world/faults.go
+++ b/internal/sim/world/faults.go
@@ -9,26 +9,29 @@
 
 // The kinds of faults.
 const (
-	faultNodeKill     sim.FaultKind = "node-kill"
-	faultNodePause    sim.FaultKind = "node-pause"
-	faultLeaderPause  sim.FaultKind = "leader-pause"
-	faultLeaderCut    sim.FaultKind = "leader-cut"
-	faultEnginesKill  sim.FaultKind = "zone-engines-kill"
-	faultZoneRestart  sim.FaultKind = "zone-restart"
-	faultFleetRestart sim.FaultKind = "fleet-restart"
-	faultLinkCut      sim.FaultKind = "link-cut"
-	faultZoneCut      sim.FaultKind = "zone-cut"
-	faultZoneCutOff   sim.FaultKind = "zone-cut-off"
-	faultDisturbance  sim.FaultKind = "network-disturbed"
-	faultStoreDown    sim.FaultKind = "store-down"
-	faultStoreSlow    sim.FaultKind = "store-slow"
-	faultStoreStale   sim.FaultKind = "store-stale"
-	faultAnswersLost  sim.FaultKind = "store-answers-lost"
-	faultMachinesDown sim.FaultKind = "machine-list-down"
-	faultMachinesLag  sim.FaultKind = "machine-list-stale"
-	faultEngineKill   sim.FaultKind = "engine-kill"
-	faultEnginePause  sim.FaultKind = "engine-pause"
-	faultWeightsSlow  sim.FaultKind = "weight-store-slow"
+	faultNodeKill    sim.FaultKind = "node-kill"
+	faultNodePause   sim.FaultKind = "node-pause"
+	faultLeaderPause sim.FaultKind = "leader-pause"
+	faultLeaderCut   sim.FaultKind = "leader-cut"
+	// faultLeaderCutEngines is a pair: a leader cut from its peers, and all
+	// engines of its zone restarted before it is back.
+	faultLeaderCutEngines sim.FaultKind = "leader-cut-engines-restart"
+	faultEnginesKill      sim.FaultKind = "zone-engines-kill"
+	faultZoneRestart      sim.FaultKind = "zone-restart"
+	faultFleetRestart     sim.FaultKind = "fleet-restart"
+	faultLinkCut          sim.FaultKind = "link-cut"
+	faultZoneCut          sim.FaultKind = "zone-cut"
+	faultZoneCutOff       sim.FaultKind = "zone-cut-off"
+	faultDisturbance      sim.FaultKind = "network-disturbed"
+	faultStoreDown        sim.FaultKind = "store-down"
+	faultStoreSlow        sim.FaultKind = "store-slow"
+	faultStoreStale       sim.FaultKind = "store-stale"
+	faultAnswersLost      sim.FaultKind = "store-answers-lost"
+	faultMachinesDown     sim.FaultKind = "machine-list-down"
+	faultMachinesLag      sim.FaultKind = "machine-list-stale"
+	faultEngineKill       sim.FaultKind = "engine-kill"
+	faultEnginePause      sim.FaultKind = "engine-pause"
+	faultWeightsSlow      sim.FaultKind = "weight-store-slow"
 )
 
 // faultSpecs say how many of each kind a run draws and how long they last.
@@ -39,6 +42,10 @@
 		{Kind: faultNodePause, Most: 4, Least: second / 2, Longest: 60 * second, Aim: w.aimNode},
 		{Kind: faultLeaderPause, Most: 5, Least: second / 2, Longest: 20 * second, Aim: w.aimZone},
 		{Kind: faultLeaderCut, Most: 5, Least: second, Longest: 30 * second, Aim: w.aimZone},
+		{Kind: faultLeaderCutEngines, Most: 3, Least: 10 * second, Longest: 40 * second, Aim: w.aimZone},
+		{Kind: faultPauseInOrder, Most: 8, Least: second / 2, Longest: 15 * second, Aim: w.aimZone},
+		{Kind: faultDieAtGrant, Most: 8, Aim: w.aimZone},
+		{Kind: faultDieInLoad, Most: 6, Least: 10 * time.Millisecond, Longest: 3 * second, Aim: w.aimZone},
 		{Kind: faultEnginesKill, Most: 2, Least: second / 10, Longest: 5 * second, Aim: w.aimZone},
 		{Kind: faultZoneRestart, Most: 1, Least: second, Longest: 20 * second, Aim: w.aimZone},
 		{Kind: faultFleetRestart, Most: 1, Least: second, Longest: 10 * second},
--- a/internal/sim/world/inject.go
+++ b/internal/sim/world/inject.go
@@ -34,6 +34,11 @@
 		return w.withLeader(fault.Target, func(leader *node) func() { return pause(leader.process) })
 	case faultLeaderCut:
 		return w.withLeader(fault.Target, w.cutFromPeers)
+	case faultLeaderCutEngines:
+		return w.cutLeaderAndEngines(fault)
+	case faultPauseInOrder, faultDieAtGrant, faultDieInLoad:
+		w.arm(fault)
+		return nil
 	case faultEnginesKill:
 		return w.killEngines(fault.Target)
 	case faultZoneRestart:
@@ -163,6 +168,16 @@
 	}
 }
 
+// cutLeaderAndEngines cuts the zone's leader from its peers and restarts all
+// engines of the zone while another leads: the engines forget who led last.
+func (w *World) cutLeaderAndEngines(fault sim.Fault) func() {
+	w.scheduler.After(fault.For/2, func() {
+		restart := w.killEngines(fault.Target)
+		w.scheduler.After(restartTime, restart)
+	})
+	return w.withLeader(fault.Target, w.cutFromPeers)
+}
+
 // killEngines restarts all engines of a zone at once: each forgets its fence.
 func (w *World) killEngines(zone string) func() {
 	engines := w.enginesOf(fleet.Zone(zone))
--- a/internal/sim/world/judge.go
+++ b/internal/sim/world/judge.go
@@ -24,12 +24,15 @@
 	// ruleMembers: all live nodes of a zone hold each other for alive within
 	// bounded time once faults are over.
 	ruleMembers sim.RuleName = "members-converge"
+	// ruleDead: a node that died is held for dead by its zone within bounded
+	// time, once faults are over.
+	ruleDead sim.RuleName = "dead-node-is-noticed"
 )
 
 func ruleNames() []sim.RuleName {
 	return []sim.RuleName{
 		ruleVersionsGrow, ruleNoRevert, ruleInForce, ruleMembers,
-		ruleReplicas, ruleCeiling, ruleMemory, ruleLoads,
+		ruleReplicas, ruleCeiling, ruleRaise, ruleMemory, ruleLoads, ruleDead,
 	}
 }
 
@@ -38,6 +41,8 @@
 	inForceBound = 10 * time.Second
 	// quietBound is how long the fleet may take to get over the last fault.
 	quietBound = 45 * time.Second
+	// deathBound is how long a death may go unnoticed.
+	deathBound = 12 * time.Second
 )
 
 // judge keeps what the rules need to know of the past.
@@ -49,6 +54,10 @@
 	everywhere map[platform.Key]uint64
 	// record is the record of allotments as it stands in the store.
 	record allotment.Record
+	// victim is the node that was killed for good.
+	victim *node
+	// probing counts the wants of probeLoads that are not yet served.
+	probing int
 }
 
 // configView is what a node's present boot holds.
@@ -162,6 +171,7 @@
 	if j.world.scheduler.Elapsed() < j.world.faultsOver+quietBound {
 		return
 	}
+	j.world.rules.Check(ruleLoads, j.probing == 0, "%d wants are neither served nor given up", j.probing)
 	for _, observer := range j.world.nodes {
 		if observer.process.State() == sim.ProcessRunning {
 			j.checkMembers(observer)
@@ -181,4 +191,19 @@
 		j.world.rules.Check(ruleMembers, states[other.name] == fleet.MemberAlive,
 			"%s holds %s for %q", observer.name, other.name, states[other.name])
 	}
+	if victim := j.victim; victim != nil && victim.zone == observer.zone {
+		state := states[victim.name]
+		j.world.rules.Check(ruleDead, state != fleet.MemberAlive && state != fleet.MemberSuspect,
+			"%s holds %s, dead for %s, for %q", observer.name, victim.name, deathBound, state)
+	}
+}
+
+// killOne kills a node for good shortly before the end of a run.
+func (j *judge) killOne() {
+	random := j.world.streams.Stream("victim")
+	victim := j.world.nodes[random.IntN(len(j.world.nodes))]
+	if victim.process.State() == sim.ProcessRunning {
+		victim.process.Die()
+		j.victim = victim
+	}
 }
--- a/internal/sim/world/judge_replicas.go
+++ b/internal/sim/world/judge_replicas.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/platform"
@@ -14,6 +15,9 @@
 	ruleReplicas sim.RuleName = "replicas-within-decided"
 	// ruleCeiling: in each zone no more than the record's ceiling.
 	ruleCeiling sim.RuleName = "replicas-within-ceiling"
+	// ruleRaise: a zone's limit is raised only by what the ceilings of all
+	// zones leave of the target.
+	ruleRaise sim.RuleName = "raised-within-target"
 	// ruleMemory: no engine holds more than its memory, KV reserve included.
 	ruleMemory sim.RuleName = "memory-within-capacity"
 	// ruleLoads: once faults are over, a model that is wanted and may be
@@ -31,6 +35,7 @@
 		return
 	}
 	j.world.count("record-written")
+	j.checkRaises(j.record, record.Record)
 	j.record = record.Record
 	for model := range j.record.Models {
 		j.checkReplicas(model, "the record was written")
@@ -38,6 +43,20 @@
 	j.checkRemoved()
 }
 
+// checkRaises compares a record with the one that it replaces.
+func (j *judge) checkRaises(before, after allotment.Record) {
+	for model, decision := range after.Models {
+		for zone, share := range decision.Zones {
+			if share.Limit <= before.Limit(model, zone) {
+				continue
+			}
+			j.world.rules.Check(ruleRaise, decision.CeilingSum() <= decision.Target,
+				"%s: raised to %d in %s with ceilings of %d and a target of %d in generation %d",
+				model, share.Limit, zone, decision.CeilingSum(), decision.Target, after.Generation)
+		}
+	}
+}
+
 // checkRemoved holds models that the record no longer names to zero.
 func (j *judge) checkRemoved() {
 	for index := range modelCount {
@@ -113,7 +132,9 @@
 		if wanting.process.State() != sim.ProcessRunning {
 			continue
 		}
+		j.probing++
 		wanting.want(model, 9, func(ready bool) {
+			j.probing--
 			j.world.rules.Check(ruleLoads, ready, "%s wanted by %s in %s was not ready after %s", model, wanting.name, wanting.zone, wantPatience)
 		})
 	}
--- a/internal/sim/world/node_control_engines.go
+++ b/internal/sim/world/node_control_engines.go
@@ -65,6 +65,11 @@
 func (p *controlPart) sendOrder(effect control.SendOrder) {
 	p.node.world.trace.Note("order %s to %s %s %s fence=%s", p.node.name, effect.Engine, effect.Order.Action,
 		effect.Order.Model, effect.Order.Fence)
+	p.node.world.pauseInOrder(p.node)
+	p.node.process.Do(p.node.process.Boot(), func() { p.callOrder(effect) })
+}
+
+func (p *controlPart) callOrder(effect control.SendOrder) {
 	message := func(call engine.CallID) engine.Message { return engine.TakeOrder{Call: call, Order: effect.Order} }
 	p.callEngine(effect.Address, "engine/order", message, func(answer engine.Effect) {
 		answered := control.OrderAnswered{Engine: effect.Engine, OrderID: effect.Order.ID}
--- a/internal/sim/world/world.go
+++ b/internal/sim/world/world.go
@@ -34,6 +34,7 @@
 	// faultsOver is when the last fault of the plan ends.
 	faultsOver time.Duration
 	counters   map[string]uint64
+	armed      map[armedKey][]sim.Fault
 }
 
 // platformZone is where the platform's services run. No fault of a fleet zone
@@ -83,6 +84,7 @@
 		byName:    make(map[fleet.NodeName]*node),
 		byGossip:  make(map[string]*node),
 		counters:  make(map[string]uint64),
+		armed:     make(map[armedKey][]sim.Fault),
 	}
 	world.trace = sim.NewTrace(world.scheduler, trace)
 	world.rules = sim.NewRules(world.scheduler, world.trace, ruleNames()...)
@@ -135,6 +137,7 @@
 func (w *World) startDemand() {
 	w.demand.next()
 	w.scheduler.At(w.faultsOver+quietBound, w.judge.probeLoads)
+	w.scheduler.At(w.config.Duration-deathBound, w.judge.killOne)
 }
 
 func (w *World) count(name string) {
