Read a store that comes back within 2 s, and report one that is silent

Cause: the wait between reads grew to 8 s, so that a write right after an outage took long to come into force on the readers that waited; and a watch that was never answered counted as quiet, so that a silent store was not reported and not backed off from.

Change: the wait doubles to 2 s; a watch is quiet only once it has begun.

--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -23,7 +23,7 @@
 	// foreignDigestShare is one in how many digests goes to another zone.
 	foreignDigestShare = 8
 	// maxReadBackoff is how many times the read retry may double.
-	maxReadBackoff = 4
+	maxReadBackoff = 2
 	// jitterShare is the part of an interval that is drawn.
 	jitterShare = 0.5
 )
--- a/internal/node/config_io.go
+++ b/internal/node/config_io.go
@@ -44,13 +44,16 @@
 	a.send(configsync.Listed{Generation: effect.Generation, List: list})
 }
 
-func (a *configActor) watch(ctx context.Context, effect configsync.WatchStore) {
-	ctx, cancel := context.WithCancel(ctx)
+func (a *configActor) watch(wanted context.Context, effect configsync.WatchStore) {
+	ctx, cancel := context.WithCancel(wanted)
 	defer cancel()
 	idle := time.AfterFunc(watchIdleLimit, cancel)
 	defer idle.Stop()
-	err := a.readWatch(ctx, effect, idle)
-	idled := ctx.Err() != nil
+	answered, err := a.readWatch(ctx, effect, idle)
+	if wanted.Err() != nil {
+		return
+	}
+	idled := answered && ctx.Err() != nil
 	if !idled {
 		a.storeOutage.note(a.dependencies.Logger, "store-read", err)
 	}
@@ -61,17 +64,18 @@
 	})
 }
 
-func (a *configActor) readWatch(ctx context.Context, effect configsync.WatchStore, idle *time.Timer) error {
+// readWatch reads until the watch ends, and tells whether it ever began.
+func (a *configActor) readWatch(ctx context.Context, effect configsync.WatchStore, idle *time.Timer) (answered bool, err error) {
 	watch, err := a.dependencies.Platform.Watch(ctx, effect.Since)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer watch.Close()
 	a.storeOutage.note(a.dependencies.Logger, "store-read", nil)
 	for {
 		event, err := watch.Next()
 		if err != nil {
-			return err
+			return true, err
 		}
 		idle.Reset(watchIdleLimit)
 		message := configsync.Watched{Generation: effect.Generation, Version: event.Version}
