--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -35,6 +35,7 @@
 func (k *Keeper) Step(now time.Time, message KeeperMessage) []KeeperEffect {
 	k.now = now
 	k.effects = nil
+	k.sweep()
 	switch message := message.(type) {
 	case Tick:
 	case Grant:
@@ -55,7 +56,6 @@
 		}
 	}
 	k.askOlderKeepers()
-	k.sweep()
 	return k.effects
 }
 
--- a/internal/claim/keeper_test.go
+++ b/internal/claim/keeper_test.go
@@ -62,3 +62,95 @@
 		t.Fatalf("got %+v", reply)
 	}
 }
+
+// successor returns keeper d of version 2 after a and b handed over.
+func successor(t *testing.T, from ...string) *Keeper {
+	t.Helper()
+	slot := slotOf(2, "a", "b", "d")
+	slot.Previous = [][]Seat{slotOf(1, "a", "b", "c").Seats}
+	keeper := NewKeeper(KeeperOptions{Self: seat("d")})
+	keeper.Step(start, Learn{Slot: slot})
+	for _, name := range from {
+		older := NewKeeper(KeeperOptions{Self: seat(name)})
+		grantReply(t, older.Step(start, grantOf("one", slotOf(1, "a", "b", "c"))))
+		for _, effect := range older.Step(start, Seal{Slot: slot}) {
+			if reply, found := effect.(SealReply); found {
+				keeper.Step(start, Handed{Version: 2, From: seat(name), Reply: reply})
+			}
+		}
+		if reply := grantReply(t, older.Step(start, grantOf("two", slotOf(1, "a", "b", "c")))); reply.Vote != VoteStale {
+			t.Fatalf("%s granted in a closed version: %+v", name, reply)
+		}
+	}
+	return keeper
+}
+
+func TestRecordsOfAnOverlapAreEnough(t *testing.T) {
+	slot := slotOf(2, "a", "b", "d")
+	other := Grant{Key: "other", Attempt: "two", Window: window, Slot: slot}
+	keeper := successor(t, "a")
+	if reply := grantReply(t, keeper.Step(start, other)); reply.Vote != VoteTooYoung {
+		t.Fatalf("after one hand-over: %+v", reply)
+	}
+	keeper = successor(t, "a", "b")
+	if reply := grantReply(t, keeper.Step(start, other)); reply.Vote != VoteGranted {
+		t.Fatalf("a fresh key after two: %+v", reply)
+	}
+	if reply := grantReply(t, keeper.Step(start, grantOf("two", slot))); reply.Vote != VoteInProgress {
+		t.Fatalf("a key that was handed over: %+v", reply)
+	}
+}
+
+func TestKeeperWaitsTheWindowWhereTheRecordsAreLost(t *testing.T) {
+	keeper := successor(t, "a")
+	keeper.Step(start, Gone{Seat: seat("b")})
+	slot := slotOf(2, "a", "b", "d")
+	ask := Grant{Key: "other", Attempt: "two", Window: window, Slot: slot}
+	retention := KeeperOptions{}.withDefaults().retention(window)
+	for _, moment := range []struct {
+		after time.Duration
+		vote  Vote
+	}{{0, VoteTooYoung}, {window, VoteTooYoung}, {retention, VoteGranted}} {
+		if reply := grantReply(t, keeper.Step(start.Add(moment.after), ask)); reply.Vote != moment.vote {
+			t.Errorf("after %v: %+v", moment.after, reply)
+		}
+	}
+}
+
+func TestFullKeeperRefusesAndForgetsNothing(t *testing.T) {
+	slot := slotOf(1, "a")
+	keeper := NewKeeper(KeeperOptions{Self: seat("a"), MaxRecords: 1, MaxAnswerBytes: 4})
+	grantReply(t, keeper.Step(start, grantOf("one", slot)))
+	ask := Grant{Key: "other", Attempt: "two", Window: window, Slot: slot}
+	if reply := grantReply(t, keeper.Step(start, ask)); reply.Vote != VoteFull {
+		t.Fatalf("got %+v", reply)
+	}
+	keeper.Step(start, Complete{
+		Key: "key", Fingerprint: []byte("body"), Attempt: "one", Window: window, Slot: slot,
+		Outcome: Ran, Answer: &Answer{Status: 200, Body: []byte("too long")},
+	})
+	reply := grantReply(t, keeper.Step(start.Add(window), grantOf("three", slot)))
+	if reply.Vote != VoteDone || !reply.Answer.BodyOmitted || reply.Answer.Status != 200 {
+		t.Fatalf("the record at the end of the window: %+v", reply)
+	}
+	mismatch := grantOf("four", slot)
+	mismatch.Fingerprint = []byte("another body")
+	if reply := grantReply(t, keeper.Step(start.Add(window), mismatch)); reply.Vote != VoteMismatch {
+		t.Fatalf("another request: %+v", reply)
+	}
+	if reply := grantReply(t, keeper.Step(start.Add(2*window), ask)); reply.Vote != VoteGranted {
+		t.Fatalf("after the record's time: %+v", reply)
+	}
+}
+
+func TestReleasedAttemptIsNotGrantedLate(t *testing.T) {
+	slot := slotOf(1, "a", "b", "c")
+	keeper := NewKeeper(KeeperOptions{Self: seat("a")})
+	keeper.Step(start, Complete{Key: "key", Attempt: "one", Window: window, Slot: slot, Outcome: NotRun})
+	if reply := grantReply(t, keeper.Step(start, grantOf("one", slot))); reply.Vote == VoteGranted {
+		t.Fatal("granted to an attempt that gave up")
+	}
+	if reply := grantReply(t, keeper.Step(start, grantOf("two", slot))); reply.Vote != VoteGranted {
+		t.Fatalf("another attempt: %+v", reply)
+	}
+}
