Grant an attempt's own record only at a settled keeper

A keeper now grants nothing before it is settled, whatever it holds; a test keeps the case, and another that two versions never have two majorities.

--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -89,16 +89,23 @@
 	return reply
 }
 
-// vote answers from the record where there is one. Without one the keeper may
-// grant only if it knows of every grant of the whole window.
+// vote answers from the record where there is one. The keeper may grant only
+// if it knows of every grant of the whole window, also where its record is the
+// asking attempt's own: in an older version another may have had the majority.
 func (k *Keeper) vote(state *seatState, request Grant) GrantReply {
 	held := k.live(request.Key)
-	if held != nil && (!held.free() || slices.Contains(held.released, request.Attempt)) {
-		return held.vote(k.now, request.Attempt, request.Fingerprint)
+	reply := GrantReply{Vote: VoteGranted}
+	recorded := held != nil && (!held.free() || slices.Contains(held.released, request.Attempt))
+	if recorded {
+		reply = held.vote(k.now, request.Attempt, request.Fingerprint)
 	}
-	if wait := state.wait(k.now, k.options.retention(request.Window)); wait > 0 && !k.options.Defects.YoungVouches {
+	wait := state.wait(k.now, k.options.retention(request.Window))
+	if reply.Vote == VoteGranted && wait > 0 && !k.options.Defects.YoungVouches {
 		return GrantReply{Vote: VoteTooYoung, RetryAfter: wait}
 	}
+	if recorded {
+		return reply
+	}
 	if held == nil {
 		held = k.newRecord(request.Key, request.Slot.Index)
 	}
--- a/internal/claim/keeper_test.go
+++ b/internal/claim/keeper_test.go
@@ -154,3 +154,62 @@
 		t.Fatalf("another attempt: %+v", reply)
 	}
 }
+
+// TestOwnRecordIsNotEnoughBeforeSettling holds what a drawn schedule found: an
+// attempt that a minority had granted was granted again in the next version by
+// a keeper that had not yet gathered the records of the others.
+func TestOwnRecordIsNotEnoughBeforeSettling(t *testing.T) {
+	older, slot := slotOf(1, "a", "b", "c"), slotOf(2, "a", "b", "d")
+	slot.Previous = [][]Seat{older.Seats}
+	keeper := NewKeeper(KeeperOptions{Self: seat("a")})
+	if reply := grantReply(t, keeper.Step(start, grantOf("one", older))); reply.Vote != VoteGranted {
+		t.Fatalf("in the older version: %+v", reply)
+	}
+	if reply := grantReply(t, keeper.Step(start, grantOf("one", slot))); reply.Vote != VoteTooYoung {
+		t.Fatalf("in the newer version: %+v", reply)
+	}
+}
+
+// TestVersionsNeverHaveTwoMajorities lets one asker count on an older version
+// and another on the newer one. The planted defect proves that it can fail.
+func TestVersionsNeverHaveTwoMajorities(t *testing.T) {
+	older, newer := slotOf(1, "a", "b", "c"), slotOf(2, "a", "b", "d")
+	newer.Previous = [][]Seat{older.Seats}
+	for _, defects := range []Defects{{}, {IgnoresVersion: true}} {
+		keepers := make(map[string]*Keeper)
+		for _, name := range []string{"a", "b", "c", "d"} {
+			keepers[name] = NewKeeper(KeeperOptions{Self: seat(name), Defects: defects})
+			keepers[name].Step(start, Learn{Slot: older})
+		}
+		for _, from := range []string{"a", "b"} {
+			for _, effect := range keepers[from].Step(start, Seal{Slot: newer}) {
+				if reply, found := effect.(SealReply); found {
+					keepers["d"].Step(start, Learn{Slot: newer})
+					keepers["d"].Step(start, Handed{Version: 2, From: seat(from), Reply: reply})
+					keepers["a"].Step(start, Handed{Version: 2, From: seat(from), Reply: reply})
+					keepers["b"].Step(start, Handed{Version: 2, From: seat(from), Reply: reply})
+				}
+			}
+		}
+		keepers["b"].Step(start, Handed{Version: 2, From: seat("a"), Reply: SealReply{Settled: true, Always: true}})
+		majorities := 0
+		for _, asked := range []struct {
+			attempt string
+			slot    Slot
+			names   []string
+		}{{"one", older, []string{"a", "c"}}, {"two", newer, []string{"b", "d"}}} {
+			votes := 0
+			for _, name := range asked.names {
+				if grantReply(t, keepers[name].Step(start, grantOf(asked.attempt, asked.slot))).Vote == VoteGranted {
+					votes++
+				}
+			}
+			if votes >= Majority(asked.slot.Seats) {
+				majorities++
+			}
+		}
+		if planted := defects.IgnoresVersion; planted != (majorities == 2) {
+			t.Errorf("with the defect %v: %d majorities", planted, majorities)
+		}
+	}
+}
