Store an actor's identity before its first message

Cause: the control shell's first step starts a read of the record in the background; its answer could come before Spawn had returned and the identity was stored: a nil dereference that ended the process (seen once on a loaded machine in TestTwoNodes of internal/node; stack in control_effects.go). Ruled out: a send after Stop (the shell had just been started). Change: the identity is made first, the actor then spawned under it.

--- a/internal/node/claim_shell.go
+++ b/internal/node/claim_shell.go
@@ -99,7 +99,8 @@
 		attempts:     make(map[string]granted),
 		coordinator:  newCoordinator(),
 	}
-	shell.pid = dependencies.System.Root.Spawn(actor.PropsFromFunc(shell.receive, inPart(dependencies.Self.Name, partClaims)))
+	props := actor.PropsFromFunc(shell.receive, inPart(dependencies.Self.Name, partClaims))
+	spawn(dependencies.System, props, func(pid *actor.PID) { shell.pid = pid })
 	shell.background.Add(1)
 	go shell.followTable()
 	dependencies.Views.Members.Watch(shell.watchMembers())
--- a/internal/node/control_actor.go
+++ b/internal/node/control_actor.go
@@ -83,7 +83,8 @@
 		lifetime:     lifetime,
 		end:          end,
 	}
-	shell.pid = dependencies.System.Root.Spawn(actor.PropsFromFunc(shell.receive, inPart(dependencies.Self.Name, partControl)))
+	props := actor.PropsFromFunc(shell.receive, inPart(dependencies.Self.Name, partControl))
+	spawn(dependencies.System, props, func(pid *actor.PID) { shell.pid = pid })
 	shell.subscribe()
 	return shell
 }
--- a/internal/node/membership_actor.go
+++ b/internal/node/membership_actor.go
@@ -60,7 +60,7 @@
 		stopped:      make(chan struct{}),
 	}
 	props := actor.PropsFromFunc(shell.receive, inPart(dependencies.Core.Self.Name, partMembership))
-	shell.pid = dependencies.System.Root.Spawn(props)
+	spawn(dependencies.System, props, func(pid *actor.PID) { shell.pid = pid })
 	shell.readers.Add(1)
 	go pprof.Do(context.Background(), partLabels(dependencies.Core.Self.Name, partMembership), func(context.Context) {
 		shell.readPackets()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,7 +87,7 @@
 		self:     self,
 		started:  time.Now(),
 		logger:   logger,
-		system:   actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return logging.ForActors(logger) })),
+		system:   actor.NewActorSystem(actor.WithLoggerFactory(actorLoggerFactory(logger))),
 		views:    &views.Views{},
 		platform: platform.NewClient(settings.Platform, settings.Zone),
 		peers:    peer.NewPool(),
@@ -101,6 +101,10 @@
 	return created
 }
 
+func actorLoggerFactory(logger *log.Logger) func(*actor.ActorSystem) *slog.Logger {
+	return func(*actor.ActorSystem) *slog.Logger { return logging.ForActors(logger) }
+}
+
 // startShells starts the actors, those first that the others listen to.
 func (n *Node) startShells(bound sockets) {
 	n.tableAges.follow(n.views)
