Never end an answer that was not delivered like a whole one

Cause: an answer larger than a node holds was ended as if its caller had gone: nothing was written, and net/http sent an empty 200.

Change: it gets a problem (502, failed); where no proper end can be written the connection is broken off. The dispatcher's handling is split from its actor.

Ruled out: the same for slow readers: there the expired write deadline already breaks the connection; the test now checks it.

Proof: without the change the new test gets 200 and no body, with it 502.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -192,6 +192,7 @@
 	}
 	a.call.record.outcome, a.call.record.code, a.call.record.status = failure.outcome, failure.code, failure.status
 	if failure.code == attempt.CodeCallerGone {
+		a.call.aborted = true
 		return
 	}
 	body, _ := json.Marshal(failure.problem(a.call.id))
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -104,7 +103,7 @@
 		runtime.ReadMemStats(&after)
 		used := int64(after.HeapAlloc+after.StackInuse) - int64(before.HeapAlloc+before.StackInuse)
 		b.ReportMetric(float64(used)/requests, "B/waiting")
-		h.gateway.running.cutAll(io.EOF)
+		h.gateway.running.cutAll(errCut)
 		for range requests {
 			<-done
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,6 +40,10 @@
 	// counter is the count of requests at a time that the call is part of.
 	counter *atomic.Int64
 	record  record
+	// aborted is set where no proper end can be written: the connection is
+	// then broken off, since net/http would else end the answer as if it were
+	// whole.
+	aborted bool
 }
 
 func (g *Gateway) newCall(writer http.ResponseWriter, request *http.Request) *call {
@@ -82,6 +86,7 @@
 	c.record.code = failure.code
 	c.record.status = failure.status
 	if failure.code == attempt.CodeCallerGone {
+		c.aborted = true
 		return
 	}
 	c.extendWrite()
--- /dev/null
+++ b/internal/gateway/dispatch.go
@@ -0,0 +1,238 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/attempt"
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/queue"
+	"github.com/spanlanding/spanlanding/internal/routing"
+	"github.com/spanlanding/spanlanding/internal/views"
+)
+
+func (s *dispatcherState) submit(now time.Time, submit submit) {
+	if submit.retry {
+		if !submit.unspent && !s.budget.Spend() {
+			submit.reply <- reply{refusal: &failure{code: codeRetryBudget, detail: "too many requests are being retried",
+				outcome: attempt.OutcomeNotRun, retryAfter: time.Second}}
+			return
+		}
+		s.gateway.metrics.retries.Inc()
+	} else {
+		s.budget.Earn()
+		if refusal := s.shares.take(now, submit.route.Selector, submit.route.Limits); refusal != nil {
+			submit.reply <- reply{refusal: refusal}
+			return
+		}
+	}
+	model := submit.model
+	if model.IsZero() {
+		model = s.routing.ChooseVersion(weighted(submit.route.Versions))
+	}
+	s.pending[submit.ticket] = &pending{submit: submit, model: model}
+	s.offer(now, model)
+	s.stepQueue(now, queue.Arrive{Item: queue.Item{
+		Ticket:   queue.Ticket(submit.ticket),
+		Model:    model,
+		Adapter:  submit.route.Adapter,
+		Priority: submit.route.Priority,
+		Deadline: submit.deadline,
+		Since:    submit.arrived,
+		Bytes:    submit.bytes,
+		Again:    submit.retry,
+	}})
+}
+
+func weighted(versions []catalog.WeightedModel) []routing.Weighted {
+	weighted := make([]routing.Weighted, 0, len(versions))
+	for _, version := range versions {
+		weighted = append(weighted, routing.Weighted{Model: version.Model, Weight: version.Weight})
+	}
+	return weighted
+}
+
+func (s *dispatcherState) submitCall(now time.Time, submit submitCall) {
+	if submit.retry {
+		if !submit.unspent && !s.budget.Spend() {
+			submit.reply <- reply{refusal: &failure{code: codeRetryBudget, detail: "too many calls are being retried",
+				outcome: attempt.OutcomeNotRun, retryAfter: time.Second}}
+			return
+		}
+	} else {
+		s.budget.Earn()
+		if refusal := s.shares.take(now, submit.route.Service, submit.route.Limits); refusal != nil {
+			submit.reply <- reply{refusal: refusal}
+			return
+		}
+	}
+	s.calls[submit.ticket] = submit.reply
+	s.assigned[submit.ticket] = assigned{since: now}
+	s.stepRouting(now, routing.PickService{Ticket: routing.Ticket(submit.ticket), Service: submit.route.Service,
+		Exclude: submit.exclude})
+}
+
+// offer tells the queue the present room for a model.
+func (s *dispatcherState) offer(now time.Time, model fleet.ModelVersion) {
+	rooms := s.routing.Rooms(now, model)
+	replicas := make([]queue.Replica, 0, len(rooms.Rooms))
+	for _, room := range rooms.Rooms {
+		replicas = append(replicas, queue.Replica{Name: room.Name, Free: room.Free, Adapters: room.Adapters})
+	}
+	s.stepQueue(now, queue.Offer{Model: model, Ready: rooms.Ready, Replicas: replicas, Slots: rooms.Slots})
+}
+
+func (s *dispatcherState) stepQueue(now time.Time, message queue.Message) {
+	// The effects are valid until the next step, which carrying them out may
+	// bring about.
+	effects := append([]queue.Effect(nil), s.queue.Step(now, message)...)
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case queue.Release:
+			s.release(now, effect)
+		case queue.Refuse:
+			s.refuse(effect)
+		case queue.ReportWants:
+			if s.gateway.options.Demand != nil {
+				s.gateway.options.Demand.Report(effect.Wants)
+			}
+		}
+	}
+}
+
+func (s *dispatcherState) stepRouting(now time.Time, message routing.Message) {
+	effects := append([]routing.Effect(nil), s.routing.Step(now, message)...)
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case routing.Picked:
+			s.picked(now, effect)
+		case routing.NonePicked:
+			s.nonePicked(now, effect)
+		case routing.RoomChanged:
+			s.offer(now, effect.Model)
+		}
+	}
+}
+
+func (s *dispatcherState) release(now time.Time, release queue.Release) {
+	waiting, found := s.pending[uint64(release.Item.Ticket)]
+	if !found {
+		return
+	}
+	waiting.cold, waiting.waited = release.Cold, release.Waited
+	s.stepRouting(now, routing.Pick{
+		Ticket:  routing.Ticket(release.Item.Ticket),
+		Model:   waiting.model,
+		Adapter: release.Item.Adapter,
+		Prefix:  waiting.submit.prefix,
+		Exclude: waiting.submit.exclude,
+	})
+}
+
+func (s *dispatcherState) picked(now time.Time, picked routing.Picked) {
+	ticket := uint64(picked.Ticket)
+	if waiting, found := s.pending[ticket]; found {
+		delete(s.pending, ticket)
+		s.assigned[ticket] = assigned{model: waiting.model, since: now}
+		waiting.submit.reply <- reply{backend: picked.Backend, model: waiting.model, cold: waiting.cold, waited: waiting.waited}
+		return
+	}
+	if answer, found := s.calls[ticket]; found {
+		delete(s.calls, ticket)
+		answer <- reply{backend: picked.Backend}
+	}
+}
+
+// nonePicked puts a model request back into the queue; a call is refused.
+func (s *dispatcherState) nonePicked(now time.Time, none routing.NonePicked) {
+	ticket := uint64(none.Ticket)
+	if waiting, found := s.pending[ticket]; found {
+		waiting.misses++
+		if waiting.misses > maxMisses {
+			delete(s.pending, ticket)
+			waiting.submit.reply <- reply{refusal: &failure{code: codeNoBackend, detail: "no replica of the model can be reached now",
+				outcome: attempt.OutcomeNotRun, retryAfter: time.Second}}
+			return
+		}
+		s.offer(now, waiting.model)
+		s.stepQueue(now, queue.Arrive{Item: queue.Item{
+			Ticket: queue.Ticket(ticket), Model: waiting.model, Adapter: waiting.submit.route.Adapter,
+			Priority: waiting.submit.route.Priority, Deadline: waiting.submit.deadline,
+			Since: waiting.submit.arrived, Bytes: waiting.submit.bytes, Again: true,
+		}})
+		return
+	}
+	if answer, found := s.calls[ticket]; found {
+		delete(s.calls, ticket)
+		delete(s.assigned, ticket)
+		answer <- reply{refusal: &failure{code: codeNoBackend, detail: "no back end of the service can be reached now",
+			outcome: attempt.OutcomeNotRun, retryAfter: time.Second}}
+	}
+}
+
+func (s *dispatcherState) refuse(refuse queue.Refuse) {
+	waiting, found := s.pending[uint64(refuse.Item.Ticket)]
+	if !found {
+		return
+	}
+	delete(s.pending, uint64(refuse.Item.Ticket))
+	detail := refuse.Detail
+	if detail == "" {
+		detail = detailOf(refuse.Reason)
+	}
+	waiting.submit.reply <- reply{refusal: &failure{code: string(refuse.Reason), detail: detail,
+		outcome: attempt.OutcomeNotRun, retryAfter: refuse.RetryAfter}}
+}
+
+func detailOf(reason queue.Reason) string {
+	switch reason {
+	case queue.ReasonFull:
+		return "the queue is full"
+	case queue.ReasonTooLate:
+		return "the request cannot be served before its deadline"
+	case queue.ReasonDeadline:
+		return "the deadline came while the request waited"
+	case queue.ReasonCannotLoad:
+		return "the model cannot be loaded now"
+	case queue.ReasonShed:
+		return "requests of a higher priority took the room"
+	}
+	return "the node is stopping"
+}
+
+func (s *dispatcherState) abandon(now time.Time, ticket uint64) {
+	if _, found := s.pending[ticket]; found {
+		delete(s.pending, ticket)
+		s.stepQueue(now, queue.Leave{Ticket: queue.Ticket(ticket)})
+		return
+	}
+	s.ended(now, attemptEnded{ticket: ticket, result: routing.ResultAbandoned})
+}
+
+func (s *dispatcherState) ended(now time.Time, ended attemptEnded) {
+	known, found := s.assigned[ended.ticket]
+	if !found {
+		return
+	}
+	delete(s.assigned, ended.ticket)
+	if !known.model.IsZero() && ended.result == routing.ResultOK {
+		s.stepQueue(now, queue.Served{Model: known.model, Service: now.Sub(known.since)})
+	}
+	s.stepRouting(now, routing.Ended{Ticket: routing.Ticket(ended.ticket), Result: ended.result})
+}
+
+func (s *dispatcherState) takeTables(now time.Time, tables views.Tables) {
+	list := make([]fleet.RouteTable, 0, len(tables))
+	for _, table := range tables {
+		list = append(list, table)
+	}
+	s.stepRouting(now, routing.Tables{Tables: list})
+}
+
+// stopping refuses what still waits, so that no handler waits for ever.
+func (s *dispatcherState) stopping(now time.Time) {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	s.stepQueue(now, queue.Close{RetryAfter: s.gateway.limits.DrainRetryAfter})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,9 +137,16 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	call := g.newCall(writer, request)
+	g.serve(call)
+	if call.aborted {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (g *Gateway) serve(call *call) {
 	defer call.finished()
 	if !g.running.enter(call) {
-		writer.Header().Set("Connection", "close")
+		call.writer.Header().Set("Connection", "close")
 		call.fail(problemStopping(g.limits.DrainRetryAfter))
 		return
 	}
@@ -151,7 +158,7 @@
 		call.fail(problemNoCatalog)
 		return
 	}
-	switch path := request.URL.Path; {
+	switch path := call.request.URL.Path; {
 	case path == backend.PathChat || path == backend.PathCompletions:
 		call.serveModel(current)
 	case path == pathModels:
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -45,11 +45,18 @@
 	mutex  sync.Mutex
 	wants  []fleet.Want
 	refuse func([]fleet.LoadRefusal)
+	// first is closed at the first report.
+	first chan struct{}
 }
 
+func newFakeDemand() *fakeDemand { return &fakeDemand{first: make(chan struct{})} }
+
 func (f *fakeDemand) Report(wants []fleet.Want) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if len(f.wants) == 0 {
+		close(f.first)
+	}
 	f.wants = append(f.wants, wants...)
 }
 
@@ -77,7 +84,7 @@
 	h := &harness{
 		t:      t,
 		views:  new(views.Views),
-		demand: new(fakeDemand),
+		demand: newFakeDemand(),
 		catalog: &fakeCatalog{
 			model: catalog.ModelRoute{Selector: "all", Deadline: 10 * time.Second,
 				Versions: []catalog.WeightedModel{{Model: testModel, Weight: 1}}},
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
@@ -174,6 +174,8 @@
 
 	ticket  uint64
 	counted bool
+	// undeliverable is why the answer could not be handed on.
+	undeliverable error
 	// model and engine are those of the present attempt.
 	model  fleet.ModelVersion
 	engine fleet.Backend
@@ -261,7 +263,7 @@
 
 // undelivered tells the core that the caller takes no more.
 func (r *modelRun) undelivered(err error) attempt.Message {
-	r.record.detail = err.Error()
+	r.undeliverable = err
 	return attempt.CallerGone{}
 }
 
@@ -343,15 +345,21 @@
 	if finish.Outcome == attempt.OutcomeOK {
 		r.record.outcome, r.record.status = finish.Outcome, http.StatusOK
 		if err := r.answer.finish(finish); err != nil {
-			r.record.outcome, r.record.code = attempt.OutcomeFailed, attempt.CodeCallerGone
+			r.undeliverable = err
+			r.answer.fail(failure{status: statusCallerGone, code: attempt.CodeCallerGone, outcome: attempt.OutcomeFailed})
 			r.record.detail = err.Error()
 		}
 		return
 	}
 	failure := failureOf(finish)
-	if cause := context.Cause(r.request.Context()); cause == errCut {
+	switch {
+	case context.Cause(r.request.Context()) == errCut:
 		failure.code, failure.status, failure.detail = codeStopping, http.StatusServiceUnavailable, errCut.Error()
+	case errors.Is(r.undeliverable, errAnswerTooLarge):
+		failure.code, failure.status, failure.detail = codeAnswerLarge, http.StatusBadGateway, errAnswerTooLarge.Error()
+	case r.undeliverable != nil:
+		failure.detail = r.undeliverable.Error()
 	}
-	r.record.detail = strings.TrimSpace(failure.detail + " " + r.record.detail)
+	r.record.detail = failure.detail
 	r.answer.fail(failure)
 }
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -26,12 +26,10 @@
 	address := h.backend(wholeEngine)
 	done := make(chan response, 1)
 	go func() { done <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
-	for len(h.demand.reported()) == 0 {
-		select {
-		case early := <-done:
-			t.Fatalf("answered before any replica was ready: %+v", early)
-		default:
-		}
+	select {
+	case early := <-done:
+		t.Fatalf("answered before any replica was ready: %+v", early)
+	case <-h.demand.first:
 	}
 	h.addEngine("e1", address)
 	got := <-done
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -81,9 +81,7 @@
 	h := newHarness(t, nil)
 	done := make(chan response, 1)
 	go func() { done <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
-	for len(h.demand.reported()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-h.demand.first
 	h.demand.refuse([]fleet.LoadRefusal{{Model: testModel, Reason: "no allotment", RetryAfter: 7 * time.Second}})
 	got := <-done
 	if got.problem.Code != string(queue.ReasonCannotLoad) || got.header.Get("Retry-After") != "7" ||
@@ -159,9 +157,7 @@
 	h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) }))
 	first := make(chan response, 1)
 	go func() { first <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
-	for len(h.demand.reported()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-h.demand.first
 	if got := h.do(http.MethodPost, backend.PathCompletions, streamBody); got.problem.Code != codeOverloaded {
 		t.Errorf("%d %s", got.status, got.body)
 	}
@@ -194,3 +190,12 @@
 		h.wantWhole(<-answers)
 	}
 }
+
+func TestAnswerTooLargeToHoldIsNoEmptyAnswer(t *testing.T) {
+	h := newHarness(t, func(options *Options) { options.Limits.MaxAnswerBytes = 5 })
+	h.addEngine("e1", h.backend(wholeEngine))
+	got := h.do(http.MethodPost, backend.PathCompletions, `{"model":"notes","prompt":"x"}`)
+	if got.status != http.StatusBadGateway || got.problem.Code != codeAnswerLarge || got.problem.Outcome != attempt.OutcomeFailed {
+		t.Errorf("%d %+v", got.status, got.problem)
+	}
+}
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -188,9 +187,7 @@
 			}
 		}()
 	}
-	for len(h.demand.reported()) == 0 {
-		runtime.Gosched()
-	}
+	<-h.demand.first
 	if got := h.do(http.MethodPost, "/turbines/7/stop", ""); got.status != http.StatusNoContent {
 		t.Errorf("%d %s", got.status, got.body)
 	}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -186,9 +186,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		request, _ := http.NewRequestWithContext(ctx, http.MethodPost, h.server.URL+backend.PathCompletions, strings.NewReader(streamBody))
 		go func() {
-			for len(h.demand.reported()) == 0 {
-				runtime.Gosched()
-			}
+			<-h.demand.first
 			stop()
 		}()
 		if _, err := http.DefaultTransport.RoundTrip(request); err == nil {
@@ -237,6 +235,9 @@
 	}
 	defer answer.Body.Close()
 	<-cancelled
+	if _, err := io.Copy(io.Discard, answer.Body); err == nil {
+		t.Error("what was cut off ends like a whole answer")
+	}
 }
 
 func TestDrainFinishesWhatRunsAndRefusesWhatIsNew(t *testing.T) {
