--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -117,3 +119,38 @@
 	}
 	return count
 }
+
+// BenchmarkFirstToken measures the time to the first token of an engine called
+// directly and through the gateway, in turns of one run.
+func BenchmarkFirstToken(b *testing.B) {
+	h := newHarness(b, nil)
+	address := h.backend(wholeEngine)
+	h.addEngine("e1", address)
+	var direct, through []time.Duration
+	for b.Loop() {
+		direct = append(direct, firstToken(b, "http://"+address+backend.PathCompletions))
+		through = append(through, firstToken(b, h.server.URL+backend.PathCompletions))
+	}
+	slices.Sort(direct)
+	slices.Sort(through)
+	for _, share := range []int{50, 99} {
+		at := (len(direct) - 1) * share / 100
+		b.ReportMetric(float64(direct[at].Microseconds()), fmt.Sprintf("p%d-direct-us", share))
+		b.ReportMetric(float64(through[at].Microseconds()), fmt.Sprintf("p%d-through-us", share))
+	}
+}
+
+func firstToken(b *testing.B, url string) time.Duration {
+	begun := time.Now()
+	answer, err := http.Post(url, "application/json", strings.NewReader(streamBody))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer answer.Body.Close()
+	if _, err := answer.Body.Read(make([]byte, 1)); err != nil {
+		b.Fatal(err)
+	}
+	took := time.Since(begun)
+	_, _ = io.Copy(io.Discard, answer.Body)
+	return took
+}
