Do not hold a call's answer back for slow keepers

Cause: the keepers were told before the caller, for up to two seconds; the answer to a stop command could come late though it had run.

Change: told beside, the answer waits 100 ms for it at most; Close waits for reports under way.

Ruled out: answering first: a repeat soon after would find the key in progress rather than the answer.

Proof: with keepers that never return the answer comes all the same; the test hangs before the change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,7 +71,8 @@
 	random      *rand.Rand
 
 	running running
-	cancels sync.WaitGroup
+	// background counts cancels and reports to keepers under way.
+	background sync.WaitGroup
 }
 
 // New starts a gateway. Close ends it.
@@ -129,7 +130,7 @@
 func (g *Gateway) Close() {
 	g.models.stop()
 	g.services.stop()
-	g.cancels.Wait()
+	g.background.Wait()
 	g.generator.Close()
 	g.calls.Close()
 }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -270,7 +270,7 @@
 // cancel tells the engine, without making the caller wait.
 func (r *modelRun) cancel(cancel attempt.Cancel) {
 	address := r.engine.Address
-	r.gateway.cancels.Go(func() {
+	r.gateway.background.Go(func() {
 		_ = r.gateway.generator.Cancel(address, r.engineID, cancel.Attempt)
 	})
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -89,15 +89,37 @@
 		return
 	}
 	finish := r.call()
-	outcome, stored := r.outcome(finish)
-	complete, stopComplete := context.WithTimeout(context.WithoutCancel(r.caller.request.Context()), completeTimeout)
-	defer stopComplete()
-	gateway.options.Guard.Complete(complete, key, decision.Attempt, outcome, stored)
+	r.complete(key, decision.Attempt, finish)
 	r.answer(finish)
 }
 
-// completeTimeout bounds telling the keepers how an attempt ended.
-const completeTimeout = 2 * time.Second
+const (
+	// completeTimeout bounds telling the keepers how an attempt ended.
+	completeTimeout = 2 * time.Second
+	// completeGrace is how long the caller's answer waits for that, so that a
+	// repeat soon after finds the answer; keepers that are slow do not delay
+	// it further.
+	completeGrace = 100 * time.Millisecond
+)
+
+// complete tells the keepers how the attempt ended.
+func (r *serviceRun) complete(key, granted string, finish attempt.Finish) {
+	gateway := r.caller.gateway
+	outcome, stored := r.outcome(finish)
+	told := make(chan struct{})
+	gateway.background.Go(func() {
+		defer close(told)
+		ctx, stop := context.WithTimeout(context.Background(), completeTimeout)
+		defer stop()
+		gateway.options.Guard.Complete(ctx, key, granted, outcome, stored)
+	})
+	grace := time.NewTimer(completeGrace)
+	defer grace.Stop()
+	select {
+	case <-told:
+	case <-grace.C:
+	}
+}
 
 func (r *serviceRun) fingerprint() []byte {
 	hash := sha256.New()
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -33,6 +33,8 @@
 	decision claim.Decision
 	request  claim.Request
 	outcomes chan claim.Outcome
+	// hold delays Complete until it is closed.
+	hold chan struct{}
 }
 
 func newFakeGuard(decision claim.Decision) *fakeGuard {
@@ -45,6 +47,9 @@
 }
 
 func (f *fakeGuard) Complete(_ context.Context, _, _ string, outcome claim.Outcome, _ *claim.Answer) {
+	if f.hold != nil {
+		<-f.hold
+	}
 	f.outcomes <- outcome
 }
 
@@ -192,3 +197,15 @@
 		t.Errorf("%d %s", got.status, got.body)
 	}
 }
+
+func TestSlowKeepersDoNotHoldTheAnswerBack(t *testing.T) {
+	guard := newFakeGuard(claim.Decision{Verdict: claim.Granted, Attempt: "a1"})
+	guard.hold = make(chan struct{})
+	h := newHarness(t, func(options *Options) { options.Guard = guard })
+	h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) }))
+	got := h.do(http.MethodPost, "/turbines/7/stop", "now", backend.HeaderIdempotencyKey, "k")
+	close(guard.hold)
+	if told := <-guard.outcomes; got.status != http.StatusNoContent || told != claim.Ran {
+		t.Errorf("%d, keepers were told %v", got.status, told)
+	}
+}
