--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,7 +71,8 @@
 	random      *rand.Rand
 
 	running running
-	cancels sync.WaitGroup
+	// background counts cancels and reports to keepers under way.
+	background sync.WaitGroup
 }
 
 // New starts a gateway. Close ends it.
@@ -129,7 +130,7 @@
 func (g *Gateway) Close() {
 	g.models.stop()
 	g.services.stop()
-	g.cancels.Wait()
+	g.background.Wait()
 	g.generator.Close()
 	g.calls.Close()
 }
@@ -137,9 +138,16 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	call := g.newCall(writer, request)
+	g.serve(call)
+	if call.aborted {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (g *Gateway) serve(call *call) {
 	defer call.finished()
 	if !g.running.enter(call) {
-		writer.Header().Set("Connection", "close")
+		call.writer.Header().Set("Connection", "close")
 		call.fail(problemStopping(g.limits.DrainRetryAfter))
 		return
 	}
@@ -151,7 +159,7 @@
 		call.fail(problemNoCatalog)
 		return
 	}
-	switch path := request.URL.Path; {
+	switch path := call.request.URL.Path; {
 	case path == backend.PathChat || path == backend.PathCompletions:
 		call.serveModel(current)
 	case path == pathModels:
