Pause a node under the demo's load, and try a change again while the store is down

Change: DEMO_PAUSE=1 stops a node for a quarter of the load. Requests at it are not judged for their time, all else is. The change is tried again in the background, as an operator would. A paused node holds up the sampling of books for 1 s in place of 5 s.

--- a/internal/lab/check/check_test.go
+++ b/internal/lab/check/check_test.go
@@ -166,6 +166,11 @@
 		{"refusal after the deadline", RuleEnded, func(e *Evidence) {
 			e.Records[5].Ended = e.Records[5].Sent.Add(7 * time.Second)
 		}},
+		{"late answer long after a pause", RuleEnded, func(e *Evidence) {
+			e.Faults = append(e.Faults, history.Fault{At: at(1), Kind: history.NodePaused, Target: "n2"},
+				history.Fault{At: at(2), Kind: history.NodeContinued, Target: "n2"})
+			e.Records[4].Ended = at(14.5)
+		}},
 		{"node out of reach without a cause", RuleEnded, func(e *Evidence) {
 			e.Records[4].Outcome, e.Records[4].Ends = history.Unreachable, 0
 		}},
@@ -253,6 +258,11 @@
 			e.Faults = append(e.Faults, history.Fault{At: at(5), Kind: history.NodeKilled, Target: "n2"})
 			e.Records[4].Outcome, e.Records[4].Ends = history.Broken, 0
 		}},
+		{"late answer by a node that was paused", func(e *Evidence) {
+			e.Faults = append(e.Faults, history.Fault{At: at(6.1), Kind: history.NodePaused, Target: "n2"},
+				history.Fault{At: at(14), Kind: history.NodeContinued, Target: "n2"})
+			e.Records[4].Ended = at(14.5)
+		}},
 		{"refusal by a stopping node of what it did not run", func(e *Evidence) {
 			e.Records[1].Outcome, e.Records[1].Text = history.NotRun, ""
 			e.Books[0].Executions = e.Books[0].Executions[:1]
--- a/internal/lab/check/evidence.go
+++ b/internal/lab/check/evidence.go
@@ -193,6 +193,26 @@
 	return false
 }
 
+// pauseWake is how long a node may take to catch up after a pause.
+const pauseWake = 2 * time.Second
+
+// hitByPause reports whether the request's node was paused while it ran, and so
+// could not answer in time.
+func (e Evidence) hitByPause(record history.Record) bool {
+	for _, pause := range e.faultsAt(history.NodePaused, record.Node) {
+		end := e.Ended
+		for _, resumed := range e.faultsAt(history.NodeContinued, record.Node) {
+			if resumed.At.After(pause.At) && resumed.At.Before(end) {
+				end = resumed.At
+			}
+		}
+		if record.Ended.After(pause.At) && record.Sent.Before(end.Add(pauseWake)) {
+			return true
+		}
+	}
+	return false
+}
+
 // RanModels tells the model that ran each request.
 func (e Evidence) RanModels() map[fleet.RequestID]fleet.ModelVersion {
 	models := make(map[fleet.RequestID]fleet.ModelVersion)
--- a/internal/lab/collect/collector.go
+++ b/internal/lab/collect/collector.go
@@ -33,6 +33,9 @@
 const (
 	defaultInterval = 250 * time.Millisecond
 	callTimeout     = 5 * time.Second
+	// statusTimeout is short, so that a paused node does not hold up the
+	// sampling of the books.
+	statusTimeout = time.Second
 	// samplers bounds the calls under way at one time.
 	samplers = 16
 )
@@ -175,6 +178,8 @@
 }
 
 func (c *Collector) readNode(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
 	var status nodeStatus
 	if err := c.get(ctx, "http://"+address+"/status", &status); err != nil {
 		// A node may be down; the checks judge the samples that there are.
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -54,8 +54,11 @@
 const (
 	MomentStart      Moment = "start"
 	MomentKillNode   Moment = "kill-node"
+	MomentPauseNode  Moment = "pause-node"
 	MomentKillEngine Moment = "kill-engine"
 	MomentChange     Moment = "change"
+	// MomentContinueNode ends the pause.
+	MomentContinueNode Moment = "continue-node"
 	// MomentLeaveEngine asks an engine to leave as planned.
 	MomentLeaveEngine Moment = "leave-engine"
 	MomentStopNode    Moment = "stop-node"
@@ -70,8 +73,10 @@
 }{
 	{MomentStart, 0},
 	{MomentKillNode, 0.2},
+	{MomentPauseNode, 0.25},
 	{MomentKillEngine, 0.35},
 	{MomentChange, 0.45},
+	{MomentContinueNode, 0.5},
 	{MomentLeaveEngine, 0.55},
 	{MomentStopNode, 0.65},
 	{MomentSent, 1},
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -32,6 +32,8 @@
 seed=${DEMO_SEED:-1}
 # Faults of the stand-ins beside the kills; see spanlab load --help.
 stand_in_faults=${DEMO_FAULTS:-none}
+# DEMO_PAUSE=1 stops a node, which may lead its zone, for a quarter of the load
+# and lets it go on; DEMO_KEEP=1 keeps the logs.
 
 work=$(mktemp -d "${TMPDIR:-/tmp}/spanlanding-demo.XXXXXX")
 faults=$work/faults.jsonl
@@ -214,14 +216,19 @@
     { cat "$work/wait.log" >&2; exit 1; }
 done
 
-# change declares another weight of the preferences, which moves no model.
+# change declares another weight of the preferences, which moves no model. The
+# store may be down just then, so that it is tried again as an operator would.
 change() {
   sed -i 's/^\(  coldStartWeight: \).*/\10.55/' "$work/declared"/*.yaml
-  apply
+  for _ in {1..20}; do
+    apply 2>>"$work/change.log" && break
+    sleep 0.5
+  done
   ./bin/spanlanding wait --node "${operators[0]}" --version "$version" --timeout 5s >&2 || true
 }
 
 killed_node=${callers[1]}
+paused_node=${callers[4]}
 stopped_node=${callers[3]}
 : >"$faults"
 
@@ -234,7 +241,11 @@
     kill-engine)
       note engine-killed "${zones[0]}-engine-doomed-0"
       kill_now "$doomed_engine" ;;
-    change) change ;;
+    pause-node)
+      [ -z "${DEMO_PAUSE:-}" ] || { note node-paused "$paused_node"; kill -STOP "${node_pid[$paused_node]}"; } ;;
+    continue-node)
+      [ -z "${DEMO_PAUSE:-}" ] || { kill -CONT "${node_pid[$paused_node]}"; note node-continued "$paused_node"; } ;;
+    change) change & pids+=("$!") ;;
     leave-engine)
       say "engine ${zones[1]}-engine-leaving-0 leaves"
       kill -TERM "$leaving_engine" ;;
