Give a stream to the boot that asked for it only

The trace showed two cores of one node stepped in turn: a watch asked for by a boot that had died reached the store after the restart, and the stream was opened to the new boot but fed the old core. The fault was the simulation's, not configsync's: its own version never went back.

Change: OpenStream takes the receiver's boot.

--- a/internal/sim/network_test.go
+++ b/internal/sim/network_test.go
@@ -183,7 +183,7 @@
 	bench := newBench(options)
 	var arrived []int
 	broken := 0
-	stream := bench.network.OpenStream(StreamOptions{From: bench.a, To: bench.b, Detection: time.Second, Broken: func() { broken++ }})
+	stream := bench.network.OpenStream(StreamOptions{From: bench.a, To: bench.b, ToBoot: bench.b.Boot(), Detection: time.Second, Broken: func() { broken++ }})
 	send := func(value int) { stream.Send("chunk", 1, func() { arrived = append(arrived, value) }) }
 	for value := range 100 {
 		send(value)
@@ -208,7 +208,7 @@
 func TestStreamBreaksWithItsSender(t *testing.T) {
 	bench := newBench(quickLink)
 	broken := 0
-	bench.network.OpenStream(StreamOptions{From: bench.a, To: bench.b, Broken: func() { broken++ }})
+	bench.network.OpenStream(StreamOptions{From: bench.a, To: bench.b, ToBoot: bench.b.Boot(), Broken: func() { broken++ }})
 	bench.a.Die()
 	bench.scheduler.Run(time.Second)
 	if broken != 1 {
@@ -216,6 +216,19 @@
 	}
 }
 
+func TestStreamReachesOnlyTheBootThatAskedForIt(t *testing.T) {
+	bench := newBench(quickLink)
+	asked := bench.b.Boot()
+	bench.b.Die()
+	bench.b.Start()
+	stream := bench.network.OpenStream(StreamOptions{From: bench.a, To: bench.b, ToBoot: asked})
+	stream.Send("chunk", 1, func() { t.Error("a later boot got a chunk") })
+	bench.scheduler.Run(time.Minute)
+	if stream.Open() {
+		t.Error("the stream is open")
+	}
+}
+
 func TestSchedulerNoticesThatTimeStandsStill(t *testing.T) {
 	scheduler := NewScheduler()
 	var again func()
--- a/internal/sim/stream.go
+++ b/internal/sim/stream.go
@@ -23,6 +23,9 @@
 // StreamOptions describe a stream.
 type StreamOptions struct {
 	From, To *Process
+	// ToBoot is the boot of the receiver that asked for the stream; another
+	// boot gets nothing of it.
+	ToBoot uint64
 	// Detection is how long the receiver takes to notice a cut.
 	Detection time.Duration
 	// Broken is called at the receiver, once, where the stream ends without
@@ -37,7 +40,7 @@
 		from:      options.From,
 		to:        options.To,
 		fromBoot:  options.From.boot,
-		toBoot:    options.To.boot,
+		toBoot:    options.ToBoot,
 		onBroken:  options.Broken,
 		detection: options.Detection,
 	}
--- a/internal/sim/world/store.go
+++ b/internal/sim/world/store.go
@@ -35,7 +35,9 @@
 
 // watch is one reader's stream of changes.
 type watch struct {
-	since  uint64
+	since uint64
+	// boot is that of the reader when it asked.
+	boot   uint64
 	stream *sim.Stream
 	// take runs at the reader.
 	take func(version uint64, objects []platform.Object)
@@ -132,7 +134,7 @@
 // watch opens a stream of changes after a version. ended runs at the reader
 // once the stream is over.
 func (s *storeProcess) watch(from *sim.Process, since uint64, take func(uint64, []platform.Object), ended func(compacted bool)) *watch {
-	opened := &watch{since: since, take: take}
+	opened := &watch{since: since, boot: from.Boot(), take: take}
 	s.world.network.Call(sim.Call{
 		From: from, To: s.process, Kind: "store/watch", Timeout: storeCallTimeout,
 		Serve: func(reply func(any)) { reply(s.openWatch(opened, from, ended)) },
@@ -164,7 +166,7 @@
 		return watchCompacted
 	}
 	opened.stream = s.world.network.OpenStream(sim.StreamOptions{
-		From: s.process, To: from, Detection: watchDetection, Broken: func() { ended(false) },
+		From: s.process, To: from, ToBoot: opened.boot, Detection: watchDetection, Broken: func() { ended(false) },
 	})
 	s.watches = append(s.watches, opened)
 	s.pumpOne(opened, true)
