Tell lost changes of a restored store apart in its test

Cause: a scratch copy whose restored store kept the lost changes in its history still passed.

Ruled out: looking at the watch before the next write, where the store's version hides the lost changes.

Change: the test looks at the watch after the next write.

--- a/internal/standin/objects/store_test.go
+++ b/internal/standin/objects/store_test.go
@@ -130,6 +130,9 @@
 	if written, conflict := write(store, alarm, 1, "fourth"); conflict != nil || written.Version != 2 {
 		t.Errorf("written %+v, conflict %v", written, conflict)
 	}
+	if events, _ := store.Changes(1); len(events) != 1 || events[0].Object.ChangeID != "fourth" {
+		t.Errorf("a watch is told lost changes: %v", events)
+	}
 	compacted := New(1)
 	write(compacted, alarm, 0, "first")
 	write(compacted, alarm, 1, "second")
