--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
@@ -8,23 +9,15 @@
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/queue"
 	"github.com/spanlanding/spanlanding/internal/routing"
+	"github.com/spanlanding/spanlanding/internal/spec"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
 func (s *dispatcherState) submit(now time.Time, submit submit) {
-	if submit.retry {
-		if !submit.unspent && !s.budget.Spend() {
-			submit.reply <- reply{refusal: &failure{code: codeRetryBudget, detail: "too many requests are being retried",
-				outcome: attempt.OutcomeNotRun, retryAfter: time.Second}}
-			return
-		}
-		s.gateway.metrics.retries.Inc()
-	} else {
-		s.budget.Earn()
-		if refusal := s.shares.take(now, submit.route.Selector, submit.route.Limits); refusal != nil {
-			submit.reply <- reply{refusal: refusal}
-			return
-		}
+	refusal := s.admit(now, submit.retry, submit.unspent, submit.route.Selector, submit.route.Limits)
+	if refusal != nil {
+		submit.reply <- reply{refusal: refusal}
+		return
 	}
 	model := submit.model
 	if model.IsZero() {
@@ -44,6 +37,21 @@
 	}})
 }
 
+// admit counts a first attempt against the route's limits, and a retry against
+// the budget of the node.
+func (s *dispatcherState) admit(now time.Time, retry, unspent bool, route string, limits spec.Limits) *failure {
+	if !retry {
+		s.budget.Earn()
+		return s.shares.take(now, route, limits)
+	}
+	if !unspent && !s.budget.Spend() {
+		refused := refuse(http.StatusServiceUnavailable, codeRetryBudget, "too many requests are being retried").after(time.Second)
+		return &refused
+	}
+	s.gateway.metrics.retries.Inc()
+	return nil
+}
+
 func weighted(versions []catalog.WeightedModel) []routing.Weighted {
 	weighted := make([]routing.Weighted, 0, len(versions))
 	for _, version := range versions {
@@ -53,18 +61,10 @@
 }
 
 func (s *dispatcherState) submitCall(now time.Time, submit submitCall) {
-	if submit.retry {
-		if !submit.unspent && !s.budget.Spend() {
-			submit.reply <- reply{refusal: &failure{code: codeRetryBudget, detail: "too many calls are being retried",
-				outcome: attempt.OutcomeNotRun, retryAfter: time.Second}}
-			return
-		}
-	} else {
-		s.budget.Earn()
-		if refusal := s.shares.take(now, submit.route.Service, submit.route.Limits); refusal != nil {
-			submit.reply <- reply{refusal: refusal}
-			return
-		}
+	refusal := s.admit(now, submit.retry, submit.unspent, submit.route.Service, submit.route.Limits)
+	if refusal != nil {
+		submit.reply <- reply{refusal: refusal}
+		return
 	}
 	s.calls[submit.ticket] = submit.reply
 	s.assigned[submit.ticket] = assigned{since: now}
