Continue broken streams whatever the retry budget holds

Cause: an engine that died under more streams than the budget had saved up cut the rest of them with an error event, though another replica was ready.

Change: a continuation of delivered tokens does not spend the budget; it stays bounded by the attempts of its request.

Ruled out: a larger budget: it would let as many blind first attempts through.

Proof: 30 streams of an engine that dies, burst 1: cut before, all whole now.

--- a/internal/attempt/message.go
+++ b/internal/attempt/message.go
@@ -119,8 +119,9 @@
 type Reassign struct {
 	After   time.Duration
 	Exclude []fleet.BackendName
-	// Unspent is set where the attempt before is proved not to have run: it
-	// does not count against the retry budget.
+	// Unspent is set where the next attempt does not count against the retry
+	// budget: the one before is proved not to have run, or tokens have been
+	// delivered and giving up would waste them.
 	Unspent bool
 }
 
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -43,7 +43,7 @@
 	if c.next > 0 {
 		c.wake = now.Add(c.options.ContinueTimeout)
 	}
-	c.emit(Reassign{After: c.backoff(now), Exclude: c.exclude, Unspent: broken.provedNotRun()})
+	c.emit(Reassign{After: c.backoff(now), Exclude: c.exclude, Unspent: broken.provedNotRun() || c.next > 0})
 }
 
 func (b Broken) provedNotRun() bool {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -319,3 +320,36 @@
 		t.Errorf("both requests are %q at the engine", first)
 	}
 }
+
+// TestEngineThatDiesUnderManyStreamsCutsNone: their number is far beyond the
+// retry budget.
+func TestEngineThatDiesUnderManyStreamsCutsNone(t *testing.T) {
+	const streams = 30
+	h := newHarness(t, func(options *Options) {
+		options.Limits.RetryBurst = 1
+		options.Routing.EngineSlots = streams
+	})
+	var begun sync.WaitGroup
+	begun.Add(streams)
+	dead := make(chan struct{})
+	h.addEngine("e1", h.backend(func(writer http.ResponseWriter, request *http.Request) {
+		if isCancel(request) || isResume(request) {
+			breakOff()
+		}
+		scripted{writer, request}.tokens(0, 2)
+		begun.Done()
+		<-dead
+		breakOff()
+	}))
+	answers := make(chan response, streams)
+	for range streams {
+		go func() { answers <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
+	}
+	begun.Wait()
+	h.table.Engines = nil
+	h.addEngine("e2", h.backend(wholeEngine))
+	close(dead)
+	for range streams {
+		h.wantWhole(<-answers)
+	}
+}
