Never write a lost table of keepers from a copy

A copy may be older than what keepers already count on, and one version would have two sets of seats. The seats stay as they are and the log says so.

--- a/internal/node/claim_shell.go
+++ b/internal/node/claim_shell.go
@@ -61,7 +61,10 @@
 	coordinator coordinator
 }
 
-var _ claim.Guard = (*Claims)(nil)
+var (
+	_ claim.Guard = (*Claims)(nil)
+	_ KeeperStore = (*platform.Client)(nil)
+)
 
 const (
 	// keeperCallTimeout bounds one call to a keeper.
--- a/internal/node/claim_table.go
+++ b/internal/node/claim_table.go
@@ -166,20 +166,19 @@
 }
 
 // readTable returns the stored table, or writes the first one. A table that
-// was deleted is never founded anew: what was granted under it is not known.
+// was lost is neither founded anew nor written from a copy: a copy may be older
+// than what keepers already count on, and one version would have two sets of
+// seats. Keyed calls then go on with the seats as they are.
 func (c *Claims) readTable(usable []fleet.Member) (platform.Object, claim.Table, error) {
 	ctx, cancel := context.WithTimeout(c.lifetime, storeTimeout)
 	defer cancel()
 	object, err := c.dependencies.Store.Get(ctx, platform.Key{Kind: platform.KindKeepers, Name: keepersObject})
-	known := c.currentTable()
+	known := len(c.currentTable().Slots) > 0
 	switch {
 	case err != nil && !errorx.HasTrait(err, errorx.NotFound()):
 		return object, claim.Table{}, err
-	case err != nil && len(known.Slots) > 0:
-		object, err = c.writeTable(known, object.Version)
-		return object, known, err
-	case err != nil && object.Version > 0:
-		return object, claim.Table{}, errorx.IllegalState.New("the keepers' table was deleted and no node holds a copy")
+	case err != nil && (known || object.Version > 0):
+		return object, claim.Table{}, errorx.IllegalState.New("the keepers' table was deleted: no keeper can be replaced")
 	case err != nil:
 		founded := claim.Found(usable)
 		object, err = c.writeTable(founded, 0)
