--- a/internal/node/claim_table.go
+++ b/internal/node/claim_table.go
@@ -89,7 +89,7 @@
 		return tableInterval
 	}
 	if first.Name != c.seat.Name || c.dependencies.Store == nil {
-		return c.learnTable(usable)
+		return c.learnTable(first, usable)
 	}
 	changed, err := c.keepTable(usable)
 	if err != nil {
@@ -107,29 +107,37 @@
 	})
 }
 
-// learnTable compares the table with that of a random member.
-func (c *Claims) learnTable(usable []fleet.Member) time.Duration {
+// learnTable compares the table with the coordinator's, or with that of a
+// random member where the coordinator does not answer.
+func (c *Claims) learnTable(first fleet.Member, usable []fleet.Member) time.Duration {
 	others := slices.DeleteFunc(slices.Clone(usable), func(member fleet.Member) bool {
 		return member.Name == c.seat.Name
 	})
-	if len(others) == 0 {
+	if !c.compareTable(first) && len(others) > 0 {
+		c.compareTable(others[rand.IntN(len(others))])
+	}
+	if len(c.currentTable().Slots) == 0 {
 		return tableInterval
 	}
+	return tableRefresh
+}
+
+func (c *Claims) compareTable(other fleet.Member) bool {
+	if other.Name == c.seat.Name {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(c.lifetime, keeperCallTimeout)
 	defer cancel()
-	other := others[rand.IntN(len(others))]
 	response, err := c.dependencies.Pool.To(other.Addresses.Peer).Claims.Seats(ctx, &peerpb.SeatsRequest{
 		From:      string(c.seat.Name),
 		WantTable: true,
 		TableHash: c.currentTable().Hash(),
 	})
-	if err == nil {
-		c.takeSlots(decodeSlots(response.GetSlots()))
-	}
-	if len(c.currentTable().Slots) == 0 {
-		return tableInterval
+	if err != nil {
+		return false
 	}
-	return tableRefresh
+	c.takeSlots(decodeSlots(response.GetSlots()))
+	return true
 }
 
 func decodeSlots(encoded []*peerpb.KeeperSlot) []claim.Slot {
@@ -209,12 +217,7 @@
 
 // askSeats tells every seat of its slots and returns those that are settled.
 func (c *Claims) askSeats(table claim.Table) map[int][]claim.Seat {
-	bySeat := make(map[claim.Seat][]claim.Slot)
-	for _, slot := range table.Slots {
-		for _, seat := range slot.Seats {
-			bySeat[seat] = append(bySeat[seat], slot)
-		}
-	}
+	bySeat := slotsBySeat(table.Slots)
 	var group sync.WaitGroup
 	var mutex sync.Mutex
 	responses := make(map[claim.Seat]*peerpb.SeatsResponse)
@@ -235,6 +238,16 @@
 	return settled
 }
 
+func slotsBySeat(slots []claim.Slot) map[claim.Seat][]claim.Slot {
+	bySeat := make(map[claim.Seat][]claim.Slot)
+	for _, slot := range slots {
+		for _, seat := range slot.Seats {
+			bySeat[seat] = append(bySeat[seat], slot)
+		}
+	}
+	return bySeat
+}
+
 func (c *Claims) askSeat(seat claim.Seat, slots []claim.Slot) *peerpb.SeatsResponse {
 	ctx, cancel := context.WithTimeout(c.lifetime, keeperCallTimeout)
 	defer cancel()
@@ -311,29 +324,3 @@
 	}
 	return func(seat claim.Seat) bool { return gone[string(seat.Name)] }
 }
-
-// Drain waits until no slot names this node any more, so that its records are
-// with other keepers, or until the context ends. The members must already
-// know that this node drains.
-func (c *Claims) Drain(ctx context.Context) error {
-	for {
-		if !c.seated() {
-			return nil
-		}
-		c.wakeTable()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(drainCheck):
-		}
-	}
-}
-
-// drainCheck is the time between two looks for a seat of this node.
-const drainCheck = 200 * time.Millisecond
-
-func (c *Claims) seated() bool {
-	return slices.ContainsFunc(c.currentTable().Slots, func(slot claim.Slot) bool {
-		return slices.ContainsFunc(slot.Seats, c.seat.Same)
-	})
-}
