Measure all loads of one size on one fleet, once its start is over

Cause: points taken two seconds after a fleet had settled held what only its start costs (the table of keepers is exchanged once a second until it rests), and each load started a fleet of its own, 36 in all.

Change: points of one size share a fleet; six quiet seconds go before the first window. 20 fleets for 36 points.

--- a/cmd/spanlab/scale.go
+++ b/cmd/spanlab/scale.go
@@ -31,7 +31,7 @@
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "variable", Usage: "nodes, zones, engines, models, adapters, requests, commands, changes or wakes; all by default"},
 			&cli.DurationFlag{Name: "window", Value: 3 * time.Second, Usage: "how long each point is measured"},
-			&cli.DurationFlag{Name: "quiet", Value: time.Second, Usage: "pause between settling and measuring"},
+			&cli.DurationFlag{Name: "quiet", Value: 6 * time.Second, Usage: "pause after a fleet has settled, so that what only its start costs is over"},
 			&cli.IntFlag{Name: "processors", Value: scaleProcessors, Usage: "processors used at a time", Validator: positive},
 			&cli.StringFlag{Name: "csv", Usage: "also write the fitted lines to this file"},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "text", Usage: "text or json"},
@@ -56,10 +56,10 @@
 	result := scale.Run(ctx, scale.Options{
 		Base:             scale.Base(),
 		Variables:        variables,
-		Timing:           scale.Timing{Settle: scaleSettle, Quiet: command.Duration("quiet"), Window: command.Duration("window")},
+		Timing:           scale.Timing{Settle: scaleSettle, Quiet: command.Duration("quiet"), Begin: time.Second, Window: command.Duration("window")},
 		MaximumHeapBytes: scaleMemoryBytes,
 		Progress: func(done, total int, what string) {
-			fmt.Fprintf(os.Stderr, "scale: point %d of %d, %s, %s\n", done+1, total, what, time.Since(started).Round(time.Second))
+			fmt.Fprintf(os.Stderr, "scale: fleet %d of %d, %s, %s\n", done+1, total, what, time.Since(started).Round(time.Second))
 		},
 	})
 	err = write(os.Stdout, result)
@@ -67,7 +67,7 @@
 		err = errors.Join(err, writeTo(path, func(to io.Writer) error { return scale.WriteCSV(to, result) }))
 	}
 	if len(result.Errors) > 0 {
-		err = errors.Join(err, fmt.Errorf("scale: %d points were not measured", len(result.Errors)))
+		err = errors.Join(err, fmt.Errorf("scale: %d fleets were not measured", len(result.Errors)))
 	}
 	return err
 }
--- a/internal/lab/scale/load.go
+++ b/internal/lab/scale/load.go
@@ -59,7 +59,8 @@
 	created.every(ctx, setup.CommandsPerSecond, created.command)
 	created.every(ctx, setup.WakesPerHour/3600, func(ctx context.Context, index int) {
 		created.wakes.Add(1)
-		created.complete(ctx, index, adapterName(index%setup.Adapters))
+		woken := int(outside.woken.Add(1))
+		created.complete(ctx, index, adapterName(woken%setup.Adapters))
 	})
 	created.every(ctx, setup.ChangesPerMinute/60, created.change)
 	return created
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"runtime"
 	"runtime/debug"
-	"runtime/pprof"
 	"syscall"
 	"time"
 
@@ -51,62 +50,6 @@
 	Load       Outcome `json:"load"`
 }
 
-// Timing are the lengths of a point.
-type Timing struct {
-	Settle time.Duration
-	Quiet  time.Duration
-	Window time.Duration
-}
-
-// Measure runs a fleet of the setup for the window.
-func Measure(ctx context.Context, setup Setup, timing Timing) (Measurement, error) {
-	var measured Measurement
-	var err error
-	pprof.Do(ctx, pprof.Labels(node.ProfileNode, standInLabel), func(ctx context.Context) {
-		measured, err = measure(ctx, setup, timing)
-	})
-	return measured, err
-}
-
-func measure(ctx context.Context, setup Setup, timing Timing) (Measurement, error) {
-	begun := time.Now()
-	outside, err := startStandIns(ctx, setup)
-	if err != nil {
-		return Measurement{}, err
-	}
-	defer outside.stop()
-	version, err := outside.declare(ctx, setup)
-	if err != nil {
-		return Measurement{}, err
-	}
-	before := heapBytes()
-	nodes, err := startNodes(setup, outside.url)
-	if err != nil {
-		return Measurement{}, err
-	}
-	defer stopNodes(nodes)
-	settling, cancel := context.WithTimeout(ctx, timing.Settle)
-	defer cancel()
-	if err := awaitSettled(settling, setup, nodes, version); err != nil {
-		return Measurement{}, err
-	}
-	settled := time.Since(begun).Seconds()
-	load := startLoad(ctx, setup, outside, nodes)
-	defer load.stop()
-	sleep(ctx, timing.Quiet)
-	measured, err := window(ctx, setup, nodes, rolesOf(ctx, outside, nodes), timing.Window)
-	measured.Load = load.stop()
-	measured.SettledSeconds = settled
-	heap := float64(heapBytes()-before) / float64(len(nodes)) / 1024
-	for role := range measured.Roles {
-		measured.Roles[role][FigureHeap] = heap
-	}
-	if measured.Load.Changes > 0 {
-		measured.Roles[RoleRouter][FigureInForce] = measured.Load.InForceMillis
-	}
-	return measured, err
-}
-
 // window measures while the fleet runs.
 func window(ctx context.Context, setup Setup, nodes []hollow, roles map[Role]map[fleet.NodeName]bool, length time.Duration) (Measurement, error) {
 	runtime.GC()
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
+	"maps"
 	"slices"
 	"time"
 )
@@ -15,7 +15,7 @@
 	Timing    Timing
 	// MaximumHeapBytes ends the run: more would take the machine from others.
 	MaximumHeapBytes uint64
-	// Progress is told of each point before it is measured; it may be nil.
+	// Progress is told of each fleet before it is started; it may be nil.
 	Progress func(done, total int, what string)
 }
 
@@ -36,35 +36,19 @@
 	Began  time.Time `json:"began"`
 }
 
-// Run measures every point of the variables, one after the other. A point that
-// cannot be measured is named in the result and has no figures.
+// Run measures every point of the variables. Points of one size share a fleet,
+// and the same point is measured once. A fleet that cannot be measured is named
+// in the result and its points have no figures.
 func Run(ctx context.Context, options Options) Result {
 	result := Result{Base: options.Base, Began: time.Now().UTC()}
-	total := 0
-	for _, variable := range options.Variables {
-		total += len(variable.Values)
-	}
-	done := 0
-	// Points of one setup are measured once.
-	measured := make(map[Setup]Measurement)
+	measured := options.measureAll(ctx, &result)
 	for _, variable := range options.Variables {
 		var values []float64
 		var points []Measurement
 		for _, value := range variable.Values {
-			if options.Progress != nil {
-				options.Progress(done, total, fmt.Sprintf("%s %g", variable.Name, value))
-			}
-			done++
-			setup := variable.apply(options.Base, value)
-			point, found := measured[setup]
+			point, found := measured[variable.apply(options.Base, value)]
 			if !found {
-				var err error
-				point, err = options.measure(ctx, setup)
-				if err != nil {
-					result.Errors = append(result.Errors, fmt.Sprintf("%s %g: %v", variable.Name, value, err))
-					continue
-				}
-				measured[setup] = point
+				continue
 			}
 			values = append(values, value)
 			points = append(points, point)
@@ -76,15 +60,49 @@
 	return result
 }
 
-func (o Options) measure(ctx context.Context, setup Setup) (Measurement, error) {
+// sizes lists the sizes of the fleets, with the setups of each.
+func (o Options) sizes() ([]Setup, map[Setup][]Setup) {
+	var sizes []Setup
+	bySize := make(map[Setup][]Setup)
+	for _, variable := range o.Variables {
+		for _, value := range variable.Values {
+			setup := variable.apply(o.Base, value)
+			size := setup.size()
+			if !slices.Contains(sizes, size) {
+				sizes = append(sizes, size)
+			}
+			if !slices.Contains(bySize[size], setup) {
+				bySize[size] = append(bySize[size], setup)
+			}
+		}
+	}
+	return sizes, bySize
+}
+
+func (o Options) measureAll(ctx context.Context, result *Result) map[Setup]Measurement {
+	sizes, bySize := o.sizes()
+	measured := make(map[Setup]Measurement)
+	for index, size := range sizes {
+		if o.Progress != nil {
+			o.Progress(index, len(sizes), fmt.Sprintf("%+v, %d points", size, len(bySize[size])))
+		}
+		points, err := o.measureSize(ctx, size, bySize[size])
+		maps.Copy(measured, points)
+		if err != nil {
+			result.Errors = append(result.Errors, fmt.Sprintf("%+v: %v", size, err))
+		}
+	}
+	return measured
+}
+
+func (o Options) measureSize(ctx context.Context, size Setup, loads []Setup) (map[Setup]Measurement, error) {
 	if err := ctx.Err(); err != nil {
-		return Measurement{}, err
+		return nil, err
 	}
 	if held := heapBytes(); held > o.MaximumHeapBytes {
-		return Measurement{}, fmt.Errorf("%d MB are held, more than the bound", held>>20)
+		return nil, fmt.Errorf("%d MB are held, more than the bound", held>>20)
 	}
-	defer runtime.GC()
-	return Measure(ctx, setup, o.Timing)
+	return measureFleet(ctx, size, loads, o.Timing)
 }
 
 // Chosen are the variables with these names, all where there are none.
--- a/internal/lab/scale/setup.go
+++ b/internal/lab/scale/setup.go
@@ -23,6 +23,12 @@
 	WakesPerHour      float64 `json:"wakesPerHour"`
 }
 
+// size is the setup without any load.
+func (s Setup) size() Setup {
+	s.RequestsPerSecond, s.CommandsPerSecond, s.ChangesPerMinute, s.WakesPerHour = 0, 0, 0, 0
+	return s
+}
+
 // Base is the setup around which one variable at a time is changed.
 func Base() Setup {
 	return Setup{Zones: 3, NodesPerZone: 6, EnginesPerZone: 6, Models: 8, Adapters: 64}
--- a/internal/lab/scale/standins.go
+++ b/internal/lab/scale/standins.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -54,6 +55,9 @@
 	client  *platform.Client
 	// versions are those of the objects as this process wrote them.
 	versions map[platform.Key]uint64
+	// woken counts the adapters that were asked for, so that each is asked for
+	// once.
+	woken atomic.Int64
 }
 
 func startStandIns(ctx context.Context, setup Setup) (*standIns, error) {
