Pull tables only while a zone is silent, and only newer ones

Cause: every node pulled the whole tables of all zones from a peer each two seconds, whether or not it had missed anything. This was most of a router's traffic and grew with the engines of the whole fleet.

Ruled out: a longer interval, which only divides the cost and repairs later; a lost update needs no such pull, since the next one names the sequence that it builds on and the gap is pulled at once.

Change: a node pulls where a zone that has members has no table here or was not heard of for two heartbeats, and says what it holds; only newer tables are answered.

Conclusion: what is left of a router's traffic no longer grows with the engines, but still with the zones.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -82,6 +82,11 @@
 // Tables are the newest whole route tables, by zone, as leaders sent them.
 func (c *Core) Tables() map[fleet.Zone]fleet.RouteTable { return c.tables.whole() }
 
+// TablesNewerThan are those of which the stamps name an older state or none.
+func (c *Core) TablesNewerThan(held []TableStamp) map[fleet.Zone]fleet.RouteTable {
+	return c.tables.newerThan(held)
+}
+
 // Step takes a message and returns what is to be done.
 func (c *Core) Step(now time.Time, message Message) []Effect {
 	c.now = now
--- a/internal/control/effects.go
+++ b/internal/control/effects.go
@@ -46,8 +46,20 @@
 	Update TableUpdate
 }
 
-// PullTables asks a member for its tables; answer with TablesPulled.
-type PullTables struct{ From fleet.Member }
+// PullTables asks a member for its tables that are newer than those held;
+// answer with TablesPulled.
+type PullTables struct {
+	From fleet.Member
+	// Held names the tables held, by zone.
+	Held []TableStamp
+}
+
+// TableStamp names a state of a zone's table.
+type TableStamp struct {
+	Zone     fleet.Zone
+	Fence    fleet.Fence
+	Sequence uint64
+}
 
 // ForwardWants reports wants to another node; answer with ForwardAnswered.
 type ForwardWants struct {
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -321,7 +321,7 @@
 	case PullTables:
 		source := c.nodes[effect.From.Name]
 		if !source.down && c.now.After(source.pausedUntil) {
-			tables := source.core.Tables()
+			tables := source.core.TablesNewerThan(effect.Held)
 			reply(TablesPulled{From: effect.From.Name, Tables: slices.Collect(maps.Values(tables))})
 		}
 	case ForwardWants:
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -50,6 +50,32 @@
 	return known.leader, known.heard
 }
 
+// stamps name the tables held, by zone.
+func (t *tableState) stamps() []TableStamp {
+	stamps := make([]TableStamp, 0, len(t.zones))
+	for _, zone := range slices.Sorted(maps.Keys(t.zones)) {
+		known := t.zones[zone]
+		stamps = append(stamps, TableStamp{Zone: zone, Fence: known.fence, Sequence: known.sequence})
+	}
+	return stamps
+}
+
+// newerThan returns the whole tables of the zones of which the stamps name an
+// older state or none.
+func (t *tableState) newerThan(held []TableStamp) map[fleet.Zone]fleet.RouteTable {
+	tables := make(map[fleet.Zone]fleet.RouteTable)
+	for zone, known := range t.zones {
+		current := slices.ContainsFunc(held, func(stamp TableStamp) bool {
+			table := fleet.RouteTable{Fence: stamp.Fence, Sequence: stamp.Sequence}
+			return stamp.Zone == zone && !(fleet.RouteTable{Fence: known.fence, Sequence: known.sequence}).Newer(table)
+		})
+		if !current {
+			tables[zone] = known.export(zone)
+		}
+	}
+	return tables
+}
+
 func (t *tableState) whole() map[fleet.Zone]fleet.RouteTable {
 	tables := make(map[fleet.Zone]fleet.RouteTable, len(t.zones))
 	for zone, known := range t.zones {
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -16,7 +16,7 @@
 		c.replaceTable(update.Table)
 	} else if known == nil || known.fence != update.Table.Fence || known.sequence < update.Since {
 		if member, found := c.members[received.From]; found {
-			c.emit(PullTables{From: member})
+			c.emit(PullTables{From: member, Held: c.tables.stamps()})
 		}
 		return
 	} else {
@@ -82,9 +82,10 @@
 	}
 }
 
-// repair pulls the tables of one peer from time to time.
+// repair pulls from one peer while a zone's table is missing or silent. A lost
+// update needs no more: the next one names the sequence that it builds on.
 func (c *Core) repair() {
-	if c.now.Sub(c.tables.pulled) < c.settings().PullInterval {
+	if c.now.Sub(c.tables.pulled) < c.settings().PullInterval || !c.lacksTable() {
 		return
 	}
 	peers := c.peersOfZone(c.options.Zone)
@@ -95,5 +96,27 @@
 		return
 	}
 	c.tables.pulled = c.now
-	c.emit(PullTables{From: peers[c.random.IntN(len(peers))]})
+	c.emit(PullTables{From: peers[c.random.IntN(len(peers))], Held: c.tables.stamps()})
+}
+
+// silentBeats is how many heartbeats may pass without news of a table.
+const silentBeats = 2
+
+// lacksTable reports whether a zone that has members has no table here, or one
+// that was not heard of for long.
+func (c *Core) lacksTable() bool {
+	for _, member := range c.members {
+		if !member.Usable() {
+			continue
+		}
+		heartbeat := c.settings().FarHeartbeat
+		if member.Zone == c.options.Zone {
+			heartbeat = c.settings().Heartbeat
+		}
+		known := c.tables.zones[member.Zone]
+		if known == nil || c.now.Sub(known.heard) > silentBeats*heartbeat {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/node/control_peers.go
+++ b/internal/node/control_peers.go
@@ -82,8 +82,13 @@
 func (s *Control) pullTables(effect control.PullTables) {
 	ctx, cancel := s.bounded(peerCallTimeout)
 	defer cancel()
-	response, err := s.dependencies.Peers.To(effect.From.Addresses.Peer).Control.Tables(ctx,
-		&peerpb.TablesRequest{From: string(s.dependencies.Self.Name)})
+	request := &peerpb.TablesRequest{From: string(s.dependencies.Self.Name)}
+	for _, stamp := range effect.Held {
+		request.Held = append(request.Held, &peerpb.TableStamp{
+			Zone: string(stamp.Zone), Fence: uint64(stamp.Fence), Sequence: stamp.Sequence,
+		})
+	}
+	response, err := s.dependencies.Peers.To(effect.From.Addresses.Peer).Control.Tables(ctx, request)
 	if err != nil {
 		return
 	}
@@ -228,9 +233,15 @@
 }
 
 // Tables implements peerpb.Control.
-func (s ControlService) Tables(ctx context.Context, _ *peerpb.TablesRequest) (*peerpb.TablesResponse, error) {
+func (s ControlService) Tables(ctx context.Context, request *peerpb.TablesRequest) (*peerpb.TablesResponse, error) {
+	var held []control.TableStamp
+	for _, stamp := range request.GetHeld() {
+		held = append(held, control.TableStamp{
+			Zone: fleet.Zone(stamp.GetZone()), Fence: fleet.Fence(stamp.GetFence()), Sequence: stamp.GetSequence(),
+		})
+	}
 	tables, err := ask(s.Control, ctx, func(shell *Control) map[fleet.Zone]fleet.RouteTable {
-		return shell.core.Tables()
+		return shell.core.TablesNewerThan(held)
 	})
 	if err != nil {
 		return nil, err
