Send a zone's table to two nodes of each other zone, not to all

Cause: a leader sent its table to every node of every other zone, and each of them passed it on to its whole zone: n nodes of a zone heard of each update n times, so the messages of the fleet grew with zones^2 x nodes^2.

Ruled out: one relay for each zone, whose death would leave its zone without news until it is found out; relaying through the membership's delegates, whose packets of 1200 bytes do not hold a table.

Change: the two first-ranked usable nodes of each other zone hear of a table and pass it on. News that back ends leave still goes to all at once.

Conclusion: an update now reaches a node twice, whatever the zone's size.

--- a/internal/control/candidacy.go
+++ b/internal/control/candidacy.go
@@ -39,12 +39,15 @@
 			members = append(members, member)
 		}
 	}
-	slices.SortFunc(members, func(a, b fleet.Member) int {
-		return cmp.Or(cmp.Compare(rank(zone, a.Name), rank(zone, b.Name)), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(members, func(a, b fleet.Member) int { return byRank(zone, a, b) })
 	return members
 }
 
+// byRank orders members of a zone alike at all nodes.
+func byRank(zone fleet.Zone, a, b fleet.Member) int {
+	return cmp.Or(cmp.Compare(rank(zone, a.Name), rank(zone, b.Name)), cmp.Compare(a.Name, b.Name))
+}
+
 // peersOfZone are the other usable members of the zone.
 func (c *Core) peersOfZone(zone fleet.Zone) []fleet.Member {
 	return slices.DeleteFunc(c.zoneMembers(zone), func(member fleet.Member) bool {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -100,7 +100,7 @@
 		c.emit(PublishTable{To: c.peersOfZone(c.options.Zone), Update: c.update(table, &c.tables.near)})
 	}
 	if far {
-		c.emit(PublishTable{To: c.delegates(), Update: c.update(table, &c.tables.far)})
+		c.emit(PublishTable{To: c.relays(), Update: c.update(table, &c.tables.far)})
 	}
 }
 
@@ -132,18 +132,37 @@
 	return update
 }
 
-// delegates are the known usable nodes of other zones.
-func (c *Core) delegates() []fleet.Member {
-	var delegates []fleet.Member
+// relaysPerZone is how many nodes of another zone hear of a table from its
+// leader; each passes it on, and one may fail.
+const relaysPerZone = 2
+
+// relays are the first-ranked usable members of each other zone.
+func (c *Core) relays() []fleet.Member {
+	byZone := make(map[fleet.Zone][]fleet.Member)
+	for _, member := range c.strangers() {
+		byZone[member.Zone] = append(byZone[member.Zone], member)
+	}
+	var relays []fleet.Member
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		members := byZone[zone]
+		slices.SortFunc(members, func(a, b fleet.Member) int { return byRank(zone, a, b) })
+		relays = append(relays, members[:min(relaysPerZone, len(members))]...)
+	}
+	return relays
+}
+
+// strangers are the known usable nodes of other zones, by name.
+func (c *Core) strangers() []fleet.Member {
+	var strangers []fleet.Member
 	for _, name := range slices.Sorted(maps.Keys(c.members)) {
 		if member := c.members[name]; member.Zone != c.options.Zone && member.Usable() {
-			delegates = append(delegates, member)
+			strangers = append(strangers, member)
 		}
 	}
-	return delegates
+	return strangers
 }
 
-// audience are all nodes that the leader publishes to.
+// audience are all nodes that are told at once of back ends that leave.
 func (c *Core) audience() []fleet.Member {
-	return append(c.peersOfZone(c.options.Zone), c.delegates()...)
+	return append(c.peersOfZone(c.options.Zone), c.strangers()...)
 }
