--- a/internal/control/candidacy.go
+++ b/internal/control/candidacy.go
@@ -33,15 +33,18 @@
 		}
 	}
 	for zone, usable := range c.usable {
-		slices.SortFunc(usable, func(a, b fleet.Member) int {
-			return cmp.Or(cmp.Compare(rank(zone, a.Name), rank(zone, b.Name)), cmp.Compare(a.Name, b.Name))
-		})
+		slices.SortFunc(usable, func(a, b fleet.Member) int { return byRank(zone, a, b) })
 	}
 }
 
 // zoneMembers are the usable members of the zone by rank; the slice is shared.
 func (c *Core) zoneMembers(zone fleet.Zone) []fleet.Member { return c.usable[zone] }
 
+// byRank orders members of a zone alike at all nodes.
+func byRank(zone fleet.Zone, a, b fleet.Member) int {
+	return cmp.Or(cmp.Compare(rank(zone, a.Name), rank(zone, b.Name)), cmp.Compare(a.Name, b.Name))
+}
+
 // peersOfZone are the other usable members of the zone.
 func (c *Core) peersOfZone(zone fleet.Zone) []fleet.Member {
 	return slices.DeleteFunc(slices.Clone(c.zoneMembers(zone)), func(member fleet.Member) bool {
