Let a policy of another kind, or none of one mechanism, stand in placement

Cause: the worth of keep-alive, preload, eviction cost, tiers and coalescing cannot be told apart while they cannot be turned off one by one, and other policies can only be compared with them when they run in the same core.

Change: Options take a Policy in place of the core's own, and Without, which turns off single mechanisms; SendOrder says whether an unload evicts. No setting reaches either; without them every decision is as before.

Ruled out: a second core for the comparison, which would measure something that is not the product.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -54,7 +54,10 @@
 			continue
 		}
 		tier := held.tier(facts.Model)
-		cost := tierCost(tier) + evictCost
+		cost := evictCost
+		if !c.without.Tiers {
+			cost += tierCost(tier)
+		}
 		if held.state.Rack != "" && racks[held.state.Rack] {
 			cost += costSameRack
 		}
@@ -102,7 +105,7 @@
 			continue
 		}
 		if c.mayEvict(now, loaded) {
-			victims = append(victims, victim{loaded.Model, loaded.Bytes, c.evictionCost(now, loaded)})
+			victims = append(victims, victim{loaded.Model, loaded.Bytes, c.policy.EvictionCost(now, c.idleSince(loaded), loaded.Model)})
 		}
 	}
 	slices.SortFunc(victims, func(a, b victim) int {
@@ -146,9 +149,3 @@
 }
 
 const maxDoublings = 5
-
-// evictionCost is the cost of loading again, times the chance that the model
-// wakes soon.
-func (c *Core) evictionCost(now time.Time, loaded fleet.LoadedModel) float64 {
-	return costRemote * c.chanceOfWaking(now, loaded.Model)
-}
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -14,11 +14,17 @@
 // Options make a core.
 type Options struct {
 	Settings Settings
+	// Policy replaces the core's own judgement of what stays; nil for none.
+	Policy Policy
+	// Without turns mechanisms off; only tests and the laboratory set it.
+	Without Without
 }
 
 // Core places the models of one zone. It is not safe for concurrent use.
 type Core struct {
 	settings Settings
+	policy   Policy
+	without  Without
 
 	models          map[fleet.ModelVersion]catalog.ModelFacts
 	adapters        map[fleet.AdapterName]catalog.AdapterFacts
@@ -85,8 +91,10 @@
 
 // New returns a core that holds no engine.
 func New(options Options) *Core {
-	return &Core{
+	core := &Core{
 		settings: options.Settings,
+		policy:   options.Policy,
+		without:  options.Without,
 		zones:    1,
 		engines:  make(map[fleet.BackendName]*engine),
 		full:     make(map[fleet.BackendName]bool),
@@ -95,6 +103,10 @@
 		history:  make(map[fleet.ModelVersion]*history),
 		avoid:    make(map[placementKey]time.Time),
 	}
+	if core.policy == nil {
+		core.policy = ownPolicy{core}
+	}
+	return core
 }
 
 const planInterval = 250 * time.Millisecond
@@ -270,10 +282,14 @@
 const avoidAfterRefusal = 2 * time.Second
 
 func (c *Core) send(now time.Time, name fleet.BackendName, sent backend.Order) {
+	c.sendFor(now, name, sent, false)
+}
+
+func (c *Core) sendFor(now time.Time, name fleet.BackendName, sent backend.Order, evicts bool) {
 	c.counter++
 	sent.ID = fmt.Sprintf("%s-%d", c.fence, c.counter)
 	sent.Fence = c.fence
 	sent.Incarnation = c.engines[name].state.Incarnation
 	c.orders[sent.ID] = &order{Order: sent, engine: name, sent: now}
-	c.emit(SendOrder{Engine: name, Order: sent})
+	c.emit(SendOrder{Engine: name, Order: sent, Evicts: evicts})
 }
--- a/internal/placement/keepalive.go
+++ b/internal/placement/keepalive.go
@@ -69,7 +69,34 @@
 	if loaded.State != fleet.LoadReady || !c.mayEvict(now, loaded) {
 		return false
 	}
-	return now.Sub(c.idleSince(loaded)) > c.keepAlive(loaded.Model)
+	return c.policy.Expired(now, c.idleSince(loaded), loaded.Model)
+}
+
+// ownPolicy goes by each model's own idle times.
+type ownPolicy struct{ core *Core }
+
+func (ownPolicy) Arrived(time.Time, fleet.ModelVersion) {}
+
+func (p ownPolicy) Expired(now, idleSince time.Time, model fleet.ModelVersion) bool {
+	return now.Sub(idleSince) > p.core.keepAlive(model)
+}
+
+// EvictionCost is the cost of loading again, times the chance that the model
+// wakes soon.
+func (p ownPolicy) EvictionCost(now, idleSince time.Time, model fleet.ModelVersion) float64 {
+	if p.core.without.EvictionCost {
+		return leastRecentlyUsedCost(now, idleSince)
+	}
+	return costRemote * p.core.chanceOfWaking(now, model)
+}
+
+// leastRecentlyUsedCost falls from 1 with the time of idleness.
+func leastRecentlyUsedCost(now, idleSince time.Time) float64 {
+	return 1 / (1 + now.Sub(idleSince).Minutes())
+}
+
+func (p ownPolicy) LikelyToWake(now time.Time, model fleet.ModelVersion) bool {
+	return !p.core.without.Preload && p.core.likelyToWake(now, model)
 }
 
 // idleSince is the last arrival, or when the model became ready.
@@ -85,7 +112,7 @@
 // cold starts counts, the higher.
 func (c *Core) keepAlive(model fleet.ModelVersion) time.Duration {
 	history := c.historyOf(model)
-	if !history.known() {
+	if !history.known() || c.without.IdleTimes {
 		return c.settings.KeepAlive
 	}
 	quantile := leastKeepQuantile + (mostKeepQuantile-leastKeepQuantile)*c.coldStartWeight
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -109,6 +109,8 @@
 type SendOrder struct {
 	Engine fleet.BackendName
 	Order  backend.Order
+	// Evicts is set on an unload that makes room for another model.
+	Evicts bool
 }
 
 // Refuse tells nodes that models cannot be loaded in this zone now.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -36,7 +36,7 @@
 			demands = append(demands, waiting)
 		case wanted && ready+coming < c.wantedReplicas(waiting, ready):
 			demands = append(demands, waiting)
-		case ready+coming == 0 && c.likelyToWake(now, model):
+		case ready+coming == 0 && c.policy.LikelyToWake(now, model):
 			demands = append(demands, demand{model: model, preload: true})
 		}
 	}
@@ -47,6 +47,9 @@
 // wantedReplicas is one for what waits, and one more for each full queue that
 // the ready replicas do not work off.
 func (c *Core) wantedReplicas(demand demand, ready int) int {
+	if c.without.Coalescing {
+		return max(1, len(c.wants[demand.model]))
+	}
 	return max(1, ready+demand.waiting/c.settings.WaitingPerReplica)
 }
 
@@ -106,7 +109,7 @@
 	for _, model := range choice.evict {
 		loaded := c.engines[choice.engine].state.Find(model)
 		if loaded.State == fleet.LoadReady && !c.orderInFlight(choice.engine, model) {
-			c.send(now, choice.engine, backend.Order{Action: backend.ActionUnload, Model: model})
+			c.sendFor(now, choice.engine, backend.Order{Action: backend.ActionUnload, Model: model}, true)
 		}
 	}
 }
--- a/internal/placement/wants.go
+++ b/internal/placement/wants.go
@@ -25,6 +25,7 @@
 	for _, want := range wants {
 		if want.Arrivals > 0 || want.Waiting > 0 {
 			c.historyOf(want.Model).arrive(now)
+			c.policy.Arrived(now, want.Model)
 		}
 		key := wantKey{want.Node, want.Adapter}
 		if want.Waiting == 0 {
