--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -50,6 +51,11 @@
 	avoid    map[placementKey]time.Time
 	effects  []Effect
 	lastPlan time.Time
+	// dirty is set where something changed that decisions depend on; else
+	// they are made anew only every planInterval.
+	dirty bool
+	// refused holds the refusals of the last plan.
+	refused map[fleet.ModelVersion]Refuse
 }
 
 type wantKey struct {
@@ -102,6 +108,7 @@
 		wants:    make(map[fleet.ModelVersion]map[wantKey]timedWant),
 		history:  make(map[fleet.ModelVersion]*history),
 		avoid:    make(map[placementKey]time.Time),
+		refused:  make(map[fleet.ModelVersion]Refuse),
 	}
 	if core.policy == nil {
 		core.policy = ownPolicy{core}
@@ -122,6 +129,7 @@
 // Step takes a message and returns what is to be done.
 func (c *Core) Step(now time.Time, message Message) []Effect {
 	c.effects = nil
+	c.dirty = c.dirty || changesDecisions(message)
 	switch message := message.(type) {
 	case Tick:
 	case CatalogChanged:
@@ -148,12 +156,24 @@
 	case OrderAnswered:
 		c.takeAnswer(now, message)
 	}
-	if c.leading {
+	if c.leading && (c.dirty || !now.Before(c.NextWake())) {
+		c.dirty = false
 		c.plan(now)
 	}
 	return c.effects
 }
 
+// changesDecisions reports whether a message calls for a plan at once; states
+// and wants do so only where they bring news.
+func changesDecisions(message Message) bool {
+	switch message.(type) {
+	case CatalogChanged, RoundBegan, LimitsChanged, EnginesGone, EnginesLeaving:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *Core) emit(effect Effect) { c.effects = append(c.effects, effect) }
 
 func (c *Core) setCatalog(changed CatalogChanged) {
@@ -249,6 +269,7 @@
 }
 
 func (c *Core) adopt(now time.Time, held *engine, state fleet.EngineState) {
+	c.dirty = c.dirty || !reflect.DeepEqual(held.state.Models, state.Models)
 	held.state = state
 	since := make(map[fleet.ModelVersion]time.Time)
 	for _, loaded := range state.Models {
@@ -274,6 +295,7 @@
 		order.visibleAfter = answer.Asked
 	case OrderRefused:
 		delete(c.orders, answer.ID)
+		c.dirty = true
 		c.avoid[placementKey{order.engine, order.Model}] = now.Add(avoidAfterRefusal)
 	case OrderLost:
 	}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -11,6 +11,7 @@
 // plan makes every decision that the present state allows.
 func (c *Core) plan(now time.Time) {
 	c.lastPlan = now
+	clear(c.refused)
 	c.expireWants(now)
 	c.refillTokens(now)
 	c.endSlowLoads(now)
@@ -99,10 +100,12 @@
 	if demand.waiting == 0 {
 		return
 	}
-	c.emit(Refuse{
+	refusal := Refuse{
 		Refusal:   fleet.LoadRefusal{Model: demand.model, Reason: reason, RetryAfter: wait},
 		Elsewhere: elsewhere,
-	})
+	}
+	c.refused[demand.model] = refusal
+	c.emit(refusal)
 }
 
 func (c *Core) evict(now time.Time, choice choice) {
--- a/internal/placement/wants.go
+++ b/internal/placement/wants.go
@@ -33,9 +33,13 @@
 			continue
 		}
 		if c.wants[want.Model] == nil {
+			c.dirty = true
 			c.wants[want.Model] = make(map[wantKey]timedWant)
 		}
 		c.wants[want.Model][key] = timedWant{Want: want, until: now.Add(c.settings.WantLifetime)}
+		if refusal, found := c.refused[want.Model]; found && !c.dirty {
+			c.emit(refusal)
+		}
 	}
 }
 
