Index loads in flight; split the harness of the control core

Cause: counting loads in flight took two fifths of the processor time of a trial with 48 engines and 54 models, and the harness had grown past 500 lines. Change: loads in flight are counted by engine and model; the harness's effects stand in a file of their own.

--- /dev/null
+++ b/internal/control/harness_effects_test.go
@@ -0,0 +1,233 @@
+package control
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/allotment"
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/placement"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/standin/engine"
+)
+
+func (c *cluster) perform(name fleet.NodeName, boot uint64, effect Effect) {
+	reply := func(message Message) {
+		c.after(c.latency(), func() { c.step(name, boot, message) })
+	}
+	switch effect := effect.(type) {
+	case ReadEngine:
+		answer := leadership.StateRead{ID: effect.ID, Engine: effect.Engine, Failed: true}
+		c.call(effect.Engine, 0, engine.ReadState{}, func(got engine.Effect) {
+			if read, found := got.(engine.StateRead); found {
+				answer.State, answer.Failed = read.State, false
+			}
+			reply(StateRead{answer})
+		})
+	case SendClaim:
+		answer := leadership.ClaimAnswered{ID: effect.ID, Engine: effect.Engine}
+		claim := backend.Claim{Fence: effect.Fence, Incarnation: effect.Incarnation, Holder: name}
+		c.call(effect.Engine, c.heldBack(name, effect.Engine), engine.TakeClaim{Claim: claim}, func(got engine.Effect) {
+			switch got := got.(type) {
+			case engine.StateRead:
+				answer.Result, answer.State = leadership.ClaimGranted, got.State
+			case engine.FenceRefused:
+				answer.Result, answer.Fence = leadership.ClaimRefused, got.Refusal.Fence
+			}
+			reply(ClaimAnswered{answer})
+		})
+	case SendOrder:
+		answer := OrderAnswered{Engine: effect.Engine, OrderID: effect.Order.ID}
+		c.call(effect.Engine, 0, engine.TakeOrder{Order: effect.Order}, func(got engine.Effect) {
+			switch got := got.(type) {
+			case engine.StateRead:
+				answer.Result = placement.OrderAccepted
+				if effect.Order.Action == backend.ActionLoad {
+					c.loads++
+				}
+			case engine.FenceRefused:
+				answer.FenceStale, answer.Fence = true, got.Refusal.Fence
+			case engine.OrderRefused:
+				answer.Result, answer.Reason = placement.OrderRefused, got.Reason
+			}
+			reply(answer)
+		})
+	case LearnRecord:
+		c.learn(name, effect, reply)
+	case WriteRecord:
+		c.write(effect, reply)
+	case PublishTable:
+		for _, member := range effect.To {
+			c.sendLossy(member.Name, TableReceived{From: name, Update: effect.Update})
+		}
+	case PullTables:
+		source := c.nodes[effect.From.Name]
+		if !source.down && c.now.After(source.pausedUntil) {
+			tables := source.core.TablesNewerThan(effect.Held)
+			reply(TablesPulled{From: effect.From.Name, Tables: slices.Collect(maps.Values(tables))})
+		}
+	case ForwardWants:
+		c.sendLossy(effect.To.Name, WantsReported{From: name, Wants: effect.Wants, Forwarded: effect.Forwarded})
+	case BroadcastLeaving:
+		for _, member := range effect.To {
+			c.sendLossy(member.Name, LeavingHeard{From: name, Backends: effect.Backends})
+		}
+	case HandOver:
+		c.sendLossy(effect.To.Name, HandOverAsked{From: name, Fence: effect.Fence})
+	case TablesChanged:
+		c.nodes[name].tables = effect.Tables
+	case RefuseWants:
+		c.refusals++
+		c.nodes[name].refused = append(c.nodes[name].refused, effect.Refusals...)
+	case LeadershipChanged:
+	}
+}
+
+func (c *cluster) sendLossy(name fleet.NodeName, message Message) {
+	if c.random.Float64() >= c.lossShare {
+		c.send(name, message)
+	}
+}
+
+// call makes one call to an engine. A lost call may still arrive, even late.
+func (c *cluster) call(name fleet.BackendName, held time.Duration, message engine.Message, answered func(engine.Effect)) {
+	lost := c.random.Float64() < c.lossShare
+	if lost {
+		c.after(900*time.Millisecond, func() { answered(nil) })
+		if c.random.IntN(2) == 0 {
+			return
+		}
+	}
+	delay := c.latency() + held
+	if lost && c.random.IntN(2) == 0 {
+		delay += time.Duration(c.random.IntN(5000)) * time.Millisecond
+	}
+	c.after(delay, func() {
+		got := c.stepEngine(name, message)
+		if !lost {
+			answered(got)
+		}
+	})
+}
+
+func (c *cluster) heldBack(from fleet.NodeName, target fleet.BackendName) time.Duration {
+	if c.hold == nil {
+		return 0
+	}
+	return c.hold(from, target)
+}
+
+// stepEngine feeds an engine and returns its answer to the message, nil where
+// it is down.
+func (c *cluster) stepEngine(name fleet.BackendName, message engine.Message) engine.Effect {
+	target := c.engines[name]
+	if target.down {
+		return nil
+	}
+	c.unjudged = true
+	var answer engine.Effect
+	for _, effect := range target.core.Step(c.now, message) {
+		switch effect := effect.(type) {
+		case engine.FetchWeights:
+			c.after(effect.FullSpeed, func() { c.stepEngine(name, engine.WeightsDone{Load: effect.Load}) })
+		case engine.StateRead, engine.FenceRefused, engine.OrderRefused:
+			answer = effect
+		}
+	}
+	if wake := target.core.NextWake(); !wake.IsZero() {
+		c.after(max(0, wake.Sub(c.now)), func() { c.stepEngine(name, engine.Tick{}) })
+	}
+	return answer
+}
+
+func recordKey() platform.Key {
+	return platform.Key{Kind: platform.KindAllotments, Name: allotment.ObjectName}
+}
+
+// stored is the record that stands in the store.
+func (c *cluster) stored() VersionedRecord {
+	object, found := c.store.Get(recordKey())
+	if !found {
+		return VersionedRecord{}
+	}
+	return decodeObject(object)
+}
+
+func decodeObject(object platform.Object) VersionedRecord {
+	var record allotment.Record
+	if err := json.Unmarshal(object.Spec, &record); err != nil {
+		panic(err)
+	}
+	return VersionedRecord{Record: record, StoreVersion: object.Version}
+}
+
+func (c *cluster) learn(name fleet.NodeName, effect LearnRecord, reply func(Message)) {
+	lost := c.random.Float64() < c.lossShare
+	c.after(c.latency(), func() {
+		if !c.storeDown && !lost && !effect.MembersOnly {
+			reply(RecordLearned{ID: effect.ID, VersionedRecord: c.stored(), FromStore: true})
+			return
+		}
+		answer := RecordLearned{ID: effect.ID, Failed: true}
+		vouching := 0
+		for _, asked := range append([]fleet.Member{{Name: name}}, effect.Members...) {
+			node := c.nodes[asked.Name]
+			held, vouched := node.core.Vouched()
+			if node.down || !vouched || c.now.Before(node.pausedUntil) || held.Record.Generation < effect.AtLeast {
+				continue
+			}
+			vouching++
+			if held.Record.Generation > answer.Record.Generation {
+				answer.VersionedRecord = held
+			}
+		}
+		answer.Failed = vouching < effect.Majority
+		reply(answer)
+	})
+}
+
+func (c *cluster) write(effect WriteRecord, reply func(Message)) {
+	lost := c.random.Float64() < c.lossShare
+	c.after(c.latency(), func() {
+		if c.storeDown {
+			reply(RecordWritten{ID: effect.ID})
+			return
+		}
+		body, err := json.Marshal(effect.Record)
+		if err != nil {
+			panic(err)
+		}
+		object := platform.Object{Kind: platform.KindAllotments, Name: allotment.ObjectName, Spec: body}
+		c.unjudged = true
+		before := c.stored().Record
+		written, conflict := c.store.Write(platform.WriteRequest{Object: object, Expected: effect.Expected})
+		answer := RecordWritten{ID: effect.ID, Result: WriteDone}
+		if conflict != nil {
+			written, answer.Result = conflict.Current, WriteConflict
+		} else {
+			c.judgeChange(before, c.stored().Record)
+			c.spreadRecord()
+		}
+		if lost {
+			reply(RecordWritten{ID: effect.ID})
+			return
+		}
+		answer.Current = decodeObject(written)
+		reply(answer)
+	})
+}
+
+// spreadRecord hands the stored record to all nodes, as the configuration
+// does: late, and lost by some.
+func (c *cluster) spreadRecord() {
+	stored := c.stored()
+	for _, name := range c.nodeNames() {
+		if !c.nodes[name].deaf {
+			c.sendLossy(name, AllotmentsChanged{stored})
+		}
+	}
+}
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -40,6 +40,8 @@
 	engines map[fleet.BackendName]*engine
 	full    map[fleet.BackendName]bool
 	orders  map[string]*order
+	// loading counts the loads among orders by engine and model.
+	loading map[placementKey]int
 	counter uint64
 
 	wants   map[fleet.ModelVersion]map[wantKey]timedWant
@@ -105,6 +107,7 @@
 		engines:  make(map[fleet.BackendName]*engine),
 		full:     make(map[fleet.BackendName]bool),
 		orders:   make(map[string]*order),
+		loading:  make(map[placementKey]int),
 		wants:    make(map[fleet.ModelVersion]map[wantKey]timedWant),
 		history:  make(map[fleet.ModelVersion]*history),
 		avoid:    make(map[placementKey]time.Time),
@@ -211,6 +214,7 @@
 	clear(c.engines)
 	clear(c.full)
 	clear(c.orders)
+	clear(c.loading)
 }
 
 func (c *Core) dropGone(names []fleet.BackendName) {
@@ -219,7 +223,7 @@
 		delete(c.engines, name)
 		for id, order := range c.orders {
 			if order.engine == name {
-				delete(c.orders, id)
+				c.dropOrder(id)
 			}
 		}
 	}
@@ -244,7 +248,7 @@
 	c.adopt(now, held, seen.State)
 	for id, order := range c.orders {
 		if order.engine == seen.State.Name && orderShown(order, seen) {
-			delete(c.orders, id)
+			c.dropOrder(id)
 		}
 	}
 }
@@ -294,7 +298,7 @@
 		order.answered = true
 		order.visibleAfter = answer.Asked
 	case OrderRefused:
-		delete(c.orders, answer.ID)
+		c.dropOrder(answer.ID)
 		c.dirty = true
 		c.avoid[placementKey{order.engine, order.Model}] = now.Add(avoidAfterRefusal)
 	case OrderLost:
@@ -313,5 +317,17 @@
 	sent.Fence = c.fence
 	sent.Incarnation = c.engines[name].state.Incarnation
 	c.orders[sent.ID] = &order{Order: sent, engine: name, sent: now}
+	if sent.Action == backend.ActionLoad {
+		c.loading[placementKey{name, sent.Model}]++
+	}
 	c.emit(SendOrder{Engine: name, Order: sent, Evicts: evicts})
 }
+
+// dropOrder takes an order out of the flight.
+func (c *Core) dropOrder(id string) {
+	dropped := c.orders[id]
+	delete(c.orders, id)
+	if dropped.Action == backend.ActionLoad {
+		c.loading[placementKey{dropped.engine, dropped.Model}]--
+	}
+}
--- a/internal/placement/count.go
+++ b/internal/placement/count.go
@@ -21,12 +21,7 @@
 }
 
 func (c *Core) loadInFlight(name fleet.BackendName, model fleet.ModelVersion) bool {
-	for _, order := range c.orders {
-		if order.engine == name && order.Model == model && order.Action == backend.ActionLoad {
-			return true
-		}
-	}
-	return false
+	return c.loading[placementKey{name, model}] > 0
 }
 
 func (c *Core) orderInFlight(name fleet.BackendName, model fleet.ModelVersion) bool {
