Measure overload and the loss of a zone over the product's cores

Cause: the queue's overload test drove the queue alone over equal slots, and the zone-loss test routing alone; nothing showed queue, routing and attempt together over engines that batch, report late and have lines of their own.

Ruled out: real sockets, since a minute of load at twice the capacity would take a minute each and differ from run to run. The gateway's dispatcher is an actor with real timers, so its wiring of the cores is written again here, as small as it can be.

Change: runners "overload" and "zone-loss" on a virtual clock, with a plain line filled by round robin beside the product, once with callers that wait for ever and once with callers that leave at their deadline.

--- a/cmd/spanlab/experiment.go
+++ b/cmd/spanlab/experiment.go
@@ -19,12 +19,15 @@
 	"github.com/spanlanding/spanlanding/internal/lab/batching"
 	"github.com/spanlanding/spanlanding/internal/lab/experiment"
 	"github.com/spanlanding/spanlanding/internal/lab/report"
+	"github.com/spanlanding/spanlanding/internal/lab/requestpath"
 )
 
 // runners are what experiment files can name.
 func runners() experiment.Registry {
 	return experiment.Registry{
-		batching.Name: experiment.RunnerFunc(batching.Run),
+		batching.Name:        experiment.RunnerFunc(batching.Run),
+		requestpath.Overload: experiment.RunnerFunc(requestpath.RunOverload),
+		requestpath.ZoneLoss: experiment.RunnerFunc(requestpath.RunZoneLoss),
 	}
 }
 
--- /dev/null
+++ b/internal/lab/requestpath/zoneloss.go
@@ -0,0 +1,177 @@
+package requestpath
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/lab/experiment"
+)
+
+// ZoneLoss is the name of the runner that takes one of three zones away.
+const ZoneLoss = "zone-loss"
+
+// Faults of ZoneLoss.
+const (
+	faultPower  = "power"
+	faultSilent = "silent"
+)
+
+// Parts of the policies of ZoneLoss.
+const (
+	withBudget    = "budget"
+	withoutBudget = "no-budget"
+)
+
+const (
+	zoneLossDuration = time.Minute
+	lossAt           = 20 * time.Second
+	lossTime         = 20 * time.Second
+	// normalShare of deadlines met counts as normal, for normalSeconds on end.
+	normalShare   = 0.99
+	normalSeconds = 5
+)
+
+// RunZoneLoss implements experiment.Runner; load is the share of the capacity
+// of all three zones.
+func RunZoneLoss(ctx context.Context, parameters experiment.Parameters) (experiment.Measurements, error) {
+	settings := layout{zones: []fleet.Zone{"a", "b", "c"}, enginesPerZone: 2, nodeZones: 2, nodesPerZone: 1}
+	if err := settings.readPolicy(parameters.Policy); err != nil {
+		return experiment.Measurements{}, err
+	}
+	how, known := map[string]reach{faultPower: unreachable, faultSilent: silent}[parameters.Fault]
+	if !known {
+		return experiment.Measurements{}, fmt.Errorf("fault %q is neither %s nor %s", parameters.Fault, faultPower, faultSilent)
+	}
+	world := newWorld(settings, parameters.Seed)
+	world.loseZone("c", how)
+	rate := parameters.Load * capacity() * float64(len(world.servers))
+	if err := world.arrivals(ctx, cmp.Or(parameters.Duration, zoneLossDuration), rate); err != nil {
+		return experiment.Measurements{}, err
+	}
+	return world.zoneLossFigures(), nil
+}
+
+// readPolicy reads parts that are joined by a plus sign.
+func (l *layout) readPolicy(policy string) error {
+	for part := range strings.SplitSeq(policy, "+") {
+		switch part {
+		case withBudget:
+			l.budget = true
+		case withoutBudget:
+			l.budget = false
+		default:
+			return fmt.Errorf("policy %q: %q is neither %s nor %s", policy, part, withBudget, withoutBudget)
+		}
+	}
+	return nil
+}
+
+func (w *world) loseZone(zone fleet.Zone, how reach) {
+	for _, server := range w.servers {
+		if server.backend.Zone == zone {
+			w.clock.at(w.begun.Add(lossAt), func() { server.lose(how) })
+			w.clock.at(w.begun.Add(lossAt+lossTime), server.restore)
+		}
+	}
+}
+
+// second is what came of the requests that arrived in one second.
+type second struct{ arrived, met, attempts int }
+
+func (s second) share() float64 {
+	if s.arrived == 0 {
+		return 1
+	}
+	return float64(s.met) / float64(s.arrived)
+}
+
+func (w *world) seconds() []second {
+	var seconds []second
+	at := func(when time.Time) *second {
+		index := int(when.Sub(w.begun) / time.Second)
+		for len(seconds) <= index {
+			seconds = append(seconds, second{})
+		}
+		return &seconds[index]
+	}
+	for _, call := range w.calls {
+		at(call.arrived).arrived++
+		if call.met() {
+			at(call.arrived).met++
+		}
+	}
+	for _, opened := range w.opens {
+		at(opened).attempts++
+	}
+	return seconds
+}
+
+func (w *world) zoneLossFigures() experiment.Measurements {
+	seconds := w.seconds()
+	from, to := int(lossAt/time.Second), int((lossAt+lossTime)/time.Second)
+	var lost second
+	peak := 0.0
+	met, attempts := experiment.Series{Metric: "deadlines met", Unit: "%"}, experiment.Series{Metric: "attempts", Unit: "1/s"}
+	for index, each := range seconds {
+		if index >= from && index < to {
+			lost.arrived += each.arrived
+			lost.met += each.met
+			lost.attempts += each.attempts
+			peak = max(peak, float64(each.attempts)/float64(max(1, each.arrived)))
+		}
+		if each.arrived > 0 {
+			met.Points = append(met.Points, experiment.Point{Seconds: float64(index), Value: 100 * each.share()})
+			attempts.Points = append(attempts.Points, experiment.Point{Seconds: float64(index), Value: float64(each.attempts)})
+		}
+	}
+	outcomes := w.outcomes()
+	return experiment.Measurements{
+		Values: []experiment.Value{
+			{Metric: "amplification", Unit: "attempts/request", Value: float64(lost.attempts) / float64(max(1, lost.arrived))},
+			{Metric: "amplification, worst second", Unit: "attempts/request", Value: peak},
+			{Metric: "deadlines met in the loss", Unit: "%", Value: 100 * lost.share()},
+			{Metric: "normal again after", Unit: "s", Value: normalAfter(seconds, from)},
+			{Metric: "deadlines met in all", Unit: "%", Value: 100 * float64(outcomes.met) / float64(max(1, len(w.calls)))},
+			{Metric: "answers cut", Unit: "requests", Value: float64(outcomes.cut)},
+			{Metric: "refused", Unit: "requests", Value: float64(outcomes.refused)},
+		},
+		Series: []experiment.Series{met, attempts},
+	}
+}
+
+type outcomes struct{ met, cut, refused int }
+
+func (w *world) outcomes() outcomes {
+	var counted outcomes
+	for _, call := range w.calls {
+		switch {
+		case call.met():
+			counted.met++
+		case call.refused:
+			counted.refused++
+		case call.tokens > 0 && !call.whole:
+			counted.cut++
+		}
+	}
+	return counted
+}
+
+// normalAfter is the time from the loss to the first of several good seconds
+// on end, or to the end of the run where there are none.
+func normalAfter(seconds []second, from int) float64 {
+	good := 0
+	for index := from; index < len(seconds); index++ {
+		if seconds[index].share() < normalShare {
+			good = 0
+			continue
+		}
+		if good++; good == normalSeconds {
+			return float64(index - normalSeconds + 1 - from)
+		}
+	}
+	return float64(len(seconds) - from)
+}
