Count a deadline that passes at a silent back end as its failure

Cause: a request whose deadline passed while an engine was silent left no trace of what broke it, and was reported to routing as a whole answer. That closed the engine's circuit, so an engine that hangs was asked for ever.

Ruled out: the table's staleness, which only scores such an engine by the mean of the others; the retry budget, which made no difference.

Change: the deadline's tick leaves the evidence that the request may have been sent and nothing came.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -196,6 +196,7 @@
 	}
 	if c.phase == phaseAssigning || c.next == 0 {
 		if c.phase == phaseConnected {
+			c.last = Broken{Evidence: MaySent, Detail: "no token came before the deadline"}
 			c.cancel()
 			c.ran = max(c.ran, exposedUnknown)
 		}
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -291,3 +291,17 @@
 		next.Sequence++
 	}
 }
+
+// TestDeadlineCountsAgainstASilentBackEnd: routing learns from Last that an
+// engine took a request and brought nothing.
+func TestDeadlineCountsAgainstASilentBackEnd(t *testing.T) {
+	core := New(streamOptions())
+	core.Step(epoch, Assigned{"e1"})
+	got := brief(core.Step(core.NextWake(), Tick{}))
+	if want := "cancel e1 #1; finish unknown deadline-reached after 0"; got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+	if evidence := core.Last().Evidence; evidence != MaySent {
+		t.Errorf("evidence %d of the silent attempt, want %d", evidence, MaySent)
+	}
+}
