--- a/cmd/spanlab/scale.go
+++ b/cmd/spanlab/scale.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"syscall"
 	"time"
@@ -34,6 +35,7 @@
 			&cli.DurationFlag{Name: "quiet", Value: 6 * time.Second, Usage: "pause after a fleet has settled, so that what only its start costs is over"},
 			&cli.IntFlag{Name: "processors", Value: scaleProcessors, Usage: "processors used at a time", Validator: positive},
 			&cli.StringFlag{Name: "csv", Usage: "also write the fitted lines to this file"},
+			&cli.StringFlag{Name: "profiles", Usage: "also keep each point's processor profile in this folder"},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "text", Usage: "text or json"},
 		},
 		Action: runScale,
@@ -54,9 +56,12 @@
 	runtime.GOMAXPROCS(command.Int("processors"))
 	started := time.Now()
 	result := scale.Run(ctx, scale.Options{
-		Base:             scale.Base(),
-		Variables:        variables,
-		Timing:           scale.Timing{Settle: scaleSettle, Quiet: command.Duration("quiet"), Begin: time.Second, Window: command.Duration("window")},
+		Base:      scale.Base(),
+		Variables: variables,
+		Timing: scale.Timing{
+			Settle: scaleSettle, Quiet: command.Duration("quiet"), Begin: time.Second, Window: command.Duration("window"),
+			KeepProfile: profileKeeper(command.String("profiles")),
+		},
 		MaximumHeapBytes: scaleMemoryBytes,
 		Progress: func(done, total int, what string) {
 			fmt.Fprintf(os.Stderr, "scale: fleet %d of %d, %s, %s\n", done+1, total, what, time.Since(started).Round(time.Second))
@@ -71,3 +76,16 @@
 	}
 	return err
 }
+
+// profileKeeper writes profiles into a folder, or is nil where there is none.
+func profileKeeper(folder string) func(scale.Setup, []byte) error {
+	if folder == "" {
+		return nil
+	}
+	return func(setup scale.Setup, profile []byte) error {
+		name := fmt.Sprintf("zones%d-nodes%d-engines%d-models%d-adapters%d-requests%g-commands%g-changes%g-wakes%g.pprof",
+			setup.Zones, setup.NodesPerZone, setup.EnginesPerZone, setup.Models, setup.Adapters,
+			setup.RequestsPerSecond, setup.CommandsPerSecond, setup.ChangesPerMinute, setup.WakesPerHour)
+		return errors.Join(os.MkdirAll(folder, 0o755), os.WriteFile(filepath.Join(folder, name), profile, 0o644))
+	}
+}
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -18,6 +18,8 @@
 	// Begin goes between the start of a load and the window.
 	Begin  time.Duration
 	Window time.Duration
+	// KeepProfile is given the processor profile of each window; it may be nil.
+	KeepProfile func(setup Setup, profile []byte) error
 }
 
 // hollowFleet is a whole fleet in this process.
@@ -92,7 +94,7 @@
 	if setup != setup.size() {
 		sleep(ctx, f.timing.Begin)
 	}
-	measured, err := window(ctx, setup, f.nodes, rolesOf(ctx, f.outside, f.nodes), f.timing.Window)
+	measured, err := window(ctx, setup, f.nodes, rolesOf(ctx, f.outside, f.nodes), f.timing)
 	if err != nil {
 		return Measurement{}, err
 	}
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -51,7 +51,7 @@
 }
 
 // window measures while the fleet runs.
-func window(ctx context.Context, setup Setup, nodes []hollow, roles map[Role]map[fleet.NodeName]bool, length time.Duration) (Measurement, error) {
+func window(ctx context.Context, setup Setup, nodes []hollow, roles map[Role]map[fleet.NodeName]bool, timing Timing) (Measurement, error) {
 	runtime.GC()
 	atStart := readCounters(nodes)
 	spentAtStart := processSeconds()
@@ -60,7 +60,7 @@
 	if err != nil {
 		return Measurement{}, err
 	}
-	sleep(ctx, length)
+	sleep(ctx, timing.Window)
 	sampled, err := profile.stop()
 	if err != nil {
 		return Measurement{}, err
@@ -68,6 +68,11 @@
 	seconds := time.Since(started).Seconds()
 	spent := processSeconds() - spentAtStart
 	atEnd := readCounters(nodes)
+	if timing.KeepProfile != nil {
+		if err := timing.KeepProfile(setup, profile.content.Bytes()); err != nil {
+			return Measurement{}, err
+		}
+	}
 	measured := Measurement{
 		Setup: setup, Seconds: seconds, Nodes: len(nodes), ProcessCores: spent / seconds,
 		Roles: make(map[Role]Figures),
