Make the README's steps work as printed

Cause: step 3 waited for version 48, while apply printed 51 in one run and 50 in another: the store counts the fleet's own records too. Step 4, sent at once after it, was refused with no-allotment, since the zone had neither leader nor allotment yet. The section State was no longer true. wait without an answer printed version 0. Ruled out: a fixed number in step 3, as nodes write records at their own time.

--- a/cmd/spanlanding/apply.go
+++ b/cmd/spanlanding/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
 	"io"
 	"os"
 	"os/user"
@@ -22,9 +23,9 @@
 	flagTakeOver = "take-over"
 )
 
-func planFlags() []cli.Flag {
+func planFlags(format cli.Flag) []cli.Flag {
 	return []cli.Flag{
-		outputFlag(), platformFlag(), serverMemoryFlag(), timeoutFlag(defaultApplyTimeout),
+		format, platformFlag(), serverMemoryFlag(), timeoutFlag(defaultApplyTimeout),
 		&cli.StringFlag{Name: flagOwner, Usage: "`NAME` of the set of declarations; default is the folder's name"},
 		&cli.BoolFlag{Name: flagPrune, Usage: "delete the set's objects that are no longer declared"},
 		&cli.BoolFlag{Name: flagTakeOver, Usage: "change also objects that belong to another set"},
@@ -36,7 +37,7 @@
 		Name:      "apply",
 		Usage:     "bring the store to what is declared",
 		ArgsUsage: "FOLDER or FILES",
-		Flags: append(planFlags(),
+		Flags: append(planFlags(outputFlag(outputVersion)),
 			&cli.StringFlag{Name: flagBy, Usage: "`NAME` recorded with each change; default is the user's name", Sources: cli.EnvVars("SPANLANDING_BY")}),
 		Action: runApply,
 	}
@@ -52,7 +53,11 @@
 	}
 	writer := operator.Writer{By: writerName(command), RunID: rand.Text()}
 	result, applyErr := operator.Apply(ctx, store, plan, writer)
-	if err := output(command, result, func(writer io.Writer) { operator.RenderApply(writer, result) }); err != nil {
+	text := func(writer io.Writer) { operator.RenderApply(writer, result) }
+	if command.String(flagOutput) == outputVersion {
+		text = func(writer io.Writer) { fmt.Fprintln(writer, result.Version) }
+	}
+	if err := output(command, result, text); err != nil {
 		return err
 	}
 	return applyErr
--- a/cmd/spanlanding/diff.go
+++ b/cmd/spanlanding/diff.go
@@ -14,7 +14,7 @@
 		Name:      "diff",
 		Usage:     "show what apply would change; ends with 7 where something differs",
 		ArgsUsage: "FOLDER or FILES",
-		Flags:     planFlags(),
+		Flags:     planFlags(outputFlag()),
 		Action:    runDiff,
 	}
 }
--- a/cmd/spanlanding/flags.go
+++ b/cmd/spanlanding/flags.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -16,6 +18,8 @@
 const (
 	outputText = "text"
 	outputJSON = "json"
+	// outputVersion prints only the version that apply's changes stand at.
+	outputVersion = "version"
 
 	// defaultTimeout bounds a command that names no other bound.
 	defaultTimeout = 10 * time.Second
@@ -29,12 +33,15 @@
 	flagTimeout      = "timeout"
 )
 
-func outputFlag() cli.Flag {
+// outputFlag picks the form of the output: text, json, or one of the command's
+// own forms.
+func outputFlag(further ...string) cli.Flag {
+	forms := append([]string{outputText, outputJSON}, further...)
 	return &cli.StringFlag{
-		Name: flagOutput, Aliases: []string{"o"}, Value: outputText, Usage: "text or json",
+		Name: flagOutput, Aliases: []string{"o"}, Value: outputText, Usage: strings.Join(forms, ", "),
 		Validator: func(value string) error {
-			if value != outputText && value != outputJSON {
-				return errors.New("give text or json")
+			if !slices.Contains(forms, value) {
+				return errors.New("give one of " + strings.Join(forms, ", "))
 			}
 			return nil
 		},
--- a/cmd/spanlanding/main_test.go
+++ b/cmd/spanlanding/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -52,6 +53,8 @@
 		{"apply " + at + " --owner=other " + fjordkurv, operator.ExitConflict},
 		{"get " + at + " Model kurv-chat", operator.ExitDone},
 		{"get " + at + " model", operator.ExitDone},
+		{"apply -o version " + at + " " + fjordkurv, operator.ExitDone},
+		{"diff -o version " + at + " " + fjordkurv, operator.ExitUsage},
 		{"status --node=127.0.0.1:1", operator.ExitUnreachable},
 		{"wait --node=127.0.0.1:1 --version=1 --timeout=50ms", operator.ExitUnreachable},
 		{"wait --node=127.0.0.1:1", operator.ExitUsage},
@@ -65,6 +68,29 @@
 	}
 }
 
+// TestApplyPrintsTheVersionAlone holds what the README's third step relies on.
+func TestApplyPrintsTheVersionAlone(t *testing.T) {
+	standIn := httpdriver.NewPlatform(t.Context(), httpdriver.PlatformOptions{
+		Machines: machines.Options{Lag: machines.DefaultLag}, History: 1000,
+	})
+	server := httptest.NewServer(standIn.Handler())
+	t.Cleanup(server.Close)
+	code, text := run(t, "apply", "-o", "version", "--platform", server.URL, "../../examples/fjordkurv")
+	version, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
+	if code != operator.ExitDone || err != nil || version == 0 {
+		t.Errorf("exit code %d, printed %q", code, text)
+	}
+}
+
+// TestWaitWithoutAnswerNamesTheVersion holds that no answer is not shown as
+// version 0.
+func TestWaitWithoutAnswerNamesTheVersion(t *testing.T) {
+	code, text := run(t, "wait", "--node=127.0.0.1:1", "--version=55", "--timeout=50ms")
+	if code != operator.ExitUnreachable || !strings.Contains(text, "version 55") {
+		t.Errorf("exit code %d, printed %q", code, text)
+	}
+}
+
 func TestFindingsAsJSON(t *testing.T) {
 	_, text := run(t, "validate", "-o", "json", "../../examples/broken")
 	var report validation
--- a/internal/operator/wait.go
+++ b/internal/operator/wait.go
@@ -44,7 +44,7 @@
 // force, or until the context ends. The entry node tells of its own zone; each
 // other zone is asked through a member that the entry node knows there.
 func Wait(ctx context.Context, entry VersionSource, dial func(address string) VersionSource, version uint64) (WaitResult, error) {
-	var last WaitResult
+	last := WaitResult{Version: version, Lacking: []Lacking{}}
 	for {
 		result, err := collectVersions(ctx, entry, dial, version)
 		if err == nil {
