Take a short line at an engine for none

Cause: an engine takes what comes only between two iterations, so a report often shows one that waits beside five that run. Its slots were then taken to be five, and the queue held requests back while engines had room: at 0.9 of the capacity the first token took 1.0 s at p99, a plain line's 0.39 s.

Ruled out: the first guess of 16 slots alone; it is passed within seconds, and then cut again by the next such report.

Change: an engine is full at what it runs only where more than two and more than an eighth of that wait; believed slots grow by an eighth, at least two.

--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -347,3 +347,25 @@
 		d.core.Step(epoch, Ended{Ticket: ticket, Result: ResultOK})
 	}
 }
+
+// TestSlotsAreNotLearntFromOneThatWaits: what comes in waits for the next
+// iteration also at an engine that is far from full.
+func TestSlotsAreNotLearntFromOneThatWaits(t *testing.T) {
+	d := newDriver(Options{EngineSlots: 16}, epoch, engine("e1", "a", 2))
+	reports := []struct{ running, waiting, slots int }{
+		{5, 1, 16},
+		{16, 1, 18},
+		{30, 0, 33},
+		{32, 3, 33},
+		{32, 9, 32},
+	}
+	for index, report := range reports {
+		now := at(float64(index + 1))
+		shown := engine("e1", "a", report.running)
+		shown.Report.AsOf, shown.Report.Waiting = now, report.waiting
+		d.core.Step(now, tables(shown))
+		if got := d.core.Rooms(now, notes).Slots; got != report.slots {
+			t.Errorf("%d running and %d waiting: %d slots, want %d", report.running, report.waiting, got, report.slots)
+		}
+	}
+}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -85,19 +85,28 @@
 }
 
 // learnSlots takes an engine with a line of its own to be full, and one
-// without a line to have room for some more.
+// without a line to have room for some more. A short line is none: what comes
+// waits for the next iteration also at an idle engine.
 func (t *target) learnSlots(report fleet.LoadReport, initial int) {
 	if t.slots == 0 {
 		t.slots = initial
 	}
 	switch {
-	case report.Waiting > 0 && report.Running > 0:
+	case report.Running == 0:
+	case report.Waiting > max(minLine, report.Running/lineShare):
 		t.slots = report.Running
 	case report.Running >= t.slots:
-		t.slots = report.Running + slotGrowth
+		t.slots = report.Running + max(slotGrowth, report.Running/lineShare)
 	}
 }
 
+const (
+	// minLine and a part of what runs, one in lineShare, may wait at an engine
+	// that is not full.
+	minLine   = 2
+	lineShare = 8
+)
+
 // slotGrowth is how many slots more an engine is believed to have when it
 // runs all that were believed and nothing waits.
 const slotGrowth = 2
