Eject no back end for an answer that went well

Cause: the share of failures was judged after every result, so the first successes of an engine that is back after an outage could set it aside again.

Ruled out: resetting the figures when a circuit closes, since an engine that fails every other request would then never be set aside.

Change: only a failure can eject.

--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -35,7 +35,8 @@
 		sample = 1
 	}
 	h.failures += healthWeight * (sample - h.failures)
-	if h.results >= minSamples && h.failures > outlierFailures {
+	// An answer that goes well ejects no one, whatever was before it.
+	if failed && h.results >= minSamples && h.failures > outlierFailures {
 		h.eject(now)
 	}
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -369,3 +369,20 @@
 		}
 	}
 }
+
+// TestSuccessEjectsNoOne: an engine that is back after an outage is not set
+// aside for what was before.
+func TestSuccessEjectsNoOne(t *testing.T) {
+	var health health
+	for range minSamples - 1 {
+		health.addResult(epoch, true)
+	}
+	health.addResult(epoch, false)
+	if health.ejectedUntil.After(epoch) {
+		t.Error("ejected by a success")
+	}
+	health.addResult(epoch, true)
+	if !health.ejectedUntil.After(epoch) {
+		t.Error("not ejected by a failure beyond the share")
+	}
+}
