Bound a resume by two seconds

Cause: a stream of an engine that went silent waited ten seconds, and ten more for each of two resumes, until it was continued elsewhere. Its failure then came after the outage and opened the circuit of an engine that was well again.

Ruled out: leaving failures of old attempts out of the circuit, since an engine that breaks every answer half-way would then never be set aside.

Change: a resume has two seconds for its first chunk; an engine that still has the answer brings it within an iteration or two.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -25,6 +25,9 @@
 	MaxResumes  int
 	// StallTimeout bounds the time between two chunks.
 	StallTimeout time.Duration
+	// ResumeTimeout bounds the time until a resume brings its first chunk: an
+	// engine that still has the answer brings it within an iteration or two.
+	ResumeTimeout time.Duration
 	// ContinueTimeout bounds the search for another back end once tokens have
 	// been delivered.
 	ContinueTimeout time.Duration
@@ -52,6 +55,7 @@
 	DefaultMaxRefusals     = 16
 	DefaultMaxResumes      = 2
 	DefaultStallTimeout    = 10 * time.Second
+	DefaultResumeTimeout   = 2 * time.Second
 	DefaultContinueTimeout = 15 * time.Second
 	DefaultMaxKeptBytes    = 1 << 20
 
@@ -64,6 +68,7 @@
 	o.MaxRefusals = cmp.Or(o.MaxRefusals, DefaultMaxRefusals)
 	o.MaxResumes = cmp.Or(o.MaxResumes, DefaultMaxResumes)
 	o.StallTimeout = cmp.Or(o.StallTimeout, DefaultStallTimeout)
+	o.ResumeTimeout = cmp.Or(o.ResumeTimeout, DefaultResumeTimeout)
 	o.ContinueTimeout = cmp.Or(o.ContinueTimeout, DefaultContinueTimeout)
 	o.MaxKeptBytes = cmp.Or(o.MaxKeptBytes, DefaultMaxKeptBytes)
 	return o
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -230,6 +230,17 @@
 		t.Errorf("after the stall: %s", got)
 	}
 
+	resumed := stalled.Add(DefaultResumeTimeout)
+	if wake := core.NextWake(); !wake.Equal(resumed) {
+		t.Errorf("a resume has until %v, want %v", wake, resumed)
+	}
+	if got := brief(core.Step(resumed, Tick{})); got != "resume e1 #1 from 1" {
+		t.Errorf("after a resume that brought nothing: %s", got)
+	}
+	if got := brief(core.Step(resumed.Add(DefaultResumeTimeout), Tick{})); got != "reassign without [e1]" {
+		t.Errorf("after the last resume: %s", got)
+	}
+
 	late := New(streamOptions())
 	late.Step(epoch, Assigned{"e1"})
 	if got := brief(late.Step(epoch.Add(30*time.Second), Tick{})); got != "cancel e1 #1; finish unknown deadline-reached after 0" {
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -22,7 +22,7 @@
 	if c.mayResume(broken) {
 		c.resumes++
 		c.connection++
-		c.wake = c.bound(now)
+		c.wake = now.Add(min(c.options.ResumeTimeout, c.options.StallTimeout))
 		c.emit(Resume{Connection: c.connection, Attempt: c.attempt, Backend: c.backend, From: c.next})
 		return
 	}
--- a/internal/lab/requestpath/request.go
+++ b/internal/lab/requestpath/request.go
@@ -27,6 +27,9 @@
 	outcome    attempt.Outcome
 	attempts   int
 	tokens     int
+	// lastToken is when the last one came, pause the longest time between two.
+	lastToken time.Time
+	pause     time.Duration
 }
 
 // met: the first token came in time and the answer was whole.
@@ -114,6 +117,10 @@
 	if r.call.firstToken.IsZero() {
 		r.call.firstToken = now
 	}
+	if r.call.tokens > 0 {
+		r.call.pause = max(r.call.pause, now.Sub(r.call.lastToken))
+	}
+	r.call.lastToken = now
 	r.call.tokens++
 	if !r.began {
 		r.began = true
--- a/internal/lab/requestpath/zoneloss.go
+++ b/internal/lab/requestpath/zoneloss.go
@@ -138,16 +138,22 @@
 			{Metric: "deadlines met in all", Unit: "%", Value: 100 * float64(outcomes.met) / float64(max(1, len(w.calls)))},
 			{Metric: "answers cut", Unit: "requests", Value: float64(outcomes.cut)},
 			{Metric: "refused", Unit: "requests", Value: float64(outcomes.refused)},
+			{Metric: "longest pause in an answer", Unit: "s", Value: outcomes.pause.Seconds()},
 		},
 		Series: []experiment.Series{met, attempts},
 	}
 }
 
-type outcomes struct{ met, cut, refused int }
+type outcomes struct {
+	met, cut, refused int
+	// pause is the longest time between two tokens of an answer.
+	pause time.Duration
+}
 
 func (w *world) outcomes() outcomes {
 	var counted outcomes
 	for _, call := range w.calls {
+		counted.pause = max(counted.pause, call.pause)
 		switch {
 		case call.met():
 			counted.met++
