Check settings the way declarations are checked

Cause: settings had a reader of their own, which stopped at the first unknown field or wrong type, gave no line to what was wrong by meaning, and took sizes as numbers only. Ruled out: a second decoder with places; internal/spec's decoder now fills any struct of one document (DecodeFile) and is the only one. Change: a draft of settings keeps each field's place, in the file or as a flag; reading and meaning report together, as file:line:column, what is wrong and what would be right. Sizes take 8MiB and the like. Conclusion: one decoder, one form of finding.

--- a/cmd/spanlanding/node.go
+++ b/cmd/spanlanding/node.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -15,6 +14,7 @@
 	"github.com/spanlanding/spanlanding/internal/logging"
 	"github.com/spanlanding/spanlanding/internal/node"
 	"github.com/spanlanding/spanlanding/internal/operator"
+	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
 const (
@@ -47,48 +47,47 @@
 }
 
 // nodeSettings reads the settings file and lets flags override it.
-func nodeSettings(command *cli.Command) (node.Settings, error) {
-	var settings node.Settings
+func nodeSettings(command *cli.Command) (node.Settings, spec.Findings) {
+	draft := &node.Draft{}
 	if path := command.String(flagSettings); path != "" {
-		read, err := node.ReadSettings(path)
-		if err != nil {
-			return settings, operator.ErrInvalid.Wrap(err, "settings")
-		}
-		settings = read
-	}
-	override(command, "name", func(value string) { settings.Name = fleet.NodeName(value) })
-	override(command, "zone", func(value string) { settings.Zone = fleet.Zone(value) })
-	override(command, "caller", func(value string) { settings.Listen.Caller = value })
-	override(command, "operator", func(value string) { settings.Listen.Operator = value })
-	override(command, "peer", func(value string) { settings.Listen.Peer = value })
-	override(command, "gossip", func(value string) { settings.Listen.Gossip = value })
-	override(command, "platform", func(value string) { settings.Platform = value })
-	override(command, "log-level", func(value string) { settings.LogLevel = value })
-	if command.IsSet("seed") {
-		settings.Seeds = command.StringSlice("seed")
-	}
-	if command.IsSet("remote-seed") {
-		settings.RemoteSeeds = command.StringSlice("remote-seed")
+		draft = node.ReadSettings(path)
 	}
-	if command.IsSet("drain-limit") {
-		settings.DrainLimit = command.Duration("drain-limit")
-	}
-	settings, err := settings.Complete()
-	if err != nil {
-		return settings, operator.ErrInvalid.Wrap(err, "settings")
+	settings := &draft.Settings
+	override := func(flag, field string, set func()) {
+		if command.IsSet(flag) {
+			set()
+			draft.Override(field, "--"+flag)
+		}
 	}
-	return settings, nil
+	override("name", "name", func() { settings.Name = fleet.NodeName(command.String("name")) })
+	override("zone", "zone", func() { settings.Zone = fleet.Zone(command.String("zone")) })
+	override("caller", "listen.caller", func() { settings.Listen.Caller = command.String("caller") })
+	override("operator", "listen.operator", func() { settings.Listen.Operator = command.String("operator") })
+	override("peer", "listen.peer", func() { settings.Listen.Peer = command.String("peer") })
+	override("gossip", "listen.gossip", func() { settings.Listen.Gossip = command.String("gossip") })
+	override("platform", "platform", func() { settings.Platform = command.String("platform") })
+	override("log-level", "logLevel", func() { settings.LogLevel = command.String("log-level") })
+	override("seed", "seeds", func() { settings.Seeds = command.StringSlice("seed") })
+	override("remote-seed", "remoteSeeds", func() { settings.RemoteSeeds = command.StringSlice("remote-seed") })
+	override("drain-limit", "drainLimit", func() { settings.DrainLimit = spec.Duration(command.Duration("drain-limit")) })
+	return draft.Complete()
 }
 
-func override(command *cli.Command, flag string, set func(string)) {
-	if command.IsSet(flag) {
-		set(command.String(flag))
+// reportSettings prints the findings, and returns an error if there are any.
+func reportSettings(command *cli.Command, findings spec.Findings) error {
+	if len(findings) == 0 {
+		return nil
 	}
+	err := output(command, validation{Findings: findings}, func(writer io.Writer) { fmt.Fprintln(writer, findings) })
+	if err != nil {
+		return err
+	}
+	return operator.ErrInvalid.New("%d findings in the settings", len(findings))
 }
 
 func runNode(_ context.Context, command *cli.Command) error {
-	settings, err := nodeSettings(command)
-	if err != nil {
+	settings, findings := nodeSettings(command)
+	if err := reportSettings(command, findings); err != nil {
 		return err
 	}
 	if command.Bool(flagCheck) {
@@ -147,7 +146,7 @@
 	row("limits.maxStreams", settings.Limits.MaxStreams)
 	row("weightStore.loadsPerSecond", settings.WeightStore.LoadsPerSecond)
 	row("weightStore.concurrentLoads", settings.WeightStore.ConcurrentLoads)
-	row("probeInterval", settings.ProbeInterval.Round(time.Millisecond))
-	row("drainLimit", settings.DrainLimit.Round(time.Millisecond))
+	row("probeInterval", settings.ProbeInterval)
+	row("drainLimit", settings.DrainLimit)
 	row("logLevel", settings.LogLevel)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,7 +115,7 @@
 			Self:          n.self,
 			Seeds:         append(append([]string(nil), n.settings.Seeds...), n.settings.RemoteSeeds...),
 			RandomSeed:    rand.Uint64(),
-			ProbeInterval: n.settings.ProbeInterval,
+			ProbeInterval: time.Duration(n.settings.ProbeInterval),
 		},
 		Views:  n.views,
 		Logger: n.logger,
@@ -145,7 +145,7 @@
 		Logger:     n.logger,
 		Registerer: n.metrics,
 		Limits:     n.settings.gatewayLimits(),
-		Queue:      queue.Options{MaxItems: n.settings.Limits.MaxWaiting, MaxBytes: n.settings.Limits.MaxWaitingBytes},
+		Queue:      queue.Options{MaxItems: n.settings.Limits.MaxWaiting, MaxBytes: int64(n.settings.Limits.MaxWaitingBytes)},
 		Seed:       rand.Uint64(),
 	})
 }
@@ -175,10 +175,11 @@
 
 func (n *Node) drain(ctx context.Context) {
 	started := time.Now()
-	limit, cancel := context.WithTimeout(ctx, n.settings.DrainLimit)
+	allowed := time.Duration(n.settings.DrainLimit)
+	limit, cancel := context.WithTimeout(ctx, allowed)
 	defer cancel()
 	n.draining.Store(true)
-	n.logger.Info().Dur("limit", n.settings.DrainLimit).Msg("drain_started")
+	n.logger.Info().Dur("limit", allowed).Msg("drain_started")
 	n.membership.SetDraining(true)
 	var handOvers sync.WaitGroup
 	n.control.HandOver()
--- /dev/null
+++ b/internal/node/settings_check.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/logging"
+	"github.com/spanlanding/spanlanding/internal/spec"
+)
+
+// Least values that are of use.
+const (
+	leastDrainLimit    = spec.Duration(time.Second)
+	leastProbeInterval = spec.Duration(10 * time.Millisecond)
+)
+
+// Draft is settings as they were given, with the place of each, before they
+// are checked.
+type Draft struct {
+	Settings Settings
+	places   spec.Places
+	findings spec.Findings
+}
+
+// ReadSettings reads a settings file. What is wrong with it is kept until the
+// draft is completed, so that all findings come together.
+func ReadSettings(path string) *Draft {
+	draft := &Draft{}
+	draft.places, draft.findings = spec.DecodeFile(path, &draft.Settings)
+	return draft
+}
+
+// Override says that a field was set after reading, and by what. What the file
+// has wrong there stays a finding: the file needs mending all the same.
+func (d *Draft) Override(field, by string) {
+	d.places.Move(field, spec.Position{File: by})
+}
+
+// Complete fills in the defaults and returns every finding.
+func (d *Draft) Complete() (Settings, spec.Findings) {
+	settings := d.Settings
+	settings.fillDefaults()
+	settings.check(func(field, problem, remedy string) {
+		if d.places.Unread(field) {
+			return
+		}
+		place := d.places.Of(field)
+		if place.File == "" {
+			place.File = "settings"
+		}
+		d.findings = append(d.findings, spec.Finding{Position: place, Problem: field + " " + problem, Remedy: remedy})
+	})
+	return settings, d.findings.Sorted()
+}
+
+// Complete fills in the defaults of settings that a program made; the error
+// lists every finding.
+func (s Settings) Complete() (Settings, error) {
+	draft := Draft{Settings: s}
+	completed, findings := draft.Complete()
+	if len(findings) > 0 {
+		return completed, ErrInvalidSettings.Wrap(findings.Err(), "settings")
+	}
+	return completed, nil
+}
+
+// settingsReport takes a field's finding: what is wrong, what would be right.
+type settingsReport func(field, problem, remedy string)
+
+func (s Settings) check(report settingsReport) {
+	checkName(report, "name", string(s.Name), "name the node uniquely in the fleet")
+	checkName(report, "zone", string(s.Zone), "name the zone that the machine stands in")
+	s.Listen.check(report)
+	if parsed, err := url.Parse(s.Platform); err != nil || parsed.Scheme != "http" || parsed.Host == "" {
+		report("platform", fmt.Sprintf("%q is no base URL", s.Platform), "write http://IP:PORT")
+	}
+	checkSeeds(report, "seeds", s.Seeds)
+	checkSeeds(report, "remoteSeeds", s.RemoteSeeds)
+	checkLeast(report, "limits.maxWaiting", s.Limits.MaxWaiting, 1)
+	checkLeast(report, "limits.maxWaitingBytes", s.Limits.MaxWaitingBytes, 1)
+	checkLeast(report, "limits.maxBodyBytes", s.Limits.MaxBodyBytes, 1)
+	checkLeast(report, "limits.maxStreams", s.Limits.MaxStreams, 1)
+	if !(s.WeightStore.LoadsPerSecond > 0) {
+		report("weightStore.loadsPerSecond", fmt.Sprintf("is %v", s.WeightStore.LoadsPerSecond), "give more than 0")
+	}
+	checkLeast(report, "weightStore.concurrentLoads", s.WeightStore.ConcurrentLoads, 1)
+	checkLeast(report, "probeInterval", s.ProbeInterval, leastProbeInterval)
+	checkLeast(report, "drainLimit", s.DrainLimit, leastDrainLimit)
+	if _, known := logging.Levels[s.LogLevel]; !known {
+		report("logLevel", fmt.Sprintf("is %q", s.LogLevel), "give debug, info, warn or error")
+	}
+}
+
+func checkName(report settingsReport, field, name, remedy string) {
+	switch {
+	case name == "":
+		report(field, "is missing", remedy)
+	case !spec.ValidLabel(name):
+		report(field, fmt.Sprintf("is %q", name), "take letters, digits and ._-/ with a letter or digit at both ends")
+	}
+}
+
+func checkLeast[T int | spec.Bytes | spec.Duration](report settingsReport, field string, value, least T) {
+	if value < least {
+		report(field, fmt.Sprintf("is %v", value), fmt.Sprintf("give at least %v", least))
+	}
+}
+
+// check holds that each address can be told to others as it is, and that no
+// two of the same protocol are one.
+func (l ListenSettings) check(report settingsReport) {
+	earlier := make(map[string]string)
+	for _, entry := range []struct{ field, address string }{
+		{"listen.caller", l.Caller},
+		{"listen.operator", l.Operator},
+		{"listen.peer", l.Peer},
+		{"listen.gossip", l.Gossip},
+	} {
+		if !checkAddress(report, entry.field, entry.address) || entry.field == "listen.gossip" {
+			continue
+		}
+		if first, taken := earlier[entry.address]; taken {
+			report(entry.field, "is the address of "+first, "give each its own port")
+		}
+		earlier[entry.address] = entry.field
+	}
+}
+
+func checkSeeds(report settingsReport, field string, seeds []string) {
+	for index, seed := range seeds {
+		checkAddress(report, fmt.Sprintf("%s[%d]", field, index), seed)
+	}
+}
+
+func checkAddress(report settingsReport, field, address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	switch {
+	case address == "":
+		report(field, "is missing", "write IP:PORT")
+	case err != nil:
+		report(field, fmt.Sprintf("is %q, no address", address), "write IP:PORT")
+	case parsed.Port() == 0 || parsed.Addr().IsUnspecified():
+		report(field, fmt.Sprintf("is %q, which others cannot reach", address), "write the machine's own IP and a port other than 0")
+	default:
+		return true
+	}
+	return false
+}
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -5,6 +5,11 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/joomcode/errorx"
+
+	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
 const validSettings = `
@@ -18,23 +23,19 @@
 platform: http://127.0.0.1:7900
 `
 
-func readText(t *testing.T, text string) (Settings, error) {
+func readText(t *testing.T, text string) (Settings, spec.Findings) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "node.yaml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	settings, err := ReadSettings(path)
-	if err != nil {
-		return settings, err
-	}
-	return settings.Complete()
+	return ReadSettings(path).Complete()
 }
 
 func TestAddressesZoneAndPlatformAreEnough(t *testing.T) {
-	settings, err := readText(t, validSettings)
-	if err != nil {
-		t.Fatal(err)
+	settings, findings := readText(t, validSettings)
+	if len(findings) > 0 {
+		t.Fatal(findings)
 	}
 	if settings.DrainLimit != defaultDrainLimit || settings.Limits.MaxWaiting != defaultMaxWaiting {
 		t.Fatalf("defaults are missing: %+v", settings)
@@ -42,20 +43,65 @@
 }
 
 func TestUnknownSettingIsRefused(t *testing.T) {
-	_, err := readText(t, validSettings+"zoen: oslo-b\n")
-	if err == nil || !strings.Contains(err.Error(), "zoen") {
-		t.Fatalf("got %v", err)
+	_, findings := readText(t, validSettings+"zoen: oslo-b\n")
+	if len(findings) != 1 || !strings.Contains(findings[0].Problem, "zoen") {
+		t.Fatalf("got %v", findings)
 	}
 }
 
-func TestAllFindingsAreReportedTogether(t *testing.T) {
-	_, err := readText(t, "listen: {caller: here, operator: 127.0.0.1:1, peer: 127.0.0.1:2, gossip: 127.0.0.1:3}\nplatform: ftp://x\ndrainLimit: 1ms\nlogLevel: loud\nseeds: [nowhere]\n")
-	if err == nil {
-		t.Fatal("invalid settings were taken")
+// TestBrokenSettingsYieldEveryFinding holds each line of the broken file
+// against the findings: none may be missing, misplaced or added.
+func TestBrokenSettingsYieldEveryFinding(t *testing.T) {
+	_, findings := ReadSettings("testdata/broken-settings.yaml").Complete()
+	want, err := os.ReadFile("testdata/broken-settings.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if difference := cmp.Diff(string(want), findings.String()+"\n"); difference != "" {
+		t.Errorf("findings (-want +got):\n%s", difference)
 	}
-	for _, field := range []string{"name:", "zone:", "listen.caller:", "platform:", "drainLimit:", "logLevel:", "seeds[0]:"} {
-		if !strings.Contains(err.Error(), field) {
-			t.Errorf("no finding for %s in:\n%v", field, err)
+}
+
+func TestSettingsThatAreNotYAML(t *testing.T) {
+	for _, text := range []string{"a: [", "- a\n- b\n", "plain text"} {
+		_, findings := readText(t, text)
+		if len(findings) != 1 || findings[0].Line != 1 {
+			t.Errorf("%q: want one finding at line 1, got:\n%v", text, findings)
 		}
 	}
+	if _, findings := ReadSettings(filepath.Join(t.TempDir(), "none.yaml")).Complete(); len(findings) != 1 {
+		t.Errorf("a file that is not there: %v", findings)
+	}
+	if _, findings := readText(t, ""); len(findings) != 7 {
+		t.Errorf("an empty file lacks name, zone, four addresses and the platform; got:\n%v", findings)
+	}
+	if _, findings := readText(t, validSettings+"---\nname: b\n"); len(findings) != 1 {
+		t.Errorf("a second document: %v", findings)
+	}
+}
+
+// TestAFlagStandsForTheFile holds that a flag gives what the file lacks, and
+// that a wrong flag is named.
+func TestAFlagStandsForTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	if err := os.WriteFile(path, []byte(strings.Replace(validSettings, "zone: oslo-a", "", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	draft := ReadSettings(path)
+	draft.Settings.Zone = "oslo-b"
+	draft.Override("zone", "--zone")
+	draft.Settings.LogLevel = "loud"
+	draft.Override("logLevel", "--log-level")
+	_, findings := draft.Complete()
+	want := "--log-level: logLevel is \"loud\"; give debug, info, warn or error"
+	if findings.String() != want {
+		t.Errorf("got:\n%v\nwant:\n%s", findings, want)
+	}
+}
+
+func TestSettingsMadeByAProgram(t *testing.T) {
+	_, err := Settings{}.Complete()
+	if !errorx.IsOfType(err, ErrInvalidSettings) || !strings.Contains(err.Error(), "settings: zone is missing") {
+		t.Errorf("got %v", err)
+	}
 }
--- a/internal/spec/decode.go
+++ b/internal/spec/decode.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/token"
@@ -18,14 +19,24 @@
 	file   string
 	line   int
 	places map[string]Position
-	// faulty holds the paths whose value could not be read, or not wholly.
+	// faulty holds the paths whose value could not be read, or not wholly;
+	// unread only those of which nothing could.
 	faulty   map[string]bool
+	unread   map[string]bool
 	findings Findings
 }
 
+func newDecoder(file string, line int) *decoder {
+	return &decoder{
+		file: file, line: line,
+		places: make(map[string]Position), faulty: make(map[string]bool), unread: make(map[string]bool),
+	}
+}
+
 // fault reports a value that could not be read.
 func (d *decoder) fault(path string, position Position, problem, remedy string) {
 	d.faulty[path] = true
+	d.unread[path] = true
 	d.report(position, problem, remedy)
 }
 
@@ -160,6 +171,7 @@
 var (
 	bytesType    = reflect.TypeFor[Bytes]()
 	durationType = reflect.TypeFor[Duration]()
+	timeSpanType = reflect.TypeFor[time.Duration]()
 )
 
 // value decodes a node into the target and remembers where it stands.
@@ -178,7 +190,7 @@
 	switch {
 	case target.Type() == bytesType:
 		d.bytes(node, target, path)
-	case target.Type() == durationType:
+	case target.Type() == durationType, target.Type() == timeSpanType:
 		d.duration(node, target, path)
 	default:
 		d.byKind(node, target, path, depth)
@@ -214,11 +226,21 @@
 		index, found := fieldIndex(target.Type(), field.name)
 		if !found {
 			names := fieldNames(target.Type())
-			d.fault(path, field.position, fmt.Sprintf("unknown field %q", field.name), remedyForName(field.name, names))
+			d.faulty[path] = true
+			d.report(field.position, fmt.Sprintf("unknown field %q", field.name), remedyForName(field.name, names))
 			continue
 		}
-		d.value(field.value, target.Field(index), path+"."+field.name, depth+1)
+		d.value(field.value, target.Field(index), joinPath(path, field.name), depth+1)
+	}
+}
+
+// joinPath names a field of the value at the path; the empty path is the
+// whole document.
+func joinPath(path, name string) string {
+	if path == "" {
+		return name
 	}
+	return path + "." + name
 }
 
 func fieldIndex(structure reflect.Type, name string) (int, bool) {
@@ -252,7 +274,7 @@
 	values := reflect.MakeMap(target.Type())
 	for _, field := range fields {
 		value := reflect.New(target.Type().Elem()).Elem()
-		d.value(field.value, value, path+"."+field.name, depth+1)
+		d.value(field.value, value, joinPath(path, field.name), depth+1)
 		values.SetMapIndex(reflect.ValueOf(field.name), value)
 	}
 	target.Set(values)
--- a/internal/spec/decode_scalar.go
+++ b/internal/spec/decode_scalar.go
@@ -81,7 +81,11 @@
 }
 
 func (d *decoder) wrongType(node ast.Node, path, wanted string) {
-	d.fault(path, d.start(node), fmt.Sprintf("%s is %s", path, nodeTypeName(node)), "give "+wanted)
+	what := path
+	if what == "" {
+		what = "the document"
+	}
+	d.fault(path, d.start(node), fmt.Sprintf("%s is %s", what, nodeTypeName(node)), "give "+wanted)
 }
 
 func nodeTypeName(node ast.Node) string {
--- a/internal/spec/findings.go
+++ b/internal/spec/findings.go
@@ -9,15 +9,20 @@
 	"github.com/joomcode/errorx"
 )
 
-// Position is a place in a declaration file; lines and columns count from 1.
+// Position is a place in a file; lines and columns count from 1. What was not
+// given in a file, such as a flag, has neither.
 type Position struct {
 	File   string `json:"file"`
 	Line   int    `json:"line"`
 	Column int    `json:"column"`
 }
 
-// String returns the form file:line:column.
+// String returns the form file:line:column, or the file's part alone where
+// there is no line.
 func (p Position) String() string {
+	if p.Line == 0 {
+		return p.File
+	}
 	return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Column)
 }
 
@@ -70,6 +75,11 @@
 	return ErrInvalid.New("%d findings\n%s", len(f), f)
 }
 
+// Sorted returns the findings by their places, each once.
+func (f Findings) Sorted() Findings {
+	return slices.Clone(f).sorted()
+}
+
 func (f Findings) sorted() Findings {
 	slices.SortStableFunc(f, func(left, right Finding) int {
 		return cmp.Or(
--- a/internal/spec/load.go
+++ b/internal/spec/load.go
@@ -88,18 +88,27 @@
 }
 
 func (l *loader) loadFile(file string) {
-	start := Position{File: file, Line: 1, Column: 1}
+	content, found := readFile(file)
+	l.findings = append(l.findings, found...)
+	if len(found) == 0 {
+		l.loadContent(file, content)
+	}
+}
+
+func readFile(file string) ([]byte, Findings) {
+	finding := Finding{Position: Position{File: file, Line: 1, Column: 1}}
 	info, err := os.Stat(file)
 	if err == nil && info.Size() > maxFileBytes {
-		l.report(start, fmt.Sprintf("the file has %d bytes", info.Size()), fmt.Sprintf("at most %d are read; split it", maxFileBytes))
-		return
+		finding.Problem = fmt.Sprintf("the file has %d bytes", info.Size())
+		finding.Remedy = fmt.Sprintf("at most %d are read; split it", maxFileBytes)
+		return nil, Findings{finding}
 	}
 	content, err := os.ReadFile(file)
 	if err != nil {
-		l.report(start, fmt.Sprintf("cannot be read: %v", err), "name a readable file")
-		return
+		finding.Problem, finding.Remedy = fmt.Sprintf("cannot be read: %v", err), "name a readable file"
+		return nil, Findings{finding}
 	}
-	l.loadContent(file, content)
+	return content, nil
 }
 
 // document is one YAML document of a file; Line is the file's line before it.
@@ -158,26 +167,35 @@
 )
 
 func (l *loader) reportSyntax(file string, document document, err error) {
-	position := Position{File: file, Line: document.line + 1, Column: 1}
+	l.findings = append(l.findings, syntaxFinding(file, document.line, err))
+	kind, name := kindLine.FindSubmatch(document.text), nameLine.FindSubmatch(document.text)
+	if kind != nil && name != nil {
+		l.set.unread[reference{Kind(kind[1]), string(name[1])}] = true
+	}
+}
+
+// syntaxFinding says where a document that starts after the line is not YAML.
+func syntaxFinding(file string, line int, err error) Finding {
+	position := Position{File: file, Line: line + 1, Column: 1}
 	message := err.Error()
 	var located yaml.Error
 	if errors.As(err, &located) {
 		message = located.GetMessage()
 		if token := located.GetToken(); token != nil && token.Position != nil {
-			position.Line = document.line + token.Position.Line
+			position.Line = line + token.Position.Line
 			position.Column = token.Position.Column
 		}
 	}
 	message, _, _ = strings.Cut(message, "\n")
-	l.report(position, "not YAML: "+message, "mend the syntax; nothing else of this document was checked")
-	kind, name := kindLine.FindSubmatch(document.text), nameLine.FindSubmatch(document.text)
-	if kind != nil && name != nil {
-		l.set.unread[reference{Kind(kind[1]), string(name[1])}] = true
+	return Finding{
+		Position: position,
+		Problem:  "not YAML: " + message,
+		Remedy:   "mend the syntax; nothing else of this document was checked",
 	}
 }
 
 func (l *loader) decodeDocument(file string, line int, body ast.Node) {
-	decoder := &decoder{file: file, line: line, places: make(map[string]Position), faulty: make(map[string]bool)}
+	decoder := newDecoder(file, line)
 	object := decoder.object(body)
 	l.findings = append(l.findings, decoder.findings...)
 	if object == nil {
--- a/internal/spec/set.go
+++ b/internal/spec/set.go
@@ -33,13 +33,17 @@
 // Place returns where the field of the path stands, or the nearest enclosing
 // field that is written down.
 func (o *Object) Place(path string) Position {
+	return nearestPlace(o.places, path)
+}
+
+func nearestPlace(places map[string]Position, path string) Position {
 	for {
-		if position, found := o.places[path]; found {
+		if position, found := places[path]; found {
 			return position
 		}
 		cut := strings.LastIndexAny(path, ".[")
 		if cut < 0 {
-			return o.places[""]
+			return places[""]
 		}
 		path = path[:cut]
 	}
