Give each log event of a node one fixed name

Cause: events stood in two forms, as the message and as a field of an empty one, in kebab and snake case; some names were put together at run time, an order that went well carried error=null, and the page listed 4 events of 26. Ruled out: a list of names in one Go file, which the calls could pass by. Change: every event of internal/node is the literal message of its line; an order that was not accepted is a warning; a member's line names its zone apart from the node's and gives its version. The gateway's one event keeps its old form here. Conclusion: what a log shows can be looked up.

--- a/internal/node/claim_table.go
+++ b/internal/node/claim_table.go
@@ -93,7 +93,7 @@
 	}
 	changed, err := c.keepTable(usable)
 	if err != nil {
-		c.dependencies.Logger.Warn().Str("event", "keeper-table").Err(err).Msg("")
+		c.dependencies.Logger.Warn().Err(err).Msg("keeper_table_failed")
 	}
 	if changed || err != nil {
 		return tableInterval
--- a/internal/node/config_actor.go
+++ b/internal/node/config_actor.go
@@ -202,11 +202,11 @@
 	logger := a.dependencies.Logger
 	switch effect := effect.(type) {
 	case configsync.StoreBehind:
-		logger.Warn().Str("event", "store-behind").Uint64("store", effect.Store).Uint64("held", effect.Held).Msg("")
+		logger.Warn().Uint64("store", effect.Store).Uint64("held", effect.Held).Msg("store_behind")
 	case configsync.Diverged:
-		logger.Warn().Str("event", "config-diverged").Str("peer", string(effect.Peer)).Uint64("version", effect.Version).Msg("")
+		logger.Warn().Str("peer", string(effect.Peer)).Uint64("version", effect.Version).Msg("config_diverged")
 	case configsync.ReaderChanged:
-		logger.Info().Str("event", "store-reader").Bool("reader", effect.Reader).Msg("")
+		logger.Info().Bool("reader", effect.Reader).Msg("store_reader_changed")
 	}
 }
 
@@ -242,11 +242,11 @@
 	a.compiling = false
 	logger := a.dependencies.Logger
 	for _, problem := range result.problems {
-		logger.Warn().Str("event", "object-left-out").Str("kind", problem.Object.Kind).Str("name", problem.Object.Name).
-			Uint64("version", problem.Version).Str("reason", problem.Reason).Msg("")
+		logger.Warn().Str("kind", problem.Object.Kind).Str("name", problem.Object.Name).
+			Uint64("version", problem.Version).Str("reason", problem.Reason).Msg("object_left_out")
 	}
 	a.dependencies.Views.Catalog.Set(result.snapshot)
-	logger.Info().Str("event", "config-in-force").Uint64("version", result.snapshot.Version()).
-		Dur("compile", result.took).Int("problems", len(result.problems)).Msg("")
+	logger.Info().Uint64("version", result.snapshot.Version()).
+		Dur("compile", result.took).Int("problems", len(result.problems)).Msg("config_in_force")
 	a.compile()
 }
--- a/internal/node/config_io.go
+++ b/internal/node/config_io.go
@@ -36,7 +36,7 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	list, err := a.dependencies.Platform.List(ctx, "")
-	a.storeOutage.note(a.dependencies.Logger, "store-read", err)
+	a.storeOutage.note(a.dependencies.Logger, storeEvents, err)
 	if err != nil {
 		a.send(configsync.ListFailed(effect))
 		return
@@ -55,7 +55,7 @@
 	}
 	idled := answered && ctx.Err() != nil
 	if !idled {
-		a.storeOutage.note(a.dependencies.Logger, "store-read", err)
+		a.storeOutage.note(a.dependencies.Logger, storeEvents, err)
 	}
 	a.send(configsync.WatchEnded{
 		Generation: effect.Generation,
@@ -71,7 +71,7 @@
 		return false, err
 	}
 	defer watch.Close()
-	a.storeOutage.note(a.dependencies.Logger, "store-read", nil)
+	a.storeOutage.note(a.dependencies.Logger, storeEvents, nil)
 	for {
 		event, err := watch.Next()
 		if err != nil {
@@ -90,7 +90,7 @@
 	ctx, cancel := context.WithTimeout(a.lifetime, machinesTimeout)
 	defer cancel()
 	list, err := a.dependencies.Platform.Machines(ctx)
-	a.machineOutage.note(a.dependencies.Logger, "machine-list", err)
+	a.machineOutage.note(a.dependencies.Logger, machineEvents, err)
 	if err != nil {
 		a.send(configsync.MachinesFailed{})
 		return
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithTimeout(a.lifetime, pushTimeout)
 	defer cancel()
 	if _, err := a.dependencies.Peers.To(to.Addresses.Peer).Config.Push(ctx, request); err != nil {
-		a.dependencies.Logger.Debug().Str("event", "config-push-failed").Str("peer", string(to.Name)).Err(err).Msg("")
+		a.dependencies.Logger.Debug().Str("peer", string(to.Name)).Err(err).Msg("config_push_failed")
 	}
 }
 
@@ -112,13 +112,13 @@
 	request := encodeDigest(a.dependencies.Self.Name, effect.Digest)
 	response, err := a.dependencies.Peers.To(effect.To.Addresses.Peer).Config.Digest(ctx, request)
 	if err != nil {
-		a.dependencies.Logger.Debug().Str("event", "config-digest-failed").Str("peer", string(effect.To.Name)).Err(err).Msg("")
+		a.dependencies.Logger.Debug().Str("peer", string(effect.To.Name)).Err(err).Msg("config_digest_failed")
 		a.send(configsync.DigestFailed{To: effect.To.Name, Space: effect.Digest.Space})
 		return
 	}
 	answer, err := decodeDigestAnswer(effect.Digest.Space, response)
 	if err != nil {
-		a.dependencies.Logger.Warn().Str("event", "config-digest-unreadable").Str("peer", string(effect.To.Name)).Err(err).Msg("")
+		a.dependencies.Logger.Warn().Str("peer", string(effect.To.Name)).Err(err).Msg("config_digest_unreadable")
 		return
 	}
 	a.send(configsync.DigestAnswered{From: effect.To.Name, Answer: answer})
@@ -130,12 +130,23 @@
 	failing atomic.Bool
 }
 
-func (o *outage) note(logger *log.Logger, what string, err error) {
+// outageEvents name what is logged when an outage begins and when it ends.
+type outageEvents struct {
+	failed    string
+	recovered string
+}
+
+var (
+	storeEvents   = outageEvents{failed: "store_read_failed", recovered: "store_read_recovered"}
+	machineEvents = outageEvents{failed: "machine_list_failed", recovered: "machine_list_recovered"}
+)
+
+func (o *outage) note(logger *log.Logger, events outageEvents, err error) {
 	switch failed := err != nil; {
 	case failed == o.failing.Swap(failed):
 	case failed:
-		logger.Warn().Str("event", what+"-failed").Err(err).Msg("")
+		logger.Warn().Err(err).Msg(events.failed)
 	default:
-		logger.Info().Str("event", what+"-recovered").Msg("")
+		logger.Info().Msg(events.recovered)
 	}
 }
--- a/internal/node/control_actor.go
+++ b/internal/node/control_actor.go
@@ -109,7 +109,7 @@
 	}
 	record, err := decodeRecord(object)
 	if err != nil {
-		s.logFailure("record-unreadable", err)
+		s.logFailure("record_unreadable", err)
 		return
 	}
 	s.send(control.AllotmentsChanged{VersionedRecord: record})
@@ -190,6 +190,8 @@
 	}
 }
 
+// logFailure logs an event that tells of an error; its name is fixed at each
+// place that calls it.
 func (s *Control) logFailure(event string, err error) {
-	s.dependencies.Logger.Warn().Str("event", event).Err(err).Msg("")
+	s.dependencies.Logger.Warn().Err(err).Msg(event)
 }
--- a/internal/node/control_effects.go
+++ b/internal/node/control_effects.go
@@ -53,8 +53,8 @@
 	case control.TablesChanged:
 		s.dependencies.Views.Tables.Set(effect.Tables)
 	case control.LeadershipChanged:
-		s.dependencies.Logger.Info().Str("event", "leadership").Bool("leading", effect.Leading).
-			Str("fence", effect.Fence.String()).Str("reason", effect.Reason).Msg("")
+		s.dependencies.Logger.Info().Bool("leading", effect.Leading).
+			Str("fence", effect.Fence.String()).Str("reason", effect.Reason).Msg("leadership_changed")
 	}
 }
 
@@ -111,12 +111,25 @@
 		answer.Result = placement.OrderRefused
 		answer.Reason = refused.Refusal.Reason
 	}
-	s.dependencies.Logger.Info().Str("event", "order").Str("engine", string(effect.Engine)).
-		Str("action", string(effect.Order.Action)).Str("model", effect.Order.Model.String()).
-		Str("adapter", string(effect.Order.Adapter)).Str("id", effect.Order.ID).Err(err).Msg("")
+	s.logOrder(effect, err)
 	s.send(answer)
 }
 
+// logOrder writes one line for each order that was answered or not; what was
+// not accepted is a warning.
+func (s *Control) logOrder(effect control.SendOrder, err error) {
+	entry := s.dependencies.Logger.Info()
+	if err != nil {
+		entry = s.dependencies.Logger.Warn().Err(err)
+	}
+	entry = entry.Str("engine", string(effect.Engine)).Str("order", effect.Order.ID).
+		Str("action", string(effect.Order.Action)).Str("model", effect.Order.Model.String())
+	if effect.Order.Adapter != "" {
+		entry = entry.Str("adapter", string(effect.Order.Adapter))
+	}
+	entry.Bool("accepted", err == nil).Msg("engine_ordered")
+}
+
 func decodeRecord(object platform.Object) (control.VersionedRecord, error) {
 	var record allotment.Record
 	if err := json.Unmarshal(object.Spec, &record); err != nil {
@@ -139,7 +152,7 @@
 		answer, err = s.readMajority(effect)
 	}
 	if err != nil {
-		s.logFailure("record-not-learned", err)
+		s.logFailure("record_not_learned", err)
 	}
 	answer.ID = effect.ID
 	answer.Failed = err != nil
@@ -208,7 +221,7 @@
 	}
 	record, err := decodeRecord(platform.Object{Version: response.GetVersion(), Spec: response.GetRecord()})
 	if err != nil {
-		s.logFailure("record-unreadable", err)
+		s.logFailure("record_unreadable", err)
 	}
 	return record
 }
@@ -222,7 +235,7 @@
 	}
 	switch {
 	case err != nil:
-		s.logFailure("record-write", err)
+		s.logFailure("record_not_written", err)
 	case conflict:
 		answer.Result = control.WriteConflict
 	default:
--- a/internal/node/control_peers.go
+++ b/internal/node/control_peers.go
@@ -35,7 +35,7 @@
 func (s *Control) publishTable(effect control.PublishTable) {
 	update, err := encodeUpdate(effect.Update)
 	if err != nil {
-		s.logFailure("table-not-encoded", err)
+		s.logFailure("table_not_encoded", err)
 		return
 	}
 	update.From = string(s.dependencies.Self.Name)
@@ -96,7 +96,7 @@
 	for _, encoded := range response.GetTables() {
 		update, err := decodeUpdate(encoded)
 		if err != nil {
-			s.logFailure("table-unreadable", err)
+			s.logFailure("table_unreadable", err)
 			continue
 		}
 		pulled.Tables = append(pulled.Tables, update.Table)
@@ -181,7 +181,7 @@
 		Fence: uint64(effect.Fence),
 	})
 	if err != nil {
-		s.logFailure("hand-over", err)
+		s.logFailure("hand_over_failed", err)
 	}
 }
 
--- a/internal/node/membership_actor.go
+++ b/internal/node/membership_actor.go
@@ -150,7 +150,7 @@
 		return
 	}
 	if _, err := m.dependencies.Connection.WriteTo(send.Packet, address); err != nil && !errors.Is(err, net.ErrClosed) {
-		m.dependencies.Logger.Debug().Str("event", "gossip-send-failed").Str("to", send.To).Err(err).Msg("")
+		m.dependencies.Logger.Debug().Str("to", send.To).Err(err).Msg("gossip_send_failed")
 	}
 }
 
@@ -170,9 +170,9 @@
 	}
 	for _, member := range members {
 		if before[member.Name] != member.State {
-			m.dependencies.Logger.Info().Str("event", "member").Str("member", string(member.Name)).
-				Str("zone", string(member.Zone)).Str("state", string(member.State)).
-				Uint64("incarnation", member.Incarnation).Msg("")
+			m.dependencies.Logger.Info().Str("member", string(member.Name)).
+				Str("member_zone", string(member.Zone)).Str("state", string(member.State)).
+				Uint64("incarnation", member.Incarnation).Uint64("version", member.ConfigVersion).Msg("member_changed")
 		}
 	}
 }
--- a/internal/operator/docs_test.go
+++ b/internal/operator/docs_test.go
@@ -34,6 +34,96 @@
 	}
 }
 
+var (
+	// eventPatterns find the names of events as the source gives them.
+	eventPatterns = []*regexp.Regexp{
+		regexp.MustCompile(`\.Msg\("([^"]*)"\)`),
+		regexp.MustCompile(`logFailure\("([^"]*)"`),
+		regexp.MustCompile(`Str\("event", "([^"]*)"\)`),
+		regexp.MustCompile(`outageEvents\{failed: "([^"]*)"`),
+		regexp.MustCompile(`outageEvents\{.*recovered: "([^"]*)"`),
+	}
+	eventName = regexp.MustCompile(`^[a-z]+(_[a-z]+)*$`)
+	codeSpan  = regexp.MustCompile("`([^`]+)`")
+)
+
+// TestOperationsPageNamesEveryEvent holds the table of events against what a
+// node's source logs, in both directions, and that each has a name.
+func TestOperationsPageNamesEveryEvent(t *testing.T) {
+	logged := eventsInSource(t)
+	listed := make(map[string]bool)
+	for _, row := range eventRows(t) {
+		for _, name := range codeSpan.FindAllStringSubmatch(strings.Split(row, "|")[1], -1) {
+			listed[name[1]] = true
+		}
+	}
+	for name, file := range logged {
+		if !listed[name] {
+			t.Errorf("docs/operations.md does not list the event %q of %s", name, file)
+		}
+	}
+	for name := range listed {
+		if logged[name] == "" {
+			t.Errorf("docs/operations.md lists the event %q, which nothing logs", name)
+		}
+	}
+}
+
+// eventsInSource returns the file of each event.
+func eventsInSource(t *testing.T) map[string]string {
+	t.Helper()
+	logged := make(map[string]string)
+	for _, folder := range []string{"../node", "../gateway", "../logging"} {
+		files, err := filepath.Glob(folder + "/*.go")
+		if err != nil || len(files) == 0 {
+			t.Fatalf("no source in %s: %v", folder, err)
+		}
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") || filepath.Base(file) == "doc.go" {
+				continue
+			}
+			source, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, pattern := range eventPatterns {
+				for _, match := range pattern.FindAllStringSubmatch(string(source), -1) {
+					// The gateway still gives its event as a field of an empty message.
+					if folder == "../gateway" && match[1] == "" {
+						continue
+					}
+					if folder != "../gateway" && !eventName.MatchString(match[1]) {
+						t.Errorf("%s: the event %q has no name in snake_case", file, match[1])
+					}
+					logged[match[1]] = file
+				}
+			}
+		}
+	}
+	return logged
+}
+
+// eventRows returns the rows of the page's table of events.
+func eventRows(t *testing.T) []string {
+	t.Helper()
+	page, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, section, _ := strings.Cut(string(page), "### Log events")
+	section, _, found := strings.Cut(section, "\n## ")
+	if !found {
+		t.Fatal("no section on log events")
+	}
+	var rows []string
+	for line := range strings.Lines(section) {
+		if strings.HasPrefix(line, "| `") {
+			rows = append(rows, line)
+		}
+	}
+	return rows
+}
+
 // namesIn returns what the pattern finds in a source file, which must be
 // something: a source that was moved must not pass unread.
 func namesIn(t *testing.T, file, pattern string) []string {
