Record what the time of each cold start is spent on

Change: placement follows each load from the first want to the state that shows it ready, with the causes that held it back; the node logs it as load_finished. The harness of the control cores gets the stand-in weight store and follows wants until the node's own table shows the model.

Conclusion: the time goes before the order, to the fixed share of the weight store's rate that each zone has.

--- /dev/null
+++ b/internal/control/coldstart_test.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/standin/weights"
+)
+
+// weightStore drives the stand-in's weight store on the virtual clock.
+type weightStore struct {
+	core *weights.Core
+	done map[string]func()
+}
+
+// readWeights calls back once the checkpoint was read; at full speed and at
+// once in clusters without a bounded weight store.
+func (c *cluster) readWeights(id string, fullSpeed time.Duration, done func()) {
+	if c.weights == nil {
+		c.after(fullSpeed, done)
+		return
+	}
+	c.weights.done[id] = done
+	c.stepWeights(weights.Read{ID: id, FullSpeed: fullSpeed})
+}
+
+func (c *cluster) stepWeights(message weights.Message) {
+	for _, ended := range c.weights.core.Step(c.now, message) {
+		c.weights.done[ended.ID]()
+		delete(c.weights.done, ended.ID)
+	}
+	if wake := c.weights.core.NextWake(); !wake.IsZero() {
+		c.after(max(0, wake.Sub(c.now)), func() { c.stepWeights(weights.Tick{}) })
+	}
+}
+
+// coldStart follows a model from its first want at a node until the node's
+// table shows it ready.
+type coldStart struct {
+	node                   fleet.NodeName
+	model                  fleet.ModelVersion
+	wanted, ordered, shown time.Time
+}
+
+// coldStartAt reports a want at the node now, and each second until the node's
+// table shows the model ready, as the node's queue does.
+func (c *cluster) coldStartAt(name fleet.NodeName, model fleet.ModelVersion) *coldStart {
+	start := &coldStart{node: name, model: model, wanted: c.now}
+	c.coldStarts = append(c.coldStarts, start)
+	var report func()
+	report = func() {
+		if start.shown.IsZero() && !c.nodes[name].down {
+			c.want(name, model, 1)
+			c.after(time.Second, report)
+		}
+	}
+	report()
+	return start
+}
+
+func (c *cluster) noteOrdered(model fleet.ModelVersion) {
+	for _, start := range c.coldStarts {
+		if start.model == model && start.ordered.IsZero() {
+			start.ordered = c.now
+		}
+	}
+}
+
+func (c *cluster) noteShown(name fleet.NodeName) {
+	for _, start := range c.coldStarts {
+		if start.node != name || !start.shown.IsZero() {
+			continue
+		}
+		for _, table := range c.nodes[name].tables {
+			if ready(table, start.model) {
+				start.shown = c.now
+			}
+		}
+	}
+}
+
+// parts are the parts of the cold starts that have ended, sorted.
+func (c *cluster) parts(t *testing.T) (toOrder, toShown []time.Duration) {
+	t.Helper()
+	for _, start := range c.coldStarts {
+		if start.shown.IsZero() {
+			t.Errorf("%s wanted at %s was never shown ready", start.model, start.node)
+			continue
+		}
+		toOrder = append(toOrder, start.ordered.Sub(start.wanted))
+		toShown = append(toShown, start.shown.Sub(start.wanted))
+	}
+	slices.Sort(toOrder)
+	slices.Sort(toShown)
+	return toOrder, toShown
+}
+
+func quantile(sorted []time.Duration, share float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))].Round(time.Millisecond)
+}
+
+func manyModels(count int) []catalog.ModelFacts {
+	models := make([]catalog.ModelFacts, 0, count)
+	for index := range count {
+		model := fleet.ModelVersion{Model: fmt.Sprintf("model-%02d", index), Version: "1"}
+		models = append(models, facts(model, 1))
+	}
+	return models
+}
+
+// newColdCluster has four zones and the weight store of the profile with few
+// loads a second.
+func newColdCluster(seed uint64, models []catalog.ModelFacts) *cluster {
+	c := newCluster(clusterOptions{seed: seed, zones: 4, nodes: 2, engins: 5, models: models, boundedStore: true})
+	c.run(10 * time.Second)
+	return c
+}
+
+func TestColdStartsByPart(t *testing.T) {
+	// A load takes two seconds at full speed; the weight store lets three begin a
+	// second.
+	cases := map[string]struct {
+		start func(c *cluster, models []catalog.ModelFacts)
+		bound time.Duration
+	}{
+		"one after another": {func(c *cluster, models []catalog.ModelFacts) {
+			names := c.nodeNames()
+			for index, facts := range models {
+				c.coldStartAt(names[index%len(names)], facts.Model)
+				c.run(4 * time.Second)
+			}
+		}, 3 * time.Second},
+		"eight of one zone at once": {func(c *cluster, models []catalog.ModelFacts) {
+			record := c.stored().Record
+			started := 0
+			for _, facts := range models {
+				if record.Limit(facts.Model, "z0") > 0 && started < 8 {
+					c.coldStartAt("z0-n0", facts.Model)
+					started++
+				}
+			}
+		}, 13 * time.Second},
+		"twelve of all zones at once": {func(c *cluster, models []catalog.ModelFacts) {
+			names := c.nodeNames()
+			for index, facts := range models[:12] {
+				c.coldStartAt(names[index%len(names)], facts.Model)
+			}
+		}, 10 * time.Second},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			models := manyModels(32)
+			c := newColdCluster(1, models)
+			test.start(c, models)
+			c.run(20 * time.Second)
+			toOrder, toShown := c.parts(t)
+			t.Logf("%d cold starts: to the order p50 %v, p99 %v; until shown at the node p50 %v, p99 %v",
+				len(toShown), quantile(toOrder, 0.5), quantile(toOrder, 0.99), quantile(toShown, 0.5), quantile(toShown, 0.99))
+			if worst := quantile(toShown, 1); len(toShown) == 0 || worst > test.bound {
+				t.Errorf("the longest took %v, want at most %v", worst, test.bound)
+			}
+			if len(c.violations) > 0 {
+				t.Errorf("violations: %v", c.violations)
+			}
+		})
+	}
+}
--- a/internal/control/effects.go
+++ b/internal/control/effects.go
@@ -5,6 +5,7 @@
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/placement"
 )
 
 // Effect is what the shell is to do.
@@ -105,6 +106,9 @@
 	Reason  string
 }
 
+// LoadFinished tells what the time of a load was spent on, for the log.
+type LoadFinished struct{ placement.LoadFinished }
+
 func (ReadEngine) effect()        {}
 func (SendClaim) effect()         {}
 func (SendOrder) effect()         {}
@@ -118,3 +122,4 @@
 func (HandOver) effect()          {}
 func (TablesChanged) effect()     {}
 func (LeadershipChanged) effect() {}
+func (LoadFinished) effect()      {}
--- a/internal/control/harness_effects_test.go
+++ b/internal/control/harness_effects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -48,6 +49,7 @@
 				answer.Result = placement.OrderAccepted
 				if effect.Order.Action == backend.ActionLoad {
 					c.loads++
+					c.noteOrdered(effect.Order.Model)
 				}
 			case engine.FenceRefused:
 				answer.FenceStale, answer.Fence = true, got.Refusal.Fence
@@ -80,6 +82,7 @@
 		c.sendLossy(effect.To.Name, HandOverAsked{From: name, Fence: effect.Fence})
 	case TablesChanged:
 		c.nodes[name].tables = effect.Tables
+		c.noteShown(name)
 	case RefuseWants:
 		c.refusals++
 		c.nodes[name].refused = append(c.nodes[name].refused, effect.Refusals...)
@@ -133,7 +136,9 @@
 	for _, effect := range target.core.Step(c.now, message) {
 		switch effect := effect.(type) {
 		case engine.FetchWeights:
-			c.after(effect.FullSpeed, func() { c.stepEngine(name, engine.WeightsDone{Load: effect.Load}) })
+			c.readWeights(fmt.Sprintf("%s-%v-%d", name, effect.Load, c.now.UnixNano()), effect.FullSpeed, func() {
+				c.stepEngine(name, engine.WeightsDone{Load: effect.Load})
+			})
 		case engine.StateRead, engine.FenceRefused, engine.OrderRefused:
 			answer = effect
 		}
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -14,6 +14,7 @@
 	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 	"github.com/spanlanding/spanlanding/internal/standin/objects"
+	"github.com/spanlanding/spanlanding/internal/standin/weights"
 )
 
 // cluster runs control cores, engines and a store on a virtual clock. The
@@ -43,6 +44,9 @@
 	loads      int
 	refusals   int
 	machines   platform.MachineList
+	// weights bounds the loads; nil for none.
+	weights    *weightStore
+	coldStarts []*coldStart
 }
 
 type testNode struct {
@@ -99,12 +103,22 @@
 	defects              Defects
 	// faulty bounds the defects to one node; empty for all.
 	faulty fleet.NodeName
+	// boundedStore gives the weight store the bounds of the settings.
+	boundedStore bool
 }
 
 func newCluster(options clusterOptions) *cluster {
 	settings := DefaultSettings()
-	settings.Placement.StoreLoadsPerSecond = 100
-	settings.Placement.StoreConcurrency = 100
+	var bounded *weightStore
+	if options.boundedStore {
+		bounded = &weightStore{done: make(map[string]func()), core: weights.New(weights.Options{
+			ReadsPerSecond: settings.Placement.StoreLoadsPerSecond,
+			Concurrency:    settings.Placement.StoreConcurrency,
+		})}
+	} else {
+		settings.Placement.StoreLoadsPerSecond = 100
+		settings.Placement.StoreConcurrency = 100
+	}
 	c := &cluster{
 		now:      testStart,
 		random:   rand.New(rand.NewPCG(options.seed, 7)),
@@ -115,6 +129,7 @@
 		faulty:   options.faulty,
 		settings: settings,
 		models:   options.models,
+		weights:  bounded,
 	}
 	for zone := range options.zones {
 		for index := range options.engins {
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -57,6 +57,8 @@
 			c.sendOrder(effect)
 		case placement.Refuse:
 			c.refused(effect)
+		case placement.LoadFinished:
+			c.emit(LoadFinished{effect})
 		case placement.NeedRound:
 			c.stepLeader(leadership.Renew{})
 		}
--- a/internal/node/control_effects.go
+++ b/internal/node/control_effects.go
@@ -52,6 +52,8 @@
 		go s.handOver(effect)
 	case control.TablesChanged:
 		s.dependencies.Views.Tables.Set(effect.Tables)
+	case control.LoadFinished:
+		s.logLoad(effect)
 	case control.LeadershipChanged:
 		s.dependencies.Logger.Info().Bool("leading", effect.Leading).
 			Str("fence", effect.Fence.String()).Str("reason", effect.Reason).Msg("leadership_changed")
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -58,6 +58,7 @@
 	dirty bool
 	// refused holds the refusals of the last plan.
 	refused map[fleet.ModelVersion]Refuse
+	timings timings
 }
 
 type wantKey struct {
@@ -112,6 +113,7 @@
 		history:  make(map[fleet.ModelVersion]*history),
 		avoid:    make(map[placementKey]time.Time),
 		refused:  make(map[fleet.ModelVersion]Refuse),
+		timings:  newTimings(),
 	}
 	if core.policy == nil {
 		core.policy = ownPolicy{core}
@@ -286,6 +288,7 @@
 		}
 	}
 	held.loadingSince = since
+	c.finishLoads(now, state)
 }
 
 func (c *Core) takeAnswer(now time.Time, answer OrderAnswered) {
@@ -297,8 +300,10 @@
 	case OrderAccepted:
 		order.answered = true
 		order.visibleAfter = answer.Asked
+		c.timings.taken(now, order)
 	case OrderRefused:
 		c.dropOrder(answer.ID)
+		c.timings.dropped(order.engine, order.Model)
 		c.dirty = true
 		c.avoid[placementKey{order.engine, order.Model}] = now.Add(avoidAfterRefusal)
 	case OrderLost:
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -58,6 +58,7 @@
 	facts := c.models[demand.model]
 	ready, coming := c.replicas(demand.model)
 	if c.count(demand.model) >= c.limits[demand.model] {
+		c.timings.heldBy(now, demand.model, byAllotment)
 		if ready+coming == 0 && !demand.preload {
 			c.refuse(demand, "no-allotment", c.allotmentWait(demand.model), true)
 		}
@@ -65,6 +66,7 @@
 	}
 	choice, found := c.choose(now, facts)
 	if !found {
+		c.timings.heldBy(now, demand.model, byMemory)
 		if ready+coming == 0 && !demand.preload {
 			c.refuse(demand, "no-memory", noMemoryWait, true)
 		}
@@ -74,13 +76,16 @@
 		return
 	}
 	if len(choice.evict) > 0 {
+		c.timings.heldBy(now, demand.model, byEviction)
 		c.evict(now, choice)
 		return
 	}
 	if choice.tier == fleet.TierRemote && !c.takeToken() {
+		c.timings.heldBy(now, demand.model, byStore)
 		return
 	}
 	c.historyOf(demand.model).loads = append(c.historyOf(demand.model).loads, now)
+	c.timings.ordered(now, choice.engine, demand.model, choice.tier)
 	c.send(now, choice.engine, backend.Order{
 		Action:          backend.ActionLoad,
 		Model:           demand.model,
--- a/internal/placement/wants.go
+++ b/internal/placement/wants.go
@@ -35,6 +35,7 @@
 		if c.wants[want.Model] == nil {
 			c.dirty = true
 			c.wants[want.Model] = make(map[wantKey]timedWant)
+			c.timings.waiting(now, want.Model)
 		}
 		c.wants[want.Model][key] = timedWant{Want: want, until: now.Add(c.settings.WantLifetime)}
 		if refusal, found := c.refused[want.Model]; found && !c.dirty {
@@ -61,6 +62,7 @@
 		}
 		if len(wants) == 0 {
 			delete(c.wants, model)
+			delete(c.timings.waits, model)
 		}
 	}
 	for key, until := range c.avoid {
