Keep wants that come while a round is being claimed

Cause (found first): a leader dropped what was reported while it claimed its engines anew, so that a want waited for the node's next report. Ruled out: the round's own time, some 0.15 s here. Change: whoever should lead keeps the wants and plans them when the round is established.

--- a/internal/control/coldstart_test.go
+++ b/internal/control/coldstart_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/standin/engine"
 	"github.com/spanlanding/spanlanding/internal/standin/weights"
 )
 
@@ -199,3 +200,23 @@
 		t.Errorf("the longest took %v, want at most 7s", worst)
 	}
 }
+
+// TestWantsDuringARoundAreServedAtItsEnd wants a model while the leader claims
+// its engines anew.
+func TestWantsDuringARoundAreServedAtItsEnd(t *testing.T) {
+	for seed := range uint64(10) {
+		models := manyModels(1, 1)
+		c := newCluster(clusterOptions{seed: seed, zones: 1, nodes: 2, engins: 3, models: models})
+		c.run(6 * time.Second)
+		leader := c.leaderOf("z0")
+		c.stepEngine("z0-e0", engine.Restart{})
+		for c.leaderOf("z0") == leader {
+			c.run(5 * time.Millisecond)
+		}
+		start := c.coldStartAt(c.nodeNames()[int(seed)%2], models[0].Model)
+		c.run(5 * time.Second)
+		if waited := start.ordered.Sub(start.wanted); start.ordered.IsZero() || waited > 700*time.Millisecond {
+			t.Errorf("seed %d: ordered after %v, want at most 700ms", seed, waited)
+		}
+	}
+}
--- a/internal/control/wants.go
+++ b/internal/control/wants.go
@@ -126,16 +126,29 @@
 	return useless
 }
 
+// keepWants holds wants that came while a round is being claimed.
+func (c *Core) keepWants(reported WantsReported) {
+	for _, want := range reported.Wants {
+		c.wants.note(want)
+	}
+	c.stepPlacement(placement.WantsReported{Wants: reported.Wants})
+}
+
 // passToLeader passes on what this node wants itself and what another zone
 // sent. What comes from the own zone is not passed on again: two nodes that take
 // each other for the leader would pass it back and forth.
 func (c *Core) passToLeader(reported WantsReported) {
-	if reported.From != c.options.Self && c.members[reported.From].Zone == c.options.Zone {
+	name := c.candidate()
+	if reported.From != c.options.Self && c.members[reported.From].Zone == c.options.Zone && name != c.options.Self {
+		return
+	}
+	if name == c.options.Self {
+		// They are served once the round is established.
+		c.keepWants(reported)
 		return
 	}
-	name := c.candidate()
 	member, found := c.members[name]
-	if name == c.options.Self || !found {
+	if !found {
 		return
 	}
 	c.emit(ForwardWants{To: member, Wants: reported.Wants, Forwarded: reported.Forwarded})
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -225,6 +225,7 @@
 	clear(c.full)
 	clear(c.orders)
 	clear(c.loading)
+	clear(c.refused)
 }
 
 func (c *Core) dropGone(names []fleet.BackendName) {
