Wait for a load that may soon be allowed

Cause: in the first seconds of a fleet or a declaration no allotment is decided yet, and the zone's leader refuses loads with a RetryAfter of two seconds. The queue gave that to callers as the final answer, though their deadlines were many times as far and the allotment came a second later.

Ruled out: leaving the refusal out at the leader, which cannot know the callers' deadlines; waiting for any refusal as long as the deadline allows, which would hold requests back until near their deadline.

Change: what waits is kept while the refusal's RetryAfter, a load and the first token fit its deadline, the RetryAfter is at most three seconds and loads of the model have been refused for less than three seconds. Otherwise the answer is final at once, as it is where the leader names no time. A refusal counts as a new one after a ready replica or five seconds of silence.

--- a/internal/queue/admit.go
+++ b/internal/queue/admit.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
 // minRetryAfter keeps callers from asking again at once.
@@ -133,23 +131,6 @@
 	}
 }
 
-// loadRefused gives those that wait for a load their final answer at once. A
-// model with ready replicas is refused only to those that wait for an adapter.
-func (c *Core) loadRefused(refusals []fleet.LoadRefusal) {
-	for _, refusal := range refusals {
-		line := c.line(refusal.Model)
-		for _, item := range slices.Clone(line.items) {
-			if line.ready > 0 && (item.Adapter == "" || line.holds(item.Adapter)) {
-				continue
-			}
-			c.remove(item.Ticket)
-			c.emit(Refuse{Item: item.Item, Reason: ReasonCannotLoad, Detail: refusal.Reason,
-				RetryAfter: max(refusal.RetryAfter, minRetryAfter)})
-		}
-		line.coldFrom = time.Time{}
-	}
-}
-
 func (c *Core) close(retryAfter time.Duration) {
 	c.closed = true
 	c.closing = retryAfter
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -76,6 +76,7 @@
 
 	lastRelease time.Time
 	coldFrom    time.Time
+	refusals    refusals
 	// arrivals and missed count since the last report: all that came, and
 	// those refused because a load would take too long.
 	arrivals, missed int
@@ -125,7 +126,7 @@
 	case Served:
 		c.line(message.Model).service.add(message.Service)
 	case LoadRefused:
-		c.loadRefused(message.Refusals)
+		c.loadRefused(now, message.Refusals)
 	case Close:
 		c.close(message.RetryAfter)
 	case Tick:
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -27,6 +27,10 @@
 	return Offer{Model: notes, Ready: 1, Slots: 4, Replicas: []Replica{{Name: "e1", Free: free}}}
 }
 
+func refusedFor(wait time.Duration) LoadRefused {
+	return LoadRefused{[]fleet.LoadRefusal{{Model: notes, Reason: "no-allotment", RetryAfter: wait}}}
+}
+
 // brief shows releases as +ticket and refusals as -ticket:reason.
 func brief(effects []Effect) []string {
 	shown := []string{}
@@ -105,6 +109,43 @@
 			{0, Arrive{item(1, 0, 30)}, nil},
 			{1, LoadRefused{[]fleet.LoadRefusal{{Model: notes, Reason: "no memory"}}}, []string{"-1:model-cannot-be-loaded"}},
 		}},
+		"a refusal that may soon be over is waited for, as the deadline allows": {steps: []scheduled{
+			{0, Arrive{item(1, 0, 30)}, nil},
+			{0, Arrive{item(2, 0, 2.5)}, nil},
+			{1, refusedFor(2 * time.Second), []string{"-2:model-cannot-be-loaded"}},
+			{2, refusedFor(2 * time.Second), nil},
+			{3, room(1), []string{"+1"}},
+		}},
+		"a refusal that is repeated is final": {steps: []scheduled{
+			{0, Arrive{item(1, 0, 30)}, nil},
+			{1, refusedFor(2 * time.Second), nil},
+			{3.5, refusedFor(2 * time.Second), nil},
+			{4, refusedFor(2 * time.Second), []string{"-1:model-cannot-be-loaded"}},
+			{5, Arrive{item(2, 0, 30)}, nil},
+			{5.2, refusedFor(2 * time.Second), []string{"-2:model-cannot-be-loaded"}},
+			{20, Arrive{item(3, 0, 50)}, nil},
+			{21, refusedFor(2 * time.Second), nil},
+		}},
+		"a refusal begins anew once a replica was ready": {steps: []scheduled{
+			{0, Arrive{item(1, 0, 30)}, nil},
+			{1, refusedFor(time.Second), nil},
+			{2, room(1), []string{"+1"}},
+			{3, Offer{Model: notes}, nil},
+			{4, Arrive{item(2, 0, 30)}, nil},
+			{4.5, refusedFor(time.Second), nil},
+		}},
+		"a refusal for longer than it would be waited for is final at once": {steps: []scheduled{
+			{0, Arrive{item(1, 0, 30)}, nil},
+			{1, refusedFor(5 * time.Second), []string{"-1:model-cannot-be-loaded"}},
+		}},
+		"the load that follows a refusal counts against the deadline": {steps: []scheduled{
+			{0, Arrive{item(1, 0, 30)}, nil},
+			{10, room(1), []string{"+1"}},
+			{11, Offer{Model: notes}, nil},
+			{11, Arrive{item(2, 0, 22)}, nil},
+			{11, Arrive{item(3, 0, 25)}, nil},
+			{12, refusedFor(2 * time.Second), []string{"-2:model-cannot-be-loaded"}},
+		}},
 		"a refusal of the load leaves what a ready replica serves": {steps: []scheduled{
 			{0, room(0), nil},
 			{0, Arrive{item(1, 0, 30)}, nil},
--- a/internal/queue/release.go
+++ b/internal/queue/release.go
@@ -16,6 +16,9 @@
 	case offer.Ready == 0 && line.coldFrom.IsZero() && len(line.items) > 0:
 		line.coldFrom = now
 	}
+	if offer.Ready > 0 && line.ready == 0 {
+		line.refusals = refusals{}
+	}
 	line.ready = offer.Ready
 	line.replicas = append(line.replicas[:0], offer.Replicas...)
 	line.slots = offer.Slots
