Share the node's actor system with the gateway; show its queues

Cause: the gateway started an actor system with a logger of its own, two for each node and one of them mute; a dispatcher's identity was stored only after its first message, which may set timers that send to it; status showed no queues; and the log named its event in a field in place of the message.

Ruled out: publishing the queues after each message, which would cost the path of every request for what operators ask now and then.

Change: Options.System is the node's, spawned as the node's own actors are; Queues asks the dispatcher and is bounded by a context; status lists model, waiting and the age of the oldest; the log event is request_finished.

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"io"
-	"log/slog"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -20,6 +18,8 @@
 type dispatcher struct {
 	system *actor.ActorSystem
 	pid    *actor.PID
+	// gone is closed once the actor takes no more messages.
+	gone chan struct{}
 }
 
 // Messages to the dispatcher.
@@ -66,7 +66,9 @@
 	routeDone      struct{ route string }
 	leavingChanged struct{ backends []fleet.BackendName }
 	loadRefused    struct{ refusals []fleet.LoadRefusal }
-	wake           struct{}
+	// linesAsked asks for the lines of the queue; reply must have room.
+	linesAsked struct{ reply chan []QueueInfo }
+	wake       struct{}
 )
 
 // reply answers a submit: a back end, or the final refusal.
@@ -115,9 +117,7 @@
 }
 
 func startDispatcher(gateway *Gateway) *dispatcher {
-	quiet := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
-	system := actor.NewActorSystem(actor.WithLoggerFactory(quiet))
-	created := &dispatcher{system: system}
+	created := &dispatcher{system: gateway.system, gone: make(chan struct{})}
 	state := &dispatcherState{
 		gateway:  gateway,
 		self:     created,
@@ -129,17 +129,28 @@
 		calls:    make(map[uint64]chan reply),
 		assigned: make(map[uint64]assigned),
 	}
-	created.pid = system.Root.Spawn(actor.PropsFromFunc(state.receive))
+	created.spawn(actor.PropsFromFunc(state.receive))
 	return created
 }
 
+// spawn stores the actor's identity before its first message, which may set
+// timers that send to it.
+func (d *dispatcher) spawn(props *actor.Props) {
+	name := d.system.ProcessRegistry.NextId()
+	d.pid = d.system.NewLocalPID(name)
+	if _, err := d.system.Root.SpawnNamed(props, name); err != nil {
+		// The registry never gives a name twice.
+		panic(err)
+	}
+}
+
 func (d *dispatcher) send(message any) {
 	d.system.Root.Send(d.pid, message)
 }
 
 func (d *dispatcher) stop() {
 	_ = d.system.Root.StopFuture(d.pid).Wait()
-	d.system.Shutdown()
+	close(d.gone)
 }
 
 func (s *dispatcherState) receive(context actor.Context) {
@@ -176,6 +187,9 @@
 		for _, line := range s.queue.Lines() {
 			s.offer(now, line.Model)
 		}
+	case linesAsked:
+		message.reply <- s.lines(now)
+		return
 	case *actor.Stopping:
 		s.stopping(now)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -8,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -40,8 +42,10 @@
 	Demand  fleet.Demand
 	Guard   claim.Guard
 	// Self names the node and its zone.
-	Self       fleet.Member
-	Logger     *log.Logger
+	Self   fleet.Member
+	Logger *log.Logger
+	// System runs the gateway's actors; nil takes one of its own.
+	System     *actor.ActorSystem
 	Registerer prometheus.Registerer
 	Limits     Limits
 	Queue      queue.Options
@@ -57,6 +61,7 @@
 	limits    Limits
 	now       func() time.Time
 	catalog   func() (Catalog, bool)
+	system    *actor.ActorSystem
 	models    *dispatcher
 	services  *dispatcher
 	generator *backend.Generator
@@ -102,12 +107,22 @@
 		random:    rand.New(rand.NewPCG(options.Seed, seedStream)),
 	}
 	gateway.running.active = make(map[uint64]*activeRequest)
+	gateway.system = options.System
+	if gateway.system == nil {
+		gateway.system = ownSystem()
+	}
 	gateway.models = startDispatcher(gateway)
 	gateway.services = startDispatcher(gateway)
 	gateway.watch()
 	return gateway
 }
 
+// ownSystem is for gateways without a node around them.
+func ownSystem() *actor.ActorSystem {
+	quiet := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
+	return actor.NewActorSystem(actor.WithLoggerFactory(quiet))
+}
+
 // seedStream keeps the gateway's random numbers apart from the cores'.
 const seedStream = 0x676174657761790a
 
@@ -130,6 +145,9 @@
 func (g *Gateway) Close() {
 	g.models.stop()
 	g.services.stop()
+	if g.options.System == nil {
+		g.system.Shutdown()
+	}
 	g.background.Wait()
 	g.generator.Close()
 	g.calls.Close()
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -29,6 +29,9 @@
 	dropped    attempt.Dropped
 }
 
+// eventFinished is the log event at the end of each request.
+const eventFinished = "request_finished"
+
 // report logs and counts a request once, at its end.
 func (c *call) report() {
 	record := &c.record
@@ -58,12 +61,12 @@
 	if record.outcome == attempt.OutcomeUnknown || record.outcome == attempt.OutcomeFailed {
 		entry = c.gateway.options.Logger.Warn()
 	}
-	c.logFields(entry, took).Msg("")
+	c.logFields(entry, took).Msg(eventFinished)
 }
 
 func (c *call) logFields(entry *log.Entry, took time.Duration) *log.Entry {
 	record := &c.record
-	entry = entry.Str("event", "request-finished").Str("request", c.id).Str("kind", record.kind).
+	entry = entry.Str("request", c.id).Str("kind", record.kind).
 		Str("outcome", string(record.outcome)).Int("status", record.status).Dur("took", took)
 	if record.code != "" {
 		entry = entry.Str("code", record.code).Str("detail", record.detail)
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -199,3 +202,35 @@
 		t.Errorf("%d %+v", got.status, got.problem)
 	}
 }
+
+func TestQueuesTellWhatWaits(t *testing.T) {
+	h := newHarness(t, nil)
+	if queues := h.gateway.Queues(t.Context()); len(queues) != 0 {
+		t.Errorf("queues before any request: %+v", queues)
+	}
+	done := make(chan response, 1)
+	go func() { done <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
+	<-h.demand.first
+	queues := h.gateway.Queues(t.Context())
+	if len(queues) != 1 || queues[0].Model != testModel || queues[0].Waiting != 1 || queues[0].Oldest <= 0 {
+		t.Errorf("queues with one waiting request: %+v", queues)
+	}
+	h.addEngine("e1", h.backend(wholeEngine))
+	h.wantWhole(<-done)
+	if queues := h.gateway.Queues(t.Context()); len(queues) != 0 {
+		t.Errorf("queues after the request: %+v", queues)
+	}
+}
+
+func TestFinishedRequestsAreLoggedByName(t *testing.T) {
+	var lines bytes.Buffer
+	h := newHarness(t, func(options *Options) {
+		options.Logger = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &lines}}
+	})
+	h.do(http.MethodGet, "/v1/models", "")
+	// The line is written after the answer, and the server waits for handlers.
+	h.server.Close()
+	if !strings.Contains(lines.String(), `"message":"request_finished"`) || strings.Contains(lines.String(), `"event"`) {
+		t.Errorf("logged %s", lines.String())
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,6 +143,7 @@
 		Guard:      n.claims,
 		Self:       n.self,
 		Logger:     n.logger,
+		System:     n.system,
 		Registerer: n.metrics,
 		Limits:     n.settings.gatewayLimits(),
 		Queue:      queue.Options{MaxItems: n.settings.Limits.MaxWaiting, MaxBytes: n.settings.Limits.MaxWaitingBytes},
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -64,7 +64,7 @@
 	now := time.Now()
 	tables, _ := node.views.Tables.Get()
 	members, _ := node.views.Members.Get()
-	queues := []operator.QueueStatus{}
+	queues := node.queues()
 	return operator.Status{
 		Node:          node.self.Name,
 		Zone:          node.self.Zone,
@@ -79,6 +79,21 @@
 	}
 }
 
+// queuesTimeout bounds the wait for the gateway's account of its queues.
+const queuesTimeout = time.Second
+
+func (n *Node) queues() []operator.QueueStatus {
+	ctx, cancel := context.WithTimeout(context.Background(), queuesTimeout)
+	defer cancel()
+	queues := []operator.QueueStatus{}
+	for _, queue := range n.gateway.Queues(ctx) {
+		queues = append(queues, operator.QueueStatus{
+			Model: queue.Model, Waiting: queue.Waiting, OldestSeconds: queue.Oldest.Seconds(),
+		})
+	}
+	return queues
+}
+
 // Versions implements operator.Source.
 func (s source) Versions() operator.VersionReport {
 	members, _ := s.node.views.Members.Get()
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -154,6 +154,8 @@
 	Model    fleet.ModelVersion
 	Waiting  int
 	Replicas int
+	// Oldest is when the oldest of the waiting requests came.
+	Oldest time.Time
 }
 
 // Lines describes the models for which something waits, in order.
@@ -161,12 +163,22 @@
 	var infos []LineInfo
 	for _, model := range c.order {
 		if line := c.lines[model]; len(line.items) > 0 {
-			infos = append(infos, LineInfo{Model: model, Waiting: len(line.items), Replicas: line.ready})
+			infos = append(infos, LineInfo{Model: model, Waiting: len(line.items), Replicas: line.ready, Oldest: line.oldest()})
 		}
 	}
 	return infos
 }
 
+func (l *line) oldest() time.Time {
+	oldest := l.items[0].Since
+	for _, item := range l.items[1:] {
+		if item.Since.Before(oldest) {
+			oldest = item.Since
+		}
+	}
+	return oldest
+}
+
 func (c *Core) line(model fleet.ModelVersion) *line {
 	if known, found := c.lines[model]; found {
 		return known
