Learn the pace of releases over a second

Cause: reports of engines bring room for many requests at once, so the time between two releases was often zero and the low estimate of the pace with it. Nothing was then refused at its arrival: refusals came at the deadline.

Ruled out: a larger weight for larger samples, which would make the low estimate one that not only luck beats.

Change: releases are counted over at least a second while requests wait; the mean time apart is the sample.

Half of the refusals still come at the deadline: those that requests of a higher priority overtake, which the estimate leaves out.

--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -75,8 +75,11 @@
 	service, pace, firstToken, load estimate
 
 	lastRelease time.Time
-	coldFrom    time.Time
-	refusals    refusals
+	// paced counts the releases since paceFrom while requests waited.
+	paceFrom time.Time
+	paced    int
+	coldFrom time.Time
+	refusals refusals
 	// arrivals and missed count since the last report: all that came, and
 	// those refused because a load would take too long.
 	arrivals, missed int
--- a/internal/queue/release.go
+++ b/internal/queue/release.go
@@ -49,10 +49,20 @@
 	}
 }
 
-// notePace learns the time between releases while requests wait.
+// paceWindow is the least time over which releases are counted: a report of
+// the engines brings room for many at once, and their mean time apart counts.
+const paceWindow = time.Second
+
+// notePace learns the mean time between releases while requests wait.
 func (l *line) notePace(now time.Time, item *waiting) {
-	if item.Since.Before(l.lastRelease) && !item.cold {
-		l.pace.add(now.Sub(l.lastRelease))
+	if item.cold || !item.Since.Before(l.lastRelease) {
+		l.paceFrom, l.paced = now, 0
+	} else {
+		l.paced++
+		if elapsed := now.Sub(l.paceFrom); elapsed >= paceWindow {
+			l.pace.add(elapsed / time.Duration(l.paced))
+			l.paceFrom, l.paced = now, 0
+		}
 	}
 	l.lastRelease = now
 }
