Count those that will overtake in the estimate of the wait

Cause: the low estimate counted only the requests ahead at arrival. Under overload most of the wait of a low priority is for those that come later and overtake, so what could not make its deadline waited until the deadline came.

Change: arrivals a second by priority; the wait grows by 0.85 of those of higher priorities that arrive in it, for as many steps of aging as they are higher.

--- a/internal/queue/admit.go
+++ b/internal/queue/admit.go
@@ -26,7 +26,7 @@
 		return
 	}
 	entry := &waiting{Item: item, cold: line.ready == 0, rank: c.rank(item)}
-	if low, likely := line.expectedWait(now, entry); !item.Again && now.Add(low).After(item.Deadline) {
+	if low, likely := line.expectedWait(now, entry, c.options.AgingStep); !item.Again && now.Add(low).After(item.Deadline) {
 		c.miss(now, line, item, likely)
 		return
 	}
@@ -35,6 +35,9 @@
 		return
 	}
 	c.insert(line, entry)
+	if !item.Again {
+		line.inflow.note(now, item.Priority)
+	}
 	if entry.cold && line.coldFrom.IsZero() {
 		line.coldFrom = now
 	}
@@ -70,7 +73,7 @@
 
 // expectedWait estimates the time until the entry's first token: a low one
 // that only luck beats, and a likely one.
-func (l *line) expectedWait(now time.Time, entry *waiting) (low, likely time.Duration) {
+func (l *line) expectedWait(now time.Time, entry *waiting, agingStep time.Duration) (low, likely time.Duration) {
 	low, likely = l.firstToken.low, l.firstToken.value
 	if l.ready == 0 {
 		var loading time.Duration
@@ -82,8 +85,10 @@
 		return low, likely
 	}
 	ahead, _ := slices.BinarySearchFunc(l.items, entry, compareWaiting)
-	low += time.Duration(ahead) * l.pace.low
-	likely += time.Duration(ahead) * max(l.pace.value, l.service.value/time.Duration(max(1, l.slots)))
+	l.inflow.roll(now)
+	pace := max(l.pace.value, l.service.value/time.Duration(max(1, l.slots)))
+	low += l.inflow.withOvertaking(time.Duration(ahead)*l.pace.low, l.pace.low, agingStep, entry.Priority)
+	likely += l.inflow.withOvertaking(time.Duration(ahead)*pace, pace, agingStep, entry.Priority)
 	return low, likely
 }
 
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -74,6 +74,7 @@
 	// load from the first waiting request to a ready replica.
 	service, pace, firstToken, load estimate
 
+	inflow      inflow
 	lastRelease time.Time
 	// paced counts the releases since paceFrom while requests waited.
 	paceFrom time.Time
