--- a/internal/queue/release.go
+++ b/internal/queue/release.go
@@ -16,6 +16,9 @@
 	case offer.Ready == 0 && line.coldFrom.IsZero() && len(line.items) > 0:
 		line.coldFrom = now
 	}
+	if offer.Ready > 0 && line.ready == 0 {
+		line.refusals = refusals{}
+	}
 	line.ready = offer.Ready
 	line.replicas = append(line.replicas[:0], offer.Replicas...)
 	line.slots = offer.Slots
@@ -46,10 +49,20 @@
 	}
 }
 
-// notePace learns the time between releases while requests wait.
+// paceWindow is the least time over which releases are counted: a report of
+// the engines brings room for many at once, and their mean time apart counts.
+const paceWindow = time.Second
+
+// notePace learns the mean time between releases while requests wait.
 func (l *line) notePace(now time.Time, item *waiting) {
-	if item.Since.Before(l.lastRelease) && !item.cold {
-		l.pace.add(now.Sub(l.lastRelease))
+	if item.cold || !item.Since.Before(l.lastRelease) {
+		l.paceFrom, l.paced = now, 0
+	} else {
+		l.paced++
+		if elapsed := now.Sub(l.paceFrom); elapsed >= paceWindow {
+			l.pace.add(elapsed / time.Duration(l.paced))
+			l.paceFrom, l.paced = now, 0
+		}
 	}
 	l.lastRelease = now
 }
