Prove that each rule of the simulation can fail

Cause: a check that cannot fail is a defect. Engines that forget orders were not caught: the replica that came twice mostly met the same engine, where it changes no count.

--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -43,6 +43,7 @@
 	cuts      map[linkKey]int
 	zoneCuts  map[linkKey]int
 	disturbed Disturbance
+	slowTo    map[string]time.Duration
 
 	counts NetworkCounts
 }
@@ -79,6 +80,7 @@
 		links:     make(map[linkKey]*link),
 		cuts:      make(map[linkKey]int),
 		zoneCuts:  make(map[linkKey]int),
+		slowTo:    make(map[string]time.Duration),
 	}
 }
 
@@ -101,6 +103,9 @@
 	options := n.options(message.From, message.To)
 	stream := n.link(message.From, message.To).stream
 	delay := n.delay(options, stream)
+	if most := n.slowTo[message.To.name]; most > 0 {
+		delay += Between(stream, 0, most)
+	}
 	lostByChance := Chance(stream, options.Loss+n.disturbed.Loss)
 	twice := Chance(stream, options.Duplicate+n.disturbed.Duplicate)
 	if n.IsCut(message.From, message.To) {
@@ -198,6 +203,9 @@
 	return len(n.zoneCuts) > 0 && n.zoneCuts[linkKey{from.zone, to.zone}] > 0
 }
 
+// SlowTo delays each message to a process by up to the time; 0 ends it.
+func (n *Network) SlowTo(name string, most time.Duration) { n.slowTo[name] = most }
+
 // Disturb replaces the present disturbance of all links.
 func (n *Network) Disturb(disturbance Disturbance) { n.disturbed = disturbance }
 
--- a/internal/sim/world/armed.go
+++ b/internal/sim/world/armed.go
@@ -5,6 +5,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/sim"
+	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
 
 // Armed faults wait for the worst moment: the next time that something happens
@@ -13,6 +14,8 @@
 	// faultPauseInOrder pauses a leader between deciding on an order and
 	// sending it.
 	faultPauseInOrder sim.FaultKind = "leader-pause-in-order"
+	// faultOrderTwice delivers a load order again, much later.
+	faultOrderTwice sim.FaultKind = "order-comes-twice"
 	// faultDieAtGrant restarts an engine just after it granted a claim.
 	faultDieAtGrant sim.FaultKind = "engine-dies-at-grant"
 	// faultDieInLoad restarts an engine while it loads.
@@ -57,6 +60,21 @@
 	}
 }
 
+// orderTwice delivers an order once more where such a fault is armed.
+func (w *World) orderTwice(address string, message func(engine.CallID) engine.Message) {
+	target := w.engineAt(address)
+	if target == nil {
+		return
+	}
+	fault, found := w.strike(faultOrderTwice, target.backend.Zone)
+	if !found {
+		return
+	}
+	w.scheduler.After(w.untilQuiet(fault.For), func() {
+		target.process.Do(target.process.Boot(), func() { target.call(message, func(any) {}) })
+	})
+}
+
 // untilQuiet cuts a duration to the end of the faults.
 func (w *World) untilQuiet(duration time.Duration) time.Duration {
 	return max(0, min(duration, w.faultsOver-w.scheduler.Elapsed()))
--- a/internal/sim/world/config.go
+++ b/internal/sim/world/config.go
@@ -16,6 +16,8 @@
 	// Nodes and Engines are numbers of the whole fleet, spread over the zones.
 	Nodes   int `json:"nodes"`
 	Engines int `json:"engines"`
+	// EngineMemory is each engine's accelerator memory in bytes.
+	EngineMemory int64 `json:"engineMemory"`
 	// Duration is the virtual time of the run.
 	Duration time.Duration `json:"duration"`
 	// Defects are set by tests only: faults planted in the cores.
@@ -32,7 +34,7 @@
 
 // DefaultConfig is the fleet that the aim of a thousand seeds a minute names.
 func DefaultConfig() Config {
-	return Config{Zones: 3, Nodes: 12, Engines: 9, Duration: 5 * time.Minute}
+	return Config{Zones: 3, Nodes: 12, Engines: 9, EngineMemory: 80 * engine.GiB, Duration: 5 * time.Minute}
 }
 
 const (
--- a/internal/sim/world/demand.go
+++ b/internal/sim/world/demand.go
@@ -75,6 +75,13 @@
 	again()
 }
 
+// wantEverything wants every model.
+func (n *node) wantEverything() {
+	for index := range modelCount {
+		n.want(modelAt(index), 1, nil)
+	}
+}
+
 // ready reports whether the node knows a ready replica in any zone.
 func (n *node) ready(model fleet.ModelVersion) bool {
 	for _, table := range n.tables {
--- a/internal/sim/world/engine.go
+++ b/internal/sim/world/engine.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	engineMemory    = 80 * engine.GiB
 	engineKVReserve = 16 * engine.GiB
 	// remoteLoad is shorter than in earnest, so that a run sees many loads.
 	remoteLoad = 2 * time.Second
@@ -50,7 +49,7 @@
 	created.core = engine.New(engine.Options{
 		Backend:        created.backend,
 		Incarnation:    1,
-		MemoryBytes:    engineMemory,
+		MemoryBytes:    world.config.EngineMemory,
 		KVReserveBytes: engineKVReserve,
 		Timing:         engine.Timing{RemoteLoad: remoteLoad},
 		Seed:           world.streams.Stream("engine/" + name).Uint64(),
--- a/internal/sim/world/faults.go
+++ b/internal/sim/world/faults.go
@@ -16,6 +16,7 @@
 	// faultLeaderCutEngines is a pair: a leader cut from its peers, and all
 	// engines of its zone restarted before it is back.
 	faultLeaderCutEngines sim.FaultKind = "leader-cut-engines-restart"
+	faultEnginesSlow      sim.FaultKind = "zone-engines-slow"
 	faultEnginesKill      sim.FaultKind = "zone-engines-kill"
 	faultZoneRestart      sim.FaultKind = "zone-restart"
 	faultFleetRestart     sim.FaultKind = "fleet-restart"
@@ -41,11 +42,13 @@
 		{Kind: faultNodeKill, Most: 6, Least: second / 2, Longest: 30 * second, Aim: w.aimNode},
 		{Kind: faultNodePause, Most: 4, Least: second / 2, Longest: 60 * second, Aim: w.aimNode},
 		{Kind: faultLeaderPause, Most: 5, Least: second / 2, Longest: 20 * second, Aim: w.aimZone},
-		{Kind: faultLeaderCut, Most: 5, Least: second, Longest: 30 * second, Aim: w.aimZone},
+		{Kind: faultLeaderCut, Most: 5, Least: second, Longest: 30 * second, Aim: w.aimLeader},
 		{Kind: faultLeaderCutEngines, Most: 3, Least: 10 * second, Longest: 40 * second, Aim: w.aimZone},
 		{Kind: faultPauseInOrder, Most: 8, Least: second / 2, Longest: 15 * second, Aim: w.aimZone},
+		{Kind: faultOrderTwice, Most: 10, Least: second, Longest: 15 * second, Aim: w.aimZone},
 		{Kind: faultDieAtGrant, Most: 8, Aim: w.aimZone},
 		{Kind: faultDieInLoad, Most: 6, Least: 10 * time.Millisecond, Longest: 3 * second, Aim: w.aimZone},
+		{Kind: faultEnginesSlow, Most: 3, Least: 5 * second, Longest: 40 * second, Aim: w.aimZone},
 		{Kind: faultEnginesKill, Most: 2, Least: second / 10, Longest: 5 * second, Aim: w.aimZone},
 		{Kind: faultZoneRestart, Most: 1, Least: second, Longest: 20 * second, Aim: w.aimZone},
 		{Kind: faultFleetRestart, Most: 1, Least: second, Longest: 10 * second},
@@ -77,6 +80,12 @@
 	fault.Target = string(w.zones[random.IntN(len(w.zones))])
 }
 
+// aimLeader aims at a zone's leader; the platform is cut off too, or not.
+func (w *World) aimLeader(random *rand.Rand, fault *sim.Fault) {
+	w.aimZone(random, fault)
+	fault.Amount = float64(random.IntN(2))
+}
+
 // aimZones cuts one way or both ways, between two zones or from the platform.
 func (w *World) aimZones(random *rand.Rand, fault *sim.Fault) {
 	places := []string{platformZone}
--- a/internal/sim/world/inject.go
+++ b/internal/sim/world/inject.go
@@ -15,6 +15,10 @@
 	slowestStore = 3 * time.Second
 	// lostAnswers is the share of answers that the store loses.
 	lostAnswers = 0.5
+	// withPlatform is the amount of a leader's cut that includes the platform.
+	withPlatform = 1
+	// slowestEngineCall is the longest extra delay on the way to an engine.
+	slowestEngineCall = 800 * time.Millisecond
 	// disturbedDelay is the longest extra delay in a disturbed network.
 	disturbedDelay = 300 * time.Millisecond
 	// lateMessages is the share of messages that come far too late, within
@@ -33,10 +37,14 @@
 	case faultLeaderPause:
 		return w.withLeader(fault.Target, func(leader *node) func() { return pause(leader.process) })
 	case faultLeaderCut:
-		return w.withLeader(fault.Target, w.cutFromPeers)
+		return w.withLeader(fault.Target, func(leader *node) func() {
+			return w.cutFromPeers(leader, fault.Amount == withPlatform)
+		})
+	case faultEnginesSlow:
+		return w.slowEngines(fault.Target)
 	case faultLeaderCutEngines:
 		return w.cutLeaderAndEngines(fault)
-	case faultPauseInOrder, faultDieAtGrant, faultDieInLoad:
+	case faultPauseInOrder, faultOrderTwice, faultDieAtGrant, faultDieInLoad:
 		w.arm(fault)
 		return nil
 	case faultEnginesKill:
@@ -147,10 +155,14 @@
 	return nil
 }
 
-// cutFromPeers cuts a node from all nodes and from the platform, both ways,
-// but not from the engines: it goes on leading while another takes over.
-func (w *World) cutFromPeers(lonely *node) func() {
-	others := []*sim.Process{w.store.process, w.machines.process}
+// cutFromPeers cuts a node from all nodes, both ways, but not from the
+// engines: it goes on leading while another takes over. With the store still
+// at hand the two claim the engines from each other again and again.
+func (w *World) cutFromPeers(lonely *node, platformToo bool) func() {
+	var others []*sim.Process
+	if platformToo {
+		others = append(others, w.store.process, w.machines.process)
+	}
 	for _, other := range w.nodes {
 		if other != lonely {
 			others = append(others, other.process)
@@ -169,13 +181,32 @@
 }
 
 // cutLeaderAndEngines cuts the zone's leader from its peers and restarts all
-// engines of the zone while another leads: the engines forget who led last.
+// engines of the zone while another leads: the engines forget who led last,
+// and the callers of the node that is cut off want every model.
 func (w *World) cutLeaderAndEngines(fault sim.Fault) func() {
-	w.scheduler.After(fault.For/2, func() {
-		restart := w.killEngines(fault.Target)
-		w.scheduler.After(restartTime, restart)
+	return w.withLeader(fault.Target, func(leader *node) func() {
+		boot := leader.process.Boot()
+		w.scheduler.After(fault.For/2, func() {
+			restart := w.killEngines(fault.Target)
+			w.scheduler.After(restartTime, restart)
+			leader.process.Do(boot, leader.wantEverything)
+		})
+		return w.cutFromPeers(leader, true)
 	})
-	return w.withLeader(fault.Target, w.cutFromPeers)
+}
+
+// slowEngines delays what comes to a zone's engines by up to almost as long as
+// nodes wait, so that claims and orders of several nodes interleave.
+func (w *World) slowEngines(zone string) func() {
+	engines := w.enginesOf(fleet.Zone(zone))
+	for _, slow := range engines {
+		w.network.SlowTo(string(slow.backend.Name), slowestEngineCall)
+	}
+	return func() {
+		for _, slow := range engines {
+			w.network.SlowTo(string(slow.backend.Name), 0)
+		}
+	}
 }
 
 // killEngines restarts all engines of a zone at once: each forgets its fence.
--- a/internal/sim/world/judge.go
+++ b/internal/sim/world/judge.go
@@ -32,7 +32,7 @@
 func ruleNames() []sim.RuleName {
 	return []sim.RuleName{
 		ruleVersionsGrow, ruleNoRevert, ruleInForce, ruleMembers,
-		ruleReplicas, ruleCeiling, ruleRaise, ruleMemory, ruleLoads, ruleDead,
+		ruleReplicas, ruleCeiling, ruleRaise, ruleOrderOnce, ruleMemory, ruleLoads, ruleDead,
 	}
 }
 
@@ -54,6 +54,8 @@
 	everywhere map[platform.Key]uint64
 	// record is the record of allotments as it stands in the store.
 	record allotment.Record
+	// loadOrders are the IDs of the load orders that engines took.
+	loadOrders map[string]bool
 	// victim is the node that was killed for good.
 	victim *node
 	// probing counts the wants of probeLoads that are not yet served.
@@ -73,6 +75,7 @@
 		world:      world,
 		views:      make(map[fleet.NodeName]*configView),
 		everywhere: make(map[platform.Key]uint64),
+		loadOrders: make(map[string]bool),
 	}
 }
 
--- a/internal/sim/world/judge_replicas.go
+++ b/internal/sim/world/judge_replicas.go
@@ -18,6 +18,8 @@
 	// ruleRaise: a zone's limit is raised only by what the ceilings of all
 	// zones leave of the target.
 	ruleRaise sim.RuleName = "raised-within-target"
+	// ruleOrderOnce: an order that an engine gets again has no second effect.
+	ruleOrderOnce sim.RuleName = "order-takes-effect-once"
 	// ruleMemory: no engine holds more than its memory, KV reserve included.
 	ruleMemory sim.RuleName = "memory-within-capacity"
 	// ruleLoads: once faults are over, a model that is wanted and may be
@@ -75,6 +77,7 @@
 			j.world.trace.Record("order-taken/"+string(order.Action), string(at.backend.Name), order.Model.Model, uint64(order.Fence))
 			j.checkReplicas(order.Model, "an order was taken by "+string(at.backend.Name))
 			j.checkMemory(at)
+			j.checkOrderOnce(at, order)
 		case engine.FenceRefused:
 			j.world.count("order-refused-fence")
 		case engine.OrderRefused:
@@ -83,6 +86,24 @@
 	}
 }
 
+// checkOrderOnce looks an order that came again up in the engine's own book.
+func (j *judge) checkOrderOnce(at *engineProcess, order backend.Order) {
+	if order.Action != backend.ActionLoad {
+		return
+	}
+	if !j.loadOrders[order.ID] {
+		j.loadOrders[order.ID] = true
+		return
+	}
+	effects := 0
+	for _, residency := range at.core.Book(at.process.Now()).Residencies {
+		if residency.OrderID == order.ID {
+			effects++
+		}
+	}
+	j.world.rules.Check(ruleOrderOnce, effects <= 1, "%s loaded %s %d times by order %s", at.backend.Name, order.Model, effects, order.ID)
+}
+
 // checkReplicas counts what the engines hold of a model. Loading and unloading
 // replicas count.
 func (j *judge) checkReplicas(model fleet.ModelVersion, cause string) {
--- a/internal/sim/world/node_control_engines.go
+++ b/internal/sim/world/node_control_engines.go
@@ -71,6 +71,9 @@
 
 func (p *controlPart) callOrder(effect control.SendOrder) {
 	message := func(call engine.CallID) engine.Message { return engine.TakeOrder{Call: call, Order: effect.Order} }
+	if effect.Order.Action == backend.ActionLoad {
+		p.node.world.orderTwice(effect.Address, message)
+	}
 	p.callEngine(effect.Address, "engine/order", message, func(answer engine.Effect) {
 		answered := control.OrderAnswered{Engine: effect.Engine, OrderID: effect.Order.ID}
 		switch answer := answer.(type) {
--- /dev/null
+++ b/internal/sim/world/planted_test.go
@@ -0,0 +1,67 @@
+package world
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/configsync"
+	"github.com/spanlanding/spanlanding/internal/control"
+	"github.com/spanlanding/spanlanding/internal/membership"
+	"github.com/spanlanding/spanlanding/internal/sim"
+	"github.com/spanlanding/spanlanding/internal/standin/engine"
+)
+
+// plantedSeeds bounds the search for a run that shows a planted defect.
+const plantedSeeds = 60
+
+// oneModelMemory holds one model beside the KV cache.
+const oneModelMemory = engineKVReserve + modelMemory + 8*engine.GiB
+
+// plantedConfig is a small fleet with the faults of a large one.
+func plantedConfig(defects Defects) Config {
+	return Config{Zones: 2, Nodes: 6, Engines: 6, EngineMemory: 80 * engine.GiB, Duration: 3 * time.Minute, Defects: defects}
+}
+
+// TestEachPlantedDefectIsCaught shows for each rule that its check can fail.
+func TestEachPlantedDefectIsCaught(t *testing.T) {
+	cases := []struct {
+		name    string
+		defects Defects
+		rule    sim.RuleName
+	}{
+		{"control without fence", Defects{Control: control.Defects{NoFence: true}}, ruleCeiling},
+		{"engines without fence", Defects{Engine: engine.Defects{NoFence: true}}, ruleCeiling},
+		{"no conservative count", Defects{Control: control.Defects{NoConservativeCount: true}}, ruleReplicas},
+		{"no confirmation before a raise", Defects{Control: control.Defects{NoConfirmBeforeRaise: true}}, ruleRaise},
+		{"no memory check", Defects{Engine: engine.Defects{NoMemoryCheck: true}, Control: control.Defects{NoFence: true}}, ruleMemory},
+		{"engines forget orders", Defects{Engine: engine.Defects{ForgetOrders: true}}, ruleOrderOnce},
+		{"versions may go back", Defects{Config: configsync.Defects{VersionsMayGoBack: true}}, ruleVersionsGrow},
+		{"gaps ignored: late", Defects{Config: configsync.Defects{IgnoreGaps: true}}, ruleInForce},
+		{"gaps ignored: reverts", Defects{Config: configsync.Defects{IgnoreGaps: true}}, ruleNoRevert},
+		{"no refutation", Defects{Membership: membership.Defects{NoRefutation: true}}, ruleMembers},
+		{"the dead resurrected", Defects{Membership: membership.Defects{ResurrectDead: true}}, ruleDead},
+	}
+	for _, planted := range cases {
+		t.Run(planted.name, func(t *testing.T) {
+			t.Parallel()
+			config := plantedConfig(planted.defects)
+			switch planted.rule {
+			case ruleMemory:
+				config.EngineMemory = oneModelMemory
+			case ruleCeiling:
+				// More nodes dispute a zone's engines in a larger fleet.
+				config = DefaultConfig()
+				config.Defects = planted.defects
+			}
+			for seed := range uint64(plantedSeeds) {
+				report := Run(config, seed, nil, nil)
+				if slices.Contains(report.Violated(), planted.rule) {
+					t.Logf("seed %d violates %v", seed, report.Violated())
+					return
+				}
+			}
+			t.Errorf("%s not violated in %d seeds", planted.rule, plantedSeeds)
+		})
+	}
+}
