--- a/internal/sim/world/corpus.go
+++ b/internal/sim/world/corpus.go
@@ -9,16 +9,14 @@
 	"github.com/spanlanding/spanlanding/internal/sim"
 )
 
-// Case is one file of the corpus: a run that once violated a rule.
+// Case is one file of the corpus: a run that once violated a rule and
+// must not again.
 type Case struct {
 	// Cause tells what was wrong, for the reader.
 	Cause  string   `json:"cause"`
 	Config Config   `json:"config"`
 	Seed   uint64   `json:"seed"`
 	Faults sim.Plan `json:"faults"`
-	// Violates names the rules that the run violates as it is: none for a
-	// mended fault, at least one where a defect is planted.
-	Violates []sim.RuleName `json:"violates,omitempty"`
 }
 
 // Run replays the case.
