Read often only the engines at which something is under way

Cause: while anything loaded, waited or was ordered in a zone, its leader read every engine of the zone four times a second instead of once. At 11,000 requests a second something always waits somewhere.

Ruled out: asking placement which orders are open, which its owner would have to offer; a state shows loads and unloads itself, and only adapters need the three seconds after an order.

Change: an engine is read each 250 ms where its state shows a model that loads or unloads, or for 3 s after an order to it; else once a second.

Conclusion: the cost of a wake no longer grows with the engines of the zone. What waits while no engine changes is seen up to 0.75 s later.

--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -64,7 +64,7 @@
 }
 
 func (c *Core) sendOrder(sent placement.SendOrder) {
-	c.polls.ordered(sent.Engine, c.leader.NextID())
+	c.polls.ordered(c.now, sent.Engine, c.leader.NextID())
 	order := sent.Order
 	if c.options.Defects.NoFence {
 		shown := c.polls.shown[sent.Engine]
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -15,6 +15,10 @@
 // pollTimeout is when a read without answer is put again.
 const pollTimeout = 2 * time.Second
 
+// afterOrder is how long an engine is read often after an order: a state does
+// not show that an adapter loads, only that it is there.
+const afterOrder = 3 * time.Second
+
 // pollState is what the leader knows of its reads of engines.
 type pollState struct {
 	engines map[fleet.BackendName]*enginePoll
@@ -31,6 +35,8 @@
 	// orderedAt is the point in the sequence of questions of the last order:
 	// states asked for before do not show it.
 	orderedAt uint64
+	// orderedUntil is how long the engine is read often after its last order.
+	orderedUntil time.Time
 }
 
 func newPollState() pollState {
@@ -51,10 +57,11 @@
 	return known
 }
 
-func (p *pollState) ordered(name fleet.BackendName, id uint64) {
+func (p *pollState) ordered(now time.Time, name fleet.BackendName, id uint64) {
 	known := p.of(name)
 	known.orderedAt = id
 	known.due = time.Time{}
+	known.orderedUntil = now.Add(afterOrder)
 }
 
 func (p *pollState) beforeOrder(read leadership.StateRead) bool {
@@ -86,10 +93,6 @@
 	if !c.leader.Leading() && !(c.options.Defects.NoFence && c.leader.Fence() != 0) {
 		return
 	}
-	interval := c.settings().PollIdle
-	if c.placement.Busy() {
-		interval = c.settings().PollBusy
-	}
 	for _, name := range c.leader.Learned().Engines(c.options.Zone) {
 		address := c.engineAddress(name)
 		known := c.polls.of(name)
@@ -100,7 +103,23 @@
 			continue
 		}
 		known.asked, known.askedAt = c.leader.NextID(), c.now
-		known.due = c.now.Add(interval)
+		known.due = c.now.Add(c.pollInterval(name, known, c.ownTable()))
 		c.emit(ReadEngine{leadership.ReadEngine{ID: known.asked, Engine: name, Address: address}})
 	}
 }
+
+// pollInterval is short for engines at which something is under way. What waits
+// in the zone makes no other engine change.
+func (c *Core) pollInterval(name fleet.BackendName, known *enginePoll, table *zoneTable) time.Duration {
+	if c.now.Before(known.orderedUntil) {
+		return c.settings().PollBusy
+	}
+	if table != nil {
+		for _, loaded := range table.engines[name].Models {
+			if loaded.State != fleet.LoadReady {
+				return c.settings().PollBusy
+			}
+		}
+	}
+	return c.settings().PollIdle
+}
--- /dev/null
+++ b/internal/control/polls_test.go
@@ -0,0 +1,34 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+func TestOnlyEnginesAtWhichSomethingIsUnderWayAreReadOften(t *testing.T) {
+	start := time.Unix(1000, 0)
+	core := New(Options{Self: "a", Zone: "z", Settings: DefaultSettings()})
+	core.now = start
+	loaded := func(state fleet.LoadState) fleet.EngineState {
+		return fleet.EngineState{Models: []fleet.LoadedModel{{State: fleet.LoadReady}, {State: state}}}
+	}
+	core.tables.zones["z"] = &zoneTable{engines: map[fleet.BackendName]fleet.EngineState{
+		"ready": loaded(fleet.LoadReady), "loading": loaded(fleet.LoadLoading), "unloading": loaded(fleet.LoadUnloading),
+	}}
+	core.polls.ordered(start, "ordered", 1)
+	core.polls.ordered(start.Add(-afterOrder), "ordered long ago", 1)
+	for name, want := range map[fleet.BackendName]time.Duration{
+		"ready":            core.settings().PollIdle,
+		"loading":          core.settings().PollBusy,
+		"unloading":        core.settings().PollBusy,
+		"ordered":          core.settings().PollBusy,
+		"ordered long ago": core.settings().PollIdle,
+		"unknown":          core.settings().PollIdle,
+	} {
+		if got := core.pollInterval(name, core.polls.of(name), core.tables.zones["z"]); got != want {
+			t.Errorf("%s is read each %s, want %s", name, got, want)
+		}
+	}
+}
