Plan a zone's loads once for each engine that was read, not three times

Cause: placement plans over all engines and models at every message. Each answer of an engine made three of them: that it is not silent, its state, and a tick. So a leader's time grew with the square of its engines; three quarters of it were these plans (processor profile at 96 engines).

Ruled out: planning beside the messages, which belongs to placement.

Change: placement is told of an engine's silence only when that changes, and gets a tick only where no other message made it plan within the last 100 ms.

What is left is reading each engine by a request and planning at each answer.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -36,8 +36,10 @@
 	leaving  leavingState
 	gone     goneState
 
-	now     time.Time
-	effects []Effect
+	now time.Time
+	// placedAt is when placement was stepped last.
+	placedAt time.Time
+	effects  []Effect
 }
 
 // New returns the core of a node that knows nothing yet.
@@ -100,7 +102,7 @@
 	c.stand()
 	c.updateGone()
 	c.stepLeader(leadership.Tick{})
-	c.stepPlacement(placement.Tick{})
+	c.tickPlacement()
 	c.poll()
 	c.decide()
 	c.reportArrivals()
@@ -148,6 +150,14 @@
 	}
 }
 
+// tickPlacement lets placement do what is due. Any message makes it plan, which
+// costs as much as the zone is large, so a tick is left out soon after one.
+func (c *Core) tickPlacement() {
+	if c.now.Sub(c.placedAt) >= tickInterval {
+		c.stepPlacement(placement.Tick{})
+	}
+}
+
 func (c *Core) emit(effect Effect) { c.effects = append(c.effects, effect) }
 
 func (c *Core) settings() Settings { return c.options.Settings }
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -51,6 +51,7 @@
 
 // stepPlacement feeds the placement core and carries its effects on.
 func (c *Core) stepPlacement(message placement.Message) {
+	c.placedAt = c.now
 	for _, effect := range c.placement.Step(c.now, message) {
 		switch effect := effect.(type) {
 		case placement.SendOrder:
@@ -91,8 +92,9 @@
 
 // stateRead takes an engine's state, whoever asked for it.
 func (c *Core) stateRead(read leadership.StateRead) {
-	failures := c.polls.answered(read)
-	c.stepPlacement(placement.EngineSilent{Engine: read.Engine, Silent: failures >= silentAfter})
+	if isSilent, news := c.polls.answered(read); news {
+		c.stepPlacement(placement.EngineSilent{Engine: read.Engine, Silent: isSilent})
+	}
 	if !read.Failed {
 		c.engineAnswered(read.Engine)
 	}
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -32,6 +32,8 @@
 	due     time.Time
 	// failures counts the reads without an answer since the last one.
 	failures int
+	// told is what placement was told last of the engine's silence.
+	told silence
 	// orderedAt is the point in the sequence of questions of the last order:
 	// states asked for before do not show it.
 	orderedAt uint64
@@ -39,6 +41,15 @@
 	orderedUntil time.Time
 }
 
+// silence is what placement was told of an engine.
+type silence int
+
+const (
+	untold silence = iota
+	answering
+	silent
+)
+
 func newPollState() pollState {
 	return pollState{
 		engines: make(map[fleet.BackendName]*enginePoll),
@@ -68,9 +79,9 @@
 	return read.ID < p.of(read.Engine).orderedAt
 }
 
-// answered notes the answer and reports how often the engine has failed to give
-// one.
-func (p *pollState) answered(read leadership.StateRead) int {
+// answered notes the answer and reports whether the engine counts as silent, and
+// whether that is news.
+func (p *pollState) answered(read leadership.StateRead) (isSilent, news bool) {
 	known := p.of(read.Engine)
 	if known.asked == read.ID {
 		known.asked = 0
@@ -79,7 +90,13 @@
 	if !read.Failed {
 		known.failures = 0
 	}
-	return known.failures
+	now := answering
+	if known.failures >= silentAfter {
+		now = silent
+	}
+	news = now != known.told
+	known.told = now
+	return now == silent, news
 }
 
 // sentInRound reports whether the order was sent under the fence.
