Send a changed report of load alone, not the engine's whole state

Cause: where an engine's load had changed, its leader sent the whole state of the engine as JSON (models, adapters, tiers) to every member of the zone, twice a second. Under load this was most of the traffic of control.

Ruled out: sending reports less often, which makes routing work from older queues.

Change: an update names engines whose holdings changed in whole, and of the others only the report, as a typed message.

--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -110,10 +110,18 @@
 	Table fleet.RouteTable
 	// Since is the sequence that the change builds on; 0 for a whole table.
 	Since uint64
+	// Reports are of engines of which nothing else changed.
+	Reports []EngineReport
 	// Removed names engines that are no longer in the table.
 	Removed []fleet.BackendName
 }
 
+// EngineReport is one engine's newer report of load.
+type EngineReport struct {
+	Engine fleet.BackendName
+	Report fleet.LoadReport
+}
+
 // TableReceived gives an update from a peer.
 type TableReceived struct {
 	From   fleet.NodeName
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -19,6 +19,8 @@
 	// urgent changes go out at once, pending ones with the next update.
 	urgent  bool
 	pending map[fleet.BackendName]bool
+	// loads are engines of which only the report of load is pending.
+	loads   map[fleet.BackendName]bool
 	removed map[fleet.BackendName]bool
 	// reports are those that were sent last.
 	reports map[fleet.BackendName]fleet.LoadReport
@@ -30,6 +32,7 @@
 func newStream() stream {
 	return stream{
 		pending: make(map[fleet.BackendName]bool),
+		loads:   make(map[fleet.BackendName]bool),
 		removed: make(map[fleet.BackendName]bool),
 		reports: make(map[fleet.BackendName]fleet.LoadReport),
 	}
@@ -43,12 +46,13 @@
 		s.pending[after.Name] = true
 	}
 	if !similarReport(s.reports[after.Name], after.Report) {
-		s.pending[after.Name] = true
+		s.loads[after.Name] = true
 	}
 }
 
 func (s *stream) dropped(name fleet.BackendName) {
 	delete(s.pending, name)
+	delete(s.loads, name)
 	delete(s.reports, name)
 	s.removed[name] = true
 	s.urgent = true
@@ -78,7 +82,7 @@
 // due reports whether an update is to be sent now.
 func (s *stream) due(now time.Time, reports, heartbeat time.Duration) bool {
 	elapsed := now.Sub(s.published)
-	return s.fresh || s.urgent || (len(s.pending) > 0 && elapsed >= reports) || elapsed >= heartbeat
+	return s.fresh || s.urgent || (len(s.loads) > 0 && elapsed >= reports) || elapsed >= heartbeat
 }
 
 // publishOwn sends the leader's table to both audiences.
@@ -120,6 +124,13 @@
 		for _, name := range slices.Sorted(maps.Keys(stream.pending)) {
 			update.Table.Engines = append(update.Table.Engines, table.engines[name])
 		}
+		for _, name := range slices.Sorted(maps.Keys(stream.loads)) {
+			if !stream.pending[name] {
+				report := table.engines[name].Report
+				update.Reports = append(update.Reports, EngineReport{Engine: name, Report: report})
+				stream.reports[name] = report
+			}
+		}
 		update.Removed = slices.Sorted(maps.Keys(stream.removed))
 	}
 	for _, state := range update.Table.Engines {
@@ -127,6 +138,7 @@
 	}
 	stream.fresh, stream.urgent = false, false
 	clear(stream.pending)
+	clear(stream.loads)
 	clear(stream.removed)
 	stream.since, stream.published = table.sequence, c.now
 	return update
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -57,6 +57,12 @@
 	for _, state := range update.Table.Engines {
 		known.engines[state.Name] = state
 	}
+	for _, news := range update.Reports {
+		if state, found := known.engines[news.Engine]; found {
+			state.Report = news.Report
+			known.engines[news.Engine] = state
+		}
+	}
 	for _, name := range update.Removed {
 		delete(known.engines, name)
 	}
--- a/internal/node/control_peers.go
+++ b/internal/node/control_peers.go
@@ -62,6 +62,9 @@
 		Leader:   string(update.Table.Leader),
 		Table:    table,
 	}
+	for _, news := range update.Reports {
+		encoded.Reports = append(encoded.Reports, encodeReport(news))
+	}
 	for _, name := range update.Removed {
 		encoded.Removed = append(encoded.Removed, string(name))
 	}
@@ -73,6 +76,9 @@
 	if err := json.Unmarshal(encoded.GetTable(), &update.Table); err != nil {
 		return update, fmt.Errorf("table of zone %s: %w", encoded.GetZone(), err)
 	}
+	for _, news := range encoded.GetReports() {
+		update.Reports = append(update.Reports, decodeReport(news))
+	}
 	for _, name := range encoded.GetRemoved() {
 		update.Removed = append(update.Removed, fleet.BackendName(name))
 	}
