Let a zone without the store hear of changes from other zones in time

Nobody in such a zone reads the store, and only one digest in eight, at one every 2 s a node, goes to another zone.

Change: a reader that cannot read the store sends a digest about every 0.5 s, every other one to another zone. What comes back is pushed to its zone as before.

--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -21,6 +21,8 @@
 }
 
 type testNode struct {
+	// cutOff parts the node from the store alone.
+	cutOff bool
 	member fleet.Member
 	boot   int
 	core   *Core
@@ -120,7 +122,7 @@
 func (c *cluster) perform(node *testNode, effect Effect) {
 	switch effect := effect.(type) {
 	case ListStore:
-		if c.store.down {
+		if c.store.down || node.cutOff {
 			c.send(node, "", ListFailed(effect))
 			return
 		}
@@ -145,7 +147,7 @@
 		answer.message = DigestAnswered{From: answer.from, Answer: effect.Answer}
 		c.inFlight = append(c.inFlight, answer)
 	case ListMachines:
-		if !c.store.down {
+		if !c.store.down && !node.cutOff {
 			c.send(node, "", MachinesListed{List: c.store.machinesAt(c.now.UnixMilli())})
 		}
 	case MachinesUpdated:
@@ -188,7 +190,7 @@
 		return
 	}
 	generation := node.watch.Generation
-	if c.store.down {
+	if c.store.down || node.cutOff {
 		node.watch = nil
 		c.step(node, WatchEnded{Generation: generation})
 		return
--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -22,6 +22,10 @@
 const (
 	// foreignDigestShare is one in how many digests goes to another zone.
 	foreignDigestShare = 8
+	// cutOffForeignShare is that of a reader without the store, and
+	// cutOffDigestFactor how much more often it sends digests.
+	cutOffForeignShare = 2
+	cutOffDigestFactor = 4
 	// maxReadBackoff is how many times the read retry may double.
 	maxReadBackoff = 2
 	// jitterShare is the part of an interval that is drawn.
--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -163,6 +163,11 @@
 	c.reader.readAt = now.Add(c.jitter(backoff))
 }
 
+// withoutStore reports whether this node should read the store and cannot.
+func (c *Core) withoutStore() bool {
+	return c.reader.active && c.reader.failures > 0
+}
+
 func (c *Core) readFailed(now time.Time, generation uint64) {
 	if c.current(generation) {
 		c.retryRead(now)
--- a/internal/configsync/scenario_test.go
+++ b/internal/configsync/scenario_test.go
@@ -202,3 +202,22 @@
 		})
 	}
 }
+
+// TestZoneWithoutTheStoreHearsOfChangesSoon parts both readers of a zone from
+// the store: what others accept must still come into force there in time.
+func TestZoneWithoutTheStoreHearsOfChangesSoon(t *testing.T) {
+	const bound = 3 * time.Second
+	c := settledCluster(t, []fleet.Zone{"a", "b", "c"}, 2)
+	for _, node := range c.nodes {
+		node.cutOff = node.member.Zone == "b"
+	}
+	c.settle(50)
+	times := inForceTimes(t, c, 200, 0)
+	t.Logf("in force on %d nodes: median %v, longest %v", len(c.nodes), times[len(times)/2], times[len(times)-1])
+	if longest := times[len(times)-1]; longest > bound {
+		t.Errorf("took %v", longest)
+	}
+	if c.failure != "" {
+		t.Error(c.failure)
+	}
+}
--- a/internal/configsync/spread.go
+++ b/internal/configsync/spread.go
@@ -102,12 +102,21 @@
 	if !c.spread.digestAt.IsZero() && now.Before(c.spread.digestAt) {
 		return
 	}
-	c.spread.digestAt = now.Add(c.digestInterval(c.objects.loaded))
+	c.spread.digestAt = now.Add(c.objectDigestInterval())
 	if member, found := c.drawPeer(c.objects.loaded); found {
 		c.sendDigest(member, false)
 	}
 }
 
+// objectDigestInterval is short at a reader without the store: its zone may
+// hear of changes from other zones alone.
+func (c *Core) objectDigestInterval() time.Duration {
+	if c.withoutStore() && c.objects.loaded {
+		return c.jitter(c.options.DigestInterval / cutOffDigestFactor)
+	}
+	return c.digestInterval(c.objects.loaded)
+}
+
 func (c *Core) digestInterval(loaded bool) time.Duration {
 	if !loaded {
 		return c.jitter(c.options.FirstDigestRetry)
@@ -115,9 +124,10 @@
 	return c.jitter(c.options.DigestInterval)
 }
 
-// drawPeer draws mostly from the own zone, and from others now and then, so
-// that a zone that is cut off from the store hears of changes. A node without
-// anything in force asks its zone's readers every other time.
+// drawPeer draws mostly from the own zone, and from others now and then; a
+// reader that is cut off from the store does so every other time, since its
+// zone hears of changes through it. A node without anything in force asks its zone's readers every
+// other time.
 func (c *Core) drawPeer(loaded bool) (fleet.Member, bool) {
 	if !loaded && c.random.IntN(2) == 0 {
 		if member, found := c.drawReader(); found {
@@ -134,8 +144,12 @@
 			foreign = append(foreign, member)
 		}
 	}
+	share := foreignDigestShare
+	if loaded && c.withoutStore() {
+		share = cutOffForeignShare
+	}
 	from := own
-	if len(foreign) > 0 && (len(own) == 0 || c.random.IntN(foreignDigestShare) == 0) {
+	if len(foreign) > 0 && (len(own) == 0 || c.random.IntN(share) == 0) {
 		from = foreign
 	}
 	if len(from) == 0 {
