Let back ends record the work that they turn away when leaving

Ruled out: letting the stand-ins run late work, which engines don't do.

Change: books list the requests and load orders that were refused for leaving; the judge takes each of these after the limit for a violation.

Measured: the planted case in the judge's test is found, one within the limit is not; the tests of the stand-ins pass.

--- a/internal/lab/check/check_test.go
+++ b/internal/lab/check/check_test.go
@@ -211,6 +211,9 @@
 			e.Books[1].Residencies = append(e.Books[1].Residencies,
 				books.Residency{Model: chat, From: at(32.5), OrderID: "o3", Bytes: 10})
 		}},
+		{"request that a leaving back end had to refuse", RuleLeaving, func(e *Evidence) {
+			e.Books[1].TurnedAway = []books.TurnedAway{{RequestID: "m2", At: at(31.9)}, {RequestID: "m2", At: at(32.5)}}
+		}},
 		{"stream cut by a planned stop", RulePlannedStop, func(e *Evidence) {
 			e.Records[1].Outcome, e.Records[1].Code = history.Unknown, "stopped"
 		}},
--- a/internal/lab/check/placement.go
+++ b/internal/lab/check/placement.go
@@ -121,6 +121,12 @@
 					book.Backend.Name, run.RequestID, run.Started.Sub(book.LeavingSince))
 			}
 		}
+		for _, refused := range book.TurnedAway {
+			if refused.At.After(limit) {
+				verdict.find(refused.At, "%s had to refuse request %q order %q %s after it said that it leaves",
+					book.Backend.Name, refused.RequestID, refused.OrderID, refused.At.Sub(book.LeavingSince))
+			}
+		}
 		for _, load := range book.Residencies {
 			if load.From.After(limit) {
 				verdict.find(load.From, "%s got a load of %s %s after it said that it leaves",
--- a/internal/standin/books/books.go
+++ b/internal/standin/books/books.go
@@ -19,9 +19,11 @@
 	// the process, those of a simulated restart within a process are kept.
 	Incarnation uint64 `json:"incarnation"`
 	// LeavingSince is when the back end first said that it leaves.
-	LeavingSince time.Time   `json:"leavingSince,omitzero"`
-	Residencies  []Residency `json:"residencies,omitempty"`
-	Executions   []Execution `json:"executions,omitempty"`
+	LeavingSince time.Time `json:"leavingSince,omitzero"`
+	// TurnedAway is the new work that came after that and was refused for it.
+	TurnedAway  []TurnedAway `json:"turnedAway,omitempty"`
+	Residencies []Residency  `json:"residencies,omitempty"`
+	Executions  []Execution  `json:"executions,omitempty"`
 	// MemoryBytes is the capacity, PeakBytes the most that was ever held, KV
 	// reserve included.
 	MemoryBytes int64 `json:"memoryBytes,omitempty"`
@@ -30,6 +32,14 @@
 	RefusedOrders int `json:"refusedOrders,omitempty"`
 }
 
+// TurnedAway is one request or one order to load that a back end refused
+// because it leaves.
+type TurnedAway struct {
+	RequestID fleet.RequestID `json:"requestId,omitempty"`
+	OrderID   string          `json:"orderId,omitempty"`
+	At        time.Time       `json:"at"`
+}
+
 // Residency is one stay of a model in an engine's memory, from the accepted
 // load order to the end of its unloading.
 type Residency struct {
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -27,6 +27,9 @@
 		reason = c.carryOut(now, order)
 		c.answered[order.ID] = reason
 	}
+	if reason == backend.ReasonLeaving {
+		c.book.TurnedAway = append(c.book.TurnedAway, books.TurnedAway{OrderID: order.ID, At: now})
+	}
 	if reason != taken {
 		c.emit(OrderRefused{Call: message.Call, Reason: reason})
 		return
--- a/internal/standin/engine/orders_test.go
+++ b/internal/standin/engine/orders_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/standin/books"
 )
 
 func TestClaimIsGrantedOnlyAboveTheGrantedFenceInTheSameIncarnation(t *testing.T) {
@@ -308,3 +309,18 @@
 		t.Errorf("the book does not tell the overcommitment: %d of %d", book.PeakBytes, book.MemoryBytes)
 	}
 }
+
+// TestLeavingEngineRecordsWhatItTurnsAway lets the judge see that work was
+// sent to an engine that leaves, though nothing of it ran.
+func TestLeavingEngineRecordsWhatItTurnsAway(t *testing.T) {
+	r := newRig(t, Options{MemoryBytes: 80 * GiB, KVReserveBytes: 8 * GiB})
+	r.ready()
+	r.step(Leave{})
+	r.submit(Request{ID: "late"})
+	r.order(backend.Order{ID: "load", Action: backend.ActionLoad, Model: modelB, Bytes: GiB})
+	r.order(backend.Order{ID: "unload", Action: backend.ActionUnload, Model: modelA})
+	want := []books.TurnedAway{{RequestID: "late", At: r.now}, {OrderID: "load", At: r.now}}
+	if diff := cmp.Diff(want, r.core.Book(r.now).TurnedAway); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/standin/engine/streams.go
+++ b/internal/standin/engine/streams.go
@@ -6,6 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/standin/books"
 )
 
 type sequenceState int
@@ -41,6 +42,9 @@
 func (c *Core) submit(now time.Time, message Submit) {
 	request := message.Request
 	if reason := c.refusal(request); reason != "" {
+		if reason == RefusedLeaving {
+			c.book.TurnedAway = append(c.book.TurnedAway, books.TurnedAway{RequestID: request.ID, At: now})
+		}
 		c.emit(Refused{Call: message.Call, Reason: reason})
 		return
 	}
--- a/internal/standin/service/core.go
+++ b/internal/standin/service/core.go
@@ -99,6 +99,7 @@
 	case Tick:
 	case Run:
 		if c.leaving {
+			c.book.TurnedAway = append(c.book.TurnedAway, books.TurnedAway{RequestID: m.RequestID, At: now})
 			return append(effects, Refused{Call: m.Call})
 		}
 		c.begin(now, m)
--- a/internal/standin/service/core_test.go
+++ b/internal/standin/service/core_test.go
@@ -36,7 +36,10 @@
 	core := New(Options{ServiceTime: time.Second})
 	core.Step(start, Run{Call: 1})
 	core.Step(start, Leave{})
-	if diff := cmp.Diff([]Effect{Refused{Call: 2}}, core.Step(start, Run{Call: 2})); diff != "" {
+	if diff := cmp.Diff([]Effect{Refused{Call: 2}}, core.Step(start, Run{Call: 2, RequestID: "late"})); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]books.TurnedAway{{RequestID: "late", At: start}}, core.Book().TurnedAway); diff != "" {
 		t.Error(diff)
 	}
 	effects := core.Step(core.NextWake(), Tick{})
