Offer figures of a node's control, and list every one

Cause: the operators' port offered the gateway's figures and the bytes of control traffic only; membership, configuration, leadership, placement and keepers could be seen in status and logs alone. Three figures were offered and not on the page. Ruled out: questions to the shells' mailboxes at a scrape, which would make a scrape wait behind work; labels by model, as 8,700 adapters on 800 nodes would make too many series. Change: a collector reads views and atomics; counters for claims, orders and refused loads stand in the control shell. Conclusion: every figure that a node offers can be looked up.

--- a/internal/node/claim_shell.go
+++ b/internal/node/claim_shell.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -52,6 +53,8 @@
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 	refresh    chan struct{}
+	// records counts what the keeper holds, for the figures.
+	records atomic.Int64
 
 	mutex    sync.Mutex
 	table    claim.Table
@@ -143,6 +146,7 @@
 
 func (c *Claims) step(message claim.KeeperMessage) []claim.KeeperEffect {
 	effects := c.keeper.Step(time.Now(), message)
+	c.records.Store(int64(c.keeper.Records()))
 	for _, effect := range effects {
 		if ask, found := effect.(claim.AskSeal); found {
 			c.goBackground(func() { c.askSeal(ask) })
--- a/internal/node/control_actor.go
+++ b/internal/node/control_actor.go
@@ -7,6 +7,7 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/catalog"
@@ -43,6 +44,8 @@
 	Engines EngineClient
 	Store   RecordStore
 	Logger  *log.Logger
+	// Registerer takes the shell's figures; nil keeps them unregistered.
+	Registerer prometheus.Registerer
 	// Core sets up the core; Self, Zone and BootID are set from Self.
 	Core control.Options
 	// Facts turns a catalog into what the core takes of it.
@@ -54,6 +57,7 @@
 type Control struct {
 	dependencies ControlDependencies
 	core         *control.Core
+	metrics      *controlMetrics
 	pid          *actor.PID
 	lifetime     context.Context
 	end          context.CancelFunc
@@ -80,6 +84,7 @@
 	shell := &Control{
 		dependencies: dependencies,
 		core:         control.New(options),
+		metrics:      newControlMetrics(dependencies.Registerer),
 		lifetime:     lifetime,
 		end:          end,
 	}
@@ -183,6 +188,7 @@
 }
 
 func (s *Control) refuseLocal(refusals []fleet.LoadRefusal) {
+	s.metrics.refusedWants.Add(float64(len(refusals)))
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, told := range s.onRefusal {
--- a/internal/node/control_effects.go
+++ b/internal/node/control_effects.go
@@ -53,6 +53,7 @@
 	case control.TablesChanged:
 		s.dependencies.Views.Tables.Set(effect.Tables)
 	case control.LeadershipChanged:
+		s.metrics.leadershipChanged(effect.Leading)
 		s.dependencies.Logger.Info().Bool("leading", effect.Leading).
 			Str("fence", effect.Fence.String()).Str("reason", effect.Reason).Msg("leadership_changed")
 	}
@@ -91,6 +92,7 @@
 		answer.Result = leadership.ClaimRefused
 		answer.Fence = refused.Refusal.Fence
 	}
+	s.metrics.claimAnswered(answer.Result)
 	s.send(control.ClaimAnswered{ClaimAnswered: answer})
 }
 
@@ -112,6 +114,7 @@
 		answer.Reason = refused.Refusal.Reason
 	}
 	s.logOrder(effect, err)
+	s.metrics.orderAnswered(effect.Order.Action, answer.Result, answer.FenceStale)
 	s.send(answer)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,7 @@
 	control    *Control
 	gateway    *gateway.Gateway
 	tableAges  tableAges
+	catalogAge *catalogAge
 
 	drainOnce sync.Once
 	draining  atomic.Bool
@@ -108,6 +109,7 @@
 // startShells starts the actors, those first that the others listen to.
 func (n *Node) startShells(bound sockets) {
 	n.tableAges.follow(n.views)
+	n.catalogAge = followCatalog(n.views, n.metrics)
 	n.membership = StartMembership(MembershipDependencies{
 		System:     n.system,
 		Connection: n.traffic.Channel("gossip").PacketConn(bound.gossip),
@@ -133,6 +135,7 @@
 		Keeper: claim.KeeperOptions{},
 	})
 	n.gateway = n.startGateway()
+	n.metrics.MustRegister(viewCollector{node: n})
 }
 
 func (n *Node) startGateway() *gateway.Gateway {
--- a/internal/node/shells.go
+++ b/internal/node/shells.go
@@ -57,15 +57,16 @@
 	settings.Placement.StoreLoadsPerSecond = n.settings.WeightStore.LoadsPerSecond
 	settings.Placement.StoreConcurrency = n.settings.WeightStore.ConcurrentLoads
 	return StartControl(ControlDependencies{
-		System:  n.system,
-		Self:    n.self,
-		Views:   n.views,
-		Peers:   n.peers,
-		Engines: engines,
-		Store:   recordStore{client: n.platform},
-		Logger:  n.logger,
-		Core:    control.Options{Seed: rand.Uint64(), Settings: settings},
-		Facts:   controlFacts,
+		System:     n.system,
+		Self:       n.self,
+		Views:      n.views,
+		Peers:      n.peers,
+		Engines:    engines,
+		Store:      recordStore{client: n.platform},
+		Logger:     n.logger,
+		Registerer: n.metrics,
+		Core:       control.Options{Seed: rand.Uint64(), Settings: settings},
+		Facts:      controlFacts,
 	})
 }
 
--- a/internal/operator/docs_test.go
+++ b/internal/operator/docs_test.go
@@ -18,15 +18,19 @@
 	cases := []struct {
 		file    string
 		pattern string
+		prefix  string
 	}{
-		{"../gateway/problem.go", `(?m)^\s+code\w+\s*= "([a-z-]+)"`},
-		{"../attempt/message.go", `(?m)^\s+Code\w+\s*= "([a-z-]+)"`},
-		{"../queue/message.go", `(?m)^\s+Reason\w+\s+Reason = "([a-z-]+)"`},
-		{"../gateway/metrics.go", `metricPrefix \+ "([a-z_]+)"`},
-		{"errors.go", `(?m)^\s+Exit\w+ ExitCode = (\d)`},
+		{file: "../gateway/problem.go", pattern: `(?m)^\s+code\w+\s*= "([a-z-]+)"`},
+		{file: "../attempt/message.go", pattern: `(?m)^\s+Code\w+\s*= "([a-z-]+)"`},
+		{file: "../queue/message.go", pattern: `(?m)^\s+Reason\w+\s+Reason = "([a-z-]+)"`},
+		{file: "../gateway/metrics.go", pattern: `metricPrefix \+ "([a-z_]+)"`, prefix: "spanlanding_gateway_"},
+		{file: "../node/metrics.go", pattern: `metricPrefix\s*\+ "([a-z_]+)"`, prefix: "spanlanding_node_"},
+		{file: "../traffic/traffic.go", pattern: `"(spanlanding_[a-z_]+)"`},
+		{file: "errors.go", pattern: `(?m)^\s+Exit\w+ ExitCode = (\d)`},
 	}
 	for _, test := range cases {
 		for _, name := range namesIn(t, test.file, test.pattern) {
+			name = test.prefix + name
 			if !strings.Contains(string(page), "`"+name+"`") && !strings.Contains(string(page), "| "+name+" |") {
 				t.Errorf("docs/operations.md does not name %s of %s", name, test.file)
 			}
