Leave nothing in a body that only a node may say

Cause: fuzzing the bodies of callers found two ways past the reader. null was taken for an object. CONTINUE_FROM and other spellings stayed in the body; an engine that reads names without regard to case, as encoding/json does, would take a caller's tokens for those of an earlier attempt. Ruled out: comparing exact names only, as engines differ in this. Change: null is refused; names are compared as encoding/json folds them. Conclusion: what an engine gets is the caller's body, but for what a node says.

--- a/internal/backend/generate.go
+++ b/internal/backend/generate.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -174,14 +176,29 @@
 // out.
 type Body map[string]json.RawMessage
 
+// Members of a body that this system sets.
+const (
+	memberStream       = "stream"
+	memberContinueFrom = "continue_from"
+)
+
+var errNoObject = errors.New("null is no object")
+
 // ParseBody reads a caller's body.
 func ParseBody(body []byte) (Body, error) {
 	var members Body
 	if err := json.Unmarshal(body, &members); err != nil {
 		return nil, err
 	}
-	delete(members, "continue_from")
-	delete(members, "stream")
+	if members == nil {
+		return nil, errNoObject
+	}
+	// Engines may read names without regard to case, as encoding/json does.
+	for name := range members {
+		if strings.EqualFold(name, memberContinueFrom) || strings.EqualFold(name, memberStream) {
+			delete(members, name)
+		}
+	}
 	return members, nil
 }
 
@@ -191,13 +208,13 @@
 	for name, value := range b {
 		members[name] = value
 	}
-	members["stream"] = json.RawMessage("true")
+	members[memberStream] = json.RawMessage("true")
 	if len(continueFrom) > 0 {
 		tokens, err := json.Marshal(continueFrom)
 		if err != nil {
 			return nil, err
 		}
-		members["continue_from"] = tokens
+		members[memberContinueFrom] = tokens
 	}
 	return json.Marshal(members)
 }
