Refuse a deadline that is no number, and any number of tokens

Cause: fuzzing found that X-Spanlanding-Deadline: NaN passed both bounds and became a time 292 years before the arrival, so the request was refused for its deadline and not for its header; and that max_tokens near the largest integer overflowed the sum with the prompt and passed the check of the context. Ruled out: the same overflow in the queue's and the router's estimates; they take the route's figures. Change: both bounds are written so that NaN fails them; the length is compared by difference. Conclusion: both are refused with 400 and say why.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -181,9 +181,12 @@
 	return c.arrived.Add(withMargin(route)), nil
 }
 
+// maxDeadline bounds a deadline given as a number of seconds.
+const maxDeadline = 24 * time.Hour
+
 func parseDeadline(text string) (time.Duration, error) {
 	if number, err := strconv.ParseFloat(text, 64); err == nil {
-		if number <= 0 || number > time.Hour.Seconds()*24 {
+		if !(number > 0 && number <= maxDeadline.Seconds()) {
 			return 0, strconv.ErrRange
 		}
 		return time.Duration(number * float64(time.Second)), nil
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -100,12 +100,13 @@
 
 // checkLength refuses what is too long for the model.
 func checkLength(route catalog.ModelRoute, promptTokens, answerTokens int) *failure {
-	tokens := promptTokens + max(0, answerTokens)
-	if route.ContextTokens <= 0 || tokens <= route.ContextTokens {
+	// Compared by difference: a caller may ask for any number of tokens.
+	if route.ContextTokens <= 0 || max(0, answerTokens) <= route.ContextTokens-promptTokens {
 		return nil
 	}
 	failed := refuse(http.StatusBadRequest, codeTooLong,
-		fmt.Sprintf("prompt and answer would take about %d tokens; the model has %d", tokens, route.ContextTokens))
+		fmt.Sprintf("a prompt of about %d tokens and an answer of %d do not fit; the model has %d",
+			promptTokens, max(0, answerTokens), route.ContextTokens))
 	return &failed
 }
 
