Cut labels before names in a list of objects

Cause: get showed ingredient-chat.. for ingredient-chat-nn: the widest column was cut, and names are as wide as labels that were cut before them. Change: a table may name columns that yield first; get names labels, set and by. Conclusion: a name that is shown can be typed again.

--- a/internal/operator/objects.go
+++ b/internal/operator/objects.go
@@ -27,7 +27,7 @@
 
 // RenderObjects prints a list of objects for people.
 func RenderObjects(writer io.Writer, listed platform.ObjectList) {
-	rows := table{}
+	rows := table{yields: []string{"LABELS", "SET", "BY"}}
 	rows.add("KIND", "NAME", "VERSION", "BY", "SET", "LABELS")
 	for _, object := range listed.Objects {
 		rows.add(object.Kind, object.Name, fmt.Sprint(object.Version), object.ChangedBy, object.Labels[OwnerLabel], labelText(object.Labels))
--- a/internal/operator/render.go
+++ b/internal/operator/render.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,10 +13,12 @@
 // Width is the widest line of any text that commands print.
 const Width = 80
 
-// table lays out rows in columns no wider than Width; the last column of a
-// row that is too long is cut.
+// table lays out rows in columns no wider than Width; what is too long is cut,
+// in the columns that yield before any other.
 type table struct {
 	rows [][]string
+	// yields names columns of the heading.
+	yields []string
 }
 
 func (t *table) add(cells ...string) {
@@ -32,6 +35,9 @@
 			widths[column] = max(widths[column], len(cell))
 		}
 	}
+	for _, name := range t.yields {
+		shrinkColumn(widths, slices.Index(t.rows[0], name), len(name))
+	}
 	shrink(widths)
 	for _, row := range t.rows {
 		var line strings.Builder
@@ -45,20 +51,32 @@
 	}
 }
 
+const columnGap = 2
+
+func rowWidth(widths []int) int {
+	total := -columnGap
+	for _, width := range widths {
+		total += width + columnGap
+	}
+	return total
+}
+
+// shrinkColumn narrows one column until the row fits, or to the least width.
+func shrinkColumn(widths []int, column, least int) {
+	if column >= 0 {
+		widths[column] -= max(0, min(rowWidth(widths)-Width, widths[column]-least))
+	}
+}
+
 // shrink narrows the widest columns until the row fits.
 func shrink(widths []int) {
-	const gap = 2
-	for {
-		total, widest := -gap, 0
+	for len(widths) > 0 && rowWidth(widths) > Width {
+		widest := 0
 		for column, width := range widths {
-			total += width + gap
 			if width > widths[widest] {
 				widest = column
 			}
 		}
-		if total <= Width || len(widths) == 0 {
-			return
-		}
 		widths[widest]--
 	}
 }
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
@@ -131,3 +132,22 @@
 		t.Error("a GET drained the node")
 	}
 }
+
+// TestNamesAreNotCutForTheirLabels holds that a list shows whole names, which
+// operators type again, and cuts labels.
+func TestNamesAreNotCutForTheirLabels(t *testing.T) {
+	var text strings.Builder
+	const name = "ingredient-chat-for-the-northern-kitchens"
+	RenderObjects(&text, platform.ObjectList{Objects: []platform.Object{{
+		Kind: "Deployment", Name: name, Version: 31, ChangedBy: "anna",
+		Labels: map[string]string{OwnerLabel: "fjordkurv", "use": strings.Repeat("long", 20)},
+	}}})
+	if !strings.Contains(text.String(), name) {
+		t.Errorf("the name is cut:\n%s", text.String())
+	}
+	for line := range strings.Lines(text.String()) {
+		if utf8.RuneCountInString(strings.TrimSuffix(line, "\n")) > Width {
+			t.Errorf("wider than %d: %s", Width, line)
+		}
+	}
+}
