--- /dev/null
+++ b/internal/node/fuzz_test.go
@@ -0,0 +1,202 @@
+package node
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/spanlanding/spanlanding/internal/claim"
+	"github.com/spanlanding/spanlanding/internal/configsync"
+	"github.com/spanlanding/spanlanding/internal/control"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/spec"
+)
+
+// FuzzSettings holds that each finding points into the content, and that
+// settings without findings are complete: completed again they are the same.
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(validSettings))
+	for _, file := range []string{
+		"testdata/broken-settings.yaml", "../../examples/settings/oslo-a-1.yaml", "../../examples/settings/oslo-a-2.yaml",
+	} {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(content)
+	}
+	f.Fuzz(func(t *testing.T, content []byte) {
+		draft := Draft{}
+		draft.places, draft.findings = spec.DecodeDocument("fuzz.yaml", content, &draft.Settings)
+		settings, findings := draft.Complete()
+		for _, finding := range findings {
+			if finding.Line < 1 || finding.Column < 1 || finding.Problem == "" || finding.Remedy == "" {
+				t.Errorf("finding without place or text: %#v", finding)
+			}
+		}
+		if len(findings) > 0 {
+			return
+		}
+		again, err := settings.Complete()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if difference := cmp.Diff(settings, again); difference != "" {
+			t.Fatalf("(-once +twice):\n%s", difference)
+		}
+	})
+}
+
+// received is one kind of message as it is read from a peer, and what holds of
+// what was read.
+type received struct {
+	message proto.Message
+	check   func(t *testing.T, message proto.Message)
+}
+
+// same holds that what was read reads the same after it was written again.
+func same[T any](t *testing.T, first, second T) {
+	t.Helper()
+	if difference := cmp.Diff(first, second); difference != "" {
+		t.Fatalf("(-read +written and read):\n%s", difference)
+	}
+}
+
+func checkSlotBounds(t *testing.T, slots ...claim.Slot) {
+	t.Helper()
+	for _, slot := range slots {
+		if slot.Index < 0 || slot.Index > maxSlotIndex {
+			t.Fatalf("slot %d was taken", slot.Index)
+		}
+	}
+}
+
+// receivedKinds are all messages of peers that are turned into others.
+var receivedKinds = []received{
+	{&peerpb.GrantRequest{}, func(t *testing.T, message proto.Message) {
+		grant := decodeGrant(message.(*peerpb.GrantRequest))
+		if (grant.Window < 0) != (message.(*peerpb.GrantRequest).GetWindowMillis() < 0) {
+			t.Fatalf("a window of %d ms became %s", message.(*peerpb.GrantRequest).GetWindowMillis(), grant.Window)
+		}
+		same(t, grant, decodeGrant(encodeGrant(grant)))
+	}},
+	{&peerpb.GrantResponse{}, func(t *testing.T, message proto.Message) {
+		reply := decodeGrantReply(message.(*peerpb.GrantResponse))
+		if reply.Vote == claim.VoteGranted && message.(*peerpb.GrantResponse).GetVerdict() != peerpb.GrantResponse_GRANTED {
+			t.Fatal("what is no grant was read as one")
+		}
+		same(t, reply, decodeGrantReply(encodeGrantReply(reply)))
+	}},
+	{&peerpb.CompleteRequest{}, func(t *testing.T, message proto.Message) {
+		complete := decodeComplete(message.(*peerpb.CompleteRequest))
+		same(t, complete, decodeComplete(encodeComplete(complete)))
+	}},
+	{&peerpb.TransferResponse{}, func(t *testing.T, message proto.Message) {
+		reply := decodeSealReply(message.(*peerpb.TransferResponse))
+		if reply.KnownFor < 0 {
+			t.Fatalf("known for %s", reply.KnownFor)
+		}
+		same(t, reply, decodeSealReply(encodeSealReply(1, reply)))
+	}},
+	{&peerpb.SeatsResponse{}, func(t *testing.T, message proto.Message) {
+		checkSlotBounds(t, decodeSlots(message.(*peerpb.SeatsResponse).GetSlots())...)
+	}},
+	{&peerpb.DigestResponse{}, func(t *testing.T, message proto.Message) {
+		answer, err := decodeDigestAnswer(configsync.SpaceMachines, message.(*peerpb.DigestResponse))
+		if err != nil {
+			return
+		}
+		encoded, err := encodeDigestAnswer(answer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := decodeDigestAnswer(configsync.SpaceMachines, encoded)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sameAsJSON(t, answer, again)
+	}},
+	{&peerpb.RouteTableUpdate{}, func(t *testing.T, message proto.Message) {
+		update, err := decodeUpdate(message.(*peerpb.RouteTableUpdate))
+		if err != nil {
+			return
+		}
+		encoded, err := encodeUpdate(update)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := decodeUpdate(encoded)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sameAsJSON(t, update, again)
+	}},
+	{&peerpb.WantReport{}, func(t *testing.T, message proto.Message) {
+		wants := decodeWants(message.(*peerpb.WantReport).GetWants())
+		same(t, wants, decodeWants(encodeWants(wants)))
+	}},
+}
+
+// sameAsJSON compares what holds JSON inside, where white space is none.
+func sameAsJSON(t *testing.T, first, second any) {
+	t.Helper()
+	one, err := json.Marshal(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := json.Marshal(second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	same(t, string(one), string(other))
+}
+
+// FuzzPeerMessage holds that nothing a peer sends makes reading panic, is read
+// as more than it says, or changes on its way through.
+func FuzzPeerMessage(f *testing.F) {
+	for kind, message := range peerSeeds(f) {
+		encoded, err := proto.Marshal(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(uint8(kind), encoded)
+	}
+	f.Fuzz(func(t *testing.T, kind uint8, data []byte) {
+		chosen := receivedKinds[int(kind)%len(receivedKinds)]
+		message := proto.Clone(chosen.message)
+		if proto.Unmarshal(data, message) == nil {
+			chosen.check(t, message)
+		}
+	})
+}
+
+// peerSeeds gives a whole message of each kind, in the order of receivedKinds.
+func peerSeeds(f *testing.F) []proto.Message {
+	slot := claim.Slot{Index: 3, Version: 2, Seats: []claim.Seat{{Name: "a", Boot: 1, Address: "10.0.0.1:3"}},
+		Previous: [][]claim.Seat{{{Name: "b", Boot: 2, Address: "10.0.0.2:3"}}}}
+	answer := &claim.Answer{Status: 200, ContentType: "text/plain", Body: []byte("done")}
+	digest, err := encodeDigestAnswer(configsync.DigestAnswer{Changes: configsync.Changes{Version: 9, Objects: testObjects()}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	update, err := encodeUpdate(control.TableUpdate{Table: fleet.RouteTable{Zone: "a", Leader: "n", Engines: []fleet.EngineState{
+		{Backend: fleet.Backend{Name: "e"}, Models: []fleet.LoadedModel{{Model: fleet.ModelVersion{Model: "m", Version: "v"}}}},
+	}}, Removed: []fleet.BackendName{"gone"}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	return []proto.Message{
+		encodeGrant(claim.Grant{Key: "k", Attempt: "t", Node: "n", Window: 1 << 30, Slot: slot}),
+		encodeGrantReply(claim.GrantReply{Vote: claim.VoteDone, Answer: answer, Slot: slot}),
+		encodeComplete(claim.Complete{Key: "k", Attempt: "t", Outcome: claim.Ran, Answer: answer, Slot: slot}),
+		encodeSealReply(1, claim.SealReply{Settled: true, Records: []claim.HandedRecord{{Key: "k", Holders: []string{"t"}, Answer: answer}}}),
+		&peerpb.SeatsResponse{Slots: []*peerpb.KeeperSlot{encodeSlot(slot)}},
+		digest,
+		update,
+		&peerpb.WantReport{Wants: encodeWants([]fleet.Want{{Model: fleet.ModelVersion{Model: "m", Version: "v"}, Node: "n", Waiting: 2}})},
+	}
+}
