--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/gateway"
 	"github.com/spanlanding/spanlanding/internal/operator"
@@ -117,25 +116,10 @@
 	return snapshot.Version()
 }
 
-// callerCatalog is the catalog as callers see it.
-type callerCatalog struct {
-	*catalog.Snapshot
-}
-
-// ModelNames implements gateway.Catalog.
-func (c callerCatalog) ModelNames() []string {
-	deployments := c.Deployments()
-	names := make([]string, 0, len(deployments))
-	for _, deployment := range deployments {
-		names = append(names, string(deployment.Name))
-	}
-	return names
-}
-
 func (n *Node) currentCatalog() (gateway.Catalog, bool) {
 	snapshot, found := n.views.Catalog.Get()
 	if !found {
 		return nil, false
 	}
-	return callerCatalog{snapshot}, true
+	return snapshot, true
 }
