--- a/cmd/spanlanding/main.go
+++ b/cmd/spanlanding/main.go
@@ -26,9 +26,10 @@
 
 func newApp() *cli.Command {
 	app := &cli.Command{
-		Name:        "spanlanding",
-		Usage:       "serve rarely used language models, run by declarations",
-		Description: exitCodes,
+		Name:                  "spanlanding",
+		Usage:                 "serve rarely used language models, run by declarations",
+		Description:           exitCodes,
+		EnableShellCompletion: true,
 		Commands: []*cli.Command{
 			nodeCommand(),
 			validateCommand(),
