Send no keyed call on a grant from before a pause

Cause: keepers free a key 30 s and a window after its grant, on the word that no call is sent later than 30 s after it. The gateway held this only by the call's deadline, which an operator may declare far longer than the window. A process that was stopped between the keepers' answers and the send, or an asker that counted one grant from before the pause and one from after it, sent a command that another node had been granted since. A call that ran longer than its route's window lost its key while it ran, and its outcome was dropped after ten minutes.

Ruled out: the context's deadline, which is the declared one; a check in the handler alone, since dialling comes after it.

Change: the connection asks before its first byte whether the grant still covers the call, by both clocks; an asker takes no vote after its deadline; the key is kept for as long as the call may run, its outcome too.

Before the change TestGrantDoesNotOutliveAPause saw one call sent 30 s late with the keepers told that it ran and a window of one minute for a call of an hour; TestGrantsOnBothSidesOfAPauseAreNoMajority saw both grants counted.

--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -39,6 +39,9 @@
 	// Repeatable calls may use a connection again, on which net/http may send
 	// a request twice.
 	Repeatable bool
+	// MayStart is asked before the first byte leaves a connection of its own;
+	// nil always allows it.
+	MayStart func() bool
 }
 
 // ServiceAnswer is the whole answer of a plain call.
@@ -92,6 +95,9 @@
 	var used atomic.Pointer[recordedConn]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connection, _ := info.Conn.(*recordedConn)
+		if connection != nil {
+			connection.mayStart = call.MayStart
+		}
 		used.Store(connection)
 	}})
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Target, bytes.NewReader(call.Body))
@@ -157,17 +163,26 @@
 	connSealed
 )
 
-var errSealed = errors.New("the call was given up before it was sent")
+var (
+	errSealed  = errors.New("the call was given up before it was sent")
+	errTooLate = errors.New("the call may not be sent any more")
+)
 
 // recordedConn remembers whether a write was begun. It hides the connection's
 // ReadFrom, so that every byte passes Write.
 type recordedConn struct {
 	net.Conn
 	state atomic.Int32
+	// mayStart is set before net/http begins to write.
+	mayStart func() bool
 }
 
 // Write implements io.Writer.
 func (c *recordedConn) Write(data []byte) (int, error) {
+	if c.state.Load() == connFresh && c.mayStart != nil && !c.mayStart() {
+		c.state.CompareAndSwap(connFresh, connSealed)
+		return 0, errTooLate
+	}
 	c.state.CompareAndSwap(connFresh, connWritten)
 	if c.state.Load() == connSealed {
 		return 0, errSealed
@@ -179,7 +194,7 @@
 // write that net/http is about to begin fails. A call that got no connection
 // has written nothing.
 func (c *recordedConn) seal() bool {
-	return c == nil || c.state.CompareAndSwap(connFresh, connSealed)
+	return c == nil || c.state.CompareAndSwap(connFresh, connSealed) || c.state.Load() == connSealed
 }
 
 // RetryAfterDuration is the back end's Retry-After, or 0.
--- a/internal/claim/asker.go
+++ b/internal/claim/asker.go
@@ -117,6 +117,12 @@
 	case Begin:
 		a.adopt(message.Slot)
 	case Voted:
+		// An asker that was paused must not count grants of before and after
+		// its deadline together: the earlier ones may have expired.
+		if !now.Before(a.options.Deadline) {
+			a.tick()
+			break
+		}
 		a.voted(message)
 	case Tick:
 		a.tick()
--- a/internal/claim/asker_test.go
+++ b/internal/claim/asker_test.go
@@ -101,3 +101,18 @@
 		t.Errorf("decision: %+v", effects[1])
 	}
 }
+
+// TestGrantsOnBothSidesOfAPauseAreNoMajority: the first grant may have expired
+// while the asker was paused, and another attempt may hold that keeper since.
+func TestGrantsOnBothSidesOfAPauseAreNoMajority(t *testing.T) {
+	slot := slotOf(1, "a", "b", "c")
+	asker := NewAsker(AskerOptions{Attempt: "one", Deadline: start.Add(time.Second)})
+	asker.Step(start, Begin{Slot: slot})
+	asker.Step(start, Voted{From: seat("a"), Version: 1, Reply: GrantReply{Vote: VoteGranted, Slot: slot}})
+	late := Voted{From: seat("b"), Version: 1, Reply: GrantReply{Vote: VoteGranted, Slot: slot}}
+	for _, effect := range asker.Step(start.Add(window), late) {
+		if finish, found := effect.(Finish); found && finish.Decision.Verdict == Granted {
+			t.Fatal("a grant from before the pause was counted with one from after it")
+		}
+	}
+}
--- a/internal/claim/options.go
+++ b/internal/claim/options.go
@@ -42,8 +42,12 @@
 	IgnoresVersion bool
 }
 
+// StartTimeout is how long after its keepers were asked a call may be sent; a
+// grant that is older covers nothing.
+const StartTimeout = 30 * time.Second
+
 const (
-	defaultAttemptTimeout  = 30 * time.Second
+	defaultAttemptTimeout  = StartTimeout
 	defaultMaxRecords      = 20_000
 	defaultMaxAnswerBytes  = 16 << 10
 	defaultMaxAnswersBytes = 8 << 20
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -66,6 +66,9 @@
 	body     []byte
 	deadline time.Time
 
+	// claimed is when the keepers of the key were asked; zero without a key.
+	claimed time.Time
+
 	core    *attempt.Core
 	ticket  uint64
 	counted bool
@@ -83,7 +86,8 @@
 	ctx, stop := r.callContext()
 	defer stop()
 	key := r.route.Service + "/" + r.key
-	decision := gateway.options.Guard.Acquire(ctx, claim.Request{Key: key, Fingerprint: r.fingerprint(), Window: r.route.KeyWindow})
+	r.claimed = gateway.now()
+	decision := gateway.options.Guard.Acquire(ctx, claim.Request{Key: key, Fingerprint: r.fingerprint(), Window: r.window()})
 	if decision.Verdict != claim.Granted {
 		r.answerVerdict(decision)
 		return
@@ -93,6 +97,25 @@
 	r.answer(finish)
 }
 
+// window is how long the key is kept. A call may still run when the route's
+// window is over; its key is kept until then.
+func (r *serviceRun) window() time.Duration {
+	return max(r.route.KeyWindow, r.deadline.Sub(r.claimed))
+}
+
+// mayStart reports whether the grant still covers a call that is sent now. The
+// process may have been paused since the keepers answered, and they keep the
+// key only for calls that start in time. The monotonic clock stands still while
+// a machine is suspended, and the wall clock can be set: both must agree.
+func (r *serviceRun) mayStart() bool {
+	if r.claimed.IsZero() {
+		return true
+	}
+	now := r.caller.gateway.now()
+	since := max(now.Sub(r.claimed), now.Round(0).Sub(r.claimed.Round(0)))
+	return since < claim.StartTimeout
+}
+
 const (
 	// completeTimeout bounds telling the keepers how an attempt ended.
 	completeTimeout = 2 * time.Second
@@ -229,11 +252,11 @@
 	answer, err := r.caller.gateway.calls.Call(ctx, r.target.Address, backend.ServiceCall{
 		RequestID: fleet.RequestID(r.caller.id), Attempt: open.Attempt, Method: request.Method, Target: request.URL.RequestURI(),
 		ContentType: request.Header.Get("Content-Type"), Accept: request.Header.Get("Accept"), Key: r.key, Body: r.body,
-		Repeatable: r.route.Repeatable,
+		Repeatable: r.route.Repeatable, MayStart: r.mayStart,
 	})
 	if err != nil {
 		broken := brokenBy(open.Connection, err)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || !r.mayStart() {
 			broken.Final = true
 		}
 		return broken
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -133,6 +133,60 @@
 	}
 }
 
+// pausedGuard grants, and moves the clock on before the gateway goes on: the
+// process was paused after its keepers had answered.
+type pausedGuard struct {
+	*fakeGuard
+	offset *atomic.Int64
+	pause  time.Duration
+}
+
+func (p *pausedGuard) Acquire(ctx context.Context, request claim.Request) claim.Decision {
+	decision := p.fakeGuard.Acquire(ctx, request)
+	p.offset.Store(int64(p.pause))
+	return decision
+}
+
+// TestGrantDoesNotOutliveAPause: the keepers keep a key only for calls that are
+// sent soon after the grant. One that comes out of a pause later may meet
+// another that was granted the key since, whatever its own deadline is.
+func TestGrantDoesNotOutliveAPause(t *testing.T) {
+	tests := map[string]struct {
+		pause time.Duration
+		sent  int32
+		told  claim.Outcome
+	}{
+		"short": {time.Second, 1, claim.Ran},
+		"long":  {claim.StartTimeout, 0, claim.NotRun},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var offset atomic.Int64
+			guard := newFakeGuard(claim.Decision{Verdict: claim.Granted, Attempt: "a1"})
+			h := newHarness(t, func(options *Options) {
+				options.Guard = &pausedGuard{fakeGuard: guard, offset: &offset, pause: test.pause}
+				options.Now = func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }
+			})
+			h.catalog.service.Deadline = time.Hour
+			var sent atomic.Int32
+			h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) {
+				sent.Add(1)
+				writer.WriteHeader(http.StatusNoContent)
+			}))
+			got := h.do(http.MethodPost, "/turbines/7/stop", "now", backend.HeaderIdempotencyKey, "k")
+			if told := <-guard.outcomes; told != test.told || sent.Load() != test.sent {
+				t.Errorf("keepers were told %v, sent %d times", told, sent.Load())
+			}
+			if test.sent == 0 && (got.status != http.StatusServiceUnavailable || got.problem.Outcome != attempt.OutcomeNotRun) {
+				t.Errorf("the caller was told %d %+v", got.status, got.problem)
+			}
+			if guard.request.Window < 50*time.Minute {
+				t.Errorf("the key is kept for %s, the call may run for an hour", guard.request.Window)
+			}
+		})
+	}
+}
+
 func deadAddress(t *testing.T) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/node/claim_guard.go
+++ b/internal/node/claim_guard.go
@@ -14,7 +14,8 @@
 type granted struct {
 	asked    []claim.Seat
 	complete claim.Complete
-	since    time.Time
+	// until is when an attempt that nobody completed is dropped.
+	until time.Time
 }
 
 const (
@@ -24,7 +25,8 @@
 	completeTimeout = 10 * time.Second
 	// completeRetry is the time between two tries to tell a keeper.
 	completeRetry = 250 * time.Millisecond
-	// forgottenAttempt is when an attempt that nobody completed is dropped.
+	// forgottenAttempt is how long after its deadline an attempt that nobody
+	// completed is dropped.
 	forgottenAttempt = 10 * time.Minute
 	noTableRetry     = time.Second
 )
@@ -52,7 +54,7 @@
 	c.takeSlots([]claim.Slot{finish.Slot})
 	switch finish.Decision.Verdict {
 	case claim.Granted:
-		c.remember(attempt, request, finish)
+		c.remember(ctx, attempt, request, finish)
 	case claim.NoMajority:
 		c.wakeTable()
 	}
@@ -125,18 +127,22 @@
 	return decodeGrantReply(response)
 }
 
-func (c *Claims) remember(attempt string, request claim.Request, finish claim.Finish) {
+func (c *Claims) remember(ctx context.Context, attempt string, request claim.Request, finish claim.Finish) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := time.Now()
 	for name, other := range c.attempts {
-		if now.Sub(other.since) > forgottenAttempt {
+		if now.After(other.until) {
 			delete(c.attempts, name)
 		}
 	}
+	end := now
+	if deadline, found := ctx.Deadline(); found && deadline.After(now) {
+		end = deadline
+	}
 	c.attempts[attempt] = granted{
 		asked: finish.Asked,
-		since: now,
+		until: end.Add(forgottenAttempt),
 		complete: claim.Complete{
 			Key:         request.Key,
 			Fingerprint: request.Fingerprint,
