--- a/internal/operator/docs_test.go
+++ b/internal/operator/docs_test.go
@@ -43,7 +43,7 @@
 	eventPatterns = []*regexp.Regexp{
 		regexp.MustCompile(`\.Msg\("([^"]*)"\)`),
 		regexp.MustCompile(`logFailure\("([^"]*)"`),
-		regexp.MustCompile(`Str\("event", "([^"]*)"\)`),
+		regexp.MustCompile(`(?m)^const event\w+ = "([^"]*)"`),
 		regexp.MustCompile(`outageEvents\{failed: "([^"]*)"`),
 		regexp.MustCompile(`outageEvents\{.*recovered: "([^"]*)"`),
 	}
@@ -92,11 +92,7 @@
 			}
 			for _, pattern := range eventPatterns {
 				for _, match := range pattern.FindAllStringSubmatch(string(source), -1) {
-					// The gateway still gives its event as a field of an empty message.
-					if folder == "../gateway" && match[1] == "" {
-						continue
-					}
-					if folder != "../gateway" && !eventName.MatchString(match[1]) {
+					if !eventName.MatchString(match[1]) {
 						t.Errorf("%s: the event %q has no name in snake_case", file, match[1])
 					}
 					logged[match[1]] = file
