--- a/internal/operator/docs_test.go
+++ b/internal/operator/docs_test.go
@@ -3,9 +3,14 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"regexp"
 	"strings"
 	"testing"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
 // TestOperationsPageNamesEveryCodeAndMetric holds the page against the source:
@@ -38,6 +43,30 @@
 	}
 }
 
+// TestOperationsPageNamesEveryFieldOfTheJSON holds the page's table for scripts
+// against what the commands print.
+func TestOperationsPageNamesEveryFieldOfTheJSON(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, section, _ := strings.Cut(string(page), "### JSON for scripts")
+	section, _, _ = strings.Cut(section, "\n### ")
+	for _, printed := range []any{
+		Status{}, ZoneStatus{}, ModelStatus{}, QueueStatus{}, fleet.Member{}, fleet.Addresses{},
+		WaitResult{}, Lacking{}, ApplyResult{}, Applied{}, Difference{}, FieldChange{}, DrainReport{},
+		platform.ObjectList{}, spec.Finding{}, spec.Position{},
+	} {
+		kind := reflect.TypeOf(printed)
+		for index := range kind.NumField() {
+			name, _, _ := strings.Cut(kind.Field(index).Tag.Get("json"), ",")
+			if name != "" && !strings.Contains(section, "`"+name+"`") {
+				t.Errorf("docs/operations.md does not name %s of %s", name, kind)
+			}
+		}
+	}
+}
+
 var (
 	// eventPatterns find the names of events as the source gives them.
 	eventPatterns = []*regexp.Regexp{
