Bound what a peer's numbers can do to the table of keepers

Cause: fuzzing peers' messages found that a slot with the index 2^30 in an answer makes the table grow to as many slots, though calls were checked for this; and that a span of 2^62 ms wraps round to 1 ms, so that a record would be forgotten at once. No node sends either; another build, or a damaged process, may. Ruled out: the checks at each decoder: answers come by four ways and all end in takeSlots. Change: takeSlots leaves out indexes that no table has; spans are kept as long as can be; rounding up does not overflow. Conclusion: numbers out of range cost nothing and shorten no record.

--- a/internal/node/claim_shell.go
+++ b/internal/node/claim_shell.go
@@ -270,7 +270,7 @@
 // takeSlots merges newer slots and tells the keeper of them.
 func (c *Claims) takeSlots(slots []claim.Slot) {
 	c.mutex.Lock()
-	merged, newer := c.table.Merge(slots)
+	merged, newer := c.table.Merge(usableSlots(slots))
 	c.table = merged
 	c.mutex.Unlock()
 	for _, slot := range newer {
--- a/internal/node/claim_wire.go
+++ b/internal/node/claim_wire.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/claim"
@@ -52,6 +54,14 @@
 	return slot
 }
 
+// usableSlots leaves out what no table has: each index up to the largest takes
+// memory in a table.
+func usableSlots(slots []claim.Slot) []claim.Slot {
+	return slices.DeleteFunc(slices.Clone(slots), func(slot claim.Slot) bool {
+		return slot.Index < 0 || slot.Index > maxSlotIndex
+	})
+}
+
 func encodeAnswer(answer *claim.Answer) *peerpb.StoredAnswer {
 	if answer == nil {
 		return nil
@@ -214,11 +224,20 @@
 	return reply
 }
 
+// mostMillis is the longest span that a time.Duration holds.
+const mostMillis = int64(math.MaxInt64 / time.Millisecond)
+
+// milliseconds keeps a span that is too long as long as can be: wrapped round,
+// a record would be forgotten at once.
 func milliseconds(count int64) time.Duration {
-	return time.Duration(count) * time.Millisecond
+	return time.Duration(max(-mostMillis, min(count, mostMillis))) * time.Millisecond
 }
 
 // roundUp never makes a record's life shorter.
 func roundUp(duration time.Duration) int64 {
-	return (duration + time.Millisecond - 1).Milliseconds()
+	whole := duration.Milliseconds()
+	if duration%time.Millisecond > 0 {
+		whole++
+	}
+	return whole
 }
