Leave out stored objects whose figures cannot be used

Cause: fuzzing the compiler of stored objects found that it takes what apply never writes but others may: a model with negative memory, which would make room for others in the reckoning of placement, negative deadlines and windows of keys, a coldStartWeight of -7. Ruled out: the whole check of declarations, which looks across objects and would leave out what only a newer check complains of. Change: figures out of their bounds are a reason to leave an object out, logged as object_left_out like all others.

--- /dev/null
+++ b/internal/catalog/bounds.go
@@ -0,0 +1,52 @@
+package catalog
+
+import "github.com/spanlanding/spanlanding/internal/spec"
+
+// outOfBounds returns why the figures of a decoded spec cannot be used, or
+// nothing. apply lets none of these into the store; others write there too,
+// and a model of negative memory would make room for another.
+func outOfBounds(value any) string {
+	switch declared := value.(type) {
+	case spec.Model:
+		return modelOutOfBounds(declared)
+	case spec.Adapter:
+		return reasonIf(declared.Memory < 0, "memory is negative")
+	case spec.Deployment:
+		for _, version := range declared.Versions {
+			if version.Weight < 0 {
+				return "a weight is negative"
+			}
+		}
+	case spec.Selector:
+		return reasonIf(declared.Deadline < 0 || negative(declared.Limits), "the deadline or a limit is negative")
+	case spec.Service:
+		return reasonIf(declared.Deadline < 0 || declared.KeyWindow < 0 || negative(declared.Limits),
+			"the deadline, the keyWindow or a limit is negative")
+	case spec.Capacity:
+		return reasonIf(declared.Replicas < 0, "replicas is negative")
+	case spec.Preferences:
+		return reasonIf(declared.ColdStartWeight < 0 || declared.ColdStartWeight > 1, "coldStartWeight is not between 0 and 1")
+	}
+	return ""
+}
+
+func modelOutOfBounds(model spec.Model) string {
+	for _, version := range model.Versions {
+		if version.Memory < 0 || version.Checkpoint < 0 {
+			return "memory or checkpoint of a version is negative"
+		}
+	}
+	return reasonIf(model.Replicas.Min < 0 || model.Replicas.Max < 0 || model.ContextTokens < 0,
+		"a bound of replicas or contextTokens is negative")
+}
+
+func negative(limits spec.Limits) bool {
+	return limits.RequestsPerSecond < 0 || limits.Concurrency < 0
+}
+
+func reasonIf(holds bool, reason string) string {
+	if !holds {
+		return ""
+	}
+	return reason
+}
--- a/internal/catalog/compile.go
+++ b/internal/catalog/compile.go
@@ -193,6 +193,8 @@
 	}
 	if err != nil {
 		decoded.reason = err.Error()
+	} else {
+		decoded.reason = outOfBounds(decoded.value)
 	}
 	return decoded
 }
