Hedge the wait for the first token, off by default

Ruled out: a time-out for the first token, which throws away the place in a busy engine's line; hedging what is not repeatable.

Change: with Options.HedgeAfter set, a repeatable request that has had no chunk for that long asks once for a second back end. The first chunk decides; the other attempt is cancelled. A former one that lost counts as failed to routing, or a silent engine would be asked again and again. The lab's node hedges only where nothing waits for the room, and within the retry budget. Drawn schedules race two connections.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -28,6 +28,9 @@
 	// ResumeTimeout bounds the time until a resume brings its first chunk: an
 	// engine that still has the answer brings it within an iteration or two.
 	ResumeTimeout time.Duration
+	// HedgeAfter is how long a repeatable request waits for its first token
+	// until it is sent to a second back end as well; zero is never.
+	HedgeAfter time.Duration
 	// ContinueTimeout bounds the search for another back end once tokens have
 	// been delivered.
 	ContinueTimeout time.Duration
@@ -96,9 +99,15 @@
 	phase      phase
 	backend    fleet.BackendName
 	attempt    int
-	refusals   int
 	connection int
-	resumes    int
+	// attempts and connections count all that were made.
+	attempts, connections int
+	refusals              int
+	resumes               int
+	// rival is the second connection of a hedged request.
+	rival   *side
+	hedged  bool
+	hedgeAt time.Time
 	// next is the sequence number of the next token.
 	next      int
 	kept      []string
@@ -137,6 +146,8 @@
 	switch message := message.(type) {
 	case Assigned:
 		c.assigned(now, message.Backend)
+	case HedgeAssigned:
+		c.hedgeAssigned(message.Backend)
 	case Unassigned:
 		c.unassigned(message)
 	case *Chunk:
@@ -160,6 +171,9 @@
 	if c.phase == phaseDone {
 		return time.Time{}
 	}
+	if c.phase == phaseConnected && c.next == 0 && !c.hedgeAt.IsZero() && c.hedgeAt.Before(c.wake) {
+		return c.hedgeAt
+	}
 	return c.wake
 }
 
@@ -179,11 +193,16 @@
 	c.phase = phaseConnected
 	c.cancelFormer(backend)
 	c.backend = backend
-	c.attempt++
-	c.connection++
+	c.attempts++
+	c.connections++
+	c.attempt, c.connection = c.attempts, c.connections
 	c.resumes = 0
 	c.last = Broken{}
 	c.wake = c.bound(now)
+	c.hedgeAt = time.Time{}
+	if c.mayHedge() && !c.hedged {
+		c.hedgeAt = now.Add(c.options.HedgeAfter)
+	}
 	c.emit(Open{Connection: c.connection, Attempt: c.attempt, Backend: backend, ContinueFrom: c.kept})
 }
 
@@ -196,10 +215,12 @@
 }
 
 func (c *Core) tick(now time.Time) {
+	c.hedge(now)
 	if now.Before(c.wake) {
 		return
 	}
 	if c.phase == phaseAssigning || c.next == 0 {
+		c.dropRival()
 		if c.phase == phaseConnected {
 			c.last = Broken{Evidence: MaySent, Detail: "no token came before the deadline"}
 			c.cancel()
@@ -213,6 +234,7 @@
 }
 
 func (c *Core) callerGone() {
+	c.dropRival()
 	if c.phase == phaseConnected {
 		c.cancel()
 		c.ran = max(c.ran, exposedUnknown)
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -38,6 +38,10 @@
 			shown = append(shown, fmt.Sprintf("cancel %s #%d", effect.Backend, effect.Attempt))
 		case Reassign:
 			shown = append(shown, fmt.Sprintf("reassign without %v", effect.Exclude))
+		case Hedge:
+			shown = append(shown, fmt.Sprintf("hedge without %v", effect.Exclude))
+		case Drop:
+			shown = append(shown, fmt.Sprintf("drop %d blamed %t", effect.Connection, effect.Broken.Evidence != 0))
 		case *Deliver:
 			shown = append(shown, effect.Text)
 		case Finish:
--- a/internal/attempt/message.go
+++ b/internal/attempt/message.go
@@ -12,6 +12,10 @@
 // Assigned names the back end of the next attempt.
 type Assigned struct{ Backend fleet.BackendName }
 
+// HedgeAssigned names the second back end of a request that waits for its first
+// token.
+type HedgeAssigned struct{ Backend fleet.BackendName }
+
 // Unassigned says that no back end will be had: the request was refused while
 // it waited, or the retry budget is spent.
 type Unassigned struct {
@@ -78,14 +82,15 @@
 // Tick is wanted at NextWake.
 type Tick struct{}
 
-func (Assigned) isMessage()   {}
-func (Unassigned) isMessage() {}
-func (*Chunk) isMessage()     {}
-func (Ended) isMessage()      {}
-func (Answered) isMessage()   {}
-func (Broken) isMessage()     {}
-func (CallerGone) isMessage() {}
-func (Tick) isMessage()       {}
+func (Assigned) isMessage()      {}
+func (Unassigned) isMessage()    {}
+func (HedgeAssigned) isMessage() {}
+func (*Chunk) isMessage()        {}
+func (Ended) isMessage()         {}
+func (Answered) isMessage()      {}
+func (Broken) isMessage()        {}
+func (CallerGone) isMessage()    {}
+func (Tick) isMessage()          {}
 
 // Effect is an output of the core.
 type Effect interface{ isEffect() }
@@ -125,6 +130,17 @@
 	Unspent bool
 }
 
+// Hedge asks for a second back end beside the present one, within the retry
+// budget. HedgeAssigned answers it; where there is none, nothing does.
+type Hedge struct{ Exclude []fleet.BackendName }
+
+// Drop ends one connection of a hedged request while the other goes on. Broken
+// is what its back end is to be blamed for; without evidence it is nothing.
+type Drop struct {
+	Connection int
+	Broken     Broken
+}
+
 // Deliver hands the next token to the caller.
 type Deliver struct{ Text string }
 
@@ -167,5 +183,7 @@
 func (Resume) isEffect()   {}
 func (Cancel) isEffect()   {}
 func (Reassign) isEffect() {}
+func (Hedge) isEffect()    {}
+func (Drop) isEffect()     {}
 func (*Deliver) isEffect() {}
 func (Finish) isEffect()   {}
--- a/internal/attempt/outcome.go
+++ b/internal/attempt/outcome.go
@@ -40,12 +40,12 @@
 func (c *Core) giveUp(code, detail string) {
 	c.phase = phaseDone
 	c.emit(Finish{Outcome: c.outcome(), Code: code, Detail: detail, Status: c.last.Status,
-		RetryAfter: c.last.RetryAfter, Delivered: c.next, Attempts: c.attempt})
+		RetryAfter: c.last.RetryAfter, Delivered: c.next, Attempts: c.attempts})
 }
 
 func (c *Core) succeed(reason string) {
 	c.phase = phaseDone
-	c.emit(Finish{Outcome: OutcomeOK, Reason: reason, Delivered: c.next, Attempts: c.attempt})
+	c.emit(Finish{Outcome: OutcomeOK, Reason: reason, Delivered: c.next, Attempts: c.attempts})
 }
 
 func (c *Core) unassigned(message Unassigned) {
@@ -55,5 +55,5 @@
 	c.cancelFormer("")
 	c.phase = phaseDone
 	c.emit(Finish{Outcome: c.outcome(), Code: message.Code, Detail: message.Detail, Status: c.last.Status,
-		RetryAfter: message.RetryAfter, Delivered: c.next, Attempts: c.attempt})
+		RetryAfter: message.RetryAfter, Delivered: c.next, Attempts: c.attempts})
 }
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -6,6 +6,9 @@
 )
 
 func (c *Core) broken(now time.Time, broken Broken) {
+	if c.lostSide(broken) {
+		return
+	}
 	if broken.Connection != c.connection || c.phase != phaseConnected {
 		return
 	}
@@ -21,7 +24,8 @@
 	c.last = broken
 	if c.mayResume(broken) {
 		c.resumes++
-		c.connection++
+		c.connections++
+		c.connection = c.connections
 		c.wake = now.Add(min(c.options.ResumeTimeout, c.options.StallTimeout))
 		c.emit(Resume{Connection: c.connection, Attempt: c.attempt, Backend: c.backend, From: c.next})
 		return
@@ -57,7 +61,7 @@
 }
 
 func (c *Core) mayRetry(now time.Time, broken Broken) bool {
-	if broken.Final || c.attempt-c.refusals >= c.options.MaxAttempts || c.refusals >= c.options.MaxRefusals {
+	if broken.Final || c.attempts-c.refusals >= c.options.MaxAttempts || c.refusals >= c.options.MaxRefusals {
 		return false
 	}
 	if c.next == 0 && !now.Before(c.options.Deadline) {
@@ -78,7 +82,7 @@
 // backoff doubles with each attempt, with jitter, and leaves time before the
 // deadline.
 func (c *Core) backoff(now time.Time) time.Duration {
-	full := min(backoffMin<<min(c.attempt-1, maxBackoffSteps), backoffMax)
+	full := min(backoffMin<<min(c.attempts-1, maxBackoffSteps), backoffMax)
 	wait := full/2 + time.Duration(c.random.Int64N(int64(full/2)))
 	return min(wait, max(0, c.wake.Sub(now)/2))
 }
--- a/internal/attempt/schedule_test.go
+++ b/internal/attempt/schedule_test.go
@@ -19,6 +19,10 @@
 	repeatable bool
 	// open is the connection in use, 0 for none.
 	open, attempt, sent int
+	// other is the second connection of a hedged request; hedging is set while
+	// a back end is asked for.
+	other   *world
+	hedging bool
 	// executions counts attempts that ran at a back end.
 	executions int
 	answer     string
@@ -43,10 +47,20 @@
 	for _, effect := range w.core.Step(w.now, message) {
 		switch effect := effect.(type) {
 		case Open:
+			if w.open != 0 && w.hedging {
+				w.other = &world{open: effect.Connection, attempt: effect.Attempt}
+				w.hedging = false
+				w.executions++
+				continue
+			}
 			w.open, w.attempt, w.sent = effect.Connection, effect.Attempt, len(effect.ContinueFrom)
 			w.assigning = false
 		case Resume:
 			w.open, w.sent = effect.Connection, effect.From
+		case Hedge:
+			w.hedging = true
+		case Drop:
+			w.drop(effect.Connection)
 		case Reassign:
 			w.open, w.assigning = 0, true
 		case *Deliver:
@@ -57,6 +71,26 @@
 	}
 }
 
+func (w *world) drop(connection int) {
+	switch {
+	case w.other == nil:
+		w.report("connection %d dropped without another", connection)
+	case connection == w.open:
+		w.swap()
+	case connection != w.other.open:
+		w.report("connection %d dropped, which is not open", connection)
+	}
+	w.other = nil
+}
+
+// swap lets the other connection act next.
+func (w *world) swap() {
+	if w.other != nil {
+		w.open, w.attempt, w.sent, w.other.open, w.other.attempt, w.other.sent =
+			w.other.open, w.other.attempt, w.other.sent, w.open, w.attempt, w.sent
+	}
+}
+
 func (w *world) chunk(sequence int) *Chunk {
 	made := &Chunk{Connection: w.open, RequestID: "r1", Attempt: w.attempt, Sequence: sequence, Text: fmt.Sprint(sequence, " ")}
 	if sequence >= w.tokens {
@@ -97,12 +131,13 @@
 	if !w.repeatable {
 		w.tokens = 0
 	}
+	options.HedgeAfter = time.Duration(rapid.IntRange(0, 3).Draw(t, "hedge")) * time.Second
 	w.core = New(options)
 	for range 80 {
 		if w.finish != nil {
 			break
 		}
-		w.act(t, rapid.SampledFrom([]string{"next", "next", "next", "old", "crossed", "skip", "late", "end", "break", "wait"}).Draw(t, "act"))
+		w.act(t, rapid.SampledFrom([]string{"next", "next", "next", "old", "crossed", "skip", "late", "end", "break", "wait", "hedge", "swap"}).Draw(t, "act"))
 	}
 	for w.finish == nil && !w.core.NextWake().IsZero() {
 		w.now = w.core.NextWake()
@@ -152,6 +187,12 @@
 		w.step(Ended{w.open, rapid.Bool().Draw(t, "terminated")})
 	case "break":
 		w.step(Broken{Connection: w.open, Evidence: MaySent})
+	case "hedge":
+		if w.hedging {
+			w.step(HedgeAssigned{"e4"})
+		}
+	case "swap":
+		w.swap()
 	case "wait":
 		w.now = w.now.Add(time.Duration(rapid.IntRange(0, 12).Draw(t, "seconds")) * time.Second)
 		w.step(Tick{})
--- a/internal/attempt/stream.go
+++ b/internal/attempt/stream.go
@@ -6,6 +6,7 @@
 // crossed or duplicated one is dropped and counted, and a gap breaks the
 // connection so that what is missing is asked for again.
 func (c *Core) chunk(now time.Time, chunk *Chunk) {
+	c.settle(chunk)
 	if c.options.Defects.NoSequenceCheck {
 		c.take(now, chunk)
 		return
@@ -55,6 +56,9 @@
 // ended takes the end of a stream. Only the finish chunk, whose sequence
 // number proves that no token is missing, makes the answer whole.
 func (c *Core) ended(now time.Time, ended Ended) {
+	if c.lostSide(Broken{Connection: ended.Connection, Evidence: MaySent, Detail: "the answer ended before it was whole"}) {
+		return
+	}
 	if ended.Connection != c.connection || c.phase != phaseConnected {
 		return
 	}
--- a/internal/lab/requestpath/node.go
+++ b/internal/lab/requestpath/node.go
@@ -26,6 +26,8 @@
 	pending  map[uint64]*request
 	assigned map[uint64]time.Time
 	misses   map[uint64]int
+	// hedges ask for a second back end.
+	hedges map[uint64]*request
 }
 
 func newNode(world *world, index int, zone fleet.Zone, budget bool, seed uint64) *node {
@@ -36,6 +38,7 @@
 		pending:  make(map[uint64]*request),
 		assigned: make(map[uint64]time.Time),
 		misses:   make(map[uint64]int),
+		hedges:   make(map[uint64]*request),
 	}
 	if budget {
 		created.budget = attempt.NewBudget(attempt.DefaultRetryShare, attempt.DefaultRetryBurst)
@@ -134,6 +137,21 @@
 	n.alarm.arm()
 }
 
+// hedge looks for a second back end: only where none waits for the room, and
+// within the budget.
+func (n *node) hedge(r *request, exclude []fleet.BackendName) {
+	items, _ := n.queue.Waiting()
+	free := slices.ContainsFunc(n.routing.Rooms(n.world.clock.now, model).Rooms, func(room routing.Room) bool {
+		return room.Free > 0 && !slices.Contains(exclude, room.Name)
+	})
+	if items > 0 || !free || n.budget != nil && !n.budget.Spend() {
+		return
+	}
+	n.world.tickets++
+	n.hedges[n.world.tickets] = r
+	n.stepRouting(routing.Pick{Ticket: routing.Ticket(n.world.tickets), Model: model, Exclude: exclude})
+}
+
 func (n *node) release(ticket uint64) {
 	if waiting := n.pending[ticket]; waiting != nil {
 		n.stepRouting(routing.Pick{Ticket: routing.Ticket(ticket), Model: model, Exclude: waiting.exclude})
@@ -141,6 +159,12 @@
 }
 
 func (n *node) picked(ticket uint64, name fleet.BackendName) {
+	if hedged := n.hedges[ticket]; hedged != nil {
+		delete(n.hedges, ticket)
+		n.assigned[ticket] = n.world.clock.now
+		hedged.hedged(ticket, n.world.server(name))
+		return
+	}
 	waiting := n.pending[ticket]
 	if waiting == nil {
 		return
@@ -156,6 +180,7 @@
 const maxMisses = 5
 
 func (n *node) nonePicked(ticket uint64) {
+	delete(n.hedges, ticket)
 	waiting := n.pending[ticket]
 	if waiting == nil {
 		return
--- a/internal/lab/requestpath/request.go
+++ b/internal/lab/requestpath/request.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// leg is one back end's part in a request.
+type leg struct {
+	ticket uint64
+	server *server
+	link   *connection
+	opened time.Time
+}
+
 // request drives the attempt core of one call, as the gateway does.
 type request struct {
 	call  *call
@@ -51,17 +59,16 @@
 	core  *attempt.Core
 	alarm alarm
 
-	ticket  uint64
-	server  *server
-	link    *connection
-	opened  time.Time
+	leg
+	// rival is the second leg of a hedged request.
+	rival   *leg
 	began   bool
 	exclude []fleet.BackendName
 }
 
 func (r *request) start(seed uint64) {
 	r.core = attempt.New(attempt.Options{RequestID: r.call.id, Deadline: r.call.deadline,
-		Repeatable: true, Resumable: true, Seed: seed})
+		Repeatable: true, Resumable: true, HedgeAfter: r.node.world.layout.hedgeAfter, Seed: seed})
 	r.alarm = alarm{clock: &r.node.world.clock, want: r.wake, ring: func() { r.take(attempt.Tick{}) }}
 	r.node.submit(r, attempt.Reassign{})
 }
@@ -83,18 +90,25 @@
 		case attempt.Open:
 			r.call.attempts++
 			r.node.world.opened(now)
-			r.opened, r.began = now, false
 			request := r.call.engineRequest(effect.Attempt, len(effect.ContinueFrom), r.call.priority)
-			r.connect(effect.Connection, func(id engine.CallID) engine.Message {
-				return engine.Submit{Call: id, Request: request}
-			})
+			submit := func(id engine.CallID) engine.Message { return engine.Submit{Call: id, Request: request} }
+			if r.rival != nil {
+				r.connect(r.rival, effect.Connection, submit)
+				continue
+			}
+			r.began = false
+			r.connect(&r.leg, effect.Connection, submit)
 		case attempt.Resume:
-			r.connect(effect.Connection, func(id engine.CallID) engine.Message {
+			r.connect(&r.leg, effect.Connection, func(id engine.CallID) engine.Message {
 				return engine.Resume{Call: id, Request: r.call.id, Attempt: effect.Attempt, From: effect.From}
 			})
 		case attempt.Cancel:
 			target := r.node.world.server(effect.Backend)
 			target.cancel(r.node.latency(target), r.call.id, effect.Attempt)
+		case attempt.Hedge:
+			r.node.hedge(r, effect.Exclude)
+		case attempt.Drop:
+			r.drop(effect)
 		case attempt.Reassign:
 			r.endAttempt()
 			r.node.world.clock.after(effect.After, func() { r.node.submit(r, effect) })
@@ -108,9 +122,34 @@
 	r.alarm.arm()
 }
 
-func (r *request) connect(number int, build func(engine.CallID) engine.Message) {
-	r.link = &connection{reader: r, number: number, latency: r.node.latency(r.server)}
-	r.server.call(r.link, build)
+func (r *request) connect(leg *leg, number int, build func(engine.CallID) engine.Message) {
+	leg.opened = r.node.world.clock.now
+	leg.link = &connection{reader: r, number: number, latency: r.node.latency(leg.server)}
+	leg.server.call(leg.link, build)
+}
+
+// hedged has a second back end, which is given back if it is not needed.
+func (r *request) hedged(ticket uint64, server *server) {
+	r.rival = &leg{ticket: ticket, server: server}
+	r.take(attempt.HedgeAssigned{Backend: server.backend.Name})
+	if r.rival != nil && r.rival.link == nil {
+		r.rival = nil
+		r.node.ended(ticket, routing.ResultAbandoned)
+	}
+}
+
+// drop ends one of two legs; the other one is the request's from now on.
+func (r *request) drop(drop attempt.Drop) {
+	dropped := *r.rival
+	if r.link.number == drop.Connection {
+		dropped, r.leg = r.leg, *r.rival
+	}
+	r.rival = nil
+	result := routing.ResultAbandoned
+	if drop.Broken.Evidence != 0 {
+		result = resultOf(drop.Broken)
+	}
+	r.node.ended(dropped.ticket, result)
 }
 
 func (r *request) delivered(now time.Time) {
--- a/internal/lab/requestpath/world.go
+++ b/internal/lab/requestpath/world.go
@@ -37,6 +37,8 @@
 	givesUp bool
 	// budget bounds retries.
 	budget bool
+	// hedgeAfter is zero where nothing is hedged.
+	hedgeAfter time.Duration
 }
 
 // world is one run.
--- a/internal/lab/requestpath/zoneloss.go
+++ b/internal/lab/requestpath/zoneloss.go
@@ -24,10 +24,12 @@
 const (
 	withBudget    = "budget"
 	withoutBudget = "no-budget"
+	withHedging   = "hedge"
 )
 
 const (
 	zoneLossDuration = time.Minute
+	hedgeAfter       = 500 * time.Millisecond
 	lossAt           = 20 * time.Second
 	lossTime         = 20 * time.Second
 	// normalShare of deadlines met counts as normal, for normalSeconds on end.
@@ -63,8 +65,10 @@
 			l.budget = true
 		case withoutBudget:
 			l.budget = false
+		case withHedging:
+			l.hedgeAfter = hedgeAfter
 		default:
-			return fmt.Errorf("policy %q: %q is neither %s nor %s", policy, part, withBudget, withoutBudget)
+			return fmt.Errorf("policy %q: %q is none of %s, %s, %s", policy, part, withBudget, withoutBudget, withHedging)
 		}
 	}
 	return nil
@@ -137,6 +141,7 @@
 			{Metric: "normal again after", Unit: "s", Value: normalAfter(seconds, from)},
 			{Metric: "deadlines met in all", Unit: "%", Value: 100 * float64(outcomes.met) / float64(max(1, len(w.calls)))},
 			{Metric: "answers cut", Unit: "requests", Value: float64(outcomes.cut)},
+			{Metric: "attempts in all", Unit: "attempts/request", Value: float64(len(w.opens)) / float64(max(1, len(w.calls)))},
 			{Metric: "refused", Unit: "requests", Value: float64(outcomes.refused)},
 			{Metric: "longest pause in an answer", Unit: "s", Value: outcomes.pause.Seconds()},
 		},
