Find a stall before the first token's deadline has passed

Cause: the timer of an engine's connection was set to the deadline of the first token and looked at the bound of the next one only when it fired, and that bound was the one before the chunk just taken. An engine that went silent after its first token was so found out at the request's deadline, up to 30 s by default and not 10 s.

Ruled out: a timer set anew for each token, which the token path should not pay.

Change: the bound is set before each read; only one that is sooner than the timer's time moves the timer, which is so once for each request.

--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -21,24 +21,38 @@
 	// wake is when the next chunk must be there, in Unix nanoseconds. It is
 	// moved on with each chunk without touching the timer, which looks again
 	// when it fires.
-	wake  atomic.Int64
-	late  atomic.Bool
-	timer *time.Timer
-	now   func() time.Time
+	wake atomic.Int64
+	// timerAt is when the timer fires, in Unix nanoseconds.
+	timerAt atomic.Int64
+	late    atomic.Bool
+	timer   *time.Timer
+	now     func() time.Time
 }
 
 func newLink(ctx context.Context, number int, wake time.Time, now func() time.Time) *link {
 	created := &link{number: number, now: now}
 	created.ctx, created.stop = context.WithCancel(ctx)
 	created.wake.Store(wake.UnixNano())
+	created.timerAt.Store(wake.UnixNano())
 	created.timer = time.AfterFunc(max(0, wake.Sub(now())), created.expire)
 	return created
 }
 
+// setWake bounds the next chunk. Only a time before the timer's needs the timer:
+// the first token's deadline may be far beyond the bound of the second.
+func (l *link) setWake(at time.Time) {
+	l.wake.Store(at.UnixNano())
+	if at.UnixNano() < l.timerAt.Load() {
+		l.timerAt.Store(at.UnixNano())
+		l.timer.Reset(at.Sub(l.now()))
+	}
+}
+
 // expire ends the connection once the wake time has truly come.
 func (l *link) expire() {
 	left := time.Unix(0, l.wake.Load()).Sub(l.now())
 	if left > 0 {
+		l.timerAt.Store(l.wake.Load())
 		l.timer.Reset(left)
 		return
 	}
@@ -101,11 +115,11 @@
 
 // read waits for the next event of the stream.
 func (r *modelRun) read() attempt.Message {
+	r.link.setWake(r.core.NextWake())
 	err := r.link.stream.Next(&r.chunk)
 	if err == nil {
 		r.piece = attempt.Chunk{Connection: r.link.number, RequestID: r.chunk.RequestID, Attempt: r.chunk.Attempt,
 			Sequence: r.chunk.Sequence, Text: r.chunk.Text, Finish: r.chunk.Finish}
-		r.link.wake.Store(r.core.NextWake().UnixNano())
 		return &r.piece
 	}
 	if errors.Is(err, backend.ErrDone) {
