--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -37,9 +37,9 @@
 	gone     goneState
 
 	now time.Time
-	// placedAt is when placement was stepped last.
-	placedAt time.Time
-	effects  []Effect
+	// placed is set once placement was stepped in this step.
+	placed  bool
+	effects []Effect
 }
 
 // New returns the core of a node that knows nothing yet.
@@ -98,6 +98,7 @@
 func (c *Core) Step(now time.Time, message Message) []Effect {
 	c.now = now
 	c.effects = nil
+	c.placed = false
 	c.take(message)
 	c.stand()
 	c.updateGone()
@@ -152,9 +153,10 @@
 }
 
 // tickPlacement lets placement do what is due. Any message makes it plan, which
-// costs as much as the zone is large, so a tick is left out soon after one.
+// costs as much as the zone is large, so the tick is left out after another one
+// of the same step.
 func (c *Core) tickPlacement() {
-	if c.now.Sub(c.placedAt) >= tickInterval {
+	if !c.placed {
 		c.stepPlacement(placement.Tick{})
 	}
 }
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -51,7 +51,7 @@
 
 // stepPlacement feeds the placement core and carries its effects on.
 func (c *Core) stepPlacement(message placement.Message) {
-	c.placedAt = c.now
+	c.placed = true
 	for _, effect := range c.placement.Step(c.now, message) {
 		switch effect := effect.(type) {
 		case placement.SendOrder:
