Await the answer to a first digest before asking another peer

Cause: a node without configuration put its digest to another peer each 250 ms, answered or not. Each answer holds everything: with 8,700 adapters 17,416 objects. A fleet that starts on a busy machine so sent everything many times over, and the nodes' memory stayed as large as that.

Ruled out: fewer first digests throughout: a peer that holds nothing itself should cost 250 ms, not more.

Change: while a first digest is unanswered the next one goes out after 2 s, at once (250 ms) where it failed or the peer holds nothing. The same for the machine list.

--- a/internal/configsync/machines.go
+++ b/internal/configsync/machines.go
@@ -236,6 +236,7 @@
 	c.machines.digestAt = now.Add(c.digestInterval(c.machines.loaded))
 	if member, found := c.drawPeer(c.machines.loaded); found {
 		c.emit(SendDigest{To: member, Digest: c.machineDigest()})
+		c.awaitFirst(now, c.machines.loaded, &c.machines.digestAt)
 	}
 }
 
@@ -244,6 +245,7 @@
 	newer := answer.Loaded && (!c.machines.loaded || answer.Changes.Version > c.machines.asOf)
 	switch {
 	case !newer:
+		c.retryFirst(now, c.machines.loaded, &c.machines.digestAt)
 	case answer.Same && answer.Hash == c.machines.hash:
 		c.machines.asOf = answer.Changes.Version
 	case answer.Full:
--- a/internal/configsync/spread.go
+++ b/internal/configsync/spread.go
@@ -105,6 +105,26 @@
 	c.spread.digestAt = now.Add(c.objectDigestInterval())
 	if member, found := c.drawPeer(c.objects.loaded); found {
 		c.sendDigest(member, false)
+		c.awaitFirst(now, c.objects.loaded, &c.spread.digestAt)
+	}
+}
+
+// firstDigestPatience is how many retries an unanswered first digest takes the
+// place of. Its answer holds everything, and asking on meanwhile would bring
+// everything again and again.
+const firstDigestPatience = 8
+
+// awaitFirst leaves time for the answer to a first digest.
+func (c *Core) awaitFirst(now time.Time, loaded bool, digestAt *time.Time) {
+	if !loaded {
+		*digestAt = now.Add(c.jitter(firstDigestPatience * c.options.FirstDigestRetry))
+	}
+}
+
+// retryFirst asks another peer soon, where the first digest brought nothing.
+func (c *Core) retryFirst(now time.Time, loaded bool, digestAt *time.Time) {
+	if soon := now.Add(c.jitter(c.options.FirstDigestRetry)); !loaded && digestAt.After(soon) {
+		*digestAt = soon
 	}
 }
 
@@ -202,6 +222,7 @@
 
 func (c *Core) digestAnswered(now time.Time, message DigestAnswered) {
 	if !message.Answer.Loaded {
+		c.retryFirst(now, c.objects.loaded, &c.spread.digestAt)
 		return
 	}
 	from, found := c.peerNamed(message.From)
@@ -242,8 +263,9 @@
 
 // digestFailed draws another peer soon while nothing is in force.
 func (c *Core) digestFailed(now time.Time, message DigestFailed) {
-	soon := now.Add(c.options.FirstDigestRetry)
-	if message.Space == SpaceObjects && !c.objects.loaded && c.spread.digestAt.After(soon) {
-		c.spread.digestAt = soon
+	if message.Space == SpaceObjects {
+		c.retryFirst(now, c.objects.loaded, &c.spread.digestAt)
+	} else {
+		c.retryFirst(now, c.machines.loaded, &c.machines.digestAt)
 	}
 }
