Measure one point at which several variables differ from the base

Cause: lines of one variable at a time cannot show what several do together, as the members of a zone and its engines do in what a leader sends.

--- a/internal/lab/scale/fit_test.go
+++ b/internal/lab/scale/fit_test.go
@@ -72,3 +72,20 @@
 func appendNumber(to []byte, field protowire.Number, value uint64) []byte {
 	return protowire.AppendVarint(protowire.AppendTag(to, field, protowire.VarintType), value)
 }
+
+func TestAPointChangesSeveralVariables(t *testing.T) {
+	point, err := ParsePoint("zones=2,nodes=50,requests=7.5")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Base()
+	want.Zones, want.NodesPerZone, want.RequestsPerSecond = 2, 50, 7.5
+	if got := point.apply(Base(), 1); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	for _, wrong := range []string{"", "planets=2", "zones", "zones=-1"} {
+		if _, err := ParsePoint(wrong); err == nil {
+			t.Errorf("%q was taken", wrong)
+		}
+	}
+}
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -32,12 +32,31 @@
 		fmt.Fprintf(table, "%s\t%g\t%d\t%.3g\t%.2f\t%.1f\t%+v\n", point.Variable, point.Value, measured.Nodes,
 			measured.ProcessCores, measured.Unlabelled, measured.SettledSeconds, measured.Load)
 	}
+	writePoints(table, result.Points)
 	for _, failure := range result.Errors {
 		fmt.Fprintf(table, "NOT MEASURED %s\n", failure)
 	}
 	return table.Flush()
 }
 
+// writePoints writes the roles' figures of points that are on no line.
+func writePoints(to io.Writer, points []Point) {
+	for _, point := range points {
+		if point.Variable != PointVariable {
+			continue
+		}
+		fmt.Fprintln(to, "\nrole\tfigure\tmeasured")
+		for _, role := range Roles() {
+			figures := point.Measurement.Roles[role]
+			for _, figure := range fittedFigures(role) {
+				if value, found := figures[figure]; found {
+					fmt.Fprintf(to, "%s\t%s\t%.4g\n", role, figure, value)
+				}
+			}
+		}
+	}
+}
+
 func series(values []float64) string {
 	text := ""
 	for index, value := range values {
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -121,3 +123,29 @@
 	}
 	return chosen, nil
 }
+
+// PointVariable is the name of the one point that ParsePoint gives.
+const PointVariable = "point"
+
+// ParsePoint reads values of variables, such as "zones=2,nodes=50", into one
+// point at which all of them differ from the base.
+func ParsePoint(text string) (Variable, error) {
+	var changes []func(*Setup)
+	for pair := range strings.SplitSeq(text, ",") {
+		name, number, _ := strings.Cut(pair, "=")
+		chosen, err := Chosen([]string{name})
+		if err != nil {
+			return Variable{}, err
+		}
+		value, err := strconv.ParseFloat(number, 64)
+		if err != nil || value < 0 {
+			return Variable{}, fmt.Errorf("%q is no value of %s", number, name)
+		}
+		changes = append(changes, func(setup *Setup) { chosen[0].set(setup, value) })
+	}
+	return Variable{Name: PointVariable, Unit: text, Values: []float64{1}, set: func(setup *Setup, _ float64) {
+		for _, change := range changes {
+			change(setup)
+		}
+	}}, nil
+}
