Take a zone for silent after three heartbeats, not two

Cause: the gap between two heartbeats is up to 1.1 s (5.1 s between zones), so one that was late or lost made every node of a zone pull its whole table. Prints of each pull showed gaps of 2.02 to 2.09 s and of 10.05 to 12.08 s.

Ruled out: lost changes as the cause: those are pulled by the sequence they build on, and were few and at the start.

Change: three heartbeats, as leadership takes a leader for silent after 3 s.

--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -111,7 +111,7 @@
 }
 
 // silentBeats is how many heartbeats may pass without news of a table.
-const silentBeats = 2
+const silentBeats = 3
 
 // lacksTable reports whether a zone that has members has no table here, or one
 // that was not heard of for long.
