--- /dev/null
+++ b/test/faults/actions_test.go
@@ -0,0 +1,91 @@
+package faults
+
+import (
+	"context"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/peer"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+)
+
+// pauseLeader stops the leader of a zone once an order of its was taken.
+func (f *testFleet) pauseLeader(zone fleet.Zone) *testNode {
+	f.Helper()
+	f.awaitLoading(f.enginesOf(zone))
+	leader := f.leaderOf(zone)
+	f.pause(leader)
+	return leader
+}
+
+// awaitSuccessor waits until the other node of the zone leads and an engine
+// has granted it a claim.
+func (f *testFleet) awaitSuccessor(former *testNode) *testNode {
+	f.Helper()
+	successor := f.otherOf(former)
+	eventually(f.T, "another leader of "+string(former.settings.Zone), func() bool {
+		leader, fence := f.leaderSeenBy(successor)
+		return leader == successor && f.granted(former.settings.Zone, fence)
+	})
+	f.Logf("%s leads in place of %s", successor.settings.Name, former.settings.Name)
+	return successor
+}
+
+// granted reports whether an engine of the zone holds the fence.
+func (f *testFleet) granted(zone fleet.Zone, fence string) bool {
+	for _, engine := range f.enginesOf(zone) {
+		if state, heard := engine.state(); heard && state.Fence.String() == fence {
+			return true
+		}
+	}
+	return false
+}
+
+// chat is a model version that the examples keep standing.
+var chat = fleet.ModelVersion{Model: "kurv-chat", Version: "v3"}
+
+// moreChat declares one more standing replica, which the fleet has to decide.
+func (f *testFleet) moreChat(folder string) {
+	f.Helper()
+	f.redeclare(folder, "capacity.yaml", "    matchLabels: {use: chat}\n  replicas: 1", "    matchLabels: {use: chat}\n  replicas: 2")
+}
+
+// awaitMoreChat waits until more than one replica is decided and loaded.
+func (f *testFleet) awaitMoreChat() {
+	f.Helper()
+	eventually(f.T, "a second replica of "+chat.String(), func() bool {
+		status, _ := f.status(f.nodes[0])
+		for _, model := range status.Models {
+			if model.Model == chat {
+				return model.Decided > 1 && model.Ready > 1
+			}
+		}
+		return false
+	})
+}
+
+// awaitMissing waits until a node no longer takes another for alive.
+func (f *testFleet) awaitMissing(observer, missed *testNode) {
+	f.Helper()
+	eventually(f.T, string(missed.settings.Name)+" is missed", func() bool {
+		status, heard := f.status(observer)
+		for _, member := range status.Members {
+			if member.Name == missed.settings.Name {
+				return member.State == fleet.MemberDead
+			}
+		}
+		return heard
+	})
+}
+
+// awaitVouching waits until a node vouches for a record of allotments.
+func (f *testFleet) awaitVouching(node *testNode) {
+	f.Helper()
+	control := peer.NewPool().To(node.settings.Listen.Peer).Control
+	eventually(f.T, string(node.settings.Name)+" vouches for a record", func() bool {
+		ctx, cancel := context.WithTimeout(f.Context(), time.Second)
+		defer cancel()
+		answer, err := control.Allotments(ctx, &peerpb.AllotmentsRequest{})
+		return err == nil && answer.GetVersion() > 0
+	})
+}
