--- a/test/faults/run_test.go
+++ b/test/faults/run_test.go
@@ -46,8 +46,15 @@
 // moments that scripts may wait for.
 var moments = []scenario.Moment{scenario.MomentStart, scenario.MomentKillEngine, scenario.MomentChange, scenario.MomentStopNode}
 
-// underLoad puts load on the fleet, runs the script and judges the run.
-func (f *testFleet) underLoad(run run) report.Summary {
+// underLoad puts load on the fleet, runs the script and demands that every rule
+// was kept.
+func (f *testFleet) underLoad(run run) {
+	f.Helper()
+	f.judge(f.load(run), run.rules)
+}
+
+// load puts load on the fleet, runs the script and returns what was judged.
+func (f *testFleet) load(run run) report.Summary {
 	f.Helper()
 	reached := make(map[scenario.Moment]chan struct{})
 	for _, moment := range moments {
@@ -82,7 +89,6 @@
 	if outcome.err != nil {
 		f.Fatal(outcome.err)
 	}
-	f.judge(outcome.summary, run.rules)
 	return outcome.summary
 }
 
@@ -159,6 +165,12 @@
 	f.Helper()
 	f.note(history.NodeStopped, node.caller(), string(node.settings.Name))
 	node.signal(f.T, syscall.SIGTERM)
+	f.noteExit(node)
+}
+
+// noteExit waits for the node's end.
+func (f *testFleet) noteExit(node *testNode) {
+	f.Helper()
 	f.note(history.NodeExited, node.caller(), strconv.Itoa(node.exitCode(f.T)))
 }
 
