Take no keeper for ended on a machine list that lags

Cause: the list knows names only and shows the past. A node that was started anew under its name, with a seat in the table, was called gone for the end of the process before it. Its seat then counted as closed for good in every keeper of a newer version: two such seats, cut off from the newer ones, could go on granting in the older version after the newer keepers had waited the window.

Ruled out: silence alone, since a cut zone is silent; waiting alone, since a process that comes back at another address is known by that at once.

--- a/internal/node/claim_shell.go
+++ b/internal/node/claim_shell.go
@@ -58,7 +58,8 @@
 	attempts map[string]granted
 	sequence uint64
 
-	coordinator coordinator
+	coordinator  coordinator
+	goneMachines goneMachines
 }
 
 var (
@@ -220,6 +221,7 @@
 		c.tell(claim.Gone{Seat: ask.To})
 		return
 	}
+	c.goneMachines.answered(ask.To, time.Now())
 	c.tell(claim.Handed{
 		Index:   ask.Slot.Index,
 		Version: ask.Slot.Version,
@@ -243,13 +245,19 @@
 	}
 }
 
-// watchMachines tells the keeper of seats whose machine is gone.
+// watchMachines takes a newer machine list.
 func (c *Claims) watchMachines(list platform.MachineList) {
-	isGone := goneByList(list)
+	c.goneMachines.note(list, time.Now())
+	c.tellGone()
+}
+
+// tellGone tells the keeper of seats whose machine is gone.
+func (c *Claims) tellGone() {
+	now := time.Now()
 	for _, slot := range c.currentTable().Slots {
 		for _, generation := range slices.Concat(slot.Previous, [][]claim.Seat{slot.Seats}) {
 			for _, seat := range generation {
-				if isGone(seat) {
+				if c.goneMachines.has(seat, now) {
 					c.tell(claim.Gone{Seat: seat})
 				}
 			}
--- a/internal/node/claim_table.go
+++ b/internal/node/claim_table.go
@@ -82,6 +82,7 @@
 
 // lookAfterTable returns how long until the next look.
 func (c *Claims) lookAfterTable() time.Duration {
+	c.tellGone()
 	members, _ := c.dependencies.Views.Members.Get()
 	usable := usableForSeats(members)
 	first, found := claim.Coordinator(usable)
@@ -281,6 +282,7 @@
 		return
 	}
 	c.coordinator.heard[seat] = now
+	c.goneMachines.answered(seat, now)
 	for _, slot := range response.GetSettled() {
 		index := int(slot.GetIndex())
 		if index < len(table.Slots) && table.Slots[index].Version == slot.GetVersion() {
@@ -307,20 +309,8 @@
 }
 
 func (c *Claims) knownGone() func(claim.Seat) bool {
-	list, _ := c.dependencies.Views.Machines.Get()
-	byList := goneByList(list)
+	now := time.Now()
 	return func(seat claim.Seat) bool {
-		return c.coordinator.gone[seat] || byList(seat)
-	}
-}
-
-// goneByList takes a node's machine that the list shows as gone for ended.
-func goneByList(list platform.MachineList) func(claim.Seat) bool {
-	gone := make(map[string]bool)
-	for _, machine := range list.Machines {
-		if machine.Role == "node" && machine.State == platform.MachineGone {
-			gone[machine.Name] = true
-		}
+		return c.coordinator.gone[seat] || c.goneMachines.has(seat, now)
 	}
-	return func(seat claim.Seat) bool { return gone[string(seat.Name)] }
 }
