Count an engine again that was called gone and answers

Cause: an engine that the machine list calls gone and that is silent for five seconds is dropped from the round. When it answered again, in the same incarnation and with its models, the round went on without it: leadership saw the incarnation it had verified, placement no engine at all, so a model that it held was loaded a second time.

Ruled out: not dropping engines that are called gone, since a model with a limit of one would then never be loaded again after its machine was reclaimed.

Change: an engine that is gone no more begins a new round.

Before the change TestEngineThatWasCalledGoneIsCountedAgain ended with "2 replicas of alarm@1, decided 1".

--- a/internal/control/directed_test.go
+++ b/internal/control/directed_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
 
@@ -167,3 +168,30 @@
 	}
 	t.Logf("a round under an old record was caught in %d of 20 schedules; the replica moved in %d", caught, moved)
 }
+
+// TestEngineThatWasCalledGoneIsCountedAgain: the machine list calls an engine
+// gone while it cannot be reached; then it answers, with the model that it
+// held all the time.
+func TestEngineThatWasCalledGoneIsCountedAgain(t *testing.T) {
+	c := newCluster(clusterOptions{seed: 1, zones: 1, nodes: 1, engins: 2, models: []catalog.ModelFacts{facts(modelA, 1)}})
+	c.wantEverywhere(modelA, 8)
+	holder := c.holderOf(modelA)
+	if holder == "" {
+		t.Fatal("the model was not loaded")
+	}
+	c.storeDown = true
+	c.engines[holder].down = true
+	c.engines[holder].state = platform.MachineGone
+	c.spreadMachines()
+	c.engines[holder].state = platform.MachineLive
+	c.run(c.settings.GoneSilence + 2*time.Second)
+	if len(c.violations) > 0 || c.replicas(modelA) != 1 {
+		t.Fatalf("while it is gone: %d replicas, %v", c.replicas(modelA), c.violations)
+	}
+	c.engines[holder].down = false
+	c.run(3 * time.Second)
+	c.wantEverywhere(modelA, 5)
+	if len(c.violations) > 0 {
+		t.Error(c.violations[0])
+	}
+}
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -70,12 +70,26 @@
 	if maps.Equal(effective, c.gone.effective) {
 		return
 	}
+	before := c.gone.effective
 	c.gone.effective = effective
 	c.listEngines()
+	c.countAgain(before)
 	c.stepPlacement(placement.EnginesGone{Engines: slices.Sorted(maps.Keys(effective))})
 	c.dropEngines(effective)
 }
 
+// countAgain begins a new round where an engine that counted as gone does so no
+// more: the present round has dropped it, and what it holds would count as
+// nothing.
+func (c *Core) countAgain(before map[fleet.BackendName]bool) {
+	for name := range before {
+		if !c.gone.effective[name] {
+			c.stepLeader(leadership.Renew{})
+			return
+		}
+	}
+}
+
 // listEngines tells the leadership core which engines there are.
 func (c *Core) listEngines() {
 	addresses := make(map[fleet.BackendName]string, len(c.machineIndex.addresses))
