Give a back end work again that left and came back

Cause: a leaving mark that came from the machine list, or for a service from a peer, carries no incarnation and was cleared only when the list showed the machine gone. A back end that was started anew under its name before the list was read again went from leaving to live; its node kept the mark for good, and a command server got no call any more.

Ruled out: clearing the mark whenever the list shows the machine live, since the list lags behind the peers' notices.

Change: a machine that the list showed as leaving and then live has come back.

Before the change TestBackEndThatComesBackGetsWorkAgain failed with "a back end that came back gets no work". A mark whose leaving the list never shows still stays until the machine is gone.

--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -19,10 +19,16 @@
 	// names maps a back end to the incarnation that leaves; 0 where it is not
 	// known.
 	names map[fleet.BackendName]uint64
+	// listed are those that the machine list has shown as leaving: one that it
+	// shows live after that has come back. Before that the list may only lag.
+	listed map[fleet.BackendName]bool
 }
 
 func newLeavingState() leavingState {
-	return leavingState{names: make(map[fleet.BackendName]uint64)}
+	return leavingState{
+		names:  make(map[fleet.BackendName]uint64),
+		listed: make(map[fleet.BackendName]bool),
+	}
 }
 
 func (l *leavingState) has(name fleet.BackendName) bool {
@@ -30,6 +36,21 @@
 	return found
 }
 
+// list takes the state that the machine list shows and reports whether it is
+// leaving.
+func (l *leavingState) list(name fleet.BackendName, state platform.MachineState) bool {
+	isLeaving := state == platform.MachineLeaving
+	if state == platform.MachineGone || state == platform.MachineLive && l.listed[name] {
+		delete(l.names, name)
+	}
+	if !isLeaving {
+		delete(l.listed, name)
+		return false
+	}
+	l.listed[name] = true
+	return true
+}
+
 // mark sets the leaving flag of a state where the news is ahead of it.
 func (l *leavingState) mark(state fleet.EngineState) fleet.EngineState {
 	incarnation, found := l.names[state.Name]
@@ -56,12 +77,9 @@
 		if machine.Role != roleEngine && machine.Role != roleService {
 			continue
 		}
-		switch {
-		case machine.State == platform.MachineLeaving && machine.Zone == c.options.Zone && !c.leaving.has(name):
+		if c.leaving.list(name, machine.State) && machine.Zone == c.options.Zone && !c.leaving.has(name) {
 			c.leaving.names[name] = 0
 			news = append(news, name)
-		case machine.State == platform.MachineGone:
-			delete(c.leaving.names, name)
 		}
 	}
 	c.leavingChanged()
