Make room for adapters, order each once, and count replicas in one pass

Cause: a trace run over the core showed requests that waited for hours: an adapter that finds no room beside its base was never loaded, since only loads of models evict. And an engine shows an adapter only once it is ready, so that its order left the flight at the next state and was sent again every few milliseconds until then.

Change: an adapter without room evicts as a load does; its order stays in flight until the adapter shows, at most 5 s. Demands count the replicas of all models in one pass and do not sort the names anew.

--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -16,6 +16,8 @@
 	Settings Settings
 	// Policy replaces the core's own judgement of what stays; nil for none.
 	Policy Policy
+	// PreloadEvicts lets models that are loaded ahead evict others.
+	PreloadEvicts bool
 	// Without turns mechanisms off; only tests and the laboratory set it.
 	Without Without
 }
@@ -25,8 +27,12 @@
 	settings Settings
 	policy   Policy
 	without  Without
+	// preloadEvicts is from the options.
+	preloadEvicts bool
 
-	models          map[fleet.ModelVersion]catalog.ModelFacts
+	models map[fleet.ModelVersion]catalog.ModelFacts
+	// names are those of the models in order.
+	names           []fleet.ModelVersion
 	adapters        map[fleet.AdapterName]catalog.AdapterFacts
 	coldStartWeight float64
 	limits          map[fleet.ModelVersion]int
@@ -96,12 +102,15 @@
 		policy:   options.Policy,
 		without:  options.Without,
 		zones:    1,
-		engines:  make(map[fleet.BackendName]*engine),
-		full:     make(map[fleet.BackendName]bool),
-		orders:   make(map[string]*order),
-		wants:    make(map[fleet.ModelVersion]map[wantKey]timedWant),
-		history:  make(map[fleet.ModelVersion]*history),
-		avoid:    make(map[placementKey]time.Time),
+
+		preloadEvicts: options.PreloadEvicts,
+
+		engines: make(map[fleet.BackendName]*engine),
+		full:    make(map[fleet.BackendName]bool),
+		orders:  make(map[string]*order),
+		wants:   make(map[fleet.ModelVersion]map[wantKey]timedWant),
+		history: make(map[fleet.ModelVersion]*history),
+		avoid:   make(map[placementKey]time.Time),
 	}
 	if core.policy == nil {
 		core.policy = ownPolicy{core}
@@ -161,6 +170,7 @@
 	for _, facts := range changed.Models {
 		c.models[facts.Model] = facts
 	}
+	c.names = slices.SortedFunc(maps.Keys(c.models), fleet.ModelVersion.Compare)
 	c.adapters = make(map[fleet.AdapterName]catalog.AdapterFacts, len(changed.Adapters))
 	for _, facts := range changed.Adapters {
 		c.adapters[facts.Adapter] = facts
@@ -223,16 +233,18 @@
 	held.leaving = held.leaving || seen.State.Leaving
 	c.adopt(now, held, seen.State)
 	for id, order := range c.orders {
-		if order.engine == seen.State.Name && orderShown(order, seen) {
+		if order.engine == seen.State.Name && orderShown(now, order, seen) {
 			delete(c.orders, id)
 		}
 	}
 }
 
 // orderShown reports whether the state accounts for the order: it was asked
-// for after the order was taken, or it shows the effect.
-func orderShown(order *order, seen StateSeen) bool {
-	if order.answered {
+// for after the order was taken, or it shows the effect. A state does not show
+// an adapter that still loads: its order stays, else it would be sent again and
+// again until then.
+func orderShown(now time.Time, order *order, seen StateSeen) bool {
+	if order.answered && (order.Action != backend.ActionLoadAdapter || now.Sub(order.sent) >= adapterPatience) {
 		return seen.Asked > order.visibleAfter
 	}
 	loaded := seen.State.Find(order.Model)
@@ -242,12 +254,16 @@
 	case backend.ActionUnload:
 		return loaded == nil || loaded.State == fleet.LoadUnloading
 	case backend.ActionLoadAdapter:
-		return loaded != nil && slices.Contains(loaded.Adapters, order.Adapter)
+		return loaded != nil && slices.Contains(loaded.Adapters, order.Adapter) ||
+			order.answered && (loaded == nil || loaded.State != fleet.LoadReady) && seen.Asked > order.visibleAfter
 	default:
 		return false
 	}
 }
 
+// adapterPatience is how long an adapter may load before it is ordered again.
+const adapterPatience = 5 * time.Second
+
 func (c *Core) adopt(now time.Time, held *engine, state fleet.EngineState) {
 	held.state = state
 	since := make(map[fleet.ModelVersion]time.Time)
--- a/internal/placement/count.go
+++ b/internal/placement/count.go
@@ -77,9 +77,5 @@
 	return slices.Sorted(maps.Keys(c.engines))
 }
 
-func (c *Core) modelNames() []fleet.ModelVersion {
-	return slices.SortedFunc(maps.Keys(c.models), fleet.ModelVersion.Compare)
-}
-
 // Count is the most replicas of the model that the zone may hold now.
 func (c *Core) Count(model fleet.ModelVersion) int { return c.count(model) }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -288,3 +288,40 @@
 		t.Error("the model without memory was not refused at once")
 	}
 }
+
+func (r *rig) wantAdapter(name string, adapter fleet.AdapterName) []Effect {
+	return r.core.Step(r.now, WantsReported{Wants: []fleet.Want{{
+		Model: model(name), Adapter: adapter, Node: "n", Waiting: 1, Arrivals: 1, Deadline: r.now.Add(time.Minute),
+	}}})
+}
+
+func newAdapterRig(t *testing.T) *rig {
+	r := newRig(t, 1, facts("a", 1), facts("b", 1))
+	r.core.Step(r.now, CatalogChanged{
+		Models: r.facts, Adapters: []catalog.AdapterFacts{{Adapter: "x", Model: "a", MemoryBytes: 14 * gib}},
+	})
+	r.begin()
+	return r
+}
+
+func TestAdapterWithoutRoomEvicts(t *testing.T) {
+	r := newAdapterRig(t)
+	r.show("e0", ready("a", r.now), ready("b", r.now))
+	r.now = r.now.Add(time.Minute)
+	r.expect(r.wantAdapter("a", "x"), "unload b e0")
+	r.expect(r.show("e0", ready("a", start)), "load-adapter a e0")
+}
+
+func TestAdapterThatLoadsIsNotOrderedAgain(t *testing.T) {
+	r := newAdapterRig(t)
+	r.show("e0", ready("a", r.now))
+	effects := r.wantAdapter("a", "x")
+	r.expect(effects, "load-adapter a e0")
+	id := effects[0].(SendOrder).Order.ID
+	r.asked++
+	r.expect(r.core.Step(r.now, OrderAnswered{ID: id, Result: OrderAccepted, Asked: r.asked}))
+	r.expect(r.show("e0", ready("a", start)))
+	r.now = r.now.Add(adapterPatience)
+	r.expect(r.wantAdapter("a", "x"))
+	r.expect(r.show("e0", ready("a", start)), "load-adapter a e0")
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -26,8 +26,9 @@
 // order in which it is served.
 func (c *Core) demands(now time.Time) []demand {
 	var demands []demand
-	for _, model := range c.modelNames() {
-		ready, coming := c.replicas(model)
+	counts := c.census()
+	for _, model := range c.names {
+		ready, coming := counts[model].ready, counts[model].coming
 		waiting, wanted := c.demandFor(model)
 		switch {
 		case ready+coming < c.standing[model]:
@@ -69,7 +70,7 @@
 		}
 		return
 	}
-	if demand.preload && len(choice.evict) > 0 {
+	if demand.preload && len(choice.evict) > 0 && !c.preloadEvicts {
 		return
 	}
 	if len(choice.evict) > 0 {
@@ -199,7 +200,7 @@
 
 // loadAdapters loads the adapters that are waited for beside their base.
 func (c *Core) loadAdapters(now time.Time) {
-	for _, model := range c.modelNames() {
+	for _, model := range c.names {
 		demand, wanted := c.demandFor(model)
 		if !wanted {
 			continue
@@ -230,6 +231,7 @@
 		}
 	}
 	if best == "" {
+		c.makeRoomForAdapter(now, model, facts.MemoryBytes)
 		return
 	}
 	c.send(now, best, backend.Order{
@@ -239,3 +241,23 @@
 		Bytes:   facts.MemoryBytes,
 	})
 }
+
+// makeRoomForAdapter evicts what costs least beside a replica of the base that
+// is ready; the adapter is loaded once the memory is free.
+func (c *Core) makeRoomForAdapter(now time.Time, model fleet.ModelVersion, bytes int64) {
+	var cheapest choice
+	for _, name := range c.engineNames() {
+		held := c.engines[name]
+		loaded := held.state.Find(model)
+		if loaded == nil || loaded.State != fleet.LoadReady || !held.serving() {
+			continue
+		}
+		evict, cost, possible := c.makeRoom(now, name, bytes)
+		if possible && (cheapest.engine == "" || cost < cheapest.cost) {
+			cheapest = choice{engine: name, evict: evict, cost: cost}
+		}
+	}
+	if cheapest.engine != "" {
+		c.evict(now, cheapest)
+	}
+}
