--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -17,6 +17,8 @@
 	Settings Settings
 	// Policy replaces the core's own judgement of what stays; nil for none.
 	Policy Policy
+	// PreloadEvicts lets models that are loaded ahead evict others.
+	PreloadEvicts bool
 	// Without turns mechanisms off; only tests and the laboratory set it.
 	Without Without
 }
@@ -26,8 +28,12 @@
 	settings Settings
 	policy   Policy
 	without  Without
+	// preloadEvicts is from the options.
+	preloadEvicts bool
 
-	models          map[fleet.ModelVersion]catalog.ModelFacts
+	models map[fleet.ModelVersion]catalog.ModelFacts
+	// names are those of the models in order.
+	names           []fleet.ModelVersion
 	adapters        map[fleet.AdapterName]catalog.AdapterFacts
 	coldStartWeight float64
 	limits          map[fleet.ModelVersion]int
@@ -105,15 +111,18 @@
 		policy:   options.Policy,
 		without:  options.Without,
 		zones:    1,
-		engines:  make(map[fleet.BackendName]*engine),
-		full:     make(map[fleet.BackendName]bool),
-		orders:   make(map[string]*order),
-		loading:  make(map[placementKey]int),
-		wants:    make(map[fleet.ModelVersion]map[wantKey]timedWant),
-		history:  make(map[fleet.ModelVersion]*history),
-		avoid:    make(map[placementKey]time.Time),
-		refused:  make(map[fleet.ModelVersion]Refuse),
-		timings:  newTimings(),
+
+		preloadEvicts: options.PreloadEvicts,
+
+		engines: make(map[fleet.BackendName]*engine),
+		full:    make(map[fleet.BackendName]bool),
+		orders:  make(map[string]*order),
+		loading: make(map[placementKey]int),
+		wants:   make(map[fleet.ModelVersion]map[wantKey]timedWant),
+		history: make(map[fleet.ModelVersion]*history),
+		avoid:   make(map[placementKey]time.Time),
+		refused: make(map[fleet.ModelVersion]Refuse),
+		timings: newTimings(),
 	}
 	if core.policy == nil {
 		core.policy = ownPolicy{core}
@@ -194,6 +203,7 @@
 	for _, facts := range changed.Models {
 		c.models[facts.Model] = facts
 	}
+	c.names = slices.SortedFunc(maps.Keys(c.models), fleet.ModelVersion.Compare)
 	c.adapters = make(map[fleet.AdapterName]catalog.AdapterFacts, len(changed.Adapters))
 	for _, facts := range changed.Adapters {
 		c.adapters[facts.Adapter] = facts
@@ -258,16 +268,18 @@
 	held.leaving = held.leaving || seen.State.Leaving
 	c.adopt(now, held, seen.State)
 	for id, order := range c.orders {
-		if order.engine == seen.State.Name && orderShown(order, seen) {
+		if order.engine == seen.State.Name && orderShown(now, order, seen) {
 			c.dropOrder(id)
 		}
 	}
 }
 
 // orderShown reports whether the state accounts for the order: it was asked
-// for after the order was taken, or it shows the effect.
-func orderShown(order *order, seen StateSeen) bool {
-	if order.answered {
+// for after the order was taken, or it shows the effect. A state does not show
+// an adapter that still loads: its order stays, else it would be sent again and
+// again until then.
+func orderShown(now time.Time, order *order, seen StateSeen) bool {
+	if order.answered && (order.Action != backend.ActionLoadAdapter || now.Sub(order.sent) >= adapterPatience) {
 		return seen.Asked > order.visibleAfter
 	}
 	loaded := seen.State.Find(order.Model)
@@ -277,12 +289,16 @@
 	case backend.ActionUnload:
 		return loaded == nil || loaded.State == fleet.LoadUnloading
 	case backend.ActionLoadAdapter:
-		return loaded != nil && slices.Contains(loaded.Adapters, order.Adapter)
+		return loaded != nil && slices.Contains(loaded.Adapters, order.Adapter) ||
+			order.answered && (loaded == nil || loaded.State != fleet.LoadReady) && seen.Asked > order.visibleAfter
 	default:
 		return false
 	}
 }
 
+// adapterPatience is how long an adapter may load before it is ordered again.
+const adapterPatience = 5 * time.Second
+
 func (c *Core) adopt(now time.Time, held *engine, state fleet.EngineState) {
 	c.dirty = c.dirty || !reflect.DeepEqual(held.state.Models, state.Models)
 	held.state = state
@@ -337,8 +353,9 @@
 	c.emit(SendOrder{Engine: name, Order: sent, Evicts: evicts})
 }
 
-// dropOrder takes an order out of the flight.
+// dropOrder takes an order out of the flight, which may make room for another.
 func (c *Core) dropOrder(id string) {
+	c.dirty = true
 	dropped := c.orders[id]
 	delete(c.orders, id)
 	if dropped.Action == backend.ActionLoad {
