--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -20,7 +20,7 @@
 	// takes over.
 	LeaderSilence time.Duration
 	// PollBusy and PollIdle are the times between two reads of an engine
-	// while something loads or was ordered there, and else.
+	// while something loads, waits or was ordered, and else.
 	PollBusy time.Duration
 	PollIdle time.Duration
 	// Heartbeat is the longest time between two publications of a table.
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -125,10 +125,11 @@
 	}
 }
 
-// pollInterval is short for engines at which something is under way. What waits
-// in the zone makes no other engine change.
+// pollInterval is short for engines at which something is under way, and for
+// all of them while something waits in the zone: what waits is served sooner
+// where any engine's change is seen sooner.
 func (c *Core) pollInterval(name fleet.BackendName, known *enginePoll, table *zoneTable) time.Duration {
-	if c.now.Before(known.orderedUntil) {
+	if c.placement.Busy() || c.now.Before(known.orderedUntil) {
 		return c.settings().PollBusy
 	}
 	if table != nil {
