Spread the news of a leaving command server by its own refusal

Command servers are not polled as engines are, so that only the machine list told of it, which lags by a second, shows heartbeats of half a second and is read every two; Control.BackendLeaving was there for such news, and nobody called it.

Ruled out: engines (polled; none got work later than 20 ms after); the judge (the server's own book has the refusals).

Change: a refusal before running whose code is leaving is passed to control, which spreads it to the zone.

Where no call comes before the list is read, the list still is the first news.

--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -197,6 +198,14 @@
 	return c == nil || c.state.CompareAndSwap(connFresh, connSealed) || c.state.Load() == connSealed
 }
 
+// SaysLeaving reports whether the back end refused because it goes away.
+func (a *ServiceAnswer) SaysLeaving() bool {
+	var problem struct {
+		Code string `json:"code"`
+	}
+	return a.NotRun && json.Unmarshal(a.Body, &problem) == nil && problem.Code == ReasonLeaving
+}
+
 // RetryAfterDuration is the back end's Retry-After, or 0.
 func (a *ServiceAnswer) RetryAfterDuration() time.Duration {
 	return parseRetryAfter(a.RetryAfter)
--- a/internal/backend/wire.go
+++ b/internal/backend/wire.go
@@ -74,7 +74,8 @@
 	Reason string `json:"reason"`
 }
 
-// Refusal reasons of an order.
+// Refusal reasons of an order. ReasonLeaving is also the problem code with
+// which a back end refuses a request because it goes away.
 const (
 	ReasonNoMemory  = "no-memory"
 	ReasonNotLoaded = "not-loaded"
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -261,6 +261,9 @@
 		}
 		return broken
 	}
+	if answer.SaysLeaving() && r.caller.gateway.options.Leaving != nil {
+		r.caller.gateway.options.Leaving(r.target.Name)
+	}
 	if answer.NotRun || isUnavailable(answer.Status) && r.route.Repeatable {
 		return refusedBy(open.Connection, answer)
 	}
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -13,6 +13,7 @@
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/claim"
+	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
 func TestPlainCallGoesToTheService(t *testing.T) {
@@ -263,3 +264,29 @@
 		t.Errorf("%d, keepers were told %v", got.status, told)
 	}
 }
+
+// TestLeavingServiceIsReportedByItsRefusal: a command server is not polled, so
+// its own refusal is the first news that it goes away.
+func TestLeavingServiceIsReportedByItsRefusal(t *testing.T) {
+	for body, want := range map[string]int{
+		`{"code":"leaving"}`:  1,
+		`{"code":"overfull"}`: 0,
+		"leaving":             0,
+	} {
+		t.Run(body, func(t *testing.T) {
+			heard := make(chan fleet.BackendName, 9)
+			h := newHarness(t, func(options *Options) {
+				options.Leaving = func(name fleet.BackendName) { heard <- name }
+			})
+			h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set(backend.HeaderNotRun, "true")
+				writer.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = io.WriteString(writer, body)
+			}))
+			h.do(http.MethodPost, "/turbines/7/stop", "now")
+			if got := len(heard); got != want || want > 0 && <-heard != "s1" {
+				t.Errorf("%d reports", got)
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,6 +144,7 @@
 		Catalog:    n.currentCatalog,
 		Demand:     n.control,
 		Guard:      n.claims,
+		Leaving:    n.control.BackendLeaving,
 		Self:       n.self,
 		Logger:     n.logger,
 		System:     n.system,
--- a/test/faults/actions_test.go
+++ b/test/faults/actions_test.go
@@ -7,6 +7,7 @@
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/peer"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/standin/books"
 )
 
 // pauseLeader stops the leader of a zone once an order of its was taken.
@@ -89,3 +90,18 @@
 		return err == nil && answer.GetVersion() > 0
 	})
 }
+
+// latestTurnedAway is how long after a back end said that it leaves it last
+// had to refuse work, and how often it had to.
+func (f *testFleet) latestTurnedAway(url string) (time.Duration, int) {
+	f.Helper()
+	var book books.Book
+	if !get(url+"/lab/books", &book) {
+		f.Fatalf("the book at %s cannot be read", url)
+	}
+	var latest time.Duration
+	for _, refused := range book.TurnedAway {
+		latest = max(latest, refused.At.Sub(book.LeavingSince))
+	}
+	return latest, len(book.TurnedAway)
+}
--- a/test/faults/single_test.go
+++ b/test/faults/single_test.go
@@ -135,13 +135,18 @@
 // so that whatever is sent to them late stands in their books.
 func TestLeavingBackEndsGetNoNewWork(t *testing.T) {
 	f := startFleet(t)
+	var left []string
 	f.underLoad(run{duration: changeTime, script: func(reached) {
-		engine := f.awaitLoading(f.engines)
-		f.faultsAt("http://"+engine.address, faults.Set{Leaving: true})
-		f.note(history.FaultInjected, engine.backend, "engine-leaving")
-		f.faultsAt("http://"+f.at(servicePort), faults.Set{Leaving: true})
-		f.note(history.FaultInjected, f.at(servicePort), "service-leaving")
+		left = []string{"http://" + f.awaitLoading(f.engines).address, "http://" + f.at(servicePort)}
+		for _, url := range left {
+			f.faultsAt(url, faults.Set{Leaving: true})
+			f.note(history.FaultInjected, url, "leaving")
+		}
 	}, rules: []check.Rule{check.RuleLeaving}})
+	for _, url := range left {
+		latest, refused := f.latestTurnedAway(url)
+		t.Logf("%s refused %d times, last after %s", url, refused, latest.Round(time.Millisecond))
+	}
 }
 
 // TestAllNodesAreLostWhileTheStoreIsDown kills every node, starts them anew
