--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -47,7 +47,7 @@
 		Placement:         placement.DefaultSettings(),
 		TakeoverWait:      300 * time.Millisecond,
 		LeaderSilence:     3 * time.Second,
-		PollBusy:          250 * time.Millisecond,
+		PollBusy:          100 * time.Millisecond,
 		PollIdle:          time.Second,
 		Heartbeat:         time.Second,
 		ReportInterval:    500 * time.Millisecond,
