Refuse a load only once it was wanted in vain for a while, and to all who wait

Cause (found first): a model that was just declared, or wanted while its allotment was being decided, was refused with no-allotment although it was loaded 2.7 s later; other nodes of the zone heard of a refusal only when they reported next; the time to come back was a fixed 2 or 5 s.

Ruled out: leaving this to the queue alone, which knows neither for how long the model has been wanted in the zone nor whether it fits any engine.

Change: nodes are refused after three seconds in vain, at once where the model fits no engine; wants go to other zones at once as before. Refusals for nodes that have not just asked go out with the table, once a second for a model. The time to come back is the earliest at which an engine can make room.

The harness's store had several ticks a nanosecond apart, which kept it from progress; it now has one.

--- a/internal/control/coldstart_test.go
+++ b/internal/control/coldstart_test.go
@@ -16,6 +16,9 @@
 type weightStore struct {
 	core *weights.Core
 	done map[string]func()
+	// wake is the only tick that counts: ticks a nanosecond apart would keep
+	// the store, which counts whole nanoseconds, from any progress.
+	wake time.Time
 }
 
 // readWeights calls back once the checkpoint was read; at full speed and at
@@ -34,9 +37,16 @@
 		c.weights.done[ended.ID]()
 		delete(c.weights.done, ended.ID)
 	}
-	if wake := c.weights.core.NextWake(); !wake.IsZero() {
-		c.after(max(0, wake.Sub(c.now)), func() { c.stepWeights(weights.Tick{}) })
+	wake := c.weights.core.NextWake()
+	c.weights.wake = wake
+	if wake.IsZero() {
+		return
 	}
+	c.after(max(0, wake.Sub(c.now)), func() {
+		if c.weights.wake.Equal(wake) {
+			c.stepWeights(weights.Tick{})
+		}
+	})
 }
 
 // coldStart follows a model from its first want at a node until the node's
@@ -220,3 +230,65 @@
 		}
 	}
 }
+
+func refusedAt(node *testNode, model fleet.ModelVersion) bool {
+	return slices.ContainsFunc(node.refused, func(refusal fleet.LoadRefusal) bool { return refusal.Model == model })
+}
+
+// TestNewModelIsNotRefusedWhileItsAllotmentIsDecided wants a model from the
+// moment it is declared.
+func TestNewModelIsNotRefusedWhileItsAllotmentIsDecided(t *testing.T) {
+	c := newColdCluster(3, manyModels(4, 1))
+	c.models = manyModels(5, 1)
+	declared := c.models[4].Model
+	for _, name := range c.nodeNames() {
+		c.send(name, CatalogChanged{Models: c.models, ColdStartWeight: 0.5})
+		c.coldStartAt(name, declared)
+	}
+	c.run(10 * time.Second)
+	_, toShown := c.parts(t)
+	t.Logf("until shown p50 %v, most %v", quantile(toShown, 0.5), quantile(toShown, 1))
+	if c.refusals > 0 {
+		t.Errorf("%d refusals of a model that is then loaded", c.refusals)
+	}
+}
+
+// TestRefusalReachesAllNodesThatWait fills every engine with models that are
+// still wanted, and wants one more at all nodes.
+func TestRefusalReachesAllNodesThatWait(t *testing.T) {
+	models := manyModels(3, 1)
+	c := newCluster(clusterOptions{seed: 4, zones: 1, nodes: 4, engins: 1, models: models})
+	c.run(5 * time.Second)
+	keep := func() {
+		for _, facts := range models[:2] {
+			c.want("z0-n0", facts.Model, 1)
+		}
+	}
+	for range 5 {
+		keep()
+		c.run(time.Second)
+	}
+	last := models[2].Model
+	leader := c.leaderOf("z0")
+	// The nodes ask only once, so that only a push can reach those that are not
+	// the leader.
+	for _, name := range c.nodeNames() {
+		c.want(name, last, 1)
+	}
+	began := c.now
+	for range 30 {
+		if c.now.Sub(began) < 2500*time.Millisecond && refusedAt(c.nodes[leader], last) {
+			t.Fatalf("refused after %v", c.now.Sub(began))
+		}
+		if c.now.Sub(began)%time.Second == 0 {
+			keep()
+			c.want(leader, last, 1)
+		}
+		c.run(125 * time.Millisecond)
+	}
+	for _, name := range c.nodeNames() {
+		if !refusedAt(c.nodes[name], last) {
+			t.Errorf("%s was not refused", name)
+		}
+	}
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -107,9 +107,9 @@
 	c.poll()
 	c.decide()
 	c.reportArrivals()
+	c.flushRefusals()
 	c.publish()
 	c.repair()
-	c.flushRefusals()
 	return c.effects
 }
 
--- a/internal/control/effects.go
+++ b/internal/control/effects.go
@@ -76,7 +76,7 @@
 
 // RefuseWants tells a node that models cannot be loaded now. For the node
 // itself it goes to whoever asked through fleet.Demand, for another it is the
-// answer to its report.
+// answer to its report. Others in the zone hear it with the table.
 type RefuseWants struct {
 	Node     fleet.NodeName
 	Refusals []fleet.LoadRefusal
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -36,6 +36,9 @@
 	// GoneSilence is how long an engine must have been silent, once the machine
 	// list calls it gone, until it counts as gone.
 	GoneSilence time.Duration
+	// RefusalGrace is how long a model must have been wanted in vain until the
+	// nodes that wait are refused.
+	RefusalGrace time.Duration
 	// DecideInterval is the time between two decisions on allotments.
 	DecideInterval time.Duration
 }
@@ -55,6 +58,7 @@
 		FarHeartbeat:      5 * time.Second,
 		PullInterval:      2 * time.Second,
 		GoneSilence:       5 * time.Second,
+		RefusalGrace:      3 * time.Second,
 		DecideInterval:    time.Second,
 	}
 }
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -105,7 +105,9 @@
 	table.heard = c.now
 	if near {
 		c.tables.viewChanged = true
-		c.emit(PublishTable{To: c.peersOfZone(c.options.Zone), Update: c.update(table, &c.tables.near)})
+		update := c.update(table, &c.tables.near)
+		update.Table.Refusals, c.tables.refused = c.tables.refused, nil
+		c.emit(PublishTable{To: c.peersOfZone(c.options.Zone), Update: update})
 	}
 	if far {
 		c.emit(PublishTable{To: c.relays(), Update: c.update(table, &c.tables.far)})
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -37,6 +37,8 @@
 	// viewChanged is set where the node's own view must be given out anew.
 	viewChanged bool
 	// storeUsed and heldElsewhere are what placement was told of other zones.
+	// refused goes to the zone's members with the next update.
+	refused       []fleet.LoadRefusal
 	storeUsed     placement.StoreUsed
 	heldElsewhere map[fleet.ModelVersion]bool
 }
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -9,6 +9,7 @@
 	update := received.Update
 	zone := update.Table.Zone
 	known := c.tables.zones[zone]
+	c.hearRefusals(update.Table)
 	if known != nil && !newer(update.Table, known) {
 		return
 	}
--- a/internal/control/wants.go
+++ b/internal/control/wants.go
@@ -13,7 +13,6 @@
 type wantState struct {
 	// reporters are the nodes that want a model, with when they last said so.
 	reporters map[fleet.ModelVersion]map[fleet.NodeName]fleet.Want
-	heard     map[fleet.ModelVersion]time.Time
 	// forwarded is when wants for a model last went to another zone.
 	forwarded map[fleet.ModelVersion]time.Time
 	// remote are refusals of the zones that were asked.
@@ -29,6 +28,10 @@
 	arrivalsAt time.Time
 	// refusals are those of this step, by node.
 	refusals map[fleet.NodeName][]fleet.LoadRefusal
+	// reporting are the nodes whose report this step answers.
+	reporting map[fleet.NodeName]bool
+	// pushed is when a model was last refused to the zone unasked.
+	pushed map[fleet.ModelVersion]time.Time
 }
 
 type remoteRefusal struct {
@@ -47,13 +50,14 @@
 func newWantState() wantState {
 	return wantState{
 		reporters:  make(map[fleet.ModelVersion]map[fleet.NodeName]fleet.Want),
-		heard:      make(map[fleet.ModelVersion]time.Time),
 		forwarded:  make(map[fleet.ModelVersion]time.Time),
 		remote:     make(map[fleet.ModelVersion]remoteRefusal),
 		starved:    make(map[fleet.ModelVersion]map[fleet.Zone]time.Time),
 		complained: make(map[fleet.ModelVersion]time.Time),
 		arrivals:   make(map[fleet.ModelVersion]int),
 		refusals:   make(map[fleet.NodeName][]fleet.LoadRefusal),
+		reporting:  make(map[fleet.NodeName]bool),
+		pushed:     make(map[fleet.ModelVersion]time.Time),
 	}
 }
 
@@ -86,13 +90,13 @@
 	}
 	for _, want := range reported.Wants {
 		c.wants.note(want)
-		c.wants.heard[want.Model] = c.now
+		c.wants.reporting[want.Node] = true
 		if reported.Forwarded {
 			continue
 		}
 		c.countArrivals(want)
 		if refusal, found := c.wants.remote[want.Model]; found && c.now.Before(refusal.until) && want.Waiting > 0 {
-			c.wants.refusals[want.Node] = append(c.wants.refusals[want.Node], refusal.LoadRefusal)
+			c.refuse(want.Node, refusal.LoadRefusal)
 		}
 	}
 	c.stepPlacement(placement.WantsReported{Wants: reported.Wants})
@@ -155,20 +159,22 @@
 }
 
 // refused handles a model that the zone cannot load: another zone with
-// allotment is asked; where there is none, the nodes are told at once.
+// allotment is asked; where there is none, all nodes that wait are told, once
+// it has been wanted for some time: the allotment of a model that is new, or of
+// a zone that starts, is decided meanwhile.
 func (c *Core) refused(refusal placement.Refuse) {
 	model := refusal.Refusal.Model
 	if c.leader.Leading() && c.forwardElsewhere(model) {
 		return
 	}
-	if c.now.Sub(c.wants.heard[model]) > 0 {
-		return
-	}
+	early := !refusal.Never && c.now.Sub(refusal.Since) < c.settings().RefusalGrace
 	for _, node := range slices.Sorted(maps.Keys(c.wants.reporters[model])) {
 		if zone := c.wants.reporters[model][node].Zone; zone != c.options.Zone {
 			c.starve(model, zone)
 		}
-		c.wants.refusals[node] = append(c.wants.refusals[node], refusal.Refusal)
+		if !early {
+			c.refuse(node, refusal.Refusal)
+		}
 	}
 }
 
@@ -280,16 +286,8 @@
 		c.reportStarved(refusal.Model)
 		for _, want := range answer.Wants {
 			if want.Model == refusal.Model {
-				c.wants.refusals[want.Node] = append(c.wants.refusals[want.Node], refusal)
+				c.refuse(want.Node, refusal)
 			}
 		}
 	}
 }
-
-// flushRefusals gives out the refusals of this step.
-func (c *Core) flushRefusals() {
-	for _, node := range slices.Sorted(maps.Keys(c.wants.refusals)) {
-		c.emit(RefuseWants{Node: node, Refusals: c.wants.refusals[node]})
-	}
-	clear(c.wants.refusals)
-}
--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -124,6 +124,9 @@
 	// WaitingLoads counts the zone's loads of models without any replica which
 	// wait for their turn at the weight store.
 	WaitingLoads int `json:"waitingLoads,omitempty"`
+	// Refusals are of loads that the leader has just found impossible, for the
+	// nodes of the zone that wait; a table at rest has none.
+	Refusals []LoadRefusal `json:"refusals,omitempty"`
 }
 
 // Newer reports whether the table replaces the other one of the same zone.
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -132,6 +134,10 @@
 	Refusal fleet.LoadRefusal
 	// Elsewhere is set where another zone may be able to.
 	Elsewhere bool
+	// Since is when the model was first wanted in vain.
+	Since time.Time
+	// Never is set where no engine of the zone could ever hold the model.
+	Never bool
 }
 
 // NeedRound asks for a new round, so that a lost order can no longer take
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -59,10 +59,13 @@
 func (c *Core) serve(now time.Time, demand demand) {
 	facts := c.models[demand.model]
 	ready, coming := c.replicas(demand.model)
+	if demand.waiting > 0 {
+		c.timings.waiting(now, demand.model)
+	}
 	if c.count(demand.model) >= c.limits[demand.model] {
 		c.timings.heldBy(now, demand.model, byAllotment)
 		if ready+coming == 0 && !demand.preload {
-			c.refuse(demand, "no-allotment", c.allotmentWait(demand.model), true)
+			c.refuse(demand, placementRefusal{reason: "no-allotment", wait: noAllotmentWait})
 		}
 		return
 	}
@@ -70,7 +73,7 @@
 	if !found {
 		c.timings.heldBy(now, demand.model, byMemory)
 		if ready+coming == 0 && !demand.preload {
-			c.refuse(demand, "no-memory", noMemoryWait, true)
+			c.refuse(demand, c.noMemory(now, facts.MemoryBytes))
 		}
 		return
 	}
@@ -97,25 +100,6 @@
 	})
 }
 
-const (
-	noMemoryWait    = 5 * time.Second
-	noAllotmentWait = 2 * time.Second
-)
-
-func (c *Core) allotmentWait(fleet.ModelVersion) time.Duration { return noAllotmentWait }
-
-func (c *Core) refuse(demand demand, reason string, wait time.Duration, elsewhere bool) {
-	if demand.waiting == 0 {
-		return
-	}
-	refusal := Refuse{
-		Refusal:   fleet.LoadRefusal{Model: demand.model, Reason: reason, RetryAfter: wait},
-		Elsewhere: elsewhere,
-	}
-	c.refused[demand.model] = refusal
-	c.emit(refusal)
-}
-
 func (c *Core) evict(now time.Time, choice choice) {
 	for _, model := range choice.evict {
 		loaded := c.engines[choice.engine].state.Find(model)
--- a/internal/placement/timing.go
+++ b/internal/placement/timing.go
@@ -42,8 +42,8 @@
 	held   Held
 }
 
-// timings follow what is waited for and what is loading; no decision depends on
-// them.
+// timings follow what is waited for and what is loading; what is loaded does
+// not depend on them.
 type timings struct {
 	waits   map[fleet.ModelVersion]*waitRecord
 	flights map[placementKey]*LoadFinished
