--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -36,6 +36,7 @@
 	c.polls.clear()
 	c.standing.excluded = ""
 	c.emit(LeadershipChanged{Leading: true, Fence: round.Fence})
+	c.reportAgain(c.options.Self)
 	c.stepPlacement(placement.RoundBegan{Fence: round.Fence, Held: round.Held, Full: round.Full})
 	for _, name := range slices.Sorted(maps.Keys(round.Held)) {
 		c.noticeLeaving(round.Held[name])
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -48,7 +48,11 @@
 		replaced.engines[state.Name] = state
 	}
 	replaced.countLoads()
+	before := c.tables.zones[table.Zone]
 	c.tables.zones[table.Zone] = replaced
+	if table.Zone == c.options.Zone && before != nil && before.leader != table.Leader {
+		c.reportAgain(table.Leader)
+	}
 	c.tables.viewChanged = true
 }
 
--- a/internal/control/wants.go
+++ b/internal/control/wants.go
@@ -26,6 +26,9 @@
 	// hold; those must learn that the model is in use.
 	arrivals   map[fleet.ModelVersion]int
 	arrivalsAt time.Time
+	// own is what this node itself reported last, at ownAt.
+	own   []fleet.Want
+	ownAt time.Time
 	// refusals are those of this step, by node.
 	refusals map[fleet.NodeName][]fleet.LoadRefusal
 	// reporting are the nodes whose report this step answers.
@@ -81,6 +84,9 @@
 
 // takeWants serves wants where this node leads, else passes them to the leader.
 func (c *Core) takeWants(reported WantsReported) {
+	if reported.From == c.options.Self {
+		c.keepOwn(reported.Wants)
+	}
 	if !c.leader.Leading() {
 		c.passToLeader(reported)
 		return
@@ -138,6 +144,28 @@
 	c.stepPlacement(placement.WantsReported{Wants: reported.Wants})
 }
 
+// keepOwn keeps what this node reports for a leader that takes over.
+func (c *Core) keepOwn(wants []fleet.Want) {
+	c.wants.own, c.wants.ownAt = slices.Clone(wants), c.now
+	for index := range c.wants.own {
+		// Arrivals count once.
+		c.wants.own[index].Arrivals = 0
+	}
+}
+
+// reportAgain gives a new leader of the zone what was last reported to the one
+// before, instead of letting it wait for the next report.
+func (c *Core) reportAgain(leader fleet.NodeName) {
+	if len(c.wants.own) == 0 || c.now.Sub(c.wants.ownAt) >= c.settings().Placement.WantLifetime {
+		return
+	}
+	if leader == c.options.Self {
+		c.keepWants(WantsReported{From: leader, Wants: c.wants.own})
+	} else if member, found := c.members[leader]; found {
+		c.emit(ForwardWants{To: member, Wants: c.wants.own})
+	}
+}
+
 // passToLeader passes on what this node wants itself and what another zone
 // sent. What comes from the own zone is not passed on again: two nodes that take
 // each other for the leader would pass it back and forth.
