--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -9,6 +9,7 @@
 	update := received.Update
 	zone := update.Table.Zone
 	known := c.tables.zones[zone]
+	c.hearRefusals(update.Table)
 	if known != nil && !newer(update.Table, known) {
 		return
 	}
@@ -47,7 +48,11 @@
 		replaced.engines[state.Name] = state
 	}
 	replaced.countLoads()
+	before := c.tables.zones[table.Zone]
 	c.tables.zones[table.Zone] = replaced
+	if table.Zone == c.options.Zone && before != nil && before.leader != table.Leader {
+		c.reportAgain(table.Leader)
+	}
 	c.tables.viewChanged = true
 }
 
