Keep, preload and evict by how soon a model wakes; measure policies on a trace

Change: one measure for all three judgements, the most wakings an hour over any span ahead, from the model's own idle times and a weak prior. Costs are in proportion to size. A load leaves room for the model's adapters. A replica beyond the first goes after a minute.

The test of keep-alive by idle times asked for the quantile's rule, that a model with gaps of two minutes goes after three; it now asks that it is kept until they are due and gone by twelve, and that one with gaps of half an hour is kept until those are due: two points on each side in place of one.

--- a/cmd/spanlab/experiment.go
+++ b/cmd/spanlab/experiment.go
@@ -18,6 +18,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/lab/batching"
 	"github.com/spanlanding/spanlanding/internal/lab/experiment"
+	"github.com/spanlanding/spanlanding/internal/lab/policy"
 	"github.com/spanlanding/spanlanding/internal/lab/report"
 )
 
@@ -25,6 +26,7 @@
 func runners() experiment.Registry {
 	return experiment.Registry{
 		batching.Name: experiment.RunnerFunc(batching.Run),
+		policy.Name:   experiment.RunnerFunc(policy.Run),
 	}
 }
 
@@ -76,6 +78,7 @@
 		page.Differences = experiment.Compare(older, result.Rows())
 		printDifferences(os.Stdout, page.Differences)
 	}
+	failures = errors.Join(failures, result.WriteSummary(os.Stdout))
 	return errors.Join(failures, writeReport(command.String("out"), page))
 }
 
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -23,6 +23,20 @@
 	Seeds    []uint64      `yaml:"seeds"`
 	// Options go to each run as they are.
 	Options map[string]string `yaml:"options,omitempty"`
+	// Table names the metrics of the summary, a column each.
+	Table []string `yaml:"table,omitempty"`
+	// Plots set one metric against another.
+	Plots []Plot `yaml:"plots,omitempty"`
+}
+
+// Plot has one point for each policy, on lines with names.
+type Plot struct {
+	Title string `yaml:"title"`
+	// X and Y are metrics.
+	X string `yaml:"x"`
+	Y string `yaml:"y"`
+	// Lines are policies in the order in which they are joined.
+	Lines map[string][]string `yaml:"lines"`
 }
 
 // Matrix has the values of each dimension; one without values has the one
--- a/internal/lab/experiment/rows.go
+++ b/internal/lab/experiment/rows.go
@@ -22,7 +22,7 @@
 var quantiles = []struct {
 	name  string
 	share float64
-}{{"p50", 0.5}, {"p90", 0.9}, {"p99", 0.99}}
+}{{"p50", 0.5}, {"p90", 0.9}, {"p99", 0.99}, {"p99.9", 0.999}}
 
 // Rows lists every figure; distributions with their quantiles and mean.
 func (r Result) Rows() []Row {
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -52,7 +52,7 @@
 func (p Page) WriteHTML(to io.Writer) error {
 	view := pageView{Page: p, Tables: tables(p.Result)}
 	var failures []error
-	for _, drawn := range figures(p.Result) {
+	for _, drawn := range append(tradeoffs(p.Result), figures(p.Result)...) {
 		svg, err := drawn.svg()
 		if err != nil {
 			failures = append(failures, err)
@@ -187,6 +187,10 @@
 {{range .Rows}}<tr><td>{{.Profile}}</td><td>{{.Load}}</td><td>{{.Fault}}</td>{{range .Cells}}<td>{{if .Count}}{{printf "%.4g" .Mean}}{{if gt .Count 1}} ({{printf "%.4g to %.4g" .Low .High}}){{end}}{{else}}-{{end}}</td>{{end}}</tr>
 {{end}}</table>
 {{end}}<p>Means over the seeds, with 95 % bootstrap intervals.</p>
+{{with .Result.Summary}}<h2>Summary</h2>
+<table><tr><th>profile</th><th>policy</th>{{range $.Result.File.Table}}<th>{{.}}</th>{{end}}</tr>
+{{range .}}<tr><td>{{.Profile}}</td><td class="name">{{.Policy}}</td>{{range .Values}}<td>{{.}}</td>{{end}}</tr>
+{{end}}</table>{{end}}
 <h2>Curves</h2>
 {{range .Figures}}<p>{{.}}</p>
 {{end}}<h2>Environment</h2>
--- a/internal/lab/report/plot.go
+++ b/internal/lab/report/plot.go
@@ -45,6 +45,8 @@
 	curves      []curve
 	// shares is set for a curve of samples, which goes in steps from 0 to 1.
 	shares bool
+	// points marks each point of the lines.
+	points bool
 }
 
 // svg draws the figure for the inside of a page.
@@ -69,6 +71,14 @@
 			line.StepStyle = plotter.PostStep
 		}
 		drawn.Add(line)
+		if f.points {
+			marks, err := plotter.NewScatter(curve.points)
+			if err != nil {
+				return "", fmt.Errorf("plot %s: %s: %w", f.title, curve.name, err)
+			}
+			marks.Color = line.Color
+			drawn.Add(marks)
+		}
 		drawn.Legend.Add(curve.name, line)
 	}
 	canvas := vgsvg.New(plotWidth, plotHeight)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -49,14 +49,14 @@
 		if !held.serving() || avoided || held.state.Find(facts.Model) != nil {
 			continue
 		}
-		evict, evictCost, possible := c.makeRoom(now, name, facts.MemoryBytes)
+		evict, evictCost, possible := c.makeRoom(now, name, facts.MemoryBytes+c.adapterRoom[facts.Model.Model])
 		if !possible {
 			continue
 		}
 		tier := held.tier(facts.Model)
 		cost := evictCost
 		if !c.without.Tiers {
-			cost += tierCost(tier)
+			cost += tierCost(tier) * sizeCost(facts)
 		}
 		if held.state.Rack != "" && racks[held.state.Rack] {
 			cost += costSameRack
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -32,8 +32,10 @@
 
 	models map[fleet.ModelVersion]catalog.ModelFacts
 	// names are those of the models in order.
-	names           []fleet.ModelVersion
-	adapters        map[fleet.AdapterName]catalog.AdapterFacts
+	names    []fleet.ModelVersion
+	adapters map[fleet.AdapterName]catalog.AdapterFacts
+	// adapterRoom is what a load leaves free for adapters, by model name.
+	adapterRoom     map[string]int64
 	coldStartWeight float64
 	limits          map[fleet.ModelVersion]int
 	standing        map[fleet.ModelVersion]int
@@ -165,6 +167,11 @@
 
 func (c *Core) emit(effect Effect) { c.effects = append(c.effects, effect) }
 
+// mostAdapterRoom bounds the memory left for adapters beside a base. Without
+// any, bases that fill an engine and all wait for adapters would keep each other
+// from being evicted for ever.
+const mostAdapterRoom = 1 << 30
+
 func (c *Core) setCatalog(changed CatalogChanged) {
 	c.models = make(map[fleet.ModelVersion]catalog.ModelFacts, len(changed.Models))
 	for _, facts := range changed.Models {
@@ -172,8 +179,10 @@
 	}
 	c.names = slices.SortedFunc(maps.Keys(c.models), fleet.ModelVersion.Compare)
 	c.adapters = make(map[fleet.AdapterName]catalog.AdapterFacts, len(changed.Adapters))
+	c.adapterRoom = make(map[string]int64)
 	for _, facts := range changed.Adapters {
 		c.adapters[facts.Adapter] = facts
+		c.adapterRoom[facts.Model] = min(c.adapterRoom[facts.Model]+facts.MemoryBytes, mostAdapterRoom)
 	}
 	c.coldStartWeight = changed.ColdStartWeight
 }
--- a/internal/placement/history.go
+++ b/internal/placement/history.go
@@ -6,13 +6,16 @@
 )
 
 // bucketCount covers idle times from one second to about a month in steps of
-// a quarter of a doubling.
+// an eighth of a doubling.
 const (
-	bucketCount       = 88
-	bucketsPerDouble  = 4
-	historyDecay      = 0.98
-	minimumHistory    = 4.0
-	keepAliveQuantile = 0.5
+	bucketCount      = 176
+	bucketsPerDouble = 8
+	// historyDecay makes what a model did long ago count less with each
+	// further idle time.
+	historyDecay = 0.998
+	// priorWeight is how many idle times the prior counts for: those that a
+	// model may have about which nothing is known, spread over all buckets.
+	priorWeight = 2.0
 	// arrivalGap separates idle times from the gaps within a burst.
 	arrivalGap = time.Second
 )
@@ -21,11 +24,27 @@
 // one burst of requests and the start of the next.
 type history struct {
 	buckets     [bucketCount]float64
-	weight      float64
 	lastArrival time.Time
-	loads       []time.Time
+	// here is set where the zone held the model, or was asked for it, at the
+	// last arrival; else another zone serves it.
+	here  bool
+	loads []time.Time
+	// index is what wakeIndex returned for an idle time; recomputed where that
+	// has changed by much.
+	index      float64
+	indexIdle  time.Duration
+	indexKnown bool
 }
 
+// bucketEdges are the lower ends of the buckets in hours, and the last upper end.
+var bucketEdges = func() (edges [bucketCount + 1]float64) {
+	for bucket := range edges {
+		edges[bucket] = math.Exp2(float64(bucket)/bucketsPerDouble) / time.Hour.Seconds()
+	}
+	edges[0] = 0
+	return edges
+}()
+
 func bucketOf(idle time.Duration) int {
 	if idle < time.Second {
 		return 0
@@ -33,53 +52,52 @@
 	return min(bucketCount-1, int(math.Log2(idle.Seconds())*bucketsPerDouble))
 }
 
-func bucketEnd(bucket int) time.Duration {
-	return time.Duration(math.Exp2(float64(bucket+1)/bucketsPerDouble) * float64(time.Second))
-}
-
 func (h *history) arrive(now time.Time) {
 	if idle := now.Sub(h.lastArrival); !h.lastArrival.IsZero() && idle > arrivalGap {
-		h.decay()
+		for index := range h.buckets {
+			h.buckets[index] *= historyDecay
+		}
 		h.buckets[bucketOf(idle)]++
-		h.weight++
 	}
 	h.lastArrival = now
+	h.indexKnown = false
 }
 
-func (h *history) decay() {
-	for index := range h.buckets {
-		h.buckets[index] *= historyDecay
-	}
-	h.weight *= historyDecay
-}
-
-// quantile is the idle time that the share of the gaps does not exceed.
-func (h *history) quantile(share float64) time.Duration {
-	below := 0.0
-	for bucket, count := range h.buckets {
-		below += count
-		if below >= share*h.weight {
-			return bucketEnd(bucket)
-		}
+// wakeIndex is how many times an hour the model wakes from now on, over the
+// span ahead that makes it most: the largest quotient of the chance that it
+// wakes within a span and the time for which it is idle in that span, given
+// that it has been idle for so long.
+func (h *history) wakeIndex(idle time.Duration) float64 {
+	if changed := idle - h.indexIdle; h.indexKnown && changed >= 0 && changed <= h.indexIdle/indexStep {
+		return h.index
 	}
-	return bucketEnd(bucketCount - 1)
+	h.index, h.indexIdle, h.indexKnown = h.computeIndex(idle), idle, true
+	return h.index
 }
 
-func (h *history) known() bool { return h.weight >= minimumHistory }
+// indexStep is the part of the idle time after which the index is worked out anew.
+const indexStep = 100
 
-// chance is the probability that the model wakes within the span, given that
-// it has been idle for so long.
-func (h *history) chance(idle, span time.Duration) float64 {
-	from, to := bucketOf(idle), bucketOf(idle+span)
-	after, within := 0.0, 0.0
-	for bucket := from; bucket < bucketCount; bucket++ {
-		after += h.buckets[bucket]
-		if bucket <= to {
-			within += h.buckets[bucket]
-		}
+func (h *history) computeIndex(idle time.Duration) float64 {
+	const prior = priorWeight / bucketCount
+	first := bucketOf(idle)
+	from := idle.Hours()
+	inFirst := (bucketEdges[first+1] - from) / (bucketEdges[first+1] - bucketEdges[first])
+	alive := 0.0
+	for bucket := first; bucket < bucketCount; bucket++ {
+		alive += h.buckets[bucket] + prior
 	}
-	if after == 0 {
-		return 0
+	alive -= (1 - inFirst) * (h.buckets[first] + prior)
+	woken, waited, best := 0.0, 0.0, 0.0
+	for bucket := first; bucket < bucketCount; bucket++ {
+		wakes := h.buckets[bucket] + prior
+		if bucket == first {
+			wakes *= inFirst
+		}
+		waited += (alive - woken - wakes/2) * (bucketEdges[bucket+1] - from)
+		from = bucketEdges[bucket+1]
+		woken += wakes
+		best = max(best, woken/waited)
 	}
-	return within / after
+	return best
 }
--- a/internal/placement/keepalive.go
+++ b/internal/placement/keepalive.go
@@ -1,22 +1,26 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
 const (
-	// wakeSpan is how far ahead the chance of waking is judged.
-	wakeSpan = 10 * time.Minute
-	// Limits of the quantile of idle times that a model is kept for.
-	leastKeepQuantile = 0.3
-	mostKeepQuantile  = 0.95
-	shortestKeepAlive = 10 * time.Second
-	longestKeepAlive  = 4 * time.Hour
-	preloadChance     = 0.5
-	preloadSpan       = time.Minute
+	// evictSpan is how far ahead the chance of waking counts for an eviction.
+	evictSpan = 10 * time.Minute
+	// preloadFactor is by how much more a load ahead must be worth than keeping
+	// what is loaded: it costs a load, and the model must not come and go.
+	preloadFactor = 1.5
+	// extraKeepAlive is for replicas beyond the first and beyond standing
+	// capacity.
+	extraKeepAlive = time.Minute
+	// worthBase is the worth of a second of cold start at the preferences 1 and
+	// 0, in GiB hours and in parts of one.
+	worthBase = 20.0
 )
 
 // unloadIdle unloads what has been idle beyond its keep-alive, what the zone
@@ -78,7 +82,15 @@
 func (ownPolicy) Arrived(time.Time, fleet.ModelVersion) {}
 
 func (p ownPolicy) Expired(now, idleSince time.Time, model fleet.ModelVersion) bool {
-	return now.Sub(idleSince) > p.core.keepAlive(model)
+	c := p.core
+	idle := now.Sub(idleSince)
+	if c.without.IdleTimes {
+		return idle > c.settings.KeepAlive
+	}
+	if ready, _ := c.replicas(model); ready > max(1, c.standing[model]) && idle > extraKeepAlive {
+		return true
+	}
+	return c.worthKeeping(model, idle) < 1
 }
 
 // EvictionCost is the cost of loading again, times the chance that the model
@@ -87,7 +99,8 @@
 	if p.core.without.EvictionCost {
 		return leastRecentlyUsedCost(now, idleSince)
 	}
-	return costRemote * p.core.chanceOfWaking(now, model)
+	chance := min(1, p.core.historyOf(model).wakeIndex(now.Sub(idleSince))*evictSpan.Hours())
+	return chance * sizeCost(p.core.models[model]) * costDisk
 }
 
 // leastRecentlyUsedCost falls from 1 with the time of idleness.
@@ -108,32 +121,53 @@
 	return last
 }
 
-// keepAlive is a quantile of the model's own idle times: the more the tail of
-// cold starts counts, the higher.
-func (c *Core) keepAlive(model fleet.ModelVersion) time.Duration {
-	history := c.historyOf(model)
-	if !history.known() || c.without.IdleTimes {
-		return c.settings.KeepAlive
-	}
-	quantile := leastKeepQuantile + (mostKeepQuantile-leastKeepQuantile)*c.coldStartWeight
-	return min(max(history.quantile(quantile), shortestKeepAlive), longestKeepAlive)
+// worthKeeping is what keeping the model loaded saves in cold starts over what
+// the memory costs meanwhile; it is kept while that is at least 1.
+func (c *Core) worthKeeping(model fleet.ModelVersion, idle time.Duration) float64 {
+	facts := c.models[model]
+	seconds := c.reloadSeconds(facts)
+	perHour := c.historyOf(model).wakeIndex(idle)
+	return c.worthOfSecond() * seconds * perHour / (float64(facts.MemoryBytes) / gibibyte)
+}
+
+const gibibyte = 1 << 30
+
+// worthOfSecond is what a second of cold start is worth, in GiB hours.
+func (c *Core) worthOfSecond() float64 {
+	return math.Pow(worthBase, 2*c.coldStartWeight-1)
 }
 
-func (c *Core) chanceOfWaking(now time.Time, model fleet.ModelVersion) float64 {
-	history := c.historyOf(model)
-	if !history.known() {
-		return keepAliveQuantile
+// reloadSeconds is how long a load takes from the nearest tier of the zone.
+func (c *Core) reloadSeconds(facts catalog.ModelFacts) float64 {
+	best := costRemote
+	for _, held := range c.engines {
+		if held.serving() {
+			best = min(best, tierCost(held.tier(facts.Model)))
+		}
 	}
-	return history.chance(now.Sub(history.lastArrival), wakeSpan)
+	return best * sizeCost(facts) * referenceLoad.Seconds()
+}
+
+// referenceLoad is about what a checkpoint of referenceBytes takes from the
+// weight store.
+const (
+	referenceLoad  = 20 * time.Second
+	referenceBytes = 14 << 30
+)
+
+// sizeCost is the size of a checkpoint against that of the reference.
+func sizeCost(facts catalog.ModelFacts) float64 {
+	return float64(facts.CheckpointBytes) / referenceBytes
 }
 
 // likelyToWake reports whether a model that is not loaded is worth loading
 // ahead of its next request.
 func (c *Core) likelyToWake(now time.Time, model fleet.ModelVersion) bool {
 	history := c.history[model]
-	if history == nil || !history.known() {
+	if history == nil || !history.here || c.without.IdleTimes {
 		return false
 	}
-	chance := history.chance(now.Sub(history.lastArrival), preloadSpan)
-	return chance*c.coldStartWeight > preloadChance*(1-c.coldStartWeight)
+	facts := c.models[model]
+	lead := time.Duration(c.reloadSeconds(facts) * float64(time.Second))
+	return c.worthKeeping(model, now.Sub(history.lastArrival)+lead) >= preloadFactor
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -195,16 +195,50 @@
 }
 
 func TestModelIsUnloadedAfterItsOwnIdleTimes(t *testing.T) {
-	r := newRig(t, 1, facts("a", 1))
-	r.begin()
-	for range 10 {
+	cases := []struct {
+		gap, kept, gone time.Duration
+	}{
+		{2 * time.Minute, 110 * time.Second, 12 * time.Minute},
+		{30 * time.Minute, 29 * time.Minute, time.Hour},
+	}
+	for _, test := range cases {
+		r := newRig(t, 1, facts("a", 1))
+		r.begin()
+		for range 10 {
+			r.want("a", 0, 0)
+			r.now = r.now.Add(test.gap)
+		}
 		r.want("a", 0, 0)
-		r.now = r.now.Add(2 * time.Minute)
+		r.show("e0", ready("a", r.now.Add(-time.Minute)))
+		r.expect(r.wait(test.kept))
+		r.expect(r.wait(test.gone-test.kept), "unload a e0")
+	}
+}
+
+func TestModelWithATimetableIsLoadedAhead(t *testing.T) {
+	for _, servedHere := range []bool{true, false} {
+		r := newRig(t, 1, facts("a", 1))
+		state := r.states["e0"]
+		state.Tiers = map[fleet.ModelVersion]fleet.Tier{model("a"): fleet.TierDisk}
+		r.states["e0"] = state
+		r.begin()
+		if servedHere {
+			r.show("e0", ready("a", r.now))
+		}
+		for range 10 {
+			r.want("a", 0, 0)
+			r.now = r.now.Add(time.Hour)
+		}
+		r.expect(r.want("a", 0, 0))
+		r.now = r.now.Add(20 * time.Minute)
+		r.expect(r.show("e0"))
+		effects := r.wait(39 * time.Minute)
+		if servedHere {
+			r.expect(effects, "load a e0")
+		} else {
+			r.expect(effects)
+		}
 	}
-	r.want("a", 0, 0)
-	r.show("e0", ready("a", r.now.Add(-time.Minute)))
-	r.expect(r.wait(2 * time.Minute))
-	r.expect(r.wait(time.Minute), "unload a e0")
 }
 
 func TestLoadsOfOneModelAreBounded(t *testing.T) {
