Simulate requests from callers to engines

Change: each simulated node runs the product's queue, routing and attempt cores, one file for the effects of each. Callers are drawn in an open loop with deadlines and cancels; control hears only the queue's wants. Engines stream tokens over simulated connections; eight new kinds of faults break, cut, double, cross and repeat them, slow the engine, freeze its report or hang its loads. An engine leaves and a node drains near the end of each run. Rules: ends once, by its deadline, answers whole and own, not-run true, no work at a leaving engine after 2 s, planned stops cut nothing. Heartbeats of machines come every 500 ms, as the stand-ins send them.

Ruled out: two alarms of the new rules were the model's own.

Not shown: planned-stop-cuts-nothing has no planted defect, BlindResend needs calls that may not be repeated.

--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -25,6 +25,7 @@
 
 	state   ProcessState
 	boot    uint64
+	pauses  uint64
 	held    []func()
 	onStart func(boot uint64)
 	// onDeath is called once, at the death of the present boot.
@@ -65,6 +66,9 @@
 // Boot counts the starts of the process.
 func (p *Process) Boot() uint64 { return p.boot }
 
+// Pauses counts the pauses of the process.
+func (p *Process) Pauses() uint64 { return p.pauses }
+
 // Now is the time that the process's own clock shows.
 func (p *Process) Now() time.Time {
 	return p.clock.Local(p.scheduler.Elapsed())
@@ -115,6 +119,7 @@
 		return
 	}
 	p.state = ProcessPaused
+	p.pauses++
 	p.trace.Record("pause", p.name, p.zone, p.boot)
 }
 
--- a/internal/sim/world/config.go
+++ b/internal/sim/world/config.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/configsync"
 	"github.com/spanlanding/spanlanding/internal/control"
 	"github.com/spanlanding/spanlanding/internal/membership"
+	"github.com/spanlanding/spanlanding/internal/queue"
+	"github.com/spanlanding/spanlanding/internal/routing"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
 
@@ -30,6 +33,9 @@
 	Config     configsync.Defects `json:"config,omitzero"`
 	Control    control.Defects    `json:"control,omitzero"`
 	Engine     engine.Defects     `json:"engine,omitzero"`
+	Queue      queue.Defects      `json:"queue,omitzero"`
+	Routing    routing.Defects    `json:"routing,omitzero"`
+	Attempt    attempt.Defects    `json:"attempt,omitzero"`
 }
 
 // DefaultConfig is the fleet that the aim of a thousand seeds a minute names.
--- a/internal/sim/world/demand.go
+++ b/internal/sim/world/demand.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/control"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/sim"
 )
@@ -14,14 +13,16 @@
 	burstMost     = 4 * time.Second
 	wantPatience  = 30 * time.Second
 	wantInterval  = time.Second
-	wantedAtOnce  = 6
+	callsAtOnce   = 6
 	burstNodeMost = 5
 )
 
-// demand draws bursts: a model is wanted at many nodes at once.
+// demand draws bursts of calls, in an open loop: a model is wanted at many
+// nodes at once.
 type demand struct {
 	world  *World
 	random *rand.Rand
+	calls  uint64
 }
 
 func newDemand(world *World) *demand {
@@ -43,38 +44,56 @@
 	first := d.random.IntN(len(d.world.nodes))
 	for offset := range 1 + d.random.IntN(burstNodeMost) {
 		wanting := d.world.nodes[(first+offset)%len(d.world.nodes)]
-		if wanting.process.State() == sim.ProcessRunning {
-			wanting.want(model, d.random.IntN(10), nil)
+		if wanting.serves() {
+			d.callsAt(wanting, model)
 		}
 	}
 }
 
-// want reports a want again and again until a replica is ready by the tables
-// that the node routes by, or until patience ends; served, if set, is told.
+func (d *demand) callsAt(wanting *node, model fleet.ModelVersion) {
+	priority := d.random.IntN(10)
+	for range 1 + d.random.IntN(callsAtOnce) {
+		drawn := d.newCall(wanting, model, priority)
+		drawn.send()
+		if sim.Chance(d.random, cancelShare) {
+			drawn.leaveAfter(sim.Between(d.random, 0, cancelMost))
+		}
+	}
+}
+
+// serves reports whether the node takes new calls.
+func (n *node) serves() bool {
+	return n.process.State() == sim.ProcessRunning && !n.requests.draining
+}
+
+// want calls for a model again and again until a replica is ready by the
+// tables that the node routes by, or until patience ends; served, if set, is
+// told.
 func (n *node) want(model fleet.ModelVersion, priority int, served func(bool)) {
 	deadline := n.process.Now().Add(wantPatience)
 	boot := n.process.Boot()
-	report := func(waiting int) {
-		n.control.step(control.WantsReported{From: n.name, Wants: []fleet.Want{{
-			Model: model, Node: n.name, Zone: n.zone, Waiting: waiting, Priority: priority, Deadline: deadline, Arrivals: waiting,
-		}}})
-	}
 	var again func()
 	again = func() {
 		ready := n.ready(model)
 		if ready || n.process.Now().After(deadline) {
-			report(0)
 			if served != nil {
 				served(ready)
 			}
 			return
 		}
-		report(wantedAtOnce)
+		n.callFor(model, priority)
 		n.world.scheduler.After(wantInterval, func() { n.process.Do(boot, again) })
 	}
 	again()
 }
 
+// callFor sends a patient call.
+func (n *node) callFor(model fleet.ModelVersion, priority int) {
+	wanted := n.world.demand.newCall(n, model, priority)
+	wanted.patience = wantPatience
+	wanted.send()
+}
+
 // wantEverything wants every model.
 func (n *node) wantEverything() {
 	for index := range modelCount {
--- a/internal/sim/world/engine.go
+++ b/internal/sim/world/engine.go
@@ -16,6 +16,8 @@
 	engineKVReserve = 16 * engine.GiB
 	// remoteLoad is shorter than in earnest, so that a run sees many loads.
 	remoteLoad = 2 * time.Second
+	// iterationBase is longer than in earnest: each iteration is an event.
+	iterationBase = 50 * time.Millisecond
 )
 
 // engineProcess drives the stand-in's model of an engine.
@@ -25,14 +27,18 @@
 	backend fleet.Backend
 	core    *engine.Core
 	waker   *sim.Waker
+	// faults are those in force within the model.
+	faults engine.Faults
 
 	lastCall engine.CallID
 	replies  map[engine.CallID]func(any)
+	// readers are the links that the engine's streams go to.
+	readers map[engine.CallID]*link
 }
 
 func newEngineProcess(world *World, index int) *engineProcess {
 	name := fmt.Sprintf("engine%02d", index+1)
-	created := &engineProcess{world: world, replies: make(map[engine.CallID]func(any)), backend: fleet.Backend{
+	created := &engineProcess{world: world, replies: make(map[engine.CallID]func(any)), readers: make(map[engine.CallID]*link), backend: fleet.Backend{
 		Name:    fleet.BackendName(name),
 		Kind:    fleet.KindEngine,
 		Zone:    world.zoneOf(index),
@@ -51,7 +57,7 @@
 		Incarnation:    1,
 		MemoryBytes:    world.config.EngineMemory,
 		KVReserveBytes: engineKVReserve,
-		Timing:         engine.Timing{RemoteLoad: remoteLoad},
+		Timing:         engine.Timing{RemoteLoad: remoteLoad, IterationBase: iterationBase},
 		Seed:           world.streams.Stream("engine/" + name).Uint64(),
 		Defects:        world.config.Defects.Engine,
 	})
@@ -63,6 +69,7 @@
 	e.process.OnDeath(func() {
 		e.step(engine.Restart{})
 		clear(e.replies)
+		clear(e.readers)
 	})
 	e.waker.Set(e.core.NextWake())
 }
@@ -122,6 +129,10 @@
 		e.world.weights.read(e, effect)
 	case engine.CancelFetch:
 		e.world.weights.cancel(e, effect)
+	case engine.Cancelled:
+		delete(e.replies, effect.Call)
+	case engine.Emit, engine.Broken, engine.Refused:
+		e.performStream(effect)
 	}
 }
 
--- a/internal/sim/world/faults.go
+++ b/internal/sim/world/faults.go
@@ -64,6 +64,14 @@
 		{Kind: faultMachinesLag, Most: 1, Least: 5 * second, Longest: 60 * second},
 		{Kind: faultEngineKill, Most: 10, Least: second / 2, Longest: 20 * second, Aim: w.aimEngine},
 		{Kind: faultEnginePause, Most: 3, Least: second / 2, Longest: 30 * second, Aim: w.aimEngine},
+		{Kind: faultStreamsBreak, Most: 3, Least: 5 * second, Longest: 40 * second, Aim: w.aimEngine},
+		{Kind: faultStreamsCut, Most: 3, Least: 5 * second, Longest: 40 * second, Aim: w.aimEngine},
+		{Kind: faultChunksDoubled, Most: 3, Least: 5 * second, Longest: 40 * second, Aim: w.aimEngine},
+		{Kind: faultChunksCrossed, Most: 3, Least: 5 * second, Longest: 40 * second, Aim: w.aimEngine},
+		{Kind: faultChunksLate, Most: 3, Least: 5 * second, Longest: 40 * second, Aim: w.aimEngine},
+		{Kind: faultEngineSlow, Most: 3, Least: 5 * second, Longest: 40 * second, Aim: w.aimEngine},
+		{Kind: faultReportsFrozen, Most: 2, Least: 5 * second, Longest: 40 * second, Aim: w.aimEngine},
+		{Kind: faultEngineLoadHang, Most: 1, Least: 5 * second, Longest: 40 * second, Aim: w.aimEngine},
 		{Kind: faultWeightsSlow, Most: 1, Least: 5 * second, Longest: 60 * second},
 	}
 }
--- a/internal/sim/world/inject.go
+++ b/internal/sim/world/inject.go
@@ -60,6 +60,9 @@
 		return w.cutZones(fault)
 	case faultZoneCutOff:
 		return w.cutOff(fault.Target)
+	case faultStreamsBreak, faultStreamsCut, faultChunksDoubled, faultChunksCrossed, faultChunksLate,
+		faultEngineSlow, faultReportsFrozen, faultEngineLoadHang:
+		return w.streamFault(fault)
 	case faultDisturbance:
 		return w.disturb(fault.Amount)
 	default:
--- a/internal/sim/world/judge.go
+++ b/internal/sim/world/judge.go
@@ -32,6 +32,7 @@
 func ruleNames() []sim.RuleName {
 	return []sim.RuleName{
 		ruleVersionsGrow, ruleNoRevert, ruleInForce, ruleMembers,
+		ruleEndsOnce, ruleInTime, ruleAnswer, ruleNotRun, ruleLeaving, rulePlannedStop,
 		ruleReplicas, ruleCeiling, ruleRaise, ruleOrderOnce, ruleMemory, ruleLoads, ruleDead,
 	}
 }
@@ -60,6 +61,8 @@
 	victim *node
 	// probing counts the wants of probeLoads that are not yet served.
 	probing int
+	// calls are all that were made.
+	calls []*call
 }
 
 // configView is what a node's present boot holds.
@@ -171,6 +174,7 @@
 
 // finish checks what must hold at the end of a run.
 func (j *judge) finish() {
+	j.judgeCalls()
 	if j.world.scheduler.Elapsed() < j.world.faultsOver+quietBound {
 		return
 	}
--- a/internal/sim/world/machines.go
+++ b/internal/sim/world/machines.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	heartbeatInterval  = time.Second
+	heartbeatInterval  = 500 * time.Millisecond
 	machineCallTimeout = 2 * time.Second
 )
 
--- a/internal/sim/world/node.go
+++ b/internal/sim/world/node.go
@@ -26,6 +26,7 @@
 	membership *membershipPart
 	config     *configPart
 	control    *controlPart
+	requests   *requestsPart
 	compiler   *catalog.Compiler
 	// tables are those that the node routes by.
 	tables map[fleet.Zone]fleet.RouteTable
@@ -58,6 +59,7 @@
 	n.membership = newMembershipPart(n, self, seed)
 	n.config = newConfigPart(n, self, seed)
 	n.control = newControlPart(n, self, seed)
+	n.requests = newRequestsPart(n, seed)
 	n.compiler = catalog.NewCompiler()
 	n.tables = nil
 	n.membership.start()
@@ -102,6 +104,7 @@
 	n.post(func() {
 		n.membership.machinesChanged(list)
 		n.control.step(control.MachinesChanged{List: list})
+		n.requests.machinesChanged(list)
 	})
 }
 
--- /dev/null
+++ b/internal/sim/world/node_attempt.go
@@ -0,0 +1,150 @@
+package world
+
+import (
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/attempt"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/routing"
+	"github.com/spanlanding/spanlanding/internal/sim"
+	"github.com/spanlanding/spanlanding/internal/standin/engine"
+)
+
+// request drives the attempt core of one call, as the gateway does.
+type request struct {
+	part    *requestsPart
+	call    *call
+	core    *attempt.Core
+	waker   *sim.Waker
+	arrived time.Time
+	// ticket names the present attempt to queue and routing; 0 for none.
+	ticket  uint64
+	misses  int
+	exclude []fleet.BackendName
+	engine  *engineProcess
+	link    *link
+	opened  time.Time
+	// began is set once the present attempt has brought a token.
+	began     bool
+	abandoned bool
+	over      bool
+}
+
+// take serves a call; its end is told to the call.
+func (p *requestsPart) take(call *call) {
+	now := p.node.process.Now()
+	r := &request{part: p, call: call, arrived: now}
+	r.core = attempt.New(attempt.Options{
+		RequestID: call.id, Deadline: now.Add(call.patience), Repeatable: true, Resumable: true,
+		Seed: call.seed, Defects: p.node.world.config.Defects.Attempt,
+	})
+	r.waker = sim.NewWaker(p.node.process, func() {
+		if r.link != nil {
+			r.step(attempt.Tick{})
+		}
+	})
+	p.running = append(p.running, r)
+	call.request = r
+	p.submit(r, attempt.Reassign{})
+}
+
+// post steps the core once what is under way is done.
+func (r *request) post(message attempt.Message) {
+	r.part.node.post(func() { r.step(message) })
+}
+
+func (r *request) step(message attempt.Message) {
+	if r.over {
+		return
+	}
+	now := r.part.node.process.Now()
+	for _, effect := range slices.Clone(r.core.Step(now, message)) {
+		r.perform(now, effect)
+	}
+	if !r.over && r.link != nil {
+		r.waker.Set(r.core.NextWake())
+	}
+}
+
+func (r *request) perform(now time.Time, effect attempt.Effect) {
+	switch effect := effect.(type) {
+	case *attempt.Deliver:
+		r.call.token(effect.Text)
+		if !r.began {
+			r.began = true
+			r.part.began(r.ticket, now.Sub(r.opened))
+		}
+	case attempt.Open:
+		r.opened, r.began = now, false
+		wanted := r.call.engineRequest(effect.Attempt, len(effect.ContinueFrom))
+		r.connect(effect.Connection, "engine/submit", func(id engine.CallID) engine.Message {
+			return engine.Submit{Call: id, Request: wanted}
+		})
+	case attempt.Resume:
+		r.part.node.world.count("resumed")
+		r.connect(effect.Connection, "engine/resume", func(id engine.CallID) engine.Message {
+			return engine.Resume{Call: id, Request: r.call.id, Attempt: effect.Attempt, From: effect.From}
+		})
+	case attempt.Cancel:
+		r.cancel(effect)
+	case attempt.Reassign:
+		r.part.node.world.count("reassigned")
+		r.endAttempt()
+		r.reassign(effect)
+	case attempt.Finish:
+		r.endAttempt()
+		r.over = true
+		r.part.running = slices.DeleteFunc(r.part.running, func(other *request) bool { return other == r })
+		r.call.finished(effect)
+	}
+}
+
+// reassign asks for another back end after the pause; its exclusions are valid
+// until the next step.
+func (r *request) reassign(effect attempt.Reassign) {
+	effect.Exclude = slices.Clone(effect.Exclude)
+	boot := r.part.node.process.Boot()
+	r.part.node.world.scheduler.After(effect.After, func() {
+		r.part.node.process.Do(boot, func() {
+			if !r.over {
+				r.part.submit(r, effect)
+			}
+		})
+	})
+}
+
+// callerGone tells that the caller went away.
+func (r *request) callerGone() {
+	if r.over {
+		return
+	}
+	r.abandoned = true
+	r.part.abandon(r)
+	r.step(attempt.CallerGone{})
+}
+
+func (r *request) endAttempt() {
+	r.close()
+	if r.ticket == 0 {
+		return
+	}
+	r.part.ended(r.ticket, r.result())
+	r.ticket = 0
+}
+
+// result is what the gateway tells routing.
+func (r *request) result() routing.Result {
+	last := r.core.Last()
+	switch {
+	case r.abandoned:
+		return routing.ResultAbandoned
+	case last.Evidence == 0 || last.Final:
+		return routing.ResultOK
+	case last.Evidence == attempt.NeverSent:
+		return routing.ResultUnreachable
+	case last.Evidence == attempt.RefusedBeforeRun:
+		return routing.ResultRefused
+	}
+	return routing.ResultFailed
+}
--- a/internal/sim/world/node_control.go
+++ b/internal/sim/world/node_control.go
@@ -88,12 +88,14 @@
 		p.forwardWants(effect)
 	case control.RefuseWants:
 		p.node.world.count("load-refused")
+		p.node.post(func() { p.node.requests.loadRefused(effect.Refusals) })
 	case control.BroadcastLeaving:
 		p.broadcastLeaving(effect)
 	case control.HandOver:
 		p.handOver(effect)
 	case control.TablesChanged:
 		p.node.tables = effect.Tables
+		p.node.post(func() { p.node.requests.tablesChanged(effect.Tables) })
 	case control.LeadershipChanged:
 		p.leadershipChanged(effect)
 	}
--- a/internal/sim/world/planted_test.go
+++ b/internal/sim/world/planted_test.go
@@ -5,9 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/configsync"
 	"github.com/spanlanding/spanlanding/internal/control"
 	"github.com/spanlanding/spanlanding/internal/membership"
+	"github.com/spanlanding/spanlanding/internal/queue"
+	"github.com/spanlanding/spanlanding/internal/routing"
 	"github.com/spanlanding/spanlanding/internal/sim"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
@@ -40,6 +43,12 @@
 		{"gaps ignored: late", Defects{Config: configsync.Defects{IgnoreGaps: true}}, ruleInForce},
 		{"gaps ignored: reverts", Defects{Config: configsync.Defects{IgnoreGaps: true}}, ruleNoRevert},
 		{"no refutation", Defects{Membership: membership.Defects{NoRefutation: true}}, ruleMembers},
+		{"not-run claimed", Defects{Attempt: attempt.Defects{ClaimNotRun: true}}, ruleNotRun},
+		{"no sequence check", Defects{Attempt: attempt.Defects{NoSequenceCheck: true}}, ruleAnswer},
+		{"truncated answers passed", Defects{Attempt: attempt.Defects{PassTruncated: true}}, ruleAnswer},
+		{"deadlines forgotten", Defects{Queue: queue.Defects{ForgetDeadlines: true}}, ruleInTime},
+		{"shed without a word", Defects{Queue: queue.Defects{DropShed: true}}, ruleEndsOnce},
+		{"leaving ignored", Defects{Routing: routing.Defects{IgnoreLeaving: true}}, ruleLeaving},
 		{"the dead resurrected", Defects{Membership: membership.Defects{ResurrectDead: true}}, ruleDead},
 	}
 	for _, planted := range cases {
--- a/internal/sim/world/world.go
+++ b/internal/sim/world/world.go
@@ -137,6 +137,8 @@
 func (w *World) startDemand() {
 	w.demand.next()
 	w.scheduler.At(w.faultsOver+quietBound, w.judge.probeLoads)
+	w.scheduler.At(w.config.Duration-leaveBefore, w.leaveOne)
+	w.scheduler.At(w.config.Duration-drainBefore, w.drainOne)
 	w.scheduler.At(w.config.Duration-deathBound, w.judge.killOne)
 }
 
