--- a/internal/sim/world/config.go
+++ b/internal/sim/world/config.go
@@ -36,6 +36,13 @@
 	Queue      queue.Defects      `json:"queue,omitzero"`
 	Routing    routing.Defects    `json:"routing,omitzero"`
 	Attempt    attempt.Defects    `json:"attempt,omitzero"`
+	Node       NodeDefects        `json:"node,omitzero"`
+}
+
+// NodeDefects are planted in what joins the cores of a node.
+type NodeDefects struct {
+	// CutAtDrain ends a planned stop with requests in progress.
+	CutAtDrain bool `json:"cutAtDrain,omitempty"`
 }
 
 // DefaultConfig is the fleet that the aim of a thousand seeds a minute names.
--- a/internal/sim/world/judge_requests.go
+++ b/internal/sim/world/judge_requests.go
@@ -68,6 +68,13 @@
 	}
 }
 
+// drained is told of a node's planned stop as it ends.
+func (j *judge) drained(stopped *node) {
+	j.world.count("drained")
+	left := len(stopped.requests.running)
+	j.world.rules.Check(rulePlannedStop, left == 0, "%s ended its planned stop with %d requests in progress", stopped.name, left)
+}
+
 // notOwn finds a token that is not the one at its place in the call's answer.
 func notOwn(judged *call) func(string) bool {
 	index := 0
--- a/internal/sim/world/stops.go
+++ b/internal/sim/world/stops.go
@@ -121,11 +121,11 @@
 	boot := n.process.Boot()
 	var check func()
 	check = func() {
-		if len(n.requests.running) > 0 {
+		if len(n.requests.running) > 0 && !n.world.config.Defects.Node.CutAtDrain {
 			n.world.scheduler.After(drainCheck, func() { n.process.Do(boot, check) })
 			return
 		}
-		n.world.count("drained")
+		n.world.judge.drained(n)
 		n.membership.step(membership.Leave{})
 		n.process.Die()
 	}
