Wait for a lost zone as it is known in others

Cause: TestZoneIsLostAndComesBack waited in vain for 90 s: it wanted the lost zone's nodes to be held for dead by a node of another zone, which knows of them by their zone's reports alone and holds them for suspect after 15 s without one (docs/design/membership.md).

Change: the test waits until they are not usable any more, and its load lasts beyond that.

--- a/test/faults/actions_test.go
+++ b/test/faults/actions_test.go
@@ -72,14 +72,15 @@
 	})
 }
 
-// awaitMissing waits until a node no longer takes another for alive.
+// awaitMissing waits until a node no longer holds another for usable. It knows
+// of another zone's nodes by that zone's reports, so they become suspect only.
 func (f *testFleet) awaitMissing(observer, missed *testNode) {
 	f.Helper()
 	eventually(f.T, string(missed.settings.Name)+" is missed", func() bool {
 		status, heard := f.status(observer)
 		for _, member := range status.Members {
 			if member.Name == missed.settings.Name {
-				return member.State == fleet.MemberDead
+				return !member.Usable()
 			}
 		}
 		return heard
--- a/test/faults/pairs_test.go
+++ b/test/faults/pairs_test.go
@@ -64,7 +64,7 @@
 func TestZoneIsLostAndComesBack(t *testing.T) {
 	onlyLong(t)
 	f := startFleet(t)
-	f.underLoad(run{duration: 2 * pairTime, script: func(reached) {
+	f.underLoad(run{duration: 3 * pairTime, script: func(reached) {
 		f.cut(zones[1], faults.Set{})
 		for _, node := range f.nodesOf(zones[1]) {
 			f.pause(node)
