--- a/cmd/spanlab/experiment.go
+++ b/cmd/spanlab/experiment.go
@@ -18,6 +18,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/lab/batching"
 	"github.com/spanlanding/spanlanding/internal/lab/experiment"
+	"github.com/spanlanding/spanlanding/internal/lab/policy"
 	"github.com/spanlanding/spanlanding/internal/lab/report"
 	"github.com/spanlanding/spanlanding/internal/lab/requestpath"
 )
@@ -28,6 +29,7 @@
 		batching.Name:        experiment.RunnerFunc(batching.Run),
 		requestpath.Overload: experiment.RunnerFunc(requestpath.RunOverload),
 		requestpath.ZoneLoss: experiment.RunnerFunc(requestpath.RunZoneLoss),
+		policy.Name:          experiment.RunnerFunc(policy.Run),
 	}
 }
 
@@ -79,6 +81,7 @@
 		page.Differences = experiment.Compare(older, result.Rows())
 		printDifferences(os.Stdout, page.Differences)
 	}
+	failures = errors.Join(failures, result.WriteSummary(os.Stdout))
 	return errors.Join(failures, writeReport(command.String("out"), page))
 }
 
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -36,7 +36,9 @@
 	leaving  leavingState
 	gone     goneState
 
-	now     time.Time
+	now time.Time
+	// placed is set once placement was stepped in this step.
+	placed  bool
 	effects []Effect
 }
 
@@ -96,17 +98,19 @@
 func (c *Core) Step(now time.Time, message Message) []Effect {
 	c.now = now
 	c.effects = nil
+	c.placed = false
 	c.take(message)
 	c.stand()
 	c.updateGone()
+	c.updateElsewhere()
 	c.stepLeader(leadership.Tick{})
-	c.stepPlacement(placement.Tick{})
+	c.tickPlacement()
 	c.poll()
 	c.decide()
 	c.reportArrivals()
+	c.flushRefusals()
 	c.publish()
 	c.repair()
-	c.flushRefusals()
 	return c.effects
 }
 
@@ -148,6 +152,15 @@
 	}
 }
 
+// tickPlacement lets placement do what is due. Any message makes it plan, which
+// costs as much as the zone is large, so the tick is left out after another one
+// of the same step.
+func (c *Core) tickPlacement() {
+	if !c.placed {
+		c.stepPlacement(placement.Tick{})
+	}
+}
+
 func (c *Core) emit(effect Effect) { c.effects = append(c.effects, effect) }
 
 func (c *Core) settings() Settings { return c.options.Settings }
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -19,6 +19,8 @@
 	// urgent changes go out at once, pending ones with the next update.
 	urgent  bool
 	pending map[fleet.BackendName]bool
+	// loads are engines of which only the report of load is pending.
+	loads   map[fleet.BackendName]bool
 	removed map[fleet.BackendName]bool
 	// reports are those that were sent last.
 	reports map[fleet.BackendName]fleet.LoadReport
@@ -30,6 +32,7 @@
 func newStream() stream {
 	return stream{
 		pending: make(map[fleet.BackendName]bool),
+		loads:   make(map[fleet.BackendName]bool),
 		removed: make(map[fleet.BackendName]bool),
 		reports: make(map[fleet.BackendName]fleet.LoadReport),
 	}
@@ -43,12 +46,13 @@
 		s.pending[after.Name] = true
 	}
 	if !similarReport(s.reports[after.Name], after.Report) {
-		s.pending[after.Name] = true
+		s.loads[after.Name] = true
 	}
 }
 
 func (s *stream) dropped(name fleet.BackendName) {
 	delete(s.pending, name)
+	delete(s.loads, name)
 	delete(s.reports, name)
 	s.removed[name] = true
 	s.urgent = true
@@ -78,7 +82,7 @@
 // due reports whether an update is to be sent now.
 func (s *stream) due(now time.Time, reports, heartbeat time.Duration) bool {
 	elapsed := now.Sub(s.published)
-	return s.fresh || s.urgent || (len(s.pending) > 0 && elapsed >= reports) || elapsed >= heartbeat
+	return s.fresh || s.urgent || (len(s.loads) > 0 && elapsed >= reports) || elapsed >= heartbeat
 }
 
 // publishOwn sends the leader's table to both audiences.
@@ -87,6 +91,10 @@
 		table.services = services
 		c.tables.near.urgent, c.tables.far.urgent = true, true
 	}
+	if waiting := c.placement.WaitingLoads(); waiting != table.waitingLoads {
+		table.waitingLoads = waiting
+		c.tables.far.urgent = true
+	}
 	settings := c.settings()
 	near := c.tables.near.due(c.now, settings.ReportInterval, settings.Heartbeat)
 	far := c.tables.far.due(c.now, settings.FarReportInterval, settings.FarHeartbeat)
@@ -97,7 +105,9 @@
 	table.heard = c.now
 	if near {
 		c.tables.viewChanged = true
-		c.emit(PublishTable{To: c.peersOfZone(c.options.Zone), Update: c.update(table, &c.tables.near)})
+		update := c.update(table, &c.tables.near)
+		update.Table.Refusals, c.tables.refused = c.tables.refused, nil
+		c.emit(PublishTable{To: c.peersOfZone(c.options.Zone), Update: update})
 	}
 	if far {
 		c.emit(PublishTable{To: c.relays(), Update: c.update(table, &c.tables.far)})
@@ -112,6 +122,8 @@
 		Fence:    table.fence,
 		Sequence: table.sequence,
 		Services: table.services,
+
+		WaitingLoads: table.waitingLoads,
 	}}
 	if stream.fresh {
 		update.Table.Engines = table.export(c.options.Zone).Engines
@@ -120,6 +132,13 @@
 		for _, name := range slices.Sorted(maps.Keys(stream.pending)) {
 			update.Table.Engines = append(update.Table.Engines, table.engines[name])
 		}
+		for _, name := range slices.Sorted(maps.Keys(stream.loads)) {
+			if !stream.pending[name] {
+				report := table.engines[name].Report
+				update.Reports = append(update.Reports, EngineReport{Engine: name, Report: report})
+				stream.reports[name] = report
+			}
+		}
 		update.Removed = slices.Sorted(maps.Keys(stream.removed))
 	}
 	for _, state := range update.Table.Engines {
@@ -127,6 +146,7 @@
 	}
 	stream.fresh, stream.urgent = false, false
 	clear(stream.pending)
+	clear(stream.loads)
 	clear(stream.removed)
 	stream.since, stream.published = table.sequence, c.now
 	return update
--- a/internal/node/claim_shell.go
+++ b/internal/node/claim_shell.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -52,6 +53,8 @@
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 	refresh    chan struct{}
+	// records counts what the keeper holds, for the figures.
+	records atomic.Int64
 
 	mutex    sync.Mutex
 	table    claim.Table
@@ -144,6 +147,7 @@
 
 func (c *Claims) step(message claim.KeeperMessage) []claim.KeeperEffect {
 	effects := c.keeper.Step(time.Now(), message)
+	c.records.Store(int64(c.keeper.Records()))
 	for _, effect := range effects {
 		if ask, found := effect.(claim.AskSeal); found {
 			c.goBackground(func() { c.askSeal(ask) })
@@ -274,7 +278,7 @@
 // takeSlots merges newer slots and tells the keeper of them.
 func (c *Claims) takeSlots(slots []claim.Slot) {
 	c.mutex.Lock()
-	merged, newer := c.table.Merge(slots)
+	merged, newer := c.table.Merge(usableSlots(slots))
 	c.table = merged
 	c.mutex.Unlock()
 	for _, slot := range newer {
--- a/internal/node/control_peers.go
+++ b/internal/node/control_peers.go
@@ -35,7 +35,7 @@
 func (s *Control) publishTable(effect control.PublishTable) {
 	update, err := encodeUpdate(effect.Update)
 	if err != nil {
-		s.logFailure("table-not-encoded", err)
+		s.logFailure("table_not_encoded", err)
 		return
 	}
 	update.From = string(s.dependencies.Self.Name)
@@ -62,6 +62,9 @@
 		Leader:   string(update.Table.Leader),
 		Table:    table,
 	}
+	for _, news := range update.Reports {
+		encoded.Reports = append(encoded.Reports, encodeReport(news))
+	}
 	for _, name := range update.Removed {
 		encoded.Removed = append(encoded.Removed, string(name))
 	}
@@ -73,6 +76,9 @@
 	if err := json.Unmarshal(encoded.GetTable(), &update.Table); err != nil {
 		return update, fmt.Errorf("table of zone %s: %w", encoded.GetZone(), err)
 	}
+	for _, news := range encoded.GetReports() {
+		update.Reports = append(update.Reports, decodeReport(news))
+	}
 	for _, name := range encoded.GetRemoved() {
 		update.Removed = append(update.Removed, fleet.BackendName(name))
 	}
@@ -96,7 +102,7 @@
 	for _, encoded := range response.GetTables() {
 		update, err := decodeUpdate(encoded)
 		if err != nil {
-			s.logFailure("table-unreadable", err)
+			s.logFailure("table_unreadable", err)
 			continue
 		}
 		pulled.Tables = append(pulled.Tables, update.Table)
@@ -181,7 +187,7 @@
 		Fence: uint64(effect.Fence),
 	})
 	if err != nil {
-		s.logFailure("hand-over", err)
+		s.logFailure("hand_over_failed", err)
 	}
 }
 
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -17,6 +17,8 @@
 	Settings Settings
 	// Policy replaces the core's own judgement of what stays; nil for none.
 	Policy Policy
+	// PreloadEvicts lets models that are loaded ahead evict others.
+	PreloadEvicts bool
 	// Without turns mechanisms off; only tests and the laboratory set it.
 	Without Without
 }
@@ -26,9 +28,15 @@
 	settings Settings
 	policy   Policy
 	without  Without
+	// preloadEvicts is from the options.
+	preloadEvicts bool
 
-	models          map[fleet.ModelVersion]catalog.ModelFacts
-	adapters        map[fleet.AdapterName]catalog.AdapterFacts
+	models map[fleet.ModelVersion]catalog.ModelFacts
+	// names are those of the models in order.
+	names    []fleet.ModelVersion
+	adapters map[fleet.AdapterName]catalog.AdapterFacts
+	// adapterRoom is what a load leaves free for adapters, by model name.
+	adapterRoom     map[string]int64
 	coldStartWeight float64
 	limits          map[fleet.ModelVersion]int
 	standing        map[fleet.ModelVersion]int
@@ -46,9 +54,9 @@
 
 	wants   map[fleet.ModelVersion]map[wantKey]timedWant
 	history map[fleet.ModelVersion]*history
-	// tokens is the zone's part of the weight store's rate.
-	tokens      float64
-	tokensSince time.Time
+	store   storeShare
+	// elsewhere are the models that another zone has ready or loads.
+	elsewhere map[fleet.ModelVersion]bool
 	// avoid holds engines at which a load of a model failed.
 	avoid    map[placementKey]time.Time
 	effects  []Effect
@@ -58,6 +66,7 @@
 	dirty bool
 	// refused holds the refusals of the last plan.
 	refused map[fleet.ModelVersion]Refuse
+	timings timings
 }
 
 type wantKey struct {
@@ -104,14 +113,18 @@
 		policy:   options.Policy,
 		without:  options.Without,
 		zones:    1,
-		engines:  make(map[fleet.BackendName]*engine),
-		full:     make(map[fleet.BackendName]bool),
-		orders:   make(map[string]*order),
-		loading:  make(map[placementKey]int),
-		wants:    make(map[fleet.ModelVersion]map[wantKey]timedWant),
-		history:  make(map[fleet.ModelVersion]*history),
-		avoid:    make(map[placementKey]time.Time),
-		refused:  make(map[fleet.ModelVersion]Refuse),
+
+		preloadEvicts: options.PreloadEvicts,
+
+		engines: make(map[fleet.BackendName]*engine),
+		full:    make(map[fleet.BackendName]bool),
+		orders:  make(map[string]*order),
+		loading: make(map[placementKey]int),
+		wants:   make(map[fleet.ModelVersion]map[wantKey]timedWant),
+		history: make(map[fleet.ModelVersion]*history),
+		avoid:   make(map[placementKey]time.Time),
+		refused: make(map[fleet.ModelVersion]Refuse),
+		timings: newTimings(),
 	}
 	if core.policy == nil {
 		core.policy = ownPolicy{core}
@@ -126,7 +139,11 @@
 	if !c.leading {
 		return time.Time{}
 	}
-	return c.lastPlan.Add(planInterval)
+	wake := c.lastPlan.Add(planInterval)
+	if turn := c.storeTurn(); !turn.IsZero() && turn.Before(wake) {
+		return turn
+	}
+	return wake
 }
 
 // Step takes a message and returns what is to be done.
@@ -144,6 +161,10 @@
 	case LimitsChanged:
 		c.limits, c.standing = message.Limits, message.Standing
 		c.zones, c.zoneIndex = max(1, message.Zones), message.ZoneIndex
+	case StoreUsed:
+		c.store.others = message
+	case HeldElsewhere:
+		c.elsewhere = message.Models
 	case EnginesGone:
 		c.dropGone(message.Engines)
 	case EnginesLeaving:
@@ -179,14 +200,22 @@
 
 func (c *Core) emit(effect Effect) { c.effects = append(c.effects, effect) }
 
+// mostAdapterRoom bounds the memory left for adapters beside a base. Without
+// any, bases that fill an engine and all wait for adapters would keep each other
+// from being evicted for ever.
+const mostAdapterRoom = 1 << 30
+
 func (c *Core) setCatalog(changed CatalogChanged) {
 	c.models = make(map[fleet.ModelVersion]catalog.ModelFacts, len(changed.Models))
 	for _, facts := range changed.Models {
 		c.models[facts.Model] = facts
 	}
+	c.names = slices.SortedFunc(maps.Keys(c.models), fleet.ModelVersion.Compare)
 	c.adapters = make(map[fleet.AdapterName]catalog.AdapterFacts, len(changed.Adapters))
+	c.adapterRoom = make(map[string]int64)
 	for _, facts := range changed.Adapters {
 		c.adapters[facts.Adapter] = facts
+		c.adapterRoom[facts.Model] = min(c.adapterRoom[facts.Model]+facts.MemoryBytes, mostAdapterRoom)
 	}
 	c.coldStartWeight = changed.ColdStartWeight
 }
@@ -196,7 +225,7 @@
 func (c *Core) begin(now time.Time, began RoundBegan) {
 	c.finish()
 	c.leading = true
-	c.tokens = max(c.tokens, 1)
+	c.store.tokens = max(c.store.tokens, 1)
 	c.fence = began.Fence
 	for _, name := range slices.Sorted(maps.Keys(began.Held)) {
 		state := began.Held[name]
@@ -215,6 +244,7 @@
 	clear(c.full)
 	clear(c.orders)
 	clear(c.loading)
+	clear(c.refused)
 }
 
 func (c *Core) dropGone(names []fleet.BackendName) {
@@ -247,16 +277,18 @@
 	held.leaving = held.leaving || seen.State.Leaving
 	c.adopt(now, held, seen.State)
 	for id, order := range c.orders {
-		if order.engine == seen.State.Name && orderShown(order, seen) {
+		if order.engine == seen.State.Name && orderShown(now, order, seen) {
 			c.dropOrder(id)
 		}
 	}
 }
 
 // orderShown reports whether the state accounts for the order: it was asked
-// for after the order was taken, or it shows the effect.
-func orderShown(order *order, seen StateSeen) bool {
-	if order.answered {
+// for after the order was taken, or it shows the effect. A state does not show
+// an adapter that still loads: its order stays, else it would be sent again and
+// again until then.
+func orderShown(now time.Time, order *order, seen StateSeen) bool {
+	if order.answered && (order.Action != backend.ActionLoadAdapter || now.Sub(order.sent) >= adapterPatience) {
 		return seen.Asked > order.visibleAfter
 	}
 	loaded := seen.State.Find(order.Model)
@@ -266,12 +298,16 @@
 	case backend.ActionUnload:
 		return loaded == nil || loaded.State == fleet.LoadUnloading
 	case backend.ActionLoadAdapter:
-		return loaded != nil && slices.Contains(loaded.Adapters, order.Adapter)
+		return loaded != nil && slices.Contains(loaded.Adapters, order.Adapter) ||
+			order.answered && (loaded == nil || loaded.State != fleet.LoadReady) && seen.Asked > order.visibleAfter
 	default:
 		return false
 	}
 }
 
+// adapterPatience is how long an adapter may load before it is ordered again.
+const adapterPatience = 5 * time.Second
+
 func (c *Core) adopt(now time.Time, held *engine, state fleet.EngineState) {
 	c.dirty = c.dirty || !reflect.DeepEqual(held.state.Models, state.Models)
 	held.state = state
@@ -286,6 +322,7 @@
 		}
 	}
 	held.loadingSince = since
+	c.finishLoads(now, state)
 }
 
 func (c *Core) takeAnswer(now time.Time, answer OrderAnswered) {
@@ -297,8 +334,10 @@
 	case OrderAccepted:
 		order.answered = true
 		order.visibleAfter = answer.Asked
+		c.timings.taken(now, order)
 	case OrderRefused:
 		c.dropOrder(answer.ID)
+		c.timings.dropped(order.engine, order.Model)
 		c.dirty = true
 		c.avoid[placementKey{order.engine, order.Model}] = now.Add(avoidAfterRefusal)
 	case OrderLost:
@@ -323,8 +362,9 @@
 	c.emit(SendOrder{Engine: name, Order: sent, Evicts: evicts})
 }
 
-// dropOrder takes an order out of the flight.
+// dropOrder takes an order out of the flight, which may make room for another.
 func (c *Core) dropOrder(id string) {
+	c.dirty = true
 	dropped := c.orders[id]
 	delete(c.orders, id)
 	if dropped.Action == backend.ActionLoad {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -14,6 +14,7 @@
 	clear(c.refused)
 	c.expireWants(now)
 	c.refillTokens(now)
+	c.store.waiting, c.store.further = 0, 0
 	c.endSlowLoads(now)
 	c.askForRound(now)
 	for _, demand := range c.demands(now) {
@@ -27,9 +28,11 @@
 // order in which it is served.
 func (c *Core) demands(now time.Time) []demand {
 	var demands []demand
-	for _, model := range c.modelNames() {
-		ready, coming := c.replicas(model)
+	counts := c.census()
+	for _, model := range c.names {
+		ready, coming := counts[model].ready, counts[model].coming
 		waiting, wanted := c.demandFor(model)
+		waiting.further = ready+coming > 0 || c.elsewhere[model]
 		switch {
 		case ready+coming < c.standing[model]:
 			waiting.model, waiting.standing = model, true
@@ -57,30 +60,39 @@
 func (c *Core) serve(now time.Time, demand demand) {
 	facts := c.models[demand.model]
 	ready, coming := c.replicas(demand.model)
+	if demand.waiting > 0 {
+		c.timings.waiting(now, demand.model)
+	}
 	if c.count(demand.model) >= c.limits[demand.model] {
+		c.timings.heldBy(now, demand.model, byAllotment)
 		if ready+coming == 0 && !demand.preload {
-			c.refuse(demand, "no-allotment", c.allotmentWait(demand.model), true)
+			c.refuse(demand, placementRefusal{reason: "no-allotment", wait: noAllotmentWait})
 		}
 		return
 	}
 	choice, found := c.choose(now, facts)
 	if !found {
+		c.timings.heldBy(now, demand.model, byMemory)
 		if ready+coming == 0 && !demand.preload {
-			c.refuse(demand, "no-memory", noMemoryWait, true)
+			c.refuse(demand, c.noMemory(now, facts.MemoryBytes))
 		}
 		return
 	}
-	if demand.preload && len(choice.evict) > 0 {
+	if demand.preload && len(choice.evict) > 0 && !c.preloadEvicts {
 		return
 	}
 	if len(choice.evict) > 0 {
+		c.timings.heldBy(now, demand.model, byEviction)
 		c.evict(now, choice)
 		return
 	}
 	if choice.tier == fleet.TierRemote && !c.takeToken() {
+		c.timings.heldBy(now, demand.model, byStore)
+		c.store.hold(demand)
 		return
 	}
 	c.historyOf(demand.model).loads = append(c.historyOf(demand.model).loads, now)
+	c.timings.ordered(now, choice.engine, demand.model, choice.tier)
 	c.send(now, choice.engine, backend.Order{
 		Action:          backend.ActionLoad,
 		Model:           demand.model,
@@ -89,25 +101,6 @@
 	})
 }
 
-const (
-	noMemoryWait    = 5 * time.Second
-	noAllotmentWait = 2 * time.Second
-)
-
-func (c *Core) allotmentWait(fleet.ModelVersion) time.Duration { return noAllotmentWait }
-
-func (c *Core) refuse(demand demand, reason string, wait time.Duration, elsewhere bool) {
-	if demand.waiting == 0 {
-		return
-	}
-	refusal := Refuse{
-		Refusal:   fleet.LoadRefusal{Model: demand.model, Reason: reason, RetryAfter: wait},
-		Elsewhere: elsewhere,
-	}
-	c.refused[demand.model] = refusal
-	c.emit(refusal)
-}
-
 func (c *Core) evict(now time.Time, choice choice) {
 	for _, model := range choice.evict {
 		loaded := c.engines[choice.engine].state.Find(model)
@@ -146,53 +139,6 @@
 	}
 }
 
-// refillTokens adds the zone's part of the weight store's rate.
-func (c *Core) refillTokens(now time.Time) {
-	rate := c.settings.StoreLoadsPerSecond / float64(c.zones)
-	if !c.tokensSince.IsZero() {
-		c.tokens += rate * now.Sub(c.tokensSince).Seconds()
-	}
-	c.tokensSince = now
-	c.tokens = min(c.tokens, max(1, rate))
-}
-
-// takeToken reports whether one more load may read from the weight store now.
-func (c *Core) takeToken() bool {
-	if c.tokens < 1 || c.remoteLoads() >= c.storeShare() {
-		return false
-	}
-	c.tokens--
-	return true
-}
-
-// storeShare is the zone's part of the weight store's concurrency; what does
-// not divide goes to the first zones.
-func (c *Core) storeShare() int {
-	share := c.settings.StoreConcurrency / c.zones
-	if c.zoneIndex < c.settings.StoreConcurrency%c.zones {
-		share++
-	}
-	return max(1, share)
-}
-
-func (c *Core) remoteLoads() int {
-	loads := 0
-	for name, held := range c.engines {
-		for _, loaded := range held.state.Models {
-			if loaded.State == fleet.LoadLoading && held.tier(loaded.Model) == fleet.TierRemote {
-				loads++
-			}
-		}
-		for _, order := range c.orders {
-			if order.engine == name && order.Action == backend.ActionLoad &&
-				held.state.Find(order.Model) == nil && held.tier(order.Model) == fleet.TierRemote {
-				loads++
-			}
-		}
-	}
-	return loads
-}
-
 func (e *engine) tier(model fleet.ModelVersion) fleet.Tier {
 	if tier, known := e.state.Tiers[model]; known {
 		return tier
@@ -202,7 +148,7 @@
 
 // loadAdapters loads the adapters that are waited for beside their base.
 func (c *Core) loadAdapters(now time.Time) {
-	for _, model := range c.modelNames() {
+	for _, model := range c.names {
 		demand, wanted := c.demandFor(model)
 		if !wanted {
 			continue
@@ -233,6 +179,7 @@
 		}
 	}
 	if best == "" {
+		c.makeRoomForAdapter(now, model, facts.MemoryBytes)
 		return
 	}
 	c.send(now, best, backend.Order{
@@ -242,3 +189,23 @@
 		Bytes:   facts.MemoryBytes,
 	})
 }
+
+// makeRoomForAdapter evicts what costs least beside a replica of the base that
+// is ready; the adapter is loaded once the memory is free.
+func (c *Core) makeRoomForAdapter(now time.Time, model fleet.ModelVersion, bytes int64) {
+	var cheapest choice
+	for _, name := range c.engineNames() {
+		held := c.engines[name]
+		loaded := held.state.Find(model)
+		if loaded == nil || loaded.State != fleet.LoadReady || !held.serving() {
+			continue
+		}
+		evict, cost, possible := c.makeRoom(now, name, bytes)
+		if possible && (cheapest.engine == "" || cost < cheapest.cost) {
+			cheapest = choice{engine: name, evict: evict, cost: cost}
+		}
+	}
+	if cheapest.engine != "" {
+		c.evict(now, cheapest)
+	}
+}
--- a/internal/placement/wants.go
+++ b/internal/placement/wants.go
@@ -17,7 +17,10 @@
 	// standing is set where the replica is wanted by standing capacity.
 	standing bool
 	// preload is set where nothing waits yet.
-	preload  bool
+	preload bool
+	// further is set where the model has a replica, or gets one, here or in
+	// another zone.
+	further  bool
 	adapters []fleet.AdapterName
 }
 
@@ -25,6 +28,7 @@
 	for _, want := range wants {
 		if want.Arrivals > 0 || want.Waiting > 0 {
 			c.historyOf(want.Model).arrive(now)
+			c.historyOf(want.Model).here = want.Waiting > 0 || c.count(want.Model) > 0
 			c.policy.Arrived(now, want.Model)
 		}
 		key := wantKey{want.Node, want.Adapter}
@@ -35,6 +39,7 @@
 		if c.wants[want.Model] == nil {
 			c.dirty = true
 			c.wants[want.Model] = make(map[wantKey]timedWant)
+			c.timings.waiting(now, want.Model)
 		}
 		c.wants[want.Model][key] = timedWant{Want: want, until: now.Add(c.settings.WantLifetime)}
 		if refusal, found := c.refused[want.Model]; found && !c.dirty {
@@ -61,6 +66,7 @@
 		}
 		if len(wants) == 0 {
 			delete(c.wants, model)
+			delete(c.timings.waits, model)
 		}
 	}
 	for key, until := range c.avoid {
@@ -91,12 +97,14 @@
 	return merged, true
 }
 
-// compareDemand orders loads: standing capacity first, then what waits, by
-// priority, deadline and number waiting.
+// compareDemand orders loads: standing capacity first, then what waits: models
+// that nobody serves before further replicas, by priority, deadline and number
+// waiting.
 func compareDemand(a, b demand) int {
 	return cmp.Or(
 		-compareBool(a.standing, b.standing),
 		compareBool(a.preload, b.preload),
+		compareBool(a.further, b.further),
 		-cmp.Compare(a.priority, b.priority),
 		a.deadline.Compare(b.deadline),
 		-cmp.Compare(a.waiting, b.waiting),
