Measure the added time to first token and between tokens at half load

Cause: the added first token was measured with one request at a time only.

Change: BenchmarkAddedTimes reads 32 streams directly and 32 through the gateway at a time, half of the slots of four engines that bring a token every 10 ms, each begun at its own time.

--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -8,12 +9,14 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
 // cpuTime is what the process has used, user and system.
@@ -154,3 +157,85 @@
 	_, _ = io.Copy(io.Discard, answer.Body)
 	return took
 }
+
+// pacedEngine brings a token every few milliseconds, as a busy engine does.
+func pacedEngine(writer http.ResponseWriter, request *http.Request) {
+	engine := scripted{writer, request}
+	for sequence := range 20 {
+		time.Sleep(10 * time.Millisecond)
+		engine.tokens(sequence, sequence+1)
+	}
+	engine.end(20)
+}
+
+// BenchmarkAddedTimes compares first tokens and gaps between tokens, read from
+// an engine directly and through the gateway, with as many streams of either
+// kind at a time: half of the slots of four engines.
+func BenchmarkAddedTimes(b *testing.B) {
+	const streams = 32
+	h := newHarness(b, nil)
+	addresses := make([]string, 4)
+	for index := range addresses {
+		addresses[index] = h.backend(pacedEngine)
+		h.addEngine(fleet.BackendName(fmt.Sprint("e", index)), addresses[index])
+	}
+	direct, through := new(timings), new(timings)
+	for b.Loop() {
+		var group sync.WaitGroup
+		for index := range streams {
+			// Each begins at its own time, as callers do.
+			begins := time.Duration(index) * 200 * time.Millisecond / streams
+			group.Go(func() {
+				time.Sleep(begins)
+				direct.read(b, "http://"+addresses[index%len(addresses)]+backend.PathCompletions)
+			})
+			group.Go(func() {
+				time.Sleep(begins)
+				through.read(b, h.server.URL+backend.PathCompletions)
+			})
+		}
+		group.Wait()
+	}
+	for _, share := range []int{50, 99} {
+		b.ReportMetric(at(through.first, share)-at(direct.first, share), fmt.Sprintf("p%d-first-added-us", share))
+		b.ReportMetric(at(through.first, share)/at(direct.first, share), fmt.Sprintf("p%d-first-ratio", share))
+		b.ReportMetric(at(through.gaps, share)-at(direct.gaps, share), fmt.Sprintf("p%d-gap-added-us", share))
+		b.ReportMetric(at(through.gaps, share)/at(direct.gaps, share), fmt.Sprintf("p%d-gap-ratio", share))
+	}
+}
+
+// at is a quantile in microseconds.
+func at(samples []time.Duration, percent int) float64 {
+	slices.Sort(samples)
+	return float64(samples[(len(samples)-1)*percent/100].Nanoseconds()) / 1000
+}
+
+// timings are those of many streams.
+type timings struct {
+	mutex       sync.Mutex
+	first, gaps []time.Duration
+}
+
+func (t *timings) read(b *testing.B, url string) {
+	last := time.Now()
+	answer, err := http.Post(url, "application/json", strings.NewReader(streamBody))
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer answer.Body.Close()
+	var gaps []time.Duration
+	for lines := bufio.NewScanner(answer.Body); lines.Scan(); {
+		if strings.HasPrefix(lines.Text(), "data:") {
+			now := time.Now()
+			gaps = append(gaps, now.Sub(last))
+			last = now
+		}
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if len(gaps) > 0 {
+		t.first = append(t.first, gaps[0])
+		t.gaps = append(t.gaps, gaps[1:]...)
+	}
+}
