Use an engine only once a majority knows that it joined

Cause (found first): the argument that rounds are safe said that a round which learned an older record cannot harm one that uses a new engine. It can: the leader alone has heard the record that names the engine and loads a model there; the leader dies, the store goes down, the zone's older engine restarts and forgets its fence. Another leader learns the older record from a majority, holds the older engine, does not count the new one, and loads the model a second time.

Ruled out: counting listed engines that are not recorded, since the list lags; asking a majority before each round, which would stop a zone of two nodes.

Change: an engine joins with one write of the record and is admitted with a second, once a majority of the zone's nodes vouches for the first. A round whose record came from a majority counts engines that join as full. So that this does not slow the start of a fleet, nodes read the record soon after they first hear of one, the question to the majority is put again after 0.2 s, and a candidate does not wait for the next try to vouch, which had put off the first record by 3 s.

--- a/internal/allotment/change.go
+++ b/internal/allotment/change.go
@@ -1,7 +1,6 @@
 package allotment
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -26,29 +25,42 @@
 	return next.advanced()
 }
 
-// WithEngines replaces the zone's engines: those given are added, those gone
-// for good are taken out. It reports whether anything changed.
+// WithEngines replaces the zone's engines: those given join, those gone for
+// good are taken out. It reports whether anything changed.
 func WithEngines(record Record, zone fleet.Zone, present, gone []fleet.BackendName) (Record, bool) {
-	current := record.Engines(zone)
-	set := make(map[fleet.BackendName]bool, len(current)+len(present))
-	for _, name := range current {
-		set[name] = true
-	}
+	entry := record.Zones[zone]
+	isGone := func(name fleet.BackendName) bool { return slices.Contains(gone, name) }
+	engines := slices.DeleteFunc(slices.Clone(entry.Engines), isGone)
+	joining := slices.DeleteFunc(slices.Clone(entry.Joining), isGone)
+	joinedAt := entry.JoinedAt
 	for _, name := range present {
-		set[name] = true
-	}
-	for _, name := range gone {
-		delete(set, name)
+		if !isGone(name) && !slices.Contains(engines, name) && !slices.Contains(joining, name) {
+			joining = append(joining, name)
+			joinedAt = record.Generation + 1
+		}
 	}
-	names := slices.Sorted(maps.Keys(set))
-	if slices.Equal(names, current) {
+	if len(engines) == len(entry.Engines) && len(joining) == len(entry.Joining) && joinedAt == entry.JoinedAt {
 		return record, false
 	}
+	slices.Sort(joining)
 	next := record.Clone()
-	next.Zones[zone] = ZoneEntry{Engines: names}
+	next.Zones[zone] = ZoneEntry{Engines: engines, Joining: joining, JoinedAt: joinedAt}
 	return next.advanced(), true
 }
 
+// Admit lets the engines that joined be used. A majority of the zone's nodes
+// must hold the generation JoinedAt: whoever learns the record from a majority
+// later then knows these engines.
+func Admit(record Record, zone fleet.Zone) Record {
+	next := record.Clone()
+	entry := next.Zones[zone]
+	entry.Engines = append(entry.Engines, entry.Joining...)
+	slices.Sort(entry.Engines)
+	entry.Joining = nil
+	next.Zones[zone] = entry
+	return next.advanced()
+}
+
 // Restored is the same decision as a later record, for a store that lost it.
 func (r Record) Restored() Record { return r.Clone().advanced() }
 
--- a/internal/allotment/record.go
+++ b/internal/allotment/record.go
@@ -26,6 +26,10 @@
 	// Engines are the engines that a leader of the zone may claim and must
 	// count. One that is not listed holds nothing, since no leader may use it.
 	Engines []fleet.BackendName `json:"engines,omitempty"`
+	// Joining are engines that may not be used before a majority of the zone's
+	// nodes holds the record that first named them, of generation JoinedAt.
+	Joining  []fleet.BackendName `json:"joining,omitempty"`
+	JoinedAt uint64              `json:"joinedAt,omitempty"`
 }
 
 // Decision is the decided number of replicas of one model version.
@@ -61,7 +65,8 @@
 		clone.Models[model] = decision
 	}
 	for zone, entry := range r.Zones {
-		clone.Zones[zone] = ZoneEntry{Engines: slices.Clone(entry.Engines)}
+		entry.Engines, entry.Joining = slices.Clone(entry.Engines), slices.Clone(entry.Joining)
+		clone.Zones[zone] = entry
 	}
 	return clone
 }
--- a/internal/control/candidacy.go
+++ b/internal/control/candidacy.go
@@ -92,6 +92,8 @@
 	}
 	if c.standing.since.IsZero() {
 		c.standing.since = c.now
+		// What a leader has to write does not wait for the next try to vouch.
+		c.decider.next = c.now
 	}
 	if c.standing.handedOver || c.now.Sub(c.standing.since) >= c.settings().TakeoverWait {
 		c.stepLeader(leadership.Desired{Lead: true})
--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -68,6 +68,9 @@
 	if next, changed := allotment.WithEngines(record, c.options.Zone, present, gone); changed {
 		return next, true
 	}
+	if entry := record.Zones[c.options.Zone]; len(entry.Joining) > 0 && c.spreadReached(entry.JoinedAt) {
+		return allotment.Admit(record, c.options.Zone), true
+	}
 	if confirmed := c.confirmable(); len(confirmed) > 0 && c.spreadKnown(confirmed) {
 		return allotment.Confirm(record, c.options.Zone, confirmed), true
 	}
@@ -81,14 +84,23 @@
 // asks where that is not known.
 func (c *Core) spreadKnown(models []fleet.ModelVersion) bool {
 	for _, model := range models {
-		if c.record.Record.Models[model].Zones[c.options.Zone].LoweredAt > c.decider.spread {
-			c.askSpread()
+		if !c.spreadReached(c.record.Record.Models[model].Zones[c.options.Zone].LoweredAt) {
 			return false
 		}
 	}
 	return true
 }
 
+// spreadReached reports whether a majority of the zone holds the generation, and
+// asks where that is not known.
+func (c *Core) spreadReached(generation uint64) bool {
+	if generation <= c.decider.spread {
+		return true
+	}
+	c.askSpread()
+	return false
+}
+
 func (c *Core) listedEngines(zone fleet.Zone) (present, gone []fleet.BackendName) {
 	for _, machine := range c.machines.Machines {
 		if machine.Role != roleEngine || machine.Zone != zone {
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -37,6 +37,12 @@
 // that writers whose writes met do not meet again.
 const writePause = 100 * time.Millisecond
 
+// vouchSpread is the time over which the nodes that hear a record read it anew.
+const vouchSpread = 200 * time.Millisecond
+
+// spreadRetry is when it is asked again whether a majority holds a generation.
+const spreadRetry = 200 * time.Millisecond
+
 // learnRecord asks for the record as it is after this moment.
 func (c *Core) learnRecord(id uint64) LearnRecord {
 	members := c.peersOfZone(c.options.Zone)
@@ -70,10 +76,23 @@
 		return
 	}
 	c.record = heard
+	c.vouchSoon()
 	c.updateLimits()
 	c.stepLeader(leadership.RecordHeard{Record: heard.Record})
 }
 
+// vouchSoon lets a node that does not vouch yet learn the record soon after it
+// heard of one: engines are admitted, and lowerings confirmed, only once a
+// majority vouches.
+func (c *Core) vouchSoon() {
+	if c.decider.vouched {
+		return
+	}
+	if soon := c.now.Add(time.Duration(c.random.Int64N(int64(vouchSpread)))); soon.Before(c.decider.next) {
+		c.decider.next = soon
+	}
+}
+
 func (c *Core) recordLearned(learned RecordLearned) {
 	if learned.ID == c.decider.spreading && learned.ID != 0 {
 		c.recordSpread(learned)
@@ -90,9 +109,10 @@
 		return
 	}
 	c.stepLeader(leadership.RecordLearned{
-		ID:     learned.ID,
-		Record: learned.Record,
-		Failed: learned.Failed,
+		ID:        learned.ID,
+		Record:    learned.Record,
+		Failed:    learned.Failed,
+		FromStore: learned.FromStore,
 	})
 }
 
@@ -155,8 +175,10 @@
 
 func (c *Core) recordSpread(learned RecordLearned) {
 	c.decider.spreading = 0
+	c.decider.next = c.now.Add(spreadRetry)
 	if !learned.Failed {
 		c.decider.spread = max(c.decider.spread, c.decider.asked)
+		c.decider.next = c.now
 	}
 }
 
--- a/internal/leadership/messages.go
+++ b/internal/leadership/messages.go
@@ -33,6 +33,8 @@
 	Record allotment.Record
 	// Failed is set where neither answered.
 	Failed bool
+	// FromStore is set where the store itself answered.
+	FromStore bool
 }
 
 // StateRead answers ReadEngine.
--- a/internal/leadership/round.go
+++ b/internal/leadership/round.go
@@ -95,6 +95,20 @@
 		return
 	}
 	c.startClaiming(now, c.record)
+	if !learned.FromStore {
+		c.countJoining()
+	}
+}
+
+// countJoining counts the engines that join as full: a record learned from a
+// majority may miss that they were admitted. One learned from the store does
+// not: whoever admits them later holds no engine that this round can claim.
+func (c *Core) countJoining() {
+	for _, name := range c.record.Zones[c.options.Zone].Joining {
+		if c.phase == phaseClaiming && !c.gone[name] && c.engines[name] == nil {
+			c.engines[name] = &engineProgress{}
+		}
+	}
 }
 
 // startClaiming is step 3. Engines that the learned record names and that were
