--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -67,6 +67,9 @@
 	MaxWaitingBytes spec.Bytes `yaml:"maxWaitingBytes,omitempty" json:"maxWaitingBytes"`
 	MaxBodyBytes    spec.Bytes `yaml:"maxBodyBytes,omitempty" json:"maxBodyBytes"`
 	MaxStreams      int        `yaml:"maxStreams,omitempty" json:"maxStreams"`
+	// HedgeAfter is how long a model request waits for its first token until a
+	// second engine is asked as well; zero is never.
+	HedgeAfter spec.Duration `yaml:"hedgeAfter,omitempty" json:"hedgeAfter"`
 }
 
 // WeightStoreSettings are what the weight store allows the whole fleet.
@@ -109,5 +112,6 @@
 	return gateway.Limits{
 		MaxBodyBytes: int64(s.Limits.MaxBodyBytes),
 		MaxRequests:  s.Limits.MaxStreams,
+		HedgeAfter:   time.Duration(s.Limits.HedgeAfter),
 	}
 }
--- a/internal/sim/world/config.go
+++ b/internal/sim/world/config.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/configsync"
 	"github.com/spanlanding/spanlanding/internal/control"
 	"github.com/spanlanding/spanlanding/internal/membership"
+	"github.com/spanlanding/spanlanding/internal/queue"
+	"github.com/spanlanding/spanlanding/internal/routing"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
 
@@ -30,6 +33,16 @@
 	Config     configsync.Defects `json:"config,omitzero"`
 	Control    control.Defects    `json:"control,omitzero"`
 	Engine     engine.Defects     `json:"engine,omitzero"`
+	Queue      queue.Defects      `json:"queue,omitzero"`
+	Routing    routing.Defects    `json:"routing,omitzero"`
+	Attempt    attempt.Defects    `json:"attempt,omitzero"`
+	Node       NodeDefects        `json:"node,omitzero"`
+}
+
+// NodeDefects are planted in what joins the cores of a node.
+type NodeDefects struct {
+	// CutAtDrain ends a planned stop with requests in progress.
+	CutAtDrain bool `json:"cutAtDrain,omitempty"`
 }
 
 // DefaultConfig is the fleet that the aim of a thousand seeds a minute names.
