Count idleness from the last request also for models loaded ahead

Cause: a model loaded ahead counted as idle only since it was ready, so that it was judged as if it had just been used, went after some minutes and was loaded ahead again.

--- a/internal/placement/keepalive.go
+++ b/internal/placement/keepalive.go
@@ -90,7 +90,16 @@
 	if ready, _ := c.replicas(model); ready > max(1, c.standing[model]) && idle > extraKeepAlive {
 		return true
 	}
-	return c.worthKeeping(model, idle) < 1
+	return c.worthKeeping(model, p.idle(now, idleSince, model)) < 1
+}
+
+// idle is the time since the last request, also for a model that was loaded
+// ahead since then: what it was loaded for is still due.
+func (p ownPolicy) idle(now, idleSince time.Time, model fleet.ModelVersion) time.Duration {
+	if last := p.core.historyOf(model).lastArrival; !last.IsZero() {
+		return now.Sub(last)
+	}
+	return now.Sub(idleSince)
 }
 
 // EvictionCost is the cost of loading again, times the chance that the model
@@ -99,7 +108,7 @@
 	if p.core.without.EvictionCost {
 		return leastRecentlyUsedCost(now, idleSince)
 	}
-	chance := min(1, p.core.historyOf(model).wakeIndex(now.Sub(idleSince))*evictSpan.Hours())
+	chance := min(1, p.core.historyOf(model).wakeIndex(p.idle(now, idleSince, model))*evictSpan.Hours())
 	return chance * sizeCost(p.core.models[model]) * costDisk
 }
 
