Let long cold starts count for more than in proportion

Change: a second of cold start counts by the root of the whole wait over 5 s.

The test of keep-alive has the model with gaps of two minutes gone after 25 minutes in place of 12: its load of 20 s counts double under the new rule.

--- a/internal/placement/keepalive.go
+++ b/internal/placement/keepalive.go
@@ -21,6 +21,9 @@
 	// worthBase is the worth of a second of cold start at the preferences 1 and
 	// 0, in GiB hours and in parts of one.
 	worthBase = 20.0
+	// tailSeconds is the cold start that counts as it is; longer ones count more
+	// and shorter ones less, since the tail is made of the longest.
+	tailSeconds = 5.0
 )
 
 // unloadIdle unloads what has been idle beyond its keep-alive, what the zone
@@ -135,6 +138,7 @@
 func (c *Core) worthKeeping(model fleet.ModelVersion, idle time.Duration) float64 {
 	facts := c.models[model]
 	seconds := c.reloadSeconds(facts)
+	seconds *= math.Sqrt(seconds / tailSeconds)
 	perHour := c.historyOf(model).wakeIndex(idle)
 	return c.worthOfSecond() * seconds * perHour / (float64(facts.MemoryBytes) / gibibyte)
 }
