--- a/cmd/spanlab/experiment.go
+++ b/cmd/spanlab/experiment.go
@@ -20,13 +20,16 @@
 	"github.com/spanlanding/spanlanding/internal/lab/experiment"
 	"github.com/spanlanding/spanlanding/internal/lab/policy"
 	"github.com/spanlanding/spanlanding/internal/lab/report"
+	"github.com/spanlanding/spanlanding/internal/lab/requestpath"
 )
 
 // runners are what experiment files can name.
 func runners() experiment.Registry {
 	return experiment.Registry{
-		batching.Name: experiment.RunnerFunc(batching.Run),
-		policy.Name:   experiment.RunnerFunc(policy.Run),
+		batching.Name:        experiment.RunnerFunc(batching.Run),
+		requestpath.Overload: experiment.RunnerFunc(requestpath.RunOverload),
+		requestpath.ZoneLoss: experiment.RunnerFunc(requestpath.RunZoneLoss),
+		policy.Name:          experiment.RunnerFunc(policy.Run),
 	}
 }
 
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -38,6 +38,10 @@
 			shown = append(shown, fmt.Sprintf("cancel %s #%d", effect.Backend, effect.Attempt))
 		case Reassign:
 			shown = append(shown, fmt.Sprintf("reassign without %v", effect.Exclude))
+		case Hedge:
+			shown = append(shown, fmt.Sprintf("hedge without %v", effect.Exclude))
+		case Drop:
+			shown = append(shown, fmt.Sprintf("drop %d blamed %t", effect.Connection, effect.Broken.Evidence != 0))
 		case *Deliver:
 			shown = append(shown, effect.Text)
 		case Finish:
@@ -230,6 +234,17 @@
 		t.Errorf("after the stall: %s", got)
 	}
 
+	resumed := stalled.Add(DefaultResumeTimeout)
+	if wake := core.NextWake(); !wake.Equal(resumed) {
+		t.Errorf("a resume has until %v, want %v", wake, resumed)
+	}
+	if got := brief(core.Step(resumed, Tick{})); got != "resume e1 #1 from 1" {
+		t.Errorf("after a resume that brought nothing: %s", got)
+	}
+	if got := brief(core.Step(resumed.Add(DefaultResumeTimeout), Tick{})); got != "reassign without [e1]" {
+		t.Errorf("after the last resume: %s", got)
+	}
+
 	late := New(streamOptions())
 	late.Step(epoch, Assigned{"e1"})
 	if got := brief(late.Step(epoch.Add(30*time.Second), Tick{})); got != "cancel e1 #1; finish unknown deadline-reached after 0" {
@@ -291,3 +306,17 @@
 		next.Sequence++
 	}
 }
+
+// TestDeadlineCountsAgainstASilentBackEnd: routing learns from Last that an
+// engine took a request and brought nothing.
+func TestDeadlineCountsAgainstASilentBackEnd(t *testing.T) {
+	core := New(streamOptions())
+	core.Step(epoch, Assigned{"e1"})
+	got := brief(core.Step(core.NextWake(), Tick{}))
+	if want := "cancel e1 #1; finish unknown deadline-reached after 0"; got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+	if evidence := core.Last().Evidence; evidence != MaySent {
+		t.Errorf("evidence %d of the silent attempt, want %d", evidence, MaySent)
+	}
+}
--- a/internal/control/effects.go
+++ b/internal/control/effects.go
@@ -5,6 +5,7 @@
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/placement"
 )
 
 // Effect is what the shell is to do.
@@ -50,8 +51,20 @@
 	Update TableUpdate
 }
 
-// PullTables asks a member for its tables; answer with TablesPulled.
-type PullTables struct{ From fleet.Member }
+// PullTables asks a member for its tables that are newer than those held;
+// answer with TablesPulled.
+type PullTables struct {
+	From fleet.Member
+	// Held names the tables held, by zone.
+	Held []TableStamp
+}
+
+// TableStamp names a state of a zone's table.
+type TableStamp struct {
+	Zone     fleet.Zone
+	Fence    fleet.Fence
+	Sequence uint64
+}
 
 // ForwardWants reports wants to another node; answer with ForwardAnswered.
 type ForwardWants struct {
@@ -63,7 +76,7 @@
 
 // RefuseWants tells a node that models cannot be loaded now. For the node
 // itself it goes to whoever asked through fleet.Demand, for another it is the
-// answer to its report.
+// answer to its report. Others in the zone hear it with the table.
 type RefuseWants struct {
 	Node     fleet.NodeName
 	Refusals []fleet.LoadRefusal
@@ -93,6 +106,9 @@
 	Reason  string
 }
 
+// LoadFinished tells what the time of a load was spent on, for the log.
+type LoadFinished struct{ placement.LoadFinished }
+
 func (ReadEngine) effect()        {}
 func (SendClaim) effect()         {}
 func (SendOrder) effect()         {}
@@ -106,3 +122,4 @@
 func (HandOver) effect()          {}
 func (TablesChanged) effect()     {}
 func (LeadershipChanged) effect() {}
+func (LoadFinished) effect()      {}
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -36,6 +36,7 @@
 	c.polls.clear()
 	c.standing.excluded = ""
 	c.emit(LeadershipChanged{Leading: true, Fence: round.Fence})
+	c.reportAgain(c.options.Self)
 	c.stepPlacement(placement.RoundBegan{Fence: round.Fence, Held: round.Held, Full: round.Full})
 	for _, name := range slices.Sorted(maps.Keys(round.Held)) {
 		c.noticeLeaving(round.Held[name])
@@ -51,12 +52,15 @@
 
 // stepPlacement feeds the placement core and carries its effects on.
 func (c *Core) stepPlacement(message placement.Message) {
+	c.placed = true
 	for _, effect := range c.placement.Step(c.now, message) {
 		switch effect := effect.(type) {
 		case placement.SendOrder:
 			c.sendOrder(effect)
 		case placement.Refuse:
 			c.refused(effect)
+		case placement.LoadFinished:
+			c.emit(LoadFinished{effect})
 		case placement.NeedRound:
 			c.stepLeader(leadership.Renew{})
 		}
@@ -64,7 +68,7 @@
 }
 
 func (c *Core) sendOrder(sent placement.SendOrder) {
-	c.polls.ordered(sent.Engine, c.leader.NextID())
+	c.polls.ordered(c.now, sent.Engine, c.leader.NextID())
 	order := sent.Order
 	if c.options.Defects.NoFence {
 		shown := c.polls.shown[sent.Engine]
@@ -91,8 +95,9 @@
 
 // stateRead takes an engine's state, whoever asked for it.
 func (c *Core) stateRead(read leadership.StateRead) {
-	failures := c.polls.answered(read)
-	c.stepPlacement(placement.EngineSilent{Engine: read.Engine, Silent: failures >= silentAfter})
+	if isSilent, news := c.polls.answered(read); news {
+		c.stepPlacement(placement.EngineSilent{Engine: read.Engine, Silent: isSilent})
+	}
 	if !read.Failed {
 		c.engineAnswered(read.Engine)
 	}
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -7,6 +7,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/placement"
 )
 
 // zoneTable is the newest table of a zone.
@@ -16,6 +17,10 @@
 	leader   fleet.NodeName
 	engines  map[fleet.BackendName]fleet.EngineState
 	services []fleet.Backend
+	// loading and waitingLoads are the zone's use of the weight store.
+	loading, waitingLoads int
+	// held are the models that its engines hold ready or load.
+	held map[fleet.ModelVersion]bool
 	// heard is when the newest update came.
 	heard time.Time
 	// shown is what was given out of the table last; nil once it changed.
@@ -31,6 +36,11 @@
 	pulled time.Time
 	// viewChanged is set where the node's own view must be given out anew.
 	viewChanged bool
+	// storeUsed and heldElsewhere are what placement was told of other zones.
+	// refused goes to the zone's members with the next update.
+	refused       []fleet.LoadRefusal
+	storeUsed     placement.StoreUsed
+	heldElsewhere map[fleet.ModelVersion]bool
 }
 
 func newTableState() tableState {
@@ -50,6 +60,32 @@
 	return known.leader, known.heard
 }
 
+// stamps name the tables held, by zone.
+func (t *tableState) stamps() []TableStamp {
+	stamps := make([]TableStamp, 0, len(t.zones))
+	for _, zone := range slices.Sorted(maps.Keys(t.zones)) {
+		known := t.zones[zone]
+		stamps = append(stamps, TableStamp{Zone: zone, Fence: known.fence, Sequence: known.sequence})
+	}
+	return stamps
+}
+
+// newerThan returns the whole tables of the zones of which the stamps name an
+// older state or none.
+func (t *tableState) newerThan(held []TableStamp) map[fleet.Zone]fleet.RouteTable {
+	tables := make(map[fleet.Zone]fleet.RouteTable)
+	for zone, known := range t.zones {
+		current := slices.ContainsFunc(held, func(stamp TableStamp) bool {
+			table := fleet.RouteTable{Fence: stamp.Fence, Sequence: stamp.Sequence}
+			return stamp.Zone == zone && !(fleet.RouteTable{Fence: known.fence, Sequence: known.sequence}).Newer(table)
+		})
+		if !current {
+			tables[zone] = known.export(zone)
+		}
+	}
+	return tables
+}
+
 func (t *tableState) whole() map[fleet.Zone]fleet.RouteTable {
 	tables := make(map[fleet.Zone]fleet.RouteTable, len(t.zones))
 	for zone, known := range t.zones {
@@ -65,6 +101,8 @@
 		Fence:    z.fence,
 		Sequence: z.sequence,
 		Services: z.services,
+
+		WaitingLoads: z.waitingLoads,
 	}
 	for _, name := range slices.Sorted(maps.Keys(z.engines)) {
 		table.Engines = append(table.Engines, z.engines[name])
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -9,6 +9,7 @@
 	update := received.Update
 	zone := update.Table.Zone
 	known := c.tables.zones[zone]
+	c.hearRefusals(update.Table)
 	if known != nil && !newer(update.Table, known) {
 		return
 	}
@@ -16,7 +17,7 @@
 		c.replaceTable(update.Table)
 	} else if known == nil || known.fence != update.Table.Fence || known.sequence < update.Since {
 		if member, found := c.members[received.From]; found {
-			c.emit(PullTables{From: member})
+			c.emit(PullTables{From: member, Held: c.tables.stamps()})
 		}
 		return
 	} else {
@@ -40,11 +41,18 @@
 		engines:  make(map[fleet.BackendName]fleet.EngineState, len(table.Engines)),
 		services: table.Services,
 		heard:    c.now,
+
+		waitingLoads: table.WaitingLoads,
 	}
 	for _, state := range table.Engines {
 		replaced.engines[state.Name] = state
 	}
+	replaced.countLoads()
+	before := c.tables.zones[table.Zone]
 	c.tables.zones[table.Zone] = replaced
+	if table.Zone == c.options.Zone && before != nil && before.leader != table.Leader {
+		c.reportAgain(table.Leader)
+	}
 	c.tables.viewChanged = true
 }
 
@@ -57,9 +65,17 @@
 	for _, state := range update.Table.Engines {
 		known.engines[state.Name] = state
 	}
+	for _, news := range update.Reports {
+		if state, found := known.engines[news.Engine]; found {
+			state.Report = news.Report
+			known.engines[news.Engine] = state
+		}
+	}
 	for _, name := range update.Removed {
 		delete(known.engines, name)
 	}
+	known.countLoads()
+	known.waitingLoads = update.Table.WaitingLoads
 	c.tables.viewChanged = true
 }
 
@@ -82,9 +98,10 @@
 	}
 }
 
-// repair pulls the tables of one peer from time to time.
+// repair pulls from one peer while a zone's table is missing or silent. A lost
+// update needs no more: the next one names the sequence that it builds on.
 func (c *Core) repair() {
-	if c.now.Sub(c.tables.pulled) < c.settings().PullInterval {
+	if c.now.Sub(c.tables.pulled) < c.settings().PullInterval || !c.lacksTable() {
 		return
 	}
 	peers := c.peersOfZone(c.options.Zone)
@@ -95,5 +112,27 @@
 		return
 	}
 	c.tables.pulled = c.now
-	c.emit(PullTables{From: peers[c.random.IntN(len(peers))]})
+	c.emit(PullTables{From: peers[c.random.IntN(len(peers))], Held: c.tables.stamps()})
+}
+
+// silentBeats is how many heartbeats may pass without news of a table.
+const silentBeats = 3
+
+// lacksTable reports whether a zone that has members has no table here, or one
+// that was not heard of for long.
+func (c *Core) lacksTable() bool {
+	for _, member := range c.members {
+		if !member.Usable() {
+			continue
+		}
+		heartbeat := c.settings().FarHeartbeat
+		if member.Zone == c.options.Zone {
+			heartbeat = c.settings().Heartbeat
+		}
+		known := c.tables.zones[member.Zone]
+		if known == nil || c.now.Sub(known.heard) > silentBeats*heartbeat {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -8,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -39,9 +41,14 @@
 	Catalog func() (Catalog, bool)
 	Demand  fleet.Demand
 	Guard   claim.Guard
+	// Leaving hears of a service back end that refuses because it goes away; it
+	// must not block. Nil tells nobody.
+	Leaving func(fleet.BackendName)
 	// Self names the node and its zone.
-	Self       fleet.Member
-	Logger     *log.Logger
+	Self   fleet.Member
+	Logger *log.Logger
+	// System runs the gateway's actors; nil takes one of its own.
+	System     *actor.ActorSystem
 	Registerer prometheus.Registerer
 	Limits     Limits
 	Queue      queue.Options
@@ -57,6 +64,7 @@
 	limits    Limits
 	now       func() time.Time
 	catalog   func() (Catalog, bool)
+	system    *actor.ActorSystem
 	models    *dispatcher
 	services  *dispatcher
 	generator *backend.Generator
@@ -71,7 +79,8 @@
 	random      *rand.Rand
 
 	running running
-	cancels sync.WaitGroup
+	// background counts cancels and reports to keepers under way.
+	background sync.WaitGroup
 }
 
 // New starts a gateway. Close ends it.
@@ -101,12 +110,22 @@
 		random:    rand.New(rand.NewPCG(options.Seed, seedStream)),
 	}
 	gateway.running.active = make(map[uint64]*activeRequest)
+	gateway.system = options.System
+	if gateway.system == nil {
+		gateway.system = ownSystem()
+	}
 	gateway.models = startDispatcher(gateway)
 	gateway.services = startDispatcher(gateway)
 	gateway.watch()
 	return gateway
 }
 
+// ownSystem is for gateways without a node around them.
+func ownSystem() *actor.ActorSystem {
+	quiet := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
+	return actor.NewActorSystem(actor.WithLoggerFactory(quiet))
+}
+
 // seedStream keeps the gateway's random numbers apart from the cores'.
 const seedStream = 0x676174657761790a
 
@@ -129,7 +148,10 @@
 func (g *Gateway) Close() {
 	g.models.stop()
 	g.services.stop()
-	g.cancels.Wait()
+	if g.options.System == nil {
+		g.system.Shutdown()
+	}
+	g.background.Wait()
 	g.generator.Close()
 	g.calls.Close()
 }
@@ -137,9 +159,16 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	call := g.newCall(writer, request)
+	g.serve(call)
+	if call.aborted {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (g *Gateway) serve(call *call) {
 	defer call.finished()
 	if !g.running.enter(call) {
-		writer.Header().Set("Connection", "close")
+		call.writer.Header().Set("Connection", "close")
 		call.fail(problemStopping(g.limits.DrainRetryAfter))
 		return
 	}
@@ -151,7 +180,7 @@
 		call.fail(problemNoCatalog)
 		return
 	}
-	switch path := request.URL.Path; {
+	switch path := call.request.URL.Path; {
 	case path == backend.PathChat || path == backend.PathCompletions:
 		call.serveModel(current)
 	case path == pathModels:
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -81,9 +84,7 @@
 	h := newHarness(t, nil)
 	done := make(chan response, 1)
 	go func() { done <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
-	for len(h.demand.reported()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-h.demand.first
 	h.demand.refuse([]fleet.LoadRefusal{{Model: testModel, Reason: "no allotment", RetryAfter: 7 * time.Second}})
 	got := <-done
 	if got.problem.Code != string(queue.ReasonCannotLoad) || got.header.Get("Retry-After") != "7" ||
@@ -159,9 +160,7 @@
 	h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) }))
 	first := make(chan response, 1)
 	go func() { first <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
-	for len(h.demand.reported()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-h.demand.first
 	if got := h.do(http.MethodPost, backend.PathCompletions, streamBody); got.problem.Code != codeOverloaded {
 		t.Errorf("%d %s", got.status, got.body)
 	}
@@ -194,3 +193,44 @@
 		h.wantWhole(<-answers)
 	}
 }
+
+func TestAnswerTooLargeToHoldIsNoEmptyAnswer(t *testing.T) {
+	h := newHarness(t, func(options *Options) { options.Limits.MaxAnswerBytes = 5 })
+	h.addEngine("e1", h.backend(wholeEngine))
+	got := h.do(http.MethodPost, backend.PathCompletions, `{"model":"notes","prompt":"x"}`)
+	if got.status != http.StatusBadGateway || got.problem.Code != codeAnswerLarge || got.problem.Outcome != attempt.OutcomeFailed {
+		t.Errorf("%d %+v", got.status, got.problem)
+	}
+}
+
+func TestQueuesTellWhatWaits(t *testing.T) {
+	h := newHarness(t, nil)
+	if queues := h.gateway.Queues(t.Context()); len(queues) != 0 {
+		t.Errorf("queues before any request: %+v", queues)
+	}
+	done := make(chan response, 1)
+	go func() { done <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
+	<-h.demand.first
+	queues := h.gateway.Queues(t.Context())
+	if len(queues) != 1 || queues[0].Model != testModel || queues[0].Waiting != 1 || queues[0].Oldest <= 0 {
+		t.Errorf("queues with one waiting request: %+v", queues)
+	}
+	h.addEngine("e1", h.backend(wholeEngine))
+	h.wantWhole(<-done)
+	if queues := h.gateway.Queues(t.Context()); len(queues) != 0 {
+		t.Errorf("queues after the request: %+v", queues)
+	}
+}
+
+func TestFinishedRequestsAreLoggedByName(t *testing.T) {
+	var lines bytes.Buffer
+	h := newHarness(t, func(options *Options) {
+		options.Logger = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &lines}}
+	})
+	h.do(http.MethodGet, "/v1/models", "")
+	// The line is written after the answer, and the server waits for handlers.
+	h.server.Close()
+	if !strings.Contains(lines.String(), `"message":"request_finished"`) || strings.Contains(lines.String(), `"event"`) {
+		t.Errorf("logged %s", lines.String())
+	}
+}
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -14,6 +13,7 @@
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/claim"
+	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
 func TestPlainCallGoesToTheService(t *testing.T) {
@@ -34,6 +34,8 @@
 	decision claim.Decision
 	request  claim.Request
 	outcomes chan claim.Outcome
+	// hold delays Complete until it is closed.
+	hold chan struct{}
 }
 
 func newFakeGuard(decision claim.Decision) *fakeGuard {
@@ -46,6 +48,9 @@
 }
 
 func (f *fakeGuard) Complete(_ context.Context, _, _ string, outcome claim.Outcome, _ *claim.Answer) {
+	if f.hold != nil {
+		<-f.hold
+	}
 	f.outcomes <- outcome
 }
 
@@ -129,6 +134,60 @@
 	}
 }
 
+// pausedGuard grants, and moves the clock on before the gateway goes on: the
+// process was paused after its keepers had answered.
+type pausedGuard struct {
+	*fakeGuard
+	offset *atomic.Int64
+	pause  time.Duration
+}
+
+func (p *pausedGuard) Acquire(ctx context.Context, request claim.Request) claim.Decision {
+	decision := p.fakeGuard.Acquire(ctx, request)
+	p.offset.Store(int64(p.pause))
+	return decision
+}
+
+// TestGrantDoesNotOutliveAPause: the keepers keep a key only for calls that are
+// sent soon after the grant. One that comes out of a pause later may meet
+// another that was granted the key since, whatever its own deadline is.
+func TestGrantDoesNotOutliveAPause(t *testing.T) {
+	tests := map[string]struct {
+		pause time.Duration
+		sent  int32
+		told  claim.Outcome
+	}{
+		"short": {time.Second, 1, claim.Ran},
+		"long":  {claim.StartTimeout, 0, claim.NotRun},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var offset atomic.Int64
+			guard := newFakeGuard(claim.Decision{Verdict: claim.Granted, Attempt: "a1"})
+			h := newHarness(t, func(options *Options) {
+				options.Guard = &pausedGuard{fakeGuard: guard, offset: &offset, pause: test.pause}
+				options.Now = func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }
+			})
+			h.catalog.service.Deadline = time.Hour
+			var sent atomic.Int32
+			h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) {
+				sent.Add(1)
+				writer.WriteHeader(http.StatusNoContent)
+			}))
+			got := h.do(http.MethodPost, "/turbines/7/stop", "now", backend.HeaderIdempotencyKey, "k")
+			if told := <-guard.outcomes; told != test.told || sent.Load() != test.sent {
+				t.Errorf("keepers were told %v, sent %d times", told, sent.Load())
+			}
+			if test.sent == 0 && (got.status != http.StatusServiceUnavailable || got.problem.Outcome != attempt.OutcomeNotRun) {
+				t.Errorf("the caller was told %d %+v", got.status, got.problem)
+			}
+			if guard.request.Window < 50*time.Minute {
+				t.Errorf("the key is kept for %s, the call may run for an hour", guard.request.Window)
+			}
+		})
+	}
+}
+
 func deadAddress(t *testing.T) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -188,10 +247,46 @@
 			}
 		}()
 	}
-	for len(h.demand.reported()) == 0 {
-		runtime.Gosched()
-	}
+	<-h.demand.first
 	if got := h.do(http.MethodPost, "/turbines/7/stop", ""); got.status != http.StatusNoContent {
 		t.Errorf("%d %s", got.status, got.body)
 	}
 }
+
+func TestSlowKeepersDoNotHoldTheAnswerBack(t *testing.T) {
+	guard := newFakeGuard(claim.Decision{Verdict: claim.Granted, Attempt: "a1"})
+	guard.hold = make(chan struct{})
+	h := newHarness(t, func(options *Options) { options.Guard = guard })
+	h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) }))
+	got := h.do(http.MethodPost, "/turbines/7/stop", "now", backend.HeaderIdempotencyKey, "k")
+	close(guard.hold)
+	if told := <-guard.outcomes; got.status != http.StatusNoContent || told != claim.Ran {
+		t.Errorf("%d, keepers were told %v", got.status, told)
+	}
+}
+
+// TestLeavingServiceIsReportedByItsRefusal: a command server is not polled, so
+// its own refusal is the first news that it goes away.
+func TestLeavingServiceIsReportedByItsRefusal(t *testing.T) {
+	for body, want := range map[string]int{
+		`{"code":"leaving"}`:  1,
+		`{"code":"overfull"}`: 0,
+		"leaving":             0,
+	} {
+		t.Run(body, func(t *testing.T) {
+			heard := make(chan fleet.BackendName, 9)
+			h := newHarness(t, func(options *Options) {
+				options.Leaving = func(name fleet.BackendName) { heard <- name }
+			})
+			h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set(backend.HeaderNotRun, "true")
+				writer.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = io.WriteString(writer, body)
+			}))
+			h.do(http.MethodPost, "/turbines/7/stop", "now")
+			if got := len(heard); got != want || want > 0 && <-heard != "s1" {
+				t.Errorf("%d reports", got)
+			}
+		})
+	}
+}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -186,9 +187,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		request, _ := http.NewRequestWithContext(ctx, http.MethodPost, h.server.URL+backend.PathCompletions, strings.NewReader(streamBody))
 		go func() {
-			for len(h.demand.reported()) == 0 {
-				runtime.Gosched()
-			}
+			<-h.demand.first
 			stop()
 		}()
 		if _, err := http.DefaultTransport.RoundTrip(request); err == nil {
@@ -237,6 +236,9 @@
 	}
 	defer answer.Body.Close()
 	<-cancelled
+	if _, err := io.Copy(io.Discard, answer.Body); err == nil {
+		t.Error("what was cut off ends like a whole answer")
+	}
 }
 
 func TestDrainFinishesWhatRunsAndRefusesWhatIsNew(t *testing.T) {
@@ -318,3 +320,36 @@
 		t.Errorf("both requests are %q at the engine", first)
 	}
 }
+
+// TestEngineThatDiesUnderManyStreamsCutsNone: their number is far beyond the
+// retry budget.
+func TestEngineThatDiesUnderManyStreamsCutsNone(t *testing.T) {
+	const streams = 30
+	h := newHarness(t, func(options *Options) {
+		options.Limits.RetryBurst = 1
+		options.Routing.EngineSlots = streams
+	})
+	var begun sync.WaitGroup
+	begun.Add(streams)
+	dead := make(chan struct{})
+	h.addEngine("e1", h.backend(func(writer http.ResponseWriter, request *http.Request) {
+		if isCancel(request) || isResume(request) {
+			breakOff()
+		}
+		scripted{writer, request}.tokens(0, 2)
+		begun.Done()
+		<-dead
+		breakOff()
+	}))
+	answers := make(chan response, streams)
+	for range streams {
+		go func() { answers <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
+	}
+	begun.Wait()
+	h.table.Engines = nil
+	h.addEngine("e2", h.backend(wholeEngine))
+	close(dead)
+	for range streams {
+		h.wantWhole(<-answers)
+	}
+}
--- a/internal/node/claim_table.go
+++ b/internal/node/claim_table.go
@@ -82,6 +82,7 @@
 
 // lookAfterTable returns how long until the next look.
 func (c *Claims) lookAfterTable() time.Duration {
+	c.tellGone()
 	members, _ := c.dependencies.Views.Members.Get()
 	usable := usableForSeats(members)
 	first, found := claim.Coordinator(usable)
@@ -89,11 +90,11 @@
 		return tableInterval
 	}
 	if first.Name != c.seat.Name || c.dependencies.Store == nil {
-		return c.learnTable(usable)
+		return c.learnTable(first, usable)
 	}
 	changed, err := c.keepTable(usable)
 	if err != nil {
-		c.dependencies.Logger.Warn().Str("event", "keeper-table").Err(err).Msg("")
+		c.dependencies.Logger.Warn().Err(err).Msg("keeper_table_failed")
 	}
 	if changed || err != nil {
 		return tableInterval
@@ -107,29 +108,37 @@
 	})
 }
 
-// learnTable compares the table with that of a random member.
-func (c *Claims) learnTable(usable []fleet.Member) time.Duration {
+// learnTable compares the table with the coordinator's, or with that of a
+// random member where the coordinator does not answer.
+func (c *Claims) learnTable(first fleet.Member, usable []fleet.Member) time.Duration {
 	others := slices.DeleteFunc(slices.Clone(usable), func(member fleet.Member) bool {
 		return member.Name == c.seat.Name
 	})
-	if len(others) == 0 {
+	if !c.compareTable(first) && len(others) > 0 {
+		c.compareTable(others[rand.IntN(len(others))])
+	}
+	if len(c.currentTable().Slots) == 0 {
 		return tableInterval
 	}
+	return tableRefresh
+}
+
+func (c *Claims) compareTable(other fleet.Member) bool {
+	if other.Name == c.seat.Name {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(c.lifetime, keeperCallTimeout)
 	defer cancel()
-	other := others[rand.IntN(len(others))]
 	response, err := c.dependencies.Pool.To(other.Addresses.Peer).Claims.Seats(ctx, &peerpb.SeatsRequest{
 		From:      string(c.seat.Name),
 		WantTable: true,
 		TableHash: c.currentTable().Hash(),
 	})
-	if err == nil {
-		c.takeSlots(decodeSlots(response.GetSlots()))
-	}
-	if len(c.currentTable().Slots) == 0 {
-		return tableInterval
+	if err != nil {
+		return false
 	}
-	return tableRefresh
+	c.takeSlots(decodeSlots(response.GetSlots()))
+	return true
 }
 
 func decodeSlots(encoded []*peerpb.KeeperSlot) []claim.Slot {
@@ -166,20 +175,19 @@
 }
 
 // readTable returns the stored table, or writes the first one. A table that
-// was deleted is never founded anew: what was granted under it is not known.
+// was lost is neither founded anew nor written from a copy: a copy may be older
+// than what keepers already count on, and one version would have two sets of
+// seats. Keyed calls then go on with the seats as they are.
 func (c *Claims) readTable(usable []fleet.Member) (platform.Object, claim.Table, error) {
 	ctx, cancel := context.WithTimeout(c.lifetime, storeTimeout)
 	defer cancel()
 	object, err := c.dependencies.Store.Get(ctx, platform.Key{Kind: platform.KindKeepers, Name: keepersObject})
-	known := c.currentTable()
+	known := len(c.currentTable().Slots) > 0
 	switch {
 	case err != nil && !errorx.HasTrait(err, errorx.NotFound()):
 		return object, claim.Table{}, err
-	case err != nil && len(known.Slots) > 0:
-		object, err = c.writeTable(known, object.Version)
-		return object, known, err
-	case err != nil && object.Version > 0:
-		return object, claim.Table{}, errorx.IllegalState.New("the keepers' table was deleted and no node holds a copy")
+	case err != nil && (known || object.Version > 0):
+		return object, claim.Table{}, errorx.IllegalState.New("the keepers' table was deleted: no keeper can be replaced")
 	case err != nil:
 		founded := claim.Found(usable)
 		object, err = c.writeTable(founded, 0)
@@ -210,12 +218,7 @@
 
 // askSeats tells every seat of its slots and returns those that are settled.
 func (c *Claims) askSeats(table claim.Table) map[int][]claim.Seat {
-	bySeat := make(map[claim.Seat][]claim.Slot)
-	for _, slot := range table.Slots {
-		for _, seat := range slot.Seats {
-			bySeat[seat] = append(bySeat[seat], slot)
-		}
-	}
+	bySeat := slotsBySeat(table.Slots)
 	var group sync.WaitGroup
 	var mutex sync.Mutex
 	responses := make(map[claim.Seat]*peerpb.SeatsResponse)
@@ -236,6 +239,16 @@
 	return settled
 }
 
+func slotsBySeat(slots []claim.Slot) map[claim.Seat][]claim.Slot {
+	bySeat := make(map[claim.Seat][]claim.Slot)
+	for _, slot := range slots {
+		for _, seat := range slot.Seats {
+			bySeat[seat] = append(bySeat[seat], slot)
+		}
+	}
+	return bySeat
+}
+
 func (c *Claims) askSeat(seat claim.Seat, slots []claim.Slot) *peerpb.SeatsResponse {
 	ctx, cancel := context.WithTimeout(c.lifetime, keeperCallTimeout)
 	defer cancel()
@@ -269,6 +282,7 @@
 		return
 	}
 	c.coordinator.heard[seat] = now
+	c.goneMachines.answered(seat, now)
 	for _, slot := range response.GetSettled() {
 		index := int(slot.GetIndex())
 		if index < len(table.Slots) && table.Slots[index].Version == slot.GetVersion() {
@@ -295,46 +309,8 @@
 }
 
 func (c *Claims) knownGone() func(claim.Seat) bool {
-	list, _ := c.dependencies.Views.Machines.Get()
-	byList := goneByList(list)
+	now := time.Now()
 	return func(seat claim.Seat) bool {
-		return c.coordinator.gone[seat] || byList(seat)
-	}
-}
-
-// goneByList takes a node's machine that the list shows as gone for ended.
-func goneByList(list platform.MachineList) func(claim.Seat) bool {
-	gone := make(map[string]bool)
-	for _, machine := range list.Machines {
-		if machine.Role == "node" && machine.State == platform.MachineGone {
-			gone[machine.Name] = true
-		}
-	}
-	return func(seat claim.Seat) bool { return gone[string(seat.Name)] }
-}
-
-// Drain waits until no slot names this node any more, so that its records are
-// with other keepers, or until the context ends. The members must already
-// know that this node drains.
-func (c *Claims) Drain(ctx context.Context) error {
-	for {
-		if !c.seated() {
-			return nil
-		}
-		c.wakeTable()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(drainCheck):
-		}
+		return c.coordinator.gone[seat] || c.goneMachines.has(seat, now)
 	}
 }
-
-// drainCheck is the time between two looks for a seat of this node.
-const drainCheck = 200 * time.Millisecond
-
-func (c *Claims) seated() bool {
-	return slices.ContainsFunc(c.currentTable().Slots, func(slot claim.Slot) bool {
-		return slices.ContainsFunc(slot.Seats, c.seat.Same)
-	})
-}
--- a/internal/node/control_actor.go
+++ b/internal/node/control_actor.go
@@ -7,6 +7,7 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/catalog"
@@ -43,6 +44,8 @@
 	Engines EngineClient
 	Store   RecordStore
 	Logger  *log.Logger
+	// Registerer takes the shell's figures; nil keeps them unregistered.
+	Registerer prometheus.Registerer
 	// Core sets up the core; Self, Zone and BootID are set from Self.
 	Core control.Options
 	// Facts turns a catalog into what the core takes of it.
@@ -54,6 +57,7 @@
 type Control struct {
 	dependencies ControlDependencies
 	core         *control.Core
+	metrics      *controlMetrics
 	pid          *actor.PID
 	lifetime     context.Context
 	end          context.CancelFunc
@@ -80,10 +84,12 @@
 	shell := &Control{
 		dependencies: dependencies,
 		core:         control.New(options),
+		metrics:      newControlMetrics(dependencies.Registerer),
 		lifetime:     lifetime,
 		end:          end,
 	}
-	shell.pid = dependencies.System.Root.Spawn(actor.PropsFromFunc(shell.receive, inPart(dependencies.Self.Name, partControl)))
+	props := actor.PropsFromFunc(shell.receive, inPart(dependencies.Self.Name, partControl))
+	spawn(dependencies.System, props, func(pid *actor.PID) { shell.pid = pid })
 	shell.subscribe()
 	return shell
 }
@@ -108,7 +114,7 @@
 	}
 	record, err := decodeRecord(object)
 	if err != nil {
-		s.logFailure("record-unreadable", err)
+		s.logFailure("record_unreadable", err)
 		return
 	}
 	s.send(control.AllotmentsChanged{VersionedRecord: record})
@@ -182,6 +188,7 @@
 }
 
 func (s *Control) refuseLocal(refusals []fleet.LoadRefusal) {
+	s.metrics.refusedWants.Add(float64(len(refusals)))
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, told := range s.onRefusal {
@@ -189,6 +196,8 @@
 	}
 }
 
+// logFailure logs an event that tells of an error; its name is fixed at each
+// place that calls it.
 func (s *Control) logFailure(event string, err error) {
-	s.dependencies.Logger.Warn().Str("event", event).Err(err).Msg("")
+	s.dependencies.Logger.Warn().Err(err).Msg(event)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,7 @@
 	control    *Control
 	gateway    *gateway.Gateway
 	tableAges  tableAges
+	catalogAge *catalogAge
 
 	drainOnce sync.Once
 	draining  atomic.Bool
@@ -87,7 +88,7 @@
 		self:     self,
 		started:  time.Now(),
 		logger:   logger,
-		system:   actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return logging.ForActors(logger) })),
+		system:   actor.NewActorSystem(actor.WithLoggerFactory(actorLoggerFactory(logger))),
 		views:    &views.Views{},
 		platform: platform.NewClient(settings.Platform, settings.Zone),
 		peers:    peer.NewPool(),
@@ -101,9 +102,14 @@
 	return created
 }
 
+func actorLoggerFactory(logger *log.Logger) func(*actor.ActorSystem) *slog.Logger {
+	return func(*actor.ActorSystem) *slog.Logger { return logging.ForActors(logger) }
+}
+
 // startShells starts the actors, those first that the others listen to.
 func (n *Node) startShells(bound sockets) {
 	n.tableAges.follow(n.views)
+	n.catalogAge = followCatalog(n.views, n.metrics)
 	n.membership = StartMembership(MembershipDependencies{
 		System:     n.system,
 		Connection: n.traffic.Channel("gossip").PacketConn(bound.gossip),
@@ -111,7 +117,7 @@
 			Self:          n.self,
 			Seeds:         append(append([]string(nil), n.settings.Seeds...), n.settings.RemoteSeeds...),
 			RandomSeed:    rand.Uint64(),
-			ProbeInterval: n.settings.ProbeInterval,
+			ProbeInterval: time.Duration(n.settings.ProbeInterval),
 		},
 		Views:  n.views,
 		Logger: n.logger,
@@ -129,6 +135,7 @@
 		Keeper: claim.KeeperOptions{},
 	})
 	n.gateway = n.startGateway()
+	n.metrics.MustRegister(viewCollector{node: n})
 }
 
 func (n *Node) startGateway() *gateway.Gateway {
@@ -137,11 +144,13 @@
 		Catalog:    n.currentCatalog,
 		Demand:     n.control,
 		Guard:      n.claims,
+		Leaving:    n.control.BackendLeaving,
 		Self:       n.self,
 		Logger:     n.logger,
+		System:     n.system,
 		Registerer: n.metrics,
 		Limits:     n.settings.gatewayLimits(),
-		Queue:      queue.Options{MaxItems: n.settings.Limits.MaxWaiting, MaxBytes: n.settings.Limits.MaxWaitingBytes},
+		Queue:      queue.Options{MaxItems: n.settings.Limits.MaxWaiting, MaxBytes: int64(n.settings.Limits.MaxWaitingBytes)},
 		Seed:       rand.Uint64(),
 	})
 }
@@ -171,10 +180,11 @@
 
 func (n *Node) drain(ctx context.Context) {
 	started := time.Now()
-	limit, cancel := context.WithTimeout(ctx, n.settings.DrainLimit)
+	allowed := time.Duration(n.settings.DrainLimit)
+	limit, cancel := context.WithTimeout(ctx, allowed)
 	defer cancel()
 	n.draining.Store(true)
-	n.logger.Info().Dur("limit", n.settings.DrainLimit).Msg("drain_started")
+	n.logger.Info().Dur("limit", allowed).Msg("drain_started")
 	n.membership.SetDraining(true)
 	var handOvers sync.WaitGroup
 	n.control.HandOver()
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/gateway"
 	"github.com/spanlanding/spanlanding/internal/operator"
@@ -64,7 +63,7 @@
 	now := time.Now()
 	tables, _ := node.views.Tables.Get()
 	members, _ := node.views.Members.Get()
-	queues := []operator.QueueStatus{}
+	queues := node.queues()
 	return operator.Status{
 		Node:          node.self.Name,
 		Zone:          node.self.Zone,
@@ -79,6 +78,21 @@
 	}
 }
 
+// queuesTimeout bounds the wait for the gateway's account of its queues.
+const queuesTimeout = time.Second
+
+func (n *Node) queues() []operator.QueueStatus {
+	ctx, cancel := context.WithTimeout(context.Background(), queuesTimeout)
+	defer cancel()
+	queues := []operator.QueueStatus{}
+	for _, queue := range n.gateway.Queues(ctx) {
+		queues = append(queues, operator.QueueStatus{
+			Model: queue.Model, Waiting: queue.Waiting, OldestSeconds: queue.Oldest.Seconds(),
+		})
+	}
+	return queues
+}
+
 // Versions implements operator.Source.
 func (s source) Versions() operator.VersionReport {
 	members, _ := s.node.views.Members.Get()
@@ -117,25 +131,10 @@
 	return snapshot.Version()
 }
 
-// callerCatalog is the catalog as callers see it.
-type callerCatalog struct {
-	*catalog.Snapshot
-}
-
-// ModelNames implements gateway.Catalog.
-func (c callerCatalog) ModelNames() []string {
-	deployments := c.Deployments()
-	names := make([]string, 0, len(deployments))
-	for _, deployment := range deployments {
-		names = append(names, string(deployment.Name))
-	}
-	return names
-}
-
 func (n *Node) currentCatalog() (gateway.Catalog, bool) {
 	snapshot, found := n.views.Catalog.Get()
 	if !found {
 		return nil, false
 	}
-	return callerCatalog{snapshot}, true
+	return snapshot, true
 }
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -37,11 +39,23 @@
 	Limits map[fleet.ModelVersion]int
 	// Standing is the zone's part of the replicas to keep ready.
 	Standing map[fleet.ModelVersion]int
-	// Zones and ZoneIndex give the zone's part of the weight store.
+	// Zones and ZoneIndex give the part of the weight store that is the zone's
+	// whatever the others do.
 	Zones     int
 	ZoneIndex int
 }
 
+// StoreUsed gives what the other zones take of the weight store.
+type StoreUsed struct {
+	// Loading counts the loads that run, Waiting those that wait for their turn.
+	Loading, Waiting int
+	// Silent counts zones of which neither is known.
+	Silent int
+}
+
+// HeldElsewhere names the models that other zones hold ready or load.
+type HeldElsewhere struct{ Models map[fleet.ModelVersion]bool }
+
 // EnginesGone names engines whose machines are gone for good.
 type EnginesGone struct{ Engines []fleet.BackendName }
 
@@ -95,6 +109,8 @@
 func (RoundBegan) message()     {}
 func (RoundEnded) message()     {}
 func (LimitsChanged) message()  {}
+func (StoreUsed) message()      {}
+func (HeldElsewhere) message()  {}
 func (EnginesGone) message()    {}
 func (EnginesLeaving) message() {}
 func (EngineSilent) message()   {}
@@ -118,6 +134,10 @@
 	Refusal fleet.LoadRefusal
 	// Elsewhere is set where another zone may be able to.
 	Elsewhere bool
+	// Since is when the model was first wanted in vain.
+	Since time.Time
+	// Never is set where no engine of the zone could ever hold the model.
+	Never bool
 }
 
 // NeedRound asks for a new round, so that a lost order can no longer take
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -74,8 +74,13 @@
 	// load from the first waiting request to a ready replica.
 	service, pace, firstToken, load estimate
 
+	inflow      inflow
 	lastRelease time.Time
-	coldFrom    time.Time
+	// paced counts the releases since paceFrom while requests waited.
+	paceFrom time.Time
+	paced    int
+	coldFrom time.Time
+	refusals refusals
 	// arrivals and missed count since the last report: all that came, and
 	// those refused because a load would take too long.
 	arrivals, missed int
@@ -125,7 +130,7 @@
 	case Served:
 		c.line(message.Model).service.add(message.Service)
 	case LoadRefused:
-		c.loadRefused(message.Refusals)
+		c.loadRefused(now, message.Refusals)
 	case Close:
 		c.close(message.RetryAfter)
 	case Tick:
@@ -153,6 +158,8 @@
 	Model    fleet.ModelVersion
 	Waiting  int
 	Replicas int
+	// Oldest is when the oldest of the waiting requests came.
+	Oldest time.Time
 }
 
 // Lines describes the models for which something waits, in order.
@@ -160,12 +167,22 @@
 	var infos []LineInfo
 	for _, model := range c.order {
 		if line := c.lines[model]; len(line.items) > 0 {
-			infos = append(infos, LineInfo{Model: model, Waiting: len(line.items), Replicas: line.ready})
+			infos = append(infos, LineInfo{Model: model, Waiting: len(line.items), Replicas: line.ready, Oldest: line.oldest()})
 		}
 	}
 	return infos
 }
 
+func (l *line) oldest() time.Time {
+	oldest := l.items[0].Since
+	for _, item := range l.items[1:] {
+		if item.Since.Before(oldest) {
+			oldest = item.Since
+		}
+	}
+	return oldest
+}
+
 func (c *Core) line(model fleet.ModelVersion) *line {
 	if known, found := c.lines[model]; found {
 		return known
--- a/internal/sim/world/judge.go
+++ b/internal/sim/world/judge.go
@@ -32,7 +32,8 @@
 func ruleNames() []sim.RuleName {
 	return []sim.RuleName{
 		ruleVersionsGrow, ruleNoRevert, ruleInForce, ruleMembers,
-		ruleReplicas, ruleCeiling, ruleRaise, ruleMemory, ruleLoads, ruleDead,
+		ruleEndsOnce, ruleInTime, ruleAnswer, ruleNotRun, ruleLeaving, rulePlannedStop,
+		ruleReplicas, ruleCeiling, ruleRaise, ruleOrderOnce, ruleMemory, ruleLoads, ruleDead,
 	}
 }
 
@@ -54,10 +55,14 @@
 	everywhere map[platform.Key]uint64
 	// record is the record of allotments as it stands in the store.
 	record allotment.Record
+	// loadOrders are the IDs of the load orders that engines took.
+	loadOrders map[string]bool
 	// victim is the node that was killed for good.
 	victim *node
 	// probing counts the wants of probeLoads that are not yet served.
 	probing int
+	// calls are all that were made.
+	calls []*call
 }
 
 // configView is what a node's present boot holds.
@@ -73,6 +78,7 @@
 		world:      world,
 		views:      make(map[fleet.NodeName]*configView),
 		everywhere: make(map[platform.Key]uint64),
+		loadOrders: make(map[string]bool),
 	}
 }
 
@@ -168,6 +174,7 @@
 
 // finish checks what must hold at the end of a run.
 func (j *judge) finish() {
+	j.judgeCalls()
 	if j.world.scheduler.Elapsed() < j.world.faultsOver+quietBound {
 		return
 	}
