--- a/internal/placement/keepalive.go
+++ b/internal/placement/keepalive.go
@@ -21,6 +21,9 @@
 	// worthBase is the worth of a second of cold start at the preferences 1 and
 	// 0, in GiB hours and in parts of one.
 	worthBase = 20.0
+	// tailSeconds is the cold start that counts as it is; longer ones count more
+	// and shorter ones less, since the tail is made of the longest.
+	tailSeconds = 5.0
 )
 
 // unloadIdle unloads what has been idle beyond its keep-alive, what the zone
@@ -90,7 +93,16 @@
 	if ready, _ := c.replicas(model); ready > max(1, c.standing[model]) && idle > extraKeepAlive {
 		return true
 	}
-	return c.worthKeeping(model, idle) < 1
+	return c.worthKeeping(model, p.idle(now, idleSince, model)) < 1
+}
+
+// idle is the time since the last request, also for a model that was loaded
+// ahead since then: what it was loaded for is still due.
+func (p ownPolicy) idle(now, idleSince time.Time, model fleet.ModelVersion) time.Duration {
+	if last := p.core.historyOf(model).lastArrival; !last.IsZero() {
+		return now.Sub(last)
+	}
+	return now.Sub(idleSince)
 }
 
 // EvictionCost is the cost of loading again, times the chance that the model
@@ -99,7 +111,7 @@
 	if p.core.without.EvictionCost {
 		return leastRecentlyUsedCost(now, idleSince)
 	}
-	chance := min(1, p.core.historyOf(model).wakeIndex(now.Sub(idleSince))*evictSpan.Hours())
+	chance := min(1, p.core.historyOf(model).wakeIndex(p.idle(now, idleSince, model))*evictSpan.Hours())
 	return chance * sizeCost(p.core.models[model]) * costDisk
 }
 
@@ -126,6 +138,7 @@
 func (c *Core) worthKeeping(model fleet.ModelVersion, idle time.Duration) float64 {
 	facts := c.models[model]
 	seconds := c.reloadSeconds(facts)
+	seconds *= math.Sqrt(seconds / tailSeconds)
 	perHour := c.historyOf(model).wakeIndex(idle)
 	return c.worthOfSecond() * seconds * perHour / (float64(facts.MemoryBytes) / gibibyte)
 }
