Simulate calls that may not be repeated

Cause: no simulated back end ran anything that may run at most once, so blind resending went unnoticed in the simulation.

Change: each zone has two of the stand-ins' command servers, which die at work (fault service-kill); nodes call them by a routing and attempts of their own, as the gateway does. Rule unrepeatable-call-runs-once looks into the servers' books over all boots; not-run, deadlines and own answers are judged for these calls too, and a drain waits for them.

Keys are still missing.

--- a/internal/sim/world/demand.go
+++ b/internal/sim/world/demand.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -9,12 +10,14 @@
 )
 
 const (
-	burstLeast    = 300 * time.Millisecond
-	burstMost     = 4 * time.Second
-	wantPatience  = 30 * time.Second
-	wantInterval  = time.Second
-	callsAtOnce   = 6
-	burstNodeMost = 5
+	burstLeast       = 300 * time.Millisecond
+	burstMost        = 4 * time.Second
+	wantPatience     = 30 * time.Second
+	wantInterval     = time.Second
+	callsAtOnce      = 6
+	burstNodeMost    = 5
+	serviceCallsMost = 16
+	serviceWaitMost  = 5 * time.Second
 )
 
 // demand draws bursts of calls, in an open loop: a model is wanted at many
@@ -32,6 +35,7 @@
 func (d *demand) next() {
 	d.world.scheduler.After(sim.Between(d.random, burstLeast, burstMost), func() {
 		d.burst(modelAt(d.random.IntN(modelCount)))
+		d.serviceCalls()
 		d.next()
 	})
 }
@@ -61,6 +65,20 @@
 	}
 }
 
+// serviceCalls draws calls that may not be repeated, at any nodes.
+func (d *demand) serviceCalls() {
+	for range d.random.IntN(serviceCallsMost) {
+		at := d.world.nodes[d.random.IntN(len(d.world.nodes))]
+		patience, seed := sim.Between(d.random, patienceLeast, serviceWaitMost), d.random.Uint64()
+		if !at.serves() {
+			continue
+		}
+		d.calls++
+		id := fleet.RequestID(fmt.Sprintf("s%05d", d.calls))
+		d.world.judge.serviceSent(at.callService(id, patience, seed))
+	}
+}
+
 // serves reports whether the node takes new calls.
 func (n *node) serves() bool {
 	return n.process.State() == sim.ProcessRunning && !n.requests.draining
--- a/internal/sim/world/faults.go
+++ b/internal/sim/world/faults.go
@@ -31,6 +31,7 @@
 	faultMachinesDown     sim.FaultKind = "machine-list-down"
 	faultMachinesLag      sim.FaultKind = "machine-list-stale"
 	faultEngineKill       sim.FaultKind = "engine-kill"
+	faultServiceKill      sim.FaultKind = "service-kill"
 	faultEnginePause      sim.FaultKind = "engine-pause"
 	faultWeightsSlow      sim.FaultKind = "weight-store-slow"
 )
@@ -72,6 +73,7 @@
 		{Kind: faultEngineSlow, Most: 3, Least: 5 * second, Longest: 40 * second, Aim: w.aimEngine},
 		{Kind: faultReportsFrozen, Most: 2, Least: 5 * second, Longest: 40 * second, Aim: w.aimEngine},
 		{Kind: faultEngineLoadHang, Most: 1, Least: 5 * second, Longest: 40 * second, Aim: w.aimEngine},
+		{Kind: faultServiceKill, Most: 20, Least: second / 10, Longest: 10 * second, Aim: w.aimService},
 		{Kind: faultWeightsSlow, Most: 1, Least: 5 * second, Longest: 60 * second},
 	}
 }
@@ -88,6 +90,10 @@
 	fault.Target = string(w.zones[random.IntN(len(w.zones))])
 }
 
+func (w *World) aimService(random *rand.Rand, fault *sim.Fault) {
+	fault.Target = string(w.services[random.IntN(len(w.services))].backend.Name)
+}
+
 // aimLeader aims at a zone's leader; the platform is cut off too, or not.
 func (w *World) aimLeader(random *rand.Rand, fault *sim.Fault) {
 	w.aimZone(random, fault)
--- a/internal/sim/world/inject.go
+++ b/internal/sim/world/inject.go
@@ -30,7 +30,7 @@
 // Begin implements sim.Injector.
 func (w *World) Begin(fault sim.Fault) (end func()) {
 	switch fault.Kind {
-	case faultNodeKill, faultEngineKill:
+	case faultNodeKill, faultEngineKill, faultServiceKill:
 		return kill(w.processNamed(fault.Target))
 	case faultNodePause, faultEnginePause:
 		return pause(w.processNamed(fault.Target))
@@ -108,6 +108,9 @@
 			return engine.process
 		}
 	}
+	if service := w.serviceNamed(fleet.BackendName(name)); service != nil {
+		return service.process
+	}
 	panic(fmt.Sprintf("world: no process %q", name))
 }
 
--- a/internal/sim/world/judge.go
+++ b/internal/sim/world/judge.go
@@ -32,7 +32,7 @@
 func ruleNames() []sim.RuleName {
 	return []sim.RuleName{
 		ruleVersionsGrow, ruleNoRevert, ruleInForce, ruleMembers,
-		ruleEndsOnce, ruleInTime, ruleAnswer, ruleNotRun, ruleLeaving, rulePlannedStop,
+		ruleEndsOnce, ruleInTime, ruleAnswer, ruleNotRun, ruleLeaving, rulePlannedStop, ruleRunsOnce,
 		ruleReplicas, ruleCeiling, ruleRaise, ruleOrderOnce, ruleMemory, ruleLoads, ruleDead,
 	}
 }
@@ -62,7 +62,8 @@
 	// probing counts the wants of probeLoads that are not yet served.
 	probing int
 	// calls are all that were made.
-	calls []*call
+	calls        []*call
+	serviceCalls []*serviceCall
 }
 
 // configView is what a node's present boot holds.
@@ -175,6 +176,7 @@
 // finish checks what must hold at the end of a run.
 func (j *judge) finish() {
 	j.judgeCalls()
+	j.judgeServices()
 	if j.world.scheduler.Elapsed() < j.world.faultsOver+quietBound {
 		return
 	}
--- a/internal/sim/world/judge_requests.go
+++ b/internal/sim/world/judge_requests.go
@@ -71,7 +71,7 @@
 // drained is told of a node's planned stop as it ends.
 func (j *judge) drained(stopped *node) {
 	j.world.count("drained")
-	left := len(stopped.requests.running)
+	left := stopped.inProgress()
 	j.world.rules.Check(rulePlannedStop, left == 0, "%s ended its planned stop with %d requests in progress", stopped.name, left)
 }
 
--- a/internal/sim/world/machines.go
+++ b/internal/sim/world/machines.go
@@ -61,6 +61,11 @@
 			running = append(running, engine.machine())
 		}
 	}
+	for _, service := range m.world.services {
+		if service.process.State() == sim.ProcessRunning {
+			running = append(running, service.machine())
+		}
+	}
 	return running
 }
 
@@ -75,6 +80,11 @@
 			return engine.process.State() == sim.ProcessDead
 		}
 	}
+	for _, service := range w.services {
+		if string(service.backend.Name) == name {
+			return service.process.State() == sim.ProcessDead
+		}
+	}
 	return true
 }
 
--- a/internal/sim/world/node.go
+++ b/internal/sim/world/node.go
@@ -27,6 +27,7 @@
 	config     *configPart
 	control    *controlPart
 	requests   *requestsPart
+	services   *servicePart
 	compiler   *catalog.Compiler
 	// tables are those that the node routes by.
 	tables map[fleet.Zone]fleet.RouteTable
@@ -60,6 +61,7 @@
 	n.config = newConfigPart(n, self, seed)
 	n.control = newControlPart(n, self, seed)
 	n.requests = newRequestsPart(n, seed)
+	n.services = newServicePart(n, seed)
 	n.compiler = catalog.NewCompiler()
 	n.tables = nil
 	n.membership.start()
--- a/internal/sim/world/node_attempt.go
+++ b/internal/sim/world/node_attempt.go
@@ -135,9 +135,12 @@
 
 // result is what the gateway tells routing.
 func (r *request) result() routing.Result {
-	last := r.core.Last()
+	return resultOf(r.core.Last(), r.abandoned)
+}
+
+func resultOf(last attempt.Broken, abandoned bool) routing.Result {
 	switch {
-	case r.abandoned:
+	case abandoned:
 		return routing.ResultAbandoned
 	case last.Evidence == 0 || last.Final:
 		return routing.ResultOK
--- a/internal/sim/world/node_routing.go
+++ b/internal/sim/world/node_routing.go
@@ -69,6 +69,7 @@
 		list = append(list, tables[zone])
 	}
 	p.stepRouting(routing.Tables{Tables: list})
+	p.node.services.step(routing.Tables{Tables: list})
 	p.arm()
 }
 
@@ -81,5 +82,6 @@
 		}
 	}
 	p.stepRouting(routing.Leaving{Backends: leaving})
+	p.node.services.step(routing.Leaving{Backends: leaving})
 	p.arm()
 }
--- a/internal/sim/world/planted_test.go
+++ b/internal/sim/world/planted_test.go
@@ -49,6 +49,7 @@
 		{"deadlines forgotten", Defects{Queue: queue.Defects{ForgetDeadlines: true}}, ruleInTime},
 		{"shed without a word", Defects{Queue: queue.Defects{DropShed: true}}, ruleEndsOnce},
 		{"leaving ignored", Defects{Routing: routing.Defects{IgnoreLeaving: true}}, ruleLeaving},
+		{"blind resend", Defects{Attempt: attempt.Defects{BlindResend: true}}, ruleRunsOnce},
 		{"drain cuts", Defects{Node: NodeDefects{CutAtDrain: true}}, rulePlannedStop},
 		{"the dead resurrected", Defects{Membership: membership.Defects{ResurrectDead: true}}, ruleDead},
 	}
--- a/internal/sim/world/stops.go
+++ b/internal/sim/world/stops.go
@@ -109,6 +109,11 @@
 	}
 }
 
+// inProgress counts what the node still owes its callers.
+func (n *node) inProgress() int {
+	return len(n.requests.running) + n.services.inProgress
+}
+
 // drain is what a node does at a planned stop: it takes no new calls, hands its
 // leadership over, finishes what it has and leaves.
 func (n *node) drain() {
@@ -121,7 +126,7 @@
 	boot := n.process.Boot()
 	var check func()
 	check = func() {
-		if len(n.requests.running) > 0 && !n.world.config.Defects.Node.CutAtDrain {
+		if n.inProgress() > 0 && !n.world.config.Defects.Node.CutAtDrain {
 			n.world.scheduler.After(drainCheck, func() { n.process.Do(boot, check) })
 			return
 		}
--- a/internal/sim/world/world.go
+++ b/internal/sim/world/world.go
@@ -25,6 +25,7 @@
 	byName    map[fleet.NodeName]*node
 	byGossip  map[string]*node
 	engines   []*engineProcess
+	services  []*serviceProcess
 	store     *storeProcess
 	machines  *machinesProcess
 	weights   *weightsProcess
@@ -37,6 +38,9 @@
 	armed      map[armedKey][]sim.Fault
 }
 
+// servicesInZone is the number of command servers in each zone.
+const servicesInZone = 2
+
 // platformZone is where the platform's services run. No fault of a fleet zone
 // reaches it, but zones can be cut off from it.
 const platformZone = "platform"
@@ -100,6 +104,9 @@
 	for index := range config.Engines {
 		world.engines = append(world.engines, newEngineProcess(world, index))
 	}
+	for index := range config.Zones * servicesInZone {
+		world.services = append(world.services, newServiceProcess(world, index))
+	}
 	for index := range config.Nodes {
 		world.addNode(newNode(world, index))
 	}
@@ -125,6 +132,9 @@
 	for _, engine := range w.engines {
 		w.scheduler.After(sim.Between(random, 0, time.Second), engine.process.Start)
 	}
+	for _, service := range w.services {
+		service.process.Start()
+	}
 	for _, node := range w.nodes {
 		w.scheduler.After(sim.Between(random, 0, time.Second), node.process.Start)
 	}
