--- a/internal/control/directed_test.go
+++ b/internal/control/directed_test.go
@@ -179,6 +179,9 @@
 	if holder == "" {
 		t.Fatal("the model was not loaded")
 	}
+	// Meanwhile nothing is declared, so that nothing is loaded.
+	leader := c.nodeNames()[0]
+	c.send(leader, CatalogChanged{ColdStartWeight: 0.5})
 	c.storeDown = true
 	c.engines[holder].down = true
 	c.engines[holder].state = platform.MachineGone
@@ -190,6 +193,7 @@
 	}
 	c.engines[holder].down = false
 	c.run(3 * time.Second)
+	c.send(leader, CatalogChanged{Models: c.models, ColdStartWeight: 0.5})
 	c.wantEverywhere(modelA, 5)
 	if len(c.violations) > 0 {
 		t.Error(c.violations[0])
