--- a/internal/node/settings_check.go
+++ b/internal/node/settings_check.go
@@ -82,6 +82,7 @@
 	checkLeast(report, "limits.maxWaitingBytes", s.Limits.MaxWaitingBytes, 1)
 	checkLeast(report, "limits.maxBodyBytes", s.Limits.MaxBodyBytes, 1)
 	checkLeast(report, "limits.maxStreams", s.Limits.MaxStreams, 1)
+	checkLeast(report, "limits.hedgeAfter", s.Limits.HedgeAfter, 0)
 	if !(s.WeightStore.LoadsPerSecond > 0) {
 		report("weightStore.loadsPerSecond", fmt.Sprintf("is %v", s.WeightStore.LoadsPerSecond), "give more than 0")
 	}
