--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -59,7 +59,7 @@
 				StaleAllotment:      options.Defects.StaleAllotment,
 			},
 		}),
-		placement: placement.New(placement.Options{Settings: options.Settings.Placement, Without: options.Without}),
+		placement: placement.New(placement.Options{Settings: options.Settings.Placement}),
 		members:   make(map[fleet.NodeName]fleet.Member),
 		usable:    make(map[fleet.Zone][]fleet.Member),
 		polls:     newPollState(),
--- a/internal/control/directed_test.go
+++ b/internal/control/directed_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/placement"
 	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
@@ -173,12 +172,9 @@
 // TestEngineThatWasCalledGoneIsCountedAgain: the machine list calls an engine
 // gone while it cannot be reached; then it answers, with the model that it
 // held all the time. Nothing loads the model in between, where the list itself
-// is wrong: so there is no load ahead either.
+// is wrong.
 func TestEngineThatWasCalledGoneIsCountedAgain(t *testing.T) {
-	c := newCluster(clusterOptions{
-		seed: 1, zones: 1, nodes: 1, engins: 2, models: []catalog.ModelFacts{facts(modelA, 1)},
-		without: placement.Without{Preload: true},
-	})
+	c := newCluster(clusterOptions{seed: 1, zones: 1, nodes: 1, engins: 2, models: []catalog.ModelFacts{facts(modelA, 1)}})
 	c.wantEverywhere(modelA, 8)
 	holder := c.holderOf(modelA)
 	if holder == "" {
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -11,7 +11,6 @@
 	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/placement"
 	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 	"github.com/spanlanding/spanlanding/internal/standin/objects"
@@ -34,7 +33,6 @@
 	// carried out nevertheless, some much later.
 	lossShare float64
 	defects   Defects
-	without   placement.Without
 	faulty    fleet.NodeName
 	settings  Settings
 	// hold delays a claim on its way to the engine; nil for none.
@@ -107,7 +105,6 @@
 	faulty fleet.NodeName
 	// boundedStore gives the weight store the bounds of the settings.
 	boundedStore bool
-	without      placement.Without
 }
 
 func newCluster(options clusterOptions) *cluster {
@@ -129,7 +126,6 @@
 		engines:  make(map[fleet.BackendName]*testEngine),
 		store:    objects.New(0),
 		defects:  options.defects,
-		without:  options.without,
 		faulty:   options.faulty,
 		settings: settings,
 		models:   options.models,
@@ -220,7 +216,6 @@
 		Seed:     uint64(len(name)) + node.boot,
 		Settings: c.settings,
 		Defects:  defects,
-		Without:  c.without,
 	})
 	boot := node.boot
 	c.step(name, boot, MachinesChanged{List: c.machines})
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -87,7 +87,4 @@
 	Seed     uint64
 	Settings Settings
 	Defects  Defects
-	// Without turns mechanisms of placement off; only tests and the laboratory
-	// set it.
-	Without placement.Without
 }
