Give a new leader only what was reported within the last second and a half

Cause: a node's last report was given to a new leader while it was younger than a want's lifetime of 3 s, and then held for 3 s more, though the node repeats each second what still waits. Change: reports older than 1.5 s are not given out again.

--- a/internal/control/wants.go
+++ b/internal/control/wants.go
@@ -48,6 +48,9 @@
 	arrivalsInterval = 2 * time.Second
 	refusalLifetime  = 2 * time.Second
 	starvedLifetime  = 5 * time.Second
+	// ownReportAge is the age at which a node's report is not given out again:
+	// what still waits is reported every second.
+	ownReportAge = 1500 * time.Millisecond
 )
 
 func newWantState() wantState {
@@ -156,7 +159,7 @@
 // reportAgain gives a new leader of the zone what was last reported to the one
 // before, instead of letting it wait for the next report.
 func (c *Core) reportAgain(leader fleet.NodeName) {
-	if len(c.wants.own) == 0 || c.now.Sub(c.wants.ownAt) >= c.settings().Placement.WantLifetime {
+	if len(c.wants.own) == 0 || c.now.Sub(c.wants.ownAt) >= ownReportAge {
 		return
 	}
 	if leader == c.options.Self {
