Load nothing ahead that another zone holds; play what zones hear of each other

Change: a model that another zone has ready or loads is not loaded ahead. The played zones hear of each other at each tick.

--- a/internal/lab/policy/zone.go
+++ b/internal/lab/policy/zone.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/allotment"
@@ -24,7 +25,9 @@
 	tickAt  time.Duration
 	// arrived counts requests since the last report, by model.
 	arrived []int
-	orders  uint64
+	// elsewhere and used are what the core was told of the other zones last.
+	elsewhere map[fleet.ModelVersion]bool
+	used      placement.StoreUsed
 }
 
 // Times between two steps of a core without other cause.
@@ -38,6 +41,7 @@
 	w := z.world
 	z.core = placement.New(w.policy.options(w, z))
 	z.arrived = make([]int, len(w.facts))
+	z.elsewhere, z.used = nil, placement.StoreUsed{}
 	z.tell(placement.CatalogChanged{
 		Models: w.facts, Adapters: w.adapterFacts, ColdStartWeight: w.policy.weight,
 	})
@@ -61,6 +65,7 @@
 
 // tick reports what waits and what came, and lets the core plan.
 func (z *zone) tick() {
+	z.hear()
 	var wants []fleet.Want
 	for model, count := range z.arrived {
 		if count > 0 {
@@ -85,6 +90,41 @@
 	z.schedule(idleTick)
 }
 
+// hear tells the core what the other zones hold and take of the weight store,
+// where that has changed.
+func (z *zone) hear() {
+	elsewhere := make(map[fleet.ModelVersion]bool)
+	var used placement.StoreUsed
+	for _, other := range z.world.zones {
+		if other == z {
+			continue
+		}
+		if other.core == nil {
+			used.Silent++
+			continue
+		}
+		used.Waiting += other.core.WaitingLoads()
+		for _, engine := range other.engines {
+			for _, held := range engine.replicas {
+				if held.readID != "" {
+					used.Loading++
+				}
+				if held.state != fleet.LoadUnloading {
+					elsewhere[z.world.facts[held.model].Model] = true
+				}
+			}
+		}
+	}
+	if !maps.Equal(elsewhere, z.elsewhere) {
+		z.elsewhere = elsewhere
+		z.tell(placement.HeldElsewhere{Models: elsewhere})
+	}
+	if used != z.used {
+		z.used = used
+		z.tell(used)
+	}
+}
+
 // tell steps the core and carries out what it decides.
 func (z *zone) tell(message placement.Message) {
 	if z.core == nil {
--- a/internal/placement/keepalive.go
+++ b/internal/placement/keepalive.go
@@ -177,7 +177,7 @@
 // ahead of its next request.
 func (c *Core) likelyToWake(now time.Time, model fleet.ModelVersion) bool {
 	history := c.history[model]
-	if history == nil || !history.here || c.without.IdleTimes {
+	if history == nil || !history.here || c.elsewhere[model] || c.without.IdleTimes {
 		return false
 	}
 	facts := c.models[model]
