Rebuild routing's lists only when their members change

Cause: each table that a node hears, some ten a second, made routing sort all targets, rebuild both lists and make a map for each engine, although most tables bring newer load reports only.

Ruled out: taking only the changed engines, since the view hands over whole tables.

Change: lists and the times of readiness are renewed only where a target came or went, a ready set changed, or a service took another name.

Tests of routing, gateway and lab/requestpath pass.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -171,23 +171,30 @@
 }
 
 func (c *Core) takeTables(now time.Time, tables []fleet.RouteTable) {
-	seen := make(map[fleet.BackendName]bool)
+	seen := make(map[fleet.BackendName]bool, len(c.targets))
+	changed := false
 	for _, table := range tables {
 		for _, engine := range table.Engines {
 			seen[engine.Name] = true
-			c.target(engine.Name).takeEngine(now, engine, c.options)
+			changed = c.target(engine.Name).takeEngine(now, engine, c.options) || changed
 		}
 		for _, service := range table.Services {
 			seen[service.Name] = true
-			c.target(service.Name).backend = service
+			target := c.target(service.Name)
+			changed = changed || target.backend.Kind != service.Kind || target.backend.Service != service.Service
+			target.backend = service
 		}
 	}
 	for name := range c.targets {
 		if !seen[name] {
 			delete(c.targets, name)
+			changed = true
 		}
 	}
-	c.index()
+	// Most tables bring newer reports only, which the lists do not hold.
+	if changed {
+		c.index()
+	}
 	for _, model := range c.models() {
 		c.emit(RoomChanged{Model: model})
 	}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -51,13 +51,17 @@
 	return found
 }
 
-func (t *target) takeEngine(now time.Time, engine fleet.EngineState, options Options) {
+// takeEngine reports whether the set of ready models has changed.
+func (t *target) takeEngine(now time.Time, engine fleet.EngineState, options Options) bool {
 	known := !t.reported.IsZero()
 	restarted := engine.Incarnation != t.engine.Incarnation
 	if restarted {
 		t.circuit, t.health, t.prefixes = circuit{}, health{}, prefixMemory{}
 	}
-	t.noteReady(now, engine, known)
+	changed := !t.isReady(engine)
+	if changed {
+		t.noteReady(now, engine, known)
+	}
 	if restarted || !known || !engine.Report.AsOf.Equal(t.engine.Report.AsOf) {
 		t.reported = now
 		t.learnSlots(engine.Report, options.EngineSlots)
@@ -66,6 +70,23 @@
 	}
 	t.backend = engine.Backend
 	t.engine = engine
+	return changed
+}
+
+// isReady reports whether just the models that are ready by the state are known
+// to be.
+func (t *target) isReady(engine fleet.EngineState) bool {
+	count := 0
+	for index := range engine.Models {
+		if engine.Models[index].State != fleet.LoadReady {
+			continue
+		}
+		count++
+		if _, seen := t.ready[engine.Models[index].Model]; !seen {
+			return false
+		}
+	}
+	return count == len(t.ready)
 }
 
 // noteReady remembers when each model became ready here.
