--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -9,6 +9,7 @@
 	update := received.Update
 	zone := update.Table.Zone
 	known := c.tables.zones[zone]
+	c.hearRefusals(update.Table)
 	if known != nil && !newer(update.Table, known) {
 		return
 	}
@@ -47,7 +48,11 @@
 		replaced.engines[state.Name] = state
 	}
 	replaced.countLoads()
+	before := c.tables.zones[table.Zone]
 	c.tables.zones[table.Zone] = replaced
+	if table.Zone == c.options.Zone && before != nil && before.leader != table.Leader {
+		c.reportAgain(table.Leader)
+	}
 	c.tables.viewChanged = true
 }
 
@@ -111,7 +116,7 @@
 }
 
 // silentBeats is how many heartbeats may pass without news of a table.
-const silentBeats = 2
+const silentBeats = 3
 
 // lacksTable reports whether a zone that has members has no table here, or one
 // that was not heard of for long.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -195,16 +195,50 @@
 }
 
 func TestModelIsUnloadedAfterItsOwnIdleTimes(t *testing.T) {
-	r := newRig(t, 1, facts("a", 1))
-	r.begin()
-	for range 10 {
+	cases := []struct {
+		gap, kept, gone time.Duration
+	}{
+		{2 * time.Minute, 110 * time.Second, 25 * time.Minute},
+		{30 * time.Minute, 29 * time.Minute, time.Hour},
+	}
+	for _, test := range cases {
+		r := newRig(t, 1, facts("a", 1))
+		r.begin()
+		for range 10 {
+			r.want("a", 0, 0)
+			r.now = r.now.Add(test.gap)
+		}
 		r.want("a", 0, 0)
-		r.now = r.now.Add(2 * time.Minute)
+		r.show("e0", ready("a", r.now.Add(-time.Minute)))
+		r.expect(r.wait(test.kept))
+		r.expect(r.wait(test.gone-test.kept), "unload a e0")
+	}
+}
+
+func TestModelWithATimetableIsLoadedAhead(t *testing.T) {
+	for _, servedHere := range []bool{true, false} {
+		r := newRig(t, 1, facts("a", 1))
+		state := r.states["e0"]
+		state.Tiers = map[fleet.ModelVersion]fleet.Tier{model("a"): fleet.TierDisk}
+		r.states["e0"] = state
+		r.begin()
+		if servedHere {
+			r.show("e0", ready("a", r.now))
+		}
+		for range 10 {
+			r.want("a", 0, 0)
+			r.now = r.now.Add(time.Hour)
+		}
+		r.expect(r.want("a", 0, 0))
+		r.now = r.now.Add(20 * time.Minute)
+		r.expect(r.show("e0"))
+		effects := r.wait(39 * time.Minute)
+		if servedHere {
+			r.expect(effects, "load a e0")
+		} else {
+			r.expect(effects)
+		}
 	}
-	r.want("a", 0, 0)
-	r.show("e0", ready("a", r.now.Add(-time.Minute)))
-	r.expect(r.wait(2 * time.Minute))
-	r.expect(r.wait(time.Minute), "unload a e0")
 }
 
 func TestLoadsOfOneModelAreBounded(t *testing.T) {
@@ -288,3 +322,40 @@
 		t.Error("the model without memory was not refused at once")
 	}
 }
+
+func (r *rig) wantAdapter(name string, adapter fleet.AdapterName) []Effect {
+	return r.core.Step(r.now, WantsReported{Wants: []fleet.Want{{
+		Model: model(name), Adapter: adapter, Node: "n", Waiting: 1, Arrivals: 1, Deadline: r.now.Add(time.Minute),
+	}}})
+}
+
+func newAdapterRig(t *testing.T) *rig {
+	r := newRig(t, 1, facts("a", 1), facts("b", 1))
+	r.core.Step(r.now, CatalogChanged{
+		Models: r.facts, Adapters: []catalog.AdapterFacts{{Adapter: "x", Model: "a", MemoryBytes: 14 * gib}},
+	})
+	r.begin()
+	return r
+}
+
+func TestAdapterWithoutRoomEvicts(t *testing.T) {
+	r := newAdapterRig(t)
+	r.show("e0", ready("a", r.now), ready("b", r.now))
+	r.now = r.now.Add(time.Minute)
+	r.expect(r.wantAdapter("a", "x"), "unload b e0")
+	r.expect(r.show("e0", ready("a", start)), "load-adapter a e0")
+}
+
+func TestAdapterThatLoadsIsNotOrderedAgain(t *testing.T) {
+	r := newAdapterRig(t)
+	r.show("e0", ready("a", r.now))
+	effects := r.wantAdapter("a", "x")
+	r.expect(effects, "load-adapter a e0")
+	id := effects[0].(SendOrder).Order.ID
+	r.asked++
+	r.expect(r.core.Step(r.now, OrderAnswered{ID: id, Result: OrderAccepted, Asked: r.asked}))
+	r.expect(r.show("e0", ready("a", start)))
+	r.now = r.now.Add(adapterPatience)
+	r.expect(r.wantAdapter("a", "x"))
+	r.expect(r.show("e0", ready("a", start)), "load-adapter a e0")
+}
