--- a/internal/configsync/spread.go
+++ b/internal/configsync/spread.go
@@ -102,12 +102,41 @@
 	if !c.spread.digestAt.IsZero() && now.Before(c.spread.digestAt) {
 		return
 	}
-	c.spread.digestAt = now.Add(c.digestInterval(c.objects.loaded))
+	c.spread.digestAt = now.Add(c.objectDigestInterval())
 	if member, found := c.drawPeer(c.objects.loaded); found {
 		c.sendDigest(member, false)
+		c.awaitFirst(now, c.objects.loaded, &c.spread.digestAt)
 	}
 }
 
+// firstDigestPatience is how many retries an unanswered first digest takes the
+// place of. Its answer holds everything, and asking on meanwhile would bring
+// everything again and again.
+const firstDigestPatience = 8
+
+// awaitFirst leaves time for the answer to a first digest.
+func (c *Core) awaitFirst(now time.Time, loaded bool, digestAt *time.Time) {
+	if !loaded {
+		*digestAt = now.Add(c.jitter(firstDigestPatience * c.options.FirstDigestRetry))
+	}
+}
+
+// retryFirst asks another peer soon, where the first digest brought nothing.
+func (c *Core) retryFirst(now time.Time, loaded bool, digestAt *time.Time) {
+	if soon := now.Add(c.jitter(c.options.FirstDigestRetry)); !loaded && digestAt.After(soon) {
+		*digestAt = soon
+	}
+}
+
+// objectDigestInterval is short at a reader without the store: its zone may
+// hear of changes from other zones alone.
+func (c *Core) objectDigestInterval() time.Duration {
+	if c.withoutStore() && c.objects.loaded {
+		return c.jitter(c.options.DigestInterval / cutOffDigestFactor)
+	}
+	return c.digestInterval(c.objects.loaded)
+}
+
 func (c *Core) digestInterval(loaded bool) time.Duration {
 	if !loaded {
 		return c.jitter(c.options.FirstDigestRetry)
@@ -115,9 +144,10 @@
 	return c.jitter(c.options.DigestInterval)
 }
 
-// drawPeer draws mostly from the own zone, and from others now and then, so
-// that a zone that is cut off from the store hears of changes. A node without
-// anything in force asks its zone's readers every other time.
+// drawPeer draws mostly from the own zone, and from others now and then; a
+// reader that is cut off from the store does so every other time, since its
+// zone hears of changes through it. A node without anything in force asks its zone's readers every
+// other time.
 func (c *Core) drawPeer(loaded bool) (fleet.Member, bool) {
 	if !loaded && c.random.IntN(2) == 0 {
 		if member, found := c.drawReader(); found {
@@ -134,8 +164,12 @@
 			foreign = append(foreign, member)
 		}
 	}
+	share := foreignDigestShare
+	if loaded && c.withoutStore() {
+		share = cutOffForeignShare
+	}
 	from := own
-	if len(foreign) > 0 && (len(own) == 0 || c.random.IntN(foreignDigestShare) == 0) {
+	if len(foreign) > 0 && (len(own) == 0 || c.random.IntN(share) == 0) {
 		from = foreign
 	}
 	if len(from) == 0 {
@@ -188,6 +222,7 @@
 
 func (c *Core) digestAnswered(now time.Time, message DigestAnswered) {
 	if !message.Answer.Loaded {
+		c.retryFirst(now, c.objects.loaded, &c.spread.digestAt)
 		return
 	}
 	from, found := c.peerNamed(message.From)
@@ -228,8 +263,9 @@
 
 // digestFailed draws another peer soon while nothing is in force.
 func (c *Core) digestFailed(now time.Time, message DigestFailed) {
-	soon := now.Add(c.options.FirstDigestRetry)
-	if message.Space == SpaceObjects && !c.objects.loaded && c.spread.digestAt.After(soon) {
-		c.spread.digestAt = soon
+	if message.Space == SpaceObjects {
+		c.retryFirst(now, c.objects.loaded, &c.spread.digestAt)
+	} else {
+		c.retryFirst(now, c.machines.loaded, &c.machines.digestAt)
 	}
 }
--- a/internal/control/effects.go
+++ b/internal/control/effects.go
@@ -5,6 +5,7 @@
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/placement"
 )
 
 // Effect is what the shell is to do.
@@ -75,7 +76,7 @@
 
 // RefuseWants tells a node that models cannot be loaded now. For the node
 // itself it goes to whoever asked through fleet.Demand, for another it is the
-// answer to its report.
+// answer to its report. Others in the zone hear it with the table.
 type RefuseWants struct {
 	Node     fleet.NodeName
 	Refusals []fleet.LoadRefusal
@@ -105,6 +106,9 @@
 	Reason  string
 }
 
+// LoadFinished tells what the time of a load was spent on, for the log.
+type LoadFinished struct{ placement.LoadFinished }
+
 func (ReadEngine) effect()        {}
 func (SendClaim) effect()         {}
 func (SendOrder) effect()         {}
@@ -118,3 +122,4 @@
 func (HandOver) effect()          {}
 func (TablesChanged) effect()     {}
 func (LeadershipChanged) effect() {}
+func (LoadFinished) effect()      {}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -20,7 +20,7 @@
 	// takes over.
 	LeaderSilence time.Duration
 	// PollBusy and PollIdle are the times between two reads of an engine
-	// while something loads or waits, and else.
+	// while something loads, waits or was ordered, and else.
 	PollBusy time.Duration
 	PollIdle time.Duration
 	// Heartbeat is the longest time between two publications of a table.
@@ -36,6 +36,9 @@
 	// GoneSilence is how long an engine must have been silent, once the machine
 	// list calls it gone, until it counts as gone.
 	GoneSilence time.Duration
+	// RefusalGrace is how long a model must have been wanted in vain until the
+	// nodes that wait are refused.
+	RefusalGrace time.Duration
 	// DecideInterval is the time between two decisions on allotments.
 	DecideInterval time.Duration
 }
@@ -47,7 +50,7 @@
 		Placement:         placement.DefaultSettings(),
 		TakeoverWait:      300 * time.Millisecond,
 		LeaderSilence:     3 * time.Second,
-		PollBusy:          250 * time.Millisecond,
+		PollBusy:          100 * time.Millisecond,
 		PollIdle:          time.Second,
 		Heartbeat:         time.Second,
 		ReportInterval:    500 * time.Millisecond,
@@ -55,6 +58,7 @@
 		FarHeartbeat:      5 * time.Second,
 		PullInterval:      2 * time.Second,
 		GoneSilence:       5 * time.Second,
+		RefusalGrace:      3 * time.Second,
 		DecideInterval:    time.Second,
 	}
 }
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -9,6 +9,7 @@
 	update := received.Update
 	zone := update.Table.Zone
 	known := c.tables.zones[zone]
+	c.hearRefusals(update.Table)
 	if known != nil && !newer(update.Table, known) {
 		return
 	}
@@ -40,11 +41,18 @@
 		engines:  make(map[fleet.BackendName]fleet.EngineState, len(table.Engines)),
 		services: table.Services,
 		heard:    c.now,
+
+		waitingLoads: table.WaitingLoads,
 	}
 	for _, state := range table.Engines {
 		replaced.engines[state.Name] = state
 	}
+	replaced.countLoads()
+	before := c.tables.zones[table.Zone]
 	c.tables.zones[table.Zone] = replaced
+	if table.Zone == c.options.Zone && before != nil && before.leader != table.Leader {
+		c.reportAgain(table.Leader)
+	}
 	c.tables.viewChanged = true
 }
 
@@ -57,9 +65,17 @@
 	for _, state := range update.Table.Engines {
 		known.engines[state.Name] = state
 	}
+	for _, news := range update.Reports {
+		if state, found := known.engines[news.Engine]; found {
+			state.Report = news.Report
+			known.engines[news.Engine] = state
+		}
+	}
 	for _, name := range update.Removed {
 		delete(known.engines, name)
 	}
+	known.countLoads()
+	known.waitingLoads = update.Table.WaitingLoads
 	c.tables.viewChanged = true
 }
 
@@ -100,7 +116,7 @@
 }
 
 // silentBeats is how many heartbeats may pass without news of a table.
-const silentBeats = 2
+const silentBeats = 3
 
 // lacksTable reports whether a zone that has members has no table here, or one
 // that was not heard of for long.
--- a/internal/node/claim_shell.go
+++ b/internal/node/claim_shell.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -52,13 +53,16 @@
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 	refresh    chan struct{}
+	// records counts what the keeper holds, for the figures.
+	records atomic.Int64
 
 	mutex    sync.Mutex
 	table    claim.Table
 	attempts map[string]granted
 	sequence uint64
 
-	coordinator coordinator
+	coordinator  coordinator
+	goneMachines goneMachines
 }
 
 var (
@@ -143,6 +147,7 @@
 
 func (c *Claims) step(message claim.KeeperMessage) []claim.KeeperEffect {
 	effects := c.keeper.Step(time.Now(), message)
+	c.records.Store(int64(c.keeper.Records()))
 	for _, effect := range effects {
 		if ask, found := effect.(claim.AskSeal); found {
 			c.goBackground(func() { c.askSeal(ask) })
@@ -220,6 +225,7 @@
 		c.tell(claim.Gone{Seat: ask.To})
 		return
 	}
+	c.goneMachines.answered(ask.To, time.Now())
 	c.tell(claim.Handed{
 		Index:   ask.Slot.Index,
 		Version: ask.Slot.Version,
@@ -243,13 +249,19 @@
 	}
 }
 
-// watchMachines tells the keeper of seats whose machine is gone.
+// watchMachines takes a newer machine list.
 func (c *Claims) watchMachines(list platform.MachineList) {
-	isGone := goneByList(list)
+	c.goneMachines.note(list, time.Now())
+	c.tellGone()
+}
+
+// tellGone tells the keeper of seats whose machine is gone.
+func (c *Claims) tellGone() {
+	now := time.Now()
 	for _, slot := range c.currentTable().Slots {
 		for _, generation := range slices.Concat(slot.Previous, [][]claim.Seat{slot.Seats}) {
 			for _, seat := range generation {
-				if isGone(seat) {
+				if c.goneMachines.has(seat, now) {
 					c.tell(claim.Gone{Seat: seat})
 				}
 			}
@@ -266,7 +278,7 @@
 // takeSlots merges newer slots and tells the keeper of them.
 func (c *Claims) takeSlots(slots []claim.Slot) {
 	c.mutex.Lock()
-	merged, newer := c.table.Merge(slots)
+	merged, newer := c.table.Merge(usableSlots(slots))
 	c.table = merged
 	c.mutex.Unlock()
 	for _, slot := range newer {
--- a/internal/node/control_effects.go
+++ b/internal/node/control_effects.go
@@ -52,9 +52,12 @@
 		go s.handOver(effect)
 	case control.TablesChanged:
 		s.dependencies.Views.Tables.Set(effect.Tables)
+	case control.LoadFinished:
+		s.logLoad(effect)
 	case control.LeadershipChanged:
-		s.dependencies.Logger.Info().Str("event", "leadership").Bool("leading", effect.Leading).
-			Str("fence", effect.Fence.String()).Str("reason", effect.Reason).Msg("")
+		s.metrics.leadershipChanged(effect.Leading)
+		s.dependencies.Logger.Info().Bool("leading", effect.Leading).
+			Str("fence", effect.Fence.String()).Str("reason", effect.Reason).Msg("leadership_changed")
 	}
 }
 
@@ -91,6 +94,7 @@
 		answer.Result = leadership.ClaimRefused
 		answer.Fence = refused.Refusal.Fence
 	}
+	s.metrics.claimAnswered(answer.Result)
 	s.send(control.ClaimAnswered{ClaimAnswered: answer})
 }
 
@@ -111,12 +115,26 @@
 		answer.Result = placement.OrderRefused
 		answer.Reason = refused.Refusal.Reason
 	}
-	s.dependencies.Logger.Info().Str("event", "order").Str("engine", string(effect.Engine)).
-		Str("action", string(effect.Order.Action)).Str("model", effect.Order.Model.String()).
-		Str("adapter", string(effect.Order.Adapter)).Str("id", effect.Order.ID).Err(err).Msg("")
+	s.logOrder(effect, err)
+	s.metrics.orderAnswered(effect.Order.Action, answer.Result, answer.FenceStale)
 	s.send(answer)
 }
 
+// logOrder writes one line for each order that was answered or not; what was
+// not accepted is a warning.
+func (s *Control) logOrder(effect control.SendOrder, err error) {
+	entry := s.dependencies.Logger.Info()
+	if err != nil {
+		entry = s.dependencies.Logger.Warn().Err(err)
+	}
+	entry = entry.Str("engine", string(effect.Engine)).Str("order", effect.Order.ID).
+		Str("action", string(effect.Order.Action)).Str("model", effect.Order.Model.String())
+	if effect.Order.Adapter != "" {
+		entry = entry.Str("adapter", string(effect.Order.Adapter))
+	}
+	entry.Bool("accepted", err == nil).Msg("engine_ordered")
+}
+
 func decodeRecord(object platform.Object) (control.VersionedRecord, error) {
 	var record allotment.Record
 	if err := json.Unmarshal(object.Spec, &record); err != nil {
@@ -139,7 +157,7 @@
 		answer, err = s.readMajority(effect)
 	}
 	if err != nil {
-		s.logFailure("record-not-learned", err)
+		s.logFailure("record_not_learned", err)
 	}
 	answer.ID = effect.ID
 	answer.Failed = err != nil
@@ -208,7 +226,7 @@
 	}
 	record, err := decodeRecord(platform.Object{Version: response.GetVersion(), Spec: response.GetRecord()})
 	if err != nil {
-		s.logFailure("record-unreadable", err)
+		s.logFailure("record_unreadable", err)
 	}
 	return record
 }
@@ -222,7 +240,7 @@
 	}
 	switch {
 	case err != nil:
-		s.logFailure("record-write", err)
+		s.logFailure("record_not_written", err)
 	case conflict:
 		answer.Result = control.WriteConflict
 	default:
--- a/internal/placement/count.go
+++ b/internal/placement/count.go
@@ -21,12 +21,7 @@
 }
 
 func (c *Core) loadInFlight(name fleet.BackendName, model fleet.ModelVersion) bool {
-	for _, order := range c.orders {
-		if order.engine == name && order.Model == model && order.Action == backend.ActionLoad {
-			return true
-		}
-	}
-	return false
+	return c.loading[placementKey{name, model}] > 0
 }
 
 func (c *Core) orderInFlight(name fleet.BackendName, model fleet.ModelVersion) bool {
@@ -77,9 +72,5 @@
 	return slices.Sorted(maps.Keys(c.engines))
 }
 
-func (c *Core) modelNames() []fleet.ModelVersion {
-	return slices.SortedFunc(maps.Keys(c.models), fleet.ModelVersion.Compare)
-}
-
 // Count is the most replicas of the model that the zone may hold now.
 func (c *Core) Count(model fleet.ModelVersion) int { return c.count(model) }
