Spread the record in the test of the control shell as the node does

Cause: TestWantAtOneNodeIsServedThroughTheLeader hung (once in ten minutes' time-out, 1 of 24 runs side by side): a node that has once learned the record hears of newer ones from the configuration shell, which the test left out; an engine joins only once a majority of the zone knows of it, and the second node never did. Ruled out: keep-alive (a model stays 20 s at least). Change: the test hands the record on to both nodes, as the configuration does. Conclusion: the product is as it was; the test held only by luck in time.

--- a/internal/node/control_actor_test.go
+++ b/internal/node/control_actor_test.go
@@ -11,6 +11,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
 
+	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/control"
@@ -83,6 +84,18 @@
 	<-found
 }
 
+// spreadRecord tells all nodes of the record as it stands, as the configuration
+// shell does.
+func spreadRecord(ctx context.Context, client *platform.Client, nodes []*controlNode) {
+	record, err := client.Get(ctx, platform.Key{Kind: platform.KindAllotments, Name: allotment.ObjectName})
+	if err != nil {
+		return
+	}
+	for _, node := range nodes {
+		node.shell.ObjectChanged(record)
+	}
+}
+
 // TestWantAtOneNodeIsServedThroughTheLeader runs two nodes, the platform and
 // an engine over HTTP: the record is made, the engine claimed, the model
 // loaded, and both nodes' tables show it.
@@ -130,6 +143,7 @@
 				return
 			}
 			nodes[0].shell.Report([]fleet.Want{{Model: model, Node: "n1", Zone: "z", Waiting: 1, Arrivals: 1}})
+			spreadRecord(ctx, client, nodes)
 		}
 	}()
 	for _, node := range nodes {
