Take an engine's own refusal for the sign that it leaves

Ruled out: the list's lag and the heartbeat, which are the platform's; command servers' refusals were already spread, engines' were not. Change: the gateway tells the zone of an engine that refuses as leaving, as it does for command servers; the simulated node does the same.

--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 )
@@ -40,6 +41,18 @@
 	return fmt.Sprintf("back end answered %d: %.200s", e.Status, e.Body)
 }
 
+// SaysLeaving reports whether the back end refused because it goes away.
+func (e *Refusal) SaysLeaving() bool {
+	return e.NotRun && isLeavingProblem(e.Body)
+}
+
+func isLeavingProblem(body []byte) bool {
+	var problem struct {
+		Code string `json:"code"`
+	}
+	return json.Unmarshal(body, &problem) == nil && problem.Code == ReasonLeaving
+}
+
 // ProtocolError says that a stream does not hold to its form.
 type ProtocolError struct{ Detail string }
 
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -200,10 +199,7 @@
 
 // SaysLeaving reports whether the back end refused because it goes away.
 func (a *ServiceAnswer) SaysLeaving() bool {
-	var problem struct {
-		Code string `json:"code"`
-	}
-	return a.NotRun && json.Unmarshal(a.Body, &problem) == nil && problem.Code == ReasonLeaving
+	return a.NotRun && isLeavingProblem(a.Body)
 }
 
 // RetryAfterDuration is the back end's Retry-After, or 0.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,8 +41,8 @@
 	Catalog func() (Catalog, bool)
 	Demand  fleet.Demand
 	Guard   claim.Guard
-	// Leaving hears of a service back end that refuses because it goes away; it
-	// must not block. Nil tells nobody.
+	// Leaving hears of a back end that refuses because it goes away; it must not
+	// block. Nil tells nobody.
 	Leaving func(fleet.BackendName)
 	// Self names the node and its zone.
 	Self   fleet.Member
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -157,9 +157,19 @@
 	case r.link.late.Load():
 		return attempt.Tick{}
 	}
+	r.spreadLeaving(err)
 	return brokenBy(r.link.number, err)
 }
 
+// spreadLeaving tells the zone of an engine that refused because it goes away,
+// which its leader may not have been able to read.
+func (r *modelRun) spreadLeaving(err error) {
+	var refusal *backend.Refusal
+	if errors.As(err, &refusal) && refusal.SaysLeaving() && r.gateway.options.Leaving != nil {
+		r.gateway.options.Leaving(r.engine.Name)
+	}
+}
+
 // brokenBy turns an error of the back end's client into evidence.
 func brokenBy(connection int, err error) attempt.Broken {
 	broken := attempt.Broken{Connection: connection, Evidence: attempt.MaySent, Detail: err.Error()}
--- a/internal/sim/world/node_link.go
+++ b/internal/sim/world/node_link.go
@@ -5,6 +5,8 @@
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/control"
+	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/sim"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
@@ -135,10 +137,19 @@
 	l.read(attempt.Broken{Connection: l.number, Evidence: attempt.MaySent, Detail: "the connection broke"})
 }
 
+// spreadLeaving does as the gateway does: the refusal is a sign of the leaving.
+func (l *link) spreadLeaving() {
+	leaving := control.LeavingHeard{Backends: []fleet.BackendName{l.engine.backend.Name}}
+	l.request.part.node.control.step(leaving)
+}
+
 func (l *link) refusal(reason engine.RefusalReason) {
 	l.stream.Close(func() {
 		l.over = true
 		evidence := attempt.AnsweredError
+		if reason == engine.RefusedLeaving {
+			l.spreadLeaving()
+		}
 		switch reason {
 		case engine.RefusedNotReady, engine.RefusedLeaving, engine.RefusedOverfull:
 			evidence = attempt.RefusedBeforeRun
