Log the stand-ins' events in the project's one form

Measured: go test ./cmd/spanlab passes (processes started and stopped). Conclusion: one form of lines.

--- a/cmd/spanlab/platform.go
+++ b/cmd/spanlab/platform.go
@@ -49,10 +49,10 @@
 	})
 	server := newServer(standIn.Handler())
 	go serve(logger, server, listeners[0])
-	logger.Info().Str("event", "ready").Str("listen", listeners[0].Addr().String()).Msg("")
+	logger.Info().Str("listen", listeners[0].Addr().String()).Msg("ready")
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
-	logger.Info().Str("event", "stopped").Msg("")
+	logger.Info().Msg("stopped")
 	return server.Close()
 }
--- a/cmd/spanlab/serve.go
+++ b/cmd/spanlab/serve.go
@@ -79,13 +79,13 @@
 		Client:   client,
 		Machines: func() []platform.Machine { return machineLines(backends) },
 		OnError: func(err error) {
-			logger.Warn().Str("event", "heartbeat-failed").Err(err).Msg("")
+			logger.Warn().Err(err).Msg("heartbeat_failed")
 		},
 	}
 	announcing, stopAnnouncing := context.WithCancel(ctx)
 	defer stopAnnouncing()
 	go announcer.Run(announcing)
-	logger.Info().Str("event", "ready").Str("listen", listeners[0].Addr().String()).Int("count", len(backends)).Msg("")
+	logger.Info().Str("listen", listeners[0].Addr().String()).Int("count", len(backends)).Msg("ready")
 
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -95,9 +95,9 @@
 		backend.Leave()
 	}
 	announcer.Announce(ctx)
-	logger.Info().Str("event", "leaving").Msg("")
+	logger.Info().Msg("leaving")
 	awaitIdle(backends, signals)
-	logger.Info().Str("event", "stopped").Msg("")
+	logger.Info().Msg("stopped")
 	return shutdown(ctx, servers)
 }
 
@@ -141,7 +141,7 @@
 
 func serve(logger *log.Logger, server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		logger.Error().Str("event", "serve-failed").Err(err).Msg("")
+		logger.Error().Err(err).Msg("serve_failed")
 	}
 }
 
