--- a/internal/claim/asker.go
+++ b/internal/claim/asker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/defaults"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -98,8 +99,8 @@
 
 // NewAsker returns an asker that waits for Begin.
 func NewAsker(options AskerOptions) *Asker {
-	setDefault(&options.RoundTimeout, defaultRoundTimeout)
-	setDefault(&options.RetryDelay, defaultRetryDelay)
+	defaults.Set(&options.RoundTimeout, defaultRoundTimeout)
+	defaults.Set(&options.RetryDelay, defaultRetryDelay)
 	return &Asker{
 		options: options,
 		random:  rand.New(rand.NewPCG(options.RandomSeed, 0)),
--- a/internal/claim/options.go
+++ b/internal/claim/options.go
@@ -1,6 +1,10 @@
 package claim
 
-import "time"
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/defaults"
+)
 
 // KeeperOptions set up a Keeper. Zero values take the defaults.
 type KeeperOptions struct {
@@ -58,12 +62,12 @@
 )
 
 func (o KeeperOptions) withDefaults() KeeperOptions {
-	setDefault(&o.AttemptTimeout, defaultAttemptTimeout)
-	setDefault(&o.MaxRecords, defaultMaxRecords)
-	setDefault(&o.MaxAnswerBytes, defaultMaxAnswerBytes)
-	setDefault(&o.MaxAnswersBytes, defaultMaxAnswersBytes)
-	setDefault(&o.ClockDrift, defaultClockDrift)
-	setDefault(&o.AskInterval, defaultAskInterval)
+	defaults.Set(&o.AttemptTimeout, defaultAttemptTimeout)
+	defaults.Set(&o.MaxRecords, defaultMaxRecords)
+	defaults.Set(&o.MaxAnswerBytes, defaultMaxAnswerBytes)
+	defaults.Set(&o.MaxAnswersBytes, defaultMaxAnswersBytes)
+	defaults.Set(&o.ClockDrift, defaultClockDrift)
+	defaults.Set(&o.AskInterval, defaultAskInterval)
 	return o
 }
 
@@ -74,10 +78,3 @@
 	stretched := float64(window+o.AttemptTimeout) * (1 + o.ClockDrift)
 	return time.Duration(stretched)
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/defaults"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/platform"
 )
@@ -73,23 +74,16 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.PushDelay, DefaultPushDelay)
-	setDefault(&o.DigestInterval, DefaultDigestInterval)
-	setDefault(&o.FirstDigestRetry, DefaultFirstDigestRetry)
-	setDefault(&o.ReadRetry, DefaultReadRetry)
-	setDefault(&o.MachineInterval, DefaultMachineInterval)
-	setDefault(&o.FullMergeInterval, DefaultFullMergeInterval)
-	setDefault(&o.TombstoneLimit, DefaultTombstoneLimit)
+	defaults.Set(&o.PushDelay, DefaultPushDelay)
+	defaults.Set(&o.DigestInterval, DefaultDigestInterval)
+	defaults.Set(&o.FirstDigestRetry, DefaultFirstDigestRetry)
+	defaults.Set(&o.ReadRetry, DefaultReadRetry)
+	defaults.Set(&o.MachineInterval, DefaultMachineInterval)
+	defaults.Set(&o.FullMergeInterval, DefaultFullMergeInterval)
+	defaults.Set(&o.TombstoneLimit, DefaultTombstoneLimit)
 	return o
 }
 
-func setDefault[T comparable](value *T, otherwise T) {
-	var zero T
-	if *value == zero {
-		*value = otherwise
-	}
-}
-
 // Core decides for one node who reads the store and who hears of changes.
 type Core struct {
 	options Options
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/defaults"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -80,25 +81,18 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ProbeInterval, defaultProbeInterval)
-	setDefault(&o.ProbeTimeout, defaultProbeTimeout)
-	setDefault(&o.IndirectProbes, defaultIndirectProbes)
-	setDefault(&o.SuspicionMultiplier, defaultSuspicionMultiplier)
-	setDefault(&o.RetransmitMultiplier, defaultRetransmitMultiplier)
-	setDefault(&o.GossipInterval, defaultGossipInterval)
-	setDefault(&o.GossipFanout, defaultGossipFanout)
-	setDefault(&o.DeadRetention, defaultDeadRetention)
-	setDefault(&o.SyncInterval, defaultSyncInterval)
-	setDefault(&o.DigestInterval, defaultDigestInterval)
-	setDefault(&o.Delegates, defaultDelegates)
-	setDefault(&o.ZoneStale, defaultZoneStale)
-	setDefault(&o.PacketBytes, defaultPacketBytes)
+	defaults.Set(&o.ProbeInterval, defaultProbeInterval)
+	defaults.Set(&o.ProbeTimeout, defaultProbeTimeout)
+	defaults.Set(&o.IndirectProbes, defaultIndirectProbes)
+	defaults.Set(&o.SuspicionMultiplier, defaultSuspicionMultiplier)
+	defaults.Set(&o.RetransmitMultiplier, defaultRetransmitMultiplier)
+	defaults.Set(&o.GossipInterval, defaultGossipInterval)
+	defaults.Set(&o.GossipFanout, defaultGossipFanout)
+	defaults.Set(&o.DeadRetention, defaultDeadRetention)
+	defaults.Set(&o.SyncInterval, defaultSyncInterval)
+	defaults.Set(&o.DigestInterval, defaultDigestInterval)
+	defaults.Set(&o.Delegates, defaultDelegates)
+	defaults.Set(&o.ZoneStale, defaultZoneStale)
+	defaults.Set(&o.PacketBytes, defaultPacketBytes)
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/spanlanding/spanlanding/internal/defaults"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/gateway"
 	"github.com/spanlanding/spanlanding/internal/spec"
@@ -79,22 +80,15 @@
 }
 
 func (s *Settings) fillDefaults() {
-	setDefault(&s.Limits.MaxWaiting, defaultMaxWaiting)
-	setDefault(&s.Limits.MaxWaitingBytes, defaultMaxWaitingBytes)
-	setDefault(&s.Limits.MaxBodyBytes, defaultMaxBodyBytes)
-	setDefault(&s.Limits.MaxStreams, defaultMaxStreams)
-	setDefault(&s.WeightStore.LoadsPerSecond, defaultLoadsPerSecond)
-	setDefault(&s.WeightStore.ConcurrentLoads, defaultConcurrentLoads)
-	setDefault(&s.ProbeInterval, defaultProbeInterval)
-	setDefault(&s.DrainLimit, defaultDrainLimit)
-	setDefault(&s.LogLevel, defaultLogLevel)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	defaults.Set(&s.Limits.MaxWaiting, defaultMaxWaiting)
+	defaults.Set(&s.Limits.MaxWaitingBytes, defaultMaxWaitingBytes)
+	defaults.Set(&s.Limits.MaxBodyBytes, defaultMaxBodyBytes)
+	defaults.Set(&s.Limits.MaxStreams, defaultMaxStreams)
+	defaults.Set(&s.WeightStore.LoadsPerSecond, defaultLoadsPerSecond)
+	defaults.Set(&s.WeightStore.ConcurrentLoads, defaultConcurrentLoads)
+	defaults.Set(&s.ProbeInterval, defaultProbeInterval)
+	defaults.Set(&s.DrainLimit, defaultDrainLimit)
+	defaults.Set(&s.LogLevel, defaultLogLevel)
 }
 
 // addresses are the listen addresses as peers are told them.
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/defaults"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -76,34 +77,27 @@
 
 func (o Options) withDefaults() Options {
 	o.Backend.Kind = fleet.KindEngine
-	setDefault(&o.MemoryBytes, 80*GiB)
-	setDefault(&o.KVBytesPerToken, 128<<10)
-	setDefault(&o.HostCacheBytes, 64*GiB)
-	setDefault(&o.DiskCacheBytes, 512*GiB)
-	setDefault(&o.MaxRunning, 64)
-	setDefault(&o.MaxWaiting, 256)
-	setDefault(&o.PrefixCacheBlocks, 4096)
-	setDefault(&o.Timing.IterationBase, 20*time.Millisecond)
-	setDefault(&o.Timing.IterationPerSequence, 100*time.Microsecond)
-	setDefault(&o.Timing.IterationPerPrefillToken, 20*time.Microsecond)
-	setDefault(&o.Timing.RemoteLoad, 20*time.Second)
-	setDefault(&o.Timing.DiskLoad, o.Timing.RemoteLoad/4)
-	setDefault(&o.Timing.HostLoad, o.Timing.RemoteLoad/20)
-	setDefault(&o.Timing.AdapterLoad, 200*time.Millisecond)
-	setDefault(&o.Timing.Unload, 50*time.Millisecond)
-	setDefault(&o.Timing.ReportLag, 200*time.Millisecond)
-	setDefault(&o.Timing.CacheEventLag, 500*time.Millisecond)
-	setDefault(&o.Timing.KeepStreams, 10*time.Second)
+	defaults.Set(&o.MemoryBytes, 80*GiB)
+	defaults.Set(&o.KVBytesPerToken, 128<<10)
+	defaults.Set(&o.HostCacheBytes, 64*GiB)
+	defaults.Set(&o.DiskCacheBytes, 512*GiB)
+	defaults.Set(&o.MaxRunning, 64)
+	defaults.Set(&o.MaxWaiting, 256)
+	defaults.Set(&o.PrefixCacheBlocks, 4096)
+	defaults.Set(&o.Timing.IterationBase, 20*time.Millisecond)
+	defaults.Set(&o.Timing.IterationPerSequence, 100*time.Microsecond)
+	defaults.Set(&o.Timing.IterationPerPrefillToken, 20*time.Microsecond)
+	defaults.Set(&o.Timing.RemoteLoad, 20*time.Second)
+	defaults.Set(&o.Timing.DiskLoad, o.Timing.RemoteLoad/4)
+	defaults.Set(&o.Timing.HostLoad, o.Timing.RemoteLoad/20)
+	defaults.Set(&o.Timing.AdapterLoad, 200*time.Millisecond)
+	defaults.Set(&o.Timing.Unload, 50*time.Millisecond)
+	defaults.Set(&o.Timing.ReportLag, 200*time.Millisecond)
+	defaults.Set(&o.Timing.CacheEventLag, 500*time.Millisecond)
+	defaults.Set(&o.Timing.KeepStreams, 10*time.Second)
 	return o
 }
 
-func setDefault[T comparable](value *T, standard T) {
-	var none T
-	if *value == none {
-		*value = standard
-	}
-}
-
 // scaled returns the load time of a checkpoint.
 func scaled(reference time.Duration, checkpointBytes int64) time.Duration {
 	return time.Duration(float64(reference) * float64(checkpointBytes) / float64(ReferenceCheckpointBytes))
