--- a/cmd/spanlanding/main.go
+++ b/cmd/spanlanding/main.go
@@ -32,6 +32,7 @@
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
 			nodeCommand(),
+			edgeCommand(),
 			validateCommand(),
 			diffCommand(),
 			applyCommand(),
--- /dev/null
+++ b/internal/backendconn/exchange.go
@@ -0,0 +1,214 @@
+package backendconn
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Request is one request as it goes to a server.
+type Request struct {
+	Method string
+	// Target is the path and query as the caller wrote them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// HasBody is set where the caller sent a body, though it may be empty.
+	HasBody bool
+	// Deadline ends the exchange.
+	Deadline time.Time
+	// Matches reports whether the answer belongs to this request.
+	Matches func(http.Header) bool
+}
+
+// Answer is a server's answer. Its body must be read to the end or Close be
+// called.
+type Answer struct {
+	Status        int
+	Header        http.Header
+	ContentLength int64
+	body          io.Reader
+	conn          *Conn
+	exchange      *exchange
+	keep          bool
+	ended         bool
+}
+
+// inlineBytes is the size up to which a request is written before its answer is
+// read. Longer ones are written meanwhile, since a server may answer early.
+const inlineBytes = 4096
+
+// maxSurplus is the number of surplus answers passed over on a connection.
+const maxSurplus = 4
+
+// maxSurplusBytes bounds what is read of a surplus answer.
+const maxSurplusBytes = 1 << 20
+
+type exchange struct {
+	conn    *Conn
+	stop    func() bool
+	written chan struct{}
+	failure error
+	once    sync.Once
+}
+
+// RoundTrip sends the request and returns the head of its answer. When ctx
+// ends, the connection is closed, which cancels the request at the server.
+func (c *Conn) RoundTrip(ctx context.Context, request Request) (*Answer, error) {
+	running := &exchange{conn: c, written: make(chan struct{})}
+	_ = c.SetDeadline(request.Deadline)
+	running.stop = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
+	if err := ctx.Err(); err != nil {
+		running.abort()
+		return nil, ErrNotSent.Wrap(err, "cancelled")
+	}
+	c.reader = readers.Get().(*bufio.Reader)
+	c.reader.Reset(c.Conn)
+	running.write(request)
+	answer, err := running.read(request)
+	if err != nil {
+		running.abort()
+		return nil, err
+	}
+	return answer, nil
+}
+
+func (x *exchange) write(request Request) {
+	head := request.head()
+	if len(head)+len(request.Body) <= inlineBytes {
+		_, x.failure = x.conn.Write(append(head, request.Body...))
+		close(x.written)
+		return
+	}
+	go func() {
+		defer close(x.written)
+		if _, x.failure = x.conn.Write(head); x.failure == nil {
+			_, x.failure = x.conn.Write(request.Body)
+		}
+	}()
+}
+
+func (r Request) head() []byte {
+	var head bytes.Buffer
+	head.Grow(512)
+	head.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	_ = r.Header.Write(&head)
+	if r.HasBody || len(r.Body) > 0 {
+		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	head.WriteString("\r\n")
+	return head.Bytes()
+}
+
+func (x *exchange) read(request Request) (*Answer, error) {
+	method := &http.Request{Method: request.Method}
+	for range maxSurplus {
+		response, err := http.ReadResponse(x.conn.reader, method)
+		if err != nil {
+			return nil, ErrUnknown.Wrap(err, "read the answer")
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if request.Matches == nil || request.Matches(response.Header) {
+			return x.answer(response), nil
+		}
+		if err := passOver(response); err != nil {
+			return nil, err
+		}
+	}
+	return nil, ErrUnknown.New("too many surplus answers")
+}
+
+func (x *exchange) answer(response *http.Response) *Answer {
+	return &Answer{
+		Status:        response.StatusCode,
+		Header:        response.Header,
+		ContentLength: response.ContentLength,
+		body:          response.Body,
+		conn:          x.conn,
+		exchange:      x,
+		keep:          !response.Close,
+	}
+}
+
+// passOver reads an answer that belongs to another request.
+func passOver(response *http.Response) error {
+	if response.Close || response.ContentLength > maxSurplusBytes {
+		return ErrUnknown.New("an answer of another request that ends the connection")
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSurplusBytes)); err != nil {
+		return ErrUnknown.Wrap(err, "read a surplus answer")
+	}
+	return nil
+}
+
+// Read reads the body. At its end the connection is kept where it can be.
+func (a *Answer) Read(into []byte) (int, error) {
+	if a.ended {
+		return 0, io.EOF
+	}
+	count, err := a.body.Read(into)
+	switch {
+	case errors.Is(err, io.EOF):
+		a.finish()
+	case err != nil:
+		a.Close()
+	}
+	return count, err
+}
+
+// finish keeps the connection if nothing of this exchange is left on it.
+func (a *Answer) finish() {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if !a.exchange.stop() {
+		a.exchange.abort()
+		return
+	}
+	clean := a.keep && a.exchange.isWritten() && a.conn.reader.Buffered() == 0
+	if !clean {
+		a.exchange.abort()
+		return
+	}
+	_ = a.conn.SetDeadline(time.Time{})
+	a.conn.release(a.Header)
+}
+
+// Close ends the exchange. A body that was not read to its end takes the
+// connection with it, which cancels the request at the server.
+func (a *Answer) Close() {
+	if !a.ended {
+		a.ended = true
+		a.exchange.abort()
+	}
+}
+
+func (x *exchange) isWritten() bool {
+	select {
+	case <-x.written:
+		return x.failure == nil
+	default:
+		return false
+	}
+}
+
+func (x *exchange) abort() {
+	x.once.Do(func() {
+		x.stop()
+		_ = x.conn.Conn.Close()
+		if x.conn.reader != nil {
+			<-x.written
+			x.conn.putReader()
+		}
+	})
+}
--- /dev/null
+++ b/internal/backendconn/pool.go
@@ -0,0 +1,204 @@
+package backendconn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options set up a Pool.
+type Options struct {
+	// DialTimeout bounds the time of a new connection.
+	DialTimeout time.Duration
+	// IdleTime is how long a connection is kept where its server tells nothing.
+	IdleTime time.Duration
+	// MaxIdle is the number of idle connections kept to an address.
+	MaxIdle int
+	// Dial opens a connection; nil is TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout = 500 * time.Millisecond
+	DefaultIdleTime    = 4 * time.Second
+	DefaultMaxIdle     = 8
+)
+
+// keepAliveMargin is taken off the time that a server says it keeps an idle
+// connection, since its close and our next request may cross.
+const keepAliveMargin = time.Second
+
+// Pool keeps idle connections. It is safe for concurrent use.
+type Pool struct {
+	options Options
+	mu      sync.Mutex
+	idle    map[string][]*Conn
+	dialled int64
+}
+
+// New returns an empty pool.
+func New(options Options) *Pool {
+	if options.DialTimeout == 0 {
+		options.DialTimeout = DefaultDialTimeout
+	}
+	if options.IdleTime == 0 {
+		options.IdleTime = DefaultIdleTime
+	}
+	if options.MaxIdle == 0 {
+		options.MaxIdle = DefaultMaxIdle
+	}
+	if options.Dial == nil {
+		dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3,
+		}}
+		options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	return &Pool{options: options, idle: make(map[string][]*Conn)}
+}
+
+// Conn is a connection to a server, in use by one request.
+type Conn struct {
+	net.Conn
+	pool      *Pool
+	address   string
+	reader    *bufio.Reader
+	idleSince time.Time
+	idleTime  time.Duration
+	// Reused is set where the connection carried a request before.
+	Reused bool
+}
+
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4096) }}
+
+// Get returns an idle connection to the address, or a new one.
+func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	for {
+		conn := p.takeIdle(address)
+		if conn == nil {
+			return p.dial(ctx, address)
+		}
+		if time.Since(conn.idleSince) < conn.idleTime && isQuiet(conn.Conn) {
+			conn.Reused = true
+			return conn, nil
+		}
+		_ = conn.Conn.Close()
+	}
+}
+
+func (p *Pool) takeIdle(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	conn := idle[len(idle)-1]
+	idle[len(idle)-1] = nil
+	p.idle[address] = idle[:len(idle)-1]
+	return conn
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	defer cancel()
+	raw, err := p.options.Dial(ctx, address)
+	if err != nil {
+		return nil, ErrNotSent.Wrap(err, "dial %s", address)
+	}
+	p.mu.Lock()
+	p.dialled++
+	p.mu.Unlock()
+	return &Conn{Conn: raw, pool: p, address: address, idleTime: p.options.IdleTime}, nil
+}
+
+// Dialled is the number of connections opened so far.
+func (p *Pool) Dialled() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialled
+}
+
+// Forget closes the idle connections to the address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	idle := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, conn := range idle {
+		_ = conn.Conn.Close()
+	}
+}
+
+// Sweep closes connections that were idle for too long.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	var expired []*Conn
+	p.mu.Lock()
+	for address, idle := range p.idle {
+		kept := idle[:0]
+		for _, conn := range idle {
+			if now.Sub(conn.idleSince) < conn.idleTime {
+				kept = append(kept, conn)
+			} else {
+				expired = append(expired, conn)
+			}
+		}
+		clear(idle[len(kept):])
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, conn := range expired {
+		_ = conn.Conn.Close()
+	}
+}
+
+// release keeps the connection for the next request.
+func (c *Conn) release(header http.Header) {
+	c.putReader()
+	c.idleSince = time.Now()
+	if told, ok := keepAliveTimeout(header); ok {
+		c.idleTime = told - keepAliveMargin
+	}
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.idleTime <= 0 || len(p.idle[c.address]) >= p.options.MaxIdle {
+		_ = c.Conn.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+func (c *Conn) putReader() {
+	if c.reader != nil {
+		c.reader.Reset(nil)
+		readers.Put(c.reader)
+		c.reader = nil
+	}
+}
+
+// keepAliveTimeout reads timeout=SECONDS of a Keep-Alive header.
+func keepAliveTimeout(header http.Header) (time.Duration, bool) {
+	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err == nil && seconds >= 0 {
+			return time.Duration(seconds) * time.Second, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/dispatch/core.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+// Options set up a Core.
+type Options struct {
+	Zone string
+	Seed uint64
+}
+
+// Core is the choice of servers of one node.
+type Core struct {
+	zone      string
+	random    *rand.Rand
+	servers   map[string]*server
+	byService map[string][]*server
+	demand    map[Wanted]*demand
+	// readRate is the believed prompt tokens a server reads in a second.
+	readRate float64
+	// changed is closed when something came that may let a request go on.
+	changed chan struct{}
+}
+
+// defaultReadRate is the tokens read in a second that a server is taken to
+// reach until its answers tell; initial guesses only order the choices.
+const defaultReadRate = 30_000
+
+// New returns a core that knows no server.
+func New(options Options) *Core {
+	return &Core{
+		zone:      options.Zone,
+		random:    rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
+		servers:   make(map[string]*server),
+		byService: make(map[string][]*server),
+		demand:    make(map[Wanted]*demand),
+		readRate:  defaultReadRate,
+		changed:   make(chan struct{}),
+	}
+}
+
+// Changed is closed when a request that waits should ask again.
+func (c *Core) Changed() <-chan struct{} { return c.changed }
+
+func (c *Core) notify() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// SetServers takes changes of the servers' entries.
+func (c *Core) SetServers(changes []inventory.Change) {
+	for _, change := range changes {
+		if change.Gone {
+			delete(c.servers, change.Server.ID)
+			continue
+		}
+		if known, ok := c.servers[change.Server.ID]; ok {
+			known.update(change.Server)
+		} else {
+			c.servers[change.Server.ID] = newServer(change.Server)
+		}
+	}
+	c.index()
+	c.notify()
+}
+
+func (c *Core) index() {
+	c.byService = make(map[string][]*server)
+	for _, s := range c.servers {
+		c.byService[s.info.Service] = append(c.byService[s.info.Service], s)
+	}
+}
+
+// View is what the leader says of one server: what it holds, what it is
+// loading, and the number of orders behind that.
+type View struct {
+	ServerID string
+	Sequence int64
+	// Held are the adapters of each model that may be sent to.
+	Held map[string][]string
+	// Loading are the times left until MODEL or MODEL/ADAPTER is there.
+	Loading map[string]time.Duration
+}
+
+// SetViews takes the leader's view of servers.
+func (c *Core) SetViews(now time.Time, views []View) {
+	for i := range views {
+		known, ok := c.servers[views[i].ServerID]
+		if !ok || (known.view != nil && known.view.Sequence > views[i].Sequence) {
+			continue
+		}
+		known.view = &views[i]
+		known.viewAt = now
+		known.merge()
+	}
+	c.notify()
+}
+
+// PeerLoad is what a peer has under way at one server.
+type PeerLoad struct {
+	ServerID      string
+	Running       int
+	PendingTokens float64
+}
+
+// SetPeerLoads takes what a peer has under way; servers that are not named have
+// nothing of it.
+func (c *Core) SetPeerLoads(now time.Time, peer string, loads []PeerLoad) {
+	for _, s := range c.servers {
+		delete(s.peers, peer)
+	}
+	for _, load := range loads {
+		if s, ok := c.servers[load.ServerID]; ok {
+			s.peers[peer] = peerLoad{running: load.Running, pendingTokens: load.PendingTokens, at: now}
+		}
+	}
+}
+
+// OwnLoads are this node's requests in flight, for its peers.
+func (c *Core) OwnLoads() []PeerLoad {
+	var loads []PeerLoad
+	for id, s := range c.servers {
+		if s.running > 0 {
+			loads = append(loads, PeerLoad{ServerID: id, Running: s.running, PendingTokens: s.pendingTokens})
+		}
+	}
+	return loads
+}
+
+// Server returns what is known of one server.
+func (c *Core) Server(id string) (inventory.Server, bool) {
+	s, ok := c.servers[id]
+	if !ok {
+		return inventory.Server{}, false
+	}
+	return s.info, true
+}
+
+// affinity is a number in 0..1 that all nodes draw alike for a server and a key.
+func affinity(serverID string, key uint64) float64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(serverID)
+	var bytes [8]byte
+	for i := range bytes {
+		bytes[i] = byte(key >> (8 * i))
+	}
+	_, _ = digest.Write(bytes[:])
+	return float64(digest.Sum64()>>11) / (1 << 53)
+}
--- /dev/null
+++ b/internal/dispatch/demand.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import "time"
+
+// Wanted names what requests ask for: a model of a service, with an adapter or
+// without.
+type Wanted struct {
+	Service string
+	Model   string
+	Adapter string
+}
+
+type demand struct {
+	asked   int
+	waiting int
+	lastAsk time.Time
+}
+
+// DemandCount is what a node counted of the requests for one Wanted.
+type DemandCount struct {
+	Wanted Wanted
+	// Asked counts up from the node's start.
+	Asked int
+	// Waiting requests have no server now.
+	Waiting int
+	LastAsk time.Time
+}
+
+// Asked counts a request.
+func (c *Core) Asked(now time.Time, wanted Wanted) {
+	counted := c.demandOf(wanted)
+	counted.asked++
+	counted.lastAsk = now
+}
+
+// Waits adds to the requests that have no server now.
+func (c *Core) Waits(wanted Wanted, by int) {
+	c.demandOf(wanted).waiting += by
+}
+
+func (c *Core) demandOf(wanted Wanted) *demand {
+	counted, ok := c.demand[wanted]
+	if !ok {
+		counted = &demand{}
+		c.demand[wanted] = counted
+	}
+	return counted
+}
+
+// Demand returns the counts that changed since, or still have waiting ones.
+func (c *Core) Demand(since time.Time) []DemandCount {
+	var counts []DemandCount
+	for wanted, counted := range c.demand {
+		if counted.waiting > 0 || counted.lastAsk.After(since) {
+			counts = append(counts, DemandCount{
+				Wanted: wanted, Asked: counted.asked, Waiting: counted.waiting, LastAsk: counted.lastAsk,
+			})
+		}
+	}
+	return counts
+}
+
+// ReadyIn is the time until some server of the service can take requests for
+// what is wanted; known is false where nobody has said that it is on its way.
+func (c *Core) ReadyIn(now time.Time, wanted Wanted) (left time.Duration, known bool) {
+	for _, s := range c.byService[wanted.Service] {
+		if s.info.Draining {
+			continue
+		}
+		ready, ok := s.readyIn(now, wanted.Model, wanted.Adapter)
+		if !ok && wanted.Adapter != "" {
+			ready, ok = s.readyIn(now, wanted.Model, "")
+		}
+		if ok && (!known || ready < left) {
+			left, known = ready, true
+		}
+	}
+	return left, known
+}
--- /dev/null
+++ b/internal/dispatch/pick.go
@@ -0,0 +1,220 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Ask is a request that wants a server.
+type Ask struct {
+	Service string
+	// Model is empty where the service's servers hold no models.
+	Model        string
+	Adapter      string
+	Parts        []PromptPart
+	PromptTokens int
+	OutputTokens int
+	// Exclude are servers that this request failed at.
+	Exclude []string
+	// Only are the servers that the request may go to; empty is any.
+	Only []string
+}
+
+// Choice is a server for a request.
+type Choice struct {
+	ServerID string
+	Address  string
+	// Estimate is the expected time to the first byte.
+	Estimate time.Duration
+	Flight   *Flight
+}
+
+// Flight is one request under way at a server.
+type Flight struct {
+	server   *server
+	tokens   float64
+	estimate time.Duration
+	started  time.Time
+	begun    bool
+	ended    bool
+}
+
+// Costs that order the choices.
+const (
+	// otherZoneCost is added for a server in another zone.
+	otherZoneCost = 3 * time.Millisecond
+	// runningCost is the delay that each running request adds.
+	runningCost = 500 * time.Microsecond
+	// failureCost is what a failed request is taken to cost.
+	failureCost = 2 * time.Second
+	// baseCost is the time of an empty prompt at an idle server.
+	baseCost = 12 * time.Millisecond
+	// affinityTokens is the part of a prompt that the server which all nodes
+	// prefer for its shared parts is taken to keep.
+	affinityShare = 0.5
+)
+
+// Pick chooses a server that can take the request now. Where there is none, ok
+// is false; Wait says for how long.
+func (c *Core) Pick(now time.Time, ask Ask) (choice Choice, ok bool) {
+	keys := partKeys(ask.Model, ask.Adapter, ask.Parts)
+	candidates := c.filter(now, ask)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	chosen, cost, tokens := c.best(now, ask, keys, candidates)
+	chosen.cache.add(now, keys)
+	chosen.running++
+	chosen.pendingTokens += tokens
+	flight := &Flight{server: chosen, tokens: tokens, estimate: cost, started: now}
+	return Choice{ServerID: chosen.info.ID, Address: chosen.info.Address, Estimate: cost, Flight: flight}, true
+}
+
+// CanPick reports whether Pick would find a server.
+func (c *Core) CanPick(now time.Time, ask Ask) bool {
+	return len(c.filter(now, ask)) > 0
+}
+
+// filter returns the servers that may be sent to.
+func (c *Core) filter(now time.Time, ask Ask) []*server {
+	var candidates []*server
+	for _, s := range c.byService[ask.Service] {
+		if s.info.Draining || slices.Contains(ask.Exclude, s.info.ID) {
+			continue
+		}
+		if len(ask.Only) > 0 && !slices.Contains(ask.Only, s.info.ID) {
+			continue
+		}
+		if ask.Model != "" && !s.holds(now, ask.Model, ask.Adapter) {
+			continue
+		}
+		candidates = append(candidates, s)
+	}
+	return candidates
+}
+
+func (c *Core) best(now time.Time, ask Ask, keys []uint64, candidates []*server) (*server, time.Duration, float64) {
+	preferred := c.preferred(keys, candidates)
+	var chosen *server
+	var lowest float64
+	var uncached float64
+	for _, s := range candidates {
+		tokens := float64(ask.PromptTokens) - s.cache.kept(now, keys, ask.Parts)
+		if s == preferred {
+			tokens = min(tokens, float64(ask.PromptTokens)-affinityShare*sharedTokens(ask.Parts))
+		}
+		tokens = max(0, tokens)
+		cost := c.cost(now, s, tokens) * (1 + 0.02*c.random.Float64())
+		if chosen == nil || cost < lowest {
+			chosen, lowest, uncached = s, cost, tokens
+		}
+	}
+	return chosen, time.Duration(lowest * float64(time.Second)), uncached
+}
+
+// preferred is the server that all nodes agree on for the shared parts.
+func (c *Core) preferred(keys []uint64, candidates []*server) *server {
+	if len(keys) < 2 {
+		return nil
+	}
+	key := keys[len(keys)-2]
+	return slices.MaxFunc(candidates, func(a, b *server) int {
+		if affinity(a.info.ID, key) < affinity(b.info.ID, key) {
+			return -1
+		}
+		return 1
+	})
+}
+
+func sharedTokens(parts []PromptPart) float64 {
+	tokens := 0
+	for i := range len(parts) - 1 {
+		tokens += parts[i].Tokens
+	}
+	return float64(tokens)
+}
+
+// cost is the expected seconds to the first byte, with a malus for failures.
+func (c *Core) cost(now time.Time, s *server, tokens float64) float64 {
+	running, pending := s.totals(now)
+	cost := baseCost.Seconds() + (pending+tokens)/c.readRate + float64(running)*runningCost.Seconds()
+	if s.info.Slots > 0 && running >= s.info.Slots {
+		cost += baseCost.Seconds() * float64(running-s.info.Slots+1)
+	}
+	failures := s.health.failureRate(now)
+	cost *= max(1, s.health.slowness)
+	cost += failures * failures * failureCost.Seconds()
+	if s.info.Zone != c.zone {
+		cost += otherZoneCost.Seconds()
+	}
+	return cost
+}
+
+// Outcome is how a request ended, as far as it concerns the server.
+type Outcome int
+
+const (
+	// OutcomeServed is a whole answer.
+	OutcomeServed Outcome = iota + 1
+	// OutcomeFailed is an error of the server, or no answer.
+	OutcomeFailed
+	// OutcomeRejected is a refusal by the server, which did not run it.
+	OutcomeRejected
+	// OutcomeLeft says nothing of the server: the caller left.
+	OutcomeLeft
+)
+
+// Begun tells that the answer's first byte came.
+func (c *Core) Begun(now time.Time, flight *Flight) {
+	if flight.begun || flight.ended {
+		return
+	}
+	flight.begun = true
+	c.clearPending(flight)
+	took := now.Sub(flight.started)
+	if flight.estimate > 0 {
+		flight.server.health.addSlowness(now, took.Seconds()/flight.estimate.Seconds())
+	}
+}
+
+func (c *Core) clearPending(flight *Flight) {
+	flight.server.pendingTokens = math.Max(0, flight.server.pendingTokens-flight.tokens)
+}
+
+// End tells how the request ended.
+func (c *Core) End(now time.Time, flight *Flight, outcome Outcome) {
+	if flight.ended {
+		return
+	}
+	if !flight.begun {
+		c.clearPending(flight)
+	}
+	flight.ended = true
+	flight.server.running--
+	switch outcome {
+	case OutcomeServed:
+		flight.server.health.add(now, false)
+	case OutcomeFailed:
+		flight.server.health.add(now, true)
+	}
+}
+
+// Absent tells that a server refused a model as not there.
+func (c *Core) Absent(now time.Time, serverID, model, adapter string) {
+	if s, ok := c.servers[serverID]; ok {
+		s.absentUntil[joined(model, adapter)] = now.Add(absentTime)
+	}
+}
+
+// absentTime is how long a server's word that a model is not there goes before
+// what the store and the leader say.
+const absentTime = 300 * time.Millisecond
+
+// SetReported takes the load that a server told with an answer.
+func (c *Core) SetReported(now time.Time, serverID string, load Load) {
+	if s, ok := c.servers[serverID]; ok {
+		s.reported = load
+		s.reportedAt = now
+	}
+}
--- /dev/null
+++ b/internal/dispatch/server.go
@@ -0,0 +1,174 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+// server is what the node believes of one server.
+type server struct {
+	info inventory.Server
+	// held are the models of the entry or, where the leader's view is at least
+	// as new, of that view.
+	held map[string]map[string]bool
+	view *View
+	// viewAt is when the leader's view came.
+	viewAt time.Time
+	// running and pendingTokens are this node's own requests in flight: all of
+	// them, and the prompt tokens of those whose answer has not begun.
+	running       int
+	pendingTokens float64
+	peers         map[string]peerLoad
+	reported      Load
+	reportedAt    time.Time
+	health        health
+	cache         promptCache
+	// absentUntil are models that the server itself refused as not there.
+	absentUntil map[string]time.Time
+}
+
+// Load is what a server tells of itself with an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+type peerLoad struct {
+	running       int
+	pendingTokens float64
+	at            time.Time
+}
+
+// peerLoadAge is how long a peer's count of its requests is believed.
+const peerLoadAge = time.Second
+
+func newServer(info inventory.Server) *server {
+	s := &server{
+		peers:       make(map[string]peerLoad),
+		absentUntil: make(map[string]time.Time),
+		cache:       newPromptCache(),
+	}
+	s.update(info)
+	return s
+}
+
+func (s *server) update(info inventory.Server) {
+	s.info = info
+	s.merge()
+}
+
+// merge rebuilds what is held. The leader's view goes before the entry unless
+// the entry has counted more orders.
+func (s *server) merge() {
+	s.held = make(map[string]map[string]bool)
+	if s.view != nil && s.view.Sequence >= s.info.Sequence {
+		for model, adapters := range s.view.Held {
+			s.held[model] = make(map[string]bool)
+			for _, adapter := range adapters {
+				s.held[model][adapter] = true
+			}
+		}
+		return
+	}
+	for _, model := range s.info.Models {
+		adapters := make(map[string]bool, len(model.Adapters))
+		for _, adapter := range model.Adapters {
+			adapters[adapter] = true
+		}
+		s.held[model.Name] = adapters
+	}
+}
+
+func (s *server) holds(now time.Time, model, adapter string) bool {
+	adapters, ok := s.held[model]
+	if !ok || (adapter != "" && !adapters[adapter]) {
+		return false
+	}
+	return now.After(s.absentUntil[joined(model, adapter)])
+}
+
+// readyIn is when the server will hold the model, where an order is under way.
+func (s *server) readyIn(now time.Time, model, adapter string) (time.Duration, bool) {
+	if s.view == nil {
+		return 0, false
+	}
+	ready, ok := s.view.Loading[joined(model, adapter)]
+	if !ok {
+		return 0, false
+	}
+	return max(0, ready-now.Sub(s.viewAt)), true
+}
+
+func (s *server) totals(now time.Time) (running int, pendingTokens float64) {
+	running, pendingTokens = s.running, s.pendingTokens
+	for _, peer := range s.peers {
+		if now.Sub(peer.at) < peerLoadAge {
+			running += peer.running
+			pendingTokens += peer.pendingTokens
+		}
+	}
+	return running, pendingTokens
+}
+
+func joined(model, adapter string) string {
+	if adapter == "" {
+		return model
+	}
+	return model + "/" + adapter
+}
+
+// health is the recent share of failed requests; it fades with time, so that a
+// server that is left alone is tried again.
+type health struct {
+	failures  float64
+	successes float64
+	at        time.Time
+	// slowness is the usual ratio of the time to the first byte over what was
+	// expected.
+	slowness float64
+}
+
+const (
+	healthHalfLife = 2 * time.Second
+	// healthPrior is the weight of the belief that a server is sound.
+	healthPrior = 2.0
+	// slownessWeight is the weight of a new sample.
+	slownessWeight = 0.25
+	maxSlowness    = 20.0
+)
+
+func (h *health) fade(now time.Time) {
+	if !h.at.IsZero() {
+		keep := math.Exp2(-now.Sub(h.at).Seconds() / healthHalfLife.Seconds())
+		h.failures *= keep
+		h.successes *= keep
+		h.slowness = 1 + (h.slowness-1)*keep
+	} else {
+		h.slowness = 1
+	}
+	h.at = now
+}
+
+func (h *health) add(now time.Time, failed bool) {
+	h.fade(now)
+	if failed {
+		h.failures++
+	} else {
+		h.successes++
+	}
+}
+
+func (h *health) addSlowness(now time.Time, ratio float64) {
+	h.fade(now)
+	ratio = min(max(ratio, 0.5), maxSlowness)
+	h.slowness += slownessWeight * (ratio - h.slowness)
+}
+
+// failureRate is the believed share of requests that fail now.
+func (h *health) failureRate(now time.Time) float64 {
+	h.fade(now)
+	return h.failures / (h.failures + h.successes + healthPrior)
+}
--- /dev/null
+++ b/internal/edge/follow.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+const (
+	// watchTime is how long one watch waits.
+	watchTime = 3 * time.Second
+	// watchPause gathers changes that come in quick succession into one call.
+	watchPause = 250 * time.Millisecond
+	// Pauses after a failed call to the store; they double up to the longest.
+	shortestPause = 100 * time.Millisecond
+	longestPause  = 800 * time.Millisecond
+)
+
+// backoff is the pause after failed calls.
+type backoff struct{ pause time.Duration }
+
+func (b *backoff) reset() { b.pause = 0 }
+
+// wait sleeps for a time drawn from the pause, so that nodes do not call in
+// step after an outage.
+func (b *backoff) wait(ctx context.Context) {
+	b.pause = min(max(2*b.pause, shortestPause), longestPause)
+	sleep(ctx, b.pause/2+rand.N(b.pause/2+1))
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// followConfiguration keeps the newest configuration in force.
+func (n *Node) followConfiguration(ctx context.Context) {
+	var pause backoff
+	for ctx.Err() == nil {
+		table, at, err := n.options.Store.Configuration(ctx)
+		if err != nil {
+			n.storeFailed("configuration", err)
+			pause.wait(ctx)
+			continue
+		}
+		n.putInForce(table, "read")
+		for err == nil && ctx.Err() == nil {
+			pause.reset()
+			table, at, err = n.options.Store.WatchConfiguration(ctx, at, watchTime)
+			if err == nil && table != nil {
+				n.putInForce(table, "watch")
+			}
+		}
+		n.storeFailed("configuration", err)
+		pause.wait(ctx)
+	}
+}
+
+// putInForce takes a table unless a newer one is in force.
+func (n *Node) putInForce(table *routetable.Table, from string) {
+	known := n.handler.Table()
+	if known != nil && known.Version >= table.Version {
+		return
+	}
+	n.handler.SetTable(table)
+	n.options.Logger.Info().Int64("version", table.Version).Int("routes", table.RouteCount()).
+		Str("from", from).Msg("config_in_force")
+}
+
+// followServers keeps the table of servers.
+func (n *Node) followServers(ctx context.Context) {
+	var pause backoff
+	table := inventory.NewTable()
+	for ctx.Err() == nil {
+		servers, at, err := n.options.Store.Servers(ctx)
+		if err != nil {
+			n.storeFailed("servers", err)
+			pause.wait(ctx)
+			continue
+		}
+		n.takeServers(table.Replace(servers, at))
+		n.hasServers.Store(true)
+		for err == nil && ctx.Err() == nil {
+			pause.reset()
+			var changes []inventory.Change
+			changes, at, err = n.options.Store.WatchServers(ctx, at, watchTime)
+			if err == nil && len(changes) > 0 {
+				n.takeServers(table.Apply(changes, at))
+				sleep(ctx, watchPause)
+			}
+		}
+		n.storeFailed("servers", err)
+		pause.wait(ctx)
+	}
+}
+
+func (n *Node) takeServers(changes []inventory.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	n.dispatch.Do(func(core *dispatch.Core) { core.SetServers(changes) })
+	for _, change := range changes {
+		if change.Gone || change.Server.Draining {
+			n.pool.Forget(change.Server.Address)
+		}
+		n.options.Logger.Info().Str("server", change.Server.ID).Str("address", change.Server.Address).
+			Str("service", change.Server.Service).Bool("gone", change.Gone).Bool("draining", change.Server.Draining).
+			Int64("revision", change.Server.Revision).Int("models", len(change.Server.Models)).Msg("server_changed")
+	}
+}
+
+func (n *Node) storeFailed(what string, err error) {
+	if err != nil {
+		n.options.Logger.Warn().Str("what", what).Str("error", err.Error()).Msg("store_failed")
+	}
+}
--- /dev/null
+++ b/internal/edge/node.go
@@ -0,0 +1,181 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/relay"
+	"github.com/spanlanding/spanlanding/internal/retrybudget"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// Store is what a node reads of the platform's store.
+type Store interface {
+	Configuration(ctx context.Context) (table *routetable.Table, revision int64, err error)
+	WatchConfiguration(ctx context.Context, from int64, wait time.Duration) (table *routetable.Table, at int64, err error)
+	Servers(ctx context.Context) (servers []inventory.Server, at int64, err error)
+	WatchServers(ctx context.Context, from int64, wait time.Duration) (changes []inventory.Change, at int64, err error)
+}
+
+// Options set up a Node.
+type Options struct {
+	Name string
+	Zone string
+	// Frontend and Ready are the addresses for callers and for the question
+	// whether the node is ready, which is asked at ReadyPath.
+	Frontend  string
+	Ready     string
+	ReadyPath string
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace   time.Duration
+	Budget  retrybudget.Options
+	Store   Store
+	Dialect relay.Dialect
+	Logger  *log.Logger
+}
+
+// Node is one process.
+type Node struct {
+	options  Options
+	dispatch *dispatch.Shared
+	pool     *backendconn.Pool
+	handler  *relay.Handler
+
+	hasServers atomic.Bool
+	stopping   atomic.Bool
+}
+
+// New returns a node; Run starts it.
+func New(options Options) *Node {
+	node := &Node{
+		options:  options,
+		dispatch: dispatch.NewShared(dispatch.Options{Zone: options.Zone, Seed: rand.Uint64()}),
+		pool:     backendconn.New(backendconn.Options{}),
+	}
+	node.handler = relay.New(relay.Options{
+		Dialect:  options.Dialect,
+		Dispatch: node.dispatch,
+		Pool:     node.pool,
+		Budget:   options.Budget,
+		Logger:   options.Logger,
+	})
+	return node
+}
+
+// Run serves until stop ends, and then until what is under way has ended.
+func (n *Node) Run(stop context.Context) error {
+	frontend, err := net.Listen("tcp", n.options.Frontend)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", n.options.Ready)
+	if err != nil {
+		return err
+	}
+	n.options.Logger.Info().Str("frontend", n.options.Frontend).Msg("node_started")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	callers := n.callerServer()
+	group.Go(func() error { return serve(callers, frontend) })
+	group.Go(func() error { return serve(n.readyServer(), ready) })
+	group.Go(func() error { n.followConfiguration(ctx); return nil })
+	group.Go(func() error { n.followServers(ctx); return nil })
+	group.Go(func() error { n.sweep(ctx); return nil })
+	select {
+	case <-stop.Done():
+		n.drain()
+		return nil
+	case <-ctx.Done():
+		return group.Wait()
+	}
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Bounds on callers until a configuration tells others.
+const (
+	defaultMaxHeaderBytes = 64 << 10
+	defaultHeaderTimeout  = 10 * time.Second
+	// callerIdleTime is longer than callers rest on a connection.
+	callerIdleTime = 2 * time.Minute
+)
+
+func (n *Node) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           n.handler,
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       callerIdleTime,
+		MaxHeaderBytes:    defaultMaxHeaderBytes,
+		ErrorLog:          nil,
+	}
+}
+
+func (n *Node) readyServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc(n.options.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
+		if !n.isReady() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout}
+}
+
+func (n *Node) isReady() bool {
+	return n.handler.Table() != nil && n.hasServers.Load() && !n.stopping.Load()
+}
+
+const (
+	// entryNotices is how long new connections still come after the node says
+	// that it is not ready.
+	entryNotices = 3500 * time.Millisecond
+	// stopMargin is left before the process is killed.
+	stopMargin  = 400 * time.Millisecond
+	drainPoll   = 50 * time.Millisecond
+	sweepPeriod = time.Second
+)
+
+// drain serves on until nothing is under way, and at the most for the grace.
+func (n *Node) drain() {
+	started := time.Now()
+	n.stopping.Store(true)
+	n.handler.SetDraining()
+	n.options.Logger.Info().Int64("active", n.handler.Active()).Msg("node_draining")
+	for time.Since(started) < n.options.Grace-stopMargin {
+		if time.Since(started) > entryNotices && n.handler.Active() == 0 {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	n.options.Logger.Info().Int64("active", n.handler.Active()).Msg("node_stopped")
+}
+
+func (n *Node) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.pool.Sweep()
+		}
+	}
+}
--- /dev/null
+++ b/internal/inventory/server.go
@@ -0,0 +1,115 @@
+package inventory
+
+import (
+	"maps"
+	"time"
+)
+
+// Server is what one incarnation of a server says of itself.
+type Server struct {
+	// ID names one start of a server; a restart has another.
+	ID      string
+	Service string
+	// Address is IP:PORT. Another server may have it once this one is gone.
+	Address string
+	Zone    string
+	Slots   int
+	// Draining servers take no new work.
+	Draining bool
+	// Remaining is how long a server lives that was given short notice; 0
+	// where none was given.
+	Remaining time.Duration
+	Models    []HeldModel
+	// Cached models are loaded sooner than from the weight store.
+	InMemory []string
+	OnDisk   []string
+	// Sequence counts the orders that the server took.
+	Sequence int64
+	// Revision is the revision of the entry that says so.
+	Revision int64
+}
+
+// HeldModel is one model that a server holds.
+type HeldModel struct {
+	Name     string
+	Version  int64
+	Adapters []string
+}
+
+// Change is one step in what is known of the servers.
+type Change struct {
+	Server Server
+	Gone   bool
+}
+
+// Table holds the newest entry of each server. It is not safe for concurrent
+// use.
+type Table struct {
+	servers  map[string]Server
+	revision int64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{servers: make(map[string]Server)}
+}
+
+// Revision is the revision up to which the table is complete.
+func (t *Table) Revision() int64 { return t.revision }
+
+// Replace takes a whole list as of the revision and returns what it changed.
+// A list older than the table is left out.
+func (t *Table) Replace(servers []Server, revision int64) []Change {
+	if revision < t.revision {
+		return nil
+	}
+	t.revision = revision
+	listed := make(map[string]bool, len(servers))
+	var changes []Change
+	for _, server := range servers {
+		listed[server.ID] = true
+		known, ok := t.servers[server.ID]
+		if ok && known.Revision >= server.Revision {
+			continue
+		}
+		t.servers[server.ID] = server
+		changes = append(changes, Change{Server: server})
+	}
+	for id, server := range maps.Clone(t.servers) {
+		if !listed[id] {
+			delete(t.servers, id)
+			changes = append(changes, Change{Server: server, Gone: true})
+		}
+	}
+	return changes
+}
+
+// Apply takes the events behind the table's revision.
+func (t *Table) Apply(events []Change, revision int64) []Change {
+	if revision < t.revision {
+		return nil
+	}
+	t.revision = revision
+	var changes []Change
+	for _, event := range events {
+		known, ok := t.servers[event.Server.ID]
+		switch {
+		case event.Gone && ok:
+			delete(t.servers, event.Server.ID)
+			changes = append(changes, Change{Server: known, Gone: true})
+		case !event.Gone && (!ok || known.Revision < event.Server.Revision):
+			t.servers[event.Server.ID] = event.Server
+			changes = append(changes, event)
+		}
+	}
+	return changes
+}
+
+// All calls yield for each server, in no order.
+func (t *Table) All(yield func(Server) bool) {
+	for _, server := range t.servers {
+		if !yield(server) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,255 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+)
+
+// verdict says how an attempt ended.
+type verdict int
+
+const (
+	// verdictDone is a final answer.
+	verdictDone verdict = iota + 1
+	// verdictNotSent is an attempt that reached no server.
+	verdictNotSent
+	// verdictAgain is an attempt that failed; the request may be sent again.
+	verdictAgain
+)
+
+// attempt sends the request to the chosen server.
+func (x *exchange) attempt(choice dispatch.Choice) verdict {
+	x.serverID = choice.ServerID
+	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address)
+	if err != nil {
+		return x.notSent(choice)
+	}
+	if !x.isStillGood(choice) {
+		x.release(choice, dispatch.OutcomeLeft)
+		_ = conn.Close()
+		x.failed = append(x.failed, choice.ServerID)
+		return verdictNotSent
+	}
+	if !x.hasSent(choice.ServerID) {
+		x.sent = append(x.sent, choice.ServerID)
+	}
+	answer, err := conn.RoundTrip(x.ctx, x.outgoing(choice))
+	if err != nil {
+		return x.noAnswer(choice, err)
+	}
+	return x.answered(choice, answer)
+}
+
+// isStillGood checks right before the send what was believed when the server
+// was chosen: opening a connection may have taken long.
+func (x *exchange) isStillGood(choice dispatch.Choice) bool {
+	good := false
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
+		server, ok := core.Server(choice.ServerID)
+		good = ok && !server.Draining
+	})
+	return good
+}
+
+func (x *exchange) outgoing(choice dispatch.Choice) backendconn.Request {
+	header := x.header.Clone()
+	x.handler.options.Dialect.SetSend(header, Send{
+		ServerID:  choice.ServerID,
+		Left:      time.Until(x.deadline),
+		Urgency:   x.urgency(),
+		LastEvent: x.lastEvent,
+	})
+	return backendconn.Request{
+		Method:   x.request.Method,
+		Target:   x.request.RequestURI,
+		Host:     x.request.Host,
+		Header:   header,
+		Body:     x.body,
+		HasBody:  x.request.ContentLength != 0 || len(x.body) > 0,
+		Deadline: x.deadline,
+		Matches: func(answer http.Header) bool {
+			return x.handler.options.Dialect.BelongsTo(answer, x.head.RequestID)
+		},
+	}
+}
+
+// maxUrgency is the least urgent rank that can be said.
+const maxUrgency = 9
+
+func (x *exchange) urgency() int {
+	if !x.engine {
+		return -1
+	}
+	return min(maxUrgency, x.route.Priority)
+}
+
+func (x *exchange) notSent(choice dispatch.Choice) verdict {
+	if x.hasLeft() {
+		x.release(choice, dispatch.OutcomeLeft)
+		x.leave()
+	}
+	x.handler.Metrics.DialFails.Add(1)
+	x.release(choice, dispatch.OutcomeFailed)
+	x.failed = append(x.failed, choice.ServerID)
+	return verdictNotSent
+}
+
+// noAnswer ends an attempt without the head of an answer.
+func (x *exchange) noAnswer(choice dispatch.Choice, err error) verdict {
+	if errorx.IsOfType(err, backendconn.ErrNotSent) {
+		return x.notSent(choice)
+	}
+	x.ran = true
+	if x.hasLeft() {
+		x.release(choice, dispatch.OutcomeLeft)
+		x.leave()
+	}
+	x.release(choice, dispatch.OutcomeFailed)
+	x.failed = append(x.failed, choice.ServerID)
+	return x.again("no_answer")
+}
+
+// again says whether a request that may have run is sent once more.
+func (x *exchange) again(reason string) verdict {
+	expired := time.Until(x.deadline) <= finishMargin
+	if expired || !x.isRepeatable() || len(x.sent) >= x.route.MaxAttempts {
+		x.giveUp(reason)
+		return verdictDone
+	}
+	return verdictAgain
+}
+
+// answered goes by the status of an answer.
+func (x *exchange) answered(choice dispatch.Choice, answer *backendconn.Answer) verdict {
+	defer answer.Close()
+	told := x.handler.options.Dialect.ReadAnswer(answer.Status, answer.Header)
+	x.note(choice, told)
+	switch {
+	case told.NotRun:
+		return x.rejected(choice, answer)
+	case x.headSent && answer.Status != http.StatusOK:
+		x.ran = true
+		x.release(choice, dispatch.OutcomeFailed)
+		x.failed = append(x.failed, choice.ServerID)
+		return x.again("resume_failed")
+	case x.route.Stream && answer.Status == http.StatusOK:
+		x.ran = true
+		return x.stream(choice, answer)
+	default:
+		x.ran = true
+		return x.whole(choice, answer)
+	}
+}
+
+func (x *exchange) note(choice dispatch.Choice, told AnswerHead) {
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
+		now := time.Now()
+		core.Begun(now, choice.Flight)
+		if told.Load != nil {
+			core.SetReported(now, choice.ServerID, *told.Load)
+		}
+	})
+}
+
+// rejected takes a server's word that it did not run the request.
+func (x *exchange) rejected(choice dispatch.Choice, answer *backendconn.Answer) verdict {
+	x.handler.Metrics.Rejected.Add(1)
+	_, _ = io.Copy(io.Discard, answer)
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
+		now := time.Now()
+		core.End(now, choice.Flight, dispatch.OutcomeRejected)
+		if x.engine {
+			core.Absent(now, choice.ServerID, x.head.Model, x.head.Adapter)
+		}
+	})
+	x.log("request_rejected", answer.Status, choice.ServerID)
+	if !x.engine {
+		x.failed = append(x.failed, choice.ServerID)
+	}
+	return verdictAgain
+}
+
+// maxWholeBytes is the size up to which an answer is read before its head goes
+// to the caller, so that one that breaks off can be asked for again.
+const maxWholeBytes = 64 << 10
+
+// whole passes on an answer that is no stream.
+func (x *exchange) whole(choice dispatch.Choice, answer *backendconn.Answer) verdict {
+	failed := answer.Status >= http.StatusInternalServerError
+	content, err := io.ReadAll(io.LimitReader(answer, maxWholeBytes))
+	if err != nil {
+		if x.hasLeft() {
+			x.release(choice, dispatch.OutcomeLeft)
+			x.leave()
+		}
+		x.release(choice, dispatch.OutcomeFailed)
+		x.failed = append(x.failed, choice.ServerID)
+		return x.again("broken_answer")
+	}
+	if failed && x.canAskAnother() {
+		x.release(choice, dispatch.OutcomeFailed)
+		x.failed = append(x.failed, choice.ServerID)
+		return verdictAgain
+	}
+	outcome := dispatch.OutcomeServed
+	if failed {
+		outcome = dispatch.OutcomeFailed
+	}
+	defer x.release(choice, outcome)
+	x.writeHead(answer, len(content) < maxWholeBytes, len(content))
+	_, _ = x.writer.Write(content)
+	if len(content) == maxWholeBytes {
+		if _, err := io.Copy(x.writer, answer); err != nil {
+			x.cut("broken_answer")
+		}
+	}
+	x.handler.Metrics.Served.Add(1)
+	x.log("request_answered", answer.Status, "")
+	return verdictDone
+}
+
+// canAskAnother reports whether a server's own failure may be tried elsewhere.
+func (x *exchange) canAskAnother() bool {
+	if !x.isRepeatable() || len(x.sent) >= x.route.MaxAttempts || time.Until(x.deadline) <= finishMargin {
+		return false
+	}
+	found := false
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
+		ask := x.ask()
+		ask.Exclude = append(append([]string(nil), x.failed...), x.serverID)
+		found = core.CanPick(time.Now(), ask)
+	})
+	return found && x.hasRepeat()
+}
+
+func (x *exchange) hasRepeat() bool {
+	x.handler.mu.Lock()
+	defer x.handler.mu.Unlock()
+	return x.handler.budget.Left(time.Since(x.handler.started), x.service) >= 1
+}
+
+// writeHead passes the head of a server's answer on.
+func (x *exchange) writeHead(answer *backendconn.Answer, isWhole bool, length int) {
+	header := x.writer.Header()
+	for name, values := range forwarded(answer.Header) {
+		header[name] = values
+	}
+	if _, ok := answer.Header["Content-Type"]; !ok {
+		header["Content-Type"] = nil
+	}
+	switch {
+	case isWhole:
+		header.Set("Content-Length", strconv.Itoa(length))
+	case answer.ContentLength >= 0 && !x.route.Stream:
+		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
+	}
+	x.headSent = true
+	x.writer.WriteHeader(answer.Status)
+}
--- /dev/null
+++ b/internal/relay/exchange.go
@@ -0,0 +1,260 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// exchange is one caller's request from arrival to its final answer.
+type exchange struct {
+	handler *Handler
+	writer  http.ResponseWriter
+	request *http.Request
+	arrived time.Time
+
+	ctx      context.Context
+	table    *routetable.Table
+	route    *routetable.Route
+	service  string
+	engine   bool
+	head     Head
+	body     []byte
+	header   http.Header
+	deadline time.Time
+	returned bool
+
+	// sent are the servers that the request was sent to.
+	sent []string
+	// failed are servers that are not asked again.
+	failed []string
+	// ran is set once the request may have run.
+	ran bool
+	// headSent is set once the answer's head went to the caller.
+	headSent bool
+	// lastEvent is the last whole event that the caller got.
+	lastEvent string
+	events    int
+	waited    time.Duration
+	serverID  string
+}
+
+func (x *exchange) serve() {
+	x.table = x.handler.table.Load()
+	if x.table == nil {
+		x.refuse(reasonNoConfiguration, configurationWait)
+		return
+	}
+	if !x.admit() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
+	defer cancel()
+	x.ctx = ctx
+	x.run()
+}
+
+// admit reads the request and finds its route. It answers those that go no
+// further.
+func (x *exchange) admit() bool {
+	head, err := x.handler.options.Dialect.ReadHead(x.request.Header)
+	if err != nil {
+		x.deny(http.StatusBadRequest, err.Error())
+		return false
+	}
+	x.head = head
+	route, ok := x.table.Match(x.request.Host, x.request.URL.Path)
+	if !ok {
+		x.deny(http.StatusNotFound, "no route")
+		return false
+	}
+	x.route = route
+	x.service = x.handler.part(route)
+	x.engine = x.table.Services[x.service].Engine != nil
+	if !x.readBody() {
+		return false
+	}
+	x.setDeadline()
+	x.header = forwarded(x.request.Header)
+	x.handler.countRequest(x.service)
+	return true
+}
+
+// defaultDeadline is how long a request is held where neither the caller nor
+// the route gives a bound.
+const defaultDeadline = 30 * time.Second
+
+func (x *exchange) setDeadline() {
+	held := defaultDeadline
+	if x.head.Deadline > 0 {
+		held = x.head.Deadline
+		x.returned = x.handler.hasReturned(x.route, held)
+	}
+	if x.route.Timeout > 0 {
+		held = min(held, x.route.Timeout)
+	}
+	x.deadline = x.arrived.Add(held)
+}
+
+func (x *exchange) readBody() bool {
+	limit := x.table.Limits.MaxBodyBytes
+	if limit > 0 && x.request.ContentLength > limit {
+		x.writer.Header().Set("Connection", "close")
+		x.deny(http.StatusRequestEntityTooLarge, "body over the limit")
+		return false
+	}
+	reader := io.Reader(x.request.Body)
+	if limit > 0 {
+		reader = io.LimitReader(reader, limit+1)
+	}
+	var err error
+	if length := x.request.ContentLength; length >= 0 {
+		x.body = make([]byte, length)
+		_, err = io.ReadFull(reader, x.body)
+	} else {
+		x.body, err = io.ReadAll(reader)
+	}
+	switch {
+	case err != nil:
+		x.log("request_unread", 0, err.Error())
+		panic(http.ErrAbortHandler)
+	case limit > 0 && int64(len(x.body)) > limit:
+		x.writer.Header().Set("Connection", "close")
+		x.deny(http.StatusRequestEntityTooLarge, "body over the limit")
+		return false
+	}
+	return true
+}
+
+// connectionHeaders concern one connection only.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// forwarded is the header without what concerns one connection only.
+func forwarded(header http.Header) http.Header {
+	kept := header.Clone()
+	for _, named := range header["Connection"] {
+		for name := range strings.SplitSeq(named, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		kept.Del(name)
+	}
+	return kept
+}
+
+// maxSends bounds the sends of one request, repeats at one server included.
+const maxSends = 4
+
+// run sends the request until it has a final answer.
+func (x *exchange) run() {
+	x.countDemand()
+	x.lastEvent = x.head.LastEvent
+	for sends := 0; ; sends++ {
+		choice, ok := x.pick()
+		if !ok {
+			return
+		}
+		if sends > 0 && !x.mayRepeat(sends) {
+			x.release(choice, dispatch.OutcomeLeft)
+			x.handler.Metrics.NoBudget.Add(1)
+			x.giveUp("no_budget")
+			return
+		}
+		verdict := x.attempt(choice)
+		if verdict == verdictDone {
+			return
+		}
+		if verdict == verdictNotSent {
+			sends--
+		}
+		if sends+1 >= maxSends || len(x.failed) >= maxSends {
+			x.giveUp("too_many_sends")
+			return
+		}
+	}
+}
+
+func (x *exchange) countDemand() {
+	if !x.engine {
+		return
+	}
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.Asked(time.Now(), x.wanted()) })
+}
+
+func (x *exchange) wanted() dispatch.Wanted {
+	return dispatch.Wanted{Service: x.service, Model: x.head.Model, Adapter: x.head.Adapter}
+}
+
+func (x *exchange) ask() dispatch.Ask {
+	ask := dispatch.Ask{Service: x.service, Exclude: x.failed}
+	if x.engine {
+		ask.Model, ask.Adapter = x.head.Model, x.head.Adapter
+		ask.Parts = x.head.Parts
+		ask.PromptTokens, ask.OutputTokens = x.head.PromptTokens, x.head.OutputTokens
+	}
+	if len(x.sent) >= x.route.MaxAttempts {
+		ask.Only = x.sent
+	}
+	return ask
+}
+
+func (x *exchange) mayRepeat(int) bool {
+	if !x.handler.takeRepeat(x.service) {
+		return false
+	}
+	x.handler.Metrics.Repeats.Add(1)
+	return true
+}
+
+func (x *exchange) release(choice dispatch.Choice, outcome dispatch.Outcome) {
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.End(time.Now(), choice.Flight, outcome) })
+}
+
+// isRepeatable reports whether the request may be sent again though it may
+// have run.
+func (x *exchange) isRepeatable() bool {
+	return x.route.Repeat == routetable.RepeatSafe || x.route.Repeat == routetable.RepeatResume
+}
+
+func (x *exchange) hasSent(serverID string) bool { return slices.Contains(x.sent, serverID) }
+
+// hasLeft reports whether the caller is gone.
+func (x *exchange) hasLeft() bool {
+	return errors.Is(x.request.Context().Err(), context.Canceled)
+}
+
+func (x *exchange) log(event string, status int, reason string) {
+	entry := x.handler.options.Logger.Info()
+	entry.Str("request", x.head.RequestID).Int("status", status).Str("reason", reason)
+	if x.route != nil {
+		entry.Str("route", x.route.Name).Str("service", x.service)
+	}
+	if x.table != nil {
+		entry.Int64("config", x.table.Version)
+	}
+	if x.head.Model != "" {
+		entry.Str("model", x.head.Model).Str("adapter", x.head.Adapter).Int("prompt", x.head.PromptTokens)
+	}
+	entry.Str("server", x.serverID).Str("sent", strings.Join(x.sent, ","))
+	entry.Str("waited_ms", milliseconds(x.waited)).Str("took_ms", milliseconds(time.Since(x.arrived)))
+	if x.returned {
+		entry.Bool("returned", true)
+	}
+	entry.Int("events", x.events).Msg(event)
+}
+
+func milliseconds(d time.Duration) string {
+	return strconv.FormatFloat(float64(d)/float64(time.Millisecond), 'f', 1, 64)
+}
--- /dev/null
+++ b/internal/relay/refuse.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Reasons of refusals, as the answer and the log say them.
+const (
+	reasonNoConfiguration = "no_configuration"
+	reasonNotLoaded       = "not_loaded"
+	reasonQueueFull       = "queue_full"
+	reasonRejected        = "rejected_by_server"
+)
+
+// configurationWait is when a caller should come back to a node that has no
+// configuration yet.
+const configurationWait = time.Second
+
+// refuse answers a request that has not run and never will.
+func (x *exchange) refuse(reason string, back time.Duration) {
+	x.handler.Metrics.Refused.Add(1)
+	x.writer.Header().Set("Retry-After", strconv.FormatFloat(back.Seconds(), 'f', 3, 64))
+	x.answer(http.StatusServiceUnavailable, "not-run", reason)
+	x.log("request_refused", http.StatusServiceUnavailable, reason)
+}
+
+// deny answers a request that no configuration allows, or that is malformed.
+func (x *exchange) deny(status int, reason string) {
+	x.handler.Metrics.Denied.Add(1)
+	x.answer(status, "not-run", reason)
+	x.log("request_denied", status, reason)
+}
+
+// fail answers a request that may have run.
+func (x *exchange) fail(status int, reason string) {
+	x.handler.Metrics.Failed.Add(1)
+	if x.headSent {
+		x.cut(reason)
+	}
+	x.answer(status, "unknown", reason)
+	x.log("request_failed", status, reason)
+}
+
+// cut breaks off an answer that cannot be made whole, so that it does not look
+// complete.
+func (x *exchange) cut(reason string) {
+	x.handler.Metrics.CutShort.Add(1)
+	x.log("request_cut", 0, reason)
+	panic(http.ErrAbortHandler)
+}
+
+// leave ends a request whose caller is gone.
+func (x *exchange) leave() {
+	x.handler.Metrics.Left.Add(1)
+	x.log("request_left", 0, "caller_left")
+	panic(http.ErrAbortHandler)
+}
+
+// giveUp gives the final answer of a request that goes to no further server.
+func (x *exchange) giveUp(reason string) {
+	switch {
+	case x.hasLeft():
+		x.leave()
+	case x.headSent:
+		x.cut(reason)
+	case x.ran && !time.Now().Before(x.deadline.Add(-finishMargin)):
+		x.fail(http.StatusGatewayTimeout, reason)
+	case x.ran:
+		x.fail(http.StatusBadGateway, reason)
+	default:
+		x.refuse(reason, x.comeBack())
+	}
+}
+
+// comeBackTime is when a caller should come back where nothing tells better.
+const comeBackTime = 200 * time.Millisecond
+
+func (x *exchange) comeBack() time.Duration {
+	left := time.Until(x.deadline)
+	return min(comeBackTime, max(left/4, time.Millisecond))
+}
+
+func (x *exchange) answer(status int, outcome, reason string) {
+	header := x.writer.Header()
+	header.Set("Content-Type", "application/problem+json")
+	body := `{"status":` + strconv.Itoa(status) + `,"outcome":"` + outcome + `","title":` + strconv.Quote(reason) + `}`
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	x.writer.WriteHeader(status)
+	_, _ = x.writer.Write([]byte(body))
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,174 @@
+package relay
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/retrybudget"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// Head is what a request's headers say of it.
+type Head struct {
+	RequestID string
+	// Deadline is how long the caller waits; 0 where it does not say.
+	Deadline time.Duration
+	// Model is empty where the request asks for none.
+	Model        string
+	Adapter      string
+	PromptTokens int
+	OutputTokens int
+	Parts        []dispatch.PromptPart
+	// LastEvent is the event behind which a stream goes on.
+	LastEvent string
+}
+
+// Send is what the node adds to a request for a server.
+type Send struct {
+	ServerID string
+	// Left is the time that is left for the request.
+	Left time.Duration
+	// Urgency is 0 to 9, 0 first; below 0 it is not said.
+	Urgency int
+	// LastEvent is the event behind which a stream goes on; empty from the start.
+	LastEvent string
+}
+
+// AnswerHead is what the headers of a server's answer say.
+type AnswerHead struct {
+	// NotRun is set where the server did not run the request.
+	NotRun bool
+	// Load is nil where the server does not tell its load.
+	Load *dispatch.Load
+}
+
+// Dialect reads and writes the headers that callers, nodes and servers share.
+type Dialect interface {
+	// ReadHead reads a request's headers; the error is the caller's.
+	ReadHead(header http.Header) (Head, error)
+	// SetSend sets the headers that the node adds.
+	SetSend(header http.Header, send Send)
+	// ReadAnswer reads the headers of an answer.
+	ReadAnswer(status int, header http.Header) AnswerHead
+	// BelongsTo reports whether the answer is to the request of that identity.
+	BelongsTo(header http.Header, requestID string) bool
+}
+
+// Options set up a Handler.
+type Options struct {
+	Dialect  Dialect
+	Dispatch *dispatch.Shared
+	Pool     *backendconn.Pool
+	Budget   retrybudget.Options
+	Logger   *log.Logger
+	// Wanted is told when a request waits for something that is on no server.
+	Wanted func()
+	// MaxWaiting bounds the requests that wait for a server at a time.
+	MaxWaiting int
+}
+
+// Handler is the http.Handler for callers.
+type Handler struct {
+	options  Options
+	table    atomic.Pointer[routetable.Table]
+	draining atomic.Bool
+	started  time.Time
+	active   atomic.Int64
+	waiting  atomic.Int64
+	// Counters of final answers, by outcome.
+	Metrics Metrics
+
+	mu       sync.Mutex
+	splitter routetable.Splitter
+	budget   *retrybudget.Budget
+	// longest is the longest deadline seen on a route: a caller that comes back
+	// has less time left.
+	longest map[string]time.Duration
+}
+
+// DefaultMaxWaiting bounds the requests that wait at a node.
+const DefaultMaxWaiting = 512
+
+// New returns a handler that refuses all until it has a table.
+func New(options Options) *Handler {
+	if options.MaxWaiting == 0 {
+		options.MaxWaiting = DefaultMaxWaiting
+	}
+	if options.Wanted == nil {
+		options.Wanted = func() {}
+	}
+	return &Handler{
+		options: options,
+		started: time.Now(),
+		budget:  retrybudget.New(options.Budget),
+		longest: make(map[string]time.Duration),
+	}
+}
+
+// SetTable puts a table in force.
+func (h *Handler) SetTable(table *routetable.Table) { h.table.Store(table) }
+
+// Table is the table in force, or nil.
+func (h *Handler) Table() *routetable.Table { return h.table.Load() }
+
+// SetDraining makes answers end their callers' connections.
+func (h *Handler) SetDraining() { h.draining.Store(true) }
+
+// Active is the number of requests under way.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
+// SetNodes tells how many nodes share the budget of repeats.
+func (h *Handler) SetNodes(nodes int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.budget.SetNodes(nodes)
+}
+
+func (h *Handler) countRequest(service string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.budget.Request(time.Since(h.started), service)
+}
+
+func (h *Handler) takeRepeat(service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.budget.Take(time.Since(h.started), service)
+}
+
+func (h *Handler) part(route *routetable.Route) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.splitter.Next(route)
+}
+
+// returnedShare is the part of a route's longest deadline below which a request
+// is taken for one that was refused before and came back.
+const returnedShare = 0.95
+
+// hasReturned guesses from the time left whether the caller was here before.
+func (h *Handler) hasReturned(route *routetable.Route, deadline time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if deadline > h.longest[route.Name] {
+		h.longest[route.Name] = deadline
+	}
+	return float64(deadline) < returnedShare*float64(h.longest[route.Name])
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	if h.draining.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	current := &exchange{handler: h, writer: writer, request: request, arrived: time.Now()}
+	current.serve()
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// streamBufferBytes is the size of a stream's buffer; it grows for larger
+// events.
+const streamBufferBytes = 2048
+
+var streamBuffers = sync.Pool{New: func() any {
+	buffer := make([]byte, 0, streamBufferBytes)
+	return &buffer
+}}
+
+// stream passes an event stream on, each event whole and as it comes.
+func (x *exchange) stream(choice dispatch.Choice, answer *backendconn.Answer) verdict {
+	pooled := streamBuffers.Get().(*[]byte)
+	buffer := (*pooled)[:0]
+	defer func() {
+		if cap(buffer) <= 4*streamBufferBytes {
+			*pooled = buffer[:0]
+			streamBuffers.Put(pooled)
+		}
+	}()
+	controller := http.NewResponseController(x.writer)
+	for {
+		if len(buffer) == cap(buffer) {
+			buffer = append(buffer, 0)[:len(buffer)]
+		}
+		count, err := answer.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+count]
+		if end := lastEventEnd(buffer); end > 0 {
+			x.passOn(answer, buffer[:end])
+			_ = controller.Flush()
+			buffer = append(buffer[:0], buffer[end:]...)
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(buffer) == 0 {
+			return x.streamEnded(choice, answer)
+		}
+		return x.streamBroke(choice)
+	}
+}
+
+// eventEnd ends an event.
+var eventEnd = []byte("\n\n")
+
+// lastEventEnd is where the last whole event in the buffer ends; 0 is nowhere.
+func lastEventEnd(buffer []byte) int {
+	end := bytes.LastIndex(buffer, eventEnd)
+	if end < 0 {
+		return 0
+	}
+	return end + len(eventEnd)
+}
+
+// passOn writes whole events to the caller.
+func (x *exchange) passOn(answer *backendconn.Answer, events []byte) {
+	if !x.headSent {
+		x.writeHead(answer, false, 0)
+	}
+	for len(events) > 0 {
+		end := bytes.Index(events, eventEnd) + len(eventEnd)
+		if id := eventID(events[:end]); id != "" {
+			x.lastEvent = id
+		}
+		x.events++
+		_, _ = x.writer.Write(events[:end])
+		events = events[end:]
+	}
+}
+
+// eventID is the identity that an event gives.
+func eventID(event []byte) string {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return strings.TrimSpace(string(value))
+		}
+	}
+	return ""
+}
+
+func (x *exchange) streamEnded(choice dispatch.Choice, answer *backendconn.Answer) verdict {
+	if !x.headSent {
+		x.writeHead(answer, true, 0)
+	}
+	x.release(choice, dispatch.OutcomeServed)
+	x.handler.Metrics.Served.Add(1)
+	x.log("request_answered", answer.Status, "")
+	return verdictDone
+}
+
+// streamBroke goes on at another server where the route allows it.
+func (x *exchange) streamBroke(choice dispatch.Choice) verdict {
+	if x.hasLeft() {
+		x.release(choice, dispatch.OutcomeLeft)
+		x.leave()
+	}
+	x.release(choice, dispatch.OutcomeFailed)
+	x.failed = append(x.failed, choice.ServerID)
+	if x.route.Repeat != routetable.RepeatResume {
+		x.giveUp("broken_stream")
+		return verdictDone
+	}
+	x.handler.Metrics.Resumed.Add(1)
+	return x.again("broken_stream")
+}
--- /dev/null
+++ b/internal/relay/wait.go
@@ -0,0 +1,139 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+)
+
+const (
+	// decisionShare is the part of the objective within which a request that
+	// has no server is refused or kept: a refusal counts in full only in the
+	// first quarter of it.
+	decisionShare = 0.15
+	// returnShare is the part of the time left up to which a caller honours
+	// when it is told to come back.
+	returnShare = 1.0 / 3
+	// refusalMargin covers what a caller's clock and the network add.
+	refusalMargin = 20 * time.Millisecond
+	// orderTime is what passes before a load begins that nobody has announced.
+	orderTime = 250 * time.Millisecond
+	// readTime is taken to pass between a server being ready and the answer's
+	// first byte.
+	readTime = 100 * time.Millisecond
+	// recheckTime bounds how long a waiting request sleeps.
+	recheckTime = 250 * time.Millisecond
+	// finishMargin is left before the deadline for the final answer.
+	finishMargin = 10 * time.Millisecond
+)
+
+// pick chooses a server, and waits for one where that is worth it. Where ok is
+// false the final answer was given.
+func (x *exchange) pick() (choice dispatch.Choice, ok bool) {
+	core := x.handler.options.Dispatch
+	started := time.Now()
+	waits := false
+	defer func() {
+		x.waited += time.Since(started)
+		if waits {
+			x.handler.waiting.Add(-1)
+			core.Do(func(c *dispatch.Core) { c.Waits(x.wanted(), -1) })
+		}
+	}()
+	for {
+		var changed <-chan struct{}
+		var readyIn time.Duration
+		var known bool
+		core.Do(func(c *dispatch.Core) {
+			now := time.Now()
+			if choice, ok = c.Pick(now, x.ask()); ok {
+				return
+			}
+			changed = c.Changed()
+			readyIn, known = c.ReadyIn(now, x.wanted())
+			if !waits {
+				c.Waits(x.wanted(), 1)
+			}
+		})
+		if ok {
+			return choice, true
+		}
+		if !waits {
+			waits = true
+			if x.handler.waiting.Add(1) > int64(x.handler.options.MaxWaiting) {
+				x.refuse(reasonQueueFull, time.Second)
+				return choice, false
+			}
+			x.handler.options.Wanted()
+		}
+		if !x.keepsWaiting(readyIn, known) {
+			return choice, false
+		}
+		x.sleep(changed, started, readyIn, known)
+	}
+}
+
+// keepsWaiting decides on a request that has no server now. Where it is false
+// the final answer was given.
+func (x *exchange) keepsWaiting(readyIn time.Duration, known bool) bool {
+	now := time.Now()
+	left := x.deadline.Sub(now)
+	if x.hasLeft() {
+		x.leave()
+		return false
+	}
+	if left <= finishMargin {
+		x.giveUp("deadline")
+		return false
+	}
+	if x.headSent || x.ran || x.returned {
+		return true
+	}
+	elapsed := now.Sub(x.arrived)
+	decided := time.Duration(decisionShare * float64(x.route.Goal))
+	if !known {
+		if elapsed < decided {
+			return true
+		}
+		readyIn = x.usualLoad()
+	}
+	if x.route.Goal > 0 && elapsed+readyIn+readTime <= x.route.Goal {
+		return true
+	}
+	if elapsed > x.route.Goal/4 {
+		return true
+	}
+	back := readyIn + refusalMargin
+	if float64(back) > returnShare*float64(left) {
+		return true
+	}
+	x.refuse(reasonNotLoaded, back)
+	return false
+}
+
+// usualLoad is the time of a load that nobody has announced yet.
+func (x *exchange) usualLoad() time.Duration {
+	service := x.table.Services[x.service]
+	if service.Engine == nil {
+		return orderTime
+	}
+	return orderTime + service.Engine.Models[x.head.Model].Load
+}
+
+// sleep waits for news, or until the next decision is due.
+func (x *exchange) sleep(changed <-chan struct{}, started time.Time, readyIn time.Duration, known bool) {
+	pause := min(recheckTime, time.Until(x.deadline)-finishMargin)
+	if decided := time.Duration(decisionShare*float64(x.route.Goal)) - time.Since(started); decided > 0 {
+		pause = min(pause, decided+time.Millisecond)
+	}
+	if known && readyIn > 0 {
+		pause = min(pause, readyIn+time.Millisecond)
+	}
+	timer := time.NewTimer(max(pause, time.Millisecond))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-x.request.Context().Done():
+	}
+}
--- /dev/null
+++ b/internal/retrybudget/budget.go
@@ -0,0 +1,118 @@
+// Package retrybudget bounds the repeats of requests that all nodes together
+// send to a service, by giving each node its share. No node asks another: a
+// share holds through cuts and restarts.
+//
+// It may import the standard library only. No I/O, no clock, no goroutine.
+package retrybudget
+
+import (
+	"time"
+)
+
+// Options set up a Budget.
+type Options struct {
+	// Ratio is the number of repeats that each request allows.
+	Ratio float64
+	// Extra is the number that all nodes together may send beyond, in a window.
+	Extra float64
+	// Window is the length of any span over which repeats are counted.
+	Window time.Duration
+}
+
+// restartShare is the part of the extra repeats that one life of a process
+// takes, so that a process that starts anew within a window keeps the bound.
+const restartShare = 0.5
+
+// buckets is the number of parts of a window.
+const buckets = 10
+
+// Budget counts the requests and repeats of one node. It is not safe for
+// concurrent use.
+type Budget struct {
+	options  Options
+	nodes    int
+	services map[string]*counts
+}
+
+type counts struct {
+	slots [buckets + 2]slot
+}
+
+type slot struct {
+	number   int64
+	requests float64
+	repeats  float64
+}
+
+// New returns a budget that nothing was drawn from.
+func New(options Options) *Budget {
+	return &Budget{options: options, nodes: 1, services: make(map[string]*counts)}
+}
+
+// SetNodes tells how many nodes share the extra repeats, at the most.
+func (b *Budget) SetNodes(nodes int) {
+	b.nodes = max(1, nodes)
+}
+
+// Request counts a caller's request for the service.
+func (b *Budget) Request(now time.Duration, service string) {
+	b.slotOf(now, service).requests++
+}
+
+// Take draws one repeat, and reports whether there was one.
+func (b *Budget) Take(now time.Duration, service string) bool {
+	if b.Left(now, service) < 1 {
+		return false
+	}
+	b.slotOf(now, service).repeats++
+	return true
+}
+
+// Left is the number of repeats that may be sent now.
+func (b *Budget) Left(now time.Duration, service string) float64 {
+	requests, repeats := b.sums(now, service)
+	share := b.options.Extra * restartShare / float64(b.nodes)
+	return b.options.Ratio*requests + share - repeats
+}
+
+// sums counts the requests of the last window, and the repeats of one bucket
+// more, so that every window that ends now is covered.
+func (b *Budget) sums(now time.Duration, service string) (requests, repeats float64) {
+	known, ok := b.services[service]
+	if !ok {
+		return 0, 0
+	}
+	number := b.number(now)
+	for _, slot := range known.slots {
+		age := number - slot.number
+		if age < 0 || age > buckets {
+			continue
+		}
+		repeats += slot.repeats
+		if age < buckets {
+			requests += slot.requests
+		}
+	}
+	return requests, repeats
+}
+
+func (b *Budget) slotOf(now time.Duration, service string) *slot {
+	known, ok := b.services[service]
+	if !ok {
+		known = &counts{}
+		for i := range known.slots {
+			known.slots[i].number = -1
+		}
+		b.services[service] = known
+	}
+	number := b.number(now)
+	place := &known.slots[number%int64(len(known.slots))]
+	if place.number != number {
+		*place = slot{number: number}
+	}
+	return place
+}
+
+func (b *Budget) number(now time.Duration) int64 {
+	return int64(now / (b.options.Window / buckets))
+}
--- /dev/null
+++ b/internal/routetable/split.go
@@ -0,0 +1,41 @@
+package routetable
+
+// Splitter deals the requests of a route to its parts by their weights, so
+// that within any run of requests each part has its share but for one request.
+// It is not safe for concurrent use.
+type Splitter struct {
+	credit map[string][]float64
+}
+
+// Next returns the part that the route's next request belongs to.
+func (s *Splitter) Next(route *Route) string {
+	if len(route.Parts) == 1 {
+		return route.Parts[0].Service
+	}
+	if len(route.Parts) == 0 {
+		return ""
+	}
+	credit := s.creditOf(route)
+	total, best := 0.0, 0
+	for i, part := range route.Parts {
+		credit[i] += part.Weight
+		total += part.Weight
+		if credit[i] > credit[best] {
+			best = i
+		}
+	}
+	credit[best] -= total
+	return route.Parts[best].Service
+}
+
+func (s *Splitter) creditOf(route *Route) []float64 {
+	if s.credit == nil {
+		s.credit = make(map[string][]float64)
+	}
+	credit, ok := s.credit[route.Name]
+	if !ok || len(credit) != len(route.Parts) {
+		credit = make([]float64, len(route.Parts))
+		s.credit[route.Name] = credit
+	}
+	return credit
+}
