--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/edge"
 	"github.com/spanlanding/spanlanding/internal/logging"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
@@ -41,6 +42,7 @@
 			logger.Warn().Str("place", place).Str("error", finding.Error()).Msg("entry_unreadable")
 		},
 	}
+	pool := backendconn.New(backendconn.Options{})
 	node := edge.New(edge.Options{
 		Name:      settings.NodeName,
 		Zone:      settings.Zone,
@@ -53,9 +55,25 @@
 			Extra:  settings.Bounds.BudgetExtra,
 			Window: platform.Seconds(settings.Bounds.BudgetWindowS),
 		},
-		Store:   store,
-		Dialect: platform.Dialect{},
-		Logger:  logger,
+		PeerAddress: settings.PeerAddress(settings.IP),
+		PeerSeeds:   peerSeeds(settings),
+		LeaseQuiet:  platform.Milliseconds(settings.Bounds.LeaseMs),
+		LoadWindow:  platform.Seconds(settings.Bounds.CeilingWindowS),
+		LoadOverage: settings.Bounds.OriginOverage,
+		Store:       store,
+		Lease:       store,
+		Engines:     &platform.Engines{Pool: pool},
+		Pool:        pool,
+		Dialect:     platform.Dialect{},
+		Logger:      logger,
 	})
 	return node.Run(ctx)
 }
+
+func peerSeeds(settings platform.Settings) []string {
+	var seeds []string
+	for _, ip := range settings.SeedIPs() {
+		seeds = append(seeds, settings.PeerAddress(ip))
+	}
+	return seeds
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -24,6 +24,8 @@
 	demand    map[Wanted]*demand
 	// readRate is the believed prompt tokens a server reads in a second.
 	readRate float64
+	// term is the highest term of a leader that was heard.
+	term int64
 	// changed is closed when something came that may let a request go on.
 	changed chan struct{}
 }
@@ -88,8 +90,12 @@
 	Loading map[string]time.Duration
 }
 
-// SetViews takes the leader's view of servers.
-func (c *Core) SetViews(now time.Time, views []View) {
+// SetViews takes the view of servers of a leader's term.
+func (c *Core) SetViews(now time.Time, term int64, views []View) {
+	if term < c.term {
+		return
+	}
+	c.term = term
 	for i := range views {
 		known, ok := c.servers[views[i].ServerID]
 		if !ok || (known.view != nil && known.view.Sequence > views[i].Sequence) {
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -12,6 +12,7 @@
 
 type demand struct {
 	asked   int
+	tokens  int
 	waiting int
 	lastAsk time.Time
 }
@@ -21,15 +22,18 @@
 	Wanted Wanted
 	// Asked counts up from the node's start.
 	Asked int
+	// PromptTokens are those of the requests asked.
+	PromptTokens int
 	// Waiting requests have no server now.
 	Waiting int
 	LastAsk time.Time
 }
 
-// Asked counts a request.
-func (c *Core) Asked(now time.Time, wanted Wanted) {
+// Asked counts a request with its prompt.
+func (c *Core) Asked(now time.Time, wanted Wanted, promptTokens int) {
 	counted := c.demandOf(wanted)
 	counted.asked++
+	counted.tokens += promptTokens
 	counted.lastAsk = now
 }
 
@@ -53,7 +57,7 @@
 	for wanted, counted := range c.demand {
 		if counted.waiting > 0 || counted.lastAsk.After(since) {
 			counts = append(counts, DemandCount{
-				Wanted: wanted, Asked: counted.asked, Waiting: counted.waiting, LastAsk: counted.lastAsk,
+				Wanted: wanted, Asked: counted.asked, PromptTokens: counted.tokens, Waiting: counted.waiting, LastAsk: counted.lastAsk,
 			})
 		}
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -83,13 +83,27 @@
 }
 
 func (s *server) holds(now time.Time, model, adapter string) bool {
-	adapters, ok := s.held[model]
-	if !ok || (adapter != "" && !adapters[adapter]) {
+	if !s.has(now, model, adapter) {
 		return false
 	}
 	return now.After(s.absentUntil[joined(model, adapter)])
 }
 
+// has goes by the leader's word that a load has ended by now, too: its next
+// report would only come later.
+func (s *server) has(now time.Time, model, adapter string) bool {
+	adapters, ok := s.held[model]
+	if !ok {
+		left, loading := s.readyIn(now, model, "")
+		return loading && left == 0 && adapter == ""
+	}
+	if adapter == "" || adapters[adapter] {
+		return true
+	}
+	left, loading := s.readyIn(now, model, adapter)
+	return loading && left == 0
+}
+
 // readyIn is when the server will hold the model, where an order is under way.
 func (s *server) readyIn(now time.Time, model, adapter string) (time.Duration, bool) {
 	if s.view == nil {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -54,7 +54,7 @@
 		n.putInForce(table, "read")
 		for err == nil && ctx.Err() == nil {
 			pause.reset()
-			table, at, err = n.options.Store.WatchConfiguration(ctx, at, watchTime)
+			table, at, err = n.watchConfiguration(ctx, at)
 			if err == nil && table != nil {
 				n.putInForce(table, "watch")
 			}
@@ -64,6 +64,30 @@
 	}
 }
 
+// watchConfiguration waits for a change; a nudge ends the wait.
+func (n *Node) watchConfiguration(ctx context.Context, at int64) (*routetable.Table, int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-n.nudge:
+			cancel()
+		case <-ended:
+		}
+	}()
+	return n.options.Store.WatchConfiguration(ctx, at, watchTime)
+}
+
+// nudgeConfiguration tells that a peer has a newer configuration in force.
+func (n *Node) nudgeConfiguration() {
+	select {
+	case n.nudge <- struct{}{}:
+	default:
+	}
+}
+
 // putInForce takes a table unless a newer one is in force.
 func (n *Node) putInForce(table *routetable.Table, from string) {
 	known := n.handler.Table()
@@ -86,14 +110,14 @@
 			pause.wait(ctx)
 			continue
 		}
-		n.takeServers(table.Replace(servers, at))
+		n.takeServers(table.Replace(servers, at), at)
 		n.hasServers.Store(true)
 		for err == nil && ctx.Err() == nil {
 			pause.reset()
 			var changes []inventory.Change
 			changes, at, err = n.options.Store.WatchServers(ctx, at, watchTime)
 			if err == nil && len(changes) > 0 {
-				n.takeServers(table.Apply(changes, at))
+				n.takeServers(table.Apply(changes, at), at)
 				sleep(ctx, watchPause)
 			}
 		}
@@ -102,10 +126,11 @@
 	}
 }
 
-func (n *Node) takeServers(changes []inventory.Change) {
+func (n *Node) takeServers(changes []inventory.Change, revision int64) {
 	if len(changes) == 0 {
 		return
 	}
+	n.leader.call(context.Background(), func() { n.leader.takeServers(changes, revision) })
 	n.dispatch.Do(func(core *dispatch.Core) { core.SetServers(changes) })
 	for _, change := range changes {
 		if change.Gone || change.Server.Draining {
--- /dev/null
+++ b/internal/edge/leader.go
@@ -0,0 +1,387 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/placer"
+	"github.com/spanlanding/spanlanding/internal/storelease"
+)
+
+// LeaseStore is where the leader's lease lies.
+type LeaseStore interface {
+	ReadLease(ctx context.Context) (record storelease.Record, found bool, err error)
+	// WriteLease writes the lease if it is still at the record's revision.
+	WriteLease(ctx context.Context, record storelease.Record) (revision int64, won bool, err error)
+}
+
+// Engines are the servers that take orders.
+type Engines interface {
+	Report(ctx context.Context, call placer.ReportCall) (placer.Report, error)
+	// Order gives an order that leaves only if permit still holds right before.
+	Order(ctx context.Context, order placer.Order, holder string, token int64, permit func() bool) placer.Result
+}
+
+const (
+	// leaseDuration is how long one write keeps the lease.
+	leaseDuration = 2 * time.Second
+	leaseRenewal  = 700 * time.Millisecond
+	leaseMargin   = 300 * time.Millisecond
+	// leaseRetry is the pause between calls of a candidate, or of a holder
+	// whose write failed.
+	leaseRetry = 500 * time.Millisecond
+	// firstCandidacy is how long a node listens before it may become leader.
+	firstCandidacy = 800 * time.Millisecond
+	// rankDelay keeps candidates from calling the store all at once.
+	rankDelay = 700 * time.Millisecond
+	// lapseTolerated is how long others leave a leader to renew a lapsed lease.
+	lapseTolerated = 1500 * time.Millisecond
+	leaderPeriod   = 50 * time.Millisecond
+	// viewPeriod is the least time between the leader's datagrams.
+	viewPeriod = 15 * time.Millisecond
+	inboxSize  = 256
+)
+
+// leader is the part of a node that holds the lease at times, and orders models
+// while it does. One goroutine owns it; others post to its inbox.
+type leader struct {
+	node  *Node
+	inbox chan func()
+	lease *storelease.Core
+	core  *placer.Core
+
+	started   time.Time
+	quietFrom time.Time
+	calling   bool
+	nextCall  time.Time
+	servers   *inventory.Table
+	toldAt    time.Time
+	changed   bool
+
+	// What other goroutines may read.
+	term       atomic.Int64
+	validUntil atomic.Int64
+	orderFrom  atomic.Int64
+}
+
+func newLeader(node *Node) *leader {
+	return &leader{
+		node:    node,
+		inbox:   make(chan func(), inboxSize),
+		started: time.Now(),
+		lease: storelease.New(storelease.Options{
+			Holder:   node.options.Name,
+			Duration: leaseDuration,
+			Renewal:  leaseRenewal,
+			Margin:   leaseMargin,
+			Quiet:    node.options.LeaseQuiet,
+		}),
+		servers: inventory.NewTable(),
+	}
+}
+
+// post hands work to the leader's goroutine; it is left out where the inbox is
+// full, since all that is posted comes again or is asked for again.
+func (l *leader) post(work func()) {
+	select {
+	case l.inbox <- work:
+	default:
+	}
+}
+
+// call hands over the result of a call, which must not be left out.
+func (l *leader) call(ctx context.Context, work func()) {
+	select {
+	case l.inbox <- work:
+	case <-ctx.Done():
+	}
+}
+
+func (l *leader) run(ctx context.Context) {
+	ticker := time.NewTicker(leaderPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case work := <-l.inbox:
+			work()
+			l.drainInbox()
+		case <-ticker.C:
+		}
+		l.step(ctx)
+	}
+}
+
+func (l *leader) drainInbox() {
+	for {
+		select {
+		case work := <-l.inbox:
+			work()
+		default:
+			return
+		}
+	}
+}
+
+func (l *leader) step(ctx context.Context) {
+	now := time.Now()
+	l.keepLease(ctx, now)
+	l.followTerm(now)
+	if l.core == nil {
+		return
+	}
+	l.core.SetTable(l.node.handler.Table())
+	l.ownCounts(now)
+	effects := l.core.Step(now, l.lease.MayOrder(now) && !l.node.stopping.Load())
+	for _, order := range effects.Orders {
+		l.order(ctx, order)
+	}
+	for _, call := range effects.Reports {
+		l.report(ctx, call)
+	}
+	l.changed = l.changed || effects.Changed
+	l.publish(now)
+}
+
+// standing is the term of this node, and how long ago its lease ended.
+func (l *leader) standing() (term int64, lapsed time.Duration) {
+	term = l.term.Load()
+	return term, max(0, time.Since(l.started)-time.Duration(l.validUntil.Load()))
+}
+
+// mayOrder reports whether an order of the term may leave now. Any goroutine
+// may ask, right before it sends.
+func (l *leader) mayOrder(term int64) bool {
+	now := int64(time.Since(l.started))
+	return l.term.Load() == term && now < l.validUntil.Load() && now >= l.orderFrom.Load()
+}
+
+// keepLease reads or writes the lease where that is due.
+func (l *leader) keepLease(ctx context.Context, now time.Time) {
+	if l.calling || now.Before(l.nextCall) {
+		return
+	}
+	switch {
+	case l.node.stopping.Load():
+		l.releaseLease(ctx, now)
+	case l.lease.Term() != 0:
+		if !now.Before(l.lease.RenewAt()) {
+			l.writeLease(ctx, now)
+		}
+	case !l.isCandidate(now):
+	case l.lease.CanTake(now):
+		l.writeLease(ctx, now)
+	default:
+		l.readLease(ctx)
+	}
+}
+
+// isCandidate reports whether this node should try to become leader.
+func (l *leader) isCandidate(now time.Time) bool {
+	if l.node.handler.Table() == nil || !l.node.hasServers.Load() {
+		return false
+	}
+	l.node.peers.mu.Lock()
+	known := l.node.peers.roster.Leader(now)
+	rank := l.node.peers.roster.Rank(now)
+	l.node.peers.mu.Unlock()
+	if known != nil && known.Lapsed < lapseTolerated {
+		l.quietFrom = time.Time{}
+		return false
+	}
+	if l.quietFrom.IsZero() {
+		l.quietFrom = now
+	}
+	wait := time.Duration(rank) * rankDelay
+	return now.Sub(l.started) > firstCandidacy+wait && now.Sub(l.quietFrom) >= wait
+}
+
+func (l *leader) readLease(ctx context.Context) {
+	l.calling = true
+	go func() {
+		record, found, err := l.node.options.Lease.ReadLease(ctx)
+		l.call(ctx, func() {
+			now := time.Now()
+			l.calling = false
+			l.nextCall = now.Add(leaseRetry/2 + rand.N(leaseRetry))
+			switch {
+			case err != nil:
+				l.node.storeFailed("lease", err)
+			case found:
+				l.lease.Observe(now, record)
+				if l.lease.CanTake(now) {
+					l.nextCall = now
+				}
+			default:
+				l.lease.Absent(now)
+				l.nextCall = now
+			}
+		})
+	}()
+}
+
+func (l *leader) writeLease(ctx context.Context, now time.Time) {
+	l.calling = true
+	record := l.lease.Attempt(now)
+	sent := now
+	go func() {
+		revision, won, err := l.node.options.Lease.WriteLease(ctx, record)
+		l.call(ctx, func() {
+			now := time.Now()
+			l.calling = false
+			switch {
+			case err != nil:
+				l.node.storeFailed("lease", err)
+				l.nextCall = now.Add(leaseRetry/4 + rand.N(leaseRetry/2))
+				l.readBack(ctx)
+			case !won:
+				l.nextCall = now
+				l.readBack(ctx)
+			default:
+				l.lease.Taken(sent, now, revision)
+			}
+		})
+	}()
+}
+
+// readBack learns what became of a write that has no answer, or did not win.
+func (l *leader) readBack(ctx context.Context) {
+	l.calling = true
+	go func() {
+		record, found, err := l.node.options.Lease.ReadLease(ctx)
+		l.call(ctx, func() {
+			l.calling = false
+			if err == nil && found {
+				l.lease.Observe(time.Now(), record)
+			}
+		})
+	}()
+}
+
+// releaseLease gives the lease up before this process ends. All orders have
+// their answers by then, or are past their time.
+func (l *leader) releaseLease(ctx context.Context, now time.Time) {
+	if l.lease.Term() == 0 {
+		return
+	}
+	l.term.Store(0)
+	record := l.lease.Attempt(now)
+	record.Released = true
+	l.lease.Lost()
+	l.calling = true
+	l.node.options.Logger.Info().Int64("revision", record.Revision).Msg("lease_released")
+	go func() {
+		_, _, err := l.node.options.Lease.WriteLease(ctx, record)
+		l.call(ctx, func() {
+			l.calling = false
+			if err != nil {
+				l.node.storeFailed("lease", err)
+			}
+		})
+	}()
+}
+
+// followTerm starts and ends terms as the lease goes.
+func (l *leader) followTerm(now time.Time) {
+	term := l.lease.Term()
+	l.validUntil.Store(int64(l.lease.RenewAt().Add(leaseDuration - leaseRenewal).Sub(l.started)))
+	l.orderFrom.Store(int64(l.lease.OrderFrom().Sub(l.started)))
+	previous := l.term.Swap(term)
+	if term == previous {
+		return
+	}
+	if term == 0 {
+		l.core = nil
+		l.node.options.Logger.Info().Int64("term", previous).Msg("lease_lost")
+		return
+	}
+	l.node.options.Logger.Info().Int64("term", term).
+		Int64("order_in_ms", l.lease.OrderFrom().Sub(now).Milliseconds()).Msg("lease_taken")
+	l.core = placer.New(placer.Options{Window: l.node.options.LoadWindow, Overage: l.node.options.LoadOverage, Zone: l.node.options.Zone})
+	l.core.SetTable(l.node.handler.Table())
+	var all []inventory.Change
+	for server := range l.servers.All {
+		all = append(all, inventory.Change{Server: server})
+	}
+	l.core.SetServers(now, all)
+	if !l.lease.WasFree() {
+		l.core.AssumeLoads(l.lease.LastOrders())
+	}
+}
+
+// takeServers keeps the leader's table of servers.
+func (l *leader) takeServers(changes []inventory.Change, revision int64) {
+	taken := l.servers.Apply(changes, revision)
+	if l.core != nil {
+		l.core.SetServers(time.Now(), taken)
+	}
+}
+
+func (l *leader) takeCounts(state *peerpb.NodeState) {
+	if l.core != nil {
+		l.core.SetCounts(time.Now(), state.Address, state.Life, countsOf(state.Wanted))
+	}
+}
+
+func (l *leader) ownCounts(now time.Time) {
+	var counts []placer.Count
+	l.node.dispatch.Do(func(core *dispatch.Core) {
+		for _, count := range core.Demand(now.Add(-wantedAge)) {
+			counts = append(counts, placer.Count{
+				Wanted: count.Wanted, Asked: uint64(count.Asked), Waiting: count.Waiting, PromptTokens: uint64(count.PromptTokens),
+			})
+		}
+	})
+	l.core.SetCounts(now, l.node.options.PeerAddress, l.node.peers.life, counts)
+}
+
+func (l *leader) order(ctx context.Context, order placer.Order) {
+	term := l.term.Load()
+	core := l.core
+	started := time.Now()
+	go func() {
+		result := l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() bool { return l.mayOrder(term) })
+		l.call(ctx, func() {
+			l.node.options.Logger.Info().Int64("term", term).Str("server", order.ServerID).
+				Str("operation", order.Operation.String()).Str("model", order.Model).Str("adapter", order.Adapter).
+				Int64("expected", order.Expected).Int("source", int(order.Source)).Str("reason", order.Reason).
+				Int("result", int(result)).Int64("took_ms", time.Since(started).Milliseconds()).Msg("order_answered")
+			core.OrderAnswered(time.Now(), order, result)
+			if result == placer.ResultFenced && core == l.core {
+				l.lease.Lost()
+			}
+		})
+	}()
+}
+
+func (l *leader) report(ctx context.Context, call placer.ReportCall) {
+	core := l.core
+	go func() {
+		report, err := l.node.options.Engines.Report(ctx, call)
+		l.call(ctx, func() {
+			l.node.options.Logger.Info().Str("server", call.ServerID).Int64("sequence", report.Sequence).
+				Bool("busy", report.Busy).Int("models", len(report.Models)).Bool("ok", err == nil).Msg("report_read")
+			core.TakeReport(time.Now(), call.ServerID, report, err == nil)
+		})
+	}()
+}
+
+// publish tells all nodes what the leader knows of the servers.
+func (l *leader) publish(now time.Time) {
+	due := now.Sub(l.toldAt)
+	if due < viewPeriod || (!l.changed && due < gossipPeriod) {
+		return
+	}
+	l.changed = false
+	l.toldAt = now
+	views := l.core.Views(now)
+	term := l.term.Load()
+	l.node.dispatch.Do(func(core *dispatch.Core) { core.SetViews(now, term, views) })
+	l.node.peers.tellViews(term, l.lease.Lapsed(now), views)
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -37,12 +37,24 @@
 	Frontend  string
 	Ready     string
 	ReadyPath string
+	// PeerAddress is the UDP address of the node; PeerSeeds are those of some
+	// others.
+	PeerAddress string
+	PeerSeeds   []string
 	// Grace is the time from the signal to stop until the process is killed.
-	Grace   time.Duration
-	Budget  retrybudget.Options
-	Store   Store
-	Dialect relay.Dialect
-	Logger  *log.Logger
+	Grace  time.Duration
+	Budget retrybudget.Options
+	// LeaseQuiet is the least time between orders of different holders.
+	LeaseQuiet time.Duration
+	// LoadWindow and LoadOverage bound the loads from the weight store.
+	LoadWindow  time.Duration
+	LoadOverage float64
+	Store       Store
+	Lease       LeaseStore
+	Engines     Engines
+	Pool        *backendconn.Pool
+	Dialect     relay.Dialect
+	Logger      *log.Logger
 }
 
 // Node is one process.
@@ -51,6 +63,9 @@
 	dispatch *dispatch.Shared
 	pool     *backendconn.Pool
 	handler  *relay.Handler
+	peers    *peers
+	leader   *leader
+	nudge    chan struct{}
 
 	hasServers atomic.Bool
 	stopping   atomic.Bool
@@ -61,14 +76,17 @@
 	node := &Node{
 		options:  options,
 		dispatch: dispatch.NewShared(dispatch.Options{Zone: options.Zone, Seed: rand.Uint64()}),
-		pool:     backendconn.New(backendconn.Options{}),
+		pool:     options.Pool,
+		nudge:    make(chan struct{}, 1),
 	}
+	node.leader = newLeader(node)
 	node.handler = relay.New(relay.Options{
 		Dialect:  options.Dialect,
 		Dispatch: node.dispatch,
 		Pool:     node.pool,
 		Budget:   options.Budget,
 		Logger:   options.Logger,
+		Wanted:   func() { node.peers.tellWanted() },
 	})
 	return node
 }
@@ -83,6 +101,9 @@
 	if err != nil {
 		return err
 	}
+	if n.peers, err = newPeers(n); err != nil {
+		return err
+	}
 	n.options.Logger.Info().Str("frontend", n.options.Frontend).Msg("node_started")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -93,6 +114,9 @@
 	group.Go(func() error { n.followConfiguration(ctx); return nil })
 	group.Go(func() error { n.followServers(ctx); return nil })
 	group.Go(func() error { n.sweep(ctx); return nil })
+	group.Go(func() error { n.peers.receive(ctx); return nil })
+	group.Go(func() error { n.peers.run(ctx); return nil })
+	group.Go(func() error { n.leader.run(ctx); return nil })
 	select {
 	case <-stop.Done():
 		n.drain()
--- /dev/null
+++ b/internal/gossip/roster.go
@@ -0,0 +1,198 @@
+// Package gossip is the core that knows which nodes are there, from the
+// datagrams that they send each other. A node is alive while it was heard from
+// lately; nothing of safety hangs on it.
+//
+// It may import peerpb. No I/O, no clock, no goroutine.
+package gossip
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+)
+
+const (
+	// aliveTime is how long a node is alive after its last datagram.
+	aliveTime = 1500 * time.Millisecond
+	// countedTime is how long a node counts among those that share a budget.
+	countedTime = 30 * time.Second
+	// tellPeers is the number of other nodes that a datagram names.
+	tellPeers = 6
+)
+
+// Peer is another node.
+type Peer struct {
+	Name          string
+	Address       string
+	Life          uint64
+	Leaving       bool
+	ConfigVersion int64
+	// Term is the fencing token of a leader, 0 of others.
+	Term int64
+	// Lapsed is how long the leader's lease had ended when it sent.
+	Lapsed   time.Duration
+	LastSeen time.Time
+	sequence uint64
+}
+
+// Roster is the table of nodes. It is not safe for concurrent use.
+type Roster struct {
+	self   string
+	random *rand.Rand
+	peers  map[string]*Peer
+	// hints are addresses of which no node is known yet.
+	hints map[string]time.Time
+}
+
+// New returns a roster of the node at the address self.
+func New(self string, seeds []string, seed uint64) *Roster {
+	roster := &Roster{
+		self:   self,
+		random: rand.New(rand.NewPCG(seed, seed>>1)),
+		peers:  make(map[string]*Peer),
+		hints:  make(map[string]time.Time),
+	}
+	for _, address := range seeds {
+		if address != self {
+			roster.hints[address] = time.Time{}
+		}
+	}
+	return roster
+}
+
+// Observe takes a datagram. It returns false for one that is older than what
+// is known of its sender.
+func (r *Roster) Observe(now time.Time, state *peerpb.NodeState) bool {
+	if state.Address == r.self || state.Address == "" {
+		return false
+	}
+	known, ok := r.peers[state.Address]
+	if ok && known.Life == state.Life && state.Sequence <= known.sequence {
+		return false
+	}
+	if !ok {
+		known = &Peer{Address: state.Address}
+		r.peers[state.Address] = known
+	}
+	known.Name = state.Node
+	known.Life = state.Life
+	known.sequence = state.Sequence
+	known.Leaving = state.Leaving
+	known.ConfigVersion = state.ConfigVersion
+	known.LastSeen = now
+	known.Term, known.Lapsed = 0, 0
+	if state.Leader != nil {
+		known.Term = state.Leader.Term
+		known.Lapsed = time.Duration(state.Leader.LapsedMs) * time.Millisecond
+	}
+	delete(r.hints, state.Address)
+	for _, address := range state.Peers {
+		if _, ok := r.peers[address]; !ok && address != r.self {
+			r.hints[address] = now
+		}
+	}
+	return true
+}
+
+// Alive returns the nodes that were heard from lately, by address.
+func (r *Roster) Alive(now time.Time) []*Peer {
+	var alive []*Peer
+	for _, peer := range r.peers {
+		if now.Sub(peer.LastSeen) < aliveTime {
+			alive = append(alive, peer)
+		}
+	}
+	slices.SortFunc(alive, func(a, b *Peer) int {
+		if a.Address < b.Address {
+			return -1
+		}
+		return 1
+	})
+	return alive
+}
+
+// Count is the number of nodes, this one included, that may share a budget.
+func (r *Roster) Count(now time.Time) int {
+	count := 1 + len(r.hints)
+	for _, peer := range r.peers {
+		if now.Sub(peer.LastSeen) < countedTime {
+			count++
+		}
+	}
+	return count
+}
+
+// Leader is the node with the highest term that was heard from lately, or nil.
+func (r *Roster) Leader(now time.Time) *Peer {
+	var leader *Peer
+	for _, peer := range r.Alive(now) {
+		if peer.Term > 0 && !peer.Leaving && (leader == nil || peer.Term > leader.Term) {
+			leader = peer
+		}
+	}
+	return leader
+}
+
+// Rank is the number of nodes that come before this one as candidates.
+func (r *Roster) Rank(now time.Time) int {
+	rank := 0
+	for _, peer := range r.Alive(now) {
+		if peer.Address < r.self && !peer.Leaving {
+			rank++
+		}
+	}
+	return rank
+}
+
+// hintTries is how long an address without a node is tried.
+const hintTries = 20 * time.Second
+
+// Targets draws up to most addresses to send to. Nodes that are silent and
+// addresses without a known node are among them now and then, so that cut parts
+// find each other again.
+func (r *Roster) Targets(now time.Time, most int) []string {
+	var targets []string
+	for _, peer := range r.Alive(now) {
+		targets = append(targets, peer.Address)
+	}
+	r.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	targets = targets[:min(most, len(targets))]
+	return append(targets, r.silent(now)...)
+}
+
+func (r *Roster) silent(now time.Time) []string {
+	var silent []string
+	for address, since := range r.hints {
+		if !since.IsZero() && now.Sub(since) > hintTries {
+			delete(r.hints, address)
+			continue
+		}
+		silent = append(silent, address)
+	}
+	for address, peer := range r.peers {
+		age := now.Sub(peer.LastSeen)
+		if age > 2*countedTime {
+			delete(r.peers, address)
+		} else if age >= aliveTime {
+			silent = append(silent, address)
+		}
+	}
+	slices.Sort(silent)
+	if len(silent) > 3 {
+		r.random.Shuffle(len(silent), func(i, j int) { silent[i], silent[j] = silent[j], silent[i] })
+		silent = silent[:3]
+	}
+	return silent
+}
+
+// Sample draws addresses of living nodes to tell others of.
+func (r *Roster) Sample(now time.Time) []string {
+	var sample []string
+	for _, peer := range r.Alive(now) {
+		sample = append(sample, peer.Address)
+	}
+	r.random.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
+	return sample[:min(tellPeers, len(sample))]
+}
--- /dev/null
+++ b/internal/placer/core.go
@@ -0,0 +1,303 @@
+package placer
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// Core is the leader's state of one term. It is not safe for concurrent use.
+type Core struct {
+	options   Options
+	table     *routetable.Table
+	servers   map[string]*server
+	interests map[dispatch.Wanted]*interest
+	nodes     map[string]*nodeCounts
+	// storeLoads are the times at which loads from the weight store began, or
+	// may have begun, within the last window.
+	storeLoads map[string][]time.Time
+	effects    Effects
+}
+
+// New returns the core of a term that knows nothing yet.
+func New(options Options) *Core {
+	return &Core{
+		options:    options,
+		servers:    make(map[string]*server),
+		interests:  make(map[dispatch.Wanted]*interest),
+		nodes:      make(map[string]*nodeCounts),
+		storeLoads: make(map[string][]time.Time),
+	}
+}
+
+// SetTable puts a configuration in force.
+func (c *Core) SetTable(table *routetable.Table) { c.table = table }
+
+// AssumeLoads counts as many loads from each weight store as an earlier leader
+// may have begun at the time.
+func (c *Core) AssumeLoads(at time.Time) {
+	if c.table == nil {
+		return
+	}
+	for name, service := range c.table.Services {
+		if service.Engine == nil {
+			continue
+		}
+		for range c.loadsPerWindow(service.Engine) {
+			c.storeLoads[name] = append(c.storeLoads[name], at)
+		}
+	}
+}
+
+// SetServers takes changes of the servers' entries.
+func (c *Core) SetServers(now time.Time, changes []inventory.Change) {
+	for _, change := range changes {
+		id := change.Server.ID
+		known, ok := c.servers[id]
+		switch {
+		case change.Gone:
+			delete(c.servers, id)
+		case !ok:
+			if engine := c.engineOf(change.Server.Service); engine != nil {
+				added := newServer(change.Server, now)
+				added.noteCopies()
+				c.servers[id] = added
+			}
+		default:
+			known.info = change.Server
+			known.noteCopies()
+			c.checkEntry(now, known)
+		}
+	}
+}
+
+// checkEntry asks for a report where the entry has counted orders that this
+// leader does not know of.
+func (c *Core) checkEntry(now time.Time, s *server) {
+	if s.synced && s.info.Sequence > s.sequence && s.ordering == nil {
+		s.askReport(now)
+	}
+}
+
+func (s *server) askReport(at time.Time) {
+	if s.reportAt.IsZero() || at.Before(s.reportAt) {
+		s.reportAt = at
+	}
+}
+
+func (c *Core) engineOf(service string) *routetable.Engine {
+	if c.table == nil {
+		return nil
+	}
+	return c.table.Services[service].Engine
+}
+
+// Step advances to now and returns what is to be done; orders only where
+// mayOrder is set.
+func (c *Core) Step(now time.Time, mayOrder bool) Effects {
+	if c.table == nil {
+		return Effects{}
+	}
+	c.advance(now)
+	if mayOrder {
+		c.plan(now)
+	}
+	c.collectReports(now)
+	effects := c.effects
+	c.effects = Effects{}
+	return effects
+}
+
+func (c *Core) collectReports(now time.Time) {
+	for _, s := range c.sorted() {
+		if s.reportAt.IsZero() || s.reporting || now.Before(s.reportAt) {
+			continue
+		}
+		s.reportAt = time.Time{}
+		s.reporting = true
+		c.effects.Reports = append(c.effects.Reports, ReportCall{ServerID: s.info.ID, Address: s.info.Address})
+	}
+}
+
+// sorted returns the servers in the order of their names, so that decisions
+// repeat.
+func (c *Core) sorted() []*server {
+	all := make([]*server, 0, len(c.servers))
+	for _, s := range c.servers {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b *server) int { return strings.Compare(a.info.ID, b.info.ID) })
+	return all
+}
+
+// Times of the conversation with a server.
+const (
+	// reportLag is how old a report may be.
+	reportLag = 130 * time.Millisecond
+	// recheck is the pause between reports of a server that is still busy.
+	recheck = 120 * time.Millisecond
+	// reportRetry is the pause after a report that did not come.
+	reportRetry = 500 * time.Millisecond
+	// busyPause is the pause after an order that found the server busy.
+	busyPause = 40 * time.Millisecond
+	// refusedPause is the pause after an order that the server can't do.
+	refusedPause = 2 * time.Second
+	// adapterTime is taken for an adapter from the store.
+	adapterTime = 40 * time.Millisecond
+)
+
+// advance ends what its time has come for.
+func (c *Core) advance(now time.Time) {
+	for _, s := range c.servers {
+		if s.unloading != "" && now.After(s.unloadUntil) {
+			s.askReport(now)
+		}
+		if s.loading != nil && now.After(s.loading.ready) {
+			s.askReport(now)
+		}
+	}
+	for service, begun := range c.storeLoads {
+		c.storeLoads[service] = slices.DeleteFunc(begun, func(at time.Time) bool {
+			return now.Sub(at) > c.options.Window+windowSlack
+		})
+	}
+}
+
+// windowSlack covers the way of an order to its server.
+const windowSlack = 300 * time.Millisecond
+
+// TakeReport takes a server's report; ok is false where none came.
+func (c *Core) TakeReport(now time.Time, id string, report Report, ok bool) {
+	s, known := c.servers[id]
+	if !known {
+		return
+	}
+	s.reporting = false
+	if !ok {
+		s.askReport(now.Add(reportRetry))
+		return
+	}
+	if s.ordering != nil || report.Sequence < s.sequence {
+		// The report is older than the last order.
+		s.askReport(now.Add(recheck))
+		return
+	}
+	if report.Sequence > s.sequence {
+		s.unsure = nil
+	}
+	c.applyReport(now, s, report)
+}
+
+func (c *Core) applyReport(now time.Time, s *server, report Report) {
+	wasLoading := s.loading
+	s.sequence = report.Sequence
+	fresh := make(map[string]*held, len(report.Models))
+	for _, model := range report.Models {
+		fresh[model.Name] = s.heldAs(now, model)
+	}
+	for _, pending := range report.Pending {
+		if model, ok := fresh[pending.Model]; ok && model.adapters[pending.Adapter] == nil {
+			model.adapters[pending.Adapter] = &adapter{ready: now.Add(adapterTime), lastUse: now}
+		}
+	}
+	s.held = fresh
+	c.effects.Changed = true
+	if report.Busy {
+		s.synced = false
+		if wasLoading != nil || s.unloading != "" {
+			s.synced = true
+		}
+		s.askReport(now.Add(recheck))
+		return
+	}
+	s.loading = nil
+	s.unloading = ""
+	s.synced = true
+}
+
+// heldAs keeps what is known of the use of a model that a report names.
+func (s *server) heldAs(now time.Time, model inventory.HeldModel) *held {
+	known, ok := s.held[model.Name]
+	fresh := &held{since: now, lastUse: now, adapters: make(map[string]*adapter, len(model.Adapters))}
+	if ok {
+		fresh.since, fresh.lastUse = known.since, known.lastUse
+	}
+	for _, name := range model.Adapters {
+		if ok && known.adapters[name] != nil {
+			fresh.adapters[name] = known.adapters[name]
+			continue
+		}
+		fresh.adapters[name] = &adapter{ready: now, lastUse: now}
+	}
+	return fresh
+}
+
+// OrderAnswered takes the answer to an order.
+func (c *Core) OrderAnswered(now time.Time, order Order, result Result) {
+	s, ok := c.servers[order.ServerID]
+	if !ok || s.ordering == nil {
+		return
+	}
+	s.ordering = nil
+	switch result {
+	case ResultTaken:
+		s.sequence = order.Expected + 1
+		s.unsure = nil
+		c.took(now, s, order)
+	case ResultHeld:
+		c.undo(s, order)
+		s.askReport(now)
+	case ResultBusy:
+		c.undo(s, order)
+		s.pauseUntil = now.Add(busyPause)
+		s.synced = false
+		s.askReport(now.Add(busyPause))
+	case ResultNotSent:
+		c.undo(s, order)
+		s.pauseUntil = now.Add(busyPause)
+	case ResultUnknown:
+		s.unsure = &order
+		s.synced = false
+		s.askReport(now.Add(reportLag))
+	case ResultGone:
+		delete(c.servers, order.ServerID)
+	default:
+		c.undo(s, order)
+		s.pauseUntil = now.Add(refusedPause)
+		s.synced = false
+		s.askReport(now.Add(busyPause))
+	}
+	c.effects.Changed = true
+}
+
+// took books an order that the server is carrying out.
+func (c *Core) took(now time.Time, s *server, order Order) {
+	switch {
+	case order.Operation == Unload && order.Adapter == "":
+		s.unloading = ""
+		s.pauseUntil = now
+	case order.Operation == Load && order.Adapter != "":
+		if model, ok := s.held[order.Model]; ok {
+			model.adapters[order.Adapter] = &adapter{ready: now.Add(adapterTime), lastUse: now}
+		}
+	}
+}
+
+// undo takes back what was booked when the order was given.
+func (c *Core) undo(s *server, order Order) {
+	if order.Operation == Load && order.Adapter == "" {
+		s.loading = nil
+	}
+	if order.Operation == Unload && order.Adapter == "" {
+		s.unloading = ""
+	}
+	if order.Operation == Load && order.Adapter != "" {
+		if model, ok := s.held[order.Model]; ok {
+			delete(model.adapters, order.Adapter)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placer/messages.go
@@ -0,0 +1,116 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+// Operation is what an order asks for.
+type Operation int
+
+const (
+	// Load brings a model, or an adapter of a model that is there.
+	Load Operation = iota + 1
+	// Unload drops a model, or an adapter.
+	Unload
+)
+
+// String names the operation in logs.
+func (o Operation) String() string {
+	if o == Load {
+		return "load"
+	}
+	return "unload"
+}
+
+// Order is one order to a server.
+type Order struct {
+	ServerID  string
+	Address   string
+	Operation Operation
+	Model     string
+	Adapter   string
+	// Expected is the number of orders that the server must have taken.
+	Expected int64
+	// Source is where the weights come from, for logs.
+	Source Source
+	Reason string
+}
+
+// Source is where weights are loaded from.
+type Source int
+
+const (
+	// SourceNone is an order that loads no weights.
+	SourceNone Source = iota
+	// SourceStore is the weight store, whose loads are bounded.
+	SourceStore
+	// SourceDisk is the server's disk.
+	SourceDisk
+	// SourceMemory is the server's memory.
+	SourceMemory
+)
+
+// Result is how a server answered an order.
+type Result int
+
+const (
+	// ResultTaken is an order that is being done.
+	ResultTaken Result = iota + 1
+	// ResultHeld is an order for what the server holds already.
+	ResultHeld
+	// ResultBusy is an order that another one, or another count, kept out.
+	ResultBusy
+	// ResultFenced is an order under a token that is too low.
+	ResultFenced
+	// ResultGone is an order at an address that another server has.
+	ResultGone
+	// ResultRefused is an order that the server can't do.
+	ResultRefused
+	// ResultUnknown is an order without an answer: it may be done now or later.
+	ResultUnknown
+	// ResultNotSent is an order that did not leave.
+	ResultNotSent
+)
+
+// Report is what a server says of itself when asked.
+type Report struct {
+	Models   []inventory.HeldModel
+	Pending  []dispatch.Wanted
+	Busy     bool
+	Sequence int64
+}
+
+// ReportCall asks for a server's report.
+type ReportCall struct {
+	ServerID string
+	Address  string
+}
+
+// Count is what one node counted of the requests for one thing wanted.
+type Count struct {
+	Wanted       dispatch.Wanted
+	Asked        uint64
+	Waiting      int
+	PromptTokens uint64
+}
+
+// Effects are what the core wants done.
+type Effects struct {
+	Orders  []Order
+	Reports []ReportCall
+	// Changed is set where Views returns something new.
+	Changed bool
+}
+
+// Options set up a Core.
+type Options struct {
+	// Window and Overage bound the loads from the weight store: at most rate x
+	// Window x Overage + Spare begin in any Window.
+	Window  time.Duration
+	Overage float64
+	// Zone of the leader; it orders nothing by it today.
+	Zone string
+}
--- /dev/null
+++ b/internal/placer/server.go
@@ -0,0 +1,133 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// server is what the leader knows of one server's models.
+type server struct {
+	info inventory.Server
+	// synced is set once a report of this term was read. Nothing is ordered
+	// before.
+	synced   bool
+	sequence int64
+	held     map[string]*held
+	// loading is the model under way; its memory is used from the order on.
+	loading *loading
+	// unloading is set while the server drops a model.
+	unloading   string
+	unloadUntil time.Time
+	// ordering is set while an order has no answer yet.
+	ordering *Order
+	// unsure is an order without an answer that may still be carried out.
+	unsure *Order
+	// reportAt is when a report is asked for next; zero is not at all.
+	reportAt  time.Time
+	reporting bool
+	// pauseUntil keeps orders off a server that just refused one.
+	pauseUntil time.Time
+	copies     map[string]Source
+	intent     intent
+}
+
+type held struct {
+	lastUse  time.Time
+	since    time.Time
+	adapters map[string]*adapter
+}
+
+type adapter struct {
+	// ready is when the adapter can be used.
+	ready   time.Time
+	lastUse time.Time
+}
+
+type loading struct {
+	model  string
+	source Source
+	began  time.Time
+	ready  time.Time
+}
+
+func newServer(info inventory.Server, now time.Time) *server {
+	return &server{info: info, held: make(map[string]*held), copies: make(map[string]Source), reportAt: now}
+}
+
+// noteCopies remembers the weights that a server keeps beside those it holds.
+func (s *server) noteCopies() {
+	for _, model := range s.info.OnDisk {
+		s.copies[model] = SourceDisk
+	}
+	for _, model := range s.info.InMemory {
+		s.copies[model] = SourceMemory
+	}
+}
+
+// usedMB is the memory of all that the server holds or may come to hold.
+func (s *server) usedMB(engine *routetable.Engine) float64 {
+	used := adapterReserve(engine)
+	for model := range s.held {
+		used += engine.Models[model].WeightsMB
+	}
+	if s.loading != nil {
+		used += engine.Models[s.loading.model].WeightsMB
+	}
+	return used
+}
+
+// adapterReserve is the memory of all adapters that a server can hold.
+func adapterReserve(engine *routetable.Engine) float64 {
+	largest := 0.0
+	for _, model := range engine.Models {
+		if model.Adapters > 0 {
+			largest = max(largest, model.AdapterMB)
+		}
+	}
+	return largest * float64(engine.AdapterSlots)
+}
+
+func (s *server) adapterCount() int {
+	count := 0
+	for _, model := range s.held {
+		count += len(model.adapters)
+	}
+	return count
+}
+
+func (s *server) pendingAdapters(now time.Time) int {
+	count := 0
+	for _, model := range s.held {
+		for _, adapter := range model.adapters {
+			if now.Before(adapter.ready) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// canTake reports whether the server may be ordered something now.
+func (s *server) canTake(now time.Time) bool {
+	return s.synced && !s.info.Draining && s.ordering == nil && s.loading == nil && s.unloading == "" &&
+		!now.Before(s.pauseUntil)
+}
+
+func (s *server) has(model string) bool {
+	_, ok := s.held[model]
+	return ok
+}
+
+// loadTime is the time of a load at the server, and where it comes from.
+func (s *server) loadTime(model routetable.Model) (time.Duration, Source) {
+	switch s.copies[model.Name] {
+	case SourceMemory:
+		return model.MemoryLoad, SourceMemory
+	case SourceDisk:
+		return model.DiskLoad, SourceDisk
+	default:
+		return model.Load, SourceStore
+	}
+}
--- /dev/null
+++ b/internal/placer/views.go
@@ -0,0 +1,44 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+)
+
+// Views are what the leader says of each server that it knows.
+func (c *Core) Views(now time.Time) []dispatch.View {
+	var views []dispatch.View
+	for _, s := range c.sorted() {
+		if s.synced {
+			views = append(views, s.view(now))
+		}
+	}
+	return views
+}
+
+func (s *server) view(now time.Time) dispatch.View {
+	view := dispatch.View{
+		ServerID: s.info.ID,
+		Sequence: s.sequence,
+		Held:     make(map[string][]string, len(s.held)),
+		Loading:  make(map[string]time.Duration),
+	}
+	for name, model := range s.held {
+		adapters := make([]string, 0, len(model.adapters))
+		for adapterName, adapter := range model.adapters {
+			if left := adapter.ready.Sub(now); left > 0 {
+				view.Loading[name+"/"+adapterName] = left
+			} else {
+				adapters = append(adapters, adapterName)
+			}
+		}
+		slices.Sort(adapters)
+		view.Held[name] = adapters
+	}
+	if s.loading != nil {
+		view.Loading[s.loading.model] = max(time.Millisecond, s.loading.ready.Sub(now))
+	}
+	return view
+}
--- /dev/null
+++ b/internal/storelease/lease.go
@@ -0,0 +1,194 @@
+// Package storelease is the core of a lease that lies in a linearizable store
+// as an object with a revision. At most one machine believes at a time that it
+// holds the lease, by its own steady clock alone:
+//
+//   - a holder counts from before it sent the write that took or renewed it, for
+//     Duration;
+//   - a successor counts from when it first saw the object's newest revision,
+//     which is after that write, for Duration and Margin, and only then writes
+//     under the condition that the revision is still that one.
+//
+// Each write raises the revision, so the revision of the write that took the
+// lease serves as the fencing token: it rises from holder to holder.
+//
+// It may import the standard library only. No I/O, no clock, no goroutine.
+package storelease
+
+import "time"
+
+// Options set up a Core.
+type Options struct {
+	// Holder is the machine; a process that restarts there is the same holder.
+	Holder string
+	// Duration is how long a write keeps the lease.
+	Duration time.Duration
+	// Renewal is the time between writes of the holder.
+	Renewal time.Duration
+	// Margin covers clocks that run apart, and writes on their way.
+	Margin time.Duration
+	// Quiet is the time that passes between the last order of one holder and
+	// the first of another.
+	Quiet time.Duration
+}
+
+// Record is the object as the store has it.
+type Record struct {
+	Holder string
+	// Released is set once the holder gave the lease up; it sends nothing more.
+	Released bool
+	// Quiet is how long after this write the holder gives its first order; a
+	// process that starts anew at the holder goes on to wait for it.
+	Quiet    time.Duration
+	Revision int64
+}
+
+// Core follows the lease for one machine. It is not safe for concurrent use.
+type Core struct {
+	options Options
+	record  Record
+	// known is false until the object was read or written.
+	known bool
+	// seen is when the newest revision was first seen.
+	seen time.Time
+	// reads counts the reads that showed the newest revision unchanged.
+	reads int
+	// term is the fencing token; 0 while another holds the lease.
+	term       int64
+	validUntil time.Time
+	orderFrom  time.Time
+	// attemptFrom is the first order after an earlier write of this process
+	// that may have taken the lease without an answer.
+	attemptFrom time.Time
+	// wasFree is set where nobody held the lease before this term.
+	wasFree bool
+	// lastOrders is when the holder before may have given its last order.
+	lastOrders time.Time
+}
+
+// New returns a core that knows nothing of the lease.
+func New(options Options) *Core {
+	return &Core{options: options}
+}
+
+// Observe takes the object as read.
+func (c *Core) Observe(now time.Time, record Record) {
+	if c.known && record.Revision < c.record.Revision {
+		return
+	}
+	if !c.known || record.Revision != c.record.Revision {
+		c.seen = now
+		c.reads = 0
+	} else {
+		c.reads++
+	}
+	c.known = true
+	c.record = record
+	if record.Holder != c.options.Holder || record.Released {
+		c.term = 0
+	}
+}
+
+// Absent takes that there is no such object.
+func (c *Core) Absent(now time.Time) {
+	if !c.known {
+		c.seen = now
+	}
+	c.known = true
+	c.record = Record{}
+	c.term = 0
+}
+
+// Record is the object as last seen.
+func (c *Core) Record() Record { return c.record }
+
+// CanTake reports whether a write under the condition of the known revision
+// may take the lease.
+func (c *Core) CanTake(now time.Time) bool {
+	switch {
+	case !c.known:
+		return false
+	case c.record.Holder == "" || c.record.Released || c.record.Holder == c.options.Holder:
+		return true
+	default:
+		return c.reads > 0 && now.Sub(c.seen) > c.options.Duration+c.options.Margin
+	}
+}
+
+// Attempt returns the record to write at now, under the condition of the known
+// revision.
+func (c *Core) Attempt(now time.Time) Record {
+	from := c.orderFrom
+	if c.term == 0 {
+		from = c.firstOrder(now)
+		c.attemptFrom = from
+	}
+	return Record{Holder: c.options.Holder, Quiet: max(0, from.Sub(now)), Revision: c.record.Revision}
+}
+
+// Taken takes the answer to a write of this machine that was sent at sent.
+func (c *Core) Taken(sent, now time.Time, revision int64) {
+	if c.term == 0 {
+		c.term = revision
+		c.orderFrom = c.firstOrder(sent)
+		c.wasFree = c.record.Holder == ""
+		c.lastOrders = sent
+		if c.record.Holder != c.options.Holder {
+			c.lastOrders = c.orderFrom.Add(-c.options.Quiet)
+		}
+	}
+	c.record = Record{Holder: c.options.Holder, Revision: revision}
+	c.known = true
+	c.seen = now
+	c.reads = 0
+	c.validUntil = sent.Add(c.options.Duration)
+}
+
+// firstOrder is when the first order of a term may leave: another machine's
+// last order left before its lease ended, or before it gave it up.
+func (c *Core) firstOrder(sent time.Time) time.Time {
+	from := sent
+	switch {
+	case c.record.Holder == "":
+	case c.record.Holder == c.options.Holder:
+		from = c.seen.Add(c.record.Quiet)
+	case c.record.Released:
+		from = c.seen.Add(c.options.Quiet + c.options.Margin)
+	default:
+		from = c.seen.Add(c.options.Duration + c.options.Quiet + c.options.Margin)
+	}
+	if c.attemptFrom.After(from) {
+		from = c.attemptFrom
+	}
+	return from
+}
+
+// Term is the fencing token, or 0 where this machine does not hold the lease
+// by the store's newest word.
+func (c *Core) Term() int64 { return c.term }
+
+// MayOrder reports whether an order may leave now.
+func (c *Core) MayOrder(now time.Time) bool {
+	return c.term != 0 && now.Before(c.validUntil) && !now.Before(c.orderFrom)
+}
+
+// OrderFrom is when the first order of the term may leave.
+func (c *Core) OrderFrom() time.Time { return c.orderFrom }
+
+// WasFree reports whether nobody held the lease before this term.
+func (c *Core) WasFree() bool { return c.wasFree }
+
+// LastOrders is when the holder before may have given its last order.
+func (c *Core) LastOrders() time.Time { return c.lastOrders }
+
+// RenewAt is when the holder writes next.
+func (c *Core) RenewAt() time.Time {
+	return c.validUntil.Add(c.options.Renewal - c.options.Duration)
+}
+
+// Lapsed is how long ago the lease ended, or 0 while it is held.
+func (c *Core) Lapsed(now time.Time) time.Duration {
+	return max(0, now.Sub(c.validUntil))
+}
+
+// Lost takes that another write won.
+func (c *Core) Lost() { c.term = 0 }
