Place models calmly: drop loose and surplus copies only, believe the leader's view before entries

Cause: the entry's sequence counts beats, not orders, so views were passed over; room made for one model was taken by an idle load of another; replicas drove out copies in use, whose unloads wait for their runs. Ruled out: the weight store's rate (loads took their told time).

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -98,12 +98,12 @@
 	c.term = term
 	for i := range views {
 		known, ok := c.servers[views[i].ServerID]
-		if !ok || (known.view != nil && known.view.Sequence > views[i].Sequence) {
+		if !ok || (known.view != nil && known.viewTerm == term && known.view.Sequence > views[i].Sequence) {
 			continue
 		}
 		known.view = &views[i]
 		known.viewAt = now
-		known.merge()
+		known.viewTerm = term
 	}
 	c.notify()
 }
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -13,6 +13,7 @@
 type demand struct {
 	asked   int
 	tokens  int
+	goal    time.Duration
 	waiting int
 	lastAsk time.Time
 }
@@ -24,16 +25,21 @@
 	Asked int
 	// PromptTokens are those of the requests asked.
 	PromptTokens int
+	// Goal is the tightest objective among them.
+	Goal time.Duration
 	// Waiting requests have no server now.
 	Waiting int
 	LastAsk time.Time
 }
 
 // Asked counts a request with its prompt.
-func (c *Core) Asked(now time.Time, wanted Wanted, promptTokens int) {
+func (c *Core) Asked(now time.Time, wanted Wanted, promptTokens int, goal time.Duration) {
 	counted := c.demandOf(wanted)
 	counted.asked++
 	counted.tokens += promptTokens
+	if goal > 0 && (counted.goal == 0 || goal < counted.goal) {
+		counted.goal = goal
+	}
 	counted.lastAsk = now
 }
 
@@ -57,7 +63,7 @@
 	for wanted, counted := range c.demand {
 		if counted.waiting > 0 || counted.lastAsk.After(since) {
 			counts = append(counts, DemandCount{
-				Wanted: wanted, Asked: counted.asked, PromptTokens: counted.tokens, Waiting: counted.waiting, LastAsk: counted.lastAsk,
+				Wanted: wanted, Asked: counted.asked, PromptTokens: counted.tokens, Goal: counted.goal, Waiting: counted.waiting, LastAsk: counted.lastAsk,
 			})
 		}
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/inventory"
@@ -10,12 +11,12 @@
 // server is what the node believes of one server.
 type server struct {
 	info inventory.Server
-	// held are the models of the entry or, where the leader's view is at least
-	// as new, of that view.
+	// held are the models of the entry.
 	held map[string]map[string]bool
 	view *View
-	// viewAt is when the leader's view came.
-	viewAt time.Time
+	// viewAt is when the leader's view came, and viewTerm the term it is of.
+	viewAt   time.Time
+	viewTerm int64
 	// running and pendingTokens are this node's own requests in flight: all of
 	// them, and the prompt tokens of those whose answer has not begun.
 	running       int
@@ -60,19 +61,13 @@
 	s.merge()
 }
 
-// merge rebuilds what is held. The leader's view goes before the entry unless
-// the entry has counted more orders.
+// viewAge is how long the leader's view goes before a server's own entry. The
+// leader repeats it every second.
+const viewAge = 3 * time.Second
+
+// merge rebuilds the models that the entry names.
 func (s *server) merge() {
-	s.held = make(map[string]map[string]bool)
-	if s.view != nil && s.view.Sequence >= s.info.Sequence {
-		for model, adapters := range s.view.Held {
-			s.held[model] = make(map[string]bool)
-			for _, adapter := range adapters {
-				s.held[model][adapter] = true
-			}
-		}
-		return
-	}
+	s.held = make(map[string]map[string]bool, len(s.info.Models))
 	for _, model := range s.info.Models {
 		adapters := make(map[string]bool, len(model.Adapters))
 		for _, adapter := range model.Adapters {
@@ -82,6 +77,10 @@
 	}
 }
 
+func (s *server) hasView(now time.Time) bool {
+	return s.view != nil && now.Sub(s.viewAt) < viewAge
+}
+
 func (s *server) holds(now time.Time, model, adapter string) bool {
 	if !s.has(now, model, adapter) {
 		return false
@@ -89,15 +88,14 @@
 	return now.After(s.absentUntil[joined(model, adapter)])
 }
 
-// has goes by the leader's word that a load has ended by now, too: its next
+// has goes by the leader's view, also for a load that has ended by now: its next
 // report would only come later.
 func (s *server) has(now time.Time, model, adapter string) bool {
-	adapters, ok := s.held[model]
-	if !ok {
-		left, loading := s.readyIn(now, model, "")
-		return loading && left == 0 && adapter == ""
+	if !s.hasView(now) {
+		adapters, ok := s.held[model]
+		return ok && (adapter == "" || adapters[adapter])
 	}
-	if adapter == "" || adapters[adapter] {
+	if adapters, ok := s.view.Held[model]; ok && (adapter == "" || slices.Contains(adapters, adapter)) {
 		return true
 	}
 	left, loading := s.readyIn(now, model, adapter)
@@ -106,7 +104,7 @@
 
 // readyIn is when the server will hold the model, where an order is under way.
 func (s *server) readyIn(now time.Time, model, adapter string) (time.Duration, bool) {
-	if s.view == nil {
+	if !s.hasView(now) {
 		return 0, false
 	}
 	ready, ok := s.view.Loading[joined(model, adapter)]
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -12,9 +12,9 @@
 
 const (
 	// watchTime is how long one watch waits.
-	watchTime = 3 * time.Second
+	watchTime = 5 * time.Second
 	// watchPause gathers changes that come in quick succession into one call.
-	watchPause = 250 * time.Millisecond
+	watchPause = 800 * time.Millisecond
 	// Pauses after a failed call to the store; they double up to the longest.
 	shortestPause = 100 * time.Millisecond
 	longestPause  = 800 * time.Millisecond
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -334,7 +334,7 @@
 	l.node.dispatch.Do(func(core *dispatch.Core) {
 		for _, count := range core.Demand(now.Add(-wantedAge)) {
 			counts = append(counts, placer.Count{
-				Wanted: count.Wanted, Asked: uint64(count.Asked), Waiting: count.Waiting, PromptTokens: uint64(count.PromptTokens),
+				Wanted: count.Wanted, Asked: uint64(count.Asked), Waiting: count.Waiting, PromptTokens: uint64(count.PromptTokens), Goal: count.Goal,
 			})
 		}
 	})
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -214,6 +214,7 @@
 			state.Wanted = append(state.Wanted, &peerpb.WantedCount{
 				Service: count.Wanted.Service, Model: count.Wanted.Model, Adapter: count.Wanted.Adapter,
 				Asked: uint64(count.Asked), Waiting: uint32(count.Waiting), PromptTokens: uint64(count.PromptTokens),
+				GoalMs: uint32(count.Goal.Milliseconds()),
 			})
 		}
 	})
@@ -303,6 +304,7 @@
 			Asked:        count.Asked,
 			Waiting:      int(count.Waiting),
 			PromptTokens: count.PromptTokens,
+			Goal:         time.Duration(count.GoalMs) * time.Millisecond,
 		})
 	}
 	return counts
--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -45,9 +45,9 @@
 		}
 		known.fade(now)
 		copies := adapterCopies(servers, wanted)
-		needed := 1 + int(known.rate/adapterRate)
+		needed := 1 + int(known.fast.requests/adapterRate)
 		if copies < needed {
-			wants = append(wants, adapterWant{wanted: wanted, waiting: known.waits(now), rate: known.rate, copies: copies})
+			wants = append(wants, adapterWant{wanted: wanted, waiting: known.waits(now), rate: known.fast.requests, copies: copies})
 		}
 	}
 	slices.SortFunc(wants, func(a, b adapterWant) int {
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -75,11 +75,20 @@
 	}
 }
 
-// checkEntry asks for a report where the entry has counted orders that this
-// leader does not know of.
+// checkEntry asks for a report where the entry names other models than this
+// leader knows of. The entry lags, so this may be for nothing.
 func (c *Core) checkEntry(now time.Time, s *server) {
-	if s.synced && s.info.Sequence > s.sequence && s.ordering == nil {
-		s.askReport(now)
+	if !s.synced || s.ordering != nil || s.loading != nil {
+		return
+	}
+	for _, model := range s.info.Models {
+		if !s.has(model.Name) {
+			s.askReport(now.Add(reportLag))
+			return
+		}
+	}
+	if len(s.info.Models) != len(s.held) {
+		s.askReport(now.Add(reportLag))
 	}
 }
 
@@ -152,14 +161,6 @@
 
 // advance ends what its time has come for.
 func (c *Core) advance(now time.Time) {
-	for _, s := range c.servers {
-		if s.unloading != "" && now.After(s.unloadUntil) {
-			s.askReport(now)
-		}
-		if s.loading != nil && now.After(s.loading.ready) {
-			s.askReport(now)
-		}
-	}
 	for service, begun := range c.storeLoads {
 		c.storeLoads[service] = slices.DeleteFunc(begun, func(at time.Time) bool {
 			return now.Sub(at) > c.options.Window+windowSlack
@@ -248,6 +249,9 @@
 		s.sequence = order.Expected + 1
 		s.unsure = nil
 		c.took(now, s, order)
+		if s.loading != nil {
+			s.askReport(s.loading.ready)
+		}
 	case ResultHeld:
 		c.undo(s, order)
 		s.askReport(now)
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -9,37 +9,67 @@
 
 // interest is what all nodes together want of one thing.
 type interest struct {
-	// rate is requests in a second, faded over rateTime.
-	rate   float64
-	tokens float64
+	// fast follows the demand of now, slow that of some time.
+	fast   flow
+	slow   flow
 	fadeAt time.Time
+	// goal is the tightest objective of those who ask; 0 where none is told.
+	goal time.Duration
 	// lastAsk is when the last request came.
 	lastAsk time.Time
 	// waiting are requests that have no server now, by node.
 	waiting map[string]waiting
 }
 
+// flow is requests and prompt tokens in a second, faded over time.
+type flow struct {
+	requests float64
+	tokens   float64
+}
+
+func (f *flow) fade(past, over time.Duration) {
+	keep := math.Exp(-past.Seconds() / over.Seconds())
+	f.requests *= keep
+	f.tokens *= keep
+}
+
+func (f *flow) add(requests, tokens float64, over time.Duration) {
+	f.requests += requests / over.Seconds()
+	f.tokens += tokens / over.Seconds()
+}
+
 type waiting struct {
 	count int
 	at    time.Time
 }
 
 const (
-	// rateTime is the time over which rates fade.
-	rateTime = 3 * time.Second
+	// fastTime and slowTime are the times over which rates fade.
+	fastTime = 3 * time.Second
+	slowTime = 12 * time.Second
 	// waitingAge is how long a node's word of its waiting requests is believed.
 	waitingAge = 1500 * time.Millisecond
 )
 
 func (i *interest) fade(now time.Time) {
 	if !i.fadeAt.IsZero() {
-		keep := math.Exp(-now.Sub(i.fadeAt).Seconds() / rateTime.Seconds())
-		i.rate *= keep
-		i.tokens *= keep
+		i.fast.fade(now.Sub(i.fadeAt), fastTime)
+		i.slow.fade(now.Sub(i.fadeAt), slowTime)
 	}
 	i.fadeAt = now
 }
 
+// add counts requests that came just now.
+func (i *interest) add(now time.Time, requests, tokens float64, goal time.Duration) {
+	i.fade(now)
+	i.fast.add(requests, tokens, fastTime)
+	i.slow.add(requests, tokens, slowTime)
+	i.lastAsk = now
+	if goal > 0 && (i.goal == 0 || goal < i.goal) {
+		i.goal = goal
+	}
+}
+
 func (i *interest) waits(now time.Time) int {
 	total := 0
 	for _, w := range i.waiting {
@@ -77,24 +107,17 @@
 		}
 		added := float64(count.Asked - previous.Asked)
 		tokens := float64(count.PromptTokens - min(previous.PromptTokens, count.PromptTokens))
-		wanted.fade(now)
-		wanted.rate += added / rateTime.Seconds()
-		wanted.tokens += tokens / rateTime.Seconds()
-		wanted.lastAsk = now
+		wanted.add(now, added, tokens, count.Goal)
 		if count.Wanted.Adapter != "" {
-			c.addToModel(now, count.Wanted, added, tokens)
+			c.modelOf(count.Wanted).add(now, added, tokens, count.Goal)
 		}
 	}
 }
 
-// addToModel counts a request for an adapter as one for its model too.
-func (c *Core) addToModel(now time.Time, wanted dispatch.Wanted, added, tokens float64) {
+// modelOf is the interest in an adapter's model.
+func (c *Core) modelOf(wanted dispatch.Wanted) *interest {
 	wanted.Adapter = ""
-	model := c.interestIn(wanted)
-	model.fade(now)
-	model.rate += added / rateTime.Seconds()
-	model.tokens += tokens / rateTime.Seconds()
-	model.lastAsk = now
+	return c.interestIn(wanted)
 }
 
 func (c *Core) interestIn(wanted dispatch.Wanted) *interest {
--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -13,20 +13,30 @@
 
 // intent keeps a server that is being emptied for one model.
 type intent struct {
-	model string
-	until time.Time
+	model  string
+	source Source
+	until  time.Time
 }
 
-// Penalties, in seconds of somebody's waiting, of dropping a copy.
+// Penalties, in seconds of somebody's waiting, of dropping a copy. A model whose
+// callers would wait for a load without being late is dropped first.
 const (
 	// surplusPenalty is for a copy beyond those needed.
 	surplusPenalty = 0.02
-	// replicaPenalty is for a needed copy that is not the last.
+	// replicaPenalty is for a copy that is in use.
 	replicaPenalty = 0.35
+	// loosePenalty is for the last copy where a load is in time.
+	loosePenalty = 0.2
+	// unknownPenalty is for a model that nobody asked for yet.
+	unknownPenalty = 0.23
+	// tightPenalty is for the last copy where a load makes its callers late.
+	tightPenalty = 2.5
 	// forgetTime is how fast the chance fades that a silent model is asked for.
-	forgetTime = 8 * time.Second
-	// youngTime is how long a loaded model is kept whatever comes.
-	youngTime = 1500 * time.Millisecond
+	forgetTime = 10 * time.Second
+	// runTime is how long a request may run on: dropping a model waits for that.
+	runTime = 2 * time.Second
+	// tightMargin is what passes beside the load itself.
+	tightMargin = 500 * time.Millisecond
 )
 
 // victims are the models to drop from the server to make room for one more, and
@@ -66,70 +76,32 @@
 // penalty is what dropping a copy of a model from a server costs.
 func (c *Core) penalty(now time.Time, service string, engine *routetable.Engine, servers []*server, s *server, name string) float64 {
 	copies := copiesOf(servers, name)
-	needed := c.needed(now, service, name, len(servers))
-	switch {
-	case copies > max(1, needed):
-		return surplusPenalty
-	case now.Sub(s.held[name].since) < youngTime && needed > 0:
-		return math.Inf(1)
-	case copies > 1:
-		return replicaPenalty
-	case c.waitsFor(now, service, name) > 0:
-		return math.Inf(1)
-	}
-	reload, _ := s.loadTime(engine.Models[name])
+	known := c.interests[dispatch.Wanted{Service: service, Model: name}]
 	silent := now.Sub(s.held[name].since)
-	if known, ok := c.interests[dispatch.Wanted{Service: service, Model: name}]; ok && !known.lastAsk.IsZero() {
+	if known != nil {
 		silent = now.Sub(known.lastAsk)
 	}
-	chance := 1 / (1 + silent.Seconds()/forgetTime.Seconds())
-	return reload.Seconds() * chance
-}
-
-// fillIdle loads models that stand nowhere into free memory, so that the first
-// request for one finds it.
-func (c *Core) fillIdle(now time.Time, service string, engine *routetable.Engine, servers []*server) {
-	if len(servers) == 0 || !allSynced(servers) {
-		return
-	}
-	names := make([]string, 0, len(engine.Models))
-	for name := range engine.Models {
-		if copiesOf(servers, name) == 0 {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		if !c.storeAllows(now, service, engine, false) {
-			return
-		}
-		c.fill(now, service, engine, servers, engine.Models[name])
-	}
-}
-
-func allSynced(servers []*server) bool {
-	for _, s := range servers {
-		if !s.synced && !s.info.Draining {
-			return false
-		}
-	}
-	return true
-}
-
-// fill loads the model where the room that is left is smallest.
-func (c *Core) fill(now time.Time, service string, engine *routetable.Engine, servers []*server, model routetable.Model) {
-	best := choice{cost: math.Inf(1)}
-	for _, s := range servers {
-		room := engine.MemoryMB - s.usedMB(engine) - model.WeightsMB
-		if room < 0 || !s.canTake(now) || s.isKeptFor(now, model.Name) {
-			continue
-		}
-		takes, source := s.loadTime(model)
-		if room < best.cost {
-			best = choice{server: s, source: source, takes: takes, cost: room}
+	switch {
+	case copies > max(1, c.kept(now, service, name, len(servers))):
+		if silent < runTime {
+			return surplusPenalty + replicaPenalty
 		}
+		return surplusPenalty
+	case known == nil:
+		return unknownPenalty
+	case c.waitsFor(now, service, name) > 0 || silent < runTime:
+		return math.Inf(1)
 	}
-	if best.server != nil {
-		c.orderLoad(now, service, engine, servers, best, model)
+	fades := 1 / (1 + silent.Seconds()/forgetTime.Seconds())
+	isTight := known.goal > 0 && known.goal < engine.Models[name].Load+tightMargin
+	switch {
+	case isTight && copies > 1:
+		return replicaPenalty + tightPenalty*fades/4
+	case isTight:
+		return replicaPenalty + tightPenalty*fades
+	case copies > 1:
+		return surplusPenalty
+	default:
+		return loosePenalty * fades
 	}
 }
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -95,6 +95,8 @@
 	Asked        uint64
 	Waiting      int
 	PromptTokens uint64
+	// Goal is the tightest objective of those requests.
+	Goal time.Duration
 }
 
 // Effects are what the core wants done.
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -33,7 +33,6 @@
 		servers := c.serversOf(name)
 		c.planModels(now, name, engine, servers)
 		c.planAdapters(now, name, engine, servers)
-		c.fillIdle(now, name, engine, servers)
 	}
 }
 
@@ -44,7 +43,7 @@
 // Thresholds of demand.
 const (
 	// copyTokens is the prompt tokens in a second that call for one more copy.
-	copyTokens = 8000.0
+	copyTokens = 12000.0
 	// spareRate is the requests in a second from which a model has two copies,
 	// so that the loss of one leaves another.
 	spareRate = 0.5
@@ -52,15 +51,30 @@
 	interestAge = 20 * time.Second
 )
 
-// needed is the number of copies that a model should have.
+// needed is the number of copies that a model should have by the demand of now.
 func (c *Core) needed(now time.Time, service, model string, servers int) int {
 	known, ok := c.interests[dispatch.Wanted{Service: service, Model: model}]
 	if !ok || now.Sub(known.lastAsk) > interestAge {
 		return 0
 	}
 	known.fade(now)
-	count := 1 + int(known.tokens/copyTokens)
-	if known.rate > spareRate {
+	return copiesFor(known.fast, servers)
+}
+
+// kept is the number of copies that are kept by the demand of some time, which
+// falls more slowly than it rises.
+func (c *Core) kept(now time.Time, service, model string, servers int) int {
+	known, ok := c.interests[dispatch.Wanted{Service: service, Model: model}]
+	if !ok {
+		return 0
+	}
+	known.fade(now)
+	return max(copiesFor(known.fast, servers), copiesFor(known.slow, servers))
+}
+
+func copiesFor(flow flow, servers int) int {
+	count := 1 + int(flow.tokens/copyTokens)
+	if flow.requests > spareRate {
 		count = max(count, 2)
 	}
 	return min(count, max(1, servers/2))
@@ -84,7 +98,7 @@
 		}
 		wanted := want{model: model, copies: copies, needed: needed, waiting: c.waitsFor(now, service, name)}
 		if known := c.interests[dispatch.Wanted{Service: service, Model: name}]; known != nil {
-			wanted.rate = known.rate
+			wanted.rate = known.fast.requests
 		}
 		wants = append(wants, wanted)
 	}
@@ -107,16 +121,13 @@
 		if s.info.Draining {
 			continue
 		}
-		if s.has(model) || (s.loading != nil && s.loading.model == model) || s.intends(model) {
+		if s.has(model) || (s.loading != nil && s.loading.model == model) {
 			count++
 		}
 	}
 	return count
 }
 
-// intends reports whether the server is being emptied for the model.
-func (s *server) intends(model string) bool { return s.intent.model == model }
-
 // choice is one way to load a model.
 type choice struct {
 	server  *server
@@ -136,11 +147,14 @@
 			continue
 		}
 		takes, source := s.loadTime(model)
-		if source == SourceStore && !c.storeAllows(now, service, engine, urgent) {
+		if source == SourceStore && !c.storeAllows(now, service, engine, model.Name, urgent) {
 			continue
 		}
 		victims, penalty := c.victims(now, service, engine, servers, s, model)
 		cost := takes.Seconds() + penalty + c.sameZone(servers, s, model.Name)
+		if s.isMeantFor(now, model.Name) {
+			cost -= intentBonus
+		}
 		if !urgent && penalty > maxSparePenalty {
 			continue
 		}
@@ -152,17 +166,21 @@
 		return
 	}
 	if len(best.victims) > 0 {
-		best.server.intent = intent{model: model.Name, until: now.Add(intentTime)}
+		best.server.intent = intent{model: model.Name, source: best.source, until: now.Add(intentTime)}
 		c.orderUnload(best.server, best.victims[0], "room_for_"+model.Name)
 		return
 	}
 	best.server.intent = intent{}
-	c.orderLoad(now, service, engine, servers, best, model)
+	reason := "replica"
+	if urgent {
+		reason = "wanted"
+	}
+	c.orderLoad(now, service, engine, servers, best, model, reason)
 }
 
 // maxSparePenalty bounds what is given up for one more copy of a model that
 // has some.
-const maxSparePenalty = 0.4
+const maxSparePenalty = 0.25
 
 // sameZoneCost is the malus for a zone that has a copy already.
 const sameZoneCost = 0.15
@@ -176,19 +194,27 @@
 	return 0
 }
 
+// intentBonus makes a load go where room was made for it.
+const intentBonus = 1.0
+
+func (s *server) isMeantFor(now time.Time, model string) bool {
+	return s.intent.model == model && now.Before(s.intent.until)
+}
+
+// isKeptFor reports whether room was made for another model.
 func (s *server) isKeptFor(now time.Time, model string) bool {
 	return s.intent.model != "" && s.intent.model != model && now.Before(s.intent.until)
 }
 
-func (c *Core) orderLoad(now time.Time, service string, engine *routetable.Engine, servers []*server, best choice, model routetable.Model) {
+func (c *Core) orderLoad(now time.Time, service string, engine *routetable.Engine, servers []*server, best choice, model routetable.Model, reason string) {
 	s := best.server
 	takes := best.takes
 	if best.source == SourceStore {
 		c.storeLoads[service] = append(c.storeLoads[service], now)
-		takes = time.Duration(float64(takes) * max(1, float64(storeLoading(servers)+1)/float64(loadsAtOnce(engine))))
+		takes = time.Duration(float64(takes) * max(1, float64(storeLoading(now, servers, model.Name)+1)/float64(loadsAtOnce(engine))))
 	}
 	s.loading = &loading{model: model.Name, source: best.source, began: now, ready: now.Add(takes + loadMargin)}
-	c.give(s, Order{Operation: Load, Model: model.Name, Source: best.source, Reason: "wanted"})
+	c.give(s, Order{Operation: Load, Model: model.Name, Source: best.source, Reason: reason})
 }
 
 // loadMargin covers the way of an order and what a load takes beyond its time.
@@ -210,11 +236,14 @@
 	c.effects.Changed = true
 }
 
-// storeLoading counts the loads from the weight store under way.
-func storeLoading(servers []*server) int {
+// storeLoading counts the loads from the weight store that are under way, or
+// for which a server is being emptied.
+func storeLoading(now time.Time, servers []*server, besides string) int {
 	count := 0
 	for _, s := range servers {
-		if s.loading != nil && s.loading.source == SourceStore {
+		isLoading := s.loading != nil && s.loading.source == SourceStore
+		isMeant := s.intent.source == SourceStore && s.isKeptFor(now, besides)
+		if isLoading || isMeant {
 			count++
 		}
 	}
@@ -250,12 +279,12 @@
 }
 
 // storeAllows reports whether one more load from the weight store may begin.
-func (c *Core) storeAllows(now time.Time, service string, engine *routetable.Engine, urgent bool) bool {
+func (c *Core) storeAllows(now time.Time, service string, engine *routetable.Engine, model string, urgent bool) bool {
 	allowed := float64(c.loadsPerWindow(engine))
 	atOnce := loadsAtOnce(engine)
 	if !urgent {
 		allowed *= idleShare
 		atOnce = max(1, atOnce/2)
 	}
-	return float64(len(c.storeLoads[service])) < allowed && storeLoading(c.serversOf(service)) < atOnce
+	return float64(len(c.storeLoads[service])) < allowed && storeLoading(now, c.serversOf(service), model) < atOnce
 }
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -18,8 +18,7 @@
 	// loading is the model under way; its memory is used from the order on.
 	loading *loading
 	// unloading is set while the server drops a model.
-	unloading   string
-	unloadUntil time.Time
+	unloading string
 	// ordering is set while an order has no answer yet.
 	ordering *Order
 	// unsure is an order without an answer that may still be carried out.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -190,7 +190,7 @@
 	if !x.engine {
 		return
 	}
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.Asked(time.Now(), x.wanted(), x.head.PromptTokens) })
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.Asked(time.Now(), x.wanted(), x.head.PromptTokens, x.route.Goal) })
 }
 
 func (x *exchange) wanted() dispatch.Wanted {
