--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -11,12 +11,18 @@
 )
 
 const (
-	// watchTime is how long one watch waits.
-	watchTime = 5 * time.Second
+	// watchTime is how long one watch waits. A watch may turn deaf without a
+	// word, so one node of all, the sentinel, watches in short turns; the others
+	// learn from it that they missed something.
+	watchTime         = 10 * time.Second
+	sentinelWatchTime = time.Second
 	// watchPause gathers changes that come in quick succession into one call.
 	watchPause = 800 * time.Millisecond
+	// lagTolerated is how long a peer may know other servers before this node
+	// asks the store anew.
+	lagTolerated = 700 * time.Millisecond
 	// Pauses after a failed call to the store; they double up to the longest.
-	shortestPause = 100 * time.Millisecond
+	shortestPause = 60 * time.Millisecond
 	longestPause  = 800 * time.Millisecond
 )
 
@@ -66,28 +72,67 @@
 
 // watchConfiguration waits for a change; a nudge ends the wait.
 func (n *Node) watchConfiguration(ctx context.Context, at int64) (*routetable.Table, int64, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := nudged(ctx, n.configNudge)
+	defer cancel()
+	return n.options.Store.WatchConfiguration(ctx, at, n.watchTime())
+}
+
+// watchServers waits for changes; a nudge ends the wait.
+func (n *Node) watchServers(ctx context.Context, at int64) ([]inventory.Change, int64, error) {
+	ctx, cancel := nudged(ctx, n.serversNudge)
 	defer cancel()
-	ended := make(chan struct{})
-	defer close(ended)
+	return n.options.Store.WatchServers(ctx, at, n.watchTime())
+}
+
+func (n *Node) watchTime() time.Duration {
+	if n.peers.isSentinel() {
+		return sentinelWatchTime
+	}
+	return watchTime
+}
+
+// nudged returns a context that a nudge ends, too.
+func nudged(ctx context.Context, nudge <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		select {
-		case <-n.nudge:
+		case <-nudge:
 			cancel()
-		case <-ended:
+		case <-ctx.Done():
 		}
 	}()
-	return n.options.Store.WatchConfiguration(ctx, at, watchTime)
+	return ctx, cancel
 }
 
-// nudgeConfiguration tells that a peer has a newer configuration in force.
-func (n *Node) nudgeConfiguration() {
+// send hands over a nudge; one that waits already is enough.
+func send(nudge chan<- struct{}) {
 	select {
-	case n.nudge <- struct{}{}:
+	case nudge <- struct{}{}:
 	default:
 	}
 }
 
+// compareServers asks the store anew where a peer knows other servers from a
+// newer revision for longer than news takes.
+func (n *Node) compareServers(now time.Time, digest uint64, revision int64) {
+	n.viewMu.Lock()
+	defer n.viewMu.Unlock()
+	if digest == n.serversDigest || revision <= n.serversRevision {
+		if digest == n.serversDigest {
+			n.lagSince = time.Time{}
+		}
+		return
+	}
+	if n.lagSince.IsZero() {
+		n.lagSince = now
+		return
+	}
+	if now.Sub(n.lagSince) > lagTolerated {
+		n.lagSince = time.Time{}
+		send(n.serversNudge)
+	}
+}
+
 // putInForce takes a table unless a newer one is in force.
 func (n *Node) putInForce(table *routetable.Table, from string) {
 	known := n.handler.Table()
@@ -111,13 +156,17 @@
 			continue
 		}
 		n.takeServers(table.Replace(servers, at), at)
+		n.noteServers(table)
 		n.hasServers.Store(true)
 		for err == nil && ctx.Err() == nil {
 			pause.reset()
 			var changes []inventory.Change
-			changes, at, err = n.options.Store.WatchServers(ctx, at, watchTime)
-			if err == nil && len(changes) > 0 {
+			changes, at, err = n.watchServers(ctx, at)
+			if err == nil {
 				n.takeServers(table.Apply(changes, at), at)
+				n.noteServers(table)
+			}
+			if len(changes) > 0 {
 				sleep(ctx, watchPause)
 			}
 		}
@@ -126,6 +175,14 @@
 	}
 }
 
+// noteServers keeps what peers are told of the table.
+func (n *Node) noteServers(table *inventory.Table) {
+	n.viewMu.Lock()
+	defer n.viewMu.Unlock()
+	n.serversDigest = table.Digest()
+	n.serversRevision = table.Revision()
+}
+
 func (n *Node) takeServers(changes []inventory.Change, revision int64) {
 	if len(changes) == 0 {
 		return
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,7 +66,15 @@
 	handler  *relay.Handler
 	peers    *peers
 	leader   *leader
-	nudge    chan struct{}
+
+	// Nudges end a watch that seems to have missed something.
+	configNudge  chan struct{}
+	serversNudge chan struct{}
+	// viewMu guards what peers are told of the servers that the node knows.
+	viewMu          sync.Mutex
+	serversDigest   uint64
+	serversRevision int64
+	lagSince        time.Time
 
 	hasServers atomic.Bool
 	stopping   atomic.Bool
@@ -77,7 +86,9 @@
 		options:  options,
 		dispatch: dispatch.NewShared(dispatch.Options{Zone: options.Zone, Seed: rand.Uint64()}),
 		pool:     options.Pool,
-		nudge:    make(chan struct{}, 1),
+
+		configNudge:  make(chan struct{}, 1),
+		serversNudge: make(chan struct{}, 1),
 	}
 	node.leader = newLeader(node)
 	node.handler = relay.New(relay.Options{
@@ -119,7 +130,7 @@
 	group.Go(func() error { n.leader.run(ctx); return nil })
 	select {
 	case <-stop.Done():
-		n.drain()
+		n.drain(callers)
 		return nil
 	case <-ctx.Done():
 		return group.Wait()
@@ -168,27 +179,26 @@
 
 const (
 	// entryNotices is how long new connections still come after the node says
-	// that it is not ready.
-	entryNotices = 3500 * time.Millisecond
+	// that it is not ready. A request on a kept connection that comes later
+	// might not end within the grace.
+	entryNotices = 2600 * time.Millisecond
 	// stopMargin is left before the process is killed.
-	stopMargin  = 400 * time.Millisecond
-	drainPoll   = 50 * time.Millisecond
+	stopMargin  = 300 * time.Millisecond
 	sweepPeriod = time.Second
 )
 
-// drain serves on until nothing is under way, and at the most for the grace.
-func (n *Node) drain() {
+// drain serves on while callers may still come, closes the connections that
+// rest then, and waits for what is under way, at the most for the grace.
+func (n *Node) drain(callers *http.Server) {
 	started := time.Now()
 	n.stopping.Store(true)
 	n.handler.SetDraining()
 	n.options.Logger.Info().Int64("active", n.handler.Active()).Msg("node_draining")
-	for time.Since(started) < n.options.Grace-stopMargin {
-		if time.Since(started) > entryNotices && n.handler.Active() == 0 {
-			break
-		}
-		time.Sleep(drainPoll)
-	}
-	n.options.Logger.Info().Int64("active", n.handler.Active()).Msg("node_stopped")
+	time.Sleep(entryNotices)
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.options.Grace-stopMargin))
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	n.options.Logger.Info().Int64("active", n.handler.Active()).Bool("whole", err == nil).Msg("node_stopped")
 }
 
 func (n *Node) sweep(ctx context.Context) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -73,6 +73,19 @@
 	}, nil
 }
 
+// isSentinel reports whether this node watches the store for the others: the
+// leader does or, where there is none, the first node.
+func (p *peers) isSentinel() bool {
+	if term, lapsed := p.node.leader.standing(); term != 0 && lapsed == 0 {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	leader := p.roster.Leader(now)
+	return (leader == nil || leader.Lapsed > 0) && p.roster.Rank(now) == 0
+}
+
 // receive takes datagrams until ctx ends.
 func (p *peers) receive(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
@@ -108,8 +121,9 @@
 		}
 	})
 	if table := p.node.handler.Table(); table != nil && state.ConfigVersion > table.Version {
-		p.node.nudgeConfiguration()
+		send(p.node.configNudge)
 	}
+	p.node.compareServers(now, state.ServersDigest, state.ServersRevision)
 	p.node.leader.post(func() { p.node.leader.takeCounts(state) })
 }
 
@@ -204,6 +218,9 @@
 	if table := p.node.handler.Table(); table != nil {
 		state.ConfigVersion = table.Version
 	}
+	p.node.viewMu.Lock()
+	state.ServersDigest, state.ServersRevision = p.node.serversDigest, p.node.serversRevision
+	p.node.viewMu.Unlock()
 	p.node.dispatch.Do(func(core *dispatch.Core) {
 		for _, load := range core.OwnLoads() {
 			state.Loads = append(state.Loads, &peerpb.ServerLoad{
--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Server is what one incarnation of a server says of itself.
@@ -105,6 +107,20 @@
 	return changes
 }
 
+// Digest is a number that two tables with the same servers in the same states
+// have in common.
+func (t *Table) Digest() uint64 {
+	var digest uint64
+	for id, server := range t.servers {
+		state := id
+		if server.Draining {
+			state += " draining"
+		}
+		digest ^= xxhash.Sum64String(state)
+	}
+	return digest
+}
+
 // All calls yield for each server, in no order.
 func (t *Table) All(yield func(Server) bool) {
 	for _, server := range t.servers {
