Lead on through planned stops and restarts of the leader's machine

Change: what waits is refused with not-run 1.2 s before the end; a stopping leader orders on, and its machine takes its own lease back after the restart without a wait, since one machine is one holder; the loads it began or may begin stand in the lease's record.

--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -57,16 +57,19 @@
 
 	started   time.Time
 	quietFrom time.Time
-	calling   bool
-	nextCall  time.Time
-	servers   *inventory.Table
-	toldAt    time.Time
-	changed   bool
+	// reserveNow asks for a write of the lease ahead of its time.
+	reserveNow bool
+	calling    bool
+	nextCall   time.Time
+	servers    *inventory.Table
+	toldAt     time.Time
+	changed    bool
 
 	// What other goroutines may read.
 	term       atomic.Int64
 	validUntil atomic.Int64
 	orderFrom  atomic.Int64
+	revision   atomic.Int64
 }
 
 func newLeader(node *Node) *leader {
@@ -138,7 +141,7 @@
 	}
 	l.core.SetTable(l.node.handler.Table())
 	l.ownCounts(now)
-	effects := l.core.Step(now, l.lease.MayOrder(now) && !l.node.stopping.Load())
+	effects := l.core.Step(now, l.lease.MayOrder(now))
 	for _, order := range effects.Orders {
 		l.order(ctx, order)
 	}
@@ -149,6 +152,9 @@
 	l.publish(now)
 }
 
+// leaseRevision is the revision that this node last wrote the lease at.
+func (l *leader) leaseRevision() int64 { return l.revision.Load() }
+
 // standing is the term of this node, and how long ago its lease ended.
 func (l *leader) standing() (term int64, lapsed time.Duration) {
 	term = l.term.Load()
@@ -168,10 +174,9 @@
 		return
 	}
 	switch {
-	case l.node.stopping.Load():
-		l.releaseLease(ctx, now)
 	case l.lease.Term() != 0:
-		if !now.Before(l.lease.RenewAt()) {
+		if l.reserveNow || !now.Before(l.lease.RenewAt()) {
+			l.reserveNow = false
 			l.writeLease(ctx, now)
 		}
 	case !l.isCandidate(now):
@@ -184,11 +189,18 @@
 
 // isCandidate reports whether this node should try to become leader.
 func (l *leader) isCandidate(now time.Time) bool {
-	if l.node.handler.Table() == nil || !l.node.hasServers.Load() {
+	if l.node.handler.Table() == nil || !l.node.hasServers.Load() || l.node.stopping.Load() {
 		return false
 	}
+	if !l.lease.IsKnown() || l.lease.Record().Holder == l.node.options.Name {
+		// A process that starts anew where the lease lies goes on at once.
+		return true
+	}
 	l.node.peers.mu.Lock()
 	known := l.node.peers.roster.Leader(now)
+	if known != nil {
+		l.lease.Heard(known.LastSeen, known.Name, known.LeaseRevision)
+	}
 	rank := l.node.peers.roster.Rank(now)
 	l.node.peers.mu.Unlock()
 	if known != nil && known.Lapsed < lapseTolerated {
@@ -229,6 +241,12 @@
 func (l *leader) writeLease(ctx context.Context, now time.Time) {
 	l.calling = true
 	record := l.lease.Attempt(now)
+	core := l.core
+	if core != nil {
+		record.Loads = core.Reserve(now)
+	} else {
+		record.Loads = l.lease.Record().Loads
+	}
 	sent := now
 	go func() {
 		revision, won, err := l.node.options.Lease.WriteLease(ctx, record)
@@ -245,6 +263,9 @@
 				l.readBack(ctx)
 			default:
 				l.lease.Taken(sent, now, revision)
+				if core != nil && core == l.core {
+					core.Reserved()
+				}
 			}
 		})
 	}()
@@ -264,34 +285,12 @@
 	}()
 }
 
-// releaseLease gives the lease up before this process ends. All orders have
-// their answers by then, or are past their time.
-func (l *leader) releaseLease(ctx context.Context, now time.Time) {
-	if l.lease.Term() == 0 {
-		return
-	}
-	l.term.Store(0)
-	record := l.lease.Attempt(now)
-	record.Released = true
-	l.lease.Lost()
-	l.calling = true
-	l.node.options.Logger.Info().Int64("revision", record.Revision).Msg("lease_released")
-	go func() {
-		_, _, err := l.node.options.Lease.WriteLease(ctx, record)
-		l.call(ctx, func() {
-			l.calling = false
-			if err != nil {
-				l.node.storeFailed("lease", err)
-			}
-		})
-	}()
-}
-
 // followTerm starts and ends terms as the lease goes.
 func (l *leader) followTerm(now time.Time) {
 	term := l.lease.Term()
 	l.validUntil.Store(int64(l.lease.RenewAt().Add(leaseDuration - leaseRenewal).Sub(l.started)))
 	l.orderFrom.Store(int64(l.lease.OrderFrom().Sub(l.started)))
+	l.revision.Store(l.lease.Record().Revision)
 	previous := l.term.Swap(term)
 	if term == previous {
 		return
@@ -310,9 +309,10 @@
 		all = append(all, inventory.Change{Server: server})
 	}
 	l.core.SetServers(now, all)
-	if !l.lease.WasFree() {
-		l.core.AssumeLoads(l.lease.LastOrders())
-	}
+	l.core.AssumeLoads(l.lease.PastLoads())
+	// The first orders wait for a write that reserves their loads.
+	l.nextCall = now
+	l.reserveNow = true
 }
 
 // takeServers keeps the leader's table of servers.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -183,7 +183,10 @@
 	// might not end within the grace.
 	entryNotices = 2600 * time.Millisecond
 	// stopMargin is left before the process is killed.
-	stopMargin  = 300 * time.Millisecond
+	stopMargin = 300 * time.Millisecond
+	// waitMargin is left for what has no server yet, so that it is refused and
+	// not cut.
+	waitMargin  = 1200 * time.Millisecond
 	sweepPeriod = time.Second
 )
 
@@ -192,7 +195,7 @@
 func (n *Node) drain(callers *http.Server) {
 	started := time.Now()
 	n.stopping.Store(true)
-	n.handler.SetDraining()
+	n.handler.SetDraining(started.Add(n.options.Grace - waitMargin))
 	n.options.Logger.Info().Int64("active", n.handler.Active()).Msg("node_draining")
 	time.Sleep(entryNotices)
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.options.Grace-stopMargin))
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -188,7 +188,7 @@
 	p.mu.Unlock()
 	for first := true; first || len(changed) > 0; first = false {
 		state := p.state(now)
-		state.Leader = &peerpb.LeaderState{Term: term, LapsedMs: uint32(lapsed.Milliseconds())}
+		state.Leader = &peerpb.LeaderState{Term: term, LapsedMs: uint32(lapsed.Milliseconds()), LeaseRevision: p.node.leader.leaseRevision()}
 		changed = fillViews(state.Leader, changed)
 		p.send(targets, state)
 	}
@@ -236,7 +236,7 @@
 		}
 	})
 	if term, lapsed := p.node.leader.standing(); term != 0 {
-		state.Leader = &peerpb.LeaderState{Term: term, LapsedMs: uint32(lapsed.Milliseconds())}
+		state.Leader = &peerpb.LeaderState{Term: term, LapsedMs: uint32(lapsed.Milliseconds()), LeaseRevision: p.node.leader.leaseRevision()}
 	}
 	return state
 }
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -32,9 +32,11 @@
 	// Term is the fencing token of a leader, 0 of others.
 	Term int64
 	// Lapsed is how long the leader's lease had ended when it sent.
-	Lapsed   time.Duration
-	LastSeen time.Time
-	sequence uint64
+	Lapsed time.Duration
+	// LeaseRevision is the revision at which the leader last wrote its lease.
+	LeaseRevision int64
+	LastSeen      time.Time
+	sequence      uint64
 }
 
 // Roster is the table of nodes. It is not safe for concurrent use.
@@ -82,9 +84,10 @@
 	known.Leaving = state.Leaving
 	known.ConfigVersion = state.ConfigVersion
 	known.LastSeen = now
-	known.Term, known.Lapsed = 0, 0
+	known.Term, known.Lapsed, known.LeaseRevision = 0, 0, 0
 	if state.Leader != nil {
 		known.Term = state.Leader.Term
+		known.LeaseRevision = state.Leader.LeaseRevision
 		known.Lapsed = time.Duration(state.Leader.LapsedMs) * time.Millisecond
 	}
 	delete(r.hints, state.Address)
@@ -128,7 +131,7 @@
 func (r *Roster) Leader(now time.Time) *Peer {
 	var leader *Peer
 	for _, peer := range r.Alive(now) {
-		if peer.Term > 0 && !peer.Leaving && (leader == nil || peer.Term > leader.Term) {
+		if peer.Term > 0 && (leader == nil || peer.Term > leader.Term) {
 			leader = peer
 		}
 	}
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -20,6 +20,8 @@
 	// storeLoads are the times at which loads from the weight store began, or
 	// may have begun, within the last window.
 	storeLoads map[string][]time.Time
+	// reserved are the loads that may begin until the lease is written again.
+	reserved map[string]int
 	effects    Effects
 }
 
@@ -31,25 +33,50 @@
 		interests:  make(map[dispatch.Wanted]*interest),
 		nodes:      make(map[string]*nodeCounts),
 		storeLoads: make(map[string][]time.Time),
+		reserved:   make(map[string]int),
 	}
 }
 
 // SetTable puts a configuration in force.
 func (c *Core) SetTable(table *routetable.Table) { c.table = table }
 
-// AssumeLoads counts as many loads from each weight store as an earlier leader
-// may have begun at the time.
-func (c *Core) AssumeLoads(at time.Time) {
+// reservedLoads is the number of loads from a weight store that may begin
+// between two writes of the lease. The lease says so before they begin.
+const reservedLoads = 6
+
+// Reserve returns the loads from each weight store that began within the last
+// window or may begin until the next call, as the times since. What it returns
+// must stand in the lease before Reserved is called.
+func (c *Core) Reserve(now time.Time) map[string][]time.Duration {
 	if c.table == nil {
-		return
+		return nil
 	}
+	reserve := make(map[string][]time.Duration)
 	for name, service := range c.table.Services {
 		if service.Engine == nil {
 			continue
 		}
-		for range c.loadsPerWindow(service.Engine) {
-			c.storeLoads[name] = append(c.storeLoads[name], at)
+		for _, at := range c.storeLoads[name] {
+			reserve[name] = append(reserve[name], now.Sub(at))
 		}
+		for range reservedLoads {
+			reserve[name] = append(reserve[name], 0)
+		}
+	}
+	return reserve
+}
+
+// Reserved tells that the lease says what Reserve returned.
+func (c *Core) Reserved() {
+	for name := range c.table.Services {
+		c.reserved[name] = reservedLoads
+	}
+}
+
+// AssumeLoads counts the loads that earlier leaders may have begun.
+func (c *Core) AssumeLoads(loads map[string][]time.Time) {
+	for name, begun := range loads {
+		c.storeLoads[name] = append(c.storeLoads[name], begun...)
 	}
 }
 
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -211,6 +211,7 @@
 	takes := best.takes
 	if best.source == SourceStore {
 		c.storeLoads[service] = append(c.storeLoads[service], now)
+		c.reserved[service]--
 		takes = time.Duration(float64(takes) * max(1, float64(storeLoading(now, servers, model.Name)+1)/float64(loadsAtOnce(engine))))
 	}
 	s.loading = &loading{model: model.Name, source: best.source, began: now, ready: now.Add(takes + loadMargin)}
@@ -280,6 +281,9 @@
 
 // storeAllows reports whether one more load from the weight store may begin.
 func (c *Core) storeAllows(now time.Time, service string, engine *routetable.Engine, model string, urgent bool) bool {
+	if c.reserved[service] <= 0 {
+		return false
+	}
 	allowed := float64(c.loadsPerWindow(engine))
 	atOnce := loadsAtOnce(engine)
 	if !urgent {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,9 +78,11 @@
 	options  Options
 	table    atomic.Pointer[routetable.Table]
 	draining atomic.Bool
-	started  time.Time
-	active   atomic.Int64
-	waiting  atomic.Int64
+	// drainUntil is when a node that stops refuses what waits; nil before.
+	drainUntil atomic.Pointer[time.Time]
+	started    time.Time
+	active     atomic.Int64
+	waiting    atomic.Int64
 	// Counters of final answers, by outcome.
 	Metrics Metrics
 
@@ -117,8 +119,12 @@
 // Table is the table in force, or nil.
 func (h *Handler) Table() *routetable.Table { return h.table.Load() }
 
-// SetDraining makes answers end their callers' connections.
-func (h *Handler) SetDraining() { h.draining.Store(true) }
+// SetDraining makes answers end their callers' connections, and refuses what
+// still waits for a server at the time until.
+func (h *Handler) SetDraining(until time.Time) {
+	h.drainUntil.Store(&until)
+	h.draining.Store(true)
+}
 
 // Active is the number of requests under way.
 func (h *Handler) Active() int64 { return h.active.Load() }
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -86,6 +86,10 @@
 		x.giveUp("deadline")
 		return false
 	}
+	if until := x.handler.drainUntil.Load(); until != nil && !now.Before(*until) {
+		x.giveUp("node_stops")
+		return false
+	}
 	if x.headSent || x.ran || x.returned {
 		return true
 	}
--- a/internal/storelease/lease.go
+++ b/internal/storelease/lease.go
@@ -38,7 +38,10 @@
 	Released bool
 	// Quiet is how long after this write the holder gives its first order; a
 	// process that starts anew at the holder goes on to wait for it.
-	Quiet    time.Duration
+	Quiet time.Duration
+	// Loads are the loads from each weight store that the holder began or may
+	// begin until its next write, as the times since, when it wrote.
+	Loads    map[string][]time.Duration
 	Revision int64
 }
 
@@ -59,10 +62,9 @@
 	// attemptFrom is the first order after an earlier write of this process
 	// that may have taken the lease without an answer.
 	attemptFrom time.Time
-	// wasFree is set where nobody held the lease before this term.
-	wasFree bool
-	// lastOrders is when the holder before may have given its last order.
-	lastOrders time.Time
+	// past are the loads of the holders before this term, by the time they may
+	// have begun at the latest.
+	past map[string][]time.Time
 }
 
 // New returns a core that knows nothing of the lease.
@@ -88,6 +90,14 @@
 	}
 }
 
+// Heard takes from the holder itself that it wrote the object at the revision.
+func (c *Core) Heard(now time.Time, holder string, revision int64) {
+	if c.known && revision <= c.record.Revision {
+		return
+	}
+	c.Observe(now, Record{Holder: holder, Revision: revision})
+}
+
 // Absent takes that there is no such object.
 func (c *Core) Absent(now time.Time) {
 	if !c.known {
@@ -101,6 +111,9 @@
 // Record is the object as last seen.
 func (c *Core) Record() Record { return c.record }
 
+// IsKnown reports whether the object was read, written or heard of.
+func (c *Core) IsKnown() bool { return c.known }
+
 // CanTake reports whether a write under the condition of the known revision
 // may take the lease.
 func (c *Core) CanTake(now time.Time) bool {
@@ -130,11 +143,7 @@
 	if c.term == 0 {
 		c.term = revision
 		c.orderFrom = c.firstOrder(sent)
-		c.wasFree = c.record.Holder == ""
-		c.lastOrders = sent
-		if c.record.Holder != c.options.Holder {
-			c.lastOrders = c.orderFrom.Add(-c.options.Quiet)
-		}
+		c.past = c.loadsOf(c.record)
 	}
 	c.record = Record{Holder: c.options.Holder, Revision: revision}
 	c.known = true
@@ -174,11 +183,21 @@
 // OrderFrom is when the first order of the term may leave.
 func (c *Core) OrderFrom() time.Time { return c.orderFrom }
 
-// WasFree reports whether nobody held the lease before this term.
-func (c *Core) WasFree() bool { return c.wasFree }
-
-// LastOrders is when the holder before may have given its last order.
-func (c *Core) LastOrders() time.Time { return c.lastOrders }
+// PastLoads are the loads from each weight store that holders before this term
+// may have begun, by the latest time.
+func (c *Core) PastLoads() map[string][]time.Time { return c.past }
+
+// loadsOf dates a record's loads from when it was first seen, which is after it
+// was written.
+func (c *Core) loadsOf(record Record) map[string][]time.Time {
+	loads := make(map[string][]time.Time, len(record.Loads))
+	for store, ages := range record.Loads {
+		for _, age := range ages {
+			loads[store] = append(loads[store], c.seen.Add(-age))
+		}
+	}
+	return loads
+}
 
 // RenewAt is when the holder writes next.
 func (c *Core) RenewAt() time.Time {
