Tell servers that go between nodes at once

Change: the sentinel watches with short pauses and sends the servers that go with their revision; others pause longer.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -79,6 +79,20 @@
 	}
 }
 
+// SetGoing takes a peer's word that a server goes, which entries before the
+// revision do not say yet.
+func (c *Core) SetGoing(serverID string, beforeRevision int64) {
+	if known, ok := c.servers[serverID]; ok {
+		known.goingBefore = max(known.goingBefore, beforeRevision)
+	}
+}
+
+// TakesWork reports whether new work may go to the server.
+func (c *Core) TakesWork(serverID string) bool {
+	known, ok := c.servers[serverID]
+	return ok && known.takesWork()
+}
+
 // View is what the leader says of one server: what it holds, what it is
 // loading, and the number of orders behind that.
 type View struct {
@@ -139,15 +153,6 @@
 	return loads
 }
 
-// Server returns what is known of one server.
-func (c *Core) Server(id string) (inventory.Server, bool) {
-	s, ok := c.servers[id]
-	if !ok {
-		return inventory.Server{}, false
-	}
-	return s.info, true
-}
-
 // affinity is a number in 0..1 that all nodes draw alike for a server and a key.
 func affinity(serverID string, key uint64) float64 {
 	digest := xxhash.New()
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -74,7 +74,7 @@
 // what is wanted; known is false where nobody has said that it is on its way.
 func (c *Core) ReadyIn(now time.Time, wanted Wanted) (left time.Duration, known bool) {
 	for _, s := range c.byService[wanted.Service] {
-		if s.info.Draining {
+		if !s.takesWork() {
 			continue
 		}
 		ready, ok := s.readyIn(now, wanted.Model, wanted.Adapter)
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -80,7 +80,7 @@
 func (c *Core) filter(now time.Time, ask Ask) []*server {
 	var candidates []*server
 	for _, s := range c.byService[ask.Service] {
-		if s.info.Draining || slices.Contains(ask.Exclude, s.info.ID) {
+		if !s.takesWork() || slices.Contains(ask.Exclude, s.info.ID) {
 			continue
 		}
 		if len(ask.Only) > 0 && !slices.Contains(ask.Only, s.info.ID) {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -11,6 +11,9 @@
 // server is what the node believes of one server.
 type server struct {
 	info inventory.Server
+	// goingBefore is the revision before which entries do not say yet that the
+	// server goes.
+	goingBefore int64
 	// held are the models of the entry.
 	held map[string]map[string]bool
 	view *View
@@ -77,6 +80,10 @@
 	}
 }
 
+func (s *server) takesWork() bool {
+	return !s.info.Draining && s.info.Revision >= s.goingBefore
+}
+
 func (s *server) hasView(now time.Time) bool {
 	return s.view != nil && now.Sub(s.viewAt) < viewAge
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -17,10 +17,13 @@
 	watchTime         = 10 * time.Second
 	sentinelWatchTime = time.Second
 	// watchPause gathers changes that come in quick succession into one call.
-	watchPause = 800 * time.Millisecond
+	watchPause         = 1200 * time.Millisecond
+	sentinelWatchPause = 300 * time.Millisecond
+	// goingTold is how long peers are told of a server that goes.
+	goingTold = 3 * time.Second
 	// lagTolerated is how long a peer may know other servers before this node
 	// asks the store anew.
-	lagTolerated = 700 * time.Millisecond
+	lagTolerated = 400 * time.Millisecond
 	// Pauses after a failed call to the store; they double up to the longest.
 	shortestPause = 60 * time.Millisecond
 	longestPause  = 800 * time.Millisecond
@@ -91,6 +94,13 @@
 	return watchTime
 }
 
+func (n *Node) watchPause() time.Duration {
+	if n.peers.isSentinel() {
+		return sentinelWatchPause
+	}
+	return watchPause
+}
+
 // nudged returns a context that a nudge ends, too.
 func nudged(ctx context.Context, nudge <-chan struct{}) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -167,7 +177,7 @@
 				n.noteServers(table)
 			}
 			if len(changes) > 0 {
-				sleep(ctx, watchPause)
+				sleep(ctx, n.watchPause())
 			}
 		}
 		n.storeFailed("servers", err)
@@ -175,6 +185,38 @@
 	}
 }
 
+// going is a server that takes no new work.
+type going struct {
+	beforeRevision int64
+	learned        time.Time
+}
+
+// tellGoing lets peers hear at once which servers go.
+func (n *Node) tellGoing(changes []inventory.Change, revision int64) {
+	now := time.Now()
+	n.viewMu.Lock()
+	for id, known := range n.going {
+		if now.Sub(known.learned) > goingTold {
+			delete(n.going, id)
+		}
+	}
+	found := false
+	for _, change := range changes {
+		switch {
+		case change.Gone:
+			n.going[change.Server.ID] = going{beforeRevision: revision + 1, learned: now}
+			found = true
+		case change.Server.Draining:
+			n.going[change.Server.ID] = going{beforeRevision: change.Server.Revision, learned: now}
+			found = true
+		}
+	}
+	n.viewMu.Unlock()
+	if found && n.peers.isSentinel() {
+		n.peers.tick()
+	}
+}
+
 // noteServers keeps what peers are told of the table.
 func (n *Node) noteServers(table *inventory.Table) {
 	n.viewMu.Lock()
@@ -189,6 +231,7 @@
 	}
 	n.leader.call(context.Background(), func() { n.leader.takeServers(changes, revision) })
 	n.dispatch.Do(func(core *dispatch.Core) { core.SetServers(changes) })
+	n.tellGoing(changes, revision)
 	for _, change := range changes {
 		if change.Gone || change.Server.Draining {
 			n.pool.Forget(change.Server.Address)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -75,6 +75,7 @@
 	serversDigest   uint64
 	serversRevision int64
 	lagSince        time.Time
+	going           map[string]going
 
 	hasServers atomic.Bool
 	stopping   atomic.Bool
@@ -89,6 +90,7 @@
 
 		configNudge:  make(chan struct{}, 1),
 		serversNudge: make(chan struct{}, 1),
+		going:        make(map[string]going),
 	}
 	node.leader = newLeader(node)
 	node.handler = relay.New(relay.Options{
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -116,6 +116,9 @@
 	p.node.handler.SetNodes(count)
 	p.node.dispatch.Do(func(core *dispatch.Core) {
 		core.SetPeerLoads(now, state.Address, peerLoads(state.Loads))
+		for _, going := range state.Going {
+			core.SetGoing(going.Server, going.BeforeRevision)
+		}
 		if state.Leader != nil && len(state.Leader.Views) > 0 {
 			core.SetViews(now, state.Leader.Term, viewsOf(state.Leader.Views))
 		}
@@ -220,6 +223,11 @@
 	}
 	p.node.viewMu.Lock()
 	state.ServersDigest, state.ServersRevision = p.node.serversDigest, p.node.serversRevision
+	for id, known := range p.node.going {
+		if now.Sub(known.learned) < goingTold {
+			state.Going = append(state.Going, &peerpb.ServerGoing{Server: id, BeforeRevision: known.beforeRevision})
+		}
+	}
 	p.node.viewMu.Unlock()
 	p.node.dispatch.Do(func(core *dispatch.Core) {
 		for _, load := range core.OwnLoads() {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,8 +52,7 @@
 func (x *exchange) isStillGood(choice dispatch.Choice) bool {
 	good := false
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
-		server, ok := core.Server(choice.ServerID)
-		good = ok && !server.Draining
+		good = core.TakesWork(choice.ServerID)
 	})
 	return good
 }
