Count the memory of a model until its unload was taken; reload settings on SIGHUP

Change: books change with the answer; SIGHUP and a changed file reload the settings, and damaged ones leave those in force.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
+	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
@@ -31,7 +36,8 @@
 
 func runEdge(ctx context.Context) error {
 	debug.SetGCPercent(edgeHeapPercent)
-	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
@@ -43,33 +49,91 @@
 		},
 	}
 	pool := backendconn.New(backendconn.Options{})
+	engines := &platform.Engines{Pool: pool}
 	node := edge.New(edge.Options{
-		Name:      settings.NodeName,
-		Zone:      settings.Zone,
-		Frontend:  settings.Listen.Frontend,
-		Ready:     settings.Listen.Ready,
-		ReadyPath: platform.ReadyPath,
-		Grace:     platform.Seconds(settings.Bounds.GraceS),
-		Budget: retrybudget.Options{
-			Ratio:  settings.Bounds.RetryBudgetRatio,
-			Extra:  settings.Bounds.BudgetExtra,
-			Window: platform.Seconds(settings.Bounds.BudgetWindowS),
-		},
+		Name:        settings.NodeName,
+		Zone:        settings.Zone,
+		Frontend:    settings.Listen.Frontend,
+		Ready:       settings.Listen.Ready,
+		ReadyPath:   platform.ReadyPath,
+		Tunables:    tunables(settings),
 		PeerAddress: settings.PeerAddress(settings.IP),
-		PeerSeeds:   peerSeeds(settings),
 		LeaseQuiet:  platform.Milliseconds(settings.Bounds.LeaseMs),
 		LoadWindow:  platform.Seconds(settings.Bounds.CeilingWindowS),
 		LoadOverage: settings.Bounds.OriginOverage,
 		Store:       store,
 		Lease:       store,
-		Engines:     &platform.Engines{Pool: pool},
+		Engines:     engines,
 		Pool:        pool,
 		Dialect:     platform.Dialect{},
 		Logger:      logger,
 	})
+	go watchSettings(ctx, path, func() { reload(node, path, logger) })
 	return node.Run(ctx)
 }
 
+// tunables are the settings that change while a node runs.
+func tunables(settings platform.Settings) edge.Tunables {
+	return edge.Tunables{
+		Grace:     platform.Seconds(settings.Bounds.GraceS),
+		PeerSeeds: peerSeeds(settings),
+		Budget: retrybudget.Options{
+			Ratio:  settings.Bounds.RetryBudgetRatio,
+			Extra:  settings.Bounds.BudgetExtra,
+			Window: platform.Seconds(settings.Bounds.BudgetWindowS),
+		},
+	}
+}
+
+// reload reads the settings anew. Settings that cannot be read leave those in
+// force that were.
+func reload(node *edge.Node, path string, logger *log.Logger) {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		logger.Warn().Str("error", err.Error()).Msg("settings_refused")
+		return
+	}
+	node.Retune(tunables(settings))
+	logger.Info().Int("seeds", len(settings.Seeds)).Msg("settings_reloaded")
+}
+
+// settingsPoll is the time between looks at the settings file, which may change
+// without a signal.
+const settingsPoll = 2 * time.Second
+
+// watchSettings calls changed at each SIGHUP and each change of the file.
+func watchSettings(ctx context.Context, path string, changed func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	known := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			known = modified(path)
+			changed()
+		case <-ticker.C:
+			if now := modified(path); now != known {
+				known = now
+				changed()
+			}
+		}
+	}
+}
+
+// modified tells one state of a file from another.
+func modified(path string) string {
+	info, err := os.Stat(path)
+	if err != nil {
+		return ""
+	}
+	return fmt.Sprint(info.ModTime().UnixNano(), info.Size())
+}
+
 func peerSeeds(settings platform.Settings) []string {
 	var seeds []string
 	for _, ip := range settings.SeedIPs() {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -58,6 +58,15 @@
 	Logger      *log.Logger
 }
 
+// Tunables are the options that may change while a node runs.
+type Tunables struct {
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace time.Duration
+	// PeerSeeds are the UDP addresses of some other nodes.
+	PeerSeeds []string
+	Budget    retrybudget.Options
+}
+
 // Node is one process.
 type Node struct {
 	options  Options
@@ -77,6 +86,7 @@
 	lagSince        time.Time
 	going           map[string]going
 
+	grace      atomic.Int64
 	hasServers atomic.Bool
 	stopping   atomic.Bool
 }
@@ -92,18 +102,30 @@
 		serversNudge: make(chan struct{}, 1),
 		going:        make(map[string]going),
 	}
+	node.grace.Store(int64(options.Tunables.Grace))
 	node.leader = newLeader(node)
 	node.handler = relay.New(relay.Options{
 		Dialect:  options.Dialect,
 		Dispatch: node.dispatch,
 		Pool:     node.pool,
-		Budget:   options.Budget,
+		Budget:   options.Tunables.Budget,
 		Logger:   options.Logger,
 		Wanted:   func() { node.peers.tellWanted() },
 	})
 	return node
 }
 
+// Retune puts other tunables in force.
+func (n *Node) Retune(tunables Tunables) {
+	n.grace.Store(int64(tunables.Grace))
+	n.handler.SetBudget(tunables.Budget)
+	if n.peers != nil {
+		n.peers.addSeeds(tunables.PeerSeeds)
+	}
+}
+
+func (n *Node) stopTime() time.Duration { return time.Duration(n.grace.Load()) }
+
 // Run serves until stop ends, and then until what is under way has ended.
 func (n *Node) Run(stop context.Context) error {
 	frontend, err := net.Listen("tcp", n.options.Frontend)
@@ -197,10 +219,10 @@
 func (n *Node) drain(callers *http.Server) {
 	started := time.Now()
 	n.stopping.Store(true)
-	n.handler.SetDraining(started.Add(n.options.Grace - waitMargin))
+	n.handler.SetDraining(started.Add(n.stopTime() - waitMargin))
 	n.options.Logger.Info().Int64("active", n.handler.Active()).Msg("node_draining")
 	time.Sleep(entryNotices)
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.options.Grace-stopMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.stopTime()-stopMargin))
 	defer cancel()
 	err := callers.Shutdown(ctx)
 	n.options.Logger.Info().Int64("active", n.handler.Active()).Bool("whole", err == nil).Msg("node_stopped")
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -68,11 +68,18 @@
 		conn:    conn,
 		life:    life,
 		address: node.options.PeerAddress,
-		roster:  gossip.New(node.options.PeerAddress, node.options.PeerSeeds, life),
+		roster:  gossip.New(node.options.PeerAddress, node.options.Tunables.PeerSeeds, life),
 		told:    make(map[string]toldView),
 	}, nil
 }
 
+// addSeeds tries further addresses.
+func (p *peers) addSeeds(seeds []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.roster.AddSeeds(seeds)
+}
+
 // isSentinel reports whether this node watches the store for the others: the
 // leader does or, where there is none, the first node.
 func (p *peers) isSentinel() bool {
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -56,12 +56,17 @@
 		peers:  make(map[string]*Peer),
 		hints:  make(map[string]time.Time),
 	}
+	roster.AddSeeds(seeds)
+	return roster
+}
+
+// AddSeeds tries further addresses until a node is known there.
+func (r *Roster) AddSeeds(seeds []string) {
 	for _, address := range seeds {
-		if address != self {
-			roster.hints[address] = time.Time{}
+		if _, ok := r.peers[address]; !ok && address != r.self {
+			r.hints[address] = time.Time{}
 		}
 	}
-	return roster
 }
 
 // Observe takes a datagram. It returns false for one that is older than what
--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -118,6 +118,5 @@
 	if oldest.Adapter == "" {
 		return
 	}
-	delete(s.held[oldest.Model].adapters, oldest.Adapter)
 	c.give(s, Order{Operation: Unload, Model: oldest.Model, Adapter: oldest.Adapter, Reason: "room_for_" + wanted.wanted.Adapter})
 }
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -22,7 +22,7 @@
 	storeLoads map[string][]time.Time
 	// reserved are the loads that may begin until the lease is written again.
 	reserved map[string]int
-	effects    Effects
+	effects  Effects
 }
 
 // New returns the core of a term that knows nothing yet.
@@ -309,8 +309,12 @@
 func (c *Core) took(now time.Time, s *server, order Order) {
 	switch {
 	case order.Operation == Unload && order.Adapter == "":
+		delete(s.held, order.Model)
 		s.unloading = ""
-		s.pauseUntil = now
+	case order.Operation == Unload:
+		if model, ok := s.held[order.Model]; ok {
+			delete(model.adapters, order.Adapter)
+		}
 	case order.Operation == Load && order.Adapter != "":
 		if model, ok := s.held[order.Model]; ok {
 			model.adapters[order.Adapter] = &adapter{ready: now.Add(adapterTime), lastUse: now}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -121,7 +121,7 @@
 		if s.info.Draining {
 			continue
 		}
-		if s.has(model) || (s.loading != nil && s.loading.model == model) {
+		if (s.has(model) && s.unloading != model) || (s.loading != nil && s.loading.model == model) {
 			count++
 		}
 	}
@@ -222,7 +222,6 @@
 const loadMargin = 40 * time.Millisecond
 
 func (c *Core) orderUnload(s *server, model, reason string) {
-	delete(s.held, model)
 	s.unloading = model
 	c.give(s, Order{Operation: Unload, Model: model, Reason: reason})
 }
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -17,7 +17,8 @@
 	held     map[string]*held
 	// loading is the model under way; its memory is used from the order on.
 	loading *loading
-	// unloading is set while the server drops a model.
+	// unloading is the model that an order without an answer drops; its memory
+	// counts until the answer comes.
 	unloading string
 	// ordering is set while an order has no answer yet.
 	ordering *Order
--- a/internal/placer/views.go
+++ b/internal/placer/views.go
@@ -26,6 +26,9 @@
 		Loading:  make(map[string]time.Duration),
 	}
 	for name, model := range s.held {
+		if name == s.unloading {
+			continue
+		}
 		adapters := make([]string, 0, len(model.adapters))
 		for adapterName, adapter := range model.adapters {
 			if left := adapter.ready.Sub(now); left > 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -136,6 +136,13 @@
 	h.budget.SetNodes(nodes)
 }
 
+// SetBudget changes the bound on repeats; what was counted stays counted.
+func (h *Handler) SetBudget(options retrybudget.Options) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.budget.SetOptions(options)
+}
+
 func (h *Handler) countRequest(service string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -49,6 +49,14 @@
 	return &Budget{options: options, nodes: 1, services: make(map[string]*counts)}
 }
 
+// SetOptions changes the bound. Counts of windows of another length are not
+// comparable and are taken as they are.
+func (b *Budget) SetOptions(options Options) {
+	if options.Window > 0 {
+		b.options = options
+	}
+}
+
 // SetNodes tells how many nodes share the extra repeats, at the most.
 func (b *Budget) SetNodes(nodes int) {
 	b.nodes = max(1, nodes)
