--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -38,13 +38,9 @@
 	Frontend  string
 	Ready     string
 	ReadyPath string
-	// PeerAddress is the UDP address of the node; PeerSeeds are those of some
-	// others.
+	// PeerAddress is the UDP address of the node.
 	PeerAddress string
-	PeerSeeds   []string
-	// Grace is the time from the signal to stop until the process is killed.
-	Grace  time.Duration
-	Budget retrybudget.Options
+	Tunables    Tunables
 	// LeaseQuiet is the least time between orders of different holders.
 	LeaseQuiet time.Duration
 	// LoadWindow and LoadOverage bound the loads from the weight store.
