Watch the store from two sentinels that it answers

Ruled out: gossip (versions travelled within 0.3 s of a read). Change: nodes say whether the store answers them; the leader and the first two that it answers watch in short turns; other watches last 5 s.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -12,9 +13,9 @@
 
 const (
 	// watchTime is how long one watch waits. A watch may turn deaf without a
-	// word, so one node of all, the sentinel, watches in short turns; the others
-	// learn from it that they missed something.
-	watchTime         = 10 * time.Second
+	// word, so two nodes of all, the sentinels, watch in short turns; the others
+	// learn from them that they missed something.
+	watchTime         = 5 * time.Second
 	sentinelWatchTime = time.Second
 	// watchPause gathers changes that come in quick succession into one call.
 	watchPause         = 1200 * time.Millisecond
@@ -60,10 +61,14 @@
 			pause.wait(ctx)
 			continue
 		}
+		n.storeFailing.Store(false)
 		n.putInForce(table, "read")
 		for err == nil && ctx.Err() == nil {
 			pause.reset()
 			table, at, err = n.watchConfiguration(ctx, at)
+			if err == nil {
+				n.storeFailing.Store(false)
+			}
 			if err == nil && table != nil {
 				n.putInForce(table, "watch")
 			}
@@ -173,6 +178,7 @@
 			var changes []inventory.Change
 			changes, at, err = n.watchServers(ctx, at)
 			if err == nil {
+				n.storeFailing.Store(false)
 				n.takeServers(table.Apply(changes, at), at)
 				n.noteServers(table)
 			}
@@ -243,7 +249,8 @@
 }
 
 func (n *Node) storeFailed(what string, err error) {
-	if err != nil {
+	if err != nil && !errors.Is(err, context.Canceled) {
+		n.storeFailing.Store(true)
 		n.options.Logger.Warn().Str("what", what).Str("error", err.Error()).Msg("store_failed")
 	}
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -82,9 +82,10 @@
 	lagSince        time.Time
 	going           map[string]going
 
-	grace      atomic.Int64
-	hasServers atomic.Bool
-	stopping   atomic.Bool
+	grace        atomic.Int64
+	storeFailing atomic.Bool
+	hasServers   atomic.Bool
+	stopping     atomic.Bool
 }
 
 // New returns a node; Run starts it.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -80,17 +80,12 @@
 	p.roster.AddSeeds(seeds)
 }
 
-// isSentinel reports whether this node watches the store for the others: the
-// leader does or, where there is none, the first node.
+// isSentinel reports whether this node watches the store for the others.
 func (p *peers) isSentinel() bool {
-	if term, lapsed := p.node.leader.standing(); term != 0 && lapsed == 0 {
-		return true
-	}
+	term, _ := p.node.leader.standing()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	leader := p.roster.Leader(now)
-	return (leader == nil || leader.Lapsed > 0) && p.roster.Rank(now) == 0
+	return p.roster.IsSentinel(time.Now(), term != 0, p.node.storeFailing.Load())
 }
 
 // receive takes datagrams until ctx ends.
@@ -224,6 +219,8 @@
 		Address: p.address,
 		Life:    p.life,
 		Leaving: p.node.stopping.Load(),
+
+		StoreFailing: p.node.storeFailing.Load(),
 	}
 	if table := p.node.handler.Table(); table != nil {
 		state.ConfigVersion = table.Version
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -35,8 +35,10 @@
 	Lapsed time.Duration
 	// LeaseRevision is the revision at which the leader last wrote its lease.
 	LeaseRevision int64
-	LastSeen      time.Time
-	sequence      uint64
+	// StoreFailing is set while the node's last call to the store failed.
+	StoreFailing bool
+	LastSeen     time.Time
+	sequence     uint64
 }
 
 // Roster is the table of nodes. It is not safe for concurrent use.
@@ -88,6 +90,7 @@
 	known.sequence = state.Sequence
 	known.Leaving = state.Leaving
 	known.ConfigVersion = state.ConfigVersion
+	known.StoreFailing = state.StoreFailing
 	known.LastSeen = now
 	known.Term, known.Lapsed, known.LeaseRevision = 0, 0, 0
 	if state.Leader != nil {
@@ -154,6 +157,31 @@
 	return rank
 }
 
+// sentinels is the number of nodes that watch the store for all.
+const sentinels = 2
+
+// IsSentinel reports whether this node is one of those that watch the store for
+// the others: the leader and then the first ones, left out those that the store
+// does not answer.
+func (r *Roster) IsSentinel(now time.Time, isLeader, storeFailing bool) bool {
+	if isLeader {
+		return true
+	}
+	if storeFailing {
+		return false
+	}
+	before := 0
+	for _, peer := range r.Alive(now) {
+		if peer.StoreFailing || peer.Leaving {
+			continue
+		}
+		if peer.Term > 0 || peer.Address < r.self {
+			before++
+		}
+	}
+	return before < sentinels
+}
+
 // hintTries is how long an address without a node is tried.
 const hintTries = 20 * time.Second
 
