--- a/internal/control/candidacy.go
+++ b/internal/control/candidacy.go
@@ -87,6 +87,7 @@
 	if c.candidate() != c.options.Self {
 		c.standing.since = time.Time{}
 		c.standing.handedOver = false
+		c.forgetAsked()
 		c.stepLeader(leadership.Desired{Lead: false})
 		return
 	}
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -17,8 +17,10 @@
 	for _, effect := range c.leader.Step(c.now, message) {
 		switch effect := effect.(type) {
 		case leadership.ReadEngine:
+			c.engineAsked(effect.Engine)
 			c.emit(ReadEngine{effect})
 		case leadership.SendClaim:
+			c.engineAsked(effect.Engine)
 			c.emit(SendClaim{effect})
 		case leadership.LearnRecord:
 			c.emit(c.learnRecord(effect.ID))
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -13,17 +13,27 @@
 
 // goneState holds the engines that the machine list calls gone. The list lags
 // and knows names only: an engine that was started anew under its name may
-// still be called gone. So an engine counts as gone only once it has also been
-// silent for GoneSilence.
+// still be called gone. So an engine counts as gone only once it has also left
+// this node's own questions without an answer for GoneSilence: the silence of an
+// engine that nobody asked says nothing.
 type goneState struct {
 	// since is when the list first called the engine gone, or when it last
 	// answered after that.
-	since     map[fleet.BackendName]time.Time
+	since map[fleet.BackendName]time.Time
+	// asked are the questions of this node that have no answer.
+	asked     map[fleet.BackendName]questions
 	effective map[fleet.BackendName]bool
 }
 
+// questions are one engine's unanswered questions, the first and the last.
+type questions struct {
+	first time.Time
+	last  time.Time
+}
+
 func newGoneState() goneState {
 	return goneState{
+		asked:     make(map[fleet.BackendName]questions),
 		since:     make(map[fleet.BackendName]time.Time),
 		effective: make(map[fleet.BackendName]bool),
 	}
@@ -53,17 +63,54 @@
 
 // engineAnswered notes that an engine is not gone, whatever the list says.
 func (c *Core) engineAnswered(name fleet.BackendName) {
+	delete(c.gone.asked, name)
 	if _, listed := c.gone.since[name]; listed {
 		c.gone.since[name] = c.now
 		c.updateGone()
 	}
 }
 
+// engineAsked notes a question to an engine.
+func (c *Core) engineAsked(name fleet.BackendName) {
+	asked, ok := c.gone.asked[name]
+	if !ok || c.now.Sub(asked.last) > c.settings().GoneSilence {
+		asked.first = c.now
+	}
+	asked.last = c.now
+	c.gone.asked[name] = asked
+}
+
+// forgetAsked ends this node's questions: what it learned of silence holds only
+// while it goes on asking.
+func (c *Core) forgetAsked() {
+	if len(c.gone.asked) > 0 {
+		clear(c.gone.asked)
+		c.updateGone()
+	}
+}
+
+// isSilent reports whether an engine that the list calls gone since then has
+// been silent for long enough.
+func (c *Core) isSilent(name fleet.BackendName, since time.Time) bool {
+	asked, ok := c.gone.asked[name]
+	silence := c.settings().GoneSilence
+	if !ok {
+		return false
+	}
+	if c.gone.effective[name] {
+		return true
+	}
+	if asked.first.After(since) {
+		since = asked.first
+	}
+	return c.now.Sub(asked.last) <= silence && c.now.Sub(since) >= silence
+}
+
 // updateGone moves engines in and out of those that count as gone.
 func (c *Core) updateGone() {
 	effective := make(map[fleet.BackendName]bool)
 	for name, since := range c.gone.since {
-		if c.now.Sub(since) >= c.settings().GoneSilence {
+		if c.isSilent(name, since) {
 			effective[name] = true
 		}
 	}
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -121,6 +121,7 @@
 		}
 		known.asked, known.askedAt = c.leader.NextID(), c.now
 		known.due = c.now.Add(c.pollInterval(name, known, c.ownTable()))
+		c.engineAsked(name)
 		c.emit(ReadEngine{leadership.ReadEngine{ID: known.asked, Engine: name, Address: address}})
 	}
 }
