--- /dev/null
+++ b/internal/gossip/roster_test.go
@@ -0,0 +1,90 @@
+package gossip
+
+import (
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+)
+
+var begin = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+
+func state(address string, life, sequence uint64) *peerpb.NodeState {
+	return &peerpb.NodeState{Node: "n-" + address, Address: address, Life: life, Sequence: sequence}
+}
+
+func TestOldDatagramsAreLeftOut(t *testing.T) {
+	roster := New("a", nil, 1)
+	cases := []struct {
+		name  string
+		state *peerpb.NodeState
+		want  bool
+	}{
+		{"first", state("b", 1, 5), true},
+		{"same", state("b", 1, 5), false},
+		{"older", state("b", 1, 4), false},
+		{"newer", state("b", 1, 6), true},
+		{"another life", state("b", 2, 1), true},
+		{"own", state("a", 1, 1), false},
+		{"without address", state("", 1, 1), false},
+	}
+	for _, c := range cases {
+		if got := roster.Observe(begin, c.state); got != c.want {
+			t.Errorf("%s: taken %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestSilentNodesAreNotAliveButCounted(t *testing.T) {
+	roster := New("a", []string{"a", "b", "s"}, 1)
+	roster.Observe(begin, state("b", 1, 1))
+	if got := len(roster.Alive(begin.Add(time.Second))); got != 1 {
+		t.Errorf("%d alive after a second, want 1", got)
+	}
+	if got := len(roster.Alive(begin.Add(2 * time.Second))); got != 0 {
+		t.Errorf("%d alive after two seconds, want 0", got)
+	}
+	if got := roster.Count(begin.Add(5 * time.Second)); got != 3 {
+		t.Errorf("%d share the budget, want 3: self, the silent node and the seed never heard of", got)
+	}
+}
+
+func TestSentinelsAreNodesThatTheStoreAnswers(t *testing.T) {
+	roster := New("c", nil, 1)
+	failing := state("a", 1, 1)
+	failing.StoreFailing = true
+	roster.Observe(begin, failing)
+	roster.Observe(begin, state("b", 1, 1))
+	if !roster.IsSentinel(begin, false, false) {
+		t.Error("the second node that the store answers is none")
+	}
+	if roster.IsSentinel(begin, false, true) {
+		t.Error("a node that the store does not answer is one")
+	}
+	leader := state("d", 1, 1)
+	leader.Leader = &peerpb.LeaderState{Term: 3}
+	roster.Observe(begin, leader)
+	if roster.IsSentinel(begin, false, false) {
+		t.Error("a third sentinel beside the leader and the first node")
+	}
+	if !roster.IsSentinel(begin, true, true) {
+		t.Error("the leader is none")
+	}
+}
+
+func TestLeaderIsTheHighestTerm(t *testing.T) {
+	roster := New("a", nil, 1)
+	for address, term := range map[string]int64{"b": 4, "c": 9, "d": 0} {
+		heard := state(address, 1, 1)
+		if term > 0 {
+			heard.Leader = &peerpb.LeaderState{Term: term}
+		}
+		roster.Observe(begin, heard)
+	}
+	if leader := roster.Leader(begin); leader == nil || leader.Address != "c" {
+		t.Errorf("leader %v, want c", leader)
+	}
+	if leader := roster.Leader(begin.Add(3 * time.Second)); leader != nil {
+		t.Errorf("leader %v after silence, want none", leader)
+	}
+}
--- /dev/null
+++ b/internal/inventory/server_test.go
@@ -0,0 +1,46 @@
+package inventory
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestTableFollowsListsAndEvents(t *testing.T) {
+	table := NewTable()
+	table.Replace([]Server{{ID: "a", Revision: 2}, {ID: "b", Revision: 3}}, 5)
+	steps := []struct {
+		name     string
+		events   []Change
+		revision int64
+		want     []Change
+	}{
+		{"an older entry is left out", []Change{{Server: Server{ID: "a", Revision: 1}}}, 6, nil},
+		{"a newer one is taken", []Change{{Server: Server{ID: "a", Revision: 7, Draining: true}}}, 7,
+			[]Change{{Server: Server{ID: "a", Revision: 7, Draining: true}}}},
+		{"a server goes", []Change{{Server: Server{ID: "b"}, Gone: true}}, 8, []Change{{Server: Server{ID: "b", Revision: 3}, Gone: true}}},
+		{"one that is not there goes", []Change{{Server: Server{ID: "c"}, Gone: true}}, 9, nil},
+		{"older news change nothing", []Change{{Server: Server{ID: "d", Revision: 8}}}, 8, nil},
+	}
+	for _, step := range steps {
+		if diff := cmp.Diff(step.want, table.Apply(step.events, step.revision)); diff != "" {
+			t.Errorf("%s: %s", step.name, diff)
+		}
+	}
+	if got := table.Replace([]Server{{ID: "z", Revision: 4}}, 4); got != nil {
+		t.Errorf("a list older than the table changed %v", got)
+	}
+}
+
+func TestDigestTellsStatesApart(t *testing.T) {
+	one, other := NewTable(), NewTable()
+	one.Replace([]Server{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 3)
+	other.Replace([]Server{{ID: "b", Revision: 2}, {ID: "a", Revision: 1, Models: []HeldModel{{Name: "m"}}}}, 9)
+	if one.Digest() != other.Digest() {
+		t.Error("models or order change the digest")
+	}
+	other.Apply([]Change{{Server: Server{ID: "a", Revision: 10, Draining: true}}}, 10)
+	if one.Digest() == other.Digest() {
+		t.Error("draining does not change the digest")
+	}
+}
--- /dev/null
+++ b/internal/routetable/table_test.go
@@ -0,0 +1,59 @@
+package routetable
+
+import "testing"
+
+func table() *Table {
+	return New(3, []Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "B.example", Prefix: "/x/"},
+	}, nil, Limits{})
+}
+
+func TestMatch(t *testing.T) {
+	cases := []struct{ host, path, want string }{
+		{"a.example", "/x/z", "short"},
+		{"a.example", "/x/y/z", "long"},
+		{"a.example", "/x/y", "short"},
+		{"A.EXAMPLE:8080", "/x/y/", "long"},
+		{"b.example", "/x/y/z", "other"},
+		{"a.example", "/y/", ""},
+		{"c.example", "/x/", ""},
+		{"a.example", "/x", ""},
+	}
+	for _, c := range cases {
+		route, ok := table().Match(c.host, c.path)
+		switch {
+		case c.want == "" && ok:
+			t.Errorf("%s%s: matched %s, want none", c.host, c.path, route.Name)
+		case c.want != "" && (!ok || route.Name != c.want):
+			t.Errorf("%s%s: %v, want %s", c.host, c.path, route, c.want)
+		}
+	}
+}
+
+func TestSplitKeepsItsSharesInAnyRun(t *testing.T) {
+	route := &Route{Name: "r", Parts: []Part{{"a", 90}, {"b", 7}, {"c", 3}}}
+	var splitter Splitter
+	counts := make(map[string]int)
+	for sent := 1; sent <= 1000; sent++ {
+		counts[splitter.Next(route)]++
+		for _, part := range route.Parts {
+			wanted := float64(sent) * part.Weight / 100
+			if off := float64(counts[part.Service]) - wanted; off > 1.5 || off < -1.5 {
+				t.Fatalf("after %d requests %s has %d, want about %.1f", sent, part.Service, counts[part.Service], wanted)
+			}
+		}
+	}
+}
+
+func TestSplitOfAChangedRouteStartsAnew(t *testing.T) {
+	var splitter Splitter
+	splitter.Next(&Route{Name: "r", Parts: []Part{{"a", 1}, {"b", 1}}})
+	if got := splitter.Next(&Route{Name: "r", Parts: []Part{{"c", 1}}}); got != "c" {
+		t.Errorf("went to %q, want c", got)
+	}
+	if got := splitter.Next(&Route{Name: "r", Parts: []Part{{"a", 0}, {"b", 1}, {"c", 0}}}); got != "b" {
+		t.Errorf("went to %q, want b: the others weigh nothing", got)
+	}
+}
--- /dev/null
+++ b/internal/storelease/lease_test.go
@@ -0,0 +1,107 @@
+package storelease
+
+import (
+	"testing"
+	"time"
+)
+
+var begin = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+
+func options(holder string) Options {
+	return Options{
+		Holder: holder, Duration: 2 * time.Second, Renewal: 700 * time.Millisecond,
+		Margin: 300 * time.Millisecond, Quiet: 3 * time.Second,
+	}
+}
+
+func at(offset time.Duration) time.Time { return begin.Add(offset) }
+
+func TestFreeLeaseIsTakenAndOrdersAtOnce(t *testing.T) {
+	core := New(options("a"))
+	if core.CanTake(begin) {
+		t.Error("a lease that nobody read can be taken")
+	}
+	core.Absent(begin)
+	if !core.CanTake(begin) {
+		t.Fatal("a free lease cannot be taken")
+	}
+	core.Attempt(begin)
+	core.Taken(begin, at(4*time.Millisecond), 7)
+	if core.Term() != 7 || !core.MayOrder(at(5*time.Millisecond)) {
+		t.Errorf("term %d, may order %v; want 7 and true", core.Term(), core.MayOrder(at(5*time.Millisecond)))
+	}
+	if core.MayOrder(at(2 * time.Second)) {
+		t.Error("orders after its duration, counted from before the write was sent")
+	}
+}
+
+func TestSuccessorWaitsForTheLeaseAndThenForQuiet(t *testing.T) {
+	core := New(options("b"))
+	core.Observe(begin, Record{Holder: "a", Revision: 5})
+	core.Observe(at(2*time.Second), Record{Holder: "a", Revision: 5})
+	if core.CanTake(at(2299 * time.Millisecond)) {
+		t.Error("taken within duration and margin")
+	}
+	if !core.CanTake(at(2301 * time.Millisecond)) {
+		t.Fatal("not to be taken after duration and margin")
+	}
+	sent := at(2400 * time.Millisecond)
+	core.Attempt(sent)
+	core.Taken(sent, sent, 6)
+	if core.MayOrder(at(4 * time.Second)) {
+		t.Error("orders within the quiet time")
+	}
+	for renewed := sent; renewed.Before(at(6 * time.Second)); renewed = renewed.Add(700 * time.Millisecond) {
+		core.Taken(renewed, renewed, 7)
+	}
+	if core.MayOrder(at(5299*time.Millisecond)) || !core.MayOrder(at(5301*time.Millisecond)) {
+		t.Error("first order is not duration, margin and quiet after the last sight")
+	}
+}
+
+func TestSameMachineGoesOnAtOnce(t *testing.T) {
+	core := New(options("a"))
+	core.Observe(begin, Record{Holder: "a", Revision: 9, Loads: map[string][]time.Duration{"llm": {time.Second}}})
+	core.Attempt(begin)
+	core.Taken(begin, begin, 10)
+	if !core.MayOrder(at(time.Millisecond)) {
+		t.Error("a machine waits for itself")
+	}
+	loads := core.PastLoads()["llm"]
+	if len(loads) != 1 || !loads[0].Equal(at(-time.Second)) {
+		t.Errorf("past loads %v, want one a second ago", loads)
+	}
+}
+
+// TestRestartKeepsTheQuietTime is a machine that took the lease of another, and
+// died before its first order.
+func TestRestartKeepsTheQuietTime(t *testing.T) {
+	core := New(options("b"))
+	core.Observe(begin, Record{Holder: "b", Revision: 9, Quiet: 2 * time.Second})
+	core.Attempt(begin)
+	core.Taken(begin, begin, 10)
+	if core.MayOrder(at(1900 * time.Millisecond)) {
+		t.Error("a restart cut the quiet time short")
+	}
+}
+
+func TestHeardRevisionStartsTheWait(t *testing.T) {
+	core := New(options("b"))
+	core.Heard(begin, "a", 5)
+	if core.CanTake(at(3 * time.Second)) {
+		t.Error("taken without a read of the store")
+	}
+	core.Observe(at(2400*time.Millisecond), Record{Holder: "a", Revision: 5})
+	if !core.CanTake(at(2400 * time.Millisecond)) {
+		t.Error("the wait does not count from when the revision was heard")
+	}
+}
+
+func TestOlderReadsChangeNothing(t *testing.T) {
+	core := New(options("b"))
+	core.Observe(begin, Record{Holder: "a", Revision: 8})
+	core.Observe(at(time.Second), Record{Holder: "c", Revision: 7})
+	if core.Record().Holder != "a" {
+		t.Errorf("holder %q from an older read", core.Record().Holder)
+	}
+}
