--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -22,7 +22,11 @@
 	storeLoads map[string][]time.Time
 	// reserved are the loads that may begin until the lease is written again.
 	reserved map[string]int
-	effects  Effects
+	// ordered are the servers by name, until one comes or goes.
+	ordered []*server
+	// waits are the requests that wait for each model, as of this step.
+	waits   map[dispatch.Wanted]int
+	effects Effects
 }
 
 // New returns the core of a term that knows nothing yet.
@@ -88,11 +92,13 @@
 		switch {
 		case change.Gone:
 			delete(c.servers, id)
+			c.ordered = nil
 		case !ok:
 			if engine := c.engineOf(change.Server.Service); engine != nil {
 				added := newServer(change.Server, now)
 				added.noteCopies()
 				c.servers[id] = added
+				c.ordered = nil
 			}
 		default:
 			known.info = change.Server
@@ -162,12 +168,15 @@
 // sorted returns the servers in the order of their names, so that decisions
 // repeat.
 func (c *Core) sorted() []*server {
-	all := make([]*server, 0, len(c.servers))
+	if c.ordered != nil {
+		return c.ordered
+	}
+	c.ordered = make([]*server, 0, len(c.servers))
 	for _, s := range c.servers {
-		all = append(all, s)
+		c.ordered = append(c.ordered, s)
 	}
-	slices.SortFunc(all, func(a, b *server) int { return strings.Compare(a.info.ID, b.info.ID) })
-	return all
+	slices.SortFunc(c.ordered, func(a, b *server) int { return strings.Compare(a.info.ID, b.info.ID) })
+	return c.ordered
 }
 
 // Times of the conversation with a server.
@@ -296,6 +305,7 @@
 		s.askReport(now.Add(reportLag))
 	case ResultGone:
 		delete(c.servers, order.ServerID)
+		c.ordered = nil
 	default:
 		c.undo(s, order)
 		s.pauseUntil = now.Add(refusedPause)
--- /dev/null
+++ b/internal/placer/core_test.go
@@ -0,0 +1,109 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+// fullServer is a core with one server that is full.
+func fullServer(t *testing.T) *Core {
+	t.Helper()
+	core := New(Options{Window: window, Overage: overage})
+	core.SetTable(simTable())
+	core.SetServers(begin, []inventory.Change{{Server: inventory.Server{ID: "s", Service: serviceName}}})
+	core.Reserved()
+	if effects := core.Step(begin, true); len(effects.Reports) != 1 || len(effects.Orders) != 0 {
+		t.Fatalf("effects %+v, want a question for the server's report before any order", effects)
+	}
+	core.TakeReport(begin, "s", Report{Models: []inventory.HeldModel{{Name: "m02"}, {Name: "m05"}}}, true)
+	return core
+}
+
+func wantModel(core *Core, now time.Time, model string) {
+	core.SetCounts(now, "node", 1, []Count{{
+		Wanted: dispatch.Wanted{Service: serviceName, Model: model}, Asked: 1, Waiting: 1,
+	}})
+}
+
+// TestUnsentUnloadKeepsItsMemory: an order that never left frees nothing. The
+// day that showed it (LIMIT) loaded over the memory of a server that could not
+// be reached.
+func TestUnsentUnloadKeepsItsMemory(t *testing.T) {
+	core := fullServer(t)
+	wantModel(core, begin, "m08")
+	effects := core.Step(begin.Add(tick), true)
+	if len(effects.Orders) != 1 || effects.Orders[0].Operation != Unload {
+		t.Fatalf("orders %+v, want an unload", effects.Orders)
+	}
+	core.OrderAnswered(begin.Add(2*tick), effects.Orders[0], ResultNotSent)
+	for step := range 100 {
+		now := begin.Add(time.Duration(3+step) * tick)
+		wantModel(core, now, "m08")
+		for _, order := range core.Step(now, true).Orders {
+			if order.Operation == Load {
+				t.Fatalf("loads %s into memory that nothing left", order.Model)
+			}
+			core.OrderAnswered(now, order, ResultNotSent)
+		}
+	}
+}
+
+func TestLoadFollowsATakenUnload(t *testing.T) {
+	core := fullServer(t)
+	wantModel(core, begin, "m08")
+	unload := core.Step(begin.Add(tick), true).Orders[0]
+	core.OrderAnswered(begin.Add(2*tick), unload, ResultTaken)
+	orders := core.Step(begin.Add(3*tick), true).Orders
+	if len(orders) != 1 || orders[0].Operation != Load || orders[0].Model != "m08" || orders[0].Expected != unload.Expected+1 {
+		t.Errorf("orders %+v, want the load of m08 with the next count", orders)
+	}
+}
+
+func TestNothingIsOrderedWithoutLeaseOrReservation(t *testing.T) {
+	core := fullServer(t)
+	wantModel(core, begin, "m08")
+	if orders := core.Step(begin.Add(tick), false).Orders; len(orders) != 0 {
+		t.Errorf("orders %+v without the lease", orders)
+	}
+	fresh := New(Options{Window: window, Overage: overage})
+	fresh.SetTable(simTable())
+	fresh.SetServers(begin, []inventory.Change{{Server: inventory.Server{ID: "s", Service: serviceName}}})
+	fresh.Step(begin, true)
+	fresh.TakeReport(begin, "s", Report{}, true)
+	wantModel(fresh, begin, "m08")
+	if orders := fresh.Step(begin.Add(tick), true).Orders; len(orders) != 0 {
+		t.Errorf("orders %+v before the lease says which loads may begin", orders)
+	}
+}
+
+func TestViewLeavesOutWhatIsUnloaded(t *testing.T) {
+	core := fullServer(t)
+	wantModel(core, begin, "m08")
+	unload := core.Step(begin.Add(tick), true).Orders[0]
+	views := core.Views(begin.Add(tick))
+	if len(views) != 1 {
+		t.Fatalf("%d views, want 1", len(views))
+	}
+	if _, ok := views[0].Held[unload.Model]; ok {
+		t.Errorf("the view still names %s, which is being unloaded", unload.Model)
+	}
+}
+
+func TestLooseModelsMakeWayFirst(t *testing.T) {
+	core := fullServer(t)
+	now := begin
+	core.SetCounts(now, "node", 1, []Count{
+		{Wanted: dispatch.Wanted{Service: serviceName, Model: "m02"}, Asked: 1, Goal: 800 * time.Millisecond},
+		{Wanted: dispatch.Wanted{Service: serviceName, Model: "m05"}, Asked: 1, Goal: 6 * time.Second},
+	})
+	now = now.Add(5 * time.Second)
+	core.Reserved()
+	core.SetCounts(now, "node", 1, []Count{{Wanted: dispatch.Wanted{Service: serviceName, Model: "m08"}, Asked: 1, Waiting: 1}})
+	orders := core.Step(now, true).Orders
+	if len(orders) != 1 || orders[0].Operation != Unload || orders[0].Model != "m05" {
+		t.Errorf("orders %+v, want the unload of m05, whose callers bear a load", orders)
+	}
+}
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -129,13 +129,17 @@
 	return known
 }
 
-// waitsFor counts the requests that wait for a model, adapters included.
-func (c *Core) waitsFor(now time.Time, service, model string) int {
-	total := 0
+// countWaits counts once for a step what waits for each model, adapters
+// included.
+func (c *Core) countWaits(now time.Time) {
+	c.waits = make(map[dispatch.Wanted]int)
 	for wanted, known := range c.interests {
-		if wanted.Service == service && wanted.Model == model {
-			total += known.waits(now)
+		if len(known.waiting) > 0 {
+			c.waits[dispatch.Wanted{Service: wanted.Service, Model: wanted.Model}] += known.waits(now)
 		}
 	}
-	return total
+}
+
+func (c *Core) waitsFor(service, model string) int {
+	return c.waits[dispatch.Wanted{Service: service, Model: model}]
 }
--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -89,7 +89,7 @@
 		return surplusPenalty
 	case known == nil:
 		return unknownPenalty
-	case c.waitsFor(now, service, name) > 0 || silent < runTime:
+	case c.waitsFor(service, name) > 0 || silent < runTime:
 		return math.Inf(1)
 	}
 	fades := 1 / (1 + silent.Seconds()/forgetTime.Seconds())
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -28,6 +28,7 @@
 		}
 	}
 	slices.Sort(names)
+	c.countWaits(now)
 	for _, name := range names {
 		engine := c.table.Services[name].Engine
 		servers := c.serversOf(name)
@@ -37,7 +38,13 @@
 }
 
 func (c *Core) serversOf(service string) []*server {
-	return slices.DeleteFunc(c.sorted(), func(s *server) bool { return s.info.Service != service })
+	var servers []*server
+	for _, s := range c.sorted() {
+		if s.info.Service == service {
+			servers = append(servers, s)
+		}
+	}
+	return servers
 }
 
 // Thresholds of demand.
@@ -92,11 +99,14 @@
 	var wants []want
 	for name, model := range engine.Models {
 		needed := c.needed(now, service, name, len(servers))
+		if needed == 0 {
+			continue
+		}
 		copies := copiesOf(servers, name)
 		if copies >= needed {
 			continue
 		}
-		wanted := want{model: model, copies: copies, needed: needed, waiting: c.waitsFor(now, service, name)}
+		wanted := want{model: model, copies: copies, needed: needed, waiting: c.waitsFor(service, name)}
 		if known := c.interests[dispatch.Wanted{Service: service, Model: name}]; known != nil {
 			wanted.rate = known.fast.requests
 		}
