Answer a rejected command at once where every server was tried

Cause: a request that all servers of a plain service had rejected waited for another server until its deadline. Found by TestRejectedCommandMayGoToAnotherServer (5 s before, at once after).

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -127,6 +127,52 @@
 	}
 }
 
+func TestCommandIsNotRepeatedThoughAttemptsAreLeft(t *testing.T) {
+	broken := func(net.Conn, *http.Request) bool { return false }
+	servers := []*standinServer{newStandin(t, broken), newStandin(t, broken)}
+	got := newFixture(t, servers...).send(t, http.MethodGet, "/command/", "")
+	if total := servers[0].count() + servers[1].count(); got.status != http.StatusBadGateway || total != 1 {
+		t.Errorf("status %d after %d sends, want 502 after 1", got.status, total)
+	}
+}
+
+func TestRejectedCommandMayGoToAnotherServer(t *testing.T) {
+	rejecting := answering(http.StatusServiceUnavailable, "", "X-Not-Run: 1")
+	servers := []*standinServer{newStandin(t, rejecting), newStandin(t, rejecting)}
+	got := newFixture(t, servers...).send(t, http.MethodPost, "/command/", "")
+	if got.status != http.StatusServiceUnavailable || servers[0].count() != 1 || servers[1].count() != 1 {
+		t.Errorf("status %d after %d and %d sends, want 503 after one at each", got.status, servers[0].count(), servers[1].count())
+	}
+}
+
+// TestClosedConnectionIsNotUsedAgain: a request on it could not be told from
+// one that ran.
+func TestClosedConnectionIsNotUsedAgain(t *testing.T) {
+	server := newStandin(t, func(conn net.Conn, request *http.Request) bool {
+		write(conn, reply(request.Header.Get("X-Id"), http.StatusOK, "ok"))
+		return false
+	})
+	f := newFixture(t, server)
+	for range 4 {
+		if got := f.send(t, http.MethodPost, "/once/", ""); got.status != http.StatusOK {
+			t.Errorf("status %d, want 200 on a new connection", got.status)
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
+// TestServerThatLeavesWhileItIsDialledGetsNothing checks again right before the
+// send what was believed when the server was chosen.
+func TestServerThatLeavesWhileItIsDialledGetsNothing(t *testing.T) {
+	server := newStandin(t, answering(http.StatusOK, "ok"))
+	f := newFixture(t, server)
+	f.onDial = func() { f.dispatch.Do(func(core *dispatch.Core) { core.SetGoing("s0", 5) }) }
+	got := f.send(t, http.MethodPost, "/once/", "", "X-Wait", "200ms")
+	if got.status != http.StatusServiceUnavailable || server.count() != 0 {
+		t.Errorf("status %d after %d sends, want 503 after none", got.status, server.count())
+	}
+}
+
 func TestRepeatsEndWithTheBudget(t *testing.T) {
 	server := newStandin(t, func(net.Conn, *http.Request) bool { return false })
 	other := newStandin(t, func(net.Conn, *http.Request) bool { return false })
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -146,19 +146,26 @@
 	handler  *Handler
 	dispatch *dispatch.Shared
 	url      string
+	// onDial is called before each new connection to a server.
+	onDial func()
 }
 
 func newFixture(t *testing.T, servers ...*standinServer) *fixture {
 	t.Helper()
 	shared := dispatch.NewShared(dispatch.Options{Zone: "z", Seed: 1})
+	f := &fixture{dispatch: shared, onDial: func() {}}
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		f.onDial()
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	}
 	handler := New(Options{
 		Dialect:  testDialect{},
 		Dispatch: shared,
-		Pool:     backendconn.New(backendconn.Options{}),
+		Pool:     backendconn.New(backendconn.Options{Dial: dial}),
 		Budget:   retrybudget.Options{Ratio: 0.2, Extra: 54, Window: 10 * time.Second},
 		Logger:   logging.Discard(),
 	})
-	f := &fixture{handler: handler, dispatch: shared}
+	f.handler = handler
 	var changes []inventory.Change
 	for i, s := range servers {
 		changes = append(changes, inventory.Change{Server: inventory.Server{
@@ -177,6 +184,7 @@
 	parts := []routetable.Part{{Service: "svc", Weight: 1}}
 	return routetable.New(1, []routetable.Route{
 		{Name: "once", Host: "127.0.0.1", Prefix: "/once/", MaxAttempts: 1, Parts: parts},
+		{Name: "command", Host: "127.0.0.1", Prefix: "/command/", MaxAttempts: 3, Parts: parts},
 		{Name: "often", Host: "127.0.0.1", Prefix: "/often/", Repeat: routetable.RepeatSafe, MaxAttempts: 2, Parts: parts},
 		{Name: "brief", Host: "127.0.0.1", Prefix: "/brief/", Timeout: 150 * time.Millisecond, MaxAttempts: 1, Parts: parts},
 		{Name: "stream", Host: "127.0.0.1", Prefix: "/stream/", Stream: true, MaxAttempts: 1, Parts: parts},
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -90,6 +90,11 @@
 		x.giveUp("node_stops")
 		return false
 	}
+	if !x.engine && len(x.failed) > 0 {
+		// Every server of the service was tried; none will change its mind.
+		x.giveUp(reasonRejected)
+		return false
+	}
 	if x.headSent || x.ran || x.returned {
 		return true
 	}
