--- /dev/null
+++ b/test/platform/node_test.go
@@ -0,0 +1,398 @@
+package platform
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "spanlanding-platform")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(folder, "spanlanding")
+	if output, err := exec.Command("go", "build", "-o", binary, "../../cmd/spanlanding").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// fleet is some nodes on one stand-in platform.
+type fleet struct {
+	t      *testing.T
+	store  *store
+	ports  [4]int
+	folder string
+	nodes  []*node
+}
+
+type node struct {
+	fleet    *fleet
+	name     string
+	ip       string
+	settings string
+	process  *exec.Cmd
+	ended    chan error
+	mu       sync.Mutex
+	output   bytes.Buffer
+}
+
+// Write keeps what the node logs.
+func (n *node) Write(text []byte) (int, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.output.Write(text)
+}
+
+func (n *node) log() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.output.String()
+}
+
+const settingsForm = `nodeName = %q
+ip = %q
+zone = "z"
+internalPorts = [%d, %d]
+seeds = ["127.0.0.1:1", "127.0.0.2:1"]
+unknownField = { of = "another version" }
+[listen]
+frontend = "%s:%d"
+ready = "%s:%d"
+[bounds]
+graceS = 4
+leaseMs = 600
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetExtra = 54
+ceilingWindowS = 5
+originOverage = 1.1
+[platform]
+address = %q
+`
+
+func newFleet(t *testing.T, count int) *fleet {
+	t.Helper()
+	s, address := newStore(t)
+	f := &fleet{t: t, store: s, folder: t.TempDir()}
+	for i := range f.ports {
+		f.ports[i] = freePort(t)
+	}
+	for i := range count {
+		ip := "127.0.0." + strconv.Itoa(i+1)
+		n := &node{fleet: f, name: "node-" + strconv.Itoa(i+1), ip: ip}
+		n.settings = filepath.Join(f.folder, n.name+".toml")
+		text := fmt.Sprintf(settingsForm, n.name, ip, f.ports[0], f.ports[0]+1, ip, f.ports[1], ip, f.ports[2], address)
+		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f.nodes = append(f.nodes, n)
+		n.start()
+	}
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			_ = n.process.Process.Kill()
+		}
+		if t.Failed() {
+			for _, n := range f.nodes {
+				t.Logf("%s:\n%s", n.name, n.log())
+			}
+		}
+	})
+	return f
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+func (n *node) start() {
+	n.process = exec.Command(binary, "edge")
+	n.process.Env = append(os.Environ(), "SPANLANDING_BOOT="+n.settings)
+	n.process.Stdout, n.process.Stderr = n, n
+	if err := n.process.Start(); err != nil {
+		n.fleet.t.Fatal(err)
+	}
+	n.ended = make(chan error, 1)
+	process, ended := n.process, n.ended
+	go func() { ended <- process.Wait() }()
+}
+
+func (n *node) kill() {
+	_ = n.process.Process.Kill()
+	<-n.ended
+}
+
+func (n *node) signal(signal os.Signal) { _ = n.process.Process.Signal(signal) }
+
+func (n *node) isReady() bool {
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/api/readyz", n.ip, n.fleet.ports[2]))
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+var requestNumber int
+
+type reply struct {
+	status     int
+	body       string
+	retryAfter string
+	err        error
+}
+
+func (n *node) send(path, model string) reply {
+	requestNumber++
+	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, n.fleet.ports[1], path), strings.NewReader("body"))
+	if err != nil {
+		n.fleet.t.Fatal(err)
+	}
+	request.Host = "host.example"
+	request.Header.Set("Request-Id", "r"+strconv.Itoa(requestNumber))
+	request.Header.Set("Deadline-Ms", "8000")
+	if model != "" {
+		request.Header.Set("Model", model)
+		request.Header.Set("Token-Count", "100,20")
+		request.Header.Set("Prefix-Hash", "a1:60,b2:40")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, body: string(text), retryAfter: response.Header.Get("Retry-After"), err: err}
+}
+
+// eventually waits for a condition; the bound is far beyond what it takes.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within 30 s: %s", what)
+}
+
+func configuration(version int, extra ...map[string]any) map[string]any {
+	routes := []map[string]any{
+		{"name": "command", "host": "host.example", "pathPrefix": "/command/", "type": "unsafe", "service": "commands", "maxAttempts": 1},
+		{"name": "chat", "host": "host.example", "pathPrefix": "/chat/", "type": "streaming", "service": "models", "goalMs": 5000, "timeoutMs": 8000, "maxAttempts": 1, "sticky": true},
+		{"name": "of another version", "host": "", "pathPrefix": "/x/", "type": "telepathic"},
+	}
+	return map[string]any{
+		"version": version,
+		"routes":  append(routes, extra...),
+		"services": []map[string]any{
+			{"name": "commands", "healthPath": "/healthz"},
+			{"name": "models", "engine": map[string]any{
+				"slots": 8, "kvCapacity": 10000, "weightsMb": 100, "adapterSlots": 2, "loadsPerS": 4,
+				"models": []map[string]any{
+					{"name": "m1", "weightsMb": 60, "loadS": 0.2, "adapters": 2, "adapterSizeMb": 1},
+					{"name": "m2", "weightsMb": 60, "loadS": 0.2},
+				},
+			}},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096},
+	}
+}
+
+func (f *fleet) awaitReady() {
+	for _, n := range f.nodes {
+		eventually(f.t, n.name+" is ready", n.isReady)
+	}
+}
+
+// TestNodesServeLoadAndStop is the whole path over processes: not ready before
+// the configuration is known, commands, a cold model and its adapter, a change
+// of the configuration past a deaf watch, a reload, and a planned stop.
+func TestNodesServeLoadAndStop(t *testing.T) {
+	f := newFleet(t, 2)
+	commands := newServer(t, f.store, "i-commands", "commands", 0)
+	models := newServer(t, f.store, "i-models", "models", 200*time.Millisecond)
+	eventually(t, "a node without a configuration answers 503", func() bool { return f.nodes[0].send("/command/x", "").status == http.StatusServiceUnavailable })
+	if f.nodes[0].isReady() {
+		t.Error("ready without a configuration")
+	}
+	f.store.put("config", "main", configuration(1))
+	f.awaitReady()
+	for _, n := range f.nodes {
+		if got := n.send("/command/x", ""); got.status != http.StatusOK || got.body != "done by i-commands" {
+			t.Errorf("%s: %+v", n.name, got)
+		}
+		if got := n.send("/unknown/x", ""); got.status != http.StatusNotFound {
+			t.Errorf("%s: status %d without a route, want 404", n.name, got.status)
+		}
+	}
+	eventually(t, "a cold model and its adapter are loaded and answer", func() bool {
+		got := f.nodes[1].send("/chat/x", "m1/a2")
+		return got.status == http.StatusOK && got.err == nil && strings.Count(got.body, "id: ") == 5
+	})
+	f.changeConfiguration()
+	f.nodes[0].signal(syscall.SIGHUP)
+	eventually(t, "settings are reloaded", func() bool { return strings.Contains(f.nodes[0].log(), "event=settings_reloaded") })
+	f.stopWhileStreaming(models)
+	if got := commands.runCount(); got != 2 {
+		t.Errorf("commands ran %d times, want 2", got)
+	}
+}
+
+// changeConfiguration changes it while watches hear nothing and the history is
+// dropped.
+func (f *fleet) changeConfiguration() {
+	f.store.set(func() { f.store.deaf = true })
+	added := map[string]any{"name": "new", "host": "host.example", "pathPrefix": "/new/", "type": "safe", "service": "commands"}
+	f.store.put("config", "main", configuration(5, added))
+	f.store.compact()
+	f.store.set(func() { f.store.deaf = false })
+	for _, n := range f.nodes {
+		eventually(f.t, "version 5 is in force at "+n.name, func() bool { return strings.Contains(n.log(), "event=config_in_force node="+n.name+" version=5") })
+	}
+	f.store.put("config", "main", configuration(4))
+}
+
+// stopWhileStreaming stops the first node in the middle of an answer.
+func (f *fleet) stopWhileStreaming(models *modelServer) {
+	models.mu.Lock()
+	models.streamPause = 100 * time.Millisecond
+	models.mu.Unlock()
+	before := models.runCount()
+	answered := make(chan reply, 1)
+	go func() { answered <- f.nodes[0].send("/chat/x", "m1") }()
+	eventually(f.t, "the stream runs", func() bool { return models.runCount() > before })
+	f.nodes[0].signal(syscall.SIGTERM)
+	if got := <-answered; got.err != nil || strings.Count(got.body, "id: ") != 5 {
+		f.t.Errorf("a planned stop cut %+v", got)
+	}
+	eventually(f.t, "the node is not ready", func() bool { return !f.nodes[0].isReady() })
+	if err := <-f.nodes[0].ended; err != nil {
+		f.t.Errorf("a planned stop ended with %v", err)
+	}
+	if strings.Contains(f.nodes[1].log(), "version=4") {
+		f.t.Error("the configuration went back")
+	}
+}
+
+// TestOrdersHaveOneHolder kills the leader and lets answers of the store be
+// lost, and reads the orders at the server.
+func TestOrdersHaveOneHolder(t *testing.T) {
+	f := newFleet(t, 3)
+	models := newServer(t, f.store, "i-models", "models", 50*time.Millisecond)
+	f.store.put("config", "main", configuration(1))
+	f.awaitReady()
+	served := func(model string) func() bool {
+		return func() bool { return f.nodes[2].send("/chat/x", model).status == http.StatusOK }
+	}
+	eventually(t, "m1 answers", served("m1"))
+	holder := f.leader()
+	holder.kill()
+	f.store.set(func() { f.store.lost = true })
+	time.Sleep(300 * time.Millisecond)
+	f.store.set(func() { f.store.lost = false })
+	holder.start()
+	eventually(t, "m2 answers under some leader", served("m2"))
+	eventually(t, "m1 answers again", served("m1"))
+	checkOrders(t, models.ordersTaken())
+}
+
+func (f *fleet) leader() *node {
+	for _, n := range f.nodes {
+		if strings.Contains(n.log(), "event=lease_taken") {
+			return n
+		}
+	}
+	f.t.Fatal("no leader")
+	return nil
+}
+
+func checkOrders(t *testing.T, orders []order) {
+	t.Helper()
+	if len(orders) < 3 {
+		t.Errorf("%d orders, want some", len(orders))
+	}
+	for i := 1; i < len(orders); i++ {
+		before, after := orders[i-1], orders[i]
+		switch {
+		case after.FencingToken < before.FencingToken:
+			t.Errorf("order %d: token %d after %d", i, after.FencingToken, before.FencingToken)
+		case after.Holder != before.Holder && after.FencingToken == before.FencingToken:
+			t.Errorf("order %d: %s and %s with one token", i, before.Holder, after.Holder)
+		case after.Holder != before.Holder && after.at.Sub(before.at) < 600*time.Millisecond:
+			t.Errorf("order %d: %s takes turns with %s within the lease", i, after.Holder, before.Holder)
+		}
+	}
+}
+
+// TestBadEntriesAreReportedAndPassedOver: the rest goes on working.
+func TestBadEntriesAreReportedAndPassedOver(t *testing.T) {
+	f := newFleet(t, 1)
+	newServer(t, f.store, "i-commands", "commands", 0)
+	f.store.put("servers", "i-nowhere", map[string]any{"service": "commands", "state": "ready"})
+	f.store.put("servers", "i-nonsense", "text")
+	f.store.put("config", "main", configuration(1))
+	f.awaitReady()
+	n := f.nodes[0]
+	for _, place := range []string{"servers/i-nowhere", "servers/i-nonsense", "config/main"} {
+		eventually(t, place+" is reported", func() bool { return strings.Contains(n.log(), "place="+place) })
+	}
+	f.store.put("config", "main", "nonsense")
+	f.store.put("servers", "i-more", "nonsense")
+	for range 5 {
+		if got := n.send("/command/x", ""); got.status != http.StatusOK {
+			t.Errorf("status %d, want 200 under the last good configuration", got.status)
+		}
+	}
+	f.refuseBadSettings()
+}
+
+// refuseBadSettings damages the settings of a running node and of a fresh one.
+func (f *fleet) refuseBadSettings() {
+	n := f.nodes[0]
+	if err := os.WriteFile(n.settings, []byte("nodeName = [\n"), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	n.signal(syscall.SIGHUP)
+	eventually(f.t, "damaged settings are refused", func() bool { return strings.Contains(n.log(), "event=settings_refused") })
+	if got := n.send("/command/x", ""); got.status != http.StatusOK {
+		f.t.Errorf("status %d, want 200 under the last good settings", got.status)
+	}
+	if err := os.WriteFile(n.settings, []byte("nodeName = \"x\"\nip = \"here\"\n"), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	fresh := exec.Command(binary, "edge")
+	fresh.Env = append(os.Environ(), "SPANLANDING_BOOT="+n.settings)
+	output, err := fresh.CombinedOutput()
+	for _, finding := range []string{"zone: missing", "ip:", "listen.frontend", "internalPorts", "bounds.graceS"} {
+		if err == nil || !strings.Contains(string(output), finding) {
+			f.t.Errorf("a fresh node does not report %q: %s", finding, output)
+		}
+	}
+}
--- /dev/null
+++ b/test/platform/server_test.go
@@ -0,0 +1,174 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+type heldModel struct {
+	Name     string   `json:"name"`
+	Version  int64    `json:"version"`
+	Adapters []string `json:"adapters"`
+}
+
+// order is one order as it came.
+type order struct {
+	Operation     string `json:"operation"`
+	Model         string `json:"model"`
+	Adapter       string `json:"adapter"`
+	Holder        string `json:"holder"`
+	FencingToken  int64  `json:"fencingToken"`
+	ExpectedCount *int64 `json:"expectedCount"`
+	at            time.Time
+}
+
+// modelServer is a stand-in of a server that holds models, or, without loads,
+// of one that takes commands.
+type modelServer struct {
+	id, service, address string
+	loadTime             time.Duration
+	streamPause          time.Duration
+
+	mu       sync.Mutex
+	models   map[string]map[string]bool
+	sequence int64
+	busy     bool
+	orders   []order
+	runs     map[string]int
+}
+
+func newServer(t *testing.T, s *store, id, service string, loadTime time.Duration) *modelServer {
+	t.Helper()
+	m := &modelServer{
+		id: id, service: service, loadTime: loadTime,
+		models: make(map[string]map[string]bool), runs: make(map[string]int),
+	}
+	server := httptest.NewServer(m)
+	t.Cleanup(server.Close)
+	m.address = strings.TrimPrefix(server.URL, "http://")
+	m.enter(s, "ready")
+	return m
+}
+
+// enter writes the server's entry.
+func (m *modelServer) enter(s *store, state string) {
+	m.mu.Lock()
+	models := m.held()
+	m.mu.Unlock()
+	s.put("servers", m.id, map[string]any{
+		"service": m.service, "address": m.address, "zone": "z", "slots": 8, "state": state, "models": models, "sequence": 1,
+	})
+}
+
+func (m *modelServer) held() []heldModel {
+	held := []heldModel{}
+	for name, adapters := range m.models {
+		model := heldModel{Name: name, Version: 1, Adapters: []string{}}
+		for adapter := range adapters {
+			model.Adapters = append(model.Adapters, adapter)
+		}
+		held = append(held, model)
+	}
+	return held
+}
+
+// ServeHTTP implements http.Handler.
+func (m *modelServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != m.id {
+		writer.Header().Set("Instance-Id", m.id)
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch request.URL.Path {
+	case "/api/report":
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		_ = json.NewEncoder(writer).Encode(map[string]any{"models": m.held(), "busy": m.busy, "sequence": m.sequence})
+	case "/api/order":
+		m.order(writer, request)
+	default:
+		m.request(writer, request)
+	}
+}
+
+func (m *modelServer) order(writer http.ResponseWriter, request *http.Request) {
+	var wanted order
+	if json.NewDecoder(request.Body).Decode(&wanted) != nil || wanted.Holder == "" || wanted.FencingToken == 0 {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wanted.at = time.Now()
+	m.orders = append(m.orders, wanted)
+	if m.busy || (wanted.ExpectedCount != nil && *wanted.ExpectedCount != m.sequence) {
+		writer.WriteHeader(http.StatusConflict)
+		return
+	}
+	m.sequence++
+	switch {
+	case wanted.Operation == "unload":
+		delete(m.models, wanted.Model)
+	case wanted.Adapter != "":
+		m.models[wanted.Model][wanted.Adapter] = true
+	default:
+		m.busy = true
+		time.AfterFunc(m.loadTime, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.busy = false
+			m.models[wanted.Model] = make(map[string]bool)
+		})
+	}
+	writer.WriteHeader(http.StatusAccepted)
+}
+
+func (m *modelServer) request(writer http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("Request-Id")
+	_, _ = io.Copy(io.Discard, request.Body)
+	writer.Header().Set("Request-Id", id)
+	model, adapter, _ := strings.Cut(request.Header.Get("Model"), "/")
+	m.mu.Lock()
+	adapters, ok := m.models[model]
+	if model != "" && (!ok || (adapter != "" && !adapters[adapter])) {
+		m.mu.Unlock()
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	m.runs[id]++
+	m.mu.Unlock()
+	writer.Header().Set("Server-Stamp", m.id)
+	if model == "" {
+		fmt.Fprintf(writer, "done by %s", m.id)
+		return
+	}
+	writer.Header().Set("Content-Type", "text/event-stream")
+	for piece := 1; piece <= 5; piece++ {
+		fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", piece, model)
+		_ = http.NewResponseController(writer).Flush()
+		time.Sleep(m.streamPause)
+	}
+}
+
+func (m *modelServer) ordersTaken() []order {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]order(nil), m.orders...)
+}
+
+func (m *modelServer) runCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	total := 0
+	for _, count := range m.runs {
+		total += count
+	}
+	return total
+}
