--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -235,3 +235,28 @@
 		Parts: []routetable.Part{{Service: "svc", Weight: 1}},
 	}}, []routetable.Service{{Name: "svc", Engine: engine}}, routetable.Limits{})
 }
+
+// FuzzEvents cuts a stream of events anywhere: what is passed on is always
+// whole events, and no byte is lost or doubled.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\n"), uint8(3))
+	f.Fuzz(func(t *testing.T, text []byte, step uint8) {
+		var passed, buffer []byte
+		for rest := text; len(rest) > 0; {
+			count := min(int(step)+1, len(rest))
+			buffer = append(buffer, rest[:count]...)
+			rest = rest[count:]
+			if end := lastEventEnd(buffer); end > 0 {
+				passed = append(passed, buffer[:end]...)
+				buffer = append([]byte(nil), buffer[end:]...)
+			}
+		}
+		if string(passed)+string(buffer) != string(text) {
+			t.Errorf("%q became %q and %q", text, passed, buffer)
+		}
+		if len(passed) > 0 && !strings.HasSuffix(string(passed), "\n\n") {
+			t.Errorf("passed on in the middle of an event: %q", passed)
+		}
+		_ = eventID(text)
+	})
+}
