--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -15,6 +15,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/edge"
 	"github.com/spanlanding/spanlanding/internal/logging"
+	"github.com/spanlanding/spanlanding/internal/operator"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
 	"github.com/spanlanding/spanlanding/platform"
 )
@@ -28,20 +29,37 @@
 	return &cli.Command{
 		Name:  "edge",
 		Usage: "run a node on the operators' platform, with the settings that " + platform.SettingsVariable + " names",
-		Action: func(ctx context.Context, _ *cli.Command) error {
-			return runEdge(ctx)
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "metrics", Usage: "serve figures at `PORT/PATH`"},
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "write lines of `LEVEL` and above: debug, info, warn, error"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return runEdge(ctx, command.String("metrics"), command.String("log-level"))
 		},
 	}
 }
 
-func runEdge(ctx context.Context) error {
+// keptEvents are the events of which every line is kept while there is room:
+// refusals and failures before successes, and what the process believes.
+var keptEvents = map[string]bool{
+	"request_refused": true, "request_failed": true, "request_cut": true,
+	"lease_taken": true, "lease_lost": true, "config_in_force": true, "node_started": true, "node_stopped": true,
+}
+
+func runEdge(ctx context.Context, metrics, levelName string) error {
+	level, ok := logging.Levels[levelName]
+	if !ok {
+		return operator.ErrUsage.New("no log level %q", levelName)
+	}
 	debug.SetGCPercent(edgeHeapPercent)
 	path := os.Getenv(platform.SettingsVariable)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
-	logger := logging.New(os.Stdout, logging.Levels["info"], logging.Field{Key: "node", Value: settings.NodeName})
+	lines := logging.NewBounded(logging.BoundedOptions{Out: os.Stdout, Unbounded: keptEvents})
+	defer lines.Close()
+	logger := logging.New(lines, level, logging.Field{Key: "node", Value: settings.NodeName})
 	store := &platform.Store{
 		Objects: platform.NewObjects(settings.Platform.Address),
 		Findings: func(place string, finding error) {
@@ -67,11 +85,26 @@
 		Pool:        pool,
 		Dialect:     platform.Dialect{},
 		Logger:      logger,
+		Metrics:     metricsAddress(settings, metrics),
+		LogDropped:  lines.Dropped,
 	})
+	store.Objects.Calls = node.CountStoreCall
 	go watchSettings(ctx, path, func() { reload(node, path, logger) })
 	return node.Run(ctx)
 }
 
+// metricsAddress is where figures are served: the settings go before the flag.
+func metricsAddress(settings platform.Settings, flag string) string {
+	place := settings.Metrics
+	if place == "" {
+		place = flag
+	}
+	if place == "" {
+		return ""
+	}
+	return settings.IP + ":" + place
+}
+
 // tunables are the settings that change while a node runs.
 func tunables(settings platform.Settings) edge.Tunables {
 	return edge.Tunables{
--- a/cmd/spanlanding/main.go
+++ b/cmd/spanlanding/main.go
@@ -33,6 +33,7 @@
 		Commands: []*cli.Command{
 			nodeCommand(),
 			edgeCommand(),
+			explainCommand(),
 			validateCommand(),
 			diffCommand(),
 			applyCommand(),
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -87,6 +87,43 @@
 	}
 }
 
+// State is what a server is to a node.
+type State string
+
+const (
+	// StateReady servers take work.
+	StateReady State = "ready"
+	// StateGoing servers leave and take none.
+	StateGoing State = "going"
+	// StateSuspect servers take work, though many of their requests failed.
+	StateSuspect State = "suspect"
+)
+
+// suspectRate is the share of failed requests from which a server is suspect.
+const suspectRate = 0.3
+
+// CountServers counts the servers in a state.
+func (c *Core) CountServers(now time.Time, state State) int {
+	count := 0
+	for _, s := range c.servers {
+		if s.state(now) == state {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *server) state(now time.Time) State {
+	switch {
+	case !s.takesWork():
+		return StateGoing
+	case s.health.failureRate(now) >= suspectRate:
+		return StateSuspect
+	default:
+		return StateReady
+	}
+}
+
 // TakesWork reports whether new work may go to the server.
 func (c *Core) TakesWork(serverID string) bool {
 	known, ok := c.servers[serverID]
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -61,13 +61,13 @@
 			pause.wait(ctx)
 			continue
 		}
-		n.storeFailing.Store(false)
+		n.storeAnswered()
 		n.putInForce(table, "read")
 		for err == nil && ctx.Err() == nil {
 			pause.reset()
 			table, at, err = n.watchConfiguration(ctx, at)
 			if err == nil {
-				n.storeFailing.Store(false)
+				n.storeAnswered()
 			}
 			if err == nil && table != nil {
 				n.putInForce(table, "watch")
@@ -178,7 +178,7 @@
 			var changes []inventory.Change
 			changes, at, err = n.watchServers(ctx, at)
 			if err == nil {
-				n.storeFailing.Store(false)
+				n.storeAnswered()
 				n.takeServers(table.Apply(changes, at), at)
 				n.noteServers(table)
 			}
@@ -248,6 +248,13 @@
 	}
 }
 
+// storeAnswered notes that the store is there.
+func (n *Node) storeAnswered() {
+	if n.storeFailing.Swap(false) {
+		n.options.Logger.Info().Msg("store_regained")
+	}
+}
+
 func (n *Node) storeFailed(what string, err error) {
 	if err != nil && !errors.Is(err, context.Canceled) {
 		n.storeFailing.Store(true)
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -350,8 +350,9 @@
 		l.call(ctx, func() {
 			l.node.options.Logger.Info().Int64("term", term).Str("server", order.ServerID).
 				Str("operation", order.Operation.String()).Str("model", order.Model).Str("adapter", order.Adapter).
-				Int64("expected", order.Expected).Int("source", int(order.Source)).Str("reason", order.Reason).
-				Int("result", int(result)).Int64("took_ms", time.Since(started).Milliseconds()).Msg("order_answered")
+				Int64("expected", order.Expected).Str("source", order.Source.String()).Str("reason", order.Reason).
+				Str("result", result.String()).Int64("took_ms", time.Since(started).Milliseconds()).Msg("order_answered")
+			l.node.metrics.order(order, result)
 			core.OrderAnswered(time.Now(), order, result)
 			if result == placer.ResultFenced && core == l.core {
 				l.lease.Lost()
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/placer"
+)
+
+// metrics are the figures of a node, in the Prometheus text form. Counters that
+// others keep are read when they are asked for.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.HistogramVec
+	orders   *prometheus.CounterVec
+	store    *prometheus.CounterVec
+	storeLag prometheus.Histogram
+}
+
+const metricsPrefix = "spanlanding_edge_"
+
+func newMetrics(node *Node) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: metricsPrefix + "request_seconds", Help: "Time from arrival to the end of the final answer.",
+			Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30},
+		}, []string{"route", "outcome"}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: metricsPrefix + "orders_total", Help: "Orders given to servers, by their answer.",
+		}, []string{"operation", "result"}),
+		store: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: metricsPrefix + "store_calls_total", Help: "Calls to the object store; status 0 is no answer.",
+		}, []string{"method", "kind", "status"}),
+		storeLag: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: metricsPrefix + "store_write_seconds", Help: "Time of writes to the object store.",
+			Buckets: []float64{0.005, 0.02, 0.1, 0.5, 2},
+		}),
+	}
+	m.registry.MustRegister(m.requests, m.orders, m.store, m.storeLag)
+	m.gauges(node)
+	m.counters(node)
+	return m
+}
+
+func (m *metrics) gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: metricsPrefix + name, Help: help}, read))
+}
+
+func (m *metrics) counter(name, help string, read func() int64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: metricsPrefix + name, Help: help},
+		func() float64 { return float64(read()) }))
+}
+
+func (m *metrics) gauges(node *Node) {
+	m.gauge("requests_active", "Requests under way.", func() float64 { return float64(node.handler.Active()) })
+	m.gauge("requests_waiting", "Requests that wait for a server.", func() float64 { return float64(node.handler.Waiting()) })
+	m.gauge("config_version", "Version of the configuration in force; 0 is none.", func() float64 {
+		if table := node.handler.Table(); table != nil {
+			return float64(table.Version)
+		}
+		return 0
+	})
+	m.gauge("ready", "1 while the node says that it is ready.", func() float64 { return oneIf(node.isReady()) })
+	m.gauge("store_failing", "1 while the last call to the store failed.", func() float64 { return oneIf(node.storeFailing.Load()) })
+	m.gauge("lease_term", "Fencing token while this node holds the lease, else 0.", func() float64 {
+		term, _ := node.leader.standing()
+		return float64(term)
+	})
+	m.gauge("peers_alive", "Other nodes heard from lately.", func() float64 {
+		node.peers.mu.Lock()
+		defer node.peers.mu.Unlock()
+		return float64(len(node.peers.roster.Alive(time.Now())))
+	})
+	m.gauge("repeats_left", "Repeats that may be sent now, of the service that has least.", func() float64 { return node.handler.RepeatsLeft() })
+	for _, state := range []dispatch.State{dispatch.StateReady, dispatch.StateGoing, dispatch.StateSuspect} {
+		m.gauge("servers_"+string(state), "Servers that are "+string(state)+".", func() float64 {
+			count := 0
+			node.dispatch.Do(func(core *dispatch.Core) { count = core.CountServers(time.Now(), state) })
+			return float64(count)
+		})
+	}
+}
+
+func oneIf(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
+func (m *metrics) counters(node *Node) {
+	counts := &node.handler.Metrics
+	m.counter("repeats_total", "Requests sent to a server again.", counts.Repeats.Load)
+	m.counter("resumed_total", "Streams taken up at another server.", counts.Resumed.Load)
+	m.counter("rejected_total", "Sends that a server did not run.", counts.Rejected.Load)
+	m.counter("budget_empty_total", "Requests given up for want of a repeat.", counts.NoBudget.Load)
+	m.counter("dial_failures_total", "Connections to servers that did not come up.", counts.DialFails.Load)
+	m.counter("connections_total", "Connections opened to servers.", node.pool.Dialled)
+	if node.options.LogDropped != nil {
+		m.counter("log_lines_dropped_total", "Log lines left out.", node.options.LogDropped)
+	}
+}
+
+// CountStoreCall counts a call to the object store.
+func (n *Node) CountStoreCall(method, kind string, status int, took time.Duration) {
+	n.metrics.store.WithLabelValues(method, kind, strconv.Itoa(status)).Inc()
+	if method != http.MethodGet {
+		n.metrics.storeLag.Observe(took.Seconds())
+	}
+}
+
+func (m *metrics) order(order placer.Order, result placer.Result) {
+	m.orders.WithLabelValues(order.Operation.String(), result.String()).Inc()
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,10 @@
 	Pool        *backendconn.Pool
 	Dialect     relay.Dialect
 	Logger      *log.Logger
+	// Metrics is where figures are served, as ADDRESS/PATH; empty is nowhere.
+	Metrics string
+	// LogDropped counts the log lines left out; nil where none are.
+	LogDropped func() int64
 }
 
 // Tunables are the options that may change while a node runs.
@@ -71,6 +76,7 @@
 	handler  *relay.Handler
 	peers    *peers
 	leader   *leader
+	metrics  *metrics
 
 	// Nudges end a watch that seems to have missed something.
 	configNudge  chan struct{}
@@ -109,6 +115,10 @@
 		Logger:   options.Logger,
 		Wanted:   func() { node.peers.tellWanted() },
 	})
+	node.metrics = newMetrics(node)
+	node.handler.Finished = func(route, outcome string, took time.Duration) {
+		node.metrics.requests.WithLabelValues(route, outcome).Observe(took.Seconds())
+	}
 	return node
 }
 
@@ -143,6 +153,9 @@
 	callers := n.callerServer()
 	group.Go(func() error { return serve(callers, frontend) })
 	group.Go(func() error { return serve(n.readyServer(), ready) })
+	if err := n.serveMetrics(group); err != nil {
+		return err
+	}
 	group.Go(func() error { n.followConfiguration(ctx); return nil })
 	group.Go(func() error { n.followServers(ctx); return nil })
 	group.Go(func() error { n.sweep(ctx); return nil })
@@ -184,6 +197,24 @@
 	}
 }
 
+// serveMetrics serves the figures where the options say so.
+func (n *Node) serveMetrics(group *errgroup.Group) error {
+	address, path, _ := strings.Cut(n.options.Metrics, "/")
+	if address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/"+path, n.metrics.handler())
+	group.Go(func() error {
+		return serve(&http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout}, listener)
+	})
+	return nil
+}
+
 func (n *Node) readyServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc(n.options.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -45,6 +45,7 @@
 	sequence uint64
 	lastWant time.Time
 	told     map[string]toldView
+	alive    map[string]bool
 }
 
 // toldView is what was last told of a server.
@@ -70,6 +71,7 @@
 		address: node.options.PeerAddress,
 		roster:  gossip.New(node.options.PeerAddress, node.options.Tunables.PeerSeeds, life),
 		told:    make(map[string]toldView),
+		alive:   make(map[string]bool),
 	}, nil
 }
 
@@ -150,6 +152,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	targets := p.roster.Targets(now, gossipFanout)
+	p.noteAlive(now)
 	if leader := p.roster.Leader(now); leader != nil {
 		targets = append(targets, leader.Address)
 	}
@@ -157,6 +160,23 @@
 	p.send(targets, p.state(now))
 }
 
+// noteAlive logs the peers that came and went. The lock is held.
+func (p *peers) noteAlive(now time.Time) {
+	alive := make(map[string]bool, len(p.alive))
+	for _, peer := range p.roster.Alive(now) {
+		alive[peer.Address] = true
+		if !p.alive[peer.Address] {
+			p.node.options.Logger.Info().Str("peer", peer.Name).Str("address", peer.Address).Msg("peer_alive")
+		}
+	}
+	for address := range p.alive {
+		if !alive[address] {
+			p.node.options.Logger.Info().Str("address", address).Msg("peer_silent")
+		}
+	}
+	p.alive = alive
+}
+
 // tellWanted sends the leader at once what waits here.
 func (p *peers) tellWanted() {
 	now := time.Now()
--- /dev/null
+++ b/internal/logging/bounded_test.go
@@ -0,0 +1,72 @@
+package logging
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// gate is a writer that blocks until it is opened.
+type gate struct {
+	open chan struct{}
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (g *gate) Write(line []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.Write(line)
+}
+
+func (g *gate) String() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.String()
+}
+
+func TestBoundedNeverBlocksAndCountsWhatItDrops(t *testing.T) {
+	out := &gate{open: make(chan struct{})}
+	bounded := NewBounded(BoundedOptions{Out: out, Lines: 10, PerSecond: 1000})
+	for range 100 {
+		_, _ = bounded.Write([]byte("event=a x=1\n"))
+	}
+	if dropped := bounded.Dropped(); dropped < 85 || dropped > 90 {
+		t.Errorf("%d lines dropped of 100 with room for 10", dropped)
+	}
+	close(out.open)
+	bounded.Close()
+	if written := strings.Count(out.String(), "event=a"); int64(written)+bounded.Dropped() != 100 {
+		t.Errorf("%d written and %d dropped of 100", written, bounded.Dropped())
+	}
+}
+
+func TestBoundedKeepsRareEventsBesideFrequentOnes(t *testing.T) {
+	now := time.Unix(100, 0)
+	out := &gate{open: make(chan struct{})}
+	close(out.open)
+	bounded := NewBounded(BoundedOptions{
+		Out: out, PerSecond: 5, Now: func() time.Time { return now }, Unbounded: map[string]bool{"failed": true},
+	})
+	for range 50 {
+		_, _ = bounded.Write([]byte("level=info event=answered\n"))
+	}
+	for range 20 {
+		_, _ = bounded.Write([]byte("level=warn event=failed id=1\n"))
+	}
+	now = now.Add(time.Second)
+	_, _ = bounded.Write([]byte("level=info event=answered\n"))
+	bounded.Close()
+	text := out.String()
+	if got := strings.Count(text, "event=answered"); got != 6 {
+		t.Errorf("%d lines of the frequent event, want 5 and 1", got)
+	}
+	if got := strings.Count(text, "event=failed"); got != 20 {
+		t.Errorf("%d lines of failures, want all 20", got)
+	}
+	if !strings.Contains(text, "event=log_lines_dropped of=answered count=45") {
+		t.Errorf("nothing says what was left out: %s", text)
+	}
+}
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -75,6 +75,15 @@
 	ResultNotSent
 )
 
+// String names the result in logs and metrics.
+func (r Result) String() string {
+	names := map[Result]string{
+		ResultTaken: "taken", ResultHeld: "held", ResultBusy: "busy", ResultFenced: "fenced", ResultGone: "gone",
+		ResultRefused: "refused", ResultUnknown: "unknown", ResultNotSent: "not_sent",
+	}
+	return names[r]
+}
+
 // Report is what a server says of itself when asked.
 type Report struct {
 	Models   []inventory.HeldModel
@@ -83,6 +92,11 @@
 	Sequence int64
 }
 
+// String names the source in logs.
+func (s Source) String() string {
+	return [...]string{"none", "store", "disk", "memory"}[s]
+}
+
 // ReportCall asks for a server's report.
 type ReportCall struct {
 	ServerID string
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -27,6 +27,7 @@
 // attempt sends the request to the chosen server.
 func (x *exchange) attempt(choice dispatch.Choice) verdict {
 	x.serverID = choice.ServerID
+	x.estimate = choice.Estimate
 	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address)
 	if err != nil {
 		return x.notSent(choice)
@@ -209,8 +210,7 @@
 			x.cut("broken_answer")
 		}
 	}
-	x.handler.Metrics.Served.Add(1)
-	x.log("request_answered", answer.Status, "")
+	x.finish(outcomeAnswered, answer.Status, "")
 	return verdictDone
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -45,6 +45,8 @@
 	events    int
 	waited    time.Duration
 	serverID  string
+	// estimate is the time to the first byte that was expected of the server.
+	estimate time.Duration
 }
 
 func (x *exchange) serve() {
@@ -235,6 +237,29 @@
 	return errors.Is(x.request.Context().Err(), context.Canceled)
 }
 
+// finish notes the final answer.
+func (x *exchange) finish(outcome string, status int, reason string) {
+	if x.handler.Finished != nil {
+		x.handler.Finished(x.routeKind(), outcome, time.Since(x.arrived))
+	}
+	x.log("request_"+outcome, status, reason)
+}
+
+// routeKind is the kind of route for metrics, which would grow without bound by
+// the routes' names.
+func (x *exchange) routeKind() string {
+	switch {
+	case x.route == nil:
+		return "none"
+	case x.route.Stream:
+		return "stream"
+	case x.route.Repeat == routetable.RepeatSafe:
+		return "safe"
+	default:
+		return "unsafe"
+	}
+}
+
 func (x *exchange) log(event string, status int, reason string) {
 	entry := x.handler.options.Logger.Info()
 	entry.Str("request", x.head.RequestID).Int("status", status).Str("reason", reason)
@@ -247,6 +272,9 @@
 	if x.head.Model != "" {
 		entry.Str("model", x.head.Model).Str("adapter", x.head.Adapter).Int("prompt", x.head.PromptTokens)
 	}
+	if x.estimate > 0 {
+		entry.Str("estimate_ms", milliseconds(x.estimate))
+	}
 	entry.Str("server", x.serverID).Str("sent", strings.Join(x.sent, ","))
 	entry.Str("waited_ms", milliseconds(x.waited)).Str("took_ms", milliseconds(time.Since(x.arrived)))
 	if x.returned {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -2,14 +2,24 @@
 
 import "sync/atomic"
 
-// Metrics counts final answers and what led to them.
+// Outcomes of requests.
+const (
+	// outcomeAnswered is a server's answer, whatever it says.
+	outcomeAnswered = "answered"
+	// outcomeRefused is a request that has not run and never will.
+	outcomeRefused = "refused"
+	// outcomeFailed is one that may have run.
+	outcomeFailed = "failed"
+	// outcomeCut is an answer that was broken off.
+	outcomeCut = "cut"
+	// outcomeLeft is one whose caller is gone.
+	outcomeLeft = "left"
+	// outcomeDenied is one that no configuration allows, or that is malformed.
+	outcomeDenied = "denied"
+)
+
+// Metrics counts what led to final answers.
 type Metrics struct {
-	Served    atomic.Int64
-	Refused   atomic.Int64
-	Failed    atomic.Int64
-	CutShort  atomic.Int64
-	Left      atomic.Int64
-	Denied    atomic.Int64
 	Repeats   atomic.Int64
 	Resumed   atomic.Int64
 	Rejected  atomic.Int64
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -20,41 +20,36 @@
 
 // refuse answers a request that has not run and never will.
 func (x *exchange) refuse(reason string, back time.Duration) {
-	x.handler.Metrics.Refused.Add(1)
 	x.writer.Header().Set("Retry-After", strconv.FormatFloat(back.Seconds(), 'f', 3, 64))
 	x.answer(http.StatusServiceUnavailable, "not-run", reason)
-	x.log("request_refused", http.StatusServiceUnavailable, reason)
+	x.finish(outcomeRefused, http.StatusServiceUnavailable, reason)
 }
 
 // deny answers a request that no configuration allows, or that is malformed.
 func (x *exchange) deny(status int, reason string) {
-	x.handler.Metrics.Denied.Add(1)
 	x.answer(status, "not-run", reason)
-	x.log("request_denied", status, reason)
+	x.finish(outcomeDenied, status, reason)
 }
 
 // fail answers a request that may have run.
 func (x *exchange) fail(status int, reason string) {
-	x.handler.Metrics.Failed.Add(1)
 	if x.headSent {
 		x.cut(reason)
 	}
 	x.answer(status, "unknown", reason)
-	x.log("request_failed", status, reason)
+	x.finish(outcomeFailed, status, reason)
 }
 
 // cut breaks off an answer that cannot be made whole, so that it does not look
 // complete.
 func (x *exchange) cut(reason string) {
-	x.handler.Metrics.CutShort.Add(1)
-	x.log("request_cut", 0, reason)
+	x.finish(outcomeCut, 0, reason)
 	panic(http.ErrAbortHandler)
 }
 
 // leave ends a request whose caller is gone.
 func (x *exchange) leave() {
-	x.handler.Metrics.Left.Add(1)
-	x.log("request_left", 0, "caller_left")
+	x.finish(outcomeLeft, 0, "caller_left")
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -83,8 +84,11 @@
 	started    time.Time
 	active     atomic.Int64
 	waiting    atomic.Int64
-	// Counters of final answers, by outcome.
+	// Metrics counts what led to answers.
 	Metrics Metrics
+	// Finished is told of each final answer, by the kind of its route; nil is
+	// nobody.
+	Finished func(route, outcome string, took time.Duration)
 
 	mu       sync.Mutex
 	splitter routetable.Splitter
@@ -129,6 +133,24 @@
 // Active is the number of requests under way.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
+// Waiting is the number of requests that wait for a server.
+func (h *Handler) Waiting() int64 { return h.waiting.Load() }
+
+// RepeatsLeft is the least number of repeats that a service has left.
+func (h *Handler) RepeatsLeft() float64 {
+	table := h.table.Load()
+	if table == nil {
+		return 0
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	least := math.Inf(1)
+	for service := range table.Services {
+		least = min(least, h.budget.Left(time.Since(h.started), service))
+	}
+	return least
+}
+
 // SetNodes tells how many nodes share the budget of repeats.
 func (h *Handler) SetNodes(nodes int) {
 	h.mu.Lock()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -97,8 +97,7 @@
 		x.writeHead(answer, true, 0)
 	}
 	x.release(choice, dispatch.OutcomeServed)
-	x.handler.Metrics.Served.Add(1)
-	x.log("request_answered", answer.Status, "")
+	x.finish(outcomeAnswered, answer.Status, "")
 	return verdictDone
 }
 
