Believe copies of weights by the newest report; never refuse a begun answer

Cause of loads three times as long as foretold: copies on disk were remembered after the server had dropped them; such loads came from the weight store uncounted. Change: refuse cuts a begun answer; copies are the newest report's; a server that is busy with our last order is asked again after 40 ms in place of a report 300 ms old; models are believed only once the leader has seen them.

--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -87,3 +87,16 @@
 	}
 	return left, known
 }
+
+// ReadyAt is the time until one server has what is wanted, where it is on its
+// way or there.
+func (c *Core) ReadyAt(now time.Time, serverID string, wanted Wanted) (left time.Duration, known bool) {
+	s, ok := c.servers[serverID]
+	if !ok || !s.takesWork() {
+		return 0, false
+	}
+	if s.has(now, wanted.Model, wanted.Adapter) {
+		return max(0, s.absentUntil[joined(wanted.Model, wanted.Adapter)].Sub(now)), true
+	}
+	return s.readyIn(now, wanted.Model, wanted.Adapter)
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -95,8 +95,8 @@
 	return now.After(s.absentUntil[joined(model, adapter)])
 }
 
-// has goes by the leader's view, also for a load that has ended by now: its next
-// report would only come later.
+// has goes by the leader's view, also for an adapter that has come by now: a
+// report would only say so later. Loads of models take too long to be foretold.
 func (s *server) has(now time.Time, model, adapter string) bool {
 	if !s.hasView(now) {
 		adapters, ok := s.held[model]
@@ -105,6 +105,9 @@
 	if adapters, ok := s.view.Held[model]; ok && (adapter == "" || slices.Contains(adapters, adapter)) {
 		return true
 	}
+	if adapter == "" {
+		return false
+	}
 	left, loading := s.readyIn(now, model, adapter)
 	return loading && left == 0
 }
--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -46,6 +46,9 @@
 		known.fade(now)
 		copies := adapterCopies(servers, wanted)
 		needed := 1 + int(known.fast.requests/adapterRate)
+		if known.isStuck(now) && copies < needed+maxBeyond {
+			needed = copies + 1
+		}
 		if copies < needed {
 			wants = append(wants, adapterWant{wanted: wanted, waiting: known.waits(now), rate: known.fast.requests, copies: copies})
 		}
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -96,13 +96,12 @@
 		case !ok:
 			if engine := c.engineOf(change.Server.Service); engine != nil {
 				added := newServer(change.Server, now)
-				added.noteCopies()
+				added.setCopies(change.Server.InMemory, change.Server.OnDisk)
 				c.servers[id] = added
 				c.ordered = nil
 			}
 		default:
 			known.info = change.Server
-			known.noteCopies()
 			c.checkEntry(now, known)
 		}
 	}
@@ -189,6 +188,9 @@
 	reportRetry = 500 * time.Millisecond
 	// busyPause is the pause after an order that found the server busy.
 	busyPause = 40 * time.Millisecond
+	// busyPatience is how long a server may be busy with what it was ordered
+	// before its report is asked for.
+	busyPatience = 600 * time.Millisecond
 	// refusedPause is the pause after an order that the server can't do.
 	refusedPause = 2 * time.Second
 	// adapterTime is taken for an adapter from the store.
@@ -242,6 +244,7 @@
 		}
 	}
 	s.held = fresh
+	s.setCopies(report.InMemory, report.OnDisk)
 	c.effects.Changed = true
 	if report.Busy {
 		s.synced = false
@@ -254,6 +257,7 @@
 	s.loading = nil
 	s.unloading = ""
 	s.synced = true
+	s.busySince = time.Time{}
 }
 
 // heldAs keeps what is known of the use of a model that a report names.
@@ -284,6 +288,7 @@
 	case ResultTaken:
 		s.sequence = order.Expected + 1
 		s.unsure = nil
+		s.busySince = time.Time{}
 		c.took(now, s, order)
 		if s.loading != nil {
 			s.askReport(s.loading.ready)
@@ -293,9 +298,7 @@
 		s.askReport(now)
 	case ResultBusy:
 		c.undo(s, order)
-		s.pauseUntil = now.Add(busyPause)
-		s.synced = false
-		s.askReport(now.Add(busyPause))
+		c.foundBusy(now, s)
 	case ResultNotSent:
 		c.undo(s, order)
 		s.pauseUntil = now.Add(busyPause)
@@ -315,6 +318,21 @@
 	c.effects.Changed = true
 }
 
+// foundBusy tries again soon at a server that is still carrying out this
+// leader's last order. Where that goes on, or its count may have moved, only a
+// report can tell.
+func (c *Core) foundBusy(now time.Time, s *server) {
+	if s.busySince.IsZero() {
+		s.busySince = now
+	}
+	s.pauseUntil = now.Add(busyPause)
+	if s.unsure == nil && now.Sub(s.busySince) < busyPatience {
+		return
+	}
+	s.synced = false
+	s.askReport(now.Add(busyPause))
+}
+
 // took books an order that the server is carrying out.
 func (c *Core) took(now time.Time, s *server, order Order) {
 	switch {
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -19,6 +19,8 @@
 	lastAsk time.Time
 	// waiting are requests that have no server now, by node.
 	waiting map[string]waiting
+	// waitingSince is when requests began to wait; zero while none does.
+	waitingSince time.Time
 }
 
 // flow is requests and prompt tokens in a second, faded over time.
@@ -130,16 +132,31 @@
 }
 
 // countWaits counts once for a step what waits for each model, adapters
-// included.
+// included, and since when something does.
 func (c *Core) countWaits(now time.Time) {
 	c.waits = make(map[dispatch.Wanted]int)
 	for wanted, known := range c.interests {
-		if len(known.waiting) > 0 {
-			c.waits[dispatch.Wanted{Service: wanted.Service, Model: wanted.Model}] += known.waits(now)
+		waits := known.waits(now)
+		if waits == 0 {
+			known.waitingSince = time.Time{}
+			continue
+		}
+		if known.waitingSince.IsZero() {
+			known.waitingSince = now
 		}
+		c.waits[dispatch.Wanted{Service: wanted.Service, Model: wanted.Model}] += waits
 	}
 }
 
 func (c *Core) waitsFor(service, model string) int {
 	return c.waits[dispatch.Wanted{Service: service, Model: model}]
 }
+
+// stuckTime is how long requests wait beside a copy until it counts as out of
+// their reach: its server may be down, cut off or refuse them.
+const stuckTime = 400 * time.Millisecond
+
+// isStuck reports whether requests wait though the leader knows a copy.
+func (i *interest) isStuck(now time.Time) bool {
+	return i != nil && !i.waitingSince.IsZero() && now.Sub(i.waitingSince) > stuckTime
+}
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -90,6 +90,9 @@
 	Pending  []dispatch.Wanted
 	Busy     bool
 	Sequence int64
+	// InMemory and OnDisk are the weights kept beside those held.
+	InMemory []string
+	OnDisk   []string
 }
 
 // String names the source in logs.
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -103,11 +103,17 @@
 			continue
 		}
 		copies := copiesOf(servers, name)
-		if copies >= needed {
+		known := c.interests[dispatch.Wanted{Service: service, Model: name}]
+		reachable := copies
+		if known.isStuck(now) && !isLoading(servers, name) && copies < needed+maxBeyond {
+			reachable = 0
+		}
+		if reachable >= needed {
 			continue
 		}
+		copies = reachable
 		wanted := want{model: model, copies: copies, needed: needed, waiting: c.waitsFor(service, name)}
-		if known := c.interests[dispatch.Wanted{Service: service, Model: name}]; known != nil {
+		if known != nil {
 			wanted.rate = known.fast.requests
 		}
 		wants = append(wants, wanted)
@@ -123,6 +129,19 @@
 	return wants
 }
 
+// maxBeyond bounds the copies beyond those needed that requests which cannot
+// reach any get.
+const maxBeyond = 2
+
+func isLoading(servers []*server, model string) bool {
+	for _, s := range servers {
+		if s.loading != nil && s.loading.model == model {
+			return true
+		}
+	}
+	return false
+}
+
 // copiesOf counts the servers that hold the model or are loading it, and do not
 // leave.
 func copiesOf(servers []*server, model string) int {
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -27,10 +27,15 @@
 	// reportAt is when a report is asked for next; zero is not at all.
 	reportAt  time.Time
 	reporting bool
+	// busySince is when a server whose count of orders is known began to refuse
+	// orders as busy; zero while it does not.
+	busySince time.Time
 	// pauseUntil keeps orders off a server that just refused one.
 	pauseUntil time.Time
-	copies     map[string]Source
-	intent     intent
+	// copies are the weights kept beside those held, by the newest report or, at
+	// the start, by the entry. A load may drive others out.
+	copies map[string]Source
+	intent intent
 }
 
 type held struct {
@@ -56,12 +61,13 @@
 	return &server{info: info, held: make(map[string]*held), copies: make(map[string]Source), reportAt: now}
 }
 
-// noteCopies remembers the weights that a server keeps beside those it holds.
-func (s *server) noteCopies() {
-	for _, model := range s.info.OnDisk {
+// setCopies takes the weights that a server says it keeps beside those it holds.
+func (s *server) setCopies(inMemory, onDisk []string) {
+	clear(s.copies)
+	for _, model := range onDisk {
 		s.copies[model] = SourceDisk
 	}
-	for _, model := range s.info.InMemory {
+	for _, model := range inMemory {
 		s.copies[model] = SourceMemory
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -172,10 +172,30 @@
 	x.log("request_rejected", answer.Status, choice.ServerID)
 	if !x.engine {
 		x.failed = append(x.failed, choice.ServerID)
+		return verdictAgain
+	}
+	if len(x.sent) >= x.route.MaxAttempts && !x.comesSoon(choice.ServerID) {
+		x.giveUp(reasonRejected)
+		return verdictDone
 	}
 	return verdictAgain
 }
 
+// soonTime is how long a request waits at a server that rejected it for what it
+// is bringing.
+const soonTime = 200 * time.Millisecond
+
+// comesSoon reports whether the server is bringing what the request wants: an
+// adapter, as a rule.
+func (x *exchange) comesSoon(serverID string) bool {
+	soon := false
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
+		left, ok := core.ReadyAt(time.Now(), serverID, x.wanted())
+		soon = ok && left < soonTime
+	})
+	return soon
+}
+
 // maxWholeBytes is the size up to which an answer is read before its head goes
 // to the caller, so that one that breaks off can be asked for again.
 const maxWholeBytes = 64 << 10
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -18,8 +18,12 @@
 // configuration yet.
 const configurationWait = time.Second
 
-// refuse answers a request that has not run and never will.
+// refuse answers a request that has not run and never will. An answer that has
+// begun cannot become a refusal any more: it is cut.
 func (x *exchange) refuse(reason string, back time.Duration) {
+	if x.headSent {
+		x.cut(reason)
+	}
 	x.writer.Header().Set("Retry-After", strconv.FormatFloat(back.Seconds(), 'f', 3, 64))
 	x.answer(http.StatusServiceUnavailable, "not-run", reason)
 	x.finish(outcomeRefused, http.StatusServiceUnavailable, reason)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -310,6 +310,30 @@
 	}
 }
 
+// TestRejectedResumptionDoesNotEndTheStream is a stream that breaks, and whose
+// next server rejects it: the caller gets whole events and a broken answer.
+func TestRejectedResumptionDoesNotEndTheStream(t *testing.T) {
+	script := func(conn net.Conn, request *http.Request) bool {
+		if request.Header.Get("X-Last") != "" {
+			write(conn, reply("r1", http.StatusMisdirectedRequest, ""))
+			return true
+		}
+		write(conn, streamHead+chunk(events(1, 2)))
+		time.Sleep(30 * time.Millisecond)
+		return false
+	}
+	f := newFixture(t, newStandin(t, script), newStandin(t, script))
+	f.handler.SetTable(resumeTable())
+	f.setView(map[string][]string{"m": nil}, nil)
+	f.dispatch.Do(func(core *dispatch.Core) {
+		core.SetViews(time.Now(), 1, []dispatch.View{{ServerID: "s1", Held: map[string][]string{"m": nil}}})
+	})
+	got := f.send(t, http.MethodPost, "/resume/", "", "X-Model", "m")
+	if got.err == nil || got.body != events(1, 2) {
+		t.Errorf("got %q, error %v; want the events and an error", got.body, got.err)
+	}
+}
+
 func TestCallerThatLeavesIsCancelledAtTheServer(t *testing.T) {
 	closed := make(chan struct{})
 	server := newStandin(t, func(conn net.Conn, _ *http.Request) bool {
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -236,6 +236,15 @@
 	}}, []routetable.Service{{Name: "svc", Engine: engine}}, routetable.Limits{})
 }
 
+// resumeTable has one route to model servers whose streams may be resumed.
+func resumeTable() *routetable.Table {
+	engine := &routetable.Engine{Models: map[string]routetable.Model{"m": {Name: "m", Load: time.Second}}}
+	return routetable.New(2, []routetable.Route{{
+		Name: "resume", Host: "127.0.0.1", Prefix: "/resume/", Stream: true, Repeat: routetable.RepeatResume, MaxAttempts: 2,
+		Parts: []routetable.Part{{Service: "svc", Weight: 1}},
+	}}, []routetable.Service{{Name: "svc", Engine: engine}}, routetable.Limits{})
+}
+
 // FuzzEvents cuts a stream of events anywhere: what is passed on is always
 // whole events, and no byte is lost or doubled.
 func FuzzEvents(f *testing.F) {
