--- a/cmd/spanlab/process_test.go
+++ b/cmd/spanlab/process_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // patience bounds the wait for what must come; no test asserts a time.
@@ -120,12 +120,12 @@
 	start(t, "platform", "--listen", started.platform, "--machine-lag", "0s")
 	started.engine = start(t, "engine", "--platform", started.platform, "--zone", "a", "--name-prefix", "engine-",
 		"--listen", started.address, "--load-seconds", "0.01", "--token-interval", "5ms")
-	eventually(t, "the engine is listed", func() bool { return started.listed() == platform.MachineLive })
+	eventually(t, "the engine is listed", func() bool { return started.listed() == objectstore.MachineLive })
 	return started
 }
 
-func (l *lab) listed() platform.MachineState {
-	var list platform.MachineList
+func (l *lab) listed() objectstore.MachineState {
+	var list objectstore.MachineList
 	if !get("http://"+l.platform+"/v1/machines", &list) || len(list.Machines) == 0 {
 		return ""
 	}
@@ -164,7 +164,7 @@
 	if err := l.engine.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "the engine is listed as leaving", func() bool { return l.listed() == platform.MachineLeaving })
+	eventually(t, "the engine is listed as leaving", func() bool { return l.listed() == objectstore.MachineLeaving })
 	refused := post(t, url, request)
 	_ = refused.Body.Close()
 	if refused.StatusCode != http.StatusServiceUnavailable || refused.Header.Get(backend.HeaderNotRun) != "true" {
@@ -186,7 +186,7 @@
 	}
 	// Four probes of a machine fall into this time; all must find it paused.
 	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if state := l.listed(); state == platform.MachineGone {
+		if state := l.listed(); state == objectstore.MachineGone {
 			t.Fatal("a paused engine is listed as gone")
 		}
 	}
@@ -194,7 +194,7 @@
 		t.Fatal(err)
 	}
 	_ = l.engine.Wait()
-	eventually(t, "the engine is gone", func() bool { return l.listed() == platform.MachineGone })
+	eventually(t, "the engine is gone", func() bool { return l.listed() == objectstore.MachineGone })
 }
 
 func TestParseBytes(t *testing.T) {
--- a/cmd/spanlab/serve.go
+++ b/cmd/spanlab/serve.go
@@ -17,7 +17,7 @@
 	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/httpdriver"
 )
 
@@ -32,7 +32,7 @@
 // standIn is one back end that a process stands for.
 type standIn interface {
 	Handler() http.Handler
-	Machine() platform.Machine
+	Machine() objectstore.Machine
 	Leave()
 	Idle() bool
 }
@@ -77,7 +77,7 @@
 	}
 	announcer := &httpdriver.Announcer{
 		Client:   client,
-		Machines: func() []platform.Machine { return machineLines(backends) },
+		Machines: func() []objectstore.Machine { return machineLines(backends) },
 		OnError: func(err error) {
 			logger.Warn().Err(err).Msg("heartbeat_failed")
 		},
@@ -101,8 +101,8 @@
 	return shutdown(ctx, servers)
 }
 
-func machineLines(backends []standIn) []platform.Machine {
-	lines := make([]platform.Machine, len(backends))
+func machineLines(backends []standIn) []objectstore.Machine {
+	lines := make([]objectstore.Machine, len(backends))
 	for index, backend := range backends {
 		lines[index] = backend.Machine()
 	}
--- a/cmd/spanlanding/get.go
+++ b/cmd/spanlanding/get.go
@@ -7,8 +7,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/urfave/cli/v3"
 
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/operator"
-	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
 func getCommand() *cli.Command {
@@ -27,7 +27,7 @@
 	store := openStore(command.String(flagPlatform))
 	kind, name := command.Args().Get(0), command.Args().Get(1)
 	if name != "" {
-		return getOne(ctx, command, store, platform.Key{Kind: kind, Name: name})
+		return getOne(ctx, command, store, objectstore.Key{Kind: kind, Name: name})
 	}
 	listed, err := store.List(ctx, "")
 	if err != nil {
@@ -37,9 +37,9 @@
 	return output(command, listed, func(writer io.Writer) { operator.RenderObjects(writer, listed) })
 }
 
-func getOne(ctx context.Context, command *cli.Command, store operator.Store, key platform.Key) error {
+func getOne(ctx context.Context, command *cli.Command, store operator.Store, key objectstore.Key) error {
 	object, err := store.Get(ctx, key)
-	if errorx.IsOfType(err, platform.NotFound) {
+	if errorx.IsOfType(err, objectstore.NotFound) {
 		return operator.ErrNotFound.New("no %s %q in the store", key.Kind, key.Name)
 	}
 	if err != nil {
--- a/internal/catalog/bench_test.go
+++ b/internal/catalog/bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -19,9 +19,9 @@
 )
 
 // fleetObjects declares a fleet of the size to build towards.
-func fleetObjects(b *testing.B) []platform.Object {
+func fleetObjects(b *testing.B) []objectstore.Object {
 	b.Helper()
-	var objects []platform.Object
+	var objects []objectstore.Object
 	add := func(kind spec.Kind, name string, labels map[string]string, declared any) {
 		added := object(b, kind, name, labels, declared)
 		added.Version = uint64(len(objects) + 1)
@@ -68,15 +68,15 @@
 
 func BenchmarkCompileAfterOneChange(b *testing.B) {
 	objects := fleetObjects(b)
-	first := func(kind spec.Kind) platform.Object {
-		return objects[slices.IndexFunc(objects, func(object platform.Object) bool { return object.Kind == string(kind) })]
+	first := func(kind spec.Kind) objectstore.Object {
+		return objects[slices.IndexFunc(objects, func(object objectstore.Object) bool { return object.Kind == string(kind) })]
 	}
 	for _, kind := range []spec.Kind{spec.KindSelector, spec.KindDeployment, spec.KindAdapter} {
 		b.Run(string(kind), func(b *testing.B) {
 			compiler := NewCompiler()
 			compiler.Apply(objects)
 			compiler.Snapshot(1)
-			changed := []platform.Object{first(kind)}
+			changed := []objectstore.Object{first(kind)}
 			b.ReportAllocs()
 			for b.Loop() {
 				compiler.Apply(changed)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -10,25 +10,25 @@
 	"pgregory.net/rapid"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
-func object(t testing.TB, kind spec.Kind, name string, labels map[string]string, declared any) platform.Object {
+func object(t testing.TB, kind spec.Kind, name string, labels map[string]string, declared any) objectstore.Object {
 	t.Helper()
 	raw, err := json.Marshal(declared)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return platform.Object{Kind: string(kind), Name: name, Labels: labels, Version: 1, Spec: raw}
+	return objectstore.Object{Kind: string(kind), Name: name, Labels: labels, Version: 1, Spec: raw}
 }
 
 func matching(key, value string) spec.LabelSelector {
 	return spec.LabelSelector{MatchLabels: map[string]string{key: value}}
 }
 
-func reports(t testing.TB) []platform.Object {
-	return []platform.Object{
+func reports(t testing.TB) []objectstore.Object {
+	return []objectstore.Object{
 		object(t, spec.KindModel, "report", nil, spec.Model{
 			Versions:      []spec.ModelVersion{{Name: "v1", Memory: 10, Checkpoint: 9}, {Name: "v2", Memory: 12, Checkpoint: 11}},
 			ContextTokens: 4096,
@@ -56,11 +56,11 @@
 		object(t, spec.KindService, "turbines", nil, spec.Service{PathPrefix: "/turbines/", Repeatable: []string{"PUT"}}),
 		object(t, spec.KindService, "pings", nil, spec.Service{PathPrefix: "/turbines/ping", Deadline: spec.Duration(time.Second)}),
 		object(t, spec.KindCapacity, "keep-reports", nil, spec.Capacity{Deployments: matching("use", "report"), Replicas: 2}),
-		{Kind: platform.KindAllotments, Name: "fleet", Version: 3},
+		{Kind: objectstore.KindAllotments, Name: "fleet", Version: 3},
 	}
 }
 
-func compiled(t testing.TB, objects []platform.Object) *Snapshot {
+func compiled(t testing.TB, objects []objectstore.Object) *Snapshot {
 	t.Helper()
 	snapshot, problems := Compile(9, objects)
 	if len(problems) > 0 {
@@ -110,7 +110,7 @@
 func TestFiledSelectorsMatchLikeTheirList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		labels := rapid.MapOfN(rapid.SampledFrom([]string{"a", "b", "c"}), rapid.SampledFrom([]string{"", "1", "2"}), 0, 3)
-		var objects []platform.Object
+		var objects []objectstore.Object
 		for index := range rapid.IntRange(0, 12).Draw(t, "selectors") {
 			match := spec.LabelSelector{MatchLabels: labels.Draw(t, "match")}
 			if rapid.Bool().Draw(t, "exists") {
@@ -120,7 +120,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			objects = append(objects, platform.Object{Kind: string(spec.KindSelector), Name: fmt.Sprint(index), Version: 1, Spec: raw})
+			objects = append(objects, objectstore.Object{Kind: string(spec.KindSelector), Name: fmt.Sprint(index), Version: 1, Spec: raw})
 		}
 		snapshot, _ := Compile(1, objects)
 		request := labels.Draw(t, "request")
@@ -192,13 +192,13 @@
 
 func TestCompileLeavesOutWhatCannotBeUsed(t *testing.T) {
 	objects := append(reports(t),
-		platform.Object{Kind: string(spec.KindSelector), Name: "broken", Version: 4, Spec: json.RawMessage(`{"priority":"high"}`)},
+		objectstore.Object{Kind: string(spec.KindSelector), Name: "broken", Version: 4, Spec: json.RawMessage(`{"priority":"high"}`)},
 		object(t, spec.KindAdapter, "orphan", nil, spec.Adapter{Model: "gone"}),
 		object(t, spec.KindDeployment, "wrong-adapter", nil, spec.Deployment{Model: "chat", Adapter: "insurer"}),
 		object(t, spec.KindDeployment, "wrong-version", nil, spec.Deployment{
 			Model: "chat", Versions: []spec.WeightedVersion{{Name: "v9", Weight: 1}}}),
 		object(t, spec.KindService, "relative", nil, spec.Service{PathPrefix: "slots"}),
-		platform.Object{Kind: string(spec.KindDeployment), Name: "deleted", Version: 5, Deleted: true},
+		objectstore.Object{Kind: string(spec.KindDeployment), Name: "deleted", Version: 5, Deleted: true},
 	)
 	snapshot, problems := Compile(9, objects)
 	var named []string
@@ -224,7 +224,7 @@
 	})
 	changed.Version = 2
 	objects[6] = changed
-	compiler.Apply([]platform.Object{changed})
+	compiler.Apply([]objectstore.Object{changed})
 	incremental, _ := compiler.Snapshot(2)
 	whole, _ := Compile(2, objects)
 	options := cmp.AllowUnexported(Snapshot{}, selector{}, service{}, labelPair{})
--- a/internal/catalog/compile.go
+++ b/internal/catalog/compile.go
@@ -8,13 +8,13 @@
 	"slices"
 	"strings"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
 // Problem tells why a declared object is not in the snapshot.
 type Problem struct {
-	Object  platform.Key
+	Object  objectstore.Key
 	Version uint64
 	Reason  string
 }
@@ -27,7 +27,7 @@
 // Compile decodes the declared objects of one store revision. Tombstones and
 // the system's own records are passed over. An object that cannot be decoded,
 // or that refers to one that is not there, becomes a Problem and is left out.
-func Compile(version uint64, objects []platform.Object) (*Snapshot, []Problem) {
+func Compile(version uint64, objects []objectstore.Object) (*Snapshot, []Problem) {
 	compiler := NewCompiler()
 	compiler.Apply(objects)
 	return compiler.Snapshot(version)
@@ -55,7 +55,7 @@
 // decodedObject is one object with its decoded spec; the value is immutable
 // and may be shared by several snapshots.
 type decodedObject struct {
-	key     platform.Key
+	key     objectstore.Key
 	version uint64
 	labels  map[string]string
 	value   any
@@ -80,7 +80,7 @@
 }
 
 // Apply takes new, changed and deleted objects.
-func (c *Compiler) Apply(objects []platform.Object) {
+func (c *Compiler) Apply(objects []objectstore.Object) {
 	for _, object := range objects {
 		set, declared := c.kinds[spec.Kind(object.Kind)]
 		if !declared {
@@ -172,7 +172,7 @@
 	return changed
 }
 
-func decode(object platform.Object) decodedObject {
+func decode(object objectstore.Object) decodedObject {
 	decoded := decodedObject{key: object.Key(), version: object.Version, labels: object.Labels}
 	var err error
 	switch spec.Kind(object.Kind) {
--- a/internal/catalog/fuzz_test.go
+++ b/internal/catalog/fuzz_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -41,7 +41,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, content []byte) {
-		var objects []platform.Object
+		var objects []objectstore.Object
 		if json.Unmarshal(content, &objects) != nil {
 			return
 		}
@@ -49,7 +49,7 @@
 		checkUsable(t, whole)
 		compiler := NewCompiler()
 		for _, object := range objects {
-			compiler.Apply([]platform.Object{object})
+			compiler.Apply([]objectstore.Object{object})
 			compiler.Snapshot(2)
 		}
 		stepwise, stepwiseProblems := compiler.Snapshot(3)
--- a/internal/configsync/bench_test.go
+++ b/internal/configsync/bench_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // benchObjects is what the size to build towards declares: adapters,
@@ -19,7 +19,7 @@
 func loadedCore() *Core {
 	core := New(Options{Self: fleet.Member{Name: "a", Zone: "z", State: fleet.MemberAlive}})
 	core.Step(time.Unix(1, 0), MembersChanged{})
-	list := platform.ObjectList{Version: benchObjects}
+	list := objectstore.ObjectList{Version: benchObjects}
 	for index := range benchObjects {
 		list.Objects = append(list.Objects, benchObject(index, uint64(index+1)))
 	}
@@ -27,9 +27,9 @@
 	return core
 }
 
-func benchObject(index int, version uint64) platform.Object {
+func benchObject(index int, version uint64) objectstore.Object {
 	name := fmt.Sprintf("deployment-%05d", index)
-	return platform.Object{
+	return objectstore.Object{
 		Kind: "Deployment", Name: name, Version: version, ChangeID: fmt.Sprintf("change-%d", version), ChangedBy: "pipeline",
 		Labels: map[string]string{"tenant": fmt.Sprintf("tenant-%03d", index%400), "tier": "gold"},
 		Spec:   json.RawMessage(fmt.Sprintf(`{"model":"model-%02d","adapter":"%s","versions":[{"name":"v1","weight":95},{"name":"v2","weight":5}]}`, index%54, name)),
@@ -45,7 +45,7 @@
 		version++
 		object := benchObject(int(version)%benchObjects, version)
 		core.Step(now, PushReceived{From: "b", Push: Push{Changes: Changes{
-			Since: version - 1, Version: version, Objects: []platform.Object{object},
+			Since: version - 1, Version: version, Objects: []objectstore.Object{object},
 		}}})
 	}
 	if held, _ := core.Version(); held != version {
@@ -65,7 +65,7 @@
 func BenchmarkDigestThatLacksOneChange(b *testing.B) {
 	core := loadedCore()
 	digest := Digest{Version: core.objects.version}
-	changes := Changes{Since: benchObjects, Version: benchObjects + 1, Objects: []platform.Object{benchObject(0, benchObjects+1)}}
+	changes := Changes{Since: benchObjects, Version: benchObjects + 1, Objects: []objectstore.Object{benchObject(0, benchObjects+1)}}
 	core.Step(time.Unix(2, 0), PushReceived{From: "b", Push: Push{Changes: changes}})
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -8,7 +8,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // envelope is a message under way to a node's boot.
@@ -29,9 +29,9 @@
 	watch  *WatchStore
 	// position is the last revision that the watch delivered.
 	position uint64
-	versions map[platform.Key]uint64
+	versions map[objectstore.Key]uint64
 	inForce  uint64
-	machines platform.MachineList
+	machines objectstore.MachineList
 	// checked and checkedMachines are what the rules were last held against.
 	checked         ledgerState
 	checkedMachines [2]uint64
@@ -80,7 +80,7 @@
 }
 
 // setMachine moves the time on: a list with the time of a change shows it.
-func (c *cluster) setMachine(name string, state platform.MachineState) {
+func (c *cluster) setMachine(name string, state objectstore.MachineState) {
 	c.now = c.now.Add(time.Millisecond)
 	c.store.setMachine(c.now, name, state)
 }
@@ -92,9 +92,9 @@
 	options.Seed = uint64(node.boot)
 	node.core = New(options)
 	node.watch = nil
-	node.versions = make(map[platform.Key]uint64)
+	node.versions = make(map[objectstore.Key]uint64)
 	node.inForce = 0
-	node.machines = platform.MachineList{}
+	node.machines = objectstore.MachineList{}
 	node.checked = ledgerState{}
 	node.checkedMachines = [2]uint64{}
 	c.step(node, MembersChanged{Members: c.members()})
@@ -203,7 +203,7 @@
 	for _, change := range c.store.history {
 		if change.Version > node.position && change.Version <= c.store.visible() {
 			node.position = change.Version
-			c.step(node, Watched{Generation: generation, Version: change.Version, Objects: []platform.Object{change}})
+			c.step(node, Watched{Generation: generation, Version: change.Version, Objects: []objectstore.Object{change}})
 			return
 		}
 	}
@@ -268,7 +268,7 @@
 		return
 	}
 	for key, change := range c.store.at(version) {
-		if key.Kind == platform.KindLease {
+		if key.Kind == objectstore.KindLease {
 			continue
 		}
 		held, found := node.core.Holds(key)
@@ -305,9 +305,9 @@
 
 // differences tells where a node does not hold what the store holds.
 func (c *cluster) differences() string {
-	want := make(map[platform.Key]uint64)
+	want := make(map[objectstore.Key]uint64)
 	for key, object := range c.store.at(c.store.version) {
-		if !object.Deleted && key.Kind != platform.KindLease {
+		if !object.Deleted && key.Kind != objectstore.KindLease {
 			want[key] = object.Version
 		}
 	}
--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -6,7 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/defaults"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // Defaults of the options.
@@ -120,12 +120,12 @@
 
 // Objects lists the declared objects and system records held, without
 // tombstones, in the order of their versions.
-func (c *Core) Objects() []platform.Object {
+func (c *Core) Objects() []objectstore.Object {
 	return c.objects.all()
 }
 
 // Holds returns the version at which an object or its tombstone is held.
-func (c *Core) Holds(key platform.Key) (platform.Object, bool) {
+func (c *Core) Holds(key objectstore.Key) (objectstore.Object, bool) {
 	object, found := c.objects.objects[key]
 	return object, found
 }
@@ -215,7 +215,7 @@
 
 // changed tells the shell of new content, and of the first version in force
 // that reaches content it was told of before.
-func (c *Core) changed(changed []platform.Object) {
+func (c *Core) changed(changed []objectstore.Object) {
 	version, loaded := c.Version()
 	if !loaded && len(changed) == 0 {
 		return
--- a/internal/configsync/doc.go
+++ b/internal/configsync/doc.go
@@ -7,5 +7,5 @@
 // list's time takes the place of the store's revision.
 //
 // It is a core: no I/O, no goroutine, no clock. It may import fleet and
-// platform's wire types.
+// objectstore's wire types.
 package configsync
--- a/internal/configsync/ledger.go
+++ b/internal/configsync/ledger.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // Changes take a holder of everything up to Since to everything up to Version:
@@ -16,7 +16,7 @@
 type Changes struct {
 	Since   uint64
 	Version uint64
-	Objects []platform.Object
+	Objects []objectstore.Object
 	// Horizon is the version up to which tombstones may be missing. An object
 	// that changed after Since and is not listed was deleted up to Version.
 	Horizon uint64
@@ -24,7 +24,7 @@
 
 // ledger holds objects with their versions, tombstones included.
 type ledger struct {
-	objects map[platform.Key]platform.Object
+	objects map[objectstore.Key]objectstore.Object
 	// loaded is false until the first claim of a version.
 	loaded bool
 	// version is in force: every change up to it is held.
@@ -49,14 +49,14 @@
 
 func newLedger(tombstoneLimit int, defects Defects) *ledger {
 	return &ledger{
-		objects:        make(map[platform.Key]platform.Object),
+		objects:        make(map[objectstore.Key]objectstore.Object),
 		tombstoneLimit: tombstoneLimit,
 		defects:        defects,
 	}
 }
 
 // accept takes an object if it is newer than what is held.
-func (l *ledger) accept(object platform.Object) bool {
+func (l *ledger) accept(object objectstore.Object) bool {
 	held, found := l.objects[object.Key()]
 	if !l.isNewer(object, held, found) {
 		return false
@@ -68,7 +68,7 @@
 // isNewer refuses an object that is not held, or held as a tombstone, with a
 // version up to the one in force: it was deleted, and the tombstone of that
 // deletion may be gone or may never have been seen.
-func (l *ledger) isNewer(object, held platform.Object, found bool) bool {
+func (l *ledger) isNewer(object, held objectstore.Object, found bool) bool {
 	if l.defects.VersionsMayGoBack {
 		return !found || held.Version != object.Version
 	}
@@ -81,7 +81,7 @@
 	return object.Version > max(held.Version, l.version)
 }
 
-func (l *ledger) put(object platform.Object) {
+func (l *ledger) put(object objectstore.Object) {
 	if held, found := l.objects[object.Key()]; found {
 		l.forget(held)
 	}
@@ -94,7 +94,7 @@
 	}
 }
 
-func (l *ledger) forget(held platform.Object) {
+func (l *ledger) forget(held objectstore.Object) {
 	if held.Deleted {
 		l.tombstones--
 	} else {
@@ -105,7 +105,7 @@
 
 // apply takes changes and returns the objects that were new. The version moves
 // only where the changes close the distance; gap tells that they do not.
-func (l *ledger) apply(changes Changes) (changed []platform.Object, gap bool) {
+func (l *ledger) apply(changes Changes) (changed []objectstore.Object, gap bool) {
 	ahead := l.newest > changes.Since
 	changed = l.acceptAll(changes.Objects)
 	if changes.Version <= l.version && l.loaded {
@@ -123,7 +123,7 @@
 }
 
 // applyEvents is apply for events of a watch, which tell every deletion.
-func (l *ledger) applyEvents(events Changes) []platform.Object {
+func (l *ledger) applyEvents(events Changes) []objectstore.Object {
 	changed := l.acceptAll(events.Objects)
 	if events.Version > l.version && events.Since <= l.version {
 		l.advance(events.Version, len(changed) > 0)
@@ -134,11 +134,11 @@
 // applyAll takes everything that exists at a version. What is held up to that
 // version and not listed was deleted. Where the version is not above the one
 // in force nothing can be concluded from absence: objects only merge.
-func (l *ledger) applyAll(all Changes) []platform.Object {
+func (l *ledger) applyAll(all Changes) []objectstore.Object {
 	if l.loaded && all.Version <= l.version {
 		return l.acceptAll(all.Objects)
 	}
-	var changed []platform.Object
+	var changed []objectstore.Object
 	for _, object := range all.Objects {
 		held, found := l.objects[object.Key()]
 		if !found || held.Deleted && object.Version > held.Version {
@@ -164,8 +164,8 @@
 	l.advance(version, false)
 }
 
-func (l *ledger) acceptAll(objects []platform.Object) []platform.Object {
-	var changed []platform.Object
+func (l *ledger) acceptAll(objects []objectstore.Object) []objectstore.Object {
+	var changed []objectstore.Object
 	for _, object := range objects {
 		if l.accept(object) {
 			changed = append(changed, object)
@@ -176,15 +176,15 @@
 
 // deleteUnlisted puts tombstones in place of what is held at versions after
 // since up to that of the changes and is not among them.
-func (l *ledger) deleteUnlisted(changes Changes, since uint64) []platform.Object {
-	listed := make(map[platform.Key]bool, len(changes.Objects))
+func (l *ledger) deleteUnlisted(changes Changes, since uint64) []objectstore.Object {
+	listed := make(map[objectstore.Key]bool, len(changes.Objects))
 	for _, object := range changes.Objects {
 		listed[object.Key()] = true
 	}
-	var missing []platform.Object
+	var missing []objectstore.Object
 	for key, held := range l.objects {
 		if !held.Deleted && held.Version > since && held.Version <= changes.Version && !listed[key] {
-			missing = append(missing, platform.Object{Kind: key.Kind, Name: key.Name, Version: changes.Version, Deleted: true})
+			missing = append(missing, objectstore.Object{Kind: key.Kind, Name: key.Name, Version: changes.Version, Deleted: true})
 		}
 	}
 	sortObjects(missing)
@@ -211,7 +211,7 @@
 	if excess <= 0 {
 		return
 	}
-	var droppable []platform.Object
+	var droppable []objectstore.Object
 	for _, held := range l.objects {
 		if held.Deleted && held.Version <= l.version {
 			droppable = append(droppable, held)
@@ -239,11 +239,11 @@
 }
 
 // since lists what changed after a version, in the order of the changes.
-func (l *ledger) since(version uint64) []platform.Object {
+func (l *ledger) since(version uint64) []objectstore.Object {
 	if version >= l.newest {
 		return nil
 	}
-	var objects []platform.Object
+	var objects []objectstore.Object
 	for _, held := range l.objects {
 		if held.Version > version {
 			objects = append(objects, held)
@@ -254,18 +254,18 @@
 }
 
 // all lists what is not deleted.
-func (l *ledger) all() []platform.Object {
-	return l.listed(func(held platform.Object) bool { return !held.Deleted })
+func (l *ledger) all() []objectstore.Object {
+	return l.listed(func(held objectstore.Object) bool { return !held.Deleted })
 }
 
 // allInForce lists what exists at the version in force. A tombstone that is
 // newer stands for an object that exists at that version.
-func (l *ledger) allInForce() []platform.Object {
-	return l.listed(func(held platform.Object) bool { return !held.Deleted || held.Version > l.version })
+func (l *ledger) allInForce() []objectstore.Object {
+	return l.listed(func(held objectstore.Object) bool { return !held.Deleted || held.Version > l.version })
 }
 
-func (l *ledger) listed(wanted func(platform.Object) bool) []platform.Object {
-	objects := make([]platform.Object, 0, len(l.objects))
+func (l *ledger) listed(wanted func(objectstore.Object) bool) []objectstore.Object {
+	objects := make([]objectstore.Object, 0, len(l.objects))
 	for _, held := range l.objects {
 		if wanted(held) {
 			objects = append(objects, held)
@@ -275,13 +275,13 @@
 	return objects
 }
 
-func sortObjects(objects []platform.Object) {
-	slices.SortFunc(objects, func(a, b platform.Object) int {
+func sortObjects(objects []objectstore.Object) {
+	slices.SortFunc(objects, func(a, b objectstore.Object) int {
 		return cmp.Or(cmp.Compare(a.Version, b.Version), strings.Compare(a.Kind, b.Kind), strings.Compare(a.Name, b.Name))
 	})
 }
 
-func objectHash(object platform.Object) uint64 {
+func objectHash(object objectstore.Object) uint64 {
 	return hashParts(object.Kind, object.Name, binary.LittleEndian.AppendUint64(nil, object.Version))
 }
 
--- a/internal/configsync/machines.go
+++ b/internal/configsync/machines.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // kindMachine is the kind of the machine list's lines when they are spread.
@@ -36,7 +36,7 @@
 
 // machineLine is one machine with its JSON.
 type machineLine struct {
-	machine platform.Machine
+	machine objectstore.Machine
 	raw     []byte
 }
 
@@ -44,7 +44,7 @@
 	return &machineTable{machines: make(map[string]machineLine), touched: make(map[string]bool)}
 }
 
-func machineName(machine platform.Machine) string {
+func machineName(machine objectstore.Machine) string {
 	return machine.Role + "/" + machine.Name
 }
 
@@ -89,8 +89,8 @@
 }
 
 // list is the machine list in the order of role and name.
-func (t *machineTable) list() platform.MachineList {
-	list := platform.MachineList{AsOfUnixMilli: int64(t.asOf), Machines: make([]platform.Machine, 0, len(t.machines))}
+func (t *machineTable) list() objectstore.MachineList {
+	list := objectstore.MachineList{AsOfUnixMilli: int64(t.asOf), Machines: make([]objectstore.Machine, 0, len(t.machines))}
 	for _, name := range slices.Sorted(maps.Keys(t.machines)) {
 		list.Machines = append(list.Machines, t.machines[name].machine)
 	}
@@ -98,9 +98,9 @@
 }
 
 // object is the wire form of a line, or of its absence.
-func (t *machineTable) object(name string) platform.Object {
+func (t *machineTable) object(name string) objectstore.Object {
 	line, found := t.machines[name]
-	return platform.Object{Kind: kindMachine, Name: name, Version: t.asOf, Deleted: !found, Spec: line.raw}
+	return objectstore.Object{Kind: kindMachine, Name: name, Version: t.asOf, Deleted: !found, Spec: line.raw}
 }
 
 // answer gives the whole list to whoever holds an older one.
@@ -124,7 +124,7 @@
 	return answer
 }
 
-func (c *Core) machinesListed(now time.Time, list platform.MachineList) {
+func (c *Core) machinesListed(now time.Time, list objectstore.MachineList) {
 	asOf := uint64(max(list.AsOfUnixMilli, 0))
 	if c.machines.loaded && asOf <= c.machines.asOf {
 		return
@@ -209,10 +209,10 @@
 	c.machinesChanged(now, base, true, false)
 }
 
-func decodeMachines(objects []platform.Object) map[string]machineLine {
+func decodeMachines(objects []objectstore.Object) map[string]machineLine {
 	lines := make(map[string]machineLine, len(objects))
 	for _, object := range objects {
-		var machine platform.Machine
+		var machine objectstore.Machine
 		if !object.Deleted && json.Unmarshal(object.Spec, &machine) == nil {
 			lines[object.Name] = machineLine{machine: machine, raw: object.Spec}
 		}
--- a/internal/configsync/messages.go
+++ b/internal/configsync/messages.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // Space names what versions count.
@@ -29,7 +29,7 @@
 // Listed answers ListStore.
 type Listed struct {
 	Generation uint64
-	List       platform.ObjectList
+	List       objectstore.ObjectList
 }
 
 // ListFailed answers ListStore.
@@ -41,7 +41,7 @@
 	Generation uint64
 	// Version is the revision that the watch has reached.
 	Version uint64
-	Objects []platform.Object
+	Objects []objectstore.Object
 }
 
 // WatchEnded tells that the watch broke off. Compacted means that the store no
@@ -54,7 +54,7 @@
 }
 
 // MachinesListed answers ListMachines.
-type MachinesListed struct{ List platform.MachineList }
+type MachinesListed struct{ List objectstore.MachineList }
 
 // MachinesFailed answers ListMachines.
 type MachinesFailed struct{}
@@ -181,11 +181,11 @@
 // them. Changed includes tombstones and the system's own records.
 type Updated struct {
 	Version uint64
-	Changed []platform.Object
+	Changed []objectstore.Object
 }
 
 // MachinesUpdated gives the machine list after a change.
-type MachinesUpdated struct{ List platform.MachineList }
+type MachinesUpdated struct{ List objectstore.MachineList }
 
 // StoreBehind reports that the store shows an older state than the node holds:
 // it was restored or answers from a stale copy. Nothing goes back.
--- a/internal/configsync/read.go
+++ b/internal/configsync/read.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // readersPerZone is how many nodes of a zone read the store: one may fail
@@ -205,8 +205,8 @@
 
 // spreadable leaves out leases: they change often and only those who compare
 // and set them need them.
-func spreadable(objects []platform.Object) []platform.Object {
-	return slices.DeleteFunc(slices.Clone(objects), func(object platform.Object) bool {
-		return object.Kind == platform.KindLease
+func spreadable(objects []objectstore.Object) []objectstore.Object {
+	return slices.DeleteFunc(slices.Clone(objects), func(object objectstore.Object) bool {
+		return object.Kind == objectstore.KindLease
 	})
 }
--- a/internal/configsync/scenario_test.go
+++ b/internal/configsync/scenario_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // settledCluster holds ten models, of which every third was deleted.
@@ -21,7 +21,7 @@
 	for index := 0; index < 10; index += 3 {
 		c.store.write("Model", fmt.Sprintf("m%d", index), true)
 	}
-	c.setMachine("engine-1", platform.MachineLive)
+	c.setMachine("engine-1", objectstore.MachineLive)
 	c.settle(100)
 	c.mustHold(t)
 	return c
@@ -112,7 +112,7 @@
 	}
 	c.failure = ""
 	c.settle(200)
-	later := platform.Key{Kind: "Model", Name: "later"}
+	later := objectstore.Key{Kind: "Model", Name: "later"}
 	for _, node := range c.nodes {
 		if object, _ := node.core.Holds(later); object.Version != c.store.version {
 			t.Errorf("%s holds the later model at version %d instead of %d", node.member.Name, object.Version, c.store.version)
@@ -125,15 +125,15 @@
 	held := newLedger(limit, Defects{})
 	held.applyAll(Changes{})
 	for version := uint64(1); version <= 200; version += 2 {
-		object := platform.Object{Kind: "Model", Name: fmt.Sprint("m", version), Version: version}
-		held.apply(Changes{Since: version - 1, Version: version, Objects: []platform.Object{object}})
+		object := objectstore.Object{Kind: "Model", Name: fmt.Sprint("m", version), Version: version}
+		held.apply(Changes{Since: version - 1, Version: version, Objects: []objectstore.Object{object}})
 		object.Version, object.Deleted = version+1, true
-		held.apply(Changes{Since: version, Version: version + 1, Objects: []platform.Object{object}})
+		held.apply(Changes{Since: version, Version: version + 1, Objects: []objectstore.Object{object}})
 		if held.tombstones > limit || len(held.objects) > limit {
 			t.Fatalf("%d tombstones of %d objects at version %d", held.tombstones, len(held.objects), version)
 		}
 	}
-	if held.accept(platform.Object{Kind: "Model", Name: "m1", Version: 1}) {
+	if held.accept(objectstore.Object{Kind: "Model", Name: "m1", Version: 1}) {
 		t.Error("a deleted object came back after its tombstone was dropped")
 	}
 }
--- a/internal/configsync/schedule_test.go
+++ b/internal/configsync/schedule_test.go
@@ -11,7 +11,7 @@
 	_ "github.com/spanlanding/spanlanding/internal/testseed"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 const (
@@ -52,7 +52,7 @@
 	case 0, 1:
 		drawWrite(draw, c)
 	case 2:
-		c.store.write(platform.KindLease, "a", false)
+		c.store.write(objectstore.KindLease, "a", false)
 	case 3:
 		c.store.down = !c.store.down
 	case 4:
@@ -75,7 +75,7 @@
 	case 9, 10, 11:
 		c.advance(10 * time.Millisecond << draw("time", 10))
 	case 12:
-		states := []platform.MachineState{platform.MachineLive, platform.MachineLeaving, ""}
+		states := []objectstore.MachineState{objectstore.MachineLive, objectstore.MachineLeaving, ""}
 		c.setMachine(fmt.Sprintf("m%d", draw("machine", 3)), states[draw("state", len(states))])
 	case 13:
 		drawMembership(draw, c)
@@ -103,7 +103,7 @@
 
 func drawWrite(draw draw, c *cluster) {
 	name := fmt.Sprintf("o%d", draw("object", 5))
-	current := c.store.at(c.store.version)[platform.Key{Kind: "Model", Name: name}]
+	current := c.store.at(c.store.version)[objectstore.Key{Kind: "Model", Name: name}]
 	exists := current.Version > 0 && !current.Deleted
 	c.store.write("Model", name, exists && draw("delete", 2) == 0)
 }
--- a/internal/configsync/spread.go
+++ b/internal/configsync/spread.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // spread is what is due to be sent of the objects.
@@ -36,7 +36,7 @@
 	c.taken(now, before, changed, push)
 }
 
-func (c *Core) taken(now time.Time, before uint64, changed []platform.Object, push bool) {
+func (c *Core) taken(now time.Time, before uint64, changed []objectstore.Object, push bool) {
 	if push && len(changed) > 0 && c.spread.pushAt.IsZero() {
 		c.spread.pushAt = now.Add(c.options.PushDelay)
 		c.spread.pushSince = before
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -9,8 +9,8 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/placement"
-	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
 // Core is the control core of one node. It is not safe for concurrent use.
@@ -23,7 +23,7 @@
 	members map[fleet.NodeName]fleet.Member
 	// usable are the usable members of each zone by rank.
 	usable       map[fleet.Zone][]fleet.Member
-	machines     platform.MachineList
+	machines     objectstore.MachineList
 	machineIndex machineIndex
 	models       []catalog.ModelFacts
 
--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -6,7 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // answerPatience is when a write or read-back without answer is given up.
@@ -108,13 +108,13 @@
 		}
 		name := fleet.BackendName(machine.Name)
 		switch machine.State {
-		case platform.MachineLive:
+		case objectstore.MachineLive:
 			present = append(present, name)
-		case platform.MachineGone:
+		case objectstore.MachineGone:
 			if c.gone.effective[name] {
 				gone = append(gone, name)
 			}
-		case platform.MachineLeaving:
+		case objectstore.MachineLeaving:
 		}
 	}
 	return present, gone
@@ -162,7 +162,7 @@
 		RaiseUnconfirmed: c.options.Defects.NoConfirmBeforeRaise,
 	}
 	for _, machine := range c.machines.Machines {
-		if machine.Role == roleEngine && machine.State == platform.MachineLive {
+		if machine.Role == roleEngine && machine.State == objectstore.MachineLive {
 			input.Engines[machine.Zone]++
 		}
 	}
--- a/internal/control/directed_test.go
+++ b/internal/control/directed_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
 
@@ -185,9 +185,9 @@
 	c.send(leader, CatalogChanged{ColdStartWeight: 0.5})
 	c.storeDown = true
 	c.engines[holder].down = true
-	c.engines[holder].state = platform.MachineGone
+	c.engines[holder].state = objectstore.MachineGone
 	c.spreadMachines()
-	c.engines[holder].state = platform.MachineLive
+	c.engines[holder].state = objectstore.MachineLive
 	c.run(c.settings.GoneSilence + 2*time.Second)
 	if len(c.violations) > 0 || c.replicas(modelA) != 1 {
 		t.Fatalf("while it is gone: %d replicas, %v", c.replicas(modelA), c.violations)
--- a/internal/control/harness_effects_test.go
+++ b/internal/control/harness_effects_test.go
@@ -11,8 +11,8 @@
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/placement"
-	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
 
@@ -149,8 +149,8 @@
 	return answer
 }
 
-func recordKey() platform.Key {
-	return platform.Key{Kind: platform.KindAllotments, Name: allotment.ObjectName}
+func recordKey() objectstore.Key {
+	return objectstore.Key{Kind: objectstore.KindAllotments, Name: allotment.ObjectName}
 }
 
 // stored is the record that stands in the store.
@@ -162,7 +162,7 @@
 	return decodeObject(object)
 }
 
-func decodeObject(object platform.Object) VersionedRecord {
+func decodeObject(object objectstore.Object) VersionedRecord {
 	var record allotment.Record
 	if err := json.Unmarshal(object.Spec, &record); err != nil {
 		panic(err)
@@ -206,10 +206,10 @@
 		if err != nil {
 			panic(err)
 		}
-		object := platform.Object{Kind: platform.KindAllotments, Name: allotment.ObjectName, Spec: body}
+		object := objectstore.Object{Kind: objectstore.KindAllotments, Name: allotment.ObjectName, Spec: body}
 		c.unjudged = true
 		before := c.stored().Record
-		written, conflict := c.store.Write(platform.WriteRequest{Object: object, Expected: effect.Expected})
+		written, conflict := c.store.Write(objectstore.WriteRequest{Object: object, Expected: effect.Expected})
 		answer := RecordWritten{ID: effect.ID, Result: WriteDone}
 		if conflict != nil {
 			written, answer.Result = conflict.Current, WriteConflict
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -11,7 +11,7 @@
 	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 	"github.com/spanlanding/spanlanding/internal/standin/objects"
 	"github.com/spanlanding/spanlanding/internal/standin/weights"
@@ -43,7 +43,7 @@
 	violations []string
 	loads      int
 	refusals   int
-	machines   platform.MachineList
+	machines   objectstore.MachineList
 	// weights bounds the loads; nil for none.
 	weights    *weightStore
 	coldStarts []*coldStart
@@ -67,7 +67,7 @@
 	core    *engine.Core
 	backend fleet.Backend
 	down    bool
-	state   platform.MachineState
+	state   objectstore.MachineState
 }
 
 type event struct {
@@ -163,7 +163,7 @@
 	described := fleet.Backend{Name: name, Kind: fleet.KindEngine, Zone: zone, Address: string(name)}
 	c.engines[name] = &testEngine{
 		backend: described,
-		state:   platform.MachineLive,
+		state:   objectstore.MachineLive,
 		core: engine.New(engine.Options{
 			Backend:     described,
 			Incarnation: 1,
@@ -186,16 +186,16 @@
 func (c *cluster) engineNames() []fleet.BackendName { return slices.Sorted(maps.Keys(c.engines)) }
 
 func (c *cluster) listMachines() {
-	c.machines = platform.MachineList{AsOfUnixMilli: c.machines.AsOfUnixMilli + 1}
+	c.machines = objectstore.MachineList{AsOfUnixMilli: c.machines.AsOfUnixMilli + 1}
 	for _, name := range c.engineNames() {
 		described, state := c.engines[name].backend, c.engines[name].state
-		c.machines.Machines = append(c.machines.Machines, platform.Machine{
+		c.machines.Machines = append(c.machines.Machines, objectstore.Machine{
 			Role: "engine", Name: string(name), Zone: described.Zone, State: state, Address: string(name),
 		})
 	}
 	for _, name := range c.nodeNames() {
-		c.machines.Machines = append(c.machines.Machines, platform.Machine{
-			Role: "node", Name: string(name), Zone: c.nodes[name].member.Zone, State: platform.MachineLive,
+		c.machines.Machines = append(c.machines.Machines, objectstore.Machine{
+			Role: "node", Name: string(name), Zone: c.nodes[name].member.Zone, State: objectstore.MachineLive,
 		})
 	}
 }
@@ -310,7 +310,7 @@
 	record := c.stored().Record
 	total := make(map[fleet.ModelVersion]int)
 	for _, name := range c.engineNames() {
-		if c.engines[name].state == platform.MachineGone {
+		if c.engines[name].state == objectstore.MachineGone {
 			continue
 		}
 		state := c.engines[name].core.State(c.now)
@@ -350,7 +350,7 @@
 	count := 0
 	for _, name := range c.engineNames() {
 		state := c.engines[name].core.State(c.now)
-		if c.engines[name].state != platform.MachineGone && state.Find(model) != nil {
+		if c.engines[name].state != objectstore.MachineGone && state.Find(model) != nil {
 			count++
 		}
 	}
--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -4,13 +4,13 @@
 	"slices"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/placement"
-	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
 const (
-	machineGone    = platform.MachineGone
-	machineLeaving = platform.MachineLeaving
+	machineGone    = objectstore.MachineGone
+	machineLeaving = objectstore.MachineLeaving
 )
 
 // leavingState holds the back ends that were heard to go away. A back end that
@@ -38,9 +38,9 @@
 
 // list takes the state that the machine list shows and reports whether it is
 // leaving.
-func (l *leavingState) list(name fleet.BackendName, state platform.MachineState) bool {
-	isLeaving := state == platform.MachineLeaving
-	if state == platform.MachineGone || state == platform.MachineLive && l.listed[name] {
+func (l *leavingState) list(name fleet.BackendName, state objectstore.MachineState) bool {
+	isLeaving := state == objectstore.MachineLeaving
+	if state == objectstore.MachineGone || state == objectstore.MachineLive && l.listed[name] {
 		delete(l.names, name)
 	}
 	if !isLeaving {
--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // TestBackEndThatComesBackGetsWorkAgain: a service back end leaves and is
@@ -12,10 +12,10 @@
 // gone.
 func TestBackEndThatComesBackGetsWorkAgain(t *testing.T) {
 	core := New(Options{Self: "n1", Zone: "z", Settings: DefaultSettings()})
-	list := func(state platform.MachineState) platform.MachineList {
-		return platform.MachineList{Machines: []platform.Machine{
+	list := func(state objectstore.MachineState) objectstore.MachineList {
+		return objectstore.MachineList{Machines: []objectstore.Machine{
 			{Role: roleService, Name: "stops", Zone: "z", State: state, Service: "turbines"},
-			{Role: roleService, Name: "other", Zone: "z", State: platform.MachineLive, Service: "turbines"},
+			{Role: roleService, Name: "other", Zone: "z", State: objectstore.MachineLive, Service: "turbines"},
 		}}
 	}
 	leaving := func(messages ...Message) bool {
@@ -31,16 +31,16 @@
 		return false
 	}
 	heard := LeavingHeard{From: "n2", Backends: []fleet.BackendName{"stops"}}
-	if leaving(MachinesChanged{List: list(platform.MachineLive)}) {
+	if leaving(MachinesChanged{List: list(objectstore.MachineLive)}) {
 		t.Error("a live back end counts as leaving")
 	}
-	if !leaving(heard, MachinesChanged{List: list(platform.MachineLive)}) {
+	if !leaving(heard, MachinesChanged{List: list(objectstore.MachineLive)}) {
 		t.Error("a list that lags took back what a peer said")
 	}
-	if !leaving(MachinesChanged{List: list(platform.MachineLeaving)}) {
+	if !leaving(MachinesChanged{List: list(objectstore.MachineLeaving)}) {
 		t.Error("a leaving back end gets work")
 	}
-	if leaving(MachinesChanged{List: list(platform.MachineLive)}) {
+	if leaving(MachinesChanged{List: list(objectstore.MachineLive)}) {
 		t.Error("a back end that came back gets no work")
 	}
 }
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -7,8 +7,8 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/placement"
-	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
 // goneState holds the engines that the machine list calls gone. The list lags
@@ -40,7 +40,7 @@
 }
 
 // setMachines takes a newer machine list.
-func (c *Core) setMachines(list platform.MachineList) {
+func (c *Core) setMachines(list objectstore.MachineList) {
 	if list.AsOfUnixMilli < c.machines.AsOfUnixMilli {
 		return
 	}
@@ -50,7 +50,7 @@
 		if machine.Role != roleEngine || machine.Zone != c.options.Zone {
 			continue
 		}
-		if machine.State != platform.MachineGone {
+		if machine.State != objectstore.MachineGone {
 			delete(c.gone.since, name)
 		} else if _, known := c.gone.since[name]; !known {
 			c.gone.since[name] = c.now
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -5,8 +5,8 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/placement"
-	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
 // Message is what the core is told.
@@ -20,7 +20,7 @@
 type MembersChanged struct{ Members []fleet.Member }
 
 // MachinesChanged gives a newer machine list.
-type MachinesChanged struct{ List platform.MachineList }
+type MachinesChanged struct{ List objectstore.MachineList }
 
 // CatalogChanged gives what is declared.
 type CatalogChanged struct {
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -6,7 +6,7 @@
 	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // deciderState is what the node knows of its writes of the record.
@@ -54,7 +54,7 @@
 func (c *Core) zoneSize() int {
 	names := map[fleet.NodeName]bool{c.options.Self: true}
 	for _, machine := range c.machines.Machines {
-		if machine.Role == roleNode && machine.Zone == c.options.Zone && machine.State != platform.MachineGone {
+		if machine.Role == roleNode && machine.Zone == c.options.Zone && machine.State != objectstore.MachineGone {
 			names[fleet.NodeName(machine.Name)] = true
 		}
 	}
--- a/internal/control/schedule_test.go
+++ b/internal/control/schedule_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
 
@@ -67,7 +67,7 @@
 	case "engine-down":
 		c.engines[target].down = true
 		c.after(f.Length, func() {
-			if c.engines[target].state == platform.MachineGone {
+			if c.engines[target].state == objectstore.MachineGone {
 				return
 			}
 			c.engines[target].down = false
@@ -96,15 +96,15 @@
 // reclaim takes an engine's machine away after the length.
 func (c *cluster) reclaim(name fleet.BackendName, length time.Duration) {
 	target := c.engines[name]
-	if target.state != platform.MachineLive {
+	if target.state != objectstore.MachineLive {
 		return
 	}
-	target.state = platform.MachineLeaving
+	target.state = objectstore.MachineLeaving
 	c.stepEngine(name, engine.Leave{})
 	c.spreadMachines()
 	c.after(length, func() {
 		target.down = true
-		target.state = platform.MachineGone
+		target.state = objectstore.MachineGone
 		c.stepEngine(name, engine.Tick{})
 		c.spreadMachines()
 	})
--- /dev/null
+++ b/internal/dispatch/core_test.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+var begin = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+
+func entry(id, zone string, models ...string) inventory.Change {
+	info := inventory.Server{ID: id, Service: "s", Address: id + ":1", Zone: zone, Slots: 8, Revision: 1}
+	for _, model := range models {
+		info.Models = append(info.Models, inventory.HeldModel{Name: model, Adapters: []string{"a1"}})
+	}
+	return inventory.Change{Server: info}
+}
+
+func newCore(changes ...inventory.Change) *Core {
+	core := New(Options{Zone: "z", Seed: 1})
+	core.SetServers(changes)
+	return core
+}
+
+func pick(core *Core, now time.Time, ask Ask) string {
+	ask.Service = "s"
+	choice, ok := core.Pick(now, ask)
+	if !ok {
+		return ""
+	}
+	core.End(now, choice.Flight, OutcomeServed)
+	return choice.ServerID
+}
+
+func TestFilter(t *testing.T) {
+	draining := entry("d", "z", "m")
+	draining.Server.Draining = true
+	core := newCore(entry("a", "z", "m"), entry("b", "z"), draining)
+	cases := []struct {
+		name string
+		ask  Ask
+		want string
+	}{
+		{"the one that holds the model", Ask{Model: "m"}, "a"},
+		{"and its adapter", Ask{Model: "m", Adapter: "a1"}, "a"},
+		{"no other adapter", Ask{Model: "m", Adapter: "a2"}, ""},
+		{"no other model", Ask{Model: "n"}, ""},
+		{"excluded", Ask{Model: "m", Exclude: []string{"a"}}, ""},
+		{"only another", Ask{Model: "m", Only: []string{"b"}}, ""},
+	}
+	for _, c := range cases {
+		if got := pick(core, begin, c.ask); got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+	core.Absent(begin, "a", "m", "")
+	if got := pick(core, begin.Add(time.Millisecond), Ask{Model: "m"}); got != "" {
+		t.Errorf("picked %q right after it refused the model as not there", got)
+	}
+	if got := pick(core, begin.Add(time.Second), Ask{Model: "m"}); got != "a" {
+		t.Errorf("picked %q a second later, want a", got)
+	}
+}
+
+// TestLeadersViewGoesBeforeTheEntry while it is fresh: the entry lags.
+func TestLeadersViewGoesBeforeTheEntry(t *testing.T) {
+	core := newCore(entry("a", "z", "old"))
+	core.SetViews(begin, 5, []View{{
+		ServerID: "a", Sequence: 3, Held: map[string][]string{"new": {"a1"}},
+		Loading: map[string]time.Duration{"next": 2 * time.Second, "new/a2": 100 * time.Millisecond},
+	}})
+	if pick(core, begin, Ask{Model: "old"}) != "" || pick(core, begin, Ask{Model: "new"}) != "a" {
+		t.Error("the entry goes before a fresh view")
+	}
+	if pick(core, begin.Add(150*time.Millisecond), Ask{Model: "new", Adapter: "a2"}) != "a" {
+		t.Error("an adapter whose time has come is not believed")
+	}
+	if left, known := core.ReadyIn(begin.Add(time.Second), Wanted{Service: "s", Model: "next"}); !known || left != time.Second {
+		t.Errorf("ready in %v, %v; want 1s", left, known)
+	}
+	if pick(core, begin.Add(2500*time.Millisecond), Ask{Model: "next"}) != "" {
+		t.Error("a model is believed before the leader has seen it")
+	}
+	core.SetViews(begin, 4, []View{{ServerID: "a", Sequence: 9}})
+	if pick(core, begin, Ask{Model: "new"}) != "a" {
+		t.Error("a view of an older term is taken")
+	}
+	if pick(core, begin.Add(4*time.Second), Ask{Model: "old"}) != "a" {
+		t.Error("the entry does not go before a view that is not repeated")
+	}
+}
+
+func TestPromptsGoWhereTheyAreKept(t *testing.T) {
+	core := newCore(entry("a", "z", "m"), entry("b", "z", "m"), entry("c", "z", "m"))
+	ask := Ask{Model: "m", PromptTokens: 9000, Parts: []PromptPart{{"p1", 2500}, {"p2", 3500}, {"own", 3000}}}
+	first := pick(core, begin, ask)
+	for i := range 10 {
+		ask.Parts[2].ID = string(rune('a' + i))
+		if got := pick(core, begin.Add(time.Duration(i)*time.Second), ask); got != first {
+			t.Errorf("went to %s, want %s, which keeps the shared parts", got, first)
+		}
+	}
+	other := newCore(entry("c", "z", "m"), entry("b", "z", "m"), entry("a", "z", "m"))
+	if got := pick(other, begin, ask); got != first {
+		t.Errorf("another node begins with %s, want %s as well", got, first)
+	}
+	core.SetPeerLoads(begin.Add(20*time.Second), "peer", []PeerLoad{{ServerID: first, Running: 4, PendingTokens: 40_000}})
+	if got := pick(core, begin.Add(20*time.Second), ask); got == first {
+		t.Error("goes to the server that keeps the prompt though peers fill it")
+	}
+}
+
+func TestFailingServersAreAvoidedAndTriedAgain(t *testing.T) {
+	core := newCore(entry("a", "z"), entry("b", "other"))
+	if got := pick(core, begin, Ask{}); got != "a" {
+		t.Fatalf("went to %s, want the own zone", got)
+	}
+	for range 6 {
+		choice, _ := core.Pick(begin, Ask{Service: "s", Only: []string{"a"}})
+		core.End(begin, choice.Flight, OutcomeFailed)
+	}
+	if core.CountServers(begin, StateSuspect) != 1 {
+		t.Error("a server of six failures is not suspect")
+	}
+	if got := pick(core, begin.Add(time.Second), Ask{}); got != "b" {
+		t.Errorf("went to %s, want b while a fails", got)
+	}
+	if got := pick(core, begin.Add(20*time.Second), Ask{}); got != "a" {
+		t.Errorf("went to %s, want a again after a while", got)
+	}
+}
+
+func TestServersOwnWordOfItsLoadCounts(t *testing.T) {
+	core := newCore(entry("a", "z"), entry("b", "z"))
+	core.SetReported(begin, "a", Load{Running: 8, Waiting: 4, Slots: 8})
+	if got := pick(core, begin.Add(100*time.Millisecond), Ask{}); got != "b" {
+		t.Errorf("went to %s, want b: a says that it is full", got)
+	}
+}
+
+func TestCacheIsBounded(t *testing.T) {
+	cache := newPromptCache()
+	for i := range uint64(5000) {
+		cache.add(begin.Add(time.Duration(i)*time.Millisecond), []uint64{i})
+	}
+	if len(cache.lastUse) > maxCachedParts {
+		t.Errorf("%d parts are remembered, want %d at most", len(cache.lastUse), maxCachedParts)
+	}
+	if _, ok := cache.lastUse[4999]; !ok {
+		t.Error("the newest part was dropped")
+	}
+}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -50,7 +50,7 @@
 	failureCost = 2 * time.Second
 	// baseCost is the time of an empty prompt at an idle server.
 	baseCost = 12 * time.Millisecond
-	// affinityTokens is the part of a prompt that the server which all nodes
+	// affinityShare is the part of a prompt that the server which all nodes
 	// prefer for its shared parts is taken to keep.
 	affinityShare = 0.5
 )
@@ -137,7 +137,7 @@
 
 // cost is the expected seconds to the first byte, with a malus for failures.
 func (c *Core) cost(now time.Time, s *server, tokens float64) float64 {
-	running, pending := s.totals(now)
+	running, pending := s.load(now)
 	cost := baseCost.Seconds() + (pending+tokens)/c.readRate + float64(running)*runningCost.Seconds()
 	if s.info.Slots > 0 && running >= s.info.Slots {
 		cost += baseCost.Seconds() * float64(running-s.info.Slots+1)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -135,6 +135,19 @@
 	return running, pendingTokens
 }
 
+// reportedAge is how long a server's own word of its load is believed.
+const reportedAge = 300 * time.Millisecond
+
+// load is the number of requests at the server: those that nodes know of or, by
+// its own recent word, more.
+func (s *server) load(now time.Time) (requests int, pendingTokens float64) {
+	requests, pendingTokens = s.totals(now)
+	if now.Sub(s.reportedAt) < reportedAge {
+		requests = max(requests, s.reported.Running+s.reported.Waiting)
+	}
+	return requests, pendingTokens
+}
+
 func joined(model, adapter string) string {
 	if adapter == "" {
 		return model
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,7 +17,7 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/claim"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/queue"
 	"github.com/spanlanding/spanlanding/internal/routing"
 	"github.com/spanlanding/spanlanding/internal/views"
@@ -134,7 +134,7 @@
 	for _, dispatcher := range []*dispatcher{g.models, g.services} {
 		g.options.Views.Tables.Watch(func(tables views.Tables) { dispatcher.send(tablesChanged{tables: tables}) })
 		g.options.Views.Members.Watch(func([]fleet.Member) { dispatcher.send(nodesChanged{nodes: g.usableNodes()}) })
-		g.options.Views.Machines.Watch(func(machines platform.MachineList) {
+		g.options.Views.Machines.Watch(func(machines objectstore.MachineList) {
 			dispatcher.send(nodesChanged{nodes: g.usableNodes()})
 			dispatcher.send(leavingChanged{backends: leavingBackends(machines)})
 		})
--- a/internal/gateway/nodes.go
+++ b/internal/gateway/nodes.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // roleNode is the role of nodes on the machine list.
@@ -22,7 +22,7 @@
 	listed := 0
 	machines, _ := g.options.Views.Machines.Get()
 	for _, machine := range machines.Machines {
-		if machine.Role == roleNode && machine.State == platform.MachineLive {
+		if machine.Role == roleNode && machine.State == objectstore.MachineLive {
 			listed++
 		}
 	}
@@ -31,10 +31,10 @@
 
 // leavingBackends names the back ends that the machine list shows as leaving
 // or gone.
-func leavingBackends(machines platform.MachineList) []fleet.BackendName {
+func leavingBackends(machines objectstore.MachineList) []fleet.BackendName {
 	var leaving []fleet.BackendName
 	for _, machine := range machines.Machines {
-		if machine.Role != roleNode && machine.State != platform.MachineLive {
+		if machine.Role != roleNode && machine.State != objectstore.MachineLive {
 			leaving = append(leaving, fleet.BackendName(machine.Name))
 		}
 	}
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -15,7 +15,7 @@
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/queue"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
@@ -110,9 +110,9 @@
 	h := newHarness(t, nil)
 	h.catalog.model.Limits = spec.Limits{RequestsPerSecond: 0.02}
 	h.addEngine("e1", h.backend(wholeEngine))
-	h.views.Machines.Set(platform.MachineList{Machines: []platform.Machine{
-		{Role: roleNode, Name: "n1", State: platform.MachineLive}, {Role: roleNode, Name: "n2", State: platform.MachineLive},
-		{Role: roleNode, Name: "n3", State: platform.MachineGone},
+	h.views.Machines.Set(objectstore.MachineList{Machines: []objectstore.Machine{
+		{Role: roleNode, Name: "n1", State: objectstore.MachineLive}, {Role: roleNode, Name: "n2", State: objectstore.MachineLive},
+		{Role: roleNode, Name: "n3", State: objectstore.MachineGone},
 	}})
 	h.wantWhole(h.do(http.MethodPost, backend.PathCompletions, streamBody))
 	got := h.do(http.MethodPost, backend.PathCompletions, streamBody)
@@ -126,7 +126,7 @@
 	h.catalog.model.Deadline = 50 * time.Millisecond
 	h.addEngine("e1", h.backend(wholeEngine))
 	h.wantWhole(h.do(http.MethodPost, backend.PathCompletions, streamBody))
-	h.views.Machines.Set(platform.MachineList{Machines: []platform.Machine{{Role: "engine", Name: "e1", State: platform.MachineLeaving}}})
+	h.views.Machines.Set(objectstore.MachineList{Machines: []objectstore.Machine{{Role: "engine", Name: "e1", State: objectstore.MachineLeaving}}})
 	if got := h.do(http.MethodPost, backend.PathCompletions, streamBody); got.status != http.StatusGatewayTimeout {
 		t.Errorf("%d %s", got.status, got.body)
 	}
--- a/internal/lab/collect/collector.go
+++ b/internal/lab/collect/collector.go
@@ -14,7 +14,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/lab/check"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/books"
 )
 
@@ -57,7 +57,7 @@
 	store    storeHistory
 	samples  []check.ConfigSample
 	problems map[string]Problem
-	machines []platform.Machine
+	machines []objectstore.Machine
 }
 
 type bookKey struct {
@@ -140,7 +140,7 @@
 )
 
 func (c *Collector) readMachines(ctx context.Context) {
-	var list platform.MachineList
+	var list objectstore.MachineList
 	if err := c.get(ctx, c.options.Platform+"/v1/machines", &list); err != nil {
 		c.problem(ctx, "the machine list", err)
 		return
@@ -237,14 +237,14 @@
 }
 
 // Machines returns the machine list as last read.
-func (c *Collector) Machines() []platform.Machine {
+func (c *Collector) Machines() []objectstore.Machine {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return slices.Clone(c.machines)
 }
 
 // Objects returns the declared objects as last seen.
-func (c *Collector) Objects() []platform.Object {
+func (c *Collector) Objects() []objectstore.Object {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.store.sortedObjects()
--- a/internal/lab/collect/doc.go
+++ b/internal/lab/collect/doc.go
@@ -2,6 +2,6 @@
 // ends, the decisions and declarations in the store, and the configuration
 // that each node says it has in force.
 //
-// It may import check, fleet, platform's wire types, spec and the stand-ins'
+// It may import check, fleet, objectstore's wire types, spec and the stand-ins'
 // books.
 package collect
--- a/internal/lab/collect/store.go
+++ b/internal/lab/collect/store.go
@@ -12,7 +12,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/lab/check"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 	"github.com/spanlanding/spanlanding/internal/standin/books"
 )
@@ -21,7 +21,7 @@
 // revisions.
 type storeHistory struct {
 	version     uint64
-	objects     map[platform.Key]platform.Object
+	objects     map[objectstore.Key]objectstore.Object
 	decisions   []check.Decision
 	changes     []check.ConfigChange
 	maxReplicas map[fleet.ModelVersion]int
@@ -29,7 +29,7 @@
 
 func newStoreHistory() storeHistory {
 	return storeHistory{
-		objects:     make(map[platform.Key]platform.Object),
+		objects:     make(map[objectstore.Key]objectstore.Object),
 		maxReplicas: make(map[fleet.ModelVersion]int),
 	}
 }
@@ -52,7 +52,7 @@
 	object, at := change.Object, change.At
 	h.version = max(h.version, object.Version)
 	h.objects[object.Key()] = object
-	if object.Kind == platform.KindAllotments {
+	if object.Kind == objectstore.KindAllotments {
 		return h.takeDecision(object, at)
 	}
 	if !slices.Contains(declaredKinds, spec.Kind(object.Kind)) {
@@ -65,7 +65,7 @@
 	return nil
 }
 
-func (h *storeHistory) takeDecision(object platform.Object, at time.Time) error {
+func (h *storeHistory) takeDecision(object objectstore.Object, at time.Time) error {
 	var record allotmentRecord
 	if err := json.Unmarshal(object.Spec, &record); err != nil {
 		return fmt.Errorf("allotments at version %d: %w", object.Version, err)
@@ -80,7 +80,7 @@
 
 // takeModel keeps the largest bound that was ever declared: lowered bounds take
 // effect through the decisions.
-func (h *storeHistory) takeModel(object platform.Object) error {
+func (h *storeHistory) takeModel(object objectstore.Object) error {
 	var model spec.Model
 	if err := json.Unmarshal(object.Spec, &model); err != nil {
 		return fmt.Errorf("model %s: %w", object.Name, err)
@@ -93,12 +93,12 @@
 	return nil
 }
 
-func (h *storeHistory) sortedObjects() []platform.Object {
-	objects := make([]platform.Object, 0, len(h.objects))
+func (h *storeHistory) sortedObjects() []objectstore.Object {
+	objects := make([]objectstore.Object, 0, len(h.objects))
 	for _, object := range h.objects {
 		objects = append(objects, object)
 	}
-	slices.SortFunc(objects, func(a, b platform.Object) int {
+	slices.SortFunc(objects, func(a, b objectstore.Object) int {
 		return cmp.Or(strings.Compare(a.Kind, b.Kind), strings.Compare(a.Name, b.Name))
 	})
 	return objects
--- a/internal/lab/inject/doc.go
+++ b/internal/lab/inject/doc.go
@@ -2,5 +2,5 @@
 // systems can be switched to, in windows that overlap by pairs, while a load
 // runs. It starts and ends no process.
 //
-// It may import history, fleet, platform's wire types and standin/faults.
+// It may import history, fleet, objectstore's wire types and standin/faults.
 package inject
--- a/internal/lab/inject/plan.go
+++ b/internal/lab/inject/plan.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/faults"
 )
 
@@ -24,10 +24,10 @@
 }
 
 // Targets are the platform and the back ends that it lists.
-func Targets(platformURL string, machines []platform.Machine) []Target {
+func Targets(platformURL string, machines []objectstore.Machine) []Target {
 	targets := []Target{{Name: "platform", URL: platformURL, Zone: faults.PlatformZone, role: rolePlatform}}
 	for _, machine := range machines {
-		if machine.State != platform.MachineLive || (machine.Role != string(roleEngine) && machine.Role != string(roleService)) {
+		if machine.State != objectstore.MachineLive || (machine.Role != string(roleEngine) && machine.Role != string(roleService)) {
 			continue
 		}
 		targets = append(targets, Target{
--- a/internal/lab/load/class.go
+++ b/internal/lab/load/class.go
@@ -9,7 +9,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/lab/history"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -56,7 +56,7 @@
 // ReadClasses derives the traffic from declared objects: one class for each
 // deployment by its name, one for each selector with the labels it asks for,
 // one for each service.
-func ReadClasses(objects []platform.Object) (Classes, error) {
+func ReadClasses(objects []objectstore.Object) (Classes, error) {
 	read, err := readDeclared(objects)
 	if err != nil {
 		return Classes{}, err
--- a/internal/lab/load/declared.go
+++ b/internal/lab/load/declared.go
@@ -10,7 +10,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/lab/history"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -32,7 +32,7 @@
 	spec   T
 }
 
-func decode[T any](into []named[T], object platform.Object) ([]named[T], error) {
+func decode[T any](into []named[T], object objectstore.Object) ([]named[T], error) {
 	entry := named[T]{name: object.Name, labels: object.Labels}
 	if err := json.Unmarshal(object.Spec, &entry.spec); err != nil {
 		return nil, fmt.Errorf("%s %s: %w", object.Kind, object.Name, err)
@@ -40,7 +40,7 @@
 	return append(into, entry), nil
 }
 
-func readDeclared(objects []platform.Object) (declared, error) {
+func readDeclared(objects []objectstore.Object) (declared, error) {
 	read := declared{models: make(map[string]spec.Model)}
 	for _, object := range objects {
 		if object.Deleted {
@@ -55,7 +55,7 @@
 	return read, nil
 }
 
-func (d *declared) add(object platform.Object) (err error) {
+func (d *declared) add(object objectstore.Object) (err error) {
 	switch spec.Kind(object.Kind) {
 	case spec.KindModel:
 		var models []named[spec.Model]
--- a/internal/lab/load/doc.go
+++ b/internal/lab/load/doc.go
@@ -3,5 +3,5 @@
 // spared. A plan is drawn from a seed; the runner carries it out and records a
 // history.
 //
-// It may import history, fleet, spec and platform's wire types.
+// It may import history, fleet, spec and objectstore's wire types.
 package load
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -17,24 +17,24 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/lab/history"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
-func object(t *testing.T, kind spec.Kind, name string, labels map[string]string, value any) platform.Object {
+func object(t *testing.T, kind spec.Kind, name string, labels map[string]string, value any) objectstore.Object {
 	t.Helper()
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return platform.Object{Kind: string(kind), Name: name, Labels: labels, Version: 1, Spec: encoded}
+	return objectstore.Object{Kind: string(kind), Name: name, Labels: labels, Version: 1, Spec: encoded}
 }
 
-func declaredObjects(t *testing.T) []platform.Object {
+func declaredObjects(t *testing.T) []objectstore.Object {
 	t.Helper()
 	model := spec.Model{Versions: []spec.ModelVersion{{Name: "v1"}, {Name: "v2"}}}
 	urgent := map[string]string{"task": "urgent"}
-	return []platform.Object{
+	return []objectstore.Object{
 		object(t, spec.KindModel, "menu", nil, model),
 		object(t, spec.KindModel, "chat", nil, model),
 		object(t, spec.KindAdapter, "nuts", nil, spec.Adapter{Model: "menu"}),
--- a/internal/lab/scale/load.go
+++ b/internal/lab/scale/load.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // Outcome counts what the load did.
@@ -174,10 +174,10 @@
 }
 
 // changedObject is a declared deployment with another label.
-func (l *load) changedObject(index int) (platform.Object, error) {
+func (l *load) changedObject(index int) (objectstore.Object, error) {
 	objects, err := declarations(Setup{Models: l.setup.Models, Adapters: index%l.setup.Adapters + 1})
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	object := objects[len(objects)-1]
 	object.Labels["revision"] = fmt.Sprint(index)
--- a/internal/lab/scale/roles.go
+++ b/internal/lab/scale/roles.go
@@ -11,7 +11,7 @@
 	"github.com/spanlanding/spanlanding/internal/claim"
 	"github.com/spanlanding/spanlanding/internal/configsync"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // Role is what a node does for others beside serving its callers.
@@ -82,7 +82,7 @@
 func keepers(ctx context.Context, outside *standIns) []fleet.NodeName {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	object, err := outside.client.Get(ctx, platform.Key{Kind: platform.KindKeepers, Name: "fleet"})
+	object, err := outside.client.Get(ctx, objectstore.Key{Kind: objectstore.KindKeepers, Name: "fleet"})
 	var table claim.Table
 	if err != nil || json.Unmarshal(object.Spec, &table) != nil {
 		return nil
--- a/internal/lab/scale/setup.go
+++ b/internal/lab/scale/setup.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -90,15 +90,15 @@
 
 // declarations are the objects of a fleet: each model and each adapter has one
 // deployment of its name; every model keeps one standing replica at least.
-func declarations(setup Setup) ([]platform.Object, error) {
-	var objects []platform.Object
+func declarations(setup Setup) ([]objectstore.Object, error) {
+	var objects []objectstore.Object
 	var failure error
 	add := func(kind spec.Kind, name string, labels map[string]string, content any) {
 		raw, err := json.Marshal(content)
 		if err != nil {
 			failure = err
 		}
-		objects = append(objects, platform.Object{Kind: string(kind), Name: name, Labels: labels, Spec: raw})
+		objects = append(objects, objectstore.Object{Kind: string(kind), Name: name, Labels: labels, Spec: raw})
 	}
 	versions := []spec.WeightedVersion{{Name: versionName, Weight: 100}}
 	add(spec.KindPreferences, "fleet", nil, spec.Preferences{ColdStartWeight: 0.5})
--- a/internal/lab/scale/standins.go
+++ b/internal/lab/scale/standins.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 	"github.com/spanlanding/spanlanding/internal/standin/httpdriver"
 	"github.com/spanlanding/spanlanding/internal/standin/machines"
@@ -52,9 +52,9 @@
 	cancel  context.CancelFunc
 	servers []*http.Server
 	url     string
-	client  *platform.Client
+	client  *objectstore.Client
 	// versions are those of the objects as this process wrote them.
-	versions map[platform.Key]uint64
+	versions map[objectstore.Key]uint64
 	// woken counts the adapters that were asked for, so that each is asked for
 	// once.
 	woken atomic.Int64
@@ -65,13 +65,13 @@
 	created := &standIns{
 		cancel:   cancel,
 		url:      "http://" + address(platformZone, 0, portPlatform),
-		versions: make(map[platform.Key]uint64),
+		versions: make(map[objectstore.Key]uint64),
 	}
 	outside := httpdriver.NewPlatform(ctx, httpdriver.PlatformOptions{Machines: machines.Options{Lag: machineLag}})
 	err := created.serve(address(platformZone, 0, portPlatform), outside.Handler())
-	created.client = platform.NewClient(created.url, "")
+	created.client = objectstore.NewClient(created.url, "")
 	announced := httpdriver.PlatformClient{URL: created.url, HTTP: &http.Client{}}
-	var lines []func() platform.Machine
+	var lines []func() objectstore.Machine
 	for zone := range setup.Zones {
 		for index := range setup.EnginesPerZone {
 			running := httpdriver.NewEngine(ctx, engineOptions(zone, index), announced)
@@ -82,8 +82,8 @@
 		err = errors.Join(err, created.serve(address(zone, backendHost, portService), running.Handler()))
 		lines = append(lines, running.Machine)
 	}
-	announcer := &httpdriver.Announcer{Client: announced, Machines: func() []platform.Machine {
-		machines := make([]platform.Machine, 0, len(lines))
+	announcer := &httpdriver.Announcer{Client: announced, Machines: func() []objectstore.Machine {
+		machines := make([]objectstore.Machine, 0, len(lines))
 		for _, line := range lines {
 			machines = append(machines, line())
 		}
@@ -150,7 +150,7 @@
 }
 
 // put writes an object over what this process wrote last.
-func (s *standIns) put(ctx context.Context, object platform.Object) error {
+func (s *standIns) put(ctx context.Context, object objectstore.Object) error {
 	expected := s.versions[object.Key()]
 	object.ChangeID = fmt.Sprintf("scale-%s-%s-%d", object.Kind, object.Name, expected)
 	object.ChangedBy = "scale"
--- a/internal/lab/scenario/ready.go
+++ b/internal/lab/scenario/ready.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 const (
@@ -67,13 +67,13 @@
 }
 
 func liveBackends(ctx context.Context, platformURL string) (int, error) {
-	var list platform.MachineList
+	var list objectstore.MachineList
 	if err := getJSON(ctx, platformURL+"/v1/machines", &list); err != nil {
 		return 0, err
 	}
 	live := 0
 	for _, machine := range list.Machines {
-		if machine.State == platform.MachineLive && machine.Role != "node" {
+		if machine.State == objectstore.MachineLive && machine.Role != "node" {
 			live++
 		}
 	}
--- a/internal/lab/scenario/reference_test.go
+++ b/internal/lab/scenario/reference_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 	"github.com/spanlanding/spanlanding/internal/standin/httpdriver"
@@ -213,7 +213,7 @@
 	fleetOf := &reference{
 		defects: wrong, platform: platformURL, loaded: make(map[string]bool), answers: make(map[string][]byte),
 	}
-	var machines []platform.Machine
+	var machines []objectstore.Machine
 	address := func(url string) string { return strings.TrimPrefix(url, "http://") }
 	for _, name := range []string{"e1", "e2"} {
 		started := httpdriver.NewEngine(t.Context(), engine.Options{
@@ -224,12 +224,12 @@
 		claim, _ := json.Marshal(backend.Claim{Fence: 1, Incarnation: 1})
 		post(url+backend.PathEngineClaim, claim)
 		fleetOf.engines = append(fleetOf.engines, url)
-		machines = append(machines, platform.Machine{Role: "engine", Name: name, Zone: "z", State: platform.MachineLive, Address: address(url)})
+		machines = append(machines, objectstore.Machine{Role: "engine", Name: name, Zone: "z", State: objectstore.MachineLive, Address: address(url)})
 	}
 	fleetOf.service = serve(httpdriver.NewService(t.Context(), service.Options{
 		Backend: fleet.Backend{Name: "s1", Zone: "z", Service: "boxes"}, ServiceTime: time.Millisecond,
 	}).Handler())
-	machines = append(machines, platform.Machine{Role: "service", Name: "s1", Zone: "z", State: platform.MachineLive, Address: address(fleetOf.service)})
+	machines = append(machines, objectstore.Machine{Role: "service", Name: "s1", Zone: "z", State: objectstore.MachineLive, Address: address(fleetOf.service)})
 	if err := client.ReportMachines(t.Context(), httpdriver.MachineReport{Machines: machines}); err != nil {
 		t.Fatal(err)
 	}
@@ -251,7 +251,7 @@
 		r.put(t, spec.KindDeployment, name, spec.Deployment{Model: name})
 	}
 	r.put(t, spec.KindService, "boxes", spec.Service{PathPrefix: "/boxes/"})
-	r.put(t, platform.KindAllotments, "fleet", map[string]any{"generation": 1, "models": decided})
+	r.put(t, objectstore.KindAllotments, "fleet", map[string]any{"generation": 1, "models": decided})
 }
 
 func (r *reference) put(t *testing.T, kind spec.Kind, name string, value any) {
@@ -260,7 +260,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	body, err := json.Marshal(platform.WriteRequest{Object: platform.Object{Kind: string(kind), Name: name, Spec: content}})
+	body, err := json.Marshal(objectstore.WriteRequest{Object: objectstore.Object{Kind: string(kind), Name: name, Spec: content}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -273,7 +273,7 @@
 		t.Fatal(err)
 	}
 	defer response.Body.Close()
-	var written platform.Object
+	var written objectstore.Object
 	if err := json.NewDecoder(response.Body).Decode(&written); err != nil || response.StatusCode != http.StatusOK {
 		t.Fatalf("%s %s: status %d, %v", kind, name, response.StatusCode, err)
 	}
--- a/internal/node/claim_gone.go
+++ b/internal/node/claim_gone.go
@@ -6,7 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/claim"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // listedGoneAge is how long the machine list must show a machine as gone,
@@ -29,13 +29,13 @@
 }
 
 // note takes a newer list.
-func (g *goneMachines) note(list platform.MachineList, now time.Time) {
+func (g *goneMachines) note(list objectstore.MachineList, now time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	before := g.machines
 	g.machines = make(map[fleet.NodeName]goneMachine)
 	for _, machine := range list.Machines {
-		if machine.Role != "node" || machine.State != platform.MachineGone {
+		if machine.Role != "node" || machine.State != objectstore.MachineGone {
 			continue
 		}
 		name := fleet.NodeName(machine.Name)
--- a/internal/node/claim_gone_test.go
+++ b/internal/node/claim_gone_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/claim"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // TestListThatLagsEndsNoNewProcess: the machine list still shows the end of the
@@ -15,8 +15,8 @@
 func TestListThatLagsEndsNoNewProcess(t *testing.T) {
 	start := time.Unix(1000, 0)
 	seat := claim.Seat{Name: "n1", Boot: 2, Address: "10.0.0.1:7"}
-	listOf := func(state platform.MachineState, address string) platform.MachineList {
-		return platform.MachineList{Machines: []platform.Machine{{
+	listOf := func(state objectstore.MachineState, address string) objectstore.MachineList {
+		return objectstore.MachineList{Machines: []objectstore.Machine{{
 			Role: "node", Name: "n1", State: state, Node: fleet.Addresses{Peer: address},
 		}}}
 	}
@@ -27,21 +27,21 @@
 		"just listed":     {nil, false},
 		"listed for long": {[]func(*goneMachines, time.Time){wait}, true},
 		"listed again": {[]func(*goneMachines, time.Time){
-			func(gone *goneMachines, now time.Time) { gone.note(listOf(platform.MachineGone, seat.Address), now) }, wait}, true},
+			func(gone *goneMachines, now time.Time) { gone.note(listOf(objectstore.MachineGone, seat.Address), now) }, wait}, true},
 		"of another address": {[]func(*goneMachines, time.Time){
-			func(gone *goneMachines, now time.Time) { gone.note(listOf(platform.MachineGone, "10.0.0.1:8"), now) }, wait}, false},
+			func(gone *goneMachines, now time.Time) { gone.note(listOf(objectstore.MachineGone, "10.0.0.1:8"), now) }, wait}, false},
 		"answers meanwhile": {[]func(*goneMachines, time.Time){wait,
 			func(gone *goneMachines, now time.Time) { gone.answered(seat, now) }}, false},
 		"live again": {[]func(*goneMachines, time.Time){wait,
-			func(gone *goneMachines, now time.Time) { gone.note(listOf(platform.MachineLive, seat.Address), now) }}, false},
+			func(gone *goneMachines, now time.Time) { gone.note(listOf(objectstore.MachineLive, seat.Address), now) }}, false},
 		"gone, live, gone": {[]func(*goneMachines, time.Time){wait,
-			func(gone *goneMachines, now time.Time) { gone.note(listOf(platform.MachineLive, seat.Address), now) },
-			func(gone *goneMachines, now time.Time) { gone.note(listOf(platform.MachineGone, seat.Address), now) }}, false},
+			func(gone *goneMachines, now time.Time) { gone.note(listOf(objectstore.MachineLive, seat.Address), now) },
+			func(gone *goneMachines, now time.Time) { gone.note(listOf(objectstore.MachineGone, seat.Address), now) }}, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			gone := &goneMachines{}
-			gone.note(listOf(platform.MachineGone, seat.Address), start)
+			gone.note(listOf(objectstore.MachineGone, seat.Address), start)
 			now := start
 			for _, event := range test.after {
 				event(gone, now)
@@ -65,8 +65,8 @@
 func TestMachineListAloneEndsNoSeat(t *testing.T) {
 	shell := &Claims{coordinator: newCoordinator()}
 	seat := claim.Seat{Name: "n1", Boot: 2, Address: "10.0.0.1:7"}
-	shell.watchMachines(platform.MachineList{Machines: []platform.Machine{{
-		Role: "node", Name: "n1", State: platform.MachineGone, Node: fleet.Addresses{Peer: "10.0.0.1:6"},
+	shell.watchMachines(objectstore.MachineList{Machines: []objectstore.Machine{{
+		Role: "node", Name: "n1", State: objectstore.MachineGone, Node: fleet.Addresses{Peer: "10.0.0.1:6"},
 	}}})
 	if shell.knownGone()(seat) {
 		t.Error("a process was taken for ended since the list shows the one before it")
--- a/internal/node/claim_shell.go
+++ b/internal/node/claim_shell.go
@@ -12,18 +12,18 @@
 
 	"github.com/spanlanding/spanlanding/internal/claim"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/peer"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
-	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
 // KeeperStore is what the keepers' table needs of the platform's object API;
-// *platform.Client has it. Get fails with a trait of errorx.NotFound where
+// *objectstore.Client has it. Get fails with a trait of errorx.NotFound where
 // there is no object, and returns the tombstone beside the error if it has one.
 type KeeperStore interface {
-	Get(ctx context.Context, key platform.Key) (platform.Object, error)
-	Put(ctx context.Context, object platform.Object, expected uint64) (platform.Object, error)
+	Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error)
+	Put(ctx context.Context, object objectstore.Object, expected uint64) (objectstore.Object, error)
 }
 
 // ClaimDependencies is what the claim shell needs.
@@ -67,7 +67,7 @@
 
 var (
 	_ claim.Guard = (*Claims)(nil)
-	_ KeeperStore = (*platform.Client)(nil)
+	_ KeeperStore = (*objectstore.Client)(nil)
 )
 
 const (
@@ -250,7 +250,7 @@
 }
 
 // watchMachines takes a newer machine list.
-func (c *Claims) watchMachines(list platform.MachineList) {
+func (c *Claims) watchMachines(list objectstore.MachineList) {
 	c.goneMachines.note(list, time.Now())
 	c.tellGone()
 }
--- a/internal/node/claim_shell_test.go
+++ b/internal/node/claim_shell_test.go
@@ -15,28 +15,28 @@
 
 	"github.com/spanlanding/spanlanding/internal/claim"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/peer"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
-	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
 // memoryStore is an object store with compare-and-set.
 type memoryStore struct {
 	mutex  sync.Mutex
-	object platform.Object
+	object objectstore.Object
 }
 
-func (s *memoryStore) Get(context.Context, platform.Key) (platform.Object, error) {
+func (s *memoryStore) Get(context.Context, objectstore.Key) (objectstore.Object, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.object.Version == 0 {
-		return platform.Object{}, errorx.NewType(errorx.NewNamespace("test"), "not_found", errorx.NotFound()).New("none")
+		return objectstore.Object{}, errorx.NewType(errorx.NewNamespace("test"), "not_found", errorx.NotFound()).New("none")
 	}
 	return s.object, nil
 }
 
-func (s *memoryStore) Put(_ context.Context, object platform.Object, expected uint64) (platform.Object, error) {
+func (s *memoryStore) Put(_ context.Context, object objectstore.Object, expected uint64) (objectstore.Object, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.object.Version != expected {
--- a/internal/node/claim_table.go
+++ b/internal/node/claim_table.go
@@ -13,8 +13,8 @@
 
 	"github.com/spanlanding/spanlanding/internal/claim"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
-	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
 // coordinator is what the node that keeps the table knows of the seats. Only
@@ -178,10 +178,10 @@
 // was lost is neither founded anew nor written from a copy: a copy may be older
 // than what keepers already count on, and one version would have two sets of
 // seats. Keyed calls then go on with the seats as they are.
-func (c *Claims) readTable(usable []fleet.Member) (platform.Object, claim.Table, error) {
+func (c *Claims) readTable(usable []fleet.Member) (objectstore.Object, claim.Table, error) {
 	ctx, cancel := context.WithTimeout(c.lifetime, storeTimeout)
 	defer cancel()
-	object, err := c.dependencies.Store.Get(ctx, platform.Key{Kind: platform.KindKeepers, Name: keepersObject})
+	object, err := c.dependencies.Store.Get(ctx, objectstore.Key{Kind: objectstore.KindKeepers, Name: keepersObject})
 	known := len(c.currentTable().Slots) > 0
 	switch {
 	case err != nil && !errorx.HasTrait(err, errorx.NotFound()):
@@ -200,15 +200,15 @@
 	return object, table, nil
 }
 
-func (c *Claims) writeTable(table claim.Table, expected uint64) (platform.Object, error) {
+func (c *Claims) writeTable(table claim.Table, expected uint64) (objectstore.Object, error) {
 	encoded, err := json.Marshal(table)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	ctx, cancel := context.WithTimeout(c.lifetime, storeTimeout)
 	defer cancel()
-	return c.dependencies.Store.Put(ctx, platform.Object{
-		Kind:      platform.KindKeepers,
+	return c.dependencies.Store.Put(ctx, objectstore.Object{
+		Kind:      objectstore.KindKeepers,
 		Name:      keepersObject,
 		ChangeID:  fmt.Sprintf("%s-%x-%d", c.seat.Name, c.seat.Boot, time.Now().UnixNano()),
 		ChangedBy: string(c.seat.Name),
--- a/internal/node/config_actor.go
+++ b/internal/node/config_actor.go
@@ -11,21 +11,21 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/configsync"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/peer"
-	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
 // configDependencies are what the configuration shell works with.
 type configDependencies struct {
 	Self     fleet.Member
-	Platform *platform.Client
+	Platform *objectstore.Client
 	Peers    *peer.Pool
 	Views    *views.Views
 	Logger   *log.Logger
 	// Changed is told of objects as they change, the system's own records and
 	// tombstones included. It must not block. It may be nil.
-	Changed func(version uint64, changed []platform.Object)
+	Changed func(version uint64, changed []objectstore.Object)
 	// Options tune the core; Self and Seed are set by the shell.
 	Options configsync.Options
 }
@@ -55,7 +55,7 @@
 	compiling bool
 	// pending are the changes since the last compilation began; outdated is
 	// set also where only the version in force moved.
-	pending  []platform.Object
+	pending  []objectstore.Object
 	outdated bool
 	encoder  pushEncoder
 }
--- a/internal/node/config_actor_test.go
+++ b/internal/node/config_actor_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/peer"
-	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/spec"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
@@ -23,7 +23,7 @@
 // fakePlatform serves objects that only grow in number.
 type fakePlatform struct {
 	mutex   sync.Mutex
-	objects []platform.Object
+	objects []objectstore.Object
 	changed chan struct{}
 }
 
@@ -31,14 +31,14 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	raw, _ := json.Marshal(spec.Model{Versions: []spec.ModelVersion{{Name: "v1"}}})
-	f.objects = append(f.objects, platform.Object{
+	f.objects = append(f.objects, objectstore.Object{
 		Kind: string(spec.KindModel), Name: name, Version: uint64(len(f.objects) + 1), Spec: raw,
 	})
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
-func (f *fakePlatform) state() ([]platform.Object, chan struct{}) {
+func (f *fakePlatform) state() ([]objectstore.Object, chan struct{}) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.objects, f.changed
@@ -49,15 +49,15 @@
 	encoder := json.NewEncoder(writer)
 	switch request.URL.Path {
 	case "/v1/objects":
-		_ = encoder.Encode(platform.ObjectList{Version: uint64(len(objects)), Objects: objects})
+		_ = encoder.Encode(objectstore.ObjectList{Version: uint64(len(objects)), Objects: objects})
 	case "/v1/machines":
-		_ = encoder.Encode(platform.MachineList{AsOfUnixMilli: 1, Machines: []platform.Machine{{Role: "node", Name: "n"}}})
+		_ = encoder.Encode(objectstore.MachineList{AsOfUnixMilli: 1, Machines: []objectstore.Machine{{Role: "node", Name: "n"}}})
 	case "/v1/watch":
 		var since uint64
 		_ = json.Unmarshal([]byte(request.URL.Query().Get("since")), &since)
 		for {
 			for ; since < uint64(len(objects)); since++ {
-				_ = encoder.Encode(platform.WatchEvent{Version: since + 1, Object: &objects[since]})
+				_ = encoder.Encode(objectstore.WatchEvent{Version: since + 1, Object: &objects[since]})
 			}
 			_ = http.NewResponseController(writer).Flush()
 			select {
@@ -87,7 +87,7 @@
 		Name: fleet.NodeName(name), Zone: "z", State: fleet.MemberAlive,
 		Addresses: fleet.Addresses{Peer: server.Listener.Addr().String()},
 	}}
-	client := platform.NewClient(platformAddress, "z")
+	client := objectstore.NewClient(platformAddress, "z")
 	process, service := spawnConfig(system, configDependencies{
 		Self:     node.member,
 		Platform: client,
--- a/internal/node/config_io.go
+++ b/internal/node/config_io.go
@@ -10,8 +10,8 @@
 
 	"github.com/spanlanding/spanlanding/internal/configsync"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
-	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
 const (
@@ -59,7 +59,7 @@
 	}
 	a.send(configsync.WatchEnded{
 		Generation: effect.Generation,
-		Compacted:  errorx.IsOfType(err, platform.Compacted),
+		Compacted:  errorx.IsOfType(err, objectstore.Compacted),
 		Idle:       idled,
 	})
 }
@@ -80,7 +80,7 @@
 		idle.Reset(watchIdleLimit)
 		message := configsync.Watched{Generation: effect.Generation, Version: event.Version}
 		if event.Object != nil {
-			message.Objects = []platform.Object{*event.Object}
+			message.Objects = []objectstore.Object{*event.Object}
 		}
 		a.send(message)
 	}
--- a/internal/node/config_wire.go
+++ b/internal/node/config_wire.go
@@ -10,8 +10,8 @@
 
 	"github.com/spanlanding/spanlanding/internal/configsync"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
-	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
 // configService offers the configuration shell to peers.
@@ -120,7 +120,7 @@
 	}, nil
 }
 
-func encodeObjects(objects []platform.Object) ([]*peerpb.ConfigObject, error) {
+func encodeObjects(objects []objectstore.Object) ([]*peerpb.ConfigObject, error) {
 	encoded := make([]*peerpb.ConfigObject, 0, len(objects))
 	for _, object := range objects {
 		body, err := json.Marshal(object)
@@ -138,10 +138,10 @@
 	return encoded, nil
 }
 
-func decodeObjects(encoded []*peerpb.ConfigObject) ([]platform.Object, error) {
-	objects := make([]platform.Object, 0, len(encoded))
+func decodeObjects(encoded []*peerpb.ConfigObject) ([]objectstore.Object, error) {
+	objects := make([]objectstore.Object, 0, len(encoded))
 	for _, wire := range encoded {
-		var object platform.Object
+		var object objectstore.Object
 		if err := json.Unmarshal(wire.GetBody(), &object); err != nil {
 			return nil, fmt.Errorf("object %s/%s: %w", wire.GetKind(), wire.GetName(), err)
 		}
@@ -184,6 +184,6 @@
 }
 
 // sameObjects compares identity, not content.
-func sameObjects(one, other []platform.Object) bool {
+func sameObjects(one, other []objectstore.Object) bool {
 	return len(one) == len(other) && (len(one) == 0 || &one[0] == &other[0])
 }
--- a/internal/node/config_wire_test.go
+++ b/internal/node/config_wire_test.go
@@ -8,12 +8,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/spanlanding/spanlanding/internal/configsync"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
-	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
-func testObjects() []platform.Object {
-	return []platform.Object{
+func testObjects() []objectstore.Object {
+	return []objectstore.Object{
 		{Kind: "Model", Name: "report", Version: 7, ChangeID: "c", ChangedBy: "op",
 			Labels: map[string]string{"tier": "gold"}, Spec: json.RawMessage(`{"versions":[]}`)},
 		{Kind: "Adapter", Name: "insurer", Version: 8, Deleted: true},
--- a/internal/node/control_actor.go
+++ b/internal/node/control_actor.go
@@ -13,8 +13,8 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/control"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/peer"
-	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
@@ -28,11 +28,11 @@
 // RecordStore reads and writes the record of allotments in the store.
 type RecordStore interface {
 	// Read returns the object, or false where the store says there is none.
-	Read(ctx context.Context) (platform.Object, bool, error)
+	Read(ctx context.Context) (objectstore.Object, bool, error)
 	// Write writes by compare-and-set. It returns the object that stands and
 	// whether another change came first; an error means that the outcome is
 	// not known.
-	Write(ctx context.Context, object platform.Object, expected uint64) (standing platform.Object, conflict bool, err error)
+	Write(ctx context.Context, object objectstore.Object, expected uint64) (standing objectstore.Object, conflict bool, err error)
 }
 
 // ControlDependencies are what the control shell works with.
@@ -98,7 +98,7 @@
 	s.dependencies.Views.Members.Watch(func(members []fleet.Member) {
 		s.send(control.MembersChanged{Members: members})
 	})
-	s.dependencies.Views.Machines.Watch(func(list platform.MachineList) {
+	s.dependencies.Views.Machines.Watch(func(list objectstore.MachineList) {
 		s.send(control.MachinesChanged{List: list})
 	})
 	s.dependencies.Views.Catalog.Watch(func(snapshot *catalog.Snapshot) {
@@ -108,8 +108,8 @@
 
 // ObjectChanged takes the record of allotments as the configuration spreads
 // it; other objects are ignored.
-func (s *Control) ObjectChanged(object platform.Object) {
-	if object.Kind != platform.KindAllotments || object.Deleted {
+func (s *Control) ObjectChanged(object objectstore.Object) {
+	if object.Kind != objectstore.KindAllotments || object.Deleted {
 		return
 	}
 	record, err := decodeRecord(object)
--- a/internal/node/control_actor_test.go
+++ b/internal/node/control_actor_test.go
@@ -16,8 +16,8 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/control"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/peer"
-	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 	"github.com/spanlanding/spanlanding/internal/standin/httpdriver"
 	"github.com/spanlanding/spanlanding/internal/views"
@@ -86,8 +86,8 @@
 
 // spreadRecord tells all nodes of the record as it stands, as the configuration
 // shell does.
-func spreadRecord(ctx context.Context, client *platform.Client, nodes []*controlNode) {
-	record, err := client.Get(ctx, platform.Key{Kind: platform.KindAllotments, Name: allotment.ObjectName})
+func spreadRecord(ctx context.Context, client *objectstore.Client, nodes []*controlNode) {
+	record, err := client.Get(ctx, objectstore.Key{Kind: objectstore.KindAllotments, Name: allotment.ObjectName})
 	if err != nil {
 		return
 	}
@@ -119,14 +119,14 @@
 	facts := control.CatalogChanged{Models: []catalog.ModelFacts{{
 		Model: model, MemoryBytes: engine.GiB, CheckpointBytes: engine.GiB, MaxReplicas: 1,
 	}}}
-	client := platform.NewClient(store.URL, "z")
+	client := objectstore.NewClient(store.URL, "z")
 	defer client.Close()
 	nodes := []*controlNode{
 		startControlNode(t, "n1", recordStore{client: client}, facts),
 		startControlNode(t, "n2", recordStore{client: client}, facts),
 	}
-	machines := platform.MachineList{AsOfUnixMilli: 1, Machines: []platform.Machine{
-		{Role: "engine", Name: "e", Zone: "z", State: platform.MachineLive, Address: address},
+	machines := objectstore.MachineList{AsOfUnixMilli: 1, Machines: []objectstore.Machine{
+		{Role: "engine", Name: "e", Zone: "z", State: objectstore.MachineLive, Address: address},
 	}}
 	for _, node := range nodes {
 		node.views.Members.Set([]fleet.Member{nodes[0].member, nodes[1].member})
--- a/internal/node/control_effects.go
+++ b/internal/node/control_effects.go
@@ -12,9 +12,9 @@
 	"github.com/spanlanding/spanlanding/internal/control"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/placement"
-	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
 // Bounds of the shell's calls.
@@ -135,7 +135,7 @@
 	entry.Bool("accepted", err == nil).Msg("engine_ordered")
 }
 
-func decodeRecord(object platform.Object) (control.VersionedRecord, error) {
+func decodeRecord(object objectstore.Object) (control.VersionedRecord, error) {
 	var record allotment.Record
 	if err := json.Unmarshal(object.Spec, &record); err != nil {
 		return control.VersionedRecord{}, fmt.Errorf("record of allotments at version %d: %w", object.Version, err)
@@ -224,7 +224,7 @@
 	if err != nil || len(response.GetRecord()) == 0 {
 		return control.VersionedRecord{}
 	}
-	record, err := decodeRecord(platform.Object{Version: response.GetVersion(), Spec: response.GetRecord()})
+	record, err := decodeRecord(objectstore.Object{Version: response.GetVersion(), Spec: response.GetRecord()})
 	if err != nil {
 		s.logFailure("record_unreadable", err)
 	}
@@ -249,16 +249,16 @@
 	s.send(answer)
 }
 
-func (s *Control) putRecord(effect control.WriteRecord) (platform.Object, bool, error) {
+func (s *Control) putRecord(effect control.WriteRecord) (objectstore.Object, bool, error) {
 	body, err := json.Marshal(effect.Record)
 	if err != nil {
-		return platform.Object{}, false, err
+		return objectstore.Object{}, false, err
 	}
 	ctx, cancel := s.bounded(storeWriteTimeout)
 	defer cancel()
 	self := s.dependencies.Self
-	return s.dependencies.Store.Write(ctx, platform.Object{
-		Kind:      platform.KindAllotments,
+	return s.dependencies.Store.Write(ctx, objectstore.Object{
+		Kind:      objectstore.KindAllotments,
 		Name:      allotment.ObjectName,
 		ChangeID:  fmt.Sprintf("%s-%x-%d", self.Name, self.BootID, effect.ID),
 		ChangedBy: string(self.Name),
--- a/internal/node/membership_actor.go
+++ b/internal/node/membership_actor.go
@@ -14,7 +14,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/membership"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
@@ -65,7 +65,7 @@
 	go pprof.Do(context.Background(), partLabels(dependencies.Core.Self.Name, partMembership), func(context.Context) {
 		shell.readPackets()
 	})
-	dependencies.Views.Machines.Watch(func(list platform.MachineList) {
+	dependencies.Views.Machines.Watch(func(list objectstore.MachineList) {
 		shell.tell(membership.Hints{Nodes: hintsOf(list)})
 	})
 	return shell
@@ -205,7 +205,7 @@
 }
 
 // hintsOf takes the fleet's nodes from the machine list.
-func hintsOf(list platform.MachineList) []membership.Hint {
+func hintsOf(list objectstore.MachineList) []membership.Hint {
 	var hints []membership.Hint
 	for _, machine := range list.Machines {
 		if machine.Role != "node" || machine.Node.Gossip == "" {
@@ -214,7 +214,7 @@
 		hints = append(hints, membership.Hint{
 			Name:   machine.Name,
 			Gossip: machine.Node.Gossip,
-			Going:  machine.State != platform.MachineLive,
+			Going:  machine.State != objectstore.MachineLive,
 		})
 	}
 	return hints
--- a/internal/node/membership_actor_test.go
+++ b/internal/node/membership_actor_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/membership"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
@@ -62,8 +62,8 @@
 		}))
 		defer shells[index].Stop()
 		// The machine list is the only seed.
-		published[index].Machines.Set(platform.MachineList{Machines: []platform.Machine{{
-			Role: "node", Name: "n0", State: platform.MachineLive, Node: fleet.Addresses{Gossip: addresses[0]},
+		published[index].Machines.Set(objectstore.MachineList{Machines: []objectstore.Machine{{
+			Role: "node", Name: "n0", State: objectstore.MachineLive, Node: fleet.Addresses{Gossip: addresses[0]},
 		}}})
 	}
 	waitForMember(t, published[1], "n2", fleet.Member.Usable)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,9 +20,9 @@
 	"github.com/spanlanding/spanlanding/internal/gateway"
 	"github.com/spanlanding/spanlanding/internal/logging"
 	"github.com/spanlanding/spanlanding/internal/membership"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/operator"
 	"github.com/spanlanding/spanlanding/internal/peer"
-	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/queue"
 	"github.com/spanlanding/spanlanding/internal/traffic"
 	"github.com/spanlanding/spanlanding/internal/views"
@@ -37,7 +37,7 @@
 
 	system   *actor.ActorSystem
 	views    *views.Views
-	platform *platform.Client
+	platform *objectstore.Client
 	peers    *peer.Pool
 	metrics  *prometheus.Registry
 	servers  servers
@@ -90,7 +90,7 @@
 		logger:   logger,
 		system:   actor.NewActorSystem(actor.WithLoggerFactory(actorLoggerFactory(logger))),
 		views:    &views.Views{},
-		platform: platform.NewClient(settings.Platform, settings.Zone),
+		platform: objectstore.NewClient(settings.Platform, settings.Zone),
 		peers:    peer.NewPool(),
 		metrics:  metrics,
 		servers:  servers{logger: logger, node: self.Name},
--- a/internal/node/real_test.go
+++ b/internal/node/real_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/logging"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/operator"
-	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/spec"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 	"github.com/spanlanding/spanlanding/internal/standin/httpdriver"
@@ -63,8 +63,8 @@
 	client := httpdriver.PlatformClient{URL: platformServer.URL, HTTP: platformServer.Client()}
 	created := &realFleet{}
 	created.startEngine(t, client)
-	announcer := &httpdriver.Announcer{Client: client, Machines: func() []platform.Machine {
-		return []platform.Machine{created.engine.Machine()}
+	announcer := &httpdriver.Announcer{Client: client, Machines: func() []objectstore.Machine {
+		return []objectstore.Machine{created.engine.Machine()}
 	}}
 	go announcer.Run(ctx)
 	declare(t, platformServer.URL, realDeclarations)
@@ -108,7 +108,7 @@
 	if len(findings) > 0 {
 		t.Fatal(findings)
 	}
-	store := platform.NewClient(url, "")
+	store := objectstore.NewClient(url, "")
 	defer store.Close()
 	plan, err := operator.NewPlan(set.Objects(), nil, operator.PlanOptions{Owner: "real"})
 	if err != nil {
--- a/internal/node/shells.go
+++ b/internal/node/shells.go
@@ -8,8 +8,8 @@
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/control"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
-	"github.com/spanlanding/spanlanding/internal/platform"
 )
 
 // Configuration is the configuration shell as the node holds it.
@@ -42,9 +42,9 @@
 }
 
 // objectsChanged passes the system's own records on to the control shell.
-func (n *Node) objectsChanged(_ uint64, changed []platform.Object) {
+func (n *Node) objectsChanged(_ uint64, changed []objectstore.Object) {
 	for _, object := range changed {
-		if object.Kind == platform.KindAllotments {
+		if object.Kind == objectstore.KindAllotments {
 			n.control.ObjectChanged(object)
 		}
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -9,8 +9,8 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/gateway"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/operator"
-	"github.com/spanlanding/spanlanding/internal/platform"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
@@ -99,7 +99,7 @@
 	report := operator.VersionReport{Node: s.node.self.Name, Zone: s.node.self.Zone, Members: members}
 	machines, _ := s.node.views.Machines.Get()
 	for _, machine := range machines.Machines {
-		if machine.Role == "node" && machine.State == platform.MachineLive {
+		if machine.Role == "node" && machine.State == objectstore.MachineLive {
 			report.Listed = append(report.Listed, fleet.NodeName(machine.Name))
 		}
 	}
--- a/internal/platform/standin_test.go
+++ b/internal/objectstore/standin_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"bytes"
@@ -9,18 +9,18 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/faults"
 	"github.com/spanlanding/spanlanding/internal/standin/httpdriver"
 )
 
 // startStandIn serves the platform's stand-in, which keeps three changes for
 // watches.
-func startStandIn(t *testing.T) (client *platform.Client, setFaults func(faults.Set)) {
+func startStandIn(t *testing.T) (client *objectstore.Client, setFaults func(faults.Set)) {
 	t.Helper()
 	standIn := httpdriver.NewPlatform(t.Context(), httpdriver.PlatformOptions{History: 3})
 	server := httptest.NewServer(standIn.Handler())
-	client = platform.NewClient(server.URL, "oslo-1")
+	client = objectstore.NewClient(server.URL, "oslo-1")
 	t.Cleanup(func() {
 		client.Close()
 		server.CloseClientConnections()
@@ -39,8 +39,8 @@
 	}
 }
 
-func named(name, changeID string) platform.Object {
-	return platform.Object{Kind: "Model", Name: name, ChangeID: changeID, Spec: json.RawMessage(`{}`)}
+func named(name, changeID string) objectstore.Object {
+	return objectstore.Object{Kind: "Model", Name: name, ChangeID: changeID, Spec: json.RawMessage(`{}`)}
 }
 
 func TestClientAgreesWithTheStandIn(t *testing.T) {
@@ -56,7 +56,7 @@
 	if _, err := client.Delete(ctx, first.Key(), first.Version, "3", "op"); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.Get(ctx, first.Key()); !errorx.IsOfType(err, platform.NotFound) {
+	if _, err := client.Get(ctx, first.Key()); !errorx.IsOfType(err, objectstore.NotFound) {
 		t.Errorf("get of a deleted object: %v", err)
 	}
 	if _, err := client.Delete(ctx, first.Key(), first.Version, "4", "op"); !isConflict(err) {
@@ -89,7 +89,7 @@
 		}
 	}
 	for name, since := range map[string]uint64{"too old": 1, "not yet reached": 99} {
-		if _, err := client.Watch(t.Context(), since); !errorx.IsOfType(err, platform.Compacted) {
+		if _, err := client.Watch(t.Context(), since); !errorx.IsOfType(err, objectstore.Compacted) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
@@ -103,7 +103,7 @@
 		t.Fatal(err)
 	}
 	setFaults(faults.Set{StaleReads: true, LoseAnswers: 1})
-	if _, err := client.Put(t.Context(), named("a", "2"), first.Version); !errorx.IsOfType(err, platform.Unavailable) || isConflict(err) {
+	if _, err := client.Put(t.Context(), named("a", "2"), first.Version); !errorx.IsOfType(err, objectstore.Unavailable) || isConflict(err) {
 		t.Errorf("while reads are stale: %v", err)
 	}
 	setFaults(faults.Set{})
@@ -113,6 +113,6 @@
 }
 
 func isConflict(err error) bool {
-	_, found := platform.AsConflict(err)
+	_, found := objectstore.AsConflict(err)
 	return found
 }
--- a/internal/platform/write.go
+++ b/internal/objectstore/write.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -9,7 +9,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // writeTimeout bounds one write with its reading back, so that one lost answer
@@ -111,7 +111,7 @@
 		applied.Outcome, applied.Version = outcome, written.Version
 		return applied, nil
 	}
-	conflict, lost := platform.AsConflict(err)
+	conflict, lost := objectstore.AsConflict(err)
 	if !lost {
 		return unwritten(applied, err)
 	}
@@ -126,19 +126,19 @@
 
 // unwritten tells a write that may have taken effect from one that has not.
 func unwritten(applied Applied, err error) (Applied, error) {
-	if errorx.IsOfType(err, platform.Unavailable) && !errorx.IsOfType(err, platform.NotSent) {
+	if errorx.IsOfType(err, objectstore.Unavailable) && !errorx.IsOfType(err, objectstore.NotSent) {
 		applied.Outcome = OutcomeUnknown
 		return applied, ErrUnreachable.Wrap(err, "%s %q: no answer from the store; apply again to settle it", applied.Kind, applied.Name)
 	}
 	applied.Outcome = OutcomeNotTried
-	if errorx.IsOfType(err, platform.NotSent) {
+	if errorx.IsOfType(err, objectstore.NotSent) {
 		return applied, ErrUnreachable.Wrap(err, "%s %q was not written: the store cannot be reached", applied.Kind, applied.Name)
 	}
 	applied.Outcome = OutcomeRefused
 	return applied, err
 }
 
-func write(ctx context.Context, store Store, action Action, object platform.Object, expected uint64) (platform.Object, Outcome, error) {
+func write(ctx context.Context, store Store, action Action, object objectstore.Object, expected uint64) (objectstore.Object, Outcome, error) {
 	switch action {
 	case ActionDelete:
 		written, err := store.Delete(ctx, object.Key(), expected, object.ChangeID, object.ChangedBy)
@@ -153,13 +153,13 @@
 }
 
 // alreadySo reports whether another operator made the very same change first.
-func alreadySo(change Change, current platform.Object) bool {
+func alreadySo(change Change, current objectstore.Object) bool {
 	if change.Action == ActionDelete {
 		return current.Deleted || current.Version == 0
 	}
 	return sameContent(current, change.After)
 }
 
-func compareKeys(left, right platform.Key) int {
+func compareKeys(left, right objectstore.Key) int {
 	return cmp.Or(strings.Compare(left.Kind, right.Kind), strings.Compare(left.Name, right.Name))
 }
--- a/internal/operator/apply_test.go
+++ b/internal/operator/apply_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 	"github.com/spanlanding/spanlanding/internal/standin/faults"
 )
@@ -135,10 +135,10 @@
 	err    error
 }
 
-func (f *failing) Put(ctx context.Context, object platform.Object, expected uint64) (platform.Object, error) {
+func (f *failing) Put(ctx context.Context, object objectstore.Object, expected uint64) (objectstore.Object, error) {
 	f.writes++
 	if f.writes == f.at {
-		return platform.Object{}, f.err
+		return objectstore.Object{}, f.err
 	}
 	return f.Store.Put(ctx, object, expected)
 }
@@ -149,8 +149,8 @@
 		err  error
 		want Outcome
 	}{
-		{"no answer", platform.Unavailable.New("no answer"), OutcomeUnknown},
-		{"not sent", platform.NotSent.New("refused"), OutcomeNotTried},
+		{"no answer", objectstore.Unavailable.New("no answer"), OutcomeUnknown},
+		{"not sent", objectstore.NotSent.New("refused"), OutcomeNotTried},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/operator/catalog_test.go
+++ b/internal/operator/catalog_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -21,7 +21,7 @@
 		if err := findings.Err(); err != nil {
 			t.Fatal(err)
 		}
-		var objects []platform.Object
+		var objects []objectstore.Object
 		for index, declared := range set.Objects() {
 			object := desired(declared, folder)
 			object.Version = uint64(index + 1)
--- a/internal/operator/diff.go
+++ b/internal/operator/diff.go
@@ -7,7 +7,7 @@
 	"maps"
 	"slices"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -62,7 +62,7 @@
 }
 
 // flatten returns each leaf of labels and spec by its path.
-func flatten(object platform.Object) map[string]string {
+func flatten(object objectstore.Object) map[string]string {
 	leaves := make(map[string]string)
 	for key, value := range object.Labels {
 		leaves["labels."+key] = value
--- a/internal/operator/doc.go
+++ b/internal/operator/doc.go
@@ -2,5 +2,5 @@
 // port, and the logic of the commands that change declarations and watch the
 // fleet.
 //
-// It may import fleet, spec, platform, views and prometheus.
+// It may import fleet, spec, objectstore, views and prometheus.
 package operator
--- a/internal/operator/docs_test.go
+++ b/internal/operator/docs_test.go
@@ -9,7 +9,7 @@
 	"testing"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -55,7 +55,7 @@
 	for _, printed := range []any{
 		Status{}, ZoneStatus{}, ModelStatus{}, QueueStatus{}, fleet.Member{}, fleet.Addresses{},
 		WaitResult{}, Lacking{}, ApplyResult{}, Applied{}, Difference{}, FieldChange{}, DrainReport{},
-		platform.ObjectList{}, spec.Finding{}, spec.Position{},
+		objectstore.ObjectList{}, spec.Finding{}, spec.Position{},
 	} {
 		kind := reflect.TypeOf(printed)
 		for index := range kind.NumField() {
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -5,7 +5,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // ExitCode is what a command ends with; scripts rely on the numbers.
@@ -56,7 +56,7 @@
 	if err == nil {
 		return ExitDone
 	}
-	if _, conflict := platform.AsConflict(err); conflict {
+	if _, conflict := objectstore.AsConflict(err); conflict {
 		return ExitConflict
 	}
 	for _, entry := range []struct {
@@ -70,8 +70,8 @@
 		{ErrTimeout, ExitTimeout},
 		{ErrDifferent, ExitDifferent},
 		{ErrNotFound, ExitNotFound},
-		{platform.NotFound, ExitNotFound},
-		{platform.Unavailable, ExitUnreachable},
+		{objectstore.NotFound, ExitNotFound},
+		{objectstore.Unavailable, ExitUnreachable},
 	} {
 		if errorx.IsOfType(err, entry.kind) {
 			return entry.code
@@ -81,7 +81,7 @@
 }
 
 // describe says which version of an object stands, and whose change it is.
-func describe(current platform.Object) string {
+func describe(current objectstore.Object) string {
 	if current.Version == 0 {
 		return "it is not in the store any more"
 	}
--- a/internal/operator/objects.go
+++ b/internal/operator/objects.go
@@ -9,24 +9,24 @@
 	"slices"
 	"strings"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // OfKind returns the objects of the kind, whatever the case of its letters;
 // all for an empty kind. Tombstones are left out.
-func OfKind(objects []platform.Object, kind string) []platform.Object {
-	chosen := []platform.Object{}
+func OfKind(objects []objectstore.Object, kind string) []objectstore.Object {
+	chosen := []objectstore.Object{}
 	for _, object := range objects {
 		if !object.Deleted && (kind == "" || strings.EqualFold(kind, object.Kind)) {
 			chosen = append(chosen, object)
 		}
 	}
-	slices.SortFunc(chosen, func(left, right platform.Object) int { return compareKeys(left.Key(), right.Key()) })
+	slices.SortFunc(chosen, func(left, right objectstore.Object) int { return compareKeys(left.Key(), right.Key()) })
 	return chosen
 }
 
 // RenderObjects prints a list of objects for people.
-func RenderObjects(writer io.Writer, listed platform.ObjectList) {
+func RenderObjects(writer io.Writer, listed objectstore.ObjectList) {
 	rows := table{yields: []string{"LABELS", "SET", "BY"}}
 	rows.add("KIND", "NAME", "VERSION", "BY", "SET", "LABELS")
 	for _, object := range listed.Objects {
@@ -49,7 +49,7 @@
 }
 
 // RenderObject prints one object with its spec.
-func RenderObject(writer io.Writer, object platform.Object) {
+func RenderObject(writer io.Writer, object objectstore.Object) {
 	fmt.Fprintf(writer, "%s %s\nversion: %d, by %s, change %s\nset: %s\nlabels: %s\n", object.Kind, object.Name,
 		object.Version, orUnnamed(object.ChangedBy), orUnnamed(object.ChangeID), object.Labels[OwnerLabel], labelText(object.Labels))
 	var indented bytes.Buffer
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -28,9 +28,9 @@
 type Change struct {
 	Action Action
 	// Before is the object in the store; its zero value where there is none.
-	Before platform.Object
+	Before objectstore.Object
 	// After is what is to be written; of a deletion only the key counts.
-	After platform.Object
+	After objectstore.Object
 }
 
 // Plan is what brings the store to what a set declares: changes in dependency
@@ -58,15 +58,15 @@
 }
 
 // NewPlan compares the declared objects with those in the store.
-func NewPlan(declared []spec.Declared, stored []platform.Object, options PlanOptions) (Plan, error) {
-	current := make(map[platform.Key]platform.Object, len(stored))
+func NewPlan(declared []spec.Declared, stored []objectstore.Object, options PlanOptions) (Plan, error) {
+	current := make(map[objectstore.Key]objectstore.Object, len(stored))
 	for _, object := range stored {
 		if !object.Deleted {
 			current[object.Key()] = object
 		}
 	}
 	plan := Plan{Owner: options.Owner}
-	wanted := make(map[platform.Key]bool, len(declared))
+	wanted := make(map[objectstore.Key]bool, len(declared))
 	for _, object := range declared {
 		after := desired(object, options.Owner)
 		wanted[after.Key()] = true
@@ -83,16 +83,16 @@
 	return plan, nil
 }
 
-func desired(object spec.Declared, owner string) platform.Object {
+func desired(object spec.Declared, owner string) objectstore.Object {
 	labels := maps.Clone(object.Labels)
 	if labels == nil {
 		labels = make(map[string]string, 1)
 	}
 	labels[OwnerLabel] = owner
-	return platform.Object{Kind: string(object.Kind), Name: object.Name, Labels: labels, Spec: object.Spec}
+	return objectstore.Object{Kind: string(object.Kind), Name: object.Name, Labels: labels, Spec: object.Spec}
 }
 
-func compare(before, after platform.Object) Change {
+func compare(before, after objectstore.Object) Change {
 	change := Change{Action: ActionUpdate, Before: before, After: after}
 	switch {
 	case before.Kind == "":
@@ -105,7 +105,7 @@
 
 // sameContent compares labels and specs, whatever form the store gave the
 // spec's JSON.
-func sameContent(before, after platform.Object) bool {
+func sameContent(before, after objectstore.Object) bool {
 	if before.Deleted || !maps.Equal(before.Labels, after.Labels) {
 		return false
 	}
@@ -115,7 +115,7 @@
 	return leftErr == nil && rightErr == nil && bytes.Equal(left, right)
 }
 
-func deletions(current map[platform.Key]platform.Object, wanted map[platform.Key]bool, owner string) []Change {
+func deletions(current map[objectstore.Key]objectstore.Object, wanted map[objectstore.Key]bool, owner string) []Change {
 	var changes []Change
 	kinds := spec.Kinds()
 	slices.Reverse(kinds)
@@ -123,7 +123,7 @@
 		for _, key := range slices.SortedFunc(maps.Keys(current), compareKeys) {
 			object := current[key]
 			if object.Kind == string(kind) && object.Labels[OwnerLabel] == owner && !wanted[key] {
-				after := platform.Object{Kind: object.Kind, Name: object.Name}
+				after := objectstore.Object{Kind: object.Kind, Name: object.Name}
 				changes = append(changes, Change{Action: ActionDelete, Before: object, After: after})
 			}
 		}
--- a/internal/operator/race_test.go
+++ b/internal/operator/race_test.go
@@ -6,7 +6,7 @@
 	"sync"
 	"testing"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 	"github.com/spanlanding/spanlanding/internal/standin/faults"
 )
@@ -75,7 +75,7 @@
 	return plans
 }
 
-func mustPlan(t *testing.T, declared []spec.Declared, stored []platform.Object) Plan {
+func mustPlan(t *testing.T, declared []spec.Declared, stored []objectstore.Object) Plan {
 	t.Helper()
 	plan, err := NewPlan(declared, stored, PlanOptions{Owner: "set"})
 	if err != nil {
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -16,7 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
@@ -138,7 +138,7 @@
 func TestNamesAreNotCutForTheirLabels(t *testing.T) {
 	var text strings.Builder
 	const name = "ingredient-chat-for-the-northern-kitchens"
-	RenderObjects(&text, platform.ObjectList{Objects: []platform.Object{{
+	RenderObjects(&text, objectstore.ObjectList{Objects: []objectstore.Object{{
 		Kind: "Deployment", Name: name, Version: 31, ChangedBy: "anna",
 		Labels: map[string]string{OwnerLabel: "fjordkurv", "use": strings.Repeat("long", 20)},
 	}}})
--- a/internal/operator/store.go
+++ b/internal/operator/store.go
@@ -3,21 +3,21 @@
 import (
 	"context"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
-// Store is the object API as the commands use it; platform.Client is one, and
+// Store is the object API as the commands use it; objectstore.Client is one, and
 // says which errors there are. Put and Delete resolve a lost answer by reading
 // back.
 type Store interface {
 	// List returns the objects of a kind, of all kinds where it is empty.
-	List(ctx context.Context, kind string) (platform.ObjectList, error)
-	Get(ctx context.Context, key platform.Key) (platform.Object, error)
+	List(ctx context.Context, kind string) (objectstore.ObjectList, error)
+	Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error)
 	// Put writes the object if its version in the store is the expected one, 0
 	// for none, and returns it with its new version.
-	Put(ctx context.Context, object platform.Object, expected uint64) (platform.Object, error)
+	Put(ctx context.Context, object objectstore.Object, expected uint64) (objectstore.Object, error)
 	// Delete leaves a tombstone under the same condition.
-	Delete(ctx context.Context, key platform.Key, expected uint64, changeID, changedBy string) (platform.Object, error)
+	Delete(ctx context.Context, key objectstore.Key, expected uint64, changeID, changedBy string) (objectstore.Object, error)
 }
 
-var _ Store = (*platform.Client)(nil)
+var _ Store = (*objectstore.Client)(nil)
--- a/internal/operator/store_test.go
+++ b/internal/operator/store_test.go
@@ -8,7 +8,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 	"github.com/spanlanding/spanlanding/internal/standin/faults"
 	"github.com/spanlanding/spanlanding/internal/standin/httpdriver"
@@ -17,7 +17,7 @@
 
 // testStore is the object API's stand-in over a real socket.
 type testStore struct {
-	*platform.Client
+	*objectstore.Client
 	test *testing.T
 	base string
 }
@@ -29,7 +29,7 @@
 	})
 	server := httptest.NewServer(standIn.Handler())
 	t.Cleanup(server.Close)
-	client := platform.NewClient(server.URL, "")
+	client := objectstore.NewClient(server.URL, "")
 	t.Cleanup(client.Close)
 	return testStore{Client: client, test: t, base: server.URL}
 }
@@ -50,7 +50,7 @@
 	}
 }
 
-func (s testStore) list() platform.ObjectList {
+func (s testStore) list() objectstore.ObjectList {
 	s.test.Helper()
 	listed, err := s.List(context.Background(), "")
 	if err != nil {
--- a/internal/sim/world/declarations.go
+++ b/internal/sim/world/declarations.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
@@ -29,13 +29,13 @@
 	}
 }
 
-func (w *World) declare(object platform.Object) {
+func (w *World) declare(object objectstore.Object) {
 	object.ChangedBy = "start"
-	_, _ = w.store.objects.Write(platform.WriteRequest{Object: object})
+	_, _ = w.store.objects.Write(objectstore.WriteRequest{Object: object})
 }
 
 // drawDeclaration draws a change that an operator's script may make.
-func (w *World) drawDeclaration(random *rand.Rand) platform.Object {
+func (w *World) drawDeclaration(random *rand.Rand) objectstore.Object {
 	index := random.IntN(modelCount)
 	switch random.IntN(4) {
 	case 0, 1:
@@ -52,14 +52,14 @@
 	return fmt.Sprintf("model%d", index+1)
 }
 
-func modelObject(index, replicas int) platform.Object {
+func modelObject(index, replicas int) objectstore.Object {
 	return declaration(spec.KindModel, modelName(index), nil, spec.Model{
 		Versions: []spec.ModelVersion{{Name: modelVersion, Memory: spec.Bytes(modelMemory), Checkpoint: spec.Bytes(modelCheckpoint)}},
 		Replicas: spec.ReplicaBounds{Max: replicas},
 	})
 }
 
-func deploymentObject(index int, colour string) platform.Object {
+func deploymentObject(index int, colour string) objectstore.Object {
 	name := modelName(index)
 	return declaration(spec.KindDeployment, name, map[string]string{"model": name, "colour": colour}, spec.Deployment{
 		Model:    name,
@@ -67,16 +67,16 @@
 	})
 }
 
-func selectorObject(index, priority int) platform.Object {
+func selectorObject(index, priority int) objectstore.Object {
 	name := modelName(index)
 	match := spec.LabelSelector{MatchLabels: map[string]string{"model": name}}
 	return declaration(spec.KindSelector, name, nil, spec.Selector{Match: match, Deployments: match, Priority: priority})
 }
 
-func declaration(kind spec.Kind, name string, labels map[string]string, value any) platform.Object {
+func declaration(kind spec.Kind, name string, labels map[string]string, value any) objectstore.Object {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		panic(fmt.Sprintf("world: declaration %s/%s: %v", kind, name, err))
 	}
-	return platform.Object{Kind: string(kind), Name: name, Labels: labels, Spec: raw}
+	return objectstore.Object{Kind: string(kind), Name: name, Labels: labels, Spec: raw}
 }
--- a/internal/sim/world/engine.go
+++ b/internal/sim/world/engine.go
@@ -7,7 +7,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/sim"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
@@ -143,12 +143,12 @@
 	}
 }
 
-func (e *engineProcess) machine() platform.Machine {
-	state := platform.MachineLive
+func (e *engineProcess) machine() objectstore.Machine {
+	state := objectstore.MachineLive
 	if e.core.Leaving() {
-		state = platform.MachineLeaving
+		state = objectstore.MachineLeaving
 	}
-	return platform.Machine{
+	return objectstore.Machine{
 		Role: "engine", Name: string(e.backend.Name), Zone: e.backend.Zone, Rack: e.backend.Rack,
 		State: state, Address: e.backend.Address,
 	}
--- a/internal/sim/world/judge.go
+++ b/internal/sim/world/judge.go
@@ -5,7 +5,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/sim"
 )
 
@@ -52,7 +52,7 @@
 	// views are what each node was seen to hold, by boot.
 	views map[fleet.NodeName]*configView
 	// everywhere are the versions that all live nodes held at one moment.
-	everywhere map[platform.Key]uint64
+	everywhere map[objectstore.Key]uint64
 	// record is the record of allotments as it stands in the store.
 	record allotment.Record
 	// loadOrders are the IDs of the load orders that engines took.
@@ -71,21 +71,21 @@
 	boot     uint64
 	version  uint64
 	loaded   bool
-	versions map[platform.Key]uint64
+	versions map[objectstore.Key]uint64
 }
 
 func newJudge(world *World) *judge {
 	return &judge{
 		world:      world,
 		views:      make(map[fleet.NodeName]*configView),
-		everywhere: make(map[platform.Key]uint64),
+		everywhere: make(map[objectstore.Key]uint64),
 		loadOrders: make(map[string]bool),
 	}
 }
 
 // accepted is told once an operator knows that its write took effect. The
 // check comes after the bound, counted from the end of the faults.
-func (j *judge) accepted(object platform.Object) {
+func (j *judge) accepted(object objectstore.Object) {
 	world := j.world
 	from := max(world.scheduler.Elapsed(), world.faultsOver+quietBound-inForceBound)
 	world.scheduler.At(from+inForceBound, func() {
@@ -95,7 +95,7 @@
 	})
 }
 
-func (j *judge) checkInForce(node *node, object platform.Object) {
+func (j *judge) checkInForce(node *node, object objectstore.Object) {
 	if node.process.State() != sim.ProcessRunning {
 		return
 	}
@@ -106,7 +106,7 @@
 }
 
 // configChanged is called after each change of what a node has in force.
-func (j *judge) configChanged(node *node, version uint64, changed []platform.Object) {
+func (j *judge) configChanged(node *node, version uint64, changed []objectstore.Object) {
 	view := j.view(node)
 	rules := j.world.rules
 	rules.Check(ruleVersionsGrow, version >= view.version,
@@ -128,7 +128,7 @@
 func (j *judge) view(node *node) *configView {
 	view := j.views[node.name]
 	if view == nil || view.boot != node.process.Boot() {
-		view = &configView{boot: node.process.Boot(), versions: make(map[platform.Key]uint64)}
+		view = &configView{boot: node.process.Boot(), versions: make(map[objectstore.Key]uint64)}
 		j.views[node.name] = view
 	}
 	return view
@@ -149,7 +149,7 @@
 }
 
 // noteEverywhere records what all live nodes now hold of the changed objects.
-func (j *judge) noteEverywhere(changed []platform.Object) {
+func (j *judge) noteEverywhere(changed []objectstore.Object) {
 	for _, object := range changed {
 		key := object.Key()
 		least, known := j.leastHeld(key)
@@ -159,7 +159,7 @@
 	}
 }
 
-func (j *judge) leastHeld(key platform.Key) (uint64, bool) {
+func (j *judge) leastHeld(key objectstore.Key) (uint64, bool) {
 	least, known := uint64(0), false
 	for _, node := range j.world.nodes {
 		if !node.alive() {
--- a/internal/sim/world/judge_replicas.go
+++ b/internal/sim/world/judge_replicas.go
@@ -4,7 +4,7 @@
 	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/sim"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
@@ -28,7 +28,7 @@
 )
 
 // written is told of each change of the store as it happens.
-func (j *judge) written(object platform.Object) {
+func (j *judge) written(object objectstore.Object) {
 	if object.Key() != recordKey {
 		return
 	}
--- a/internal/sim/world/machines.go
+++ b/internal/sim/world/machines.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/sim"
 	"github.com/spanlanding/spanlanding/internal/standin/machines"
 )
@@ -21,7 +21,7 @@
 	core    *machines.Core
 	// down refuses calls, frozen stops the heartbeats and so ages the list.
 	down   int
-	frozen *platform.MachineList
+	frozen *objectstore.MachineList
 }
 
 func newMachinesProcess(world *World) *machinesProcess {
@@ -49,8 +49,8 @@
 	}
 }
 
-func (m *machinesProcess) running() []platform.Machine {
-	var running []platform.Machine
+func (m *machinesProcess) running() []objectstore.Machine {
+	var running []objectstore.Machine
 	for _, node := range m.world.nodes {
 		if node.process.State() == sim.ProcessRunning {
 			running = append(running, node.machine())
@@ -89,7 +89,7 @@
 }
 
 // list reads the machine list.
-func (m *machinesProcess) list(from *sim.Process, done func(platform.MachineList, sim.CallOutcome)) {
+func (m *machinesProcess) list(from *sim.Process, done func(objectstore.MachineList, sim.CallOutcome)) {
 	m.world.network.Call(sim.Call{
 		From: from, To: m.process, Kind: "machines/list", Timeout: machineCallTimeout,
 		Serve: func(reply func(any)) {
@@ -104,7 +104,7 @@
 			reply(m.core.List(m.process.Now()))
 		},
 		Done: func(answer any, outcome sim.CallOutcome) {
-			list, listed := answer.(platform.MachineList)
+			list, listed := answer.(objectstore.MachineList)
 			if outcome == sim.Answered && !listed {
 				outcome = sim.Refused
 			}
--- a/internal/sim/world/node.go
+++ b/internal/sim/world/node.go
@@ -7,7 +7,7 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/control"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/sim"
 )
 
@@ -87,9 +87,9 @@
 	return n.process.State() != sim.ProcessDead
 }
 
-func (n *node) machine() platform.Machine {
-	return platform.Machine{
-		Role: "node", Name: string(n.name), Zone: n.zone, State: platform.MachineLive, Node: n.addresses,
+func (n *node) machine() objectstore.Machine {
+	return objectstore.Machine{
+		Role: "node", Name: string(n.name), Zone: n.zone, State: objectstore.MachineLive, Node: n.addresses,
 	}
 }
 
@@ -102,7 +102,7 @@
 }
 
 // machinesChanged is the view of the machine list that configuration writes.
-func (n *node) machinesChanged(list platform.MachineList) {
+func (n *node) machinesChanged(list objectstore.MachineList) {
 	n.post(func() {
 		n.membership.machinesChanged(list)
 		n.control.step(control.MachinesChanged{List: list})
@@ -111,7 +111,7 @@
 }
 
 // configChanged is told of each change of what is in force.
-func (n *node) configChanged(version uint64, changed []platform.Object) {
+func (n *node) configChanged(version uint64, changed []objectstore.Object) {
 	n.world.judge.configChanged(n, version, changed)
 	n.post(func() {
 		n.membership.configVersion(version)
@@ -125,7 +125,7 @@
 }
 
 // compile hands what is in force to those that work by it.
-func (n *node) compile(changed []platform.Object) {
+func (n *node) compile(changed []objectstore.Object) {
 	n.compiler.Apply(changed)
 	version, loaded := n.config.core.Version()
 	if !loaded {
--- a/internal/sim/world/node_config.go
+++ b/internal/sim/world/node_config.go
@@ -5,7 +5,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/configsync"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/sim"
 )
 
@@ -102,7 +102,7 @@
 }
 
 func (p *configPart) startWatch(effect configsync.WatchStore) {
-	take := func(version uint64, objects []platform.Object) {
+	take := func(version uint64, objects []objectstore.Object) {
 		p.step(configsync.Watched{Generation: effect.Generation, Version: version, Objects: objects})
 	}
 	ended := func(compacted bool) {
@@ -112,7 +112,7 @@
 }
 
 func (p *configPart) listMachines() {
-	p.node.world.machines.list(p.node.process, func(list platform.MachineList, outcome sim.CallOutcome) {
+	p.node.world.machines.list(p.node.process, func(list objectstore.MachineList, outcome sim.CallOutcome) {
 		if outcome != sim.Answered {
 			p.step(configsync.MachinesFailed{})
 			return
--- a/internal/sim/world/node_control.go
+++ b/internal/sim/world/node_control.go
@@ -6,7 +6,7 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/control"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/sim"
 )
 
@@ -119,7 +119,7 @@
 }
 
 // recordChanged takes the record of allotments as the configuration spreads it.
-func (p *controlPart) recordChanged(object platform.Object) {
+func (p *controlPart) recordChanged(object objectstore.Object) {
 	if record, decoded := decodeRecord(object); decoded {
 		p.step(control.AllotmentsChanged{VersionedRecord: record})
 	}
--- a/internal/sim/world/node_control_record.go
+++ b/internal/sim/world/node_control_record.go
@@ -8,15 +8,15 @@
 	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/control"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/sim"
 )
 
 const peerCallTimeout = time.Second
 
-var recordKey = platform.Key{Kind: platform.KindAllotments, Name: allotment.ObjectName}
+var recordKey = objectstore.Key{Kind: objectstore.KindAllotments, Name: allotment.ObjectName}
 
-func decodeRecord(object platform.Object) (control.VersionedRecord, bool) {
+func decodeRecord(object objectstore.Object) (control.VersionedRecord, bool) {
 	var record allotment.Record
 	if object.Deleted || json.Unmarshal(object.Spec, &record) != nil {
 		return control.VersionedRecord{}, false
@@ -85,7 +85,7 @@
 	if err != nil {
 		panic(fmt.Sprintf("world: record: %v", err))
 	}
-	request := platform.WriteRequest{Expected: effect.Expected, Object: platform.Object{
+	request := objectstore.WriteRequest{Expected: effect.Expected, Object: objectstore.Object{
 		Kind: recordKey.Kind, Name: recordKey.Name, Spec: body, ChangedBy: string(p.node.name),
 		ChangeID: fmt.Sprintf("%s-%d-%d", p.node.name, p.node.process.Boot(), effect.ID),
 	}}
@@ -94,7 +94,7 @@
 	})
 }
 
-func recordWritten(id uint64, request platform.WriteRequest, answer storeAnswer, outcome sim.CallOutcome) control.RecordWritten {
+func recordWritten(id uint64, request objectstore.WriteRequest, answer storeAnswer, outcome sim.CallOutcome) control.RecordWritten {
 	written := control.RecordWritten{ID: id}
 	if outcome != sim.Answered {
 		return written
--- a/internal/sim/world/node_membership.go
+++ b/internal/sim/world/node_membership.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/membership"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/sim"
 )
 
@@ -66,12 +66,12 @@
 	})
 }
 
-func (p *membershipPart) machinesChanged(list platform.MachineList) {
+func (p *membershipPart) machinesChanged(list objectstore.MachineList) {
 	var hints []membership.Hint
 	for _, machine := range list.Machines {
 		if machine.Role == "node" {
 			hints = append(hints, membership.Hint{
-				Name: machine.Name, Gossip: machine.Node.Gossip, Going: machine.State != platform.MachineLive,
+				Name: machine.Name, Gossip: machine.Node.Gossip, Going: machine.State != objectstore.MachineLive,
 			})
 		}
 	}
--- a/internal/sim/world/node_routing.go
+++ b/internal/sim/world/node_routing.go
@@ -6,7 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/queue"
 	"github.com/spanlanding/spanlanding/internal/routing"
 )
@@ -74,10 +74,10 @@
 }
 
 // machinesChanged takes the back ends that the machine list shows as leaving.
-func (p *requestsPart) machinesChanged(list platform.MachineList) {
+func (p *requestsPart) machinesChanged(list objectstore.MachineList) {
 	var leaving []fleet.BackendName
 	for _, machine := range list.Machines {
-		if machine.Role != "node" && machine.State != platform.MachineLive {
+		if machine.Role != "node" && machine.State != objectstore.MachineLive {
 			leaving = append(leaving, fleet.BackendName(machine.Name))
 		}
 	}
--- a/internal/sim/world/operator.go
+++ b/internal/sim/world/operator.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/sim"
 )
 
@@ -42,7 +42,7 @@
 	o.world.scheduler.After(pause, func() { o.change(o.world.drawDeclaration(o.random)) })
 }
 
-func (o *operator) change(declared platform.Object) {
+func (o *operator) change(declared objectstore.Object) {
 	o.changes++
 	declared.ChangeID = fmt.Sprintf("%s-%d", o.name, o.changes)
 	declared.ChangedBy = o.name
@@ -51,11 +51,11 @@
 			o.next()
 			return
 		}
-		o.write(platform.WriteRequest{Object: declared, Expected: answer.object.Version})
+		o.write(objectstore.WriteRequest{Object: declared, Expected: answer.object.Version})
 	})
 }
 
-func (o *operator) write(request platform.WriteRequest) {
+func (o *operator) write(request objectstore.WriteRequest) {
 	o.world.store.write(o.process, request, func(answer storeAnswer, outcome sim.CallOutcome) {
 		switch {
 		case outcome == sim.TimedOut:
@@ -77,7 +77,7 @@
 // readBack settles a write whose answer was lost: it was accepted if the
 // object carries its change id, and was not if it carries a later change that
 // expected the version before.
-func (o *operator) readBack(request platform.WriteRequest, tries int) {
+func (o *operator) readBack(request objectstore.WriteRequest, tries int) {
 	if tries == 0 {
 		o.next()
 		return
--- a/internal/sim/world/service.go
+++ b/internal/sim/world/service.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/sim"
 	"github.com/spanlanding/spanlanding/internal/standin/books"
 	"github.com/spanlanding/spanlanding/internal/standin/service"
@@ -94,9 +94,9 @@
 	return slices.Concat(s.executions, s.core.Book().Executions)
 }
 
-func (s *serviceProcess) machine() platform.Machine {
-	return platform.Machine{
-		Role: "service", Name: string(s.backend.Name), Zone: s.backend.Zone, State: platform.MachineLive,
+func (s *serviceProcess) machine() objectstore.Machine {
+	return objectstore.Machine{
+		Role: "service", Name: string(s.backend.Name), Zone: s.backend.Zone, State: objectstore.MachineLive,
 		Service: serviceName, Address: s.backend.Address,
 	}
 }
--- a/internal/sim/world/store.go
+++ b/internal/sim/world/store.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/sim"
 	"github.com/spanlanding/spanlanding/internal/standin/objects"
 )
@@ -40,7 +40,7 @@
 	boot   uint64
 	stream *sim.Stream
 	// take runs at the reader.
-	take func(version uint64, objects []platform.Object)
+	take func(version uint64, objects []objectstore.Object)
 }
 
 func newStoreProcess(world *World) *storeProcess {
@@ -60,10 +60,10 @@
 
 // storeAnswer is what a call to the store brings back.
 type storeAnswer struct {
-	list     platform.ObjectList
-	object   platform.Object
+	list     objectstore.ObjectList
+	object   objectstore.Object
 	found    bool
-	conflict *platform.Conflict
+	conflict *objectstore.Conflict
 }
 
 // list reads all objects.
@@ -74,7 +74,7 @@
 }
 
 // get reads one object.
-func (s *storeProcess) get(from *sim.Process, key platform.Key, done func(storeAnswer, sim.CallOutcome)) {
+func (s *storeProcess) get(from *sim.Process, key objectstore.Key, done func(storeAnswer, sim.CallOutcome)) {
 	s.call(from, "store/get", func() storeAnswer {
 		object, found := s.objects.Get(key)
 		return storeAnswer{object: object, found: found}
@@ -82,7 +82,7 @@
 }
 
 // write changes one object by compare-and-set.
-func (s *storeProcess) write(from *sim.Process, request platform.WriteRequest, done func(storeAnswer, sim.CallOutcome)) {
+func (s *storeProcess) write(from *sim.Process, request objectstore.WriteRequest, done func(storeAnswer, sim.CallOutcome)) {
 	s.call(from, "store/write", func() storeAnswer {
 		object, conflict := s.objects.Write(request)
 		if conflict == nil {
@@ -133,7 +133,7 @@
 
 // watch opens a stream of changes after a version. ended runs at the reader
 // once the stream is over.
-func (s *storeProcess) watch(from *sim.Process, since uint64, take func(uint64, []platform.Object), ended func(compacted bool)) *watch {
+func (s *storeProcess) watch(from *sim.Process, since uint64, take func(uint64, []objectstore.Object), ended func(compacted bool)) *watch {
 	opened := &watch{since: since, boot: from.Boot(), take: take}
 	s.world.network.Call(sim.Call{
 		From: from, To: s.process, Kind: "store/watch", Timeout: storeCallTimeout,
@@ -202,7 +202,7 @@
 	if !complete {
 		return
 	}
-	var changed []platform.Object
+	var changed []objectstore.Object
 	for _, event := range events {
 		changed = append(changed, *event.Object)
 		one.since = event.Version
--- a/internal/standin/books/books.go
+++ b/internal/standin/books/books.go
@@ -2,14 +2,14 @@
 // They, not the nodes' belief, judge whether the rules held. Stand-ins serve
 // them at GET /lab/books.
 //
-// It may import fleet and platform's wire types.
+// It may import fleet and objectstore's wire types.
 package books
 
 import (
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // Book is what one engine or service recorded.
@@ -75,6 +75,6 @@
 // changes at GET /lab/journal?since=VERSION.
 type StoreChange struct {
 	// At is when the change took effect, whether or not its answer arrived.
-	At     time.Time       `json:"at"`
-	Object platform.Object `json:"object"`
+	At     time.Time          `json:"at"`
+	Object objectstore.Object `json:"object"`
 }
--- a/internal/standin/httpdriver/announce.go
+++ b/internal/standin/httpdriver/announce.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 const (
@@ -17,7 +17,7 @@
 // Announcer sends the heartbeats of the machines that a process stands for.
 type Announcer struct {
 	Client   PlatformClient
-	Machines func() []platform.Machine
+	Machines func() []objectstore.Machine
 	// OnError is told of heartbeats that failed; it may be nil.
 	OnError func(error)
 }
--- a/internal/standin/httpdriver/engine.go
+++ b/internal/standin/httpdriver/engine.go
@@ -8,7 +8,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/books"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 	"github.com/spanlanding/spanlanding/internal/standin/faults"
@@ -101,7 +101,7 @@
 }
 
 // Machine is the engine's line for the machine list.
-func (e *Engine) Machine() platform.Machine {
+func (e *Engine) Machine() objectstore.Machine {
 	return backendMachine(e.backend, e.leaving.Load())
 }
 
--- a/internal/standin/httpdriver/journal.go
+++ b/internal/standin/httpdriver/journal.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/books"
 )
 
@@ -13,7 +13,7 @@
 const PathJournal = "/lab/journal"
 
 // journalize notes a change that took effect; the caller holds the lock.
-func (o *objectsAPI) journalize(object platform.Object) {
+func (o *objectsAPI) journalize(object objectstore.Object) {
 	o.journal = append(o.journal, books.StoreChange{At: time.Now(), Object: object})
 }
 
--- a/internal/standin/httpdriver/objects.go
+++ b/internal/standin/httpdriver/objects.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/books"
 	"github.com/spanlanding/spanlanding/internal/standin/objects"
 )
@@ -69,8 +69,8 @@
 	}
 }
 
-func pathKey(request *http.Request) platform.Key {
-	return platform.Key{Kind: request.PathValue("kind"), Name: request.PathValue("name")}
+func pathKey(request *http.Request) objectstore.Key {
+	return objectstore.Key{Kind: request.PathValue("kind"), Name: request.PathValue("name")}
 }
 
 func wantsTombstones(request *http.Request) bool {
@@ -78,7 +78,7 @@
 }
 
 func (o *objectsAPI) serveList(writer http.ResponseWriter, request *http.Request) {
-	var list platform.ObjectList
+	var list objectstore.ObjectList
 	o.read(func(store *objects.Store) {
 		list = store.List(request.URL.Query().Get("kind"), wantsTombstones(request))
 	})
@@ -87,7 +87,7 @@
 
 // serveGet answers with a tombstone too, so that a delete can be read back.
 func (o *objectsAPI) serveGet(writer http.ResponseWriter, request *http.Request) {
-	var object platform.Object
+	var object objectstore.Object
 	var found bool
 	o.read(func(store *objects.Store) { object, found = store.Get(pathKey(request)) })
 	if !found {
@@ -98,7 +98,7 @@
 }
 
 func (o *objectsAPI) servePut(writer http.ResponseWriter, request *http.Request) {
-	var write platform.WriteRequest
+	var write objectstore.WriteRequest
 	if !readJSON(writer, request, &write) {
 		return
 	}
@@ -106,8 +106,8 @@
 		writeProblem(writer, http.StatusBadRequest, "wrong-object", "the body must hold the live object of the path")
 		return
 	}
-	var written platform.Object
-	var conflict *platform.Conflict
+	var written objectstore.Object
+	var conflict *objectstore.Conflict
 	o.change(func(store *objects.Store) {
 		if written, conflict = store.Write(write); conflict == nil {
 			o.journalize(written)
@@ -127,8 +127,8 @@
 		return
 	}
 	query := request.URL.Query()
-	var tombstone platform.Object
-	var conflict *platform.Conflict
+	var tombstone objectstore.Object
+	var conflict *objectstore.Conflict
 	var found bool
 	o.change(func(store *objects.Store) {
 		tombstone, conflict, found = store.Delete(pathKey(request), expected, query.Get("changeId"), query.Get("changedBy"))
@@ -181,7 +181,7 @@
 		select {
 		case <-changed:
 		case <-ticker.C:
-			if encoder.Encode(platform.WatchEvent{Version: watch.since}) != nil {
+			if encoder.Encode(objectstore.WatchEvent{Version: watch.since}) != nil {
 				return
 			}
 		case <-request.Context().Done():
@@ -202,12 +202,12 @@
 	return w.api.changed
 }
 
-func (w *watch) peek() (events []platform.WatchEvent, ok bool) {
+func (w *watch) peek() (events []objectstore.WatchEvent, ok bool) {
 	w.api.read(func(store *objects.Store) { events, ok = store.Changes(w.since) })
 	return events, ok
 }
 
-func (w *watch) next() (events []platform.WatchEvent, ok bool) {
+func (w *watch) next() (events []objectstore.WatchEvent, ok bool) {
 	events, ok = w.peek()
 	if len(events) > 0 {
 		w.since = events[len(events)-1].Version
--- a/internal/standin/httpdriver/platform.go
+++ b/internal/standin/httpdriver/platform.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/faults"
 	"github.com/spanlanding/spanlanding/internal/standin/machines"
 	"github.com/spanlanding/spanlanding/internal/standin/objects"
@@ -75,7 +75,7 @@
 	owner *owner
 	core  *machines.Core
 	// frozen is what the list shows while it is stale.
-	frozen *platform.MachineList
+	frozen *objectstore.MachineList
 }
 
 func newMachineList(ctx context.Context, options machines.Options) *machineList {
@@ -106,7 +106,7 @@
 }
 
 func (m *machineList) serveList(writer http.ResponseWriter, _ *http.Request) {
-	var list platform.MachineList
+	var list objectstore.MachineList
 	m.owner.do(func(now time.Time) {
 		m.step(now, machines.Tick{})
 		list = m.shown(now)
@@ -114,7 +114,7 @@
 	writeJSON(writer, http.StatusOK, list)
 }
 
-func (m *machineList) shown(now time.Time) platform.MachineList {
+func (m *machineList) shown(now time.Time) objectstore.MachineList {
 	if m.frozen != nil {
 		return *m.frozen
 	}
@@ -145,5 +145,5 @@
 // MachineReport is the body of POST /lab/machines: the heartbeat of all
 // machines that one process stands for.
 type MachineReport struct {
-	Machines []platform.Machine `json:"machines"`
+	Machines []objectstore.Machine `json:"machines"`
 }
--- a/internal/standin/httpdriver/platform_test.go
+++ b/internal/standin/httpdriver/platform_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/faults"
 	"github.com/spanlanding/spanlanding/internal/standin/machines"
 	"github.com/spanlanding/spanlanding/internal/standin/service"
@@ -23,8 +23,8 @@
 
 func putObject(t *testing.T, server *httptest.Server, expected uint64, changeID string) (*http.Response, error) {
 	t.Helper()
-	body := encode(t, platform.WriteRequest{
-		Object:   platform.Object{Kind: "Model", Name: "alarm", ChangeID: changeID},
+	body := encode(t, objectstore.WriteRequest{
+		Object:   objectstore.Object{Kind: "Model", Name: "alarm", ChangeID: changeID},
 		Expected: expected,
 	})
 	return try(t, http.MethodPut, server.URL+PathObjects+"/Model/alarm", nil, body)
@@ -59,7 +59,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	var conflict platform.Conflict
+	var conflict objectstore.Conflict
 	if err := json.NewDecoder(response.Body).Decode(&conflict); err != nil {
 		t.Fatal(err)
 	}
@@ -75,7 +75,7 @@
 		t.Errorf("answered %s", response.Status)
 		_ = response.Body.Close()
 	}
-	var object platform.Object
+	var object objectstore.Object
 	getJSON(t, server.URL+PathObjects+"/Model/alarm", &object)
 	if object.ChangeID != "first" {
 		t.Errorf("stands %+v", object)
@@ -88,13 +88,13 @@
 	mustPut(t, server, 0, "first")
 	response := send(t, http.MethodDelete, server.URL+PathObjects+"/Model/alarm?expected=1&changeId=gone&changedBy=operator", nil, nil)
 	_ = response.Body.Close()
-	var object platform.Object
+	var object objectstore.Object
 	getJSON(t, server.URL+PathObjects+"/Model/alarm", &object)
-	want := platform.Object{Kind: "Model", Name: "alarm", Version: 2, ChangeID: "gone", ChangedBy: "operator", Deleted: true}
+	want := objectstore.Object{Kind: "Model", Name: "alarm", Version: 2, ChangeID: "gone", ChangedBy: "operator", Deleted: true}
 	if diff := cmp.Diff(want, object); diff != "" {
 		t.Error(diff)
 	}
-	var list platform.ObjectList
+	var list objectstore.ObjectList
 	getJSON(t, server.URL+PathObjects+"?kind=Model", &list)
 	if len(list.Objects) != 0 || list.Version != 2 {
 		t.Errorf("list %+v", list)
@@ -107,7 +107,7 @@
 	response := send(t, http.MethodGet, server.URL+PathWatch+"?since=0", nil, nil)
 	defer func() { _ = response.Body.Close() }()
 	lines := bufio.NewScanner(response.Body)
-	next := func() (event platform.WatchEvent) {
+	next := func() (event objectstore.WatchEvent) {
 		if !lines.Scan() {
 			t.Fatalf("watch ended: %v", lines.Err())
 		}
@@ -127,7 +127,7 @@
 	if event.Version != 2 || event.Object.ChangeID != "second" {
 		t.Errorf("second event %+v", event)
 	}
-	if diff := cmp.Diff(platform.WatchEvent{Version: 2}, next()); diff != "" {
+	if diff := cmp.Diff(objectstore.WatchEvent{Version: 2}, next()); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -186,21 +186,21 @@
 		t.Fatal(err)
 	}
 	client := PlatformClient{URL: server.URL, HTTP: server.Client()}
-	announcer := Announcer{Client: client, Machines: func() []platform.Machine {
-		return []platform.Machine{{Role: "engine", Name: "engine-0", State: platform.MachineLive, Address: listener.Addr().String()}}
+	announcer := Announcer{Client: client, Machines: func() []objectstore.Machine {
+		return []objectstore.Machine{{Role: "engine", Name: "engine-0", State: objectstore.MachineLive, Address: listener.Addr().String()}}
 	}}
 	announcer.Announce(t.Context())
-	listed := func() (list platform.MachineList) {
+	listed := func() (list objectstore.MachineList) {
 		getJSON(t, server.URL+PathMachines, &list)
 		return list
 	}
 	eventually(t, "the machine is listed", func() bool {
 		list := listed()
-		return len(list.Machines) == 1 && list.Machines[0].State == platform.MachineLive
+		return len(list.Machines) == 1 && list.Machines[0].State == objectstore.MachineLive
 	})
 	_ = listener.Close()
 	eventually(t, "the machine is gone", func() bool {
-		return listed().Machines[0].State == platform.MachineGone
+		return listed().Machines[0].State == objectstore.MachineGone
 	})
 }
 
@@ -254,7 +254,7 @@
 		t.Errorf("%s, %v", response.Status, response.Header)
 	}
 	book := created.Book()
-	if len(book.Executions) != 0 || book.LeavingSince.IsZero() || created.Machine().State != platform.MachineLeaving {
+	if len(book.Executions) != 0 || book.LeavingSince.IsZero() || created.Machine().State != objectstore.MachineLeaving {
 		t.Errorf("book %+v, machine %s", book, created.Machine().State)
 	}
 }
--- a/internal/standin/httpdriver/service.go
+++ b/internal/standin/httpdriver/service.go
@@ -9,7 +9,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/books"
 	"github.com/spanlanding/spanlanding/internal/standin/faults"
 	"github.com/spanlanding/spanlanding/internal/standin/service"
@@ -81,7 +81,7 @@
 }
 
 // Machine is the server's line for the machine list.
-func (s *Service) Machine() platform.Machine {
+func (s *Service) Machine() objectstore.Machine {
 	return backendMachine(s.backend, s.leaving.Load())
 }
 
@@ -133,12 +133,12 @@
 	}
 }
 
-func backendMachine(self fleet.Backend, leaving bool) platform.Machine {
-	state := platform.MachineLive
+func backendMachine(self fleet.Backend, leaving bool) objectstore.Machine {
+	state := objectstore.MachineLive
 	if leaving {
-		state = platform.MachineLeaving
+		state = objectstore.MachineLeaving
 	}
-	return platform.Machine{
+	return objectstore.Machine{
 		Role:    string(self.Kind),
 		Name:    string(self.Name),
 		Zone:    self.Zone,
--- a/internal/standin/machines/core.go
+++ b/internal/standin/machines/core.go
@@ -2,7 +2,7 @@
 // lags.
 //
 // Core is a deterministic state machine without I/O, goroutine or clock. It
-// may import platform's wire types.
+// may import objectstore's wire types.
 package machines
 
 import (
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 const (
@@ -39,7 +39,7 @@
 type Tick struct{}
 
 // Report is the heartbeat of machines; it registers them.
-type Report struct{ Machines []platform.Machine }
+type Report struct{ Machines []objectstore.Machine }
 
 // ProbeDone answers Probe.
 type ProbeDone struct {
@@ -66,7 +66,7 @@
 }
 
 type entry struct {
-	machine platform.Machine
+	machine objectstore.Machine
 	heard   time.Time
 	probeAt time.Time
 	// shown holds the changes that the lag still hides, and the one before.
@@ -75,7 +75,7 @@
 
 type change struct {
 	at      time.Time
-	machine platform.Machine
+	machine objectstore.Machine
 }
 
 // New returns an empty list.
@@ -97,14 +97,14 @@
 	case ProbeDone:
 		if entry := c.entries[m.Name]; entry != nil && m.Refused && c.silent(now, entry) {
 			gone := entry.machine
-			gone.State = platform.MachineGone
+			gone.State = objectstore.MachineGone
 			entry.set(now, gone)
 		}
 	}
 	return c.probes(now)
 }
 
-func (c *Core) heard(now time.Time, machine platform.Machine) {
+func (c *Core) heard(now time.Time, machine objectstore.Machine) {
 	known := c.entries[machine.Name]
 	if known == nil {
 		known = &entry{}
@@ -115,7 +115,7 @@
 	known.set(now, machine)
 }
 
-func (e *entry) set(now time.Time, machine platform.Machine) {
+func (e *entry) set(now time.Time, machine objectstore.Machine) {
 	if len(e.shown) > 0 && same(e.machine, machine) {
 		return
 	}
@@ -123,7 +123,7 @@
 	e.shown = append(e.shown, change{at: now, machine: machine})
 }
 
-func same(one, other platform.Machine) bool {
+func same(one, other objectstore.Machine) bool {
 	return one.Role == other.Role && one.Zone == other.Zone && one.Rack == other.Rack &&
 		one.State == other.State && one.Service == other.Service && one.Address == other.Address &&
 		one.Node == other.Node && maps.Equal(one.Extra, other.Extra)
@@ -137,7 +137,7 @@
 	var probes []Probe
 	for _, name := range c.names() {
 		entry := c.entries[name]
-		if entry.machine.State == platform.MachineGone {
+		if entry.machine.State == objectstore.MachineGone {
 			c.dropOld(now, name, entry)
 			continue
 		}
@@ -155,7 +155,7 @@
 	}
 }
 
-func probeAddress(machine platform.Machine) string {
+func probeAddress(machine objectstore.Machine) string {
 	return cmp.Or(machine.Address, machine.Node.Caller, machine.Node.Peer)
 }
 
@@ -167,7 +167,7 @@
 func (c *Core) NextWake() time.Time {
 	var wake time.Time
 	for _, entry := range c.entries {
-		if entry.machine.State != platform.MachineGone && (wake.IsZero() || entry.probeAt.Before(wake)) {
+		if entry.machine.State != objectstore.MachineGone && (wake.IsZero() || entry.probeAt.Before(wake)) {
 			wake = entry.probeAt
 		}
 	}
@@ -175,9 +175,9 @@
 }
 
 // List shows the machines as they were a lag ago, by name.
-func (c *Core) List(now time.Time) platform.MachineList {
+func (c *Core) List(now time.Time) objectstore.MachineList {
 	asOf := now.Add(-c.options.Lag)
-	list := platform.MachineList{AsOfUnixMilli: asOf.UnixMilli(), Machines: []platform.Machine{}}
+	list := objectstore.MachineList{AsOfUnixMilli: asOf.UnixMilli(), Machines: []objectstore.Machine{}}
 	for _, name := range c.names() {
 		entry := c.entries[name]
 		entry.prune(asOf)
--- a/internal/standin/machines/core_test.go
+++ b/internal/standin/machines/core_test.go
@@ -6,19 +6,19 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 var (
 	start  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	engine = platform.Machine{Role: "engine", Name: "engine-0", Zone: "a", State: platform.MachineLive, Address: "127.0.0.1:9"}
+	engine = objectstore.Machine{Role: "engine", Name: "engine-0", Zone: "a", State: objectstore.MachineLive, Address: "127.0.0.1:9"}
 )
 
 func at(seconds float64) time.Time {
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-func state(core *Core, now time.Time) platform.MachineState {
+func state(core *Core, now time.Time) objectstore.MachineState {
 	for _, machine := range core.List(now).Machines {
 		return machine.State
 	}
@@ -27,12 +27,12 @@
 
 func TestListLags(t *testing.T) {
 	core := New(Options{Lag: time.Second})
-	core.Step(at(0), Report{Machines: []platform.Machine{engine}})
+	core.Step(at(0), Report{Machines: []objectstore.Machine{engine}})
 	leaving := engine
-	leaving.State = platform.MachineLeaving
-	core.Step(at(1.5), Report{Machines: []platform.Machine{leaving}})
-	shown := []platform.MachineState{state(core, at(0.9)), state(core, at(1)), state(core, at(2.4)), state(core, at(2.5))}
-	want := []platform.MachineState{"", platform.MachineLive, platform.MachineLive, platform.MachineLeaving}
+	leaving.State = objectstore.MachineLeaving
+	core.Step(at(1.5), Report{Machines: []objectstore.Machine{leaving}})
+	shown := []objectstore.MachineState{state(core, at(0.9)), state(core, at(1)), state(core, at(2.4)), state(core, at(2.5))}
+	want := []objectstore.MachineState{"", objectstore.MachineLive, objectstore.MachineLive, objectstore.MachineLeaving}
 	if diff := cmp.Diff(want, shown); diff != "" {
 		t.Error(diff)
 	}
@@ -40,7 +40,7 @@
 
 func TestSilentMachineIsGoneOnlyWhenNothingListensThere(t *testing.T) {
 	core := New(Options{Lag: time.Nanosecond, Silence: 2 * time.Second})
-	core.Step(at(0), Report{Machines: []platform.Machine{engine}})
+	core.Step(at(0), Report{Machines: []objectstore.Machine{engine}})
 	if probes := core.Step(at(1.9), Tick{}); len(probes) != 0 {
 		t.Fatalf("probed at once: %v", probes)
 	}
@@ -52,33 +52,33 @@
 		t.Fatal(diff)
 	}
 	core.Step(at(2.1), ProbeDone{Name: "engine-0", Refused: false})
-	if got := state(core, at(60)); got != platform.MachineLive {
+	if got := state(core, at(60)); got != objectstore.MachineLive {
 		t.Errorf("a paused machine is listed %s", got)
 	}
 	core.Step(at(60), ProbeDone{Name: "engine-0", Refused: true})
-	if got := state(core, at(61)); got != platform.MachineGone {
+	if got := state(core, at(61)); got != objectstore.MachineGone {
 		t.Errorf("a dead machine is listed %s", got)
 	}
-	core.Step(at(62), Report{Machines: []platform.Machine{engine}})
-	if got := state(core, at(63)); got != platform.MachineLive {
+	core.Step(at(62), Report{Machines: []objectstore.Machine{engine}})
+	if got := state(core, at(63)); got != objectstore.MachineLive {
 		t.Errorf("a machine that came back is listed %s", got)
 	}
 }
 
 func TestLateProbeOfAMachineThatIsHeardAgainCountsForNothing(t *testing.T) {
 	core := New(Options{Lag: time.Nanosecond, Silence: 2 * time.Second})
-	core.Step(at(0), Report{Machines: []platform.Machine{engine}})
+	core.Step(at(0), Report{Machines: []objectstore.Machine{engine}})
 	core.Step(at(2), Tick{})
-	core.Step(at(2.1), Report{Machines: []platform.Machine{engine}})
+	core.Step(at(2.1), Report{Machines: []objectstore.Machine{engine}})
 	core.Step(at(2.2), ProbeDone{Name: "engine-0", Refused: true})
-	if got := state(core, at(3)); got != platform.MachineLive {
+	if got := state(core, at(3)); got != objectstore.MachineLive {
 		t.Errorf("listed %s", got)
 	}
 }
 
 func TestGoneMachineLeavesTheListInTheEnd(t *testing.T) {
 	core := New(Options{Lag: time.Nanosecond, KeepGone: time.Minute})
-	core.Step(at(0), Report{Machines: []platform.Machine{engine}})
+	core.Step(at(0), Report{Machines: []objectstore.Machine{engine}})
 	core.Step(at(5), ProbeDone{Name: "engine-0", Refused: true})
 	core.Step(at(61), Tick{})
 	if list := core.List(at(61)); len(list.Machines) != 0 {
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -2,7 +2,7 @@
 // compare-and-set, tombstones and a bounded history for watches.
 //
 // Store is deterministic and holds no clock, lock or I/O; the HTTP driver and
-// the simulator use the same one. It may import platform's wire types.
+// the simulator use the same one. It may import objectstore's wire types.
 package objects
 
 import (
@@ -10,7 +10,7 @@
 	"maps"
 	"slices"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // DefaultHistory is how many changes a Store keeps for watches.
@@ -20,10 +20,10 @@
 type Store struct {
 	limit   int
 	version uint64
-	objects map[platform.Key]platform.Object
+	objects map[objectstore.Key]objectstore.Object
 	// history holds the last changes, oldest first; compacted is the version
 	// of the newest change that is no longer in it.
-	history   []platform.Object
+	history   []objectstore.Object
 	compacted uint64
 	frozen    *view
 }
@@ -31,7 +31,7 @@
 // view is what reads show while they are stale.
 type view struct {
 	version uint64
-	objects map[platform.Key]platform.Object
+	objects map[objectstore.Key]objectstore.Object
 }
 
 // New returns an empty store; history 0 means DefaultHistory.
@@ -39,7 +39,7 @@
 	if history <= 0 {
 		history = DefaultHistory
 	}
-	return &Store{limit: history, objects: map[platform.Key]platform.Object{}}
+	return &Store{limit: history, objects: map[objectstore.Key]objectstore.Object{}}
 }
 
 // Version is the version of the last change, or the frozen one.
@@ -66,22 +66,22 @@
 }
 
 // Get returns an object or its tombstone.
-func (s *Store) Get(key platform.Key) (platform.Object, bool) {
+func (s *Store) Get(key objectstore.Key) (objectstore.Object, bool) {
 	object, found := s.view().objects[key]
 	return object, found
 }
 
 // List returns the objects of a kind, or of all kinds if it is empty, by kind
 // and name.
-func (s *Store) List(kind string, tombstones bool) platform.ObjectList {
+func (s *Store) List(kind string, tombstones bool) objectstore.ObjectList {
 	shown := s.view()
-	list := platform.ObjectList{Version: shown.version, Objects: []platform.Object{}}
+	list := objectstore.ObjectList{Version: shown.version, Objects: []objectstore.Object{}}
 	for _, object := range shown.objects {
 		if (kind == "" || object.Kind == kind) && (tombstones || !object.Deleted) {
 			list.Objects = append(list.Objects, object)
 		}
 	}
-	slices.SortFunc(list.Objects, func(one, other platform.Object) int {
+	slices.SortFunc(list.Objects, func(one, other objectstore.Object) int {
 		return cmp.Or(cmp.Compare(one.Kind, other.Kind), cmp.Compare(one.Name, other.Name))
 	})
 	return list
@@ -89,17 +89,17 @@
 
 // Write stores the object if the expected version stands; otherwise the
 // conflict holds what stands.
-func (s *Store) Write(request platform.WriteRequest) (platform.Object, *platform.Conflict) {
+func (s *Store) Write(request objectstore.WriteRequest) (objectstore.Object, *objectstore.Conflict) {
 	current := s.objects[request.Object.Key()]
 	if !matches(current, request.Expected) {
-		return platform.Object{}, &platform.Conflict{Current: current}
+		return objectstore.Object{}, &objectstore.Conflict{Current: current}
 	}
 	return s.record(request.Object), nil
 }
 
 // matches reports whether the version is the expected one; 0 expects no
 // object or a tombstone.
-func matches(current platform.Object, expected uint64) bool {
+func matches(current objectstore.Object, expected uint64) bool {
 	if expected == 0 {
 		return current.Version == 0 || current.Deleted
 	}
@@ -108,15 +108,15 @@
 
 // Delete puts a tombstone in place of the object if the expected version
 // stands. Found is false where there has never been an object.
-func (s *Store) Delete(key platform.Key, expected uint64, changeID, changedBy string) (tombstone platform.Object, conflict *platform.Conflict, found bool) {
+func (s *Store) Delete(key objectstore.Key, expected uint64, changeID, changedBy string) (tombstone objectstore.Object, conflict *objectstore.Conflict, found bool) {
 	current, found := s.objects[key]
 	if !found {
-		return platform.Object{}, nil, false
+		return objectstore.Object{}, nil, false
 	}
 	if current.Deleted || current.Version != expected {
-		return platform.Object{}, &platform.Conflict{Current: current}, true
+		return objectstore.Object{}, &objectstore.Conflict{Current: current}, true
 	}
-	return s.record(platform.Object{
+	return s.record(objectstore.Object{
 		Kind:      key.Kind,
 		Name:      key.Name,
 		ChangeID:  changeID,
@@ -125,7 +125,7 @@
 	}), nil, true
 }
 
-func (s *Store) record(object platform.Object) platform.Object {
+func (s *Store) record(object objectstore.Object) objectstore.Object {
 	s.version++
 	object.Version = s.version
 	s.objects[object.Key()] = object
@@ -146,7 +146,7 @@
 	}
 	kept := s.history[:version]
 	s.version, s.history, s.frozen = version, slices.Clone(kept), nil
-	s.objects = map[platform.Key]platform.Object{}
+	s.objects = map[objectstore.Key]objectstore.Object{}
 	for _, object := range kept {
 		s.objects[object.Key()] = object
 	}
@@ -155,18 +155,18 @@
 
 // Changes returns the changes after a version, oldest first. It is false where
 // they can't all be told: too old, or newer than the store.
-func (s *Store) Changes(since uint64) ([]platform.WatchEvent, bool) {
+func (s *Store) Changes(since uint64) ([]objectstore.WatchEvent, bool) {
 	if since < s.compacted || since > s.version {
 		return nil, false
 	}
 	shown := s.view().version
-	first, _ := slices.BinarySearchFunc(s.history, since+1, func(object platform.Object, version uint64) int {
+	first, _ := slices.BinarySearchFunc(s.history, since+1, func(object objectstore.Object, version uint64) int {
 		return cmp.Compare(object.Version, version)
 	})
-	var events []platform.WatchEvent
+	var events []objectstore.WatchEvent
 	for _, object := range s.history[first:] {
 		if object.Version <= shown {
-			events = append(events, platform.WatchEvent{Version: object.Version, Object: &object})
+			events = append(events, objectstore.WatchEvent{Version: object.Version, Object: &object})
 		}
 	}
 	return events, true
--- a/internal/standin/objects/store_test.go
+++ b/internal/standin/objects/store_test.go
@@ -8,14 +8,14 @@
 
 	_ "github.com/spanlanding/spanlanding/internal/testseed"
 
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
-var alarm = platform.Key{Kind: "Model", Name: "alarm"}
+var alarm = objectstore.Key{Kind: "Model", Name: "alarm"}
 
-func write(store *Store, key platform.Key, expected uint64, changeID string) (platform.Object, *platform.Conflict) {
-	object := platform.Object{Kind: key.Kind, Name: key.Name, ChangeID: changeID}
-	return store.Write(platform.WriteRequest{Object: object, Expected: expected})
+func write(store *Store, key objectstore.Key, expected uint64, changeID string) (objectstore.Object, *objectstore.Conflict) {
+	object := objectstore.Object{Kind: key.Kind, Name: key.Name, ChangeID: changeID}
+	return store.Write(objectstore.WriteRequest{Object: object, Expected: expected})
 }
 
 func TestWriteTakesEffectOnlyAtTheExpectedVersion(t *testing.T) {
@@ -71,7 +71,7 @@
 	if list := store.List("Model", false); len(list.Objects) != 0 || list.Version != 2 {
 		t.Errorf("list %+v", list)
 	}
-	want := []platform.Object{{Kind: "Model", Name: "alarm", Version: 2, ChangeID: "gone", ChangedBy: "operator", Deleted: true}}
+	want := []objectstore.Object{{Kind: "Model", Name: "alarm", Version: 2, ChangeID: "gone", ChangedBy: "operator", Deleted: true}}
 	if diff := cmp.Diff(want, store.List("Model", true).Objects); diff != "" {
 		t.Error(diff)
 	}
@@ -111,11 +111,11 @@
 	store := New(0)
 	write(store, alarm, 0, "first")
 	write(store, alarm, 1, "second")
-	write(store, platform.Key{Kind: "Model", Name: "report"}, 0, "third")
+	write(store, objectstore.Key{Kind: "Model", Name: "report"}, 0, "third")
 	if !store.Restore(1) {
 		t.Fatal("not restored")
 	}
-	want := platform.ObjectList{Version: 1, Objects: []platform.Object{
+	want := objectstore.ObjectList{Version: 1, Objects: []objectstore.Object{
 		{Kind: "Model", Name: "alarm", Version: 1, ChangeID: "first"},
 	}}
 	if diff := cmp.Diff(want, store.List("", true)); diff != "" {
@@ -145,10 +145,10 @@
 func TestWatchAgreesWithList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := New(rapid.IntRange(1, 8).Draw(t, "history"))
-		known := map[platform.Key]platform.Object{}
+		known := map[objectstore.Key]objectstore.Object{}
 		reached := uint64(0)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			key := platform.Key{Kind: "Model", Name: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")}
+			key := objectstore.Key{Kind: "Model", Name: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")}
 			expected := rapid.Uint64Range(0, store.Version()).Draw(t, "expected")
 			if rapid.Bool().Draw(t, "exact") {
 				current, _ := store.Get(key)
@@ -176,7 +176,7 @@
 	})
 }
 
-func follow(t *rapid.T, store *Store, known map[platform.Key]platform.Object, reached uint64) uint64 {
+func follow(t *rapid.T, store *Store, known map[objectstore.Key]objectstore.Object, reached uint64) uint64 {
 	events, ok := store.Changes(reached)
 	if !ok {
 		list := store.List("", true)
--- a/internal/storelease/simulation_test.go
+++ b/internal/storelease/simulation_test.go
@@ -44,7 +44,6 @@
 	calling    bool
 	callEnd    time.Time
 	nextCall   time.Time
-	suspicious time.Time
 }
 
 type world struct {
--- a/internal/views/doc.go
+++ b/internal/views/doc.go
@@ -2,5 +2,5 @@
 // the catalog in force, the route tables and the machine list. Each view has
 // one writer; readers take the newest whole value and never block the writer.
 //
-// It may import fleet, catalog and platform's wire types.
+// It may import fleet, catalog and objectstore's wire types.
 package views
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -6,7 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
-	"github.com/spanlanding/spanlanding/internal/platform"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
 // Value is one published value. The zero Value is empty and ready to use.
@@ -62,5 +62,5 @@
 	// Tables is written by the control shell.
 	Tables Value[Tables]
 	// Machines is written by the platform shell.
-	Machines Value[platform.MachineList]
+	Machines Value[objectstore.MachineList]
 }
--- a/test/platform/store_test.go
+++ b/test/platform/store_test.go
@@ -44,7 +44,6 @@
 	// down refuses calls, deaf holds watches without a word, and lost does
 	// writes without an answer.
 	down, deaf, lost bool
-	writes           []object
 }
 
 func newStore(t *testing.T) (*store, string) {
@@ -77,15 +76,6 @@
 	return written
 }
 
-func (s *store) remove(kind, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	gone := s.objects[kind][name]
-	delete(s.objects[kind], name)
-	s.at++
-	s.record(event{Object: gone, Gone: true, kind: kind, at: s.at})
-}
-
 func (s *store) record(happened event) {
 	s.history = append(s.history, happened)
 	close(s.changed)
@@ -106,12 +96,6 @@
 	change()
 }
 
-func (s *store) leaseWrites() []object {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]object(nil), s.writes...)
-}
-
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	parts := strings.Split(strings.Trim(strings.TrimPrefix(request.URL.Path, "/api/objects"), "/"), "/")
@@ -203,7 +187,6 @@
 		return
 	}
 	written := s.write(parts[0], wanted)
-	s.writes = append(s.writes, written)
 	if lost {
 		if hijacker, ok := writer.(http.Hijacker); ok {
 			if conn, _, err := hijacker.Hijack(); err == nil {
