--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/dispatch"
-	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
 const (
@@ -31,26 +30,26 @@
 
 // planAdapters brings adapters that are asked for to servers that hold their
 // models.
-func (c *Core) planAdapters(now time.Time, service string, engine *routetable.Engine, servers []*server) {
-	for _, wanted := range c.adapterWants(now, service, servers) {
-		c.bringAdapter(now, engine, servers, wanted)
+func (r *round) planAdapters() {
+	for _, wanted := range r.adapterWants() {
+		r.bringAdapter(wanted)
 	}
 }
 
-func (c *Core) adapterWants(now time.Time, service string, servers []*server) []adapterWant {
+func (r *round) adapterWants() []adapterWant {
 	var wants []adapterWant
-	for wanted, known := range c.interests {
-		if wanted.Service != service || wanted.Adapter == "" || now.Sub(known.lastAsk) > adapterInterest {
+	for wanted, known := range r.core.interests {
+		if wanted.Service != r.service || wanted.Adapter == "" || r.now.Sub(known.lastAsk) > adapterInterest {
 			continue
 		}
-		known.fade(now)
-		copies := adapterCopies(servers, wanted)
+		known.fade(r.now)
+		copies := r.adapterCopies(wanted)
 		needed := 1 + int(known.fast.requests/adapterRate)
-		if known.isStuck(now) && copies < needed+maxBeyond {
+		if known.isStuck(r.now) && copies < needed+maxBeyond {
 			needed = copies + 1
 		}
 		if copies < needed {
-			wants = append(wants, adapterWant{wanted: wanted, waiting: known.waits(now), rate: known.fast.requests, copies: copies})
+			wants = append(wants, adapterWant{wanted: wanted, waiting: known.waits(r.now), rate: known.fast.requests, copies: copies})
 		}
 	}
 	slices.SortFunc(wants, func(a, b adapterWant) int {
@@ -65,9 +64,9 @@
 	return wants
 }
 
-func adapterCopies(servers []*server, wanted dispatch.Wanted) int {
+func (r *round) adapterCopies(wanted dispatch.Wanted) int {
 	count := 0
-	for _, s := range servers {
+	for _, s := range r.servers {
 		if model, ok := s.held[wanted.Model]; ok && !s.info.Draining && model.adapters[wanted.Adapter] != nil {
 			count++
 		}
@@ -75,11 +74,11 @@
 	return count
 }
 
-func (c *Core) bringAdapter(now time.Time, engine *routetable.Engine, servers []*server, wanted adapterWant) {
+func (r *round) bringAdapter(wanted adapterWant) {
 	var best *server
-	for _, s := range servers {
+	for _, s := range r.servers {
 		model, ok := s.held[wanted.wanted.Model]
-		if !ok || !s.canTake(now) || model.adapters[wanted.wanted.Adapter] != nil || s.pendingAdapters(now) >= maxPendingAdapters {
+		if !ok || !s.canTake(r.now) || model.adapters[wanted.wanted.Adapter] != nil || s.pendingAdapters(r.now) >= maxPendingAdapters {
 			continue
 		}
 		if best == nil || s.adapterCount() < best.adapterCount() {
@@ -89,26 +88,26 @@
 	if best == nil {
 		return
 	}
-	if best.adapterCount() >= engine.AdapterSlots {
-		c.dropAdapter(now, best, wanted)
+	if best.adapterCount() >= r.engine.AdapterSlots {
+		r.dropAdapter(best, wanted)
 		return
 	}
-	best.held[wanted.wanted.Model].adapters[wanted.wanted.Adapter] = &adapter{ready: now.Add(adapterTime), lastUse: now}
-	c.give(best, Order{Operation: Load, Model: wanted.wanted.Model, Adapter: wanted.wanted.Adapter, Reason: "wanted"})
+	best.held[wanted.wanted.Model].adapters[wanted.wanted.Adapter] = &adapter{ready: r.now.Add(adapterTime), lastUse: r.now}
+	r.core.give(best, Order{Operation: Load, Model: wanted.wanted.Model, Adapter: wanted.wanted.Adapter, Reason: "wanted"})
 }
 
 // dropAdapter makes room by the adapter that was asked for longest ago.
-func (c *Core) dropAdapter(now time.Time, s *server, wanted adapterWant) {
+func (r *round) dropAdapter(s *server, wanted adapterWant) {
 	var oldest dispatch.Wanted
 	var oldestAsk time.Time
 	for modelName, model := range s.held {
 		for name, known := range model.adapters {
 			candidate := dispatch.Wanted{Service: s.info.Service, Model: modelName, Adapter: name}
 			asked := known.lastUse
-			if interest, ok := c.interests[candidate]; ok && interest.lastAsk.After(asked) {
+			if interest, ok := r.core.interests[candidate]; ok && interest.lastAsk.After(asked) {
 				asked = interest.lastAsk
 			}
-			if now.Before(known.ready) || now.Sub(asked) < adapterYoung {
+			if r.now.Before(known.ready) || r.now.Sub(asked) < adapterYoung {
 				continue
 			}
 			isOlder := oldest.Adapter == "" || asked.Before(oldestAsk)
@@ -121,5 +120,5 @@
 	if oldest.Adapter == "" {
 		return
 	}
-	c.give(s, Order{Operation: Unload, Model: oldest.Model, Adapter: oldest.Adapter, Reason: "room_for_" + wanted.wanted.Adapter})
+	r.core.give(s, Order{Operation: Unload, Model: oldest.Model, Adapter: oldest.Adapter, Reason: "room_for_" + wanted.wanted.Adapter})
 }
--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -41,8 +40,8 @@
 
 // victims are the models to drop from the server to make room for one more, and
 // what that costs; the cost is infinite where it cannot be done.
-func (c *Core) victims(now time.Time, service string, engine *routetable.Engine, servers []*server, s *server, model routetable.Model) ([]string, float64) {
-	room := engine.MemoryMB - s.usedMB(engine) - model.WeightsMB
+func (r *round) victims(s *server, model routetable.Model) ([]string, float64) {
+	room := r.engine.MemoryMB - s.usedMB(r.engine) - model.WeightsMB
 	if room >= 0 {
 		return nil, 0
 	}
@@ -52,7 +51,7 @@
 	}
 	var candidates []candidate
 	for name := range s.held {
-		candidates = append(candidates, candidate{name, c.penalty(now, service, engine, servers, s, name)})
+		candidates = append(candidates, candidate{name, r.penalty(s, name)})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.penalty, b.penalty), strings.Compare(a.model, b.model))
@@ -65,7 +64,7 @@
 		}
 		victims = append(victims, victim.model)
 		total += victim.penalty
-		room += engine.Models[victim.model].WeightsMB
+		room += r.engine.Models[victim.model].WeightsMB
 	}
 	if room < 0 {
 		return nil, math.Inf(1)
@@ -74,26 +73,26 @@
 }
 
 // penalty is what dropping a copy of a model from a server costs.
-func (c *Core) penalty(now time.Time, service string, engine *routetable.Engine, servers []*server, s *server, name string) float64 {
-	copies := copiesOf(servers, name)
-	known := c.interests[dispatch.Wanted{Service: service, Model: name}]
-	silent := now.Sub(s.held[name].since)
+func (r *round) penalty(s *server, name string) float64 {
+	copies := r.copiesOf(name)
+	known := r.interest(name)
+	silent := r.now.Sub(s.held[name].since)
 	if known != nil {
-		silent = now.Sub(known.lastAsk)
+		silent = r.now.Sub(known.lastAsk)
 	}
 	switch {
-	case copies > max(1, c.kept(now, service, name, len(servers))):
+	case copies > max(1, r.kept(name)):
 		if silent < runTime {
 			return surplusPenalty + replicaPenalty
 		}
 		return surplusPenalty
 	case known == nil:
 		return unknownPenalty
-	case c.waitsFor(service, name) > 0 || silent < runTime:
+	case r.core.waitsFor(r.service, name) > 0 || silent < runTime:
 		return math.Inf(1)
 	}
 	fades := 1 / (1 + silent.Seconds()/forgetTime.Seconds())
-	isTight := known.goal > 0 && known.goal < engine.Models[name].Load+tightMargin
+	isTight := known.goal > 0 && known.goal < r.engine.Models[name].Load+tightMargin
 	switch {
 	case isTight && copies > 1:
 		return replicaPenalty + tightPenalty*fades/4
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -15,11 +15,24 @@
 type want struct {
 	model   routetable.Model
 	copies  int
-	needed  int
 	waiting int
 	rate    float64
 }
 
+// round is the planning of one service's servers at one time.
+type round struct {
+	core    *Core
+	now     time.Time
+	service string
+	engine  *routetable.Engine
+	servers []*server
+}
+
+// interest is what is wanted of a model, or nil.
+func (r *round) interest(model string) *interest {
+	return r.core.interests[dispatch.Wanted{Service: r.service, Model: model}]
+}
+
 func (c *Core) plan(now time.Time) {
 	names := make([]string, 0, len(c.table.Services))
 	for name, service := range c.table.Services {
@@ -30,10 +43,11 @@
 	slices.Sort(names)
 	c.countWaits(now)
 	for _, name := range names {
-		engine := c.table.Services[name].Engine
-		servers := c.serversOf(name)
-		c.planModels(now, name, engine, servers)
-		c.planAdapters(now, name, engine, servers)
+		r := &round{
+			core: c, now: now, service: name, engine: c.table.Services[name].Engine, servers: c.serversOf(name),
+		}
+		r.planModels()
+		r.planAdapters()
 	}
 }
 
@@ -59,60 +73,58 @@
 )
 
 // needed is the number of copies that a model should have by the demand of now.
-func (c *Core) needed(now time.Time, service, model string, servers int) int {
-	known, ok := c.interests[dispatch.Wanted{Service: service, Model: model}]
-	if !ok || now.Sub(known.lastAsk) > interestAge {
+func (r *round) needed(model string) int {
+	known := r.interest(model)
+	if known == nil || r.now.Sub(known.lastAsk) > interestAge {
 		return 0
 	}
-	known.fade(now)
-	return copiesFor(known.fast, servers)
+	known.fade(r.now)
+	return r.copiesFor(known.fast)
 }
 
 // kept is the number of copies that are kept by the demand of some time, which
 // falls more slowly than it rises.
-func (c *Core) kept(now time.Time, service, model string, servers int) int {
-	known, ok := c.interests[dispatch.Wanted{Service: service, Model: model}]
-	if !ok {
+func (r *round) kept(model string) int {
+	known := r.interest(model)
+	if known == nil {
 		return 0
 	}
-	known.fade(now)
-	return max(copiesFor(known.fast, servers), copiesFor(known.slow, servers))
+	known.fade(r.now)
+	return max(r.copiesFor(known.fast), r.copiesFor(known.slow))
 }
 
-func copiesFor(flow flow, servers int) int {
+func (r *round) copiesFor(flow flow) int {
 	count := 1 + int(flow.tokens/copyTokens)
 	if flow.requests > spareRate {
 		count = max(count, 2)
 	}
-	return min(count, max(1, servers/2))
+	return min(count, max(1, len(r.servers)/2))
 }
 
-func (c *Core) planModels(now time.Time, service string, engine *routetable.Engine, servers []*server) {
-	for _, wanted := range c.wants(now, service, engine, servers) {
+func (r *round) planModels() {
+	for _, wanted := range r.wants() {
 		urgent := wanted.copies == 0
-		c.loadSomewhere(now, service, engine, servers, wanted.model, urgent)
+		r.loadSomewhere(wanted.model, urgent)
 	}
 }
 
 // wants lists the models that lack copies, the most urgent first.
-func (c *Core) wants(now time.Time, service string, engine *routetable.Engine, servers []*server) []want {
+func (r *round) wants() []want {
 	var wants []want
-	for name, model := range engine.Models {
-		needed := c.needed(now, service, name, len(servers))
+	for name, model := range r.engine.Models {
+		needed := r.needed(name)
 		if needed == 0 {
 			continue
 		}
-		copies := copiesOf(servers, name)
-		known := c.interests[dispatch.Wanted{Service: service, Model: name}]
-		reachable := copies
-		if known.isStuck(now) && !isLoading(servers, name) && copies < needed+maxBeyond {
-			reachable = 0
+		copies, known := r.copiesOf(name), r.interest(name)
+		if known.isStuck(r.now) && !r.isLoading(name) && copies < needed+maxBeyond {
+			// The copies that there are cannot be reached.
+			copies = 0
 		}
-		if reachable >= needed {
+		if copies >= needed {
 			continue
 		}
-		copies = reachable
-		wanted := want{model: model, copies: copies, needed: needed, waiting: c.waitsFor(service, name)}
+		wanted := want{model: model, copies: copies, waiting: r.core.waitsFor(r.service, name)}
 		if known != nil {
 			wanted.rate = known.fast.requests
 		}
@@ -133,8 +145,8 @@
 // reach any get.
 const maxBeyond = 2
 
-func isLoading(servers []*server, model string) bool {
-	for _, s := range servers {
+func (r *round) isLoading(model string) bool {
+	for _, s := range r.servers {
 		if s.loading != nil && s.loading.model == model {
 			return true
 		}
@@ -144,9 +156,9 @@
 
 // copiesOf counts the servers that hold the model or are loading it, and do not
 // leave.
-func copiesOf(servers []*server, model string) int {
+func (r *round) copiesOf(model string) int {
 	count := 0
-	for _, s := range servers {
+	for _, s := range r.servers {
 		if s.info.Draining {
 			continue
 		}
@@ -169,19 +181,19 @@
 // intentTime is how long a server that was emptied is kept for a model.
 const intentTime = time.Second
 
-func (c *Core) loadSomewhere(now time.Time, service string, engine *routetable.Engine, servers []*server, model routetable.Model, urgent bool) {
+func (r *round) loadSomewhere(model routetable.Model, urgent bool) {
 	best := choice{cost: math.Inf(1)}
-	for _, s := range servers {
-		if !s.canTake(now) || s.has(model.Name) || s.isKeptFor(now, model.Name) {
+	for _, s := range r.servers {
+		if !s.canTake(r.now) || s.has(model.Name) || s.isKeptFor(r.now, model.Name) {
 			continue
 		}
 		takes, source := s.loadTime(model)
-		if source == SourceStore && !c.storeAllows(now, service, engine, model.Name, urgent) {
+		if source == SourceStore && !r.storeAllows(model.Name, urgent) {
 			continue
 		}
-		victims, penalty := c.victims(now, service, engine, servers, s, model)
-		cost := takes.Seconds() + penalty + c.sameZone(servers, s, model.Name)
-		if s.isMeantFor(now, model.Name) {
+		victims, penalty := r.victims(s, model)
+		cost := takes.Seconds() + penalty + r.sameZone(s, model.Name)
+		if s.isMeantFor(r.now, model.Name) {
 			cost -= intentBonus
 		}
 		if !urgent && penalty > maxSparePenalty {
@@ -195,8 +207,8 @@
 		return
 	}
 	if len(best.victims) > 0 {
-		best.server.intent = intent{model: model.Name, source: best.source, until: now.Add(intentTime)}
-		c.orderUnload(best.server, best.victims[0], "room_for_"+model.Name)
+		best.server.intent = intent{model: model.Name, source: best.source, until: r.now.Add(intentTime)}
+		r.orderUnload(best.server, best.victims[0], "room_for_"+model.Name)
 		return
 	}
 	best.server.intent = intent{}
@@ -204,7 +216,7 @@
 	if urgent {
 		reason = "wanted"
 	}
-	c.orderLoad(now, service, engine, servers, best, model, reason)
+	r.orderLoad(best, model, reason)
 }
 
 // maxSparePenalty bounds what is given up for one more copy of a model that
@@ -214,8 +226,8 @@
 // sameZoneCost is the malus for a zone that has a copy already.
 const sameZoneCost = 0.15
 
-func (c *Core) sameZone(servers []*server, at *server, model string) float64 {
-	for _, s := range servers {
+func (r *round) sameZone(at *server, model string) float64 {
+	for _, s := range r.servers {
 		if s != at && s.info.Zone == at.info.Zone && s.has(model) {
 			return sameZoneCost
 		}
@@ -235,24 +247,24 @@
 	return s.intent.model != "" && s.intent.model != model && now.Before(s.intent.until)
 }
 
-func (c *Core) orderLoad(now time.Time, service string, engine *routetable.Engine, servers []*server, best choice, model routetable.Model, reason string) {
+func (r *round) orderLoad(best choice, model routetable.Model, reason string) {
 	s := best.server
 	takes := best.takes
 	if best.source == SourceStore {
-		c.storeLoads[service] = append(c.storeLoads[service], now)
-		c.reserved[service]--
-		takes = time.Duration(float64(takes) * max(1, float64(storeLoading(now, servers, model.Name)+1)/float64(loadsAtOnce(engine))))
+		r.core.storeLoads[r.service] = append(r.core.storeLoads[r.service], r.now)
+		r.core.reserved[r.service]--
+		takes = time.Duration(float64(takes) * max(1, float64(r.storeLoading(model.Name)+1)/float64(loadsAtOnce(r.engine))))
 	}
-	s.loading = &loading{model: model.Name, source: best.source, began: now, ready: now.Add(takes + loadMargin)}
-	c.give(s, Order{Operation: Load, Model: model.Name, Source: best.source, Reason: reason})
+	s.loading = &loading{model: model.Name, source: best.source, began: r.now, ready: r.now.Add(takes + loadMargin)}
+	r.core.give(s, Order{Operation: Load, Model: model.Name, Source: best.source, Reason: reason})
 }
 
 // loadMargin covers the way of an order and what a load takes beyond its time.
 const loadMargin = 40 * time.Millisecond
 
-func (c *Core) orderUnload(s *server, model, reason string) {
+func (r *round) orderUnload(s *server, model, reason string) {
 	s.unloading = model
-	c.give(s, Order{Operation: Unload, Model: model, Reason: reason})
+	r.core.give(s, Order{Operation: Unload, Model: model, Reason: reason})
 }
 
 // give books the order and hands it out.
@@ -267,11 +279,11 @@
 
 // storeLoading counts the loads from the weight store that are under way, or
 // for which a server is being emptied.
-func storeLoading(now time.Time, servers []*server, besides string) int {
+func (r *round) storeLoading(besides string) int {
 	count := 0
-	for _, s := range servers {
+	for _, s := range r.servers {
 		isLoading := s.loading != nil && s.loading.source == SourceStore
-		isMeant := s.intent.source == SourceStore && s.isKeptFor(now, besides)
+		isMeant := s.intent.source == SourceStore && s.isKeptFor(r.now, besides)
 		if isLoading || isMeant {
 			count++
 		}
@@ -308,15 +320,15 @@
 }
 
 // storeAllows reports whether one more load from the weight store may begin.
-func (c *Core) storeAllows(now time.Time, service string, engine *routetable.Engine, model string, urgent bool) bool {
-	if c.reserved[service] <= 0 {
+func (r *round) storeAllows(model string, urgent bool) bool {
+	if r.core.reserved[r.service] <= 0 {
 		return false
 	}
-	allowed := float64(c.loadsPerWindow(engine))
-	atOnce := loadsAtOnce(engine)
+	allowed := float64(r.core.loadsPerWindow(r.engine))
+	atOnce := loadsAtOnce(r.engine)
 	if !urgent {
 		allowed *= idleShare
 		atOnce = max(1, atOnce/2)
 	}
-	return float64(len(c.storeLoads[service])) < allowed && storeLoading(now, c.serversOf(service), model) < atOnce
+	return float64(len(r.core.storeLoads[r.service])) < allowed && r.storeLoading(model) < atOnce
 }
--- a/internal/storelease/simulation_test.go
+++ b/internal/storelease/simulation_test.go
@@ -37,13 +37,13 @@
 }
 
 type machine struct {
-	core       *Core
-	life       int
-	frozenTo   time.Time
-	downTo     time.Time
-	calling    bool
-	callEnd    time.Time
-	nextCall   time.Time
+	core     *Core
+	life     int
+	frozenTo time.Time
+	downTo   time.Time
+	calling  bool
+	callEnd  time.Time
+	nextCall time.Time
 }
 
 type world struct {
