Tell the leader's views as deltas with a digest

Change: changed views only, and a digest by which a node sees that it has all; a node that differs for 0.4 s asks. The leader speaks the more rarely the more nodes there are; nodes count as alive for longer in a large fleet.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -139,6 +139,9 @@
 	Held map[string][]string
 	// Loading are the times left until MODEL or MODEL/ADAPTER is there.
 	Loading map[string]time.Duration
+	// Digest is a number that two views have in common which say the same, but
+	// for the times left.
+	Digest uint64
 }
 
 // SetViews takes the view of servers of a leader's term.
@@ -154,11 +157,35 @@
 		}
 		known.view = &views[i]
 		known.viewAt = now
+		known.viewSeen = now
 		known.viewTerm = term
 	}
 	c.notify()
 }
 
+// ConfirmViews takes the leader's word that the views with the digest still
+// hold. It returns false where this node has others.
+func (c *Core) ConfirmViews(now time.Time, term int64, digest uint64) bool {
+	if term < c.term {
+		return true
+	}
+	own := uint64(0)
+	for _, s := range c.servers {
+		if s.view != nil && s.viewTerm == term {
+			own ^= s.view.Digest
+		}
+	}
+	if own != digest {
+		return false
+	}
+	for _, s := range c.servers {
+		if s.viewTerm == term {
+			s.viewSeen = now
+		}
+	}
+	return true
+}
+
 // PeerLoad is what a peer has under way at one server.
 type PeerLoad struct {
 	ServerID      string
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -17,8 +17,10 @@
 	// held are the models of the entry.
 	held map[string]map[string]bool
 	view *View
-	// viewAt is when the leader's view came, and viewTerm the term it is of.
+	// viewAt is when the leader's view came, viewSeen when the leader last said
+	// that it holds, and viewTerm the term it is of.
 	viewAt   time.Time
+	viewSeen time.Time
 	viewTerm int64
 	// running and pendingTokens are this node's own requests in flight: all of
 	// them, and the prompt tokens of those whose answer has not begun.
@@ -65,7 +67,7 @@
 }
 
 // viewAge is how long the leader's view goes before a server's own entry. The
-// leader repeats it every second.
+// leader says more often that it holds.
 const viewAge = 3 * time.Second
 
 // merge rebuilds the models that the entry names.
@@ -85,7 +87,7 @@
 }
 
 func (s *server) hasView(now time.Time) bool {
-	return s.view != nil && now.Sub(s.viewAt) < viewAge
+	return s.view != nil && now.Sub(s.viewSeen) < viewAge
 }
 
 func (s *server) holds(now time.Time, model, adapter string) bool {
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -302,6 +302,7 @@
 	}
 	l.node.options.Logger.Info().Int64("term", term).
 		Int64("order_in_ms", l.lease.OrderFrom().Sub(now).Milliseconds()).Msg("lease_taken")
+	l.node.peers.forgetViews(func(string) bool { return false })
 	l.core = placer.New(placer.Options{Window: l.node.options.LoadWindow, Overage: l.node.options.LoadOverage, Zone: l.node.options.Zone})
 	l.core.SetTable(l.node.handler.Table())
 	var all []inventory.Change
@@ -323,12 +324,27 @@
 	}
 }
 
-func (l *leader) takeCounts(state *peerpb.NodeState) {
-	if l.core != nil {
-		l.core.SetCounts(time.Now(), state.Address, state.Life, countsOf(state.Wanted))
+// takeState takes what a node counted, and answers it where it asks for views.
+func (l *leader) takeState(state *peerpb.NodeState) {
+	if l.core == nil {
+		return
+	}
+	now := time.Now()
+	l.core.SetCounts(now, state.Address, state.Life, countsOf(state.Wanted))
+	if state.ViewsWanted {
+		l.node.peers.answerViews(state.Address, l.term.Load(), l.lease.Lapsed(now), l.views(now))
 	}
 }
 
+// views are the leader's views with their digests.
+func (l *leader) views(now time.Time) []dispatch.View {
+	views := l.core.Views(now)
+	for i := range views {
+		views[i].Digest = digest(views[i].ServerID, signature(views[i]))
+	}
+	return views
+}
+
 func (l *leader) ownCounts(now time.Time) {
 	var counts []placer.Count
 	l.node.dispatch.Do(func(core *dispatch.Core) {
@@ -373,16 +389,26 @@
 	}()
 }
 
-// publish tells all nodes what the leader knows of the servers.
+// publish tells all nodes what the leader knows of the servers. The more nodes
+// there are, the more rarely, so that its cost a second stays the same.
 func (l *leader) publish(now time.Time) {
+	nodes := time.Duration(l.node.peers.count())
+	quiet, busy := max(gossipPeriod, nodes*publishCost), max(viewPeriod, nodes*publishCost/4)
 	due := now.Sub(l.toldAt)
-	if due < viewPeriod || (!l.changed && due < gossipPeriod) {
+	if due < busy || (!l.changed && due < quiet) {
 		return
 	}
 	l.changed = false
 	l.toldAt = now
-	views := l.core.Views(now)
+	views := l.views(now)
 	term := l.term.Load()
-	l.node.dispatch.Do(func(core *dispatch.Core) { core.SetViews(now, term, views) })
+	l.node.dispatch.Do(func(core *dispatch.Core) {
+		core.SetViews(now, term, views)
+	})
+	l.node.peers.forgetViews(l.core.Knows)
 	l.node.peers.tellViews(term, l.lease.Lapsed(now), views)
 }
+
+// publishCost is the time between two datagrams of the leader's to one node for
+// each node that there is.
+const publishCost = 2 * time.Millisecond
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -27,8 +27,9 @@
 	// wantedPause is the least time between datagrams to the leader that tell
 	// of requests without a server.
 	wantedPause = 10 * time.Millisecond
-	// viewRepeat is the time after which an unchanged view is told again.
-	viewRepeat = time.Second
+	// viewsLag is how long a node has other views than the leader told until it
+	// asks for all, and the least time between two answers.
+	viewsLag = 400 * time.Millisecond
 	// datagramBytes bounds the views of one datagram.
 	datagramBytes = 1200
 	maxDatagram   = 64 << 10
@@ -44,14 +45,12 @@
 	roster   *gossip.Roster
 	sequence uint64
 	lastWant time.Time
-	told     map[string]toldView
-	alive    map[string]bool
-}
-
-// toldView is what was last told of a server.
-type toldView struct {
-	signature string
-	at        time.Time
+	told     map[string]uint64
+	toldAll  map[string]time.Time
+	// staleSince is when the views of this node began to differ from the
+	// leader's; zero while they do not.
+	staleSince time.Time
+	alive      map[string]bool
 }
 
 func newPeers(node *Node) (*peers, error) {
@@ -70,11 +69,19 @@
 		life:    life,
 		address: node.options.PeerAddress,
 		roster:  gossip.New(node.options.PeerAddress, node.options.Tunables.PeerSeeds, life),
-		told:    make(map[string]toldView),
+		told:    make(map[string]uint64),
+		toldAll: make(map[string]time.Time),
 		alive:   make(map[string]bool),
 	}, nil
 }
 
+// count is the number of other nodes heard from lately.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.roster.Alive(time.Now()))
+}
+
 // addSeeds tries further addresses.
 func (p *peers) addSeeds(seeds []string) {
 	p.mu.Lock()
@@ -127,11 +134,14 @@
 			core.SetViews(now, state.Leader.Term, viewsOf(state.Leader.Views))
 		}
 	})
+	if state.Leader != nil {
+		p.confirmViews(now, state.Leader)
+	}
 	if table := p.node.handler.Table(); table != nil && state.ConfigVersion > table.Version {
 		send(p.node.configNudge)
 	}
 	p.node.compareServers(now, state.ServersDigest, state.ServersRevision)
-	p.node.leader.post(func() { p.node.leader.takeCounts(state) })
+	p.node.leader.post(func() { p.node.leader.takeState(state) })
 }
 
 // run sends the node's state in each period.
@@ -193,7 +203,8 @@
 	}
 }
 
-// tellViews sends all nodes what changed of the leader's views.
+// tellViews sends all nodes what changed of the leader's views, and a digest of
+// all by which they see whether they have missed some.
 func (p *peers) tellViews(term int64, lapsed time.Duration, views []dispatch.View) {
 	now := time.Now()
 	p.mu.Lock()
@@ -201,24 +212,84 @@
 	for _, peer := range p.roster.Alive(now) {
 		targets = append(targets, peer.Address)
 	}
-	var changed []*peerpb.ServerView
+	var changed []dispatch.View
 	for _, view := range views {
-		encoded, signature := encodeView(view)
-		if known, ok := p.told[view.ServerID]; ok && known.signature == signature && now.Sub(known.at) < viewRepeat {
-			continue
+		if p.told[view.ServerID] != view.Digest {
+			p.told[view.ServerID] = view.Digest
+			changed = append(changed, view)
 		}
-		p.told[view.ServerID] = toldView{signature: signature, at: now}
-		changed = append(changed, encoded)
 	}
 	p.mu.Unlock()
-	for first := true; first || len(changed) > 0; first = false {
-		state := p.state(now)
-		state.Leader = &peerpb.LeaderState{Term: term, LapsedMs: uint32(lapsed.Milliseconds()), LeaseRevision: p.node.leader.leaseRevision()}
-		changed = fillViews(state.Leader, changed)
+	p.sendViews(targets, term, lapsed, changed)
+}
+
+// forgetViews drops what was told of servers that are gone, or of all.
+func (p *peers) forgetViews(keep func(serverID string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.told {
+		if !keep(id) {
+			delete(p.told, id)
+		}
+	}
+}
+
+// sendViews sends views in as many datagrams as they need, one at the least.
+func (p *peers) sendViews(targets []string, term int64, lapsed time.Duration, views []dispatch.View) {
+	encoded := make([]*peerpb.ServerView, 0, len(views))
+	for _, view := range views {
+		encoded = append(encoded, encodeView(view))
+	}
+	p.mu.Lock()
+	all := uint64(0)
+	for _, digest := range p.told {
+		all ^= digest
+	}
+	p.mu.Unlock()
+	for first := true; first || len(encoded) > 0; first = false {
+		state := p.state(time.Now())
+		state.Leader = &peerpb.LeaderState{
+			Term: term, LapsedMs: uint32(lapsed.Milliseconds()), LeaseRevision: p.node.leader.leaseRevision(),
+		}
+		encoded = fillViews(state.Leader, encoded)
+		if len(encoded) == 0 {
+			state.Leader.ViewsDigest = all
+		}
 		p.send(targets, state)
 	}
 }
 
+// answerViews sends all views to a node that asked for them.
+func (p *peers) answerViews(address string, term int64, lapsed time.Duration, views []dispatch.View) {
+	now := time.Now()
+	p.mu.Lock()
+	early := now.Sub(p.toldAll[address]) < viewsLag
+	if !early {
+		p.toldAll[address] = now
+	}
+	p.mu.Unlock()
+	if !early {
+		p.sendViews([]string{address}, term, lapsed, views)
+	}
+}
+
+// confirmViews compares the views of this node with the leader's digest.
+func (p *peers) confirmViews(now time.Time, leader *peerpb.LeaderState) {
+	if leader.ViewsDigest == 0 {
+		return
+	}
+	same := false
+	p.node.dispatch.Do(func(core *dispatch.Core) { same = core.ConfirmViews(now, leader.Term, leader.ViewsDigest) })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case same:
+		p.staleSince = time.Time{}
+	case p.staleSince.IsZero():
+		p.staleSince = now
+	}
+}
+
 // fillViews moves as many views into a datagram as it may hold.
 func fillViews(leader *peerpb.LeaderState, views []*peerpb.ServerView) []*peerpb.ServerView {
 	size := 0
@@ -241,6 +312,7 @@
 		Leaving: p.node.stopping.Load(),
 
 		StoreFailing: p.node.storeFailing.Load(),
+		ViewsWanted:  p.wantsViews(now),
 	}
 	if table := p.node.handler.Table(); table != nil {
 		state.ConfigVersion = table.Version
@@ -273,6 +345,12 @@
 	return state
 }
 
+func (p *peers) wantsViews(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.staleSince.IsZero() && now.Sub(p.staleSince) > viewsLag
+}
+
 func (p *peers) send(targets []string, state *peerpb.NodeState) {
 	p.mu.Lock()
 	p.sequence++
@@ -324,14 +402,13 @@
 			}
 			view.Loading[name] = time.Duration(loading.LeftMs) * time.Millisecond
 		}
+		view.Digest = digest(view.ServerID, signature(view))
 		views = append(views, view)
 	}
 	return views
 }
 
-// encodeView returns the wire form and a signature that changes with all but
-// the times left.
-func encodeView(view dispatch.View) (*peerpb.ServerView, string) {
+func encodeView(view dispatch.View) *peerpb.ServerView {
 	encoded := &peerpb.ServerView{Server: view.ServerID, Sequence: view.Sequence}
 	for model, adapters := range view.Held {
 		encoded.Held = append(encoded.Held, &peerpb.HeldModel{Model: model, Adapters: adapters})
@@ -342,7 +419,7 @@
 			Model: model, Adapter: adapter, LeftMs: uint32(left.Milliseconds()),
 		})
 	}
-	return encoded, signature(view)
+	return encoded
 }
 
 func countsOf(wire []*peerpb.WantedCount) []placer.Count {
--- a/internal/edge/signature.go
+++ b/internal/edge/signature.go
@@ -6,9 +6,16 @@
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 )
 
+// digest is a number for a signature of a server's view.
+func digest(serverID, signature string) uint64 {
+	return xxhash.Sum64String(serverID + " " + signature)
+}
+
 // signature is a text that is the same for two views that say the same, but for
 // the times left.
 func signature(view dispatch.View) string {
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -14,8 +14,16 @@
 )
 
 const (
-	// aliveTime is how long a node is alive after its last datagram.
+	// aliveTime is how long a node is alive after its last datagram, in a fleet
+	// where each hears all in each period.
 	aliveTime = 1500 * time.Millisecond
+	// Beyond heardByAll nodes each hears from another the more rarely the more
+	// there are: a few periods more are allowed for each.
+	heardByAll = 16
+	rareTime   = 75 * time.Millisecond
+	// leaderTime is added for each node to how long a leader is taken to live:
+	// it speaks to all, the more rarely the more there are.
+	leaderTime = 6 * time.Millisecond
 	// countedTime is how long a node counts among those that share a budget.
 	countedTime = 30 * time.Second
 	// tellPeers is the number of other nodes that a datagram names.
@@ -107,11 +115,17 @@
 	return true
 }
 
+// aliveWindow is how long a node is alive after its last datagram.
+func (r *Roster) aliveWindow() time.Duration {
+	return aliveTime + time.Duration(max(0, len(r.peers)-heardByAll))*rareTime
+}
+
 // Alive returns the nodes that were heard from lately, by address.
 func (r *Roster) Alive(now time.Time) []*Peer {
 	var alive []*Peer
+	window := r.aliveWindow()
 	for _, peer := range r.peers {
-		if now.Sub(peer.LastSeen) < aliveTime {
+		if now.Sub(peer.LastSeen) < window {
 			alive = append(alive, peer)
 		}
 	}
@@ -138,8 +152,9 @@
 // Leader is the node with the highest term that was heard from lately, or nil.
 func (r *Roster) Leader(now time.Time) *Peer {
 	var leader *Peer
+	window := aliveTime + time.Duration(max(0, len(r.peers)-heardByAll))*leaderTime
 	for _, peer := range r.Alive(now) {
-		if peer.Term > 0 && (leader == nil || peer.Term > leader.Term) {
+		if peer.Term > 0 && now.Sub(peer.LastSeen) < window && (leader == nil || peer.Term > leader.Term) {
 			leader = peer
 		}
 	}
@@ -211,7 +226,7 @@
 		age := now.Sub(peer.LastSeen)
 		if age > 2*countedTime {
 			delete(r.peers, address)
-		} else if age >= aliveTime {
+		} else if age >= r.aliveWindow() {
 			silent = append(silent, address)
 		}
 	}
--- a/internal/placer/views.go
+++ b/internal/placer/views.go
@@ -7,6 +7,12 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 )
 
+// Knows reports whether there is such a server.
+func (c *Core) Knows(serverID string) bool {
+	_, ok := c.servers[serverID]
+	return ok
+}
+
 // Views are what the leader says of each server that it knows.
 func (c *Core) Views(now time.Time) []dispatch.View {
 	var views []dispatch.View
