--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -77,6 +77,7 @@
 	peers    *peers
 	leader   *leader
 	metrics  *metrics
+	callers  *callers
 
 	// Nudges end a watch that seems to have missed something.
 	configNudge  chan struct{}
@@ -100,6 +101,7 @@
 		options:  options,
 		dispatch: dispatch.NewShared(dispatch.Options{Zone: options.Zone, Seed: rand.Uint64()}),
 		pool:     options.Pool,
+		callers:  newCallers(),
 
 		configNudge:  make(chan struct{}, 1),
 		serversNudge: make(chan struct{}, 1),
@@ -183,8 +185,10 @@
 const (
 	defaultMaxHeaderBytes = 64 << 10
 	defaultHeaderTimeout  = 10 * time.Second
-	// callerIdleTime is longer than callers rest on a connection.
+	// callerIdleTime bounds rest until a configuration tells less.
 	callerIdleTime = 2 * time.Minute
+	// restSlack is added to the bound: callers take connections up within it.
+	restSlack = time.Second
 )
 
 func (n *Node) callerServer() *http.Server {
@@ -193,7 +197,7 @@
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       callerIdleTime,
 		MaxHeaderBytes:    defaultMaxHeaderBytes,
-		ErrorLog:          nil,
+		ConnState:         n.callers.changed,
 	}
 }
 
@@ -265,6 +269,9 @@
 			return
 		case <-ticker.C:
 			n.pool.Sweep()
+			if table := n.handler.Table(); table != nil && table.Limits.IdleTimeout > 0 {
+				n.callers.closeResting(time.Now(), table.Limits.IdleTimeout+restSlack)
+			}
 		}
 	}
 }
