Let the lease's holder lead to the other nodes where no seed is right

Cause: seeds may be stale or missing; nodes without a right one never heard each other, shared no budget and no views. Change: the record names the holder's address; who hears no leader reads the lease anyway. Red without: node-1 does not hear node-2 in TestNodesFindEachOtherWithoutSeeds.

--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -79,6 +79,7 @@
 		started: time.Now(),
 		lease: storelease.New(storelease.Options{
 			Holder:   node.options.Name,
+			Address:  node.options.PeerAddress,
 			Duration: leaseDuration,
 			Renewal:  leaseRenewal,
 			Margin:   leaseMargin,
@@ -227,6 +228,8 @@
 				l.node.storeFailed("lease", err)
 			case found:
 				l.lease.Observe(now, record)
+				// Where no seed is right, the holder leads to the others.
+				l.node.peers.addSeeds([]string{record.Address})
 				if l.lease.CanTake(now) {
 					l.nextCall = now
 				}
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -73,7 +73,7 @@
 // AddSeeds tries further addresses until a node is known there.
 func (r *Roster) AddSeeds(seeds []string) {
 	for _, address := range seeds {
-		if _, ok := r.peers[address]; !ok && address != r.self {
+		if _, ok := r.peers[address]; !ok && address != r.self && address != "" {
 			r.hints[address] = time.Time{}
 		}
 	}
--- a/internal/storelease/lease.go
+++ b/internal/storelease/lease.go
@@ -20,6 +20,8 @@
 type Options struct {
 	// Holder is the machine; a process that restarts there is the same holder.
 	Holder string
+	// Address is where its peers reach it; it stands in the record.
+	Address string
 	// Duration is how long a write keeps the lease.
 	Duration time.Duration
 	// Renewal is the time between writes of the holder.
@@ -34,6 +36,8 @@
 // Record is the object as the store has it.
 type Record struct {
 	Holder string
+	// Address is where peers reach the holder.
+	Address string
 	// Released is set once the holder gave the lease up; it sends nothing more.
 	Released bool
 	// Quiet is how long after this write the holder gives its first order; a
@@ -135,7 +139,7 @@
 		from = c.firstOrder(now)
 		c.attemptFrom = from
 	}
-	return Record{Holder: c.options.Holder, Quiet: max(0, from.Sub(now)), Revision: c.record.Revision}
+	return Record{Holder: c.options.Holder, Address: c.options.Address, Quiet: max(0, from.Sub(now)), Revision: c.record.Revision}
 }
 
 // Taken takes the answer to a write of this machine that was sent at sent.
--- a/test/platform/node_test.go
+++ b/test/platform/node_test.go
@@ -73,7 +73,7 @@
 ip = %q
 zone = "z"
 internalPorts = [%d, %d]
-seeds = ["127.0.0.1:1", "127.0.0.2:1"]
+seeds = [%s]
 unknownField = { of = "another version" }
 [listen]
 frontend = "%s:%d"
@@ -91,6 +91,11 @@
 `
 
 func newFleet(t *testing.T, count int) *fleet {
+	t.Helper()
+	return newFleetWithSeeds(t, count, `"127.0.0.1:1", "127.0.0.2:1"`)
+}
+
+func newFleetWithSeeds(t *testing.T, count int, seeds string) *fleet {
 	t.Helper()
 	s, address := newStore(t)
 	f := &fleet{t: t, store: s, folder: t.TempDir()}
@@ -101,7 +106,7 @@
 		ip := "127.0.0." + strconv.Itoa(i+1)
 		n := &node{fleet: f, name: "node-" + strconv.Itoa(i+1), ip: ip}
 		n.settings = filepath.Join(f.folder, n.name+".toml")
-		text := fmt.Sprintf(settingsForm, n.name, ip, f.ports[0], f.ports[0]+1, ip, f.ports[1], ip, f.ports[2], address)
+		text := fmt.Sprintf(settingsForm, n.name, ip, f.ports[0], f.ports[0]+1, seeds, ip, f.ports[1], ip, f.ports[2], address)
 		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -342,6 +347,21 @@
 	}
 }
 
+// TestNodesFindEachOtherWithoutSeeds: the lease's holder leads to the others.
+func TestNodesFindEachOtherWithoutSeeds(t *testing.T) {
+	f := newFleetWithSeeds(t, 3, `"127.0.0.99:1"`)
+	newServer(t, f.store, "i-commands", "commands", 0)
+	f.store.put("config", "main", configuration(1))
+	f.awaitReady()
+	for _, n := range f.nodes {
+		for _, other := range f.nodes {
+			eventually(t, n.name+" hears "+other.name, func() bool {
+				return n == other || strings.Contains(n.log(), "event=peer_alive node="+n.name+" peer="+other.name)
+			})
+		}
+	}
+}
+
 func (f *fleet) leader() *node {
 	for _, n := range f.nodes {
 		if strings.Contains(n.log(), "event=lease_taken") {
