--- a/internal/edge/doc.go
+++ b/internal/edge/doc.go
@@ -2,6 +2,8 @@
 // the servers in the platform's store, answers whether it is ready, and serves
 // callers until it is told to stop.
 //
-// It may import relay, dispatch, inventory, routetable and their cores. What
-// the store speaks comes in through the interface Store.
+// It may import the cores that it feeds (relay, dispatch, placer, storelease,
+// gossip, retrybudget), their vocabulary (inventory, routetable), backendconn,
+// peerpb and prometheus. What the platform speaks comes in through the
+// interfaces Store, LeaseStore, Engines and relay.Dialect.
 package edge
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -169,125 +168,6 @@
 	return l.term.Load() == term && now < l.validUntil.Load() && now >= l.orderFrom.Load()
 }
 
-// keepLease reads or writes the lease where that is due.
-func (l *leader) keepLease(ctx context.Context, now time.Time) {
-	if l.calling || now.Before(l.nextCall) {
-		return
-	}
-	switch {
-	case l.lease.Term() != 0:
-		if l.reserveNow || !now.Before(l.lease.RenewAt()) {
-			l.reserveNow = false
-			l.writeLease(ctx, now)
-		}
-	case !l.isCandidate(now):
-	case l.lease.CanTake(now):
-		l.writeLease(ctx, now)
-	default:
-		l.readLease(ctx)
-	}
-}
-
-// isCandidate reports whether this node should try to become leader.
-func (l *leader) isCandidate(now time.Time) bool {
-	if l.node.handler.Table() == nil || !l.node.hasServers.Load() || l.node.stopping.Load() {
-		return false
-	}
-	if !l.lease.IsKnown() || l.lease.Record().Holder == l.node.options.Name {
-		// A process that starts anew where the lease lies goes on at once.
-		return true
-	}
-	l.node.peers.mu.Lock()
-	known := l.node.peers.roster.Leader(now)
-	if known != nil {
-		l.lease.Heard(known.LastSeen, known.Name, known.LeaseRevision)
-	}
-	rank := l.node.peers.roster.Rank(now)
-	l.node.peers.mu.Unlock()
-	if known != nil && known.Lapsed < lapseTolerated {
-		l.quietFrom = time.Time{}
-		return false
-	}
-	if l.quietFrom.IsZero() {
-		l.quietFrom = now
-	}
-	wait := time.Duration(rank) * rankDelay
-	return now.Sub(l.started) > firstCandidacy+wait && now.Sub(l.quietFrom) >= wait
-}
-
-func (l *leader) readLease(ctx context.Context) {
-	l.calling = true
-	go func() {
-		record, found, err := l.node.options.Lease.ReadLease(ctx)
-		l.call(ctx, func() {
-			now := time.Now()
-			l.calling = false
-			l.nextCall = now.Add(leaseRetry/2 + rand.N(leaseRetry))
-			switch {
-			case err != nil:
-				l.node.storeFailed("lease", err)
-			case found:
-				l.lease.Observe(now, record)
-				// Where no seed is right, the holder leads to the others.
-				l.node.peers.addSeeds([]string{record.Address})
-				if l.lease.CanTake(now) {
-					l.nextCall = now
-				}
-			default:
-				l.lease.Absent(now)
-				l.nextCall = now
-			}
-		})
-	}()
-}
-
-func (l *leader) writeLease(ctx context.Context, now time.Time) {
-	l.calling = true
-	record := l.lease.Attempt(now)
-	core := l.core
-	if core != nil {
-		record.Loads = core.Reserve(now)
-	} else {
-		record.Loads = l.lease.Record().Loads
-	}
-	sent := now
-	go func() {
-		revision, won, err := l.node.options.Lease.WriteLease(ctx, record)
-		l.call(ctx, func() {
-			now := time.Now()
-			l.calling = false
-			switch {
-			case err != nil:
-				l.node.storeFailed("lease", err)
-				l.nextCall = now.Add(leaseRetry/4 + rand.N(leaseRetry/2))
-				l.readBack(ctx)
-			case !won:
-				l.nextCall = now
-				l.readBack(ctx)
-			default:
-				l.lease.Taken(sent, now, revision)
-				if core != nil && core == l.core {
-					core.Reserved()
-				}
-			}
-		})
-	}()
-}
-
-// readBack learns what became of a write that has no answer, or did not win.
-func (l *leader) readBack(ctx context.Context) {
-	l.calling = true
-	go func() {
-		record, found, err := l.node.options.Lease.ReadLease(ctx)
-		l.call(ctx, func() {
-			l.calling = false
-			if err == nil && found {
-				l.lease.Observe(time.Now(), record)
-			}
-		})
-	}()
-}
-
 // followTerm starts and ends terms as the lease goes.
 func (l *leader) followTerm(now time.Time) {
 	term := l.lease.Term()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"strings"
 	"sync"
 	"time"
 
@@ -13,7 +12,6 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/gossip"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
-	"github.com/spanlanding/spanlanding/internal/placer"
 )
 
 const (
@@ -203,107 +201,6 @@
 	}
 }
 
-// tellViews sends all nodes what changed of the leader's views, and a digest of
-// all by which they see whether they have missed some.
-func (p *peers) tellViews(term int64, lapsed time.Duration, views []dispatch.View) {
-	now := time.Now()
-	p.mu.Lock()
-	var targets []string
-	for _, peer := range p.roster.Alive(now) {
-		targets = append(targets, peer.Address)
-	}
-	var changed []dispatch.View
-	for _, view := range views {
-		if p.told[view.ServerID] != view.Digest {
-			p.told[view.ServerID] = view.Digest
-			changed = append(changed, view)
-		}
-	}
-	p.mu.Unlock()
-	p.sendViews(targets, term, lapsed, changed)
-}
-
-// forgetViews drops what was told of servers that are gone, or of all.
-func (p *peers) forgetViews(keep func(serverID string) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id := range p.told {
-		if !keep(id) {
-			delete(p.told, id)
-		}
-	}
-}
-
-// sendViews sends views in as many datagrams as they need, one at the least.
-func (p *peers) sendViews(targets []string, term int64, lapsed time.Duration, views []dispatch.View) {
-	encoded := make([]*peerpb.ServerView, 0, len(views))
-	for _, view := range views {
-		encoded = append(encoded, encodeView(view))
-	}
-	p.mu.Lock()
-	all := uint64(0)
-	for _, digest := range p.told {
-		all ^= digest
-	}
-	p.mu.Unlock()
-	for first := true; first || len(encoded) > 0; first = false {
-		state := p.state(time.Now())
-		state.Leader = &peerpb.LeaderState{
-			Term: term, LapsedMs: uint32(lapsed.Milliseconds()), LeaseRevision: p.node.leader.leaseRevision(),
-		}
-		encoded = fillViews(state.Leader, encoded)
-		if len(encoded) == 0 {
-			state.Leader.ViewsDigest = all
-		}
-		p.send(targets, state)
-	}
-}
-
-// answerViews sends all views to a node that asked for them.
-func (p *peers) answerViews(address string, term int64, lapsed time.Duration, views []dispatch.View) {
-	now := time.Now()
-	p.mu.Lock()
-	early := now.Sub(p.toldAll[address]) < viewsLag
-	if !early {
-		p.toldAll[address] = now
-	}
-	p.mu.Unlock()
-	if !early {
-		p.sendViews([]string{address}, term, lapsed, views)
-	}
-}
-
-// confirmViews compares the views of this node with the leader's digest.
-func (p *peers) confirmViews(now time.Time, leader *peerpb.LeaderState) {
-	if leader.ViewsDigest == 0 {
-		return
-	}
-	same := false
-	p.node.dispatch.Do(func(core *dispatch.Core) { same = core.ConfirmViews(now, leader.Term, leader.ViewsDigest) })
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch {
-	case same:
-		p.staleSince = time.Time{}
-	case p.staleSince.IsZero():
-		p.staleSince = now
-	}
-}
-
-// fillViews moves as many views into a datagram as it may hold.
-func fillViews(leader *peerpb.LeaderState, views []*peerpb.ServerView) []*peerpb.ServerView {
-	size := 0
-	for len(views) > 0 {
-		size += proto.Size(views[0])
-		if size > datagramBytes && len(leader.Views) > 0 {
-			break
-		}
-		leader.Views = append(leader.Views, views[0])
-		views = views[1:]
-	}
-	return views
-}
-
 func (p *peers) state(now time.Time) *peerpb.NodeState {
 	state := &peerpb.NodeState{
 		Node:    p.node.options.Name,
@@ -345,12 +242,6 @@
 	return state
 }
 
-func (p *peers) wantsViews(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.staleSince.IsZero() && now.Sub(p.staleSince) > viewsLag
-}
-
 func (p *peers) send(targets []string, state *peerpb.NodeState) {
 	p.mu.Lock()
 	p.sequence++
@@ -372,66 +263,3 @@
 		}
 	}
 }
-
-func peerLoads(wire []*peerpb.ServerLoad) []dispatch.PeerLoad {
-	loads := make([]dispatch.PeerLoad, 0, len(wire))
-	for _, load := range wire {
-		loads = append(loads, dispatch.PeerLoad{
-			ServerID: load.Server, Running: int(load.Running), PendingTokens: float64(load.PendingTokens),
-		})
-	}
-	return loads
-}
-
-func viewsOf(wire []*peerpb.ServerView) []dispatch.View {
-	views := make([]dispatch.View, 0, len(wire))
-	for _, encoded := range wire {
-		view := dispatch.View{
-			ServerID: encoded.Server,
-			Sequence: encoded.Sequence,
-			Held:     make(map[string][]string, len(encoded.Held)),
-			Loading:  make(map[string]time.Duration, len(encoded.Loading)),
-		}
-		for _, model := range encoded.Held {
-			view.Held[model.Model] = model.Adapters
-		}
-		for _, loading := range encoded.Loading {
-			name := loading.Model
-			if loading.Adapter != "" {
-				name += "/" + loading.Adapter
-			}
-			view.Loading[name] = time.Duration(loading.LeftMs) * time.Millisecond
-		}
-		view.Digest = digest(view.ServerID, signature(view))
-		views = append(views, view)
-	}
-	return views
-}
-
-func encodeView(view dispatch.View) *peerpb.ServerView {
-	encoded := &peerpb.ServerView{Server: view.ServerID, Sequence: view.Sequence}
-	for model, adapters := range view.Held {
-		encoded.Held = append(encoded.Held, &peerpb.HeldModel{Model: model, Adapters: adapters})
-	}
-	for name, left := range view.Loading {
-		model, adapter, _ := strings.Cut(name, "/")
-		encoded.Loading = append(encoded.Loading, &peerpb.LoadingModel{
-			Model: model, Adapter: adapter, LeftMs: uint32(left.Milliseconds()),
-		})
-	}
-	return encoded
-}
-
-func countsOf(wire []*peerpb.WantedCount) []placer.Count {
-	counts := make([]placer.Count, 0, len(wire))
-	for _, count := range wire {
-		counts = append(counts, placer.Count{
-			Wanted:       dispatch.Wanted{Service: count.Service, Model: count.Model, Adapter: count.Adapter},
-			Asked:        count.Asked,
-			Waiting:      int(count.Waiting),
-			PromptTokens: count.PromptTokens,
-			Goal:         time.Duration(count.GoalMs) * time.Millisecond,
-		})
-	}
-	return counts
-}
--- /dev/null
+++ b/internal/edge/wire.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"strings"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/placer"
+)
+
+func peerLoads(wire []*peerpb.ServerLoad) []dispatch.PeerLoad {
+	loads := make([]dispatch.PeerLoad, 0, len(wire))
+	for _, load := range wire {
+		loads = append(loads, dispatch.PeerLoad{
+			ServerID: load.Server, Running: int(load.Running), PendingTokens: float64(load.PendingTokens),
+		})
+	}
+	return loads
+}
+
+func viewsOf(wire []*peerpb.ServerView) []dispatch.View {
+	views := make([]dispatch.View, 0, len(wire))
+	for _, encoded := range wire {
+		view := dispatch.View{
+			ServerID: encoded.Server,
+			Sequence: encoded.Sequence,
+			Held:     make(map[string][]string, len(encoded.Held)),
+			Loading:  make(map[string]time.Duration, len(encoded.Loading)),
+		}
+		for _, model := range encoded.Held {
+			view.Held[model.Model] = model.Adapters
+		}
+		for _, loading := range encoded.Loading {
+			name := loading.Model
+			if loading.Adapter != "" {
+				name += "/" + loading.Adapter
+			}
+			view.Loading[name] = time.Duration(loading.LeftMs) * time.Millisecond
+		}
+		view.Digest = digest(view.ServerID, signature(view))
+		views = append(views, view)
+	}
+	return views
+}
+
+func encodeView(view dispatch.View) *peerpb.ServerView {
+	encoded := &peerpb.ServerView{Server: view.ServerID, Sequence: view.Sequence}
+	for model, adapters := range view.Held {
+		encoded.Held = append(encoded.Held, &peerpb.HeldModel{Model: model, Adapters: adapters})
+	}
+	for name, left := range view.Loading {
+		model, adapter, _ := strings.Cut(name, "/")
+		encoded.Loading = append(encoded.Loading, &peerpb.LoadingModel{
+			Model: model, Adapter: adapter, LeftMs: uint32(left.Milliseconds()),
+		})
+	}
+	return encoded
+}
+
+func countsOf(wire []*peerpb.WantedCount) []placer.Count {
+	counts := make([]placer.Count, 0, len(wire))
+	for _, count := range wire {
+		counts = append(counts, placer.Count{
+			Wanted:       dispatch.Wanted{Service: count.Service, Model: count.Model, Adapter: count.Adapter},
+			Asked:        count.Asked,
+			Waiting:      int(count.Waiting),
+			PromptTokens: count.PromptTokens,
+			Goal:         time.Duration(count.GoalMs) * time.Millisecond,
+		})
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/gossip/doc.go
@@ -0,0 +1,6 @@
+// Package gossip is the core that knows which nodes are there, from the
+// datagrams that they send each other. A node is alive while it was heard from
+// lately; nothing of safety hangs on it.
+//
+// It may import peerpb. No I/O, no clock, no goroutine.
+package gossip
