--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// TestAdapterComesSoonWhereItsModelStands though a further copy of the model is
+// on its way: callers were refused for the time of that load.
+func TestAdapterComesSoonWhereItsModelStands(t *testing.T) {
+	core := newCore(entry("a", "z", "m"), entry("b", "z"))
+	core.SetViews(begin, 1, []View{{ServerID: "b", Sequence: 1, Loading: map[string]time.Duration{"m": 2 * time.Second}}})
+	wanted := Wanted{Service: "s", Model: "m", Adapter: "a9"}
+	if left, known := core.ReadyIn(begin, wanted); !known || left > 200*time.Millisecond {
+		t.Errorf("ready in %v, %v; want soon", left, known)
+	}
+	core.SetGoing("a", 9)
+	if left, known := core.ReadyIn(begin, wanted); !known || left < 2*time.Second {
+		t.Errorf("ready in %v, %v; want after the load of its model", left, known)
+	}
+}
+
 func TestPromptsGoWhereTheyAreKept(t *testing.T) {
 	core := newCore(entry("a", "z", "m"), entry("b", "z", "m"), entry("c", "z", "m"))
 	ask := Ask{Model: "m", PromptTokens: 9000, Parts: []PromptPart{{"p1", 2500}, {"p2", 3500}, {"own", 3000}}}
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -70,17 +70,19 @@
 	return counts
 }
 
+// usualAdapterTime is taken for an adapter that nobody has ordered yet, at a
+// server that holds its model.
+const usualAdapterTime = 80 * time.Millisecond
+
 // ReadyIn is the time until some server of the service can take requests for
 // what is wanted; known is false where nobody has said that it is on its way.
+// An adapter comes soon wherever its model stands.
 func (c *Core) ReadyIn(now time.Time, wanted Wanted) (left time.Duration, known bool) {
 	for _, s := range c.byService[wanted.Service] {
 		if !s.takesWork() {
 			continue
 		}
-		ready, ok := s.readyIn(now, wanted.Model, wanted.Adapter)
-		if !ok && wanted.Adapter != "" {
-			ready, ok = s.readyIn(now, wanted.Model, "")
-		}
+		ready, ok := s.comesIn(now, wanted)
 		if ok && (!known || ready < left) {
 			left, known = ready, true
 		}
@@ -88,6 +90,20 @@
 	return left, known
 }
 
+// comesIn is the time until the server has what is wanted, where that can be
+// told.
+func (s *server) comesIn(now time.Time, wanted Wanted) (time.Duration, bool) {
+	ready, ok := s.readyIn(now, wanted.Model, wanted.Adapter)
+	if ok || wanted.Adapter == "" {
+		return ready, ok
+	}
+	if s.has(now, wanted.Model, "") {
+		return usualAdapterTime, true
+	}
+	ready, ok = s.readyIn(now, wanted.Model, "")
+	return ready + usualAdapterTime, ok
+}
+
 // ReadyAt is the time until one server has what is wanted, where it is on its
 // way or there.
 func (c *Core) ReadyAt(now time.Time, serverID string, wanted Wanted) (left time.Duration, known bool) {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -205,14 +205,22 @@
 
 // Absent tells that a server refused a model as not there.
 func (c *Core) Absent(now time.Time, serverID, model, adapter string) {
+	until := now.Add(absentTime)
+	if adapter != "" {
+		until = now.Add(absentAdapterTime)
+	}
 	if s, ok := c.servers[serverID]; ok {
-		s.absentUntil[joined(model, adapter)] = now.Add(absentTime)
+		s.absentUntil[joined(model, adapter)] = until
 	}
 }
 
-// absentTime is how long a server's word that a model is not there goes before
-// what the store and the leader say.
-const absentTime = 300 * time.Millisecond
+const (
+	// absentTime is how long a server's word that a model is not there goes
+	// before what the store and the leader say.
+	absentTime = 300 * time.Millisecond
+	// absentAdapterTime is the same for an adapter, which may be about to come.
+	absentAdapterTime = 50 * time.Millisecond
+)
 
 // SetReported takes the load that a server told with an answer.
 func (c *Core) SetReported(now time.Time, serverID string, load Load) {
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -194,7 +194,7 @@
 	// refusedPause is the pause after an order that the server can't do.
 	refusedPause = 2 * time.Second
 	// adapterTime is taken for an adapter from the store.
-	adapterTime = 40 * time.Millisecond
+	adapterTime = 50 * time.Millisecond
 )
 
 // advance ends what its time has come for.
