--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -67,13 +67,23 @@
 func (r *round) adapterCopies(wanted dispatch.Wanted) int {
 	count := 0
 	for _, s := range r.servers {
-		if model, ok := s.held[wanted.Model]; ok && !s.info.Draining && model.adapters[wanted.Adapter] != nil {
+		if s.info.Draining {
+			continue
+		}
+		if model, ok := s.held[wanted.Model]; ok && (model.adapters[wanted.Adapter] != nil || s.isBringing(wanted)) {
 			count++
 		}
 	}
 	return count
 }
 
+// isBringing reports whether an order for the adapter has no answer yet. Nobody
+// is told of it before: the order may be lost.
+func (s *server) isBringing(wanted dispatch.Wanted) bool {
+	order := s.ordering
+	return order != nil && order.Operation == Load && order.Model == wanted.Model && order.Adapter == wanted.Adapter
+}
+
 func (r *round) bringAdapter(wanted adapterWant) {
 	var best *server
 	for _, s := range r.servers {
@@ -92,7 +102,6 @@
 		r.dropAdapter(best, wanted)
 		return
 	}
-	best.held[wanted.wanted.Model].adapters[wanted.wanted.Adapter] = &adapter{ready: r.now.Add(adapterTime), lastUse: r.now}
 	r.core.give(best, Order{Operation: Load, Model: wanted.wanted.Model, Adapter: wanted.wanted.Adapter, Reason: "wanted"})
 }
 
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -107,3 +107,25 @@
 		t.Errorf("orders %+v, want the unload of m05, whose callers bear a load", orders)
 	}
 }
+
+// TestAdapterIsToldOnceItsOrderIsTaken: callers were sent to servers whose order
+// had been lost.
+func TestAdapterIsToldOnceItsOrderIsTaken(t *testing.T) {
+	core := fullServer(t)
+	wanted := dispatch.Wanted{Service: serviceName, Model: "m02", Adapter: "a1"}
+	core.SetCounts(begin, "node", 1, []Count{{Wanted: wanted, Asked: 1, Waiting: 1}})
+	orders := core.Step(begin.Add(tick), true).Orders
+	if len(orders) != 1 || orders[0].Adapter != "a1" {
+		t.Fatalf("orders %+v, want the adapter", orders)
+	}
+	if view := core.Views(begin.Add(tick))[0]; len(view.Loading) != 0 || len(view.Held["m02"]) != 0 {
+		t.Errorf("told before the answer: %+v", view)
+	}
+	if again := core.Step(begin.Add(2*tick), true).Orders; len(again) != 0 {
+		t.Errorf("ordered again before the answer: %+v", again)
+	}
+	core.OrderAnswered(begin.Add(2*tick), orders[0], ResultTaken)
+	if view := core.Views(begin.Add(2 * tick))[0]; len(view.Loading) != 1 {
+		t.Errorf("not told after the answer: %+v", view)
+	}
+}
