--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -24,6 +24,10 @@
 	demand    map[Wanted]*demand
 	// term is the highest term of a leader that was heard.
 	term int64
+	// leaderSeen is when the leader last said that it holds its lease, and
+	// orderFrom when it may order from.
+	leaderSeen time.Time
+	orderFrom  time.Time
 	// changed is closed when something came that may let a request go on.
 	changed chan struct{}
 }
@@ -156,6 +160,31 @@
 	c.notify()
 }
 
+// SetLeader takes the word of a term's leader: whether its lease has lapsed, and
+// when it may order.
+func (c *Core) SetLeader(now time.Time, term int64, lapsed bool, orderIn time.Duration) {
+	if term < c.term || lapsed {
+		return
+	}
+	c.leaderSeen = now
+	c.orderFrom = now.Add(orderIn)
+}
+
+const (
+	// leaderAge is how long a leader's word is believed.
+	leaderAge = 1500 * time.Millisecond
+	// takeoverTime is taken until some node orders where no leader is heard.
+	takeoverTime = 3 * time.Second
+)
+
+// OrdersIn is the time until somebody may order what is wanted.
+func (c *Core) OrdersIn(now time.Time) time.Duration {
+	if now.Sub(c.leaderSeen) > leaderAge {
+		return takeoverTime
+	}
+	return max(0, c.orderFrom.Sub(now))
+}
+
 // ConfirmViews takes the leader's word that the views with the digest still
 // hold. It returns false where this node has others.
 func (c *Core) ConfirmViews(now time.Time, term int64, digest uint64) bool {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -95,6 +95,7 @@
 // on its way: callers were refused for the time of that load.
 func TestAdapterComesSoonWhereItsModelStands(t *testing.T) {
 	core := newCore(entry("a", "z", "m"), entry("b", "z"))
+	core.SetLeader(begin, 1, false, 0)
 	core.SetViews(begin, 1, []View{{ServerID: "b", Sequence: 1, Loading: map[string]time.Duration{"m": 2 * time.Second}}})
 	wanted := Wanted{Service: "s", Model: "m", Adapter: "a9"}
 	if left, known := core.ReadyIn(begin, wanted); !known || left > 200*time.Millisecond {
@@ -106,6 +107,33 @@
 	}
 }
 
+// TestOrdersAreExpectedOnlyWhereSomebodyMayGiveThem: callers waited in vain for
+// adapters while no leader held its lease.
+func TestOrdersAreExpectedOnlyWhereSomebodyMayGiveThem(t *testing.T) {
+	core := newCore(entry("a", "z", "m"))
+	wanted := Wanted{Service: "s", Model: "m", Adapter: "a9"}
+	steps := []struct {
+		name   string
+		change func()
+		want   time.Duration
+	}{
+		{"no leader", func() {}, takeoverTime},
+		{"a leader", func() { core.SetLeader(begin, 3, false, 0) }, 0},
+		{"one that may order later", func() { core.SetLeader(begin, 4, false, 2*time.Second) }, 2 * time.Second},
+		{"an older one", func() { core.SetViews(begin, 5, nil); core.SetLeader(begin, 4, false, 0) }, 2 * time.Second},
+		{"one whose lease lapsed", func() { core.SetLeader(begin, 6, true, 0) }, 2 * time.Second},
+	}
+	for _, step := range steps {
+		step.change()
+		if got := core.OrdersIn(begin); got != step.want {
+			t.Errorf("%s: orders in %v, want %v", step.name, got, step.want)
+		}
+	}
+	if left, _ := core.ReadyIn(begin.Add(5*time.Second), wanted); left < takeoverTime {
+		t.Errorf("an adapter is expected in %v though no leader is heard", left)
+	}
+}
+
 func TestPromptsGoWhereTheyAreKept(t *testing.T) {
 	core := newCore(entry("a", "z", "m"), entry("b", "z", "m"), entry("c", "z", "m"))
 	ask := Ask{Model: "m", PromptTokens: 9000, Parts: []PromptPart{{"p1", 2500}, {"p2", 3500}, {"own", 3000}}}
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -82,7 +82,7 @@
 		if !s.takesWork() {
 			continue
 		}
-		ready, ok := s.comesIn(now, wanted)
+		ready, ok := s.comesIn(now, wanted, c.OrdersIn(now))
 		if ok && (!known || ready < left) {
 			left, known = ready, true
 		}
@@ -91,14 +91,14 @@
 }
 
 // comesIn is the time until the server has what is wanted, where that can be
-// told.
-func (s *server) comesIn(now time.Time, wanted Wanted) (time.Duration, bool) {
+// told; ordersIn is the time until somebody may order.
+func (s *server) comesIn(now time.Time, wanted Wanted, ordersIn time.Duration) (time.Duration, bool) {
 	ready, ok := s.readyIn(now, wanted.Model, wanted.Adapter)
 	if ok || wanted.Adapter == "" {
 		return ready, ok
 	}
 	if s.has(now, wanted.Model, "") {
-		return usualAdapterTime, true
+		return usualAdapterTime + ordersIn, true
 	}
 	ready, ok = s.readyIn(now, wanted.Model, "")
 	return ready + usualAdapterTime, ok
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -161,6 +161,11 @@
 	return term, max(0, time.Since(l.started)-time.Duration(l.validUntil.Load()))
 }
 
+// orderIn is the time until the first order of the term may leave.
+func (l *leader) orderIn() time.Duration {
+	return max(0, time.Duration(l.orderFrom.Load())-time.Since(l.started))
+}
+
 // mayOrder reports whether an order of the term may leave now. Any goroutine
 // may ask, right before it sends.
 func (l *leader) mayOrder(term int64) bool {
@@ -285,11 +290,13 @@
 	l.toldAt = now
 	views := l.views(now)
 	term := l.term.Load()
+	lapsed, orderIn := l.lease.Lapsed(now), l.orderIn()
 	l.node.dispatch.Do(func(core *dispatch.Core) {
 		core.SetViews(now, term, views)
+		core.SetLeader(now, term, lapsed > 0, orderIn)
 	})
 	l.node.peers.forgetViews(l.core.Knows)
-	l.node.peers.tellViews(term, l.lease.Lapsed(now), views)
+	l.node.peers.tellViews(term, lapsed, views)
 }
 
 // publishCost is the time between two datagrams of the leader's to one node for
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -128,6 +128,9 @@
 		for _, going := range state.Going {
 			core.SetGoing(going.Server, going.BeforeRevision)
 		}
+		if state.Leader != nil {
+			core.SetLeader(now, state.Leader.Term, state.Leader.LapsedMs > 0, time.Duration(state.Leader.OrderInMs)*time.Millisecond)
+		}
 		if state.Leader != nil && len(state.Leader.Views) > 0 {
 			core.SetViews(now, state.Leader.Term, viewsOf(state.Leader.Views))
 		}
@@ -237,7 +240,7 @@
 		}
 	})
 	if term, lapsed := p.node.leader.standing(); term != 0 {
-		state.Leader = &peerpb.LeaderState{Term: term, LapsedMs: uint32(lapsed.Milliseconds()), LeaseRevision: p.node.leader.leaseRevision()}
+		state.Leader = &peerpb.LeaderState{Term: term, LapsedMs: uint32(lapsed.Milliseconds()), LeaseRevision: p.node.leader.leaseRevision(), OrderInMs: uint32(p.node.leader.orderIn().Milliseconds())}
 	}
 	return state
 }
--- a/internal/edge/views.go
+++ b/internal/edge/views.go
@@ -56,6 +56,7 @@
 		state := p.state(time.Now())
 		state.Leader = &peerpb.LeaderState{
 			Term: term, LapsedMs: uint32(lapsed.Milliseconds()), LeaseRevision: p.node.leader.leaseRevision(),
+			OrderInMs: uint32(p.node.leader.orderIn().Milliseconds()),
 		}
 		encoded = fillViews(state.Leader, encoded)
 		if len(encoded) == 0 {
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -10,6 +10,7 @@
 const (
 	reasonNoConfiguration = "no_configuration"
 	reasonNotLoaded       = "not_loaded"
+	reasonTooLate         = "too_late"
 	reasonQueueFull       = "queue_full"
 	reasonRejected        = "rejected_by_server"
 )
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -387,6 +387,21 @@
 	})
 }
 
+// TestStreamThatWouldBeginTooLateIsRefusedAtOnce: its caller would be gone.
+func TestStreamThatWouldBeginTooLateIsRefusedAtOnce(t *testing.T) {
+	f := newFixture(t, newStandin(t, answering(http.StatusOK, "ok")))
+	f.handler.SetTable(resumeTable())
+	f.setView(map[string][]string{}, map[string]time.Duration{"m": 3 * time.Second})
+	started := time.Now()
+	got := f.send(t, http.MethodPost, "/resume/", "", "X-Model", "m")
+	if got.status != http.StatusServiceUnavailable || time.Since(started) > 2*time.Second {
+		t.Errorf("status %d after %v, want 503 at once", got.status, time.Since(started))
+	}
+	if back, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64); err != nil || back > 1.7 {
+		t.Errorf("Retry-After %v: callers honour a third of the time that they have", back)
+	}
+}
+
 func TestStoppingNodeRefusesWhatWaits(t *testing.T) {
 	f := newFixture(t, newStandin(t, answering(http.StatusOK, "ok")))
 	f.handler.SetTable(engineTable(5 * time.Second))
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -42,7 +42,7 @@
 	}()
 	for {
 		var changed <-chan struct{}
-		var readyIn time.Duration
+		var readyIn, ordersIn time.Duration
 		var known bool
 		core.Do(func(c *dispatch.Core) {
 			now := time.Now()
@@ -51,6 +51,7 @@
 			}
 			changed = c.Changed()
 			readyIn, known = c.ReadyIn(now, x.wanted())
+			ordersIn = c.OrdersIn(now)
 			if !waits {
 				c.Waits(x.wanted(), 1)
 			}
@@ -66,6 +67,9 @@
 			}
 			x.handler.options.Wanted()
 		}
+		if !known {
+			readyIn = x.usualLoad(ordersIn)
+		}
 		if !x.keepsWaiting(readyIn, known) {
 			return choice, false
 		}
@@ -95,16 +99,20 @@
 		x.giveUp(reasonRejected)
 		return false
 	}
-	if x.headSent || x.ran || x.returned {
+	elapsed := now.Sub(x.arrived)
+	if !known && elapsed < time.Duration(decisionShare*float64(x.route.Goal)) {
 		return true
 	}
-	elapsed := now.Sub(x.arrived)
-	decided := time.Duration(decisionShare * float64(x.route.Goal))
-	if !known {
-		if elapsed < decided {
-			return true
-		}
-		readyIn = x.usualLoad()
+	if x.headSent || x.ran {
+		return true
+	}
+	back := readyIn + refusalMargin
+	if x.engine && elapsed+readyIn+readTime > x.patience() {
+		x.refuse(reasonTooLate, min(back, time.Duration(returnShare*float64(left))))
+		return false
+	}
+	if x.returned {
+		return true
 	}
 	if x.route.Goal > 0 && elapsed+readyIn+readTime <= x.route.Goal {
 		return true
@@ -112,7 +120,6 @@
 	if elapsed > x.route.Goal/4 {
 		return true
 	}
-	back := readyIn + refusalMargin
 	if float64(back) > returnShare*float64(left) {
 		return true
 	}
@@ -120,13 +127,31 @@
 	return false
 }
 
-// usualLoad is the time of a load that nobody has announced yet.
-func (x *exchange) usualLoad() time.Duration {
+// Callers give up a stream whose first event, or next, does not come within the
+// longest of these: a fixed time, a multiple of the objective, and one of the
+// longest pause that is in time.
+const (
+	patienceLeast = 2 * time.Second
+	patienceGoals = 4
+	patienceGaps  = 8
+)
+
+// patience is how long the caller waits for an answer to begin.
+func (x *exchange) patience() time.Duration {
+	if !x.route.Stream {
+		return x.deadline.Sub(x.arrived)
+	}
+	return max(patienceLeast, patienceGoals*x.route.Goal, patienceGaps*x.route.GapGoal)
+}
+
+// usualLoad is the time of a load that nobody has announced yet, and that can be
+// ordered in ordersIn.
+func (x *exchange) usualLoad(ordersIn time.Duration) time.Duration {
 	service := x.table.Services[x.service]
 	if service.Engine == nil {
 		return orderTime
 	}
-	return orderTime + service.Engine.Models[x.head.Model].Load
+	return ordersIn + orderTime + service.Engine.Models[x.head.Model].Load
 }
 
 // sleep waits for news, or until the next decision is due.
