Begin watches anew where a node becomes a sentinel

Ruled out: gossip (in force everywhere 0.6 s after the first read). Change: becoming a sentinel ends the watches under way; a servers' watch that fails ends the configuration's. TestNodeThatBecomesSentinelWatchesAnew fails without it.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -187,6 +187,10 @@
 			}
 		}
 		n.storeFailed("servers", err)
+		if err != nil && !errors.Is(err, context.Canceled) {
+			// What ended this watch may have made the other one deaf.
+			send(n.configNudge)
+		}
 		pause.wait(ctx)
 	}
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -49,6 +49,9 @@
 	// leader's; zero while they do not.
 	staleSince time.Time
 	alive      map[string]bool
+	// wasSentinel is whether this node watched the store for the others at its
+	// last datagram.
+	wasSentinel bool
 }
 
 func newPeers(node *Node) (*peers, error) {
@@ -161,6 +164,7 @@
 
 func (p *peers) tick() {
 	now := time.Now()
+	p.noteSentinel()
 	p.mu.Lock()
 	targets := p.roster.Targets(now, gossipFanout)
 	p.noteAlive(now)
@@ -171,6 +175,20 @@
 	p.send(targets, p.state(now))
 }
 
+// noteSentinel begins the watches anew where this node becomes a sentinel: those
+// that it has may be deaf for seconds more.
+func (p *peers) noteSentinel() {
+	is := p.isSentinel()
+	p.mu.Lock()
+	became := is && !p.wasSentinel
+	p.wasSentinel = is
+	p.mu.Unlock()
+	if became {
+		send(p.node.configNudge)
+		send(p.node.serversNudge)
+	}
+}
+
 // noteAlive logs the peers that came and went. The lock is held.
 func (p *peers) noteAlive(now time.Time) {
 	alive := make(map[string]bool, len(p.alive))
--- /dev/null
+++ b/internal/edge/peers_test.go
@@ -0,0 +1,64 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/logging"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/retrybudget"
+)
+
+// newTestNode is a node with its socket on loopback, that nothing runs.
+func newTestNode(t *testing.T) *Node {
+	t.Helper()
+	node := New(Options{
+		Name: "n", Zone: "z", PeerAddress: "127.0.0.1:0", Logger: logging.Discard(),
+		Pool:     backendconn.New(backendconn.Options{}),
+		Tunables: Tunables{Budget: retrybudget.Options{Ratio: 0.2, Extra: 54, Window: 10 * time.Second}},
+	})
+	peers, err := newPeers(node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = peers.conn.Close() })
+	node.peers = peers
+	return node
+}
+
+func nudges(nudge chan struct{}) int {
+	count := len(nudge)
+	for len(nudge) > 0 {
+		<-nudge
+	}
+	return count
+}
+
+// TestNodeThatBecomesSentinelWatchesAnew: the first two nodes were cut from the
+// store while a compaction had made the watches of the next ones deaf, which
+// went on for five seconds.
+func TestNodeThatBecomesSentinelWatchesAnew(t *testing.T) {
+	node := newTestNode(t)
+	sequence := uint64(0)
+	hear := func(failing bool) {
+		sequence++
+		for _, address := range []string{"126.0.0.1:1", "126.0.0.2:1"} {
+			node.peers.take(&peerpb.NodeState{Node: address, Address: address, Life: 1, Sequence: sequence, StoreFailing: failing})
+		}
+	}
+	hear(false)
+	node.peers.noteSentinel()
+	if config, servers := nudges(node.configNudge), nudges(node.serversNudge); config+servers != 0 {
+		t.Errorf("%d and %d watches begun anew by a node that is no sentinel", config, servers)
+	}
+	hear(true)
+	node.peers.noteSentinel()
+	if config, servers := nudges(node.configNudge), nudges(node.serversNudge); config != 1 || servers != 1 {
+		t.Errorf("%d and %d watches begun anew, want both", config, servers)
+	}
+	node.peers.noteSentinel()
+	if config, servers := nudges(node.configNudge), nudges(node.serversNudge); config+servers != 0 {
+		t.Errorf("%d and %d watches begun anew by a node that was a sentinel before", config, servers)
+	}
+}
