--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -430,3 +430,32 @@
 		t.Errorf("status %d after a newer entry, want 200", got.status)
 	}
 }
+
+// TestSmuggledLengthsAreRefused: a request whose end can be read in two ways is
+// answered 400, and nothing of it reaches a server.
+func TestSmuggledLengthsAreRefused(t *testing.T) {
+	server := newStandin(t, answering(http.StatusOK, "x"))
+	f := newFixture(t, server)
+	for _, lengths := range []string{
+		"Content-Length: 3\r\nContent-Length: 30\r\n",
+		"Content-Length: 3, 30\r\n",
+		"Content-Length: +3\r\n",
+		"Transfer-Encoding: chunked, identity\r\n",
+		"Transfer-Encoding: xchunked\r\nContent-Length: 3\r\n",
+	} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		write(conn, "POST /once/ HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: r1\r\n"+lengths+"\r\nabcGET /once/ HTTP/1.1\r\nX-Id: r2\r\n\r\n")
+		answer := make([]byte, 64)
+		count, _ := conn.Read(answer)
+		_ = conn.Close()
+		if got := string(answer[:count]); !strings.HasPrefix(got, "HTTP/1.1 400") && !strings.HasPrefix(got, "HTTP/1.1 501") {
+			t.Errorf("%q is answered %q", lengths, got)
+		}
+	}
+	if server.count() != 0 {
+		t.Errorf("%d requests reached a server", server.count())
+	}
+}
