--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -59,7 +59,7 @@
 )
 
 // Pick chooses a server that can take the request now. Where there is none, ok
-// is false; Wait says for how long.
+// is false; ReadyIn says for how long.
 func (c *Core) Pick(now time.Time, ask Ask) (choice Choice, ok bool) {
 	keys := partKeys(ask.Model, ask.Adapter, ask.Parts)
 	candidates := c.filter(now, ask)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -61,19 +61,15 @@
 	return s
 }
 
-func (s *server) update(info inventory.Server) {
-	s.info = info
-	s.merge()
-}
-
 // viewAge is how long the leader's view goes before a server's own entry. The
 // leader says more often that it holds.
 const viewAge = 3 * time.Second
 
-// merge rebuilds the models that the entry names.
-func (s *server) merge() {
-	s.held = make(map[string]map[string]bool, len(s.info.Models))
-	for _, model := range s.info.Models {
+// update takes a newer entry.
+func (s *server) update(info inventory.Server) {
+	s.info = info
+	s.held = make(map[string]map[string]bool, len(info.Models))
+	for _, model := range info.Models {
 		adapters := make(map[string]bool, len(model.Adapters))
 		for _, adapter := range model.Adapters {
 			adapters[adapter] = true
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -191,7 +191,7 @@
 	l.node.options.Logger.Info().Int64("term", term).
 		Int64("order_in_ms", l.lease.OrderFrom().Sub(now).Milliseconds()).Msg("lease_taken")
 	l.node.peers.forgetViews(func(string) bool { return false })
-	l.core = placer.New(placer.Options{Window: l.node.options.LoadWindow, Overage: l.node.options.LoadOverage, Zone: l.node.options.Zone})
+	l.core = placer.New(placer.Options{Window: l.node.options.LoadWindow, Overage: l.node.options.LoadOverage})
 	l.core.SetTable(l.node.handler.Table())
 	var all []inventory.Change
 	for server := range l.servers.All {
--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -17,7 +17,7 @@
 	adapterInterest = 3 * time.Second
 	// adapterYoung is how long an adapter that was asked for is kept.
 	adapterYoung = time.Second
-	// pendingAdapters is the number of adapters on their way to a server.
+	// maxPendingAdapters is the number of adapters on their way to a server.
 	maxPendingAdapters = 4
 )
 
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -232,7 +232,6 @@
 }
 
 func (c *Core) applyReport(now time.Time, s *server, report Report) {
-	wasLoading := s.loading
 	s.sequence = report.Sequence
 	fresh := make(map[string]*held, len(report.Models))
 	for _, model := range report.Models {
@@ -247,10 +246,7 @@
 	s.setCopies(report.InMemory, report.OnDisk)
 	c.effects.Changed = true
 	if report.Busy {
-		s.synced = false
-		if wasLoading != nil || s.unloading != "" {
-			s.synced = true
-		}
+		s.synced = s.loading != nil || s.unloading != ""
 		s.askReport(now.Add(recheck))
 		return
 	}
@@ -260,12 +256,12 @@
 	s.busySince = time.Time{}
 }
 
-// heldAs keeps what is known of the use of a model that a report names.
+// heldAs keeps what is known of a model that a report names.
 func (s *server) heldAs(now time.Time, model inventory.HeldModel) *held {
 	known, ok := s.held[model.Name]
-	fresh := &held{since: now, lastUse: now, adapters: make(map[string]*adapter, len(model.Adapters))}
+	fresh := &held{since: now, adapters: make(map[string]*adapter, len(model.Adapters))}
 	if ok {
-		fresh.since, fresh.lastUse = known.since, known.lastUse
+		fresh.since = known.since
 	}
 	for _, name := range model.Adapters {
 		if ok && known.adapters[name] != nil {
@@ -350,7 +346,8 @@
 	}
 }
 
-// undo takes back what was booked when the order was given.
+// undo takes back what was booked when the order was given. Adapters are booked
+// with the answer alone.
 func (c *Core) undo(s *server, order Order) {
 	if order.Operation == Load && order.Adapter == "" {
 		s.loading = nil
@@ -358,9 +355,4 @@
 	if order.Operation == Unload && order.Adapter == "" {
 		s.unloading = ""
 	}
-	if order.Operation == Load && order.Adapter != "" {
-		if model, ok := s.held[order.Model]; ok {
-			delete(model.adapters, order.Adapter)
-		}
-	}
 }
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -130,6 +130,4 @@
 	// Window x Overage + Spare begin in any Window.
 	Window  time.Duration
 	Overage float64
-	// Zone of the leader; it orders nothing by it today.
-	Zone string
 }
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -255,7 +255,7 @@
 		r.core.reserved[r.service]--
 		takes = time.Duration(float64(takes) * max(1, float64(r.storeLoading(model.Name)+1)/float64(loadsAtOnce(r.engine))))
 	}
-	s.loading = &loading{model: model.Name, source: best.source, began: r.now, ready: r.now.Add(takes + loadMargin)}
+	s.loading = &loading{model: model.Name, source: best.source, ready: r.now.Add(takes + loadMargin)}
 	r.core.give(s, Order{Operation: Load, Model: model.Name, Source: best.source, Reason: reason})
 }
 
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -39,7 +39,6 @@
 }
 
 type held struct {
-	lastUse  time.Time
 	since    time.Time
 	adapters map[string]*adapter
 }
@@ -53,7 +52,6 @@
 type loading struct {
 	model  string
 	source Source
-	began  time.Time
 	ready  time.Time
 }
 
