--- a/internal/storelease/lease.go
+++ b/internal/storelease/lease.go
@@ -24,8 +24,6 @@
 	Holder string
 	// Address is where peers reach the holder.
 	Address string
-	// Released is set once the holder gave the lease up; it sends nothing more.
-	Released bool
 	// Quiet is how long after this write the holder gives its first order; a
 	// process that starts anew at the holder goes on to wait for it.
 	Quiet time.Duration
@@ -75,7 +73,7 @@
 	}
 	c.known = true
 	c.record = record
-	if record.Holder != c.options.Holder || record.Released {
+	if record.Holder != c.options.Holder {
 		c.term = 0
 	}
 }
@@ -110,7 +108,7 @@
 	switch {
 	case !c.known:
 		return false
-	case c.record.Holder == "" || c.record.Released || c.record.Holder == c.options.Holder:
+	case c.record.Holder == "" || c.record.Holder == c.options.Holder:
 		return true
 	default:
 		return c.reads > 0 && now.Sub(c.seen) > c.options.Duration+c.options.Margin
@@ -150,8 +148,6 @@
 	case c.record.Holder == "":
 	case c.record.Holder == c.options.Holder:
 		from = c.seen.Add(c.record.Quiet)
-	case c.record.Released:
-		from = c.seen.Add(c.options.Quiet + c.options.Margin)
 	default:
 		from = c.seen.Add(c.options.Duration + c.options.Quiet + c.options.Margin)
 	}
