--- a/internal/storelease/lease.go
+++ b/internal/storelease/lease.go
@@ -141,7 +141,7 @@
 }
 
 // firstOrder is when the first order of a term may leave: another machine's
-// last order left before its lease ended, or before it gave it up.
+// last order left before its lease ended.
 func (c *Core) firstOrder(sent time.Time) time.Time {
 	from := sent
 	switch {
