--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -73,6 +73,8 @@
 		told:    make(map[string]uint64),
 		toldAll: make(map[string]time.Time),
 		alive:   make(map[string]bool),
+		// Alone at first, the node watches for itself; its watches are new.
+		wasSentinel: true,
 	}, nil
 }
 
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -62,3 +62,13 @@
 		t.Errorf("%d and %d watches begun anew by a node that was a sentinel before", config, servers)
 	}
 }
+
+// TestNodeThatStartsKeepsItsWatches: a node that knows nobody yet watches for
+// itself, and each began its first watches anew for that.
+func TestNodeThatStartsKeepsItsWatches(t *testing.T) {
+	node := newTestNode(t)
+	node.peers.noteSentinel()
+	if config, servers := nudges(node.configNudge), nudges(node.serversNudge); config+servers != 0 {
+		t.Errorf("%d and %d watches begun anew by a node that just started", config, servers)
+	}
+}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -13,11 +13,16 @@
 const (
 	// serversPause and serversPauseShare, which counts for each node, bound the
 	// pause between two calls for changes of the servers: all nodes together make
-	// about ten of these calls a second, however many they are. Who comes or goes
-	// is told by the sentinels meanwhile.
-	serversPause         = 1200 * time.Millisecond
-	serversPauseShare    = 100 * time.Millisecond
-	sentinelServersPause = 300 * time.Millisecond
+	// about seven of these calls a second, up to the fleet in which the pause is
+	// the longest, which the store's history must cover. Who comes or goes is told
+	// by the sentinels meanwhile.
+	serversPause        = 1200 * time.Millisecond
+	serversPauseShare   = 150 * time.Millisecond
+	longestServersPause = 10 * time.Second
+	// The sentinels' pause is short, and grows a little with the fleet.
+	sentinelServersPause      = 300 * time.Millisecond
+	sentinelServersPauseShare = 3 * time.Millisecond
+	longestSentinelPause      = 600 * time.Millisecond
 	// lagTolerated, lagShare for each node and longestLag bound how long a peer
 	// may know other servers before this node asks the store anew: news take
 	// longer in a larger fleet.
@@ -67,11 +72,7 @@
 
 // restServers gathers changes into one call; a nudge ends the rest.
 func (n *Node) restServers(ctx context.Context) {
-	pause := max(serversPause, n.nodes()*serversPauseShare)
-	if n.peers.isSentinel() {
-		pause = sentinelServersPause
-	}
-	timer := time.NewTimer(pause)
+	timer := time.NewTimer(n.serversPause())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -80,6 +81,13 @@
 	}
 }
 
+func (n *Node) serversPause() time.Duration {
+	if n.peers.isSentinel() {
+		return min(longestSentinelPause, sentinelServersPause+n.nodes()*sentinelServersPauseShare)
+	}
+	return min(longestServersPause, max(serversPause, n.nodes()*serversPauseShare))
+}
+
 // listServers takes the store's whole list.
 func (n *Node) listServers(servers []inventory.Server, revision int64) {
 	changes, hasNews := n.directory.replace(time.Now(), servers, revision)
