--- a/scripts/drawday/main.go
+++ b/scripts/drawday/main.go
@@ -87,12 +87,29 @@
 	{"give_up", false, fields(`share = %.2f, for_s = %.1f`, number(0.1, 0.4), number(2, 6))},
 }
 
+// moreTroubles are drawn only where asked for: kept seeds draw the days that they
+// drew before these were known.
+var moreTroubles = []trouble{
+	{"srv_lying_health", false, fields(`share = %.2f, for_s = %.1f, how = %q`, number(0.1, 0.4), number(2, 8), word("errors", "hang", "reset", "bad"))},
+	{"srv_flap", false, fields(`share = %.2f, for_s = %.1f, gap_s = %.1f`, number(0.1, 0.4), number(3, 10), number(0.3, 2))},
+	{"idle_race", false, fields(`share = %.2f, x = %.0f, for_s = %.1f`, number(0.3, 1), number(100, 1000), number(3, 10))},
+	{"platform_down", false, fields(`share = %.2f, for_s = %.1f, how = %q`, number(0.2, 0.6), number(1, 8), word("nodes", "nodes busy", "nodes many", "nodes reset", "nodes leader"))},
+	{"node_cut", false, fields(`share = %.2f, for_s = %.1f, how = %q`, number(0.1, 0.3), number(1, 6), word("", "all", "servers"))},
+	{"core_cut", false, fields(`count = %d, for_s = %.1f, how = %q`, count(3), number(1, 8), word("reader", "turn", "reader meet", "turn race hard", "leader all"))},
+	{"scale_in", true, fields(`share = %.2f, x = %.1f, for_s = %.1f, how = %q`, number(0.1, 0.3), number(1, 3), number(2, 8), word("reclaim dry", "spot"))},
+	{"release", true, fields(`share = %.2f, x = %d, gap_s = %.1f`, number(0.3, 1), count(4), number(0.2, 0.8))},
+}
+
 func main() {
+	more := flag.Bool("more", false, "draw also the kinds of troubles that came later")
 	seed := flag.Uint64("seed", 1, "the day's seed")
 	amount := flag.Int("troubles", 14, "how many troubles the day has")
 	only := flag.String("kinds", "", "draw only these kinds, separated by commas")
 	flag.Parse()
 	random := rand.New(rand.NewPCG(*seed, 0x5eed))
+	if *more {
+		troubles = append(troubles, moreTroubles...)
+	}
 	choice := chosen(*only)
 	if len(choice) == 0 {
 		fmt.Fprintln(os.Stderr, "drawday: no such kind")
--- a/scripts/hunt.sh
+++ b/scripts/hunt.sh
@@ -22,8 +22,8 @@
 trap 'rm -rf "$work"' EXIT
 go build -o "$work/drawday" ./scripts/drawday
 
-draw() { # draw SEED TROUBLES: writes the day and prints its file
-  "$work/drawday" -seed "$1" -troubles "$2" > "$work/day-$1-$2.toml"
+draw() { # draw SEED TROUBLES [-more]: writes the day and prints its file
+  "$work/drawday" -seed "$1" -troubles "$2" ${3:-} > "$work/day-$1-$2.toml"
   echo "$work/day-$1-$2.toml"
 }
 
@@ -38,7 +38,7 @@
     done
   done
   for seed in $(seq "$first" "$last"); do
-    "$bench" run "$site" "$(draw "$seed" "$troubles")" --why "hunt: drawn seed $seed, $troubles troubles" >> "$work/$name.drawn" 2>&1 || true
+    "$bench" run "$site" "$(draw "$seed" "$troubles" -more)" --why "hunt: drawn seed $seed, $troubles troubles" >> "$work/$name.drawn" 2>&1 || true
   done
 done
 
