--- a/scripts/drawday/main.go
+++ b/scripts/drawday/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 )
 
@@ -18,6 +19,10 @@
 	fields  func(random *rand.Rand) string
 }
 
+// contracts are the contracts beyond the common ones under which a kind may
+// come.
+var contracts = map[string]string{"srv_lying_health": "health", "srv_flap": "health", "idle_race": "pool"}
+
 func between(random *rand.Rand, low, high float64) float64 {
 	return low + (high-low)*random.Float64()
 }
@@ -102,13 +107,19 @@
 
 func main() {
 	more := flag.Bool("more", false, "draw also the kinds of troubles that came later")
+	open := flag.String("contracts", "", "the contracts beyond the common ones that are open, separated by commas")
 	seed := flag.Uint64("seed", 1, "the day's seed")
 	amount := flag.Int("troubles", 14, "how many troubles the day has")
 	only := flag.String("kinds", "", "draw only these kinds, separated by commas")
 	flag.Parse()
 	random := rand.New(rand.NewPCG(*seed, 0x5eed))
 	if *more {
-		troubles = append(troubles, moreTroubles...)
+		for _, known := range moreTroubles {
+			needed := contracts[known.kind]
+			if needed == "" || slices.Contains(strings.Split(*open, ","), needed) {
+				troubles = append(troubles, known)
+			}
+		}
 	}
 	choice := chosen(*only)
 	if len(choice) == 0 {
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -42,6 +42,20 @@
 	busy     bool
 	orders   []order
 	runs     map[string]int
+	// lastRun is when the last request began to run.
+	lastRun time.Time
+	// weightMB is the memory of a model and memoryMB that of the server; without
+	// them loads are not bounded.
+	weightMB, memoryMB float64
+	// loads are the times at which models began to load, and overloads the loads
+	// that did not fit.
+	loads     []time.Time
+	overloads int
+	// loading is the model under way.
+	loading string
+	// loseAnswers runs requests and resets their connections; fail answers them
+	// with an error.
+	loseAnswers, fail bool
 }
 
 func newServer(t *testing.T, s *store, id, service string, loadTime time.Duration) *modelServer {
@@ -120,16 +134,27 @@
 		m.models[wanted.Model][wanted.Adapter] = true
 	default:
 		m.busy = true
+		m.beginLoad(wanted.Model)
 		time.AfterFunc(m.loadTime, func() {
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			m.busy = false
+			m.loading = ""
 			m.models[wanted.Model] = make(map[string]bool)
 		})
 	}
 	writer.WriteHeader(http.StatusAccepted)
 }
 
+// beginLoad books a load. The lock is held.
+func (m *modelServer) beginLoad(model string) {
+	m.loads = append(m.loads, time.Now())
+	m.loading = model
+	if m.memoryMB > 0 && float64(len(m.models)+1)*m.weightMB > m.memoryMB {
+		m.overloads++
+	}
+}
+
 func (m *modelServer) request(writer http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("Request-Id")
 	_, _ = io.Copy(io.Discard, request.Body)
@@ -143,15 +168,25 @@
 		return
 	}
 	m.runs[id]++
+	m.lastRun = time.Now()
+	loseAnswer, fail := m.loseAnswers, m.fail
 	m.mu.Unlock()
 	writer.Header().Set("Server-Stamp", m.id)
+	switch {
+	case loseAnswer:
+		reset(writer)
+		return
+	case fail:
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if model == "" {
 		fmt.Fprintf(writer, "done by %s", m.id)
 		return
 	}
 	writer.Header().Set("Content-Type", "text/event-stream")
 	for piece := 1; piece <= 5; piece++ {
-		fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", piece, model)
+		fmt.Fprintf(writer, "id: %d\ndata: %s %s\n\n", piece, model, id)
 		_ = http.NewResponseController(writer).Flush()
 		time.Sleep(m.streamPause)
 	}
--- /dev/null
+++ b/test/platform/soak_test.go
@@ -0,0 +1,548 @@
+package platform
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The soak plays faults that are drawn from a seed over real processes, by the
+// real clock, and judges by the books of the stand-ins. It is not run unless
+// asked for: go test ./test/platform -run Soak -soak 60s -soak.seed 1.
+var (
+	soakTime  = flag.Duration("soak", 0, "how long the soak draws faults; 0 is not at all")
+	soakSeed  = flag.Uint64("soak.seed", 1, "the seed of its faults")
+	soakNodes = flag.Int("soak.nodes", 6, "the number of its nodes")
+)
+
+const (
+	soakModels       = 8
+	soakModelServers = 5
+	soakCommands     = 3
+	soakRate         = 60
+	soakDeadline     = 6 * time.Second
+	// soakQuiet is the time without faults at the end, soakRecover of which the
+	// fleet has to recover.
+	soakQuiet   = 10 * time.Second
+	soakRecover = 6 * time.Second
+	// soakDrain bounds new work at a server after its entry says that it leaves.
+	soakDrain = 2 * time.Second
+	// soakContact is how long after a trouble rules with a time do not count.
+	soakContact = 4 * time.Second
+	// soakLoads bounds the loads that begin in soakWindow.
+	soakWindow = 5 * time.Second
+	soakLoads  = 25
+)
+
+// span is a time of trouble at one place, or at all.
+type span struct {
+	place    string
+	from, to time.Time
+	planned  bool
+}
+
+// served is one request's end, as its caller saw it.
+type served struct {
+	id, node   string
+	isCommand  bool
+	sent, done time.Time
+	status     int
+	whole      bool
+	err        error
+}
+
+// soak is one run.
+type soak struct {
+	*fleet
+	random  *rand.Rand
+	version int
+
+	mu       sync.Mutex
+	troubles []span
+	ends     []served
+	servers  []*modelServer
+	left     map[string]time.Time
+	number   int
+	busy     sync.WaitGroup
+	findings []string
+}
+
+func TestSoak(t *testing.T) {
+	if *soakTime == 0 {
+		t.Skip("not asked for: -soak 60s")
+	}
+	s := &soak{
+		fleet: newFleet(t, *soakNodes), random: rand.New(rand.NewPCG(*soakSeed, 0x50a4)), left: make(map[string]time.Time),
+	}
+	for range soakModelServers {
+		s.addServer("models")
+	}
+	for range soakCommands {
+		s.addServer("commands")
+	}
+	s.changeConfiguration()
+	s.awaitReady()
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	load.Add(1)
+	go func() { defer load.Done(); s.load(stop) }()
+	for end := time.Now().Add(*soakTime); time.Now().Before(end); {
+		s.draw()
+		time.Sleep(time.Duration(s.random.Float64() * float64(1200*time.Millisecond)))
+	}
+	s.busy.Wait()
+	calm := time.Now()
+	time.Sleep(soakQuiet)
+	close(stop)
+	load.Wait()
+	s.judge(calm)
+	s.keepLogs()
+	for _, finding := range s.findings {
+		t.Error(finding)
+	}
+}
+
+// addServer starts a server with an identity of its own.
+func (s *soak) addServer(service string) *modelServer {
+	s.number++
+	m := &modelServer{
+		id: fmt.Sprintf("i-%d", s.number), service: service, loadTime: 300 * time.Millisecond, streamPause: 30 * time.Millisecond,
+		models: make(map[string]map[string]bool), runs: make(map[string]int), weightMB: 60, memoryMB: 200,
+	}
+	server := httptest.NewServer(m)
+	s.t.Cleanup(server.Close)
+	m.address = strings.TrimPrefix(server.URL, "http://")
+	m.enter(s.store, "ready")
+	s.mu.Lock()
+	s.servers = append(s.servers, m)
+	s.mu.Unlock()
+	return m
+}
+
+// changeConfiguration writes the next version, with one route more.
+func (s *soak) changeConfiguration() {
+	s.version++
+	models := []map[string]any{}
+	for i := range soakModels {
+		models = append(models, map[string]any{"name": fmt.Sprintf("m%d", i), "weightsMb": 60, "loadS": 0.3})
+	}
+	config := configuration(s.version, map[string]any{
+		"name": "added", "host": "host.example", "pathPrefix": fmt.Sprintf("/v%d/", s.version), "type": "safe", "service": "commands",
+	})
+	config["services"].([]map[string]any)[1]["engine"].(map[string]any)["models"] = models
+	config["services"].([]map[string]any)[1]["engine"].(map[string]any)["weightsMb"] = 200
+	s.store.put("config", "main", config)
+}
+
+// trouble notes a time of trouble.
+func (s *soak) trouble(place string, planned bool, took time.Duration) {
+	now := time.Now()
+	s.t.Logf("%s %s for %v", now.Format("15:04:05.000"), place, took)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.troubles = append(s.troubles, span{place: place, from: now, to: now.Add(took), planned: planned})
+}
+
+// later ends a trouble after its time.
+func (s *soak) later(after time.Duration, end func()) {
+	s.busy.Add(1)
+	time.AfterFunc(after, func() {
+		defer s.busy.Done()
+		end()
+	})
+}
+
+// draw begins one trouble.
+func (s *soak) draw() {
+	took := 200*time.Millisecond + time.Duration(s.random.Float64()*float64(4*time.Second))
+	n := s.nodes[s.random.IntN(len(s.nodes))]
+	switch s.random.IntN(13) {
+	case 0:
+		s.killNodes([]*node{n}, took)
+	case 1:
+		s.killNodes(s.nodes, time.Second)
+	case 2:
+		s.freezeNode(n, took)
+	case 3:
+		s.stopNode(n)
+	case 4:
+		n.signal(syscall.SIGHUP)
+	case 5:
+		s.storeTrouble("store down", took, func(on bool) { s.store.down = on })
+	case 6:
+		s.storeTrouble("store answers lost", took, func(on bool) { s.store.lost = on })
+	case 7:
+		s.storeTrouble("store deaf", min(took, time.Second), func(on bool) { s.store.deaf = on })
+		s.later(min(took, time.Second)/2, s.store.compact)
+	case 8, 9:
+		s.changeConfiguration()
+	case 10:
+		s.replaceServer()
+	case 11:
+		s.serverTrouble("server loses answers", took, func(m *modelServer, on bool) { m.loseAnswers = on })
+	case 12:
+		s.serverTrouble("server fails", took, func(m *modelServer, on bool) { m.fail = on })
+	}
+}
+
+// isFree reports whether nothing else is under way at the node, and takes it.
+func (s *soak) isFree(n *node, took time.Duration, planned bool) bool {
+	s.mu.Lock()
+	busy := slices.ContainsFunc(s.troubles, func(known span) bool {
+		return known.place == n.name && time.Now().Before(known.to.Add(200*time.Millisecond))
+	})
+	s.mu.Unlock()
+	if !busy {
+		s.trouble(n.name, planned, took)
+	}
+	return !busy
+}
+
+func (s *soak) killNodes(nodes []*node, down time.Duration) {
+	for _, n := range nodes {
+		if s.isFree(n, down, false) {
+			n.kill()
+			s.later(down, n.start)
+		}
+	}
+}
+
+func (s *soak) freezeNode(n *node, took time.Duration) {
+	if s.isFree(n, took, false) {
+		n.signal(syscall.SIGSTOP)
+		s.later(took, func() { n.signal(syscall.SIGCONT) })
+	}
+}
+
+// stopNode is a planned stop: the process ends by itself within its grace.
+func (s *soak) stopNode(n *node) {
+	const grace = 4500 * time.Millisecond
+	if !s.isFree(n, grace, true) {
+		return
+	}
+	n.signal(syscall.SIGTERM)
+	s.later(grace-200*time.Millisecond, func() {
+		select {
+		case err := <-n.ended:
+			if err != nil {
+				s.t.Errorf("%s: a planned stop ended with %v", n.name, err)
+			}
+		default:
+			s.t.Errorf("%s did not end within its grace", n.name)
+			n.kill()
+		}
+		n.start()
+	})
+}
+
+func (s *soak) storeTrouble(what string, took time.Duration, set func(on bool)) {
+	s.trouble(what, false, took)
+	s.store.set(func() { set(true) })
+	s.later(took, func() { s.store.set(func() { set(false) }) })
+}
+
+func (s *soak) serverTrouble(what string, took time.Duration, set func(m *modelServer, on bool)) {
+	s.mu.Lock()
+	m := s.servers[s.random.IntN(len(s.servers))]
+	s.mu.Unlock()
+	s.trouble(what, false, took)
+	apply := func(on bool) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		set(m, on)
+	}
+	apply(true)
+	s.later(took, func() { apply(false) })
+}
+
+// replaceServer starts a server, and then lets an older one drain and go.
+func (s *soak) replaceServer() {
+	s.mu.Lock()
+	var staying []*modelServer
+	for _, m := range s.servers {
+		if _, ok := s.left[m.id]; !ok {
+			staying = append(staying, m)
+		}
+	}
+	leaver := staying[s.random.IntN(len(staying))]
+	s.mu.Unlock()
+	s.addServer(leaver.service)
+	leaver.enter(s.store, "draining")
+	s.mu.Lock()
+	s.left[leaver.id] = time.Now()
+	s.mu.Unlock()
+	s.t.Logf("%s %s drains", time.Now().Format("15:04:05.000"), leaver.id)
+	s.later(soakDrain+500*time.Millisecond, func() { s.store.remove("servers", leaver.id) })
+}
+
+// load sends requests at an even rate, whatever becomes of those before.
+func (s *soak) load(stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(*soakSeed, 0x10ad))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	ticker := time.NewTicker(time.Second / soakRate)
+	defer ticker.Stop()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for number := 0; ; number++ {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		n := s.nodes[random.IntN(len(s.nodes))]
+		model := ""
+		if random.IntN(3) > 0 {
+			model = fmt.Sprintf("m%d", min(random.IntN(soakModels), random.IntN(soakModels)))
+		}
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			end := s.call(client, n, fmt.Sprintf("s%d", number), model)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.ends = append(s.ends, end)
+		}()
+	}
+}
+
+func (s *soak) call(client *http.Client, n *node, id, model string) served {
+	path := "/command/x"
+	if model != "" {
+		path = "/chat/x"
+	}
+	request, _ := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, s.ports[1], path), strings.NewReader("body"))
+	request.Host = "host.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(soakDeadline.Milliseconds(), 10))
+	if model != "" {
+		request.Header.Set("Model", model)
+		request.Header.Set("Token-Count", "100,20")
+		request.Header.Set("Prefix-Hash", "a1:60,"+strconv.FormatUint(uint64(len(id)), 16)+id[1:]+":40")
+	}
+	end := served{id: id, node: n.name, isCommand: model == "", sent: time.Now()}
+	response, err := client.Do(request)
+	if err != nil {
+		end.err, end.done = err, time.Now()
+		return end
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	end.status, end.err, end.done = response.StatusCode, err, time.Now()
+	end.whole = strings.HasPrefix(string(text), "done by i-")
+	if model != "" {
+		end.whole = strings.Count(string(text), "data: "+model+" "+id+"\n") == 5 && strings.Count(string(text), "data: ") == 5
+	}
+	return end
+}
+
+// find notes a broken rule.
+func (s *soak) find(format string, values ...any) {
+	s.findings = append(s.findings, fmt.Sprintf(format, values...))
+}
+
+// judge reads the books.
+func (s *soak) judge(calm time.Time) {
+	ran := make(map[string]int)
+	for _, m := range s.servers {
+		m.mu.Lock()
+		for id, count := range m.runs {
+			ran[id] += count
+		}
+		m.mu.Unlock()
+	}
+	tally := make(map[string]int)
+	for _, end := range s.ends {
+		s.judgeRequest(end, ran[end.id])
+		tally[fmt.Sprintf("%d", end.status)]++
+	}
+	s.judgeRecovery(calm)
+	s.judgeServers()
+	s.judgeConfigurations()
+	s.t.Logf("seed %d: %d requests, answers by status %v, %d troubles, %d servers, %d versions",
+		*soakSeed, len(s.ends), tally, len(s.troubles), len(s.servers), s.version)
+}
+
+func (s *soak) judgeRequest(end served, ran int) {
+	switch {
+	case ran > 1:
+		s.find("TWICE: %s ran %d times", end.id, ran)
+	case (end.status == 503 || end.status == 429) && ran > 0:
+		s.find("REFUSED: %s got %d though it ran", end.id, end.status)
+	case end.status == 200 && end.err == nil && !end.whole:
+		s.find("MIXED: %s got a success with another body", end.id)
+	case end.status >= 400 && end.status < 500 && end.status != 429:
+		s.find("DENIED: %s got %d", end.id, end.status)
+	}
+	if s.isTroubled(end.node, end.sent.Add(-soakContact), end.done, false) {
+		return
+	}
+	if took := end.done.Sub(end.sent); took > soakDeadline+500*time.Millisecond {
+		s.find("late: %s was held for %v", end.id, took)
+	}
+	if end.err != nil {
+		s.find("LOST: %s at %s, sent %s: %v", end.id, end.node, end.sent.Format("15:04:05.000"), end.err)
+	}
+}
+
+// isTroubled reports whether a trouble at the place, or one that is not at a
+// node, fell into the time.
+func (s *soak) isTroubled(place string, from, to time.Time, planned bool) bool {
+	return slices.ContainsFunc(s.troubles, func(known span) bool {
+		concerns := known.place == place || !strings.HasPrefix(known.place, "node-")
+		return concerns && (planned || !known.planned) && known.from.Before(to) && known.to.After(from)
+	})
+}
+
+func (s *soak) judgeRecovery(calm time.Time) {
+	asked, answered := 0, 0
+	for _, end := range s.ends {
+		if end.sent.After(calm.Add(soakRecover)) {
+			asked++
+			if end.status == 200 && end.whole {
+				answered++
+			}
+		}
+	}
+	if asked == 0 || 10*answered < 9*asked {
+		s.find("RECOVER: %d of %d requests were served after the troubles", answered, asked)
+	}
+}
+
+func (s *soak) judgeServers() {
+	var loads []time.Time
+	for _, m := range s.servers {
+		m.mu.Lock()
+		if m.overloads > 0 {
+			s.find("LIMIT: %s was ordered to load over its memory %d times", m.id, m.overloads)
+		}
+		s.judgeOrders(m)
+		loads = append(loads, m.loads...)
+		if left, ok := s.left[m.id]; ok && m.lastRun.Sub(left) > soakDrain && !s.isTroubled("", left.Add(-soakContact), m.lastRun, true) {
+			s.find("DRAIN: %s ran new work %v after it left", m.id, m.lastRun.Sub(left))
+		}
+		m.mu.Unlock()
+	}
+	slices.SortFunc(loads, time.Time.Compare)
+	for i := soakLoads; i < len(loads); i++ {
+		if loads[i].Sub(loads[i-soakLoads]) < soakWindow {
+			s.find("CEILING: %d loads within %v", soakLoads+1, loads[i].Sub(loads[i-soakLoads]))
+		}
+	}
+}
+
+func (s *soak) judgeOrders(m *modelServer) {
+	for i := 1; i < len(m.orders); i++ {
+		before, after := m.orders[i-1], m.orders[i]
+		switch {
+		case after.FencingToken < before.FencingToken:
+			s.find("ONE: %s took token %d after %d", m.id, after.FencingToken, before.FencingToken)
+		case after.Holder != before.Holder && after.FencingToken == before.FencingToken:
+			s.find("ONE: %s took one token of %s and %s", m.id, before.Holder, after.Holder)
+		case after.Holder != before.Holder && after.at.Sub(before.at) < 600*time.Millisecond:
+			s.find("ONE: at %s %s takes turns with %s within the lease", m.id, before.Holder, after.Holder)
+		}
+	}
+}
+
+var inForce = regexp.MustCompile(`event=(node_started|config_in_force).*?(?: version=(\d+)|\n)`)
+
+// judgeConfigurations reads the versions in force from the nodes' logs: they
+// rise within a life, and the last one is in force at all.
+func (s *soak) judgeConfigurations() {
+	for _, n := range s.nodes {
+		version := 0
+		for _, found := range inForce.FindAllStringSubmatch(n.log(), -1) {
+			if found[1] == "node_started" {
+				version = 0
+				continue
+			}
+			next, _ := strconv.Atoi(found[2])
+			if next <= version {
+				s.find("CONFIG: %s went from version %d to %d", n.name, version, next)
+			}
+			version = next
+		}
+		if version != s.version {
+			s.find("CONFIG: %s has version %d in force at the end, want %d", n.name, version, s.version)
+		}
+	}
+}
+
+// keepLogs writes the nodes' logs where SOAK_LOGS says.
+func (s *soak) keepLogs() {
+	folder := os.Getenv("SOAK_LOGS")
+	if folder == "" {
+		return
+	}
+	for _, n := range s.nodes {
+		_ = os.WriteFile(fmt.Sprintf("%s/seed-%d-%s.log", folder, *soakSeed, n.name), []byte(n.log()), 0o600)
+	}
+}
+
+// TestSoakJudgeFindsWhatIsBroken plants one violation of each rule into books in
+// which nothing is wrong.
+func TestSoakJudgeFindsWhatIsBroken(t *testing.T) {
+	at := func(after time.Duration) time.Time { return time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC).Add(after) }
+	fine := served{id: "a", node: "node-1", isCommand: true, sent: at(0), done: at(time.Second), status: 200, whole: true}
+	cases := []struct {
+		rule  string
+		plant func(s *soak)
+	}{
+		{"", func(*soak) {}},
+		{"TWICE", func(s *soak) { s.servers[0].runs["a"] = 2 }},
+		{"REFUSED", func(s *soak) { s.ends[0].status = 503 }},
+		{"MIXED", func(s *soak) { s.ends[0].whole = false; s.ends[1].whole = true }},
+		{"DENIED", func(s *soak) { s.ends[0].status = 404 }},
+		{"late", func(s *soak) { s.ends[0].done = at(soakDeadline + time.Second) }},
+		{"LOST", func(s *soak) { s.ends[0].err = io.ErrUnexpectedEOF }},
+		{"RECOVER", func(s *soak) { s.ends[1].status = 502 }},
+		{"LIMIT", func(s *soak) { s.servers[0].overloads = 1 }},
+		{"ONE", func(s *soak) {
+			s.servers[0].orders = []order{{Holder: "x", FencingToken: 1, at: at(0)}, {Holder: "y", FencingToken: 2, at: at(300 * time.Millisecond)}}
+		}},
+		{"ONE", func(s *soak) {
+			s.servers[0].orders = []order{{Holder: "x", FencingToken: 2, at: at(0)}, {Holder: "x", FencingToken: 1, at: at(time.Second)}}
+		}},
+		{"DRAIN", func(s *soak) { s.left["i"] = at(0); s.servers[0].lastRun = at(soakDrain + time.Millisecond) }},
+		{"CEILING", func(s *soak) {
+			for i := range soakLoads + 1 {
+				s.servers[0].loads = append(s.servers[0].loads, at(time.Duration(i)*100*time.Millisecond))
+			}
+		}},
+		{"CONFIG", func(s *soak) { s.version = 4 }},
+		{"CONFIG", func(s *soak) {
+			_, _ = s.nodes[0].Write([]byte("event=config_in_force version=2\nevent=config_in_force version=3\n"))
+		}},
+	}
+	for _, c := range cases {
+		n := &node{name: "node-1"}
+		_, _ = n.Write([]byte("event=node_started\nevent=config_in_force version=2\nevent=config_in_force version=3\n"))
+		s := &soak{
+			fleet: &fleet{t: t, nodes: []*node{n}}, version: 3, left: make(map[string]time.Time),
+			servers: []*modelServer{{id: "i", runs: map[string]int{"a": 1}}},
+			ends:    []served{fine, {id: "b", node: "node-1", sent: at(time.Minute), done: at(time.Minute), status: 200, whole: true}},
+		}
+		c.plant(s)
+		s.judge(at(0))
+		rules := make(map[string]bool)
+		for _, finding := range s.findings {
+			rule, _, _ := strings.Cut(finding, ":")
+			rules[rule] = true
+		}
+		if c.rule == "" && len(rules) != 0 || c.rule != "" && (len(rules) != 1 || !rules[c.rule]) {
+			t.Errorf("planted %q, found %v", c.rule, s.findings)
+		}
+	}
+}
--- a/test/platform/store_test.go
+++ b/test/platform/store_test.go
@@ -194,13 +194,34 @@
 	}
 	written := s.write(parts[0], wanted)
 	if lost {
-		if hijacker, ok := writer.(http.Hijacker); ok {
-			if conn, _, err := hijacker.Hijack(); err == nil {
-				_ = conn.(*net.TCPConn).SetLinger(0)
-				_ = conn.Close()
-			}
-		}
+		reset(writer)
 		return
 	}
 	_ = json.NewEncoder(writer).Encode(written)
 }
+
+// reset ends a connection without an answer.
+func reset(writer http.ResponseWriter) {
+	hijacker, ok := writer.(http.Hijacker)
+	if !ok {
+		return
+	}
+	if conn, _, err := hijacker.Hijack(); err == nil {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
+// remove drops an object, as a server's entry goes.
+func (s *store) remove(kind, name string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.objects[kind][name]
+	if !ok {
+		return s.at
+	}
+	delete(s.objects[kind], name)
+	s.at++
+	s.record(event{Object: found, Gone: true, kind: kind, at: s.at})
+	return s.at
+}
