Bound the news of a datagram; keep the digest of the servers

Change: 16 news a datagram, who goes first; digest by XOR with each change; nodes are counted once a period.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -82,7 +82,7 @@
 func (p *peers) count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.roster.Alive(time.Now()))
+	return len(p.alive)
 }
 
 // addSeeds tries further addresses.
--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -1,6 +1,9 @@
 package gossip
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/inventory"
@@ -15,6 +18,9 @@
 	// newsTold is in how many periods a node tells of each: with a fanout of
 	// eight every node hears of it in a few periods, at whatever size.
 	newsTold = 8
+	// newsPerPeriod bounds what is told in one period. Where more came at once,
+	// as at the start of a fleet, it is told later or, by digest, found missing.
+	newsPerPeriod = 16
 )
 
 // News are the servers that came or go lately, as the nodes tell each other.
@@ -55,18 +61,39 @@
 	return true
 }
 
-// Tell returns what is to be told in this period.
+// Tell returns what is to be told in this period: servers that go first, then
+// what was told least.
 func (n *News) Tell(now time.Time) []Item {
-	var items []Item
+	var due []*newsItem
 	for id, known := range n.items {
 		age := now.Sub(known.since)
 		switch {
 		case age > newsKept:
 			delete(n.items, id)
 		case age <= newsAge && known.told < newsTold:
-			known.told++
-			items = append(items, Item{Server: known.server, Age: age})
+			due = append(due, known)
 		}
 	}
+	slices.SortFunc(due, func(a, b *newsItem) int {
+		return cmp.Or(
+			-cmp.Compare(rankOf(a.server), rankOf(b.server)),
+			cmp.Compare(a.told, b.told),
+			strings.Compare(a.server.ID, b.server.ID),
+		)
+	})
+	due = due[:min(newsPerPeriod, len(due))]
+	var items []Item
+	for _, known := range due {
+		known.told++
+		items = append(items, Item{Server: known.server, Age: now.Sub(known.since)})
+	}
 	return items
 }
+
+// rankOf puts servers that go before those that come.
+func rankOf(server inventory.Server) int {
+	if server.Draining {
+		return 1
+	}
+	return 0
+}
--- a/internal/gossip/news_test.go
+++ b/internal/gossip/news_test.go
@@ -55,6 +55,23 @@
 	}
 }
 
+// TestNewsOfManyAreBounded: the servers of a fleet that starts were told by each
+// node to all, eight times.
+func TestNewsOfManyAreBounded(t *testing.T) {
+	news := NewNews()
+	for i := range 3000 {
+		news.Learn(begin, Item{Server: inventory.Server{ID: fmt.Sprint("s", i), Revision: 5}})
+	}
+	news.Learn(begin, Item{Server: going("g", 6)})
+	told := news.Tell(begin)
+	if len(told) != newsPerPeriod || told[0].Server.ID != "g" {
+		t.Errorf("%d told, first %s; want %d, the server that goes first", len(told), told[0].Server.ID, newsPerPeriod)
+	}
+	if again := news.Tell(begin.Add(time.Second)); again[1].Server.ID == told[1].Server.ID {
+		t.Error("what was told goes before what was not")
+	}
+}
+
 // TestNewsReachAllNodes plays periods of a fleet in which a tenth of all
 // datagrams is lost: every node hears of a server that leaves within a second.
 func TestNewsReachAllNodes(t *testing.T) {
--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -57,6 +57,9 @@
 type Table struct {
 	servers  map[string]Server
 	revision int64
+	// digest is kept with each change: peers' digests are compared with it many
+	// times a second.
+	digest uint64
 }
 
 // NewTable returns an empty table.
@@ -82,12 +85,12 @@
 		if ok && !server.isNewerThan(known) {
 			continue
 		}
-		t.servers[server.ID] = server
+		t.put(server)
 		changes = append(changes, Change{Server: server})
 	}
 	for id, server := range maps.Clone(t.servers) {
 		if !listed[id] {
-			delete(t.servers, id)
+			t.remove(id)
 			changes = append(changes, Change{Server: server, Gone: true})
 		}
 	}
@@ -105,10 +108,10 @@
 		known, ok := t.servers[event.Server.ID]
 		switch {
 		case event.Gone && ok:
-			delete(t.servers, event.Server.ID)
+			t.remove(event.Server.ID)
 			changes = append(changes, Change{Server: known, Gone: true})
 		case !event.Gone && (!ok || event.Server.isNewerThan(known)):
-			t.servers[event.Server.ID] = event.Server
+			t.put(event.Server)
 			changes = append(changes, event)
 		}
 	}
@@ -128,7 +131,7 @@
 		known.Revision = server.Revision
 		server = known
 	}
-	t.servers[server.ID] = server
+	t.put(server)
 	return []Change{{Server: server}}
 }
 
@@ -140,14 +143,21 @@
 
 // Digest is a number that two tables have in common in which the same servers
 // take work.
-func (t *Table) Digest() uint64 {
-	var digest uint64
-	for id, server := range t.servers {
-		if !server.Draining {
-			digest ^= xxhash.Sum64String(id)
-		}
+func (t *Table) Digest() uint64 { return t.digest }
+
+func (t *Table) put(server Server) {
+	t.remove(server.ID)
+	t.servers[server.ID] = server
+	if !server.Draining {
+		t.digest ^= xxhash.Sum64String(server.ID)
+	}
+}
+
+func (t *Table) remove(id string) {
+	if t.TakesWork(id) {
+		t.digest ^= xxhash.Sum64String(id)
 	}
-	return digest
+	delete(t.servers, id)
 }
 
 // All calls yield for each server, in no order.
