--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -129,3 +130,42 @@
 		t.Errorf("not told after the answer: %+v", view)
 	}
 }
+
+// TestNewLeaderDoesNotTakeOldCountsForABurst: counts rise from a node's start, and
+// a new leader took them all for requests of now: on a day whose leader froze, the
+// next one unloaded 37 models in its first second.
+func TestNewLeaderDoesNotTakeOldCountsForABurst(t *testing.T) {
+	wanted := dispatch.Wanted{Service: serviceName, Model: "m02"}
+	counts := func(asked uint64) []Count {
+		return []Count{{Wanted: wanted, Asked: asked, PromptTokens: asked * 1000}}
+	}
+	cases := []struct {
+		name string
+		tell func(core *Core)
+		want float64
+	}{
+		{"from its first datagram the last request", func(core *Core) { core.SetCounts(begin, "node", 1, counts(500)) }, 1},
+		{"then what is added", func(core *Core) {
+			core.SetCounts(begin, "node", 1, counts(500))
+			core.SetCounts(begin, "node", 1, counts(510))
+		}, 11},
+		{"a model heard of later, a few", func(core *Core) {
+			core.SetCounts(begin, "node", 1, nil)
+			core.SetCounts(begin, "node", 1, counts(500))
+		}, newLater},
+		{"a node that started since, all", func(core *Core) {
+			core.SetCounts(begin, "node", 1, nil)
+			core.SetCounts(begin, "node", 2, counts(20))
+		}, 20},
+	}
+	for _, c := range cases {
+		core := New(Options{Window: window, Overage: overage})
+		core.SetTable(simTable())
+		c.tell(core)
+		flow := core.interests[wanted].fast
+		requests, tokens := flow.requests*fastTime.Seconds(), flow.tokens*fastTime.Seconds()
+		if math.Abs(requests-c.want) > 0.001 || math.Abs(tokens-1000*c.want) > 1 {
+			t.Errorf("%s: %.1f requests with %.0f tokens, want %.0f", c.name, requests, tokens, c.want)
+		}
+	}
+}
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -85,30 +85,62 @@
 type nodeCounts struct {
 	life  uint64
 	asked map[dispatch.Wanted]Count
+	// sinceStart is set where this leader has heard the node from its start on.
+	// What another node counted before it was first heard is not new.
+	sinceStart bool
+	// isFirst is set while its first datagram is read.
+	isFirst bool
+}
+
+// Counts rise from the start of a node. What a node counted for something that
+// this leader had not heard of is mostly old: so many requests of it are taken
+// for new in the node's first datagram, and in a later one.
+const (
+	newAtFirst = 1
+	newLater   = 3
+)
+
+// added are the requests and prompt tokens that a node counted since it was last
+// heard.
+func (n *nodeCounts) added(count Count) (requests, tokens float64) {
+	previous, heard := n.asked[count.Wanted]
+	if count.Asked <= previous.Asked {
+		return 0, 0
+	}
+	requests = float64(count.Asked - previous.Asked)
+	tokens = float64(count.PromptTokens - min(previous.PromptTokens, count.PromptTokens))
+	isNew := requests
+	switch {
+	case heard || n.sinceStart:
+	case n.isFirst:
+		isNew = min(requests, newAtFirst)
+	default:
+		isNew = min(requests, newLater)
+	}
+	return isNew, tokens * isNew / requests
 }
 
 // SetCounts takes the counts of a node; life is another after a restart.
 func (c *Core) SetCounts(now time.Time, node string, life uint64, counts []Count) {
 	known, ok := c.nodes[node]
 	if !ok || known.life != life {
-		known = &nodeCounts{life: life, asked: make(map[dispatch.Wanted]Count)}
+		known = &nodeCounts{life: life, asked: make(map[dispatch.Wanted]Count), sinceStart: ok, isFirst: !ok}
 		c.nodes[node] = known
 	}
+	defer func() { known.isFirst = false }()
 	for _, wanted := range c.interests {
 		delete(wanted.waiting, node)
 	}
 	for _, count := range counts {
-		previous := known.asked[count.Wanted]
+		added, tokens := known.added(count)
 		known.asked[count.Wanted] = count
 		wanted := c.interestIn(count.Wanted)
 		if count.Waiting > 0 {
 			wanted.waiting[node] = waiting{count: count.Waiting, at: now}
 		}
-		if count.Asked <= previous.Asked {
+		if added == 0 {
 			continue
 		}
-		added := float64(count.Asked - previous.Asked)
-		tokens := float64(count.PromptTokens - min(previous.PromptTokens, count.PromptTokens))
 		wanted.add(now, added, tokens, count.Goal)
 		if count.Wanted.Adapter != "" {
 			c.modelOf(count.Wanted).add(now, added, tokens, count.Goal)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -44,7 +44,9 @@
 	lastEvent string
 	events    int
 	waited    time.Duration
-	serverID  string
+	// waitsSince is when the choice of a server began that is under way.
+	waitsSince time.Time
+	serverID   string
 	// estimate is the time to the first byte that was expected of the server.
 	estimate time.Duration
 }
@@ -276,8 +278,12 @@
 	if x.estimate > 0 {
 		entry.Str("estimate_ms", milliseconds(x.estimate))
 	}
+	waited := x.waited
+	if !x.waitsSince.IsZero() {
+		waited += time.Since(x.waitsSince)
+	}
 	entry.Str("server", x.serverID).Str("sent", strings.Join(x.sent, ","))
-	entry.Str("waited_ms", milliseconds(x.waited)).Str("took_ms", milliseconds(time.Since(x.arrived)))
+	entry.Str("waited_ms", milliseconds(waited)).Str("took_ms", milliseconds(time.Since(x.arrived)))
 	if x.returned {
 		entry.Bool("returned", true)
 	}
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -32,9 +32,11 @@
 func (x *exchange) pick() (choice dispatch.Choice, ok bool) {
 	core := x.handler.options.Dispatch
 	started := time.Now()
+	x.waitsSince = started
 	waits := false
 	defer func() {
 		x.waited += time.Since(started)
+		x.waitsSince = time.Time{}
 		if waits {
 			x.handler.waiting.Add(-1)
 			core.Do(func(c *dispatch.Core) { c.Waits(x.wanted(), -1) })
