Keep the demand of all nodes at every node, for the term that it may begin

Change: placer.Demand is a type of its own that every node feeds from what it hears; a count is told until each node must have heard of it once.

--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -53,6 +53,9 @@
 	inbox chan func()
 	lease *storelease.Core
 	core  *placer.Core
+	// demand is kept by every node, for the term that it may begin.
+	demand    *placer.Demand
+	countedAt time.Time
 
 	started   time.Time
 	quietFrom time.Time
@@ -85,6 +88,7 @@
 			Quiet:    node.options.LeaseQuiet,
 		}),
 		servers: inventory.NewTable(),
+		demand:  placer.NewDemand(),
 	}
 }
 
@@ -136,11 +140,14 @@
 	now := time.Now()
 	l.keepLease(ctx, now)
 	l.followTerm(now)
+	if l.core != nil || now.Sub(l.countedAt) >= gossipPeriod {
+		l.countedAt = now
+		l.ownCounts(now)
+	}
 	if l.core == nil {
 		return
 	}
 	l.core.SetTable(l.node.handler.Table())
-	l.ownCounts(now)
 	effects := l.core.Step(now, l.lease.MayOrder(now))
 	for _, order := range effects.Orders {
 		l.order(ctx, order)
@@ -191,7 +198,7 @@
 	l.node.options.Logger.Info().Int64("term", term).
 		Int64("order_in_ms", l.lease.OrderFrom().Sub(now).Milliseconds()).Msg("lease_taken")
 	l.node.peers.forgetViews(func(string) bool { return false })
-	l.core = placer.New(placer.Options{Window: l.node.options.LoadWindow, Overage: l.node.options.LoadOverage})
+	l.core = placer.New(placer.Options{Window: l.node.options.LoadWindow, Overage: l.node.options.LoadOverage, Demand: l.demand})
 	l.core.SetTable(l.node.handler.Table())
 	var all []inventory.Change
 	for server := range l.servers.All {
@@ -222,12 +229,9 @@
 
 // takeState takes what a node counted, and answers it where it asks for views.
 func (l *leader) takeState(state *peerpb.NodeState) {
-	if l.core == nil {
-		return
-	}
 	now := time.Now()
-	l.core.SetCounts(now, state.Address, state.Life, countsOf(state.Wanted))
-	if state.ViewsWanted {
+	l.demand.SetCounts(now, state.Address, state.Life, countsOf(state.Wanted))
+	if l.core != nil && state.ViewsWanted {
 		l.node.peers.answerViews(state.Address, l.term.Load(), l.lease.Lapsed(now), l.views(now))
 	}
 }
@@ -244,13 +248,13 @@
 func (l *leader) ownCounts(now time.Time) {
 	var counts []placer.Count
 	l.node.dispatch.Do(func(core *dispatch.Core) {
-		for _, count := range core.Demand(now.Add(-wantedAge)) {
+		for _, count := range core.Demand(now.Add(-l.node.wantedAge())) {
 			counts = append(counts, placer.Count{
 				Wanted: count.Wanted, Asked: uint64(count.Asked), Waiting: count.Waiting, PromptTokens: uint64(count.PromptTokens), Goal: count.Goal,
 			})
 		}
 	})
-	l.core.SetCounts(now, l.node.options.PeerAddress, l.node.peers.life, counts)
+	l.demand.SetCounts(now, l.node.options.PeerAddress, l.node.peers.life, counts)
 }
 
 func (l *leader) order(ctx context.Context, order placer.Order) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -20,8 +20,10 @@
 	// gossipFanout is the number of nodes that get each of them, beside the
 	// leader; a node's cost does not grow with the fleet beyond it.
 	gossipFanout = 8
-	// wantedAge is how long a count is told after its last change.
-	wantedAge = 2 * time.Second
+	// leastWantedAge and wantedAgeShare, which counts for each node, are how long
+	// a count is told after its last change: each node must hear of it once.
+	leastWantedAge = 2 * time.Second
+	wantedAgeShare = 50 * time.Millisecond
 	// wantedPause is the least time between datagrams to the leader that tell
 	// of requests without a server.
 	wantedPause = 10 * time.Millisecond
@@ -92,6 +94,9 @@
 	p.roster.AddSeeds(seeds)
 }
 
+// wantedAge is how long a count is told after its last change.
+func (n *Node) wantedAge() time.Duration { return max(leastWantedAge, n.nodes()*wantedAgeShare) }
+
 // isSentinel reports whether this node watches the store for the others.
 func (p *peers) isSentinel() bool {
 	term, _ := p.node.leader.standing()
@@ -242,7 +247,7 @@
 				Server: load.ServerID, Running: uint32(load.Running), PendingTokens: uint32(load.PendingTokens),
 			})
 		}
-		for _, count := range core.Demand(now.Add(-wantedAge)) {
+		for _, count := range core.Demand(now.Add(-p.node.wantedAge())) {
 			state.Wanted = append(state.Wanted, &peerpb.WantedCount{
 				Service: count.Wanted.Service, Model: count.Wanted.Model, Adapter: count.Wanted.Adapter,
 				Asked: uint64(count.Asked), Waiting: uint32(count.Waiting), PromptTokens: uint64(count.PromptTokens),
--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -38,7 +38,7 @@
 
 func (r *round) adapterWants() []adapterWant {
 	var wants []adapterWant
-	for wanted, known := range r.core.interests {
+	for wanted, known := range r.core.demand.interests {
 		if wanted.Service != r.service || wanted.Adapter == "" || r.now.Sub(known.lastAsk) > adapterInterest {
 			continue
 		}
@@ -113,7 +113,7 @@
 		for name, known := range model.adapters {
 			candidate := dispatch.Wanted{Service: s.info.Service, Model: modelName, Adapter: name}
 			asked := known.lastUse
-			if interest, ok := r.core.interests[candidate]; ok && interest.lastAsk.After(asked) {
+			if interest, ok := r.core.demand.interests[candidate]; ok && interest.lastAsk.After(asked) {
 				asked = interest.lastAsk
 			}
 			if r.now.Before(known.ready) || r.now.Sub(asked) < adapterYoung {
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -5,18 +5,16 @@
 	"strings"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
 // Core is the leader's state of one term. It is not safe for concurrent use.
 type Core struct {
-	options   Options
-	table     *routetable.Table
-	servers   map[string]*server
-	interests map[dispatch.Wanted]*interest
-	nodes     map[string]*nodeCounts
+	options Options
+	table   *routetable.Table
+	servers map[string]*server
+	demand  *Demand
 	// storeLoads are the times at which loads from the weight store began, or
 	// may have begun, within the last window.
 	storeLoads map[string][]time.Time
@@ -24,23 +22,28 @@
 	reserved map[string]int
 	// ordered are the servers by name, until one comes or goes.
 	ordered []*server
-	// waits are the requests that wait for each model, as of this step.
-	waits   map[dispatch.Wanted]int
 	effects Effects
 }
 
 // New returns the core of a term that knows nothing yet.
 func New(options Options) *Core {
+	if options.Demand == nil {
+		options.Demand = NewDemand()
+	}
 	return &Core{
 		options:    options,
 		servers:    make(map[string]*server),
-		interests:  make(map[dispatch.Wanted]*interest),
-		nodes:      make(map[string]*nodeCounts),
+		demand:     options.Demand,
 		storeLoads: make(map[string][]time.Time),
 		reserved:   make(map[string]int),
 	}
 }
 
+// SetCounts takes the counts of a node; life is another after a restart.
+func (c *Core) SetCounts(now time.Time, node string, life uint64, counts []Count) {
+	c.demand.SetCounts(now, node, life, counts)
+}
+
 // SetTable puts a configuration in force.
 func (c *Core) SetTable(table *routetable.Table) { c.table = table }
 
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -131,10 +131,9 @@
 	}
 }
 
-// TestNewLeaderDoesNotTakeOldCountsForABurst: counts rise from a node's start, and
-// a new leader took them all for requests of now: on a day whose leader froze, the
-// next one unloaded 37 models in its first second.
-func TestNewLeaderDoesNotTakeOldCountsForABurst(t *testing.T) {
+// TestOldCountsAreNoBurst: counts rise from a node's start, and a new leader took
+// them all for requests of now.
+func TestOldCountsAreNoBurst(t *testing.T) {
 	wanted := dispatch.Wanted{Service: serviceName, Model: "m02"}
 	counts := func(asked uint64) []Count {
 		return []Count{{Wanted: wanted, Asked: asked, PromptTokens: asked * 1000}}
@@ -162,10 +161,38 @@
 		core := New(Options{Window: window, Overage: overage})
 		core.SetTable(simTable())
 		c.tell(core)
-		flow := core.interests[wanted].fast
+		flow := core.demand.interests[wanted].fast
 		requests, tokens := flow.requests*fastTime.Seconds(), flow.tokens*fastTime.Seconds()
 		if math.Abs(requests-c.want) > 0.001 || math.Abs(tokens-1000*c.want) > 1 {
 			t.Errorf("%s: %.1f requests with %.0f tokens, want %.0f", c.name, requests, tokens, c.want)
 		}
 	}
 }
+
+// TestNewLeaderKnowsWhatWasWanted: a leader that began with nothing took busy
+// models' copies for surplus; on a day whose leader froze, the next one unloaded 37
+// models in its first second.
+func TestNewLeaderKnowsWhatWasWanted(t *testing.T) {
+	demand := NewDemand()
+	wanted := dispatch.Wanted{Service: serviceName, Model: "m02"}
+	now := begin
+	for step := range 60 {
+		now = now.Add(200 * time.Millisecond)
+		demand.SetCounts(now, "node", 1, []Count{{Wanted: wanted, Asked: uint64(step), PromptTokens: uint64(step) * 9000}})
+	}
+	core := New(Options{Window: window, Overage: overage, Demand: demand})
+	core.SetTable(simTable())
+	var changes []inventory.Change
+	for _, id := range []string{"s1", "s2", "s3", "s4", "s5", "s6"} {
+		changes = append(changes, inventory.Change{Server: inventory.Server{ID: id, Service: serviceName}})
+	}
+	core.SetServers(now, changes)
+	r := &round{core: core, now: now, service: serviceName, engine: simTable().Services[serviceName].Engine, servers: core.serversOf(serviceName)}
+	if kept := r.kept("m02"); kept < 3 {
+		t.Errorf("%d copies are kept of a model that reads 45,000 tokens a second, want 3 (half the servers)", kept)
+	}
+	demand.Prune(now.Add(2 * interestKept))
+	if len(demand.interests)+len(demand.nodes) != 0 {
+		t.Errorf("%d models and %d nodes are remembered for ever", len(demand.interests), len(demand.nodes))
+	}
+}
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -1,91 +1,34 @@
 package placer
 
 import (
-	"math"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 )
 
-// interest is what all nodes together want of one thing.
-type interest struct {
-	// fast follows the demand of now, slow that of some time.
-	fast   flow
-	slow   flow
-	fadeAt time.Time
-	// goal is the tightest objective of those who ask; 0 where none is told.
-	goal time.Duration
-	// lastAsk is when the last request came.
-	lastAsk time.Time
-	// waiting are requests that have no server now, by node.
-	waiting map[string]waiting
-	// waitingSince is when requests began to wait; zero while none does.
-	waitingSince time.Time
+// Demand is what all nodes together want, from the counts that each tells. Every
+// node keeps one, so that a new leader knows what was wanted before its term. It
+// is not safe for concurrent use.
+type Demand struct {
+	interests map[dispatch.Wanted]*interest
+	nodes     map[string]*nodeCounts
+	// waits are the requests that wait for each model, as of the last step.
+	waits map[dispatch.Wanted]int
 }
 
-// flow is requests and prompt tokens in a second, faded over time.
-type flow struct {
-	requests float64
-	tokens   float64
-}
-
-func (f *flow) fade(past, over time.Duration) {
-	keep := math.Exp(-past.Seconds() / over.Seconds())
-	f.requests *= keep
-	f.tokens *= keep
-}
-
-func (f *flow) add(requests, tokens float64, over time.Duration) {
-	f.requests += requests / over.Seconds()
-	f.tokens += tokens / over.Seconds()
-}
-
-type waiting struct {
-	count int
-	at    time.Time
-}
-
-const (
-	// fastTime and slowTime are the times over which rates fade.
-	fastTime = 3 * time.Second
-	slowTime = 12 * time.Second
-	// waitingAge is how long a node's word of its waiting requests is believed.
-	waitingAge = 1500 * time.Millisecond
-)
-
-func (i *interest) fade(now time.Time) {
-	if !i.fadeAt.IsZero() {
-		i.fast.fade(now.Sub(i.fadeAt), fastTime)
-		i.slow.fade(now.Sub(i.fadeAt), slowTime)
-	}
-	i.fadeAt = now
-}
-
-// add counts requests that came just now.
-func (i *interest) add(now time.Time, requests, tokens float64, goal time.Duration) {
-	i.fade(now)
-	i.fast.add(requests, tokens, fastTime)
-	i.slow.add(requests, tokens, slowTime)
-	i.lastAsk = now
-	if goal > 0 && (i.goal == 0 || goal < i.goal) {
-		i.goal = goal
-	}
-}
-
-func (i *interest) waits(now time.Time) int {
-	total := 0
-	for _, w := range i.waiting {
-		if now.Sub(w.at) < waitingAge {
-			total += w.count
-		}
-	}
-	return total
+// NewDemand returns the demand of nobody.
+func NewDemand() *Demand {
+	return &Demand{interests: make(map[dispatch.Wanted]*interest), nodes: make(map[string]*nodeCounts)}
 }
 
 type nodeCounts struct {
 	life  uint64
 	asked map[dispatch.Wanted]Count
-	// sinceStart is set where this leader has heard the node from its start on.
+	// heardAt is when the node was last heard.
+	heardAt time.Time
+	// waits are what requests wait for there.
+	waits []dispatch.Wanted
+	// sinceStart is set where the node was heard from its start on.
 	// What another node counted before it was first heard is not new.
 	sinceStart bool
 	// isFirst is set while its first datagram is read.
@@ -93,7 +36,7 @@
 }
 
 // Counts rise from the start of a node. What a node counted for something that
-// this leader had not heard of is mostly old: so many requests of it are taken
+// this one had not heard of is mostly old: so many requests of it are taken
 // for new in the node's first datagram, and in a later one.
 const (
 	newAtFirst = 1
@@ -121,53 +64,90 @@
 }
 
 // SetCounts takes the counts of a node; life is another after a restart.
-func (c *Core) SetCounts(now time.Time, node string, life uint64, counts []Count) {
-	known, ok := c.nodes[node]
-	if !ok || known.life != life {
-		known = &nodeCounts{life: life, asked: make(map[dispatch.Wanted]Count), sinceStart: ok, isFirst: !ok}
-		c.nodes[node] = known
-	}
-	defer func() { known.isFirst = false }()
-	for _, wanted := range c.interests {
-		delete(wanted.waiting, node)
+func (d *Demand) SetCounts(now time.Time, node string, life uint64, counts []Count) {
+	known := d.nodeOf(node, life)
+	known.heardAt = now
+	for _, wanted := range known.waits {
+		delete(d.interestIn(wanted).waiting, node)
 	}
+	known.waits = known.waits[:0]
 	for _, count := range counts {
-		added, tokens := known.added(count)
-		known.asked[count.Wanted] = count
-		wanted := c.interestIn(count.Wanted)
-		if count.Waiting > 0 {
-			wanted.waiting[node] = waiting{count: count.Waiting, at: now}
-		}
-		if added == 0 {
-			continue
-		}
-		wanted.add(now, added, tokens, count.Goal)
-		if count.Wanted.Adapter != "" {
-			c.modelOf(count.Wanted).add(now, added, tokens, count.Goal)
-		}
+		d.take(now, node, known, count)
+	}
+	known.isFirst = false
+}
+
+func (d *Demand) nodeOf(node string, life uint64) *nodeCounts {
+	known, ok := d.nodes[node]
+	if ok && known.life == life {
+		return known
+	}
+	fresh := &nodeCounts{life: life, asked: make(map[dispatch.Wanted]Count), sinceStart: ok, isFirst: !ok}
+	if ok {
+		fresh.waits = known.waits
+	}
+	d.nodes[node] = fresh
+	return fresh
+}
+
+func (d *Demand) take(now time.Time, node string, known *nodeCounts, count Count) {
+	added, tokens := known.added(count)
+	known.asked[count.Wanted] = count
+	wanted := d.interestIn(count.Wanted)
+	if count.Waiting > 0 {
+		wanted.waiting[node] = waiting{count: count.Waiting, at: now}
+		known.waits = append(known.waits, count.Wanted)
+	}
+	if added == 0 {
+		return
+	}
+	wanted.add(now, added, tokens, count.Goal)
+	if count.Wanted.Adapter != "" {
+		d.modelOf(count.Wanted).add(now, added, tokens, count.Goal)
 	}
 }
 
 // modelOf is the interest in an adapter's model.
-func (c *Core) modelOf(wanted dispatch.Wanted) *interest {
+func (d *Demand) modelOf(wanted dispatch.Wanted) *interest {
 	wanted.Adapter = ""
-	return c.interestIn(wanted)
+	return d.interestIn(wanted)
 }
 
-func (c *Core) interestIn(wanted dispatch.Wanted) *interest {
-	known, ok := c.interests[wanted]
+func (d *Demand) interestIn(wanted dispatch.Wanted) *interest {
+	known, ok := d.interests[wanted]
 	if !ok {
 		known = &interest{waiting: make(map[string]waiting)}
-		c.interests[wanted] = known
+		d.interests[wanted] = known
 	}
 	return known
 }
 
+const (
+	// interestKept is how long what nobody asks for is remembered.
+	interestKept = 90 * time.Second
+	// nodeKept is how long a silent node's counts are remembered.
+	nodeKept = 60 * time.Second
+)
+
+// Prune forgets what is long silent.
+func (d *Demand) Prune(now time.Time) {
+	for wanted, known := range d.interests {
+		if now.Sub(known.lastAsk) > interestKept && known.waits(now) == 0 {
+			delete(d.interests, wanted)
+		}
+	}
+	for node, known := range d.nodes {
+		if now.Sub(known.heardAt) > nodeKept {
+			delete(d.nodes, node)
+		}
+	}
+}
+
 // countWaits counts once for a step what waits for each model, adapters
 // included, and since when something does.
-func (c *Core) countWaits(now time.Time) {
-	c.waits = make(map[dispatch.Wanted]int)
-	for wanted, known := range c.interests {
+func (d *Demand) countWaits(now time.Time) {
+	d.waits = make(map[dispatch.Wanted]int)
+	for wanted, known := range d.interests {
 		waits := known.waits(now)
 		if waits == 0 {
 			known.waitingSince = time.Time{}
@@ -176,19 +156,10 @@
 		if known.waitingSince.IsZero() {
 			known.waitingSince = now
 		}
-		c.waits[dispatch.Wanted{Service: wanted.Service, Model: wanted.Model}] += waits
+		d.waits[dispatch.Wanted{Service: wanted.Service, Model: wanted.Model}] += waits
 	}
 }
 
-func (c *Core) waitsFor(service, model string) int {
-	return c.waits[dispatch.Wanted{Service: service, Model: model}]
-}
-
-// stuckTime is how long requests wait beside a copy until it counts as out of
-// their reach: its server may be down, cut off or refuse them.
-const stuckTime = 400 * time.Millisecond
-
-// isStuck reports whether requests wait though the leader knows a copy.
-func (i *interest) isStuck(now time.Time) bool {
-	return i != nil && !i.waitingSince.IsZero() && now.Sub(i.waitingSince) > stuckTime
+func (d *Demand) waitsFor(service, model string) int {
+	return d.waits[dispatch.Wanted{Service: service, Model: model}]
 }
--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -88,7 +88,7 @@
 		return surplusPenalty
 	case known == nil:
 		return unknownPenalty
-	case r.core.waitsFor(r.service, name) > 0 || silent < runTime:
+	case r.core.demand.waitsFor(r.service, name) > 0 || silent < runTime:
 		return math.Inf(1)
 	}
 	fades := 1 / (1 + silent.Seconds()/forgetTime.Seconds())
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -130,4 +130,6 @@
 	// Window x Overage + Spare begin in any Window.
 	Window  time.Duration
 	Overage float64
+	// Demand is what was wanted so far; nil is nothing.
+	Demand *Demand
 }
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -30,7 +30,7 @@
 
 // interest is what is wanted of a model, or nil.
 func (r *round) interest(model string) *interest {
-	return r.core.interests[dispatch.Wanted{Service: r.service, Model: model}]
+	return r.core.demand.interests[dispatch.Wanted{Service: r.service, Model: model}]
 }
 
 func (c *Core) plan(now time.Time) {
@@ -41,7 +41,7 @@
 		}
 	}
 	slices.Sort(names)
-	c.countWaits(now)
+	c.demand.countWaits(now)
 	for _, name := range names {
 		r := &round{
 			core: c, now: now, service: name, engine: c.table.Services[name].Engine, servers: c.serversOf(name),
@@ -124,7 +124,7 @@
 		if copies >= needed {
 			continue
 		}
-		wanted := want{model: model, copies: copies, waiting: r.core.waitsFor(r.service, name)}
+		wanted := want{model: model, copies: copies, waiting: r.core.demand.waitsFor(r.service, name)}
 		if known != nil {
 			wanted.rate = known.fast.requests
 		}
