Decide under one lock whether a resting connection is closed or its request passed on

Ruled out: the caller's leaving (its connection was open), the deadline. Change: callers keeps each connection's state; a request begins, and a close happens, under one lock; a request whose connection was closed goes to no server. A planned stop closes by the same table in place of Shutdown.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -162,7 +162,7 @@
 	group.Go(func() error { n.leader.run(ctx); return nil })
 	select {
 	case <-stop.Done():
-		n.drain(callers)
+		n.drain(callers, frontend)
 		return nil
 	case <-ctx.Done():
 		return group.Wait()
@@ -171,7 +171,7 @@
 
 func serve(server *http.Server, listener net.Listener) error {
 	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -189,11 +189,12 @@
 
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           n.handler,
+		Handler:           n.callers.guard(n.handler),
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       callerIdleTime,
 		MaxHeaderBytes:    defaultMaxHeaderBytes,
 		ConnState:         n.callers.changed,
+		ConnContext:       withConn,
 	}
 }
 
@@ -240,20 +241,28 @@
 	// not cut.
 	waitMargin  = 1200 * time.Millisecond
 	sweepPeriod = time.Second
+	// drainPeriod is the time between looks at what is still under way.
+	drainPeriod = 25 * time.Millisecond
 )
 
 // drain serves on while callers may still come, closes the connections that
 // rest then, and waits for what is under way, at the most for the grace.
-func (n *Node) drain(callers *http.Server) {
-	started := time.Now()
+func (n *Node) drain(server *http.Server, frontend net.Listener) {
+	deadline := time.Now().Add(n.stopTime() - stopMargin)
 	n.stopping.Store(true)
-	n.handler.SetDraining(started.Add(n.stopTime() - waitMargin))
+	n.handler.SetDraining(deadline.Add(stopMargin - waitMargin))
 	n.options.Logger.Info().Int64("active", n.handler.Active()).Msg("node_draining")
 	time.Sleep(entryNotices)
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.stopTime()-stopMargin))
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	n.options.Logger.Info().Int64("active", n.handler.Active()).Bool("whole", err == nil).Msg("node_stopped")
+	_ = frontend.Close()
+	// The library's Shutdown would close connections with a request that it has
+	// read and not yet counted.
+	busy := n.callers.closeAllResting()
+	for busy > 0 && time.Now().Before(deadline) {
+		time.Sleep(drainPeriod)
+		busy = n.callers.closeAllResting()
+	}
+	_ = server.Close()
+	n.options.Logger.Info().Int64("active", n.handler.Active()).Bool("whole", busy == 0).Msg("node_stopped")
 }
 
 func (n *Node) sweep(ctx context.Context) {
