Let the strongest nodes lead and watch the store for the others

Cause: on the grown sites machines are unlike (0.192 to 0.8 cores, 10 to 200 Mbit/s), and candidates for the lease went by address. Change: nodes tell their strength (the scarcer of processor and link, from the settings' limits); rank and sentinels go by it, then by address.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -76,6 +76,7 @@
 		ReadyPath:   platform.ReadyPath,
 		Tunables:    tunables(settings),
 		PeerAddress: settings.PeerAddress(settings.IP),
+		Strength:    strength(settings),
 		LeaseQuiet:  platform.Milliseconds(settings.Bounds.LeaseMs),
 		LoadWindow:  platform.Seconds(settings.Bounds.CeilingWindowS),
 		LoadOverage: settings.Bounds.OriginOverage,
@@ -105,6 +106,18 @@
 	return settings.IP + ":" + place
 }
 
+// linkMilliCores is the processor, in thousandths of a core, that goes with 1
+// Mbit/s: what a leader tells others takes about as much of both.
+const linkMilliCores = 4
+
+// strength is how much the machine can do, by the scarcer of its processor and
+// its link.
+func strength(settings platform.Settings) uint32 {
+	const milliCores = 1000
+	cores := max(1, settings.Limits.Cores)
+	return uint32(min(settings.Limits.CPUShare*cores*milliCores, settings.Limits.LinkMbps*linkMilliCores))
+}
+
 // tunables are the settings that change while a node runs.
 func tunables(settings platform.Settings) edge.Tunables {
 	return edge.Tunables{
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -41,7 +41,10 @@
 	ReadyPath string
 	// PeerAddress is the UDP address of the node.
 	PeerAddress string
-	Tunables    Tunables
+	// Strength tells strong machines from weak ones: the strongest do what is to
+	// be done for all.
+	Strength uint32
+	Tunables Tunables
 	// LeaseQuiet is the least time between orders of different holders.
 	LeaseQuiet time.Duration
 	// LoadWindow and LoadOverage bound the loads from the weight store.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -66,12 +66,14 @@
 		return nil, err
 	}
 	life := rand.Uint64()
+	roster := gossip.New(node.options.PeerAddress, node.options.Tunables.PeerSeeds, life)
+	roster.SetStrength(node.options.Strength)
 	return &peers{
 		node:    node,
 		conn:    conn,
 		life:    life,
 		address: node.options.PeerAddress,
-		roster:  gossip.New(node.options.PeerAddress, node.options.Tunables.PeerSeeds, life),
+		roster:  roster,
 		told:    make(map[string]uint64),
 		toldAll: make(map[string]time.Time),
 		alive:   make(map[string]bool),
@@ -229,10 +231,11 @@
 
 func (p *peers) state(now time.Time) *peerpb.NodeState {
 	state := &peerpb.NodeState{
-		Node:    p.node.options.Name,
-		Address: p.address,
-		Life:    p.life,
-		Leaving: p.node.stopping.Load(),
+		Node:     p.node.options.Name,
+		Address:  p.address,
+		Life:     p.life,
+		Strength: p.node.options.Strength,
+		Leaving:  p.node.stopping.Load(),
 
 		StoreFailing: p.node.storeFailing.Load(),
 		ViewsWanted:  p.wantsViews(now),
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -41,15 +41,18 @@
 	LeaseRevision int64
 	// StoreFailing is set while the node's last call to the store failed.
 	StoreFailing bool
-	LastSeen     time.Time
-	sequence     uint64
+	// Strength tells strong machines from weak ones.
+	Strength uint32
+	LastSeen time.Time
+	sequence uint64
 }
 
 // Roster is the table of nodes. It is not safe for concurrent use.
 type Roster struct {
-	self   string
-	random *rand.Rand
-	peers  map[string]*Peer
+	self     string
+	strength uint32
+	random   *rand.Rand
+	peers    map[string]*Peer
 	// hints are addresses of which no node is known yet.
 	hints map[string]time.Time
 	// turn are the living nodes that are still to be sent to in this round, in
@@ -57,6 +60,18 @@
 	turn []string
 }
 
+// SetStrength tells how strong this node's machine is.
+func (r *Roster) SetStrength(strength uint32) { r.strength = strength }
+
+// precedes reports whether a peer comes before this node where one has to do
+// something for all: the stronger machine, then the lower address.
+func (r *Roster) precedes(peer *Peer) bool {
+	if peer.Strength != r.strength {
+		return peer.Strength > r.strength
+	}
+	return peer.Address < r.self
+}
+
 // New returns a roster of the node at the address self.
 func New(self string, seeds []string, seed uint64) *Roster {
 	roster := &Roster{
@@ -98,6 +113,7 @@
 	known.Leaving = state.Leaving
 	known.ConfigVersion = state.ConfigVersion
 	known.StoreFailing = state.StoreFailing
+	known.Strength = state.Strength
 	known.LastSeen = now
 	known.Term, known.Lapsed, known.LeaseRevision = 0, 0, 0
 	if state.Leader != nil {
@@ -164,7 +180,7 @@
 func (r *Roster) Rank(now time.Time) int {
 	rank := 0
 	for _, peer := range r.Alive(now) {
-		if peer.Address < r.self && !peer.Leaving {
+		if r.precedes(peer) && !peer.Leaving {
 			rank++
 		}
 	}
@@ -189,7 +205,7 @@
 		if peer.StoreFailing || peer.Leaving {
 			continue
 		}
-		if peer.Term > 0 || peer.Address < r.self {
+		if peer.Term > 0 || r.precedes(peer) {
 			before++
 		}
 	}
--- a/internal/gossip/roster_test.go
+++ b/internal/gossip/roster_test.go
@@ -116,3 +116,34 @@
 		t.Errorf("%d nodes were sent to, want %d", len(lastSent), nodes)
 	}
 }
+
+// TestStrongNodesGoFirst: on a fleet of unlike machines a node with a fifth of a
+// core and a slow link became leader, since its address was the lowest.
+func TestStrongNodesGoFirst(t *testing.T) {
+	peer := func(address string, strength uint32) *peerpb.NodeState {
+		told := state(address, 1, 1)
+		told.Strength = strength
+		return told
+	}
+	cases := []struct {
+		name     string
+		strength uint32
+		peers    []*peerpb.NodeState
+		rank     int
+		sentinel bool
+	}{
+		{"among equals the address", 40, []*peerpb.NodeState{peer("a", 40), peer("b", 40), peer("z", 40)}, 2, false},
+		{"the strongest", 800, []*peerpb.NodeState{peer("a", 40), peer("b", 40), peer("z", 40)}, 0, true},
+		{"a weak one", 40, []*peerpb.NodeState{peer("x", 800), peer("y", 800), peer("z", 40)}, 2, false},
+	}
+	for _, c := range cases {
+		roster := New("m", nil, 1)
+		roster.SetStrength(c.strength)
+		for _, told := range c.peers {
+			roster.Observe(begin, told)
+		}
+		if rank, sentinel := roster.Rank(begin), roster.IsSentinel(begin, false, false); rank != c.rank || sentinel != c.sentinel {
+			t.Errorf("%s: rank %d, sentinel %v; want %d, %v", c.name, rank, sentinel, c.rank, c.sentinel)
+		}
+	}
+}
