Keep node counts by reference; two more sentinels in fleets of 64

And where the store is silent to a third of the nodes, all three that watch it for the rest are cut in 4 of 100 cases, and the next ones learn of that one after the other. Change: counts are kept by what is wanted, not by its names; one more sentinel for each 32 nodes, up to six.

--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -187,8 +187,19 @@
 	return rank
 }
 
-// sentinels is the number of nodes that watch the store for all.
-const sentinels = 2
+const (
+	// leastSentinels is the number of nodes that watch the store for all, beside
+	// the leader; in a fleet whose nodes call it rarely by themselves there is one
+	// more for each nodesPerSentinel, up to mostSentinels.
+	leastSentinels   = 2
+	nodesPerSentinel = 32
+	mostSentinels    = 6
+)
+
+// sentinels is how many of the living nodes watch the store for all.
+func sentinels(alive int) int {
+	return min(mostSentinels, leastSentinels+alive/nodesPerSentinel)
+}
 
 // IsSentinel reports whether this node is one of those that watch the store for
 // the others: the leader and then the first ones, left out those that the store
@@ -201,7 +212,8 @@
 		return false
 	}
 	before := 0
-	for _, peer := range r.Alive(now) {
+	alive := r.Alive(now)
+	for _, peer := range alive {
 		if peer.StoreFailing || peer.Leaving {
 			continue
 		}
@@ -209,7 +221,7 @@
 			before++
 		}
 	}
-	return before < sentinels
+	return before < sentinels(len(alive))
 }
 
 // hintTries is how long an address without a node is tried.
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -22,12 +22,13 @@
 }
 
 type nodeCounts struct {
-	life  uint64
-	asked map[dispatch.Wanted]Count
+	life uint64
+	// asked is by what is wanted: names would be kept once for each node.
+	asked map[*interest]counted
 	// heardAt is when the node was last heard.
 	heardAt time.Time
 	// waits are what requests wait for there.
-	waits []dispatch.Wanted
+	waits []*interest
 	// sinceStart is set where the node was heard from its start on.
 	// What another node counted before it was first heard is not new.
 	sinceStart bool
@@ -35,6 +36,12 @@
 	isFirst bool
 }
 
+// counted is what a node told last of one thing.
+type counted struct {
+	requests uint64
+	tokens   uint64
+}
+
 // Counts rise from the start of a node. What a node counted for something that
 // this one had not heard of is mostly old: so many requests of it are taken
 // for new in the node's first datagram, and in a later one.
@@ -45,13 +52,13 @@
 
 // added are the requests and prompt tokens that a node counted since it was last
 // heard.
-func (n *nodeCounts) added(count Count) (requests, tokens float64) {
-	previous, heard := n.asked[count.Wanted]
-	if count.Asked <= previous.Asked {
+func (n *nodeCounts) added(wanted *interest, count Count) (requests, tokens float64) {
+	previous, heard := n.asked[wanted]
+	if count.Asked <= previous.requests {
 		return 0, 0
 	}
-	requests = float64(count.Asked - previous.Asked)
-	tokens = float64(count.PromptTokens - min(previous.PromptTokens, count.PromptTokens))
+	requests = float64(count.Asked - previous.requests)
+	tokens = float64(count.PromptTokens - min(previous.tokens, count.PromptTokens))
 	isNew := requests
 	switch {
 	case heard || n.sinceStart:
@@ -68,7 +75,7 @@
 	known := d.nodeOf(node, life)
 	known.heardAt = now
 	for _, wanted := range known.waits {
-		delete(d.interestIn(wanted).waiting, node)
+		delete(wanted.waiting, node)
 	}
 	known.waits = known.waits[:0]
 	for _, count := range counts {
@@ -82,7 +89,7 @@
 	if ok && known.life == life {
 		return known
 	}
-	fresh := &nodeCounts{life: life, asked: make(map[dispatch.Wanted]Count), sinceStart: ok, isFirst: !ok}
+	fresh := &nodeCounts{life: life, asked: make(map[*interest]counted), sinceStart: ok, isFirst: !ok}
 	if ok {
 		fresh.waits = known.waits
 	}
@@ -91,12 +98,12 @@
 }
 
 func (d *Demand) take(now time.Time, node string, known *nodeCounts, count Count) {
-	added, tokens := known.added(count)
-	known.asked[count.Wanted] = count
 	wanted := d.interestIn(count.Wanted)
+	added, tokens := known.added(wanted, count)
+	known.asked[wanted] = counted{requests: count.Asked, tokens: count.PromptTokens}
 	if count.Waiting > 0 {
 		wanted.waiting[node] = waiting{count: count.Waiting, at: now}
-		known.waits = append(known.waits, count.Wanted)
+		known.waits = append(known.waits, wanted)
 	}
 	if added == 0 {
 		return
@@ -134,6 +141,7 @@
 	for wanted, known := range d.interests {
 		if now.Sub(known.lastAsk) > interestKept && known.waits(now) == 0 {
 			delete(d.interests, wanted)
+			d.forget(known)
 		}
 	}
 	for node, known := range d.nodes {
@@ -143,6 +151,12 @@
 	}
 }
 
+func (d *Demand) forget(wanted *interest) {
+	for _, known := range d.nodes {
+		delete(known.asked, wanted)
+	}
+}
+
 // countWaits counts once for a step what waits for each model, adapters
 // included, and since when something does.
 func (d *Demand) countWaits(now time.Time) {
