--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -297,6 +297,7 @@
 		s.askReport(now)
 	case ResultBusy:
 		c.undo(s, order)
+		s.keepFor(now, order)
 		c.foundBusy(now, s)
 	case ResultNotSent:
 		c.undo(s, order)
@@ -332,6 +333,14 @@
 	s.askReport(now.Add(busyPause))
 }
 
+// keepFor keeps a server that was emptied for a model, and is still unloading,
+// for that model: the one that was dropped would come back at once.
+func (s *server) keepFor(now time.Time, order Order) {
+	if order.Operation == Load && order.Adapter == "" && s.intent.model == order.Model {
+		s.intent.until = now.Add(intentTime)
+	}
+}
+
 // took books an order that the server is carrying out.
 func (c *Core) took(now time.Time, s *server, order Order) {
 	switch {
@@ -342,7 +351,9 @@
 		if model, ok := s.held[order.Model]; ok {
 			delete(model.adapters, order.Adapter)
 		}
-	case order.Operation == Load && order.Adapter != "":
+	case order.Operation == Load && order.Adapter == "":
+		s.intent = intent{}
+	case order.Operation == Load:
 		if model, ok := s.held[order.Model]; ok {
 			model.adapters[order.Adapter] = &adapter{ready: now.Add(adapterTime), lastUse: now}
 		}
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -196,3 +196,28 @@
 		t.Errorf("%d models and %d nodes are remembered for ever", len(demand.interests), len(demand.nodes))
 	}
 }
+
+// TestServerStaysKeptWhileItUnloads: an unload waits for its runs, and the load
+// that it made room for was refused as busy; the model that was dropped was loaded
+// again 40 ms later, and dropped again, for seconds.
+func TestServerStaysKeptWhileItUnloads(t *testing.T) {
+	core := fullServer(t)
+	wantModel(core, begin, "m08")
+	unload := core.Step(begin.Add(tick), true).Orders[0]
+	core.OrderAnswered(begin.Add(2*tick), unload, ResultTaken)
+	dropped := unload.Model
+	now := begin.Add(3 * tick)
+	for range 40 {
+		core.SetCounts(now, "node", 1, []Count{
+			{Wanted: dispatch.Wanted{Service: serviceName, Model: "m08"}, Asked: 1, Waiting: 1},
+			{Wanted: dispatch.Wanted{Service: serviceName, Model: dropped}, Asked: 5, Waiting: 5},
+		})
+		for _, order := range core.Step(now, true).Orders {
+			if order.Model != "m08" {
+				t.Fatalf("%v after the unload: %s %s into the room made for m08", now.Sub(begin), order.Operation, order.Model)
+			}
+			core.OrderAnswered(now, order, ResultBusy)
+		}
+		now = now.Add(tick)
+	}
+}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -211,7 +211,6 @@
 		r.orderUnload(best.server, best.victims[0], "room_for_"+model.Name)
 		return
 	}
-	best.server.intent = intent{}
 	reason := "replica"
 	if urgent {
 		reason = "wanted"
