Count the adapters that are asked for where copies of a model are decided

Change: copies for one and a half places for each adapter asked for in 3 s, at the most half the servers, as for prompt tokens. Test: TestManyAdaptersCallForCopies.

--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -221,3 +222,31 @@
 		now = now.Add(tick)
 	}
 }
+
+// TestManyAdaptersCallForCopies: a model with 36 adapters in use stood on four
+// servers with eight places each; requests for some waited 3.8 s and were refused.
+func TestManyAdaptersCallForCopies(t *testing.T) {
+	core := New(Options{Window: window, Overage: overage})
+	core.SetTable(simTable())
+	engine := simTable().Services[serviceName].Engine
+	var changes []inventory.Change
+	for i := range 40 {
+		changes = append(changes, inventory.Change{Server: inventory.Server{ID: fmt.Sprint("s", i), Service: serviceName}})
+	}
+	core.SetServers(begin, changes)
+	var counts []Count
+	for i := range 3 * engine.AdapterSlots {
+		counts = append(counts, Count{Wanted: dispatch.Wanted{Service: serviceName, Model: "m02", Adapter: fmt.Sprint("a", i)}, Asked: 1, PromptTokens: 100})
+	}
+	core.SetCounts(begin, "node", 1, counts)
+	r := &round{core: core, now: begin, service: serviceName, engine: engine, servers: core.serversOf(serviceName)}
+	core.demand.countWaits(begin)
+	if needed := r.needed("m02"); needed != 5 {
+		t.Errorf("%d copies for adapters that fill three, want 5", needed)
+	}
+	core.demand.countWaits(begin.Add(adapterInterest))
+	r.now = begin.Add(adapterInterest)
+	if needed := r.needed("m02"); needed > 2 {
+		t.Errorf("%d copies for adapters that nobody asks for any more", needed)
+	}
+}
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -14,6 +14,9 @@
 	nodes     map[string]*nodeCounts
 	// waits are the requests that wait for each model, as of the last step.
 	waits map[dispatch.Wanted]int
+	// variety is the number of adapters of each model that are asked for, as of
+	// the last step.
+	variety map[dispatch.Wanted]int
 }
 
 // NewDemand returns the demand of nobody.
@@ -158,10 +161,14 @@
 }
 
 // countWaits counts once for a step what waits for each model, adapters
-// included, and since when something does.
+// included, and since when something does; and how many adapters are asked for.
 func (d *Demand) countWaits(now time.Time) {
 	d.waits = make(map[dispatch.Wanted]int)
+	d.variety = make(map[dispatch.Wanted]int)
 	for wanted, known := range d.interests {
+		if wanted.Adapter != "" && now.Sub(known.lastAsk) < adapterInterest {
+			d.variety[dispatch.Wanted{Service: wanted.Service, Model: wanted.Model}]++
+		}
 		waits := known.waits(now)
 		if waits == 0 {
 			known.waitingSince = time.Time{}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -79,7 +79,7 @@
 		return 0
 	}
 	known.fade(r.now)
-	return r.copiesFor(known.fast)
+	return max(r.copiesFor(known.fast), r.copiesForAdapters(model))
 }
 
 // kept is the number of copies that are kept by the demand of some time, which
@@ -90,7 +90,22 @@
 		return 0
 	}
 	known.fade(r.now)
-	return max(r.copiesFor(known.fast), r.copiesFor(known.slow))
+	return max(r.copiesFor(known.fast), r.copiesFor(known.slow), r.copiesForAdapters(model))
+}
+
+// adapterSpread is the places for adapters that are wanted for each adapter that
+// is asked for: copies do not hold quite different ones.
+const adapterSpread = 1.5
+
+// copiesForAdapters is the number of copies that have places for the adapters
+// that are asked for.
+func (r *round) copiesForAdapters(model string) int {
+	variety := r.core.demand.variety[dispatch.Wanted{Service: r.service, Model: model}]
+	if variety == 0 || r.engine.AdapterSlots == 0 {
+		return 0
+	}
+	count := int(math.Ceil(float64(variety) * adapterSpread / float64(r.engine.AdapterSlots)))
+	return min(count, max(1, len(r.servers)/2))
 }
 
 func (r *round) copiesFor(flow flow) int {
