--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -99,19 +99,21 @@
 func (d *directory) standing() (digest uint64, revision int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.table.Digest(), max(d.table.Revision(), d.heard)
+	return d.table.Digest(), d.newest()
 }
 
+// newest is the highest revision of what is known. The lock is held.
+func (d *directory) newest() int64 { return max(d.table.Revision(), d.heard) }
+
 // lags reports whether a peer has known other servers from a newer revision for
 // longer than news take: the store is to be asked.
 func (d *directory) lags(now time.Time, digest uint64, revision int64, tolerated time.Duration) bool {
-	ownDigest, ownRevision := d.standing()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case digest == ownDigest:
+	case digest == d.table.Digest():
 		d.lagSince = time.Time{}
-	case revision <= ownRevision:
+	case revision <= d.newest():
 	case d.lagSince.IsZero():
 		d.lagSince = now
 	case now.Sub(d.lagSince) > tolerated:
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -39,11 +39,6 @@
 	}
 }
 
-// SetCounts takes the counts of a node; life is another after a restart.
-func (c *Core) SetCounts(now time.Time, node string, life uint64, counts []Count) {
-	c.demand.SetCounts(now, node, life, counts)
-}
-
 // SetTable puts a configuration in force.
 func (c *Core) SetTable(table *routetable.Table) { c.table = table }
 
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -25,7 +25,7 @@
 }
 
 func wantModel(core *Core, now time.Time, model string) {
-	core.SetCounts(now, "node", 1, []Count{{
+	core.demand.SetCounts(now, "node", 1, []Count{{
 		Wanted: dispatch.Wanted{Service: serviceName, Model: model}, Asked: 1, Waiting: 1,
 	}})
 }
@@ -97,13 +97,13 @@
 func TestLooseModelsMakeWayFirst(t *testing.T) {
 	core := fullServer(t)
 	now := begin
-	core.SetCounts(now, "node", 1, []Count{
+	core.demand.SetCounts(now, "node", 1, []Count{
 		{Wanted: dispatch.Wanted{Service: serviceName, Model: "m02"}, Asked: 1, Goal: 800 * time.Millisecond},
 		{Wanted: dispatch.Wanted{Service: serviceName, Model: "m05"}, Asked: 1, Goal: 6 * time.Second},
 	})
 	now = now.Add(5 * time.Second)
 	core.Reserved()
-	core.SetCounts(now, "node", 1, []Count{{Wanted: dispatch.Wanted{Service: serviceName, Model: "m08"}, Asked: 1, Waiting: 1}})
+	core.demand.SetCounts(now, "node", 1, []Count{{Wanted: dispatch.Wanted{Service: serviceName, Model: "m08"}, Asked: 1, Waiting: 1}})
 	orders := core.Step(now, true).Orders
 	if len(orders) != 1 || orders[0].Operation != Unload || orders[0].Model != "m05" {
 		t.Errorf("orders %+v, want the unload of m05, whose callers bear a load", orders)
@@ -115,7 +115,7 @@
 func TestAdapterIsToldOnceItsOrderIsTaken(t *testing.T) {
 	core := fullServer(t)
 	wanted := dispatch.Wanted{Service: serviceName, Model: "m02", Adapter: "a1"}
-	core.SetCounts(begin, "node", 1, []Count{{Wanted: wanted, Asked: 1, Waiting: 1}})
+	core.demand.SetCounts(begin, "node", 1, []Count{{Wanted: wanted, Asked: 1, Waiting: 1}})
 	orders := core.Step(begin.Add(tick), true).Orders
 	if len(orders) != 1 || orders[0].Adapter != "a1" {
 		t.Fatalf("orders %+v, want the adapter", orders)
@@ -144,18 +144,18 @@
 		tell func(core *Core)
 		want float64
 	}{
-		{"from its first datagram the last request", func(core *Core) { core.SetCounts(begin, "node", 1, counts(500)) }, 1},
+		{"from its first datagram the last request", func(core *Core) { core.demand.SetCounts(begin, "node", 1, counts(500)) }, 1},
 		{"then what is added", func(core *Core) {
-			core.SetCounts(begin, "node", 1, counts(500))
-			core.SetCounts(begin, "node", 1, counts(510))
+			core.demand.SetCounts(begin, "node", 1, counts(500))
+			core.demand.SetCounts(begin, "node", 1, counts(510))
 		}, 11},
 		{"a model heard of later, a few", func(core *Core) {
-			core.SetCounts(begin, "node", 1, nil)
-			core.SetCounts(begin, "node", 1, counts(500))
+			core.demand.SetCounts(begin, "node", 1, nil)
+			core.demand.SetCounts(begin, "node", 1, counts(500))
 		}, newLater},
 		{"a node that started since, all", func(core *Core) {
-			core.SetCounts(begin, "node", 1, nil)
-			core.SetCounts(begin, "node", 2, counts(20))
+			core.demand.SetCounts(begin, "node", 1, nil)
+			core.demand.SetCounts(begin, "node", 2, counts(20))
 		}, 20},
 	}
 	for _, c := range cases {
@@ -209,7 +209,7 @@
 	dropped := unload.Model
 	now := begin.Add(3 * tick)
 	for range 40 {
-		core.SetCounts(now, "node", 1, []Count{
+		core.demand.SetCounts(now, "node", 1, []Count{
 			{Wanted: dispatch.Wanted{Service: serviceName, Model: "m08"}, Asked: 1, Waiting: 1},
 			{Wanted: dispatch.Wanted{Service: serviceName, Model: dropped}, Asked: 5, Waiting: 5},
 		})
@@ -238,7 +238,7 @@
 	for i := range 3 * engine.AdapterSlots {
 		counts = append(counts, Count{Wanted: dispatch.Wanted{Service: serviceName, Model: "m02", Adapter: fmt.Sprint("a", i)}, Asked: 1, PromptTokens: 100})
 	}
-	core.SetCounts(begin, "node", 1, counts)
+	core.demand.SetCounts(begin, "node", 1, counts)
 	r := &round{core: core, now: begin, service: serviceName, engine: engine, servers: core.serversOf(serviceName)}
 	core.demand.countWaits(begin)
 	if needed := r.needed("m02"); needed != 5 {
--- a/internal/placer/simulation_test.go
+++ b/internal/placer/simulation_test.go
@@ -184,7 +184,7 @@
 	for _, known := range w.asked {
 		counts = append(counts, known)
 	}
-	w.core.SetCounts(w.now, "node", 1, counts)
+	w.core.demand.SetCounts(w.now, "node", 1, counts)
 }
 
 func (w *simWorld) serverOf(id string) *simServer {
@@ -329,7 +329,7 @@
 	for range 200 {
 		w.now = w.now.Add(tick)
 		w.happen()
-		w.core.SetCounts(w.now, "node", 1, []Count{{Wanted: wanted, Asked: 1, Waiting: 1}})
+		w.core.demand.SetCounts(w.now, "node", 1, []Count{{Wanted: wanted, Asked: 1, Waiting: 1}})
 		if w.now.Sub(w.wroteAt) > 700*time.Millisecond {
 			w.write()
 		}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -278,18 +278,23 @@
 	if x.estimate > 0 {
 		entry.Str("estimate_ms", milliseconds(x.estimate))
 	}
-	waited := x.waited
-	if !x.waitsSince.IsZero() {
-		waited += time.Since(x.waitsSince)
-	}
 	entry.Str("server", x.serverID).Str("sent", strings.Join(x.sent, ","))
-	entry.Str("waited_ms", milliseconds(waited)).Str("took_ms", milliseconds(time.Since(x.arrived)))
+	entry.Str("waited_ms", milliseconds(x.waitedSoFar())).Str("took_ms", milliseconds(time.Since(x.arrived)))
 	if x.returned {
 		entry.Bool("returned", true)
 	}
 	entry.Int("events", x.events).Msg(event)
 }
 
+// waitedSoFar is how long the request has waited for servers, the choice that is
+// under way included.
+func (x *exchange) waitedSoFar() time.Duration {
+	if x.waitsSince.IsZero() {
+		return x.waited
+	}
+	return x.waited + time.Since(x.waitsSince)
+}
+
 func milliseconds(d time.Duration) string {
 	return strconv.FormatFloat(float64(d)/float64(time.Millisecond), 'f', 1, 64)
 }
