--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -36,12 +36,13 @@
 	}
 	l.node.peers.mu.Lock()
 	known := l.node.peers.roster.Leader(now)
+	isLed := known != nil && known.Lapsed < lapseTolerated
 	if known != nil {
 		l.lease.Heard(known.LastSeen, known.Name, known.LeaseRevision)
 	}
 	rank := l.node.peers.roster.Rank(now)
 	l.node.peers.mu.Unlock()
-	if known != nil && known.Lapsed < lapseTolerated {
+	if isLed {
 		l.quietFrom = time.Time{}
 		return false
 	}
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -8,6 +8,8 @@
 	"github.com/spanlanding/spanlanding/internal/logging"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+	"github.com/spanlanding/spanlanding/internal/storelease"
 )
 
 // newTestNode is a node with its socket on loopback, that nothing runs.
@@ -72,3 +74,34 @@
 		t.Errorf("%d and %d watches begun anew by a node that just started", config, servers)
 	}
 }
+
+// TestCandidateReadsPeersUnderTheirLock fails under the race detector, which found
+// it over processes, where the candidate reads a peer that a datagram is changing.
+func TestCandidateReadsPeersUnderTheirLock(t *testing.T) {
+	node := newTestNode(t)
+	node.handler.SetTable(routetable.New(1, nil, nil, routetable.Limits{}))
+	node.hasServers.Store(true)
+	now := time.Now()
+	node.leader.lease.Observe(now, storelease.Record{Holder: "other", Revision: 3})
+	const datagrams = 2000
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for sequence := range uint64(datagrams) {
+			node.peers.take(&peerpb.NodeState{
+				Node: "other", Address: "126.0.0.1:1", Life: 1, Sequence: sequence + 1, Leader: &peerpb.LeaderState{Term: 3},
+			})
+		}
+	}()
+	for isOver := false; !isOver; {
+		node.leader.isCandidate(now)
+		select {
+		case <-done:
+			isOver = true
+		default:
+		}
+	}
+	if node.leader.isCandidate(time.Now()) {
+		t.Error("a candidate beside a leader that is heard")
+	}
+}
