Take hangups from the start of a process to its end

The watch of the settings gave the signal back when the stop began, and a hangup that nobody takes ends a process, with what it was serving (LOST around planned work). Test: TestHangupDoesNotEndAStoppingNode, red before.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -52,6 +52,10 @@
 		return operator.ErrUsage.New("no log level %q", levelName)
 	}
 	debug.SetGCPercent(edgeHeapPercent)
+	// Taken at once and to the end: a hangup that nobody takes ends the process,
+	// also one that is stopping.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
@@ -90,7 +94,7 @@
 		LogDropped:  lines.Dropped,
 	})
 	store.Objects.Calls = node.CountStoreCall
-	go watchSettings(ctx, path, func() { reload(node, path, logger) })
+	go watchSettings(ctx, path, hangups, func() { reload(node, path, logger) })
 	return node.Run(ctx)
 }
 
@@ -147,11 +151,9 @@
 // without a signal.
 const settingsPoll = 2 * time.Second
 
-// watchSettings calls changed at each SIGHUP and each change of the file.
-func watchSettings(ctx context.Context, path string, changed func()) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+// watchSettings calls changed at each hangup and each change of the file, until
+// the process is to stop.
+func watchSettings(ctx context.Context, path string, hangups <-chan os.Signal, changed func()) {
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
 	known := modified(path)
--- a/test/platform/node_test.go
+++ b/test/platform/node_test.go
@@ -347,6 +347,26 @@
 	}
 }
 
+// TestHangupDoesNotEndAStoppingNode: settings may change while a node stops; the
+// hangup found no taker any more and ended the process, with what it was serving.
+func TestHangupDoesNotEndAStoppingNode(t *testing.T) {
+	f := newFleet(t, 1)
+	newServer(t, f.store, "i-commands", "commands", 0)
+	f.store.put("config", "main", configuration(1))
+	f.awaitReady()
+	n := f.nodes[0]
+	n.signal(syscall.SIGTERM)
+	eventually(t, "the node is not ready", func() bool { return !n.isReady() })
+	eventually(t, "it is draining", func() bool { return strings.Contains(n.log(), "event=node_draining") })
+	n.signal(syscall.SIGHUP)
+	if got := n.send("/command/x", ""); got.status != http.StatusOK {
+		t.Errorf("status %d (%v) of a stopping node after a hangup, want 200", got.status, got.err)
+	}
+	if err := <-n.ended; err != nil {
+		t.Errorf("a planned stop ended with %v", err)
+	}
+}
+
 // TestNodesFindEachOtherWithoutSeeds: the lease's holder leads to the others.
 func TestNodesFindEachOtherWithoutSeeds(t *testing.T) {
 	f := newFleetWithSeeds(t, 3, `"127.0.0.99:1"`)
