Learn how many loads at once the weight store bears

Ruled out: a number by hand (fitting); the rate alone (it bounds beginnings). Change: a limit that rises like a congestion window (by one for each load in time while it was used, later by its inverse) and falls to what slowed loads tell: the leader knows how many ran at each moment, so the number that explains a load's time can be solved for. The greatest of three estimates counts, and a load that was lately in time beside n others proves n, so slow servers do not lower it. It stands in the lease for later leaders; the time left of a load is foretold from its progress.

--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -198,7 +198,10 @@
 	l.node.options.Logger.Info().Int64("term", term).
 		Int64("order_in_ms", l.lease.OrderFrom().Sub(now).Milliseconds()).Msg("lease_taken")
 	l.node.peers.forgetViews(func(string) bool { return false })
-	l.core = placer.New(placer.Options{Window: l.node.options.LoadWindow, Overage: l.node.options.LoadOverage, Demand: l.demand})
+	l.core = placer.New(placer.Options{
+		Window: l.node.options.LoadWindow, Overage: l.node.options.LoadOverage,
+		LoadsAtOnce: l.lease.PastLoadsAtOnce(), Demand: l.demand,
+	})
 	l.core.SetTable(l.node.handler.Table())
 	var all []inventory.Change
 	for server := range l.servers.All {
@@ -267,7 +270,8 @@
 			l.node.options.Logger.Info().Int64("term", term).Str("server", order.ServerID).
 				Str("operation", order.Operation.String()).Str("model", order.Model).Str("adapter", order.Adapter).
 				Int64("expected", order.Expected).Str("source", order.Source.String()).Str("reason", order.Reason).
-				Str("result", result.String()).Int64("took_ms", time.Since(started).Milliseconds()).Msg("order_answered")
+				Str("result", result.String()).Int64("took_ms", time.Since(started).Milliseconds()).
+				Int("loads_allowed", core.LoadsAllowed(order.ServerID)).Msg("order_answered")
 			l.node.metrics.order(order, result)
 			core.OrderAnswered(time.Now(), order, result)
 			if result == placer.ResultFenced && core == l.core {
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -85,8 +85,10 @@
 	core := l.core
 	if core != nil {
 		record.Loads = core.Reserve(now)
+		record.LoadsAtOnce = core.LoadsAtOnce()
 	} else {
 		record.Loads = l.lease.Record().Loads
+		record.LoadsAtOnce = l.lease.Record().LoadsAtOnce
 	}
 	sent := now
 	go func() {
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -18,6 +18,8 @@
 	// storeLoads are the times at which loads from the weight store began, or
 	// may have begun, within the last window.
 	storeLoads map[string][]time.Time
+	// limits are the loads at once that each weight store bears, by service.
+	limits map[string]*storeLimit
 	// reserved are the loads that may begin until the lease is written again.
 	reserved map[string]int
 	// ordered are the servers by name, until one comes or goes.
@@ -35,6 +37,7 @@
 		servers:    make(map[string]*server),
 		demand:     options.Demand,
 		storeLoads: make(map[string][]time.Time),
+		limits:     make(map[string]*storeLimit),
 		reserved:   make(map[string]int),
 	}
 }
@@ -202,6 +205,7 @@
 			return now.Sub(at) > c.options.Window+windowSlack
 		})
 	}
+	c.followLoads(now)
 }
 
 // windowSlack covers the way of an order to its server.
@@ -243,11 +247,13 @@
 	s.held = fresh
 	s.setCopies(report.InMemory, report.OnDisk)
 	c.effects.Changed = true
+	s.busy = report.Busy
 	if report.Busy {
 		s.synced = s.loading != nil || s.unloading != ""
-		s.askReport(now.Add(recheck))
+		s.askReport(now.Add(s.recheckIn(now)))
 		return
 	}
+	c.loadEnded(now, s)
 	s.loading = nil
 	s.unloading = ""
 	s.synced = true
@@ -348,6 +354,7 @@
 		}
 	case order.Operation == Load && order.Adapter == "":
 		s.intent = intent{}
+		c.loadBegan(now, s)
 	case order.Operation == Load:
 		if model, ok := s.held[order.Model]; ok {
 			model.adapters[order.Adapter] = &adapter{ready: now.Add(adapterTime), lastUse: now}
--- /dev/null
+++ b/internal/placer/loads.go
@@ -0,0 +1,106 @@
+package placer
+
+import "time"
+
+// limitOf is what is known of the weight store of a service.
+func (c *Core) limitOf(service string) *storeLimit {
+	known, ok := c.limits[service]
+	if !ok {
+		known = newStoreLimit(c.options.LoadsAtOnce[service])
+		c.limits[service] = known
+	}
+	return known
+}
+
+// LoadsAtOnce are the loads at full speed that were learned of each weight
+// store, for later leaders.
+func (c *Core) LoadsAtOnce() map[string]float64 {
+	learned := make(map[string]float64, len(c.limits))
+	for service, limit := range c.limits {
+		if len(limit.slowed) > 0 {
+			learned[service] = limit.atOnce
+		}
+	}
+	return learned
+}
+
+// LoadsAllowed is the number of loads that the weight store behind a server is
+// taken to bear at once; 0 where the server is not known.
+func (c *Core) LoadsAllowed(serverID string) int {
+	s, ok := c.servers[serverID]
+	if !ok {
+		return 0
+	}
+	return c.limitOf(s.info.Service).allowed()
+}
+
+// mayLoadFromStore reports whether a load from the weight store may be under way
+// at the server: an earlier leader's too.
+func (s *server) mayLoadFromStore() bool {
+	if s.loading != nil {
+		return s.loading.source == SourceStore
+	}
+	return s.busy && !s.synced
+}
+
+// loadBegan follows the load that the server just took.
+func (c *Core) loadBegan(now time.Time, s *server) {
+	engine := c.engineOf(s.info.Service)
+	if s.loading == nil || s.loading.source != SourceStore || engine == nil {
+		return
+	}
+	s.loading.run = newLoadRun(now, engine.Models[s.loading.model].Load)
+}
+
+// loadEnded learns from a load that a report shows as done. The report tells
+// what was so a moment ago.
+func (c *Core) loadEnded(now time.Time, s *server) {
+	if s.loading == nil || s.loading.run == nil || !s.has(s.loading.model) {
+		return
+	}
+	c.limitOf(s.info.Service).ended(s.loading.run)
+}
+
+// retellTime is by how much the time of a load must move until it is told anew.
+const retellTime = 300 * time.Millisecond
+
+// followLoads extends the runs of all loads from weight stores to now, and
+// foretells their ends.
+func (c *Core) followLoads(now time.Time) {
+	atOnce := make(map[string]int)
+	for _, s := range c.servers {
+		if s.mayLoadFromStore() {
+			atOnce[s.info.Service]++
+		}
+	}
+	overdue := make(map[string][]*loadRun)
+	for _, s := range c.sorted() {
+		if s.loading == nil || s.loading.run == nil {
+			continue
+		}
+		limit, beside := c.limitOf(s.info.Service), atOnce[s.info.Service]
+		s.loading.run.ranBeside(now, beside)
+		if s.loading.run.isLate() {
+			overdue[s.info.Service] = append(overdue[s.info.Service], s.loading.run)
+		}
+		s.loading.ready = now.Add(s.loading.run.left(limit.atOnce, beside) + loadMargin)
+		if moved := s.loading.ready.Sub(s.loading.told); moved > retellTime || moved < -retellTime {
+			s.loading.told = s.loading.ready
+			c.effects.Changed = true
+		}
+	}
+	for service, runs := range overdue {
+		c.limitOf(service).overdue(runs)
+	}
+}
+
+// longestRecheck bounds the pause between reports of a server that loads.
+const longestRecheck = 500 * time.Millisecond
+
+// recheckIn is the pause until the next report of a busy server.
+func (s *server) recheckIn(now time.Time) time.Duration {
+	if s.loading == nil || s.loading.run == nil {
+		return recheck
+	}
+	return max(recheck, min(longestRecheck, s.loading.ready.Sub(now)/2))
+}
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -130,6 +130,9 @@
 	// Window x Overage + Spare begin in any Window.
 	Window  time.Duration
 	Overage float64
+	// LoadsAtOnce are the loads at full speed that earlier leaders learned of
+	// each weight store, by service.
+	LoadsAtOnce map[string]float64
 	// Demand is what was wanted so far; nil is nothing.
 	Demand *Demand
 }
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -267,9 +267,10 @@
 	if best.source == SourceStore {
 		r.core.storeLoads[r.service] = append(r.core.storeLoads[r.service], r.now)
 		r.core.reserved[r.service]--
-		takes = time.Duration(float64(takes) * max(1, float64(r.storeLoading(model.Name)+1)/float64(loadsAtOnce(r.engine))))
+		takes = time.Duration(float64(takes) * max(1, float64(r.storeLoading(model.Name)+1)/r.core.limitOf(r.service).atOnce))
 	}
-	s.loading = &loading{model: model.Name, source: best.source, ready: r.now.Add(takes + loadMargin)}
+	ready := r.now.Add(takes + loadMargin)
+	s.loading = &loading{model: model.Name, source: best.source, ready: ready, told: ready}
 	r.core.give(s, Order{Operation: Load, Model: model.Name, Source: best.source, Reason: reason})
 }
 
@@ -296,7 +297,7 @@
 func (r *round) storeLoading(besides string) int {
 	count := 0
 	for _, s := range r.servers {
-		isLoading := s.loading != nil && s.loading.source == SourceStore
+		isLoading := s.mayLoadFromStore()
 		isMeant := s.intent.source == SourceStore && s.isKeptFor(r.now, besides)
 		if isLoading || isMeant {
 			count++
@@ -305,20 +306,6 @@
 	return count
 }
 
-// loadsAtOnce is the number of loads that the weight store's rate keeps under
-// way at a time, which is where loads begin to slow each other.
-func loadsAtOnce(engine *routetable.Engine) int {
-	total, count := 0.0, 0
-	for _, model := range engine.Models {
-		total += model.Load.Seconds()
-		count++
-	}
-	if count == 0 {
-		return 1
-	}
-	return max(1, int(engine.LoadsPerSecond*total/float64(count)))
-}
-
 const (
 	// spareLoads is what is left of the bound for orders whose answer is lost.
 	spareLoads = 2
@@ -339,7 +326,7 @@
 		return false
 	}
 	allowed := float64(r.core.loadsPerWindow(r.engine))
-	atOnce := loadsAtOnce(r.engine)
+	atOnce := r.core.limitOf(r.service).allowed()
 	if !urgent {
 		allowed *= idleShare
 		atOnce = max(1, atOnce/2)
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -36,6 +36,8 @@
 	// the start, by the entry. A load may drive others out.
 	copies map[string]Source
 	intent intent
+	// busy is set while the server said last that an order is under way.
+	busy bool
 }
 
 type held struct {
@@ -53,6 +55,11 @@
 	model  string
 	source Source
 	ready  time.Time
+	// told is when it was last said to be ready.
+	told time.Time
+	// run follows a load from the weight store; nil for other loads, and where
+	// it is not certain when the load began.
+	run *loadRun
 }
 
 func newServer(info inventory.Server, now time.Time) *server {
--- a/internal/storelease/lease.go
+++ b/internal/storelease/lease.go
@@ -29,8 +29,11 @@
 	Quiet time.Duration
 	// Loads are the loads from each weight store that the holder began or may
 	// begin until its next write, as the times since, when it wrote.
-	Loads    map[string][]time.Duration
-	Revision int64
+	Loads map[string][]time.Duration
+	// LoadsAtOnce are the loads at full speed that holders learned of each
+	// weight store.
+	LoadsAtOnce map[string]float64
+	Revision    int64
 }
 
 // Core follows the lease for one machine. It is not safe for concurrent use.
@@ -53,6 +56,8 @@
 	// past are the loads of the holders before this term, by the time they may
 	// have begun at the latest.
 	past map[string][]time.Time
+	// pastAtOnce are the loads at full speed that they learned of.
+	pastAtOnce map[string]float64
 }
 
 // New returns a core that knows nothing of the lease.
@@ -132,6 +137,7 @@
 		c.term = revision
 		c.orderFrom = c.firstOrder(sent)
 		c.past = c.loadsOf(c.record)
+		c.pastAtOnce = c.record.LoadsAtOnce
 	}
 	c.record = Record{Holder: c.options.Holder, Revision: revision}
 	c.known = true
@@ -173,6 +179,10 @@
 // may have begun, by the latest time.
 func (c *Core) PastLoads() map[string][]time.Time { return c.past }
 
+// PastLoadsAtOnce are the loads at full speed that holders before this term
+// learned of each weight store.
+func (c *Core) PastLoadsAtOnce() map[string]float64 { return c.pastAtOnce }
+
 // loadsOf dates a record's loads from when it was first seen, which is after it
 // was written.
 func (c *Core) loadsOf(record Record) map[string][]time.Time {
