Empty one server at a time for a model; log the pace of streams

Change: while a server is kept for a model, none other is emptied for it. Log lines of requests say when the first event went on and the longest pause.

--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -197,6 +197,9 @@
 const intentTime = time.Second
 
 func (r *round) loadSomewhere(model routetable.Model, urgent bool) {
+	if r.isMadeRoomFor(model.Name) {
+		return
+	}
 	best := choice{cost: math.Inf(1)}
 	for _, s := range r.servers {
 		if !s.canTake(r.now) || s.has(model.Name) || s.isKeptFor(r.now, model.Name) {
@@ -256,6 +259,17 @@
 	return s.intent.model == model && now.Before(s.intent.until)
 }
 
+// isMadeRoomFor reports whether a server that is being emptied for the model
+// cannot take it yet. No other is emptied for it meanwhile.
+func (r *round) isMadeRoomFor(model string) bool {
+	for _, s := range r.servers {
+		if s.isMeantFor(r.now, model) && !s.info.Draining && !s.canTake(r.now) {
+			return true
+		}
+	}
+	return false
+}
+
 // isKeptFor reports whether room was made for another model.
 func (s *server) isKeptFor(now time.Time, model string) bool {
 	return s.intent.model != "" && s.intent.model != model && now.Before(s.intent.until)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -43,6 +43,7 @@
 	// lastEvent is the last whole event that the caller got.
 	lastEvent string
 	events    int
+	pace      pace
 	waited    time.Duration
 	// waitsSince is when the choice of a server began that is under way.
 	waitsSince time.Time
@@ -280,6 +281,9 @@
 	}
 	entry.Str("server", x.serverID).Str("sent", strings.Join(x.sent, ","))
 	entry.Str("waited_ms", milliseconds(x.waitedSoFar())).Str("took_ms", milliseconds(time.Since(x.arrived)))
+	if x.pace.first > 0 {
+		entry.Str("first_ms", milliseconds(x.pace.first)).Str("pause_ms", milliseconds(x.pace.longestPause))
+	}
 	if x.returned {
 		entry.Bool("returned", true)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
@@ -71,6 +72,7 @@
 	if !x.headSent {
 		x.writeHead(answer, false, 0)
 	}
+	x.pace.passed(time.Since(x.arrived))
 	for len(events) > 0 {
 		end := bytes.Index(events, eventEnd) + len(eventEnd)
 		if id := eventID(events[:end]); id != "" {
@@ -82,6 +84,24 @@
 	}
 }
 
+// pace is when the events of an answer went on to the caller.
+type pace struct {
+	// first and last are since the request arrived; 0 is before any event.
+	first time.Duration
+	last  time.Duration
+	// longestPause is the longest time between two events.
+	longestPause time.Duration
+}
+
+func (p *pace) passed(at time.Duration) {
+	if p.first == 0 {
+		p.first = at
+	} else {
+		p.longestPause = max(p.longestPause, at-p.last)
+	}
+	p.last = at
+}
+
 // eventID is the identity that an event gives.
 func eventID(event []byte) string {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
