--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -402,6 +402,18 @@
 	}
 }
 
+// TestStreamIsNotHeldForALoadBeyondItsDeadline: the load would end within the
+// caller's patience, but after its deadline.
+func TestStreamIsNotHeldForALoadBeyondItsDeadline(t *testing.T) {
+	f := newFixture(t, newStandin(t, answering(http.StatusOK, "ok")))
+	f.handler.SetTable(resumeTable())
+	f.setView(map[string][]string{}, map[string]time.Duration{"m": 1800 * time.Millisecond})
+	got := f.send(t, http.MethodPost, "/resume/", "", "X-Model", "m", "X-Wait", "1500ms")
+	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, reasonTooLate) {
+		t.Errorf("status %d, %s, want 503 as too late", got.status, got.body)
+	}
+}
+
 func TestStoppingNodeRefusesWhatWaits(t *testing.T) {
 	f := newFixture(t, newStandin(t, answering(http.StatusOK, "ok")))
 	f.handler.SetTable(engineTable(5 * time.Second))
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -140,10 +140,11 @@
 
 // patience is how long the caller waits for an answer to begin.
 func (x *exchange) patience() time.Duration {
+	held := x.deadline.Sub(x.arrived)
 	if !x.route.Stream {
-		return x.deadline.Sub(x.arrived)
+		return held
 	}
-	return max(patienceLeast, patienceGoals*x.route.Goal, patienceGaps*x.route.GapGoal)
+	return min(held, max(patienceLeast, patienceGoals*x.route.Goal, patienceGaps*x.route.GapGoal))
 }
 
 // usualLoad is the time of a load that nobody has announced yet, and that can be
