Choose victims by the time from disk; drop no last copy for what nobody waits for

A model that was asked for in the last 20 s and stood nowhere was loaded as urgently as one that requests wait for, and dropped another such model, which then was loaded again: 30 models took turns on 27 places for ever. Beside that, a load from the store (6 s) was chosen where a server that had the weights on disk was only busy for half a second.

--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -24,8 +24,10 @@
 	surplusPenalty = 0.02
 	// replicaPenalty is for a copy that is in use.
 	replicaPenalty = 0.35
-	// loosePenalty is for the last copy where a load is in time.
-	loosePenalty = 0.2
+	// loosePenalty is for the last copy where a load is in time, and
+	// lastCopyPenalty for that of any model that was asked for lately.
+	loosePenalty    = 0.2
+	lastCopyPenalty = 0.3
 	// unknownPenalty is for a model that nobody asked for yet.
 	unknownPenalty = 0.23
 	// tightPenalty is for the last copy where a load makes its callers late.
@@ -88,12 +90,21 @@
 		return surplusPenalty
 	case known == nil:
 		return unknownPenalty
-	case r.core.demand.waitsFor(r.service, name) > 0 || silent < runTime:
+	case r.core.demand.waitsFor(r.service, name) > 0:
 		return math.Inf(1)
 	}
+	last := 0.0
+	if copies <= 1 && silent < interestAge {
+		last = lastCopyPenalty
+	}
 	fades := 1 / (1 + silent.Seconds()/forgetTime.Seconds())
-	isTight := known.goal > 0 && known.goal < r.engine.Models[name].Load+tightMargin
+	// What is dropped stays on the server's disk.
+	isTight := known.goal > 0 && known.goal < r.engine.Models[name].DiskLoad+tightMargin
 	switch {
+	case silent < runTime && isTight:
+		return math.Inf(1)
+	case silent < runTime:
+		return replicaPenalty + last
 	case isTight && copies > 1:
 		return replicaPenalty + tightPenalty*fades/4
 	case isTight:
@@ -101,6 +112,6 @@
 	case copies > 1:
 		return surplusPenalty
 	default:
-		return loosePenalty * fades
+		return last + loosePenalty*fades
 	}
 }
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -11,12 +11,50 @@
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
+// need is why a model should have one more copy, the weakest first. It bounds
+// what may be dropped for it.
+type need int
+
+const (
+	// needSpare is for a copy beside those that the traffic needs.
+	needSpare need = iota
+	// needReturn is for a model that was asked for lately, stands nowhere, and
+	// that nobody waits for now. Without a bound, models that are more than the
+	// places would take turns for ever.
+	needReturn
+	// needThroughput is for a model whose copies cannot bear its traffic.
+	needThroughput
+	// needWaiting is for a model that requests wait for.
+	needWaiting
+)
+
+// maxPenalty bounds what is dropped for a copy.
+func (n need) maxPenalty() float64 {
+	switch n {
+	case needWaiting:
+		return math.MaxFloat64
+	case needThroughput:
+		return maxThroughputPenalty
+	default:
+		return maxSparePenalty
+	}
+}
+
+const (
+	// maxSparePenalty leaves the last copy of what was asked for lately alone.
+	maxSparePenalty = 0.25
+	// maxThroughputPenalty allows to drop the last copy of a model that is idle
+	// and whose callers bear a load.
+	maxThroughputPenalty = 0.6
+)
+
 // want is one model that has fewer copies than wanted.
 type want struct {
 	model   routetable.Model
 	copies  int
 	waiting int
 	rate    float64
+	need    need
 }
 
 // round is the planning of one service's servers at one time.
@@ -108,8 +146,11 @@
 	return min(count, max(1, len(r.servers)/2))
 }
 
+// copiesForTokens is the number of copies that can read the prompts.
+func copiesForTokens(flow flow) int { return 1 + int(flow.tokens/copyTokens) }
+
 func (r *round) copiesFor(flow flow) int {
-	count := 1 + int(flow.tokens/copyTokens)
+	count := copiesForTokens(flow)
 	if flow.requests > spareRate {
 		count = max(count, 2)
 	}
@@ -118,8 +159,7 @@
 
 func (r *round) planModels() {
 	for _, wanted := range r.wants() {
-		urgent := wanted.copies == 0
-		r.loadSomewhere(wanted.model, urgent)
+		r.loadSomewhere(wanted.model, wanted.need)
 	}
 }
 
@@ -143,11 +183,12 @@
 		if known != nil {
 			wanted.rate = known.fast.requests
 		}
+		wanted.need = r.needOf(wanted, known)
 		wants = append(wants, wanted)
 	}
 	slices.SortFunc(wants, func(a, b want) int {
 		return cmp.Or(
-			cmp.Compare(min(a.copies, 1), min(b.copies, 1)),
+			-cmp.Compare(a.need, b.need),
 			-cmp.Compare(a.waiting, b.waiting),
 			-cmp.Compare(a.rate/float64(a.copies+1), b.rate/float64(b.copies+1)),
 			strings.Compare(a.model.Name, b.model.Name),
@@ -156,6 +197,20 @@
 	return wants
 }
 
+// needOf is why the model should have one more copy.
+func (r *round) needOf(wanted want, known *interest) need {
+	switch {
+	case wanted.copies == 0 && wanted.waiting > 0:
+		return needWaiting
+	case wanted.copies == 0:
+		return needReturn
+	case known != nil && wanted.copies < copiesForTokens(known.fast), wanted.copies < r.copiesForAdapters(wanted.model.Name):
+		return needThroughput
+	default:
+		return needSpare
+	}
+}
+
 // maxBeyond bounds the copies beyond those needed that requests which cannot
 // reach any get.
 const maxBeyond = 2
@@ -190,38 +245,42 @@
 	victims []string
 	source  Source
 	takes   time.Duration
-	cost    float64
+	// wait is the time until the server can take an order.
+	wait time.Duration
+	cost float64
 }
 
 // intentTime is how long a server that was emptied is kept for a model.
 const intentTime = time.Second
 
-func (r *round) loadSomewhere(model routetable.Model, urgent bool) {
+func (r *round) loadSomewhere(model routetable.Model, need need) {
 	if r.isMadeRoomFor(model.Name) {
 		return
 	}
 	best := choice{cost: math.Inf(1)}
 	for _, s := range r.servers {
-		if !s.canTake(r.now) || s.has(model.Name) || s.isKeptFor(r.now, model.Name) {
+		wait, isKnown := s.freeIn(r.now)
+		if !isKnown || s.has(model.Name) || s.isKeptFor(r.now, model.Name) {
 			continue
 		}
 		takes, source := s.loadTime(model)
-		if source == SourceStore && !r.storeAllows(model.Name, urgent) {
+		if source == SourceStore && !r.storeAllows(model.Name, need == needWaiting) {
 			continue
 		}
 		victims, penalty := r.victims(s, model)
-		cost := takes.Seconds() + penalty + r.sameZone(s, model.Name)
+		cost := wait.Seconds() + takes.Seconds() + penalty + r.sameZone(s, model.Name)
 		if s.isMeantFor(r.now, model.Name) {
 			cost -= intentBonus
 		}
-		if !urgent && penalty > maxSparePenalty {
+		if penalty > need.maxPenalty() {
 			continue
 		}
 		if cost < best.cost {
-			best = choice{server: s, victims: victims, source: source, takes: takes, cost: cost}
+			best = choice{server: s, victims: victims, source: source, takes: takes, wait: wait, cost: cost}
 		}
 	}
-	if best.server == nil {
+	if best.server == nil || best.wait > 0 {
+		// A server that is busy now, and has the weights, is worth waiting for.
 		return
 	}
 	if len(best.victims) > 0 {
@@ -230,16 +289,12 @@
 		return
 	}
 	reason := "replica"
-	if urgent {
+	if need == needWaiting {
 		reason = "wanted"
 	}
 	r.orderLoad(best, model, reason)
 }
 
-// maxSparePenalty bounds what is given up for one more copy of a model that
-// has some.
-const maxSparePenalty = 0.25
-
 // sameZoneCost is the malus for a zone that has a copy already.
 const sameZoneCost = 0.15
 
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -126,6 +126,26 @@
 		!now.Before(s.pauseUntil)
 }
 
+// orderWait is taken for an order under way at a server.
+const orderWait = 500 * time.Millisecond
+
+// freeIn is the time until the server can take an order; known is false where
+// that cannot be told.
+func (s *server) freeIn(now time.Time) (wait time.Duration, known bool) {
+	switch {
+	case s.info.Draining || !s.synced:
+		return 0, false
+	case s.canTake(now):
+		return 0, true
+	case s.loading != nil:
+		return max(recheck, s.loading.ready.Sub(now)), true
+	case s.ordering != nil || s.unloading != "":
+		return orderWait, true
+	default:
+		return max(busyPause, s.pauseUntil.Sub(now)), true
+	}
+}
+
 func (s *server) has(model string) bool {
 	_, ok := s.held[model]
 	return ok
