Foretell a load by the nearest copy of the weights, and room being made

A node took a load that nobody had announced for one from the weight store (6 s), and the leader told of no load while it emptied the server. Change: the time of a load goes by the copies that servers' entries name, and the leader's view names the model for which room is being made.

--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Wanted names what requests ask for: a model of a service, with an adapter or
 // without.
@@ -90,6 +93,34 @@
 	return left, known
 }
 
+// Copy is where weights lie that a server can load.
+type Copy int
+
+const (
+	// CopyInStore weights lie in the weight store alone.
+	CopyInStore Copy = iota
+	// CopyOnDisk weights lie on some server's disk.
+	CopyOnDisk
+	// CopyInMemory weights lie in some server's memory, beside those it holds.
+	CopyInMemory
+)
+
+// NearestCopy is the copy of a model's weights that some server can load
+// soonest, by the servers' own entries.
+func (c *Core) NearestCopy(wanted Wanted) Copy {
+	nearest := CopyInStore
+	for _, s := range c.byService[wanted.Service] {
+		switch {
+		case !s.takesWork():
+		case slices.Contains(s.info.InMemory, wanted.Model):
+			return CopyInMemory
+		case slices.Contains(s.info.OnDisk, wanted.Model):
+			nearest = CopyOnDisk
+		}
+	}
+	return nearest
+}
+
 // comesIn is the time until the server has what is wanted, where that can be
 // told; ordersIn is the time until somebody may order.
 func (s *server) comesIn(now time.Time, wanted Wanted, ordersIn time.Duration) (time.Duration, bool) {
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -250,3 +250,33 @@
 		t.Errorf("%d copies for adapters that nobody asks for any more", needed)
 	}
 }
+
+// TestRoomBeingMadeIsForetold: callers wait for a model for which a server is
+// being emptied, in place of coming back after the time of a load from the store.
+func TestRoomBeingMadeIsForetold(t *testing.T) {
+	core := fullServer(t)
+	wantModel(core, begin, "m08")
+	unload := core.Step(begin.Add(tick), true).Orders[0]
+	core.OrderAnswered(begin.Add(2*tick), unload, ResultTaken)
+	views := core.Views(begin.Add(2 * tick))
+	if left, ok := views[0].Loading["m08"]; !ok || left <= 0 {
+		t.Errorf("view %+v, want a time until m08 is there", views[0])
+	}
+}
+
+// TestNobodyWaitsSoNoLastCopyGoes: models that are more than the places took
+// turns for ever, and adapters starved behind the swaps.
+func TestNobodyWaitsSoNoLastCopyGoes(t *testing.T) {
+	core := fullServer(t)
+	core.demand.SetCounts(begin, "node", 1, []Count{
+		{Wanted: dispatch.Wanted{Service: serviceName, Model: "m02"}, Asked: 1, Goal: 6 * time.Second},
+		{Wanted: dispatch.Wanted{Service: serviceName, Model: "m05"}, Asked: 1, Goal: 6 * time.Second},
+		{Wanted: dispatch.Wanted{Service: serviceName, Model: "m08"}, Asked: 1, Goal: 6 * time.Second},
+	})
+	for second := range 15 {
+		core.Reserved()
+		if orders := core.Step(begin.Add(time.Duration(second)*time.Second), true).Orders; len(orders) != 0 {
+			t.Fatalf("orders %+v though nobody waits", orders)
+		}
+	}
+}
--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -14,6 +14,7 @@
 type intent struct {
 	model  string
 	source Source
+	takes  time.Duration
 	until  time.Time
 }
 
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -284,7 +284,7 @@
 		return
 	}
 	if len(best.victims) > 0 {
-		best.server.intent = intent{model: model.Name, source: best.source, until: r.now.Add(intentTime)}
+		best.server.intent = intent{model: model.Name, source: best.source, takes: best.takes, until: r.now.Add(intentTime)}
 		r.orderUnload(best.server, best.victims[0], "room_for_"+model.Name)
 		return
 	}
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -18,6 +18,9 @@
 	refusalMargin = 20 * time.Millisecond
 	// orderTime is what passes before a load begins that nobody has announced.
 	orderTime = 250 * time.Millisecond
+	// swapTime is taken for a server to finish the runs of the model that makes
+	// room.
+	swapTime = 500 * time.Millisecond
 	// readTime is taken to pass between a server being ready and the answer's
 	// first byte.
 	readTime = 100 * time.Millisecond
@@ -154,7 +157,17 @@
 	if service.Engine == nil {
 		return orderTime
 	}
-	return ordersIn + orderTime + service.Engine.Models[x.head.Model].Load
+	model := service.Engine.Models[x.head.Model]
+	takes := model.Load
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
+		switch core.NearestCopy(x.wanted()) {
+		case dispatch.CopyInMemory:
+			takes = swapTime + model.MemoryLoad
+		case dispatch.CopyOnDisk:
+			takes = swapTime + model.DiskLoad
+		}
+	})
+	return ordersIn + orderTime + takes
 }
 
 // sleep waits for news, or until the next decision is due.
