Count what waited for a model as running from when the model came

Cause: the victim of a swap was judged by the silence since its last request; a model that had just come for a request from two seconds ago looked idle, was unloaded a second after it came (a tenth of all copies), and its unload waited for the run. Change: silence counts from the later of the two. Orders name their need.

--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -81,7 +81,8 @@
 	known := r.interest(name)
 	silent := r.now.Sub(s.held[name].since)
 	if known != nil {
-		silent = r.now.Sub(known.lastAsk)
+		// What waited for the model began to run when it came.
+		silent = min(silent, r.now.Sub(known.lastAsk))
 	}
 	switch {
 	case copies > max(1, r.kept(name)):
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -28,6 +28,11 @@
 	needWaiting
 )
 
+// String names the need in logs.
+func (n need) String() string {
+	return [...]string{"spare", "return", "throughput", "waiting"}[n]
+}
+
 // maxPenalty bounds what is dropped for a copy.
 func (n need) maxPenalty() float64 {
 	switch n {
@@ -288,11 +293,7 @@
 		r.orderUnload(best.server, best.victims[0], "room_for_"+model.Name)
 		return
 	}
-	reason := "replica"
-	if need == needWaiting {
-		reason = "wanted"
-	}
-	r.orderLoad(best, model, reason)
+	r.orderLoad(best, model, need.String())
 }
 
 // sameZoneCost is the malus for a zone that has a copy already.
