--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -66,6 +66,8 @@
 	servers    *inventory.Table
 	toldAt     time.Time
 	changed    bool
+	// loggedAt is when the placement was last logged.
+	loggedAt time.Time
 
 	// What other goroutines may read.
 	term       atomic.Int64
@@ -156,6 +158,7 @@
 		l.report(ctx, call)
 	}
 	l.changed = l.changed || effects.Changed
+	l.logPlacement(now)
 	l.publish(now)
 }
 
@@ -315,6 +318,23 @@
 	l.node.peers.tellViews(term, lapsed, views)
 }
 
+// placementPeriod is the time between two lines on where models stand.
+const placementPeriod = 2 * time.Second
+
+func (l *leader) logPlacement(now time.Time) {
+	if now.Sub(l.loggedAt) < placementPeriod {
+		return
+	}
+	l.loggedAt = now
+	for _, placed := range l.core.Summaries(now) {
+		l.node.options.Logger.Info().Int64("term", l.term.Load()).Str("service", placed.Service).
+			Int("servers", placed.Servers).Int("known", placed.Known).Int("copies", placed.Copies).
+			Int("wanted", placed.Wanted).Int("absent", placed.Absent).Int("loading", placed.Loading).
+			Int("loading_from_store", placed.LoadingFromStore).Int("emptied", placed.Emptied).
+			Str("several", placed.Several).Msg("placement")
+	}
+}
+
 // publishCost is the time between two datagrams of the leader's to one node for
 // each node that there is.
 const publishCost = 2 * time.Millisecond
