Log each call to the store; pause longer between the sentinels' calls

Change: a sentinel pauses 0.45 s and 6 ms a node (at most 1 s), others up to 15 s, within the store's history.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -107,8 +107,11 @@
 	}
 }
 
-// CountStoreCall counts a call to the object store.
+// CountStoreCall counts and logs a call to the object store; status is 0 where
+// no answer came.
 func (n *Node) CountStoreCall(method, kind string, status int, took time.Duration) {
+	n.options.Logger.Info().Str("method", method).Str("kind", kind).Int("status", status).
+		Int64("took_ms", took.Milliseconds()).Bool("sentinel", n.peers.isSentinel()).Msg("store_call")
 	n.metrics.store.WithLabelValues(method, kind, strconv.Itoa(status)).Inc()
 	if method != http.MethodGet {
 		n.metrics.storeLag.Observe(took.Seconds())
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -18,11 +18,12 @@
 	// by the sentinels meanwhile.
 	serversPause        = 1200 * time.Millisecond
 	serversPauseShare   = 150 * time.Millisecond
-	longestServersPause = 10 * time.Second
-	// The sentinels' pause is short, and grows a little with the fleet.
-	sentinelServersPause      = 300 * time.Millisecond
-	sentinelServersPauseShare = 3 * time.Millisecond
-	longestSentinelPause      = 600 * time.Millisecond
+	longestServersPause = 15 * time.Second
+	// The sentinels' pause is short, and grows a little with the fleet, which has
+	// more of them: one of them asks several times a second.
+	sentinelServersPause      = 450 * time.Millisecond
+	sentinelServersPauseShare = 6 * time.Millisecond
+	longestSentinelPause      = time.Second
 	// lagTolerated, lagShare for each node and longestLag bound how long a peer
 	// may know other servers before this node asks the store anew: news take
 	// longer in a larger fleet.
