--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -414,6 +414,24 @@
 	}
 }
 
+// TestModelOnDiskIsWaitedFor: callers were sent away for the time of a load from
+// the weight store, though a server had the weights on its disk.
+func TestModelOnDiskIsWaitedFor(t *testing.T) {
+	f := newFixture(t, newStandin(t, answering(http.StatusOK, "ok")))
+	f.handler.SetTable(engineTable(time.Second))
+	f.dispatch.Do(func(core *dispatch.Core) { core.SetLeader(time.Now(), 1, false, 0) })
+	copied := inventory.Server{ID: "s0", Service: "svc", Zone: "z", Revision: 2}
+	if got := f.send(t, http.MethodPost, "/llm/", "", "X-Model", "m"); !strings.Contains(got.body, reasonNotLoaded) {
+		t.Fatalf("%s where the weights are in the store alone, want a refusal as not loaded", got.body)
+	}
+	copied.OnDisk = []string{"m"}
+	f.dispatch.Do(func(core *dispatch.Core) { core.SetServers([]inventory.Change{{Server: copied}}) })
+	got := f.send(t, http.MethodPost, "/llm/", "", "X-Model", "m", "X-Wait", "900ms")
+	if strings.Contains(got.body, reasonNotLoaded) {
+		t.Errorf("refused as %s though a server has the weights", got.body)
+	}
+}
+
 func TestStoppingNodeRefusesWhatWaits(t *testing.T) {
 	f := newFixture(t, newStandin(t, answering(http.StatusOK, "ok")))
 	f.handler.SetTable(engineTable(5 * time.Second))
--- a/internal/storelease/lease_test.go
+++ b/internal/storelease/lease_test.go
@@ -105,3 +105,16 @@
 		t.Errorf("holder %q from an older read", core.Record().Holder)
 	}
 }
+
+// TestWhatHoldersLearnedIsHandedOn to the next one, through the store's record.
+func TestWhatHoldersLearnedIsHandedOn(t *testing.T) {
+	core := New(options("b"))
+	learned := map[string]float64{"svc": 4.2}
+	core.Observe(begin, Record{Holder: "a", Revision: 5, LoadsAtOnce: learned})
+	core.Observe(at(2400*time.Millisecond), Record{Holder: "a", Revision: 5, LoadsAtOnce: learned})
+	core.Attempt(at(2400 * time.Millisecond))
+	core.Taken(at(2400*time.Millisecond), at(2400*time.Millisecond), 6)
+	if got := core.PastLoadsAtOnce()["svc"]; got != 4.2 {
+		t.Errorf("learned %v handed on, want 4.2", got)
+	}
+}
