Give models further copies by the slots in use

Copies went by prompt tokens a second alone, whatever the slots. Change: the leader takes the requests of all nodes at each server, deals them out to its models by their rates, and wants as many copies as keep each under 0.7 of its slots.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -239,6 +239,17 @@
 	return loads
 }
 
+// Running are the requests of all nodes at each server that has any.
+func (c *Core) Running(now time.Time) map[string]int {
+	running := make(map[string]int, len(c.servers))
+	for id, s := range c.servers {
+		if count, _ := s.totals(now); count > 0 {
+			running[id] = count
+		}
+	}
+	return running
+}
+
 // affinity is a number in 0..1 that all nodes draw alike for a server and a key.
 func affinity(serverID string, key uint64) float64 {
 	digest := xxhash.New()
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -159,6 +159,7 @@
 	}
 	l.steppedAt = now
 	l.core.SetTable(l.node.handler.Table())
+	l.node.dispatch.Do(func(core *dispatch.Core) { l.core.SetRunning(core.Running(now)) })
 	effects := l.core.Step(now, l.lease.MayOrder(now))
 	for _, order := range effects.Orders {
 		l.order(ctx, order)
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// SetRunning takes the requests of all nodes at each server.
+func (c *Core) SetRunning(running map[string]int) {
+	for id, s := range c.servers {
+		s.running = running[id]
+	}
+}
+
 // checkEntry asks for a report where the entry names other models than this
 // leader knows of. The entry lags, so this may be for nothing.
 func (c *Core) checkEntry(now time.Time, s *server) {
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -280,3 +280,31 @@
 		}
 	}
 }
+
+// TestFullServersCallForCopies: prompts were few enough for one copy, but its
+// server's slots were full and callers queued there.
+func TestFullServersCallForCopies(t *testing.T) {
+	core := fullServer(t)
+	var changes []inventory.Change
+	for _, id := range []string{"s", "t", "u", "v"} {
+		changes = append(changes, inventory.Change{Server: inventory.Server{ID: id, Service: serviceName, Slots: 10}})
+	}
+	core.SetServers(begin, changes)
+	core.Step(begin, true)
+	for _, id := range []string{"t", "u", "v"} {
+		core.TakeReport(begin, id, Report{}, true)
+	}
+	core.demand.SetCounts(begin, "node", 1, []Count{{
+		Wanted: dispatch.Wanted{Service: serviceName, Model: "m02"}, Asked: 1, PromptTokens: 100,
+	}})
+	core.SetRunning(map[string]int{"s": 6})
+	if orders := core.Step(begin.Add(tick), true).Orders; len(orders) != 0 {
+		t.Fatalf("orders %+v though the server has room", orders)
+	}
+	core.SetRunning(map[string]int{"s": 10})
+	core.Reserved()
+	orders := core.Step(begin.Add(2*tick), true).Orders
+	if len(orders) != 1 || orders[0].ServerID == "s" || orders[0].Model != "m02" {
+		t.Errorf("orders %+v, want a copy of m02 at another server", orders)
+	}
+}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -81,6 +81,9 @@
 	// leave.
 	copies    int
 	isLoading bool
+	// slotsUsed is the share of one server's slots that the model's requests take,
+	// added up over its servers.
+	slotsUsed float64
 	// zones are those in which a server holds the model.
 	zones map[string]int
 }
@@ -107,8 +110,10 @@
 		return known
 	}
 	for _, s := range r.servers {
+		used := r.slotsUsed(s)
 		for model := range s.held {
 			known := of(model)
+			known.slotsUsed += used[model]
 			known.zones[s.info.Zone]++
 			if !s.info.Draining && s.unloading != model {
 				known.copies++
@@ -125,6 +130,28 @@
 	}
 }
 
+// slotsUsed is the share of a server's slots that requests for each model take:
+// how many run is known for the server alone, and dealt out by rates.
+func (r *round) slotsUsed(s *server) map[string]float64 {
+	if s.running == 0 || s.info.Slots == 0 {
+		return nil
+	}
+	rates, total := make(map[string]float64, len(s.held)), 0.0
+	for model := range s.held {
+		if known := r.interest(model); known != nil {
+			rates[model] = known.fast.requests
+			total += known.fast.requests
+		}
+	}
+	for model, rate := range rates {
+		rates[model] = rate / max(total, minRate) * float64(s.running) / float64(s.info.Slots)
+	}
+	return rates
+}
+
+// minRate keeps the shares of models that nobody asks for now at nothing.
+const minRate = 0.01
+
 // ordered forgets what an order changed.
 func (r *round) ordered() {
 	r.placed = nil
@@ -182,7 +209,7 @@
 		return 0
 	}
 	known.fade(r.now)
-	return max(r.copiesFor(known.fast), r.copiesForAdapters(model))
+	return max(r.copiesFor(known.fast), r.copiesForAdapters(model), r.copiesForSlots(model))
 }
 
 // kept is the number of copies that are kept by the demand of some time, which
@@ -193,7 +220,7 @@
 		return 0
 	}
 	known.fade(r.now)
-	return max(r.copiesFor(known.fast), r.copiesFor(known.slow), r.copiesForAdapters(model))
+	return max(r.copiesFor(known.fast), r.copiesFor(known.slow), r.copiesForAdapters(model), r.copiesForSlots(model))
 }
 
 // adapterSpread is the places for adapters that are wanted for each adapter that
@@ -211,6 +238,16 @@
 	return min(count, max(1, len(r.servers)/2))
 }
 
+// fullShare is the share of a server's slots from which on a burst would queue
+// there, so that its models get further copies.
+const fullShare = 0.7
+
+// copiesForSlots is the number of copies at which none is full.
+func (r *round) copiesForSlots(model string) int {
+	count := int(math.Ceil(r.placementOf(model).slotsUsed / fullShare))
+	return min(count, max(1, len(r.servers)/2))
+}
+
 // copiesForTokens is the number of copies that can read the prompts.
 func copiesForTokens(flow flow) int { return 1 + int(flow.tokens/copyTokens) }
 
@@ -269,7 +306,7 @@
 		return needWaiting
 	case wanted.copies == 0:
 		return needReturn
-	case known != nil && wanted.copies < copiesForTokens(known.fast), wanted.copies < r.copiesForAdapters(wanted.model.Name):
+	case known != nil && wanted.copies < copiesForTokens(known.fast), wanted.copies < max(r.copiesForAdapters(wanted.model.Name), r.copiesForSlots(wanted.model.Name)):
 		return needThroughput
 	default:
 		return needSpare
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -10,6 +10,8 @@
 // server is what the leader knows of one server's models.
 type server struct {
 	info inventory.Server
+	// running are the requests of all nodes there.
+	running int
 	// synced is set once a report of this term was read. Nothing is ordered
 	// before.
 	synced   bool
