--- a/cmd/spanlab/main.go
+++ b/cmd/spanlab/main.go
@@ -21,7 +21,6 @@
 			loadCommand(),
 			experimentCommand(),
 			simulateCommand(),
-			scaleCommand(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
--- a/internal/lab/doc.go
+++ b/internal/lab/doc.go
@@ -3,7 +3,6 @@
 // gathers the back ends' own books, check judges both against the rules,
 // report shows figures, experiment runs matrices of runs.
 //
-// Nothing here but scale, which runs whole nodes, may import a core or a shell
-// of the product; only wire types
-// and vocabulary (fleet, platform, spec, backend) and the stand-ins' books.
+// Nothing here may import a core or a shell of the product; only wire types and
+// vocabulary (fleet, platform, spec, backend) and the stand-ins' books.
 package lab
