--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
 
 // limitOf is what is known of the weight store of a service.
 func (c *Core) limitOf(service string) *storeLimit {
@@ -104,3 +108,45 @@
 	}
 	return max(recheck, min(longestRecheck, s.loading.ready.Sub(now)/2))
 }
+
+// storeLoading counts the loads from the weight store that are under way, or
+// for which a server is being emptied.
+func (r *round) storeLoading(besides string) int {
+	count := 0
+	for _, s := range r.servers {
+		isLoading := s.mayLoadFromStore()
+		isMeant := s.intent.source == SourceStore && s.isKeptFor(r.now, besides)
+		if isLoading || isMeant {
+			count++
+		}
+	}
+	return count
+}
+
+const (
+	// spareLoads is what is left of the bound for orders whose answer is lost.
+	spareLoads = 2
+	// boundExtra is the number of loads that the bound grants in any window
+	// beyond the rate; see the platform's rule on the weight store.
+	boundExtra = 3
+	// idleShare is the part of the bound that loads take which nobody waits for.
+	idleShare = 0.6
+)
+
+func (c *Core) loadsPerWindow(engine *routetable.Engine) int {
+	return int(engine.LoadsPerSecond*c.options.Window.Seconds()*c.options.Overage) + boundExtra - spareLoads
+}
+
+// storeAllows reports whether one more load from the weight store may begin.
+func (r *round) storeAllows(model string, urgent bool) bool {
+	if r.core.reserved[r.service] <= 0 {
+		return false
+	}
+	allowed := float64(r.core.loadsPerWindow(r.engine))
+	atOnce := r.core.limitOf(r.service).allowed()
+	if !urgent {
+		allowed *= idleShare
+		atOnce = max(1, atOnce/2)
+	}
+	return float64(len(r.core.storeLoads[r.service])) < allowed && r.storeLoading(model) < atOnce
+}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -11,57 +11,6 @@
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
-// need is why a model should have one more copy, the weakest first. It bounds
-// what may be dropped for it.
-type need int
-
-const (
-	// needSpare is for a copy beside those that the traffic needs.
-	needSpare need = iota
-	// needReturn is for a model that was asked for lately, stands nowhere, and
-	// that nobody waits for now. Without a bound, models that are more than the
-	// places would take turns for ever.
-	needReturn
-	// needThroughput is for a model whose copies cannot bear its traffic.
-	needThroughput
-	// needWaiting is for a model that requests wait for.
-	needWaiting
-)
-
-// String names the need in logs.
-func (n need) String() string {
-	return [...]string{"spare", "return", "throughput", "waiting"}[n]
-}
-
-// maxPenalty bounds what is dropped for a copy.
-func (n need) maxPenalty() float64 {
-	switch n {
-	case needWaiting:
-		return math.MaxFloat64
-	case needThroughput:
-		return maxThroughputPenalty
-	default:
-		return maxSparePenalty
-	}
-}
-
-const (
-	// maxSparePenalty leaves the last copy of what was asked for lately alone.
-	maxSparePenalty = 0.25
-	// maxThroughputPenalty allows to drop the last copy of a model that is idle
-	// and whose callers bear a load.
-	maxThroughputPenalty = 0.6
-)
-
-// want is one model that has fewer copies than wanted.
-type want struct {
-	model   routetable.Model
-	copies  int
-	waiting int
-	rate    float64
-	need    need
-}
-
 // round is the planning of one service's servers at one time.
 type round struct {
 	core    *Core
@@ -75,89 +24,6 @@
 	rooms  map[roomKey]room
 }
 
-// placement is where one model stands.
-type placement struct {
-	// copies are the servers that hold the model or are loading it, and do not
-	// leave.
-	copies    int
-	isLoading bool
-	// slotsUsed is the share of one server's slots that the model's requests take,
-	// added up over its servers.
-	slotsUsed float64
-	// zones are those in which a server holds the model.
-	zones map[string]int
-}
-
-// placementOf is where the model stands now.
-func (r *round) placementOf(model string) *placement {
-	if r.placed == nil {
-		r.place()
-	}
-	if known, ok := r.placed[model]; ok {
-		return known
-	}
-	return &placement{}
-}
-
-func (r *round) place() {
-	r.placed = make(map[string]*placement, len(r.engine.Models))
-	of := func(model string) *placement {
-		known, ok := r.placed[model]
-		if !ok {
-			known = &placement{zones: make(map[string]int)}
-			r.placed[model] = known
-		}
-		return known
-	}
-	for _, s := range r.servers {
-		used := r.slotsUsed(s)
-		for model := range s.held {
-			known := of(model)
-			known.slotsUsed += used[model]
-			known.zones[s.info.Zone]++
-			if !s.info.Draining && s.unloading != model {
-				known.copies++
-			}
-		}
-		if s.loading == nil {
-			continue
-		}
-		known := of(s.loading.model)
-		known.isLoading = true
-		if !s.info.Draining && (!s.has(s.loading.model) || s.unloading == s.loading.model) {
-			known.copies++
-		}
-	}
-}
-
-// slotsUsed is the share of a server's slots that requests for each model take:
-// how many run is known for the server alone, and dealt out by rates.
-func (r *round) slotsUsed(s *server) map[string]float64 {
-	if s.running == 0 || s.info.Slots == 0 {
-		return nil
-	}
-	rates, total := make(map[string]float64, len(s.held)), 0.0
-	for model := range s.held {
-		if known := r.interest(model); known != nil {
-			rates[model] = known.fast.requests
-			total += known.fast.requests
-		}
-	}
-	for model, rate := range rates {
-		rates[model] = rate / max(total, minRate) * float64(s.running) / float64(s.info.Slots)
-	}
-	return rates
-}
-
-// minRate keeps the shares of models that nobody asks for now at nothing.
-const minRate = 0.01
-
-// ordered forgets what an order changed.
-func (r *round) ordered() {
-	r.placed = nil
-	r.rooms = nil
-}
-
 // interest is what is wanted of a model, or nil.
 func (r *round) interest(model string) *interest {
 	return r.core.demand.interests[dispatch.Wanted{Service: r.service, Model: model}]
@@ -192,73 +58,6 @@
 }
 
 // Thresholds of demand.
-const (
-	// copyTokens is the prompt tokens in a second that call for one more copy.
-	copyTokens = 12000.0
-	// spareRate is the requests in a second from which a model has two copies,
-	// so that the loss of one leaves another.
-	spareRate = 0.5
-	// interestAge is how long a model that was asked for is kept wanted.
-	interestAge = 20 * time.Second
-)
-
-// needed is the number of copies that a model should have by the demand of now.
-func (r *round) needed(model string) int {
-	known := r.interest(model)
-	if known == nil || r.now.Sub(known.lastAsk) > interestAge {
-		return 0
-	}
-	known.fade(r.now)
-	return max(r.copiesFor(known.fast), r.copiesForAdapters(model), r.copiesForSlots(model))
-}
-
-// kept is the number of copies that are kept by the demand of some time, which
-// falls more slowly than it rises.
-func (r *round) kept(model string) int {
-	known := r.interest(model)
-	if known == nil {
-		return 0
-	}
-	known.fade(r.now)
-	return max(r.copiesFor(known.fast), r.copiesFor(known.slow), r.copiesForAdapters(model), r.copiesForSlots(model))
-}
-
-// adapterSpread is the places for adapters that are wanted for each adapter that
-// is asked for: copies do not hold quite different ones.
-const adapterSpread = 1.5
-
-// copiesForAdapters is the number of copies that have places for the adapters
-// that are asked for.
-func (r *round) copiesForAdapters(model string) int {
-	variety := r.core.demand.variety[dispatch.Wanted{Service: r.service, Model: model}]
-	if variety == 0 || r.engine.AdapterSlots == 0 {
-		return 0
-	}
-	count := int(math.Ceil(float64(variety) * adapterSpread / float64(r.engine.AdapterSlots)))
-	return min(count, max(1, len(r.servers)/2))
-}
-
-// fullShare is the share of a server's slots from which on a burst would queue
-// there, so that its models get further copies.
-const fullShare = 0.7
-
-// copiesForSlots is the number of copies at which none is full.
-func (r *round) copiesForSlots(model string) int {
-	count := int(math.Ceil(r.placementOf(model).slotsUsed / fullShare))
-	return min(count, max(1, len(r.servers)/2))
-}
-
-// copiesForTokens is the number of copies that can read the prompts.
-func copiesForTokens(flow flow) int { return 1 + int(flow.tokens/copyTokens) }
-
-func (r *round) copiesFor(flow flow) int {
-	count := copiesForTokens(flow)
-	if flow.requests > spareRate {
-		count = max(count, 2)
-	}
-	return min(count, max(1, len(r.servers)/2))
-}
-
 func (r *round) planModels() {
 	for _, wanted := range r.wants() {
 		r.loadSomewhere(wanted.model, wanted.need)
@@ -299,30 +98,10 @@
 	return wants
 }
 
-// needOf is why the model should have one more copy.
-func (r *round) needOf(wanted want, known *interest) need {
-	switch {
-	case wanted.copies == 0 && wanted.waiting > 0:
-		return needWaiting
-	case wanted.copies == 0:
-		return needReturn
-	case known != nil && wanted.copies < copiesForTokens(known.fast), wanted.copies < max(r.copiesForAdapters(wanted.model.Name), r.copiesForSlots(wanted.model.Name)):
-		return needThroughput
-	default:
-		return needSpare
-	}
-}
-
 // maxBeyond bounds the copies beyond those needed that requests which cannot
 // reach any get.
 const maxBeyond = 2
 
-func (r *round) isLoading(model string) bool { return r.placementOf(model).isLoading }
-
-// copiesOf counts the servers that hold the model or are loading it, and do not
-// leave.
-func (r *round) copiesOf(model string) int { return r.placementOf(model).copies }
-
 // choice is one way to load a model.
 type choice struct {
 	server  *server
@@ -444,45 +223,3 @@
 	c.effects.Orders = append(c.effects.Orders, order)
 	c.effects.Changed = true
 }
-
-// storeLoading counts the loads from the weight store that are under way, or
-// for which a server is being emptied.
-func (r *round) storeLoading(besides string) int {
-	count := 0
-	for _, s := range r.servers {
-		isLoading := s.mayLoadFromStore()
-		isMeant := s.intent.source == SourceStore && s.isKeptFor(r.now, besides)
-		if isLoading || isMeant {
-			count++
-		}
-	}
-	return count
-}
-
-const (
-	// spareLoads is what is left of the bound for orders whose answer is lost.
-	spareLoads = 2
-	// boundExtra is the number of loads that the bound grants in any window
-	// beyond the rate; see the platform's rule on the weight store.
-	boundExtra = 3
-	// idleShare is the part of the bound that loads take which nobody waits for.
-	idleShare = 0.6
-)
-
-func (c *Core) loadsPerWindow(engine *routetable.Engine) int {
-	return int(engine.LoadsPerSecond*c.options.Window.Seconds()*c.options.Overage) + boundExtra - spareLoads
-}
-
-// storeAllows reports whether one more load from the weight store may begin.
-func (r *round) storeAllows(model string, urgent bool) bool {
-	if r.core.reserved[r.service] <= 0 {
-		return false
-	}
-	allowed := float64(r.core.loadsPerWindow(r.engine))
-	atOnce := r.core.limitOf(r.service).allowed()
-	if !urgent {
-		allowed *= idleShare
-		atOnce = max(1, atOnce/2)
-	}
-	return float64(len(r.core.storeLoads[r.service])) < allowed && r.storeLoading(model) < atOnce
-}
