Take the store away only once a record of allotments is vouched for

Its logs: the store went down 50 ms into the load; the leaders had counted their engines 0.1 s before, and the first record of allotments was to be written 0.24 s later (record_not_written), so no load was allowed until the store was back. Change: the test waits until each node vouches for a record, as TestLeaderIsKilledWhileTheStoreIsDown does for the same reason. It demands the same as before.

--- a/test/faults/single_test.go
+++ b/test/faults/single_test.go
@@ -66,9 +66,13 @@
 }
 
 // TestStoreIsDownDuringColdStarts takes the store away before the first
-// requests for most models come and gives it back after they were loaded.
+// requests for most models come and gives it back after they were loaded. That
+// can only be where the first record of allotments was written before.
 func TestStoreIsDownDuringColdStarts(t *testing.T) {
 	f := startFleet(t)
+	for _, node := range f.nodes {
+		f.awaitVouching(node)
+	}
 	f.underLoad(run{script: func(moment reached) {
 		f.store(storeDown, "store-down")
 		down := time.Now()
