--- a/internal/placer/copies.go
+++ b/internal/placer/copies.go
@@ -7,6 +7,7 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 )
 
+// Thresholds of demand.
 const (
 	// copyTokens is the prompt tokens in a second that call for one more copy.
 	copyTokens = 12000.0
@@ -66,6 +67,8 @@
 // copiesForTokens is the number of copies that can read the prompts.
 func copiesForTokens(flow flow) int { return 1 + int(flow.tokens/copyTokens) }
 
+// copiesFor is the number of copies for a flow of requests: enough to read the
+// prompts, and two where the loss of one would be felt.
 func (r *round) copiesFor(flow flow) int {
 	count := copiesForTokens(flow)
 	if flow.requests > spareRate {
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -57,7 +57,7 @@
 	return servers
 }
 
-// Thresholds of demand.
+// planModels orders loads of the models that lack copies, and makes room for them.
 func (r *round) planModels() {
 	for _, wanted := range r.wants() {
 		r.loadSomewhere(wanted.model, wanted.need)
@@ -116,10 +116,28 @@
 // intentTime is how long a server that was emptied is kept for a model.
 const intentTime = time.Second
 
+// loadSomewhere orders one more copy of the model, or the first unload that makes
+// room for it, where that may be done now.
 func (r *round) loadSomewhere(model routetable.Model, need need) {
 	if r.isMadeRoomFor(model.Name) {
 		return
 	}
+	best := r.choose(model, need)
+	if best.server == nil || best.wait > 0 {
+		// A server that is busy now, and has the weights, is worth waiting for.
+		return
+	}
+	if len(best.victims) > 0 {
+		best.server.intent = intent{model: model.Name, source: best.source, takes: best.takes, until: r.now.Add(intentTime)}
+		r.orderUnload(best.server, best.victims[0], "room_for_"+model.Name)
+		return
+	}
+	r.orderLoad(best, model, need.String())
+}
+
+// choose returns the way to load the model that costs least, busy servers
+// included; its server is nil where there is none.
+func (r *round) choose(model routetable.Model, need need) choice {
 	best := choice{cost: math.Inf(1)}
 	mayAskStore := r.storeAllows(model.Name, need == needWaiting)
 	for _, s := range r.servers {
@@ -146,16 +164,7 @@
 			best = choice{server: s, victims: victims, source: source, takes: takes, wait: wait, cost: cost}
 		}
 	}
-	if best.server == nil || best.wait > 0 {
-		// A server that is busy now, and has the weights, is worth waiting for.
-		return
-	}
-	if len(best.victims) > 0 {
-		best.server.intent = intent{model: model.Name, source: best.source, takes: best.takes, until: r.now.Add(intentTime)}
-		r.orderUnload(best.server, best.victims[0], "room_for_"+model.Name)
-		return
-	}
-	r.orderLoad(best, model, need.String())
+	return best
 }
 
 // sameZoneCost is the malus for a zone that has a copy already.
