Ask in one place whether a server is kept for a model

The last reading of the change found the same condition on a server's intent four times (isMeantFor, isKeptFor, the summary for logs, the view); hasIntent holds it. No behaviour changes.

--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -180,8 +180,13 @@
 // intentBonus makes a load go where room was made for it.
 const intentBonus = 1.0
 
+// hasIntent reports whether the server is kept for some model.
+func (s *server) hasIntent(now time.Time) bool {
+	return s.intent.model != "" && now.Before(s.intent.until)
+}
+
 func (s *server) isMeantFor(now time.Time, model string) bool {
-	return s.intent.model == model && now.Before(s.intent.until)
+	return s.hasIntent(now) && s.intent.model == model
 }
 
 // isMadeRoomFor reports whether a server that is being emptied for the model
@@ -197,7 +202,7 @@
 
 // isKeptFor reports whether room was made for another model.
 func (s *server) isKeptFor(now time.Time, model string) bool {
-	return s.intent.model != "" && s.intent.model != model && now.Before(s.intent.until)
+	return s.hasIntent(now) && s.intent.model != model
 }
 
 func (r *round) orderLoad(best choice, model routetable.Model, reason string) {
--- a/internal/placer/summary.go
+++ b/internal/placer/summary.go
@@ -57,7 +57,7 @@
 		if s.loading != nil {
 			sum.Loading++
 		}
-		if s.intent.model != "" && r.now.Before(s.intent.until) {
+		if s.hasIntent(r.now) {
 			sum.Emptied++
 		}
 	}
--- a/internal/placer/views.go
+++ b/internal/placer/views.go
@@ -49,8 +49,8 @@
 		slices.Sort(adapters)
 		view.Held[name] = adapters
 	}
-	if model := s.intent.model; model != "" && s.loading == nil && now.Before(s.intent.until) {
-		view.Loading[model] = orderWait + s.intent.takes
+	if s.loading == nil && s.hasIntent(now) {
+		view.Loading[s.intent.model] = orderWait + s.intent.takes
 	}
 	if s.loading != nil {
 		view.Loading[s.loading.model] = max(time.Millisecond, s.loading.ready.Sub(now))
