--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -81,6 +81,8 @@
 		Tunables:    tunables(settings),
 		PeerAddress: settings.PeerAddress(settings.IP),
 		Strength:    strength(settings),
+		ApplyWithin: applyWithin(settings),
+		FirstStart:  settings.IsBootstrap,
 		LeaseQuiet:  platform.Milliseconds(settings.Bounds.LeaseMs),
 		LoadWindow:  platform.Seconds(settings.Bounds.CeilingWindowS),
 		LoadOverage: settings.Bounds.OriginOverage,
@@ -122,6 +124,12 @@
 	return uint32(min(settings.Limits.CPUShare*cores*milliCores, settings.Limits.LinkMbps*linkMilliCores))
 }
 
+// applyWithin is the time within which both a configuration and the leaving of a
+// server must be known at every node.
+func applyWithin(settings platform.Settings) time.Duration {
+	return platform.Milliseconds(min(settings.Bounds.ConfigApplyMs, settings.Bounds.DrainMs))
+}
+
 // tunables are the settings that change while a node runs.
 func tunables(settings platform.Settings) edge.Tunables {
 	return edge.Tunables{
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -22,6 +22,8 @@
 	servers   map[string]*server
 	byService map[string][]*server
 	demand    map[Wanted]*demand
+	// loadedBy are the servers at which each peer has requests under way.
+	loadedBy map[string][]*server
 	// term is the highest term of a leader that was heard.
 	term int64
 	// leaderSeen is when the leader last said that it holds its lease, and
@@ -40,6 +42,7 @@
 		servers:   make(map[string]*server),
 		byService: make(map[string][]*server),
 		demand:    make(map[Wanted]*demand),
+		loadedBy:  make(map[string][]*server),
 		changed:   make(chan struct{}),
 	}
 }
@@ -136,6 +139,10 @@
 	Held map[string][]string
 	// Loading are the times left until MODEL or MODEL/ADAPTER is there.
 	Loading map[string]time.Duration
+	// InMemory and OnDisk are models whose weights the server keeps beside those
+	// held.
+	InMemory []string
+	OnDisk   []string
 	// Digest is a number that two views have in common which say the same, but
 	// for the times left.
 	Digest uint64
@@ -153,6 +160,7 @@
 			continue
 		}
 		known.view = &views[i]
+		known.hasNewerEntry = false
 		known.viewAt = now
 		known.viewSeen = now
 		known.viewTerm = term
@@ -203,6 +211,7 @@
 	for _, s := range c.servers {
 		if s.viewTerm == term {
 			s.viewSeen = now
+			s.hasNewerEntry = false
 		}
 	}
 	return true
@@ -218,14 +227,21 @@
 // SetPeerLoads takes what a peer has under way; servers that are not named have
 // nothing of it.
 func (c *Core) SetPeerLoads(now time.Time, peer string, loads []PeerLoad) {
-	for _, s := range c.servers {
+	for _, s := range c.loadedBy[peer] {
 		delete(s.peers, peer)
 	}
+	loaded := c.loadedBy[peer][:0]
 	for _, load := range loads {
 		if s, ok := c.servers[load.ServerID]; ok {
 			s.peers[peer] = peerLoad{running: load.Running, pendingTokens: load.PendingTokens, at: now}
+			loaded = append(loaded, s)
 		}
 	}
+	if len(loaded) == 0 {
+		delete(c.loadedBy, peer)
+		return
+	}
+	c.loadedBy[peer] = loaded
 }
 
 // OwnLoads are this node's requests in flight, for its peers.
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -86,8 +86,18 @@
 	if pick(core, begin, Ask{Model: "new"}) != "a" {
 		t.Error("a view of an older term is taken")
 	}
+	// Nodes that follow their peers see no entry for long: an older one does not
+	// go before the last view, and a newer one does.
+	if pick(core, begin.Add(4*time.Second), Ask{Model: "old"}) != "" || pick(core, begin.Add(4*time.Second), Ask{Model: "new"}) != "a" {
+		t.Error("an older entry goes before a view that is not repeated")
+	}
+	core.SetServers([]inventory.Change{entry("a", "z", "old")})
 	if pick(core, begin.Add(4*time.Second), Ask{Model: "old"}) != "a" {
-		t.Error("the entry does not go before a view that is not repeated")
+		t.Error("a newer entry does not go before a view that is not repeated")
+	}
+	core.ConfirmViews(begin.Add(5*time.Second), 5, 0)
+	if pick(core, begin.Add(6*time.Second), Ask{Model: "new"}) != "a" {
+		t.Error("the entry goes before a view that the leader confirmed after it")
 	}
 }
 
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -106,21 +106,30 @@
 )
 
 // NearestCopy is the copy of a model's weights that some server can load
-// soonest, by the servers' own entries.
-func (c *Core) NearestCopy(wanted Wanted) Copy {
+// soonest, by the leader's views or the servers' own entries.
+func (c *Core) NearestCopy(now time.Time, wanted Wanted) Copy {
 	nearest := CopyInStore
 	for _, s := range c.byService[wanted.Service] {
+		inMemory, onDisk := s.copies(now)
 		switch {
 		case !s.takesWork():
-		case slices.Contains(s.info.InMemory, wanted.Model):
+		case slices.Contains(inMemory, wanted.Model):
 			return CopyInMemory
-		case slices.Contains(s.info.OnDisk, wanted.Model):
+		case slices.Contains(onDisk, wanted.Model):
 			nearest = CopyOnDisk
 		}
 	}
 	return nearest
 }
 
+// copies are the models whose weights the server keeps beside those held.
+func (s *server) copies(now time.Time) (inMemory, onDisk []string) {
+	if s.hasView(now) {
+		return s.view.InMemory, s.view.OnDisk
+	}
+	return s.info.InMemory, s.info.OnDisk
+}
+
 // comesIn is the time until the server has what is wanted, where that can be
 // told; ordersIn is the time until somebody may order.
 func (s *server) comesIn(now time.Time, wanted Wanted, ordersIn time.Duration) (time.Duration, bool) {
--- a/internal/dispatch/demand_test.go
+++ b/internal/dispatch/demand_test.go
@@ -27,7 +27,7 @@
 			changes = append(changes, inventory.Change{Server: server})
 		}
 		core.SetServers(changes)
-		if got := core.NearestCopy(Wanted{Service: "svc", Model: "m"}); got != c.want {
+		if got := core.NearestCopy(begin, Wanted{Service: "svc", Model: "m"}); got != c.want {
 			t.Errorf("%s: copy %v, want %v", c.name, got, c.want)
 		}
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -22,6 +22,9 @@
 	viewAt   time.Time
 	viewSeen time.Time
 	viewTerm int64
+	// hasNewerEntry is set where the entry came after the leader last said that
+	// the view holds.
+	hasNewerEntry bool
 	// running and pendingTokens are this node's own requests in flight: all of
 	// them, and the prompt tokens of those whose answer has not begun.
 	running       int
@@ -68,6 +71,7 @@
 // update takes a newer entry.
 func (s *server) update(info inventory.Server) {
 	s.info = info
+	s.hasNewerEntry = true
 	s.held = make(map[string]map[string]bool, len(info.Models))
 	for _, model := range info.Models {
 		adapters := make(map[string]bool, len(model.Adapters))
@@ -82,8 +86,10 @@
 	return !s.info.Draining && s.info.Revision >= s.goingBefore
 }
 
+// hasView reports whether the leader's view goes before the entry: while it is
+// young or, where no leader is heard, nothing newer came.
 func (s *server) hasView(now time.Time) bool {
-	return s.view != nil && now.Sub(s.viewSeen) < viewAge
+	return s.view != nil && (now.Sub(s.viewSeen) < viewAge || !s.hasNewerEntry)
 }
 
 func (s *server) holds(now time.Time, model, adapter string) bool {
--- /dev/null
+++ b/internal/edge/confirmation_test.go
@@ -0,0 +1,122 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// newFollower is a weak node beside strong ones, which knows a configuration and
+// servers.
+func newFollower(t testing.TB, strong int) *Node {
+	t.Helper()
+	node := newTestNode(t)
+	node.firstRead = 0
+	node.peers.roster.SetStrength(weakStrength)
+	node.handler.SetTable(routetable.New(7, nil, nil, routetable.Limits{}))
+	node.listPeerServers([]inventory.Server{{ID: "a", Revision: 1}}, 2)
+	for i := range strong {
+		node.peers.roster.Observe(time.Now(), &peerpb.NodeState{
+			Node: fmt.Sprint("strong-", i), Address: fmt.Sprintf("126.0.0.%d:1", i+1), Life: 1, Sequence: 1, Strength: strongStrength,
+		})
+	}
+	return node
+}
+
+// hears takes a datagram of a strong node.
+func hears(node *Node, sequence uint64, version int64, configAge, serversAge uint32) {
+	digest, revision := node.directory.standing()
+	node.peers.take(&peerpb.NodeState{
+		Node: "strong-0", Address: "126.0.0.1:1", Life: 1, Sequence: sequence, Strength: strongStrength,
+		ConfigVersion: version, ConfigAgeMs: configAge, ServersDigest: digest, ServersRevision: revision, ServersAgeMs: serversAge,
+	})
+}
+
+// TestConfirmedNodeLeavesTheStoreAlone: each of hundreds of nodes asked the store
+// again and again for what a few had asked just before.
+func TestConfirmedNodeLeavesTheStoreAlone(t *testing.T) {
+	node := newFollower(t, 3)
+	asks := func(after time.Duration) bool {
+		now := time.Now().Add(after)
+		return node.watchesStore(now, &node.configConfirmed) || node.watchesStore(now, &node.serversConfirmed)
+	}
+	if !asks(usualApplyWithin) {
+		t.Error("a node to which nobody ever confirmed what it knows does not ask the store")
+	}
+	hears(node, 2, 7, 101, 101)
+	if asks(0) || asks(node.shareOf(confirmedShare)-200*time.Millisecond) {
+		t.Error("a node asks the store for what was confirmed 100 ms ago")
+	}
+	if !asks(node.shareOf(confirmedShare + takeoverShare)) {
+		t.Error("a node that hears no confirmation any more does not ask the store")
+	}
+	if limit := node.shareOf(confirmedShare + takeoverShare); limit >= usualApplyWithin {
+		t.Errorf("a node may act for %v on what nobody confirmed, longer than the bound of %v", limit, usualApplyWithin)
+	}
+}
+
+// TestWhoIsBehindIsNotConfirmed until it has what the peer has.
+func TestWhoIsBehindIsNotConfirmed(t *testing.T) {
+	node := newFollower(t, 3)
+	hears(node, 2, 8, 1, 1)
+	if _, known := node.configConfirmed.age(time.Now()); known {
+		t.Error("a peer that has a newer configuration confirms the older one")
+	}
+	select {
+	case address := <-node.snapshots.wanted:
+		if address != "126.0.0.1:1" {
+			t.Errorf("%s is asked, want the peer that told", address)
+		}
+	default:
+		t.Error("the peer is not asked for the newer configuration")
+	}
+	node.peers.take(&peerpb.NodeState{
+		Node: "strong-0", Address: "126.0.0.1:1", Life: 1, Sequence: 3, ConfigVersion: 7, ServersDigest: 99, ServersRevision: 1, ServersAgeMs: 1,
+	})
+	if age, _ := node.serversConfirmed.age(time.Now()); age > time.Second {
+		t.Errorf("age %v after the first datagram, which told of the same servers", age)
+	}
+	node.serversConfirmed.at = time.Time{}
+	node.peers.take(&peerpb.NodeState{
+		Node: "strong-0", Address: "126.0.0.1:1", Life: 1, Sequence: 4, ConfigVersion: 7, ServersDigest: 99, ServersRevision: 1, ServersAgeMs: 1,
+	})
+	if _, known := node.serversConfirmed.age(time.Now()); known {
+		t.Error("a peer that knows other servers confirms those known here")
+	}
+}
+
+// TestFirstNodesStepInFirst: where nobody confirms, nodes ask one after the other,
+// and all of them within the bound.
+func TestFirstNodesStepInFirst(t *testing.T) {
+	weak, first := newFollower(t, 40), newFollower(t, 0)
+	now := time.Now()
+	if early, late := first.takeover(now), weak.takeover(now); early != 0 || late <= 0 || late > weak.shareOf(takeoverShare) {
+		t.Errorf("the first steps in after %v, the last after %v", early, late)
+	}
+}
+
+// TestAgeOnTheWire keeps "not known" apart from "just now".
+func TestAgeOnTheWire(t *testing.T) {
+	now := time.Now()
+	var known, heard confirmation
+	if known.wire(now) != 0 {
+		t.Error("an age is told of what was never confirmed")
+	}
+	known.confirm(now)
+	if got := known.wire(now.Add(250 * time.Millisecond)); got != 251 {
+		t.Errorf("told %d, want 251", got)
+	}
+	heard.hear(now, 0)
+	if _, ok := heard.age(now); ok {
+		t.Error("an age that is not known confirms")
+	}
+	heard.hear(now, 251)
+	heard.hear(now, 900)
+	if age, _ := heard.age(now); age != 250*time.Millisecond {
+		t.Errorf("age %v, want the least of those heard, 250ms", age)
+	}
+}
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -25,6 +25,26 @@
 	return &directory{table: inventory.NewTable(), news: gossip.NewNews()}
 }
 
+// list are the servers that take work, the revision that they are known up to, and
+// their digest. Those that go are left out: nobody needs them.
+func (d *directory) list() (servers []inventory.Server, revision int64, digest uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for server := range d.table.All {
+		if !server.Draining {
+			servers = append(servers, server)
+		}
+	}
+	return servers, d.table.Revision(), d.table.Digest()
+}
+
+// replaceByPeer takes a peer's whole list, which is no news: the peer had told it.
+func (d *directory) replaceByPeer(servers []inventory.Server, revision int64) []inventory.Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Replace(servers, revision)
+}
+
 // replace takes a whole list. What it changed is news unless it is the first.
 func (d *directory) replace(now time.Time, servers []inventory.Server, revision int64) (changes []inventory.Change, hasNews bool) {
 	d.mu.Lock()
@@ -105,15 +125,15 @@
 // newest is the highest revision of what is known. The lock is held.
 func (d *directory) newest() int64 { return max(d.table.Revision(), d.heard) }
 
-// lags reports whether a peer has known other servers from a newer revision for
-// longer than news take: the store is to be asked.
-func (d *directory) lags(now time.Time, digest uint64, revision int64, tolerated time.Duration) bool {
+// lags reports whether a peer has known other servers from a newer revision, or
+// confirmed later, for longer than news take: somebody is to be asked.
+func (d *directory) lags(now time.Time, digest uint64, revision int64, isFresher bool, tolerated time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
 	case digest == d.table.Digest():
 		d.lagSince = time.Time{}
-	case revision <= d.newest():
+	case revision <= d.newest() && !isFresher:
 	case d.lagSince.IsZero():
 		d.lagSince = now
 	case now.Sub(d.lagSince) > tolerated:
--- a/internal/edge/directory_test.go
+++ b/internal/edge/directory_test.go
@@ -51,7 +51,7 @@
 	sentinel.apply(begin, []inventory.Change{{Server: inventory.Server{ID: "a", Revision: 8, Draining: true}}}, 8)
 	compare := func(after time.Duration) bool {
 		digest, revision := sentinel.standing()
-		return other.lags(begin.Add(after), digest, revision, 400*time.Millisecond)
+		return other.lags(begin.Add(after), digest, revision, false, 400*time.Millisecond)
 	}
 	if compare(0) || compare(300*time.Millisecond) {
 		t.Error("the store is asked before news had time to come")
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -10,23 +10,15 @@
 )
 
 const (
-	// watchTime is how long one watch waits. A watch may turn deaf without a
-	// word, so two nodes of all, the sentinels, watch in short turns; the others
-	// learn from them that they missed something.
-	watchTime         = 5 * time.Second
-	sentinelWatchTime = time.Second
-	// longestWatch and watchShare, which counts for each node, bound the watches
-	// of the others, whose number then does not grow with the fleet.
-	longestWatch = 30 * time.Second
-	watchShare   = 400 * time.Millisecond
-	// longestConfigPause and configPauseShare, which counts for each node, bound
-	// the pause after a new configuration: a storm of them is not read whole by
-	// each node.
-	longestConfigPause = 500 * time.Millisecond
-	configPauseShare   = 8 * time.Millisecond
 	// Pauses after a failed call to the store; they double up to the longest.
 	shortestPause = 60 * time.Millisecond
 	longestPause  = 800 * time.Millisecond
+	// standInPause is the pause of a node that asks only because nobody confirmed
+	// to it what it knows: where the store is away for all, the first nodes find
+	// out that it is back.
+	standInPause = 3 * time.Second
+	// watchCheck is the time between looks whether this node is to ask the store.
+	watchCheck = 50 * time.Millisecond
 )
 
 // backoff is the pause after failed calls.
@@ -36,11 +28,25 @@
 
 // wait sleeps for a time drawn from the pause, so that nodes do not call in
 // step after an outage.
-func (b *backoff) wait(ctx context.Context) {
-	b.pause = min(max(2*b.pause, shortestPause), longestPause)
+func (b *backoff) wait(ctx context.Context, longest time.Duration) {
+	b.pause = min(max(2*b.pause, shortestPause), longest)
+	if longest > longestPause {
+		b.pause = longest
+	}
 	sleep(ctx, b.pause/2+rand.N(b.pause/2+1))
 }
 
+// longestStorePause is the longest pause of this node after failed calls.
+func (n *Node) longestStorePause() time.Duration {
+	if rank, _ := n.peers.rank(time.Now()); rank < firstNodes {
+		return longestPause
+	}
+	return standInPause
+}
+
+// firstNodes is the number of nodes that look for a store which is away.
+const firstNodes = 4
+
 func sleep(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
@@ -54,58 +60,67 @@
 func (n *Node) followConfiguration(ctx context.Context) {
 	var pause backoff
 	for ctx.Err() == nil {
+		if !n.watchesStore(time.Now(), &n.configConfirmed) {
+			discard(n.configNudge)
+			sleep(ctx, watchCheck)
+			continue
+		}
+		asked := time.Now()
 		table, at, err := n.options.Store.Configuration(ctx)
 		if err != nil {
 			n.storeFailed("configuration", err)
-			pause.wait(ctx)
+			pause.wait(ctx, n.longestStorePause())
 			continue
 		}
 		n.storeAnswered()
 		if table != nil {
 			n.putInForce(table, "read")
 		}
-		for err == nil && ctx.Err() == nil {
+		n.configConfirmed.confirm(asked)
+		for err == nil && ctx.Err() == nil && n.watchesStore(time.Now(), &n.configConfirmed) {
 			pause.reset()
-			table, at, err = n.watchConfiguration(ctx, at)
-			if err == nil {
-				n.storeAnswered()
-			}
-			if err == nil && table != nil {
-				n.putInForce(table, "watch")
-				sleep(ctx, n.configPause())
-				// The next call says what peers hear of meanwhile.
-				discard(n.configNudge)
-			}
+			at, err = n.watchConfiguration(ctx, at)
+		}
+		if err != nil {
+			n.storeFailed("configuration", err)
+			pause.wait(ctx, n.longestStorePause())
 		}
-		n.storeFailed("configuration", err)
-		pause.wait(ctx)
 	}
 }
 
-// watchConfiguration waits for a change; a nudge ends the wait.
-func (n *Node) watchConfiguration(ctx context.Context, at int64) (*routetable.Table, int64, error) {
+// watchConfiguration waits for a change once; a nudge ends the wait.
+func (n *Node) watchConfiguration(ctx context.Context, from int64) (at int64, err error) {
 	ctx, cancel := nudged(ctx, n.configNudge)
 	defer cancel()
-	return n.options.Store.WatchConfiguration(ctx, at, n.watchTime())
-}
-
-// watchTime is how long a watch waits: the more nodes there are, the longer, as
-// the sentinels stand in for all.
-func (n *Node) watchTime() time.Duration {
-	if n.peers.isSentinel() {
-		return sentinelWatchTime
+	asked, wait := time.Now(), n.watchTime()
+	table, at, err := n.options.Store.WatchConfiguration(ctx, from, wait)
+	if err != nil {
+		return at, err
 	}
-	return min(longestWatch, max(watchTime, n.nodes()*watchShare))
+	n.storeAnswered()
+	if table == nil {
+		n.configConfirmed.confirm(confirmedBy(asked, wait, time.Now()))
+		return at, nil
+	}
+	n.putInForce(table, "watch")
+	n.configConfirmed.confirm(asked)
+	n.peers.tick()
+	return at, nil
 }
 
-// configPause gathers versions that come in quick succession into one call.
-func (n *Node) configPause() time.Duration {
-	if n.peers.isSentinel() {
-		return 0
+// confirmedBy is up to when a watch that told of no change says that there was
+// none.
+func confirmedBy(asked time.Time, wait time.Duration, answered time.Time) time.Time {
+	if ended := asked.Add(wait); ended.Before(answered) {
+		return ended
 	}
-	return min(longestConfigPause, n.nodes()*configPauseShare)
+	return answered
 }
 
+// watchTime is how long a watch waits. A watch may turn deaf without a word, so
+// the turns are short.
+func (n *Node) watchTime() time.Duration { return n.shareOf(watchShare) }
+
 // nodes is the number of nodes, as a factor of times.
 func (n *Node) nodes() time.Duration { return time.Duration(1 + n.peers.count()) }
 
@@ -139,16 +154,23 @@
 	return true
 }
 
-// compareConfiguration asks the store anew where a peer has a newer version for
-// longer than it takes to come here.
-func (n *Node) compareConfiguration(now time.Time, version int64) {
-	known := int64(0)
+// configVersion is the version in force, 0 where there is none.
+func (n *Node) configVersion() int64 {
 	if table := n.handler.Table(); table != nil {
-		known = table.Version
+		return table.Version
 	}
-	if version <= known {
+	return 0
+}
+
+// compareConfiguration takes which version a peer has. Where it is newer, the peer
+// is asked for it; a node that watches the store itself asks that anew, too, where
+// peers have had it for longer than it takes to come here.
+func (n *Node) compareConfiguration(now time.Time, address string, version int64, age uint32) {
+	if version <= n.configVersion() {
+		n.configConfirmed.hear(now, age)
 		return
 	}
+	n.snapshots.want(address)
 	if n.configLag.passes(now, version, min(longestConfigLag, n.nodes()*configLagShare)) {
 		send(n.configNudge)
 	}
@@ -194,16 +216,40 @@
 		Str("from", from).Msg("config_in_force")
 }
 
+// lapseAfter is how long the store must have been away for entries of servers
+// to have lapsed because of that; a server renews its own about as often.
+const lapseAfter = time.Second
+
 // storeAnswered notes that the store is there.
 func (n *Node) storeAnswered() {
-	if n.storeFailing.Swap(false) {
-		n.options.Logger.Info().Msg("store_regained")
+	if !n.storeFailing.Swap(false) {
+		return
+	}
+	away := time.Since(n.started) - time.Duration(n.failingFrom.Load())
+	if away >= lapseAfter {
+		n.lapses.storeReturned(time.Now())
+	}
+	n.options.Logger.Info().Int64("away_ms", away.Milliseconds()).Msg("store_regained")
+}
+
+// storeRetryAfter is how long after a failed call a node to which others confirm
+// what it knows counts again as one that the store answers.
+const storeRetryAfter = 5 * time.Second
+
+// forgiveStore lets a node be a sentinel again whose call failed a while ago.
+func (n *Node) forgiveStore(now time.Time) {
+	age, known := n.configConfirmed.age(now)
+	failed := now.Sub(n.started) - time.Duration(n.failingFrom.Load())
+	if known && age < n.shareOf(confirmedShare) && failed > storeRetryAfter && !n.watchesStore(now, &n.configConfirmed) {
+		n.storeFailing.Store(false)
 	}
 }
 
 func (n *Node) storeFailed(what string, err error) {
 	if err != nil && !errors.Is(err, context.Canceled) {
-		n.storeFailing.Store(true)
+		if !n.storeFailing.Swap(true) {
+			n.failingFrom.Store(int64(time.Since(n.started)))
+		}
 		n.options.Logger.Warn().Str("what", what).Str("error", err.Error()).Msg("store_failed")
 	}
 }
--- /dev/null
+++ b/internal/edge/lapses_test.go
@@ -0,0 +1,76 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+func ids(servers []inventory.Server) []string {
+	var ids []string
+	for _, server := range servers {
+		ids = append(ids, server.ID)
+	}
+	return ids
+}
+
+func gone(id string) inventory.Change {
+	return inventory.Change{Server: inventory.Server{ID: id}, Gone: true}
+}
+
+// TestLapsedEntriesComeBackOrGo: after an outage of the store nodes took all
+// servers whose entries had lapsed for gone, and refused their callers.
+func TestLapsedEntriesComeBackOrGo(t *testing.T) {
+	var lapses lapses
+	known := []inventory.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	if got := ids(lapses.complete(begin, known[:1], known)); len(got) != 1 {
+		t.Errorf("in calm times a list is completed to %v", got)
+	}
+	lapses.storeReturned(begin)
+	if diff := cmp.Diff([]string{"a", "b", "c"}, ids(lapses.complete(begin.Add(time.Millisecond), known[:1], known))); diff != "" {
+		t.Error(diff)
+	}
+	if kept := lapses.filter(begin.Add(time.Second), []inventory.Change{gone("a"), {Server: known[1]}}); len(kept) != 1 || kept[0].Gone {
+		t.Errorf("kept %v, want that b is back alone", kept)
+	}
+	if ended := lapses.ended(begin.Add(lapseTime - time.Millisecond)); len(ended) != 0 {
+		t.Errorf("%v gone before the time is over", ended)
+	}
+	var left []string
+	for _, change := range lapses.ended(begin.Add(lapseTime)) {
+		left = append(left, change.Server.ID)
+	}
+	if diff := cmp.Diff(map[string]bool{"a": true, "c": true}, map[string]bool{left[0]: true, left[1]: true}); diff != "" || len(left) != 2 {
+		t.Errorf("gone are %v, want a and c", left)
+	}
+	if kept := lapses.filter(begin.Add(lapseTime), []inventory.Change{gone("b")}); len(kept) != 1 {
+		t.Error("a server that goes after the time is kept")
+	}
+}
+
+// TestShortFailureHoldsNothingBack: entries lapse only in an outage that is as long
+// as their servers take to renew them.
+func TestShortFailureHoldsNothingBack(t *testing.T) {
+	node := newFollower(t, 0)
+	node.storeFailed("servers", errShort)
+	node.storeAnswered()
+	node.changeServers([]inventory.Change{gone("a")}, 3)
+	if node.directory.table.TakesWork("a") {
+		t.Error("a server that is gone takes work after one failed call")
+	}
+	node = newFollower(t, 0)
+	node.storeFailed("servers", errShort)
+	node.failingFrom.Store(int64(time.Since(node.started) - lapseAfter))
+	node.storeAnswered()
+	node.changeServers([]inventory.Change{gone("a")}, 3)
+	if !node.directory.table.TakesWork("a") {
+		t.Error("a server whose entry lapsed in an outage takes no work")
+	}
+	node.endLapses(time.Now().Add(lapseTime))
+	if node.directory.table.TakesWork("a") {
+		t.Error("a server whose entry did not come back takes work")
+	}
+}
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -72,7 +72,9 @@
 	servers    *inventory.Table
 	toldAt     time.Time
 	changed    bool
-	// steppedAt is when the core last made a step.
+	// lookedAt is when the lease was last looked at, and steppedAt when the core
+	// last made a step.
+	lookedAt  time.Time
 	steppedAt time.Time
 	// loggedAt is when the placement was last logged.
 	loggedAt time.Time
@@ -129,6 +131,10 @@
 		case work := <-l.inbox:
 			work()
 			l.drainInbox()
+			if l.core == nil && time.Since(l.lookedAt) < leaderPeriod {
+				// Nothing to order: the lease is looked at with the ticker.
+				continue
+			}
 		case <-ticker.C:
 		}
 		l.step(ctx)
@@ -148,6 +154,7 @@
 
 func (l *leader) step(ctx context.Context) {
 	now := time.Now()
+	l.lookedAt = now
 	l.keepLease(ctx, now)
 	l.followTerm(now)
 	if l.core != nil || now.Sub(l.countedAt) >= gossipPeriod {
@@ -259,7 +266,9 @@
 // takeState takes what a node counted, and answers it where it asks for views.
 func (l *leader) takeState(state *peerpb.NodeState) {
 	now := time.Now()
-	l.demand.SetCounts(now, state.Address, state.Life, countsOf(state.Wanted))
+	if state.TellsWanted {
+		l.demand.SetCounts(now, state.Address, state.Life, countsOf(state.Wanted))
+	}
 	if l.core != nil && state.ViewsWanted {
 		l.node.peers.answerViews(state.Address, l.term.Load(), l.lease.Lapsed(now), l.views(now))
 	}
@@ -277,7 +286,7 @@
 func (l *leader) ownCounts(now time.Time) {
 	var counts []placer.Count
 	l.node.dispatch.Do(func(core *dispatch.Core) {
-		for _, count := range core.Demand(now.Add(-l.node.wantedAge())) {
+		for _, count := range core.Demand(now.Add(-wantedAge)) {
 			counts = append(counts, placer.Count{
 				Wanted: count.Wanted, Asked: uint64(count.Asked), Waiting: count.Waiting, PromptTokens: uint64(count.PromptTokens), Goal: count.Goal,
 			})
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -38,6 +38,11 @@
 	yieldAgain = time.Minute
 	// yieldPeriod is the time between two looks for stronger nodes.
 	yieldPeriod = 500 * time.Millisecond
+	// firstLookDelay, for each node that comes before this one, and
+	// longestFirstLook are how long a node that started waits until it reads the
+	// lease of which no peer has told it: one of the first will have.
+	firstLookDelay   = 150 * time.Millisecond
+	longestFirstLook = 2500 * time.Millisecond
 	// firstEver is how long nodes listen to each other before the first of them
 	// ever takes the lease: there is nothing to order yet, and a weak machine
 	// that came first would lead all.
@@ -77,10 +82,6 @@
 	if now.Sub(l.yielded) < yieldTime {
 		return false
 	}
-	if !l.lease.IsKnown() || l.lease.Record().Holder == l.node.options.Name {
-		// A process that starts anew where the lease lies goes on at once.
-		return true
-	}
 	l.node.peers.mu.Lock()
 	known := l.node.peers.roster.Leader(now)
 	isLed := known != nil && known.Lapsed < lapseTolerated
@@ -89,10 +90,17 @@
 	}
 	rank := l.node.peers.roster.Rank(now)
 	l.node.peers.mu.Unlock()
+	if l.lease.Record().Holder == l.node.options.Name {
+		// A process that starts anew where the lease lies goes on at once.
+		return true
+	}
 	if isLed {
 		l.quietFrom = time.Time{}
 		return false
 	}
+	if !l.lease.IsKnown() {
+		return now.Sub(l.started) >= l.node.firstRead+min(longestFirstLook, time.Duration(rank)*firstLookDelay)
+	}
 	if l.quietFrom.IsZero() {
 		l.quietFrom = now
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -68,6 +68,8 @@
 	})
 	m.gauge("ready", "1 while the node says that it is ready.", func() float64 { return oneIf(node.isReady()) })
 	m.gauge("store_failing", "1 while the last call to the store failed.", func() float64 { return oneIf(node.storeFailing.Load()) })
+	m.gauge("config_confirmed_seconds", "Time since some node's call to the store confirmed the configuration in force; -1 is never.", confirmedSeconds(&node.configConfirmed))
+	m.gauge("servers_confirmed_seconds", "The same for the servers known.", confirmedSeconds(&node.serversConfirmed))
 	m.gauge("lease_term", "Fencing token while this node holds the lease, else 0.", func() float64 {
 		term, _ := node.leader.standing()
 		return float64(term)
@@ -87,6 +89,16 @@
 	}
 }
 
+func confirmedSeconds(known *confirmation) func() float64 {
+	return func() float64 {
+		age, ok := known.age(time.Now())
+		if !ok {
+			return -1
+		}
+		return age.Seconds()
+	}
+}
+
 func oneIf(holds bool) float64 {
 	if holds {
 		return 1
@@ -102,6 +114,7 @@
 	m.counter("budget_empty_total", "Requests given up for want of a repeat.", counts.NoBudget.Load)
 	m.counter("dial_failures_total", "Connections to servers that did not come up.", counts.DialFails.Load)
 	m.counter("connections_total", "Connections opened to servers.", node.pool.Dialled)
+	m.counter("datagrams_unreadable_total", "Datagrams of peers dropped as they could not be read.", func() int64 { return node.peers.unreadable.Load() })
 	if node.options.LogDropped != nil {
 		m.counter("log_lines_dropped_total", "Log lines left out.", node.options.LogDropped)
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -25,6 +25,8 @@
 type Store interface {
 	// Configuration gives no table where none was written yet.
 	Configuration(ctx context.Context) (table *routetable.Table, revision int64, err error)
+	// DecodeConfiguration reads a table's source as another node hands it on.
+	DecodeConfiguration(source []byte) (*routetable.Table, error)
 	WatchConfiguration(ctx context.Context, from int64, wait time.Duration) (table *routetable.Table, at int64, err error)
 	Servers(ctx context.Context) (servers []inventory.Server, at int64, err error)
 	WatchServers(ctx context.Context, from int64, wait time.Duration) (changes []inventory.Change, at int64, err error)
@@ -45,6 +47,11 @@
 	// be done for all.
 	Strength uint32
 	Tunables Tunables
+	// ApplyWithin is the time within which a change in the store must be in force
+	// here; 0 is usualApplyWithin.
+	ApplyWithin time.Duration
+	// FirstStart is set where all nodes start together for the first time.
+	FirstStart bool
 	// LeaseQuiet is the least time between orders of different holders.
 	LeaseQuiet time.Duration
 	// LoadWindow and LoadOverage bound the loads from the weight store.
@@ -82,32 +89,58 @@
 	metrics  *metrics
 	callers  *callers
 
+	started time.Time
+	// firstRead is how long after its start this node may first ask the store,
+	// unless its peers have told it what it needs by then.
+	firstRead time.Duration
+	snapshots *snapshots
+	// What peers confirmed of what this node knows.
+	configConfirmed  confirmation
+	serversConfirmed confirmation
+
 	// Nudges end a watch that seems to have missed something.
 	configNudge  chan struct{}
 	serversNudge chan struct{}
 	directory    *directory
 	configLag    configLag
+	lapses       lapses
 
 	grace        atomic.Int64
 	storeFailing atomic.Bool
-	hasServers   atomic.Bool
-	stopping     atomic.Bool
+	// failingFrom is when, from the start on, storeFailing was set last.
+	failingFrom atomic.Int64
+	hasServers  atomic.Bool
+	stopping    atomic.Bool
 }
 
+// usualApplyWithin is taken where no bound is told.
+const usualApplyWithin = 2 * time.Second
+
 // New returns a node; Run starts it.
 func New(options Options) *Node {
+	if options.ApplyWithin <= 0 {
+		options.ApplyWithin = usualApplyWithin
+	}
+	spread := restartSpread
+	if options.FirstStart {
+		spread = firstReadSpread
+	}
 	node := &Node{
 		options:  options,
 		dispatch: dispatch.NewShared(dispatch.Options{Zone: options.Zone, Seed: rand.Uint64()}),
 		pool:     options.Pool,
 		callers:  newCallers(),
 
+		started:   time.Now(),
+		firstRead: rand.N(spread),
+
 		configNudge:  make(chan struct{}, 1),
 		serversNudge: make(chan struct{}, 1),
 		directory:    newDirectory(),
 	}
 	node.grace.Store(int64(options.Tunables.Grace))
 	node.leader = newLeader(node)
+	node.snapshots = newSnapshots(node)
 	node.handler = relay.New(relay.Options{
 		Dialect:  options.Dialect,
 		Dispatch: node.dispatch,
@@ -147,6 +180,10 @@
 	if n.peers, err = newPeers(n); err != nil {
 		return err
 	}
+	answers, err := net.Listen("tcp", n.options.PeerAddress)
+	if err != nil {
+		return err
+	}
 	n.options.Logger.Info().Str("frontend", n.options.Frontend).Msg("node_started")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -157,6 +194,8 @@
 	if err := n.serveMetrics(group); err != nil {
 		return err
 	}
+	group.Go(func() error { return n.snapshots.serve(ctx, answers) })
+	group.Go(func() error { n.snapshots.run(ctx); return nil })
 	group.Go(func() error { n.followConfiguration(ctx); return nil })
 	group.Go(func() error { n.followServers(ctx); return nil })
 	group.Go(func() error { n.sweep(ctx); return nil })
@@ -278,6 +317,8 @@
 		case <-ticker.C:
 			n.pool.Sweep()
 			n.leader.post(func() { n.leader.demand.Prune(time.Now()) })
+			n.endLapses(time.Now())
+			n.forgiveStore(time.Now())
 			if table := n.handler.Table(); table != nil && table.Limits.IdleTimeout > 0 {
 				n.callers.closeResting(time.Now(), table.Limits.IdleTimeout+restSlack)
 			}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -4,7 +4,9 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -20,10 +22,11 @@
 	// gossipFanout is the number of nodes that get each of them, beside the
 	// leader; a node's cost does not grow with the fleet beyond it.
 	gossipFanout = 8
-	// leastWantedAge and wantedAgeShare, which counts for each node, are how long
-	// a count is told after its last change: each node must hear of it once.
-	leastWantedAge = 2 * time.Second
-	wantedAgeShare = 50 * time.Millisecond
+	// wantedAge is how long a count is told after its last change. The nodes that
+	// go by it hear it in each period, so several datagrams may be lost.
+	wantedAge = 2 * time.Second
+	// noteAlivePeriod is the time between log lines on who lives.
+	noteAlivePeriod = time.Second
 	// wantedPause is the least time between datagrams to the leader that tell
 	// of requests without a server.
 	wantedPause = 10 * time.Millisecond
@@ -51,6 +54,10 @@
 	// leader's; zero while they do not.
 	staleSince time.Time
 	alive      map[string]bool
+	// notedAt is when alive was last brought up to date.
+	notedAt time.Time
+	// unreadable counts datagrams that were dropped as they could not be read.
+	unreadable atomic.Int64
 	// wasSentinel is whether this node watched the store for the others at its
 	// last datagram.
 	wasSentinel bool
@@ -96,8 +103,28 @@
 	p.roster.AddSeeds(seeds)
 }
 
-// wantedAge is how long a count is told after its last change.
-func (n *Node) wantedAge() time.Duration { return max(leastWantedAge, n.nodes()*wantedAgeShare) }
+// rank is the number of nodes that come before this one where one has to do
+// something for all, and the number of all.
+func (p *peers) rank(now time.Time) (rank, nodes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Rank(now), 1 + len(p.roster.Alive(now))
+}
+
+// some are addresses of living nodes.
+func (p *peers) some(now time.Time, most int) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Sample(now, most)
+}
+
+// any is the address of some living node; empty where there is none.
+func (p *peers) any() string {
+	if some := p.some(time.Now(), 1); len(some) > 0 {
+		return some[0]
+	}
+	return ""
+}
 
 // isSentinel reports whether this node watches the store for the others.
 func (p *peers) isSentinel() bool {
@@ -118,13 +145,20 @@
 			sleep(ctx, wantedPause)
 			continue
 		}
-		state := &peerpb.NodeState{}
-		if proto.Unmarshal(buffer[:count], state) == nil {
-			p.take(state)
-		}
+		p.takeDatagram(buffer[:count])
 	}
 }
 
+// takeDatagram takes what came; what cannot be read is counted and dropped.
+func (p *peers) takeDatagram(datagram []byte) {
+	state := &peerpb.NodeState{}
+	if err := proto.Unmarshal(datagram, state); err != nil {
+		p.unreadable.Add(1)
+		return
+	}
+	p.take(state)
+}
+
 func (p *peers) take(state *peerpb.NodeState) {
 	now := time.Now()
 	p.mu.Lock()
@@ -148,9 +182,11 @@
 	if state.Leader != nil {
 		p.confirmViews(now, state.Leader)
 	}
-	p.node.compareConfiguration(now, state.ConfigVersion)
-	p.node.compareServers(now, state.ServersDigest, state.ServersRevision)
-	p.node.leader.post(func() { p.node.leader.takeState(state) })
+	p.node.compareConfiguration(now, state.Address, state.ConfigVersion, state.ConfigAgeMs)
+	p.node.compareServers(now, state)
+	if state.TellsWanted || state.ViewsWanted {
+		p.node.leader.post(func() { p.node.leader.takeState(state) })
+	}
 }
 
 // run sends the node's state in each period.
@@ -172,14 +208,35 @@
 	p.noteSentinel()
 	p.mu.Lock()
 	targets := p.roster.Targets(now, gossipFanout)
+	deciders := p.roster.Deciders(now)
 	p.noteAlive(now)
-	if leader := p.roster.Leader(now); leader != nil {
-		targets = append(targets, leader.Address)
-	}
 	p.mu.Unlock()
 	state := p.state(now)
 	state.News = encodeNews(p.node.directory.tell(now))
-	p.send(targets, state)
+	p.send(without(targets, deciders), state)
+	state.Wanted, state.TellsWanted = p.wanted(now), true
+	p.send(deciders, state)
+}
+
+// without returns the addresses that are not among the others.
+func without(addresses, others []string) []string {
+	return slices.DeleteFunc(addresses, func(address string) bool { return slices.Contains(others, address) })
+}
+
+// wanted is what callers of this node ask for. Only nodes that lead, or may next,
+// are told: with hundreds of nodes it is most of a datagram.
+func (p *peers) wanted(now time.Time) []*peerpb.WantedCount {
+	var wanted []*peerpb.WantedCount
+	p.node.dispatch.Do(func(core *dispatch.Core) {
+		for _, count := range core.Demand(now.Add(-wantedAge)) {
+			wanted = append(wanted, &peerpb.WantedCount{
+				Service: count.Wanted.Service, Model: count.Wanted.Model, Adapter: count.Wanted.Adapter,
+				Asked: uint64(count.Asked), Waiting: uint32(count.Waiting), PromptTokens: uint64(count.PromptTokens),
+				GoalMs: uint32(count.Goal.Milliseconds()),
+			})
+		}
+	})
+	return wanted
 }
 
 // noteSentinel begins the watches anew where this node becomes a sentinel: those
@@ -198,6 +255,10 @@
 
 // noteAlive logs the peers that came and went. The lock is held.
 func (p *peers) noteAlive(now time.Time) {
+	if now.Sub(p.notedAt) < noteAlivePeriod {
+		return
+	}
+	p.notedAt = now
 	alive := make(map[string]bool, len(p.alive))
 	for _, peer := range p.roster.Alive(now) {
 		alive[peer.Address] = true
@@ -225,7 +286,9 @@
 	p.mu.Unlock()
 	p.node.leader.post(func() {})
 	if leader != nil && !early {
-		p.send([]string{leader.Address}, p.state(now))
+		state := p.state(now)
+		state.Wanted, state.TellsWanted = p.wanted(now), true
+		p.send([]string{leader.Address}, state)
 	}
 }
 
@@ -240,9 +303,9 @@
 		StoreFailing: p.node.storeFailing.Load(),
 		ViewsWanted:  p.wantsViews(now),
 	}
-	if table := p.node.handler.Table(); table != nil {
-		state.ConfigVersion = table.Version
-	}
+	state.ConfigVersion = p.node.configVersion()
+	state.ConfigAgeMs = p.node.configConfirmed.wire(now)
+	state.ServersAgeMs = p.node.serversConfirmed.wire(now)
 	state.ServersDigest, state.ServersRevision = p.node.directory.standing()
 	p.node.dispatch.Do(func(core *dispatch.Core) {
 		for _, load := range core.OwnLoads() {
@@ -250,13 +313,6 @@
 				Server: load.ServerID, Running: uint32(load.Running), PendingTokens: uint32(load.PendingTokens),
 			})
 		}
-		for _, count := range core.Demand(now.Add(-p.node.wantedAge())) {
-			state.Wanted = append(state.Wanted, &peerpb.WantedCount{
-				Service: count.Wanted.Service, Model: count.Wanted.Model, Adapter: count.Wanted.Adapter,
-				Asked: uint64(count.Asked), Waiting: uint32(count.Waiting), PromptTokens: uint64(count.PromptTokens),
-				GoalMs: uint32(count.Goal.Milliseconds()),
-			})
-		}
 	})
 	if term, lapsed := p.node.leader.standing(); term != 0 {
 		state.Leader = &peerpb.LeaderState{Term: term, LapsedMs: uint32(lapsed.Milliseconds()), LeaseRevision: p.node.leader.leaseRevision(), OrderInMs: uint32(p.node.leader.orderIn().Milliseconds())}
@@ -268,7 +324,7 @@
 	p.mu.Lock()
 	p.sequence++
 	state.Sequence = p.sequence
-	state.Peers = p.roster.Sample(time.Now())
+	state.Peers = p.roster.Sample(time.Now(), gossip.ToldPeers)
 	p.mu.Unlock()
 	datagram, err := proto.Marshal(state)
 	if err != nil {
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -13,7 +13,7 @@
 )
 
 // newTestNode is a node with its socket on loopback, that nothing runs.
-func newTestNode(t *testing.T) *Node {
+func newTestNode(t testing.TB) *Node {
 	t.Helper()
 	node := New(Options{
 		Name: "n", Zone: "z", PeerAddress: "127.0.0.1:0", Logger: logging.Discard(),
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -8,25 +8,19 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/gossip"
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 )
 
 const (
-	// serversPause and serversPauseShare, which counts for each node, bound the
-	// pause between two calls for changes of the servers: all nodes together make
-	// about seven of these calls a second, up to the fleet in which the pause is
-	// the longest, which the store's history must cover. Who comes or goes is told
-	// by the sentinels meanwhile.
-	serversPause        = 1200 * time.Millisecond
-	serversPauseShare   = 150 * time.Millisecond
-	longestServersPause = 15 * time.Second
-	// The sentinels' pause is short, and grows a little with the fleet, which has
-	// more of them: one of them asks several times a second.
-	sentinelServersPause      = 450 * time.Millisecond
-	sentinelServersPauseShare = 6 * time.Millisecond
-	longestSentinelPause      = time.Second
+	// serversPause is the pause between two calls for changes of the servers, whose
+	// entries change many times a second in a large fleet. It is a part of the time
+	// within which changes must be known (serversPauseShare), at the most
+	// longestServersPause.
+	serversPauseShare   = 0.3
+	longestServersPause = 1200 * time.Millisecond
 	// lagTolerated, lagShare for each node and longestLag bound how long a peer
-	// may know other servers before this node asks the store anew: news take
-	// longer in a larger fleet.
+	// may know other servers before this node asks it: news take longer in a
+	// larger fleet.
 	lagTolerated = 400 * time.Millisecond
 	lagShare     = 8 * time.Millisecond
 	longestLag   = time.Second
@@ -36,44 +30,62 @@
 func (n *Node) followServers(ctx context.Context) {
 	var pause backoff
 	for ctx.Err() == nil {
+		if !n.watchesStore(time.Now(), &n.serversConfirmed) {
+			discard(n.serversNudge)
+			sleep(ctx, watchCheck)
+			continue
+		}
+		asked := time.Now()
 		servers, at, err := n.options.Store.Servers(ctx)
 		if err != nil {
-			n.storeFailed("servers", err)
-			pause.wait(ctx)
+			n.serversFailed(ctx, err, &pause)
 			continue
 		}
+		n.storeAnswered()
 		n.listServers(servers, at)
-		for err == nil && ctx.Err() == nil {
+		n.serversConfirmed.confirm(asked)
+		for err == nil && ctx.Err() == nil && n.watchesStore(time.Now(), &n.serversConfirmed) {
 			pause.reset()
-			var events []inventory.Change
-			events, at, err = n.watchServers(ctx, at)
-			if err == nil {
-				n.storeAnswered()
-				n.changeServers(events, at)
-			}
-			if len(events) > 0 {
-				n.restServers(ctx)
-			}
+			at, err = n.watchServers(ctx, at)
 		}
-		n.storeFailed("servers", err)
-		if err != nil && !errors.Is(err, context.Canceled) {
-			// What ended this watch may have made the other one deaf.
-			send(n.configNudge)
+		if err != nil {
+			n.serversFailed(ctx, err, &pause)
 		}
-		pause.wait(ctx)
 	}
 }
 
-// watchServers waits for changes; a nudge ends the wait.
-func (n *Node) watchServers(ctx context.Context, at int64) ([]inventory.Change, int64, error) {
-	ctx, cancel := nudged(ctx, n.serversNudge)
+func (n *Node) serversFailed(ctx context.Context, err error, pause *backoff) {
+	n.storeFailed("servers", err)
+	if !errors.Is(err, context.Canceled) {
+		// What ended this watch may have made the other one deaf.
+		send(n.configNudge)
+	}
+	pause.wait(ctx, n.longestStorePause())
+}
+
+// watchServers waits for changes once; a nudge ends the wait.
+func (n *Node) watchServers(ctx context.Context, from int64) (at int64, err error) {
+	watch, cancel := nudged(ctx, n.serversNudge)
 	defer cancel()
-	return n.options.Store.WatchServers(ctx, at, n.watchTime())
+	asked, wait := time.Now(), n.watchTime()
+	events, at, err := n.options.Store.WatchServers(watch, from, wait)
+	if err != nil {
+		return at, err
+	}
+	n.storeAnswered()
+	n.changeServers(events, at)
+	if len(events) == 0 {
+		n.serversConfirmed.confirm(confirmedBy(asked, wait, time.Now()))
+		return at, nil
+	}
+	n.serversConfirmed.confirm(asked)
+	n.restServers(ctx)
+	return at, nil
 }
 
 // restServers gathers changes into one call; a nudge ends the rest.
 func (n *Node) restServers(ctx context.Context) {
-	timer := time.NewTimer(n.serversPause())
+	timer := time.NewTimer(min(longestServersPause, n.shareOf(serversPauseShare)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -82,24 +94,27 @@
 	}
 }
 
-func (n *Node) serversPause() time.Duration {
-	if n.peers.isSentinel() {
-		return min(longestSentinelPause, sentinelServersPause+n.nodes()*sentinelServersPauseShare)
-	}
-	return min(longestServersPause, max(serversPause, n.nodes()*serversPauseShare))
-}
-
 // listServers takes the store's whole list.
 func (n *Node) listServers(servers []inventory.Server, revision int64) {
-	changes, hasNews := n.directory.replace(time.Now(), servers, revision)
+	now := time.Now()
+	known, _, _ := n.directory.list()
+	servers = n.lapses.complete(now, servers, known)
+	changes, hasNews := n.directory.replace(now, servers, revision)
 	n.leader.call(context.Background(), func() { n.leader.listServers(servers, revision) })
 	n.useServers(changes, "list")
 	n.hasServers.Store(true)
 	n.passOnNews(hasNews)
 }
 
+// listPeerServers takes the whole list of a peer.
+func (n *Node) listPeerServers(servers []inventory.Server, revision int64) {
+	n.useServers(n.directory.replaceByPeer(servers, revision), "peer_list")
+	n.hasServers.Store(true)
+}
+
 // changeServers takes the store's events.
 func (n *Node) changeServers(events []inventory.Change, revision int64) {
+	events = n.lapses.filter(time.Now(), events)
 	if len(events) > 0 {
 		n.leader.call(context.Background(), func() { n.leader.changeServers(events, revision) })
 	}
@@ -108,9 +123,9 @@
 	n.passOnNews(hasNews)
 }
 
-// passOnNews lets peers hear at once of what the store told a sentinel.
+// passOnNews lets peers hear at once of what the store told.
 func (n *Node) passOnNews(hasNews bool) {
-	if hasNews && n.peers.isSentinel() {
+	if hasNews {
 		n.peers.tick()
 	}
 }
@@ -145,11 +160,28 @@
 	}
 }
 
-// compareServers asks the store anew where a peer knows other servers from a
-// newer revision for longer than news take.
-func (n *Node) compareServers(now time.Time, digest uint64, revision int64) {
+// compareServers takes which servers a peer knows. Where they are others, from a
+// newer revision or confirmed later, for longer than news take, the peer is asked
+// for them; a node that watches the store itself asks that anew.
+func (n *Node) compareServers(now time.Time, state *peerpb.NodeState) {
+	n.confirmServers(now, state.ServersDigest, state.ServersAgeMs)
+	age, known := n.serversConfirmed.age(now)
+	isFresher := state.ServersAgeMs > 0 && (!known || time.Duration(state.ServersAgeMs)*time.Millisecond < age)
 	tolerated := min(longestLag, lagTolerated+n.nodes()*lagShare)
-	if n.directory.lags(now, digest, revision, tolerated) {
+	switch {
+	case !n.hasServers.Load() && state.ServersRevision > 0:
+		n.snapshots.want(state.Address)
+	case !n.directory.lags(now, state.ServersDigest, state.ServersRevision, isFresher, tolerated):
+	case n.watchesStore(now, &n.serversConfirmed):
 		send(n.serversNudge)
+	default:
+		n.snapshots.want(state.Address)
+	}
+}
+
+// confirmServers takes how old a peer's knowledge is, where it is the same.
+func (n *Node) confirmServers(now time.Time, digest uint64, age uint32) {
+	if own, _ := n.directory.standing(); own == digest {
+		n.serversConfirmed.hear(now, age)
 	}
 }
--- a/internal/edge/signature.go
+++ b/internal/edge/signature.go
@@ -27,5 +27,7 @@
 	for _, name := range slices.Sorted(maps.Keys(view.Loading)) {
 		text.WriteString(" +" + name)
 	}
+	text.WriteString(" memory:" + strings.Join(view.InMemory, ","))
+	text.WriteString(" disk:" + strings.Join(view.OnDisk, ","))
 	return text.String()
 }
--- /dev/null
+++ b/internal/edge/snapshot.go
@@ -0,0 +1,171 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+)
+
+const (
+	// snapshotDialTimeout and snapshotTimeout bound one question to a peer; the
+	// larger covers a configuration of 100 KB over a busy link of 10 Mbit/s.
+	snapshotDialTimeout = 300 * time.Millisecond
+	snapshotTimeout     = 1500 * time.Millisecond
+	// snapshotHeaderTimeout bounds how long a peer may take to ask.
+	snapshotHeaderTimeout = 2 * time.Second
+	// refreshPeriod is the time between two whole lists of servers from peers:
+	// they drop what news left behind. It is drawn between one and two of it.
+	refreshPeriod = 30 * time.Second
+	// snapshotPeers is the number of addresses that an answer names.
+	snapshotPeers = 12
+)
+
+// snapshots asks peers for what they know from the store, and answers them.
+type snapshots struct {
+	node   *Node
+	client *http.Client
+	// wanted are addresses of peers that know more; one that waits is enough.
+	wanted chan string
+}
+
+func newSnapshots(node *Node) *snapshots {
+	dialer := &net.Dialer{Timeout: snapshotDialTimeout}
+	return &snapshots{
+		node: node,
+		client: &http.Client{
+			Timeout:   snapshotTimeout,
+			Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		},
+		wanted: make(chan string, 1),
+	}
+}
+
+// serve answers peers on the TCP port with the number of the node's UDP port.
+func (s *snapshots) serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{Handler: peerpb.NewNodesServer(s), ReadHeaderTimeout: snapshotHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return serve(server, listener)
+}
+
+// want asks the peer for what it knows, unless another is being asked.
+func (s *snapshots) want(address string) {
+	select {
+	case s.wanted <- address:
+	default:
+	}
+}
+
+// run asks the seeds once, as the node starts, and then whom others name.
+func (s *snapshots) run(ctx context.Context) {
+	for _, seed := range s.node.options.Tunables.PeerSeeds {
+		if seed != s.node.options.PeerAddress && s.fetch(ctx, seed) {
+			break
+		}
+	}
+	refresh := time.NewTimer(refreshPeriod + rand.N(refreshPeriod))
+	defer refresh.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-s.wanted:
+			s.fetch(ctx, address)
+		case <-refresh.C:
+			refresh.Reset(refreshPeriod + rand.N(refreshPeriod))
+			if address := s.node.peers.any(); address != "" && !s.node.watchesStore(time.Now(), &s.node.serversConfirmed) {
+				s.fetch(ctx, address)
+			}
+		}
+	}
+}
+
+// fetch asks one peer and uses its answer. It reports whether the node then has a
+// configuration and servers.
+func (s *snapshots) fetch(ctx context.Context, address string) bool {
+	node := s.node
+	request := &peerpb.SnapshotRequest{ConfigVersion: node.configVersion()}
+	asked := time.Now()
+	response, err := peerpb.NewNodesProtobufClient("http://"+address, s.client).Snapshot(ctx, request)
+	if err != nil {
+		node.options.Logger.Warn().Str("peer", address).Int64("took_ms", time.Since(asked).Milliseconds()).
+			Str("error", err.Error()).Msg("snapshot_failed")
+		return false
+	}
+	node.peers.addSeeds(response.Peers)
+	if len(response.Config) > 0 {
+		table, err := node.options.Store.DecodeConfiguration(response.Config)
+		if err != nil {
+			node.options.Logger.Warn().Str("peer", address).Str("error", err.Error()).Msg("snapshot_unreadable")
+			return false
+		}
+		node.putInForce(table, "peer")
+	}
+	if response.ConfigVersion <= node.configVersion() {
+		node.configConfirmed.hear(asked, response.ConfigAgeMs)
+	}
+	if response.ServersRevision > 0 {
+		node.listPeerServers(entriesOf(response.Servers), response.ServersRevision)
+		node.confirmServers(asked, response.ServersDigest, response.ServersAgeMs)
+	}
+	node.options.Logger.Info().Str("peer", address).Int64("config", response.ConfigVersion).
+		Int("config_bytes", len(response.Config)).Int("servers", len(response.Servers)).
+		Int64("revision", response.ServersRevision).Int64("took_ms", time.Since(asked).Milliseconds()).Msg("snapshot_taken")
+	return node.handler.Table() != nil && node.hasServers.Load()
+}
+
+// Snapshot answers a peer with what this node knows.
+func (s *snapshots) Snapshot(_ context.Context, request *peerpb.SnapshotRequest) (*peerpb.SnapshotResponse, error) {
+	now := time.Now()
+	node := s.node
+	response := &peerpb.SnapshotResponse{Peers: node.peers.some(now, snapshotPeers)}
+	if table := node.handler.Table(); table != nil {
+		response.ConfigVersion = table.Version
+		response.ConfigAgeMs = node.configConfirmed.wire(now)
+		if table.Version > request.ConfigVersion {
+			response.Config = table.Source
+		}
+	}
+	if node.hasServers.Load() {
+		servers, revision, digest := node.directory.list()
+		response.Servers, response.ServersRevision, response.ServersDigest = encodeEntries(servers), revision, digest
+		response.ServersAgeMs = node.serversConfirmed.wire(now)
+	}
+	return response, nil
+}
+
+// entriesOf are the servers that a peer lists.
+func entriesOf(wire []*peerpb.ServerEntry) []inventory.Server {
+	servers := make([]inventory.Server, 0, len(wire))
+	for _, entry := range wire {
+		server := inventory.Server{
+			ID: entry.Server, Service: entry.Service, Address: entry.Address, Zone: entry.Zone,
+			Slots: int(entry.Slots), Draining: entry.Draining, Revision: entry.Revision,
+		}
+		for _, model := range entry.Held {
+			server.Models = append(server.Models, inventory.HeldModel{Name: model.Model, Adapters: model.Adapters})
+		}
+		servers = append(servers, server)
+	}
+	return servers
+}
+
+func encodeEntries(servers []inventory.Server) []*peerpb.ServerEntry {
+	wire := make([]*peerpb.ServerEntry, 0, len(servers))
+	for _, server := range servers {
+		entry := &peerpb.ServerEntry{
+			Server: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone,
+			Slots: uint32(server.Slots), Draining: server.Draining, Revision: server.Revision,
+		}
+		for _, model := range server.Models {
+			entry.Held = append(entry.Held, &peerpb.HeldModel{Model: model.Name, Adapters: model.Adapters})
+		}
+		wire = append(wire, entry)
+	}
+	return wire
+}
--- /dev/null
+++ b/internal/edge/snapshot_test.go
@@ -0,0 +1,84 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+var errShort = errors.New("no answer")
+
+// sourceStore reads a configuration from its source alone.
+type sourceStore struct{ Store }
+
+func (sourceStore) DecodeConfiguration(source []byte) (*routetable.Table, error) {
+	if string(source) != "version nine" {
+		return nil, errors.New("not a configuration")
+	}
+	table := routetable.New(9, nil, nil, routetable.Limits{})
+	table.Source = source
+	return table, nil
+}
+
+// serveSnapshots lets a node answer on a loopback address.
+func serveSnapshots(t *testing.T, node *Node) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = node.snapshots.serve(ctx, listener) }()
+	return listener.Addr().String()
+}
+
+// TestSnapshotBringsWhatThePeerKnows over the wire, and how old that is.
+func TestSnapshotBringsWhatThePeerKnows(t *testing.T) {
+	peer, node := newTestNode(t), newTestNode(t)
+	for _, each := range []*Node{peer, node} {
+		each.options.Store = sourceStore{}
+	}
+	address := serveSnapshots(t, peer)
+	if node.snapshots.fetch(context.Background(), address) {
+		t.Error("a peer that knows nothing brought something")
+	}
+	table, _ := sourceStore{}.DecodeConfiguration([]byte("version nine"))
+	peer.putInForce(table, "read")
+	peer.listPeerServers([]inventory.Server{
+		{ID: "a", Service: "s", Address: "10.0.0.1:1", Zone: "z", Slots: 6, Revision: 4, Models: []inventory.HeldModel{{Name: "m", Adapters: []string{"x"}}}},
+		{ID: "b", Revision: 5, Draining: true},
+	}, 6)
+	peer.configConfirmed.confirm(time.Now().Add(-300 * time.Millisecond))
+	peer.serversConfirmed.confirm(time.Now().Add(-300 * time.Millisecond))
+	if !node.snapshots.fetch(context.Background(), address) {
+		t.Fatal("nothing came")
+	}
+	if node.configVersion() != 9 || !node.directory.table.TakesWork("a") || node.directory.table.TakesWork("b") {
+		t.Errorf("version %d, a takes work: %v, b: %v", node.configVersion(), node.directory.table.TakesWork("a"), node.directory.table.TakesWork("b"))
+	}
+	for name, confirmed := range map[string]*confirmation{"configuration": &node.configConfirmed, "servers": &node.serversConfirmed} {
+		if age, known := confirmed.age(time.Now()); !known || age < 300*time.Millisecond {
+			t.Errorf("%s: confirmed %v ago, %v; the peer's was 300 ms old", name, age, known)
+		}
+	}
+}
+
+// TestSnapshotOfADeadPeerFails at once where nobody listens.
+func TestSnapshotOfADeadPeerFails(t *testing.T) {
+	node := newTestNode(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	if node.snapshots.fetch(context.Background(), address) {
+		t.Error("a dead peer brought something")
+	}
+}
--- a/internal/edge/wire.go
+++ b/internal/edge/wire.go
@@ -29,6 +29,8 @@
 			Sequence: encoded.Sequence,
 			Held:     make(map[string][]string, len(encoded.Held)),
 			Loading:  make(map[string]time.Duration, len(encoded.Loading)),
+			InMemory: encoded.InMemory,
+			OnDisk:   encoded.OnDisk,
 		}
 		for _, model := range encoded.Held {
 			view.Held[model.Model] = model.Adapters
@@ -47,7 +49,9 @@
 }
 
 func encodeView(view dispatch.View) *peerpb.ServerView {
-	encoded := &peerpb.ServerView{Server: view.ServerID, Sequence: view.Sequence}
+	encoded := &peerpb.ServerView{
+		Server: view.ServerID, Sequence: view.Sequence, InMemory: view.InMemory, OnDisk: view.OnDisk,
+	}
 	for model, adapters := range view.Held {
 		encoded.Held = append(encoded.Held, &peerpb.HeldModel{Model: model, Adapters: adapters})
 	}
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -1,9 +1,9 @@
 package gossip
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
@@ -22,8 +22,8 @@
 	leaderTime = 6 * time.Millisecond
 	// countedTime is how long a node counts among those that share a budget.
 	countedTime = 30 * time.Second
-	// tellPeers is the number of other nodes that a datagram names.
-	tellPeers = 6
+	// ToldPeers is the number of other nodes that a datagram names.
+	ToldPeers = 6
 )
 
 // Peer is another node.
@@ -53,15 +53,22 @@
 	strength uint32
 	random   *rand.Rand
 	peers    map[string]*Peer
+	// order are the peers by address.
+	order []*Peer
 	// hints are addresses of which no node is known yet.
 	hints map[string]time.Time
 	// turn are the living nodes that are still to be sent to in this round, in
 	// an order drawn anew for each.
 	turn []string
+	// summary is what was last worked out of all nodes.
+	summary summary
 }
 
 // SetStrength tells how strong this node's machine is.
-func (r *Roster) SetStrength(strength uint32) { r.strength = strength }
+func (r *Roster) SetStrength(strength uint32) {
+	r.strength = strength
+	r.summary = summary{}
+}
 
 // precedes reports whether a peer comes before this node where one has to do
 // something for all: the stronger machine, then the lower address.
@@ -105,8 +112,9 @@
 	}
 	if !ok {
 		known = &Peer{Address: state.Address}
-		r.peers[state.Address] = known
+		r.add(known)
 	}
+	before, wasSeen := known.standing(), known.LastSeen
 	known.Name = state.Node
 	known.Life = state.Life
 	known.sequence = state.Sequence
@@ -121,6 +129,9 @@
 		known.LeaseRevision = state.Leader.LeaseRevision
 		known.Lapsed = time.Duration(state.Leader.LapsedMs) * time.Millisecond
 	}
+	if known.standing() != before || now.Sub(wasSeen) >= r.aliveWindow() {
+		r.summary = summary{}
+	}
 	delete(r.hints, state.Address)
 	for _, address := range state.Peers {
 		if _, ok := r.peers[address]; !ok && address != r.self {
@@ -130,46 +141,39 @@
 	return true
 }
 
+func (r *Roster) add(peer *Peer) {
+	r.peers[peer.Address] = peer
+	at, _ := slices.BinarySearchFunc(r.order, peer.Address, byAddress)
+	r.order = slices.Insert(r.order, at, peer)
+}
+
+func (r *Roster) remove(peer *Peer) {
+	delete(r.peers, peer.Address)
+	if at, ok := slices.BinarySearchFunc(r.order, peer.Address, byAddress); ok {
+		r.order = slices.Delete(r.order, at, at+1)
+	}
+	r.summary = summary{}
+}
+
+func byAddress(peer *Peer, address string) int { return strings.Compare(peer.Address, address) }
+
 // aliveWindow is how long a node is alive after its last datagram.
 func (r *Roster) aliveWindow() time.Duration {
 	return aliveTime + time.Duration(max(0, len(r.peers)-heardByAll))*rareTime
 }
 
 // Alive returns the nodes that were heard from lately, by address.
-func (r *Roster) Alive(now time.Time) []*Peer {
-	var alive []*Peer
-	window := r.aliveWindow()
-	for _, peer := range r.peers {
-		if now.Sub(peer.LastSeen) < window {
-			alive = append(alive, peer)
-		}
-	}
-	slices.SortFunc(alive, func(a, b *Peer) int {
-		if a.Address < b.Address {
-			return -1
-		}
-		return 1
-	})
-	return alive
-}
+func (r *Roster) Alive(now time.Time) []*Peer { return r.summarize(now).alive }
 
 // Count is the number of nodes, this one included, that may share a budget.
-func (r *Roster) Count(now time.Time) int {
-	count := 1 + len(r.hints)
-	for _, peer := range r.peers {
-		if now.Sub(peer.LastSeen) < countedTime {
-			count++
-		}
-	}
-	return count
-}
+func (r *Roster) Count(now time.Time) int { return r.summarize(now).counted }
 
 // Leader is the node with the highest term that was heard from lately, or nil.
 func (r *Roster) Leader(now time.Time) *Peer {
 	var leader *Peer
 	window := aliveTime + time.Duration(max(0, len(r.peers)-heardByAll))*leaderTime
-	for _, peer := range r.Alive(now) {
-		if peer.Term > 0 && now.Sub(peer.LastSeen) < window && (leader == nil || peer.Term > leader.Term) {
+	for _, peer := range r.summarize(now).leaders {
+		if now.Sub(peer.LastSeen) < window && (leader == nil || peer.Term > leader.Term) {
 			leader = peer
 		}
 	}
@@ -177,14 +181,24 @@
 }
 
 // Rank is the number of nodes that come before this one as candidates.
-func (r *Roster) Rank(now time.Time) int {
-	rank := 0
-	for _, peer := range r.Alive(now) {
-		if r.precedes(peer) && !peer.Leaving {
-			rank++
+func (r *Roster) Rank(now time.Time) int { return r.summarize(now).rank }
+
+// Deciders are the addresses of the leader and of the nodes that would lead
+// next: who needs to know all that a leader goes by.
+func (r *Roster) Deciders(now time.Time) []string {
+	var deciders []string
+	leader := r.Leader(now)
+	if leader != nil {
+		deciders = append(deciders, leader.Address)
+	}
+	next := 0
+	for _, peer := range r.summarize(now).first {
+		if peer != leader && next < standbys {
+			deciders = append(deciders, peer.Address)
+			next++
 		}
 	}
-	return rank
+	return deciders
 }
 
 // muchStronger is the ratio of strengths from which a node leaves to another what
@@ -194,21 +208,17 @@
 // HasMuchStronger reports whether a living node is much stronger than this one
 // and can do what one has to do for all.
 func (r *Roster) HasMuchStronger(now time.Time) bool {
-	for _, peer := range r.Alive(now) {
-		if peer.Strength >= muchStronger*r.strength && !peer.StoreFailing && !peer.Leaving && r.strength > 0 {
-			return true
-		}
-	}
-	return false
+	return r.strength > 0 && r.summarize(now).strongest >= muchStronger*r.strength
 }
 
 const (
-	// leastSentinels is the number of nodes that watch the store for all, beside
-	// the leader; in a fleet whose nodes call it rarely by themselves there is one
-	// more for each nodesPerSentinel, up to mostSentinels.
+	// leastSentinels is the number of nodes that watch the store for all, the
+	// leader among them; where there are nodesPerSentinel and more, one more does,
+	// as the others notice later that one is silent. Any node stands in for them
+	// where nobody confirms to it what it knows.
 	leastSentinels   = 2
 	nodesPerSentinel = 32
-	mostSentinels    = 6
+	mostSentinels    = 3
 )
 
 // sentinels is how many of the living nodes watch the store for all.
@@ -226,17 +236,8 @@
 	if storeFailing {
 		return false
 	}
-	before := 0
-	alive := r.Alive(now)
-	for _, peer := range alive {
-		if peer.StoreFailing || peer.Leaving {
-			continue
-		}
-		if peer.Term > 0 || r.precedes(peer) {
-			before++
-		}
-	}
-	return before < sentinels(len(alive))
+	known := r.summarize(now)
+	return known.watching < sentinels(len(known.alive))
 }
 
 // hintTries is how long an address without a node is tried.
@@ -247,10 +248,7 @@
 // addresses without a known node are added now and then, so that cut parts find
 // each other again.
 func (r *Roster) Targets(now time.Time, most int) []string {
-	alive := make(map[string]bool)
-	for _, peer := range r.Alive(now) {
-		alive[peer.Address] = true
-	}
+	alive := r.Alive(now)
 	most = min(most, len(alive))
 	targets := make([]string, 0, most)
 	for len(targets) < most {
@@ -259,7 +257,8 @@
 		}
 		next := r.turn[0]
 		r.turn = r.turn[1:]
-		if alive[next] && !slices.Contains(targets, next) {
+		_, isAlive := slices.BinarySearchFunc(alive, next, byAddress)
+		if isAlive && !slices.Contains(targets, next) {
 			targets = append(targets, next)
 		}
 	}
@@ -267,8 +266,10 @@
 }
 
 // drawTurn begins a round over all living nodes.
-func (r *Roster) drawTurn(alive map[string]bool) {
-	r.turn = slices.Sorted(maps.Keys(alive))
+func (r *Roster) drawTurn(alive []*Peer) {
+	for _, peer := range alive {
+		r.turn = append(r.turn, peer.Address)
+	}
 	r.random.Shuffle(len(r.turn), func(i, j int) { r.turn[i], r.turn[j] = r.turn[j], r.turn[i] })
 }
 
@@ -281,14 +282,18 @@
 		}
 		silent = append(silent, address)
 	}
-	for address, peer := range r.peers {
+	var gone []*Peer
+	for _, peer := range r.order {
 		age := now.Sub(peer.LastSeen)
 		if age > 2*countedTime {
-			delete(r.peers, address)
+			gone = append(gone, peer)
 		} else if age >= r.aliveWindow() {
-			silent = append(silent, address)
+			silent = append(silent, peer.Address)
 		}
 	}
+	for _, peer := range gone {
+		r.remove(peer)
+	}
 	slices.Sort(silent)
 	if len(silent) > 3 {
 		r.random.Shuffle(len(silent), func(i, j int) { silent[i], silent[j] = silent[j], silent[i] })
@@ -297,12 +302,17 @@
 	return silent
 }
 
-// Sample draws addresses of living nodes to tell others of.
-func (r *Roster) Sample(now time.Time) []string {
-	var sample []string
-	for _, peer := range r.Alive(now) {
-		sample = append(sample, peer.Address)
+// Sample draws up to most addresses of living nodes to tell others of.
+func (r *Roster) Sample(now time.Time, most int) []string {
+	alive := r.Alive(now)
+	most = min(most, len(alive))
+	sample := make([]string, 0, most)
+	// Three draws a place are enough but for small fleets, where most know all.
+	for range 3 * most {
+		address := alive[r.random.IntN(len(alive))].Address
+		if len(sample) < most && !slices.Contains(sample, address) {
+			sample = append(sample, address)
+		}
 	}
-	r.random.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
-	return sample[:min(tellPeers, len(sample))]
+	return sample
 }
--- /dev/null
+++ b/internal/gossip/summary.go
@@ -0,0 +1,109 @@
+package gossip
+
+import "time"
+
+// summaryAge, and summaryShare for each node, are how long what was worked out of
+// all nodes is used again. Nodes ask for it with each datagram, some fifty times a
+// second, while it changes with the liveness of nodes, which is known to a second
+// at best, and the later the more nodes there are.
+const (
+	summaryAge   = 250 * time.Millisecond
+	summaryShare = 250 * time.Microsecond
+)
+
+// summary is what is worked out of all nodes at once. The zero value is out of
+// date.
+type summary struct {
+	at time.Time
+	// alive are the nodes that were heard from lately, by address.
+	alive []*Peer
+	// leaders are those of them that hold, or lately held, the lease.
+	leaders []*Peer
+	// counted is the number of nodes that may share a budget, this one included.
+	counted int
+	// rank is the number of nodes that come before this one as candidates.
+	rank int
+	// watching is the number of nodes that come before this one in watching the
+	// store for all.
+	watching int
+	// strongest is the greatest strength of a node that could lead.
+	strongest uint32
+	// first are the nodes that lead next, beside this one.
+	first []*Peer
+}
+
+// standing is what of a node counts in a summary.
+type standing struct {
+	term         int64
+	storeFailing bool
+	leaving      bool
+	strength     uint32
+}
+
+func (p *Peer) standing() standing {
+	return standing{term: p.Term, storeFailing: p.StoreFailing, leaving: p.Leaving, strength: p.Strength}
+}
+
+// summarize returns the summary as of now.
+func (r *Roster) summarize(now time.Time) *summary {
+	kept := summaryAge + time.Duration(len(r.order))*summaryShare
+	if age := now.Sub(r.summary.at); !r.summary.at.IsZero() && age >= 0 && age < kept {
+		return &r.summary
+	}
+	made := summary{at: now, counted: 1 + len(r.hints)}
+	window := r.aliveWindow()
+	for _, peer := range r.order {
+		age := now.Sub(peer.LastSeen)
+		if age < countedTime {
+			made.counted++
+		}
+		if age < window {
+			made.add(r, peer)
+		}
+	}
+	r.summary = made
+	return &r.summary
+}
+
+// add takes a living node.
+func (s *summary) add(roster *Roster, peer *Peer) {
+	s.alive = append(s.alive, peer)
+	if peer.Term > 0 {
+		s.leaders = append(s.leaders, peer)
+	}
+	if peer.Leaving {
+		return
+	}
+	precedes := roster.precedes(peer)
+	if precedes {
+		s.rank++
+	}
+	if peer.StoreFailing {
+		return
+	}
+	if precedes || peer.Term > 0 {
+		s.watching++
+	}
+	s.strongest = max(s.strongest, peer.Strength)
+	s.takeFirst(peer)
+}
+
+// standbys is the number of nodes beside the leader that are told all that a
+// leader is, so that one of them can go on at once.
+const standbys = 2
+
+// takeFirst keeps the nodes that lead next, and one more, as the leader is one
+// of them.
+func (s *summary) takeFirst(peer *Peer) {
+	at := len(s.first)
+	for at > 0 && s.first[at-1].Strength < peer.Strength {
+		at--
+	}
+	if at > standbys {
+		return
+	}
+	s.first = append(s.first, nil)
+	copy(s.first[at+1:], s.first[at:])
+	s.first[at] = peer
+	s.first = s.first[:min(len(s.first), standbys+1)]
+}
--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -71,7 +71,8 @@
 func (t *Table) Revision() int64 { return t.revision }
 
 // Replace takes a whole list as of the revision and returns what it changed.
-// A list older than the table is left out.
+// A list older than the table is left out. Servers of which peers told from a newer
+// revision stay.
 func (t *Table) Replace(servers []Server, revision int64) []Change {
 	if revision < t.revision {
 		return nil
@@ -89,7 +90,7 @@
 		changes = append(changes, Change{Server: server})
 	}
 	for id, server := range maps.Clone(t.servers) {
-		if !listed[id] {
+		if !listed[id] && server.Revision <= revision {
 			t.remove(id)
 			changes = append(changes, Change{Server: server, Gone: true})
 		}
--- a/internal/placer/views.go
+++ b/internal/placer/views.go
@@ -34,6 +34,16 @@
 		Held:     make(map[string][]string, len(s.held)),
 		Loading:  make(map[string]time.Duration),
 	}
+	for name, source := range s.copies {
+		switch source {
+		case SourceMemory:
+			view.InMemory = append(view.InMemory, name)
+		case SourceDisk:
+			view.OnDisk = append(view.OnDisk, name)
+		}
+	}
+	slices.Sort(view.InMemory)
+	slices.Sort(view.OnDisk)
 	for name, model := range s.held {
 		if name == s.unloading {
 			continue
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -160,7 +160,7 @@
 	model := service.Engine.Models[x.head.Model]
 	takes := model.Load
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
-		switch core.NearestCopy(x.wanted()) {
+		switch core.NearestCopy(time.Now(), x.wanted()) {
 		case dispatch.CopyInMemory:
 			takes = swapTime + model.MemoryLoad
 		case dispatch.CopyOnDisk:
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -102,7 +102,10 @@
 	Version  int64
 	Services map[string]Service
 	Limits   Limits
-	routes   map[string][]Route
+	// Source is the text that the table was decoded from, for nodes that do not
+	// read it from the store themselves.
+	Source []byte
+	routes map[string][]Route
 }
 
 // New returns a table of the routes.
