Tell fewer nodes in large fleets, and loads only where they come in time

A node of 295 sends eight datagrams a period, with the loads of its requests, which are believed for a second while a given node hears them each 7.4 s, and six addresses.

Beyond 64 nodes six are told a period, with two addresses; loads only up to the 40 nodes that all hear them within that second. TestNewsReachAllNodes plays both fan-outs: all of 300 nodes know within a second with a tenth lost (five a period: 1.2 s, so six).

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -19,9 +19,20 @@
 const (
 	// gossipPeriod is the time between a node's datagrams.
 	gossipPeriod = 200 * time.Millisecond
-	// gossipFanout is the number of nodes that get each of them, beside the
-	// leader; a node's cost does not grow with the fleet beyond it.
+	// gossipFanout is the number of nodes that get each of them, beside those that
+	// decide; a node's cost does not grow with the fleet beyond it. Beyond manyNodes
+	// it is manyFanout: news reach all a period later, and nodes of unlike zones
+	// tell each other less, which is priced.
 	gossipFanout = 8
+	manyNodes    = 64
+	manyFanout   = 6
+	// loadedNodes is the number of nodes up to which each hears from all others
+	// within the time that a peer's load is believed.
+	loadedNodes = gossipFanout * int(time.Second/gossipPeriod)
+	// toldPeers is the number of other nodes that a datagram names, and
+	// manyToldPeers that beyond manyNodes.
+	toldPeers     = 6
+	manyToldPeers = 2
 	// wantedAge is how long a count is told after its last change. The nodes that
 	// go by it hear it in each period, so several datagrams may be lost.
 	wantedAge = 2 * time.Second
@@ -207,13 +218,23 @@
 	now := time.Now()
 	p.noteSentinel()
 	p.mu.Lock()
-	targets := p.roster.Targets(now, gossipFanout)
+	nodes := len(p.roster.Alive(now))
+	fanout := gossipFanout
+	if nodes > manyNodes {
+		fanout = manyFanout
+	}
+	targets := p.roster.Targets(now, fanout)
 	deciders := p.roster.Deciders(now)
 	p.noteAlive(now)
 	p.mu.Unlock()
 	state := p.state(now)
 	state.News = encodeNews(p.node.directory.tell(now))
+	loads := state.Loads
+	if nodes > loadedNodes {
+		state.Loads = nil
+	}
 	p.send(without(targets, deciders), state)
+	state.Loads = loads
 	state.Wanted, state.TellsWanted = p.wanted(now), true
 	p.send(deciders, state)
 }
@@ -324,7 +345,11 @@
 	p.mu.Lock()
 	p.sequence++
 	state.Sequence = p.sequence
-	state.Peers = p.roster.Sample(time.Now(), gossip.ToldPeers)
+	peers := toldPeers
+	if p.roster.Count(time.Now()) > manyNodes {
+		peers = manyToldPeers
+	}
+	state.Peers = p.roster.Sample(time.Now(), peers)
 	p.mu.Unlock()
 	datagram, err := proto.Marshal(state)
 	if err != nil {
--- a/internal/gossip/news_test.go
+++ b/internal/gossip/news_test.go
@@ -75,8 +75,9 @@
 // TestNewsReachAllNodes plays periods of a fleet in which a tenth of all
 // datagrams is lost: every node hears of a server that leaves within a second.
 func TestNewsReachAllNodes(t *testing.T) {
-	const fanout, period, lossy = 8, 200 * time.Millisecond, 0.1
-	for _, nodes := range []int{7, 73, 300} {
+	const period, lossy = 200 * time.Millisecond, 0.1
+	for _, size := range []struct{ nodes, fanout int }{{7, 8}, {73, 8}, {300, 8}, {73, 6}, {300, 6}} {
+		nodes, fanout := size.nodes, size.fanout
 		for seed := range uint64(4) {
 			random := rand.New(rand.NewPCG(seed, uint64(nodes)))
 			fleet := make([]*News, nodes)
@@ -118,7 +119,7 @@
 				}
 			}
 			if took := time.Duration(periods) * period; took > time.Second {
-				t.Errorf("%d nodes, seed %d: all knew after %v", nodes, seed, took)
+				t.Errorf("%d nodes, fanout %d, seed %d: all knew after %v", nodes, fanout, seed, took)
 			}
 		}
 	}
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -22,8 +22,6 @@
 	leaderTime = 6 * time.Millisecond
 	// countedTime is how long a node counts among those that share a budget.
 	countedTime = 30 * time.Second
-	// ToldPeers is the number of other nodes that a datagram names.
-	ToldPeers = 6
 )
 
 // Peer is another node.
