--- a/cmd/spanlanding/explain.go
+++ b/cmd/spanlanding/explain.go
@@ -11,13 +11,19 @@
 )
 
 // explainCommand tells a request's way, or what was believed of a server, from
-// the logs of several nodes.
+// the logs of several nodes; or what all their requests were lost by.
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "tell from logs what became of a request, or what was believed of a server",
-		ArgsUsage: "ID [LOG FILE...]",
+		ArgsUsage: "ID [LOG FILE...] | --losses [LOG FILE...]",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "losses", Usage: "print a table of the requests that were not served in time, by kind, reason and when"},
+		},
 		Action: func(_ context.Context, command *cli.Command) error {
+			if command.Bool("losses") {
+				return printLosses(command.Args().Slice())
+			}
 			if command.Args().Len() == 0 {
 				return operator.ErrUsage.New("explain wants the identity of a request or a server")
 			}
@@ -33,23 +39,38 @@
 	}
 }
 
+// printLosses prints what the requests of the logs were lost by.
+func printLosses(files []string) error {
+	losses := explain.NewLosses()
+	if err := scanLogs(files, losses.Take); err != nil {
+		return err
+	}
+	return losses.Print(os.Stdout)
+}
+
 // readLogs reads the files, or standard input where there are none.
 func readLogs(files []string) ([]explain.Entry, error) {
+	var entries []explain.Entry
+	err := scanLogs(files, func(entry explain.Entry) { entries = append(entries, entry) })
+	return entries, err
+}
+
+// scanLogs hands over the entries of the files, or of standard input where there
+// are none.
+func scanLogs(files []string, take func(explain.Entry)) error {
 	if len(files) == 0 {
-		return explain.Read(os.Stdin)
+		return explain.Scan(os.Stdin, take)
 	}
-	var entries []explain.Entry
 	for _, name := range files {
 		file, err := os.Open(name)
 		if err != nil {
-			return nil, operator.ErrUsage.Wrap(err, "open the log")
+			return operator.ErrUsage.Wrap(err, "open the log")
 		}
-		read, err := explain.Read(file)
+		err = explain.Scan(file, take)
 		_ = file.Close()
 		if err != nil {
-			return nil, operator.ErrUsage.Wrap(err, "read %s", name)
+			return operator.ErrUsage.Wrap(err, "read %s", name)
 		}
-		entries = append(entries, read...)
 	}
-	return entries, nil
+	return nil
 }
--- a/internal/explain/entry.go
+++ b/internal/explain/entry.go
@@ -43,15 +43,21 @@
 // Read reads lines of key=value pairs. What stands before the first key, such
 // as a collector's prefix, is passed over, and so are lines without an event.
 func Read(from io.Reader) ([]Entry, error) {
+	var entries []Entry
+	err := Scan(from, func(entry Entry) { entries = append(entries, entry) })
+	return entries, err
+}
+
+// Scan reads as Read does, and hands over one entry after the other.
+func Scan(from io.Reader, take func(Entry)) error {
 	scanner := bufio.NewScanner(from)
 	scanner.Buffer(make([]byte, 0, 4096), maxLine)
-	var entries []Entry
 	for scanner.Scan() {
 		if entry, ok := parse(scanner.Text()); ok {
-			entries = append(entries, entry)
+			take(entry)
 		}
 	}
-	return entries, scanner.Err()
+	return scanner.Err()
 }
 
 func parse(line string) (Entry, bool) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -269,6 +269,12 @@
 	entry.Str("request", x.head.RequestID).Int("status", status).Str("reason", reason)
 	if x.route != nil {
 		entry.Str("route", x.route.Name).Str("service", x.service)
+		if x.route.Goal > 0 {
+			entry.Int64("goal_ms", x.route.Goal.Milliseconds())
+		}
+		if x.route.GapGoal > 0 {
+			entry.Int64("gap_goal_ms", x.route.GapGoal.Milliseconds())
+		}
 	}
 	if x.table != nil {
 		entry.Int64("config", x.table.Version)
