--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -114,6 +114,9 @@
 	m.counter("budget_empty_total", "Requests given up for want of a repeat.", counts.NoBudget.Load)
 	m.counter("dial_failures_total", "Connections to servers that did not come up.", counts.DialFails.Load)
 	m.counter("connections_total", "Connections opened to servers.", node.pool.Dialled)
+	for what := range trafficKinds {
+		m.counter("peer_"+what.String()+"_bytes_total", "Bytes sent to peers: "+what.String()+".", func() int64 { return node.peers.sentBytes[what].Load() })
+	}
 	m.counter("datagrams_unreadable_total", "Datagrams of peers dropped as they could not be read.", func() int64 { return node.peers.unreadable.Load() })
 	if node.options.LogDropped != nil {
 		m.counter("log_lines_dropped_total", "Log lines left out.", node.options.LogDropped)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -66,7 +66,10 @@
 	staleSince time.Time
 	alive      map[string]bool
 	// notedAt is when alive was last brought up to date.
-	notedAt time.Time
+	notedAt       time.Time
+	trafficLogged time.Time
+	// sentBytes count what was sent, by what it was.
+	sentBytes [trafficKinds]atomic.Int64
 	// unreadable counts datagrams that were dropped as they could not be read.
 	unreadable atomic.Int64
 	// wasSentinel is whether this node watched the store for the others at its
@@ -217,6 +220,7 @@
 func (p *peers) tick() {
 	now := time.Now()
 	p.noteSentinel()
+	p.logTraffic(now)
 	p.mu.Lock()
 	nodes := len(p.roster.Alive(now))
 	fanout := gossipFanout
@@ -233,10 +237,10 @@
 	if nodes > loadedNodes {
 		state.Loads = nil
 	}
-	p.send(without(targets, deciders), state)
+	p.send(trafficGossip, without(targets, deciders), state)
 	state.Loads = loads
 	state.Wanted, state.TellsWanted = p.wanted(now), true
-	p.send(deciders, state)
+	p.send(trafficWanted, deciders, state)
 }
 
 // without returns the addresses that are not among the others.
@@ -309,7 +313,7 @@
 	if leader != nil && !early {
 		state := p.state(now)
 		state.Wanted, state.TellsWanted = p.wanted(now), true
-		p.send([]string{leader.Address}, state)
+		p.send(trafficWanted, []string{leader.Address}, state)
 	}
 }
 
@@ -341,7 +345,7 @@
 	return state
 }
 
-func (p *peers) send(targets []string, state *peerpb.NodeState) {
+func (p *peers) send(what traffic, targets []string, state *peerpb.NodeState) {
 	p.mu.Lock()
 	p.sequence++
 	state.Sequence = p.sequence
@@ -363,6 +367,7 @@
 		sent[target] = true
 		if address, err := net.ResolveUDPAddr("udp4", target); err == nil {
 			_, _ = p.conn.WriteToUDP(datagram, address)
+			p.sentBytes[what].Add(int64(len(datagram)))
 		}
 	}
 }
--- a/internal/edge/views.go
+++ b/internal/edge/views.go
@@ -26,7 +26,7 @@
 		}
 	}
 	p.mu.Unlock()
-	p.sendViews(targets, term, lapsed, changed)
+	p.sendViews(trafficViews, targets, term, lapsed, changed)
 }
 
 // forgetViews drops what was told of servers that are gone, or of all.
@@ -41,7 +41,7 @@
 }
 
 // sendViews sends views in as many datagrams as they need, one at the least.
-func (p *peers) sendViews(targets []string, term int64, lapsed time.Duration, views []dispatch.View) {
+func (p *peers) sendViews(what traffic, targets []string, term int64, lapsed time.Duration, views []dispatch.View) {
 	encoded := make([]*peerpb.ServerView, 0, len(views))
 	for _, view := range views {
 		encoded = append(encoded, encodeView(view))
@@ -62,7 +62,7 @@
 		if len(encoded) == 0 {
 			state.Leader.ViewsDigest = all
 		}
-		p.send(targets, state)
+		p.send(what, targets, state)
 	}
 }
 
@@ -76,7 +76,7 @@
 	}
 	p.mu.Unlock()
 	if !early {
-		p.sendViews([]string{address}, term, lapsed, views)
+		p.sendViews(trafficAnswers, []string{address}, term, lapsed, views)
 	}
 }
 
