Tell all nodes which servers are busy; a list is no news of what is known

In one span of five seconds one model of 61 requests a second had copies with 72, 69, 52, 49, 39, 14 and 11 of them: a node sends 1.2 requests a second and hears of each other's every 7 s, and all prefer the server that keeps a prompt's shared parts.

Ruled out: loads heard directly (295 lists on 295 nodes, and a second old); the servers' own word in their answers (a node sees a given server twice a minute).

The leader, whom all nodes tell what they have under way, smooths the sums over a second and tells the 48 busiest servers with its views; a choice takes the greater of that and what the node knows itself. Fleets of up to 40 nodes, which all hear from each other within a second, go on as before. News are only who came and who takes no more work, from a list as from events, and are not told on by whom they tell nothing.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -222,6 +222,8 @@
 	ServerID      string
 	Running       int
 	PendingTokens float64
+	// smoothed are the running requests over some time.
+	smoothed float64
 }
 
 // SetPeerLoads takes what a peer has under way; servers that are not named have
@@ -258,10 +260,8 @@
 // Running are the requests of all nodes at each server that has any.
 func (c *Core) Running(now time.Time) map[string]int {
 	running := make(map[string]int, len(c.servers))
-	for id, s := range c.servers {
-		if count, _ := s.totals(now); count > 0 {
-			running[id] = count
-		}
+	for _, load := range c.Totals(now) {
+		running[load.ServerID] = load.Running
 	}
 	return running
 }
--- /dev/null
+++ b/internal/dispatch/fleetload_test.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+// TestBusiestAreWhereLoadsStay: a burst of a moment does not count as much as what
+// lasts, and both fade.
+func TestBusiestAreWhereLoadsStay(t *testing.T) {
+	loads := NewFleetLoads()
+	now := begin
+	for range 40 {
+		now = now.Add(50 * time.Millisecond)
+		loads.Take(now, []PeerLoad{{ServerID: "lasting", Running: 10, PendingTokens: 20000}})
+	}
+	now = now.Add(50 * time.Millisecond)
+	loads.Take(now, []PeerLoad{
+		{ServerID: "lasting", Running: 10, PendingTokens: 20000}, {ServerID: "burst", Running: 30, PendingTokens: 60000},
+	})
+	busiest := loads.Busiest(5)
+	if len(busiest) != 2 || busiest[0].ServerID != "lasting" || busiest[0].Running < 8 || busiest[1].Running > 3 {
+		t.Errorf("busiest %+v, want the lasting load first, about ten running", busiest)
+	}
+	if first := loads.Busiest(1); len(first) != 1 || first[0].ServerID != "lasting" {
+		t.Errorf("the busiest is %+v", first)
+	}
+	loads.Take(now.Add(10*time.Second), nil)
+	if left := loads.Busiest(5); len(left) != 0 {
+		t.Errorf("%+v is left after ten idle seconds", left)
+	}
+}
+
+// TestFleetLoadTurnsRequestsAway: a node of hundreds sees nothing of what the others
+// send, and all of them took the server that keeps the prompt's shared parts.
+func TestFleetLoadTurnsRequestsAway(t *testing.T) {
+	core := newCore(entry("a", "z", "m"), entry("b", "z", "m"))
+	ask := Ask{Model: "m", PromptTokens: 9000, Parts: []PromptPart{{ID: "x", Tokens: 6300}, {ID: "y", Tokens: 2700}}}
+	preferred := pick(core, begin, ask)
+	other := map[string]string{"a": "b", "b": "a"}[preferred]
+	core.SetFleetLoads(begin, 5, []PeerLoad{{ServerID: preferred, Running: 20, PendingTokens: 30000}})
+	if got := pick(core, begin.Add(time.Second), ask); got != other {
+		t.Errorf("picked %s, which all nodes keep busy", got)
+	}
+	core.SetViews(begin, 6, []View{})
+	core.SetFleetLoads(begin, 5, nil)
+	if got := pick(core, begin.Add(time.Second), ask); got != other {
+		t.Error("the word of an older term's leader is taken")
+	}
+	core.SetFleetLoads(begin.Add(time.Second), 6, []PeerLoad{{ServerID: other, Running: 20, PendingTokens: 30000}})
+	if got := pick(core, begin.Add(time.Second), ask); got != preferred {
+		t.Errorf("picked %s, which is the busy one by now", got)
+	}
+}
+
+// BenchmarkFleetLoads is what the leader spends on a step's loads.
+func BenchmarkFleetLoads(b *testing.B) {
+	for _, servers := range []int{160, 2300} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			core := New(Options{Zone: "z"})
+			var changes []inventory.Change
+			for i := range servers {
+				changes = append(changes, entry(fmt.Sprint("server-", i), "z", "m"))
+			}
+			core.SetServers(changes)
+			for i := range servers {
+				core.SetPeerLoads(begin, fmt.Sprint("peer-", i), []PeerLoad{{ServerID: fmt.Sprint("server-", i), Running: 3, PendingTokens: 900}})
+			}
+			loads, now := NewFleetLoads(), begin
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				loads.Take(now, core.Totals(begin))
+				loads.Busiest(48)
+			}
+		})
+	}
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -30,10 +30,12 @@
 	running       int
 	pendingTokens float64
 	peers         map[string]peerLoad
-	reported      Load
-	reportedAt    time.Time
-	health        health
-	cache         promptCache
+	// fleet is what all nodes have under way there on the whole, by the leader.
+	fleet      peerLoad
+	reported   Load
+	reportedAt time.Time
+	health     health
+	cache      promptCache
 	// absentUntil are models that the server itself refused as not there.
 	absentUntil map[string]time.Time
 }
@@ -143,9 +145,12 @@
 const reportedAge = 300 * time.Millisecond
 
 // load is the number of requests at the server: those that nodes know of or, by
-// its own recent word, more.
+// its own recent word or the leader's, more.
 func (s *server) load(now time.Time) (requests int, pendingTokens float64) {
 	requests, pendingTokens = s.totals(now)
+	if now.Sub(s.fleet.at) < fleetLoadAge {
+		requests, pendingTokens = max(requests, s.fleet.running), max(pendingTokens, s.fleet.pendingTokens)
+	}
 	if now.Sub(s.reportedAt) < reportedAge {
 		requests = max(requests, s.reported.Running+s.reported.Waiting)
 	}
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -50,11 +50,27 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	isFirst := d.table.Revision() == 0
+	worked := make(map[string]bool, len(servers))
+	for server := range d.table.All {
+		worked[server.ID] = !server.Draining
+	}
 	changes = d.table.Replace(servers, revision)
 	if isFirst {
 		return changes, false
 	}
-	return changes, d.learn(now, changes, revision)
+	return changes, d.learn(now, news(changes, worked), revision)
+}
+
+// news are the changes by which a server came, or takes no more work: all that
+// others need to hear at once.
+func news(changes []inventory.Change, worked map[string]bool) []inventory.Change {
+	var news []inventory.Change
+	for _, change := range changes {
+		if change.Gone || change.Server.Draining || !worked[change.Server.ID] {
+			news = append(news, change)
+		}
+	}
+	return news
 }
 
 // apply takes the store's events.
@@ -66,13 +82,7 @@
 		worked[event.Server.ID] = d.table.TakesWork(event.Server.ID)
 	}
 	changes = d.table.Apply(events, revision)
-	var coming []inventory.Change
-	for _, change := range changes {
-		if change.Gone || change.Server.Draining || !worked[change.Server.ID] {
-			coming = append(coming, change)
-		}
-	}
-	return changes, d.learn(now, coming, revision)
+	return changes, d.learn(now, news(changes, worked), revision)
 }
 
 // learn makes news of changes that the store told.
@@ -99,6 +109,10 @@
 	defer d.mu.Unlock()
 	var changes []inventory.Change
 	for _, item := range items {
+		if !item.Server.Draining && d.table.TakesWork(item.Server.ID) {
+			// Known already, and not told on.
+			continue
+		}
 		if !d.news.Learn(now, item) {
 			continue
 		}
--- a/internal/edge/directory_test.go
+++ b/internal/edge/directory_test.go
@@ -41,6 +41,22 @@
 	}
 }
 
+// TestListsAreNoNewsOfWhatIsKnown: each list that a node read made news of all
+// servers whose entries had changed since, which every node of 295 told on eight
+// times: a gigabyte in a minute.
+func TestListsAreNoNewsOfWhatIsKnown(t *testing.T) {
+	directory := newDirectory()
+	directory.replace(begin, []inventory.Server{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 3)
+	directory.replace(begin, []inventory.Server{{ID: "a", Revision: 5}, {ID: "b", Revision: 6}, {ID: "c", Revision: 7}}, 8)
+	if diff := cmp.Diff(map[string]bool{"c": false}, told(directory, begin)); diff != "" {
+		t.Error(diff)
+	}
+	directory.hear(begin, []gossip.Item{{Server: inventory.Server{ID: "b", Revision: 9}}})
+	if _, ok := told(directory, begin)["b"]; ok {
+		t.Error("a peer's word of a server that is known is told on")
+	}
+}
+
 // TestNewsSpareTheStore: who has the news does not ask the store where a peer
 // knows the same servers from it, and asks once news were missed.
 func TestNewsSpareTheStore(t *testing.T) {
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -54,7 +54,9 @@
 	lease *storelease.Core
 	core  *placer.Core
 	// demand is kept by every node, for the term that it may begin.
-	demand    *placer.Demand
+	demand *placer.Demand
+	// loads are what all nodes have under way, while this node leads.
+	loads     *dispatch.FleetLoads
 	countedAt time.Time
 
 	started   time.Time
@@ -166,7 +168,10 @@
 	}
 	l.steppedAt = now
 	l.core.SetTable(l.node.handler.Table())
-	l.node.dispatch.Do(func(core *dispatch.Core) { l.core.SetRunning(core.Running(now)) })
+	l.node.dispatch.Do(func(core *dispatch.Core) {
+		l.core.SetRunning(core.Running(now))
+		l.loads.Take(now, core.Totals(now))
+	})
 	effects := l.core.Step(now, l.lease.MayOrder(now))
 	for _, order := range effects.Orders {
 		l.order(ctx, order)
@@ -231,6 +236,7 @@
 	l.node.options.Logger.Info().Int64("term", term).
 		Int64("order_in_ms", l.lease.OrderFrom().Sub(now).Milliseconds()).Msg("lease_taken")
 	l.node.peers.forgetViews(func(string) bool { return false })
+	l.loads = dispatch.NewFleetLoads()
 	l.core = placer.New(placer.Options{
 		Window: l.node.options.LoadWindow, Overage: l.node.options.LoadOverage,
 		LoadsAtOnce: l.lease.PastLoadsAtOnce(), Demand: l.demand,
@@ -347,7 +353,22 @@
 		core.SetLeader(now, term, lapsed > 0, orderIn)
 	})
 	l.node.peers.forgetViews(l.core.Knows)
-	l.node.peers.tellViews(term, lapsed, views)
+	l.node.peers.tellViews(term, lapsed, views, l.busiest(now))
+}
+
+// busiestTold is the number of servers whose loads the leader tells, as many as go
+// into a datagram.
+const busiestTold = 48
+
+// busiest are the busiest servers, where nodes hear of each other's requests too
+// rarely to know them; they are in force here, too.
+func (l *leader) busiest(now time.Time) []dispatch.PeerLoad {
+	if l.node.peers.count() <= loadedNodes {
+		return nil
+	}
+	loads := l.loads.Busiest(busiestTold)
+	l.node.dispatch.Do(func(core *dispatch.Core) { core.SetFleetLoads(now, l.term.Load(), loads) })
+	return loads
 }
 
 // placementPeriod is the time between two lines on where models stand.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -189,6 +189,9 @@
 		if state.Leader != nil {
 			core.SetLeader(now, state.Leader.Term, state.Leader.LapsedMs > 0, time.Duration(state.Leader.OrderInMs)*time.Millisecond)
 		}
+		if state.Leader != nil && len(state.Leader.Loads) > 0 {
+			core.SetFleetLoads(now, state.Leader.Term, peerLoads(state.Leader.Loads))
+		}
 		if state.Leader != nil && len(state.Leader.Views) > 0 {
 			core.SetViews(now, state.Leader.Term, viewsOf(state.Leader.Views))
 		}
@@ -333,11 +336,7 @@
 	state.ServersAgeMs = p.node.serversConfirmed.wire(now)
 	state.ServersDigest, state.ServersRevision = p.node.directory.standing()
 	p.node.dispatch.Do(func(core *dispatch.Core) {
-		for _, load := range core.OwnLoads() {
-			state.Loads = append(state.Loads, &peerpb.ServerLoad{
-				Server: load.ServerID, Running: uint32(load.Running), PendingTokens: uint32(load.PendingTokens),
-			})
-		}
+		state.Loads = encodeLoads(core.OwnLoads())
 	})
 	if term, lapsed := p.node.leader.standing(); term != 0 {
 		state.Leader = &peerpb.LeaderState{Term: term, LapsedMs: uint32(lapsed.Milliseconds()), LeaseRevision: p.node.leader.leaseRevision(), OrderInMs: uint32(p.node.leader.orderIn().Milliseconds())}
--- a/internal/edge/views.go
+++ b/internal/edge/views.go
@@ -11,7 +11,7 @@
 
 // tellViews sends all nodes what changed of the leader's views, and a digest of
 // all by which they see whether they have missed some.
-func (p *peers) tellViews(term int64, lapsed time.Duration, views []dispatch.View) {
+func (p *peers) tellViews(term int64, lapsed time.Duration, views []dispatch.View, loads []dispatch.PeerLoad) {
 	now := time.Now()
 	p.mu.Lock()
 	var targets []string
@@ -26,7 +26,7 @@
 		}
 	}
 	p.mu.Unlock()
-	p.sendViews(trafficViews, targets, term, lapsed, changed)
+	p.sendViews(trafficViews, targets, term, lapsed, changed, loads)
 }
 
 // forgetViews drops what was told of servers that are gone, or of all.
@@ -41,7 +41,7 @@
 }
 
 // sendViews sends views in as many datagrams as they need, one at the least.
-func (p *peers) sendViews(what traffic, targets []string, term int64, lapsed time.Duration, views []dispatch.View) {
+func (p *peers) sendViews(what traffic, targets []string, term int64, lapsed time.Duration, views []dispatch.View, loads []dispatch.PeerLoad) {
 	encoded := make([]*peerpb.ServerView, 0, len(views))
 	for _, view := range views {
 		encoded = append(encoded, encodeView(view))
@@ -58,6 +58,9 @@
 			Term: term, LapsedMs: uint32(lapsed.Milliseconds()), LeaseRevision: p.node.leader.leaseRevision(),
 			OrderInMs: uint32(p.node.leader.orderIn().Milliseconds()),
 		}
+		if first {
+			state.Leader.Loads = encodeLoads(loads)
+		}
 		encoded = fillViews(state.Leader, encoded)
 		if len(encoded) == 0 {
 			state.Leader.ViewsDigest = all
@@ -76,7 +79,7 @@
 	}
 	p.mu.Unlock()
 	if !early {
-		p.sendViews(trafficAnswers, []string{address}, term, lapsed, views)
+		p.sendViews(trafficAnswers, []string{address}, term, lapsed, views, nil)
 	}
 }
 
--- a/internal/edge/wire.go
+++ b/internal/edge/wire.go
@@ -21,6 +21,16 @@
 	return loads
 }
 
+func encodeLoads(loads []dispatch.PeerLoad) []*peerpb.ServerLoad {
+	encoded := make([]*peerpb.ServerLoad, 0, len(loads))
+	for _, load := range loads {
+		encoded = append(encoded, &peerpb.ServerLoad{
+			Server: load.ServerID, Running: uint32(load.Running), PendingTokens: uint32(load.PendingTokens),
+		})
+	}
+	return encoded
+}
+
 func viewsOf(wire []*peerpb.ServerView) []dispatch.View {
 	views := make([]dispatch.View, 0, len(wire))
 	for _, encoded := range wire {
