--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -42,7 +42,7 @@
 	// longestFirstLook are how long a node that started waits until it reads the
 	// lease of which no peer has told it: one of the first will have.
 	firstLookDelay   = 150 * time.Millisecond
-	longestFirstLook = 2500 * time.Millisecond
+	longestFirstLook = 8 * time.Second
 	// firstEver is how long nodes listen to each other before the first of them
 	// ever takes the lease: there is nothing to order yet, and a weak machine
 	// that came first would lead all.
