A server that unloads an adapter is not loading from the weight store

Ruled out: the ceiling (6 of 65 loads reserved), room (surplus copies of other models stood there).

A server whose last taken order is this leader's and no load from the store does not count. TestServerBusyWithAnUnloadLoadsNothing failed before.

--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -295,6 +295,7 @@
 	case ResultTaken:
 		s.sequence = order.Expected + 1
 		s.unsure = nil
+		s.lastTaken = &order
 		s.busySince = time.Time{}
 		c.took(now, s, order)
 		if s.loading != nil {
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -308,3 +308,40 @@
 		t.Errorf("orders %+v, want a copy of m02 at another server", orders)
 	}
 }
+
+// TestServerBusyWithAnUnloadLoadsNothing: five servers that waited for runs to end,
+// to unload adapters, counted as loading from the weight store for a whole day. The
+// store was taken to be full, and a model of 61 requests a second kept 5 copies of
+// 22 that it was to have.
+func TestServerBusyWithAnUnloadLoadsNothing(t *testing.T) {
+	busy := func(order Order, sequence int64) bool {
+		core := fullServer(t)
+		s := core.servers["s"]
+		order.ServerID = "s"
+		s.ordering = &order
+		core.OrderAnswered(begin, order, ResultTaken)
+		core.TakeReport(begin.Add(time.Second), "s", Report{Sequence: sequence, Busy: true}, true)
+		return s.mayLoadFromStore()
+	}
+	cases := []struct {
+		name     string
+		order    Order
+		sequence int64
+		want     bool
+	}{
+		{"an adapter's unload", Order{Operation: Unload, Model: "m02", Adapter: "a1"}, 1, false},
+		{"a load from disk that is over", Order{Operation: Load, Model: "m03", Source: SourceDisk}, 1, false},
+		{"a load from the store that is over", Order{Operation: Load, Model: "m03", Source: SourceStore}, 1, true},
+		{"an order of somebody else since", Order{Operation: Unload, Model: "m02", Adapter: "a1"}, 2, true},
+	}
+	for _, c := range cases {
+		if got := busy(c.order, c.sequence); got != c.want {
+			t.Errorf("%s: may load from the store %v, want %v", c.name, got, c.want)
+		}
+	}
+	core := fullServer(t)
+	core.TakeReport(begin.Add(time.Second), "s", Report{Busy: true}, true)
+	if !core.servers["s"].mayLoadFromStore() {
+		t.Error("a server that an earlier leader left busy cannot be loading")
+	}
+}
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -44,7 +44,18 @@
 	if s.loading != nil {
 		return s.loading.source == SourceStore
 	}
-	return s.busy && !s.synced
+	return s.busy && !s.synced && !s.isBusyWithOther()
+}
+
+// isBusyWithOther reports whether what keeps the server busy is known to be no load
+// from the weight store: the last order that it took is this leader's and another
+// one. An unload, of an adapter too, waits for the runs that use it.
+func (s *server) isBusyWithOther() bool {
+	last := s.lastTaken
+	if last == nil || s.unsure != nil || s.sequence != last.Expected+1 {
+		return false
+	}
+	return last.Operation != Load || last.Adapter != "" || last.Source != SourceStore
 }
 
 // loadsFromStore reports whether a load from the weight store has begun there.
@@ -52,7 +63,7 @@
 	if s.loading != nil {
 		return s.loading.run != nil
 	}
-	return s.busy && !s.synced
+	return s.busy && !s.synced && !s.isBusyWithOther()
 }
 
 // loadBegan follows the load that the server just took.
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -40,6 +40,8 @@
 	intent intent
 	// busy is set while the server said last that an order is under way.
 	busy bool
+	// lastTaken is the last order of this term that the server took; nil is none.
+	lastTaken *Order
 }
 
 type held struct {
