A starting node is no sentinel; candidates look at the lease once a second

Ruled out: a longer spread of the first reads after a restart (each second without a configuration refuses a second of callers).

A node is a sentinel from 2.5 s after its start on; until then it reads only what nobody confirms. A candidate's look at the lease comes after 0.5 to 1.5 s: one look is enough where the holder was heard before. TestStartingNodeIsNoSentinel failed before.

--- a/internal/edge/confirmation.go
+++ b/internal/edge/confirmation.go
@@ -77,7 +77,7 @@
 	if now.Sub(n.started) < n.firstRead {
 		return false
 	}
-	if n.peers.isSentinel() {
+	if n.peers.isSentinel() && now.Sub(n.started) >= sentinelAfter {
 		return true
 	}
 	age, ok := known.age(now)
@@ -94,6 +94,11 @@
 	return time.Duration(float64(rank) / float64(max(nodes, takeoverNodes)) * float64(n.shareOf(takeoverShare)))
 }
 
+// sentinelAfter is how long a node listens before it watches the store for others:
+// at its start it knows too few of them to tell that it is among the first, and
+// all nodes of a fleet that starts took themselves for that.
+const sentinelAfter = 2500 * time.Millisecond
+
 // firstReadSpread is the time over which nodes that start together for the first
 // time read the store: who reads first tells the others. A node that starts later
 // finds peers that know all, and waits restartSpread at the most.
--- a/internal/edge/confirmation_test.go
+++ b/internal/edge/confirmation_test.go
@@ -89,6 +89,20 @@
 	}
 }
 
+// TestStartingNodeIsNoSentinel: 295 nodes that started together knew no other yet,
+// each took itself for one of the first, and they made 1,400 calls in four seconds.
+func TestStartingNodeIsNoSentinel(t *testing.T) {
+	node := newFollower(t, 0)
+	node.configConfirmed.confirm(node.started)
+	if node.watchesStore(node.started.Add(time.Second), &node.configConfirmed) {
+		t.Error("a node that started a second ago, and has just read, watches the store for others")
+	}
+	node.configConfirmed.confirm(node.started.Add(sentinelAfter))
+	if !node.watchesStore(node.started.Add(sentinelAfter), &node.configConfirmed) {
+		t.Error("a node that is alone does not watch the store")
+	}
+}
+
 // TestFirstNodesStepInFirst: where nobody confirms, nodes ask one after the other,
 // and all of them within the bound.
 func TestFirstNodesStepInFirst(t *testing.T) {
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -34,6 +34,9 @@
 	// leaseRetry is the pause between calls of a candidate, or of a holder
 	// whose write failed.
 	leaseRetry = 500 * time.Millisecond
+	// leaseRead is the pause between two looks of a candidate at a lease that
+	// another may hold.
+	leaseRead = time.Second
 	// firstCandidacy is how long a node listens before it may become leader.
 	firstCandidacy = 800 * time.Millisecond
 	// rankDelay keeps candidates from calling the store all at once.
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -118,7 +118,7 @@
 		l.call(ctx, func() {
 			now := time.Now()
 			l.calling = false
-			l.nextCall = now.Add(leaseRetry/2 + rand.N(leaseRetry))
+			l.nextCall = now.Add(leaseRead/2 + rand.N(leaseRead))
 			switch {
 			case err != nil:
 				l.node.storeFailed("lease", err)
