--- a/internal/placer/storelimit.go
+++ b/internal/placer/storelimit.go
@@ -63,7 +63,7 @@
 	firstLoadsAtOnce = 4
 	// slowedKept is the number of estimates that the limit is taken from: their
 	// greatest, so that one slow server does not lower it for all.
-	slowedKept = 3
+	slowedKept = 5
 	// lawKept is the number of estimates that tell the law.
 	lawKept = 6
 	// slowedNeeded is the number of estimates that first lower the limit.
