--- a/internal/edge/confirmation_test.go
+++ b/internal/edge/confirmation_test.go
@@ -67,10 +67,15 @@
 		t.Error("a peer that has a newer configuration confirms the older one")
 	}
 	select {
-	case address := <-node.snapshots.wanted:
-		if address != "126.0.0.1:1" {
-			t.Errorf("%s is asked, want the peer that told", address)
+	case wanted := <-node.snapshots.wanted:
+		if wanted.address != "126.0.0.1:1" || !node.snapshots.isDue(wanted) {
+			t.Errorf("%+v is asked, want the peer that told", wanted)
 		}
+		node.handler.SetTable(routetable.New(8, nil, nil, routetable.Limits{}))
+		if node.snapshots.isDue(wanted) {
+			t.Error("the peer is asked for a configuration that has come meanwhile")
+		}
+		node.handler.SetTable(routetable.New(7, nil, nil, routetable.Limits{}))
 	default:
 		t.Error("the peer is not asked for the newer configuration")
 	}
@@ -103,6 +108,19 @@
 	}
 }
 
+// TestWatchCutShortConfirmsItsBeginning: only a wait that went to its end says that
+// nothing changed until then.
+func TestWatchCutShortConfirmsItsBeginning(t *testing.T) {
+	asked := time.Now()
+	for answered, want := range map[time.Duration]time.Duration{
+		300 * time.Millisecond: 0, time.Second: time.Second, 3 * time.Second: time.Second,
+	} {
+		if got := confirmedBy(asked, time.Second, asked.Add(answered)).Sub(asked); got != want {
+			t.Errorf("answered after %v: confirmed up to %v, want %v", answered, got, want)
+		}
+	}
+}
+
 // TestFirstNodesStepInFirst: where nobody confirms, nodes ask one after the other,
 // and all of them within the bound.
 func TestFirstNodesStepInFirst(t *testing.T) {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -109,12 +109,12 @@
 }
 
 // confirmedBy is up to when a watch that told of no change says that there was
-// none.
+// none: the end of its wait or, where it was cut short, its beginning.
 func confirmedBy(asked time.Time, wait time.Duration, answered time.Time) time.Time {
-	if ended := asked.Add(wait); ended.Before(answered) {
+	if ended := asked.Add(wait); !ended.After(answered) {
 		return ended
 	}
-	return answered
+	return asked
 }
 
 // watchTime is how long a watch waits. A watch may turn deaf without a word, so
@@ -170,7 +170,7 @@
 		n.configConfirmed.hear(now, age)
 		return
 	}
-	n.snapshots.want(address)
+	n.snapshots.want(wantedSnapshot{address: address, version: version})
 	if n.configLag.passes(now, version, min(longestConfigLag, n.nodes()*configLagShare)) {
 		send(n.configNudge)
 	}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -170,12 +170,12 @@
 	tolerated := min(longestLag, lagTolerated+n.nodes()*lagShare)
 	switch {
 	case !n.hasServers.Load() && state.ServersRevision > 0:
-		n.snapshots.want(state.Address)
+		n.snapshots.want(wantedSnapshot{address: state.Address})
 	case !n.directory.lags(now, state.ServersDigest, state.ServersRevision, isFresher, tolerated):
 	case n.watchesStore(now, &n.serversConfirmed):
 		send(n.serversNudge)
 	default:
-		n.snapshots.want(state.Address)
+		n.snapshots.want(wantedSnapshot{address: state.Address})
 	}
 }
 
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -29,8 +29,16 @@
 type snapshots struct {
 	node   *Node
 	client *http.Client
-	// wanted are addresses of peers that know more; one that waits is enough.
-	wanted chan string
+	// wanted are peers that know more; one that waits is enough.
+	wanted chan wantedSnapshot
+}
+
+// wantedSnapshot is a peer to ask.
+type wantedSnapshot struct {
+	address string
+	// version is that of the configuration to ask for; 0 where the servers are
+	// wanted.
+	version int64
 }
 
 func newSnapshots(node *Node) *snapshots {
@@ -41,7 +49,7 @@
 			Timeout:   snapshotTimeout,
 			Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
 		},
-		wanted: make(chan string, 1),
+		wanted: make(chan wantedSnapshot, 1),
 	}
 }
 
@@ -53,18 +61,24 @@
 	return serve(server, listener)
 }
 
-// want asks the peer for what it knows, unless another is being asked.
-func (s *snapshots) want(address string) {
+// want asks the peer for what it knows, unless another waits to be asked.
+func (s *snapshots) want(wanted wantedSnapshot) {
 	select {
-	case s.wanted <- address:
+	case s.wanted <- wanted:
 	default:
 	}
 }
 
+// isDue reports whether what is wanted did not come meanwhile, from another peer
+// or the store.
+func (s *snapshots) isDue(wanted wantedSnapshot) bool {
+	return wanted.version == 0 || wanted.version > s.node.configVersion()
+}
+
 // run asks the seeds once, as the node starts, and then whom others name.
 func (s *snapshots) run(ctx context.Context) {
 	for _, seed := range s.node.options.Tunables.PeerSeeds {
-		if seed != s.node.options.PeerAddress && s.fetch(ctx, seed) {
+		if seed != s.node.options.PeerAddress && s.fetch(ctx, seed, s.node.known()) {
 			break
 		}
 	}
@@ -74,22 +88,30 @@
 		select {
 		case <-ctx.Done():
 			return
-		case address := <-s.wanted:
-			s.fetch(ctx, address)
+		case wanted := <-s.wanted:
+			if s.isDue(wanted) {
+				s.fetch(ctx, wanted.address, s.node.known())
+			}
 		case <-refresh.C:
 			refresh.Reset(refreshPeriod + rand.N(refreshPeriod))
 			if address := s.node.peers.any(); address != "" && !s.node.watchesStore(time.Now(), &s.node.serversConfirmed) {
-				s.fetch(ctx, address)
+				// All servers, whatever is known: the list drops what is gone.
+				s.fetch(ctx, address, &peerpb.SnapshotRequest{ConfigVersion: s.node.configVersion()})
 			}
 		}
 	}
 }
 
+// known is what the node has and need not be told.
+func (n *Node) known() *peerpb.SnapshotRequest {
+	digest, _ := n.directory.standing()
+	return &peerpb.SnapshotRequest{ConfigVersion: n.configVersion(), ServersDigest: digest}
+}
+
 // fetch asks one peer and uses its answer. It reports whether the node then has a
 // configuration and servers.
-func (s *snapshots) fetch(ctx context.Context, address string) bool {
+func (s *snapshots) fetch(ctx context.Context, address string, request *peerpb.SnapshotRequest) bool {
 	node := s.node
-	request := &peerpb.SnapshotRequest{ConfigVersion: node.configVersion()}
 	asked := time.Now()
 	response, err := peerpb.NewNodesProtobufClient("http://"+address, s.client).Snapshot(ctx, request)
 	if err != nil {
@@ -111,8 +133,8 @@
 	}
 	if response.ServersRevision > 0 {
 		node.listPeerServers(entriesOf(response.Servers), response.ServersRevision)
-		node.confirmServers(asked, response.ServersDigest, response.ServersAgeMs)
 	}
+	node.confirmServers(asked, response.ServersDigest, response.ServersAgeMs)
 	node.options.Logger.Info().Str("peer", address).Int64("config", response.ConfigVersion).
 		Int("config_bytes", len(response.Config)).Int("servers", len(response.Servers)).
 		Int64("revision", response.ServersRevision).Int64("took_ms", time.Since(asked).Milliseconds()).Msg("snapshot_taken")
@@ -133,8 +155,10 @@
 	}
 	if node.hasServers.Load() {
 		servers, revision, digest := node.directory.list()
-		response.Servers, response.ServersRevision, response.ServersDigest = encodeEntries(servers), revision, digest
-		response.ServersAgeMs = node.serversConfirmed.wire(now)
+		response.ServersDigest, response.ServersAgeMs = digest, node.serversConfirmed.wire(now)
+		if digest != request.ServersDigest {
+			response.Servers, response.ServersRevision = encodeEntries(servers), revision
+		}
 	}
 	return response, nil
 }
--- a/internal/edge/snapshot_test.go
+++ b/internal/edge/snapshot_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -45,7 +46,7 @@
 		each.options.Store = sourceStore{}
 	}
 	address := serveSnapshots(t, peer)
-	if node.snapshots.fetch(context.Background(), address) {
+	if node.snapshots.fetch(context.Background(), address, node.known()) {
 		t.Error("a peer that knows nothing brought something")
 	}
 	table, _ := sourceStore{}.DecodeConfiguration([]byte("version nine"))
@@ -56,7 +57,7 @@
 	}, 6)
 	peer.configConfirmed.confirm(time.Now().Add(-300 * time.Millisecond))
 	peer.serversConfirmed.confirm(time.Now().Add(-300 * time.Millisecond))
-	if !node.snapshots.fetch(context.Background(), address) {
+	if !node.snapshots.fetch(context.Background(), address, node.known()) {
 		t.Fatal("nothing came")
 	}
 	if node.configVersion() != 9 || !node.directory.table.TakesWork("a") || node.directory.table.TakesWork("b") {
@@ -69,6 +70,35 @@
 	}
 }
 
+// TestSnapshotLeavesOutWhatTheAskerHas: half of 2,300 answers of a large day brought
+// the same list of servers once more.
+func TestSnapshotLeavesOutWhatTheAskerHas(t *testing.T) {
+	peer, node := newTestNode(t), newTestNode(t)
+	for _, each := range []*Node{peer, node} {
+		each.listPeerServers([]inventory.Server{{ID: "a", Revision: 4}}, 6)
+	}
+	peer.serversConfirmed.confirm(time.Now())
+	cases := []struct {
+		name    string
+		request *peerpb.SnapshotRequest
+		servers int
+	}{
+		{"the same servers", node.known(), 0},
+		{"others", &peerpb.SnapshotRequest{ServersDigest: 9}, 1},
+		{"all", &peerpb.SnapshotRequest{}, 1},
+	}
+	for _, c := range cases {
+		response, err := peer.snapshots.Snapshot(context.Background(), c.request)
+		if err != nil || len(response.Servers) != c.servers || response.ServersAgeMs == 0 {
+			t.Errorf("%s: %d servers, age %d, %v; want %d", c.name, len(response.Servers), response.ServersAgeMs, err, c.servers)
+		}
+	}
+	node.snapshots.fetch(context.Background(), serveSnapshots(t, peer), node.known())
+	if _, known := node.serversConfirmed.age(time.Now()); !known || !node.directory.table.TakesWork("a") {
+		t.Error("an answer without servers does not confirm those known, or drops them")
+	}
+}
+
 // TestSnapshotOfADeadPeerFails at once where nobody listens.
 func TestSnapshotOfADeadPeerFails(t *testing.T) {
 	node := newTestNode(t)
@@ -78,7 +108,7 @@
 	}
 	address := listener.Addr().String()
 	_ = listener.Close()
-	if node.snapshots.fetch(context.Background(), address) {
+	if node.snapshots.fetch(context.Background(), address, node.known()) {
 		t.Error("a dead peer brought something")
 	}
 }
