Read the servers anew where entries lapsed, in place of taking them for gone

The store was down from 14.8 to 20.5 s with entries lapsing. A node that had held such entries back and then left the watching to others could not see that they came back; two seconds later it took their servers for gone and told all nodes so, from the revision of its own list, above that of the entries: each node marked them as leaving for good, and a list with the entries' lower revisions could not bring them back.

Ruled out: the configuration (its probes were not answered 404, and commands on the first routes fell as well).

When the two seconds are over, a node that watches the store reads the list anew, which says who is gone and from which revision; one that does not says nothing. TestLapsedEntryThatCameBackUnseenIsNotGone failed before.

--- a/internal/edge/lapses.go
+++ b/internal/edge/lapses.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -73,31 +72,22 @@
 	l.missing[server.ID] = server
 }
 
-// ended returns, once the time is over, the servers whose entries did not come
-// back.
-func (l *lapses) ended(now time.Time) []inventory.Change {
+// ended reports, once, that the time is over while entries are missing.
+func (l *lapses) ended(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now.Before(l.until) || len(l.missing) == 0 {
-		return nil
-	}
-	gone := make([]inventory.Change, 0, len(l.missing))
-	for _, server := range l.missing {
-		gone = append(gone, inventory.Change{Server: server, Gone: true})
+		return false
 	}
 	l.missing = nil
-	return gone
+	return true
 }
 
-// endLapses drops the servers whose entries did not come back.
+// endLapses reads the servers anew once the time is over: whose entry did not come
+// back is gone. A node that does not watch the store by then leaves that to those
+// that do, as it may have missed that an entry came back.
 func (n *Node) endLapses(now time.Time) {
-	gone := n.lapses.ended(now)
-	if len(gone) == 0 {
-		return
+	if n.lapses.ended(now) {
+		send(n.serversNudge)
 	}
-	_, revision, _ := n.directory.list()
-	n.leader.call(context.Background(), func() { n.leader.changeServers(gone, revision) })
-	changes, hasNews := n.directory.apply(now, gone, revision)
-	n.useServers(changes, "lapsed")
-	n.passOnNews(hasNews)
 }
--- a/internal/edge/lapses_test.go
+++ b/internal/edge/lapses_test.go
@@ -36,15 +36,14 @@
 	if kept := lapses.filter(begin.Add(time.Second), []inventory.Change{gone("a"), {Server: known[1]}}); len(kept) != 1 || kept[0].Gone {
 		t.Errorf("kept %v, want that b is back alone", kept)
 	}
-	if ended := lapses.ended(begin.Add(lapseTime - time.Millisecond)); len(ended) != 0 {
-		t.Errorf("%v gone before the time is over", ended)
+	if lapses.ended(begin.Add(lapseTime - time.Millisecond)) {
+		t.Error("the time is over too soon")
 	}
-	var left []string
-	for _, change := range lapses.ended(begin.Add(lapseTime)) {
-		left = append(left, change.Server.ID)
+	if !lapses.ended(begin.Add(lapseTime)) || lapses.ended(begin.Add(lapseTime)) {
+		t.Error("the end of the time is not told, or told twice")
 	}
-	if diff := cmp.Diff(map[string]bool{"a": true, "c": true}, map[string]bool{left[0]: true, left[1]: true}); diff != "" || len(left) != 2 {
-		t.Errorf("gone are %v, want a and c", left)
+	if diff := cmp.Diff([]string{"b"}, ids(lapses.complete(begin.Add(lapseTime), known[1:2], known))); diff != "" {
+		t.Errorf("a list after the time is completed: %s", diff)
 	}
 	if kept := lapses.filter(begin.Add(lapseTime), []inventory.Change{gone("b")}); len(kept) != 1 {
 		t.Error("a server that goes after the time is kept")
@@ -70,7 +69,25 @@
 		t.Error("a server whose entry lapsed in an outage takes no work")
 	}
 	node.endLapses(time.Now().Add(lapseTime))
+	if got := nudges(node.serversNudge); got != 1 {
+		t.Errorf("the servers are read anew %d times, want once", got)
+	}
+	node.lapses.until = time.Time{}
+	node.listServers([]inventory.Server{{ID: "b", Revision: 4}}, 5)
 	if node.directory.table.TakesWork("a") {
 		t.Error("a server whose entry did not come back takes work")
 	}
 }
+
+// TestLapsedEntryThatCameBackUnseenIsNotGone: a node that stopped watching before
+// entries came back took their servers for gone and told all others, from a revision
+// above that of the entries: nobody sent to them any more.
+func TestLapsedEntryThatCameBackUnseenIsNotGone(t *testing.T) {
+	node := newFollower(t, 0)
+	node.lapses.storeReturned(time.Now())
+	node.listServers(nil, 9)
+	node.endLapses(time.Now().Add(lapseTime))
+	if news := told(node.directory, time.Now()); len(news) != 0 || !node.directory.table.TakesWork("a") {
+		t.Errorf("told %v without a look at the store", news)
+	}
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -317,7 +317,6 @@
 		case <-ticker.C:
 			n.pool.Sweep()
 			n.leader.post(func() { n.leader.demand.Prune(time.Now()) })
-			n.endLapses(time.Now())
 			n.forgiveStore(time.Now())
 			if table := n.handler.Table(); table != nil && table.Limits.IdleTimeout > 0 {
 				n.callers.closeResting(time.Now(), table.Limits.IdleTimeout+restSlack)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -223,6 +223,7 @@
 func (p *peers) tick() {
 	now := time.Now()
 	p.noteSentinel()
+	p.node.endLapses(now)
 	p.logTraffic(now)
 	p.mu.Lock()
 	nodes := len(p.roster.Alive(now))
