--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -110,7 +110,14 @@
 	return len(p.alive)
 }
 
-// addSeeds tries further addresses.
+// addHints tries addresses that a peer named, for a while.
+func (p *peers) addHints(now time.Time, addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.roster.AddHints(now, addresses)
+}
+
+// addSeeds tries further addresses until a node is known there.
 func (p *peers) addSeeds(seeds []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -119,7 +119,7 @@
 			Str("error", err.Error()).Msg("snapshot_failed")
 		return false
 	}
-	node.peers.addSeeds(response.Peers)
+	node.peers.addHints(asked, response.Peers)
 	if len(response.Config) > 0 {
 		table, err := node.options.Store.DecodeConfiguration(response.Config)
 		if err != nil {
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -131,12 +131,18 @@
 		r.summary = summary{}
 	}
 	delete(r.hints, state.Address)
-	for _, address := range state.Peers {
+	r.AddHints(now, state.Peers)
+	return true
+}
+
+// AddHints tries addresses that a peer named, for a while, where no node is known
+// there yet.
+func (r *Roster) AddHints(now time.Time, addresses []string) {
+	for _, address := range addresses {
 		if _, ok := r.peers[address]; !ok && address != r.self {
 			r.hints[address] = now
 		}
 	}
-	return true
 }
 
 func (r *Roster) add(peer *Peer) {
--- a/internal/gossip/summary_test.go
+++ b/internal/gossip/summary_test.go
@@ -80,3 +80,16 @@
 		t.Errorf("targets %v, want all four", targets)
 	}
 }
+
+// TestHintsEnd: an address that a peer named and where nobody answers is tried for a
+// while; a seed for good.
+func TestHintsEnd(t *testing.T) {
+	roster := New("m", []string{"seed"}, 1)
+	roster.AddHints(begin, []string{"m", "gone"})
+	if targets := roster.Targets(begin, 8); len(targets) != 2 {
+		t.Errorf("targets %v, want the seed and the address named", targets)
+	}
+	if targets := roster.Targets(begin.Add(hintTries+time.Second), 8); len(targets) != 1 || targets[0] != "seed" {
+		t.Errorf("targets %v after a while, want the seed", targets)
+	}
+}
