Take ports for test nodes that no connection is given

The test asked the system for a free port, which it takes from those of outgoing connections, and closed it; until the node opened it a connection of another test could have it. Ruled out: two nodes of the test on one port (they have an address each); a node left over (the port was the test's own, new). Change: ports below that range, looked at by TCP and UDP. The test demands what it demanded.

--- a/test/platform/node_test.go
+++ b/test/platform/node_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -126,14 +127,40 @@
 	return f
 }
 
+// Ports of nodes lie below those that the system gives to connections which name
+// none: one of these took a node's port before the node had opened it.
+const (
+	firstPort = 12000
+	portCount = 18000
+	portTries = 100
+)
+
+// freePort is a port that nobody has by TCP or UDP.
 func freePort(t *testing.T) int {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		port := firstPort + rand.IntN(portCount)
+		if isFree(port) {
+			return port
+		}
+	}
+	t.Fatalf("no free port in %d tries", portTries)
+	return 0
+}
+
+func isFree(port int) bool {
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		t.Fatal(err)
+		return false
 	}
 	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	packets, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	defer packets.Close()
+	return true
 }
 
 func (n *node) start() {
