Sum up the loads of all servers once in a leader's step

Found by reading the change: the step walked all servers' loads twice, for the running requests and for the loads that it tells. Behaviour as before.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -257,10 +257,10 @@
 	return loads
 }
 
-// Running are the requests of all nodes at each server that has any.
-func (c *Core) Running(now time.Time) map[string]int {
-	running := make(map[string]int, len(c.servers))
-	for _, load := range c.Totals(now) {
+// RunningOf are the requests of the loads at each server.
+func RunningOf(loads []PeerLoad) map[string]int {
+	running := make(map[string]int, len(loads))
+	for _, load := range loads {
 		running[load.ServerID] = load.Running
 	}
 	return running
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -172,8 +172,9 @@
 	l.steppedAt = now
 	l.core.SetTable(l.node.handler.Table())
 	l.node.dispatch.Do(func(core *dispatch.Core) {
-		l.core.SetRunning(core.Running(now))
-		l.loads.Take(now, core.Totals(now))
+		totals := core.Totals(now)
+		l.core.SetRunning(dispatch.RunningOf(totals))
+		l.loads.Take(now, totals)
 	})
 	effects := l.core.Step(now, l.lease.MayOrder(now))
 	for _, order := range effects.Orders {
