--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -80,11 +80,35 @@
 }
 
 // SetGoing takes a peer's word that a server goes, which entries before the
-// revision do not say yet.
-func (c *Core) SetGoing(serverID string, beforeRevision int64) {
-	if known, ok := c.servers[serverID]; ok {
-		known.goingBefore = max(known.goingBefore, beforeRevision)
+// revision do not say yet. It reports the revision of the entry that this puts out
+// of use; ok is false where the server took no work before.
+func (c *Core) SetGoing(serverID string, beforeRevision int64) (entry int64, ok bool) {
+	known, has := c.servers[serverID]
+	if !has {
+		return 0, false
 	}
+	took := known.takesWork()
+	known.goingBefore = max(known.goingBefore, beforeRevision)
+	return known.info.Revision, took && !known.takesWork()
+}
+
+// Supply counts the servers of a service by what this node believes of them.
+type Supply struct {
+	// Known servers have an entry.
+	Known int
+	// Going ones of them take no new work, by their entry or a peer's word.
+	Going int
+}
+
+// Supply is what the node knows of a service's servers.
+func (c *Core) Supply(service string) Supply {
+	supply := Supply{Known: len(c.byService[service])}
+	for _, s := range c.byService[service] {
+		if !s.takesWork() {
+			supply.Going++
+		}
+	}
+	return supply
 }
 
 // State is what a server is to a node.
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -136,8 +136,12 @@
 	n.useServers(changes, "peer")
 	n.dispatch.Do(func(core *dispatch.Core) {
 		for _, item := range items {
-			if item.Server.Draining {
-				core.SetGoing(item.Server.ID, item.Server.Revision)
+			if !item.Server.Draining {
+				continue
+			}
+			if entry, ok := core.SetGoing(item.Server.ID, item.Server.Revision); ok {
+				n.options.Logger.Info().Str("server", item.Server.ID).Int64("revision", item.Server.Revision).
+					Int64("entry", entry).Int64("age_ms", item.Age.Milliseconds()).Msg("server_going")
 			}
 		}
 	})
