Tests, red: a server whose entry went and came back takes no work any more

That it is gone is dated by the answer's revision, which lies above that of the entry, so the entry counts as older than the word and nobody sends to the server until the entry changes: never, for a plain server that stays. Second: a node that hears of the newer entry first drops that as known, and then takes the older word.

--- /dev/null
+++ b/internal/edge/return_test.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/gossip"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+func takesWork(node *Node, server string) (takes bool) {
+	node.dispatch.Do(func(core *dispatch.Core) { takes = core.TakesWork(server) })
+	return takes
+}
+
+// tellAll lets one node hear the other's news of this period.
+func tellAll(from, to *Node) {
+	to.hearServers(time.Now(), from.directory.tell(time.Now()))
+}
+
+// TestServerThatWentAndCameBackTakesWork: where a server's entry went and came back
+// between two answers of the store, the node that watched told all others that the
+// server is gone as of the answer's revision, above that of the entry: nobody sent
+// to it any more until its entry changed, which that of a plain server does only as
+// it leaves.
+func TestServerThatWentAndCameBackTakesWork(t *testing.T) {
+	back := inventory.Server{ID: "a", Revision: 8}
+	steps := []struct {
+		name   string
+		events []inventory.Change
+		at     int64
+		want   bool
+	}{
+		{"went and came back", []inventory.Change{gone("a"), {Server: back}}, 9, true},
+		{"went, came back and went", []inventory.Change{gone("a"), {Server: back}, gone("a")}, 10, false},
+		{"left, lapsed and came back", []inventory.Change{
+			{Server: inventory.Server{ID: "a", Revision: 5, Draining: true}}, gone("a"), {Server: back},
+		}, 9, true},
+		{"went", []inventory.Change{gone("a")}, 9, false},
+	}
+	for _, step := range steps {
+		t.Run(step.name, func(t *testing.T) {
+			watcher, other := newFollower(t, 0), newFollower(t, 0)
+			watcher.changeServers(step.events, step.at)
+			tellAll(watcher, other)
+			tellAll(other, watcher)
+			for name, node := range map[string]*Node{"watcher": watcher, "other": other} {
+				if got := takesWork(node, "a"); got != step.want {
+					t.Errorf("%s: takes work %v, want %v", name, got, step.want)
+				}
+				if got := node.directory.table.TakesWork("a"); got != step.want {
+					t.Errorf("%s: in the directory it takes work: %v, want %v", name, got, step.want)
+				}
+			}
+		})
+	}
+}
+
+// TestWordThatAServerIsGoneEndsWithItsNewerEntry in whichever order a node hears.
+func TestWordThatAServerIsGoneEndsWithItsNewerEntry(t *testing.T) {
+	word := gossip.Item{Server: inventory.Server{ID: "a", Draining: true, Revision: 7}}
+	back := gossip.Item{Server: inventory.Server{ID: "a", Revision: 8}}
+	for _, order := range [][]gossip.Item{{word, back}, {back, word}} {
+		node := newFollower(t, 0)
+		for _, item := range order {
+			node.hearServers(time.Now(), []gossip.Item{item})
+		}
+		if !takesWork(node, "a") {
+			t.Errorf("heard %v: the server takes no work", order)
+		}
+	}
+}
