Date a server's leaving by the last of its events; let the store refute peers

Engines' entries change and heal it. Ruled out: servers that refuse (none did), the budget (first sends), nodes that lost the configuration (in force). Change: of each server the last event of an answer counts; an older word that a server goes is void once a newer entry was heard, in whichever order; what the directory does not take does not reach the choice of servers either; and a list or answer of the store in which a server takes work ends any word from before it.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -80,16 +80,11 @@
 }
 
 // SetGoing takes a peer's word that a server goes, which entries before the
-// revision do not say yet. It reports the revision of the entry that this puts out
-// of use; ok is false where the server took no work before.
-func (c *Core) SetGoing(serverID string, beforeRevision int64) (entry int64, ok bool) {
-	known, has := c.servers[serverID]
-	if !has {
-		return 0, false
+// revision do not say yet.
+func (c *Core) SetGoing(serverID string, beforeRevision int64) {
+	if known, ok := c.servers[serverID]; ok {
+		known.goingBefore = max(known.goingBefore, beforeRevision)
 	}
-	took := known.takesWork()
-	known.goingBefore = max(known.goingBefore, beforeRevision)
-	return known.info.Revision, took && !known.takesWork()
 }
 
 // Supply counts the servers of a service by what this node believes of them.
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -111,9 +111,10 @@
 	for _, item := range items {
 		if !item.Server.Draining && d.table.TakesWork(item.Server.ID) {
 			// Known already, and not told on.
+			d.table.Stays(item.Server.ID, item.Server.Revision)
 			continue
 		}
-		if !d.news.Learn(now, item) {
+		if !d.table.IsNews(item.Server.ID, item.Server.Revision) || !d.news.Learn(now, item) {
 			continue
 		}
 		d.heard = max(d.heard, item.Server.Revision)
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -130,21 +130,22 @@
 	}
 }
 
-// hearServers takes the news of a peer.
+// hearServers takes the news of a peer. What the directory does not take, since it
+// knows better, changes nothing.
 func (n *Node) hearServers(now time.Time, items []gossip.Item) {
 	changes := n.directory.hear(now, items)
 	n.useServers(changes, "peer")
-	n.dispatch.Do(func(core *dispatch.Core) {
-		for _, item := range items {
-			if !item.Server.Draining {
-				continue
-			}
-			if entry, ok := core.SetGoing(item.Server.ID, item.Server.Revision); ok {
-				n.options.Logger.Info().Str("server", item.Server.ID).Int64("revision", item.Server.Revision).
-					Int64("entry", entry).Int64("age_ms", item.Age.Milliseconds()).Msg("server_going")
-			}
+	for _, change := range changes {
+		if change.Server.Draining {
+			n.setGoing(change.Server)
 		}
-	})
+	}
+}
+
+// setGoing keeps entries from before a peer's word, which are still under way to
+// the choice of servers, from bringing the server back.
+func (n *Node) setGoing(server inventory.Server) {
+	n.dispatch.Do(func(core *dispatch.Core) { core.SetGoing(server.ID, server.Revision) })
 }
 
 // useServers puts changes in force.
--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -29,8 +29,8 @@
 	Sequence int64
 	// Revision is the revision of the entry that says so.
 	Revision int64
-	// Announced is set where a peer told of the server ahead of its entry:
-	// what it holds is not known.
+	// Announced is set where a peer told of the server ahead of its entry: what it
+	// holds is not known, or known from an earlier entry.
 	Announced bool
 }
 
@@ -39,6 +39,12 @@
 	return s.Revision > known.Revision || (s.Revision == known.Revision && known.Announced && !s.Announced)
 }
 
+// refutes reports whether the store's answer as of the revision, in which the server
+// takes work, shows that a peer was wrong to tell that it goes.
+func (s Server) refutes(known Server, revision int64) bool {
+	return known.Draining && !s.Draining && known.Revision <= revision
+}
+
 // HeldModel is one model that a server holds.
 type HeldModel struct {
 	Name     string
@@ -72,7 +78,7 @@
 
 // Replace takes a whole list as of the revision and returns what it changed.
 // A list older than the table is left out. Servers of which peers told from a newer
-// revision stay.
+// revision stay; what they told from an older one goes by the list.
 func (t *Table) Replace(servers []Server, revision int64) []Change {
 	if revision < t.revision {
 		return nil
@@ -82,12 +88,9 @@
 	var changes []Change
 	for _, server := range servers {
 		listed[server.ID] = true
-		known, ok := t.servers[server.ID]
-		if ok && !server.isNewerThan(known) {
-			continue
+		if taken, ok := t.take(server, revision); ok {
+			changes = append(changes, Change{Server: taken})
 		}
-		t.put(server)
-		changes = append(changes, Change{Server: server})
 	}
 	for id, server := range maps.Clone(t.servers) {
 		if !listed[id] && server.Revision <= revision {
@@ -98,27 +101,80 @@
 	return changes
 }
 
-// Apply takes the events behind the table's revision.
+// Apply takes the events behind the table's revision, up to the given one. Of each
+// server the last one counts: an entry that went and came back is that of a server
+// which stayed, and is no word as of the revision that the server is gone.
 func (t *Table) Apply(events []Change, revision int64) []Change {
 	if revision < t.revision {
 		return nil
 	}
 	t.revision = revision
 	var changes []Change
-	for _, event := range events {
-		known, ok := t.servers[event.Server.ID]
-		switch {
-		case event.Gone && ok:
+	for _, event := range lastOfEach(events) {
+		if !event.Gone {
+			if taken, ok := t.take(event.Server, revision); ok {
+				changes = append(changes, Change{Server: taken})
+			}
+			continue
+		}
+		if known, ok := t.servers[event.Server.ID]; ok {
 			t.remove(event.Server.ID)
 			changes = append(changes, Change{Server: known, Gone: true})
-		case !event.Gone && (!ok || event.Server.isNewerThan(known)):
-			t.put(event.Server)
-			changes = append(changes, event)
 		}
 	}
 	return changes
 }
 
+// lastOfEach returns the last event of each server, in the order of the events.
+func lastOfEach(events []Change) []Change {
+	last := make(map[string]int, len(events))
+	for i, event := range events {
+		last[event.Server.ID] = i
+	}
+	var kept []Change
+	for i, event := range events {
+		if last[event.Server.ID] == i {
+			kept = append(kept, event)
+		}
+	}
+	return kept
+}
+
+// take puts what an answer of the store as of the revision says of a server in
+// place of what is known, and returns what then is; ok is false where that changes
+// nothing.
+func (t *Table) take(server Server, revision int64) (taken Server, ok bool) {
+	known, has := t.servers[server.ID]
+	switch {
+	case !has || server.isNewerThan(known):
+	case server.refutes(known, revision):
+		server.Revision = revision
+	default:
+		return known, false
+	}
+	t.put(server)
+	return server, true
+}
+
+// Stays takes a peer's word that the server's entry of the revision says that it
+// takes work, as is known here: older words that it goes are void.
+func (t *Table) Stays(id string, revision int64) {
+	known, ok := t.servers[id]
+	if !ok || known.Draining || known.Revision >= revision {
+		return
+	}
+	known.Revision = revision
+	known.Announced = true
+	t.servers[id] = known
+}
+
+// IsNews reports whether a peer's word as of the revision can say more of the server
+// than is known.
+func (t *Table) IsNews(id string, revision int64) bool {
+	known, ok := t.servers[id]
+	return !ok || revision > known.Revision
+}
+
 // Note takes what a peer tells ahead of the store: a server that came, without
 // what it holds, or one that is draining or gone. The table is not complete up to
 // its revision by that. It returns what it changed.
--- a/internal/inventory/server_test.go
+++ b/internal/inventory/server_test.go
@@ -84,3 +84,49 @@
 func going(id string, revision int64) Server {
 	return Server{ID: id, Draining: true, Revision: revision, Announced: true}
 }
+
+// TestStoreRefutesPeers: a list of the store, in which a server takes work, did not
+// end a peer's word from before it that the server goes.
+func TestStoreRefutesPeers(t *testing.T) {
+	listed := Server{ID: "a", Service: "s", Revision: 8}
+	newTable := func() *Table {
+		table := NewTable()
+		table.Replace([]Server{{ID: "a", Service: "s", Revision: 2}}, 5)
+		table.Note(going("a", 9))
+		return table
+	}
+	answers := []struct {
+		name string
+		take func(table *Table, revision int64)
+	}{
+		{"list", func(table *Table, revision int64) { table.Replace([]Server{listed}, revision) }},
+		{"watch", func(table *Table, revision int64) { table.Apply([]Change{{Server: listed}}, revision) }},
+	}
+	for _, answer := range answers {
+		for revision, want := range map[int64]bool{8: false, 9: true, 12: true} {
+			table := newTable()
+			answer.take(table, revision)
+			if table.TakesWork("a") != want {
+				t.Errorf("%s as of %d: takes work %v, want %v", answer.name, revision, !want, want)
+			}
+			if want && table.IsNews("a", revision) {
+				t.Errorf("%s as of %d: an older word counts again", answer.name, revision)
+			}
+		}
+	}
+}
+
+// TestLastEventOfEachServerCounts in what an answer tells at once.
+func TestLastEventOfEachServerCounts(t *testing.T) {
+	table := NewTable()
+	table.Replace([]Server{{ID: "a", Revision: 2}, {ID: "b", Revision: 3}}, 5)
+	back := Server{ID: "a", Revision: 8}
+	events := []Change{
+		{Server: Server{ID: "a"}, Gone: true}, {Server: Server{ID: "b", Revision: 7, Draining: true}},
+		{Server: back}, {Server: Server{ID: "b"}, Gone: true}, {Server: Server{ID: "c", Revision: 9}}, {Server: Server{ID: "c"}, Gone: true},
+	}
+	want := []Change{{Server: back}, {Server: Server{ID: "b", Revision: 3}, Gone: true}}
+	if diff := cmp.Diff(want, table.Apply(events, 9)); diff != "" {
+		t.Error(diff)
+	}
+}
