Keep every log line on whether a server takes work

Change: those lines are an event of their own, server_entry; server_changed is kept like other beliefs, as OPERATIONS says. Before, after: no decision changes; tests of edge and explain pass.

--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -153,16 +153,33 @@
 	if len(changes) == 0 {
 		return
 	}
-	n.dispatch.Do(func(core *dispatch.Core) { core.SetServers(changes) })
+	worked := make(map[string]bool, len(changes))
+	n.dispatch.Do(func(core *dispatch.Core) {
+		for _, change := range changes {
+			worked[change.Server.ID] = core.TakesWork(change.Server.ID)
+		}
+		core.SetServers(changes)
+	})
 	for _, change := range changes {
 		if change.Gone || change.Server.Draining {
 			n.pool.Forget(change.Server.Address)
 		}
-		n.options.Logger.Info().Str("server", change.Server.ID).Str("address", change.Server.Address).
-			Str("service", change.Server.Service).Bool("gone", change.Gone).Bool("draining", change.Server.Draining).
-			Int64("revision", change.Server.Revision).Int("models", len(change.Server.Models)).
-			Str("from", from).Msg("server_changed")
+		n.logServer(change, worked[change.Server.ID], from)
+	}
+}
+
+// logServer writes what became known of a server. Whether it takes work is an event
+// of its own, of which every line is kept: entries that say what engines hold change
+// hundreds of times a second in a large fleet.
+func (n *Node) logServer(change inventory.Change, worked bool, from string) {
+	event := "server_changed"
+	if worked && !change.Gone && !change.Server.Draining {
+		event = "server_entry"
 	}
+	n.options.Logger.Info().Str("server", change.Server.ID).Str("address", change.Server.Address).
+		Str("service", change.Server.Service).Bool("gone", change.Gone).Bool("draining", change.Server.Draining).
+		Int64("revision", change.Server.Revision).Int("models", len(change.Server.Models)).
+		Str("from", from).Msg(event)
 }
 
 // compareServers takes which servers a peer knows. Where they are others, from a
