Tell callers of a service without servers at once; let callers come back in turn

All callers of one kind were told the same time to come back at. Ruled out: keeping them for a server's return, which nothing announces. Conclusion: what is known to be of no use to the caller is told at once.

--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -10,6 +10,7 @@
 const (
 	reasonNoConfiguration = "no_configuration"
 	reasonNotLoaded       = "not_loaded"
+	reasonNoServer        = "no_server"
 	reasonTooLate         = "too_late"
 	reasonQueueFull       = "queue_full"
 	reasonRejected        = "rejected_by_server"
@@ -25,7 +26,7 @@
 	if x.headSent {
 		x.cut(reason)
 	}
-	x.writer.Header().Set("Retry-After", strconv.FormatFloat(back.Seconds(), 'f', 3, 64))
+	x.writer.Header().Set("Retry-After", retryAfter(back))
 	x.answer(http.StatusServiceUnavailable, "not-run", reason)
 	x.finish(outcomeRefused, http.StatusServiceUnavailable, reason)
 }
@@ -70,18 +71,10 @@
 	case x.ran:
 		x.fail(http.StatusBadGateway, reason)
 	default:
-		x.refuse(reason, x.comeBack())
+		x.refuse(reason, x.comeBackSoon())
 	}
 }
 
-// comeBackTime is when a caller should come back where nothing tells better.
-const comeBackTime = 200 * time.Millisecond
-
-func (x *exchange) comeBack() time.Duration {
-	left := time.Until(x.deadline)
-	return min(comeBackTime, max(left/4, time.Millisecond))
-}
-
 func (x *exchange) answer(status int, outcome, reason string) {
 	header := x.writer.Header()
 	header.Set("Content-Type", "application/problem+json")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -93,6 +93,7 @@
 	mu       sync.Mutex
 	splitter routetable.Splitter
 	budget   *retrybudget.Budget
+	returns  *returns
 	// longest is the longest deadline seen on a route: a caller that comes back
 	// has less time left.
 	longest map[string]time.Duration
@@ -113,6 +114,7 @@
 		options: options,
 		started: time.Now(),
 		budget:  retrybudget.New(options.Budget),
+		returns: newReturns(),
 		longest: make(map[string]time.Duration),
 	}
 }
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -105,6 +105,9 @@
 		return false
 	}
 	elapsed := now.Sub(x.arrived)
+	if !x.engine {
+		return x.keepsWaitingForServer(elapsed, left)
+	}
 	if !known && elapsed < time.Duration(decisionShare*float64(x.route.Goal)) {
 		return true
 	}
@@ -112,8 +115,8 @@
 		return true
 	}
 	back := readyIn + refusalMargin
-	if x.engine && elapsed+readyIn+readTime > x.patience() {
-		x.refuse(reasonTooLate, min(back, time.Duration(returnShare*float64(left))))
+	if elapsed+readyIn+readTime > x.patience() {
+		x.refuse(reasonTooLate, min(x.comeBack(back), time.Duration(returnShare*float64(left))))
 		return false
 	}
 	if x.returned {
@@ -128,7 +131,7 @@
 	if float64(back) > returnShare*float64(left) {
 		return true
 	}
-	x.refuse(reasonNotLoaded, back)
+	x.refuse(reasonNotLoaded, x.comeBack(back))
 	return false
 }
 
@@ -155,7 +158,7 @@
 func (x *exchange) usualLoad(ordersIn time.Duration) time.Duration {
 	service := x.table.Services[x.service]
 	if service.Engine == nil {
-		return orderTime
+		return serverReturnTime
 	}
 	model := service.Engine.Models[x.head.Model]
 	takes := model.Load
