Let a node that heard all servers as news get their list, and become ready

A node started while entries came back after an outage and heard of all servers as news. Ruled out: peers that do not answer (200 answers of 1 ms in its log); the store. Change: a node that has no list tells no digest and takes no confirmation of servers.

--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -293,16 +293,9 @@
 	return views
 }
 
+// ownCounts takes this node's own counts as those of any other.
 func (l *leader) ownCounts(now time.Time) {
-	var counts []placer.Count
-	l.node.dispatch.Do(func(core *dispatch.Core) {
-		for _, count := range core.Demand(now.Add(-wantedAge)) {
-			counts = append(counts, placer.Count{
-				Wanted: count.Wanted, Asked: uint64(count.Asked), Waiting: count.Waiting, PromptTokens: uint64(count.PromptTokens), Goal: count.Goal,
-			})
-		}
-	})
-	l.demand.SetCounts(now, l.node.options.PeerAddress, l.node.peers.life, counts)
+	l.demand.SetCounts(now, l.node.options.PeerAddress, l.node.peers.life, countsOf(l.node.peers.wanted(now)))
 }
 
 func (l *leader) order(ctx context.Context, order placer.Order) {
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -201,8 +201,12 @@
 	}
 }
 
-// confirmServers takes how old a peer's knowledge is, where it is the same.
+// confirmServers takes how old a peer's knowledge is, where it is the same; that of a
+// node which has no list yet is not.
 func (n *Node) confirmServers(now time.Time, digest uint64, age uint32) {
+	if !n.hasServers.Load() {
+		return
+	}
 	if own, _ := n.directory.standing(); own == digest {
 		n.serversConfirmed.hear(now, age)
 	}
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -102,10 +102,14 @@
 	}
 }
 
-// known is what the node has and need not be told.
+// known is what the node has and need not be told. Servers that it heard of as news
+// alone are no list: news do not say that they are all.
 func (n *Node) known() *peerpb.SnapshotRequest {
-	digest, _ := n.directory.standing()
-	return &peerpb.SnapshotRequest{ConfigVersion: n.configVersion(), ServersDigest: digest}
+	request := &peerpb.SnapshotRequest{ConfigVersion: n.configVersion()}
+	if n.hasServers.Load() {
+		request.ServersDigest, _ = n.directory.standing()
+	}
+	return request
 }
 
 // fetch asks one peer and uses its answer. It reports whether the node then has a
--- a/internal/edge/snapshot_test.go
+++ b/internal/edge/snapshot_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/gossip"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/routetable"
@@ -112,3 +113,27 @@
 		t.Error("a dead peer brought something")
 	}
 }
+
+// TestNodeThatHeardAllServersAsNewsBecomesReady: a node started right after an outage
+// and heard of all servers, whose entries were coming back, as news. Its peers took
+// from its digest that it had their list and never sent it; it asked 30 times a second
+// and was not ready for more than seven seconds.
+func TestNodeThatHeardAllServersAsNewsBecomesReady(t *testing.T) {
+	peer, node := newTestNode(t), newTestNode(t)
+	table := routetable.New(9, nil, nil, routetable.Limits{})
+	node.handler.SetTable(table)
+	peer.handler.SetTable(table)
+	peer.listPeerServers([]inventory.Server{{ID: "a", Revision: 4}}, 6)
+	peer.serversConfirmed.confirm(time.Now())
+	node.hearServers(time.Now(), []gossip.Item{{Server: inventory.Server{ID: "a", Revision: 4, Announced: true}}})
+	digest, revision := peer.directory.standing()
+	node.peers.take(&peerpb.NodeState{
+		Node: "p", Address: "126.0.0.1:1", Life: 1, Sequence: 1, ServersDigest: digest, ServersRevision: revision, ServersAgeMs: 1,
+	})
+	if _, confirmed := node.serversConfirmed.age(time.Now()); confirmed {
+		t.Error("what a node heard as news alone is confirmed as the whole list")
+	}
+	if !node.snapshots.fetch(context.Background(), serveSnapshots(t, peer), node.known()) || !node.isReady() {
+		t.Error("the peer's list does not make the node ready")
+	}
+}
--- a/test/platform/soak_kept_test.go
+++ b/test/platform/soak_kept_test.go
@@ -19,7 +19,7 @@
 var keptSeeds = []keptSeed{
 	{6, "store-tells-at-once", "incident 0003: 2 of 8 living servers taken to work by all nodes, before news were dated by the last event"},
 	{4, "store-lapse,store-deaf-lapse,store-down,kill", "lapsed entries taken for gone, before bc2b274: 6 of 8 living servers"},
-	{1, "", "none yet: all kinds over each other"},
+	{202, "", "all kinds: a node that had heard all servers as news was not ready for more than seven seconds"},
 }
 
 const (
--- a/test/platform/store_test.go
+++ b/test/platform/store_test.go
@@ -161,6 +161,10 @@
 			}
 		}
 		changed, at, held := s.changed, s.at, s.held
+		if s.deaf {
+			// What is not heard is not passed over: the caller goes on behind it.
+			at = from
+		}
 		s.mu.Unlock()
 		if held {
 			time.Sleep(heldPause)
