Who came back goes before who is new at a server

Change: the rank said to engines is twice the route's priority, one more for a new request, so that routes keep their order and who came back goes first among equals. Conclusion: taken with the policy of refusals; TestWhoCameBackGoesBeforeWhoIsNew.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -83,11 +83,17 @@
 // maxUrgency is the least urgent rank that can be said.
 const maxUrgency = 9
 
+// urgency is the rank of the request at its server, 0 first: by the priority of its
+// route, and among those of one priority who came back before who is new.
 func (x *exchange) urgency() int {
 	if !x.engine {
 		return -1
 	}
-	return min(maxUrgency, x.route.Priority)
+	rank := 2 * x.route.Priority
+	if !x.returned {
+		rank++
+	}
+	return min(maxUrgency, rank)
 }
 
 func (x *exchange) notSent(choice dispatch.Choice) verdict {
--- a/internal/relay/comeback_test.go
+++ b/internal/relay/comeback_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
 // TestCallersComeBackOneAfterTheOther: all were told the same time, and came back at
@@ -67,3 +68,23 @@
 		}
 	}
 }
+
+// TestWhoCameBackGoesBeforeWhoIsNew, and the more urgent route before both.
+func TestWhoCameBackGoesBeforeWhoIsNew(t *testing.T) {
+	rank := func(priority int, returned bool) int {
+		x := &exchange{engine: true, route: &routetable.Route{Priority: priority}, returned: returned}
+		return x.urgency()
+	}
+	order := []int{rank(0, true), rank(0, false), rank(1, true), rank(1, false), rank(2, true), rank(2, false)}
+	for i := 1; i < len(order); i++ {
+		if order[i-1] >= order[i] {
+			t.Errorf("ranks %v do not rise at %d", order, i)
+		}
+	}
+	if got := rank(9, false); got != maxUrgency {
+		t.Errorf("the least urgent rank is %d, want %d", got, maxUrgency)
+	}
+	if got := (&exchange{route: &routetable.Route{}}).urgency(); got >= 0 {
+		t.Errorf("a plain request has the rank %d, want none", got)
+	}
+}
