Let a caller's request make a starting node ask the store at once, and wait for it

Change: where a caller comes, a node that has nothing confirmed asks at once, and the request waits for that 0.3 s at the most, not while the store fails.

--- a/internal/edge/confirmation.go
+++ b/internal/edge/confirmation.go
@@ -68,19 +68,22 @@
 }
 
 // watchesStore reports whether this node asks the store itself: the leader and
-// the sentinels do, and any node to which nobody has confirmed for too long what
-// it knows.
+// the sentinels do, any node to which nobody has confirmed for too long what it
+// knows, and one that has just started where a caller waits.
 func (n *Node) watchesStore(now time.Time, known *confirmation) bool {
 	if term, _ := n.leader.standing(); term != 0 {
 		return true
 	}
+	age, ok := known.age(now)
+	if !ok && n.asked.Load() {
+		return true
+	}
 	if now.Sub(n.started) < n.firstRead {
 		return false
 	}
 	if n.peers.isSentinel() && now.Sub(n.started) >= sentinelAfter {
 		return true
 	}
-	age, ok := known.age(now)
 	if !ok {
 		age = now.Sub(n.started)
 		return age >= n.firstRead+n.takeover(now)
--- a/internal/edge/confirmation_test.go
+++ b/internal/edge/confirmation_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -152,3 +154,34 @@
 		t.Errorf("age %v, want the least of those heard, 250ms", age)
 	}
 }
+
+// TestCallerMakesAStartingNodeAskAtOnce: after a loss of power of all nodes each waited
+// for its turn to ask the store, and sent its callers away meanwhile.
+func TestCallerMakesAStartingNodeAskAtOnce(t *testing.T) {
+	node := newTestNode(t)
+	node.firstRead = time.Hour
+	if node.watchesStore(time.Now(), &node.configConfirmed) {
+		t.Fatal("a node that nobody asked does not wait for its turn")
+	}
+	ended := make(chan struct{})
+	go func() {
+		node.awaitKnowledge(context.Background())
+		close(ended)
+	}()
+	for !node.asked.Load() {
+		runtime.Gosched()
+	}
+	if !node.watchesStore(time.Now(), &node.configConfirmed) || !node.watchesStore(time.Now(), &node.serversConfirmed) {
+		t.Error("a node that a caller waits for does not ask the store")
+	}
+	node.handler.SetTable(routetable.New(7, nil, nil, routetable.Limits{}))
+	node.listServers([]inventory.Server{{ID: "a", Revision: 1}}, 2)
+	<-ended
+	node.configConfirmed.confirm(time.Now())
+	if node.watchesStore(time.Now(), &node.configConfirmed) {
+		t.Error("a node goes on asking the store for what was confirmed to it")
+	}
+	failing := newTestNode(t)
+	failing.storeFailing.Store(true)
+	failing.awaitKnowledge(context.Background())
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -113,7 +113,9 @@
 	// failingFrom is when, from the start on, storeFailing was set last.
 	failingFrom atomic.Int64
 	hasServers  atomic.Bool
-	stopping    atomic.Bool
+	// asked is set once a caller came that the node knew too little to answer.
+	asked    atomic.Bool
+	stopping atomic.Bool
 }
 
 // usualApplyWithin is taken where no bound is told.
@@ -154,6 +156,8 @@
 		Budget:   options.Tunables.Budget,
 		Logger:   options.Logger,
 		Wanted:   func() { node.peers.tellWanted() },
+
+		AwaitKnowledge: node.awaitKnowledge,
 	})
 	node.metrics = newMetrics(node)
 	node.handler.Finished = func(route, outcome string, took time.Duration) {
@@ -275,7 +279,25 @@
 }
 
 func (n *Node) isReady() bool {
-	return n.handler.Table() != nil && n.hasServers.Load() && !n.stopping.Load()
+	return n.knowsEnough() && !n.stopping.Load()
+}
+
+// knowsEnough reports whether callers can be answered.
+func (n *Node) knowsEnough() bool { return n.handler.Table() != nil && n.hasServers.Load() }
+
+// knowledgeCheck is the time between looks whether the node knows enough.
+const knowledgeCheck = 5 * time.Millisecond
+
+// awaitKnowledge waits until the node knows enough to answer a caller, the store fails
+// or ctx ends. A node that a caller waits for asks the store at once.
+func (n *Node) awaitKnowledge(ctx context.Context) {
+	if n.knowsEnough() {
+		return
+	}
+	n.asked.Store(true)
+	for !n.knowsEnough() && !n.storeFailing.Load() && ctx.Err() == nil {
+		sleep(ctx, knowledgeCheck)
+	}
 }
 
 const (
--- a/internal/relay/comeback_test.go
+++ b/internal/relay/comeback_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"testing"
@@ -88,3 +89,22 @@
 		t.Errorf("a plain request has the rank %d, want none", got)
 	}
 }
+
+// TestRequestWaitsForWhatAStartingNodeHasToKnow, and is refused with when to come back
+// where that does not come.
+func TestRequestWaitsForWhatAStartingNodeHasToKnow(t *testing.T) {
+	f := newFixture(t, newStandin(t, answering(http.StatusOK, "ok")))
+	table := f.handler.Table()
+	f.handler.table.Store(nil)
+	f.handler.options.AwaitKnowledge = func(ctx context.Context) { <-ctx.Done() }
+	if got := f.send(t, http.MethodPost, "/once/", "body"); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("%+v, want 503 with when to come back", got)
+	}
+	f.handler.options.AwaitKnowledge = func(context.Context) { f.handler.SetTable(table) }
+	if got := f.send(t, http.MethodPost, "/once/", "body"); got.status != http.StatusOK {
+		t.Errorf("status %d, want the answer once the node knows enough", got.status)
+	}
+	if waiting := f.handler.Waiting(); waiting != 0 {
+		t.Errorf("%d requests wait at the end", waiting)
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -53,6 +53,7 @@
 }
 
 func (x *exchange) serve() {
+	x.handler.awaitKnowledge(x.request.Context())
 	x.table = x.handler.table.Load()
 	if x.table == nil {
 		x.refuse(reasonNoConfiguration, configurationWait)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"math"
 	"net/http"
 	"sync"
@@ -68,6 +69,9 @@
 	Pool     *backendconn.Pool
 	Budget   retrybudget.Options
 	Logger   *log.Logger
+	// AwaitKnowledge waits until the node knows a configuration and servers, or ctx
+	// ends; nil is not at all.
+	AwaitKnowledge func(ctx context.Context)
 	// Wanted is told when a request waits for something that is on no server.
 	Wanted func()
 	// MaxWaiting bounds the requests that wait for a server at a time.
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/dispatch"
@@ -190,3 +191,19 @@
 	case <-x.request.Context().Done():
 	}
 }
+
+// knowledgePatience is how long a request waits at a node that has just started for
+// what the node has to know: it asks the store at once then, which takes some 20 ms.
+// Where all nodes start together each of their first callers was sent away.
+const knowledgePatience = 300 * time.Millisecond
+
+func (h *Handler) awaitKnowledge(ctx context.Context) {
+	if h.options.AwaitKnowledge == nil || h.waiting.Load() >= int64(h.options.MaxWaiting) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, knowledgePatience)
+	defer cancel()
+	h.waiting.Add(1)
+	defer h.waiting.Add(-1)
+	h.options.AwaitKnowledge(ctx)
+}
