--- a/test/platform/soak_callers_test.go
+++ b/test/platform/soak_callers_test.go
@@ -40,9 +40,10 @@
 	readingSlowly
 	// leaving goes away in the middle of the answer, or of the body.
 	leaving
-	manners
 )
 
+var allManners = []manner{plainly, withLongBody, readingSlowly, leaving}
+
 // call starts all callers.
 func (s *soak) call() {
 	s.startCaller(s.callPooled)
@@ -180,7 +181,7 @@
 		kept := keptConn{Conn: conn, reader: bufio.NewReader(conn)}
 		for isOpen := true; isOpen && !s.isOver(); sent++ {
 			r := s.request(n, fmt.Sprintf("k%d-%d", number, sent), random)
-			r.manner = manner(random.IntN(int(manners)))
+			r.manner = allManners[random.IntN(len(allManners))]
 			end := s.note(n, r, func(n *node) served { return kept.exchange(n, r) })
 			isOpen = end.err == nil && !end.left
 			time.Sleep(time.Duration(random.Float64() * float64(keptPause)))
