--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -154,11 +154,6 @@
 	// boundExtra is the number of loads that the bound grants in any window
 	// beyond the rate; see the platform's rule on the weight store.
 	boundExtra = 3
-	// urgentProbe is the number of loads beyond the learned limit for models that
-	// requests wait for. If the store bears no more, the last one takes a part
-	// longer and no load is lost by it; if it does, the limit was too low, as after
-	// loads that were late for other reasons, and rises by what is in time.
-	urgentProbe = 1
 	// idleShare is the part of the bound that loads take which nobody waits for.
 	idleShare = 0.6
 )
@@ -174,9 +169,7 @@
 	}
 	allowed := float64(r.core.loadsPerWindow(r.engine))
 	atOnce := r.core.limitOf(r.service).allowed()
-	if urgent {
-		atOnce += urgentProbe
-	} else {
+	if !urgent {
 		allowed *= idleShare
 		atOnce = max(1, atOnce/2)
 	}
