--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -157,6 +157,7 @@
 		Logger:   options.Logger,
 		Wanted:   func() { node.peers.tellWanted() },
 
+		Knows:          node.knowsEnough,
 		AwaitKnowledge: node.awaitKnowledge,
 	})
 	node.metrics = newMetrics(node)
@@ -291,9 +292,6 @@
 // awaitKnowledge waits until the node knows enough to answer a caller, the store fails
 // or ctx ends. A node that a caller waits for asks the store at once.
 func (n *Node) awaitKnowledge(ctx context.Context) {
-	if n.knowsEnough() {
-		return
-	}
 	n.asked.Store(true)
 	for !n.knowsEnough() && !n.storeFailing.Load() && ctx.Err() == nil {
 		sleep(ctx, knowledgeCheck)
--- a/internal/relay/comeback_test.go
+++ b/internal/relay/comeback_test.go
@@ -96,6 +96,7 @@
 	f := newFixture(t, newStandin(t, answering(http.StatusOK, "ok")))
 	table := f.handler.Table()
 	f.handler.table.Store(nil)
+	f.handler.options.Knows = func() bool { return f.handler.Table() != nil }
 	f.handler.options.AwaitKnowledge = func(ctx context.Context) { <-ctx.Done() }
 	if got := f.send(t, http.MethodPost, "/once/", "body"); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("%+v, want 503 with when to come back", got)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,8 +69,9 @@
 	Pool     *backendconn.Pool
 	Budget   retrybudget.Options
 	Logger   *log.Logger
-	// AwaitKnowledge waits until the node knows a configuration and servers, or ctx
-	// ends; nil is not at all.
+	// Knows reports whether the node knows a configuration and servers, and
+	// AwaitKnowledge waits until it does, or ctx ends; nil is that it always does.
+	Knows          func() bool
 	AwaitKnowledge func(ctx context.Context)
 	// Wanted is told when a request waits for something that is on no server.
 	Wanted func()
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -198,7 +198,7 @@
 const knowledgePatience = 300 * time.Millisecond
 
 func (h *Handler) awaitKnowledge(ctx context.Context) {
-	if h.options.AwaitKnowledge == nil || h.waiting.Load() >= int64(h.options.MaxWaiting) {
+	if h.options.Knows == nil || h.options.Knows() || h.waiting.Load() >= int64(h.options.MaxWaiting) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, knowledgePatience)
