--- a/internal/relay/comeback.go
+++ b/internal/relay/comeback.go
@@ -75,14 +75,11 @@
 // retryAfter is a time as the header says it, in seconds.
 func retryAfter(back time.Duration) string { return strconv.FormatFloat(back.Seconds(), 'f', 3, 64) }
 
-// keepsWaitingForServer decides on a request of a plain service that has no server:
-// it waits for news for a moment, and then only if a server is expected before its
-// deadline and within serverReturnTime of its arrival.
+// keepsWaitingForServer decides on a request of a plain service that has no server,
+// once news had a moment to come: one that came back waits if a server is expected
+// before its deadline and within serverReturnTime of its arrival.
 func (x *exchange) keepsWaitingForServer(elapsed, left time.Duration) bool {
-	switch {
-	case elapsed < time.Duration(decisionShare*float64(x.route.Goal)):
-		return true
-	case left > serverReturnTime && elapsed < serverReturnTime && x.returned:
+	if x.returned && left > serverReturnTime && elapsed < serverReturnTime {
 		return true
 	}
 	x.refuse(reasonNoServer, x.comeBack(serverReturnTime))
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -106,15 +106,15 @@
 		return false
 	}
 	elapsed := now.Sub(x.arrived)
-	if !x.engine {
-		return x.keepsWaitingForServer(elapsed, left)
-	}
 	if !known && elapsed < time.Duration(decisionShare*float64(x.route.Goal)) {
 		return true
 	}
 	if x.headSent || x.ran {
 		return true
 	}
+	if !x.engine {
+		return x.keepsWaitingForServer(elapsed, left)
+	}
 	back := readyIn + refusalMargin
 	if elapsed+readyIn+readTime > x.patience() {
 		x.refuse(reasonTooLate, min(x.comeBack(back), time.Duration(returnShare*float64(left))))
