Let a peer's word on a held entry count in the directory too, and its end be news

A node held back lapsed entries, then heard a peer's word that they are gone. The choice of servers went by the word and the directory by the held entry: that the entries came back was no news, the node's digest was that of its peers, and nothing told it for seven seconds, until it read the store for others. Ruled out: the store's list (it was not read in that time), lost news. Change: a newer word marks the directory's entry, also one that is held back. A list of a peer, which may hold entries back, ends nobody's word; the store's does. Before: TestPeersWordGoesBeforeAHeldEntry (four ways back) red. After: green, with TestPeersListRefutesNothing.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -42,7 +42,7 @@
 func (d *directory) replaceByPeer(servers []inventory.Server, revision int64) []inventory.Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.table.Replace(servers, revision)
+	return d.table.ReplaceByPeer(servers, revision)
 }
 
 // replace takes a whole list. What it changed is news unless it is the first.
@@ -100,15 +100,16 @@
 	return learned
 }
 
-// hear takes what a peer tells, and returns what of it is new here. Going are servers
-// of which the peer says, as of a later revision than that of the known entry, that
-// they take no more work; also those that are held back here as lapsed.
-func (d *directory) hear(now time.Time, items []gossip.Item) (changes []inventory.Change, going []inventory.Server) {
+// hear takes what a peer tells, and returns what of it is new here. A word that a server
+// goes counts also where the entry is held back here as lapsed, and whether or not it is
+// told on.
+func (d *directory) hear(now time.Time, items []gossip.Item) []inventory.Change {
 	if len(items) == 0 {
-		return nil, nil
+		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var changes []inventory.Change
 	for _, item := range items {
 		server := item.Server
 		if !server.Draining && d.table.TakesWork(server.ID) {
@@ -119,16 +120,18 @@
 		if !d.table.IsNews(server.ID, server.Revision) {
 			continue
 		}
-		if server.Draining {
-			going = append(going, server)
-		}
-		if !d.news.Learn(now, item) {
+		isToldOn := d.news.Learn(now, item)
+		switch {
+		case server.Draining && d.table.TakesWork(server.ID):
+			changes = append(changes, d.table.Leaves(server.ID, server.Revision))
+		case isToldOn:
+			changes = append(changes, d.table.Note(server)...)
+		default:
 			continue
 		}
 		d.heard = max(d.heard, server.Revision)
-		changes = append(changes, d.table.Note(server)...)
 	}
-	return changes, going
+	return changes
 }
 
 // tell returns the news that are told in this period.
--- a/internal/edge/return_test.go
+++ b/internal/edge/return_test.go
@@ -74,20 +74,39 @@
 
 // TestPeersWordGoesBeforeAHeldEntry: a node that holds an entry back as lapsed, since
 // it saw the store fail, sent on to a server of which peers had told that it is gone,
-// 8 ms longer than it may.
+// 8 ms longer than it may. Then it sent to it no more when it was back, and did not
+// notice, as its directory still had it: the directory and the choice of servers go
+// by the same words.
 func TestPeersWordGoesBeforeAHeldEntry(t *testing.T) {
-	node := newFollower(t, 0)
-	node.lapses.storeReturned(time.Now())
-	node.listServers(nil, 9)
-	if !takesWork(node, "a") {
-		t.Fatal("a lapsed entry is not held back")
+	back := inventory.Server{ID: "a", Revision: 10}
+	returns := map[string]func(node *Node){
+		"by the store": func(node *Node) { node.changeServers([]inventory.Change{{Server: back}}, 10) },
+		"by a peer's word": func(node *Node) {
+			node.hearServers(time.Now(), []gossip.Item{{Server: back}})
+		},
+		"by a peer's list": func(node *Node) { node.listPeerServers([]inventory.Server{back}, 11) },
+		"unchanged, by the store's list": func(node *Node) {
+			node.listServers([]inventory.Server{{ID: "a", Revision: 1}}, 11)
+		},
 	}
-	node.hearServers(time.Now(), []gossip.Item{{Server: inventory.Server{ID: "a", Draining: true, Revision: 8}}})
-	if takesWork(node, "a") {
-		t.Error("the server takes work though a peer knows that it is gone")
-	}
-	node.changeServers([]inventory.Change{{Server: inventory.Server{ID: "a", Revision: 10}}}, 10)
-	if !takesWork(node, "a") {
-		t.Error("the server takes no work though its entry came back")
+	for name, comesBack := range returns {
+		node := newFollower(t, 0)
+		before, _ := node.directory.standing()
+		node.lapses.storeReturned(time.Now())
+		node.listServers(nil, 9)
+		if !takesWork(node, "a") {
+			t.Fatal("a lapsed entry is not held back")
+		}
+		node.hearServers(time.Now(), []gossip.Item{{Server: inventory.Server{ID: "a", Draining: true, Revision: 8}}})
+		if takesWork(node, "a") || node.directory.table.TakesWork("a") {
+			t.Error("the server takes work though a peer knows that it is gone")
+		}
+		if digest, _ := node.directory.standing(); digest == before {
+			t.Error("peers cannot tell that this node sends nothing to the server")
+		}
+		comesBack(node)
+		if !takesWork(node, "a") || !node.directory.table.TakesWork("a") {
+			t.Errorf("%s: the server takes no work though its entry came back", name)
+		}
 	}
 }
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -131,17 +131,15 @@
 }
 
 // hearServers takes the news of a peer. Entries from before a word that a server goes
-// may be under way to the choice of servers still, or held back as lapsed: they do not
-// bring the server back.
+// may be under way to the choice of servers still: they do not bring the server back.
 func (n *Node) hearServers(now time.Time, items []gossip.Item) {
-	changes, going := n.directory.hear(now, items)
+	changes := n.directory.hear(now, items)
 	n.useServers(changes, "peer")
-	if len(going) == 0 {
-		return
-	}
 	n.dispatch.Do(func(core *dispatch.Core) {
-		for _, server := range going {
-			core.SetGoing(server.ID, server.Revision)
+		for _, change := range changes {
+			if change.Server.Draining {
+				core.SetGoing(change.Server.ID, change.Server.Revision)
+			}
 		}
 	})
 }
--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -80,6 +80,16 @@
 // A list older than the table is left out. Servers of which peers told from a newer
 // revision stay; what they told from an older one goes by the list.
 func (t *Table) Replace(servers []Server, revision int64) []Change {
+	return t.replace(servers, revision, func(server Server) (Server, bool) { return t.take(server, revision) })
+}
+
+// ReplaceByPeer takes a peer's whole list likewise. The peer may hold entries back as
+// lapsed, so its list alone ends nobody's word that a server goes.
+func (t *Table) ReplaceByPeer(servers []Server, revision int64) []Change {
+	return t.replace(servers, revision, t.takeNewer)
+}
+
+func (t *Table) replace(servers []Server, revision int64, take func(Server) (Server, bool)) []Change {
 	if revision < t.revision {
 		return nil
 	}
@@ -88,7 +98,7 @@
 	var changes []Change
 	for _, server := range servers {
 		listed[server.ID] = true
-		if taken, ok := t.take(server, revision); ok {
+		if taken, ok := take(server); ok {
 			changes = append(changes, Change{Server: taken})
 		}
 	}
@@ -145,11 +155,18 @@
 // nothing.
 func (t *Table) take(server Server, revision int64) (taken Server, ok bool) {
 	known, has := t.servers[server.ID]
-	switch {
-	case !has || server.isNewerThan(known):
-	case server.refutes(known, revision):
-		server.Revision = revision
-	default:
+	if !has || server.isNewerThan(known) || !server.refutes(known, revision) {
+		return t.takeNewer(server)
+	}
+	server.Revision = revision
+	t.put(server)
+	return server, true
+}
+
+// takeNewer puts an entry in place of an older one.
+func (t *Table) takeNewer(server Server) (taken Server, ok bool) {
+	known, has := t.servers[server.ID]
+	if has && !server.isNewerThan(known) {
 		return known, false
 	}
 	t.put(server)
@@ -184,14 +201,22 @@
 		return nil
 	}
 	if ok && server.Draining {
-		known.Draining = true
-		known.Revision = server.Revision
-		server = known
+		return []Change{t.Leaves(server.ID, server.Revision)}
 	}
 	t.put(server)
 	return []Change{{Server: server}}
 }
 
+// Leaves marks a known server as one that takes no more work as of the revision, on a
+// peer's word. An answer of the store that says otherwise ends it.
+func (t *Table) Leaves(id string, revision int64) Change {
+	server := t.servers[id]
+	server.Draining = true
+	server.Revision = revision
+	t.put(server)
+	return Change{Server: server}
+}
+
 // TakesWork reports whether the table has the server, and not as draining.
 func (t *Table) TakesWork(id string) bool {
 	known, ok := t.servers[id]
--- a/internal/inventory/server_test.go
+++ b/internal/inventory/server_test.go
@@ -116,6 +116,21 @@
 	}
 }
 
+// TestPeersListRefutesNothing: the peer may hold back an entry that is gone.
+func TestPeersListRefutesNothing(t *testing.T) {
+	table := NewTable()
+	table.Replace([]Server{{ID: "a", Revision: 2}}, 5)
+	table.Note(going("a", 9))
+	table.ReplaceByPeer([]Server{{ID: "a", Revision: 2}}, 12)
+	if table.TakesWork("a") {
+		t.Error("a peer's list brings a server back whose entry it may hold back")
+	}
+	table.ReplaceByPeer([]Server{{ID: "a", Revision: 13}}, 14)
+	if !table.TakesWork("a") {
+		t.Error("a peer's newer entry does not bring the server back")
+	}
+}
+
 // TestLastEventOfEachServerCounts in what an answer tells at once.
 func TestLastEventOfEachServerCounts(t *testing.T) {
 	table := NewTable()
