Check tenants' keys, and pass on to servers nothing that only nodes may set

Cause: the headers of a caller went on to a server as they came but for those of one connection.

Ruled out: load and the choice of servers; the requests that were rejected were rejected by each server, whatever its load.

Change: one list in platform/ of the fields by which nodes speak to servers, dropped from what callers sent (also named in Connection, in any case, twice, as a trailer; Connection cannot take away what a request says of itself).

The tests of keys and reserved fields are new with it.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -65,6 +65,7 @@
 		Left:      time.Until(x.deadline),
 		Urgency:   x.urgency(),
 		LastEvent: x.lastEvent,
+		Tenant:    x.tenantName(),
 	})
 	return backendconn.Request{
 		Method:   x.request.Method,
@@ -84,12 +85,12 @@
 const maxUrgency = 9
 
 // urgency is the rank of the request at its server, 0 first: by the priority of its
-// route, and among those of one priority who came back before who is new.
+// tenant or route, and among those of one priority who came back before who is new.
 func (x *exchange) urgency() int {
 	if !x.engine {
 		return -1
 	}
-	rank := 2 * x.route.Priority
+	rank := 2 * x.priority()
 	if !x.returned {
 		rank++
 	}
@@ -263,7 +264,7 @@
 // writeHead passes the head of a server's answer on.
 func (x *exchange) writeHead(answer *backendconn.Answer, isWhole bool, length int) {
 	header := x.writer.Header()
-	for name, values := range forwarded(answer.Header) {
+	for name, values := range forwarded(answer.Header, x.handler.options.Dialect.IsEndToEnd) {
 		header[name] = values
 	}
 	if _, ok := answer.Header["Content-Type"]; !ok {
--- a/internal/relay/comeback.go
+++ b/internal/relay/comeback.go
@@ -62,7 +62,7 @@
 	x.handler.mu.Lock()
 	defer x.handler.mu.Unlock()
 	wanted := x.service + "/" + x.head.Model + "/" + x.head.Adapter
-	return x.handler.returns.place(time.Now(), wanted, x.route.Priority, ready)
+	return x.handler.returns.place(time.Now(), wanted, x.priority(), ready)
 }
 
 // comeBackSoon is when the caller of a request is to come back that nothing better is
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -21,10 +21,12 @@
 	request *http.Request
 	arrived time.Time
 
-	ctx      context.Context
-	table    *routetable.Table
-	route    *routetable.Route
-	service  string
+	ctx     context.Context
+	table   *routetable.Table
+	route   *routetable.Route
+	service string
+	// tenant owns the caller's key; nil where none is needed.
+	tenant   *routetable.Tenant
 	engine   bool
 	head     Head
 	body     []byte
@@ -83,13 +85,17 @@
 		return false
 	}
 	x.route = route
+	if !x.authenticate() {
+		return false
+	}
 	x.service = x.handler.part(route)
 	x.engine = x.table.Services[x.service].Engine != nil
 	if !x.readBody() {
 		return false
 	}
 	x.setDeadline()
-	x.header = forwarded(x.request.Header)
+	x.header = forwarded(x.request.Header, x.handler.options.Dialect.IsEndToEnd)
+	x.handler.options.Dialect.DropReserved(x.header)
 	x.handler.countRequest(x.service)
 	return true
 }
@@ -146,12 +152,16 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
-// forwarded is the header without what concerns one connection only.
-func forwarded(header http.Header) http.Header {
+// forwarded is the header without what concerns one connection only. A field that is
+// meant for the other end stays, though the sender names it in Connection.
+func forwarded(header http.Header, isEndToEnd func(name string) bool) http.Header {
 	kept := header.Clone()
 	for _, named := range header["Connection"] {
 		for name := range strings.SplitSeq(named, ",") {
-			kept.Del(strings.TrimSpace(name))
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			if !isEndToEnd(name) {
+				delete(kept, name)
+			}
 		}
 	}
 	for _, name := range connectionHeaders {
@@ -270,6 +280,9 @@
 	entry.Str("request", x.head.RequestID).Int("status", status).Str("reason", reason)
 	if x.route != nil {
 		entry.Str("route", x.route.Name).Str("service", x.service)
+		if x.tenant != nil {
+			entry.Str("tenant", x.tenant.Name)
+		}
 		if x.route.Goal > 0 {
 			entry.Int64("goal_ms", x.route.Goal.Milliseconds())
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,9 +26,13 @@
 	Adapter      string
 	PromptTokens int
 	OutputTokens int
-	Parts        []dispatch.PromptPart
+	// TellsTokens is set where the request tells both numbers.
+	TellsTokens bool
+	Parts       []dispatch.PromptPart
 	// LastEvent is the event behind which a stream goes on.
 	LastEvent string
+	// Key is the caller's API key; empty where it gives none, or several.
+	Key string
 }
 
 // Send is what the node adds to a request for a server.
@@ -40,6 +44,8 @@
 	Urgency int
 	// LastEvent is the event behind which a stream goes on; empty from the start.
 	LastEvent string
+	// Tenant is the owner of the caller's key; empty where none was needed.
+	Tenant string
 }
 
 // AnswerHead is what the headers of a server's answer say.
@@ -54,6 +60,12 @@
 type Dialect interface {
 	// ReadHead reads a request's headers; the error is the caller's.
 	ReadHead(header http.Header) (Head, error)
+	// DropReserved takes out the fields that only nodes set; a caller's are not
+	// passed on.
+	DropReserved(header http.Header)
+	// IsEndToEnd reports whether a field is meant for the other end, whatever the
+	// sender says of its connection; the name is in canonical form.
+	IsEndToEnd(name string) bool
 	// SetSend sets the headers that the node adds.
 	SetSend(header http.Header, send Send)
 	// ReadAnswer reads the headers of an answer.
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -28,7 +28,7 @@
 type testDialect struct{}
 
 func (testDialect) ReadHead(header http.Header) (Head, error) {
-	head := Head{RequestID: header.Get("X-Id"), LastEvent: header.Get("X-Last"), Model: header.Get("X-Model")}
+	head := Head{RequestID: header.Get("X-Id"), LastEvent: header.Get("X-Last"), Model: header.Get("X-Model"), Key: header.Get("X-Key")}
 	if head.RequestID == "" {
 		return head, errNoID
 	}
@@ -41,6 +41,9 @@
 func (testDialect) SetSend(header http.Header, send Send) {
 	header.Set("X-Server", send.ServerID)
 	header.Set("X-Left", send.Left.String())
+	if send.Tenant != "" {
+		header.Set("X-Tenant", send.Tenant)
+	}
 	if send.LastEvent != "" {
 		header.Set("X-Last", send.LastEvent)
 	}
@@ -269,3 +272,7 @@
 		_ = eventID(text)
 	})
 }
+
+func (testDialect) IsEndToEnd(name string) bool { return name == "X-Model" }
+
+func (testDialect) DropReserved(header http.Header) { header.Del("X-Reserved") }
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -40,6 +40,8 @@
 	Priority int
 	// MaxAttempts is the greatest number of servers that a request is sent to.
 	MaxAttempts int
+	// Public is set where requests need no key.
+	Public bool
 	// Parts are the services that requests go to; weights are relative.
 	Parts []Part
 }
@@ -106,6 +108,10 @@
 	// read it from the store themselves.
 	Source []byte
 	routes map[string][]Route
+	// tenants are the owners of keys; owners are indices into them.
+	tenants   []Tenant
+	owners    map[KeyHash]int
+	hasQuotas bool
 }
 
 // New returns a table of the routes.
