Keep tenants below their quotas over all nodes, by a giver asked in line

Ruled out: shares of nodes alone and sums by gossip, see docs/design/quotas.md.

Change: internal/quota, pure; the strongest living node gives, others ask it by datagram; shares of nodes beside it; the fleet's size kept with the lease.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -17,6 +17,7 @@
 	"github.com/spanlanding/spanlanding/internal/edge"
 	"github.com/spanlanding/spanlanding/internal/logging"
 	"github.com/spanlanding/spanlanding/internal/operator"
+	"github.com/spanlanding/spanlanding/internal/quota"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
 	"github.com/spanlanding/spanlanding/platform"
 )
@@ -97,14 +98,17 @@
 		LeaseQuiet:  platform.Milliseconds(settings.Bounds.LeaseMs),
 		LoadWindow:  platform.Seconds(settings.Bounds.CeilingWindowS),
 		LoadOverage: settings.Bounds.OriginOverage,
-		Store:       store,
-		Lease:       store,
-		Engines:     engines,
-		Pool:        pool,
-		Dialect:     platform.Dialect{},
-		Logger:      logger,
-		Metrics:     metricsAddress(settings, flags.metrics),
-		LogDropped:  lines.Dropped,
+		Quota: quota.Tolerance{
+			Window: platform.Seconds(settings.Bounds.QuotaWindowS), Overage: settings.Bounds.QuotaOverage, Slack: settings.Bounds.QuotaSlack,
+		},
+		Store:      store,
+		Lease:      store,
+		Engines:    engines,
+		Pool:       pool,
+		Dialect:    platform.Dialect{},
+		Logger:     logger,
+		Metrics:    metricsAddress(settings, flags.metrics),
+		LogDropped: lines.Dropped,
 	})
 	store.Objects.Calls = node.CountStoreCall
 	go watchSettings(ctx, path, hangups, func() { reload(node, path, logger) })
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -30,16 +30,6 @@
 	DefaultMaxIdle     = 8
 )
 
-// A server that lost its power says nothing. Its connections are given up after
-// keepAliveIdle + keepAliveCount * keepAliveInterval, four seconds: callers of a
-// stream wait for some five before they leave, and come back only if they are told
-// that it broke off. Three probes in a row are seldom lost.
-const (
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 3
-)
-
 // keepAliveMargin is taken off the time that a server says it keeps an idle
 // connection, since its close and our next request may cross.
 const keepAliveMargin = time.Second
@@ -64,9 +54,7 @@
 		options.MaxIdle = DefaultMaxIdle
 	}
 	if options.Dial == nil {
-		dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		}}
+		dialer := NewDialer(options.DialTimeout)
 		options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -124,6 +124,7 @@
 				l.node.storeFailed("lease", err)
 			case found:
 				l.lease.Observe(now, record)
+				l.node.quotas.toldSize(now, record.Nodes)
 				// Where no seed is right, the holder leads to the others.
 				l.node.peers.addSeeds([]string{record.Address})
 				if l.lease.CanTake(now) {
@@ -140,6 +141,7 @@
 func (l *leader) writeLease(ctx context.Context, now time.Time) {
 	l.calling = true
 	record := l.lease.Attempt(now)
+	record.Nodes, _ = l.node.quotas.fleetSize(now)
 	core := l.core
 	if core != nil {
 		record.Loads = core.Reserve(now)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -16,6 +16,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/quota"
 	"github.com/spanlanding/spanlanding/internal/relay"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
 	"github.com/spanlanding/spanlanding/internal/routetable"
@@ -63,9 +64,11 @@
 	Store       Store
 	Lease       LeaseStore
 	Engines     Engines
-	Pool        *backendconn.Pool
-	Dialect     relay.Dialect
-	Logger      *log.Logger
+	// Quota is by how much the tenants' quotas may be passed.
+	Quota   quota.Tolerance
+	Pool    *backendconn.Pool
+	Dialect relay.Dialect
+	Logger  *log.Logger
 	// Metrics is where figures are served, as ADDRESS/PATH; empty is nowhere.
 	Metrics string
 	// LogDropped counts the log lines left out; nil where none are.
@@ -91,6 +94,7 @@
 	leader   *leader
 	metrics  *metrics
 	callers  *callers
+	quotas   *quotas
 
 	started time.Time
 	// firstRead is how long after its start this node may first ask the store,
@@ -149,6 +153,7 @@
 	node.grace.Store(int64(options.Tunables.Grace))
 	node.leader = newLeader(node)
 	node.snapshots = newSnapshots(node)
+	node.quotas = newQuotas(node, options.Quota)
 	node.handler = relay.New(relay.Options{
 		Dialect:  options.Dialect,
 		Dispatch: node.dispatch,
@@ -156,6 +161,7 @@
 		Budget:   options.Tunables.Budget,
 		Logger:   options.Logger,
 		Wanted:   func() { node.peers.tellWanted() },
+		Quotas:   node.quotas,
 
 		Knows:          node.knowsEnough,
 		AwaitKnowledge: node.awaitKnowledge,
@@ -344,6 +350,7 @@
 			n.pool.Sweep()
 			n.leader.post(func() { n.leader.demand.Prune(time.Now()) })
 			n.forgiveStore(time.Now())
+			n.quotas.sweep(time.Now())
 			if table := n.handler.Table(); table != nil && table.Limits.IdleTimeout > 0 {
 				n.callers.closeResting(time.Now(), table.Limits.IdleTimeout+restSlack)
 			}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -177,6 +177,10 @@
 		p.unreadable.Add(1)
 		return
 	}
+	if state.Quota != nil {
+		p.node.quotas.take(state.Quota)
+		return
+	}
 	p.take(state)
 }
 
@@ -190,6 +194,7 @@
 		return
 	}
 	p.node.handler.SetNodes(count)
+	p.node.quotas.heardSize(now, int(state.FleetNodes))
 	p.node.hearServers(now, newsOf(state.News))
 	p.node.dispatch.Do(func(core *dispatch.Core) {
 		core.SetPeerLoads(now, state.Address, peerLoads(state.Loads))
@@ -231,6 +236,7 @@
 	now := time.Now()
 	p.noteSentinel()
 	p.node.endLapses(now)
+	p.node.quotas.observe(now)
 	p.logTraffic(now)
 	p.mu.Lock()
 	nodes := len(p.roster.Alive(now))
@@ -240,6 +246,10 @@
 	}
 	targets := p.roster.Targets(now, fanout)
 	deciders := p.roster.Deciders(now)
+	if p.node.hasQuotas() {
+		// A giver has to know how many nodes it gives for.
+		deciders = union(deciders, p.roster.Givers(now, true))
+	}
 	p.noteAlive(now)
 	p.mu.Unlock()
 	state := p.state(now)
@@ -254,6 +264,16 @@
 	p.send(trafficWanted, deciders, state)
 }
 
+// union adds the givers that are not among the addresses, but for this node.
+func union(addresses []string, givers []gossip.Giver) []string {
+	for _, giver := range givers {
+		if !slices.Contains(addresses, giver.Address) {
+			addresses = append(addresses, giver.Address)
+		}
+	}
+	return addresses
+}
+
 // without returns the addresses that are not among the others.
 func without(addresses, others []string) []string {
 	return slices.DeleteFunc(addresses, func(address string) bool { return slices.Contains(others, address) })
@@ -340,6 +360,10 @@
 		ViewsWanted:  p.wantsViews(now),
 	}
 	state.ConfigVersion = p.node.configVersion()
+	if p.node.hasQuotas() {
+		size, _ := p.node.quotas.fleetSize(now)
+		state.FleetNodes = uint32(size)
+	}
 	state.ConfigAgeMs = p.node.configConfirmed.wire(now)
 	state.ServersAgeMs = p.node.serversConfirmed.wire(now)
 	state.ServersDigest, state.ServersRevision = p.node.directory.standing()
@@ -352,6 +376,24 @@
 	return state
 }
 
+// sendQuota sends one call of quotas.
+func (p *peers) sendQuota(target string, call *peerpb.QuotaCall) {
+	datagram, err := proto.Marshal(&peerpb.NodeState{Quota: call})
+	if err != nil {
+		return
+	}
+	p.write(trafficQuotas, target, datagram)
+}
+
+func (p *peers) write(what traffic, target string, datagram []byte) {
+	address, err := net.ResolveUDPAddr("udp4", target)
+	if err != nil {
+		return
+	}
+	_, _ = p.conn.WriteToUDP(datagram, address)
+	p.sentBytes[what].Add(int64(len(datagram)))
+}
+
 func (p *peers) send(what traffic, targets []string, state *peerpb.NodeState) {
 	p.mu.Lock()
 	p.sequence++
@@ -372,9 +414,6 @@
 			continue
 		}
 		sent[target] = true
-		if address, err := net.ResolveUDPAddr("udp4", target); err == nil {
-			_, _ = p.conn.WriteToUDP(datagram, address)
-			p.sentBytes[what].Add(int64(len(datagram)))
-		}
+		p.write(what, target, datagram)
 	}
 }
--- /dev/null
+++ b/internal/edge/quotas.go
@@ -0,0 +1,369 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/gossip"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/quota"
+	"github.com/spanlanding/spanlanding/internal/relay"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+const (
+	// askTimeout is how long a giver's answer is waited for: ten times the way there
+	// and back, and a third of the tightest objective.
+	askTimeout = 40 * time.Millisecond
+	// giverSilence is after how long without a word the next node gives in a giver's
+	// place; givers hear each other in each period.
+	giverSilence = 5 * gossipPeriod
+	// unansweredTime is how long a giver that did not answer is not asked again.
+	unansweredTime = time.Second
+	// givesAfter is how long a node that has just started listens before it gives: by
+	// then it knows who is before it, or that there is nobody. Where all nodes start at
+	// once, each would give. A request waits giverPatience for a node that gives.
+	givesAfter    = time.Second
+	giverPatience = 300 * time.Millisecond
+)
+
+// quotas keeps the tenants of this node's callers below their quotas. It is safe for
+// concurrent use.
+type quotas struct {
+	node *Node
+	mu   sync.Mutex
+	// giver is what this node gave as the giver, and share its own part.
+	giver   *quota.Giver
+	share   *quota.Share
+	fleet   quota.Fleet
+	waiting map[uint64]chan *peerpb.QuotaCall
+	// silent are givers that did not answer, until when they are not asked.
+	silent map[string]time.Time
+	// Counters for metrics.
+	granted, refused, alone, unanswered atomic.Int64
+}
+
+func newQuotas(node *Node, tolerance quota.Tolerance) *quotas {
+	return &quotas{
+		node:    node,
+		giver:   quota.NewGiver(tolerance),
+		share:   quota.NewShare(tolerance),
+		waiting: make(map[uint64]chan *peerpb.QuotaCall),
+		silent:  make(map[string]time.Time),
+	}
+}
+
+var _ relay.Quotas = (*quotas)(nil)
+
+// Admit implements relay.Quotas.
+func (q *quotas) Admit(ctx context.Context, tenant *routetable.Tenant, cost float64) relay.QuotaVerdict {
+	asked := time.Now()
+	nodes, _ := q.fleetSize(asked)
+	q.mu.Lock()
+	took := q.share.Take(asked, tenant.Name, tenant.Quota, nodes, cost)
+	q.mu.Unlock()
+	if took {
+		q.granted.Add(1)
+		q.tellUsed(asked, tenant, cost)
+		return relay.QuotaVerdict{Granted: true, By: "share"}
+	}
+	q.awaitGiver(ctx, asked)
+	for _, giver := range q.node.peers.givers(time.Now()) {
+		answer := q.ask(ctx, giver.Address, tenant, cost)
+		if answer == nil {
+			continue
+		}
+		return q.answered(tenant, cost, nodes, giver.Address, answer)
+	}
+	return q.admitAlone(tenant, cost, nodes)
+}
+
+// awaitGiver waits a moment where the node has just started and knows no other yet.
+func (q *quotas) awaitGiver(ctx context.Context, asked time.Time) {
+	for now := asked; !q.mayGive(now) && now.Sub(asked) < giverPatience && ctx.Err() == nil; now = time.Now() {
+		if len(q.node.peers.givers(now)) > 1 {
+			return
+		}
+		sleep(ctx, knowledgeCheck)
+	}
+}
+
+// mayGive reports whether this node knows enough of the others to give.
+func (q *quotas) mayGive(now time.Time) bool {
+	return now.Sub(q.node.started) >= givesAfter || len(q.node.options.Tunables.PeerSeeds) == 0
+}
+
+// answered takes a giver's word.
+func (q *quotas) answered(tenant *routetable.Tenant, cost float64, nodes int, giver string, answer *peerpb.QuotaCall) relay.QuotaVerdict {
+	verdict := relay.QuotaVerdict{
+		Granted: answer.Kind == peerpb.QuotaCall_GRANTED, By: giver, Left: float64(answer.Left),
+		RetryIn: time.Duration(answer.RetryMs) * time.Millisecond,
+	}
+	if !verdict.Granted {
+		q.refused.Add(1)
+		return verdict
+	}
+	q.granted.Add(1)
+	q.mu.Lock()
+	q.share.Granted(time.Now(), tenant.Name, tenant.Quota, nodes, cost)
+	q.mu.Unlock()
+	return verdict
+}
+
+// admitAlone decides where no giver answers.
+func (q *quotas) admitAlone(tenant *routetable.Tenant, cost float64, nodes int) relay.QuotaVerdict {
+	now := time.Now()
+	q.alone.Add(1)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	verdict := relay.QuotaVerdict{By: "alone", IsUnknown: true, Left: q.share.Left(now, tenant.Name, tenant.Quota, nodes), RetryIn: unansweredTime}
+	verdict.Granted = q.share.TakeAlone(now, tenant.Name, tenant.Quota, nodes, cost)
+	return verdict
+}
+
+// GiveBack implements relay.Quotas.
+func (q *quotas) GiveBack(tenant *routetable.Tenant, cost float64) {
+	now := time.Now()
+	nodes, _ := q.fleetSize(now)
+	q.mu.Lock()
+	q.share.Granted(now, tenant.Name, tenant.Quota, nodes, -cost)
+	q.mu.Unlock()
+	q.tellUsed(now, tenant, -cost)
+}
+
+// tellUsed tells the giver what was used without asking.
+func (q *quotas) tellUsed(now time.Time, tenant *routetable.Tenant, cost float64) {
+	call := &peerpb.QuotaCall{Kind: peerpb.QuotaCall_USED, Asker: q.node.options.PeerAddress, Tenant: tenant.Name, Cost: int64(cost)}
+	for _, giver := range q.node.peers.givers(now) {
+		if q.isSilent(now, giver.Address) {
+			continue
+		}
+		if giver.Address == q.node.options.PeerAddress {
+			q.take(call)
+		} else {
+			q.node.peers.sendQuota(giver.Address, call)
+		}
+		return
+	}
+}
+
+// ask asks one giver; nil is no answer.
+func (q *quotas) ask(ctx context.Context, address string, tenant *routetable.Tenant, cost float64) *peerpb.QuotaCall {
+	now := time.Now()
+	call := &peerpb.QuotaCall{Kind: peerpb.QuotaCall_ASK, Asker: q.node.options.PeerAddress, Tenant: tenant.Name, Cost: int64(cost)}
+	if address == q.node.options.PeerAddress {
+		return known(q.decide(now, call))
+	}
+	if q.isSilent(now, address) {
+		return nil
+	}
+	call.Id = rand.Uint64()
+	answers := make(chan *peerpb.QuotaCall, 1)
+	q.mu.Lock()
+	q.waiting[call.Id] = answers
+	q.mu.Unlock()
+	defer func() {
+		q.mu.Lock()
+		delete(q.waiting, call.Id)
+		q.mu.Unlock()
+	}()
+	q.node.peers.sendQuota(address, call)
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	select {
+	case answer := <-answers:
+		return known(answer)
+	case <-ctx.Done():
+		return nil
+	case <-timer.C:
+		q.unanswered.Add(1)
+		q.mu.Lock()
+		q.silent[address] = time.Now().Add(unansweredTime)
+		q.mu.Unlock()
+		return nil
+	}
+}
+
+// known is the answer, or nil for one that cannot say.
+func known(answer *peerpb.QuotaCall) *peerpb.QuotaCall {
+	if answer.Kind == peerpb.QuotaCall_UNKNOWN {
+		return nil
+	}
+	return answer
+}
+
+func (q *quotas) isSilent(now time.Time, address string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	until, ok := q.silent[address]
+	if ok && !now.Before(until) {
+		delete(q.silent, address)
+		return false
+	}
+	return ok
+}
+
+// take takes a call of another node.
+func (q *quotas) take(call *peerpb.QuotaCall) {
+	now := time.Now()
+	switch call.Kind {
+	case peerpb.QuotaCall_ASK, peerpb.QuotaCall_USED:
+		if better := q.better(now); better != "" && !call.Forwarded {
+			call.Forwarded = true
+			q.node.peers.sendQuota(better, call)
+			return
+		}
+		answer := q.decide(now, call)
+		if call.Kind == peerpb.QuotaCall_ASK {
+			q.node.peers.sendQuota(call.Asker, answer)
+		}
+	default:
+		q.mu.Lock()
+		waiting := q.waiting[call.Id]
+		q.mu.Unlock()
+		if waiting != nil {
+			select {
+			case waiting <- call:
+			default:
+				// The first answer counts.
+			}
+		}
+	}
+}
+
+// decide answers as the giver.
+func (q *quotas) decide(now time.Time, call *peerpb.QuotaCall) *peerpb.QuotaCall {
+	answer := &peerpb.QuotaCall{Kind: peerpb.QuotaCall_UNKNOWN, Id: call.Id, Tenant: call.Tenant}
+	tenant, ok := q.tenant(call.Tenant)
+	if !ok || !q.mayGive(now) || q.better(now) != "" {
+		return answer
+	}
+	_, reach := q.fleetSize(now)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if call.Kind == peerpb.QuotaCall_USED {
+		q.giver.Used(now, tenant.Name, tenant.Quota, reach, float64(call.Cost))
+		return answer
+	}
+	verdict := q.giver.Ask(now, tenant.Name, tenant.Quota, reach, float64(call.Cost))
+	answer.Kind, answer.Left = peerpb.QuotaCall_REFUSED, int64(verdict.Left)
+	answer.RetryMs = uint32(min(verdict.RetryIn, longestAge).Milliseconds())
+	if verdict.Granted {
+		answer.Kind = peerpb.QuotaCall_GRANTED
+	}
+	return answer
+}
+
+func (q *quotas) tenant(name string) (*routetable.Tenant, bool) {
+	table := q.node.handler.Table()
+	if table == nil {
+		return nil, false
+	}
+	return table.Tenant(name)
+}
+
+// better is the node that gives before this one and was heard from lately; empty where
+// this node is the giver.
+func (q *quotas) better(now time.Time) string {
+	for _, giver := range q.node.peers.givers(now) {
+		if giver.Address == q.node.options.PeerAddress {
+			return ""
+		}
+		if now.Sub(giver.Seen) < giverSilence {
+			return giver.Address
+		}
+	}
+	return ""
+}
+
+// observe is called in each period: a giver that stood still has to notice.
+func (q *quotas) observe(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.giver.Observe(now)
+}
+
+// keep opens the accounts of all tenants, so that they are full when callers come. The
+// lock is held.
+func (q *quotas) keep(now time.Time, isGiver bool) {
+	table := q.node.handler.Table()
+	if table == nil || !table.HasQuotas() {
+		return
+	}
+	counted, fresh := q.node.peers.standing(now)
+	nodes, reach := q.fleet.Observe(now, counted, fresh)
+	for _, tenant := range table.Tenants() {
+		if !tenant.Quota.IsLimited() {
+			continue
+		}
+		q.share.Left(now, tenant.Name, tenant.Quota, nodes)
+		if isGiver {
+			q.giver.Keep(now, tenant.Name, tenant.Quota, reach)
+		}
+	}
+}
+
+// sweep drops what is not needed: the buckets of tenants that are gone and, where
+// another node gives, what this one gave before.
+func (q *quotas) sweep(now time.Time) {
+	isGiver := q.better(now) == ""
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	keep := func(name string) bool { _, ok := q.tenant(name); return ok }
+	q.share.Prune(keep)
+	q.keep(now, isGiver)
+	if isGiver {
+		q.giver.Prune(keep)
+	} else {
+		q.giver.Forget()
+	}
+}
+
+// hasQuotas reports whether a tenant of the configuration is limited.
+func (n *Node) hasQuotas() bool {
+	table := n.handler.Table()
+	return table != nil && table.HasQuotas()
+}
+
+// givers are the nodes that may give quotas, in order.
+func (p *peers) givers(now time.Time) []gossip.Giver {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Givers(now, p.node.stopping.Load())
+}
+
+// standing is how many nodes this one knew of lately, and how many it hears from.
+func (p *peers) standing(now time.Time) (counted, fresh int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Standing(now)
+}
+
+// fleetSize is the number of nodes that share the quotas, and the part of them that
+// this node hears from.
+func (q *quotas) fleetSize(now time.Time) (nodes int, reach float64) {
+	counted, fresh := q.node.peers.standing(now)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.fleet.Observe(now, counted, fresh)
+}
+
+// toldSize takes the size that the store keeps with the lease.
+func (q *quotas) toldSize(now time.Time, size int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.fleet.Told(now, size)
+}
+
+// learnsSize is how long after its start a node takes the size of the fleet from
+// others: later it knows itself, and would never see the fleet shrink.
+const learnsSize = 30 * time.Second
+
+func (q *quotas) heardSize(now time.Time, size int) {
+	if now.Sub(q.node.started) < learnsSize {
+		q.toldSize(now, size)
+	}
+}
--- /dev/null
+++ b/internal/edge/quotas_test.go
@@ -0,0 +1,112 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/gossip"
+	"github.com/spanlanding/spanlanding/internal/quota"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// limitedTable has one tenant with a quota of tokens.
+func limitedTable(perSecond float64) *routetable.Table {
+	table := routetable.New(2, nil, nil, routetable.Limits{})
+	table.SetTenants([]routetable.Tenant{{
+		Name: "north", Keys: []routetable.KeyHash{routetable.HashKey("k")},
+		Quota: routetable.Quota{PerSecond: perSecond, Burst: perSecond, CountsTokens: true, PlainTokens: 200},
+	}})
+	return table
+}
+
+// newLimited returns a node whose quotas tolerate little, which hears its peers.
+func newLimited(t *testing.T, strength uint32) *Node {
+	t.Helper()
+	node := newTestNode(t)
+	node.quotas = newQuotas(node, quota.Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 8000})
+	address := node.peers.conn.LocalAddr().String()
+	node.options.PeerAddress, node.peers.address = address, address
+	node.peers.roster = gossip.New(address, nil, 1)
+	node.peers.roster.SetStrength(strength)
+	node.options.Strength = strength
+	node.handler.SetTable(limitedTable(10_000))
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go node.peers.receive(ctx)
+	return node
+}
+
+// meet lets two nodes know each other.
+func meet(a, b *Node) {
+	now := time.Now()
+	a.peers.take(b.peers.state(now))
+	b.peers.take(a.peers.state(now))
+}
+
+func tenantOf(t *testing.T, node *Node) *routetable.Tenant {
+	t.Helper()
+	tenant, ok := node.handler.Table().Tenant("north")
+	if !ok {
+		t.Fatal("no tenant")
+	}
+	return tenant
+}
+
+// TestStrongestNodeGives: another asks it, is granted what it has and refused more,
+// with the time to come back.
+func TestStrongestNodeGives(t *testing.T) {
+	giver, asker := newLimited(t, 900), newLimited(t, 100)
+	meet(giver, asker)
+	tenant := tenantOf(t, asker)
+	now := time.Now()
+	giver.quotas.giver.Ask(now, "north", tenant.Quota, 1, 0)
+	got := asker.quotas.Admit(context.Background(), tenant, 900)
+	if !got.Granted || got.By != giver.options.PeerAddress {
+		t.Errorf("%+v, want granted by the strongest node", got)
+	}
+	got = asker.quotas.Admit(context.Background(), tenant, 9000)
+	if got.Granted || got.RetryIn <= 0 || got.RetryIn > 2*time.Second {
+		t.Errorf("%+v, want refused for about a second", got)
+	}
+	if level := giver.quotas.giver.Ask(time.Now(), "north", tenant.Quota, 1, 1e9).Left; level > 3000 {
+		t.Errorf("the giver has %.0f left", level)
+	}
+}
+
+// TestSilentGiverIsPassedOver: the node lives on its own share, and asks a giver that
+// did not answer only once a second.
+func TestSilentGiverIsPassedOver(t *testing.T) {
+	giver, asker := newLimited(t, 900), newLimited(t, 100)
+	meet(giver, asker)
+	_ = giver.peers.conn.Close()
+	tenant := tenantOf(t, asker)
+	got := asker.quotas.Admit(context.Background(), tenant, 5000)
+	if got.Granted || got.By != "alone" {
+		t.Errorf("%+v of a node that just started and reaches no giver, want refused", got)
+	}
+	if asked := asker.quotas.unanswered.Load(); asked != 1 {
+		t.Errorf("%d questions without an answer, want 1", asked)
+	}
+	asker.quotas.Admit(context.Background(), tenant, 5000)
+	if asked := asker.quotas.unanswered.Load(); asked != 1 {
+		t.Errorf("%d questions without an answer: a silent giver was asked again at once", asked)
+	}
+}
+
+// TestAskedNodeSendsOnToTheGiver: a node that hears one before it does not give.
+func TestAskedNodeSendsOnToTheGiver(t *testing.T) {
+	giver, second, asker := newLimited(t, 900), newLimited(t, 500), newLimited(t, 100)
+	meet(giver, second)
+	meet(second, asker)
+	got := asker.quotas.Admit(context.Background(), tenantOf(t, asker), 900)
+	if !got.Granted {
+		t.Errorf("%+v", got)
+	}
+	giver.quotas.mu.Lock()
+	defer giver.quotas.mu.Unlock()
+	tenant := tenantOf(t, giver)
+	if level := giver.quotas.giver.Ask(time.Now(), "north", tenant.Quota, 1, 1e9).Left; level > 900 {
+		t.Errorf("the giver has %.0f left: it was not asked", level)
+	}
+}
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -14,13 +14,15 @@
 	trafficViews
 	// trafficAnswers tells one node all views that it asked for.
 	trafficAnswers
+	// trafficQuotas asks for the tenants' quotas and answers that.
+	trafficQuotas
 
 	trafficKinds
 )
 
 // String names the traffic in logs and metrics.
 func (t traffic) String() string {
-	return [...]string{"gossip", "wanted", "views", "answers"}[t]
+	return [...]string{"gossip", "wanted", "views", "answers", "quotas"}[t]
 }
 
 // trafficPeriod is the time between two log lines on what was sent to peers.
--- /dev/null
+++ b/internal/gossip/givers.go
@@ -0,0 +1,39 @@
+package gossip
+
+import "time"
+
+// Giver is a node that may give the tenants' quotas.
+type Giver struct {
+	Address string
+	// Seen is when it was last heard from.
+	Seen time.Time
+}
+
+// Givers are the nodes that give quotas, the first that lives doing it: the strongest
+// machines, whether or not the store answers them. This node is among them unless it
+// is leaving.
+func (r *Roster) Givers(now time.Time, leaving bool) []Giver {
+	var givers []Giver
+	placed := leaving
+	for _, peer := range r.summarize(now).givers {
+		if !placed && !r.precedes(peer) {
+			placed = true
+			givers = append(givers, Giver{Address: r.self, Seen: now})
+		}
+		givers = append(givers, Giver{Address: peer.Address, Seen: peer.LastSeen})
+	}
+	if !placed {
+		givers = append(givers, Giver{Address: r.self, Seen: now})
+	}
+	return givers[:min(len(givers), giverCount)]
+}
+
+// Standing is the number of nodes that may share a budget, and of those among them that
+// were heard from lately, this one included. The latter is right at a node that all
+// speak to in each period.
+func (r *Roster) Standing(now time.Time) (counted, fresh int) {
+	known := r.summarize(now)
+	// An address that nobody was heard from at may be stale: it counts only where a
+	// node knows hardly anybody yet.
+	return max(known.counted-known.hinted, 1+known.hinted), known.fresh
+}
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -1,6 +1,9 @@
 package gossip
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // summaryAge, and summaryShare for each node, are how long what was worked out of
 // all nodes is used again. Nodes ask for it with each datagram, some fifty times a
@@ -21,6 +24,8 @@
 	leaders []*Peer
 	// counted is the number of nodes that may share a budget, this one included.
 	counted int
+	// hinted are addresses among them that nobody was heard from at yet.
+	hinted int
 	// rank is the number of nodes that come before this one as candidates.
 	rank int
 	// watching is the number of nodes that come before this one in watching the
@@ -30,6 +35,10 @@
 	strongest uint32
 	// first are the nodes that lead next, beside this one.
 	first []*Peer
+	// fresh is the number of nodes heard from within freshTime, this one included.
+	fresh int
+	// givers are the nodes that give quotas, in their order, beside this one.
+	givers []*Peer
 }
 
 // standing is what of a node counts in a summary.
@@ -50,13 +59,16 @@
 	if age := now.Sub(r.summary.at); !r.summary.at.IsZero() && age >= 0 && age < kept {
 		return &r.summary
 	}
-	made := summary{at: now, counted: 1 + len(r.hints)}
+	made := summary{at: now, counted: 1 + len(r.hints), hinted: len(r.hints), fresh: 1}
 	window := r.aliveWindow()
 	for _, peer := range r.order {
 		age := now.Sub(peer.LastSeen)
 		if age < countedTime {
 			made.counted++
 		}
+		if age < freshTime {
+			made.fresh++
+		}
 		if age < window {
 			made.add(r, peer)
 		}
@@ -74,6 +86,7 @@
 	if peer.Leaving {
 		return
 	}
+	s.givers = insertByStrength(s.givers, peer, giverCount)
 	precedes := roster.precedes(peer)
 	if precedes {
 		s.rank++
@@ -85,25 +98,30 @@
 		s.watching++
 	}
 	s.strongest = max(s.strongest, peer.Strength)
-	s.takeFirst(peer)
+	s.first = insertByStrength(s.first, peer, standbys+1)
 }
 
-// standbys is the number of nodes beside the leader that are told all that a
-// leader is, so that one of them can go on at once.
-const standbys = 2
+const (
+	// standbys is the number of nodes beside the leader that are told all that a
+	// leader is, so that one of them can go on at once.
+	standbys = 2
+	// freshTime is how long after its last word a node counts as one that can be
+	// heard, where it speaks in each period: four of these.
+	freshTime = 800 * time.Millisecond
+	// giverCount is the number of nodes that may give quotas, one after the other.
+	giverCount = 3
+)
 
-// takeFirst keeps the nodes that lead next, and one more, as the leader is one
-// of them.
-func (s *summary) takeFirst(peer *Peer) {
-	at := len(s.first)
-	for at > 0 && s.first[at-1].Strength < peer.Strength {
+// insertByStrength puts a node into a list of the strongest, of which most are kept;
+// nodes come by address, and the first of two that are as strong stays before the other.
+func insertByStrength(strongest []*Peer, peer *Peer, most int) []*Peer {
+	at := len(strongest)
+	for at > 0 && strongest[at-1].Strength < peer.Strength {
 		at--
 	}
-	if at > standbys {
-		return
+	if at >= most {
+		return strongest
 	}
-	s.first = append(s.first, nil)
-	copy(s.first[at+1:], s.first[at:])
-	s.first[at] = peer
-	s.first = s.first[:min(len(s.first), standbys+1)]
+	strongest = slices.Insert(strongest, at, peer)
+	return strongest[:min(len(strongest), most)]
 }
--- /dev/null
+++ b/internal/quota/doc.go
@@ -0,0 +1,10 @@
+// Package quota is the core that keeps each tenant below its quota over all nodes.
+// One node at a time, the giver, keeps a token bucket for each tenant (Giver). Every
+// node has a share of it of its own (Share) that it may use at once, telling the giver
+// afterwards; beyond that it asks the giver, and where no giver answers it lives on
+// its share alone. docs/design/quotas.md has the ways weighed and the error of each
+// failure.
+//
+// It may import routetable for the quota's figures. No I/O, no clock, no goroutine;
+// it is not safe for concurrent use.
+package quota
--- /dev/null
+++ b/internal/quota/giver.go
@@ -0,0 +1,107 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// majorityReach is what a giver gives that hears from half of the nodes or more: those
+// that are silent may be dead, and their callers come to the others. Two halves of a
+// fleet that are cut from each other give 2 x 0.55 of the quota then, which the
+// tolerance bears. A giver that hears from fewer gives their part.
+const majorityReach = 0.55
+
+// longestPause is the time after which a giver that was not observed takes it that it
+// stood still, and that another gave meanwhile.
+const longestPause = time.Second
+
+// Giver grants requests of tenants on behalf of all nodes.
+type Giver struct {
+	tolerance Tolerance
+	accounts  map[string]*account
+	observed  time.Time
+	// newcomer is the level that buckets begin with; only tests change it.
+	newcomer float64
+}
+
+// Verdict is a giver's answer.
+type Verdict struct {
+	Granted bool
+	// Left is what the tenant had left before this request.
+	Left float64
+	// RetryIn is when the request should come back, behind those refused before it.
+	RetryIn time.Duration
+}
+
+// NewGiver returns a giver that knows nothing of the past.
+func NewGiver(tolerance Tolerance) *Giver {
+	return &Giver{tolerance: tolerance, accounts: make(map[string]*account), newcomer: newcomerShare * tolerance.Slack}
+}
+
+// Ask draws cost from what the tenant may use, whole or not at all. Reach is the part
+// of all nodes that this one hears from.
+func (g *Giver) Ask(now time.Time, tenant string, quota routetable.Quota, reach, cost float64) Verdict {
+	known, allowance := g.filled(now, tenant, quota, reach)
+	verdict := Verdict{Left: known.left(now, allowance)}
+	if verdict.Left < cost {
+		verdict.RetryIn = known.refuse(now, allowance, cost)
+		return verdict
+	}
+	known.use(now, allowance, cost)
+	verdict.Granted = true
+	return verdict
+}
+
+// Used takes that a node used cost of its own share; a cost below 0 is given back.
+func (g *Giver) Used(now time.Time, tenant string, quota routetable.Quota, reach, cost float64) {
+	known, allowance := g.filled(now, tenant, quota, reach)
+	known.use(now, allowance, cost)
+}
+
+// Keep opens the account of a tenant that has not asked yet: it begins low, and is to
+// be full when the tenant comes.
+func (g *Giver) Keep(now time.Time, tenant string, quota routetable.Quota, reach float64) {
+	g.filled(now, tenant, quota, reach)
+}
+
+// Observe is called several times a second: a giver that stood still longer forgets
+// what it gave, as another has given meanwhile.
+func (g *Giver) Observe(now time.Time) {
+	if now.Sub(g.observed) > longestPause {
+		g.Forget()
+	}
+	g.observed = now
+}
+
+// part is the part of the quota that a giver gives which hears from so many.
+func part(reach float64) float64 {
+	if reach >= 0.5 {
+		return min(1, max(majorityReach, reach))
+	}
+	return max(0, reach)
+}
+
+func (g *Giver) filled(now time.Time, tenant string, quota routetable.Quota, reach float64) (*account, allowance) {
+	g.Observe(now)
+	allowed := g.tolerance.allowance(quota, part(reach))
+	known, ok := g.accounts[tenant]
+	if !ok {
+		known = newAccount(now, min(allowed.burst, g.newcomer))
+		g.accounts[tenant] = known
+	}
+	known.fill(now, allowed)
+	return known, allowed
+}
+
+// Forget drops what was given: another node has given meanwhile.
+func (g *Giver) Forget() { clear(g.accounts) }
+
+// Prune drops the accounts of tenants that keep reports as gone.
+func (g *Giver) Prune(keep func(tenant string) bool) {
+	for tenant := range g.accounts {
+		if !keep(tenant) {
+			delete(g.accounts, tenant)
+		}
+	}
+}
--- /dev/null
+++ b/internal/quota/share.go
@@ -0,0 +1,100 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// aloneDebt is the part of the slack that a node which has just started owes before it
+// may grant requests alone: where all nodes start at once, each would grant one.
+const aloneDebt = 0.25
+
+// longestDebt bounds how long a node pays back what it granted or was granted beyond
+// its share.
+const longestDebt = 20 * time.Second
+
+// Share is one node's part of the tenants' quotas: the n-th of n nodes.
+type Share struct {
+	tolerance Tolerance
+	buckets   map[string]*bucket
+	// spare is kept beside them, for requests that are granted alone.
+	spare map[string]*bucket
+}
+
+// NewShare returns the share of a node that has just started.
+func NewShare(tolerance Tolerance) *Share {
+	return &Share{tolerance: tolerance, buckets: make(map[string]*bucket), spare: make(map[string]*bucket)}
+}
+
+// Take draws cost from the share where it holds as much. The giver is to be told.
+func (s *Share) Take(now time.Time, tenant string, quota routetable.Quota, nodes int, cost float64) bool {
+	known := s.filled(now, tenant, quota, nodes)
+	if known.level < cost {
+		return false
+	}
+	known.level -= cost
+	return true
+}
+
+// TakeAlone grants a request though no giver can be asked: a small one from what is
+// spare, another where the share is not overdrawn yet, as it may be far larger than
+// what one node's share ever holds.
+func (s *Share) TakeAlone(now time.Time, tenant string, quota routetable.Quota, nodes int, cost float64) bool {
+	known := s.filled(now, tenant, quota, nodes)
+	if spare := s.filledSpare(now, tenant, nodes); spare.level >= cost {
+		spare.level -= cost
+		return true
+	}
+	if known.level < 0 {
+		return false
+	}
+	known.level -= cost
+	return true
+}
+
+// Granted takes that the giver granted a request of this node: it lives on the share,
+// too, so that a node which then loses its giver does not grant as much once more. A
+// cost below 0 is given back.
+func (s *Share) Granted(now time.Time, tenant string, quota routetable.Quota, nodes int, cost float64) {
+	known := s.filled(now, tenant, quota, nodes)
+	debt := quota.PerSecond / float64(max(1, nodes)) * longestDebt.Seconds()
+	known.level = max(min(known.level, -debt), known.level-cost)
+}
+
+// Left is the share's level, below 0 where it is overdrawn.
+func (s *Share) Left(now time.Time, tenant string, quota routetable.Quota, nodes int) float64 {
+	return s.filled(now, tenant, quota, nodes).level
+}
+
+func (s *Share) filled(now time.Time, tenant string, quota routetable.Quota, nodes int) *bucket {
+	known, ok := s.buckets[tenant]
+	if !ok {
+		known = &bucket{level: -aloneDebt * s.tolerance.Slack, at: now}
+		s.buckets[tenant] = known
+	}
+	part := 1 / float64(max(1, nodes))
+	known.fill(now, quota.PerSecond*part, quota.Burst*part)
+	return known
+}
+
+func (s *Share) filledSpare(now time.Time, tenant string, nodes int) *bucket {
+	spare, ok := s.spare[tenant]
+	if !ok {
+		spare = &bucket{at: now}
+		s.spare[tenant] = spare
+	}
+	part := spareShare * s.tolerance.Slack / float64(max(1, nodes))
+	spare.fill(now, part/max(1, s.tolerance.Window.Seconds()), part)
+	return spare
+}
+
+// Prune drops the buckets of tenants that keep reports as gone.
+func (s *Share) Prune(keep func(tenant string) bool) {
+	for tenant := range s.buckets {
+		if !keep(tenant) {
+			delete(s.buckets, tenant)
+			delete(s.spare, tenant)
+		}
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -42,6 +42,10 @@
 		x.sent = append(x.sent, choice.ServerID)
 	}
 	answer, err := conn.RoundTrip(x.ctx, x.outgoing(choice))
+	if err != nil && conn.Reused {
+		// The others that were kept may be as silent or as dead; new ones may work.
+		x.handler.options.Pool.Forget(choice.Address)
+	}
 	if err != nil {
 		return x.noAnswer(choice, err)
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -26,7 +26,9 @@
 	route   *routetable.Route
 	service string
 	// tenant owns the caller's key; nil where none is needed.
-	tenant   *routetable.Tenant
+	tenant *routetable.Tenant
+	// counted is what was counted for it against the tenant's quota.
+	counted  float64
 	engine   bool
 	head     Head
 	body     []byte
@@ -67,6 +69,10 @@
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
+	if !x.withinQuota() {
+		return
+	}
+	x.handler.countRequest(x.service)
 	x.run()
 }
 
@@ -96,7 +102,6 @@
 	x.setDeadline()
 	x.header = forwarded(x.request.Header, x.handler.options.Dialect.IsEndToEnd)
 	x.handler.options.Dialect.DropReserved(x.header)
-	x.handler.countRequest(x.service)
 	return true
 }
 
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -26,6 +26,7 @@
 	if x.headSent {
 		x.cut(reason)
 	}
+	x.giveBack()
 	x.writer.Header().Set("Retry-After", retryAfter(back))
 	x.answer(http.StatusServiceUnavailable, "not-run", reason)
 	x.finish(outcomeRefused, http.StatusServiceUnavailable, reason)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -80,7 +80,9 @@
 	Dispatch *dispatch.Shared
 	Pool     *backendconn.Pool
 	Budget   retrybudget.Options
-	Logger   *log.Logger
+	// Quotas keeps tenants below their quotas; nil lets all pass.
+	Quotas Quotas
+	Logger *log.Logger
 	// Knows reports whether the node knows a configuration and servers, and
 	// AwaitKnowledge waits until it does, or ctx ends; nil is that it always does.
 	Knows          func() bool
--- a/internal/relay/tenant.go
+++ b/internal/relay/tenant.go
@@ -1,6 +1,41 @@
 package relay
 
-import "net/http"
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// Quotas decides whether tenants are below their quotas, over all nodes.
+type Quotas interface {
+	// Admit counts a request of the tenant that counts cost, unless that is beyond the
+	// quota.
+	Admit(ctx context.Context, tenant *routetable.Tenant, cost float64) QuotaVerdict
+	// GiveBack takes back what was counted for a request that did not run.
+	GiveBack(tenant *routetable.Tenant, cost float64)
+}
+
+// QuotaVerdict says whether a request is within its tenant's quota.
+type QuotaVerdict struct {
+	Granted bool
+	// By is who decided: the address of a node, or "share" or "alone" for this one.
+	By string
+	// IsUnknown is set where no node could say whether the request is within the quota.
+	IsUnknown bool
+	// Left is what the tenant had left, in the unit of its quota.
+	Left float64
+	// RetryIn is when the request would be within the quota.
+	RetryIn time.Duration
+}
+
+// Reasons of refusals: what is beyond the tenant's quota, and what nobody can tell of
+// whether it is.
+const (
+	reasonOverQuota    = "over_quota"
+	reasonQuotaUnknown = "quota_unknown"
+)
 
 // reasonUnknownKey is the reason of a denial, for want of a key or for one that no
 // tenant owns (any more).
@@ -36,3 +71,40 @@
 	}
 	return x.route.Priority
 }
+
+// withinQuota counts the request for its tenant. It answers those beyond the quota.
+func (x *exchange) withinQuota() bool {
+	quotas := x.handler.options.Quotas
+	if quotas == nil || x.tenant == nil || !x.tenant.Quota.IsLimited() {
+		return true
+	}
+	cost := x.tenant.Quota.Cost(x.head.PromptTokens+x.head.OutputTokens, x.head.TellsTokens)
+	verdict := quotas.Admit(x.ctx, x.tenant, cost)
+	if verdict.Granted {
+		x.counted = cost
+		return true
+	}
+	if x.hasLeft() {
+		x.leave()
+	}
+	x.handler.options.Logger.Info().Str("request", x.head.RequestID).Str("tenant", x.tenant.Name).
+		Float64("cost", cost).Float64("left", verdict.Left).Float64("per_second", x.tenant.Quota.PerSecond).
+		Float64("burst", x.tenant.Quota.Burst).Str("by", verdict.By).Str("asked_ms", milliseconds(time.Since(x.arrived))).
+		Str("retry_ms", milliseconds(verdict.RetryIn)).Msg("quota_refused")
+	if verdict.IsUnknown {
+		x.refuse(reasonQuotaUnknown, verdict.RetryIn)
+		return false
+	}
+	x.writer.Header().Set("Retry-After", retryAfter(verdict.RetryIn))
+	x.answer(http.StatusTooManyRequests, "not-run", reasonOverQuota)
+	x.finish(outcomeRefused, http.StatusTooManyRequests, reasonOverQuota)
+	return false
+}
+
+// giveBack takes back what was counted for a request that has not run.
+func (x *exchange) giveBack() {
+	if x.counted > 0 && !x.ran {
+		x.handler.options.Quotas.GiveBack(x.tenant, x.counted)
+		x.counted = 0
+	}
+}
--- a/internal/storelease/lease.go
+++ b/internal/storelease/lease.go
@@ -33,7 +33,9 @@
 	// LoadsAtOnce are the loads at full speed that holders learned of each
 	// weight store.
 	LoadsAtOnce map[string]float64
-	Revision    int64
+	// Nodes is the number of nodes that the holder knew of.
+	Nodes    int
+	Revision int64
 }
 
 // Core follows the lease for one machine. It is not safe for concurrent use.
