Quotas: urgent requests first, large ones not starved, cut-off nodes live on their share

Change: a reserve for the more urgent routes of the tenant; a request needs the mean of what requests count to be left, not its own; three questions without an answer before a giver is left out; no debt where the whole fleet starts for the first time; a giver that hears from under a quarter of the fleet leaves it to the shares; the next one gives after 0.7 s of silence.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -153,7 +153,7 @@
 	node.grace.Store(int64(options.Tunables.Grace))
 	node.leader = newLeader(node)
 	node.snapshots = newSnapshots(node)
-	node.quotas = newQuotas(node, options.Quota)
+	node.quotas = newQuotas(node, options.Quota, options.FirstStart)
 	node.handler = relay.New(relay.Options{
 		Dialect:  options.Dialect,
 		Dispatch: node.dispatch,
--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -22,8 +22,10 @@
 	askTimeout = 100 * time.Millisecond
 	// giverSilence is after how long without a word the next node gives in a giver's
 	// place; givers hear each other in each period.
-	giverSilence = 5 * gossipPeriod
-	// unansweredTime is how long a giver that did not answer is not asked again.
+	giverSilence = 7 * gossipPeriod / 2
+	// A giver that left mostUnanswered questions in a row without an answer is not asked
+	// for unansweredTime: one late answer says little of it.
+	mostUnanswered = 3
 	unansweredTime = time.Second
 	// givesAfter is how long a node that has just started listens before it gives: by
 	// then it knows who is before it, or that there is nobody. Where all nodes start at
@@ -49,8 +51,8 @@
 	// wasTold is set once this node was told how large the fleet is.
 	wasTold bool
 	waiting map[uint64]chan *peerpb.QuotaCall
-	// silent are givers that did not answer, until when they are not asked.
-	silent map[string]time.Time
+	// silent are givers that did not answer.
+	silent map[string]silence
 	// told are the closed tenants that this node last told as the giver, and toldAt when.
 	told   string
 	toldAt time.Time
@@ -58,21 +60,21 @@
 	granted, refused, alone, unanswered atomic.Int64
 }
 
-func newQuotas(node *Node, tolerance quota.Tolerance) *quotas {
+func newQuotas(node *Node, tolerance quota.Tolerance, isFirst bool) *quotas {
 	return &quotas{
 		node:    node,
 		giver:   quota.NewGiver(tolerance),
-		share:   quota.NewShare(tolerance),
+		share:   quota.NewShare(tolerance, isFirst),
 		words:   quota.NewWords(),
 		waiting: make(map[uint64]chan *peerpb.QuotaCall),
-		silent:  make(map[string]time.Time),
+		silent:  make(map[string]silence),
 	}
 }
 
 var _ relay.Quotas = (*quotas)(nil)
 
 // Admit implements relay.Quotas.
-func (q *quotas) Admit(ctx context.Context, tenant *routetable.Tenant, cost float64) relay.QuotaVerdict {
+func (q *quotas) Admit(ctx context.Context, tenant *routetable.Tenant, cost float64, priority int) relay.QuotaVerdict {
 	asked := time.Now()
 	nodes, _ := q.fleetSize(asked)
 	if by := q.takeUnasked(asked, tenant, nodes, cost); by != "" {
@@ -82,7 +84,7 @@
 	}
 	q.awaitGiver(ctx, asked)
 	for _, giver := range q.node.peers.givers(time.Now()) {
-		answer := q.ask(ctx, giver.Address, tenant, cost)
+		answer := q.ask(ctx, giver.Address, tenant, cost, priority)
 		if answer == nil {
 			continue
 		}
@@ -184,9 +186,12 @@
 }
 
 // ask asks one giver; nil is no answer.
-func (q *quotas) ask(ctx context.Context, address string, tenant *routetable.Tenant, cost float64) *peerpb.QuotaCall {
+func (q *quotas) ask(ctx context.Context, address string, tenant *routetable.Tenant, cost float64, priority int) *peerpb.QuotaCall {
 	now := time.Now()
-	call := &peerpb.QuotaCall{Kind: peerpb.QuotaCall_ASK, Asker: q.node.options.PeerAddress, Tenant: tenant.Name, Cost: int64(cost)}
+	call := &peerpb.QuotaCall{
+		Kind: peerpb.QuotaCall_ASK, Asker: q.node.options.PeerAddress, Tenant: tenant.Name, Cost: int64(cost),
+		Priority: uint32(max(0, priority)),
+	}
 	if address == q.node.options.PeerAddress {
 		return known(q.decide(now, call))
 	}
@@ -208,14 +213,14 @@
 	defer timer.Stop()
 	select {
 	case answer := <-answers:
+		q.mu.Lock()
+		delete(q.silent, address)
+		q.mu.Unlock()
 		return known(answer)
 	case <-ctx.Done():
 		return nil
 	case <-timer.C:
-		q.unanswered.Add(1)
-		q.mu.Lock()
-		q.silent[address] = time.Now().Add(unansweredTime)
-		q.mu.Unlock()
+		q.noteSilence(time.Now(), address)
 		return nil
 	}
 }
@@ -228,15 +233,24 @@
 	return answer
 }
 
+// silence is the questions in a row that a giver did not answer, and the last of them.
+type silence struct {
+	questions int
+	at        time.Time
+}
+
+func (q *quotas) noteSilence(now time.Time, address string) {
+	q.unanswered.Add(1)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.silent[address] = silence{questions: q.silent[address].questions + 1, at: now}
+}
+
 func (q *quotas) isSilent(now time.Time, address string) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	until, ok := q.silent[address]
-	if ok && !now.Before(until) {
-		delete(q.silent, address)
-		return false
-	}
-	return ok
+	known := q.silent[address]
+	return known.questions >= mostUnanswered && now.Sub(known.at) < unansweredTime
 }
 
 // take takes a call of another node.
@@ -279,6 +293,9 @@
 		return answer
 	}
 	_, reach := q.fleetSize(now)
+	if reach < quota.LeastReach {
+		return answer
+	}
 	defer q.speak(now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -286,7 +303,7 @@
 		q.giver.Used(now, tenant.Name, tenant.Quota, reach, float64(call.Cost))
 		return answer
 	}
-	verdict := q.giver.Ask(now, tenant.Name, tenant.Quota, reach, float64(call.Cost))
+	verdict := q.giver.Ask(now, tenant.Name, tenant.Quota, reach, float64(call.Cost), int(call.Priority))
 	answer.Kind, answer.Left = peerpb.QuotaCall_REFUSED, int64(verdict.Left)
 	answer.RetryMs = uint32(min(verdict.RetryIn, longestAge).Milliseconds())
 	if verdict.Granted {
@@ -309,6 +326,9 @@
 	if !q.node.hasQuotas() || !q.mayGive(now) || q.better(now) != "" {
 		return
 	}
+	if _, reach := q.fleetSize(now); reach < quota.LeastReach {
+		return
+	}
 	period := max(wordPeriod, q.node.nodes()*wordShare)
 	q.mu.Lock()
 	closed := q.giver.Closed()
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -45,6 +45,8 @@
 	opened time.Time
 	// closed is set while little is left.
 	closed bool
+	// mean is what requests count on the average.
+	mean float64
 	// line is when the last one that was refused is to come back.
 	line time.Time
 	sums [slots + 2]struct {
@@ -83,6 +85,33 @@
 	return min(room, max(a.bucket.level, a.pace.level+max(0, a.bucket.level)))
 }
 
+const (
+	// meanWeight is the weight of a new request in the mean of what requests count.
+	meanWeight = 0.1
+	// smallShare of the mean is up to where a request is small: it goes by what it counts.
+	smallShare = 0.25
+)
+
+// needed is what has to be left for a request: as much as the mean one counts. Were it
+// all that this one counts, the large requests of a tenant near its quota would be
+// refused nearly always and the others hardly ever. Where other nodes may give, too, a
+// larger one needs it all.
+func (a *account) needed(cost, reach float64) float64 {
+	mean := a.mean
+	if mean == 0 {
+		mean = cost
+	}
+	a.mean = mean + meanWeight*(cost-mean)
+	switch {
+	case cost < smallShare*mean:
+		return cost
+	case reach < almostAll:
+		return max(cost, mean)
+	default:
+		return max(mean, cost/2)
+	}
+}
+
 // use counts cost, against the bucket first.
 func (a *account) use(now time.Time, allowed allowance, cost float64) {
 	fromBucket := cost
@@ -112,18 +141,19 @@
 	return sum
 }
 
-// refuse is when a request that is refused now should come back. Who is refused stands
-// in a line: all would come back at once else, and all but one be refused again.
-func (a *account) refuse(now time.Time, allowed allowance, cost float64) time.Duration {
+// refuse is when a request that is refused now, for want of what is missing, should come
+// back. Who is refused stands in a line: all would come back at once else, and all but
+// one be refused again.
+func (a *account) refuse(now time.Time, allowed allowance, missing, cost float64) time.Duration {
 	rate := allowed.perSecond + allowed.pace
 	if rate <= 0 {
 		return allowed.length
 	}
-	missing, from := cost-a.left(now, allowed), now
+	from := now
 	if a.line.After(now) {
-		missing, from = cost, a.line
+		missing, from = 0, a.line
 	}
-	at := from.Add(time.Duration(missing / rate * float64(time.Second)))
+	at := from.Add(time.Duration((missing + cost) / rate * float64(time.Second)))
 	if latest := now.Add(allowed.length); at.After(latest) {
 		at = latest
 	}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -17,13 +17,13 @@
 	// rateShare of the overage, and burstShare of the slack, are given on top of the
 	// quota: what callers send within it may come bunched, and is not refused for that.
 	rateShare  = 0.2
-	burstShare = 0.25
+	burstShare = 0.2
 	// paceShare of the burst is granted again in each window to who sends more than the
 	// quota's rate all the time: a window may hold the burst, whenever it was.
 	paceShare = 0.6
 	// newcomerShare of the slack is what a giver that knows nothing of the past begins
 	// with. It begins below the quota's burst, which the one before it may have given.
-	newcomerShare = 0.125
+	newcomerShare = 0.1
 	// spareShare of the slack is what all nodes together may grant alone in a window,
 	// whatever they owe: enough for short calls, which must not fail for want of a giver.
 	spareShare = 0.25
--- a/internal/quota/giver.go
+++ b/internal/quota/giver.go
@@ -39,13 +39,16 @@
 	return &Giver{tolerance: tolerance, accounts: make(map[string]*account), newcomer: newcomerShare * tolerance.Slack}
 }
 
-// Ask draws cost from what the tenant may use, whole or not at all. Reach is the part
-// of all nodes that this one hears from.
-func (g *Giver) Ask(now time.Time, tenant string, quota routetable.Quota, reach, cost float64) Verdict {
+// Ask draws cost from what the tenant may use, or nothing. Reach is the part
+// of all nodes that this one hears from; requests of a priority other than 0, the
+// highest, leave some for the more urgent ones.
+func (g *Giver) Ask(now time.Time, tenant string, quota routetable.Quota, reach, cost float64, priority int) Verdict {
 	known, allowance := g.filled(now, tenant, quota, reach)
 	verdict := Verdict{Left: known.left(now, allowance)}
-	if verdict.Left < cost {
-		verdict.RetryIn = known.refuse(now, allowance, cost)
+	// One that is larger than the bucket ever is was never within the quota.
+	missing := reserve(allowance, priority) + known.needed(cost, reach) - verdict.Left
+	if missing > 0 || cost > allowance.burst {
+		verdict.RetryIn = known.refuse(now, allowance, missing, cost)
 		return verdict
 	}
 	known.use(now, allowance, cost)
@@ -53,6 +56,26 @@
 	return verdict
 }
 
+// LeastReach is the part of the nodes that a giver has to hear from. On an island that
+// is smaller each node lives on its share alone: what such a giver may give at once is
+// less than one request.
+const LeastReach = 0.25
+
+// almostAll is the part of the nodes from which a giver takes it that no other gives.
+const almostAll = 0.9
+
+// reserve is what requests of a priority leave of what a tenant has.
+func reserve(allowed allowance, priority int) float64 {
+	return min(mostReserved, reservedShare*float64(priority)) * allowed.burst
+}
+
+const (
+	// reservedShare of the burst, for each step of priority, is left for the requests
+	// of the same tenant that are more urgent, mostReserved of it at the most.
+	reservedShare = 0.15
+	mostReserved  = 0.45
+)
+
 // Used takes that a node used cost of its own share; a cost below 0 is given back.
 func (g *Giver) Used(now time.Time, tenant string, quota routetable.Quota, reach, cost float64) {
 	known, allowance := g.filled(now, tenant, quota, reach)
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -20,11 +20,18 @@
 	buckets   map[string]*bucket
 	// spare is kept beside them, for requests that are granted alone.
 	spare map[string]*bucket
+	// debt is the part of the slack that it begins with below nothing.
+	debt float64
 }
 
-// NewShare returns the share of a node that has just started.
-func NewShare(tolerance Tolerance) *Share {
-	return &Share{tolerance: tolerance, buckets: make(map[string]*bucket), spare: make(map[string]*bucket)}
+// NewShare returns the share of a node that has just started; isFirst is set where the
+// whole fleet starts for the first time, so that nothing was granted before.
+func NewShare(tolerance Tolerance, isFirst bool) *Share {
+	share := &Share{tolerance: tolerance, buckets: make(map[string]*bucket), spare: make(map[string]*bucket)}
+	if !isFirst {
+		share.debt = aloneDebt
+	}
+	return share
 }
 
 // Take draws cost from the share, or from what is spare, where it holds as much. The
@@ -71,7 +78,7 @@
 func (s *Share) filled(now time.Time, tenant string, quota routetable.Quota, nodes int) *bucket {
 	known, ok := s.buckets[tenant]
 	if !ok {
-		known = &bucket{level: -aloneDebt * s.tolerance.Slack, at: now}
+		known = &bucket{level: -s.debt * s.tolerance.Slack, at: now}
 		s.buckets[tenant] = known
 	}
 	part := 1 / float64(max(1, nodes))
--- a/internal/relay/tenant.go
+++ b/internal/relay/tenant.go
@@ -11,8 +11,8 @@
 // Quotas decides whether tenants are below their quotas, over all nodes.
 type Quotas interface {
 	// Admit counts a request of the tenant that counts cost, unless that is beyond the
-	// quota.
-	Admit(ctx context.Context, tenant *routetable.Tenant, cost float64) QuotaVerdict
+	// quota; of those near it the urgent ones go first, priority 0 before all.
+	Admit(ctx context.Context, tenant *routetable.Tenant, cost float64, priority int) QuotaVerdict
 	// GiveBack takes back what was counted for a request that did not run.
 	GiveBack(tenant *routetable.Tenant, cost float64)
 }
@@ -79,7 +79,7 @@
 		return true
 	}
 	cost := x.tenant.Quota.Cost(x.head.PromptTokens+x.head.OutputTokens, x.head.TellsTokens)
-	verdict := quotas.Admit(x.ctx, x.tenant, cost)
+	verdict := quotas.Admit(x.ctx, x.tenant, cost, x.route.Priority)
 	if verdict.Granted {
 		x.counted = cost
 		return true
