Keep a request that can be served within its caller's patience; refuse others at once

Cause: whether a request without a server was kept or sent away went by windows of 0.15 and a quarter of its objective, a third of the time left, and a guess from the deadline whether its caller had come before. They were fitted to charges that are gone, and gain nothing for callers: a caller that is sent away and comes back gets its answer no sooner.

Change: one rule. The time at which the model is expected, as late as it may well become (15 % more for an announced load, half more for one nobody has begun, as long again for one that is overdue), against the caller's patience: within it the request is kept, else refused at once, with the end of the load as Retry-After. 0.1 s is left for news under way.

--- a/internal/relay/comeback.go
+++ b/internal/relay/comeback.go
@@ -19,6 +19,9 @@
 	returnGap = 10 * time.Millisecond
 	// longestLine bounds how much later than the first the last of them is told.
 	longestLine = 500 * time.Millisecond
+	// returnShare is the part of the time left up to which callers wait before they come
+	// back; who is told later does not.
+	returnShare = 1.0 / 3
 )
 
 // returns are the times that callers were told to come back at. Callers of one kind
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -52,6 +52,9 @@
 	// waitsSince is when the choice of a server began that is under way.
 	waitsSince time.Time
 	serverID   string
+	// overdueSince is since when the model that the request waits for should have been
+	// there; zero where it should not.
+	overdueSince time.Time
 	// estimate is the time to the first byte that was expected of the server.
 	estimate time.Duration
 }
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -9,7 +9,6 @@
 // Reasons of refusals, as the answer and the log say them.
 const (
 	reasonNoConfiguration = "no_configuration"
-	reasonNotLoaded       = "not_loaded"
 	reasonNoServer        = "no_server"
 	reasonTooLate         = "too_late"
 	reasonQueueFull       = "queue_full"
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -8,13 +8,15 @@
 )
 
 const (
-	// decisionShare is the part of the objective within which a request that
-	// has no server is refused or kept: a refusal counts in full only in the
-	// first quarter of it.
-	decisionShare = 0.15
-	// returnShare is the part of the time left up to which a caller honours
-	// when it is told to come back.
-	returnShare = 1.0 / 3
+	// newsTime is left for news that are under way before it is decided on a request
+	// whose model nobody has announced: an order takes up to a period of the leader's,
+	// and what it decided another to come here.
+	newsTime = 100 * time.Millisecond
+	// announcedError and guessedError are by how much the time until a model is there
+	// may be wrong, in parts of it: of a load that the leader has announced, and of one
+	// that nobody has begun.
+	announcedError = 0.15
+	guessedError   = 0.5
 	// refusalMargin covers what a caller's clock and the network add.
 	refusalMargin = 20 * time.Millisecond
 	// orderTime is what passes before a load begins that nobody has announced.
@@ -76,16 +78,48 @@
 		if !known {
 			readyIn = x.usualLoad(ordersIn)
 		}
-		if !x.keepsWaiting(readyIn, known) {
+		if !x.keepsWaiting(x.expect(readyIn, known)) {
 			return choice, false
 		}
 		x.sleep(changed, started, readyIn, known)
 	}
 }
 
+// expectation is when a model that a request waits for is expected to be there.
+type expectation struct {
+	readyIn time.Duration
+	// announced is set where the leader has announced the load.
+	announced bool
+	// overdue is how long ago it should have been there.
+	overdue time.Duration
+}
+
+// expect notes since when the model is overdue.
+func (x *exchange) expect(readyIn time.Duration, announced bool) expectation {
+	now := time.Now()
+	if !announced || readyIn > 0 {
+		x.overdueSince = time.Time{}
+		return expectation{readyIn: readyIn, announced: announced}
+	}
+	if x.overdueSince.IsZero() {
+		x.overdueSince = now
+	}
+	return expectation{announced: true, overdue: now.Sub(x.overdueSince)}
+}
+
+// atWorst is the time until the model is there, as long as it may well become. What is
+// overdue is expected to take as long again.
+func (e expectation) atWorst() time.Duration {
+	share := guessedError
+	if e.announced {
+		share = announcedError
+	}
+	return time.Duration((1+share)*float64(e.readyIn)) + e.overdue
+}
+
 // keepsWaiting decides on a request that has no server now. Where it is false
 // the final answer was given.
-func (x *exchange) keepsWaiting(readyIn time.Duration, known bool) bool {
+func (x *exchange) keepsWaiting(expected expectation) bool {
 	now := time.Now()
 	left := x.deadline.Sub(now)
 	if x.hasLeft() {
@@ -106,34 +140,17 @@
 		return false
 	}
 	elapsed := now.Sub(x.arrived)
-	if !known && elapsed < time.Duration(decisionShare*float64(x.route.Goal)) {
-		return true
-	}
-	if x.headSent || x.ran {
+	if (!expected.announced && elapsed < newsTime) || x.headSent || x.ran {
 		return true
 	}
 	if !x.engine {
 		return x.keepsWaitingForServer(elapsed, left)
 	}
-	back := readyIn + refusalMargin
-	if elapsed+readyIn+readTime > x.patience() {
-		x.refuse(reasonTooLate, min(x.comeBack(back), time.Duration(returnShare*float64(left))))
+	if elapsed+expected.atWorst()+readTime > x.patience() {
+		x.refuse(reasonTooLate, x.comeBack(max(expected.readyIn, expected.overdue)+refusalMargin))
 		return false
 	}
-	if x.returned {
-		return true
-	}
-	if x.route.Goal > 0 && elapsed+readyIn+readTime <= x.route.Goal {
-		return true
-	}
-	if elapsed > x.route.Goal/4 {
-		return true
-	}
-	if float64(back) > returnShare*float64(left) {
-		return true
-	}
-	x.refuse(reasonNotLoaded, x.comeBack(back))
-	return false
+	return true
 }
 
 // Callers give up a stream whose first event, or next, does not come within the
@@ -177,7 +194,7 @@
 // sleep waits for news, or until the next decision is due.
 func (x *exchange) sleep(changed <-chan struct{}, started time.Time, readyIn time.Duration, known bool) {
 	pause := min(recheckTime, time.Until(x.deadline)-finishMargin)
-	if decided := time.Duration(decisionShare*float64(x.route.Goal)) - time.Since(started); decided > 0 {
+	if decided := newsTime - time.Since(started); decided > 0 {
 		pause = min(pause, decided+time.Millisecond)
 	}
 	if known && readyIn > 0 {
