--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -42,6 +42,8 @@
 	busy     bool
 	orders   []order
 	runs     map[string]int
+	// headOf is the head of each request that ran.
+	headOf map[string]http.Header
 	// ranAt is when each request began to run last.
 	ranAt map[string]time.Time
 	// weightMB is the memory of a model and memoryMB that of the server; without
@@ -64,7 +66,7 @@
 	t.Helper()
 	m := &modelServer{
 		id: id, service: service, loadTime: loadTime,
-		models: make(map[string]map[string]bool), runs: make(map[string]int), ranAt: make(map[string]time.Time),
+		models: make(map[string]map[string]bool), runs: make(map[string]int), headOf: make(map[string]http.Header), ranAt: make(map[string]time.Time),
 	}
 	server := httptest.NewServer(m)
 	t.Cleanup(server.Close)
@@ -170,6 +172,7 @@
 		return
 	}
 	m.runs[id]++
+	m.headOf[id] = request.Header.Clone()
 	m.ranAt[id] = time.Now()
 	loseAnswer, fail := m.loseAnswers, m.fail
 	m.mu.Unlock()
--- /dev/null
+++ b/test/platform/tenants_test.go
@@ -0,0 +1,130 @@
+package platform
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// tenantCaller calls one node on a connection that it keeps.
+type tenantCaller struct {
+	node   *node
+	client *http.Client
+}
+
+func newTenantCaller(n *node) *tenantCaller {
+	return &tenantCaller{node: n, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+}
+
+// call sends a command with further headers, and returns its id.
+func (c *tenantCaller) call(headers ...string) (id string, got reply) {
+	requestNumber++
+	id = "t" + strconv.Itoa(requestNumber)
+	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/command/x", c.node.ip, c.node.fleet.ports[1]), strings.NewReader("body"))
+	if err != nil {
+		c.node.fleet.t.Fatal(err)
+	}
+	request.Host = "host.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "2000")
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Add(headers[i], headers[i+1])
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return id, reply{err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return id, reply{status: response.StatusCode, body: string(text), retryAfter: response.Header.Get("Retry-After"), err: err}
+}
+
+func withTenants(version int, tenants ...map[string]any) map[string]any {
+	told := configuration(version)
+	told["tenants"] = tenants
+	return told
+}
+
+func (m *modelServer) headerOf(id string) http.Header {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.headOf[id]
+}
+
+// TestTenantsOverNodes: keys are asked for and not passed on, a withdrawn one is denied
+// everywhere, also on kept connections, and no log has any; and all nodes together keep
+// a tenant below its quota.
+func TestTenantsOverNodes(t *testing.T) {
+	const oldKey, newKey, busyKey = "k-old-5f1c", "k-new-77aa", "k-busy-09d2"
+	north := map[string]any{"name": "north", "apiKeys": []string{oldKey, newKey}}
+	busy := map[string]any{
+		"name": "busy", "apiKeys": []string{busyKey}, "unit": "tokens", "ratePerS": 1000, "burst": 4000, "plainTokens": 500,
+	}
+	f := newFleet(t, 3)
+	commands := newServer(t, f.store, "i-commands", "commands", 0)
+	f.store.put("config", "main", withTenants(1, north, busy))
+	f.awaitReady()
+	var callers []*tenantCaller
+	for _, n := range f.nodes {
+		callers = append(callers, newTenantCaller(n))
+	}
+	for _, caller := range callers {
+		for _, headers := range [][]string{{}, {"Api-Key", "k-unknown"}, {"Api-Key", oldKey, "Api-Key", newKey}} {
+			if id, got := caller.call(headers...); got.status != http.StatusUnauthorized || commands.headerOf(id) != nil {
+				t.Errorf("%s with %q: status %d, want 401 and no run", caller.node.name, headers, got.status)
+			}
+		}
+		id, got := caller.call("Api-Key", oldKey, "Tenant", "busy", "Hold", "h1", "kv-from", "x/y", "Connection", "Tenant")
+		sent := commands.headerOf(id)
+		if got.status != http.StatusOK || sent.Get("Tenant") != "north" || len(sent["Tenant"]) != 1 || sent.Get("Api-Key") != "" || sent.Get("Hold") != "" || sent.Get("Kv-From") != "" {
+			t.Errorf("%s: status %d, the server was told %v", caller.node.name, got.status, sent)
+		}
+	}
+	f.keepBelowQuota(callers, busyKey)
+	north["apiKeys"] = []string{newKey}
+	f.store.put("config", "main", withTenants(2, north, busy))
+	for _, caller := range callers {
+		eventually(t, "the key is denied at "+caller.node.name, func() bool { _, got := caller.call("Api-Key", oldKey); return got.status == http.StatusUnauthorized })
+		if _, got := caller.call("Api-Key", newKey); got.status != http.StatusOK {
+			t.Errorf("%s: status %d with the key that is left", caller.node.name, got.status)
+		}
+	}
+	f.store.put("config", "main", withTenants(1, north, busy))
+	for _, n := range f.nodes {
+		for _, key := range []string{oldKey, newKey, busyKey} {
+			if strings.Contains(n.log(), key) {
+				t.Errorf("%s wrote a key to its log", n.name)
+			}
+		}
+	}
+}
+
+// keepBelowQuota sends far more than the quota through all nodes in turn.
+func (f *fleet) keepBelowQuota(callers []*tenantCaller, key string) {
+	f.t.Helper()
+	granted, refused := 0, 0
+	started := time.Now()
+	for range 60 {
+		for _, caller := range callers {
+			switch _, got := caller.call("Api-Key", key); got.status {
+			case http.StatusOK:
+				granted++
+			case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+				refused++
+				if got.retryAfter == "" {
+					f.t.Error("a refusal does not say when to come back")
+				}
+			default:
+				f.t.Errorf("status %d, %v", got.status, got.err)
+			}
+		}
+	}
+	allowed := 1.1 * (1000*time.Since(started).Seconds() + 4000)
+	if used := float64(500 * granted); used > allowed || granted == 0 || refused == 0 {
+		f.t.Errorf("%d granted, which count %.0f of at most %.0f; %d refused", granted, used, allowed, refused)
+	}
+}
