Quotas: short commands are not held back, and a request waits a moment for its quota

After a loss of power of all nodes 213 requests were sent away in the first 0.3 s, as nobody gave yet or the giver's accounts were low.

Change: small requests go by what they count, a tenth of the burst into debt; a request that is to be granted within 0.7 s, or comes to a node that has just started, is kept until then.

--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -30,9 +30,9 @@
 	// givesToldAfter.
 	givesAfter     = time.Second
 	givesToldAfter = 300 * time.Millisecond
-	// giverPatience is how long a request waits for a node that gives where this one has
-	// just started, at the most half of the time that it has left.
-	giverPatience = 700 * time.Millisecond
+	// admitPatience is how long a request waits for its quota, or for a node that gives
+	// where this one has just started; at the most half of the time that it has left.
+	admitPatience = 700 * time.Millisecond
 )
 
 // quotas keeps the tenants of this node's callers below their quotas. It is safe for
@@ -70,17 +70,43 @@
 
 var _ relay.Quotas = (*quotas)(nil)
 
-// Admit implements relay.Quotas.
+// Admit implements relay.Quotas. A request that is to be granted within admitPatience is
+// kept until then: its caller would come back for it no sooner.
 func (q *quotas) Admit(ctx context.Context, tenant *routetable.Tenant, cost float64, priority int) relay.QuotaVerdict {
 	asked := time.Now()
-	nodes, _ := q.fleetSize(asked)
-	if by := q.takeUnasked(asked, tenant, nodes, cost); by != "" {
-		q.granted.Add(1)
-		q.tellUsed(asked, tenant, cost)
+	patience := admitPatience
+	if deadline, ok := ctx.Deadline(); ok {
+		patience = min(patience, deadline.Sub(asked)/2)
+	}
+	for {
+		verdict := q.admitNow(ctx, tenant, cost, priority)
+		pause := max(verdict.RetryIn, knowledgeCheck)
+		switch {
+		case verdict.Granted:
+			q.granted.Add(1)
+			return verdict
+		case verdict.IsUnknown && q.isYoung():
+			pause = knowledgeCheck
+		case verdict.IsUnknown:
+			return verdict
+		}
+		if ctx.Err() != nil || time.Since(asked)+pause > patience {
+			q.refused.Add(1)
+			return verdict
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// admitNow asks once.
+func (q *quotas) admitNow(ctx context.Context, tenant *routetable.Tenant, cost float64, priority int) relay.QuotaVerdict {
+	now := time.Now()
+	nodes, _ := q.fleetSize(now)
+	if by := q.takeUnasked(now, tenant, nodes, cost); by != "" {
+		q.tellUsed(now, tenant, cost)
 		return relay.QuotaVerdict{Granted: true, By: by}
 	}
-	q.awaitGiver(ctx, asked)
-	for _, giver := range q.node.peers.givers(time.Now()) {
+	for _, giver := range q.node.peers.givers(now) {
 		answer := q.ask(ctx, giver.Address, tenant, cost, priority)
 		if answer == nil {
 			continue
@@ -105,19 +131,8 @@
 	return ""
 }
 
-// awaitGiver waits a moment where the node has just started and knows no other yet.
-func (q *quotas) awaitGiver(ctx context.Context, asked time.Time) {
-	patience := giverPatience
-	if deadline, ok := ctx.Deadline(); ok {
-		patience = min(patience, deadline.Sub(asked)/2)
-	}
-	for now := asked; !q.mayGive(now) && now.Sub(asked) < patience && ctx.Err() == nil; now = time.Now() {
-		if len(q.node.peers.givers(now)) > 1 {
-			return
-		}
-		sleep(ctx, knowledgeCheck)
-	}
-}
+// isYoung reports whether this node has just started, and will soon know who gives.
+func (q *quotas) isYoung() bool { return time.Since(q.node.started) < meetsFor }
 
 // mayGive reports whether this node knows enough of the others to give.
 func (q *quotas) mayGive(now time.Time) bool {
@@ -135,10 +150,8 @@
 		RetryIn: time.Duration(answer.RetryMs) * time.Millisecond,
 	}
 	if !verdict.Granted {
-		q.refused.Add(1)
 		return verdict
 	}
-	q.granted.Add(1)
 	q.mu.Lock()
 	q.share.Granted(time.Now(), tenant.Name, tenant.Quota, nodes, cost)
 	q.mu.Unlock()
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -90,13 +90,16 @@
 	meanWeight = 0.1
 	// smallShare of the mean is up to where a request is small: it goes by what it counts.
 	smallShare = 0.25
+	// smallDebt of the burst is what small requests may use when nothing is left.
+	smallDebt = 0.1
 )
 
 // needed is what has to be left for a request: as much as the mean one counts. Were it
 // all that this one counts, the large requests of a tenant near its quota would be
 // refused nearly always and the others hardly ever. Where other nodes may give, too, a
-// larger one needs it all.
-func (a *account) needed(cost, reach float64) float64 {
+// larger one needs it all. The reserve for more urgent requests comes on top, but for a
+// small one: a short command is not held back by what a report counts.
+func (a *account) needed(allowed allowance, cost, reach float64, priority int) float64 {
 	mean := a.mean
 	if mean == 0 {
 		mean = cost
@@ -104,11 +107,11 @@
 	a.mean = mean + meanWeight*(cost-mean)
 	switch {
 	case cost < smallShare*mean:
-		return cost
+		return cost - smallDebt*allowed.burst
 	case reach < almostAll:
-		return max(cost, mean)
+		return reserve(allowed, priority) + max(cost, mean)
 	default:
-		return max(mean, cost/2)
+		return reserve(allowed, priority) + max(mean, cost/2)
 	}
 }
 
--- a/internal/quota/giver.go
+++ b/internal/quota/giver.go
@@ -46,7 +46,7 @@
 	known, allowance := g.filled(now, tenant, quota, reach)
 	verdict := Verdict{Left: known.left(now, allowance)}
 	// One that is larger than the bucket ever is was never within the quota.
-	missing := reserve(allowance, priority) + known.needed(cost, reach) - verdict.Left
+	missing := known.needed(allowance, cost, reach, priority) - verdict.Left
 	if missing > 0 || cost > allowance.burst {
 		verdict.RetryIn = known.refuse(now, allowance, missing, cost)
 		return verdict
--- a/internal/quota/schedule_test.go
+++ b/internal/quota/schedule_test.go
@@ -482,3 +482,16 @@
 		t.Errorf("%.2f of the small and %.2f of the large requests are granted", small, large)
 	}
 }
+
+// TestShortCommandsAreNotHeldBack: what they count is little, whatever their priority.
+func TestShortCommandsAreNotHeldBack(t *testing.T) {
+	quota := routetable.Quota{PerSecond: 30_000, Burst: 30_000}
+	giver := NewGiver(Tolerance{Window: window})
+	for elapsed := time.Duration(0); elapsed < 30*time.Second; elapsed += 100 * time.Millisecond {
+		now := begin.Add(elapsed)
+		giver.Ask(now, "t", quota, 1, 9000, 1)
+		if verdict := giver.Ask(now, "t", quota, 1, 200, 2); !verdict.Granted && elapsed > 5*time.Second {
+			t.Fatalf("after %v a short command is refused: %+v", elapsed, verdict)
+		}
+	}
+}
