Tell words of quotas more often in fleets of over a hundred nodes; docs

At 300 nodes a word came each 0.6 s, and is believed for 0.5: all requests of limited tenants were asked for. 1 ms a node in place of 2: 0.3 s.

--- a/internal/edge/quotas_giver.go
+++ b/internal/edge/quotas_giver.go
@@ -70,11 +70,12 @@
 }
 
 // wordPeriod is the time between two words of a giver to all, wordShare, which counts
-// for each node, bounds what that costs in large fleets; beyond some two hundred nodes
-// words are older than they are believed, and the tenants' requests are asked for.
+// for each node, bounds what that costs in large fleets to a thousand datagrams a
+// second; beyond some four hundred nodes words are older than they are believed, and
+// the tenants' requests are asked for.
 const (
 	wordPeriod = gossipPeriod
-	wordShare  = 2 * time.Millisecond
+	wordShare  = time.Millisecond
 )
 
 // speak lets all nodes know which tenants are near their quota: in each period, and at
