Soak: what a harmed way held is not new work at a leaving server

Ruled out: a send after the word of its leaving (the node had it 0.01 s after the store, the request came 1.1 s before). The judge was wrong by the operators' rule on held links; it excuses only what was asked for within the bound and crossed a harmed way to that very server, and its test has the three cases.

--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -17,6 +17,9 @@
 	plannedAtNode
 	// atServer ones excuse what a server or the way to it did.
 	atServer
+	// onWayToServer ones, whose node is the server's identity, excuse that what was sent
+	// in time came late.
+	onWayToServer
 	// atStore ones excuse what hangs on changes that the store tells, and nothing
 	// of requests under way.
 	atStore
@@ -361,6 +364,7 @@
 		return
 	}
 	s.trouble(atServer, "", "way to "+m.id+" "+what, drawn.took)
+	s.trouble(onWayToServer, m.id, "its way is "+what, drawn.took)
 	m.way.set(everybody, f)
 	if resets {
 		m.way.reset()
--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -52,6 +52,21 @@
 			s.servers[0].ranAt["a"] = at(soakDrain + time.Millisecond)
 			s.troubles = []span{{place: atStore, from: at(0), to: at(time.Second)}}
 		}},
+		{"", func(s *soak) {
+			s.left["i"] = at(0)
+			s.servers[0].ranAt["a"] = at(soakDrain + time.Millisecond)
+			s.troubles = []span{{place: onWayToServer, node: "i", from: at(0), to: at(time.Second)}}
+		}},
+		{"DRAIN", func(s *soak) {
+			s.left["i"] = at(0)
+			s.servers[0].ranAt["a"] = at(soakDrain + time.Millisecond)
+			s.troubles = []span{{place: onWayToServer, node: "j", from: at(0), to: at(time.Second)}}
+		}},
+		{"DRAIN", func(s *soak) {
+			s.left["i"] = at(-soakDrain - time.Millisecond)
+			s.servers[0].ranAt["a"] = at(time.Second)
+			s.troubles = []span{{place: onWayToServer, node: "i", from: at(0), to: at(time.Second)}}
+		}},
 		{"CEILING", func(s *soak) {
 			for i := range soakLoads + 1 {
 				s.servers[0].loads = append(s.servers[0].loads, at(time.Duration(i)*100*time.Millisecond))
