--- a/internal/edge/greet.go
+++ b/internal/edge/greet.go
@@ -26,7 +26,7 @@
 		meet = append(meet, state.Address)
 	}
 	if now.Sub(p.node.started) < meetsFor {
-		for _, address := range state.Peers[:min(len(state.Peers), giversNamed)] {
+		for _, address := range state.Peers[:min(len(state.Peers), coordinatorsNamed)] {
 			if !p.roster.IsHeard(address) {
 				meet = append(meet, address)
 			}
@@ -37,14 +37,14 @@
 		return
 	}
 	greeting := p.state(now)
-	for _, giver := range p.givers(now) {
-		if len(greeting.Peers) < giversNamed {
-			greeting.Peers = append(greeting.Peers, giver.Address)
+	for _, coordinator := range p.coordinators(now) {
+		if len(greeting.Peers) < coordinatorsNamed {
+			greeting.Peers = append(greeting.Peers, coordinator.Address)
 		}
 	}
 	p.send(trafficGossip, meet, greeting)
 }
 
-// giversNamed is the number of nodes that a greeting names before others: those that
+// coordinatorsNamed is the number of nodes that a greeting names before others: those that
 // give quotas, which are the strongest.
-const giversNamed = 3
+const coordinatorsNamed = 3
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -116,8 +116,8 @@
 	m.counter("connections_total", "Connections opened to servers.", node.pool.Dialled)
 	m.counter("quota_granted_total", "Requests of limited tenants within their quota.", node.quotas.granted.Load)
 	m.counter("quota_refused_total", "Requests refused as beyond their tenant's quota.", node.quotas.refused.Load)
-	m.counter("quota_alone_total", "Requests decided without a giver of quotas.", node.quotas.alone.Load)
-	m.counter("quota_unanswered_total", "Questions to givers of quotas without an answer.", node.quotas.unanswered.Load)
+	m.counter("quota_alone_total", "Requests decided without a coordinator of quotas.", node.quotas.alone.Load)
+	m.counter("quota_unanswered_total", "Questions to coordinators of quotas without an answer.", node.quotas.unanswered.Load)
 	for what := range trafficKinds {
 		m.counter("peer_"+what.String()+"_bytes_total", "Bytes sent to peers: "+what.String()+".", func() int64 { return node.peers.sentBytes[what].Load() })
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -254,8 +254,8 @@
 	targets := p.roster.Targets(now, fanout)
 	deciders := p.roster.Deciders(now)
 	if p.node.hasQuotas() {
-		// A giver has to know how many nodes it gives for.
-		deciders = union(deciders, p.roster.Givers(now, true))
+		// A coordinator has to know how many nodes it gives for.
+		deciders = union(deciders, p.roster.Coordinators(now, true))
 	}
 	p.noteAlive(now)
 	p.mu.Unlock()
@@ -271,11 +271,11 @@
 	p.send(trafficWanted, deciders, state)
 }
 
-// union adds the givers that are not among the addresses, but for this node.
-func union(addresses []string, givers []gossip.Giver) []string {
-	for _, giver := range givers {
-		if !slices.Contains(addresses, giver.Address) {
-			addresses = append(addresses, giver.Address)
+// union adds the coordinators that are not among the addresses, but for this node.
+func union(addresses []string, coordinators []gossip.Coordinator) []string {
+	for _, coordinator := range coordinators {
+		if !slices.Contains(addresses, coordinator.Address) {
+			addresses = append(addresses, coordinator.Address)
 		}
 	}
 	return addresses
--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	// askTimeout is how long a giver's answer is waited for: twenty times the way there
+	// askTimeout is how long a coordinator's answer is waited for: twenty times the way there
 	// and back. Nodes whose processor is used up take tens of milliseconds each.
 	askTimeout = 100 * time.Millisecond
-	// giverSilence is after how long without a word the next node gives in a giver's
-	// place; givers hear each other in each period.
-	giverSilence = 7 * gossipPeriod / 2
-	// A giver that left mostUnanswered questions in a row without an answer is not asked
+	// coordinatorSilence is after how long without a word the next node gives in a coordinator's
+	// place; coordinators hear each other in each period.
+	coordinatorSilence = 7 * gossipPeriod / 2
+	// A coordinator that left mostUnanswered questions in a row without an answer is not asked
 	// for unansweredTime: one late answer says little of it.
 	mostUnanswered = 3
 	unansweredTime = time.Second
@@ -40,17 +40,17 @@
 type quotas struct {
 	node *Node
 	mu   sync.Mutex
-	// giver is what this node gave as the giver, and share its own part.
-	giver *quota.Giver
-	share *quota.Share
-	words *quota.Words
-	fleet quota.Fleet
+	// coordinator is what this node gave as the coordinator, and share its own part.
+	coordinator *quota.Coordinator
+	share       *quota.Share
+	advisories  *quota.Advisories
+	fleet       quota.Fleet
 	// wasTold is set once this node was told how large the fleet is.
 	wasTold bool
 	waiting map[uint64]chan *peerpb.QuotaCall
-	// silent are givers that did not answer.
+	// silent are coordinators that did not answer.
 	silent map[string]silence
-	// told are the closed tenants that this node last told as the giver, and toldAt when.
+	// told are the closed tenants that this node last told as the coordinator, and toldAt when.
 	told   string
 	toldAt time.Time
 	// Counters for metrics.
@@ -59,12 +59,12 @@
 
 func newQuotas(node *Node, tolerance quota.Tolerance, isFirst bool) *quotas {
 	return &quotas{
-		node:    node,
-		giver:   quota.NewGiver(tolerance),
-		share:   quota.NewShare(tolerance, isFirst),
-		words:   quota.NewWords(),
-		waiting: make(map[uint64]chan *peerpb.QuotaCall),
-		silent:  make(map[string]silence),
+		node:        node,
+		coordinator: quota.NewCoordinator(tolerance),
+		share:       quota.NewShare(tolerance, isFirst),
+		advisories:  quota.NewAdvisories(),
+		waiting:     make(map[uint64]chan *peerpb.QuotaCall),
+		silent:      make(map[string]silence),
 	}
 }
 
@@ -106,12 +106,12 @@
 		q.tellUsed(now, tenant, cost)
 		return relay.QuotaVerdict{Granted: true, By: by}
 	}
-	for _, giver := range q.node.peers.givers(now) {
-		answer := q.ask(ctx, giver.Address, tenant, cost, priority)
+	for _, coordinator := range q.node.peers.coordinators(now) {
+		answer := q.ask(ctx, coordinator.Address, tenant, cost, priority)
 		if answer == nil {
 			continue
 		}
-		return q.answered(tenant, cost, nodes, giver.Address, answer)
+		return q.answered(tenant, cost, nodes, coordinator.Address, answer)
 	}
 	return q.admitAlone(tenant, cost, nodes)
 }
@@ -121,7 +121,7 @@
 func (q *quotas) takeUnasked(now time.Time, tenant *routetable.Tenant, nodes int, cost float64) string {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.words.IsOpen(now, tenant.Name) {
+	if q.advisories.IsOpen(now, tenant.Name) {
 		q.share.Granted(now, tenant.Name, tenant.Quota, nodes, cost)
 		return "open"
 	}
@@ -143,10 +143,10 @@
 	return age >= givesAfter || (told && age >= givesToldAfter) || len(q.node.options.Tunables.PeerSeeds) == 0
 }
 
-// answered takes a giver's word.
-func (q *quotas) answered(tenant *routetable.Tenant, cost float64, nodes int, giver string, answer *peerpb.QuotaCall) relay.QuotaVerdict {
+// answered takes a coordinator's advisory.
+func (q *quotas) answered(tenant *routetable.Tenant, cost float64, nodes int, coordinator string, answer *peerpb.QuotaCall) relay.QuotaVerdict {
 	verdict := relay.QuotaVerdict{
-		Granted: answer.Kind == peerpb.QuotaCall_GRANTED, By: giver, Left: float64(answer.Left),
+		Granted: answer.Kind == peerpb.QuotaCall_GRANTED, By: coordinator, Left: float64(answer.Left),
 		RetryIn: time.Duration(answer.RetryMs) * time.Millisecond,
 	}
 	if !verdict.Granted {
@@ -158,7 +158,7 @@
 	return verdict
 }
 
-// admitAlone decides where no giver answers.
+// admitAlone decides where no coordinator answers.
 func (q *quotas) admitAlone(tenant *routetable.Tenant, cost float64, nodes int) relay.QuotaVerdict {
 	now := time.Now()
 	q.alone.Add(1)
@@ -179,23 +179,23 @@
 	q.tellUsed(now, tenant, -cost)
 }
 
-// tellUsed tells the giver what was used without asking.
+// tellUsed tells the coordinator what was used without asking.
 func (q *quotas) tellUsed(now time.Time, tenant *routetable.Tenant, cost float64) {
 	call := &peerpb.QuotaCall{Kind: peerpb.QuotaCall_USED, Asker: q.node.options.PeerAddress, Tenant: tenant.Name, Cost: int64(cost)}
-	for _, giver := range q.node.peers.givers(now) {
-		if q.isSilent(now, giver.Address) {
+	for _, coordinator := range q.node.peers.coordinators(now) {
+		if q.isSilent(now, coordinator.Address) {
 			continue
 		}
-		if giver.Address == q.node.options.PeerAddress {
+		if coordinator.Address == q.node.options.PeerAddress {
 			q.take(call)
 		} else {
-			q.node.peers.sendQuota(giver.Address, call)
+			q.node.peers.sendQuota(coordinator.Address, call)
 		}
 		return
 	}
 }
 
-// ask asks one giver; nil is no answer.
+// ask asks one coordinator; nil is no answer.
 func (q *quotas) ask(ctx context.Context, address string, tenant *routetable.Tenant, cost float64, priority int) *peerpb.QuotaCall {
 	now := time.Now()
 	call := &peerpb.QuotaCall{
@@ -243,7 +243,7 @@
 	return answer
 }
 
-// silence is the questions in a row that a giver did not answer, and the last of them.
+// silence is the questions in a row that a coordinator did not answer, and the last of them.
 type silence struct {
 	questions int
 	at        time.Time
--- a/internal/edge/quotas_giver.go
+++ b/internal/edge/quotas_coordinator.go
@@ -24,9 +24,9 @@
 		if call.Kind == peerpb.QuotaCall_ASK {
 			q.node.peers.sendQuota(call.Asker, answer)
 		}
-	case peerpb.QuotaCall_WORD:
+	case peerpb.QuotaCall_ADVISORY:
 		q.mu.Lock()
-		q.words.Hear(now, call.Asker, call.Closed)
+		q.advisories.Hear(now, call.Asker, call.Closed)
 		q.mu.Unlock()
 	default:
 		q.mu.Lock()
@@ -42,7 +42,7 @@
 	}
 }
 
-// decide answers as the giver.
+// decide answers as the coordinator.
 func (q *quotas) decide(now time.Time, call *peerpb.QuotaCall) *peerpb.QuotaCall {
 	answer := &peerpb.QuotaCall{Kind: peerpb.QuotaCall_UNKNOWN, Id: call.Id, Tenant: call.Tenant}
 	tenant, ok := q.tenant(call.Tenant)
@@ -57,10 +57,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if call.Kind == peerpb.QuotaCall_USED {
-		q.giver.Used(now, tenant.Name, tenant.Quota, reach, float64(call.Cost))
+		q.coordinator.Used(now, tenant.Name, tenant.Quota, reach, float64(call.Cost))
 		return answer
 	}
-	verdict := q.giver.Ask(now, tenant.Name, tenant.Quota, reach, float64(call.Cost), int(call.Priority))
+	verdict := q.coordinator.Ask(now, tenant.Name, tenant.Quota, reach, float64(call.Cost), int(call.Priority))
 	answer.Kind, answer.Left = peerpb.QuotaCall_REFUSED, int64(verdict.Left)
 	answer.RetryMs = uint32(min(verdict.RetryIn, longestAge).Milliseconds())
 	if verdict.Granted {
@@ -69,13 +69,13 @@
 	return answer
 }
 
-// wordPeriod is the time between two words of a giver to all, wordShare, which counts
+// advisoryPeriod is the time between two advisories of a coordinator to all, advisoryShare, which counts
 // for each node, bounds what that costs in large fleets to a thousand datagrams a
-// second; beyond some four hundred nodes words are older than they are believed, and
+// second; beyond some four hundred nodes advisories are older than they are believed, and
 // the tenants' requests are asked for.
 const (
-	wordPeriod = gossipPeriod
-	wordShare  = time.Millisecond
+	advisoryPeriod = gossipPeriod
+	advisoryShare  = time.Millisecond
 )
 
 // speak lets all nodes know which tenants are near their quota: in each period, and at
@@ -87,19 +87,19 @@
 	if _, reach := q.fleetSize(now); reach < quota.LeastReach {
 		return
 	}
-	period := max(wordPeriod, q.node.nodes()*wordShare)
+	period := max(advisoryPeriod, q.node.nodes()*advisoryShare)
 	q.mu.Lock()
-	closed := q.giver.Closed()
+	closed := q.coordinator.Closed()
 	slices.Sort(closed)
 	joined := strings.Join(closed, ",")
 	due := joined != q.told || now.Sub(q.toldAt) >= period-gossipPeriod/4
 	if due {
 		q.told, q.toldAt = joined, now
-		q.words.Hear(now, q.node.options.PeerAddress, closed)
+		q.advisories.Hear(now, q.node.options.PeerAddress, closed)
 	}
 	q.mu.Unlock()
 	if due {
-		q.node.peers.tellAll(&peerpb.QuotaCall{Kind: peerpb.QuotaCall_WORD, Asker: q.node.options.PeerAddress, Closed: closed})
+		q.node.peers.tellAll(&peerpb.QuotaCall{Kind: peerpb.QuotaCall_ADVISORY, Asker: q.node.options.PeerAddress, Closed: closed})
 	}
 }
 
@@ -112,32 +112,32 @@
 }
 
 // better is the node that gives before this one and was heard from lately; empty where
-// this node is the giver.
+// this node is the coordinator.
 func (q *quotas) better(now time.Time) string {
-	for _, giver := range q.node.peers.givers(now) {
-		if giver.Address == q.node.options.PeerAddress {
+	for _, coordinator := range q.node.peers.coordinators(now) {
+		if coordinator.Address == q.node.options.PeerAddress {
 			return ""
 		}
-		if now.Sub(giver.Seen) < giverSilence {
-			return giver.Address
+		if now.Sub(coordinator.Seen) < coordinatorSilence {
+			return coordinator.Address
 		}
 	}
 	return ""
 }
 
-// observe is called in each period: a giver that stood still has to notice.
+// observe is called in each period: a coordinator that stood still has to notice.
 func (q *quotas) observe(now time.Time) {
-	isGiver := q.better(now) == ""
+	isCoordinator := q.better(now) == ""
 	q.mu.Lock()
-	q.giver.Observe(now)
-	q.keep(now, isGiver)
+	q.coordinator.Observe(now)
+	q.keep(now, isCoordinator)
 	q.mu.Unlock()
 	q.speak(now)
 }
 
 // keep opens the accounts of all tenants, so that they are full when callers come. The
 // lock is held.
-func (q *quotas) keep(now time.Time, isGiver bool) {
+func (q *quotas) keep(now time.Time, isCoordinator bool) {
 	table := q.node.handler.Table()
 	if table == nil || !table.HasQuotas() {
 		return
@@ -149,8 +149,8 @@
 			continue
 		}
 		q.share.Left(now, tenant.Name, tenant.Quota, nodes)
-		if isGiver {
-			q.giver.Keep(now, tenant.Name, tenant.Quota, reach)
+		if isCoordinator {
+			q.coordinator.Keep(now, tenant.Name, tenant.Quota, reach)
 		}
 	}
 }
@@ -158,14 +158,14 @@
 // sweep drops what is not needed: the buckets of tenants that are gone and, where
 // another node gives, what this one gave before.
 func (q *quotas) sweep(now time.Time) {
-	isGiver := q.better(now) == ""
+	isCoordinator := q.better(now) == ""
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	keep := func(name string) bool { _, ok := q.tenant(name); return ok }
 	q.share.Prune(keep)
-	if isGiver {
-		q.giver.Prune(keep)
+	if isCoordinator {
+		q.coordinator.Prune(keep)
 	} else {
-		q.giver.Forget()
+		q.coordinator.Forget()
 	}
 }
--- a/internal/edge/quotas_fleet.go
+++ b/internal/edge/quotas_fleet.go
@@ -12,11 +12,11 @@
 	return table != nil && table.HasQuotas()
 }
 
-// givers are the nodes that may give quotas, in order.
-func (p *peers) givers(now time.Time) []gossip.Giver {
+// coordinators are the nodes that may give quotas, in order.
+func (p *peers) coordinators(now time.Time) []gossip.Coordinator {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.roster.Givers(now, p.node.stopping.Load())
+	return p.roster.Coordinators(now, p.node.stopping.Load())
 }
 
 // standing is how many nodes this one knew of lately, and how many it hears from.
--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -53,16 +53,16 @@
 	return tenant
 }
 
-// TestStrongestNodeGives: another asks it, is granted what it has and refused more,
+// TestStrongestNodeCoordinates: another asks it, is granted what it has and refused more,
 // with the time to come back.
-func TestStrongestNodeGives(t *testing.T) {
-	giver, asker := newLimited(t, 900), newLimited(t, 100)
-	meet(giver, asker)
+func TestStrongestNodeCoordinates(t *testing.T) {
+	coordinator, asker := newLimited(t, 900), newLimited(t, 100)
+	meet(coordinator, asker)
 	tenant := tenantOf(t, asker)
 	now := time.Now()
-	giver.quotas.giver.Ask(now, "north", tenant.Quota, 1, 0, 0)
+	coordinator.quotas.coordinator.Ask(now, "north", tenant.Quota, 1, 0, 0)
 	got := asker.quotas.Admit(context.Background(), tenant, 700, 0)
-	if !got.Granted || got.By != giver.options.PeerAddress {
+	if !got.Granted || got.By != coordinator.options.PeerAddress {
 		t.Errorf("%+v, want granted by the strongest node", got)
 	}
 	asker.quotas.Admit(context.Background(), tenant, 9000, 0)
@@ -70,56 +70,56 @@
 	if got.Granted || got.RetryIn <= 0 || got.RetryIn > 3*time.Second {
 		t.Errorf("%+v, want refused for about a second", got)
 	}
-	if level := giver.quotas.giver.Ask(time.Now(), "north", tenant.Quota, 1, 1e9, 0).Left; level > 3000 {
-		t.Errorf("the giver has %.0f left", level)
+	if level := coordinator.quotas.coordinator.Ask(time.Now(), "north", tenant.Quota, 1, 1e9, 0).Left; level > 3000 {
+		t.Errorf("the coordinator has %.0f left", level)
 	}
 }
 
-// TestSilentGiverIsPassedOver: the node lives on its own share, and asks a giver that
+// TestSilentCoordinatorIsPassedOver: the node lives on its own share, and asks a coordinator that
 // did not answer only once a second.
-func TestSilentGiverIsPassedOver(t *testing.T) {
-	giver, asker := newLimited(t, 900), newLimited(t, 100)
-	meet(giver, asker)
-	_ = giver.peers.conn.Close()
+func TestSilentCoordinatorIsPassedOver(t *testing.T) {
+	coordinator, asker := newLimited(t, 900), newLimited(t, 100)
+	meet(coordinator, asker)
+	_ = coordinator.peers.conn.Close()
 	tenant := tenantOf(t, asker)
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
 	got := asker.quotas.Admit(ctx, tenant, 5000, 0)
 	if got.Granted || got.By != "alone" {
-		t.Errorf("%+v of a node that just started and reaches no giver, want refused", got)
+		t.Errorf("%+v of a node that just started and reaches no coordinator, want refused", got)
 	}
 	for range 2 * mostUnanswered {
 		asker.quotas.Admit(context.Background(), tenant, 5000, 0)
 	}
 	if asked := asker.quotas.unanswered.Load(); asked != mostUnanswered {
-		t.Errorf("%d questions without an answer: a silent giver was asked again at once", asked)
+		t.Errorf("%d questions without an answer: a silent coordinator was asked again at once", asked)
 	}
 }
 
-// TestAskedNodeSendsOnToTheGiver: a node that hears one before it does not give.
-func TestAskedNodeSendsOnToTheGiver(t *testing.T) {
-	giver, second, asker := newLimited(t, 900), newLimited(t, 500), newLimited(t, 100)
-	meet(giver, second)
+// TestAskedNodeSendsOnToTheCoordinator: a node that hears one before it does not give.
+func TestAskedNodeSendsOnToTheCoordinator(t *testing.T) {
+	coordinator, second, asker := newLimited(t, 900), newLimited(t, 500), newLimited(t, 100)
+	meet(coordinator, second)
 	meet(second, asker)
 	got := asker.quotas.Admit(context.Background(), tenantOf(t, asker), 700, 0)
 	if !got.Granted {
 		t.Errorf("%+v", got)
 	}
-	giver.quotas.mu.Lock()
-	defer giver.quotas.mu.Unlock()
-	tenant := tenantOf(t, giver)
-	if level := giver.quotas.giver.Ask(time.Now(), "north", tenant.Quota, 1, 1e9, 0).Left; level > 700 {
-		t.Errorf("the giver has %.0f left: it was not asked", level)
+	coordinator.quotas.mu.Lock()
+	defer coordinator.quotas.mu.Unlock()
+	tenant := tenantOf(t, coordinator)
+	if level := coordinator.quotas.coordinator.Ask(time.Now(), "north", tenant.Quota, 1, 1e9, 0).Left; level > 700 {
+		t.Errorf("the coordinator has %.0f left: it was not asked", level)
 	}
 }
 
 // TestRequestWaitsForItsQuota: one that will be granted in a moment is not sent away.
 func TestRequestWaitsForItsQuota(t *testing.T) {
-	giver, asker := newLimited(t, 900), newLimited(t, 100)
-	meet(giver, asker)
+	coordinator, asker := newLimited(t, 900), newLimited(t, 100)
+	meet(coordinator, asker)
 	tenant := tenantOf(t, asker)
-	for giver.quotas.giver.Ask(time.Now(), "north", tenant.Quota, 1, 700, 0).Granted {
-		t.Log("the giver begins with a little")
+	for coordinator.quotas.coordinator.Ask(time.Now(), "north", tenant.Quota, 1, 700, 0).Granted {
+		t.Log("the coordinator begins with a little")
 	}
 	if got := asker.quotas.Admit(context.Background(), tenant, 1500, 0); !got.Granted {
 		t.Errorf("%+v for a request that is within the quota in 0.2 s", got)
--- a/internal/gossip/givers.go
+++ b/internal/gossip/coordinators.go
@@ -2,30 +2,30 @@
 
 import "time"
 
-// Giver is a node that may give the tenants' quotas.
-type Giver struct {
+// Coordinator is a node that may give the tenants' quotas.
+type Coordinator struct {
 	Address string
 	// Seen is when it was last heard from.
 	Seen time.Time
 }
 
-// Givers are the nodes that give quotas, the first that lives doing it: the strongest
+// Coordinators are the nodes that give quotas, the first that lives doing it: the strongest
 // machines, whether or not the store answers them. This node is among them unless it
 // is leaving.
-func (r *Roster) Givers(now time.Time, leaving bool) []Giver {
-	var givers []Giver
+func (r *Roster) Coordinators(now time.Time, leaving bool) []Coordinator {
+	var coordinators []Coordinator
 	placed := leaving
-	for _, peer := range r.summarize(now).givers {
+	for _, peer := range r.summarize(now).coordinators {
 		if !placed && !r.precedes(peer) {
 			placed = true
-			givers = append(givers, Giver{Address: r.self, Seen: now})
+			coordinators = append(coordinators, Coordinator{Address: r.self, Seen: now})
 		}
-		givers = append(givers, Giver{Address: peer.Address, Seen: peer.LastSeen})
+		coordinators = append(coordinators, Coordinator{Address: peer.Address, Seen: peer.LastSeen})
 	}
 	if !placed {
-		givers = append(givers, Giver{Address: r.self, Seen: now})
+		coordinators = append(coordinators, Coordinator{Address: r.self, Seen: now})
 	}
-	return givers[:min(len(givers), giverCount)]
+	return coordinators[:min(len(coordinators), coordinatorCount)]
 }
 
 // Standing is the number of nodes that may share a budget, and of those among them that
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -37,8 +37,8 @@
 	first []*Peer
 	// fresh is the number of nodes heard from within freshTime, this one included.
 	fresh int
-	// givers are the nodes that give quotas, in their order, beside this one.
-	givers []*Peer
+	// coordinators are the nodes that give quotas, in their order, beside this one.
+	coordinators []*Peer
 }
 
 // standing is what of a node counts in a summary.
@@ -86,7 +86,7 @@
 	if peer.Leaving {
 		return
 	}
-	s.givers = insertByStrength(s.givers, peer, giverCount)
+	s.coordinators = insertByStrength(s.coordinators, peer, coordinatorCount)
 	precedes := roster.precedes(peer)
 	if precedes {
 		s.rank++
@@ -108,8 +108,8 @@
 	// freshTime is how long after its last word a node counts as one that can be
 	// heard, where it speaks in each period: four of these.
 	freshTime = 800 * time.Millisecond
-	// giverCount is the number of nodes that may give quotas, one after the other.
-	giverCount = 3
+	// coordinatorCount is the number of nodes that may give quotas, one after the other.
+	coordinatorCount = 3
 )
 
 // insertByStrength puts a node into a list of the strongest, of which most are kept;
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -6,7 +6,7 @@
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
-// allowance is what a giver may give of one quota.
+// allowance is what a coordinator may give of one quota.
 type allowance struct {
 	// perSecond and burst are those of a token bucket: what comes within it is granted
 	// as it comes.
@@ -19,7 +19,7 @@
 	length time.Duration
 }
 
-// allowance is what a giver gives of a quota that hears from a part of the nodes.
+// allowance is what a coordinator gives of a quota that hears from a part of the nodes.
 func (t Tolerance) allowance(quota routetable.Quota, part float64) allowance {
 	seconds := max(1, t.Window.Seconds())
 	allowed := allowance{
@@ -36,7 +36,7 @@
 // that every window is covered.
 const slots = 16
 
-// account is what a giver knows of one tenant: a token bucket, a second one for what a
+// account is what a coordinator knows of one tenant: a token bucket, a second one for what a
 // window allows beyond it, and the sum of the last window. A tenant that always sends
 // more than the bucket gives is so granted all that a window may hold, evenly.
 type account struct {
@@ -62,7 +62,7 @@
 func (a *account) fill(now time.Time, allowed allowance) {
 	a.bucket.fill(now, allowed.perSecond, allowed.burst)
 	if now.Sub(a.opened) < allowed.length {
-		// What another giver granted in this window is not known.
+		// What another coordinator granted in this window is not known.
 		a.pace.at = now
 	}
 	a.pace.fill(now, allowed.pace, allowed.pace*allowed.slot().Seconds())
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -21,11 +21,11 @@
 	// paceShare of the burst is granted again in each window to who sends more than the
 	// quota's rate all the time: a window may hold the burst, whenever it was.
 	paceShare = 0.6
-	// newcomerShare of the slack is what a giver that knows nothing of the past begins
+	// newcomerShare of the slack is what a coordinator that knows nothing of the past begins
 	// with. It begins below the quota's burst, which the one before it may have given.
 	newcomerShare = 0.1
 	// spareShare of the slack is what all nodes together may grant alone in a window,
-	// whatever they owe: enough for short calls, which must not fail for want of a giver.
+	// whatever they owe: enough for short calls, which must not fail for want of a coordinator.
 	spareShare = 0.25
 )
 
--- a/internal/quota/giver.go
+++ b/internal/quota/coordinator.go
@@ -6,18 +6,18 @@
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
-// majorityReach is what a giver gives that hears from half of the nodes or more: those
+// majorityReach is what a coordinator gives that hears from half of the nodes or more: those
 // that are silent may be dead, and their callers come to the others. Two halves of a
 // fleet that are cut from each other give 2 x 0.55 of the quota then, which the
-// tolerance bears. A giver that hears from fewer gives their part.
+// tolerance bears. A coordinator that hears from fewer gives their part.
 const majorityReach = 0.55
 
-// longestPause is the time after which a giver that was not observed takes it that it
+// longestPause is the time after which a coordinator that was not observed takes it that it
 // stood still, and that another gave meanwhile.
 const longestPause = time.Second
 
-// Giver grants requests of tenants on behalf of all nodes.
-type Giver struct {
+// Coordinator grants requests of tenants on behalf of all nodes.
+type Coordinator struct {
 	tolerance Tolerance
 	accounts  map[string]*account
 	observed  time.Time
@@ -25,7 +25,7 @@
 	newcomer float64
 }
 
-// Verdict is a giver's answer.
+// Verdict is a coordinator's answer.
 type Verdict struct {
 	Granted bool
 	// Left is what the tenant had left before this request.
@@ -34,15 +34,15 @@
 	RetryIn time.Duration
 }
 
-// NewGiver returns a giver that knows nothing of the past.
-func NewGiver(tolerance Tolerance) *Giver {
-	return &Giver{tolerance: tolerance, accounts: make(map[string]*account), newcomer: newcomerShare * tolerance.Slack}
+// NewCoordinator returns a coordinator that knows nothing of the past.
+func NewCoordinator(tolerance Tolerance) *Coordinator {
+	return &Coordinator{tolerance: tolerance, accounts: make(map[string]*account), newcomer: newcomerShare * tolerance.Slack}
 }
 
 // Ask draws cost from what the tenant may use, or nothing. Reach is the part
 // of all nodes that this one hears from; requests of a priority other than 0, the
 // highest, leave some for the more urgent ones.
-func (g *Giver) Ask(now time.Time, tenant string, quota routetable.Quota, reach, cost float64, priority int) Verdict {
+func (g *Coordinator) Ask(now time.Time, tenant string, quota routetable.Quota, reach, cost float64, priority int) Verdict {
 	known, allowance := g.filled(now, tenant, quota, reach)
 	verdict := Verdict{Left: known.left(now, allowance)}
 	// One that is larger than the bucket ever is was never within the quota.
@@ -56,12 +56,12 @@
 	return verdict
 }
 
-// LeastReach is the part of the nodes that a giver has to hear from. On an island that
-// is smaller each node lives on its share alone: what such a giver may give at once is
+// LeastReach is the part of the nodes that a coordinator has to hear from. On an island that
+// is smaller each node lives on its share alone: what such a coordinator may give at once is
 // less than one request.
 const LeastReach = 0.25
 
-// almostAll is the part of the nodes from which a giver takes it that no other gives.
+// almostAll is the part of the nodes from which a coordinator takes it that no other gives.
 const almostAll = 0.9
 
 // reserve is what requests of a priority leave of what a tenant has.
@@ -77,7 +77,7 @@
 )
 
 // Used takes that a node used cost of its own share; a cost below 0 is given back.
-func (g *Giver) Used(now time.Time, tenant string, quota routetable.Quota, reach, cost float64) {
+func (g *Coordinator) Used(now time.Time, tenant string, quota routetable.Quota, reach, cost float64) {
 	known, allowance := g.filled(now, tenant, quota, reach)
 	known.use(now, allowance, cost)
 	known.note(now, allowance)
@@ -85,20 +85,20 @@
 
 // Keep opens the account of a tenant that has not asked yet: it begins low, and is to
 // be full when the tenant comes.
-func (g *Giver) Keep(now time.Time, tenant string, quota routetable.Quota, reach float64) {
+func (g *Coordinator) Keep(now time.Time, tenant string, quota routetable.Quota, reach float64) {
 	g.filled(now, tenant, quota, reach)
 }
 
-// Observe is called several times a second: a giver that stood still longer forgets
+// Observe is called several times a second: a coordinator that stood still longer forgets
 // what it gave, as another has given meanwhile.
-func (g *Giver) Observe(now time.Time) {
+func (g *Coordinator) Observe(now time.Time) {
 	if now.Sub(g.observed) > longestPause {
 		g.Forget()
 	}
 	g.observed = now
 }
 
-// part is the part of the quota that a giver gives which hears from so many.
+// part is the part of the quota that a coordinator gives which hears from so many.
 func part(reach float64) float64 {
 	if reach >= 0.5 {
 		return min(1, max(majorityReach, reach))
@@ -106,7 +106,7 @@
 	return max(0, reach)
 }
 
-func (g *Giver) filled(now time.Time, tenant string, quota routetable.Quota, reach float64) (*account, allowance) {
+func (g *Coordinator) filled(now time.Time, tenant string, quota routetable.Quota, reach float64) (*account, allowance) {
 	g.Observe(now)
 	allowed := g.tolerance.allowance(quota, part(reach))
 	known, ok := g.accounts[tenant]
@@ -120,10 +120,10 @@
 }
 
 // Forget drops what was given: another node has given meanwhile.
-func (g *Giver) Forget() { clear(g.accounts) }
+func (g *Coordinator) Forget() { clear(g.accounts) }
 
 // Prune drops the accounts of tenants that keep reports as gone.
-func (g *Giver) Prune(keep func(tenant string) bool) {
+func (g *Coordinator) Prune(keep func(tenant string) bool) {
 	for tenant := range g.accounts {
 		if !keep(tenant) {
 			delete(g.accounts, tenant)
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -1,7 +1,7 @@
 // Package quota is the core that keeps each tenant below its quota over all nodes.
-// One node at a time, the giver, keeps a token bucket for each tenant (Giver). Every
-// node has a share of it of its own (Share) that it may use at once, telling the giver
-// afterwards; beyond that it asks the giver, and where no giver answers it lives on
+// One node at a time, the coordinator, keeps a token bucket for each tenant (Coordinator). Every
+// node has a share of it of its own (Share) that it may use at once, telling the coordinator
+// afterwards; beyond that it asks the coordinator, and where no coordinator answers it lives on
 // its share alone. docs/design/quotas.md has the ways weighed and the error of each
 // failure.
 //
--- a/internal/quota/schedule_test.go
+++ b/internal/quota/schedule_test.go
@@ -10,7 +10,7 @@
 )
 
 // The fleet below plays the ladder that a node climbs for each request (its share, the
-// givers in order, alone) on a virtual clock under faults that are drawn from a seed,
+// coordinators in order, alone) on a virtual clock under faults that are drawn from a seed,
 // and adds up what was granted over all nodes.
 
 const (
@@ -18,10 +18,10 @@
 	tick   = 50 * time.Millisecond
 	// hearing is the time between two words of a node to the others.
 	hearing = 4 * tick
-	// givers is the number of nodes that may give.
-	givers = 3
-	// giverSilent is how long after its last word the next node gives in a giver's place.
-	giverSilent = 700 * time.Millisecond
+	// coordinators is the number of nodes that may give.
+	coordinators = 3
+	// coordinatorSilent is how long after its last word the next node gives in a coordinator's place.
+	coordinatorSilent = 700 * time.Millisecond
 	// countedFor is how long a silent node counts among those that share the quota.
 	countedFor = 30 * time.Second
 	// freshFor is how long after its last word a node counts as one that can be heard,
@@ -39,30 +39,30 @@
 
 const (
 	defectNone defect = iota
-	// defectUntold leaves the giver without a word of what was used without asking.
+	// defectUntold leaves the coordinator without a word of what was used without asking.
 	defectUntold
-	// defectBlind lets a giver give the whole quota whomever it hears from.
+	// defectBlind lets a coordinator give the whole quota whomever it hears from.
 	defectBlind
 	// defectWholeShare gives each node the whole quota as its share.
 	defectWholeShare
-	// defectFull lets a giver that knows nothing of the past begin with the burst.
+	// defectFull lets a coordinator that knows nothing of the past begin with the burst.
 	defectFull
-	// defectAlone grants whatever comes where no giver answers.
+	// defectAlone grants whatever comes where no coordinator answers.
 	defectAlone
 )
 
 type simNode struct {
-	giver *Giver
-	share *Share
+	coordinator *Coordinator
+	share       *Share
 	// side is the part of a fleet cut in two that the node is in; down is until when
 	// it is dead or stands still.
 	side int
 	down time.Time
 	// heard is when the node last heard from each other.
-	heard  []time.Time
-	fleet  Fleet
-	words  *Words
-	closed bool
+	heard      []time.Time
+	fleet      Fleet
+	advisories *Advisories
+	closed     bool
 }
 
 type grant struct {
@@ -98,9 +98,9 @@
 
 func (f *simFleet) restart(i int) {
 	node := f.nodes[i]
-	node.giver, node.share, node.fleet, node.words = NewGiver(tolerance), NewShare(tolerance, f.now.Equal(begin)), Fleet{}, NewWords()
+	node.coordinator, node.share, node.fleet, node.advisories = NewCoordinator(tolerance), NewShare(tolerance, f.now.Equal(begin)), Fleet{}, NewAdvisories()
 	if f.defect == defectFull {
-		node.giver.newcomer = tolerance.allowance(f.quota, 1).burst
+		node.coordinator.newcomer = tolerance.allowance(f.quota, 1).burst
 	}
 	// The store tells how many there were.
 	node.fleet.Told(f.now, len(f.nodes))
@@ -138,16 +138,16 @@
 // better is whether i hears a node that gives before it.
 func (f *simFleet) better(i int) (int, bool) {
 	for other := range i {
-		if f.now.Sub(f.nodes[i].heard[other]) < giverSilent {
+		if f.now.Sub(f.nodes[i].heard[other]) < coordinatorSilent {
 			return other, true
 		}
 	}
 	return 0, false
 }
 
-// giverFor is the node that decides on a request of i; false where none answers.
-func (f *simFleet) giverFor(i int) (int, bool) {
-	for asked := range givers {
+// coordinatorFor is the node that decides on a request of i; false where none answers.
+func (f *simFleet) coordinatorFor(i int) (int, bool) {
+	for asked := range coordinators {
 		if asked != i && !f.reaches(i, asked) {
 			continue
 		}
@@ -172,26 +172,26 @@
 	if f.defect == defectWholeShare {
 		count = 1
 	}
-	giver, found := f.giverFor(i)
-	if node.words.IsOpen(f.now, "t") {
+	coordinator, found := f.coordinatorFor(i)
+	if node.advisories.IsOpen(f.now, "t") {
 		node.share.Granted(f.now, "t", f.quota, count, cost)
 		if found && f.defect != defectUntold {
-			_, reach := f.count(giver)
-			f.nodes[giver].giver.Used(f.now, "t", f.quota, reach, cost)
-			f.speak(giver)
+			_, reach := f.count(coordinator)
+			f.nodes[coordinator].coordinator.Used(f.now, "t", f.quota, reach, cost)
+			f.speak(coordinator)
 		}
 		return f.granted(cost)
 	}
 	if node.share.Take(f.now, "t", f.quota, count, cost) {
 		if found {
-			_, reach := f.count(giver)
-			f.nodes[giver].giver.Used(f.now, "t", f.quota, reach, cost)
+			_, reach := f.count(coordinator)
+			f.nodes[coordinator].coordinator.Used(f.now, "t", f.quota, reach, cost)
 		}
 		return f.granted(cost)
 	}
 	if found {
-		_, reach := f.count(giver)
-		if !f.nodes[giver].giver.Ask(f.now, "t", f.quota, reach, cost, 0).Granted {
+		_, reach := f.count(coordinator)
+		if !f.nodes[coordinator].coordinator.Ask(f.now, "t", f.quota, reach, cost, 0).Granted {
 			return false
 		}
 		node.share.Granted(f.now, "t", f.quota, count, cost)
@@ -208,7 +208,7 @@
 	return true
 }
 
-// step lets nodes hear each other, and drops what a node gave that is no giver.
+// step lets nodes hear each other, and drops what a node gave that is no coordinator.
 func (f *simFleet) step() {
 	f.now = f.now.Add(tick)
 	if f.now.Sub(begin)%hearing != 0 {
@@ -223,44 +223,44 @@
 				node.heard[other] = f.now
 			}
 		}
-		node.giver.Observe(f.now)
-		if _, ok := f.better(i); ok || i >= givers {
-			node.giver.Forget()
+		node.coordinator.Observe(f.now)
+		if _, ok := f.better(i); ok || i >= coordinators {
+			node.coordinator.Forget()
 			continue
 		}
 		_, reach := f.count(i)
-		node.giver.Keep(f.now, "t", f.quota, reach)
-		node.closed = node.giver.IsClosed("t")
+		node.coordinator.Keep(f.now, "t", f.quota, reach)
+		node.closed = node.coordinator.IsClosed("t")
 		if reach >= LeastReach {
 			f.tell(i)
 		}
 	}
 }
 
-// tell lets all hear the word of a giver, and speak lets them where it changed.
-func (f *simFleet) tell(giver int) {
+// tell lets all hear the advisory of a coordinator, and speak lets them where it changed.
+func (f *simFleet) tell(coordinator int) {
 	for other := range f.nodes {
-		if other == giver || f.reaches(giver, other) {
-			f.nodes[other].words.Hear(f.now, fmt.Sprint(giver), f.nodes[giver].giver.Closed())
+		if other == coordinator || f.reaches(coordinator, other) {
+			f.nodes[other].advisories.Hear(f.now, fmt.Sprint(coordinator), f.nodes[coordinator].coordinator.Closed())
 		}
 	}
 }
 
-func (f *simFleet) speak(giver int) {
-	node := f.nodes[giver]
-	if closed := node.giver.IsClosed("t"); closed != node.closed {
+func (f *simFleet) speak(coordinator int) {
+	node := f.nodes[coordinator]
+	if closed := node.coordinator.IsClosed("t"); closed != node.closed {
 		node.closed = closed
-		f.tell(giver)
+		f.tell(coordinator)
 	}
 }
 
 // fault draws one of the things that happen to a fleet.
 func (f *simFleet) fault(kind int) {
 	switch kind {
-	case 0: // the giver is killed, and starts again
+	case 0: // the coordinator is killed, and starts again
 		f.restart(0)
 		f.nodes[0].down = f.now.Add(time.Second)
-	case 1: // the giver stands still, and wakes with what it knew
+	case 1: // the coordinator stands still, and wakes with what it knew
 		f.nodes[0].down = f.now.Add(time.Duration(1+f.random.IntN(6)) * time.Second)
 	case 2: // all are killed at once
 		for i := range f.nodes {
@@ -342,10 +342,10 @@
 }
 
 // TestNoWindowPassesTheQuota plays tenants that send five times their quota while
-// givers die, freeze, and are cut off.
+// coordinators die, freeze, and are cut off.
 func TestNoWindowPassesTheQuota(t *testing.T) {
 	kinds := map[string][]int{
-		"calm": nil, "giver killed": {0}, "giver frozen": {1}, "all killed": {2}, "halves": {3, 5}, "cut off": {4, 5},
+		"calm": nil, "coordinator killed": {0}, "coordinator frozen": {1}, "all killed": {2}, "halves": {3, 5}, "cut off": {4, 5},
 		"all of it": {0, 1, 2, 3, 4, 5},
 	}
 	for _, quota := range quotasPlayed {
@@ -368,7 +368,7 @@
 		for _, nodes := range []int{7, 84} {
 			for _, oneNode := range []bool{false, true} {
 				fleet := newSimFleet(3, nodes, quota, defectNone)
-				fleet.play(4, 0.3, nil, oneNode) // a giver begins without the burst
+				fleet.play(4, 0.3, nil, oneNode) // a coordinator begins without the burst
 				fleet.refused = 0
 				fleet.play(40, 0.8, nil, oneNode)
 				if fleet.refused > 0 {
@@ -387,11 +387,11 @@
 		nodes  int
 		quota  int
 	}{
-		"the giver is not told":  {defectUntold, nil, 84, 1},
-		"parts give the whole":   {defectBlind, []int{3}, 84, 1},
-		"each has the whole":     {defectWholeShare, []int{4}, 84, 1},
-		"a new giver is full":    {defectFull, []int{1}, 84, 2},
-		"alone grants all there": {defectAlone, []int{4}, 84, 1},
+		"the coordinator is not told": {defectUntold, nil, 84, 1},
+		"parts give the whole":        {defectBlind, []int{3}, 84, 1},
+		"each has the whole":          {defectWholeShare, []int{4}, 84, 1},
+		"a new coordinator is full":   {defectFull, []int{1}, 84, 2},
+		"alone grants all there":      {defectAlone, []int{4}, 84, 1},
 	}
 	for name, c := range cases {
 		found := false
@@ -406,13 +406,13 @@
 }
 
 func TestLowerLimitsBindAtOnce(t *testing.T) {
-	giver := NewGiver(tolerance)
+	coordinator := NewCoordinator(tolerance)
 	high := routetable.Quota{PerSecond: 1000, Burst: 100_000}
 	low := routetable.Quota{PerSecond: 10, Burst: 100}
 	now := begin
-	giver.Ask(now, "t", high, 1, 1, 0)
+	coordinator.Ask(now, "t", high, 1, 1, 0)
 	now = now.Add(time.Minute)
-	verdict := giver.Ask(now, "t", low, 1, 60_000, 0)
+	verdict := coordinator.Ask(now, "t", low, 1, 60_000, 0)
 	if verdict.Granted || verdict.Left > 100+burstShare*tolerance.Slack {
 		t.Errorf("%+v under the lower limit", verdict)
 	}
@@ -424,21 +424,21 @@
 // TestWhoIsRefusedStandsInALine: all would come back at the same moment else.
 func TestWhoIsRefusedStandsInALine(t *testing.T) {
 	quota := routetable.Quota{PerSecond: 1000, Burst: 1000}
-	giver := NewGiver(Tolerance{Window: window})
-	giver.Ask(begin, "t", quota, 1, 0, 0)
+	coordinator := NewCoordinator(Tolerance{Window: window})
+	coordinator.Ask(begin, "t", quota, 1, 0, 0)
 	var before time.Duration
-	for giver.Ask(begin, "t", quota, 1, 500, 0).Granted {
-		t.Log("granted from what a giver begins with")
+	for coordinator.Ask(begin, "t", quota, 1, 500, 0).Granted {
+		t.Log("granted from what a coordinator begins with")
 	}
 	for range 5 {
-		verdict := giver.Ask(begin, "t", quota, 1, 500, 0)
+		verdict := coordinator.Ask(begin, "t", quota, 1, 500, 0)
 		if verdict.Granted || verdict.RetryIn < before+400*time.Millisecond {
 			t.Errorf("%+v, the one before comes back in %v", verdict, before)
 		}
 		before = verdict.RetryIn
 	}
 	for range 100 {
-		before = giver.Ask(begin, "t", quota, 1, 500, 0).RetryIn
+		before = coordinator.Ask(begin, "t", quota, 1, 500, 0).RetryIn
 	}
 	if before > window {
 		t.Errorf("the last comes back in %v", before)
@@ -449,11 +449,11 @@
 // ones of its requests through before the others.
 func TestUrgentRequestsGoFirst(t *testing.T) {
 	quota := routetable.Quota{PerSecond: 10_000, Burst: 10_000}
-	giver := NewGiver(Tolerance{Window: window})
+	coordinator := NewCoordinator(Tolerance{Window: window})
 	granted := [3]int{}
 	for elapsed := time.Duration(0); elapsed < 20*time.Second; elapsed += 100 * time.Millisecond {
 		for priority := range granted {
-			if giver.Ask(begin.Add(elapsed), "t", quota, 1, 900, priority).Granted {
+			if coordinator.Ask(begin.Add(elapsed), "t", quota, 1, 900, priority).Granted {
 				granted[priority]++
 			}
 		}
@@ -467,13 +467,13 @@
 // as small ones.
 func TestLargeRequestsAreNotStarved(t *testing.T) {
 	quota := routetable.Quota{PerSecond: 10_000, Burst: 10_000}
-	giver := NewGiver(Tolerance{Window: window})
+	coordinator := NewCoordinator(Tolerance{Window: window})
 	random := rand.New(rand.NewPCG(1, 1))
 	asked, granted := [2]int{}, [2]int{}
 	for elapsed := time.Duration(0); elapsed < 60*time.Second; elapsed += 50 * time.Millisecond {
 		size := random.IntN(2)
 		asked[size]++
-		if giver.Ask(begin.Add(elapsed), "t", quota, 1, float64(1000+3000*size), 0).Granted {
+		if coordinator.Ask(begin.Add(elapsed), "t", quota, 1, float64(1000+3000*size), 0).Granted {
 			granted[size]++
 		}
 	}
@@ -486,11 +486,11 @@
 // TestShortCommandsAreNotHeldBack: what they count is little, whatever their priority.
 func TestShortCommandsAreNotHeldBack(t *testing.T) {
 	quota := routetable.Quota{PerSecond: 30_000, Burst: 30_000}
-	giver := NewGiver(Tolerance{Window: window})
+	coordinator := NewCoordinator(Tolerance{Window: window})
 	for elapsed := time.Duration(0); elapsed < 30*time.Second; elapsed += 100 * time.Millisecond {
 		now := begin.Add(elapsed)
-		giver.Ask(now, "t", quota, 1, 9000, 1)
-		if verdict := giver.Ask(now, "t", quota, 1, 200, 2); !verdict.Granted && elapsed > 5*time.Second {
+		coordinator.Ask(now, "t", quota, 1, 9000, 1)
+		if verdict := coordinator.Ask(now, "t", quota, 1, 200, 2); !verdict.Granted && elapsed > 5*time.Second {
 			t.Fatalf("after %v a short command is refused: %+v", elapsed, verdict)
 		}
 	}
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -35,7 +35,7 @@
 }
 
 // Take draws cost from the share, or from what is spare, where it holds as much. The
-// giver is to be told.
+// coordinator is to be told.
 func (s *Share) Take(now time.Time, tenant string, quota routetable.Quota, nodes int, cost float64) bool {
 	known := s.filled(now, tenant, quota, nodes)
 	if known.level >= cost {
@@ -50,7 +50,7 @@
 	return true
 }
 
-// TakeAlone grants a request that Take did not, though no giver can be asked, where the
+// TakeAlone grants a request that Take did not, though no coordinator can be asked, where the
 // share is not overdrawn yet: it may be far larger than what a node's share ever holds.
 func (s *Share) TakeAlone(now time.Time, tenant string, quota routetable.Quota, nodes int, cost float64) bool {
 	known := s.filled(now, tenant, quota, nodes)
@@ -61,8 +61,8 @@
 	return true
 }
 
-// Granted takes that the giver granted a request of this node: it lives on the share,
-// too, so that a node which then loses its giver does not grant as much once more. A
+// Granted takes that the coordinator granted a request of this node: it lives on the share,
+// too, so that a node which then loses its coordinator does not grant as much once more. A
 // cost below 0 is given back.
 func (s *Share) Granted(now time.Time, tenant string, quota routetable.Quota, nodes int, cost float64) {
 	known := s.filled(now, tenant, quota, nodes)
