--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -44,6 +44,13 @@
 	b.peers.take(a.peers.state(now))
 }
 
+// askItself asks the node's own accounts, beside its peers.
+func askItself(node *Node, now time.Time, tenant *routetable.Tenant, cost float64) quota.Verdict {
+	node.quotas.mu.Lock()
+	defer node.quotas.mu.Unlock()
+	return node.quotas.coordinator.Ask(now, tenant.Name, tenant.Quota, 1, cost, 0)
+}
+
 func tenantOf(t *testing.T, node *Node) *routetable.Tenant {
 	t.Helper()
 	tenant, ok := node.handler.Table().Tenant("north")
@@ -60,7 +67,7 @@
 	meet(coordinator, asker)
 	tenant := tenantOf(t, asker)
 	now := time.Now()
-	coordinator.quotas.coordinator.Ask(now, "north", tenant.Quota, 1, 0, 0)
+	askItself(coordinator, now, tenant, 0)
 	got := asker.quotas.Admit(context.Background(), tenant, 700, 0)
 	if !got.Granted || got.By != coordinator.options.PeerAddress {
 		t.Errorf("%+v, want granted by the strongest node", got)
@@ -70,7 +77,7 @@
 	if got.Granted || got.RetryIn <= 0 || got.RetryIn > 3*time.Second {
 		t.Errorf("%+v, want refused for about a second", got)
 	}
-	if level := coordinator.quotas.coordinator.Ask(time.Now(), "north", tenant.Quota, 1, 1e9, 0).Left; level > 3000 {
+	if level := askItself(coordinator, time.Now(), tenant, 1e9).Left; level > 3000 {
 		t.Errorf("the coordinator has %.0f left", level)
 	}
 }
@@ -105,10 +112,8 @@
 	if !got.Granted {
 		t.Errorf("%+v", got)
 	}
-	coordinator.quotas.mu.Lock()
-	defer coordinator.quotas.mu.Unlock()
 	tenant := tenantOf(t, coordinator)
-	if level := coordinator.quotas.coordinator.Ask(time.Now(), "north", tenant.Quota, 1, 1e9, 0).Left; level > 700 {
+	if level := askItself(coordinator, time.Now(), tenant, 1e9).Left; level > 700 {
 		t.Errorf("the coordinator has %.0f left: it was not asked", level)
 	}
 }
@@ -118,7 +123,7 @@
 	coordinator, asker := newLimited(t, 900), newLimited(t, 100)
 	meet(coordinator, asker)
 	tenant := tenantOf(t, asker)
-	for coordinator.quotas.coordinator.Ask(time.Now(), "north", tenant.Quota, 1, 700, 0).Granted {
+	for askItself(coordinator, time.Now(), tenant, 700).Granted {
 		t.Log("the coordinator begins with a little")
 	}
 	if got := asker.quotas.Admit(context.Background(), tenant, 1500, 0); !got.Granted {
