--- a/scripts/hunt.sh
+++ b/scripts/hunt.sh
@@ -6,9 +6,11 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-bench=${FLEETBENCH:-../given/kit/more/system/bin/fleetbench}
-sites=${SITES:-../given/kit/more/system/sites/holmgaard-drift.toml ../given/kit/more/system/sites/fjordkurv-prod.toml}
-days=${1:-40}
+kit=../given/kit/more/system
+bench=${FLEETBENCH:-$kit/more/bench-018dfa/bin/fleetbench}
+# The large sites took the place of the first two; a day of theirs takes nine minutes.
+sites=${SITES:-$kit/large/holmgaard-drift-large.toml $kit/large/fjordkurv-prod-large.toml}
+days=${1:-8}
 first=${2:-1}
 last=${3:-20}
 kept_seeds=${KEPT:-17 39 45}
--- a/test/platform/soak_callers_test.go
+++ b/test/platform/soak_callers_test.go
@@ -49,6 +49,7 @@
 	s.startCaller(s.callPooled)
 	for i, c := range s.controls {
 		s.startCaller(func() { s.askReady(c) })
+		s.startCaller(func() { s.probeKeys(c.node) })
 		for j := range keptPerNode {
 			s.startCaller(func() { s.keep(c.node, uint64(i*keptPerNode+j)) })
 		}
--- a/test/platform/soak_judge_test.go
+++ b/test/platform/soak_judge_test.go
@@ -88,6 +88,7 @@
 	s.judgeRecovery(calm)
 	s.judgeServers()
 	s.judgeHeads()
+	s.judgeKeys()
 	s.judgeConfigurations()
 	s.judgeAddedRoutes()
 	s.judgeRefusals()
--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -33,6 +33,9 @@
 		{"GRACE", func(s *soak) { s.controls[0].running = true; s.judgeStop(s.controls[0]) }},
 		{"GRACE", func(s *soak) { s.controls[0].exit = io.EOF; s.judgeStop(s.controls[0]) }},
 		{"RECOVER", func(s *soak) { s.ends[1].status = 502 }},
+		{"CONFIG", func(s *soak) {
+			s.keyProbes = []keyProbe{{node: "node-1", withdrawn: at(0), sent: at(applyWithin + time.Second), done: at(applyWithin + time.Second), status: 200}}
+		}},
 		{"UNASKED", func(s *soak) {
 			s.servers[0].headOf = map[string]http.Header{"a": {"Tenant": {soakTenant}, "Api-Key": {soakKey}}}
 		}},
