Poison requests: a trial is one send that a node claims for all; operators list and lift bars

Cause: once a request's first bar was over each node sent the copies it had. Copies that waited for their model at several nodes went out together, so a poison request could reach servers more than three times after it had ended three. Nobody could list or lift a bar.

Ruled out: that suspects run together on one server is enough: it bounds the servers that end, not the sends. The node that the fingerprint draws among all (no message): it may never get a copy, so an innocent request would stay barred.

Change: a request whose bar is over is on trial. Before it is sent a node claims the trial from the first coordinator that answers; with the grant the request is barred again for as long and all nodes are told. A trial that tells nothing doubles the pause to the next. What is on trial does not wait. Nobody answers: it stays refused as not run. `spanlanding bars` lists, `spanlanding bars lift` ends a bar at all nodes; what others still tell of it is left out for a minute, and the request is barred anew as any other.

--- /dev/null
+++ b/cmd/spanlanding/bars_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/spanlanding/spanlanding/internal/operator"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/poison"
+)
+
+// barringNode bars one request until that is lifted.
+type barringNode struct {
+	peerpb.Nodes
+	barred []byte
+}
+
+func (n *barringNode) Bars(context.Context, *peerpb.BarsRequest) (*peerpb.BarsResponse, error) {
+	if n.barred == nil {
+		return &peerpb.BarsResponse{}, nil
+	}
+	return &peerpb.BarsResponse{Bars: []*peerpb.Bar{{Fingerprint: n.barred, LeftMs: 12_000, Servers: []string{"i-1", "i-2"}}}}, nil
+}
+
+func (n *barringNode) LiftBar(_ context.Context, request *peerpb.LiftBarRequest) (*peerpb.LiftBarResponse, error) {
+	was := n.barred != nil && bytes.Equal(n.barred, request.Fingerprint)
+	if was {
+		n.barred = nil
+	}
+	return &peerpb.LiftBarResponse{WasBarred: was}, nil
+}
+
+func TestBars(t *testing.T) {
+	fingerprint := poison.Of(poison.Identity{Target: "/x"})
+	server := httptest.NewServer(peerpb.NewNodesServer(&barringNode{barred: fingerprint[:]}))
+	t.Cleanup(server.Close)
+	at := "--peer=" + strings.TrimPrefix(server.URL, "http://")
+	for _, step := range []struct {
+		line, prints string
+		want         operator.ExitCode
+	}{
+		{"bars " + at, fingerprint.String() + "  barred for 12 s yet  ended i-1, i-2", operator.ExitDone},
+		{"bars -o json " + at, `"leftSeconds": 12`, operator.ExitDone},
+		{"bars lift " + at + " nothing", "", operator.ExitUsage},
+		{"bars lift " + at + " " + strings.Repeat("00", 16), "", operator.ExitNotFound},
+		{"bars lift " + at + " " + fingerprint.String(), "may run again", operator.ExitDone},
+		{"bars " + at, "no request is barred", operator.ExitDone},
+		{"bars --peer=nowhere", "", operator.ExitUsage},
+		{"bars --peer=127.0.0.1:1", "", operator.ExitUnreachable},
+		{"bars", "", operator.ExitUsage},
+	} {
+		code, printed := run(t, strings.Fields(step.line)...)
+		if code != step.want || !strings.Contains(printed, step.prints) {
+			t.Errorf("%s: exit %d, want %d; printed %q", step.line, code, step.want, printed)
+		}
+	}
+}
--- a/cmd/spanlanding/main.go
+++ b/cmd/spanlanding/main.go
@@ -41,6 +41,7 @@
 			statusCommand(),
 			waitCommand(),
 			drainCommand(),
+			barsCommand(),
 		},
 		Action: unknownCommand,
 		// main prints the error and picks the exit code.
--- /dev/null
+++ b/internal/edge/bars.go
@@ -0,0 +1,55 @@
+package edge
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/poison"
+)
+
+// Bars lists the requests that are barred, for operators.
+func (s *snapshots) Bars(context.Context, *peerpb.BarsRequest) (*peerpb.BarsResponse, error) {
+	return &peerpb.BarsResponse{Bars: s.node.suspects.list()}, nil
+}
+
+// LiftBar ends the bar of a request here and tells all nodes; the next renewal of the lease
+// leaves it out.
+func (s *snapshots) LiftBar(_ context.Context, request *peerpb.LiftBarRequest) (*peerpb.LiftBarResponse, error) {
+	fingerprint, ok := poison.FingerprintOf(request.Fingerprint)
+	if !ok {
+		return nil, twirp.InvalidArgumentError("fingerprint", "16 bytes are wanted")
+	}
+	return &peerpb.LiftBarResponse{WasBarred: s.node.suspects.lift(fingerprint)}, nil
+}
+
+// list are the barred requests, in order.
+func (s *suspects) list() []*peerpb.Bar {
+	now := clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var bars []*peerpb.Bar
+	for _, fingerprint := range s.tally.Barred(now) {
+		bar := &peerpb.Bar{Fingerprint: fingerprint[:], LeftMs: uint32(s.tally.BarLeft(now, fingerprint).Milliseconds())}
+		for _, report := range s.tally.Reports(now, fingerprint) {
+			bar.Servers = append(bar.Servers, report.ServerID)
+		}
+		bars = append(bars, bar)
+	}
+	return bars
+}
+
+// lift ends the bar of a request at all nodes; it reports whether it was barred here.
+func (s *suspects) lift(fingerprint poison.Fingerprint) bool {
+	now := clock.Now()
+	wasBarred := s.Standing(fingerprint) == poison.StandingBarred
+	report := poison.Report{Fingerprint: fingerprint, Lifted: true}
+	s.takeAll(now, operatorName, []poison.Report{report})
+	s.tellAll(now, report)
+	return wasBarred
+}
+
+// operatorName is who reports what an operator decided.
+const operatorName = "operator"
--- a/internal/edge/datagrams.go
+++ b/internal/edge/datagrams.go
@@ -39,6 +39,11 @@
 	p.sendAlone(trafficCrashes, targets, &peerpb.NodeState{Node: p.node.options.Name, Crashes: reports})
 }
 
+// sendTrial sends one call on the trial of a request.
+func (p *peers) sendTrial(target string, call *peerpb.TrialCall) {
+	p.sendAlone(trafficCrashes, []string{target}, &peerpb.NodeState{Trial: call})
+}
+
 func (p *peers) write(what traffic, target string, datagram []byte) {
 	address, err := net.ResolveUDPAddr("udp4", target)
 	if err != nil {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -185,6 +185,10 @@
 		p.node.quotas.take(state.Quota)
 		return
 	}
+	if state.Trial != nil {
+		p.node.suspects.takeTrial(state.Trial)
+		return
+	}
 	p.node.suspects.hear(cmp.Or(state.Address, state.Node), state.Crashes)
 	if state.Address != "" {
 		p.take(state)
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -49,6 +49,8 @@
 	// the node's ticks alone use them.
 	barsAt  time.Time
 	nextBar int
+	// trials are those that this node asked coordinators for.
+	trials *questions[bool]
 }
 
 // dueReport is a report that is still to be told.
@@ -58,7 +60,9 @@
 	told   int
 }
 
-func newSuspects(node *Node) *suspects { return &suspects{node: node, tally: poison.NewTally()} }
+func newSuspects(node *Node) *suspects {
+	return &suspects{node: node, tally: poison.NewTally(), trials: newQuestions[bool]()}
+}
 
 var _ relay.Suspects = (*suspects)(nil)
 
@@ -140,7 +144,11 @@
 			s.barred.Add(1)
 		}
 		switch {
-		case isOwn || tellsAll && report.Acquitted:
+		case isOwn:
+			// Who did not grant the trial that ended the server goes by the bar.
+			report.BarredFor = s.tally.BarLeft(now, report.Fingerprint)
+			tell = append(tell, report)
+		case tellsAll && report.Acquitted:
 			tell = append(tell, report)
 		case tellsAll && s.tally.Ended(report.Fingerprint) >= widelySuspect:
 			tell = append(tell, s.tally.Reports(now, report.Fingerprint)...)
@@ -183,6 +191,8 @@
 	switch {
 	case report.Acquitted:
 		name = "request_acquitted"
+	case report.Lifted:
+		name = "bar_lifted"
 	case standing == poison.StandingBarred:
 		name = "request_barred"
 	}
@@ -315,7 +325,7 @@
 			continue
 		}
 		reports = append(reports, poison.Report{
-			Fingerprint: fingerprint, ServerID: told.Server, Acquitted: told.Acquitted,
+			Fingerprint: fingerprint, ServerID: told.Server, Acquitted: told.Acquitted, Lifted: told.Lifted,
 			Age: time.Duration(told.AgeMs) * time.Millisecond, BarredFor: time.Duration(told.BarredMs) * time.Millisecond,
 		})
 	}
@@ -326,7 +336,7 @@
 	encoded := make([]*peerpb.CrashReport, 0, len(reports))
 	for _, report := range reports {
 		encoded = append(encoded, &peerpb.CrashReport{
-			Fingerprint: report.Fingerprint[:], Server: report.ServerID, Acquitted: report.Acquitted,
+			Fingerprint: report.Fingerprint[:], Server: report.ServerID, Acquitted: report.Acquitted, Lifted: report.Lifted,
 			AgeMs: uint32(max(0, report.Age.Milliseconds())), BarredMs: uint32(report.BarredFor.Milliseconds()),
 		})
 	}
--- /dev/null
+++ b/internal/edge/trials_test.go
@@ -0,0 +1,145 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/gossip"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/poison"
+)
+
+// newConnectedNodes are nodes that know each other and take each other's datagrams; the first
+// one is the strongest.
+func newConnectedNodes(t *testing.T, count int) []*Node {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	var nodes []*Node
+	for i := range count {
+		node := newTestNode(t)
+		node.peers.address = node.peers.conn.LocalAddr().String()
+		node.options.PeerAddress = node.peers.address
+		node.peers.roster = gossip.New(node.peers.address, nil, 1)
+		node.peers.roster.SetStrength(strongStrength - uint32(i))
+		nodes = append(nodes, node)
+	}
+	for _, node := range nodes {
+		for i, other := range nodes {
+			if other != node {
+				node.peers.roster.Observe(clock.Now(), &peerpb.NodeState{
+					Node: other.peers.address, Address: other.peers.address, Life: 1, Sequence: 1, Strength: strongStrength - uint32(i),
+				})
+			}
+		}
+		go node.peers.receive(ctx)
+	}
+	return nodes
+}
+
+// onTrialEverywhere makes a request known as one whose bar is over.
+func onTrialEverywhere(t *testing.T, nodes []*Node) poison.Fingerprint {
+	t.Helper()
+	fingerprint := poison.Of(poison.Identity{Target: "/x"})
+	for _, node := range nodes {
+		node.suspects.takeAll(clock.Now(), "peer", []poison.Report{{Fingerprint: fingerprint, BarredFor: time.Millisecond}})
+	}
+	time.Sleep(5 * time.Millisecond)
+	for i, node := range nodes {
+		if got := node.suspects.Standing(fingerprint); got != poison.StandingOnTrial {
+			t.Fatalf("node %d: standing %d, want on trial", i, got)
+		}
+	}
+	return fingerprint
+}
+
+// TestOneNodeClaimsATrial of all that ask at once; at the others the request is barred
+// meanwhile.
+func TestOneNodeClaimsATrial(t *testing.T) {
+	nodes := newConnectedNodes(t, 4)
+	fingerprint := onTrialEverywhere(t, nodes)
+	var granted atomic.Int32
+	var asking sync.WaitGroup
+	for _, node := range nodes {
+		for range 3 {
+			asking.Go(func() {
+				if node.suspects.ClaimTrial(context.Background(), fingerprint) {
+					granted.Add(1)
+				}
+			})
+		}
+	}
+	asking.Wait()
+	if granted.Load() != 1 {
+		t.Errorf("%d of 12 copies were granted a trial, want 1", granted.Load())
+	}
+	for i, node := range nodes {
+		for wait := 0; node.suspects.Standing(fingerprint) != poison.StandingBarred; wait++ {
+			if wait == 200 {
+				t.Fatalf("node %d was not told that the request is barred beside its trial", i)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+// TestNoTrialWithoutACoordinator that answers: the request stays as it is.
+func TestNoTrialWithoutACoordinator(t *testing.T) {
+	nodes := newConnectedNodes(t, 4)
+	fingerprint := onTrialEverywhere(t, nodes)
+	for _, node := range nodes[:3] {
+		_ = node.peers.conn.Close()
+	}
+	if nodes[3].suspects.ClaimTrial(context.Background(), fingerprint) {
+		t.Error("a trial was granted by nobody")
+	}
+}
+
+// TestOperatorLiftsABar at one node, and all nodes forget it.
+func TestOperatorLiftsABar(t *testing.T) {
+	nodes := newConnectedNodes(t, 3)
+	fingerprint := poison.Of(poison.Identity{Target: "/x"})
+	for _, node := range nodes {
+		node.suspects.takeAll(clock.Now(), "peer", []poison.Report{{Fingerprint: fingerprint, ServerID: "a", BarredFor: time.Minute}})
+	}
+	listed, err := nodes[1].snapshots.Bars(context.Background(), &peerpb.BarsRequest{})
+	if err != nil || len(listed.Bars) != 1 || listed.Bars[0].LeftMs == 0 || len(listed.Bars[0].Servers) != 1 {
+		t.Fatalf("listed %v, %v; want one bar with its server", listed, err)
+	}
+	lifted, err := nodes[1].snapshots.LiftBar(context.Background(), &peerpb.LiftBarRequest{Fingerprint: fingerprint[:]})
+	if err != nil || !lifted.WasBarred {
+		t.Fatalf("lifted %v, %v", lifted, err)
+	}
+	for i, node := range nodes {
+		for wait := 0; node.suspects.Standing(fingerprint) != poison.StandingSound; wait++ {
+			if wait == 200 {
+				t.Fatalf("node %d still bars the request", i)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	if _, err := nodes[0].snapshots.LiftBar(context.Background(), &peerpb.LiftBarRequest{Fingerprint: []byte("short")}); err == nil {
+		t.Error("a short fingerprint was taken")
+	}
+}
+
+// TestAnswersThatComeLate or twice reach nobody.
+func TestAnswersThatComeLate(t *testing.T) {
+	asked := newQuestions[bool]()
+	var number uint64
+	if _, ok := asked.ask(context.Background(), time.Millisecond, func(id uint64) { number = id }); ok {
+		t.Error("an answer that nobody gave")
+	}
+	asked.answered(number, true)
+	answer, ok := asked.ask(context.Background(), time.Minute, func(id uint64) {
+		asked.answered(id, true)
+		asked.answered(id, false)
+	})
+	if !ok || !answer {
+		t.Errorf("answer %v, %v; the first one counts", answer, ok)
+	}
+}
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -47,6 +47,9 @@
 	StandingSound Standing = iota
 	// StandingSuspect ones ran on servers that ended.
 	StandingSuspect
+	// StandingOnTrial ones were barred until lately: one node may send them once, after it
+	// claimed that (Tally.ClaimTrial).
+	StandingOnTrial
 	// StandingBarred ones ended CrashLimit servers and are sent to none.
 	StandingBarred
 )
@@ -63,6 +66,9 @@
 	// BarredFor is how long the request is barred yet; 0 where it is not. A node that did
 	// not see the servers end goes by it.
 	BarredFor time.Duration
+	// Lifted is set where an operator ended the bar: what was known of the request is
+	// forgotten. Nothing speaks for it, so that it is barred again as any other.
+	Lifted bool
 }
 
 // end is a server that ended under a request.
@@ -93,6 +99,12 @@
 	// barredUntil is zero until it is barred; barred is for how long it was last.
 	barredUntil time.Time
 	barred      time.Duration
+	// trialAt is when the last trial was claimed, zero where none was since the last
+	// bar, and trials the number of those that told nothing.
+	trialAt time.Time
+	trials  int
+	// liftedAt is when an operator ended its bar.
+	liftedAt time.Time
 }
 
 // Tally is what a node knows of the requests under which servers ended, by its own
@@ -116,7 +128,9 @@
 		return StandingSound
 	case now.Before(known.barredUntil):
 		return StandingBarred
-	case known.points() > 0 || known.barred > 0:
+	case known.barred > 0:
+		return StandingOnTrial
+	case known.points() > 0:
 		return StandingSuspect
 	default:
 		return StandingSound
@@ -126,7 +140,10 @@
 // Take takes a report. It returns false where it says nothing new.
 func (t *Tally) Take(now time.Time, report Report) bool {
 	at := now.Add(-report.Age)
-	if report.Acquitted {
+	switch {
+	case report.Lifted:
+		return t.lift(now, at, report.Fingerprint)
+	case report.Acquitted:
 		return t.acquit(now, at, report.Fingerprint)
 	}
 	if report.Age > suspectTime && report.BarredFor <= 0 {
@@ -135,7 +152,7 @@
 	known := t.entry(now, report.Fingerprint)
 	wasBarred := now.Before(known.barredUntil)
 	isNew := report.ServerID != "" && known.add(end{serverID: report.ServerID, at: at, isShared: t.isShared(report.Fingerprint, report.ServerID)})
-	if at.After(known.clearedAt) {
+	if at.After(known.forgivenAt()) {
 		known.hearBar(now, report.BarredFor)
 	}
 	if isNew {
@@ -166,7 +183,7 @@
 // Of several times at which one server ended the earliest counts, in whichever order they
 // are heard.
 func (s *suspect) add(added end) bool {
-	if !added.at.After(s.clearedAt) {
+	if !added.at.After(s.forgivenAt()) {
 		return false
 	}
 	byTime := func(a, b end) int { return a.at.Compare(b.at) }
@@ -188,7 +205,7 @@
 
 // hearBar takes another node's word that the request is barred.
 func (s *suspect) hearBar(now time.Time, barredFor time.Duration) {
-	if barredFor <= 0 || s.isVouched(now) {
+	if barredFor <= 0 || s.isVouched(now) || s.isLifted(now) {
 		return
 	}
 	barredFor = min(barredFor, longestBar)
@@ -223,7 +240,7 @@
 	if known.isVouched(now) {
 		return
 	}
-	isAgain := known.barred > 0 && endedAt.After(known.barredUntil)
+	isAgain := known.barred > 0 && (endedAt.After(known.barredUntil) || known.isTried(endedAt))
 	switch {
 	case isAgain:
 		known.barred = min(max(barTime, 2*known.barred), longestBar)
@@ -234,6 +251,7 @@
 	}
 	if isAgain || known.barredUntil.IsZero() {
 		known.barredUntil = now.Add(known.barred)
+		known.trialAt, known.trials = time.Time{}, 0
 	}
 	for _, other := range t.suspects {
 		if other == known || other.barred > 0 {
@@ -271,7 +289,7 @@
 	}
 	known.clearedAt = at
 	known.ends = slices.DeleteFunc(known.ends, func(e end) bool { return !e.at.After(at) })
-	known.barred, known.barredUntil = 0, time.Time{}
+	known.endBar()
 	return true
 }
 
@@ -294,7 +312,7 @@
 // latest is when something was last heard of the request.
 func (s *suspect) latest() time.Time {
 	if len(s.ends) == 0 {
-		return s.clearedAt
+		return s.forgivenAt()
 	}
 	return s.ends[len(s.ends)-1].at
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -62,6 +62,8 @@
 	estimate time.Duration
 	// serverEnd is what became of the server whose answer broke off.
 	serverEnd backendconn.Liveness
+	// isTrial is set while the one send of a trial is under way.
+	isTrial bool
 	// identity is the request's fingerprint once it was needed.
 	identity *poison.Fingerprint
 }
@@ -207,7 +209,13 @@
 			x.giveUp("no_budget")
 			return
 		}
+		if !x.mayTry() {
+			x.release(choice, dispatch.OutcomeLeft)
+			x.answerBarred()
+			return
+		}
 		verdict := x.attempt(choice)
+		x.isTrial = false
 		if verdict == verdictDone {
 			return
 		}
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
@@ -20,6 +21,8 @@
 	Blame(fingerprint poison.Fingerprint, serverID string)
 	// EndedWell takes that a request ended well.
 	EndedWell(fingerprint poison.Fingerprint)
+	// ClaimTrial asks whether this node may send a request on trial once, for all nodes.
+	ClaimTrial(ctx context.Context, fingerprint poison.Fingerprint) bool
 }
 
 // reasonPoison is the reason of refusals of requests that ended too many servers.
@@ -47,8 +50,20 @@
 	return suspects.Standing(x.fingerprint())
 }
 
-// isBarred reports whether the request has ended too many servers.
-func (x *exchange) isBarred() bool { return x.standing() == poison.StandingBarred }
+// isBarred reports whether the request has ended too many servers. The send of a trial that
+// this node claimed goes out all the same.
+func (x *exchange) isBarred() bool {
+	return !x.isTrial && x.standing() == poison.StandingBarred
+}
+
+// mayTry claims the trial of a request on trial for the send that follows.
+func (x *exchange) mayTry() bool {
+	if x.standing() != poison.StandingOnTrial {
+		return true
+	}
+	x.isTrial = x.handler.options.Suspects.ClaimTrial(x.ctx, x.fingerprint())
+	return x.isTrial
+}
 
 // answerBarred gives a barred request its final answer: at once, and without a time to
 // come back at.
--- a/internal/relay/poison_test.go
+++ b/internal/relay/poison_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -18,6 +19,8 @@
 	standing  poison.Standing
 	blamed    []string
 	endedWell int
+	// grants is the number of trials that are granted, and claimed those asked for.
+	grants, claimed int
 }
 
 func (s *fakeSuspects) Any() bool { return true }
@@ -40,6 +43,48 @@
 	s.endedWell++
 }
 
+func (s *fakeSuspects) ClaimTrial(context.Context, poison.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.claimed++
+	if s.claimed <= s.grants {
+		s.standing = poison.StandingBarred
+		return true
+	}
+	return false
+}
+
+// TestTrialIsOneSend: of the copies of a request on trial one is sent, and it is sent once,
+// also where it may be repeated; the others are refused as not run.
+func TestTrialIsOneSend(t *testing.T) {
+	server := newStandin(t, func(conn net.Conn, _ *http.Request) bool { return reset(conn) })
+	f := newFixture(t, server)
+	f.handler.options.Suspects = &fakeSuspects{standing: poison.StandingOnTrial, grants: 1}
+	statuses := make(map[int]int)
+	for range 4 {
+		statuses[f.send(t, http.MethodPost, "/often/x", "body").status]++
+	}
+	if server.count() != 1 || statuses[http.StatusBadGateway] != 1 || statuses[http.StatusServiceUnavailable] != 3 {
+		t.Errorf("sent %d times, answers by status %v; want one send, one 502 and three 503", server.count(), statuses)
+	}
+}
+
+// TestTrialDoesNotWait for its model: with those of other nodes it would be sent together.
+func TestTrialDoesNotWait(t *testing.T) {
+	f := newFixture(t, newStandin(t, answering(http.StatusOK, "done")))
+	f.handler.SetTable(engineTable(5 * time.Second))
+	suspects := &fakeSuspects{standing: poison.StandingOnTrial, grants: 1}
+	f.handler.options.Suspects = suspects
+	started := time.Now()
+	got := f.send(t, http.MethodPost, "/llm/x", "body", "X-Model", "m")
+	if took := time.Since(started); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || took > 2*time.Second {
+		t.Errorf("status %d, Retry-After %q after %v of 5 s", got.status, got.header.Get("Retry-After"), took)
+	}
+	if suspects.claimed > 0 {
+		t.Error("claimed a trial without a server")
+	}
+}
+
 // TestBarredRequestIsRefusedAtOnce: it reaches no server, has not run, and is not told to
 // come back.
 func TestBarredRequestIsRefusedAtOnce(t *testing.T) {
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -6,6 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/poison"
 )
 
 const (
@@ -135,6 +136,11 @@
 		x.answerBarred()
 		return false
 	}
+	if x.standing() == poison.StandingOnTrial {
+		// Copies that waited at several nodes would be tried together.
+		x.refuse(reasonPoison, x.comeBack(max(expected.readyIn, expected.overdue)+refusalMargin))
+		return false
+	}
 	if until := x.handler.drainUntil.Load(); until != nil && !now.Before(*until) {
 		x.giveUp("node_stops")
 		return false
