Requests that are given up are reset, and orders end with the lease

Cause: a connection whose request was given up was closed in the ordinary way. The kernel then goes on to deliver what it still has, so that an order written into a way that drops all packets arrives once the way has healed, after its holder's lease ended and after the next holder's orders. The permit, asked right before the write, does not hold what the kernel keeps.

Change: an exchange that is given up resets its connection (linger 0), and the kernel throws away what it has not delivered. One that ended and cannot be kept because its server ends it has nothing left to deliver. An order is under way for no longer than the lease holds: permit says how long that is, and the call ends then instead of after its own 400 ms.

Weighed: a permit only where the whole call's time is left of the lease loses every order of a holder whose renewals are late, for the same bound; a longer quiet period of the next holder costs 0.4 s at each change of holder, and neither holds what the kernel keeps for three seconds.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -70,11 +70,11 @@
 }
 
 // RoundTrip sends the request and returns the head of its answer. When ctx
-// ends, the connection is closed, which cancels the request at the server.
+// ends, the connection is reset, which cancels the request at the server.
 func (c *Conn) RoundTrip(ctx context.Context, request Request) (*Answer, error) {
 	running := &exchange{conn: c, written: make(chan struct{})}
 	_ = c.SetDeadline(request.steadyDeadline())
-	running.stop = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
+	running.stop = context.AfterFunc(ctx, c.reset)
 	if err := ctx.Err(); err != nil {
 		running.abort()
 		return nil, ErrNotSent.Wrap(err, "cancelled")
@@ -212,10 +212,11 @@
 	}
 }
 
+// abort gives the exchange up.
 func (x *exchange) abort() {
 	x.once.Do(func() {
 		x.stop()
-		_ = x.conn.Conn.Close()
+		x.conn.reset()
 		if x.conn.reader != nil {
 			<-x.written
 			x.conn.putReader()
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -184,6 +184,16 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// reset closes the connection at once. After an ordinary close the kernel goes on to
+// deliver what it still has, for as long as SilenceTimeout: a request that was given
+// up behind a cut way arrives once the way has healed.
+func (c *Conn) reset() {
+	if lingers, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingers.SetLinger(0)
+	}
+	_ = c.Conn.Close()
+}
+
 func (c *Conn) putReader() {
 	if c.reader != nil {
 		c.reader.Reset(nil)
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -23,8 +23,9 @@
 // Engines are the servers that take orders.
 type Engines interface {
 	Report(ctx context.Context, call placer.ReportCall) (placer.Report, error)
-	// Order gives an order that leaves only if permit still holds right before.
-	Order(ctx context.Context, order placer.Order, holder string, token int64, permit func() bool) placer.Result
+	// Order gives an order that is given up once the time that permit leaves it, right
+	// before it leaves, is over; where none is left it doesn't leave.
+	Order(ctx context.Context, order placer.Order, holder string, token int64, permit func() time.Duration) placer.Result
 }
 
 const (
@@ -216,11 +217,14 @@
 	return max(0, time.Duration(l.orderFrom.Load())-clock.Since(l.started))
 }
 
-// mayOrder reports whether an order of the term may leave now. Any goroutine
-// may ask, right before it sends.
-func (l *leader) mayOrder(term int64) bool {
-	now := int64(clock.Since(l.started))
-	return l.term.Load() == term && now < l.validUntil.Load() && now >= l.orderFrom.Load()
+// orderTime is how long an order of the term that leaves now may be under way: until
+// the lease ends, 0 where none may leave. Any goroutine may ask, right before it sends.
+func (l *leader) orderTime(term int64) time.Duration {
+	now := clock.Since(l.started)
+	if l.term.Load() != term || now < time.Duration(l.orderFrom.Load()) {
+		return 0
+	}
+	return max(0, time.Duration(l.validUntil.Load())-now)
 }
 
 // followTerm starts and ends terms as the lease goes.
@@ -304,7 +308,7 @@
 	core := l.core
 	started := clock.Now()
 	go func() {
-		result := l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() bool { return l.mayOrder(term) })
+		result := l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() time.Duration { return l.orderTime(term) })
 		l.call(ctx, func() {
 			l.node.options.Logger.Info().Int64("term", term).Str("server", order.ServerID).
 				Str("operation", order.Operation.String()).Str("model", order.Model).Str("adapter", order.Adapter).
--- a/internal/edge/suspension_test.go
+++ b/internal/edge/suspension_test.go
@@ -32,11 +32,11 @@
 func TestNoOrderAfterASuspension(t *testing.T) {
 	leader := holdLease(newCandidate(t))
 	term := leader.term.Load()
-	if !leader.mayOrder(term) {
+	if leader.orderTime(term) == 0 {
 		t.Fatal("the holder may not order")
 	}
 	suspend(t, 5*time.Second)
-	if leader.mayOrder(term) {
+	if leader.orderTime(term) > 0 {
 		t.Error("may order 5 s after its lease of 2 s was written")
 	}
 	if _, lapsed := leader.standing(); lapsed < 2*time.Second {
@@ -44,6 +44,19 @@
 	}
 }
 
+// TestOrdersHaveUntilTheLeaseEnds: no order is under way beyond it.
+func TestOrdersHaveUntilTheLeaseEnds(t *testing.T) {
+	leader := holdLease(newCandidate(t))
+	term := leader.term.Load()
+	suspend(t, leaseDuration-200*time.Millisecond)
+	if left := leader.orderTime(term); left <= 0 || left > 200*time.Millisecond {
+		t.Errorf("an order may be under way for %v, of 200 ms that the lease holds", left)
+	}
+	if left := leader.orderTime(term + 1); left != 0 {
+		t.Errorf("an order of another term may be under way for %v", left)
+	}
+}
+
 // TestLateAnswerTakesNoLease: a write of the lease is answered after a suspension.
 func TestLateAnswerTakesNoLease(t *testing.T) {
 	node := newCandidate(t)
@@ -52,7 +65,7 @@
 	suspend(t, 5*time.Second)
 	leader.lease.Taken(sent, clock.Now(), 5)
 	leader.followTerm(clock.Now())
-	if leader.mayOrder(leader.term.Load()) {
+	if leader.orderTime(leader.term.Load()) > 0 {
 		t.Error("may order by a write that was sent 5 s ago")
 	}
 }
