An order that is not taken is given again at growing pauses

Cause: a server that did not take an order was given it again after a fixed 40 ms, beside the time of the call and a step of the leader's.

Ruled out: refusals for lack of memory or of a wrong count (none in the log); the pause of 2 s after a refusal (kept). Most are loads into room that an unload is still making, which waits for its runs.

Change: the pause doubles with each further order in a row that is not taken, up to 320 ms at a busy server and 1 s at one that is not reached; the time until then counts where a server is chosen, so another one is.

--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -200,8 +200,14 @@
 	recheck = 120 * time.Millisecond
 	// reportRetry is the pause after a report that did not come.
 	reportRetry = 500 * time.Millisecond
-	// busyPause is the pause after an order that found the server busy.
-	busyPause = 40 * time.Millisecond
+	// busyPause is the pause after an order that found the server busy, or did not reach
+	// it. It doubles with each further one in a row up to longestBusyPause, and up to
+	// longestUnreachedPause at a server that cannot be reached: such a one ended, as a
+	// rule, and starts anew after a second or more. At a fixed pause a server that was
+	// gone got the same order 13 times in 2 s, and one that unloaded 14 times.
+	busyPause             = 40 * time.Millisecond
+	longestBusyPause      = 320 * time.Millisecond
+	longestUnreachedPause = time.Second
 	// busyPatience is how long a server may be busy with what it was ordered
 	// before its report is asked for.
 	busyPatience = 600 * time.Millisecond
@@ -297,6 +303,9 @@
 		return
 	}
 	s.ordering = nil
+	if result != ResultBusy && result != ResultNotSent {
+		s.refusals = 0
+	}
 	switch result {
 	case ResultTaken:
 		s.sequence = order.Expected + 1
@@ -316,7 +325,7 @@
 		c.foundBusy(now, s)
 	case ResultNotSent:
 		c.undo(s, order)
-		s.pauseUntil = now.Add(busyPause)
+		s.pauseUntil = now.Add(s.nextPause(longestUnreachedPause))
 	case ResultUnknown:
 		s.unsure = &order
 		s.synced = false
@@ -340,7 +349,7 @@
 	if s.busySince.IsZero() {
 		s.busySince = now
 	}
-	s.pauseUntil = now.Add(busyPause)
+	s.pauseUntil = now.Add(s.nextPause(longestBusyPause))
 	if s.unsure == nil && now.Sub(s.busySince) < busyPatience {
 		return
 	}
@@ -348,6 +357,16 @@
 	s.askReport(now.Add(busyPause))
 }
 
+// nextPause is the pause after one more order in a row that the server did not take.
+func (s *server) nextPause(longest time.Duration) time.Duration {
+	pause := min(longest, busyPause<<min(s.refusals, maxDoublings))
+	s.refusals++
+	return pause
+}
+
+// maxDoublings keeps the pause from running over; it is at its bounds before.
+const maxDoublings = 8
+
 // keepFor keeps a server that was emptied for a model, and is still unloading,
 // for that model: the one that was dropped would come back at once.
 func (s *server) keepFor(now time.Time, order Order) {
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -34,6 +34,8 @@
 	busySince time.Time
 	// pauseUntil keeps orders off a server that just refused one.
 	pauseUntil time.Time
+	// refusals are the orders in a row that it was too busy for or that did not reach it.
+	refusals int
 	// copies are the weights kept beside those held, by the newest report or, at
 	// the start, by the entry. A load may drive others out.
 	copies map[string]Source
