Nothing is sent to servers of an evacuated zone

Change: dispatch closes the servers of evacuated zones beside those that leave, in the one check that first sends, repeats, resumed streams, what waits for a model, the question for another server and the last look before a request leaves all go by. What runs there runs on. Where evacuations close every server of a service, a request is refused at once as not run (zones_evacuated), also one that waits already; it is told to come back after a third of the time that it has left, at most 5 s. A stream that broke off then is cut at once in place of waiting for its deadline. Log lines on refusals say how many servers are closed.

Ruled out: taking the servers out of the directory, as those that go. Their entries change many times a second and would have to be held back, and the end of the evacuation would need them listed anew.

Tests, seen failing with the check of the zone taken out of takesWork: TestNothingIsSentToAnEvacuatedZone, TestServiceWithoutAnOpenServerIsEvacuated, TestEvacuatedServiceRefusesAtOnce, TestZoneEvacuatedWhileItsServerIsDialledGetsNothing, TestBrokenStreamIsNotResumedInAnEvacuatedZone (sent to the second server). TestWhatRunsInAnEvacuatedZoneRunsOn.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -30,6 +30,8 @@
 	// orderFrom when it may order from.
 	leaderSeen time.Time
 	orderFrom  time.Time
+	// evacuated are the zones to whose servers nothing new is sent.
+	evacuated map[string]bool
 	// changed is closed when something came that may let a request go on.
 	changed chan struct{}
 }
@@ -69,6 +71,7 @@
 		}
 	}
 	c.index()
+	c.closeServers()
 	c.notify()
 }
 
@@ -93,14 +96,19 @@
 	Known int
 	// Going ones of them take no new work, by their entry or a peer's word.
 	Going int
+	// Closed ones of the others take none as their zone is evacuated.
+	Closed int
 }
 
 // Supply is what the node knows of a service's servers.
 func (c *Core) Supply(service string) Supply {
 	supply := Supply{Known: len(c.byService[service])}
 	for _, s := range c.byService[service] {
-		if !s.takesWork() {
+		switch {
+		case s.isGoing():
 			supply.Going++
+		case s.closed:
+			supply.Closed++
 		}
 	}
 	return supply
@@ -114,6 +122,8 @@
 	StateReady State = "ready"
 	// StateGoing servers leave and take none.
 	StateGoing State = "going"
+	// StateClosed servers take none while their zone is evacuated.
+	StateClosed State = "closed"
 	// StateSuspect servers take work, though many of their requests failed.
 	StateSuspect State = "suspect"
 )
@@ -134,8 +144,10 @@
 
 func (s *server) state(now time.Time) State {
 	switch {
-	case !s.takesWork():
+	case s.isGoing():
 		return StateGoing
+	case s.closed:
+		return StateClosed
 	case s.health.failureRate(now) >= suspectRate:
 		return StateSuspect
 	default:
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -14,6 +14,8 @@
 	// goingBefore is the revision before which entries do not say yet that the
 	// server goes.
 	goingBefore int64
+	// closed is set while the server's zone is evacuated.
+	closed bool
 	// held are the models of the entry.
 	held map[string]map[string]bool
 	view *View
@@ -84,8 +86,14 @@
 	}
 }
 
-func (s *server) takesWork() bool {
-	return !s.info.Draining && s.info.Revision >= s.goingBefore
+// takesWork reports whether new work may go there. All that is sent to a server goes
+// by it: first sends, retries, resumed streams, what waits, and the last look before a
+// request leaves.
+func (s *server) takesWork() bool { return !s.isGoing() && !s.closed }
+
+// isGoing reports whether the server leaves, by its entry or a peer's word.
+func (s *server) isGoing() bool {
+	return s.info.Draining || s.info.Revision < s.goingBefore
 }
 
 // hasView reports whether the leader's view goes before the entry: while it is
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -335,7 +335,7 @@
 	if event == "request_"+outcomeRefused && x.route != nil {
 		var supply dispatch.Supply
 		x.handler.options.Dispatch.Do(func(core *dispatch.Core) { supply = core.Supply(x.service) })
-		entry.Int("servers", supply.Known).Int("servers_going", supply.Going)
+		entry.Int("servers", supply.Known).Int("servers_going", supply.Going).Int("servers_closed", supply.Closed)
 	}
 	entry.Int("events", x.events).Msg(event)
 }
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -16,6 +16,7 @@
 	reasonQueueFull       = "queue_full"
 	reasonRejected        = "rejected_by_server"
 	reasonDeadline        = "deadline"
+	reasonEvacuated       = "zones_evacuated"
 )
 
 // configurationWait is when a caller should come back to a node that has no
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -52,7 +52,7 @@
 	for {
 		var changed <-chan struct{}
 		var readyIn, ordersIn time.Duration
-		var known bool
+		var known, isEvacuated bool
 		core.Do(func(c *dispatch.Core) {
 			now := clock.Now()
 			if choice, ok = c.Pick(now, x.ask()); ok {
@@ -61,6 +61,7 @@
 			changed = c.Changed()
 			readyIn, known = c.ReadyIn(now, x.wanted())
 			ordersIn = c.OrdersIn(now)
+			isEvacuated = c.IsEvacuated(x.service)
 			if !waits {
 				c.Waits(x.wanted(), 1)
 			}
@@ -76,6 +77,10 @@
 			}
 			x.handler.options.Wanted()
 		}
+		if isEvacuated {
+			x.refuseEvacuated()
+			return choice, false
+		}
 		if !known {
 			readyIn = x.usualLoad(ordersIn)
 		}
