Models of an evacuated zone are loaded elsewhere

Cause: the leader counted copies in a zone to which nothing is sent, and would have ordered loads there.

Change: a closed server gets no order and is not asked for its report, and its copies count as none, so that what stood there alone lacks a copy at once. Such a model that is asked for once or more within the time of its load is wanted as "displaced": behind what requests wait for already, before what lacks throughput, and within the same ceiling of loads as what is waited for; somebody will wait for it before it is there. What stands there stays, and counts again as soon as the zone is taken back; reports are then asked for first. A load that was under way ends by the server's entry, as it would keep a place among the loads at once otherwise.

Ruled out: reports of closed servers. Nothing that the leader decides needs them, and the operator asks that nothing is sent there.

Tests, seen failing without SetEvacuated: TestWhatStoodInAnEvacuatedZoneIsLoadedElsewhere, TestLoadsAfterAnEvacuationKeepTheCeiling, TestEvacuatedZoneServesAgain, TestLoadUnderWayInAnEvacuatedZoneEndsByItsEntry.

--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -67,7 +67,7 @@
 func (r *round) adapterCopies(wanted dispatch.Wanted) int {
 	count := 0
 	for _, s := range r.servers {
-		if s.info.Draining {
+		if !s.takesOrders() {
 			continue
 		}
 		if model, ok := s.held[wanted.Model]; ok && (model.adapters[wanted.Adapter] != nil || s.isBringing(wanted)) {
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -26,7 +26,9 @@
 	badLoads map[modelKey]*badLoads
 	// ordered are the servers by name, until one comes or goes.
 	ordered []*server
-	effects Effects
+	// evacuated are the zones whose servers get no orders.
+	evacuated []string
+	effects   Effects
 }
 
 // New returns the core of a term that knows nothing yet.
@@ -104,11 +106,13 @@
 			if engine := c.engineOf(change.Server.Service); engine != nil {
 				added := newServer(change.Server, now)
 				added.setCopies(change.Server.InMemory, change.Server.OnDisk)
+				added.isClosed = slices.Contains(c.evacuated, change.Server.Zone)
 				c.servers[id] = added
 				c.ordered = nil
 			}
 		default:
 			known.info = change.Server
+			known.endClosedLoad()
 			c.checkEntry(now, known)
 		}
 	}
@@ -169,7 +173,7 @@
 
 func (c *Core) collectReports(now time.Time) {
 	for _, s := range c.sorted() {
-		if s.reportAt.IsZero() || s.reporting || now.Before(s.reportAt) {
+		if s.reportAt.IsZero() || s.reporting || s.isClosed || now.Before(s.reportAt) {
 			continue
 		}
 		s.reportAt = time.Time{}
--- a/internal/placer/need.go
+++ b/internal/placer/need.go
@@ -19,13 +19,16 @@
 	needReturn
 	// needThroughput is for a model whose copies cannot bear its traffic.
 	needThroughput
+	// needDisplaced is for a model that stands in evacuated zones alone, and that
+	// requests will wait for before it is loaded elsewhere.
+	needDisplaced
 	// needWaiting is for a model that requests wait for.
 	needWaiting
 )
 
 // String names the need in logs.
 func (n need) String() string {
-	return [...]string{"spare", "return", "throughput", "waiting"}[n]
+	return [...]string{"spare", "return", "throughput", "displaced", "waiting"}[n]
 }
 
 // maxPenalty bounds what is dropped for a copy.
@@ -33,7 +36,7 @@
 	switch n {
 	case needWaiting:
 		return math.MaxFloat64
-	case needThroughput:
+	case needThroughput, needDisplaced:
 		return maxThroughputPenalty
 	default:
 		return maxSparePenalty
@@ -62,6 +65,8 @@
 	switch {
 	case wanted.copies == 0 && wanted.waiting > 0:
 		return needWaiting
+	case wanted.copies == 0 && r.isDisplaced(wanted):
+		return needDisplaced
 	case wanted.copies == 0:
 		return needReturn
 	case known != nil && wanted.copies < copiesForTokens(known.fast), wanted.copies < max(r.copiesForAdapters(wanted.model.Name), r.copiesForSlots(wanted.model.Name)):
--- a/internal/placer/placement.go
+++ b/internal/placer/placement.go
@@ -4,7 +4,9 @@
 type placement struct {
 	// copies are the servers that hold the model or are loading it, and do not
 	// leave.
-	copies    int
+	copies int
+	// closed are the copies in evacuated zones.
+	closed    int
 	isLoading bool
 	// slotsUsed is the share of one server's slots that the model's requests take,
 	// added up over its servers.
@@ -40,11 +42,14 @@
 			known := of(model)
 			known.slotsUsed += used[model]
 			known.zones[s.info.Zone]++
-			if !s.info.Draining && s.unloading != model {
+			switch {
+			case s.isClosed:
+				known.closed++
+			case !s.info.Draining && s.unloading != model:
 				known.copies++
 			}
 		}
-		if s.loading == nil {
+		if s.loading == nil || s.isClosed {
 			continue
 		}
 		known := of(s.loading.model)
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -139,7 +139,7 @@
 // included; its server is nil where there is none.
 func (r *round) choose(model routetable.Model, need need) choice {
 	best := choice{cost: math.Inf(1)}
-	mayAskStore := r.storeAllows(model.Name, need == needWaiting)
+	mayAskStore := r.storeAllows(model.Name, need >= needDisplaced)
 	for _, s := range r.servers {
 		wait, isKnown := s.freeIn(r.now)
 		if !isKnown || s.has(model.Name) || s.isKeptFor(r.now, model.Name) {
@@ -193,7 +193,7 @@
 // cannot take it yet. No other is emptied for it meanwhile.
 func (r *round) isMadeRoomFor(model string) bool {
 	for _, s := range r.servers {
-		if s.isMeantFor(r.now, model) && !s.info.Draining && !s.canTake(r.now) {
+		if s.isMeantFor(r.now, model) && s.takesOrders() && !s.canTake(r.now) {
 			return true
 		}
 	}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -40,6 +40,8 @@
 	intent intent
 	// busy is set while the server said last that an order is under way.
 	busy bool
+	// isClosed is set while the server's zone is evacuated.
+	isClosed bool
 	// lastTaken is the last order of this term that the server took; nil is none.
 	lastTaken *Order
 }
@@ -126,7 +128,7 @@
 
 // canTake reports whether the server may be ordered something now.
 func (s *server) canTake(now time.Time) bool {
-	return s.synced && !s.info.Draining && s.ordering == nil && s.loading == nil && s.unloading == "" &&
+	return s.synced && s.takesOrders() && s.ordering == nil && s.loading == nil && s.unloading == "" &&
 		!now.Before(s.pauseUntil)
 }
 
@@ -137,7 +139,7 @@
 // that cannot be told.
 func (s *server) freeIn(now time.Time) (wait time.Duration, known bool) {
 	switch {
-	case s.info.Draining || !s.synced:
+	case !s.takesOrders() || !s.synced:
 		return 0, false
 	case s.canTake(now):
 		return 0, true
--- a/internal/placer/summary.go
+++ b/internal/placer/summary.go
@@ -23,6 +23,8 @@
 	Loading          int
 	LoadingFromStore int
 	Emptied          int
+	// Closed are the servers in evacuated zones.
+	Closed int
 	// Paused are models that are not loaded, since their loads end servers.
 	Paused int
 	// Several names the models on several servers, as MODEL:COPIES/NEEDED.
@@ -59,6 +61,9 @@
 		if s.loading != nil {
 			sum.Loading++
 		}
+		if s.isClosed {
+			sum.Closed++
+		}
 		if s.hasIntent(r.now) {
 			sum.Emptied++
 		}
