--- a/internal/placer/evacuate_test.go
+++ b/internal/placer/evacuate_test.go
@@ -57,7 +57,7 @@
 // zone, nothing is unloaded there, and no report of its servers is asked for.
 func TestWhatStoodInAnEvacuatedZoneIsLoadedElsewhere(t *testing.T) {
 	core := zonedCore(t, 3)
-	asked(core, begin, 1, 3, 3, 2, 1)
+	asked(core, begin, 1, 3, 3, 3, 1)
 	core.SetEvacuated(begin.Add(2*tick), []string{"a"})
 	var loaded []string
 	for step := range 10 {
