Allowed regions: one filter before any score, in force also for what waits

Routes and tenants may name the regions in which their requests may run; nothing read that, and nothing knew regions at all.

Change: internal/locality holds zones, regions, distances and sets of regions. platform decodes the sets and names findings by place; routetable intersects those of route and tenant. dispatch filters by them before it scores, in the one place by which picks, retries, resumed streams, foretellings and the check before a send go. A request takes its regions from the newest table at each of these. The leader counts demand by regions and loads models where they may run. None allowed, or no server there: refused at once as not run.

Ruled out: a check at the server (the body has crossed by then), a table of allowed servers by route (stale with each server's change).

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -77,6 +77,7 @@
 	logger := logging.New(lines, level, logging.Field{Key: "node", Value: settings.NodeName})
 	store := &platform.Store{
 		Objects: platform.NewObjects(settings.Platform.Address),
+		Places:  settings.Places(),
 		Findings: func(place string, finding error) {
 			logger.Warn().Str("place", place).Str("error", finding.Error()).Msg("entry_unreadable")
 		},
@@ -86,6 +87,7 @@
 	node := edge.New(edge.Options{
 		Name:        settings.NodeName,
 		Zone:        settings.Zone,
+		Places:      settings.Places(),
 		Frontend:    settings.Listen.Frontend,
 		Ready:       settings.Listen.Ready,
 		ReadyPath:   platform.ReadyPath,
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -7,17 +7,21 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 // Options set up a Core.
 type Options struct {
 	Zone string
-	Seed uint64
+	// Places are the zones and regions of the deployment.
+	Places locality.Map
+	Seed   uint64
 }
 
 // Core is the choice of servers of one node.
 type Core struct {
 	zone      string
+	places    locality.Map
 	random    *rand.Rand
 	servers   map[string]*server
 	byService map[string][]*server
@@ -38,6 +42,7 @@
 func New(options Options) *Core {
 	return &Core{
 		zone:      options.Zone,
+		places:    options.Places,
 		random:    rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
 		servers:   make(map[string]*server),
 		byService: make(map[string][]*server),
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -3,14 +3,17 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 // Wanted names what requests ask for: a model of a service, with an adapter or
-// without.
+// without, in the regions in which they may run.
 type Wanted struct {
 	Service string
 	Model   string
 	Adapter string
+	Regions locality.Regions
 }
 
 type demand struct {
@@ -82,7 +85,7 @@
 // An adapter comes soon wherever its model stands.
 func (c *Core) ReadyIn(now time.Time, wanted Wanted) (left time.Duration, known bool) {
 	for _, s := range c.byService[wanted.Service] {
-		if !s.takesWork() {
+		if !s.takesWork() || !c.isIn(s, wanted.Regions) {
 			continue
 		}
 		ready, ok := s.comesIn(now, wanted, c.OrdersIn(now))
@@ -112,7 +115,7 @@
 	for _, s := range c.byService[wanted.Service] {
 		inMemory, onDisk := s.copies(now)
 		switch {
-		case !s.takesWork():
+		case !s.takesWork() || !c.isIn(s, wanted.Regions):
 		case slices.Contains(inMemory, wanted.Model):
 			return CopyInMemory
 		case slices.Contains(onDisk, wanted.Model):
@@ -148,7 +151,7 @@
 // way or there.
 func (c *Core) ReadyAt(now time.Time, serverID string, wanted Wanted) (left time.Duration, known bool) {
 	s, ok := c.servers[serverID]
-	if !ok || !s.takesWork() {
+	if !ok || !s.takesWork() || !c.isIn(s, wanted.Regions) {
 		return 0, false
 	}
 	if s.has(now, wanted.Model, wanted.Adapter) {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 // Ask is a request that wants a server.
@@ -21,6 +23,8 @@
 	// Together is set for a request that may end its server: all nodes send those of one
 	// number to the same one, so that several at once end one server and not several.
 	Together uint64
+	// Regions are those in which the request may run.
+	Regions locality.Regions
 }
 
 // Choice is a server for a request.
@@ -48,8 +52,6 @@
 	// It need not be right: where servers are slower or faster than that, their
 	// slowness tells them apart.
 	readRate = 30_000
-	// otherZoneCost is added for a server in another zone.
-	otherZoneCost = 3 * time.Millisecond
 	// runningCost is the delay that each running request adds.
 	runningCost = 500 * time.Microsecond
 	// failureCost is what a failed request is taken to cost.
@@ -86,7 +88,7 @@
 func (c *Core) filter(now time.Time, ask Ask) []*server {
 	var candidates []*server
 	for _, s := range c.byService[ask.Service] {
-		if !s.takesWork() || slices.Contains(ask.Exclude, s.info.ID) {
+		if !s.takesWork() || !c.isIn(s, ask.Regions) || slices.Contains(ask.Exclude, s.info.ID) {
 			continue
 		}
 		if len(ask.Only) > 0 && !slices.Contains(ask.Only, s.info.ID) {
@@ -158,10 +160,7 @@
 	failures := s.health.failureRate(now)
 	cost *= max(1, s.health.slowness)
 	cost += failures * failures * failureCost.Seconds()
-	if s.info.Zone != c.zone {
-		cost += otherZoneCost.Seconds()
-	}
-	return cost
+	return cost + c.wayCost(s).Seconds()
 }
 
 // Outcome is how a request ended, as far as it concerns the server.
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -244,7 +244,7 @@
 	l.loads = dispatch.NewFleetLoads()
 	l.core = placer.New(placer.Options{
 		Window: l.node.options.LoadWindow, Overage: l.node.options.LoadOverage,
-		LoadsAtOnce: l.lease.PastLoadsAtOnce(), Demand: l.demand,
+		LoadsAtOnce: l.lease.PastLoadsAtOnce(), Demand: l.demand, Places: l.node.options.Places,
 	})
 	l.core.SetTable(l.node.handler.Table())
 	var all []inventory.Change
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -118,6 +118,7 @@
 	m.counter("requests_blamed_total", "Requests of this node under which servers ended.", node.suspects.blamed.Load)
 	m.counter("requests_barred_total", "Requests that this node learned to bar, as they end each server that runs them.", node.suspects.barred.Load)
 	m.counter("barred_refused_total", "Times that barred requests were refused.", node.handler.Metrics.Barred.Load)
+	m.counter("region_refused_total", "Requests refused as their regions have no server, or meet nowhere.", counts.NoPlace.Load)
 	m.gauge("requests_barred", "Requests that are barred now.", func() float64 { return float64(node.suspects.count()) })
 	m.counter("quota_granted_total", "Requests of limited tenants within their quota.", node.quotas.granted.Load)
 	m.counter("quota_refused_total", "Requests refused as beyond their tenant's quota.", node.quotas.refused.Load)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -17,6 +17,7 @@
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/quota"
 	"github.com/spanlanding/spanlanding/internal/relay"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
@@ -38,6 +39,8 @@
 type Options struct {
 	Name string
 	Zone string
+	// Places are the zones and regions of the deployment.
+	Places locality.Map
 	// Frontend and Ready are the addresses for callers and for the question
 	// whether the node is ready, which is asked at ReadyPath.
 	Frontend  string
@@ -144,7 +147,7 @@
 	}
 	node := &Node{
 		options:  options,
-		dispatch: dispatch.NewShared(dispatch.Options{Zone: options.Zone, Seed: rand.Uint64()}),
+		dispatch: dispatch.NewShared(dispatch.Options{Zone: options.Zone, Places: options.Places, Seed: rand.Uint64()}),
 		pool:     options.Pool,
 		callers:  newCallers(),
 
@@ -349,12 +352,14 @@
 func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
+	var regions regionCheck
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			n.pool.Sweep()
+			n.checkRegions(&regions)
 			n.leader.post(func() { n.leader.demand.Prune(clock.Now()) })
 			n.forgiveStore(clock.Now())
 			n.quotas.sweep(clock.Now())
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -302,7 +302,7 @@
 			wanted = append(wanted, &peerpb.WantedCount{
 				Service: count.Wanted.Service, Model: count.Wanted.Model, Adapter: count.Wanted.Adapter,
 				Asked: uint64(count.Asked), Waiting: uint32(count.Waiting), PromptTokens: uint64(count.PromptTokens),
-				GoalMs: uint32(count.Goal.Milliseconds()),
+				GoalMs: uint32(count.Goal.Milliseconds()), Regions: count.Wanted.Regions.Names(),
 			})
 		}
 	})
--- a/internal/edge/wire.go
+++ b/internal/edge/wire.go
@@ -7,6 +7,7 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/gossip"
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/placer"
 )
@@ -78,7 +79,7 @@
 	counts := make([]placer.Count, 0, len(wire))
 	for _, count := range wire {
 		counts = append(counts, placer.Count{
-			Wanted:       dispatch.Wanted{Service: count.Service, Model: count.Model, Adapter: count.Adapter},
+			Wanted:       dispatch.Wanted{Service: count.Service, Model: count.Model, Adapter: count.Adapter, Regions: regionsOf(count.Regions)},
 			Asked:        count.Asked,
 			Waiting:      int(count.Waiting),
 			PromptTokens: count.PromptTokens,
@@ -88,6 +89,14 @@
 	return counts
 }
 
+// regionsOf is a set of regions as it is told: no name is without a bound.
+func regionsOf(names []string) locality.Regions {
+	if len(names) == 0 {
+		return locality.Regions{}
+	}
+	return locality.Only(names...)
+}
+
 func newsOf(wire []*peerpb.ServerNews) []gossip.Item {
 	items := make([]gossip.Item, 0, len(wire))
 	for _, told := range wire {
--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -67,7 +67,7 @@
 func (r *round) adapterCopies(wanted dispatch.Wanted) int {
 	count := 0
 	for _, s := range r.servers {
-		if s.info.Draining {
+		if s.info.Draining || !r.isIn(s, wanted.Regions) {
 			continue
 		}
 		if model, ok := s.held[wanted.Model]; ok && (model.adapters[wanted.Adapter] != nil || s.isBringing(wanted)) {
@@ -88,7 +88,7 @@
 	var best *server
 	for _, s := range r.servers {
 		model, ok := s.held[wanted.wanted.Model]
-		if !ok || !s.canTake(r.now) || model.adapters[wanted.wanted.Adapter] != nil || s.pendingAdapters(r.now) >= maxPendingAdapters {
+		if !ok || !s.canTake(r.now) || !r.isIn(s, wanted.wanted.Regions) || model.adapters[wanted.wanted.Adapter] != nil || s.pendingAdapters(r.now) >= maxPendingAdapters {
 			continue
 		}
 		if best == nil || s.adapterCount() < best.adapterCount() {
@@ -113,8 +113,8 @@
 		for name, known := range model.adapters {
 			candidate := dispatch.Wanted{Service: s.info.Service, Model: modelName, Adapter: name}
 			asked := known.lastUse
-			if interest, ok := r.core.demand.interests[candidate]; ok && interest.lastAsk.After(asked) {
-				asked = interest.lastAsk
+			if last := r.lastAsk(candidate); last.After(asked) {
+				asked = last
 			}
 			if r.now.Before(known.ready) || r.now.Sub(asked) < adapterYoung {
 				continue
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -12,10 +12,11 @@
 type Demand struct {
 	interests map[dispatch.Wanted]*interest
 	nodes     map[string]*nodeCounts
-	// waits are the requests that wait for each model, as of the last step.
+	// waits are the requests that wait for each model in the same regions, as of the last
+	// step.
 	waits map[dispatch.Wanted]int
-	// variety is the number of adapters of each model that are asked for, as of
-	// the last step.
+	// variety is the number of adapters of each model that are asked for in the same
+	// regions, as of the last step.
 	variety map[dispatch.Wanted]int
 }
 
@@ -167,7 +168,7 @@
 	d.variety = make(map[dispatch.Wanted]int)
 	for wanted, known := range d.interests {
 		if wanted.Adapter != "" && now.Sub(known.lastAsk) < adapterInterest {
-			d.variety[dispatch.Wanted{Service: wanted.Service, Model: wanted.Model}]++
+			d.variety[dispatch.Wanted{Service: wanted.Service, Model: wanted.Model, Regions: wanted.Regions}]++
 		}
 		waits := known.waits(now)
 		if waits == 0 {
@@ -177,7 +178,7 @@
 		if known.waitingSince.IsZero() {
 			known.waitingSince = now
 		}
-		d.waits[dispatch.Wanted{Service: wanted.Service, Model: wanted.Model}] += waits
+		d.waits[dispatch.Wanted{Service: wanted.Service, Model: wanted.Model, Regions: wanted.Regions}] += waits
 	}
 }
 
--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -103,41 +103,63 @@
 
 // penalty is what dropping a copy of a model from a server costs.
 func (r *round) penalty(s *server, name string) float64 {
-	copies := r.copiesOf(name)
-	known := r.interest(name)
+	cost := r.penaltyTo(s, name, asker{
+		known: r.interest(name), copies: r.copiesOf(name), kept: r.kept(name), waits: r.core.demand.waitsFor(r.service, name),
+	})
+	for _, bounded := range r.boundedOf(name) {
+		if bounded.adapter == "" && r.isIn(s, bounded.regions) && r.now.Sub(bounded.known.lastAsk) <= interestAge {
+			cost = max(cost, r.penaltyTo(s, name, asker{
+				known: bounded.known, copies: r.copiesIn(name, bounded.regions), kept: r.neededIn(bounded), waits: bounded.waits,
+			}))
+		}
+	}
+	return cost
+}
+
+// asker is who asks for a model: those whose requests may run anywhere, or in the same
+// regions; how many copies there are and are kept for them, and how many requests wait.
+type asker struct {
+	known  *interest
+	copies int
+	kept   int
+	waits  int
+}
+
+// penaltyTo is what dropping a copy of a model from a server costs those who ask for it.
+func (r *round) penaltyTo(s *server, name string, by asker) float64 {
 	silent := r.now.Sub(s.held[name].since)
-	if known != nil {
+	if by.known != nil {
 		// What waited for the model began to run when it came.
-		silent = min(silent, r.now.Sub(known.lastAsk))
+		silent = min(silent, r.now.Sub(by.known.lastAsk))
 	}
 	switch {
-	case copies > max(1, r.kept(name)):
+	case by.copies > max(1, by.kept):
 		if silent < runTime {
 			return surplusPenalty + replicaPenalty
 		}
 		return surplusPenalty
-	case known == nil:
+	case by.known == nil:
 		return unknownPenalty
-	case r.core.demand.waitsFor(r.service, name) > 0:
+	case by.waits > 0:
 		return math.Inf(1)
 	}
 	last := 0.0
-	if copies <= 1 && silent < interestAge {
+	if by.copies <= 1 && silent < interestAge {
 		last = lastCopyPenalty
 	}
 	fades := 1 / (1 + silent.Seconds()/forgetTime.Seconds())
 	// What is dropped stays on the server's disk.
-	isTight := known.goal > 0 && known.goal < r.engine.Models[name].DiskLoad+tightMargin
+	isTight := by.known.goal > 0 && by.known.goal < r.engine.Models[name].DiskLoad+tightMargin
 	switch {
 	case silent < runTime && isTight:
 		return math.Inf(1)
 	case silent < runTime:
 		return replicaPenalty + last
-	case isTight && copies > 1:
+	case isTight && by.copies > 1:
 		return replicaPenalty + tightPenalty*fades/4
 	case isTight:
 		return replicaPenalty + tightPenalty*fades
-	case copies > 1:
+	case by.copies > 1:
 		return surplusPenalty
 	default:
 		return last + loosePenalty*fades
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 // Operation is what an order asks for.
@@ -135,4 +136,6 @@
 	LoadsAtOnce map[string]float64
 	// Demand is what was wanted so far; nil is nothing.
 	Demand *Demand
+	// Places are the zones and regions of the deployment.
+	Places locality.Map
 }
--- a/internal/placer/need.go
+++ b/internal/placer/need.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -55,6 +56,10 @@
 	waiting int
 	rate    float64
 	need    need
+	// regions are those in which the copy must stand.
+	regions locality.Regions
+	// stood are the copies there as the wants were listed.
+	stood int
 }
 
 // needOf is why the model should have one more copy.
--- a/internal/placer/placement.go
+++ b/internal/placer/placement.go
@@ -11,6 +11,8 @@
 	slotsUsed float64
 	// zones are those in which a server holds the model.
 	zones map[string]int
+	// regions are the copies by region.
+	regions map[string]int
 }
 
 // placementOf is where the model stands now.
@@ -29,19 +31,21 @@
 	of := func(model string) *placement {
 		known, ok := r.placed[model]
 		if !ok {
-			known = &placement{zones: make(map[string]int)}
+			known = &placement{zones: make(map[string]int), regions: make(map[string]int)}
 			r.placed[model] = known
 		}
 		return known
 	}
 	for _, s := range r.servers {
 		used := r.slotsUsed(s)
+		region := r.regionOf(s)
 		for model := range s.held {
 			known := of(model)
 			known.slotsUsed += used[model]
 			known.zones[s.info.Zone]++
 			if !s.info.Draining && s.unloading != model {
 				known.copies++
+				known.regions[region]++
 			}
 		}
 		if s.loading == nil {
@@ -51,6 +55,7 @@
 		known.isLoading = true
 		if !s.info.Draining && (!s.has(s.loading.model) || s.unloading == s.loading.model) {
 			known.copies++
+			known.regions[region]++
 		}
 	}
 }
@@ -63,9 +68,9 @@
 	}
 	rates, total := make(map[string]float64, len(s.held)), 0.0
 	for model := range s.held {
-		if known := r.interest(model); known != nil {
-			rates[model] = known.fast.requests
-			total += known.fast.requests
+		if rate, isKnown := r.rateOf(model); isKnown {
+			rates[model] = rate
+			total += rate
 		}
 	}
 	for model, rate := range rates {
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -22,6 +23,9 @@
 	// are worked out once and again after an order.
 	placed map[string]*placement
 	rooms  map[roomKey]room
+	// bounded are the interests in each model of callers whose requests may run in some
+	// regions only; nil before they are looked up.
+	bounded map[string][]boundedInterest
 }
 
 // interest is what is wanted of a model, or nil.
@@ -60,7 +64,7 @@
 // planModels orders loads of the models that lack copies, and makes room for them.
 func (r *round) planModels() {
 	for _, wanted := range r.wants() {
-		r.loadSomewhere(wanted.model, wanted.need)
+		r.loadSomewhere(wanted)
 	}
 }
 
@@ -73,6 +77,7 @@
 			continue
 		}
 		copies, known := r.copiesOf(name), r.interest(name)
+		stood := copies
 		if known.isStuck(r.now) && !r.isLoading(name) && copies < needed+maxBeyond {
 			// The copies that there are cannot be reached.
 			copies = 0
@@ -80,19 +85,23 @@
 		if copies >= needed {
 			continue
 		}
-		wanted := want{model: model, copies: copies, waiting: r.core.demand.waitsFor(r.service, name)}
+		wanted := want{model: model, copies: copies, stood: stood, waiting: r.core.demand.waitsFor(r.service, name)}
 		if known != nil {
 			wanted.rate = known.fast.requests
 		}
 		wanted.need = r.needOf(wanted, known)
 		wants = append(wants, wanted)
 	}
+	wants = append(wants, r.boundedWants()...)
 	slices.SortFunc(wants, func(a, b want) int {
 		return cmp.Or(
 			-cmp.Compare(a.need, b.need),
+			// A copy that must stand in some region may do for those who ask for any.
+			-compareBool(a.regions.IsBounded(), b.regions.IsBounded()),
 			-cmp.Compare(a.waiting, b.waiting),
 			-cmp.Compare(a.rate/float64(a.copies+1), b.rate/float64(b.copies+1)),
 			strings.Compare(a.model.Name, b.model.Name),
+			strings.Compare(a.regions.String(), b.regions.String()),
 		)
 	})
 	return wants
@@ -118,11 +127,16 @@
 
 // loadSomewhere orders one more copy of the model, or the first unload that makes
 // room for it, where that may be done now.
-func (r *round) loadSomewhere(model routetable.Model, need need) {
-	if r.isMadeRoomFor(model.Name) || r.core.isLoadPaused(r.now, r.service, model.Name) {
+func (r *round) loadSomewhere(wanted want) {
+	model := wanted.model
+	if r.isMadeRoomFor(model.Name, wanted.regions) || r.core.isLoadPaused(r.now, r.service, model.Name) {
 		return
 	}
-	best := r.choose(model, need)
+	if r.copiesIn(model.Name, wanted.regions) > wanted.stood {
+		// One was ordered for others just now.
+		return
+	}
+	best := r.choose(wanted)
 	if best.server == nil || best.wait > 0 {
 		// A server that is busy now, and has the weights, is worth waiting for.
 		return
@@ -132,17 +146,18 @@
 		r.orderUnload(best.server, best.victims[0], "room_for_"+model.Name)
 		return
 	}
-	r.orderLoad(best, model, need.String())
+	r.orderLoad(best, model, wanted.need.String())
 }
 
 // choose returns the way to load the model that costs least, busy servers
 // included; its server is nil where there is none.
-func (r *round) choose(model routetable.Model, need need) choice {
+func (r *round) choose(wanted want) choice {
+	model, need := wanted.model, wanted.need
 	best := choice{cost: math.Inf(1)}
 	mayAskStore := r.storeAllows(model.Name, need == needWaiting)
 	for _, s := range r.servers {
 		wait, isKnown := s.freeIn(r.now)
-		if !isKnown || s.has(model.Name) || s.isKeptFor(r.now, model.Name) {
+		if !isKnown || s.has(model.Name) || s.isKeptFor(r.now, model.Name) || !r.isIn(s, wanted.regions) {
 			continue
 		}
 		takes, source := s.loadTime(model)
@@ -189,11 +204,11 @@
 	return s.hasIntent(now) && s.intent.model == model
 }
 
-// isMadeRoomFor reports whether a server that is being emptied for the model
-// cannot take it yet. No other is emptied for it meanwhile.
-func (r *round) isMadeRoomFor(model string) bool {
+// isMadeRoomFor reports whether a server in the regions that is being emptied for the
+// model cannot take it yet. No other is emptied for it meanwhile.
+func (r *round) isMadeRoomFor(model string, regions locality.Regions) bool {
 	for _, s := range r.servers {
-		if s.isMeantFor(r.now, model) && !s.info.Draining && !s.canTake(r.now) {
+		if r.isIn(s, regions) && s.isMeantFor(r.now, model) && !s.info.Draining && !s.canTake(r.now) {
 			return true
 		}
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -70,7 +70,7 @@
 func (x *exchange) isStillGood(choice dispatch.Choice) bool {
 	good := false
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
-		good = core.TakesWork(choice.ServerID)
+		good = core.MayTake(choice.ServerID, x.regions())
 	})
 	return good
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
@@ -62,6 +63,11 @@
 	estimate time.Duration
 	// serverEnd is what became of the server whose answer broke off.
 	serverEnd backendconn.Liveness
+	// asked is what it was last counted as demand for.
+	asked dispatch.Wanted
+	// allowed are the regions in which it may run, by the table allowedBy.
+	allowed   locality.Regions
+	allowedBy *routetable.Table
 	// identity is the request's fingerprint once it was needed.
 	identity *poison.Fingerprint
 }
@@ -79,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(x.request.Context(), clock.Until(x.deadline))
 	defer cancel()
 	x.ctx = ctx
-	if !x.withinQuota() {
+	if !x.hasPlace() || !x.withinQuota() {
 		return
 	}
 	x.handler.countRequest(x.service)
@@ -225,15 +231,15 @@
 	if !x.engine {
 		return
 	}
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.Asked(clock.Now(), x.wanted(), x.head.PromptTokens, x.route.Goal) })
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { x.countAsked(core, x.wanted()) })
 }
 
 func (x *exchange) wanted() dispatch.Wanted {
-	return dispatch.Wanted{Service: x.service, Model: x.head.Model, Adapter: x.head.Adapter}
+	return dispatch.Wanted{Service: x.service, Model: x.head.Model, Adapter: x.head.Adapter, Regions: x.regions()}
 }
 
 func (x *exchange) ask() dispatch.Ask {
-	ask := dispatch.Ask{Service: x.service, Exclude: x.failed}
+	ask := dispatch.Ask{Service: x.service, Exclude: x.failed, Regions: x.regions()}
 	if x.engine {
 		ask.Model, ask.Adapter = x.head.Model, x.head.Adapter
 		ask.Parts = x.head.Parts
@@ -326,6 +332,9 @@
 	if x.pace.first > 0 {
 		entry.Str("first_ms", milliseconds(x.pace.first)).Str("pause_ms", milliseconds(x.pace.longestPause))
 	}
+	if x.allowed.IsBounded() {
+		entry.Str("regions", x.allowed.String())
+	}
 	if x.returned {
 		entry.Bool("returned", true)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,4 +26,6 @@
 	NoBudget  atomic.Int64
 	DialFails atomic.Int64
 	Barred    atomic.Int64
+	// NoPlace counts requests that may run in no region where a server is.
+	NoPlace atomic.Int64
 }
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -41,12 +41,13 @@
 	started := clock.Now()
 	x.waitsSince = started
 	waits := false
+	var counted dispatch.Wanted
 	defer func() {
 		x.waited += clock.Since(started)
 		x.waitsSince = time.Time{}
 		if waits {
 			x.handler.waiting.Add(-1)
-			core.Do(func(c *dispatch.Core) { c.Waits(x.wanted(), -1) })
+			core.Do(func(c *dispatch.Core) { c.Waits(counted, -1) })
 		}
 	}()
 	for {
@@ -61,9 +62,7 @@
 			changed = c.Changed()
 			readyIn, known = c.ReadyIn(now, x.wanted())
 			ordersIn = c.OrdersIn(now)
-			if !waits {
-				c.Waits(x.wanted(), 1)
-			}
+			counted = x.countWaiting(c, counted, waits)
 		})
 		if ok {
 			return choice, true
@@ -76,6 +75,9 @@
 			}
 			x.handler.options.Wanted()
 		}
+		if !x.hasPlace() {
+			return choice, false
+		}
 		if !known {
 			readyIn = x.usualLoad(ordersIn)
 		}
--- a/internal/routetable/doc.go
+++ b/internal/routetable/doc.go
@@ -3,5 +3,5 @@
 // may hold, and the limits on what callers send. A Table is never changed once
 // it is published.
 //
-// It may import the standard library only. No I/O, no clock, no goroutine.
+// It may import the standard library and locality only. No I/O, no clock, no goroutine.
 package routetable
--- /dev/null
+++ b/internal/routetable/regions.go
@@ -0,0 +1,62 @@
+package routetable
+
+import "github.com/spanlanding/spanlanding/internal/locality"
+
+// AllowedRegions are the regions in which a request of the route and the tenant may
+// run: where both name some, those of both. The tenant is nil where none is needed.
+func AllowedRegions(route *Route, tenant *Tenant) locality.Regions {
+	if tenant == nil {
+		return route.Regions
+	}
+	return route.Regions.Intersect(tenant.Regions)
+}
+
+// RegionsNow are the regions in which a request may run by this table, which may be
+// newer than the one that its route and tenant are of. A route or tenant that the table
+// does not have any more keeps the regions that it had.
+func (t *Table) RegionsNow(route *Route, tenant *Tenant) locality.Regions {
+	if known, ok := t.routeNamed(route); ok {
+		route = known
+	}
+	if tenant != nil {
+		if known, ok := t.Tenant(tenant.Name); ok {
+			tenant = known
+		}
+	}
+	return AllowedRegions(route, tenant)
+}
+
+// routeNamed is the table's route of a route's host and name.
+func (t *Table) routeNamed(route *Route) (*Route, bool) {
+	ofHost := t.routes[canonicalHost(route.Host)]
+	for i := range ofHost {
+		if ofHost[i].Name == route.Name {
+			return &ofHost[i], true
+		}
+	}
+	return nil, false
+}
+
+// BoundedPart is a service of a route whose requests may run in some regions only.
+type BoundedPart struct {
+	Route   string
+	Service string
+	Regions locality.Regions
+}
+
+// BoundedParts are the services of all routes that name regions.
+func (t *Table) BoundedParts() []BoundedPart { return t.bounded }
+
+// findBounded lists the services of routes that name regions, once for a table.
+func findBounded(routes []Route) []BoundedPart {
+	var bounded []BoundedPart
+	for _, route := range routes {
+		if !route.Regions.IsBounded() {
+			continue
+		}
+		for _, part := range route.Parts {
+			bounded = append(bounded, BoundedPart{Route: route.Name, Service: part.Service, Regions: route.Regions})
+		}
+	}
+	return bounded
+}
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 // Repeat says how often a request of a route may run.
@@ -44,6 +46,8 @@
 	Public bool
 	// Parts are the services that requests go to; weights are relative.
 	Parts []Part
+	// Regions are those in which its requests may run.
+	Regions locality.Regions
 }
 
 // Part is one service of a route.
@@ -112,6 +116,7 @@
 	tenants   []Tenant
 	owners    map[KeyHash]int
 	hasQuotas bool
+	bounded   []BoundedPart
 }
 
 // New returns a table of the routes.
@@ -121,6 +126,7 @@
 		Services: make(map[string]Service, len(services)),
 		Limits:   limits,
 		routes:   make(map[string][]Route),
+		bounded:  findBounded(routes),
 	}
 	for _, service := range services {
 		table.Services[service.Name] = service
--- a/internal/routetable/tenant.go
+++ b/internal/routetable/tenant.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"slices"
+
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 // KeyHash stands for an API key: keys themselves are kept in the table's source
@@ -21,6 +23,8 @@
 	Priority    int
 	HasPriority bool
 	Quota       Quota
+	// Regions are those in which its requests may run.
+	Regions locality.Regions
 }
 
 // Quota bounds what a tenant's requests may count over all nodes: PerSecond, and
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 )
@@ -92,6 +93,8 @@
 	firstIP int
 	// isRelayed puts relays between nodes, and between each and the store.
 	isRelayed bool
+	// zones are those of the nodes, as ZONE=REGION; empty is the same one for all.
+	zones []string
 	// hasMetrics lets nodes serve their figures behind the first internal port.
 	hasMetrics bool
 }
@@ -116,7 +119,7 @@
 		}
 		n.settings = filepath.Join(f.folder, n.name+".toml")
 		text := fmt.Sprintf(settingsForm, n.name, ip, f.ports[0], f.ports[0]+1, options.seeds, ip, f.ports[1], ip, f.ports[2], storeAddress)
-		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(n.settings, []byte(options.place(text, i)), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		f.nodes = append(f.nodes, n)
@@ -125,6 +128,20 @@
 	return f
 }
 
+// place puts the node of a number into its zone.
+func (o fleetOptions) place(settings string, number int) string {
+	if len(o.zones) == 0 {
+		return settings
+	}
+	zone, region, _ := strings.Cut(o.zones[number], "=")
+	settings = strings.Replace(settings, `zone = "z"`, fmt.Sprintf("zone = %q\nregion = %q", zone, region), 1) + "[zones]\n"
+	for _, named := range o.zones {
+		zone, region, _ := strings.Cut(named, "=")
+		settings += fmt.Sprintf("%s = %q\n", zone, region)
+	}
+	return settings
+}
+
 // relay puts the node behind relays and returns the store's address for it.
 func (n *node) relay(t *testing.T, store string) string {
 	hidden := fmt.Sprintf("%s:%d", n.ip, n.fleet.ports[3])
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -33,8 +33,10 @@
 // of one that takes commands.
 type modelServer struct {
 	id, service, address string
-	loadTime             time.Duration
-	streamPause          time.Duration
+	// zone is that of its entry.
+	zone        string
+	loadTime    time.Duration
+	streamPause time.Duration
 
 	mu       sync.Mutex
 	models   map[string]map[string]bool
@@ -65,9 +67,14 @@
 }
 
 func newServer(t *testing.T, s *store, id, service string, loadTime time.Duration) *modelServer {
+	t.Helper()
+	return newServerIn(t, s, "z", id, service, loadTime)
+}
+
+func newServerIn(t *testing.T, s *store, zone, id, service string, loadTime time.Duration) *modelServer {
 	t.Helper()
 	m := &modelServer{
-		id: id, service: service, loadTime: loadTime,
+		id: id, service: service, zone: zone, loadTime: loadTime,
 		models: make(map[string]map[string]bool), runs: make(map[string]int), ranAt: make(map[string]time.Time),
 	}
 	server := httptest.NewServer(m)
@@ -83,7 +90,7 @@
 	models := m.held()
 	m.mu.Unlock()
 	s.put("servers", m.id, map[string]any{
-		"service": m.service, "address": m.address, "zone": "z", "slots": 8, "state": state, "models": models, "sequence": 1,
+		"service": m.service, "address": m.address, "zone": m.zone, "slots": 8, "state": state, "models": models, "sequence": 1,
 	})
 }
 
