Regions: what all nodes need to hear crosses a region once

Change: nodes tell their zone. The leader sends its views to one node of each other region, chosen by rendezvous of the strong ones that it heard within a second, which sends the datagram on as it is; likewise to one node of a large zone of its own region. A datagram that a later one overtook still gives its views. Who hears no views for 1.5 s asks for them, and is only confirmed what it has; where a second node of a region asks, one answer goes to all there. The busiest servers go out at most every 0.4 s. Of six gossip targets two lie in other regions, and their nodes are taken to live as much longer. What is wanted is told the leader for 0.7 s after its last change in place of 2, and those that may lead next once a second. Bytes are counted by kind and distance, those of bodies too.

Ruled out: a gatherer of counts a region (what is told would have to cross all the same; telling less did it); a spreader that stays until it is known dead (liveness of a node takes up to nine seconds to tell).

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -223,13 +223,7 @@
 	if term < c.term {
 		return true
 	}
-	own := uint64(0)
-	for _, s := range c.servers {
-		if s.view != nil && s.viewTerm == term {
-			own ^= s.view.Digest
-		}
-	}
-	if own != digest {
+	if c.digestOf(term) != digest {
 		return false
 	}
 	for _, s := range c.servers {
@@ -241,6 +235,19 @@
 	return true
 }
 
+// ViewsDigest is a digest of the views of the newest term.
+func (c *Core) ViewsDigest() uint64 { return c.digestOf(c.term) }
+
+func (c *Core) digestOf(term int64) uint64 {
+	digest := uint64(0)
+	for _, s := range c.servers {
+		if s.view != nil && s.viewTerm == term {
+			digest ^= s.view.Digest
+		}
+	}
+	return digest
+}
+
 // PeerLoad is what a peer has under way at one server.
 type PeerLoad struct {
 	ServerID      string
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -33,6 +33,8 @@
 	Address  string
 	// Estimate is the expected time to the first byte.
 	Estimate time.Duration
+	// Distance is how far it is.
+	Distance locality.Distance
 	Flight   *Flight
 }
 
@@ -76,7 +78,7 @@
 	chosen.running++
 	chosen.pendingTokens += tokens
 	flight := &Flight{server: chosen, tokens: tokens, estimate: cost, started: now}
-	return Choice{ServerID: chosen.info.ID, Address: chosen.info.Address, Estimate: cost, Flight: flight}, true
+	return Choice{ServerID: chosen.info.ID, Address: chosen.info.Address, Estimate: cost, Distance: c.places.Distance(c.zone, chosen.info.Zone), Flight: flight}, true
 }
 
 // CanPick reports whether Pick would find a server.
--- a/internal/edge/datagrams.go
+++ b/internal/edge/datagrams.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/gossip"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 )
 
@@ -45,10 +46,18 @@
 		return
 	}
 	_, _ = p.conn.WriteToUDP(datagram, address)
-	p.sentBytes[what].Add(int64(len(datagram)))
+	p.mu.Lock()
+	distance := p.roster.DistanceTo(target)
+	p.mu.Unlock()
+	p.sentBytes[what][distance].Add(int64(len(datagram)))
 }
 
 func (p *peers) send(what traffic, targets []string, state *peerpb.NodeState) {
+	p.sendSpread(what, gossip.Spread{Direct: targets}, state)
+}
+
+// sendSpread sends this node's state to nodes, and to those that send it on.
+func (p *peers) sendSpread(what traffic, plan gossip.Spread, state *peerpb.NodeState) {
 	p.mu.Lock()
 	p.sequence++
 	state.Sequence = p.sequence
@@ -59,9 +68,28 @@
 	named := state.Peers
 	state.Peers = append(slices.Clip(named), p.roster.Sample(clock.Now(), peers)...)
 	p.mu.Unlock()
-	datagram, err := proto.Marshal(state)
+	p.writeSpread(what, plan, state)
 	state.Peers = named
+}
+
+// writeSpread writes the state as it is.
+func (p *peers) writeSpread(what traffic, plan gossip.Spread, state *peerpb.NodeState) {
+	p.writeOnce(what, plan.Direct, state)
+	for _, spreader := range plan.Spreaders {
+		state.Spread = encodeSpreader(spreader)
+		p.writeOnce(what, []string{spreader.Address}, state)
+	}
+	state.Spread = nil
+}
+
+// writeOnce writes the state to each of the targets once.
+func (p *peers) writeOnce(what traffic, targets []string, state *peerpb.NodeState) {
+	if len(targets) == 0 {
+		return
+	}
+	datagram, err := proto.Marshal(state)
 	if err != nil {
+		p.node.options.Logger.Warn().Str("what", what.String()).Err(err).Msg("datagram_unwritable")
 		return
 	}
 	sent := make(map[string]bool, len(targets))
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -62,6 +62,8 @@
 	// loads are what all nodes have under way, while this node leads.
 	loads     *dispatch.FleetLoads
 	countedAt time.Time
+	// loadsToldAt is when loads were last told.
+	loadsToldAt time.Time
 
 	started   time.Time
 	quietFrom time.Time
@@ -281,7 +283,7 @@
 		l.demand.SetCounts(now, state.Address, state.Life, countsOf(state.Wanted))
 	}
 	if l.core != nil && state.ViewsWanted {
-		l.node.peers.answerViews(state.Address, l.term.Load(), l.lease.Lapsed(now), l.views(now))
+		l.node.peers.answerViews(state, l.term.Load(), l.lease.Lapsed(now), func() []dispatch.View { return l.views(now) })
 	}
 }
 
@@ -296,7 +298,7 @@
 
 // ownCounts takes this node's own counts as those of any other.
 func (l *leader) ownCounts(now time.Time) {
-	l.demand.SetCounts(now, l.node.options.PeerAddress, l.node.peers.life, countsOf(l.node.peers.wanted(now)))
+	l.demand.SetCounts(now, l.node.options.PeerAddress, l.node.peers.life, countsOf(l.node.peers.wanted(now, wantedAge)))
 }
 
 func (l *leader) order(ctx context.Context, order placer.Order) {
@@ -354,6 +356,11 @@
 	l.node.peers.tellViews(term, lapsed, views, l.busiest(now))
 }
 
+// loadsPeriod is the least time between two tellings of the busiest servers: their loads are
+// smoothed over a second, and took most of the bytes that the leader sent when they were in
+// each datagram.
+const loadsPeriod = 400 * time.Millisecond
+
 // busiestTold is the number of servers whose loads the leader tells, as many as go
 // into a datagram.
 const busiestTold = 48
@@ -361,9 +368,10 @@
 // busiest are the busiest servers, where nodes hear of each other's requests too
 // rarely to know them; they are in force here, too.
 func (l *leader) busiest(now time.Time) []dispatch.PeerLoad {
-	if l.node.peers.count() <= loadedNodes {
+	if l.node.peers.count() <= loadedNodes || now.Sub(l.loadsToldAt) < loadsPeriod {
 		return nil
 	}
+	l.loadsToldAt = now
 	loads := l.loads.Busiest(busiestTold)
 	l.node.dispatch.Do(func(core *dispatch.Core) { core.SetFleetLoads(now, l.term.Load(), loads) })
 	return loads
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/placer"
 )
 
@@ -125,7 +126,11 @@
 	m.counter("quota_alone_total", "Requests decided without a coordinator of quotas.", node.quotas.alone.Load)
 	m.counter("quota_unanswered_total", "Questions to coordinators of quotas without an answer.", node.quotas.unanswered.Load)
 	for what := range trafficKinds {
-		m.counter("peer_"+what.String()+"_bytes_total", "Bytes sent to peers: "+what.String()+".", func() int64 { return node.peers.sentBytes[what].Load() })
+		m.counter("peer_"+what.String()+"_bytes_total", "Bytes sent to peers: "+what.String()+".", func() int64 { return node.peers.sentBytes.of(what) })
+	}
+	for distance := range locality.Distances {
+		m.counter("peer_"+distance.String()+"_bytes_total", "Bytes sent to peers there.", func() int64 { return node.peers.sentBytes.to(distance) })
+		m.counter("servers_"+distance.String()+"_bytes_total", "Bytes of bodies to and from servers there.", counts.ServerBytes[distance].Load)
 	}
 	m.counter("datagrams_unreadable_total", "Datagrams of peers dropped as they could not be read.", func() int64 { return node.peers.unreadable.Load() })
 	if node.options.LogDropped != nil {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -66,12 +66,22 @@
 	// staleSince is when the views of this node began to differ from the
 	// leader's; zero while they do not.
 	staleSince time.Time
-	alive      map[string]bool
+	// viewsHeard is when a leader's digest of its views came last.
+	viewsHeard time.Time
+	// standbysTold is when nodes that may lead next were told last what is wanted;
+	// toldLeader is the leader that is told, and since when.
+	standbysTold   time.Time
+	toldLeader     string
+	toldLeaderFrom time.Time
+	// spreaders are who sent on last, and asked when all views were asked for last, by
+	// region, while this node leads.
+	spreaders map[string]string
+	asked     map[string]askedViews
+	alive     map[string]bool
 	// notedAt is when alive was last brought up to date.
 	notedAt       time.Time
 	trafficLogged time.Time
-	// sentBytes count what was sent, by what it was.
-	sentBytes [trafficKinds]atomic.Int64
+	sentBytes     sentBytes
 	// unreadable counts datagrams that were dropped as they could not be read.
 	unreadable atomic.Int64
 	// wasSentinel is whether this node watched the store for the others at its
@@ -93,6 +103,7 @@
 	life := rand.Uint64()
 	roster := gossip.New(node.options.PeerAddress, node.options.Tunables.PeerSeeds, life)
 	roster.SetStrength(node.options.Strength)
+	roster.SetPlace(node.options.Zone, node.options.Places)
 	return &peers{
 		node:    node,
 		conn:    conn,
@@ -102,6 +113,10 @@
 		told:    make(map[string]uint64),
 		toldAll: make(map[string]time.Time),
 		alive:   make(map[string]bool),
+
+		viewsHeard: clock.Now(),
+		spreaders:  make(map[string]string),
+		asked:      make(map[string]askedViews),
 		// Alone at first, the node watches for itself; its watches are new.
 		wasSentinel: true,
 	}, nil
@@ -185,6 +200,9 @@
 		p.node.quotas.take(state.Quota)
 		return
 	}
+	if state.Spread != nil {
+		p.sendOn(clock.Now(), state)
+	}
 	p.node.suspects.hear(cmp.Or(state.Address, state.Node), state.Crashes)
 	if state.Address != "" {
 		p.take(state)
@@ -196,8 +214,12 @@
 	p.mu.Lock()
 	isNew := !p.roster.Knows(state.Address, state.Life)
 	fresh := p.roster.Observe(now, state)
+	isOlder := !fresh && p.roster.Knows(state.Address, state.Life)
 	count := p.roster.Count(now)
 	p.mu.Unlock()
+	if isOlder {
+		p.takeLateViews(now, state.Leader)
+	}
 	if !fresh {
 		return
 	}
@@ -258,10 +280,10 @@
 		fanout = manyFanout
 	}
 	targets := p.roster.Targets(now, fanout)
-	deciders := p.roster.Deciders(now)
+	leader, standbys := p.deciders(now, nodes)
 	if p.node.hasQuotas() {
 		// A coordinator has to know how many nodes it gives for.
-		deciders = union(deciders, p.roster.Coordinators(now, true))
+		targets = union(targets, p.roster.Coordinators(now, true))
 	}
 	p.noteAlive(now)
 	p.mu.Unlock()
@@ -272,10 +294,53 @@
 	if nodes > loadedNodes {
 		state.Loads = nil
 	}
-	p.send(trafficGossip, without(targets, deciders), state)
-	state.Loads = loads
-	state.Wanted, state.TellsWanted = p.wanted(now), true
-	p.send(trafficWanted, deciders, state)
+	p.send(trafficGossip, without(targets, append(leader, standbys...)), state)
+	state.Loads, state.TellsWanted = loads, true
+	state.Wanted = p.wanted(now, p.leaderAge(now, leader))
+	p.send(trafficWanted, leader, state)
+	if len(standbys) > 0 {
+		state.Wanted = p.wanted(now, wantedAge)
+		p.send(trafficWanted, standbys, state)
+	}
+}
+
+const (
+	// standbyPeriod is the time between two tellings of what is wanted to nodes that may
+	// lead next, in fleets where bytes between regions, or many nodes, make it dear.
+	standbyPeriod = time.Second
+	// toldLeaderAge is how long a count is told the leader after its last change there:
+	// in three datagrams. A leader that is new here is told all of wantedAge for as long.
+	toldLeaderAge = 3*gossipPeriod + gossipPeriod/2
+)
+
+// deciders are the leader and the nodes that may lead next, as far as they are to be told
+// now what is wanted. The lock is held.
+func (p *peers) deciders(now time.Time, nodes int) (leader, standbys []string) {
+	standbys = p.roster.Deciders(now)
+	if known := p.roster.Leader(now); known != nil {
+		leader, standbys = standbys[:1:1], standbys[1:]
+	}
+	if nodes <= manyNodes && !p.node.options.Places.HasRegions() {
+		return leader, standbys
+	}
+	if now.Sub(p.standbysTold) < standbyPeriod {
+		return leader, nil
+	}
+	p.standbysTold = now
+	return leader, standbys
+}
+
+// leaderAge is how long after its last change a count is told the leader.
+func (p *peers) leaderAge(now time.Time, leader []string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(leader) > 0 && leader[0] != p.toldLeader {
+		p.toldLeader, p.toldLeaderFrom = leader[0], now
+	}
+	if now.Sub(p.toldLeaderFrom) < wantedAge {
+		return wantedAge
+	}
+	return toldLeaderAge
 }
 
 // union adds the coordinators that are not among the addresses.
@@ -293,12 +358,12 @@
 	return slices.DeleteFunc(addresses, func(address string) bool { return slices.Contains(others, address) })
 }
 
-// wanted is what callers of this node ask for. Only nodes that lead, or may next,
+// wanted is what callers of this node ask for, as far as that changed lately. Only nodes that lead, or may next,
 // are told: with hundreds of nodes it is most of a datagram.
-func (p *peers) wanted(now time.Time) []*peerpb.WantedCount {
+func (p *peers) wanted(now time.Time, age time.Duration) []*peerpb.WantedCount {
 	var wanted []*peerpb.WantedCount
 	p.node.dispatch.Do(func(core *dispatch.Core) {
-		for _, count := range core.Demand(now.Add(-wantedAge)) {
+		for _, count := range core.Demand(now.Add(-age)) {
 			wanted = append(wanted, &peerpb.WantedCount{
 				Service: count.Wanted.Service, Model: count.Wanted.Model, Adapter: count.Wanted.Adapter,
 				Asked: uint64(count.Asked), Waiting: uint32(count.Waiting), PromptTokens: uint64(count.PromptTokens),
@@ -357,7 +422,7 @@
 	p.node.leader.post(func() {})
 	if leader != nil && !early {
 		state := p.state(now)
-		state.Wanted, state.TellsWanted = p.wanted(now), true
+		state.Wanted, state.TellsWanted = p.wanted(now, p.leaderAge(now, []string{leader.Address})), true
 		p.send(trafficWanted, []string{leader.Address}, state)
 	}
 }
@@ -368,11 +433,15 @@
 		Address:  p.address,
 		Life:     p.life,
 		Strength: p.node.options.Strength,
+		Zone:     p.node.options.Zone,
 		Leaving:  p.node.stopping.Load(),
 
 		StoreFailing: p.node.storeFailing.Load(),
 		ViewsWanted:  p.wantsViews(now),
 	}
+	if state.ViewsWanted {
+		state.ViewsDigest = p.ownViewsDigest()
+	}
 	state.ConfigVersion = p.node.configVersion()
 	if p.node.hasQuotas() {
 		size, _ := p.node.quotas.fleetSize(now)
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -1,6 +1,11 @@
 package edge
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/locality"
+)
 
 // traffic is what a datagram to a peer is for.
 type traffic int
@@ -18,13 +23,15 @@
 	trafficQuotas
 	// trafficCrashes tells of servers that ended under requests.
 	trafficCrashes
+	// trafficSpread is what this node sends on for another.
+	trafficSpread
 
 	trafficKinds
 )
 
 // String names the traffic in logs and metrics.
 func (t traffic) String() string {
-	return [...]string{"gossip", "wanted", "views", "answers", "quotas", "crashes"}[t]
+	return [...]string{"gossip", "wanted", "views", "answers", "quotas", "crashes", "spread"}[t]
 }
 
 // trafficPeriod is the time between two log lines on what was sent to peers.
@@ -38,7 +45,33 @@
 	p.trafficLogged = now
 	entry := p.node.options.Logger.Info()
 	for what := range trafficKinds {
-		entry.Int64(what.String()+"_bytes", p.sentBytes[what].Load())
+		entry.Int64(what.String()+"_bytes", p.sentBytes.of(what)).
+			Int64(what.String()+"_far_bytes", p.sentBytes[what][locality.OtherRegion].Load())
+	}
+	bodies := &p.node.handler.Metrics.ServerBytes
+	for distance := range locality.Distances {
+		entry.Int64("servers_"+distance.String()+"_bytes", bodies[distance].Load())
 	}
 	entry.Msg("peer_traffic")
 }
+
+// sentBytes count what was sent to peers, by what it was and how far it went.
+type sentBytes [trafficKinds][locality.Distances]atomic.Int64
+
+// of is what was sent of one kind.
+func (s *sentBytes) of(what traffic) int64 {
+	sum := int64(0)
+	for distance := range locality.Distances {
+		sum += s[what][distance].Load()
+	}
+	return sum
+}
+
+// to is what was sent so far away, of all kinds.
+func (s *sentBytes) to(distance locality.Distance) int64 {
+	sum := int64(0)
+	for what := range trafficKinds {
+		sum += s[what][distance].Load()
+	}
+	return sum
+}
--- a/internal/edge/views.go
+++ b/internal/edge/views.go
@@ -7,6 +7,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/gossip"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 )
 
@@ -14,8 +15,8 @@
 // all by which they see whether they have missed some.
 func (p *peers) tellViews(term int64, lapsed time.Duration, views []dispatch.View, loads []dispatch.PeerLoad) {
 	now := clock.Now()
+	plan := p.spreadPlan(now)
 	p.mu.Lock()
-	targets := p.addresses(now)
 	var changed []dispatch.View
 	for _, view := range views {
 		if p.told[view.ServerID] != view.Digest {
@@ -24,7 +25,7 @@
 		}
 	}
 	p.mu.Unlock()
-	p.sendViews(trafficViews, targets, term, lapsed, changed, loads)
+	p.sendViews(trafficViews, plan, term, lapsed, changed, loads)
 }
 
 // forgetViews drops what was told of servers that are gone, or of all.
@@ -39,17 +40,12 @@
 }
 
 // sendViews sends views in as many datagrams as they need, one at the least.
-func (p *peers) sendViews(what traffic, targets []string, term int64, lapsed time.Duration, views []dispatch.View, loads []dispatch.PeerLoad) {
+func (p *peers) sendViews(what traffic, plan gossip.Spread, term int64, lapsed time.Duration, views []dispatch.View, loads []dispatch.PeerLoad) {
 	encoded := make([]*peerpb.ServerView, 0, len(views))
 	for _, view := range views {
 		encoded = append(encoded, encodeView(view))
 	}
-	p.mu.Lock()
-	all := uint64(0)
-	for _, digest := range p.told {
-		all ^= digest
-	}
-	p.mu.Unlock()
+	all := p.toldDigest()
 	for first := true; first || len(encoded) > 0; first = false {
 		state := p.state(clock.Now())
 		state.Leader = &peerpb.LeaderState{
@@ -63,21 +59,34 @@
 		if len(encoded) == 0 {
 			state.Leader.ViewsDigest = all
 		}
-		p.send(what, targets, state)
+		p.sendSpread(what, plan, state)
 	}
 }
 
-// answerViews sends all views to a node that asked for them.
-func (p *peers) answerViews(address string, term int64, lapsed time.Duration, views []dispatch.View) {
-	now := clock.Now()
+// toldDigest is a digest of all views told.
+func (p *peers) toldDigest() uint64 {
 	p.mu.Lock()
-	early := now.Sub(p.toldAll[address]) < viewsLag
-	if !early {
-		p.toldAll[address] = now
+	defer p.mu.Unlock()
+	all := uint64(0)
+	for _, digest := range p.told {
+		all ^= digest
+	}
+	return all
+}
+
+// answerViews sends all views to a node that asked for them; one that has them, and only
+// did not hear so, is told that they still hold.
+func (p *peers) answerViews(asker *peerpb.NodeState, term int64, lapsed time.Duration, views func() []dispatch.View) {
+	now := clock.Now()
+	if asker.ViewsDigest != 0 && asker.ViewsDigest == p.toldDigest() {
+		p.sendViews(trafficAnswers, gossip.Spread{Direct: []string{asker.Address}}, term, lapsed, nil, nil)
+		return
 	}
+	p.mu.Lock()
+	plan, ok := p.answerPlan(now, asker.Address)
 	p.mu.Unlock()
-	if !early {
-		p.sendViews(trafficAnswers, []string{address}, term, lapsed, views, nil)
+	if ok {
+		p.sendViews(trafficAnswers, plan, term, lapsed, views(), nil)
 	}
 }
 
@@ -90,6 +99,7 @@
 	p.node.dispatch.Do(func(core *dispatch.Core) { same = core.ConfirmViews(now, leader.Term, leader.ViewsDigest) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.viewsHeard = now
 	switch {
 	case same:
 		p.staleSince = time.Time{}
@@ -116,5 +126,5 @@
 func (p *peers) wantsViews(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.staleSince.IsZero() && now.Sub(p.staleSince) > viewsLag
+	return p.hasSilentViews(now) || !p.staleSince.IsZero() && now.Sub(p.staleSince) > viewsLag
 }
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 )
 
@@ -41,6 +42,8 @@
 	StoreFailing bool
 	// Strength tells strong machines from weak ones.
 	Strength uint32
+	// Zone is where the node's machine stands; empty where it does not tell.
+	Zone     string
 	LastSeen time.Time
 	sequence uint64
 }
@@ -48,6 +51,8 @@
 // Roster is the table of nodes. It is not safe for concurrent use.
 type Roster struct {
 	self     string
+	zone     string
+	places   locality.Map
 	strength uint32
 	random   *rand.Rand
 	peers    map[string]*Peer
@@ -55,9 +60,9 @@
 	order []*Peer
 	// hints are addresses of which no node is known yet.
 	hints map[string]time.Time
-	// turn are the living nodes that are still to be sent to in this round, in
-	// an order drawn anew for each.
-	turn []string
+	// near and far are the living nodes of this region, and of others, that are still
+	// to be sent to in this round.
+	near, far turn
 	// summary is what was last worked out of all nodes.
 	summary summary
 }
@@ -68,6 +73,11 @@
 	r.summary = summary{}
 }
 
+// SetPlace tells where this node's machine stands.
+func (r *Roster) SetPlace(zone string, places locality.Map) {
+	r.zone, r.places = zone, places
+}
+
 // precedes reports whether a peer comes before this node where one has to do
 // something for all: the stronger machine, then the lower address.
 func (r *Roster) precedes(peer *Peer) bool {
@@ -120,6 +130,7 @@
 	known.ConfigVersion = state.ConfigVersion
 	known.StoreFailing = state.StoreFailing
 	known.Strength = state.Strength
+	known.Zone = state.Zone
 	known.LastSeen = now
 	known.Term, known.Lapsed, known.LeaseRevision = 0, 0, 0
 	if state.Leader != nil {
@@ -127,7 +138,7 @@
 		known.LeaseRevision = state.Leader.LeaseRevision
 		known.Lapsed = time.Duration(state.Leader.LapsedMs) * time.Millisecond
 	}
-	if known.standing() != before || now.Sub(wasSeen) >= r.aliveWindow() {
+	if known.standing() != before || now.Sub(wasSeen) >= r.windowOf(known) {
 		r.summary = summary{}
 	}
 	delete(r.hints, state.Address)
@@ -259,36 +270,6 @@
 // hintTries is how long an address without a node is tried.
 const hintTries = 20 * time.Second
 
-// Targets are up to most addresses to send to: all living nodes come in turn, so
-// that each hears from this node within a known time. Nodes that are silent and
-// addresses without a known node are added now and then, so that cut parts find
-// each other again.
-func (r *Roster) Targets(now time.Time, most int) []string {
-	alive := r.Alive(now)
-	most = min(most, len(alive))
-	targets := make([]string, 0, most)
-	for len(targets) < most {
-		if len(r.turn) == 0 {
-			r.drawTurn(alive)
-		}
-		next := r.turn[0]
-		r.turn = r.turn[1:]
-		_, isAlive := slices.BinarySearchFunc(alive, next, byAddress)
-		if isAlive && !slices.Contains(targets, next) {
-			targets = append(targets, next)
-		}
-	}
-	return append(targets, r.silent(now)...)
-}
-
-// drawTurn begins a round over all living nodes.
-func (r *Roster) drawTurn(alive []*Peer) {
-	for _, peer := range alive {
-		r.turn = append(r.turn, peer.Address)
-	}
-	r.random.Shuffle(len(r.turn), func(i, j int) { r.turn[i], r.turn[j] = r.turn[j], r.turn[i] })
-}
-
 func (r *Roster) silent(now time.Time) []string {
 	var silent []string
 	for address, since := range r.hints {
@@ -301,9 +282,9 @@
 	var gone []*Peer
 	for _, peer := range r.order {
 		age := now.Sub(peer.LastSeen)
-		if age > 2*countedTime {
+		if age > 2*r.countedFor(peer) {
 			gone = append(gone, peer)
-		} else if age >= r.aliveWindow() {
+		} else if age >= r.windowOf(peer) {
 			silent = append(silent, peer.Address)
 		}
 	}
--- /dev/null
+++ b/internal/gossip/spread_test.go
@@ -0,0 +1,230 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/locality"
+)
+
+var threeRegions = locality.NewMap(map[string]string{"n1": "north", "n2": "north", "s1": "south", "s2": "south", "w1": "west", "w2": "west"})
+
+// placedRoster is the roster of a node in n1 that hears some nodes in each zone.
+func placedRoster(places locality.Map, nodes map[string]int) *Roster {
+	roster := New("self", nil, 1)
+	roster.SetPlace("n1", places)
+	for zone, count := range nodes {
+		for i := range count {
+			hearIn(roster, begin, zone, i, 1)
+		}
+	}
+	return roster
+}
+
+func addressIn(zone string, number int) string { return fmt.Sprintf("%s-%02d", zone, number) }
+
+func hearIn(roster *Roster, now time.Time, zone string, number int, sequence uint64) {
+	told := state(addressIn(zone, number), 1, sequence)
+	told.Zone, told.Strength = zone, 10
+	roster.Observe(now, told)
+}
+
+// reached are the nodes that a plan reaches, and how often, where the spreaders know the
+// same nodes as this one.
+func (s Spread) reached(roster *Roster, now time.Time) map[string]int {
+	count := make(map[string]int)
+	for _, address := range s.Direct {
+		count[address]++
+	}
+	for _, spreader := range s.Spreaders {
+		count[spreader.Address]++
+		for _, address := range roster.InZones(now, spreader.Zones) {
+			if address != spreader.Address {
+				count[address]++
+			}
+		}
+		for _, target := range spreader.Targets {
+			count[target.Address]++
+			for _, address := range roster.InZones(now, []string{target.Zone}) {
+				if address != target.Address {
+					count[address]++
+				}
+			}
+		}
+	}
+	return count
+}
+
+// TestSpreadReachesAllOnce in drawn fleets, nodes that were silent for a while included.
+func TestSpreadReachesAllOnce(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	for range 300 {
+		nodes := make(map[string]int)
+		for _, zone := range []string{"n1", "n2", "s1", "s2", "w1", "w2", "unknown"} {
+			nodes[zone] = random.IntN(20)
+		}
+		roster := placedRoster(threeRegions, nodes)
+		now := begin.Add(1200 * time.Millisecond)
+		for zone, count := range nodes {
+			for i := range count {
+				if random.IntN(2) == 0 {
+					hearIn(roster, now, zone, i, 2)
+				}
+			}
+		}
+		plan := roster.Spread(now)
+		reached := plan.reached(roster, now)
+		for _, peer := range roster.Alive(now) {
+			if reached[peer.Address] != 1 {
+				t.Fatalf("%s is reached %d times by %+v", peer.Address, reached[peer.Address], plan)
+			}
+		}
+		for _, spreader := range plan.Spreaders {
+			if at := spreader.Region; at != "" && threeRegions.Region(spreader.Zone) != at {
+				t.Fatalf("%+v sends on in a region that is not its own", spreader)
+			}
+		}
+	}
+}
+
+// TestWhatCrossesARegionCrossesItOnce: 67 nodes in six zones of three regions.
+func TestWhatCrossesARegionCrossesItOnce(t *testing.T) {
+	nodes := map[string]int{"n1": 10, "n2": 11, "s1": 11, "s2": 12, "w1": 11, "w2": 11}
+	roster := placedRoster(threeRegions, nodes)
+	plan := roster.Spread(begin)
+	crossing := 0
+	for _, address := range plan.Direct {
+		if roster.DistanceTo(address) == locality.OtherRegion {
+			crossing++
+		}
+	}
+	if crossing != 0 || len(plan.Spreaders) != 2 {
+		t.Errorf("%d nodes and %d spreaders of other regions are sent to, want 2 spreaders: %+v", crossing, len(plan.Spreaders), plan)
+	}
+}
+
+// TestSilentSpreaderIsReplaced within a second of its last word, and stays the same while
+// others come and go.
+func TestSilentSpreaderIsReplaced(t *testing.T) {
+	roster := placedRoster(threeRegions, map[string]int{"n1": 3, "s1": 8})
+	spreader := func(now time.Time) string {
+		plan := roster.Spread(now)
+		if len(plan.Spreaders) != 1 {
+			t.Fatalf("spreaders %+v, want one", plan.Spreaders)
+		}
+		return plan.Spreaders[0].Address
+	}
+	first := spreader(begin)
+	now := begin
+	for sequence := uint64(2); now.Sub(begin) < spreaderSilence+200*time.Millisecond; sequence++ {
+		now = now.Add(200 * time.Millisecond)
+		for i := range 8 {
+			if addressIn("s1", i) != first {
+				hearIn(roster, now, "s1", i, sequence)
+			}
+		}
+		if got := spreader(now); (got == first) != (now.Sub(begin) < spreaderSilence) {
+			t.Errorf("%v after the last word of %s, %s sends on", now.Sub(begin), first, got)
+		}
+	}
+	second := spreader(now)
+	hearIn(roster, now, "s1", 20, 1)
+	if got := spreader(now); got != second && got != addressIn("s1", 20) {
+		t.Errorf("%s sends on in place of %s as another node came", got, second)
+	}
+	if later := now.Add(spreaderSilence + 200*time.Millisecond); len(roster.Spread(later).Spreaders) != 0 || len(roster.Spread(later).Direct) == 0 {
+		t.Error("nodes that are silent are trusted to send on")
+	}
+}
+
+// TestWeakAndLeavingNodesDoNotSendOn where a strong one is there.
+func TestWeakAndLeavingNodesDoNotSendOn(t *testing.T) {
+	for seed := range 20 {
+		roster := placedRoster(threeRegions, nil)
+		strong := fmt.Sprint("s-strong-", seed)
+		for i, strength := range []uint32{10, 4, 2, 10} {
+			told := state(fmt.Sprint("s-", seed, "-", i), 1, 1)
+			told.Zone, told.Strength = "s1", strength
+			told.Leaving = strength == 10
+			roster.Observe(begin, told)
+		}
+		told := state(strong, 1, 1)
+		told.Zone, told.Strength = "s1", 10
+		roster.Observe(begin, told)
+		if plan := roster.Spread(begin); len(plan.Spreaders) != 1 || plan.Spreaders[0].Address != strong {
+			t.Fatalf("spreaders %+v, want %s", plan.Spreaders, strong)
+		}
+	}
+}
+
+// TestSmallFleetsSendToAll themselves, and so do those without regions.
+func TestSmallFleetsSendToAll(t *testing.T) {
+	small := placedRoster(threeRegions, map[string]int{"n1": 5, "n2": leastInZone - 1, "s1": leastInRegion - 1})
+	if plan := small.Spread(begin); len(plan.Spreaders) != 0 || len(plan.Direct) != 5+leastInZone-1+leastInRegion-1 {
+		t.Errorf("%+v", plan)
+	}
+	oneRegion := placedRoster(locality.Map{}, map[string]int{"n1": 6, "n2": 6, "s1": 6})
+	if plan := oneRegion.Spread(begin); len(plan.Spreaders) != 0 || len(plan.Direct) != 18 {
+		t.Errorf("%+v", plan)
+	}
+}
+
+// TestTargetsStayInTheRegion for the most part, and all nodes come in turn.
+func TestTargetsStayInTheRegion(t *testing.T) {
+	nodes := map[string]int{"n1": 10, "n2": 11, "s1": 11, "s2": 12, "w1": 11, "w2": 11}
+	cases := []struct {
+		name   string
+		places locality.Map
+		nodes  map[string]int
+		far    int
+	}{
+		{"three regions", threeRegions, nodes, 2},
+		{"no regions", locality.Map{}, nodes, 0},
+		{"alone in its region", threeRegions, map[string]int{"s1": 20}, 6},
+		{"few in its region", threeRegions, map[string]int{"n2": 2, "s1": 20}, 4},
+	}
+	for _, c := range cases {
+		roster := placedRoster(c.places, c.nodes)
+		seen := make(map[string]bool)
+		for range 30 {
+			targets := roster.Targets(begin, 6)
+			far := 0
+			for _, address := range targets {
+				seen[address] = true
+				if roster.DistanceTo(address) == locality.OtherRegion {
+					far++
+				}
+			}
+			if far != c.far || len(targets) != 6 || len(slices.Compact(slices.Sorted(slices.Values(targets)))) != 6 {
+				t.Errorf("%s: %d of %v lie in other regions, want %d of 6", c.name, far, targets, c.far)
+			}
+		}
+		if alive := len(roster.Alive(begin)); len(seen) != alive {
+			t.Errorf("%s: %d of %d nodes are spoken to", c.name, len(seen), alive)
+		}
+	}
+}
+
+// TestNodesOfOtherRegionsLiveLonger: they are heard more rarely.
+func TestNodesOfOtherRegionsLiveLonger(t *testing.T) {
+	roster := placedRoster(threeRegions, map[string]int{"n1": 30, "s1": 30})
+	count := func(after time.Duration) (near, far int) {
+		for _, peer := range roster.Alive(begin.Add(after)) {
+			if roster.isFar(peer) {
+				far++
+			} else {
+				near++
+			}
+		}
+		return near, far
+	}
+	if near, far := count(6 * time.Second); near != 0 || far != 30 {
+		t.Errorf("after 6 s %d near and %d far nodes live, want the far ones", near, far)
+	}
+	if near, far := count(10 * time.Second); near+far != 0 {
+		t.Errorf("after 10 s %d near and %d far nodes live, want none", near, far)
+	}
+}
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -47,10 +47,11 @@
 	storeFailing bool
 	leaving      bool
 	strength     uint32
+	zone         string
 }
 
 func (p *Peer) standing() standing {
-	return standing{term: p.Term, storeFailing: p.StoreFailing, leaving: p.Leaving, strength: p.Strength}
+	return standing{term: p.Term, storeFailing: p.StoreFailing, leaving: p.Leaving, strength: p.Strength, zone: p.Zone}
 }
 
 // summarize returns the summary as of now.
@@ -60,16 +61,15 @@
 		return &r.summary
 	}
 	made := summary{at: now, counted: 1 + len(r.hints), hinted: len(r.hints), fresh: 1}
-	window := r.aliveWindow()
 	for _, peer := range r.order {
 		age := now.Sub(peer.LastSeen)
-		if age < countedTime {
+		if age < r.countedFor(peer) {
 			made.counted++
 		}
 		if age < freshTime {
 			made.fresh++
 		}
-		if age < window {
+		if age < r.windowOf(peer) {
 			made.add(r, peer)
 		}
 	}
--- /dev/null
+++ b/internal/gossip/targets.go
@@ -0,0 +1,85 @@
+package gossip
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/locality"
+)
+
+// Of the nodes that a node speaks to in a period, at most those of one in farShare are in
+// other regions, where its own region has enough: bytes between regions are the dearest,
+// and whatever one node of a region has heard the others hear from it a period later.
+const farShare = 3
+
+// farTime is what is allowed beyond the usual for each node that is heard that rarely.
+const farTime = 150 * time.Millisecond
+
+// turn is the rest of a round over nodes, in an order drawn anew for each round: all
+// nodes come in turn, so that each is sent to within a known time.
+type turn struct{ rest []string }
+
+// next returns up to most of the living nodes, by address.
+func (t *turn) next(random *rand.Rand, living []*Peer, most int) []string {
+	most = min(most, len(living))
+	targets := make([]string, 0, most)
+	for len(targets) < most {
+		if len(t.rest) == 0 {
+			t.draw(random, living)
+		}
+		next := t.rest[0]
+		t.rest = t.rest[1:]
+		_, isAlive := slices.BinarySearchFunc(living, next, byAddress)
+		if isAlive && !slices.Contains(targets, next) {
+			targets = append(targets, next)
+		}
+	}
+	return targets
+}
+
+// draw begins a round over all living nodes.
+func (t *turn) draw(random *rand.Rand, living []*Peer) {
+	for _, peer := range living {
+		t.rest = append(t.rest, peer.Address)
+	}
+	random.Shuffle(len(t.rest), func(i, j int) { t.rest[i], t.rest[j] = t.rest[j], t.rest[i] })
+}
+
+// Targets are up to most addresses to send to, most of them in this node's region. Nodes
+// that are silent and addresses without a known node are added now and then, so that cut
+// parts find each other again.
+func (r *Roster) Targets(now time.Time, most int) []string {
+	var near, far []*Peer
+	for _, peer := range r.Alive(now) {
+		if r.isFar(peer) {
+			far = append(far, peer)
+		} else {
+			near = append(near, peer)
+		}
+	}
+	toFar := 0
+	if len(far) > 0 {
+		toFar = most - min(len(near), most-max(1, most/farShare))
+	}
+	targets := r.near.next(r.random, near, most-toFar)
+	targets = append(targets, r.far.next(r.random, far, toFar)...)
+	return append(targets, r.silent(now)...)
+}
+
+// isFar reports whether the node is in another region, as far as that is known.
+func (r *Roster) isFar(peer *Peer) bool {
+	return peer.Zone != "" && r.places.Distance(r.zone, peer.Zone) == locality.OtherRegion
+}
+
+// windowOf is how long the node is alive after its last datagram.
+func (r *Roster) windowOf(peer *Peer) time.Duration {
+	window := r.aliveWindow()
+	if r.isFar(peer) {
+		window += time.Duration(max(0, len(r.peers)-heardByAll)) * (farTime - rareTime)
+	}
+	return window
+}
+
+// countedFor is how long the node counts among those that share a budget.
+func (r *Roster) countedFor(peer *Peer) time.Duration { return max(countedTime, r.windowOf(peer)) }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -54,6 +54,7 @@
 	if !x.hasSent(choice.ServerID) {
 		x.sent = append(x.sent, choice.ServerID)
 	}
+	x.countBytes(choice, len(x.body))
 	answer, err := conn.RoundTrip(x.ctx, x.outgoing(choice))
 	if err != nil && conn.Reused {
 		// The others that were kept may be as silent or as dead; new ones may work.
@@ -75,6 +76,11 @@
 	return good
 }
 
+// countBytes counts a body's bytes by how far its server is.
+func (x *exchange) countBytes(choice dispatch.Choice, count int) {
+	x.handler.Metrics.ServerBytes[choice.Distance].Add(int64(count))
+}
+
 func (x *exchange) outgoing(choice dispatch.Choice) backendconn.Request {
 	header := x.header.Clone()
 	x.handler.options.Dialect.SetSend(header, Send{
@@ -232,6 +238,7 @@
 func (x *exchange) whole(choice dispatch.Choice, answer *backendconn.Answer) verdict {
 	failed := answer.Status >= http.StatusInternalServerError
 	content, err := io.ReadAll(io.LimitReader(answer, maxWholeBytes))
+	x.countBytes(choice, len(content))
 	if err != nil {
 		x.brokeOff(choice)
 		return x.again("broken_answer")
@@ -251,7 +258,9 @@
 	x.writeHead(answer, len(content) < maxWholeBytes, len(content))
 	_, _ = x.writer.Write(content)
 	if len(content) == maxWholeBytes {
-		if _, err := io.Copy(x.writer, answer); err != nil {
+		copied, err := io.Copy(x.writer, answer)
+		x.countBytes(choice, int(copied))
+		if err != nil {
 			x.cut("broken_answer")
 		}
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -1,6 +1,10 @@
 package relay
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/spanlanding/spanlanding/internal/locality"
+)
 
 // Outcomes of requests.
 const (
@@ -28,4 +32,6 @@
 	Barred    atomic.Int64
 	// NoPlace counts requests that may run in no region where a server is.
 	NoPlace atomic.Int64
+	// ServerBytes are those of bodies to and from servers, by how far these are.
+	ServerBytes [locality.Distances]atomic.Int64
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -41,6 +41,7 @@
 		}
 		count, err := answer.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+count]
+		x.countBytes(choice, count)
 		if end := lastEventEnd(buffer); end > 0 {
 			x.passOn(answer, buffer[:end])
 			_ = controller.Flush()
