--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -7,17 +7,21 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 // Options set up a Core.
 type Options struct {
 	Zone string
-	Seed uint64
+	// Places are the zones and regions of the deployment.
+	Places locality.Map
+	Seed   uint64
 }
 
 // Core is the choice of servers of one node.
 type Core struct {
 	zone      string
+	places    locality.Map
 	random    *rand.Rand
 	servers   map[string]*server
 	byService map[string][]*server
@@ -40,6 +44,7 @@
 func New(options Options) *Core {
 	return &Core{
 		zone:      options.Zone,
+		places:    options.Places,
 		random:    rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
 		servers:   make(map[string]*server),
 		byService: make(map[string][]*server),
@@ -230,13 +235,7 @@
 	if term < c.term {
 		return true
 	}
-	own := uint64(0)
-	for _, s := range c.servers {
-		if s.view != nil && s.viewTerm == term {
-			own ^= s.view.Digest
-		}
-	}
-	if own != digest {
+	if c.digestOf(term) != digest {
 		return false
 	}
 	for _, s := range c.servers {
@@ -248,6 +247,19 @@
 	return true
 }
 
+// ViewsDigest is a digest of the views of the newest term.
+func (c *Core) ViewsDigest() uint64 { return c.digestOf(c.term) }
+
+func (c *Core) digestOf(term int64) uint64 {
+	digest := uint64(0)
+	for _, s := range c.servers {
+		if s.view != nil && s.viewTerm == term {
+			digest ^= s.view.Digest
+		}
+	}
+	return digest
+}
+
 // PeerLoad is what a peer has under way at one server.
 type PeerLoad struct {
 	ServerID      string
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -42,12 +42,13 @@
 	started := clock.Now()
 	x.waitsSince = started
 	waits := false
+	var counted dispatch.Wanted
 	defer func() {
 		x.waited += clock.Since(started)
 		x.waitsSince = time.Time{}
 		if waits {
 			x.handler.waiting.Add(-1)
-			core.Do(func(c *dispatch.Core) { c.Waits(x.wanted(), -1) })
+			core.Do(func(c *dispatch.Core) { c.Waits(counted, -1) })
 		}
 	}()
 	for {
@@ -63,9 +64,7 @@
 			readyIn, known = c.ReadyIn(now, x.wanted())
 			ordersIn = c.OrdersIn(now)
 			isEvacuated = c.IsEvacuated(x.service)
-			if !waits {
-				c.Waits(x.wanted(), 1)
-			}
+			counted = x.countWaiting(c, counted, waits)
 		})
 		if ok {
 			return choice, true
@@ -82,6 +81,9 @@
 			x.refuseEvacuated()
 			return choice, false
 		}
+		if !x.hasPlace() {
+			return choice, false
+		}
 		if !known {
 			readyIn = x.usualLoad(ordersIn)
 		}
