--- /dev/null
+++ b/internal/coldstart/state.go
@@ -0,0 +1,139 @@
+package coldstart
+
+import "time"
+
+// Phase is how a server is to be treated.
+type Phase int
+
+const (
+	// Warm servers take whatever comes.
+	Warm Phase = iota
+	// Cold servers take what is granted.
+	Cold
+	// Ramp is the moment after a server was cold: what waited for it is let go bit by bit.
+	Ramp
+)
+
+const (
+	// rampTime is the length of the ramp: the line of callers that is kept waiting at
+	// the most is about as long.
+	rampTime = time.Second
+	// LongestCold bounds what is believed of a cold time.
+	LongestCold = time.Minute
+	// shortestPause and longestPause bound for how long a node leaves a server alone that
+	// did not grant a request: a short one asks in vain, a long one misses the end.
+	shortestPause = 10 * time.Millisecond
+	longestPause  = 250 * time.Millisecond
+)
+
+// State is what a node believes of one server. The zero value is one that was never seen.
+type State struct {
+	seenAt time.Time
+	// isTold is set once an entry or an answer said how long the server is cold, and until is
+	// that moment; zero where it never was cold.
+	isTold bool
+	until  time.Time
+	// revision is that of the entry which said so.
+	revision int64
+	// suspectedAt is when the server may have turned cold, and entries up to
+	// suspectedRevision do not know it yet; zero where it was not.
+	suspectedAt       time.Time
+	suspectedRevision int64
+	// closedUntil is until when the server is left alone.
+	closedUntil time.Time
+}
+
+// See takes that the server is known. Until it is told otherwise it is cold for as long as
+// servers are after a start.
+func (s *State) See(now time.Time) {
+	if s.seenAt.IsZero() {
+		s.seenAt = now
+	}
+}
+
+// Tell takes an entry's word, of the revision, that the server is cold for the time left. It
+// reports whether that is newer than what was known.
+func (s *State) Tell(now time.Time, left time.Duration, revision int64, start time.Duration) bool {
+	if s.isTold && revision < s.revision || !s.suspectedAt.IsZero() && revision <= s.suspectedRevision {
+		return false
+	}
+	s.revision = revision
+	s.set(now, left, start)
+	return true
+}
+
+// Answer takes the word of the server itself.
+func (s *State) Answer(now time.Time, left, start time.Duration) { s.set(now, left, start) }
+
+func (s *State) set(now time.Time, left, start time.Duration) {
+	wasCold := s.Phase(now, start) == Cold
+	s.isTold, s.suspectedAt, s.suspectedRevision = true, time.Time{}, 0
+	switch {
+	case left > 0:
+		s.until = now.Add(min(left, LongestCold))
+	case wasCold:
+		s.until = now
+		s.closedUntil = time.Time{}
+	}
+}
+
+// Suspect takes that the server may have turned cold, which entries up to the revision
+// do not say. It is cold then until a later one says otherwise, for as long as servers are
+// after a start.
+func (s *State) Suspect(now time.Time, revision int64) {
+	s.suspectedAt = now
+	s.suspectedRevision = max(s.suspectedRevision, revision)
+}
+
+// Phase is how the server is to be treated, where servers are cold for the time start
+// after they started.
+func (s *State) Phase(now time.Time, start time.Duration) Phase {
+	until := s.coldUntil(start)
+	switch {
+	case until.IsZero():
+		return Warm
+	case now.Before(until):
+		return Cold
+	case now.Before(until.Add(rampTime)):
+		return Ramp
+	default:
+		return Warm
+	}
+}
+
+// coldUntil is the last moment of all that was told or is taken; zero where there is none.
+func (s *State) coldUntil(start time.Duration) time.Time {
+	until := s.until
+	if !s.isTold && !s.seenAt.IsZero() {
+		until = later(until, s.seenAt.Add(start))
+	}
+	if !s.suspectedAt.IsZero() {
+		until = later(until, s.suspectedAt.Add(start))
+	}
+	return until
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// Left is for how long the server is cold yet, and whether that was told and not guessed.
+func (s *State) Left(now time.Time, start time.Duration) (left time.Duration, told bool) {
+	return max(0, s.coldUntil(start).Sub(now)), s.isTold && s.suspectedAt.IsZero()
+}
+
+// HoldBack takes that a request was not granted, and may be after retryIn.
+func (s *State) HoldBack(now time.Time, retryIn time.Duration) {
+	s.closedUntil = now.Add(min(max(retryIn, shortestPause), longestPause))
+}
+
+// OpensIn is for how long the server is left alone.
+func (s *State) OpensIn(now time.Time, start time.Duration) time.Duration {
+	if s.Phase(now, start) == Warm {
+		return 0
+	}
+	return max(0, s.closedUntil.Sub(now))
+}
