--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -101,6 +101,9 @@
 		Quota: quota.Tolerance{
 			Window: platform.Seconds(settings.Bounds.QuotaWindowS), Overage: settings.Bounds.QuotaOverage, Slack: settings.Bounds.QuotaSlack,
 		},
+		ColdOverage: settings.Bounds.ColdOverage,
+		ColdSlack:   settings.Bounds.ColdSlack,
+
 		Store:      store,
 		Lease:      store,
 		Engines:    engines,
--- /dev/null
+++ b/internal/dispatch/cold.go
@@ -0,0 +1,216 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/coldstart"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// coldCost is added for a server that is cold: one that is warm goes first unless its
+// callers wait longer than that for a first byte, which is a part of the tightest
+// objectives that callers of models have.
+const coldCost = 60 * time.Millisecond
+
+// coldness is what a node believes of one server's cold time.
+type coldness struct {
+	state coldstart.State
+	// limit is that of the server's service.
+	limit routetable.ColdStart
+	// foretold is when a request may be granted that was not.
+	foretold time.Time
+	// by is what was last told, and noted the phase that was last logged.
+	by    ColdWord
+	noted coldstart.Phase
+}
+
+// ColdWord is where it is known from that a server is cold, or not.
+type ColdWord string
+
+const (
+	// ColdFirstSeen servers were seen first, and nothing was told.
+	ColdFirstSeen ColdWord = "first_seen"
+	// ColdEntry is a server's entry, as the store or a peer tells it.
+	ColdEntry ColdWord = "entry"
+	// ColdAnswer is a server's own answer.
+	ColdAnswer ColdWord = "answer"
+	// ColdUnreachable servers could not be connected to.
+	ColdUnreachable ColdWord = "unreachable"
+	// ColdZone servers are of a zone that takes work again.
+	ColdZone ColdWord = "zone"
+	// ColdElapsed is the end of a cold time.
+	ColdElapsed ColdWord = "elapsed"
+)
+
+// SetColdStarts takes the services whose cold servers bear less than warm ones.
+func (c *Core) SetColdStarts(limits map[string]routetable.ColdStart) {
+	c.coldStarts = limits
+	for _, s := range c.servers {
+		s.cold.limit = limits[s.info.Service]
+	}
+}
+
+// TellCold takes what a server's entry says, or that it says nothing.
+func (c *Core) TellCold(now time.Time, told inventory.Server) {
+	s, ok := c.servers[told.ID]
+	if !ok {
+		return
+	}
+	s.cold.limit = c.coldStarts[s.info.Service]
+	if told.TellsCold {
+		if s.cold.state.Tell(now, told.ColdLeft, told.Revision, s.cold.limit.Time) {
+			s.cold.by = ColdEntry
+		}
+		return
+	}
+	if s.cold.by == "" {
+		s.cold.by = ColdFirstSeen
+	}
+	s.cold.state.See(now)
+}
+
+// TellColdAnswer takes what a server's own answer says.
+func (c *Core) TellColdAnswer(now time.Time, serverID string, left time.Duration) {
+	if s, ok := c.servers[serverID]; ok {
+		s.cold.state.Answer(now, left, s.cold.limit.Time)
+		s.cold.by = ColdAnswer
+	}
+}
+
+// SuspectCold takes that the servers of a zone may have turned cold, which entries up to
+// the revision do not say yet: as at the end of the zone's evacuation.
+func (c *Core) SuspectCold(now time.Time, zone string, revision int64) {
+	for _, s := range c.servers {
+		if s.info.Zone == zone {
+			s.cold.state.Suspect(now, revision)
+			s.cold.by = ColdZone
+		}
+	}
+}
+
+// Unreachable takes that a connection to the server failed: it may have been away, and be
+// cold once it is back. Its entry may not say so for a second.
+func (c *Core) Unreachable(now time.Time, serverID string) {
+	if s, ok := c.servers[serverID]; ok {
+		s.cold.state.Suspect(now, s.info.Revision)
+		s.cold.by = ColdUnreachable
+	}
+}
+
+// HoldBack takes that a request was not granted at a cold server, and may be after retryIn.
+func (c *Core) HoldBack(now time.Time, serverID string, retryIn time.Duration) {
+	if s, ok := c.servers[serverID]; ok {
+		s.cold.state.HoldBack(now, retryIn)
+		s.cold.foretold = now.Add(retryIn)
+	}
+}
+
+// ColdPhase is how the server is to be treated, and its service.
+func (c *Core) ColdPhase(now time.Time, serverID string) (phase coldstart.Phase, service string) {
+	s, ok := c.servers[serverID]
+	if !ok {
+		return coldstart.Warm, ""
+	}
+	return s.coldPhase(now), s.info.Service
+}
+
+// ColdLeft is for how long the server is cold yet, where that was told.
+func (c *Core) ColdLeft(now time.Time, serverID string) (left time.Duration, told bool) {
+	s, ok := c.servers[serverID]
+	if !ok {
+		return 0, false
+	}
+	return s.cold.state.Left(now, s.cold.limit.Time)
+}
+
+// Knows reports whether the server has an entry.
+func (c *Core) Knows(serverID string) bool {
+	_, ok := c.servers[serverID]
+	return ok
+}
+
+// CountCold counts the servers that are cold.
+func (c *Core) CountCold(now time.Time) int {
+	count := 0
+	for _, s := range c.servers {
+		if s.coldPhase(now) == coldstart.Cold {
+			count++
+		}
+	}
+	return count
+}
+
+// ColdChange is a server that turned cold, or warm.
+type ColdChange struct {
+	ServerID string
+	Zone     string
+	IsCold   bool
+	Left     time.Duration
+	By       ColdWord
+}
+
+// ColdChanges are the servers that turned cold or warm since it was asked last. Who waits
+// for one that turned warm is to ask again.
+func (c *Core) ColdChanges(now time.Time) []ColdChange {
+	var changes []ColdChange
+	for id, s := range c.servers {
+		phase := s.coldPhase(now)
+		if (phase == coldstart.Cold) == (s.cold.noted == coldstart.Cold) {
+			continue
+		}
+		s.cold.noted = phase
+		left, told := s.cold.state.Left(now, s.cold.limit.Time)
+		change := ColdChange{ServerID: id, Zone: s.info.Zone, IsCold: phase == coldstart.Cold, Left: left, By: s.cold.by}
+		if !change.IsCold && !told {
+			change.By = ColdElapsed
+		}
+		changes = append(changes, change)
+	}
+	if len(changes) > 0 {
+		c.notify()
+	}
+	return changes
+}
+
+// IsHeldByCold reports whether what is wanted stands on servers that take work, all of
+// which are cold or just were.
+func (c *Core) IsHeldByCold(now time.Time, wanted Wanted) bool {
+	found := false
+	for _, s := range c.byService[wanted.Service] {
+		if !s.takesWork() || !s.offers(now, wanted) {
+			continue
+		}
+		if s.coldPhase(now) == coldstart.Warm {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+func (s *server) coldPhase(now time.Time) coldstart.Phase {
+	if !s.cold.limit.IsLimited() {
+		return coldstart.Warm
+	}
+	return s.cold.state.Phase(now, s.cold.limit.Time)
+}
+
+// isHeldBack reports whether the server is left alone for now, as it is cold.
+func (s *server) isHeldBack(now time.Time) bool {
+	return s.cold.limit.IsLimited() && s.cold.state.OpensIn(now, s.cold.limit.Time) > 0
+}
+
+// opensIn is when a request may go to a server that holds what is wanted and is left alone
+// as it is cold.
+func (s *server) opensIn(now time.Time, wanted Wanted) (left time.Duration, ok bool) {
+	if !s.isHeldBack(now) || !s.offers(now, wanted) {
+		return 0, false
+	}
+	return max(s.cold.state.OpensIn(now, s.cold.limit.Time), s.cold.foretold.Sub(now)), true
+}
+
+// offers reports whether the server can serve what is wanted.
+func (s *server) offers(now time.Time, wanted Wanted) bool {
+	return wanted.Model == "" || s.holds(now, wanted.Model, wanted.Adapter)
+}
--- /dev/null
+++ b/internal/dispatch/cold_test.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/coldstart"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// newColdCore has servers of a service whose cold ones bear less.
+func newColdCore(changes ...inventory.Change) *Core {
+	core := newCore(changes...)
+	core.SetColdStarts(map[string]routetable.ColdStart{"s": {Time: 3 * time.Second, PerSecond: 12}})
+	return core
+}
+
+func tellCold(core *Core, now time.Time, id string, left time.Duration, revision int64) {
+	core.TellCold(now, inventory.Server{ID: id, ColdLeft: left, TellsCold: true, Revision: revision})
+}
+
+func phaseOf(core *Core, now time.Time, id string) coldstart.Phase {
+	phase, _ := core.ColdPhase(now, id)
+	return phase
+}
+
+// TestFirstSeenServerIsCold until an entry says otherwise, where the service limits
+// cold ones; elsewhere servers are never cold.
+func TestFirstSeenServerIsCold(t *testing.T) {
+	core := newColdCore(entry("a", "z", "m"), entry("b", "z", "m"))
+	other := entry("c", "z")
+	other.Server.Service = "plain"
+	core.SetServers([]inventory.Change{other})
+	for _, id := range []string{"a", "b", "c"} {
+		core.TellCold(begin, inventory.Server{ID: id, Revision: 1})
+	}
+	tellCold(core, begin, "b", 0, 2)
+	for id, want := range map[string]coldstart.Phase{"a": coldstart.Cold, "c": coldstart.Warm, "unknown": coldstart.Warm} {
+		if got := phaseOf(core, begin.Add(time.Second), id); got != want {
+			t.Errorf("%s: phase %d, want %d", id, got, want)
+		}
+	}
+	if got := phaseOf(core, begin.Add(1100*time.Millisecond), "b"); got != coldstart.Warm {
+		t.Errorf("b: phase %d though it is told warm", got)
+	}
+}
+
+// TestWarmServersGoFirst where they serve in time, and cold ones where only they have the
+// model, or the others are busy.
+func TestWarmServersGoFirst(t *testing.T) {
+	core := newColdCore(entry("cold", "z", "m", "rare"), entry("warm", "y", "m"))
+	tellCold(core, begin, "cold", 3*time.Second, 1)
+	tellCold(core, begin, "warm", 0, 1)
+	now := begin.Add(time.Second)
+	for range 20 {
+		if got := pick(core, now, Ask{Model: "m"}); got != "warm" {
+			t.Fatalf("picked %q, want the warm one", got)
+		}
+	}
+	if got := pick(core, now, Ask{Model: "rare"}); got != "cold" {
+		t.Errorf("picked %q, want the cold one that alone has the model", got)
+	}
+	core.SetPeerLoads(now, "p", []PeerLoad{{ServerID: "warm", Running: 30, PendingTokens: 9000}})
+	if got := pick(core, now, Ask{Model: "m"}); got != "cold" {
+		t.Errorf("picked %q, want the cold one while the other is far behind", got)
+	}
+}
+
+// TestHeldBackServer is left for another one, or waited for as long as was foretold.
+func TestHeldBackServer(t *testing.T) {
+	core := newColdCore(entry("a", "z", "m", "rare"), entry("b", "z", "m"))
+	tellCold(core, begin, "a", 3*time.Second, 1)
+	tellCold(core, begin, "b", 3*time.Second, 1)
+	core.HoldBack(begin, "a", 700*time.Millisecond)
+	if got := pick(core, begin, Ask{Model: "m"}); got != "b" {
+		t.Errorf("picked %q, want the one that is not held back", got)
+	}
+	if got := pick(core, begin, Ask{Model: "rare"}); got != "" {
+		t.Errorf("picked %q, which is held back", got)
+	}
+	wanted := Wanted{Service: "s", Model: "rare"}
+	if left, known := core.ReadyIn(begin, wanted); !known || left != 700*time.Millisecond {
+		t.Errorf("ready in %v, %v; want what was foretold", left, known)
+	}
+	if !core.IsHeldByCold(begin, wanted) {
+		t.Error("the wait is not put down to the cold server")
+	}
+	// It is asked again sooner than foretold: another may have given way.
+	if got := pick(core, begin.Add(300*time.Millisecond), Ask{Model: "rare"}); got != "a" {
+		t.Errorf("picked %q", got)
+	}
+	core.HoldBack(begin, "a", time.Second)
+	tellCold(core, begin.Add(time.Millisecond), "a", 0, 2)
+	if got := pick(core, begin.Add(2*time.Millisecond), Ask{Model: "rare"}); got != "a" {
+		t.Errorf("picked %q, want the one that turned warm", got)
+	}
+}
+
+// TestZoneThatTakesWorkAgainIsCold until entries that are newer say otherwise.
+func TestZoneThatTakesWorkAgainIsCold(t *testing.T) {
+	core := newColdCore(entry("a", "y"), entry("b", "z"))
+	tellCold(core, begin, "a", 0, 5)
+	tellCold(core, begin, "b", 0, 5)
+	now := begin.Add(time.Minute)
+	core.SuspectCold(now, "y", 9)
+	tellCold(core, now, "a", 0, 9)
+	if a, b := phaseOf(core, now, "a"), phaseOf(core, now, "b"); a != coldstart.Cold || b != coldstart.Warm {
+		t.Errorf("phases %d and %d, want cold in the zone alone", a, b)
+	}
+	tellCold(core, now, "a", 0, 10)
+	if got := phaseOf(core, now, "a"); got == coldstart.Cold {
+		t.Error("cold though a newer entry says otherwise")
+	}
+}
+
+// TestColdChangesAreToldOnce: as a server turns cold, and warm.
+func TestColdChangesAreToldOnce(t *testing.T) {
+	core := newColdCore(entry("a", "z"))
+	core.TellCold(begin, inventory.Server{ID: "a"})
+	core.Unreachable(begin, "a")
+	got := core.ColdChanges(begin)
+	if len(got) != 1 || !got[0].IsCold || got[0].By != ColdUnreachable || core.CountCold(begin) != 1 {
+		t.Errorf("%+v", got)
+	}
+	changed := core.Changed()
+	if again := core.ColdChanges(begin.Add(time.Second)); len(again) != 0 {
+		t.Errorf("told again: %+v", again)
+	}
+	got = core.ColdChanges(begin.Add(time.Minute))
+	if len(got) != 1 || got[0].IsCold || got[0].By != ColdElapsed {
+		t.Errorf("%+v", got)
+	}
+	select {
+	case <-changed:
+	default:
+		t.Error("who waits for a server that turned warm is not told")
+	}
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
 // Options set up a Core.
@@ -30,6 +31,8 @@
 	// orderFrom when it may order from.
 	leaderSeen time.Time
 	orderFrom  time.Time
+	// coldStarts are the limits of services whose cold servers bear less.
+	coldStarts map[string]routetable.ColdStart
 	// changed is closed when something came that may let a request go on.
 	changed chan struct{}
 }
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -85,7 +85,10 @@
 		if !s.takesWork() {
 			continue
 		}
-		ready, ok := s.comesIn(now, wanted, c.OrdersIn(now))
+		ready, ok := s.opensIn(now, wanted)
+		if !ok {
+			ready, ok = s.comesIn(now, wanted, c.OrdersIn(now))
+		}
 		if ok && (!known || ready < left) {
 			left, known = ready, true
 		}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/spanlanding/spanlanding/internal/coldstart"
 )
 
 // Ask is a request that wants a server.
@@ -95,6 +97,9 @@
 		if ask.Model != "" && !s.holds(now, ask.Model, ask.Adapter) {
 			continue
 		}
+		if s.isHeldBack(now) {
+			continue
+		}
 		candidates = append(candidates, s)
 	}
 	return candidates
@@ -161,6 +166,9 @@
 	if s.info.Zone != c.zone {
 		cost += otherZoneCost.Seconds()
 	}
+	if s.coldPhase(now) == coldstart.Cold {
+		cost += coldCost.Seconds()
+	}
 	return cost
 }
 
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -36,6 +36,7 @@
 	reportedAt time.Time
 	health     health
 	cache      promptCache
+	cold       coldness
 	// absentUntil are models that the server itself refused as not there.
 	absentUntil map[string]time.Time
 }
--- /dev/null
+++ b/internal/edge/coldstarts_test.go
@@ -0,0 +1,201 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/coldstart"
+	"github.com/spanlanding/spanlanding/internal/gossip"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// newColdNode returns a node of a service whose cold servers bear 12 a second, which
+// hears its peers and has run for a while.
+func newColdNode(t *testing.T, strength uint32) *Node {
+	t.Helper()
+	node := newLimited(t, strength)
+	node.options.ColdOverage, node.options.ColdSlack = 1.5, 5
+	node.options.Tunables.PeerSeeds = []string{"126.0.0.9:1"}
+	node.started = clock.Now().Add(-10 * time.Second)
+	node.coldStarts = newColdStarts(node)
+	node.putInForce(coldTable(12), "read")
+	return node
+}
+
+func coldTable(perSecond float64) *routetable.Table {
+	return routetable.New(3, nil, []routetable.Service{
+		{Name: "s", ColdStart: routetable.ColdStart{Time: 3 * time.Second, PerSecond: perSecond}}, {Name: "plain"},
+	}, routetable.Limits{})
+}
+
+func hearsOf(node *Node, server inventory.Server) {
+	node.hearServers(clock.Now(), newsOf(encodeNews([]gossip.Item{{Server: server}})))
+}
+
+// admitted is how many of some requests one node may send to a server now.
+func admitted(node *Node, serverID string, requests int) int {
+	count := 0
+	for range requests {
+		if node.coldStarts.AdmitToServer(context.Background(), serverID, 0).Granted {
+			count++
+		}
+	}
+	return count
+}
+
+// TestServerHeardOfAsNewsIsCold unless the news say otherwise.
+func TestServerHeardOfAsNewsIsCold(t *testing.T) {
+	node := newColdNode(t, 1)
+	hearsOf(node, inventory.Server{ID: "silent", Service: "s", Revision: 4})
+	hearsOf(node, inventory.Server{ID: "warm", Service: "s", Revision: 5, TellsCold: true})
+	hearsOf(node, inventory.Server{ID: "cold", Service: "s", Revision: 6, TellsCold: true, ColdLeft: 2 * time.Second})
+	hearsOf(node, inventory.Server{ID: "plain", Service: "plain", Revision: 7})
+	for id, want := range map[string]coldstart.Phase{"silent": coldstart.Cold, "warm": coldstart.Warm, "cold": coldstart.Cold, "plain": coldstart.Warm} {
+		if got, _ := node.coldStarts.phase(clock.Now(), id); got != want {
+			t.Errorf("%s: phase %d, want %d", id, got, want)
+		}
+	}
+	node.useServers([]inventory.Change{{Server: inventory.Server{ID: "silent", Service: "s", Revision: 8, TellsCold: true}}}, "watch")
+	if got, _ := node.coldStarts.phase(clock.Now(), "silent"); got == coldstart.Cold {
+		t.Error("cold though its entry says otherwise")
+	}
+}
+
+// TestKnownServerThatTurnsColdIsNews: entries are read only once in a second.
+func TestKnownServerThatTurnsColdIsNews(t *testing.T) {
+	reader, node := newColdNode(t, 2), newColdNode(t, 1)
+	known := inventory.Server{ID: "a", Service: "s", Revision: 4, TellsCold: true}
+	for _, each := range []*Node{reader, node} {
+		each.listServers([]inventory.Server{known}, 4)
+	}
+	known.Revision, known.ColdLeft = 6, 2*time.Second
+	reader.changeServers([]inventory.Change{{Server: known}}, 6)
+	node.hearServers(clock.Now(), newsOf(encodeNews(reader.directory.tell(clock.Now()))))
+	for name, each := range map[string]*Node{"the reader": reader, "who heard of it": node} {
+		if got, _ := each.coldStarts.phase(clock.Now(), "a"); got != coldstart.Cold {
+			t.Errorf("%s: phase %d, want cold", name, got)
+		}
+	}
+	if told := node.directory.tell(clock.Now()); len(told) != 1 || told[0].Server.ColdLeft == 0 {
+		t.Errorf("told on: %+v", told)
+	}
+}
+
+// TestSnapshotTellsWhatIsCold as of now, and that nothing is known where that is so.
+func TestSnapshotTellsWhatIsCold(t *testing.T) {
+	peer := newColdNode(t, 1)
+	peer.listServers([]inventory.Server{
+		{ID: "cold", Service: "s", Revision: 4, TellsCold: true, ColdLeft: 2 * time.Second},
+		{ID: "warm", Service: "s", Revision: 4, TellsCold: true},
+		{ID: "silent", Service: "s", Revision: 4},
+	}, 4)
+	time.Sleep(20 * time.Millisecond)
+	response, err := peer.snapshots.Snapshot(context.Background(), &peerpb.SnapshotRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, server := range entriesOf(response.Servers) {
+		left, told := server.ColdLeft, server.TellsCold
+		switch server.ID {
+		case "cold":
+			if !told || left <= 0 || left > 1990*time.Millisecond {
+				t.Errorf("cold for %v, %v", left, told)
+			}
+		default:
+			if left != 0 || told != (server.ID == "warm") {
+				t.Errorf("%s: cold for %v, %v", server.ID, left, told)
+			}
+		}
+	}
+}
+
+// TestColdServerReceivesWhatTheCoordinatorGrants over two nodes, and no more than that.
+func TestColdServerReceivesWhatTheCoordinatorGrants(t *testing.T) {
+	coordinator, asker := newColdNode(t, 900), newColdNode(t, 100)
+	meet(coordinator, asker)
+	for _, each := range []*Node{coordinator, asker} {
+		hearsOf(each, inventory.Server{ID: "a", Service: "s", Revision: 4})
+		hearsOf(each, inventory.Server{ID: "warm", Service: "s", Revision: 4, TellsCold: true})
+	}
+	began, granted := clock.Now(), 0
+	for clock.Since(began) < time.Second {
+		granted += admitted(asker, "a", 1) + admitted(coordinator, "a", 1)
+		time.Sleep(5 * time.Millisecond)
+	}
+	if granted < 3 || granted > 12 {
+		t.Errorf("%d granted in a second", granted)
+	}
+	if got := admitted(asker, "warm", 100); got != 100 {
+		t.Errorf("%d of 100 granted at a warm server", got)
+	}
+	coordinator.started = clock.Now()
+	coordinator.coldStarts.coordinator.Forget()
+	if got := admitted(asker, "a", 20); got != 0 {
+		t.Errorf("%d granted by a node that has just started", got)
+	}
+}
+
+// TestNodeWithoutACoordinatorUsesLots: few of many nodes send one request each, and one
+// that was never told the fleet's size none.
+func TestNodeWithoutACoordinatorUsesLots(t *testing.T) {
+	node := newColdNode(t, 1)
+	dead, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := dead.LocalAddr().String()
+	_ = dead.Close()
+	node.peers.take(&peerpb.NodeState{Node: "p", Address: address, Life: 1, Sequence: 1, Strength: 900})
+	for i := range 200 {
+		id := "server-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
+		hearsOf(node, inventory.Server{ID: id, Service: "s", Revision: int64(4 + i)})
+	}
+	sent := func() int {
+		count := 0
+		for i := range 200 {
+			count += admitted(node, "server-"+string(rune('a'+i%26))+string(rune('a'+i/26)), 2)
+		}
+		return count
+	}
+	if got := sent(); got != 0 {
+		t.Errorf("%d sent by a node that does not know how large the fleet is", got)
+	}
+	node.quotas.toldSize(clock.Now(), 68)
+	if got := sent(); got == 0 || got > 10 {
+		t.Errorf("%d of 400 sent by one of 68 nodes, want about 2", got)
+	}
+}
+
+// TestRateOfNoughtSendsNothing to a cold server.
+func TestRateOfNoughtSendsNothing(t *testing.T) {
+	node := newColdNode(t, 1)
+	node.options.Tunables.PeerSeeds = nil
+	table := coldTable(0)
+	table.Version = 9
+	node.putInForce(table, "read")
+	hearsOf(node, inventory.Server{ID: "a", Service: "s", Revision: 4})
+	time.Sleep(300 * time.Millisecond)
+	if got := admitted(node, "a", 20); got != 0 {
+		t.Errorf("%d sent", got)
+	}
+}
+
+// TestColdTimeOnTheWire: what cannot be is bounded.
+func TestColdTimeOnTheWire(t *testing.T) {
+	if _, told := coldLeftOf(encodeColdLeft(time.Second, false)); told {
+		t.Error("told what is not known")
+	}
+	for left, want := range map[time.Duration]time.Duration{-time.Hour: 0, 0: 0, time.Second: time.Second, time.Hour: coldstart.LongestCold} {
+		if got, told := coldLeftOf(encodeColdLeft(left, true)); !told || got != want {
+			t.Errorf("%v: %v, %v", left, got, told)
+		}
+	}
+	if got, _ := coldLeftOf(1<<32 - 1); got != coldstart.LongestCold {
+		t.Errorf("endless: %v", got)
+	}
+}
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -50,23 +50,24 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	isFirst := d.table.Revision() == 0
-	worked := make(map[string]bool, len(servers))
+	worked, wasCold := make(map[string]bool, len(servers)), make(map[string]bool)
 	for server := range d.table.All {
-		worked[server.ID] = !server.Draining
+		worked[server.ID], wasCold[server.ID] = !server.Draining, server.ColdLeft > 0
 	}
 	changes = d.table.Replace(servers, revision)
 	if isFirst {
 		return changes, false
 	}
-	return changes, d.learn(now, news(changes, worked), revision)
+	return changes, d.learn(now, news(changes, worked, wasCold), revision)
 }
 
-// news are the changes by which a server came, or takes no more work: all that
-// others need to hear at once.
-func news(changes []inventory.Change, worked map[string]bool) []inventory.Change {
+// news are the changes by which a server came, turned cold or takes no more work: all
+// that others need to hear at once.
+func news(changes []inventory.Change, worked, wasCold map[string]bool) []inventory.Change {
 	var news []inventory.Change
 	for _, change := range changes {
-		if change.Gone || change.Server.Draining || !worked[change.Server.ID] {
+		turnedCold := change.Server.ColdLeft > 0 && !wasCold[change.Server.ID]
+		if change.Gone || change.Server.Draining || turnedCold || !worked[change.Server.ID] {
 			news = append(news, change)
 		}
 	}
@@ -77,12 +78,13 @@
 func (d *directory) apply(now time.Time, events []inventory.Change, revision int64) (changes []inventory.Change, hasNews bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	worked := make(map[string]bool, len(events))
+	worked, wasCold := make(map[string]bool, len(events)), make(map[string]bool)
 	for _, event := range events {
 		worked[event.Server.ID] = d.table.TakesWork(event.Server.ID)
+		wasCold[event.Server.ID] = d.table.IsCold(event.Server.ID)
 	}
 	changes = d.table.Apply(events, revision)
-	return changes, d.learn(now, news(changes, worked), revision)
+	return changes, d.learn(now, news(changes, worked, wasCold), revision)
 }
 
 // learn makes news of changes that the store told.
@@ -112,6 +114,11 @@
 	var changes []inventory.Change
 	for _, item := range items {
 		server := item.Server
+		if !server.Draining && server.ColdLeft > item.Age && d.table.TakesWork(server.ID) && d.table.IsNews(server.ID, server.Revision) {
+			d.news.Learn(now, item)
+			changes = append(changes, d.table.TurnsCold(server.ID, server.ColdLeft-item.Age, server.Revision))
+			continue
+		}
 		if !server.Draining && d.table.TakesWork(server.ID) {
 			// Known already, and not told on.
 			d.table.Stays(server.ID, server.Revision)
@@ -125,6 +132,7 @@
 		case server.Draining && d.table.TakesWork(server.ID):
 			changes = append(changes, d.table.Leaves(server.ID, server.Revision))
 		case isToldOn:
+			server.ColdLeft = max(0, server.ColdLeft-item.Age)
 			changes = append(changes, d.table.Note(server)...)
 		default:
 			continue
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -213,6 +214,7 @@
 		return
 	}
 	n.handler.SetTable(table)
+	n.dispatch.Do(func(core *dispatch.Core) { core.SetColdStarts(table.ColdStarts()) })
 	n.options.Logger.Info().Int64("version", table.Version).Int("routes", table.RouteCount()).
 		Str("from", from).Msg("config_in_force")
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -123,6 +123,14 @@
 	m.counter("quota_refused_total", "Requests refused as beyond their tenant's quota.", node.quotas.refused.Load)
 	m.counter("quota_alone_total", "Requests decided without a coordinator of quotas.", node.quotas.alone.Load)
 	m.counter("quota_unanswered_total", "Questions to coordinators of quotas without an answer.", node.quotas.unanswered.Load)
+	m.gauge("servers_cold", "Servers that bear little yet, as they have just started or come back.", func() float64 {
+		count := 0
+		node.dispatch.Do(func(core *dispatch.Core) { count = core.CountCold(clock.Now()) })
+		return float64(count)
+	})
+	m.counter("cold_admitted_total", "Sends to cold servers that were granted.", node.coldStarts.admitted.Load)
+	m.counter("cold_held_total", "Times that a send was held back at a cold server.", node.handler.Metrics.ColdHeld.Load)
+	m.counter("cold_alone_total", "Sends to cold servers decided without a coordinator.", node.coldStarts.alone.Load)
 	for what := range trafficKinds {
 		m.counter("peer_"+what.String()+"_bytes_total", "Bytes sent to peers: "+what.String()+".", func() int64 { return node.peers.sentBytes[what].Load() })
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -66,10 +66,14 @@
 	Lease       LeaseStore
 	Engines     Engines
 	// Quota is by how much the tenants' quotas may be passed.
-	Quota   quota.Tolerance
-	Pool    *backendconn.Pool
-	Dialect relay.Dialect
-	Logger  *log.Logger
+	Quota quota.Tolerance
+	// ColdOverage and ColdSlack are by how much a cold server may receive more than it
+	// bears: a factor, and requests of one second.
+	ColdOverage float64
+	ColdSlack   float64
+	Pool        *backendconn.Pool
+	Dialect     relay.Dialect
+	Logger      *log.Logger
 	// Metrics is where figures are served, as ADDRESS/PATH; empty is nowhere.
 	Metrics string
 	// LogDropped counts the log lines left out; nil where none are.
@@ -97,6 +101,8 @@
 	callers  *callers
 	quotas   *quotas
 	suspects *suspects
+	// coldStarts admits requests to cold servers.
+	coldStarts *coldStarts
 
 	started time.Time
 	// firstRead is how long after its start this node may first ask the store,
@@ -160,6 +166,7 @@
 	node.snapshots = newSnapshots(node)
 	node.quotas = newQuotas(node, options.Quota, options.FirstStart)
 	node.suspects = newSuspects(node)
+	node.coldStarts = newColdStarts(node)
 	node.handler = relay.New(relay.Options{
 		Dialect:  options.Dialect,
 		Dispatch: node.dispatch,
@@ -170,6 +177,8 @@
 		Quotas:   node.quotas,
 		Suspects: node.suspects,
 
+		ColdStarts: node.coldStarts,
+
 		Knows:          node.knowsEnough,
 		AwaitKnowledge: node.awaitKnowledge,
 	})
@@ -359,6 +368,7 @@
 			n.forgiveStore(clock.Now())
 			n.quotas.sweep(clock.Now())
 			n.suspects.sweep(clock.Now())
+			n.coldStarts.sweep(clock.Now())
 			if table := n.handler.Table(); table != nil && table.Limits.IdleTimeout > 0 {
 				n.callers.closeResting(clock.Now(), table.Limits.IdleTimeout+restSlack)
 			}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -249,6 +249,7 @@
 	p.mu.Unlock()
 	p.node.endLapses(now)
 	p.node.quotas.observe(now)
+	p.node.coldStarts.observe(now)
 	p.node.suspects.tick(now)
 	p.logTraffic(now)
 	p.mu.Lock()
@@ -259,7 +260,7 @@
 	}
 	targets := p.roster.Targets(now, fanout)
 	deciders := p.roster.Deciders(now)
-	if p.node.hasQuotas() {
+	if p.node.needsCoordinator() {
 		// A coordinator has to know how many nodes it gives for.
 		deciders = union(deciders, p.roster.Coordinators(now, true))
 	}
@@ -374,7 +375,7 @@
 		ViewsWanted:  p.wantsViews(now),
 	}
 	state.ConfigVersion = p.node.configVersion()
-	if p.node.hasQuotas() {
+	if p.node.needsCoordinator() {
 		size, _ := p.node.quotas.fleetSize(now)
 		state.FleetNodes = uint32(size)
 	}
--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -108,7 +108,9 @@
 		return relay.QuotaVerdict{Granted: true, By: by}
 	}
 	for _, coordinator := range q.node.peers.coordinators(now) {
-		answer := q.ask(ctx, coordinator.Address, tenant, cost, priority)
+		answer := q.ask(ctx, coordinator.Address, &peerpb.QuotaCall{
+			Kind: peerpb.QuotaCall_ASK, Tenant: tenant.Name, Cost: int64(cost), Priority: uint32(max(0, priority)),
+		})
 		if answer == nil {
 			continue
 		}
@@ -196,13 +198,10 @@
 	}
 }
 
-// ask asks one coordinator; nil is no answer.
-func (q *quotas) ask(ctx context.Context, address string, tenant *routetable.Tenant, cost float64, priority int) *peerpb.QuotaCall {
+// ask puts a question to one coordinator; nil is no answer.
+func (q *quotas) ask(ctx context.Context, address string, call *peerpb.QuotaCall) *peerpb.QuotaCall {
 	now := clock.Now()
-	call := &peerpb.QuotaCall{
-		Kind: peerpb.QuotaCall_ASK, Asker: q.node.options.PeerAddress, Tenant: tenant.Name, Cost: int64(cost),
-		Priority: uint32(max(0, priority)),
-	}
+	call.Asker = q.node.options.PeerAddress
 	if address == q.node.options.PeerAddress {
 		return known(q.decide(now, call))
 	}
--- a/internal/edge/quotas_fleet.go
+++ b/internal/edge/quotas_fleet.go
@@ -12,6 +12,13 @@
 	return table != nil && table.HasQuotas()
 }
 
+// needsCoordinator reports whether there is anything that a coordinator grants: quotas of
+// tenants, or requests to cold servers.
+func (n *Node) needsCoordinator() bool {
+	table := n.handler.Table()
+	return table != nil && (table.HasQuotas() || len(table.ColdStarts()) > 0)
+}
+
 // coordinators are the nodes that may give quotas, in order.
 func (p *peers) coordinators(now time.Time) []gossip.Coordinator {
 	p.mu.Lock()
@@ -43,6 +50,13 @@
 	q.wasTold = q.wasTold || size > 0
 }
 
+// knowsFleet reports whether this node was told how large the fleet is.
+func (q *quotas) knowsFleet() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.wasTold
+}
+
 // learnsSize is how long after its start a node takes the size of the fleet from
 // others: later it knows itself, and would never see the fleet shrink.
 const learnsSize = 30 * time.Second
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -152,12 +152,18 @@
 	if len(changes) == 0 {
 		return
 	}
+	now := clock.Now()
 	worked := make(map[string]bool, len(changes))
 	n.dispatch.Do(func(core *dispatch.Core) {
 		for _, change := range changes {
 			worked[change.Server.ID] = core.TakesWork(change.Server.ID)
 		}
 		core.SetServers(changes)
+		for _, change := range changes {
+			if !change.Gone {
+				core.TellCold(now, change.Server)
+			}
+		}
 	})
 	for _, change := range changes {
 		if change.Gone || change.Server.Draining {
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -162,7 +162,7 @@
 		servers, revision, digest := node.directory.list()
 		response.ServersDigest, response.ServersAgeMs = digest, node.serversConfirmed.wire(now)
 		if digest != request.ServersDigest {
-			response.Servers, response.ServersRevision = encodeEntries(servers), revision
+			response.Servers, response.ServersRevision = encodeEntries(node.coldStarts.asOf(now, servers)), revision
 		}
 	}
 	return response, nil
@@ -176,6 +176,7 @@
 			ID: entry.Server, Service: entry.Service, Address: entry.Address, Zone: entry.Zone,
 			Slots: int(entry.Slots), Draining: entry.Draining, Revision: entry.Revision,
 		}
+		server.ColdLeft, server.TellsCold = coldLeftOf(entry.ColdLeftMs)
 		for _, model := range entry.Held {
 			server.Models = append(server.Models, inventory.HeldModel{Name: model.Model, Adapters: model.Adapters})
 		}
@@ -190,6 +191,7 @@
 		entry := &peerpb.ServerEntry{
 			Server: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone,
 			Slots: uint32(server.Slots), Draining: server.Draining, Revision: server.Revision,
+			ColdLeftMs: encodeColdLeft(server.ColdLeft, server.TellsCold),
 		}
 		for _, model := range server.Models {
 			entry.Held = append(entry.Held, &peerpb.HeldModel{Model: model.Name, Adapters: model.Adapters})
--- a/internal/edge/wire.go
+++ b/internal/edge/wire.go
@@ -91,13 +91,19 @@
 func newsOf(wire []*peerpb.ServerNews) []gossip.Item {
 	items := make([]gossip.Item, 0, len(wire))
 	for _, told := range wire {
-		items = append(items, gossip.Item{
+		item := gossip.Item{
 			Server: inventory.Server{
 				ID: told.Server, Service: told.Service, Address: told.Address, Zone: told.Zone, Slots: int(told.Slots),
 				Draining: told.Going, Revision: told.Revision, Announced: true,
 			},
 			Age: time.Duration(told.AgeMs) * time.Millisecond,
-		})
+		}
+		// What is kept is what the store said, and when.
+		item.Server.ColdLeft, item.Server.TellsCold = coldLeftOf(told.ColdLeftMs)
+		if item.Server.ColdLeft > 0 {
+			item.Server.ColdLeft += item.Age
+		}
+		items = append(items, item)
 	}
 	return items
 }
@@ -112,6 +118,7 @@
 		if !told.Going {
 			told.Service, told.Address, told.Zone = item.Server.Service, item.Server.Address, item.Server.Zone
 			told.Slots = uint32(item.Server.Slots)
+			told.ColdLeftMs = encodeColdLeft(item.Server.ColdLeft-item.Age, item.Server.TellsCold)
 		}
 		encoded = append(encoded, told)
 	}
--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -29,6 +29,9 @@
 	Sequence int64
 	// Revision is the revision of the entry that says so.
 	Revision int64
+	// ColdLeft is for how long the server is cold yet, where TellsCold is set.
+	ColdLeft  time.Duration
+	TellsCold bool
 	// Announced is set where a peer told of the server ahead of its entry: what it
 	// holds is not known, or known from an earlier entry.
 	Announced bool
@@ -223,6 +226,18 @@
 	return ok && !known.Draining
 }
 
+// IsCold reports whether the server's newest entry says that it is cold.
+func (t *Table) IsCold(id string) bool { return t.servers[id].ColdLeft > 0 }
+
+// TurnsCold takes a peer's word that a known server turned cold as of the revision.
+func (t *Table) TurnsCold(id string, left time.Duration, revision int64) Change {
+	server := t.servers[id]
+	server.ColdLeft, server.TellsCold = left, true
+	server.Revision, server.Announced = revision, true
+	t.servers[id] = server
+	return Change{Server: server}
+}
+
 // Digest is a number that two tables have in common in which the same servers
 // take work.
 func (t *Table) Digest() uint64 { return t.digest }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -29,8 +29,14 @@
 func (x *exchange) attempt(choice dispatch.Choice) verdict {
 	x.serverID = choice.ServerID
 	x.estimate = choice.Estimate
+	admitted := x.admitsServer(choice)
+	if !admitted.Granted {
+		x.release(choice, dispatch.OutcomeLeft)
+		return verdictNotSent
+	}
 	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address)
 	if err != nil {
+		x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.Unreachable(clock.Now(), choice.ServerID) })
 		return x.notSent(choice)
 	}
 	if x.isBarred() {
@@ -51,6 +57,11 @@
 		x.failed = append(x.failed, choice.ServerID)
 		return verdictNotSent
 	}
+	if !x.isStillAdmitted(choice, admitted) {
+		x.release(choice, dispatch.OutcomeLeft)
+		_ = conn.Close()
+		return verdictNotSent
+	}
 	if !x.hasSent(choice.ServerID) {
 		x.sent = append(x.sent, choice.ServerID)
 	}
@@ -183,6 +194,9 @@
 		if told.Load != nil {
 			core.SetReported(now, choice.ServerID, *told.Load)
 		}
+		if told.ColdLeft != nil {
+			core.TellColdAnswer(now, choice.ServerID, *told.ColdLeft)
+		}
 	})
 }
 
--- /dev/null
+++ b/internal/relay/cold_test.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// scriptedCold answers for cold servers by a function, and keeps whom it was asked for.
+type scriptedCold struct {
+	mu     sync.Mutex
+	asked  []string
+	answer func(serverID string, times int) ColdVerdict
+}
+
+func (s *scriptedCold) AdmitToServer(_ context.Context, serverID string, _ int) ColdVerdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = append(s.asked, serverID)
+	return s.answer(serverID, len(s.asked))
+}
+
+// newColdFixture has cold servers of an engine, all with model m.
+func newColdFixture(t *testing.T, answer func(serverID string, times int) ColdVerdict, servers ...*standinServer) (*fixture, *scriptedCold) {
+	t.Helper()
+	f := newFixture(t, servers...)
+	cold := &scriptedCold{answer: answer}
+	f.handler.options.ColdStarts = cold
+	f.handler.SetTable(engineTable(100 * time.Millisecond))
+	f.dispatch.Do(func(core *dispatch.Core) {
+		core.SetColdStarts(map[string]routetable.ColdStart{"svc": {Time: 3 * time.Second, PerSecond: 12}})
+		for i, server := range servers {
+			told := inventory.Server{
+				ID: "s" + string(rune('0'+i)), Service: "svc", Address: server.address, Zone: "z", Slots: 8, Revision: 2,
+				Models: []inventory.HeldModel{{Name: "m"}}, ColdLeft: 3 * time.Second, TellsCold: true,
+			}
+			core.SetServers([]inventory.Change{{Server: told}})
+			core.TellCold(time.Now(), told)
+		}
+	})
+	return f, cold
+}
+
+func granted() ColdVerdict {
+	return ColdVerdict{Granted: true, Until: time.Now().Add(time.Second)}
+}
+
+// TestNotAdmittedSendGoesToAnotherServer, and nothing reaches the first.
+func TestNotAdmittedSendGoesToAnotherServer(t *testing.T) {
+	servers := []*standinServer{newStandin(t, answering(http.StatusOK, "0")), newStandin(t, answering(http.StatusOK, "1"))}
+	f, _ := newColdFixture(t, func(serverID string, _ int) ColdVerdict {
+		if serverID == "s0" {
+			return ColdVerdict{RetryIn: time.Second}
+		}
+		return granted()
+	}, servers...)
+	for range 10 {
+		if got := f.send(t, http.MethodPost, "/llm/", "", "X-Model", "m"); got.body != "1" {
+			t.Fatalf("%d %s, want the answer of the other server", got.status, got.body)
+		}
+	}
+	if servers[0].count() != 0 {
+		t.Errorf("%d requests reached a server that was not granted", servers[0].count())
+	}
+}
+
+// TestNotAdmittedSendWaits where no other server has the model, and is sent once.
+func TestNotAdmittedSendWaits(t *testing.T) {
+	server := newStandin(t, answering(http.StatusOK, "done"))
+	f, cold := newColdFixture(t, func(_ string, times int) ColdVerdict {
+		if times < 4 {
+			return ColdVerdict{RetryIn: 30 * time.Millisecond}
+		}
+		return granted()
+	}, server)
+	if got := f.send(t, http.MethodPost, "/llm/", "", "X-Model", "m"); got.status != http.StatusOK || server.count() != 1 {
+		t.Errorf("%d %s, %d sent", got.status, got.body, server.count())
+	}
+	if len(cold.asked) != 4 || f.handler.Metrics.ColdHeld.Load() != 3 || f.handler.Metrics.DialFails.Load() != 0 {
+		t.Errorf("asked %d times, held back %d", len(cold.asked), f.handler.Metrics.ColdHeld.Load())
+	}
+}
+
+// TestRequestThatColdServersServeTooLateIsRefusedAtOnce by the time foretold, with the reason.
+func TestRequestThatColdServersServeTooLateIsRefusedAtOnce(t *testing.T) {
+	server := newStandin(t, answering(http.StatusOK, "done"))
+	f, _ := newColdFixture(t, func(string, int) ColdVerdict { return ColdVerdict{RetryIn: 3 * time.Second} }, server)
+	started := time.Now()
+	got := f.send(t, http.MethodPost, "/llm/", "", "X-Model", "m", "X-Wait", "2s")
+	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, reasonColdServers) || got.header.Get("Retry-After") == "" {
+		t.Errorf("%d %s", got.status, got.body)
+	}
+	if took := time.Since(started); took > time.Second || server.count() != 0 {
+		t.Errorf("refused after %v, %d sent", took, server.count())
+	}
+}
+
+// TestGrantIsCheckedRightBeforeTheSend: opening the connection took longer than it holds.
+func TestGrantIsCheckedRightBeforeTheSend(t *testing.T) {
+	server := newStandin(t, answering(http.StatusOK, "done"))
+	f, cold := newColdFixture(t, func(_ string, times int) ColdVerdict {
+		switch times {
+		case 1:
+			return ColdVerdict{Granted: true, Until: time.Now().Add(20 * time.Millisecond)}
+		case 2:
+			return ColdVerdict{RetryIn: 10 * time.Millisecond}
+		default:
+			return granted()
+		}
+	}, server)
+	slow := true
+	f.onDial = func() {
+		if slow {
+			slow = false
+			time.Sleep(60 * time.Millisecond)
+		}
+	}
+	if got := f.send(t, http.MethodPost, "/llm/", "", "X-Model", "m"); got.status != http.StatusOK || len(cold.asked) != 3 {
+		t.Errorf("%d %s, asked %d times: an old grant was used", got.status, got.body, len(cold.asked))
+	}
+}
+
+// TestServerThatTurnsColdWhileAConnectionOpensIsAskedFor: it was warm when it was chosen.
+func TestServerThatTurnsColdWhileAConnectionOpensIsAskedFor(t *testing.T) {
+	server := newStandin(t, answering(http.StatusOK, "done"))
+	f, cold := newColdFixture(t, func(_ string, times int) ColdVerdict {
+		if times == 1 {
+			return ColdVerdict{Granted: true}
+		}
+		return granted()
+	}, server)
+	if got := f.send(t, http.MethodPost, "/llm/", "", "X-Model", "m"); got.status != http.StatusOK || len(cold.asked) != 2 {
+		t.Errorf("%d %s, asked %d times", got.status, got.body, len(cold.asked))
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -196,12 +196,16 @@
 	}
 	x.countDemand()
 	x.lastEvent = x.head.LastEvent
+	hasRepeat := false
 	for sends := 0; ; sends++ {
 		choice, ok := x.pick()
 		if !ok {
 			return
 		}
-		if sends > 0 && !x.mayRepeat() {
+		// A repeat that was drawn holds until something was sent: a request may be held
+		// back at cold servers many times.
+		hasRepeat = hasRepeat || sends > 0 && x.mayRepeat()
+		if sends > 0 && !hasRepeat {
 			x.release(choice, dispatch.OutcomeLeft)
 			x.handler.Metrics.NoBudget.Add(1)
 			x.giveUp("no_budget")
@@ -213,6 +217,8 @@
 		}
 		if verdict == verdictNotSent {
 			sends--
+		} else {
+			hasRepeat = false
 		}
 		if sends+1 >= maxSends || len(x.failed) >= maxSends {
 			x.giveUp("too_many_sends")
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,4 +26,6 @@
 	NoBudget  atomic.Int64
 	DialFails atomic.Int64
 	Barred    atomic.Int64
+	// ColdHeld are sends that were not granted at a cold server.
+	ColdHeld atomic.Int64
 }
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -13,6 +13,7 @@
 	reasonNoConfiguration = "no_configuration"
 	reasonNoServer        = "no_server"
 	reasonTooLate         = "too_late"
+	reasonColdServers     = "cold_servers"
 	reasonQueueFull       = "queue_full"
 	reasonRejected        = "rejected_by_server"
 	reasonDeadline        = "deadline"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -55,6 +55,8 @@
 	NotRun bool
 	// Load is nil where the server does not tell its load.
 	Load *dispatch.Load
+	// ColdLeft is for how long the server is cold yet; nil where it does not tell.
+	ColdLeft *time.Duration
 }
 
 // Dialect reads and writes the headers that callers, nodes and servers share.
@@ -83,6 +85,8 @@
 	Budget   retrybudget.Options
 	// Quotas keeps tenants below their quotas; nil lets all pass.
 	Quotas Quotas
+	// ColdStarts keeps cold servers below what they bear; nil lets all pass.
+	ColdStarts ColdStarts
 	// Suspects remembers requests under which servers ended; nil suspects none.
 	Suspects Suspects
 	Logger   *log.Logger
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -148,11 +148,15 @@
 	if (!expected.announced && elapsed < newsTime) || x.headSent || x.ran {
 		return true
 	}
-	if !x.engine {
+	if !x.engine && !expected.announced {
 		return x.keepsWaitingForServer(elapsed, left)
 	}
 	if elapsed+expected.atWorst()+readTime > x.patience() {
-		x.refuse(reasonTooLate, x.comeBack(max(expected.readyIn, expected.overdue)+refusalMargin))
+		reason := reasonTooLate
+		if x.isHeldByCold() {
+			reason = reasonColdServers
+		}
+		x.refuse(reason, x.comeBack(max(expected.readyIn, expected.overdue)+refusalMargin))
 		return false
 	}
 	return true
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -59,6 +59,7 @@
 	// MaxConnections is the number of connections that one server accepts from
 	// all nodes together; 0 where none is told.
 	MaxConnections int
+	ColdStart      ColdStart
 	// Engine is nil where servers hold no models.
 	Engine *Engine
 }
