--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -70,6 +70,8 @@
 budgetExtra = 54
 ceilingWindowS = 5
 originOverage = 1.1
+coldOverage = 1.5
+coldSlack = 5
 [platform]
 address = %q
 `
