--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -8,6 +8,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
+	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
 // Options set up a Core.
@@ -36,6 +37,8 @@
 	orderFrom  time.Time
 	// evacuated are the zones to whose servers nothing new is sent.
 	evacuated map[string]bool
+	// coldStarts are the limits of services whose cold servers bear less.
+	coldStarts map[string]routetable.ColdStart
 	// changed is closed when something came that may let a request go on.
 	changed chan struct{}
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -275,6 +275,7 @@
 	p.mu.Unlock()
 	p.node.endLapses(now)
 	p.node.quotas.observe(now)
+	p.node.coldStarts.observe(now)
 	p.node.suspects.tick(now)
 	p.logTraffic(now)
 	p.mu.Lock()
@@ -285,7 +286,7 @@
 	}
 	targets := p.roster.Targets(now, fanout)
 	leader, standbys := p.deciders(now, nodes)
-	if p.node.hasQuotas() {
+	if p.node.needsCoordinator() {
 		// A coordinator has to know how many nodes it gives for.
 		targets = union(targets, p.roster.Coordinators(now, true))
 	}
@@ -447,7 +448,7 @@
 		state.ViewsDigest = p.ownViewsDigest()
 	}
 	state.ConfigVersion = p.node.configVersion()
-	if p.node.hasQuotas() {
+	if p.node.needsCoordinator() {
 		size, _ := p.node.quotas.fleetSize(now)
 		state.FleetNodes = uint32(size)
 	}
