--- a/cmd/spanlanding/apply.go
+++ b/cmd/spanlanding/apply.go
@@ -25,7 +25,7 @@
 
 func planFlags(format cli.Flag) []cli.Flag {
 	return []cli.Flag{
-		format, platformFlag(), serverMemoryFlag(), timeoutFlag(defaultApplyTimeout),
+		format, platformFlag(), serverMemoryFlag(), zonesFlag(), timeoutFlag(defaultApplyTimeout),
 		&cli.StringFlag{Name: flagOwner, Usage: "`NAME` of the set of declarations; default is the folder's name"},
 		&cli.BoolFlag{Name: flagPrune, Usage: "delete the set's objects that are no longer declared"},
 		&cli.BoolFlag{Name: flagTakeOver, Usage: "change also objects that belong to another set"},
--- a/cmd/spanlanding/flags.go
+++ b/cmd/spanlanding/flags.go
@@ -30,6 +30,7 @@
 	flagPlatform     = "platform"
 	flagNode         = "node"
 	flagServerMemory = "server-memory"
+	flagZones        = "zones"
 	flagTimeout      = "timeout"
 )
 
@@ -76,13 +77,19 @@
 	}
 }
 
+func zonesFlag() cli.Flag {
+	return &cli.StringSliceFlag{
+		Name: flagZones, Usage: "`NAMES` of the fleet's zones, such as oslo-a,oslo-b; an evacuation of another zone is reported",
+	}
+}
+
 // loadDeclarations reads and checks the paths given as arguments.
 func loadDeclarations(command *cli.Command) (spec.Set, spec.Findings, error) {
 	paths := command.Args().Slice()
 	if len(paths) == 0 {
 		return spec.Set{}, nil, operator.ErrUsage.New("%s: name a folder or files with declarations", command.Name)
 	}
-	options := spec.Options{}
+	options := spec.Options{Zones: command.StringSlice(flagZones)}
 	if text := command.String(flagServerMemory); text != "" {
 		memory, err := spec.ParseBytes(text)
 		if err != nil {
--- a/cmd/spanlanding/validate.go
+++ b/cmd/spanlanding/validate.go
@@ -16,7 +16,7 @@
 		Name:      "validate",
 		Usage:     "check declarations; needs no server",
 		ArgsUsage: "FOLDER or FILES",
-		Flags:     []cli.Flag{outputFlag(), serverMemoryFlag()},
+		Flags:     []cli.Flag{outputFlag(), serverMemoryFlag(), zonesFlag()},
 		Action:    runValidate,
 	}
 }
--- a/internal/catalog/compile.go
+++ b/internal/catalog/compile.go
@@ -70,10 +70,7 @@
 // NewCompiler returns a compiler that has seen nothing.
 func NewCompiler() *Compiler {
 	kinds := make(map[spec.Kind]*kindSet)
-	for _, kind := range []spec.Kind{
-		spec.KindModel, spec.KindAdapter, spec.KindDeployment, spec.KindSelector,
-		spec.KindService, spec.KindCapacity, spec.KindPreferences,
-	} {
+	for _, kind := range spec.Kinds() {
 		kinds[kind] = &kindSet{byName: make(map[string]decodedObject), changed: true}
 	}
 	return &Compiler{kinds: kinds}
@@ -158,6 +155,7 @@
 	linker.takeCapacities(c.kinds[spec.KindCapacity])
 	linker.takeServices(c.kinds[spec.KindService])
 	linker.takePreferences(c.kinds[spec.KindPreferences])
+	linker.takeEvacuations(c.kinds[spec.KindEvacuation])
 	problems := slices.Concat(c.models.problems, c.adapters.problems, c.deployments.problems, linker.problems)
 	slices.SortFunc(problems, func(a, b Problem) int {
 		return cmp.Or(strings.Compare(a.Object.Kind, b.Object.Kind), strings.Compare(a.Object.Name, b.Object.Name))
@@ -190,6 +188,8 @@
 		decoded.value, err = decodeSpec[spec.Capacity](object.Spec)
 	case spec.KindPreferences:
 		decoded.value, err = decodeSpec[spec.Preferences](object.Spec)
+	case spec.KindEvacuation:
+		decoded.value, err = decodeSpec[spec.Evacuation](object.Spec)
 	}
 	if err != nil {
 		decoded.reason = err.Error()
--- /dev/null
+++ b/internal/catalog/evacuation_test.go
@@ -0,0 +1,49 @@
+package catalog
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/objectstore"
+	"github.com/spanlanding/spanlanding/internal/spec"
+)
+
+func TestEvacuationsComeAndGoWithTheirDeclarations(t *testing.T) {
+	compiler := NewCompiler()
+	evacuation := object(t, spec.KindEvacuation, "oslo-b", nil, spec.Evacuation{})
+	other := object(t, spec.KindEvacuation, "oslo-a", nil, spec.Evacuation{Reason: "power"})
+	gone := evacuation
+	gone.Deleted = true
+	for step, test := range []struct {
+		change objectstore.Object
+		want   []fleet.Zone
+	}{
+		{evacuation, []fleet.Zone{"oslo-b"}},
+		{other, []fleet.Zone{"oslo-a", "oslo-b"}},
+		{gone, []fleet.Zone{"oslo-a"}},
+		{evacuation, []fleet.Zone{"oslo-a", "oslo-b"}},
+	} {
+		compiler.Apply([]objectstore.Object{test.change})
+		snapshot, problems := compiler.Snapshot(uint64(step + 1))
+		if len(problems) > 0 {
+			t.Fatalf("step %d: %v", step, problems)
+		}
+		if got := snapshot.Evacuated(); !slices.Equal(got, test.want) {
+			t.Errorf("step %d: evacuated %v, want %v", step, got, test.want)
+		}
+	}
+}
+
+// TestUnreadableEvacuationHolds: others than apply write to the store too.
+func TestUnreadableEvacuationHolds(t *testing.T) {
+	broken := objectstore.Object{Kind: string(spec.KindEvacuation), Name: "oslo-a", Version: 1, Spec: json.RawMessage(`{"reason":7}`)}
+	snapshot, problems := Compile(1, []objectstore.Object{broken})
+	if len(problems) != 1 {
+		t.Errorf("problems: %v", problems)
+	}
+	if got := snapshot.Evacuated(); !slices.Equal(got, []fleet.Zone{"oslo-a"}) {
+		t.Errorf("evacuated %v", got)
+	}
+}
--- a/internal/catalog/link.go
+++ b/internal/catalog/link.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -110,6 +111,16 @@
 	}
 }
 
+// takeEvacuations goes by the names alone: an evacuation whose spec cannot be
+// read holds all the same, since serving a zone that is to be empty is the worse
+// mistake.
+func (l *linker) takeEvacuations(set *kindSet) {
+	set.usable(&l.problems)
+	for _, object := range set.sorted {
+		l.snapshot.evacuated = append(l.snapshot.evacuated, fleet.Zone(object.key.Name))
+	}
+}
+
 // fileSelectors files each selector under the label that the fewest others ask
 // for, so that a request looks at few.
 func (l *linker) fileSelectors() {
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -30,6 +30,8 @@
 	// services are ordered by the length of their prefix, longest first.
 	services    []service
 	preferences spec.Preferences
+	// evacuated are sorted by name.
+	evacuated []fleet.Zone
 }
 
 // DeploymentInfo describes a deployment to callers.
@@ -107,3 +109,8 @@
 func (s *Snapshot) Preferences() spec.Preferences {
 	return s.preferences
 }
+
+// Evacuated are the zones that are out of service, by name.
+func (s *Snapshot) Evacuated() []fleet.Zone {
+	return s.evacuated
+}
--- a/internal/lab/collect/store.go
+++ b/internal/lab/collect/store.go
@@ -34,12 +34,6 @@
 	}
 }
 
-// declaredKinds are the kinds that make up the configuration.
-var declaredKinds = []spec.Kind{
-	spec.KindModel, spec.KindAdapter, spec.KindDeployment, spec.KindSelector,
-	spec.KindService, spec.KindCapacity, spec.KindPreferences,
-}
-
 // allotmentRecord is the part of the allotment record that is judged by.
 type allotmentRecord struct {
 	Models map[fleet.ModelVersion]struct {
@@ -55,7 +49,7 @@
 	if object.Kind == objectstore.KindAllotments {
 		return h.takeDecision(object, at)
 	}
-	if !slices.Contains(declaredKinds, spec.Kind(object.Kind)) {
+	if !slices.Contains(spec.Kinds(), spec.Kind(object.Kind)) {
 		return nil
 	}
 	h.changes = append(h.changes, check.ConfigChange{At: at, Version: object.Version})
--- a/internal/spec/broken_test.go
+++ b/internal/spec/broken_test.go
@@ -15,7 +15,7 @@
 func TestBrokenFolderYieldsEveryFinding(t *testing.T) {
 	const golden = "testdata/broken.txt"
 	t.Chdir("../..")
-	_, findings := Options{ServerMemory: 48 << 30}.Load([]string{"examples/broken"})
+	_, findings := Options{ServerMemory: 48 << 30, Zones: []string{"oslo-a", "oslo-b"}}.Load([]string{"examples/broken"})
 	t.Chdir("internal/spec")
 	got := findings.String() + "\n"
 	if *update {
--- a/internal/spec/check.go
+++ b/internal/spec/check.go
@@ -129,6 +129,8 @@
 		c.capacity(object, declared)
 	case *Preferences:
 		c.preferences(object, declared)
+	case *Evacuation:
+		c.evacuation(object, declared)
 	}
 }
 
--- a/internal/spec/load.go
+++ b/internal/spec/load.go
@@ -24,6 +24,8 @@
 	// ServerMemory is the accelerator memory of the largest server that
 	// models may take; 0 is unknown.
 	ServerMemory Bytes
+	// Zones are the zones of the fleet; none where they are not known.
+	Zones []string
 }
 
 // Load reads files, and folders with their sub-folders (*.yaml and *.yml), and
--- a/internal/spec/set.go
+++ b/internal/spec/set.go
@@ -54,9 +54,11 @@
 	return fmt.Sprintf("%s %q", o.Kind, o.Metadata.Name)
 }
 
-// kindOrder lists the kinds so that each comes after those it refers to.
+// kindOrder lists the kinds so that each comes after those it refers to. An
+// evacuation refers to none and goes first: apply stops at the first write that
+// does not succeed, and a zone must not stay in service for that.
 var kindOrder = []Kind{
-	KindModel, KindAdapter, KindDeployment, KindCapacity, KindService, KindPreferences, KindSelector,
+	KindEvacuation, KindModel, KindAdapter, KindDeployment, KindCapacity, KindService, KindPreferences, KindSelector,
 }
 
 // Kinds returns the declared kinds, each after those that it refers to.
@@ -81,6 +83,8 @@
 		return &Capacity{}
 	case KindPreferences:
 		return &Preferences{}
+	case KindEvacuation:
+		return &Evacuation{}
 	default:
 		return nil
 	}
--- a/internal/spec/types.go
+++ b/internal/spec/types.go
@@ -14,6 +14,7 @@
 	KindService     Kind = "Service"
 	KindCapacity    Kind = "Capacity"
 	KindPreferences Kind = "Preferences"
+	KindEvacuation  Kind = "Evacuation"
 )
 
 // Metadata names and labels an object.
@@ -146,3 +147,10 @@
 	// the cold-start tail counts); default 0.5.
 	ColdStartWeight float64 `yaml:"coldStartWeight" json:"coldStartWeight"`
 }
+
+// Evacuation takes a zone out of service while it is declared; its name is the
+// zone. No request and no load goes to the zone's back ends.
+type Evacuation struct {
+	// Reason tells other operators why; it decides nothing.
+	Reason string `yaml:"reason,omitempty" json:"reason,omitempty"`
+}
