Own interface: nothing is sent to a zone that is evacuated

Change: routing holds an evacuation.Table, fed with each configuration in force, and leaves the targets of evacuated zones out in its one filter: first picks, retries, hedges, calls of services, and the rooms by which the queue releases what waits. A stream that breaks is asked for the rest at the engine that had it; that is now left out where the engine's zone was evacuated meanwhile, and the answer is continued in another zone (attempt.Broken.NoResume).

--- a/internal/attempt/message.go
+++ b/internal/attempt/message.go
@@ -69,6 +69,8 @@
 	Status int
 	// RetryAfter is the back end's own wish, else 0.
 	RetryAfter time.Duration
+	// NoResume is set where this back end must not be asked for the rest.
+	NoResume bool
 	// Final is set where another back end would answer the same, such as an
 	// error in the caller's request.
 	Final bool
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -57,7 +57,7 @@
 // mayResume: the same engine may still have the answer, since it took the
 // request and has not said otherwise.
 func (c *Core) mayResume(broken Broken) bool {
-	return c.options.Resumable && broken.Evidence == MaySent && c.next > 0 && c.resumes < c.options.MaxResumes
+	return c.options.Resumable && !broken.NoResume && broken.Evidence == MaySent && c.next > 0 && c.resumes < c.options.MaxResumes
 }
 
 func (c *Core) mayRetry(now time.Time, broken Broken) bool {
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -5,7 +5,6 @@
 	"slices"
 	"testing"
 
-	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
@@ -18,19 +17,19 @@
 	gone.Deleted = true
 	for step, test := range []struct {
 		change objectstore.Object
-		want   []fleet.Zone
+		want   []string
 	}{
-		{evacuation, []fleet.Zone{"oslo-b"}},
-		{other, []fleet.Zone{"oslo-a", "oslo-b"}},
-		{gone, []fleet.Zone{"oslo-a"}},
-		{evacuation, []fleet.Zone{"oslo-a", "oslo-b"}},
+		{evacuation, []string{"oslo-b"}},
+		{other, []string{"oslo-a", "oslo-b"}},
+		{gone, []string{"oslo-a"}},
+		{evacuation, []string{"oslo-a", "oslo-b"}},
 	} {
 		compiler.Apply([]objectstore.Object{test.change})
 		snapshot, problems := compiler.Snapshot(uint64(step + 1))
 		if len(problems) > 0 {
 			t.Fatalf("step %d: %v", step, problems)
 		}
-		if got := snapshot.Evacuated(); !slices.Equal(got, test.want) {
+		if got := snapshot.Evacuations().Zones; !slices.Equal(got, test.want) {
 			t.Errorf("step %d: evacuated %v, want %v", step, got, test.want)
 		}
 	}
@@ -43,7 +42,7 @@
 	if len(problems) != 1 {
 		t.Errorf("problems: %v", problems)
 	}
-	if got := snapshot.Evacuated(); !slices.Equal(got, []fleet.Zone{"oslo-a"}) {
+	if got := snapshot.Evacuations().Zones; !slices.Equal(got, []string{"oslo-a"}) {
 		t.Errorf("evacuated %v", got)
 	}
 }
--- a/internal/catalog/link.go
+++ b/internal/catalog/link.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -117,7 +116,7 @@
 func (l *linker) takeEvacuations(set *kindSet) {
 	set.usable(&l.problems)
 	for _, object := range set.sorted {
-		l.snapshot.evacuated = append(l.snapshot.evacuated, fleet.Zone(object.key.Name))
+		l.snapshot.evacuated = append(l.snapshot.evacuated, object.key.Name)
 	}
 }
 
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
@@ -31,7 +32,7 @@
 	services    []service
 	preferences spec.Preferences
 	// evacuated are sorted by name.
-	evacuated []fleet.Zone
+	evacuated []string
 }
 
 // DeploymentInfo describes a deployment to callers.
@@ -110,7 +111,12 @@
 	return s.preferences
 }
 
-// Evacuated are the zones that are out of service, by name.
-func (s *Snapshot) Evacuated() []fleet.Zone {
-	return s.evacuated
+// Evacuations are the zones that are out of service as of the snapshot.
+func (s *Snapshot) Evacuations() evacuation.Word {
+	return evacuation.Word{Zones: s.evacuated, Revision: int64(s.version)}
+}
+
+// IsEvacuated reports whether the zone is out of service.
+func (s *Snapshot) IsEvacuated(zone fleet.Zone) bool {
+	return slices.Contains(s.evacuated, string(zone))
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -197,8 +197,7 @@
 	if answer, found := s.calls[ticket]; found {
 		delete(s.calls, ticket)
 		delete(s.assigned, ticket)
-		answer <- reply{refusal: &failure{code: codeNoBackend, detail: "no back end of the service can be reached now",
-			outcome: attempt.OutcomeNotRun, retryAfter: time.Second}}
+		answer <- reply{refusal: s.noService()}
 	}
 }
 
@@ -228,6 +227,8 @@
 		return "the model cannot be loaded now"
 	case queue.ReasonShed:
 		return "requests of a higher priority took the room"
+	case queue.ReasonEvacuated:
+		return detailEvacuated
 	}
 	return "the node is stopping"
 }
@@ -259,6 +260,7 @@
 		list = append(list, table)
 	}
 	s.stepRouting(now, routing.Tables{Tables: list})
+	s.followEvacuations(now)
 }
 
 // stopping refuses what still waits, so that no handler waits for ever.
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/queue"
 	"github.com/spanlanding/spanlanding/internal/routing"
@@ -61,7 +62,9 @@
 		result routing.Result
 	}
 	tablesChanged struct{ tables views.Tables }
-	nodesChanged  struct{ nodes int }
+	// evacuationsChanged brings the zones that are out of service.
+	evacuationsChanged struct{ word evacuation.Word }
+	nodesChanged       struct{ nodes int }
 	// routeDone tells that a request that took a share of its route is over.
 	routeDone      struct{ route string }
 	leavingChanged struct{ backends []fleet.BackendName }
@@ -113,6 +116,8 @@
 	assigned map[uint64]assigned
 	timer    *time.Timer
 	timerAt  time.Time
+	// evacuated is set while the queue is closed since no zone is left.
+	evacuated bool
 	// waiting is the number of requests that the gauge shows.
 	waiting int
 }
@@ -175,6 +180,9 @@
 		s.ended(now, message)
 	case tablesChanged:
 		s.takeTables(now, message.tables)
+	case evacuationsChanged:
+		s.stepRouting(now, routing.Evacuations{Word: message.word})
+		s.followEvacuations(now)
 	case nodesChanged:
 		s.shares.setNodes(message.nodes)
 	case leavingChanged:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,9 @@
 func (g *Gateway) watch() {
 	for _, dispatcher := range []*dispatcher{g.models, g.services} {
 		g.options.Views.Tables.Watch(func(tables views.Tables) { dispatcher.send(tablesChanged{tables: tables}) })
+		g.options.Views.Catalog.Watch(func(snapshot *catalog.Snapshot) {
+			dispatcher.send(evacuationsChanged{word: snapshot.Evacuations()})
+		})
 		g.options.Views.Members.Watch(func([]fleet.Member) { dispatcher.send(nodesChanged{nodes: g.usableNodes()}) })
 		g.options.Views.Machines.Watch(func(machines objectstore.MachineList) {
 			dispatcher.send(nodesChanged{nodes: g.usableNodes()})
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -103,8 +103,12 @@
 	}
 }
 
-// resume asks the engine for the rest.
+// resume asks the engine for the rest, unless its zone was evacuated meanwhile.
 func (r *modelRun) resume(resume attempt.Resume) attempt.Message {
+	if r.gateway.isEvacuated(r.engine.Zone) {
+		return attempt.Broken{Connection: resume.Connection, Evidence: attempt.MaySent, NoResume: true,
+			Detail: "the stream broke and its engine's zone is evacuated"}
+	}
 	r.record.resumes++
 	r.gateway.metrics.resumes.Inc()
 	return r.connect(resume.Connection, func(ctx context.Context) (*backend.Stream, error) {
--- a/internal/queue/admit.go
+++ b/internal/queue/admit.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -17,8 +18,8 @@
 	if item.Since.IsZero() {
 		item.Since = now
 	}
-	if c.closed {
-		c.refuse(item, ReasonClosed, c.closing)
+	if c.closed != nil {
+		c.refuse(item, c.closed.Reason, c.closed.RetryAfter)
 		return
 	}
 	if !item.Deadline.After(now) {
@@ -136,13 +137,13 @@
 	}
 }
 
-func (c *Core) close(retryAfter time.Duration) {
-	c.closed = true
-	c.closing = retryAfter
+func (c *Core) close(closed Close) {
+	closed.Reason = cmp.Or(closed.Reason, ReasonStopping)
+	c.closed = &closed
 	for _, model := range c.order {
 		for _, item := range slices.Clone(c.lines[model].items) {
 			c.remove(item.Ticket)
-			c.refuse(item.Item, ReasonClosed, retryAfter)
+			c.refuse(item.Item, closed.Reason, closed.RetryAfter)
 		}
 	}
 }
--- a/internal/queue/message.go
+++ b/internal/queue/message.go
@@ -72,8 +72,15 @@
 // LoadRefused says that a model cannot be loaded now.
 type LoadRefused struct{ Refusals []fleet.LoadRefusal }
 
-// Close refuses all that waits and all that arrives later.
-type Close struct{ RetryAfter time.Duration }
+// Close refuses all that waits, and all that arrives until Open.
+type Close struct {
+	// Reason is ReasonStopping where it is empty.
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Open ends a Close.
+type Open struct{}
 
 // Tick is wanted at NextWake.
 type Tick struct{}
@@ -85,6 +92,7 @@
 func (Served) isMessage()      {}
 func (LoadRefused) isMessage() {}
 func (Close) isMessage()       {}
+func (Open) isMessage()        {}
 func (Tick) isMessage()        {}
 
 // Effect is an output of the core.
@@ -109,7 +117,8 @@
 	ReasonDeadline   Reason = "deadline-reached"
 	ReasonCannotLoad Reason = "model-cannot-be-loaded"
 	ReasonShed       Reason = "shed-for-higher-priority"
-	ReasonClosed     Reason = "node-stopping"
+	ReasonStopping   Reason = "node-stopping"
+	ReasonEvacuated  Reason = "all-zones-evacuated"
 )
 
 // Refuse is the final answer to a request that never ran.
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -99,9 +99,9 @@
 	// arrived is set while some arrival is not reported yet.
 	arrived  bool
 	nextWant time.Time
-	closed   bool
-	closing  time.Duration
-	effects  []Effect
+	// closed is what all are refused with; nil while the queue is open.
+	closed  *Close
+	effects []Effect
 }
 
 // New returns an empty queue.
@@ -132,7 +132,9 @@
 	case LoadRefused:
 		c.loadRefused(now, message.Refusals)
 	case Close:
-		c.close(message.RetryAfter)
+		c.close(message)
+	case Open:
+		c.closed = nil
 	case Tick:
 	}
 	c.reportWants(now)
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -187,6 +187,14 @@
 			{1, Close{}, []string{"-1:node-stopping"}},
 			{2, Arrive{item(2, 0, 9)}, []string{"-2:node-stopping"}},
 		}},
+		"a queue that is opened again takes requests": {steps: []scheduled{
+			{0, Arrive{item(1, 0, 9)}, nil},
+			{1, Close{Reason: ReasonEvacuated}, []string{"-1:all-zones-evacuated"}},
+			{2, Arrive{item(2, 0, 9)}, []string{"-2:all-zones-evacuated"}},
+			{3, Open{}, nil},
+			{3, Arrive{item(3, 0, 9)}, nil},
+			{4, room(1), []string{"+3"}},
+		}},
 		"an adapter that no replica holds blocks nobody": {steps: []scheduled{
 			{0, Arrive{Item{Ticket: 1, Model: notes, Adapter: "danish", Priority: 9, Deadline: at(9)}}, nil},
 			{0, Arrive{item(2, 0, 9)}, nil},
--- /dev/null
+++ b/internal/routing/evacuation_test.go
@@ -0,0 +1,88 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/spanlanding/spanlanding/internal/evacuation"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+func evacuated(version int64, zones ...string) Evacuations {
+	return Evacuations{Word: evacuation.Word{Zones: zones, Revision: version}}
+}
+
+// twoZones drives a core of zone a that knows an idle engine and a service in
+// zone a, and a loaded engine and a service in zone b.
+func twoZones() *driver {
+	d := newDriver(Options{}, epoch)
+	service := func(name string, zone fleet.Zone) []fleet.Backend {
+		return []fleet.Backend{{Name: fleet.BackendName(name), Kind: fleet.KindService, Zone: zone, Service: "turbines"}}
+	}
+	d.core.Step(epoch, Tables{Tables: []fleet.RouteTable{
+		{Zone: "a", Engines: []fleet.EngineState{engine("a1", "a", 0)}, Services: service("sa", "a")},
+		{Zone: "b", Engines: []fleet.EngineState{engine("b1", "b", 9)}, Services: service("sb", "b")},
+	}})
+	return d
+}
+
+func (d *driver) pickService() string {
+	d.next++
+	for _, effect := range d.core.Step(epoch, PickService{Ticket: d.next, Service: "turbines"}) {
+		if picked, isPicked := effect.(Picked); isPicked {
+			return string(picked.Backend.Name)
+		}
+	}
+	return ""
+}
+
+func TestNoAttemptGoesToAnEvacuatedZone(t *testing.T) {
+	steps := []struct {
+		name                   string
+		evacuations            Evacuations
+		first, retry, service  string
+		ready, rooms           int
+		allEvacuated, announce bool
+	}{
+		{"none", evacuated(1), "a1", "b1", "sa", 2, 2, false, false},
+		{"the own zone", evacuated(3, "a"), "b1", "b1", "sb", 1, 1, false, true},
+		{"an older version", evacuated(2), "b1", "b1", "sb", 1, 1, false, false},
+		{"the other zone, where the first has failed", evacuated(4, "b"), "a1", "a1", "sa", 1, 1, false, true},
+		{"both", evacuated(5, "a", "b"), "", "", "", 0, 0, true, true},
+		{"a zone that nobody knows", evacuated(6, "c"), "a1", "b1", "sa", 2, 2, false, true},
+	}
+	d := twoZones()
+	for _, step := range steps {
+		effects := d.core.Step(epoch, step.evacuations)
+		if announced := len(effects) > 0; announced != step.announce {
+			t.Errorf("%s: effects %v", step.name, effects)
+		}
+		ticket, got := d.pick(epoch, nil)
+		d.core.Step(epoch, Ended{Ticket: ticket, Result: ResultAbandoned})
+		if got != step.first {
+			t.Errorf("%s: picked %q", step.name, got)
+		}
+		ticket, got = d.pick(epoch, func(pick *Pick) { pick.Exclude = []fleet.BackendName{"a1"} })
+		d.core.Step(epoch, Ended{Ticket: ticket, Result: ResultAbandoned})
+		if got != step.retry {
+			t.Errorf("%s: retried at %q", step.name, got)
+		}
+		if got := d.pickService(); got != step.service {
+			t.Errorf("%s: called %q", step.name, got)
+		}
+		// Hedges and what waits go by the rooms.
+		if rooms := d.core.Rooms(epoch, notes); rooms.Ready != step.ready || len(rooms.Rooms) != step.rooms {
+			t.Errorf("%s: rooms %+v", step.name, rooms)
+		}
+		if d.core.AllEvacuated() != step.allEvacuated {
+			t.Errorf("%s: all evacuated is %v", step.name, !step.allEvacuated)
+		}
+	}
+}
+
+func TestNothingIsAllEvacuatedWhileNoZoneIsKnown(t *testing.T) {
+	core := New(Options{Zone: "a"})
+	core.Step(epoch, evacuated(1, "a"))
+	if core.AllEvacuated() {
+		t.Error("a node that knows no table yet takes all zones for evacuated")
+	}
+}
--- a/internal/routing/message.go
+++ b/internal/routing/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -19,6 +20,10 @@
 // and replaces the names heard before.
 type Leaving struct{ Backends []fleet.BackendName }
 
+// Evacuations names the zones that no attempt may go to, as of a version of the
+// configuration.
+type Evacuations struct{ evacuation.Word }
+
 // Pick asks for an engine that serves the model.
 type Pick struct {
 	Ticket  Ticket
@@ -72,6 +77,7 @@
 
 func (Tables) isMessage()      {}
 func (Leaving) isMessage()     {}
+func (Evacuations) isMessage() {}
 func (Pick) isMessage()        {}
 func (PickService) isMessage() {}
 func (FirstToken) isMessage()  {}
@@ -92,7 +98,7 @@
 // NonePicked answers a Pick or PickService that no back end passes.
 type NonePicked struct {
 	Ticket Ticket
-	// Known tells whether any back end was known that does not leave.
+	// Known tells whether any back end was known that attempts may begin at.
 	Known bool
 }
 
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -32,7 +32,7 @@
 // filter returns the targets that may be sent to, and whether any was known.
 func (c *Core) filter(now time.Time, model fleet.ModelVersion, targets []*target) (candidates []*target, known bool) {
 	for _, target := range targets {
-		if c.isLeaving(target) {
+		if c.isClosed(target) {
 			continue
 		}
 		known = true
@@ -57,6 +57,11 @@
 	return others
 }
 
+// isClosed reports whether no attempt may begin at the target, however it does.
+func (c *Core) isClosed(target *target) bool {
+	return c.isLeaving(target) || c.evacuations.IsEvacuated(string(target.backend.Zone))
+}
+
 func (c *Core) isLeaving(target *target) bool {
 	if c.options.Defects.IgnoreLeaving {
 		return false
--- a/internal/routing/rooms.go
+++ b/internal/routing/rooms.go
@@ -15,7 +15,7 @@
 
 // Rooms is what the replicas of one model can take.
 type Rooms struct {
-	// Ready counts the replicas that do not leave, Slots what those that may
+	// Ready counts the replicas that attempts may begin at, Slots what those that may
 	// be sent to now run at a time.
 	Ready int
 	Slots int
@@ -26,7 +26,7 @@
 func (c *Core) Rooms(now time.Time, model fleet.ModelVersion) Rooms {
 	var rooms Rooms
 	for _, target := range c.byModel[model] {
-		if !c.isLeaving(target) {
+		if !c.isClosed(target) {
 			rooms.Ready++
 		}
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -84,7 +85,10 @@
 	byModel   map[fleet.ModelVersion][]*target
 	byService map[string][]*target
 	leaving   map[fleet.BackendName]bool
-	flights   map[Ticket]*flight
+	// zones are those of the tables.
+	zones       map[fleet.Zone]bool
+	evacuations *evacuation.Table
+	flights     map[Ticket]*flight
 	// announcements are the times at which a model's room may grow without a
 	// message, oldest first.
 	announcements []announcement
@@ -100,7 +104,10 @@
 		byModel:   make(map[fleet.ModelVersion][]*target),
 		byService: make(map[string][]*target),
 		leaving:   make(map[fleet.BackendName]bool),
+		zones:     make(map[fleet.Zone]bool),
 		flights:   make(map[Ticket]*flight),
+
+		evacuations: evacuation.New(),
 	}
 }
 
@@ -113,6 +120,8 @@
 		c.takeTables(now, message.Tables)
 	case Leaving:
 		c.takeLeaving(message.Backends)
+	case Evacuations:
+		c.takeEvacuations(now, message.Word)
 	case Pick:
 		c.pick(now, message)
 	case PickService:
@@ -173,7 +182,9 @@
 func (c *Core) takeTables(now time.Time, tables []fleet.RouteTable) {
 	seen := make(map[fleet.BackendName]bool, len(c.targets))
 	changed := false
+	clear(c.zones)
 	for _, table := range tables {
+		c.zones[table.Zone] = true
 		for _, engine := range table.Engines {
 			seen[engine.Name] = true
 			changed = c.target(engine.Name).takeEngine(now, engine, c.options) || changed
@@ -195,6 +206,11 @@
 	if changed {
 		c.index()
 	}
+	c.announceAll()
+}
+
+// announceAll has the room of each model asked for anew.
+func (c *Core) announceAll() {
 	for _, model := range c.models() {
 		c.emit(RoomChanged{Model: model})
 	}
@@ -248,6 +264,25 @@
 	}
 }
 
+// takeEvacuations tells of the room of all models at once: what waits for an
+// engine of an evacuated zone has to wait for another one.
+func (c *Core) takeEvacuations(now time.Time, word evacuation.Word) {
+	if len(c.evacuations.Take(now, word)) > 0 {
+		c.announceAll()
+	}
+}
+
+// AllEvacuated reports whether every zone that has a table is evacuated, so that
+// there is nowhere to send a request.
+func (c *Core) AllEvacuated() bool {
+	for zone := range c.zones {
+		if !c.evacuations.IsEvacuated(string(zone)) {
+			return false
+		}
+	}
+	return len(c.zones) > 0
+}
+
 func (c *Core) firstToken(now time.Time, message FirstToken) {
 	flight, found := c.flights[message.Ticket]
 	if !found {
