Own interface: an evacuated zone loads nothing, and what stood there is loaded elsewhere

Change: allotment.Decide counts evacuated zones as zones without engines and lowers their limits to nothing, so that others may load once the lowering is confirmed; where no zone is left, all stay as they are. A zone without any allotment, as one whose evacuation was taken back, gets the idle replicas that it would get if they were dealt out anew. Placement of an evacuated zone orders no load and refuses what waits there, which sends it to a zone with allotment. Control remembers which models stood in evacuated zones only and has the zone with the most allotment load them as preloads: after what waits, within the weight store's tokens, without evicting. status marks zones, spanlanding_node_evacuated_zones counts them, zone_evacuation_changed is logged once a change and node.

Ruled out: unloading nothing in the zone until others have loaded. The replicas decided bound both, so a model with one replica could never be loaded elsewhere.

Seen failing with the lowering, the preload and the stop of loads taken out one by one.

--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -74,6 +74,8 @@
 					Engines: engines(rapid.IntRange(0, 4).Draw(t, "e0"), 2, 3),
 					Demand:  map[fleet.ModelVersion]map[fleet.Zone]int{model: drawCounts(t, "demand")},
 					Idle:    map[fleet.ModelVersion]map[fleet.Zone]int{model: drawCounts(t, "idle")},
+
+					Evacuated: map[fleet.Zone]bool{"z0": rapid.Bool().Draw(t, "z0 evacuated"), "z1": rapid.Bool().Draw(t, "z1 evacuated")},
 				}
 				record, _ = Decide(record, input)
 			}
--- a/internal/allotment/decide.go
+++ b/internal/allotment/decide.go
@@ -18,6 +18,9 @@
 	Demand map[fleet.ModelVersion]map[fleet.Zone]int
 	// Idle counts the part of a zone's limit that is not loaded.
 	Idle map[fleet.ModelVersion]map[fleet.Zone]int
+	// Evacuated are zones that give their allotment away; they count as zones
+	// without engines.
+	Evacuated map[fleet.Zone]bool
 	// RaiseUnconfirmed is a planted fault, set by tests and the simulator only:
 	// limits are raised without waiting for lowered ones to be confirmed.
 	RaiseUnconfirmed bool
@@ -27,14 +30,17 @@
 // to zones, idle allotment lowered where another zone wants it. Limits are
 // raised only by what the ceilings leave of the decided number.
 func Decide(record Record, input Input) (Record, bool) {
+	input.Engines = withoutEvacuated(input)
 	next := record.Clone()
 	next.Generation++
 	changed := false
+	empty := emptyZones(record, input.Engines)
 	known := make(map[fleet.ModelVersion]bool, len(input.Models))
 	for _, facts := range input.Models {
 		known[facts.Model] = true
 		before := next.Models[facts.Model]
 		after := decideModel(before, target(facts), facts.Model, input, next.Generation)
+		after = returnIdle(after, facts.Model, input, empty, next.Generation)
 		if !equalDecision(before, after) {
 			next.Models[facts.Model] = after
 			changed = true
@@ -73,6 +79,7 @@
 		after.Zones[zone] = share
 	}
 	after = lowerTo(after, target, input.Idle[model], generation)
+	after = leaveEvacuated(after, input, generation)
 	after = moveIdle(after, model, input, generation)
 	after = raiseFree(after, model, input)
 	return after
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -34,6 +34,7 @@
 	tables   tableState
 	wants    wantState
 	leaving  leavingState
+	evacuees evacuationState
 	gone     goneState
 
 	now time.Time
@@ -66,6 +67,7 @@
 		tables:    newTableState(),
 		wants:     newWantState(),
 		leaving:   newLeavingState(),
+		evacuees:  newEvacuationState(),
 		gone:      newGoneState(),
 		// A core with the planted defect never learns, so it vouches at once.
 		decider: deciderState{vouched: options.Defects.StaleAllotment},
@@ -103,6 +105,7 @@
 	c.stand()
 	c.updateGone()
 	c.updateElsewhere()
+	c.updateDisplaced()
 	c.stepLeader(leadership.Tick{})
 	c.tickPlacement()
 	c.poll()
@@ -167,10 +170,12 @@
 
 func (c *Core) setCatalog(changed CatalogChanged) {
 	c.models = changed.Models
+	c.takeEvacuations(changed.Evacuations)
 	c.stepPlacement(placement.CatalogChanged{
 		Models:          changed.Models,
 		Adapters:        changed.Adapters,
 		ColdStartWeight: changed.ColdStartWeight,
+		Evacuated:       c.isEvacuated(c.options.Zone),
 	})
 	c.updateLimits()
 }
--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -159,6 +159,8 @@
 		Demand:  c.wants.unserved(c.now),
 		Idle:    make(map[fleet.ModelVersion]map[fleet.Zone]int),
 
+		Evacuated: c.evacuatedZones(),
+
 		RaiseUnconfirmed: c.options.Defects.NoConfirmBeforeRaise,
 	}
 	for _, machine := range c.machines.Machines {
--- a/internal/control/effects.go
+++ b/internal/control/effects.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
 	"github.com/spanlanding/spanlanding/internal/placement"
@@ -109,6 +110,9 @@
 // LoadFinished tells what the time of a load was spent on, for the log.
 type LoadFinished struct{ placement.LoadFinished }
 
+// EvacuationChanged tells that a zone is out of service, or is back, for the log.
+type EvacuationChanged struct{ evacuation.Change }
+
 func (ReadEngine) effect()        {}
 func (SendClaim) effect()         {}
 func (SendOrder) effect()         {}
@@ -123,3 +127,4 @@
 func (TablesChanged) effect()     {}
 func (LeadershipChanged) effect() {}
 func (LoadFinished) effect()      {}
+func (EvacuationChanged) effect() {}
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
@@ -38,6 +39,8 @@
 	// hold delays a claim on its way to the engine; nil for none.
 	hold   func(from fleet.NodeName, engine fleet.BackendName) time.Duration
 	models []catalog.ModelFacts
+	// evacuations are in force beside the models.
+	evacuations evacuation.Word
 	// unjudged is set where an engine or the record changed.
 	unjudged   bool
 	violations []string
@@ -219,11 +222,22 @@
 	})
 	boot := node.boot
 	c.step(name, boot, MachinesChanged{List: c.machines})
-	c.step(name, boot, CatalogChanged{Models: c.models, ColdStartWeight: 0.5})
+	c.step(name, boot, c.catalog())
 	c.tick(name, boot)
 	c.spreadMembers()
 }
 
+// catalog is what is declared.
+func (c *cluster) catalog() CatalogChanged {
+	return CatalogChanged{Models: c.models, ColdStartWeight: 0.5, Evacuations: c.evacuations}
+}
+
+func (c *cluster) spreadCatalog() {
+	for _, name := range c.nodeNames() {
+		c.send(name, c.catalog())
+	}
+}
+
 func (c *cluster) spreadMembers() {
 	for _, name := range c.nodeNames() {
 		c.sendMembers(name)
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
@@ -27,6 +28,8 @@
 	Models          []catalog.ModelFacts
 	Adapters        []catalog.AdapterFacts
 	ColdStartWeight float64
+	// Evacuations are the zones that are out of service.
+	Evacuations evacuation.Word
 }
 
 // VersionedRecord is the record of allotments with the version of its object
--- a/internal/control/schedule_test.go
+++ b/internal/control/schedule_test.go
@@ -26,7 +26,7 @@
 var faultKinds = []string{
 	"pause-node", "restart-node", "restart-engine", "engine-down", "store-down",
 	"suspect", "loss", "limits", "restart-zone-engines", "stop-node", "move-replica",
-	"reclaim-engine", "add-engine",
+	"reclaim-engine", "add-engine", "evacuate",
 }
 
 func drawFaults(t *rapid.T) []fault {
@@ -86,6 +86,9 @@
 	case "add-engine":
 		c.addEngine(c.engines[target].backend.Zone, len(engines))
 		c.spreadMachines()
+	case "evacuate":
+		c.evacuate("z" + string('0'+rune(f.Target%2)))
+		c.after(f.Length, func() { c.evacuate() })
 	case "move-replica":
 		c.lower(fleet.Zone("z" + string('0'+rune(f.Target%2))))
 	case "limits":
@@ -138,9 +141,7 @@
 // changeLimits declares other bounds of replicas.
 func (c *cluster) changeLimits(number int) {
 	c.models = []catalog.ModelFacts{facts(modelA, 1+number%3), facts(modelB, 1+number%2)}
-	for _, name := range c.nodeNames() {
-		c.send(name, CatalogChanged{Models: c.models, ColdStartWeight: 0.5})
-	}
+	c.spreadCatalog()
 }
 
 // busySchedule keeps wants coming at all nodes while the faults come about.
--- a/internal/control/store_use.go
+++ b/internal/control/store_use.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// updateElsewhere tells placement what the other zones hold, and what they take
-// of the weight store, by their tables.
+// updateElsewhere tells placement what the other zones in service hold, and what
+// all others take of the weight store, by their tables.
 func (c *Core) updateElsewhere() {
 	if !c.leader.Leading() {
 		return
@@ -44,7 +44,9 @@
 		}
 		used.Loading += known.loading
 		used.Waiting += known.waitingLoads
-		maps.Copy(held, known.held)
+		if !c.isEvacuated(zone) {
+			maps.Copy(held, known.held)
+		}
 	}
 	if used != c.tables.storeUsed {
 		c.tables.storeUsed = used
--- a/internal/control/wants.go
+++ b/internal/control/wants.go
@@ -239,13 +239,14 @@
 	return wants
 }
 
-// zoneFor is the contact of the zone with the most allotment of the model.
+// zoneFor is the contact of the zone in service with the most allotment of the
+// model.
 func (c *Core) zoneFor(model fleet.ModelVersion) (fleet.Member, bool) {
 	var best fleet.Member
 	limit, found := 0, false
 	shares := c.record.Record.Models[model].Zones
 	for _, zone := range slices.Sorted(maps.Keys(shares)) {
-		if zone == c.options.Zone || shares[zone].Limit <= limit {
+		if zone == c.options.Zone || c.isEvacuated(zone) || shares[zone].Limit <= limit {
 			continue
 		}
 		if member, known := c.contact(zone); known {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -109,24 +109,25 @@
 }
 
 var (
-	readyDesc    = describe(metricPrefix+"ready", "1 if the node has declarations in force and takes callers.")
-	drainingDesc = describe(metricPrefix+"draining", "1 during a planned stop.")
-	membersDesc  = describe(metricPrefix+"members", "Members known, this node included, by zone and state.", "zone", "state")
-	versionDesc  = describe(metricPrefix+"config_version", "Store revision of the configuration in force.")
-	ageDesc      = describe(metricPrefix+"config_age_seconds", "Time since the configuration in force was put in force.")
-	leadingDesc  = describe(metricPrefix+"leading", "1 if this node leads its zone.")
-	tableAgeDesc = describe(metricPrefix+"table_age_seconds", "Time since a zone's route table last changed here.", "zone")
-	enginesDesc  = describe(metricPrefix+"engines", "Engines in the own zone's route table, by whether they leave.", "leaving")
-	memoryDesc   = describe(metricPrefix+"accelerator_bytes", "Accelerator memory of the own zone's engines, by use.", "use")
-	replicasDesc = describe(metricPrefix+"replicas", "Models on the own zone's engines, by state.", "state")
-	recordsDesc  = describe(metricPrefix+"keeper_records", "Records of keys that this node keeps.")
-	seatsDesc    = describe(metricPrefix+"keeper_seats", "Slots of the table of keepers that this node has a seat in.")
+	readyDesc     = describe(metricPrefix+"ready", "1 if the node has declarations in force and takes callers.")
+	drainingDesc  = describe(metricPrefix+"draining", "1 during a planned stop.")
+	membersDesc   = describe(metricPrefix+"members", "Members known, this node included, by zone and state.", "zone", "state")
+	versionDesc   = describe(metricPrefix+"config_version", "Store revision of the configuration in force.")
+	evacuatedDesc = describe(metricPrefix+"evacuated_zones", "Zones out of service by the configuration in force.")
+	ageDesc       = describe(metricPrefix+"config_age_seconds", "Time since the configuration in force was put in force.")
+	leadingDesc   = describe(metricPrefix+"leading", "1 if this node leads its zone.")
+	tableAgeDesc  = describe(metricPrefix+"table_age_seconds", "Time since a zone's route table last changed here.", "zone")
+	enginesDesc   = describe(metricPrefix+"engines", "Engines in the own zone's route table, by whether they leave.", "leaving")
+	memoryDesc    = describe(metricPrefix+"accelerator_bytes", "Accelerator memory of the own zone's engines, by use.", "use")
+	replicasDesc  = describe(metricPrefix+"replicas", "Models on the own zone's engines, by state.", "state")
+	recordsDesc   = describe(metricPrefix+"keeper_records", "Records of keys that this node keeps.")
+	seatsDesc     = describe(metricPrefix+"keeper_seats", "Slots of the table of keepers that this node has a seat in.")
 )
 
 // Describe implements prometheus.Collector.
 func (c viewCollector) Describe(descs chan<- *prometheus.Desc) {
 	for _, desc := range []*prometheus.Desc{
-		readyDesc, drainingDesc, membersDesc, versionDesc, ageDesc, leadingDesc,
+		readyDesc, drainingDesc, membersDesc, versionDesc, evacuatedDesc, ageDesc, leadingDesc,
 		tableAgeDesc, enginesDesc, memoryDesc, replicasDesc, recordsDesc, seatsDesc,
 	} {
 		descs <- desc
@@ -156,6 +157,7 @@
 	gauges.flag(drainingDesc, node.draining.Load())
 	gauges.flag(leadingDesc, node.control.metrics.leading.Load())
 	gauges.set(versionDesc, float64(node.configVersion()))
+	gauges.set(evacuatedDesc, float64(len(node.evacuatedZones())))
 	if since := node.catalogAge.since.Load(); since > 0 {
 		gauges.set(ageDesc, now.Sub(time.Unix(0, since)).Seconds())
 	}
--- a/internal/node/shells.go
+++ b/internal/node/shells.go
@@ -76,5 +76,6 @@
 		Models:          snapshot.Models(),
 		Adapters:        snapshot.Adapters(),
 		ColdStartWeight: snapshot.Preferences().ColdStartWeight,
+		Evacuations:     snapshot.Evacuations(),
 	}
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -72,7 +72,7 @@
 		ConfigVersion: node.configVersion(),
 		UptimeSeconds: now.Sub(node.started).Seconds(),
 		Members:       members,
-		Zones:         operator.ZonesOf(tables, node.tableAges.snapshot(), now),
+		Zones:         operator.MarkEvacuated(operator.ZonesOf(tables, node.tableAges.snapshot(), now), node.evacuatedZones()),
 		Models:        operator.ModelsOf(tables, node.control.Decided(), queues),
 		Queues:        queues,
 	}
@@ -131,6 +131,14 @@
 	return snapshot.Version()
 }
 
+func (n *Node) evacuatedZones() []string {
+	snapshot, found := n.views.Catalog.Get()
+	if !found {
+		return nil
+	}
+	return snapshot.Evacuations().Zones
+}
+
 func (n *Node) currentCatalog() (gateway.Catalog, bool) {
 	snapshot, found := n.views.Catalog.Get()
 	if !found {
--- a/internal/operator/render.go
+++ b/internal/operator/render.go
@@ -123,14 +123,21 @@
 
 func renderZones(writer io.Writer, zones []ZoneStatus) {
 	rows := table{}
-	rows.add("ZONE", "LEADER", "FENCE", "TABLE AGE", "ENGINES", "SERVICES", "LEAVING")
+	rows.add("ZONE", "LEADER", "FENCE", "TABLE AGE", "ENGINES", "SERVICES", "LEAVING", "EVACUATED")
 	for _, zone := range zones {
 		rows.add(string(zone.Zone), string(zone.Leader), zone.Fence, seconds(zone.TableAgeSeconds),
-			fmt.Sprint(zone.Engines), fmt.Sprint(zone.Services), fmt.Sprint(zone.Leaving))
+			fmt.Sprint(zone.Engines), fmt.Sprint(zone.Services), fmt.Sprint(zone.Leaving), yesOrNothing(zone.Evacuated))
 	}
 	section(writer, rows)
 }
 
+func yesOrNothing(holds bool) string {
+	if holds {
+		return "yes"
+	}
+	return ""
+}
+
 func renderModels(writer io.Writer, models []ModelStatus) {
 	rows := table{}
 	rows.add("MODEL", "DECIDED", "READY", "LOADING", "UNLOADING", "WAITING")
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -151,3 +151,17 @@
 		}
 	}
 }
+
+func TestStatusMarksEvacuatedZonesAlsoUnknownOnes(t *testing.T) {
+	zones := []ZoneStatus{{Zone: "vest-a", Engines: 4}, {Zone: "vest-b"}}
+	marked := MarkEvacuated(zones, []string{"vest-a", "vset-b"})
+	want := []ZoneStatus{{Zone: "vest-a", Engines: 4, Evacuated: true}, {Zone: "vest-b"}, {Zone: "vset-b", Evacuated: true}}
+	if difference := cmp.Diff(want, marked); difference != "" || zones[0].Evacuated {
+		t.Errorf("marked (-want +got):\n%s", difference)
+	}
+	var text bytes.Buffer
+	RenderStatus(&text, Status{Zones: marked})
+	if count := strings.Count(text.String(), "yes"); count != 2 {
+		t.Errorf("%d zones are shown as evacuated in:\n%s", count, text.String())
+	}
+}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -37,6 +37,9 @@
 	Engines         int     `json:"engines"`
 	Services        int     `json:"services"`
 	Leaving         int     `json:"leaving"`
+	// Evacuated is set while the configuration in force takes the zone out of
+	// service.
+	Evacuated bool `json:"evacuated"`
 }
 
 // ModelStatus counts the replicas of one model version in all zones known.
@@ -97,6 +100,21 @@
 	return zones
 }
 
+// MarkEvacuated marks the zones out of service; one that has no table is added, so
+// that a misspelt zone is seen.
+func MarkEvacuated(zones []ZoneStatus, evacuated []string) []ZoneStatus {
+	marked := slices.Clone(zones)
+	for _, name := range evacuated {
+		index := slices.IndexFunc(marked, func(zone ZoneStatus) bool { return string(zone.Zone) == name })
+		if index < 0 {
+			marked = append(marked, ZoneStatus{Zone: fleet.Zone(name)})
+			index = len(marked) - 1
+		}
+		marked[index].Evacuated = true
+	}
+	return marked
+}
+
 // ModelsOf counts replicas by the route tables, beside what was decided and
 // what waits here. Models without any of these are left out.
 func ModelsOf(tables views.Tables, decided map[fleet.ModelVersion]int, queues []QueueStatus) []ModelStatus {
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -57,6 +57,10 @@
 	store   storeShare
 	// elsewhere are the models that another zone has ready or loads.
 	elsewhere map[fleet.ModelVersion]bool
+	// evacuated is set while the zone is out of service, displaced are models
+	// that stood in such zones and are loaded here.
+	evacuated bool
+	displaced map[fleet.ModelVersion]bool
 	// avoid holds engines at which a load of a model failed.
 	avoid    map[placementKey]time.Time
 	effects  []Effect
@@ -165,6 +169,8 @@
 		c.store.others = message
 	case HeldElsewhere:
 		c.elsewhere = message.Models
+	case Displaced:
+		c.displaced = message.Models
 	case EnginesGone:
 		c.dropGone(message.Engines)
 	case EnginesLeaving:
@@ -191,7 +197,7 @@
 // and wants do so only where they bring news.
 func changesDecisions(message Message) bool {
 	switch message.(type) {
-	case CatalogChanged, RoundBegan, LimitsChanged, EnginesGone, EnginesLeaving:
+	case CatalogChanged, RoundBegan, LimitsChanged, Displaced, EnginesGone, EnginesLeaving:
 		return true
 	default:
 		return false
@@ -218,6 +224,7 @@
 		c.adapterRoom[facts.Model] = min(c.adapterRoom[facts.Model]+facts.MemoryBytes, mostAdapterRoom)
 	}
 	c.coldStartWeight = changed.ColdStartWeight
+	c.evacuated = changed.Evacuated
 }
 
 // begin takes over the inventories of a round. Orders of earlier rounds are
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -20,6 +20,8 @@
 	Adapters []catalog.AdapterFacts
 	// ColdStartWeight is from 0 (only idle hours count) to 1 (only the tail).
 	ColdStartWeight float64
+	// Evacuated is set while the zone is out of service: nothing is loaded.
+	Evacuated bool
 }
 
 // RoundBegan says that a claim round is established.
@@ -56,6 +58,10 @@
 // HeldElsewhere names the models that other zones hold ready or load.
 type HeldElsewhere struct{ Models map[fleet.ModelVersion]bool }
 
+// Displaced names the models to load ahead of their next request, since they stood
+// only in zones that are evacuated.
+type Displaced struct{ Models map[fleet.ModelVersion]bool }
+
 // EnginesGone names engines whose machines are gone for good.
 type EnginesGone struct{ Engines []fleet.BackendName }
 
@@ -111,6 +117,7 @@
 func (LimitsChanged) message()  {}
 func (StoreUsed) message()      {}
 func (HeldElsewhere) message()  {}
+func (Displaced) message()      {}
 func (EnginesGone) message()    {}
 func (EnginesLeaving) message() {}
 func (EngineSilent) message()   {}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -17,10 +17,14 @@
 	c.store.waiting, c.store.further = 0, 0
 	c.endSlowLoads(now)
 	c.askForRound(now)
-	for _, demand := range c.demands(now) {
-		c.serve(now, demand)
+	if c.evacuated {
+		c.refuseAll()
+	} else {
+		for _, demand := range c.demands(now) {
+			c.serve(now, demand)
+		}
+		c.loadAdapters(now)
 	}
-	c.loadAdapters(now)
 	c.unloadIdle(now)
 }
 
@@ -40,7 +44,7 @@
 			demands = append(demands, waiting)
 		case wanted && ready+coming < c.wantedReplicas(waiting, ready):
 			demands = append(demands, waiting)
-		case ready+coming == 0 && c.policy.LikelyToWake(now, model):
+		case ready+coming == 0 && (c.displaced[model] || c.policy.LikelyToWake(now, model)):
 			demands = append(demands, demand{model: model, preload: true})
 		}
 	}
--- a/internal/placement/refuse.go
+++ b/internal/placement/refuse.go
@@ -43,6 +43,16 @@
 	c.emit(refusal)
 }
 
+// refuseAll refuses what waits for a zone that is evacuated; another zone may
+// have it.
+func (c *Core) refuseAll() {
+	for _, model := range c.names {
+		if demand, wanted := c.demandFor(model); wanted {
+			c.refuse(demand, placementRefusal{reason: "zone-evacuated", wait: noAllotmentWait})
+		}
+	}
+}
+
 // noMemory tells when an engine may have room: when enough of what it holds has
 // stayed for its least time, or is loaded and has then stayed for it.
 func (c *Core) noMemory(now time.Time, bytes int64) placementRefusal {
--- a/internal/sim/world/node_control.go
+++ b/internal/sim/world/node_control.go
@@ -115,6 +115,7 @@
 		Models:          snapshot.Models(),
 		Adapters:        snapshot.Adapters(),
 		ColdStartWeight: snapshot.Preferences().ColdStartWeight,
+		Evacuations:     snapshot.Evacuations(),
 	})
 }
 
