Own interface: requests that end servers are barred

Cause: a request that ends each server that runs it was sent on to further engines for as long as its caller came back; only the operators' platform's door knew of it.

Change: the gateway tells a server that ended under a request from a way that broke (one connection to its address: refused), blames the request at the node's poison.Tally unless the server had said that it leaves, and asks the tally before each send: at the queue's door, and once there is an engine. A barred request is answered at once, not run, 503 poison-request without Retry-After; 502 where a server ended under it in the same request. Suspects go together (routing.Pick.Together). Nodes tell each other over a twirp service of their own; a request on trial is claimed from the delegates of the first zone. New events request_suspected, request_barred, request_acquitted, request_trial_asked; metric spanlanding_node_barred_requests.

Ruled out: a trial that holds for the whole request.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -90,7 +90,7 @@
 	s.calls[submit.ticket] = submit.reply
 	s.assigned[submit.ticket] = assigned{since: now}
 	s.stepRouting(now, routing.PickService{Ticket: routing.Ticket(submit.ticket), Service: submit.route.Service,
-		Exclude: submit.exclude})
+		Exclude: submit.exclude, Together: submit.together})
 }
 
 // offer tells the queue the present room for a model.
@@ -147,6 +147,8 @@
 		Adapter: release.Item.Adapter,
 		Prefix:  waiting.submit.prefix,
 		Exclude: waiting.submit.exclude,
+
+		Together: waiting.submit.together,
 	})
 }
 
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -40,7 +40,9 @@
 		// unspent retries do not count against the budget.
 		unspent bool
 		exclude []fleet.BackendName
-		reply   chan reply
+		// together is set for suspects, which go to one back end.
+		together uint64
+		reply    chan reply
 	}
 	// submitCall asks for a back end of a service.
 	submitCall struct {
@@ -49,7 +51,9 @@
 		retry   bool
 		unspent bool
 		exclude []fleet.BackendName
-		reply   chan reply
+		// together is as in submit.
+		together uint64
+		reply    chan reply
 	}
 	// abandon takes a submitted request out; its reply may already be there.
 	abandon      struct{ ticket uint64 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/claim"
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -44,6 +45,8 @@
 	// Leaving hears of a back end that refuses because it goes away; it must not
 	// block. Nil tells nobody.
 	Leaving func(fleet.BackendName)
+	// Suspects remembers requests under which servers ended; nil remembers none.
+	Suspects Suspects
 	// Self names the node and its zone.
 	Self   fleet.Member
 	Logger *log.Logger
@@ -69,6 +72,8 @@
 	services  *dispatcher
 	generator *backend.Generator
 	calls     *backend.Services
+	// probes tells servers that ended from ways that broke.
+	probes    *backendconn.Pool
 	metrics   *metrics
 	tickets   atomic.Uint64
 	bodyBytes atomic.Int64
@@ -106,6 +111,7 @@
 		catalog:   options.Catalog,
 		generator: backend.NewGenerator(options.Self.Zone),
 		calls:     backend.NewServices(options.Self.Zone),
+		probes:    backendconn.New(backendconn.Options{}),
 		metrics:   newMetrics(options.Registerer),
 		random:    rand.New(rand.NewPCG(options.Seed, seedStream)),
 	}
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -143,6 +143,9 @@
 
 // took lets the leg that decides the race, or the only one, be the request's.
 func (r *modelRun) took(event raceEvent) attempt.Message {
+	if broken, isBroken := event.message.(attempt.Broken); isBroken {
+		r.suspicion.brokeOff(event.racer.engine, broken)
+	}
 	_, isChunk := event.message.(*attempt.Chunk)
 	if event.first || !isChunk {
 		event.racer.link.stream = event.stream
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -162,7 +162,9 @@
 		return attempt.Tick{}
 	}
 	r.spreadLeaving(err)
-	return brokenBy(r.link.number, err)
+	broken := brokenBy(r.link.number, err)
+	r.suspicion.brokeOff(r.engine, broken)
+	return broken
 }
 
 // spreadLeaving tells the zone of an engine that refused because it goes away,
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -13,6 +13,8 @@
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/poison"
+	"github.com/spanlanding/spanlanding/internal/routing"
 )
 
 // labelModel is the label that the body's model member gives.
@@ -71,6 +73,10 @@
 	c.record.route = route.Selector
 	run := newModelRun(c, route, body, header, deadline, int64(len(text)))
 	run.prefix = backend.PrefixHashes(prompt)
+	run.suspicion = c.gateway.suspicionOf(poison.Identity{
+		Method: c.request.Method, Host: c.request.Host, Target: c.request.URL.RequestURI(),
+		Model: string(route.Deployment), Adapter: string(route.Adapter), Body: text,
+	})
 	return run, nil
 }
 
@@ -163,15 +169,16 @@
 // modelRun is a model request on its way.
 type modelRun struct {
 	*call
-	route    catalog.ModelRoute
-	header   backend.CompletionRequest
-	body     backend.Body
-	bytes    int64
-	deadline time.Time
-	engineID fleet.RequestID
-	core     *attempt.Core
-	answer   *answer
-	prefix   []uint64
+	route     catalog.ModelRoute
+	header    backend.CompletionRequest
+	body      backend.Body
+	bytes     int64
+	deadline  time.Time
+	engineID  fleet.RequestID
+	core      *attempt.Core
+	answer    *answer
+	prefix    []uint64
+	suspicion suspicion
 
 	ticket  uint64
 	counted bool
@@ -288,12 +295,16 @@
 	if !r.pause(reassign.After) {
 		return attempt.CallerGone{}
 	}
+	if r.suspicion.isBarred() {
+		return refusalBarred
+	}
 	retry := reassign.Exclude != nil
 	answer := make(chan reply, 1)
 	r.ticket = r.gateway.tickets.Add(1)
 	r.gateway.models.send(submit{
 		ticket: r.ticket, route: r.route, model: r.model, prefix: r.prefix, deadline: r.core.NextWake(), arrived: r.arrived,
-		bytes: r.bytes, retry: retry, unspent: reassign.Unspent, exclude: slices.Clone(reassign.Exclude), reply: answer,
+		bytes: r.bytes, retry: retry, unspent: reassign.Unspent, exclude: slices.Clone(reassign.Exclude),
+		together: r.suspicion.together(), reply: answer,
 	})
 	select {
 	case reply := <-answer:
@@ -312,6 +323,11 @@
 		return attempt.Unassigned{Code: reply.refusal.code, Detail: reply.refusal.detail, RetryAfter: reply.refusal.retryAfter}
 	}
 	r.counted = true
+	if !r.suspicion.mayBeSent(r.request.Context()) {
+		r.gateway.models.send(attemptEnded{ticket: r.ticket, result: routing.ResultAbandoned})
+		r.ticket = 0
+		return refusalBarred
+	}
 	r.model, r.engine = reply.model, reply.backend
 	r.record.model, r.record.backend = reply.model, reply.backend.Name
 	if !retry {
@@ -351,6 +367,7 @@
 	r.record.dropped = r.core.Dropped()
 	r.gateway.metrics.tokens.Add(float64(finish.Delivered))
 	if finish.Outcome == attempt.OutcomeOK {
+		r.suspicion.endedWell()
 		r.record.outcome, r.record.status = finish.Outcome, http.StatusOK
 		if err := r.answer.finish(finish); err != nil {
 			r.undeliverable = err
--- a/internal/gateway/problem.go
+++ b/internal/gateway/problem.go
@@ -54,6 +54,7 @@
 	codeKeyNoMajority = "key-cannot-be-granted"
 	codeKeyBodyGone   = "key-answer-not-kept"
 	codeAnswerLarge   = "answer-too-large"
+	codePoison        = "poison-request"
 )
 
 // failure is a Problem before it has a request identity.
@@ -148,6 +149,12 @@
 			result.status = finish.Status
 		}
 	}
+	if finish.Code == codePoison {
+		if result.outcome != attempt.OutcomeNotRun {
+			result.status = http.StatusBadGateway
+		}
+		return result
+	}
 	if result.outcome == attempt.OutcomeNotRun && result.retryAfter == 0 &&
 		result.status >= http.StatusInternalServerError {
 		result.retryAfter = time.Second
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -13,6 +13,7 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/claim"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/routing"
 )
 
@@ -55,7 +56,11 @@
 	if failed != nil {
 		return nil, failed
 	}
-	return &serviceRun{caller: c, route: route, key: key, body: body, deadline: deadline}, nil
+	run := &serviceRun{caller: c, route: route, key: key, body: body, deadline: deadline}
+	run.suspicion = c.gateway.suspicionOf(poison.Identity{
+		Method: c.request.Method, Host: c.request.Host, Target: c.request.URL.RequestURI(), Body: body,
+	})
+	return run, nil
 }
 
 // serviceRun is a plain call on its way.
@@ -66,6 +71,8 @@
 	body     []byte
 	deadline time.Time
 
+	suspicion suspicion
+
 	// claimed is when the keepers of the key were asked; zero without a key.
 	claimed time.Time
 
@@ -259,6 +266,9 @@
 		if ctx.Err() != nil || !r.mayStart() {
 			broken.Final = true
 		}
+		if ctx.Err() == nil {
+			r.suspicion.brokeOff(r.target, broken)
+		}
 		return broken
 	}
 	if answer.SaysLeaving() && r.caller.gateway.options.Leaving != nil {
@@ -267,6 +277,7 @@
 	if answer.NotRun || isUnavailable(answer.Status) && r.route.Repeatable {
 		return refusedBy(open.Connection, answer)
 	}
+	r.suspicion.endedWell()
 	r.result = answer
 	return attempt.Answered{Connection: open.Connection}
 }
@@ -295,14 +306,17 @@
 	case <-ctx.Done():
 		return attempt.Unassigned{Code: attempt.CodeDeadline, Detail: "the deadline passed"}
 	}
+	if r.suspicion.isBarred() {
+		return refusalBarred
+	}
 	reply := make(chan reply, 1)
 	gateway := r.caller.gateway
 	r.ticket = gateway.tickets.Add(1)
 	gateway.services.send(submitCall{ticket: r.ticket, route: r.route, retry: reassign.Exclude != nil, unspent: reassign.Unspent,
-		exclude: slices.Clone(reassign.Exclude), reply: reply})
+		exclude: slices.Clone(reassign.Exclude), together: r.suspicion.together(), reply: reply})
 	select {
 	case answer := <-reply:
-		return r.assigned(answer)
+		return r.assigned(ctx, answer)
 	case <-ctx.Done():
 		gateway.services.send(abandon{ticket: r.ticket})
 		r.ticket = 0
@@ -310,13 +324,18 @@
 	}
 }
 
-func (r *serviceRun) assigned(reply reply) attempt.Message {
+func (r *serviceRun) assigned(ctx context.Context, reply reply) attempt.Message {
 	if refusal := reply.refusal; refusal != nil {
 		r.ticket = 0
 		r.counted = r.counted || refusal.code != codeRateLimited && refusal.code != codeConcurrency
 		return attempt.Unassigned{Code: refusal.code, Detail: refusal.detail, RetryAfter: refusal.retryAfter}
 	}
 	r.counted = true
+	if !r.suspicion.mayBeSent(ctx) {
+		r.caller.gateway.services.send(attemptEnded{ticket: r.ticket, result: routing.ResultAbandoned})
+		r.ticket = 0
+		return refusalBarred
+	}
 	r.target = reply.backend
 	r.caller.record.backend = reply.backend.Name
 	return attempt.Assigned{Backend: reply.backend.Name}
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -171,12 +171,16 @@
 	names := c.sortedNames(func(member fleet.Member) bool {
 		return member.Zone == zone && member.State == fleet.MemberAlive
 	})
-	slices.SortStableFunc(names, func(first, second fleet.NodeName) int {
-		return cmp.Compare(xxhash.Sum64String(string(second)), xxhash.Sum64String(string(first)))
-	})
+	slices.SortStableFunc(names, CompareDelegates)
 	return names[:min(c.options.Delegates, len(names))]
 }
 
+// CompareDelegates orders the members of a zone: the first of them, which are its
+// delegates, are those that the nodes of other zones know.
+func CompareDelegates(first, second fleet.NodeName) int {
+	return cmp.Compare(xxhash.Sum64String(string(second)), xxhash.Sum64String(string(first)))
+}
+
 // exchangeAsDelegate compares tables with a delegate of one other zone.
 func (c *Core) exchangeAsDelegate() {
 	zone := c.options.Self.Zone
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -114,6 +114,7 @@
 	membersDesc   = describe(metricPrefix+"members", "Members known, this node included, by zone and state.", "zone", "state")
 	versionDesc   = describe(metricPrefix+"config_version", "Store revision of the configuration in force.")
 	evacuatedDesc = describe(metricPrefix+"evacuated_zones", "Zones out of service by the configuration in force.")
+	barredDesc    = describe(metricPrefix+"barred_requests", "Requests that end each server that runs them, and are sent to none.")
 	ageDesc       = describe(metricPrefix+"config_age_seconds", "Time since the configuration in force was put in force.")
 	leadingDesc   = describe(metricPrefix+"leading", "1 if this node leads its zone.")
 	tableAgeDesc  = describe(metricPrefix+"table_age_seconds", "Time since a zone's route table last changed here.", "zone")
@@ -127,7 +128,7 @@
 // Describe implements prometheus.Collector.
 func (c viewCollector) Describe(descs chan<- *prometheus.Desc) {
 	for _, desc := range []*prometheus.Desc{
-		readyDesc, drainingDesc, membersDesc, versionDesc, evacuatedDesc, ageDesc, leadingDesc,
+		readyDesc, drainingDesc, membersDesc, versionDesc, evacuatedDesc, barredDesc, ageDesc, leadingDesc,
 		tableAgeDesc, enginesDesc, memoryDesc, replicasDesc, recordsDesc, seatsDesc,
 	} {
 		descs <- desc
@@ -157,6 +158,7 @@
 	gauges.flag(drainingDesc, node.draining.Load())
 	gauges.flag(leadingDesc, node.control.metrics.leading.Load())
 	gauges.set(versionDesc, float64(node.configVersion()))
+	gauges.set(barredDesc, float64(node.suspects.Barred()))
 	gauges.set(evacuatedDesc, float64(len(node.evacuatedZones())))
 	if since := node.catalogAge.since.Load(); since > 0 {
 		gauges.set(ageDesc, now.Sub(time.Unix(0, since)).Seconds())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,7 @@
 	config     *Configuration
 	claims     *Claims
 	control    *Control
+	suspects   *Suspects
 	gateway    *gateway.Gateway
 	tableAges  tableAges
 	catalogAge *catalogAge
@@ -134,6 +135,7 @@
 		Logger: n.logger,
 		Keeper: claim.KeeperOptions{},
 	})
+	n.suspects = StartSuspects(SuspectsDependencies{Self: n.self, Views: n.views, Peers: n.peers, Logger: n.logger})
 	n.gateway = n.startGateway()
 	n.metrics.MustRegister(viewCollector{node: n})
 }
@@ -145,6 +147,7 @@
 		Demand:     n.control,
 		Guard:      n.claims,
 		Leaving:    n.control.BackendLeaving,
+		Suspects:   n.suspects,
 		Self:       n.self,
 		Logger:     n.logger,
 		System:     n.system,
@@ -158,9 +161,10 @@
 func (n *Node) startServers(bound sockets) {
 	peers := n.traffic.Channel("peer")
 	n.servers.serve(partPeers, peers.Listener(bound.peer), peers.Handler(peer.NewHandler(peer.Handlers{
-		Config:  n.config.Server(),
-		Control: n.control.Server(),
-		Claims:  n.claims.Server(),
+		Config:   n.config.Server(),
+		Control:  n.control.Server(),
+		Claims:   n.claims.Server(),
+		Suspects: n.suspects.Server(),
 	})))
 	n.servers.serve(partOperators, bound.operator, operator.NewHandler(source{node: n}, n.metrics))
 	n.servers.serve(PartCallers, bound.caller, n.gateway)
@@ -218,6 +222,7 @@
 	defer cancel()
 	n.servers.shutdown(ctx)
 	n.gateway.Close()
+	n.suspects.Stop()
 	n.claims.Stop()
 	n.config.Stop()
 	n.control.Stop()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,9 +20,10 @@
 
 // Handlers are the services that a node offers to its peers.
 type Handlers struct {
-	Config  peerpb.Config
-	Control peerpb.Control
-	Claims  peerpb.Claims
+	Config   peerpb.Config
+	Control  peerpb.Control
+	Claims   peerpb.Claims
+	Suspects peerpb.Suspects
 }
 
 // NewHandler serves the peers' calls.
@@ -31,6 +32,7 @@
 	register(mux, peerpb.NewConfigServer(handlers.Config))
 	register(mux, peerpb.NewControlServer(handlers.Control))
 	register(mux, peerpb.NewClaimsServer(handlers.Claims))
+	register(mux, peerpb.NewSuspectsServer(handlers.Suspects))
 	return http.MaxBytesHandler(mux, maxPeerBodyBytes)
 }
 
@@ -40,9 +42,10 @@
 
 // Clients calls one peer.
 type Clients struct {
-	Config  peerpb.Config
-	Control peerpb.Control
-	Claims  peerpb.Claims
+	Config   peerpb.Config
+	Control  peerpb.Control
+	Claims   peerpb.Claims
+	Suspects peerpb.Suspects
 }
 
 // Pool keeps the clients of all peers over one shared transport.
@@ -81,9 +84,10 @@
 	}
 	base := "http://" + address
 	created := Clients{
-		Config:  peerpb.NewConfigProtobufClient(base, p.client),
-		Control: peerpb.NewControlProtobufClient(base, p.client),
-		Claims:  peerpb.NewClaimsProtobufClient(base, p.client),
+		Config:   peerpb.NewConfigProtobufClient(base, p.client),
+		Control:  peerpb.NewControlProtobufClient(base, p.client),
+		Claims:   peerpb.NewClaimsProtobufClient(base, p.client),
+		Suspects: peerpb.NewSuspectsProtobufClient(base, p.client),
 	}
 	p.clients[address] = created
 	return created
--- a/internal/routing/message.go
+++ b/internal/routing/message.go
@@ -34,6 +34,9 @@
 	// Exclude are engines that this request has failed at; they are picked
 	// only where no other is left.
 	Exclude []fleet.BackendName
+	// Together, where it is not 0, has all picks with this number go to one engine of
+	// those that may be sent to, whatever their load.
+	Together uint64
 }
 
 // PickService asks for a back end of a declared service.
@@ -41,6 +44,8 @@
 	Ticket  Ticket
 	Service string
 	Exclude []fleet.BackendName
+	// Together is as in Pick.
+	Together uint64
 }
 
 // Result is how an attempt ended, as far as it concerns the back end.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -1,9 +1,12 @@
 package routing
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -12,7 +15,12 @@
 	candidates = slices.DeleteFunc(candidates, func(t *target) bool { return !t.hasAdapter(pick.Model, pick.Adapter) })
 	candidates = avoid(candidates, pick.Exclude)
 	scorer := scorer{core: c, now: now, pick: pick, meanLoad: c.meanFreshLoad(now, candidates)}
-	chosen := best(c.draw(candidates, scorer), scorer.score)
+	var chosen *target
+	if pick.Together != 0 {
+		chosen = drawnBy(pick.Together, candidates)
+	} else {
+		chosen = best(c.draw(candidates, scorer), scorer.score)
+	}
 	if chosen != nil {
 		chosen.prefixes.add(pick.Prefix)
 	}
@@ -22,10 +30,15 @@
 func (c *Core) pickService(now time.Time, pick PickService) {
 	candidates, known := c.filter(now, fleet.ModelVersion{}, c.byService[pick.Service])
 	candidates = avoid(candidates, pick.Exclude)
-	if own, _ := c.byZone(candidates); len(own) > 0 {
-		candidates = own
+	var chosen *target
+	if pick.Together != 0 {
+		chosen = drawnBy(pick.Together, candidates)
+	} else {
+		if own, _ := c.byZone(candidates); len(own) > 0 {
+			candidates = own
+		}
+		chosen = best(c.two(candidates), func(t *target) time.Duration { return time.Duration(len(t.starts)) })
 	}
-	chosen := best(c.two(candidates), func(t *target) time.Duration { return time.Duration(len(t.starts)) })
 	c.take(now, pick.Ticket, fleet.ModelVersion{}, chosen, known)
 }
 
@@ -115,6 +128,20 @@
 	return drawn
 }
 
+// drawnBy is the target that the number draws by rendezvous hashing, at whatever node; nil
+// for none.
+func drawnBy(number uint64, candidates []*target) *target {
+	var drawn *target
+	var highest uint64
+	for _, candidate := range candidates {
+		weight := xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(candidate.backend.Name), number))
+		if drawn == nil || weight > highest {
+			drawn, highest = candidate, weight
+		}
+	}
+	return drawn
+}
+
 // two draws two different targets, or takes all that there are.
 func (c *Core) two(candidates []*target) []*target {
 	if len(candidates) <= 2 {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -386,3 +386,31 @@
 		t.Error("not ejected by a failure beyond the share")
 	}
 }
+
+// TestSuspectsGoTogether: nodes that know the same engines send the picks of one number to
+// the same one, also where another has less to do, and spread different numbers.
+func TestSuspectsGoTogether(t *testing.T) {
+	engines := []fleet.EngineState{engine("e1", "a", 0), engine("e2", "b", 9), engine("e3", "a", 2), engine("e4", "b", 1)}
+	drawn := make(map[string]bool)
+	for number := range uint64(40) {
+		with := func(pick *Pick) { pick.Together = number + 1 }
+		_, first := newDriver(Options{Seed: 1}, epoch, engines...).pick(epoch, with)
+		for seed := range uint64(5) {
+			d := newDriver(Options{Seed: seed}, epoch, engines...)
+			d.pick(epoch, nil)
+			if _, got := d.pick(epoch, with); got != first {
+				t.Fatalf("number %d: %q and %q", number, first, got)
+			}
+		}
+		drawn[first] = true
+		without := func(pick *Pick) {
+			pick.Together, pick.Exclude = number+1, []fleet.BackendName{fleet.BackendName(first)}
+		}
+		if _, got := newDriver(Options{}, epoch, engines...).pick(epoch, without); got == first || got == "" {
+			t.Errorf("number %d: %q was picked again, or none (%q)", number, first, got)
+		}
+	}
+	if len(drawn) != len(engines) {
+		t.Errorf("only %v were drawn", drawn)
+	}
+}
