--- a/internal/claim/asker.go
+++ b/internal/claim/asker.go
@@ -1,11 +1,11 @@
 package claim
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/defaults"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -99,8 +99,8 @@
 
 // NewAsker returns an asker that waits for Begin.
 func NewAsker(options AskerOptions) *Asker {
-	defaults.Set(&options.RoundTimeout, defaultRoundTimeout)
-	defaults.Set(&options.RetryDelay, defaultRetryDelay)
+	options.RoundTimeout = cmp.Or(options.RoundTimeout, defaultRoundTimeout)
+	options.RetryDelay = cmp.Or(options.RetryDelay, defaultRetryDelay)
 	return &Asker{
 		options: options,
 		random:  rand.New(rand.NewPCG(options.RandomSeed, 0)),
--- a/internal/claim/options.go
+++ b/internal/claim/options.go
@@ -1,9 +1,8 @@
 package claim
 
 import (
+	"cmp"
 	"time"
-
-	"github.com/spanlanding/spanlanding/internal/defaults"
 )
 
 // KeeperOptions set up a Keeper. Zero values take the defaults.
@@ -62,12 +61,12 @@
 )
 
 func (o KeeperOptions) withDefaults() KeeperOptions {
-	defaults.Set(&o.AttemptTimeout, defaultAttemptTimeout)
-	defaults.Set(&o.MaxRecords, defaultMaxRecords)
-	defaults.Set(&o.MaxAnswerBytes, defaultMaxAnswerBytes)
-	defaults.Set(&o.MaxAnswersBytes, defaultMaxAnswersBytes)
-	defaults.Set(&o.ClockDrift, defaultClockDrift)
-	defaults.Set(&o.AskInterval, defaultAskInterval)
+	o.AttemptTimeout = cmp.Or(o.AttemptTimeout, defaultAttemptTimeout)
+	o.MaxRecords = cmp.Or(o.MaxRecords, defaultMaxRecords)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, defaultMaxAnswerBytes)
+	o.MaxAnswersBytes = cmp.Or(o.MaxAnswersBytes, defaultMaxAnswersBytes)
+	o.ClockDrift = cmp.Or(o.ClockDrift, defaultClockDrift)
+	o.AskInterval = cmp.Or(o.AskInterval, defaultAskInterval)
 	return o
 }
 
--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -1,10 +1,10 @@
 package configsync
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/defaults"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
@@ -74,13 +74,13 @@
 }
 
 func (o Options) withDefaults() Options {
-	defaults.Set(&o.PushDelay, DefaultPushDelay)
-	defaults.Set(&o.DigestInterval, DefaultDigestInterval)
-	defaults.Set(&o.FirstDigestRetry, DefaultFirstDigestRetry)
-	defaults.Set(&o.ReadRetry, DefaultReadRetry)
-	defaults.Set(&o.MachineInterval, DefaultMachineInterval)
-	defaults.Set(&o.FullMergeInterval, DefaultFullMergeInterval)
-	defaults.Set(&o.TombstoneLimit, DefaultTombstoneLimit)
+	o.PushDelay = cmp.Or(o.PushDelay, DefaultPushDelay)
+	o.DigestInterval = cmp.Or(o.DigestInterval, DefaultDigestInterval)
+	o.FirstDigestRetry = cmp.Or(o.FirstDigestRetry, DefaultFirstDigestRetry)
+	o.ReadRetry = cmp.Or(o.ReadRetry, DefaultReadRetry)
+	o.MachineInterval = cmp.Or(o.MachineInterval, DefaultMachineInterval)
+	o.FullMergeInterval = cmp.Or(o.FullMergeInterval, DefaultFullMergeInterval)
+	o.TombstoneLimit = cmp.Or(o.TombstoneLimit, DefaultTombstoneLimit)
 	return o
 }
 
--- a/internal/lab/collect/store.go
+++ b/internal/lab/collect/store.go
@@ -124,11 +124,16 @@
 
 // get reads JSON.
 func (c *Collector) get(ctx context.Context, url string, into any) error {
+	return GetJSON(ctx, c.client, url, into)
+}
+
+// GetJSON reads what a stand-in or a node answers to a GET.
+func GetJSON(ctx context.Context, client *http.Client, url string, into any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
-	response, err := c.client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/scenario/ready.go
+++ b/internal/lab/scenario/ready.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/lab/collect"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
 )
 
@@ -83,17 +83,5 @@
 func getJSON(ctx context.Context, url string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("GET %s: status %d", url, response.StatusCode)
-	}
-	return json.NewDecoder(response.Body).Decode(into)
+	return collect.GetJSON(ctx, http.DefaultClient, url, into)
 }
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -1,9 +1,9 @@
 package membership
 
 import (
+	"cmp"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/defaults"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -81,18 +81,18 @@
 )
 
 func (o Options) withDefaults() Options {
-	defaults.Set(&o.ProbeInterval, defaultProbeInterval)
-	defaults.Set(&o.ProbeTimeout, defaultProbeTimeout)
-	defaults.Set(&o.IndirectProbes, defaultIndirectProbes)
-	defaults.Set(&o.SuspicionMultiplier, defaultSuspicionMultiplier)
-	defaults.Set(&o.RetransmitMultiplier, defaultRetransmitMultiplier)
-	defaults.Set(&o.GossipInterval, defaultGossipInterval)
-	defaults.Set(&o.GossipFanout, defaultGossipFanout)
-	defaults.Set(&o.DeadRetention, defaultDeadRetention)
-	defaults.Set(&o.SyncInterval, defaultSyncInterval)
-	defaults.Set(&o.DigestInterval, defaultDigestInterval)
-	defaults.Set(&o.Delegates, defaultDelegates)
-	defaults.Set(&o.ZoneStale, defaultZoneStale)
-	defaults.Set(&o.PacketBytes, defaultPacketBytes)
+	o.ProbeInterval = cmp.Or(o.ProbeInterval, defaultProbeInterval)
+	o.ProbeTimeout = cmp.Or(o.ProbeTimeout, defaultProbeTimeout)
+	o.IndirectProbes = cmp.Or(o.IndirectProbes, defaultIndirectProbes)
+	o.SuspicionMultiplier = cmp.Or(o.SuspicionMultiplier, defaultSuspicionMultiplier)
+	o.RetransmitMultiplier = cmp.Or(o.RetransmitMultiplier, defaultRetransmitMultiplier)
+	o.GossipInterval = cmp.Or(o.GossipInterval, defaultGossipInterval)
+	o.GossipFanout = cmp.Or(o.GossipFanout, defaultGossipFanout)
+	o.DeadRetention = cmp.Or(o.DeadRetention, defaultDeadRetention)
+	o.SyncInterval = cmp.Or(o.SyncInterval, defaultSyncInterval)
+	o.DigestInterval = cmp.Or(o.DigestInterval, defaultDigestInterval)
+	o.Delegates = cmp.Or(o.Delegates, defaultDelegates)
+	o.ZoneStale = cmp.Or(o.ZoneStale, defaultZoneStale)
+	o.PacketBytes = cmp.Or(o.PacketBytes, defaultPacketBytes)
 	return o
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -1,11 +1,11 @@
 package node
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/joomcode/errorx"
 
-	"github.com/spanlanding/spanlanding/internal/defaults"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/gateway"
 	"github.com/spanlanding/spanlanding/internal/spec"
@@ -80,15 +80,15 @@
 }
 
 func (s *Settings) fillDefaults() {
-	defaults.Set(&s.Limits.MaxWaiting, defaultMaxWaiting)
-	defaults.Set(&s.Limits.MaxWaitingBytes, defaultMaxWaitingBytes)
-	defaults.Set(&s.Limits.MaxBodyBytes, defaultMaxBodyBytes)
-	defaults.Set(&s.Limits.MaxStreams, defaultMaxStreams)
-	defaults.Set(&s.WeightStore.LoadsPerSecond, defaultLoadsPerSecond)
-	defaults.Set(&s.WeightStore.ConcurrentLoads, defaultConcurrentLoads)
-	defaults.Set(&s.ProbeInterval, defaultProbeInterval)
-	defaults.Set(&s.DrainLimit, defaultDrainLimit)
-	defaults.Set(&s.LogLevel, defaultLogLevel)
+	s.Limits.MaxWaiting = cmp.Or(s.Limits.MaxWaiting, defaultMaxWaiting)
+	s.Limits.MaxWaitingBytes = cmp.Or(s.Limits.MaxWaitingBytes, defaultMaxWaitingBytes)
+	s.Limits.MaxBodyBytes = cmp.Or(s.Limits.MaxBodyBytes, defaultMaxBodyBytes)
+	s.Limits.MaxStreams = cmp.Or(s.Limits.MaxStreams, defaultMaxStreams)
+	s.WeightStore.LoadsPerSecond = cmp.Or(s.WeightStore.LoadsPerSecond, defaultLoadsPerSecond)
+	s.WeightStore.ConcurrentLoads = cmp.Or(s.WeightStore.ConcurrentLoads, defaultConcurrentLoads)
+	s.ProbeInterval = cmp.Or(s.ProbeInterval, defaultProbeInterval)
+	s.DrainLimit = cmp.Or(s.DrainLimit, defaultDrainLimit)
+	s.LogLevel = cmp.Or(s.LogLevel, defaultLogLevel)
 }
 
 // addresses are the listen addresses as peers are told them.
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -1,9 +1,9 @@
 package engine
 
 import (
+	"cmp"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/defaults"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -77,24 +77,24 @@
 
 func (o Options) withDefaults() Options {
 	o.Backend.Kind = fleet.KindEngine
-	defaults.Set(&o.MemoryBytes, 80*GiB)
-	defaults.Set(&o.KVBytesPerToken, 128<<10)
-	defaults.Set(&o.HostCacheBytes, 64*GiB)
-	defaults.Set(&o.DiskCacheBytes, 512*GiB)
-	defaults.Set(&o.MaxRunning, 64)
-	defaults.Set(&o.MaxWaiting, 256)
-	defaults.Set(&o.PrefixCacheBlocks, 4096)
-	defaults.Set(&o.Timing.IterationBase, 20*time.Millisecond)
-	defaults.Set(&o.Timing.IterationPerSequence, 100*time.Microsecond)
-	defaults.Set(&o.Timing.IterationPerPrefillToken, 20*time.Microsecond)
-	defaults.Set(&o.Timing.RemoteLoad, 20*time.Second)
-	defaults.Set(&o.Timing.DiskLoad, o.Timing.RemoteLoad/4)
-	defaults.Set(&o.Timing.HostLoad, o.Timing.RemoteLoad/20)
-	defaults.Set(&o.Timing.AdapterLoad, 200*time.Millisecond)
-	defaults.Set(&o.Timing.Unload, 50*time.Millisecond)
-	defaults.Set(&o.Timing.ReportLag, 200*time.Millisecond)
-	defaults.Set(&o.Timing.CacheEventLag, 500*time.Millisecond)
-	defaults.Set(&o.Timing.KeepStreams, 10*time.Second)
+	o.MemoryBytes = cmp.Or(o.MemoryBytes, 80*GiB)
+	o.KVBytesPerToken = cmp.Or(o.KVBytesPerToken, 128<<10)
+	o.HostCacheBytes = cmp.Or(o.HostCacheBytes, 64*GiB)
+	o.DiskCacheBytes = cmp.Or(o.DiskCacheBytes, 512*GiB)
+	o.MaxRunning = cmp.Or(o.MaxRunning, 64)
+	o.MaxWaiting = cmp.Or(o.MaxWaiting, 256)
+	o.PrefixCacheBlocks = cmp.Or(o.PrefixCacheBlocks, 4096)
+	o.Timing.IterationBase = cmp.Or(o.Timing.IterationBase, 20*time.Millisecond)
+	o.Timing.IterationPerSequence = cmp.Or(o.Timing.IterationPerSequence, 100*time.Microsecond)
+	o.Timing.IterationPerPrefillToken = cmp.Or(o.Timing.IterationPerPrefillToken, 20*time.Microsecond)
+	o.Timing.RemoteLoad = cmp.Or(o.Timing.RemoteLoad, 20*time.Second)
+	o.Timing.DiskLoad = cmp.Or(o.Timing.DiskLoad, o.Timing.RemoteLoad/4)
+	o.Timing.HostLoad = cmp.Or(o.Timing.HostLoad, o.Timing.RemoteLoad/20)
+	o.Timing.AdapterLoad = cmp.Or(o.Timing.AdapterLoad, 200*time.Millisecond)
+	o.Timing.Unload = cmp.Or(o.Timing.Unload, 50*time.Millisecond)
+	o.Timing.ReportLag = cmp.Or(o.Timing.ReportLag, 200*time.Millisecond)
+	o.Timing.CacheEventLag = cmp.Or(o.Timing.CacheEventLag, 500*time.Millisecond)
+	o.Timing.KeepStreams = cmp.Or(o.Timing.KeepStreams, 10*time.Second)
 	return o
 }
 
