A trial that was claimed is kept where its server is not reached or does not admit it

Cause: the claim was dropped after an attempt that sent nothing, as at a server that is not reached or a cold one that does not admit it; the request then was barred by its own claim.

Change: the claim holds until something was sent; with it the request does not wait, either.

Test, red before: TestTrialOutlivesAServerThatIsNotReached (503 before).

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -63,7 +63,7 @@
 	estimate time.Duration
 	// serverEnd is what became of the server whose answer broke off.
 	serverEnd backendconn.Liveness
-	// isTrial is set while the one send of a trial is under way.
+	// isTrial is set from the claim of a trial until its one send is over.
 	isTrial bool
 	// asked is what it was last counted as demand for.
 	asked dispatch.Wanted
@@ -225,14 +225,13 @@
 			return
 		}
 		verdict := x.attempt(choice)
-		x.isTrial = false
 		if verdict == verdictDone {
 			return
 		}
 		if verdict == verdictNotSent {
 			sends--
 		} else {
-			hasRepeat = false
+			hasRepeat, x.isTrial = false, false
 		}
 		if sends+1 >= maxSends || len(x.failed) >= maxSends {
 			x.giveUp("too_many_sends")
--- a/internal/relay/poison_test.go
+++ b/internal/relay/poison_test.go
@@ -69,6 +69,34 @@
 	}
 }
 
+// TestTrialOutlivesAServerThatIsNotReached: it is claimed once, and sent to another one.
+func TestTrialOutlivesAServerThatIsNotReached(t *testing.T) {
+	gone := &standinServer{address: freeAddress(t)}
+	server := newStandin(t, answering(http.StatusOK, "done"))
+	f := newFixture(t, gone, server)
+	suspects := &fakeSuspects{standing: poison.StandingOnTrial, grants: 1}
+	f.handler.options.Suspects = suspects
+	for range 20 {
+		suspects.mu.Lock()
+		suspects.standing, suspects.claimed = poison.StandingOnTrial, 0
+		suspects.mu.Unlock()
+		if got := f.send(t, http.MethodPost, "/once/x", "body"); got.status != http.StatusOK || suspects.claimed != 1 {
+			t.Fatalf("status %d after %d claims, want 200 after one", got.status, suspects.claimed)
+		}
+	}
+}
+
+// freeAddress is one at which nobody listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
 // TestTrialDoesNotWait for its model: with those of other nodes it would be sent together.
 func TestTrialDoesNotWait(t *testing.T) {
 	f := newFixture(t, newStandin(t, answering(http.StatusOK, "done")))
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -143,7 +143,7 @@
 		x.answerBarred()
 		return false
 	}
-	if x.standing() == poison.StandingOnTrial {
+	if x.isTrial || x.standing() == poison.StandingOnTrial {
 		// Copies that waited at several nodes would be tried together.
 		x.refuse(reasonPoison, x.comeBack(max(expected.readyIn, expected.overdue)+refusalMargin))
 		return false
