Questions to coordinators by one type

Cause: quotas kept the questions under way in a map of their own, beside the one of trials.

Change: both go by questions; behaviour as before. internal/edge passes with the race detector.

--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,7 +47,7 @@
 	fleet       quota.Fleet
 	// wasTold is set once this node was told how large the fleet is.
 	wasTold bool
-	waiting map[uint64]chan *peerpb.QuotaCall
+	asked   *questions[*peerpb.QuotaCall]
 	// silent are coordinators that did not answer.
 	silent map[string]silence
 	// told are the closed tenants that this node last told as the coordinator, and toldAt when.
@@ -64,7 +63,7 @@
 		coordinator: quota.NewCoordinator(tolerance),
 		share:       quota.NewShare(tolerance, isFirst),
 		advisories:  quota.NewAdvisories(),
-		waiting:     make(map[uint64]chan *peerpb.QuotaCall),
+		asked:       newQuestions[*peerpb.QuotaCall](),
 		silent:      make(map[string]silence),
 	}
 }
@@ -208,31 +207,20 @@
 	if q.isSilent(now, address) {
 		return nil
 	}
-	call.Id = rand.Uint64()
-	answers := make(chan *peerpb.QuotaCall, 1)
-	q.mu.Lock()
-	q.waiting[call.Id] = answers
-	q.mu.Unlock()
-	defer func() {
-		q.mu.Lock()
-		delete(q.waiting, call.Id)
-		q.mu.Unlock()
-	}()
-	q.node.peers.sendQuota(address, call)
-	timer := time.NewTimer(askTimeout)
-	defer timer.Stop()
-	select {
-	case answer := <-answers:
+	answer, ok := q.asked.ask(ctx, askTimeout, func(id uint64) {
+		call.Id = id
+		q.node.peers.sendQuota(address, call)
+	})
+	switch {
+	case ok:
 		q.mu.Lock()
 		delete(q.silent, address)
 		q.mu.Unlock()
 		return known(answer)
-	case <-ctx.Done():
-		return nil
-	case <-timer.C:
+	case ctx.Err() == nil:
 		q.noteSilence(clock.Now(), address)
-		return nil
 	}
+	return nil
 }
 
 // known is the answer, or nil for one that cannot say.
--- a/internal/edge/quotas_coordinator.go
+++ b/internal/edge/quotas_coordinator.go
@@ -30,16 +30,7 @@
 		q.advisories.Hear(now, call.Asker, call.Closed)
 		q.mu.Unlock()
 	default:
-		q.mu.Lock()
-		waiting := q.waiting[call.Id]
-		q.mu.Unlock()
-		if waiting != nil {
-			select {
-			case waiting <- call:
-			default:
-				// The first answer counts.
-			}
-		}
+		q.asked.answered(call.Id, call)
 	}
 }
 
