Soak: servers that come back cold, and a judge of what they receive

Half of the model servers leave and come back cold; what each receives in any second of its cold time is judged for all nodes, frozen and cut ones included (COLD). The stand-in's entries say coldLeftMs; addServer and replaceServer take the cold time (0 for all former callers).

The judge's own test has a case each way.

--- a/test/platform/cold_test.go
+++ b/test/platform/cold_test.go
@@ -28,28 +28,24 @@
 	return told
 }
 
-// enterCold writes an entry of a server that holds m1, and says how long it is cold.
+// enterCold enters a server that holds m1, and is cold for the time.
 func (m *modelServer) enterCold(s *store, left time.Duration) {
 	m.mu.Lock()
 	m.models["m1"] = make(map[string]bool)
-	models := m.held()
 	m.mu.Unlock()
-	s.put("servers", m.id, map[string]any{
-		"service": m.service, "address": m.address, "zone": "z", "slots": 8, "state": "ready", "models": models, "sequence": 1,
-		"coldLeftMs": left.Milliseconds(),
-	})
+	m.cameAt, m.coldUntil = time.Now(), time.Now().Add(left)
+	m.enter(s, "ready")
 }
 
-// worstSecond is the most that the server received in any second between two moments.
+// worstSecond is the most that the server received in any second between two moments. Its
+// lock is held.
 func (m *modelServer) worstSecond(from, to time.Time) int {
-	m.mu.Lock()
 	var arrivals []time.Time
 	for _, at := range m.ranAt {
 		if at.After(from) && at.Before(to) {
 			arrivals = append(arrivals, at)
 		}
 	}
-	m.mu.Unlock()
 	slices.SortFunc(arrivals, time.Time.Compare)
 	worst, first := 0, 0
 	for last, at := range arrivals {
@@ -88,7 +84,9 @@
 	isCold := cameBack.Add(coldTime - 100*time.Millisecond)
 	time.Sleep(time.Until(isCold))
 	for _, m := range after {
+		m.mu.Lock()
 		worst := m.worstSecond(cameBack, isCold)
+		m.mu.Unlock()
 		t.Logf("%s: %d requests in the worst second while cold", m.id, worst)
 		if worst > mostWhileCold || worst == 0 {
 			t.Errorf("%s received %d requests in a second while it was cold, want some and %.0f at the most", m.id, worst, float64(mostWhileCold))
@@ -102,7 +100,10 @@
 		if slices.Contains(before, m) {
 			from, to = cameBack.Add(-time.Second), cameBack
 		}
-		if worst := m.worstSecond(from, to); worst <= mostWhileCold {
+		m.mu.Lock()
+		worst := m.worstSecond(from, to)
+		m.mu.Unlock()
+		if worst <= mostWhileCold {
 			t.Errorf("%s received %d requests in a second while it was warm: callers do not press", m.id, worst)
 		}
 	}
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -60,6 +60,9 @@
 	loseAnswers, fail bool
 	// onPoison takes poison requests; nil runs them as any other.
 	onPoison func(writer http.ResponseWriter, request *http.Request, body string)
+	// cameAt and coldUntil are when a server came that is cold at first, and until when
+	// it is; zero for others.
+	cameAt, coldUntil time.Time
 	// way is the relay in front of the server; nil without one.
 	way *way
 }
@@ -84,6 +87,7 @@
 	m.mu.Unlock()
 	s.put("servers", m.id, map[string]any{
 		"service": m.service, "address": m.address, "zone": "z", "slots": 8, "state": state, "models": models, "sequence": 1,
+		"coldLeftMs": max(0, time.Until(m.coldUntil).Milliseconds()),
 	})
 }
 
--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -69,7 +69,7 @@
 		if s.options.isRelayed {
 			s.sendPoison(d)
 		}
-	}})
+	}}, coldKind())
 }
 
 // poisonKind came after the first kinds.
@@ -346,8 +346,12 @@
 // replaceServer starts a server, and then lets an older one drain and go.
 func (s *soak) replaceServer(drawn drawnFault) {
 	staying := s.staying()
-	leaver := staying[drawn.server%len(staying)]
-	s.addServer(leaver.service)
+	s.replace(staying[drawn.server%len(staying)], 0)
+}
+
+// replace lets a server leave, and another come in its place that is cold for a time.
+func (s *soak) replace(leaver *modelServer, cold time.Duration) {
+	s.addServer(leaver.service, cold)
 	s.mu.Lock()
 	s.left[leaver.id] = time.Now()
 	s.mu.Unlock()
--- a/test/platform/soak_judge_test.go
+++ b/test/platform/soak_judge_test.go
@@ -197,6 +197,7 @@
 		s.judgeOrders(m)
 		loads = append(loads, m.loads...)
 		s.judgeDrain(m)
+		s.judgeCold(m)
 		m.mu.Unlock()
 	}
 	slices.SortFunc(loads, time.Time.Compare)
--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -67,6 +68,20 @@
 			s.servers[0].ranAt["a"] = at(time.Second)
 			s.troubles = []span{{place: onWayToServer, node: "i", from: at(0), to: at(time.Second)}}
 		}},
+		{"COLD", func(s *soak) {
+			s.servers[0].cameAt, s.servers[0].coldUntil = at(0), at(soakColdTime)
+			for i := range 1 + int(mostWhileSoakCold) {
+				id := fmt.Sprint("cold", i)
+				s.servers[0].ranAt[id], s.servers[0].runs[id] = at(time.Duration(1+i)*50*time.Millisecond), 1
+			}
+		}},
+		{"", func(s *soak) {
+			s.servers[0].cameAt, s.servers[0].coldUntil = at(0), at(soakColdTime)
+			for i := range int(mostWhileSoakCold) {
+				id := fmt.Sprint("cold", i)
+				s.servers[0].ranAt[id], s.servers[0].runs[id] = at(time.Duration(1+i)*50*time.Millisecond), 1
+			}
+		}},
 		{"CEILING", func(s *soak) {
 			for i := range soakLoads + 1 {
 				s.servers[0].loads = append(s.servers[0].loads, at(time.Duration(i)*100*time.Millisecond))
--- a/test/platform/soak_poison_test.go
+++ b/test/platform/soak_poison_test.go
@@ -75,7 +75,7 @@
 		s.trouble(atServer, "", m.id+" ended", lapseAfterEnd)
 		_ = m.way.listener.Close()
 		m.way.reset()
-		s.later(poisonDown, func() { s.addServer(m.service) })
+		s.later(poisonDown, func() { s.addServer(m.service, 0) })
 		s.later(lapseAfterEnd, func() { s.store.remove("servers", m.id) })
 	}
 	panic(http.ErrAbortHandler)
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -166,10 +166,10 @@
 		s.controls = append(s.controls, newControl(n))
 	}
 	for range soakModelServers {
-		s.addServer("models")
+		s.addServer("models", 0)
 	}
 	for range soakCommands {
-		s.addServer("commands")
+		s.addServer("commands", 0)
 	}
 	s.changeConfiguration()
 	s.awaitReady()
@@ -217,8 +217,8 @@
 	}
 }
 
-// addServer starts a server with an identity of its own.
-func (s *soak) addServer(service string) *modelServer {
+// addServer starts a server with an identity of its own, which is cold for a time.
+func (s *soak) addServer(service string, cold time.Duration) *modelServer {
 	s.mu.Lock()
 	s.number++
 	number := s.number
@@ -237,6 +237,9 @@
 		m.way = newWay(s.t, "127.0.0.1:0", m.address)
 		m.address = m.way.address()
 	}
+	if cold > 0 {
+		m.cameAt, m.coldUntil = time.Now(), time.Now().Add(cold)
+	}
 	m.enter(s.store, "ready")
 	s.mu.Lock()
 	s.servers = append(s.servers, m)
@@ -273,6 +276,10 @@
 	config := configuration(s.version, added...)
 	engine := config["services"].([]map[string]any)[1]["engine"].(map[string]any)
 	engine["models"], engine["weightsMb"] = models, 200
+	if s.limitsCold() {
+		config["services"].([]map[string]any)[1]["coldStartS"] = soakColdTime.Seconds()
+		config["services"].([]map[string]any)[1]["coldPerS"] = soakColdPerS
+	}
 	// The second key is another in each version: tenants come and go beside callers.
 	config["tenants"] = []map[string]any{{
 		"name": soakTenant, "apiKeys": []string{soakKey, versionKey(s.version)},
