--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -7,18 +7,22 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
 // Options set up a Core.
 type Options struct {
 	Zone string
-	Seed uint64
+	// Places are the zones and regions of the deployment.
+	Places locality.Map
+	Seed   uint64
 }
 
 // Core is the choice of servers of one node.
 type Core struct {
 	zone      string
+	places    locality.Map
 	random    *rand.Rand
 	servers   map[string]*server
 	byService map[string][]*server
@@ -31,6 +35,8 @@
 	// orderFrom when it may order from.
 	leaderSeen time.Time
 	orderFrom  time.Time
+	// evacuated are the zones to whose servers nothing new is sent.
+	evacuated map[string]bool
 	// coldStarts are the limits of services whose cold servers bear less.
 	coldStarts map[string]routetable.ColdStart
 	// changed is closed when something came that may let a request go on.
@@ -41,6 +47,7 @@
 func New(options Options) *Core {
 	return &Core{
 		zone:      options.Zone,
+		places:    options.Places,
 		random:    rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
 		servers:   make(map[string]*server),
 		byService: make(map[string][]*server),
@@ -72,6 +79,7 @@
 		}
 	}
 	c.index()
+	c.closeServers()
 	c.notify()
 }
 
@@ -96,14 +104,19 @@
 	Known int
 	// Going ones of them take no new work, by their entry or a peer's word.
 	Going int
+	// Closed ones of the others take none as their zone is evacuated.
+	Closed int
 }
 
 // Supply is what the node knows of a service's servers.
 func (c *Core) Supply(service string) Supply {
 	supply := Supply{Known: len(c.byService[service])}
 	for _, s := range c.byService[service] {
-		if !s.takesWork() {
+		switch {
+		case s.isGoing():
 			supply.Going++
+		case s.closed:
+			supply.Closed++
 		}
 	}
 	return supply
@@ -117,6 +130,8 @@
 	StateReady State = "ready"
 	// StateGoing servers leave and take none.
 	StateGoing State = "going"
+	// StateClosed servers take none while their zone is evacuated.
+	StateClosed State = "closed"
 	// StateSuspect servers take work, though many of their requests failed.
 	StateSuspect State = "suspect"
 )
@@ -137,8 +152,10 @@
 
 func (s *server) state(now time.Time) State {
 	switch {
-	case !s.takesWork():
+	case s.isGoing():
 		return StateGoing
+	case s.closed:
+		return StateClosed
 	case s.health.failureRate(now) >= suspectRate:
 		return StateSuspect
 	default:
@@ -221,13 +238,7 @@
 	if term < c.term {
 		return true
 	}
-	own := uint64(0)
-	for _, s := range c.servers {
-		if s.view != nil && s.viewTerm == term {
-			own ^= s.view.Digest
-		}
-	}
-	if own != digest {
+	if c.digestOf(term) != digest {
 		return false
 	}
 	for _, s := range c.servers {
@@ -239,6 +250,19 @@
 	return true
 }
 
+// ViewsDigest is a digest of the views of the newest term.
+func (c *Core) ViewsDigest() uint64 { return c.digestOf(c.term) }
+
+func (c *Core) digestOf(term int64) uint64 {
+	digest := uint64(0)
+	for _, s := range c.servers {
+		if s.view != nil && s.viewTerm == term {
+			digest ^= s.view.Digest
+		}
+	}
+	return digest
+}
+
 // PeerLoad is what a peer has under way at one server.
 type PeerLoad struct {
 	ServerID      string
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/placer"
 )
 
@@ -118,6 +119,7 @@
 	m.counter("requests_blamed_total", "Requests of this node under which servers ended.", node.suspects.blamed.Load)
 	m.counter("requests_barred_total", "Requests that this node learned to bar, as they end each server that runs them.", node.suspects.barred.Load)
 	m.counter("barred_refused_total", "Times that barred requests were refused.", node.handler.Metrics.Barred.Load)
+	m.counter("region_refused_total", "Requests refused as their regions have no server, or meet nowhere.", counts.NoPlace.Load)
 	m.gauge("requests_barred", "Requests that are barred now.", func() float64 { return float64(node.suspects.count()) })
 	m.counter("quota_granted_total", "Requests of limited tenants within their quota.", node.quotas.granted.Load)
 	m.counter("quota_refused_total", "Requests refused as beyond their tenant's quota.", node.quotas.refused.Load)
@@ -132,7 +134,11 @@
 	m.counter("cold_held_total", "Times that a send was held back at a cold server.", node.handler.Metrics.ColdHeld.Load)
 	m.counter("cold_alone_total", "Sends to cold servers decided without a coordinator.", node.coldStarts.alone.Load)
 	for what := range trafficKinds {
-		m.counter("peer_"+what.String()+"_bytes_total", "Bytes sent to peers: "+what.String()+".", func() int64 { return node.peers.sentBytes[what].Load() })
+		m.counter("peer_"+what.String()+"_bytes_total", "Bytes sent to peers: "+what.String()+".", func() int64 { return node.peers.sentBytes.of(what) })
+	}
+	for distance := range locality.Distances {
+		m.counter("peer_"+distance.String()+"_bytes_total", "Bytes sent to peers there.", func() int64 { return node.peers.sentBytes.to(distance) })
+		m.counter("servers_"+distance.String()+"_bytes_total", "Bytes of bodies to and from servers there.", counts.ServerBytes[distance].Load)
 	}
 	m.counter("datagrams_unreadable_total", "Datagrams of peers dropped as they could not be read.", func() int64 { return node.peers.unreadable.Load() })
 	if node.options.LogDropped != nil {
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -6,6 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/poison"
 )
 
 const (
@@ -41,18 +42,19 @@
 	started := clock.Now()
 	x.waitsSince = started
 	waits := false
+	var counted dispatch.Wanted
 	defer func() {
 		x.waited += clock.Since(started)
 		x.waitsSince = time.Time{}
 		if waits {
 			x.handler.waiting.Add(-1)
-			core.Do(func(c *dispatch.Core) { c.Waits(x.wanted(), -1) })
+			core.Do(func(c *dispatch.Core) { c.Waits(counted, -1) })
 		}
 	}()
 	for {
 		var changed <-chan struct{}
 		var readyIn, ordersIn time.Duration
-		var known bool
+		var known, isEvacuated bool
 		core.Do(func(c *dispatch.Core) {
 			now := clock.Now()
 			if choice, ok = c.Pick(now, x.ask()); ok {
@@ -61,9 +63,8 @@
 			changed = c.Changed()
 			readyIn, known = c.ReadyIn(now, x.wanted())
 			ordersIn = c.OrdersIn(now)
-			if !waits {
-				c.Waits(x.wanted(), 1)
-			}
+			isEvacuated = c.IsEvacuated(x.service)
+			counted = x.countWaiting(c, counted, waits)
 		})
 		if ok {
 			return choice, true
@@ -76,6 +77,13 @@
 			}
 			x.handler.options.Wanted()
 		}
+		if isEvacuated {
+			x.refuseEvacuated()
+			return choice, false
+		}
+		if !x.hasPlace() {
+			return choice, false
+		}
 		if !known {
 			readyIn = x.usualLoad(ordersIn)
 		}
@@ -135,6 +143,11 @@
 		x.answerBarred()
 		return false
 	}
+	if x.standing() == poison.StandingOnTrial {
+		// Copies that waited at several nodes would be tried together.
+		x.refuse(reasonPoison, x.comeBack(max(expected.readyIn, expected.overdue)+refusalMargin))
+		return false
+	}
 	if until := x.handler.drainUntil.Load(); until != nil && !now.Before(*until) {
 		x.giveUp("node_stops")
 		return false
