Cold servers: open questions; no map for each datagram

Whether a coordinator is needed was answered by building a map of all services for each datagram; a look at the services does. Found by reading.

--- a/internal/edge/quotas_fleet.go
+++ b/internal/edge/quotas_fleet.go
@@ -16,7 +16,7 @@
 // tenants, or requests to cold servers.
 func (n *Node) needsCoordinator() bool {
 	table := n.handler.Table()
-	return table != nil && (table.HasQuotas() || len(table.ColdStarts()) > 0)
+	return table != nil && (table.HasQuotas() || table.HasColdStarts())
 }
 
 // coordinators are the nodes that may give quotas, in order.
--- a/internal/routetable/coldstart.go
+++ b/internal/routetable/coldstart.go
@@ -14,6 +14,16 @@
 // IsLimited reports whether cold servers of the service bear less than warm ones.
 func (c ColdStart) IsLimited() bool { return c.Time > 0 || c.PerSecond > 0 }
 
+// HasColdStarts reports whether a service limits its cold servers.
+func (t *Table) HasColdStarts() bool {
+	for _, service := range t.Services {
+		if service.ColdStart.IsLimited() {
+			return true
+		}
+	}
+	return false
+}
+
 // ColdStarts are the limits of the services that have one.
 func (t *Table) ColdStarts() map[string]ColdStart {
 	limited := make(map[string]ColdStart)
