Soak: orders that are held and set free, and connections that go silent

Bytes are then set free as a kernel does: those of a closed connection arrive, those of a reset one not. - silent-connections-to-server, -to-store, -between-nodes: connections that are open go silent, in one direction, the other or both; new ones work.

The relays of the soak now tell a reset from a close, which they passed on alike (TestWayHoldsBytesAsAKernelDoes, TestWaySilencesOpenConnectionsAlone).

The judge counts orders by holder at each server; a planted order of the first holder after the second's is found.

--- a/test/platform/network_test.go
+++ b/test/platform/network_test.go
@@ -1,14 +1,18 @@
 package platform
 
 import (
+	"bytes"
 	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // fault is what is wrong on a way between two processes.
@@ -22,6 +26,12 @@
 	refuse bool
 	// loss is the share of datagrams dropped.
 	loss float64
+	// holds bounds deafTo to pieces that have the text, and what comes after them on
+	// their connections.
+	holds string
+	// openedBefore bounds the fault to connections that were opened before; zero does
+	// not. They go silent while new ones work.
+	openedBefore time.Time
 }
 
 // way is a relay on loopback in front of one process: connections and, where it
@@ -79,14 +89,17 @@
 	w.faults[sender] = f
 }
 
-// of is the fault for a sender.
-func (w *way) of(sender string) fault {
+// of is the fault for what a sender opened at the time.
+func (w *way) of(sender string, opened time.Time) fault {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if own, ok := w.faults[sender]; ok && own != (fault{}) {
-		return own
+	for _, concerned := range []string{sender, everybody} {
+		f := w.faults[concerned]
+		if f != (fault{}) && (f.openedBefore.IsZero() || opened.Before(f.openedBefore)) {
+			return f
+		}
 	}
-	return w.faults[everybody]
+	return fault{}
 }
 
 func (w *way) isLost(f fault) bool {
@@ -121,7 +134,8 @@
 
 func (w *way) relay(near net.Conn) {
 	sender, _, _ := strings.Cut(near.RemoteAddr().String(), ":")
-	if w.of(sender).refuse {
+	opened := time.Now()
+	if w.of(sender, opened).refuse {
 		_ = near.Close()
 		return
 	}
@@ -133,8 +147,11 @@
 	w.mu.Lock()
 	w.conns = append(w.conns, near, far)
 	w.mu.Unlock()
-	go w.copy(far, near, func() (fault, bool) { f := w.of(sender); return f, f.deafTo })
-	w.copy(near, far, func() (fault, bool) { f := w.of(sender); return f, f.deafFrom })
+	go w.copy(far, near, func(piece []byte) (fault, bool) {
+		f := w.of(sender, opened)
+		return f, f.deafTo && bytes.Contains(piece, []byte(f.holds))
+	})
+	w.copy(near, far, func([]byte) (fault, bool) { f := w.of(sender, opened); return f, f.deafFrom })
 	w.forget(near, far)
 }
 
@@ -145,22 +162,27 @@
 }
 
 // heldPause is the time between looks whether a deaf direction passes again: TCP
-// sends again what was lost, so silence holds bytes back and drops none.
+// sends again what was lost, so silence holds bytes back, and drops them only where
+// the sender has reset the connection. A sender that closed it has its bytes sent on.
 const heldPause = 20 * time.Millisecond
 
 // copy passes bytes on until either end closes.
-func (w *way) copy(to, from net.Conn, state func() (f fault, deaf bool)) {
+func (w *way) copy(to, from net.Conn, state func(piece []byte) (f fault, deaf bool)) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, 16<<10)
 	for {
 		count, err := from.Read(buffer)
 		if count > 0 {
-			f, deaf := state()
+			f, deaf := state(buffer[:count])
 			time.Sleep(f.delay)
-			for ; deaf; _, deaf = state() {
+			isHeld := deaf
+			for ; deaf; _, deaf = state(buffer[:count]) {
 				time.Sleep(heldPause)
 			}
+			if isHeld && isReset(from) {
+				return
+			}
 			if _, err := to.Write(buffer[:count]); err != nil {
 				return
 			}
@@ -171,6 +193,25 @@
 	}
 }
 
+// isReset reports whether the other end has reset the connection.
+func isReset(conn net.Conn) bool {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return true
+	}
+	state := uint8(0)
+	err = control.Control(func(descriptor uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
+	})
+	return err != nil || state == unix.BPF_TCP_CLOSE
+}
+
 func (w *way) passPackets() {
 	target, err := net.ResolveUDPAddr("udp4", w.target)
 	if err != nil {
@@ -182,7 +223,7 @@
 		if err != nil {
 			return
 		}
-		f := w.of(sender.IP.String())
+		f := w.of(sender.IP.String(), time.Now())
 		if w.isLost(f) {
 			continue
 		}
@@ -245,3 +286,90 @@
 		t.Error("a new connection does not pass after a reset")
 	}
 }
+
+// TestWayHoldsBytesAsAKernelDoes: what was written before an ordinary close arrives once
+// the way is sound again, and what was written before a reset does not.
+func TestWayHoldsBytesAsAKernelDoes(t *testing.T) {
+	for name, c := range map[string]struct{ resets, arrives bool }{"closed": {false, true}, "reset": {true, false}} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := make(chan string, 1)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			text, _ := io.ReadAll(conn)
+			got <- string(text)
+		}()
+		w := newWay(t, "127.0.0.1:0", listener.Addr().String())
+		conn, err := net.Dial("tcp", w.address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.set(everybody, fault{deafTo: true})
+		_, _ = conn.Write([]byte("order"))
+		time.Sleep(5 * heldPause)
+		if c.resets {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		_ = conn.Close()
+		time.Sleep(5 * heldPause)
+		w.set(everybody, fault{})
+		if text := <-got; (text == "order") != c.arrives {
+			t.Errorf("%s: %q arrived", name, text)
+		}
+		_ = listener.Close()
+	}
+}
+
+// TestWaySilencesOpenConnectionsAlone: one that was opened before goes silent, and a new
+// one works.
+func TestWaySilencesOpenConnectionsAlone(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	for name, f := range map[string]fault{"to": {deafTo: true}, "from": {deafFrom: true}} {
+		w := newWay(t, "127.0.0.1:0", listener.Addr().String())
+		echoes := func(conn net.Conn) bool {
+			_, _ = conn.Write([]byte("x"))
+			_ = conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+			_, err := conn.Read(make([]byte, 1))
+			return err == nil
+		}
+		before, err := net.Dial("tcp", w.address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !echoes(before) {
+			t.Fatalf("%s: a sound way does not pass", name)
+		}
+		f.openedBefore = time.Now()
+		w.set(everybody, f)
+		after, err := net.Dial("tcp", w.address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if echoes(before) {
+			t.Errorf("%s: a connection passes that was opened before", name)
+		}
+		if !echoes(after) {
+			t.Errorf("%s: a new connection does not pass", name)
+		}
+		_ = before.Close()
+		_ = after.Close()
+	}
+}
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -132,6 +132,10 @@
 		writer.WriteHeader(http.StatusConflict)
 		return
 	}
+	if wanted.Operation != "unload" && wanted.Adapter != "" && m.models[wanted.Model] == nil {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
 	m.sequence++
 	switch {
 	case wanted.Operation == "unload":
--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -65,14 +65,24 @@
 
 // allKinds are the faults that are drawn.
 func allKinds() []kind {
-	return append(firstKinds(), kind{poisonKind, 2, func(s *soak, d drawnFault) {
-		if s.options.isRelayed {
-			s.sendPoison(d)
-		}
-	}})
+	return append(firstKinds(),
+		kind{poisonKind, 2, func(s *soak, d drawnFault) {
+			if s.options.isRelayed {
+				s.sendPoison(d)
+			}
+		}},
+		kind{"orders-held", 2, func(s *soak, _ drawnFault) { s.holdOrders() }},
+		kind{"silent-connections-to-server", 1, func(s *soak, d drawnFault) { s.silenceServer(d) }},
+		kind{"silent-connections-to-store", 1, func(s *soak, d drawnFault) {
+			s.silence(d, d.node.toStore, d.node.name, "connections to the store")
+		}},
+		kind{"silent-connections-between-nodes", 1, func(s *soak, d drawnFault) {
+			s.silence(d, d.node.toPeers, d.node.name, "connections of others to it")
+		}},
+	)
 }
 
-// poisonKind came after the first kinds.
+// poisonKind, and those that stand behind it, came after the first kinds.
 const poisonKind = "server-ends-under-request"
 
 // firstKinds are those that the kept seeds of all kinds draw from: with one more they would
--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -46,6 +46,11 @@
 		{"ONE", func(s *soak) {
 			s.servers[0].orders = []order{{Holder: "x", FencingToken: 2, at: at(0)}, {Holder: "x", FencingToken: 1, at: at(time.Second)}}
 		}},
+		{"ONE", func(s *soak) {
+			s.servers[0].orders = []order{
+				{Holder: "x", FencingToken: 1, at: at(0)}, {Holder: "y", FencingToken: 2, at: at(4 * time.Second)}, {Holder: "x", FencingToken: 1, at: at(6 * time.Second)},
+			}
+		}},
 		{"DRAIN", func(s *soak) { s.left["i"] = at(0); s.servers[0].ranAt["a"] = at(soakDrain + time.Millisecond) }},
 		{"", func(s *soak) {
 			s.left["i"] = at(0)
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -113,6 +113,8 @@
 	poisons  map[string]*soakPoison
 	number   int
 	findings []string
+	// heldUntil is until when the orders of a holder of the lease are held.
+	heldUntil time.Time
 
 	busy    sync.WaitGroup
 	callers sync.WaitGroup
