--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -4,6 +4,9 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/spanlanding/spanlanding/internal/coldstart"
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 // Ask is a request that wants a server.
@@ -21,6 +24,8 @@
 	// Together is set for a request that may end its server: all nodes send those of one
 	// number to the same one, so that several at once end one server and not several.
 	Together uint64
+	// Regions are those in which the request may run.
+	Regions locality.Regions
 }
 
 // Choice is a server for a request.
@@ -29,6 +34,8 @@
 	Address  string
 	// Estimate is the expected time to the first byte.
 	Estimate time.Duration
+	// Distance is how far it is.
+	Distance locality.Distance
 	Flight   *Flight
 }
 
@@ -48,8 +55,6 @@
 	// It need not be right: where servers are slower or faster than that, their
 	// slowness tells them apart.
 	readRate = 30_000
-	// otherZoneCost is added for a server in another zone.
-	otherZoneCost = 3 * time.Millisecond
 	// runningCost is the delay that each running request adds.
 	runningCost = 500 * time.Microsecond
 	// failureCost is what a failed request is taken to cost.
@@ -74,7 +79,7 @@
 	chosen.running++
 	chosen.pendingTokens += tokens
 	flight := &Flight{server: chosen, tokens: tokens, estimate: cost, started: now}
-	return Choice{ServerID: chosen.info.ID, Address: chosen.info.Address, Estimate: cost, Flight: flight}, true
+	return Choice{ServerID: chosen.info.ID, Address: chosen.info.Address, Estimate: cost, Distance: c.places.Distance(c.zone, chosen.info.Zone), Flight: flight}, true
 }
 
 // CanPick reports whether Pick would find a server.
@@ -86,7 +91,7 @@
 func (c *Core) filter(now time.Time, ask Ask) []*server {
 	var candidates []*server
 	for _, s := range c.byService[ask.Service] {
-		if !s.takesWork() || slices.Contains(ask.Exclude, s.info.ID) {
+		if !s.takesWork() || !c.isIn(s, ask.Regions) || slices.Contains(ask.Exclude, s.info.ID) {
 			continue
 		}
 		if len(ask.Only) > 0 && !slices.Contains(ask.Only, s.info.ID) {
@@ -95,6 +100,9 @@
 		if ask.Model != "" && !s.holds(now, ask.Model, ask.Adapter) {
 			continue
 		}
+		if s.isHeldBack(now) {
+			continue
+		}
 		candidates = append(candidates, s)
 	}
 	return candidates
@@ -158,8 +166,9 @@
 	failures := s.health.failureRate(now)
 	cost *= max(1, s.health.slowness)
 	cost += failures * failures * failureCost.Seconds()
-	if s.info.Zone != c.zone {
-		cost += otherZoneCost.Seconds()
+	cost += c.wayCost(s).Seconds()
+	if s.coldPhase(now) == coldstart.Cold {
+		cost += coldCost.Seconds()
 	}
 	return cost
 }
--- a/internal/edge/wire.go
+++ b/internal/edge/wire.go
@@ -7,6 +7,7 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/gossip"
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/placer"
 )
@@ -78,7 +79,7 @@
 	counts := make([]placer.Count, 0, len(wire))
 	for _, count := range wire {
 		counts = append(counts, placer.Count{
-			Wanted:       dispatch.Wanted{Service: count.Service, Model: count.Model, Adapter: count.Adapter},
+			Wanted:       dispatch.Wanted{Service: count.Service, Model: count.Model, Adapter: count.Adapter, Regions: regionsOf(count.Regions)},
 			Asked:        count.Asked,
 			Waiting:      int(count.Waiting),
 			PromptTokens: count.PromptTokens,
@@ -88,16 +89,30 @@
 	return counts
 }
 
+// regionsOf is a set of regions as it is told: no name is without a bound.
+func regionsOf(names []string) locality.Regions {
+	if len(names) == 0 {
+		return locality.Regions{}
+	}
+	return locality.Only(names...)
+}
+
 func newsOf(wire []*peerpb.ServerNews) []gossip.Item {
 	items := make([]gossip.Item, 0, len(wire))
 	for _, told := range wire {
-		items = append(items, gossip.Item{
+		item := gossip.Item{
 			Server: inventory.Server{
 				ID: told.Server, Service: told.Service, Address: told.Address, Zone: told.Zone, Slots: int(told.Slots),
 				Draining: told.Going, Revision: told.Revision, Announced: true,
 			},
 			Age: time.Duration(told.AgeMs) * time.Millisecond,
-		})
+		}
+		// What is kept is what the store said, and when.
+		item.Server.ColdLeft, item.Server.TellsCold = coldLeftOf(told.ColdLeftMs)
+		if item.Server.ColdLeft > 0 {
+			item.Server.ColdLeft += item.Age
+		}
+		items = append(items, item)
 	}
 	return items
 }
@@ -112,6 +127,7 @@
 		if !told.Going {
 			told.Service, told.Address, told.Zone = item.Server.Service, item.Server.Address, item.Server.Zone
 			told.Slots = uint32(item.Server.Slots)
+			told.ColdLeftMs = encodeColdLeft(item.Server.ColdLeft-item.Age, item.Server.TellsCold)
 		}
 		encoded = append(encoded, told)
 	}
--- a/internal/placer/placement.go
+++ b/internal/placer/placement.go
@@ -4,13 +4,17 @@
 type placement struct {
 	// copies are the servers that hold the model or are loading it, and do not
 	// leave.
-	copies    int
+	copies int
+	// closed are the copies in evacuated zones.
+	closed    int
 	isLoading bool
 	// slotsUsed is the share of one server's slots that the model's requests take,
 	// added up over its servers.
 	slotsUsed float64
 	// zones are those in which a server holds the model.
 	zones map[string]int
+	// regions are the copies by region.
+	regions map[string]int
 }
 
 // placementOf is where the model stands now.
@@ -29,28 +33,34 @@
 	of := func(model string) *placement {
 		known, ok := r.placed[model]
 		if !ok {
-			known = &placement{zones: make(map[string]int)}
+			known = &placement{zones: make(map[string]int), regions: make(map[string]int)}
 			r.placed[model] = known
 		}
 		return known
 	}
 	for _, s := range r.servers {
 		used := r.slotsUsed(s)
+		region := r.regionOf(s)
 		for model := range s.held {
 			known := of(model)
 			known.slotsUsed += used[model]
 			known.zones[s.info.Zone]++
-			if !s.info.Draining && s.unloading != model {
+			switch {
+			case s.isClosed:
+				known.closed++
+			case !s.info.Draining && s.unloading != model:
 				known.copies++
+				known.regions[region]++
 			}
 		}
-		if s.loading == nil {
+		if s.loading == nil || s.isClosed {
 			continue
 		}
 		known := of(s.loading.model)
 		known.isLoading = true
 		if !s.info.Draining && (!s.has(s.loading.model) || s.unloading == s.loading.model) {
 			known.copies++
+			known.regions[region]++
 		}
 	}
 }
@@ -63,9 +73,9 @@
 	}
 	rates, total := make(map[string]float64, len(s.held)), 0.0
 	for model := range s.held {
-		if known := r.interest(model); known != nil {
-			rates[model] = known.fast.requests
-			total += known.fast.requests
+		if rate, isKnown := r.rateOf(model); isKnown {
+			rates[model] = rate
+			total += rate
 		}
 	}
 	for model, rate := range rates {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -29,8 +29,14 @@
 func (x *exchange) attempt(choice dispatch.Choice) verdict {
 	x.serverID = choice.ServerID
 	x.estimate = choice.Estimate
+	admitted := x.admitsServer(choice)
+	if !admitted.Granted {
+		x.release(choice, dispatch.OutcomeLeft)
+		return verdictNotSent
+	}
 	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address)
 	if err != nil {
+		x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.Unreachable(clock.Now(), choice.ServerID) })
 		return x.notSent(choice)
 	}
 	if x.isBarred() {
@@ -51,9 +57,15 @@
 		x.failed = append(x.failed, choice.ServerID)
 		return verdictNotSent
 	}
+	if !x.isStillAdmitted(choice, admitted) {
+		x.release(choice, dispatch.OutcomeLeft)
+		_ = conn.Close()
+		return verdictNotSent
+	}
 	if !x.hasSent(choice.ServerID) {
 		x.sent = append(x.sent, choice.ServerID)
 	}
+	x.countBytes(choice, len(x.body))
 	answer, err := conn.RoundTrip(x.ctx, x.outgoing(choice))
 	if err != nil && conn.Reused {
 		// The others that were kept may be as silent or as dead; new ones may work.
@@ -70,11 +82,16 @@
 func (x *exchange) isStillGood(choice dispatch.Choice) bool {
 	good := false
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
-		good = core.TakesWork(choice.ServerID)
+		good = core.MayTake(choice.ServerID, x.regions())
 	})
 	return good
 }
 
+// countBytes counts a body's bytes by how far its server is.
+func (x *exchange) countBytes(choice dispatch.Choice, count int) {
+	x.handler.Metrics.ServerBytes[choice.Distance].Add(int64(count))
+}
+
 func (x *exchange) outgoing(choice dispatch.Choice) backendconn.Request {
 	header := x.header.Clone()
 	x.handler.options.Dialect.SetSend(header, Send{
@@ -183,6 +200,9 @@
 		if told.Load != nil {
 			core.SetReported(now, choice.ServerID, *told.Load)
 		}
+		if told.ColdLeft != nil {
+			core.TellColdAnswer(now, choice.ServerID, *told.ColdLeft)
+		}
 	})
 }
 
@@ -232,6 +252,7 @@
 func (x *exchange) whole(choice dispatch.Choice, answer *backendconn.Answer) verdict {
 	failed := answer.Status >= http.StatusInternalServerError
 	content, err := io.ReadAll(io.LimitReader(answer, maxWholeBytes))
+	x.countBytes(choice, len(content))
 	if err != nil {
 		x.brokeOff(choice)
 		return x.again("broken_answer")
@@ -251,7 +272,9 @@
 	x.writeHead(answer, len(content) < maxWholeBytes, len(content))
 	_, _ = x.writer.Write(content)
 	if len(content) == maxWholeBytes {
-		if _, err := io.Copy(x.writer, answer); err != nil {
+		copied, err := io.Copy(x.writer, answer)
+		x.countBytes(choice, int(copied))
+		if err != nil {
 			x.cut("broken_answer")
 		}
 	}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -13,9 +13,11 @@
 	reasonNoConfiguration = "no_configuration"
 	reasonNoServer        = "no_server"
 	reasonTooLate         = "too_late"
+	reasonColdServers     = "cold_servers"
 	reasonQueueFull       = "queue_full"
 	reasonRejected        = "rejected_by_server"
 	reasonDeadline        = "deadline"
+	reasonEvacuated       = "zones_evacuated"
 )
 
 // configurationWait is when a caller should come back to a node that has no
