Waiting: decisions on what has no server, in a core of their own

What internal/relay decided between its calls (keep, refuse and with which Retry-After, when to look again, the rank at a server) moves to internal/waiting, which has no input, output, clock or goroutine. Each limit stands there with its reason. Behaviour is unchanged: the tests of expected times and of the lines of callers moved with it, those of the relay stay.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // verdict says how an attempt ended.
@@ -45,7 +46,7 @@
 		x.answerBarred()
 		return verdictDone
 	}
-	if clock.Until(x.deadline) <= finishMargin {
+	if clock.Until(x.deadline) <= waiting.FinishMargin {
 		x.release(choice, dispatch.OutcomeLeft)
 		_ = conn.Close()
 		x.giveUp(reasonDeadline)
@@ -115,14 +116,6 @@
 	}
 }
 
-const (
-	// maxUrgency is the least urgent rank that can be said.
-	maxUrgency = 9
-	// ranksOfTenant is the number of ranks of one priority of tenants: among requests of
-	// tenants of one priority the routes' priorities decide, up to that many.
-	ranksOfTenant = 3
-)
-
 // urgency is the rank of the request at its server, 0 first: by the priority of its
 // tenant and then of its route. Where tenants have none it is that of the route, and
 // among those of one priority who came back goes before who is new.
@@ -131,13 +124,9 @@
 		return -1
 	}
 	if x.tenant != nil && x.tenant.HasPriority {
-		return min(maxUrgency, ranksOfTenant*x.tenant.Priority+min(x.route.Priority, ranksOfTenant-1))
-	}
-	rank := 2 * x.route.Priority
-	if !x.returned {
-		rank++
+		return waiting.RankOfTenant(x.tenant.Priority, x.route.Priority)
 	}
-	return min(maxUrgency, rank)
+	return waiting.Rank(x.route.Priority, x.returned)
 }
 
 func (x *exchange) notSent(choice dispatch.Choice) verdict {
@@ -163,7 +152,7 @@
 
 // again says whether a request that may have run is sent once more.
 func (x *exchange) again(reason string) verdict {
-	expired := clock.Until(x.deadline) <= finishMargin
+	expired := clock.Until(x.deadline) <= waiting.FinishMargin
 	if expired || !x.isRepeatable() || len(x.sent) >= x.route.MaxAttempts {
 		x.giveUp(reason)
 		return verdictDone
@@ -284,7 +273,7 @@
 
 // canAskAnother reports whether a server's own failure may be tried elsewhere.
 func (x *exchange) canAskAnother() bool {
-	if !x.isRepeatable() || len(x.sent) >= x.route.MaxAttempts || clock.Until(x.deadline) <= finishMargin {
+	if !x.isRepeatable() || len(x.sent) >= x.route.MaxAttempts || clock.Until(x.deadline) <= waiting.FinishMargin {
 		return false
 	}
 	found := false
--- a/internal/relay/comeback_test.go
+++ b/internal/relay/comeback_test.go
@@ -10,46 +10,9 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/routetable"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
-// TestCallersComeBackOneAfterTheOther: all were told the same time, and came back at
-// the same instant.
-func TestCallersComeBackOneAfterTheOther(t *testing.T) {
-	begin := time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
-	steps := []struct {
-		name     string
-		after    time.Duration
-		wanted   string
-		priority int
-		ready    time.Duration
-		want     time.Duration
-	}{
-		{"the first comes when a place is expected", 0, "m", 1, time.Second, time.Second},
-		{"the next behind it", 0, "m", 1, time.Second, time.Second + returnGap},
-		{"a more urgent one before both", 0, "m", 0, time.Second, time.Second},
-		{"a less urgent one behind all", 0, "m", 2, time.Second, time.Second + 2*returnGap},
-		{"who wants something else is in another line", 0, "n", 1, time.Second, time.Second},
-		{"a place that comes later is later", 0, "m", 1, 2 * time.Second, 2 * time.Second},
-		{"who was told a time that is past stands in no line", 3 * time.Second, "m", 2, time.Second, time.Second},
-	}
-	line := newReturns()
-	for _, step := range steps {
-		if got := line.place(begin.Add(step.after), step.wanted, step.priority, step.ready); got != step.want {
-			t.Errorf("%s: %v, want %v", step.name, got, step.want)
-		}
-	}
-	for range 1000 {
-		line.place(begin, "many", 0, time.Second)
-	}
-	if got := line.place(begin, "many", 0, time.Second); got != time.Second+longestLine {
-		t.Errorf("the last of many is told %v, want %v", got, time.Second+longestLine)
-	}
-	line.place(begin.Add(time.Hour), "many", 0, time.Second)
-	if got := len(line.last); got != 1 {
-		t.Errorf("%d lines are kept, want one", got)
-	}
-}
-
 // TestNobodyIsHeldForAServiceWithoutServers: callers were told to come back in 270 ms
 // and, when they did, held until their deadlines.
 func TestNobodyIsHeldForAServiceWithoutServers(t *testing.T) {
@@ -61,7 +24,7 @@
 		started := time.Now()
 		got := f.send(t, http.MethodPost, "/once/", "body", "X-Wait", wait)
 		back, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
-		if got.status != http.StatusServiceUnavailable || err != nil || back < serverReturnTime.Seconds() {
+		if got.status != http.StatusServiceUnavailable || err != nil || back < waiting.ServerReturnTime.Seconds() {
 			t.Errorf("%s: %+v, want 503 with when a server is expected", wait, got)
 		}
 		if took := time.Since(started); took > 500*time.Millisecond {
@@ -82,8 +45,8 @@
 			t.Errorf("ranks %v do not rise at %d", order, i)
 		}
 	}
-	if got := rank(9, false); got != maxUrgency {
-		t.Errorf("the least urgent rank is %d, want %d", got, maxUrgency)
+	if got := rank(9, false); got != waiting.LeastRank {
+		t.Errorf("the least urgent rank is %d, want %d", got, waiting.LeastRank)
 	}
 	if got := (&exchange{route: &routetable.Route{}}).urgency(); got >= 0 {
 		t.Errorf("a plain request has the rank %d, want none", got)
--- a/internal/relay/evacuate.go
+++ b/internal/relay/evacuate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // evacuatedTime is when a caller should come back to a service of which all servers
@@ -19,6 +20,5 @@
 		x.giveUp(reasonEvacuated)
 		return
 	}
-	left := time.Duration(returnShare * float64(clock.Until(x.deadline)))
-	x.refuse(reasonEvacuated, x.comeBack(min(evacuatedTime, max(left, time.Millisecond))))
+	x.refuse(reasonEvacuated, x.comeBack(min(evacuatedTime, waiting.LongestReturn(clock.Until(x.deadline)))))
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/routetable"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // exchange is one caller's request from arrival to its final answer.
@@ -56,9 +57,8 @@
 	// waitsSince is when the choice of a server began that is under way.
 	waitsSince time.Time
 	serverID   string
-	// overdueSince is since when the model that the request waits for should have been
-	// there; zero where it should not.
-	overdueSince time.Time
+	// watch follows when what the request waits for is expected.
+	watch waiting.Watch
 	// estimate is the time to the first byte that was expected of the server.
 	estimate time.Duration
 	// serverEnd is what became of the server whose answer broke off.
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -8,6 +8,7 @@
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/poison"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // Suspects remembers requests under which servers ended, at whatever node, so that one
@@ -92,7 +93,7 @@
 // a way that was cut or a connection that was reset looks the same. Where the server ended,
 // and nobody had said that it would, the request is suspected.
 func (x *exchange) suspect(choice dispatch.Choice) {
-	if clock.Until(x.deadline) <= finishMargin {
+	if clock.Until(x.deadline) <= waiting.FinishMargin {
 		return
 	}
 	x.serverEnd = x.handler.options.Pool.Probe(choice.Address)
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // Reasons of refusals, as the answer and the log say them.
@@ -17,6 +18,7 @@
 	reasonQueueFull       = "queue_full"
 	reasonRejected        = "rejected_by_server"
 	reasonDeadline        = "deadline"
+	reasonStops           = "node_stops"
 	reasonEvacuated       = "zones_evacuated"
 )
 
@@ -77,7 +79,7 @@
 		x.leave()
 	case x.headSent:
 		x.cut(reason)
-	case x.ran && !clock.Now().Before(x.deadline.Add(-finishMargin)):
+	case x.ran && !clock.Now().Before(x.deadline.Add(-waiting.FinishMargin)):
 		x.fail(http.StatusGatewayTimeout, reason)
 	case x.ran:
 		x.fail(http.StatusBadGateway, reason)
--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -4,6 +4,7 @@
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/locality"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // Reasons of refusals: the configuration allows the request in no region, and no server
@@ -53,7 +54,7 @@
 	case reason == reasonNoRegion:
 		x.refuseForGood(reason)
 	default:
-		x.refuse(reason, x.comeBack(serverReturnTime))
+		x.refuse(reason, x.comeBack(waiting.ServerReturnTime))
 	}
 }
 
--- a/internal/relay/regions_test.go
+++ b/internal/relay/regions_test.go
@@ -12,6 +12,7 @@
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/routetable"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // regionFixture has a server in each of two regions: s0 in the north, which is the
@@ -77,7 +78,7 @@
 			continue
 		}
 		took := time.Since(started)
-		if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "not-run") || north.count()+south.count() != sent || took > newsTime {
+		if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "not-run") || north.count()+south.count() != sent || took > waiting.NewsTime {
 			t.Errorf("%s: %d %q after %v, want a refusal at once as not run", c.name, got.status, got.body, took)
 		}
 	}
@@ -167,7 +168,7 @@
 		return inventory.Change{Server: inventory.Server{ID: id, Service: "svc", Address: address, Zone: zone, Models: []inventory.HeldModel{{Name: "x"}}}}
 	}
 	f.dispatch.Do(func(core *dispatch.Core) { core.SetServers([]inventory.Change{held("s0", "n", north.address)}) })
-	time.Sleep(recheckTime / 2)
+	time.Sleep(waiting.RecheckTime / 2)
 	f.dispatch.Do(func(core *dispatch.Core) { core.SetServers([]inventory.Change{held("s1", "s", south.address)}) })
 	if got := <-answer; got.body != "south" || north.count() != 0 {
 		t.Errorf("got %d %q, %d requests reached the north", got.status, got.body, north.count())
@@ -175,7 +176,7 @@
 	await(t, "nothing waits", func() bool { return !waitsFor(locality.Only("north")) && !waitsFor(locality.Only("south")) })
 	// One that waits as its last region is taken away is refused at once, as not run.
 	go func() { answer <- f.send(t, http.MethodPost, "/llm/", "b", "X-Model", "y") }()
-	time.Sleep(newsTime / 2)
+	time.Sleep(waiting.NewsTime / 2)
 	f.handler.SetTable(table(3, locality.Only()))
 	if got := <-answer; got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, reasonNoRegion) || !strings.Contains(got.body, "not-run") {
 		t.Errorf("got %d %q, want a refusal as not run", got.status, got.body)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
 	"github.com/spanlanding/spanlanding/internal/routetable"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // Head is what a request's headers say of it.
@@ -119,7 +120,8 @@
 	mu       sync.Mutex
 	splitter routetable.Splitter
 	budget   *retrybudget.Budget
-	returns  *returns
+	lines    *waiting.Lines
+	errors   *waiting.Errors
 	// longest is the longest deadline seen on a route: a caller that comes back
 	// has less time left.
 	longest map[string]time.Duration
@@ -140,7 +142,8 @@
 		options: options,
 		started: clock.Now(),
 		budget:  retrybudget.New(options.Budget),
-		returns: newReturns(),
+		lines:   waiting.NewLines(),
+		errors:  waiting.NewErrors(),
 		longest: make(map[string]time.Duration),
 	}
 }
--- a/internal/relay/tenant_test.go
+++ b/internal/relay/tenant_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/routetable"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // tenantTable has two tenants, and a route that needs no key.
@@ -125,7 +126,7 @@
 		{"the least urgent route of the first tenants", tenant(0), 7, 2},
 		{"the most urgent route of the next ones", tenant(1), 0, 3},
 		{"another of theirs", tenant(1), 1, 4},
-		{"beyond what can be said", tenant(5), 2, maxUrgency},
+		{"beyond what can be said", tenant(5), 2, waiting.LeastRank},
 	}
 	for _, c := range cases {
 		x := &exchange{engine: true, tenant: c.tenant, route: &routetable.Route{Priority: c.route}}
