Nodes watch evacuations and tell each other of them

Change: the nodes that watch the configuration for all (leader and one to three more) watch evacuations likewise: one list at first, then watches of 0.35 of evacuateMs. Who was not confirmed for 0.55 to 0.75 of the bound asks the store itself. A node that knows no list is not ready, serves nothing and takes no lead. Names beyond 512 bytes are told by a digest and fetched. Orders are checked against it once more right before they leave. Without evacuateMs all of it is off. The loop that follows the configuration is now that of both kinds.

Log: evacuation_in_force, evacuation_ended, evacuation_of_unknown_zone, settings_doubtful; closed servers in placement and in refusals. Figures: zones_evacuated, servers_closed, evacuations_confirmed_seconds.

Ruled out: news with an age as for servers, which end; a zone that is told once and missed would stay wrong until a list is read.

Tests: TestNodeTurnedAwayHearsOfEvacuationsFromPeers and TestOldWordOfEvacuationsRevertsNothing (seen failing with peers' words ignored), TestStartingNodeServesNothingBeforeItKnowsEvacuations, TestConfirmedEvacuationsLeaveTheStoreAlone, TestManyZonesAreToldByDigest, TestUnknownZoneIsReportedOnceAndStaysInForce; over processes TestEvacuatedZoneGetsNothing (failing likewise: the node that the store turns away never becomes ready) and TestEvacuationOfAnUnknownZoneIsReported.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -49,6 +49,7 @@
 var keptEvents = map[string]bool{
 	"request_refused": true, "request_failed": true, "request_cut": true,
 	"lease_taken": true, "lease_lost": true, "config_in_force": true, "server_changed": true, "node_started": true, "node_stopped": true,
+	"evacuation_in_force": true, "evacuation_ended": true, "evacuation_of_unknown_zone": true,
 }
 
 // edgeFlags are the flags of the command.
@@ -75,6 +76,9 @@
 	lines := logging.NewBounded(logging.BoundedOptions{Out: os.Stdout, Unbounded: keptEvents})
 	defer lines.Close()
 	logger := logging.New(lines, level, logging.Field{Key: "node", Value: settings.NodeName})
+	for _, doubt := range settings.Doubts() {
+		logger.Warn().Str("place", path).Str("reason", doubt).Msg("settings_doubtful")
+	}
 	store := &platform.Store{
 		Objects: platform.NewObjects(settings.Platform.Address),
 		Findings: func(place string, finding error) {
@@ -84,20 +88,22 @@
 	pool := backendconn.New(backendconn.Options{})
 	engines := &platform.Engines{Pool: pool}
 	node := edge.New(edge.Options{
-		Name:        settings.NodeName,
-		Zone:        settings.Zone,
-		Frontend:    settings.Listen.Frontend,
-		Ready:       settings.Listen.Ready,
-		ReadyPath:   platform.ReadyPath,
-		Tunables:    tunables(settings),
-		PeerAddress: settings.PeerAddress(settings.IP),
-		PeerListen:  flags.peersListen,
-		Strength:    strength(settings),
-		ApplyWithin: applyWithin(settings),
-		FirstStart:  settings.IsBootstrap,
-		LeaseQuiet:  platform.Milliseconds(settings.Bounds.LeaseMs),
-		LoadWindow:  platform.Seconds(settings.Bounds.CeilingWindowS),
-		LoadOverage: settings.Bounds.OriginOverage,
+		Name:           settings.NodeName,
+		Zone:           settings.Zone,
+		Frontend:       settings.Listen.Frontend,
+		Ready:          settings.Listen.Ready,
+		ReadyPath:      platform.ReadyPath,
+		Tunables:       tunables(settings),
+		PeerAddress:    settings.PeerAddress(settings.IP),
+		PeerListen:     flags.peersListen,
+		Strength:       strength(settings),
+		ApplyWithin:    applyWithin(settings),
+		EvacuateWithin: platform.Milliseconds(settings.Bounds.EvacuateMs),
+		Zones:          settings.ZoneNames(),
+		FirstStart:     settings.IsBootstrap,
+		LeaseQuiet:     platform.Milliseconds(settings.Bounds.LeaseMs),
+		LoadWindow:     platform.Seconds(settings.Bounds.CeilingWindowS),
+		LoadOverage:    settings.Bounds.OriginOverage,
 		Quota: quota.Tolerance{
 			Window: platform.Seconds(settings.Bounds.QuotaWindowS), Overage: settings.Bounds.QuotaOverage, Slack: settings.Bounds.QuotaSlack,
 		},
--- a/internal/edge/confirmation.go
+++ b/internal/edge/confirmation.go
@@ -9,8 +9,11 @@
 // node knows of one kind. Nodes tell each other its age, so that what two or three
 // of them ask of the store does for all. It is safe for concurrent use.
 type confirmation struct {
-	mu sync.Mutex
-	at time.Time
+	// within is the time within which a change must be in force at every node; 0 is
+	// the node's Options.ApplyWithin.
+	within time.Duration
+	mu     sync.Mutex
+	at     time.Time
 }
 
 // confirm takes that what this node knows was the store's newest at that time.
@@ -50,7 +53,7 @@
 }
 
 // Shares of the time within which a change must be in force at every node
-// (Options.ApplyWithin). A node acts on its own knowledge while it was confirmed
+// (confirmation.within). A node acts on its own knowledge while it was confirmed
 // within confirmedShare; then it asks the store itself, at once if it is among the
 // first and up to takeoverShare later if not: the first one's answer does for all.
 const (
@@ -88,7 +91,17 @@
 		age = now.Sub(n.started)
 		return age >= n.firstRead+n.takeover(now)
 	}
-	return age > n.shareOf(confirmedShare)+n.takeover(now)
+	// What has more time is left alone in proportion.
+	factor := float64(n.withinOf(known)) / float64(n.options.ApplyWithin)
+	return age > time.Duration(factor*float64(n.shareOf(confirmedShare)+n.takeover(now)))
+}
+
+// withinOf is the time within which a change of the kind must be in force.
+func (n *Node) withinOf(known *confirmation) time.Duration {
+	if known.within > 0 {
+		return known.within
+	}
+	return n.options.ApplyWithin
 }
 
 // takeover is how long after the first ones this node steps in.
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -57,38 +57,66 @@
 	}
 }
 
-// followConfiguration keeps the newest configuration in force.
-func (n *Node) followConfiguration(ctx context.Context) {
+// followed is one kind of what lies in the store.
+type followed struct {
+	what      string
+	confirmed *confirmation
+	nudge     chan struct{}
+	// read puts all in force and returns the revision that it is from, and watch what
+	// changes behind a revision.
+	read  func(ctx context.Context) (at int64, err error)
+	watch func(ctx context.Context, from int64) (at int64, err error)
+}
+
+// follow keeps what lies in the store in force here while this node is one of those
+// that ask the store.
+func (n *Node) follow(ctx context.Context, kind followed) {
 	var pause backoff
 	for ctx.Err() == nil {
-		if !n.watchesStore(clock.Now(), &n.configConfirmed) {
-			discard(n.configNudge)
+		if !n.watchesStore(clock.Now(), kind.confirmed) {
+			discard(kind.nudge)
 			sleep(ctx, watchCheck)
 			continue
 		}
 		asked := clock.Now()
-		table, at, err := n.options.Store.Configuration(ctx)
+		at, err := kind.read(ctx)
 		if err != nil {
-			n.storeFailed("configuration", err)
+			n.storeFailed(kind.what, err)
 			pause.wait(ctx, n.longestStorePause())
 			continue
 		}
 		n.storeAnswered()
-		if table != nil {
-			n.putInForce(table, "read")
-		}
-		n.configConfirmed.confirm(asked)
-		for err == nil && ctx.Err() == nil && n.watchesStore(clock.Now(), &n.configConfirmed) {
+		kind.confirmed.confirm(asked)
+		for err == nil && ctx.Err() == nil && n.watchesStore(clock.Now(), kind.confirmed) {
 			pause.reset()
-			at, err = n.watchConfiguration(ctx, at)
+			at, err = kind.watch(ctx, at)
 		}
 		if err != nil {
-			n.storeFailed("configuration", err)
+			n.storeFailed(kind.what, err)
 			pause.wait(ctx, n.longestStorePause())
 		}
 	}
 }
 
+// followConfiguration keeps the newest configuration in force.
+func (n *Node) followConfiguration(ctx context.Context) {
+	n.follow(ctx, followed{
+		what: "configuration", confirmed: &n.configConfirmed, nudge: n.configNudge,
+		read: n.readConfiguration, watch: n.watchConfiguration,
+	})
+}
+
+func (n *Node) readConfiguration(ctx context.Context) (at int64, err error) {
+	table, at, err := n.options.Store.Configuration(ctx)
+	if err != nil {
+		return at, err
+	}
+	if table != nil {
+		n.putInForce(table, "read")
+	}
+	return at, nil
+}
+
 // watchConfiguration waits for a change once; a nudge ends the wait.
 func (n *Node) watchConfiguration(ctx context.Context, from int64) (at int64, err error) {
 	ctx, cancel := nudged(ctx, n.configNudge)
@@ -122,6 +150,11 @@
 // the turns are short.
 func (n *Node) watchTime() time.Duration { return n.shareOf(watchShare) }
 
+// watchTimeOf is the same for a kind whose changes have another time.
+func (n *Node) watchTimeOf(known *confirmation) time.Duration {
+	return time.Duration(watchShare * float64(n.withinOf(known)))
+}
+
 // nodes is the number of nodes, as a factor of times.
 func (n *Node) nodes() time.Duration { return time.Duration(1 + n.peers.count()) }
 
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -172,6 +172,7 @@
 	}
 	l.steppedAt = now
 	l.core.SetTable(l.node.handler.Table())
+	l.core.SetEvacuated(now, l.node.evacuations.zones())
 	l.node.dispatch.Do(func(core *dispatch.Core) {
 		totals := core.Totals(now)
 		l.core.SetRunning(dispatch.RunningOf(totals))
@@ -303,8 +304,10 @@
 	term := l.term.Load()
 	core := l.core
 	started := clock.Now()
+	zone := core.ZoneOf(order.ServerID)
 	go func() {
-		result := l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() bool { return l.mayOrder(term) })
+		permit := func() bool { return l.mayOrder(term) && !l.node.evacuations.isEvacuated(zone) }
+		result := l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, permit)
 		l.call(ctx, func() {
 			l.node.options.Logger.Info().Int64("term", term).Str("server", order.ServerID).
 				Str("operation", order.Operation.String()).Str("model", order.Model).Str("adapter", order.Adapter).
@@ -381,7 +384,7 @@
 		l.node.options.Logger.Info().Int64("term", l.term.Load()).Str("service", placed.Service).
 			Int("servers", placed.Servers).Int("known", placed.Known).Int("copies", placed.Copies).
 			Int("wanted", placed.Wanted).Int("absent", placed.Absent).Int("loading", placed.Loading).
-			Int("loading_from_store", placed.LoadingFromStore).Int("emptied", placed.Emptied).Int("paused", placed.Paused).
+			Int("loading_from_store", placed.LoadingFromStore).Int("emptied", placed.Emptied).Int("paused", placed.Paused).Int("closed", placed.Closed).
 			Str("several", placed.Several).Msg("placement")
 	}
 }
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -78,7 +78,7 @@
 
 // isCandidate reports whether this node should try to become leader.
 func (l *leader) isCandidate(now time.Time) bool {
-	if l.node.handler.Table() == nil || !l.node.hasServers.Load() || l.node.stopping.Load() {
+	if !l.node.isReady() {
 		return false
 	}
 	if now.Sub(l.yielded) < yieldTime {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -71,6 +71,8 @@
 	m.gauge("store_failing", "1 while the last call to the store failed.", func() float64 { return oneIf(node.storeFailing.Load()) })
 	m.gauge("config_confirmed_seconds", "Time since some node's call to the store confirmed the configuration in force; -1 is never.", confirmedSeconds(&node.configConfirmed))
 	m.gauge("servers_confirmed_seconds", "The same for the servers known.", confirmedSeconds(&node.serversConfirmed))
+	m.gauge("evacuations_confirmed_seconds", "The same for the evacuated zones.", confirmedSeconds(&node.evacuations.confirmed))
+	m.gauge("zones_evacuated", "Zones to whose servers nothing new is sent.", func() float64 { return float64(len(node.evacuations.zones())) })
 	m.gauge("lease_term", "Fencing token while this node holds the lease, else 0.", func() float64 {
 		term, _ := node.leader.standing()
 		return float64(term)
@@ -81,7 +83,7 @@
 		return float64(len(node.peers.roster.Alive(clock.Now())))
 	})
 	m.gauge("repeats_left", "Repeats that may be sent now, of the service that has least.", func() float64 { return node.handler.RepeatsLeft() })
-	for _, state := range []dispatch.State{dispatch.StateReady, dispatch.StateGoing, dispatch.StateSuspect} {
+	for _, state := range []dispatch.State{dispatch.StateReady, dispatch.StateGoing, dispatch.StateClosed, dispatch.StateSuspect} {
 		m.gauge("servers_"+string(state), "Servers that are "+string(state)+".", func() float64 {
 			count := 0
 			node.dispatch.Do(func(core *dispatch.Core) { count = core.CountServers(clock.Now(), state) })
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -16,6 +16,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/quota"
 	"github.com/spanlanding/spanlanding/internal/relay"
@@ -32,6 +33,10 @@
 	WatchConfiguration(ctx context.Context, from int64, wait time.Duration) (table *routetable.Table, at int64, err error)
 	Servers(ctx context.Context) (servers []inventory.Server, at int64, err error)
 	WatchServers(ctx context.Context, from int64, wait time.Duration) (changes []inventory.Change, at int64, err error)
+	// Evacuations and WatchEvacuations are called only where Options.EvacuateWithin
+	// is set.
+	Evacuations(ctx context.Context) (evacuation.Word, error)
+	WatchEvacuations(ctx context.Context, from int64, wait time.Duration) (events []evacuation.Event, at int64, err error)
 }
 
 // Options set up a Node.
@@ -55,6 +60,11 @@
 	// ApplyWithin is the time within which a change in the store must be in force
 	// here; 0 is usualApplyWithin.
 	ApplyWithin time.Duration
+	// EvacuateWithin is the time within which the evacuation of a zone must be in
+	// force here; 0 where the platform evacuates none.
+	EvacuateWithin time.Duration
+	// Zones are those that the settings name.
+	Zones []string
 	// FirstStart is set where all nodes start together for the first time.
 	FirstStart bool
 	// LeaseQuiet is the least time between orders of different holders.
@@ -97,6 +107,8 @@
 	callers  *callers
 	quotas   *quotas
 	suspects *suspects
+	// evacuations are the zones to whose servers nothing new is sent.
+	evacuations *evacuations
 
 	started time.Time
 	// firstRead is how long after its start this node may first ask the store,
@@ -160,6 +172,7 @@
 	node.snapshots = newSnapshots(node)
 	node.quotas = newQuotas(node, options.Quota, options.FirstStart)
 	node.suspects = newSuspects(node)
+	node.evacuations = newEvacuations(node)
 	node.handler = relay.New(relay.Options{
 		Dialect:  options.Dialect,
 		Dispatch: node.dispatch,
@@ -222,6 +235,7 @@
 	group.Go(func() error { n.snapshots.run(ctx); return nil })
 	group.Go(func() error { n.followConfiguration(ctx); return nil })
 	group.Go(func() error { n.followServers(ctx); return nil })
+	group.Go(func() error { n.evacuations.follow(ctx); return nil })
 	group.Go(func() error { n.sweep(ctx); return nil })
 	group.Go(func() error { n.peers.receive(ctx); return nil })
 	group.Go(func() error { n.peers.run(ctx); return nil })
@@ -297,7 +311,9 @@
 }
 
 // knowsEnough reports whether callers can be answered.
-func (n *Node) knowsEnough() bool { return n.handler.Table() != nil && n.hasServers.Load() }
+func (n *Node) knowsEnough() bool {
+	return n.handler.Table() != nil && n.hasServers.Load() && n.evacuations.areKnown()
+}
 
 // knowledgeCheck is the time between looks whether the node knows enough.
 const knowledgeCheck = 5 * time.Millisecond
@@ -359,6 +375,7 @@
 			n.forgiveStore(clock.Now())
 			n.quotas.sweep(clock.Now())
 			n.suspects.sweep(clock.Now())
+			n.evacuations.reportUnknown()
 			if table := n.handler.Table(); table != nil && table.Limits.IdleTimeout > 0 {
 				n.callers.closeResting(clock.Now(), table.Limits.IdleTimeout+restSlack)
 			}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -222,6 +222,7 @@
 	}
 	p.node.compareConfiguration(now, state.Address, state.ConfigVersion, state.ConfigAgeMs)
 	p.node.compareServers(now, state)
+	p.node.evacuations.hear(now, state.Address, state.Evacuations)
 	if state.TellsWanted || state.ViewsWanted {
 		p.node.leader.post(func() { p.node.leader.takeState(state) })
 	}
@@ -320,6 +321,7 @@
 	if became {
 		send(p.node.configNudge)
 		send(p.node.serversNudge)
+		send(p.node.evacuations.nudge)
 	}
 }
 
@@ -378,6 +380,7 @@
 		size, _ := p.node.quotas.fleetSize(now)
 		state.FleetNodes = uint32(size)
 	}
+	state.Evacuations = p.node.evacuations.wire(now)
 	state.ConfigAgeMs = p.node.configConfirmed.wire(now)
 	state.ServersAgeMs = p.node.serversConfirmed.wire(now)
 	state.ServersDigest, state.ServersRevision = p.node.directory.standing()
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -155,7 +155,7 @@
 	worked := make(map[string]bool, len(changes))
 	n.dispatch.Do(func(core *dispatch.Core) {
 		for _, change := range changes {
-			worked[change.Server.ID] = core.TakesWork(change.Server.ID)
+			worked[change.Server.ID] = core.Stays(change.Server.ID)
 		}
 		core.SetServers(changes)
 	})
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -113,8 +113,8 @@
 	return request
 }
 
-// fetch asks one peer and uses its answer. It reports whether the node then has a
-// configuration and servers.
+// fetch asks one peer and uses its answer. It reports whether the node then knows
+// enough to answer callers.
 func (s *snapshots) fetch(ctx context.Context, address string, request *peerpb.SnapshotRequest) bool {
 	node := s.node
 	asked := clock.Now()
@@ -140,17 +140,18 @@
 		node.listPeerServers(entriesOf(response.Servers), response.ServersRevision)
 	}
 	node.confirmServers(asked, response.ServersDigest, response.ServersAgeMs)
+	node.evacuations.hear(asked, address, response.Evacuations)
 	node.options.Logger.Info().Str("peer", address).Int64("config", response.ConfigVersion).
 		Int("config_bytes", len(response.Config)).Int("servers", len(response.Servers)).
 		Int64("revision", response.ServersRevision).Int64("took_ms", clock.Since(asked).Milliseconds()).Msg("snapshot_taken")
-	return node.handler.Table() != nil && node.hasServers.Load()
+	return node.knowsEnough()
 }
 
 // Snapshot answers a peer with what this node knows.
 func (s *snapshots) Snapshot(_ context.Context, request *peerpb.SnapshotRequest) (*peerpb.SnapshotResponse, error) {
 	now := clock.Now()
 	node := s.node
-	response := &peerpb.SnapshotResponse{Peers: node.peers.some(now, snapshotPeers)}
+	response := &peerpb.SnapshotResponse{Peers: node.peers.some(now, snapshotPeers), Evacuations: node.evacuations.whole(now)}
 	if table := node.handler.Table(); table != nil {
 		response.ConfigVersion = table.Version
 		response.ConfigAgeMs = node.configConfirmed.wire(now)
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 )
@@ -94,6 +95,8 @@
 	isRelayed bool
 	// hasMetrics lets nodes serve their figures behind the first internal port.
 	hasMetrics bool
+	// bounds are further lines of the settings' bounds.
+	bounds string
 }
 
 func newFleetWith(t *testing.T, options fleetOptions) *fleet {
@@ -116,6 +119,7 @@
 		}
 		n.settings = filepath.Join(f.folder, n.name+".toml")
 		text := fmt.Sprintf(settingsForm, n.name, ip, f.ports[0], f.ports[0]+1, options.seeds, ip, f.ports[1], ip, f.ports[2], storeAddress)
+		text = strings.Replace(text, "[bounds]\n", "[bounds]\n"+options.bounds, 1)
 		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -33,8 +33,10 @@
 // of one that takes commands.
 type modelServer struct {
 	id, service, address string
-	loadTime             time.Duration
-	streamPause          time.Duration
+	// zone is z unless it is set before the entry is written.
+	zone        string
+	loadTime    time.Duration
+	streamPause time.Duration
 
 	mu       sync.Mutex
 	models   map[string]map[string]bool
@@ -46,6 +48,8 @@
 	headOf map[string]http.Header
 	// ranAt is when each request began to run last.
 	ranAt map[string]time.Time
+	// reachedAt is when a request, an order or the question for a report came last.
+	reachedAt time.Time
 	// weightMB is the memory of a model and memoryMB that of the server; without
 	// them loads are not bounded.
 	weightMB, memoryMB float64
@@ -65,11 +69,20 @@
 }
 
 func newServer(t *testing.T, s *store, id, service string, loadTime time.Duration) *modelServer {
+	t.Helper()
+	return newServerIn(t, s, "z", id, service, loadTime)
+}
+
+// newServerIn is a server of a zone, which holds the models.
+func newServerIn(t *testing.T, s *store, zone, id, service string, loadTime time.Duration, models ...string) *modelServer {
 	t.Helper()
 	m := &modelServer{
-		id: id, service: service, loadTime: loadTime,
+		id: id, service: service, zone: zone, loadTime: loadTime,
 		models: make(map[string]map[string]bool), runs: make(map[string]int), ranAt: make(map[string]time.Time),
 	}
+	for _, model := range models {
+		m.models[model] = make(map[string]bool)
+	}
 	server := httptest.NewServer(m)
 	t.Cleanup(server.Close)
 	m.address = strings.TrimPrefix(server.URL, "http://")
@@ -83,7 +96,7 @@
 	models := m.held()
 	m.mu.Unlock()
 	s.put("servers", m.id, map[string]any{
-		"service": m.service, "address": m.address, "zone": "z", "slots": 8, "state": state, "models": models, "sequence": 1,
+		"service": m.service, "address": m.address, "zone": m.zone, "slots": 8, "state": state, "models": models, "sequence": 1,
 	})
 }
 
@@ -106,6 +119,9 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	m.mu.Lock()
+	m.reachedAt = time.Now()
+	m.mu.Unlock()
 	switch request.URL.Path {
 	case "/api/report":
 		m.mu.Lock()
