--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -175,6 +175,7 @@
 	}
 	l.steppedAt = now
 	l.core.SetTable(l.node.handler.Table())
+	l.core.SetEvacuated(now, l.node.evacuations.zones())
 	l.node.dispatch.Do(func(core *dispatch.Core) {
 		totals := core.Totals(now)
 		l.core.SetRunning(dispatch.RunningOf(totals))
@@ -219,11 +220,11 @@
 	return max(0, time.Duration(l.orderFrom.Load())-clock.Since(l.started))
 }
 
-// orderTime is how long an order of the term that leaves now may be under way: until
-// the lease ends, 0 where none may leave. Any goroutine may ask, right before it sends.
-func (l *leader) orderTime(term int64) time.Duration {
+// orderTime is how long an order of the term to a server of the zone that leaves now may be
+// under way: until the lease ends, 0 where none may leave. Any goroutine may ask, right before it sends.
+func (l *leader) orderTime(term int64, zone string) time.Duration {
 	now := clock.Since(l.started)
-	if l.term.Load() != term || now < time.Duration(l.orderFrom.Load()) {
+	if l.term.Load() != term || now < time.Duration(l.orderFrom.Load()) || l.node.evacuations.isEvacuated(zone) {
 		return 0
 	}
 	return max(0, time.Duration(l.validUntil.Load())-now)
@@ -309,8 +310,9 @@
 	term := l.term.Load()
 	core := l.core
 	started := clock.Now()
+	zone := core.ZoneOf(order.ServerID)
 	go func() {
-		result := l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() time.Duration { return l.orderTime(term) })
+		result := l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() time.Duration { return l.orderTime(term, zone) })
 		l.call(ctx, func() {
 			l.node.options.Logger.Info().Int64("term", term).Str("server", order.ServerID).
 				Str("operation", order.Operation.String()).Str("model", order.Model).Str("adapter", order.Adapter).
@@ -393,7 +395,7 @@
 		l.node.options.Logger.Info().Int64("term", l.term.Load()).Str("service", placed.Service).
 			Int("servers", placed.Servers).Int("known", placed.Known).Int("copies", placed.Copies).
 			Int("wanted", placed.Wanted).Int("absent", placed.Absent).Int("loading", placed.Loading).
-			Int("loading_from_store", placed.LoadingFromStore).Int("emptied", placed.Emptied).Int("paused", placed.Paused).
+			Int("loading_from_store", placed.LoadingFromStore).Int("emptied", placed.Emptied).Int("paused", placed.Paused).Int("closed", placed.Closed).
 			Str("several", placed.Several).Msg("placement")
 	}
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/routetable"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // exchange is one caller's request from arrival to its final answer.
@@ -56,14 +57,13 @@
 	// waitsSince is when the choice of a server began that is under way.
 	waitsSince time.Time
 	serverID   string
-	// overdueSince is since when the model that the request waits for should have been
-	// there; zero where it should not.
-	overdueSince time.Time
+	// watch follows when what the request waits for is expected.
+	watch waiting.Watch
 	// estimate is the time to the first byte that was expected of the server.
 	estimate time.Duration
 	// serverEnd is what became of the server whose answer broke off.
 	serverEnd backendconn.Liveness
-	// isTrial is set while the one send of a trial is under way.
+	// isTrial is set from the claim of a trial until its one send is over.
 	isTrial bool
 	// asked is what it was last counted as demand for.
 	asked dispatch.Wanted
@@ -225,14 +225,13 @@
 			return
 		}
 		verdict := x.attempt(choice)
-		x.isTrial = false
 		if verdict == verdictDone {
 			return
 		}
 		if verdict == verdictNotSent {
 			sends--
 		} else {
-			hasRepeat = false
+			hasRepeat, x.isTrial = false, false
 		}
 		if sends+1 >= maxSends || len(x.failed) >= maxSends {
 			x.giveUp("too_many_sends")
