--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
@@ -227,7 +228,7 @@
 	compiler.Apply([]objectstore.Object{changed})
 	incremental, _ := compiler.Snapshot(2)
 	whole, _ := Compile(2, objects)
-	options := cmp.AllowUnexported(Snapshot{}, selector{}, service{}, labelPair{})
+	options := cmp.AllowUnexported(Snapshot{}, selector{}, service{}, labelPair{}, locality.Map{})
 	if difference := cmp.Diff(whole, incremental, options); difference != "" {
 		t.Error(difference)
 	}
--- a/internal/catalog/link.go
+++ b/internal/catalog/link.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -18,6 +19,7 @@
 	deadline time.Duration
 	// targets index the deployments that it leads to, in order of name.
 	targets []int
+	regions locality.Regions
 }
 
 type service struct {
@@ -25,6 +27,7 @@
 	spec.Service
 	deadline  time.Duration
 	keyWindow time.Duration
+	regions   locality.Regions
 }
 
 // linker makes one snapshot of the stages and resolves what is chosen by
@@ -62,6 +65,7 @@
 			Selector: declared,
 			deadline: cmp.Or(time.Duration(declared.Deadline), DefaultModelDeadline),
 			targets:  targets,
+			regions:  allowedRegions(declared.Regions),
 		})
 	}
 	slices.SortFunc(l.snapshot.selectors, func(a, b selector) int {
@@ -96,6 +100,7 @@
 			Service:   declared,
 			deadline:  cmp.Or(time.Duration(declared.Deadline), defaultServiceDeadline),
 			keyWindow: cmp.Or(time.Duration(declared.KeyWindow), defaultKeyWindow),
+			regions:   allowedRegions(declared.Regions),
 		})
 	}
 	slices.SortStableFunc(l.snapshot.services, func(a, b service) int {
@@ -110,6 +115,27 @@
 	}
 }
 
+// takeRegions maps zones to regions; of two regions that name a zone the last by
+// name has it, so that all nodes choose alike.
+func (l *linker) takeRegions(set *kindSet) {
+	regionOf := make(map[string]string)
+	for _, object := range set.usable(&l.problems) {
+		for _, zone := range object.value.(spec.Region).Zones {
+			regionOf[zone] = object.key.Name
+		}
+	}
+	l.snapshot.places = locality.NewMap(regionOf)
+}
+
+// allowedRegions is the set that a declaration binds requests to. A list that is there
+// and names none lets nothing run: a bound that is lost must not set requests free.
+func allowedRegions(names []string) locality.Regions {
+	if names == nil {
+		return locality.Regions{}
+	}
+	return locality.Only(names...)
+}
+
 // takeEvacuations goes by the names alone: an evacuation whose spec cannot be
 // read holds all the same, since serving a zone that is to be empty is the worse
 // mistake.
@@ -130,7 +156,9 @@
 		}
 	}
 	l.snapshot.selectorsByLabel = make(map[labelPair][]int)
+	l.snapshot.selectorIndex = make(map[string]int, len(l.snapshot.selectors))
 	for index := range l.snapshot.selectors {
+		l.snapshot.selectorIndex[l.snapshot.selectors[index].name] = index
 		labels := l.snapshot.selectors[index].Match.MatchLabels
 		if len(labels) == 0 {
 			l.snapshot.anySelectors = append(l.snapshot.anySelectors, index)
--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -25,6 +26,8 @@
 	Limits   spec.Limits
 	// ContextTokens bounds prompt and answer together; 0 is without bound.
 	ContextTokens int
+	// Regions are those in which the request may run.
+	Regions locality.Regions
 }
 
 // WeightedModel is one version with its share of the traffic.
@@ -42,6 +45,8 @@
 	Deadline   time.Duration
 	KeyWindow  time.Duration
 	Limits     spec.Limits
+	// Regions are those in which the call may run.
+	Regions locality.Regions
 }
 
 // ModelFacts is what placement needs to know of one model version.
@@ -134,6 +139,7 @@
 	route.Priority = chosen.Priority
 	route.Deadline = chosen.deadline
 	route.Limits = chosen.Limits
+	route.Regions = chosen.regions
 	return route, true
 }
 
@@ -162,6 +168,7 @@
 			Deadline:   candidate.deadline,
 			KeyWindow:  candidate.keyWindow,
 			Limits:     candidate.Limits,
+			Regions:    candidate.regions,
 		}, true
 	}
 	return ServiceRoute{}, false
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -24,6 +25,8 @@
 	modelNames      []string
 	// selectors are in the order in which they are tried.
 	selectors []selector
+	// selectorIndex finds a selector by its name.
+	selectorIndex map[string]int
 	// selectorsByLabel files each selector under one label that it asks for;
 	// anySelectors are those that ask for none by value.
 	selectorsByLabel map[labelPair][]int
@@ -31,6 +34,7 @@
 	// services are ordered by the length of their prefix, longest first.
 	services    []service
 	preferences spec.Preferences
+	places      locality.Map
 	// evacuated are sorted by name.
 	evacuated []string
 }
@@ -120,3 +124,29 @@
 func (s *Snapshot) IsEvacuated(zone fleet.Zone) bool {
 	return slices.Contains(s.evacuated, string(zone))
 }
+
+// Places tells the region of each zone.
+func (s *Snapshot) Places() locality.Map {
+	return s.places
+}
+
+// SelectorRegions are the regions in which a selector's requests may run; ok is false
+// where there is no such selector.
+func (s *Snapshot) SelectorRegions(name string) (regions locality.Regions, ok bool) {
+	index, ok := s.selectorIndex[name]
+	if !ok {
+		return regions, false
+	}
+	return s.selectors[index].regions, true
+}
+
+// ServiceRegions are the regions in which a service's calls may run; ok is false where
+// there is no such service.
+func (s *Snapshot) ServiceRegions(name string) (regions locality.Regions, ok bool) {
+	for index := range s.services {
+		if s.services[index].name == name {
+			return s.services[index].regions, true
+		}
+	}
+	return regions, false
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -9,6 +9,7 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/placement"
 )
@@ -26,6 +27,7 @@
 	machines     objectstore.MachineList
 	machineIndex machineIndex
 	models       []catalog.ModelFacts
+	places       locality.Map
 
 	record   VersionedRecord
 	decider  deciderState
@@ -169,7 +171,7 @@
 func (c *Core) settings() Settings { return c.options.Settings }
 
 func (c *Core) setCatalog(changed CatalogChanged) {
-	c.models = changed.Models
+	c.models, c.places = changed.Models, changed.Places
 	c.takeEvacuations(changed.Evacuations)
 	c.stepPlacement(placement.CatalogChanged{
 		Models:          changed.Models,
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -12,6 +12,7 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 	"github.com/spanlanding/spanlanding/internal/standin/objects"
@@ -41,6 +42,9 @@
 	models []catalog.ModelFacts
 	// evacuations are in force beside the models.
 	evacuations evacuation.Word
+	places      locality.Map
+	// regional lets some nodes want models in one region only.
+	regional bool
 	// unjudged is set where an engine or the record changed.
 	unjudged   bool
 	violations []string
@@ -229,7 +233,7 @@
 
 // catalog is what is declared.
 func (c *cluster) catalog() CatalogChanged {
-	return CatalogChanged{Models: c.models, ColdStartWeight: 0.5, Evacuations: c.evacuations}
+	return CatalogChanged{Models: c.models, ColdStartWeight: 0.5, Evacuations: c.evacuations, Places: c.places}
 }
 
 func (c *cluster) spreadCatalog() {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -6,6 +6,7 @@
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/placement"
 )
@@ -30,6 +31,8 @@
 	ColdStartWeight float64
 	// Evacuations are the zones that are out of service.
 	Evacuations evacuation.Word
+	// Places tells the region of each zone.
+	Places locality.Map
 }
 
 // VersionedRecord is the record of allotments with the version of its object
--- a/internal/control/refusals.go
+++ b/internal/control/refusals.go
@@ -14,7 +14,7 @@
 
 // refuse notes a refusal for a node; it is given out at the end of the step.
 func (c *Core) refuse(node fleet.NodeName, refusal fleet.LoadRefusal) {
-	known := func(other fleet.LoadRefusal) bool { return other.Model == refusal.Model }
+	known := func(other fleet.LoadRefusal) bool { return keyOfRefusal(other) == keyOfRefusal(refusal) }
 	if !slices.ContainsFunc(c.wants.refusals[node], known) {
 		c.wants.refusals[node] = append(c.wants.refusals[node], refusal)
 	}
@@ -24,7 +24,7 @@
 // those whose report is answered at once, to other nodes of the zone with the
 // table. Those of other zones are told when their leader asks again.
 func (c *Core) flushRefusals() {
-	pushed := make(map[fleet.ModelVersion]bool)
+	pushed := make(map[demandKey]bool)
 	for _, node := range slices.Sorted(maps.Keys(c.wants.refusals)) {
 		refusals := c.wants.refusals[node]
 		if node == c.options.Self || c.wants.reporting[node] {
@@ -35,19 +35,20 @@
 			continue
 		}
 		for _, refusal := range refusals {
-			if !pushed[refusal.Model] && c.now.Sub(c.wants.pushed[refusal.Model]) >= pushInterval {
-				pushed[refusal.Model] = true
+			key := keyOfRefusal(refusal)
+			if !pushed[key] && c.now.Sub(c.wants.pushed[key]) >= pushInterval {
+				pushed[key] = true
 				c.tables.refused = append(c.tables.refused, refusal)
 				c.tables.near.urgent = true
 			}
 		}
 	}
-	for model := range pushed {
-		c.wants.pushed[model] = c.now
+	for key := range pushed {
+		c.wants.pushed[key] = c.now
 	}
-	for model, at := range c.wants.pushed {
+	for key, at := range c.wants.pushed {
 		if c.now.Sub(at) >= pushInterval {
-			delete(c.wants.pushed, model)
+			delete(c.wants.pushed, key)
 		}
 	}
 	clear(c.wants.refusals)
--- a/internal/control/schedule_test.go
+++ b/internal/control/schedule_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/standin/engine"
 )
@@ -26,7 +27,7 @@
 var faultKinds = []string{
 	"pause-node", "restart-node", "restart-engine", "engine-down", "store-down",
 	"suspect", "loss", "limits", "restart-zone-engines", "stop-node", "move-replica",
-	"reclaim-engine", "add-engine", "evacuate",
+	"reclaim-engine", "add-engine", "evacuate", "regions",
 }
 
 func drawFaults(t *rapid.T) []fault {
@@ -89,6 +90,9 @@
 	case "evacuate":
 		c.evacuate("z" + string('0'+rune(f.Target%2)))
 		c.after(f.Length, func() { c.evacuate() })
+	case "regions":
+		c.places = locality.NewMap(map[string]string{"z" + string('0'+rune(f.Target%2)): "north"})
+		c.spreadCatalog()
 	case "move-replica":
 		c.lower(fleet.Zone("z" + string('0'+rune(f.Target%2))))
 	case "limits":
@@ -161,6 +165,8 @@
 			c.want(name, modelA, 1+9*(index%2))
 			if index%2 == 0 {
 				c.want(name, modelB, 4)
+			} else if c.regional {
+				c.wantIn(name, modelB, "north")
 			}
 		}
 		c.run(700 * time.Millisecond)
@@ -178,6 +184,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		faults := drawFaults(t)
 		c := newBusyCluster(rapid.Uint64().Draw(t, "seed"), Defects{})
+		c.regional = rapid.Bool().Draw(t, "regional")
 		c.busySchedule(faults)
 		if len(c.violations) > 0 {
 			t.Fatalf("violations: %v", c.violations[:min(3, len(c.violations))])
--- a/internal/control/wants.go
+++ b/internal/control/wants.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -9,19 +10,38 @@
 	"github.com/spanlanding/spanlanding/internal/placement"
 )
 
+// demandKey names a demand: wants for one model that may run in the same regions.
+type demandKey struct {
+	model   fleet.ModelVersion
+	regions fleet.Regions
+}
+
+func keyOf(want fleet.Want) demandKey { return demandKey{want.Model, want.Regions} }
+
+func keyOfRefusal(refusal fleet.LoadRefusal) demandKey {
+	return demandKey{refusal.Model, refusal.Regions}
+}
+
+func compareKeys(a, b demandKey) int {
+	return cmp.Or(a.model.Compare(b.model), cmp.Compare(a.regions, b.regions))
+}
+
 // wantState is what the node knows of wants that others may have to serve.
 type wantState struct {
 	// reporters are the nodes that want a model, with when they last said so.
-	reporters map[fleet.ModelVersion]map[fleet.NodeName]fleet.Want
+	reporters map[demandKey]map[fleet.NodeName]fleet.Want
 	// forwarded is when wants for a model last went to another zone.
-	forwarded map[fleet.ModelVersion]time.Time
+	forwarded map[demandKey]time.Time
 	// remote are refusals of the zones that were asked.
-	remote map[fleet.ModelVersion]remoteRefusal
+	remote map[demandKey]remoteRefusal
 	// starved counts what waits in a zone and could not be served, for the
 	// decider.
 	starved map[fleet.ModelVersion]map[fleet.Zone]time.Time
 	// complained is when the decider was last told.
-	complained map[fleet.ModelVersion]time.Time
+	complained map[demandKey]time.Time
+	// lacking is since when a demand that may not run in this zone has no zone to go
+	// to.
+	lacking map[demandKey]time.Time
 	// arrivals counts requests of this zone for models that only other zones
 	// hold; those must learn that the model is in use.
 	arrivals   map[fleet.ModelVersion]int
@@ -34,7 +54,7 @@
 	// reporting are the nodes whose report this step answers.
 	reporting map[fleet.NodeName]bool
 	// pushed is when a model was last refused to the zone unasked.
-	pushed map[fleet.ModelVersion]time.Time
+	pushed map[demandKey]time.Time
 }
 
 type remoteRefusal struct {
@@ -55,15 +75,16 @@
 
 func newWantState() wantState {
 	return wantState{
-		reporters:  make(map[fleet.ModelVersion]map[fleet.NodeName]fleet.Want),
-		forwarded:  make(map[fleet.ModelVersion]time.Time),
-		remote:     make(map[fleet.ModelVersion]remoteRefusal),
+		reporters:  make(map[demandKey]map[fleet.NodeName]fleet.Want),
+		forwarded:  make(map[demandKey]time.Time),
+		remote:     make(map[demandKey]remoteRefusal),
+		lacking:    make(map[demandKey]time.Time),
 		starved:    make(map[fleet.ModelVersion]map[fleet.Zone]time.Time),
-		complained: make(map[fleet.ModelVersion]time.Time),
+		complained: make(map[demandKey]time.Time),
 		arrivals:   make(map[fleet.ModelVersion]int),
 		refusals:   make(map[fleet.NodeName][]fleet.LoadRefusal),
 		reporting:  make(map[fleet.NodeName]bool),
-		pushed:     make(map[fleet.ModelVersion]time.Time),
+		pushed:     make(map[demandKey]time.Time),
 	}
 }
 
@@ -104,22 +125,26 @@
 			continue
 		}
 		c.countArrivals(want)
-		if refusal, found := c.wants.remote[want.Model]; found && c.now.Before(refusal.until) && want.Waiting > 0 {
+		if refusal, found := c.wants.remote[keyOf(want)]; found && c.now.Before(refusal.until) && want.Waiting > 0 {
 			c.refuse(want.Node, refusal.LoadRefusal)
 		}
 	}
-	c.stepPlacement(placement.WantsReported{Wants: reported.Wants})
+	c.serveWants(reported.Wants, reported.Forwarded)
 }
 
 func (w *wantState) note(want fleet.Want) {
+	key := keyOf(want)
 	if want.Waiting == 0 {
-		delete(w.reporters[want.Model], want.Node)
+		delete(w.reporters[key], want.Node)
+		if len(w.reporters[key]) == 0 {
+			delete(w.lacking, key)
+		}
 		return
 	}
-	if w.reporters[want.Model] == nil {
-		w.reporters[want.Model] = make(map[fleet.NodeName]fleet.Want)
+	if w.reporters[key] == nil {
+		w.reporters[key] = make(map[fleet.NodeName]fleet.Want)
 	}
-	w.reporters[want.Model][want.Node] = want
+	w.reporters[key][want.Node] = want
 }
 
 // noteStarved takes wants that came from another zone although that zone has
@@ -128,12 +153,12 @@
 func (c *Core) noteStarved(wants []fleet.Want) bool {
 	useless := true
 	for _, want := range wants {
-		if c.record.Record.Limit(want.Model, c.options.Zone) > 0 {
+		if c.record.Record.Limit(want.Model, c.options.Zone) > 0 && c.allows(want.Regions, c.options.Zone) {
 			useless = false
 			continue
 		}
 		if want.Waiting > 0 {
-			c.starve(want.Model, want.Zone)
+			c.starve(want.Model, c.lackingZone(keyOf(want), want.Zone))
 		}
 	}
 	return useless
@@ -144,7 +169,7 @@
 	for _, want := range reported.Wants {
 		c.wants.note(want)
 	}
-	c.stepPlacement(placement.WantsReported{Wants: reported.Wants})
+	c.serveWants(reported.Wants, reported.Forwarded)
 }
 
 // keepOwn keeps what this node reports for a leader that takes over.
@@ -194,43 +219,58 @@
 // it has been wanted for some time: the allotment of a model that is new, or of
 // a zone that starts, is decided meanwhile.
 func (c *Core) refused(refusal placement.Refuse) {
-	model := refusal.Refusal.Model
-	if c.leader.Leading() && c.forwardElsewhere(model) {
-		return
-	}
 	early := !refusal.Never && c.now.Sub(refusal.Since) < c.settings().RefusalGrace
-	for _, node := range slices.Sorted(maps.Keys(c.wants.reporters[model])) {
-		if zone := c.wants.reporters[model][node].Zone; zone != c.options.Zone {
-			c.starve(model, zone)
+	for _, key := range c.wants.keysOf(refusal.Refusal.Model) {
+		if !c.allows(key.regions, c.options.Zone) || c.leader.Leading() && c.forwardElsewhere(key) {
+			continue
 		}
-		if !early {
-			c.refuse(node, refusal.Refusal)
+		told := refusal.Refusal
+		told.Regions = key.regions
+		for _, node := range slices.Sorted(maps.Keys(c.wants.reporters[key])) {
+			if zone := c.wants.reporters[key][node].Zone; zone != c.options.Zone {
+				c.starve(key.model, c.lackingZone(key, zone))
+			}
+			if !early {
+				c.refuse(node, told)
+			}
 		}
 	}
 }
 
+// keysOf lists the demands for a model.
+func (w *wantState) keysOf(model fleet.ModelVersion) []demandKey {
+	var keys []demandKey
+	for key := range w.reporters {
+		if key.model == model {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
+
 // forwardElsewhere passes wants of this zone's nodes to a zone that has
 // allotment for the model and a node that is known.
-func (c *Core) forwardElsewhere(model fleet.ModelVersion) bool {
-	wants := c.ownWants(model)
+func (c *Core) forwardElsewhere(key demandKey) bool {
+	wants := c.ownWants(key)
 	if len(wants) == 0 {
 		return false
 	}
-	target, found := c.zoneFor(model)
+	target, found := c.zoneFor(key)
 	if !found {
-		c.reportStarved(model)
+		c.reportStarved(key)
 		return false
 	}
-	if c.now.Sub(c.wants.forwarded[model]) >= forwardInterval {
-		c.wants.forwarded[model] = c.now
+	if c.now.Sub(c.wants.forwarded[key]) >= forwardInterval {
+		c.wants.forwarded[key] = c.now
 		c.emit(ForwardWants{To: target, Wants: wants, Forwarded: true})
 	}
 	return true
 }
 
-func (c *Core) ownWants(model fleet.ModelVersion) []fleet.Want {
+func (c *Core) ownWants(key demandKey) []fleet.Want {
 	var wants []fleet.Want
-	reporters := c.wants.reporters[model]
+	reporters := c.wants.reporters[key]
 	for _, node := range slices.Sorted(maps.Keys(reporters)) {
 		if reporters[node].Zone == c.options.Zone {
 			wants = append(wants, reporters[node])
@@ -239,14 +279,14 @@
 	return wants
 }
 
-// zoneFor is the contact of the zone in service with the most allotment of the
-// model.
-func (c *Core) zoneFor(model fleet.ModelVersion) (fleet.Member, bool) {
+// zoneFor is the contact of the zone in service, and in the regions of the demand,
+// with the most allotment of the model.
+func (c *Core) zoneFor(key demandKey) (fleet.Member, bool) {
 	var best fleet.Member
 	limit, found := 0, false
-	shares := c.record.Record.Models[model].Zones
+	shares := c.record.Record.Models[key.model].Zones
 	for _, zone := range slices.Sorted(maps.Keys(shares)) {
-		if zone == c.options.Zone || c.isEvacuated(zone) || shares[zone].Limit <= limit {
+		if zone == c.options.Zone || c.isEvacuated(zone) || !c.allows(key.regions, zone) || shares[zone].Limit <= limit {
 			continue
 		}
 		if member, known := c.contact(zone); known {
@@ -258,6 +298,9 @@
 
 // starve notes that no zone could serve what waits in one.
 func (c *Core) starve(model fleet.ModelVersion, zone fleet.Zone) {
+	if zone == "" {
+		return
+	}
 	if c.wants.starved[model] == nil {
 		c.wants.starved[model] = make(map[fleet.Zone]time.Time)
 	}
@@ -266,14 +309,14 @@
 
 // reportStarved notes that no zone could serve the model for this one, and
 // tells the decider.
-func (c *Core) reportStarved(model fleet.ModelVersion) {
-	c.starve(model, c.options.Zone)
+func (c *Core) reportStarved(key demandKey) {
+	c.starve(key.model, c.lackingZone(key, c.options.Zone))
 	decider, found := c.deciderMember()
-	if !found || c.now.Sub(c.wants.complained[model]) < complainInterval {
+	if !found || c.now.Sub(c.wants.complained[key]) < complainInterval {
 		return
 	}
-	if wants := c.ownWants(model); len(wants) > 0 {
-		c.wants.complained[model] = c.now
+	if wants := c.ownWants(key); len(wants) > 0 {
+		c.wants.complained[key] = c.now
 		c.emit(ForwardWants{To: decider, Wants: wants, Forwarded: true})
 	}
 }
@@ -309,15 +352,16 @@
 func (c *Core) forwardAnswered(answer ForwardAnswered) {
 	if answer.Failed {
 		for _, want := range answer.Wants {
-			c.reportStarved(want.Model)
+			c.reportStarved(keyOf(want))
 		}
 		return
 	}
 	for _, refusal := range answer.Refusals {
-		c.wants.remote[refusal.Model] = remoteRefusal{refusal, c.now.Add(refusalLifetime)}
-		c.reportStarved(refusal.Model)
+		key := keyOfRefusal(refusal)
+		c.wants.remote[key] = remoteRefusal{refusal, c.now.Add(refusalLifetime)}
+		c.reportStarved(key)
 		for _, want := range answer.Wants {
-			if want.Model == refusal.Model {
+			if keyOf(want) == key {
 				c.refuse(want.Node, refusal)
 			}
 		}
--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -141,8 +141,10 @@
 type Want struct {
 	Model   ModelVersion `json:"model"`
 	Adapter AdapterName  `json:"adapter,omitempty"`
-	Node    NodeName     `json:"node"`
-	Zone    Zone         `json:"zone"`
+	// Regions are those in which the requests may run.
+	Regions Regions  `json:"regions,omitempty"`
+	Node    NodeName `json:"node"`
+	Zone    Zone     `json:"zone"`
 	// Waiting counts the requests queued at the node for the model.
 	Waiting int `json:"waiting"`
 	// Priority is the highest of them; larger goes first.
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -4,8 +4,10 @@
 
 // LoadRefusal says that a model cannot be loaded now.
 type LoadRefusal struct {
-	Model  ModelVersion `json:"model"`
-	Reason string       `json:"reason"`
+	Model ModelVersion `json:"model"`
+	// Regions are those of the wants that are refused.
+	Regions Regions `json:"regions,omitempty"`
+	Reason  string  `json:"reason"`
 	// RetryAfter is when a load may be possible.
 	RetryAfter time.Duration `json:"retryAfter"`
 }
--- a/internal/fleet/doc.go
+++ b/internal/fleet/doc.go
@@ -2,5 +2,5 @@
 // fences, members, back ends and the reports they give. It holds data and
 // arithmetic on data only: no I/O, no goroutine, no clock.
 //
-// It may import the standard library only.
+// It may import the standard library and locality.
 package fleet
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/queue"
 	"github.com/spanlanding/spanlanding/internal/routing"
 	"github.com/spanlanding/spanlanding/internal/spec"
@@ -16,6 +17,10 @@
 
 func (s *dispatcherState) submit(now time.Time, submit submit) {
 	refusal := s.admit(now, submit.retry, submit.unspent, submit.route.Selector, submit.route.Limits)
+	regions := s.gateway.modelRegions(submit.route)
+	if refusal == nil {
+		refusal = s.refuseRegions(regions)
+	}
 	if refusal != nil {
 		submit.reply <- reply{refusal: refusal}
 		return
@@ -24,11 +29,13 @@
 	if model.IsZero() {
 		model = s.routing.ChooseVersion(weighted(submit.route.Versions))
 	}
-	s.pending[submit.ticket] = &pending{submit: submit, model: model}
+	s.follow(model, regions)
+	s.pending[submit.ticket] = &pending{submit: submit, model: model, regions: fleet.RegionsOf(regions)}
 	s.offer(now, model)
 	s.stepQueue(now, queue.Arrive{Item: queue.Item{
 		Ticket:   queue.Ticket(submit.ticket),
 		Model:    model,
+		Regions:  fleet.RegionsOf(regions),
 		Adapter:  submit.route.Adapter,
 		Priority: submit.route.Priority,
 		Deadline: submit.deadline,
@@ -68,7 +75,8 @@
 // token, unless others wait for the room or the retry budget is spent.
 func (s *dispatcherState) submitHedge(now time.Time, hedge submitHedge) {
 	waiting := slices.ContainsFunc(s.queue.Lines(), func(line queue.LineInfo) bool { return line.Model == hedge.model })
-	free := slices.ContainsFunc(s.routing.Rooms(now, hedge.model).Rooms, func(room routing.Room) bool {
+	regions := s.gateway.modelRegions(hedge.route)
+	free := slices.ContainsFunc(s.routing.RoomsIn(now, hedge.model, regions).Rooms, func(room routing.Room) bool {
 		return room.Free > 0 && !slices.Contains(hedge.exclude, room.Name)
 	})
 	if waiting || !free || !s.budget.Spend() {
@@ -77,8 +85,8 @@
 	}
 	s.gateway.metrics.retries.Inc()
 	s.hedges[hedge.ticket] = hedge
-	s.stepRouting(now, routing.Pick{Ticket: routing.Ticket(hedge.ticket), Model: hedge.model, Adapter: hedge.adapter,
-		Prefix: hedge.prefix, Exclude: hedge.exclude})
+	s.stepRouting(now, routing.Pick{Ticket: routing.Ticket(hedge.ticket), Model: hedge.model, Adapter: hedge.route.Adapter,
+		Prefix: hedge.prefix, Exclude: hedge.exclude, Regions: regions})
 }
 
 func (s *dispatcherState) submitCall(now time.Time, submit submitCall) {
@@ -87,20 +95,32 @@
 		submit.reply <- reply{refusal: refusal}
 		return
 	}
+	regions := s.gateway.serviceRegions(submit.route)
+	if refusal := s.refuseRegions(regions); refusal != nil {
+		submit.reply <- reply{refusal: refusal}
+		return
+	}
 	s.calls[submit.ticket] = submit.reply
 	s.assigned[submit.ticket] = assigned{since: now}
 	s.stepRouting(now, routing.PickService{Ticket: routing.Ticket(submit.ticket), Service: submit.route.Service,
-		Exclude: submit.exclude, Together: submit.together})
+		Exclude: submit.exclude, Regions: regions, Together: submit.together})
 }
 
-// offer tells the queue the present room for a model.
+// offer tells the queue the present room for a model, in whichever regions.
 func (s *dispatcherState) offer(now time.Time, model fleet.ModelVersion) {
-	rooms := s.routing.Rooms(now, model)
+	s.offerLine(now, model, locality.Regions{})
+	for regions := range s.bounds[model] {
+		s.offerLine(now, model, regions)
+	}
+}
+
+func (s *dispatcherState) offerLine(now time.Time, model fleet.ModelVersion, regions locality.Regions) {
+	rooms := s.routing.RoomsIn(now, model, regions)
 	replicas := make([]queue.Replica, 0, len(rooms.Rooms))
 	for _, room := range rooms.Rooms {
 		replicas = append(replicas, queue.Replica{Name: room.Name, Free: room.Free, Adapters: room.Adapters})
 	}
-	s.stepQueue(now, queue.Offer{Model: model, Ready: rooms.Ready, Replicas: replicas, Slots: rooms.Slots})
+	s.stepQueue(now, queue.Offer{Model: model, Regions: fleet.RegionsOf(regions), Ready: rooms.Ready, Replicas: replicas, Slots: rooms.Slots})
 }
 
 func (s *dispatcherState) stepQueue(now time.Time, message queue.Message) {
@@ -148,6 +168,7 @@
 		Prefix:  waiting.submit.prefix,
 		Exclude: waiting.submit.exclude,
 
+		Regions:  s.gateway.modelRegions(waiting.submit.route),
 		Together: waiting.submit.together,
 	})
 }
@@ -156,13 +177,13 @@
 	ticket := uint64(picked.Ticket)
 	if hedge, found := s.hedges[ticket]; found {
 		delete(s.hedges, ticket)
-		s.assigned[ticket] = assigned{model: hedge.model, since: now}
+		s.assigned[ticket] = assigned{model: hedge.model, regions: fleet.RegionsOf(s.gateway.modelRegions(hedge.route)), since: now}
 		hedge.reply <- reply{backend: picked.Backend, model: hedge.model}
 		return
 	}
 	if waiting, found := s.pending[ticket]; found {
 		delete(s.pending, ticket)
-		s.assigned[ticket] = assigned{model: waiting.model, since: now}
+		s.assigned[ticket] = assigned{model: waiting.model, regions: waiting.regions, since: now}
 		waiting.submit.reply <- reply{backend: picked.Backend, model: waiting.model, cold: waiting.cold, waited: waiting.waited}
 		return
 	}
@@ -188,12 +209,7 @@
 				outcome: attempt.OutcomeNotRun, retryAfter: time.Second}}
 			return
 		}
-		s.offer(now, waiting.model)
-		s.stepQueue(now, queue.Arrive{Item: queue.Item{
-			Ticket: queue.Ticket(ticket), Model: waiting.model, Adapter: waiting.submit.route.Adapter,
-			Priority: waiting.submit.route.Priority, Deadline: waiting.submit.deadline,
-			Since: waiting.submit.arrived, Bytes: waiting.submit.bytes, Again: true,
-		}})
+		s.waitAgain(now, ticket, waiting)
 		return
 	}
 	if answer, found := s.calls[ticket]; found {
@@ -203,6 +219,25 @@
 	}
 }
 
+// waitAgain puts a request back at its place. Its regions may have changed meanwhile.
+func (s *dispatcherState) waitAgain(now time.Time, ticket uint64, waiting *pending) {
+	submit := waiting.submit
+	regions := s.gateway.modelRegions(submit.route)
+	if refusal := s.refuseRegions(regions); refusal != nil {
+		delete(s.pending, ticket)
+		submit.reply <- reply{refusal: refusal}
+		return
+	}
+	s.follow(waiting.model, regions)
+	waiting.regions = fleet.RegionsOf(regions)
+	s.offer(now, waiting.model)
+	s.stepQueue(now, queue.Arrive{Item: queue.Item{
+		Ticket: queue.Ticket(ticket), Model: waiting.model, Regions: waiting.regions, Adapter: submit.route.Adapter,
+		Priority: submit.route.Priority, Deadline: submit.deadline,
+		Since: submit.arrived, Bytes: submit.bytes, Again: true,
+	}})
+}
+
 func (s *dispatcherState) refuse(refuse queue.Refuse) {
 	waiting, found := s.pending[uint64(refuse.Item.Ticket)]
 	if !found {
@@ -251,7 +286,7 @@
 	}
 	delete(s.assigned, ended.ticket)
 	if !known.model.IsZero() && ended.result == routing.ResultOK {
-		s.stepQueue(now, queue.Served{Model: known.model, Service: now.Sub(known.since)})
+		s.stepQueue(now, queue.Served{Model: known.model, Regions: known.regions, Service: now.Sub(known.since)})
 	}
 	s.stepRouting(now, routing.Ended{Ticket: routing.Ticket(ended.ticket), Result: ended.result})
 }
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/queue"
 	"github.com/spanlanding/spanlanding/internal/routing"
 	"github.com/spanlanding/spanlanding/internal/views"
@@ -66,9 +67,12 @@
 		result routing.Result
 	}
 	tablesChanged struct{ tables views.Tables }
-	// evacuationsChanged brings the zones that are out of service.
-	evacuationsChanged struct{ word evacuation.Word }
-	nodesChanged       struct{ nodes int }
+	// configurationChanged brings the zones that are out of service, and the regions.
+	configurationChanged struct {
+		evacuations evacuation.Word
+		places      locality.Map
+	}
+	nodesChanged struct{ nodes int }
 	// routeDone tells that a request that took a share of its route is over.
 	routeDone      struct{ route string }
 	leavingChanged struct{ backends []fleet.BackendName }
@@ -91,8 +95,10 @@
 type pending struct {
 	submit submit
 	model  fleet.ModelVersion
-	cold   bool
-	waited time.Duration
+	// regions are those by which it waits.
+	regions fleet.Regions
+	cold    bool
+	waited  time.Duration
 	// misses counts releases for which routing had no back end.
 	misses int
 }
@@ -102,8 +108,9 @@
 
 // assigned is a request that has a back end.
 type assigned struct {
-	model fleet.ModelVersion
-	since time.Time
+	model   fleet.ModelVersion
+	regions fleet.Regions
+	since   time.Time
 }
 
 // dispatcherState is what the actor owns.
@@ -120,6 +127,8 @@
 	assigned map[uint64]assigned
 	timer    *time.Timer
 	timerAt  time.Time
+	// bounds are the regions that requests for a model were bound to.
+	bounds map[fleet.ModelVersion]map[locality.Regions]bool
 	// evacuated is set while the queue is closed since no zone is left.
 	evacuated bool
 	// waiting is the number of requests that the gauge shows.
@@ -139,6 +148,7 @@
 		hedges:   make(map[uint64]submitHedge),
 		calls:    make(map[uint64]chan reply),
 		assigned: make(map[uint64]assigned),
+		bounds:   make(map[fleet.ModelVersion]map[locality.Regions]bool),
 	}
 	created.spawn(actor.PropsFromFunc(state.receive))
 	return created
@@ -177,16 +187,18 @@
 		s.abandon(now, message.ticket)
 	case attemptBegan:
 		if known, found := s.assigned[message.ticket]; found {
-			s.stepQueue(now, queue.Began{Model: known.model, After: message.after})
+			s.stepQueue(now, queue.Began{Model: known.model, Regions: known.regions, After: message.after})
 		}
 		s.stepRouting(now, routing.FirstToken{Ticket: routing.Ticket(message.ticket), After: message.after})
 	case attemptEnded:
 		s.ended(now, message)
 	case tablesChanged:
 		s.takeTables(now, message.tables)
-	case evacuationsChanged:
-		s.stepRouting(now, routing.Evacuations{Word: message.word})
+	case configurationChanged:
+		s.stepRouting(now, routing.Places{Map: message.places})
+		s.stepRouting(now, routing.Evacuations{Word: message.evacuations})
 		s.followEvacuations(now)
+		s.followRegions(now)
 	case nodesChanged:
 		s.shares.setNodes(message.nodes)
 	case leavingChanged:
@@ -201,7 +213,7 @@
 		s.stepQueue(now, queue.Tick{})
 		// Reports grow stale and ejections end without a message of their own.
 		for _, line := range s.queue.Lines() {
-			s.offer(now, line.Model)
+			s.offerLine(now, line.Model, line.Regions.Set())
 		}
 	case linesAsked:
 		message.reply <- s.lines(now)
--- a/internal/gateway/evacuate.go
+++ b/internal/gateway/evacuate.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
-	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/queue"
 )
 
@@ -17,13 +16,6 @@
 	detailEvacuated = "all zones are evacuated"
 )
 
-// isEvacuated reports whether the zone is out of service by the configuration in
-// force.
-func (g *Gateway) isEvacuated(zone fleet.Zone) bool {
-	snapshot, found := g.options.Views.Catalog.Get()
-	return found && snapshot.IsEvacuated(zone)
-}
-
 // followEvacuations closes the queue while all zones are evacuated: what waits
 // there would be refused at its deadline, and its caller may have another way.
 func (s *dispatcherState) followEvacuations(now time.Time) {
--- a/internal/gateway/evacuate_test.go
+++ b/internal/gateway/evacuate_test.go
@@ -22,6 +22,13 @@
 	for _, zone := range zones {
 		objects = append(objects, objectstore.Object{Kind: string(spec.KindEvacuation), Name: zone, Version: version, Spec: []byte(`{}`)})
 	}
+	h.declare(version, objects)
+}
+
+// declare puts a configuration in force; routes are the fake catalog's, but for their
+// regions.
+func (h *harness) declare(version uint64, objects []objectstore.Object) {
+	h.t.Helper()
 	snapshot, problems := catalog.Compile(version, objects)
 	if len(problems) > 0 {
 		h.t.Fatalf("problems: %v", problems)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,7 +140,7 @@
 	for _, dispatcher := range []*dispatcher{g.models, g.services} {
 		g.options.Views.Tables.Watch(func(tables views.Tables) { dispatcher.send(tablesChanged{tables: tables}) })
 		g.options.Views.Catalog.Watch(func(snapshot *catalog.Snapshot) {
-			dispatcher.send(evacuationsChanged{word: snapshot.Evacuations()})
+			dispatcher.send(configurationChanged{evacuations: snapshot.Evacuations(), places: snapshot.Places()})
 		})
 		g.options.Views.Members.Watch(func([]fleet.Member) { dispatcher.send(nodesChanged{nodes: g.usableNodes()}) })
 		g.options.Views.Machines.Watch(func(machines objectstore.MachineList) {
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -6,6 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/routing"
 )
@@ -172,7 +173,7 @@
 	}
 	r.race.hedge = make(chan reply, 1)
 	r.race.asked = r.gateway.tickets.Add(1)
-	r.gateway.models.send(submitHedge{ticket: r.race.asked, model: r.model, adapter: r.route.Adapter, prefix: r.prefix,
+	r.gateway.models.send(submitHedge{ticket: r.race.asked, model: r.model, route: r.route, prefix: r.prefix,
 		exclude: hedge.Exclude, reply: r.race.hedge})
 }
 
@@ -233,7 +234,7 @@
 type submitHedge struct {
 	ticket  uint64
 	model   fleet.ModelVersion
-	adapter fleet.AdapterName
+	route   catalog.ModelRoute
 	prefix  []uint64
 	exclude []fleet.BackendName
 	reply   chan reply
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -103,11 +103,12 @@
 	}
 }
 
-// resume asks the engine for the rest, unless its zone was evacuated meanwhile.
+// resume asks the engine for the rest, unless its zone was evacuated meanwhile, or lies
+// no more in the regions allowed.
 func (r *modelRun) resume(resume attempt.Resume) attempt.Message {
-	if r.gateway.isEvacuated(r.engine.Zone) {
+	if !r.gateway.mayAsk(r.engine.Zone, r.gateway.modelRegions(r.route)) {
 		return attempt.Broken{Connection: resume.Connection, Evidence: attempt.MaySent, NoResume: true,
-			Detail: "the stream broke and its engine's zone is evacuated"}
+			Detail: "the stream broke and its engine's zone may not be asked any more"}
 	}
 	r.record.resumes++
 	r.gateway.metrics.resumes.Inc()
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -89,6 +91,20 @@
 	return server.Listener.Addr().String()
 }
 
+// dropEnded takes the engines that have ended out of the table, as their zone's leader
+// does.
+func (h *harness) dropEnded() {
+	h.table.Engines = slices.DeleteFunc(h.table.Engines, func(engine fleet.EngineState) bool {
+		connection, err := net.Dial("tcp", engine.Address)
+		if err != nil {
+			return true
+		}
+		_ = connection.Close()
+		return false
+	})
+	h.publish()
+}
+
 func isPoison(body string) bool { return strings.Contains(body, `"poison"`) }
 
 // plainEngine answers like an engine, whatever the body.
@@ -131,6 +147,7 @@
 	for range 4 {
 		h.do(http.MethodPost, backend.PathCompletions, poisonBody)
 	}
+	h.dropEnded()
 	suspects.later(time.Minute)
 	var copies sync.WaitGroup
 	for range 6 {
--- a/internal/gateway/problem.go
+++ b/internal/gateway/problem.go
@@ -55,6 +55,7 @@
 	codeKeyBodyGone   = "key-answer-not-kept"
 	codeAnswerLarge   = "answer-too-large"
 	codePoison        = "poison-request"
+	codeNoRegion      = "no-region-allowed"
 )
 
 // failure is a Problem before it has a request identity.
--- a/internal/node/control_peers.go
+++ b/internal/node/control_peers.go
@@ -122,6 +122,7 @@
 	for _, refusal := range response.GetRefusals() {
 		answer.Refusals = append(answer.Refusals, fleet.LoadRefusal{
 			Model:      fleet.ModelVersion{Model: refusal.GetModel(), Version: refusal.GetVersion()},
+			Regions:    fleet.Regions(refusal.GetRegions()),
 			Reason:     refusal.GetReason(),
 			RetryAfter: time.Duration(refusal.GetRetryAfterMillis()) * time.Millisecond,
 		})
@@ -136,6 +137,7 @@
 			Model:            want.Model.Model,
 			Version:          want.Model.Version,
 			Adapter:          string(want.Adapter),
+			Regions:          string(want.Regions),
 			Node:             string(want.Node),
 			Zone:             string(want.Zone),
 			Waiting:          int64(want.Waiting),
@@ -153,6 +155,7 @@
 		wants = append(wants, fleet.Want{
 			Model:    fleet.ModelVersion{Model: want.GetModel(), Version: want.GetVersion()},
 			Adapter:  fleet.AdapterName(want.GetAdapter()),
+			Regions:  fleet.Regions(want.GetRegions()),
 			Node:     fleet.NodeName(want.GetNode()),
 			Zone:     fleet.Zone(want.GetZone()),
 			Waiting:  int(want.GetWaiting()),
@@ -206,21 +209,22 @@
 		leading, _ := shell.core.Leading()
 		response := &peerpb.WantReportResponse{Leader: leading, LeaderName: string(shell.core.Candidate())}
 		for _, want := range message.Wants {
-			response.Refusals = append(response.Refusals, encodeRefusals(refusals[want.Node], want.Model)...)
+			response.Refusals = append(response.Refusals, encodeRefusals(refusals[want.Node], want)...)
 		}
 		return response
 	})
 }
 
-func encodeRefusals(refusals []fleet.LoadRefusal, model fleet.ModelVersion) []*peerpb.Refusal {
+func encodeRefusals(refusals []fleet.LoadRefusal, want fleet.Want) []*peerpb.Refusal {
 	var encoded []*peerpb.Refusal
 	for _, refusal := range refusals {
-		if refusal.Model != model {
+		if refusal.Model != want.Model || refusal.Regions != want.Regions {
 			continue
 		}
 		encoded = append(encoded, &peerpb.Refusal{
 			Model:            refusal.Model.Model,
 			Version:          refusal.Model.Version,
+			Regions:          string(refusal.Regions),
 			Reason:           refusal.Reason,
 			RetryAfterMillis: refusal.RetryAfter.Milliseconds(),
 		})
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -76,6 +76,7 @@
 type wantKey struct {
 	node    fleet.NodeName
 	adapter fleet.AdapterName
+	regions fleet.Regions
 }
 
 type timedWant struct {
--- a/internal/placement/wants.go
+++ b/internal/placement/wants.go
@@ -31,7 +31,7 @@
 			c.historyOf(want.Model).here = want.Waiting > 0 || c.count(want.Model) > 0
 			c.policy.Arrived(now, want.Model)
 		}
-		key := wantKey{want.Node, want.Adapter}
+		key := wantKey{want.Node, want.Adapter, want.Regions}
 		if want.Waiting == 0 {
 			delete(c.wants[want.Model], key)
 			continue
--- a/internal/queue/admit.go
+++ b/internal/queue/admit.go
@@ -10,7 +10,7 @@
 const minRetryAfter = time.Second
 
 func (c *Core) arrive(now time.Time, item Item) {
-	line := c.line(item.Model)
+	line := c.line(item.line())
 	if !item.Again {
 		line.arrivals++
 		c.arrived = true
@@ -114,8 +114,8 @@
 // lowest returns the item of the lowest priority, among equals the last.
 func (c *Core) lowest() *waiting {
 	var lowest *waiting
-	for _, model := range c.order {
-		for _, item := range c.lines[model].items {
+	for _, key := range c.order {
+		for _, item := range c.lines[key].items {
 			if lowest == nil || item.Priority < lowest.Priority ||
 				item.Priority == lowest.Priority && compareWaiting(item, lowest) > 0 {
 				lowest = item
@@ -140,8 +140,8 @@
 func (c *Core) close(closed Close) {
 	closed.Reason = cmp.Or(closed.Reason, ReasonStopping)
 	c.closed = &closed
-	for _, model := range c.order {
-		for _, item := range slices.Clone(c.lines[model].items) {
+	for _, key := range c.order {
+		for _, item := range slices.Clone(c.lines[key].items) {
 			c.remove(item.Ticket)
 			c.refuse(item.Item, closed.Reason, closed.RetryAfter)
 		}
--- a/internal/queue/message.go
+++ b/internal/queue/message.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -14,6 +15,8 @@
 	Ticket  Ticket
 	Model   fleet.ModelVersion
 	Adapter fleet.AdapterName
+	// Regions are those in which the request may run.
+	Regions fleet.Regions
 	// Priority orders items; larger goes first.
 	Priority int
 	// Deadline is when the first token must be there.
@@ -44,9 +47,22 @@
 	Adapters []fleet.AdapterName
 }
 
-// Offer tells the room of a model's replicas; it replaces the offer before.
+// Line names what waits together: requests for one model that may run in the same
+// regions.
+type Line struct {
+	Model   fleet.ModelVersion
+	Regions fleet.Regions
+}
+
+func compareLines(a, b Line) int {
+	return cmp.Or(a.Model.Compare(b.Model), cmp.Compare(a.Regions, b.Regions))
+}
+
+// Offer tells the room of the replicas that a line's requests may go to; it replaces
+// the offer before.
 type Offer struct {
-	Model fleet.ModelVersion
+	Model   fleet.ModelVersion
+	Regions fleet.Regions
 	// Ready counts the replicas that have the model loaded and do not leave,
 	// also those that cannot be sent to for the moment.
 	Ready int
@@ -58,14 +74,16 @@
 
 // Began tells how long a released request waited for its first token.
 type Began struct {
-	Model fleet.ModelVersion
-	After time.Duration
+	Model   fleet.ModelVersion
+	Regions fleet.Regions
+	After   time.Duration
 }
 
 // Served tells how long a released request took from its release to its end,
 // so that later waits can be estimated.
 type Served struct {
 	Model   fleet.ModelVersion
+	Regions fleet.Regions
 	Service time.Duration
 }
 
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -62,9 +62,9 @@
 	place int
 }
 
-// line is what waits for one model version.
+// line is what waits for one model version in the same regions.
 type line struct {
-	model    fleet.ModelVersion
+	key      Line
 	items    []*waiting
 	replicas []Replica
 	ready    int
@@ -91,8 +91,8 @@
 // Core is the queue of one node.
 type Core struct {
 	options   Options
-	lines     map[fleet.ModelVersion]*line
-	order     []fleet.ModelVersion
+	lines     map[Line]*line
+	order     []Line
 	byTicket  map[Ticket]*waiting
 	deadlines deadlines
 	bytes     int64
@@ -108,7 +108,7 @@
 func New(options Options) *Core {
 	return &Core{
 		options:  options.withDefaults(),
-		lines:    make(map[fleet.ModelVersion]*line),
+		lines:    make(map[Line]*line),
 		byTicket: make(map[Ticket]*waiting),
 	}
 }
@@ -126,9 +126,9 @@
 	case Offer:
 		c.offer(now, message)
 	case Began:
-		c.line(message.Model).firstToken.add(message.After)
+		c.line(Line{message.Model, message.Regions}).firstToken.add(message.After)
 	case Served:
-		c.line(message.Model).service.add(message.Service)
+		c.line(Line{message.Model, message.Regions}).service.add(message.Service)
 	case LoadRefused:
 		c.loadRefused(now, message.Refusals)
 	case Close:
@@ -155,21 +155,21 @@
 	return len(c.byTicket), c.bytes
 }
 
-// LineInfo describes what waits for one model version.
+// LineInfo describes what waits in one line.
 type LineInfo struct {
-	Model    fleet.ModelVersion
+	Line
 	Waiting  int
 	Replicas int
 	// Oldest is when the oldest of the waiting requests came.
 	Oldest time.Time
 }
 
-// Lines describes the models for which something waits, in order.
+// Lines describes the lines in which something waits, in order.
 func (c *Core) Lines() []LineInfo {
 	var infos []LineInfo
-	for _, model := range c.order {
-		if line := c.lines[model]; len(line.items) > 0 {
-			infos = append(infos, LineInfo{Model: model, Waiting: len(line.items), Replicas: line.ready, Oldest: line.oldest()})
+	for _, key := range c.order {
+		if line := c.lines[key]; len(line.items) > 0 {
+			infos = append(infos, LineInfo{Line: key, Waiting: len(line.items), Replicas: line.ready, Oldest: line.oldest()})
 		}
 	}
 	return infos
@@ -185,17 +185,20 @@
 	return oldest
 }
 
-func (c *Core) line(model fleet.ModelVersion) *line {
-	if known, found := c.lines[model]; found {
+func (c *Core) line(key Line) *line {
+	if known, found := c.lines[key]; found {
 		return known
 	}
-	created := &line{model: model}
-	c.lines[model] = created
-	at, _ := slices.BinarySearchFunc(c.order, model, fleet.ModelVersion.Compare)
-	c.order = slices.Insert(c.order, at, model)
+	created := &line{key: key}
+	c.lines[key] = created
+	at, _ := slices.BinarySearchFunc(c.order, key, compareLines)
+	c.order = slices.Insert(c.order, at, key)
 	return created
 }
 
+// line is the one that the item waits in.
+func (i Item) line() Line { return Line{Model: i.Model, Regions: i.Regions} }
+
 func (c *Core) emit(effect Effect) {
 	c.effects = append(c.effects, effect)
 }
@@ -221,7 +224,7 @@
 	delete(c.byTicket, ticket)
 	c.bytes -= entry.Bytes
 	heap.Remove(&c.deadlines, entry.place)
-	line := c.lines[entry.Model]
+	line := c.lines[entry.line()]
 	if at, found := slices.BinarySearchFunc(line.items, entry, compareWaiting); found {
 		line.items = slices.Delete(line.items, at, at+1)
 	}
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -23,6 +23,18 @@
 	return Item{Ticket: ticket, Model: notes, Priority: priority, Deadline: at(deadline), Bytes: 10}
 }
 
+func itemIn(ticket Ticket, regions fleet.Regions) Item {
+	bound := item(ticket, 0, 9)
+	bound.Regions = regions
+	return bound
+}
+
+func roomIn(regions fleet.Regions) Offer {
+	bound := room(1)
+	bound.Regions = regions
+	return bound
+}
+
 func room(free int) Offer {
 	return Offer{Model: notes, Ready: 1, Slots: 4, Replicas: []Replica{{Name: "e1", Free: free}}}
 }
@@ -187,6 +199,15 @@
 			{1, Close{}, []string{"-1:node-stopping"}},
 			{2, Arrive{item(2, 0, 9)}, []string{"-2:node-stopping"}},
 		}},
+		"room in other regions is no room": {steps: []scheduled{
+			{0, Arrive{itemIn(1, "north")}, nil},
+			{0, Arrive{itemIn(2, "south")}, nil},
+			{0, Arrive{itemIn(3, "")}, nil},
+			{1, room(1), []string{"+3"}},
+			{2, roomIn("south"), []string{"+2"}},
+			{3, LoadRefused{[]fleet.LoadRefusal{{Model: notes, Reason: "no-zone-in-regions"}}}, nil},
+			{3, LoadRefused{[]fleet.LoadRefusal{{Model: notes, Regions: "north", Reason: "no-zone-in-regions"}}}, []string{"-1:model-cannot-be-loaded"}},
+		}},
 		"a queue that is opened again takes requests": {steps: []scheduled{
 			{0, Arrive{item(1, 0, 9)}, nil},
 			{1, Close{Reason: ReasonEvacuated}, []string{"-1:all-zones-evacuated"}},
--- a/internal/queue/release.go
+++ b/internal/queue/release.go
@@ -8,7 +8,7 @@
 )
 
 func (c *Core) offer(now time.Time, offer Offer) {
-	line := c.line(offer.Model)
+	line := c.line(Line{offer.Model, offer.Regions})
 	switch {
 	case offer.Ready > 0 && !line.coldFrom.IsZero():
 		line.load.add(now.Sub(line.coldFrom))
--- a/internal/queue/wants.go
+++ b/internal/queue/wants.go
@@ -20,8 +20,8 @@
 		return
 	}
 	var wants []fleet.Want
-	for _, model := range c.order {
-		wants = c.appendWants(wants, c.lines[model])
+	for _, key := range c.order {
+		wants = c.appendWants(wants, c.lines[key])
 	}
 	c.arrived = false
 	c.nextWant = time.Time{}
@@ -47,7 +47,7 @@
 	}
 	if line.arrivals > 0 || line.missed > 0 {
 		if len(wants) == first {
-			wants = append(wants, fleet.Want{Model: line.model, Node: c.options.Node, Zone: c.options.Zone,
+			wants = append(wants, fleet.Want{Model: line.key.Model, Regions: line.key.Regions, Node: c.options.Node, Zone: c.options.Zone,
 				Waiting: line.missed, Priority: line.missedPriority, Deadline: line.missedDeadline})
 		}
 		wants[first].Arrivals = line.arrivals
@@ -61,7 +61,7 @@
 	at := slices.IndexFunc((*wants)[first:], func(want fleet.Want) bool { return want.Adapter == item.Adapter })
 	if at < 0 {
 		at = len(*wants) - first
-		*wants = append(*wants, fleet.Want{Model: line.model, Adapter: item.Adapter, Node: c.options.Node,
+		*wants = append(*wants, fleet.Want{Model: line.key.Model, Regions: line.key.Regions, Adapter: item.Adapter, Node: c.options.Node,
 			Zone: c.options.Zone, Priority: item.Priority, Deadline: item.Deadline})
 	}
 	return &(*wants)[first+at]
--- a/internal/routing/evacuation_test.go
+++ b/internal/routing/evacuation_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 func evacuated(version int64, zones ...string) Evacuations {
@@ -86,3 +87,34 @@
 		t.Error("a node that knows no table yet takes all zones for evacuated")
 	}
 }
+
+func TestNoAttemptLeavesItsRegions(t *testing.T) {
+	d := twoZones()
+	d.core.Step(epoch, Places{Map: locality.NewMap(map[string]string{"a": "north", "b": "south"})})
+	for _, test := range []struct {
+		regions locality.Regions
+		first   string
+		ready   int
+	}{
+		{locality.Regions{}, "a1", 2},
+		{locality.Only("north"), "a1", 1},
+		{locality.Only("south"), "b1", 1},
+		{locality.Only("south", "west"), "b1", 1},
+		{locality.Only("west"), "", 0},
+		{locality.Only(), "", 0},
+	} {
+		with := func(pick *Pick) { pick.Regions = test.regions }
+		ticket, got := d.pick(epoch, with)
+		d.core.Step(epoch, Ended{Ticket: ticket, Result: ResultAbandoned})
+		if got != test.first || d.core.RoomsIn(epoch, notes, test.regions).Ready != test.ready {
+			t.Errorf("%s: picked %q, rooms %+v", test.regions, got, d.core.RoomsIn(epoch, notes, test.regions))
+		}
+		if d.core.HasZone(test.regions) != (test.first != "") {
+			t.Errorf("%s: has a zone: %v", test.regions, test.first == "")
+		}
+	}
+	d.core.Step(epoch, evacuated(1, "b"))
+	if _, got := d.pick(epoch, func(pick *Pick) { pick.Regions = locality.Only("south") }); got != "" || d.core.HasZone(locality.Only("south")) {
+		t.Errorf("picked %q though the region's zone is evacuated", got)
+	}
+}
--- a/internal/routing/message.go
+++ b/internal/routing/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 // Ticket names one attempt within a node.
@@ -24,6 +25,9 @@
 // configuration.
 type Evacuations struct{ evacuation.Word }
 
+// Places tells the region of each zone.
+type Places struct{ locality.Map }
+
 // Pick asks for an engine that serves the model.
 type Pick struct {
 	Ticket  Ticket
@@ -34,6 +38,8 @@
 	// Exclude are engines that this request has failed at; they are picked
 	// only where no other is left.
 	Exclude []fleet.BackendName
+	// Regions are those in which the attempt may run.
+	Regions locality.Regions
 	// Together, where it is not 0, has all picks with this number go to one engine of
 	// those that may be sent to, whatever their load.
 	Together uint64
@@ -44,7 +50,8 @@
 	Ticket  Ticket
 	Service string
 	Exclude []fleet.BackendName
-	// Together is as in Pick.
+	// Regions and Together are as in Pick.
+	Regions  locality.Regions
 	Together uint64
 }
 
@@ -83,6 +90,7 @@
 func (Tables) isMessage()      {}
 func (Leaving) isMessage()     {}
 func (Evacuations) isMessage() {}
+func (Places) isMessage()      {}
 func (Pick) isMessage()        {}
 func (PickService) isMessage() {}
 func (FirstToken) isMessage()  {}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -8,10 +8,11 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 func (c *Core) pick(now time.Time, pick Pick) {
-	candidates, known := c.filter(now, pick.Model, c.byModel[pick.Model])
+	candidates, known := c.filter(now, pick.Model, pick.Regions, c.byModel[pick.Model])
 	candidates = slices.DeleteFunc(candidates, func(t *target) bool { return !t.hasAdapter(pick.Model, pick.Adapter) })
 	candidates = avoid(candidates, pick.Exclude)
 	scorer := scorer{core: c, now: now, pick: pick, meanLoad: c.meanFreshLoad(now, candidates)}
@@ -28,7 +29,7 @@
 }
 
 func (c *Core) pickService(now time.Time, pick PickService) {
-	candidates, known := c.filter(now, fleet.ModelVersion{}, c.byService[pick.Service])
+	candidates, known := c.filter(now, fleet.ModelVersion{}, pick.Regions, c.byService[pick.Service])
 	candidates = avoid(candidates, pick.Exclude)
 	var chosen *target
 	if pick.Together != 0 {
@@ -43,9 +44,9 @@
 }
 
 // filter returns the targets that may be sent to, and whether any was known.
-func (c *Core) filter(now time.Time, model fleet.ModelVersion, targets []*target) (candidates []*target, known bool) {
+func (c *Core) filter(now time.Time, model fleet.ModelVersion, regions locality.Regions, targets []*target) (candidates []*target, known bool) {
 	for _, target := range targets {
-		if c.isClosed(target) {
+		if c.isClosed(target, regions) {
 			continue
 		}
 		known = true
@@ -70,9 +71,10 @@
 	return others
 }
 
-// isClosed reports whether no attempt may begin at the target, however it does.
-func (c *Core) isClosed(target *target) bool {
-	return c.isLeaving(target) || c.evacuations.IsEvacuated(string(target.backend.Zone))
+// isClosed reports whether no attempt that may run in the regions may begin at the
+// target, however it does.
+func (c *Core) isClosed(target *target, regions locality.Regions) bool {
+	return c.isLeaving(target) || !c.isInService(target.backend.Zone, regions)
 }
 
 func (c *Core) isLeaving(target *target) bool {
--- a/internal/routing/rooms.go
+++ b/internal/routing/rooms.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 // Room is what one ready replica can take.
@@ -24,13 +25,18 @@
 
 // Rooms returns the room at each replica of the model.
 func (c *Core) Rooms(now time.Time, model fleet.ModelVersion) Rooms {
+	return c.RoomsIn(now, model, locality.Regions{})
+}
+
+// RoomsIn returns the room at each replica of the model in the regions.
+func (c *Core) RoomsIn(now time.Time, model fleet.ModelVersion, regions locality.Regions) Rooms {
 	var rooms Rooms
 	for _, target := range c.byModel[model] {
-		if !c.isClosed(target) {
+		if !c.isClosed(target, regions) {
 			rooms.Ready++
 		}
 	}
-	candidates, _ := c.filter(now, model, c.byModel[model])
+	candidates, _ := c.filter(now, model, regions, c.byModel[model])
 	for _, target := range candidates {
 		rooms.Slots += target.slots
 		free := c.free(now, target)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -8,6 +8,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
 // Options are the constants of routing. Zero values are replaced by the
@@ -88,6 +89,7 @@
 	// zones are those of the tables.
 	zones       map[fleet.Zone]bool
 	evacuations *evacuation.Table
+	places      locality.Map
 	flights     map[Ticket]*flight
 	// announcements are the times at which a model's room may grow without a
 	// message, oldest first.
@@ -122,6 +124,9 @@
 		c.takeLeaving(message.Backends)
 	case Evacuations:
 		c.takeEvacuations(now, message.Word)
+	case Places:
+		c.places = message.Map
+		c.announceAll()
 	case Pick:
 		c.pick(now, message)
 	case PickService:
@@ -272,15 +277,27 @@
 	}
 }
 
-// AllEvacuated reports whether every zone that has a table is evacuated, so that
-// there is nowhere to send a request.
-func (c *Core) AllEvacuated() bool {
+// HasZone reports whether some zone that has a table is in service and lies in the
+// regions.
+func (c *Core) HasZone(regions locality.Regions) bool {
 	for zone := range c.zones {
-		if !c.evacuations.IsEvacuated(string(zone)) {
-			return false
+		if c.isInService(zone, regions) {
+			return true
 		}
 	}
-	return len(c.zones) > 0
+	return false
+}
+
+// isInService reports whether attempts that may run in the regions may begin in the
+// zone.
+func (c *Core) isInService(zone fleet.Zone, regions locality.Regions) bool {
+	return !c.evacuations.IsEvacuated(string(zone)) && regions.Allows(c.places.Region(string(zone)))
+}
+
+// AllEvacuated reports whether every zone that has a table is evacuated, so that
+// there is nowhere to send a request.
+func (c *Core) AllEvacuated() bool {
+	return len(c.zones) > 0 && !c.HasZone(locality.Regions{})
 }
 
 func (c *Core) firstToken(now time.Time, message FirstToken) {
--- a/internal/spec/ambiguity.go
+++ b/internal/spec/ambiguity.go
@@ -118,6 +118,7 @@
 func sameEffect(left, right *Selector) bool {
 	return left.Limits == Limits{} && right.Limits == Limits{} &&
 		left.Priority == right.Priority && left.Deadline == right.Deadline &&
+		slices.Equal(slices.Sorted(slices.Values(left.Regions)), slices.Sorted(slices.Values(right.Regions))) &&
 		reflect.DeepEqual(left.Deployments, right.Deployments)
 }
 
--- a/internal/spec/check.go
+++ b/internal/spec/check.go
@@ -37,6 +37,7 @@
 	}
 	checker.pathPrefixes()
 	checker.preferencesOnce()
+	checker.zonesOnce()
 	checker.ambiguousSelectors()
 	return checker.findings
 }
@@ -131,6 +132,8 @@
 		c.preferences(object, declared)
 	case *Evacuation:
 		c.evacuation(object, declared)
+	case *Region:
+		c.region(object, declared)
 	}
 }
 
--- a/internal/spec/check_evacuation.go
+++ b/internal/spec/check_evacuation.go
@@ -1,10 +1,6 @@
 package spec
 
-import (
-	"fmt"
-	"slices"
-	"strings"
-)
+import "fmt"
 
 // maxReasonBytes bounds the reason of an evacuation, which each node holds and
 // status shows on one line.
@@ -13,11 +9,7 @@
 // evacuation checks that the zone is one of the fleet, where its zones are
 // known: an evacuation of a misspelt zone would leave the one meant in service.
 func (c *checker) evacuation(object *Object, evacuation *Evacuation) {
-	zone := object.Metadata.Name
-	if zone != "" && len(c.options.Zones) > 0 && !slices.Contains(c.options.Zones, zone) {
-		c.report(object, "metadata.name", fmt.Sprintf("the fleet has no zone %q", zone),
-			"its zones are: "+strings.Join(slices.Sorted(slices.Values(c.options.Zones)), ", "))
-	}
+	c.zone(object, "metadata.name", object.Metadata.Name)
 	if len(evacuation.Reason) > maxReasonBytes {
 		c.report(object, "spec.reason", fmt.Sprintf("spec.reason has %d bytes", len(evacuation.Reason)),
 			fmt.Sprintf("give at most %d", maxReasonBytes))
--- a/internal/spec/check_selectors.go
+++ b/internal/spec/check_selectors.go
@@ -14,6 +14,7 @@
 	c.labelSelector(object, "spec.match", selector.Match)
 	c.span(object, "spec.deadline", selector.Deadline)
 	c.limits(object, selector.Limits)
+	c.regions(object, selector.Regions)
 }
 
 func (c *checker) capacity(object *Object, capacity *Capacity) {
--- a/internal/spec/check_traffic.go
+++ b/internal/spec/check_traffic.go
@@ -24,6 +24,7 @@
 	c.span(object, "spec.deadline", service.Deadline)
 	c.span(object, "spec.keyWindow", service.KeyWindow)
 	c.limits(object, service.Limits)
+	c.regions(object, service.Regions)
 }
 
 // repeatableMethods are those that a service may add to GET and HEAD.
--- a/internal/spec/set.go
+++ b/internal/spec/set.go
@@ -58,7 +58,7 @@
 // evacuation refers to none and goes first: apply stops at the first write that
 // does not succeed, and a zone must not stay in service for that.
 var kindOrder = []Kind{
-	KindEvacuation, KindModel, KindAdapter, KindDeployment, KindCapacity, KindService, KindPreferences, KindSelector,
+	KindEvacuation, KindRegion, KindModel, KindAdapter, KindDeployment, KindCapacity, KindService, KindPreferences, KindSelector,
 }
 
 // Kinds returns the declared kinds, each after those that it refers to.
@@ -85,6 +85,8 @@
 		return &Preferences{}
 	case KindEvacuation:
 		return &Evacuation{}
+	case KindRegion:
+		return &Region{}
 	default:
 		return nil
 	}
--- a/internal/spec/types.go
+++ b/internal/spec/types.go
@@ -15,6 +15,7 @@
 	KindCapacity    Kind = "Capacity"
 	KindPreferences Kind = "Preferences"
 	KindEvacuation  Kind = "Evacuation"
+	KindRegion      Kind = "Region"
 )
 
 // Metadata names and labels an object.
@@ -110,6 +111,8 @@
 	// Deadline bounds the time until the first token; default 30 s.
 	Deadline Duration `yaml:"deadline,omitempty" json:"deadline,omitempty"`
 	Limits   Limits   `yaml:"limits,omitempty" json:"limits,omitempty"`
+	// Regions are those in which the requests may run; all where it is left out.
+	Regions []string `yaml:"regions,omitempty" json:"regions,omitempty"`
 }
 
 // Limits bound the traffic of one selector over the whole fleet; zero is
@@ -131,6 +134,8 @@
 	// KeyWindow is how long an Idempotency-Key is remembered; default 10m.
 	KeyWindow Duration `yaml:"keyWindow,omitempty" json:"keyWindow,omitempty"`
 	Limits    Limits   `yaml:"limits,omitempty" json:"limits,omitempty"`
+	// Regions are those in which the calls may run; all where it is left out.
+	Regions []string `yaml:"regions,omitempty" json:"regions,omitempty"`
 }
 
 // Capacity keeps replicas standing for the deployments that a selector of
@@ -154,3 +159,8 @@
 	// Reason tells other operators why; it decides nothing.
 	Reason string `yaml:"reason,omitempty" json:"reason,omitempty"`
 }
+
+// Region groups zones. Selectors and services may bind what they take to regions.
+type Region struct {
+	Zones []string `yaml:"zones" json:"zones"`
+}
