--- a/internal/fleet/regions.go
+++ b/internal/fleet/regions.go
@@ -10,9 +10,14 @@
 // other: their names in order, with commas between them. Empty is without a bound.
 type Regions string
 
-// RegionsOf names a set that allows something. What may run nowhere is refused where
-// it comes in, and told to nobody.
+// noRegions names the set that allows nothing: a separator with no name around it.
+const noRegions Regions = ","
+
+// RegionsOf names a set.
 func RegionsOf(set locality.Regions) Regions {
+	if set.IsNone() {
+		return noRegions
+	}
 	return Regions(strings.Join(set.Names(), ","))
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -291,6 +291,22 @@
 	s.stepRouting(now, routing.Ended{Ticket: routing.Ticket(ended.ticket), Result: ended.result})
 }
 
+// began tells of an attempt's first token.
+func (s *dispatcherState) began(now time.Time, began attemptBegan) {
+	if known, found := s.assigned[began.ticket]; found {
+		s.stepQueue(now, queue.Began{Model: known.model, Regions: known.regions, After: began.after})
+	}
+	s.stepRouting(now, routing.FirstToken{Ticket: routing.Ticket(began.ticket), After: began.after})
+}
+
+// takeConfiguration has what waits go by the zones and regions in force.
+func (s *dispatcherState) takeConfiguration(now time.Time, changed configurationChanged) {
+	s.stepRouting(now, routing.Places{Map: changed.places})
+	s.stepRouting(now, routing.Evacuations{Word: changed.evacuations})
+	s.followEvacuations(now)
+	s.followRegions(now)
+}
+
 func (s *dispatcherState) takeTables(now time.Time, tables views.Tables) {
 	list := make([]fleet.RouteTable, 0, len(tables))
 	for _, table := range tables {
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -186,19 +186,13 @@
 	case abandon:
 		s.abandon(now, message.ticket)
 	case attemptBegan:
-		if known, found := s.assigned[message.ticket]; found {
-			s.stepQueue(now, queue.Began{Model: known.model, Regions: known.regions, After: message.after})
-		}
-		s.stepRouting(now, routing.FirstToken{Ticket: routing.Ticket(message.ticket), After: message.after})
+		s.began(now, message)
 	case attemptEnded:
 		s.ended(now, message)
 	case tablesChanged:
 		s.takeTables(now, message.tables)
 	case configurationChanged:
-		s.stepRouting(now, routing.Places{Map: message.places})
-		s.stepRouting(now, routing.Evacuations{Word: message.evacuations})
-		s.followEvacuations(now)
-		s.followRegions(now)
+		s.takeConfiguration(now, message)
 	case nodesChanged:
 		s.shares.setNodes(message.nodes)
 	case leavingChanged:
@@ -208,13 +202,7 @@
 	case loadRefused:
 		s.stepQueue(now, queue.LoadRefused{Refusals: message.refusals})
 	case wake:
-		s.timerAt = time.Time{}
-		s.stepRouting(now, routing.Tick{})
-		s.stepQueue(now, queue.Tick{})
-		// Reports grow stale and ejections end without a message of their own.
-		for _, line := range s.queue.Lines() {
-			s.offerLine(now, line.Model, line.Regions.Set())
-		}
+		s.wake(now)
 	case linesAsked:
 		message.reply <- s.lines(now)
 		return
@@ -228,6 +216,17 @@
 	s.arm(now)
 }
 
+// wake does what is due.
+func (s *dispatcherState) wake(now time.Time) {
+	s.timerAt = time.Time{}
+	s.stepRouting(now, routing.Tick{})
+	s.stepQueue(now, queue.Tick{})
+	// Reports grow stale and ejections end without a message of their own.
+	for _, line := range s.queue.Lines() {
+		s.offerLine(now, line.Model, line.Regions.Set())
+	}
+}
+
 // gauge shows the queue; only the models' dispatcher has one in use.
 func (s *dispatcherState) gauge() {
 	if items, bytes := s.queue.Waiting(); items != s.waiting {
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -84,7 +84,7 @@
 	for version, test := range []struct {
 		regions []string
 		code    string
-	}{{[]string{"south"}, ""}, {[]string{"west"}, codeNoRegion}} {
+	}{{[]string{"south"}, ""}, {[]string{"west"}, codeNoRegion}, {nil, codeNoRegion}} {
 		loading()
 		h.bind(uint64(2*version+1), "north")
 		done := make(chan response, 1)
@@ -133,3 +133,17 @@
 		t.Errorf("resumed %v, the north got %d, the south %d", resumed, home.models.Load(), other.models.Load())
 	}
 }
+
+// TestWaitingRequestWithoutBoundIsRefusedOnceNothingIsAllowed at once, not at its deadline.
+func TestWaitingRequestWithoutBoundIsRefusedOnceNothingIsAllowed(t *testing.T) {
+	h := newHarness(t, nil)
+	h.views.Tables.Set(views.Tables{"a": {Zone: "a", Fence: 1, Sequence: 1}})
+	h.declare(1, nil)
+	done := make(chan response, 1)
+	go func() { done <- h.do(http.MethodPost, backend.PathCompletions, streamBody) }()
+	<-h.demand.first
+	h.bind(2)
+	if got := <-done; got.problem.Code != codeNoRegion || got.problem.Outcome != attempt.OutcomeNotRun {
+		t.Errorf("%d %+v", got.status, got.problem)
+	}
+}
