--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -27,6 +27,8 @@
 type suspicion struct {
 	gateway     *Gateway
 	fingerprint poison.Fingerprint
+	// isTrial is set from the claim of a trial until a send that may have left.
+	isTrial bool
 }
 
 // refusalBarred is final: a time to come back at would bring the request back.
@@ -48,18 +50,23 @@
 
 // isBarred reports whether the request is to be sent to no server.
 func (s *suspicion) isBarred() bool {
-	return s.standing() == poison.StandingBarred
+	return !s.isTrial && s.standing() == poison.StandingBarred
 }
 
 // mayBeSent is asked last before a send. A request on trial is sent where this node
 // claims that, and is barred from then on: for copies that waited for their model, here
-// or at other nodes, and for a second send of its own.
+// or at other nodes, and for a second send of its own. The claim holds until something may
+// have left: a server that is not reached is no trial.
 func (s *suspicion) mayBeSent(ctx context.Context) bool {
+	if s.isTrial {
+		return true
+	}
 	switch s.standing() {
 	case poison.StandingBarred:
 		return false
 	case poison.StandingOnTrial:
-		return s.gateway.options.Suspects.ClaimTrial(ctx, s.fingerprint)
+		s.isTrial = s.gateway.options.Suspects.ClaimTrial(ctx, s.fingerprint)
+		return s.isTrial
 	default:
 		return true
 	}
@@ -81,6 +88,7 @@
 	if s.gateway == nil || broken.Evidence != attempt.MaySent {
 		return
 	}
+	s.isTrial = false
 	if s.gateway.probes.Probe(target.Address) != backendconn.LivenessEnded {
 		return
 	}
