--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -125,7 +125,7 @@
 	return waiting.State{
 		CallerLeft: x.hasLeft(),
 		IsBarred:   !x.isTrial && standing == poison.StandingBarred,
-		IsOnTrial:  standing == poison.StandingOnTrial,
+		IsOnTrial:  x.isTrial || standing == poison.StandingOnTrial,
 		NodeStops:  until != nil && !clock.Now().Before(*until),
 		AllTried:   !x.engine && len(x.failed) > 0,
 		HasBegun:   x.headSent || x.ran,
--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -79,6 +79,7 @@
 		kind{"silent-connections-between-nodes", 1, func(s *soak, d drawnFault) {
 			s.silence(d, d.node.toPeers, d.node.name, "connections of others to it")
 		}},
+		coldKind(),
 	)
 }
 
@@ -356,8 +357,12 @@
 // replaceServer starts a server, and then lets an older one drain and go.
 func (s *soak) replaceServer(drawn drawnFault) {
 	staying := s.staying()
-	leaver := staying[drawn.server%len(staying)]
-	s.addServer(leaver.service)
+	s.replace(staying[drawn.server%len(staying)], 0)
+}
+
+// replace lets a server leave, and another come in its place that is cold for a time.
+func (s *soak) replace(leaver *modelServer, cold time.Duration) {
+	s.addServer(leaver.service, cold)
 	s.mu.Lock()
 	s.left[leaver.id] = time.Now()
 	s.mu.Unlock()
