Soak: evacuation of a zone

The judge looks for work that began there later than the bound by nodes in touch while the store was sound; planted violations are found, and what is excused is not. In other runs all servers are in one zone, as before (the merge of zones of servers had left theirs empty).

--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -73,6 +73,23 @@
 			s.servers[0].ranAt["a"] = at(time.Second)
 			s.troubles = []span{{place: onWayToServer, node: "i", from: at(0), to: at(time.Second)}}
 		}},
+		{"EVAC", func(s *soak) {
+			s.servers[0].zone, s.servers[0].ranAt["a"] = soakZones[1], at(evacuateBound+time.Millisecond)
+			s.evacuations = []soakEvacuation{{from: at(0)}}
+		}},
+		{"", func(s *soak) {
+			s.servers[0].zone, s.servers[0].ranAt["a"] = soakZones[1], at(evacuateBound+2*time.Millisecond)
+			s.evacuations = []soakEvacuation{{from: at(0), to: at(evacuateBound + time.Millisecond)}}
+		}},
+		{"", func(s *soak) {
+			s.servers[0].zone, s.servers[0].ranAt["a"] = soakZones[0], at(evacuateBound+time.Millisecond)
+			s.evacuations = []soakEvacuation{{from: at(0)}}
+		}},
+		{"", func(s *soak) {
+			s.servers[0].zone, s.servers[0].ranAt["a"] = soakZones[1], at(evacuateBound+time.Millisecond)
+			s.evacuations = []soakEvacuation{{from: at(0)}}
+			s.troubles = []span{{place: atNode, node: "node-1", from: at(0), to: at(time.Second)}}
+		}},
 		{"COLD", func(s *soak) {
 			s.servers[0].cameAt, s.servers[0].coldUntil = at(0), at(soakColdTime)
 			for i := range 1 + int(mostWhileSoakCold) {
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -113,6 +113,8 @@
 	poisons  map[string]*soakPoison
 	number   int
 	findings []string
+	// evacuations are those of the second zone.
+	evacuations []soakEvacuation
 	// heldUntil is until when the orders of a holder of the lease are held.
 	heldUntil time.Time
 
@@ -160,9 +162,13 @@
 
 func runSoak(t *testing.T, options soakOptions) {
 	t.Helper()
-	s := newSoak(newFleetWith(t, fleetOptions{
+	fleet := fleetOptions{
 		count: options.nodes, seeds: `"127.0.0.11:1", "127.0.0.12:1"`, firstIP: firstSoakIP, isRelayed: options.isRelayed, hasMetrics: true,
-	}), options)
+	}
+	if options.evacuates() {
+		fleet.bounds = evacuateLine
+	}
+	s := newSoak(newFleetWith(t, fleet), options)
 	s.isQuiet = true
 	for _, n := range s.nodes {
 		s.controls = append(s.controls, newControl(n))
@@ -226,7 +232,7 @@
 	number := s.number
 	s.mu.Unlock()
 	m := &modelServer{
-		id: fmt.Sprintf("i-%d", number), service: service, loadTime: 300 * time.Millisecond, streamPause: 30 * time.Millisecond,
+		id: fmt.Sprintf("i-%d", number), service: service, zone: s.options.zoneOf(number), loadTime: 300 * time.Millisecond, streamPause: 30 * time.Millisecond,
 		models: make(map[string]map[string]bool), runs: make(map[string]int), ranAt: make(map[string]time.Time), weightMB: 60, memoryMB: 200,
 	}
 	m.onPoison = func(writer http.ResponseWriter, request *http.Request, body string) {
