Cold servers: who waits a moment for one asks for no further copy

Cause: requests that wait though a copy stands count as out of its reach after 0.4 s, and the leader loads one more and drops another model: for a server that is cold for 3 s, where a load takes 6 s. Found by reading.

Change: those that stand in line at cold servers are told to the leader as waiting only where another copy would serve them sooner (a line beyond 1.5 s, or a rate of nought, which is answered without asking anybody). Regions that a request may run in bind here, too.

--- a/internal/coldstart/schedule_test.go
+++ b/internal/coldstart/schedule_test.go
@@ -62,6 +62,10 @@
 	side  int
 	down  time.Time
 	heard []time.Time
+	// countedAt is when nodes and reach were last counted: once in a tick.
+	countedAt time.Time
+	nodes     int
+	reach     float64
 	// pending are grants that are not used yet.
 	pending []pendingGrant
 }
@@ -120,6 +124,15 @@
 }
 
 func (f *simFleet) count(i int) (nodes int, reach float64) {
+	node := f.nodes[i]
+	if !node.countedAt.Equal(f.now) {
+		node.nodes, node.reach = f.countAnew(i)
+		node.countedAt = f.now
+	}
+	return node.nodes, node.reach
+}
+
+func (f *simFleet) countAnew(i int) (nodes int, reach float64) {
 	fresh, counted := 1, 1
 	for other, at := range f.nodes[i].heard {
 		if other == i || at.IsZero() {
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -178,7 +178,7 @@
 func (c *Core) IsHeldByCold(now time.Time, wanted Wanted) bool {
 	found := false
 	for _, s := range c.byService[wanted.Service] {
-		if !s.takesWork() || !s.offers(now, wanted) {
+		if !s.takesWork() || !c.isIn(s, wanted.Regions) || !s.offers(now, wanted) {
 			continue
 		}
 		if s.coldPhase(now) == coldstart.Warm {
@@ -189,6 +189,23 @@
 	return found
 }
 
+// longestColdLine is how long a request stands in line for a cold server until another copy
+// would serve it sooner: a coordinator foretells 1.2 s at the most where it grants at all.
+const longestColdLine = 1500 * time.Millisecond
+
+// WaitingForCopies are the requests of a count that one more copy would serve. Those that
+// stand in line for a moment at cold servers are none: a load takes longer than they are
+// cold, and drops what others ask for.
+func (c *Core) WaitingForCopies(now time.Time, count DemandCount) int {
+	if !c.IsHeldByCold(now, count.Wanted) {
+		return count.Waiting
+	}
+	if left, known := c.ReadyIn(now, count.Wanted); known && left > longestColdLine {
+		return count.Waiting
+	}
+	return 0
+}
+
 func (s *server) coldPhase(now time.Time) coldstart.Phase {
 	if !s.cold.limit.IsLimited() {
 		return coldstart.Warm
--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// TestLineAtAColdServerIsNoWantOfCopies: nothing is loaded for who waits a moment. Where a
+// cold server takes nothing at all another copy is wanted.
+func TestLineAtAColdServerIsNoWantOfCopies(t *testing.T) {
+	core := newColdCore(entry("a", "z", "rare"))
+	wanted := Wanted{Service: "s", Model: "rare"}
+	tellCold(core, begin, "a", 10*time.Second, 1)
+	core.Waits(wanted, 3)
+	waiting := func() int { return core.WaitingForCopies(begin, core.Demand(begin)[0]) }
+	for retryIn, want := range map[time.Duration]int{300 * time.Millisecond: 0, 10 * time.Second: 3} {
+		core.HoldBack(begin, "a", retryIn)
+		if got := waiting(); got != want {
+			t.Errorf("foretold in %v: %d wait for copies, want %d", retryIn, got, want)
+		}
+	}
+	core.SetServers([]inventory.Change{{Server: inventory.Server{ID: "a"}, Gone: true}})
+	if got := waiting(); got != 3 {
+		t.Errorf("%d wait for copies of a model that stands nowhere", got)
+	}
+}
+
 // TestZoneThatTakesWorkAgainIsCold until entries that are newer say otherwise.
 func TestZoneThatTakesWorkAgainIsCold(t *testing.T) {
 	core := newColdCore(entry("a", "y"), entry("b", "z"))
--- a/internal/edge/coldstarts.go
+++ b/internal/edge/coldstarts.go
@@ -48,6 +48,9 @@
 	if phase == coldstart.Warm {
 		return relay.ColdVerdict{Granted: true}
 	}
+	if c.bound(service).Most() == 0 {
+		return c.admitWhenWarm(asked, serverID, phase)
+	}
 	for _, coordinator := range c.node.peers.coordinators(asked) {
 		answer := c.node.quotas.ask(ctx, coordinator.Address, &peerpb.QuotaCall{
 			Kind: peerpb.QuotaCall_ASK, Server: serverID, Service: service, Cost: 1,
@@ -64,6 +67,14 @@
 	return c.counted(c.admitAlone(serverID, service, phase))
 }
 
+// admitWhenWarm decides on a server that takes nothing while it is cold: nobody has to be
+// asked.
+func (c *coldStarts) admitWhenWarm(now time.Time, serverID string, phase coldstart.Phase) relay.ColdVerdict {
+	var left time.Duration
+	c.node.dispatch.Do(func(core *dispatch.Core) { left, _ = core.ColdLeft(now, serverID) })
+	return relay.ColdVerdict{Granted: phase != coldstart.Cold, RetryIn: left}
+}
+
 func (c *coldStarts) counted(verdict relay.ColdVerdict) relay.ColdVerdict {
 	if verdict.Granted {
 		c.admitted.Add(1)
--- a/internal/edge/coldstarts_test.go
+++ b/internal/edge/coldstarts_test.go
@@ -183,6 +183,9 @@
 	if got := admitted(node, "a", 20); got != 0 {
 		t.Errorf("%d sent", got)
 	}
+	if verdict := node.coldStarts.AdmitToServer(context.Background(), "a", 0); verdict.RetryIn < 2*time.Second {
+		t.Errorf("it is to come back in %v, while the server is cold", verdict.RetryIn)
+	}
 }
 
 // TestColdTimeOnTheWire: what cannot be is bounded.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -371,7 +371,7 @@
 		for _, count := range core.Demand(now.Add(-age)) {
 			wanted = append(wanted, &peerpb.WantedCount{
 				Service: count.Wanted.Service, Model: count.Wanted.Model, Adapter: count.Wanted.Adapter,
-				Asked: uint64(count.Asked), Waiting: uint32(count.Waiting), PromptTokens: uint64(count.PromptTokens),
+				Asked: uint64(count.Asked), Waiting: uint32(core.WaitingForCopies(now, count)), PromptTokens: uint64(count.PromptTokens),
 				GoalMs: uint32(count.Goal.Milliseconds()), Regions: count.Wanted.Regions.Names(),
 			})
 		}
