--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -90,7 +90,7 @@
 	s.calls[submit.ticket] = submit.reply
 	s.assigned[submit.ticket] = assigned{since: now}
 	s.stepRouting(now, routing.PickService{Ticket: routing.Ticket(submit.ticket), Service: submit.route.Service,
-		Exclude: submit.exclude})
+		Exclude: submit.exclude, Together: submit.together})
 }
 
 // offer tells the queue the present room for a model.
@@ -147,6 +147,8 @@
 		Adapter: release.Item.Adapter,
 		Prefix:  waiting.submit.prefix,
 		Exclude: waiting.submit.exclude,
+
+		Together: waiting.submit.together,
 	})
 }
 
@@ -197,8 +199,7 @@
 	if answer, found := s.calls[ticket]; found {
 		delete(s.calls, ticket)
 		delete(s.assigned, ticket)
-		answer <- reply{refusal: &failure{code: codeNoBackend, detail: "no back end of the service can be reached now",
-			outcome: attempt.OutcomeNotRun, retryAfter: time.Second}}
+		answer <- reply{refusal: s.noService()}
 	}
 }
 
@@ -228,6 +229,8 @@
 		return "the model cannot be loaded now"
 	case queue.ReasonShed:
 		return "requests of a higher priority took the room"
+	case queue.ReasonEvacuated:
+		return detailEvacuated
 	}
 	return "the node is stopping"
 }
@@ -259,6 +262,7 @@
 		list = append(list, table)
 	}
 	s.stepRouting(now, routing.Tables{Tables: list})
+	s.followEvacuations(now)
 }
 
 // stopping refuses what still waits, so that no handler waits for ever.
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/catalog"
+	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/queue"
 	"github.com/spanlanding/spanlanding/internal/routing"
@@ -39,7 +40,9 @@
 		// unspent retries do not count against the budget.
 		unspent bool
 		exclude []fleet.BackendName
-		reply   chan reply
+		// together is set for suspects, which go to one back end.
+		together uint64
+		reply    chan reply
 	}
 	// submitCall asks for a back end of a service.
 	submitCall struct {
@@ -48,7 +51,9 @@
 		retry   bool
 		unspent bool
 		exclude []fleet.BackendName
-		reply   chan reply
+		// together is as in submit.
+		together uint64
+		reply    chan reply
 	}
 	// abandon takes a submitted request out; its reply may already be there.
 	abandon      struct{ ticket uint64 }
@@ -61,7 +66,9 @@
 		result routing.Result
 	}
 	tablesChanged struct{ tables views.Tables }
-	nodesChanged  struct{ nodes int }
+	// evacuationsChanged brings the zones that are out of service.
+	evacuationsChanged struct{ word evacuation.Word }
+	nodesChanged       struct{ nodes int }
 	// routeDone tells that a request that took a share of its route is over.
 	routeDone      struct{ route string }
 	leavingChanged struct{ backends []fleet.BackendName }
@@ -113,6 +120,8 @@
 	assigned map[uint64]assigned
 	timer    *time.Timer
 	timerAt  time.Time
+	// evacuated is set while the queue is closed since no zone is left.
+	evacuated bool
 	// waiting is the number of requests that the gauge shows.
 	waiting int
 }
@@ -175,6 +184,9 @@
 		s.ended(now, message)
 	case tablesChanged:
 		s.takeTables(now, message.tables)
+	case evacuationsChanged:
+		s.stepRouting(now, routing.Evacuations{Word: message.word})
+		s.followEvacuations(now)
 	case nodesChanged:
 		s.shares.setNodes(message.nodes)
 	case leavingChanged:
