--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -33,7 +33,7 @@
 // of one that takes commands.
 type modelServer struct {
 	id, service, address string
-	// zone is that of its entry.
+	// zone is z unless it is set before the entry is written.
 	zone        string
 	loadTime    time.Duration
 	streamPause time.Duration
@@ -48,6 +48,8 @@
 	headOf map[string]http.Header
 	// ranAt is when each request began to run last.
 	ranAt map[string]time.Time
+	// reachedAt is when a request, an order or the question for a report came last.
+	reachedAt time.Time
 	// weightMB is the memory of a model and memoryMB that of the server; without
 	// them loads are not bounded.
 	weightMB, memoryMB float64
@@ -74,12 +76,16 @@
 	return newServerIn(t, s, "z", id, service, loadTime)
 }
 
-func newServerIn(t *testing.T, s *store, zone, id, service string, loadTime time.Duration) *modelServer {
+// newServerIn is a server of a zone, which holds the models.
+func newServerIn(t *testing.T, s *store, zone, id, service string, loadTime time.Duration, models ...string) *modelServer {
 	t.Helper()
 	m := &modelServer{
 		id: id, service: service, zone: zone, loadTime: loadTime,
 		models: make(map[string]map[string]bool), runs: make(map[string]int), ranAt: make(map[string]time.Time),
 	}
+	for _, model := range models {
+		m.models[model] = make(map[string]bool)
+	}
 	server := httptest.NewServer(m)
 	t.Cleanup(server.Close)
 	m.address = strings.TrimPrefix(server.URL, "http://")
@@ -117,6 +123,9 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	m.mu.Lock()
+	m.reachedAt = time.Now()
+	m.mu.Unlock()
 	switch request.URL.Path {
 	case "/api/report":
 		m.mu.Lock()
