Test: the end of an evacuation makes the zone's servers cold

Until entries that are newer than its end say otherwise; a peer is told that nothing is known. Without SuspectCold in evacuations.use it fails at the first phase.

--- a/internal/edge/coldstarts_test.go
+++ b/internal/edge/coldstarts_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/coldstart"
+	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/gossip"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
@@ -202,3 +203,34 @@
 		t.Errorf("endless: %v", got)
 	}
 }
+
+// TestEndOfAnEvacuationMakesItsServersCold until entries that are newer than its end say
+// otherwise; a peer is told that nothing is known.
+func TestEndOfAnEvacuationMakesItsServersCold(t *testing.T) {
+	node := newColdNode(t, 1)
+	inZone := inventory.Server{ID: "a", Service: "s", Zone: "y", Revision: 4, TellsCold: true}
+	elsewhere := inventory.Server{ID: "b", Service: "s", Zone: "z", Revision: 4, TellsCold: true}
+	node.listServers([]inventory.Server{inZone, elsewhere}, 4)
+	node.evacuations.take(evacuation.Word{Zones: []string{"y"}, Revision: 5}, "test", 0)
+	node.evacuations.take(evacuation.Word{Revision: 9}, "test", 0)
+	phaseOf := func(id string) coldstart.Phase {
+		phase, _ := node.coldStarts.phase(clock.Now(), id)
+		return phase
+	}
+	if a, b := phaseOf("a"), phaseOf("b"); a != coldstart.Cold || b != coldstart.Warm {
+		t.Errorf("phases %d and %d, want cold in the zone alone", a, b)
+	}
+	inZone.Revision = 8
+	node.changeServers([]inventory.Change{{Server: inZone}}, 9)
+	if phaseOf("a") != coldstart.Cold {
+		t.Error("warm by an entry from before the end")
+	}
+	if told := node.coldStarts.asOf(clock.Now(), []inventory.Server{inZone}); told[0].TellsCold {
+		t.Error("a peer is told what is not known")
+	}
+	inZone.Revision = 10
+	node.changeServers([]inventory.Change{{Server: inZone}}, 10)
+	if phaseOf("a") == coldstart.Cold {
+		t.Error("cold though a newer entry says otherwise")
+	}
+}
