--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -81,6 +81,7 @@
 	}
 	store := &platform.Store{
 		Objects: platform.NewObjects(settings.Platform.Address),
+		Places:  settings.Places(),
 		Findings: func(place string, finding error) {
 			logger.Warn().Str("place", place).Str("error", finding.Error()).Msg("entry_unreadable")
 		},
@@ -90,6 +91,7 @@
 	node := edge.New(edge.Options{
 		Name:           settings.NodeName,
 		Zone:           settings.Zone,
+		Places:         settings.Places(),
 		Frontend:       settings.Listen.Frontend,
 		Ready:          settings.Listen.Ready,
 		ReadyPath:      platform.ReadyPath,
@@ -107,6 +109,9 @@
 		Quota: quota.Tolerance{
 			Window: platform.Seconds(settings.Bounds.QuotaWindowS), Overage: settings.Bounds.QuotaOverage, Slack: settings.Bounds.QuotaSlack,
 		},
+		ColdOverage: settings.Bounds.ColdOverage,
+		ColdSlack:   settings.Bounds.ColdSlack,
+
 		Store:      store,
 		Lease:      store,
 		Engines:    engines,
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -23,8 +23,9 @@
 // Engines are the servers that take orders.
 type Engines interface {
 	Report(ctx context.Context, call placer.ReportCall) (placer.Report, error)
-	// Order gives an order that leaves only if permit still holds right before.
-	Order(ctx context.Context, order placer.Order, holder string, token int64, permit func() bool) placer.Result
+	// Order gives an order that is given up once the time that permit leaves it, right
+	// before it leaves, is over; where none is left it doesn't leave.
+	Order(ctx context.Context, order placer.Order, holder string, token int64, permit func() time.Duration) placer.Result
 }
 
 const (
@@ -62,6 +63,8 @@
 	// loads are what all nodes have under way, while this node leads.
 	loads     *dispatch.FleetLoads
 	countedAt time.Time
+	// loadsToldAt is when loads were last told.
+	loadsToldAt time.Time
 
 	started   time.Time
 	quietFrom time.Time
@@ -217,11 +220,14 @@
 	return max(0, time.Duration(l.orderFrom.Load())-clock.Since(l.started))
 }
 
-// mayOrder reports whether an order of the term may leave now. Any goroutine
-// may ask, right before it sends.
-func (l *leader) mayOrder(term int64) bool {
-	now := int64(clock.Since(l.started))
-	return l.term.Load() == term && now < l.validUntil.Load() && now >= l.orderFrom.Load()
+// orderTime is how long an order of the term that leaves now may be under way: until
+// the lease ends, 0 where none may leave. Any goroutine may ask, right before it sends.
+func (l *leader) orderTime(term int64) time.Duration {
+	now := clock.Since(l.started)
+	if l.term.Load() != term || now < time.Duration(l.orderFrom.Load()) {
+		return 0
+	}
+	return max(0, time.Duration(l.validUntil.Load())-now)
 }
 
 // followTerm starts and ends terms as the lease goes.
@@ -245,7 +251,7 @@
 	l.loads = dispatch.NewFleetLoads()
 	l.core = placer.New(placer.Options{
 		Window: l.node.options.LoadWindow, Overage: l.node.options.LoadOverage,
-		LoadsAtOnce: l.lease.PastLoadsAtOnce(), Demand: l.demand,
+		LoadsAtOnce: l.lease.PastLoadsAtOnce(), Demand: l.demand, Places: l.node.options.Places,
 	})
 	l.core.SetTable(l.node.handler.Table())
 	var all []inventory.Change
@@ -282,7 +288,7 @@
 		l.demand.SetCounts(now, state.Address, state.Life, countsOf(state.Wanted))
 	}
 	if l.core != nil && state.ViewsWanted {
-		l.node.peers.answerViews(state.Address, l.term.Load(), l.lease.Lapsed(now), l.views(now))
+		l.node.peers.answerViews(state, l.term.Load(), l.lease.Lapsed(now), func() []dispatch.View { return l.views(now) })
 	}
 }
 
@@ -297,7 +303,7 @@
 
 // ownCounts takes this node's own counts as those of any other.
 func (l *leader) ownCounts(now time.Time) {
-	l.demand.SetCounts(now, l.node.options.PeerAddress, l.node.peers.life, countsOf(l.node.peers.wanted(now)))
+	l.demand.SetCounts(now, l.node.options.PeerAddress, l.node.peers.life, countsOf(l.node.peers.wanted(now, wantedAge)))
 }
 
 func (l *leader) order(ctx context.Context, order placer.Order) {
@@ -306,7 +312,12 @@
 	started := clock.Now()
 	zone := core.ZoneOf(order.ServerID)
 	go func() {
-		permit := func() bool { return l.mayOrder(term) && !l.node.evacuations.isEvacuated(zone) }
+		permit := func() time.Duration {
+			if l.node.evacuations.isEvacuated(zone) {
+				return 0
+			}
+			return l.orderTime(term)
+		}
 		result := l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, permit)
 		l.call(ctx, func() {
 			l.node.options.Logger.Info().Int64("term", term).Str("server", order.ServerID).
@@ -357,6 +368,11 @@
 	l.node.peers.tellViews(term, lapsed, views, l.busiest(now))
 }
 
+// loadsPeriod is the least time between two tellings of the busiest servers: their loads are
+// smoothed over a second, and took most of the bytes that the leader sent when they were in
+// each datagram.
+const loadsPeriod = 400 * time.Millisecond
+
 // busiestTold is the number of servers whose loads the leader tells, as many as go
 // into a datagram.
 const busiestTold = 48
@@ -364,9 +380,10 @@
 // busiest are the busiest servers, where nodes hear of each other's requests too
 // rarely to know them; they are in force here, too.
 func (l *leader) busiest(now time.Time) []dispatch.PeerLoad {
-	if l.node.peers.count() <= loadedNodes {
+	if l.node.peers.count() <= loadedNodes || now.Sub(l.loadsToldAt) < loadsPeriod {
 		return nil
 	}
+	l.loadsToldAt = now
 	loads := l.loads.Busiest(busiestTold)
 	l.node.dispatch.Do(func(core *dispatch.Core) { core.SetFleetLoads(now, l.term.Load(), loads) })
 	return loads
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -18,6 +18,7 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/quota"
 	"github.com/spanlanding/spanlanding/internal/relay"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
@@ -43,6 +44,8 @@
 type Options struct {
 	Name string
 	Zone string
+	// Places are the zones and regions of the deployment.
+	Places locality.Map
 	// Frontend and Ready are the addresses for callers and for the question
 	// whether the node is ready, which is asked at ReadyPath.
 	Frontend  string
@@ -76,10 +79,14 @@
 	Lease       LeaseStore
 	Engines     Engines
 	// Quota is by how much the tenants' quotas may be passed.
-	Quota   quota.Tolerance
-	Pool    *backendconn.Pool
-	Dialect relay.Dialect
-	Logger  *log.Logger
+	Quota quota.Tolerance
+	// ColdOverage and ColdSlack are by how much a cold server may receive more than it
+	// bears: a factor, and requests of one second.
+	ColdOverage float64
+	ColdSlack   float64
+	Pool        *backendconn.Pool
+	Dialect     relay.Dialect
+	Logger      *log.Logger
 	// Metrics is where figures are served, as ADDRESS/PATH; empty is nowhere.
 	Metrics string
 	// LogDropped counts the log lines left out; nil where none are.
@@ -109,6 +116,8 @@
 	suspects *suspects
 	// evacuations are the zones to whose servers nothing new is sent.
 	evacuations *evacuations
+	// coldStarts admits requests to cold servers.
+	coldStarts *coldStarts
 
 	started time.Time
 	// firstRead is how long after its start this node may first ask the store,
@@ -156,7 +165,7 @@
 	}
 	node := &Node{
 		options:  options,
-		dispatch: dispatch.NewShared(dispatch.Options{Zone: options.Zone, Seed: rand.Uint64()}),
+		dispatch: dispatch.NewShared(dispatch.Options{Zone: options.Zone, Places: options.Places, Seed: rand.Uint64()}),
 		pool:     options.Pool,
 		callers:  newCallers(),
 
@@ -173,6 +182,7 @@
 	node.quotas = newQuotas(node, options.Quota, options.FirstStart)
 	node.suspects = newSuspects(node)
 	node.evacuations = newEvacuations(node)
+	node.coldStarts = newColdStarts(node)
 	node.handler = relay.New(relay.Options{
 		Dialect:  options.Dialect,
 		Dispatch: node.dispatch,
@@ -183,6 +193,8 @@
 		Quotas:   node.quotas,
 		Suspects: node.suspects,
 
+		ColdStarts: node.coldStarts,
+
 		Knows:          node.knowsEnough,
 		AwaitKnowledge: node.awaitKnowledge,
 	})
@@ -365,17 +377,20 @@
 func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
+	var regions regionCheck
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			n.pool.Sweep()
+			n.checkRegions(&regions)
 			n.leader.post(func() { n.leader.demand.Prune(clock.Now()) })
 			n.forgiveStore(clock.Now())
 			n.quotas.sweep(clock.Now())
 			n.suspects.sweep(clock.Now())
 			n.evacuations.reportUnknown()
+			n.coldStarts.sweep(clock.Now())
 			if table := n.handler.Table(); table != nil && table.Limits.IdleTimeout > 0 {
 				n.callers.closeResting(clock.Now(), table.Limits.IdleTimeout+restSlack)
 			}
--- a/internal/edge/quotas_coordinator.go
+++ b/internal/edge/quotas_coordinator.go
@@ -30,21 +30,15 @@
 		q.advisories.Hear(now, call.Asker, call.Closed)
 		q.mu.Unlock()
 	default:
-		q.mu.Lock()
-		waiting := q.waiting[call.Id]
-		q.mu.Unlock()
-		if waiting != nil {
-			select {
-			case waiting <- call:
-			default:
-				// The first answer counts.
-			}
-		}
+		q.asked.answered(call.Id, call)
 	}
 }
 
 // decide answers as the coordinator.
 func (q *quotas) decide(now time.Time, call *peerpb.QuotaCall) *peerpb.QuotaCall {
+	if call.Server != "" {
+		return q.node.coldStarts.decide(now, call)
+	}
 	answer := &peerpb.QuotaCall{Kind: peerpb.QuotaCall_UNKNOWN, Id: call.Id, Tenant: call.Tenant}
 	tenant, ok := q.tenant(call.Tenant)
 	if !ok || !q.mayGive(now) || q.better(now) != "" {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // verdict says how an attempt ended.
@@ -29,8 +30,14 @@
 func (x *exchange) attempt(choice dispatch.Choice) verdict {
 	x.serverID = choice.ServerID
 	x.estimate = choice.Estimate
+	admitted := x.admitsServer(choice)
+	if !admitted.Granted {
+		x.release(choice, dispatch.OutcomeLeft)
+		return verdictNotSent
+	}
 	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address)
 	if err != nil {
+		x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.Unreachable(clock.Now(), choice.ServerID) })
 		return x.notSent(choice)
 	}
 	if x.isBarred() {
@@ -39,7 +46,7 @@
 		x.answerBarred()
 		return verdictDone
 	}
-	if clock.Until(x.deadline) <= finishMargin {
+	if clock.Until(x.deadline) <= waiting.FinishMargin {
 		x.release(choice, dispatch.OutcomeLeft)
 		_ = conn.Close()
 		x.giveUp(reasonDeadline)
@@ -51,9 +58,15 @@
 		x.failed = append(x.failed, choice.ServerID)
 		return verdictNotSent
 	}
+	if !x.isStillAdmitted(choice, admitted) {
+		x.release(choice, dispatch.OutcomeLeft)
+		_ = conn.Close()
+		return verdictNotSent
+	}
 	if !x.hasSent(choice.ServerID) {
 		x.sent = append(x.sent, choice.ServerID)
 	}
+	x.countBytes(choice, len(x.body))
 	answer, err := conn.RoundTrip(x.ctx, x.outgoing(choice))
 	if err != nil && conn.Reused {
 		// The others that were kept may be as silent or as dead; new ones may work.
@@ -70,11 +83,16 @@
 func (x *exchange) isStillGood(choice dispatch.Choice) bool {
 	good := false
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
-		good = core.TakesWork(choice.ServerID)
+		good = core.MayTake(choice.ServerID, x.regions())
 	})
 	return good
 }
 
+// countBytes counts a body's bytes by how far its server is.
+func (x *exchange) countBytes(choice dispatch.Choice, count int) {
+	x.handler.Metrics.ServerBytes[choice.Distance].Add(int64(count))
+}
+
 func (x *exchange) outgoing(choice dispatch.Choice) backendconn.Request {
 	header := x.header.Clone()
 	x.handler.options.Dialect.SetSend(header, Send{
@@ -98,14 +116,6 @@
 	}
 }
 
-const (
-	// maxUrgency is the least urgent rank that can be said.
-	maxUrgency = 9
-	// ranksOfTenant is the number of ranks of one priority of tenants: among requests of
-	// tenants of one priority the routes' priorities decide, up to that many.
-	ranksOfTenant = 3
-)
-
 // urgency is the rank of the request at its server, 0 first: by the priority of its
 // tenant and then of its route. Where tenants have none it is that of the route, and
 // among those of one priority who came back goes before who is new.
@@ -114,13 +124,9 @@
 		return -1
 	}
 	if x.tenant != nil && x.tenant.HasPriority {
-		return min(maxUrgency, ranksOfTenant*x.tenant.Priority+min(x.route.Priority, ranksOfTenant-1))
-	}
-	rank := 2 * x.route.Priority
-	if !x.returned {
-		rank++
+		return waiting.RankOfTenant(x.tenant.Priority, x.route.Priority)
 	}
-	return min(maxUrgency, rank)
+	return waiting.Rank(x.route.Priority, x.returned)
 }
 
 func (x *exchange) notSent(choice dispatch.Choice) verdict {
@@ -146,7 +152,7 @@
 
 // again says whether a request that may have run is sent once more.
 func (x *exchange) again(reason string) verdict {
-	expired := clock.Until(x.deadline) <= finishMargin
+	expired := clock.Until(x.deadline) <= waiting.FinishMargin
 	if expired || !x.isRepeatable() || len(x.sent) >= x.route.MaxAttempts {
 		x.giveUp(reason)
 		return verdictDone
@@ -183,6 +189,9 @@
 		if told.Load != nil {
 			core.SetReported(now, choice.ServerID, *told.Load)
 		}
+		if told.ColdLeft != nil {
+			core.TellColdAnswer(now, choice.ServerID, *told.ColdLeft)
+		}
 	})
 }
 
@@ -232,6 +241,7 @@
 func (x *exchange) whole(choice dispatch.Choice, answer *backendconn.Answer) verdict {
 	failed := answer.Status >= http.StatusInternalServerError
 	content, err := io.ReadAll(io.LimitReader(answer, maxWholeBytes))
+	x.countBytes(choice, len(content))
 	if err != nil {
 		x.brokeOff(choice)
 		return x.again("broken_answer")
@@ -251,7 +261,9 @@
 	x.writeHead(answer, len(content) < maxWholeBytes, len(content))
 	_, _ = x.writer.Write(content)
 	if len(content) == maxWholeBytes {
-		if _, err := io.Copy(x.writer, answer); err != nil {
+		copied, err := io.Copy(x.writer, answer)
+		x.countBytes(choice, int(copied))
+		if err != nil {
 			x.cut("broken_answer")
 		}
 	}
@@ -261,7 +273,7 @@
 
 // canAskAnother reports whether a server's own failure may be tried elsewhere.
 func (x *exchange) canAskAnother() bool {
-	if !x.isRepeatable() || len(x.sent) >= x.route.MaxAttempts || clock.Until(x.deadline) <= finishMargin {
+	if !x.isRepeatable() || len(x.sent) >= x.route.MaxAttempts || clock.Until(x.deadline) <= waiting.FinishMargin {
 		return false
 	}
 	found := false
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -13,8 +13,10 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/routetable"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // exchange is one caller's request from arrival to its final answer.
@@ -55,13 +57,19 @@
 	// waitsSince is when the choice of a server began that is under way.
 	waitsSince time.Time
 	serverID   string
-	// overdueSince is since when the model that the request waits for should have been
-	// there; zero where it should not.
-	overdueSince time.Time
+	// watch follows when what the request waits for is expected.
+	watch waiting.Watch
 	// estimate is the time to the first byte that was expected of the server.
 	estimate time.Duration
 	// serverEnd is what became of the server whose answer broke off.
 	serverEnd backendconn.Liveness
+	// isTrial is set from the claim of a trial until its one send is over.
+	isTrial bool
+	// asked is what it was last counted as demand for.
+	asked dispatch.Wanted
+	// allowed are the regions in which it may run, by the table allowedBy.
+	allowed   locality.Regions
+	allowedBy *routetable.Table
 	// identity is the request's fingerprint once it was needed.
 	identity *poison.Fingerprint
 }
@@ -79,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(x.request.Context(), clock.Until(x.deadline))
 	defer cancel()
 	x.ctx = ctx
-	if !x.withinQuota() {
+	if !x.hasPlace() || !x.withinQuota() {
 		return
 	}
 	x.handler.countRequest(x.service)
@@ -196,23 +204,34 @@
 	}
 	x.countDemand()
 	x.lastEvent = x.head.LastEvent
+	hasRepeat := false
 	for sends := 0; ; sends++ {
 		choice, ok := x.pick()
 		if !ok {
 			return
 		}
-		if sends > 0 && !x.mayRepeat() {
+		// A repeat that was drawn holds until something was sent: a request may be held
+		// back at cold servers many times.
+		hasRepeat = hasRepeat || sends > 0 && x.mayRepeat()
+		if sends > 0 && !hasRepeat {
 			x.release(choice, dispatch.OutcomeLeft)
 			x.handler.Metrics.NoBudget.Add(1)
 			x.giveUp("no_budget")
 			return
 		}
+		if !x.mayTry() {
+			x.release(choice, dispatch.OutcomeLeft)
+			x.answerBarred()
+			return
+		}
 		verdict := x.attempt(choice)
 		if verdict == verdictDone {
 			return
 		}
 		if verdict == verdictNotSent {
 			sends--
+		} else {
+			hasRepeat, x.isTrial = false, false
 		}
 		if sends+1 >= maxSends || len(x.failed) >= maxSends {
 			x.giveUp("too_many_sends")
@@ -225,15 +244,15 @@
 	if !x.engine {
 		return
 	}
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.Asked(clock.Now(), x.wanted(), x.head.PromptTokens, x.route.Goal) })
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { x.countAsked(core, x.wanted()) })
 }
 
 func (x *exchange) wanted() dispatch.Wanted {
-	return dispatch.Wanted{Service: x.service, Model: x.head.Model, Adapter: x.head.Adapter}
+	return dispatch.Wanted{Service: x.service, Model: x.head.Model, Adapter: x.head.Adapter, Regions: x.regions()}
 }
 
 func (x *exchange) ask() dispatch.Ask {
-	ask := dispatch.Ask{Service: x.service, Exclude: x.failed}
+	ask := dispatch.Ask{Service: x.service, Exclude: x.failed, Regions: x.regions()}
 	if x.engine {
 		ask.Model, ask.Adapter = x.head.Model, x.head.Adapter
 		ask.Parts = x.head.Parts
@@ -326,6 +345,9 @@
 	if x.pace.first > 0 {
 		entry.Str("first_ms", milliseconds(x.pace.first)).Str("pause_ms", milliseconds(x.pace.longestPause))
 	}
+	if x.allowed.IsBounded() {
+		entry.Str("regions", x.allowed.String())
+	}
 	if x.returned {
 		entry.Bool("returned", true)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
 	"github.com/spanlanding/spanlanding/internal/routetable"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // Head is what a request's headers say of it.
@@ -55,6 +56,8 @@
 	NotRun bool
 	// Load is nil where the server does not tell its load.
 	Load *dispatch.Load
+	// ColdLeft is for how long the server is cold yet; nil where it does not tell.
+	ColdLeft *time.Duration
 }
 
 // Dialect reads and writes the headers that callers, nodes and servers share.
@@ -83,6 +86,8 @@
 	Budget   retrybudget.Options
 	// Quotas keeps tenants below their quotas; nil lets all pass.
 	Quotas Quotas
+	// ColdStarts keeps cold servers below what they bear; nil lets all pass.
+	ColdStarts ColdStarts
 	// Suspects remembers requests under which servers ended; nil suspects none.
 	Suspects Suspects
 	Logger   *log.Logger
@@ -115,7 +120,8 @@
 	mu       sync.Mutex
 	splitter routetable.Splitter
 	budget   *retrybudget.Budget
-	returns  *returns
+	lines    *waiting.Lines
+	errors   *waiting.Errors
 	// longest is the longest deadline seen on a route: a caller that comes back
 	// has less time left.
 	longest map[string]time.Duration
@@ -136,7 +142,8 @@
 		options: options,
 		started: clock.Now(),
 		budget:  retrybudget.New(options.Budget),
-		returns: newReturns(),
+		lines:   waiting.NewLines(),
+		errors:  waiting.NewErrors(),
 		longest: make(map[string]time.Duration),
 	}
 }
--- a/internal/routing/message.go
+++ b/internal/routing/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -19,6 +20,10 @@
 // and replaces the names heard before.
 type Leaving struct{ Backends []fleet.BackendName }
 
+// Evacuations names the zones that no attempt may go to, as of a version of the
+// configuration.
+type Evacuations struct{ evacuation.Word }
+
 // Pick asks for an engine that serves the model.
 type Pick struct {
 	Ticket  Ticket
@@ -29,6 +34,9 @@
 	// Exclude are engines that this request has failed at; they are picked
 	// only where no other is left.
 	Exclude []fleet.BackendName
+	// Together, where it is not 0, has all picks with this number go to one engine of
+	// those that may be sent to, whatever their load.
+	Together uint64
 }
 
 // PickService asks for a back end of a declared service.
@@ -36,6 +44,8 @@
 	Ticket  Ticket
 	Service string
 	Exclude []fleet.BackendName
+	// Together is as in Pick.
+	Together uint64
 }
 
 // Result is how an attempt ended, as far as it concerns the back end.
@@ -72,6 +82,7 @@
 
 func (Tables) isMessage()      {}
 func (Leaving) isMessage()     {}
+func (Evacuations) isMessage() {}
 func (Pick) isMessage()        {}
 func (PickService) isMessage() {}
 func (FirstToken) isMessage()  {}
@@ -92,7 +103,7 @@
 // NonePicked answers a Pick or PickService that no back end passes.
 type NonePicked struct {
 	Ticket Ticket
-	// Known tells whether any back end was known that does not leave.
+	// Known tells whether any back end was known that attempts may begin at.
 	Known bool
 }
 
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -33,7 +33,7 @@
 // of one that takes commands.
 type modelServer struct {
 	id, service, address string
-	// zone is z unless it is set before the entry is written.
+	// zone is that of its entry.
 	zone        string
 	loadTime    time.Duration
 	streamPause time.Duration
@@ -64,6 +64,9 @@
 	loseAnswers, fail bool
 	// onPoison takes poison requests; nil runs them as any other.
 	onPoison func(writer http.ResponseWriter, request *http.Request, body string)
+	// cameAt and coldUntil are when a server came that is cold at first, and until when
+	// it is; zero for others.
+	cameAt, coldUntil time.Time
 	// way is the relay in front of the server; nil without one.
 	way *way
 }
@@ -97,6 +100,7 @@
 	m.mu.Unlock()
 	s.put("servers", m.id, map[string]any{
 		"service": m.service, "address": m.address, "zone": m.zone, "slots": 8, "state": state, "models": models, "sequence": 1,
+		"coldLeftMs": max(0, time.Until(m.coldUntil).Milliseconds()),
 	})
 }
 
@@ -148,6 +152,10 @@
 		writer.WriteHeader(http.StatusConflict)
 		return
 	}
+	if wanted.Operation != "unload" && wanted.Adapter != "" && m.models[wanted.Model] == nil {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
 	m.sequence++
 	switch {
 	case wanted.Operation == "unload":
