A server that nobody reaches any more may come back cold

Cause: a server that was away without ending is cold before its entry says so, which takes up to a heartbeat and a watch; only a failed connection for a new request told of it. An answer that broke off is probed anyway.

Change: where the probe reaches nobody, the server is suspected cold as after a failed connection. One that breaks off answers and listens is not.

TestServerThatNobodyReachesMayComeBackCold fails without the change (phase 0).

--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// Unreachable takes that a connection to the server failed: it may have been away, and be
+// Unreachable takes that no connection to the server comes up: it may have been away, and be
 // cold once it is back. Its entry may not say so for a second.
 func (c *Core) Unreachable(now time.Time, serverID string) {
 	if s, ok := c.servers[serverID]; ok {
--- a/internal/edge/coldstarts_test.go
+++ b/internal/edge/coldstarts_test.go
@@ -167,8 +167,10 @@
 		t.Errorf("%d sent by a node that does not know how large the fleet is", got)
 	}
 	node.quotas.toldSize(clock.Now(), 68)
-	if got := sent(); got == 0 || got > 10 {
-		t.Errorf("%d of 400 sent by one of 68 nodes, want about 2", got)
+	// The draw goes by the node's address: this one has lots for two of the servers.
+	node.coldStarts.lots = coldstart.NewLots("10.0.0.4:1")
+	if got := sent(); got != 2 {
+		t.Errorf("%d of 400 sent by one of 68 nodes, want one for each of its lots", got)
 	}
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -37,7 +37,7 @@
 	}
 	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address)
 	if err != nil {
-		x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.Unreachable(clock.Now(), choice.ServerID) })
+		x.noteUnreachable(choice)
 		return x.notSent(choice)
 	}
 	if x.isBarred() {
--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -54,6 +54,12 @@
 	return phase == coldstart.Warm || x.admitsServer(choice).Granted
 }
 
+// noteUnreachable takes that no connection to the server comes up: it may be back, and
+// cold, before its entry says so.
+func (x *exchange) noteUnreachable(choice dispatch.Choice) {
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.Unreachable(clock.Now(), choice.ServerID) })
+}
+
 // isHeldByCold reports whether the request waits for servers that are cold.
 func (x *exchange) isHeldByCold() (held bool) {
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { held = core.IsHeldByCold(clock.Now(), x.wanted()) })
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/coldstart"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/routetable"
@@ -140,3 +142,30 @@
 		t.Errorf("%d %s, asked %d times", got.status, got.body, len(cold.asked))
 	}
 }
+
+// TestServerThatNobodyReachesMayComeBackCold: a connection to it fails, or an answer breaks
+// off and nobody listens there any more. One that breaks off an answer and listens does not.
+func TestServerThatNobodyReachesMayComeBackCold(t *testing.T) {
+	phaseAfter := func(end func(server *standinServer) script) coldstart.Phase {
+		var server *standinServer
+		server = newStandin(t, func(conn net.Conn, request *http.Request) bool { return end(server)(conn, request) })
+		f, _ := newColdFixture(t, func(string, int) ColdVerdict { return granted() }, server)
+		warm := inventory.Server{ID: "s0", TellsCold: true, Revision: 3}
+		f.dispatch.Do(func(core *dispatch.Core) { core.TellCold(time.Now().Add(-time.Minute), warm) })
+		f.send(t, http.MethodPost, "/llm/", "", "X-Model", "m", "X-Wait", "500ms")
+		var phase coldstart.Phase
+		f.dispatch.Do(func(core *dispatch.Core) { phase, _ = core.ColdPhase(time.Now(), "s0") })
+		return phase
+	}
+	breaksOff := func(conn net.Conn, _ *http.Request) bool { return reset(conn) }
+	if got := phaseAfter(func(*standinServer) script { return breaksOff }); got == coldstart.Cold {
+		t.Error("a server that listens is taken for cold")
+	}
+	got := phaseAfter(func(server *standinServer) script {
+		_ = server.listener.Close()
+		return breaksOff
+	})
+	if got != coldstart.Cold {
+		t.Errorf("phase %d of a server that nobody reaches any more, want cold", got)
+	}
+}
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -97,6 +97,9 @@
 		return
 	}
 	x.serverEnd = x.handler.options.Pool.Probe(choice.Address)
+	if x.serverEnd != backendconn.LivenessAlive {
+		x.noteUnreachable(choice)
+	}
 	suspects := x.handler.options.Suspects
 	if suspects != nil && x.serverEnd == backendconn.LivenessEnded && x.isStillGood(choice) {
 		suspects.Blame(x.fingerprint(), choice.ServerID)
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -61,6 +61,7 @@
 
 // standinServer answers by a script and keeps what it was sent.
 type standinServer struct {
+	listener net.Listener
 	address  string
 	mu       sync.Mutex
 	requests []*http.Request
@@ -74,7 +75,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	s := &standinServer{address: listener.Addr().String()}
+	s := &standinServer{listener: listener, address: listener.Addr().String()}
 	go func() {
 		for {
 			conn, err := listener.Accept()
