Relay: the checks right before a send in one place

attempt had grown to 50 lines with four ways to withdraw. What may ask another node (a cold server) comes first now: an evacuation or a deadline that came meanwhile is still seen by the checks after it.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -40,28 +40,8 @@
 		x.noteUnreachable(choice)
 		return x.notSent(choice)
 	}
-	if x.isBarred() {
-		x.release(choice, dispatch.OutcomeLeft)
-		_ = conn.Close()
-		x.answerBarred()
-		return verdictDone
-	}
-	if clock.Until(x.deadline) <= waiting.FinishMargin {
-		x.release(choice, dispatch.OutcomeLeft)
-		_ = conn.Close()
-		x.giveUp(reasonDeadline)
-		return verdictDone
-	}
-	if !x.isStillGood(choice) {
-		x.release(choice, dispatch.OutcomeLeft)
-		_ = conn.Close()
-		x.failed = append(x.failed, choice.ServerID)
-		return verdictNotSent
-	}
-	if !x.isStillAdmitted(choice, admitted) {
-		x.release(choice, dispatch.OutcomeLeft)
-		_ = conn.Close()
-		return verdictNotSent
+	if ended, ok := x.maySend(choice, conn, admitted); !ok {
+		return ended
 	}
 	if !x.hasSent(choice.ServerID) {
 		x.sent = append(x.sent, choice.ServerID)
@@ -78,6 +58,37 @@
 	return x.answered(choice, answer)
 }
 
+// maySend looks right before the send whether it may still be: opening a connection may
+// have taken long. Where it may not the connection is closed, and ended says how the attempt
+// ended. What asks another node comes first.
+func (x *exchange) maySend(choice dispatch.Choice, conn *backendconn.Conn, admitted ColdVerdict) (ended verdict, ok bool) {
+	switch {
+	case !x.isStillAdmitted(choice, admitted):
+		x.withdraw(choice, conn)
+		return verdictNotSent, false
+	case x.isBarred():
+		x.withdraw(choice, conn)
+		x.answerBarred()
+		return verdictDone, false
+	case clock.Until(x.deadline) <= waiting.FinishMargin:
+		x.withdraw(choice, conn)
+		x.giveUp(reasonDeadline)
+		return verdictDone, false
+	case !x.isStillGood(choice):
+		x.withdraw(choice, conn)
+		x.failed = append(x.failed, choice.ServerID)
+		return verdictNotSent, false
+	default:
+		return 0, true
+	}
+}
+
+// withdraw gives up a send before it leaves.
+func (x *exchange) withdraw(choice dispatch.Choice, conn *backendconn.Conn) {
+	x.release(choice, dispatch.OutcomeLeft)
+	_ = conn.Close()
+}
+
 // isStillGood checks right before the send what was believed when the server
 // was chosen: opening a connection may have taken long.
 func (x *exchange) isStillGood(choice dispatch.Choice) bool {
