--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -135,3 +136,36 @@
 		t.Errorf("%.2f lots for a server, %d at the most", mean, most)
 	}
 }
+
+// TestNewestEntryDecidesInAnyOrder: entries come by the store and by peers, late, twice and
+// one before the other; a server is never taken for warm that the newest of them calls cold.
+func TestNewestEntryDecidesInAnyOrder(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		type word struct {
+			revision int64
+			until    time.Time
+		}
+		var words []word
+		for revision := range int64(6) {
+			until := begin
+			if random.IntN(2) == 0 {
+				until = begin.Add(2*time.Second + time.Duration(random.IntN(3000))*time.Millisecond)
+			}
+			words = append(words, word{revision: 10 + revision, until: until})
+		}
+		newest := words[len(words)-1]
+		words = append(words, words...)
+		random.Shuffle(len(words), func(i, j int) { words[i], words[j] = words[j], words[i] })
+		var state State
+		heardNewest := false
+		for i, told := range words {
+			now := begin.Add(time.Duration(i+1) * 100 * time.Millisecond)
+			state.Tell(now, max(0, told.until.Sub(now)), told.revision, start)
+			heardNewest = heardNewest || told == newest
+			if isCold := state.Phase(now, start) == Cold; heardNewest && isCold != now.Before(newest.until) {
+				t.Fatalf("seed %d: cold %v after %d words, by the newest until %v", seed, isCold, i+1, newest.until.Sub(begin))
+			}
+		}
+	}
+}
