Views go out in bursts that a socket holds; news of servers that come cross regions less

After a change of the leader nodes lacked its views for seconds: 960 views in one go are 120 datagrams, and a receiver's socket holds some 90 of them unread. What hid it was the replaced leader, which went on confirming its own views: that reset the time since when views were missing. When it lost its lease, 40 nodes of one region asked for all, and were answered in bursts that were lost again.

Change: at most 48 KB of views go out to a node at once, of what changed and of answers; the digest covers what was told. The word of a leader of an older term is not taken for views.

Seen failing: TestViewsGoOutInBursts (one burst of 150 KB), TestReplacedLeaderHidesNothing.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -245,6 +245,9 @@
 	return digest
 }
 
+// IsOldTerm reports whether views of a later term came.
+func (c *Core) IsOldTerm(term int64) bool { return term < c.term }
+
 // PeerLoad is what a peer has under way at one server.
 type PeerLoad struct {
 	ServerID      string
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -353,7 +353,7 @@
 		core.SetLeader(now, term, lapsed > 0, orderIn)
 	})
 	l.node.peers.forgetViews(l.core.Knows)
-	l.node.peers.tellViews(term, lapsed, views, l.busiest(now))
+	l.changed = l.node.peers.tellViews(term, lapsed, views, l.busiest(now))
 }
 
 // loadsPeriod is the least time between two tellings of the busiest servers: their loads are
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -306,8 +306,10 @@
 	}
 	near, far := p.split(without(targets, append(leader, standbys...)))
 	p.send(trafficGossip, near, state)
-	state.News = encodeNews(slices.DeleteFunc(news, func(item gossip.Item) bool { return !item.IsFar }))
+	state.News = encodeNews(p.farNews(news))
 	p.send(trafficGossip, far, state)
+	// Those that decide watch the store for servers that come.
+	state.News = encodeNews(slices.DeleteFunc(news, func(item gossip.Item) bool { return !item.Server.Draining }))
 	state.Loads, state.ViewsDigests, state.TellsWanted = loads, digests, true
 	state.Wanted = p.wanted(now, p.leaderAge(now, leader))
 	p.send(trafficWanted, leader, state)
@@ -356,6 +358,19 @@
 	return toldLeaderAge
 }
 
+// farNews are the news that this node tells in other regions.
+func (p *peers) farNews(news []gossip.Item) []gossip.Item {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var told []gossip.Item
+	for _, item := range news {
+		if item.Server.Draining || item.IsFar && p.roster.TellsFar(item.Server.ID) {
+			told = append(told, item)
+		}
+	}
+	return told
+}
+
 // split divides addresses into those of this region and of others.
 func (p *peers) split(addresses []string) (near, far []string) {
 	for _, address := range addresses {
--- a/internal/edge/spread_test.go
+++ b/internal/edge/spread_test.go
@@ -215,3 +215,59 @@
 		t.Errorf("%d views answered, the missing one among them: %v", len(answered), answered["server-0"])
 	}
 }
+
+// TestViewsGoOutInBursts that a receiver's socket holds, all in the end, and each once; the
+// digest never covers what was not told yet.
+func TestViewsGoOutInBursts(t *testing.T) {
+	leader := newPlacedNode(t, "n")
+	peer := newStandinPeer(t)
+	leader.hearPeer("n", peer, 1)
+	var views []dispatch.View
+	for i := range 1500 {
+		view := dispatch.View{ServerID: "server-" + strconv.Itoa(i), Sequence: 1, Held: map[string][]string{"a-model-of-some-name": nil}}
+		view.Digest = digest(view.ServerID, signature(view))
+		views = append(views, view)
+	}
+	told := make(map[string]int)
+	all := uint64(0)
+	for bursts, rest := 0, true; rest; bursts++ {
+		before := leader.peers.sentBytes.of(trafficViews)
+		rest = leader.peers.tellViews(7, 0, views, nil)
+		if sent := leader.peers.sentBytes.of(trafficViews) - before; sent > 3*burstBytes/2 || bursts > 10 {
+			t.Fatalf("burst %d has %d bytes", bursts, sent)
+		}
+		for state := peer.next(); state != nil; state = peer.next() {
+			for _, view := range viewsOf(state.Leader.Views) {
+				told[view.ServerID]++
+				all ^= view.Digest
+			}
+			if state.Leader.ViewsDigest != 0 && state.Leader.ViewsDigest != all {
+				t.Fatal("the digest is not that of the views told")
+			}
+		}
+	}
+	if len(told) != len(views) {
+		t.Errorf("%d of %d views were told", len(told), len(views))
+	}
+	for id, times := range told {
+		if times != 1 {
+			t.Errorf("%s was told %d times", id, times)
+		}
+	}
+}
+
+// TestReplacedLeaderHidesNothing: one that goes on telling its views, which all have, must
+// not hide that those of the new leader are missing.
+func TestReplacedLeaderHidesNothing(t *testing.T) {
+	node := newPlacedNode(t, "s1")
+	hear := func(address string, sequence uint64, term int64, digest uint64, views ...*peerpb.ServerView) {
+		node.peers.take(&peerpb.NodeState{Node: address, Address: address, Life: 1, Sequence: sequence, Zone: "n", Leader: &peerpb.LeaderState{
+			Term: term, ViewsDigest: digest, Views: views,
+		}})
+	}
+	hear("126.0.0.1:1", 1, 8, 77, &peerpb.ServerView{Server: "i", Sequence: 1})
+	hear("126.0.0.2:1", 1, 7, 5)
+	if !node.peers.wantsViews(clock.Now().Add(2 * viewsLag)) {
+		t.Error("the word of a leader that was replaced hides that views are missing")
+	}
+}
--- a/internal/edge/views.go
+++ b/internal/edge/views.go
@@ -13,20 +13,38 @@
 )
 
 // tellViews sends all nodes what changed of the leader's views, and a digest of
-// all by which they see whether they have missed some.
-func (p *peers) tellViews(term int64, lapsed time.Duration, views []dispatch.View, loads []dispatch.PeerLoad) {
+// all told by which they see whether they have missed some. It reports whether there are
+// more to tell soon.
+func (p *peers) tellViews(term int64, lapsed time.Duration, views []dispatch.View, loads []dispatch.PeerLoad) (rest bool) {
 	now := clock.Now()
 	plan := p.spreadPlan(now)
+	changed, rest := p.changedViews(views)
+	p.sendViews(trafficViews, plan, term, lapsed, changed, loads)
+	return rest
+}
+
+// burstBytes bounds the views sent to one node at once. A receiver's socket holds 200 KB
+// of what its node has not read, and counts twice what a datagram takes: of a thousand
+// views at once, as at the start of a term, a third was lost, and asked for again whole.
+const burstBytes = 48 << 10
+
+// changedViews are the views to tell now of those that changed; rest is set where there
+// are more than go out at once.
+func (p *peers) changedViews(views []dispatch.View) (changed []dispatch.View, rest bool) {
 	p.mu.Lock()
-	var changed []dispatch.View
+	defer p.mu.Unlock()
+	room := burstBytes
 	for _, view := range views {
-		if p.told[view.ServerID] != view.Digest {
-			p.told[view.ServerID] = view.Digest
-			changed = append(changed, view)
+		if p.told[view.ServerID] == view.Digest {
+			continue
+		}
+		if room -= proto.Size(encodeView(view)); room < 0 && len(changed) > 0 {
+			return changed, true
 		}
+		p.told[view.ServerID] = view.Digest
+		changed = append(changed, view)
 	}
-	p.mu.Unlock()
-	p.sendViews(trafficViews, plan, term, lapsed, changed, loads)
+	return changed, false
 }
 
 // forgetViews drops what was told of servers that are gone, or of all.
@@ -91,12 +109,27 @@
 	if !ok {
 		return
 	}
-	wanted := slices.DeleteFunc(views(), func(view dispatch.View) bool { return !differs[dispatch.ViewBucket(view.ServerID)] })
+	wanted := atOnce(slices.DeleteFunc(views(), func(view dispatch.View) bool { return !differs[dispatch.ViewBucket(view.ServerID)] }))
 	p.node.options.Logger.Info().Str("peer", asker.Address).Int("buckets", count).Int("views", len(wanted)).
 		Bool("region", len(plan.Spreaders) > 0).Msg("views_answered")
 	p.sendViews(trafficAnswers, plan, term, lapsed, wanted, nil)
 }
 
+// atOnce are as many views as go out at once, whole buckets first: who lacks more asks
+// again, and no more for these.
+func atOnce(views []dispatch.View) []dispatch.View {
+	slices.SortStableFunc(views, func(a, b dispatch.View) int {
+		return dispatch.ViewBucket(a.ServerID) - dispatch.ViewBucket(b.ServerID)
+	})
+	room := burstBytes
+	for i, view := range views {
+		if room -= proto.Size(encodeView(view)); room < 0 && i > 0 {
+			return views[:i]
+		}
+	}
+	return views
+}
+
 // toldDigests are digests of the views told.
 func (p *peers) toldDigests() dispatch.ViewDigests {
 	p.mu.Lock()
@@ -113,8 +146,16 @@
 	if leader.ViewsDigest == 0 {
 		return
 	}
-	same := false
-	p.node.dispatch.Do(func(core *dispatch.Core) { same = core.ConfirmViews(now, leader.Term, leader.ViewsDigest) })
+	same, isOld := false, false
+	p.node.dispatch.Do(func(core *dispatch.Core) {
+		isOld = core.IsOldTerm(leader.Term)
+		same = core.ConfirmViews(now, leader.Term, leader.ViewsDigest)
+	})
+	if isOld {
+		// A leader that was replaced and does not know it says nothing of the views of
+		// the new one.
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.viewsHeard = now
--- a/internal/gossip/targets.go
+++ b/internal/gossip/targets.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
@@ -83,3 +85,22 @@
 
 // countedFor is how long the node counts among those that share a budget.
 func (r *Roster) countedFor(peer *Peer) time.Duration { return max(countedTime, r.windowOf(peer)) }
+
+// farTellers is the least number of nodes of a region that tell other regions of a server
+// that comes, and farTellersShare the part of them that does in a large one.
+const (
+	farTellers      = 8
+	farTellersShare = 4
+)
+
+// TellsFar reports whether this node is one of those of its region that tell others of
+// what has the name, by a number that each draws for itself.
+func (r *Roster) TellsFar(name string) bool {
+	near := 1
+	for _, peer := range r.order {
+		if !r.isFar(peer) {
+			near++
+		}
+	}
+	return xxhash.Sum64String(name+"/"+r.self)%uint64(near) < uint64(max(farTellers, near/farTellersShare))
+}
