Views ahead of their servers are kept; few nodes of a region ask others for lists

At a start the leader knows servers before other nodes do. These dropped its views of them, found their digest wrong and asked again until they knew the servers: 278 answers of up to 48 KB with 966 servers. And each node that heard of a list or configuration it lacked asked whoever told, of other regions as a rule.

Change: a view of a server that is not known yet counts as had, for 5 s, and is in force once the server is known. The two strongest nodes of a region ask peers of other regions at once, the others after 0.6 s in which nobody near had it.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -28,6 +28,8 @@
 	demand    map[Wanted]*demand
 	// loadedBy are the servers at which each peer has requests under way.
 	loadedBy map[string][]*server
+	// early are the leader's views of servers that are not known yet.
+	early map[string]earlyView
 	// term is the highest term of a leader that was heard.
 	term int64
 	// leaderSeen is when the leader last said that it holds its lease, and
@@ -48,6 +50,7 @@
 		byService: make(map[string][]*server),
 		demand:    make(map[Wanted]*demand),
 		loadedBy:  make(map[string][]*server),
+		early:     make(map[string]earlyView),
 		changed:   make(chan struct{}),
 	}
 }
@@ -65,12 +68,14 @@
 	for _, change := range changes {
 		if change.Gone {
 			delete(c.servers, change.Server.ID)
+			delete(c.early, change.Server.ID)
 			continue
 		}
 		if known, ok := c.servers[change.Server.ID]; ok {
 			known.update(change.Server)
 		} else {
 			c.servers[change.Server.ID] = newServer(change.Server)
+			c.takeEarly(change.Server.ID)
 		}
 	}
 	c.index()
@@ -177,17 +182,18 @@
 	if term < c.term {
 		return
 	}
-	c.term = term
+	c.startTerm(term)
+	c.pruneEarly(now)
 	for i := range views {
 		known, ok := c.servers[views[i].ServerID]
-		if !ok || (known.view != nil && known.viewTerm == term && known.view.Sequence > views[i].Sequence) {
+		if !ok {
+			c.early[views[i].ServerID] = earlyView{view: &views[i], at: now}
 			continue
 		}
-		known.view = &views[i]
-		known.hasNewerEntry = false
-		known.viewAt = now
-		known.viewSeen = now
-		known.viewTerm = term
+		if known.view != nil && known.viewTerm == term && known.view.Sequence > views[i].Sequence {
+			continue
+		}
+		known.setView(now, term, &views[i])
 	}
 	c.notify()
 }
@@ -223,6 +229,7 @@
 	if term < c.term {
 		return true
 	}
+	c.pruneEarly(now)
 	if c.digestOf(term) != digest {
 		return false
 	}
@@ -242,6 +249,11 @@
 			digest ^= s.view.Digest
 		}
 	}
+	if term == c.term {
+		for _, early := range c.early {
+			digest ^= early.view.Digest
+		}
+	}
 	return digest
 }
 
--- a/internal/dispatch/digests.go
+++ b/internal/dispatch/digests.go
@@ -38,5 +38,8 @@
 			digests.Add(id, s.view.Digest)
 		}
 	}
+	for id, early := range c.early {
+		digests.Add(id, early.view.Digest)
+	}
 	return digests
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -171,7 +171,9 @@
 		n.configConfirmed.hear(now, age)
 		return
 	}
-	n.snapshots.want(wantedSnapshot{address: address, version: version})
+	if n.snapshots.mayAsk(now, address) {
+		n.snapshots.want(wantedSnapshot{address: address, version: version})
+	}
 	if n.configLag.passes(now, version, min(longestConfigLag, n.nodes()*configLagShare)) {
 		send(n.configNudge)
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -167,6 +167,13 @@
 	return p.roster.Near(now)
 }
 
+// rankNear is the number of living nodes of this region that come before this one.
+func (p *peers) rankNear(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.RankNear(now)
+}
+
 // isFar reports whether the node at an address is in another region.
 func (p *peers) isFar(address string) bool {
 	p.mu.Lock()
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -191,10 +191,14 @@
 	tolerated := min(longestLag, lagTolerated+n.nodes()*lagShare)
 	switch {
 	case !n.hasServers.Load() && state.ServersRevision > 0:
+		if !n.snapshots.mayAsk(now, state.Address) {
+			return
+		}
 		n.snapshots.want(wantedSnapshot{address: state.Address})
 	case !n.directory.lags(now, state.ServersDigest, state.ServersRevision, isFresher, tolerated):
 	case n.watchesStore(now, &n.serversConfirmed):
 		send(n.serversNudge)
+	case !n.snapshots.mayAsk(now, state.Address):
 	default:
 		n.snapshots.want(wantedSnapshot{address: state.Address})
 	}
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -32,6 +32,10 @@
 	client *http.Client
 	// wanted are peers that know more; one that waits is enough.
 	wanted chan wantedSnapshot
+	// farSince is when a peer of another region began to know more, since when this node
+	// leaves it to others of its own region to ask there. The goroutine that takes
+	// datagrams alone uses it.
+	farSince time.Time
 }
 
 // wantedSnapshot is a peer to ask.
@@ -70,6 +74,27 @@
 	}
 }
 
+const (
+	// farAskers is the number of nodes of a region that ask peers of other regions at
+	// once; the others hear from them, or ask after farPatience themselves. A list of a
+	// thousand servers has 100 KB.
+	farAskers   = 2
+	farPatience = 600 * time.Millisecond
+)
+
+// mayAsk reports whether a peer that knows more is to be asked now.
+func (s *snapshots) mayAsk(now time.Time, address string) bool {
+	peers := s.node.peers
+	if !peers.isFar(address) || peers.rankNear(now) < farAskers {
+		return true
+	}
+	waited := now.Sub(s.farSince)
+	if waited > 2*farPatience {
+		s.farSince, waited = now, 0
+	}
+	return waited > farPatience
+}
+
 // isDue reports whether what is wanted did not come meanwhile, from another peer
 // or the store.
 func (s *snapshots) isDue(wanted wantedSnapshot) bool {
--- a/internal/edge/spread_test.go
+++ b/internal/edge/spread_test.go
@@ -271,3 +271,27 @@
 		t.Error("the word of a leader that was replaced hides that views are missing")
 	}
 }
+
+// TestFewAskOtherRegions for what they know: the first of a region, and others only where
+// these do not hand it on.
+func TestFewAskOtherRegions(t *testing.T) {
+	node := newPlacedNode(t, "s1")
+	node.options.Strength = 1
+	far, near := newStandinPeer(t), []*standinPeer{newStandinPeer(t), newStandinPeer(t)}
+	node.hearPeer("n", far, 1)
+	now := clock.Now()
+	if !node.snapshots.mayAsk(now, far.address) {
+		t.Error("the first of its region does not ask")
+	}
+	for _, peer := range near {
+		node.hearPeer("s2", peer, 1)
+	}
+	node.peers.roster.SetStrength(1)
+	now = clock.Now()
+	if node.snapshots.mayAsk(now, far.address) || node.snapshots.mayAsk(now.Add(farPatience/2), far.address) {
+		t.Error("asks though stronger nodes of its region do")
+	}
+	if !node.snapshots.mayAsk(now.Add(farPatience/2), near[0].address) || !node.snapshots.mayAsk(now.Add(farPatience+time.Millisecond), far.address) {
+		t.Error("does not ask near, or not after a while")
+	}
+}
--- a/internal/gossip/targets.go
+++ b/internal/gossip/targets.go
@@ -104,3 +104,14 @@
 	}
 	return xxhash.Sum64String(name+"/"+r.self)%uint64(near) < uint64(max(farTellers, near/farTellersShare))
 }
+
+// RankNear is the number of living nodes of this node's region that come before it.
+func (r *Roster) RankNear(now time.Time) int {
+	rank := 0
+	for _, peer := range r.Alive(now) {
+		if !r.isFar(peer) && r.precedes(peer) {
+			rank++
+		}
+	}
+	return rank
+}
