Soak: a zone is evacuated and taken back, and a judge of what comes there

Requests and orders that come to a server later than the bound after its zone was evacuated are findings, but for nodes, ways and the store in trouble. Servers of the soak stand in two zones then, as many of each service; other runs keep theirs in one, whose name the entries had lost. Planted: a request and an order too late are found, those within the bound, after the end or of a node that is not in touch are not (TestSoakJudgeFindsWhatIsBroken).

--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -80,6 +80,7 @@
 			s.silence(d, d.node.toPeers, d.node.name, "connections of others to it")
 		}},
 		coldKind(),
+		evacuationKind(),
 	)
 }
 
--- a/test/platform/soak_judge_test.go
+++ b/test/platform/soak_judge_test.go
@@ -198,6 +198,7 @@
 		loads = append(loads, m.loads...)
 		s.judgeDrain(m)
 		s.judgeCold(m)
+		s.judgeEvacuations(m)
 		m.mu.Unlock()
 	}
 	slices.SortFunc(loads, time.Time.Compare)
--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -87,6 +87,23 @@
 				s.servers[0].ranAt[id], s.servers[0].runs[id] = at(time.Duration(1+i)*50*time.Millisecond), 1
 			}
 		}},
+		{"EVAC", func(s *soak) {
+			s.evacuations = []soakEvacuation{{zone: "z", declared: at(0)}}
+			s.servers[0].ranAt["a"] = at(soakEvacuate + time.Millisecond)
+		}},
+		{"EVAC", func(s *soak) {
+			s.evacuations = []soakEvacuation{{zone: "z", declared: at(0)}}
+			s.servers[0].orders = []order{{Holder: "node-1", Operation: "load", FencingToken: 1, at: at(soakEvacuate + time.Millisecond)}}
+		}},
+		{"", func(s *soak) {
+			s.evacuations = []soakEvacuation{{zone: "z", declared: at(0), over: at(soakEvacuate + time.Second)}, {zone: "y", declared: at(0)}}
+			s.servers[0].ranAt["a"] = at(soakEvacuate + 2*time.Second)
+		}},
+		{"", func(s *soak) {
+			s.evacuations = []soakEvacuation{{zone: "z", declared: at(0)}}
+			s.servers[0].ranAt["a"] = at(soakEvacuate + time.Millisecond)
+			s.troubles = []span{{place: atNode, node: "node-1", from: at(0), to: at(time.Second)}}
+		}},
 		{"CEILING", func(s *soak) {
 			for i := range soakLoads + 1 {
 				s.servers[0].loads = append(s.servers[0].loads, at(time.Duration(i)*100*time.Millisecond))
@@ -149,7 +166,7 @@
 		s := newSoak(&fleet{t: t, nodes: []*node{n}}, soakOptions{seed: 1})
 		s.version = 3
 		s.controls = []*control{{node: n}}
-		s.servers = []*modelServer{{id: "i", runs: map[string]int{"a": 1}, ranAt: make(map[string]time.Time)}}
+		s.servers = []*modelServer{{id: "i", zone: "z", runs: map[string]int{"a": 1}, ranAt: make(map[string]time.Time)}}
 		s.ends = []served{fine, {id: "b", node: "node-1", sent: at(time.Minute), done: at(time.Minute), status: 200, whole: true}}
 		c.plant(s)
 		s.judge(at(0))
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -115,6 +115,8 @@
 	findings []string
 	// heldUntil is until when the orders of a holder of the lease are held.
 	heldUntil time.Time
+	// evacuations are those declared, in their order.
+	evacuations []soakEvacuation
 
 	busy    sync.WaitGroup
 	callers sync.WaitGroup
@@ -160,9 +162,13 @@
 
 func runSoak(t *testing.T, options soakOptions) {
 	t.Helper()
-	s := newSoak(newFleetWith(t, fleetOptions{
+	fleetOf := fleetOptions{
 		count: options.nodes, seeds: `"127.0.0.11:1", "127.0.0.12:1"`, firstIP: firstSoakIP, isRelayed: options.isRelayed, hasMetrics: true,
-	}), options)
+	}
+	if (&soak{options: options}).evacuates() {
+		fleetOf.bounds = evacuateLine
+	}
+	s := newSoak(newFleetWith(t, fleetOf), options)
 	s.isQuiet = true
 	for _, n := range s.nodes {
 		s.controls = append(s.controls, newControl(n))
@@ -223,10 +229,10 @@
 func (s *soak) addServer(service string, cold time.Duration) *modelServer {
 	s.mu.Lock()
 	s.number++
-	number := s.number
+	number, zone := s.number, s.nextZone(service)
 	s.mu.Unlock()
 	m := &modelServer{
-		id: fmt.Sprintf("i-%d", number), service: service, loadTime: 300 * time.Millisecond, streamPause: 30 * time.Millisecond,
+		id: fmt.Sprintf("i-%d", number), service: service, zone: zone, loadTime: 300 * time.Millisecond, streamPause: 30 * time.Millisecond,
 		models: make(map[string]map[string]bool), runs: make(map[string]int), ranAt: make(map[string]time.Time), weightMB: 60, memoryMB: 200,
 	}
 	m.onPoison = func(writer http.ResponseWriter, request *http.Request, body string) {
