--- a/test/platform/soak_evacuation_test.go
+++ b/test/platform/soak_evacuation_test.go
@@ -5,83 +5,101 @@
 	"time"
 )
 
-// evacuationKind evacuates a zone; in runs that draw it every second server is in the
-// second zone, and in others all are in the first.
-const evacuationKind = "evacuation"
-
-var soakZones = [2]string{"z", "y"}
+const (
+	// evacuateKind is the kind of fault: one of the two zones is evacuated for a while.
+	evacuateKind = "evacuate-zone"
+	// soakEvacuate is the bound in the settings.
+	soakEvacuate = evacuateBound
+	// evacuatedFor is how long it lasts beyond the bound and what is drawn.
+	evacuatedFor = time.Second
+)
 
-// leastEvacuated is how long an evacuation stays at the least: its bound, and a time
-// after it.
-const leastEvacuated = evacuateBound + 3*time.Second
+// soakZones are the zones of servers where zones are evacuated; nodes stand in the first.
+var soakZones = []string{"z", "y"}
 
-// soakEvacuation is one evacuation of the second zone; to is zero while it holds.
+// soakEvacuation is one evacuation; over is zero while it lasts.
 type soakEvacuation struct {
-	from, to time.Time
+	zone           string
+	declared, over time.Time
 }
 
-// evacuates reports whether a zone is evacuated in the run.
-func (o soakOptions) evacuates() bool {
-	return slices.ContainsFunc(o.kinds, func(k kind) bool { return k.name == evacuationKind })
+func evacuationKind() kind {
+	return kind{evacuateKind, 2, func(s *soak, d drawnFault) {
+		zone := soakZones[d.server%len(soakZones)]
+		s.series(func() { s.evacuate(zone) }, soakEvacuate+evacuatedFor+d.took, func() { s.takeBackZone(zone) })
+	}}
 }
 
-// zoneOf is the zone of the server of a number.
-func (o soakOptions) zoneOf(number int) string {
-	if !o.evacuates() {
-		return soakZones[0]
-	}
-	return soakZones[number%len(soakZones)]
+// evacuates reports whether zones are evacuated in this run: the others play as they did
+// when their seeds were kept.
+func (s *soak) evacuates() bool {
+	return slices.ContainsFunc(s.options.kinds, func(k kind) bool { return k.name == evacuateKind })
 }
 
-// evacuate asks that nothing more be sent to the servers of the second zone, and takes it
-// back. One holds at a time.
-func (s *soak) evacuate(drawn drawnFault) {
+// evacuate declares a zone evacuated, unless one is.
+func (s *soak) evacuate(zone string) {
 	s.mu.Lock()
-	isHeld := len(s.evacuations) > 0 && s.evacuations[len(s.evacuations)-1].to.IsZero()
-	if !isHeld {
-		s.evacuations = append(s.evacuations, soakEvacuation{from: time.Now()})
-	}
-	s.mu.Unlock()
-	if isHeld {
+	defer s.mu.Unlock()
+	if count := len(s.evacuations); count > 0 && s.evacuations[count-1].over.IsZero() {
 		return
 	}
-	zone, lasts := soakZones[1], leastEvacuated+drawn.took
-	s.trouble(atServer, "", "zone "+zone+" evacuated", lasts)
 	s.store.put("evacuations", zone, map[string]any{})
-	s.later(lasts, func() {
-		s.mu.Lock()
-		s.evacuations[len(s.evacuations)-1].to = time.Now()
-		s.mu.Unlock()
-		s.store.remove("evacuations", zone)
-	})
+	s.evacuations = append(s.evacuations, soakEvacuation{zone: zone, declared: time.Now()})
 }
 
-// judgeEvacuations looks for work that began in an evacuated zone once all nodes had to
-// know, by nodes in touch while the store was sound. The server's lock is held.
-func (s *soak) judgeEvacuations(m *modelServer) {
-	if m.zone != soakZones[1] {
+// takeBackZone ends the evacuation of the zone if it is the one that lasts.
+func (s *soak) takeBackZone(zone string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := len(s.evacuations)
+	if count == 0 || s.evacuations[count-1].zone != zone || !s.evacuations[count-1].over.IsZero() {
 		return
 	}
-	late, last := 0, ""
-	for _, evacuated := range s.evacuations {
+	s.evacuations[count-1].over = time.Now()
+	s.store.remove("evacuations", zone)
+}
+
+// nextZone is the zone with the fewest servers of the service: each has enough to serve
+// while the other is evacuated. The lock is held.
+func (s *soak) nextZone(service string) string {
+	if !s.evacuates() {
+		return soakZones[0]
+	}
+	counts := make(map[string]int)
+	for _, m := range s.servers {
+		if _, left := s.left[m.id]; !left && m.service == service {
+			counts[m.zone]++
+		}
+	}
+	return slices.MinFunc(soakZones, func(a, b string) int { return counts[a] - counts[b] })
+}
+
+// judgeEvacuations looks for requests and orders that came to a server after all nodes had
+// to know that its zone is evacuated. The server's lock is held.
+func (s *soak) judgeEvacuations(m *modelServer) {
+	for _, evacuation := range s.evacuations {
+		if evacuation.zone != m.zone {
+			continue
+		}
 		for _, end := range s.ends {
-			if at, ran := m.ranAt[end.id]; ran && s.isLateInZone(m, end, at, evacuated) {
-				late++
-				last = end.id + " of " + end.node + ", " + at.Sub(evacuated.from).String() + " after"
+			if at, ran := m.ranAt[end.id]; ran {
+				s.judgeEvacuated(m, evacuation, end.node, end.id, end.sent, at)
 			}
 		}
-	}
-	if late > 0 {
-		s.find("EVAC: %s ran %d requests after its zone was evacuated, the last %s", m.id, late, last)
+		for _, order := range m.orders {
+			s.judgeEvacuated(m, evacuation, order.Holder, order.Operation+" "+order.Model, order.at, order.at)
+		}
 	}
 }
 
-func (s *soak) isLateInZone(m *modelServer, end served, at time.Time, evacuated soakEvacuation) bool {
-	if at.Sub(evacuated.from) <= evacuateBound+s.options.slack || !evacuated.to.IsZero() && !at.Before(evacuated.to) {
-		return false
+func (s *soak) judgeEvacuated(m *modelServer, evacuation soakEvacuation, node, what string, sent, at time.Time) {
+	late := evacuation.declared.Add(soakEvacuate + s.options.slack)
+	if at.Before(late) || !evacuation.over.IsZero() && at.After(evacuation.over) {
+		return
+	}
+	from := evacuation.declared.Add(-soakContact)
+	isHeld := sent.Before(late) && s.isTroubled(m.id, from, at, onWayToServer)
+	if !isHeld && !s.isTroubled(node, from, at, atNode) && !s.isTroubled("", from, at, atStore) {
+		s.find("EVAC: %s got %s of %s %v after its zone was evacuated", m.id, what, node, at.Sub(evacuation.declared))
 	}
-	from := at.Add(-soakContact)
-	// What a harmed way held may have been sent in time, if it was asked for in time.
-	isHeld := end.sent.Before(evacuated.from.Add(evacuateBound)) && s.isTroubled(m.id, from, at, onWayToServer)
-	return !isHeld && !s.isTroubled(end.node, from, at, atNode) && !s.isTroubled("", from, at, atStore)
 }
