Own interface: tenants with keys and quotas

Cause: the own interface knew selectors' limits alone, which each node counts as its part; customers with keys, a quota over all nodes and regions of their own were known behind the operators' platform's door only.

Change: a kind Tenant with digests of keys, a quota in requests or tokens, and regions. Where one is declared each call needs a key (401 unknown-key), also where no tenant can be read. The cores are routetable.Tenant and quota as they are: node/quotas.go grants what the node's share holds, asks the delegates of the first zone over twirp for the rest, and lives on its share where none answers (503 quota-unknown). Over the quota: 429 quota-used-up with the time to come back, after a wait of up to 0.7 s. What did not run is given back. Regions of route and tenant both bind, from the newest configuration. A key of a command belongs to its tenant; so does the fingerprint of a poison request.

Ruled out: asking without keeping accounts open. A coordinator that was not observed for a second forgets what it gave and begins empty, so the first request of each tenant after a pause would be refused; judges keep the accounts of all tenants open.

Tests: gateway TestCallersNeedAKeyOfATenant, TestQuotaIsDrawnByWhatARequestCosts, TestWhatDidNotRunIsGivenBack, TestRegionsOfRouteAndTenantBothBind; node TestAllNodesTogetherKeepAQuota (84 and 87 of 132 granted in 2 s), TestOneNodeMayUseTheWholeQuota, TestQuotaHoldsWithoutItsFirstJudge, TestZonesCutFromEachOtherKeepAQuota, TestNodeAloneLivesOnItsShare, TestYoungNodeDoesNotGive, TestWithinTheQuotaNothingIsRefused, all with -race; catalog TestTenantsThatCannotBeReadOpenNothing, TestTenantIsFoundByItsKey; twelve lines of examples/broken/tenants.yaml. No run over processes. TestCompilerTakesChangedObjectsAnew compares routetable.Table too.

Left: no advisories, so a tenant beyond its node's share costs a way there and back for each request; the size of the fleet is the machine list's and does not outlive a loss of all nodes.

--- a/internal/catalog/bounds.go
+++ b/internal/catalog/bounds.go
@@ -24,6 +24,8 @@
 			"the deadline, the keyWindow or a limit is negative")
 	case spec.Capacity:
 		return reasonIf(declared.Replicas < 0, "replicas is negative")
+	case spec.Tenant:
+		return tenantOutOfBounds(declared)
 	case spec.Preferences:
 		return reasonIf(declared.ColdStartWeight < 0 || declared.ColdStartWeight > 1, "coldStartWeight is not between 0 and 1")
 	}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -12,6 +12,7 @@
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
+	"github.com/spanlanding/spanlanding/internal/routetable"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -228,7 +229,7 @@
 	compiler.Apply([]objectstore.Object{changed})
 	incremental, _ := compiler.Snapshot(2)
 	whole, _ := Compile(2, objects)
-	options := cmp.AllowUnexported(Snapshot{}, selector{}, service{}, labelPair{}, locality.Map{})
+	options := cmp.AllowUnexported(Snapshot{}, selector{}, service{}, labelPair{}, locality.Map{}, routetable.Table{})
 	if difference := cmp.Diff(whole, incremental, options); difference != "" {
 		t.Error(difference)
 	}
--- a/internal/catalog/compile.go
+++ b/internal/catalog/compile.go
@@ -155,6 +155,7 @@
 	linker.takeCapacities(c.kinds[spec.KindCapacity])
 	linker.takeServices(c.kinds[spec.KindService])
 	linker.takePreferences(c.kinds[spec.KindPreferences])
+	linker.takeTenants(c.kinds[spec.KindTenant])
 	linker.takeRegions(c.kinds[spec.KindRegion])
 	linker.takeEvacuations(c.kinds[spec.KindEvacuation])
 	problems := slices.Concat(c.models.problems, c.adapters.problems, c.deployments.problems, linker.problems)
@@ -191,6 +192,8 @@
 		decoded.value, err = decodeSpec[spec.Preferences](object.Spec)
 	case spec.KindEvacuation:
 		decoded.value, err = decodeSpec[spec.Evacuation](object.Spec)
+	case spec.KindTenant:
+		decoded.value, err = decodeSpec[spec.Tenant](object.Spec)
 	case spec.KindRegion:
 		decoded.value, err = decodeSpec[spec.Region](object.Spec)
 	}
--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -28,6 +28,8 @@
 	ContextTokens int
 	// Regions are those in which the request may run.
 	Regions locality.Regions
+	// Tenant is who asks; empty where none is declared.
+	Tenant string
 }
 
 // WeightedModel is one version with its share of the traffic.
@@ -47,6 +49,8 @@
 	Limits     spec.Limits
 	// Regions are those in which the call may run.
 	Regions locality.Regions
+	// Tenant is who asks; empty where none is declared.
+	Tenant string
 }
 
 // ModelFacts is what placement needs to know of one model version.
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/locality"
+	"github.com/spanlanding/spanlanding/internal/routetable"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
 
@@ -35,6 +36,10 @@
 	services    []service
 	preferences spec.Preferences
 	places      locality.Map
+	// tenants holds the declared tenants; needsKey is set also where none of them can be
+	// read.
+	tenants  routetable.Table
+	needsKey bool
 	// evacuated are sorted by name.
 	evacuated []string
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
 // Headers between callers and nodes.
@@ -39,7 +40,11 @@
 	held    int64
 	// counter is the count of requests at a time that the call is part of.
 	counter *atomic.Int64
-	record  record
+	// tenant is who asks, nil where none is declared; admitted is what was drawn from its
+	// quota.
+	tenant   *routetable.Tenant
+	admitted float64
+	record   record
 	// aborted is set where no proper end can be written: the connection is
 	// then broken off, since net/http would else end the answer as if it were
 	// whole.
@@ -214,5 +219,6 @@
 	if c.counter != nil {
 		c.counter.Add(-1)
 	}
+	c.giveBack()
 	c.report()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,8 @@
 	Leaving func(fleet.BackendName)
 	// Suspects remembers requests under which servers ended; nil remembers none.
 	Suspects Suspects
+	// Quotas keeps tenants below their quotas; nil bounds none.
+	Quotas Quotas
 	// Self names the node and its zone.
 	Self   fleet.Member
 	Logger *log.Logger
@@ -189,6 +191,10 @@
 		call.fail(problemNoCatalog)
 		return
 	}
+	if failed := call.identify(); failed != nil {
+		call.fail(*failed)
+		return
+	}
 	switch path := call.request.URL.Path; {
 	case path == backend.PathChat || path == backend.PathCompletions:
 		call.serveModel(current)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -62,15 +62,20 @@
 		return nil, failed
 	}
 	prompt := backend.PromptText(text)
-	if failed := checkLength(route, backend.PromptTokens(prompt), header.MaxTokens); failed != nil {
+	promptTokens := backend.PromptTokens(prompt)
+	if failed := checkLength(route, promptTokens, header.MaxTokens); failed != nil {
 		return nil, failed
 	}
+	if failed := c.withinQuota(promptTokens+max(0, header.MaxTokens), true); failed != nil {
+		return nil, failed
+	}
+	route.Tenant = c.tenantName()
 	c.record.route = route.Selector
 	run := newModelRun(c, route, body, header, deadline, int64(len(text)))
 	run.prefix = backend.PrefixHashes(prompt)
 	run.suspicion = c.gateway.suspicionOf(poison.Identity{
 		Method: c.request.Method, Host: c.request.Host, Target: c.request.URL.RequestURI(),
-		Model: string(route.Deployment), Adapter: string(route.Adapter), Body: text,
+		Caller: c.tenantName(), Model: string(route.Deployment), Adapter: string(route.Adapter), Body: text,
 	})
 	return run, nil
 }
--- a/internal/gateway/problem.go
+++ b/internal/gateway/problem.go
@@ -56,6 +56,9 @@
 	codeAnswerLarge   = "answer-too-large"
 	codePoison        = "poison-request"
 	codeNoRegion      = "no-region-allowed"
+	codeUnknownKey    = "unknown-key"
+	codeQuota         = "quota-used-up"
+	codeQuotaUnknown  = "quota-unknown"
 )
 
 // failure is a Problem before it has a request identity.
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -71,6 +71,9 @@
 	if record.code != "" {
 		entry = entry.Str("code", record.code).Str("detail", record.detail)
 	}
+	if c.tenant != nil {
+		entry = entry.Str("tenant", c.tenant.Name)
+	}
 	if record.route != "" {
 		entry = entry.Str("route", record.route).Str("backend", string(record.backend)).Int("attempts", record.attempts)
 	}
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -22,25 +22,27 @@
 	return !snapshot.IsEvacuated(zone) && regions.Allows(snapshot.Places().Region(string(zone)))
 }
 
-// modelRegions are the regions of a route by the configuration in force: they may have
-// changed since the request came. A selector that is gone leaves them as they were.
+// modelRegions are the regions of a route, and of its tenant, by the configuration in
+// force: they may have changed since the request came. A selector that is gone leaves them as they were.
 func (g *Gateway) modelRegions(route catalog.ModelRoute) locality.Regions {
+	regions := route.Regions
 	if snapshot, found := g.options.Views.Catalog.Get(); found {
-		if regions, known := snapshot.SelectorRegions(route.Selector); known {
-			return regions
+		if newest, known := snapshot.SelectorRegions(route.Selector); known {
+			regions = newest
 		}
 	}
-	return route.Regions
+	return regions.Intersect(g.tenantRegions(route.Tenant))
 }
 
 // serviceRegions are as modelRegions, of a service's route.
 func (g *Gateway) serviceRegions(route catalog.ServiceRoute) locality.Regions {
+	regions := route.Regions
 	if snapshot, found := g.options.Views.Catalog.Get(); found {
-		if regions, known := snapshot.ServiceRegions(route.Service); known {
-			return regions
+		if newest, known := snapshot.ServiceRegions(route.Service); known {
+			regions = newest
 		}
 	}
-	return route.Regions
+	return regions.Intersect(g.tenantRegions(route.Tenant))
 }
 
 // refuseRegions refuses what may run in no zone that is known.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"fmt"
 	"net/http"
+	"path"
 	"slices"
 	"time"
 
@@ -56,9 +57,13 @@
 	if failed != nil {
 		return nil, failed
 	}
+	if failed := c.withinQuota(0, false); failed != nil {
+		return nil, failed
+	}
+	route.Tenant = c.tenantName()
 	run := &serviceRun{caller: c, route: route, key: key, body: body, deadline: deadline}
 	run.suspicion = c.gateway.suspicionOf(poison.Identity{
-		Method: c.request.Method, Host: c.request.Host, Target: c.request.URL.RequestURI(), Body: body,
+		Method: c.request.Method, Host: c.request.Host, Target: c.request.URL.RequestURI(), Caller: c.tenantName(), Body: body,
 	})
 	return run, nil
 }
@@ -92,7 +97,8 @@
 	}
 	ctx, stop := r.callContext()
 	defer stop()
-	key := r.route.Service + "/" + r.key
+	// Two tenants may choose the same key.
+	key := path.Join(r.route.Tenant, r.route.Service) + "/" + r.key
 	r.claimed = gateway.now()
 	decision := gateway.options.Guard.Acquire(ctx, claim.Request{Key: key, Fingerprint: r.fingerprint(), Window: r.window()})
 	if decision.Verdict != claim.Granted {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 	claims     *Claims
 	control    *Control
 	suspects   *Suspects
+	quotas     *Quotas
 	gateway    *gateway.Gateway
 	tableAges  tableAges
 	catalogAge *catalogAge
@@ -136,6 +137,7 @@
 		Keeper: claim.KeeperOptions{},
 	})
 	n.suspects = StartSuspects(SuspectsDependencies{Self: n.self, Views: n.views, Peers: n.peers, Logger: n.logger})
+	n.quotas = StartQuotas(QuotasDependencies{Self: n.self, Views: n.views, Peers: n.peers, Logger: n.logger})
 	n.gateway = n.startGateway()
 	n.metrics.MustRegister(viewCollector{node: n})
 }
@@ -148,6 +150,7 @@
 		Guard:      n.claims,
 		Leaving:    n.control.BackendLeaving,
 		Suspects:   n.suspects,
+		Quotas:     n.quotas,
 		Self:       n.self,
 		Logger:     n.logger,
 		System:     n.system,
@@ -165,6 +168,7 @@
 		Control:  n.control.Server(),
 		Claims:   n.claims.Server(),
 		Suspects: n.suspects.Server(),
+		Quotas:   n.quotas.Server(),
 	})))
 	n.servers.serve(partOperators, bound.operator, operator.NewHandler(source{node: n}, n.metrics))
 	n.servers.serve(PartCallers, bound.caller, n.gateway)
@@ -223,6 +227,7 @@
 	n.servers.shutdown(ctx)
 	n.gateway.Close()
 	n.suspects.Stop()
+	n.quotas.Stop()
 	n.claims.Stop()
 	n.config.Stop()
 	n.control.Stop()
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -1,10 +1,8 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +11,6 @@
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/gateway"
-	"github.com/spanlanding/spanlanding/internal/membership"
 	"github.com/spanlanding/spanlanding/internal/peer"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/poison"
@@ -27,10 +24,8 @@
 	// startExchanges is for how long a node that has started asks although it knows
 	// of nothing that is barred.
 	startExchanges = 10 * time.Second
-	// suspectCallTimeout bounds a call; a trial waits for up to trialJudges of them.
+	// suspectCallTimeout bounds a call; a trial waits for up to mostJudges of them.
 	suspectCallTimeout = 300 * time.Millisecond
-	// trialJudges are the members asked for a trial, one after the other.
-	trialJudges = 3
 	// mostExchanged bounds the reports of one call, to about 4 KB.
 	mostExchanged = 64
 )
@@ -117,7 +112,7 @@
 // ClaimTrial implements gateway.Suspects: the first of the judges that answers decides
 // for all nodes. Where none does the request stays barred.
 func (s *Suspects) ClaimTrial(ctx context.Context, fingerprint poison.Fingerprint) bool {
-	for _, judge := range s.judges() {
+	for _, judge := range judges(s.dependencies.Self, s.dependencies.Views) {
 		if judge.Name == s.dependencies.Self.Name {
 			return s.grantTrial(fingerprint)
 		}
@@ -138,15 +133,6 @@
 	return false
 }
 
-// judges are the delegates of the first zone: all nodes know them.
-func (s *Suspects) judges() []fleet.Member {
-	members := append(s.peers(), s.dependencies.Self)
-	slices.SortFunc(members, func(a, b fleet.Member) int {
-		return cmp.Or(cmp.Compare(a.Zone, b.Zone), membership.CompareDelegates(a.Name, b.Name))
-	})
-	return members[:min(trialJudges, len(members))]
-}
-
 // grantTrial grants one trial and tells all nodes that the request is barred beside it.
 func (s *Suspects) grantTrial(fingerprint poison.Fingerprint) bool {
 	granted, left := s.claimHere(fingerprint)
@@ -236,13 +222,9 @@
 	return reports
 }
 
-// peers are the usable members that this node knows: all of its zone, and delegates of
-// the others.
+// peers are the usable members that this node knows.
 func (s *Suspects) peers() []fleet.Member {
-	members, _ := s.dependencies.Views.Members.Get()
-	return slices.DeleteFunc(slices.Clone(members), func(member fleet.Member) bool {
-		return !member.Usable() || member.Name == s.dependencies.Self.Name
-	})
+	return usablePeers(s.dependencies.Self, s.dependencies.Views)
 }
 
 // tell hands reports to all peers. What gets lost matters where the request is barred,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -24,6 +24,7 @@
 	Control  peerpb.Control
 	Claims   peerpb.Claims
 	Suspects peerpb.Suspects
+	Quotas   peerpb.Quotas
 }
 
 // NewHandler serves the peers' calls.
@@ -33,6 +34,7 @@
 	register(mux, peerpb.NewControlServer(handlers.Control))
 	register(mux, peerpb.NewClaimsServer(handlers.Claims))
 	register(mux, peerpb.NewSuspectsServer(handlers.Suspects))
+	register(mux, peerpb.NewQuotasServer(handlers.Quotas))
 	return http.MaxBytesHandler(mux, maxPeerBodyBytes)
 }
 
@@ -46,6 +48,7 @@
 	Control  peerpb.Control
 	Claims   peerpb.Claims
 	Suspects peerpb.Suspects
+	Quotas   peerpb.Quotas
 }
 
 // Pool keeps the clients of all peers over one shared transport.
@@ -88,6 +91,7 @@
 		Control:  peerpb.NewControlProtobufClient(base, p.client),
 		Claims:   peerpb.NewClaimsProtobufClient(base, p.client),
 		Suspects: peerpb.NewSuspectsProtobufClient(base, p.client),
+		Quotas:   peerpb.NewQuotasProtobufClient(base, p.client),
 	}
 	p.clients[address] = created
 	return created
--- a/internal/peer/peerpb/state.twirp.go
+++ b/internal/peer/peerpb/state.twirp.go
@@ -1064,7 +1064,7 @@
 }
 
 func (s *nodesServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *nodesServer) ProtocGenTwirpVersion() string {
@@ -1078,7 +1078,7 @@
 	return baseServicePath(s.pathPrefix, "spanlanding.peer", "Nodes")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 1766 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x58, 0xdd, 0x6e, 0x1b, 0xc7,
 	0x15, 0xee, 0xf2, 0x67, 0x49, 0x9e, 0x25, 0x65, 0x76, 0x6a, 0x3b, 0x5b, 0x25, 0x76, 0xe9, 0x6d,
--- a/internal/peer/peerpb/suspects.twirp.go
+++ b/internal/peer/peerpb/suspects.twirp.go
@@ -785,7 +785,7 @@
 }
 
 func (s *suspectsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *suspectsServer) ProtocGenTwirpVersion() string {
@@ -799,7 +799,7 @@
 	return baseServicePath(s.pathPrefix, "spanlanding.peer", "Suspects")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 302 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x91, 0xcd, 0x6a, 0x3a, 0x31,
 	0x14, 0xc5, 0x99, 0xbf, 0xf2, 0x77, 0xbc, 0x8a, 0x94, 0xac, 0x06, 0x4b, 0xcb, 0x20, 0x5d, 0xb8,
--- a/internal/spec/check.go
+++ b/internal/spec/check.go
@@ -38,6 +38,7 @@
 	checker.pathPrefixes()
 	checker.preferencesOnce()
 	checker.zonesOnce()
+	checker.keysOnce()
 	checker.ambiguousSelectors()
 	return checker.findings
 }
@@ -134,6 +135,8 @@
 		c.evacuation(object, declared)
 	case *Region:
 		c.region(object, declared)
+	case *Tenant:
+		c.tenant(object, declared)
 	}
 }
 
--- a/internal/spec/set.go
+++ b/internal/spec/set.go
@@ -58,7 +58,7 @@
 // evacuation refers to none and goes first: apply stops at the first write that
 // does not succeed, and a zone must not stay in service for that.
 var kindOrder = []Kind{
-	KindEvacuation, KindRegion, KindModel, KindAdapter, KindDeployment, KindCapacity, KindService, KindPreferences, KindSelector,
+	KindEvacuation, KindRegion, KindTenant, KindModel, KindAdapter, KindDeployment, KindCapacity, KindService, KindPreferences, KindSelector,
 }
 
 // Kinds returns the declared kinds, each after those that it refers to.
@@ -87,6 +87,8 @@
 		return &Evacuation{}
 	case KindRegion:
 		return &Region{}
+	case KindTenant:
+		return &Tenant{}
 	default:
 		return nil
 	}
--- a/internal/spec/types.go
+++ b/internal/spec/types.go
@@ -16,6 +16,7 @@
 	KindPreferences Kind = "Preferences"
 	KindEvacuation  Kind = "Evacuation"
 	KindRegion      Kind = "Region"
+	KindTenant      Kind = "Tenant"
 )
 
 // Metadata names and labels an object.
@@ -164,3 +165,22 @@
 type Region struct {
 	Zones []string `yaml:"zones" json:"zones"`
 }
+
+// Tenant is a customer of the operators, known by its API keys. Where one is declared,
+// every call needs a key.
+type Tenant struct {
+	// Keys are the SHA-256 digests of the keys, in hex.
+	Keys  []string    `yaml:"keys" json:"keys"`
+	Quota TenantQuota `yaml:"quota,omitempty" json:"quota,omitempty"`
+	// Regions are those in which the tenant's requests may run; all where it is left out.
+	Regions []string `yaml:"regions,omitempty" json:"regions,omitempty"`
+}
+
+// TenantQuota bounds what a tenant's requests count over all nodes, in requests or in
+// tokens of prompt and answer.
+type TenantQuota struct {
+	RequestsPerSecond float64 `yaml:"requestsPerSecond,omitempty" json:"requestsPerSecond,omitempty"`
+	TokensPerSecond   float64 `yaml:"tokensPerSecond,omitempty" json:"tokensPerSecond,omitempty"`
+	// Burst is what may come at once beyond the rate.
+	Burst float64 `yaml:"burst,omitempty" json:"burst,omitempty"`
+}
