Waiting: errors of expected times are constants; ways tried

A way to learn by how much guessed and announced times are wrong, from the waits that end at a node, was tried and is taken out again.

TestStrictOrderServesTheUrgentKind and TestHoldingAllHoldsForNothing keep what the replays say of those.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -121,7 +121,6 @@
 	splitter routetable.Splitter
 	budget   *retrybudget.Budget
 	lines    *waiting.Lines
-	errors   *waiting.Errors
 	// longest is the longest deadline seen on a route: a caller that comes back
 	// has less time left.
 	longest map[string]time.Duration
@@ -143,7 +142,6 @@
 		started: clock.Now(),
 		budget:  retrybudget.New(options.Budget),
 		lines:   waiting.NewLines(),
-		errors:  waiting.NewErrors(),
 		longest: make(map[string]time.Duration),
 	}
 }
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -72,11 +72,7 @@
 
 // expect is when what the request waits for is expected.
 func (x *exchange) expect(readyIn time.Duration, announced bool) waiting.Expectation {
-	expected := x.watch.Expect(clock.Now(), readyIn, announced)
-	x.handler.mu.Lock()
-	defer x.handler.mu.Unlock()
-	expected.Error = x.handler.errors.Of(expected)
-	return expected
+	return x.watch.Expect(clock.Now(), readyIn, announced)
 }
 
 // keepsWaiting decides on a request that has no server now. Where it is false
--- a/internal/waiting/expect.go
+++ b/internal/waiting/expect.go
@@ -4,8 +4,8 @@
 
 const (
 	// announcedError and guessedError are by how much the time until a model is there
-	// is taken to be wrong before any wait has ended, in parts of it: of a load that the
-	// leader has announced, and of one that nobody has begun.
+	// may be wrong, in parts of it: of a load that the leader has announced, and of one
+	// that nobody has begun.
 	announcedError = 0.15
 	guessedError   = 0.5
 	// orderTime is what passes before a load begins that nobody has announced.
@@ -23,14 +23,16 @@
 	Announced bool
 	// Overdue is how long ago it should have been there.
 	Overdue time.Duration
-	// Error is by how much ReadyIn may be wrong, in parts of it.
-	Error float64
 }
 
 // AtWorst is the time until the model is there, as long as it may well become. What is
 // overdue is expected to take as long again.
 func (e Expectation) AtWorst() time.Duration {
-	return time.Duration((1+e.Error)*float64(e.ReadyIn)) + e.Overdue
+	share := guessedError
+	if e.Announced {
+		share = announcedError
+	}
+	return time.Duration((1+share)*float64(e.ReadyIn)) + e.Overdue
 }
 
 // returnIn is when somebody who is sent away is to come back.
@@ -38,8 +40,6 @@
 
 // Watch notes for one request since when its model is overdue.
 type Watch struct {
-	// First is what was expected at first; zero before.
-	First        Expectation
 	overdueSince time.Time
 }
 
@@ -47,11 +47,7 @@
 func (w *Watch) Expect(now time.Time, readyIn time.Duration, announced bool) Expectation {
 	if !announced || readyIn > 0 {
 		w.overdueSince = time.Time{}
-		expected := Expectation{ReadyIn: readyIn, Announced: announced}
-		if w.First == (Expectation{}) {
-			w.First = expected
-		}
-		return expected
+		return Expectation{ReadyIn: readyIn, Announced: announced}
 	}
 	if w.overdueSince.IsZero() {
 		w.overdueSince = now
--- a/internal/waiting/replay_test.go
+++ b/internal/waiting/replay_test.go
@@ -192,3 +192,38 @@
 		t.Errorf("%d arrivals and findings %q, want 2 and 2", len(read.arrivals), findings)
 	}
 }
+
+// TestStrictOrderServesTheUrgentKind: ranks by worth a second or by deadline serve no more
+// of it in time, in any pattern.
+func TestStrictOrderServesTheUrgentKind(t *testing.T) {
+	const tolerated = 0.01
+	byWorth := func(r *worldRequest) float64 { return -r.kind.worth / r.kind.work.Seconds() }
+	byDeadline := func(r *worldRequest) float64 { return r.first.Add(r.kind.goal).Sub(worldBegin).Seconds() }
+	for _, p := range patterns() {
+		strict := play(p.trace(t), p.options)["note"].inTimeShare()
+		for name, rank := range map[string]func(r *worldRequest) float64{"worth a second": byWorth, "deadline": byDeadline} {
+			other := p.options
+			other.rank = rank
+			if got := play(p.trace(t), other)["note"].inTimeShare(); got > strict+tolerated {
+				t.Errorf("%s: %.3f in time by %s, %.3f by strict priority", p.name, got, name, strict)
+			}
+		}
+	}
+}
+
+// TestHoldingAllHoldsForNothing: without refusals some of the urgent kind is held to its
+// deadline in every pattern, which Decide tells at once.
+func TestHoldingAllHoldsForNothing(t *testing.T) {
+	for _, p := range patterns() {
+		holding := p.options
+		holding.keepAll = true
+		held := play(p.trace(t), holding)["note"]
+		if share := float64(held.gaveUp) / float64(held.sent); share < 0.05 {
+			t.Errorf("%s: %.3f held to the end without refusals", p.name, share)
+		}
+		told := play(p.trace(t), p.options)["note"]
+		if share := float64(told.gaveUp) / float64(told.sent); share > 0.02 {
+			t.Errorf("%s: %.3f held to the end with them", p.name, share)
+		}
+	}
+}
