--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -15,6 +15,7 @@
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/gossip"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 )
 
@@ -158,12 +159,26 @@
 	return p.roster.Sample(now, most)
 }
 
-// any is the address of some living node; empty where there is none.
-func (p *peers) any() string {
-	if some := p.some(clock.Now(), 1); len(some) > 0 {
-		return some[0]
-	}
-	return ""
+// near is the address of some living node, of this region if there is one; empty where
+// none lives.
+func (p *peers) near(now time.Time) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Near(now)
+}
+
+// rankNear is the number of living nodes of this region that come before this one.
+func (p *peers) rankNear(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.RankNear(now)
+}
+
+// isFar reports whether the node at an address is in another region.
+func (p *peers) isFar(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.DistanceTo(address) == locality.OtherRegion
 }
 
 // isSentinel reports whether this node watches the store for the others.
@@ -294,14 +309,21 @@
 	p.noteAlive(now)
 	p.mu.Unlock()
 	state := p.state(now)
-	state.News = encodeNews(p.node.directory.tell(now))
+	news := p.node.directory.tell(now)
+	state.News = encodeNews(news)
 	state.Crashes = p.node.suspects.bars(now)
-	loads := state.Loads
+	loads, digests := state.Loads, state.ViewsDigests
+	state.ViewsDigests = nil
 	if nodes > loadedNodes {
 		state.Loads = nil
 	}
-	p.send(trafficGossip, without(targets, append(leader, standbys...)), state)
-	state.Loads, state.TellsWanted = loads, true
+	near, far := p.split(without(targets, append(leader, standbys...)))
+	p.send(trafficGossip, near, state)
+	state.News = encodeNews(p.farNews(news))
+	p.send(trafficGossip, far, state)
+	// Those that decide watch the store for servers that come.
+	state.News = encodeNews(slices.DeleteFunc(news, func(item gossip.Item) bool { return !item.Server.Draining }))
+	state.Loads, state.ViewsDigests, state.TellsWanted = loads, digests, true
 	state.Wanted = p.wanted(now, p.leaderAge(now, leader))
 	p.send(trafficWanted, leader, state)
 	if len(standbys) > 0 {
@@ -349,6 +371,31 @@
 	return toldLeaderAge
 }
 
+// farNews are the news that this node tells in other regions.
+func (p *peers) farNews(news []gossip.Item) []gossip.Item {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var told []gossip.Item
+	for _, item := range news {
+		if item.Server.Draining || item.IsFar && p.roster.TellsFar(item.Server.ID) {
+			told = append(told, item)
+		}
+	}
+	return told
+}
+
+// split divides addresses into those of this region and of others.
+func (p *peers) split(addresses []string) (near, far []string) {
+	for _, address := range addresses {
+		if p.isFar(address) {
+			far = append(far, address)
+		} else {
+			near = append(near, address)
+		}
+	}
+	return near, far
+}
+
 // union adds the coordinators that are not among the addresses.
 func union(addresses []string, coordinators []gossip.Coordinator) []string {
 	for _, coordinator := range coordinators {
@@ -372,7 +419,7 @@
 		for _, count := range core.Demand(now.Add(-age)) {
 			wanted = append(wanted, &peerpb.WantedCount{
 				Service: count.Wanted.Service, Model: count.Wanted.Model, Adapter: count.Wanted.Adapter,
-				Asked: uint64(count.Asked), Waiting: uint32(count.Waiting), PromptTokens: uint64(count.PromptTokens),
+				Asked: uint64(count.Asked), Waiting: uint32(core.WaitingForCopies(now, count)), PromptTokens: uint64(count.PromptTokens),
 				GoalMs: uint32(count.Goal.Milliseconds()), Regions: count.Wanted.Regions.Names(),
 			})
 		}
@@ -447,7 +494,7 @@
 		ViewsWanted:  p.wantsViews(now),
 	}
 	if state.ViewsWanted {
-		state.ViewsDigest = p.ownViewsDigest()
+		state.ViewsDigests = p.ownViewDigests()
 	}
 	state.ConfigVersion = p.node.configVersion()
 	if p.node.needsCoordinator() {
