Soak: commands bounded to a region

The judge looks for commands that began where no version in force lets them, by nodes in touch while the store was sound; a planted one is found, one of a version that may still be in force, or beside a store in trouble, is not.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -140,7 +141,7 @@
 	}
 	zone, region, _ := strings.Cut(o.zones[number], "=")
 	settings = strings.Replace(settings, `zone = "z"`, fmt.Sprintf("zone = %q\nregion = %q", zone, region), 1) + "[zones]\n"
-	for _, named := range o.zones {
+	for _, named := range slices.Compact(slices.Sorted(slices.Values(o.zones))) {
 		zone, region, _ := strings.Cut(named, "=")
 		settings += fmt.Sprintf("%s = %q\n", zone, region)
 	}
--- a/test/platform/soak_evacuation_test.go
+++ b/test/platform/soak_evacuation_test.go
@@ -62,7 +62,7 @@
 // nextZone is the zone with the fewest servers of the service: each has enough to serve
 // while the other is evacuated. The lock is held.
 func (s *soak) nextZone(service string) string {
-	if !s.evacuates() {
+	if !s.evacuates() && !s.options.movesHome() {
 		return soakZones[0]
 	}
 	counts := make(map[string]int)
--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -81,6 +81,7 @@
 		}},
 		coldKind(),
 		evacuationKind(),
+		kind{homeKind, 2, func(s *soak, d drawnFault) { s.moveHome(d) }},
 	)
 }
 
--- a/test/platform/soak_judge_test.go
+++ b/test/platform/soak_judge_test.go
@@ -199,6 +199,7 @@
 		s.judgeDrain(m)
 		s.judgeCold(m)
 		s.judgeEvacuations(m)
+		s.judgeHome(m)
 		m.mu.Unlock()
 	}
 	slices.SortFunc(loads, time.Time.Compare)
--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -73,6 +73,23 @@
 			s.servers[0].ranAt["a"] = at(time.Second)
 			s.troubles = []span{{place: onWayToServer, node: "i", from: at(0), to: at(time.Second)}}
 		}},
+		{"HOME", func(s *soak) {
+			s.servers[0].service, s.servers[0].zone, s.servers[0].ranAt["a"] = "commands", soakZones[1], at(applyWithin+2*time.Millisecond)
+			s.homes = []soakHome{{at: at(-time.Minute)}, {at: at(0), regions: []string{soakRegions[0]}}}
+		}},
+		{"", func(s *soak) {
+			s.servers[0].service, s.servers[0].zone, s.servers[0].ranAt["a"] = "commands", soakZones[1], at(applyWithin-time.Millisecond)
+			s.homes = []soakHome{{at: at(-time.Minute)}, {at: at(0), regions: []string{soakRegions[0]}}}
+		}},
+		{"", func(s *soak) {
+			s.servers[0].service, s.servers[0].zone, s.servers[0].ranAt["a"] = "commands", soakZones[1], at(applyWithin+2*time.Millisecond)
+			s.homes = []soakHome{{at: at(-time.Minute), regions: []string{soakRegions[0]}}, {at: at(0), regions: []string{soakRegions[1]}}}
+		}},
+		{"", func(s *soak) {
+			s.servers[0].service, s.servers[0].zone, s.servers[0].ranAt["a"] = "commands", soakZones[1], at(applyWithin+2*time.Millisecond)
+			s.homes = []soakHome{{at: at(0), regions: []string{soakRegions[0]}}}
+			s.troubles = []span{{place: atStore, from: at(0), to: at(time.Second)}}
+		}},
 		{"COLD", func(s *soak) {
 			s.servers[0].cameAt, s.servers[0].coldUntil = at(0), at(soakColdTime)
 			for i := range 1 + int(mostWhileSoakCold) {
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -113,6 +113,8 @@
 	poisons  map[string]*soakPoison
 	number   int
 	findings []string
+	// homes are where commands may run, by version.
+	homes []soakHome
 	// heldUntil is until when the orders of a holder of the lease are held.
 	heldUntil time.Time
 	// evacuations are those declared, in their order.
@@ -168,6 +170,9 @@
 	if (&soak{options: options}).evacuates() {
 		fleetOf.bounds = evacuateLine
 	}
+	if options.movesHome() {
+		fleetOf.zones = options.nodeZones()
+	}
 	s := newSoak(newFleetWith(t, fleetOf), options)
 	s.isQuiet = true
 	for _, n := range s.nodes {
@@ -288,6 +293,7 @@
 		config["services"].([]map[string]any)[1]["coldStartS"] = soakColdTime.Seconds()
 		config["services"].([]map[string]any)[1]["coldPerS"] = soakColdPerS
 	}
+	s.putHome(config)
 	// The second key is another in each version: tenants come and go beside callers.
 	config["tenants"] = []map[string]any{{
 		"name": soakTenant, "apiKeys": []string{soakKey, versionKey(s.version)},
