A grant at a cold server counts from its own question

Cause: it counted from the first question; where one silent coordinator came before, half of the 0.2 s was used up, with two all of it, and the grant was asked for twice and counted twice. Found by reading.

TestGrantCountsFromItsQuestion failed before (usable for 99.5 ms).

--- a/internal/edge/coldstarts.go
+++ b/internal/edge/coldstarts.go
@@ -46,15 +46,18 @@
 
 // AdmitToServer implements relay.ColdStarts.
 func (c *coldStarts) AdmitToServer(ctx context.Context, serverID string, priority int) relay.ColdVerdict {
-	asked := clock.Now()
-	phase, service := c.phase(asked, serverID)
+	now := clock.Now()
+	phase, service := c.phase(now, serverID)
 	if phase == coldstart.Warm {
 		return relay.ColdVerdict{Granted: true}
 	}
 	if c.bound(service).Most() == 0 {
-		return c.admitWhenWarm(asked, serverID, phase)
+		return c.admitWhenWarm(now, serverID, phase)
 	}
-	for _, coordinator := range c.node.peers.coordinators(asked) {
+	for _, coordinator := range c.node.peers.coordinators(now) {
+		// A grant counts from its question: those to silent coordinators may take longer
+		// than it holds.
+		asked := clock.Now()
 		answer := c.node.quotas.ask(ctx, coordinator.Address, &peerpb.QuotaCall{
 			Kind: peerpb.QuotaCall_ASK, Server: serverID, Service: service, Cost: 1,
 			Priority: uint32(max(0, priority)), Ramping: phase == coldstart.Ramp,
--- a/internal/edge/coldstarts_test.go
+++ b/internal/edge/coldstarts_test.go
@@ -265,3 +265,20 @@
 		t.Error("nothing granted though a node knows how large the fleet is")
 	}
 }
+
+// TestGrantCountsFromItsQuestion: those that a silent coordinator left without an answer before
+// it had used up the grant, which was then asked for anew.
+func TestGrantCountsFromItsQuestion(t *testing.T) {
+	silent, coordinator, asker := newColdNode(t, 900), newColdNode(t, 500), newColdNode(t, 100)
+	hearsOf(asker, inventory.Server{ID: "a", Service: "s", Revision: 4})
+	hearsOf(coordinator, inventory.Server{ID: "a", Service: "s", Revision: 4})
+	meet(silent, asker)
+	meet(coordinator, asker)
+	_ = silent.peers.conn.Close()
+	admitted(asker, "a", 1) // opens the account
+	time.Sleep(300 * time.Millisecond)
+	verdict := asker.coldStarts.AdmitToServer(context.Background(), "a", 0)
+	if left := clock.Until(verdict.Until); !verdict.Granted || left < coldstart.GrantAge-askTimeout/2 {
+		t.Errorf("%+v, usable for %v", verdict, left)
+	}
+}
