--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/spec"
 )
@@ -30,6 +31,8 @@
 	// services are ordered by the length of their prefix, longest first.
 	services    []service
 	preferences spec.Preferences
+	// evacuated are sorted by name.
+	evacuated []string
 }
 
 // DeploymentInfo describes a deployment to callers.
@@ -107,3 +110,13 @@
 func (s *Snapshot) Preferences() spec.Preferences {
 	return s.preferences
 }
+
+// Evacuations are the zones that are out of service as of the snapshot.
+func (s *Snapshot) Evacuations() evacuation.Word {
+	return evacuation.Word{Zones: s.evacuated, Revision: int64(s.version)}
+}
+
+// IsEvacuated reports whether the zone is out of service.
+func (s *Snapshot) IsEvacuated(zone fleet.Zone) bool {
+	return slices.Contains(s.evacuated, string(zone))
+}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/coldstart"
 	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
@@ -99,6 +100,9 @@
 		if ask.Model != "" && !s.holds(now, ask.Model, ask.Adapter) {
 			continue
 		}
+		if s.isHeldBack(now) {
+			continue
+		}
 		candidates = append(candidates, s)
 	}
 	return candidates
@@ -162,7 +166,11 @@
 	failures := s.health.failureRate(now)
 	cost *= max(1, s.health.slowness)
 	cost += failures * failures * failureCost.Seconds()
-	return cost + c.wayCost(s).Seconds()
+	cost += c.wayCost(s).Seconds()
+	if s.coldPhase(now) == coldstart.Cold {
+		cost += coldCost.Seconds()
+	}
+	return cost
 }
 
 // Outcome is how a request ended, as far as it concerns the server.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -72,6 +72,8 @@
 	m.gauge("store_failing", "1 while the last call to the store failed.", func() float64 { return oneIf(node.storeFailing.Load()) })
 	m.gauge("config_confirmed_seconds", "Time since some node's call to the store confirmed the configuration in force; -1 is never.", confirmedSeconds(&node.configConfirmed))
 	m.gauge("servers_confirmed_seconds", "The same for the servers known.", confirmedSeconds(&node.serversConfirmed))
+	m.gauge("evacuations_confirmed_seconds", "The same for the evacuated zones.", confirmedSeconds(&node.evacuations.confirmed))
+	m.gauge("zones_evacuated", "Zones to whose servers nothing new is sent.", func() float64 { return float64(len(node.evacuations.zones())) })
 	m.gauge("lease_term", "Fencing token while this node holds the lease, else 0.", func() float64 {
 		term, _ := node.leader.standing()
 		return float64(term)
@@ -82,7 +84,7 @@
 		return float64(len(node.peers.roster.Alive(clock.Now())))
 	})
 	m.gauge("repeats_left", "Repeats that may be sent now, of the service that has least.", func() float64 { return node.handler.RepeatsLeft() })
-	for _, state := range []dispatch.State{dispatch.StateReady, dispatch.StateGoing, dispatch.StateSuspect} {
+	for _, state := range []dispatch.State{dispatch.StateReady, dispatch.StateGoing, dispatch.StateClosed, dispatch.StateSuspect} {
 		m.gauge("servers_"+string(state), "Servers that are "+string(state)+".", func() float64 {
 			count := 0
 			node.dispatch.Do(func(core *dispatch.Core) { count = core.CountServers(clock.Now(), state) })
@@ -125,6 +127,14 @@
 	m.counter("quota_refused_total", "Requests refused as beyond their tenant's quota.", node.quotas.refused.Load)
 	m.counter("quota_alone_total", "Requests decided without a coordinator of quotas.", node.quotas.alone.Load)
 	m.counter("quota_unanswered_total", "Questions to coordinators of quotas without an answer.", node.quotas.unanswered.Load)
+	m.gauge("servers_cold", "Servers that bear little yet, as they have just started or come back.", func() float64 {
+		count := 0
+		node.dispatch.Do(func(core *dispatch.Core) { count = core.CountCold(clock.Now()) })
+		return float64(count)
+	})
+	m.counter("cold_admitted_total", "Sends to cold servers that were granted.", node.coldStarts.admitted.Load)
+	m.counter("cold_held_total", "Times that a send was held back at a cold server.", node.handler.Metrics.ColdHeld.Load)
+	m.counter("cold_alone_total", "Sends to cold servers decided without a coordinator.", node.coldStarts.alone.Load)
 	for what := range trafficKinds {
 		m.counter("peer_"+what.String()+"_bytes_total", "Bytes sent to peers: "+what.String()+".", func() int64 { return node.peers.sentBytes.of(what) })
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -215,6 +215,10 @@
 		p.node.quotas.take(state.Quota)
 		return
 	}
+	if state.Trial != nil {
+		p.node.suspects.takeTrial(state.Trial)
+		return
+	}
 	if state.Spread != nil {
 		p.sendOn(clock.Now(), state)
 	}
@@ -259,6 +263,7 @@
 	}
 	p.node.compareConfiguration(now, state.Address, state.ConfigVersion, state.ConfigAgeMs)
 	p.node.compareServers(now, state)
+	p.node.evacuations.hear(now, state.Address, state.Evacuations)
 	if state.TellsWanted || state.ViewsWanted {
 		p.node.leader.post(func() { p.node.leader.takeState(state) })
 	}
@@ -286,6 +291,7 @@
 	p.mu.Unlock()
 	p.node.endLapses(now)
 	p.node.quotas.observe(now)
+	p.node.coldStarts.observe(now)
 	p.node.suspects.tick(now)
 	p.logTraffic(now)
 	p.mu.Lock()
@@ -296,7 +302,7 @@
 	}
 	targets := p.roster.Targets(now, fanout)
 	leader, standbys := p.deciders(now, nodes)
-	if p.node.hasQuotas() {
+	if p.node.needsCoordinator() {
 		// A coordinator has to know how many nodes it gives for.
 		targets = union(targets, p.roster.Coordinators(now, true))
 	}
@@ -413,7 +419,7 @@
 		for _, count := range core.Demand(now.Add(-age)) {
 			wanted = append(wanted, &peerpb.WantedCount{
 				Service: count.Wanted.Service, Model: count.Wanted.Model, Adapter: count.Wanted.Adapter,
-				Asked: uint64(count.Asked), Waiting: uint32(count.Waiting), PromptTokens: uint64(count.PromptTokens),
+				Asked: uint64(count.Asked), Waiting: uint32(core.WaitingForCopies(now, count)), PromptTokens: uint64(count.PromptTokens),
 				GoalMs: uint32(count.Goal.Milliseconds()), Regions: count.Wanted.Regions.Names(),
 			})
 		}
@@ -432,6 +438,7 @@
 	if became {
 		send(p.node.configNudge)
 		send(p.node.serversNudge)
+		send(p.node.evacuations.nudge)
 	}
 }
 
@@ -490,10 +497,11 @@
 		state.ViewsDigests = p.ownViewDigests()
 	}
 	state.ConfigVersion = p.node.configVersion()
-	if p.node.hasQuotas() {
+	if p.node.needsCoordinator() {
 		size, _ := p.node.quotas.fleetSize(now)
 		state.FleetNodes = uint32(size)
 	}
+	state.Evacuations = p.node.evacuations.wire(now)
 	state.ConfigAgeMs = p.node.configConfirmed.wire(now)
 	state.ServersAgeMs = p.node.serversConfirmed.wire(now)
 	state.ServersDigest, state.ServersRevision = p.node.directory.standing()
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -138,8 +138,8 @@
 	return request
 }
 
-// fetch asks one peer and uses its answer. It reports whether the node then has a
-// configuration and servers.
+// fetch asks one peer and uses its answer. It reports whether the node then knows
+// enough to answer callers.
 func (s *snapshots) fetch(ctx context.Context, address string, request *peerpb.SnapshotRequest) bool {
 	node := s.node
 	asked := clock.Now()
@@ -166,17 +166,18 @@
 		node.listPeerServers(entriesOf(response.Servers), response.ServersRevision)
 	}
 	node.confirmServers(asked, response.ServersDigest, response.ServersAgeMs)
+	node.evacuations.hear(asked, address, response.Evacuations)
 	node.options.Logger.Info().Str("peer", address).Int64("config", response.ConfigVersion).
 		Int("config_bytes", len(response.Config)).Int("servers", len(response.Servers)).
 		Int64("revision", response.ServersRevision).Int64("took_ms", clock.Since(asked).Milliseconds()).Msg("snapshot_taken")
-	return node.handler.Table() != nil && node.hasServers.Load()
+	return node.knowsEnough()
 }
 
 // Snapshot answers a peer with what this node knows.
 func (s *snapshots) Snapshot(_ context.Context, request *peerpb.SnapshotRequest) (*peerpb.SnapshotResponse, error) {
 	now := clock.Now()
 	node := s.node
-	response := &peerpb.SnapshotResponse{Peers: node.peers.some(now, snapshotPeers)}
+	response := &peerpb.SnapshotResponse{Peers: node.peers.some(now, snapshotPeers), Evacuations: node.evacuations.whole(now)}
 	if table := node.handler.Table(); table != nil {
 		response.ConfigVersion = table.Version
 		response.ConfigAgeMs = node.configConfirmed.wire(now)
@@ -188,7 +189,7 @@
 		servers, revision, digest := node.directory.list()
 		response.ServersDigest, response.ServersAgeMs = digest, node.serversConfirmed.wire(now)
 		if digest != request.ServersDigest {
-			response.Servers, response.ServersRevision = encodeEntries(servers), revision
+			response.Servers, response.ServersRevision = encodeEntries(node.coldStarts.asOf(now, servers)), revision
 		}
 	}
 	return response, nil
@@ -202,6 +203,7 @@
 			ID: entry.Server, Service: entry.Service, Address: entry.Address, Zone: entry.Zone,
 			Slots: int(entry.Slots), Draining: entry.Draining, Revision: entry.Revision,
 		}
+		server.ColdLeft, server.TellsCold = coldLeftOf(entry.ColdLeftMs)
 		for _, model := range entry.Held {
 			server.Models = append(server.Models, inventory.HeldModel{Name: model.Model, Adapters: model.Adapters})
 		}
@@ -216,6 +218,7 @@
 		entry := &peerpb.ServerEntry{
 			Server: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone,
 			Slots: uint32(server.Slots), Draining: server.Draining, Revision: server.Revision,
+			ColdLeftMs: encodeColdLeft(server.ColdLeft, server.TellsCold),
 		}
 		for _, model := range server.Models {
 			entry.Held = append(entry.Held, &peerpb.HeldModel{Model: model.Name, Adapters: model.Adapters})
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -154,7 +154,7 @@
 func (r *round) choose(wanted want) choice {
 	model, need := wanted.model, wanted.need
 	best := choice{cost: math.Inf(1)}
-	mayAskStore := r.storeAllows(model.Name, need == needWaiting)
+	mayAskStore := r.storeAllows(model.Name, need >= needDisplaced)
 	for _, s := range r.servers {
 		wait, isKnown := s.freeIn(r.now)
 		if !isKnown || s.has(model.Name) || s.isKeptFor(r.now, model.Name) || !r.isIn(s, wanted.regions) {
@@ -198,7 +198,7 @@
 // model cannot take it yet. No other is emptied for it meanwhile.
 func (r *round) isMadeRoomFor(model string, regions locality.Regions) bool {
 	for _, s := range r.servers {
-		if r.isIn(s, regions) && s.isMeantFor(r.now, model) && !s.info.Draining && !s.canTake(r.now) {
+		if r.isIn(s, regions) && s.isMeantFor(r.now, model) && s.takesOrders() && !s.canTake(r.now) {
 			return true
 		}
 	}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -34,12 +34,16 @@
 	busySince time.Time
 	// pauseUntil keeps orders off a server that just refused one.
 	pauseUntil time.Time
+	// refusals are the orders in a row that it was too busy for or that did not reach it.
+	refusals int
 	// copies are the weights kept beside those held, by the newest report or, at
 	// the start, by the entry. A load may drive others out.
 	copies map[string]Source
 	intent intent
 	// busy is set while the server said last that an order is under way.
 	busy bool
+	// isClosed is set while the server's zone is evacuated.
+	isClosed bool
 	// lastTaken is the last order of this term that the server took; nil is none.
 	lastTaken *Order
 }
@@ -126,7 +130,7 @@
 
 // canTake reports whether the server may be ordered something now.
 func (s *server) canTake(now time.Time) bool {
-	return s.synced && !s.info.Draining && s.ordering == nil && s.loading == nil && s.unloading == "" &&
+	return s.synced && s.takesOrders() && s.ordering == nil && s.loading == nil && s.unloading == "" &&
 		!now.Before(s.pauseUntil)
 }
 
@@ -137,7 +141,7 @@
 // that cannot be told.
 func (s *server) freeIn(now time.Time) (wait time.Duration, known bool) {
 	switch {
-	case s.info.Draining || !s.synced:
+	case !s.takesOrders() || !s.synced:
 		return 0, false
 	case s.canTake(now):
 		return 0, true
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // verdict says how an attempt ended.
@@ -29,27 +30,18 @@
 func (x *exchange) attempt(choice dispatch.Choice) verdict {
 	x.serverID = choice.ServerID
 	x.estimate = choice.Estimate
+	admitted := x.admitsServer(choice)
+	if !admitted.Granted {
+		x.release(choice, dispatch.OutcomeLeft)
+		return verdictNotSent
+	}
 	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address)
 	if err != nil {
+		x.noteUnreachable(choice)
 		return x.notSent(choice)
 	}
-	if x.isBarred() {
-		x.release(choice, dispatch.OutcomeLeft)
-		_ = conn.Close()
-		x.answerBarred()
-		return verdictDone
-	}
-	if clock.Until(x.deadline) <= finishMargin {
-		x.release(choice, dispatch.OutcomeLeft)
-		_ = conn.Close()
-		x.giveUp(reasonDeadline)
-		return verdictDone
-	}
-	if !x.isStillGood(choice) {
-		x.release(choice, dispatch.OutcomeLeft)
-		_ = conn.Close()
-		x.failed = append(x.failed, choice.ServerID)
-		return verdictNotSent
+	if ended, ok := x.maySend(choice, conn, admitted); !ok {
+		return ended
 	}
 	if !x.hasSent(choice.ServerID) {
 		x.sent = append(x.sent, choice.ServerID)
@@ -66,6 +58,37 @@
 	return x.answered(choice, answer)
 }
 
+// maySend looks right before the send whether it may still be: opening a connection may
+// have taken long. Where it may not the connection is closed, and ended says how the attempt
+// ended. What asks another node comes first.
+func (x *exchange) maySend(choice dispatch.Choice, conn *backendconn.Conn, admitted ColdVerdict) (ended verdict, ok bool) {
+	switch {
+	case !x.isStillAdmitted(choice, admitted):
+		x.withdraw(choice, conn)
+		return verdictNotSent, false
+	case x.isBarred():
+		x.withdraw(choice, conn)
+		x.answerBarred()
+		return verdictDone, false
+	case clock.Until(x.deadline) <= waiting.FinishMargin:
+		x.withdraw(choice, conn)
+		x.giveUp(reasonDeadline)
+		return verdictDone, false
+	case !x.isStillGood(choice):
+		x.withdraw(choice, conn)
+		x.failed = append(x.failed, choice.ServerID)
+		return verdictNotSent, false
+	default:
+		return 0, true
+	}
+}
+
+// withdraw gives up a send before it leaves.
+func (x *exchange) withdraw(choice dispatch.Choice, conn *backendconn.Conn) {
+	x.release(choice, dispatch.OutcomeLeft)
+	_ = conn.Close()
+}
+
 // isStillGood checks right before the send what was believed when the server
 // was chosen: opening a connection may have taken long.
 func (x *exchange) isStillGood(choice dispatch.Choice) bool {
@@ -104,14 +127,6 @@
 	}
 }
 
-const (
-	// maxUrgency is the least urgent rank that can be said.
-	maxUrgency = 9
-	// ranksOfTenant is the number of ranks of one priority of tenants: among requests of
-	// tenants of one priority the routes' priorities decide, up to that many.
-	ranksOfTenant = 3
-)
-
 // urgency is the rank of the request at its server, 0 first: by the priority of its
 // tenant and then of its route. Where tenants have none it is that of the route, and
 // among those of one priority who came back goes before who is new.
@@ -120,13 +135,9 @@
 		return -1
 	}
 	if x.tenant != nil && x.tenant.HasPriority {
-		return min(maxUrgency, ranksOfTenant*x.tenant.Priority+min(x.route.Priority, ranksOfTenant-1))
-	}
-	rank := 2 * x.route.Priority
-	if !x.returned {
-		rank++
+		return waiting.RankOfTenant(x.tenant.Priority, x.route.Priority)
 	}
-	return min(maxUrgency, rank)
+	return waiting.Rank(x.route.Priority, x.returned)
 }
 
 func (x *exchange) notSent(choice dispatch.Choice) verdict {
@@ -152,7 +163,7 @@
 
 // again says whether a request that may have run is sent once more.
 func (x *exchange) again(reason string) verdict {
-	expired := clock.Until(x.deadline) <= finishMargin
+	expired := clock.Until(x.deadline) <= waiting.FinishMargin
 	if expired || !x.isRepeatable() || len(x.sent) >= x.route.MaxAttempts {
 		x.giveUp(reason)
 		return verdictDone
@@ -189,6 +200,9 @@
 		if told.Load != nil {
 			core.SetReported(now, choice.ServerID, *told.Load)
 		}
+		if told.ColdLeft != nil {
+			core.TellColdAnswer(now, choice.ServerID, *told.ColdLeft)
+		}
 	})
 }
 
@@ -270,7 +284,7 @@
 
 // canAskAnother reports whether a server's own failure may be tried elsewhere.
 func (x *exchange) canAskAnother() bool {
-	if !x.isRepeatable() || len(x.sent) >= x.route.MaxAttempts || clock.Until(x.deadline) <= finishMargin {
+	if !x.isRepeatable() || len(x.sent) >= x.route.MaxAttempts || clock.Until(x.deadline) <= waiting.FinishMargin {
 		return false
 	}
 	found := false
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/routetable"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // exchange is one caller's request from arrival to its final answer.
@@ -56,13 +57,14 @@
 	// waitsSince is when the choice of a server began that is under way.
 	waitsSince time.Time
 	serverID   string
-	// overdueSince is since when the model that the request waits for should have been
-	// there; zero where it should not.
-	overdueSince time.Time
+	// watch follows when what the request waits for is expected.
+	watch waiting.Watch
 	// estimate is the time to the first byte that was expected of the server.
 	estimate time.Duration
 	// serverEnd is what became of the server whose answer broke off.
 	serverEnd backendconn.Liveness
+	// isTrial is set from the claim of a trial until its one send is over.
+	isTrial bool
 	// asked is what it was last counted as demand for.
 	asked dispatch.Wanted
 	// allowed are the regions in which it may run, by the table allowedBy.
@@ -202,23 +204,34 @@
 	}
 	x.countDemand()
 	x.lastEvent = x.head.LastEvent
+	hasRepeat := false
 	for sends := 0; ; sends++ {
 		choice, ok := x.pick()
 		if !ok {
 			return
 		}
-		if sends > 0 && !x.mayRepeat() {
+		// A repeat that was drawn holds until something was sent: a request may be held
+		// back at cold servers many times.
+		hasRepeat = hasRepeat || sends > 0 && x.mayRepeat()
+		if sends > 0 && !hasRepeat {
 			x.release(choice, dispatch.OutcomeLeft)
 			x.handler.Metrics.NoBudget.Add(1)
 			x.giveUp("no_budget")
 			return
 		}
+		if !x.mayTry() {
+			x.release(choice, dispatch.OutcomeLeft)
+			x.answerBarred()
+			return
+		}
 		verdict := x.attempt(choice)
 		if verdict == verdictDone {
 			return
 		}
 		if verdict == verdictNotSent {
 			sends--
+		} else {
+			hasRepeat, x.isTrial = false, false
 		}
 		if sends+1 >= maxSends || len(x.failed) >= maxSends {
 			x.giveUp("too_many_sends")
@@ -344,7 +357,7 @@
 	if event == "request_"+outcomeRefused && x.route != nil {
 		var supply dispatch.Supply
 		x.handler.options.Dispatch.Do(func(core *dispatch.Core) { supply = core.Supply(x.service) })
-		entry.Int("servers", supply.Known).Int("servers_going", supply.Going)
+		entry.Int("servers", supply.Known).Int("servers_going", supply.Going).Int("servers_closed", supply.Closed)
 	}
 	entry.Int("events", x.events).Msg(event)
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -34,4 +34,6 @@
 	NoPlace atomic.Int64
 	// ServerBytes are those of bodies to and from servers, by how far these are.
 	ServerBytes [locality.Distances]atomic.Int64
+	// ColdHeld are sends that were not granted at a cold server.
+	ColdHeld atomic.Int64
 }
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/poison"
+	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
 // Suspects remembers requests under which servers ended, at whatever node, so that one
@@ -20,6 +22,8 @@
 	Blame(fingerprint poison.Fingerprint, serverID string)
 	// EndedWell takes that a request ended well.
 	EndedWell(fingerprint poison.Fingerprint)
+	// ClaimTrial asks whether this node may send a request on trial once, for all nodes.
+	ClaimTrial(ctx context.Context, fingerprint poison.Fingerprint) bool
 }
 
 // reasonPoison is the reason of refusals of requests that ended too many servers.
@@ -47,8 +51,20 @@
 	return suspects.Standing(x.fingerprint())
 }
 
-// isBarred reports whether the request has ended too many servers.
-func (x *exchange) isBarred() bool { return x.standing() == poison.StandingBarred }
+// isBarred reports whether the request has ended too many servers. The send of a trial that
+// this node claimed goes out all the same.
+func (x *exchange) isBarred() bool {
+	return !x.isTrial && x.standing() == poison.StandingBarred
+}
+
+// mayTry claims the trial of a request on trial for the send that follows.
+func (x *exchange) mayTry() bool {
+	if x.standing() != poison.StandingOnTrial {
+		return true
+	}
+	x.isTrial = x.handler.options.Suspects.ClaimTrial(x.ctx, x.fingerprint())
+	return x.isTrial
+}
 
 // answerBarred gives a barred request its final answer: at once, and without a time to
 // come back at.
@@ -77,10 +93,13 @@
 // a way that was cut or a connection that was reset looks the same. Where the server ended,
 // and nobody had said that it would, the request is suspected.
 func (x *exchange) suspect(choice dispatch.Choice) {
-	if clock.Until(x.deadline) <= finishMargin {
+	if clock.Until(x.deadline) <= waiting.FinishMargin {
 		return
 	}
 	x.serverEnd = x.handler.options.Pool.Probe(choice.Address)
+	if x.serverEnd != backendconn.LivenessAlive {
+		x.noteUnreachable(choice)
+	}
 	suspects := x.handler.options.Suspects
 	if suspects != nil && x.serverEnd == backendconn.LivenessEnded && x.isStillGood(choice) {
 		suspects.Blame(x.fingerprint(), choice.ServerID)
--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -65,14 +65,26 @@
 
 // allKinds are the faults that are drawn.
 func allKinds() []kind {
-	return append(firstKinds(), kind{poisonKind, 2, func(s *soak, d drawnFault) {
-		if s.options.isRelayed {
-			s.sendPoison(d)
-		}
-	}})
+	return append(firstKinds(),
+		kind{poisonKind, 2, func(s *soak, d drawnFault) {
+			if s.options.isRelayed {
+				s.sendPoison(d)
+			}
+		}},
+		kind{"orders-held", 2, func(s *soak, _ drawnFault) { s.holdOrders() }},
+		kind{"silent-connections-to-server", 1, func(s *soak, d drawnFault) { s.silenceServer(d) }},
+		kind{"silent-connections-to-store", 1, func(s *soak, d drawnFault) {
+			s.silence(d, d.node.toStore, d.node.name, "connections to the store")
+		}},
+		kind{"silent-connections-between-nodes", 1, func(s *soak, d drawnFault) {
+			s.silence(d, d.node.toPeers, d.node.name, "connections of others to it")
+		}},
+		coldKind(),
+		evacuationKind(),
+	)
 }
 
-// poisonKind came after the first kinds.
+// poisonKind, and those that stand behind it, came after the first kinds.
 const poisonKind = "server-ends-under-request"
 
 // firstKinds are those that the kept seeds of all kinds draw from: with one more they would
@@ -346,8 +358,12 @@
 // replaceServer starts a server, and then lets an older one drain and go.
 func (s *soak) replaceServer(drawn drawnFault) {
 	staying := s.staying()
-	leaver := staying[drawn.server%len(staying)]
-	s.addServer(leaver.service)
+	s.replace(staying[drawn.server%len(staying)], 0)
+}
+
+// replace lets a server leave, and another come in its place that is cold for a time.
+func (s *soak) replace(leaver *modelServer, cold time.Duration) {
+	s.addServer(leaver.service, cold)
 	s.mu.Lock()
 	s.left[leaver.id] = time.Now()
 	s.mu.Unlock()
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -113,6 +113,10 @@
 	poisons  map[string]*soakPoison
 	number   int
 	findings []string
+	// heldUntil is until when the orders of a holder of the lease are held.
+	heldUntil time.Time
+	// evacuations are those declared, in their order.
+	evacuations []soakEvacuation
 
 	busy    sync.WaitGroup
 	callers sync.WaitGroup
@@ -158,18 +162,22 @@
 
 func runSoak(t *testing.T, options soakOptions) {
 	t.Helper()
-	s := newSoak(newFleetWith(t, fleetOptions{
+	fleetOf := fleetOptions{
 		count: options.nodes, seeds: `"127.0.0.11:1", "127.0.0.12:1"`, firstIP: firstSoakIP, isRelayed: options.isRelayed, hasMetrics: true,
-	}), options)
+	}
+	if (&soak{options: options}).evacuates() {
+		fleetOf.bounds = evacuateLine
+	}
+	s := newSoak(newFleetWith(t, fleetOf), options)
 	s.isQuiet = true
 	for _, n := range s.nodes {
 		s.controls = append(s.controls, newControl(n))
 	}
 	for range soakModelServers {
-		s.addServer("models")
+		s.addServer("models", 0)
 	}
 	for range soakCommands {
-		s.addServer("commands")
+		s.addServer("commands", 0)
 	}
 	s.changeConfiguration()
 	s.awaitReady()
@@ -217,14 +225,14 @@
 	}
 }
 
-// addServer starts a server with an identity of its own.
-func (s *soak) addServer(service string) *modelServer {
+// addServer starts a server with an identity of its own, which is cold for a time.
+func (s *soak) addServer(service string, cold time.Duration) *modelServer {
 	s.mu.Lock()
 	s.number++
-	number := s.number
+	number, zone := s.number, s.nextZone(service)
 	s.mu.Unlock()
 	m := &modelServer{
-		id: fmt.Sprintf("i-%d", number), service: service, loadTime: 300 * time.Millisecond, streamPause: 30 * time.Millisecond,
+		id: fmt.Sprintf("i-%d", number), service: service, zone: zone, loadTime: 300 * time.Millisecond, streamPause: 30 * time.Millisecond,
 		models: make(map[string]map[string]bool), runs: make(map[string]int), ranAt: make(map[string]time.Time), weightMB: 60, memoryMB: 200,
 	}
 	m.onPoison = func(writer http.ResponseWriter, request *http.Request, body string) {
@@ -237,6 +245,9 @@
 		m.way = newWay(s.t, "127.0.0.1:0", m.address)
 		m.address = m.way.address()
 	}
+	if cold > 0 {
+		m.cameAt, m.coldUntil = time.Now(), time.Now().Add(cold)
+	}
 	m.enter(s.store, "ready")
 	s.mu.Lock()
 	s.servers = append(s.servers, m)
@@ -273,6 +284,10 @@
 	config := configuration(s.version, added...)
 	engine := config["services"].([]map[string]any)[1]["engine"].(map[string]any)
 	engine["models"], engine["weightsMb"] = models, 200
+	if s.limitsCold() {
+		config["services"].([]map[string]any)[1]["coldStartS"] = soakColdTime.Seconds()
+		config["services"].([]map[string]any)[1]["coldPerS"] = soakColdPerS
+	}
 	// The second key is another in each version: tenants come and go beside callers.
 	config["tenants"] = []map[string]any{{
 		"name": soakTenant, "apiKeys": []string{soakKey, versionKey(s.version)},
