--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -4,6 +4,5 @@
 // may have run.
 //
 // It may import routetable, dispatch, coldstart, waiting, poison, retrybudget and
-// backendconn. The names of
-// headers come from a Dialect.
+// backendconn. The names of headers come from a Dialect.
 package relay
