A node that does not know the evacuations yet sends nothing

Cause: such a node says that it is not ready, but answered callers who came all the same as soon as it had a configuration: only the lack of that was looked at.

Test, seen failing (status 200 after one send): TestNodeThatDoesNotKnowEnoughSendsNothing.

--- a/internal/relay/evacuate_test.go
+++ b/internal/relay/evacuate_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -100,3 +101,16 @@
 		t.Errorf("held for %v", held)
 	}
 }
+
+// TestNodeThatDoesNotKnowEnoughSendsNothing: a node that had a configuration and servers
+// from a peer, but had not heard yet which zones are evacuated, sent requests there.
+func TestNodeThatDoesNotKnowEnoughSendsNothing(t *testing.T) {
+	server := newStandin(t, answering(http.StatusOK, "ok"))
+	f := newFixture(t, server)
+	f.handler.options.Knows = func() bool { return false }
+	f.handler.options.AwaitKnowledge = func(context.Context) {}
+	got := f.send(t, http.MethodPost, "/once/", "body")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || server.count() != 0 {
+		t.Errorf("%+v after %d sends, want 503 with when to come back after none", got, server.count())
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -77,7 +77,7 @@
 func (x *exchange) serve() {
 	x.handler.awaitKnowledge(x.request.Context())
 	x.table = x.handler.table.Load()
-	if x.table == nil {
+	if x.table == nil || !x.handler.knows() {
 		x.refuse(reasonNoConfiguration, configurationWait)
 		return
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -91,7 +91,7 @@
 	// Suspects remembers requests under which servers ended; nil suspects none.
 	Suspects Suspects
 	Logger   *log.Logger
-	// Knows reports whether the node knows a configuration and servers, and
+	// Knows reports whether the node knows enough to send requests, and
 	// AwaitKnowledge waits until it does, or ctx ends; nil is that it always does.
 	Knows          func() bool
 	AwaitKnowledge func(ctx context.Context)
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -164,8 +164,12 @@
 // Where all nodes start together each of their first callers was sent away.
 const knowledgePatience = 300 * time.Millisecond
 
+// knows reports whether the node knows enough to send requests: a configuration, servers
+// and, where zones are evacuated, which of them are.
+func (h *Handler) knows() bool { return h.options.Knows == nil || h.options.Knows() }
+
 func (h *Handler) awaitKnowledge(ctx context.Context) {
-	if h.options.Knows == nil || h.options.Knows() || h.waiting.Load() >= int64(h.options.MaxWaiting) {
+	if h.knows() || h.waiting.Load() >= int64(h.options.MaxWaiting) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, knowledgePatience)
