--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -91,7 +91,7 @@
 	// Suspects remembers requests under which servers ended; nil suspects none.
 	Suspects Suspects
 	Logger   *log.Logger
-	// Knows reports whether the node knows a configuration and servers, and
+	// Knows reports whether the node knows enough to send requests, and
 	// AwaitKnowledge waits until it does, or ctx ends; nil is that it always does.
 	Knows          func() bool
 	AwaitKnowledge func(ctx context.Context)
@@ -121,7 +121,6 @@
 	splitter routetable.Splitter
 	budget   *retrybudget.Budget
 	lines    *waiting.Lines
-	errors   *waiting.Errors
 	// longest is the longest deadline seen on a route: a caller that comes back
 	// has less time left.
 	longest map[string]time.Duration
@@ -143,7 +142,6 @@
 		started: clock.Now(),
 		budget:  retrybudget.New(options.Budget),
 		lines:   waiting.NewLines(),
-		errors:  waiting.NewErrors(),
 		longest: make(map[string]time.Duration),
 	}
 }
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -72,11 +72,7 @@
 
 // expect is when what the request waits for is expected.
 func (x *exchange) expect(readyIn time.Duration, announced bool) waiting.Expectation {
-	expected := x.watch.Expect(clock.Now(), readyIn, announced)
-	x.handler.mu.Lock()
-	defer x.handler.mu.Unlock()
-	expected.Error = x.handler.errors.Of(expected)
-	return expected
+	return x.watch.Expect(clock.Now(), readyIn, announced)
 }
 
 // keepsWaiting decides on a request that has no server now. Where it is false
@@ -168,8 +164,12 @@
 // Where all nodes start together each of their first callers was sent away.
 const knowledgePatience = 300 * time.Millisecond
 
+// knows reports whether the node knows enough to send requests: a configuration, servers
+// and, where zones are evacuated, which of them are.
+func (h *Handler) knows() bool { return h.options.Knows == nil || h.options.Knows() }
+
 func (h *Handler) awaitKnowledge(ctx context.Context) {
-	if h.options.Knows == nil || h.options.Knows() || h.waiting.Load() >= int64(h.options.MaxWaiting) {
+	if h.knows() || h.waiting.Load() >= int64(h.options.MaxWaiting) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, knowledgePatience)
