--- a/internal/edge/spread.go
+++ b/internal/edge/spread.go
@@ -79,7 +79,9 @@
 		p.viewsHeard = now
 		return false
 	}
-	return now.Sub(p.viewsHeard) > viewsSilence
+	// A leader of many nodes tells them the more rarely.
+	period := time.Duration(len(p.roster.Alive(now))) * publishCost
+	return now.Sub(p.viewsHeard) > max(viewsSilence, 3*period)
 }
 
 // answerPlan is to whom the answer to a node goes that asked for all views: to that node
--- a/internal/gossip/targets.go
+++ b/internal/gossip/targets.go
@@ -10,12 +10,13 @@
 	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
-// Of the nodes that a node speaks to in a period, at most those of one in farShare are in
-// other regions, where its own region has enough: bytes between regions are the dearest,
-// and whatever one node of a region has heard the others hear from it a period later.
+// Of the nodes that a node speaks to in a period one in farShare lies in another region,
+// where its own has enough: bytes between regions are the dearest, and what one node of a
+// region has heard the others hear from it a period later.
 const farShare = 3
 
-// farTime is what is allowed beyond the usual for each node that is heard that rarely.
+// farTime is by how much longer a node of another region is taken to live, for each node
+// that there is, in place of rareTime: two turns of those that speak to it so rarely.
 const farTime = 150 * time.Millisecond
 
 // turn is the rest of a round over nodes, in an order drawn anew for each round: all
