--- a/internal/edge/greet.go
+++ b/internal/edge/greet.go
@@ -38,6 +38,8 @@
 	}
 	greeting := p.state(now)
 	greeting.Crashes = p.node.suspects.greeting(now)
+	// Only the leader answers to these, and hears them in the next period.
+	greeting.ViewsDigests = nil
 	for _, coordinator := range p.coordinators(now) {
 		if len(greeting.Peers) < coordinatorsNamed {
 			greeting.Peers = append(greeting.Peers, coordinator.Address)
