--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,8 @@
 	Leaving func(fleet.BackendName)
 	// Suspects remembers requests under which servers ended; nil remembers none.
 	Suspects Suspects
+	// Quotas keeps tenants below their quotas; nil bounds none.
+	Quotas Quotas
 	// Self names the node and its zone.
 	Self   fleet.Member
 	Logger *log.Logger
@@ -140,7 +142,7 @@
 	for _, dispatcher := range []*dispatcher{g.models, g.services} {
 		g.options.Views.Tables.Watch(func(tables views.Tables) { dispatcher.send(tablesChanged{tables: tables}) })
 		g.options.Views.Catalog.Watch(func(snapshot *catalog.Snapshot) {
-			dispatcher.send(evacuationsChanged{word: snapshot.Evacuations()})
+			dispatcher.send(configurationChanged{evacuations: snapshot.Evacuations(), places: snapshot.Places()})
 		})
 		g.options.Views.Members.Watch(func([]fleet.Member) { dispatcher.send(nodesChanged{nodes: g.usableNodes()}) })
 		g.options.Views.Machines.Watch(func(machines objectstore.MachineList) {
@@ -189,6 +191,10 @@
 		call.fail(problemNoCatalog)
 		return
 	}
+	if failed := call.identify(); failed != nil {
+		call.fail(*failed)
+		return
+	}
 	switch path := call.request.URL.Path; {
 	case path == backend.PathChat || path == backend.PathCompletions:
 		call.serveModel(current)
--- a/internal/gateway/problem.go
+++ b/internal/gateway/problem.go
@@ -55,6 +55,10 @@
 	codeKeyBodyGone   = "key-answer-not-kept"
 	codeAnswerLarge   = "answer-too-large"
 	codePoison        = "poison-request"
+	codeNoRegion      = "no-region-allowed"
+	codeUnknownKey    = "unknown-key"
+	codeQuota         = "quota-used-up"
+	codeQuotaUnknown  = "quota-unknown"
 )
 
 // failure is a Problem before it has a request identity.
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -1,20 +1,16 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/twitchtv/twirp"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/gateway"
-	"github.com/spanlanding/spanlanding/internal/membership"
 	"github.com/spanlanding/spanlanding/internal/peer"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/poison"
@@ -28,10 +24,8 @@
 	// startExchanges is for how long a node that has started asks although it knows
 	// of nothing that is barred.
 	startExchanges = 10 * time.Second
-	// suspectCallTimeout bounds a call; a trial waits for up to trialJudges of them.
+	// suspectCallTimeout bounds a call; a trial waits for up to mostJudges of them.
 	suspectCallTimeout = 300 * time.Millisecond
-	// trialJudges are the members asked for a trial, one after the other.
-	trialJudges = 3
 	// mostExchanged bounds the reports of one call, to about 4 KB.
 	mostExchanged = 64
 )
@@ -118,7 +112,7 @@
 // ClaimTrial implements gateway.Suspects: the first of the judges that answers decides
 // for all nodes. Where none does the request stays barred.
 func (s *Suspects) ClaimTrial(ctx context.Context, fingerprint poison.Fingerprint) bool {
-	for _, judge := range s.judges() {
+	for _, judge := range judges(s.dependencies.Self, s.dependencies.Views) {
 		if judge.Name == s.dependencies.Self.Name {
 			return s.grantTrial(fingerprint)
 		}
@@ -139,15 +133,6 @@
 	return false
 }
 
-// judges are the delegates of the first zone: all nodes know them.
-func (s *Suspects) judges() []fleet.Member {
-	members := append(s.peers(), s.dependencies.Self)
-	slices.SortFunc(members, func(a, b fleet.Member) int {
-		return cmp.Or(cmp.Compare(a.Zone, b.Zone), membership.CompareDelegates(a.Name, b.Name))
-	})
-	return members[:min(trialJudges, len(members))]
-}
-
 // grantTrial grants one trial and tells all nodes that the request is barred beside it.
 func (s *Suspects) grantTrial(fingerprint poison.Fingerprint) bool {
 	granted, left := s.claimHere(fingerprint)
@@ -237,13 +222,9 @@
 	return reports
 }
 
-// peers are the usable members that this node knows: all of its zone, and delegates of
-// the others.
+// peers are the usable members that this node knows.
 func (s *Suspects) peers() []fleet.Member {
-	members, _ := s.dependencies.Views.Members.Get()
-	return slices.DeleteFunc(slices.Clone(members), func(member fleet.Member) bool {
-		return !member.Usable() || member.Name == s.dependencies.Self.Name
-	})
+	return usablePeers(s.dependencies.Self, s.dependencies.Views)
 }
 
 // tell hands reports to all peers. What gets lost matters where the request is barred,
@@ -297,62 +278,3 @@
 		}
 	}
 }
-
-// Server returns the handlers for the peers' calls.
-func (s *Suspects) Server() peerpb.Suspects { return suspectsServer{s} }
-
-// suspectsServer serves the peers' calls.
-type suspectsServer struct{ suspects *Suspects }
-
-// Tell implements peerpb.Suspects. What comes from another zone, and is news, is passed
-// on within this one; what was passed on goes no further.
-func (s suspectsServer) Tell(_ context.Context, told *peerpb.SuspectReports) (*peerpb.SuspectReports, error) {
-	suspects := s.suspects
-	heard := decodeSuspects(told.GetReports())
-	news := suspects.take(fleet.NodeName(told.GetFrom()), heard)
-	own := suspects.dependencies.Self
-	if !told.GetPassedOn() && told.GetZone() != string(own.Zone) {
-		zone := slices.DeleteFunc(suspects.peers(), func(member fleet.Member) bool { return member.Zone != own.Zone })
-		suspects.send(zone, news, true)
-	}
-	suspects.tell(suspects.take(own.Name, suspects.vouch(heard)))
-	barred := suspects.barred()
-	return &peerpb.SuspectReports{From: string(own.Name), Zone: string(own.Zone),
-		Reports: encodeSuspects(barred[:min(mostExchanged, len(barred))])}, nil
-}
-
-// Try implements peerpb.Suspects.
-func (s suspectsServer) Try(_ context.Context, trial *peerpb.SuspectTrial) (*peerpb.SuspectTrialAnswer, error) {
-	fingerprint, ok := poison.FingerprintOf(trial.GetFingerprint())
-	if !ok {
-		return nil, twirp.InvalidArgumentError("fingerprint", "is none")
-	}
-	return &peerpb.SuspectTrialAnswer{Granted: s.suspects.grantTrial(fingerprint)}, nil
-}
-
-func decodeSuspects(encoded []*peerpb.CrashReport) []poison.Report {
-	reports := make([]poison.Report, 0, len(encoded))
-	for _, told := range encoded {
-		fingerprint, ok := poison.FingerprintOf(told.GetFingerprint())
-		if !ok {
-			continue
-		}
-		reports = append(reports, poison.Report{
-			Fingerprint: fingerprint, ServerID: told.GetServer(), Acquitted: told.GetAcquitted(), Lifted: told.GetLifted(),
-			Age:       time.Duration(told.GetAgeMs()) * time.Millisecond,
-			BarredFor: time.Duration(told.GetBarredMs()) * time.Millisecond,
-		})
-	}
-	return reports
-}
-
-func encodeSuspects(reports []poison.Report) []*peerpb.CrashReport {
-	encoded := make([]*peerpb.CrashReport, 0, len(reports))
-	for _, report := range reports {
-		encoded = append(encoded, &peerpb.CrashReport{
-			Fingerprint: report.Fingerprint[:], Server: report.ServerID, Acquitted: report.Acquitted, Lifted: report.Lifted,
-			AgeMs: uint32(max(0, report.Age.Milliseconds())), BarredMs: uint32(report.BarredFor.Milliseconds()),
-		})
-	}
-	return encoded
-}
--- a/internal/spec/check.go
+++ b/internal/spec/check.go
@@ -37,6 +37,8 @@
 	}
 	checker.pathPrefixes()
 	checker.preferencesOnce()
+	checker.zonesOnce()
+	checker.keysOnce()
 	checker.ambiguousSelectors()
 	return checker.findings
 }
@@ -131,6 +133,10 @@
 		c.preferences(object, declared)
 	case *Evacuation:
 		c.evacuation(object, declared)
+	case *Region:
+		c.region(object, declared)
+	case *Tenant:
+		c.tenant(object, declared)
 	}
 }
 
--- a/internal/spec/types.go
+++ b/internal/spec/types.go
@@ -15,6 +15,8 @@
 	KindCapacity    Kind = "Capacity"
 	KindPreferences Kind = "Preferences"
 	KindEvacuation  Kind = "Evacuation"
+	KindRegion      Kind = "Region"
+	KindTenant      Kind = "Tenant"
 )
 
 // Metadata names and labels an object.
@@ -110,6 +112,8 @@
 	// Deadline bounds the time until the first token; default 30 s.
 	Deadline Duration `yaml:"deadline,omitempty" json:"deadline,omitempty"`
 	Limits   Limits   `yaml:"limits,omitempty" json:"limits,omitempty"`
+	// Regions are those in which the requests may run; all where it is left out.
+	Regions []string `yaml:"regions,omitempty" json:"regions,omitempty"`
 }
 
 // Limits bound the traffic of one selector over the whole fleet; zero is
@@ -131,6 +135,8 @@
 	// KeyWindow is how long an Idempotency-Key is remembered; default 10m.
 	KeyWindow Duration `yaml:"keyWindow,omitempty" json:"keyWindow,omitempty"`
 	Limits    Limits   `yaml:"limits,omitempty" json:"limits,omitempty"`
+	// Regions are those in which the calls may run; all where it is left out.
+	Regions []string `yaml:"regions,omitempty" json:"regions,omitempty"`
 }
 
 // Capacity keeps replicas standing for the deployments that a selector of
@@ -154,3 +160,27 @@
 	// Reason tells other operators why; it decides nothing.
 	Reason string `yaml:"reason,omitempty" json:"reason,omitempty"`
 }
+
+// Region groups zones. Selectors and services may bind what they take to regions.
+type Region struct {
+	Zones []string `yaml:"zones" json:"zones"`
+}
+
+// Tenant is a customer of the operators, known by its API keys. Where one is declared,
+// every call needs a key.
+type Tenant struct {
+	// Keys are the SHA-256 digests of the keys, in hex.
+	Keys  []string    `yaml:"keys" json:"keys"`
+	Quota TenantQuota `yaml:"quota,omitempty" json:"quota,omitempty"`
+	// Regions are those in which the tenant's requests may run; all where it is left out.
+	Regions []string `yaml:"regions,omitempty" json:"regions,omitempty"`
+}
+
+// TenantQuota bounds what a tenant's requests count over all nodes, in requests or in
+// tokens of prompt and answer.
+type TenantQuota struct {
+	RequestsPerSecond float64 `yaml:"requestsPerSecond,omitempty" json:"requestsPerSecond,omitempty"`
+	TokensPerSecond   float64 `yaml:"tokensPerSecond,omitempty" json:"tokensPerSecond,omitempty"`
+	// Burst is what may come at once beyond the rate.
+	Burst float64 `yaml:"burst,omitempty" json:"burst,omitempty"`
+}
