--- a/internal/edge/spread.go
+++ b/internal/edge/spread.go
@@ -85,38 +85,44 @@
 }
 
 // answerPlan is to whom the answer to a node goes that asked for all views: to that node
-// or, where a second one of its region asks soon after, to all of that region at once.
+// or, where a second one of its region or zone asks soon after, to all of that at once.
 // ok is false where they were told just now. The lock is held.
 func (p *peers) answerPlan(now time.Time, address string) (plan gossip.Spread, ok bool) {
 	if now.Sub(p.toldAll[address]) < viewsLag {
 		return plan, false
 	}
-	region := p.node.options.Places.Region(p.roster.ZoneOf(address))
-	asked, spreader := p.asked[region], p.regionSpreader(now, region)
-	if spreader == nil || now.Sub(asked.at) >= viewsLag {
-		p.asked[region] = askedViews{at: now}
+	spreader := p.spreaderFor(now, p.roster.ZoneOf(address))
+	if spreader == nil {
+		p.toldAll[address] = now
+		return gossip.Spread{Direct: []string{address}}, true
+	}
+	place := spreadPlace(*spreader)
+	asked := p.asked[place]
+	if now.Sub(asked.at) >= viewsLag {
+		p.asked[place] = askedViews{at: now}
 		p.toldAll[address] = now
 		return gossip.Spread{Direct: []string{address}}, true
 	}
 	if asked.isTold {
 		return plan, false
 	}
-	p.asked[region] = askedViews{at: now, isTold: true}
+	p.asked[place] = askedViews{at: now, isTold: true}
 	return gossip.Spread{Spreaders: []gossip.Spreader{*spreader}}, true
 }
 
-// askedViews is when a node of a region asked for all views, and whether all nodes there
-// were told since.
+// askedViews is when a node of a place asked for views, and whether all nodes there were
+// told since.
 type askedViews struct {
 	at     time.Time
 	isTold bool
 }
 
-// regionSpreader is who sends on in another region; nil where this node sends itself. The
-// lock is held.
-func (p *peers) regionSpreader(now time.Time, region string) *gossip.Spreader {
+// spreaderFor is who sends on to the nodes of a zone: in its region, or in the zone where
+// that lies in this node's region; nil where this node sends itself. The lock is held.
+func (p *peers) spreaderFor(now time.Time, zone string) *gossip.Spreader {
+	region := p.node.options.Places.Region(zone)
 	for _, spreader := range p.roster.Spread(now).Spreaders {
-		if spreader.Region != "" && spreader.Region == region {
+		if spreader.Region != "" && spreader.Region == region || spreader.Region == "" && spreader.Zone == zone {
 			return &spreader
 		}
 	}
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// leastInRegion and leastInZone are the nodes of another region, and of another zone
-	// of this one, from which on one of them sends on what all need to hear.
+	// leastInRegion and leastInZone are the nodes of another region, and of a zone of this
+	// one, from which on one of them sends on what all need to hear.
 	leastInRegion = 3
 	leastInZone   = 12
 	// spreaderSilence is how long ago a node that sends on for others was heard at the
@@ -52,7 +52,7 @@
 	regions := make(map[string]map[string][]*Peer)
 	var order []string
 	for _, peer := range r.Alive(now) {
-		if peer.Zone == "" || peer.Zone == r.zone {
+		if peer.Zone == "" {
 			plan.Direct = append(plan.Direct, peer.Address)
 			continue
 		}
@@ -73,7 +73,7 @@
 	return plan
 }
 
-// addZones adds the other zones of this node's region.
+// addZones adds the zones of this node's region.
 func (s *Spread) addZones(now time.Time, zones map[string][]*Peer) {
 	for zone, peers := range zones {
 		spreader := spreaderOf(now, zone, peers)
--- a/internal/gossip/spread_test.go
+++ b/internal/gossip/spread_test.go
@@ -228,3 +228,12 @@
 		t.Errorf("after 10 s %d near and %d far nodes live, want none", near, far)
 	}
 }
+
+// TestLargeOwnZoneIsSentOnTo: what the leader sends does not grow with its zone.
+func TestLargeOwnZoneIsSentOnTo(t *testing.T) {
+	roster := placedRoster(threeRegions, map[string]int{"n1": 50, "n2": 50, "s1": 50, "s2": 50})
+	plan := roster.Spread(begin)
+	if len(plan.Direct) != 0 || len(plan.Spreaders) != 3 {
+		t.Errorf("%d nodes and %d spreaders are sent to, want one of each own zone and of the other region", len(plan.Direct), len(plan.Spreaders))
+	}
+}
