--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -45,8 +45,8 @@
 	Zone    string
 }
 
-// Spread is whom to send what all living nodes need to hear. Of two nodes only one that
-// many speak to knows it well: the leader.
+// Spread is whom to send what all living nodes need to hear. It is asked of the leader's
+// roster, since all nodes speak to the leader and none knows the others better.
 func (r *Roster) Spread(now time.Time) Spread {
 	var plan Spread
 	regions := make(map[string]map[string][]*Peer)
