Crash reports are read, written and vouched for in one place

Cause: edge and node each had the same code that reads and writes crash reports, and the same loop that vouches for requests that ended well; edge kept reports to be told again in two places.

Change: peer.CrashReportsOf and peer.EncodeCrashReports, poison.GoodEnds.Vouch, suspects.tellAgain. Behaviour as before.

--- a/internal/edge/doc.go
+++ b/internal/edge/doc.go
@@ -4,6 +4,6 @@
 //
 // It may import the cores that it feeds (relay, dispatch, placer, storelease,
 // gossip, retrybudget, quota, coldstart), their vocabulary (inventory, routetable), backendconn,
-// peerpb and prometheus. What the platform speaks comes in through the
+// peer, peerpb and prometheus. What the platform speaks comes in through the
 // interfaces Store, LeaseStore, Engines and relay.Dialect.
 package edge
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -8,6 +8,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/gossip"
+	"github.com/spanlanding/spanlanding/internal/peer"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/relay"
@@ -105,14 +106,7 @@
 func (s *suspects) vouch(now time.Time, reports []poison.Report) []poison.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var vouched []poison.Report
-	for _, report := range reports {
-		age, isGood := s.good.Age(now, report.Fingerprint)
-		if !report.Acquitted && isGood && !s.tally.IsVouched(now, report.Fingerprint) {
-			vouched = append(vouched, poison.Report{Fingerprint: report.Fingerprint, Age: age, Acquitted: true})
-		}
-	}
-	return vouched
+	return s.good.Vouch(now, s.tally, reports)
 }
 
 // hear takes what another node reports.
@@ -121,7 +115,7 @@
 		return
 	}
 	now := clock.Now()
-	heard := crashReportsOf(reports)
+	heard := peer.CrashReportsOf(reports)
 	s.tell(now, s.takeAll(now, from, heard))
 	s.tell(now, s.takeAll(now, "", s.vouch(now, heard)))
 }
@@ -156,13 +150,18 @@
 	}
 	s.any.Store(s.tally.Size() > 0)
 	for _, report := range tell {
-		if len(s.due) < mostDue {
-			s.due = append(s.due, dueReport{report: report, at: now.Add(-report.Age), told: 1})
-		}
+		s.tellAgain(now, report)
 	}
 	return tell
 }
 
+// tellAgain keeps a report that was told for the next periods. The lock is held.
+func (s *suspects) tellAgain(now time.Time, report poison.Report) {
+	if len(s.due) < mostDue {
+		s.due = append(s.due, dueReport{report: report, at: now.Add(-report.Age), told: 1})
+	}
+}
+
 // isCoordinator reports whether this node adds up for the others what they report: in a
 // fleet where not all tell all.
 func (s *suspects) isCoordinator(now time.Time) bool {
@@ -207,7 +206,7 @@
 	}
 	targets := s.targets(now)
 	for batch := range slices.Chunk(reports, reportsPerDatagram) {
-		s.node.peers.sendCrashes(targets, encodeCrashReports(batch))
+		s.node.peers.sendCrashes(targets, peer.EncodeCrashReports(batch))
 	}
 }
 
@@ -245,7 +244,7 @@
 		reports = append(reports, s.tally.LastReport(now, barred[(s.nextBar+i)%len(barred)]))
 	}
 	s.nextBar += count
-	return encodeCrashReports(reports)
+	return peer.EncodeCrashReports(reports)
 }
 
 // greeting are the reports of what is barred for a node that has just started.
@@ -261,7 +260,7 @@
 			reports = append(reports, s.tally.LastReport(now, fingerprint))
 		}
 	}
-	return encodeCrashReports(reports)
+	return peer.EncodeCrashReports(reports)
 }
 
 // mostStored bounds what of the barred requests lies in the lease, to about 2 KB.
@@ -316,29 +315,3 @@
 	defer s.mu.Unlock()
 	return len(s.tally.Barred(clock.Now()))
 }
-
-func crashReportsOf(wire []*peerpb.CrashReport) []poison.Report {
-	reports := make([]poison.Report, 0, len(wire))
-	for _, told := range wire {
-		fingerprint, ok := poison.FingerprintOf(told.Fingerprint)
-		if !ok {
-			continue
-		}
-		reports = append(reports, poison.Report{
-			Fingerprint: fingerprint, ServerID: told.Server, Acquitted: told.Acquitted, Lifted: told.Lifted,
-			Age: time.Duration(told.AgeMs) * time.Millisecond, BarredFor: time.Duration(told.BarredMs) * time.Millisecond,
-		})
-	}
-	return reports
-}
-
-func encodeCrashReports(reports []poison.Report) []*peerpb.CrashReport {
-	encoded := make([]*peerpb.CrashReport, 0, len(reports))
-	for _, report := range reports {
-		encoded = append(encoded, &peerpb.CrashReport{
-			Fingerprint: report.Fingerprint[:], Server: report.ServerID, Acquitted: report.Acquitted, Lifted: report.Lifted,
-			AgeMs: uint32(max(0, report.Age.Milliseconds())), BarredMs: uint32(report.BarredFor.Milliseconds()),
-		})
-	}
-	return encoded
-}
--- a/internal/edge/trials.go
+++ b/internal/edge/trials.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/peer"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/poison"
 )
@@ -83,9 +84,7 @@
 // tellAll sends a report to all living nodes, at once and again in the next periods.
 func (s *suspects) tellAll(now time.Time, report poison.Report) {
 	s.mu.Lock()
-	if len(s.due) < mostDue {
-		s.due = append(s.due, dueReport{report: report, at: now.Add(-report.Age), told: 1})
-	}
+	s.tellAgain(now, report)
 	s.mu.Unlock()
-	s.node.peers.sendCrashes(s.node.peers.all(now), encodeCrashReports([]poison.Report{report}))
+	s.node.peers.sendCrashes(s.node.peers.all(now), peer.EncodeCrashReports([]poison.Report{report}))
 }
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -159,14 +159,7 @@
 	now := time.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	var vouched []poison.Report
-	for _, report := range reports {
-		age, isGood := s.good.Age(now, report.Fingerprint)
-		if !report.Acquitted && isGood && !s.tally.IsVouched(now, report.Fingerprint) {
-			vouched = append(vouched, poison.Report{Fingerprint: report.Fingerprint, Age: age, Acquitted: true})
-		}
-	}
-	return vouched
+	return s.good.Vouch(now, s.tally, reports)
 }
 
 // take takes reports and returns those that were news.
@@ -248,10 +241,10 @@
 	defer cancel()
 	answer, err := s.dependencies.Peers.To(member.Addresses.Peer).Suspects.Tell(ctx, &peerpb.SuspectReports{
 		From: string(s.dependencies.Self.Name), Zone: string(s.dependencies.Self.Zone),
-		PassedOn: passedOn, Reports: encodeSuspects(reports),
+		PassedOn: passedOn, Reports: peer.EncodeCrashReports(reports),
 	})
 	if err == nil {
-		s.take(member.Name, decodeSuspects(answer.GetReports()))
+		s.take(member.Name, peer.CrashReportsOf(answer.GetReports()))
 	}
 }
 
--- a/internal/poison/goodends.go
+++ b/internal/poison/goodends.go
@@ -25,6 +25,19 @@
 	g.slots[key%goodEndSlots] = goodEnd{key: key, at: now}
 }
 
+// Vouch returns a word for each of the requests that are reported and that ended well lately,
+// where the tally does not know so.
+func (g *GoodEnds) Vouch(now time.Time, tally *Tally, reports []Report) []Report {
+	var vouched []Report
+	for _, report := range reports {
+		age, isGood := g.Age(now, report.Fingerprint)
+		if !report.Acquitted && isGood && !tally.IsVouched(now, report.Fingerprint) {
+			vouched = append(vouched, Report{Fingerprint: report.Fingerprint, Age: age, Acquitted: true})
+		}
+	}
+	return vouched
+}
+
 // Age is how long ago such a request ended well; ok is false where that was too long ago to
 // vouch for it, or is not known.
 func (g *GoodEnds) Age(now time.Time, fingerprint Fingerprint) (age time.Duration, ok bool) {
