--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -72,31 +72,43 @@
 // SetServers takes changes of the servers' entries.
 func (c *Core) SetServers(changes []inventory.Change) {
 	for _, change := range changes {
-		known := c.servers[change.Server.ID]
-		if known != nil && (change.Gone || known.info.Service != change.Server.Service) {
-			c.unlist(known)
+		if change.Gone {
+			c.remove(change.Server.ID)
+		} else {
+			c.put(change.Server)
 		}
-		switch {
-		case change.Gone:
-			delete(c.servers, change.Server.ID)
-			delete(c.early, change.Server.ID)
-			continue
-		case known == nil:
-			known = newServer(change.Server)
-			c.servers[change.Server.ID] = known
-			c.list(known)
-			c.takeEarly(change.Server.ID)
-		case known.info.Service != change.Server.Service:
-			known.update(change.Server)
-			c.list(known)
-		default:
-			known.update(change.Server)
-		}
-		known.closed = c.evacuated[known.info.Zone]
 	}
 	c.notify()
 }
 
+// put takes a server's entry.
+func (c *Core) put(entry inventory.Server) {
+	known, isListed := c.servers[entry.ID]
+	if isListed && known.info.Service != entry.Service {
+		c.unlist(known)
+		isListed = false
+	}
+	if known == nil {
+		known = newServer(entry)
+		c.servers[entry.ID] = known
+		c.takeEarly(entry.ID)
+	} else {
+		known.update(entry)
+	}
+	if !isListed {
+		c.list(known)
+	}
+	known.closed = c.evacuated[entry.Zone]
+}
+
+func (c *Core) remove(serverID string) {
+	if known, ok := c.servers[serverID]; ok {
+		c.unlist(known)
+	}
+	delete(c.servers, serverID)
+	delete(c.early, serverID)
+}
+
 // list enters a server under its service. What changes costs by what changed, not by all
 // servers: with 3,000 of them one change took 0.25 ms, now 0.2 us (BenchmarkSetServers).
 func (c *Core) list(s *server) {
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -7,15 +7,10 @@
 	for _, zone := range zones {
 		c.evacuated[zone] = true
 	}
-	c.closeServers()
-	c.notify()
-}
-
-// closeServers puts the evacuations in force at the servers known now.
-func (c *Core) closeServers() {
 	for _, s := range c.servers {
 		s.closed = c.evacuated[s.info.Zone]
 	}
+	c.notify()
 }
 
 // IsEvacuated reports whether the service has servers that stay and evacuations close
