--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -76,6 +76,7 @@
 // SetPlace tells where this node's machine stands.
 func (r *Roster) SetPlace(zone string, places locality.Map) {
 	r.zone, r.places = zone, places
+	r.summary = summary{}
 }
 
 // precedes reports whether a peer comes before this node where one has to do
@@ -305,15 +306,10 @@
 // Near draws the address of a living node to ask for much: of this region, if there is
 // one; empty where none lives.
 func (r *Roster) Near(now time.Time) string {
-	alive := r.Alive(now)
-	near := make([]*Peer, 0, len(alive))
-	for _, peer := range alive {
-		if !r.isFar(peer) {
-			near = append(near, peer)
-		}
-	}
+	living := r.summarize(now)
+	near := living.near
 	if len(near) == 0 {
-		near = alive
+		near = living.alive
 	}
 	if drawn := r.draw(near, 1); len(drawn) > 0 {
 		return drawn[0]
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -20,6 +20,8 @@
 	at time.Time
 	// alive are the nodes that were heard from lately, by address.
 	alive []*Peer
+	// near are those of them in this node's region, and far those in others.
+	near, far []*Peer
 	// leaders are those of them that hold, or lately held, the lease.
 	leaders []*Peer
 	// counted is the number of nodes that may share a budget, this one included.
@@ -63,13 +65,14 @@
 	made := summary{at: now, counted: 1 + len(r.hints), hinted: len(r.hints), fresh: 1}
 	for _, peer := range r.order {
 		age := now.Sub(peer.LastSeen)
-		if age < r.countedFor(peer) {
+		window := r.windowOf(peer)
+		if age < max(countedTime, window) {
 			made.counted++
 		}
 		if age < freshTime {
 			made.fresh++
 		}
-		if age < r.windowOf(peer) {
+		if age < window {
 			made.add(r, peer)
 		}
 	}
@@ -80,6 +83,11 @@
 // add takes a living node.
 func (s *summary) add(roster *Roster, peer *Peer) {
 	s.alive = append(s.alive, peer)
+	if roster.isFar(peer) {
+		s.far = append(s.far, peer)
+	} else {
+		s.near = append(s.near, peer)
+	}
 	if peer.Term > 0 {
 		s.leaders = append(s.leaders, peer)
 	}
--- a/internal/gossip/targets.go
+++ b/internal/gossip/targets.go
@@ -53,20 +53,13 @@
 // that are silent and addresses without a known node are added now and then, so that cut
 // parts find each other again.
 func (r *Roster) Targets(now time.Time, most int) []string {
-	var near, far []*Peer
-	for _, peer := range r.Alive(now) {
-		if r.isFar(peer) {
-			far = append(far, peer)
-		} else {
-			near = append(near, peer)
-		}
-	}
+	living := r.summarize(now)
 	toFar := 0
-	if len(far) > 0 {
-		toFar = most - min(len(near), most-max(1, most/farShare))
+	if len(living.far) > 0 {
+		toFar = most - min(len(living.near), most-max(1, most/farShare))
 	}
-	targets := r.near.next(r.random, near, most-toFar)
-	targets = append(targets, r.far.next(r.random, far, toFar)...)
+	targets := r.near.next(r.random, living.near, most-toFar)
+	targets = append(targets, r.far.next(r.random, living.far, toFar)...)
 	return append(targets, r.silent(now)...)
 }
 
@@ -121,8 +114,8 @@
 // RankNear is the number of living nodes of this node's region that come before it.
 func (r *Roster) RankNear(now time.Time) int {
 	rank := 0
-	for _, peer := range r.Alive(now) {
-		if !r.isFar(peer) && r.precedes(peer) {
+	for _, peer := range r.summarize(now).near {
+		if r.precedes(peer) {
 			rank++
 		}
 	}
