Views told: digests are kept with each change

Cause: for each datagram of a node that lacks views the leader worked out the digests of all views told, before it looked whether that node was answered just now; and one over all of them for each datagram of its own.

Change: toldViews keeps both digests as views are told and forgotten. Behaviour as before; two tests set up what was told through it, their assertions stand.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -62,7 +62,7 @@
 	roster   *gossip.Roster
 	sequence uint64
 	lastWant time.Time
-	told     map[string]uint64
+	told     *toldViews
 	toldAll  map[string]time.Time
 	// staleSince is when the views of this node began to differ from the
 	// leader's; zero while they do not.
@@ -111,7 +111,7 @@
 		life:    life,
 		address: node.options.PeerAddress,
 		roster:  roster,
-		told:    make(map[string]uint64),
+		told:    newToldViews(),
 		toldAll: make(map[string]time.Time),
 		alive:   make(map[string]bool),
 
--- a/internal/edge/spread_test.go
+++ b/internal/edge/spread_test.go
@@ -161,7 +161,7 @@
 	}
 	view := dispatch.View{ServerID: "i", Sequence: 1, Held: map[string][]string{"m": nil}}
 	view.Digest = digest(view.ServerID, signature(view))
-	leader.peers.told["i"] = view.Digest
+	leader.peers.told.tell("i", view.Digest)
 	asked := 0
 	views := func() []dispatch.View { asked++; return []dispatch.View{view} }
 	for _, peer := range south {
@@ -199,7 +199,7 @@
 		view := dispatch.View{ServerID: "server-" + strconv.Itoa(i), Sequence: 1, Held: map[string][]string{"m": nil}}
 		view.Digest = digest(view.ServerID, signature(view))
 		views = append(views, view)
-		leader.peers.told[view.ServerID] = view.Digest
+		leader.peers.told.tell(view.ServerID, view.Digest)
 		if i > 0 {
 			has.Add(view.ServerID, view.Digest)
 		}
--- a/internal/edge/views.go
+++ b/internal/edge/views.go
@@ -35,13 +35,13 @@
 	defer p.mu.Unlock()
 	room := burstBytes
 	for _, view := range views {
-		if p.told[view.ServerID] == view.Digest {
+		if p.told.has(view.ServerID, view.Digest) {
 			continue
 		}
 		if room -= proto.Size(encodeView(view)); room < 0 && len(changed) > 0 {
 			return changed, true
 		}
-		p.told[view.ServerID] = view.Digest
+		p.told.tell(view.ServerID, view.Digest)
 		changed = append(changed, view)
 	}
 	return changed, false
@@ -51,11 +51,7 @@
 func (p *peers) forgetViews(keep func(serverID string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id := range p.told {
-		if !keep(id) {
-			delete(p.told, id)
-		}
-	}
+	p.told.forget(keep)
 }
 
 // sendViews sends views in as many datagrams as they need, one at the least.
@@ -86,11 +82,7 @@
 func (p *peers) toldDigest() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := uint64(0)
-	for _, digest := range p.told {
-		all ^= digest
-	}
-	return all
+	return p.told.all
 }
 
 // answerViews sends the views that differ to a node that asked for them; one that has
@@ -134,11 +126,7 @@
 func (p *peers) toldDigests() dispatch.ViewDigests {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var digests dispatch.ViewDigests
-	for id, digest := range p.told {
-		digests.Add(id, digest)
-	}
-	return digests
+	return p.told.buckets
 }
 
 // confirmViews compares the views of this node with the leader's digest.
