Sight: lines of requests say what an answer told of its server

Cause: the logs could not tell whether a node had passed on a server's word that it leaves, or for how long a server that turned a request away wants nothing.

Change: the adapter reads both (dispatch.Word); lines of requests carry server_leaving and rest_ms. Nothing decides by them yet.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -175,6 +175,7 @@
 func (x *exchange) answered(choice dispatch.Choice, answer *backendconn.Answer) verdict {
 	defer answer.Close()
 	told := x.handler.options.Dialect.ReadAnswer(answer.Status, answer.Header)
+	x.word = told.Word
 	x.note(choice, told)
 	switch {
 	case told.NotRun:
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -61,6 +61,8 @@
 	watch waiting.Watch
 	// estimate is the time to the first byte that was expected of the server.
 	estimate time.Duration
+	// word is what the last answer told of its server.
+	word dispatch.Word
 	// serverEnd is what became of the server whose answer broke off.
 	serverEnd backendconn.Liveness
 	// isTrial is set from the claim of a trial until its one send is over.
@@ -351,6 +353,12 @@
 	if x.returned {
 		entry.Bool("returned", true)
 	}
+	if x.word.Leaving {
+		entry.Bool("server_leaving", true)
+	}
+	if x.word.Rest > 0 {
+		entry.Str("rest_ms", milliseconds(x.word.Rest))
+	}
 	if x.serverEnd != "" {
 		entry.Str("fingerprint", x.fingerprint().String()).Str("server_end", string(x.serverEnd))
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,6 +58,8 @@
 	Load *dispatch.Load
 	// ColdLeft is for how long the server is cold yet; nil where it does not tell.
 	ColdLeft *time.Duration
+	// Word is what the server tells of its own future.
+	Word dispatch.Word
 }
 
 // Dialect reads and writes the headers that callers, nodes and servers share.
