--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -69,6 +70,20 @@
 	cameAt, coldUntil time.Time
 	// way is the relay in front of the server; nil without one.
 	way *way
+	// isLeaving lets all answers say that the server goes away.
+	isLeaving bool
+	// restFor is the rest that it asks for as it turns all requests away; 0 is none.
+	restFor time.Duration
+	// arrivals are the requests that reached it, in their order.
+	arrivals []arrival
+}
+
+// arrival is a request that reached a server, and what the server answered of itself.
+type arrival struct {
+	id        string
+	at        time.Time
+	isLeaving bool
+	rest      time.Duration
 }
 
 func newServer(t *testing.T, s *store, id, service string, loadTime time.Duration) *modelServer {
@@ -125,6 +140,9 @@
 	}
 	m.mu.Lock()
 	m.reachedAt = time.Now()
+	if m.isLeaving {
+		writer.Header().Set("Server-Leaving", "1")
+	}
 	m.mu.Unlock()
 	switch request.URL.Path {
 	case "/api/report":
@@ -191,6 +209,15 @@
 	writer.Header().Set("Request-Id", id)
 	model, adapter, _ := strings.Cut(request.Header.Get("Model"), "/")
 	m.mu.Lock()
+	m.arrivals = append(m.arrivals, arrival{id: id, at: time.Now(), isLeaving: m.isLeaving, rest: m.restFor})
+	if m.restFor > 0 {
+		rest := m.restFor
+		m.mu.Unlock()
+		writer.Header().Set("Not-Executed", "1")
+		writer.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	adapters, ok := m.models[model]
 	if model != "" && (!ok || (adapter != "" && !adapters[adapter])) {
 		m.mu.Unlock()
