What a server tells with its answer binds later choices

Cause: a node kept of an answer whether it ran and the load. That its server leaves, or wants rest, was read by nobody: the word was forgotten with the answer, and the next choice was made as if it had not come.

Ruled out: that one path read it and others did not (no line of the code named either header); that choices were older than the word (requests did not wait); that repeats of one request alone were to blame (each rejection was another request's).

Change: heads of answers, late ones too, are heard before anything goes to the caller (backendconn.Request.Heard). dispatch keeps words by start of a server: one that leaves takes no work whatever the store says of that start; one that rests takes none until the end, then one request goes first. Orders and questions for reports hear and keep to it as well. Nodes tell each other; the leader places what servers that are away hold elsewhere. Refused callers are not told to come back before the rest ends. Entries name the start of their server (born), where the platform tells it.

Drawn steps on the core find each of five planted defects.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -48,7 +48,7 @@
 // refusals and failures before successes, and what the process believes.
 var keptEvents = map[string]bool{
 	"request_refused": true, "request_failed": true, "request_cut": true,
-	"lease_taken": true, "lease_lost": true, "config_in_force": true, "server_changed": true, "node_started": true, "node_stopped": true,
+	"lease_taken": true, "lease_lost": true, "config_in_force": true, "server_changed": true, "server_word": true, "node_started": true, "node_stopped": true,
 	"evacuation_in_force": true, "evacuation_ended": true, "evacuation_of_unknown_zone": true,
 }
 
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -28,6 +28,9 @@
 	Deadline time.Time
 	// Matches reports whether the answer belongs to this request.
 	Matches func(http.Header) bool
+	// Heard is told the head of each answer that comes on the connection, also of one that
+	// belongs to an earlier request; nil is nobody.
+	Heard func(status int, header http.Header)
 }
 
 // steadyDeadline is the deadline by the clock that connections go by.
@@ -127,6 +130,9 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		if request.Heard != nil {
+			request.Heard(response.StatusCode, response.Header)
+		}
 		if request.Matches == nil || request.Matches(response.Header) {
 			return x.answer(response), nil
 		}
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -219,8 +219,11 @@
 }
 
 // opensIn is when a request may go to a server that holds what is wanted and is left alone
-// as it is cold.
+// as it is cold, or until another request has shown that it takes work again after a rest.
 func (s *server) opensIn(now time.Time, wanted Wanted) (left time.Duration, ok bool) {
+	if s.isProving(now) && s.offers(now, wanted) {
+		return proofPatience - now.Sub(s.words.proof.started), true
+	}
 	if !s.isHeldBack(now) || !s.offers(now, wanted) {
 		return 0, false
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -32,6 +32,8 @@
 	loadedBy map[string][]*server
 	// early are the leader's views of servers that are not known yet.
 	early map[string]earlyView
+	// words are what servers told with their answers, by start.
+	words map[inventory.Start]*words
 	// term is the highest term of a leader that was heard.
 	term int64
 	// leaderSeen is when the leader last said that it holds its lease, and
@@ -57,6 +59,7 @@
 		demand:    make(map[Wanted]*demand),
 		loadedBy:  make(map[string][]*server),
 		early:     make(map[string]earlyView),
+		words:     make(map[inventory.Start]*words),
 		changed:   make(chan struct{}),
 	}
 }
@@ -84,6 +87,14 @@
 // put takes a server's entry.
 func (c *Core) put(entry inventory.Server) {
 	known, isListed := c.servers[entry.ID]
+	if isListed && known.info.Start() != entry.Start() {
+		if entry.Revision < known.info.Revision {
+			return
+		}
+		// Another start holds and knows nothing of before.
+		c.remove(entry.ID)
+		known, isListed = nil, false
+	}
 	if isListed && known.info.Service != entry.Service {
 		c.unlist(known)
 		isListed = false
@@ -99,6 +110,7 @@
 		c.list(known)
 	}
 	known.closed = c.evacuated[entry.Zone]
+	known.words = c.words[entry.Start()]
 }
 
 func (c *Core) remove(serverID string) {
@@ -143,19 +155,23 @@
 type Supply struct {
 	// Known servers have an entry.
 	Known int
-	// Going ones of them take no new work, by their entry or a peer's word.
+	// Going ones of them take no new work, by their entry, a peer's word or their own.
 	Going int
+	// Resting ones of the others want nothing from this node for now.
+	Resting int
 	// Closed ones of the others take none as their zone is evacuated.
 	Closed int
 }
 
 // Supply is what the node knows of a service's servers.
-func (c *Core) Supply(service string) Supply {
+func (c *Core) Supply(now time.Time, service string) Supply {
 	supply := Supply{Known: len(c.byService[service])}
 	for _, s := range c.byService[service] {
 		switch {
 		case s.isGoing():
 			supply.Going++
+		case s.wantsNothing(now):
+			supply.Resting++
 		case s.closed:
 			supply.Closed++
 		}
@@ -171,6 +187,8 @@
 	StateReady State = "ready"
 	// StateGoing servers leave and take none.
 	StateGoing State = "going"
+	// StateResting servers want nothing from this node for now.
+	StateResting State = "resting"
 	// StateClosed servers take none while their zone is evacuated.
 	StateClosed State = "closed"
 	// StateSuspect servers take work, though many of their requests failed.
@@ -195,6 +213,8 @@
 	switch {
 	case s.isGoing():
 		return StateGoing
+	case s.wantsNothing(now):
+		return StateResting
 	case s.closed:
 		return StateClosed
 	case s.health.failureRate(now) >= suspectRate:
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -211,7 +211,7 @@
 	core := newCore(entry("a", "z"), entry("b", "z"))
 	core.SetGoing("a", 9)
 	core.SetGoing("unknown", 9)
-	if got := core.Supply("s"); got != (Supply{Known: 2, Going: 1}) {
+	if got := core.Supply(begin, "s"); got != (Supply{Known: 2, Going: 1}) {
 		t.Errorf("supply %+v", got)
 	}
 }
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -81,11 +81,12 @@
 const usualAdapterTime = 80 * time.Millisecond
 
 // ReadyIn is the time until some server of the service can take requests for
-// what is wanted; known is false where nobody has said that it is on its way.
+// what is wanted; known is false where nobody has said that it is on its way. Servers that
+// rest are left out: see Rests.
 // An adapter comes soon wherever its model stands.
 func (c *Core) ReadyIn(now time.Time, wanted Wanted) (left time.Duration, known bool) {
 	for _, s := range c.byService[wanted.Service] {
-		if !s.takesWork() || !c.isIn(s, wanted.Regions) {
+		if !s.takesWork() || !c.isIn(s, wanted.Regions) || s.restsFor(now) > 0 {
 			continue
 		}
 		ready, ok := s.opensIn(now, wanted)
@@ -157,8 +158,10 @@
 	if !ok || !s.takesWork() || !c.isIn(s, wanted.Regions) {
 		return 0, false
 	}
+	rest := s.restsFor(now)
 	if s.has(now, wanted.Model, wanted.Adapter) {
-		return max(0, s.absentUntil[joined(wanted.Model, wanted.Adapter)].Sub(now)), true
+		return max(rest, s.absentUntil[joined(wanted.Model, wanted.Adapter)].Sub(now)), true
 	}
-	return s.readyIn(now, wanted.Model, wanted.Adapter)
+	left, known = s.readyIn(now, wanted.Model, wanted.Adapter)
+	return max(rest, left), known
 }
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/coldstart"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
@@ -41,7 +42,9 @@
 
 // Flight is one request under way at a server.
 type Flight struct {
-	server   *server
+	server *server
+	// start is the start of the server that it was sent to.
+	start    inventory.Start
 	tokens   float64
 	estimate time.Duration
 	started  time.Time
@@ -78,7 +81,8 @@
 	chosen.cache.add(now, keys)
 	chosen.running++
 	chosen.pendingTokens += tokens
-	flight := &Flight{server: chosen, tokens: tokens, estimate: cost, started: now}
+	flight := &Flight{server: chosen, start: chosen.info.Start(), tokens: tokens, estimate: cost, started: now}
+	chosen.beginProof(flight)
 	return Choice{ServerID: chosen.info.ID, Address: chosen.info.Address, Estimate: cost, Distance: c.places.Distance(c.zone, chosen.info.Zone), Flight: flight}, true
 }
 
@@ -100,7 +104,7 @@
 		if ask.Model != "" && !s.holds(now, ask.Model, ask.Adapter) {
 			continue
 		}
-		if s.isHeldBack(now) {
+		if s.isHeldBack(now) || s.wantsNothing(now) {
 			continue
 		}
 		candidates = append(candidates, s)
@@ -170,6 +174,9 @@
 	if s.coldPhase(now) == coldstart.Cold {
 		cost += coldCost.Seconds()
 	}
+	if s.isTroubled(now) {
+		cost += troubledCost.Seconds()
+	}
 	return cost
 }
 
@@ -193,6 +200,9 @@
 		return
 	}
 	flight.begun = true
+	if flight.server.endProof(now, flight, true) {
+		c.notify()
+	}
 	c.clearPending(flight)
 	took := now.Sub(flight.started)
 	if flight.estimate > 0 {
@@ -213,6 +223,9 @@
 		c.clearPending(flight)
 	}
 	flight.ended = true
+	if flight.server.endProof(now, flight, false) {
+		c.notify()
+	}
 	flight.server.running--
 	switch outcome {
 	case OutcomeServed:
--- a/internal/dispatch/regions.go
+++ b/internal/dispatch/regions.go
@@ -24,10 +24,11 @@
 	return !regions.IsBounded() || regions.Allows(c.places.Region(s.info.Zone))
 }
 
-// MayTake reports whether a request that may run in the regions may go to the server now.
-func (c *Core) MayTake(serverID string, regions locality.Regions) bool {
-	known, ok := c.servers[serverID]
-	return ok && known.takesWork() && c.isIn(known, regions)
+// MayTake reports whether a request that was to go to a server, and that may run in the
+// regions, may still go there now: to the same start of it, which stays and does not rest.
+func (c *Core) MayTake(now time.Time, flight *Flight, regions locality.Regions) bool {
+	known, ok := c.servers[flight.start.ID]
+	return ok && known == flight.server && known.takesWork() && known.restsFor(now) == 0 && c.isIn(known, regions)
 }
 
 // HasServer reports whether some server of the service in the regions takes work.
--- a/internal/dispatch/regions_test.go
+++ b/internal/dispatch/regions_test.go
@@ -41,7 +41,7 @@
 			t.Errorf("%s: another server can be picked: %v, there is one: %v, want %v", c.name, core.CanPick(begin, ask), core.HasServer("s", c.regions), c.has)
 		}
 		for _, id := range []string{"a", "b", "c"} {
-			if got := core.MayTake(id, c.regions); got != (id == c.want) {
+			if got := core.MayTake(begin, &Flight{server: core.servers[id], start: core.servers[id].info.Start()}, c.regions); got != (id == c.want) {
 				t.Errorf("%s: may take at %s: %v", c.name, id, got)
 			}
 		}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -39,6 +39,8 @@
 	health     health
 	cache      promptCache
 	cold       coldness
+	// words are what this start of the server told; nil is nothing.
+	words *words
 	// absentUntil are models that the server itself refused as not there.
 	absentUntil map[string]time.Time
 }
@@ -92,9 +94,10 @@
 // request leaves.
 func (s *server) takesWork() bool { return !s.isGoing() && !s.closed }
 
-// isGoing reports whether the server leaves, by its entry or a peer's word.
+// isGoing reports whether the server leaves, by its entry, a peer's word or its own, which no
+// entry takes back: the store may be behind.
 func (s *server) isGoing() bool {
-	return s.info.Draining || s.info.Revision < s.goingBefore
+	return s.info.Draining || s.info.Revision < s.goingBefore || s.saysLeaving()
 }
 
 // hasView reports whether the leader's view goes before the entry: while it is
--- /dev/null
+++ b/internal/dispatch/words_test.go
@@ -0,0 +1,326 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+// bornEntry is the entry of one start of a server that holds m.
+func bornEntry(id string, born, revision int64) inventory.Change {
+	change := entry(id, "z", "m")
+	change.Server.Born, change.Server.Revision = born, revision
+	return change
+}
+
+// hear lets a server tell something with its answer to a request.
+func hear(t *testing.T, core *Core, now time.Time, word inventory.Word) inventory.Start {
+	t.Helper()
+	choice, ok := core.Pick(now, Ask{Service: "s", Model: "m"})
+	if !ok {
+		t.Fatal("no server takes a request")
+	}
+	start, _ := core.Hear(now, choice.Flight, word)
+	core.Begun(now, choice.Flight)
+	core.End(now, choice.Flight, OutcomeServed)
+	return start
+}
+
+func TestLeavingHoldsForOneStart(t *testing.T) {
+	core := newCore(bornEntry("a", 7, 1))
+	hear(t, core, begin, inventory.Word{Leaving: true})
+	ask := Ask{Model: "m"}
+	steps := []struct {
+		name   string
+		change inventory.Change
+		want   string
+	}{
+		{"a newer entry that does not say so", bornEntry("a", 7, 5), ""},
+		{"its entry goes", inventory.Change{Server: inventory.Server{ID: "a", Born: 7}, Gone: true}, ""},
+		{"an old list brings it back", bornEntry("a", 7, 2), ""},
+		{"a later start", bornEntry("a", 8, 6), "a"},
+		{"the earlier start, told late", bornEntry("a", 7, 5), "a"},
+	}
+	for _, step := range steps {
+		core.SetServers([]inventory.Change{step.change})
+		if got := pick(core, begin, ask); got != step.want {
+			t.Errorf("%s: picked %q, want %q", step.name, got, step.want)
+		}
+	}
+	if core.HearStart(begin, inventory.Start{ID: "a", Born: 7}, inventory.Word{Leaving: true}) || pick(core, begin, ask) != "a" {
+		t.Error("a late answer of the earlier start binds the later one")
+	}
+}
+
+func TestRestThenOneThenMore(t *testing.T) {
+	core := newCore(entry("a", "z", "m"))
+	hear(t, core, begin, inventory.Word{Rest: 3 * time.Second})
+	ask := Ask{Service: "s", Model: "m"}
+	wanted := Wanted{Service: "s", Model: "m"}
+	if left, elsewhere, ok := core.Rests(begin.Add(time.Second), wanted); left != 2*time.Second || elsewhere || !ok {
+		t.Errorf("rests for %v, could be loaded elsewhere: %v, rests: %v", left, elsewhere, ok)
+	}
+	if _, known := core.ReadyIn(begin, wanted); known || core.CanPick(begin.Add(2999*time.Millisecond), ask) {
+		t.Error("it is sent to, or foretold, in its rest")
+	}
+	now := begin.Add(3 * time.Second)
+	first, ok := core.Pick(now, ask)
+	if !ok || core.CanPick(now, ask) {
+		t.Fatalf("after the rest one request goes: %v, and a second beside it: %v", ok, core.CanPick(now, ask))
+	}
+	core.Hear(now, first.Flight, inventory.Word{Rest: time.Second})
+	core.Begun(now, first.Flight)
+	core.End(now, first.Flight, OutcomeRejected)
+	if core.CanPick(now.Add(999*time.Millisecond), ask) {
+		t.Error("it is sent to in its second rest")
+	}
+	now = now.Add(time.Second)
+	again, _ := core.Pick(now, ask)
+	core.End(now, again.Flight, OutcomeFailed)
+	if again, ok = core.Pick(now, ask); !ok || core.CanPick(now, ask) {
+		t.Error("a request that brought no answer shows nothing: the next goes alone")
+	}
+	core.Begun(now, again.Flight)
+	if !core.CanPick(now, ask) {
+		t.Error("the server takes work again, and is left alone")
+	}
+}
+
+// TestFirstRequestAfterARestIsNotWaitedForLong: a server that turns away does so at once.
+func TestFirstRequestAfterARestIsNotWaitedForLong(t *testing.T) {
+	core := newCore(entry("a", "z", "m"))
+	hear(t, core, begin, inventory.Word{Rest: time.Second})
+	now := begin.Add(time.Second)
+	ask := Ask{Service: "s", Model: "m"}
+	if _, ok := core.Pick(now, ask); !ok {
+		t.Fatal("nothing goes after the rest")
+	}
+	if left, known := core.ReadyIn(now, Wanted{Service: "s", Model: "m"}); !known || left != proofPatience {
+		t.Errorf("the next is told to wait for %v, %v", left, known)
+	}
+	if !core.CanPick(now.Add(proofPatience), ask) {
+		t.Error("all wait for an answer that takes long")
+	}
+}
+
+// TestRestsOfOneServer: the longest counts, answers meanwhile end none, and others are not meant.
+func TestRestsOfOneServer(t *testing.T) {
+	core := newCore(entry("a", "z", "m"), entry("b", "z"))
+	choice, _ := core.Pick(begin, Ask{Service: "s", Model: "m"})
+	later, _ := core.Pick(begin, Ask{Service: "s", Model: "m"})
+	core.Hear(begin, choice.Flight, inventory.Word{Rest: 3 * time.Second})
+	core.Hear(begin.Add(time.Second), later.Flight, inventory.Word{Rest: time.Second})
+	core.Begun(begin, later.Flight)
+	core.End(begin, later.Flight, OutcomeServed)
+	if core.CanPick(begin.Add(2500*time.Millisecond), Ask{Service: "s", Model: "m"}) {
+		t.Error("a shorter rest, or an answer to an earlier request, ends a longer one")
+	}
+	if got := pick(core, begin, Ask{}); got != "b" {
+		t.Errorf("picked %q, want the one that does not rest", got)
+	}
+	if left, elsewhere, ok := core.Rests(begin, Wanted{Service: "s", Model: "m"}); !ok || !elsewhere || left != 3*time.Second {
+		t.Errorf("%v, elsewhere %v, %v", left, elsewhere, ok)
+	}
+}
+
+// TestWordsOfPeers: that a server leaves holds for all; a rest bound the peer alone, and puts the
+// server behind the others.
+func TestWordsOfPeers(t *testing.T) {
+	core := newCore(bornEntry("a", 1, 1), bornEntry("b", 1, 1))
+	a, b := inventory.Start{ID: "a", Born: 1}, inventory.Start{ID: "b", Born: 1}
+	core.HearOfStart(begin, a, inventory.Word{Rest: 3 * time.Second})
+	for range 20 {
+		if got := pick(core, begin, Ask{Model: "m"}); got != "b" {
+			t.Fatalf("picked %q, which asked a peer for rest", got)
+		}
+	}
+	if got := core.Away(begin); len(got) != 1 || got[0] != a {
+		t.Errorf("away: %v", got)
+	}
+	core.HearOfStart(begin, b, inventory.Word{Leaving: true})
+	if got := pick(core, begin, Ask{Model: "m"}); got != "a" {
+		t.Errorf("picked %q, want the one that stays", got)
+	}
+	if got := core.Away(begin.Add(2500 * time.Millisecond)); len(got) != 1 || got[0] != b {
+		t.Errorf("away: %v, want only the one that leaves", got)
+	}
+}
+
+func TestWordsAreBounded(t *testing.T) {
+	core := newCore(bornEntry("listed", 1, 1))
+	core.HearStart(begin, inventory.Start{ID: "listed", Born: 1}, inventory.Word{Leaving: true})
+	for i := range maxWords + 100 {
+		core.HearOfStart(begin.Add(time.Duration(i)*time.Millisecond), inventory.Start{ID: strconv.Itoa(i)}, inventory.Word{Leaving: true})
+	}
+	if len(core.words) > maxWords+1 {
+		t.Errorf("%d words are kept", len(core.words))
+	}
+	core.HearOfStart(begin.Add(time.Hour), inventory.Start{ID: "late"}, inventory.Word{Leaving: true})
+	if len(core.words) != 2 || pick(core, begin, Ask{Model: "m"}) != "" {
+		t.Errorf("%d words after an hour, want those of the server with an entry and the last", len(core.words))
+	}
+}
+
+// wordsWorld plays drawn steps on a core and keeps what servers told, to compare with.
+type wordsWorld struct {
+	core *Core
+	now  time.Time
+	// listed are the entries that stand, and revision is that of the last.
+	listed   map[string]inventory.Server
+	revision int64
+	leaving  map[inventory.Start]bool
+	resting  map[inventory.Start]time.Time
+	// defect is planted in how the core takes what it is told.
+	defect defect
+}
+
+type defect string
+
+const (
+	soundCore        defect = ""
+	forgetsAtOnce    defect = "forgotten at the answer's end"
+	keepsBeyondStart defect = "held beyond the start"
+	entryBringsBack  defect = "brought back by an old entry"
+	toldWithoutBorn  defect = "told without the start"
+	restsByService   defect = "rest by service in place of server"
+)
+
+func newWordsWorld(planted defect) *wordsWorld {
+	return &wordsWorld{
+		core: newCore(), now: begin, defect: planted, listed: make(map[string]inventory.Server),
+		leaving: make(map[inventory.Start]bool), resting: make(map[inventory.Start]time.Time),
+	}
+}
+
+// step plays one drawn step and says what is wrong then; empty is nothing.
+func (w *wordsWorld) step(draw func(below int) int) string {
+	id := string(rune('a' + draw(2)))
+	switch draw(5) {
+	case 0:
+		w.revision++
+		w.enter(bornEntry(id, int64(1+draw(3)), max(1, w.revision-int64(draw(3)))).Server)
+	case 1:
+		w.core.SetServers([]inventory.Change{{Server: inventory.Server{ID: id}, Gone: true}})
+		delete(w.listed, id)
+	case 2:
+		w.now = w.now.Add(time.Duration(draw(4)) * time.Second)
+	case 3:
+		w.tellOfPeer(inventory.Start{ID: id, Born: int64(1 + draw(3))})
+	case 4:
+		return w.answer(draw)
+	}
+	return w.check()
+}
+
+// enter lets an entry of a start come, which may be an old one.
+func (w *wordsWorld) enter(entry inventory.Server) {
+	var before *words
+	known, isListed := w.listed[entry.ID]
+	if isListed {
+		before = w.core.servers[entry.ID].words
+	}
+	w.core.SetServers([]inventory.Change{{Server: entry}})
+	if !isListed || entry.Revision >= known.Revision || entry.Start() == known.Start() {
+		w.listed[entry.ID] = entry
+	}
+	server := w.core.servers[entry.ID]
+	switch {
+	case w.defect == keepsBeyondStart && server.words == nil:
+		server.words = before
+	case w.defect == entryBringsBack:
+		server.words = nil
+	}
+}
+
+func (w *wordsWorld) tellOfPeer(start inventory.Start) {
+	told := start
+	if w.defect == toldWithoutBorn {
+		told.Born = 0
+		if server, ok := w.core.servers[start.ID]; ok {
+			told.Born = server.info.Born
+		}
+	}
+	w.core.HearOfStart(w.now, told, inventory.Word{Leaving: true})
+	w.leaving[start] = true
+}
+
+// answer lets a server answer a request, and tell something with it.
+func (w *wordsWorld) answer(draw func(below int) int) string {
+	choice, ok := w.core.Pick(w.now, Ask{Service: "s", Model: "m"})
+	if !ok {
+		return ""
+	}
+	start := choice.Flight.start
+	switch {
+	case w.leaving[start]:
+		return fmt.Sprintf("%v is sent to, which leaves", start)
+	case w.now.Before(w.resting[start]):
+		return fmt.Sprintf("%v is sent to, which rests", start)
+	}
+	word := inventory.Word{Leaving: draw(4) == 0, Rest: time.Duration(draw(3)) * time.Second}
+	w.core.Hear(w.now, choice.Flight, word)
+	w.core.Begun(w.now, choice.Flight)
+	w.core.End(w.now, choice.Flight, OutcomeServed)
+	w.leaving[start] = w.leaving[start] || word.Leaving
+	w.resting[start] = later(w.resting[start], w.now.Add(word.Rest))
+	if w.defect == restsByService && word.Rest > 0 {
+		for _, other := range w.core.servers {
+			w.core.HearStart(w.now, other.info.Start(), word)
+		}
+	}
+	if w.defect == forgetsAtOnce {
+		clear(w.core.words)
+		choice.Flight.server.words = nil
+	}
+	return w.check()
+}
+
+// check says which server is left alone that told nothing in this start.
+func (w *wordsWorld) check() string {
+	for id, entry := range w.listed {
+		start := entry.Start()
+		if w.leaving[start] || w.now.Before(w.resting[start]) {
+			continue
+		}
+		if !w.core.CanPick(w.now, Ask{Service: "s", Model: "m", Only: []string{id}}) {
+			return fmt.Sprintf("%v is left alone, which told nothing", start)
+		}
+	}
+	return ""
+}
+
+const wordSteps = 60
+
+func TestWordsUnderDrawnSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		world := newWordsWorld(soundCore)
+		for range wordSteps {
+			if wrong := world.step(func(below int) int { return rapid.IntRange(0, below-1).Draw(t, "draw") }); wrong != "" {
+				t.Fatal(wrong)
+			}
+		}
+	})
+}
+
+// TestDrawnStepsFindPlantedDefects: the steps above would show each of them.
+func TestDrawnStepsFindPlantedDefects(t *testing.T) {
+	for _, planted := range []defect{forgetsAtOnce, keepsBeyondStart, entryBringsBack, toldWithoutBorn, restsByService} {
+		found := ""
+		for seed := uint64(0); seed < 200 && found == ""; seed++ {
+			random := rand.New(rand.NewPCG(seed, seed))
+			world := newWordsWorld(planted)
+			for step := 0; step < wordSteps && found == ""; step++ {
+				found = world.step(random.IntN)
+			}
+		}
+		if found == "" {
+			t.Errorf("not found: %s", planted)
+		}
+	}
+}
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -20,12 +21,16 @@
 	WriteLease(ctx context.Context, record storelease.Record) (revision int64, won bool, err error)
 }
 
+// errServerRests says that a report was not asked for.
+var errServerRests = errors.New("the server rests")
+
 // Engines are the servers that take orders.
 type Engines interface {
 	Report(ctx context.Context, call placer.ReportCall) (placer.Report, error)
 	// Order gives an order that is given up once the time that permit leaves it, right
-	// before it leaves, is over; where none is left it doesn't leave.
-	Order(ctx context.Context, order placer.Order, holder string, token int64, permit func() time.Duration) placer.Result
+	// before it leaves, is over; where none is left it doesn't leave. The server's word is
+	// empty where no answer came.
+	Order(ctx context.Context, order placer.Order, holder string, token int64, permit func() time.Duration) (placer.Result, inventory.Word)
 }
 
 const (
@@ -177,6 +182,7 @@
 	l.core.SetTable(l.node.handler.Table())
 	l.core.SetEvacuated(now, l.node.evacuations.zones())
 	l.node.dispatch.Do(func(core *dispatch.Core) {
+		l.core.SetAway(now, core.Away(now))
 		totals := core.Totals(now)
 		l.core.SetRunning(dispatch.RunningOf(totals))
 		l.loads.Take(now, totals)
@@ -312,7 +318,13 @@
 	started := clock.Now()
 	zone := core.ZoneOf(order.ServerID)
 	go func() {
-		result := l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() time.Duration { return l.orderTime(term, zone) })
+		result, word := l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() time.Duration {
+			if !l.mayCall(order.Start()) {
+				return 0
+			}
+			return l.orderTime(term, zone)
+		})
+		l.node.words.hearCall(order.Start(), word, wordFromOrder)
 		l.call(ctx, func() {
 			l.node.options.Logger.Info().Int64("term", term).Str("server", order.ServerID).
 				Str("operation", order.Operation.String()).Str("model", order.Model).Str("adapter", order.Adapter).
@@ -328,10 +340,20 @@
 	}()
 }
 
+// mayCall reports whether the server does not rest: it wants no calls of this node then.
+func (l *leader) mayCall(start inventory.Start) (may bool) {
+	l.node.dispatch.Do(func(core *dispatch.Core) { may = core.MaySend(clock.Now(), start) })
+	return may
+}
+
 func (l *leader) report(ctx context.Context, call placer.ReportCall) {
 	core := l.core
 	go func() {
-		report, err := l.node.options.Engines.Report(ctx, call)
+		report, err := placer.Report{}, errServerRests
+		if l.mayCall(call.Start()) {
+			report, err = l.node.options.Engines.Report(ctx, call)
+			l.node.words.hearCall(call.Start(), report.Word, wordFromReport)
+		}
 		l.call(ctx, func() {
 			l.node.options.Logger.Info().Str("server", call.ServerID).Int64("sequence", report.Sequence).
 				Bool("busy", report.Busy).Int("models", len(report.Models)).Bool("ok", err == nil).Msg("report_read")
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/placer"
 )
@@ -20,6 +21,7 @@
 	registry *prometheus.Registry
 	requests *prometheus.HistogramVec
 	orders   *prometheus.CounterVec
+	words    *prometheus.CounterVec
 	store    *prometheus.CounterVec
 	storeLag prometheus.Histogram
 }
@@ -44,7 +46,10 @@
 			Buckets: []float64{0.005, 0.02, 0.1, 0.5, 2},
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.orders, m.store, m.storeLag)
+	m.words = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: metricsPrefix + "server_words_total", Help: "What servers told of themselves with answers, by where it was heard.",
+	}, []string{"word", "from"})
+	m.registry.MustRegister(m.requests, m.orders, m.words, m.store, m.storeLag)
 	m.gauges(node)
 	m.counters(node)
 	return m
@@ -84,7 +89,7 @@
 		return float64(len(node.peers.roster.Alive(clock.Now())))
 	})
 	m.gauge("repeats_left", "Repeats that may be sent now, of the service that has least.", func() float64 { return node.handler.RepeatsLeft() })
-	for _, state := range []dispatch.State{dispatch.StateReady, dispatch.StateGoing, dispatch.StateClosed, dispatch.StateSuspect} {
+	for _, state := range []dispatch.State{dispatch.StateReady, dispatch.StateGoing, dispatch.StateResting, dispatch.StateClosed, dispatch.StateSuspect} {
 		m.gauge("servers_"+string(state), "Servers that are "+string(state)+".", func() float64 {
 			count := 0
 			node.dispatch.Do(func(core *dispatch.Core) { count = core.CountServers(clock.Now(), state) })
@@ -163,6 +168,15 @@
 	m.orders.WithLabelValues(order.Operation.String(), result.String()).Inc()
 }
 
+func (m *metrics) word(word inventory.Word, from wordSource) {
+	if word.Leaving {
+		m.words.WithLabelValues("leaving", string(from)).Inc()
+	}
+	if word.Rest > 0 {
+		m.words.WithLabelValues("rest", string(from)).Inc()
+	}
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -114,6 +114,7 @@
 	callers  *callers
 	quotas   *quotas
 	suspects *suspects
+	words    *serverWords
 	// coldStarts admits requests to cold servers.
 	coldStarts *coldStarts
 	// evacuations are the zones to whose servers nothing new is sent.
@@ -181,6 +182,7 @@
 	node.snapshots = newSnapshots(node)
 	node.quotas = newQuotas(node, options.Quota, options.FirstStart)
 	node.suspects = newSuspects(node)
+	node.words = newServerWords(node)
 	node.coldStarts = newColdStarts(node)
 	node.evacuations = newEvacuations(node)
 	node.handler = relay.New(relay.Options{
@@ -192,6 +194,9 @@
 		Wanted:   func() { node.peers.tellWanted() },
 		Quotas:   node.quotas,
 		Suspects: node.suspects,
+		Heard: func(start inventory.Start, word inventory.Word) {
+			node.words.passOn(start, word, wordFromAnswer)
+		},
 
 		ColdStarts: node.coldStarts,
 
--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -7,10 +7,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Server is what one incarnation of a server says of itself.
+// Server is what one start of a server says of itself.
 type Server struct {
-	// ID names one start of a server; a restart has another.
-	ID      string
+	ID string
+	// Born tells one start from another under the ID; see Start.
+	Born    int64
 	Service string
 	// Address is IP:PORT. Another server may have it once this one is gone.
 	Address string
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -26,8 +26,9 @@
 	badLoads map[modelKey]*badLoads
 	// ordered are the servers by name, until one comes or goes.
 	ordered []*server
-	// evacuated are the zones whose servers get no orders.
+	// evacuated are the zones whose servers get no orders, and away the single servers.
 	evacuated []string
+	away      map[inventory.Start]bool
 	effects   Effects
 }
 
@@ -106,7 +107,7 @@
 			if engine := c.engineOf(change.Server.Service); engine != nil {
 				added := newServer(change.Server, now)
 				added.setCopies(change.Server.InMemory, change.Server.OnDisk)
-				added.isClosed = slices.Contains(c.evacuated, change.Server.Zone)
+				c.close(added)
 				c.servers[id] = added
 				c.ordered = nil
 			}
@@ -178,7 +179,7 @@
 		}
 		s.reportAt = time.Time{}
 		s.reporting = true
-		c.effects.Reports = append(c.effects.Reports, ReportCall{ServerID: s.info.ID, Address: s.info.Address})
+		c.effects.Reports = append(c.effects.Reports, ReportCall{ServerID: s.info.ID, Born: s.info.Born, Address: s.info.Address})
 	}
 }
 
--- a/internal/placer/evacuate.go
+++ b/internal/placer/evacuate.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
 // SetEvacuated closes the servers in the zones and opens all others. A closed server
@@ -14,21 +16,53 @@
 	}
 	c.evacuated = slices.Clone(zones)
 	for _, s := range c.servers {
-		isClosed := slices.Contains(zones, s.info.Zone)
-		if s.isClosed == isClosed {
-			continue
-		}
-		s.isClosed = isClosed
-		s.intent = intent{}
-		if !isClosed {
-			// Its report may be as old as the evacuation.
-			s.askReport(now)
-		}
+		c.closeOrOpen(now, s)
 	}
 	c.effects.Changed = true
 }
 
-// takesOrders reports whether the server stays and its zone is not evacuated.
+// SetAway closes the servers that said that they leave, or that they want nothing for a while,
+// likewise, and opens those that are not among them any more.
+func (c *Core) SetAway(now time.Time, starts []inventory.Start) {
+	if len(starts) == 0 && len(c.away) == 0 {
+		return
+	}
+	away := make(map[inventory.Start]bool, len(starts))
+	for _, start := range starts {
+		away[start] = true
+	}
+	before := c.away
+	c.away = away
+	for _, changed := range []map[inventory.Start]bool{before, away} {
+		for start := range changed {
+			if s, ok := c.servers[start.ID]; ok && c.closeOrOpen(now, s) {
+				c.effects.Changed = true
+			}
+		}
+	}
+}
+
+// close notes whether the server's zone is evacuated, or the server is away.
+func (c *Core) close(s *server) {
+	s.isClosed = c.away[s.info.Start()] || slices.Contains(c.evacuated, s.info.Zone)
+}
+
+// closeOrOpen does that for a server which may be known as another; it reports whether it was.
+func (c *Core) closeOrOpen(now time.Time, s *server) (changed bool) {
+	was := s.isClosed
+	c.close(s)
+	if s.isClosed == was {
+		return false
+	}
+	s.intent = intent{}
+	if !s.isClosed {
+		// Its report may be as old as what closed it.
+		s.askReport(now)
+	}
+	return true
+}
+
+// takesOrders reports whether the server stays, and neither its zone nor its own word closes it.
 func (s *server) takesOrders() bool { return !s.info.Draining && !s.isClosed }
 
 // endClosedLoad ends a load at a closed server by the server's own entry, since its
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -28,7 +28,9 @@
 
 // Order is one order to a server.
 type Order struct {
-	ServerID  string
+	ServerID string
+	// Born is that of the start of the server that is meant.
+	Born      int64
 	Address   string
 	Operation Operation
 	Model     string
@@ -40,6 +42,9 @@
 	Reason string
 }
 
+// Start is the start of the server that is ordered.
+func (o Order) Start() inventory.Start { return inventory.Start{ID: o.ServerID, Born: o.Born} }
+
 // Source is where weights are loaded from.
 type Source int
 
@@ -94,6 +99,8 @@
 	// InMemory and OnDisk are the weights kept beside those held.
 	InMemory []string
 	OnDisk   []string
+	// Word is what the server told with the answer, also where the report cannot be had.
+	Word inventory.Word
 }
 
 // String names the source in logs.
@@ -104,9 +111,14 @@
 // ReportCall asks for a server's report.
 type ReportCall struct {
 	ServerID string
-	Address  string
+	// Born is that of the start of the server that is meant.
+	Born    int64
+	Address string
 }
 
+// Start is the start of the server that is asked.
+func (c ReportCall) Start() inventory.Start { return inventory.Start{ID: c.ServerID, Born: c.Born} }
+
 // Count is what one node counted of the requests for one thing wanted.
 type Count struct {
 	Wanted       dispatch.Wanted
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -235,7 +235,7 @@
 
 // give books the order and hands it out.
 func (c *Core) give(s *server, order Order) {
-	order.ServerID = s.info.ID
+	order.ServerID, order.Born = s.info.ID, s.info.Born
 	order.Address = s.info.Address
 	order.Expected = s.sequence
 	s.ordering = &order
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -42,7 +42,7 @@
 	intent intent
 	// busy is set while the server said last that an order is under way.
 	busy bool
-	// isClosed is set while the server's zone is evacuated.
+	// isClosed is set while the server's zone is evacuated, or the server is away by its own word.
 	isClosed bool
 	// lastTaken is the last order of this term that the server took; nil is none.
 	lastTaken *Order
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
@@ -28,7 +29,7 @@
 
 // attempt sends the request to the chosen server.
 func (x *exchange) attempt(choice dispatch.Choice) verdict {
-	x.serverID = choice.ServerID
+	x.serverID, x.word = choice.ServerID, inventory.Word{}
 	x.estimate = choice.Estimate
 	admitted := x.admitsServer(choice)
 	if !admitted.Granted {
@@ -75,8 +76,8 @@
 		x.giveUp(reasonDeadline)
 		return verdictDone, false
 	case !x.isStillGood(choice):
+		// The choice leaves the server out from now on, for as long as that holds.
 		x.withdraw(choice, conn)
-		x.failed = append(x.failed, choice.ServerID)
 		return verdictNotSent, false
 	default:
 		return 0, true
@@ -94,7 +95,7 @@
 func (x *exchange) isStillGood(choice dispatch.Choice) bool {
 	good := false
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
-		good = core.MayTake(choice.ServerID, x.regions())
+		good = core.MayTake(clock.Now(), choice.Flight, x.regions())
 	})
 	return good
 }
@@ -124,6 +125,7 @@
 		Matches: func(answer http.Header) bool {
 			return x.handler.options.Dialect.BelongsTo(answer, x.head.RequestID)
 		},
+		Heard: func(status int, answer http.Header) { x.hear(choice, status, answer) },
 	}
 }
 
@@ -175,7 +177,6 @@
 func (x *exchange) answered(choice dispatch.Choice, answer *backendconn.Answer) verdict {
 	defer answer.Close()
 	told := x.handler.options.Dialect.ReadAnswer(answer.Status, answer.Header)
-	x.word = told.Word
 	x.note(choice, told)
 	switch {
 	case told.NotRun:
@@ -194,6 +195,27 @@
 	}
 }
 
+// hear takes what the server tells of its own future with the head of an answer, before
+// anything of it goes to the caller: what binds later choices must not wait for it. Heads of
+// answers to earlier requests, which come late, count as well.
+func (x *exchange) hear(choice dispatch.Choice, status int, header http.Header) {
+	told := x.handler.options.Dialect.ReadAnswer(status, header)
+	if told.ServerID != "" && told.ServerID != choice.ServerID {
+		// Another server has the address.
+		return
+	}
+	x.word = told.Word
+	if x.word.IsEmpty() {
+		return
+	}
+	var start inventory.Start
+	news := false
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { start, news = core.Hear(clock.Now(), choice.Flight, x.word) })
+	if news {
+		x.handler.options.Heard(start, x.word)
+	}
+}
+
 func (x *exchange) note(choice dispatch.Choice, told AnswerHead) {
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
 		now := clock.Now()
@@ -214,7 +236,7 @@
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
 		now := clock.Now()
 		core.End(now, choice.Flight, dispatch.OutcomeRejected)
-		if x.engine {
+		if x.engine && x.word.Rest <= 0 {
 			core.Absent(now, choice.ServerID, x.head.Model, x.head.Adapter)
 		}
 	})
--- a/internal/relay/comeback.go
+++ b/internal/relay/comeback.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
 )
 
 // wantedName names what the request wants, for the lines of callers who come back.
@@ -25,5 +26,30 @@
 	return x.handler.lines.PlaceSoon(clock.Now(), x.wantedName(), x.priority(), clock.Until(x.deadline))
 }
 
+// comeBackRested is the same where all servers that have what is wanted may want nothing from
+// this node: not before the first of them has rested.
+func (x *exchange) comeBackRested() time.Duration {
+	if x.route == nil {
+		return x.comeBackSoon()
+	}
+	ready, ok := x.handler.restsFor(x.ask(), x.wanted())
+	if !ok {
+		return x.comeBackSoon()
+	}
+	return x.comeBack(ready)
+}
+
+// restsFor is when a server may be sent to again that has what is wanted; ok is false where one
+// may be sent to now, or none rests.
+func (h *Handler) restsFor(ask dispatch.Ask, wanted dispatch.Wanted) (ready time.Duration, ok bool) {
+	ask.Exclude, ask.Only = nil, nil
+	h.options.Dispatch.Do(func(core *dispatch.Core) {
+		if !core.CanPick(clock.Now(), ask) {
+			ready, _, ok = core.Rests(clock.Now(), wanted)
+		}
+	})
+	return ready, ok
+}
+
 // retryAfter is a time as the header says it, in seconds.
 func retryAfter(back time.Duration) string { return strconv.FormatFloat(back.Seconds(), 'f', 3, 64) }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 	"io"
 	"net/http"
 	"slices"
@@ -62,7 +63,7 @@
 	// estimate is the time to the first byte that was expected of the server.
 	estimate time.Duration
 	// word is what the last answer told of its server.
-	word dispatch.Word
+	word inventory.Word
 	// serverEnd is what became of the server whose answer broke off.
 	serverEnd backendconn.Liveness
 	// isTrial is set from the claim of a trial until its one send is over.
@@ -364,8 +365,9 @@
 	}
 	if event == "request_"+outcomeRefused && x.route != nil {
 		var supply dispatch.Supply
-		x.handler.options.Dispatch.Do(func(core *dispatch.Core) { supply = core.Supply(x.service) })
-		entry.Int("servers", supply.Known).Int("servers_going", supply.Going).Int("servers_closed", supply.Closed)
+		x.handler.options.Dispatch.Do(func(core *dispatch.Core) { supply = core.Supply(clock.Now(), x.service) })
+		entry.Int("servers", supply.Known).Int("servers_going", supply.Going).Int("servers_closed", supply.Closed).
+			Int("servers_resting", supply.Resting)
 	}
 	entry.Int("events", x.events).Msg(event)
 }
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -84,7 +84,7 @@
 	case x.ran:
 		x.fail(http.StatusBadGateway, reason)
 	default:
-		x.refuse(reason, x.comeBackSoon())
+		x.refuse(reason, x.comeBackRested())
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 	"github.com/spanlanding/spanlanding/internal/waiting"
@@ -59,7 +60,9 @@
 	// ColdLeft is for how long the server is cold yet; nil where it does not tell.
 	ColdLeft *time.Duration
 	// Word is what the server tells of its own future.
-	Word dispatch.Word
+	Word inventory.Word
+	// ServerID is who answers; empty where the server does not say.
+	ServerID string
 }
 
 // Dialect reads and writes the headers that callers, nodes and servers share.
@@ -99,6 +102,8 @@
 	AwaitKnowledge func(ctx context.Context)
 	// Wanted is told when a request waits for something that is on no server.
 	Wanted func()
+	// Heard is told what a start of a server told of its own future, where that is news.
+	Heard func(start inventory.Start, word inventory.Word)
 	// MaxWaiting bounds the requests that wait for a server at a time.
 	MaxWaiting int
 }
@@ -139,6 +144,9 @@
 	if options.Wanted == nil {
 		options.Wanted = func() {}
 	}
+	if options.Heard == nil {
+		options.Heard = func(inventory.Start, inventory.Word) {}
+	}
 	return &Handler{
 		options: options,
 		started: clock.Now(),
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -50,7 +50,12 @@
 }
 
 func (testDialect) ReadAnswer(status int, header http.Header) AnswerHead {
-	return AnswerHead{NotRun: status == http.StatusMisdirectedRequest || header.Get("X-Not-Run") != ""}
+	rest, _ := time.ParseDuration(header.Get("X-Rest"))
+	return AnswerHead{
+		NotRun:   status == http.StatusMisdirectedRequest || header.Get("X-Not-Run") != "",
+		ServerID: header.Get("X-By"),
+		Word:     inventory.Word{Leaving: header.Get("X-Leaving") != "", Rest: rest},
+	}
 }
 
 func (testDialect) BelongsTo(header http.Header, id string) bool { return header.Get("X-Id") == id }
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -62,6 +62,7 @@
 		if !known {
 			readyIn = x.usualLoad(ordersIn)
 		}
+		readyIn, known = x.orRested(readyIn, known)
 		expected := x.expect(readyIn, known)
 		if !x.keepsWaiting(expected) {
 			return choice, false
@@ -70,6 +71,18 @@
 	}
 }
 
+// orRested is when a server that rests may be sent to again, where that is sooner than what
+// else is expected, or nothing else is: no other server could load what is wanted.
+func (x *exchange) orRested(readyIn time.Duration, announced bool) (time.Duration, bool) {
+	var left time.Duration
+	var elsewhere, rests bool
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { left, elsewhere, rests = core.Rests(clock.Now(), x.wanted()) })
+	if rests && (left < readyIn || !announced && !elsewhere) {
+		return left, true
+	}
+	return readyIn, announced
+}
+
 // expect is when what the request waits for is expected.
 func (x *exchange) expect(readyIn time.Duration, announced bool) waiting.Expectation {
 	return x.watch.Expect(clock.Now(), readyIn, announced)
