Tests that fail: the own interface forgets what engines and services tell, too

The same class on the product's own interface: a refusal's Retry-After is handed to the caller and kept by nobody, and only a refusal can say that a back end leaves.

--- /dev/null
+++ b/internal/gateway/words_test.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/fleet"
+)
+
+// askingEngine counts its requests; the first is answered by first, and the others whole.
+func askingEngine(count *atomic.Int64, first http.HandlerFunc) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		if count.Add(1) == 1 {
+			first(writer, request)
+			return
+		}
+		wholeEngine(writer, request)
+	}
+}
+
+func refusing(retryAfter string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set(backend.HeaderNotRun, "true")
+		writer.Header().Set("Retry-After", retryAfter)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// An engine that turns a request away says for how long it wants none. The time was handed to the
+// caller, where nothing else was left to tell it, and the engine was left alone for a quarter of a
+// second, for that model alone.
+func TestEngineThatAskedForRestIsLeftAlone(t *testing.T) {
+	var came atomic.Int64
+	h := newHarness(t, nil)
+	h.catalog.model.Deadline = 900 * time.Millisecond
+	h.addEngine("e1", h.backend(askingEngine(&came, refusing("60"))))
+	for range 3 {
+		h.do(http.MethodPost, backend.PathCompletions, streamBody)
+	}
+	if came.Load() != 1 {
+		t.Errorf("%d requests came in the rest that the engine had asked for", came.Load()-1)
+	}
+}
+
+// TestRestEndsWithTheEngine: one that started anew asked for nothing.
+func TestRestEndsWithTheEngine(t *testing.T) {
+	var came atomic.Int64
+	h := newHarness(t, nil)
+	h.catalog.model.Deadline = 300 * time.Millisecond
+	h.addEngine("e1", h.backend(askingEngine(&came, refusing("60"))))
+	h.do(http.MethodPost, backend.PathCompletions, streamBody)
+	h.table.Engines[0].Incarnation++
+	h.publish()
+	h.wantWhole(h.do(http.MethodPost, backend.PathCompletions, streamBody))
+}
+
+// TestLeavingEngineSaysSoInGoodAnswers: also the answer that it served says so, and the next
+// request does not go there; another start of it may be used.
+func TestLeavingEngineSaysSoInGoodAnswers(t *testing.T) {
+	var came atomic.Int64
+	heard := make(chan fleet.BackendName, 9)
+	h := newHarness(t, func(options *Options) {
+		options.Leaving = func(name fleet.BackendName) { heard <- name }
+	})
+	h.catalog.model.Deadline = 400 * time.Millisecond
+	h.addEngine("e1", h.backend(askingEngine(&came, func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("X-Leaving", "true")
+		wholeEngine(writer, request)
+	})))
+	h.wantWhole(h.do(http.MethodPost, backend.PathCompletions, streamBody))
+	if got := h.do(http.MethodPost, backend.PathCompletions, streamBody); got.status == http.StatusOK || came.Load() != 1 {
+		t.Errorf("%d requests, the second answered %d: its engine had said that it leaves", came.Load(), got.status)
+	}
+	if len(heard) != 1 || <-heard != "e1" {
+		t.Error("the zone was not told")
+	}
+	h.table.Engines[0].Incarnation++
+	h.publish()
+	h.wantWhole(h.do(http.MethodPost, backend.PathCompletions, streamBody))
+}
+
+// TestServiceThatAskedForRestIsLeftAlone: so are back ends that take commands.
+func TestServiceThatAskedForRestIsLeftAlone(t *testing.T) {
+	var came, others atomic.Int64
+	h := newHarness(t, nil)
+	h.addService("s1", h.backend(func(writer http.ResponseWriter, request *http.Request) {
+		came.Add(1)
+		refusing("60")(writer, request)
+	}))
+	h.addService("s2", h.backend(func(writer http.ResponseWriter, _ *http.Request) {
+		others.Add(1)
+		writer.WriteHeader(http.StatusNoContent)
+	}))
+	const calls = 24
+	for range calls {
+		h.do(http.MethodPost, "/turbines/7/stop", "now")
+	}
+	if came.Load() > 1 || others.Load() < calls-1 {
+		t.Errorf("%d requests came in the rest, %d of %d were done", came.Load()-1, others.Load(), calls)
+	}
+}
--- /dev/null
+++ b/internal/gossip/words_test.go
@@ -0,0 +1,71 @@
+package gossip
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+func TestWordsAreToldAFewTimes(t *testing.T) {
+	now := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+	words := NewWords()
+	leaves := WordItem{Start: inventory.Start{ID: "a", Born: 7}, Word: inventory.Word{Leaving: true}}
+	rests := WordItem{Start: inventory.Start{ID: "b"}, Word: inventory.Word{Rest: 3 * time.Second}}
+	cases := []struct {
+		name string
+		item WordItem
+		at   time.Duration
+		want bool
+	}{
+		{"a server leaves", leaves, 0, true},
+		{"it says so again", leaves, time.Second, false},
+		{"another start of it leaves", WordItem{Start: inventory.Start{ID: "a", Born: 8}, Word: leaves.Word}, time.Second, true},
+		{"one rests", rests, 0, true},
+		{"the echo of it, a little later", rests, 300 * time.Millisecond, false},
+		{"its next rest", rests, 3 * time.Second, true},
+		{"nothing", WordItem{Start: inventory.Start{ID: "c"}}, 0, false},
+	}
+	for _, c := range cases {
+		if got := words.Learn(now.Add(c.at), c.item); got != c.want {
+			t.Errorf("%s: news %v, want %v", c.name, got, c.want)
+		}
+	}
+	now = now.Add(4 * time.Second)
+	want := []WordItem{leaves, {Start: inventory.Start{ID: "a", Born: 8}, Word: leaves.Word}, {Start: rests.Start, Word: inventory.Word{Rest: 2 * time.Second}}}
+	if diff := cmp.Diff(want, words.Tell(now)); diff != "" {
+		t.Error(diff)
+	}
+	for range wordTold - 1 {
+		words.Tell(now)
+	}
+	if told := words.Tell(now); len(told) > 0 {
+		t.Errorf("told for ever: %v", told)
+	}
+}
+
+func TestRestsThatAreOverAreNotTold(t *testing.T) {
+	now := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+	words := NewWords()
+	words.Learn(now, WordItem{Start: inventory.Start{ID: "a"}, Word: inventory.Word{Rest: time.Second}})
+	if told := words.Tell(now.Add(time.Second)); len(told) > 0 {
+		t.Errorf("told: %v", told)
+	}
+}
+
+func TestWordsToTellAreBounded(t *testing.T) {
+	now := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+	words := NewWords()
+	for i := range 2 * wordsKept {
+		words.Learn(now.Add(time.Duration(i)*time.Millisecond), WordItem{Start: inventory.Start{ID: strconv.Itoa(i)}, Word: inventory.Word{Leaving: true}})
+	}
+	if len(words.items) > wordsKept {
+		t.Errorf("%d are kept", len(words.items))
+	}
+	if told := words.Tell(now); len(told) != wordsPerPeriod {
+		t.Errorf("%d are told in a period", len(told))
+	}
+}
--- a/test/platform/words_test.go
+++ b/test/platform/words_test.go
@@ -121,3 +121,55 @@
 		}
 	}
 }
+
+// TestOnlyCopyOfAServerThatLeavesIsLoadedElsewhere: the store goes on to say that it is ready, and
+// the nodes tell each other what its answers say.
+func TestOnlyCopyOfAServerThatLeavesIsLoadedElsewhere(t *testing.T) {
+	f := newFleet(t, 3)
+	leaver := newServerIn(t, f.store, "z", "i-models-1", "models", 50*time.Millisecond, "m1")
+	other := newServerIn(t, f.store, "z", "i-models-2", "models", 50*time.Millisecond)
+	f.store.put("config", "main", configuration(1))
+	f.awaitReady()
+	leaver.set(func() { leaver.isLeaving = true })
+	f.nodes[2].sendOwn(0, "/chat/x", "m1")
+	for _, n := range f.nodes {
+		eventually(t, n.name+" hears of it", func() bool { return strings.Contains(n.log(), "event=server_word") })
+		came := len(leaver.arrivalsOf(n.name))
+		number := 100
+		eventually(t, n.name+" serves the model from elsewhere", func() bool {
+			number++
+			return n.sendOwn(number, "/chat/x", "m1").status == http.StatusOK
+		})
+		if later := len(leaver.arrivalsOf(n.name)); later > came {
+			t.Errorf("%s: %d requests reached the server that leaves after the node had heard of it", n.name, later-came)
+		}
+	}
+	if other.runCount() == 0 {
+		t.Error("nothing ran elsewhere")
+	}
+}
+
+// TestRestThatIsProlongedAndEnds: nothing comes in either rest, and work does when it is over.
+func TestRestThatIsProlongedAndEnds(t *testing.T) {
+	f := newFleet(t, 1)
+	resting := newServerIn(t, f.store, "z", "i-models-1", "models", 50*time.Millisecond, "m1")
+	f.store.put("config", "main", configuration(1))
+	f.awaitReady()
+	n := f.nodes[0]
+	resting.set(func() { resting.restFor = time.Second })
+	started := time.Now()
+	for number := 0; time.Since(started) < 2500*time.Millisecond; number++ {
+		n.sendRequest(sending{id: n.name + "/" + strconv.Itoa(number), path: "/chat/x", model: "m1", body: "body", deadline: 50 * time.Millisecond})
+	}
+	came := resting.arrivalsOf(n.name)
+	if len(came) < 2 {
+		t.Fatalf("%d requests came in two rests and a half: the rest never ends", len(came))
+	}
+	for i := 1; i < len(came); i++ {
+		if between := came[i].at.Sub(came[i-1].at); between < resting.restFor {
+			t.Errorf("request %d came %v after the server had asked for %v", i, between, resting.restFor)
+		}
+	}
+	resting.set(func() { resting.restFor = 0 })
+	eventually(t, "it serves again", func() bool { return n.sendOwn(9999, "/chat/x", "m1").status == http.StatusOK })
+}
