Own interface: what a back end tells with an answer binds its incarnation

Cause: as on the platform: a refusal's Retry-After went to the caller alone, the back end was left alone for 250 ms and one model, and only a refusal could say that a back end leaves.

Change: heads of streams, refusals and answers of services are heard before they go on (gateway.hear), by each leg of a race; routing keeps leaving and rest by incarnation. X-Leaving in any answer says that its back end leaves; the stand-ins send it.

What waits on the own interface for engines that all rest waits up to its deadline, as before.

--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
 // SendError says that a call brought no answer.
@@ -32,6 +34,8 @@
 	// NotRun is the back end's own word that nothing ran.
 	NotRun     bool
 	RetryAfter time.Duration
+	// Word is what the back end told of its own future.
+	Word inventory.Word
 	// Body is the beginning of the answer.
 	Body []byte
 }
@@ -41,11 +45,6 @@
 	return fmt.Sprintf("back end answered %d: %.200s", e.Status, e.Body)
 }
 
-// SaysLeaving reports whether the back end refused because it goes away.
-func (e *Refusal) SaysLeaving() bool {
-	return e.NotRun && isLeavingProblem(e.Body)
-}
-
 func isLeavingProblem(body []byte) bool {
 	var problem struct {
 		Code string `json:"code"`
--- a/internal/backend/generate.go
+++ b/internal/backend/generate.go
@@ -141,18 +141,23 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, readRefusal(response)
 	}
-	return newStream(response.Body), nil
+	opened := newStream(response.Body)
+	opened.word = readWord(response)
+	return opened, nil
 }
 
 func readRefusal(response *http.Response) *Refusal {
 	defer response.Body.Close()
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
-	return &Refusal{
+	refusal := &Refusal{
 		Status:     response.StatusCode,
 		NotRun:     response.Header.Get(HeaderNotRun) == "true",
 		RetryAfter: parseRetryAfter(response.Header.Get("Retry-After")),
+		Word:       readWord(response),
 		Body:       body,
 	}
+	refusal.Word.Leaving = refusal.Word.Leaving || refusal.NotRun && isLeavingProblem(body)
+	return refusal
 }
 
 func parseRetryAfter(value string) time.Duration {
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
 const (
@@ -53,6 +54,8 @@
 	Body        []byte
 	// NotRun is the back end's own word that nothing ran.
 	NotRun bool
+	// Word is what the back end told of its own future.
+	Word inventory.Word
 }
 
 // Services sends plain calls. A call that is not repeatable goes over a
@@ -121,14 +124,17 @@
 	if len(body) > maxServiceAnswerBytes {
 		return nil, &SendError{Err: &ProtocolError{Detail: "the answer is too long"}}
 	}
-	return &ServiceAnswer{
+	answer := &ServiceAnswer{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
 		Location:    response.Header.Get("Location"),
 		RetryAfter:  response.Header.Get("Retry-After"),
 		Body:        body,
 		NotRun:      response.Header.Get(HeaderNotRun) == "true",
-	}, nil
+		Word:        readWord(response),
+	}
+	answer.Word.Leaving = answer.Word.Leaving || answer.NotRun && isLeavingProblem(body)
+	return answer, nil
 }
 
 func (s *Services) setHeader(header http.Header, call ServiceCall) {
@@ -197,11 +203,6 @@
 	return c == nil || c.state.CompareAndSwap(connFresh, connSealed) || c.state.Load() == connSealed
 }
 
-// SaysLeaving reports whether the back end refused because it goes away.
-func (a *ServiceAnswer) SaysLeaving() bool {
-	return a.NotRun && isLeavingProblem(a.Body)
-}
-
 // RetryAfterDuration is the back end's Retry-After, or 0.
 func (a *ServiceAnswer) RetryAfterDuration() time.Duration {
 	return parseRetryAfter(a.RetryAfter)
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
 const (
@@ -27,6 +29,8 @@
 	reader *bufio.Reader
 	// long holds a line that is larger than the reader's buffer.
 	long []byte
+	// word is what the head of the answer told of the back end's future.
+	word inventory.Word
 }
 
 func newStream(body io.ReadCloser) *Stream {
--- a/internal/backend/wire.go
+++ b/internal/backend/wire.go
@@ -25,6 +25,9 @@
 	// HeaderNotRun is set to "true" by a back end on a refusal made before
 	// anything ran.
 	HeaderNotRun = "X-Not-Run"
+	// HeaderLeaving is set to "true" in the head of any answer of a back end that goes
+	// away.
+	HeaderLeaving = "X-Leaving"
 )
 
 // Claim takes leadership of one engine. The engine grants it only if the
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/queue"
 	"github.com/spanlanding/spanlanding/internal/routing"
@@ -62,6 +63,11 @@
 		ticket uint64
 		after  time.Duration
 	}
+	// wordHeard is what an attempt's back end told of its own future.
+	wordHeard struct {
+		ticket uint64
+		word   inventory.Word
+	}
 	attemptEnded struct {
 		ticket uint64
 		result routing.Result
@@ -187,6 +193,8 @@
 		s.abandon(now, message.ticket)
 	case attemptBegan:
 		s.began(now, message)
+	case wordHeard:
+		s.stepRouting(now, routing.Heard{Ticket: routing.Ticket(message.ticket), Word: message.word})
 	case attemptEnded:
 		s.ended(now, message)
 	case tablesChanged:
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -125,6 +125,7 @@
 	}
 	r.link = newLink(r.request.Context(), number, r.core.NextWake(), r.gateway.now)
 	stream, err := open(r.link.ctx)
+	r.gateway.hear(r.gateway.models, leg{ticket: r.ticket, engine: r.engine}, backend.WordOf(stream, err))
 	if err != nil {
 		return r.lost(err)
 	}
@@ -162,21 +163,11 @@
 	case r.link.late.Load():
 		return attempt.Tick{}
 	}
-	r.spreadLeaving(err)
 	broken := brokenBy(r.link.number, err)
 	r.suspicion.brokeOff(r.engine, broken)
 	return broken
 }
 
-// spreadLeaving tells the zone of an engine that refused because it goes away,
-// which its leader may not have been able to read.
-func (r *modelRun) spreadLeaving(err error) {
-	var refusal *backend.Refusal
-	if errors.As(err, &refusal) && refusal.SaysLeaving() && r.gateway.options.Leaving != nil {
-		r.gateway.options.Leaving(r.engine.Name)
-	}
-}
-
 // brokenBy turns an error of the back end's client into evidence.
 func brokenBy(connection int, err error) attempt.Broken {
 	broken := attempt.Broken{Connection: connection, Evidence: attempt.MaySent, Detail: err.Error()}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -277,9 +277,7 @@
 		}
 		return broken
 	}
-	if answer.SaysLeaving() && r.caller.gateway.options.Leaving != nil {
-		r.caller.gateway.options.Leaving(r.target.Name)
-	}
+	r.caller.gateway.hear(r.caller.gateway.services, leg{ticket: r.ticket, engine: r.target}, answer.Word)
 	if answer.NotRun || isUnavailable(answer.Status) && r.route.Repeatable {
 		return refusedBy(open.Connection, answer)
 	}
--- a/internal/routing/message.go
+++ b/internal/routing/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
@@ -78,6 +79,12 @@
 	After  time.Duration
 }
 
+// Heard tells what the back end of a picked attempt said of its own future with an answer.
+type Heard struct {
+	Ticket Ticket
+	Word   inventory.Word
+}
+
 // Ended tells that a picked attempt is over.
 type Ended struct {
 	Ticket Ticket
@@ -94,6 +101,7 @@
 func (Pick) isMessage()        {}
 func (PickService) isMessage() {}
 func (FirstToken) isMessage()  {}
+func (Heard) isMessage()       {}
 func (Ended) isMessage()       {}
 func (Tick) isMessage()        {}
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -75,6 +75,8 @@
 	target  *target
 	model   fleet.ModelVersion
 	started time.Time
+	// incarnation is that of the back end as it was picked.
+	incarnation uint64
 }
 
 // Core is the routing of one node.
@@ -131,6 +133,8 @@
 		c.pick(now, message)
 	case PickService:
 		c.pickService(now, message)
+	case Heard:
+		c.hear(now, message)
 	case FirstToken:
 		c.firstToken(now, message)
 	case Ended:
@@ -163,11 +167,16 @@
 }
 
 func (c *Core) announce(at time.Time, model fleet.ModelVersion) {
-	last := len(c.announcements) - 1
-	if last >= 0 && c.announcements[last] == (announcement{at: at, model: model}) {
+	wanted := announcement{at: at, model: model}
+	// A rest ends long after the refusals that come behind it.
+	index := len(c.announcements)
+	for index > 0 && c.announcements[index-1].at.After(at) {
+		index--
+	}
+	if index > 0 && c.announcements[index-1] == wanted {
 		return
 	}
-	c.announcements = append(c.announcements, announcement{at: at, model: model})
+	c.announcements = slices.Insert(c.announcements, index, wanted)
 }
 
 func (c *Core) makeAnnouncements(now time.Time) {
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -30,6 +30,7 @@
 	// refused is until when a model is not asked for here again, since the
 	// back end declined it: the table may lag behind.
 	refused map[fleet.ModelVersion]time.Time
+	words   words
 }
 
 // refusalPause is how long a back end that declined a request is left alone.
@@ -56,7 +57,7 @@
 	known := !t.reported.IsZero()
 	restarted := engine.Incarnation != t.engine.Incarnation
 	if restarted {
-		t.circuit, t.health, t.prefixes = circuit{}, health{}, prefixMemory{}
+		t.circuit, t.health, t.prefixes, t.words = circuit{}, health{}, prefixMemory{}, words{}
 	}
 	changed := !t.isReady(engine)
 	if changed {
--- /dev/null
+++ b/internal/routing/words_test.go
@@ -0,0 +1,73 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+// TestWordsBindOneIncarnation: a rest until it is over, and leaving whatever newer tables say; an
+// answer to an attempt at the incarnation before changes nothing.
+func TestWordsBindOneIncarnation(t *testing.T) {
+	for name, c := range map[string]struct {
+		word  inventory.Word
+		after time.Duration
+		want  string
+	}{
+		"in the rest":    {inventory.Word{Rest: 3 * time.Second}, 2999 * time.Millisecond, ""},
+		"after the rest": {inventory.Word{Rest: 3 * time.Second}, 3 * time.Second, "e1"},
+		"leaving":        {inventory.Word{Leaving: true}, time.Hour, ""},
+	} {
+		d := newDriver(Options{}, epoch, engine("e1", "a", 0))
+		ticket, _ := d.pick(epoch, nil)
+		late, _ := d.pick(epoch, nil)
+		d.core.Step(epoch, Heard{Ticket: ticket, Word: c.word})
+		d.core.Step(epoch, Ended{Ticket: ticket, Result: ResultOK})
+		now := epoch.Add(c.after)
+		d.core.Step(now, tables(engine("e1", "a", 1)))
+		if _, got := d.pick(now, nil); got != c.want {
+			t.Errorf("%s: picked %q, want %q", name, got, c.want)
+		}
+		again := engine("e1", "a", 0)
+		again.Incarnation++
+		d.core.Step(now, tables(again))
+		d.core.Step(now, Heard{Ticket: late, Word: inventory.Word{Leaving: true}})
+		if _, got := d.pick(now, nil); got != "e1" {
+			t.Errorf("%s: the next incarnation is left alone", name)
+		}
+	}
+}
+
+// TestRestIsAnnouncedAtItsEnd: what waits asks again then, also where refusals came behind it.
+func TestRestIsAnnouncedAtItsEnd(t *testing.T) {
+	d := newDriver(Options{}, epoch, engine("e1", "a", 0))
+	ticket, _ := d.pick(epoch, nil)
+	other, _ := d.pick(epoch, nil)
+	d.core.Step(epoch, Heard{Ticket: ticket, Word: inventory.Word{Rest: 3 * time.Second}})
+	d.core.Step(epoch, Ended{Ticket: other, Result: ResultRefused})
+	for _, at := range []time.Duration{refusalPause, 3 * time.Second} {
+		if wake := d.core.NextWake(); !wake.Equal(epoch.Add(at)) {
+			t.Errorf("wakes at %v, want %v", wake.Sub(epoch), at)
+		}
+		if effects := d.core.Step(epoch.Add(at), Tick{}); len(effects) != 1 || effects[0] != (RoomChanged{Model: notes}) {
+			t.Errorf("at %v: %v", at, effects)
+		}
+	}
+}
+
+// TestRestOfAService: services take commands, and rest as well.
+func TestRestOfAService(t *testing.T) {
+	core := New(Options{Zone: "a"})
+	table := fleet.RouteTable{Zone: "a", Services: []fleet.Backend{{Name: "s1", Kind: fleet.KindService, Zone: "a", Service: "turbines"}}}
+	core.Step(epoch, Tables{Tables: []fleet.RouteTable{table}})
+	core.Step(epoch, PickService{Ticket: 1, Service: "turbines"})
+	core.Step(epoch, Heard{Ticket: 1, Word: inventory.Word{Rest: time.Second}})
+	for after, want := range map[time.Duration]bool{999 * time.Millisecond: false, time.Second: true} {
+		effects := core.Step(epoch.Add(after), PickService{Ticket: 2, Service: "turbines"})
+		if _, picked := effects[0].(Picked); picked != want {
+			t.Errorf("after %v: %v", after, effects)
+		}
+	}
+}
--- a/internal/standin/httpdriver/answers.go
+++ b/internal/standin/httpdriver/answers.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/spanlanding/spanlanding/internal/backend"
 )
@@ -40,6 +41,16 @@
 	})
 }
 
+// sayLeaving marks the head of each answer of a back end that goes away.
+func sayLeaving(leaving *atomic.Bool, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if leaving.Load() {
+			writer.Header().Set(backend.HeaderLeaving, "true")
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
 // writeNotRun refuses before anything ran.
 func writeNotRun(writer http.ResponseWriter, status int, code string) {
 	writer.Header().Set(backend.HeaderNotRun, "true")
--- a/internal/standin/httpdriver/engine_test.go
+++ b/internal/standin/httpdriver/engine_test.go
@@ -55,7 +55,7 @@
 	r.engine.Leave()
 	refused = r.complete("2", chatBody("true", "9"))
 	_ = refused.Body.Close()
-	if refused.StatusCode != http.StatusServiceUnavailable || refused.Header.Get(backend.HeaderNotRun) != "true" {
+	if refused.StatusCode != http.StatusServiceUnavailable || refused.Header.Get(backend.HeaderNotRun) != "true" || refused.Header.Get(backend.HeaderLeaving) != "true" {
 		t.Errorf("leaving: %s, %v", refused.Status, refused.Header)
 	}
 	if !r.state().Leaving || len(r.engine.Book().Executions) != 0 {
--- a/internal/standin/httpdriver/service.go
+++ b/internal/standin/httpdriver/service.go
@@ -54,7 +54,7 @@
 		writeJSON(writer, http.StatusOK, s.Book())
 	})
 	mux.HandleFunc("/", s.serveCommand)
-	return s.faults.Wrap(mux)
+	return s.faults.Wrap(sayLeaving(&s.leaving, mux))
 }
 
 // Book returns what the server recorded.
