Soak: servers that leave by their answers alone, and servers that ask for rest

Two kinds, judged at the servers: work that its caller sent more than two seconds after its node had passed on that the server leaves; more than two requests of a node between half a second after a server asked it for rest and the end. Seven planted cases.

--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -74,7 +74,7 @@
 	isLeaving bool
 	// restFor is the rest that it asks for as it turns all requests away; 0 is none.
 	restFor time.Duration
-	// arrivals are the requests that reached it, in their order.
+	// arrivals are the requests that reached it since it first left or wanted rest.
 	arrivals []arrival
 }
 
@@ -209,7 +209,9 @@
 	writer.Header().Set("Request-Id", id)
 	model, adapter, _ := strings.Cut(request.Header.Get("Model"), "/")
 	m.mu.Lock()
-	m.arrivals = append(m.arrivals, arrival{id: id, at: time.Now(), isLeaving: m.isLeaving, rest: m.restFor})
+	if m.isLeaving || m.restFor > 0 || len(m.arrivals) > 0 {
+		m.arrivals = append(m.arrivals, arrival{id: id, at: time.Now(), isLeaving: m.isLeaving, rest: m.restFor})
+	}
 	if m.restFor > 0 {
 		rest := m.restFor
 		m.mu.Unlock()
--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -65,7 +65,7 @@
 
 // allKinds are the faults that are drawn.
 func allKinds() []kind {
-	return append(firstKinds(),
+	return append(append(firstKinds(), wordKinds()...),
 		kind{poisonKind, 2, func(s *soak, d drawnFault) {
 			if s.options.isRelayed {
 				s.sendPoison(d)
@@ -365,6 +365,11 @@
 // replace lets a server leave, and another come in its place that is cold for a time.
 func (s *soak) replace(leaver *modelServer, cold time.Duration) {
 	s.addServer(leaver.service, cold)
+	s.drain(leaver)
+}
+
+// drain lets a server's entry say that it leaves, and go.
+func (s *soak) drain(leaver *modelServer) {
 	s.mu.Lock()
 	s.left[leaver.id] = time.Now()
 	s.mu.Unlock()
--- a/test/platform/soak_judge_test.go
+++ b/test/platform/soak_judge_test.go
@@ -200,6 +200,7 @@
 		s.judgeCold(m)
 		s.judgeEvacuations(m)
 		s.judgeHome(m)
+		s.judgeWords(m)
 		m.mu.Unlock()
 	}
 	slices.SortFunc(loads, time.Time.Compare)
--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -104,6 +104,23 @@
 				s.servers[0].ranAt[id], s.servers[0].runs[id] = at(time.Duration(1+i)*50*time.Millisecond), 1
 			}
 		}},
+		{"DRAIN", func(s *soak) { tellLeaving(s, at(0), at(time.Second+soakDrain+time.Millisecond)) }},
+		{"", func(s *soak) { tellLeaving(s, at(0), at(time.Second+soakDrain)) }},
+		{"", func(s *soak) {
+			tellLeaving(s, at(0), at(time.Second+soakDrain+time.Millisecond))
+			s.troubles = []span{{place: atNode, node: "node-1", from: at(0), to: at(2 * time.Second)}}
+		}},
+		{"BUDGET", func(s *soak) {
+			askForRest(s, at(0), at(restGrace), at(time.Second), at(longestSoakRest-time.Millisecond))
+		}},
+		{"", func(s *soak) {
+			askForRest(s, at(0), at(restGrace-time.Millisecond), at(time.Second), at(2*time.Second))
+		}},
+		{"", func(s *soak) { askForRest(s, at(0), at(time.Second), at(2*time.Second), at(longestSoakRest)) }},
+		{"", func(s *soak) {
+			askForRest(s, at(0), at(time.Second), at(time.Second), at(time.Second))
+			s.troubles = []span{{place: onWayToServer, node: "i", from: at(0), to: at(time.Second)}}
+		}},
 		{"EVAC", func(s *soak) {
 			s.evacuations = []soakEvacuation{{zone: "z", declared: at(0)}}
 			s.servers[0].ranAt["a"] = at(soakEvacuate + time.Millisecond)
@@ -197,3 +214,27 @@
 		}
 	}
 }
+
+// tellLeaving lets the answer to the first request say that its server leaves, and another be
+// sent to it at a time.
+func tellLeaving(s *soak, at, again time.Time) {
+	s.servers[0].arrivals = []arrival{{id: "a", at: at, isLeaving: true}}
+	s.reach(again, arrival{isLeaving: true})
+}
+
+// askForRest lets a server turn the first request away and ask for the longest rest, and others
+// reach it at the times.
+func askForRest(s *soak, at time.Time, others ...time.Time) {
+	s.servers[0].arrivals = []arrival{{id: "a", at: at, rest: longestSoakRest}}
+	for _, other := range others {
+		s.reach(other, arrival{})
+	}
+}
+
+// reach lets a request of the first node reach the first server.
+func (s *soak) reach(at time.Time, came arrival) {
+	came.id, came.at = fmt.Sprint("again", len(s.servers[0].arrivals)), at
+	s.servers[0].arrivals = append(s.servers[0].arrivals, came)
+	s.servers[0].runs[came.id] = 1
+	s.ends = append(s.ends, served{id: came.id, node: "node-1", route: "command", sent: at, done: at, status: 200, whole: true})
+}
