--- a/test/platform/poison_test.go
+++ b/test/platform/poison_test.go
@@ -30,6 +30,8 @@
 	downFor time.Duration
 	number  int
 	books   *poisonBooks
+	// keepsID starts it anew under the identity that it had.
+	keepsID bool
 
 	mu      sync.Mutex
 	current *modelServer
@@ -73,7 +75,12 @@
 
 func newCrashingServer(t *testing.T, s *store, books *poisonBooks, downFor time.Duration) *crashingServer {
 	t.Helper()
-	c := &crashingServer{t: t, store: s, books: books, downFor: downFor}
+	return (&crashingServer{t: t, store: s, books: books, downFor: downFor}).start()
+}
+
+func (c *crashingServer) start() *crashingServer {
+	t := c.t
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -98,6 +105,9 @@
 		loadTime: 50 * time.Millisecond, streamPause: 20 * time.Millisecond,
 		models: map[string]map[string]bool{"m1": {}}, runs: make(map[string]int), ranAt: make(map[string]time.Time),
 	}
+	if c.keepsID {
+		c.current.id, c.current.born = "i-"+c.address[strings.LastIndex(c.address, ":")+1:], time.Now().UnixMilli()
+	}
 	c.server = httptest.NewUnstartedServer(c)
 	_ = c.server.Listener.Close()
 	c.server.Listener = listener
@@ -126,7 +136,7 @@
 	writer.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(writer).Flush()
 	time.Sleep(30 * time.Millisecond)
-	c.books.noteEnded(string(body), current.id)
+	c.books.noteEnded(string(body), current.start())
 	c.crash(current)
 	panic(http.ErrAbortHandler)
 }
@@ -417,3 +427,6 @@
 	}
 	books.check(t, poisonBody, 0)
 }
+
+// start names one start of a server.
+func (m *modelServer) start() string { return fmt.Sprint(m.id, "@", m.born) }
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -74,6 +74,8 @@
 	isLeaving bool
 	// restFor is the rest that it asks for as it turns all requests away; 0 is none.
 	restFor time.Duration
+	// born is when it started, in Unix milliseconds; 0 is not told.
+	born int64
 	// arrivals are the requests that reached it since it first left or wanted rest.
 	arrivals []arrival
 }
@@ -111,12 +113,28 @@
 // enter writes the server's entry.
 func (m *modelServer) enter(s *store, state string) {
 	m.mu.Lock()
-	models := m.held()
+	models, born := m.held(), m.born
 	m.mu.Unlock()
-	s.put("servers", m.id, map[string]any{
+	entry := map[string]any{
 		"service": m.service, "address": m.address, "zone": m.zone, "slots": 8, "state": state, "models": models, "sequence": 1,
 		"coldLeftMs": max(0, time.Until(m.coldUntil).Milliseconds()),
+	}
+	if born > 0 {
+		entry["born"] = born
+	}
+	s.put("servers", m.id, entry)
+}
+
+// startAgain ends the server, and starts it under the identity that it had: it holds and knows
+// nothing of before, and its counts start anew.
+func (m *modelServer) startAgain(s *store) {
+	m.set(func() {
+		m.models = make(map[string]map[string]bool)
+		m.sequence, m.busy, m.loading = 0, false, ""
+		m.isLeaving, m.restFor, m.arrivals = false, 0, nil
+		m.born++
 	})
+	m.enter(s, "ready")
 }
 
 func (m *modelServer) held() []heldModel {
@@ -148,7 +166,11 @@
 	case "/api/report":
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		_ = json.NewEncoder(writer).Encode(map[string]any{"models": m.held(), "busy": m.busy, "sequence": m.sequence})
+		report := map[string]any{"models": m.held(), "busy": m.busy, "sequence": m.sequence}
+		if m.born > 0 {
+			report["born"] = m.born
+		}
+		_ = json.NewEncoder(writer).Encode(report)
 	case "/api/order":
 		m.order(writer, request)
 	default:
