A server that starts again under its identity is another start

Cause: tables keyed by a server's ID kept for the next start what the last one had told. Reports count orders from nought after a start; the leader took them for old ones and dropped them for as long as the server was known. A request that ended several starts of one server counted once. An answer to an order of the start before would have settled the order of this one.

The choice of servers and the leader's books begin anew with a start that the store, a peer, a view or a report tells; of entries the later revision counts, of one revision the later start. Answers to orders name their start. Orders to the start before without an answer take room until their count or their time is over, as they may fit this one. Ends under a request count by when the server had got it: nodes see an end before they hear of the start that follows, so its name cannot tell. Entries, news, views and words between nodes carry born.

Ruled out: ends by (ID, born): two nodes, one of which knew of the second start, counted one end twice, and where neither did, seven or eight starts ended.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -88,11 +88,13 @@
 func (c *Core) put(entry inventory.Server) {
 	known, isListed := c.servers[entry.ID]
 	if isListed && known.info.Start() != entry.Start() {
-		if entry.Revision < known.info.Revision {
+		isEarlier := known.info.Start().IsLaterThan(entry.Start())
+		if entry.Revision < known.info.Revision || entry.Revision == known.info.Revision && isEarlier {
 			return
 		}
 		// Another start holds and knows nothing of before.
-		c.remove(entry.ID)
+		c.unlist(known)
+		delete(c.servers, entry.ID)
 		known, isListed = nil, false
 	}
 	if isListed && known.info.Service != entry.Service {
@@ -121,6 +123,12 @@
 	delete(c.early, serverID)
 }
 
+// KnowsOtherStart reports whether the server is known as another start than this.
+func (c *Core) KnowsOtherStart(start inventory.Start) bool {
+	known, ok := c.servers[start.ID]
+	return ok && known.info.Start() != start
+}
+
 // list enters a server under its service. What changes costs by what changed, not by all
 // servers: with 3,000 of them one change took 0.25 ms, now 0.2 us (BenchmarkSetServers).
 func (c *Core) list(s *server) {
@@ -234,6 +242,8 @@
 // loading, and the number of orders behind that.
 type View struct {
 	ServerID string
+	// Born is that of the start of the server that is meant; 0 where it is not told.
+	Born     int64
 	Sequence int64
 	// Held are the adapters of each model that may be sent to.
 	Held map[string][]string
@@ -261,6 +271,9 @@
 			c.early[views[i].ServerID] = earlyView{view: &views[i], at: now}
 			continue
 		}
+		if known = c.startOf(known, &views[i]); known == nil {
+			continue
+		}
 		if known.view != nil && known.viewTerm == term && known.view.Sequence > views[i].Sequence {
 			continue
 		}
@@ -269,6 +282,22 @@
 	c.notify()
 }
 
+// startOf is the server as the start that a view is of; nil where that start is over. The leader
+// may hear of a new start from the server itself, before the store tells of it: what the one
+// before held is forgotten then.
+func (c *Core) startOf(known *server, view *View) *server {
+	switch {
+	case view.Born == 0 || view.Born == known.info.Born:
+		return known
+	case view.Born < known.info.Born:
+		return nil
+	}
+	again := known.info
+	again.Born, again.Models, again.ColdLeft, again.TellsCold = view.Born, nil, 0, false
+	c.put(again)
+	return c.servers[again.ID]
+}
+
 // SetLeader takes the word of a term's leader: whether its lease has lapsed, and
 // when it may order.
 func (c *Core) SetLeader(now time.Time, term int64, lapsed bool, orderIn time.Duration) {
--- a/internal/dispatch/early.go
+++ b/internal/dispatch/early.go
@@ -25,9 +25,13 @@
 
 // takeEarly uses the view that came ahead of the server.
 func (c *Core) takeEarly(serverID string) {
-	if early, ok := c.early[serverID]; ok {
-		c.servers[serverID].setView(early.at, c.term, early.view)
-		delete(c.early, serverID)
+	early, ok := c.early[serverID]
+	if !ok {
+		return
+	}
+	delete(c.early, serverID)
+	if s := c.servers[serverID]; early.view.Born == 0 || early.view.Born == s.info.Born {
+		s.setView(early.at, c.term, early.view)
 	}
 }
 
--- a/internal/dispatch/words.go
+++ b/internal/dispatch/words.go
@@ -39,14 +39,8 @@
 	troubledCost = time.Second
 )
 
-// Hear takes what the server told with an answer to a request. News is false where it told
-// nothing that is to be passed on.
-func (c *Core) Hear(now time.Time, flight *Flight, word inventory.Word) (start inventory.Start, news bool) {
-	return flight.start, c.HearStart(now, flight.start, word)
-}
-
-// HearStart takes what one start of a server told this node; it changes nothing for another
-// start.
+// HearStart takes what one start of a server told this node with an answer; it changes nothing for
+// another start. News is false where that is nothing to be passed on.
 func (c *Core) HearStart(now time.Time, start inventory.Start, word inventory.Word) (news bool) {
 	if word.IsEmpty() {
 		return false
@@ -187,6 +181,19 @@
 	return !ok || !now.Before(told.restUntil)
 }
 
+// EndedUnannounced reports whether nobody had said that the server of a flight would end, which
+// has ended: that start of it was to take work.
+func (c *Core) EndedUnannounced(flight *Flight) bool {
+	known, ok := c.servers[flight.start.ID]
+	return ok && !flight.server.isGoing() && !known.closed
+}
+
+// Start is the start of the server that the request was sent to.
+func (f *Flight) Start() inventory.Start { return f.start }
+
+// Age is the time since the request was sent to its server.
+func (f *Flight) Age(now time.Time) time.Duration { return now.Sub(f.started) }
+
 // Rests tells when requests for what is wanted may go to a server again that rests, and whether
 // another one, which does not, might load it meanwhile; ok is false where none rests.
 func (c *Core) Rests(now time.Time, wanted Wanted) (left time.Duration, elsewhere, ok bool) {
--- a/internal/dispatch/words_test.go
+++ b/internal/dispatch/words_test.go
@@ -26,7 +26,8 @@
 	if !ok {
 		t.Fatal("no server takes a request")
 	}
-	start, _ := core.Hear(now, choice.Flight, word)
+	start := choice.Flight.Start()
+	core.HearStart(now, start, word)
 	core.Begun(now, choice.Flight)
 	core.End(now, choice.Flight, OutcomeServed)
 	return start
@@ -74,7 +75,7 @@
 	if !ok || core.CanPick(now, ask) {
 		t.Fatalf("after the rest one request goes: %v, and a second beside it: %v", ok, core.CanPick(now, ask))
 	}
-	core.Hear(now, first.Flight, inventory.Word{Rest: time.Second})
+	core.HearStart(now, first.Flight.Start(), inventory.Word{Rest: time.Second})
 	core.Begun(now, first.Flight)
 	core.End(now, first.Flight, OutcomeRejected)
 	if core.CanPick(now.Add(999*time.Millisecond), ask) {
@@ -114,8 +115,8 @@
 	core := newCore(entry("a", "z", "m"), entry("b", "z"))
 	choice, _ := core.Pick(begin, Ask{Service: "s", Model: "m"})
 	later, _ := core.Pick(begin, Ask{Service: "s", Model: "m"})
-	core.Hear(begin, choice.Flight, inventory.Word{Rest: 3 * time.Second})
-	core.Hear(begin.Add(time.Second), later.Flight, inventory.Word{Rest: time.Second})
+	core.HearStart(begin, choice.Flight.Start(), inventory.Word{Rest: 3 * time.Second})
+	core.HearStart(begin.Add(time.Second), later.Flight.Start(), inventory.Word{Rest: time.Second})
 	core.Begun(begin, later.Flight)
 	core.End(begin, later.Flight, OutcomeServed)
 	if core.CanPick(begin.Add(2500*time.Millisecond), Ask{Service: "s", Model: "m"}) {
@@ -226,7 +227,8 @@
 		before = w.core.servers[entry.ID].words
 	}
 	w.core.SetServers([]inventory.Change{{Server: entry}})
-	if !isListed || entry.Revision >= known.Revision || entry.Start() == known.Start() {
+	isOlder := entry.Revision < known.Revision || entry.Revision == known.Revision && entry.Born < known.Born
+	if !isListed || !isOlder || entry.Start() == known.Start() {
 		w.listed[entry.ID] = entry
 	}
 	server := w.core.servers[entry.ID]
@@ -264,7 +266,7 @@
 		return fmt.Sprintf("%v is sent to, which rests", start)
 	}
 	word := inventory.Word{Leaving: draw(4) == 0, Rest: time.Duration(draw(3)) * time.Second}
-	w.core.Hear(w.now, choice.Flight, word)
+	w.core.HearStart(w.now, choice.Flight.Start(), word)
 	w.core.Begun(w.now, choice.Flight)
 	w.core.End(w.now, choice.Flight, OutcomeServed)
 	w.leaving[start] = w.leaving[start] || word.Leaving
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -50,9 +50,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	isFirst := d.table.Revision() == 0
-	worked, wasCold := make(map[string]bool, len(servers)), make(map[string]bool)
+	worked, wasCold := make(map[inventory.Start]bool, len(servers)), make(map[inventory.Start]bool)
 	for server := range d.table.All {
-		worked[server.ID], wasCold[server.ID] = !server.Draining, server.ColdLeft > 0
+		worked[server.Start()], wasCold[server.Start()] = !server.Draining, server.ColdLeft > 0
 	}
 	changes = d.table.Replace(servers, revision)
 	if isFirst {
@@ -61,13 +61,14 @@
 	return changes, d.learn(now, news(changes, worked, wasCold), revision)
 }
 
-// news are the changes by which a server came, turned cold or takes no more work: all
-// that others need to hear at once.
-func news(changes []inventory.Change, worked, wasCold map[string]bool) []inventory.Change {
+// news are the changes by which a server came, started again, turned cold or takes no more
+// work: all that others need to hear at once.
+func news(changes []inventory.Change, worked, wasCold map[inventory.Start]bool) []inventory.Change {
 	var news []inventory.Change
 	for _, change := range changes {
-		turnedCold := change.Server.ColdLeft > 0 && !wasCold[change.Server.ID]
-		if change.Gone || change.Server.Draining || turnedCold || !worked[change.Server.ID] {
+		start := change.Server.Start()
+		turnedCold := change.Server.ColdLeft > 0 && !wasCold[start]
+		if change.Gone || change.Server.Draining || turnedCold || !worked[start] {
 			news = append(news, change)
 		}
 	}
@@ -78,10 +79,11 @@
 func (d *directory) apply(now time.Time, events []inventory.Change, revision int64) (changes []inventory.Change, hasNews bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	worked, wasCold := make(map[string]bool, len(events)), make(map[string]bool)
+	worked, wasCold := make(map[inventory.Start]bool, len(events)), make(map[inventory.Start]bool)
 	for _, event := range events {
-		worked[event.Server.ID] = d.table.TakesWork(event.Server.ID)
-		wasCold[event.Server.ID] = d.table.IsCold(event.Server.ID)
+		start := event.Server.Start()
+		worked[start] = d.table.Knows(start) && d.table.TakesWork(start.ID)
+		wasCold[start] = d.table.Knows(start) && d.table.IsCold(start.ID)
 	}
 	changes = d.table.Apply(events, revision)
 	return changes, d.learn(now, news(changes, worked, wasCold), revision)
@@ -93,7 +95,7 @@
 	for _, change := range changes {
 		server := change.Server
 		if change.Gone {
-			server = inventory.Server{ID: server.ID, Draining: true, Revision: revision}
+			server = inventory.Server{ID: server.ID, Born: server.Born, Draining: true, Revision: revision}
 		}
 		if d.news.Learn(now, gossip.Item{Server: server}) {
 			learned = true
@@ -114,12 +116,12 @@
 	var changes []inventory.Change
 	for _, item := range items {
 		server := item.Server
-		if !server.Draining && server.ColdLeft > item.Age && d.table.TakesWork(server.ID) && d.table.IsNews(server.ID, server.Revision) {
+		if !server.Draining && server.ColdLeft > item.Age && d.table.TakesWork(server.ID) && d.table.Knows(server.Start()) && d.table.IsNews(server.ID, server.Revision) {
 			d.news.Learn(now, item)
 			changes = append(changes, d.table.TurnsCold(server.ID, server.ColdLeft-item.Age, server.Revision))
 			continue
 		}
-		if !server.Draining && d.table.TakesWork(server.ID) {
+		if !server.Draining && d.table.TakesWork(server.ID) && d.table.Knows(server.Start()) {
 			// Known already, and not told on.
 			d.table.Stays(server.ID, server.Revision)
 			continue
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -156,10 +156,11 @@
 		return
 	}
 	now := clock.Now()
-	worked := make(map[string]bool, len(changes))
+	worked, startedAgain := make(map[string]bool, len(changes)), make(map[string]bool)
 	n.dispatch.Do(func(core *dispatch.Core) {
 		for _, change := range changes {
 			worked[change.Server.ID] = core.Stays(change.Server.ID)
+			startedAgain[change.Server.ID] = !change.Gone && core.KnowsOtherStart(change.Server.Start())
 		}
 		core.SetServers(changes)
 		for _, change := range changes {
@@ -169,10 +170,10 @@
 		}
 	})
 	for _, change := range changes {
-		if change.Gone || change.Server.Draining {
+		if change.Gone || change.Server.Draining || startedAgain[change.Server.ID] {
 			n.pool.Forget(change.Server.Address)
 		}
-		n.logServer(change, worked[change.Server.ID], from)
+		n.logServer(change, worked[change.Server.ID] && !startedAgain[change.Server.ID], from)
 	}
 }
 
@@ -184,7 +185,7 @@
 	if worked && !change.Gone && !change.Server.Draining {
 		event = "server_entry"
 	}
-	n.options.Logger.Info().Str("server", change.Server.ID).Str("address", change.Server.Address).
+	n.options.Logger.Info().Str("server", change.Server.ID).Int64("born", change.Server.Born).Str("address", change.Server.Address).
 		Str("service", change.Server.Service).Bool("gone", change.Gone).Bool("draining", change.Server.Draining).
 		Int64("revision", change.Server.Revision).Int("models", len(change.Server.Models)).
 		Str("from", from).Msg(event)
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -200,7 +200,7 @@
 	servers := make([]inventory.Server, 0, len(wire))
 	for _, entry := range wire {
 		server := inventory.Server{
-			ID: entry.Server, Service: entry.Service, Address: entry.Address, Zone: entry.Zone,
+			ID: entry.Server, Born: entry.Born, Service: entry.Service, Address: entry.Address, Zone: entry.Zone,
 			Slots: int(entry.Slots), Draining: entry.Draining, Revision: entry.Revision,
 		}
 		server.ColdLeft, server.TellsCold = coldLeftOf(entry.ColdLeftMs)
@@ -216,7 +216,7 @@
 	wire := make([]*peerpb.ServerEntry, 0, len(servers))
 	for _, server := range servers {
 		entry := &peerpb.ServerEntry{
-			Server: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone,
+			Server: server.ID, Born: server.Born, Service: server.Service, Address: server.Address, Zone: server.Zone,
 			Slots: uint32(server.Slots), Draining: server.Draining, Revision: server.Revision,
 			ColdLeftMs: encodeColdLeft(server.ColdLeft, server.TellsCold),
 		}
--- /dev/null
+++ b/internal/edge/starts_test.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+)
+
+// startOf is the start of server a that the node would send to; 0 where it would not.
+func startOf(node *Node) (born int64) {
+	node.dispatch.Do(func(core *dispatch.Core) {
+		if choice, ok := core.Pick(clock.Now(), dispatch.Ask{Service: "s"}); ok {
+			born = choice.Flight.Start().Born
+			core.End(clock.Now(), choice.Flight, dispatch.OutcomeLeft)
+		}
+	})
+	return born
+}
+
+// TestLaterStartClearsWhatTheOneBeforeTold: by whatever way it is told, and not the other way.
+func TestLaterStartClearsWhatTheOneBeforeTold(t *testing.T) {
+	server := func(born, revision int64) inventory.Server {
+		return inventory.Server{ID: "a", Born: born, Service: "s", Address: "127.0.0.1:1", Zone: "z", Revision: revision}
+	}
+	ways := map[string]func(node *Node, told inventory.Server){
+		"the store's list": func(node *Node, told inventory.Server) { node.listServers([]inventory.Server{told}, told.Revision) },
+		"a watch": func(node *Node, told inventory.Server) {
+			node.changeServers([]inventory.Change{{Server: told}}, told.Revision)
+		},
+		"a peer's list": func(node *Node, told inventory.Server) {
+			node.listPeerServers(entriesOf(encodeEntries([]inventory.Server{told})), told.Revision)
+		},
+		"a peer's news": func(node *Node, told inventory.Server) {
+			node.hearServers(clock.Now(), newsOf([]*peerpb.ServerNews{{
+				Server: told.ID, Born: told.Born, Service: told.Service, Address: told.Address, Zone: told.Zone, Revision: told.Revision,
+			}}))
+		},
+	}
+	for name, tell := range ways {
+		node := newTestNode(t)
+		node.listServers([]inventory.Server{server(7, 3)}, 3)
+		node.words.hearCall(inventory.Start{ID: "a", Born: 7}, inventory.Word{Leaving: true}, wordFromAnswer)
+		if got := startOf(node); got != 0 {
+			t.Errorf("%s: start %d is sent to, which leaves", name, got)
+		}
+		tell(node, server(6, 2))
+		if got := startOf(node); got != 0 {
+			t.Errorf("%s: an earlier start, told late, is sent to", name)
+		}
+		tell(node, server(8, 9))
+		if got := startOf(node); got != 8 {
+			t.Errorf("%s: start %d is sent to, want the later one", name, got)
+		}
+		node.words.hearPeer(clock.Now(), []*peerpb.ServerWord{{Server: "a", Born: 7, Leaving: true}})
+		if got := startOf(node); got != 8 {
+			t.Errorf("%s: a peer's late word on the start before binds the later one", name)
+		}
+		node.words.hearPeer(clock.Now(), []*peerpb.ServerWord{{Server: "a", Born: 8, RestMs: 60000}, {Server: "", Born: 8, Leaving: true}, {Server: "a", Born: -1, Leaving: true}})
+		if got := startOf(node); got != 8 {
+			t.Errorf("%s: a rest that a peer was asked for, or a word of nobody, binds this node", name)
+		}
+	}
+}
+
+// TestViewOfALaterStartIsTakenForOne: the leader may hear of it from the server itself, first.
+func TestViewOfALaterStartIsTakenForOne(t *testing.T) {
+	node := newTestNode(t)
+	node.listServers([]inventory.Server{{ID: "a", Born: 7, Service: "s", Address: "127.0.0.1:1", Zone: "z", Revision: 3}}, 3)
+	view := func(born int64) {
+		node.dispatch.Do(func(core *dispatch.Core) {
+			core.SetViews(clock.Now(), 5, viewsOf([]*peerpb.ServerView{{Server: "a", Born: born, Held: []*peerpb.HeldModel{{Model: "m"}}}}))
+		})
+	}
+	for _, step := range []struct{ told, want int64 }{{0, 7}, {6, 7}, {8, 8}, {7, 8}} {
+		view(step.told)
+		if got := startOf(node); got != step.want {
+			t.Errorf("a view of start %d: start %d is sent to, want %d", step.told, got, step.want)
+		}
+	}
+}
+
+// TestLeavingOfALaterStartIsToldOn: that of the one before was news, too.
+func TestLeavingOfALaterStartIsToldOn(t *testing.T) {
+	node := newTestNode(t)
+	revision := int64(3)
+	change := func(born int64, draining bool) {
+		revision++
+		node.changeServers([]inventory.Change{{Server: inventory.Server{
+			ID: "a", Born: born, Service: "s", Address: "127.0.0.1:1", Zone: "z", Revision: revision, Draining: draining,
+		}}}, revision)
+	}
+	node.listServers(nil, revision)
+	for born := int64(1); born <= 3; born++ {
+		change(born, false)
+		change(born, true)
+		told := node.directory.tell(clock.Now().Add(time.Millisecond))
+		if len(told) != 1 || told[0].Server.Born != born || !told[0].Server.Draining {
+			t.Errorf("start %d leaves: told %+v", born, told)
+		}
+	}
+}
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -78,10 +78,10 @@
 }
 
 // Blame implements relay.Suspects: it takes that a server ended under the request.
-func (s *suspects) Blame(fingerprint poison.Fingerprint, serverID string) {
+func (s *suspects) Blame(fingerprint poison.Fingerprint, serverID string, ran time.Duration) {
 	s.blamed.Add(1)
 	now := clock.Now()
-	reports := []poison.Report{{Fingerprint: fingerprint, ServerID: serverID}}
+	reports := []poison.Report{{Fingerprint: fingerprint, ServerID: serverID, Ran: ran}}
 	if vouched := s.vouch(now, reports); len(vouched) > 0 {
 		reports = vouched
 	}
--- a/internal/edge/wire.go
+++ b/internal/edge/wire.go
@@ -37,6 +37,7 @@
 	for _, encoded := range wire {
 		view := dispatch.View{
 			ServerID: encoded.Server,
+			Born:     encoded.Born,
 			Sequence: encoded.Sequence,
 			Held:     make(map[string][]string, len(encoded.Held)),
 			Loading:  make(map[string]time.Duration, len(encoded.Loading)),
@@ -61,7 +62,7 @@
 
 func encodeView(view dispatch.View) *peerpb.ServerView {
 	encoded := &peerpb.ServerView{
-		Server: view.ServerID, Sequence: view.Sequence, InMemory: view.InMemory, OnDisk: view.OnDisk,
+		Server: view.ServerID, Born: view.Born, Sequence: view.Sequence, InMemory: view.InMemory, OnDisk: view.OnDisk,
 	}
 	for model, adapters := range view.Held {
 		encoded.Held = append(encoded.Held, &peerpb.HeldModel{Model: model, Adapters: adapters})
@@ -104,7 +105,7 @@
 	for _, told := range wire {
 		item := gossip.Item{
 			Server: inventory.Server{
-				ID: told.Server, Service: told.Service, Address: told.Address, Zone: told.Zone, Slots: int(told.Slots),
+				ID: told.Server, Born: told.Born, Service: told.Service, Address: told.Address, Zone: told.Zone, Slots: int(told.Slots),
 				Draining: told.Going, Revision: told.Revision, Announced: true,
 			},
 			Age: time.Duration(told.AgeMs) * time.Millisecond,
@@ -123,7 +124,7 @@
 	encoded := make([]*peerpb.ServerNews, 0, len(items))
 	for _, item := range items {
 		told := &peerpb.ServerNews{
-			Server: item.Server.ID, Revision: item.Server.Revision, Going: item.Server.Draining,
+			Server: item.Server.ID, Born: item.Server.Born, Revision: item.Server.Revision, Going: item.Server.Draining,
 			AgeMs: uint32(item.Age.Milliseconds()),
 		}
 		if !told.Going {
--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -62,7 +62,8 @@
 		return false
 	}
 	known, ok := n.items[item.Server.ID]
-	if ok && (known.server.Revision >= item.Server.Revision || known.server.Draining && item.Server.Draining) {
+	isSameStart := ok && known.server.Start() == item.Server.Start()
+	if ok && (known.server.Revision >= item.Server.Revision || isSameStart && known.server.Draining && item.Server.Draining) {
 		return false
 	}
 	n.items[item.Server.ID] = &newsItem{server: item.Server, since: now.Add(-item.Age)}
--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -221,6 +221,13 @@
 	return Change{Server: server}
 }
 
+// Knows reports whether the table has an entry of that start of a server, or one that does not
+// say of which it is.
+func (t *Table) Knows(start Start) bool {
+	known, ok := t.servers[start.ID]
+	return ok && (known.Born == start.Born || known.Born == 0 || start.Born == 0)
+}
+
 // TakesWork reports whether the table has the server, and not as draining.
 func (t *Table) TakesWork(id string) bool {
 	known, ok := t.servers[id]
--- a/internal/peer/crashreports.go
+++ b/internal/peer/crashreports.go
@@ -18,6 +18,7 @@
 		reports = append(reports, poison.Report{
 			Fingerprint: fingerprint, ServerID: told.GetServer(), Acquitted: told.GetAcquitted(), Lifted: told.GetLifted(),
 			Age:       time.Duration(told.GetAgeMs()) * time.Millisecond,
+			Ran:       time.Duration(told.GetRanMs()) * time.Millisecond,
 			BarredFor: time.Duration(told.GetBarredMs()) * time.Millisecond,
 		})
 	}
@@ -30,7 +31,8 @@
 	for _, report := range reports {
 		encoded = append(encoded, &peerpb.CrashReport{
 			Fingerprint: report.Fingerprint[:], Server: report.ServerID, Acquitted: report.Acquitted, Lifted: report.Lifted,
-			AgeMs: uint32(max(0, report.Age.Milliseconds())), BarredMs: uint32(report.BarredFor.Milliseconds()),
+			AgeMs: uint32(max(0, report.Age.Milliseconds())), RanMs: uint32(max(0, report.Ran.Milliseconds())),
+			BarredMs: uint32(report.BarredFor.Milliseconds()),
 		})
 	}
 	return encoded
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -111,6 +111,8 @@
 				c.servers[id] = added
 				c.ordered = nil
 			}
+		case known.info.Start() != change.Server.Start():
+			c.startsAgain(now, known, change.Server)
 		default:
 			known.info = change.Server
 			known.endClosedLoad()
@@ -246,6 +248,16 @@
 		s.askReport(now.Add(reportRetry))
 		return
 	}
+	if start := (inventory.Start{ID: id, Born: report.Born}); report.Born != 0 && start != s.info.Start() {
+		if s.info.Start().IsLaterThan(start) {
+			// An answer of the start before.
+			s.askReport(now.Add(recheck))
+			return
+		}
+		again := s.info
+		again.Born, again.Models, again.InMemory = report.Born, nil, nil
+		s = c.startsAgain(now, s, again)
+	}
 	if s.ordering != nil || report.Sequence < s.sequence {
 		// The report is older than the last order.
 		s.askReport(now.Add(recheck))
@@ -259,6 +271,7 @@
 
 func (c *Core) applyReport(now time.Time, s *server, report Report) {
 	s.sequence = report.Sequence
+	s.dropStrays(now)
 	fresh := make(map[string]*held, len(report.Models))
 	for _, model := range report.Models {
 		fresh[model.Name] = s.heldAs(now, model)
@@ -304,7 +317,7 @@
 // OrderAnswered takes the answer to an order.
 func (c *Core) OrderAnswered(now time.Time, order Order, result Result) {
 	s, ok := c.servers[order.ServerID]
-	if !ok || s.ordering == nil {
+	if !ok || s.ordering == nil || order.Born != s.info.Born {
 		return
 	}
 	s.ordering = nil
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -92,9 +92,11 @@
 
 // Report is what a server says of itself when asked.
 type Report struct {
-	Models   []inventory.HeldModel
-	Pending  []dispatch.Wanted
-	Busy     bool
+	Models  []inventory.HeldModel
+	Pending []dispatch.Wanted
+	Busy    bool
+	// Born is that of the start of the server; 0 where it is not told.
+	Born     int64
 	Sequence int64
 	// InMemory and OnDisk are the weights kept beside those held.
 	InMemory []string
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -44,6 +44,8 @@
 	busy bool
 	// isClosed is set while the server's zone is evacuated, or the server is away by its own word.
 	isClosed bool
+	// strays are orders to earlier starts without an answer, which this one may yet carry out.
+	strays []stray
 	// lastTaken is the last order of this term that the server took; nil is none.
 	lastTaken *Order
 }
@@ -94,7 +96,7 @@
 	if s.loading != nil {
 		used += engine.Models[s.loading.model].WeightsMB
 	}
-	return used
+	return used + s.strayMB(engine)
 }
 
 // adapterReserve is the memory of all adapters that a server can hold.
@@ -109,7 +111,7 @@
 }
 
 func (s *server) adapterCount() int {
-	count := 0
+	count := s.strayAdapters()
 	for _, model := range s.held {
 		count += len(model.adapters)
 	}
--- a/internal/placer/views.go
+++ b/internal/placer/views.go
@@ -30,6 +30,7 @@
 func (s *server) view(now time.Time) dispatch.View {
 	view := dispatch.View{
 		ServerID: s.info.ID,
+		Born:     s.info.Born,
 		Sequence: s.sequence,
 		Held:     make(map[string][]string, len(s.held)),
 		Loading:  make(map[string]time.Duration),
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -61,7 +61,10 @@
 	// ServerID is empty where the report tells of a bar alone.
 	ServerID string
 	// Age is the time since then.
-	Age       time.Duration
+	Age time.Duration
+	// Ran is for how long the server had the request when it ended; 0 where that is not
+	// known. One that got it after a server of its ID had ended is another start of it.
+	Ran       time.Duration
 	Acquitted bool
 	// BarredFor is how long the request is barred yet; 0 where it is not. A node that did
 	// not see the servers end goes by it.
@@ -75,6 +78,8 @@
 type end struct {
 	serverID string
 	at       time.Time
+	// ran is for how long it had the request; 0 where that is not known.
+	ran time.Duration
 	// isShared is set where a request that is barred ran there, too: which of them the
 	// server ended under cannot be told.
 	isShared bool
@@ -151,7 +156,7 @@
 	}
 	known := t.entry(now, report.Fingerprint)
 	wasBarred := now.Before(known.barredUntil)
-	isNew := report.ServerID != "" && known.add(end{serverID: report.ServerID, at: at, isShared: t.isShared(report.Fingerprint, report.ServerID)})
+	isNew := report.ServerID != "" && known.add(end{serverID: report.ServerID, at: at, ran: report.Ran, isShared: t.isShared(report.Fingerprint, report.ServerID)})
 	if at.After(known.forgivenAt()) {
 		known.hearBar(now, report.BarredFor)
 	}
@@ -187,7 +192,7 @@
 		return false
 	}
 	byTime := func(a, b end) int { return a.at.Compare(b.at) }
-	if i := slices.IndexFunc(s.ends, func(e end) bool { return e.serverID == added.serverID }); i >= 0 {
+	if i := slices.IndexFunc(s.ends, added.isSame); i >= 0 {
 		if added.at.Before(s.ends[i].at) {
 			s.ends[i].at = added.at
 			slices.SortFunc(s.ends, byTime)
@@ -203,6 +208,22 @@
 	return true
 }
 
+// restartMargin is by how much later than an end another start of the server must have got its
+// request: reports tell times as ages, which grow on their way. Servers take longer to start.
+const restartMargin = 200 * time.Millisecond
+
+// isSame reports whether two ends are of one start of a server.
+func (e end) isSame(other end) bool {
+	if e.serverID != other.serverID {
+		return false
+	}
+	first, last := e, other
+	if last.at.Before(first.at) {
+		first, last = last, first
+	}
+	return last.ran == 0 || last.at.Add(-last.ran).Before(first.at.Add(restartMargin))
+}
+
 // hearBar takes another node's word that the request is barred.
 func (s *suspect) hearBar(now time.Time, barredFor time.Duration) {
 	if barredFor <= 0 || s.isVouched(now) || s.isLifted(now) {
@@ -360,7 +381,7 @@
 	var reports []Report
 	for _, e := range known.ends {
 		reports = append(reports, Report{
-			Fingerprint: fingerprint, ServerID: e.serverID, Age: now.Sub(e.at), BarredFor: t.BarLeft(now, fingerprint),
+			Fingerprint: fingerprint, ServerID: e.serverID, Age: now.Sub(e.at), Ran: e.ran, BarredFor: t.BarLeft(now, fingerprint),
 		})
 	}
 	return reports
--- a/internal/poison/tally_test.go
+++ b/internal/poison/tally_test.go
@@ -278,3 +278,39 @@
 		t.Error("a bar that only the lease tells is no news, or does not bar")
 	}
 }
+
+// TestEachStartOfAServerCounts: a server may start again under its ID. One that got the request
+// after a server of that ID had ended is another start; reports that come again, or later than
+// others of the same end, are not.
+func TestEachStartOfAServerCounts(t *testing.T) {
+	fingerprint := Of(Identity{Target: "/p"})
+	at := func(after time.Duration) time.Time { return start.Add(after) }
+	report := func(age, ran time.Duration) Report {
+		return Report{Fingerprint: fingerprint, ServerID: "a", Age: age, Ran: ran}
+	}
+	steps := []struct {
+		name   string
+		now    time.Duration
+		report Report
+		want   int
+	}{
+		{"the first start ends", 0, report(0, 50*time.Millisecond), 1},
+		{"another node tells of it", 100 * time.Millisecond, report(100*time.Millisecond, 20*time.Millisecond), 1},
+		{"a frozen node tells of it late", 5 * time.Second, report(0, 5*time.Second+10*time.Millisecond), 1},
+		{"an older build tells of it late", 5 * time.Second, report(0, 0), 1},
+		{"the second start ends", 6 * time.Second, report(0, 30*time.Millisecond), 2},
+		{"the second is told again", 7 * time.Second, report(time.Second, 30*time.Millisecond), 2},
+		{"the first is told again", 7 * time.Second, report(7*time.Second, 50*time.Millisecond), 2},
+		{"the third start ends", 9 * time.Second, report(0, 30*time.Millisecond), 3},
+	}
+	tally := NewTally()
+	for _, step := range steps {
+		tally.Take(at(step.now), step.report)
+		if got := tally.Ended(fingerprint); got != step.want {
+			t.Errorf("%s: %d ends, want %d", step.name, got, step.want)
+		}
+	}
+	if tally.Standing(at(9*time.Second), fingerprint) != StandingBarred {
+		t.Error("three starts ended, and the request is not barred")
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -208,9 +208,8 @@
 	if x.word.IsEmpty() {
 		return
 	}
-	var start inventory.Start
-	news := false
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { start, news = core.Hear(clock.Now(), choice.Flight, x.word) })
+	start, news := choice.Flight.Start(), false
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { news = core.HearStart(clock.Now(), start, x.word) })
 	if news {
 		x.handler.options.Heard(start, x.word)
 	}
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
@@ -18,8 +19,8 @@
 	Any() bool
 	// Standing is what is known of a request.
 	Standing(fingerprint poison.Fingerprint) poison.Standing
-	// Blame takes that a server ended as it had the request.
-	Blame(fingerprint poison.Fingerprint, serverID string)
+	// Blame takes that a server ended as it had the request, for a time.
+	Blame(fingerprint poison.Fingerprint, serverID string, ran time.Duration)
 	// EndedWell takes that a request ended well.
 	EndedWell(fingerprint poison.Fingerprint)
 	// ClaimTrial asks whether this node may send a request on trial once, for all nodes.
@@ -101,11 +102,16 @@
 		x.noteUnreachable(choice)
 	}
 	suspects := x.handler.options.Suspects
-	if suspects != nil && x.serverEnd == backendconn.LivenessEnded && x.isStillGood(choice) {
-		suspects.Blame(x.fingerprint(), choice.ServerID)
+	if suspects != nil && x.serverEnd == backendconn.LivenessEnded && x.endedUnannounced(choice) {
+		suspects.Blame(x.fingerprint(), choice.ServerID, choice.Flight.Age(clock.Now()))
 	}
 }
 
+func (x *exchange) endedUnannounced(choice dispatch.Choice) (unannounced bool) {
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { unannounced = core.EndedUnannounced(choice.Flight) })
+	return unannounced
+}
+
 // endedWell remembers that the request ended well: it does not end each server that runs
 // it, and neither do others that are the same.
 func (x *exchange) endedWell() {
--- a/internal/relay/poison_test.go
+++ b/internal/relay/poison_test.go
@@ -31,7 +31,7 @@
 	return s.standing
 }
 
-func (s *fakeSuspects) Blame(_ poison.Fingerprint, serverID string) {
+func (s *fakeSuspects) Blame(_ poison.Fingerprint, serverID string, _ time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.blamed = append(s.blamed, serverID)
