--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -116,7 +116,7 @@
 	models, born := m.held(), m.born
 	m.mu.Unlock()
 	entry := map[string]any{
-		"service": m.service, "address": m.address, "zone": m.zone, "slots": 8, "state": state, "models": models, "sequence": 1,
+		"service": m.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": state, "models": models, "sequence": 1,
 		"coldLeftMs": max(0, time.Until(m.coldUntil).Milliseconds()),
 	}
 	if born > 0 {
--- /dev/null
+++ b/test/platform/writers_test.go
@@ -0,0 +1,81 @@
+package platform
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Entries may come from another writer: what they lack, or say in another form, cannot be read,
+// and names no server to use. An entry without a state, or with one that nobody named, was taken
+// for that of a server that is ready; one that turned unreadable was passed over, and what was
+// known of its server before went on being used.
+func TestEntriesOfAnotherWriterNameNoServer(t *testing.T) {
+	f := newFleet(t, 2)
+	sound := newServer(t, f.store, "i-sound", "commands", 0)
+	foreign := newServer(t, f.store, "i-foreign", "commands", 0)
+	f.store.remove("servers", foreign.id)
+	f.store.put("config", "main", configuration(1))
+	good := func() map[string]any {
+		return map[string]any{
+			"service": "commands", "address": foreign.address, "zone": "z", "version": "v1", "slots": 8, "state": "ready", "sequence": 1, "coldLeftMs": 0,
+		}
+	}
+	with := func(name string, value any) map[string]any {
+		entry := good()
+		entry[name] = value
+		if value == nil {
+			delete(entry, name)
+		}
+		return entry
+	}
+	entries := map[string]any{
+		"no-state": with("state", nil), "no-service": with("service", nil), "no-zone": with("zone", nil), "no-slots": with("slots", nil),
+		"state-unknown": with("state", "sleeping"), "state-number": with("state", 7), "slots-text": with("slots", "8"), "zone-list": with("zone", []int{1}),
+		"sequence-fraction": with("sequence", 1.5), "cold-text": with("coldLeftMs", "soon"), "models-text": with("models", "m1"), "born-text": with("born", "now"),
+		"text": "garbage", "number": 7, "list": []int{1, 2}, "nothing": nil, "huge": with("more", strings.Repeat("x", 1<<19)),
+	}
+	for name, entry := range entries {
+		f.store.put("servers", "i-"+name, entry)
+	}
+	f.awaitReady()
+	for _, n := range f.nodes {
+		for number, got := range n.sendMany(0, 40, "/command/x", "") {
+			if got.status != http.StatusOK || got.body != "done by "+sound.id {
+				t.Errorf("%s: request %d: %+v", n.name, number, got)
+			}
+		}
+	}
+	if foreign.runCount() > 0 {
+		t.Errorf("%d requests ran where entries of another writer sent them", foreign.runCount())
+	}
+	eventually(t, "a finding names its place", func() bool {
+		return strings.Contains(f.nodes[0].log()+f.nodes[1].log(), "event=entry_unreadable") && strings.Contains(f.nodes[0].log()+f.nodes[1].log(), "servers/i-no-state")
+	})
+}
+
+// TestEntryThatTurnsUnreadableTakesItsServerOut: for new work, while what runs there runs on; one
+// that can be read brings it back.
+func TestEntryThatTurnsUnreadableTakesItsServerOut(t *testing.T) {
+	f := newFleet(t, 2)
+	turning := newServerIn(t, f.store, "z", "i-turning", "models", 50*time.Millisecond, "m1")
+	turning.streamPause = 200 * time.Millisecond
+	f.store.put("config", "main", configuration(1))
+	f.awaitReady()
+	n := f.nodes[0]
+	answered := make(chan reply, 1)
+	go func() { answered <- n.sendOwn(0, "/chat/x", "m1") }()
+	eventually(t, "a stream runs", func() bool { return turning.runCount() == 1 })
+	f.store.put("servers", turning.id, map[string]any{"service": "models", "state": 7})
+	number := 1
+	eventually(t, "nothing new goes there", func() bool {
+		number++
+		return n.sendRequest(sending{id: n.name + "/x" + string(rune('a'+number)), path: "/chat/x", model: "m1", body: "body", deadline: 300 * time.Millisecond}).status == http.StatusServiceUnavailable
+	})
+	if got := <-answered; got.status != http.StatusOK || strings.Count(got.body, "id: ") != 5 {
+		t.Errorf("the stream that ran was not whole: %+v", got)
+	}
+	turning.enter(f.store, "ready")
+	eventually(t, "it is back", func() bool { number++; return n.sendOwn(number, "/chat/x", "m1").status == http.StatusOK })
+}
