Entries of servers by another writer name no server to use

Cause: an entry was whole if it named an address; a state that nobody named counted as ready, and one that could not be read was passed over in a watch, so that what was known of its server before went on being used.

An unreadable one takes its server out of use for new work, as one that leaves, until one comes that can be read; nobody learns of a server by it. An object that cannot be read leaves the rest of its list or watch. What peers tell is checked likewise.

Fixtures of TestServerHeardOfAsNewsIsCold and its like name an address and a zone.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -120,6 +120,7 @@
 		Logger:     logger,
 		Metrics:    metricsAddress(settings, flags.metrics),
 		LogDropped: lines.Dropped,
+		Unreadable: store.Unreadable,
 	})
 	store.Objects.Calls = node.CountStoreCall
 	go watchSettings(ctx, path, hangups, func() { reload(node, path, logger) })
--- a/internal/edge/coldstarts_test.go
+++ b/internal/edge/coldstarts_test.go
@@ -36,6 +36,7 @@
 }
 
 func hearsOf(node *Node, server inventory.Server) {
+	server.Address, server.Zone = "127.0.0.1:1", "z"
 	node.hearServers(clock.Now(), newsOf(encodeNews([]gossip.Item{{Server: server}})))
 }
 
@@ -71,7 +72,7 @@
 // TestKnownServerThatTurnsColdIsNews: entries are read only once in a second.
 func TestKnownServerThatTurnsColdIsNews(t *testing.T) {
 	reader, node := newColdNode(t, 2), newColdNode(t, 1)
-	known := inventory.Server{ID: "a", Service: "s", Revision: 4, TellsCold: true}
+	known := inventory.Server{ID: "a", Service: "s", Address: "127.0.0.1:1", Zone: "z", Revision: 4, TellsCold: true}
 	for _, each := range []*Node{reader, node} {
 		each.listServers([]inventory.Server{known}, 4)
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -148,6 +148,9 @@
 		m.counter("servers_"+distance.String()+"_bytes_total", "Bytes of bodies to and from servers there.", counts.ServerBytes[distance].Load)
 	}
 	m.counter("datagrams_unreadable_total", "Datagrams of peers dropped as they could not be read.", func() int64 { return node.peers.unreadable.Load() })
+	if node.options.Unreadable != nil {
+		m.counter("entries_unreadable_total", "Entries of servers that could not be read, each time that they came.", node.options.Unreadable)
+	}
 	if node.options.LogDropped != nil {
 		m.counter("log_lines_dropped_total", "Log lines left out.", node.options.LogDropped)
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -89,8 +89,10 @@
 	Logger      *log.Logger
 	// Metrics is where figures are served, as ADDRESS/PATH; empty is nowhere.
 	Metrics string
-	// LogDropped counts the log lines left out; nil where none are.
+	// LogDropped counts the log lines left out, and Unreadable the entries of the store that
+	// could not be read; nil where none are.
 	LogDropped func() int64
+	Unreadable func() int64
 }
 
 // Tunables are the options that may change while a node runs.
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/clock"
@@ -203,6 +204,9 @@
 			ID: entry.Server, Born: entry.Born, Service: entry.Service, Address: entry.Address, Zone: entry.Zone,
 			Slots: int(entry.Slots), Draining: entry.Draining, Revision: entry.Revision,
 		}
+		if !isUsable(server) {
+			continue
+		}
 		server.ColdLeft, server.TellsCold = coldLeftOf(entry.ColdLeftMs)
 		for _, model := range entry.Held {
 			server.Models = append(server.Models, inventory.HeldModel{Name: model.Model, Adapters: model.Adapters})
@@ -212,6 +216,19 @@
 	return servers
 }
 
+// isUsable reports whether what a peer tells of a server names one: a peer of another build may
+// have taken what this one cannot read.
+func isUsable(server inventory.Server) bool {
+	if server.ID == "" || server.Born < 0 || server.Revision < 0 {
+		return false
+	}
+	if server.Draining {
+		return true
+	}
+	_, err := netip.ParseAddrPort(server.Address)
+	return err == nil && server.Service != "" && server.Zone != ""
+}
+
 func encodeEntries(servers []inventory.Server) []*peerpb.ServerEntry {
 	wire := make([]*peerpb.ServerEntry, 0, len(servers))
 	for _, server := range servers {
--- a/internal/edge/starts_test.go
+++ b/internal/edge/starts_test.go
@@ -103,3 +103,28 @@
 		}
 	}
 }
+
+// TestPeersNameOnlyServersThatCanBeUsed: a peer of another build may have taken entries that this
+// one cannot read, and tells them on.
+func TestPeersNameOnlyServersThatCanBeUsed(t *testing.T) {
+	good := &peerpb.ServerEntry{Server: "a", Born: 7, Service: "s", Address: "127.0.0.1:1", Zone: "z", Revision: 3}
+	for name, change := range map[string]func(entry *peerpb.ServerEntry){
+		"no name": func(e *peerpb.ServerEntry) { e.Server = "" }, "no service": func(e *peerpb.ServerEntry) { e.Service = "" },
+		"no zone": func(e *peerpb.ServerEntry) { e.Zone = "" }, "no address": func(e *peerpb.ServerEntry) { e.Address = "" },
+		"an address that is none": func(e *peerpb.ServerEntry) { e.Address = "here" }, "a start before all": func(e *peerpb.ServerEntry) { e.Born = -1 },
+		"a revision before all": func(e *peerpb.ServerEntry) { e.Revision = -1 },
+	} {
+		bad := &peerpb.ServerEntry{Server: "b", Born: 7, Service: "s", Address: "127.0.0.1:2", Zone: "z", Revision: 4}
+		change(bad)
+		if got := entriesOf([]*peerpb.ServerEntry{bad, good}); len(got) != 1 || got[0].ID != "a" {
+			t.Errorf("a list, %s: %+v", name, got)
+		}
+		news := []*peerpb.ServerNews{
+			{Server: bad.Server, Born: bad.Born, Service: bad.Service, Address: bad.Address, Zone: bad.Zone, Revision: bad.Revision},
+			{Server: "gone", Going: true, Revision: 9},
+		}
+		if got := newsOf(news); len(got) != 1 || got[0].Server.ID != "gone" {
+			t.Errorf("news, %s: %+v", name, got)
+		}
+	}
+}
--- a/internal/edge/wire.go
+++ b/internal/edge/wire.go
@@ -110,6 +110,9 @@
 			},
 			Age: time.Duration(told.AgeMs) * time.Millisecond,
 		}
+		if !isUsable(item.Server) {
+			continue
+		}
 		// What is kept is what the store said, and when.
 		item.Server.ColdLeft, item.Server.TellsCold = coldLeftOf(told.ColdLeftMs)
 		if item.Server.ColdLeft > 0 {
--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -33,6 +33,9 @@
 	// ColdLeft is for how long the server is cold yet, where TellsCold is set.
 	ColdLeft  time.Duration
 	TellsCold bool
+	// Unreadable is set where an entry stands that cannot be read, of which ID and Revision are
+	// known alone: it names no server to use.
+	Unreadable bool
 	// Announced is set where a peer told of the server ahead of its entry: what it
 	// holds is not known, or known from an earlier entry.
 	Announced bool
@@ -102,6 +105,10 @@
 	var changes []Change
 	for _, server := range servers {
 		listed[server.ID] = true
+		if server.Unreadable {
+			changes = append(changes, t.turnsUnreadable(server)...)
+			continue
+		}
 		if taken, ok := take(server); ok {
 			changes = append(changes, Change{Server: taken})
 		}
@@ -125,6 +132,10 @@
 	t.revision = revision
 	var changes []Change
 	for _, event := range lastOfEach(events) {
+		if event.Server.Unreadable {
+			changes = append(changes, t.turnsUnreadable(event.Server)...)
+			continue
+		}
 		if !event.Gone {
 			if taken, ok := t.take(event.Server, revision); ok {
 				changes = append(changes, Change{Server: taken})
@@ -139,6 +150,15 @@
 	return changes
 }
 
+// turnsUnreadable takes a known server out of use by its entry, which cannot be read any more.
+// What runs there runs on; an entry that can be read brings it back.
+func (t *Table) turnsUnreadable(server Server) []Change {
+	if known, ok := t.servers[server.ID]; !ok || known.Draining || known.Revision >= server.Revision {
+		return nil
+	}
+	return []Change{t.Leaves(server.ID, server.Revision)}
+}
+
 // lastOfEach returns the last event of each server, in the order of the events.
 func lastOfEach(events []Change) []Change {
 	last := make(map[string]int, len(events))
--- a/internal/inventory/server_test.go
+++ b/internal/inventory/server_test.go
@@ -145,3 +145,34 @@
 		t.Error(diff)
 	}
 }
+
+// TestEntryThatCannotBeRead: it takes a known server out of use until one that can be read comes;
+// one of a server that nobody knows names none, and the others of a list hold.
+func TestEntryThatCannotBeRead(t *testing.T) {
+	sound := Server{ID: "a", Service: "s", Address: "1.2.3.4:5", Revision: 2}
+	unreadable := Server{ID: "a", Revision: 5, Unreadable: true}
+	out := sound
+	out.Draining, out.Revision = true, 5
+	back := sound
+	back.Revision = 9
+	for name, tell := range map[string]func(table *Table, server Server, revision int64) []Change{
+		"watch": func(table *Table, server Server, revision int64) []Change {
+			return table.Apply([]Change{{Server: server}, {Server: Server{ID: "x", Revision: revision, Unreadable: true}}}, revision)
+		},
+		"list": func(table *Table, server Server, revision int64) []Change {
+			return table.Replace([]Server{server, {ID: "x", Revision: revision, Unreadable: true}}, revision)
+		},
+	} {
+		table := NewTable()
+		table.Replace([]Server{sound}, 3)
+		if diff := cmp.Diff([]Change{{Server: out}}, tell(table, unreadable, 5)); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+		if again := tell(table, unreadable, 6); again != nil || table.TakesWork("a") || table.TakesWork("x") {
+			t.Errorf("%s: the same once more is news: %v", name, again)
+		}
+		if diff := cmp.Diff([]Change{{Server: back}}, tell(table, back, 9)); diff != "" || !table.TakesWork("a") {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
