A server whose address another has is not sent to again

Cause: of the same class: an answer by which another server says that it has the address was used for its request alone; the next ones went there as well, until the entry went.

Change: such an answer tells that the start is over, to later choices and to the other nodes, as that it leaves does. What the other server tells of itself is not taken for its word.

Figures: TestServerWhoseAddressAnotherHasIsNotSentToAgain: 3 sends of 3 before, 1 now; its next start is used.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -200,11 +200,11 @@
 // answers to earlier requests, which come late, count as well.
 func (x *exchange) hear(choice dispatch.Choice, status int, header http.Header) {
 	told := x.handler.options.Dialect.ReadAnswer(status, header)
+	x.word = told.Word
 	if told.ServerID != "" && told.ServerID != choice.ServerID {
-		// Another server has the address.
-		return
+		// Another server has the address, and tells of itself; the one that was meant is gone.
+		x.word = inventory.Word{Leaving: status == http.StatusMisdirectedRequest}
 	}
-	x.word = told.Word
 	if x.word.IsEmpty() {
 		return
 	}
--- a/internal/relay/words_test.go
+++ b/internal/relay/words_test.go
@@ -154,14 +154,28 @@
 	}
 }
 
-// TestWordOfAnotherServerIsNotTaken: another server has the address by now, and answers for itself.
-func TestWordOfAnotherServerIsNotTaken(t *testing.T) {
-	server := newStandin(t, answering(http.StatusMisdirectedRequest, "", "X-By: another", "X-Leaving: 1"))
+// TestServerWhoseAddressAnotherHasIsNotSentToAgain: another server has the address by now, and
+// answers for itself. The node went on to send there, request after request, until the entry
+// went; what the other one tells of itself is not meant.
+func TestServerWhoseAddressAnotherHasIsNotSentToAgain(t *testing.T) {
+	server := newStandin(t, answering(http.StatusMisdirectedRequest, "", "X-By: another", "X-Rest: 60s"))
 	f := newFixture(t, server)
-	for range 2 {
+	var heard []inventory.Word
+	f.handler.options.Heard = func(start inventory.Start, word inventory.Word) {
+		if start == leavingStart {
+			heard = append(heard, word)
+		}
+	}
+	for range 3 {
 		f.send(t, http.MethodPost, "/once/", "")
 	}
-	if server.count() != 2 {
-		t.Errorf("sent %d times: what another server told was taken for the word of this one", server.count())
+	if server.count() != 1 || len(heard) != 1 || heard[0] != (inventory.Word{Leaving: true}) {
+		t.Errorf("sent %d times, heard %v: its start is over", server.count(), heard)
+	}
+	f.dispatch.Do(func(core *dispatch.Core) {
+		core.SetServers([]inventory.Change{{Server: inventory.Server{ID: "s0", Born: 2, Service: "svc", Address: server.address, Zone: "z", Slots: 8, Revision: 2}}})
+	})
+	if f.send(t, http.MethodPost, "/once/", ""); server.count() != 2 {
+		t.Error("its next start is not sent to")
 	}
 }
