--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -179,6 +179,11 @@
 // nothing.
 func (t *Table) take(server Server, revision int64) (taken Server, ok bool) {
 	known, has := t.servers[server.ID]
+	if has && known.Born != 0 && server.Born == 0 {
+		// Its server told its start before: the entry is another writer's.
+		changes := t.turnsUnreadable(server)
+		return t.servers[server.ID], len(changes) > 0
+	}
 	if !has || server.isNewerThan(known) || !server.refutes(known, revision) {
 		return t.takeNewer(server)
 	}
@@ -193,6 +198,10 @@
 	if has && !server.isNewerThan(known) {
 		return known, false
 	}
+	if server.Born == 0 {
+		// A peer whose build does not tell it.
+		server.Born = known.Born
+	}
 	t.put(server)
 	return server, true
 }
@@ -227,6 +236,9 @@
 	if ok && server.Draining {
 		return []Change{t.Leaves(server.ID, server.Revision)}
 	}
+	if server.Born == 0 {
+		server.Born = known.Born
+	}
 	t.put(server)
 	return []Change{{Server: server}}
 }
--- a/internal/inventory/server_test.go
+++ b/internal/inventory/server_test.go
@@ -176,3 +176,29 @@
 		}
 	}
 }
+
+// TestStartThatIsNotTold: peers of builds that do not tell it mean the start that is known, and
+// nothing that it told is forgotten by that; where the store told it once, an entry without it is
+// another writer's.
+func TestStartThatIsNotTold(t *testing.T) {
+	known := Server{ID: "a", Born: 7, Service: "s", Address: "1.2.3.4:5", Revision: 2}
+	newer := known
+	newer.Born, newer.Revision = 0, 5
+	want := newer
+	want.Born = 7
+	for name, tell := range map[string]func(table *Table) []Change{
+		"a list": func(table *Table) []Change { return table.ReplaceByPeer([]Server{newer}, 5) },
+		"news":   func(table *Table) []Change { return table.Note(newer) },
+	} {
+		table := NewTable()
+		table.Replace([]Server{known}, 3)
+		if diff := cmp.Diff([]Change{{Server: want}}, tell(table)); diff != "" {
+			t.Errorf("%s of a peer: %s", name, diff)
+		}
+	}
+	table := NewTable()
+	table.Replace([]Server{known}, 3)
+	if changes := table.Apply([]Change{{Server: newer}}, 5); len(changes) != 1 || !changes[0].Server.Draining || changes[0].Server.Born != 7 {
+		t.Errorf("an entry without a start: %+v, want its server out of use", changes)
+	}
+}
