Soak: starts under one identity, entries of other writers, two builds; a test over two builds

Kinds same-id-again, other-writer and two-builds. TestTwoBuildsSideBySide runs the landing before on half of the nodes and replaces them one after the other, back and forth, under load, with a changed configuration and the store away in the middle; it is skipped, and says so, where the history lacks that build.

Tests changed: crashing stand-ins name a zone in their entry, as each server does: without one they are another writer's now.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -33,6 +33,8 @@
 	settings string
 	process  *exec.Cmd
 	ended    chan error
+	// binary is the program that it runs from its next start on; empty is the one under test.
+	binary string
 	// arguments are further ones of the command.
 	arguments []string
 	// toPeers is the way of others to the node, and toStore that of the node to
--- a/test/platform/node_test.go
+++ b/test/platform/node_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -34,7 +35,7 @@
 }
 
 func (n *node) start() {
-	n.process = exec.Command(binary, append([]string{"edge"}, n.arguments...)...)
+	n.process = exec.Command(cmp.Or(n.binary, binary), append([]string{"edge"}, n.arguments...)...)
 	n.process.Env = append(os.Environ(), "SPANLANDING_BOOT="+n.settings)
 	n.process.Stdout, n.process.Stderr = n, n
 	if err := n.process.Start(); err != nil {
--- a/test/platform/poison_test.go
+++ b/test/platform/poison_test.go
@@ -101,7 +101,7 @@
 	defer c.mu.Unlock()
 	c.number++
 	c.current = &modelServer{
-		id: fmt.Sprintf("i-%s-%d", c.address[strings.LastIndex(c.address, ":")+1:], c.number), service: "models", address: c.address,
+		id: fmt.Sprintf("i-%s-%d", c.address[strings.LastIndex(c.address, ":")+1:], c.number), service: "models", address: c.address, zone: "z",
 		loadTime: 50 * time.Millisecond, streamPause: 20 * time.Millisecond,
 		models: map[string]map[string]bool{"m1": {}}, runs: make(map[string]int), ranAt: make(map[string]time.Time),
 	}
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -74,6 +74,10 @@
 	isLeaving bool
 	// restFor is the rest that it asks for as it turns all requests away; 0 is none.
 	restFor time.Duration
+	// isDown lets it answer nobody.
+	isDown bool
+	// server is what serves it; nil where nobody ends its connections.
+	server *httptest.Server
 	// born is when it started, in Unix milliseconds; 0 is not told.
 	born int64
 	// arrivals are the requests that reached it since it first left or wanted rest.
@@ -84,6 +88,7 @@
 type arrival struct {
 	id        string
 	at        time.Time
+	born      int64
 	isLeaving bool
 	rest      time.Duration
 }
@@ -131,7 +136,7 @@
 	m.set(func() {
 		m.models = make(map[string]map[string]bool)
 		m.sequence, m.busy, m.loading = 0, false, ""
-		m.isLeaving, m.restFor, m.arrivals = false, 0, nil
+		m.isLeaving, m.restFor = false, 0
 		m.born++
 	})
 	m.enter(s, "ready")
@@ -158,6 +163,10 @@
 	}
 	m.mu.Lock()
 	m.reachedAt = time.Now()
+	if m.isDown {
+		m.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	if m.isLeaving {
 		writer.Header().Set("Server-Leaving", "1")
 	}
@@ -205,9 +214,13 @@
 	default:
 		m.busy = true
 		m.beginLoad(wanted.Model)
+		born := m.born
 		time.AfterFunc(m.loadTime, func() {
 			m.mu.Lock()
 			defer m.mu.Unlock()
+			if m.born != born {
+				return
+			}
 			m.busy = false
 			m.loading = ""
 			m.models[wanted.Model] = make(map[string]bool)
@@ -232,7 +245,7 @@
 	model, adapter, _ := strings.Cut(request.Header.Get("Model"), "/")
 	m.mu.Lock()
 	if m.isLeaving || m.restFor > 0 || len(m.arrivals) > 0 {
-		m.arrivals = append(m.arrivals, arrival{id: id, at: time.Now(), isLeaving: m.isLeaving, rest: m.restFor})
+		m.arrivals = append(m.arrivals, arrival{id: id, at: time.Now(), born: m.born, isLeaving: m.isLeaving, rest: m.restFor})
 	}
 	if m.restFor > 0 {
 		rest := m.restFor
--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -65,7 +65,7 @@
 
 // allKinds are the faults that are drawn.
 func allKinds() []kind {
-	return append(append(firstKinds(), wordKinds()...),
+	return append(append(append(firstKinds(), wordKinds()...), startKinds()...),
 		kind{poisonKind, 2, func(s *soak, d drawnFault) {
 			if s.options.isRelayed {
 				s.sendPoison(d)
--- a/test/platform/soak_judge_test.go
+++ b/test/platform/soak_judge_test.go
@@ -203,6 +203,7 @@
 		s.judgeWords(m)
 		m.mu.Unlock()
 	}
+	s.judgeTraps()
 	slices.SortFunc(loads, time.Time.Compare)
 	for i := soakLoads; i < len(loads); i++ {
 		if loads[i].Sub(loads[i-soakLoads]) < soakWindow {
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -119,6 +119,10 @@
 	heldUntil time.Time
 	// evacuations are those declared, in their order.
 	evacuations []soakEvacuation
+	// ranOlder are the nodes that ran the landing before at some time.
+	ranOlder map[string]bool
+	// traps are servers that only entries of another writer name.
+	traps []*modelServer
 
 	busy    sync.WaitGroup
 	callers sync.WaitGroup
@@ -157,12 +161,23 @@
 	return &soak{
 		fleet: f, options: options, random: rand.New(rand.NewPCG(options.seed, 0x50a4)),
 		written: make(map[int]time.Time), left: make(map[string]time.Time), lapsed: make(map[string]bool),
-		poisons: make(map[string]*soakPoison),
-		probes:  make(map[string][]probe), stop: make(chan struct{}),
+		poisons: make(map[string]*soakPoison), ranOlder: make(map[string]bool),
+		probes: make(map[string][]probe), stop: make(chan struct{}),
 	}
 }
 
 func runSoak(t *testing.T, options soakOptions) {
+	t.Helper()
+	s := startSoak(t, options)
+	s.end(s.play(func() {
+		for end := time.Now().Add(options.time); time.Now().Before(end); {
+			s.storm()
+		}
+	}))
+}
+
+// startSoak starts a fleet with servers and a configuration.
+func startSoak(t *testing.T, options soakOptions) *soak {
 	t.Helper()
 	fleetOf := fleetOptions{
 		count: options.nodes, seeds: `"127.0.0.11:1", "127.0.0.12:1"`, firstIP: firstSoakIP, isRelayed: options.isRelayed, hasMetrics: true,
@@ -185,21 +200,30 @@
 		s.addServer("commands", 0)
 	}
 	s.changeConfiguration()
+	return s
+}
+
+// play lets callers come while the troubles are made, and for a time after them; it returns when
+// the troubles were over.
+func (s *soak) play(makeTroubles func()) (calm time.Time) {
 	s.awaitReady()
 	s.call()
 	go s.judgeOn()
-	for end := time.Now().Add(options.time); time.Now().Before(end); {
-		s.storm()
-	}
-	calm := time.Now()
-	time.Sleep(soakQuiet + options.slack)
+	makeTroubles()
+	calm = time.Now()
+	time.Sleep(soakQuiet + s.options.slack)
+	return calm
+}
+
+// end judges what was played.
+func (s *soak) end(calm time.Time) {
 	s.judgeBeliefs()
 	close(s.stop)
 	s.callers.Wait()
 	s.judge(calm)
 	s.keepLogs()
 	for _, finding := range s.findings {
-		t.Error(finding)
+		s.t.Error(finding)
 	}
 }
 
@@ -245,6 +269,7 @@
 	}
 	server := httptest.NewServer(m)
 	s.t.Cleanup(server.Close)
+	m.server, m.born = server, time.Now().UnixMilli()
 	m.address = strings.TrimPrefix(server.URL, "http://")
 	if s.options.isRelayed {
 		m.way = newWay(s.t, "127.0.0.1:0", m.address)
--- a/test/platform/soak_words_test.go
+++ b/test/platform/soak_words_test.go
@@ -54,22 +54,32 @@
 	for _, end := range s.ends {
 		ends[end.id] = end
 	}
-	passedOn := make(map[string]time.Time)
-	rests := make(map[string][]arrival)
+	// What a server tells binds the start that told it.
+	type byNode struct {
+		node string
+		born int64
+	}
+	passedOn := make(map[byNode]time.Time)
+	rests := make(map[byNode][]arrival)
 	for _, came := range m.arrivals {
 		end, known := ends[came.id]
 		if !known {
 			continue
 		}
-		if at, told := passedOn[end.node]; told && end.sent.Sub(at) > soakDrain+s.options.slack && !s.isWordExcused(m, end.node, at, came.at) {
+		if s.ranOlder[end.node] {
+			// The landing before does not hear what answers tell.
+			continue
+		}
+		by := byNode{end.node, came.born}
+		if at, told := passedOn[by]; told && end.sent.Sub(at) > soakDrain+s.options.slack && !s.isWordExcused(m, end.node, at, came.at) {
 			s.find("DRAIN: %s of %s reached %s %v after it had told the node that it leaves", end.id, end.node, m.id, came.at.Sub(at))
 		}
-		s.judgeRests(m, ends, came, rests[end.node])
+		s.judgeRests(m, ends, came, rests[by])
 		if came.rest > 0 {
-			rests[end.node] = append(rests[end.node], came)
+			rests[by] = append(rests[by], came)
 		}
-		if at, told := passedOn[end.node]; came.isLeaving && (!told || end.done.Before(at)) && end.status == 200 {
-			passedOn[end.node] = end.done
+		if at, told := passedOn[by]; came.isLeaving && (!told || end.done.Before(at)) && end.status == 200 {
+			passedOn[by] = end.done
 		}
 	}
 }
@@ -84,7 +94,7 @@
 		}
 		inRest := 0
 		for _, other := range m.arrivals {
-			if !other.at.Before(from) && !other.at.After(came.at) && ends[other.id].node == node {
+			if !other.at.Before(from) && !other.at.After(came.at) && other.born == rest.born && ends[other.id].node == node {
 				inRest++
 			}
 		}
