--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -85,7 +85,7 @@
 	}
 	slices.SortFunc(due, func(a, b *newsItem) int {
 		return cmp.Or(
-			-cmp.Compare(rankOf(a.server), rankOf(b.server)),
+			-cmp.Compare(rankOf(a.server.Draining), rankOf(b.server.Draining)),
 			cmp.Compare(a.told, b.told),
 			strings.Compare(a.server.ID, b.server.ID),
 		)
@@ -108,9 +108,9 @@
 	return comingTold
 }
 
-// rankOf puts servers that go before those that come.
-func rankOf(server inventory.Server) int {
-	if server.Draining {
+// rankOf puts servers that go before others.
+func rankOf(goes bool) int {
+	if goes {
 		return 1
 	}
 	return 0
--- a/internal/gossip/words.go
+++ b/internal/gossip/words.go
@@ -96,7 +96,7 @@
 		}
 	}
 	slices.SortFunc(due, func(a, b dueItem) int {
-		return cmp.Or(-compareBool(a.known.leaving, b.known.leaving), cmp.Compare(a.known.told, b.known.told), strings.Compare(a.start.ID, b.start.ID))
+		return cmp.Or(-cmp.Compare(rankOf(a.known.leaving), rankOf(b.known.leaving)), cmp.Compare(a.known.told, b.known.told), strings.Compare(a.start.ID, b.start.ID))
 	})
 	var items []WordItem
 	for _, item := range due[:min(wordsPerPeriod, len(due))] {
@@ -106,14 +106,3 @@
 	}
 	return items
 }
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
