--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -15,7 +15,6 @@
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/gossip"
-	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 )
 
@@ -123,72 +122,6 @@
 	}, nil
 }
 
-// count is the number of other nodes heard from lately.
-func (p *peers) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.alive)
-}
-
-// addHints tries addresses that a peer named, for a while.
-func (p *peers) addHints(now time.Time, addresses []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.roster.AddHints(now, addresses)
-}
-
-// addSeeds tries further addresses until a node is known there.
-func (p *peers) addSeeds(seeds []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.roster.AddSeeds(seeds)
-}
-
-// rank is the number of nodes that come before this one where one has to do
-// something for all, and the number of all.
-func (p *peers) rank(now time.Time) (rank, nodes int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.Rank(now), 1 + len(p.roster.Alive(now))
-}
-
-// some are addresses of living nodes.
-func (p *peers) some(now time.Time, most int) []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.Sample(now, most)
-}
-
-// near is the address of some living node, of this region if there is one; empty where
-// none lives.
-func (p *peers) near(now time.Time) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.Near(now)
-}
-
-// rankNear is the number of living nodes of this region that come before this one.
-func (p *peers) rankNear(now time.Time) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.RankNear(now)
-}
-
-// isFar reports whether the node at an address is in another region.
-func (p *peers) isFar(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.DistanceTo(address) == locality.OtherRegion
-}
-
-// isSentinel reports whether this node watches the store for the others.
-func (p *peers) isSentinel() bool {
-	term, _ := p.node.leader.standing()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.IsSentinel(clock.Now(), term != 0, p.node.storeFailing.Load())
-}
-
 // receive takes datagrams until ctx ends.
 func (p *peers) receive(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
@@ -393,27 +326,6 @@
 	}
 }
 
-// noteAlive logs the peers that came and went. The lock is held.
-func (p *peers) noteAlive(now time.Time) {
-	if now.Sub(p.notedAt) < noteAlivePeriod {
-		return
-	}
-	p.notedAt = now
-	alive := make(map[string]bool, len(p.alive))
-	for _, peer := range p.roster.Alive(now) {
-		alive[peer.Address] = true
-		if !p.alive[peer.Address] {
-			p.node.options.Logger.Info().Str("peer", peer.Name).Str("address", peer.Address).Msg("peer_alive")
-		}
-	}
-	for address := range p.alive {
-		if !alive[address] {
-			p.node.options.Logger.Info().Str("address", address).Msg("peer_silent")
-		}
-	}
-	p.alive = alive
-}
-
 func (p *peers) state(now time.Time) *peerpb.NodeState {
 	state := &peerpb.NodeState{
 		Node:     p.node.options.Name,
@@ -446,20 +358,3 @@
 	}
 	return state
 }
-
-// all are the addresses of all living nodes but this one.
-func (p *peers) all(now time.Time) []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.addresses(now)
-}
-
-// addresses are those of all living nodes but this one. The lock is held.
-func (p *peers) addresses(now time.Time) []string {
-	alive := p.roster.Alive(now)
-	addresses := make([]string, 0, len(alive))
-	for _, peer := range alive {
-		addresses = append(addresses, peer.Address)
-	}
-	return addresses
-}
