Orders of a holder that is killed do not arrive after their time

Cause: a process that is killed resets nothing; its kernel goes on to deliver an order that it had written behind a cut way for as long as SilenceTimeout (3 s), in which the next holder may begin.

Change: an order's own time, which ends with its lease, is the user time-out of its connection, set before it is written. A connection that is kept gets its usual one back.

--- a/internal/backendconn/late_test.go
+++ b/internal/backendconn/late_test.go
@@ -92,3 +92,29 @@
 		}
 	}
 }
+
+// TestWhatAKilledSenderWroteDoesNotArriveLater: nobody resets its connections, and its kernel goes on
+// to deliver for as long as SilenceTimeout, unless the delivery is bounded before it is written.
+func TestWhatAKilledSenderWroteDoesNotArriveLater(t *testing.T) {
+	const end = "the request's last bytes"
+	body := append(bytes.Repeat([]byte{'x'}, 64<<10), end...)
+	for name, within := range map[string]time.Duration{"not bounded": 0, "bounded": 200 * time.Millisecond} {
+		peer := newFullPeer(t)
+		pool := New(Options{})
+		conn, err := pool.Get(context.Background(), peer.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if within > 0 {
+			conn.LimitDelivery(within)
+		}
+		go func() { _, _ = conn.RoundTrip(context.Background(), Request{Method: http.MethodPost, Target: "/", Host: "h", Body: body}) }()
+		time.Sleep(50 * time.Millisecond)
+		// As the kernel does for a process that ends.
+		_ = conn.Conn.Close()
+		time.Sleep(1500 * time.Millisecond)
+		if arrived := bytes.Contains(peer.readAll(t), []byte(end)); arrived != (within == 0) {
+			t.Errorf("%s: the end arrived after 1.5 s: %v", name, arrived)
+		}
+	}
+}
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -78,6 +78,8 @@
 	idleTime  time.Duration
 	// Reused is set where the connection carried a request before.
 	Reused bool
+	// isLimited is set while LimitDelivery holds.
+	isLimited bool
 }
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4096) }}
@@ -170,6 +172,9 @@
 // release keeps the connection for the next request.
 func (c *Conn) release(header http.Header) {
 	c.putReader()
+	if c.isLimited {
+		c.isLimited = !c.deliverWithin(SilenceTimeout)
+	}
 	c.idleSince = clock.Now()
 	if told, ok := keepAliveTimeout(header); ok {
 		c.idleTime = told - keepAliveMargin
@@ -177,7 +182,7 @@
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.idleTime <= 0 || len(p.idle[c.address]) >= p.options.MaxIdle {
+	if c.isLimited || c.idleTime <= 0 || len(p.idle[c.address]) >= p.options.MaxIdle {
 		_ = c.Conn.Close()
 		return
 	}
--- a/internal/backendconn/silence.go
+++ b/internal/backendconn/silence.go
@@ -29,15 +29,36 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failure error
-			err := raw.Control(func(descriptor uintptr) {
-				failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(SilenceTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return failure
-		},
+		Control: func(_, _ string, raw syscall.RawConn) error { return setDelivery(raw, SilenceTimeout) },
+	}
+}
+
+// setDelivery bounds how long the kernel goes on to deliver what nobody acknowledges.
+func setDelivery(raw syscall.RawConn, within time.Duration) error {
+	var failure error
+	err := raw.Control(func(descriptor uintptr) {
+		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(within.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
+
+// LimitDelivery bounds how long the kernel goes on to deliver what the next request writes, also
+// where this process is killed meanwhile and resets nothing. It holds until the connection is kept
+// for another request.
+func (c *Conn) LimitDelivery(within time.Duration) {
+	if c.deliverWithin(max(within, time.Millisecond)) {
+		c.isLimited = true
+	}
+}
+
+func (c *Conn) deliverWithin(within time.Duration) bool {
+	owner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
 	}
+	raw, err := owner.SyscallConn()
+	return err == nil && setDelivery(raw, within) == nil
 }
