--- a/internal/backendconn/late_test.go
+++ b/internal/backendconn/late_test.go
@@ -108,7 +108,9 @@
 		if within > 0 {
 			conn.LimitDelivery(within)
 		}
-		go func() { _, _ = conn.RoundTrip(context.Background(), Request{Method: http.MethodPost, Target: "/", Host: "h", Body: body}) }()
+		go func() {
+			_, _ = conn.RoundTrip(context.Background(), Request{Method: http.MethodPost, Target: "/", Host: "h", Body: body})
+		}()
 		time.Sleep(50 * time.Millisecond)
 		// As the kernel does for a process that ends.
 		_ = conn.Conn.Close()
