Dispatch: servers are found by model

Cause: each choice of a server, and each look of a request that waits, went over all servers of the service; every news of the leader wakes all that wait.

Change: an index lists servers for the models that their entries or views name; who asks looks at these alone.

--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -177,8 +177,8 @@
 // which are cold or just were.
 func (c *Core) IsHeldByCold(now time.Time, wanted Wanted) bool {
 	found := false
-	for _, s := range c.byService[wanted.Service] {
-		if !s.takesWork() || !c.isIn(s, wanted.Regions) || !s.offers(now, wanted) {
+	for _, s := range c.listed(wanted.Service, wanted.Model) {
+		if s.info.Service != wanted.Service || !s.takesWork() || !c.isIn(s, wanted.Regions) || !s.offers(now, wanted) {
 			continue
 		}
 		if s.coldPhase(now) == coldstart.Warm {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -27,6 +27,7 @@
 	random    *rand.Rand
 	servers   map[string]*server
 	byService map[string][]*server
+	index     modelIndex
 	demand    map[Wanted]*demand
 	// loadedBy are the servers at which each peer has requests under way.
 	loadedBy map[string][]*server
@@ -56,6 +57,7 @@
 		random:    rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
 		servers:   make(map[string]*server),
 		byService: make(map[string][]*server),
+		index:     newModelIndex(),
 		demand:    make(map[Wanted]*demand),
 		loadedBy:  make(map[string][]*server),
 		early:     make(map[string]earlyView),
@@ -94,6 +96,7 @@
 		}
 		// Another start holds and knows nothing of before.
 		c.unlist(known)
+		c.index.remove(known)
 		delete(c.servers, entry.ID)
 		known, isListed = nil, false
 	}
@@ -113,11 +116,13 @@
 	}
 	known.closed = c.evacuated[entry.Zone]
 	known.words = c.words[entry.Start()]
+	c.index.put(known)
 }
 
 func (c *Core) remove(serverID string) {
 	if known, ok := c.servers[serverID]; ok {
 		c.unlist(known)
+		c.index.remove(known)
 	}
 	delete(c.servers, serverID)
 	delete(c.early, serverID)
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -85,8 +85,8 @@
 // rest are left out: see Rests.
 // An adapter comes soon wherever its model stands.
 func (c *Core) ReadyIn(now time.Time, wanted Wanted) (left time.Duration, known bool) {
-	for _, s := range c.byService[wanted.Service] {
-		if !s.takesWork() || !c.isIn(s, wanted.Regions) || s.restsFor(now) > 0 {
+	for _, s := range c.listed(wanted.Service, wanted.Model) {
+		if s.info.Service != wanted.Service || !s.takesWork() || !c.isIn(s, wanted.Regions) || s.restsFor(now) > 0 {
 			continue
 		}
 		ready, ok := s.opensIn(now, wanted)
@@ -116,10 +116,10 @@
 // soonest, by the leader's views or the servers' own entries.
 func (c *Core) NearestCopy(now time.Time, wanted Wanted) Copy {
 	nearest := CopyInStore
-	for _, s := range c.byService[wanted.Service] {
+	for _, s := range c.index.keeping[wanted.Model] {
 		inMemory, onDisk := s.copies(now)
 		switch {
-		case !s.takesWork() || !c.isIn(s, wanted.Regions):
+		case s.info.Service != wanted.Service || !s.takesWork() || !c.isIn(s, wanted.Regions):
 		case slices.Contains(inMemory, wanted.Model):
 			return CopyInMemory
 		case slices.Contains(onDisk, wanted.Model):
--- a/internal/dispatch/early.go
+++ b/internal/dispatch/early.go
@@ -32,6 +32,7 @@
 	delete(c.early, serverID)
 	if s := c.servers[serverID]; early.view.Born == 0 || early.view.Born == s.info.Born {
 		s.setView(early.at, c.term, early.view)
+		c.index.put(s)
 	}
 }
 
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -94,8 +94,8 @@
 // filter returns the servers that may be sent to.
 func (c *Core) filter(now time.Time, ask Ask) []*server {
 	var candidates []*server
-	for _, s := range c.byService[ask.Service] {
-		if !s.takesWork() || !c.isIn(s, ask.Regions) || slices.Contains(ask.Exclude, s.info.ID) {
+	for _, s := range c.listed(ask.Service, ask.Model) {
+		if s.info.Service != ask.Service || !s.takesWork() || !c.isIn(s, ask.Regions) || slices.Contains(ask.Exclude, s.info.ID) {
 			continue
 		}
 		if len(ask.Only) > 0 && !slices.Contains(ask.Only, s.info.ID) {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -39,6 +39,8 @@
 	health     health
 	cache      promptCache
 	cold       coldness
+	// bearing and keeping are the models that it is listed for in the index, sorted.
+	bearing, keeping []string
 	// words are what this start of the server told; nil is nothing.
 	words *words
 	// absentUntil are models that the server itself refused as not there.
--- a/internal/dispatch/views.go
+++ b/internal/dispatch/views.go
@@ -42,6 +42,7 @@
 			continue
 		}
 		known.setView(now, term, &views[i])
+		c.index.put(known)
 	}
 	c.notify()
 }
--- a/internal/dispatch/words.go
+++ b/internal/dispatch/words.go
@@ -197,19 +197,22 @@
 // Rests tells when requests for what is wanted may go to a server again that rests, and whether
 // another one, which does not, might load it meanwhile; ok is false where none rests.
 func (c *Core) Rests(now time.Time, wanted Wanted) (left time.Duration, elsewhere, ok bool) {
-	for _, s := range c.byService[wanted.Service] {
-		if !s.takesWork() || !c.isIn(s, wanted.Regions) {
+	for _, s := range c.listed(wanted.Service, wanted.Model) {
+		rest := s.restsFor(now)
+		if rest == 0 || s.info.Service != wanted.Service || !s.takesWork() || !c.isIn(s, wanted.Regions) || !s.bears(now, wanted) {
 			continue
 		}
-		rest := s.restsFor(now)
-		switch {
-		case rest == 0:
-			elsewhere = true
-		case s.bears(now, wanted) && (!ok || rest < left):
+		if !ok || rest < left {
 			left, ok = rest, true
 		}
 	}
-	return left, elsewhere, ok
+	if !ok {
+		return 0, false, false
+	}
+	elsewhere = slices.ContainsFunc(c.byService[wanted.Service], func(s *server) bool {
+		return s.takesWork() && c.isIn(s, wanted.Regions) && s.restsFor(now) == 0
+	})
+	return left, elsewhere, true
 }
 
 // bears reports whether the server has what is wanted, or the model that a wanted adapter is of.
