Gossip: words of two starts of one server have an order

Cause: words were sorted by the server's ID alone; two starts of one came in the order of a map.

Change: sorted by the start.

--- a/internal/gossip/words.go
+++ b/internal/gossip/words.go
@@ -96,7 +96,8 @@
 		}
 	}
 	slices.SortFunc(due, func(a, b dueItem) int {
-		return cmp.Or(-cmp.Compare(rankOf(a.known.leaving), rankOf(b.known.leaving)), cmp.Compare(a.known.told, b.known.told), strings.Compare(a.start.ID, b.start.ID))
+		return cmp.Or(-cmp.Compare(rankOf(a.known.leaving), rankOf(b.known.leaving)), cmp.Compare(a.known.told, b.known.told),
+			strings.Compare(a.start.ID, b.start.ID), cmp.Compare(a.start.Born, b.start.Born))
 	})
 	var items []WordItem
 	for _, item := range due[:min(wordsPerPeriod, len(due))] {
