Last reading: one way to hear a word, resting copies asked for within the same look

Cause: HearStart and HearOfStart each held the same steps over another end of rest; each look of a waiting request locked the dispatch twice, the second time only for the copies that rest; Start.String served only %v in failure messages of tests, which now print the fields, and no product code called it.

Change: both hear through one hear(); Rests is asked in the same Do as the other questions, so all answers are of one state; Start.String is gone. No decision is meant to change; no test was touched.

--- a/internal/dispatch/words.go
+++ b/internal/dispatch/words.go
@@ -46,17 +46,10 @@
 		return false
 	}
 	told := c.wordsOf(now, start)
-	news = word.Leaving && !told.leaving
-	told.leaving = told.leaving || word.Leaving
-	if until := now.Add(word.Rest); word.Rest > 0 {
-		news = news || !now.Before(told.restUntil)
-		told.restUntil = later(told.restUntil, until)
+	if word.Rest > 0 {
 		told.isProving, told.proof = true, nil
 	}
-	if news {
-		c.notify()
-	}
-	return news
+	return c.hear(now, told, word, &told.restUntil)
 }
 
 // HearOfStart takes what a peer says that one start of a server told it. That it leaves holds for
@@ -66,10 +59,15 @@
 		return false
 	}
 	told := c.wordsOf(now, start)
-	news = word.Leaving && !told.leaving || word.Rest > 0 && !now.Before(told.troubledUntil)
+	return c.hear(now, told, word, &told.troubledUntil)
+}
+
+// hear adds a word to what was told; until is when the rest ends that it is about.
+func (c *Core) hear(now time.Time, told *words, word inventory.Word, until *time.Time) (news bool) {
+	news = word.Leaving && !told.leaving || word.Rest > 0 && !now.Before(*until)
 	told.leaving = told.leaving || word.Leaving
 	if word.Rest > 0 {
-		told.troubledUntil = later(told.troubledUntil, now.Add(word.Rest))
+		*until = later(*until, now.Add(word.Rest))
 	}
 	if news {
 		c.notify()
--- a/internal/inventory/start.go
+++ b/internal/inventory/start.go
@@ -1,7 +1,5 @@
 package inventory
 
-import "strconv"
-
 // Start names one start of a server. A server may start again under the ID that it had: it
 // then holds and knows nothing of before.
 type Start struct {
@@ -11,14 +9,6 @@
 	Born int64
 }
 
-// String names the start in reports and logs.
-func (s Start) String() string {
-	if s.Born == 0 {
-		return s.ID
-	}
-	return s.ID + "@" + strconv.FormatInt(s.Born, 10)
-}
-
 // IsLaterThan reports whether it is another start of the same server, and the later one.
 func (s Start) IsLaterThan(other Start) bool { return s.ID == other.ID && s.Born > other.Born }
 
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -30,6 +30,7 @@
 		var changed <-chan struct{}
 		var readyIn, ordersIn time.Duration
 		var known, isEvacuated bool
+		var rest restingCopies
 		core.Do(func(c *dispatch.Core) {
 			now := clock.Now()
 			if choice, ok = c.Pick(now, x.ask()); ok {
@@ -38,6 +39,7 @@
 			changed = c.Changed()
 			readyIn, known = c.ReadyIn(now, x.wanted())
 			ordersIn = c.OrdersIn(now)
+			rest.left, rest.elsewhere, rest.found = c.Rests(now, x.wanted())
 			isEvacuated = c.IsEvacuated(x.service)
 			counted = x.countWaiting(c, counted, waits)
 		})
@@ -62,7 +64,7 @@
 		if !known {
 			readyIn = x.usualLoad(ordersIn)
 		}
-		readyIn, known = x.orRested(readyIn, known)
+		readyIn, known = rest.orSooner(readyIn, known)
 		expected := x.expect(readyIn, known)
 		if !x.keepsWaiting(expected) {
 			return choice, false
@@ -71,14 +73,17 @@
 	}
 }
 
-// orRested is when a server that rests may be sent to again, where that is sooner than what
-// else is expected, or nothing else is: no other server could load what is wanted.
-func (x *exchange) orRested(readyIn time.Duration, announced bool) (time.Duration, bool) {
-	var left time.Duration
-	var elsewhere, rests bool
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { left, elsewhere, rests = core.Rests(clock.Now(), x.wanted()) })
-	if rests && (left < readyIn || !announced && !elsewhere) {
-		return left, true
+// restingCopies are servers that have what is wanted and rest, as dispatch.Core.Rests tells.
+type restingCopies struct {
+	left             time.Duration
+	elsewhere, found bool
+}
+
+// orSooner is when such a server may be sent to again, where that is sooner than what else is
+// expected, or nothing else is: no other server could load what is wanted.
+func (r restingCopies) orSooner(readyIn time.Duration, announced bool) (time.Duration, bool) {
+	if r.found && (r.left < readyIn || !announced && !r.elsewhere) {
+		return r.left, true
 	}
 	return readyIn, announced
 }
