Poison requests: who sends alike beside one is tried a second later

Cause: callers who send alike run on each server that a poison request ends.

Ruled out: counting shared ends for less (poison requests excuse each other, weighed before); by the evidence alone the alike request looks guiltier, since it was everywhere.

Change: a barred request whose servers another one explains may be tried once, a second after the last of them, by a node that refused five copies of it; no trial beside that of a request of the same servers. A good end acquits, a bad one changes nothing. On the own interface the same core.

--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// Refused implements relay.Suspects.
+func (s *suspects) Refused(fingerprint poison.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tally.Refused(fingerprint)
+}
+
 // vouch returns a word for each of the requests that others report and that ended well here
 // lately, where nobody has said so.
 func (s *suspects) vouch(now time.Time, reports []poison.Report) []poison.Report {
--- a/internal/gateway/model_run.go
+++ b/internal/gateway/model_run.go
@@ -145,7 +145,7 @@
 		return attempt.CallerGone{}
 	}
 	if r.suspicion.isBarred() {
-		return refusalBarred
+		return r.suspicion.refuse()
 	}
 	retry := reassign.Exclude != nil
 	answer := make(chan reply, 1)
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -21,6 +21,8 @@
 	EndedWell(fingerprint poison.Fingerprint)
 	// ClaimTrial asks whether this node may send a request on trial once, for all nodes.
 	ClaimTrial(ctx context.Context, fingerprint poison.Fingerprint) bool
+	// Refused takes that a copy of a barred request was refused.
+	Refused(fingerprint poison.Fingerprint)
 }
 
 // suspicion is what may be held against one request.
@@ -48,6 +50,12 @@
 	return s.gateway.options.Suspects.Standing(s.fingerprint)
 }
 
+// refuse ends the request as a barred one.
+func (s *suspicion) refuse() attempt.Unassigned {
+	s.gateway.options.Suspects.Refused(s.fingerprint)
+	return refusalBarred
+}
+
 // isBarred reports whether the request is to be sent to no server.
 func (s *suspicion) isBarred() bool {
 	return !s.isTrial && s.standing() == poison.StandingBarred
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -60,6 +60,12 @@
 	return granted
 }
 
+func (s *tallied) Refused(fingerprint poison.Fingerprint) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.tally.Refused(fingerprint)
+}
+
 // later moves the clock on.
 func (s *tallied) later(by time.Duration) {
 	s.mutex.Lock()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -311,7 +311,7 @@
 		return attempt.Unassigned{Code: attempt.CodeDeadline, Detail: "the deadline passed"}
 	}
 	if r.suspicion.isBarred() {
-		return refusalBarred
+		return r.suspicion.refuse()
 	}
 	reply := make(chan reply, 1)
 	gateway := r.caller.gateway
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -109,6 +109,13 @@
 	}
 }
 
+// Refused implements gateway.Suspects.
+func (s *Suspects) Refused(fingerprint poison.Fingerprint) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.tally.Refused(fingerprint)
+}
+
 // ClaimTrial implements gateway.Suspects: the first of the judges that answers decides
 // for all nodes. Where none does the request stays barred.
 func (s *Suspects) ClaimTrial(ctx context.Context, fingerprint poison.Fingerprint) bool {
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -27,9 +27,16 @@
 	// again: after firstBar, when the repeats of a caller within its deadline are over, it is
 	// tried. One that ends a further server is barred for barTime, then for twice as long each
 	// time, up to longestBar. A server's new software may bear what the old one did not.
-	firstBar   = 20 * time.Second
-	barTime    = 10 * time.Minute
-	longestBar = 2 * time.Hour
+	firstBar = 20 * time.Second
+	// earlyTrial is the time from the last server on after which a request may be tried within
+	// its first bar: copies that were under way have ended by then, as a rule.
+	earlyTrial = time.Second
+	// earlyCopies is how many copies a node refused before it asks for such a trial. What
+	// callers send alike comes many times a second; one caller's repeats, of which a trial
+	// ends one more server, do not.
+	earlyCopies = 5
+	barTime     = 10 * time.Minute
+	longestBar  = 2 * time.Hour
 	// mostSuspects bounds what is remembered, to about 100 KB: one server that crashes
 	// makes as many suspects as it had requests, and a caller may send as many different
 	// bodies as it likes. Who ended fewest servers longest ago makes way.
@@ -108,6 +115,12 @@
 	// bar, and trials the number of those that told nothing.
 	trialAt time.Time
 	trials  int
+	// earlyAt is when a trial within the first bar was claimed here; refused counts the copies
+	// that this node refused in that bar.
+	earlyAt time.Time
+	refused int
+	// triedUntil is until when the outcome of a trial that was claimed here is waited for.
+	triedUntil time.Time
 	// liftedAt is when an operator ended its bar.
 	liftedAt time.Time
 }
@@ -131,7 +144,7 @@
 	switch {
 	case !ok || known.isForgotten(now) || known.isVouched(now):
 		return StandingSound
-	case now.Before(known.barredUntil):
+	case now.Before(known.barredUntil) && (known.refused < earlyCopies || !t.mayTryEarly(now, known)):
 		return StandingBarred
 	case known.barred > 0:
 		return StandingOnTrial
@@ -161,6 +174,7 @@
 		known.hearBar(now, report.BarredFor)
 	}
 	if isNew {
+		known.endTrial(at)
 		t.judge(now, at, known)
 	}
 	return isNew || !wasBarred && now.Before(known.barredUntil)
--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -1,6 +1,14 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// trialPatience is how long a trial that told nothing yet keeps back those of requests that ended
+// the same servers: beside it they would be blamed for its end, or it for theirs. Callers wait
+// for whole answers for seconds.
+const trialPatience = 5 * time.Second
 
 // longestTrialStep bounds how often the pause after a trial that told nothing is doubled: the
 // pause is bounded by longestBar anyway.
@@ -16,16 +24,78 @@
 	switch {
 	case known.isVouched(now):
 		return true
-	case now.Before(known.barredUntil):
+	case t.isTrialBeside(now, known):
 		return false
+	case now.Before(known.barredUntil):
+		return t.claimEarly(now, known)
 	}
 	known.barred = max(known.barred, firstBar)
 	known.barredUntil = now.Add(min(known.barred<<min(known.trials, longestTrialStep), longestBar))
-	known.trialAt = now
+	known.trialAt, known.triedUntil = now, now.Add(trialPatience)
 	known.trials++
 	return true
 }
 
+// mayTryEarly reports whether a barred request may be tried once within its first bar: another one
+// ran on each of its servers, so that one of the two ended none, and what callers send alike would
+// be refused with the poison request beside it. Whether such a trial ends a server says little, since
+// others run there that may be to blame: it acquits, or changes nothing. One that was granted makes
+// the bar longer, also at the nodes that hear of it, and so is the only one.
+func (t *Tally) mayTryEarly(now time.Time, known *suspect) bool {
+	last := known.latest()
+	isFirst := known.barred == firstBar && known.trialAt.IsZero() && known.earlyAt.IsZero()
+	isLonger := known.barredUntil.Sub(last) >= firstBar+earlyTrial/2
+	return isFirst && !isLonger && now.Sub(last) >= earlyTrial && t.isExplained(known)
+}
+
+// isExplained reports whether one other request ended all servers that this one did.
+func (t *Tally) isExplained(known *suspect) bool {
+	if len(known.ends) < CrashLimit {
+		return false
+	}
+	for _, other := range t.suspects {
+		isElsewhere := func(e end) bool { return !other.has(e.serverID) }
+		if other != known && !slices.ContainsFunc(known.ends, isElsewhere) {
+			return true
+		}
+	}
+	return false
+}
+
+// claimEarly takes that a request is about to be tried within its first bar, if it may be.
+func (t *Tally) claimEarly(now time.Time, known *suspect) bool {
+	if !t.mayTryEarly(now, known) {
+		return false
+	}
+	known.earlyAt, known.triedUntil = now, now.Add(trialPatience)
+	known.barredUntil = now.Add(firstBar)
+	return true
+}
+
+// Refused takes that a copy of a barred request was refused at this node.
+func (t *Tally) Refused(fingerprint Fingerprint) {
+	if known, ok := t.suspects[fingerprint]; ok {
+		known.refused++
+	}
+}
+
+// endTrial takes that a server ended under the request: under its trial, where one is under way.
+func (s *suspect) endTrial(endedAt time.Time) {
+	if !endedAt.Before(s.triedUntil.Add(-trialPatience)) {
+		s.triedUntil = time.Time{}
+	}
+}
+
+// isTrialBeside reports whether a request that ended a server of this one's is being tried.
+func (t *Tally) isTrialBeside(now time.Time, known *suspect) bool {
+	for _, other := range t.suspects {
+		if other != known && now.Before(other.triedUntil) && slices.ContainsFunc(known.ends, func(e end) bool { return other.has(e.serverID) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // isTried reports whether a server that ended at that time ended under a trial, as far as is
 // known here.
 func (s *suspect) isTried(endedAt time.Time) bool {
@@ -67,4 +137,5 @@
 func (s *suspect) endBar() {
 	s.barred, s.barredUntil = 0, time.Time{}
 	s.trialAt, s.trials = time.Time{}, 0
+	s.earlyAt, s.triedUntil, s.refused = time.Time{}, time.Time{}, 0
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -61,7 +61,9 @@
 
 // maySend looks right before the send whether it may still be: opening a connection may
 // have taken long. Where it may not the connection is closed, and ended says how the attempt
-// ended. What asks another node comes first.
+// ended. What asks another node comes before what may change meanwhile; a trial is claimed for a
+// server that was reached and takes work, since one claimed and not sent bars the request as long
+// again.
 func (x *exchange) maySend(choice dispatch.Choice, conn *backendconn.Conn, admitted ColdVerdict) (ended verdict, ok bool) {
 	switch {
 	case !x.isStillAdmitted(choice, admitted):
@@ -79,6 +81,13 @@
 		// The choice leaves the server out from now on, for as long as that holds.
 		x.withdraw(choice, conn)
 		return verdictNotSent, false
+	case !x.mayTry():
+		x.withdraw(choice, conn)
+		x.answerBarred()
+		return verdictDone, false
+	case x.isTrial && !x.isStillGood(choice):
+		x.withdraw(choice, conn)
+		return verdictNotSent, false
 	default:
 		return 0, true
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -222,11 +222,6 @@
 			x.giveUp("no_budget")
 			return
 		}
-		if !x.mayTry() {
-			x.release(choice, dispatch.OutcomeLeft)
-			x.answerBarred()
-			return
-		}
 		verdict := x.attempt(choice)
 		if verdict == verdictDone {
 			return
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -25,6 +25,8 @@
 	EndedWell(fingerprint poison.Fingerprint)
 	// ClaimTrial asks whether this node may send a request on trial once, for all nodes.
 	ClaimTrial(ctx context.Context, fingerprint poison.Fingerprint) bool
+	// Refused takes that a copy of a barred request was refused.
+	Refused(fingerprint poison.Fingerprint)
 }
 
 // reasonPoison is the reason of refusals of requests that ended too many servers.
@@ -71,6 +73,7 @@
 // come back at.
 func (x *exchange) answerBarred() {
 	x.handler.Metrics.Barred.Add(1)
+	x.handler.options.Suspects.Refused(x.fingerprint())
 	if x.ran {
 		x.fail(http.StatusBadGateway, reasonPoison)
 		return
--- a/internal/relay/poison_test.go
+++ b/internal/relay/poison_test.go
@@ -54,6 +54,8 @@
 	return false
 }
 
+func (s *fakeSuspects) Refused(poison.Fingerprint) {}
+
 // TestTrialIsOneSend: of the copies of a request on trial one is sent, and it is sent once,
 // also where it may be repeated; the others are refused as not run.
 func TestTrialIsOneSend(t *testing.T) {
@@ -86,6 +88,18 @@
 	}
 }
 
+// TestServerThatIsNotReachedTakesNoTrial: with the claim gone and nothing sent the request would
+// stay barred for as long again.
+func TestServerThatIsNotReachedTakesNoTrial(t *testing.T) {
+	f := newFixture(t, &standinServer{address: freeAddress(t)})
+	suspects := &fakeSuspects{standing: poison.StandingOnTrial, grants: 1}
+	f.handler.options.Suspects = suspects
+	got := f.send(t, http.MethodPost, "/once/x", "body")
+	if got.status != http.StatusServiceUnavailable || suspects.claimed != 0 {
+		t.Errorf("status %d after %d claims, want 503 after none", got.status, suspects.claimed)
+	}
+}
+
 // freeAddress is one at which nobody listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/test/platform/soak_poison_test.go
+++ b/test/platform/soak_poison_test.go
@@ -105,14 +105,19 @@
 
 // longestBarred bounds how long what many callers send alike is refused as a poison
 // request: where three servers end around them before any ended well, they are barred until
-// they are tried.
+// they are tried: a second later where one poison request ran on all of these servers, and at
+// the end of the bar where several did, or where another one ended the server of that trial.
 const longestBarred = 22 * time.Second
 
 func (s *soak) judgeBarred() {
 	ends := slices.Clone(s.ends)
 	slices.SortFunc(ends, func(a, b served) int { return a.done.Compare(b.done) })
 	since := make(map[string]time.Time)
+	barred := 0
 	for _, end := range ends {
+		if end.isBarred {
+			barred++
+		}
 		switch {
 		case end.model != "" && end.status == http.StatusOK:
 			delete(since, end.model)
@@ -122,4 +127,8 @@
 			s.find("BARRED: %s of %s was refused as a poison request, as all like it for %v", end.id, end.node, end.done.Sub(since[end.model]))
 		}
 	}
+	s.t.Logf("%d requests were refused as poison requests", barred)
+	if most := s.options.mostBarred; most > 0 && barred > most {
+		s.find("BARRED: %d requests were refused as poison requests, want %d at most", barred, most)
+	}
 }
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -88,6 +88,8 @@
 	isRelayed bool
 	// slack is added to bounds in time, where the machine may be busy.
 	slack time.Duration
+	// mostBarred bounds the requests that are refused as poison requests; 0 where nothing does.
+	mostBarred int
 }
 
 // soak is one run.
