Tests that fail: a late entry of the start before takes a server back to it

A leader hears of a server's new start from the server itself, and tells it with its views. The last entry of the start before may come after that, with a later revision than any known: nodes and leader go back to that start. A node then forgets that the present one said that it leaves, and sends to it (picked "a", want none); the leader's views tell a start that is over.

--- a/internal/placer/starts_test.go
+++ b/internal/placer/starts_test.go
@@ -43,6 +43,14 @@
 		{"a report of the start before", func(core *Core) {
 			core.TakeReport(begin, "s", Report{Born: 1, Sequence: 99, Models: []inventory.HeldModel{{Name: "m08"}}}, true)
 		}, 2, "m02"},
+		{"the last entry of the start before its report's", func(core *Core) {
+			core.TakeReport(begin, "s", Report{Born: 3, Models: []inventory.HeldModel{{Name: "m08"}}}, true)
+			core.SetServers(begin, []inventory.Change{{Server: inventory.Server{ID: "s", Born: 2, Service: serviceName, Revision: 5}}})
+		}, 3, "m08"},
+		{"a start whose clock went back, by entry and report", func(core *Core) {
+			core.TakeReport(begin, "s", Report{Born: 3, Models: []inventory.HeldModel{{Name: "m02"}}}, true)
+			entry(1, 5)(core)
+		}, 1, "m08"},
 		{"a report that does not say of which, and counts less", func(core *Core) {
 			core.TakeReport(begin, "s", Report{Models: []inventory.HeldModel{{Name: "m08"}}}, true)
 		}, 2, "m02"},
