Starts: what the server itself told outlives a late entry of the start before

Cause: entries of two starts go by revision. The last entry of the start before has a later revision than any that is known when the leader hears of the new start from the server itself, so leader and nodes went back to a start that was over, and a node forgot what the present one had told with its answers.

Ruled out: going by `born` alone (another writer's, far ahead, would take a server out for good; a clock that goes back too).

Change: a start that is known by a report, or at a node by the leader's view, yields to an entry of an earlier one only where the next report (view) says the same.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -94,6 +94,12 @@
 		if entry.Revision < known.info.Revision || entry.Revision == known.info.Revision && isEarlier {
 			return
 		}
+		if isEarlier && known.isTold {
+			// As a rule the last entry of the start before, told late: by it the words of the
+			// present start would be forgotten.
+			known.rival = &entry
+			return
+		}
 		// Another start holds and knows nothing of before.
 		c.unlist(known)
 		c.index.remove(known)
@@ -110,6 +116,7 @@
 		c.takeEarly(entry.ID)
 	} else {
 		known.update(entry)
+		known.isTold, known.rival = false, nil
 	}
 	if !isListed {
 		c.list(known)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -14,6 +14,10 @@
 	// goingBefore is the revision before which entries do not say yet that the
 	// server goes.
 	goingBefore int64
+	// isTold is set while this start is known by the leader's view alone, who has it from the
+	// server itself; rival is what the store says meanwhile of one that was born earlier.
+	isTold bool
+	rival  *inventory.Server
 	// closed is set while the server's zone is evacuated.
 	closed bool
 	// held are the models of the entry.
--- a/internal/dispatch/views.go
+++ b/internal/dispatch/views.go
@@ -49,17 +49,23 @@
 
 // startOf is the server as the start that a view is of; nil where that start is over. The leader
 // may hear of a new start from the server itself, before the store tells of it: what the one
-// before held is forgotten then.
+// before held is forgotten then. A start that was born earlier, as the server's clock went back, is
+// the present one where the store and the leader say so.
 func (c *Core) startOf(known *server, view *View) *server {
 	switch {
 	case view.Born == 0 || view.Born == known.info.Born:
 		return known
+	case known.rival != nil && known.rival.Born == view.Born:
+		known.isTold = false
+		c.put(*known.rival)
+		return c.servers[known.info.ID]
 	case view.Born < known.info.Born:
 		return nil
 	}
 	again := known.info
 	again.Born, again.Models, again.ColdLeft, again.TellsCold = view.Born, nil, 0, false
 	c.put(again)
+	c.servers[again.ID].isTold = true
 	return c.servers[again.ID]
 }
 
--- a/internal/placer/answers.go
+++ b/internal/placer/answers.go
@@ -18,14 +18,9 @@
 		return
 	}
 	if start := (inventory.Start{ID: id, Born: report.Born}); report.Born != 0 && start != s.info.Start() {
-		if s.info.Start().IsLaterThan(start) {
-			// An answer of the start before.
-			s.askReport(now.Add(recheck))
+		if s = c.startReported(now, s, start); s == nil {
 			return
 		}
-		again := s.info
-		again.Born, again.Models, again.InMemory = report.Born, nil, nil
-		s = c.startsAgain(now, s, again)
 	}
 	if s.ordering != nil || report.Sequence < s.sequence {
 		// The report is older than the last order.
@@ -38,6 +33,25 @@
 	c.applyReport(now, s, report)
 }
 
+// startReported is the server as the start that its report is of; nil where that start is over.
+func (c *Core) startReported(now time.Time, known *server, start inventory.Start) *server {
+	if known.rival != nil && known.rival.Start() == start {
+		// The server's clock went back, as the store says too.
+		known.isTold = false
+		return c.startsAgain(now, known, *known.rival)
+	}
+	if known.info.Start().IsLaterThan(start) {
+		// An answer of the start before.
+		known.askReport(now.Add(recheck))
+		return nil
+	}
+	again := known.info
+	again.Born, again.Models, again.InMemory = start.Born, nil, nil
+	started := c.startsAgain(now, known, again)
+	started.isTold = true
+	return started
+}
+
 func (c *Core) applyReport(now time.Time, s *server, report Report) {
 	s.sequence = report.Sequence
 	s.dropStrays(now)
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -115,6 +115,7 @@
 			c.startsAgain(now, known, change.Server)
 		default:
 			known.info = change.Server
+			known.isTold, known.rival = false, nil
 			known.endClosedLoad()
 			c.checkEntry(now, known)
 		}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -10,6 +10,10 @@
 // server is what the leader knows of one server's models.
 type server struct {
 	info inventory.Server
+	// isTold is set while this start is known by its own report alone; rival is what the store
+	// says meanwhile of one that was born earlier.
+	isTold bool
+	rival  *inventory.Server
 	// running are the requests of all nodes there.
 	running int
 	// synced is set once a report of this term was read. Nothing is ordered
--- a/internal/placer/starts.go
+++ b/internal/placer/starts.go
@@ -26,6 +26,12 @@
 	if again.Revision < known.info.Revision || again.Revision == known.info.Revision && isEarlier {
 		return known
 	}
+	if isEarlier && known.isTold {
+		// As a rule the last entry of the start before, told late. The server itself tells.
+		known.rival = &again
+		known.askReport(now)
+		return known
+	}
 	c.lose(now, known)
 	started := newServer(again, now)
 	started.setCopies(again.InMemory, again.OnDisk)
