--- a/internal/poison/trial_test.go
+++ b/internal/poison/trial_test.go
@@ -181,6 +181,25 @@
 	}
 }
 
+// TestCoordinatorThatMissedServersGoesByTheAsker: one that started when the first servers had ended
+// knows of the last and of the bar alone.
+func TestCoordinatorThatMissedServersGoesByTheAsker(t *testing.T) {
+	tally := NewTally()
+	tally.Take(start, Report{Fingerprint: named("alike"), ServerID: "c", BarredFor: firstBar})
+	if tally.ClaimTrial(start.Add(earlyTrial/2), named("alike")) {
+		t.Error("a trial beside copies that are under way was granted")
+	}
+	granted := 0
+	for i := range 5 {
+		if tally.ClaimTrial(start.Add(earlyTrial+time.Duration(i)*time.Second), named("alike")) {
+			granted++
+		}
+	}
+	if granted != 1 {
+		t.Errorf("%d early trials were granted, want 1", granted)
+	}
+}
+
 // TestFewCopiesAreNotTriedEarly: a trial of one caller's repeats would end one more server.
 func TestFewCopiesAreNotTriedEarly(t *testing.T) {
 	tally := taken(
