Leader: lists and views are made for what is asked for

Ruled out: memory of the other nodes (1.5 MB a second, two collections in 4 s).

Change: the list is made where digests differ, views of the buckets that differ.

--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -294,13 +294,14 @@
 		l.demand.SetCounts(now, state.Address, state.Life, countsOf(state.Wanted, l.node.options.Places.Region(state.Zone)))
 	}
 	if l.core != nil && state.ViewsWanted {
-		l.node.peers.answerViews(state, l.term.Load(), l.lease.Lapsed(now), func() []dispatch.View { return l.views(now) })
+		l.node.peers.answerViews(state, l.term.Load(), l.lease.Lapsed(now), func(wanted func(serverID string) bool) []dispatch.View {
+			return withDigests(l.core.ViewsOf(now, wanted))
+		})
 	}
 }
 
-// views are the leader's views with their digests.
-func (l *leader) views(now time.Time) []dispatch.View {
-	views := l.core.Views(now)
+// withDigests gives views their digests.
+func withDigests(views []dispatch.View) []dispatch.View {
 	for i := range views {
 		views[i].Digest = digest(views[i].ServerID, signature(views[i]))
 	}
@@ -373,7 +374,7 @@
 	}
 	l.changed = false
 	l.toldAt = now
-	views := l.views(now)
+	views := withDigests(l.core.Views(now))
 	term := l.term.Load()
 	lapsed, orderIn := l.lease.Lapsed(now), l.orderIn()
 	l.node.dispatch.Do(func(core *dispatch.Core) {
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -187,10 +187,13 @@
 		}
 	}
 	if node.hasServers.Load() {
-		servers, revision, digest := node.directory.list()
-		response.ServersDigest, response.ServersAgeMs = digest, node.serversConfirmed.wire(now)
-		if digest != request.ServersDigest {
-			response.Servers, response.ServersRevision = encodeEntries(node.coldStarts.asOf(now, servers)), revision
+		response.ServersDigest, _ = node.directory.standing()
+		response.ServersAgeMs = node.serversConfirmed.wire(now)
+		if response.ServersDigest != request.ServersDigest {
+			// Most who ask know them: a list for each took half of the memory that a leader of 300
+			// nodes and 3,000 servers used, 120 MB a second.
+			servers, revision, digest := node.directory.list()
+			response.Servers, response.ServersRevision, response.ServersDigest = encodeEntries(node.coldStarts.asOf(now, servers)), revision, digest
 		}
 	}
 	return response, nil
--- /dev/null
+++ b/internal/edge/snapshot_bench_test.go
@@ -0,0 +1,26 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+// BenchmarkSnapshotOfWhatIsKnown: a peer that knows all 3,000 servers asks for the rest.
+func BenchmarkSnapshotOfWhatIsKnown(b *testing.B) {
+	node := newTestNode(b)
+	var servers []inventory.Server
+	for i := range 3000 {
+		servers = append(servers, inventory.Server{ID: fmt.Sprint("i-", i), Service: "s", Address: benchAddress(i), Revision: 3})
+	}
+	node.listPeerServers(servers, 4)
+	request := node.known()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if _, err := node.snapshots.Snapshot(b.Context(), request); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/edge/spread_test.go
+++ b/internal/edge/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -163,7 +164,10 @@
 	view.Digest = digest(view.ServerID, signature(view))
 	leader.peers.told.tell("i", view.Digest)
 	asked := 0
-	views := func() []dispatch.View { asked++; return []dispatch.View{view} }
+	views := func(wanted func(string) bool) []dispatch.View {
+		asked++
+		return viewsWanted([]dispatch.View{view}, wanted)
+	}
 	for _, peer := range south {
 		leader.peers.answerViews(&peerpb.NodeState{Address: peer.address}, 7, 0, views)
 	}
@@ -188,6 +192,11 @@
 	}
 }
 
+// viewsWanted are those of the servers that an answer needs.
+func viewsWanted(views []dispatch.View, wanted func(serverID string) bool) []dispatch.View {
+	return slices.DeleteFunc(slices.Clone(views), func(view dispatch.View) bool { return !wanted(view.ServerID) })
+}
+
 // TestOnlyWhatDiffersIsAnswered: of many servers a node misses the view of one.
 func TestOnlyWhatDiffersIsAnswered(t *testing.T) {
 	leader := newPlacedNode(t, "n")
@@ -204,7 +213,9 @@
 			has.Add(view.ServerID, view.Digest)
 		}
 	}
-	leader.peers.answerViews(&peerpb.NodeState{Address: peer.address, ViewsDigests: has[:]}, 7, 0, func() []dispatch.View { return views })
+	leader.peers.answerViews(&peerpb.NodeState{Address: peer.address, ViewsDigests: has[:]}, 7, 0, func(wanted func(string) bool) []dispatch.View {
+		return viewsWanted(views, wanted)
+	})
 	answered := make(map[string]bool)
 	for state := peer.next(); state != nil; state = peer.next() {
 		for _, view := range state.Leader.Views {
--- a/internal/edge/views.go
+++ b/internal/edge/views.go
@@ -86,8 +86,9 @@
 }
 
 // answerViews sends the views that differ to a node that asked for them; one that has
-// all, and only did not hear so, is told that they still hold.
-func (p *peers) answerViews(asker *peerpb.NodeState, term int64, lapsed time.Duration, views func() []dispatch.View) {
+// all, and only did not hear so, is told that they still hold. Views are made of those servers
+// alone: all 3,000 for each of 300 nodes that asked took 56 MB a second of a leader.
+func (p *peers) answerViews(asker *peerpb.NodeState, term int64, lapsed time.Duration, views func(wanted func(serverID string) bool) []dispatch.View) {
 	now := clock.Now()
 	told := p.toldDigests()
 	differs, count := told.Differs(asker.ViewsDigests)
@@ -101,7 +102,7 @@
 	if !ok {
 		return
 	}
-	wanted := atOnce(slices.DeleteFunc(views(), func(view dispatch.View) bool { return !differs[dispatch.ViewBucket(view.ServerID)] }))
+	wanted := atOnce(views(func(serverID string) bool { return differs[dispatch.ViewBucket(serverID)] }))
 	p.node.options.Logger.Info().Str("peer", asker.Address).Int("buckets", count).Int("views", len(wanted)).
 		Bool("region", len(plan.Spreaders) > 0).Msg("views_answered")
 	p.sendViews(trafficAnswers, plan, term, lapsed, wanted, nil)
--- a/internal/placer/views.go
+++ b/internal/placer/views.go
@@ -18,9 +18,14 @@
 
 // Views are what the leader says of each server that it knows.
 func (c *Core) Views(now time.Time) []dispatch.View {
+	return c.ViewsOf(now, func(string) bool { return true })
+}
+
+// ViewsOf are the views of the servers that are wanted.
+func (c *Core) ViewsOf(now time.Time, wanted func(serverID string) bool) []dispatch.View {
 	var views []dispatch.View
 	for _, s := range c.sorted() {
-		if s.synced {
+		if s.synced && wanted(s.info.ID) {
 			views = append(views, s.view(now))
 		}
 	}
