--- a/internal/peer/builds_test.go
+++ b/internal/peer/builds_test.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/reflect/protoregistry"
 
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 )
@@ -41,15 +42,7 @@
 func TestMessagesOfLandedBuildsAreRead(t *testing.T) {
 	for build, messages := range builds(t) {
 		for name, recorded := range messages {
-			var message proto.Message
-			switch name {
-			case "snapshot request":
-				message = &peerpb.SnapshotRequest{}
-			case "snapshot response":
-				message = &peerpb.SnapshotResponse{}
-			default:
-				message = &peerpb.NodeState{}
-			}
+			message := messageNamed(name)
 			if err := proto.Unmarshal(recorded, message); err != nil {
 				t.Errorf("%s: %s: %v", build, name, err)
 				continue
@@ -65,6 +58,20 @@
 	}
 }
 
+// messageNamed is an empty message of the kind that was recorded under the name.
+func messageNamed(name string) proto.Message {
+	switch name {
+	case "snapshot request":
+		return &peerpb.SnapshotRequest{}
+	case "snapshot response":
+		return &peerpb.SnapshotResponse{}
+	}
+	if kind, err := protoregistry.GlobalTypes.FindMessageByName(protoreflect.FullName(name)); err == nil {
+		return kind.New().Interface()
+	}
+	return &peerpb.NodeState{}
+}
+
 // unknownFields names the first message in which something stands that is not read.
 func unknownFields(message protoreflect.Message) string {
 	if len(message.GetUnknown()) > 0 {
--- a/internal/peer/record_test.go
+++ b/internal/peer/record_test.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/reflect/protoregistry"
 
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 )
@@ -17,9 +18,21 @@
 // -run TestRecordMessages -record COMMIT, at that commit.
 var recordBuild = flag.String("record", "", "the commit to record the messages of")
 
-// recordedMessages are those by which nodes on the operators' platform speak, with all fields
-// that the build has set.
+// recordedMessages are those by which nodes speak, with all fields that the build has set: of
+// those on the operators' platform by what they are for, of all by their names.
 func recordedMessages() map[string]proto.Message {
+	messages := platformMessages()
+	ofPeers := peerpb.File_control_proto.Package()
+	protoregistry.GlobalTypes.RangeMessages(func(message protoreflect.MessageType) bool {
+		if descriptor := message.Descriptor(); descriptor.ParentFile().Package() == ofPeers && !descriptor.IsMapEntry() {
+			messages[string(descriptor.FullName())] = filled(message.New().Interface())
+		}
+		return true
+	})
+	return messages
+}
+
+func platformMessages() map[string]proto.Message {
 	state := filled(&peerpb.NodeState{}).(*peerpb.NodeState)
 	state.Quota, state.Trial, state.Spread = nil, nil, nil
 	return map[string]proto.Message{
@@ -67,6 +80,7 @@
 			fill(message.Mutable(field).List().AppendMutable().Message())
 		case field.IsList():
 			message.Mutable(field).List().Append(scalar(field))
+		case field.IsMap():
 		case field.Message() != nil:
 			fill(message.Mutable(field).Message())
 		default:
@@ -95,6 +109,8 @@
 		return protoreflect.ValueOfEnum(1)
 	case protoreflect.Int64Kind, protoreflect.Sint64Kind:
 		return protoreflect.ValueOfInt64(number)
+	case protoreflect.Int32Kind, protoreflect.Sint32Kind:
+		return protoreflect.ValueOfInt32(int32(number))
 	case protoreflect.Uint32Kind, protoreflect.Fixed32Kind:
 		return protoreflect.ValueOfUint32(uint32(number))
 	case protoreflect.Uint64Kind, protoreflect.Fixed64Kind:
