--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -18,7 +18,7 @@
 // whether it may be. It then is barred again, for as long as before: whatever becomes of the
 // trial, no second one begins beside it, and where nothing is heard of it (the way to its
 // server was cut) the next one waits twice as long. A node that was not told of the bar grants
-// the trial as one after a first bar.
+// the trial as one after a first bar. Within its first bar a request may be tried early.
 func (t *Tally) ClaimTrial(now time.Time, fingerprint Fingerprint) bool {
 	known := t.entry(now, fingerprint)
 	switch {
@@ -36,53 +36,6 @@
 	return true
 }
 
-// mayTryEarly reports whether a barred request may be tried once within its first bar: another one
-// ran on each of its servers, so that one of the two ended none, and what callers send alike would
-// be refused with the poison request beside it. Whether such a trial ends a server says little, since
-// others run there that may be to blame: it acquits, or changes nothing. One that was granted makes
-// the bar longer, also at the nodes that hear of it, and so is the only one.
-func (t *Tally) mayTryEarly(now time.Time, known *suspect) bool {
-	return len(known.ends) >= CrashLimit && t.isExplained(known) && known.awaitsEarlyTrial(now)
-}
-
-// awaitsEarlyTrial reports whether no trial was granted yet, and copies under way have ended.
-func (s *suspect) awaitsEarlyTrial(now time.Time) bool {
-	last := s.latest()
-	isFirst := s.barred == firstBar && s.trialAt.IsZero() && s.earlyAt.IsZero()
-	isLonger := s.barredUntil.Sub(last) >= firstBar+earlyTrial/2
-	return isFirst && !isLonger && now.Sub(last) >= earlyTrial
-}
-
-// isExplained reports whether one other request ended all servers that this one did.
-func (t *Tally) isExplained(known *suspect) bool {
-	for _, other := range t.suspects {
-		isElsewhere := func(e end) bool { return !other.has(e.serverID) }
-		if other != known && !slices.ContainsFunc(known.ends, isElsewhere) {
-			return true
-		}
-	}
-	return false
-}
-
-// claimEarly takes that a request is about to be tried within its first bar, if it may be. Who has
-// not heard of all the servers, as it started since, goes by who asks.
-func (t *Tally) claimEarly(now time.Time, known *suspect) bool {
-	hasAll := len(known.ends) >= CrashLimit
-	if !known.awaitsEarlyTrial(now) || hasAll && !t.isExplained(known) {
-		return false
-	}
-	known.earlyAt, known.triedUntil = now, now.Add(trialPatience)
-	known.barredUntil = now.Add(firstBar)
-	return true
-}
-
-// Refused takes that a copy of a barred request was refused at this node.
-func (t *Tally) Refused(fingerprint Fingerprint) {
-	if known, ok := t.suspects[fingerprint]; ok {
-		known.refused++
-	}
-}
-
 // endTrial takes that a server ended under the request: under its trial, where one is under way.
 func (s *suspect) endTrial(endedAt time.Time) {
 	if !endedAt.Before(s.triedUntil.Add(-trialPatience)) {
