--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -186,6 +186,8 @@
 			s.ends = append(s.ends, served{id: "n", model: "m0", route: "models", node: "node-1", sent: at(longestBarred), done: at(longestBarred), status: 200, whole: true})
 			s.ends = append(s.ends, slices.Repeat(s.ends[1:2], 40)...)
 		}},
+		{"BARRED", func(s *soak) { s.options.mostBarred = 2; s.refuseBarred(3) }},
+		{"", func(s *soak) { s.options.mostBarred = 3; s.refuseBarred(3) }},
 		{"READY", func(s *soak) { s.probes["node-1"] = []probe{{at: at(0)}, {at: at(time.Second)}} }},
 		{"SERVERS", func(s *soak) { s.nodes[0].ip, s.nodes[0].fleet = "127.0.0.1", s.fleet; s.judgeBeliefs() }},
 		{"EXIT", func(s *soak) { s.controls[0].ownExits = []error{io.EOF} }},
@@ -238,3 +240,10 @@
 	s.servers[0].runs[came.id] = 1
 	s.ends = append(s.ends, served{id: came.id, node: "node-1", route: "command", sent: at, done: at, status: 200, whole: true})
 }
+
+// refuseBarred enters requests that were refused as poison requests, among others that were served.
+func (s *soak) refuseBarred(count int) {
+	refused := served{id: "m", model: "m0", route: "models", node: "node-1", sent: s.ends[0].sent, done: s.ends[0].sent, status: 503, isBarred: true}
+	s.ends = append(s.ends, slices.Repeat(s.ends[1:2], 40)...)
+	s.ends = append(s.ends, slices.Repeat([]served{refused}, count)...)
+}
