--- /dev/null
+++ b/internal/quota/stale_test.go
@@ -0,0 +1,31 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// A word of use is dated as it comes and counted once it has its turn. A node that was frozen in
+// between counted it two seconds late, when a tick that had not waited had opened the tenant's
+// account anew: the use lay before the account, and the node ended with "index out of range [-1]".
+func TestUseThatWaitedForItsTurn(t *testing.T) {
+	quota := routetable.Quota{PerSecond: 1000, Burst: 1000}
+	coordinator := NewCoordinator(Tolerance{Window: window})
+	coordinator.Observe(begin)
+	opened := begin.Add(3 * time.Second)
+	coordinator.Keep(opened, "t", quota, 1)
+	before := coordinator.Ask(opened, "t", quota, 1, 0, 0).Left
+	for _, late := range []time.Duration{time.Millisecond, time.Second, 3 * time.Second} {
+		coordinator.Used(opened.Add(-late), "t", quota, 1, 10)
+	}
+	if got := coordinator.Ask(opened, "t", quota, 1, 0, 0).Left; got > before-30 {
+		t.Errorf("%v left after uses of 30, %v before", got, before)
+	}
+	coordinator.Ask(begin, "t", quota, 1, 10, 0)
+	coordinator.Observe(opened.Add(time.Millisecond))
+	if got := coordinator.Ask(opened.Add(time.Millisecond), "t", quota, 1, 0, 0).Left; got > before-30 {
+		t.Errorf("%v left: a time that went back let the coordinator forget what it gave", got)
+	}
+}
