Quota: time does not go back at a coordinator

Cause: decide() takes the time, and then its turn at the lock. A node that is frozen in between comes with a time from before, when a tick of the same node has dropped and opened the accounts anew: the use gets a slot below 0, and the process ends. A time that goes back also makes the next one look like a pause, by which all that was given is forgotten.

Ruled out: retry budgets count from the process's start under their lock; the other cores index by no time.

Change: a coordinator goes by the latest time that it was told. The test of the commit before panics without (index out of range), also with uses 1 ms, 1 s and 3 s late; nothing is forgotten. Cold servers' admission is the same core.

--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -43,6 +43,7 @@
 // of all nodes that this one hears from; requests of a priority other than 0, the
 // highest, leave some for the more urgent ones.
 func (g *Coordinator) Ask(now time.Time, tenant string, quota routetable.Quota, reach, cost float64, priority int) Verdict {
+	now = g.notBefore(now)
 	known, allowance := g.filled(now, tenant, quota, reach)
 	verdict := Verdict{Left: known.left(now, allowance)}
 	// One that is larger than the bucket ever is was never within the quota.
@@ -78,6 +79,7 @@
 
 // Used takes that a node used cost of its own share; a cost below 0 is given back.
 func (g *Coordinator) Used(now time.Time, tenant string, quota routetable.Quota, reach, cost float64) {
+	now = g.notBefore(now)
 	known, allowance := g.filled(now, tenant, quota, reach)
 	known.use(now, allowance, cost)
 	known.note(now, allowance)
@@ -86,12 +88,23 @@
 // Keep opens the account of a tenant that has not asked yet: it begins low, and is to
 // be full when the tenant comes.
 func (g *Coordinator) Keep(now time.Time, tenant string, quota routetable.Quota, reach float64) {
-	g.filled(now, tenant, quota, reach)
+	g.filled(g.notBefore(now), tenant, quota, reach)
+}
+
+// notBefore is the time, or the latest that was told here: who waited for its turn, or was frozen
+// as it did, comes with an earlier one. Accounts know no time before they were opened, and a time
+// that goes back and on again looks like a pause.
+func (g *Coordinator) notBefore(now time.Time) time.Time {
+	if now.Before(g.observed) {
+		return g.observed
+	}
+	return now
 }
 
 // Observe is called several times a second: a coordinator that stood still longer forgets
 // what it gave, as another has given meanwhile.
 func (g *Coordinator) Observe(now time.Time) {
+	now = g.notBefore(now)
 	if now.Sub(g.observed) > longestPause {
 		g.Forget()
 	}
--- a/internal/quota/stale_test.go
+++ b/internal/quota/stale_test.go
@@ -14,18 +14,23 @@
 	quota := routetable.Quota{PerSecond: 1000, Burst: 1000}
 	coordinator := NewCoordinator(Tolerance{Window: window})
 	coordinator.Observe(begin)
-	opened := begin.Add(3 * time.Second)
-	coordinator.Keep(opened, "t", quota, 1)
-	before := coordinator.Ask(opened, "t", quota, 1, 0, 0).Left
+	now := begin.Add(3 * time.Second)
+	coordinator.Keep(now, "t", quota, 1)
+	coordinator.Used(begin, "t", quota, 1, 10)
+	for range 100 {
+		now = now.Add(longestPause / 4)
+		coordinator.Observe(now)
+	}
+	left := func() float64 { return coordinator.Ask(now, "t", quota, 1, 0, 0).Left }
+	before := left()
 	for _, late := range []time.Duration{time.Millisecond, time.Second, 3 * time.Second} {
-		coordinator.Used(opened.Add(-late), "t", quota, 1, 10)
+		coordinator.Used(now.Add(-late), "t", quota, 1, 10)
 	}
-	if got := coordinator.Ask(opened, "t", quota, 1, 0, 0).Left; got > before-30 {
+	if got := left(); before < 100 || got > before-30 {
 		t.Errorf("%v left after uses of 30, %v before", got, before)
 	}
 	coordinator.Ask(begin, "t", quota, 1, 10, 0)
-	coordinator.Observe(opened.Add(time.Millisecond))
-	if got := coordinator.Ask(opened.Add(time.Millisecond), "t", quota, 1, 0, 0).Left; got > before-30 {
-		t.Errorf("%v left: a time that went back let the coordinator forget what it gave", got)
+	if got := left(); got > before-40 || got < before-50 {
+		t.Errorf("%v left of %v: a time that went back let the coordinator forget what it gave", got, before)
 	}
 }
