Sight: lines of requests, orders and reports name the rate limit that an answer tells

A node could not say from its logs whether it had been told a limit. The header is read where the other words of a server are, and logged; nothing goes by it yet.

--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
@@ -327,7 +329,7 @@
 		})
 		l.node.words.hearCall(order.Start(), word, wordFromOrder)
 		l.call(ctx, func() {
-			l.node.options.Logger.Info().Int64("term", term).Str("server", order.ServerID).
+			withLimit(l.node.options.Logger.Info(), word).Int64("term", term).Str("server", order.ServerID).
 				Str("operation", order.Operation.String()).Str("model", order.Model).Str("adapter", order.Adapter).
 				Int64("expected", order.Expected).Str("source", order.Source.String()).Str("reason", order.Reason).
 				Str("result", result.String()).Int64("took_ms", clock.Since(started).Milliseconds()).
@@ -341,6 +343,14 @@
 	}()
 }
 
+// withLimit adds the rate limit that an answer names to a line.
+func withLimit(entry *log.Entry, word inventory.Word) *log.Entry {
+	if word.Limit.IsNamed() {
+		entry.Float64("server_limit", word.Limit.PerSecond)
+	}
+	return entry
+}
+
 // mayCall reports whether the server does not rest: it wants no calls of this node then.
 func (l *leader) mayCall(start inventory.Start) (may bool) {
 	l.node.dispatch.Do(func(core *dispatch.Core) { may = core.MaySend(clock.Now(), start) })
@@ -356,7 +366,7 @@
 			l.node.words.hearCall(call.Start(), report.Word, wordFromReport)
 		}
 		l.call(ctx, func() {
-			l.node.options.Logger.Info().Str("server", call.ServerID).Int64("sequence", report.Sequence).
+			withLimit(l.node.options.Logger.Info(), report.Word).Str("server", call.ServerID).Int64("sequence", report.Sequence).
 				Bool("busy", report.Busy).Int("models", len(report.Models)).Bool("ok", err == nil).Msg("report_read")
 			core.TakeReport(clock.Now(), call.ServerID, report, err == nil)
 		})
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -214,7 +214,7 @@
 		// Another server has the address, and tells of itself; the one that was meant is gone.
 		x.word = inventory.Word{Leaving: status == http.StatusMisdirectedRequest}
 	}
-	if x.word.IsEmpty() {
+	if !x.word.Leaving && x.word.Rest <= 0 {
 		return
 	}
 	start, news := choice.Flight.Start(), false
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"github.com/spanlanding/spanlanding/internal/inventory"
 	"io"
 	"net/http"
 	"slices"
@@ -14,6 +13,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/routetable"
@@ -355,6 +355,9 @@
 	if x.word.Rest > 0 {
 		entry.Str("rest_ms", milliseconds(x.word.Rest))
 	}
+	if x.word.Limit.IsNamed() {
+		entry.Float64("server_limit", x.word.Limit.PerSecond)
+	}
 	if x.serverEnd != "" {
 		entry.Str("fingerprint", x.fingerprint().String()).Str("server_end", string(x.serverEnd))
 	}
