Test that fails: a server that names a rate limit gets ten times that

Over three nodes as processes, counted at the servers, orders and questions for reports included: 113 requests in the worst 4 s at a server of commands that names 1 a second, and 240 at one that holds a model, where 11 are allowed.

--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -74,6 +74,10 @@
 	isLeaving bool
 	// restFor is the rest that it asks for as it turns all requests away; 0 is none.
 	restFor time.Duration
+	// limit is the rate limit that all answers name; empty is none. reached is all that reached the
+	// server since it first named one.
+	limit   string
+	reached []reach
 	// isDown lets it answer nobody.
 	isDown bool
 	// server is what serves it; nil where nobody ends its connections.
@@ -136,7 +140,7 @@
 	m.set(func() {
 		m.models = make(map[string]map[string]bool)
 		m.sequence, m.busy, m.loading = 0, false, ""
-		m.isLeaving, m.restFor = false, 0
+		m.isLeaving, m.restFor, m.limit = false, 0, ""
 		m.born++
 	})
 	m.enter(s, "ready")
@@ -170,6 +174,12 @@
 	if m.isLeaving {
 		writer.Header().Set("Server-Leaving", "1")
 	}
+	if m.limit != "" || len(m.reached) > 0 {
+		m.reached = append(m.reached, reach{at: m.reachedAt, path: request.URL.Path, born: m.born})
+	}
+	if m.limit != "" {
+		writer.Header().Set("Server-Limit", m.limit)
+	}
 	m.mu.Unlock()
 	switch request.URL.Path {
 	case "/api/report":
