--- a/internal/coldstart/bound.go
+++ b/internal/admission/bound.go
@@ -1,4 +1,4 @@
-package coldstart
+package admission
 
 import (
 	"math"
@@ -8,9 +8,9 @@
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
-// Bound is what a cold server may receive in any second from all nodes together:
+// WarmUpBound is what a cold server may receive in any second from all nodes together:
 // PerSecond x Overage + Slack requests.
-type Bound struct {
+type WarmUpBound struct {
 	// PerSecond is what the server bears while it is cold; at 0 nothing is sent to it.
 	PerSecond float64
 	// Overage is a factor, 1 where the bound is PerSecond itself.
@@ -47,7 +47,7 @@
 
 // Most is the number of requests that a server may receive in any second. A rate that is no
 // finite number over 0 lets nothing pass; an overage or a slack that is none adds nothing.
-func (b Bound) Most() float64 {
+func (b WarmUpBound) Most() float64 {
 	if !isFigure(b.PerSecond) {
 		return 0
 	}
@@ -66,7 +66,7 @@
 // Quota is what a coordinator grants of one server. A new coordinator begins with an empty
 // bucket, so that it grants no more than the rate in its first window, in which the one
 // before it may have granted a whole window.
-func (b Bound) Quota() routetable.Quota {
+func (b WarmUpBound) Quota() routetable.Quota {
 	if !isFigure(b.PerSecond) {
 		return routetable.Quota{}
 	}
@@ -77,7 +77,7 @@
 }
 
 // RampQuota is what a coordinator grants of a server in its ramp.
-func (b Bound) RampQuota() routetable.Quota {
+func (b WarmUpBound) RampQuota() routetable.Quota {
 	quota := b.Quota()
 	quota.PerSecond *= rampFactor
 	quota.Burst *= rampFactor
@@ -85,4 +85,4 @@
 }
 
 // Tolerance is that of a coordinator of servers: nothing is given beyond Quota.
-func Tolerance() quota.Tolerance { return quota.Tolerance{Window: window} }
+func WarmUpTolerance() quota.Tolerance { return quota.Tolerance{Window: window} }
--- a/internal/coldstart/schedule_test.go
+++ b/internal/admission/schedule_test.go
@@ -1,4 +1,4 @@
-package coldstart
+package admission
 
 import (
 	"fmt"
@@ -34,7 +34,7 @@
 
 var (
 	begin = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
-	bound = Bound{PerSecond: 12, Overage: 1.5, Slack: 5}
+	bound = WarmUpBound{PerSecond: 12, Overage: 1.5, Slack: 5}
 )
 
 // defect is a mistake that the check has to find.
@@ -118,7 +118,7 @@
 func (f *simFleet) restart(i int) {
 	node := f.nodes[i]
 	*node = simNode{
-		coordinator: quota.NewCoordinator(Tolerance()), lots: NewLots(fmt.Sprint("10.0.0.", i)), side: node.side,
+		coordinator: quota.NewCoordinator(WarmUpTolerance()), lots: NewLots(fmt.Sprint("10.0.0.", i)), side: node.side,
 		started: f.now, heard: make([]time.Time, len(f.nodes)),
 	}
 	if f.random.IntN(storeReaders) == 0 {
@@ -232,7 +232,7 @@
 		}
 	case !f.knowsFleet(i) && f.defect != defectSmallFleet, f.now.Sub(node.started) < lotsAfter:
 		f.refused++
-	case node.lots.Take(f.now, f.servers[server], bound, nodes):
+	case node.lots.Take(f.now, f.servers[server], bound.Most(), nodes):
 		f.send(server)
 	default:
 		f.refused++
--- a/internal/coldstart/state.go
+++ b/internal/admission/warmup.go
@@ -1,4 +1,4 @@
-package coldstart
+package admission
 
 import "time"
 
@@ -26,8 +26,8 @@
 	longestPause  = 250 * time.Millisecond
 )
 
-// State is what a node believes of one server. The zero value is one that was never seen.
-type State struct {
+// WarmUp is what a node believes of one server. The zero value is one that was never seen.
+type WarmUp struct {
 	seenAt time.Time
 	// isTold is set once an entry or an answer said how long the server is cold, and until is
 	// that moment; zero where it never was cold.
@@ -45,7 +45,7 @@
 
 // See takes that the server is known. Until it is told otherwise it is cold for as long as
 // servers are after a start.
-func (s *State) See(now time.Time) {
+func (s *WarmUp) See(now time.Time) {
 	if s.seenAt.IsZero() {
 		s.seenAt = now
 	}
@@ -53,7 +53,7 @@
 
 // Tell takes an entry's word, of the revision, that the server is cold for the time left. It
 // reports whether that is newer than what was known.
-func (s *State) Tell(now time.Time, left time.Duration, revision int64, start time.Duration) bool {
+func (s *WarmUp) Tell(now time.Time, left time.Duration, revision int64, start time.Duration) bool {
 	if s.isTold && revision < s.revision || !s.suspectedAt.IsZero() && revision <= s.suspectedRevision {
 		return false
 	}
@@ -63,9 +63,9 @@
 }
 
 // Answer takes the word of the server itself.
-func (s *State) Answer(now time.Time, left, start time.Duration) { s.set(now, left, start) }
+func (s *WarmUp) Answer(now time.Time, left, start time.Duration) { s.set(now, left, start) }
 
-func (s *State) set(now time.Time, left, start time.Duration) {
+func (s *WarmUp) set(now time.Time, left, start time.Duration) {
 	wasCold := s.Phase(now, start) == Cold
 	s.isTold, s.suspectedAt, s.suspectedRevision = true, time.Time{}, 0
 	switch {
@@ -80,14 +80,14 @@
 // Suspect takes that the server may have turned cold, which entries up to the revision
 // do not say. It is cold then until a later one says otherwise, for as long as servers are
 // after a start.
-func (s *State) Suspect(now time.Time, revision int64) {
+func (s *WarmUp) Suspect(now time.Time, revision int64) {
 	s.suspectedAt = now
 	s.suspectedRevision = max(s.suspectedRevision, revision)
 }
 
 // Phase is how the server is to be treated, where servers are cold for the time start
 // after they started.
-func (s *State) Phase(now time.Time, start time.Duration) Phase {
+func (s *WarmUp) Phase(now time.Time, start time.Duration) Phase {
 	until := s.coldUntil(start)
 	switch {
 	case until.IsZero():
@@ -102,7 +102,7 @@
 }
 
 // coldUntil is the last moment of all that was told or is taken; zero where there is none.
-func (s *State) coldUntil(start time.Duration) time.Time {
+func (s *WarmUp) coldUntil(start time.Duration) time.Time {
 	until := s.until
 	if !s.isTold && !s.seenAt.IsZero() {
 		until = later(until, s.seenAt.Add(start))
@@ -121,17 +121,17 @@
 }
 
 // Left is for how long the server is cold yet, and whether that was told and not guessed.
-func (s *State) Left(now time.Time, start time.Duration) (left time.Duration, told bool) {
+func (s *WarmUp) Left(now time.Time, start time.Duration) (left time.Duration, told bool) {
 	return max(0, s.coldUntil(start).Sub(now)), s.isTold && s.suspectedAt.IsZero()
 }
 
 // HoldBack takes that a request was not granted, and may be after retryIn.
-func (s *State) HoldBack(now time.Time, retryIn time.Duration) {
+func (s *WarmUp) HoldBack(now time.Time, retryIn time.Duration) {
 	s.closedUntil = now.Add(min(max(retryIn, shortestPause), longestPause))
 }
 
 // OpensIn is for how long the server is left alone.
-func (s *State) OpensIn(now time.Time, start time.Duration) time.Duration {
+func (s *WarmUp) OpensIn(now time.Time, start time.Duration) time.Duration {
 	if s.Phase(now, start) == Warm {
 		return 0
 	}
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/admission/warmup_test.go
@@ -1,4 +1,4 @@
-package coldstart
+package admission
 
 import (
 	"fmt"
@@ -17,36 +17,36 @@
 // TestPhases: what is believed of a server after what was told of it.
 func TestPhases(t *testing.T) {
 	cases := map[string]struct {
-		told  func(s *State)
+		told  func(s *WarmUp)
 		at    float64
 		start time.Duration
 		want  Phase
 	}{
-		"never seen":                     {func(*State) {}, 0, start, Warm},
-		"first seen":                     {func(s *State) { s.See(begin) }, 2.9, start, Cold},
-		"first seen and not told":        {func(s *State) { s.See(begin) }, 3.5, start, Ramp},
-		"long seen":                      {func(s *State) { s.See(begin) }, 4.1, start, Warm},
-		"where servers are never cold":   {func(s *State) { s.See(begin) }, 0, 0, Ramp},
-		"told warm":                      {func(s *State) { s.See(begin); s.Tell(begin, 0, 5, start) }, 0.9, start, Ramp},
-		"told warm, later":               {func(s *State) { s.See(begin); s.Tell(begin, 0, 5, start) }, 1.1, start, Warm},
-		"told cold":                      {func(s *State) { s.Tell(begin, 2*time.Second, 5, start) }, 1.9, start, Cold},
-		"told cold, the ramp":            {func(s *State) { s.Tell(begin, 2*time.Second, 5, start) }, 2.1, start, Ramp},
-		"told cold, the end":             {func(s *State) { s.Tell(begin, 2*time.Second, 5, start) }, 3.1, start, Warm},
-		"an older entry":                 {func(s *State) { s.Tell(begin, 2*time.Second, 5, start); s.Tell(begin, 0, 4, start) }, 1, start, Cold},
-		"a newer entry":                  {func(s *State) { s.Tell(begin, 2*time.Second, 5, start); s.Tell(begin, 0, 6, start) }, 0.5, start, Ramp},
-		"warm, then cold again":          {func(s *State) { s.Tell(begin, 0, 5, start); s.Tell(after(9), start, 6, start) }, 10, start, Cold},
-		"suspected":                      {func(s *State) { s.Tell(begin, 0, 5, start); s.Suspect(after(9), 7) }, 11, start, Cold},
-		"suspected, an entry before":     {func(s *State) { s.Suspect(after(9), 7); s.Tell(after(10), 0, 7, start) }, 11, start, Cold},
-		"suspected, a later entry":       {func(s *State) { s.Suspect(after(9), 7); s.Tell(after(9), 0, 8, start) }, 11, start, Warm},
-		"suspected, the server's word":   {func(s *State) { s.Suspect(after(9), 7); s.Answer(after(9), 0, start) }, 11, start, Warm},
-		"suspected, and nothing follows": {func(s *State) { s.Suspect(after(9), 7) }, 13.1, start, Warm},
-		"the server's word":              {func(s *State) { s.Tell(begin, 0, 5, start); s.Answer(begin, time.Second, start) }, 0.9, start, Cold},
-		"below nothing":                  {func(s *State) { s.Tell(begin, -time.Hour, 5, start) }, 0, start, Warm},
-		"endless":                        {func(s *State) { s.Tell(begin, math.MaxInt64, 5, start) }, 59, start, Cold},
-		"endless, bounded":               {func(s *State) { s.Tell(begin, math.MaxInt64, 5, start) }, 61.1, start, Warm},
+		"never seen":                     {func(*WarmUp) {}, 0, start, Warm},
+		"first seen":                     {func(s *WarmUp) { s.See(begin) }, 2.9, start, Cold},
+		"first seen and not told":        {func(s *WarmUp) { s.See(begin) }, 3.5, start, Ramp},
+		"long seen":                      {func(s *WarmUp) { s.See(begin) }, 4.1, start, Warm},
+		"where servers are never cold":   {func(s *WarmUp) { s.See(begin) }, 0, 0, Ramp},
+		"told warm":                      {func(s *WarmUp) { s.See(begin); s.Tell(begin, 0, 5, start) }, 0.9, start, Ramp},
+		"told warm, later":               {func(s *WarmUp) { s.See(begin); s.Tell(begin, 0, 5, start) }, 1.1, start, Warm},
+		"told cold":                      {func(s *WarmUp) { s.Tell(begin, 2*time.Second, 5, start) }, 1.9, start, Cold},
+		"told cold, the ramp":            {func(s *WarmUp) { s.Tell(begin, 2*time.Second, 5, start) }, 2.1, start, Ramp},
+		"told cold, the end":             {func(s *WarmUp) { s.Tell(begin, 2*time.Second, 5, start) }, 3.1, start, Warm},
+		"an older entry":                 {func(s *WarmUp) { s.Tell(begin, 2*time.Second, 5, start); s.Tell(begin, 0, 4, start) }, 1, start, Cold},
+		"a newer entry":                  {func(s *WarmUp) { s.Tell(begin, 2*time.Second, 5, start); s.Tell(begin, 0, 6, start) }, 0.5, start, Ramp},
+		"warm, then cold again":          {func(s *WarmUp) { s.Tell(begin, 0, 5, start); s.Tell(after(9), start, 6, start) }, 10, start, Cold},
+		"suspected":                      {func(s *WarmUp) { s.Tell(begin, 0, 5, start); s.Suspect(after(9), 7) }, 11, start, Cold},
+		"suspected, an entry before":     {func(s *WarmUp) { s.Suspect(after(9), 7); s.Tell(after(10), 0, 7, start) }, 11, start, Cold},
+		"suspected, a later entry":       {func(s *WarmUp) { s.Suspect(after(9), 7); s.Tell(after(9), 0, 8, start) }, 11, start, Warm},
+		"suspected, the server's word":   {func(s *WarmUp) { s.Suspect(after(9), 7); s.Answer(after(9), 0, start) }, 11, start, Warm},
+		"suspected, and nothing follows": {func(s *WarmUp) { s.Suspect(after(9), 7) }, 13.1, start, Warm},
+		"the server's word":              {func(s *WarmUp) { s.Tell(begin, 0, 5, start); s.Answer(begin, time.Second, start) }, 0.9, start, Cold},
+		"below nothing":                  {func(s *WarmUp) { s.Tell(begin, -time.Hour, 5, start) }, 0, start, Warm},
+		"endless":                        {func(s *WarmUp) { s.Tell(begin, math.MaxInt64, 5, start) }, 59, start, Cold},
+		"endless, bounded":               {func(s *WarmUp) { s.Tell(begin, math.MaxInt64, 5, start) }, 61.1, start, Warm},
 	}
 	for name, c := range cases {
-		var state State
+		var state WarmUp
 		c.told(&state)
 		if got := state.Phase(after(c.at), c.start); got != c.want {
 			t.Errorf("%s: phase %d after %.1f s, want %d", name, got, c.at, c.want)
@@ -57,7 +57,7 @@
 // TestHeldBackServerIsLeftAlone: for as long as told, within bounds, and not beyond the
 // word that it is warm.
 func TestHeldBackServerIsLeftAlone(t *testing.T) {
-	var state State
+	var state WarmUp
 	state.Tell(begin, start, 1, start)
 	for retryIn, want := range map[time.Duration]time.Duration{
 		0: shortestPause, -time.Second: shortestPause, 100 * time.Millisecond: 100 * time.Millisecond, time.Hour: longestPause,
@@ -77,7 +77,7 @@
 // TestGrantsStayBelowTheBound: what an old and a new coordinator grant in one window, with the
 // lots of most servers, is below it for every figure that a service may name.
 func TestGrantsStayBelowTheBound(t *testing.T) {
-	for _, bound := range []Bound{
+	for _, bound := range []WarmUpBound{
 		{PerSecond: 12, Overage: 1.5, Slack: 5}, {PerSecond: 50, Overage: 1.1}, {PerSecond: 3, Overage: 2, Slack: 10},
 		{PerSecond: 12, Overage: 1.5, Slack: 5000}, {PerSecond: 8, Overage: 0.1, Slack: -3},
 	} {
@@ -96,16 +96,16 @@
 func TestBadFiguresLetNothingPass(t *testing.T) {
 	for _, rate := range []float64{0, -1, math.NaN(), math.Inf(1), math.Inf(-1)} {
 		for _, other := range []float64{1.5, math.NaN(), math.Inf(1), -2} {
-			bound := Bound{PerSecond: rate, Overage: other, Slack: other}
+			bound := WarmUpBound{PerSecond: rate, Overage: other, Slack: other}
 			if granted := bound.Quota(); bound.Most() != 0 || granted.PerSecond != 0 || granted.Burst != 0 {
 				t.Errorf("%+v grants %+v", bound, granted)
 			}
-			if NewLots("a").Take(begin, "s", bound, 1) {
+			if NewLots("a").Take(begin, "s", bound.Most(), 1) {
 				t.Errorf("%+v: a lot", bound)
 			}
 		}
 	}
-	most := Bound{PerSecond: 12, Overage: math.NaN(), Slack: math.Inf(1)}.Most()
+	most := WarmUpBound{PerSecond: 12, Overage: math.NaN(), Slack: math.Inf(1)}.Most()
 	if most != 12 {
 		t.Errorf("%.0f with an overage and a slack that are none", most)
 	}
@@ -119,14 +119,14 @@
 		id, drawn := fmt.Sprint("s", server), 0
 		for node := range nodes {
 			lots := NewLots(fmt.Sprint("10.0.0.", node))
-			if !lots.Take(begin, id, bound, nodes) {
+			if !lots.Take(begin, id, bound.Most(), nodes) {
 				continue
 			}
 			drawn++
-			if lots.Take(begin.Add(window-time.Millisecond), id, bound, nodes) {
+			if lots.Take(begin.Add(window-time.Millisecond), id, bound.Most(), nodes) {
 				t.Fatal("a lot was used twice in a window")
 			}
-			if !lots.Take(begin.Add(time.Hour), id, bound, nodes) || lots.Take(begin.Add(time.Hour), id, bound, nodes) {
+			if !lots.Take(begin.Add(time.Hour), id, bound.Most(), nodes) || lots.Take(begin.Add(time.Hour), id, bound.Most(), nodes) {
 				t.Fatal("a lot was saved up, or lost")
 			}
 		}
@@ -157,7 +157,7 @@
 		newest := words[len(words)-1]
 		words = append(words, words...)
 		random.Shuffle(len(words), func(i, j int) { words[i], words[j] = words[j], words[i] })
-		var state State
+		var state WarmUp
 		heardNewest := false
 		for i, told := range words {
 			now := begin.Add(time.Duration(i+1) * 100 * time.Millisecond)
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/coldstart"
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
@@ -15,14 +15,14 @@
 
 // coldness is what a node believes of one server's cold time.
 type coldness struct {
-	state coldstart.State
+	state admission.WarmUp
 	// limit is that of the server's service.
 	limit routetable.ColdStart
 	// foretold is when a request may be granted that was not.
 	foretold time.Time
 	// by is what was last told, and noted the phase that was last logged.
 	by    ColdWord
-	noted coldstart.Phase
+	noted admission.Phase
 }
 
 // ColdWord is where it is known from that a server is cold, or not.
@@ -98,19 +98,20 @@
 	}
 }
 
-// HoldBack takes that a request was not granted at a cold server, and may be after retryIn.
+// HoldBack takes that a request was not granted at a server, and may be after retryIn.
 func (c *Core) HoldBack(now time.Time, serverID string, retryIn time.Duration) {
 	if s, ok := c.servers[serverID]; ok {
+		s.holdRate(now, retryIn)
 		s.cold.state.HoldBack(now, retryIn)
 		s.cold.foretold = now.Add(retryIn)
 	}
 }
 
 // ColdPhase is how the server is to be treated, and its service.
-func (c *Core) ColdPhase(now time.Time, serverID string) (phase coldstart.Phase, service string) {
+func (c *Core) ColdPhase(now time.Time, serverID string) (phase admission.Phase, service string) {
 	s, ok := c.servers[serverID]
 	if !ok {
-		return coldstart.Warm, ""
+		return admission.Warm, ""
 	}
 	return s.coldPhase(now), s.info.Service
 }
@@ -134,7 +135,7 @@
 func (c *Core) CountCold(now time.Time) int {
 	count := 0
 	for _, s := range c.servers {
-		if s.coldPhase(now) == coldstart.Cold {
+		if s.coldPhase(now) == admission.Cold {
 			count++
 		}
 	}
@@ -156,12 +157,12 @@
 	var changes []ColdChange
 	for id, s := range c.servers {
 		phase := s.coldPhase(now)
-		if (phase == coldstart.Cold) == (s.cold.noted == coldstart.Cold) {
+		if (phase == admission.Cold) == (s.cold.noted == admission.Cold) {
 			continue
 		}
 		s.cold.noted = phase
 		left, told := s.cold.state.Left(now, s.cold.limit.Time)
-		change := ColdChange{ServerID: id, Zone: s.info.Zone, IsCold: phase == coldstart.Cold, Left: left, By: s.cold.by}
+		change := ColdChange{ServerID: id, Zone: s.info.Zone, IsCold: phase == admission.Cold, Left: left, By: s.cold.by}
 		if !change.IsCold && !told {
 			change.By = ColdElapsed
 		}
@@ -181,7 +182,7 @@
 		if s.info.Service != wanted.Service || !s.takesWork() || !c.isIn(s, wanted.Regions) || !s.offers(now, wanted) {
 			continue
 		}
-		if s.coldPhase(now) == coldstart.Warm {
+		if s.coldPhase(now) == admission.Warm {
 			return false
 		}
 		found = true
@@ -206,28 +207,37 @@
 	return 0
 }
 
-func (s *server) coldPhase(now time.Time) coldstart.Phase {
+func (s *server) coldPhase(now time.Time) admission.Phase {
 	if !s.cold.limit.IsLimited() {
-		return coldstart.Warm
+		return admission.Warm
 	}
 	return s.cold.state.Phase(now, s.cold.limit.Time)
 }
 
-// isHeldBack reports whether the server is left alone for now, as it is cold.
-func (s *server) isHeldBack(now time.Time) bool {
+// isHeldBack reports whether the server is left alone for now, as it is cold or names a rate limit.
+func (s *server) isHeldBack(now time.Time) bool { return s.isColdHeld(now) || s.isRateHeld(now) }
+
+func (s *server) isColdHeld(now time.Time) bool {
 	return s.cold.limit.IsLimited() && s.cold.state.OpensIn(now, s.cold.limit.Time) > 0
 }
 
-// opensIn is when a request may go to a server that holds what is wanted and is left alone
-// as it is cold, or until another request has shown that it takes work again after a rest.
+// opensIn is when a request may go to a server that holds what is wanted and is left alone as it is
+// cold or names a rate limit, or until another request has shown that it takes work again.
 func (s *server) opensIn(now time.Time, wanted Wanted) (left time.Duration, ok bool) {
-	if s.isProving(now) && s.offers(now, wanted) {
-		return proofPatience - now.Sub(s.words.proof.started), true
-	}
-	if !s.isHeldBack(now) || !s.offers(now, wanted) {
+	isProving, isColdHeld, isRateHeld := s.isProving(now), s.isColdHeld(now), s.isRateHeld(now)
+	if !isProving && !isColdHeld && !isRateHeld || !s.offers(now, wanted) {
 		return 0, false
 	}
-	return max(s.cold.state.OpensIn(now, s.cold.limit.Time), s.cold.foretold.Sub(now)), true
+	if isProving {
+		left = proofPatience - now.Sub(s.words.proof.started)
+	}
+	if isColdHeld {
+		left = max(left, s.cold.state.OpensIn(now, s.cold.limit.Time), s.cold.foretold.Sub(now))
+	}
+	if isRateHeld {
+		left = max(left, s.words.rate.closedUntil.Sub(now), s.words.rate.foretold.Sub(now))
+	}
+	return left, true
 }
 
 // offers reports whether the server can serve what is wanted.
--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/coldstart"
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
@@ -20,7 +20,7 @@
 	core.TellCold(now, inventory.Server{ID: id, ColdLeft: left, TellsCold: true, Revision: revision})
 }
 
-func phaseOf(core *Core, now time.Time, id string) coldstart.Phase {
+func phaseOf(core *Core, now time.Time, id string) admission.Phase {
 	phase, _ := core.ColdPhase(now, id)
 	return phase
 }
@@ -36,12 +36,12 @@
 		core.TellCold(begin, inventory.Server{ID: id, Revision: 1})
 	}
 	tellCold(core, begin, "b", 0, 2)
-	for id, want := range map[string]coldstart.Phase{"a": coldstart.Cold, "c": coldstart.Warm, "unknown": coldstart.Warm} {
+	for id, want := range map[string]admission.Phase{"a": admission.Cold, "c": admission.Warm, "unknown": admission.Warm} {
 		if got := phaseOf(core, begin.Add(time.Second), id); got != want {
 			t.Errorf("%s: phase %d, want %d", id, got, want)
 		}
 	}
-	if got := phaseOf(core, begin.Add(1100*time.Millisecond), "b"); got != coldstart.Warm {
+	if got := phaseOf(core, begin.Add(1100*time.Millisecond), "b"); got != admission.Warm {
 		t.Errorf("b: phase %d though it is told warm", got)
 	}
 }
@@ -125,11 +125,11 @@
 	now := begin.Add(time.Minute)
 	core.SuspectCold(now, "y", 9)
 	tellCold(core, now, "a", 0, 9)
-	if a, b := phaseOf(core, now, "a"), phaseOf(core, now, "b"); a != coldstart.Cold || b != coldstart.Warm {
+	if a, b := phaseOf(core, now, "a"), phaseOf(core, now, "b"); a != admission.Cold || b != admission.Warm {
 		t.Errorf("phases %d and %d, want cold in the zone alone", a, b)
 	}
 	tellCold(core, now, "a", 0, 10)
-	if got := phaseOf(core, now, "a"); got == coldstart.Cold {
+	if got := phaseOf(core, now, "a"); got == admission.Cold {
 		t.Error("cold though a newer entry says otherwise")
 	}
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -179,6 +179,8 @@
 	Going int
 	// Resting ones of the others want nothing from this node for now.
 	Resting int
+	// Limited ones name a rate limit.
+	Limited int
 	// Closed ones of the others take none as their zone is evacuated.
 	Closed int
 }
@@ -187,6 +189,9 @@
 func (c *Core) Supply(now time.Time, service string) Supply {
 	supply := Supply{Known: len(c.byService[service])}
 	for _, s := range c.byService[service] {
+		if s.isRateLimited() {
+			supply.Limited++
+		}
 		switch {
 		case s.isGoing():
 			supply.Going++
@@ -211,6 +216,8 @@
 	StateResting State = "resting"
 	// StateClosed servers take none while their zone is evacuated.
 	StateClosed State = "closed"
+	// StateLimited servers take work at the rate that they name.
+	StateLimited State = "limited"
 	// StateSuspect servers take work, though many of their requests failed.
 	StateSuspect State = "suspect"
 )
@@ -237,6 +244,8 @@
 		return StateResting
 	case s.closed:
 		return StateClosed
+	case s.isRateLimited():
+		return StateLimited
 	case s.health.failureRate(now) >= suspectRate:
 		return StateSuspect
 	default:
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -3,7 +3,7 @@
 // merges what servers say of themselves, what the leader says of its orders,
 // what peers have under way, and what this node saw.
 //
-// It may import coldstart, inventory and routetable. No I/O, no clock, no goroutine: the
+// It may import admission, inventory and routetable. No I/O, no clock, no goroutine: the
 // time comes in with each call. A Core is not safe for concurrent use; Shared
 // guards one.
 package dispatch
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/coldstart"
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
 )
@@ -171,9 +171,10 @@
 	cost *= max(1, s.health.slowness)
 	cost += failures * failures * failureCost.Seconds()
 	cost += c.wayCost(s).Seconds()
-	if s.coldPhase(now) == coldstart.Cold {
+	if s.coldPhase(now) == admission.Cold {
 		cost += coldCost.Seconds()
 	}
+	cost += s.rateCost(now).Seconds()
 	if s.isTroubled(now) {
 		cost += troubledCost.Seconds()
 	}
--- a/internal/dispatch/words.go
+++ b/internal/dispatch/words.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
@@ -21,6 +22,7 @@
 	proof     *Flight
 	// troubledUntil is when the rest ends that the server asked some other node for.
 	troubledUntil time.Time
+	rate          rateLimit
 	heardAt       time.Time
 }
 
@@ -42,14 +44,16 @@
 // HearStart takes what one start of a server told this node with an answer; it changes nothing for
 // another start. News is false where that is nothing to be passed on.
 func (c *Core) HearStart(now time.Time, start inventory.Start, word inventory.Word) (news bool) {
-	if word.IsEmpty() {
+	if word.IsEmpty() && !c.namedLimit(start) {
 		return false
 	}
 	told := c.wordsOf(now, start)
 	if word.Rest > 0 {
 		told.isProving, told.proof = true, nil
 	}
-	return c.hear(now, told, word, &told.restUntil)
+	news = c.hear(now, told, word, &told.restUntil)
+	limit := admission.Observation{Limit: word.Limit, SentAt: word.SentAt, HeardAt: now}
+	return c.observe(told, limit) || news
 }
 
 // HearOfStart takes what a peer says that one start of a server told it. That it leaves holds for
@@ -222,13 +226,13 @@
 // than that is over before a copy is loaded elsewhere, from another server's disk or memory.
 const leastAway = time.Second
 
-// Away are the starts of servers that said that they leave, or that want nothing from this node
-// or others for so long that what they hold is better loaded elsewhere.
+// Away are the starts of servers that said that they leave, that want nothing from this node or
+// others for so long, or take so little, that what they hold is better loaded elsewhere.
 func (c *Core) Away(now time.Time) []inventory.Start {
 	var away []inventory.Start
 	for _, told := range c.words {
 		until := later(told.restUntil, told.troubledUntil)
-		if told.leaving || until.Sub(now) >= leastAway {
+		if told.leaving || until.Sub(now) >= leastAway || c.isShortOfRate(now, told) {
 			away = append(away, told.start)
 		}
 	}
--- a/internal/edge/coldstarts_test.go
+++ b/internal/edge/admissions_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/clock"
-	"github.com/spanlanding/spanlanding/internal/coldstart"
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/gossip"
 	"github.com/spanlanding/spanlanding/internal/inventory"
@@ -23,8 +23,8 @@
 	node.options.ColdOverage, node.options.ColdSlack = 1.5, 5
 	node.options.Tunables.PeerSeeds = []string{"126.0.0.9:1"}
 	node.started = clock.Now().Add(-10 * time.Second)
-	node.coldStarts = newColdStarts(node)
-	node.coldStarts.learnFleet(1)
+	node.admissions = newAdmissions(node)
+	node.admissions.learnFleet(1)
 	node.putInForce(coldTable(12), "read")
 	return node
 }
@@ -44,13 +44,18 @@
 func admitted(node *Node, serverID string, requests int) int {
 	count := 0
 	for range requests {
-		if node.coldStarts.AdmitToServer(context.Background(), serverID, 0).Granted {
+		if node.admissions.Admit(context.Background(), inventory.Start{ID: serverID}, 0).Granted {
 			count++
 		}
 	}
 	return count
 }
 
+// phaseOf is how the node takes a server of which no start is told.
+func phaseOf(node *Node, serverID string) admission.Phase {
+	return node.admissions.boundsOf(clock.Now(), inventory.Start{ID: serverID}).phase
+}
+
 // TestServerHeardOfAsNewsIsCold unless the news say otherwise.
 func TestServerHeardOfAsNewsIsCold(t *testing.T) {
 	node := newColdNode(t, 1)
@@ -58,13 +63,13 @@
 	hearsOf(node, inventory.Server{ID: "warm", Service: "s", Revision: 5, TellsCold: true})
 	hearsOf(node, inventory.Server{ID: "cold", Service: "s", Revision: 6, TellsCold: true, ColdLeft: 2 * time.Second})
 	hearsOf(node, inventory.Server{ID: "plain", Service: "plain", Revision: 7})
-	for id, want := range map[string]coldstart.Phase{"silent": coldstart.Cold, "warm": coldstart.Warm, "cold": coldstart.Cold, "plain": coldstart.Warm} {
-		if got, _ := node.coldStarts.phase(clock.Now(), id); got != want {
+	for id, want := range map[string]admission.Phase{"silent": admission.Cold, "warm": admission.Warm, "cold": admission.Cold, "plain": admission.Warm} {
+		if got := phaseOf(node, id); got != want {
 			t.Errorf("%s: phase %d, want %d", id, got, want)
 		}
 	}
 	node.useServers([]inventory.Change{{Server: inventory.Server{ID: "silent", Service: "s", Revision: 8, TellsCold: true}}}, "watch")
-	if got, _ := node.coldStarts.phase(clock.Now(), "silent"); got == coldstart.Cold {
+	if got := phaseOf(node, "silent"); got == admission.Cold {
 		t.Error("cold though its entry says otherwise")
 	}
 }
@@ -80,7 +85,7 @@
 	reader.changeServers([]inventory.Change{{Server: known}}, 6)
 	node.hearServers(clock.Now(), newsOf(encodeNews(reader.directory.tell(clock.Now()))))
 	for name, each := range map[string]*Node{"the reader": reader, "who heard of it": node} {
-		if got, _ := each.coldStarts.phase(clock.Now(), "a"); got != coldstart.Cold {
+		if got := phaseOf(each, "a"); got != admission.Cold {
 			t.Errorf("%s: phase %d, want cold", name, got)
 		}
 	}
@@ -137,7 +142,7 @@
 		t.Errorf("%d of 100 granted at a warm server", got)
 	}
 	coordinator.started = clock.Now()
-	coordinator.coldStarts.coordinator.Forget()
+	coordinator.admissions.coordinator.Forget()
 	if got := admitted(asker, "a", 20); got != 0 {
 		t.Errorf("%d granted by a node that has just started", got)
 	}
@@ -158,7 +163,7 @@
 		id := "server-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
 		hearsOf(node, inventory.Server{ID: id, Service: "s", Revision: int64(4 + i)})
 	}
-	node.coldStarts.isTold.Store(false)
+	node.admissions.isTold.Store(false)
 	sent := func() int {
 		count := 0
 		for i := range 200 {
@@ -170,9 +175,9 @@
 		t.Errorf("%d sent by a node that does not know how large the fleet is", got)
 	}
 	node.quotas.toldSize(clock.Now(), 68)
-	node.coldStarts.learnFleet(68)
+	node.admissions.learnFleet(68)
 	// The draw goes by the node's address: this one has lots for two of the servers.
-	node.coldStarts.lots = coldstart.NewLots("10.0.0.4:1")
+	node.admissions.lots = admission.NewLots("10.0.0.4:1")
 	if got := sent(); got != 2 {
 		t.Errorf("%d of 400 sent by one of 68 nodes, want one for each of its lots", got)
 	}
@@ -190,7 +195,7 @@
 	if got := admitted(node, "a", 20); got != 0 {
 		t.Errorf("%d sent", got)
 	}
-	if verdict := node.coldStarts.AdmitToServer(context.Background(), "a", 0); verdict.RetryIn < 2*time.Second {
+	if verdict := node.admissions.Admit(context.Background(), inventory.Start{ID: "a"}, 0); verdict.RetryIn < 2*time.Second {
 		t.Errorf("it is to come back in %v, while the server is cold", verdict.RetryIn)
 	}
 }
@@ -200,12 +205,12 @@
 	if _, told := coldLeftOf(encodeColdLeft(time.Second, false)); told {
 		t.Error("told what is not known")
 	}
-	for left, want := range map[time.Duration]time.Duration{-time.Hour: 0, 0: 0, time.Second: time.Second, time.Hour: coldstart.LongestCold} {
+	for left, want := range map[time.Duration]time.Duration{-time.Hour: 0, 0: 0, time.Second: time.Second, time.Hour: admission.LongestCold} {
 		if got, told := coldLeftOf(encodeColdLeft(left, true)); !told || got != want {
 			t.Errorf("%v: %v, %v", left, got, told)
 		}
 	}
-	if got, _ := coldLeftOf(1<<32 - 1); got != coldstart.LongestCold {
+	if got, _ := coldLeftOf(1<<32 - 1); got != admission.LongestCold {
 		t.Errorf("endless: %v", got)
 	}
 }
@@ -219,24 +224,24 @@
 	node.listServers([]inventory.Server{inZone, elsewhere}, 4)
 	node.evacuations.take(evacuation.Word{Zones: []string{"y"}, Revision: 5}, "test", 0)
 	node.evacuations.take(evacuation.Word{Revision: 9}, "test", 0)
-	phaseOf := func(id string) coldstart.Phase {
-		phase, _ := node.coldStarts.phase(clock.Now(), id)
+	phaseOf := func(id string) admission.Phase {
+		phase := phaseOf(node, id)
 		return phase
 	}
-	if a, b := phaseOf("a"), phaseOf("b"); a != coldstart.Cold || b != coldstart.Warm {
+	if a, b := phaseOf("a"), phaseOf("b"); a != admission.Cold || b != admission.Warm {
 		t.Errorf("phases %d and %d, want cold in the zone alone", a, b)
 	}
 	inZone.Revision = 8
 	node.changeServers([]inventory.Change{{Server: inZone}}, 9)
-	if phaseOf("a") != coldstart.Cold {
+	if phaseOf("a") != admission.Cold {
 		t.Error("warm by an entry from before the end")
 	}
-	if told := node.coldStarts.asOf(clock.Now(), []inventory.Server{inZone}); told[0].TellsCold {
+	if told := node.admissions.asOf(clock.Now(), []inventory.Server{inZone}); told[0].TellsCold {
 		t.Error("a peer is told what is not known")
 	}
 	inZone.Revision = 10
 	node.changeServers([]inventory.Change{{Server: inZone}}, 10)
-	if phaseOf("a") == coldstart.Cold {
+	if phaseOf("a") == admission.Cold {
 		t.Error("cold though a newer entry says otherwise")
 	}
 }
@@ -246,7 +251,7 @@
 func TestPartOfAFleetGrantsNothing(t *testing.T) {
 	coordinator, asker := newColdNode(t, 900), newColdNode(t, 100)
 	for _, each := range []*Node{coordinator, asker} {
-		each.coldStarts.isTold.Store(false)
+		each.admissions.isTold.Store(false)
 		hearsOf(each, inventory.Server{ID: "a", Service: "s", Revision: 4})
 	}
 	meet(coordinator, asker)
@@ -255,11 +260,11 @@
 	if got := admitted(asker, "a", 5); got != 0 {
 		t.Errorf("%d granted where nobody knows how large the fleet is", got)
 	}
-	asker.coldStarts.learnFleet(68)
+	asker.admissions.learnFleet(68)
 	told := asker.peers.state(clock.Now())
 	told.Sequence = 2
 	coordinator.peers.take(told)
-	coordinator.coldStarts.observe(clock.Now())
+	coordinator.admissions.observe(clock.Now())
 	admitted(asker, "a", 1) // opens the account
 	time.Sleep(300 * time.Millisecond)
 	if got := admitted(asker, "a", 5); got == 0 {
@@ -278,8 +283,8 @@
 	_ = silent.peers.conn.Close()
 	admitted(asker, "a", 1) // opens the account
 	time.Sleep(300 * time.Millisecond)
-	verdict := asker.coldStarts.AdmitToServer(context.Background(), "a", 0)
-	if left := clock.Until(verdict.Until); !verdict.Granted || left < coldstart.GrantAge-askTimeout/2 {
+	verdict := asker.admissions.Admit(context.Background(), inventory.Start{ID: "a"}, 0)
+	if left := clock.Until(verdict.Until); !verdict.Granted || left < admission.GrantAge-askTimeout/2 {
 		t.Errorf("%+v, usable for %v", verdict, left)
 	}
 }
--- a/internal/edge/doc.go
+++ b/internal/edge/doc.go
@@ -3,7 +3,7 @@
 // callers until it is told to stop.
 //
 // It may import the cores that it feeds (relay, dispatch, placer, storelease,
-// gossip, retrybudget, quota, coldstart), their vocabulary (inventory, routetable), backendconn,
+// gossip, retrybudget, quota, admission), their vocabulary (inventory, routetable), backendconn,
 // peer, peerpb and prometheus. What the platform speaks comes in through the
 // interfaces Store, LeaseStore, Engines and relay.Dialect.
 package edge
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -13,6 +13,7 @@
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/placer"
+	"github.com/spanlanding/spanlanding/internal/relay"
 	"github.com/spanlanding/spanlanding/internal/storelease"
 )
 
@@ -24,7 +25,7 @@
 }
 
 // errServerRests says that a report was not asked for.
-var errServerRests = errors.New("the server rests")
+var errServerRests = errors.New("the server rests, or takes no more for now")
 
 // Engines are the servers that take orders.
 type Engines interface {
@@ -321,12 +322,19 @@
 	started := clock.Now()
 	zone := core.ZoneOf(order.ServerID)
 	go func() {
-		result, word := l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() time.Duration {
-			if !l.mayCall(order.Start()) {
-				return 0
-			}
-			return l.orderTime(term, zone)
-		})
+		admitted := l.node.admissions.AdmitCall(ctx, order.Start())
+		result, word := placer.ResultNotSent, inventory.Word{}
+		if admitted.Granted {
+			result, word = l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() time.Duration {
+				if !l.mayCall(order.Start(), admitted) {
+					return 0
+				}
+				return l.orderTime(term, zone)
+			})
+		}
+		if result == placer.ResultNotSent {
+			l.node.admissions.GiveBack(order.Start(), admitted)
+		}
 		l.node.words.hearCall(order.Start(), word, wordFromOrder)
 		l.call(ctx, func() {
 			withLimit(l.node.options.Logger.Info(), word).Int64("term", term).Str("server", order.ServerID).
@@ -351,9 +359,14 @@
 	return entry
 }
 
-// mayCall reports whether the server does not rest: it wants no calls of this node then.
-func (l *leader) mayCall(start inventory.Start) (may bool) {
-	l.node.dispatch.Do(func(core *dispatch.Core) { may = core.MaySend(clock.Now(), start) })
+// mayCall reports whether a call of the system itself may leave for the server now, which was
+// admitted: the server does not rest, and named no rate limit meanwhile that the verdict lacks.
+func (l *leader) mayCall(start inventory.Start, admitted relay.AdmissionVerdict) (may bool) {
+	now := clock.Now()
+	l.node.dispatch.Do(func(core *dispatch.Core) {
+		_, isLimited := core.RateLimit(start)
+		may = admitted.Granted && core.MaySend(now, start) && (!isLimited || now.Before(admitted.Until))
+	})
 	return may
 }
 
@@ -361,9 +374,12 @@
 	core := l.core
 	go func() {
 		report, err := placer.Report{}, errServerRests
-		if l.mayCall(call.Start()) {
+		admitted := l.node.admissions.AdmitCall(ctx, call.Start())
+		if l.mayCall(call.Start(), admitted) {
 			report, err = l.node.options.Engines.Report(ctx, call)
 			l.node.words.hearCall(call.Start(), report.Word, wordFromReport)
+		} else if admitted.Granted {
+			l.node.admissions.GiveBack(call.Start(), admitted)
 		}
 		l.call(ctx, func() {
 			withLimit(l.node.options.Logger.Info(), report.Word).Str("server", call.ServerID).Int64("sequence", report.Sequence).
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -127,7 +127,7 @@
 			case found:
 				l.lease.Observe(now, record)
 				l.node.quotas.toldSize(now, record.Nodes)
-				l.node.coldStarts.learnFleet(record.Nodes)
+				l.node.admissions.learnFleet(record.Nodes)
 				l.node.suspects.hearStored(now, record.Barred)
 				// Where no seed is right, the holder leads to the others.
 				l.node.peers.addSeeds([]string{record.Address})
@@ -136,7 +136,7 @@
 				}
 			default:
 				// Nobody has led yet: there are no others than those that can be heard.
-				l.node.coldStarts.learnFleet(1)
+				l.node.admissions.learnFleet(1)
 				l.lease.Absent(now)
 				l.nextCall = now
 			}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -89,7 +89,7 @@
 		return float64(len(node.peers.roster.Alive(clock.Now())))
 	})
 	m.gauge("repeats_left", "Repeats that may be sent now, of the service that has least.", func() float64 { return node.handler.RepeatsLeft() })
-	for _, state := range []dispatch.State{dispatch.StateReady, dispatch.StateGoing, dispatch.StateResting, dispatch.StateClosed, dispatch.StateSuspect} {
+	for _, state := range []dispatch.State{dispatch.StateReady, dispatch.StateGoing, dispatch.StateResting, dispatch.StateClosed, dispatch.StateLimited, dispatch.StateSuspect} {
 		m.gauge("servers_"+string(state), "Servers that are "+string(state)+".", func() float64 {
 			count := 0
 			node.dispatch.Do(func(core *dispatch.Core) { count = core.CountServers(clock.Now(), state) })
@@ -137,9 +137,11 @@
 		node.dispatch.Do(func(core *dispatch.Core) { count = core.CountCold(clock.Now()) })
 		return float64(count)
 	})
-	m.counter("cold_admitted_total", "Sends to cold servers that were granted.", node.coldStarts.admitted.Load)
-	m.counter("cold_held_total", "Times that a send was held back at a cold server.", node.handler.Metrics.ColdHeld.Load)
-	m.counter("cold_alone_total", "Sends to cold servers decided without a coordinator.", node.coldStarts.alone.Load)
+	m.counter("cold_admitted_total", "Sends to cold servers that were granted.", node.admissions.admitted.Load)
+	m.counter("limited_admitted_total", "Sends to servers that name a rate limit that were granted.", node.admissions.limitedAdmitted.Load)
+	m.counter("limited_given_back_total", "Grants of such sends that were not used.", node.admissions.givenBack.Load)
+	m.counter("cold_held_total", "Times that a send was held back at a cold or limited server.", node.handler.Metrics.ColdHeld.Load)
+	m.counter("cold_alone_total", "Sends to cold servers decided without a coordinator.", node.admissions.alone.Load)
 	for what := range trafficKinds {
 		m.counter("peer_"+what.String()+"_bytes_total", "Bytes sent to peers: "+what.String()+".", func() int64 { return node.peers.sentBytes.of(what) })
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -117,8 +117,8 @@
 	quotas   *quotas
 	suspects *suspects
 	words    *serverWords
-	// coldStarts admits requests to cold servers.
-	coldStarts *coldStarts
+	// admissions keeps what is sent to servers below what they bear.
+	admissions *admissions
 	// evacuations are the zones to whose servers nothing new is sent.
 	evacuations *evacuations
 
@@ -185,7 +185,7 @@
 	node.quotas = newQuotas(node, options.Quota, options.FirstStart)
 	node.suspects = newSuspects(node)
 	node.words = newServerWords(node)
-	node.coldStarts = newColdStarts(node)
+	node.admissions = newAdmissions(node)
 	node.evacuations = newEvacuations(node)
 	node.handler = relay.New(relay.Options{
 		Dialect:  options.Dialect,
@@ -200,7 +200,7 @@
 			node.words.passOn(start, word, wordFromAnswer)
 		},
 
-		ColdStarts: node.coldStarts,
+		Admission: node.admissions,
 
 		Knows:          node.knowsEnough,
 		AwaitKnowledge: node.awaitKnowledge,
@@ -396,7 +396,7 @@
 			n.forgiveStore(clock.Now())
 			n.quotas.sweep(clock.Now())
 			n.suspects.sweep(clock.Now())
-			n.coldStarts.sweep(clock.Now())
+			n.admissions.sweep(clock.Now())
 			n.evacuations.reportUnknown()
 			if table := n.handler.Table(); table != nil && table.Limits.IdleTimeout > 0 {
 				n.callers.closeResting(clock.Now(), table.Limits.IdleTimeout+restSlack)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -179,7 +179,7 @@
 	p.node.handler.SetNodes(count)
 	p.node.quotas.heardSize(now, int(state.FleetNodes))
 	if state.FleetKnown {
-		p.node.coldStarts.learnFleet(int(state.FleetNodes))
+		p.node.admissions.learnFleet(int(state.FleetNodes))
 	}
 	p.node.hearServers(now, newsOf(state.News))
 	p.node.words.hearPeer(now, state.Words)
@@ -228,7 +228,7 @@
 	p.mu.Unlock()
 	p.node.endLapses(now)
 	p.node.quotas.observe(now)
-	p.node.coldStarts.observe(now)
+	p.node.admissions.observe(now)
 	p.node.suspects.tick(now)
 	p.logTraffic(now)
 	p.mu.Lock()
@@ -344,7 +344,7 @@
 	state.ConfigVersion = p.node.configVersion()
 	if p.node.needsCoordinator() {
 		size, _ := p.node.quotas.fleetSize(now)
-		state.FleetNodes, state.FleetKnown = uint32(size), p.node.coldStarts.knowsFleet(now)
+		state.FleetNodes, state.FleetKnown = uint32(size), p.node.admissions.knowsFleet(now)
 	}
 	state.Evacuations = p.node.evacuations.wire(now)
 	state.ConfigAgeMs = p.node.configConfirmed.wire(now)
--- a/internal/edge/quotas_coordinator.go
+++ b/internal/edge/quotas_coordinator.go
@@ -37,7 +37,7 @@
 // decide answers as the coordinator.
 func (q *quotas) decide(now time.Time, call *peerpb.QuotaCall) *peerpb.QuotaCall {
 	if call.Server != "" {
-		return q.node.coldStarts.decide(now, call)
+		return q.node.admissions.decide(now, call)
 	}
 	answer := &peerpb.QuotaCall{Kind: peerpb.QuotaCall_UNKNOWN, Id: call.Id, Tenant: call.Tenant}
 	tenant, ok := q.tenant(call.Tenant)
--- a/internal/edge/quotas_fleet.go
+++ b/internal/edge/quotas_fleet.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/gossip"
 )
 
@@ -13,10 +14,15 @@
 }
 
 // needsCoordinator reports whether there is anything that a coordinator grants: quotas of
-// tenants, or requests to cold servers.
+// tenants, or requests to cold servers and to those that name a rate limit.
 func (n *Node) needsCoordinator() bool {
 	table := n.handler.Table()
-	return table != nil && (table.HasQuotas() || table.HasColdStarts())
+	if table != nil && (table.HasQuotas() || table.HasColdStarts()) {
+		return true
+	}
+	hasLimits := false
+	n.dispatch.Do(func(core *dispatch.Core) { hasLimits = core.HasRateLimits() })
+	return hasLimits
 }
 
 // coordinators are the nodes that may give quotas, in order.
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -193,7 +193,7 @@
 			// Most who ask know them: a list for each took half of the memory that a leader of 300
 			// nodes and 3,000 servers used, 120 MB a second.
 			servers, revision, digest := node.directory.list()
-			response.Servers, response.ServersRevision, response.ServersDigest = encodeEntries(node.coldStarts.asOf(now, servers)), revision, digest
+			response.Servers, response.ServersRevision, response.ServersDigest = encodeEntries(node.admissions.asOf(now, servers)), revision, digest
 		}
 	}
 	return response, nil
--- a/internal/gossip/doc.go
+++ b/internal/gossip/doc.go
@@ -3,5 +3,5 @@
 // lately; nothing of safety hangs on it. What the store said of servers travels
 // with the datagrams as news.
 //
-// It may import peerpb, inventory and locality. No I/O, no clock, no goroutine.
+// It may import admission, peerpb, inventory and locality. No I/O, no clock, no goroutine.
 package gossip
--- a/internal/gossip/words.go
+++ b/internal/gossip/words.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
@@ -20,6 +21,9 @@
 	// restSlack is by how much later a rest must end to be told on: its end is told as a time
 	// left, which grows old on the way.
 	restSlack = 500 * time.Millisecond
+	// limitRenewal is by how much later a rate limit must have been heard to be told on though it is
+	// the same: others let go of one that nobody hears any more.
+	limitRenewal = 2 * time.Second
 )
 
 // Words are what servers told nodes with their answers, as the nodes tell each other: while the
@@ -32,14 +36,19 @@
 	leaving bool
 	// restUntil is when the rest ends that the server asked for.
 	restUntil time.Time
-	heardAt   time.Time
-	told      int
+	limit     admission.RateLimit
+	// limitHeard is when the limit was heard as it was learned last.
+	limitHeard time.Time
+	heardAt    time.Time
+	told       int
 }
 
 // WordItem is what one start of a server told; a rest is what is left of it.
 type WordItem struct {
 	Start inventory.Start
 	Word  inventory.Word
+	// Limit is what an answer said of the server's rate limit.
+	Limit admission.Observation
 }
 
 // NewWords returns words of nobody.
@@ -53,7 +62,8 @@
 	}
 	until := now.Add(item.Word.Rest)
 	isLonger := item.Word.Rest > 0 && until.Sub(known.restUntil) > restSlack
-	if !isLonger && (known.leaving || !item.Word.Leaving) {
+	isNewLimit := known.learnLimit(item.Limit)
+	if !isLonger && !isNewLimit && (known.leaving || !item.Word.Leaving) {
 		return false
 	}
 	if !ok {
@@ -68,6 +78,16 @@
 	return true
 }
 
+// learnLimit reports whether the rate limit changed, or was last told on long ago.
+func (w *wordItem) learnLimit(told admission.Observation) bool {
+	changed := w.limit.Observe(told)
+	isRenewed := told.Limit.IsNamed() && told.HeardAt.Sub(w.limitHeard) > limitRenewal
+	if changed || isRenewed {
+		w.limitHeard = told.HeardAt
+	}
+	return changed || isRenewed
+}
+
 func (w *Words) makeRoom() {
 	if len(w.items) < wordsKept {
 		return
@@ -91,7 +111,7 @@
 	var due []dueItem
 	for start, known := range w.items {
 		rests := now.Before(known.restUntil)
-		if known.told < wordTold && (known.leaving || rests) {
+		if known.told < wordTold && (known.leaving || rests || known.limit.IsKnown()) {
 			due = append(due, dueItem{start, known})
 		}
 	}
@@ -103,7 +123,7 @@
 	for _, item := range due[:min(wordsPerPeriod, len(due))] {
 		item.known.told++
 		word := inventory.Word{Leaving: item.known.leaving, Rest: max(0, item.known.restUntil.Sub(now))}
-		items = append(items, WordItem{Start: item.start, Word: word})
+		items = append(items, WordItem{Start: item.start, Word: word, Limit: item.known.limit.Latest()})
 	}
 	return items
 }
--- a/internal/inventory/word.go
+++ b/internal/inventory/word.go
@@ -12,6 +12,8 @@
 	Rest time.Duration
 	// Limit is the rate that the server takes from all nodes together.
 	Limit RateLimit
+	// SentAt is when the request left that the answer is to.
+	SentAt time.Time
 }
 
 // IsEmpty reports whether the server told nothing that binds later requests.
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -28,6 +28,9 @@
 		pace:      paceShare * quota.Burst / seconds * part,
 		length:    t.Window,
 	}
+	if t.IsSteady {
+		allowed.pace = 0
+	}
 	allowed.window = allowed.perSecond*seconds + allowed.burst
 	return allowed
 }
--- a/internal/relay/cold_test.go
+++ b/internal/relay/admission_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/spanlanding/spanlanding/internal/coldstart"
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/routetable"
@@ -17,24 +17,32 @@
 
 // scriptedCold answers for cold servers by a function, and keeps whom it was asked for.
 type scriptedCold struct {
-	mu     sync.Mutex
-	asked  []string
-	answer func(serverID string, times int) ColdVerdict
+	mu    sync.Mutex
+	asked []string
+	// givenBack are the servers whose grants were not used.
+	givenBack []string
+	answer    func(serverID string, times int) AdmissionVerdict
 }
 
-func (s *scriptedCold) AdmitToServer(_ context.Context, serverID string, _ int) ColdVerdict {
+func (s *scriptedCold) Admit(_ context.Context, start inventory.Start, _ int) AdmissionVerdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.asked = append(s.asked, serverID)
-	return s.answer(serverID, len(s.asked))
+	s.asked = append(s.asked, start.ID)
+	return s.answer(start.ID, len(s.asked))
+}
+
+func (s *scriptedCold) GiveBack(start inventory.Start, _ AdmissionVerdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.givenBack = append(s.givenBack, start.ID)
 }
 
 // newColdFixture has cold servers of an engine, all with model m.
-func newColdFixture(t *testing.T, answer func(serverID string, times int) ColdVerdict, servers ...*standinServer) (*fixture, *scriptedCold) {
+func newColdFixture(t *testing.T, answer func(serverID string, times int) AdmissionVerdict, servers ...*standinServer) (*fixture, *scriptedCold) {
 	t.Helper()
 	f := newFixture(t, servers...)
 	cold := &scriptedCold{answer: answer}
-	f.handler.options.ColdStarts = cold
+	f.handler.options.Admission = cold
 	f.handler.SetTable(engineTable(100 * time.Millisecond))
 	f.dispatch.Do(func(core *dispatch.Core) {
 		core.SetColdStarts(map[string]routetable.ColdStart{"svc": {Time: 3 * time.Second, PerSecond: 12}})
@@ -50,16 +58,16 @@
 	return f, cold
 }
 
-func granted() ColdVerdict {
-	return ColdVerdict{Granted: true, Until: time.Now().Add(time.Second)}
+func granted() AdmissionVerdict {
+	return AdmissionVerdict{Granted: true, Until: time.Now().Add(time.Second)}
 }
 
 // TestNotAdmittedSendGoesToAnotherServer, and nothing reaches the first.
 func TestNotAdmittedSendGoesToAnotherServer(t *testing.T) {
 	servers := []*standinServer{newStandin(t, answering(http.StatusOK, "0")), newStandin(t, answering(http.StatusOK, "1"))}
-	f, _ := newColdFixture(t, func(serverID string, _ int) ColdVerdict {
+	f, _ := newColdFixture(t, func(serverID string, _ int) AdmissionVerdict {
 		if serverID == "s0" {
-			return ColdVerdict{RetryIn: time.Second}
+			return AdmissionVerdict{RetryIn: time.Second}
 		}
 		return granted()
 	}, servers...)
@@ -76,9 +84,9 @@
 // TestNotAdmittedSendWaits where no other server has the model, and is sent once.
 func TestNotAdmittedSendWaits(t *testing.T) {
 	server := newStandin(t, answering(http.StatusOK, "done"))
-	f, cold := newColdFixture(t, func(_ string, times int) ColdVerdict {
+	f, cold := newColdFixture(t, func(_ string, times int) AdmissionVerdict {
 		if times < 4 {
-			return ColdVerdict{RetryIn: 30 * time.Millisecond}
+			return AdmissionVerdict{RetryIn: 30 * time.Millisecond}
 		}
 		return granted()
 	}, server)
@@ -93,7 +101,7 @@
 // TestRequestThatColdServersServeTooLateIsRefusedAtOnce by the time foretold, with the reason.
 func TestRequestThatColdServersServeTooLateIsRefusedAtOnce(t *testing.T) {
 	server := newStandin(t, answering(http.StatusOK, "done"))
-	f, _ := newColdFixture(t, func(string, int) ColdVerdict { return ColdVerdict{RetryIn: 3 * time.Second} }, server)
+	f, _ := newColdFixture(t, func(string, int) AdmissionVerdict { return AdmissionVerdict{RetryIn: 3 * time.Second} }, server)
 	started := time.Now()
 	got := f.send(t, http.MethodPost, "/llm/", "", "X-Model", "m", "X-Wait", "2s")
 	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, reasonColdServers) || got.header.Get("Retry-After") == "" {
@@ -107,12 +115,12 @@
 // TestGrantIsCheckedRightBeforeTheSend: opening the connection took longer than it holds.
 func TestGrantIsCheckedRightBeforeTheSend(t *testing.T) {
 	server := newStandin(t, answering(http.StatusOK, "done"))
-	f, cold := newColdFixture(t, func(_ string, times int) ColdVerdict {
+	f, cold := newColdFixture(t, func(_ string, times int) AdmissionVerdict {
 		switch times {
 		case 1:
-			return ColdVerdict{Granted: true, Until: time.Now().Add(20 * time.Millisecond)}
+			return AdmissionVerdict{Granted: true, Until: time.Now().Add(20 * time.Millisecond)}
 		case 2:
-			return ColdVerdict{RetryIn: 10 * time.Millisecond}
+			return AdmissionVerdict{RetryIn: 10 * time.Millisecond}
 		default:
 			return granted()
 		}
@@ -132,9 +140,9 @@
 // TestServerThatTurnsColdWhileAConnectionOpensIsAskedFor: it was warm when it was chosen.
 func TestServerThatTurnsColdWhileAConnectionOpensIsAskedFor(t *testing.T) {
 	server := newStandin(t, answering(http.StatusOK, "done"))
-	f, cold := newColdFixture(t, func(_ string, times int) ColdVerdict {
+	f, cold := newColdFixture(t, func(_ string, times int) AdmissionVerdict {
 		if times == 1 {
-			return ColdVerdict{Granted: true}
+			return AdmissionVerdict{Granted: true}
 		}
 		return granted()
 	}, server)
@@ -146,26 +154,26 @@
 // TestServerThatNobodyReachesMayComeBackCold: a connection to it fails, or an answer breaks
 // off and nobody listens there any more. One that breaks off an answer and listens does not.
 func TestServerThatNobodyReachesMayComeBackCold(t *testing.T) {
-	phaseAfter := func(end func(server *standinServer) script) coldstart.Phase {
+	phaseAfter := func(end func(server *standinServer) script) admission.Phase {
 		var server *standinServer
 		server = newStandin(t, func(conn net.Conn, request *http.Request) bool { return end(server)(conn, request) })
-		f, _ := newColdFixture(t, func(string, int) ColdVerdict { return granted() }, server)
+		f, _ := newColdFixture(t, func(string, int) AdmissionVerdict { return granted() }, server)
 		warm := inventory.Server{ID: "s0", TellsCold: true, Revision: 3}
 		f.dispatch.Do(func(core *dispatch.Core) { core.TellCold(time.Now().Add(-time.Minute), warm) })
 		f.send(t, http.MethodPost, "/llm/", "", "X-Model", "m", "X-Wait", "500ms")
-		var phase coldstart.Phase
+		var phase admission.Phase
 		f.dispatch.Do(func(core *dispatch.Core) { phase, _ = core.ColdPhase(time.Now(), "s0") })
 		return phase
 	}
 	breaksOff := func(conn net.Conn, _ *http.Request) bool { return reset(conn) }
-	if got := phaseAfter(func(*standinServer) script { return breaksOff }); got == coldstart.Cold {
+	if got := phaseAfter(func(*standinServer) script { return breaksOff }); got == admission.Cold {
 		t.Error("a server that listens is taken for cold")
 	}
 	got := phaseAfter(func(server *standinServer) script {
 		_ = server.listener.Close()
 		return breaksOff
 	})
-	if got != coldstart.Cold {
+	if got != admission.Cold {
 		t.Errorf("phase %d of a server that nobody reaches any more, want cold", got)
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -36,18 +36,16 @@
 		x.release(choice, dispatch.OutcomeLeft)
 		return verdictNotSent
 	}
-	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address)
-	if err != nil {
-		x.noteUnreachable(choice)
-		return x.notSent(choice)
-	}
-	if ended, ok := x.maySend(choice, conn, admitted); !ok {
+	conn, ended, ok := x.connect(choice, &admitted)
+	if !ok {
+		x.giveBackGrant(choice, admitted)
 		return ended
 	}
 	if !x.hasSent(choice.ServerID) {
 		x.sent = append(x.sent, choice.ServerID)
 	}
 	x.countBytes(choice, len(x.body))
+	x.sentAt = clock.Now()
 	answer, err := conn.RoundTrip(x.ctx, x.outgoing(choice))
 	if err != nil && conn.Reused {
 		// The others that were kept may be as silent or as dead; new ones may work.
@@ -59,12 +57,24 @@
 	return x.answered(choice, answer)
 }
 
+// connect takes a connection to the chosen server, and looks whether the request may still leave.
+// Where ok is false nothing was sent, and ended says how the attempt ended.
+func (x *exchange) connect(choice dispatch.Choice, admitted *AdmissionVerdict) (conn *backendconn.Conn, ended verdict, ok bool) {
+	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address)
+	if err != nil {
+		x.noteUnreachable(choice)
+		return nil, x.notSent(choice), false
+	}
+	ended, ok = x.maySend(choice, conn, admitted)
+	return conn, ended, ok
+}
+
 // maySend looks right before the send whether it may still be: opening a connection may
 // have taken long. Where it may not the connection is closed, and ended says how the attempt
 // ended. What asks another node comes before what may change meanwhile; a trial is claimed for a
 // server that was reached and takes work, since one claimed and not sent bars the request as long
 // again.
-func (x *exchange) maySend(choice dispatch.Choice, conn *backendconn.Conn, admitted ColdVerdict) (ended verdict, ok bool) {
+func (x *exchange) maySend(choice dispatch.Choice, conn *backendconn.Conn, admitted *AdmissionVerdict) (ended verdict, ok bool) {
 	switch {
 	case !x.isStillAdmitted(choice, admitted):
 		x.withdraw(choice, conn)
@@ -210,11 +220,14 @@
 func (x *exchange) hear(choice dispatch.Choice, status int, header http.Header) {
 	told := x.handler.options.Dialect.ReadAnswer(status, header)
 	x.word = told.Word
+	if x.handler.options.Dialect.BelongsTo(header, x.head.RequestID) {
+		x.word.SentAt = x.sentAt
+	}
 	if told.ServerID != "" && told.ServerID != choice.ServerID {
 		// Another server has the address, and tells of itself; the one that was meant is gone.
 		x.word = inventory.Word{Leaving: status == http.StatusMisdirectedRequest}
 	}
-	if !x.word.Leaving && x.word.Rest <= 0 {
+	if x.word.IsEmpty() {
 		return
 	}
 	start, news := choice.Flight.Start(), false
@@ -225,8 +238,13 @@
 }
 
 func (x *exchange) note(choice dispatch.Choice, told AnswerHead) {
+	start, news := choice.Flight.Start(), false
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
 		now := clock.Now()
+		if x.word.IsEmpty() {
+			// An answer that names no rate limit ends the one before.
+			news = core.HearStart(now, start, x.word)
+		}
 		core.Begun(now, choice.Flight)
 		if told.Load != nil {
 			core.SetReported(now, choice.ServerID, *told.Load)
@@ -235,6 +253,9 @@
 			core.TellColdAnswer(now, choice.ServerID, *told.ColdLeft)
 		}
 	})
+	if news {
+		x.handler.options.Heard(start, x.word)
+	}
 }
 
 // rejected takes a server's word that it did not run the request.
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -3,6 +3,6 @@
 // unchanged, or a refusal or failure that says truthfully whether the request
 // may have run.
 //
-// It may import routetable, dispatch, coldstart, waiting, poison, retrybudget and
+// It may import routetable, dispatch, admission, waiting, poison, retrybudget and
 // backendconn. The names of headers come from a Dialect.
 package relay
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -62,8 +62,9 @@
 	watch waiting.Watch
 	// estimate is the time to the first byte that was expected of the server.
 	estimate time.Duration
-	// word is what the last answer told of its server.
-	word inventory.Word
+	// word is what the last answer told of its server, and sentAt when its request left.
+	word   inventory.Word
+	sentAt time.Time
 	// serverEnd is what became of the server whose answer broke off.
 	serverEnd backendconn.Liveness
 	// isTrial is set from the claim of a trial until its one send is over.
@@ -365,7 +366,7 @@
 		var supply dispatch.Supply
 		x.handler.options.Dispatch.Do(func(core *dispatch.Core) { supply = core.Supply(clock.Now(), x.service) })
 		entry.Int("servers", supply.Known).Int("servers_going", supply.Going).Int("servers_closed", supply.Closed).
-			Int("servers_resting", supply.Resting)
+			Int("servers_resting", supply.Resting).Int("servers_limited", supply.Limited)
 	}
 	entry.Int("events", x.events).Msg(event)
 }
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -15,6 +15,7 @@
 	reasonNoServer        = "no_server"
 	reasonTooLate         = "too_late"
 	reasonColdServers     = "cold_servers"
+	reasonRateLimited     = "rate_limited"
 	reasonQueueFull       = "queue_full"
 	reasonRejected        = "rejected_by_server"
 	reasonDeadline        = "deadline"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -91,8 +91,8 @@
 	Budget   retrybudget.Options
 	// Quotas keeps tenants below their quotas; nil lets all pass.
 	Quotas Quotas
-	// ColdStarts keeps cold servers below what they bear; nil lets all pass.
-	ColdStarts ColdStarts
+	// Admission keeps what is sent to servers below what they bear; nil lets all pass.
+	Admission Admission
 	// Suspects remembers requests under which servers ended; nil suspects none.
 	Suspects Suspects
 	Logger   *log.Logger
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -115,11 +115,7 @@
 	case waiting.RefuseNoServer:
 		x.refuse(reasonNoServer, x.comeBack(decision.Ready))
 	case waiting.RefuseTooLate:
-		reason := reasonTooLate
-		if x.isHeldByCold() {
-			reason = reasonColdServers
-		}
-		x.refuse(reason, x.comeBack(decision.Ready))
+		x.refuse(x.reasonLate(), x.comeBack(decision.Ready))
 	}
 	return false
 }
