--- a/internal/admission/schedule_test.go
+++ b/internal/admission/schedule_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/quota"
+	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
 // The fleet below plays what a node does for each request to a cold server (ask the
@@ -58,6 +59,36 @@
 	defectPartIsAll
 )
 
+// rule is what bounds the servers of a fleet.
+type rule struct {
+	// window is the time in which a server may receive most.
+	window time.Duration
+	most   float64
+	quota  routetable.Quota
+	// newCoordinator and newLots are those of a node that starts.
+	newCoordinator func() *quota.Coordinator
+	newLots        func(node string) *Lots
+	// pressed are the requests a second that all nodes have for each server.
+	pressed float64
+}
+
+// coldRule bounds cold servers.
+func coldRule() rule {
+	return rule{
+		window: time.Second, most: bound.Most(), quota: bound.Quota(), newLots: NewLots, pressed: 70,
+		newCoordinator: func() *quota.Coordinator { return quota.NewCoordinator(WarmUpTolerance()) },
+	}
+}
+
+// limitRule bounds servers that name a rate limit, at which ten times that is pressed.
+func limitRule(perSecond float64) rule {
+	limit := RateLimitBound{PerSecond: perSecond}
+	return rule{
+		window: rateLimitWindow, most: limit.Most(), quota: limit.Quota(), newLots: NewRateLimitLots, pressed: max(10, 10*perSecond),
+		newCoordinator: func() *quota.Coordinator { return quota.NewCoordinator(RateLimitTolerance()) },
+	}
+}
+
 type simNode struct {
 	coordinator *quota.Coordinator
 	lots        *Lots
@@ -68,9 +99,10 @@
 	started time.Time
 	// side is the part of the fleet that the node is in; down is until when it is dead
 	// or stands still.
-	side  int
-	down  time.Time
-	heard []time.Time
+	side int
+	down time.Time
+	// heard is the last tick in which each node was heard from; 0 is never.
+	heard []int32
 	// countedAt is when nodes and reach were last counted: once in a tick.
 	countedAt time.Time
 	nodes     int
@@ -93,10 +125,15 @@
 	now     time.Time
 	defect  defect
 	refused int
+	rule    rule
 }
 
 func newSimFleet(seed uint64, count, servers int, planted defect) *simFleet {
-	f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), now: begin, defect: planted}
+	return newFleetUnder(coldRule(), seed, count, servers, planted)
+}
+
+func newFleetUnder(rule rule, seed uint64, count, servers int, planted defect) *simFleet {
+	f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), now: begin, defect: planted, rule: rule}
 	for i := range servers {
 		f.servers = append(f.servers, fmt.Sprintf("server-%d-%d", seed, i))
 	}
@@ -109,7 +146,7 @@
 		node.fleet.Told(f.now, count)
 		node.isTold, node.started = true, begin.Add(-time.Minute)
 		for other := range node.heard {
-			node.heard[other] = begin
+			node.heard[other] = f.tick()
 		}
 	}
 	return f
@@ -118,17 +155,23 @@
 func (f *simFleet) restart(i int) {
 	node := f.nodes[i]
 	*node = simNode{
-		coordinator: quota.NewCoordinator(WarmUpTolerance()), lots: NewLots(fmt.Sprint("10.0.0.", i)), side: node.side,
-		started: f.now, heard: make([]time.Time, len(f.nodes)),
+		coordinator: f.rule.newCoordinator(), lots: f.rule.newLots(fmt.Sprint("10.0.0.", i)), side: node.side,
+		started: f.now, heard: make([]int32, len(f.nodes)),
 	}
 	if f.random.IntN(storeReaders) == 0 {
 		node.readsAt = f.now.Add(time.Second + time.Duration(f.random.Int64N(int64(3*time.Second))))
 	}
 	if f.defect == defectWindowAnew {
-		node.coordinator = quota.NewCoordinator(quota.Tolerance{Window: window, Slack: 10 * bound.Most()})
+		node.coordinator = quota.NewCoordinator(quota.Tolerance{Window: f.rule.window, Slack: 10 * f.rule.most})
 	}
 }
 
+// tick is the number of the present tick, from 1 on.
+func (f *simFleet) tick() int32 { return 1 + int32(f.now.Sub(begin)/tick) }
+
+// since is the time since a tick.
+func (f *simFleet) since(at int32) time.Duration { return time.Duration(f.tick()-at) * tick }
+
 func (f *simFleet) isUp(i int) bool { return !f.now.Before(f.nodes[i].down) }
 
 func (f *simFleet) reaches(a, b int) bool {
@@ -147,13 +190,13 @@
 func (f *simFleet) countAnew(i int) (nodes int, reach float64) {
 	fresh, counted := 1, 1
 	for other, at := range f.nodes[i].heard {
-		if other == i || at.IsZero() {
+		if other == i || at == 0 {
 			continue
 		}
-		if f.now.Sub(at) < countedFor {
+		if f.since(at) < countedFor {
 			counted++
 		}
-		if f.now.Sub(at) < freshFor {
+		if f.since(at) < freshFor {
 			fresh++
 		}
 	}
@@ -163,7 +206,7 @@
 // better is a node that i hears and that grants before it.
 func (f *simFleet) better(i int) (int, bool) {
 	for other := range i {
-		if f.now.Sub(f.nodes[i].heard[other]) < coordinatorSilent {
+		if at := f.nodes[i].heard[other]; at > 0 && f.since(at) < coordinatorSilent {
 			return other, true
 		}
 	}
@@ -209,9 +252,9 @@
 	coordinator, found := f.coordinatorFor(i)
 	if found {
 		_, reach := f.count(coordinator)
-		granted := bound.Quota()
+		granted := f.rule.quota
 		if f.defect == defectSavedUp {
-			granted.Burst = 10 * bound.Most()
+			granted.Burst = 10 * f.rule.most
 		}
 		if f.nodes[coordinator].coordinator.Ask(f.now, f.servers[server], granted, reach, 1, f.random.IntN(3)).Granted {
 			late := time.Duration(f.random.Int64N(int64(GrantAge)))
@@ -227,12 +270,12 @@
 	}
 	switch {
 	case f.defect == defectWholeRate:
-		if f.random.Float64() < bound.PerSecond*tick.Seconds() {
+		if f.random.Float64() < f.rule.quota.PerSecond*tick.Seconds() {
 			f.send(server)
 		}
 	case !f.knowsFleet(i) && f.defect != defectSmallFleet, f.now.Sub(node.started) < lotsAfter:
 		f.refused++
-	case node.lots.Take(f.now, f.servers[server], bound.Most(), nodes):
+	case node.lots.Take(f.now, f.servers[server], f.rule.most, nodes):
 		f.send(server)
 	default:
 		f.refused++
@@ -275,7 +318,7 @@
 			if other == i || !f.reaches(i, other) {
 				continue
 			}
-			node.heard[other] = f.now
+			node.heard[other] = f.tick()
 			if !node.isTold && f.knowsFleet(other) {
 				size, _ := f.count(other)
 				node.fleet.Told(f.now, size)
@@ -347,15 +390,12 @@
 	}
 }
 
-// pressed are the requests a second that all nodes have for each server.
-const pressed = 70.0
-
 // play lets every node press at every server, with calm times or without, and returns the most that one received in a
-// second, and how many all received.
+// window, and how many all received.
 func (f *simFleet) play(seconds int, faults []kind, hasCalm bool) (worst, sent int) {
 	for elapsed := time.Duration(0); elapsed < time.Duration(seconds)*time.Second; elapsed += tick {
 		f.step()
-		press := pressed / float64(len(f.nodes)) * tick.Seconds()
+		press := f.rule.pressed / float64(len(f.nodes)) * tick.Seconds()
 		if hasCalm && elapsed%(10*time.Second) < 6*time.Second {
 			press /= 50
 		}
@@ -377,7 +417,7 @@
 	for _, sends := range f.sends {
 		first := 0
 		for last, at := range sends {
-			for at.Sub(sends[first]) >= time.Second {
+			for at.Sub(sends[first]) >= f.rule.window {
 				first++
 			}
 			worst = max(worst, last-first+1)
@@ -387,10 +427,13 @@
 	return worst, sent
 }
 
+// allFaults are all kinds of faults in one schedule.
+var allFaults = []kind{killed, frozen, brieflyFrozen, allKilled, halves, thirds, cutOff, restartedCutOff, whole}
+
 // TestNoServerReceivesMoreThanTheBound plays servers at which three times the bound is
 // pressed, while nodes die, freeze, are cut off and start knowing nothing.
 func TestNoServerReceivesMoreThanTheBound(t *testing.T) {
-	schedules := map[string][]kind{"calm": nil, "killed in parts": {thirds, allKilled}, "all of it": {killed, frozen, brieflyFrozen, allKilled, halves, thirds, cutOff, restartedCutOff, whole}}
+	schedules := map[string][]kind{"calm": nil, "killed in parts": {thirds, allKilled}, "all of it": allFaults}
 	for what := range kinds {
 		schedules[fmt.Sprint("kind ", int(what))] = []kind{what, whole}
 	}
@@ -457,3 +500,88 @@
 		}
 	}
 }
+
+// TestNoLimitedServerReceivesMoreThanItsLimit plays servers that name a rate limit, at which ten times
+// that is pressed. What nodes send counts whether or not a fault excuses them.
+func TestNoLimitedServerReceivesMoreThanItsLimit(t *testing.T) {
+	schedules := map[string][]kind{"calm": nil, "killed in parts": {thirds, allKilled}, "all of it": allFaults}
+	for what := range kinds {
+		schedules[fmt.Sprint("kind ", int(what))] = []kind{what, whole}
+	}
+	for _, fleet := range []struct {
+		nodes, seeds, seconds int
+		rates                 []float64
+	}{
+		{1, 2, 20, []float64{0, 1}},
+		{7, 3, 20, []float64{0, 0.2, 1, 10, 50}},
+		{70, 2, 20, []float64{0, 0.2, 1, 10, 50}},
+		{300, 1, 20, []float64{0.2, 1}},
+		{3000, 1, 8, []float64{1}},
+	} {
+		for _, perSecond := range fleet.rates {
+			limit, most, at := limitRule(perSecond), 0, ""
+			for name, faults := range schedules {
+				if fleet.nodes > 100 && name != "all of it" {
+					continue
+				}
+				for seed := range uint64(fleet.seeds) {
+					worst, _ := newFleetUnder(limit, seed, fleet.nodes, 4, defectNone).play(fleet.seconds, faults, seed%2 == 1)
+					if worst > most {
+						most, at = worst, fmt.Sprintf("%s, seed %d", name, seed)
+					}
+				}
+			}
+			t.Logf("%d nodes, %.1f a second: %d in the worst window of %.1f (%s)", fleet.nodes, perSecond, most, limit.most, at)
+			if float64(most) > limit.most {
+				t.Errorf("%d nodes, %.1f a second, %s: %d requests in a window, %.0f allowed", fleet.nodes, perSecond, at, most, limit.most)
+			}
+		}
+	}
+}
+
+// TestLimitedServersServe: while all is well each server receives what it names, however many nodes
+// there are; one that names nothing is asked now and then.
+func TestLimitedServersServe(t *testing.T) {
+	for _, nodes := range []int{1, 7, 70} {
+		for _, perSecond := range []float64{0, 0.2, 1, 10} {
+			_, sent := newFleetUnder(limitRule(perSecond), 1, nodes, 4, defectNone).play(40, nil, false)
+			rate, want := float64(sent)/40/4, max(perSecond, probeRate)
+			if rate < 0.8*want || rate > 1.05*want+0.1 {
+				t.Errorf("%d nodes: %.2f a second at each server, want %.2f", nodes, rate, want)
+			}
+		}
+	}
+}
+
+// TestPlantedDefectsOfLimitsAreFound: each passes the limit on some seed.
+func TestPlantedDefectsOfLimitsAreFound(t *testing.T) {
+	pressed := limitRule(1)
+	pressed.pressed = 700
+	roundedUp := limitRule(1)
+	roundedUp.quota.PerSecond = 3
+	twice := limitRule(1)
+	twice.newCoordinator = func() *quota.Coordinator {
+		return quota.NewCoordinator(quota.Tolerance{Window: rateLimitWindow, Slack: 10 * twice.most, IsSteady: true})
+	}
+	cases := map[string]struct {
+		rule   rule
+		defect defect
+		faults []kind
+	}{
+		"all of it for each node":       {pressed, defectWholeRate, []kind{cutOff}},
+		"a rate that is rounded up":     {roundedUp, defectNone, []kind{killed, whole}},
+		"given anew by the next":        {twice, defectNone, []kind{frozen, killed}},
+		"saved up in calm times":        {limitRule(10), defectSavedUp, []kind{brieflyFrozen, killed}},
+		"unbounded by who just started": {limitRule(1), defectFirstSeenWarm, []kind{allKilled}},
+	}
+	for name, c := range cases {
+		most := 0
+		for seed := range uint64(8) {
+			worst, _ := newFleetUnder(c.rule, seed, 68, 4, c.defect).play(30, c.faults, seed%2 == 1)
+			most = max(most, worst)
+		}
+		if float64(most) <= c.rule.most {
+			t.Errorf("%s: not found, %d in the worst window", name, most)
+		}
+	}
+}
--- a/test/platform/limit_test.go
+++ b/test/platform/limit_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -30,6 +31,8 @@
 	at   time.Time
 	path string
 	born int64
+	// id is that of a request, and limit what the answer named.
+	id, limit string
 }
 
 // nameLimit lets the server name a limit in all answers from now on; below 0 it names none.
@@ -157,3 +160,104 @@
 		}
 	}
 }
+
+// TestLimitFallsRisesAndEnds: nodes go by what the server names now, and serve as before once it names
+// nothing, also where nothing was sent meanwhile.
+func TestLimitFallsRisesAndEnds(t *testing.T) {
+	f := newFleet(t, 2)
+	m := newServerIn(t, f.store, "z", "i-models-1", "models", 50*time.Millisecond, "m1")
+	f.store.put("config", "main", configuration(1))
+	f.awaitReady()
+	f.nodes[0].sendOwn(0, "/chat/x", "m1")
+	stop := f.pressPath(2, "/chat/x", "m1", 50*time.Millisecond)
+	for _, perSecond := range []float64{8, 1, 5} {
+		m.nameLimit(perSecond)
+		changed := time.Now()
+		// A rise is heard with the next request that is granted, at the rate before.
+		time.Sleep(limitKnown + limitWindow + time.Second)
+		came := worstWindow(m.reachedSince(changed.Add(limitKnown)))
+		t.Logf("%v a second: %d in the worst window", perSecond, len(came))
+		if len(came) > allowedInWindow(perSecond) {
+			t.Errorf("%d requests in 4 s at a limit of %v a second (%v); %d are allowed", len(came), perSecond, countPaths(came), allowedInWindow(perSecond))
+		}
+		if len(came) < int(perSecond*limitWindow.Seconds()/2) {
+			t.Errorf("%d requests in 4 s at a limit of %v a second: callers press, and most of it goes unused", len(came), perSecond)
+		}
+	}
+	m.nameLimit(1)
+	time.Sleep(limitKnown)
+	stop()
+	m.nameLimit(-1)
+	for _, n := range f.nodes {
+		eventually(t, n.name+" serves as before", func() bool {
+			started := time.Now()
+			for _, got := range n.sendMany(int(started.UnixMilli()), 5, "/chat/x", "m1") {
+				if got.status != http.StatusOK {
+					return false
+				}
+			}
+			return time.Since(started) < time.Second
+		})
+	}
+}
+
+// TestLimitHoldsWhileNodesFail: the node that grants is killed, and another one stands still. What
+// they send counts, too.
+func TestLimitHoldsWhileNodesFail(t *testing.T) {
+	f := newFleet(t, 3)
+	m := newServerIn(t, f.store, "z", "i-models-1", "models", 50*time.Millisecond, "m1")
+	f.store.put("config", "main", configuration(1))
+	f.awaitReady()
+	f.nodes[0].sendOwn(0, "/chat/x", "m1")
+	const perSecond = 1
+	m.nameLimit(perSecond)
+	named := time.Now()
+	stop := f.pressPath(2, "/chat/x", "m1", 50*time.Millisecond)
+	time.Sleep(limitKnown + time.Second)
+	for _, n := range f.nodes {
+		n.kill()
+		time.Sleep(time.Second)
+		n.start()
+		time.Sleep(time.Second)
+	}
+	f.nodes[1].signal(syscall.SIGSTOP)
+	time.Sleep(time.Second)
+	f.nodes[1].signal(syscall.SIGCONT)
+	time.Sleep(limitWindow)
+	stop()
+	came := worstWindow(m.reachedSince(named.Add(limitKnown)))
+	t.Logf("%d in the worst window, %v", len(came), countPaths(came))
+	if len(came) > allowedInWindow(perSecond) {
+		t.Errorf("%d requests in 4 s (%v); %d are allowed", len(came), countPaths(came), allowedInWindow(perSecond))
+	}
+	if served := m.runCount(); served < 8 {
+		t.Errorf("%d streams ran in some 15 s at 1 a second", served)
+	}
+}
+
+// TestLimitEndsWithItsStart: a server that starts again under its identity names nothing, and is
+// bounded by nothing.
+func TestLimitEndsWithItsStart(t *testing.T) {
+	f := newFleet(t, 2)
+	m := newServer(t, f.store, "i-commands-1", "commands", 0)
+	m.set(func() { m.born = 1000 })
+	m.enter(f.store, "ready")
+	f.store.put("config", "main", configuration(1))
+	f.awaitReady()
+	m.nameLimit(0)
+	for _, n := range f.nodes {
+		n.sendMany(0, 3, "/command/x", "")
+	}
+	m.startAgain(f.store)
+	for _, n := range f.nodes {
+		eventually(t, n.name+" serves as before", func() bool {
+			started := time.Now()
+			for _, got := range n.sendMany(int(started.UnixMilli()), 5, "/command/x", "") {
+				if got.status != http.StatusOK {
+					return false
+				}
+			}
+			return time.Since(started) < time.Second
+		})
+	}
+}
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -175,7 +175,9 @@
 		writer.Header().Set("Server-Leaving", "1")
 	}
 	if m.limit != "" || len(m.reached) > 0 {
-		m.reached = append(m.reached, reach{at: m.reachedAt, path: request.URL.Path, born: m.born})
+		m.reached = append(m.reached, reach{
+			at: m.reachedAt, path: request.URL.Path, born: m.born, id: request.Header.Get("Request-Id"), limit: m.limit,
+		})
 	}
 	if m.limit != "" {
 		writer.Header().Set("Server-Limit", m.limit)
--- a/test/platform/soak_judge_test.go
+++ b/test/platform/soak_judge_test.go
@@ -201,6 +201,7 @@
 		s.judgeEvacuations(m)
 		s.judgeHome(m)
 		s.judgeWords(m)
+		s.judgeLimits(m)
 		m.mu.Unlock()
 	}
 	s.judgeTraps()
--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -121,6 +121,12 @@
 			askForRest(s, at(0), at(time.Second), at(time.Second), at(time.Second))
 			s.troubles = []span{{place: onWayToServer, node: "i", from: at(0), to: at(time.Second)}}
 		}},
+		{"RATE", func(s *soak) { s.reachLimited(at(0), 12) }},
+		{"", func(s *soak) { s.reachLimited(at(0), 11) }},
+		{"", func(s *soak) {
+			s.reachLimited(at(0), 12)
+			s.troubles = []span{{place: atNode, node: "node-1", from: at(2 * time.Second), to: at(3 * time.Second)}}
+		}},
 		{"EVAC", func(s *soak) {
 			s.evacuations = []soakEvacuation{{zone: "z", declared: at(0)}}
 			s.servers[0].ranAt["a"] = at(soakEvacuate + time.Millisecond)
@@ -241,6 +247,17 @@
 	s.ends = append(s.ends, served{id: came.id, node: "node-1", route: "command", sent: at, done: at, status: 200, whole: true})
 }
 
+// reachLimited lets a server name a limit of 1 a second to the first request, and others reach it later,
+// within one window.
+func (s *soak) reachLimited(at time.Time, others int) {
+	s.servers[0].reached = []reach{{id: "a", at: at, path: "/command/x", limit: "1"}}
+	for number := range others {
+		came := at.Add(3*time.Second + time.Duration(number)*100*time.Millisecond)
+		s.reach(came, arrival{})
+		s.servers[0].reached = append(s.servers[0].reached, reach{id: s.ends[len(s.ends)-1].id, at: came, path: "/command/x", limit: "1"})
+	}
+}
+
 // refuseBarred enters requests that were refused as poison requests, among others that were served.
 func (s *soak) refuseBarred(count int) {
 	refused := served{id: "m", model: "m0", route: "models", node: "node-1", sent: s.ends[0].sent, done: s.ends[0].sent, status: 503, isBarred: true}
