Rate limits on the product's own interface, and fields that nodes do not read

The class of the incident: what an answer tells is read by nobody, and nothing says so. On the own interface there was no way for a back end to name a limit: X-Rate-Limit does, kept for the incarnation, granted by the judge that keeps tenants' quotas, with the bound of the operators' platform. A header of a server that nodes do not read is logged once by name and counted.

With it, found by the test: who came for engines that all rest was held to its deadline (504 after 0.98 s of 1 s); now it is refused at once with the end.

--- a/internal/backend/wire.go
+++ b/internal/backend/wire.go
@@ -28,6 +28,9 @@
 	// HeaderLeaving is set to "true" in the head of any answer of a back end that goes
 	// away.
 	HeaderLeaving = "X-Leaving"
+	// HeaderRateLimit names the requests a second that a back end takes from all nodes
+	// together, in the head of any answer for as long as that holds.
+	HeaderRateLimit = "X-Rate-Limit"
 )
 
 // Claim takes leadership of one engine. The engine grants it only if the
--- a/internal/backend/word.go
+++ b/internal/backend/word.go
@@ -9,7 +9,10 @@
 
 // readWord reads what a back end tells of its own future with the head of an answer.
 func readWord(response *http.Response) inventory.Word {
-	word := inventory.Word{Leaving: response.Header.Get(HeaderLeaving) == "true"}
+	word := inventory.Word{
+		Leaving: response.Header.Get(HeaderLeaving) == "true",
+		Limit:   inventory.ParseRateLimit(response.Header.Values(HeaderRateLimit)),
+	}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		word.Rest = parseRetryAfter(response.Header.Get("Retry-After"))
 	}
--- a/internal/dispatch/ratelimit.go
+++ b/internal/dispatch/ratelimit.go
@@ -14,6 +14,8 @@
 	// closedUntil is until when the server is left alone, as a request was not granted, and foretold
 	// when one may be.
 	closedUntil, foretold time.Time
+	// toldAt is when the limit was heard as it was news last.
+	toldAt time.Time
 }
 
 const (
@@ -25,6 +27,8 @@
 	limitProbeAge = 2 * time.Second
 	// limitAge is for how long a limit that nobody hears any more counts for those who place models.
 	limitAge = 10 * time.Second
+	// limitRenewal is by how much later a limit has to be heard to be news though it is the same.
+	limitRenewal = 2 * time.Second
 	// limitedShare of its slots is what a server takes in a second at the least for what it holds to
 	// count as a copy.
 	limitedShare = 0.5
@@ -58,13 +62,20 @@
 	return true
 }
 
-// observe takes what an answer said of the rate limit.
-func (c *Core) observe(told *words, observed admission.Observation) (changed bool) {
-	if changed = told.rate.Observe(observed); changed {
+// observe takes what an answer said of the rate limit. It is news where the limit changed, or was
+// heard last long ago: others let go of one that nobody hears any more.
+func (c *Core) observe(told *words, observed admission.Observation) (news bool) {
+	if told.rate.Observe(observed) {
 		told.rate.closedUntil, told.rate.foretold = time.Time{}, time.Time{}
+		told.rate.toldAt = observed.HeardAt
 		c.notify()
+		return true
 	}
-	return changed
+	if !observed.Limit.IsNamed() || observed.HeardAt.Sub(told.rate.toldAt) <= limitRenewal {
+		return false
+	}
+	told.rate.toldAt = observed.HeardAt
+	return true
 }
 
 // RateLimit is the rate limit of a server's start as this node knows it; ok is false where it names
--- a/internal/edge/admissions_test.go
+++ b/internal/edge/admissions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/spanlanding/spanlanding/internal/gossip"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/relay"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -288,3 +290,89 @@
 		t.Errorf("%+v, usable for %v", verdict, left)
 	}
 }
+
+// hearsLimit lets the node hear from a server itself that it names a limit.
+func hearsLimit(node *Node, start inventory.Start, perSecond float64) {
+	now := clock.Now()
+	node.words.hearCall(start, inventory.Word{Limit: inventory.NamedRate(perSecond), SentAt: now}, wordFromAnswer)
+}
+
+// TestLimitedServersAreGrantedByTheCoordinator: one that has not heard of the limit goes by who asks, a
+// grant that is not used is given back, and who asks hears that the limit has ended.
+func TestLimitedServersAreGrantedByTheCoordinator(t *testing.T) {
+	coordinator, asker := newColdNode(t, 900), newColdNode(t, 100)
+	start := inventory.Start{ID: "a", Born: 7}
+	for _, node := range []*Node{coordinator, asker} {
+		hearsOf(node, inventory.Server{ID: "a", Born: 7, Service: "plain", Revision: 4, TellsCold: true})
+	}
+	meet(coordinator, asker)
+	ask := func() relay.AdmissionVerdict { return asker.admissions.Admit(context.Background(), start, 0) }
+	if !ask().Granted || coordinator.admissions.limitedAdmitted.Load() > 0 {
+		t.Fatal("a server without a limit takes a grant")
+	}
+	hearsLimit(asker, start, 10)
+	ask() // opens the account
+	time.Sleep(150 * time.Millisecond)
+	first, second := ask(), ask()
+	if !first.Granted || first.By == "" || second.Granted || second.RetryIn <= 0 {
+		t.Fatalf("1.5 requests may go: %+v, then %+v", first, second)
+	}
+	asker.admissions.GiveBack(start, first)
+	time.Sleep(20 * time.Millisecond)
+	if !ask().Granted {
+		t.Error("what was given back is not granted")
+	}
+	now := clock.Now()
+	coordinator.words.hearCall(start, inventory.Word{Limit: inventory.RateLimit{Kind: inventory.RateLimitNone}, SentAt: now}, wordFromAnswer)
+	if !ask().Granted || asker.admissions.boundsOf(clock.Now(), start).isLimited {
+		t.Error("the asker does not hear that the limit has ended")
+	}
+}
+
+// TestColdAndLimitedServerTakesTheLeast of both bounds, and calls of the system itself count to the
+// limit alone.
+func TestColdAndLimitedServerTakesTheLeast(t *testing.T) {
+	node := newColdNode(t, 1)
+	start := inventory.Start{ID: "a", Born: 7}
+	hearsOf(node, inventory.Server{ID: "a", Born: 7, Service: "s", Revision: 4})
+	hearsLimit(node, start, 1)
+	granted := func(admit func() relay.AdmissionVerdict) (count int) {
+		for range 30 {
+			if admit().Granted {
+				count++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		return count
+	}
+	request := func() relay.AdmissionVerdict { return node.admissions.Admit(context.Background(), start, 0) }
+	call := func() relay.AdmissionVerdict { return node.admissions.AdmitCall(context.Background(), start) }
+	if got := granted(request) + granted(call); got > 1 {
+		t.Errorf("%d granted in 1.2 s at 1 a second", got)
+	}
+	hearsOf(node, inventory.Server{ID: "nought", Born: 7, Service: "s", Revision: 5})
+	node.putInForce(coldTable(0), "read")
+	if node.admissions.Admit(context.Background(), inventory.Start{ID: "nought", Born: 7}, 0).Granted {
+		t.Error("a cold server that takes nothing is sent to")
+	}
+}
+
+// TestBadLimitsOfPeersAreDropped: what another build or a damaged datagram tells is no limit.
+func TestBadLimitsOfPeersAreDropped(t *testing.T) {
+	node := newColdNode(t, 1)
+	for _, perSecond := range []float64{-1, math.NaN(), math.Inf(1), math.Inf(-1)} {
+		told := &peerpb.RateLimit{Named: true, PerSecond: perSecond, SentAgeMs: 1}
+		node.words.hearPeer(clock.Now(), []*peerpb.ServerWord{{Server: "a", Born: 7, Limit: told}})
+		node.admissions.decide(clock.Now(), &peerpb.QuotaCall{Kind: peerpb.QuotaCall_ASK, Server: "a", Born: 7, Cost: 1, Warm: true, Limit: told})
+		if node.admissions.boundsOf(clock.Now(), inventory.Start{ID: "a", Born: 7}).isLimited {
+			t.Errorf("%v a second is a limit", perSecond)
+		}
+	}
+	for _, call := range []*peerpb.QuotaCall{
+		{Kind: peerpb.QuotaCall_USED, Server: "a", Born: 7, Cost: -1e9, Warm: true},
+		{Kind: peerpb.QuotaCall_USED, Server: "a", Cost: 5},
+		{Kind: peerpb.QuotaCall_ASK, Server: "unknown", Warm: true, Cost: 1},
+	} {
+		node.admissions.decide(clock.Now(), call)
+	}
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -149,6 +149,7 @@
 		m.counter("peer_"+distance.String()+"_bytes_total", "Bytes sent to peers there.", func() int64 { return node.peers.sentBytes.to(distance) })
 		m.counter("servers_"+distance.String()+"_bytes_total", "Bytes of bodies to and from servers there.", counts.ServerBytes[distance].Load)
 	}
+	m.counter("server_fields_unread_total", "Answers with a field by which a server tells of itself and which nodes do not read.", node.words.unreadCount.Load)
 	m.counter("datagrams_unreadable_total", "Datagrams of peers dropped as they could not be read.", func() int64 { return node.peers.unreadable.Load() })
 	if node.options.Unreadable != nil {
 		m.counter("entries_unreadable_total", "Entries of servers that could not be read, each time that they came.", node.options.Unreadable)
@@ -180,6 +181,9 @@
 	if word.Rest > 0 {
 		m.words.WithLabelValues("rest", string(from)).Inc()
 	}
+	if word.Limit.IsNamed() {
+		m.words.WithLabelValues("limit", string(from)).Inc()
+	}
 }
 
 func (m *metrics) handler() http.Handler {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -199,6 +199,7 @@
 		Heard: func(start inventory.Start, word inventory.Word) {
 			node.words.passOn(start, word, wordFromAnswer)
 		},
+		Unread: node.words.noteUnread,
 
 		Admission: node.admissions,
 
--- a/internal/edge/words.go
+++ b/internal/edge/words.go
@@ -1,8 +1,8 @@
 package edge
 
 import (
-	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/admission"
@@ -29,10 +29,31 @@
 	node *Node
 	mu   sync.Mutex
 	told *gossip.Words
+	// unread are the names of fields that servers told and nodes do not read, and unreadCount counts
+	// the answers that had one.
+	unread      map[string]bool
+	unreadCount atomic.Int64
 }
 
+// maxUnreadFields bounds the names of unread fields that are kept and logged.
+const maxUnreadFields = 32
+
 func newServerWords(node *Node) *serverWords {
-	return &serverWords{node: node, told: gossip.NewWords()}
+	return &serverWords{node: node, told: gossip.NewWords(), unread: make(map[string]bool)}
+}
+
+// noteUnread logs the name of a field that nodes do not read, once.
+func (w *serverWords) noteUnread(serverID, field string) {
+	w.unreadCount.Add(1)
+	w.mu.Lock()
+	isNew := !w.unread[field] && len(w.unread) < maxUnreadFields
+	if isNew {
+		w.unread[field] = true
+	}
+	w.mu.Unlock()
+	if isNew {
+		w.node.options.Logger.Warn().Str("server", serverID).Str("field", field).Msg("server_field_unread")
+	}
 }
 
 // hearCall takes what a server told with its answer to an order or the question for a report.
@@ -128,7 +149,7 @@
 // decodeLimit is what a peer tells of a rate limit; ok is false where it tells none, or none that
 // can be.
 func decodeLimit(now time.Time, told *peerpb.RateLimit) (limit admission.Observation, ok bool) {
-	if told == nil || told.Named && (math.IsNaN(told.PerSecond) || math.IsInf(told.PerSecond, 0) || told.PerSecond < 0) {
+	if told == nil || told.Named && !inventory.IsRate(told.PerSecond) {
 		return limit, false
 	}
 	limit = admission.Observation{
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -29,6 +29,11 @@
 	if model.IsZero() {
 		model = s.routing.ChooseVersion(weighted(submit.route.Versions))
 	}
+	if until, rest := s.routing.RestEnds(now, model, regions); rest && !until.Before(submit.deadline) {
+		refused := refuse(http.StatusServiceUnavailable, codeNoBackend, "all replicas of the model want nothing for now").after(until.Sub(now))
+		submit.reply <- reply{refusal: &refused}
+		return
+	}
 	s.follow(model, regions)
 	s.pending[submit.ticket] = &pending{submit: submit, model: model, regions: fleet.RegionsOf(regions)}
 	s.offer(now, model)
@@ -175,21 +180,24 @@
 
 func (s *dispatcherState) picked(now time.Time, picked routing.Picked) {
 	ticket := uint64(picked.Ticket)
+	answer := reply{backend: picked.Backend, limit: picked.Limit, incarnation: picked.Incarnation}
 	if hedge, found := s.hedges[ticket]; found {
 		delete(s.hedges, ticket)
 		s.assigned[ticket] = assigned{model: hedge.model, regions: fleet.RegionsOf(s.gateway.modelRegions(hedge.route)), since: now}
-		hedge.reply <- reply{backend: picked.Backend, model: hedge.model}
+		answer.model = hedge.model
+		hedge.reply <- answer
 		return
 	}
 	if waiting, found := s.pending[ticket]; found {
 		delete(s.pending, ticket)
 		s.assigned[ticket] = assigned{model: waiting.model, regions: waiting.regions, since: now}
-		waiting.submit.reply <- reply{backend: picked.Backend, model: waiting.model, cold: waiting.cold, waited: waiting.waited}
+		answer.model, answer.cold, answer.waited = waiting.model, waiting.cold, waiting.waited
+		waiting.submit.reply <- answer
 		return
 	}
-	if answer, found := s.calls[ticket]; found {
+	if call, found := s.calls[ticket]; found {
 		delete(s.calls, ticket)
-		answer <- reply{backend: picked.Backend}
+		call <- answer
 	}
 }
 
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -95,6 +95,9 @@
 	cold    bool
 	waited  time.Duration
 	refusal *failure
+	// limit is the rate limit that the back end names in its incarnation.
+	limit       inventory.RateLimit
+	incarnation uint64
 }
 
 // pending is a submitted request that has no back end yet.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,8 @@
 	Suspects Suspects
 	// Quotas keeps tenants below their quotas; nil bounds none.
 	Quotas Quotas
+	// Admission keeps back ends that name a rate limit below it; nil bounds none.
+	Admission Admission
 	// Self names the node and its zone.
 	Self   fleet.Member
 	Logger *log.Logger
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -14,10 +14,11 @@
 // leg is one back end's part in a request.
 type leg struct {
 	ticket uint64
-	// engine is the back end of the attempt.
-	engine fleet.Backend
-	opened time.Time
-	link   *link
+	// engine is the back end of the attempt; isLimited is set where it names a rate limit.
+	engine    fleet.Backend
+	isLimited bool
+	opened    time.Time
+	link      *link
 }
 
 // race is the wait for the first token where a second back end may be asked.
@@ -79,7 +80,7 @@
 		}
 	}
 	stream, err := r.gateway.generator.Open(leg.link.ctx, leg.engine.Address, request)
-	r.gateway.hear(r.gateway.models, leg.leg, backend.WordOf(stream, err))
+	r.gateway.hear(r.gateway.models, leg.leg, backend.WordOf(stream, err), leg.opened)
 	if err != nil {
 		send(raceEvent{message: brokenBy(leg.link.number, err)})
 		return
@@ -125,7 +126,10 @@
 			event.close()
 		case reply := <-r.race.hedge:
 			r.race.hedge = nil
-			if reply.refusal == nil {
+			if reply.refusal == nil && reply.limit.IsNamed() {
+				// A second send is not worth what such a back end takes.
+				r.gateway.models.send(attemptEnded{ticket: r.race.asked, result: routing.ResultAbandoned})
+			} else if reply.refusal == nil {
 				r.race.spare = &leg{ticket: r.race.asked, engine: reply.backend}
 				return attempt.HedgeAssigned{Backend: reply.backend.Name}
 			}
@@ -161,6 +165,7 @@
 
 func (r *modelRun) adopt(winner *racer) {
 	r.ticket, r.engine, r.opened, r.link = winner.ticket, winner.engine, winner.opened, winner.link
+	r.isLimited = winner.isLimited
 	r.record.backend, r.record.attempts = winner.engine.Name, max(r.record.attempts, winner.attempt)
 	if winner.link.stream != nil {
 		r.answer.more = winner.link.stream.Buffered
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -88,7 +88,7 @@
 	}
 	if r.mayRace(open) {
 		r.race = &race{events: make(chan raceEvent)}
-		r.startLeg(leg{ticket: r.ticket, engine: r.engine}, open)
+		r.startLeg(r.leg(), open)
 		return nil
 	}
 	return r.connect(open.Connection, func(ctx context.Context) (*backend.Stream, error) {
@@ -96,6 +96,9 @@
 	})
 }
 
+// leg is the back end of the present attempt.
+func (r *modelRun) leg() leg { return leg{ticket: r.ticket, engine: r.engine, isLimited: r.isLimited} }
+
 func (r *modelRun) generateRequest(open attempt.Open) backend.GenerateRequest {
 	return backend.GenerateRequest{
 		RequestID: r.engineID, Attempt: open.Attempt, Priority: r.route.Priority, Model: r.model,
@@ -124,8 +127,9 @@
 		defer former.close()
 	}
 	r.link = newLink(r.request.Context(), number, r.core.NextWake(), r.gateway.now)
+	sentAt := r.gateway.now()
 	stream, err := open(r.link.ctx)
-	r.gateway.hear(r.gateway.models, leg{ticket: r.ticket, engine: r.engine}, backend.WordOf(stream, err))
+	r.gateway.hear(r.gateway.models, r.leg(), backend.WordOf(stream, err), sentAt)
 	if err != nil {
 		return r.lost(err)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	resumes      prometheus.Counter
 	dropped      *prometheus.CounterVec
 	running      prometheus.Gauge
+	limitedHeld  prometheus.Counter
 }
 
 // secondsBuckets reach from a millisecond to ten minutes.
@@ -49,8 +50,10 @@
 			Help: "Chunks not taken: crossed, late or duplicated."}, []string{"reason"}),
 		running: prometheus.NewGauge(prometheus.GaugeOpts{Name: metricPrefix + "running_requests",
 			Help: "Requests in progress, those in the queue included."}),
+		limitedHeld: prometheus.NewCounter(prometheus.CounterOpts{Name: metricPrefix + "limited_held_total",
+			Help: "Times that a send was held back at a back end that names a rate limit."}),
 	}
 	registerer.MustRegister(created.requests, created.firstToken, created.duration, created.tokens, created.waiting,
-		created.waitingBytes, created.queueWait, created.coldStarts, created.retries, created.resumes, created.dropped, created.running)
+		created.waitingBytes, created.queueWait, created.coldStarts, created.retries, created.resumes, created.dropped, created.running, created.limitedHeld)
 	return created
 }
--- a/internal/gateway/model_run.go
+++ b/internal/gateway/model_run.go
@@ -36,7 +36,9 @@
 	// model and engine are those of the present attempt.
 	model  fleet.ModelVersion
 	engine fleet.Backend
-	opened time.Time
+	// isLimited is set where the engine names a rate limit.
+	isLimited bool
+	opened    time.Time
 	// began is set once the present attempt has brought a token.
 	began bool
 	link  *link
@@ -157,7 +159,7 @@
 	})
 	select {
 	case reply := <-answer:
-		return r.assigned(reply, retry)
+		return r.assigned(reply, reassign)
 	case <-r.request.Context().Done():
 		r.gateway.models.send(abandon{ticket: r.ticket})
 		r.ticket = 0
@@ -165,21 +167,24 @@
 	}
 }
 
-func (r *modelRun) assigned(reply reply, retry bool) attempt.Message {
+func (r *modelRun) assigned(reply reply, reassign attempt.Reassign) attempt.Message {
 	if reply.refusal != nil {
 		r.ticket = 0
 		r.counted = r.counted || reply.refusal.code != codeRateLimited && reply.refusal.code != codeConcurrency
 		return attempt.Unassigned{Code: reply.refusal.code, Detail: reply.refusal.detail, RetryAfter: reply.refusal.retryAfter}
 	}
 	r.counted = true
+	if retryIn, ok := r.gateway.admits(r.request.Context(), r.gateway.models, r.ticket, reply); !ok {
+		return r.assignAgain(reply.model, reassign, retryIn)
+	}
 	if !r.suspicion.mayBeSent(r.request.Context()) {
 		r.gateway.models.send(attemptEnded{ticket: r.ticket, result: routing.ResultAbandoned})
 		r.ticket = 0
 		return refusalBarred
 	}
-	r.model, r.engine = reply.model, reply.backend
+	r.model, r.engine, r.isLimited = reply.model, reply.backend, reply.limit.IsNamed()
 	r.record.model, r.record.backend = reply.model, reply.backend.Name
-	if !retry {
+	if reassign.Exclude == nil {
 		r.record.waited = reply.waited
 		r.gateway.metrics.queueWait.Observe(reply.waited.Seconds())
 	}
@@ -187,6 +192,18 @@
 	return attempt.Assigned{Backend: reply.backend.Name}
 }
 
+// assignAgain waits for a back end anew, as the one that was found takes no more for now: another one,
+// or that one once it does. Who would have to wait beyond the deadline is refused at once.
+func (r *modelRun) assignAgain(model fleet.ModelVersion, reassign attempt.Reassign, retryIn time.Duration) attempt.Message {
+	r.ticket = 0
+	if !r.gateway.now().Add(retryIn).Before(r.core.NextWake()) {
+		return rateLimited(retryIn)
+	}
+	r.model = model
+	// It is counted already, as an attempt and against its route.
+	return r.assign(attempt.Reassign{Exclude: append([]fleet.BackendName{}, reassign.Exclude...), Unspent: true})
+}
+
 // pause waits before a retry; it reports false when the caller went away.
 func (r *modelRun) pause(wait time.Duration) bool {
 	if wait <= 0 {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -85,7 +85,11 @@
 	ticket  uint64
 	counted bool
 	target  fleet.Backend
-	result  *backend.ServiceAnswer
+	// isLimited is set where the target names a rate limit, and retryIn is when one takes a request
+	// again that did not take this one.
+	isLimited bool
+	retryIn   time.Duration
+	result    *backend.ServiceAnswer
 }
 
 // serveKeyed makes the call only once the key's keepers have granted it.
@@ -261,7 +265,7 @@
 
 // send makes one attempt.
 func (r *serviceRun) send(ctx context.Context, open attempt.Open) attempt.Message {
-	request := r.caller.request
+	request, sentAt := r.caller.request, r.caller.gateway.now()
 	answer, err := r.caller.gateway.calls.Call(ctx, r.target.Address, backend.ServiceCall{
 		RequestID: fleet.RequestID(r.caller.id), Attempt: open.Attempt, Method: request.Method, Target: request.URL.RequestURI(),
 		ContentType: request.Header.Get("Content-Type"), Accept: request.Header.Get("Accept"), Key: r.key, Body: r.body,
@@ -277,7 +281,7 @@
 		}
 		return broken
 	}
-	r.caller.gateway.hear(r.caller.gateway.services, leg{ticket: r.ticket, engine: r.target}, answer.Word)
+	r.caller.gateway.hear(r.caller.gateway.services, leg{ticket: r.ticket, engine: r.target, isLimited: r.isLimited}, answer.Word, sentAt)
 	if answer.NotRun || isUnavailable(answer.Status) && r.route.Repeatable {
 		return refusedBy(open.Connection, answer)
 	}
@@ -320,7 +324,7 @@
 		exclude: slices.Clone(reassign.Exclude), together: r.suspicion.together(), reply: reply})
 	select {
 	case answer := <-reply:
-		return r.assigned(ctx, answer)
+		return r.assigned(ctx, answer, reassign)
 	case <-ctx.Done():
 		gateway.services.send(abandon{ticket: r.ticket})
 		r.ticket = 0
@@ -328,19 +332,27 @@
 	}
 }
 
-func (r *serviceRun) assigned(ctx context.Context, reply reply) attempt.Message {
-	if refusal := reply.refusal; refusal != nil {
+func (r *serviceRun) assigned(ctx context.Context, reply reply, reassign attempt.Reassign) attempt.Message {
+	if refusal := reply.refusal; refusal != nil && r.retryIn > 0 {
+		r.ticket = 0
+		return rateLimited(r.retryIn)
+	} else if refusal != nil {
 		r.ticket = 0
 		r.counted = r.counted || refusal.code != codeRateLimited && refusal.code != codeConcurrency
 		return attempt.Unassigned{Code: refusal.code, Detail: refusal.detail, RetryAfter: refusal.retryAfter}
 	}
 	r.counted = true
+	if retryIn, ok := r.caller.gateway.admits(ctx, r.caller.gateway.services, r.ticket, reply); !ok {
+		// Another back end may take it; this one is left alone until it does.
+		r.retryIn = retryIn
+		return r.assign(ctx, attempt.Reassign{Exclude: append([]fleet.BackendName{}, reassign.Exclude...), Unspent: true})
+	}
 	if !r.suspicion.mayBeSent(ctx) {
 		r.caller.gateway.services.send(attemptEnded{ticket: r.ticket, result: routing.ResultAbandoned})
 		r.ticket = 0
 		return refusalBarred
 	}
-	r.target = reply.backend
+	r.target, r.isLimited = reply.backend, reply.limit.IsNamed()
 	r.caller.record.backend = reply.backend.Name
 	return attempt.Assigned{Backend: reply.backend.Name}
 }
--- a/internal/gossip/words_test.go
+++ b/internal/gossip/words_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
@@ -69,3 +70,35 @@
 		t.Errorf("%d are told in a period", len(told))
 	}
 }
+
+// TestLimitsAreToldAndRenewed: a limit that is the same is told on again after a while, and so is its
+// end; what is older than that is not.
+func TestLimitsAreToldAndRenewed(t *testing.T) {
+	begin := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+	limit := func(kind inventory.RateLimitKind, sent, heard time.Duration) WordItem {
+		return WordItem{Start: inventory.Start{ID: "a", Born: 7}, Limit: admission.Observation{
+			Limit: inventory.RateLimit{Kind: kind}, SentAt: begin.Add(sent), HeardAt: begin.Add(heard),
+		}}
+	}
+	words := NewWords()
+	for _, c := range []struct {
+		name string
+		item WordItem
+		want bool
+	}{
+		{"a server names none, and never did", limit(inventory.RateLimitNone, 0, time.Second), false},
+		{"it names one", limit(inventory.RateLimitNamed, time.Second, time.Second), true},
+		{"the same, a little later", limit(inventory.RateLimitNamed, 2*time.Second, 2*time.Second), false},
+		{"the same, long after", limit(inventory.RateLimitNamed, 4*time.Second, 4*time.Second), true},
+		{"it ended, by an older answer", limit(inventory.RateLimitNone, 3*time.Second, 5*time.Second), false},
+		{"it ended", limit(inventory.RateLimitNone, 5*time.Second, 5*time.Second), true},
+		{"an old word of it", limit(inventory.RateLimitNamed, 4*time.Second, 4*time.Second), false},
+	} {
+		if got := words.Learn(begin.Add(5*time.Second), c.item); got != c.want {
+			t.Errorf("%s: news %v, want %v", c.name, got, c.want)
+		}
+	}
+	if told := words.Tell(begin.Add(5 * time.Second)); len(told) != 1 || told[0].Limit.Limit.Kind != inventory.RateLimitNone {
+		t.Errorf("told %+v, want that the limit ended", told)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,6 +151,7 @@
 		Leaving:    n.control.BackendLeaving,
 		Suspects:   n.suspects,
 		Quotas:     n.quotas,
+		Admission:  n.quotas,
 		Self:       n.self,
 		Logger:     n.logger,
 		System:     n.system,
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -62,6 +62,7 @@
 	coordinator *quota.Coordinator
 	share       *quota.Share
 	fleet       quota.Fleet
+	limits      backendLimits
 	// used is what was granted without asking and is still to be told, by tenant.
 	used map[string]float64
 }
@@ -79,6 +80,7 @@
 		end:          end,
 		coordinator:  quota.NewCoordinator(tolerance),
 		share:        quota.NewShare(tolerance, false),
+		limits:       newBackendLimits(dependencies.Self),
 		used:         make(map[string]float64),
 	}
 	started.reports.Go(started.reportUntilStopped)
@@ -137,7 +139,10 @@
 }
 
 func (q *Quotas) ask(ctx context.Context, judge fleet.Member, tenant string, cost float64) *peerpb.QuotaAnswer {
-	question := &peerpb.QuotaQuestion{Tenant: tenant, Cost: cost}
+	return q.askQuestion(ctx, judge, &peerpb.QuotaQuestion{Tenant: tenant, Cost: cost})
+}
+
+func (q *Quotas) askQuestion(ctx context.Context, judge fleet.Member, question *peerpb.QuotaQuestion) *peerpb.QuotaAnswer {
 	if judge.Name == q.dependencies.Self.Name {
 		return q.decide(question)
 	}
@@ -223,6 +228,9 @@
 // decide answers a question as the coordinator.
 func (q *Quotas) decide(question *peerpb.QuotaQuestion) *peerpb.QuotaAnswer {
 	now := time.Now()
+	if question.GetBackend() != "" {
+		return q.decideBackend(now, question)
+	}
 	tenant, reach, ok := q.mayGive(now, question.GetTenant())
 	if !ok {
 		return &peerpb.QuotaAnswer{Declined: true}
@@ -233,11 +241,16 @@
 	return &peerpb.QuotaAnswer{Granted: verdict.Granted, RetryMillis: verdict.RetryIn.Milliseconds()}
 }
 
-// mayGive reports whether this node may keep a tenant's quota now: it has listened, hears
-// from enough of the fleet, and knows the tenant.
-func (q *Quotas) mayGive(now time.Time, name string) (tenant routetable.Tenant, reach float64, ok bool) {
+// mayCoordinate reports whether this node may grant now: it has listened, and hears from enough of
+// the fleet.
+func (q *Quotas) mayCoordinate(now time.Time) (reach float64, ok bool) {
 	_, reach = q.fleetSize(now)
-	if now.Sub(q.started) < quotaGivesAfter || reach < quota.LeastReach {
+	return reach, now.Sub(q.started) >= quotaGivesAfter && reach >= quota.LeastReach
+}
+
+// mayGive reports whether this node may keep a tenant's quota now, and knows the tenant.
+func (q *Quotas) mayGive(now time.Time, name string) (tenant routetable.Tenant, reach float64, ok bool) {
+	if reach, ok = q.mayCoordinate(now); !ok {
 		return tenant, reach, false
 	}
 	snapshot, found := q.dependencies.Views.Catalog.Get()
@@ -274,7 +287,9 @@
 func (q *Quotas) observe() {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.coordinator.Observe(time.Now())
+	now := time.Now()
+	q.coordinator.Observe(now)
+	q.limits.coordinator.Observe(now)
 }
 
 // keep opens the accounts of all tenants at a node that may be asked for them, and closes
@@ -301,6 +316,11 @@
 	}
 	q.coordinator.Prune(isDeclared)
 	q.share.Prune(isDeclared)
+	if isJudge {
+		q.pruneLimits(now)
+	} else {
+		q.limits.coordinator.Forget()
+	}
 }
 
 // report tells the first judge that takes it what was used without asking.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -218,6 +218,9 @@
 // anything of it goes to the caller: what binds later choices must not wait for it. Heads of
 // answers to earlier requests, which come late, count as well.
 func (x *exchange) hear(choice dispatch.Choice, status int, header http.Header) {
+	if field := x.handler.options.Dialect.Unread(header); field != "" {
+		x.handler.options.Unread(choice.ServerID, field)
+	}
 	told := x.handler.options.Dialect.ReadAnswer(status, header)
 	x.word = told.Word
 	if x.handler.options.Dialect.BelongsTo(header, x.head.RequestID) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,6 +79,9 @@
 	SetSend(header http.Header, send Send)
 	// ReadAnswer reads the headers of an answer.
 	ReadAnswer(status int, header http.Header) AnswerHead
+	// Unread is the first field of an answer by which servers tell of themselves and which nodes do
+	// not read; empty where there is none.
+	Unread(header http.Header) string
 	// BelongsTo reports whether the answer is to the request of that identity.
 	BelongsTo(header http.Header, requestID string) bool
 }
@@ -104,6 +107,8 @@
 	Wanted func()
 	// Heard is told what a start of a server told of its own future, where that is news.
 	Heard func(start inventory.Start, word inventory.Word)
+	// Unread is told of a field by which a server tells of itself and which nodes do not read.
+	Unread func(serverID, field string)
 	// MaxWaiting bounds the requests that wait for a server at a time.
 	MaxWaiting int
 }
@@ -147,6 +152,9 @@
 	if options.Heard == nil {
 		options.Heard = func(inventory.Start, inventory.Word) {}
 	}
+	if options.Unread == nil {
+		options.Unread = func(string, string) {}
+	}
 	return &Handler{
 		options: options,
 		started: clock.Now(),
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -58,6 +58,8 @@
 	}
 }
 
+func (testDialect) Unread(http.Header) string { return "" }
+
 func (testDialect) BelongsTo(header http.Header, id string) bool { return header.Get("X-Id") == id }
 
 // script is what a stand-in server does with one request on its connection; it
--- a/internal/routing/doc.go
+++ b/internal/routing/doc.go
@@ -3,5 +3,5 @@
 // of two drawn at random. It keeps the circuits and the node's own requests in
 // flight, since the reports of engines lag.
 //
-// It may import evacuation, fleet, inventory and locality. No I/O, no clock, no goroutine.
+// It may import admission, evacuation, fleet, inventory and locality. No I/O, no clock, no goroutine.
 package routing
--- a/internal/routing/message.go
+++ b/internal/routing/message.go
@@ -114,6 +114,9 @@
 	Backend fleet.Backend
 	// Probe is set when the attempt tries a circuit that was open.
 	Probe bool
+	// Limit is the rate limit that the back end names, in the incarnation that was picked.
+	Limit       inventory.RateLimit
+	Incarnation uint64
 }
 
 // NonePicked answers a Pick or PickService that no back end passes.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -93,7 +93,8 @@
 	chosen.circuit.probing = probe
 	chosen.started(now)
 	c.flights[ticket] = &flight{target: chosen, model: model, started: now, incarnation: chosen.engine.Incarnation}
-	c.emit(Picked{Ticket: ticket, Backend: chosen.backend, Probe: probe})
+	c.emit(Picked{Ticket: ticket, Backend: chosen.backend, Probe: probe,
+		Limit: chosen.words.limit.Latest().Limit, Incarnation: chosen.engine.Incarnation})
 }
 
 func (c *Core) byZone(candidates []*target) (own, others []*target) {
