--- a/internal/admission/ratelimit.go
+++ b/internal/admission/ratelimit.go
@@ -76,16 +76,16 @@
 }
 
 // PerSecond is the rate in force; ok is false where there is none.
-func (r *RateLimit) PerSecond() (rate float64, ok bool) { return r.limit.PerSecond, r.limit.IsNamed() }
+func (r RateLimit) PerSecond() (rate float64, ok bool) { return r.limit.PerSecond, r.limit.IsNamed() }
 
 // Age is the time since the limit was last heard.
-func (r *RateLimit) Age(now time.Time) time.Duration { return now.Sub(r.namedAt) }
+func (r RateLimit) Age(now time.Time) time.Duration { return now.Sub(r.namedAt) }
 
 // IsKnown reports whether the server ever named a limit.
-func (r *RateLimit) IsKnown() bool { return !r.namedAt.IsZero() }
+func (r RateLimit) IsKnown() bool { return !r.namedAt.IsZero() }
 
 // Latest is the limit in force as an observation, for other nodes.
-func (r *RateLimit) Latest() Observation {
+func (r RateLimit) Latest() Observation {
 	return Observation{Limit: r.limit, SentAt: r.saidFrom, HeardAt: r.namedAt}
 }
 
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -35,7 +35,7 @@
 	NotRun     bool
 	RetryAfter time.Duration
 	// Word is what the back end told of its own future.
-	Word inventory.Word
+	Hint inventory.Hint
 	// Body is the beginning of the answer.
 	Body []byte
 }
--- a/internal/backend/generate.go
+++ b/internal/backend/generate.go
@@ -142,7 +142,7 @@
 		return nil, readRefusal(response)
 	}
 	opened := newStream(response.Body)
-	opened.word = readWord(response)
+	opened.hint = readHint(response)
 	return opened, nil
 }
 
@@ -153,10 +153,10 @@
 		Status:     response.StatusCode,
 		NotRun:     response.Header.Get(HeaderNotRun) == "true",
 		RetryAfter: parseRetryAfter(response.Header.Get("Retry-After")),
-		Word:       readWord(response),
+		Hint:       readHint(response),
 		Body:       body,
 	}
-	refusal.Word.Leaving = refusal.Word.Leaving || refusal.NotRun && isLeavingProblem(body)
+	refusal.Hint.Draining = refusal.Hint.Draining || refusal.NotRun && isLeavingProblem(body)
 	return refusal
 }
 
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -54,8 +54,8 @@
 	Body        []byte
 	// NotRun is the back end's own word that nothing ran.
 	NotRun bool
-	// Word is what the back end told of its own future.
-	Word inventory.Word
+	// Hint is what the back end told of its own future.
+	Hint inventory.Hint
 }
 
 // Services sends plain calls. A call that is not repeatable goes over a
@@ -131,9 +131,9 @@
 		RetryAfter:  response.Header.Get("Retry-After"),
 		Body:        body,
 		NotRun:      response.Header.Get(HeaderNotRun) == "true",
-		Word:        readWord(response),
+		Hint:        readHint(response),
 	}
-	answer.Word.Leaving = answer.Word.Leaving || answer.NotRun && isLeavingProblem(body)
+	answer.Hint.Draining = answer.Hint.Draining || answer.NotRun && isLeavingProblem(body)
 	return answer, nil
 }
 
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -30,7 +30,7 @@
 	// long holds a line that is larger than the reader's buffer.
 	long []byte
 	// word is what the head of the answer told of the back end's future.
-	word inventory.Word
+	hint inventory.Hint
 }
 
 func newStream(body io.ReadCloser) *Stream {
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -101,7 +101,7 @@
 // HoldBack takes that a request was not granted at a server, and may be after retryIn.
 func (c *Core) HoldBack(now time.Time, serverID string, retryIn time.Duration) {
 	if s, ok := c.servers[serverID]; ok {
-		s.holdRate(now, retryIn)
+		s.bounds.HoldBack(now, retryIn)
 		s.cold.state.HoldBack(now, retryIn)
 		s.cold.foretold = now.Add(retryIn)
 	}
@@ -214,30 +214,28 @@
 	return s.cold.state.Phase(now, s.cold.limit.Time)
 }
 
-// isHeldBack reports whether the server is left alone for now, as it is cold or names a rate limit.
-func (s *server) isHeldBack(now time.Time) bool { return s.isColdHeld(now) || s.isRateHeld(now) }
-
-func (s *server) isColdHeld(now time.Time) bool {
+// isHeldBack reports whether the server is left alone for now, as it is cold.
+func (s *server) isHeldBack(now time.Time) bool {
 	return s.cold.limit.IsLimited() && s.cold.state.OpensIn(now, s.cold.limit.Time) > 0
 }
 
-// opensIn is when a request may go to a server that holds what is wanted and is left alone as it is
-// cold or names a rate limit, or until another request has shown that it takes work again.
+// mayTake reports whether a request may go to the server now, by what the server told and by its
+// warm-up.
+func (s *server) mayTake(now time.Time) bool {
+	return s.bounds.Check(now).Admits() && !s.isHeldBack(now)
+}
+
+// opensIn is when a request may go to a server that holds what is wanted, and that is left alone for a
+// moment: as it is cold, did not grant a request, or answers one that shows whether it takes work.
 func (s *server) opensIn(now time.Time, wanted Wanted) (left time.Duration, ok bool) {
-	isProving, isColdHeld, isRateHeld := s.isProving(now), s.isColdHeld(now), s.isRateHeld(now)
-	if !isProving && !isColdHeld && !isRateHeld || !s.offers(now, wanted) {
+	decision, isHeldBack := s.bounds.Check(now), s.isHeldBack(now)
+	if decision.Admits() && !isHeldBack || !s.offers(now, wanted) {
 		return 0, false
 	}
-	if isProving {
-		left = proofPatience - now.Sub(s.words.proof.started)
-	}
-	if isColdHeld {
-		left = max(left, s.cold.state.OpensIn(now, s.cold.limit.Time), s.cold.foretold.Sub(now))
-	}
-	if isRateHeld {
-		left = max(left, s.words.rate.closedUntil.Sub(now), s.words.rate.foretold.Sub(now))
+	if isHeldBack {
+		left = max(s.cold.state.OpensIn(now, s.cold.limit.Time), s.cold.foretold.Sub(now))
 	}
-	return left, true
+	return max(left, decision.RetryIn), true
 }
 
 // offers reports whether the server can serve what is wanted.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -33,8 +33,8 @@
 	loadedBy map[string][]*server
 	// early are the leader's views of servers that are not known yet.
 	early map[string]earlyView
-	// words are what servers told with their answers, by start.
-	words map[inventory.Start]*words
+	// starts are what bounds the sends to starts of servers, by what their answers told.
+	starts map[inventory.Start]*startState
 	// term is the highest term of a leader that was heard.
 	term int64
 	// leaderSeen is when the leader last said that it holds its lease, and
@@ -61,7 +61,7 @@
 		demand:    make(map[Wanted]*demand),
 		loadedBy:  make(map[string][]*server),
 		early:     make(map[string]earlyView),
-		words:     make(map[inventory.Start]*words),
+		starts:    make(map[inventory.Start]*startState),
 		changed:   make(chan struct{}),
 	}
 }
@@ -95,7 +95,7 @@
 			return
 		}
 		if isEarlier && known.isTold {
-			// As a rule the last entry of the start before, told late: by it the words of the
+			// As a rule the last entry of the start before, told late: by it what the
 			// present start would be forgotten.
 			known.rival = &entry
 			return
@@ -122,7 +122,7 @@
 		c.list(known)
 	}
 	known.closed = c.evacuated[entry.Zone]
-	known.words = c.words[entry.Start()]
+	known.bounds = c.boundsOf(entry.Start())
 	c.index.put(known)
 }
 
@@ -189,13 +189,13 @@
 func (c *Core) Supply(now time.Time, service string) Supply {
 	supply := Supply{Known: len(c.byService[service])}
 	for _, s := range c.byService[service] {
-		if s.isRateLimited() {
+		if s.bounds.IsRateLimited() {
 			supply.Limited++
 		}
 		switch {
 		case s.isGoing():
 			supply.Going++
-		case s.wantsNothing(now):
+		case s.isBackingOff(now):
 			supply.Resting++
 		case s.closed:
 			supply.Closed++
@@ -240,11 +240,11 @@
 	switch {
 	case s.isGoing():
 		return StateGoing
-	case s.wantsNothing(now):
+	case s.isBackingOff(now):
 		return StateResting
 	case s.closed:
 		return StateClosed
-	case s.isRateLimited():
+	case s.bounds.IsRateLimited():
 		return StateLimited
 	case s.health.failureRate(now) >= suspectRate:
 		return StateSuspect
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -86,7 +86,7 @@
 // An adapter comes soon wherever its model stands.
 func (c *Core) ReadyIn(now time.Time, wanted Wanted) (left time.Duration, known bool) {
 	for _, s := range c.listed(wanted.Service, wanted.Model) {
-		if s.info.Service != wanted.Service || !s.takesWork() || !c.isIn(s, wanted.Regions) || s.restsFor(now) > 0 {
+		if s.info.Service != wanted.Service || !s.takesWork() || !c.isIn(s, wanted.Regions) || s.bounds.Backoff(now) > 0 {
 			continue
 		}
 		ready, ok := s.opensIn(now, wanted)
@@ -158,7 +158,7 @@
 	if !ok || !s.takesWork() || !c.isIn(s, wanted.Regions) {
 		return 0, false
 	}
-	rest := s.restsFor(now)
+	rest := s.bounds.Backoff(now)
 	if s.has(now, wanted.Model, wanted.Adapter) {
 		return max(rest, s.absentUntil[joined(wanted.Model, wanted.Adapter)].Sub(now)), true
 	}
--- a/internal/dispatch/words_test.go
+++ b/internal/dispatch/hints_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
@@ -20,14 +21,14 @@
 }
 
 // hear lets a server tell something with its answer to a request.
-func hear(t *testing.T, core *Core, now time.Time, word inventory.Word) inventory.Start {
+func hear(t *testing.T, core *Core, now time.Time, hint inventory.Hint) inventory.Start {
 	t.Helper()
 	choice, ok := core.Pick(now, Ask{Service: "s", Model: "m"})
 	if !ok {
 		t.Fatal("no server takes a request")
 	}
 	start := choice.Flight.Start()
-	core.HearStart(now, start, word)
+	core.ReceiveHint(now, start, hint)
 	core.Begun(now, choice.Flight)
 	core.End(now, choice.Flight, OutcomeServed)
 	return start
@@ -35,7 +36,7 @@
 
 func TestLeavingHoldsForOneStart(t *testing.T) {
 	core := newCore(bornEntry("a", 7, 1))
-	hear(t, core, begin, inventory.Word{Leaving: true})
+	hear(t, core, begin, inventory.Hint{Draining: true})
 	ask := Ask{Model: "m"}
 	steps := []struct {
 		name   string
@@ -54,17 +55,17 @@
 			t.Errorf("%s: picked %q, want %q", step.name, got, step.want)
 		}
 	}
-	if core.HearStart(begin, inventory.Start{ID: "a", Born: 7}, inventory.Word{Leaving: true}) || pick(core, begin, ask) != "a" {
+	if core.ReceiveHint(begin, inventory.Start{ID: "a", Born: 7}, inventory.Hint{Draining: true}) || pick(core, begin, ask) != "a" {
 		t.Error("a late answer of the earlier start binds the later one")
 	}
 }
 
 func TestRestThenOneThenMore(t *testing.T) {
 	core := newCore(entry("a", "z", "m"))
-	hear(t, core, begin, inventory.Word{Rest: 3 * time.Second})
+	hear(t, core, begin, inventory.Hint{Backoff: 3 * time.Second})
 	ask := Ask{Service: "s", Model: "m"}
 	wanted := Wanted{Service: "s", Model: "m"}
-	if left, elsewhere, ok := core.Rests(begin.Add(time.Second), wanted); left != 2*time.Second || elsewhere || !ok {
+	if left, elsewhere, ok := core.BackoffEnds(begin.Add(time.Second), wanted); left != 2*time.Second || elsewhere || !ok {
 		t.Errorf("rests for %v, could be loaded elsewhere: %v, rests: %v", left, elsewhere, ok)
 	}
 	if _, known := core.ReadyIn(begin, wanted); known || core.CanPick(begin.Add(2999*time.Millisecond), ask) {
@@ -75,7 +76,7 @@
 	if !ok || core.CanPick(now, ask) {
 		t.Fatalf("after the rest one request goes: %v, and a second beside it: %v", ok, core.CanPick(now, ask))
 	}
-	core.HearStart(now, first.Flight.Start(), inventory.Word{Rest: time.Second})
+	core.ReceiveHint(now, first.Flight.Start(), inventory.Hint{Backoff: time.Second})
 	core.Begun(now, first.Flight)
 	core.End(now, first.Flight, OutcomeRejected)
 	if core.CanPick(now.Add(999*time.Millisecond), ask) {
@@ -96,16 +97,16 @@
 // TestFirstRequestAfterARestIsNotWaitedForLong: a server that turns away does so at once.
 func TestFirstRequestAfterARestIsNotWaitedForLong(t *testing.T) {
 	core := newCore(entry("a", "z", "m"))
-	hear(t, core, begin, inventory.Word{Rest: time.Second})
+	hear(t, core, begin, inventory.Hint{Backoff: time.Second})
 	now := begin.Add(time.Second)
 	ask := Ask{Service: "s", Model: "m"}
 	if _, ok := core.Pick(now, ask); !ok {
 		t.Fatal("nothing goes after the rest")
 	}
-	if left, known := core.ReadyIn(now, Wanted{Service: "s", Model: "m"}); !known || left != proofPatience {
+	if left, known := core.ReadyIn(now, Wanted{Service: "s", Model: "m"}); !known || left != admission.ProbeTimeout {
 		t.Errorf("the next is told to wait for %v, %v", left, known)
 	}
-	if !core.CanPick(now.Add(proofPatience), ask) {
+	if !core.CanPick(now.Add(admission.ProbeTimeout), ask) {
 		t.Error("all wait for an answer that takes long")
 	}
 }
@@ -115,8 +116,8 @@
 	core := newCore(entry("a", "z", "m"), entry("b", "z"))
 	choice, _ := core.Pick(begin, Ask{Service: "s", Model: "m"})
 	later, _ := core.Pick(begin, Ask{Service: "s", Model: "m"})
-	core.HearStart(begin, choice.Flight.Start(), inventory.Word{Rest: 3 * time.Second})
-	core.HearStart(begin.Add(time.Second), later.Flight.Start(), inventory.Word{Rest: time.Second})
+	core.ReceiveHint(begin, choice.Flight.Start(), inventory.Hint{Backoff: 3 * time.Second})
+	core.ReceiveHint(begin.Add(time.Second), later.Flight.Start(), inventory.Hint{Backoff: time.Second})
 	core.Begun(begin, later.Flight)
 	core.End(begin, later.Flight, OutcomeServed)
 	if core.CanPick(begin.Add(2500*time.Millisecond), Ask{Service: "s", Model: "m"}) {
@@ -125,7 +126,7 @@
 	if got := pick(core, begin, Ask{}); got != "b" {
 		t.Errorf("picked %q, want the one that does not rest", got)
 	}
-	if left, elsewhere, ok := core.Rests(begin, Wanted{Service: "s", Model: "m"}); !ok || !elsewhere || left != 3*time.Second {
+	if left, elsewhere, ok := core.BackoffEnds(begin, Wanted{Service: "s", Model: "m"}); !ok || !elsewhere || left != 3*time.Second {
 		t.Errorf("%v, elsewhere %v, %v", left, elsewhere, ok)
 	}
 }
@@ -135,7 +136,7 @@
 func TestWordsOfPeers(t *testing.T) {
 	core := newCore(bornEntry("a", 1, 1), bornEntry("b", 1, 1))
 	a, b := inventory.Start{ID: "a", Born: 1}, inventory.Start{ID: "b", Born: 1}
-	core.HearOfStart(begin, a, inventory.Word{Rest: 3 * time.Second})
+	core.ReceivePeerHint(begin, a, inventory.Hint{Backoff: 3 * time.Second})
 	for range 20 {
 		if got := pick(core, begin, Ask{Model: "m"}); got != "b" {
 			t.Fatalf("picked %q, which asked a peer for rest", got)
@@ -144,7 +145,7 @@
 	if got := core.Away(begin); len(got) != 1 || got[0] != a {
 		t.Errorf("away: %v", got)
 	}
-	core.HearOfStart(begin, b, inventory.Word{Leaving: true})
+	core.ReceivePeerHint(begin, b, inventory.Hint{Draining: true})
 	if got := pick(core, begin, Ask{Model: "m"}); got != "a" {
 		t.Errorf("picked %q, want the one that stays", got)
 	}
@@ -155,16 +156,16 @@
 
 func TestWordsAreBounded(t *testing.T) {
 	core := newCore(bornEntry("listed", 1, 1))
-	core.HearStart(begin, inventory.Start{ID: "listed", Born: 1}, inventory.Word{Leaving: true})
-	for i := range maxWords + 100 {
-		core.HearOfStart(begin.Add(time.Duration(i)*time.Millisecond), inventory.Start{ID: strconv.Itoa(i)}, inventory.Word{Leaving: true})
+	core.ReceiveHint(begin, inventory.Start{ID: "listed", Born: 1}, inventory.Hint{Draining: true})
+	for i := range maxStarts + 100 {
+		core.ReceivePeerHint(begin.Add(time.Duration(i)*time.Millisecond), inventory.Start{ID: strconv.Itoa(i)}, inventory.Hint{Draining: true})
 	}
-	if len(core.words) > maxWords+1 {
-		t.Errorf("%d words are kept", len(core.words))
+	if len(core.starts) > maxStarts+1 {
+		t.Errorf("%d words are kept", len(core.starts))
 	}
-	core.HearOfStart(begin.Add(time.Hour), inventory.Start{ID: "late"}, inventory.Word{Leaving: true})
-	if len(core.words) != 2 || pick(core, begin, Ask{Model: "m"}) != "" {
-		t.Errorf("%d words after an hour, want those of the server with an entry and the last", len(core.words))
+	core.ReceivePeerHint(begin.Add(time.Hour), inventory.Start{ID: "late"}, inventory.Hint{Draining: true})
+	if len(core.starts) != 2 || pick(core, begin, Ask{Model: "m"}) != "" {
+		t.Errorf("%d words after an hour, want those of the server with an entry and the last", len(core.starts))
 	}
 }
 
@@ -221,10 +222,10 @@
 
 // enter lets an entry of a start come, which may be an old one.
 func (w *wordsWorld) enter(entry inventory.Server) {
-	var before *words
+	var before *admission.Server
 	known, isListed := w.listed[entry.ID]
 	if isListed {
-		before = w.core.servers[entry.ID].words
+		before = w.core.servers[entry.ID].bounds
 	}
 	w.core.SetServers([]inventory.Change{{Server: entry}})
 	isOlder := entry.Revision < known.Revision || entry.Revision == known.Revision && entry.Born < known.Born
@@ -233,10 +234,10 @@
 	}
 	server := w.core.servers[entry.ID]
 	switch {
-	case w.defect == keepsBeyondStart && server.words == nil:
-		server.words = before
+	case w.defect == keepsBeyondStart && server.bounds == nil:
+		server.bounds = before
 	case w.defect == entryBringsBack:
-		server.words = nil
+		server.bounds = nil
 	}
 }
 
@@ -248,7 +249,7 @@
 			told.Born = server.info.Born
 		}
 	}
-	w.core.HearOfStart(w.now, told, inventory.Word{Leaving: true})
+	w.core.ReceivePeerHint(w.now, told, inventory.Hint{Draining: true})
 	w.leaving[start] = true
 }
 
@@ -265,20 +266,20 @@
 	case w.now.Before(w.resting[start]):
 		return fmt.Sprintf("%v is sent to, which rests", start)
 	}
-	word := inventory.Word{Leaving: draw(4) == 0, Rest: time.Duration(draw(3)) * time.Second}
-	w.core.HearStart(w.now, choice.Flight.Start(), word)
+	hint := inventory.Hint{Draining: draw(4) == 0, Backoff: time.Duration(draw(3)) * time.Second}
+	w.core.ReceiveHint(w.now, choice.Flight.Start(), hint)
 	w.core.Begun(w.now, choice.Flight)
 	w.core.End(w.now, choice.Flight, OutcomeServed)
-	w.leaving[start] = w.leaving[start] || word.Leaving
-	w.resting[start] = later(w.resting[start], w.now.Add(word.Rest))
-	if w.defect == restsByService && word.Rest > 0 {
+	w.leaving[start] = w.leaving[start] || hint.Draining
+	w.resting[start] = later(w.resting[start], w.now.Add(hint.Backoff))
+	if w.defect == restsByService && hint.Backoff > 0 {
 		for _, other := range w.core.servers {
-			w.core.HearStart(w.now, other.info.Start(), word)
+			w.core.ReceiveHint(w.now, other.info.Start(), hint)
 		}
 	}
 	if w.defect == forgetsAtOnce {
-		clear(w.core.words)
-		choice.Flight.server.words = nil
+		clear(w.core.starts)
+		choice.Flight.server.bounds = nil
 	}
 	return w.check()
 }
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -48,8 +48,10 @@
 	tokens   float64
 	estimate time.Duration
 	started  time.Time
-	begun    bool
-	ended    bool
+	// probe is set where the request shows whether its server takes work again.
+	probe *admission.Probe
+	begun bool
+	ended bool
 }
 
 // Costs that order the choices.
@@ -82,7 +84,7 @@
 	chosen.running++
 	chosen.pendingTokens += tokens
 	flight := &Flight{server: chosen, start: chosen.info.Start(), tokens: tokens, estimate: cost, started: now}
-	chosen.beginProof(flight)
+	flight.probe = chosen.bounds.StartProbe(now)
 	return Choice{ServerID: chosen.info.ID, Address: chosen.info.Address, Estimate: cost, Distance: c.places.Distance(c.zone, chosen.info.Zone), Flight: flight}, true
 }
 
@@ -104,7 +106,7 @@
 		if ask.Model != "" && !s.holds(now, ask.Model, ask.Adapter) {
 			continue
 		}
-		if s.isHeldBack(now) || s.wantsNothing(now) {
+		if !s.mayTake(now) {
 			continue
 		}
 		candidates = append(candidates, s)
@@ -175,8 +177,8 @@
 		cost += coldCost.Seconds()
 	}
 	cost += s.rateCost(now).Seconds()
-	if s.isTroubled(now) {
-		cost += troubledCost.Seconds()
+	if s.bounds.HasPeerBackoff(now) {
+		cost += peerBackoffCost.Seconds()
 	}
 	return cost
 }
@@ -201,7 +203,7 @@
 		return
 	}
 	flight.begun = true
-	if flight.server.endProof(now, flight, true) {
+	if flight.server.bounds.EndProbe(now, flight.probe, true) {
 		c.notify()
 	}
 	c.clearPending(flight)
@@ -224,7 +226,7 @@
 		c.clearPending(flight)
 	}
 	flight.ended = true
-	if flight.server.endProof(now, flight, false) {
+	if flight.server.bounds.EndProbe(now, flight.probe, false) {
 		c.notify()
 	}
 	flight.server.running--
--- a/internal/dispatch/pick_bench_test.go
+++ b/internal/dispatch/pick_bench_test.go
@@ -55,7 +55,7 @@
 			b.Fatal("a server")
 		}
 		_, _ = core.ReadyIn(begin, wanted)
-		_, _, _ = core.Rests(begin, wanted)
+		_, _, _ = core.BackoffEnds(begin, wanted)
 		_ = core.NearestCopy(begin, wanted)
 	}
 }
--- a/internal/dispatch/ratelimit_test.go
+++ b/internal/dispatch/ratelimit_test.go
@@ -12,12 +12,12 @@
 )
 
 // names is an answer that names a limit, to a request that left at the time; below 0 it names none.
-func names(perSecond float64, sentAt time.Time) inventory.Word {
+func names(perSecond float64, sentAt time.Time) inventory.Hint {
 	limit := inventory.NamedRate(perSecond)
 	if perSecond < 0 {
 		limit = inventory.RateLimit{Kind: inventory.RateLimitNone}
 	}
-	return inventory.Word{Limit: limit, SentAt: sentAt}
+	return inventory.Hint{Limit: limit, SentAt: sentAt}
 }
 
 var limitedStart = inventory.Start{ID: "a", Born: 7}
@@ -26,7 +26,7 @@
 // tell that it has ended.
 func TestLimitedServerGoesBehindOthers(t *testing.T) {
 	core := newCore(bornEntry("a", 7, 1), bornEntry("b", 7, 1))
-	core.HearStart(begin, limitedStart, names(1, begin))
+	core.ReceiveHint(begin, limitedStart, names(1, begin))
 	count := func(now time.Time) (picked int) {
 		for range 40 {
 			if pick(core, now, Ask{Model: "m"}) == "a" {
@@ -46,7 +46,7 @@
 func TestServerThatDidNotGrantIsLeftAlone(t *testing.T) {
 	core := newCore(bornEntry("a", 7, 1))
 	ask, wanted := Ask{Service: "s", Model: "m"}, Wanted{Service: "s", Model: "m"}
-	core.HearStart(begin, limitedStart, names(1, begin))
+	core.ReceiveHint(begin, limitedStart, names(1, begin))
 	if !core.IsHeldByRate(begin, wanted) {
 		t.Error("what stands on limited servers alone is not held by their rates")
 	}
@@ -54,11 +54,11 @@
 	if left, known := core.ReadyIn(begin, wanted); left != 3*time.Second || !known || core.CanPick(begin, ask) {
 		t.Errorf("ready in %v, %v; may be picked: %v", left, known, core.CanPick(begin, ask))
 	}
-	if !core.CanPick(begin.Add(longestLimitPause), ask) {
+	if !core.CanPick(begin.Add(250*time.Millisecond), ask) {
 		t.Error("a more urgent request may not ask for a grant")
 	}
 	core.HoldBack(begin, "a", 3*time.Second)
-	core.HearStart(begin.Add(time.Millisecond), limitedStart, names(-1, begin.Add(500*time.Microsecond)))
+	core.ReceiveHint(begin.Add(time.Millisecond), limitedStart, names(-1, begin.Add(500*time.Microsecond)))
 	if !core.CanPick(begin.Add(time.Millisecond), ask) || core.IsHeldByRate(begin, wanted) {
 		t.Error("left alone though the limit has ended")
 	}
@@ -67,13 +67,13 @@
 // TestLimitHoldsForOneStart, whatever peers tell late; entries of it change nothing.
 func TestLimitHoldsForOneStart(t *testing.T) {
 	core := newCore(bornEntry("a", 7, 1))
-	core.HearStart(begin, limitedStart, names(0, begin))
+	core.ReceiveHint(begin, limitedStart, names(0, begin))
 	core.SetServers([]inventory.Change{bornEntry("a", 7, 5)})
 	if core.CountServers(begin, StateLimited) != 1 {
 		t.Error("an entry ends a limit")
 	}
 	core.SetServers([]inventory.Change{bornEntry("a", 8, 6)})
-	core.HearOfLimit(begin, limitedStart, admission.Observation{Limit: inventory.NamedRate(0), SentAt: begin, HeardAt: begin.Add(time.Second)})
+	core.ReceivePeerLimit(begin, limitedStart, admission.Observation{Limit: inventory.NamedRate(0), SentAt: begin, HeardAt: begin.Add(time.Second)})
 	if core.CountServers(begin, StateLimited) != 0 {
 		t.Error("the limit of a start binds the next one")
 	}
@@ -83,16 +83,16 @@
 func TestLimitThatAPeerSawEndIsTriedByOne(t *testing.T) {
 	core := newCore(bornEntry("a", 7, 1))
 	ask := Ask{Service: "s", Model: "m"}
-	core.HearStart(begin, limitedStart, names(1, begin))
+	core.ReceiveHint(begin, limitedStart, names(1, begin))
 	now := begin.Add(time.Second)
-	if !core.HearOfLimit(now, limitedStart, admission.Observation{Limit: names(-1, now).Limit, SentAt: now, HeardAt: now}) {
+	if !core.ReceivePeerLimit(now, limitedStart, admission.Observation{Limit: names(-1, now).Limit, SentAt: now, HeardAt: now}) {
 		t.Error("that a limit ended is no news")
 	}
 	first, ok := core.Pick(now, ask)
 	if !ok || core.CanPick(now, ask) {
 		t.Fatalf("the first goes: %v, and a second beside it: %v", ok, core.CanPick(now, ask))
 	}
-	core.HearStart(now, first.Flight.Start(), names(-1, now))
+	core.ReceiveHint(now, first.Flight.Start(), names(-1, now))
 	core.Begun(now, first.Flight)
 	if !core.CanPick(now, ask) {
 		t.Error("one answer without a limit does not open the server")
@@ -114,7 +114,7 @@
 	}
 	for _, c := range cases {
 		core := newCore(bornEntry("a", 7, 1))
-		core.HearStart(begin, limitedStart, names(c.perSecond, begin))
+		core.ReceiveHint(begin, limitedStart, names(c.perSecond, begin))
 		if diff := cmp.Diff(c.want, core.Away(begin.Add(c.at))); diff != "" {
 			t.Errorf("%v a second, after %v: %s", c.perSecond, c.at, diff)
 		}
@@ -124,10 +124,10 @@
 // TestLimitsOfUnknownServersAreBounded: of servers that no entry names, some are remembered.
 func TestLimitsOfUnknownServersAreBounded(t *testing.T) {
 	core := newCore()
-	for number := range 2 * maxWords {
-		core.HearStart(begin, inventory.Start{ID: fmt.Sprint(number)}, names(1, begin))
+	for number := range 2 * maxStarts {
+		core.ReceiveHint(begin, inventory.Start{ID: fmt.Sprint(number)}, names(1, begin))
 	}
-	if len(core.words) > maxWords+1 {
-		t.Errorf("%d starts are remembered", len(core.words))
+	if len(core.starts) > maxStarts+1 {
+		t.Errorf("%d starts are remembered", len(core.starts))
 	}
 }
--- a/internal/dispatch/regions.go
+++ b/internal/dispatch/regions.go
@@ -28,7 +28,7 @@
 // regions, may still go there now: to the same start of it, which stays and does not rest.
 func (c *Core) MayTake(now time.Time, flight *Flight, regions locality.Regions) bool {
 	known, ok := c.servers[flight.start.ID]
-	return ok && known == flight.server && known.takesWork() && known.restsFor(now) == 0 && c.isIn(known, regions)
+	return ok && known == flight.server && known.takesWork() && known.bounds.CheckCall(now).Admits() && c.isIn(known, regions)
 }
 
 // HasServer reports whether some server of the service in the regions takes work.
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
@@ -45,8 +46,8 @@
 	cold       coldness
 	// bearing and keeping are the models that it is listed for in the index, sorted.
 	bearing, keeping []string
-	// words are what this start of the server told; nil is nothing.
-	words *words
+	// bounds are those of this start of the server, by what it told; nil is nothing.
+	bounds *admission.Server
 	// absentUntil are models that the server itself refused as not there.
 	absentUntil map[string]time.Time
 }
@@ -103,7 +104,14 @@
 // isGoing reports whether the server leaves, by its entry, a peer's word or its own, which no
 // entry takes back: the store may be behind.
 func (s *server) isGoing() bool {
-	return s.info.Draining || s.info.Revision < s.goingBefore || s.saysLeaving()
+	return s.info.Draining || s.info.Revision < s.goingBefore || s.bounds.IsDraining()
+}
+
+// isBackingOff reports whether nothing may be sent to the server now, though it stays: it wants nothing
+// from this node, or one request shows whether it does.
+func (s *server) isBackingOff(now time.Time) bool {
+	bound := s.bounds.Check(now).Bound
+	return bound == admission.BoundBackoff || bound == admission.BoundHalfOpen
 }
 
 // hasView reports whether the leader's view goes before the entry: while it is
--- a/internal/dispatch/starts_test.go
+++ b/internal/dispatch/starts_test.go
@@ -18,7 +18,7 @@
 func TestLateEntryOfTheStartBefore(t *testing.T) {
 	core := newCore(bornEntry("a", 1, 4))
 	core.SetViews(begin, 5, viewOfStart(2))
-	core.HearStart(begin, inventory.Start{ID: "a", Born: 2}, inventory.Word{Leaving: true})
+	core.ReceiveHint(begin, inventory.Start{ID: "a", Born: 2}, inventory.Hint{Draining: true})
 	steps := []struct {
 		name   string
 		change inventory.Change
--- a/internal/edge/admissions.go
+++ b/internal/edge/admissions.go
@@ -130,7 +130,7 @@
 // hearAnswer takes what a coordinator knows of a server's rate limit.
 func (c *admissions) hearAnswer(start inventory.Start, answer *peerpb.QuotaCall) {
 	if limit, ok := decodeLimit(clock.Now(), answer.Limit); ok {
-		c.node.words.hearLimit(clock.Now(), start, limit)
+		c.node.hints.receivePeerLimit(clock.Now(), start, limit)
 	}
 }
 
@@ -244,7 +244,7 @@
 	}
 	start := inventory.Start{ID: call.Server, Born: call.Born}
 	if limit, ok := decodeLimit(now, call.Limit); ok {
-		c.node.words.hearLimit(now, start, limit)
+		c.node.hints.receivePeerLimit(now, start, limit)
 	}
 	known := c.boundsOf(now, start)
 	answer.Limit = encodeLimit(now, known.limit.Latest())
--- a/internal/edge/admissions_test.go
+++ b/internal/edge/admissions_test.go
@@ -294,7 +294,7 @@
 // hearsLimit lets the node hear from a server itself that it names a limit.
 func hearsLimit(node *Node, start inventory.Start, perSecond float64) {
 	now := clock.Now()
-	node.words.hearCall(start, inventory.Word{Limit: inventory.NamedRate(perSecond), SentAt: now}, wordFromAnswer)
+	node.hints.receiveCall(start, inventory.Hint{Limit: inventory.NamedRate(perSecond), SentAt: now}, hintFromAnswer)
 }
 
 // TestLimitedServersAreGrantedByTheCoordinator: one that has not heard of the limit goes by who asks, a
@@ -323,7 +323,7 @@
 		t.Error("what was given back is not granted")
 	}
 	now := clock.Now()
-	coordinator.words.hearCall(start, inventory.Word{Limit: inventory.RateLimit{Kind: inventory.RateLimitNone}, SentAt: now}, wordFromAnswer)
+	coordinator.hints.receiveCall(start, inventory.Hint{Limit: inventory.RateLimit{Kind: inventory.RateLimitNone}, SentAt: now}, hintFromAnswer)
 	if !ask().Granted || asker.admissions.boundsOf(clock.Now(), start).isLimited {
 		t.Error("the asker does not hear that the limit has ended")
 	}
@@ -362,7 +362,7 @@
 	node := newColdNode(t, 1)
 	for _, perSecond := range []float64{-1, math.NaN(), math.Inf(1), math.Inf(-1)} {
 		told := &peerpb.RateLimit{Named: true, PerSecond: perSecond, SentAgeMs: 1}
-		node.words.hearPeer(clock.Now(), []*peerpb.ServerWord{{Server: "a", Born: 7, Limit: told}})
+		node.hints.receivePeer(clock.Now(), []*peerpb.ServerWord{{Server: "a", Born: 7, Limit: told}})
 		node.admissions.decide(clock.Now(), &peerpb.QuotaCall{Kind: peerpb.QuotaCall_ASK, Server: "a", Born: 7, Cost: 1, Warm: true, Limit: told})
 		if node.admissions.boundsOf(clock.Now(), inventory.Start{ID: "a", Born: 7}).isLimited {
 			t.Errorf("%v a second is a limit", perSecond)
--- a/internal/edge/builds_test.go
+++ b/internal/edge/builds_test.go
@@ -71,7 +71,7 @@
 	} {
 		node := newTestNode(t)
 		node.listServers([]inventory.Server{server}, 3)
-		node.words.hearCall(server.Start(), inventory.Word{Leaving: true}, wordFromAnswer)
+		node.hints.receiveCall(server.Start(), inventory.Hint{Draining: true}, hintFromAnswer)
 		tell(node)
 		if got := startOf(node); got != 0 {
 			t.Errorf("%s: start %d is sent to, which had said that it leaves", name, got)
--- /dev/null
+++ b/internal/edge/hints.go
@@ -0,0 +1,164 @@
+package edge
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/admission"
+	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/gossip"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+)
+
+// hintSource is where a server's hint came from.
+type hintSource string
+
+const (
+	hintFromAnswer hintSource = "answer"
+	hintFromOrder  hintSource = "order"
+	hintFromReport hintSource = "report"
+	hintFromPeer   hintSource = "peer"
+)
+
+// serverHints passes on what servers tell of themselves with their answers. It is safe for
+// concurrent use.
+type serverHints struct {
+	node *Node
+	mu   sync.Mutex
+	told *gossip.Hints
+	// unread are the names of fields that servers told and nodes do not read, and unreadCount counts
+	// the answers that had one.
+	unread      map[string]bool
+	unreadCount atomic.Int64
+}
+
+// maxUnreadFields bounds the names of unread fields that are kept and logged.
+const maxUnreadFields = 32
+
+func newServerHints(node *Node) *serverHints {
+	return &serverHints{node: node, told: gossip.NewHints(), unread: make(map[string]bool)}
+}
+
+// noteUnread logs the name of a field that nodes do not read, once.
+func (h *serverHints) noteUnread(serverID, field string) {
+	h.unreadCount.Add(1)
+	h.mu.Lock()
+	isNew := !h.unread[field] && len(h.unread) < maxUnreadFields
+	if isNew {
+		h.unread[field] = true
+	}
+	h.mu.Unlock()
+	if isNew {
+		h.node.options.Logger.Warn().Str("server", serverID).Str("field", field).Msg("server_field_unread")
+	}
+}
+
+// receiveCall takes what a server told with its answer to an order or the question for a report.
+func (h *serverHints) receiveCall(start inventory.Start, hint inventory.Hint, from hintSource) {
+	news := false
+	h.node.dispatch.Do(func(core *dispatch.Core) { news = core.ReceiveHint(clock.Now(), start, hint) })
+	if news {
+		h.passOn(start, hint, from)
+	}
+}
+
+// receivePeerLimit takes what a peer knows of a start's rate limit.
+func (h *serverHints) receivePeerLimit(now time.Time, start inventory.Start, limit admission.Observation) {
+	news := false
+	h.node.dispatch.Do(func(core *dispatch.Core) { news = core.ReceivePeerLimit(now, start, limit) })
+	if news {
+		h.passOn(start, inventory.Hint{Limit: limit.Limit, SentAt: limit.SentAt}, hintFromPeer)
+	}
+}
+
+// passOn logs what is news here, and lets peers hear of it.
+func (h *serverHints) passOn(start inventory.Start, hint inventory.Hint, from hintSource) {
+	var limit admission.RateLimit
+	h.node.dispatch.Do(func(core *dispatch.Core) { limit, _ = core.RateLimit(start) })
+	withLimit(h.node.options.Logger.Info(), hint).Str("server", start.ID).Int64("born", start.Born).Bool("leaving", hint.Draining).
+		Int64("rest_ms", hint.Backoff.Milliseconds()).Str("from", string(from)).Msg("server_word")
+	h.node.metrics.hint(hint, from)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.told.Learn(clock.Now(), gossip.HintItem{Start: start, Hint: hint, Limit: limit.Latest()})
+}
+
+// receivePeer takes what a peer tells.
+func (h *serverHints) receivePeer(now time.Time, told []*peerpb.ServerWord) {
+	for _, item := range hintsOf(now, told) {
+		news := false
+		h.node.dispatch.Do(func(core *dispatch.Core) { news = core.ReceivePeerHint(now, item.Start, item.Hint) })
+		if news {
+			h.passOn(item.Start, item.Hint, hintFromPeer)
+		}
+		h.receivePeerLimit(now, item.Start, item.Limit)
+	}
+}
+
+// wire are the hints that are told in this period.
+func (h *serverHints) wire(now time.Time) []*peerpb.ServerWord {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var encoded []*peerpb.ServerWord
+	for _, item := range h.told.Tell(now) {
+		encoded = append(encoded, &peerpb.ServerWord{
+			Server: item.Start.ID, Born: item.Start.Born, Leaving: item.Hint.Draining, RestMs: uint32(item.Hint.Backoff.Milliseconds()),
+			Limit: encodeLimit(now, item.Limit),
+		})
+	}
+	return encoded
+}
+
+// hintsOf are the hints that a peer tells. A server without a name is none.
+func hintsOf(now time.Time, told []*peerpb.ServerWord) []gossip.HintItem {
+	items := make([]gossip.HintItem, 0, len(told))
+	for _, hint := range told {
+		if hint.Server == "" || hint.Born < 0 {
+			continue
+		}
+		limit, _ := decodeLimit(now, hint.Limit)
+		items = append(items, gossip.HintItem{
+			Start: inventory.Start{ID: hint.Server, Born: hint.Born},
+			Hint:  inventory.Hint{Draining: hint.Leaving, Backoff: time.Duration(hint.RestMs) * time.Millisecond},
+			Limit: limit,
+		})
+	}
+	return items
+}
+
+// encodeLimit is a rate limit as peers are told it; nil where the server never named one. Ages are
+// rounded to the side on which the limit holds longer.
+func encodeLimit(now time.Time, limit admission.Observation) *peerpb.RateLimit {
+	if limit.Limit.Kind == inventory.RateLimitUntold {
+		return nil
+	}
+	return &peerpb.RateLimit{
+		Named: limit.Limit.IsNamed(), PerSecond: limit.Limit.PerSecond,
+		SentAgeMs: wireAge(now, limit.SentAt) + 1, HeardAgeMs: wireAge(now, limit.HeardAt),
+	}
+}
+
+// wireAge is the age of a moment in milliseconds, up to longestAge.
+func wireAge(now, at time.Time) uint32 {
+	return uint32(min(max(0, now.Sub(at)), longestAge).Milliseconds())
+}
+
+// decodeLimit is what a peer tells of a rate limit; ok is false where it tells none, or none that
+// can be.
+func decodeLimit(now time.Time, told *peerpb.RateLimit) (limit admission.Observation, ok bool) {
+	if told == nil || told.Named && !inventory.IsRate(told.PerSecond) {
+		return limit, false
+	}
+	limit = admission.Observation{
+		Limit:   inventory.RateLimit{Kind: inventory.RateLimitNone},
+		SentAt:  now.Add(-time.Duration(told.SentAgeMs) * time.Millisecond),
+		HeardAt: now.Add(-time.Duration(told.HeardAgeMs) * time.Millisecond),
+	}
+	if told.Named {
+		limit.Limit = inventory.NamedRate(told.PerSecond)
+	}
+	return limit, true
+}
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -33,7 +33,7 @@
 	// Order gives an order that is given up once the time that permit leaves it, right
 	// before it leaves, is over; where none is left it doesn't leave. The server's word is
 	// empty where no answer came.
-	Order(ctx context.Context, order placer.Order, holder string, token int64, permit func() time.Duration) (placer.Result, inventory.Word)
+	Order(ctx context.Context, order placer.Order, holder string, token int64, permit func() time.Duration) (placer.Result, inventory.Hint)
 }
 
 const (
@@ -323,9 +323,9 @@
 	zone := core.ZoneOf(order.ServerID)
 	go func() {
 		admitted := l.node.admissions.AdmitCall(ctx, order.Start())
-		result, word := placer.ResultNotSent, inventory.Word{}
+		result, hint := placer.ResultNotSent, inventory.Hint{}
 		if admitted.Granted {
-			result, word = l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() time.Duration {
+			result, hint = l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() time.Duration {
 				if !l.mayCall(order.Start(), admitted) {
 					return 0
 				}
@@ -335,9 +335,9 @@
 		if result == placer.ResultNotSent {
 			l.node.admissions.GiveBack(order.Start(), admitted)
 		}
-		l.node.words.hearCall(order.Start(), word, wordFromOrder)
+		l.node.hints.receiveCall(order.Start(), hint, hintFromOrder)
 		l.call(ctx, func() {
-			withLimit(l.node.options.Logger.Info(), word).Int64("term", term).Str("server", order.ServerID).
+			withLimit(l.node.options.Logger.Info(), hint).Int64("term", term).Str("server", order.ServerID).
 				Str("operation", order.Operation.String()).Str("model", order.Model).Str("adapter", order.Adapter).
 				Int64("expected", order.Expected).Str("source", order.Source.String()).Str("reason", order.Reason).
 				Str("result", result.String()).Int64("took_ms", clock.Since(started).Milliseconds()).
@@ -352,9 +352,9 @@
 }
 
 // withLimit adds the rate limit that an answer names to a line.
-func withLimit(entry *log.Entry, word inventory.Word) *log.Entry {
-	if word.Limit.IsNamed() {
-		entry.Float64("server_limit", word.Limit.PerSecond)
+func withLimit(entry *log.Entry, hint inventory.Hint) *log.Entry {
+	if hint.Limit.IsNamed() {
+		entry.Float64("server_limit", hint.Limit.PerSecond)
 	}
 	return entry
 }
@@ -365,7 +365,7 @@
 	now := clock.Now()
 	l.node.dispatch.Do(func(core *dispatch.Core) {
 		_, isLimited := core.RateLimit(start)
-		may = admitted.Granted && core.MaySend(now, start) && (!isLimited || now.Before(admitted.Until))
+		may = admitted.Granted && core.MayCall(now, start) && (!isLimited || now.Before(admitted.Until))
 	})
 	return may
 }
@@ -377,12 +377,12 @@
 		admitted := l.node.admissions.AdmitCall(ctx, call.Start())
 		if l.mayCall(call.Start(), admitted) {
 			report, err = l.node.options.Engines.Report(ctx, call)
-			l.node.words.hearCall(call.Start(), report.Word, wordFromReport)
+			l.node.hints.receiveCall(call.Start(), report.Hint, hintFromReport)
 		} else if admitted.Granted {
 			l.node.admissions.GiveBack(call.Start(), admitted)
 		}
 		l.call(ctx, func() {
-			withLimit(l.node.options.Logger.Info(), report.Word).Str("server", call.ServerID).Int64("sequence", report.Sequence).
+			withLimit(l.node.options.Logger.Info(), report.Hint).Str("server", call.ServerID).Int64("sequence", report.Sequence).
 				Bool("busy", report.Busy).Int("models", len(report.Models)).Bool("ok", err == nil).Msg("report_read")
 			core.TakeReport(clock.Now(), call.ServerID, report, err == nil)
 		})
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -21,7 +21,7 @@
 	registry *prometheus.Registry
 	requests *prometheus.HistogramVec
 	orders   *prometheus.CounterVec
-	words    *prometheus.CounterVec
+	hints    *prometheus.CounterVec
 	store    *prometheus.CounterVec
 	storeLag prometheus.Histogram
 }
@@ -46,10 +46,10 @@
 			Buckets: []float64{0.005, 0.02, 0.1, 0.5, 2},
 		}),
 	}
-	m.words = prometheus.NewCounterVec(prometheus.CounterOpts{
+	m.hints = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: metricsPrefix + "server_words_total", Help: "What servers told of themselves with answers, by where it was heard.",
 	}, []string{"word", "from"})
-	m.registry.MustRegister(m.requests, m.orders, m.words, m.store, m.storeLag)
+	m.registry.MustRegister(m.requests, m.orders, m.hints, m.store, m.storeLag)
 	m.gauges(node)
 	m.counters(node)
 	return m
@@ -149,7 +149,7 @@
 		m.counter("peer_"+distance.String()+"_bytes_total", "Bytes sent to peers there.", func() int64 { return node.peers.sentBytes.to(distance) })
 		m.counter("servers_"+distance.String()+"_bytes_total", "Bytes of bodies to and from servers there.", counts.ServerBytes[distance].Load)
 	}
-	m.counter("server_fields_unread_total", "Answers with a field by which a server tells of itself and which nodes do not read.", node.words.unreadCount.Load)
+	m.counter("server_fields_unread_total", "Answers with a field by which a server tells of itself and which nodes do not read.", node.hints.unreadCount.Load)
 	m.counter("datagrams_unreadable_total", "Datagrams of peers dropped as they could not be read.", func() int64 { return node.peers.unreadable.Load() })
 	if node.options.Unreadable != nil {
 		m.counter("entries_unreadable_total", "Entries of servers that could not be read, each time that they came.", node.options.Unreadable)
@@ -174,15 +174,15 @@
 	m.orders.WithLabelValues(order.Operation.String(), result.String()).Inc()
 }
 
-func (m *metrics) word(word inventory.Word, from wordSource) {
-	if word.Leaving {
-		m.words.WithLabelValues("leaving", string(from)).Inc()
+func (m *metrics) hint(hint inventory.Hint, from hintSource) {
+	if hint.Draining {
+		m.hints.WithLabelValues("leaving", string(from)).Inc()
 	}
-	if word.Rest > 0 {
-		m.words.WithLabelValues("rest", string(from)).Inc()
+	if hint.Backoff > 0 {
+		m.hints.WithLabelValues("rest", string(from)).Inc()
 	}
-	if word.Limit.IsNamed() {
-		m.words.WithLabelValues("limit", string(from)).Inc()
+	if hint.Limit.IsNamed() {
+		m.hints.WithLabelValues("limit", string(from)).Inc()
 	}
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -116,7 +116,7 @@
 	callers  *callers
 	quotas   *quotas
 	suspects *suspects
-	words    *serverWords
+	hints    *serverHints
 	// admissions keeps what is sent to servers below what they bear.
 	admissions *admissions
 	// evacuations are the zones to whose servers nothing new is sent.
@@ -184,7 +184,7 @@
 	node.snapshots = newSnapshots(node)
 	node.quotas = newQuotas(node, options.Quota, options.FirstStart)
 	node.suspects = newSuspects(node)
-	node.words = newServerWords(node)
+	node.hints = newServerHints(node)
 	node.admissions = newAdmissions(node)
 	node.evacuations = newEvacuations(node)
 	node.handler = relay.New(relay.Options{
@@ -196,10 +196,10 @@
 		Wanted:   func() { node.peers.tellWanted() },
 		Quotas:   node.quotas,
 		Suspects: node.suspects,
-		Heard: func(start inventory.Start, word inventory.Word) {
-			node.words.passOn(start, word, wordFromAnswer)
+		ReceivedHint: func(start inventory.Start, hint inventory.Hint) {
+			node.hints.passOn(start, hint, hintFromAnswer)
 		},
-		Unread: node.words.noteUnread,
+		Unread: node.hints.noteUnread,
 
 		Admission: node.admissions,
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -182,7 +182,7 @@
 		p.node.admissions.learnFleet(int(state.FleetNodes))
 	}
 	p.node.hearServers(now, newsOf(state.News))
-	p.node.words.hearPeer(now, state.Words)
+	p.node.hints.receivePeer(now, state.Words)
 	p.node.dispatch.Do(func(core *dispatch.Core) {
 		core.SetPeerLoads(now, state.Address, peerLoads(state.Loads))
 		if state.Leader != nil {
@@ -249,7 +249,7 @@
 	news := p.node.directory.tell(now)
 	state.News = encodeNews(news)
 	state.Crashes = p.node.suspects.bars(now)
-	state.Words = p.node.words.wire(now)
+	state.Words = p.node.hints.wire(now)
 	loads, digests := state.Loads, state.ViewsDigests
 	state.ViewsDigests = nil
 	if nodes > loadedNodes {
--- a/internal/edge/starts_test.go
+++ b/internal/edge/starts_test.go
@@ -43,7 +43,7 @@
 	for name, tell := range ways {
 		node := newTestNode(t)
 		node.listServers([]inventory.Server{server(7, 3)}, 3)
-		node.words.hearCall(inventory.Start{ID: "a", Born: 7}, inventory.Word{Leaving: true}, wordFromAnswer)
+		node.hints.receiveCall(inventory.Start{ID: "a", Born: 7}, inventory.Hint{Draining: true}, hintFromAnswer)
 		if got := startOf(node); got != 0 {
 			t.Errorf("%s: start %d is sent to, which leaves", name, got)
 		}
@@ -55,11 +55,11 @@
 		if got := startOf(node); got != 8 {
 			t.Errorf("%s: start %d is sent to, want the later one", name, got)
 		}
-		node.words.hearPeer(clock.Now(), []*peerpb.ServerWord{{Server: "a", Born: 7, Leaving: true}})
+		node.hints.receivePeer(clock.Now(), []*peerpb.ServerWord{{Server: "a", Born: 7, Leaving: true}})
 		if got := startOf(node); got != 8 {
 			t.Errorf("%s: a peer's late word on the start before binds the later one", name)
 		}
-		node.words.hearPeer(clock.Now(), []*peerpb.ServerWord{{Server: "a", Born: 8, RestMs: 60000}, {Server: "", Born: 8, Leaving: true}, {Server: "a", Born: -1, Leaving: true}})
+		node.hints.receivePeer(clock.Now(), []*peerpb.ServerWord{{Server: "a", Born: 8, RestMs: 60000}, {Server: "", Born: 8, Leaving: true}, {Server: "a", Born: -1, Leaving: true}})
 		if got := startOf(node); got != 8 {
 			t.Errorf("%s: a rest that a peer was asked for, or a word of nobody, binds this node", name)
 		}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -28,7 +28,7 @@
 		return 0, true
 	}
 	g.metrics.limitedHeld.Inc()
-	from.send(wordHeard{ticket: ticket, word: inventory.Word{Rest: retryIn}})
+	from.send(hintReceived{ticket: ticket, hint: inventory.Hint{Backoff: retryIn}})
 	from.send(attemptEnded{ticket: ticket, result: routing.ResultAbandoned})
 	return retryIn, false
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -29,7 +29,7 @@
 	if model.IsZero() {
 		model = s.routing.ChooseVersion(weighted(submit.route.Versions))
 	}
-	if until, rest := s.routing.RestEnds(now, model, regions); rest && !until.Before(submit.deadline) {
+	if until, backsOff := s.routing.BackoffEnds(now, model, regions); backsOff && !until.Before(submit.deadline) {
 		refused := refuse(http.StatusServiceUnavailable, codeNoBackend, "all replicas of the model want nothing for now").after(until.Sub(now))
 		submit.reply <- reply{refusal: &refused}
 		return
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -63,10 +63,10 @@
 		ticket uint64
 		after  time.Duration
 	}
-	// wordHeard is what an attempt's back end told of its own future.
-	wordHeard struct {
+	// hintReceived is what an attempt's back end told of its own future.
+	hintReceived struct {
 		ticket uint64
-		word   inventory.Word
+		hint   inventory.Hint
 	}
 	attemptEnded struct {
 		ticket uint64
@@ -196,8 +196,8 @@
 		s.abandon(now, message.ticket)
 	case attemptBegan:
 		s.began(now, message)
-	case wordHeard:
-		s.stepRouting(now, routing.Heard{Ticket: routing.Ticket(message.ticket), Word: message.word})
+	case hintReceived:
+		s.stepRouting(now, routing.HintReceived{Ticket: routing.Ticket(message.ticket), Hint: message.hint})
 	case attemptEnded:
 		s.ended(now, message)
 	case tablesChanged:
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -80,7 +80,7 @@
 		}
 	}
 	stream, err := r.gateway.generator.Open(leg.link.ctx, leg.engine.Address, request)
-	r.gateway.hear(r.gateway.models, leg.leg, backend.WordOf(stream, err), leg.opened)
+	r.gateway.receiveHint(r.gateway.models, leg.leg, backend.HintOf(stream, err), leg.opened)
 	if err != nil {
 		send(raceEvent{message: brokenBy(leg.link.number, err)})
 		return
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -129,7 +129,7 @@
 	r.link = newLink(r.request.Context(), number, r.core.NextWake(), r.gateway.now)
 	sentAt := r.gateway.now()
 	stream, err := open(r.link.ctx)
-	r.gateway.hear(r.gateway.models, r.leg(), backend.WordOf(stream, err), sentAt)
+	r.gateway.receiveHint(r.gateway.models, r.leg(), backend.HintOf(stream, err), sentAt)
 	if err != nil {
 		return r.lost(err)
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -281,7 +281,7 @@
 		}
 		return broken
 	}
-	r.caller.gateway.hear(r.caller.gateway.services, leg{ticket: r.ticket, engine: r.target, isLimited: r.isLimited}, answer.Word, sentAt)
+	r.caller.gateway.receiveHint(r.caller.gateway.services, leg{ticket: r.ticket, engine: r.target, isLimited: r.isLimited}, answer.Hint, sentAt)
 	if answer.NotRun || isUnavailable(answer.Status) && r.route.Repeatable {
 		return refusedBy(open.Connection, answer)
 	}
--- a/internal/gossip/words_test.go
+++ b/internal/gossip/hints_test.go
@@ -13,22 +13,22 @@
 
 func TestWordsAreToldAFewTimes(t *testing.T) {
 	now := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
-	words := NewWords()
-	leaves := WordItem{Start: inventory.Start{ID: "a", Born: 7}, Word: inventory.Word{Leaving: true}}
-	rests := WordItem{Start: inventory.Start{ID: "b"}, Word: inventory.Word{Rest: 3 * time.Second}}
+	words := NewHints()
+	leaves := HintItem{Start: inventory.Start{ID: "a", Born: 7}, Hint: inventory.Hint{Draining: true}}
+	rests := HintItem{Start: inventory.Start{ID: "b"}, Hint: inventory.Hint{Backoff: 3 * time.Second}}
 	cases := []struct {
 		name string
-		item WordItem
+		item HintItem
 		at   time.Duration
 		want bool
 	}{
 		{"a server leaves", leaves, 0, true},
 		{"it says so again", leaves, time.Second, false},
-		{"another start of it leaves", WordItem{Start: inventory.Start{ID: "a", Born: 8}, Word: leaves.Word}, time.Second, true},
+		{"another start of it leaves", HintItem{Start: inventory.Start{ID: "a", Born: 8}, Hint: leaves.Hint}, time.Second, true},
 		{"one rests", rests, 0, true},
 		{"the echo of it, a little later", rests, 300 * time.Millisecond, false},
 		{"its next rest", rests, 3 * time.Second, true},
-		{"nothing", WordItem{Start: inventory.Start{ID: "c"}}, 0, false},
+		{"nothing", HintItem{Start: inventory.Start{ID: "c"}}, 0, false},
 	}
 	for _, c := range cases {
 		if got := words.Learn(now.Add(c.at), c.item); got != c.want {
@@ -36,11 +36,11 @@
 		}
 	}
 	now = now.Add(4 * time.Second)
-	want := []WordItem{leaves, {Start: inventory.Start{ID: "a", Born: 8}, Word: leaves.Word}, {Start: rests.Start, Word: inventory.Word{Rest: 2 * time.Second}}}
+	want := []HintItem{leaves, {Start: inventory.Start{ID: "a", Born: 8}, Hint: leaves.Hint}, {Start: rests.Start, Hint: inventory.Hint{Backoff: 2 * time.Second}}}
 	if diff := cmp.Diff(want, words.Tell(now)); diff != "" {
 		t.Error(diff)
 	}
-	for range wordTold - 1 {
+	for range hintTold - 1 {
 		words.Tell(now)
 	}
 	if told := words.Tell(now); len(told) > 0 {
@@ -50,8 +50,8 @@
 
 func TestRestsThatAreOverAreNotTold(t *testing.T) {
 	now := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
-	words := NewWords()
-	words.Learn(now, WordItem{Start: inventory.Start{ID: "a"}, Word: inventory.Word{Rest: time.Second}})
+	words := NewHints()
+	words.Learn(now, HintItem{Start: inventory.Start{ID: "a"}, Hint: inventory.Hint{Backoff: time.Second}})
 	if told := words.Tell(now.Add(time.Second)); len(told) > 0 {
 		t.Errorf("told: %v", told)
 	}
@@ -59,14 +59,14 @@
 
 func TestWordsToTellAreBounded(t *testing.T) {
 	now := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
-	words := NewWords()
-	for i := range 2 * wordsKept {
-		words.Learn(now.Add(time.Duration(i)*time.Millisecond), WordItem{Start: inventory.Start{ID: strconv.Itoa(i)}, Word: inventory.Word{Leaving: true}})
+	words := NewHints()
+	for i := range 2 * hintsKept {
+		words.Learn(now.Add(time.Duration(i)*time.Millisecond), HintItem{Start: inventory.Start{ID: strconv.Itoa(i)}, Hint: inventory.Hint{Draining: true}})
 	}
-	if len(words.items) > wordsKept {
+	if len(words.items) > hintsKept {
 		t.Errorf("%d are kept", len(words.items))
 	}
-	if told := words.Tell(now); len(told) != wordsPerPeriod {
+	if told := words.Tell(now); len(told) != hintsPerPeriod {
 		t.Errorf("%d are told in a period", len(told))
 	}
 }
@@ -75,15 +75,15 @@
 // end; what is older than that is not.
 func TestLimitsAreToldAndRenewed(t *testing.T) {
 	begin := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
-	limit := func(kind inventory.RateLimitKind, sent, heard time.Duration) WordItem {
-		return WordItem{Start: inventory.Start{ID: "a", Born: 7}, Limit: admission.Observation{
+	limit := func(kind inventory.RateLimitKind, sent, heard time.Duration) HintItem {
+		return HintItem{Start: inventory.Start{ID: "a", Born: 7}, Limit: admission.Observation{
 			Limit: inventory.RateLimit{Kind: kind}, SentAt: begin.Add(sent), HeardAt: begin.Add(heard),
 		}}
 	}
-	words := NewWords()
+	words := NewHints()
 	for _, c := range []struct {
 		name string
-		item WordItem
+		item HintItem
 		want bool
 	}{
 		{"a server names none, and never did", limit(inventory.RateLimitNone, 0, time.Second), false},
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -101,8 +101,8 @@
 	// InMemory and OnDisk are the weights kept beside those held.
 	InMemory []string
 	OnDisk   []string
-	// Word is what the server told with the answer, also where the report cannot be had.
-	Word inventory.Word
+	// Hint is what the server told with the answer, also where the report cannot be had.
+	Hint inventory.Hint
 }
 
 // String names the source in logs.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -29,7 +29,7 @@
 
 // attempt sends the request to the chosen server.
 func (x *exchange) attempt(choice dispatch.Choice) verdict {
-	x.serverID, x.word = choice.ServerID, inventory.Word{}
+	x.serverID, x.hint = choice.ServerID, inventory.Hint{}
 	x.estimate = choice.Estimate
 	admitted := x.admitsServer(choice)
 	if !admitted.Granted {
@@ -144,7 +144,7 @@
 		Matches: func(answer http.Header) bool {
 			return x.handler.options.Dialect.BelongsTo(answer, x.head.RequestID)
 		},
-		Heard: func(status int, answer http.Header) { x.hear(choice, status, answer) },
+		Heard: func(status int, answer http.Header) { x.receiveHint(choice, status, answer) },
 	}
 }
 
@@ -214,29 +214,29 @@
 	}
 }
 
-// hear takes what the server tells of its own future with the head of an answer, before
+// receiveHint takes what the server tells of its own future with the head of an answer, before
 // anything of it goes to the caller: what binds later choices must not wait for it. Heads of
 // answers to earlier requests, which come late, count as well.
-func (x *exchange) hear(choice dispatch.Choice, status int, header http.Header) {
+func (x *exchange) receiveHint(choice dispatch.Choice, status int, header http.Header) {
 	if field := x.handler.options.Dialect.Unread(header); field != "" {
 		x.handler.options.Unread(choice.ServerID, field)
 	}
 	told := x.handler.options.Dialect.ReadAnswer(status, header)
-	x.word = told.Word
+	x.hint = told.Hint
 	if x.handler.options.Dialect.BelongsTo(header, x.head.RequestID) {
-		x.word.SentAt = x.sentAt
+		x.hint.SentAt = x.sentAt
 	}
 	if told.ServerID != "" && told.ServerID != choice.ServerID {
 		// Another server has the address, and tells of itself; the one that was meant is gone.
-		x.word = inventory.Word{Leaving: status == http.StatusMisdirectedRequest}
+		x.hint = inventory.Hint{Draining: status == http.StatusMisdirectedRequest}
 	}
-	if x.word.IsEmpty() {
+	if x.hint.IsEmpty() {
 		return
 	}
 	start, news := choice.Flight.Start(), false
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { news = core.HearStart(clock.Now(), start, x.word) })
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { news = core.ReceiveHint(clock.Now(), start, x.hint) })
 	if news {
-		x.handler.options.Heard(start, x.word)
+		x.handler.options.ReceivedHint(start, x.hint)
 	}
 }
 
@@ -244,9 +244,9 @@
 	start, news := choice.Flight.Start(), false
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
 		now := clock.Now()
-		if x.word.IsEmpty() {
+		if x.hint.IsEmpty() {
 			// An answer that names no rate limit ends the one before.
-			news = core.HearStart(now, start, x.word)
+			news = core.ReceiveHint(now, start, x.hint)
 		}
 		core.Begun(now, choice.Flight)
 		if told.Load != nil {
@@ -257,7 +257,7 @@
 		}
 	})
 	if news {
-		x.handler.options.Heard(start, x.word)
+		x.handler.options.ReceivedHint(start, x.hint)
 	}
 }
 
@@ -268,7 +268,7 @@
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
 		now := clock.Now()
 		core.End(now, choice.Flight, dispatch.OutcomeRejected)
-		if x.engine && x.word.Rest <= 0 {
+		if x.engine && x.hint.Backoff <= 0 {
 			core.Absent(now, choice.ServerID, x.head.Model, x.head.Adapter)
 		}
 	})
--- a/internal/relay/comeback.go
+++ b/internal/relay/comeback.go
@@ -45,7 +45,7 @@
 	ask.Exclude, ask.Only = nil, nil
 	h.options.Dispatch.Do(func(core *dispatch.Core) {
 		if !core.CanPick(clock.Now(), ask) {
-			ready, _, ok = core.Rests(clock.Now(), wanted)
+			ready, _, ok = core.BackoffEnds(clock.Now(), wanted)
 		}
 	})
 	return ready, ok
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -62,8 +62,8 @@
 	watch waiting.Watch
 	// estimate is the time to the first byte that was expected of the server.
 	estimate time.Duration
-	// word is what the last answer told of its server, and sentAt when its request left.
-	word   inventory.Word
+	// hint is what the last answer told of its server, and sentAt when its request left.
+	hint   inventory.Hint
 	sentAt time.Time
 	// serverEnd is what became of the server whose answer broke off.
 	serverEnd backendconn.Liveness
@@ -350,14 +350,14 @@
 	if x.returned {
 		entry.Bool("returned", true)
 	}
-	if x.word.Leaving {
+	if x.hint.Draining {
 		entry.Bool("server_leaving", true)
 	}
-	if x.word.Rest > 0 {
-		entry.Str("rest_ms", milliseconds(x.word.Rest))
+	if x.hint.Backoff > 0 {
+		entry.Str("rest_ms", milliseconds(x.hint.Backoff))
 	}
-	if x.word.Limit.IsNamed() {
-		entry.Float64("server_limit", x.word.Limit.PerSecond)
+	if x.hint.Limit.IsNamed() {
+		entry.Float64("server_limit", x.hint.Limit.PerSecond)
 	}
 	if x.serverEnd != "" {
 		entry.Str("fingerprint", x.fingerprint().String()).Str("server_end", string(x.serverEnd))
--- a/internal/relay/words_test.go
+++ b/internal/relay/hints_test.go
@@ -15,11 +15,11 @@
 var leavingStart = inventory.Start{ID: "s0"}
 
 func TestServerThatLeavesBetweenChoiceAndWriteIsNotSentTo(t *testing.T) {
-	for name, word := range map[string]inventory.Word{"leaves": {Leaving: true}, "rests": {Rest: time.Minute}} {
+	for name, hint := range map[string]inventory.Hint{"leaves": {Draining: true}, "rests": {Backoff: time.Minute}} {
 		servers := []*standinServer{newStandin(t, answering(http.StatusOK, "ok")), newStandin(t, answering(http.StatusOK, "ok"))}
 		f := newFixture(t, servers...)
 		f.onDial = func() {
-			f.dispatch.Do(func(core *dispatch.Core) { core.HearStart(time.Now(), leavingStart, word) })
+			f.dispatch.Do(func(core *dispatch.Core) { core.ReceiveHint(time.Now(), leavingStart, hint) })
 		}
 		for range 6 {
 			if got := f.send(t, http.MethodPost, "/once/", ""); got.status != http.StatusOK {
@@ -54,7 +54,7 @@
 	}
 	f := newFixture(t, servers...)
 	heard := make(chan inventory.Start, 1)
-	f.handler.options.Heard = func(start inventory.Start, _ inventory.Word) { heard <- start }
+	f.handler.options.ReceivedHint = func(start inventory.Start, _ inventory.Hint) { heard <- start }
 	ended := make(chan result, 40)
 	sent := 0
 	for servers[0].count() == 0 {
@@ -160,16 +160,16 @@
 func TestServerWhoseAddressAnotherHasIsNotSentToAgain(t *testing.T) {
 	server := newStandin(t, answering(http.StatusMisdirectedRequest, "", "X-By: another", "X-Rest: 60s"))
 	f := newFixture(t, server)
-	var heard []inventory.Word
-	f.handler.options.Heard = func(start inventory.Start, word inventory.Word) {
+	var heard []inventory.Hint
+	f.handler.options.ReceivedHint = func(start inventory.Start, hint inventory.Hint) {
 		if start == leavingStart {
-			heard = append(heard, word)
+			heard = append(heard, hint)
 		}
 	}
 	for range 3 {
 		f.send(t, http.MethodPost, "/once/", "")
 	}
-	if server.count() != 1 || len(heard) != 1 || heard[0] != (inventory.Word{Leaving: true}) {
+	if server.count() != 1 || len(heard) != 1 || heard[0] != (inventory.Hint{Draining: true}) {
 		t.Errorf("sent %d times, heard %v: its start is over", server.count(), heard)
 	}
 	f.dispatch.Do(func(core *dispatch.Core) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,8 +59,8 @@
 	Load *dispatch.Load
 	// ColdLeft is for how long the server is cold yet; nil where it does not tell.
 	ColdLeft *time.Duration
-	// Word is what the server tells of its own future.
-	Word inventory.Word
+	// Hint is what the server tells of its own future.
+	Hint inventory.Hint
 	// ServerID is who answers; empty where the server does not say.
 	ServerID string
 }
@@ -105,8 +105,8 @@
 	AwaitKnowledge func(ctx context.Context)
 	// Wanted is told when a request waits for something that is on no server.
 	Wanted func()
-	// Heard is told what a start of a server told of its own future, where that is news.
-	Heard func(start inventory.Start, word inventory.Word)
+	// ReceivedHint is told what a start of a server told of its own future, where that is news.
+	ReceivedHint func(start inventory.Start, hint inventory.Hint)
 	// Unread is told of a field by which a server tells of itself and which nodes do not read.
 	Unread func(serverID, field string)
 	// MaxWaiting bounds the requests that wait for a server at a time.
@@ -149,8 +149,8 @@
 	if options.Wanted == nil {
 		options.Wanted = func() {}
 	}
-	if options.Heard == nil {
-		options.Heard = func(inventory.Start, inventory.Word) {}
+	if options.ReceivedHint == nil {
+		options.ReceivedHint = func(inventory.Start, inventory.Hint) {}
 	}
 	if options.Unread == nil {
 		options.Unread = func(string, string) {}
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -54,7 +54,7 @@
 	return AnswerHead{
 		NotRun:   status == http.StatusMisdirectedRequest || header.Get("X-Not-Run") != "",
 		ServerID: header.Get("X-By"),
-		Word:     inventory.Word{Leaving: header.Get("X-Leaving") != "", Rest: rest},
+		Hint:     inventory.Hint{Draining: header.Get("X-Leaving") != "", Backoff: rest},
 	}
 }
 
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -39,7 +39,7 @@
 			changed = c.Changed()
 			readyIn, known = c.ReadyIn(now, x.wanted())
 			ordersIn = c.OrdersIn(now)
-			rest.left, rest.elsewhere, rest.found = c.Rests(now, x.wanted())
+			rest.left, rest.elsewhere, rest.found = c.BackoffEnds(now, x.wanted())
 			isEvacuated = c.IsEvacuated(x.service)
 			counted = x.countWaiting(c, counted, waits)
 		})
--- a/internal/routing/words_test.go
+++ b/internal/routing/hints_test.go
@@ -12,18 +12,18 @@
 // answer to an attempt at the incarnation before changes nothing.
 func TestWordsBindOneIncarnation(t *testing.T) {
 	for name, c := range map[string]struct {
-		word  inventory.Word
+		hint  inventory.Hint
 		after time.Duration
 		want  string
 	}{
-		"in the rest":    {inventory.Word{Rest: 3 * time.Second}, 2999 * time.Millisecond, ""},
-		"after the rest": {inventory.Word{Rest: 3 * time.Second}, 3 * time.Second, "e1"},
-		"leaving":        {inventory.Word{Leaving: true}, time.Hour, ""},
+		"in the rest":    {inventory.Hint{Backoff: 3 * time.Second}, 2999 * time.Millisecond, ""},
+		"after the rest": {inventory.Hint{Backoff: 3 * time.Second}, 3 * time.Second, "e1"},
+		"leaving":        {inventory.Hint{Draining: true}, time.Hour, ""},
 	} {
 		d := newDriver(Options{}, epoch, engine("e1", "a", 0))
 		ticket, _ := d.pick(epoch, nil)
 		late, _ := d.pick(epoch, nil)
-		d.core.Step(epoch, Heard{Ticket: ticket, Word: c.word})
+		d.core.Step(epoch, HintReceived{Ticket: ticket, Hint: c.hint})
 		d.core.Step(epoch, Ended{Ticket: ticket, Result: ResultOK})
 		now := epoch.Add(c.after)
 		d.core.Step(now, tables(engine("e1", "a", 1)))
@@ -33,7 +33,7 @@
 		again := engine("e1", "a", 0)
 		again.Incarnation++
 		d.core.Step(now, tables(again))
-		d.core.Step(now, Heard{Ticket: late, Word: inventory.Word{Leaving: true}})
+		d.core.Step(now, HintReceived{Ticket: late, Hint: inventory.Hint{Draining: true}})
 		if _, got := d.pick(now, nil); got != "e1" {
 			t.Errorf("%s: the next incarnation is left alone", name)
 		}
@@ -45,7 +45,7 @@
 	d := newDriver(Options{}, epoch, engine("e1", "a", 0))
 	ticket, _ := d.pick(epoch, nil)
 	other, _ := d.pick(epoch, nil)
-	d.core.Step(epoch, Heard{Ticket: ticket, Word: inventory.Word{Rest: 3 * time.Second}})
+	d.core.Step(epoch, HintReceived{Ticket: ticket, Hint: inventory.Hint{Backoff: 3 * time.Second}})
 	d.core.Step(epoch, Ended{Ticket: other, Result: ResultRefused})
 	for _, at := range []time.Duration{refusalPause, 3 * time.Second} {
 		if wake := d.core.NextWake(); !wake.Equal(epoch.Add(at)) {
@@ -63,7 +63,7 @@
 	table := fleet.RouteTable{Zone: "a", Services: []fleet.Backend{{Name: "s1", Kind: fleet.KindService, Zone: "a", Service: "turbines"}}}
 	core.Step(epoch, Tables{Tables: []fleet.RouteTable{table}})
 	core.Step(epoch, PickService{Ticket: 1, Service: "turbines"})
-	core.Step(epoch, Heard{Ticket: 1, Word: inventory.Word{Rest: time.Second}})
+	core.Step(epoch, HintReceived{Ticket: 1, Hint: inventory.Hint{Backoff: time.Second}})
 	for after, want := range map[time.Duration]bool{999 * time.Millisecond: false, time.Second: true} {
 		effects := core.Step(epoch.Add(after), PickService{Ticket: 2, Service: "turbines"})
 		if _, picked := effects[0].(Picked); picked != want {
--- a/internal/routing/message.go
+++ b/internal/routing/message.go
@@ -79,10 +79,10 @@
 	After  time.Duration
 }
 
-// Heard tells what the back end of a picked attempt said of its own future with an answer.
-type Heard struct {
+// HintReceived tells what the back end of a picked attempt said of its own future with an answer.
+type HintReceived struct {
 	Ticket Ticket
-	Word   inventory.Word
+	Hint   inventory.Hint
 }
 
 // Ended tells that a picked attempt is over.
@@ -94,16 +94,16 @@
 // Tick is wanted at NextWake.
 type Tick struct{}
 
-func (Tables) isMessage()      {}
-func (Leaving) isMessage()     {}
-func (Evacuations) isMessage() {}
-func (Places) isMessage()      {}
-func (Pick) isMessage()        {}
-func (PickService) isMessage() {}
-func (FirstToken) isMessage()  {}
-func (Heard) isMessage()       {}
-func (Ended) isMessage()       {}
-func (Tick) isMessage()        {}
+func (Tables) isMessage()       {}
+func (Leaving) isMessage()      {}
+func (Evacuations) isMessage()  {}
+func (Places) isMessage()       {}
+func (Pick) isMessage()         {}
+func (PickService) isMessage()  {}
+func (FirstToken) isMessage()   {}
+func (HintReceived) isMessage() {}
+func (Ended) isMessage()        {}
+func (Tick) isMessage()         {}
 
 // Effect is an output of the core.
 type Effect interface{ isEffect() }
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		known = true
-		if allowed, _ := target.circuit.allows(now); allowed && !target.isRefusing(now, model) && !target.words.rests(now) {
+		if allowed, _ := target.circuit.allows(now); allowed && !target.isRefusing(now, model) && target.bounds.CheckCall(now).Admits() {
 			candidates = append(candidates, target)
 		}
 	}
@@ -81,7 +81,7 @@
 	if c.options.Defects.IgnoreLeaving {
 		return false
 	}
-	return target.backend.Leaving || target.words.leaving || c.leaving[target.backend.Name]
+	return target.backend.Leaving || target.bounds.IsDraining() || c.leaving[target.backend.Name]
 }
 
 func (c *Core) take(now time.Time, ticket Ticket, model fleet.ModelVersion, chosen *target, known bool) {
@@ -94,7 +94,7 @@
 	chosen.started(now)
 	c.flights[ticket] = &flight{target: chosen, model: model, started: now, incarnation: chosen.engine.Incarnation}
 	c.emit(Picked{Ticket: ticket, Backend: chosen.backend, Probe: probe,
-		Limit: chosen.words.limit.Latest().Limit, Incarnation: chosen.engine.Incarnation})
+		Limit: chosen.bounds.Limit().Latest().Limit, Incarnation: chosen.engine.Incarnation})
 }
 
 func (c *Core) byZone(candidates []*target) (own, others []*target) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -133,8 +133,8 @@
 		c.pick(now, message)
 	case PickService:
 		c.pickService(now, message)
-	case Heard:
-		c.hear(now, message)
+	case HintReceived:
+		c.receiveHint(now, message)
 	case FirstToken:
 		c.firstToken(now, message)
 	case Ended:
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -30,7 +31,8 @@
 	// refused is until when a model is not asked for here again, since the
 	// back end declined it: the table may lag behind.
 	refused map[fleet.ModelVersion]time.Time
-	words   words
+	// bounds are those of this incarnation, by what its answers told.
+	bounds admission.Server
 }
 
 // refusalPause is how long a back end that declined a request is left alone.
@@ -57,7 +59,7 @@
 	known := !t.reported.IsZero()
 	restarted := engine.Incarnation != t.engine.Incarnation
 	if restarted {
-		t.circuit, t.health, t.prefixes, t.words = circuit{}, health{}, prefixMemory{}, words{}
+		t.circuit, t.health, t.prefixes, t.bounds = circuit{}, health{}, prefixMemory{}, admission.Server{}
 	}
 	changed := !t.isReady(engine)
 	if changed {
