Nodes log and expose their build

Two builds run side by side while machines are replaced, and no log line told which a node ran. node_started has the revision of the sources or, where the program does not know it, a part of the linker's ID; build_info exposes it.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/buildid"
 	"github.com/spanlanding/spanlanding/internal/edge"
 	"github.com/spanlanding/spanlanding/internal/logging"
 	"github.com/spanlanding/spanlanding/internal/operator"
@@ -90,6 +91,7 @@
 	engines := &platform.Engines{Pool: pool}
 	node := edge.New(edge.Options{
 		Name:           settings.NodeName,
+		Build:          buildid.Current(),
 		Zone:           settings.Zone,
 		Places:         settings.Places(),
 		Frontend:       settings.Listen.Frontend,
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -67,6 +67,9 @@
 func (m *metrics) gauges(node *Node) {
 	m.gauge("requests_active", "Requests under way.", func() float64 { return float64(node.handler.Active()) })
 	m.gauge("requests_waiting", "Requests that wait for a server.", func() float64 { return float64(node.handler.Waiting()) })
+	build := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: metricsPrefix + "build_info", Help: "The build that runs; always 1."}, []string{"build"})
+	build.WithLabelValues(node.options.Build).Set(1)
+	m.registry.MustRegister(build)
 	m.gauge("config_version", "Version of the configuration in force; 0 is none.", func() float64 {
 		if table := node.handler.Table(); table != nil {
 			return float64(table.Version)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -43,7 +43,9 @@
 // Options set up a Node.
 type Options struct {
 	Name string
-	Zone string
+	// Build names the build of the program, for logs and metrics.
+	Build string
+	Zone  string
 	// Places are the zones and regions of the deployment.
 	Places locality.Map
 	// Frontend and Ready are the addresses for callers and for the question
@@ -241,7 +243,7 @@
 	if err != nil {
 		return err
 	}
-	n.options.Logger.Info().Str("frontend", n.options.Frontend).Msg("node_started")
+	n.options.Logger.Info().Str("frontend", n.options.Frontend).Str("build", n.options.Build).Msg("node_started")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/spanlanding/spanlanding/internal/buildid"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/claim"
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -71,7 +72,7 @@
 		node.startServers(bound)
 	})
 	logger.Info().Str("caller", settings.Listen.Caller).Str("operator", settings.Listen.Operator).
-		Uint64("boot", node.self.BootID).Msg("node_started")
+		Uint64("boot", node.self.BootID).Str("build", buildid.Current()).Msg("node_started")
 	return node, nil
 }
 
