Admission: a grant is given back where it was granted alone

By reading: a grant of a coordinator that ended, returned to the next one, was granted once more there, beyond what a window may hold. Returned is now what this coordinator granted within the window.

--- a/internal/edge/admissions.go
+++ b/internal/edge/admissions.go
@@ -26,10 +26,10 @@
 type admissions struct {
 	node *Node
 	mu   sync.Mutex
-	// coordinator and limited are what this node granted as the coordinator, of cold servers and of
-	// those that name a rate limit.
-	coordinator, limited *quota.Coordinator
-	lots, limitedLots    *admission.Lots
+	// warmUps and limits are what this node granted as the coordinator, of cold servers and of those
+	// that name a rate limit, and warmUpLots and limitLots its own part without one.
+	warmUps, limits       *quota.Coordinator
+	warmUpLots, limitLots *admission.Lots
 	// isTold is set once this node was told how large the fleet is, by the store or by one
 	// that knows.
 	isTold atomic.Bool
@@ -39,11 +39,11 @@
 
 func newAdmissions(node *Node) *admissions {
 	return &admissions{
-		node:        node,
-		coordinator: quota.NewCoordinator(admission.WarmUpTolerance()),
-		limited:     quota.NewCoordinator(admission.RateLimitTolerance()),
-		lots:        admission.NewLots(node.options.PeerAddress),
-		limitedLots: admission.NewRateLimitLots(node.options.PeerAddress),
+		node:       node,
+		warmUps:    quota.NewCoordinator(admission.WarmUpTolerance()),
+		limits:     quota.NewCoordinator(admission.RateLimitTolerance()),
+		warmUpLots: admission.NewLots(node.options.PeerAddress),
+		limitLots:  admission.NewRateLimitLots(node.options.PeerAddress),
 	}
 }
 
@@ -193,10 +193,10 @@
 // takeLots uses the lots of all that bounds the server. The lock is held.
 func (c *admissions) takeLots(now time.Time, start inventory.Start, known bounds, nodes int) bool {
 	limit := admission.RateLimitBound{PerSecond: known.perSecond}
-	if known.isLimited && !c.limitedLots.Take(now, accountOf(start), limit.Most(), nodes) {
+	if known.isLimited && !c.limitLots.Take(now, accountOf(start), limit.Most(), nodes) {
 		return false
 	}
-	return known.phase != admission.Cold || c.lots.Take(now, start.ID, c.bound(known.service).Most(), nodes)
+	return known.phase != admission.Cold || c.warmUpLots.Take(now, start.ID, c.bound(known.service).Most(), nodes)
 }
 
 // mayUseLots reports whether this node has listened long enough, and knows the fleet.
@@ -249,7 +249,7 @@
 	known := c.boundsOf(now, start)
 	answer.Limit = encodeLimit(now, known.limit.Latest())
 	if call.Kind == peerpb.QuotaCall_USED {
-		c.takeBack(now, start, known, reach, float64(call.Cost))
+		c.takeBack(now, start, known, reach)
 		return answer
 	}
 	verdict := c.decideBounds(now, call, start, known, reach)
@@ -267,7 +267,7 @@
 	defer c.mu.Unlock()
 	verdict := quota.Verdict{Granted: true}
 	if known.isLimited {
-		verdict = c.limited.Ask(now, accountOf(start), limit, reach, 1, min(int(call.Priority), mostLimitPriority))
+		verdict = c.limits.Ask(now, accountOf(start), limit, reach, 1, min(int(call.Priority), mostLimitPriority))
 	}
 	if !verdict.Granted || call.Warm {
 		return verdict
@@ -277,23 +277,22 @@
 	if call.Ramping && known.phase != admission.Cold {
 		granted = bound.RampQuota()
 	}
-	verdict = c.coordinator.Ask(now, call.Server, granted, reach, 1, int(call.Priority))
+	verdict = c.warmUps.Ask(now, call.Server, granted, reach, 1, int(call.Priority))
 	verdict.Granted = verdict.Granted && granted.PerSecond > 0
 	if !verdict.Granted && known.isLimited {
-		c.limited.Used(now, accountOf(start), limit, reach, -1)
+		c.limits.GiveBack(now, accountOf(start), limit, reach)
 	}
 	return verdict
 }
 
-// takeBack returns grants that were not used: one at a time, and no more than were given.
-func (c *admissions) takeBack(now time.Time, start inventory.Start, known bounds, reach, cost float64) {
-	if !known.isLimited || cost >= 0 {
+// takeBack returns a grant that was not used.
+func (c *admissions) takeBack(now time.Time, start inventory.Start, known bounds, reach float64) {
+	if !known.isLimited {
 		return
 	}
-	limit := admission.RateLimitBound{PerSecond: known.perSecond}.Quota()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limited.Used(now, accountOf(start), limit, reach, max(cost, -1))
+	c.limits.GiveBack(now, accountOf(start), admission.RateLimitBound{PerSecond: known.perSecond}.Quota(), reach)
 }
 
 // mayGive reports whether this node has listened long enough to know who is before it,
@@ -340,8 +339,8 @@
 // what turned cold or warm is logged.
 func (c *admissions) observe(now time.Time) {
 	c.mu.Lock()
-	c.coordinator.Observe(now)
-	c.limited.Observe(now)
+	c.warmUps.Observe(now)
+	c.limits.Observe(now)
 	c.mu.Unlock()
 	var changes []dispatch.ColdChange
 	c.node.dispatch.Do(func(core *dispatch.Core) { changes = core.ColdChanges(now) })
@@ -362,14 +361,14 @@
 	c.node.dispatch.Do(func(core *dispatch.Core) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.lots.Prune(now)
-		c.limitedLots.Prune(now)
+		c.warmUpLots.Prune(now)
+		c.limitLots.Prune(now)
 		if isCoordinator {
-			c.coordinator.Prune(core.Knows)
-			c.limited.Prune(func(account string) bool { return core.Knows(account[:strings.LastIndexByte(account, '/')]) })
+			c.warmUps.Prune(core.Knows)
+			c.limits.Prune(func(account string) bool { return core.Knows(account[:strings.LastIndexByte(account, '/')]) })
 		} else {
-			c.coordinator.Forget()
-			c.limited.Forget()
+			c.warmUps.Forget()
+			c.limits.Forget()
 		}
 	})
 }
--- a/internal/edge/admissions_test.go
+++ b/internal/edge/admissions_test.go
@@ -144,7 +144,7 @@
 		t.Errorf("%d of 100 granted at a warm server", got)
 	}
 	coordinator.started = clock.Now()
-	coordinator.admissions.coordinator.Forget()
+	coordinator.admissions.warmUps.Forget()
 	if got := admitted(asker, "a", 20); got != 0 {
 		t.Errorf("%d granted by a node that has just started", got)
 	}
@@ -179,7 +179,7 @@
 	node.quotas.toldSize(clock.Now(), 68)
 	node.admissions.learnFleet(68)
 	// The draw goes by the node's address: this one has lots for two of the servers.
-	node.admissions.lots = admission.NewLots("10.0.0.4:1")
+	node.admissions.warmUpLots = admission.NewLots("10.0.0.4:1")
 	if got := sent(); got != 2 {
 		t.Errorf("%d of 400 sent by one of 68 nodes, want one for each of its lots", got)
 	}
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -85,6 +85,16 @@
 	known.note(now, allowance)
 }
 
+// GiveBack returns a grant of one that was not used, where this coordinator granted as much within the
+// window: what another one granted before it is not given once more.
+func (g *Coordinator) GiveBack(now time.Time, tenant string, quota routetable.Quota, reach float64) {
+	now = g.notBefore(now)
+	known, allowance := g.filled(now, tenant, quota, reach)
+	if known.used(now, allowance) >= 1 {
+		known.use(now, allowance, -1)
+	}
+}
+
 // Keep opens the account of a tenant that has not asked yet: it begins low, and is to
 // be full when the tenant comes.
 func (g *Coordinator) Keep(now time.Time, tenant string, quota routetable.Quota, reach float64) {
