--- a/internal/waiting/replay_test.go
+++ b/internal/waiting/replay_test.go
@@ -79,6 +79,12 @@
 			options: worldOptions{servers: 30, coldAt: 2 * time.Second, coldFor: 3 * time.Second, coldPerS: 3},
 			inTime:  map[string]float64{"note": 0.42, "batch": 0.77, "draft": 0.34}, behind: 0.50,
 		},
+		{
+			// Callers get no less than where those servers are gone.
+			name: "a third of the servers limited", trace: recorded("calm"),
+			options: worldOptions{servers: 30, limitAt: 2 * time.Second, limitFor: 6 * time.Second, limitPerS: 1},
+			inTime:  map[string]float64{"note": 0.54, "batch": 0.64, "draft": 0.44}, refusedLater: 0.05, behind: 0.21,
+		},
 		{
 			name: "a zone alone", trace: recorded("cut"), options: worldOptions{servers: 8},
 			inTime: map[string]float64{"note": 0.57, "batch": 0.65, "draft": 0.73}, behind: 0.36,
@@ -227,3 +233,22 @@
 		}
 	}
 }
+
+// TestLimitedCopiesAreReplaced: more is served where what limited servers hold is loaded elsewhere than
+// where it counts as copies.
+func TestLimitedCopiesAreReplaced(t *testing.T) {
+	options := worldOptions{servers: 30, limitAt: 2 * time.Second, limitFor: 6 * time.Second, limitPerS: 1}
+	counted := options
+	counted.keepsLimited = true
+	served := func(options worldOptions) (sum int) {
+		for _, tally := range play(readTrace(t, "calm"), options) {
+			sum += tally.inTime + tally.late
+		}
+		return sum
+	}
+	if replaced, kept := served(options), served(counted); replaced <= kept {
+		t.Errorf("%d served with copies elsewhere, %d where limited ones count", replaced, kept)
+	} else {
+		t.Logf("%d served with copies elsewhere, %d where limited ones count", replaced, kept)
+	}
+}
--- a/internal/waiting/world_test.go
+++ b/internal/waiting/world_test.go
@@ -50,14 +50,16 @@
 	held map[string]time.Time // when it was last used
 	disk map[string]bool
 	// running counts requests by model.
-	running  map[string]int
-	total    int
-	queue    []*worldRequest
-	loading  string
-	ready    time.Time
-	isGone   bool
-	coldTill time.Time
-	took     []time.Time
+	running map[string]int
+	total   int
+	queue   []*worldRequest
+	loading string
+	ready   time.Time
+	isGone  bool
+	// coldTill is until when it takes coldPerS requests a second, and limitedTill until when
+	// limitPerS.
+	coldTill, limitedTill time.Time
+	took                  []time.Time
 }
 
 // tally is what the callers of a kind got.
@@ -79,6 +81,11 @@
 	// disks, and take coldPerS requests a second for coldFor.
 	coldAt, coldFor time.Duration
 	coldPerS        int
+	// limitAt, where it is set, lets a third of the servers take limitPerS requests a second for
+	// limitFor. What they hold is loaded elsewhere, unless keepsLimited is set.
+	limitAt, limitFor time.Duration
+	limitPerS         int
+	keepsLimited      bool
 	// rank orders requests at servers; nil is Rank.
 	rank func(r *worldRequest) float64
 	// keepAll holds all until their deadlines, in place of Decide.
@@ -141,6 +148,9 @@
 	if options.coldAt > 0 {
 		w.after(options.coldAt, w.startAnew)
 	}
+	if options.limitAt > 0 {
+		w.after(options.limitAt, w.limit)
+	}
 	end := worldBegin.Add(time.Minute)
 	w.after(0, w.lead)
 	for len(w.events) > 0 && w.now.Before(end) {
@@ -194,6 +204,16 @@
 	}
 }
 
+// limit lets a third of the servers name a rate limit.
+func (w *world) limit() {
+	for i, s := range w.servers {
+		if i%3 == 0 {
+			s.limitedTill = w.now.Add(w.options.limitFor)
+			w.requeue(s)
+		}
+	}
+}
+
 // requeue lets what waits at a server that ended choose again; what ran there goes on,
 // as on another one that has it from its caller.
 func (w *world) requeue(s *worldServer) {
@@ -254,15 +274,27 @@
 	w.decide(r)
 }
 
-// takesNow reports whether a cold server bears one more within the second.
+// takesNow reports whether a cold or limited server bears one more within the second.
 func (s *worldServer) takesNow(w *world) bool {
-	if !w.now.Before(s.coldTill) {
+	if !s.isBounded(w) {
 		return true
 	}
 	s.took = slices.DeleteFunc(s.took, func(at time.Time) bool { return w.now.Sub(at) >= time.Second })
+	if w.now.Before(s.limitedTill) {
+		return len(s.took) < w.options.limitPerS
+	}
 	return len(s.took) < w.options.coldPerS
 }
 
+func (s *worldServer) isBounded(w *world) bool {
+	return w.now.Before(s.coldTill) || w.now.Before(s.limitedTill)
+}
+
+// isAway reports whether the leader takes what the server holds for missing.
+func (s *worldServer) isAway(w *world) bool {
+	return s.isGone || w.now.Before(s.limitedTill) && !w.options.keepsLimited
+}
+
 func (w *world) leaveLine(r *worldRequest) {
 	if !r.waits {
 		return
@@ -318,7 +350,7 @@
 		if s.isGone {
 			continue
 		}
-		if _, ok := s.held[model]; ok && w.now.Before(s.coldTill) && len(s.took) > 0 {
+		if _, ok := s.held[model]; ok && s.isBounded(w) && len(s.took) > 0 {
 			return time.Second - w.now.Sub(s.took[0]), true
 		}
 		if s.loading == model {
@@ -406,7 +438,7 @@
 func (w *world) load(model string, mayAskStore bool) (fromStore bool) {
 	var best *worldServer
 	for _, s := range w.servers {
-		if s.isGone {
+		if s.isAway(w) {
 			continue
 		}
 		if _, ok := s.held[model]; ok || s.loading == model {
