Admission: only a grant is given back

By reading: an order that was refused was given back as if it had been granted, since a refusal names its coordinator too; each refused order of the leader would have let one request more reach a limited server.

--- a/internal/edge/admissions.go
+++ b/internal/edge/admissions.go
@@ -157,7 +157,7 @@
 // cold one is over before.
 func (c *admissions) GiveBack(start inventory.Start, verdict relay.AdmissionVerdict) {
 	known := c.boundsOf(clock.Now(), start)
-	if !known.isLimited || verdict.By == "" {
+	if !known.isLimited || !verdict.Granted || verdict.By == "" {
 		return
 	}
 	c.givenBack.Add(1)
