--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -49,6 +49,8 @@
 	// maxViewsBytes bounds the views of one datagram.
 	maxViewsBytes = 1200
 	maxDatagram   = 64 << 10
+	// budgetLogPeriod is the minimum interval between log lines on a service's retry budget.
+	budgetLogPeriod = time.Second
 )
 
 // peers is the node's UDP socket to the other nodes, with what it knows of them.
@@ -231,6 +233,7 @@
 	p.node.admissions.observe(now)
 	p.node.suspects.tick(now)
 	p.logTraffic(now)
+	p.node.handler.LogRetryBudget(now, budgetLogPeriod)
 	p.mu.Lock()
 	nodes := len(p.roster.Alive(now))
 	fanout := gossipFanout
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -46,6 +46,7 @@
 	}
 	x.countBytes(choice, len(x.body))
 	x.sentAt = clock.Now()
+	x.sends++
 	response, err := conn.RoundTrip(x.ctx, x.serverRequest(choice))
 	if err != nil && conn.Reused {
 		// The other idle connections may be dead as well; a new one may work.
@@ -353,13 +354,6 @@
 	return found && x.hasRetryLeft()
 }
 
-// hasRetryLeft reports whether the retry budget has a retry left for the service.
-func (x *exchange) hasRetryLeft() bool {
-	x.handler.mu.Lock()
-	defer x.handler.mu.Unlock()
-	return x.handler.budget.Remaining(clock.Since(x.handler.started), x.service) >= 1
-}
-
 // writeResponseHead passes on the status and headers of a server's response.
 func (x *exchange) writeResponseHead(response *backendconn.Response, isWhole bool, length int) {
 	header := x.writer.Header()
--- /dev/null
+++ b/internal/relay/budget.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"math"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/retrybudget"
+)
+
+// MinRetriesRemaining is the smallest number of retries left to any service.
+func (h *Handler) MinRetriesRemaining() float64 {
+	table := h.table.Load()
+	if table == nil {
+		return 0
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lowest := math.Inf(1)
+	for service := range table.Services {
+		lowest = min(lowest, h.budget.Remaining(clock.Since(h.started), service))
+	}
+	return lowest
+}
+
+// SetNodes sets how many nodes share the retry budget.
+func (h *Handler) SetNodes(nodes int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.budget.SetNodes(nodes)
+}
+
+// SetBudget changes the limits of the retry budget; requests and retries counted so far stay counted.
+func (h *Handler) SetBudget(options retrybudget.Options) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.budget.SetOptions(options)
+}
+
+// countRequest counts a first send, which adds to the retry budget.
+func (h *Handler) countRequest(service string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.budget.CountRequest(clock.Since(h.started), service)
+}
+
+// takeRetry takes a retry from the service's budget, if there is one.
+func (h *Handler) takeRetry(service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.budget.Take(clock.Since(h.started), service)
+}
+
+// takeRetry takes a retry from the budget that all nodes share.
+func (x *exchange) takeRetry() bool {
+	if !x.handler.takeRetry(x.service) {
+		return false
+	}
+	x.handler.Metrics.Retries.Add(1)
+	return true
+}
+
+// hasRetryLeft reports whether the retry budget has a retry left for the service.
+func (x *exchange) hasRetryLeft() bool {
+	x.handler.mu.Lock()
+	defer x.handler.mu.Unlock()
+	return x.handler.budget.Remaining(clock.Since(x.handler.started), x.service) >= 1
+}
+
+// LogRetryBudget logs the retry budget of each service that a retry was taken from, or denied by, since the
+// service's last line, unless that is more recent than minInterval. Counts are those since this process
+// started.
+func (h *Handler) LogRetryBudget(now time.Time, minInterval time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, usage := range h.budget.Usage(now.Sub(h.started)) {
+		logged := h.budgetLogged[usage.Service]
+		isChanged := usage.Retries != logged.totals.Retries || usage.Denied != logged.totals.Denied
+		if !isChanged || now.Sub(logged.at) < minInterval {
+			continue
+		}
+		h.budgetLogged[usage.Service] = loggedBudget{at: now, totals: usage.Totals}
+		h.options.Logger.Info().Str("service", usage.Service).
+			Int64("requests", usage.Requests).Int64("repeats", usage.Retries).Int64("denied", usage.Denied).
+			Float64("left", usage.Remaining).Int("nodes", usage.Nodes).
+			Int64("run_ms", now.Sub(h.started).Milliseconds()).Msg("retry_budget")
+	}
+}
+
+// loggedBudget is the last log line on a service's retry budget.
+type loggedBudget struct {
+	at     time.Time
+	totals retrybudget.Totals
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -46,6 +46,8 @@
 
 	// sentTo are the servers that the request was sent to.
 	sentTo []string
+	// sends is how often the request was written to a server, those included that turned out not to have left.
+	sends int
 	// failedServers are not chosen again for this request.
 	failedServers []string
 	// mayHaveRun is set once a server may have run the request.
@@ -275,15 +277,6 @@
 	return request
 }
 
-// takeRetry takes a retry from the budget that all nodes share.
-func (x *exchange) takeRetry() bool {
-	if !x.handler.takeRetry(x.service) {
-		return false
-	}
-	x.handler.Metrics.Retries.Add(1)
-	return true
-}
-
 // endAttempt tells the dispatcher how the attempt ended.
 func (x *exchange) endAttempt(choice dispatch.Choice, outcome dispatch.Outcome) {
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.End(clock.Now(), choice.Attempt, outcome) })
@@ -350,7 +343,7 @@
 	if x.estimate > 0 {
 		entry.Str("estimate_ms", formatMilliseconds(x.estimate))
 	}
-	entry.Str("server", x.serverID).Str("sent", strings.Join(x.sentTo, ","))
+	entry.Str("server", x.serverID).Str("sent", strings.Join(x.sentTo, ",")).Int("sends", x.sends)
 	entry.Str("waited_ms", formatMilliseconds(x.totalWaited())).Str("took_ms", formatMilliseconds(clock.Since(x.arrived)))
 	if x.timing.first > 0 {
 		entry.Str("first_ms", formatMilliseconds(x.timing.first)).Str("pause_ms", formatMilliseconds(x.timing.longestPause))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -134,6 +133,8 @@
 	// longestDeadline is the longest deadline seen on each route: a caller that retries has less time
 	// left.
 	longestDeadline map[string]time.Duration
+	// budgetLogged is the last log line on each service's retry budget.
+	budgetLogged map[string]loggedBudget
 }
 
 // DefaultMaxWaiting is the default of Options.MaxWaiting.
@@ -159,6 +160,7 @@
 		budget:          retrybudget.New(options.Budget),
 		retrySchedule:   waiting.NewRetrySchedule(),
 		longestDeadline: make(map[string]time.Duration),
+		budgetLogged:    make(map[string]loggedBudget),
 	}
 }
 
@@ -181,49 +183,6 @@
 // Waiting is the number of requests that wait for a server.
 func (h *Handler) Waiting() int64 { return h.waiting.Load() }
 
-// MinRetriesRemaining is the smallest number of retries left to any service.
-func (h *Handler) MinRetriesRemaining() float64 {
-	table := h.table.Load()
-	if table == nil {
-		return 0
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	lowest := math.Inf(1)
-	for service := range table.Services {
-		lowest = min(lowest, h.budget.Remaining(clock.Since(h.started), service))
-	}
-	return lowest
-}
-
-// SetNodes sets how many nodes share the retry budget.
-func (h *Handler) SetNodes(nodes int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.budget.SetNodes(nodes)
-}
-
-// SetBudget changes the limits of the retry budget; requests and retries counted so far stay counted.
-func (h *Handler) SetBudget(options retrybudget.Options) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.budget.SetOptions(options)
-}
-
-// countRequest counts a first send, which adds to the retry budget.
-func (h *Handler) countRequest(service string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.budget.CountRequest(clock.Since(h.started), service)
-}
-
-// takeRetry takes a retry from the service's budget, if there is one.
-func (h *Handler) takeRetry(service string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.budget.Take(clock.Since(h.started), service)
-}
-
 // nextService selects one of the route's services by weight.
 func (h *Handler) nextService(route *routetable.Route) string {
 	h.mu.Lock()
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -1,6 +1,8 @@
 package retrybudget
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -30,6 +32,25 @@
 
 type counts struct {
 	buckets [bucketCount + 2]bucket
+	total   Totals
+}
+
+// Totals counts what one run of a process did for a service since it started.
+type Totals struct {
+	Requests int64
+	Retries  int64
+	// Denied counts retries for which nothing was left.
+	Denied int64
+}
+
+// Usage is a service's part of a Budget.
+type Usage struct {
+	Service string
+	Totals
+	// Remaining is the number of retries that may be sent now.
+	Remaining float64
+	// Nodes is the number of nodes that share the extra retries.
+	Nodes int
 }
 
 type bucket struct {
@@ -59,17 +80,33 @@
 // CountRequest counts a caller's request for the service.
 func (b *Budget) CountRequest(now time.Duration, service string) {
 	b.bucketAt(now, service).requests++
+	b.services[service].total.Requests++
 }
 
 // Take uses one retry, and reports whether there was one.
 func (b *Budget) Take(now time.Duration, service string) bool {
+	current := b.bucketAt(now, service)
+	total := &b.services[service].total
 	if b.Remaining(now, service) < 1 {
+		total.Denied++
 		return false
 	}
-	b.bucketAt(now, service).retries++
+	current.retries++
+	total.Retries++
 	return true
 }
 
+// Usage returns the usage of all services, sorted by name.
+func (b *Budget) Usage(now time.Duration) []Usage {
+	var usage []Usage
+	for _, service := range slices.Sorted(maps.Keys(b.services)) {
+		usage = append(usage, Usage{
+			Service: service, Totals: b.services[service].total, Remaining: b.Remaining(now, service), Nodes: b.nodes,
+		})
+	}
+	return usage
+}
+
 // Remaining returns the number of retries that may be sent now.
 func (b *Budget) Remaining(now time.Duration, service string) float64 {
 	requests, retries := b.windowTotals(now, service)
