retrybudget: begin empty, and pay for retries as requests come

Cause: the credit of the last window's requests, and half of a node's share of the extra retries, lay in the memory of one run. A run that had spent it was followed by one that knew nothing of that and had the same again. Ruled out by the lines of: retries that are not counted (340 counted, 339 arrived), shares of a wrong number of nodes (8 in all lines of the play with planned restarts).

Now a run begins with nothing. Each request allows its part of a retry, of which no more than half of the node's share of the extra retries is saved; the other half of the share may be sent without a request that allows it, from one window after the start on, and returns a window later. So what all runs may send in any window is the requests' part of that window and the extra retries, whatever a run knows of others. The share is divided by the size of the fleet that quotas use, which survives partitions, instead of the nodes heard from within half a minute; it goes with all datagrams now. A retry is taken right before it is written and given back if it never left: taken earlier, it could be held while a request waited, and be sent in a later window.

The fixture of relay counts requests before the first one.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -168,7 +168,6 @@
 	isNew := !p.roster.Knows(state.Address, state.Life)
 	isNewer := p.roster.Observe(now, state)
 	isOlder := !isNewer && p.roster.Knows(state.Address, state.Life)
-	count := p.roster.Count(now)
 	p.mu.Unlock()
 	if isOlder {
 		p.applyLateViews(now, state.Leader)
@@ -177,7 +176,6 @@
 		return
 	}
 	p.greet(now, state, isNew)
-	p.node.handler.SetNodes(count)
 	p.node.quotas.receiveFleetSize(now, int(state.FleetNodes))
 	if state.FleetKnown {
 		p.node.admissions.learnFleetSize(int(state.FleetNodes))
@@ -233,7 +231,7 @@
 	p.node.admissions.observe(now)
 	p.node.suspects.tick(now)
 	p.logTraffic(now)
-	p.node.handler.LogRetryBudget(now, budgetLogPeriod)
+	p.shareRetryBudget(now)
 	p.mu.Lock()
 	nodes := len(p.roster.Alive(now))
 	fanout := gossipFanout
@@ -273,6 +271,13 @@
 	}
 }
 
+// shareRetryBudget tells the request path by how many nodes to divide the retry budget.
+func (p *peers) shareRetryBudget(now time.Time) {
+	nodes, _ := p.node.quotas.fleetSize(now)
+	p.node.handler.SetNodes(nodes, p.node.admissions.isSingleNode() || p.node.admissions.knowsFleetSize(now))
+	p.node.handler.LogRetryBudget(now, budgetLogPeriod)
+}
+
 // crossRegionChanges returns the changes that this node sends to other regions.
 func (p *peers) crossRegionChanges(changes []gossip.ServerChange) []gossip.ServerChange {
 	p.mu.Lock()
@@ -345,10 +350,8 @@
 		state.ViewsDigests = p.ownViewDigests()
 	}
 	state.ConfigVersion = p.node.configVersion()
-	if p.node.needsCoordinator() {
-		size, _ := p.node.quotas.fleetSize(now)
-		state.FleetNodes, state.FleetKnown = uint32(size), p.node.admissions.knowsFleetSize(now)
-	}
+	size, _ := p.node.quotas.fleetSize(now)
+	state.FleetNodes, state.FleetKnown = uint32(size), p.node.admissions.knowsFleetSize(now)
 	state.Evacuations = p.node.evacuations.encode(now)
 	state.ConfigAgeMs = p.node.configConfirmed.encodedAge(now)
 	state.ServersAgeMs = p.node.serversConfirmed.encodedAge(now)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -48,6 +48,10 @@
 	x.sentAt = clock.Now()
 	x.sends++
 	response, err := conn.RoundTrip(x.ctx, x.serverRequest(choice))
+	if x.holdsRetry && !errorx.IsOfType(err, backendconn.ErrNotSent) {
+		x.holdsRetry = false
+		x.handler.Metrics.Retries.Add(1)
+	}
 	if err != nil && conn.Reused {
 		// The other idle connections may be dead as well; a new one may work.
 		x.handler.options.Pool.CloseIdle(choice.Address)
@@ -92,6 +96,10 @@
 		// Dispatch excludes the server from now on, for as long as the check would fail.
 		x.abandonSend(choice, conn)
 		return attemptNotSent, false
+	case x.isResend && !x.takeRetry():
+		x.abandonSend(choice, conn)
+		x.refuseWithoutRetry()
+		return attemptDone, false
 	case !x.claimTrialIfDue():
 		x.abandonSend(choice, conn)
 		x.refuseBarred()
@@ -106,6 +114,7 @@
 
 // abandonSend releases the choice and the connection before anything was sent.
 func (x *exchange) abandonSend(choice dispatch.Choice, conn *backendconn.Conn) {
+	x.returnRetry()
 	x.endAttempt(choice, dispatch.OutcomeAbandoned)
 	_ = conn.Close()
 }
@@ -165,6 +174,7 @@
 
 // handleNotSent ends an attempt whose connection failed before anything was sent.
 func (x *exchange) handleNotSent(choice dispatch.Choice) attemptResult {
+	x.returnRetry()
 	if x.callerGone() {
 		x.endAttempt(choice, dispatch.OutcomeAbandoned)
 		x.endCallerGone()
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -23,11 +23,12 @@
 	return lowest
 }
 
-// SetNodes sets how many nodes share the retry budget.
-func (h *Handler) SetNodes(nodes int) {
+// SetNodes sets how many nodes share the retry budget, and whether the number includes nodes that this one
+// cannot hear from.
+func (h *Handler) SetNodes(nodes int, isConfirmed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.budget.SetNodes(nodes)
+	h.budget.SetNodes(nodes, isConfirmed)
 }
 
 // SetBudget changes the limits of the retry budget; requests and retries counted so far stay counted.
@@ -41,7 +42,7 @@
 func (h *Handler) countRequest(service string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.budget.CountRequest(clock.Since(h.started), service)
+	h.budget.CountRequest(service)
 }
 
 // takeRetry takes a retry from the service's budget, if there is one.
@@ -51,13 +52,32 @@
 	return h.budget.Take(clock.Since(h.started), service)
 }
 
-// takeRetry takes a retry from the budget that all nodes share.
+// returnRetry gives back a retry of the service.
+func (h *Handler) returnRetry(service string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.budget.Return(service)
+}
+
+// takeRetry takes a retry from the budget that all nodes share, right before it is sent.
 func (x *exchange) takeRetry() bool {
-	if !x.handler.takeRetry(x.service) {
-		return false
+	x.holdsRetry = x.handler.takeRetry(x.service)
+	return x.holdsRetry
+}
+
+// returnRetry gives back a retry that was taken and not sent.
+func (x *exchange) returnRetry() {
+	if !x.holdsRetry {
+		return
 	}
-	x.handler.Metrics.Retries.Add(1)
-	return true
+	x.holdsRetry = false
+	x.handler.returnRetry(x.service)
+}
+
+// refuseWithoutRetry ends a request that the budget does not let be sent again.
+func (x *exchange) refuseWithoutRetry() {
+	x.handler.Metrics.BudgetEmpty.Add(1)
+	x.giveUp("no_budget")
 }
 
 // hasRetryLeft reports whether the retry budget has a retry left for the service.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -48,6 +48,10 @@
 	sentTo []string
 	// sends is how often the request was written to a server, those included that turned out not to have left.
 	sends int
+	// isResend is set while the request is sent again, which takes a retry from the budget, and holdsRetry
+	// from then until it was sent.
+	isResend   bool
+	holdsRetry bool
 	// failedServers are not chosen again for this request.
 	failedServers []string
 	// mayHaveRun is set once a server may have run the request.
@@ -215,19 +219,15 @@
 	}
 	x.countDemand()
 	x.lastEventID = x.head.LastEventID
-	hasRetry := false
 	for sends := 0; ; sends++ {
 		choice, ok := x.waitForServer()
 		if !ok {
 			return
 		}
-		// A retry taken from the budget stays valid until something was sent: admission at cold servers may
-		// deny a send many times.
-		hasRetry = hasRetry || sends > 0 && x.takeRetry()
-		if sends > 0 && !hasRetry {
+		x.isResend = sends > 0
+		if x.isResend && !x.hasRetryLeft() {
 			x.endAttempt(choice, dispatch.OutcomeAbandoned)
-			x.handler.Metrics.BudgetEmpty.Add(1)
-			x.giveUp("no_budget")
+			x.refuseWithoutRetry()
 			return
 		}
 		result := x.attempt(choice)
@@ -237,7 +237,7 @@
 		if result == attemptNotSent {
 			sends--
 		} else {
-			hasRetry, x.isTrial = false, false
+			x.isTrial = false
 		}
 		if sends+1 >= maxSends || len(x.failedServers) >= maxSends {
 			x.giveUp("too_many_sends")
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -177,7 +177,7 @@
 	server := newFakeServer(t, func(net.Conn, *http.Request) bool { return false })
 	other := newFakeServer(t, func(net.Conn, *http.Request) bool { return false })
 	f := newFixture(t, server, other)
-	f.handler.SetNodes(1000)
+	f.handler.SetNodes(1000, true)
 	for range 4 {
 		f.send(t, http.MethodGet, "/often/", "")
 	}
@@ -186,6 +186,25 @@
 	}
 }
 
+// Guards against retries that are used up by sends which never leave, and so keep others from theirs.
+func TestRetryThatNeverLeftIsLeftToOthers(t *testing.T) {
+	resetting := newFakeServer(t, func(conn net.Conn, _ *http.Request) bool { return reset(conn) })
+	f := newFixture(t, resetting, resetting)
+	before := f.handler.MinRetriesRemaining()
+	f.onDial = func() {
+		if resetting.count() > 0 {
+			f.dispatch.Do(func(core *dispatch.Core) {
+				core.SetDraining("s0", storepos.At(0, 5))
+				core.SetDraining("s1", storepos.At(0, 5))
+			})
+		}
+	}
+	f.send(t, http.MethodGet, "/often/", "", "X-Wait", "200ms")
+	if sends, left := resetting.count(), f.handler.MinRetriesRemaining(); sends != 1 || left != before {
+		t.Errorf("%v retries left of %v after %d sends, want as many after one", left, before, sends)
+	}
+}
+
 func TestSurplusAnswerIsPassedOver(t *testing.T) {
 	server := newFakeServer(t, func(conn net.Conn, request *http.Request) bool {
 		write(conn, reply("another", http.StatusOK, "not yours"))
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -177,6 +177,11 @@
 		Logger:   logging.Discard(),
 	})
 	f.handler = handler
+	handler.SetNodes(1, true)
+	// The node has served requests before, so that retries are allowed from the first one on.
+	for range 200 {
+		handler.countRequest("svc")
+	}
 	var changes []inventory.Change
 	for i, s := range servers {
 		changes = append(changes, inventory.Change{Server: inventory.Server{
