edge: TestViewsGoOnceToARegionAndOnFromThere on a virtual clock

The test waited for 1.2 s by the wall clock before it used peers that count as alive for 1.5 s, and was red at loads of 47 and 62. Nodes take the few methods of a UDP socket that they use as an interface; clock follows the standard clock where a test asks for it.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -36,6 +36,16 @@
 // simulatedSuspension is added to readings; tests simulate suspensions of the machine with it.
 var simulatedSuspension atomic.Int64
 
+// isVirtual is set while Now follows the standard library's clock.
+var isVirtual atomic.Bool
+
+// FollowStandard makes Now follow the standard library's clock, which testing/synctest makes virtual, until
+// the returned function is called. It is for tests.
+func FollowStandard() (stop func()) {
+	isVirtual.Store(true)
+	return func() { isVirtual.Store(false) }
+}
+
 // bootTime returns the time since the machine started, including suspensions. The C library reads
 // it without a system call; the standard library does not offer it.
 func bootTime() time.Duration { return time.Duration(C.boottime_ns()) }
@@ -43,6 +53,9 @@
 // Now returns the current time. The difference between two times of this package is the real time
 // that passed, whether or not this machine was running.
 func Now() time.Time {
+	if isVirtual.Load() {
+		return time.Now().Add(time.Duration(simulatedSuspension.Load()))
+	}
 	return origin.wallTime.Add(bootTime() - origin.boot + time.Duration(simulatedSuspension.Load()))
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -53,10 +54,18 @@
 	budgetLogPeriod = time.Second
 )
 
+// packetConn is what peers need of a UDP socket.
+type packetConn interface {
+	ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error)
+	WriteToUDP(payload []byte, to *net.UDPAddr) (int, error)
+	LocalAddr() net.Addr
+	Close() error
+}
+
 // peers is the node's UDP socket to the other nodes, with what it knows of them.
 type peers struct {
 	node           *Node
-	conn           *net.UDPConn
+	conn           packetConn
 	incarnation    uint64
 	address        string
 	mu             sync.Mutex
--- a/internal/edge/spread_test.go
+++ b/internal/edge/spread_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -14,6 +15,7 @@
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/standin/memnet"
 )
 
 // fakePeer collects the leaders' datagrams that arrive at a socket.
@@ -28,6 +30,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newFakePeerAt(t, conn)
+}
+
+func newFakePeerAt(t *testing.T, conn packetConn) *fakePeer {
+	t.Helper()
 	t.Cleanup(func() { _ = conn.Close() })
 	peer := &fakePeer{address: conn.LocalAddr().String(), states: make(chan *peerpb.NodeState, 64)}
 	go func() {
@@ -73,10 +80,20 @@
 // TestViewsGoOnceToARegionAndOnFromThere checks that the leader sends one datagram to a region,
 // and that its receiver relays it unchanged but for the relaying instructions.
 func TestViewsGoOnceToARegionAndOnFromThere(t *testing.T) {
+	defer clock.FollowStandard()()
+	synctest.Test(t, playViewsAcrossRegions)
+}
+
+func playViewsAcrossRegions(t *testing.T) {
+	network := new(memnet.Network)
 	leader, spreader := newZonedNode(t, "n"), newZonedNode(t, "s1")
+	for _, node := range []*Node{leader, spreader} {
+		_ = node.peers.conn.Close()
+		node.peers.conn = network.ListenPacket()
+	}
 	var south []*fakePeer
 	for i := range 4 {
-		peer := newFakePeer(t)
+		peer := newFakePeerAt(t, network.ListenPacket())
 		south = append(south, peer)
 		leader.observePeer("s"+strconv.Itoa(i%2+1), peer, 1)
 		spreader.observePeer("s"+strconv.Itoa(i%2+1), peer, 1)
