routing: a new start of an engine does not inherit refusals and failures

A caller's request to an engine that had just started anew waited for up to 250 ms, and beyond its deadline where that was short (504).

Cause: the pause after a refusal is kept for each model and was not cleared with the rest of a former incarnation's state; and the result of an attempt that was sent to the former incarnation counted against the new one.

The pause is cleared, and results count for the incarnation they are of. TestNewIncarnationIsPickedAtOnce failed in four cases of five before.

--- a/internal/backend/generate.go
+++ b/internal/backend/generate.go
@@ -51,12 +51,18 @@
 	zone      fleet.Zone
 }
 
-// NewGenerator returns a client that names zone as the caller's zone.
-func NewGenerator(zone fleet.Zone) *Generator {
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewGenerator returns a client that names zone as the caller's zone. A nil dial uses the real network.
+func NewGenerator(zone fleet.Zone, dial DialFunc) *Generator {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: engineDialTimeout}).DialContext
+	}
 	return &Generator{
 		zone: zone,
 		transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: engineDialTimeout}).DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: engineIdleConnections,
 			IdleConnTimeout:     engineIdleTimeout,
 			DisableCompression:  true,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,8 @@
 	Queue      queue.Options
 	Routing    routing.Options
 	Seed       uint64
+	// DialEngine opens connections to engines; nil uses the real network.
+	DialEngine backend.DialFunc
 	// Now is the clock; nil uses time.Now.
 	Now func() time.Time
 }
@@ -112,7 +114,7 @@
 		limits:        options.Limits.withDefaults(),
 		now:           now,
 		catalog:       options.Catalog,
-		engineClient:  backend.NewGenerator(options.Self.Zone),
+		engineClient:  backend.NewGenerator(options.Self.Zone, options.DialEngine),
 		serviceClient: backend.NewServices(options.Self.Zone),
 		probes:        backendconn.New(backendconn.Options{}),
 		metrics:       newMetrics(options.Registerer),
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/standin/memnet"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
@@ -68,9 +69,12 @@
 	return append([]fleet.Want(nil), f.wants...)
 }
 
-// harness is a gateway whose back ends are HTTP handlers, all over real sockets.
+// harness is a gateway whose back ends are HTTP handlers, all over real sockets or, if network is set, within
+// the process.
 type harness struct {
 	t       testing.TB
+	network *memnet.Network
+	client  *http.Client
 	views   *views.Views
 	catalog *fakeCatalog
 	demand  *fakeDemand
@@ -80,11 +84,24 @@
 }
 
 func newHarness(t testing.TB, change func(*Options)) *harness {
+	t.Helper()
+	return newHarnessOn(t, nil, change)
+}
+
+// newVirtualHarness returns a harness for a synctest bubble.
+func newVirtualHarness(t testing.TB) *harness {
+	t.Helper()
+	network := new(memnet.Network)
+	return newHarnessOn(t, network, func(options *Options) { options.DialEngine = network.DialContext })
+}
+
+func newHarnessOn(t testing.TB, network *memnet.Network, change func(*Options)) *harness {
 	t.Helper()
 	h := &harness{
-		t:      t,
-		views:  new(views.Views),
-		demand: newFakeDemand(),
+		t:       t,
+		network: network,
+		views:   new(views.Views),
+		demand:  newFakeDemand(),
 		catalog: &fakeCatalog{
 			model: catalog.ModelRoute{Selector: "all", Deadline: 10 * time.Second,
 				Versions: []catalog.WeightedModel{{Model: testModel, Weight: 1}}},
@@ -103,7 +120,11 @@
 		change(&options)
 	}
 	h.gateway = New(options)
-	h.server = httptest.NewServer(h.gateway)
+	h.server = h.listen(h.gateway)
+	h.client = h.server.Client()
+	if network != nil {
+		h.client = &http.Client{Transport: &http.Transport{DialContext: network.DialContext, DisableKeepAlives: true}}
+	}
 	t.Cleanup(func() {
 		h.server.Close()
 		h.gateway.Close()
@@ -111,9 +132,20 @@
 	return h
 }
 
+// listen starts a server on the harness's network.
+func (h *harness) listen(handler http.Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(handler)
+	if h.network != nil {
+		_ = server.Listener.Close()
+		server.Listener = h.network.Listen()
+	}
+	server.Start()
+	return server
+}
+
 // backend starts a back end and returns its address.
 func (h *harness) backend(handler http.HandlerFunc) string {
-	server := httptest.NewServer(handler)
+	server := h.listen(handler)
 	h.t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
 }
@@ -157,7 +189,7 @@
 	for index := 0; index < len(header); index += 2 {
 		request.Header.Set(header[index], header[index+1])
 	}
-	answer, err := h.server.Client().Do(request)
+	answer, err := h.client.Do(request)
 	if err != nil {
 		h.t.Fatal(err)
 	}
--- a/internal/gateway/hints_test.go
+++ b/internal/gateway/hints_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/backend"
@@ -44,16 +45,22 @@
 	}
 }
 
-// TestRestEndsWithTheEngine checks that a backoff ends when the engine restarts.
+// TestRestEndsWithTheEngine checks that a backoff ends when the engine restarts, on a virtual clock.
 func TestRestEndsWithTheEngine(t *testing.T) {
-	var received atomic.Int64
-	h := newHarness(t, nil)
-	h.catalog.model.Deadline = 300 * time.Millisecond
-	h.addEngine("e1", h.backend(countingEngine(&received, refuseWithRetryAfter("60"))))
-	h.do(http.MethodPost, backend.PathCompletions, streamBody)
-	h.table.Engines[0].Incarnation++
-	h.publish()
-	h.wantComplete(h.do(http.MethodPost, backend.PathCompletions, streamBody))
+	synctest.Test(t, func(t *testing.T) {
+		var received atomic.Int64
+		h := newVirtualHarness(t)
+		h.catalog.model.Deadline = 300 * time.Millisecond
+		h.addEngine("e1", h.backend(countingEngine(&received, refuseWithRetryAfter("60"))))
+		h.do(http.MethodPost, backend.PathCompletions, streamBody)
+		h.table.Engines[0].Incarnation++
+		h.publish()
+		startedAt := time.Now()
+		h.wantComplete(h.do(http.MethodPost, backend.PathCompletions, streamBody))
+		if took := time.Since(startedAt); took != 0 {
+			t.Errorf("it waited for %v", took)
+		}
+	})
 }
 
 // TestLeavingEngineSaysSoInGoodAnswers checks that the header also counts in a successful response: the
--- a/internal/routing/hints_test.go
+++ b/internal/routing/hints_test.go
@@ -40,6 +40,45 @@
 	}
 }
 
+// Guards against requests that wait for a new incarnation because of what the one before refused or failed.
+func TestNewIncarnationIsPickedAtOnce(t *testing.T) {
+	const attempts = 20
+	for name, c := range map[string]struct {
+		result      Result
+		isEndedLate bool
+	}{
+		"refused":                        {ResultRefused, false},
+		"refused, known after the start": {ResultRefused, true},
+		"failed":                         {ResultFailed, false},
+		"failed, known after the start":  {ResultFailed, true},
+		"unreachable, known late":        {ResultUnreachable, true},
+	} {
+		d := newDriver(Options{}, epoch, engine("e1", "a", 0))
+		var tickets []Ticket
+		for range attempts {
+			ticket, _ := d.pick(epoch, nil)
+			tickets = append(tickets, ticket)
+		}
+		end := func() {
+			for _, ticket := range tickets {
+				d.core.Step(epoch, Ended{Ticket: ticket, Result: c.result})
+			}
+		}
+		again := engine("e1", "a", 0)
+		again.Incarnation++
+		if !c.isEndedLate {
+			end()
+		}
+		d.core.Step(epoch, tables(again))
+		if c.isEndedLate {
+			end()
+		}
+		if _, got := d.pick(epoch, nil); got != "e1" {
+			t.Errorf("%s: the next incarnation is not picked", name)
+		}
+	}
+}
+
 // TestRestIsAnnouncedAtItsEnd: waiting requests try again when a backoff ends, even if refusals
 // followed it.
 func TestRestIsAnnouncedAtItsEnd(t *testing.T) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -326,12 +326,23 @@
 	delete(c.attempts, ended.Ticket)
 	target := attempt.target
 	target.ended(now, attempt.started, c.options.ReportLag)
-	switch ended.Result {
+	if attempt.incarnation == target.engine.Incarnation {
+		c.recordResult(now, attempt, ended.Result)
+	}
+	if !attempt.model.IsZero() {
+		c.emit(CapacityChanged{Model: attempt.model})
+	}
+}
+
+// recordResult applies the result of an attempt to the incarnation that it was sent to.
+func (c *Core) recordResult(now time.Time, attempt *attempt, result Result) {
+	target := attempt.target
+	switch result {
 	case ResultOK:
 		target.circuit.recordSuccess()
 		target.health.addResult(now, false)
 	case ResultFailed, ResultUnreachable:
-		target.circuit.recordFailure(now, ended.Result == ResultUnreachable, c.random)
+		target.circuit.recordFailure(now, result == ResultUnreachable, c.random)
 		target.health.addResult(now, true)
 	case ResultRefused:
 		// The refusal came before anything ran: the table may lag behind the back end.
@@ -341,9 +352,6 @@
 	case ResultAbandoned:
 		target.circuit.releaseProbe()
 	}
-	if !attempt.model.IsZero() {
-		c.emit(CapacityChanged{Model: attempt.model})
-	}
 }
 
 // emitProbeableCircuits emits CapacityChanged for the models of targets whose open circuit may now
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -59,6 +59,7 @@
 	restarted := engine.Incarnation != t.engine.Incarnation
 	if restarted {
 		t.circuit, t.health, t.prefixes, t.admissionState = circuit{}, health{}, prefixHistory{}, admission.Server{}
+		t.refusedUntil = nil
 	}
 	changed := !t.hasSameReadyModels(engine)
 	if changed {
