node: exchange the crashes of requests that are not barred yet

A request that ended three servers could stay unbarred at all nodes, and go on to end servers, where calls between nodes were lost.

Cause: nodes exchanged only what is barred, to repair reports that were lost in the first broadcast. Ruled out: a report lost without a lost call (the test on a virtual clock is whole).

The exchange carries the reports of requests that are not barred as well, after those that are, within the same bound.

--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// exchangeInterval is the time between two exchanges of barred requests with a random
-	// member. The exchange repairs broadcasts that were lost.
+	// exchangeInterval is the time between two exchanges of reports with a random member. The
+	// exchange repairs broadcasts that were lost.
 	exchangeInterval = 2 * time.Second
 	// startupExchangePeriod is how long after its start a node takes part in exchanges even
 	// if it knows of no suspects.
@@ -208,12 +208,15 @@
 
 // Barred returns the number of requests that are barred now.
 func (s *Suspects) Barred() int {
-	return len(s.barredReports())
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.tracker.Barred(time.Now()))
 }
 
-// barredReports returns reports of the requests barred here, from which another node bars
-// them too.
-func (s *Suspects) barredReports() []poison.Report {
+// exchangedReports returns reports from which another node bars what is barred here, followed by those of
+// requests that are not barred: no node may know enough of their crashes. It returns at most
+// maxExchangedReports; of the latter a random part.
+func (s *Suspects) exchangedReports() []poison.Report {
 	if !s.hasReports.Load() {
 		return nil
 	}
@@ -226,7 +229,12 @@
 	for _, fingerprint := range s.tracker.Barred(now) {
 		reports = append(reports, s.tracker.LastReport(now, fingerprint))
 	}
-	return reports
+	unbarred := s.tracker.Unbarred(now)
+	rand.Shuffle(len(unbarred), func(i, j int) { unbarred[i], unbarred[j] = unbarred[j], unbarred[i] })
+	for _, fingerprint := range unbarred {
+		reports = append(reports, s.tracker.Reports(now, fingerprint)...)
+	}
+	return reports[:min(maxExchangedReports, len(reports))]
 }
 
 // peers returns the usable members that this node knows.
@@ -234,8 +242,7 @@
 	return usablePeers(s.dependencies.Self, s.dependencies.Views)
 }
 
-// broadcast sends reports to all peers. A lost report matters only if the request is barred,
-// and the exchange then repairs it.
+// broadcast sends reports to all peers. The exchange repairs reports that are lost.
 func (s *Suspects) broadcast(reports []poison.Report) {
 	s.send(s.peers(), reports, false)
 }
@@ -280,8 +287,7 @@
 		case <-ticker.C:
 		}
 		if peers := s.peers(); len(peers) > 0 && (s.hasReports.Load() || time.Since(started) < startupExchangePeriod) {
-			reports := s.barredReports()
-			s.sendTo(peers[rand.IntN(len(peers))], reports[:min(maxExchangedReports, len(reports))], true)
+			s.sendTo(peers[rand.IntN(len(peers))], s.exchangedReports(), true)
 		}
 	}
 }
--- a/internal/node/suspects_server.go
+++ b/internal/node/suspects_server.go
@@ -30,9 +30,8 @@
 		suspects.send(zonePeers, newReports, true)
 	}
 	suspects.broadcast(suspects.recordReports(self.Name, suspects.acquittalsFor(reports)))
-	barred := suspects.barredReports()
 	return &peerpb.SuspectReports{From: string(self.Name), Zone: string(self.Zone),
-		Reports: peer.EncodeCrashReports(barred[:min(maxExchangedReports, len(barred))])}, nil
+		Reports: peer.EncodeCrashReports(suspects.exchangedReports())}, nil
 }
 
 // Try implements peerpb.Suspects.
--- a/internal/node/suspects_test.go
+++ b/internal/node/suspects_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/phuslu/log"
@@ -15,6 +19,7 @@
 	"github.com/spanlanding/spanlanding/internal/membership"
 	"github.com/spanlanding/spanlanding/internal/peer"
 	"github.com/spanlanding/spanlanding/internal/poison"
+	"github.com/spanlanding/spanlanding/internal/standin/memnet"
 	"github.com/spanlanding/spanlanding/internal/views"
 )
 
@@ -34,11 +39,21 @@
 type suspectsFleet struct {
 	t     *testing.T
 	nodes map[string]*suspectsNode
+	// network replaces the real one on a virtual clock.
+	network *memnet.Network
+	// isLost reports whether a call to a node gets no answer; nil answers all.
+	isLost func(name string) bool
 }
 
 func startSuspectsFleet(t *testing.T, names ...string) *suspectsFleet {
 	t.Helper()
-	f := &suspectsFleet{t: t, nodes: make(map[string]*suspectsNode)}
+	return startSuspectsFleetOn(t, nil, names...)
+}
+
+// startSuspectsFleetOn starts the fleet on a network within the process, for a synctest bubble.
+func startSuspectsFleetOn(t *testing.T, network *memnet.Network, names ...string) *suspectsFleet {
+	t.Helper()
+	f := &suspectsFleet{t: t, nodes: make(map[string]*suspectsNode), network: network}
 	for _, name := range names {
 		f.start(name)
 	}
@@ -49,12 +64,26 @@
 func (f *suspectsFleet) start(name string) {
 	zone, _, _ := strings.Cut(name, "-")
 	server := httptest.NewUnstartedServer(nil)
+	pool := peer.NewPool()
+	if f.network != nil {
+		_ = server.Listener.Close()
+		server.Listener = f.network.Listen()
+		pool = peer.NewPoolWithDial(f.network.DialContext)
+	}
 	member := fleet.Member{Name: fleet.NodeName(name), Zone: fleet.Zone(zone), State: fleet.MemberAlive,
 		Addresses: fleet.Addresses{Peer: server.Listener.Addr().String()}}
 	node := &suspectsNode{member: member, views: &views.Views{}, server: server}
-	node.Suspects = StartSuspects(SuspectsDependencies{Self: member, Views: node.views, Peers: peer.NewPool(),
+	node.Suspects = StartSuspects(SuspectsDependencies{Self: member, Views: node.views, Peers: pool,
 		Logger: &log.Logger{Level: log.PanicLevel}})
-	server.Config.Handler = peer.NewHandler(peer.Handlers{Suspects: node.Server()})
+	handler := peer.NewHandler(peer.Handlers{Suspects: node.Server()})
+	server.Config.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if f.isLost != nil && f.isLost(name) {
+			time.Sleep(2 * suspectCallTimeout)
+			http.Error(writer, "lost", http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(writer, request)
+	})
 	server.Start()
 	f.t.Cleanup(func() {
 		server.Close()
@@ -109,7 +138,11 @@
 }
 
 func TestThreeServersAtThreeNodesBarARequestEverywhere(t *testing.T) {
-	f := startSuspectsFleet(t, "a-0", "a-1", "b-0", "b-1", "b-2", "b-3", "c-0", "c-1")
+	synctest.Test(t, playThreeCrashes)
+}
+
+func playThreeCrashes(t *testing.T) {
+	f := startSuspectsFleetOn(t, new(memnet.Network), "a-0", "a-1", "b-0", "b-1", "b-2", "b-3", "c-0", "c-1")
 	f.reportCrashes(fingerprintOf("p"), "a-1", "b-3")
 	f.await(fingerprintOf("p"), poison.StatusSuspect)
 	f.reportCrashes(fingerprintOf("q"), "b-1")
@@ -120,6 +153,30 @@
 	f.await(fingerprintOf("q"), poison.StatusClear)
 }
 
+// Guards against a request that ends servers and is never barred, since calls were lost and no node has learned
+// of all the crashes.
+func TestLostReportsAreRepairedBeforeARequestIsBarred(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startSuspectsFleetOn(t, new(memnet.Network), "a-0", "a-1", "b-0", "b-1", "b-2", "c-0", "c-1")
+				var lossEnded atomic.Bool
+				random := rand.New(rand.NewPCG(seed, 0))
+				var mutex sync.Mutex
+				f.isLost = func(string) bool {
+					mutex.Lock()
+					defer mutex.Unlock()
+					return !lossEnded.Load() && random.Float64() < 0.8
+				}
+				f.reportCrashes(fingerprintOf("p"), "a-0", "b-1", "c-1")
+				time.Sleep(suspectCallTimeout)
+				lossEnded.Store(true)
+				f.await(fingerprintOf("p"), poison.StatusBarred)
+			})
+		})
+	}
+}
+
 // TestNodeThatStartsHearsWhatIsBarred checks that a node that starts learns of barred
 // requests from the first peer at once, not only at the next exchange.
 func TestNodeThatStartsHearsWhatIsBarred(t *testing.T) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -60,10 +61,15 @@
 	clients map[string]Clients
 }
 
-// NewPool returns an empty pool.
+// NewPool returns an empty pool on the real network.
 func NewPool() *Pool {
+	return NewPoolWithDial((&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+// NewPoolWithDial returns an empty pool that opens connections with dial.
+func NewPoolWithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Pool {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnectionLimit,
 		IdleConnTimeout:     idleTimeout,
 	}
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -428,12 +428,22 @@
 
 // Barred are the requests that are barred now, sorted.
 func (t *Tracker) Barred(now time.Time) []Fingerprint {
-	var barred []Fingerprint
+	return t.fingerprints(func(entry *suspect) bool { return now.Before(entry.barredUntil) })
+}
+
+// Unbarred are the requests with crashes that are not barred now, sorted.
+func (t *Tracker) Unbarred(now time.Time) []Fingerprint {
+	return t.fingerprints(func(entry *suspect) bool { return len(entry.crashes) > 0 && !now.Before(entry.barredUntil) })
+}
+
+// fingerprints returns the requests whose entry matches, sorted.
+func (t *Tracker) fingerprints(matches func(*suspect) bool) []Fingerprint {
+	var found []Fingerprint
 	for fingerprint, entry := range t.suspects {
-		if now.Before(entry.barredUntil) {
-			barred = append(barred, fingerprint)
+		if matches(entry) {
+			found = append(found, fingerprint)
 		}
 	}
-	slices.SortFunc(barred, func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
-	return barred
+	slices.SortFunc(found, func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
+	return found
 }
