gateway: a start of a node is granted no retries

A run begins with none and earns them by its requests. TestRestartsGrantNoRetries failed before.

The gateway's test harness has its dispatchers count requests first, for the tests that retry the first one.

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -294,6 +294,27 @@
 	t.Logf("amplification %.3f", float64(attempts)/requests)
 }
 
+// Guards against retries that each run of a node is granted anew: a node that restarts again and again keeps
+// the bound of one that does not.
+func TestRestartsGrantNoRetries(t *testing.T) {
+	const requests, requestsPerRun = 10_000, 50
+	retries := 0
+	for range requests / requestsPerRun {
+		budget := NewBudget(DefaultRetryShare, DefaultRetryBurst)
+		for range requestsPerRun {
+			budget.Earn()
+			for range DefaultMaxAttempts {
+				if budget.Spend() {
+					retries++
+				}
+			}
+		}
+	}
+	if most := requests/10 + DefaultRetryBurst; retries > most || retries < requests/20 {
+		t.Errorf("%d retries of %d requests, want at most %d", retries, requests, most)
+	}
+}
+
 func BenchmarkToken(b *testing.B) {
 	b.ReportAllocs()
 	options := streamOptions()
--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -14,10 +14,10 @@
 	DefaultRetryBurst = 20
 )
 
-// NewBudget returns a full budget: each request earns a share of a retry, and at most burst retries are
-// saved.
+// NewBudget returns an empty budget, since what an earlier run of the process sent is not known: each request
+// earns a share of a retry, and at most burst retries are saved.
 func NewBudget(share, burst float64) *Budget {
-	return &Budget{share: share, burst: burst, tokens: burst}
+	return &Budget{share: share, burst: burst}
 }
 
 // Earn counts the first attempt of a request.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -120,6 +121,8 @@
 		change(&options)
 	}
 	h.gateway = New(options)
+	h.earnRetries(h.gateway.models)
+	h.earnRetries(h.gateway.services)
 	h.server = h.listen(h.gateway)
 	h.client = h.server.Client()
 	if network != nil {
@@ -132,6 +135,19 @@
 	return h
 }
 
+// earnedRequests is the number of requests that a gateway has served before a test, for which it may retry
+// others.
+const earnedRequests = 1000
+
+// earnRetries has a dispatcher count requests for a service that does not exist.
+func (h *harness) earnRetries(dispatcher *dispatcher) {
+	for index := range earnedRequests {
+		reply := make(chan dispatchReply, 1)
+		dispatcher.send(submitCall{ticket: math.MaxUint64 - uint64(index), route: catalog.ServiceRoute{Service: "none"}, reply: reply})
+		<-reply
+	}
+}
+
 // listen starts a server on the harness's network.
 func (h *harness) listen(handler http.Handler) *httptest.Server {
 	server := httptest.NewUnstartedServer(handler)
