--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -35,6 +35,9 @@
 	tenant *routetable.Tenant
 	// chargedCost is the cost charged to the tenant's quota.
 	chargedCost float64
+	// quotaDecidedBy says who granted the request within its quota, at which cost.
+	quotaDecidedBy string
+	quotaCost      float64
 	// needsModel is set where the servers of the service run models.
 	needsModel bool
 	head       Head
@@ -325,7 +328,7 @@
 	if x.route != nil {
 		entry.Str("route", x.route.Name).Str("service", x.service)
 		if x.tenant != nil {
-			entry.Str("tenant", x.tenant.Name)
+			entry.Str("tenant", x.tenant.Name).Str("quota_by", x.quotaDecidedBy).Float64("quota_cost", x.quotaCost)
 		}
 		if x.route.LatencyGoal > 0 {
 			entry.Int64("goal_ms", x.route.LatencyGoal.Milliseconds())
--- a/internal/relay/tenant.go
+++ b/internal/relay/tenant.go
@@ -81,7 +81,7 @@
 	cost := x.tenant.Quota.Cost(x.head.PromptTokens+x.head.OutputTokens, x.head.HasTokenCounts)
 	decision := quotas.Admit(x.ctx, x.tenant, cost, x.route.Priority)
 	if decision.Granted {
-		x.chargedCost = cost
+		x.chargedCost, x.quotaDecidedBy, x.quotaCost = cost, decision.DecidedBy, cost
 		return true
 	}
 	if x.callerGone() {
