quotas: log who decides and who takes itself for the coordinator

The address that a refusal named was the one asked, which may have sent the question on, so several coordinators at once could not be told from one. Answers name the node that decided, and a node logs when it begins or ceases to coordinate by its own view.

--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -54,7 +55,9 @@
 	// publishedClosed lists the tenants near their quota in the last advisory, and publishedAt
 	// is when that was sent.
 	publishedClosed string
-	publishedAt     time.Time
+	// loggedCoordinator is the coordinator as last logged, "" for this node. Only the node's ticks use it.
+	loggedCoordinator string
+	publishedAt       time.Time
 	// Counters for metrics.
 	granted, refused, uncoordinated, unanswered atomic.Int64
 }
@@ -150,7 +153,7 @@
 // decodeDecision converts a coordinator's response, and records a grant.
 func (q *quotas) decodeDecision(tenant *routetable.Tenant, cost float64, nodes int, coordinator string, answer *peerpb.QuotaCall) relay.QuotaDecision {
 	decision := relay.QuotaDecision{
-		Granted: answer.Kind == peerpb.QuotaCall_GRANTED, DecidedBy: coordinator, Remaining: float64(answer.Left),
+		Granted: answer.Kind == peerpb.QuotaCall_GRANTED, DecidedBy: cmp.Or(answer.Asker, coordinator), Remaining: float64(answer.Left),
 		RetryAfter: time.Duration(answer.RetryMs) * time.Millisecond,
 	}
 	if !decision.Granted {
--- a/internal/edge/quotas_coordinator.go
+++ b/internal/edge/quotas_coordinator.go
@@ -39,7 +39,7 @@
 	if call.Server != "" {
 		return q.node.admissions.decide(now, call)
 	}
-	answer := &peerpb.QuotaCall{Kind: peerpb.QuotaCall_UNKNOWN, Id: call.Id, Tenant: call.Tenant}
+	answer := &peerpb.QuotaCall{Kind: peerpb.QuotaCall_UNKNOWN, Id: call.Id, Tenant: call.Tenant, Asker: q.node.options.PeerAddress}
 	tenant, ok := q.tenant(call.Tenant)
 	if !ok || !q.mayCoordinate(now) || q.preferredCoordinator(now) != "" {
 		return answer
@@ -122,7 +122,9 @@
 
 // observe is called in each period, so that a coordinator notices when it was suspended.
 func (q *quotas) observe(now time.Time) {
-	isCoordinator := q.preferredCoordinator(now) == ""
+	preferred := q.preferredCoordinator(now)
+	isCoordinator := preferred == ""
+	q.logCoordinator(now, preferred)
 	q.mu.Lock()
 	q.coordinator.Observe(now)
 	q.openAccounts(now, isCoordinator)
@@ -130,6 +132,20 @@
 	q.publishAdvisory(now)
 }
 
+// logCoordinator logs changes of the node that coordinates quotas by this node's view, where it is or was this
+// node itself.
+func (q *quotas) logCoordinator(now time.Time, preferred string) {
+	if !q.node.hasQuotas() || preferred == q.loggedCoordinator {
+		return
+	}
+	if preferred == "" || q.loggedCoordinator == "" {
+		nodes, reach := q.fleetSize(now)
+		q.node.options.Logger.Info().Bool("self", preferred == "").Str("coordinator", preferred).
+			Int("nodes", nodes).Float64("reach", reach).Bool("stopping", q.node.stopping.Load()).Msg("quota_coordinator")
+	}
+	q.loggedCoordinator = preferred
+}
+
 // openAccounts opens the accounts of all tenants, so that they are full when requests arrive.
 // q.mu must be held.
 func (q *quotas) openAccounts(now time.Time, isCoordinator bool) {
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -180,3 +180,12 @@
 		t.Error("a retry that was given back is not available once")
 	}
 }
+
+func BenchmarkRequestWithRetry(b *testing.B) {
+	budget := newSingle()
+	b.ReportAllocs()
+	for b.Loop() {
+		budget.CountRequest("a")
+		budget.Take(time.Minute, "a")
+	}
+}
