relay: a stopping node refuses what comes on kept connections at its end

Cause: new connections are refused from 2.6 s after the signal on, so the request came on one that had been busy since before the signal: its response had begun without "Connection: close", and the caller sent the next request within the 25 ms between two checks for idle connections.

Half a second after the node closes to new connections it refuses every further request at once as not run, with a short Retry-After. TestRequestAfterTheNodeClosedIsRefused failed to build before (no Close).

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -382,6 +382,8 @@
 	n.options.Logger.Info().Int64("active", n.handler.Active()).Msg("node_draining")
 	time.Sleep(entryDrainDelay)
 	_ = frontend.Close()
+	// Connections that were accepted until now may still bring their first request.
+	time.AfterFunc(newConnGrace, n.handler.Close)
 	// http.Server.Shutdown would close connections whose request it has read but not yet
 	// counted.
 	busy := n.callerConns.closeAllIdle()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -92,6 +92,10 @@
 
 // serve handles the request to its end.
 func (x *exchange) serve() {
+	if x.handler.isClosed.Load() {
+		x.refuse(reasonNodeStopping, nodeStoppingRetryDelay)
+		return
+	}
 	x.handler.awaitReady(x.request.Context())
 	x.table = x.handler.table.Load()
 	if x.table == nil || !x.handler.isReady() {
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -26,6 +26,9 @@
 // configurationRetryDelay is the Retry-After of a node that has no configuration yet.
 const configurationRetryDelay = time.Second
 
+// nodeStoppingRetryDelay is the Retry-After of a node that ends: other nodes serve at once.
+const nodeStoppingRetryDelay = 100 * time.Millisecond
+
 // refuse responds to a request that did not run and will not. Once the response has begun a refusal is
 // no longer possible, and it is truncated instead.
 func (x *exchange) refuse(reason string, delay time.Duration) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -118,9 +118,11 @@
 	draining atomic.Bool
 	// refuseWaitingAt is when a stopping node refuses the requests that still wait; nil if not stopping.
 	refuseWaitingAt atomic.Pointer[time.Time]
-	started         time.Time
-	active          atomic.Int64
-	waiting         atomic.Int64
+	// isClosed is set once a stopping node refuses all further requests.
+	isClosed atomic.Bool
+	started  time.Time
+	active   atomic.Int64
+	waiting  atomic.Int64
 	// Metrics counts events on the way to responses.
 	Metrics Metrics
 	// OnFinished is called with each final response, by the kind of its route; nil disables it.
@@ -177,6 +179,10 @@
 	h.draining.Store(true)
 }
 
+// Close refuses all further requests: one that arrives on a connection which was busy until now would be cut
+// when the node ends.
+func (h *Handler) Close() { h.isClosed.Store(true) }
+
 // Active is the number of requests in flight.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -173,6 +173,20 @@
 	}
 }
 
+// Guards against requests that a stopping node takes on a kept connection long after it closed to new ones, and
+// cuts when it ends.
+func TestRequestAfterTheNodeClosedIsRefused(t *testing.T) {
+	server := newFakeServer(t, respondWith(http.StatusOK, "ok"))
+	f := newFixture(t, server)
+	f.send(t, http.MethodPost, "/once/", "")
+	f.handler.SetDraining(time.Now().Add(time.Minute))
+	f.handler.Close()
+	got := f.send(t, http.MethodPost, "/once/", "")
+	if got.status != http.StatusServiceUnavailable || server.count() != 1 {
+		t.Errorf("status %d after %d sends, want 503 and the one before", got.status, server.count())
+	}
+}
+
 func TestRepeatsEndWithTheBudget(t *testing.T) {
 	server := newFakeServer(t, func(net.Conn, *http.Request) bool { return false })
 	other := newFakeServer(t, func(net.Conn, *http.Request) bool { return false })
