quotas: a new coordinator does not vouch for tenants without an account

For up to a period after each change of the coordinator, requests of a tenant far beyond its quota could pass unasked at all nodes.

Cause: a coordinator that has just taken over drops its accounts and opens them all again in its next period; a request before that opened one account, and the advisory that follows names those near their quota among the accounts there are. All other tenants counted as far below theirs for half a second.

Tenants without an account are announced as near their quota. TestNewCoordinatorVouchesForNoTenantWithoutAccount failed before. The drawn schedules of quota announce an unknown tenant so, too.

--- a/internal/edge/quotas_coordinator.go
+++ b/internal/edge/quotas_coordinator.go
@@ -84,7 +84,7 @@
 	}
 	period := max(advisoryPeriod, q.node.nodeFactor()*advisoryPeriodPerNode)
 	q.mu.Lock()
-	closed := q.coordinator.NearQuota()
+	closed := q.coordinator.NearQuota(q.limitedTenants())
 	slices.Sort(closed)
 	joined := strings.Join(closed, ",")
 	due := joined != q.publishedClosed || now.Sub(q.publishedAt) >= period-gossipPeriod/4
@@ -98,6 +98,21 @@
 	}
 }
 
+// limitedTenants returns the names of the tenants that have a quota.
+func (q *quotas) limitedTenants() []string {
+	table := q.node.handler.Table()
+	if table == nil {
+		return nil
+	}
+	var names []string
+	for _, tenant := range table.Tenants() {
+		if tenant.Quota.IsLimited() {
+			names = append(names, tenant.Name)
+		}
+	}
+	return names
+}
+
 func (q *quotas) tenant(name string) (*routetable.Tenant, bool) {
 	table := q.node.handler.Table()
 	if table == nil {
--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/gossip"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/quota"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
@@ -133,3 +134,20 @@
 		t.Errorf("%+v for a request that is within the quota in 0.2 s", got)
 	}
 }
+
+// Guards against a coordinator that has just taken over and announces, as soon as one tenant's request comes,
+// that all others are far below their quota: it has no account of them.
+func TestNewCoordinatorVouchesForNoTenantWithoutAccount(t *testing.T) {
+	node := newQuotaNode(t, 900)
+	table := limitedTable(10_000)
+	south := table.Tenants()[0]
+	south.Name, south.Keys = "south", []routetable.KeyHash{routetable.HashKey("s")}
+	table.SetTenants([]routetable.Tenant{table.Tenants()[0], south})
+	node.handler.SetTable(table)
+	node.quotas.handleCall(&peerpb.QuotaCall{Kind: peerpb.QuotaCall_USED, Asker: "126.0.0.1:1", Tenant: "north", Cost: 1})
+	for _, name := range []string{"north", "south"} {
+		if node.quotas.advisories.IsFarBelowQuota(clock.Now(), name) {
+			t.Errorf("tenant %s is announced as far below its quota", name)
+		}
+	}
+}
--- a/internal/quota/advisory.go
+++ b/internal/quota/advisory.go
@@ -53,15 +53,16 @@
 	return isAnyFresh
 }
 
-// NearQuota returns the tenants near their quota, among those with an account.
-func (c *Coordinator) NearQuota() []string {
-	var tenants []string
-	for tenant, account := range c.accounts {
-		if account.isNearQuota {
-			tenants = append(tenants, tenant)
+// NearQuota returns those of the tenants that are near their quota. Those without an account are among them,
+// since nothing is known of what they used.
+func (c *Coordinator) NearQuota(tenants []string) []string {
+	var near []string
+	for _, tenant := range tenants {
+		if account, ok := c.accounts[tenant]; !ok || account.isNearQuota {
+			near = append(near, tenant)
 		}
 	}
-	return tenants
+	return near
 }
 
 // IsNearQuota reports whether the tenant is near its quota.
--- a/internal/quota/schedule_test.go
+++ b/internal/quota/schedule_test.go
@@ -243,7 +243,7 @@
 func (f *simFleet) sendAdvisory(coordinator int) {
 	for other := range f.nodes {
 		if other == coordinator || f.reaches(coordinator, other) {
-			f.nodes[other].advisories.Observe(f.now, fmt.Sprint(coordinator), f.nodes[coordinator].coordinator.NearQuota())
+			f.nodes[other].advisories.Observe(f.now, fmt.Sprint(coordinator), f.nodes[coordinator].coordinator.NearQuota([]string{"t"}))
 		}
 	}
 }
