quotas: only a node that is next takes itself for the coordinator

A node looks for one of the three strongest that it has heard from within 0.7 s, and took itself for next if there was none, also where it is not among the three. Those three hear from all nodes in each period, all others from each now and then; what such a node hears by chance, 0.25 to 0.4 of the fleet, was enough to grant.

A node coordinates only if it is among those that may, by its own list. TestNodeThatIsNotNextDoesNotCoordinate failed before.

--- a/internal/edge/admissions.go
+++ b/internal/edge/admissions.go
@@ -235,7 +235,7 @@
 // limits known to the caller and to this node applies.
 func (c *admissions) decide(now time.Time, call *peerpb.QuotaCall) *peerpb.QuotaCall {
 	answer := &peerpb.QuotaCall{Kind: peerpb.QuotaCall_UNKNOWN, Id: call.Id, Server: call.Server}
-	if !c.mayCoordinate(now) || c.node.quotas.preferredCoordinator(now) != "" {
+	if !c.mayCoordinate(now) || !c.node.quotas.isCoordinator(now) {
 		return answer
 	}
 	_, reach := c.node.quotas.fleetSize(now)
@@ -359,7 +359,7 @@
 // sweep drops obsolete state: the accounts of removed servers and, if another node coordinates,
 // what this one granted before.
 func (c *admissions) sweep(now time.Time) {
-	isCoordinator := c.node.quotas.preferredCoordinator(now) == ""
+	isCoordinator := c.node.quotas.isCoordinator(now)
 	c.node.dispatch.Do(func(core *dispatch.Core) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -55,9 +55,9 @@
 	// publishedClosed lists the tenants near their quota in the last advisory, and publishedAt
 	// is when that was sent.
 	publishedClosed string
-	// loggedCoordinator is the coordinator as last logged, "" for this node. Only the node's ticks use it.
-	loggedCoordinator string
-	publishedAt       time.Time
+	// loggedAsCoordinator is whether this node coordinated by the last log line. Only its ticks use it.
+	loggedAsCoordinator bool
+	publishedAt         time.Time
 	// Counters for metrics.
 	granted, refused, uncoordinated, unanswered atomic.Int64
 }
--- a/internal/edge/quotas_coordinator.go
+++ b/internal/edge/quotas_coordinator.go
@@ -16,7 +16,7 @@
 	now := clock.Now()
 	switch call.Kind {
 	case peerpb.QuotaCall_ASK, peerpb.QuotaCall_USED:
-		if preferred := q.preferredCoordinator(now); preferred != "" && !call.Forwarded {
+		if preferred, _ := q.preferredCoordinator(now); preferred != "" && !call.Forwarded {
 			call.Forwarded = true
 			q.node.peers.sendQuota(preferred, call)
 			return
@@ -41,7 +41,7 @@
 	}
 	answer := &peerpb.QuotaCall{Kind: peerpb.QuotaCall_UNKNOWN, Id: call.Id, Tenant: call.Tenant, Asker: q.node.options.PeerAddress}
 	tenant, ok := q.tenant(call.Tenant)
-	if !ok || !q.mayCoordinate(now) || q.preferredCoordinator(now) != "" {
+	if !ok || !q.mayCoordinate(now) || !q.isCoordinator(now) {
 		return answer
 	}
 	_, reach := q.fleetSize(now)
@@ -76,7 +76,7 @@
 // publishAdvisory announces to all nodes which tenants are near their quota: in each period, and
 // immediately when the set changes.
 func (q *quotas) publishAdvisory(now time.Time) {
-	if !q.node.hasQuotas() || !q.mayCoordinate(now) || q.preferredCoordinator(now) != "" {
+	if !q.node.hasQuotas() || !q.mayCoordinate(now) || !q.isCoordinator(now) {
 		return
 	}
 	if _, reach := q.fleetSize(now); reach < quota.MinReach {
@@ -122,24 +122,30 @@
 }
 
 // preferredCoordinator returns the node that precedes this one as coordinator and was heard from
-// recently, or "" if this node is the coordinator.
-func (q *quotas) preferredCoordinator(now time.Time) string {
+// recently, or "" if there is none. isSelf is true if this node is next: only those that may
+// coordinate are, since the others hear from coordinators too rarely to tell that they are silent.
+func (q *quotas) preferredCoordinator(now time.Time) (address string, isSelf bool) {
 	for _, coordinator := range q.node.peers.coordinators(now) {
 		if coordinator.Address == q.node.options.PeerAddress {
-			return ""
+			return "", true
 		}
 		if now.Sub(coordinator.LastSeen) < coordinatorSilence {
-			return coordinator.Address
+			return coordinator.Address, false
 		}
 	}
-	return ""
+	return "", false
+}
+
+// isCoordinator reports whether this node is the coordinator.
+func (q *quotas) isCoordinator(now time.Time) bool {
+	_, isSelf := q.preferredCoordinator(now)
+	return isSelf
 }
 
 // observe is called in each period, so that a coordinator notices when it was suspended.
 func (q *quotas) observe(now time.Time) {
-	preferred := q.preferredCoordinator(now)
-	isCoordinator := preferred == ""
-	q.logCoordinator(now, preferred)
+	isCoordinator := q.isCoordinator(now)
+	q.logCoordinator(now, isCoordinator)
 	q.mu.Lock()
 	q.coordinator.Observe(now)
 	q.openAccounts(now, isCoordinator)
@@ -147,18 +153,15 @@
 	q.publishAdvisory(now)
 }
 
-// logCoordinator logs changes of the node that coordinates quotas by this node's view, where it is or was this
-// node itself.
-func (q *quotas) logCoordinator(now time.Time, preferred string) {
-	if !q.node.hasQuotas() || preferred == q.loggedCoordinator {
+// logCoordinator logs that this node begins or ceases to coordinate quotas.
+func (q *quotas) logCoordinator(now time.Time, isCoordinator bool) {
+	if !q.node.hasQuotas() || isCoordinator == q.loggedAsCoordinator {
 		return
 	}
-	if preferred == "" || q.loggedCoordinator == "" {
-		nodes, reach := q.fleetSize(now)
-		q.node.options.Logger.Info().Bool("self", preferred == "").Str("coordinator", preferred).
-			Int("nodes", nodes).Float64("reach", reach).Bool("stopping", q.node.stopping.Load()).Msg("quota_coordinator")
-	}
-	q.loggedCoordinator = preferred
+	q.loggedAsCoordinator = isCoordinator
+	nodes, reach := q.fleetSize(now)
+	q.node.options.Logger.Info().Bool("self", isCoordinator).
+		Int("nodes", nodes).Float64("reach", reach).Bool("stopping", q.node.stopping.Load()).Msg("quota_coordinator")
 }
 
 // openAccounts opens the accounts of all tenants, so that they are full when requests arrive.
@@ -184,7 +187,7 @@
 // sweep drops obsolete state: the accounts of removed tenants and, if another node coordinates,
 // what this one granted before.
 func (q *quotas) sweep(now time.Time) {
-	isCoordinator := q.preferredCoordinator(now) == ""
+	isCoordinator := q.isCoordinator(now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	keep := func(name string) bool { _, ok := q.tenant(name); return ok }
--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -151,3 +151,17 @@
 		}
 	}
 }
+
+// Guards against several coordinators at once: a node that hears none of those that precede it, as it hears each
+// only now and then, is none unless it is next.
+func TestNodeThatIsNotNextDoesNotCoordinate(t *testing.T) {
+	node := newQuotaNode(t, 100)
+	for index, peer := range []string{"126.0.0.1:1", "126.0.0.2:1", "126.0.0.3:1"} {
+		node.peers.handleState(&peerpb.NodeState{Node: peer, Address: peer, Life: 1, Sequence: 1, Strength: uint32(900 - index)})
+	}
+	suspend(t, coordinatorSilence)
+	answer := node.quotas.decide(clock.Now(), &peerpb.QuotaCall{Kind: peerpb.QuotaCall_ASK, Tenant: "north", Cost: 1})
+	if answer.Kind != peerpb.QuotaCall_UNKNOWN {
+		t.Errorf("%v by a node that three others precede", answer.Kind)
+	}
+}
