--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -87,6 +87,8 @@
 	// arrivals holds the requests that arrived since the server first announced draining or a
 	// back-off.
 	arrivals []arrival
+	// receipts are the arrivals of all requests.
+	receipts []receipt
 }
 
 // arrival is a request that reached a server, with what the server's response announced.
@@ -257,6 +259,7 @@
 	writer.Header().Set("Request-Id", id)
 	model, adapter, _ := strings.Cut(request.Header.Get("Model"), "/")
 	m.mu.Lock()
+	m.receipts = append(m.receipts, receipt{id: id, at: time.Now()})
 	if m.isDraining || m.retryAfter > 0 || len(m.arrivals) > 0 {
 		m.arrivals = append(m.arrivals, arrival{id: id, at: time.Now(), startID: m.startID, isDraining: m.isDraining, retryAfter: m.retryAfter})
 	}
--- a/test/platform/soak_judge_test.go
+++ b/test/platform/soak_judge_test.go
@@ -88,6 +88,7 @@
 	}
 	s.checkRecovery(faultsEndedAt)
 	s.checkServers()
+	s.checkRetryBudget()
 	s.checkHeaders()
 	s.checkKeys()
 	s.checkConfigurations()
@@ -269,10 +270,7 @@
 	outcomes := slices.Clone(s.outcomes)
 	slices.SortFunc(outcomes, func(a, b outcome) int { return a.sent.Compare(b.sent) })
 	for _, o := range outcomes {
-		service := "commands"
-		if o.route == "models" {
-			service = "models"
-		}
+		service := serviceOf(o)
 		current := periods[service]
 		switch {
 		case o.status == 200 || !s.isCalm(o.node, o.sent, o.done):
--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -152,6 +152,8 @@
 				s.servers[0].loads = append(s.servers[0].loads, at(time.Duration(i)*100*time.Millisecond))
 			}
 		}},
+		{"BUDGET", func(s *soak) { s.plantRetries("a", at(0), soakExtraRetries+1) }},
+		{"", func(s *soak) { s.plantRetries("a", at(0), soakExtraRetries) }},
 		{"CONFIG", func(s *soak) { s.version = 4 }},
 		{"CONFIG", func(s *soak) { s.configTimes[3] = at(-configApplyBound - time.Second) }},
 		{"CONFIG", func(s *soak) {
@@ -268,3 +270,10 @@
 	s.outcomes = append(s.outcomes, slices.Repeat(s.outcomes[1:2], 40)...)
 	s.outcomes = append(s.outcomes, slices.Repeat([]outcome{refused}, count)...)
 }
+
+// plantRetries has a request arrive once and then the given number of times within half a window.
+func (s *soak) plantRetries(id string, at time.Time, retries int) {
+	for i := range retries + 1 {
+		s.servers[0].receipts = append(s.servers[0].receipts, receipt{id: id, at: at.Add(time.Duration(i) * soakRetryWindow / time.Duration(2*retries))})
+	}
+}
