--- a/internal/edge/quotas_coordinator.go
+++ b/internal/edge/quotas_coordinator.go
@@ -122,18 +122,12 @@
 }
 
 // preferredCoordinator returns the node that precedes this one as coordinator and was heard from
-// recently, or "" if there is none. isSelf is true if this node is next: only those that may
-// coordinate are, since the others hear from coordinators too rarely to tell that they are silent.
+// recently, or "" if there is none. isSelf is true if this node is next.
 func (q *quotas) preferredCoordinator(now time.Time) (address string, isSelf bool) {
-	for _, coordinator := range q.node.peers.coordinators(now) {
-		if coordinator.Address == q.node.options.PeerAddress {
-			return "", true
-		}
-		if now.Sub(coordinator.LastSeen) < coordinatorSilence {
-			return coordinator.Address, false
-		}
-	}
-	return "", false
+	peers := q.node.peers
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	return peers.roster.NextCoordinator(now, q.node.stopping.Load(), coordinatorSilence)
 }
 
 // isCoordinator reports whether this node is the coordinator.
--- a/internal/gossip/coordinators.go
+++ b/internal/gossip/coordinators.go
@@ -28,6 +28,21 @@
 	return coordinators[:min(len(coordinators), coordinatorCount)]
 }
 
+// NextCoordinator returns the node that precedes this one as coordinator and was heard from within silence, or
+// "" if there is none. isSelf is true if this node is next: only those that may coordinate are, since the
+// others hear from coordinators too rarely to tell that they are silent.
+func (r *Roster) NextCoordinator(now time.Time, leaving bool, silence time.Duration) (address string, isSelf bool) {
+	for _, coordinator := range r.Coordinators(now, leaving) {
+		if coordinator.Address == r.self {
+			return "", true
+		}
+		if now.Sub(coordinator.LastSeen) < silence {
+			return coordinator.Address, false
+		}
+	}
+	return "", false
+}
+
 // CountNodes returns how many nodes may share a budget and how many of them were heard from within
 // freshTimeout, this one included. The second number is accurate only on a node that every other
 // node sends to in each period.
