edge: an outage of the store counts from the last call that succeeded

Cause, by the logs: servers' entries expire while the store is away, and for two seconds after an outage of a second or more a node does not take missing entries for servers that are gone. It measured the outage from its own first failed call: a node that made that 2 s late saw 0.8 s of 2.9 s, believed a list without entries and told all others.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -253,16 +253,19 @@
 		Str("from", from).Msg("config_in_force")
 }
 
-// minOutageForExpiry is how long the store must have been unavailable before entries of servers
+// minOutageForExpiry is how long the store may have been unavailable before entries of servers
 // may have expired because of it; servers renew their entries about as often.
 const minOutageForExpiry = time.Second
 
-// recordStoreSuccess records that the store is available.
+// recordStoreSuccess records that the store is available. An outage may have begun right after the
+// last call that succeeded: nodes that rarely call the store notice it late.
 func (n *Node) recordStoreSuccess() {
+	now := clock.Since(n.started)
+	succeededAt := time.Duration(n.storeSucceededAt.Swap(int64(now)))
 	if !n.storeFailing.Swap(false) {
 		return
 	}
-	outage := clock.Since(n.started) - time.Duration(n.failingSince.Load())
+	outage := now - min(succeededAt, time.Duration(n.failingSince.Load()))
 	if outage >= minOutageForExpiry {
 		n.expiryGrace.begin(clock.Now())
 	}
--- a/internal/edge/lapses_test.go
+++ b/internal/edge/lapses_test.go
@@ -93,3 +93,17 @@
 		t.Errorf("announced %v without querying the store", changes)
 	}
 }
+
+// Guards against servers taken for gone whose entries expired in an outage that this node noticed late.
+func TestOutageNoticedLateStartsTheGracePeriod(t *testing.T) {
+	node := newTestNode(t)
+	node.recordStoreSuccess()
+	suspend(t, 2*minOutageForExpiry)
+	node.recordStoreFailure("servers", errNoAnswer)
+	suspend(t, minOutageForExpiry/2)
+	node.recordStoreSuccess()
+	known := []inventory.Server{{ID: "i"}}
+	if kept := node.expiryGrace.addMissing(clock.Now(), nil, known); len(kept) != 1 {
+		t.Error("a server counts as gone after an outage of up to two and a half times what lets entries expire")
+	}
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -143,7 +143,9 @@
 	storeFailing     atomic.Bool
 	// failingSince is when storeFailing was last set, relative to the start.
 	failingSince atomic.Int64
-	hasServers   atomic.Bool
+	// storeSucceededAt is when a call to the store last succeeded, relative to the start.
+	storeSucceededAt atomic.Int64
+	hasServers       atomic.Bool
 	// reloadServers is set when the list of servers must be reloaded completely. A refresh
 	// signal alone is not enough: during the pause between two calls for changes it only ends
 	// the pause.
