test/platform: no port of a fleet is drawn twice

The metrics are served on the peers' port and one, which was neither checked nor kept from being drawn as another port of the same fleet. Another run of the tests at the same time, of which there was one, would do the same within the moment between check and use, and is not ruled out.

Ports are drawn anew until all differ, that of the metrics included.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -110,9 +110,7 @@
 	t.Helper()
 	s, address := newStore(t)
 	f := &fleet{t: t, store: s, dir: t.TempDir()}
-	for i := range f.ports {
-		f.ports[i] = freePort(t)
-	}
+	f.drawPorts()
 	t.Cleanup(f.cleanup)
 	for i := range options.count {
 		ip := "127.0.0." + strconv.Itoa(max(1, options.firstIP)+i)
@@ -180,6 +178,21 @@
 	portAttempts = 100
 )
 
+// drawPorts draws the fleet's ports, none of which is another one or that of the metrics.
+func (f *fleet) drawPorts() {
+	taken := make(map[int]bool)
+	for i := range f.ports {
+		port := freePort(f.t)
+		for taken[port] || i == 0 && !isPortFree(port+1) {
+			port = freePort(f.t)
+		}
+		f.ports[i], taken[port] = port, true
+		if i == 0 {
+			taken[port+1] = true
+		}
+	}
+}
+
 // freePort returns a port that is free for both TCP and UDP.
 func freePort(t *testing.T) int {
 	t.Helper()
@@ -209,3 +222,18 @@
 	defer packets.Close()
 	return true
 }
+
+// Guards against nodes that cannot start, since one of their ports is drawn twice.
+func TestPortsOfAFleetDiffer(t *testing.T) {
+	for range 200 {
+		f := &fleet{t: t}
+		f.drawPorts()
+		taken := map[int]bool{f.ports[0] + 1: true}
+		for _, port := range f.ports {
+			if taken[port] {
+				t.Fatalf("port %d is drawn twice: %v", port, f.ports)
+			}
+			taken[port] = true
+		}
+	}
+}
