edge: an outage that no call saw does not take servers for gone

Cause, by the logs: node-1 listed the servers at 30.408 s, left the calls to others, and listed them again at 31.573 s. Entries expire in an outage; the one in between it could not know of, since it counts an outage from failed calls. It took all eight servers for gone and told all nodes.

Change: a node that has left the store alone for as long as entries take to expire, and whose first list then lacks servers that it knows, keeps them for the grace period, as after an outage that it saw. A server that ended is not reached meanwhile, and one that drains has an entry that says so or was announced, which counts at once as before. Who watches all the time is not concerned: its pauses are no gaps.

Weighed: to count every gap between two successful calls as an outage (the pauses of watchers with long bounds would be grace periods without end).

TestOutageThatNoCallSawStartsTheGracePeriod fails before ("available: false").

--- a/internal/edge/lapses_test.go
+++ b/internal/edge/lapses_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,6 +96,54 @@
 	}
 }
 
+// lapsedStore lists the given servers.
+type lapsedStore struct {
+	sourceStore
+	servers []inventory.Server
+	lists   atomic.Int64
+}
+
+func (s *lapsedStore) Servers(context.Context) ([]inventory.Server, storepos.Position, error) {
+	s.lists.Add(1)
+	return s.servers, storepos.At(0, 9), nil
+}
+
+func (s *lapsedStore) WatchServers(ctx context.Context, from storepos.Position, _ time.Duration) ([]inventory.Change, storepos.Position, error) {
+	<-ctx.Done()
+	return nil, from, ctx.Err()
+}
+
+// TestOutageThatNoCallSawStartsTheGracePeriod guards against servers taken for gone, here and by the
+// peers that are told, whose entries expired in an outage during which this node made no call.
+func TestOutageThatNoCallSawStartsTheGracePeriod(t *testing.T) {
+	for name, c := range map[string]struct {
+		sinceLastCall time.Duration
+		isKept        bool
+	}{
+		"a call right before":                           {0, false},
+		"no call for as long as entries take to expire": {minOutageForExpiry, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			node := newFollower(t, 3)
+			store := &lapsedStore{}
+			node.options.Store, node.started = store, clock.Now()
+			node.serversConfirmed.confirm(clock.Now().Add(time.Minute))
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { node.followServers(ctx); close(done) }()
+			time.Sleep(2 * roleCheckPeriod)
+			suspend(t, c.sinceLastCall)
+			holdLease(node)
+			eventually(t, snapshotTimeout, "the servers are listed", func() bool { return store.lists.Load() > 0 && node.directory.position().Revision == 9 })
+			cancel()
+			<-done
+			if got := node.directory.table.IsAvailable("a"); got != c.isKept {
+				t.Errorf("available: %v, want %v", got, c.isKept)
+			}
+		})
+	}
+}
+
 // Guards against servers taken for gone whose entries expired in an outage that this node noticed late.
 func TestOutageNoticedLateStartsTheGracePeriod(t *testing.T) {
 	node := newTestNode(t)
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/clock"
@@ -30,8 +31,10 @@
 // followServers keeps the directory of servers up to date.
 func (n *Node) followServers(ctx context.Context) {
 	var pause backoff
+	isIdle, lastCalled := true, n.started
 	for ctx.Err() == nil {
 		if !n.shouldQueryStore(clock.Now(), &n.serversConfirmed) {
+			isIdle = true
 			clearSignal(n.serversRefresh)
 			n.reloadServers.Store(false)
 			sleep(ctx, roleCheckPeriod)
@@ -44,6 +47,11 @@
 			n.handleServersError(ctx, err, &pause)
 			continue
 		}
+		if isIdle && requestedAt.Sub(lastCalled) >= minOutageForExpiry && n.knowsMoreThan(servers) {
+			// An outage in which entries expired may have passed without a call of this node.
+			n.expiryGrace.begin(clock.Now())
+		}
+		isIdle = false
 		n.recordStoreSuccess()
 		if n.applyServerList(requestedAt, servers, at) {
 			n.serversConfirmed.confirm(requestedAt)
@@ -52,12 +60,23 @@
 			pause.reset()
 			at, err = n.watchServers(ctx, at)
 		}
+		lastCalled = clock.Now()
 		if err != nil {
 			n.handleServersError(ctx, err, &pause)
 		}
 	}
 }
 
+// knowsMoreThan reports whether the list lacks a server that is known to take work.
+func (n *Node) knowsMoreThan(listed []inventory.Server) bool {
+	isListed := make(map[string]bool, len(listed))
+	for _, server := range listed {
+		isListed[server.ID] = true
+	}
+	known, _, _ := n.directory.listAvailable()
+	return slices.ContainsFunc(known, func(server inventory.Server) bool { return !isListed[server.ID] })
+}
+
 func (n *Node) handleServersError(ctx context.Context, err error, pause *backoff) {
 	n.recordStoreFailure("servers", err)
 	if !errors.Is(err, context.Canceled) {
