inventory: an announced end does not outlive the rewriting of the store

Cause, by the logs: a peer had announced that the servers are gone, as their entries had expired in an outage; a receiver keeps that as "draining". Before their entries were announced again, the store went back to a copy that has them, so the servers had nothing to write again. Four nodes used them 6 s later, when the list was read anew; the two that had only heard the announcement held it against the copy for the 30 s that a draining server gets.

Change: an announcement says whether the entry is gone, and an end is kept for the 6 s of the rewriting, as at nodes that saw it themselves. Draining is kept for 30 s as before. A peer of an older build does not say so: what it announces counts as draining.

TestAnnouncedEndDoesNotOutliveTheRewrite fails before for the ended one.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -125,7 +125,7 @@
 	for _, change := range changes {
 		server := change.Server
 		if change.Gone {
-			server = inventory.Server{ID: server.ID, StartedAtMs: server.StartedAtMs, Draining: true, Position: at}
+			server = inventory.Server{ID: server.ID, StartedAtMs: server.StartedAtMs, Draining: true, Ended: true, Position: at}
 		}
 		if d.outgoing.Learn(now, gossip.ServerChange{Server: server}) {
 			queued = true
@@ -169,7 +169,7 @@
 		isQueued := d.outgoing.Learn(now, item)
 		switch {
 		case server.Draining && d.table.IsAvailable(server.ID):
-			changes = append(changes, d.table.MarkDraining(server.ID, server.Position))
+			changes = append(changes, d.table.MarkDraining(server))
 		case isQueued:
 			server.ColdRemaining = max(0, server.ColdRemaining-item.Age)
 			changes = append(changes, d.table.ApplyAnnouncement(server)...)
--- a/internal/edge/wire.go
+++ b/internal/edge/wire.go
@@ -107,7 +107,7 @@
 		item := gossip.ServerChange{
 			Server: inventory.Server{
 				ID: encoded.Server, StartedAtMs: encoded.Born, Service: encoded.Service, Address: encoded.Address, Zone: encoded.Zone, Slots: int(encoded.Slots),
-				Draining: encoded.Going, Position: storepos.At(encoded.Era, encoded.Revision), Announced: true,
+				Draining: encoded.Going, Ended: encoded.Going && encoded.Ended, Position: storepos.At(encoded.Era, encoded.Revision), Announced: true,
 			},
 			Age: time.Duration(encoded.AgeMs) * time.Millisecond,
 		}
@@ -128,7 +128,7 @@
 	encoded := make([]*peerpb.ServerNews, 0, len(items))
 	for _, item := range items {
 		change := &peerpb.ServerNews{
-			Server: item.Server.ID, Born: item.Server.StartedAtMs, Going: item.Server.Draining,
+			Server: item.Server.ID, Born: item.Server.StartedAtMs, Going: item.Server.Draining, Ended: item.Server.Ended,
 			Revision: item.Server.Position.Revision, Era: item.Server.Position.Era,
 			AgeMs: uint32(item.Age.Milliseconds()),
 		}
--- a/internal/inventory/eras.go
+++ b/internal/inventory/eras.go
@@ -7,7 +7,8 @@
 )
 
 // drainRetention is how long after the store was restored from a copy an entry from that copy, in
-// which a server takes work, does not override the server's report that it is draining.
+// which a server takes work, does not override the server's report that it is draining. An announced
+// end is overridden once the store was written again.
 const drainRetention = 30 * time.Second
 
 // eraState is what a table keeps across a change of the store's era.
@@ -118,7 +119,7 @@
 		}
 		server.Position.Era = previous.Era
 		return server, server.Position.IsAfter(previous)
-	case has && known.Draining && !server.Draining && t.isEraYoungerThan(now, drainRetention):
+	case has && known.Draining && !known.Ended && !server.Draining && t.isEraYoungerThan(now, drainRetention):
 		return server, false
 	default:
 		return server, true
--- a/internal/inventory/eras_test.go
+++ b/internal/inventory/eras_test.go
@@ -242,6 +242,37 @@
 	}
 }
 
+// TestAnnouncedEndDoesNotOutliveTheRewrite guards against a server getting no work for 30 s because a
+// peer had announced its end, by an entry that expired in an outage, before the store was restored
+// from a copy that has the entry: the server has nothing to write again.
+func TestAnnouncedEndDoesNotOutliveTheRewrite(t *testing.T) {
+	for name, c := range map[string]struct {
+		announced        Server
+		wantAfterRewrite bool
+	}{
+		"ended":    {Server{ID: "a", Draining: true, Ended: true, Position: storepos.At(2, 17)}, true},
+		"draining": {Server{ID: "a", Draining: true, Position: storepos.At(2, 17)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable()
+			listed := []Server{{ID: "a", Position: storepos.At(2, 1)}}
+			table.Replace(begin, begin, listed, storepos.At(2, 9))
+			table.ApplyAnnouncement(c.announced)
+			listed[0].Position = storepos.At(3, 1)
+			if table.Replace(begin, begin, listed, storepos.At(3, 18)); table.IsAvailable("a") {
+				t.Error("the copy overrides the announcement at once")
+			}
+			rewritten := begin.Add(storepos.RestoreRewriteTime)
+			if table.Replace(rewritten, rewritten, listed, storepos.At(3, 19)); table.IsAvailable("a") != c.wantAfterRewrite {
+				t.Errorf("available after the rewrite time: %v, want %v", table.IsAvailable("a"), c.wantAfterRewrite)
+			}
+			if table.Replace(begin.Add(drainRetention), begin.Add(drainRetention), listed, storepos.At(3, 20)); !table.IsAvailable("a") {
+				t.Error("the announcement outlives its retention")
+			}
+		})
+	}
+}
+
 // TestKeptEntryOfPeerBringsNoServerBack guards against a peer's list making an ended server
 // available again: a peer that missed the end of a server keeps its entry across a change of era.
 func TestKeptEntryOfPeerBringsNoServerBack(t *testing.T) {
--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -21,6 +21,9 @@
 	Slots   int
 	// Draining servers take no new work.
 	Draining bool
+	// Ended is set, with Draining, if a peer announced that the server's entry is gone: the server
+	// ended, or its entry expired.
+	Ended bool
 	// Remaining is how much longer a server runs that was given short notice of its shutdown; 0 if
 	// it was given none.
 	Remaining time.Duration
@@ -220,7 +223,7 @@
 	if known, ok := t.servers[server.ID]; !ok || known.Draining || !server.Position.IsAfter(known.Position) {
 		return nil
 	}
-	return []Change{t.MarkDraining(server.ID, server.Position)}
+	return []Change{t.MarkDraining(Server{ID: server.ID, Position: server.Position})}
 }
 
 // lastEventPerServer returns the last event of each server, in the order of the events.
@@ -298,7 +301,7 @@
 		return nil
 	}
 	if ok && server.Draining {
-		return []Change{t.MarkDraining(server.ID, server.Position)}
+		return []Change{t.MarkDraining(server)}
 	}
 	if server.StartedAtMs == 0 {
 		server.StartedAtMs = known.StartedAtMs
@@ -307,12 +310,12 @@
 	return []Change{{Server: server}}
 }
 
-// MarkDraining marks a known server as draining as of the position, on a peer's report. An answer
-// of the store that says otherwise ends it.
-func (t *Table) MarkDraining(id string, position storepos.Position) Change {
-	server := t.servers[id]
-	server.Draining = true
-	server.Position = position
+// MarkDraining marks a known server as draining or ended, as announced. An answer of the store that
+// says otherwise ends it.
+func (t *Table) MarkDraining(announced Server) Change {
+	server := t.servers[announced.ID]
+	server.Draining, server.Ended = true, announced.Ended
+	server.Position = announced.Position
 	t.put(server)
 	return Change{Server: server}
 }
