edge: a hangup that comes while the process starts does not end it

Cause: the handler stood once the command line was read, some 5 ms after the start; until then SIGHUP has its default action.

Commands without settings release the signal.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -16,6 +14,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/buildid"
 	"github.com/spanlanding/spanlanding/internal/edge"
+	"github.com/spanlanding/spanlanding/internal/hangup"
 	"github.com/spanlanding/spanlanding/internal/logging"
 	"github.com/spanlanding/spanlanding/internal/operator"
 	"github.com/spanlanding/spanlanding/internal/quota"
@@ -28,10 +27,12 @@
 // scarcer than CPU time for the collector.
 const edgeGCPercent = 40
 
+const edgeCommandName = "edge"
+
 // edgeCommand returns the command that runs a node on the operators' platform.
 func edgeCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "edge",
+		Name:  edgeCommandName,
 		Usage: "run a node on the operators' platform, with the settings that " + platform.SettingsEnvVar + " names",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "metrics", Usage: "serve figures at `PORT/PATH`"},
@@ -67,10 +68,6 @@
 		return operator.ErrUsage.New("--peers-listen: %q is not IP:PORT", flags.peersListen)
 	}
 	debug.SetGCPercent(edgeGCPercent)
-	// Registered first and never released: an unhandled SIGHUP terminates the
-	// process, also during shutdown.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsEnvVar)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
@@ -127,7 +124,7 @@
 		UnreadableEntries: store.UnreadableEntries,
 	})
 	store.Objects.OnCall = node.RecordStoreCall
-	go watchSettings(ctx, path, hangups, func() { reload(node, path, logger) })
+	go watchSettings(ctx, path, hangup.Signals(), func() { reload(node, path, logger) })
 	return node.Run(ctx)
 }
 
--- a/cmd/spanlanding/main.go
+++ b/cmd/spanlanding/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/spanlanding/spanlanding/internal/hangup"
 	"github.com/spanlanding/spanlanding/internal/operator"
 )
 
@@ -51,9 +52,20 @@
 	for _, command := range append(app.Commands, app) {
 		command.OnUsageError = usageError
 	}
+	for _, command := range app.Commands {
+		if command.Name != edgeCommandName {
+			command.Before = releaseHangups
+		}
+	}
 	return app
 }
 
+// releaseHangups lets a hangup end a command that has no settings to reload.
+func releaseHangups(ctx context.Context, _ *cli.Command) (context.Context, error) {
+	hangup.Release()
+	return ctx, nil
+}
+
 func usageError(_ context.Context, command *cli.Command, err error, _ bool) error {
 	return operator.ErrUsage.Wrap(err, "%s (see %s --help)", command.Name, command.FullName())
 }
