control: an engine that a record admits again no longer counts as gone

Cause, by the trace: engine03 died, the delayed machine list called it gone, and it left node09's requests unanswered, so it counted as gone there and node09 sent it no more requests. It came back, another leader admitted it by the record and loaded the model there. Twenty-nine seconds after its last evidence node09, by then a leader, removed it from the record and loaded the model a second time.

Ruled out: unclaimed engines (all that the record lists were claimed); a late order (taken 4.5 s before).

Change: a record in which engines of the zone were admitted later than in the one held before discards that evidence. TestReadmittedEngineIsNotGone fails before.

--- a/internal/control/directed_test.go
+++ b/internal/control/directed_test.go
@@ -200,3 +200,33 @@
 		t.Error(c.violations[0])
 	}
 }
+
+// TestReadmittedEngineIsNotGone guards against a leader removing an engine from
+// the record while it holds replicas: the engine had counted as gone for this
+// node, which sent it no more requests, and another leader admitted it again.
+func TestReadmittedEngineIsNotGone(t *testing.T) {
+	c := newCluster(clusterOptions{seed: 1, zones: 1, nodes: 1, engines: 2, models: []catalog.ModelInfo{facts(modelA, 1)}})
+	c.reportWantEverywhere(modelA, 8)
+	holder := c.holderOf(modelA)
+	core := c.nodes[c.nodeNames()[0]].core
+	c.storeDown = true
+	c.engines[holder].down = true
+	c.engines[holder].state = objectstore.MachineGone
+	c.distributeMachines()
+	c.run(c.settings.GoneTimeout + 2*time.Second)
+	if !core.gone.confirmed[holder] {
+		t.Fatal("the engine does not count as gone")
+	}
+	admitted := core.record
+	admitted.Record = admitted.Record.Clone()
+	admitted.Record.Generation++
+	for zone, entry := range admitted.Record.Zones {
+		entry.JoinedAt = admitted.Record.Generation
+		entry.Joining = []fleet.BackendName{holder}
+		admitted.Record.Zones[zone] = entry
+	}
+	core.adoptRecord(admitted)
+	if core.gone.confirmed[holder] {
+		t.Error("an engine that was admitted again still counts as gone")
+	}
+}
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/allotment"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/leadership"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
@@ -71,6 +72,20 @@
 	}
 }
 
+// noteReadmitted discards the evidence that engines are gone if the record has
+// admitted engines of the zone since: a leader has heard from them. This node
+// sends no requests to an engine that counts as gone, so it would not notice
+// that one of this name is back and, as a leader, would remove it from the
+// record while it holds replicas.
+func (c *Core) noteReadmitted(before, after allotment.ZoneEntry) {
+	if after.JoinedAt <= before.JoinedAt {
+		return
+	}
+	for _, name := range slices.Concat(after.Engines, after.Joining) {
+		c.noteEngineAnswer(name)
+	}
+}
+
 // noteEngineRequest records that a request was sent to an engine.
 func (c *Core) noteEngineRequest(name fleet.BackendName) {
 	span, ok := c.gone.unanswered[name]
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -80,7 +80,9 @@
 	if received.Record.Generation < c.record.Record.Generation {
 		return
 	}
+	before := c.record.Record.Zones[c.options.Zone]
 	c.record = received
+	c.noteReadmitted(before, received.Record.Zones[c.options.Zone])
 	c.scheduleAuthorityRead()
 	c.updateLimits()
 	c.stepLeader(leadership.RecordReceived{Record: received.Record})
