--- a/internal/inventory/eras_test.go
+++ b/internal/inventory/eras_test.go
@@ -232,7 +232,7 @@
 func TestStoreRefutesEraOfPeer(t *testing.T) {
 	table := NewTable()
 	table.Replace(begin, begin, []Server{{ID: "a", Position: storepos.At(2, 1)}}, storepos.At(2, 5))
-	table.ReplaceByPeer(begin.Add(time.Second), []Server{{ID: "a", Position: storepos.At(9, 1)}}, storepos.At(9, 1))
+	table.ApplyPeerList(begin.Add(time.Second), PeerList{Servers: []Server{{ID: "a", Position: storepos.At(9, 1)}}, Position: storepos.At(9, 1)})
 	drainingList := []Server{{ID: "a", Position: storepos.At(2, 6), Draining: true}}
 	if table.Replace(begin.Add(2*time.Second), begin, drainingList, storepos.At(2, 6)); !table.IsAvailable("a") {
 		t.Error("a list that was requested before the later era was reported was applied")
@@ -278,7 +278,7 @@
 func TestKeptEntryOfPeerBringsNoServerBack(t *testing.T) {
 	table := NewTable()
 	table.Replace(begin, begin, nil, storepos.At(3, 70))
-	table.ReplaceByPeer(begin, []Server{{ID: "a", Position: storepos.At(2, 5)}, {ID: "b", Position: storepos.At(3, 71)}}, storepos.At(3, 72))
+	table.ApplyPeerList(begin, PeerList{Servers: []Server{{ID: "a", Position: storepos.At(2, 5)}, {ID: "b", Position: storepos.At(3, 71)}}, Position: storepos.At(3, 72)})
 	if table.IsAvailable("a") || !table.IsAvailable("b") {
 		t.Errorf("available: a %v, b %v", table.IsAvailable("a"), table.IsAvailable("b"))
 	}
--- a/internal/inventory/prior_test.go
+++ b/internal/inventory/prior_test.go
@@ -243,7 +243,7 @@
 		}
 		messages = append(messages, received{fmt.Sprintf("list at %v, prior %v", list.Position, list.Prior), func(table *Table) {
 			if defect == "prior is ignored" {
-				table.ReplaceByPeer(begin, list.Servers, list.Position)
+				table.ApplyPeerList(begin, PeerList{Servers: list.Servers, Position: list.Position})
 				return
 			}
 			table.ApplyPeerList(begin, list)
--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -125,12 +125,8 @@
 	})...)
 }
 
-// ReplaceByPeer applies a peer's whole list in the same way. The peer may withhold entries that
-// have expired, so its list alone does not make a draining server available again.
-func (t *Table) ReplaceByPeer(now time.Time, servers []Server, position storepos.Position) []Change {
-	return t.replaceByPeer(now, PeerList{Servers: servers, Position: position})
-}
-
+// replaceByPeer applies a peer's whole list as Replace does the store's. The peer may withhold
+// entries that have expired, so its list alone does not make a draining server available again.
 func (t *Table) replaceByPeer(now time.Time, list PeerList) []Change {
 	if list.Position.IsBefore(t.position) {
 		return nil
--- a/internal/inventory/server_test.go
+++ b/internal/inventory/server_test.go
@@ -142,11 +142,11 @@
 	table := NewTable()
 	table.Replace(begin, begin, []Server{{ID: "a", Position: storepos.At(0, 2)}}, storepos.At(0, 5))
 	table.ApplyAnnouncement(drainingServer("a", 9))
-	table.ReplaceByPeer(begin, []Server{{ID: "a", Position: storepos.At(0, 2)}}, storepos.At(0, 12))
+	table.ApplyPeerList(begin, PeerList{Servers: []Server{{ID: "a", Position: storepos.At(0, 2)}}, Position: storepos.At(0, 12)})
 	if table.IsAvailable("a") {
 		t.Error("a peer's list made a draining server available although the peer may withhold its newer entry")
 	}
-	table.ReplaceByPeer(begin, []Server{{ID: "a", Position: storepos.At(0, 13)}}, storepos.At(0, 14))
+	table.ApplyPeerList(begin, PeerList{Servers: []Server{{ID: "a", Position: storepos.At(0, 13)}}, Position: storepos.At(0, 14)})
 	if !table.IsAvailable("a") {
 		t.Error("a peer's newer entry did not make the server available")
 	}
@@ -210,7 +210,9 @@
 	want := newer
 	want.StartedAtMs = 7
 	for name, apply := range map[string]func(table *Table) []Change{
-		"list":         func(table *Table) []Change { return table.ReplaceByPeer(begin, []Server{newer}, storepos.At(0, 5)) },
+		"list": func(table *Table) []Change {
+			return table.ApplyPeerList(begin, PeerList{Servers: []Server{newer}, Position: storepos.At(0, 5)})
+		},
 		"announcement": func(table *Table) []Change { return table.ApplyAnnouncement(newer) },
 	} {
 		table := NewTable()
