edge: a list that lacks some servers is believed after a gap in calls

An outage long enough takes all entries; a list that has some of the servers known here is no sign of one. The grace period begins only where it has none.

--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -47,8 +47,8 @@
 			n.handleServersError(ctx, err, &pause)
 			continue
 		}
-		if isIdle && requestedAt.Sub(lastCalled) >= minOutageForExpiry && n.knowsMoreThan(servers) {
-			// An outage in which entries expired may have passed without a call of this node.
+		if isIdle && requestedAt.Sub(lastCalled) >= minOutageForExpiry && n.knowsOnlyOthers(servers) {
+			// An outage in which all entries expired may have passed without a call of this node.
 			n.expiryGrace.begin(clock.Now())
 		}
 		isIdle = false
@@ -67,14 +67,15 @@
 	}
 }
 
-// knowsMoreThan reports whether the list lacks a server that is known to take work.
-func (n *Node) knowsMoreThan(listed []inventory.Server) bool {
+// knowsOnlyOthers reports whether servers are known to take work, and the list has none of them. A
+// list that lacks some of them is believed: servers end at any time.
+func (n *Node) knowsOnlyOthers(listed []inventory.Server) bool {
 	isListed := make(map[string]bool, len(listed))
 	for _, server := range listed {
 		isListed[server.ID] = true
 	}
 	known, _, _ := n.directory.listAvailable()
-	return slices.ContainsFunc(known, func(server inventory.Server) bool { return !isListed[server.ID] })
+	return len(known) > 0 && !slices.ContainsFunc(known, func(server inventory.Server) bool { return isListed[server.ID] })
 }
 
 func (n *Node) handleServersError(ctx context.Context, err error, pause *backoff) {
