inventory: a peer's list costs no pass over the table outside a restore

removeUnlisted copied the whole table, and writtenByPeer built a map of the list, for each list of a peer, though both can change something only while the era's first list is kept.

--- a/internal/inventory/prior.go
+++ b/internal/inventory/prior.go
@@ -181,7 +181,7 @@
 // writtenByPeer returns the servers whose entries were written in the era according to a peer that
 // knew no less than this table before the restore.
 func (t *Table) writtenByPeer(now time.Time, list PeerList) map[string]bool {
-	if t.hasEarlierPrior(now, list) {
+	if len(t.eraState.prior.listed) == 0 || t.hasEarlierPrior(now, list) {
 		return nil
 	}
 	written := make(map[string]bool)
@@ -220,10 +220,13 @@
 
 // removeUnlisted removes the servers of an earlier era that the era's lists rule out.
 func (t *Table) removeUnlisted(now time.Time) []Change {
+	if !t.isPriorOpen(now) {
+		return nil
+	}
 	var changes []Change
 	for id, known := range maps.Clone(t.servers) {
 		isKept := known.Position.Era < t.position.Era && !t.isListed(id)
-		if t.isPriorOpen(now) && isKept && !t.mayAwaitRewrite(id) {
+		if isKept && !t.mayAwaitRewrite(id) {
 			t.remove(id)
 			changes = append(changes, Change{Server: known, Gone: true})
 		}
