edge: say when no connection to the servers of a service comes up

Nothing acts on it yet. Lines service_unreachable and service_reachable, with the servers that it rests on; unreached= in lines of requests; a gauge and a counter.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -28,6 +28,8 @@
 	// eraChanges counts how often the store was restored from a copy, and invalidEras counts
 	// responses whose era was rejected.
 	eraChanges, invalidEras prometheus.Counter
+	// outages counts how often a service became unreachable from this node.
+	outages prometheus.Counter
 }
 
 const metricsPrefix = "spanlanding_edge_"
@@ -62,7 +64,10 @@
 	m.invalidEras = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: metricsPrefix + "store_eras_doubtful_total", Help: "Answers of the object store whose era is not believed.",
 	})
-	m.registry.MustRegister(m.requests, m.orders, m.hints, m.storeCalls, m.storeWriteLatency, m.staleAnswers, m.eraChanges, m.invalidEras)
+	m.outages = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: metricsPrefix + "services_unreachable_total", Help: "Times that no connection to any server of a service came up.",
+	})
+	m.registry.MustRegister(m.requests, m.orders, m.hints, m.storeCalls, m.storeWriteLatency, m.staleAnswers, m.eraChanges, m.invalidEras, m.outages)
 	m.gauges(node)
 	m.counters(node)
 	return m
@@ -107,6 +112,7 @@
 		defer node.peers.mu.Unlock()
 		return float64(len(node.peers.roster.Alive(clock.Now())))
 	})
+	m.gauge("services_unreachable", "Services to whose servers no connection comes up.", func() float64 { return float64(len(node.reachable.unreachable())) })
 	m.gauge("repeats_left", "Repeats that may be sent now, of the service that has least.", func() float64 { return node.handler.MinRetriesRemaining() })
 	for _, state := range []dispatch.State{dispatch.StateReady, dispatch.StateDraining, dispatch.StateBackingOff, dispatch.StateEvacuated, dispatch.StateRateLimited, dispatch.StateSuspect} {
 		m.gauge("servers_"+string(state), "Servers that are "+string(state)+".", func() float64 {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -122,6 +122,8 @@
 	admissions *admissions
 	// evacuations holds the zones whose servers receive no new work.
 	evacuations *evacuations
+	// reachable tracks to which services this node can open connections.
+	reachable *reachable
 
 	started time.Time
 	// firstRead is how long after its start this node may first query the store, unless its
@@ -200,6 +202,7 @@
 	node.hints = newServerHints(node)
 	node.admissions = newAdmissions(node)
 	node.evacuations = newEvacuations(node)
+	node.reachable = newReachable(node)
 	node.handler = relay.New(relay.Options{
 		Dialect:   options.Dialect,
 		Dispatch:  node.dispatch,
@@ -214,7 +217,8 @@
 		},
 		OnUnreadField: node.hints.recordUnreadField,
 
-		Admission: node.admissions,
+		Admission:    node.admissions,
+		Reachability: node.reachable,
 
 		IsReady:    node.hasRequiredState,
 		AwaitReady: node.awaitRequiredState,
@@ -270,6 +274,7 @@
 	group.Go(func() error { n.followServers(ctx); return nil })
 	group.Go(func() error { n.evacuations.follow(ctx); return nil })
 	group.Go(func() error { n.sweep(ctx); return nil })
+	group.Go(func() error { n.reachable.run(ctx); return nil })
 	group.Go(func() error { n.peers.receive(ctx); return nil })
 	group.Go(func() error { n.peers.run(ctx); return nil })
 	group.Go(func() error { n.leader.run(ctx); return nil })
--- /dev/null
+++ b/internal/edge/reachability.go
@@ -0,0 +1,128 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/reachability"
+	"github.com/spanlanding/spanlanding/internal/relay"
+)
+
+// reachCheckPeriod is the interval between checks for services whose next probes are due.
+const reachCheckPeriod = 100 * time.Millisecond
+
+// reachable tracks to which services this node can open connections. It is safe for concurrent use.
+type reachable struct {
+	node    *Node
+	rounds  singleflight.Group
+	mu      sync.Mutex
+	tracker *reachability.Tracker
+}
+
+var _ relay.Reachability = (*reachable)(nil)
+
+func newReachable(node *Node) *reachable {
+	return &reachable{node: node, tracker: reachability.New()}
+}
+
+// RecordContact implements relay.Reachability.
+func (r *reachable) RecordContact(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.RecordContact(service)
+}
+
+// RecordFailure implements relay.Reachability.
+func (r *reachable) RecordFailure(service, serverID string) {
+	r.mu.Lock()
+	probe := r.tracker.RecordFailure(clock.Now(), service, serverID)
+	r.mu.Unlock()
+	if probe {
+		go r.probe(service)
+	}
+}
+
+// unreachable returns the services to which no connection comes up.
+func (r *reachable) unreachable() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.Unreachable()
+}
+
+// run probes unreachable services until ctx ends.
+func (r *reachable) run(ctx context.Context) {
+	ticker := time.NewTicker(reachCheckPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.mu.Lock()
+			due := r.tracker.Due(clock.Now())
+			r.mu.Unlock()
+			for _, service := range due {
+				r.probe(service)
+			}
+		}
+	}
+}
+
+// probe plays one round for the service. Concurrent callers share it.
+func (r *reachable) probe(service string) {
+	_, _, _ = r.rounds.Do(service, func() (any, error) {
+		r.mu.Lock()
+		exclude := r.tracker.Begin(clock.Now(), service)
+		r.mu.Unlock()
+		var sample []inventory.Server
+		var known int
+		r.node.dispatch.Do(func(core *dispatch.Core) {
+			sample, known = core.SampleServers(service, exclude, reachability.SampleSize)
+		})
+		answered := r.countAnswering(sample)
+		r.mu.Lock()
+		transition, changed := r.tracker.Finish(clock.Now(), service, reachability.Round{Probed: len(sample), Answered: answered, Known: known})
+		r.mu.Unlock()
+		if changed {
+			r.logTransition(transition, known)
+		}
+		return nil, nil
+	})
+}
+
+// countAnswering probes the servers at the same time, and returns how many accepted a connection.
+func (r *reachable) countAnswering(servers []inventory.Server) (answered int) {
+	var mu sync.Mutex
+	var group errgroup.Group
+	for _, server := range servers {
+		group.Go(func() error {
+			if r.node.pool.Probe(server.Address) == backendconn.LivenessAlive {
+				mu.Lock()
+				answered++
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	// The probes return no errors.
+	_ = group.Wait()
+	return answered
+}
+
+func (r *reachable) logTransition(transition reachability.Transition, known int) {
+	event := "service_reachable"
+	if transition.IsUnreachable {
+		event = "service_unreachable"
+		r.node.metrics.outages.Inc()
+	}
+	r.node.options.Logger.Warn().Str("service", transition.Service).Int("unanswered", transition.Failed).Int("servers", known).
+		Int64("lasted_ms", transition.Lasted.Milliseconds()).Msg(event)
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -68,6 +68,7 @@
 	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address)
 	if err != nil {
 		x.markUnreachable(choice)
+		x.recordUnreached(choice)
 		return nil, x.handleNotSent(choice), false
 	}
 	result, ok = x.checkBeforeSend(choice, conn, decision)
@@ -231,6 +232,7 @@
 // happens before anything is passed to the caller, since later choices must not wait for the body.
 // The headers of late responses to earlier requests count as well.
 func (x *exchange) receiveHint(choice dispatch.Choice, status int, header http.Header) {
+	x.recordContact()
 	if field := x.handler.options.Dialect.UnreadField(header); field != "" {
 		x.handler.options.OnUnreadField(choice.ServerID, field)
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -57,6 +57,8 @@
 	holdsRetry bool
 	// failedServers are not chosen again for this request.
 	failedServers []string
+	// unreached counts the servers to which no connection came up.
+	unreached int
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	// headSent is set once response headers went to the caller.
@@ -350,7 +352,7 @@
 	if x.estimate > 0 {
 		entry.Str("estimate_ms", formatMilliseconds(x.estimate))
 	}
-	entry.Str("server", x.serverID).Str("sent", strings.Join(x.sentTo, ",")).Int("sends", x.sends)
+	entry.Str("server", x.serverID).Str("sent", strings.Join(x.sentTo, ",")).Int("sends", x.sends).Int("unreached", x.unreached)
 	entry.Str("waited_ms", formatMilliseconds(x.totalWaited())).Str("took_ms", formatMilliseconds(clock.Since(x.arrived)))
 	if x.timing.first > 0 {
 		entry.Str("first_ms", formatMilliseconds(x.timing.first)).Str("pause_ms", formatMilliseconds(x.timing.longestPause))
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -101,6 +101,7 @@
 	x.serverLiveness = x.handler.options.Pool.Probe(choice.Address)
 	if x.serverLiveness != backendconn.LivenessAlive {
 		x.markUnreachable(choice)
+		x.recordUnreached(choice)
 	}
 	suspects := x.handler.options.Suspects
 	if suspects != nil && x.serverLiveness == backendconn.LivenessEnded && x.endedUnexpectedly(choice) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,6 +94,8 @@
 	Quotas Quotas
 	// Admission limits what is sent to servers; nil disables it.
 	Admission Admission
+	// Reachability tracks which services this node can open connections to; nil disables it.
+	Reachability Reachability
 	// Suspects tracks requests that crash servers; nil disables it.
 	Suspects Suspects
 	Logger   *log.Logger
