edge: a node that reaches no server has a peer take its callers' requests

A node now tells peers which services it reaches no server of. One hop: a forwarded request goes no further. A peer that may have sent a request and broke off counts as a send: only what may be repeated is sent on, with a retry from the budget. The entry node charges the quota, the request is counted once for the retry budget, and carries the servers tried and its time. A planned stop waits for requests of peers. Where no peer takes it, a request that found no connection is refused at once.

Ruled out: readiness alone (where fewer than half of a zone's nodes are in, callers are sent to all of them), and a tunnel of bytes over a peer (what a server tells a machine, and its limits, then concern a machine that does not know of the request).

--- a/internal/dispatch/sample.go
+++ b/internal/dispatch/sample.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/spanlanding/spanlanding/internal/inventory"
@@ -24,3 +25,17 @@
 	}
 	return append(sample, draining[:min(len(draining), limit-len(sample))]...), len(listed)
 }
+
+// SampleOtherServices draws up to limit servers of other services than this one, one of each.
+func (c *Core) SampleOtherServices(service string, limit int) (sample []inventory.Server) {
+	for _, other := range slices.Sorted(maps.Keys(c.byService)) {
+		if other != service && len(sample) < limit {
+			drawn, _ := c.SampleServers(other, nil, 1)
+			sample = append(sample, drawn...)
+		}
+	}
+	return sample
+}
+
+// Wake lets waiting requests check their state again.
+func (c *Core) Wake() { c.notify() }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -124,6 +124,8 @@
 	evacuations *evacuations
 	// reachable tracks to which services this node can open connections.
 	reachable *reachable
+	// forwarder passes requests to peers that reach servers which this node does not.
+	forwarder *forwarder
 
 	started time.Time
 	// firstRead is how long after its start this node may first query the store, unless its
@@ -203,6 +205,7 @@
 	node.admissions = newAdmissions(node)
 	node.evacuations = newEvacuations(node)
 	node.reachable = newReachable(node)
+	node.forwarder = newForwarder(node)
 	node.handler = relay.New(relay.Options{
 		Dialect:   options.Dialect,
 		Dispatch:  node.dispatch,
@@ -219,6 +222,7 @@
 
 		Admission:    node.admissions,
 		Reachability: node.reachable,
+		Forwarder:    node.forwarder,
 
 		IsReady:    node.hasRequiredState,
 		AwaitReady: node.awaitRequiredState,
@@ -398,7 +402,7 @@
 	// http.Server.Shutdown would close connections whose request it has read but not yet
 	// counted.
 	busy := n.callerConns.closeAllIdle()
-	for busy > 0 && clock.Now().Before(deadline) {
+	for busy+int(n.handler.ForwardedActive()) > 0 && clock.Now().Before(deadline) {
 		time.Sleep(drainCheckPeriod)
 		busy = n.callerConns.closeAllIdle()
 	}
@@ -417,6 +421,7 @@
 			return
 		case <-ticker.C:
 			n.pool.CloseExpired()
+			n.forwarder.pool.CloseExpired()
 			n.checkRegions(&regions)
 			n.leader.post(func() { n.leader.demand.Prune(clock.Now()) })
 			n.clearOldStoreFailure(clock.Now())
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -360,7 +360,12 @@
 		Leaving:  p.node.stopping.Load(),
 
 		StoreFailing: p.node.storeFailing.Load(),
-		ViewsWanted:  p.shouldRequestViews(now),
+		Unreachable:  p.node.reachable.unreachable(),
+		CannotOrder:  p.node.reachable.cannotOrder(),
+
+		AcceptsForwarded: true,
+
+		ViewsWanted: p.shouldRequestViews(now),
 	}
 	if state.ViewsWanted {
 		state.ViewsDigests = p.ownViewDigests()
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,10 +47,39 @@
 	probe := r.tracker.RecordFailure(clock.Now(), service, serverID)
 	r.mu.Unlock()
 	if probe {
-		go r.probe(service)
+		r.probe(service)
 	}
 }
 
+// IsUnreachable implements relay.Reachability.
+func (r *reachable) IsUnreachable(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.IsUnreachable(service)
+}
+
+// ReachesOthers implements relay.Reachability. Servers of other services vouch only for a server that
+// is the only one of its own; a deployment with a single server has nothing to compare it with.
+func (r *reachable) ReachesOthers(service, serverID string) bool {
+	var sample []inventory.Server
+	r.node.dispatch.Do(func(core *dispatch.Core) {
+		sample, _ = core.SampleServers(service, []string{serverID}, reachability.SampleSize)
+		if len(sample) == 0 {
+			sample = core.SampleOtherServices(service, reachability.SampleSize)
+		}
+	})
+	return len(sample) == 0 || r.countAnswering(sample) > 0
+}
+
+// cannotOrder reports whether this node reaches no server of some service with models, so that it
+// could not order loads there.
+func (r *reachable) cannotOrder() bool {
+	table := r.node.handler.Table()
+	return table != nil && slices.ContainsFunc(r.unreachable(), func(service string) bool {
+		return table.Services[service].Engine != nil
+	})
+}
+
 // unreachable returns the services to which no connection comes up.
 func (r *reachable) unreachable() []string {
 	r.mu.Lock()
@@ -93,6 +123,8 @@
 		r.mu.Unlock()
 		if changed {
 			r.logTransition(transition, known)
+			// Waiting requests go to peers, or to servers again.
+			r.node.dispatch.Do(func(core *dispatch.Core) { core.Wake() })
 		}
 		return nil, nil
 	})
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -11,6 +11,7 @@
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/relay"
 	"github.com/spanlanding/spanlanding/internal/storepos"
 )
 
@@ -21,6 +22,8 @@
 	snapshotTimeout     = 1500 * time.Millisecond
 	// snapshotHeaderTimeout bounds how long a peer may take to send its request.
 	snapshotHeaderTimeout = 2 * time.Second
+	// peerIdleTimeout is how long a peer's idle connection is kept, longer than peers use one.
+	peerIdleTimeout = 30 * time.Second
 	// refreshPeriod is the minimum interval between full server lists from peers, which remove
 	// entries whose removal was missed. The actual interval is random between one and two
 	// periods.
@@ -62,7 +65,15 @@
 
 // serve serves peers on the TCP port with the same number as the node's UDP port.
 func (s *snapshots) serve(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: peerpb.NewNodesServer(s), ReadHeaderTimeout: snapshotHeaderTimeout}
+	calls := peerpb.NewNodesServer(s)
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if relay.IsForwarded(request) {
+			s.node.handler.ServePeer(writer, request)
+			return
+		}
+		calls.ServeHTTP(writer, request)
+	})
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: snapshotHeaderTimeout, IdleTimeout: peerIdleTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	return serve(server, listener)
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -47,7 +47,13 @@
 	// Zone is the zone of the node's machine; empty if unknown.
 	Zone     string
 	LastSeen time.Time
-	sequence uint64
+	// Unreachable are the services to whose servers the node can open no connection, and CannotOrder
+	// is set if some of these run models.
+	Unreachable []string
+	CannotOrder bool
+	// AcceptsForwarded is set if the node takes requests that others forward.
+	AcceptsForwarded bool
+	sequence         uint64
 }
 
 // Roster is the table of known nodes. It is not safe for concurrent use.
@@ -136,6 +142,7 @@
 	known.Strength = state.Strength
 	known.Zone = state.Zone
 	known.LastSeen = now
+	known.Unreachable, known.CannotOrder, known.AcceptsForwarded = state.Unreachable, state.CannotOrder, state.AcceptsForwarded
 	known.Term, known.LeaseExpiredFor, known.LeasePosition = 0, 0, storepos.Position{}
 	if state.Leader != nil {
 		known.Term = state.Leader.Term
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -121,7 +121,7 @@
 		known.failed = known.failed[:0]
 		return Transition{}, false
 	}
-	unanswered := len(known.failed) + round.Probed
+	unanswered := min(len(known.failed)+round.Probed, round.Known)
 	if len(known.failed) == 0 || unanswered < min(SampleSize, round.Known) {
 		return Transition{}, false
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -339,17 +339,23 @@
 		x.reportSuccess()
 	}
 	defer x.endAttempt(choice, outcome)
-	x.writeResponseHead(response, len(body) < maxBufferedBytes, len(body))
-	_, _ = x.writer.Write(body)
-	if len(body) == maxBufferedBytes {
+	x.passWhole(response, body, func(count int) { x.countBytes(choice, count) })
+	return attemptDone
+}
+
+// passWhole passes on a response of which the beginning was read, and reports the number of the other
+// bytes to onRead.
+func (x *exchange) passWhole(response *backendconn.Response, begin []byte, onRead func(count int)) {
+	x.writeResponseHead(response, len(begin) < maxBufferedBytes, len(begin))
+	_, _ = x.writer.Write(begin)
+	if len(begin) == maxBufferedBytes {
 		copied, err := io.Copy(x.writer, response)
-		x.countBytes(choice, int(copied))
+		onRead(int(copied))
 		if err != nil {
 			x.truncate("broken_answer")
 		}
 	}
 	x.finish(outcomeAnswered, response.Status, "")
-	return attemptDone
 }
 
 // canRetryElsewhere reports whether a request that got a 5xx response can be sent to another server.
@@ -372,6 +378,7 @@
 	for name, values := range endToEndHeader(response.Header, x.handler.options.Dialect.IsEndToEnd) {
 		header[name] = values
 	}
+	removePeerHeaders(header)
 	if _, ok := response.Header["Content-Type"]; !ok {
 		header["Content-Type"] = nil
 	}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -45,6 +45,13 @@
 	h.budget.CountRequest(service)
 }
 
+// countRequest counts the request, unless the peer that forwards it has.
+func (x *exchange) countRequest() {
+	if x.isCounted = true; x.forwarded == nil || !x.forwarded.IsCounted {
+		x.handler.countRequest(x.service)
+	}
+}
+
 // takeRetry takes a retry from the service's budget, if there is one.
 func (h *Handler) takeRetry(service string) bool {
 	h.mu.Lock()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -59,6 +59,14 @@
 	failedServers []string
 	// unreached counts the servers to which no connection came up.
 	unreached int
+	// forwarded is what the peer has done that forwards the request; nil for requests of own callers.
+	forwarded *forwardedState
+	// peer is the address of the node that the request was last forwarded to, and forwardAgainAt when
+	// it may be offered to peers again.
+	peer           string
+	forwardAgainAt time.Time
+	// isCounted is set once the request was counted for the retry budget.
+	isCounted bool
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	// headSent is set once response headers went to the caller.
@@ -113,7 +121,10 @@
 	if !x.checkRegions() || !x.takeQuota() {
 		return
 	}
-	x.handler.countRequest(x.service)
+	if x.shouldForward() && x.forward() {
+		return
+	}
+	x.countRequest()
 	x.sendUntilDone()
 }
 
@@ -135,7 +146,7 @@
 	if !x.authenticate() {
 		return false
 	}
-	x.service = x.handler.nextService(route)
+	x.service = x.chooseService(route)
 	x.needsModel = x.table.Services[x.service].Engine != nil
 	if !x.readBody() {
 		return false
@@ -151,9 +162,12 @@
 
 // setDeadline sets the deadline from the caller's header and the route's timeout.
 func (x *exchange) setDeadline() {
-	timeout := defaultTimeout
+	elapsed, timeout := time.Duration(0), defaultTimeout
+	if x.forwarded != nil {
+		elapsed = x.forwarded.Elapsed
+	}
 	if x.head.Deadline > 0 {
-		timeout = x.head.Deadline
+		timeout = elapsed + x.head.Deadline
 		x.isRetry = x.handler.isLikelyRetry(x.route, timeout)
 	}
 	if x.route.Timeout > 0 {
@@ -229,7 +243,7 @@
 	x.countDemand()
 	x.lastEventID = x.head.LastEventID
 	for sends := 0; ; sends++ {
-		choice, ok := x.waitForServer()
+		choice, ok := x.chooseServer()
 		if !ok {
 			return
 		}
@@ -255,6 +269,20 @@
 	}
 }
 
+// chooseServer waits for a server, or has a peer take the request where this node reaches none. Where
+// ok is false the final response was given.
+func (x *exchange) chooseServer() (choice dispatch.Choice, ok bool) {
+	for {
+		choice, result := x.waitForServer()
+		if result != waitUnreachable {
+			return choice, result == waitChosen
+		}
+		if x.forward() {
+			return choice, false
+		}
+	}
+}
+
 // countDemand counts the request as demand for its model.
 func (x *exchange) countDemand() {
 	if !x.needsModel {
@@ -381,6 +409,12 @@
 		entry.Int("servers", counts.Known).Int("servers_going", counts.Draining).Int("servers_closed", counts.Evacuated).
 			Int("servers_resting", counts.BackingOff).Int("servers_limited", counts.RateLimited)
 	}
+	if x.peer != "" {
+		entry.Str("peer", x.peer)
+	}
+	if x.forwarded != nil {
+		entry.Bool("from_peer", true)
+	}
 	entry.Int("events", x.eventCount).Msg(event)
 }
 
--- /dev/null
+++ b/internal/relay/forward.go
@@ -0,0 +1,259 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/locality"
+	"github.com/spanlanding/spanlanding/internal/waiting"
+)
+
+// Reachability tracks which services this node can open connections to.
+type Reachability interface {
+	// IsUnreachable reports whether no connection to any server of the service comes up.
+	IsUnreachable(service string) bool
+	// RecordContact records that a server of the service answered.
+	RecordContact(service string)
+	// RecordFailure records that no connection to the server comes up. It returns once it is known
+	// whether that holds for the other servers of the service.
+	RecordFailure(service, serverID string)
+	// ReachesOthers reports whether a server other than this one accepts connections now.
+	ReachesOthers(service, serverID string) bool
+}
+
+// Forwarder sends requests to peers that reach servers which this node does not.
+type Forwarder interface {
+	// Pick chooses a peer that is not excluded, in one of the regions. release must be called once
+	// the request is over.
+	Pick(service string, regions locality.Regions, exclude []string) (address string, release func(), ok bool)
+	// Connect returns a connection to the peer.
+	Connect(ctx context.Context, address string) (*backendconn.Conn, error)
+}
+
+const (
+	// maxForwards is the number of peers that are asked to take a request.
+	maxForwards = 4
+	// forwardRetryInterval is the time after which a request that no peer took is offered again.
+	forwardRetryInterval = 500 * time.Millisecond
+	// forwardMargin is the part of the time left that is kept for the way back from the peer, so
+	// that the peer's final response arrives before the deadline.
+	forwardMargin = 10 * time.Millisecond
+)
+
+// reasonUnreachable is the reason of refusals while neither this node nor a peer reaches a server.
+const reasonUnreachable = "servers_unreachable"
+
+// forwardResult says how an attempt to forward a request ended.
+type forwardResult int
+
+const (
+	// forwardDone: the caller got a final response.
+	forwardDone forwardResult = iota + 1
+	// forwardDeclined: the peer did not take the request.
+	forwardDeclined
+	// forwardRetry: the peer may have had the request run, and it may be sent again.
+	forwardRetry
+)
+
+// recordContact records that a server of the request's service answered.
+func (x *exchange) recordContact() {
+	if x.handler.options.Reachability != nil {
+		x.handler.options.Reachability.RecordContact(x.service)
+	}
+}
+
+// recordUnreached records that no connection to the chosen server comes up.
+func (x *exchange) recordUnreached(choice dispatch.Choice) {
+	x.unreached++
+	if x.handler.options.Reachability != nil && !x.callerGone() {
+		x.handler.options.Reachability.RecordFailure(x.service, choice.ServerID)
+	}
+}
+
+// isUnreachable reports whether this node reaches no server of the request's service.
+func (x *exchange) isUnreachable() bool {
+	return x.handler.options.Reachability != nil && x.handler.options.Reachability.IsUnreachable(x.service)
+}
+
+// shouldForward reports whether a peer is to take the request. A forwarded request goes no further:
+// two nodes that take each other for reachable would pass it on for ever.
+func (x *exchange) shouldForward() bool {
+	if x.handler.options.Forwarder == nil || x.forwarded != nil || !x.isUnreachable() {
+		return false
+	}
+	if x.sends > 0 && len(x.sentTo) >= x.route.MaxAttempts {
+		return false
+	}
+	return !clock.Now().Before(x.forwardAgainAt)
+}
+
+// forward offers the request to peers. It reports whether the caller got the final response; if not,
+// no peer took it.
+func (x *exchange) forward() bool {
+	var asked []string
+	for range maxForwards {
+		if clock.Until(x.deadline) <= waiting.ResponseMargin {
+			x.giveUp(reasonDeadline)
+			return true
+		}
+		address, release, ok := x.handler.options.Forwarder.Pick(x.service, x.currentRegions(), asked)
+		if !ok {
+			break
+		}
+		asked = append(asked, address)
+		switch x.forwardTo(address, release) {
+		case forwardDone:
+			return true
+		case forwardDeclined:
+			x.handler.Metrics.ForwardsDeclined.Add(1)
+		case forwardRetry:
+		}
+	}
+	x.forwardAgainAt = clock.Now().Add(forwardRetryInterval)
+	if x.callerGone() {
+		x.endCallerGone()
+	}
+	if x.unreached > 0 {
+		x.giveUp(reasonUnreachable)
+		return true
+	}
+	return false
+}
+
+// forwardTo sends the request to one peer.
+func (x *exchange) forwardTo(address string, release func()) forwardResult {
+	defer release()
+	conn, err := x.handler.options.Forwarder.Connect(x.ctx, address)
+	if err != nil {
+		return forwardDeclined
+	}
+	if x.sends > 0 && !x.takeRetry() {
+		_ = conn.Close()
+		x.refuseWithoutRetry()
+		return forwardDone
+	}
+	x.peer = address
+	response, err := conn.RoundTrip(x.ctx, x.peerRequest())
+	switch {
+	case errorx.IsOfType(err, backendconn.ErrNotSent):
+		x.returnRetry()
+		return forwardDeclined
+	case err != nil:
+		x.countForwardedSend(address)
+		return x.endBrokenForward("no_answer_from_peer")
+	}
+	defer response.Close()
+	if response.Header.Get(declinedHeader) != "" {
+		x.returnRetry()
+		return forwardDeclined
+	}
+	isNotRun := response.Header.Get(notRunHeader) != ""
+	removePeerHeaders(response.Header)
+	if isNotRun {
+		x.returnRetry()
+		return x.passRefusal(response)
+	}
+	x.countForwardedSend(address)
+	x.handler.Metrics.Forwarded.Add(1)
+	return x.passFromPeer(response)
+}
+
+// countForwardedSend records that the peer may have sent the request to a server.
+func (x *exchange) countForwardedSend(address string) {
+	if x.holdsRetry {
+		x.holdsRetry = false
+		x.handler.Metrics.Retries.Add(1)
+	}
+	x.sends++
+	x.sentTo = append(x.sentTo, address)
+	x.mayHaveRun = true
+}
+
+// peerRequest is the request as it goes to a peer: as the caller sent it, with the time left, and
+// what this node has done with it.
+func (x *exchange) peerRequest() backendconn.Request {
+	header := endToEndHeader(x.request.Header, x.handler.options.Dialect.IsEndToEnd)
+	x.handler.options.Dialect.SetNodeHeaders(header, NodeHeaders{
+		TimeLeft: clock.Until(x.deadline) - forwardMargin, Urgency: -1, LastEventID: x.lastEventID,
+	})
+	state := forwardedState{
+		Service: x.service, ConfigVersion: x.table.Version, Elapsed: clock.Since(x.arrived), SentTo: x.sentTo,
+		IsCounted: x.isCounted, IsRetry: x.isRetry,
+	}
+	header.Set(forwardedHeader, state.encode())
+	return backendconn.Request{
+		Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: header, Body: x.body,
+		HasBody: x.request.ContentLength != 0 || len(x.body) > 0, Deadline: x.deadline,
+	}
+}
+
+// passRefusal passes on that the peer did not have the request run.
+func (x *exchange) passRefusal(response *backendconn.Response) forwardResult {
+	reason := "refused_by_peer"
+	if x.mayHaveRun || x.headSent {
+		x.giveUp(reason)
+		return forwardDone
+	}
+	x.refundQuota()
+	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
+	if err != nil {
+		x.giveUp(reason)
+		return forwardDone
+	}
+	x.writeResponseHead(response, true, len(body))
+	_, _ = x.writer.Write(body)
+	x.finish(outcomeRefused, response.Status, reason)
+	return forwardDone
+}
+
+// passFromPeer passes on the response of a server, or a failure of the peer.
+func (x *exchange) passFromPeer(response *backendconn.Response) forwardResult {
+	switch {
+	case x.headSent && response.Status != http.StatusOK:
+		return x.endBrokenForward("resume_failed")
+	case x.route.Stream && response.Status == http.StatusOK:
+		if err := x.copyEvents(response, func(int) {}); !errors.Is(err, io.EOF) {
+			return x.endBrokenForward("broken_stream")
+		}
+		if !x.headSent {
+			x.writeResponseHead(response, true, 0)
+		}
+		x.finish(outcomeAnswered, response.Status, "")
+		return forwardDone
+	}
+	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
+	if err != nil {
+		return x.endBrokenForward("broken_answer")
+	}
+	x.passWhole(response, body, func(int) {})
+	return forwardDone
+}
+
+// endBrokenForward decides whether a request whose peer broke off is sent once more.
+func (x *exchange) endBrokenForward(reason string) forwardResult {
+	if x.callerGone() {
+		x.endCallerGone()
+	}
+	if x.retryOrGiveUp(reason) == attemptDone {
+		return forwardDone
+	}
+	return forwardRetry
+}
+
+// removePeerHeaders removes the headers by which peers talk to each other.
+func removePeerHeaders(header http.Header) {
+	for name := range header {
+		if strings.HasPrefix(name, peerHeaderPrefix) {
+			delete(header, name)
+		}
+	}
+}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -34,6 +34,9 @@
 	RegionRefused atomic.Int64
 	// ServerBytes are the bytes of bodies to and from servers, by the distance of the server.
 	ServerBytes [locality.DistanceCount]atomic.Int64
+	// Forwarded counts the requests that a peer took, ForwardsDeclined the times that a peer did not
+	// take one, and TakenFromPeers the requests taken from peers.
+	Forwarded, ForwardsDeclined, TakenFromPeers atomic.Int64
 	// ColdHeld counts sends that admission denied.
 	ColdHeld atomic.Int64
 }
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -23,6 +23,12 @@
 	reasonEvacuated       = "zones_evacuated"
 )
 
+// Whether a request ran, as the body of a refusal or failure says it.
+const (
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
+
 // configurationRetryDelay is the Retry-After of a node that has no configuration yet.
 const configurationRetryDelay = time.Second
 
@@ -42,13 +48,13 @@
 		x.truncate(reason)
 	}
 	x.refundQuota()
-	x.writeProblem(http.StatusServiceUnavailable, "not-run", reason)
+	x.writeProblem(http.StatusServiceUnavailable, outcomeNotRun, reason)
 	x.finish(outcomeRefused, http.StatusServiceUnavailable, reason)
 }
 
 // deny responds to a malformed request, or one that the configuration does not allow.
 func (x *exchange) deny(status int, reason string) {
-	x.writeProblem(status, "not-run", reason)
+	x.writeProblem(status, outcomeNotRun, reason)
 	x.finish(outcomeDenied, status, reason)
 }
 
@@ -57,7 +63,7 @@
 	if x.headSent {
 		x.truncate(reason)
 	}
-	x.writeProblem(status, "unknown", reason)
+	x.writeProblem(status, outcomeUnknown, reason)
 	x.finish(outcomeFailed, status, reason)
 }
 
@@ -93,6 +99,9 @@
 func (x *exchange) writeProblem(status int, outcome, reason string) {
 	header := x.writer.Header()
 	header.Set("Content-Type", "application/problem+json")
+	if x.forwarded != nil && outcome == outcomeNotRun {
+		header.Set(notRunHeader, "1")
+	}
 	body := `{"status":` + strconv.Itoa(status) + `,"outcome":"` + outcome + `","title":` + strconv.Quote(reason) + `}`
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(status)
--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -16,8 +16,8 @@
 
 // currentRegions are the regions in which the request may run, according to the newest table: waiting
 // requests and retries follow a change at once, while everything else about a request follows the table
-// of its arrival. Requests are never forwarded to another node, so that no data of a request leaves
-// these regions except through the node that its caller chose.
+// of its arrival. Only nodes in these regions take a forwarded request, so that no data of it
+// leaves them except through the node that its caller chose.
 func (x *exchange) currentRegions() locality.Regions {
 	newest := x.handler.table.Load()
 	if newest != nil && newest != x.regionsTable {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,6 +39,7 @@
 
 // NodeHeaders are the headers that the node adds to a request for a server.
 type NodeHeaders struct {
+	// ServerID is the server that the request is for; empty for a peer.
 	ServerID string
 	// TimeLeft is the time until the deadline.
 	TimeLeft time.Duration
@@ -96,6 +97,8 @@
 	Admission Admission
 	// Reachability tracks which services this node can open connections to; nil disables it.
 	Reachability Reachability
+	// Forwarder passes requests to peers that reach servers which this node does not; nil disables it.
+	Forwarder Forwarder
 	// Suspects tracks requests that crash servers; nil disables it.
 	Suspects Suspects
 	Logger   *log.Logger
@@ -125,6 +128,8 @@
 	started  time.Time
 	active   atomic.Int64
 	waiting  atomic.Int64
+	// forwardedActive is the number of requests of peers in flight.
+	forwardedActive atomic.Int64
 	// Metrics counts events on the way to responses.
 	Metrics Metrics
 	// OnFinished is called with each final response, by the kind of its route; nil disables it.
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -41,6 +41,7 @@
 func (testDialect) SetNodeHeaders(header http.Header, added NodeHeaders) {
 	header.Set("X-Server", added.ServerID)
 	header.Set("X-Left", added.TimeLeft.String())
+	header.Set("X-Wait", added.TimeLeft.String())
 	if added.Tenant != "" {
 		header.Set("X-Tenant", added.Tenant)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -23,8 +23,18 @@
 	return &buffer
 }}
 
-// relayStream passes on an event stream, each event whole and as soon as it is complete.
+// relayStream passes on an event stream.
 func (x *exchange) relayStream(choice dispatch.Choice, response *backendconn.Response) attemptResult {
+	err := x.copyEvents(response, func(count int) { x.countBytes(choice, count) })
+	if errors.Is(err, io.EOF) {
+		return x.finishStream(choice, response)
+	}
+	return x.handleBrokenStream(choice)
+}
+
+// copyEvents passes on the events of a response, each whole and as soon as it is complete, and reports
+// the bytes of each read to onRead. The error is io.EOF if the response ended after a whole event.
+func (x *exchange) copyEvents(response *backendconn.Response, onRead func(count int)) error {
 	pooled := streamBuffers.Get().(*[]byte)
 	buffer := (*pooled)[:0]
 	defer func() {
@@ -40,7 +50,7 @@
 		}
 		count, err := response.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+count]
-		x.countBytes(choice, count)
+		onRead(count)
 		if end := endOfLastEvent(buffer); end > 0 {
 			x.writeEvents(response, buffer[:end])
 			_ = controller.Flush()
@@ -49,10 +59,10 @@
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(buffer) == 0 {
-			return x.finishStream(choice, response)
+		if errors.Is(err, io.EOF) && len(buffer) > 0 {
+			return io.ErrUnexpectedEOF
 		}
-		return x.handleBrokenStream(choice)
+		return err
 	}
 }
 
--- a/internal/relay/tenant.go
+++ b/internal/relay/tenant.go
@@ -72,10 +72,11 @@
 	return x.route.Priority
 }
 
-// takeQuota charges the request to its tenant's quota. It responds to requests beyond the quota.
+// takeQuota charges the request to its tenant's quota, unless the peer that forwards it has. It responds to
+// requests beyond the quota.
 func (x *exchange) takeQuota() bool {
 	quotas := x.handler.options.Quotas
-	if quotas == nil || x.tenant == nil || !x.tenant.Quota.IsLimited() {
+	if quotas == nil || x.forwarded != nil || x.tenant == nil || !x.tenant.Quota.IsLimited() {
 		return true
 	}
 	cost := x.tenant.Quota.Cost(x.head.PromptTokens+x.head.OutputTokens, x.head.HasTokenCounts)
@@ -96,7 +97,7 @@
 		return false
 	}
 	x.writer.Header().Set("Retry-After", formatRetryAfter(decision.RetryAfter))
-	x.writeProblem(http.StatusTooManyRequests, "not-run", reasonOverQuota)
+	x.writeProblem(http.StatusTooManyRequests, outcomeNotRun, reasonOverQuota)
 	x.finish(outcomeRefused, http.StatusTooManyRequests, reasonOverQuota)
 	return false
 }
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -10,9 +10,20 @@
 	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
-// waitForServer chooses a server, and waits for one as long as that is worthwhile. Where ok is false
-// the final response was given.
-func (x *exchange) waitForServer() (choice dispatch.Choice, ok bool) {
+// waitResult says how a wait for a server ended.
+type waitResult int
+
+const (
+	// waitChosen: a server was chosen.
+	waitChosen waitResult = iota + 1
+	// waitEnded: the caller got a final response.
+	waitEnded
+	// waitUnreachable: this node reaches no server of the service, and a peer is to take the request.
+	waitUnreachable
+)
+
+// waitForServer chooses a server, and waits for one as long as that is worthwhile.
+func (x *exchange) waitForServer() (choice dispatch.Choice, result waitResult) {
 	core := x.handler.options.Dispatch
 	started := clock.Now()
 	x.waitingSince = started
@@ -27,6 +38,10 @@
 		}
 	}()
 	for {
+		if x.shouldForward() {
+			return choice, waitUnreachable
+		}
+		ok := false
 		var changed <-chan struct{}
 		var readyIn, loadOrdersIn time.Duration
 		var isAnnounced, isEvacuated bool
@@ -44,22 +59,22 @@
 			countedAs = x.countWaiting(c, countedAs, isWaiting)
 		})
 		if ok {
-			return choice, true
+			return choice, waitChosen
 		}
 		if !isWaiting {
 			isWaiting = true
 			if x.handler.waiting.Add(1) > int64(x.handler.options.MaxWaiting) {
 				x.refuse(reasonQueueFull, time.Second)
-				return choice, false
+				return choice, waitEnded
 			}
 			x.handler.options.OnWaiting()
 		}
 		if isEvacuated {
 			x.refuseEvacuated()
-			return choice, false
+			return choice, waitEnded
 		}
 		if !x.checkRegions() {
-			return choice, false
+			return choice, waitEnded
 		}
 		if !isAnnounced {
 			readyIn = x.estimateLoad(loadOrdersIn)
@@ -67,7 +82,7 @@
 		readyIn, isAnnounced = backingOff.earliest(readyIn, isAnnounced)
 		estimate := x.estimateReady(readyIn, isAnnounced)
 		if !x.keepWaiting(estimate) {
-			return choice, false
+			return choice, waitEnded
 		}
 		x.waitForChange(changed, started, estimate)
 	}
