relay: a node that reaches no other server blames no request for a server's end

A refused connection was taken for the server's end. It now counts only if this node reaches another server of the service at that moment, or one of another service where there is none. TestNodeThatReachesNoServerBlamesNoRequest failed before; TestOnlyServersThatEndedAreBlamedOn is unchanged.

--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/locality"
+	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -244,3 +245,31 @@
 		}
 	})
 }
+
+// TestNodeThatReachesNoServerBlamesNoRequest guards against living servers that count as crashed: a
+// partition may refuse connections to all of them.
+func TestNodeThatReachesNoServerBlamesNoRequest(t *testing.T) {
+	for _, reachesOthers := range []bool{false, true} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &fakeServer{address: listener.Addr().String()}
+		f := newFixture(t, server)
+		suspects := &fakeSuspects{status: poison.StatusClear}
+		f.handler.options.Suspects = suspects
+		f.handler.options.Reachability = &fixedReachability{reachesOthers: reachesOthers}
+		go func() {
+			if conn, err := listener.Accept(); err == nil {
+				server.serve(conn, func(conn net.Conn, _ *http.Request) bool {
+					_ = listener.Close()
+					return reset(conn)
+				})
+			}
+		}()
+		f.send(t, http.MethodPost, "/once/x", "body")
+		if blamed := len(suspects.crashReports) > 0; blamed != reachesOthers {
+			t.Errorf("reaches other servers: %v, the request is blamed: %v", reachesOthers, blamed)
+		}
+	}
+}
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -104,11 +104,18 @@
 		x.recordUnreached(choice)
 	}
 	suspects := x.handler.options.Suspects
-	if suspects != nil && x.serverLiveness == backendconn.LivenessEnded && x.endedUnexpectedly(choice) {
+	if suspects != nil && x.serverLiveness == backendconn.LivenessEnded && x.endedUnexpectedly(choice) && x.reachesOthers(choice) {
 		suspects.ReportCrash(x.fingerprint(), choice.ServerID, choice.Attempt.Age(clock.Now()))
 	}
 }
 
+// reachesOthers reports whether this node reaches servers at all: a node that is cut off from all of
+// them may be refused connections to servers that are alive.
+func (x *exchange) reachesOthers(choice dispatch.Choice) bool {
+	reachability := x.handler.options.Reachability
+	return reachability == nil || reachability.ReachesOthers(x.service, choice.ServerID)
+}
+
 // endedUnexpectedly reports whether the server ended without having announced it.
 func (x *exchange) endedUnexpectedly(choice dispatch.Choice) (unexpected bool) {
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { unexpected = core.EndedUnexpectedly(choice.Attempt) })
