edge: a leader that reaches no server leaves the lease to a node that does

Nodes that reach all servers refused callers of models that stood nowhere.

A node that reaches no server of some service with models ends its term, and is no candidate, while a living peer could lead that does; its peers do not wait for its turn. Where nobody reaches them the lease stays where it is. Reports that a leader asks servers for count as evidence, so that a leader without callers notices, too.

--- a/internal/dispatch/sample.go
+++ b/internal/dispatch/sample.go
@@ -37,5 +37,13 @@
 	return sample
 }
 
+// ServiceOf returns the service of the server; empty if the server is unknown.
+func (c *Core) ServiceOf(serverID string) string {
+	if known, ok := c.servers[serverID]; ok {
+		return known.info.Service
+	}
+	return ""
+}
+
 // Wake lets waiting requests check their state again.
 func (c *Core) Wake() { c.notify() }
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -396,6 +396,7 @@
 		admitted := l.node.admissions.AdmitInternalCall(ctx, call.Start())
 		if l.mayCallServer(call.Start(), admitted) {
 			report, err = l.node.options.Engines.FetchReport(ctx, call)
+			l.node.reachable.recordCall(call.ServerID, err)
 			l.node.hints.receiveFromCall(call.Start(), report.Hint, hintFromReport)
 		} else if admitted.Granted {
 			l.node.admissions.ReturnGrant(call.Start(), admitted)
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -14,7 +14,7 @@
 		return
 	}
 	l.lease.Expire(now)
-	if l.lease.Term() != 0 && l.shouldYield(now) {
+	if l.lease.Term() != 0 && (l.shouldCede(now) || l.shouldYield(now)) {
 		l.lease.WriteConflicted()
 	}
 	switch {
@@ -77,12 +77,32 @@
 	return true
 }
 
+// hasOrderingPeer reports whether this node could not order models while another node could.
+func (l *leader) hasOrderingPeer(now time.Time) bool {
+	if !l.node.reachable.cannotOrder() {
+		return false
+	}
+	l.node.peers.mu.Lock()
+	defer l.node.peers.mu.Unlock()
+	return l.node.peers.roster.HasOrderingPeer(now)
+}
+
+// shouldCede reports whether a leader should end its term because its orders reach no server of some
+// service, and another node could lead.
+func (l *leader) shouldCede(now time.Time) bool {
+	if !l.hasOrderingPeer(now) {
+		return false
+	}
+	l.node.options.Logger.Warn().Int64("term", l.lease.Term()).Msg("lease_ceded")
+	return true
+}
+
 // isCandidate reports whether this node should try to become leader.
 func (l *leader) isCandidate(now time.Time) bool {
 	if !l.node.isReady() {
 		return false
 	}
-	if now.Sub(l.yieldedAt) < yieldStandDown {
+	if now.Sub(l.yieldedAt) < yieldStandDown || l.hasOrderingPeer(now) {
 		return false
 	}
 	l.node.peers.mu.Lock()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -242,6 +242,7 @@
 	p.logTraffic(now)
 	p.shareRetryBudget(now)
 	p.mu.Lock()
+	p.roster.SetCannotOrder(p.node.reachable.cannotOrder())
 	nodes := len(p.roster.Alive(now))
 	fanout := gossipFanout
 	if nodes > largeFleetNodes {
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -51,6 +52,19 @@
 	}
 }
 
+// recordCall records how a call of the system itself to the server ended, for nodes that have no callers.
+func (r *reachable) recordCall(serverID string, err error) {
+	service := ""
+	r.node.dispatch.Do(func(core *dispatch.Core) { service = core.ServiceOf(serverID) })
+	switch {
+	case service == "" || errors.Is(err, context.Canceled):
+	case err == nil:
+		r.RecordContact(service)
+	default:
+		r.RecordFailure(service, serverID)
+	}
+}
+
 // IsUnreachable implements relay.Reachability.
 func (r *reachable) IsUnreachable(service string) bool {
 	r.mu.Lock()
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -62,8 +62,10 @@
 	zone     string
 	topology locality.Map
 	strength uint32
-	random   *rand.Rand
-	peers    map[string]*Peer
+	// cannotOrder is set while this node reaches no server of some service with models.
+	cannotOrder bool
+	random      *rand.Rand
+	peers       map[string]*Peer
 	// peersByAddress holds the peers sorted by address.
 	peersByAddress []*Peer
 	// candidates are addresses at which no node is known yet, with the time a peer named them;
@@ -82,6 +84,14 @@
 	r.summary = summary{}
 }
 
+// SetCannotOrder sets whether this node reaches no server of some service with models.
+func (r *Roster) SetCannotOrder(cannotOrder bool) {
+	if r.cannotOrder != cannotOrder {
+		r.cannotOrder = cannotOrder
+		r.summary = summary{}
+	}
+}
+
 // SetLocation sets the zone of this node's machine and the topology of zones.
 func (r *Roster) SetLocation(zone string, topology locality.Map) {
 	r.zone, r.topology = zone, topology
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -47,10 +47,11 @@
 	leaving      bool
 	strength     uint32
 	zone         string
+	cannotOrder  bool
 }
 
 func (p *Peer) summaryInputs() summaryInputs {
-	return summaryInputs{term: p.Term, storeFailing: p.StoreFailing, leaving: p.Leaving, strength: p.Strength, zone: p.Zone}
+	return summaryInputs{term: p.Term, storeFailing: p.StoreFailing, leaving: p.Leaving, strength: p.Strength, zone: p.Zone, cannotOrder: p.CannotOrder}
 }
 
 // summarize returns the summary as of now, cached if recent enough.
@@ -93,7 +94,9 @@
 	}
 	s.coordinators = insertByStrength(s.coordinators, peer, coordinatorCount)
 	precedes := roster.precedes(peer)
-	if precedes {
+	// Nodes that reach no server leave the lease to those that do, if there are any.
+	mayLead := !peer.CannotOrder || roster.cannotOrder
+	if precedes && mayLead {
 		s.rank++
 	}
 	if peer.StoreFailing {
@@ -102,6 +105,9 @@
 	if precedes || peer.Term > 0 {
 		s.sentinelRank++
 	}
+	if !mayLead {
+		return
+	}
 	s.maxStrength = max(s.maxStrength, peer.Strength)
 	s.nextLeaders = insertByStrength(s.nextLeaders, peer, standbys+1)
 }
--- a/test/platform/unreachable_test.go
+++ b/test/platform/unreachable_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -261,3 +263,43 @@
 		}
 	}
 }
+
+// TestModelsAreLoadedWhileTheLeaderReachesNoServer guards against a leader that keeps its lease
+// while none of its orders reaches a server, so that no model is loaded for anybody.
+func TestModelsAreLoadedWhileTheLeaderReachesNoServer(t *testing.T) {
+	f := newEmbeddedFleet(t, 3)
+	servers := f.addServers(3)
+	f.store.put("config", "main", newConfig(1))
+	f.awaitReady()
+	leader := 0
+	eventually(t, "a node leads", func() bool {
+		leader = slices.IndexFunc(f.nodes, func(n *node) bool { return strings.Contains(n.log(), "event=lease_taken") })
+		return leader >= 0
+	})
+	f.paths[leader].set(&cutKinds[0])
+	other := f.nodes[(leader+1)%len(f.nodes)]
+	eventually(t, "a model that stands nowhere is loaded and serves", func() bool { return other.send("/chat/x", "m2").status == http.StatusOK })
+	f.paths[leader].set(nil)
+	eventually(t, "the former leader serves its callers itself", func() bool {
+		return strings.Contains(f.nodes[leader].log(), "event=service_reachable")
+	})
+	if got := f.nodes[leader].send("/chat/x", "m2"); got.status != http.StatusOK {
+		t.Errorf("after the cut: %+v", got)
+	}
+	checkHolders(t, servers)
+}
+
+// checkHolders reports orders of two holders that overlap or go back.
+func checkHolders(t *testing.T, servers []*modelServer) {
+	t.Helper()
+	for _, m := range servers {
+		m.mu.Lock()
+		for i := 1; i < len(m.orders); i++ {
+			before, after := m.orders[i-1], m.orders[i]
+			if after.FencingToken < before.FencingToken || after.Holder != before.Holder && after.FencingToken == before.FencingToken {
+				t.Errorf("%s: order of %s at %d follows %s at %d", m.id, after.Holder, after.FencingToken, before.Holder, before.FencingToken)
+			}
+		}
+		m.mu.Unlock()
+	}
+}
