admission: a brittle server is sent no more than it can reject

Servers that say Server-Brittle: N fall over once they reject more than N requests in a second for want of room; no code read the field, which was logged once as unknown.

Each send to a server of a brittle service counts as a possible rejection until the server has answered, or 50 ms have passed in which it would have rejected; rejections count for 1.2 s. A node decides alone where its share, 0.8 N by the pessimistic size of the fleet, is one or more; else the coordinator of limits grants half of N, nothing in its first 1.2 s and after a pause, so that two in turn or side by side stay within N. Without an answer the lots that exist choose the nodes. A send whose end is never reported counts as rejected. A denied server is passed over, the next one is asked.

Ruled out: limiting the rate of sends (the capacity is not announced), and avoiding servers that rejected (news of that takes longer than a burst).

What is lost: with N=2 a server gets one unanswered send at a time.

--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -59,7 +59,7 @@
 	limit      RateLimit
 	// limitReportedAt is when the rate limit was last reported as new.
 	limitReportedAt time.Time
-	// heldUntil is until when a rate-limited server is skipped after a denied request, and
+	// heldUntil is until when a rate-limited or brittle server is skipped after a denied request, and
 	// nextGrantAt is when a request may be granted again.
 	heldUntil, nextGrantAt time.Time
 }
@@ -171,7 +171,7 @@
 		return Decision{Reason: DenyBackoff, RetryAfter: s.backoffUntil.Sub(now)}
 	case s.hasProbeInFlight(now):
 		return Decision{Reason: DenyHalfOpen, RetryAfter: ProbeTimeout - now.Sub(s.probe.started)}
-	case s.IsRateLimited() && now.Before(s.heldUntil):
+	case now.Before(s.heldUntil):
 		return Decision{Reason: DenyRateLimit, RetryAfter: max(s.heldUntil.Sub(now), s.nextGrantAt.Sub(now))}
 	default:
 		return Decision{}
@@ -187,10 +187,10 @@
 	return Decision{}
 }
 
-// RecordDenial records that a request to a rate-limited server was denied and may be granted after
+// RecordDenial records that a request to a rate-limited or brittle server was denied and may be granted after
 // retryAfter. Until then, within minHold and maxHold, the server is skipped.
-func (s *Server) RecordDenial(now time.Time, retryAfter time.Duration) {
-	if s.IsRateLimited() {
+func (s *Server) RecordDenial(now time.Time, retryAfter time.Duration, isBrittle bool) {
+	if s != nil && (s.IsRateLimited() || isBrittle) {
 		s.heldUntil = now.Add(min(max(retryAfter, minHold), maxHold))
 		s.nextGrantAt = now.Add(retryAfter)
 	}
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -104,7 +104,11 @@
 // RecordDenial records that a request was not granted at a server and may be granted after retryIn.
 func (c *Core) RecordDenial(now time.Time, serverID string, retryIn time.Duration) {
 	if s, ok := c.servers[serverID]; ok {
-		s.admissionState.RecordDenial(now, retryIn)
+		_, isBrittle := c.Brittleness(now, s.info.Service)
+		if isBrittle {
+			c.stateOf(now, s.info.Start())
+		}
+		s.admissionState.RecordDenial(now, retryIn, isBrittle)
 		s.cold.warmUp.RecordDenial(now, retryIn)
 		s.cold.retryAt = now.Add(retryIn)
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -46,6 +46,8 @@
 	evacuatedZones map[string]bool
 	// coldStarts are the limits of services whose cold servers accept less, by service.
 	coldStarts map[string]routetable.ColdStart
+	// brittle holds the services whose servers announced how many rejections they bear.
+	brittle map[string]brittleness
 	// changed is closed when something happened that may let a waiting request proceed.
 	changed chan struct{}
 }
@@ -63,6 +65,7 @@
 		serversByPeer: make(map[string][]*server),
 		pendingViews:  make(map[string]pendingView),
 		starts:        make(map[inventory.Start]*startState),
+		brittle:       make(map[string]brittleness),
 		changed:       make(chan struct{}),
 	}
 }
--- a/internal/edge/admissions.go
+++ b/internal/edge/admissions.go
@@ -31,11 +31,15 @@
 	// coordinator.
 	warmUps, limits               *quota.Coordinator
 	warmUpFallback, limitFallback *admission.FallbackAllowance
+	// risks counts the sends to brittle servers that this node decided alone, and grantedRisks those
+	// that it granted as the coordinator.
+	risks, grantedRisks *admission.RejectionLedger
+	riskFallback        *admission.FallbackAllowance
 	// fleetSizeReceived is true once the store, or a node that knows it, reported the fleet
 	// size.
 	fleetSizeReceived atomic.Bool
 	// Counters for metrics.
-	admitted, uncoordinated, limitedAdmitted, returnedGrants atomic.Int64
+	admitted, uncoordinated, limitedAdmitted, returnedGrants, riskHeld atomic.Int64
 }
 
 func newAdmissions(node *Node) *admissions {
@@ -45,6 +49,9 @@
 		limits:         quota.NewCoordinator(admission.RateLimitTolerance()),
 		warmUpFallback: admission.NewWarmUpFallback(node.options.PeerAddress),
 		limitFallback:  admission.NewRateLimitFallback(node.options.PeerAddress),
+		risks:          admission.NewRejectionLedger(),
+		grantedRisks:   admission.NewRejectionLedger(),
+		riskFallback:   admission.NewRejectionFallback(node.options.PeerAddress),
 	}
 }
 
@@ -76,7 +83,11 @@
 // Admit implements relay.Admission.
 func (c *admissions) Admit(ctx context.Context, start inventory.Start, priority int) relay.AdmissionDecision {
 	now := clock.Now()
-	return c.admit(ctx, now, start, c.limitsOf(now, start), priority)
+	decision := c.admit(ctx, now, start, c.limitsOf(now, start), priority)
+	if decision.Granted {
+		c.admitRisk(ctx, start, &decision)
+	}
+	return decision
 }
 
 // AdmitInternalCall asks whether a call of the system itself (an order or a report request) may
@@ -243,6 +254,9 @@
 		return answer
 	}
 	start := inventory.Start{ID: call.Server, StartedAtMs: call.Born}
+	if call.Brittle > 0 {
+		return c.decideRisk(now, call, start, answer)
+	}
 	if limit, ok := decodeLimit(now, call.Limit); ok {
 		c.node.hints.receivePeerLimit(now, start, limit)
 	}
@@ -340,9 +354,11 @@
 // observe is called in each period. It lets the coordinator notice when it was suspended, and
 // logs servers that turned cold or warm.
 func (c *admissions) observe(now time.Time) {
+	isCoordinator := c.node.quotas.isCoordinator(now)
 	c.mu.Lock()
 	c.warmUps.Observe(now)
 	c.limits.Observe(now)
+	c.grantedRisks.Observe(now, isCoordinator)
 	c.mu.Unlock()
 	var changes []dispatch.ColdChange
 	c.node.dispatch.Do(func(core *dispatch.Core) { changes = core.ColdChanges(now) })
@@ -365,6 +381,9 @@
 		defer c.mu.Unlock()
 		c.warmUpFallback.Prune(now)
 		c.limitFallback.Prune(now)
+		c.riskFallback.Prune(now)
+		c.risks.Prune(now)
+		c.grantedRisks.Prune(now)
 		if isCoordinator {
 			c.warmUps.Prune(core.HasEntry)
 			c.limits.Prune(func(account string) bool { return core.HasEntry(account[:strings.LastIndexByte(account, '/')]) })
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -169,6 +169,7 @@
 	m.counter("limited_admitted_total", "Sends to servers that name a rate limit that were granted.", node.admissions.limitedAdmitted.Load)
 	m.counter("limited_given_back_total", "Grants of such sends that were not used.", node.admissions.returnedGrants.Load)
 	m.counter("cold_held_total", "Times that a send was held back at a cold or limited server.", node.handler.Metrics.ColdHeld.Load)
+	m.counter("brittle_held_total", "Times that a send was held back as a brittle server might have to reject it.", node.admissions.riskHeld.Load)
 	m.counter("cold_alone_total", "Sends to cold servers decided without a coordinator.", node.admissions.uncoordinated.Load)
 	for kind := range trafficKindCount {
 		m.counter("peer_"+kind.String()+"_bytes_total", "Bytes sent to peers: "+kind.String()+".", func() int64 { return node.peers.sentBytes.byKind(kind) })
--- a/internal/inventory/hint.go
+++ b/internal/inventory/hint.go
@@ -12,6 +12,9 @@
 	Backoff time.Duration
 	// Limit is the rate that the server accepts from all nodes together.
 	Limit RateLimit
+	// Brittleness is how many requests the server can reject in a second without failing; 0 if it does
+	// not say.
+	Brittleness int
 	// SentAt is when the request was sent that the response answers.
 	SentAt time.Time
 }
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -29,6 +29,25 @@
 	GrantedBy string
 	// RetryAfter is when a denied request may be granted.
 	RetryAfter time.Duration
+	// Settle, where it is set, must be called once it is known whether the server rejected the
+	// request, or that nothing was sent. It may be called again if the server rejects it after all.
+	Settle func(isRejected bool)
+}
+
+// settle calls Settle if it is set.
+func (d AdmissionDecision) settle(isRejected bool) {
+	if d.Settle != nil {
+		d.Settle(isRejected)
+	}
+}
+
+// acceptedAfter settles a send as accepted once a server that rejects it would have done so. The timer
+// is nil where there is nothing to settle.
+func (d AdmissionDecision) acceptedAfter(wait time.Duration) *time.Timer {
+	if d.Settle == nil {
+		return nil
+	}
+	return time.AfterFunc(wait, func() { d.Settle(false) })
 }
 
 // isReturnable reports whether a coordinator granted it, so that the grant can be returned.
@@ -50,6 +69,7 @@
 
 // returnGrant returns the grant of a send that was abandoned.
 func (x *exchange) returnGrant(choice dispatch.Choice, decision AdmissionDecision) {
+	decision.settle(false)
 	if decision.isReturnable() {
 		x.handler.options.Admission.ReturnGrant(choice.Attempt.Start(), decision)
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
@@ -47,7 +48,12 @@
 	x.countBytes(choice, len(x.body))
 	x.sentAt = clock.Now()
 	x.sends++
+	accepted := decision.acceptedAfter(admission.RejectionTime)
 	response, err := conn.RoundTrip(x.ctx, x.serverRequest(choice))
+	if accepted != nil {
+		accepted.Stop()
+		decision.settle(err == nil && x.isRejection(response))
+	}
 	if x.holdsRetry && !errorx.IsOfType(err, backendconn.ErrNotSent) {
 		x.holdsRetry = false
 		x.handler.Metrics.Retries.Add(1)
@@ -62,6 +68,12 @@
 	return x.handleResponse(choice, response)
 }
 
+// isRejection reports whether the server turned the request away without running it.
+func (x *exchange) isRejection(response *backendconn.Response) bool {
+	head := x.handler.options.Dialect.ReadResponseHead(response.Status, response.Header)
+	return head.NotRun && response.Status != http.StatusMisdirectedRequest
+}
+
 // connect takes a connection to the chosen server and checks that the request may still be sent.
 // Where ok is false nothing was sent, and result says how the attempt ended.
 func (x *exchange) connect(choice dispatch.Choice, decision *AdmissionDecision) (conn *backendconn.Conn, result attemptResult, ok bool) {
@@ -238,6 +250,7 @@
 	}
 	head := x.handler.options.Dialect.ReadResponseHead(status, header)
 	x.hint = head.Hint
+	x.receiveBrittleness(choice, head)
 	if x.handler.options.Dialect.BelongsTo(header, x.head.RequestID) {
 		x.hint.SentAt = x.sentAt
 	}
@@ -255,6 +268,21 @@
 	}
 }
 
+// receiveBrittleness applies what the service's servers bear, unless another service has taken over the
+// address.
+func (x *exchange) receiveBrittleness(choice dispatch.Choice, head ResponseHead) {
+	if head.ServerID != "" && head.ServerID != choice.ServerID {
+		return
+	}
+	changed := false
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
+		changed = core.ReceiveBrittleness(clock.Now(), x.service, head.Hint.Brittleness)
+	})
+	if changed {
+		x.handler.options.Logger.Info().Str("service", x.service).Int("rejections_per_s", head.Hint.Brittleness).Msg("service_brittle")
+	}
+}
+
 // recordResponse passes the server's reported load and warm-up to the dispatcher.
 func (x *exchange) recordResponse(choice dispatch.Choice, head ResponseHead) {
 	start, isNew := choice.Attempt.Start(), false
