edge: a node that reaches neither servers nor peers is not ready

Such a node said that it was ready and refused each caller after a dial. It now fails its readiness probe while it reaches no server of any service and hears no peer of a fleet that has others, and closes the connection of a caller whom neither it nor a peer can serve. A lone node, and one whose peers reach no server either, stay ready: callers would find nothing better.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -350,7 +350,18 @@
 
 func (n *Node) isReady() bool {
 	seedsQueried := n.seedsQueried.Load() || clock.Since(n.started) > maxSeedsWait
-	return n.hasRequiredState() && seedsQueried && !n.stopping.Load()
+	return n.hasRequiredState() && seedsQueried && !n.stopping.Load() && !n.isIsolated()
+}
+
+// isIsolated reports whether this node can serve nobody: it reaches no server of any service, and hears
+// no peer of a fleet that has others.
+func (n *Node) isIsolated() bool {
+	table := n.handler.Table()
+	if n.peers == nil || table == nil || !n.reachable.reachesNone(table) {
+		return false
+	}
+	nodes, _ := n.quotas.fleetSize(clock.Now())
+	return nodes > 1 && n.peers.isAlone(clock.Now())
 }
 
 // maxSeedsWait is how long a starting node waits for the responses of its seeds.
--- a/internal/edge/peers_roster.go
+++ b/internal/edge/peers_roster.go
@@ -14,6 +14,13 @@
 	return len(p.alive)
 }
 
+// isAlone reports whether no other node was heard from recently.
+func (p *peers) isAlone(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.roster.Alive(now)) == 0
+}
+
 // addCandidates tries addresses that a peer named, for a limited time.
 func (p *peers) addCandidates(now time.Time, addresses []string) {
 	p.mu.Lock()
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -14,8 +14,10 @@
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/reachability"
 	"github.com/spanlanding/spanlanding/internal/relay"
+	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
 // reachCheckPeriod is the interval between checks for services whose next probes are due.
@@ -85,6 +87,21 @@
 	return len(sample) == 0 || r.countAnswering(sample) > 0
 }
 
+// reachesNone reports whether no service of the table that has servers is reachable.
+func (r *reachable) reachesNone(table *routetable.Table) bool {
+	unreachable := r.unreachable()
+	if len(unreachable) == 0 {
+		return false
+	}
+	none := true
+	r.node.dispatch.Do(func(core *dispatch.Core) {
+		for service := range table.Services {
+			none = none && (slices.Contains(unreachable, service) || !core.HasServer(service, locality.Regions{}))
+		}
+	})
+	return none
+}
+
 // cannotOrder reports whether this node reaches no server of some service with models, so that it
 // could not order loads there.
 func (r *reachable) cannotOrder() bool {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -123,6 +123,8 @@
 		x.endCallerGone()
 	}
 	if x.unreached > 0 {
+		// Another node may reach servers: the caller is better served on a new connection.
+		x.writer.Header().Set("Connection", "close")
 		x.giveUp(reasonUnreachable)
 		return true
 	}
