gateway: a partition blames no request for the end of back ends

It counts only if another back end of the zone accepts a connection. On the platform a server of any service vouches, since one request may have ended all servers of its own. TestGatewayThatReachesNoBackendBlamesNoRequest failed before.

--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -74,15 +74,13 @@
 	return r.tracker.IsUnreachable(service)
 }
 
-// ReachesOthers implements relay.Reachability. Servers of other services vouch only for a server that
-// is the only one of its own; a deployment with a single server has nothing to compare it with.
+// ReachesOthers implements relay.Reachability. Servers of other services vouch as well: a request may
+// have ended all servers of its own. A deployment with a single server has nothing to compare it with.
 func (r *reachable) ReachesOthers(service, serverID string) bool {
 	var sample []inventory.Server
 	r.node.dispatch.Do(func(core *dispatch.Core) {
 		sample, _ = core.SampleServers(service, []string{serverID}, reachability.SampleSize)
-		if len(sample) == 0 {
-			sample = core.SampleOtherServices(service, reachability.SampleSize)
-		}
+		sample = append(sample, core.SampleOtherServices(service, reachability.SampleSize)...)
 	})
 	return len(sample) == 0 || r.countAnswering(sample) > 0
 }
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -100,7 +100,7 @@
 	if s.gateway.probes.Probe(target.Address) != backendconn.LivenessEnded {
 		return
 	}
-	if serverID, isStaying := s.gateway.serverProcess(target); isStaying {
+	if serverID, isStaying := s.gateway.serverProcess(target); isStaying && s.gateway.reachesOthers(target) {
 		s.gateway.options.Suspects.Blame(s.fingerprint, serverID)
 	}
 }
@@ -113,6 +113,39 @@
 	}
 }
 
+// maxWitnesses is the number of other back ends that are probed before a server counts as crashed.
+const maxWitnesses = 8
+
+// reachesOthers reports whether this node reaches back ends at all: a partition may refuse connections
+// to back ends that are alive. A back end without others is its own witness.
+func (g *Gateway) reachesOthers(target fleet.Backend) bool {
+	tables, _ := g.options.Views.RouteTables.Get()
+	asked := 0
+	for _, address := range backendAddresses(tables[target.Zone]) {
+		if address == target.Address {
+			continue
+		}
+		if g.probes.Probe(address) == backendconn.LivenessAlive {
+			return true
+		}
+		if asked++; asked == maxWitnesses {
+			break
+		}
+	}
+	return asked == 0
+}
+
+// backendAddresses returns the addresses of all back ends of the table.
+func backendAddresses(table fleet.RouteTable) (addresses []string) {
+	for index := range table.Engines {
+		addresses = append(addresses, table.Engines[index].Address)
+	}
+	for _, service := range table.Services {
+		addresses = append(addresses, service.Address)
+	}
+	return addresses
+}
+
 // serverProcess identifies the process of a back end by the newest route tables; isStaying is
 // false if it had announced that it leaves. A restart under the same name is another process.
 func (g *Gateway) serverProcess(target fleet.Backend) (serverID string, isStaying bool) {
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -202,6 +202,24 @@
 	}
 }
 
+// TestGatewayThatReachesNoBackendBlamesNoRequest has a partition that refuses connections to all back ends.
+func TestGatewayThatReachesNoBackendBlamesNoRequest(t *testing.T) {
+	suspects := &localSuspects{tracker: poison.NewTracker()}
+	h := newHarness(t, func(options *Options) { options.Suspects = suspects })
+	var ended atomic.Int64
+	h.addEngine("e0", h.crashingBackend(&ended, isPoison, plainEngine))
+	closed := httptest.NewServer(http.NotFoundHandler())
+	h.table.Engines = append(h.table.Engines, fleet.EngineState{Backend: fleet.Backend{
+		Name: "e1", Zone: h.table.Zone, Address: closed.Listener.Addr().String(),
+	}})
+	closed.Close()
+	h.publish()
+	h.do(http.MethodPost, backend.PathCompletions, poisonBody, headerDeadline, "500ms")
+	if ended.Load() != 1 || suspects.tracker.Size() != 0 {
+		t.Errorf("%d servers ended, %d requests are suspected", ended.Load(), suspects.tracker.Size())
+	}
+}
+
 // TestPoisonCallEndsThreeServers uses a repeatable call, which is retried at once.
 func TestPoisonCallEndsThreeServers(t *testing.T) {
 	suspects := &localSuspects{tracker: poison.NewTracker()}
