--- a/test/platform/unreachable_test.go
+++ b/test/platform/unreachable_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -170,6 +171,92 @@
 	return embedded
 }
 
+// sentCommand is a command with its reply.
+type sentCommand struct {
+	id   string
+	got  reply
+	took time.Duration
+}
+
+// TestDrawnCutsKeepPromises cuts and heals the paths of nodes at random, several at once: a refusal
+// that says "not run" is true, commands run at most once, and nobody is held beyond the deadline.
+func TestDrawnCutsKeepPromises(t *testing.T) {
+	const (
+		deadline  = 1500 * time.Millisecond
+		drawnTime = 8 * time.Second
+	)
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 0xc07))
+			f := newEmbeddedFleet(t, 4)
+			servers := f.addServers(3)
+			f.store.put("config", "main", newConfig(1))
+			f.awaitReady()
+			var mu sync.Mutex
+			var sent []sentCommand
+			var callers sync.WaitGroup
+			begin := time.Now()
+			for number := 0; time.Since(begin) < drawnTime; number++ {
+				if number%8 == 0 {
+					path, kind := f.paths[random.IntN(len(f.paths))], &cutKinds[random.IntN(len(cutKinds))]
+					if random.IntN(2) == 0 {
+						kind = nil
+					}
+					path.set(kind)
+				}
+				for _, n := range f.nodes {
+					id := fmt.Sprintf("%s-%d-%d", n.name, number, begin.UnixNano())
+					callers.Go(func() {
+						at := time.Now()
+						got := n.sendRequest(callerRequest{id: id, path: "/command/x", body: "body", deadline: deadline})
+						mu.Lock()
+						defer mu.Unlock()
+						sent = append(sent, sentCommand{id, got, time.Since(at)})
+					})
+				}
+				time.Sleep(attemptInterval)
+			}
+			callers.Wait()
+			for _, path := range f.paths {
+				path.set(nil)
+			}
+			checkCommands(t, servers, sent, deadline)
+			time.Sleep(contactTime)
+			if after := countFirstAttempts(f.nodes, time.Second); after.failed > after.total()/10 {
+				t.Errorf("after the cuts: %+v", after)
+			}
+		})
+	}
+}
+
+func checkCommands(t *testing.T, servers []*modelServer, sent []sentCommand, deadline time.Duration) {
+	t.Helper()
+	served := 0
+	for _, command := range sent {
+		runs := 0
+		for _, m := range servers {
+			m.mu.Lock()
+			runs += m.runs[command.id]
+			m.mu.Unlock()
+		}
+		switch {
+		case runs > 1:
+			t.Errorf("%s ran %d times", command.id, runs)
+		case command.got.status == http.StatusServiceUnavailable && runs > 0:
+			t.Errorf("%s was refused although it ran", command.id)
+		case command.got.status == http.StatusOK && (runs == 0 || !strings.HasPrefix(command.got.body, "done by ")):
+			t.Errorf("%s got %q after %d runs", command.id, command.got.body, runs)
+		case command.took > deadline+500*time.Millisecond:
+			t.Errorf("%s was held for %v", command.id, command.took)
+		}
+		if command.got.status == http.StatusOK {
+			served++
+		}
+	}
+	t.Logf("%d of %d commands served", served, len(sent))
+}
+
 // firstAttempts counts first attempts by their outcome.
 type firstAttempts struct{ served, failed int }
 
