relay: a stream that a peer began goes on after its last event, wherever it goes on

A request that was forwarded on arrival and whose peer broke off in the middle of its stream began anew at this node's own servers if no other peer took it: the event to resume after was set back to the caller's, and the send took no retry from the budget. Callers saw the first events twice.

TestStreamGoesOnAtAServerAfterAPeer failed before on both counts.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -63,7 +63,9 @@
 	forwarded *forwardedState
 	// peer is the address of the node that the request was last forwarded to, and forwardAgainAt when
 	// it may be offered to peers again.
-	peer           string
+	peer string
+	// wasForwarded is set once a peer may have sent the request to a server.
+	wasForwarded   bool
 	forwardAgainAt time.Time
 	// isCounted is set once the request was counted for the retry budget.
 	isCounted bool
@@ -136,7 +138,7 @@
 		x.deny(http.StatusBadRequest, err.Error())
 		return false
 	}
-	x.head = head
+	x.head, x.lastEventID = head, head.LastEventID
 	route, ok := x.table.Match(x.request.Host, x.request.URL.Path)
 	if !ok {
 		x.deny(http.StatusNotFound, "no route")
@@ -241,13 +243,12 @@
 		return
 	}
 	x.countDemand()
-	x.lastEventID = x.head.LastEventID
 	for sends := 0; ; sends++ {
 		choice, ok := x.chooseServer()
 		if !ok {
 			return
 		}
-		x.isResend = sends > 0
+		x.isResend = sends > 0 || x.wasForwarded
 		if x.isResend && !x.hasRetryLeft() {
 			x.endAttempt(choice, dispatch.OutcomeAbandoned)
 			x.refuseWithoutRetry()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -177,7 +177,7 @@
 	}
 	x.sends++
 	x.sentTo = append(x.sentTo, address)
-	x.mayHaveRun = true
+	x.mayHaveRun, x.wasForwarded = true, true
 }
 
 // peerRequest is the request as it goes to a peer: as the caller sent it, with the time left, and
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -273,3 +273,23 @@
 		}
 	}
 }
+
+// TestStreamGoesOnAtAServerAfterAPeer guards against a stream that begins anew at a server after a peer
+// has broken off: the caller has its first events already.
+func TestStreamGoesOnAtAServerAfterAPeer(t *testing.T) {
+	server := newFakeServer(t, respondWith(http.StatusOK, "id: 2\n\n"))
+	node := newFixture(t, server)
+	broken := newFakeServer(t, func(conn net.Conn, _ *http.Request) bool {
+		write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nid: 1\n\n")
+		return false
+	})
+	node.cutOff(broken.address)
+	before := node.handler.Metrics.Retries.Load()
+	got := node.send(t, http.MethodPost, "/resume/", "body")
+	if got.body != "id: 1\n\nid: 2\n\n" || server.count() != 1 || server.last().Header.Get("X-Last") != "1" {
+		t.Errorf("the caller got %q; the server was sent to %d times", got.body, server.count())
+	}
+	if taken := node.handler.Metrics.Retries.Load() - before; taken != 1 {
+		t.Errorf("%d retries taken for the second send, want 1", taken)
+	}
+}
