--- a/test/faults/run_test.go
+++ b/test/faults/run_test.go
@@ -56,6 +56,7 @@
 // runLoad puts load on the fleet, runs the script and returns the summary of the checks.
 func (f *testFleet) runLoad(run loadRun) report.Summary {
 	f.Helper()
+	defer watchStalls(f)()
 	reached := make(map[scenario.Moment]chan struct{})
 	for _, moment := range moments {
 		reached[moment] = make(chan struct{})
