routing: a node that was paused sends nothing until it has caught up

Cause: a pause makes all that a node knows old at once, and only leases and deadlines were checked against the clock. Class: knowledge from before a suspension is taken for current. The shells observe the clock each 500 ms; an observation that is 700 ms late tells the routing of models and that of services, which start no attempt for 250 ms. Requests wait meanwhile; capacity is announced again at the end.

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -135,6 +135,7 @@
 	hedges       map[uint64]submitHedge
 	calls        map[uint64]chan dispatchReply
 	assigned     map[uint64]assignedRequest
+	suspension   routing.Suspension
 	timer        *time.Timer
 	timerAt      time.Time
 	// regionsByModel holds the sets of regions that requests for a model were bound to.
@@ -186,6 +187,9 @@
 
 func (s *dispatcherState) receive(context actor.Context) {
 	now := s.gateway.now()
+	if s.suspension.Observe(now) {
+		s.stepRouting(now, routing.Resumed{})
+	}
 	switch message := context.Message().(type) {
 	case submitModel:
 		s.handleSubmit(now, message)
@@ -250,7 +254,7 @@
 
 // armTimer sets the timer to the earliest wake time of the cores.
 func (s *dispatcherState) armTimer(now time.Time) {
-	at := earliest(s.queue.NextWake(), s.routing.NextWake())
+	at := earliest(earliest(s.queue.NextWake(), s.routing.NextWake()), s.suspension.NextBeat())
 	if at.IsZero() || at.Equal(s.timerAt) {
 		return
 	}
--- a/internal/routing/message.go
+++ b/internal/routing/message.go
@@ -90,6 +90,9 @@
 	Result Result
 }
 
+// Resumed tells that the process was paused: messages that arrived meanwhile are still to come.
+type Resumed struct{}
+
 // Tick is to be sent at the time that NextWake returns.
 type Tick struct{}
 
@@ -97,6 +100,7 @@
 func (Leaving) isMessage()      {}
 func (Evacuations) isMessage()  {}
 func (Topology) isMessage()     {}
+func (Resumed) isMessage()      {}
 func (Pick) isMessage()         {}
 func (PickService) isMessage()  {}
 func (FirstToken) isMessage()   {}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -51,6 +51,9 @@
 			continue
 		}
 		known = true
+		if now.Before(c.refreshUntil) {
+			continue
+		}
 		if allowed, _ := target.circuit.allows(now); allowed && !target.isRefusing(now, model) && target.admissionState.CheckInternalCall(now).Admits() {
 			candidates = append(candidates, target)
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -95,7 +95,10 @@
 	// scheduledChanges are the times at which a model's capacity may grow without a message,
 	// earliest first.
 	scheduledChanges []scheduledChange
-	effects          []Effect
+	// refreshUntil is the time until which nothing is sent after a pause of the process; zero if
+	// there was none.
+	refreshUntil time.Time
+	effects      []Effect
 }
 
 // New returns a core that knows no back ends.
@@ -118,6 +121,7 @@
 func (c *Core) Step(now time.Time, message Message) []Effect {
 	clear(c.effects)
 	c.effects = c.effects[:0]
+	c.endRefresh(now)
 	switch message := message.(type) {
 	case Tables:
 		c.applyTables(now, message.Tables)
@@ -138,6 +142,8 @@
 		c.handleFirstToken(now, message)
 	case Ended:
 		c.handleEnded(now, message)
+	case Resumed:
+		c.handleResumed(now)
 	case Tick:
 		c.emitScheduledChanges(now)
 		c.emitProbeableCircuits(now)
@@ -145,8 +151,8 @@
 	return c.effects
 }
 
-// NextWake returns the time at which the next Tick is due: when an open circuit may be probed or a
-// scheduled capacity change happens. It is zero if none is due.
+// NextWake returns the time at which the next Tick is due: when an open circuit may be probed, a
+// scheduled capacity change happens, or the refresh after a pause ends. It is zero if none is due.
 func (c *Core) NextWake() time.Time {
 	var wake time.Time
 	for _, target := range c.targets {
@@ -158,6 +164,9 @@
 	if len(c.scheduledChanges) > 0 && (wake.IsZero() || c.scheduledChanges[0].at.Before(wake)) {
 		wake = c.scheduledChanges[0].at
 	}
+	if !c.refreshUntil.IsZero() && (wake.IsZero() || c.refreshUntil.Before(wake)) {
+		wake = c.refreshUntil
+	}
 	return wake
 }
 
--- a/internal/sim/world/node_requests.go
+++ b/internal/sim/world/node_requests.go
@@ -30,9 +30,11 @@
 	node    *node
 	queue   *queue.Core
 	routing *routing.Core
-	budget  *attempt.Budget
-	waker   *sim.Waker
-	tickets uint64
+	// suspension notices pauses of the node, for the routings of models and of services.
+	suspension routing.Suspension
+	budget     *attempt.Budget
+	waker      *sim.Waker
+	tickets    uint64
 	// pending holds the attempts without a back end, assigned those with one.
 	pending  map[uint64]*request
 	assigned map[uint64]assignment
@@ -73,6 +75,7 @@
 }
 
 func (p *requestsPart) tick() {
+	p.noticePause()
 	p.stepRouting(routing.Tick{})
 	p.stepQueue(queue.Tick{})
 	for _, line := range p.queue.Queues() {
@@ -81,6 +84,14 @@
 	p.scheduleWake()
 }
 
+// noticePause tells both routings if the node was paused.
+func (p *requestsPart) noticePause() {
+	if p.suspension.Observe(p.node.process.Now()) {
+		p.stepRouting(routing.Resumed{})
+		p.node.services.step(routing.Resumed{})
+	}
+}
+
 func (p *requestsPart) scheduleWake() {
 	wake := p.queue.NextWake()
 	if p.node.world.config.Defects.Queue.ForgetDeadlines && !wake.IsZero() {
@@ -90,6 +101,7 @@
 	}
 	p.waker.Set(wake)
 	p.waker.Set(p.routing.NextWake())
+	p.waker.Set(p.suspension.NextBeat())
 }
 
 // submit requests a back end for an attempt.
--- a/internal/sim/world/node_routing.go
+++ b/internal/sim/world/node_routing.go
@@ -13,6 +13,7 @@
 
 // stepRouting steps the routing and performs its effects; see stepQueue.
 func (p *requestsPart) stepRouting(message routing.Message) {
+	p.noticePause()
 	for _, effect := range slices.Clone(p.routing.Step(p.node.process.Now(), message)) {
 		switch effect := effect.(type) {
 		case routing.Picked:
--- a/internal/sim/world/node_service.go
+++ b/internal/sim/world/node_service.go
@@ -31,6 +31,7 @@
 }
 
 func (p *servicePart) step(message routing.Message) {
+	p.node.requests.noticePause()
 	now := p.node.process.Now()
 	if wake := p.routing.NextWake(); !wake.IsZero() && !wake.After(now) {
 		p.routing.Step(now, routing.Tick{})
