reachability: long outages are probed seldom, evacuated zones not at all

Read before the landing: a service that is down for all would get 6,000 connections a second from 800 nodes at the moment it comes back, three each 400 ms from each; probes went to servers of evacuated zones, where nothing is to be sent; a service without usable servers counted as unreachable for one round; a forwarded caller that came back after a refusal was not taken for one. Rounds are now further and further apart, up to 2 s, and probe one server from the fifth on. TestLongOutageIsProbedSeldom is new. Tracker.Forget, which nothing called, is gone.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -52,6 +52,7 @@
 // failures in preference to successes, and all changes of what the process knows.
 var unlimitedEvents = map[string]bool{
 	"request_refused": true, "request_failed": true, "request_cut": true,
+	"service_unreachable": true, "service_reachable": true, "lease_ceded": true,
 	"lease_taken": true, "lease_lost": true, "config_in_force": true, "server_changed": true, "server_word": true, "node_started": true, "node_stopped": true,
 	"evacuation_in_force": true, "evacuation_ended": true, "evacuation_of_unknown_zone": true,
 }
--- a/internal/dispatch/sample.go
+++ b/internal/dispatch/sample.go
@@ -7,23 +7,26 @@
 	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
-// SampleServers draws up to limit servers of the service other than the excluded ones, those that
-// take work first. known is the number of servers of the service.
+// SampleServers draws up to limit servers of the service other than the excluded ones, those that do
+// not drain first. known is the number of servers of the service. Servers of evacuated zones are left
+// out: nothing is sent there.
 func (c *Core) SampleServers(service string, exclude []string, limit int) (sample []inventory.Server, known int) {
 	listed := c.byService[service]
 	var draining []inventory.Server
 	for _, at := range c.random.Perm(len(listed)) {
 		switch s := listed[at]; {
-		case len(sample) == limit:
-			return sample, len(listed)
+		case s.isZoneEvacuated:
+			continue
 		case slices.Contains(exclude, s.info.ID):
 		case s.isDraining():
 			draining = append(draining, s.info)
 		default:
 			sample = append(sample, s.info)
 		}
+		known++
 	}
-	return append(sample, draining[:min(len(draining), limit-len(sample))]...), len(listed)
+	sample = append(sample, draining...)
+	return sample[:min(len(sample), limit)], known
 }
 
 // SampleOtherServices draws up to limit servers of other services than this one, one of each.
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -139,12 +139,12 @@
 func (r *reachable) probe(service string) {
 	_, _, _ = r.rounds.Do(service, func() (any, error) {
 		r.mu.Lock()
-		exclude := r.tracker.Begin(clock.Now(), service)
+		size, exclude := r.tracker.Begin(clock.Now(), service)
 		r.mu.Unlock()
 		var sample []inventory.Server
 		var known int
 		r.node.dispatch.Do(func(core *dispatch.Core) {
-			sample, known = core.SampleServers(service, exclude, reachability.SampleSize)
+			sample, known = core.SampleServers(service, exclude, size)
 		})
 		answered := r.countAnswering(sample)
 		r.mu.Lock()
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -11,8 +11,13 @@
 	// suspicionInterval is the minimum time between two rounds that failed connections cause while
 	// the service is reachable.
 	suspicionInterval = 500 * time.Millisecond
-	// recheckInterval is the time between two rounds while the service is unreachable.
-	recheckInterval = 400 * time.Millisecond
+	// recheckInterval is the time between the first two rounds of an outage. It grows by half with each
+	// round, up to maxRecheckInterval: hundreds of nodes must not rush servers that come back.
+	recheckInterval    = 400 * time.Millisecond
+	maxRecheckInterval = 2 * time.Second
+	// fullRounds is the number of rounds of an outage that probe SampleSize servers; later ones probe
+	// one.
+	fullRounds = 4
 	// flapWindow is the time after an outage in which the next one counts as a relapse, and
 	// relapseRounds the successive good rounds that end a relapse.
 	flapWindow    = 10 * time.Second
@@ -51,8 +56,11 @@
 	// ended.
 	unreachableSince, endedAt time.Time
 	isRelapse                 bool
-	// goodRounds counts the successive rounds with an answer during an outage.
-	goodRounds int
+	// goodRounds counts the successive rounds with an answer during an outage, and badRounds all without
+	// one.
+	goodRounds, badRounds int
+	// recheckIn is the time from one round to the next during an outage.
+	recheckIn time.Duration
 }
 
 // New returns a tracker for which all services are reachable.
@@ -85,14 +93,19 @@
 	return known.unreachableSince.IsZero() && (known.probedAt.IsZero() || now.Sub(known.probedAt) >= suspicionInterval)
 }
 
-// Begin records that a round of probes begins, and returns the servers that need not be probed.
-func (t *Tracker) Begin(now time.Time, service string) (exclude []string) {
+// Begin records that a round of probes begins, and returns how many servers it probes and which need
+// no probe.
+func (t *Tracker) Begin(now time.Time, service string) (size int, exclude []string) {
 	known := t.stateOf(service)
 	known.probedAt = now
-	if !known.unreachableSince.IsZero() {
-		return nil
+	switch {
+	case known.unreachableSince.IsZero():
+		return SampleSize, slices.Clone(known.failed)
+	case known.badRounds < fullRounds:
+		return SampleSize, nil
+	default:
+		return 1, nil
 	}
-	return slices.Clone(known.failed)
 }
 
 // Finish applies the result of a round. changed is false if the state stays the same.
@@ -103,6 +116,8 @@
 	}
 	if round.Probed > 0 && round.Answered == 0 {
 		known.goodRounds = 0
+		known.badRounds++
+		known.recheckIn = min(known.recheckIn*3/2, maxRecheckInterval)
 		return Transition{}, false
 	}
 	// Without servers there is nothing left to be cut off from.
@@ -122,11 +137,11 @@
 		return Transition{}, false
 	}
 	unanswered := min(len(known.failed)+round.Probed, round.Known)
-	if len(known.failed) == 0 || unanswered < min(SampleSize, round.Known) {
+	if len(known.failed) == 0 || round.Known == 0 || unanswered < min(SampleSize, round.Known) {
 		return Transition{}, false
 	}
 	known.isRelapse = !known.endedAt.IsZero() && now.Sub(known.endedAt) < flapWindow
-	known.unreachableSince, known.goodRounds = now, 0
+	known.unreachableSince, known.goodRounds, known.badRounds, known.recheckIn = now, 0, 0, recheckInterval
 	return Transition{Service: service, IsUnreachable: true, Failed: unanswered}, true
 }
 
@@ -134,7 +149,7 @@
 func (t *Tracker) Due(now time.Time) []string {
 	var due []string
 	for service, known := range t.services {
-		if !known.unreachableSince.IsZero() && now.Sub(known.probedAt) >= recheckInterval {
+		if !known.unreachableSince.IsZero() && now.Sub(known.probedAt) >= known.recheckIn {
 			due = append(due, service)
 		}
 	}
@@ -159,12 +174,3 @@
 	slices.Sort(unreachable)
 	return unreachable
 }
-
-// Forget drops the services that the predicate does not keep.
-func (t *Tracker) Forget(keep func(service string) bool) {
-	for service := range t.services {
-		if !keep(service) {
-			delete(t.services, service)
-		}
-	}
-}
--- a/internal/reachability/tracker_test.go
+++ b/internal/reachability/tracker_test.go
@@ -30,6 +30,7 @@
 		{"none of three others answers", 0, 3, 18, true},
 		{"none of two others answers", 0, 2, 3, true},
 		{"the only server does not answer", 0, 0, 1, true},
+		{"no server may be probed", 0, 0, 0, false},
 		{"a sample too small to judge by", 0, 1, 18, false},
 	}
 	for _, c := range cases {
@@ -95,3 +96,21 @@
 		t.Error("a service without servers stays unreachable")
 	}
 }
+
+// TestLongOutageIsProbedSeldom checks what a node costs servers that come back: 800 nodes may ask them
+// at the same time.
+func TestLongOutageIsProbedSeldom(t *testing.T) {
+	tracker := New()
+	fail(tracker, 0, 0, 3, 18, "a")
+	probes, now := 0, time.Duration(0)
+	for ; now < time.Minute; now += 100 * time.Millisecond {
+		for range tracker.Due(start.Add(now)) {
+			size, _ := tracker.Begin(start.Add(now), "svc")
+			probes += size
+			tracker.Finish(start.Add(now), "svc", Round{Probed: size, Known: 18})
+		}
+	}
+	if want := fullRounds*SampleSize + int(time.Minute/maxRecheckInterval); probes > want {
+		t.Errorf("%d probes in a minute, want at most %d", probes, want)
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -63,10 +63,10 @@
 	forwarded *forwardedState
 	// peer is the address of the node that the request was last forwarded to, and forwardAgainAt when
 	// it may be offered to peers again.
-	peer string
-	// wasForwarded is set once a peer may have sent the request to a server.
-	wasForwarded   bool
+	peer           string
 	forwardAgainAt time.Time
+	// wasForwarded is set once a peer may have sent the request to a server.
+	wasForwarded bool
 	// isCounted is set once the request was counted for the retry budget.
 	isCounted bool
 	// mayHaveRun is set once a server may have run the request.
@@ -170,7 +170,7 @@
 	}
 	if x.head.Deadline > 0 {
 		timeout = elapsed + x.head.Deadline
-		x.isRetry = x.handler.isLikelyRetry(x.route, timeout)
+		x.isRetry = x.handler.isLikelyRetry(x.route, timeout) || x.forwarded != nil && x.forwarded.IsRetry
 	}
 	if x.route.Timeout > 0 {
 		timeout = min(timeout, x.route.Timeout)
