--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -1,8 +1,8 @@
 // Package admission limits the requests that all nodes together send to one server: while the
-// server warms up after a start or a return (WarmUp), and while its responses announce a rate limit
-// (RateLimit).
+// server warms up after a start or a return (WarmUp), while its responses announce a rate limit
+// (RateLimit), and while its service is brittle (RejectionLedger).
 //
-// Each of the two kinds has a state, which is what one node knows about one server, and a bound,
+// Each of the first two kinds has a state, which is what one node knows about one server, and a bound,
 // which is the total that a quota coordinator may grant for it (quota.Coordinator, keyed by
 // server). FallbackAllowance is what a node may send when no coordinator answers. Server combines
 // everything that a server has asked for (draining, backoff, rate limit) into one decision per
