--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -272,7 +272,7 @@
 	large := strings.Repeat("x", 16<<20)
 	for range 2 {
 		if got := f.send(t, http.MethodPost, "/once/", large); got.body != "early" {
-			t.Errorf("got status %d, %v", got.status, got.err)
+			t.Errorf("got status %d, %q, %v", got.status, got.body, got.err)
 		}
 	}
 	if len(conns) != 2 {
