--- a/test/platform/brittle_test.go
+++ b/test/platform/brittle_test.go
@@ -78,6 +78,7 @@
 // TestBrittleServersDoNotFall guards against servers that fail as nodes send more requests than they
 // have room for: the nodes' rejections have to stay within the announced number in sum.
 func TestBrittleServersDoNotFall(t *testing.T) {
+	t.Parallel()
 	cases := []struct{ nodes, announced int }{{3, 8}, {8, 2}}
 	for _, c := range cases {
 		t.Run(fmt.Sprintf("%d nodes, %d rejections", c.nodes, c.announced), func(t *testing.T) {
--- a/test/platform/unreachable_test.go
+++ b/test/platform/unreachable_test.go
@@ -181,6 +181,7 @@
 // TestDrawnCutsKeepPromises cuts and heals the paths of nodes at random, several at once: a refusal
 // that says "not run" is true, commands run at most once, and nobody is held beyond the deadline.
 func TestDrawnCutsKeepPromises(t *testing.T) {
+	t.Parallel()
 	const (
 		deadline  = 1500 * time.Millisecond
 		drawnTime = 8 * time.Second
@@ -299,6 +300,7 @@
 // TestCallersOfNodesWithoutServersAreServed guards against callers being refused by nodes that
 // reach no server while other nodes reach all of them.
 func TestCallersOfNodesWithoutServersAreServed(t *testing.T) {
+	t.Parallel()
 	for _, kind := range cutKinds {
 		t.Run(kind.name, func(t *testing.T) {
 			t.Parallel()
@@ -354,6 +356,7 @@
 // TestModelsAreLoadedWhileTheLeaderReachesNoServer guards against a leader that keeps its lease
 // while none of its orders reaches a server, so that no model is loaded for anybody.
 func TestModelsAreLoadedWhileTheLeaderReachesNoServer(t *testing.T) {
+	t.Parallel()
 	f := newEmbeddedFleet(t, 3)
 	servers := f.addServers(3)
 	f.store.put("config", "main", newConfig(1))
