Poison requests: servers that were down before vouch for nothing

Cause: since a node blames a request only if another server accepts a connection (cuts refuse connections to living servers), the last server's end is never blamed while the others are down, and they were down because of the same request. Ruled out: the count of starts (incarnations are told apart as before), lost reports (both nodes had them).

Change: only servers that were not already down count as unanswering witnesses. Down are those that any request is known to have ended within 10 s, as told by all nodes, and those that stayed silent while others of their service answered. In a cut neither holds: all servers stop answering at once. The same at gateways.

--- a/internal/dispatch/sample.go
+++ b/internal/dispatch/sample.go
@@ -29,11 +29,12 @@
 	return sample[:min(len(sample), limit)], known
 }
 
-// SampleOtherServices draws up to limit servers of other services than this one, one of each.
-func (c *Core) SampleOtherServices(service string, limit int) (sample []inventory.Server) {
+// SampleOtherServices draws up to limit servers of other services than this one, one of each, that are not
+// excluded.
+func (c *Core) SampleOtherServices(service string, exclude []string, limit int) (sample []inventory.Server) {
 	for _, other := range slices.Sorted(maps.Keys(c.byService)) {
 		if other != service && len(sample) < limit {
-			drawn, _ := c.SampleServers(other, nil, 1)
+			drawn, _ := c.SampleServers(other, exclude, 1)
 			sample = append(sample, drawn...)
 		}
 	}
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -38,10 +38,10 @@
 }
 
 // RecordContact implements relay.Reachability.
-func (r *reachable) RecordContact(service string) {
+func (r *reachable) RecordContact(service, serverID string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tracker.RecordContact(service)
+	r.tracker.RecordContact(service, serverID)
 }
 
 // RecordFailure implements relay.Reachability.
@@ -61,7 +61,7 @@
 	switch {
 	case service == "" || errors.Is(err, context.Canceled):
 	case err == nil:
-		r.RecordContact(service)
+		r.RecordContact(service, serverID)
 	default:
 		r.RecordFailure(service, serverID)
 	}
@@ -75,16 +75,26 @@
 }
 
 // ReachesOthers implements relay.Reachability. Servers of other services vouch as well: a request may
-// have ended all servers of its own. A deployment with a single server has nothing to compare it with.
+// have ended all servers of its own. Servers that were down before vouch for nothing, and without any
+// other server there is nothing to compare this one with.
 func (r *reachable) ReachesOthers(service, serverID string) bool {
+	exclude := append(r.down(), serverID)
 	var sample []inventory.Server
 	r.node.dispatch.Do(func(core *dispatch.Core) {
-		sample, _ = core.SampleServers(service, []string{serverID}, reachability.SampleSize)
-		sample = append(sample, core.SampleOtherServices(service, reachability.SampleSize)...)
+		sample, _ = core.SampleServers(service, exclude, reachability.SampleSize)
+		sample = append(sample, core.SampleOtherServices(service, exclude, reachability.SampleSize)...)
 	})
 	return len(sample) == 0 || r.countAnswering(sample) > 0
 }
 
+// down returns servers that ended or did not answer while this node reached others.
+func (r *reachable) down() []string {
+	r.mu.Lock()
+	lone := r.tracker.Lone()
+	r.mu.Unlock()
+	return append(lone, r.node.suspects.crashedRecently()...)
+}
+
 // reachesNone reports whether no service of the table that has servers is reachable.
 func (r *reachable) reachesNone(table *routetable.Table) bool {
 	unreachable := r.unreachable()
--- a/internal/edge/reachability_test.go
+++ b/internal/edge/reachability_test.go
@@ -10,6 +10,8 @@
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/poison"
+	"github.com/spanlanding/spanlanding/internal/reachability"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 	"github.com/spanlanding/spanlanding/internal/storepos"
 )
@@ -108,3 +110,36 @@
 		t.Error("the lease is kept although a peer reaches the servers")
 	}
 }
+
+// TestServersThatWereDownBeforeAreNoWitnesses: a request that ends the last server that is up is blamed, but
+// none is where all servers stop answering at the same time.
+func TestServersThatWereDownBeforeAreNoWitnesses(t *testing.T) {
+	var blamed poison.Fingerprint
+	cases := []struct {
+		name   string
+		before func(node *Node)
+		want   bool
+	}{
+		{"all at the same time", func(*Node) {}, false},
+		{"the other crashed under a request", func(node *Node) { node.suspects.ReportCrash(blamed, "a", 0) }, true},
+		{"the other alone did not answer", func(node *Node) {
+			node.reachable.tracker.RecordFailure(clock.Now(), "models", "a")
+			node.reachable.RecordContact("models", "b")
+		}, true},
+		{"the other answered since", func(node *Node) {
+			node.reachable.tracker.RecordFailure(clock.Now(), "models", "a")
+			node.reachable.RecordContact("models", "b")
+			node.reachable.RecordContact("models", "a")
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			node := newNodeWithoutServers(t)
+			node.reachable.tracker = reachability.New()
+			c.before(node)
+			if got := node.reachable.ReachesOthers("models", "b"); got != c.want {
+				t.Errorf("the end of the other server counts as seen by itself: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -89,6 +89,16 @@
 	s.send(now, s.recordReports(now, "", reports))
 }
 
+// crashedRecently returns the servers that crashed under some request a short time ago.
+func (s *suspects) crashedRecently() []string {
+	if !s.Any() {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tally.CrashedRecently(clock.Now())
+}
+
 // ReportSuccess implements relay.Suspects. It clears a suspect request, and remembers that such
 // a request succeeded.
 func (s *suspects) ReportSuccess(fingerprint poison.Fingerprint) {
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backendconn"
@@ -17,6 +18,8 @@
 	Standing(fingerprint poison.Fingerprint) poison.Status
 	// Blame records that a server ended while it ran the request.
 	Blame(fingerprint poison.Fingerprint, serverID string)
+	// EndedRecently returns the servers that are known to have ended a short time ago under some request.
+	EndedRecently() []string
 	// EndedWell records that a request completed normally.
 	EndedWell(fingerprint poison.Fingerprint)
 	// ClaimTrial asks for the right to send a request on trial, granted to one send across all nodes.
@@ -117,15 +120,17 @@
 const maxWitnesses = 8
 
 // reachesOthers reports whether this node reaches back ends at all: a partition may refuse connections
-// to back ends that are alive. A back end without others is its own witness.
+// to back ends that are alive. Back ends that ended before are no witnesses, and one without others is
+// its own.
 func (g *Gateway) reachesOthers(target fleet.Backend) bool {
 	tables, _ := g.options.Views.RouteTables.Get()
+	ended := g.options.Suspects.EndedRecently()
 	asked := 0
-	for _, address := range backendAddresses(tables[target.Zone]) {
-		if address == target.Address {
+	for _, other := range processes(tables[target.Zone]) {
+		if other.address == target.Address || slices.Contains(ended, other.serverID) {
 			continue
 		}
-		if g.probes.Probe(address) == backendconn.LivenessAlive {
+		if g.probes.Probe(other.address) == backendconn.LivenessAlive {
 			return true
 		}
 		if asked++; asked == maxWitnesses {
@@ -135,30 +140,32 @@
 	return asked == 0
 }
 
-// backendAddresses returns the addresses of all back ends of the table.
-func backendAddresses(table fleet.RouteTable) (addresses []string) {
+// process is one start of a back end. A restart under the same name is another process.
+type process struct {
+	serverID, address string
+	name              fleet.BackendName
+	isLeaving         bool
+}
+
+// processes returns all back ends of the table.
+func processes(table fleet.RouteTable) (all []process) {
 	for index := range table.Engines {
-		addresses = append(addresses, table.Engines[index].Address)
+		engine := &table.Engines[index]
+		all = append(all, process{fmt.Sprintf("%s/%d", engine.Name, engine.Incarnation), engine.Address, engine.Name, engine.Leaving})
 	}
 	for _, service := range table.Services {
-		addresses = append(addresses, service.Address)
+		all = append(all, process{string(service.Name), service.Address, service.Name, service.Leaving})
 	}
-	return addresses
+	return all
 }
 
 // serverProcess identifies the process of a back end by the newest route tables; isStaying is
-// false if it had announced that it leaves. A restart under the same name is another process.
+// false if it had announced that it leaves.
 func (g *Gateway) serverProcess(target fleet.Backend) (serverID string, isStaying bool) {
 	tables, _ := g.options.Views.RouteTables.Get()
-	table := tables[target.Zone]
-	for index := range table.Engines {
-		if engine := &table.Engines[index]; engine.Name == target.Name {
-			return fmt.Sprintf("%s/%d", engine.Name, engine.Incarnation), !engine.Leaving
-		}
-	}
-	for _, service := range table.Services {
-		if service.Name == target.Name {
-			return string(service.Name), !service.Leaving
+	for _, running := range processes(tables[target.Zone]) {
+		if running.name == target.Name {
+			return running.serverID, !running.isLeaving
 		}
 	}
 	return string(target.Name), !target.Leaving
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -44,6 +44,12 @@
 	s.tracker.Record(s.now(), poison.Report{Fingerprint: fingerprint, ServerID: serverID})
 }
 
+func (s *localSuspects) EndedRecently() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.tracker.CrashedRecently(s.now())
+}
+
 func (s *localSuspects) EndedWell(fingerprint poison.Fingerprint) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -220,6 +226,23 @@
 	}
 }
 
+// TestLastBackendIsBlamedAfterTheOthersEnded: no other back end is left to show that this node has a path.
+func TestLastBackendIsBlamedAfterTheOthersEnded(t *testing.T) {
+	suspects := &localSuspects{tracker: poison.NewTracker()}
+	h := newHarness(t, func(options *Options) { options.Suspects = suspects })
+	var ended atomic.Int64
+	for _, name := range []fleet.BackendName{"e0", "e1"} {
+		h.addEngine(name, h.crashingBackend(&ended, isPoison, plainEngine))
+	}
+	h.publish()
+	for range 2 {
+		h.do(http.MethodPost, backend.PathCompletions, poisonBody, headerDeadline, "500ms")
+	}
+	if crashed := suspects.EndedRecently(); len(crashed) != 2 {
+		t.Errorf("ends of %v are known, want those of both", crashed)
+	}
+}
+
 // TestPoisonCallEndsThreeServers uses a repeatable call, which is retried at once.
 func TestPoisonCallEndsThreeServers(t *testing.T) {
 	suspects := &localSuspects{tracker: poison.NewTracker()}
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -100,6 +100,16 @@
 	s.broadcast(s.recordReports(s.dependencies.Self.Name, reports))
 }
 
+// EndedRecently implements gateway.Suspects.
+func (s *Suspects) EndedRecently() []string {
+	if !s.hasReports.Load() {
+		return nil
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.tracker.CrashedRecently(time.Now())
+}
+
 // EndedWell implements gateway.Suspects.
 func (s *Suspects) EndedWell(fingerprint poison.Fingerprint) {
 	now := time.Now()
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -43,6 +43,8 @@
 	// maxCrashes bounds the crashes remembered for a request, the latest ones; those beyond CrashLimit
 	// serve to excuse the requests that ran on the same servers.
 	maxCrashes = 8
+	// recentCrash is the time after a crash within which that server is expected to be down.
+	recentCrash = 10 * time.Second
 )
 
 // Status is what is known of a request.
@@ -301,6 +303,21 @@
 	return slices.ContainsFunc(s.crashes, func(c crash) bool { return c.serverID == serverID })
 }
 
+// CrashedRecently returns the servers that are known to have crashed under some request a short time ago,
+// sorted.
+func (t *Tracker) CrashedRecently(now time.Time) []string {
+	var crashed []string
+	for _, entry := range t.suspects {
+		for _, c := range entry.crashes {
+			if now.Sub(c.at) < recentCrash {
+				crashed = append(crashed, c.serverID)
+			}
+		}
+	}
+	slices.Sort(crashed)
+	return slices.Compact(crashed)
+}
+
 // isShared reports whether the server also crashed under another request that is barred.
 func (t *Tracker) isShared(fingerprint Fingerprint, serverID string) bool {
 	for other, entry := range t.suspects {
--- a/internal/poison/tally_test.go
+++ b/internal/poison/tally_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -312,3 +313,12 @@
 		t.Error("three starts crashed, and the request is not barred")
 	}
 }
+
+func TestServersThatCrashedRecently(t *testing.T) {
+	tracker := trackerWith(crashAt{"p", "b", 0, false}, crashAt{"q", "a", 400, false}, crashAt{"q", "b", 500, false})
+	for after, want := range map[time.Duration][]string{time.Second: {"a", "b"}, recentCrash + 450*time.Millisecond: {"b"}, recentCrash + time.Second: nil} {
+		if got := tracker.CrashedRecently(start.Add(after)); !slices.Equal(got, want) {
+			t.Errorf("after %v: %v, want %v", after, got, want)
+		}
+	}
+}
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -15,6 +15,8 @@
 	// round, up to maxRecheckInterval: hundreds of nodes must not rush servers that come back.
 	recheckInterval    = 400 * time.Millisecond
 	maxRecheckInterval = 2 * time.Second
+	// maxLone bounds the servers of a service that are remembered as unanswering while others answer.
+	maxLone = 32
 	// fullRounds is the number of rounds of an outage that probe SampleSize servers; later ones probe
 	// one.
 	fullRounds = 4
@@ -50,6 +52,8 @@
 type state struct {
 	// failed are the servers to which no connection came up since a server last answered.
 	failed []string
+	// lone are servers that did not answer while others did, oldest first.
+	lone []string
 	// probedAt is when the last round began.
 	probedAt time.Time
 	// unreachableSince is zero while the service is reachable, and endedAt is when the last outage
@@ -75,12 +79,39 @@
 	return known
 }
 
-// RecordContact records that a server of the service answered a request. It does not end an outage:
-// old connections may work while new ones do not.
-func (t *Tracker) RecordContact(service string) {
-	if known, ok := t.services[service]; ok {
-		known.failed = known.failed[:0]
+// RecordContact records that the server answered a request. It does not end an outage: old connections
+// may work while new ones do not.
+func (t *Tracker) RecordContact(service, serverID string) {
+	known, ok := t.services[service]
+	if !ok {
+		return
+	}
+	known.endFailures(serverID)
+	known.lone = slices.DeleteFunc(known.lone, func(lone string) bool { return lone == serverID })
+}
+
+// endFailures records that a server answered: failures of others are their own. That holds only outside
+// an outage.
+func (s *state) endFailures(answered string) {
+	if s.unreachableSince.IsZero() {
+		for _, failed := range s.failed {
+			if failed != answered && !slices.Contains(s.lone, failed) {
+				s.lone = append(s.lone, failed)
+			}
+		}
+		s.lone = s.lone[max(0, len(s.lone)-maxLone):]
+	}
+	s.failed = s.failed[:0]
+}
+
+// Lone returns the servers of all services that did not answer while others of their service did, and have
+// not answered since. They tell nothing about this node's own path to servers.
+func (t *Tracker) Lone() []string {
+	var lone []string
+	for _, known := range t.services {
+		lone = append(lone, known.lone...)
 	}
+	return lone
 }
 
 // RecordFailure records that no connection to the server came up, or that one broke without an
@@ -133,7 +164,7 @@
 func (t *Tracker) finishSuspicion(now time.Time, service string, round Round) (transition Transition, changed bool) {
 	known := t.stateOf(service)
 	if round.Answered > 0 {
-		known.failed = known.failed[:0]
+		known.endFailures("")
 		return Transition{}, false
 	}
 	unanswered := min(len(known.failed)+round.Probed, round.Known)
--- a/internal/reachability/tracker_test.go
+++ b/internal/reachability/tracker_test.go
@@ -60,7 +60,7 @@
 func TestAnswerOnAnOldConnectionDoesNotEndAnOutage(t *testing.T) {
 	tracker := New()
 	fail(tracker, 0, 0, 3, 18, "a")
-	tracker.RecordContact("svc")
+	tracker.RecordContact("svc", "b")
 	if !tracker.IsUnreachable("svc") {
 		t.Error("an answer ended the outage")
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -244,7 +244,7 @@
 // happens before anything is passed to the caller, since later choices must not wait for the body.
 // The headers of late responses to earlier requests count as well.
 func (x *exchange) receiveHint(choice dispatch.Choice, status int, header http.Header) {
-	x.recordContact()
+	x.recordContact(choice)
 	if field := x.handler.options.Dialect.UnreadField(header); field != "" {
 		x.handler.options.OnUnreadField(choice.ServerID, field)
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -21,12 +21,13 @@
 type Reachability interface {
 	// IsUnreachable reports whether no connection to any server of the service comes up.
 	IsUnreachable(service string) bool
-	// RecordContact records that a server of the service answered.
-	RecordContact(service string)
+	// RecordContact records that the server answered.
+	RecordContact(service, serverID string)
 	// RecordFailure records that no connection to the server comes up. It returns once it is known
 	// whether that holds for the other servers of the service.
 	RecordFailure(service, serverID string)
-	// ReachesOthers reports whether a server other than this one accepts connections now.
+	// ReachesOthers reports whether a server other than this one accepts connections now, or all others
+	// were down before.
 	ReachesOthers(service, serverID string) bool
 }
 
@@ -64,10 +65,10 @@
 	forwardRetry
 )
 
-// recordContact records that a server of the request's service answered.
-func (x *exchange) recordContact() {
+// recordContact records that the chosen server answered.
+func (x *exchange) recordContact(choice dispatch.Choice) {
 	if x.handler.options.Reachability != nil {
-		x.handler.options.Reachability.RecordContact(x.service)
+		x.handler.options.Reachability.RecordContact(x.service, choice.ServerID)
 	}
 }
 
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -21,7 +21,7 @@
 type fixedReachability struct{ unreachable, reachesOthers bool }
 
 func (r *fixedReachability) IsUnreachable(string) bool         { return r.unreachable }
-func (r *fixedReachability) RecordContact(string)              {}
+func (r *fixedReachability) RecordContact(string, string)      {}
 func (r *fixedReachability) RecordFailure(string, string)      {}
 func (r *fixedReachability) ReachesOthers(string, string) bool { return r.reachesOthers }
 
