--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -352,6 +352,7 @@
 }
 
 func (p *peers) state(now time.Time) *peerpb.NodeState {
+	unreachable := p.node.reachable.unreachable()
 	state := &peerpb.NodeState{
 		Node:     p.node.options.Name,
 		Address:  p.address,
@@ -361,8 +362,8 @@
 		Leaving:  p.node.stopping.Load(),
 
 		StoreFailing: p.node.storeFailing.Load(),
-		Unreachable:  p.node.reachable.unreachable(),
-		CannotOrder:  p.node.reachable.cannotOrder(),
+		Unreachable:  unreachable,
+		CannotOrder:  p.node.reachable.includesModels(unreachable),
 
 		AcceptsForwarded: true,
 
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -112,9 +112,12 @@
 
 // cannotOrder reports whether this node reaches no server of some service with models, so that it
 // could not order loads there.
-func (r *reachable) cannotOrder() bool {
+func (r *reachable) cannotOrder() bool { return r.includesModels(r.unreachable()) }
+
+// includesModels reports whether any of the services has models.
+func (r *reachable) includesModels(services []string) bool {
 	table := r.node.handler.Table()
-	return table != nil && slices.ContainsFunc(r.unreachable(), func(service string) bool {
+	return table != nil && slices.ContainsFunc(services, func(service string) bool {
 		return table.Services[service].Engine != nil
 	})
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -50,9 +50,14 @@
 	x.sends++
 	accepted := decision.acceptedAfter(admission.RejectionTime)
 	response, err := conn.RoundTrip(x.ctx, x.serverRequest(choice))
+	var head ResponseHead
+	if err == nil {
+		head = x.handler.options.Dialect.ReadResponseHead(response.Status, response.Header)
+	}
 	if accepted != nil {
 		accepted.Stop()
-		decision.settle(err == nil && x.isRejection(response))
+		// A server that is not the intended one did not reject anything.
+		decision.settle(err == nil && head.NotRun && response.Status != http.StatusMisdirectedRequest)
 	}
 	if x.holdsRetry && !errorx.IsOfType(err, backendconn.ErrNotSent) {
 		x.holdsRetry = false
@@ -65,13 +70,7 @@
 	if err != nil {
 		return x.handleNoResponse(choice, err)
 	}
-	return x.handleResponse(choice, response)
-}
-
-// isRejection reports whether the server turned the request away without running it.
-func (x *exchange) isRejection(response *backendconn.Response) bool {
-	head := x.handler.options.Dialect.ReadResponseHead(response.Status, response.Header)
-	return head.NotRun && response.Status != http.StatusMisdirectedRequest
+	return x.handleResponse(choice, response, head)
 }
 
 // connect takes a connection to the chosen server and checks that the request may still be sent.
@@ -219,9 +218,8 @@
 }
 
 // handleResponse acts on the status of a response.
-func (x *exchange) handleResponse(choice dispatch.Choice, response *backendconn.Response) attemptResult {
+func (x *exchange) handleResponse(choice dispatch.Choice, response *backendconn.Response, head ResponseHead) attemptResult {
 	defer response.Close()
-	head := x.handler.options.Dialect.ReadResponseHead(response.Status, response.Header)
 	x.recordResponse(choice, head)
 	switch {
 	case head.NotRun:
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -12,25 +12,10 @@
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
-	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
-// Reachability tracks which services this node can open connections to.
-type Reachability interface {
-	// IsUnreachable reports whether no connection to any server of the service comes up.
-	IsUnreachable(service string) bool
-	// RecordContact records that the server answered.
-	RecordContact(service, serverID string)
-	// RecordFailure records that no connection to the server comes up. It returns once it is known
-	// whether that holds for the other servers of the service.
-	RecordFailure(service, serverID string)
-	// ReachesOthers reports whether a server other than this one accepts connections now, or all others
-	// were down before.
-	ReachesOthers(service, serverID string) bool
-}
-
 // Forwarder sends requests to peers that reach servers which this node does not.
 type Forwarder interface {
 	// Pick chooses a peer that is not excluded, in one of the regions. release must be called once
@@ -65,26 +50,6 @@
 	forwardRetry
 )
 
-// recordContact records that the chosen server answered.
-func (x *exchange) recordContact(choice dispatch.Choice) {
-	if x.handler.options.Reachability != nil {
-		x.handler.options.Reachability.RecordContact(x.service, choice.ServerID)
-	}
-}
-
-// recordUnreached records that no connection to the chosen server comes up.
-func (x *exchange) recordUnreached(choice dispatch.Choice) {
-	x.unreached++
-	if x.handler.options.Reachability != nil && !x.callerGone() {
-		x.handler.options.Reachability.RecordFailure(x.service, choice.ServerID)
-	}
-}
-
-// isUnreachable reports whether this node reaches no server of the request's service.
-func (x *exchange) isUnreachable() bool {
-	return x.handler.options.Reachability != nil && x.handler.options.Reachability.IsUnreachable(x.service)
-}
-
 // shouldForward reports whether a peer is to take the request. A forwarded request goes no further:
 // two nodes that take each other for reachable would pass it on for ever.
 func (x *exchange) shouldForward() bool {
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -109,13 +109,6 @@
 	}
 }
 
-// reachesOthers reports whether this node reaches servers at all: a node that is cut off from all of
-// them may be refused connections to servers that are alive.
-func (x *exchange) reachesOthers(choice dispatch.Choice) bool {
-	reachability := x.handler.options.Reachability
-	return reachability == nil || reachability.ReachesOthers(x.service, choice.ServerID)
-}
-
 // endedUnexpectedly reports whether the server ended without having announced it.
 func (x *exchange) endedUnexpectedly(choice dispatch.Choice) (unexpected bool) {
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { unexpected = core.EndedUnexpectedly(choice.Attempt) })
