Soak: all nodes restarted in turn beside a tenant at ten times its quota

A kind of fault of its own, rolling-restart-loud-tenant: nodes are stopped or killed in turn while one tenant sends ten times its rate; what servers ran of it is held to the users' bound in every window, repeats to the budget, refusals to 'not run'. The judge's planted violations have cases of it.

--- a/test/platform/soak_budget_test.go
+++ b/test/platform/soak_budget_test.go
@@ -31,6 +31,9 @@
 	for _, o := range s.outcomes {
 		requests[serviceOf(o)] = append(requests[serviceOf(o)], o.sent)
 	}
+	for _, loud := range s.loudRequests {
+		requests["commands"] = append(requests["commands"], loud.sent)
+	}
 	for service, received := range receipts {
 		slices.SortFunc(requests[service], time.Time.Compare)
 		s.checkRetriesOf(service, retryTimes(received), requests[service])
--- a/test/platform/soak_control_test.go
+++ b/test/platform/soak_control_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"sync"
 	"syscall"
 )
@@ -23,6 +24,8 @@
 	// disturbed is set if the current process was frozen or killed, and stopRequested if it was
 	// told to stop.
 	disturbed, stopRequested bool
+	// loggedBefore is the length of the node's log when the current process started.
+	loggedBefore int
 	// unexpectedExits holds exits that no fault caused.
 	unexpectedExits []error
 }
@@ -60,6 +63,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.running {
+		c.loggedBefore = len(c.log())
 		c.start()
 		c.watchProcess()
 	}
@@ -109,6 +113,19 @@
 	}
 }
 
+// endedBeforeStart reports whether the current process ended by the signal to stop before it wrote any
+// line. Until the Go runtime stands a process cannot catch signals; it has no requests yet.
+func (c *control) endedBeforeStart() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var exit *exec.ExitError
+	if !errors.As(c.exit, &exit) || len(c.log()) > c.loggedBefore {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signal() == syscall.SIGTERM
+}
+
 // state returns the state of the current process.
 func (c *control) state() (running, disturbed, stopRequested bool, exit error) {
 	c.mu.Lock()
--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -37,6 +37,11 @@
 		{"CONFIG", func(s *soak) {
 			s.keyProbes = []keyProbe{{node: "node-1", withdrawn: at(0), sent: at(configApplyBound + time.Second), done: at(configApplyBound + time.Second), status: 200}}
 		}},
+		{"QUOTA", func(s *soak) { s.plantLoudRuns(231) }},
+		{"", func(s *soak) { s.plantLoudRuns(230) }},
+		{"UNASKED", func(s *soak) {
+			s.servers[0].headers = map[string]http.Header{loudTenant + "-1": {"Tenant": {soakTenant}}}
+		}},
 		{"UNASKED", func(s *soak) {
 			s.servers[0].headers = map[string]http.Header{"a": {"Tenant": {soakTenant}, "Api-Key": {soakKey}}}
 		}},
@@ -277,3 +282,11 @@
 		s.servers[0].receipts = append(s.servers[0].receipts, receipt{id: id, at: at.Add(time.Duration(i) * soakRetryWindow / time.Duration(2*retries))})
 	}
 }
+
+// plantLoudRuns has so many requests of the loud tenant start within a window.
+func (s *soak) plantLoudRuns(count int) {
+	for i := range count {
+		at := time.Unix(0, 0).Add(time.Duration(i) * quotaWindow / time.Duration(count))
+		s.servers[0].startedAt[fmt.Sprintf("%s-%d", loudTenant, i)] = at
+	}
+}
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -131,6 +131,9 @@
 	// been restored from a snapshot.
 	config          map[string]any
 	storeRolledBack bool
+	// loudRequests holds the requests of the loud tenant, and loudCount is the number of those sent.
+	loudRequests []loudRequest
+	loudCount    int
 	// traps are servers that only unreadable entries name.
 	traps []*modelServer
 
@@ -195,6 +198,9 @@
 	if (&soak{options: options}).hasEvacuations() {
 		settings.bounds = evacuateLine
 	}
+	if options.hasLoudTenant() {
+		settings.bounds += quotaBounds()
+	}
 	if options.changesRegions() {
 		settings.zones = options.nodeZones()
 	}
@@ -336,6 +342,9 @@
 		"name": soakTenant, "apiKeys": []string{soakKey, versionKey(s.version)},
 		"unit": "tokens", "plainTokens": 1, "ratePerS": 1e6, "burst": 1e6,
 	}}
+	if s.options.hasLoudTenant() {
+		config["tenants"] = append(config["tenants"].([]map[string]any), loudTenantConfig())
+	}
 	s.config = config
 	s.store.put("config", "main", config)
 	s.configTimes[s.version] = time.Now()
