quota: drawn schedules with restarts in turn, joins and coordinators that stop in a row

The schedules had kills, freezes and cuts only. New: all nodes restarted in turn, a quarter at a time; a tenth killed; a tenth more join; the three coordinators stopped within a window. Planted with them: a start that forgets the fleet's size, an old account that goes on, restarts that begin with the burst. The kinds of faults have names in place of numbers.

--- a/internal/quota/schedule_test.go
+++ b/internal/quota/schedule_test.go
@@ -49,8 +49,57 @@
 	defectStartsFull
 	// defectUnlimitedAlone grants every request if no coordinator answers.
 	defectUnlimitedAlone
+	// defectForgetsFleetSize starts nodes that take themselves for the whole fleet.
+	defectForgetsFleetSize
+	// defectKeepsAccount lets a coordinator that was replaced meanwhile go on with the account that it had.
+	defectKeepsAccount
 )
 
+const (
+	// restartBatch is the share of the nodes that a rolling restart stops at a time, restartTime is how long
+	// each of them is down, and restartInterval the time from one batch to the next.
+	restartBatch    = 4
+	restartTime     = 600 * time.Millisecond
+	restartInterval = 800 * time.Millisecond
+	// sizeRecordDelay is the time after which the store has the number of nodes of a fleet that grew.
+	sizeRecordDelay = time.Second
+)
+
+// simFault is a kind of fault.
+type simFault int
+
+const (
+	// killCoordinator: the coordinator is killed and restarts.
+	killCoordinator simFault = iota
+	// freezeCoordinator: the coordinator pauses, and resumes with its old state.
+	freezeCoordinator
+	// killAll: all nodes are killed at once.
+	killAll
+	// splitInHalves: the fleet is partitioned in two, or healed.
+	splitInHalves
+	// isolateNodes: a tenth of the nodes is isolated from all others.
+	isolateNodes
+	// healPartitions: all partitions heal.
+	healPartitions
+	// rollingRestart: all nodes are restarted in turn.
+	rollingRestart
+	// killNodes: a tenth of the nodes is killed.
+	killNodes
+	// addNodes: a tenth more nodes join.
+	addNodes
+	// stopCoordinators: the nodes that may coordinate are stopped one after the other within a window.
+	stopCoordinators
+	simFaultCount
+)
+
+// allFaults returns all kinds of faults.
+func allFaults() (all []simFault) {
+	for fault := range simFaultCount {
+		all = append(all, fault)
+	}
+	return all
+}
+
 type simNode struct {
 	coordinator *Coordinator
 	share       *Share
@@ -78,10 +127,19 @@
 	refused int
 	now     time.Time
 	defect  defect
+	// recordedSize is the number of nodes in the store, and grewAt when the last nodes joined.
+	recordedSize int
+	grewAt       time.Time
+	// nextRestart is the first node that a rolling restart has not stopped yet, and nextRestartAt when it
+	// does.
+	nextRestart   int
+	nextRestartAt time.Time
 }
 
 func newSimFleet(seed uint64, count int, quota routetable.Quota, injected defect) *simFleet {
-	f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), quota: quota, now: startTime, defect: injected}
+	f := &simFleet{
+		random: rand.New(rand.NewPCG(seed, 1)), quota: quota, now: startTime, defect: injected, recordedSize: count, nextRestart: count,
+	}
 	for range count {
 		f.nodes = append(f.nodes, &simNode{})
 	}
@@ -102,11 +160,49 @@
 	if f.defect == defectStartsFull {
 		node.coordinator.initialLevel = tolerance.grantLimits(f.quota, 1).burst
 	}
-	// The store has the number of nodes.
-	node.fleet.RaiseTo(f.now, len(f.nodes))
+	if f.defect != defectForgetsFleetSize {
+		node.fleet.RaiseTo(f.now, f.recordedSize)
+	}
 	node.lastHeard = make([]time.Time, len(f.nodes))
 }
 
+// stop restarts the node as planned: it tells the others that it leaves.
+func (f *simFleet) stop(i int) {
+	for other, node := range f.nodes {
+		if f.reaches(i, other) {
+			node.lastHeard[i] = time.Time{}
+		}
+	}
+	f.restart(i)
+	f.nodes[i].downUntil = f.now.Add(restartTime)
+}
+
+// join adds nodes. Their addresses follow those of the others, so that none of them precedes a coordinator.
+func (f *simFleet) join(count int) {
+	f.grewAt = f.now
+	for range count {
+		f.nodes = append(f.nodes, &simNode{})
+		for _, node := range f.nodes {
+			node.lastHeard = append(node.lastHeard, time.Time{})
+		}
+		f.restart(len(f.nodes) - 1)
+	}
+}
+
+// continueRestart stops the next nodes of a rolling restart.
+func (f *simFleet) continueRestart() {
+	if f.now.Before(f.nextRestartAt) {
+		return
+	}
+	f.nextRestartAt = f.now.Add(restartInterval)
+	for range max(1, len(f.nodes)/restartBatch) {
+		if f.nextRestart < len(f.nodes) {
+			f.stop(f.nextRestart)
+			f.nextRestart++
+		}
+	}
+}
+
 func (f *simFleet) isUp(i int) bool { return !f.now.Before(f.nodes[i].downUntil) }
 
 func (f *simFleet) reaches(a, b int) bool {
@@ -212,6 +308,10 @@
 // the coordinator.
 func (f *simFleet) step() {
 	f.now = f.now.Add(tick)
+	f.continueRestart()
+	if f.now.Sub(f.grewAt) >= sizeRecordDelay {
+		f.recordedSize = len(f.nodes)
+	}
 	if f.now.Sub(startTime)%heartbeatInterval != 0 {
 		return
 	}
@@ -226,7 +326,9 @@
 		}
 		node.coordinator.Observe(f.now)
 		if _, ok := f.precedingCoordinator(i); ok || i >= coordinatorCandidates {
-			node.coordinator.Forget()
+			if f.defect != defectKeepsAccount {
+				node.coordinator.Forget()
+			}
 			continue
 		}
 		_, reach := f.count(i)
@@ -256,20 +358,20 @@
 	}
 }
 
-// injectFault applies a fault of the given kind.
-func (f *simFleet) injectFault(kind int) {
-	switch kind {
-	case 0: // the coordinator is killed and restarts
+// injectFault injects a fault of this kind.
+func (f *simFleet) injectFault(fault simFault) {
+	switch fault {
+	case killCoordinator:
 		f.restart(0)
 		f.nodes[0].downUntil = f.now.Add(time.Second)
-	case 1: // the coordinator pauses, and resumes with its old state
+	case freezeCoordinator:
 		f.nodes[0].downUntil = f.now.Add(time.Duration(1+f.random.IntN(6)) * time.Second)
-	case 2: // all nodes are killed at once
+	case killAll:
 		for i := range f.nodes {
 			f.restart(i)
 			f.nodes[i].downUntil = f.now.Add(time.Second)
 		}
-	case 3: // the fleet is partitioned in two, or healed
+	case splitInHalves:
 		isWhole := f.nodes[0].partition == f.nodes[len(f.nodes)-1].partition
 		for i, node := range f.nodes {
 			node.partition = 0
@@ -277,21 +379,36 @@
 				node.partition = 1
 			}
 		}
-	case 4: // a tenth of the nodes is isolated from all others
+	case isolateNodes:
 		for range max(1, len(f.nodes)/10) {
 			i := f.random.IntN(len(f.nodes))
 			f.nodes[i].partition = i + 2
 		}
-	case 5: // all partitions heal
+	case healPartitions:
 		for _, node := range f.nodes {
 			node.partition = 0
 		}
+	case rollingRestart:
+		f.nextRestart = 0
+	case killNodes:
+		for range max(1, len(f.nodes)/10) {
+			i := f.random.IntN(len(f.nodes))
+			f.restart(i)
+			f.nodes[i].downUntil = f.now.Add(restartTime)
+		}
+	case addNodes:
+		f.join(max(1, len(f.nodes)/10))
+	case stopCoordinators:
+		for i := range coordinatorCandidates {
+			f.stop(i)
+			f.nodes[i].downUntil = f.now.Add(time.Duration(1+i) * restartTime)
+		}
 	}
 }
 
 // run sends load times what the quota allows, and returns the largest sum of a window
 // as a fraction of what is allowed.
-func (f *simFleet) run(seconds int, load float64, faults []int, oneNode bool) float64 {
+func (f *simFleet) run(seconds int, load float64, faults []simFault, oneNode bool) float64 {
 	const usualCost, smallCost = 9200.0, 200.0
 	due := 0.0
 	for elapsed := time.Duration(0); elapsed < time.Duration(seconds)*time.Second; elapsed += tick {
@@ -346,9 +463,11 @@
 // Tenants send five times their quota while coordinators crash, freeze and are partitioned: no
 // window may exceed the quota and its tolerance.
 func TestNoWindowPassesTheQuota(t *testing.T) {
-	kinds := map[string][]int{
-		"no faults": nil, "coordinator killed": {0}, "coordinator frozen": {1}, "all killed": {2}, "halves": {3, 5}, "isolated nodes": {4, 5},
-		"all faults": {0, 1, 2, 3, 4, 5},
+	kinds := map[string][]simFault{
+		"no faults": nil, "coordinator killed": {killCoordinator}, "coordinator frozen": {freezeCoordinator}, "all killed": {killAll},
+		"halves": {splitInHalves, healPartitions}, "isolated nodes": {isolateNodes, healPartitions},
+		"rolling restart": {rollingRestart}, "nodes killed": {killNodes}, "nodes join": {addNodes}, "coordinators stopped": {stopCoordinators}, "restarts and joins": {rollingRestart, killNodes, addNodes, stopCoordinators},
+		"all faults": allFaults(),
 	}
 	for _, quota := range testQuotas {
 		for _, nodes := range []int{7, 84} {
@@ -385,15 +504,18 @@
 func TestPlantedDefectsAreFound(t *testing.T) {
 	cases := map[string]struct {
 		defect defect
-		faults []int
+		faults []simFault
 		nodes  int
 		quota  int
 	}{
 		"use is not reported":           {defectUseNotReported, nil, 84, 1},
-		"partitions grant the whole":    {defectIgnoresReach, []int{3}, 84, 1},
-		"each share is the whole":       {defectWholeShare, []int{4}, 84, 1},
-		"a new coordinator starts full": {defectStartsFull, []int{1}, 84, 2},
-		"no limit without coordinator":  {defectUnlimitedAlone, []int{4}, 84, 1},
+		"partitions grant the whole":    {defectIgnoresReach, []simFault{splitInHalves}, 84, 1},
+		"each share is the whole":       {defectWholeShare, []simFault{isolateNodes}, 84, 1},
+		"a new coordinator starts full": {defectStartsFull, []simFault{freezeCoordinator}, 84, 2},
+		"no limit without coordinator":  {defectUnlimitedAlone, []simFault{isolateNodes}, 84, 1},
+		"a start forgets the others":    {defectForgetsFleetSize, []simFault{isolateNodes, rollingRestart}, 84, 1},
+		"an old account goes on":        {defectKeepsAccount, []simFault{freezeCoordinator}, 84, 0},
+		"restarts begin with the burst": {defectStartsFull, []simFault{stopCoordinators}, 84, 2},
 	}
 	for name, c := range cases {
 		found := false
