--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 func modelInfo(name string, maxReplicas int) catalog.ModelInfo {
--- a/internal/attempt/schedule_test.go
+++ b/internal/attempt/schedule_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 // world simulates the back ends and records what happened, to check the core against it.
--- a/internal/backend/chunk_test.go
+++ b/internal/backend/chunk_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 // TestChunksAreReadAsEncodingJSONReadsThem compares decodeChunk with
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -14,6 +14,7 @@
 	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 	"github.com/spanlanding/spanlanding/internal/spec"
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 func object(t testing.TB, kind spec.Kind, name string, labels map[string]string, declared any) objectstore.Object {
--- a/internal/claim/history_test.go
+++ b/internal/claim/history_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
+
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 // runSchedule runs a random schedule and reports whether its history is legal, and
--- a/internal/dispatch/hints_test.go
+++ b/internal/dispatch/hints_test.go
@@ -12,6 +12,7 @@
 	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/storepos"
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 // startEntry returns the entry of one start of a server that holds the model m.
--- a/internal/edge/told_test.go
+++ b/internal/edge/told_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 // TestToldViewsKeepTheirDigests checks that after any sequence of records and removals both
--- a/internal/evacuation/table_test.go
+++ b/internal/evacuation/table_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/spanlanding/spanlanding/internal/storepos"
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 var begin = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
--- a/internal/placer/starts_drawn_test.go
+++ b/internal/placer/starts_drawn_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/storepos"
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 // startsWorld simulates one server that restarts repeatedly under its ID, and a leader that
--- a/internal/poison/tally_test.go
+++ b/internal/poison/tally_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/queue/schedule_test.go
+++ b/internal/queue/schedule_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 // checker drives a Core and checks its invariants: each request leaves exactly once,
--- a/internal/storepos/storepos_test.go
+++ b/internal/storepos/storepos_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 func TestLaterEraComesFirst(t *testing.T) {
