control: a leader that reaches no engine lets another node lead

On the product's own interface callers of models that stood nowhere were refused or held for as long as their zone's leader was cut off from the engines, although other nodes reached them: the leader's table stayed fresh, so nobody took its place.

A leader none of whose reads of engines was answered for 2 s ends its round, tells the first eight members by rank, and does not lead for 10 s; they pass it over for 30 s. Who cannot either does the same, once each. Orders stay fenced as with each change of the leader.

Ruled out: ceding by the store's record (it is no lease here), and by a flag in route tables (a candidate that cannot lead would have to publish one).

--- a/internal/control/candidacy.go
+++ b/internal/control/candidacy.go
@@ -19,11 +19,28 @@
 	// handedOver is set when a stopping leader hands over; it skips the takeover
 	// delay.
 	handedOver bool
-	// excluded is a leader that announced that it is stopping.
-	excluded fleet.NodeName
+	// excluded holds nodes that should not lead, and until when: leaders that announced that they are
+	// stopping or reach no engine, and this node after it did so.
+	excluded map[fleet.NodeName]time.Time
 	stopping bool
 }
 
+const (
+	// exclusionTime is how long a node that gave up its leadership is passed over by others, and
+	// cedeBackoff how long it does not lead itself after it reached no engine.
+	exclusionTime = 30 * time.Second
+	cedeBackoff   = 10 * time.Second
+	// maxSuccessors is the number of members, by rank, that are told of a leader that cedes.
+	maxSuccessors = 8
+)
+
+func newCandidacyState() candidacyState {
+	return candidacyState{excluded: make(map[fleet.NodeName]time.Time)}
+}
+
+// isExcluded reports whether the node should not lead.
+func (c *Core) isExcluded(name fleet.NodeName) bool { return c.now.Before(c.candidacy.excluded[name]) }
+
 func (c *Core) setMembers(members []fleet.Member) {
 	clear(c.members)
 	clear(c.usableByZone)
@@ -65,12 +82,12 @@
 	current, updatedAt := c.tables.leader(c.options.Zone)
 	leaderTimedOut := !updatedAt.IsZero() && c.now.Sub(updatedAt) >= c.settings().LeaderTimeout
 	for _, member := range members {
-		if member.Name == current && !leaderTimedOut && current != c.candidacy.excluded {
+		if member.Name == current && !leaderTimedOut && !c.isExcluded(current) {
 			return current
 		}
 	}
 	for _, member := range members {
-		if member.Name == c.candidacy.excluded || (leaderTimedOut && member.Name == current) {
+		if c.isExcluded(member.Name) || (leaderTimedOut && member.Name == current) {
 			continue
 		}
 		return member.Name
@@ -109,7 +126,7 @@
 	if c.candidacy.stopping {
 		return
 	}
-	c.candidacy.excluded = request.From
+	c.candidacy.excluded[request.From] = c.now.Add(exclusionTime)
 	c.candidacy.handedOver = c.candidate() == c.options.Self
 }
 
@@ -125,3 +142,21 @@
 		c.emit(HandOver{To: peers[0], Fence: fence})
 	}
 }
+
+// cedeIfCutOff ends the leadership of a node that reaches no engine while another node could lead. Members
+// that reach none either cede in turn; the last one that is left stays.
+func (c *Core) cedeIfCutOff() {
+	leading, fence := c.Leading()
+	if !leading || c.now.Sub(c.polls.answeredAt) < c.settings().CedeDelay || !c.isCutOff() {
+		return
+	}
+	peers := c.peersInZone(c.options.Zone)
+	if !slices.ContainsFunc(peers, func(peer fleet.Member) bool { return !c.isExcluded(peer.Name) }) {
+		return
+	}
+	c.candidacy.excluded[c.options.Self] = c.now.Add(cedeBackoff)
+	c.stepLeader(leadership.LeadershipDesired{Lead: false, Reason: "no engine is reached"})
+	for _, peer := range peers[:min(len(peers), maxSuccessors)] {
+		c.emit(HandOver{To: peer, Fence: fence})
+	}
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -67,6 +67,7 @@
 		members:      make(map[fleet.NodeName]fleet.Member),
 		usableByZone: make(map[fleet.Zone][]fleet.Member),
 		polls:        newPollState(),
+		candidacy:    newCandidacyState(),
 		tables:       newTableState(),
 		wants:        newWantState(),
 		leaving:      newLeavingState(),
@@ -115,6 +116,7 @@
 	c.stepLeader(leadership.Tick{})
 	c.tickPlacement()
 	c.pollEngines()
+	c.cedeIfCutOff()
 	c.updateRecord()
 	c.reportArrivals()
 	c.flushRefusals()
--- a/internal/control/harness_effects_test.go
+++ b/internal/control/harness_effects_test.go
@@ -23,7 +23,7 @@
 	switch effect := effect.(type) {
 	case ReadEngine:
 		answer := leadership.StateRead{ID: effect.ID, Engine: effect.Engine, Failed: true}
-		c.call(effect.Engine, 0, engine.ReadState{}, func(got engine.Effect) {
+		c.call(name, effect.Engine, 0, engine.ReadState{}, func(got engine.Effect) {
 			if read, found := got.(engine.StateRead); found {
 				answer.State, answer.Failed = read.State, false
 			}
@@ -32,7 +32,7 @@
 	case SendClaim:
 		answer := leadership.ClaimAnswered{ID: effect.ID, Engine: effect.Engine}
 		claim := backend.Claim{Fence: effect.Fence, Incarnation: effect.Incarnation, Holder: name}
-		c.call(effect.Engine, c.claimDelayOf(name, effect.Engine), engine.TakeClaim{Claim: claim}, func(got engine.Effect) {
+		c.call(name, effect.Engine, c.claimDelayOf(name, effect.Engine), engine.TakeClaim{Claim: claim}, func(got engine.Effect) {
 			switch got := got.(type) {
 			case engine.StateRead:
 				answer.Result, answer.State = leadership.ClaimGranted, got.State
@@ -43,7 +43,7 @@
 		})
 	case SendOrder:
 		answer := OrderAnswered{Engine: effect.Engine, OrderID: effect.Order.ID}
-		c.call(effect.Engine, 0, engine.TakeOrder{Order: effect.Order}, func(got engine.Effect) {
+		c.call(name, effect.Engine, 0, engine.TakeOrder{Order: effect.Order}, func(got engine.Effect) {
 			switch got := got.(type) {
 			case engine.StateRead:
 				answer.Result = placement.OrderAccepted
@@ -98,7 +98,11 @@
 
 // call sends one call to an engine. A lost call may still arrive, even much
 // later.
-func (c *cluster) call(name fleet.BackendName, extraDelay time.Duration, message engine.Message, answered func(engine.Effect)) {
+func (c *cluster) call(from fleet.NodeName, name fleet.BackendName, extraDelay time.Duration, message engine.Message, answered func(engine.Effect)) {
+	if c.nodes[from].reachesNoEngine {
+		c.after(900*time.Millisecond, func() { answered(nil) })
+		return
+	}
 	lost := c.random.Float64() < c.lossRate
 	if lost {
 		c.after(900*time.Millisecond, func() { answered(nil) })
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -66,6 +66,8 @@
 	refused     []fleet.LoadRefusal
 	// missesRecords keeps records from reaching the node.
 	missesRecords bool
+	// reachesNoEngine makes all calls of the node to engines fail.
+	reachesNoEngine bool
 	// suspected are the members that this node considers dead.
 	suspected map[fleet.NodeName]bool
 }
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -35,8 +35,7 @@
 func (c *Core) roundEstablished(round leadership.RoundEstablished) {
 	c.adoptRecord(VersionedRecord{Record: round.Record})
 	c.beginTable(round)
-	c.polls.clear()
-	c.candidacy.excluded = ""
+	c.polls.begin(c.now)
 	c.emit(LeadershipChanged{Leading: true, Fence: round.Fence})
 	c.resendReport(c.options.Self)
 	c.stepPlacement(placement.RoundBegan{Fence: round.Fence, Held: round.Held, AssumedFull: round.AssumedFull})
@@ -97,7 +96,7 @@
 
 // stateRead handles an engine's state, whichever core requested it.
 func (c *Core) stateRead(answer leadership.StateRead) {
-	if unresponsive, changed := c.polls.noteAnswer(answer); changed {
+	if unresponsive, changed := c.polls.noteAnswer(c.now, answer); changed {
 		c.stepPlacement(placement.EngineUnresponsive{Engine: answer.Engine, Unresponsive: unresponsive})
 	}
 	if !answer.Failed {
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -19,6 +19,8 @@
 	// LeaderTimeout is how long a leader may go without publishing its table
 	// before the next node takes over.
 	LeaderTimeout time.Duration
+	// CedeDelay is how long a leader reaches no engine before it lets another node lead.
+	CedeDelay time.Duration
 	// BusyPollInterval is the time between two reads of an engine while a model
 	// is loading, requests wait or an order was just sent; IdlePollInterval
 	// applies otherwise.
@@ -53,6 +55,7 @@
 		Placement:               placement.DefaultSettings(),
 		TakeoverDelay:           300 * time.Millisecond,
 		LeaderTimeout:           3 * time.Second,
+		CedeDelay:               2 * time.Second,
 		BusyPollInterval:        100 * time.Millisecond,
 		IdlePollInterval:        time.Second,
 		HeartbeatInterval:       time.Second,
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -23,6 +23,8 @@
 // pollState tracks the leader's reads of engines.
 type pollState struct {
 	engines map[fleet.BackendName]*enginePoll
+	// answeredAt is when an engine last answered, or when the round began.
+	answeredAt time.Time
 	// lastStates are the newest states; only the NoFence defect uses them.
 	lastStates map[fleet.BackendName]fleet.EngineState
 }
@@ -58,7 +60,11 @@
 	}
 }
 
-func (p *pollState) clear() { clear(p.engines) }
+// begin forgets the engines of earlier rounds.
+func (p *pollState) begin(now time.Time) {
+	clear(p.engines)
+	p.answeredAt = now
+}
 
 func (p *pollState) engine(name fleet.BackendName) *enginePoll {
 	poll := p.engines[name]
@@ -82,7 +88,7 @@
 
 // noteAnswer records the answer. It returns whether the engine counts as
 // unresponsive and whether that has changed.
-func (p *pollState) noteAnswer(read leadership.StateRead) (isUnresponsive, changed bool) {
+func (p *pollState) noteAnswer(now time.Time, read leadership.StateRead) (isUnresponsive, changed bool) {
 	poll := p.engine(read.Engine)
 	if poll.pendingID == read.ID {
 		poll.pendingID = 0
@@ -90,6 +96,7 @@
 	poll.failures++
 	if !read.Failed {
 		poll.failures = 0
+		p.answeredAt = now
 	}
 	status := responding
 	if poll.failures >= unresponsiveThreshold {
@@ -127,6 +134,21 @@
 	}
 }
 
+// isCutOff reports whether the zone has engines and none of them responds.
+func (c *Core) isCutOff() bool {
+	polled := 0
+	for _, name := range c.leader.RoundRecord().Engines(c.options.Zone) {
+		if c.engineAddress(name) == "" {
+			continue
+		}
+		if c.polls.engine(name).reported != unresponsive {
+			return false
+		}
+		polled++
+	}
+	return polled > 0
+}
+
 // pollInterval returns the short interval for engines on which something is in
 // progress, and for all engines while requests wait in the zone: the sooner a
 // change of any engine is seen, the sooner a waiting request is served.
--- a/internal/leadership/core.go
+++ b/internal/leadership/core.go
@@ -1,6 +1,7 @@
 package leadership
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -139,7 +140,7 @@
 	switch message := message.(type) {
 	case Tick:
 	case LeadershipDesired:
-		c.setDesired(message.Lead)
+		c.setDesired(message)
 	case EnginesListed:
 		c.setEngines(message)
 	case RecordReceived:
@@ -166,10 +167,10 @@
 	return c.sequence
 }
 
-func (c *Core) setDesired(lead bool) {
-	c.desired = lead
-	if !lead {
-		c.stopRound("leadership no longer wanted")
+func (c *Core) setDesired(message LeadershipDesired) {
+	c.desired = message.Lead
+	if !message.Lead {
+		c.stopRound(cmp.Or(message.Reason, "leadership no longer wanted"))
 	}
 }
 
--- a/internal/leadership/messages.go
+++ b/internal/leadership/messages.go
@@ -12,7 +12,11 @@
 type Tick struct{}
 
 // LeadershipDesired sets whether this node should lead its zone.
-type LeadershipDesired struct{ Lead bool }
+type LeadershipDesired struct {
+	Lead bool
+	// Reason is why it should not; empty if another node should.
+	Reason string
+}
 
 // EnginesListed gives the engines that the machine list shows in the zone.
 type EnginesListed struct {
