--- a/internal/control/candidacy.go
+++ b/internal/control/candidacy.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,8 +17,8 @@
 	// since is when the node first found that it should lead; zero if it should
 	// not.
 	since time.Time
-	// handedOver is set when a stopping leader hands over; it skips the takeover
-	// delay.
+	// handedOver is set when a leader that stops or cedes hands over; it skips the
+	// takeover delay.
 	handedOver bool
 	// excluded holds nodes that should not lead, and until when: leaders that announced that they are
 	// stopping or reach no engine, and this node after it did so.
@@ -41,6 +42,12 @@
 // isExcluded reports whether the node should not lead.
 func (c *Core) isExcluded(name fleet.NodeName) bool { return c.now.Before(c.candidacy.excluded[name]) }
 
+// exclude passes the node over for that time.
+func (c *Core) exclude(name fleet.NodeName, period time.Duration) {
+	maps.DeleteFunc(c.candidacy.excluded, func(_ fleet.NodeName, until time.Time) bool { return !c.now.Before(until) })
+	c.candidacy.excluded[name] = c.now.Add(period)
+}
+
 func (c *Core) setMembers(members []fleet.Member) {
 	clear(c.members)
 	clear(c.usableByZone)
@@ -126,7 +133,7 @@
 	if c.candidacy.stopping {
 		return
 	}
-	c.candidacy.excluded[request.From] = c.now.Add(exclusionTime)
+	c.exclude(request.From, exclusionTime)
 	c.candidacy.handedOver = c.candidate() == c.options.Self
 }
 
@@ -154,7 +161,7 @@
 	if !slices.ContainsFunc(peers, func(peer fleet.Member) bool { return !c.isExcluded(peer.Name) }) {
 		return
 	}
-	c.candidacy.excluded[c.options.Self] = c.now.Add(cedeBackoff)
+	c.exclude(c.options.Self, cedeBackoff)
 	c.stepLeader(leadership.LeadershipDesired{Lead: false, Reason: "no engine is reached"})
 	for _, peer := range peers[:min(len(peers), maxSuccessors)] {
 		c.emit(HandOver{To: peer, Fence: fence})
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -152,7 +152,7 @@
 }
 
 // HandOverRequested asks the node to lead the zone in place of a node that is
-// stopping.
+// stopping or reaches no engine, if it is the next by rank.
 type HandOverRequested struct {
 	From  fleet.NodeName
 	Fence fleet.Fence
