--- a/internal/poison/early_test.go
+++ b/internal/poison/early_test.go
@@ -152,3 +152,14 @@
 		}
 	}
 }
+
+// TestCoordinatorThatHeardOfTheBarLateGrantsTheTrial guards against a coordinator that hears of a bar by a
+// repeated report, with a little less than the first bar left, and refuses the early trial to all who ask.
+func TestCoordinatorThatHeardOfTheBarLateGrantsTheTrial(t *testing.T) {
+	const late = 26 * time.Millisecond
+	tracker := NewTracker()
+	tracker.Record(start, Report{Fingerprint: requestNamed("p"), ServerID: "a", Age: late, BarredFor: firstBarTime - late})
+	if !tracker.ClaimTrial(start.Add(2*earlyTrialDelay), requestNamed("p")) {
+		t.Error("the trial is refused")
+	}
+}
