--- a/internal/poison/early_test.go
+++ b/internal/poison/early_test.go
@@ -153,13 +153,29 @@
 	}
 }
 
-// TestCoordinatorThatHeardOfTheBarLateGrantsTheTrial guards against a coordinator that hears of a bar by a
-// repeated report, with a little less than the first bar left, and refuses the early trial to all who ask.
+// TestCoordinatorThatHeardOfTheBarLateGrantsTheTrial guards against a coordinator that refuses the early
+// trial to all who ask: because it heard of the bar by a repeated report, with a little less than the first
+// bar left, or because two nodes that tell each other of the bar take it for longer each time, by the time
+// that their datagrams are under way.
 func TestCoordinatorThatHeardOfTheBarLateGrantsTheTrial(t *testing.T) {
 	const late = 26 * time.Millisecond
-	tracker := NewTracker()
-	tracker.Record(start, Report{Fingerprint: requestNamed("p"), ServerID: "a", Age: late, BarredFor: firstBarTime - late})
-	if !tracker.ClaimTrial(start.Add(2*earlyTrialDelay), requestNamed("p")) {
-		t.Error("the trial is refused")
+	heardLate := NewTracker()
+	heardLate.Record(start, Report{Fingerprint: requestNamed("p"), ServerID: "a", Age: late, BarredFor: firstBarTime - late})
+	if !heardLate.ClaimTrial(start.Add(2*earlyTrialDelay), requestNamed("p")) {
+		t.Error("heard late: the trial is refused")
+	}
+	const delay = 80 * time.Millisecond
+	nodes := [2]*Tracker{NewTracker(), NewTracker()}
+	for _, node := range nodes {
+		node.Record(start, Report{Fingerprint: requestNamed("p"), ServerID: "a", BarredFor: firstBarTime})
+	}
+	for second := range 5 {
+		for sender, node := range nodes {
+			at := start.Add(time.Duration(second)*time.Second + time.Duration(sender)*delay)
+			nodes[1-sender].Record(at.Add(delay), node.LastReport(at, requestNamed("p")))
+		}
+	}
+	if !nodes[0].ClaimTrial(start.Add(5*time.Second), requestNamed("p")) {
+		t.Errorf("told again and again: the trial is refused, %v of the bar are left", nodes[0].BarRemaining(start.Add(5*time.Second), requestNamed("p")))
 	}
 }
