Soak: one method says whether a run draws a kind of fault

hasColdServers, hasEvacuations, changesRegions and the new hasLoudTenant were one search with another name each, on two types, so that the setup built an empty soak only to ask it. soakOptions.draws serves all. No check, bound or draw changes.

--- a/test/platform/soak_cold_test.go
+++ b/test/platform/soak_cold_test.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"slices"
 	"time"
 )
 
@@ -34,12 +33,6 @@
 	}}
 }
 
-// hasColdServers reports whether this run has cold servers. Runs without this kind of fault
-// keep the configuration that their seeds were recorded with.
-func (s *soak) hasColdServers() bool {
-	return slices.ContainsFunc(s.options.kinds, func(k kind) bool { return k.name == coldServersKind })
-}
-
 // checkCold reports a cold server that received more requests in a second than its limit.
 // Nodes that are disconnected, frozen or new are not excused. m.mu is held.
 func (s *soak) checkCold(m *modelServer) {
--- a/test/platform/soak_evacuation_test.go
+++ b/test/platform/soak_evacuation_test.go
@@ -33,12 +33,6 @@
 	}}
 }
 
-// hasEvacuations reports whether this run evacuates zones. Runs without this kind of fault
-// keep the setup that their seeds were recorded with.
-func (s *soak) hasEvacuations() bool {
-	return slices.ContainsFunc(s.options.kinds, func(k kind) bool { return k.name == evacuateKind })
-}
-
 // evacuate evacuates the zone, unless an evacuation is in effect.
 func (s *soak) evacuate(zone string) {
 	s.mu.Lock()
@@ -65,7 +59,7 @@
 // leastUsedZone returns the zone with the fewest servers of the service, so that each zone
 // can serve while the other is evacuated. s.mu is held.
 func (s *soak) leastUsedZone(service string) string {
-	if !s.hasEvacuations() && !s.options.changesRegions() {
+	if !s.options.draws(evacuateKind) && !s.options.draws(allowedRegionsKind) {
 		return soakZones[0]
 	}
 	counts := make(map[string]int)
--- a/test/platform/soak_home_test.go
+++ b/test/platform/soak_home_test.go
@@ -19,10 +19,6 @@
 	regions []string
 }
 
-func (o soakOptions) changesRegions() bool {
-	return slices.ContainsFunc(o.kinds, func(k kind) bool { return k.name == allowedRegionsKind })
-}
-
 // nodeZones returns the nodes' zones with their regions.
 func (o soakOptions) nodeZones() []string {
 	zones := make([]string, o.nodes)
--- a/test/platform/soak_quota_test.go
+++ b/test/platform/soak_quota_test.go
@@ -41,11 +41,6 @@
 	return []kind{{loudTenantKind, 1, func(s *soak, d drawnFault) { s.restartBesideLoudTenant(d) }}}
 }
 
-// hasLoudTenant reports whether this run has the loud tenant. Runs without this kind have one tenant only.
-func (o soakOptions) hasLoudTenant() bool {
-	return slices.ContainsFunc(o.kinds, func(k kind) bool { return k.name == loudTenantKind })
-}
-
 // quotaBounds are the settings of nodes that hold tenants to their quotas.
 func quotaBounds() string {
 	return fmt.Sprintf("quotaWindowS = %g\nquotaOverage = %g\nquotaSlack = %d\n", quotaWindow.Seconds(), quotaOverage, quotaSlack)
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -170,6 +170,13 @@
 	return nil
 }
 
+// draws reports whether the run draws this kind of fault. What a kind needs of the fleet, such as zones,
+// cold servers or a second tenant, is there only in runs that draw it: others keep the setup that their
+// seeds were recorded with.
+func (o soakOptions) draws(name string) bool {
+	return slices.ContainsFunc(o.kinds, func(k kind) bool { return k.name == name })
+}
+
 func newSoak(f *fleet, options soakOptions) *soak {
 	return &soak{
 		fleet: f, options: options, random: rand.New(rand.NewPCG(options.seed, 0x50a4)),
@@ -195,13 +202,13 @@
 	settings := fleetOptions{
 		count: options.nodes, seeds: `"127.0.0.11:1", "127.0.0.12:1"`, firstIP: firstSoakIP, hasProxies: options.hasProxies, hasMetrics: true,
 	}
-	if (&soak{options: options}).hasEvacuations() {
+	if options.draws(evacuateKind) {
 		settings.bounds = evacuateLine
 	}
-	if options.hasLoudTenant() {
+	if options.draws(loudTenantKind) {
 		settings.bounds += quotaBounds()
 	}
-	if options.changesRegions() {
+	if options.draws(allowedRegionsKind) {
 		settings.zones = options.nodeZones()
 	}
 	s := newSoak(newFleetWithOptions(t, settings), options)
@@ -331,7 +338,7 @@
 	config := newConfig(s.version, added...)
 	engine := config["services"].([]map[string]any)[1]["engine"].(map[string]any)
 	engine["models"], engine["weightsMb"] = models, 200
-	if s.hasColdServers() {
+	if s.options.draws(coldServersKind) {
 		config["services"].([]map[string]any)[1]["coldStartS"] = soakColdTime.Seconds()
 		config["services"].([]map[string]any)[1]["coldPerS"] = soakColdPerS
 	}
@@ -342,7 +349,7 @@
 		"name": soakTenant, "apiKeys": []string{soakKey, versionKey(s.version)},
 		"unit": "tokens", "plainTokens": 1, "ratePerS": 1e6, "burst": 1e6,
 	}}
-	if s.options.hasLoudTenant() {
+	if s.options.draws(loudTenantKind) {
 		config["tenants"] = append(config["tenants"].([]map[string]any), loudTenantConfig())
 	}
 	s.config = config
