Servers' software versions are known and logged

Entries name the version of a server's software; it was required and dropped, so neither logs nor metrics said which versions a stream had met.

Routing is unchanged. Tests of relay, dispatch, inventory, edge, peer, platform pass.

--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -37,7 +37,9 @@
 	Estimate time.Duration
 	// Distance is the network distance of the server.
 	Distance locality.Distance
-	Attempt  *Attempt
+	// SoftwareVersion is the version of the server's software; empty if unknown.
+	SoftwareVersion string
+	Attempt         *Attempt
 }
 
 // Attempt is one request in flight at a server.
@@ -84,7 +86,7 @@
 	chosen.pendingTokens += tokens
 	attempt := &Attempt{server: chosen, start: chosen.info.Start(), tokens: tokens, estimate: cost, started: now}
 	attempt.probe = chosen.admissionState.StartProbe(now)
-	return Choice{ServerID: chosen.info.ID, Address: chosen.info.Address, Estimate: cost, Distance: c.topology.Distance(c.zone, chosen.info.Zone), Attempt: attempt}, true
+	return Choice{ServerID: chosen.info.ID, Address: chosen.info.Address, Estimate: cost, Distance: c.topology.Distance(c.zone, chosen.info.Zone), SoftwareVersion: chosen.info.SoftwareVersion, Attempt: attempt}, true
 }
 
 // CanPick reports whether Pick would find a server.
--- a/internal/dispatch/views.go
+++ b/internal/dispatch/views.go
@@ -63,6 +63,7 @@
 	}
 	restarted := known.info
 	restarted.StartedAtMs, restarted.Models, restarted.ColdRemaining, restarted.ReportsCold = view.StartedAtMs, nil, 0, false
+	restarted.SoftwareVersion = ""
 	c.putEntry(restarted)
 	c.servers[restarted.ID].isFromViewOnly = true
 	return c.servers[restarted.ID]
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -233,7 +233,7 @@
 		event = "server_entry"
 	}
 	n.options.Logger.Info().Str("server", change.Server.ID).Int64("born", change.Server.StartedAtMs).Str("address", change.Server.Address).
-		Str("service", change.Server.Service).Bool("gone", change.Gone).Bool("draining", change.Server.Draining).
+		Str("service", change.Server.Service).Str("version", change.Server.SoftwareVersion).Bool("gone", change.Gone).Bool("draining", change.Server.Draining).
 		Str("position", change.Server.Position.String()).Int("models", len(change.Server.Models)).
 		Str("from", from).Msg(event)
 }
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -243,6 +243,7 @@
 		server := inventory.Server{
 			ID: entry.Server, StartedAtMs: entry.Born, Service: entry.Service, Address: entry.Address, Zone: entry.Zone,
 			Slots: int(entry.Slots), Draining: entry.Draining, Position: storepos.At(entry.Era, entry.Revision).WithDefaultEra(era),
+			SoftwareVersion: entry.SoftwareVersion,
 		}
 		if !isUsable(server) {
 			continue
@@ -275,7 +276,7 @@
 		entry := &peerpb.ServerEntry{
 			Server: server.ID, Born: server.StartedAtMs, Service: server.Service, Address: server.Address, Zone: server.Zone,
 			Slots: uint32(server.Slots), Draining: server.Draining, Revision: server.Position.Revision, Era: server.Position.Era,
-			ColdLeftMs: encodeColdRemaining(server.ColdRemaining, server.ReportsCold),
+			ColdLeftMs: encodeColdRemaining(server.ColdRemaining, server.ReportsCold), SoftwareVersion: server.SoftwareVersion,
 		}
 		for _, model := range server.Models {
 			entry.Held = append(entry.Held, &peerpb.HeldModel{Model: model.Name, Adapters: model.Adapters})
--- a/internal/edge/wire.go
+++ b/internal/edge/wire.go
@@ -108,6 +108,7 @@
 			Server: inventory.Server{
 				ID: encoded.Server, StartedAtMs: encoded.Born, Service: encoded.Service, Address: encoded.Address, Zone: encoded.Zone, Slots: int(encoded.Slots),
 				Draining: encoded.Going, Ended: encoded.Going && encoded.Ended, Position: storepos.At(encoded.Era, encoded.Revision), Announced: true,
+				SoftwareVersion: encoded.SoftwareVersion,
 			},
 			Age: time.Duration(encoded.AgeMs) * time.Millisecond,
 		}
@@ -134,7 +135,7 @@
 		}
 		if !change.Going {
 			change.Service, change.Address, change.Zone = item.Server.Service, item.Server.Address, item.Server.Zone
-			change.Slots = uint32(item.Server.Slots)
+			change.Slots, change.SoftwareVersion = uint32(item.Server.Slots), item.Server.SoftwareVersion
 			change.ColdLeftMs = encodeColdRemaining(item.Server.ColdRemaining-item.Age, item.Server.ReportsCold)
 		}
 		encoded = append(encoded, change)
--- a/internal/inventory/server.go
+++ b/internal/inventory/server.go
@@ -15,6 +15,9 @@
 	// StartedAtMs tells apart the starts under one ID; see Start.
 	StartedAtMs int64
 	Service     string
+	// SoftwareVersion is the version of the server's software, not of the weights that it holds;
+	// empty if unknown. What two versions of a service write does not fit together.
+	SoftwareVersion string
 	// Address is IP:PORT. Once this server is gone, another may use it.
 	Address string
 	Zone    string
@@ -261,14 +264,21 @@
 	if has && !server.isNewerThan(known) {
 		return known, false
 	}
-	if server.StartedAtMs == 0 {
-		// The peer runs a build that does not send the start.
-		server.StartedAtMs = known.StartedAtMs
-	}
+	server.inheritUnsent(known)
 	t.put(server)
 	return server, true
 }
 
+// inheritUnsent takes over from the known entry what a peer of an earlier build does not send.
+func (s *Server) inheritUnsent(known Server) {
+	if s.StartedAtMs == 0 {
+		s.StartedAtMs = known.StartedAtMs
+	}
+	if s.SoftwareVersion == "" && s.Start() == known.Start() {
+		s.SoftwareVersion = known.SoftwareVersion
+	}
+}
+
 // ConfirmAvailable applies a peer's report that, according to its entry at the position, the server
 // takes work, which is also what this table says. Older reports that it is draining are void.
 func (t *Table) ConfirmAvailable(id string, position storepos.Position) {
@@ -299,9 +309,7 @@
 	if ok && server.Draining {
 		return []Change{t.MarkDraining(server)}
 	}
-	if server.StartedAtMs == 0 {
-		server.StartedAtMs = known.StartedAtMs
-	}
+	server.inheritUnsent(known)
 	t.put(server)
 	return []Change{{Server: server}}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -30,7 +30,7 @@
 
 // attempt sends the request to the chosen server.
 func (x *exchange) attempt(choice dispatch.Choice) attemptResult {
-	x.serverID, x.hint = choice.ServerID, inventory.Hint{}
+	x.serverID, x.softwareVersion, x.hint = choice.ServerID, choice.SoftwareVersion, inventory.Hint{}
 	x.estimate = choice.Estimate
 	decision := x.requestAdmission(choice)
 	if !decision.Granted {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -82,6 +82,10 @@
 	// waitingSince is when the choice of a server that is in progress began; zero between choices.
 	waitingSince time.Time
 	serverID     string
+	// softwareVersion is the version of the last chosen server's software, and eventsVersion that of
+	// the server whose events the caller got last.
+	softwareVersion string
+	eventsVersion   string
 	// overdue follows the announced readiness that the request waits for, and notices when it is overdue.
 	overdue waiting.OverdueTracker
 	// estimate is the expected time to the first byte from the chosen server.
@@ -410,6 +414,12 @@
 		entry.Int("servers", counts.Known).Int("servers_going", counts.Draining).Int("servers_closed", counts.Evacuated).
 			Int("servers_resting", counts.BackingOff).Int("servers_limited", counts.RateLimited)
 	}
+	if x.softwareVersion != "" {
+		entry.Str("version", x.softwareVersion)
+	}
+	if x.head.Resumes != "" {
+		entry.Str("resumes", x.head.Resumes)
+	}
 	if x.peer != "" {
 		entry.Str("peer", x.peer)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,6 +33,9 @@
 	PromptParts    []dispatch.PromptPart
 	// LastEventID is the event after which a stream is to be resumed.
 	LastEventID string
+	// Resumes is the request ID of the caller's attempt that received the first event of the stream
+	// to be resumed; empty if the caller resumes none.
+	Resumes string
 	// APIKey is the caller's API key; empty where it sends none, or several.
 	APIKey string
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -25,6 +25,11 @@
 
 // relayStream passes on an event stream.
 func (x *exchange) relayStream(choice dispatch.Choice, response *backendconn.Response) attemptResult {
+	if x.headSent && x.eventsVersion != choice.SoftwareVersion {
+		x.handler.options.Logger.Warn().Str("request", x.head.RequestID).Str("began", x.eventsVersion).Str("version", choice.SoftwareVersion).
+			Str("server", choice.ServerID).Msg("stream_joins_versions")
+	}
+	x.eventsVersion = choice.SoftwareVersion
 	err := x.copyEvents(response, func(count int) { x.countBytes(choice, count) })
 	if errors.Is(err, io.EOF) {
 		return x.finishStream(choice, response)
