--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -38,6 +39,8 @@
 	zone        string
 	loadTime    time.Duration
 	streamPause time.Duration
+	// version is the version of the server's software; empty means v1.
+	version string
 
 	mu       sync.Mutex
 	models   map[string]map[string]bool
@@ -80,6 +83,9 @@
 	contacts  []contact
 	// isDown makes the server abort every request.
 	isDown bool
+	// breakAfter is the number of events after which streams from the first event on break off; 0
+	// means they do not.
+	breakAfter int
 	// httpServer is set where the test closes the server's connections.
 	httpServer *httptest.Server
 	// startID is the start time in Unix milliseconds; 0 means it is not reported.
@@ -128,7 +134,7 @@
 	models, born := m.loadedModels(), m.startID
 	m.mu.Unlock()
 	entry := map[string]any{
-		"service": m.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": state, "models": models, "sequence": 1,
+		"service": m.service, "address": m.address, "zone": m.zone, "version": cmp.Or(m.version, "v1"), "slots": 8, "state": state, "models": models, "sequence": 1,
 		"coldLeftMs": max(0, time.Until(m.coldUntil).Milliseconds()),
 	}
 	if born > 0 {
@@ -288,7 +294,7 @@
 	}
 	m.headers[id] = request.Header.Clone()
 	m.startedAt[id] = time.Now()
-	loseAnswer, fail := m.resetResponses, m.failRequests
+	loseAnswer, fail, breakAfter, version := m.resetResponses, m.failRequests, m.breakAfter, cmp.Or(m.version, "v1")
 	m.mu.Unlock()
 	writer.Header().Set("Server-Stamp", m.id)
 	switch {
@@ -304,8 +310,13 @@
 		return
 	}
 	writer.Header().Set("Content-Type", "text/event-stream")
-	for piece := 1; piece <= 5; piece++ {
-		fmt.Fprintf(writer, "id: %d\ndata: %s %s\n\n", piece, model, id)
+	lastEvent, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	for piece := lastEvent + 1; piece <= 5; piece++ {
+		if lastEvent == 0 && breakAfter > 0 && piece > breakAfter {
+			resetConnection(writer)
+			return
+		}
+		fmt.Fprintf(writer, "id: %d\ndata: %s %s %s\n\n", piece, model, id, version)
 		_ = http.NewResponseController(writer).Flush()
 		time.Sleep(m.streamPause)
 	}
--- /dev/null
+++ b/test/platform/versions_test.go
@@ -0,0 +1,243 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// maxJoinedStreams is the number of streams that may hold events of several software versions.
+	maxJoinedStreams = 2
+	// continuedShare is the share of taken-up streams that have to go on, relative to the share of
+	// new streams that begin, while two servers of their version serve.
+	continuedShare = 0.5
+	// takenUpStreams is the number of streams of each case.
+	takenUpStreams = 30
+	// futileRefusalTime is the time within which a stream is refused that cannot go on.
+	futileRefusalTime = time.Second
+)
+
+// streamAttempt is one attempt of a caller to read a stream.
+type streamAttempt struct {
+	status int
+	// events counts the events read, and lastEvent is the ID of the last one.
+	events    int
+	lastEvent string
+	// versions are the software versions that wrote the events.
+	versions map[string]bool
+	isWhole  bool
+	took     time.Duration
+}
+
+// readStream sends a request for a stream to the node, and leaves after stopAfter events; 0 reads all.
+func (n *node) readStream(id, path string, stopAfter int, headers ...string) (attempt streamAttempt) {
+	begin := time.Now()
+	attempt.versions = make(map[string]bool)
+	defer func() { attempt.took = time.Since(begin) }()
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, n.fleet.ports[1], path), strings.NewReader("body"))
+	if err != nil {
+		return attempt
+	}
+	request.Host, request.Close = "host.example", true
+	for name, value := range map[string]string{"Request-Id": id, "Deadline-Ms": "8000", "Model": "m1", "Token-Count": "100,20"} {
+		request.Header.Set(name, value)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return attempt
+	}
+	defer response.Body.Close()
+	attempt.status = response.StatusCode
+	if response.StatusCode != http.StatusOK {
+		return attempt
+	}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if event, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			attempt.events, attempt.lastEvent = attempt.events+1, event
+		}
+		if fields := strings.Fields(lines.Text()); len(fields) == 4 && fields[0] == "data:" {
+			attempt.versions[fields[3]] = true
+		}
+		if lines.Text() == "" && attempt.events == stopAfter {
+			return attempt
+		}
+	}
+	attempt.isWhole = lines.Err() == nil && attempt.lastEvent == "5"
+	return attempt
+}
+
+// versionedFleet is a fleet whose servers of one service run two software versions.
+type versionedFleet struct {
+	*fleet
+	servers []*modelServer
+}
+
+const resumablePath = "/resumable/x"
+
+func newVersionedFleet(t *testing.T) *versionedFleet {
+	t.Helper()
+	f := &versionedFleet{fleet: newFleet(t, 4)}
+	for i := range 6 {
+		m := newServer(t, f.store, fmt.Sprintf("i-%d", i), "models", 50*time.Millisecond)
+		m.version = "v1" + strings.Repeat(".1", i%2)
+		m.set(func() {
+			m.models["m1"] = map[string]bool{}
+			m.streamPause, m.startID = 20*time.Millisecond, time.Now().UnixMilli()
+		})
+		m.register(f.store, "ready")
+		f.servers = append(f.servers, m)
+	}
+	f.store.put("config", "main", newConfig(1, map[string]any{
+		"name": "resumable", "host": "host.example", "pathPrefix": "/resumable/", "type": "streaming", "resumable": true,
+		"service": "models", "goalMs": 5000, "timeoutMs": 8000, "maxAttempts": 3, "sticky": true,
+	}))
+	f.awaitReady()
+	for _, n := range f.nodes {
+		eventually(t, n.name+" serves streams", func() bool { return n.readStream("warm-"+n.name, resumablePath, 0).isWhole })
+	}
+	return f
+}
+
+// resumption is a stream that its caller takes up again.
+type resumption struct{ first, second streamAttempt }
+
+func (r resumption) joinsVersions() bool {
+	versions := make(map[string]bool)
+	for _, attempt := range []streamAttempt{r.first, r.second} {
+		for version := range attempt.versions {
+			versions[version] = true
+		}
+	}
+	return len(versions) > 1
+}
+
+// takeUp begins streams at the nodes, leaves each after two events, and takes it up again at another
+// node after whatever meanwhile does.
+func (f *versionedFleet) takeUp(firsts, seconds []*node, meanwhile func()) []resumption {
+	streams := make([]resumption, takenUpStreams)
+	requestID := func(i, attempt int) string { return fmt.Sprintf("s%d-%d", i, attempt) }
+	f.eachStream(func(i int) { streams[i].first = firsts[i%len(firsts)].readStream(requestID(i, 1), resumablePath, 2) })
+	meanwhile()
+	f.eachStream(func(i int) {
+		streams[i].second = seconds[(i+1)%len(seconds)].readStream(requestID(i, 2), resumablePath, 0,
+			"Last-Event-Id", streams[i].first.lastEvent, "Resumes", requestID(i, 1))
+	})
+	return streams
+}
+
+// eachStream runs the function for each stream, a few at a time.
+func (f *versionedFleet) eachStream(run func(i int)) {
+	var running sync.WaitGroup
+	places := make(chan struct{}, 6)
+	for i := range takenUpStreams {
+		places <- struct{}{}
+		running.Go(func() { run(i); <-places })
+	}
+	running.Wait()
+}
+
+// restartAll restarts the servers under their IDs, each with the other software version.
+func (f *versionedFleet) restartAll() {
+	for _, m := range f.servers {
+		m.set(func() {
+			m.version = map[string]string{"v1": "v1.1", "v1.1": "v1"}[m.version]
+			m.startID++
+		})
+		m.register(f.store, "ready")
+	}
+	time.Sleep(contactTime)
+}
+
+// TestStreamsGoOnAtTheirSoftwareVersion guards against streams that hold events of servers of two
+// software versions, and against refusing those that could go on.
+func TestStreamsGoOnAtTheirSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		firsts, seconds []int
+		meanwhile       func(f *versionedFleet)
+		// canNotGoOn is set where no server of the streams' version is left.
+		canNotGoOn bool
+	}{
+		"at the same node": {firsts: []int{0}, seconds: []int{0}},
+		"at other nodes":   {firsts: []int{0, 1}, seconds: []int{2, 3}},
+		"after their nodes were killed and started anew": {firsts: []int{0, 1}, seconds: []int{0, 1, 2, 3}, meanwhile: func(f *versionedFleet) {
+			for _, n := range f.nodes[:2] {
+				n.kill()
+				n.start()
+			}
+			f.awaitReady()
+		}},
+		"after nodes stopped in turn": {firsts: []int{0, 1, 2, 3}, seconds: []int{0, 1, 2, 3}, meanwhile: func(f *versionedFleet) {
+			for _, n := range f.nodes {
+				n.stop()
+				n.start()
+				f.awaitReady()
+			}
+		}},
+		"after all servers started again under their IDs at the other version": {firsts: []int{0, 1}, seconds: []int{2, 3}, meanwhile: (*versionedFleet).restartAll},
+		"with no server of their version left": {firsts: []int{0, 1}, seconds: []int{2, 3}, canNotGoOn: true, meanwhile: func(f *versionedFleet) {
+			for i, m := range f.servers {
+				m.set(func() { m.version, m.startID = "v2", m.startID+1+int64(i) })
+				m.register(f.store, "ready")
+			}
+			time.Sleep(contactTime)
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newVersionedFleet(t)
+			pick := func(numbers []int) (nodes []*node) {
+				for _, number := range numbers {
+					nodes = append(nodes, f.nodes[number])
+				}
+				return nodes
+			}
+			streams := f.takeUp(pick(c.firsts), pick(c.seconds), func() {
+				if c.meanwhile != nil {
+					c.meanwhile(f)
+				}
+			})
+			begun, joined, continued := 0, 0, 0
+			for _, s := range streams {
+				if s.first.events == 2 {
+					begun++
+				}
+				if s.joinsVersions() {
+					joined++
+				} else if s.second.isWhole {
+					continued++
+				}
+				if c.canNotGoOn && s.second.took > futileRefusalTime {
+					t.Errorf("a stream that cannot go on was held for %v", s.second.took)
+				}
+			}
+			t.Logf("%d begun, %d joined, %d went on", begun, joined, continued)
+			if joined > maxJoinedStreams {
+				t.Errorf("%d of %d streams hold events of two software versions", joined, begun)
+			}
+			if !c.canNotGoOn && float64(continued) < continuedShare*float64(begun) {
+				t.Errorf("%d of %d streams went on", continued, begun)
+			}
+		})
+	}
+}
+
+// stop stops the node as planned.
+func (n *node) stop() {
+	n.signal(syscall.SIGTERM)
+	<-n.exited
+}
