--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -98,6 +98,7 @@
 	if s, ok := c.servers[serverID]; ok {
 		s.cold.warmUp.MarkPossiblyCold(now, s.info.Position)
 		s.cold.source = ColdUnreachable
+		s.markVersionUncertain(now)
 	}
 }
 
@@ -187,7 +188,7 @@
 func (c *Core) HasOnlyColdServers(now time.Time, requirements Requirements) bool {
 	found := false
 	for _, s := range c.serversFor(requirements.Service, requirements.Model) {
-		if s.info.Service != requirements.Service || !s.isAvailable() || !c.isInRegions(s, requirements.Regions) || !s.canServe(now, requirements) {
+		if !c.mayServe(now, s, requirements) || !s.canServe(now, requirements) {
 			continue
 		}
 		if s.coldPhase(now) == admission.Warm {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -36,6 +36,8 @@
 	pendingViews map[string]pendingView
 	// starts holds the admission state of server starts, built from hints in their responses.
 	starts map[inventory.Start]*startState
+	// formerVersions holds the software versions of servers that are gone, by service.
+	formerVersions map[string]versionHistory
 	// term is the highest leader term seen.
 	term int64
 	// leaderSeenAt is when the leader last reported that it holds its lease, and ordersFrom the
@@ -55,18 +57,19 @@
 // New returns a core that knows no servers.
 func New(options Options) *Core {
 	return &Core{
-		zone:          options.Zone,
-		topology:      options.Topology,
-		random:        rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
-		servers:       make(map[string]*server),
-		byService:     make(map[string][]*server),
-		index:         newModelIndex(),
-		demand:        make(map[Requirements]*demand),
-		serversByPeer: make(map[string][]*server),
-		pendingViews:  make(map[string]pendingView),
-		starts:        make(map[inventory.Start]*startState),
-		brittle:       make(map[string]brittleness),
-		changed:       make(chan struct{}),
+		zone:           options.Zone,
+		topology:       options.Topology,
+		random:         rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
+		servers:        make(map[string]*server),
+		byService:      make(map[string][]*server),
+		index:          newModelIndex(),
+		demand:         make(map[Requirements]*demand),
+		serversByPeer:  make(map[string][]*server),
+		pendingViews:   make(map[string]pendingView),
+		starts:         make(map[inventory.Start]*startState),
+		formerVersions: make(map[string]versionHistory),
+		brittle:        make(map[string]brittleness),
+		changed:        make(chan struct{}),
 	}
 }
 
@@ -105,6 +108,7 @@
 			return
 		}
 		// The entry belongs to another start, which keeps no state of the one before.
+		c.rememberVersion(known.info)
 		c.removeFromService(known)
 		c.index.remove(known)
 		delete(c.servers, entry.ID)
@@ -132,6 +136,7 @@
 
 func (c *Core) remove(serverID string) {
 	if known, ok := c.servers[serverID]; ok {
+		c.rememberVersion(known.info)
 		c.removeFromService(known)
 		c.index.remove(known)
 	}
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -8,12 +8,14 @@
 )
 
 // Requirements are what a request needs from a server: a service, a model, optionally an adapter,
-// and the regions in which it may run.
+// the regions in which it may run and the software version that it needs.
 type Requirements struct {
 	Service string
 	Model   string
 	Adapter string
 	Regions locality.Regions
+	// SoftwareVersion is the version at which a stream must go on; empty allows any.
+	SoftwareVersion string
 }
 
 type demand struct {
@@ -85,7 +87,7 @@
 // are left out: see BackoffEndsIn. An adapter is expected soon wherever its model is held.
 func (c *Core) ReadyIn(now time.Time, requirements Requirements) (left time.Duration, known bool) {
 	for _, s := range c.serversFor(requirements.Service, requirements.Model) {
-		if s.info.Service != requirements.Service || !s.isAvailable() || !c.isInRegions(s, requirements.Regions) || s.admissionState.Backoff(now) > 0 {
+		if !c.mayServe(now, s, requirements) || s.admissionState.Backoff(now) > 0 {
 			continue
 		}
 		ready, ok := s.availableIn(now, requirements)
@@ -118,7 +120,7 @@
 	for _, s := range c.index.storing[requirements.Model] {
 		inMemory, onDisk := s.copies(now)
 		switch {
-		case s.info.Service != requirements.Service || !s.isAvailable() || !c.isInRegions(s, requirements.Regions):
+		case !c.mayServe(now, s, requirements):
 		case slices.Contains(inMemory, requirements.Model):
 			return CopyInMemory
 		case slices.Contains(onDisk, requirements.Model):
@@ -154,7 +156,7 @@
 // there or being loaded.
 func (c *Core) ServerReadyIn(now time.Time, serverID string, requirements Requirements) (left time.Duration, known bool) {
 	s, ok := c.servers[serverID]
-	if !ok || !s.isAvailable() || !c.isInRegions(s, requirements.Regions) {
+	if !ok || !c.mayServe(now, s, requirements) {
 		return 0, false
 	}
 	backoff := s.admissionState.Backoff(now)
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -27,6 +27,13 @@
 	ColocationKey uint64
 	// Regions are those in which the request may run.
 	Regions locality.Regions
+	// SoftwareVersion is the version at which a stream must go on; empty allows any.
+	SoftwareVersion string
+}
+
+// requirements returns what the request needs from a server.
+func (r Request) requirements() Requirements {
+	return Requirements{Service: r.Service, Model: r.Model, Adapter: r.Adapter, Regions: r.Regions, SoftwareVersion: r.SoftwareVersion}
 }
 
 // Choice is the server selected for a request.
@@ -97,8 +104,9 @@
 // filter returns the servers to which the request may be sent.
 func (c *Core) filter(now time.Time, request Request) []*server {
 	var candidates []*server
+	requirements := request.requirements()
 	for _, s := range c.serversFor(request.Service, request.Model) {
-		if s.info.Service != request.Service || !s.isAvailable() || !c.isInRegions(s, request.Regions) || slices.Contains(request.Exclude, s.info.ID) {
+		if !c.mayServe(now, s, requirements) || slices.Contains(request.Exclude, s.info.ID) {
 			continue
 		}
 		if len(request.AllowedServers) > 0 && !slices.Contains(request.AllowedServers, s.info.ID) {
--- a/internal/dispatch/ratelimit.go
+++ b/internal/dispatch/ratelimit.go
@@ -67,7 +67,7 @@
 func (c *Core) HasOnlyRateLimitedServers(now time.Time, requirements Requirements) bool {
 	found := false
 	for _, s := range c.serversFor(requirements.Service, requirements.Model) {
-		if s.info.Service != requirements.Service || !s.isAvailable() || !c.isInRegions(s, requirements.Regions) || !s.canServe(now, requirements) {
+		if !c.mayServe(now, s, requirements) || !s.canServe(now, requirements) {
 			continue
 		}
 		if !s.admissionState.IsRateLimited() {
--- a/internal/dispatch/regions.go
+++ b/internal/dispatch/regions.go
@@ -24,17 +24,17 @@
 	return !regions.IsBounded() || regions.Allows(c.topology.Region(s.info.Zone))
 }
 
-// MayStillSend reports whether an attempt may still be sent to its server now, within the regions:
-// the same start of the server must still be known, available and not backing off.
-func (c *Core) MayStillSend(now time.Time, attempt *Attempt, regions locality.Regions) bool {
+// MayStillSend reports whether an attempt may still be sent to its server now: the same start of the
+// server must still be known, not backing off, and one that may serve the requirements.
+func (c *Core) MayStillSend(now time.Time, attempt *Attempt, requirements Requirements) bool {
 	known, ok := c.servers[attempt.start.ID]
-	return ok && known == attempt.server && known.isAvailable() && known.admissionState.CheckInternalCall(now).Admits() && c.isInRegions(known, regions)
+	return ok && known == attempt.server && known.admissionState.CheckInternalCall(now).Admits() && c.mayServe(now, known, requirements)
 }
 
-// HasServer reports whether some server of the service in the regions takes work.
-func (c *Core) HasServer(service string, regions locality.Regions) bool {
-	for _, s := range c.byService[service] {
-		if s.isAvailable() && c.isInRegions(s, regions) {
+// HasServer reports whether some server takes work with these requirements, whatever it holds.
+func (c *Core) HasServer(now time.Time, requirements Requirements) bool {
+	for _, s := range c.byService[requirements.Service] {
+		if c.mayServe(now, s, requirements) {
 			return true
 		}
 	}
--- a/internal/dispatch/regions_test.go
+++ b/internal/dispatch/regions_test.go
@@ -37,11 +37,11 @@
 		if got := pick(core, begin, request); got != c.want {
 			t.Errorf("%s: picked %q, want %q", c.name, got, c.want)
 		}
-		if core.CanPick(begin, request) != c.has || core.HasServer("s", c.regions) != c.has {
-			t.Errorf("%s: CanPick %v, HasServer %v, want %v", c.name, core.CanPick(begin, request), core.HasServer("s", c.regions), c.has)
+		if core.CanPick(begin, request) != c.has || core.HasServer(begin, Requirements{Service: "s", Regions: c.regions}) != c.has {
+			t.Errorf("%s: CanPick %v, HasServer %v, want %v", c.name, core.CanPick(begin, request), core.HasServer(begin, Requirements{Service: "s", Regions: c.regions}), c.has)
 		}
 		for _, id := range []string{"a", "b", "c"} {
-			if got := core.MayStillSend(begin, &Attempt{server: core.servers[id], start: core.servers[id].info.Start()}, c.regions); got != (id == c.want) {
+			if got := core.MayStillSend(begin, &Attempt{server: core.servers[id], start: core.servers[id].info.Start()}, Requirements{Service: "s", Regions: c.regions}); got != (id == c.want) {
 				t.Errorf("%s: may still send to %s: %v", c.name, id, got)
 			}
 		}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -23,6 +23,9 @@
 	conflictingEntry *inventory.Server
 	// isZoneEvacuated is set while the server's zone is evacuated.
 	isZoneEvacuated bool
+	// versionUncertainUntil is until when the server may run another software version than its entry
+	// says.
+	versionUncertainUntil time.Time
 	// held are the models in the entry, with their adapters.
 	held map[string]map[string]bool
 	view *View
--- a/internal/dispatch/starts.go
+++ b/internal/dispatch/starts.go
@@ -145,7 +145,7 @@
 func (c *Core) BackoffEndsIn(now time.Time, requirements Requirements) (left time.Duration, elsewhere, ok bool) {
 	for _, s := range c.serversFor(requirements.Service, requirements.Model) {
 		backoff := s.admissionState.Backoff(now)
-		if backoff == 0 || s.info.Service != requirements.Service || !s.isAvailable() || !c.isInRegions(s, requirements.Regions) || !s.hasModelOrBase(now, requirements) {
+		if backoff == 0 || !c.mayServe(now, s, requirements) || !s.hasModelOrBase(now, requirements) {
 			continue
 		}
 		if !ok || backoff < left {
@@ -156,7 +156,7 @@
 		return 0, false, false
 	}
 	elsewhere = slices.ContainsFunc(c.byService[requirements.Service], func(s *server) bool {
-		return s.isAvailable() && c.isInRegions(s, requirements.Regions) && s.admissionState.Backoff(now) == 0
+		return c.mayServe(now, s, requirements) && s.admissionState.Backoff(now) == 0
 	})
 	return left, elsewhere, true
 }
--- /dev/null
+++ b/internal/dispatch/versions.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
+
+const (
+	// formerVersionRetention is how long after its last server a software version counts as one that
+	// streams may have begun at: longer than callers wait for a stream.
+	formerVersionRetention = time.Minute
+	// versionSettleTime is how long after a failed connection the version of a server is uncertain: it
+	// may have started again under its ID at another one, and its entry may not be known here yet.
+	versionSettleTime = 3 * time.Second
+)
+
+// versionHistory holds the software versions of one service's servers that are gone, and when each
+// was last seen; zero until the next call that tells the time.
+type versionHistory map[string]time.Time
+
+// rememberVersion records that a server of the version is gone, or runs another one.
+func (c *Core) rememberVersion(former inventory.Server) {
+	history, ok := c.formerVersions[former.Service]
+	if !ok {
+		history = make(versionHistory)
+		c.formerVersions[former.Service] = history
+	}
+	history[former.SoftwareVersion] = time.Time{}
+}
+
+// RecentVersions returns the software versions of the service's servers, now and within the time for
+// which a stream that one of them began may be resumed.
+func (c *Core) RecentVersions(now time.Time, service string) []string {
+	var versions []string
+	seen := make(map[string]bool)
+	add := func(version string) {
+		if !seen[version] {
+			seen[version] = true
+			versions = append(versions, version)
+		}
+	}
+	for _, s := range c.byService[service] {
+		add(s.info.SoftwareVersion)
+	}
+	for version, lastSeen := range c.formerVersions[service] {
+		switch {
+		case lastSeen.IsZero():
+			c.formerVersions[service][version] = now
+			add(version)
+		case now.Sub(lastSeen) > formerVersionRetention:
+			delete(c.formerVersions[service], version)
+		default:
+			add(version)
+		}
+	}
+	return versions
+}
+
+// runsVersion reports whether the server certainly runs the software version; every server meets an
+// empty one. It is the only version filter: selection, the check before a send and the estimates for
+// waiting requests all use it.
+func (c *Core) runsVersion(now time.Time, s *server, version string) bool {
+	switch {
+	case version == "":
+		return true
+	case s.info.SoftwareVersion != version:
+		return false
+	default:
+		return !now.Before(s.versionUncertainUntil) || len(c.RecentVersions(now, s.info.Service)) == 1
+	}
+}
+
+// markVersionUncertain records that no connection to the server came up.
+func (s *server) markVersionUncertain(now time.Time) {
+	s.versionUncertainUntil = now.Add(versionSettleTime)
+}
+
+// ServedVersion returns the software version that answers the attempt; empty if it is uncertain. If
+// another start of the server has become known since the request was sent, either of them may answer.
+func (c *Core) ServedVersion(attempt *Attempt) string {
+	known, ok := c.servers[attempt.start.ID]
+	switch {
+	case !ok:
+		return attempt.server.info.SoftwareVersion
+	case known.info.Start() == attempt.start || known.info.SoftwareVersion == attempt.server.info.SoftwareVersion:
+		return known.info.SoftwareVersion
+	default:
+		return ""
+	}
+}
+
+// mayServe reports whether the server may get requests with these requirements, whatever it holds:
+// it is of their service, available, in their regions and of their software version.
+func (c *Core) mayServe(now time.Time, s *server, requirements Requirements) bool {
+	return s.info.Service == requirements.Service && s.isAvailable() && c.isInRegions(s, requirements.Regions) && c.runsVersion(now, s, requirements.SoftwareVersion)
+}
--- /dev/null
+++ b/internal/dispatch/versions_test.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/storepos"
+)
+
+// versionEntry is the entry of a start of a server that runs the software version and holds model m.
+func versionEntry(id, version string, start, revision int64) inventory.Change {
+	change := entry(id, "n1", "m")
+	change.Server.SoftwareVersion, change.Server.StartedAtMs, change.Server.Position = version, start, storepos.At(0, revision)
+	return change
+}
+
+// TestStreamGoesOnlyToItsSoftwareVersion guards against a choice, an estimate or a last check that
+// takes a server of another software version for one at which a stream may go on.
+func TestStreamGoesOnlyToItsSoftwareVersion(t *testing.T) {
+	later := begin.Add(versionSettleTime)
+	cases := map[string]struct {
+		change func(core *Core)
+		at     time.Time
+		want   string
+	}{
+		"a server of the version":             {change: func(*Core) {}, at: begin, want: "a"},
+		"it leaves":                           {change: func(c *Core) { c.SetDraining("a", storepos.At(0, 9)) }, at: begin},
+		"it started again at another version": {change: func(c *Core) { c.SetServers([]inventory.Change{versionEntry("a", "v2", 2, 2)}) }, at: begin},
+		"a start that only the leader knows": {change: func(c *Core) {
+			c.SetViews(begin, 1, []View{{ServerID: "a", StartedAtMs: 2, Held: map[string][]string{"m": nil}}})
+		}, at: begin},
+		"no connection came up to it":  {change: func(c *Core) { c.MarkUnreachable(begin, "a") }, at: begin},
+		"some time after none came up": {change: func(c *Core) { c.MarkUnreachable(begin, "a") }, at: later, want: "a"},
+		"another server came at the version": {change: func(c *Core) {
+			c.SetServers([]inventory.Change{versionEntry("c", "v1", 1, 3), {Server: inventory.Server{ID: "a"}, Gone: true}})
+		}, at: begin, want: "c"},
+		"the version of the newcomer is not known": {change: func(c *Core) { c.SetServers([]inventory.Change{versionEntry("a", "", 2, 3)}) }, at: begin},
+	}
+	for name, c := range cases {
+		core := newCoreAt("n1", versionEntry("a", "v1", 1, 1), versionEntry("b", "v2", 1, 1))
+		c.change(core)
+		request := Request{Service: "s", Model: "m", SoftwareVersion: "v1"}
+		if got := pick(core, c.at, request); got != c.want {
+			t.Errorf("%s: picked %q, want %q", name, got, c.want)
+		}
+		required := request.requirements()
+		if core.HasServer(c.at, required) != (c.want != "") {
+			t.Errorf("%s: HasServer %v", name, core.HasServer(c.at, required))
+		}
+		for id, s := range core.servers {
+			if got := core.MayStillSend(c.at, &Attempt{server: s, start: s.info.Start()}, required); got != (id == c.want) {
+				t.Errorf("%s: may still send to %s: %v", name, id, got)
+			}
+			if _, known := core.ServerReadyIn(c.at, id, required); known != (id == c.want) {
+				t.Errorf("%s: the model is expected at %s: %v", name, id, known)
+			}
+		}
+	}
+}
+
+// TestServedVersionOfARestartedServer guards against taking what a later start of a server writes for
+// the version of the start that the request was meant for.
+func TestServedVersionOfARestartedServer(t *testing.T) {
+	cases := map[string]struct {
+		entry inventory.Change
+		want  string
+	}{
+		"the same start":                  {versionEntry("a", "v1", 1, 2), "v1"},
+		"a later start at the version":    {versionEntry("a", "v1", 2, 2), "v1"},
+		"a later start at another one":    {versionEntry("a", "v2", 2, 2), ""},
+		"its entry is gone":               {inventory.Change{Server: inventory.Server{ID: "a"}, Gone: true}, "v1"},
+		"a later start at an unknown one": {versionEntry("a", "", 2, 2), ""},
+	}
+	for name, c := range cases {
+		core := newCoreAt("n1", versionEntry("a", "v1", 1, 1))
+		choice, _ := core.Pick(begin, Request{Service: "s", Model: "m"})
+		core.SetServers([]inventory.Change{c.entry})
+		if got := core.ServedVersion(choice.Attempt); got != c.want {
+			t.Errorf("%s: %q, want %q", name, got, c.want)
+		}
+	}
+}
+
+// TestFormerVersionsCountForAWhile guards against taking the last version of a release for that of a
+// stream which an earlier one began.
+func TestFormerVersionsCountForAWhile(t *testing.T) {
+	core := newCoreAt("n1", versionEntry("a", "v1", 1, 1), versionEntry("b", "v1", 1, 1))
+	core.SetServers([]inventory.Change{versionEntry("a", "v2", 2, 2), {Server: inventory.Server{ID: "b"}, Gone: true}})
+	for _, c := range []struct {
+		after time.Duration
+		want  []string
+	}{{0, []string{"v1", "v2"}}, {formerVersionRetention, []string{"v1", "v2"}}, {formerVersionRetention + time.Second, []string{"v2"}}} {
+		got := core.RecentVersions(begin.Add(c.after), "s")
+		slices.Sort(got)
+		if !slices.Equal(got, c.want) {
+			t.Errorf("after %v: %q, want %q", c.after, got, c.want)
+		}
+	}
+}
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -312,7 +312,7 @@
 func (l *leader) handleState(state *peerpb.NodeState) {
 	now := clock.Now()
 	if state.TellsWanted {
-		l.demand.SetCounts(now, state.Address, state.Life, decodeCounts(state.Wanted, l.node.options.Topology.Region(state.Zone)))
+		l.demand.SetCounts(now, state.Address, state.Life, decodeCounts(append(state.Wanted, state.WantedAtVersion...), l.node.options.Topology.Region(state.Zone)))
 	}
 	if l.core != nil && state.ViewsWanted {
 		l.node.peers.replyViews(state, l.term.Load(), l.lease.ExpiredFor(now), func(wanted func(serverID string) bool) []dispatch.View {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -124,6 +124,8 @@
 	evacuations *evacuations
 	// reachable tracks to which services this node can open connections.
 	reachable *reachable
+	// origins remembers where streams began.
+	origins *streamOrigins
 	// forwarder passes requests to peers that reach servers which this node does not.
 	forwarder *forwarder
 
@@ -206,6 +208,7 @@
 	node.evacuations = newEvacuations(node)
 	node.reachable = newReachable(node)
 	node.forwarder = newForwarder(node)
+	node.origins = newStreamOrigins(node)
 	node.handler = relay.New(relay.Options{
 		Dialect:   options.Dialect,
 		Dispatch:  node.dispatch,
@@ -215,6 +218,7 @@
 		OnWaiting: func() { node.peers.sendWaitingDemand() },
 		Quotas:    node.quotas,
 		Suspects:  node.suspects,
+		Origins:   node.origins,
 		OnHint: func(start inventory.Start, hint inventory.Hint) {
 			node.hints.propagate(start, hint, hintFromAnswer)
 		},
@@ -404,6 +408,7 @@
 	deadline := clock.Now().Add(n.gracePeriod() - stopMargin)
 	n.stopping.Store(true)
 	n.peers.announceStop()
+	n.origins.handOff(clock.Now())
 	n.handler.SetDraining(deadline.Add(stopMargin - refusalMargin))
 	n.options.Logger.Info().Int64("active", n.handler.Active()).Msg("node_draining")
 	time.Sleep(entryDrainDelay)
@@ -438,6 +443,7 @@
 			n.clearOldStoreFailure(clock.Now())
 			n.quotas.sweep(clock.Now())
 			n.suspects.sweep(clock.Now())
+			n.origins.sweep(clock.Now())
 			n.admissions.sweep(clock.Now())
 			n.evacuations.reportUnknown()
 			if table := n.handler.Table(); table != nil && table.Limits.IdleTimeout > 0 {
--- /dev/null
+++ b/internal/edge/origins.go
@@ -0,0 +1,270 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/origins"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/relay"
+)
+
+const (
+	// originsPerDatagram bounds the origins of one datagram to about 1,000 bytes.
+	originsPerDatagram = 16
+	// originRefreshPeriod is how often the origin of a stream in progress is sent again while its
+	// service runs several software versions: keepers may have ended, and others taken their place.
+	originRefreshPeriod = 2 * time.Second
+	// originAskTimeout is how long a node's answer is awaited before it is asked again, and
+	// originAsks how often it is asked.
+	originAskTimeout = 60 * time.Millisecond
+	originAsks       = 2
+	// maxAskedKeepers is the number of nodes that are asked in fleets of more than
+	// maxLoadSharingNodes. Nodes differ in whom they take to be alive.
+	maxAskedKeepers = 4 * origins.Copies
+)
+
+// streamOrigins remembers where streams began, for this node and as a keeper for others. It is safe for
+// concurrent use.
+type streamOrigins struct {
+	node *Node
+
+	mu    sync.Mutex
+	table *origins.Table
+	// inProgress holds the streams that this node passes on, and when the origin of each was last sent;
+	// repeats are those that are sent again in the next period.
+	inProgress map[origins.Key]time.Time
+	repeats    []origins.Entry
+	// pending holds this node's questions to others.
+	pending *pendingCalls[*peerpb.OriginCall]
+}
+
+var _ relay.Origins = (*streamOrigins)(nil)
+
+func newStreamOrigins(node *Node) *streamOrigins {
+	return &streamOrigins{
+		node: node, table: origins.NewTable(), inProgress: make(map[origins.Key]time.Time), pending: newPendingCalls[*peerpb.OriginCall](),
+	}
+}
+
+// Record implements relay.Origins. A datagram that was written arrives although this process ends; where
+// several versions serve it is sent again, since any may be lost.
+func (o *streamOrigins) Record(entry origins.Entry) {
+	now := clock.Now()
+	isMixed := len(o.recentVersions(now, entry.Origin.Service)) > 1
+	o.mu.Lock()
+	o.table.Put(now, entry)
+	o.inProgress[entry.Key] = now
+	if isMixed {
+		o.repeats = append(o.repeats, entry)
+	}
+	o.mu.Unlock()
+	o.send(now, []origins.Entry{entry})
+}
+
+// End implements relay.Origins.
+func (o *streamOrigins) End(key origins.Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.inProgress, key)
+}
+
+func (o *streamOrigins) size() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Size()
+}
+
+// recentVersions returns the software versions that this node saw in the service lately.
+func (o *streamOrigins) recentVersions(now time.Time, service string) (versions []string) {
+	o.node.dispatch.Do(func(core *dispatch.Core) { versions = core.RecentVersions(now, service) })
+	return versions
+}
+
+// send sends each origin to the nodes that keep it.
+func (o *streamOrigins) send(now time.Time, entries []origins.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	members := o.node.peers.members(now)
+	byKeeper := make(map[string][]*peerpb.StreamOrigin)
+	for _, entry := range entries {
+		encoded := encodeOrigin(now, entry)
+		for _, keeper := range origins.Keepers(entry.Key, members, origins.Copies) {
+			byKeeper[keeper] = append(byKeeper[keeper], encoded)
+		}
+	}
+	for keeper, encoded := range byKeeper {
+		for batch := range slices.Chunk(encoded, originsPerDatagram) {
+			o.node.peers.sendMessage(trafficOrigins, []string{keeper}, &peerpb.NodeState{Origins: batch})
+		}
+	}
+}
+
+// receive keeps the origins that another node sends.
+func (o *streamOrigins) receive(now time.Time, encoded []*peerpb.StreamOrigin) {
+	if len(encoded) == 0 {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, one := range encoded {
+		if entry, ok := decodeOrigin(now, one); ok {
+			o.table.Put(now, entry)
+		}
+	}
+}
+
+// tick repeats what was sent in the last period, and what this node passes on for longer.
+func (o *streamOrigins) tick(now time.Time) {
+	o.mu.Lock()
+	due := o.repeats
+	o.repeats = nil
+	for key, sentAt := range o.inProgress {
+		if now.Sub(sentAt) < originRefreshPeriod {
+			continue
+		}
+		o.inProgress[key] = now
+		if entry, ok := o.table.Find(now, key); ok {
+			due = append(due, entry)
+		}
+	}
+	o.mu.Unlock()
+	o.send(now, o.ofMixedServices(now, due))
+}
+
+// ofMixedServices returns the origins in services that run several software versions. In others an
+// origin that is lost does no harm.
+func (o *streamOrigins) ofMixedServices(now time.Time, entries []origins.Entry) []origins.Entry {
+	isMixed := make(map[string]bool)
+	return slices.DeleteFunc(entries, func(entry origins.Entry) bool {
+		service := entry.Origin.Service
+		if _, ok := isMixed[service]; !ok {
+			isMixed[service] = len(o.recentVersions(now, service)) > 1
+		}
+		return !isMixed[service]
+	})
+}
+
+// handOff sends all that this node keeps to the nodes that keep it from now on, before the node stops.
+func (o *streamOrigins) handOff(now time.Time) {
+	o.mu.Lock()
+	entries := o.table.All(now)
+	o.mu.Unlock()
+	entries = o.ofMixedServices(now, entries)
+	o.send(now, entries)
+	if len(entries) > 0 {
+		o.node.options.Logger.Info().Int("streams", len(entries)).Msg("stream_origins_handed_off")
+	}
+}
+
+func (o *streamOrigins) sweep(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Sweep(now)
+}
+
+// Find implements relay.Origins. It asks the nodes that may keep the origin at once, and returns with
+// the first that knows it.
+func (o *streamOrigins) Find(ctx context.Context, key origins.Key, service string) relay.OriginAnswer {
+	now := clock.Now()
+	o.mu.Lock()
+	entry, ok := o.table.Find(now, key)
+	o.mu.Unlock()
+	if ok {
+		return relay.OriginAnswer{Origin: entry.Origin, IsKnown: true, Source: relay.OriginHere, Versions: o.recentVersions(now, entry.Origin.Service)}
+	}
+	answer := relay.OriginAnswer{Versions: o.recentVersions(now, service)}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := o.askedKeepers(now, key)
+	answers := make(chan *peerpb.OriginCall, len(asked))
+	for _, address := range asked {
+		go func() { answers <- o.ask(ctx, address, key, service) }()
+	}
+	for range asked {
+		call := <-answers
+		if call == nil {
+			answer.IsPartial = true
+			continue
+		}
+		for _, version := range call.Versions {
+			if !slices.Contains(answer.Versions, version) {
+				answer.Versions = append(answer.Versions, version)
+			}
+		}
+		if entry, ok := decodeOrigin(now, call.Origin); ok {
+			answer.Origin, answer.IsKnown, answer.Source = entry.Origin, true, relay.OriginFromPeer
+			break
+		}
+	}
+	return answer
+}
+
+// askedKeepers returns the addresses of the nodes that may keep the origin.
+func (o *streamOrigins) askedKeepers(now time.Time, key origins.Key) []string {
+	members := o.node.peers.members(now)
+	count := len(members)
+	if count >= maxLoadSharingNodes {
+		count = maxAskedKeepers
+	}
+	return origins.Keepers(key, members, count)
+}
+
+// ask asks one node; nil means that it does not answer.
+func (o *streamOrigins) ask(ctx context.Context, address string, key origins.Key, service string) *peerpb.OriginCall {
+	call := &peerpb.OriginCall{Asker: o.node.peers.address, Key: key[:], Service: service}
+	for range originAsks {
+		answer, ok := o.pending.call(ctx, originAskTimeout, func(id uint64) {
+			call.Id = id
+			o.node.peers.sendMessage(trafficOrigins, []string{address}, &peerpb.NodeState{OriginCall: call})
+		})
+		if ok {
+			return answer
+		}
+	}
+	return nil
+}
+
+// handleCall handles a question or an answer of another node.
+func (o *streamOrigins) handleCall(call *peerpb.OriginCall) {
+	if call.IsAnswer {
+		o.pending.resolve(call.Id, call)
+		return
+	}
+	key, ok := origins.DecodeKey(call.Key)
+	if !ok {
+		return
+	}
+	now := clock.Now()
+	answer := &peerpb.OriginCall{IsAnswer: true, Id: call.Id, Versions: o.recentVersions(now, call.Service)}
+	o.mu.Lock()
+	if entry, ok := o.table.Find(now, key); ok {
+		answer.Origin = encodeOrigin(now, entry)
+	}
+	o.mu.Unlock()
+	o.node.peers.sendMessage(trafficOrigins, []string{call.Asker}, &peerpb.NodeState{OriginCall: answer})
+}
+
+func encodeOrigin(now time.Time, entry origins.Entry) *peerpb.StreamOrigin {
+	return &peerpb.StreamOrigin{
+		Key: entry.Key[:], Service: entry.Origin.Service, SoftwareVersion: entry.Origin.SoftwareVersion,
+		LeftMs: uint32(max(0, entry.ExpiresAt.Sub(now)).Milliseconds()),
+	}
+}
+
+// decodeOrigin decodes an origin; ok is false if it is absent or invalid.
+func decodeOrigin(now time.Time, encoded *peerpb.StreamOrigin) (entry origins.Entry, ok bool) {
+	if encoded == nil || encoded.Service == "" || max(len(encoded.Service), len(encoded.SoftwareVersion)) > origins.MaxTextBytes {
+		return entry, false
+	}
+	key, ok := origins.DecodeKey(encoded.Key)
+	return origins.Entry{
+		Key: key, Origin: origins.Origin{Service: encoded.Service, SoftwareVersion: encoded.SoftwareVersion},
+		ExpiresAt: now.Add(time.Duration(encoded.LeftMs) * time.Millisecond),
+	}, ok
+}
--- /dev/null
+++ b/internal/edge/origins_test.go
@@ -0,0 +1,81 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/origins"
+	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/relay"
+)
+
+// newVersionedNodes returns connected nodes that know servers of a service at the software versions.
+func newVersionedNodes(t *testing.T, count int, versions ...string) []*Node {
+	t.Helper()
+	nodes := newConnectedNodes(t, count)
+	for _, node := range nodes {
+		for i, version := range versions {
+			change := inventory.Change{Server: inventory.Server{ID: string(rune('a' + i)), Service: "s", Zone: "z", SoftwareVersion: version}}
+			node.dispatch.Do(func(core *dispatch.Core) { core.SetServers([]inventory.Change{change}) })
+		}
+	}
+	return nodes
+}
+
+// awaitSize waits until the node keeps that many origins.
+func awaitSize(t *testing.T, node *Node, size int) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); node.origins.size() < size; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d origins, want %d", node.origins.size(), size)
+		}
+	}
+}
+
+// TestOriginIsFoundWithoutItsNode guards against streams whose beginning only the node knows that
+// passed them on: any other node finds it, also from a keeper's hand-off after the keeper stopped.
+func TestOriginIsFoundWithoutItsNode(t *testing.T) {
+	nodes := newVersionedNodes(t, 4, "v1", "v2")
+	entry := origins.Entry{Key: origins.NewKey("caller", "r1"), Origin: origins.Origin{Service: "s", SoftwareVersion: "v1"}, ExpiresAt: clock.Now().Add(time.Minute)}
+	nodes[0].origins.Record(entry)
+	for _, node := range nodes {
+		awaitSize(t, node, 1)
+	}
+	newcomer := newVersionedNodes(t, 1, "v1", "v2")[0]
+	newcomer.peers.roster.Observe(clock.Now(), &peerpb.NodeState{Node: "n", Address: nodes[2].peers.address, Life: 9, Sequence: 1})
+	got := newcomer.origins.Find(context.Background(), entry.Key, "s")
+	if !got.IsKnown || got.Origin != entry.Origin || got.Source != relay.OriginFromPeer {
+		t.Fatalf("got %+v, want the origin from a keeper", got)
+	}
+	if got := newcomer.origins.Find(context.Background(), origins.NewKey("other caller", "r1"), "s"); got.IsKnown || got.IsPartial || len(got.Versions) != 2 {
+		t.Errorf("got %+v, want an unknown stream of a service with two versions", got)
+	}
+	nodes[1].peers.roster.Observe(clock.Now(), &peerpb.NodeState{Node: "n", Address: newcomer.peers.address, Life: 10, Sequence: 1})
+	for _, other := range []*Node{nodes[0], nodes[2], nodes[3]} {
+		nodes[1].peers.roster.Observe(clock.Now(), &peerpb.NodeState{Node: "n", Address: other.peers.address, Life: 1, Sequence: 2, Leaving: true})
+	}
+	nodes[1].origins.handOff(clock.Now())
+	awaitSize(t, newcomer, 1)
+}
+
+// TestUnreadableOriginsAreDropped guards against origins of peers that no stream can have.
+func TestUnreadableOriginsAreDropped(t *testing.T) {
+	node := newTestNode(t)
+	key, long := origins.NewKey("", "r1"), string(make([]byte, origins.MaxTextBytes+1))
+	for _, encoded := range []*peerpb.StreamOrigin{
+		{}, {Key: key[:3], Service: "s", LeftMs: 1000}, {Key: key[:], LeftMs: 1000}, {Key: key[:], Service: "s"},
+		{Key: key[:], Service: long, LeftMs: 1000}, {Key: key[:], Service: "s", SoftwareVersion: long, LeftMs: 1000},
+	} {
+		node.origins.receive(clock.Now(), []*peerpb.StreamOrigin{encoded})
+	}
+	node.peers.handleDatagram([]byte{0x80})
+	node.origins.handleCall(&peerpb.OriginCall{Key: key[:2], Asker: "nowhere"})
+	node.origins.handleCall(&peerpb.OriginCall{IsAnswer: true, Id: 7})
+	if node.origins.size() != 0 {
+		t.Errorf("%d origins kept, want none", node.origins.size())
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -162,6 +162,11 @@
 		p.node.suspects.handleTrial(state.Trial)
 		return
 	}
+	if state.OriginCall != nil {
+		p.node.origins.handleCall(state.OriginCall)
+		return
+	}
+	p.node.origins.receive(clock.Now(), state.Origins)
 	if state.Spread != nil {
 		p.relay(clock.Now(), state)
 	}
@@ -239,6 +244,7 @@
 	p.node.quotas.observe(now)
 	p.node.admissions.observe(now)
 	p.node.suspects.tick(now)
+	p.node.origins.tick(now)
 	p.logTraffic(now)
 	p.shareRetryBudget(now)
 	p.mu.Lock()
@@ -272,11 +278,11 @@
 	p.send(trafficGossip, otherRegion, state)
 	// The leader and potential leaders learn of new servers from the store.
 	state.News = encodeChanges(slices.DeleteFunc(changes, func(item gossip.ServerChange) bool { return !item.Server.Draining }))
-	state.Loads, state.ViewsDigests, state.TellsWanted = loads, digests, true
-	state.Wanted = p.recentDemand(now, p.demandWindowFor(now, leader))
+	state.Loads, state.ViewsDigests = loads, digests
+	p.setDemand(state, now, p.demandWindowFor(now, leader))
 	p.send(trafficDemand, leader, state)
 	if len(standbys) > 0 {
-		state.Wanted = p.recentDemand(now, demandWindow)
+		p.setDemand(state, now, demandWindow)
 		p.send(trafficDemand, standbys, state)
 	}
 }
--- a/internal/edge/peers_roster.go
+++ b/internal/edge/peers_roster.go
@@ -5,6 +5,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/locality"
+	"github.com/spanlanding/spanlanding/internal/origins"
 )
 
 // count returns the number of other nodes heard from recently.
@@ -101,6 +102,20 @@
 	p.alive = alive
 }
 
+// members returns the live nodes but this one, without those that are stopping.
+func (p *peers) members(now time.Time) []origins.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	alive := p.roster.Alive(now)
+	members := make([]origins.Member, 0, len(alive))
+	for _, peer := range alive {
+		if !peer.Leaving {
+			members = append(members, origins.Member{Address: peer.Address, Zone: peer.Zone})
+		}
+	}
+	return members
+}
+
 // aliveAddresses returns the addresses of all live nodes but this one.
 func (p *peers) aliveAddresses(now time.Time) []string {
 	p.mu.Lock()
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -14,7 +14,6 @@
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
-	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/reachability"
 	"github.com/spanlanding/spanlanding/internal/relay"
 	"github.com/spanlanding/spanlanding/internal/routetable"
@@ -104,7 +103,7 @@
 	none := true
 	r.node.dispatch.Do(func(core *dispatch.Core) {
 		for service := range table.Services {
-			none = none && (slices.Contains(unreachable, service) || !core.HasServer(service, locality.Regions{}))
+			none = none && (slices.Contains(unreachable, service) || !core.HasServer(clock.Now(), dispatch.Requirements{Service: service}))
 		}
 	})
 	return none
--- a/internal/edge/regions.go
+++ b/internal/edge/regions.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
@@ -41,6 +42,8 @@
 
 func (n *Node) hasServerIn(restriction routetable.RegionRestriction) bool {
 	found := false
-	n.dispatch.Do(func(core *dispatch.Core) { found = core.HasServer(restriction.Service, restriction.Regions) })
+	n.dispatch.Do(func(core *dispatch.Core) {
+		found = core.HasServer(clock.Now(), dispatch.Requirements{Service: restriction.Service, Regions: restriction.Regions})
+	})
 	return found
 }
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -26,6 +26,8 @@
 	trafficQuotas
 	// trafficCrashes reports servers that crashed while running a request.
 	trafficCrashes
+	// trafficOrigins tells and asks where streams began.
+	trafficOrigins
 	// trafficRelayed is relayed on behalf of another node.
 	trafficRelayed
 	// trafficSnapshots counts the snapshots that peers returned to this node.
@@ -36,7 +38,7 @@
 
 // String returns the name used in logs and metrics.
 func (t trafficKind) String() string {
-	return [...]string{"gossip", "wanted", "views", "answers", "quotas", "crashes", "spread", "snapshots"}[t]
+	return [...]string{"gossip", "wanted", "views", "answers", "quotas", "crashes", "origins", "spread", "snapshots"}[t]
 }
 
 // trafficLogPeriod is the interval between log lines on peer traffic.
--- a/internal/edge/wanted.go
+++ b/internal/edge/wanted.go
@@ -48,6 +48,19 @@
 	return leaderDemandWindow
 }
 
+// setDemand sets the demand of a datagram.
+func (p *peers) setDemand(state *peerpb.NodeState, now time.Time, window time.Duration) {
+	state.TellsWanted = true
+	state.Wanted, state.WantedAtVersion = nil, nil
+	for _, count := range p.recentDemand(now, window) {
+		if count.SoftwareVersion != "" {
+			state.WantedAtVersion = append(state.WantedAtVersion, count)
+		} else {
+			state.Wanted = append(state.Wanted, count)
+		}
+	}
+}
+
 // recentDemand returns the demand of this node's callers that changed within the window. It is
 // sent only to the leader and potential next leaders: with hundreds of nodes it makes up most of
 // a datagram.
@@ -59,6 +72,7 @@
 				Service: count.Requirements.Service, Model: count.Requirements.Model, Adapter: count.Requirements.Adapter,
 				Asked: uint64(count.Requests), Waiting: uint32(core.WaitingForCopies(now, count)), PromptTokens: uint64(count.PromptTokens),
 				GoalMs: uint32(count.LatencyGoal.Milliseconds()), Regions: count.Requirements.Regions.Names(),
+				SoftwareVersion: count.Requirements.SoftwareVersion,
 			})
 		}
 	})
@@ -78,7 +92,7 @@
 	p.node.leader.post(func() {})
 	if leader != nil && !tooEarly {
 		state := p.state(now)
-		state.Wanted, state.TellsWanted = p.recentDemand(now, p.demandWindowFor(now, []string{leader.Address})), true
+		p.setDemand(state, now, p.demandWindowFor(now, []string{leader.Address}))
 		p.send(trafficDemand, []string{leader.Address}, state)
 	}
 }
--- a/internal/edge/wire.go
+++ b/internal/edge/wire.go
@@ -82,7 +82,9 @@
 	counts := make([]placer.RequestCount, 0, len(wire))
 	for _, count := range wire {
 		counts = append(counts, placer.RequestCount{
-			Requirements: dispatch.Requirements{Service: count.Service, Model: count.Model, Adapter: count.Adapter, Regions: decodeRegions(count.Regions)},
+			Requirements: dispatch.Requirements{
+				Service: count.Service, Model: count.Model, Adapter: count.Adapter, Regions: decodeRegions(count.Regions), SoftwareVersion: count.SoftwareVersion,
+			},
 			Requests:     count.Asked,
 			Waiting:      int(count.Waiting),
 			PromptTokens: count.PromptTokens,
--- a/internal/placer/adapters.go
+++ b/internal/placer/adapters.go
@@ -73,7 +73,7 @@
 func (r *planRound) adapterCopies(requirements dispatch.Requirements) int {
 	count := 0
 	for _, s := range r.servers {
-		if !s.isSchedulable() || !r.isInRegions(s, requirements.Regions) {
+		if !s.isSchedulable() || !r.meets(s, constraintOf(requirements)) {
 			continue
 		}
 		if model, ok := s.models[requirements.Model]; ok && (model.adapters[requirements.Adapter] != nil || s.isAdapterLoadPending(requirements)) {
@@ -96,7 +96,7 @@
 	var best *server
 	for _, s := range r.servers {
 		model, ok := s.models[shortage.requirements.Model]
-		if !ok || !s.canAcceptOrder(r.now) || !r.isInRegions(s, shortage.requirements.Regions) || model.adapters[shortage.requirements.Adapter] != nil || s.pendingAdapters(r.now) >= maxPendingAdapters {
+		if !ok || !s.canAcceptOrder(r.now) || !r.meets(s, constraintOf(shortage.requirements)) || model.adapters[shortage.requirements.Adapter] != nil || s.pendingAdapters(r.now) >= maxPendingAdapters {
 			continue
 		}
 		if best == nil || s.adapterCount() < best.adapterCount() {
--- a/internal/placer/answers.go
+++ b/internal/placer/answers.go
@@ -49,6 +49,7 @@
 	}
 	restarted := existing.info
 	restarted.StartedAtMs, restarted.Models, restarted.InMemory = reported.StartedAtMs, nil, nil
+	restarted.SoftwareVersion = ""
 	replaced := c.replaceRestarted(now, existing, restarted)
 	replaced.isStartUnconfirmed = true
 	return replaced
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -11,10 +11,10 @@
 type Demand struct {
 	records map[dispatch.Requirements]*demandRecord
 	nodes   map[string]*nodeCounts
-	// waiting is the number of requests waiting for each model, by allowed regions, as of the
+	// waiting is the number of requests waiting for each model, by constraint, as of the
 	// last step.
 	waiting map[dispatch.Requirements]int
-	// activeAdapters is the number of adapters in demand for each model, by allowed regions, as
+	// activeAdapters is the number of adapters in demand for each model, by constraint, as
 	// of the last step.
 	activeAdapters map[dispatch.Requirements]int
 }
@@ -124,8 +124,13 @@
 
 // modelRecord returns the record of an adapter's model.
 func (d *Demand) modelRecord(requirements dispatch.Requirements) *demandRecord {
+	return d.recordFor(ofModel(requirements))
+}
+
+// ofModel returns the requirements without the adapter.
+func ofModel(requirements dispatch.Requirements) dispatch.Requirements {
 	requirements.Adapter = ""
-	return d.recordFor(requirements)
+	return requirements
 }
 
 // recordFor returns the record for the requirements, and creates it if there is none.
@@ -175,7 +180,7 @@
 	d.activeAdapters = make(map[dispatch.Requirements]int)
 	for requirements, record := range d.records {
 		if requirements.Adapter != "" && now.Sub(record.lastRequest) < adapterDemandTTL {
-			d.activeAdapters[dispatch.Requirements{Service: requirements.Service, Model: requirements.Model, Regions: requirements.Regions}]++
+			d.activeAdapters[ofModel(requirements)]++
 		}
 		waiting := record.waitingRequests(now)
 		if waiting == 0 {
@@ -185,11 +190,11 @@
 		if record.waitingSince.IsZero() {
 			record.waitingSince = now
 		}
-		d.waiting[dispatch.Requirements{Service: requirements.Service, Model: requirements.Model, Regions: requirements.Regions}] += waiting
+		d.waiting[ofModel(requirements)] += waiting
 	}
 }
 
-// waitingFor returns the number of requests without a region restriction that wait for a model.
+// waitingFor returns the number of requests without a constraint that wait for a model.
 func (d *Demand) waitingFor(service, model string) int {
 	return d.waiting[dispatch.Requirements{Service: service, Model: model}]
 }
--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -108,10 +108,10 @@
 	cost := r.consumerPenalty(s, name, consumer{
 		demand: r.demandFor(name), copies: r.copiesOf(name), retained: r.retainedCopies(name), waiting: r.core.demand.waitingFor(r.service, name),
 	})
-	for _, regional := range r.regionalDemandFor(name) {
-		if regional.adapter == "" && r.isInRegions(s, regional.regions) && r.now.Sub(regional.demand.lastRequest) <= modelDemandTTL {
+	for _, constrained := range r.constrainedDemandFor(name) {
+		if constrained.adapter == "" && r.meets(s, constrained.constraint) && r.now.Sub(constrained.demand.lastRequest) <= modelDemandTTL {
 			cost = max(cost, r.consumerPenalty(s, name, consumer{
-				demand: regional.demand, copies: r.copiesIn(name, regional.regions), retained: r.neededRegionalCopies(regional), waiting: regional.waiting,
+				demand: constrained.demand, copies: r.copiesMeeting(name, constrained.constraint), retained: r.neededConstrainedCopies(constrained), waiting: constrained.waiting,
 			}))
 		}
 	}
@@ -119,7 +119,7 @@
 }
 
 // consumer is a group of callers of a model: those whose requests may run anywhere, or those
-// restricted to the same regions. It states how many copies they have, how many are protected
+// bound by the same constraint. It states how many copies they have, how many are protected
 // from eviction for them, and how many of their requests wait.
 type consumer struct {
 	demand   *demandRecord
--- a/internal/placer/need.go
+++ b/internal/placer/need.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 
-	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -59,8 +58,8 @@
 	waiting  int
 	rate     float64
 	priority copyPriority
-	// regions are the regions that the copy must be in.
-	regions locality.Regions
+	// constraint limits the servers that the copy may be at.
+	constraint constraint
 	// initialCopies is the number of copies there when the shortages were listed.
 	initialCopies int
 }
--- a/internal/placer/placement.go
+++ b/internal/placer/placement.go
@@ -14,6 +14,8 @@
 	zones map[string]int
 	// regions counts the copies, by region.
 	regions map[string]int
+	// servers are those of the copies.
+	servers []*server
 }
 
 // placementOf returns the current placement of a model.
@@ -51,6 +53,7 @@
 			case !s.info.Draining && s.unloading != model:
 				current.copies++
 				current.regions[region]++
+				current.servers = append(current.servers, s)
 			}
 		}
 		if s.loading == nil || s.isUnavailable {
@@ -61,6 +64,7 @@
 		if !s.info.Draining && (!s.hasModel(s.loading.model) || s.unloading == s.loading.model) {
 			current.copies++
 			current.regions[region]++
+			current.servers = append(current.servers, s)
 		}
 	}
 }
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/dispatch"
-	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -23,9 +22,9 @@
 	// are computed on first use and again after an order.
 	placements map[string]*placement
 	evictions  map[evictionKey]eviction
-	// regionalDemands caches the demand restricted to certain regions, by model; nil before the
+	// constrainedDemands caches the demand that is bound by a constraint, by model; nil before the
 	// first use.
-	regionalDemands map[string][]regionalDemand
+	constrainedDemands map[string][]constrainedDemand
 }
 
 // demandFor returns the demand for a model without a region restriction, or nil.
@@ -93,16 +92,16 @@
 		shortage.priority = r.priorityOf(shortage, demand)
 		shortages = append(shortages, shortage)
 	}
-	shortages = append(shortages, r.regionalShortages()...)
+	shortages = append(shortages, r.constrainedShortages()...)
 	slices.SortFunc(shortages, func(a, b modelShortage) int {
 		return cmp.Or(
 			-cmp.Compare(a.priority, b.priority),
-			// A copy in a required region may also serve requests without a restriction.
-			-compareBool(a.regions.IsBounded(), b.regions.IsBounded()),
+			// A copy that meets a constraint may also serve requests without one.
+			-compareBool(a.constraint.isBounded(), b.constraint.isBounded()),
 			-cmp.Compare(a.waiting, b.waiting),
 			-cmp.Compare(a.rate/float64(a.copies+1), b.rate/float64(b.copies+1)),
 			strings.Compare(a.model.Name, b.model.Name),
-			strings.Compare(a.regions.String(), b.regions.String()),
+			strings.Compare(a.constraint.String(), b.constraint.String()),
 		)
 	})
 	return shortages
@@ -130,10 +129,10 @@
 // that is possible now.
 func (r *planRound) scheduleLoad(shortage modelShortage) {
 	model := shortage.model
-	if r.isRoomBeingMade(model.Name, shortage.regions) || r.core.isLoadPaused(r.now, r.service, model.Name) {
+	if r.isRoomBeingMade(model.Name, shortage.constraint) || r.core.isLoadPaused(r.now, r.service, model.Name) {
 		return
 	}
-	if r.copiesIn(model.Name, shortage.regions) > shortage.initialCopies {
+	if r.copiesMeeting(model.Name, shortage.constraint) > shortage.initialCopies {
 		// A copy was just ordered for another shortage of the same model.
 		return
 	}
@@ -158,7 +157,7 @@
 	mayUseStore := r.mayStartStoreLoad(model.Name, priority >= priorityDisplaced)
 	for _, s := range r.servers {
 		wait, isKnown := s.timeUntilFree(r.now)
-		if !isKnown || s.hasModel(model.Name) || s.isReservedForOther(r.now, model.Name) || !r.isInRegions(s, shortage.regions) {
+		if !isKnown || s.hasModel(model.Name) || s.isReservedForOther(r.now, model.Name) || !r.meets(s, shortage.constraint) {
 			continue
 		}
 		loadTime, source := s.loadTime(model)
@@ -195,11 +194,11 @@
 	return s.isReserved(now) && s.reservation.model == model
 }
 
-// isRoomBeingMade reports whether a server in the regions is reserved for the model but cannot
+// isRoomBeingMade reports whether a server that meets the constraint is reserved for the model but cannot
 // accept its load yet. Meanwhile, no room is made on another server.
-func (r *planRound) isRoomBeingMade(model string, regions locality.Regions) bool {
+func (r *planRound) isRoomBeingMade(model string, c constraint) bool {
 	for _, s := range r.servers {
-		if r.isInRegions(s, regions) && s.isReservedFor(r.now, model) && s.isSchedulable() && !s.canAcceptOrder(r.now) {
+		if r.meets(s, c) && s.isReservedFor(r.now, model) && s.isSchedulable() && !s.canAcceptOrder(r.now) {
 			return true
 		}
 	}
--- a/internal/placer/regions_test.go
+++ b/internal/placer/regions_test.go
@@ -141,3 +141,30 @@
 		t.Errorf("a second copy costs %.2f in another region, %.2f in another zone, %.2f in the same", other, same, r.localityCost(core.servers["n1"], "m05"))
 	}
 }
+
+// TestModelIsLoadedAtTheVersionThatStreamsNeed guards against streams that cannot go on because the
+// only copies of their model are at servers of another software version.
+func TestModelIsLoadedAtTheVersionThatStreamsNeed(t *testing.T) {
+	core := newTwoRegionCore(t, "m02")
+	for id, s := range core.servers {
+		s.info.SoftwareVersion = map[byte]string{'n': "v1", 's': "v2"}[id[0]]
+	}
+	want := func(version string) {
+		core.demand.SetCounts(begin, "node", 1, []RequestCount{{
+			Requirements: dispatch.Requirements{Service: serviceName, Model: "m02", SoftwareVersion: version}, Requests: 1, Waiting: 1,
+		}})
+	}
+	want("v2")
+	if orders := core.Step(begin.Add(tick), true).Orders; len(orders) != 0 {
+		t.Fatalf("orders %+v though a copy is at the version", orders)
+	}
+	want("v1")
+	orders := core.Step(begin.Add(2*tick), true).Orders
+	if len(orders) != 1 || orders[0].Operation != Load || orders[0].ServerID[0] != 'n' {
+		t.Fatalf("orders %+v, want one load at a server of v1", orders)
+	}
+	want("v3")
+	if orders := core.Step(begin.Add(3*tick), true).Orders; len(orders) != 0 {
+		t.Errorf("orders %+v for a version without servers", orders)
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -136,7 +136,7 @@
 func (x *exchange) mayStillSend(choice dispatch.Choice) bool {
 	allowed := false
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
-		allowed = core.MayStillSend(clock.Now(), choice.Attempt, x.currentRegions())
+		allowed = core.MayStillSend(clock.Now(), choice.Attempt, x.requirements())
 	})
 	return allowed
 }
@@ -405,6 +405,9 @@
 		header[name] = values
 	}
 	removePeerHeaders(header)
+	if x.forwarded != nil && x.origin != nil {
+		header.Set(versionHeader, x.origin.SoftwareVersion)
+	}
 	if _, ok := response.Header["Content-Type"]; !ok {
 		header["Content-Type"] = nil
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
+	"github.com/spanlanding/spanlanding/internal/origins"
 	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 	"github.com/spanlanding/spanlanding/internal/waiting"
@@ -82,10 +83,13 @@
 	// waitingSince is when the choice of a server that is in progress began; zero between choices.
 	waitingSince time.Time
 	serverID     string
-	// softwareVersion is the version of the last chosen server's software, and eventsVersion that of
-	// the server whose events the caller got last.
+	// softwareVersion is the version of the last chosen server's software.
 	softwareVersion string
-	eventsVersion   string
+	// origin is where the stream began, and originSource who told; nil before its first event.
+	origin       *origins.Origin
+	originSource originSource
+	// isResumption is set where the caller resumes a stream of an earlier attempt.
+	isResumption bool
 	// overdue follows the announced readiness that the request waits for, and notices when it is overdue.
 	overdue waiting.OverdueTracker
 	// estimate is the expected time to the first byte from the chosen server.
@@ -124,7 +128,7 @@
 	ctx, cancel := context.WithTimeout(x.request.Context(), clock.Until(x.deadline))
 	defer cancel()
 	x.ctx = ctx
-	if !x.checkRegions() || !x.takeQuota() {
+	if !x.checkRegions() || !x.resolveOrigin() || !x.takeQuota() {
 		return
 	}
 	if x.shouldForward() && x.forward() {
@@ -152,8 +156,7 @@
 	if !x.authenticate() {
 		return false
 	}
-	x.service = x.chooseService(route)
-	x.needsModel = x.table.Services[x.service].Engine != nil
+	x.setService(x.chooseService(route))
 	if !x.readBody() {
 		return false
 	}
@@ -163,6 +166,12 @@
 	return true
 }
 
+// setService sets the service that serves the request.
+func (x *exchange) setService(service string) {
+	x.service = service
+	x.needsModel = x.table.Services[service].Engine != nil
+}
+
 // defaultTimeout is how long a request may take where neither the caller nor the route sets a limit.
 const defaultTimeout = 30 * time.Second
 
@@ -298,13 +307,13 @@
 
 // requirements are what a server must have to take the request.
 func (x *exchange) requirements() dispatch.Requirements {
-	return dispatch.Requirements{Service: x.service, Model: x.head.Model, Adapter: x.head.Adapter, Regions: x.currentRegions()}
+	return dispatch.Requirements{Service: x.service, Model: x.head.Model, Adapter: x.head.Adapter, Regions: x.currentRegions(), SoftwareVersion: x.requiredVersion()}
 }
 
 // dispatchRequest describes the request to the dispatcher. Copies of a suspect request get the same
 // ColocationKey, so that they run on the same server.
 func (x *exchange) dispatchRequest() dispatch.Request {
-	request := dispatch.Request{Service: x.service, Exclude: x.failedServers, Regions: x.currentRegions()}
+	request := dispatch.Request{Service: x.service, Exclude: x.failedServers, Regions: x.currentRegions(), SoftwareVersion: x.requiredVersion()}
 	if x.needsModel {
 		request.Model, request.Adapter = x.head.Model, x.head.Adapter
 		request.Parts = x.head.PromptParts
@@ -339,6 +348,7 @@
 
 // finish logs and reports the final response.
 func (x *exchange) finish(outcome string, status int, reason string) {
+	x.endOrigin()
 	if x.handler.OnFinished != nil {
 		x.handler.OnFinished(x.routeKind(), outcome, clock.Since(x.arrived))
 	}
@@ -420,6 +430,9 @@
 	if x.head.Resumes != "" {
 		entry.Str("resumes", x.head.Resumes)
 	}
+	if x.origin != nil {
+		entry.Str("began_version", x.origin.SoftwareVersion).Str("began_told_by", string(x.originSource))
+	}
 	if x.peer != "" {
 		entry.Str("peer", x.peer)
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -124,7 +124,7 @@
 		x.returnRetry()
 		return forwardDeclined
 	}
-	isNotRun := response.Header.Get(notRunHeader) != ""
+	isNotRun, version := response.Header.Get(notRunHeader) != "", response.Header.Get(versionHeader)
 	removePeerHeaders(response.Header)
 	if isNotRun {
 		x.returnRetry()
@@ -132,7 +132,7 @@
 	}
 	x.countForwardedSend(address)
 	x.handler.Metrics.Forwarded.Add(1)
-	return x.passFromPeer(response)
+	return x.passFromPeer(response, version)
 }
 
 // countForwardedSend records that the peer may have sent the request to a server.
@@ -155,7 +155,7 @@
 	})
 	state := forwardedState{
 		Service: x.service, ConfigVersion: x.table.Version, Elapsed: clock.Since(x.arrived), SentTo: x.sentTo,
-		IsCounted: x.isCounted, IsRetry: x.isRetry,
+		IsCounted: x.isCounted, IsRetry: x.isRetry, SoftwareVersion: x.requiredVersion(),
 	}
 	header.Set(forwardedHeader, state.encode())
 	return backendconn.Request{
@@ -183,11 +183,14 @@
 	return forwardDone
 }
 
-// passFromPeer passes on the response of a server, or a failure of the peer.
-func (x *exchange) passFromPeer(response *backendconn.Response) forwardResult {
+// passFromPeer passes on the response of a server, or a failure of the peer. version is the software
+// version of the server; empty if the peer does not say.
+func (x *exchange) passFromPeer(response *backendconn.Response, version string) forwardResult {
 	switch {
 	case x.headSent && response.Status != http.StatusOK:
 		return x.endBrokenForward("resume_failed")
+	case x.route.Stream && response.Status == http.StatusOK && !x.beginEvents(version, originFromPeerAnswer):
+		return x.endBrokenForward(reasonOtherVersion)
 	case x.route.Stream && response.Status == http.StatusOK:
 		if err := x.copyEvents(response, func(int) {}); !errors.Is(err, io.EOF) {
 			return x.endBrokenForward("broken_stream")
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -19,6 +19,8 @@
 	forwardedHeader = peerHeaderPrefix + "Forwarded"
 	// declinedHeader says why a node does not take a forwarded request; the peer tries another node.
 	declinedHeader = peerHeaderPrefix + "Declined"
+	// versionHeader names the software version that writes the events of a forwarded stream.
+	versionHeader = peerHeaderPrefix + "Software-Version"
 	// notRunHeader marks the refusal of a request that did not run and will not.
 	notRunHeader = peerHeaderPrefix + "Not-Run"
 )
@@ -41,6 +43,8 @@
 	IsCounted bool
 	// IsRetry is set if the caller was probably refused before.
 	IsRetry bool
+	// SoftwareVersion is the version at which the stream must go on; empty if it has not begun.
+	SoftwareVersion string
 }
 
 func (s forwardedState) encode() string {
@@ -51,6 +55,9 @@
 		"counted":    {strconv.FormatBool(s.IsCounted)},
 		"retry":      {strconv.FormatBool(s.IsRetry)},
 	}
+	if s.SoftwareVersion != "" {
+		values.Set("version", s.SoftwareVersion)
+	}
 	if len(s.SentTo) > 0 {
 		values.Set("sent", strings.Join(s.SentTo, ","))
 	}
@@ -71,6 +78,7 @@
 	state = forwardedState{
 		Service: values.Get("service"), ConfigVersion: version, Elapsed: time.Duration(elapsed) * time.Millisecond,
 		IsCounted: values.Get("counted") == "true", IsRetry: values.Get("retry") == "true",
+		SoftwareVersion: values.Get("version"),
 	}
 	if sent := values.Get("sent"); sent != "" {
 		state.SentTo = strings.Split(sent, ",")
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -32,6 +32,10 @@
 	BarredRefused atomic.Int64
 	// RegionRefused counts requests refused because no allowed region has a server.
 	RegionRefused atomic.Int64
+	// StreamsContinued counts the streams that callers resumed and that a server went on with,
+	// VersionUnknown those refused because nobody knows which software version began them, and
+	// VersionGone those ended because no server of that version takes work.
+	StreamsContinued, VersionUnknown, VersionGone atomic.Int64
 	// ServerBytes are the bytes of bodies to and from servers, by the distance of the server.
 	ServerBytes [locality.DistanceCount]atomic.Int64
 	// Forwarded counts the requests that a peer took, ForwardsDeclined the times that a peer did not
--- /dev/null
+++ b/internal/relay/origins.go
@@ -0,0 +1,233 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/origins"
+	"github.com/spanlanding/spanlanding/internal/routetable"
+)
+
+// Origins remembers, across all nodes, at which service and software version streams began.
+type Origins interface {
+	// Record remembers the origin of a stream that this node passes on, here and at other nodes, before
+	// its first event is passed on.
+	Record(entry origins.Entry)
+	// End says that this node no longer passes the stream on. Its caller may still resume it.
+	End(key origins.Key)
+	// Find returns the origin of a stream.
+	Find(ctx context.Context, key origins.Key, service string) OriginAnswer
+}
+
+// OriginAnswer is what the nodes know about the beginning of a stream.
+type OriginAnswer struct {
+	Origin  origins.Origin
+	IsKnown bool
+	// Source is who told.
+	Source originSource
+	// Versions are the software versions that nodes saw in the service lately, this node's included.
+	Versions []string
+	// IsPartial is set if some of the nodes that were asked did not answer.
+	IsPartial bool
+}
+
+// originSource says how the origin of a stream became known, in logs.
+type originSource string
+
+const (
+	originFromServer     originSource = "server"
+	originFromPeerAnswer originSource = "peer_answer"
+	originFromForwarder  originSource = "forwarder"
+	// OriginHere and OriginFromPeer are for streams that callers resume.
+	OriginHere       originSource = "here"
+	OriginFromPeer   originSource = "peer"
+	originOneVersion originSource = "one_version"
+)
+
+// Reasons of refusals and broken-off answers of streams that cannot go on.
+const (
+	reasonVersionUnknown = "stream_version_unknown"
+	reasonVersionGone    = "stream_version_gone"
+	reasonServiceGone    = "stream_service_gone"
+	reasonOtherVersion   = "other_software_version"
+)
+
+// partialAnswerRetryDelay is the Retry-After where not all nodes said whether they know a stream.
+const partialAnswerRetryDelay = 200 * time.Millisecond
+
+// originMargin is added to the caller's deadline for the time that an origin is kept.
+const originMargin = 5 * time.Second
+
+// streamKey identifies the stream by the caller's attempt that received its first event.
+func (x *exchange) streamKey() origins.Key {
+	first := x.head.RequestID
+	if x.isResumption {
+		first = x.head.Resumes
+	}
+	return origins.NewKey(x.head.APIKey, first)
+}
+
+// requiredVersion is the software version at which the stream must go on; empty before its first event.
+func (x *exchange) requiredVersion() string {
+	if x.origin == nil || !x.headSent && !x.isResumption {
+		return ""
+	}
+	return x.origin.SoftwareVersion
+}
+
+// resolveOrigin finds out where a stream that the caller resumes began. Where it is false the final
+// response was given: the stream cannot go on.
+func (x *exchange) resolveOrigin() bool {
+	x.isResumption = x.route.RetryPolicy == routetable.RetryResume && (x.head.LastEventID != "" || x.head.Resumes != "")
+	if !x.isResumption {
+		return true
+	}
+	if x.forwarded != nil && x.forwarded.SoftwareVersion != "" {
+		x.setOrigin(origins.Origin{Service: x.service, SoftwareVersion: x.forwarded.SoftwareVersion}, originFromForwarder)
+		return true
+	}
+	answer := x.findOrigin()
+	switch {
+	case answer.IsKnown && !x.leadsTo(answer.Origin.Service):
+		x.handler.Metrics.VersionGone.Add(1)
+		x.refusePermanently(reasonServiceGone)
+		return false
+	case answer.IsKnown && answer.Origin.SoftwareVersion != "":
+		x.setService(answer.Origin.Service)
+		x.setOrigin(answer.Origin, answer.Source)
+		return true
+	case len(answer.Versions) <= 1:
+		x.setOrigin(origins.Origin{Service: x.service, SoftwareVersion: onlyVersion(answer.Versions)}, originOneVersion)
+		return true
+	}
+	x.handler.Metrics.VersionUnknown.Add(1)
+	if answer.IsPartial {
+		x.refuse(reasonVersionUnknown, partialAnswerRetryDelay)
+	} else {
+		x.refusePermanently(reasonVersionUnknown)
+	}
+	return false
+}
+
+// findOrigin asks for the origin of the stream that the caller resumes.
+func (x *exchange) findOrigin() OriginAnswer {
+	if x.handler.options.Origins == nil || x.head.Resumes == "" {
+		return OriginAnswer{Versions: x.recentVersions()}
+	}
+	return x.handler.options.Origins.Find(x.ctx, x.streamKey(), x.service)
+}
+
+func (x *exchange) setOrigin(origin origins.Origin, source originSource) {
+	x.origin, x.originSource = &origin, source
+}
+
+func onlyVersion(versions []string) string {
+	if len(versions) == 0 {
+		return ""
+	}
+	return versions[0]
+}
+
+// leadsTo reports whether the route leads to the service.
+func (x *exchange) leadsTo(service string) bool {
+	return slices.ContainsFunc(x.route.Services, func(s routetable.WeightedService) bool { return s.Service == service })
+}
+
+// recentVersions are the software versions that this node saw in the service lately.
+func (x *exchange) recentVersions() (versions []string) {
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { versions = core.RecentVersions(clock.Now(), x.service) })
+	return versions
+}
+
+// servedVersion is the software version that answers the attempt; empty if it is uncertain.
+func (x *exchange) servedVersion(choice dispatch.Choice) (version string) {
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { version = core.ServedVersion(choice.Attempt) })
+	return version
+}
+
+// beginEvents records the origin of a stream whose first event is about to be passed on. Where the
+// stream goes on, it reports whether the version that is about to write is the one that began it.
+func (x *exchange) beginEvents(version string, source originSource) bool {
+	if required := x.requiredVersion(); x.headSent || x.isResumption {
+		if required != version && !x.servesOneVersion() {
+			return false
+		}
+		if x.isResumption && !x.headSent {
+			x.handler.Metrics.StreamsContinued.Add(1)
+		}
+	} else {
+		x.setOrigin(origins.Origin{Service: x.service, SoftwareVersion: version}, source)
+	}
+	x.recordOrigin()
+	return true
+}
+
+// servesOneVersion reports whether the service had one software version lately, known or not.
+func (x *exchange) servesOneVersion() bool { return len(x.recentVersions()) <= 1 }
+
+// recordOrigin tells other nodes where the stream began. A node that takes a forwarded stream leaves
+// that to the node of the caller.
+func (x *exchange) recordOrigin() {
+	if x.handler.options.Origins == nil || x.route.RetryPolicy != routetable.RetryResume || x.forwarded != nil || x.isResumption && x.head.Resumes == "" {
+		return
+	}
+	expires := x.deadline
+	if x.head.Deadline > 0 {
+		expires = x.arrived.Add(x.head.Deadline)
+	}
+	x.handler.options.Origins.Record(origins.Entry{Key: x.streamKey(), Origin: *x.origin, ExpiresAt: expires.Add(originMargin)})
+}
+
+// reviewOrigin corrects the origin of a stream that broke off after its server turned out to have
+// started again: it is uncertain which start wrote its events.
+func (x *exchange) reviewOrigin(version string) {
+	if x.origin == nil || version == x.origin.SoftwareVersion {
+		return
+	}
+	x.origin.SoftwareVersion = ""
+	x.recordOrigin()
+}
+
+// endOrigin says that this node no longer passes the stream on.
+func (x *exchange) endOrigin() {
+	if x.handler.options.Origins != nil && x.origin != nil && x.forwarded == nil {
+		x.handler.options.Origins.End(x.streamKey())
+	}
+}
+
+// checkVersion reports whether the stream can go on: its version is known, and a server of it takes
+// work. If not it gives the final response, since waiting would not help.
+func (x *exchange) checkVersion() bool {
+	if x.origin == nil || !x.headSent && !x.isResumption {
+		return true
+	}
+	if x.origin.SoftwareVersion == "" {
+		if x.servesOneVersion() {
+			return true
+		}
+		x.handler.Metrics.VersionUnknown.Add(1)
+		x.giveUp(reasonVersionUnknown)
+		return false
+	}
+	found := false
+	required := dispatch.Requirements{Service: x.service, Regions: x.currentRegions(), SoftwareVersion: x.origin.SoftwareVersion}
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { found = core.HasServer(clock.Now(), required) })
+	if !found {
+		x.handler.Metrics.VersionGone.Add(1)
+		x.endWithoutVersion()
+	}
+	return found
+}
+
+// endWithoutVersion ends a stream whose version has no server that takes work. A caller that comes back
+// would find none either.
+func (x *exchange) endWithoutVersion() {
+	if x.callerGone() || x.headSent || x.mayHaveRun {
+		x.giveUp(reasonVersionGone)
+		return
+	}
+	x.refusePermanently(reasonVersionGone)
+}
--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -38,7 +38,9 @@
 		return false
 	}
 	found := false
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { found = core.HasServer(x.service, regions) })
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
+		found = core.HasServer(clock.Now(), dispatch.Requirements{Service: x.service, Regions: regions})
+	})
 	if !found {
 		x.endWithoutRegion(reasonNoRegionServer)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -104,7 +104,10 @@
 	Forwarder Forwarder
 	// Suspects tracks requests that crash servers; nil disables it.
 	Suspects Suspects
-	Logger   *log.Logger
+	// Origins remembers where streams began; nil disables it, and resumed streams then go on only
+	// where one software version serves.
+	Origins Origins
+	Logger  *log.Logger
 	// IsReady reports whether the node knows enough to forward requests, and AwaitReady waits until it
 	// does or ctx ends; nil means always ready.
 	IsReady    func() bool
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -28,7 +28,7 @@
 type testDialect struct{}
 
 func (testDialect) ReadHead(header http.Header) (Head, error) {
-	head := Head{RequestID: header.Get("X-Id"), LastEventID: header.Get("X-Last"), Model: header.Get("X-Model"), APIKey: header.Get("X-Key")}
+	head := Head{RequestID: header.Get("X-Id"), LastEventID: header.Get("X-Last"), Model: header.Get("X-Model"), APIKey: header.Get("X-Key"), Resumes: header.Get("X-Resumes")}
 	if head.RequestID == "" {
 		return head, errNoID
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -25,11 +25,10 @@
 
 // relayStream passes on an event stream.
 func (x *exchange) relayStream(choice dispatch.Choice, response *backendconn.Response) attemptResult {
-	if x.headSent && x.eventsVersion != choice.SoftwareVersion {
-		x.handler.options.Logger.Warn().Str("request", x.head.RequestID).Str("began", x.eventsVersion).Str("version", choice.SoftwareVersion).
-			Str("server", choice.ServerID).Msg("stream_joins_versions")
+	if !x.beginEvents(x.servedVersion(choice), originFromServer) {
+		x.handleBrokenResponse(choice)
+		return x.retryOrGiveUp(reasonOtherVersion)
 	}
-	x.eventsVersion = choice.SoftwareVersion
 	err := x.copyEvents(response, func(count int) { x.countBytes(choice, count) })
 	if errors.Is(err, io.EOF) {
 		return x.finishStream(choice, response)
@@ -142,7 +141,11 @@
 
 // handleBrokenStream resumes the stream at another server where the route allows it.
 func (x *exchange) handleBrokenStream(choice dispatch.Choice) attemptResult {
+	version := x.servedVersion(choice)
 	x.handleBrokenResponse(choice)
+	if x.headSent {
+		x.reviewOrigin(version)
+	}
 	if x.route.RetryPolicy != routetable.RetryResume {
 		x.giveUp("broken_stream")
 		return attemptDone
--- a/internal/relay/versions_test.go
+++ b/internal/relay/versions_test.go
@@ -1,14 +1,21 @@
 package relay
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/origins"
 )
 
 // breakingStream returns a responder that writes events up to the first or, of a resumed stream, the
@@ -84,3 +91,128 @@
 		})
 	}
 }
+
+// fixedOrigins gives every question the same answer, and holds what was recorded.
+type fixedOrigins struct {
+	mu       sync.Mutex
+	answer   OriginAnswer
+	recorded []origins.Entry
+	ended    int
+}
+
+func (o *fixedOrigins) Record(entry origins.Entry) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.recorded = append(o.recorded, entry)
+}
+
+func (o *fixedOrigins) End(origins.Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended++
+}
+
+func (o *fixedOrigins) Find(context.Context, origins.Key, string) OriginAnswer { return o.answer }
+
+// TestResumedStreamStaysAtItsSoftwareVersion guards against a stream that its caller resumes at a
+// server of another software version, at this node or by way of a peer, and against refusing one that
+// can go on.
+func TestResumedStreamStaysAtItsSoftwareVersion(t *testing.T) {
+	known := func(service, version string) OriginAnswer {
+		return OriginAnswer{Origin: origins.Origin{Service: service, SoftwareVersion: version}, IsKnown: true, Versions: []string{"v1", "v2"}}
+	}
+	cases := map[string]struct {
+		answer OriginAnswer
+		// version is that of all events; empty where the stream is refused, with a Retry-After if
+		// returns is set.
+		version string
+		returns bool
+	}{
+		"begun at a version that serves":               {answer: known("svc", "v2"), version: "v2"},
+		"begun at a version without servers":           {answer: known("svc", "v0")},
+		"begun at a service that the route has left":   {answer: known("former", "v2")},
+		"unknown to all nodes":                         {answer: OriginAnswer{Versions: []string{"v1", "v2"}}},
+		"unknown to those nodes that answer":           {answer: OriginAnswer{Versions: []string{"v1", "v2"}, IsPartial: true}, returns: true},
+		"begun at a start that nobody knows for sure":  {answer: known("svc", "")},
+		"unknown, and only one version served of late": {answer: OriginAnswer{Versions: []string{"v2"}}, version: "v2"},
+	}
+	for name, c := range cases {
+		for _, isForwarded := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", forwarded ", isForwarded), func(t *testing.T) {
+				servers := []*fakeServer{newFakeServer(t, wholeStream("v1")), newFakeServer(t, wholeStream("v2"))}
+				node, peer := newFixture(t, servers...), newFixture(t, servers...)
+				node.setVersions(servers, "v1", "v2")
+				peer.setVersions(servers, "v1", "v2")
+				known := &fixedOrigins{answer: c.answer}
+				node.handler.options.Origins, peer.handler.options.Origins = known, &fixedOrigins{answer: OriginAnswer{Versions: []string{"v1", "v2"}}}
+				if isForwarded {
+					node.cutOff(peer.newPeer(t))
+				}
+				got := node.send(t, http.MethodPost, "/resume/", "", "X-Last", "1", "X-Resumes", "r0")
+				if c.version == "" {
+					if got.status != http.StatusServiceUnavailable || (got.header.Get("Retry-After") != "") != c.returns || servers[0].count()+servers[1].count() > 0 {
+						t.Errorf("got %+v after %d and %d runs, want a refusal", got, servers[0].count(), servers[1].count())
+					}
+					return
+				}
+				if want := "id: 2\ndata: " + c.version + "\n\n"; got.err != nil || got.body != want {
+					t.Errorf("got %+v, want %q", got, want)
+				}
+				if len(known.recorded) == 0 || known.recorded[0].Key != origins.NewKey("", "r0") || known.ended == 0 {
+					t.Errorf("recorded %+v, ended %d times; want the first attempt's stream", known.recorded, known.ended)
+				}
+			})
+		}
+	}
+}
+
+// TestOriginIsRecordedBeforeTheFirstEvent guards against a stream whose beginning nobody knows when its
+// node ends: it is recorded, with its version, before the caller can have an event of it.
+func TestOriginIsRecordedBeforeTheFirstEvent(t *testing.T) {
+	recorded := &fixedOrigins{}
+	server := newFakeServer(t, func(conn net.Conn, request *http.Request) bool {
+		write(conn, "HTTP/1.1 200 OK\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			recorded.mu.Lock()
+			isRecorded := len(recorded.recorded) > 0
+			recorded.mu.Unlock()
+			if isRecorded {
+				write(conn, chunk("id: 1\ndata: v1\n\n")+"0\r\n\r\n")
+				return true
+			}
+		}
+		return false
+	})
+	f := newFixture(t, server)
+	f.setVersions([]*fakeServer{server}, "v1")
+	f.handler.options.Origins = recorded
+	if got := f.send(t, http.MethodPost, "/resume/", ""); got.err != nil || got.body != "id: 1\ndata: v1\n\n" {
+		t.Fatalf("got %+v, recorded %+v", got, recorded.recorded)
+	}
+	want := origins.Entry{Key: origins.NewKey("", "r1"), Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"}}
+	if entry := recorded.recorded[0]; entry.Key != want.Key || entry.Origin != want.Origin || time.Until(entry.ExpiresAt) < 4*time.Second {
+		t.Errorf("recorded %+v, want %+v for as long as the caller waits", entry, want)
+	}
+	f.send(t, http.MethodPost, "/stream/", "", "X-Id", "r2")
+	if len(recorded.recorded) != 1 {
+		t.Errorf("%d streams recorded; one that may not be resumed needs no record", len(recorded.recorded))
+	}
+}
+
+// TestStreamDoesNotGoOnAtAPeerThatNamesNoVersion guards against a peer of a build that chooses a
+// server without regard to its software version.
+func TestStreamDoesNotGoOnAtAPeerThatNamesNoVersion(t *testing.T) {
+	older := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("X-Id", request.Header.Get("X-Id"))
+		_, _ = io.WriteString(writer, "id: 2\ndata: v2\n\n")
+	}))
+	defer older.Close()
+	servers := []*fakeServer{newFakeServer(t, wholeStream("v1")), newFakeServer(t, wholeStream("v2"))}
+	node := newFixture(t, servers...)
+	node.setVersions(servers, "v1", "v2")
+	node.handler.options.Origins = &fixedOrigins{answer: OriginAnswer{Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"}, IsKnown: true}}
+	node.cutOff(strings.TrimPrefix(older.URL, "http://"))
+	if got := node.send(t, http.MethodPost, "/resume/", "", "X-Last", "1", "X-Resumes", "r0"); strings.Contains(got.body, "v2") {
+		t.Errorf("got %+v, want no event of another version", got)
+	}
+}
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -29,6 +29,9 @@
 	x.waitingSince = started
 	isWaiting := false
 	var countedAs dispatch.Requirements
+	if !x.checkVersion() {
+		return choice, waitEnded
+	}
 	defer func() {
 		x.waitedBefore += clock.Since(started)
 		x.waitingSince = time.Time{}
@@ -73,7 +76,7 @@
 			x.refuseEvacuated()
 			return choice, waitEnded
 		}
-		if !x.checkRegions() {
+		if !x.checkRegions() || !x.checkVersion() {
 			return choice, waitEnded
 		}
 		if !isAnnounced {
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -39,7 +39,8 @@
 	zone        string
 	loadTime    time.Duration
 	streamPause time.Duration
-	// version is the version of the server's software; empty means v1.
+	// version is the version of the server's software, which its events name; empty means v1, and
+	// events that name none.
 	version string
 
 	mu       sync.Mutex
@@ -83,9 +84,6 @@
 	contacts  []contact
 	// isDown makes the server abort every request.
 	isDown bool
-	// breakAfter is the number of events after which streams from the first event on break off; 0
-	// means they do not.
-	breakAfter int
 	// httpServer is set where the test closes the server's connections.
 	httpServer *httptest.Server
 	// startID is the start time in Unix milliseconds; 0 means it is not reported.
@@ -294,7 +292,7 @@
 	}
 	m.headers[id] = request.Header.Clone()
 	m.startedAt[id] = time.Now()
-	loseAnswer, fail, breakAfter, version := m.resetResponses, m.failRequests, m.breakAfter, cmp.Or(m.version, "v1")
+	loseAnswer, fail, version := m.resetResponses, m.failRequests, m.version
 	m.mu.Unlock()
 	writer.Header().Set("Server-Stamp", m.id)
 	switch {
@@ -312,11 +310,7 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	lastEvent, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	for piece := lastEvent + 1; piece <= 5; piece++ {
-		if lastEvent == 0 && breakAfter > 0 && piece > breakAfter {
-			resetConnection(writer)
-			return
-		}
-		fmt.Fprintf(writer, "id: %d\ndata: %s %s %s\n\n", piece, model, id, version)
+		fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", piece, strings.TrimSpace(model+" "+id+" "+version))
 		_ = http.NewResponseController(writer).Flush()
 		time.Sleep(m.streamPause)
 	}
