Streams: a server that started again under its ID is asked before they go on

A node learns up to a second late that a server started again at another software version.

Where several versions serve, the server that is to go on with a stream is asked for its start after the head of its answer and before any event. An origin names the start that it was asked from: a node that learns of a later one within three seconds of the record drops its version, and the server of a younger record is asked itself. One question for each stream that goes on, none for new streams. A server whose answer broke off is not certain for three seconds.

--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -98,7 +98,7 @@
 	if s, ok := c.servers[serverID]; ok {
 		s.cold.warmUp.MarkPossiblyCold(now, s.info.Position)
 		s.cold.source = ColdUnreachable
-		s.markVersionUncertain(now)
+		c.MarkVersionUncertain(now, serverID)
 	}
 }
 
--- a/internal/dispatch/versions.go
+++ b/internal/dispatch/versions.go
@@ -10,9 +10,9 @@
 	// formerVersionRetention is how long after its last server a software version counts as one that
 	// streams may have begun at: longer than callers wait for a stream.
 	formerVersionRetention = time.Minute
-	// versionSettleTime is how long after a failed connection the version of a server is uncertain: it
+	// VersionSettleTime is how long after a failed connection the version of a server is uncertain: it
 	// may have started again under its ID at another one, and its entry may not be known here yet.
-	versionSettleTime = 3 * time.Second
+	VersionSettleTime = 3 * time.Second
 )
 
 // versionHistory holds the software versions of one service's servers that are gone, and when each
@@ -71,9 +71,21 @@
 	}
 }
 
-// markVersionUncertain records that no connection to the server came up.
-func (s *server) markVersionUncertain(now time.Time) {
-	s.versionUncertainUntil = now.Add(versionSettleTime)
+// Address returns the address of a server; ok is false if it is not known.
+func (c *Core) Address(serverID string) (address string, ok bool) {
+	s, ok := c.servers[serverID]
+	if !ok {
+		return "", false
+	}
+	return s.info.Address, true
+}
+
+// MarkVersionUncertain records that a connection to the server failed, or that another start of it than
+// the known one answers.
+func (c *Core) MarkVersionUncertain(now time.Time, serverID string) {
+	if s, ok := c.servers[serverID]; ok {
+		s.versionUncertainUntil = now.Add(VersionSettleTime)
+	}
 }
 
 // ServedVersion returns the software version that answers the attempt; empty if it is uncertain. If
--- a/internal/dispatch/versions_test.go
+++ b/internal/dispatch/versions_test.go
@@ -19,7 +19,7 @@
 // TestStreamGoesOnlyToItsSoftwareVersion guards against a choice, an estimate or a last check that
 // takes a server of another software version for one at which a stream may go on.
 func TestStreamGoesOnlyToItsSoftwareVersion(t *testing.T) {
-	later := begin.Add(versionSettleTime)
+	later := begin.Add(VersionSettleTime)
 	cases := map[string]struct {
 		change func(core *Core)
 		at     time.Time
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -219,6 +219,8 @@
 		Quotas:    node.quotas,
 		Suspects:  node.suspects,
 		Origins:   node.origins,
+
+		CurrentStart: node.origins.currentStart,
 		OnHint: func(start inventory.Start, hint inventory.Hint) {
 			node.hints.propagate(start, hint, hintFromAnswer)
 		},
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -8,8 +8,10 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/origins"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/placer"
 	"github.com/spanlanding/spanlanding/internal/relay"
 )
 
@@ -35,6 +37,8 @@
 
 	mu    sync.Mutex
 	table *origins.Table
+	// starts tells which origins are certain.
+	starts *origins.Starts
 	// inProgress holds the streams that this node passes on, and when the origin of each was last sent;
 	// repeats are those that are sent again in the next period.
 	inProgress map[origins.Key]time.Time
@@ -47,7 +51,7 @@
 
 func newStreamOrigins(node *Node) *streamOrigins {
 	return &streamOrigins{
-		node: node, table: origins.NewTable(), inProgress: make(map[origins.Key]time.Time), pending: newPendingCalls[*peerpb.OriginCall](),
+		node: node, table: origins.NewTable(), starts: origins.NewStarts(dispatch.VersionSettleTime), inProgress: make(map[origins.Key]time.Time), pending: newPendingCalls[*peerpb.OriginCall](),
 	}
 }
 
@@ -91,6 +95,7 @@
 		return
 	}
 	members := o.node.peers.members(now)
+	entries = o.review(entries)
 	byKeeper := make(map[string][]*peerpb.StreamOrigin)
 	for _, entry := range entries {
 		encoded := encodeOrigin(now, entry)
@@ -105,6 +110,32 @@
 	}
 }
 
+// review returns the entries, without the versions that are uncertain by what this node knows.
+func (o *streamOrigins) review(entries []origins.Entry) []origins.Entry {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	reviewed := make([]origins.Entry, 0, len(entries))
+	for _, entry := range entries {
+		reviewed = append(reviewed, o.starts.Review(entry))
+	}
+	return reviewed
+}
+
+// observeServers records changes of the servers' entries.
+func (o *streamOrigins) observeServers(now time.Time, changes []inventory.Change) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, change := range changes {
+		server := change.Server
+		switch {
+		case change.Gone:
+			o.starts.ObserveGone(now, server.ID)
+		case server.SoftwareVersion != "":
+			o.starts.Observe(now, origins.Start{ServerID: server.ID, StartedAtMs: server.StartedAtMs}, server.SoftwareVersion)
+		}
+	}
+}
+
 // receive keeps the origins that another node sends.
 func (o *streamOrigins) receive(now time.Time, encoded []*peerpb.StreamOrigin) {
 	if len(encoded) == 0 {
@@ -166,6 +197,13 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Sweep(now)
+	o.starts.Sweep(now)
+}
+
+// currentStart asks a model server for its current start.
+func (o *streamOrigins) currentStart(ctx context.Context, start inventory.Start, address string) (inventory.Start, error) {
+	report, err := o.node.options.Engines.FetchReport(ctx, placer.ReportRequest{ServerID: start.ID, Address: address})
+	return inventory.Start{ID: start.ID, StartedAtMs: report.StartedAtMs}, err
 }
 
 // Find implements relay.Origins. It asks the nodes that may keep the origin at once, and returns with
@@ -174,9 +212,10 @@
 	now := clock.Now()
 	o.mu.Lock()
 	entry, ok := o.table.Find(now, key)
+	entry = o.starts.Review(entry)
 	o.mu.Unlock()
 	if ok {
-		return relay.OriginAnswer{Origin: entry.Origin, IsKnown: true, Source: relay.OriginHere, Versions: o.recentVersions(now, entry.Origin.Service)}
+		return relay.OriginAnswer{Entry: entry, IsKnown: true, Source: relay.OriginHere, Versions: o.recentVersions(now, entry.Origin.Service)}
 	}
 	answer := relay.OriginAnswer{Versions: o.recentVersions(now, service)}
 	ctx, cancel := context.WithCancel(ctx)
@@ -198,7 +237,7 @@
 			}
 		}
 		if entry, ok := decodeOrigin(now, call.Origin); ok {
-			answer.Origin, answer.IsKnown, answer.Source = entry.Origin, true, relay.OriginFromPeer
+			answer.Entry, answer.IsKnown, answer.Source = entry, true, relay.OriginFromPeer
 			break
 		}
 	}
@@ -244,7 +283,7 @@
 	answer := &peerpb.OriginCall{IsAnswer: true, Id: call.Id, Versions: o.recentVersions(now, call.Service)}
 	o.mu.Lock()
 	if entry, ok := o.table.Find(now, key); ok {
-		answer.Origin = encodeOrigin(now, entry)
+		answer.Origin = encodeOrigin(now, o.starts.Review(entry))
 	}
 	o.mu.Unlock()
 	o.node.peers.sendMessage(trafficOrigins, []string{call.Asker}, &peerpb.NodeState{OriginCall: answer})
@@ -254,17 +293,19 @@
 	return &peerpb.StreamOrigin{
 		Key: entry.Key[:], Service: entry.Origin.Service, SoftwareVersion: entry.Origin.SoftwareVersion,
 		LeftMs: uint32(max(0, entry.ExpiresAt.Sub(now)).Milliseconds()),
+		Server: entry.Server.ServerID, Born: entry.Server.StartedAtMs, AgeMs: ageMillis(now, entry.RecordedAt),
 	}
 }
 
 // decodeOrigin decodes an origin; ok is false if it is absent or invalid.
 func decodeOrigin(now time.Time, encoded *peerpb.StreamOrigin) (entry origins.Entry, ok bool) {
-	if encoded == nil || encoded.Service == "" || max(len(encoded.Service), len(encoded.SoftwareVersion)) > origins.MaxTextBytes {
+	if encoded == nil || encoded.Service == "" || max(len(encoded.Service), len(encoded.SoftwareVersion), len(encoded.Server)) > origins.MaxTextBytes {
 		return entry, false
 	}
 	key, ok := origins.DecodeKey(encoded.Key)
 	return origins.Entry{
 		Key: key, Origin: origins.Origin{Service: encoded.Service, SoftwareVersion: encoded.SoftwareVersion},
 		ExpiresAt: now.Add(time.Duration(encoded.LeftMs) * time.Millisecond),
+		Server:    origins.Start{ServerID: encoded.Server, StartedAtMs: encoded.Born}, RecordedAt: now.Add(-time.Duration(encoded.AgeMs) * time.Millisecond),
 	}, ok
 }
--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -48,7 +48,7 @@
 	newcomer := newVersionedNodes(t, 1, "v1", "v2")[0]
 	newcomer.peers.roster.Observe(clock.Now(), &peerpb.NodeState{Node: "n", Address: nodes[2].peers.address, Life: 9, Sequence: 1})
 	got := newcomer.origins.Find(context.Background(), entry.Key, "s")
-	if !got.IsKnown || got.Origin != entry.Origin || got.Source != relay.OriginFromPeer {
+	if !got.IsKnown || got.Entry.Origin != entry.Origin || got.Source != relay.OriginFromPeer {
 		t.Fatalf("got %+v, want the origin from a keeper", got)
 	}
 	if got := newcomer.origins.Find(context.Background(), origins.NewKey("other caller", "r1"), "s"); got.IsKnown || got.IsPartial || len(got.Versions) != 2 {
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -203,6 +203,7 @@
 		return
 	}
 	now := clock.Now()
+	n.origins.observeServers(now, changes)
 	wasAvailable, startedAgain := make(map[string]bool, len(changes)), make(map[string]bool)
 	n.dispatch.Do(func(core *dispatch.Core) {
 		for _, change := range changes {
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -51,10 +51,20 @@
 	maxEntries = 4800
 )
 
+// Start is one start of a server.
+type Start struct {
+	ServerID    string
+	StartedAtMs int64
+}
+
 // Entry is an origin with its stream and expiry.
 type Entry struct {
 	Key    Key
 	Origin Origin
+	// Server is the start of the server that the first events were asked from; zero if unknown.
+	Server Start
+	// RecordedAt is when the request was sent to the server.
+	RecordedAt time.Time
 	// ExpiresAt is when callers no longer resume the stream.
 	ExpiresAt time.Time
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -88,6 +88,10 @@
 	// origin is where the stream began, and originSource who told; nil before its first event.
 	origin       *origins.Origin
 	originSource originSource
+	// originServer is the start of the server that the first event was asked from, and originSentAt
+	// when; zero if that is not known.
+	originServer origins.Start
+	originSentAt time.Time
 	// isResumption is set where the caller resumes a stream of an earlier attempt.
 	isResumption bool
 	// overdue follows the announced readiness that the request waits for, and notices when it is overdue.
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -7,6 +7,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/origins"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
@@ -24,7 +25,8 @@
 
 // OriginAnswer is what the nodes know about the beginning of a stream.
 type OriginAnswer struct {
-	Origin  origins.Origin
+	// Entry is set if the stream is known.
+	Entry   origins.Entry
 	IsKnown bool
 	// Source is who told.
 	Source originSource
@@ -90,14 +92,16 @@
 		return true
 	}
 	answer := x.findOrigin()
+	origin := answer.Entry.Origin
 	switch {
-	case answer.IsKnown && !x.leadsTo(answer.Origin.Service):
+	case answer.IsKnown && !x.leadsTo(origin.Service):
 		x.handler.Metrics.VersionGone.Add(1)
 		x.refusePermanently(reasonServiceGone)
 		return false
-	case answer.IsKnown && answer.Origin.SoftwareVersion != "":
-		x.setService(answer.Origin.Service)
-		x.setOrigin(answer.Origin, answer.Source)
+	case answer.IsKnown && origin.SoftwareVersion != "" && (len(answer.Versions) <= 1 || x.isOriginCertain(answer.Entry)):
+		x.setService(origin.Service)
+		x.setOrigin(origin, answer.Source)
+		x.originServer, x.originSentAt = answer.Entry.Server, answer.Entry.RecordedAt
 		return true
 	case len(answer.Versions) <= 1:
 		x.setOrigin(origins.Origin{Service: x.service, SoftwareVersion: onlyVersion(answer.Versions)}, originOneVersion)
@@ -165,6 +169,57 @@
 	return true
 }
 
+// startCheckTimeout bounds the question to a server for its current start.
+const startCheckTimeout = 200 * time.Millisecond
+
+// isOriginCertain reports whether the start that was recorded for a stream wrote its first events. Within
+// the time in which a later start of the server may not be known yet, the server itself is asked: if it
+// has started again, either start may have written them. A server that is down has not.
+func (x *exchange) isOriginCertain(entry origins.Entry) bool {
+	if entry.Server.ServerID == "" || x.handler.options.CurrentStart == nil || clock.Since(entry.RecordedAt) > dispatch.VersionSettleTime {
+		return true
+	}
+	address, ok := "", false
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { address, ok = core.Address(entry.Server.ServerID) })
+	if !ok {
+		return true
+	}
+	start := inventory.Start{ID: entry.Server.ServerID, StartedAtMs: entry.Server.StartedAtMs}
+	current, err := x.askCurrentStart(start, address)
+	return err != nil || current.StartedAtMs == 0 || current == start
+}
+
+// askCurrentStart asks a server for its current start.
+func (x *exchange) askCurrentStart(start inventory.Start, address string) (inventory.Start, error) {
+	ctx, cancel := context.WithTimeout(x.ctx, startCheckTimeout)
+	defer cancel()
+	return x.handler.options.CurrentStart(ctx, start, address)
+}
+
+// isStartConfirmed reports whether the server that is about to go on with a stream is still the start
+// that was chosen. Of a server that started again under its ID nobody may know yet, so the server itself
+// is asked, after the head of its response and before any event. It need not be where one software
+// version serves.
+func (x *exchange) isStartConfirmed(choice dispatch.Choice) bool {
+	isGoingOn := x.headSent || x.isResumption
+	if !isGoingOn || !x.needsModel || x.handler.options.CurrentStart == nil || x.servesOneVersion() {
+		return true
+	}
+	mayCall := false
+	start := choice.Attempt.Start()
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { mayCall = core.MayCall(clock.Now(), start) })
+	if !mayCall {
+		return false
+	}
+	current, err := x.askCurrentStart(start, choice.Address)
+	return err == nil && (current.StartedAtMs == 0 || current == start)
+}
+
+// markVersionUncertain records that a response of the server broke off: it may have started again.
+func (x *exchange) markVersionUncertain(choice dispatch.Choice) {
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.MarkVersionUncertain(clock.Now(), choice.ServerID) })
+}
+
 // servesOneVersion reports whether the service had one software version lately, known or not.
 func (x *exchange) servesOneVersion() bool { return len(x.recentVersions()) <= 1 }
 
@@ -178,13 +233,19 @@
 	if x.head.Deadline > 0 {
 		expires = x.arrived.Add(x.head.Deadline)
 	}
-	x.handler.options.Origins.Record(origins.Entry{Key: x.streamKey(), Origin: *x.origin, ExpiresAt: expires.Add(originMargin)})
+	x.handler.options.Origins.Record(origins.Entry{
+		Key: x.streamKey(), Origin: *x.origin, ExpiresAt: expires.Add(originMargin), Server: x.originServer, RecordedAt: x.originSentAt,
+	})
 }
 
-// reviewOrigin corrects the origin of a stream that broke off after its server turned out to have
-// started again: it is uncertain which start wrote its events.
+// reviewOrigin corrects the origin of a stream that broke off, if its server turns out to have started
+// again: it is uncertain which start wrote its events. version is what its last server runs by now.
 func (x *exchange) reviewOrigin(version string) {
-	if x.origin == nil || version == x.origin.SoftwareVersion {
+	if x.origin == nil || x.servesOneVersion() {
+		return
+	}
+	entry := origins.Entry{Server: x.originServer, RecordedAt: x.originSentAt}
+	if version == x.origin.SoftwareVersion && x.isOriginCertain(entry) {
 		return
 	}
 	x.origin.SoftwareVersion = ""
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -87,6 +87,7 @@
 		x.endCallerGone()
 	}
 	x.reportIfCrashed(choice)
+	x.markVersionUncertain(choice)
 	x.endAttempt(choice, dispatch.OutcomeFailed)
 	x.failedServers = append(x.failedServers, choice.ServerID)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -107,7 +107,10 @@
 	// Origins remembers where streams began; nil disables it, and resumed streams then go on only
 	// where one software version serves.
 	Origins Origins
-	Logger  *log.Logger
+	// CurrentStart asks a model server for its current start; StartedAtMs is 0 if it does not say. nil
+	// takes the known start for the current one.
+	CurrentStart func(ctx context.Context, start inventory.Start, address string) (inventory.Start, error)
+	Logger       *log.Logger
 	// IsReady reports whether the node knows enough to forward requests, and AwaitReady waits until it
 	// does or ctx ends; nil means always ready.
 	IsReady    func() bool
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -12,6 +12,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/origins"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -25,7 +26,10 @@
 
 // relayStream passes on an event stream.
 func (x *exchange) relayStream(choice dispatch.Choice, response *backendconn.Response) attemptResult {
-	if !x.beginEvents(x.servedVersion(choice), originFromServer) {
+	if start := choice.Attempt.Start(); !x.headSent && !x.isResumption {
+		x.originServer, x.originSentAt = origins.Start{ServerID: start.ID, StartedAtMs: start.StartedAtMs}, x.sentAt
+	}
+	if !x.isStartConfirmed(choice) || !x.beginEvents(x.servedVersion(choice), originFromServer) {
 		x.handleBrokenResponse(choice)
 		return x.retryOrGiveUp(reasonOtherVersion)
 	}
--- a/internal/relay/versions_test.go
+++ b/internal/relay/versions_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +18,7 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/origins"
+	"github.com/spanlanding/spanlanding/internal/storepos"
 )
 
 // breakingStream returns a responder that writes events up to the first or, of a resumed stream, the
@@ -119,7 +122,7 @@
 // can go on.
 func TestResumedStreamStaysAtItsSoftwareVersion(t *testing.T) {
 	known := func(service, version string) OriginAnswer {
-		return OriginAnswer{Origin: origins.Origin{Service: service, SoftwareVersion: version}, IsKnown: true, Versions: []string{"v1", "v2"}}
+		return OriginAnswer{Entry: origins.Entry{Origin: origins.Origin{Service: service, SoftwareVersion: version}}, IsKnown: true, Versions: []string{"v1", "v2"}}
 	}
 	cases := map[string]struct {
 		answer OriginAnswer
@@ -210,9 +213,61 @@
 	servers := []*fakeServer{newFakeServer(t, wholeStream("v1")), newFakeServer(t, wholeStream("v2"))}
 	node := newFixture(t, servers...)
 	node.setVersions(servers, "v1", "v2")
-	node.handler.options.Origins = &fixedOrigins{answer: OriginAnswer{Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"}, IsKnown: true}}
+	node.handler.options.Origins = &fixedOrigins{answer: OriginAnswer{Entry: origins.Entry{Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"}}, IsKnown: true}}
 	node.cutOff(strings.TrimPrefix(older.URL, "http://"))
 	if got := node.send(t, http.MethodPost, "/resume/", "", "X-Last", "1", "X-Resumes", "r0"); strings.Contains(got.body, "v2") {
 		t.Errorf("got %+v, want no event of another version", got)
 	}
 }
+
+// TestStreamOfARestartedServerIsRefused guards against going on with a stream at the version of a start
+// that may have ended before it began, and at a server that started again before anybody knew.
+func TestStreamOfARestartedServerIsRefused(t *testing.T) {
+	failed := errors.New("no answer")
+	cases := map[string]struct {
+		// began and serving are the current starts of the server that began the stream and of the one
+		// that is to go on, or errors.
+		began, serving error
+		beganAt        int64
+		servingAt      int64
+		age            time.Duration
+		goesOn         bool
+	}{
+		"both as known":                   {beganAt: 1, servingAt: 1, goesOn: true},
+		"its server started again":        {beganAt: 2, servingAt: 1},
+		"its server is down":              {began: failed, servingAt: 1, goesOn: true},
+		"its server does not tell":        {servingAt: 1, goesOn: true},
+		"its server started again since":  {beganAt: 2, servingAt: 1, age: time.Minute, goesOn: true},
+		"the serving one started again":   {beganAt: 1, servingAt: 2},
+		"the serving one does not answer": {beganAt: 1, serving: failed},
+		"the serving one does not tell":   {beganAt: 1, goesOn: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			servers := []*fakeServer{newFakeServer(t, wholeStream("v1")), newFakeServer(t, wholeStream("v2")), newFakeServer(t, wholeStream("v1"))}
+			f := newFixture(t, servers...)
+			f.handler.SetTable(resumeTable())
+			var changes []inventory.Change
+			for i, s := range servers {
+				changes = append(changes, inventory.Change{Server: inventory.Server{
+					ID: "s" + strconv.Itoa(i), Service: "svc", Address: s.address, Zone: "z", Slots: 8, StartedAtMs: 1, SoftwareVersion: []string{"v1", "v2", "v1"}[i],
+					Models: []inventory.HeldModel{{Name: []string{"m", "m", "other"}[i]}}, Position: storepos.At(0, 2),
+				}})
+			}
+			f.dispatch.Do(func(core *dispatch.Core) { core.SetServers(changes) })
+			f.handler.options.CurrentStart = func(_ context.Context, start inventory.Start, _ string) (inventory.Start, error) {
+				if start.ID == "s2" {
+					return inventory.Start{ID: "s2", StartedAtMs: c.beganAt}, c.began
+				}
+				return inventory.Start{ID: start.ID, StartedAtMs: c.servingAt}, c.serving
+			}
+			f.handler.options.Origins = &fixedOrigins{answer: OriginAnswer{IsKnown: true, Versions: []string{"v1", "v2"}, Entry: origins.Entry{
+				Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"}, Server: origins.Start{ServerID: "s2", StartedAtMs: 1}, RecordedAt: time.Now().Add(-c.age),
+			}}}
+			got := f.send(t, http.MethodPost, "/resume/", "", "X-Last", "1", "X-Resumes", "r0", "X-Model", "m", "X-Wait", "400ms")
+			if isWhole := got.status == http.StatusOK && got.body == "id: 2\ndata: v1\n\n"; isWhole != c.goesOn || strings.Contains(got.body, "v2") {
+				t.Errorf("got %+v, want it to go on: %v", got, c.goesOn)
+			}
+		})
+	}
+}
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -121,6 +121,7 @@
 	}
 	server := httptest.NewServer(m)
 	t.Cleanup(server.Close)
+	m.httpServer = server
 	m.address = strings.TrimPrefix(server.URL, "http://")
 	m.register(s, "ready")
 	return m
--- a/test/platform/versions_test.go
+++ b/test/platform/versions_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -241,3 +243,107 @@
 	n.signal(syscall.SIGTERM)
 	<-n.exited
 }
+
+// drawnRelease is a schedule of disruptions, drawn from a seed, while servers of several software
+// versions serve side by side.
+type drawnRelease struct {
+	*versionedFleet
+	random                            *rand.Rand
+	mu                                sync.Mutex
+	begun, resumed, joined, continued int
+}
+
+// callStreams keeps reading streams until ctx ends. A caller whose stream breaks, or who leaves it,
+// takes it up again at another node, up to three times.
+func (r *drawnRelease) callStreams(ctx context.Context, caller int) {
+	random := rand.New(rand.NewPCG(uint64(caller), 0x57))
+	for number := 0; ctx.Err() == nil; number++ {
+		id := fmt.Sprintf("d%d-%d", caller, number)
+		stream := r.nodes[random.IntN(len(r.nodes))].readStream(id, resumablePath, random.IntN(4))
+		versions, isWhole, attempts := stream.versions, stream.isWhole, 1
+		isBegun := stream.lastEvent != ""
+		for last := stream.lastEvent; isBegun && !isWhole && attempts < 4; attempts++ {
+			again := r.nodes[random.IntN(len(r.nodes))].readStream(fmt.Sprint(id, "-", attempts), resumablePath, 0, "Last-Event-Id", last, "Resumes", id)
+			for version := range again.versions {
+				versions[version] = true
+			}
+			last, isWhole = cmp.Or(again.lastEvent, last), again.isWhole
+			if !isWhole {
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+		r.count(isBegun, attempts > 1, len(versions) > 1, isWhole)
+	}
+}
+
+func (r *drawnRelease) count(isBegun, isResumed, isJoined, isWhole bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if isBegun {
+		r.begun++
+	}
+	if isResumed {
+		r.resumed++
+		if isWhole && !isJoined {
+			r.continued++
+		}
+	}
+	if isJoined {
+		r.joined++
+	}
+}
+
+// disrupt carries out one drawn disruption.
+func (r *drawnRelease) disrupt() {
+	m, n := r.servers[r.random.IntN(len(r.servers))], r.nodes[r.random.IntN(len(r.nodes))]
+	switch r.random.IntN(4) {
+	case 0:
+		m.set(func() { m.version, m.startID = []string{"v1", "v1.1", "v1.2"}[r.random.IntN(3)], m.startID+1 })
+		m.httpServer.CloseClientConnections()
+		m.register(r.store, "ready")
+	case 1:
+		m.httpServer.CloseClientConnections()
+	case 2:
+		n.kill()
+		n.start()
+	default:
+		n.stop()
+		n.start()
+	}
+}
+
+// TestDrawnReleasesKeepStreamsWhole draws releases, crashes, kills and planned stops of nodes beside
+// callers that take their streams up again: no more than a few streams hold events of two software
+// versions, and most of those that can go on do.
+func TestDrawnReleasesKeepStreamsWhole(t *testing.T) {
+	t.Parallel()
+	const (
+		callers       = 12
+		disruptions   = 12
+		betweenFaults = 400 * time.Millisecond
+	)
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			r := &drawnRelease{versionedFleet: newVersionedFleet(t), random: rand.New(rand.NewPCG(seed, 0x0e1ea5e))}
+			ctx, stop := context.WithCancel(context.Background())
+			var running sync.WaitGroup
+			for caller := range callers {
+				running.Go(func() { r.callStreams(ctx, caller) })
+			}
+			for range disruptions {
+				r.disrupt()
+				time.Sleep(betweenFaults)
+			}
+			stop()
+			running.Wait()
+			t.Logf("%d begun, %d taken up again, %d joined, %d went on", r.begun, r.resumed, r.joined, r.continued)
+			if r.joined > maxJoinedStreams {
+				t.Errorf("%d of %d streams hold events of two software versions", r.joined, r.begun)
+			}
+			if float64(r.continued) < continuedShare*float64(r.resumed) {
+				t.Errorf("%d of %d streams that were taken up again went on", r.continued, r.resumed)
+			}
+		})
+	}
+}
