--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -42,6 +42,15 @@
 	return Fingerprint(digest.Sum(sum[:0])[:len(Fingerprint{})])
 }
 
+// NewPartFingerprint computes the fingerprint of one part of prompts that a service's servers run. The
+// caller is no part of it: a part that crashes servers does so whoever sends it.
+func NewPartFingerprint(service, partID string) Fingerprint {
+	return NewFingerprint(Identity{Method: "prompt part", Host: service, Target: partID})
+}
+
+// Short is the beginning of the fingerprint's text, for log lines with several.
+func (f Fingerprint) Short() string { return f.String()[:8] }
+
 // DecodeFingerprint decodes a fingerprint in the form that nodes send; ok is false if it has the wrong
 // length.
 func DecodeFingerprint(encoded []byte) (fingerprint Fingerprint, ok bool) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -112,6 +112,8 @@
 	regionsTable   *routetable.Table
 	// cachedFingerprint is the request's fingerprint, computed on first use.
 	cachedFingerprint *poison.Fingerprint
+	// cachedParts are the fingerprints of the shared parts of its prompt.
+	cachedParts []poison.Fingerprint
 }
 
 // serve handles the request to its end.
@@ -420,7 +422,8 @@
 		entry.Float64("server_limit", x.hint.Limit.PerSecond)
 	}
 	if x.serverLiveness != "" {
-		entry.Str("fingerprint", x.fingerprint().String()).Str("server_end", string(x.serverLiveness))
+		entry.Str("fingerprint", x.fingerprint().String()).Str("server_end", string(x.serverLiveness)).
+			Str("parts", formatParts(x.sharedParts()))
 	}
 	if event == "request_"+outcomeRefused && x.route != nil {
 		var counts dispatch.ServerCounts
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
@@ -44,6 +45,29 @@
 	return *x.cachedFingerprint
 }
 
+// sharedParts are the fingerprints of the prompt parts that other requests may have, too: all but the
+// last, which belongs to the request or its session. They are computed once.
+func (x *exchange) sharedParts() []poison.Fingerprint {
+	if x.cachedParts == nil && len(x.head.PromptParts) > 1 {
+		for _, part := range x.head.PromptParts[:len(x.head.PromptParts)-1] {
+			x.cachedParts = append(x.cachedParts, poison.NewPartFingerprint(x.service, part.ID))
+		}
+	}
+	return x.cachedParts
+}
+
+// formatParts lists the beginnings of the fingerprints.
+func formatParts(parts []poison.Fingerprint) string {
+	names := make([]string, 0, len(parts))
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		names = append(names, part.Short())
+	}
+	return strings.Join(names, ",")
+}
+
+// maxLoggedParts bounds the parts that one line names.
+const maxLoggedParts = 8
+
 // poisonStatus is the current status of the request.
 func (x *exchange) poisonStatus() poison.Status {
 	suspects := x.handler.options.Suspects
