A server's end is seen by servers that share the way to it

Witnesses are now servers of the same service and zone that were not down before; without any, those of its service; without any, other services. The own interface asks back ends of the same kind and service first.

--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -73,17 +73,16 @@
 	return r.tracker.IsUnreachable(service)
 }
 
-// ReachesOthers implements relay.Reachability. Servers of other services vouch as well: a request may
-// have ended all servers of its own. Servers that were down before vouch for nothing, and without any
-// other server there is nothing to compare this one with.
+// ReachesOthers implements relay.Reachability. It asks the servers that share the most of the way: the
+// ways to a zone or a service may fail while others work. Servers that were down before vouch for
+// nothing, and without any other server there is nothing to compare this one with.
 func (r *reachable) ReachesOthers(service, serverID string) bool {
-	exclude := append(r.down(), serverID)
-	var sample []inventory.Server
+	down := r.down()
+	var witnesses []inventory.Server
 	r.node.dispatch.Do(func(core *dispatch.Core) {
-		sample, _ = core.SampleServers(service, exclude, reachability.SampleSize)
-		sample = append(sample, core.SampleOtherServices(service, exclude, reachability.SampleSize)...)
+		witnesses = core.SampleWitnesses(service, serverID, down, reachability.SampleSize)
 	})
-	return len(sample) == 0 || r.countAnswering(sample) > 0
+	return len(witnesses) == 0 || r.countAnswering(witnesses) > 0
 }
 
 // down returns servers that ended or did not answer while this node reached others.
--- a/internal/edge/reachability_test.go
+++ b/internal/edge/reachability_test.go
@@ -19,12 +19,7 @@
 // newNodeWithoutServers returns a node all of whose servers refuse connections.
 func newNodeWithoutServers(t *testing.T) *Node {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	_ = listener.Close()
+	address := closedAddress(t)
 	node := newTestNode(t)
 	engine := &routetable.Engine{}
 	node.handler.SetTable(routetable.New(1, nil, []routetable.Service{{Name: "models", Engine: engine}, {Name: "empty"}}, routetable.Limits{}))
@@ -143,3 +138,53 @@
 		})
 	}
 }
+
+// TestWitnessSharesTheWay guards against blaming a request for servers that are alive: the ways to one
+// service, or to one zone of it, fail while this node reaches others.
+func TestWitnessSharesTheWay(t *testing.T) {
+	answering, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answering.Close()
+	refusing := closedAddress(t)
+	server := func(id, service, zone, address string) inventory.Change {
+		return inventory.Change{Server: inventory.Server{ID: id, Service: service, Address: address, Zone: zone, Position: storepos.At(0, 1)}}
+	}
+	up := answering.Addr().String()
+	cases := map[string]struct {
+		others  []inventory.Change
+		crashed []string
+		want    bool
+	}{
+		"others of its zone answer":                  {others: []inventory.Change{server("b", "models", "z", up)}, want: true},
+		"its service alone is cut off":               {others: []inventory.Change{server("b", "models", "z", refusing), server("c", "commands", "z", up)}},
+		"its zone alone is cut off":                  {others: []inventory.Change{server("b", "models", "z", refusing), server("c", "models", "y", up)}},
+		"others of its zone crashed before":          {others: []inventory.Change{server("b", "models", "z", refusing), server("c", "models", "y", up)}, crashed: []string{"b"}, want: true},
+		"all of its service crashed before":          {others: []inventory.Change{server("b", "models", "z", refusing), server("c", "commands", "z", up)}, crashed: []string{"b"}, want: true},
+		"it is alone in its service":                 {others: []inventory.Change{server("c", "commands", "z", up)}, want: true},
+		"it is alone in its service, all is cut off": {others: []inventory.Change{server("c", "commands", "z", refusing)}},
+		"it is alone":                                {want: true},
+	}
+	for name, c := range cases {
+		node := newTestNode(t)
+		node.dispatch.Do(func(core *dispatch.Core) { core.SetServers(append(c.others, server("a", "models", "z", refusing))) })
+		for _, id := range c.crashed {
+			node.suspects.ReportCrash(poison.Fingerprint{1}, id, 0)
+		}
+		if got := node.reachable.ReachesOthers("models", "a"); got != c.want {
+			t.Errorf("%s: the end of the server counts as seen: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// closedAddress returns an address that refuses connections.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -119,42 +119,50 @@
 // maxWitnesses is the number of other back ends that are probed before a server counts as crashed.
 const maxWitnesses = 8
 
-// reachesOthers reports whether this node reaches back ends at all: a partition may refuse connections
-// to back ends that are alive. Back ends that ended before are no witnesses, and one without others is
-// its own.
+// reachesOthers reports whether this node has a path to back ends like the target: a partition may refuse
+// connections to back ends that are alive. Those of the target's kind and service are asked, else all
+// others. Back ends that ended before are no witnesses, and one without others is its own.
 func (g *Gateway) reachesOthers(target fleet.Backend) bool {
 	tables, _ := g.options.Views.RouteTables.Get()
 	ended := g.options.Suspects.EndedRecently()
-	asked := 0
+	var alike, others []process
 	for _, other := range processes(tables[target.Zone]) {
-		if other.address == target.Address || slices.Contains(ended, other.serverID) {
-			continue
+		switch {
+		case other.address == target.Address || slices.Contains(ended, other.serverID):
+		case other.service == target.Service:
+			alike = append(alike, other)
+		default:
+			others = append(others, other)
 		}
-		if g.probes.Probe(other.address) == backendconn.LivenessAlive {
+	}
+	if len(alike) == 0 {
+		alike = others
+	}
+	for _, witness := range alike[:min(len(alike), maxWitnesses)] {
+		if g.probes.Probe(witness.address) == backendconn.LivenessAlive {
 			return true
 		}
-		if asked++; asked == maxWitnesses {
-			break
-		}
 	}
-	return asked == 0
+	return len(alike) == 0
 }
 
 // process is one start of a back end. A restart under the same name is another process.
 type process struct {
 	serverID, address string
 	name              fleet.BackendName
-	isLeaving         bool
+	// service is the declared service that it runs; empty for an engine.
+	service   string
+	isLeaving bool
 }
 
 // processes returns all back ends of the table.
 func processes(table fleet.RouteTable) (all []process) {
 	for index := range table.Engines {
 		engine := &table.Engines[index]
-		all = append(all, process{fmt.Sprintf("%s/%d", engine.Name, engine.Incarnation), engine.Address, engine.Name, engine.Leaving})
+		all = append(all, process{fmt.Sprintf("%s/%d", engine.Name, engine.Incarnation), engine.Address, engine.Name, engine.Service, engine.Leaving})
 	}
 	for _, service := range table.Services {
-		all = append(all, process{string(service.Name), service.Address, service.Name, service.Leaving})
+		all = append(all, process{string(service.Name), service.Address, service.Name, service.Service, service.Leaving})
 	}
 	return all
 }
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -208,7 +208,8 @@
 	}
 }
 
-// TestGatewayThatReachesNoBackendBlamesNoRequest has a partition that refuses connections to all back ends.
+// TestGatewayThatReachesNoBackendBlamesNoRequest has a partition that refuses connections to all engines, and
+// none to a service.
 func TestGatewayThatReachesNoBackendBlamesNoRequest(t *testing.T) {
 	suspects := &localSuspects{tracker: poison.NewTracker()}
 	h := newHarness(t, func(options *Options) { options.Suspects = suspects })
@@ -219,6 +220,9 @@
 		Name: "e1", Zone: h.table.Zone, Address: closed.Listener.Addr().String(),
 	}})
 	closed.Close()
+	alive := httptest.NewServer(http.NotFoundHandler())
+	defer alive.Close()
+	h.table.Services = append(h.table.Services, fleet.Backend{Name: "s0", Kind: fleet.KindService, Service: "boxes", Zone: h.table.Zone, Address: alive.Listener.Addr().String()})
 	h.publish()
 	h.do(http.MethodPost, backend.PathCompletions, poisonBody, headerDeadline, "500ms")
 	if ended.Load() != 1 || suspects.tracker.Size() != 0 {
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -11,8 +11,8 @@
 	// RecordFailure records that no connection to the server comes up. It returns once it is known
 	// whether that holds for the other servers of the service.
 	RecordFailure(service, serverID string)
-	// ReachesOthers reports whether a server other than this one accepts connections now, or all others
-	// were down before.
+	// ReachesOthers reports whether another server that shares the way to this one accepts connections
+	// now, or all others were down before.
 	ReachesOthers(service, serverID string) bool
 }
 
