Bars carry their number and their beginning

Cause: a bar was told as time left and dated anew at each hop, so it grew by the time under way, and repeats were sent with the time left of the first send. Growth was what marked a trial as granted. A bar now has a serial, an age and a length; of several reports of one bar the earliest beginning counts, a higher serial replaces it, and one that began before a success is void. Reports without a serial (older builds, the lease) extend a bar by more than half a second or not at all.

--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -54,7 +54,7 @@
 	pendingTrials *pendingCalls[bool]
 }
 
-// repeatedReport is a report that is to be sent again.
+// repeatedReport is a report that is to be sent again, as of the time when it was first sent.
 type repeatedReport struct {
 	report poison.Report
 	at     time.Time
@@ -159,7 +159,7 @@
 		case isOwn:
 			// Nodes that did not grant the trial during which the server crashed rely on this
 			// bar.
-			report.BarredFor = s.tally.BarRemaining(now, report.Fingerprint)
+			report.BarredFor, report.Bar = s.tally.BarRemaining(now, report.Fingerprint), s.tally.Bar(now, report.Fingerprint)
 			toSend = append(toSend, report)
 		case broadcasts && report.Acquitted:
 			toSend = append(toSend, report)
@@ -177,7 +177,7 @@
 // scheduleRepeat schedules a sent report for the next periods. s.mu must be held.
 func (s *suspects) scheduleRepeat(now time.Time, report poison.Report) {
 	if len(s.repeats) < maxPendingRepeats {
-		s.repeats = append(s.repeats, repeatedReport{report: report, at: now.Add(-report.Age), sends: 1})
+		s.repeats = append(s.repeats, repeatedReport{report: report, at: now, sends: 1})
 	}
 }
 
@@ -236,8 +236,7 @@
 	kept := s.repeats[:0]
 	for _, repeat := range s.repeats {
 		repeat.sends++
-		repeat.report.Age = now.Sub(repeat.at)
-		toSend = append(toSend, repeat.report)
+		toSend = append(toSend, repeat.report.After(now.Sub(repeat.at)))
 		if repeat.sends < reportTransmissions {
 			kept = append(kept, repeat)
 		}
--- a/internal/edge/trials.go
+++ b/internal/edge/trials.go
@@ -66,10 +66,10 @@
 		return false
 	}
 	s.mu.Lock()
-	remaining := s.tally.BarRemaining(now, fingerprint)
+	report := s.tally.BarReport(now, fingerprint)
 	s.mu.Unlock()
-	if remaining > 0 {
-		s.broadcastReport(now, poison.Report{Fingerprint: fingerprint, BarredFor: remaining})
+	if report.BarredFor > 0 {
+		s.broadcastReport(now, report)
 	}
 	return true
 }
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -156,24 +156,24 @@
 // grantTrial decides on one trial as the coordinator. If it grants the trial, it tells all
 // nodes that other copies of the request stay barred.
 func (s *Suspects) grantTrial(fingerprint poison.Fingerprint) bool {
-	granted, remaining := s.claimLocalTrial(fingerprint)
+	granted, report := s.claimLocalTrial(fingerprint)
 	s.dependencies.Logger.Info().Str("fingerprint", fingerprint.String()).Bool("granted", granted).
-		Dur("barred", remaining).Msg("request_trial_asked")
-	if granted && remaining > 0 {
-		s.broadcast([]poison.Report{{Fingerprint: fingerprint, BarredFor: remaining}})
+		Dur("barred", report.BarredFor).Msg("request_trial_asked")
+	if granted && report.BarredFor > 0 {
+		s.broadcast([]poison.Report{report})
 	}
 	return granted
 }
 
-// claimLocalTrial claims a trial from the local tracker and returns how long the request
-// stays barred.
-func (s *Suspects) claimLocalTrial(fingerprint poison.Fingerprint) (granted bool, remaining time.Duration) {
+// claimLocalTrial claims a trial from the local tracker and returns a report of the bar that
+// holds meanwhile.
+func (s *Suspects) claimLocalTrial(fingerprint poison.Fingerprint) (granted bool, report poison.Report) {
 	now := time.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	granted = s.tracker.ClaimTrial(now, fingerprint)
 	s.hasReports.Store(s.tracker.Size() > 0)
-	return granted, s.tracker.BarRemaining(now, fingerprint)
+	return granted, s.tracker.BarReport(now, fingerprint)
 }
 
 // acquittalsFor returns an acquittal for each reported request that recently succeeded on
@@ -195,7 +195,7 @@
 		if !s.tracker.Record(now, report) {
 			continue
 		}
-		report.BarredFor = max(report.BarredFor, s.tracker.BarRemaining(now, report.Fingerprint))
+		report.BarredFor, report.Bar = s.tracker.BarRemaining(now, report.Fingerprint), s.tracker.Bar(now, report.Fingerprint)
 		newReports = append(newReports, report)
 		s.logReport(report, from, s.tracker.Status(now, report.Fingerprint), s.tracker.CrashCount(report.Fingerprint))
 	}
--- a/internal/peer/crashreports.go
+++ b/internal/peer/crashreports.go
@@ -20,6 +20,10 @@
 			Age:       time.Duration(message.GetAgeMs()) * time.Millisecond,
 			RanFor:    time.Duration(message.GetRanMs()) * time.Millisecond,
 			BarredFor: time.Duration(message.GetBarredMs()) * time.Millisecond,
+			Bar: poison.Bar{
+				Serial: message.GetBarSerial(), Age: time.Duration(message.GetBarAgeMs()) * time.Millisecond,
+				Time: time.Duration(message.GetBarTimeMs()) * time.Millisecond,
+			},
 		})
 	}
 	return reports
@@ -32,7 +36,8 @@
 		encoded = append(encoded, &peerpb.CrashReport{
 			Fingerprint: report.Fingerprint[:], Server: report.ServerID, Acquitted: report.Acquitted, Lifted: report.Lifted,
 			AgeMs: uint32(max(0, report.Age.Milliseconds())), RanMs: uint32(max(0, report.RanFor.Milliseconds())),
-			BarredMs: uint32(report.BarredFor.Milliseconds()),
+			BarredMs: uint32(report.BarredFor.Milliseconds()), BarSerial: report.Bar.Serial,
+			BarAgeMs: uint32(max(0, report.Bar.Age.Milliseconds())), BarTimeMs: uint32(report.Bar.Time.Milliseconds()),
 		})
 	}
 	return encoded
--- a/internal/poison/early.go
+++ b/internal/poison/early.go
@@ -21,9 +21,8 @@
 // canTryEarly reports whether no trial was granted yet and copies in flight have had time to end.
 func (s *suspect) canTryEarly(now time.Time) bool {
 	last := s.lastCrashAt()
-	isFirst := s.barTime == firstBarTime && s.trialAt.IsZero() && s.earlyTrialAt.IsZero()
-	isLonger := s.barredUntil.Sub(last) >= firstBarTime+earlyTrialDelay/2
-	return isFirst && !isLonger && now.Sub(last) >= earlyTrialDelay
+	isFirst := s.barTime == firstBarTime && s.barSerial <= 1 && s.trialAt.IsZero() && s.earlyTrialAt.IsZero()
+	return isFirst && now.Sub(last) >= earlyTrialDelay
 }
 
 // hasAlternativeCause reports whether all servers that crashed under this request also ran one other suspect
@@ -46,7 +45,7 @@
 		return false
 	}
 	entry.earlyTrialAt, entry.trialPendingUntil = now, now.Add(trialTimeout)
-	entry.barredUntil = now.Add(firstBarTime)
+	entry.beginBar(now, firstBarTime)
 	return true
 }
 
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -77,6 +77,8 @@
 	// BarredFor is how much longer the request is barred; 0 if it is not. It informs nodes that did not
 	// see the crashes.
 	BarredFor time.Duration
+	// Bar identifies that bar; zero if the reporter does not know.
+	Bar Bar
 	// Lifted is set where an operator lifted the bar: everything known of the request is forgotten. Unlike
 	// a success this does not protect it: new crashes bar it as they would any other request.
 	Lifted bool
@@ -109,9 +111,12 @@
 	crashes []crash
 	// succeededAt is when it last succeeded: earlier crashes do not count.
 	succeededAt time.Time
-	// barredUntil is zero until it is barred; barTime is the length of the current or last bar.
+	// barredUntil is zero until it is barred; barTime is the length of the current or last bar, barSerial
+	// its number and barredFrom its beginning.
 	barredUntil time.Time
 	barTime     time.Duration
+	barSerial   uint32
+	barredFrom  time.Time
 	// trialAt is when the last trial was claimed, zero if none was since the last bar, and
 	// inconclusiveTrials the number of trials without a known result.
 	trialAt            time.Time
@@ -172,7 +177,7 @@
 	wasBarred := now.Before(entry.barredUntil)
 	isNew := report.ServerID != "" && entry.addCrash(crash{serverID: report.ServerID, at: at, ranFor: report.RanFor, isShared: t.isShared(report.Fingerprint, report.ServerID)})
 	if at.After(entry.resetAt()) {
-		entry.extendBar(now, report.BarredFor)
+		entry.applyBar(now, report)
 	}
 	if isNew {
 		entry.endTrialAt(at)
@@ -238,18 +243,6 @@
 	return last.ranFor == 0 || last.at.Add(-last.ranFor).Before(first.at.Add(reportDelayMargin))
 }
 
-// extendBar applies another node's report that the request is barred.
-func (s *suspect) extendBar(now time.Time, barredFor time.Duration) {
-	if barredFor <= 0 || s.succeededRecently(now) || s.isLiftedRecently(now) {
-		return
-	}
-	barredFor = min(barredFor, maxBarTime)
-	s.barTime = max(s.barTime, barredFor)
-	if until := now.Add(barredFor); until.After(s.barredUntil) {
-		s.barredUntil = until
-	}
-}
-
 // points adds up the crashes, counting those within sameEventWindow as one.
 func (s *suspect) points() int {
 	total, ofEvent := 0, 0
@@ -285,7 +278,7 @@
 		return
 	}
 	if isRepeated || entry.barredUntil.IsZero() {
-		entry.barredUntil = now.Add(entry.barTime)
+		entry.beginBar(now, entry.barTime)
 		entry.trialAt, entry.inconclusiveTrials = time.Time{}, 0
 	}
 	for _, other := range t.suspects {
@@ -411,7 +404,8 @@
 	var reports []Report
 	for _, c := range entry.crashes {
 		reports = append(reports, Report{
-			Fingerprint: fingerprint, ServerID: c.serverID, Age: now.Sub(c.at), RanFor: c.ranFor, BarredFor: t.BarRemaining(now, fingerprint),
+			Fingerprint: fingerprint, ServerID: c.serverID, Age: now.Sub(c.at), RanFor: c.ranFor,
+			BarredFor: t.BarRemaining(now, fingerprint), Bar: t.Bar(now, fingerprint),
 		})
 	}
 	return reports
@@ -422,7 +416,7 @@
 func (t *Tracker) LastReport(now time.Time, fingerprint Fingerprint) Report {
 	reports := t.Reports(now, fingerprint)
 	if len(reports) == 0 {
-		return Report{Fingerprint: fingerprint, BarredFor: t.BarRemaining(now, fingerprint)}
+		return t.BarReport(now, fingerprint)
 	}
 	return reports[len(reports)-1]
 }
--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -30,7 +30,9 @@
 		return t.claimEarlyTrial(now, entry)
 	}
 	entry.barTime = max(entry.barTime, firstBarTime)
-	entry.barredUntil = now.Add(min(entry.barTime<<min(entry.inconclusiveTrials, maxTrialDoublings), maxBarTime))
+	// The bar that is over was at least the first, also if this node was not told of it.
+	entry.barSerial = max(entry.barSerial, 1)
+	entry.beginBar(now, min(entry.barTime<<min(entry.inconclusiveTrials, maxTrialDoublings), maxBarTime))
 	entry.trialAt, entry.trialPendingUntil = now, now.Add(trialTimeout)
 	entry.inconclusiveTrials++
 	return true
@@ -91,6 +93,7 @@
 // resetBar clears the bar and its trials.
 func (s *suspect) resetBar() {
 	s.barTime, s.barredUntil = 0, time.Time{}
+	s.barSerial, s.barredFrom = 0, time.Time{}
 	s.trialAt, s.inconclusiveTrials = time.Time{}, 0
 	s.earlyTrialAt, s.trialPendingUntil, s.refusals = time.Time{}, time.Time{}, 0
 }
