A part of prompts that crashes servers is barred

Each end now counts for the shared parts as well (all but the last), as suspects of the same core: bars, trials, reports, greetings and the lease's record are those of requests. A part is identified by service and ID, without the caller, since it crashes servers whoever sends it. Blamed are parts of requests whose answer had been going on for less than 200 ms; an answer that has, or that ended well, speaks for its parts for a minute, at any node. Barred are those with three ends under three requests, over 0.6 s at least, so that a part that all share has time to run well first. A request with two parts on trial is refused: it would tell nothing of either. A request's own parts are no other cause of its ends.

--- a/internal/edge/reachability_test.go
+++ b/internal/edge/reachability_test.go
@@ -12,6 +12,7 @@
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/reachability"
+	"github.com/spanlanding/spanlanding/internal/relay"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 	"github.com/spanlanding/spanlanding/internal/storepos"
 )
@@ -116,7 +117,7 @@
 		want   bool
 	}{
 		{"all at the same time", func(*Node) {}, false},
-		{"the other crashed under a request", func(node *Node) { node.suspects.ReportCrash(blamed, "a", 0) }, true},
+		{"the other crashed under a request", func(node *Node) { node.suspects.ReportCrash(relay.Crash{Request: blamed, ServerID: "a"}) }, true},
 		{"the other alone did not answer", func(node *Node) {
 			node.reachable.tracker.RecordFailure(clock.Now(), "models", "a")
 			node.reachable.RecordContact("models", "b")
@@ -170,7 +171,7 @@
 		node := newTestNode(t)
 		node.dispatch.Do(func(core *dispatch.Core) { core.SetServers(append(c.others, server("a", "models", "z", refusing))) })
 		for _, id := range c.crashed {
-			node.suspects.ReportCrash(poison.Fingerprint{1}, id, 0)
+			node.suspects.ReportCrash(relay.Crash{Request: poison.Fingerprint{1}, ServerID: id})
 		}
 		if got := node.reachable.ReachesOthers("models", "a"); got != c.want {
 			t.Errorf("%s: the end of the server counts as seen: %v, want %v", name, got, c.want)
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -45,7 +45,9 @@
 	mu        sync.Mutex
 	tally     *poison.Tracker
 	successes poison.RecentSuccesses
-	repeats   []repeatedReport
+	// partSuccesses are those of parts of prompts.
+	partSuccesses poison.RecentSuccesses
+	repeats       []repeatedReport
 	// barsSentAt is when the barred requests were last sent, and nextBar is the next one to
 	// send. Only the node's ticks use them.
 	barsSentAt time.Time
@@ -77,16 +79,23 @@
 	return s.tally.Status(clock.Now(), fingerprint)
 }
 
-// ReportCrash implements relay.Suspects. It records that a server crashed while running the
-// request.
-func (s *suspects) ReportCrash(fingerprint poison.Fingerprint, serverID string, ran time.Duration) {
+// ReportCrash implements relay.Suspects. It records that a server crashed while running a request with
+// the parts, except for those that ran well lately.
+func (s *suspects) ReportCrash(crash relay.Crash) {
 	s.reportedCrashes.Add(1)
 	now := clock.Now()
-	reports := []poison.Report{{Fingerprint: fingerprint, ServerID: serverID, RanFor: ran}}
-	if acquittals := s.acquit(now, reports); len(acquittals) > 0 {
-		reports = acquittals
+	reports := []poison.Report{{Fingerprint: crash.Request, ServerID: crash.ServerID, RanFor: crash.RanFor}}
+	for _, part := range crash.Parts {
+		reports = append(reports, poison.Report{Fingerprint: part, Request: crash.Request.Key(), ServerID: crash.ServerID, RanFor: crash.RanFor})
 	}
-	s.send(now, s.recordReports(now, "", reports))
+	acquittals := s.acquit(now, reports)
+	s.mu.Lock()
+	reports = slices.DeleteFunc(reports, func(report poison.Report) bool {
+		isAcquitted := slices.ContainsFunc(acquittals, func(a poison.Report) bool { return a.Fingerprint == report.Fingerprint })
+		return isAcquitted || report.Request != 0 && s.tally.SucceededRecently(now, report.Fingerprint)
+	})
+	s.mu.Unlock()
+	s.send(now, s.recordReports(now, "", append(acquittals, reports...)))
 }
 
 // crashedRecently returns the servers that crashed under some request a short time ago.
@@ -99,16 +108,27 @@
 	return s.tally.CrashedRecently(clock.Now())
 }
 
-// ReportSuccess implements relay.Suspects. It clears a suspect request, and remembers that such
-// a request succeeded.
-func (s *suspects) ReportSuccess(fingerprint poison.Fingerprint) {
+// ReportSuccess implements relay.Suspects. It clears what is suspect, and remembers that it ran well.
+func (s *suspects) ReportSuccess(request *poison.Fingerprint, parts []poison.Fingerprint) {
 	now := clock.Now()
+	var acquittals []poison.Report
+	clear := func(fingerprint poison.Fingerprint) {
+		if s.tally.Status(now, fingerprint) != poison.StatusClear {
+			acquittals = append(acquittals, poison.Report{Fingerprint: fingerprint, Acquitted: true})
+		}
+	}
 	s.mu.Lock()
-	s.successes.Add(now, fingerprint)
-	isSuspect := s.tally.Status(now, fingerprint) != poison.StatusClear
+	if request != nil {
+		s.successes.Add(now, *request)
+		clear(*request)
+	}
+	for _, part := range parts {
+		s.partSuccesses.Add(now, part)
+		clear(part)
+	}
 	s.mu.Unlock()
-	if isSuspect {
-		s.send(now, s.recordReports(now, "", []poison.Report{{Fingerprint: fingerprint, Acquitted: true}}))
+	if len(acquittals) > 0 {
+		s.send(now, s.recordReports(now, "", acquittals))
 	}
 }
 
@@ -119,12 +139,12 @@
 	s.tally.RecordRefusal(fingerprint)
 }
 
-// acquit returns an acquittal for each reported request that recently succeeded here and that
-// nobody has acquitted yet.
+// acquit returns an acquittal for each reported request or part that recently succeeded here and
+// that nobody has acquitted yet.
 func (s *suspects) acquit(now time.Time, reports []poison.Report) []poison.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.successes.Acquittals(now, s.tally, reports)
+	return append(s.successes.Acquittals(now, s.tally, reports), s.partSuccesses.Acquittals(now, s.tally, reports)...)
 }
 
 // receive applies the reports of another node.
@@ -215,7 +235,7 @@
 		name = "request_barred"
 	}
 	s.node.options.Logger.Info().Str("fingerprint", report.Fingerprint.String()).Str("server", report.ServerID).
-		Str("from", from).Int64("age_ms", report.Age.Milliseconds()).Int("servers_ended", s.tally.CrashCount(report.Fingerprint)).Msg(name)
+		Str("from", from).Bool("part", report.Request != 0).Int64("age_ms", report.Age.Milliseconds()).Int("servers_ended", s.tally.CrashCount(report.Fingerprint)).Msg(name)
 }
 
 // send sends reports to their targets.
--- a/internal/peer/crashreports.go
+++ b/internal/peer/crashreports.go
@@ -16,7 +16,7 @@
 			continue
 		}
 		reports = append(reports, poison.Report{
-			Fingerprint: fingerprint, ServerID: message.GetServer(), Acquitted: message.GetAcquitted(), Lifted: message.GetLifted(),
+			Fingerprint: fingerprint, Request: message.GetRequest(), ServerID: message.GetServer(), Acquitted: message.GetAcquitted(), Lifted: message.GetLifted(),
 			Age:       time.Duration(message.GetAgeMs()) * time.Millisecond,
 			RanFor:    time.Duration(message.GetRanMs()) * time.Millisecond,
 			BarredFor: time.Duration(message.GetBarredMs()) * time.Millisecond,
@@ -34,7 +34,7 @@
 	encoded := make([]*peerpb.CrashReport, 0, len(reports))
 	for _, report := range reports {
 		encoded = append(encoded, &peerpb.CrashReport{
-			Fingerprint: report.Fingerprint[:], Server: report.ServerID, Acquitted: report.Acquitted, Lifted: report.Lifted,
+			Fingerprint: report.Fingerprint[:], Request: report.Request, Server: report.ServerID, Acquitted: report.Acquitted, Lifted: report.Lifted,
 			AgeMs: uint32(max(0, report.Age.Milliseconds())), RanMs: uint32(max(0, report.RanFor.Milliseconds())),
 			BarredMs: uint32(report.BarredFor.Milliseconds()), BarSerial: report.Bar.Serial,
 			BarAgeMs: uint32(max(0, report.Bar.Age.Milliseconds())), BarTimeMs: uint32(report.Bar.Time.Milliseconds()),
--- a/internal/poison/early.go
+++ b/internal/poison/early.go
@@ -14,8 +14,8 @@
 // many callers would be refused together with the poison request. A crash in such a trial says little,
 // since other requests run there that may have caused it: the trial clears the request or changes
 // nothing. Granting one extends the bar, also at the nodes that hear of it, and so it is the only one.
-func (t *Tracker) isEarlyTrialDue(now time.Time, entry *suspect) bool {
-	return len(entry.crashes) >= CrashLimit && t.hasAlternativeCause(entry) && entry.canTryEarly(now)
+func (t *Tracker) isEarlyTrialDue(now time.Time, fingerprint Fingerprint, entry *suspect) bool {
+	return len(entry.crashes) >= CrashLimit && t.hasAlternativeCause(now, fingerprint, entry) && entry.canTryEarly(now)
 }
 
 // canTryEarly reports whether no trial was granted yet and copies in flight have had time to end.
@@ -26,22 +26,30 @@
 }
 
 // hasAlternativeCause reports whether all servers that crashed under this request also ran one other suspect
-// when they crashed.
-func (t *Tracker) hasAlternativeCause(entry *suspect) bool {
+// when they crashed, which has not succeeded since. The parts of its own prompt are no other suspects.
+func (t *Tracker) hasAlternativeCause(now time.Time, fingerprint Fingerprint, entry *suspect) bool {
 	for _, other := range t.suspects {
-		ranElsewhere := func(c crash) bool { return !other.crashed(c.serverID) }
-		if other != entry && !slices.ContainsFunc(entry.crashes, ranElsewhere) {
+		if other == entry || other.succeededRecently(now) {
+			continue
+		}
+		ranElsewhere := func(c crash) bool { return !other.crashedInOther(c.serverID, fingerprint.Key()) }
+		if !slices.ContainsFunc(entry.crashes, ranElsewhere) {
 			return true
 		}
 	}
 	return false
 }
 
+// crashedInOther reports whether the server crashed under the suspect, in another request than that.
+func (s *suspect) crashedInOther(serverID string, request uint64) bool {
+	return slices.ContainsFunc(s.crashes, func(c crash) bool { return c.serverID == serverID && c.request != request })
+}
+
 // claimEarlyTrial claims a trial within the first bar, if one may be made. A node that started after the
 // first crashes does not know all the servers and trusts the node that asks.
-func (t *Tracker) claimEarlyTrial(now time.Time, entry *suspect) bool {
+func (t *Tracker) claimEarlyTrial(now time.Time, fingerprint Fingerprint, entry *suspect) bool {
 	isComplete := len(entry.crashes) >= CrashLimit
-	if !entry.canTryEarly(now) || isComplete && !t.hasAlternativeCause(entry) {
+	if !entry.canTryEarly(now) || isComplete && !t.hasAlternativeCause(now, fingerprint, entry) {
 		return false
 	}
 	entry.earlyTrialAt, entry.trialPendingUntil = now, now.Add(trialTimeout)
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -43,6 +43,11 @@
 	// maxCrashes bounds the crashes remembered for a request, the latest ones; those beyond CrashLimit
 	// serve to excuse the requests that ran on the same servers.
 	maxCrashes = 8
+	// minPartEvidence is the time over which servers must have crashed until a part is barred: requests
+	// that share it run well meanwhile, if it is harmless. Crashes that follow each other by more than
+	// evidenceGap are judged apart.
+	minPartEvidence = 600 * time.Millisecond
+	evidenceGap     = 10 * time.Second
 	// recentCrash is the time after a crash within which that server is expected to be down.
 	recentCrash = 10 * time.Second
 )
@@ -66,6 +71,9 @@
 // succeeded.
 type Report struct {
 	Fingerprint Fingerprint
+	// Request is the key of the request in whose prompt the part was, in reports of parts; 0 in those of
+	// requests.
+	Request uint64
 	// ServerID is empty where the report tells of a bar only.
 	ServerID string
 	// Age is the time since the event.
@@ -93,6 +101,8 @@
 	// isShared is set where a barred request was running there, too: which of them caused the crash cannot
 	// be told.
 	isShared bool
+	// request is the key of the request that had the part; 0 for a request itself.
+	request uint64
 }
 
 // Points per crash: one that was shared with a barred request counts less, so that a request is barred
@@ -106,9 +116,11 @@
 	limitPoints  = CrashLimit * fullPoints
 )
 
-// suspect is a request under which servers crashed.
+// suspect is a request, or a part of prompts, under which servers crashed.
 type suspect struct {
 	crashes []crash
+	// evidenceSince is when the first of the crashes happened that followed each other within evidenceGap.
+	evidenceSince time.Time
 	// succeededAt is when it last succeeded: earlier crashes do not count.
 	succeededAt time.Time
 	// barredUntil is zero until it is barred; barTime is the length of the current or last bar, barSerial
@@ -150,7 +162,7 @@
 	switch {
 	case !ok || entry.isForgotten(now) || entry.succeededRecently(now):
 		return StatusClear
-	case now.Before(entry.barredUntil) && (entry.refusals < earlyTrialRefusals || !t.isEarlyTrialDue(now, entry)):
+	case now.Before(entry.barredUntil) && (entry.refusals < earlyTrialRefusals || !t.isEarlyTrialDue(now, fingerprint, entry)):
 		return StatusBarred
 	case entry.barTime > 0:
 		return StatusOnTrial
@@ -175,7 +187,9 @@
 	}
 	entry := t.suspectFor(now, report.Fingerprint)
 	wasBarred := now.Before(entry.barredUntil)
-	isNew := report.ServerID != "" && entry.addCrash(crash{serverID: report.ServerID, at: at, ranFor: report.RanFor, isShared: t.isShared(report.Fingerprint, report.ServerID)})
+	isNew := report.ServerID != "" && entry.addCrash(crash{
+		serverID: report.ServerID, at: at, ranFor: report.RanFor, isShared: t.isShared(report.Fingerprint, report.ServerID), request: report.Request,
+	})
 	if at.After(entry.resetAt()) {
 		entry.applyBar(now, report)
 	}
@@ -221,6 +235,9 @@
 	if len(s.crashes) >= maxCrashes && added.at.Before(s.crashes[0].at) {
 		return false
 	}
+	if len(s.crashes) == 0 || added.at.Sub(s.lastCrashAt()) > evidenceGap {
+		s.evidenceSince = added.at
+	}
 	s.crashes = append(s.crashes, added)
 	slices.SortFunc(s.crashes, byTime)
 	s.crashes = s.crashes[max(0, len(s.crashes)-maxCrashes):]
@@ -243,8 +260,35 @@
 	return last.ranFor == 0 || last.at.Add(-last.ranFor).Before(first.at.Add(reportDelayMargin))
 }
 
-// points adds up the crashes, counting those within sameEventWindow as one.
+// points adds up the crashes, counting those within sameEventWindow as one. For a part they count no more
+// than one for each request that had it: a request that crashes every server is barred by itself, and its
+// repeats tell nothing about the parts that it shares.
 func (s *suspect) points() int {
+	points := s.pointsOfEvents()
+	if requests := s.countRequests(); requests > 0 {
+		points = min(points, fullPoints*requests)
+	}
+	return points
+}
+
+// countRequests counts the requests that had the part when servers crashed; 0 for a request itself.
+func (s *suspect) countRequests() int {
+	var requests []uint64
+	for _, c := range s.crashes {
+		if c.request != 0 && !slices.Contains(requests, c.request) {
+			requests = append(requests, c.request)
+		}
+	}
+	return len(requests)
+}
+
+// hadTimeToRunWell reports whether requests with the part, if they are harmless, had time to run well
+// elsewhere since servers began to crash. A request itself needs none: it is barred by its own repeats.
+func (s *suspect) hadTimeToRunWell() bool {
+	return s.countRequests() == 0 || s.lastCrashAt().Sub(s.evidenceSince) >= minPartEvidence
+}
+
+func (s *suspect) pointsOfEvents() int {
 	total, ofEvent := 0, 0
 	var eventStart time.Time
 	for i, c := range s.crashes {
@@ -272,7 +316,7 @@
 	switch {
 	case isRepeated:
 		entry.barTime = min(max(repeatBarTime, 2*entry.barTime), maxBarTime)
-	case entry.barTime == 0 && entry.points() >= limitPoints:
+	case entry.barTime == 0 && entry.points() >= limitPoints && entry.hadTimeToRunWell():
 		entry.barTime = firstBarTime
 	case entry.barTime == 0:
 		return
@@ -404,7 +448,7 @@
 	var reports []Report
 	for _, c := range entry.crashes {
 		reports = append(reports, Report{
-			Fingerprint: fingerprint, ServerID: c.serverID, Age: now.Sub(c.at), RanFor: c.ranFor,
+			Fingerprint: fingerprint, Request: c.request, ServerID: c.serverID, Age: now.Sub(c.at), RanFor: c.ranFor,
 			BarredFor: t.BarRemaining(now, fingerprint), Bar: t.Bar(now, fingerprint),
 		})
 	}
--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -27,7 +27,7 @@
 	case t.isRelatedTrialPending(now, entry):
 		return false
 	case now.Before(entry.barredUntil):
-		return t.claimEarlyTrial(now, entry)
+		return t.claimEarlyTrial(now, fingerprint, entry)
 	}
 	entry.barTime = max(entry.barTime, firstBarTime)
 	// The bar that is over was at least the first, also if this node was not told of it.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -31,7 +31,7 @@
 // attempt sends the request to the chosen server.
 func (x *exchange) attempt(choice dispatch.Choice) attemptResult {
 	x.serverID, x.softwareVersion, x.hint = choice.ServerID, choice.SoftwareVersion, inventory.Hint{}
-	x.estimate = choice.Estimate
+	x.estimate, x.writingSince = choice.Estimate, time.Time{}
 	decision := x.requestAdmission(choice)
 	if !decision.Granted {
 		x.endAttempt(choice, dispatch.OutcomeAbandoned)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -103,8 +103,13 @@
 	sentAt time.Time
 	// serverLiveness is the result of probing the server whose response broke off.
 	serverLiveness backendconn.Liveness
-	// isTrial is set from claiming a trial until its one send is over.
+	// isTrial is set from claiming a trial until its one send is over, and trialOf what it is a trial of.
 	isTrial bool
+	trialOf poison.Fingerprint
+	// writingSince is when the server of the current attempt wrote its first event; zero before.
+	// reportedProgress is set once the parts of the prompt were reported to run well.
+	writingSince     time.Time
+	reportedProgress bool
 	// countedDemand is what the request was last counted as demand for.
 	countedDemand dispatch.Requirements
 	// allowedRegions are the regions in which the request may run, according to regionsTable.
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -13,23 +13,33 @@
 	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
-// Suspects tracks, across all nodes, requests that were running on servers when these crashed, so that
-// a request that crashes every server is not sent to more of them.
+// Suspects tracks, across all nodes, requests and parts of prompts that were running on servers when
+// these crashed, so that one that crashes every server is not sent to more of them.
 type Suspects interface {
 	// Any reports whether any suspect is known.
 	Any() bool
-	// Status is the current status of a request.
+	// Status is the current status of a request or part.
 	Status(fingerprint poison.Fingerprint) poison.Status
-	// ReportCrash reports that a server crashed that had been running the request for that time.
-	ReportCrash(fingerprint poison.Fingerprint, serverID string, running time.Duration)
-	// ReportSuccess reports that a request completed.
-	ReportSuccess(fingerprint poison.Fingerprint)
-	// ClaimTrial asks for permission to send a request on trial once; it is granted to one node only.
+	// ReportCrash reports that a server crashed that had been running a request.
+	ReportCrash(crash Crash)
+	// ReportSuccess reports that the request, or what has the parts, ran well.
+	ReportSuccess(request *poison.Fingerprint, parts []poison.Fingerprint)
+	// ClaimTrial asks for permission to send what is on trial once; it is granted to one node only.
 	ClaimTrial(ctx context.Context, fingerprint poison.Fingerprint) bool
-	// ReportRefusal reports that a copy of a barred request was refused.
+	// ReportRefusal reports that a request was refused because it, or one of its parts, is barred.
 	ReportRefusal(fingerprint poison.Fingerprint)
 }
 
+// Crash is a server that crashed while it ran a request.
+type Crash struct {
+	Request poison.Fingerprint
+	// Parts are the shared parts of its prompt that may have caused the crash.
+	Parts    []poison.Fingerprint
+	ServerID string
+	// RanFor is how long the server had been running the request.
+	RanFor time.Duration
+}
+
 // reasonPoison is the reason of refusals of requests that crashed too many servers.
 const reasonPoison = "poison_request"
 
@@ -68,7 +78,7 @@
 // maxLoggedParts bounds the parts that one line names.
 const maxLoggedParts = 8
 
-// poisonStatus is the current status of the request.
+// poisonStatus is the current status of the request itself.
 func (x *exchange) poisonStatus() poison.Status {
 	suspects := x.handler.options.Suspects
 	if suspects == nil || !suspects.Any() {
@@ -77,25 +87,63 @@
 	return suspects.Status(x.fingerprint())
 }
 
-// isBarred reports whether the request crashed too many servers. A trial that this node has claimed is
-// sent regardless.
-func (x *exchange) isBarred() bool {
-	return !x.isTrial && x.poisonStatus() == poison.StatusBarred
+// suspicion is what is known of a request and the shared parts of its prompt.
+type suspicion struct {
+	isBarred bool
+	// onTrial is what is on trial: the request or one of the parts.
+	onTrial *poison.Fingerprint
+	// causes are those that bar it, or are on trial.
+	causes []poison.Fingerprint
+}
+
+// suspicion returns what is known of the request. A request with two causes on trial tells nothing about
+// either, so it is barred. One for which this node holds a claimed trial is judged by the others.
+func (x *exchange) suspicion() (found suspicion) {
+	suspects := x.handler.options.Suspects
+	if suspects == nil || !suspects.Any() {
+		return found
+	}
+	for _, subject := range append([]poison.Fingerprint{x.fingerprint()}, x.sharedParts()...) {
+		if x.isTrial && subject == x.trialOf {
+			continue
+		}
+		switch suspects.Status(subject) {
+		case poison.StatusBarred:
+			found.isBarred = true
+			found.causes = append(found.causes, subject)
+		case poison.StatusOnTrial:
+			found.isBarred = found.isBarred || found.onTrial != nil || x.isTrial
+			found.onTrial = &subject
+			found.causes = append(found.causes, subject)
+		}
+	}
+	return found
 }
 
+// isBarred reports whether the request, or a part of its prompt, crashed too many servers. A trial that
+// this node has claimed is sent regardless.
+func (x *exchange) isBarred() bool { return x.suspicion().isBarred }
+
 // claimTrialIfDue claims the trial of a request on trial for the send that follows.
 func (x *exchange) claimTrialIfDue() bool {
-	if x.poisonStatus() != poison.StatusOnTrial {
+	found := x.suspicion()
+	switch {
+	case found.isBarred:
+		return false
+	case found.onTrial == nil:
 		return true
 	}
-	x.isTrial = x.handler.options.Suspects.ClaimTrial(x.ctx, x.fingerprint())
+	x.isTrial = x.handler.options.Suspects.ClaimTrial(x.ctx, *found.onTrial)
+	x.trialOf = *found.onTrial
 	return x.isTrial
 }
 
 // refuseBarred gives a barred request its final response, without a Retry-After.
 func (x *exchange) refuseBarred() {
 	x.handler.Metrics.BarredRefused.Add(1)
-	x.handler.options.Suspects.ReportRefusal(x.fingerprint())
+	for _, cause := range x.suspicion().causes {
+		x.handler.options.Suspects.ReportRefusal(cause)
+	}
 	if x.mayHaveRun {
 		x.fail(http.StatusBadGateway, reasonPoison)
 		return
@@ -130,7 +178,34 @@
 	}
 	suspects := x.handler.options.Suspects
 	if suspects != nil && x.serverLiveness == backendconn.LivenessEnded && x.endedUnexpectedly(choice) && x.reachesOthers(choice) {
-		suspects.ReportCrash(x.fingerprint(), choice.ServerID, choice.Attempt.Age(clock.Now()))
+		crash := Crash{Request: x.fingerprint(), ServerID: choice.ServerID, RanFor: choice.Attempt.Age(clock.Now())}
+		if !x.ranWell() {
+			crash.Parts = x.sharedParts()
+		}
+		suspects.ReportCrash(crash)
+	}
+}
+
+// provenRunTime is how long a server writes a response until the request's parts are taken to be
+// harmless: one that crashes servers does so as they begin to write.
+const provenRunTime = 200 * time.Millisecond
+
+// ranWell reports whether the server of the current attempt has been writing for provenRunTime.
+func (x *exchange) ranWell() bool {
+	return !x.writingSince.IsZero() && clock.Since(x.writingSince) >= provenRunTime
+}
+
+// recordProgress records that the server of the current attempt writes, and reports once that the parts
+// of the prompt run well.
+func (x *exchange) recordProgress() {
+	switch {
+	case x.writingSince.IsZero():
+		x.writingSince = clock.Now()
+	case !x.reportedProgress && x.ranWell():
+		x.reportedProgress = true
+		if suspects := x.handler.options.Suspects; suspects != nil {
+			suspects.ReportSuccess(nil, x.sharedParts())
+		}
 	}
 }
 
@@ -140,10 +215,11 @@
 	return unexpected
 }
 
-// reportSuccess reports that the request completed, which clears it and all requests with the same
-// fingerprint of suspicion.
+// reportSuccess reports that the request completed, which clears it, all requests with the same
+// fingerprint and the parts of its prompt of suspicion.
 func (x *exchange) reportSuccess() {
 	if suspects := x.handler.options.Suspects; suspects != nil {
-		suspects.ReportSuccess(x.fingerprint())
+		request := x.fingerprint()
+		suspects.ReportSuccess(&request, x.sharedParts())
 	}
 }
--- /dev/null
+++ b/internal/relay/poison_parts_test.go
@@ -0,0 +1,131 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/poison"
+)
+
+// partSuspects has a status for each part and records what is reported of parts.
+type partSuspects struct {
+	mu               sync.Mutex
+	statuses         map[poison.Fingerprint]poison.Status
+	crashed, ranWell []poison.Fingerprint
+	refused, claimed []poison.Fingerprint
+}
+
+func newPartSuspects(statuses map[string]poison.Status) *partSuspects {
+	s := &partSuspects{statuses: make(map[poison.Fingerprint]poison.Status)}
+	for part, status := range statuses {
+		s.statuses[poison.NewPartFingerprint("svc", part)] = status
+	}
+	return s
+}
+
+func (s *partSuspects) Any() bool { return true }
+
+func (s *partSuspects) Status(fingerprint poison.Fingerprint) poison.Status {
+	return s.statuses[fingerprint]
+}
+
+func (s *partSuspects) ReportCrash(crash Crash) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashed = append(s.crashed, crash.Parts...)
+}
+
+func (s *partSuspects) ReportSuccess(_ *poison.Fingerprint, parts []poison.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ranWell = append(s.ranWell, parts...)
+}
+
+func (s *partSuspects) ClaimTrial(_ context.Context, fingerprint poison.Fingerprint) bool {
+	s.claimed = append(s.claimed, fingerprint)
+	return true
+}
+
+func (s *partSuspects) ReportRefusal(fingerprint poison.Fingerprint) {
+	s.refused = append(s.refused, fingerprint)
+}
+
+func partsNamed(names ...string) (parts []poison.Fingerprint) {
+	for _, name := range names {
+		parts = append(parts, poison.NewPartFingerprint("svc", name))
+	}
+	return parts
+}
+
+// TestRequestWithABarredPartIsNotSent guards against sending what is known to crash servers, against
+// refusing requests for their last part, which no other has, and against a trial that tells nothing.
+func TestRequestWithABarredPartIsNotSent(t *testing.T) {
+	cases := map[string]struct {
+		statuses map[string]poison.Status
+		sent     bool
+		refused  []poison.Fingerprint
+		claimed  []poison.Fingerprint
+	}{
+		"nothing suspect":          {sent: true},
+		"suspect parts":            {statuses: map[string]poison.Status{"a": poison.StatusSuspect, "b": poison.StatusSuspect}, sent: true},
+		"the first part barred":    {statuses: map[string]poison.Status{"a": poison.StatusBarred}, refused: partsNamed("a")},
+		"the second part barred":   {statuses: map[string]poison.Status{"b": poison.StatusBarred}, refused: partsNamed("b")},
+		"the last part barred":     {statuses: map[string]poison.Status{"own": poison.StatusBarred}, sent: true},
+		"one part on trial":        {statuses: map[string]poison.Status{"a": poison.StatusOnTrial}, sent: true, claimed: partsNamed("a")},
+		"both parts on trial":      {statuses: map[string]poison.Status{"a": poison.StatusOnTrial, "b": poison.StatusOnTrial}, refused: partsNamed("a", "b")},
+		"one barred, one on trial": {statuses: map[string]poison.Status{"a": poison.StatusOnTrial, "b": poison.StatusBarred}, refused: partsNamed("a", "b")},
+	}
+	for name, c := range cases {
+		server := newFakeServer(t, respondWith(http.StatusOK, "done"))
+		f := newFixture(t, server)
+		suspects := newPartSuspects(c.statuses)
+		f.handler.options.Suspects = suspects
+		got := f.send(t, http.MethodPost, "/often/x", "body", "X-Parts", "a,b,own")
+		if isSent := server.count() == 1; isSent != c.sent || (got.status == http.StatusOK) != c.sent || got.header.Get("Retry-After") != "" {
+			t.Errorf("%s: got %+v after %d sends, want it sent: %v", name, got, server.count(), c.sent)
+		}
+		if !slices.Equal(suspects.refused, c.refused) || !slices.Equal(suspects.claimed, c.claimed) {
+			t.Errorf("%s: refused for %v, claimed %v", name, suspects.refused, suspects.claimed)
+		}
+		if c.sent && !slices.Equal(suspects.ranWell, partsNamed("a", "b")) {
+			t.Errorf("%s: %v ran well, want the shared parts", name, suspects.ranWell)
+		}
+	}
+}
+
+// TestPartsAreBlamedAtTheBeginningOnly guards against blaming a part for the crash of a server that had
+// been writing an answer on it: the part that crashes servers does so as they begin to write.
+func TestPartsAreBlamedAtTheBeginningOnly(t *testing.T) {
+	for name, c := range map[string]struct {
+		writesFor time.Duration
+		blamed    []poison.Fingerprint
+	}{
+		"crashes before its first event": {blamed: partsNamed("a", "b")},
+		"crashes later":                  {writesFor: 2 * provenRunTime},
+	} {
+		var server *fakeServer
+		server = newFakeServer(t, func(conn net.Conn, request *http.Request) bool {
+			write(conn, streamHead)
+			for begin := time.Now(); time.Since(begin) < c.writesFor; time.Sleep(20 * time.Millisecond) {
+				write(conn, chunk("id: 1\ndata: x\n\n"))
+			}
+			_ = server.listener.Close()
+			return reset(conn)
+		})
+		f := newFixture(t, server)
+		suspects := newPartSuspects(nil)
+		f.handler.options.Suspects = suspects
+		f.send(t, http.MethodPost, "/stream/", "body", "X-Parts", "a,b,own")
+		if !slices.Equal(suspects.crashed, c.blamed) {
+			t.Errorf("%s: blamed %v, want %v", name, suspects.crashed, c.blamed)
+		}
+		if ranWell := len(suspects.ranWell) > 0; ranWell != (c.writesFor > 0) {
+			t.Errorf("%s: parts reported to run well: %v", name, ranWell)
+		}
+	}
+}
--- a/internal/relay/poison_test.go
+++ b/internal/relay/poison_test.go
@@ -32,13 +32,13 @@
 	return s.status
 }
 
-func (s *fakeSuspects) ReportCrash(_ poison.Fingerprint, serverID string, _ time.Duration) {
+func (s *fakeSuspects) ReportCrash(crash Crash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashReports = append(s.crashReports, serverID)
+	s.crashReports = append(s.crashReports, crash.ServerID)
 }
 
-func (s *fakeSuspects) ReportSuccess(poison.Fingerprint) {
+func (s *fakeSuspects) ReportSuccess(*poison.Fingerprint, []poison.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.successes++
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -32,6 +32,11 @@
 	if head.RequestID == "" {
 		return head, errNoID
 	}
+	if parts := header.Get("X-Parts"); parts != "" {
+		for part := range strings.SplitSeq(parts, ",") {
+			head.PromptParts = append(head.PromptParts, dispatch.PromptPart{ID: part, Tokens: 10})
+		}
+	}
 	if wait, err := time.ParseDuration(header.Get("X-Wait")); err == nil {
 		head.Deadline = wait
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -92,6 +92,7 @@
 		x.writeResponseHead(response, false, 0)
 	}
 	x.timing.record(clock.Since(x.arrived))
+	x.recordProgress()
 	for len(events) > 0 {
 		end := bytes.Index(events, eventTerminator) + len(eventTerminator)
 		if id := eventID(events[:end]); id != "" {
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -6,7 +6,6 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
-	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/waiting"
 )
 
@@ -150,11 +149,11 @@
 // waitingState is the request's current state for package waiting.
 func (x *exchange) waitingState() waiting.State {
 	refuseAt := x.handler.refuseWaitingAt.Load()
-	status := x.poisonStatus()
+	suspicion := x.suspicion()
 	return waiting.State{
 		CallerGone:      x.callerGone(),
-		IsBarred:        !x.isTrial && status == poison.StatusBarred,
-		IsOnTrial:       x.isTrial || status == poison.StatusOnTrial,
+		IsBarred:        suspicion.isBarred,
+		IsOnTrial:       x.isTrial || suspicion.onTrial != nil,
 		NodeStopping:    refuseAt != nil && !clock.Now().Before(*refuseAt),
 		AllServersTried: !x.needsModel && len(x.failedServers) > 0,
 		MayHaveRun:      x.headSent || x.mayHaveRun,
