Test of early answers: the time that a connection may take is not the product's

With a dial that takes 600 ms it fails the same way each time (503 twice, 1.24 s, no connection): dials that outlast the pool's 500 ms, by the wall clock, are not what it tests. The fixture allows 10 s, and each dial of this test takes 600 ms now, so the old failure would show each time.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/storepos"
@@ -269,6 +270,7 @@
 	table := testTable()
 	table.Limits.MaxBodyBytes = 64 << 20
 	f.handler.SetTable(table)
+	f.onDial = func() { time.Sleep(backendconn.DefaultDialTimeout + 100*time.Millisecond) }
 	large := strings.Repeat("x", 16<<20)
 	for range 2 {
 		if got := f.send(t, http.MethodPost, "/once/", large); got.body != "early" {
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -167,6 +167,9 @@
 	onDial func()
 }
 
+// fixtureDialTimeout is longer than any connection on loopback takes on a busy machine.
+const fixtureDialTimeout = 10 * time.Second
+
 func newFixture(t *testing.T, servers ...*fakeServer) *fixture {
 	t.Helper()
 	shared := dispatch.NewShared(dispatch.Options{Zone: "z", Seed: 1})
@@ -178,7 +181,7 @@
 	handler := New(Options{
 		Dialect:  testDialect{},
 		Dispatch: shared,
-		Pool:     backendconn.New(backendconn.Options{Dial: dial}),
+		Pool:     backendconn.New(backendconn.Options{Dial: dial, DialTimeout: fixtureDialTimeout}),
 		Budget:   retrybudget.Options{Ratio: 0.2, Extra: 54, Window: 10 * time.Second},
 		Logger:   logging.Discard(),
 	})
