Tests of answers that end with their connection

An answer with neither a length nor chunks is whole at the end of its connection, a stream that ends inside an event is not, and is resumed where its route allows it. No code changed; both held before.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -503,3 +503,46 @@
 		t.Errorf("%d requests reached a server", server.count())
 	}
 }
+
+// TestAnswersThatEndWithTheirConnection guards against taking an answer without a length or chunks for
+// broken, or a stream that ends inside an event for whole.
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	head := func(kind string) string { return "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Type: " + kind + "\r\n\r\n" }
+	cases := map[string]struct {
+		path, text string
+		isWhole    bool
+	}{
+		"answer":                         {"/once/", head("text/plain") + "the bytes", true},
+		"stream":                         {"/stream/", head("text/event-stream") + events(1, 2), true},
+		"stream that ends in an event":   {"/stream/", head("text/event-stream") + events(1) + "id: 2\nda", false},
+		"resumable, ends in an event":    {"/resume/", head("text/event-stream") + events(1) + "id: 2\nda", true},
+		"resumable, ends after an event": {"/resume/", head("text/event-stream") + events(1, 2), true},
+	}
+	for name, c := range cases {
+		server := newFakeServer(t, func(conn net.Conn, request *http.Request) bool {
+			if request.Header.Get("X-Last") == "1" {
+				write(conn, head("text/event-stream")+events(2))
+				return false
+			}
+			write(conn, c.text)
+			return false
+		})
+		other := newFakeServer(t, func(conn net.Conn, request *http.Request) bool {
+			write(conn, head("text/event-stream")+events(2))
+			return false
+		})
+		f := newFixture(t, server)
+		if c.path == "/resume/" {
+			f.dispatch.Do(func(core *dispatch.Core) {
+				core.SetServers([]inventory.Change{{Server: inventory.Server{ID: "later", Service: "svc", Address: other.address, Zone: "far", Slots: 8}}})
+			})
+		}
+		got := f.send(t, http.MethodPost, c.path, "")
+		if isWhole := got.err == nil && got.status == http.StatusOK; isWhole != c.isWhole {
+			t.Errorf("%s: got %+v, want it whole: %v", name, got, c.isWhole)
+		}
+		if c.isWhole && c.path != "/once/" && !strings.HasSuffix(got.body, events(2)) {
+			t.Errorf("%s: got %q", name, got.body)
+		}
+	}
+}
