--- a/test/platform/builds_test.go
+++ b/test/platform/builds_test.go
@@ -15,7 +15,7 @@
 
 // olderCommit is the previous release, which runs next to the current build during a rolling
 // upgrade.
-const olderCommit = "5e8a55b"
+const olderCommit = "e3359b21"
 
 var olderBinary struct {
 	once   sync.Once
