Soak: requests with a part in common that crashes servers

Kind server-ends-under-part: they come at all nodes, no two alike, and share their first part with all callers; judged by the users' bound (three sent later than the reconnect time after the fifth end).

--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -282,9 +282,9 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if m.onPoison != nil && strings.HasPrefix(string(body), poisonBody) {
+	if culprit := culpritOf(request, string(body)); m.onPoison != nil && culprit != "" {
 		m.mu.Unlock()
-		m.onPoison(writer, request, string(body))
+		m.onPoison(writer, request, culprit)
 		return
 	}
 	m.runs[id]++
--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -64,7 +64,10 @@
 }
 
 // allKinds returns all kinds of faults.
-func allKinds() []kind { return append(thirdKinds(), tenantKinds()...) }
+func allKinds() []kind { return append(fourthKinds(), partKinds()...) }
+
+// fourthKinds returns the kinds that seeds up to 19,999 were played with.
+func fourthKinds() []kind { return append(thirdKinds(), tenantKinds()...) }
 
 // thirdKinds returns the kinds that the most recent regression seeds draw from.
 func thirdKinds() []kind { return append(append(secondKinds(), limitKinds()...), rollbackKinds()...) }
@@ -181,6 +184,8 @@
 		return secondKinds(), nil
 	case "third":
 		return thirdKinds(), nil
+	case "fourth":
+		return fourthKinds(), nil
 	}
 	var named []kind
 	for name := range strings.SplitSeq(list, ",") {
--- a/test/platform/soak_poison_test.go
+++ b/test/platform/soak_poison_test.go
@@ -8,8 +8,10 @@
 	"time"
 )
 
-// soakPoison records one poison request of the soak.
+// soakPoison records one poison request of the soak, or the requests with one part that crashes servers.
 type soakPoison struct {
+	// isPart is set for a part.
+	isPart bool
 	// sends holds when it reached servers and from which node, and ended when servers crashed on
 	// it.
 	sends []poisonSend
@@ -53,6 +55,58 @@
 	}()
 }
 
+// deadlyPartKind sends requests that have a part in common which crashes each server, no two alike.
+const deadlyPartKind = "server-ends-under-part"
+
+// partKinds returns the kinds in which a part of prompts crashes servers.
+func partKinds() []kind {
+	return []kind{{deadlyPartKind, 2, func(s *soak, d drawnFault) {
+		if s.options.hasProxies {
+			s.sendDeadlyPart(d)
+		}
+	}}}
+}
+
+// sendDeadlyPart sends requests with one deadly part to different nodes. They share their first part with
+// all other callers.
+func (s *soak) sendDeadlyPart(drawn drawnFault) {
+	s.mu.Lock()
+	part := fmt.Sprint(deadlyPart, len(s.poisons))
+	s.poisons[part] = &soakPoison{isPart: true}
+	s.mu.Unlock()
+	took := 2*drawn.duration + soakReconnect
+	s.disturb(serverScope, "", fmt.Sprintf("requests with part %q are sent", part), took)
+	s.activeFaults.Add(1)
+	go func() {
+		defer s.activeFaults.Done()
+		for number, end := 0, time.Now().Add(took); time.Now().Before(end); number++ {
+			n := s.nodes[(drawn.server+number*number)%len(s.nodes)]
+			body := fmt.Sprintf("request %d", number)
+			request := soakRequest{id: fmt.Sprintf("%s %s %d", n.name, part, number), path: "/chat/x", model: "m0"}.build(n, strings.NewReader(body), int64(len(body)))
+			request.Header.Set("Prefix-Hash", fmt.Sprintf("a1:60,%s:20,own%d:20", part, number))
+			// The result is checked by what the servers recorded.
+			if response, err := http.DefaultClient.Do(request); err == nil {
+				_ = response.Body.Close()
+			}
+			time.Sleep(poisonPause)
+		}
+	}()
+}
+
+// culpritOf returns what crashes the server that runs the request: its body, or a part of its prompt;
+// empty if nothing does.
+func culpritOf(request *http.Request, body string) string {
+	if strings.HasPrefix(body, poisonBody) {
+		return body
+	}
+	for entry := range strings.SplitSeq(request.Header.Get("Prefix-Hash"), ",") {
+		if part, _, _ := strings.Cut(entry, ":"); strings.HasPrefix(part, deadlyPart) {
+			return part
+		}
+	}
+	return ""
+}
+
 // crashOnPoison runs a poison request and crashes the server.
 func (s *soak) crashOnPoison(m *modelServer, writer http.ResponseWriter, request *http.Request, body string) {
 	node, _, _ := strings.Cut(request.Header.Get("Request-Id"), " ")
@@ -86,18 +140,22 @@
 // to know them, and other requests that were refused as poison requests.
 func (s *soak) checkPoison() {
 	for body, poison := range s.poisons {
-		if len(poison.ended) < maxCrashes {
+		crashes := maxCrashes
+		if poison.isPart {
+			crashes = partCrashes
+		}
+		if len(poison.ended) < crashes {
 			continue
 		}
-		thirdCrash, lateSends := poison.ended[maxCrashes-1], 0
+		knownAt, lateSends := poison.ended[crashes-1], 0
 		for _, sent := range poison.sends {
-			if sent.at.Sub(thirdCrash) > soakReconnect+s.options.slack && !s.isDisturbed(sent.node, sent.at.Add(-soakReconnect), sent.at, nodeScope) &&
+			if sent.at.Sub(knownAt) > soakReconnect+s.options.slack && !s.isDisturbed(sent.node, sent.at.Add(-soakReconnect), sent.at, nodeScope) &&
 				!s.isDisturbed(sent.node, sent.at.Add(-soakReconnect), sent.at, plannedNodeScope) {
 				lateSends++
 			}
 		}
 		if lateSends > maxLateSends {
-			s.report("BUDGET: %q reached servers %d times from undisturbed nodes, more than %v after its third crash", body, lateSends, soakReconnect)
+			s.report("BUDGET: %q reached servers %d times from undisturbed nodes, more than %v after crash %d", body, lateSends, soakReconnect, crashes)
 		}
 		s.t.Logf("%q crashed %d servers and reached servers %d times", body, len(poison.ended), len(poison.sends))
 	}
