--- a/test/platform/node_test.go
+++ b/test/platform/node_test.go
@@ -82,6 +82,8 @@
 	deadline              time.Duration
 	// prefix lists the prompt's parts; empty means two fixed ones.
 	prefix string
+	// newConn is set to open a connection for this request alone.
+	newConn bool
 }
 
 func (n *node) sendRequest(r callerRequest) reply {
@@ -89,7 +91,7 @@
 	if err != nil {
 		return reply{err: err}
 	}
-	request.Host = "host.example"
+	request.Host, request.Close = "host.example", r.newConn
 	request.Header.Set("Request-Id", r.id)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(r.deadline.Milliseconds(), 10))
 	if r.model != "" {
--- a/test/platform/unreachable_test.go
+++ b/test/platform/unreachable_test.go
@@ -268,6 +268,11 @@
 // countFirstAttempts sends commands and chats to each of the nodes until the time is over, without
 // waiting for answers.
 func countFirstAttempts(nodes []*node, duration time.Duration) firstAttempts {
+	return countFirstAttemptsOver(nodes, duration, false)
+}
+
+// countFirstAttemptsOver is countFirstAttempts, if newConns is set with a new connection each.
+func countFirstAttemptsOver(nodes []*node, duration time.Duration, newConns bool) firstAttempts {
 	var mu sync.Mutex
 	var counted firstAttempts
 	var callers sync.WaitGroup
@@ -279,6 +284,7 @@
 				{path: "/chat/x", model: "m1", deadline: 5 * time.Second},
 			} {
 				request.id, request.body = fmt.Sprintf("%s-%s%d-%d", n.name, request.model, number, begin.UnixNano()), "body"
+				request.newConn = newConns
 				callers.Go(func() {
 					got := n.sendRequest(request)
 					mu.Lock()
@@ -393,3 +399,28 @@
 		m.mu.Unlock()
 	}
 }
+
+// TestNodeThatGetsMostConnectionsServes guards against a node that serves less of what it reads while
+// most new connections of the fleet come to it, and callers open twice as many.
+func TestNodeThatGetsMostConnectionsServes(t *testing.T) {
+	const servedShare = 3.0 / 4
+	f := newFleet(t, 4)
+	for i := range 6 {
+		newServer(t, f.store, fmt.Sprintf("i-c%d", i), "commands", 0)
+		newServerIn(t, f.store, "z", fmt.Sprintf("i-m%d", i), "models", 200*time.Millisecond, "m1")
+	}
+	f.store.put("config", "main", newConfig(1))
+	f.awaitReady()
+	countFirstAttempts(f.nodes, time.Second)
+	before := countFirstAttempts(f.nodes, 2*time.Second)
+	var most []*node
+	for range 2 * len(f.nodes) {
+		most = append(most, f.nodes[0])
+	}
+	countFirstAttemptsOver(most, contactTime, true)
+	during := countFirstAttemptsOver(most, 3*time.Second, true)
+	t.Logf("before %+v, while most connections come to one node %+v", before, during)
+	if during.share() < servedShare*before.share() {
+		t.Errorf("%.2f of %d first attempts were served, %.2f of %d before", during.share(), during.total(), before.share(), before.total())
+	}
+}
