Streams: a server confirms its start after the first event

Where several versions serve, the server is asked for its start beside each new stream, after its first event went to the caller, and the origin is recorded once more as certain; certain ones are not reviewed. Calls for reports, the leader's and these, go through one function that keeps to the server's limits; a server that names a rate limit is not asked about new streams. Weighed: a shorter time of doubt (refuses the same streams), clocks of servers (they jump).

--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -392,15 +392,7 @@
 func (l *leader) fetchReport(ctx context.Context, call placer.ReportRequest) {
 	core := l.core
 	go func() {
-		report, err := placer.Report{}, errCallNotAdmitted
-		admitted := l.node.admissions.AdmitInternalCall(ctx, call.Start())
-		if l.mayCallServer(call.Start(), admitted) {
-			report, err = l.node.options.Engines.FetchReport(ctx, call)
-			l.node.reachable.recordCall(call.ServerID, err)
-			l.node.hints.receiveFromCall(call.Start(), report.Hint, hintFromReport)
-		} else if admitted.Granted {
-			l.node.admissions.ReturnGrant(call.Start(), admitted)
-		}
+		report, err := l.askForReport(ctx, call)
 		l.deliver(ctx, func() {
 			addLimit(l.node.options.Logger.Info(), report.Hint).Str("server", call.ServerID).Int64("sequence", report.Sequence).
 				Bool("busy", report.Busy).Int("models", len(report.Models)).Bool("ok", err == nil).Msg("report_read")
@@ -409,6 +401,21 @@
 	}()
 }
 
+// askForReport asks a server for its report, if the server's limits admit the call.
+func (l *leader) askForReport(ctx context.Context, call placer.ReportRequest) (placer.Report, error) {
+	admitted := l.node.admissions.AdmitInternalCall(ctx, call.Start())
+	if !l.mayCallServer(call.Start(), admitted) {
+		if admitted.Granted {
+			l.node.admissions.ReturnGrant(call.Start(), admitted)
+		}
+		return placer.Report{}, errCallNotAdmitted
+	}
+	report, err := l.node.options.Engines.FetchReport(ctx, call)
+	l.node.reachable.recordCall(call.ServerID, err)
+	l.node.hints.receiveFromCall(call.Start(), report.Hint, hintFromReport)
+	return report, err
+}
+
 // publish sends the leader's views to all nodes. The interval grows with the number of nodes, so
 // that the cost per second stays constant.
 func (l *leader) publish(now time.Time) {
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -40,9 +40,9 @@
 	// starts tells which origins are certain.
 	starts *origins.Starts
 	// inProgress holds the streams that this node passes on, and when the origin of each was last sent;
-	// repeats are those that are sent again in the next period.
+	// repeats are those whose origin is sent again in the next period.
 	inProgress map[origins.Key]time.Time
-	repeats    []origins.Entry
+	repeats    []origins.Key
 	// pending holds this node's questions to others.
 	pending *pendingCalls[*peerpb.OriginCall]
 }
@@ -62,9 +62,12 @@
 	isMixed := len(o.recentVersions(now, entry.Origin.Service)) > 1
 	o.mu.Lock()
 	o.table.Put(now, entry)
-	o.inProgress[entry.Key] = now
-	if isMixed {
-		o.repeats = append(o.repeats, entry)
+	if _, isInProgress := o.inProgress[entry.Key]; isInProgress || !entry.IsCertain {
+		// A confirmation may come after the stream's end.
+		o.inProgress[entry.Key] = now
+	}
+	if isMixed && !entry.IsCertain {
+		o.repeats = append(o.repeats, entry.Key)
 	}
 	o.mu.Unlock()
 	o.send(now, []origins.Entry{entry})
@@ -153,13 +156,18 @@
 // tick repeats what was sent in the last period, and what this node passes on for longer.
 func (o *streamOrigins) tick(now time.Time) {
 	o.mu.Lock()
-	due := o.repeats
+	keys := o.repeats
 	o.repeats = nil
 	for key, sentAt := range o.inProgress {
-		if now.Sub(sentAt) < originRefreshPeriod {
-			continue
+		if _, ok := o.table.Find(now, key); !ok {
+			delete(o.inProgress, key)
+		} else if now.Sub(sentAt) >= originRefreshPeriod {
+			o.inProgress[key] = now
+			keys = append(keys, key)
 		}
-		o.inProgress[key] = now
+	}
+	var due []origins.Entry
+	for _, key := range keys {
 		if entry, ok := o.table.Find(now, key); ok {
 			due = append(due, entry)
 		}
@@ -202,7 +210,7 @@
 
 // currentStart asks a model server for its current start.
 func (o *streamOrigins) currentStart(ctx context.Context, start inventory.Start, address string) (inventory.Start, error) {
-	report, err := o.node.options.Engines.FetchReport(ctx, placer.ReportRequest{ServerID: start.ID, Address: address})
+	report, err := o.node.leader.askForReport(ctx, placer.ReportRequest{ServerID: start.ID, StartedAtMs: start.StartedAtMs, Address: address})
 	return inventory.Start{ID: start.ID, StartedAtMs: report.StartedAtMs}, err
 }
 
@@ -294,6 +302,7 @@
 		Key: entry.Key[:], Service: entry.Origin.Service, SoftwareVersion: entry.Origin.SoftwareVersion,
 		LeftMs: uint32(max(0, entry.ExpiresAt.Sub(now)).Milliseconds()),
 		Server: entry.Server.ServerID, Born: entry.Server.StartedAtMs, AgeMs: ageMillis(now, entry.RecordedAt),
+		Certain: entry.IsCertain,
 	}
 }
 
@@ -307,5 +316,6 @@
 		Key: key, Origin: origins.Origin{Service: encoded.Service, SoftwareVersion: encoded.SoftwareVersion},
 		ExpiresAt: now.Add(time.Duration(encoded.LeftMs) * time.Millisecond),
 		Server:    origins.Start{ServerID: encoded.Server, StartedAtMs: encoded.Born}, RecordedAt: now.Add(-time.Duration(encoded.AgeMs) * time.Millisecond),
+		IsCertain: encoded.Certain,
 	}, ok
 }
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -65,6 +65,8 @@
 	Server Start
 	// RecordedAt is when the request was sent to the server.
 	RecordedAt time.Time
+	// IsCertain is set once the server said, after its first event, that it is still that start.
+	IsCertain bool
 	// ExpiresAt is when callers no longer resume the stream.
 	ExpiresAt time.Time
 }
@@ -91,6 +93,10 @@
 	if isKnown && known.ExpiresAt.After(entry.ExpiresAt) {
 		entry.ExpiresAt = known.ExpiresAt
 	}
+	if isKnown && known.IsCertain && !entry.IsCertain && known.Server == entry.Server {
+		known.ExpiresAt = entry.ExpiresAt
+		entry = known
+	}
 	t.entries[entry.Key] = entry
 	if isKnown {
 		return
--- a/internal/origins/starts.go
+++ b/internal/origins/starts.go
@@ -60,7 +60,7 @@
 func (s *Starts) Review(entry Entry) Entry {
 	current, ok := s.known[entry.Server.ServerID]
 	switch {
-	case !ok || entry.Server.ServerID == "":
+	case !ok || entry.Server.ServerID == "" || entry.IsCertain:
 	case current.startedAtMs == entry.Server.StartedAtMs || current.softwareVersion == entry.Origin.SoftwareVersion:
 	case current.isFirst || entry.RecordedAt.After(current.knownAt.Add(-s.settleTime)):
 		entry.Origin.SoftwareVersion = ""
--- a/internal/origins/starts_test.go
+++ b/internal/origins/starts_test.go
@@ -11,6 +11,11 @@
 	const settle = 3 * time.Second
 	at := func(s float64) time.Time { return begin.Add(time.Duration(s * float64(time.Second))) }
 	former, later := Start{"a", 1}, Start{"a", 2}
+	certain := NewStarts(settle)
+	certain.Observe(begin, later, "v2")
+	if certain.Review(Entry{Origin: Origin{SoftwareVersion: "v1"}, Server: former, RecordedAt: begin, IsCertain: true}).Origin.SoftwareVersion != "v1" {
+		t.Error("an origin that its server confirmed is uncertain")
+	}
 	cases := map[string]struct {
 		observe func(s *Starts)
 		// recordedAt is in seconds.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
@@ -77,7 +78,9 @@
 	// lastEventID is the ID of the last whole event that the caller got.
 	lastEventID string
 	eventCount  int
-	timing      eventTiming
+	// onFirstEvent is called after the first event of the response was passed on; nil for forwarded ones.
+	onFirstEvent func()
+	timing       eventTiming
 	// waitedBefore is the time spent waiting for servers in earlier choices.
 	waitedBefore time.Duration
 	// waitingSince is when the choice of a server that is in progress began; zero between choices.
@@ -92,6 +95,8 @@
 	// when; zero if that is not known.
 	originServer origins.Start
 	originSentAt time.Time
+	// isOriginConfirmed is set once that server said, after its first event, that it is still that start.
+	isOriginConfirmed atomic.Bool
 	// isResumption is set where the caller resumes a stream of an earlier attempt.
 	isResumption bool
 	// overdue follows the announced readiness that the request waits for, and notices when it is overdue.
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -102,6 +102,7 @@
 		x.setService(origin.Service)
 		x.setOrigin(origin, answer.Source)
 		x.originServer, x.originSentAt = answer.Entry.Server, answer.Entry.RecordedAt
+		x.isOriginConfirmed.Store(answer.Entry.IsCertain)
 		return true
 	case len(answer.Versions) <= 1:
 		x.setOrigin(origins.Origin{Service: x.service, SoftwareVersion: onlyVersion(answer.Versions)}, originOneVersion)
@@ -176,7 +177,7 @@
 // the time in which a later start of the server may not be known yet, the server itself is asked: if it
 // has started again, either start may have written them. A server that is down has not.
 func (x *exchange) isOriginCertain(entry origins.Entry) bool {
-	if entry.Server.ServerID == "" || x.handler.options.CurrentStart == nil || clock.Since(entry.RecordedAt) > dispatch.VersionSettleTime {
+	if entry.Server.ServerID == "" || entry.IsCertain || x.handler.options.CurrentStart == nil || clock.Since(entry.RecordedAt) > dispatch.VersionSettleTime {
 		return true
 	}
 	address, ok := "", false
@@ -189,6 +190,30 @@
 	return err != nil || current.StartedAtMs == 0 || current == start
 }
 
+// confirmOrigin asks the server that wrote the first event, which was passed on before, whether it is
+// still the start that was chosen, and records that. It need not be where one software version serves,
+// and is not done at the expense of a server that bounds its requests.
+func (x *exchange) confirmOrigin(choice dispatch.Choice) {
+	if x.isResumption || x.route.RetryPolicy != routetable.RetryResume || !x.needsModel || x.handler.options.CurrentStart == nil || x.servesOneVersion() {
+		return
+	}
+	start, isLimited := choice.Attempt.Start(), false
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { _, isLimited = core.RateLimit(start) })
+	if isLimited {
+		return
+	}
+	origin, confirmed := *x.origin, x.originEntry(*x.origin)
+	go func() {
+		current, err := x.askCurrentStart(start, choice.Address)
+		if err != nil || current != start || origin.SoftwareVersion == "" {
+			return
+		}
+		x.isOriginConfirmed.Store(true)
+		confirmed.IsCertain = true
+		x.handler.options.Origins.Record(confirmed)
+	}()
+}
+
 // askCurrentStart asks a server for its current start.
 func (x *exchange) askCurrentStart(start inventory.Start, address string) (inventory.Start, error) {
 	ctx, cancel := context.WithTimeout(x.ctx, startCheckTimeout)
@@ -205,12 +230,7 @@
 	if !isGoingOn || !x.needsModel || x.handler.options.CurrentStart == nil || x.servesOneVersion() {
 		return true
 	}
-	mayCall := false
 	start := choice.Attempt.Start()
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { mayCall = core.MayCall(clock.Now(), start) })
-	if !mayCall {
-		return false
-	}
 	current, err := x.askCurrentStart(start, choice.Address)
 	return err == nil && (current.StartedAtMs == 0 || current == start)
 }
@@ -229,13 +249,19 @@
 	if x.handler.options.Origins == nil || x.route.RetryPolicy != routetable.RetryResume || x.forwarded != nil || x.isResumption && x.head.Resumes == "" {
 		return
 	}
+	x.handler.options.Origins.Record(x.originEntry(*x.origin))
+}
+
+// originEntry is the record of the origin.
+func (x *exchange) originEntry(origin origins.Origin) origins.Entry {
 	expires := x.deadline
 	if x.head.Deadline > 0 {
 		expires = x.arrived.Add(x.head.Deadline)
 	}
-	x.handler.options.Origins.Record(origins.Entry{
-		Key: x.streamKey(), Origin: *x.origin, ExpiresAt: expires.Add(originMargin), Server: x.originServer, RecordedAt: x.originSentAt,
-	})
+	return origins.Entry{
+		Key: x.streamKey(), Origin: origin, ExpiresAt: expires.Add(originMargin), Server: x.originServer, RecordedAt: x.originSentAt,
+		IsCertain: x.isOriginConfirmed.Load(),
+	}
 }
 
 // reviewOrigin corrects the origin of a stream that broke off, if its server turns out to have started
@@ -244,7 +270,7 @@
 	if x.origin == nil || x.servesOneVersion() {
 		return
 	}
-	entry := origins.Entry{Server: x.originServer, RecordedAt: x.originSentAt}
+	entry := origins.Entry{Server: x.originServer, RecordedAt: x.originSentAt, IsCertain: x.isOriginConfirmed.Load()}
 	if version == x.origin.SoftwareVersion && x.isOriginCertain(entry) {
 		return
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,6 +33,7 @@
 		x.handleBrokenResponse(choice)
 		return x.retryOrGiveUp(reasonOtherVersion)
 	}
+	x.onFirstEvent = func() { x.confirmOrigin(choice) }
 	err := x.copyEvents(response, func(count int) { x.countBytes(choice, count) })
 	if errors.Is(err, io.EOF) {
 		return x.finishStream(choice, response)
@@ -92,6 +93,7 @@
 		x.writeResponseHead(response, false, 0)
 	}
 	x.timing.record(clock.Since(x.arrived))
+	isFirst := x.eventCount == 0
 	x.recordProgress()
 	for len(events) > 0 {
 		end := bytes.Index(events, eventTerminator) + len(eventTerminator)
@@ -102,6 +104,9 @@
 		_, _ = x.writer.Write(events[:end])
 		events = events[end:]
 	}
+	if isFirst && x.onFirstEvent != nil {
+		x.onFirstEvent()
+	}
 }
 
 // eventTiming records when the events of a response were passed on.
