--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -7,7 +7,6 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
-	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/origins"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
@@ -170,76 +169,6 @@
 	return true
 }
 
-// startCheckTimeout bounds the question to a server for its current start.
-const startCheckTimeout = 200 * time.Millisecond
-
-// isOriginCertain reports whether the start that was recorded for a stream wrote its first events. Within
-// the time in which a later start of the server may not be known yet, the server itself is asked: if it
-// has started again, either start may have written them. A server that is down has not.
-func (x *exchange) isOriginCertain(entry origins.Entry) bool {
-	if entry.Server.ServerID == "" || entry.IsCertain || x.handler.options.CurrentStart == nil || clock.Since(entry.RecordedAt) > dispatch.VersionSettleTime {
-		return true
-	}
-	address, ok := "", false
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { address, ok = core.Address(entry.Server.ServerID) })
-	if !ok {
-		return true
-	}
-	start := inventory.Start{ID: entry.Server.ServerID, StartedAtMs: entry.Server.StartedAtMs}
-	current, err := x.askCurrentStart(start, address)
-	return err != nil || current.StartedAtMs == 0 || current == start
-}
-
-// confirmOrigin asks the server that wrote the first event, which was passed on before, whether it is
-// still the start that was chosen, and records that. It need not be where one software version serves,
-// and is not done at the expense of a server that bounds its requests.
-func (x *exchange) confirmOrigin(choice dispatch.Choice) {
-	if x.isResumption || x.route.RetryPolicy != routetable.RetryResume || !x.needsModel || x.handler.options.CurrentStart == nil || x.servesOneVersion() {
-		return
-	}
-	start, isLimited := choice.Attempt.Start(), false
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { _, isLimited = core.RateLimit(start) })
-	if isLimited {
-		return
-	}
-	origin, confirmed := *x.origin, x.originEntry(*x.origin)
-	go func() {
-		current, err := x.askCurrentStart(start, choice.Address)
-		if err != nil || current != start || origin.SoftwareVersion == "" {
-			return
-		}
-		x.isOriginConfirmed.Store(true)
-		confirmed.IsCertain = true
-		x.handler.options.Origins.Record(confirmed)
-	}()
-}
-
-// askCurrentStart asks a server for its current start.
-func (x *exchange) askCurrentStart(start inventory.Start, address string) (inventory.Start, error) {
-	ctx, cancel := context.WithTimeout(x.ctx, startCheckTimeout)
-	defer cancel()
-	return x.handler.options.CurrentStart(ctx, start, address)
-}
-
-// isStartConfirmed reports whether the server that is about to go on with a stream is still the start
-// that was chosen. Of a server that started again under its ID nobody may know yet, so the server itself
-// is asked, after the head of its response and before any event. It need not be where one software
-// version serves.
-func (x *exchange) isStartConfirmed(choice dispatch.Choice) bool {
-	isGoingOn := x.headSent || x.isResumption
-	if !isGoingOn || !x.needsModel || x.handler.options.CurrentStart == nil || x.servesOneVersion() {
-		return true
-	}
-	start := choice.Attempt.Start()
-	current, err := x.askCurrentStart(start, choice.Address)
-	return err == nil && (current.StartedAtMs == 0 || current == start)
-}
-
-// markVersionUncertain records that a response of the server broke off: it may have started again.
-func (x *exchange) markVersionUncertain(choice dispatch.Choice) {
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.MarkVersionUncertain(clock.Now(), choice.ServerID) })
-}
-
 // servesOneVersion reports whether the service had one software version lately, known or not.
 func (x *exchange) servesOneVersion() bool { return len(x.recentVersions()) <= 1 }
 
@@ -271,7 +200,7 @@
 		return
 	}
 	entry := origins.Entry{Server: x.originServer, RecordedAt: x.originSentAt, IsCertain: x.isOriginConfirmed.Load()}
-	if version == x.origin.SoftwareVersion && x.isOriginCertain(entry) {
+	if entry.IsCertain || version == x.origin.SoftwareVersion && x.isOriginCertain(entry) {
 		return
 	}
 	x.origin.SoftwareVersion = ""
