Bounds: parts that one prompt has watched, versions counted as servers come

A caller may name any number of parts, and each crash under its request told all nodes of each: 64 are watched now. The versions of a service were gathered from all its servers at each stream; they are counted as entries change.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -36,6 +36,8 @@
 	pendingViews map[string]pendingView
 	// starts holds the admission state of server starts, built from hints in their responses.
 	starts map[inventory.Start]*startState
+	// versionCounts counts the servers of each service by software version.
+	versionCounts map[string]map[string]int
 	// formerVersions holds the software versions of servers that are gone, by service.
 	formerVersions map[string]versionHistory
 	// term is the highest leader term seen.
@@ -68,6 +70,7 @@
 		pendingViews:   make(map[string]pendingView),
 		starts:         make(map[inventory.Start]*startState),
 		formerVersions: make(map[string]versionHistory),
+		versionCounts:  make(map[string]map[string]int),
 		brittle:        make(map[string]brittleness),
 		changed:        make(chan struct{}),
 	}
@@ -123,7 +126,13 @@
 		c.servers[entry.ID] = known
 		c.applyPendingView(entry.ID)
 	} else {
+		if isListed {
+			c.countVersion(known, -1)
+		}
 		known.update(entry)
+		if isListed {
+			c.countVersion(known, 1)
+		}
 		known.isFromViewOnly, known.conflictingEntry = false, nil
 	}
 	if !isListed {
@@ -155,6 +164,7 @@
 // rebuilding the list (BenchmarkSetServers).
 func (c *Core) addToService(s *server) {
 	c.byService[s.info.Service] = append(c.byService[s.info.Service], s)
+	c.countVersion(s, 1)
 }
 
 // removeFromService removes a server from the list of its service.
@@ -164,6 +174,7 @@
 	if at < 0 {
 		return
 	}
+	c.countVersion(s, -1)
 	last := len(listed) - 1
 	listed[at] = listed[last]
 	listed[last] = nil
--- a/internal/dispatch/versions.go
+++ b/internal/dispatch/versions.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/inventory"
@@ -32,31 +34,34 @@
 // RecentVersions returns the software versions of the service's servers, now and within the time for
 // which a stream that one of them began may be resumed.
 func (c *Core) RecentVersions(now time.Time, service string) []string {
-	var versions []string
-	seen := make(map[string]bool)
-	add := func(version string) {
-		if !seen[version] {
-			seen[version] = true
-			versions = append(versions, version)
-		}
-	}
-	for _, s := range c.byService[service] {
-		add(s.info.SoftwareVersion)
-	}
+	versions := slices.Sorted(maps.Keys(c.versionCounts[service]))
 	for version, lastSeen := range c.formerVersions[service] {
 		switch {
 		case lastSeen.IsZero():
 			c.formerVersions[service][version] = now
-			add(version)
 		case now.Sub(lastSeen) > formerVersionRetention:
 			delete(c.formerVersions[service], version)
-		default:
-			add(version)
+			continue
+		}
+		if !slices.Contains(versions, version) {
+			versions = append(versions, version)
 		}
 	}
 	return versions
 }
 
+// countVersion adds delta to the number of servers that run the server's software version.
+func (c *Core) countVersion(s *server, delta int) {
+	counts, ok := c.versionCounts[s.info.Service]
+	if !ok {
+		counts = make(map[string]int)
+		c.versionCounts[s.info.Service] = counts
+	}
+	if counts[s.info.SoftwareVersion] += delta; counts[s.info.SoftwareVersion] == 0 {
+		delete(counts, s.info.SoftwareVersion)
+	}
+}
+
 // runsVersion reports whether the server certainly runs the software version; every server meets an
 // empty one. It is the only version filter: selection, the check before a send and the estimates for
 // waiting requests all use it.
--- a/internal/dispatch/versions_test.go
+++ b/internal/dispatch/versions_test.go
@@ -88,6 +88,8 @@
 func TestFormerVersionsCountForAWhile(t *testing.T) {
 	core := newCoreAt("n1", versionEntry("a", "v1", 1, 1), versionEntry("b", "v1", 1, 1))
 	core.SetServers([]inventory.Change{versionEntry("a", "v2", 2, 2), {Server: inventory.Server{ID: "b"}, Gone: true}})
+	core.SetServers([]inventory.Change{versionEntry("a", "v2", 2, 3), versionEntry("c", "", 1, 3)})
+	core.SetServers([]inventory.Change{versionEntry("c", "v2", 1, 4)})
 	for _, c := range []struct {
 		after time.Duration
 		want  []string
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -55,11 +55,14 @@
 	return *x.cachedFingerprint
 }
 
+// maxSharedParts bounds the parts of one prompt that are watched: a caller may name any number.
+const maxSharedParts = 64
+
 // sharedParts are the fingerprints of the prompt parts that other requests may have, too: all but the
 // last, which belongs to the request or its session. They are computed once.
 func (x *exchange) sharedParts() []poison.Fingerprint {
 	if x.cachedParts == nil && len(x.head.PromptParts) > 1 {
-		for _, part := range x.head.PromptParts[:len(x.head.PromptParts)-1] {
+		for _, part := range x.head.PromptParts[:min(len(x.head.PromptParts)-1, maxSharedParts)] {
 			x.cachedParts = append(x.cachedParts, poison.NewPartFingerprint(x.service, part.ID))
 		}
 	}
--- a/internal/relay/poison_parts_test.go
+++ b/internal/relay/poison_parts_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -129,3 +130,16 @@
 		}
 	}
 }
+
+// TestPartsOfAPromptAreBounded guards against a caller that names so many parts that each crash floods the
+// nodes with reports.
+func TestPartsOfAPromptAreBounded(t *testing.T) {
+	server := newFakeServer(t, respondWith(http.StatusOK, "done"))
+	f := newFixture(t, server)
+	suspects := newPartSuspects(nil)
+	f.handler.options.Suspects = suspects
+	f.send(t, http.MethodPost, "/often/x", "body", "X-Parts", strings.Repeat("p,", 5*maxSharedParts)+"own")
+	if len(suspects.ranWell) != maxSharedParts {
+		t.Errorf("%d parts watched, want %d", len(suspects.ranWell), maxSharedParts)
+	}
+}
