--- a/internal/relay/poison_parts_test.go
+++ b/internal/relay/poison_parts_test.go
@@ -31,6 +31,13 @@
 
 func (s *partSuspects) Any() bool { return true }
 
+// reported returns what was reported so far.
+func (s *partSuspects) reported() (crashed, ranWell, refused, claimed []poison.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.crashed), slices.Clone(s.ranWell), slices.Clone(s.refused), slices.Clone(s.claimed)
+}
+
 func (s *partSuspects) Status(fingerprint poison.Fingerprint) poison.Status {
 	return s.statuses[fingerprint]
 }
@@ -48,11 +55,15 @@
 }
 
 func (s *partSuspects) ClaimTrial(_ context.Context, fingerprint poison.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.claimed = append(s.claimed, fingerprint)
 	return true
 }
 
 func (s *partSuspects) ReportRefusal(fingerprint poison.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.refused = append(s.refused, fingerprint)
 }
 
@@ -90,11 +101,12 @@
 		if isSent := server.count() == 1; isSent != c.sent || (got.status == http.StatusOK) != c.sent || got.header.Get("Retry-After") != "" {
 			t.Errorf("%s: got %+v after %d sends, want it sent: %v", name, got, server.count(), c.sent)
 		}
-		if !slices.Equal(suspects.refused, c.refused) || !slices.Equal(suspects.claimed, c.claimed) {
-			t.Errorf("%s: refused for %v, claimed %v", name, suspects.refused, suspects.claimed)
+		_, ranWell, refused, claimed := suspects.reported()
+		if !slices.Equal(refused, c.refused) || !slices.Equal(claimed, c.claimed) {
+			t.Errorf("%s: refused for %v, claimed %v", name, refused, claimed)
 		}
-		if c.sent && !slices.Equal(suspects.ranWell, partsNamed("a", "b")) {
-			t.Errorf("%s: %v ran well, want the shared parts", name, suspects.ranWell)
+		if c.sent && !slices.Equal(ranWell, partsNamed("a", "b")) {
+			t.Errorf("%s: %v ran well, want the shared parts", name, ranWell)
 		}
 	}
 }
@@ -122,11 +134,12 @@
 		suspects := newPartSuspects(nil)
 		f.handler.options.Suspects = suspects
 		f.send(t, http.MethodPost, "/stream/", "body", "X-Parts", "a,b,own")
-		if !slices.Equal(suspects.crashed, c.blamed) {
-			t.Errorf("%s: blamed %v, want %v", name, suspects.crashed, c.blamed)
+		crashed, ranWell, _, _ := suspects.reported()
+		if !slices.Equal(crashed, c.blamed) {
+			t.Errorf("%s: blamed %v, want %v", name, crashed, c.blamed)
 		}
-		if ranWell := len(suspects.ranWell) > 0; ranWell != (c.writesFor > 0) {
-			t.Errorf("%s: parts reported to run well: %v", name, ranWell)
+		if hasRunWell := len(ranWell) > 0; hasRunWell != (c.writesFor > 0) {
+			t.Errorf("%s: parts reported to run well: %v", name, hasRunWell)
 		}
 	}
 }
@@ -139,7 +152,7 @@
 	suspects := newPartSuspects(nil)
 	f.handler.options.Suspects = suspects
 	f.send(t, http.MethodPost, "/often/x", "body", "X-Parts", strings.Repeat("p,", 5*maxSharedParts)+"own")
-	if len(suspects.ranWell) != maxSharedParts {
-		t.Errorf("%d parts watched, want %d", len(suspects.ranWell), maxSharedParts)
+	if _, ranWell, _, _ := suspects.reported(); len(ranWell) != maxSharedParts {
+		t.Errorf("%d parts watched, want %d", len(ranWell), maxSharedParts)
 	}
 }
--- a/internal/relay/versions_test.go
+++ b/internal/relay/versions_test.go
@@ -115,6 +115,13 @@
 	o.ended++
 }
 
+// calls returns what was recorded so far, and how many streams ended.
+func (o *fixedOrigins) calls() (recorded []origins.Entry, ended int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.recorded), o.ended
+}
+
 func (o *fixedOrigins) Find(context.Context, origins.Key, string) OriginAnswer { return o.answer }
 
 // TestResumedStreamStaysAtItsSoftwareVersion guards against a stream that its caller resumes at a
@@ -161,8 +168,8 @@
 				if want := "id: 2\ndata: " + c.version + "\n\n"; got.err != nil || got.body != want {
 					t.Errorf("got %+v, want %q", got, want)
 				}
-				if len(known.recorded) == 0 || known.recorded[0].Key != origins.NewKey("", "r0") || known.ended == 0 {
-					t.Errorf("recorded %+v, ended %d times; want the first attempt's stream", known.recorded, known.ended)
+				if recorded, ended := known.calls(); len(recorded) == 0 || recorded[0].Key != origins.NewKey("", "r0") || ended == 0 {
+					t.Errorf("recorded %+v, ended %d times; want the first attempt's stream", recorded, ended)
 				}
 			})
 		}
@@ -176,10 +183,7 @@
 	server := newFakeServer(t, func(conn net.Conn, request *http.Request) bool {
 		write(conn, "HTTP/1.1 200 OK\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nTransfer-Encoding: chunked\r\n\r\n")
 		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-			recorded.mu.Lock()
-			isRecorded := len(recorded.recorded) > 0
-			recorded.mu.Unlock()
-			if isRecorded {
+			if entries, _ := recorded.calls(); len(entries) > 0 {
 				write(conn, chunk("id: 1\ndata: v1\n\n")+"0\r\n\r\n")
 				return true
 			}
@@ -190,15 +194,16 @@
 	f.setVersions([]*fakeServer{server}, "v1")
 	f.handler.options.Origins = recorded
 	if got := f.send(t, http.MethodPost, "/resume/", ""); got.err != nil || got.body != "id: 1\ndata: v1\n\n" {
-		t.Fatalf("got %+v, recorded %+v", got, recorded.recorded)
+		t.Fatalf("got %+v", got)
 	}
+	entries, _ := recorded.calls()
 	want := origins.Entry{Key: origins.NewKey("", "r1"), Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"}}
-	if entry := recorded.recorded[0]; entry.Key != want.Key || entry.Origin != want.Origin || time.Until(entry.ExpiresAt) < 4*time.Second {
+	if entry := entries[0]; entry.Key != want.Key || entry.Origin != want.Origin || time.Until(entry.ExpiresAt) < 4*time.Second {
 		t.Errorf("recorded %+v, want %+v for as long as the caller waits", entry, want)
 	}
 	f.send(t, http.MethodPost, "/stream/", "", "X-Id", "r2")
-	if len(recorded.recorded) != 1 {
-		t.Errorf("%d streams recorded; one that may not be resumed needs no record", len(recorded.recorded))
+	if entries, _ = recorded.calls(); len(entries) != 1 {
+		t.Errorf("%d streams recorded; one that may not be resumed needs no record", len(entries))
 	}
 }
 
