Soak: the server that only an unreadable entry names never has a readable one

By the nodes' lines they had a valid entry of it, at position 2/18: the soak registered it as ready and overwrote that 1 ms later, and a watch came in between. It is started without an entry now; the check is unchanged.

--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -111,6 +111,14 @@
 
 // newServerIn starts a server in a zone with the given models loaded.
 func newServerIn(t *testing.T, s *store, zone, id, service string, loadTime time.Duration, models ...string) *modelServer {
+	t.Helper()
+	m := newUnlistedServer(t, zone, id, service, loadTime, models...)
+	m.register(s, "ready")
+	return m
+}
+
+// newUnlistedServer starts a server that has no entry in the store.
+func newUnlistedServer(t *testing.T, zone, id, service string, loadTime time.Duration, models ...string) *modelServer {
 	t.Helper()
 	m := &modelServer{
 		id: id, service: service, zone: zone, loadTime: loadTime,
@@ -123,7 +131,6 @@
 	t.Cleanup(server.Close)
 	m.httpServer = server
 	m.address = strings.TrimPrefix(server.URL, "http://")
-	m.register(s, "ready")
 	return m
 }
 
--- a/test/platform/soak_starts_test.go
+++ b/test/platform/soak_starts_test.go
@@ -44,7 +44,7 @@
 func (s *soak) writeForeignEntry(drawn drawnFault) {
 	staying := s.activeServers()
 	m := staying[drawn.server%len(staying)]
-	trap := newServer(s.t, s.store, "i-trap", m.service, 0)
+	trap := newUnlistedServer(s.t, m.zone, "i-trap", m.service, 0)
 	s.mu.Lock()
 	s.traps = append(s.traps, trap)
 	s.mu.Unlock()
