relay: the server of an attempt without events is not taken for that of a peer's answer

A stream whose first server brought a head and no event, and that a peer then took, was recorded with that server, which was asked for its start. No caller was seen to suffer; found by reading. The version recorded was the peer's, and right.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -186,6 +186,7 @@
 // passFromPeer passes on the response of a server, or a failure of the peer. version is the software
 // version of the server; empty if the peer does not say.
 func (x *exchange) passFromPeer(response *backendconn.Response, version string) forwardResult {
+	x.forgetOriginServer()
 	switch {
 	case x.headSent && response.Status != http.StatusOK:
 		return x.endBrokenForward("resume_failed")
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -214,6 +214,15 @@
 	}
 }
 
+// forgetOriginServer drops the server of an attempt that brought no event: a peer does not say which
+// server writes its events.
+func (x *exchange) forgetOriginServer() {
+	x.onFirstEvent = nil
+	if !x.headSent && !x.isResumption {
+		x.originServer, x.originSentAt = origins.Start{}, time.Time{}
+	}
+}
+
 // checkVersion reports whether the stream can go on: its version is known, and a server of it takes
 // work. If not it gives the final response, since waiting would not help.
 func (x *exchange) checkVersion() bool {
--- a/internal/relay/versions_test.go
+++ b/internal/relay/versions_test.go
@@ -225,6 +225,26 @@
 	}
 }
 
+// TestForwardedStreamIsRecordedWithoutAServer guards against taking the server of an attempt that brought no
+// event for the one that wrote the events of a peer's answer.
+func TestForwardedStreamIsRecordedWithoutAServer(t *testing.T) {
+	server := newFakeServer(t, wholeStream("v1"))
+	node, peer, _ := newCutOff(t, server)
+	peer.setVersions([]*fakeServer{server}, "v1")
+	recorded := &fixedOrigins{}
+	node.handler.options.Origins = recorded
+	x := &exchange{handler: node.handler, originServer: origins.Start{ServerID: "earlier"}, onFirstEvent: func() { t.Error("the earlier server is asked") }}
+	x.forgetOriginServer()
+	if x.originServer != (origins.Start{}) || x.onFirstEvent != nil {
+		t.Errorf("the server of the earlier attempt is kept: %+v", x.originServer)
+	}
+	node.send(t, http.MethodPost, "/resume/", "")
+	entries, _ := recorded.calls()
+	if len(entries) != 1 || entries[0].Server != (origins.Start{}) || entries[0].Origin.SoftwareVersion != "v1" {
+		t.Errorf("recorded %+v, want the version that the peer names, and no server", entries)
+	}
+}
+
 // TestStreamOfARestartedServerIsRefused guards against going on with a stream at the version of a start
 // that may have ended before it began, and at a server that started again before anybody knew.
 func TestStreamOfARestartedServerIsRefused(t *testing.T) {
