--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -22,7 +22,9 @@
 	body    string
 	events  int
 	isWhole bool
-	err     error
+	// isLeaving is set where the answer says that its server leaves.
+	isLeaving bool
+	err       error
 }
 
 func (r reply) String() string {
@@ -40,6 +42,13 @@
 // send sends the attempt on a connection of its own.
 func (n *node) send(c call) reply {
 	n.world.record.add("client: sends %s (%s %s) to %s", c.id, c.path, c.model, n.name)
+	got := n.sendQuietly(c)
+	n.world.record.add("client: %s got %s", c.id, got)
+	return got
+}
+
+// sendQuietly sends the attempt without a line in the record.
+func (n *node) sendQuietly(c call) reply {
 	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, n.world.ports.frontend, c.path), strings.NewReader(promptText))
 	if err != nil {
 		return reply{err: err}
@@ -52,9 +61,7 @@
 		request.Header.Set("Token-Count", "120,20")
 		request.Header.Set("Prefix-Hash", "5c1e07a2:60,"+c.id+":60")
 	}
-	got := receive(request)
-	n.world.record.add("client: %s got %s", c.id, got)
-	return got
+	return receive(request)
 }
 
 func receive(request *http.Request) reply {
@@ -64,7 +71,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, body: string(body), events: bytes.Count(body, []byte("\n\n")), isWhole: err == nil, err: err}
+	return reply{status: response.StatusCode, body: string(body), events: bytes.Count(body, []byte("\n\n")), isWhole: err == nil, isLeaving: response.Header.Get("Server-Leaving") != "", err: err}
 }
 
 // isPromise reports whether the status says that the request has not run and never will.
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -24,6 +24,10 @@
 	// pieces and pause are the events of a stream, and the time between two.
 	pieces int
 	pause  time.Duration
+	// beatsByCase is set where the case says when the server writes its entry.
+	beatsByCase bool
+	// workTime is how long a run of a plain request takes.
+	workTime time.Duration
 	// surplusShare is the largest share of the server's answers to clients that it may send twice. It
 	// repeats rejections: the second copy comes late, where the answer to the next request of the
 	// connection is due.
@@ -36,10 +40,23 @@
 	sequence int64
 	busy     bool
 	runs     *runBook
+	// born is the Unix millisecond of the present start; 0 where the server does not tell it.
+	born int64
+	// isDown refuses everything, and isLeaving is told in all answers.
+	isDown, isLeaving bool
+	conns             map[net.Conn]bool
+	// arrivals are the requests of clients that reached the server.
+	arrivals []arrival
 	// answers and surplus count the answers to clients, and the second copies.
 	answers, surplus int
 }
 
+// arrival is a request that reached the server.
+type arrival struct {
+	id string
+	at time.Time
+}
+
 // runBook counts the runs of each request at all servers.
 type runBook struct {
 	mu      sync.Mutex
@@ -79,26 +96,81 @@
 			if err != nil {
 				return
 			}
-			go e.serve(conn)
+			if e.addConn(conn) {
+				go e.serve(conn)
+			}
 		}
 	}()
 	e.beat()
-	go func() {
-		for range time.Tick(1200 * time.Millisecond) {
-			e.beat()
-		}
-	}()
+	if !e.beatsByCase {
+		go func() {
+			for range time.Tick(beatPeriod) {
+				e.beat()
+			}
+		}()
+	}
 	return nil
 }
 
-func (e *engine) beat() {
+// beatPeriod is the time between two writes of a server's entry.
+const beatPeriod = 1200 * time.Millisecond
+
+// addConn keeps a connection, or resets it where the server is down.
+func (e *engine) addConn(conn net.Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isDown {
+		reset(conn)
+		return false
+	}
+	if e.conns == nil {
+		e.conns = make(map[net.Conn]bool)
+	}
+	e.conns[conn] = true
+	return true
+}
+
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// crash ends the present start of the server: its connections are reset.
+func (e *engine) crash() {
 	e.mu.Lock()
-	entry := map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 64, "state": "ready",
+	defer e.mu.Unlock()
+	e.isDown = true
+	for conn := range e.conns {
+		reset(conn)
+	}
+	e.conns = nil
+	e.record.add("%s: crashes", e.id)
+}
+
+// beat writes the server's entry. It reports whether the store took it.
+func (e *engine) beat() bool {
+	name, entry := e.entry()
+	return e.store.putByServer("servers", name, entry)
+}
+
+// entry is what the server says of itself in the store.
+func (e *engine) entry() (name string, entry map[string]any) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state := "ready"
+	if e.isLeaving {
+		state = "draining"
+	}
+	entry = map[string]any{
+		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 64, "state": state,
 		"coldLeftMs": 0, "sequence": e.sequence, "phase": "both", "models": e.held(),
 	}
-	e.mu.Unlock()
-	e.store.put("servers", e.id, entry)
+	if e.born > 0 {
+		entry["born"] = e.born
+	}
+	return e.id, entry
 }
 
 // held lists what the server holds. e.mu is held.
@@ -191,6 +263,9 @@
 	case "/api/order":
 		return e.order(body), false, true
 	}
+	e.mu.Lock()
+	e.arrivals = append(e.arrivals, arrival{id: id, at: time.Now()})
+	e.mu.Unlock()
 	model, adapter, _ := strings.Cut(request.Header.Get("Model"), "/")
 	if !e.holds(model, adapter) {
 		e.record.add("%s: %s rejected with 421, no %s", e.id, id, request.Header.Get("Model"))
@@ -198,9 +273,24 @@
 	}
 	run := e.runs.begin(id, e.id)
 	e.record.add("%s: %s runs, run %d", e.id, id, run)
+	if model == "" {
+		return e.plain(id), false, true
+	}
 	return nil, false, e.stream(conn, id, request.Header.Get("Last-Event-Id"), run)
 }
 
+// plain runs a plain request and returns its answer.
+func (e *engine) plain(id string) []byte {
+	time.Sleep(e.workTime)
+	header := http.Header{"Request-Id": {id}, "Server-Stamp": {e.id + "." + id}, "Instance-Id": {e.id}}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isLeaving {
+		header.Set("Server-Leaving", "1")
+	}
+	return text(http.StatusOK, header, []byte("done: "+id))
+}
+
 func (e *engine) holds(model, adapter string) bool {
 	if model == "" {
 		return true
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,8 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*world) (broken bool, err error){
 	"surplus-rejection": playSurplusRejection,
+	"unknown-start":     playUnknownStart,
+	"silent-brittle":    playSilentBrittle,
 }
 
 func main() {
@@ -36,11 +38,20 @@
 	program := flag.String("program", "", "the project's program")
 	recordPath := flag.String("record", "", "the file for the record")
 	trouble := flag.Bool("trouble", true, "whether to put the disruption")
+	var chosen options
+	flag.Float64Var(&chosen.perSecond, "per-second", 120, "requests a second, where a case sends at a steady rate")
+	flag.IntVar(&chosen.announced, "announced", 4, "what brittle servers announce")
 	flag.Parse()
-	os.Exit(run(*name, *program, *recordPath, *trouble))
+	os.Exit(run(*name, *program, *recordPath, *trouble, chosen))
 }
 
-func run(name, program, recordPath string, trouble bool) int {
+// options are figures of some cases.
+type options struct {
+	perSecond float64
+	announced int
+}
+
+func run(name, program, recordPath string, trouble bool, chosen options) int {
 	play, ok := cases[name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "no case %q\n", name)
@@ -52,6 +63,7 @@
 		return exitNotRun
 	}
 	defer w.close()
+	w.options = chosen
 	overdue := time.AfterFunc(maxDuration, func() {
 		w.close()
 		os.Exit(exitNotRun)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -33,6 +33,7 @@
 type world struct {
 	program string
 	trouble bool
+	options options
 	record  *record
 	dir     string
 	store   *store
