--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -35,6 +35,7 @@
 	// cutsShort says of a run whether its stream breaks off in the middle; nil means never.
 	cutsShort func(id string, run int) bool
 
+	listener net.Listener
 	mu       sync.Mutex
 	models   map[string]map[string]time.Time
 	sequence int64
@@ -85,22 +86,12 @@
 	if err != nil {
 		return err
 	}
-	e.record, e.store, e.address = w.record, w.store, listener.Addr().String()
+	e.record, e.store, e.address, e.listener = w.record, w.store, listener.Addr().String(), listener
 	e.models = make(map[string]map[string]time.Time)
 	for _, model := range models {
 		e.models[model] = make(map[string]time.Time)
 	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if e.addConn(conn) {
-				go e.serve(conn)
-			}
-		}
-	}()
+	go e.accept(listener)
 	e.beat()
 	if !e.beatsByCase {
 		go func() {
@@ -112,6 +103,40 @@
 	return nil
 }
 
+func (e *engine) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if e.addConn(conn) {
+			go e.serve(conn)
+		}
+	}
+}
+
+// cutOff resets the connections to the server and lets new ones be refused, while the server goes on.
+func (e *engine) cutOff() {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for conn := range e.conns {
+		reset(conn)
+	}
+	e.conns = nil
+}
+
+// heal lets new connections come up again.
+func (e *engine) heal() error {
+	listener, err := net.Listen("tcp", e.address)
+	if err != nil {
+		return err
+	}
+	e.listener = listener
+	go e.accept(listener)
+	return nil
+}
+
 // beatPeriod is the time between two writes of a server's entry.
 const beatPeriod = 1200 * time.Millisecond
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 	"surplus-rejection": playSurplusRejection,
 	"unknown-start":     playUnknownStart,
 	"silent-brittle":    playSilentBrittle,
+	"forwarded-streams": playForwardedStreams,
 }
 
 func main() {
