--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.."
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec review/bin/standin -case silent-brittle -program target/spanlanding -record review/2/record.txt -per-second 120 -announced 4 -trouble="$trouble"
+exec review/bin/standin -case late-order -program target/spanlanding -record review/2/record.txt -trouble="$trouble"
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,8 @@
 type call struct {
 	id, path, model string
 	deadline        time.Duration
+	// parts are the shared parts of the prompt; empty means one that is the same for all.
+	parts string
 }
 
 // reply is what the client got. isWhole is set where the answer came to its end.
@@ -22,9 +25,7 @@
 	body    string
 	events  int
 	isWhole bool
-	// isLeaving is set where the answer says that its server leaves.
-	isLeaving bool
-	err       error
+	err     error
 }
 
 func (r reply) String() string {
@@ -49,7 +50,7 @@
 
 // sendQuietly sends the attempt without a line in the record.
 func (n *node) sendQuietly(c call) reply {
-	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, n.world.ports.frontend, c.path), strings.NewReader(promptText))
+	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, n.world.ports.frontend, c.path), strings.NewReader(promptText+" "+c.id))
 	if err != nil {
 		return reply{err: err}
 	}
@@ -59,7 +60,7 @@
 	if c.model != "" {
 		request.Header.Set("Model", c.model)
 		request.Header.Set("Token-Count", "120,20")
-		request.Header.Set("Prefix-Hash", "5c1e07a2:60,"+c.id+":60")
+		request.Header.Set("Prefix-Hash", cmp.Or(c.parts, "5c1e07a2:60")+","+c.id+":60")
 	}
 	return receive(request)
 }
@@ -71,7 +72,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, body: string(body), events: bytes.Count(body, []byte("\n\n")), isWhole: err == nil, isLeaving: response.Header.Get("Server-Leaving") != "", err: err}
+	return reply{status: response.StatusCode, body: string(body), events: bytes.Count(body, []byte("\n\n")), isWhole: err == nil, err: err}
 }
 
 // isPromise reports whether the status says that the request has not run and never will.
