--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*world) (broken bool, err error){
 	"surplus-rejection": playSurplusRejection,
-	"slow-poison":       playSlowPoison,
+	"store-goes-back":   playStoreGoesBack,
 	"late-order":        playLateOrder,
 }
 
