--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -14,6 +14,9 @@
 type call struct {
 	id, path, model string
 	deadline        time.Duration
+	// resumes is the attempt that brought the first event of the stream to be taken up, and lastEvent
+	// the last event that the client has; empty for a new stream.
+	resumes, lastEvent string
 }
 
 // reply is what the client got. isWhole is set where the answer came to its end.
@@ -59,6 +62,10 @@
 		request.Header.Set("Token-Count", "120,20")
 		request.Header.Set("Prefix-Hash", "5c1e07a2:60,"+c.id+":60")
 	}
+	if c.resumes != "" {
+		request.Header.Set("Resumes", c.resumes)
+		request.Header.Set("Last-Event-Id", c.lastEvent)
+	}
 	return receive(request)
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,9 +28,9 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*world) (broken bool, err error){
-	"surplus-rejection": playSurplusRejection,
-	"store-goes-back":   playStoreGoesBack,
-	"late-order":        playLateOrder,
+	"surplus-rejection":  playSurplusRejection,
+	"store-goes-back":    playStoreGoesBack,
+	"limited-resumption": playLimitedResumption,
 }
 
 func main() {
