--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -43,13 +43,12 @@
 // send sends the attempt on a connection of its own.
 func (n *node) send(c call) reply {
 	n.world.record.add("client: sends %s (%s %s) to %s", c.id, c.path, c.model, n.name)
-	got := n.sendQuietly(c)
+	got := n.receiveReply(c)
 	n.world.record.add("client: %s got %s", c.id, got)
 	return got
 }
 
-// sendQuietly sends the attempt without a line in the record.
-func (n *node) sendQuietly(c call) reply {
+func (n *node) receiveReply(c call) reply {
 	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, n.world.ports.frontend, c.path), strings.NewReader(promptText+" "+c.id))
 	if err != nil {
 		return reply{err: err}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -59,6 +61,13 @@
 		os.Exit(exitNotRun)
 	})
 	defer overdue.Stop()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		w.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := play(w)
 	switch {
 	case err != nil:
--- a/review/standin/models.go
+++ b/review/standin/models.go
@@ -42,6 +42,6 @@
 	asked++
 	number := asked
 	askedMu.Unlock()
-	got := w.nodes[number%len(w.nodes)].sendQuietly(call{id: fmt.Sprintf("%016x", number), path: "/replan/x", model: model, deadline: 6 * time.Second})
+	got := w.nodes[number%len(w.nodes)].send(call{id: fmt.Sprintf("%016x", number), path: "/replan/x", model: model, deadline: 6 * time.Second})
 	return got.status == 200 && got.isWhole
 }
--- a/review/standin/resumption.go
+++ b/review/standin/resumption.go
@@ -81,17 +81,17 @@
 		id := fmt.Sprintf("%s%014x", prefix, number)
 		group.Go(func() {
 			isCounted := time.Since(started) > contactTime
-			got := w.nodes[number%len(w.nodes)].sendQuietly(call{id: id, path: "/replan/x", model: "m1", deadline: 5 * time.Second})
+			got := w.nodes[number%len(w.nodes)].send(call{id: id, path: "/replan/x", model: "m1", deadline: 5 * time.Second})
 			if isCounted {
 				counts.addNew(got)
 			}
 			if got.events == 0 || got.isWhole {
 				return
 			}
-			again := w.nodes[(number+1)%len(w.nodes)].sendQuietly(call{
+			w.record.add("client: takes up %s after event %d, as %s", id, got.events, "c0"+id[2:])
+			again := w.nodes[(number+1)%len(w.nodes)].send(call{
 				id: "c0" + id[2:], path: "/replan/x", model: "m1", deadline: 4500 * time.Millisecond, resumes: id, lastEvent: strconv.Itoa(got.events),
 			})
-			w.record.add("client: %s, which takes up %s after event %d, got %s", "c0"+id[2:], id, got.events, again)
 			if isCounted {
 				counts.addResumed(again)
 			}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -69,6 +69,7 @@
 	w.once.Do(func() {
 		for _, n := range w.nodes {
 			n.kill()
+			// REVIEW_LOGS names a folder for what the processes log; empty keeps none.
 			if dir := os.Getenv("REVIEW_LOGS"); dir != "" {
 				_ = os.WriteFile(filepath.Join(dir, n.name+".log"), []byte(n.log()), 0o600)
 			}
