Lines of requests name the connection of the last send; surplus answers are counted

request_* lines name the local port of the last send (local_port), and spanlanding_edge_surplus_answers_total counts the answers that belong to another request than the one under way. No behaviour changes.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -136,6 +136,7 @@
 		if request.Matches == nil || request.Matches(response.Header) {
 			return x.newResponse(response), nil
 		}
+		x.conn.pool.staleResponses.Add(1)
 		if err := discardStale(response); err != nil {
 			return nil, err
 		}
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -44,6 +45,8 @@
 	mu        sync.Mutex
 	idle      map[string][]*Conn
 	dialCount int64
+	// staleResponses counts the responses that were discarded as they belong to another request.
+	staleResponses atomic.Int64
 	// probes are the probes in flight, by address.
 	probes singleflight.Group
 }
@@ -84,6 +87,16 @@
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4096) }}
 
+// LocalPort returns the local port, by which logs and packet captures tell connections to one server
+// apart; "" if the connection has none.
+func (c *Conn) LocalPort() string {
+	_, port, err := net.SplitHostPort(c.LocalAddr().String())
+	if err != nil {
+		return ""
+	}
+	return port
+}
+
 // Get returns an idle connection to the address, or a new one.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
 	for {
@@ -132,6 +145,10 @@
 	return p.dialCount
 }
 
+// StaleResponseCount returns the number of responses discarded so far because they belong to another
+// request than the one that was in flight.
+func (p *Pool) StaleResponseCount() int64 { return p.staleResponses.Load() }
+
 // CloseIdle closes the idle connections to the address.
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -151,6 +151,7 @@
 	m.counter("taken_from_peers_total", "Requests taken from peers that reach no server.", handlerMetrics.TakenFromPeers.Load)
 	m.counter("dial_failures_total", "Connections to servers that did not come up.", handlerMetrics.DialFailures.Load)
 	m.counter("connections_total", "Connections opened to servers.", node.pool.DialCount)
+	m.counter("surplus_answers_total", "Answers of servers passed over, as they belong to another request than the one under way.", node.pool.StaleResponseCount)
 	m.counter("requests_blamed_total", "Requests of this node under which servers ended.", node.suspects.reportedCrashes.Load)
 	m.counter("requests_barred_total", "Requests that this node learned to bar, as they end each server that runs them.", node.suspects.barred.Load)
 	m.counter("barred_refused_total", "Times that barred requests were refused.", node.handler.Metrics.BarredRefused.Load)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -31,7 +31,7 @@
 // attempt sends the request to the chosen server.
 func (x *exchange) attempt(choice dispatch.Choice) attemptResult {
 	x.serverID, x.softwareVersion, x.hint = choice.ServerID, choice.SoftwareVersion, inventory.Hint{}
-	x.estimate, x.writingSince = choice.Estimate, time.Time{}
+	x.estimate, x.writingSince, x.localPort = choice.Estimate, time.Time{}, ""
 	decision := x.requestAdmission(choice)
 	if !decision.Granted {
 		x.endAttempt(choice, dispatch.OutcomeAbandoned)
@@ -46,6 +46,7 @@
 		x.sentTo = append(x.sentTo, choice.ServerID)
 	}
 	x.countBytes(choice, len(x.body))
+	x.localPort = conn.LocalPort()
 	x.sentAt = clock.Now()
 	x.sends++
 	accepted := decision.acceptedAfter(admission.RejectionTime)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -86,6 +86,8 @@
 	// waitingSince is when the choice of a server that is in progress began; zero between choices.
 	waitingSince time.Time
 	serverID     string
+	// localPort is the local port of the connection that the current attempt was sent on; "" before.
+	localPort string
 	// softwareVersion is the version of the last chosen server's software.
 	softwareVersion string
 	// origin is where the stream began, and originSource who told; nil before its first event.
@@ -412,6 +414,9 @@
 		entry.Str("estimate_ms", formatMilliseconds(x.estimate))
 	}
 	entry.Str("server", x.serverID).Str("sent", strings.Join(x.sentTo, ",")).Int("sends", x.sends).Int("unreached", x.unreached)
+	if x.localPort != "" {
+		entry.Str("local_port", x.localPort)
+	}
 	entry.Str("waited_ms", formatMilliseconds(x.totalWaited())).Str("took_ms", formatMilliseconds(clock.Since(x.arrived)))
 	if x.timing.first > 0 {
 		entry.Str("first_ms", formatMilliseconds(x.timing.first)).Str("pause_ms", formatMilliseconds(x.timing.longestPause))
