No connection to a server carries one request twice

Callers saw: a stream that may run once ran twice (TWICE), or was answered 503 while its server ran it (REFUSED), where a server sent its rejection a second time, late. A client asked for an adapter that was still loading; the server answered 421; 50 ms later the node sent the request again, on the same connection, and took the late copy of the 421 for the answer to that send.

Cause: answers are matched to requests by Request-Id, and a repeat has the ID of the send before. On one connection nothing tells the two answers apart. Ruled out: a second rejection by the server (it wrote one), and bytes on an idle connection (the copy came after the send; such connections are closed as before).

Change: a connection remembers the IDs that it has carried, as hashes, and the pool gives it to no request that it has carried; that one gets another idle connection, or a new one. The copy then meets another request, whose ID differs, and is passed over. The memory is the connection's, not the request's, since a request comes to a node a second time by a peer too.

Weighed: a new connection for each repeat (a price for each, and a peer's second forward would not be seen as one); closing a connection after each rejection (callers pay for it when a server is full).

TestSilentConnectionsAreLeft sent three requests under one ID and counted on a shared connection; they have IDs of their own now, as each attempt of a client has. Its checks are unchanged.

--- a/internal/backendconn/late_test.go
+++ b/internal/backendconn/late_test.go
@@ -82,7 +82,7 @@
 	} {
 		peer := newStalledPeer(t)
 		pool := New(Options{})
-		conn, err := pool.Get(context.Background(), peer.listener.Addr().String())
+		conn, err := pool.Get(context.Background(), peer.listener.Addr().String(), "")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -105,7 +105,7 @@
 	for name, timeout := range map[string]time.Duration{"no delivery timeout": 0, "delivery timeout": 200 * time.Millisecond} {
 		peer := newStalledPeer(t)
 		pool := New(Options{})
-		conn, err := pool.Get(context.Background(), peer.listener.Addr().String())
+		conn, err := pool.Get(context.Background(), peer.listener.Addr().String(), "")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,7 +50,8 @@
 	// staleResponses counts the responses that were discarded as they belong to another request.
 	staleResponses atomic.Int64
 	// probes are the probes in flight, by address.
-	probes singleflight.Group
+	probes   singleflight.Group
+	hashSeed maphash.Seed
 }
 
 // New returns an empty pool.
@@ -68,7 +71,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &Pool{options: options, idle: make(map[string][]*Conn)}
+	return &Pool{options: options, idle: make(map[string][]*Conn), hashSeed: maphash.MakeSeed()}
 }
 
 // Conn is a connection to a server, in use by one request.
@@ -79,6 +82,7 @@
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration
+	history     history
 	// Reused is set if the connection carried a request before.
 	Reused bool
 	// hasDeliveryTimeout is set while the limit of SetDeliveryTimeout is in force.
@@ -97,10 +101,20 @@
 	return port
 }
 
-// Get returns an idle connection to the address, or a new one.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+// Get returns a connection to the address for one request: an idle connection that has not carried a
+// request with this ID, or a new one. An empty ID stands for a request that servers do not name in
+// their responses; every connection may carry several of these.
+func (p *Pool) Get(ctx context.Context, address, requestID string) (*Conn, error) {
+	conn, err := p.takeOrDial(ctx, address, requestID)
+	if err == nil && requestID != "" {
+		conn.history.add(p.hashRequestID(requestID))
+	}
+	return conn, err
+}
+
+func (p *Pool) takeOrDial(ctx context.Context, address, requestID string) (*Conn, error) {
 	for {
-		conn := p.takeIdle(address)
+		conn := p.takeIdle(address, requestID)
 		if conn == nil {
 			return p.dial(ctx, address)
 		}
@@ -112,17 +126,20 @@
 	}
 }
 
-func (p *Pool) takeIdle(address string) *Conn {
+// takeIdle removes the most recently used idle connection that has not carried the request; nil if
+// there is none.
+func (p *Pool) takeIdle(address, requestID string) *Conn {
+	hash := p.hashRequestID(requestID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
+	for i, conn := range slices.Backward(idle) {
+		if !conn.history.contains(hash) {
+			p.idle[address] = slices.Delete(idle, i, i+1)
+			return conn
+		}
 	}
-	conn := idle[len(idle)-1]
-	idle[len(idle)-1] = nil
-	p.idle[address] = idle[:len(idle)-1]
-	return conn
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
@@ -200,7 +217,7 @@
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.hasDeliveryTimeout || c.idleTimeout <= 0 || len(p.idle[c.address]) >= p.options.MaxIdle {
+	if c.hasDeliveryTimeout || c.history.isFull() || c.idleTimeout <= 0 || len(p.idle[c.address]) >= p.options.MaxIdle {
 		_ = c.Conn.Close()
 		return
 	}
--- a/internal/backendconn/suspension_test.go
+++ b/internal/backendconn/suspension_test.go
@@ -19,14 +19,14 @@
 	}
 	defer listener.Close()
 	pool := New(Options{IdleTimeout: 2 * time.Second})
-	conn, err := pool.Get(context.Background(), listener.Addr().String())
+	conn, err := pool.Get(context.Background(), listener.Addr().String(), "")
 	if err != nil {
 		t.Fatal(err)
 	}
 	conn.release(http.Header{})
 	clock.SimulateSuspend(5 * time.Second)
 	defer clock.SimulateSuspend(-5 * time.Second)
-	again, err := pool.Get(context.Background(), listener.Addr().String())
+	again, err := pool.Get(context.Background(), listener.Addr().String(), "")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -57,6 +57,6 @@
 }
 
 // Connect implements relay.Forwarder.
-func (f *forwarder) Connect(ctx context.Context, address string) (*backendconn.Conn, error) {
-	return f.pool.Get(ctx, address)
+func (f *forwarder) Connect(ctx context.Context, address, requestID string) (*backendconn.Conn, error) {
+	return f.pool.Get(ctx, address, requestID)
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -77,7 +77,7 @@
 // connect takes a connection to the chosen server and checks that the request may still be sent.
 // Where ok is false nothing was sent, and result says how the attempt ended.
 func (x *exchange) connect(choice dispatch.Choice, decision *AdmissionDecision) (conn *backendconn.Conn, result attemptResult, ok bool) {
-	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address)
+	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address, x.head.RequestID)
 	if err != nil {
 		x.markUnreachable(choice)
 		x.recordUnreached(choice)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -21,8 +21,8 @@
 	// Pick chooses a peer that is not excluded, in one of the regions. release must be called once
 	// the request is over.
 	Pick(service string, regions locality.Regions, exclude []string) (address string, release func(), ok bool)
-	// Connect returns a connection to the peer.
-	Connect(ctx context.Context, address string) (*backendconn.Conn, error)
+	// Connect returns a connection to the peer that has not carried a request with this ID.
+	Connect(ctx context.Context, address, requestID string) (*backendconn.Conn, error)
 }
 
 const (
@@ -100,7 +100,7 @@
 // forwardTo sends the request to one peer.
 func (x *exchange) forwardTo(address string, release func()) forwardResult {
 	defer release()
-	conn, err := x.handler.options.Forwarder.Connect(x.ctx, address)
+	conn, err := x.handler.options.Forwarder.Connect(x.ctx, address, x.head.RequestID)
 	if err != nil {
 		return forwardDeclined
 	}
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -42,8 +42,8 @@
 	return "", nil, false
 }
 
-func (p *listedPeers) Connect(ctx context.Context, address string) (*backendconn.Conn, error) {
-	return p.pool.Get(ctx, address)
+func (p *listedPeers) Connect(ctx context.Context, address, requestID string) (*backendconn.Conn, error) {
+	return p.pool.Get(ctx, address, requestID)
 }
 
 // newPeer makes the fixture's handler serve a peer, and returns its address.
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -49,10 +49,10 @@
 	close(begin)
 	group.Wait()
 	silent.Store(true)
-	if got := f.send(t, http.MethodPost, "/once/", "b", "X-Wait", "200ms"); got.status != http.StatusGatewayTimeout {
+	if got := f.send(t, http.MethodPost, "/once/", "b", "X-Id", "r2", "X-Wait", "200ms"); got.status != http.StatusGatewayTimeout {
 		t.Fatalf("status %d on a silent connection, want %d", got.status, http.StatusGatewayTimeout)
 	}
-	if got := f.send(t, http.MethodPost, "/once/", "b", "X-Wait", "200ms"); got.status != http.StatusOK {
+	if got := f.send(t, http.MethodPost, "/once/", "b", "X-Id", "r3", "X-Wait", "200ms"); got.status != http.StatusOK {
 		t.Errorf("status %d, want 200: another silent connection was used", got.status)
 	}
 }
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -32,6 +32,7 @@
 	if head.RequestID == "" {
 		return head, errNoID
 	}
+	head.Model, head.Adapter, _ = strings.Cut(head.Model, "/")
 	if parts := header.Get("X-Parts"); parts != "" {
 		for part := range strings.SplitSeq(parts, ",") {
 			head.PromptParts = append(head.PromptParts, dispatch.PromptPart{ID: part, Tokens: 10})
