Orders and questions for reports take no other call's answer for theirs

A leader's calls to model servers share connections with requests of callers and matched no answers.

What a late second copy did: a caller's rejection (421), taken for the answer to an order, made the leader forget the server while the order was carried out there; the answer to an order or a report, taken for that to the next order, made it count a load as taken or held that the server had turned away; an old report was taken for the present one.

Weighed: connections of their own that are closed after each call (two new ones for each order and its report either way; callers' requests can go on using these); trusting a report that may be seconds old (its words on limits would take back newer ones).

--- a/internal/backendconn/history.go
+++ b/internal/backendconn/history.go
@@ -11,7 +11,8 @@
 
 // history remembers the requests that a connection has carried. A server may send a response a second
 // time, late, where the response to the next request is due. The request ID does not tell such a copy
-// from the response to a later send of the same request, so no connection carries a request twice.
+// from the response to a later send of the same request, so no connection carries a request twice, nor
+// two requests without an ID.
 type history struct {
 	// hashes are those of the request IDs. A collision costs a new connection.
 	hashes []uint64
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -102,11 +102,11 @@
 }
 
 // Get returns a connection to the address for one request: an idle connection that has not carried a
-// request with this ID, or a new one. An empty ID stands for a request that servers do not name in
-// their responses; every connection may carry several of these.
+// request with this ID, or a new one. Requests without an ID count as one and the same: nothing tells
+// the responses to two of them apart.
 func (p *Pool) Get(ctx context.Context, address, requestID string) (*Conn, error) {
 	conn, err := p.takeOrDial(ctx, address, requestID)
-	if err == nil && requestID != "" {
+	if err == nil {
 		conn.history.add(p.hashRequestID(requestID))
 	}
 	return conn, err
