Own interface: a late copy of a refusal proves nothing

A refusal with X-Not-Run that a back end sends a second time, late, was taken for the proof that the next request of the connection did not run, whoever's it was; a service's answer went to the wrong caller.

Change: answers name the attempt (X-Request-Id, X-Attempt; the stand-ins do, docs/protocols.md). A refusal of an engine, and any answer of a service, that names another attempt, or none on a connection that was used before, is not believed: the attempt may have run, and the connection is closed. Streams were matched before, chunk by chunk, and calls that may not be repeated have connections of their own.

Left: claims and orders of engines (EngineControl) match no answers; they are fenced, and an order is idempotent by its ID.

--- a/internal/backend/generate.go
+++ b/internal/backend/generate.go
@@ -9,11 +9,9 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -138,14 +136,16 @@
 // openStream sends the request without following redirects, since a redirect
 // would send the body a second time.
 func (g *Generator) openStream(call *http.Request) (*Stream, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	call = call.WithContext(httptrace.WithClientTrace(call.Context(), trace))
+	var used sentOver
+	call = call.WithContext(used.trace(call.Context(), nil))
 	response, err := g.transport.RoundTrip(call)
 	if err != nil {
-		return nil, &SendError{NeverSent: !connected.Load(), Err: err}
+		return nil, &SendError{NeverSent: !used.connected.Load(), Err: err}
 	}
 	if response.StatusCode != http.StatusOK {
+		if err := used.checkIdentity(call, response); err != nil {
+			return nil, err
+		}
 		return nil, readRefusal(response)
 	}
 	opened := newStream(response.Body)
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -97,13 +96,14 @@
 // redirects. The error is a *SendError.
 func (s *Services) Call(ctx context.Context, address string, call ServiceCall) (*ServiceAnswer, error) {
 	var used atomic.Pointer[trackedConn]
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		connection, _ := info.Conn.(*trackedConn)
+	var sent sentOver
+	ctx = sent.trace(ctx, func(conn net.Conn) {
+		connection, _ := conn.(*trackedConn)
 		if connection != nil {
 			connection.mayStart = call.MayStart
 		}
 		used.Store(connection)
-	}})
+	})
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Target, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, &SendError{NeverSent: true, Err: err}
@@ -117,6 +117,9 @@
 	if err != nil {
 		return nil, &SendError{NeverSent: used.Load().blockIfUnwritten(), Err: err}
 	}
+	if err := sent.checkIdentity(request, response); err != nil {
+		return nil, err
+	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxServiceAnswerBytes+1))
 	if err != nil {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -159,9 +159,14 @@
 	return server
 }
 
-// backend starts a back end and returns its address.
+// backend starts a back end, whose responses name their attempts, and returns its address.
 func (h *harness) backend(handler http.HandlerFunc) string {
-	server := h.listen(handler)
+	server := h.listen(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		for _, name := range []string{backend.HeaderRequestID, backend.HeaderAttempt} {
+			writer.Header().Set(name, request.Header.Get(name))
+		}
+		handler(writer, request)
+	}))
 	h.t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
 }
--- a/internal/standin/httpdriver/answers.go
+++ b/internal/standin/httpdriver/answers.go
@@ -52,6 +52,18 @@
 	})
 }
 
+// withIdentity sets the request ID and the attempt of the request on its response.
+func withIdentity(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		for _, name := range []string{backend.HeaderRequestID, backend.HeaderAttempt} {
+			if value := request.Header.Get(name); value != "" {
+				writer.Header().Set(name, value)
+			}
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
 // writeNotRun refuses a request of which nothing has run.
 func writeNotRun(writer http.ResponseWriter, status int, code string) {
 	writer.Header().Set(backend.HeaderNotRun, "true")
--- a/internal/standin/httpdriver/engine.go
+++ b/internal/standin/httpdriver/engine.go
@@ -74,7 +74,7 @@
 	mux.HandleFunc("GET "+PathBooks, func(writer http.ResponseWriter, _ *http.Request) {
 		writeJSON(writer, http.StatusOK, e.Book())
 	})
-	return e.faults.Wrap(withLeavingHeader(&e.leaving, mux))
+	return withIdentity(e.faults.Wrap(withLeavingHeader(&e.leaving, mux)))
 }
 
 // Book returns the engine's records.
--- a/internal/standin/httpdriver/service.go
+++ b/internal/standin/httpdriver/service.go
@@ -55,7 +55,7 @@
 		writeJSON(writer, http.StatusOK, s.Book())
 	})
 	mux.HandleFunc("/", s.serveCommand)
-	return s.faults.Wrap(withLeavingHeader(&s.leaving, mux))
+	return withIdentity(s.faults.Wrap(withLeavingHeader(&s.leaving, mux)))
 }
 
 // Book returns the server's records.
