A stream that goes on is sent with its question for the server's start admitted

Cause: a server that goes on with a stream is asked for its start after the head of its answer.

Change: the question is admitted with the send, at the stream's priority; where it is denied nothing is sent and the request waits. The grant is used after the head of the answer, up to 2 s later: no server gets more questions than such requests, so a delay of 2 s adds at most half of 2 s of the limit to a window of 4 s, and the overage of one half holds. An unused grant is returned.

Ruled out: no question where the server is limited (joins versions after a restart under one ID).

--- a/internal/edge/admissions.go
+++ b/internal/edge/admissions.go
@@ -90,16 +90,15 @@
 	return decision
 }
 
-// AdmitInternalCall asks whether a call of the system itself (an order or a report request) may
-// be sent to the start. Cold servers accept such calls.
-func (c *admissions) AdmitInternalCall(ctx context.Context, start inventory.Start) relay.AdmissionDecision {
+// AdmitInternalCall implements relay.Admission, for orders and questions for reports.
+func (c *admissions) AdmitInternalCall(ctx context.Context, start inventory.Start, priority int) relay.AdmissionDecision {
 	now := clock.Now()
 	current := c.limitsOf(now, start)
 	current.phase = admission.Warm
-	return c.admit(ctx, now, start, current, internalCallPriority)
+	return c.admit(ctx, now, start, current, priority)
 }
 
-// internalCallPriority is the priority of the system's own calls: behind all urgent requests.
+// internalCallPriority is the priority of calls that no caller waits for: behind all urgent requests.
 const internalCallPriority = maxLimitPriority
 
 func (c *admissions) admit(ctx context.Context, now time.Time, start inventory.Start, current serverLimits, priority int) relay.AdmissionDecision {
--- a/internal/edge/admissions_test.go
+++ b/internal/edge/admissions_test.go
@@ -354,9 +354,9 @@
 	}
 	introduce(coordinator, asker)
 	receiveRateLimit(asker, start, 1)
-	asker.admissions.AdmitInternalCall(context.Background(), start) // opens the account
+	asker.admissions.AdmitInternalCall(context.Background(), start, internalCallPriority) // opens the account
 	for range 5 {
-		verdict := asker.admissions.AdmitInternalCall(context.Background(), start)
+		verdict := asker.admissions.AdmitInternalCall(context.Background(), start, internalCallPriority)
 		if verdict.Granted || verdict.GrantedBy != coordinator.options.PeerAddress {
 			t.Fatalf("%+v, want a refusal by the coordinator", verdict)
 		}
@@ -384,7 +384,9 @@
 		return count
 	}
 	request := func() relay.AdmissionDecision { return node.admissions.Admit(context.Background(), start, 0) }
-	call := func() relay.AdmissionDecision { return node.admissions.AdmitInternalCall(context.Background(), start) }
+	call := func() relay.AdmissionDecision {
+		return node.admissions.AdmitInternalCall(context.Background(), start, internalCallPriority)
+	}
 	if got := granted(request) + granted(call); got > 1 {
 		t.Errorf("%d granted in 1.2 s at 1 a second", got)
 	}
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -340,7 +340,7 @@
 	started := clock.Now()
 	zone := core.ZoneOf(order.ServerID)
 	go func() {
-		admitted := l.node.admissions.AdmitInternalCall(ctx, order.Start())
+		admitted := l.node.admissions.AdmitInternalCall(ctx, order.Start(), internalCallPriority)
 		result, hint := placer.ResultNotSent, inventory.Hint{}
 		if admitted.Granted {
 			result, hint = l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() time.Duration {
@@ -392,7 +392,8 @@
 func (l *leader) fetchReport(ctx context.Context, call placer.ReportRequest) {
 	core := l.core
 	go func() {
-		report, err := l.askForReport(ctx, call)
+		admitted := l.node.admissions.AdmitInternalCall(ctx, call.Start(), internalCallPriority)
+		report, err := l.askForReport(ctx, call, admitted)
 		l.deliver(ctx, func() {
 			addLimit(l.node.options.Logger.Info(), report.Hint).Str("server", call.ServerID).Int64("sequence", report.Sequence).
 				Bool("busy", report.Busy).Int("models", len(report.Models)).Bool("ok", err == nil).Msg("report_read")
@@ -402,8 +403,7 @@
 }
 
 // askForReport asks a server for its report, if the server's limits admit the call.
-func (l *leader) askForReport(ctx context.Context, call placer.ReportRequest) (placer.Report, error) {
-	admitted := l.node.admissions.AdmitInternalCall(ctx, call.Start())
+func (l *leader) askForReport(ctx context.Context, call placer.ReportRequest, admitted relay.AdmissionDecision) (placer.Report, error) {
 	if !l.mayCallServer(call.Start(), admitted) {
 		if admitted.Granted {
 			l.node.admissions.ReturnGrant(call.Start(), admitted)
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -209,8 +209,15 @@
 }
 
 // currentStart asks a model server for its current start.
-func (o *streamOrigins) currentStart(ctx context.Context, start inventory.Start, address string) (inventory.Start, error) {
-	report, err := o.node.leader.askForReport(ctx, placer.ReportRequest{ServerID: start.ID, StartedAtMs: start.StartedAtMs, Address: address})
+func (o *streamOrigins) currentStart(ctx context.Context, question relay.StartQuestion) (inventory.Start, error) {
+	start, leader := question.Start, o.node.leader
+	call := placer.ReportRequest{ServerID: start.ID, StartedAtMs: start.StartedAtMs, Address: question.Address}
+	admitted := question.Admitted
+	if !leader.mayCallServer(start, admitted) {
+		o.node.admissions.ReturnGrant(start, admitted)
+		admitted = o.node.admissions.AdmitInternalCall(ctx, start, question.Priority)
+	}
+	report, err := leader.askForReport(ctx, call, admitted)
 	return inventory.Start{ID: start.ID, StartedAtMs: report.StartedAtMs}, err
 }
 
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -16,10 +16,18 @@
 	// Admit asks whether one request may be sent to this start of a server now. Among several
 	// waiting requests those with the lower priority value go first; 0 is the highest.
 	Admit(ctx context.Context, start inventory.Start, priority int) AdmissionDecision
+	// AdmitInternalCall asks the same for a call of the system itself, such as a question for the
+	// current start. Cold servers accept such calls.
+	AdmitInternalCall(ctx context.Context, start inventory.Start, priority int) AdmissionDecision
 	// ReturnGrant returns a grant that was not used.
 	ReturnGrant(start inventory.Start, decision AdmissionDecision)
 }
 
+// startQuestionLifetime is how long the grant of a question for a server's start may be used: the question
+// follows the head of the answer. No server gets more questions than requests, so within the window of a
+// rate limit the delay adds less than the limit's overage.
+const startQuestionLifetime = 2 * time.Second
+
 // AdmissionDecision says whether a request may be sent to a server.
 type AdmissionDecision struct {
 	Granted bool
@@ -53,13 +61,23 @@
 // isReturnable reports whether a coordinator granted it, so that the grant can be returned.
 func (d AdmissionDecision) isReturnable() bool { return d.Granted && d.GrantedBy != "" }
 
-// requestAdmission asks whether the request may be sent to the chosen server. After a denial the
-// dispatcher leaves the server out until RetryAfter has passed.
+// requestAdmission asks whether the request may be sent to the chosen server, and the question for the
+// server's start with it: an answer that has begun would be cut if the question were denied. After a
+// denial the dispatcher leaves the server out until RetryAfter has passed.
 func (x *exchange) requestAdmission(choice dispatch.Choice) (decision AdmissionDecision) {
 	if x.handler.options.Admission == nil {
 		return AdmissionDecision{Granted: true}
 	}
 	decision = x.handler.options.Admission.Admit(x.ctx, choice.Attempt.Start(), x.priority())
+	if decision.Granted && x.mustConfirmStart() {
+		x.startQuestion = x.handler.options.Admission.AdmitInternalCall(x.ctx, choice.Attempt.Start(), x.priority())
+		if !x.startQuestion.Granted {
+			x.returnGrant(choice, decision)
+			decision = x.startQuestion
+		} else if !x.startQuestion.ValidUntil.IsZero() {
+			x.startQuestion.ValidUntil = clock.Now().Add(startQuestionLifetime)
+		}
+	}
 	if !decision.Granted {
 		x.handler.Metrics.ColdHeld.Add(1)
 		x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.RecordDenial(clock.Now(), choice.ServerID, decision.RetryAfter) })
@@ -67,6 +85,12 @@
 	return decision
 }
 
+// returnStartQuestion returns the grant of the question for the server's start if it was not asked.
+func (x *exchange) returnStartQuestion(choice dispatch.Choice) {
+	x.returnGrant(choice, x.startQuestion)
+	x.startQuestion = AdmissionDecision{}
+}
+
 // returnGrant returns the grant of a send that was abandoned.
 func (x *exchange) returnGrant(choice dispatch.Choice, decision AdmissionDecision) {
 	decision.settle(false)
@@ -95,6 +119,7 @@
 		return true
 	}
 	x.returnGrant(choice, *decision)
+	x.returnStartQuestion(choice)
 	*decision = x.requestAdmission(choice)
 	return decision.Granted
 }
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -23,6 +23,19 @@
 	// returned are the servers whose grants were returned unused.
 	returned []string
 	decide   func(serverID string, times int) AdmissionDecision
+	// decideCall decides on calls of the system itself, by their number; nil grants them.
+	decideCall func(times int) AdmissionDecision
+	calls      int
+}
+
+func (s *scriptedAdmission) AdmitInternalCall(context.Context, inventory.Start, int) AdmissionDecision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.decideCall == nil {
+		return AdmissionDecision{Granted: true}
+	}
+	return s.decideCall(s.calls)
 }
 
 func (s *scriptedAdmission) Admit(_ context.Context, start inventory.Start, _ int) AdmissionDecision {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -33,6 +33,7 @@
 	x.serverID, x.softwareVersion, x.hint = choice.ServerID, choice.SoftwareVersion, inventory.Hint{}
 	x.estimate, x.writingSince, x.localPort = choice.Estimate, time.Time{}, ""
 	decision := x.requestAdmission(choice)
+	defer func() { x.returnStartQuestion(choice) }()
 	if !decision.Granted {
 		x.endAttempt(choice, dispatch.OutcomeAbandoned)
 		return attemptNotSent
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -99,6 +99,9 @@
 	originSentAt time.Time
 	// isOriginConfirmed is set once that server said, after its first event, that it is still that start.
 	isOriginConfirmed atomic.Bool
+	// startQuestion is the grant of the question for the start of the current attempt's server, until it
+	// is asked.
+	startQuestion AdmissionDecision
 	// isResumption is set where the caller resumes a stream of an earlier attempt.
 	isResumption bool
 	// overdue follows the announced readiness that the request waits for, and notices when it is overdue.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -109,7 +109,7 @@
 	Origins Origins
 	// CurrentStart asks a model server for its current start; StartedAtMs is 0 if it does not say. nil
 	// takes the known start for the current one.
-	CurrentStart func(ctx context.Context, start inventory.Start, address string) (inventory.Start, error)
+	CurrentStart func(ctx context.Context, question StartQuestion) (inventory.Start, error)
 	Logger       *log.Logger
 	// IsReady reports whether the node knows enough to forward requests, and AwaitReady waits until it
 	// does or ctx ends; nil means always ready.
--- a/internal/relay/starts.go
+++ b/internal/relay/starts.go
@@ -11,6 +11,17 @@
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
+// StartQuestion asks a model server for its current start.
+type StartQuestion struct {
+	// Start is the known one.
+	Start   inventory.Start
+	Address string
+	// Priority is that of the request which waits for the answer, for a server that bounds its requests.
+	Priority int
+	// Admitted is the grant of the question, if one was taken before.
+	Admitted AdmissionDecision
+}
+
 // startCheckTimeout bounds the question to a server for its current start.
 const startCheckTimeout = 200 * time.Millisecond
 
@@ -27,7 +38,7 @@
 		return true
 	}
 	start := inventory.Start{ID: entry.Server.ServerID, StartedAtMs: entry.Server.StartedAtMs}
-	current, err := x.askCurrentStart(start, address)
+	current, err := x.askCurrentStart(StartQuestion{Start: start, Address: address, Priority: x.priority()})
 	return err != nil || current.StartedAtMs == 0 || current == start
 }
 
@@ -45,7 +56,7 @@
 	}
 	origin, confirmed := *x.origin, x.originEntry(*x.origin)
 	go func() {
-		current, err := x.askCurrentStart(start, choice.Address)
+		current, err := x.askCurrentStart(StartQuestion{Start: start, Address: choice.Address, Priority: x.priority()})
 		if err != nil || current != start || origin.SoftwareVersion == "" {
 			return
 		}
@@ -56,23 +67,29 @@
 }
 
 // askCurrentStart asks a server for its current start.
-func (x *exchange) askCurrentStart(start inventory.Start, address string) (inventory.Start, error) {
+func (x *exchange) askCurrentStart(question StartQuestion) (inventory.Start, error) {
 	ctx, cancel := context.WithTimeout(x.ctx, startCheckTimeout)
 	defer cancel()
-	return x.handler.options.CurrentStart(ctx, start, address)
+	return x.handler.options.CurrentStart(ctx, question)
+}
+
+// mustConfirmStart reports whether the server that goes on with the stream has to tell its start before
+// any event is passed on. It need not where one software version serves.
+func (x *exchange) mustConfirmStart() bool {
+	isGoingOn := x.headSent || x.isResumption
+	return isGoingOn && x.needsModel && x.handler.options.CurrentStart != nil && !x.servesOneVersion()
 }
 
 // isStartConfirmed reports whether the server that is about to go on with a stream is still the start
 // that was chosen. Of a server that started again under its ID nobody may know yet, so the server itself
-// is asked, after the head of its response and before any event. It need not be where one software
-// version serves.
+// is asked, after the head of its response and before any event.
 func (x *exchange) isStartConfirmed(choice dispatch.Choice) bool {
-	isGoingOn := x.headSent || x.isResumption
-	if !isGoingOn || !x.needsModel || x.handler.options.CurrentStart == nil || x.servesOneVersion() {
+	if !x.mustConfirmStart() {
 		return true
 	}
-	start := choice.Attempt.Start()
-	current, err := x.askCurrentStart(start, choice.Address)
+	start, admitted := choice.Attempt.Start(), x.startQuestion
+	x.startQuestion = AdmissionDecision{}
+	current, err := x.askCurrentStart(StartQuestion{Start: start, Address: choice.Address, Priority: x.priority(), Admitted: admitted})
 	return err == nil && (current.StartedAtMs == 0 || current == start)
 }
 
--- a/internal/relay/versions_test.go
+++ b/internal/relay/versions_test.go
@@ -280,7 +280,8 @@
 				}})
 			}
 			f.dispatch.Do(func(core *dispatch.Core) { core.SetServers(changes) })
-			f.handler.options.CurrentStart = func(_ context.Context, start inventory.Start, _ string) (inventory.Start, error) {
+			f.handler.options.CurrentStart = func(_ context.Context, question StartQuestion) (inventory.Start, error) {
+				start := question.Start
 				if start.ID == "s2" {
 					return inventory.Start{ID: "s2", StartedAtMs: c.beganAt}, c.began
 				}
@@ -296,3 +297,54 @@
 		})
 	}
 }
+
+// TestStreamGoesOnWithItsQuestionAdmitted guards against cutting an answer that has begun because its
+// server, which bounds its requests, may not be asked for its start: what is not sent with the question
+// admitted waits, and an unused grant is returned.
+func TestStreamGoesOnWithItsQuestionAdmitted(t *testing.T) {
+	servers := []*fakeServer{newFakeServer(t, wholeStream("v1")), newFakeServer(t, wholeStream("v2"))}
+	f := newFixture(t, servers...)
+	f.handler.SetTable(resumeTable())
+	var changes []inventory.Change
+	for i, s := range servers {
+		changes = append(changes, inventory.Change{Server: inventory.Server{
+			ID: "s" + strconv.Itoa(i), Service: "svc", Address: s.address, Zone: "z", Slots: 8, StartedAtMs: 1, SoftwareVersion: "v" + strconv.Itoa(i+1),
+			Models: []inventory.HeldModel{{Name: "m"}}, Position: storepos.At(0, 2),
+		}})
+	}
+	f.dispatch.Do(func(core *dispatch.Core) { core.SetServers(changes) })
+	grant := func() AdmissionDecision {
+		return AdmissionDecision{Granted: true, GrantedBy: "coordinator", ValidUntil: time.Now().Add(200 * time.Millisecond)}
+	}
+	admissions := &scriptedAdmission{
+		decide: func(string, int) AdmissionDecision { return grant() },
+		decideCall: func(times int) AdmissionDecision {
+			if times == 1 {
+				return AdmissionDecision{RetryAfter: 20 * time.Millisecond}
+			}
+			return grant()
+		},
+	}
+	f.handler.options.Admission = admissions
+	f.handler.options.Origins = &fixedOrigins{answer: OriginAnswer{IsKnown: true, Versions: []string{"v1", "v2"}, Entry: origins.Entry{
+		Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"},
+	}}}
+	questions := make(chan StartQuestion, 4)
+	f.handler.options.CurrentStart = func(_ context.Context, question StartQuestion) (inventory.Start, error) {
+		questions <- question
+		return question.Start, nil
+	}
+	got := f.send(t, http.MethodPost, "/resume/", "", "X-Last", "1", "X-Resumes", "r0", "X-Model", "m")
+	if got.body != "id: 2\ndata: v1\n\n" || servers[0].count() != 1 || servers[1].count() != 0 {
+		t.Errorf("got %+v after %d and %d sends, want the rest of the stream after one", got, servers[0].count(), servers[1].count())
+	}
+	if len(questions) != 1 {
+		t.Fatalf("asked %d times, want once", len(questions))
+	}
+	if question := <-questions; !question.Admitted.Granted || time.Until(question.Admitted.ValidUntil) < time.Second {
+		t.Errorf("asked with the grant %+v, want one that outlives the wait for the head of the answer", question.Admitted)
+	}
+	if len(admissions.returned) != 1 {
+		t.Errorf("%d grants returned, want that of the send that was denied its question", len(admissions.returned))
+	}
+}
