Fencing tokens rise whatever number the store's eras begin from

Cause: without a record and a process that remembers one, the token base counted from the first era of a store that counts from 1, so the first return of one that counts from 0 added nothing.

Change: it counts from the first era of a store that counts from 0: an era too many costs nothing. It counts so wherever the record is gone, also beside a remembered base: a process that remembers an older era could give less than what another gave in between. A record, and with it every fleet of several builds that has a lease, keeps its base. The first token of a store that counts from 1 is above 2^40 now, of one that names no era it is the revision as before.

In TestTokensRiseOverEras the lower bounds of the cases without a record rose by one era and the upper ones with them; "counted from one" asked for a token below 2^40, which is what the fault rested on.

--- a/internal/storelease/lease.go
+++ b/internal/storelease/lease.go
@@ -155,14 +155,15 @@
 	return true
 }
 
-// updateTokenBase derives the token base of the record's era. Where the record is gone or its
-// writer knew no eras, the base that this process remembers may be higher.
+// updateTokenBase derives the token base of the record's era. Without a record every era that the store
+// may have had counts, whichever number it began with. Where the record is gone or its writer knew no
+// eras, the base that this process remembers may be higher.
 func (c *Core) updateTokenBase(record Record, isAbsent bool) {
 	era := record.Position.Era
 	base := int64(0)
 	switch {
-	case isAbsent && c.tokenEra == 0:
-		base = tokenBaseForEra(era, 0, storepos.FirstEra)
+	case isAbsent:
+		base = tokenBaseForEra(era, 0, storepos.EarliestEra)
 	case record.Era != 0:
 		base = tokenBaseForEra(era, record.TokenBase, record.Era)
 	}
--- a/internal/storelease/lease_test.go
+++ b/internal/storelease/lease_test.go
@@ -1,6 +1,7 @@
 package storelease
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -163,16 +164,19 @@
 		// The token must be above least and below most.
 		least, most int64
 	}{
-		"first ever, counted from one": {[]Record{{Position: storepos.At(storepos.FirstEra, 0)}}, 0, tokensPerEra},
-		"an older build's":             {[]Record{{Holder: "x", Position: storepos.At(2, 7)}}, 7, tokensPerEra},
-		"an older build's, remembered": {[]Record{{Holder: "x", Position: storepos.At(2, 70)}, {Holder: "x", Position: storepos.At(3, 7)}}, 70, 2 * tokensPerEra},
-		"restored":                     {[]Record{{Holder: "x", Position: storepos.At(3, 7), Era: 2}}, tokensPerEra, 2 * tokensPerEra},
-		"restored twice":               {[]Record{{Holder: "x", Position: storepos.At(4, 7), Era: 2}}, 2 * tokensPerEra, 3 * tokensPerEra},
-		"lost, remembered":             {[]Record{{Holder: "x", Position: storepos.At(3, 70), Era: 3, TokenBase: tokensPerEra}, {Position: storepos.At(4, 0)}}, 2 * tokensPerEra, 3 * tokensPerEra},
-		"lost, remembered by nobody":   {[]Record{{Position: storepos.At(4, 0)}}, 2 * tokensPerEra, 3 * tokensPerEra},
-		"a base below 0":               {[]Record{{Holder: "x", Position: storepos.At(3, 7), Era: 3, TokenBase: -5}}, 0, tokensPerEra},
-		"a base that overflows":        {[]Record{{Holder: "x", Position: storepos.At(3, 7), Era: 2, TokenBase: math.MaxInt64}}, 0, math.MaxInt64},
-		"an era below 0":               {[]Record{{Holder: "x", Position: storepos.At(3, 7), Era: math.MinInt64}}, 0, math.MaxInt64},
+		"first ever, no era":            {[]Record{{Position: storepos.At(0, 0)}}, 0, tokensPerEra},
+		"first ever, counted from zero": {[]Record{{Position: storepos.At(storepos.EarliestEra, 0)}}, 0, tokensPerEra},
+		"first ever, counted from one":  {[]Record{{Position: storepos.At(storepos.FirstEra, 0)}}, tokensPerEra, 2 * tokensPerEra},
+		"an older build's":              {[]Record{{Holder: "x", Position: storepos.At(2, 7)}}, 7, tokensPerEra},
+		"an older build's, remembered":  {[]Record{{Holder: "x", Position: storepos.At(2, 70)}, {Holder: "x", Position: storepos.At(3, 7)}}, 70, 2 * tokensPerEra},
+		"restored":                      {[]Record{{Holder: "x", Position: storepos.At(3, 7), Era: 2}}, tokensPerEra, 2 * tokensPerEra},
+		"restored twice":                {[]Record{{Holder: "x", Position: storepos.At(4, 7), Era: 2}}, 2 * tokensPerEra, 3 * tokensPerEra},
+		"lost, remembered":              {[]Record{{Holder: "x", Position: storepos.At(3, 70), Era: 3, TokenBase: tokensPerEra}, {Position: storepos.At(4, 0)}}, 2 * tokensPerEra, 4 * tokensPerEra},
+		"lost, remembered by nobody":    {[]Record{{Position: storepos.At(4, 0)}}, 3 * tokensPerEra, 4 * tokensPerEra},
+		"lost, a lower one remembered":  {[]Record{{Holder: "x", Position: storepos.At(3, 70), Era: 3}, {Position: storepos.At(4, 0)}}, 3 * tokensPerEra, 4 * tokensPerEra},
+		"a base below 0":                {[]Record{{Holder: "x", Position: storepos.At(3, 7), Era: 3, TokenBase: -5}}, 0, tokensPerEra},
+		"a base that overflows":         {[]Record{{Holder: "x", Position: storepos.At(3, 7), Era: 2, TokenBase: math.MaxInt64}}, 0, math.MaxInt64},
+		"an era below 0":                {[]Record{{Holder: "x", Position: storepos.At(3, 7), Era: math.MinInt64}}, 0, math.MaxInt64},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -194,3 +198,24 @@
 		})
 	}
 }
+
+// TestTokensRiseWhereverErasBegin guards against a token below one that was used: all processes end as the
+// store goes back to before the first lease, any number of times in a row, and nobody remembers a token.
+func TestTokensRiseWhereverErasBegin(t *testing.T) {
+	for first := range int64(4) {
+		t.Run(fmt.Sprint("from ", first), func(t *testing.T) {
+			highest := int64(0)
+			for restores := range int64(5) {
+				era, core := storepos.EraFromStore(first+restores), New(options("b"))
+				core.ObserveAbsent(at(0), at(0), era)
+				core.NextRecord(at(time.Minute))
+				core.WriteSucceeded(at(time.Minute), at(time.Minute), storepos.At(era, 20-restores))
+				if token := core.Term(); token <= highest {
+					t.Errorf("token %d after %d restores, after %d", token, restores, highest)
+				} else {
+					highest = token
+				}
+			}
+		})
+	}
+}
--- a/internal/storepos/storepos.go
+++ b/internal/storepos/storepos.go
@@ -18,8 +18,12 @@
 // operator and servers had written: they write it again, and the entries of ended servers expire.
 const RestoreRewriteTime = 6 * time.Second
 
-// FirstEra is the era of a store that numbers its eras from one and was never restored.
-const FirstEra = 2
+const (
+	// EarliestEra is the era of a store that numbers its eras from zero and was never restored.
+	EarliestEra = 1
+	// FirstEra is the era of a store that numbers its eras from one and was never restored.
+	FirstEra = 2
+)
 
 // EraFromStore converts the era that the store reports: it adds one, as 0 stands for an unknown era.
 func EraFromStore(reportedEra int64) int64 { return reportedEra + 1 }
