An unanswered order outlives its server's entry and its leader's term

Cause: a later start may still execute such an order, and the leader kept it only where the entry of the new start came without the old one having gone.

Change: unanswered loads are kept by server ID beside the servers, over entries and over the terms of a node, for the 13 s in which they may be carried out. A new leader counts the loads that the views of the one before told of, which nodes have anyway. Both only take room that the order may need.

Left: a new leader that knows no view of the one before, and orders of adapters by other leaders.

--- a/internal/dispatch/views.go
+++ b/internal/dispatch/views.go
@@ -46,6 +46,21 @@
 	c.notify()
 }
 
+// Views calls yield with the latest view of each server and when it arrived, until yield returns false.
+// Views of servers without an entry are included for a while.
+func (c *Core) Views(yield func(view View, receivedAt time.Time) bool) {
+	for _, s := range c.servers {
+		if s.view != nil && !yield(*s.view, s.viewAt) {
+			return
+		}
+	}
+	for _, pending := range c.pendingViews {
+		if !yield(*pending.view, pending.at) {
+			return
+		}
+	}
+}
+
 // serverForStart returns the server for the start that a view is about; nil if that start is over.
 // The leader may learn of a new start from the server itself before the store has its entry; the
 // models of the previous start are then discarded. If the server's clock went back, its new start
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,8 @@
 	core  *placer.Core
 	// demand is maintained by every node, for a term that it may begin.
 	demand *placer.Demand
+	// formerOrders are the orders of earlier terms that servers may still execute.
+	formerOrders *placer.FormerOrders
 	// loads holds the requests in progress at all nodes, while this node leads.
 	loads           *dispatch.FleetLoads
 	demandCountedAt time.Time
@@ -122,6 +125,8 @@
 		}),
 		servers: inventory.NewTable(),
 		demand:  placer.NewDemand(),
+
+		formerOrders: placer.NewFormerOrders(),
 	}
 }
 
@@ -267,6 +272,9 @@
 	if term == previous {
 		return
 	}
+	if l.core != nil {
+		l.core.EndTerm(now)
+	}
 	if term == 0 {
 		l.core = nil
 		l.node.options.Logger.Info().Int64("term", previous).Msg("lease_lost")
@@ -276,8 +284,10 @@
 		Int64("order_in_ms", l.lease.FirstOrderAt().Sub(now).Milliseconds()).Msg("lease_taken")
 	l.node.peers.pruneViews(func(string) bool { return false })
 	l.loads = dispatch.NewFleetLoads()
+	l.recallLoadsOfOthers()
 	l.core = placer.New(placer.Options{
-		Window: l.node.options.ModelLoadWindow, Overage: l.node.options.ModelLoadOverage,
+		FormerOrders: l.formerOrders,
+		Window:       l.node.options.ModelLoadWindow, Overage: l.node.options.ModelLoadOverage,
 		LoadsAtOnce: l.lease.PastLoadsAtOnce(), Demand: l.demand, Topology: l.node.options.Topology,
 	})
 	l.core.SetTable(l.node.handler.Table())
@@ -292,6 +302,20 @@
 	l.reserveNow = true
 }
 
+// recallLoadsOfOthers records the loads that the views of earlier leaders tell of: the answers to their
+// orders may have been lost.
+func (l *leader) recallLoadsOfOthers() {
+	l.node.dispatch.Do(func(core *dispatch.Core) {
+		for view, receivedAt := range core.Views {
+			for model := range view.Loading {
+				if !strings.Contains(model, "/") {
+					l.formerOrders.AddPossibleLoad(receivedAt, view.ServerID, model, view.Sequence)
+				}
+			}
+		}
+	})
+}
+
 // applyServerList and applyServerEvents maintain the leader's table of servers, which relies on
 // the store alone.
 func (l *leader) applyServerList(now, requestedAt time.Time, servers []inventory.Server, at storepos.Position) {
--- a/internal/placer/answers.go
+++ b/internal/placer/answers.go
@@ -137,8 +137,7 @@
 		s.synced = false
 		s.scheduleReport(now.Add(maxReportAge))
 	case ResultGone:
-		delete(c.servers, order.ServerID)
-		c.sortedServers = nil
+		c.removeServer(now, order.ServerID)
 	default:
 		c.rollBackOrder(s, order)
 		s.pauseUntil = now.Add(refusedPause)
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -25,6 +25,8 @@
 	loadBudget map[string]int
 	// loadCrashes holds the models whose loads crashed servers.
 	loadCrashes map[modelKey]*loadCrashes
+	// formerOrders are the unanswered orders to servers without an entry, those of earlier terms included.
+	formerOrders *FormerOrders
 	// sortedServers caches the servers in order of ID; nil after a server was added or removed.
 	sortedServers []*server
 	// evacuatedZones are the zones whose servers get no orders, and unavailable the single server
@@ -39,6 +41,9 @@
 	if options.Demand == nil {
 		options.Demand = NewDemand()
 	}
+	if options.FormerOrders == nil {
+		options.FormerOrders = NewFormerOrders()
+	}
 	return &Core{
 		options:     options,
 		servers:     make(map[string]*server),
@@ -47,6 +52,8 @@
 		storeLimits: make(map[string]*storeLimit),
 		loadBudget:  make(map[string]int),
 		loadCrashes: make(map[modelKey]*loadCrashes),
+
+		formerOrders: options.FormerOrders,
 	}
 }
 
@@ -103,15 +110,10 @@
 			if ok {
 				c.recordServerLoss(now, existing)
 			}
-			delete(c.servers, id)
-			c.sortedServers = nil
+			c.removeServer(now, id)
 		case !ok:
 			if engine := c.engineOf(change.Server.Service); engine != nil {
-				added := newServer(change.Server, now)
-				added.setCachedWeights(change.Server.InMemory, change.Server.OnDisk)
-				c.setAvailability(added)
-				c.servers[id] = added
-				c.sortedServers = nil
+				c.addServer(now, change.Server)
 			}
 		case existing.info.Start() != change.Server.Start():
 			c.replaceRestarted(now, existing, change.Server)
@@ -237,6 +239,7 @@
 		})
 	}
 	c.updateLoadEstimates(now)
+	c.formerOrders.drop(now)
 }
 
 // windowSlack covers the delay between issuing an order and its arrival at the server.
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -161,6 +161,8 @@
 	LoadsAtOnce map[string]float64
 	// Demand is the demand observed so far; nil means none.
 	Demand *Demand
+	// FormerOrders are the orders of earlier terms that may still be executed; nil means none.
+	FormerOrders *FormerOrders
 	// Topology maps the zones of the deployment to regions.
 	Topology locality.Map
 }
--- a/internal/placer/starts.go
+++ b/internal/placer/starts.go
@@ -36,12 +36,7 @@
 	c.recordServerLoss(now, existing)
 	restarted := newServer(entry, now)
 	restarted.setCachedWeights(entry.InMemory, entry.OnDisk)
-	restarted.staleOrders = existing.staleOrders
-	for _, order := range []*Order{existing.pendingOrder, existing.unconfirmedOrder} {
-		if order != nil && order.Operation == Load {
-			restarted.staleOrders = append(restarted.staleOrders, staleOrder{order: *order, until: now.Add(staleOrderTTL)})
-		}
-	}
+	restarted.staleOrders = existing.unansweredLoads(now)
 	c.setAvailability(restarted)
 	c.servers[entry.ID] = restarted
 	c.sortedServers = nil
@@ -49,6 +44,45 @@
 	return restarted
 }
 
+// unansweredLoads returns the orders to this start and those before it that a later start of the server
+// may still execute.
+func (s *server) unansweredLoads(now time.Time) []staleOrder {
+	unanswered := slices.Clone(s.staleOrders)
+	for _, order := range []*Order{s.pendingOrder, s.unconfirmedOrder} {
+		if order != nil && order.Operation == Load {
+			unanswered = append(unanswered, staleOrder{order: *order, until: now.Add(staleOrderTTL)})
+		}
+	}
+	return unanswered
+}
+
+// removeServer forgets a server, but not its unanswered orders: its entry may lapse while it runs, and a
+// later start may come under its ID.
+func (c *Core) removeServer(now time.Time, id string) {
+	if s, ok := c.servers[id]; ok {
+		c.formerOrders.add(id, s.unansweredLoads(now)...)
+	}
+	delete(c.servers, id)
+	c.sortedServers = nil
+}
+
+// addServer adds a server that had no entry, with the unanswered orders to its ID.
+func (c *Core) addServer(now time.Time, entry inventory.Server) {
+	added := newServer(entry, now)
+	added.setCachedWeights(entry.InMemory, entry.OnDisk)
+	added.staleOrders = c.formerOrders.take(entry.ID)
+	c.setAvailability(added)
+	c.servers[entry.ID] = added
+	c.sortedServers = nil
+}
+
+// EndTerm hands the unanswered orders on to the next term of this node.
+func (c *Core) EndTerm(now time.Time) {
+	for id, s := range c.servers {
+		c.formerOrders.add(id, s.unansweredLoads(now)...)
+	}
+}
+
 // dropStaleOrders removes the orders that can no longer be executed, because they expired or
 // because the server accepted another order with their sequence number.
 func (s *server) dropStaleOrders(now time.Time) {
--- a/internal/placer/starts_test.go
+++ b/internal/placer/starts_test.go
@@ -131,3 +131,113 @@
 		t.Error("stale orders are lost with a further start")
 	}
 }
+
+// TestUnansweredOrderOutlivesItsServersEntry guards against forgetting an unanswered order with its server's
+// entry: a server that comes back under its ID may still execute it, beside what it is ordered meanwhile.
+func TestUnansweredOrderOutlivesItsServersEntry(t *testing.T) {
+	gone := []inventory.Change{{Server: inventory.Server{ID: "s"}, Gone: true}}
+	for name, c := range map[string]struct {
+		// settle is what becomes of the order before the entry goes.
+		settle func(core *Core, now time.Time, order Order)
+		// startedAt is that of the server as it comes back.
+		startedAt int64
+		away      time.Duration
+		isKept    bool
+	}{
+		"not answered yet, a later start":      {settle: func(*Core, time.Time, Order) {}, startedAt: 4, away: time.Second, isKept: true},
+		"without an answer, a later start":     {settle: unknownResult, startedAt: 4, away: time.Second, isKept: true},
+		"without an answer, the same start":    {settle: unknownResult, startedAt: 3, away: time.Second, isKept: true},
+		"answered":                             {settle: busyResult, startedAt: 4, away: time.Second},
+		"the order can no longer be executed":  {settle: unknownResult, startedAt: 4, away: staleOrderTTL + time.Second},
+		"the server is not there for an order": {settle: goneAfterUnknown, startedAt: 4, away: time.Second, isKept: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := newRestartedServerCore(t)
+			core.HandleReport(begin, "s", Report{StartedAtMs: 3}, true)
+			engine := core.engineOf(serviceName)
+			free := core.servers["s"].usedMB(engine)
+			requestModel(core, begin, "m08")
+			order := core.Step(begin.Add(tick), true).Orders[0]
+			c.settle(core, begin.Add(tick), order)
+			core.SetServers(begin.Add(2*tick), gone)
+			back := begin.Add(2*tick + c.away)
+			core.Step(back, true)
+			core.SetServers(back, []inventory.Change{{Server: inventory.Server{ID: "s", StartedAtMs: c.startedAt, Service: serviceName, Position: storepos.At(0, 9)}}})
+			core.HandleReport(back, "s", Report{StartedAtMs: c.startedAt}, true)
+			want := free
+			if c.isKept {
+				want += engine.Models["m08"].WeightsMB
+			}
+			if got := core.servers["s"].usedMB(engine); got != want {
+				t.Errorf("%v MB in use, want %v", got, want)
+			}
+			if len(core.formerOrders.byServer) != 0 {
+				t.Errorf("orders kept for servers that are there: %v", core.formerOrders.byServer)
+			}
+		})
+	}
+}
+
+func unknownResult(core *Core, now time.Time, order Order) {
+	core.HandleOrderResult(now, order, ResultUnknown)
+}
+
+func busyResult(core *Core, now time.Time, order Order) {
+	core.HandleOrderResult(now, order, ResultBusy)
+}
+
+// goneAfterUnknown lets the order go unanswered, and the next one find another server at the address.
+func goneAfterUnknown(core *Core, now time.Time, order Order) {
+	core.HandleOrderResult(now, order, ResultUnknown)
+	next := order
+	core.servers["s"].pendingOrder = &next
+	core.HandleOrderResult(now, next, ResultGone)
+}
+
+// TestUnansweredOrderOutlivesItsTerm guards against a leader that takes the lease again, or after another,
+// and knows nothing of the orders that were on their way: a server may still execute them after a restart.
+func TestUnansweredOrderOutlivesItsTerm(t *testing.T) {
+	options := Options{Window: window, Overage: overage, FormerOrders: NewFormerOrders()}
+	for name, c := range map[string]struct {
+		endTerm func(former *Core, order Order)
+		after   time.Duration
+		isKept  bool
+	}{
+		"this node's":           {func(former *Core, _ Order) { former.EndTerm(begin.Add(2 * tick)) }, time.Second, true},
+		"another node's":        {func(_ *Core, order Order) { options.FormerOrders.AddPossibleLoad(begin, "s", order.Model, 0) }, time.Second, true},
+		"another node's, later": {func(_ *Core, order Order) { options.FormerOrders.AddPossibleLoad(begin, "s", order.Model, 0) }, staleOrderTTL + time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			options.FormerOrders = NewFormerOrders()
+			server := func(startedAt, revision int64) []inventory.Change {
+				return []inventory.Change{{Server: inventory.Server{ID: "s", StartedAtMs: startedAt, Service: serviceName, Position: storepos.At(0, revision)}}}
+			}
+			newTerm := func() *Core {
+				core := New(options)
+				core.SetTable(simTable())
+				core.SetServers(begin, server(2, 4))
+				core.ConfirmReservation()
+				return core
+			}
+			former := newTerm()
+			former.Step(begin, true)
+			former.HandleReport(begin, "s", Report{StartedAtMs: 2}, true)
+			free := former.servers["s"].usedMB(former.engineOf(serviceName))
+			requestModel(former, begin, "m08")
+			order := former.Step(begin.Add(tick), true).Orders[0]
+			former.HandleOrderResult(begin.Add(tick), order, ResultUnknown)
+			c.endTerm(former, order)
+			core, restartAt := newTerm(), begin.Add(c.after)
+			core.Step(restartAt, true)
+			core.SetServers(restartAt, server(3, 5))
+			core.HandleReport(restartAt, "s", Report{StartedAtMs: 3}, true)
+			want := free
+			if c.isKept {
+				want += core.engineOf(serviceName).Models["m08"].WeightsMB
+			}
+			if got := core.servers["s"].usedMB(core.engineOf(serviceName)); got != want {
+				t.Errorf("%v MB in use, want %v", got, want)
+			}
+		})
+	}
+}
