A part of a prompt is not cleared by the time that a slow server writes

Cause: an answer that went on for 200 ms spoke for its parts for a minute, and a server that ended after that blamed none. At slow servers two events take longer than that, so each request with the part cleared it just before it ended the server.

Change: an answer proves its parts by eight events and 200 ms. Weighed: whole answers alone (a long stream speaks for nobody for seconds, and sound parts of the same requests are barred in 0.6 s).

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -31,7 +31,7 @@
 // attempt sends the request to the chosen server.
 func (x *exchange) attempt(choice dispatch.Choice) attemptResult {
 	x.serverID, x.softwareVersion, x.hint = choice.ServerID, choice.SoftwareVersion, inventory.Hint{}
-	x.estimate, x.writingSince, x.localPort = choice.Estimate, time.Time{}, ""
+	x.estimate, x.writingSince, x.writtenEvents, x.localPort = choice.Estimate, time.Time{}, 0, ""
 	decision := x.requestAdmission(choice)
 	defer func() { x.returnStartQuestion(choice) }()
 	if !decision.Granted {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -116,9 +116,11 @@
 	// isTrial is set from claiming a trial until its one send is over, and trialOf what it is a trial of.
 	isTrial bool
 	trialOf poison.Fingerprint
-	// writingSince is when the server of the current attempt wrote its first event; zero before.
+	// writingSince is when the server of the current attempt wrote its first event, zero before, and
+	// writtenEvents how many it wrote.
 	// reportedProgress is set once the parts of the prompt were reported to run well.
 	writingSince     time.Time
+	writtenEvents    int
 	reportedProgress bool
 	// countedDemand is what the request was last counted as demand for.
 	countedDemand dispatch.Requirements
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -189,18 +189,23 @@
 	}
 }
 
-// provenRunTime is how long a server writes a response until the request's parts are taken to be
-// harmless: one that crashes servers does so as they begin to write.
-const provenRunTime = 200 * time.Millisecond
+// A server that writes a response for provenRunTime, and provenEvents of it, proves the parts of the prompt
+// harmless: one that crashes servers does so as they begin to write. The time alone proves nothing of a
+// slow server, which may still be about to write the next of its first events.
+const (
+	provenRunTime = 200 * time.Millisecond
+	provenEvents  = 8
+)
 
-// ranWell reports whether the server of the current attempt has been writing for provenRunTime.
+// ranWell reports whether the current attempt proves the parts of the prompt harmless.
 func (x *exchange) ranWell() bool {
-	return !x.writingSince.IsZero() && clock.Since(x.writingSince) >= provenRunTime
+	return x.writtenEvents >= provenEvents && clock.Since(x.writingSince) >= provenRunTime
 }
 
 // recordProgress records that the server of the current attempt writes, and reports once that the parts
 // of the prompt run well.
-func (x *exchange) recordProgress() {
+func (x *exchange) recordProgress(events int) {
+	x.writtenEvents += events
 	switch {
 	case x.writingSince.IsZero():
 		x.writingSince = clock.Now()
--- a/internal/relay/poison_parts_test.go
+++ b/internal/relay/poison_parts_test.go
@@ -115,16 +115,19 @@
 // been writing an answer on it: the part that crashes servers does so as they begin to write.
 func TestPartsAreBlamedAtTheBeginningOnly(t *testing.T) {
 	for name, c := range map[string]struct {
-		writesFor time.Duration
-		blamed    []poison.Fingerprint
+		// writesFor is how long the server writes, an event and a pause at a time.
+		writesFor, pause time.Duration
+		blamed           []poison.Fingerprint
 	}{
-		"crashes before its first event": {blamed: partsNamed("a", "b")},
-		"crashes later":                  {writesFor: 2 * provenRunTime},
+		"crashes before its first event":        {blamed: partsNamed("a", "b")},
+		"crashes later":                         {writesFor: 2 * provenRunTime, pause: 20 * time.Millisecond},
+		"crashes at its third event, slow":      {writesFor: 2 * provenRunTime, pause: 150 * time.Millisecond, blamed: partsNamed("a", "b")},
+		"crashes soon after many events, quick": {writesFor: provenRunTime / 4, pause: time.Millisecond, blamed: partsNamed("a", "b")},
 	} {
 		var server *fakeServer
 		server = newFakeServer(t, func(conn net.Conn, request *http.Request) bool {
 			write(conn, streamHead)
-			for begin := time.Now(); time.Since(begin) < c.writesFor; time.Sleep(20 * time.Millisecond) {
+			for begin := time.Now(); time.Since(begin) < c.writesFor; time.Sleep(c.pause) {
 				write(conn, chunk("id: 1\ndata: x\n\n"))
 			}
 			_ = server.listener.Close()
@@ -138,7 +141,7 @@
 		if !slices.Equal(crashed, c.blamed) {
 			t.Errorf("%s: blamed %v, want %v", name, crashed, c.blamed)
 		}
-		if hasRunWell := len(ranWell) > 0; hasRunWell != (c.writesFor > 0) {
+		if hasRunWell := len(ranWell) > 0; hasRunWell != (c.blamed == nil) {
 			t.Errorf("%s: parts reported to run well: %v", name, hasRunWell)
 		}
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -94,7 +94,7 @@
 	}
 	x.timing.record(clock.Since(x.arrived))
 	isFirst := x.eventCount == 0
-	x.recordProgress()
+	x.recordProgress(bytes.Count(events, eventTerminator))
 	for len(events) > 0 {
 		end := bytes.Index(events, eventTerminator) + len(eventTerminator)
 		if id := eventID(events[:end]); id != "" {
