A forwarded request counts the servers that its peer asked

Cause: a peer that broke off counted as one server, though it had asked two (countForwardedSend adds its address once).

Change: the peer is told how many servers it may ask, one fewer than are left, and so many count if it breaks off without a word. It tells in the head of its answer how many it asked, and asks no further one after that. What breaks off then, fails at the peer or was rejected by servers goes on at the sender, which knows the count; before, the peer's own second try did that.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -209,10 +209,12 @@
 	return x.retryOrGiveUp("no_answer")
 }
 
-// retryOrGiveUp decides whether a request that may have run is sent once more.
+// retryOrGiveUp decides whether a request that may have run is sent once more. A forwarded one whose
+// response has begun is left to the peer, which was told how many servers were asked until then.
 func (x *exchange) retryOrGiveUp(reason string) attemptResult {
 	expired := clock.Until(x.deadline) <= waiting.ResponseMargin
-	if expired || !x.isRetryable() || len(x.sentTo) >= x.route.MaxAttempts {
+	isLeftToPeer := x.forwarded != nil && x.headSent
+	if expired || isLeftToPeer || !x.isRetryable() || len(x.sentTo) >= x.maxServers() {
 		x.giveUp(reason)
 		return attemptDone
 	}
@@ -321,7 +323,7 @@
 		x.failedServers = append(x.failedServers, choice.ServerID)
 		return attemptRetry
 	}
-	if len(x.sentTo) >= x.route.MaxAttempts && !x.isReadySoon(choice.ServerID) {
+	if len(x.sentTo) >= x.maxServers() && !x.isReadySoon(choice.ServerID) {
 		x.giveUp(reasonRejected)
 		return attemptDone
 	}
@@ -388,7 +390,7 @@
 
 // canRetryElsewhere reports whether a request that got a 5xx response can be sent to another server.
 func (x *exchange) canRetryElsewhere() bool {
-	if !x.isRetryable() || len(x.sentTo) >= x.route.MaxAttempts || clock.Until(x.deadline) <= waiting.ResponseMargin {
+	if !x.isRetryable() || len(x.sentTo) >= x.maxServers() || clock.Until(x.deadline) <= waiting.ResponseMargin {
 		return false
 	}
 	found := false
@@ -407,6 +409,7 @@
 		header[name] = values
 	}
 	removePeerHeaders(header)
+	x.setServersHeader(header)
 	if x.forwarded != nil && x.origin != nil {
 		header.Set(versionHeader, x.origin.SoftwareVersion)
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -342,7 +342,7 @@
 		request.Parts = x.head.PromptParts
 		request.PromptTokens = x.head.PromptTokens
 	}
-	if len(x.sentTo) >= x.route.MaxAttempts {
+	if len(x.sentTo) >= x.maxServers() {
 		request.AllowedServers = x.sentTo
 	}
 	if x.poisonStatus() == poison.StatusSuspect {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -110,13 +110,16 @@
 		return forwardDone
 	}
 	x.peer = address
-	response, err := conn.RoundTrip(x.ctx, x.peerRequest())
+	// A peer that breaks off without a word has asked so many at most; one is kept for the next attempt.
+	allowed := max(1, x.route.MaxAttempts-len(x.sentTo)-1)
+	response, err := conn.RoundTrip(x.ctx, x.peerRequest(allowed))
 	switch {
 	case errorx.IsOfType(err, backendconn.ErrNotSent):
 		x.returnRetry()
 		return forwardDeclined
 	case err != nil:
-		x.countForwardedSend(address)
+		x.countForwardedSend(address, allowed)
+		x.mayHaveRun = true
 		return x.endBrokenForward("no_answer_from_peer")
 	}
 	defer response.Close()
@@ -124,37 +127,70 @@
 		x.returnRetry()
 		return forwardDeclined
 	}
-	isNotRun, version := response.Header.Get(notRunHeader) != "", response.Header.Get(versionHeader)
+	answer := peerAnswer{
+		isNotRun: response.Header.Get(notRunHeader) != "", hasFailed: response.Header.Get(failedHeader) != "",
+		version: response.Header.Get(versionHeader), servers: parseServersHeader(response.Header),
+	}
 	removePeerHeaders(response.Header)
-	if isNotRun {
+	if answer.isNotRun {
+		return x.handlePeerRefusal(response, address, answer)
+	}
+	x.countForwardedSend(address, answer.servers)
+	x.mayHaveRun = true
+	x.handler.Metrics.Forwarded.Add(1)
+	if answer.hasFailed && !x.headSent {
+		return x.endBrokenForward("failed_at_peer")
+	}
+	return x.passFromPeer(response, answer.version)
+}
+
+// peerAnswer is what a peer says of a forwarded request in the head of its response.
+type peerAnswer struct {
+	// isNotRun is set if no server ran the request, and hasFailed if one may have, without a response.
+	isNotRun, hasFailed bool
+	// version is the software version of the server that responds; empty if the peer does not say.
+	version string
+	// servers is how many servers the peer asked.
+	servers int
+}
+
+// handlePeerRefusal passes the refusal of a peer on, or offers the request to another peer if servers
+// rejected it and further ones may be asked.
+func (x *exchange) handlePeerRefusal(response *backendconn.Response, address string, answer peerAnswer) forwardResult {
+	if answer.servers == 0 {
 		x.returnRetry()
 		return x.passRefusal(response)
 	}
-	x.countForwardedSend(address)
-	x.handler.Metrics.Forwarded.Add(1)
-	return x.passFromPeer(response, version)
+	x.countForwardedSend(address, answer.servers)
+	if len(x.sentTo) >= x.route.MaxAttempts {
+		return x.passRefusal(response)
+	}
+	return forwardRetry
 }
 
-// countForwardedSend records that the peer may have sent the request to a server.
-func (x *exchange) countForwardedSend(address string) {
+// countForwardedSend records that the peer sent the request to that many servers, one at least. The
+// route's maximum bounds what a peer claims.
+func (x *exchange) countForwardedSend(address string, servers int) {
 	if x.holdsRetry {
 		x.holdsRetry = false
 		x.handler.Metrics.Retries.Add(1)
 	}
 	x.sends++
-	x.sentTo = append(x.sentTo, address)
-	x.mayHaveRun, x.wasForwarded = true, true
+	for range min(max(1, servers), max(1, x.route.MaxAttempts)) {
+		x.sentTo = append(x.sentTo, address)
+	}
+	x.wasForwarded = true
 }
 
 // peerRequest is the request as it goes to a peer: as the caller sent it, with the time left, and
-// what this node has done with it.
-func (x *exchange) peerRequest() backendconn.Request {
+// what this node has done with it. The peer may ask so many servers.
+func (x *exchange) peerRequest(maxServers int) backendconn.Request {
 	header := endToEndHeader(x.request.Header, x.handler.options.Dialect.IsEndToEnd)
 	x.handler.options.Dialect.SetNodeHeaders(header, NodeHeaders{
 		TimeLeft: clock.Until(x.deadline) - forwardMargin, Urgency: -1, LastEventID: x.lastEventID,
 	})
 	state := forwardedState{
-		Service: x.service, ConfigVersion: x.table.Version, Elapsed: clock.Since(x.arrived), SentTo: x.sentTo,
+		Service: x.service, ConfigVersion: x.table.Version, Elapsed: clock.Since(x.arrived), SentTo: x.sentTo, MaxServers: maxServers,
 		IsCounted: x.isCounted, IsRetry: x.isRetry, SoftwareVersion: x.requiredVersion(),
 	}
 	header.Set(forwardedHeader, state.encode())
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -293,3 +293,50 @@
 		t.Errorf("%d retries taken for the second send, want 1", taken)
 	}
 }
+
+// TestHopCountsTheServersBehindIt guards against a request that runs on more servers than its route allows
+// because a peer that asked several of them counts as one.
+func TestHopCountsTheServersBehindIt(t *testing.T) {
+	cases := map[string]struct {
+		path    string
+		respond responder
+		// silentPeer has the first peer break off without a word.
+		silentPeer bool
+		asked      int
+	}{
+		"streams that break off": {path: "/resume/", asked: 2, respond: func(conn net.Conn, request *http.Request) bool {
+			write(conn, "HTTP/1.1 200 OK\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk("id: 1\n\n"))
+			return reset(conn)
+		}},
+		"streams that do not begin":           {path: "/resume/", asked: 2, respond: func(conn net.Conn, _ *http.Request) bool { return reset(conn) }},
+		"requests without a response":         {path: "/often/", asked: 2, respond: func(conn net.Conn, _ *http.Request) bool { return reset(conn) }},
+		"commands that servers reject":        {path: "/command/", asked: 3, respond: respondWith(http.StatusServiceUnavailable, "", "X-Not-Run: 1")},
+		"commands without a response":         {path: "/command/", asked: 1, respond: func(conn net.Conn, _ *http.Request) bool { return reset(conn) }},
+		"after a peer that ends, no response": {path: "/often/", silentPeer: true, asked: 1, respond: func(conn net.Conn, _ *http.Request) bool { return reset(conn) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var servers []*fakeServer
+			for range 4 {
+				servers = append(servers, newFakeServer(t, c.respond))
+			}
+			node := newFixture(t)
+			var peers []string
+			if c.silentPeer {
+				peers = append(peers, newFakeServer(t, func(conn net.Conn, _ *http.Request) bool { return reset(conn) }).address)
+			}
+			for range 3 {
+				peers = append(peers, newFixture(t, servers...).newPeer(t))
+			}
+			node.cutOff(peers...)
+			node.send(t, http.MethodPost, c.path, "body", "X-Wait", "2s")
+			asked := 0
+			for _, server := range servers {
+				asked += server.count()
+			}
+			if asked != c.asked {
+				t.Errorf("%d servers asked, want %d", asked, c.asked)
+			}
+		})
+	}
+}
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -21,10 +21,41 @@
 	declinedHeader = peerHeaderPrefix + "Declined"
 	// versionHeader names the software version that writes the events of a forwarded stream.
 	versionHeader = peerHeaderPrefix + "Software-Version"
+	// serversHeader counts the servers that a node asked for a forwarded request until the head of its
+	// response. It asks no further one after that.
+	serversHeader = peerHeaderPrefix + "Servers"
+	// failedHeader marks a failure of the node itself, without a response of a server.
+	failedHeader = peerHeaderPrefix + "Failed"
 	// notRunHeader marks the refusal of a request that did not run and will not.
 	notRunHeader = peerHeaderPrefix + "Not-Run"
 )
 
+// setServersHeader tells the peer that forwards the request how many servers were asked for it.
+func (x *exchange) setServersHeader(header http.Header) {
+	if x.forwarded != nil {
+		header.Set(serversHeader, strconv.Itoa(len(x.sentTo)-len(x.forwarded.SentTo)))
+	}
+}
+
+// parseServersHeader returns how many servers a peer asked for a forwarded request; 0 if it asked none, or
+// is of a build that does not tell.
+func parseServersHeader(header http.Header) int {
+	count, err := strconv.Atoi(header.Get(serversHeader))
+	if err != nil {
+		return 0
+	}
+	return max(0, count)
+}
+
+// maxServers is the greatest number of servers that may be asked for the request, here and at the peer
+// that forwards it.
+func (x *exchange) maxServers() int {
+	if x.forwarded == nil || x.forwarded.MaxServers <= 0 {
+		return x.route.MaxAttempts
+	}
+	return min(x.route.MaxAttempts, len(x.forwarded.SentTo)+x.forwarded.MaxServers)
+}
+
 // maxForwardedActive is the number of forwarded requests in flight beyond which a node declines
 // further ones, so that its own callers are served.
 const maxForwardedActive = 256
@@ -39,6 +70,8 @@
 	Elapsed time.Duration
 	// SentTo are the servers that the node sent the request to.
 	SentTo []string
+	// MaxServers is how many servers the peer may ask; 0 leaves that to the route.
+	MaxServers int
 	// IsCounted is set if the node counted the request for the retry budget.
 	IsCounted bool
 	// IsRetry is set if the caller was probably refused before.
@@ -55,6 +88,9 @@
 		"counted":    {strconv.FormatBool(s.IsCounted)},
 		"retry":      {strconv.FormatBool(s.IsRetry)},
 	}
+	if s.MaxServers > 0 {
+		values.Set("servers", strconv.Itoa(s.MaxServers))
+	}
 	if s.SoftwareVersion != "" {
 		values.Set("version", s.SoftwareVersion)
 	}
@@ -80,6 +116,9 @@
 		IsCounted: values.Get("counted") == "true", IsRetry: values.Get("retry") == "true",
 		SoftwareVersion: values.Get("version"),
 	}
+	if servers, err := strconv.Atoi(values.Get("servers")); err == nil {
+		state.MaxServers = max(0, servers)
+	}
 	if sent := values.Get("sent"); sent != "" {
 		state.SentTo = strings.Split(sent, ",")
 	}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -102,6 +102,10 @@
 	if x.forwarded != nil && outcome == outcomeNotRun {
 		header.Set(notRunHeader, "1")
 	}
+	if x.forwarded != nil && outcome == outcomeUnknown {
+		header.Set(failedHeader, "1")
+	}
+	x.setServersHeader(header)
 	body := `{"status":` + strconv.Itoa(status) + `,"outcome":"` + outcome + `","title":` + strconv.Quote(reason) + `}`
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(status)
