--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -241,8 +241,11 @@
 	}
 }
 
-// activateTable applies a table unless a newer one is in force.
+// activateTable applies a table unless a newer one is in force. Tables come from the store and from peers
+// at the same time.
 func (n *Node) activateTable(table *routetable.Table, from string) {
+	n.activation.Lock()
+	defer n.activation.Unlock()
 	known := n.handler.Table()
 	if known != nil && known.Version >= table.Version {
 		return
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -152,6 +153,8 @@
 	storeFailing     atomic.Bool
 	// failingSince is when storeFailing was last set, relative to the start.
 	failingSince atomic.Int64
+	// activation is held while a configuration is compared with the one in force and replaces it.
+	activation sync.Mutex
 	// storeSucceededAt is when a call to the store last succeeded, relative to the start.
 	storeSucceededAt atomic.Int64
 	hasServers       atomic.Bool
--- a/internal/edge/snapshot_test.go
+++ b/internal/edge/snapshot_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -140,3 +141,22 @@
 		t.Error("the peer's list does not make the node ready")
 	}
 }
+
+// TestConfigurationNeverGoesBack guards against an older configuration that replaces a newer one because it
+// was compared with what was in force before: one comes from the store as another comes from a peer.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	const rounds, sources = 3000, 8
+	node := newTestNode(t)
+	for round := range int64(rounds) {
+		var sending sync.WaitGroup
+		for source := range int64(sources) {
+			sending.Go(func() {
+				node.activateTable(routetable.New(round*sources+source+1, nil, nil, routetable.Limits{}), "test")
+			})
+		}
+		sending.Wait()
+		if got, want := node.handler.Table().Version, (round+1)*sources; got != want {
+			t.Fatalf("version %d is in force after %d", got, want)
+		}
+	}
+}
