Shares of services hold from the first request after a change

Seen in the source by the review: the splitter kept its credit by route over a change of weights, so after 100:1 became 1:1 up to 50 requests in a row went to one service at each node. And each node began with the service of the greatest share: of 800 nodes that start together none sent one of its first four requests to a service with a tenth.

Change: another set of services or weights begins anew, at a request of the sequence drawn by each node. Within a node shares hold as before.

Measured: TestSplitHoldsRightAfterAChange red before (share 0.00 of 0.10 in the first four requests of 800 nodes, 1.00 of 0.50 after 100:1), within 0.05 now.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -175,6 +176,7 @@
 	return &Handler{
 		options:         options,
 		started:         clock.Now(),
+		splitter:        routetable.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budget:          retrybudget.New(options.Budget),
 		retrySchedule:   waiting.NewRetrySchedule(),
 		longestDeadline: make(map[string]time.Duration),
--- a/internal/routetable/table_test.go
+++ b/internal/routetable/table_test.go
@@ -1,6 +1,10 @@
 package routetable
 
-import "testing"
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
 
 func table() *Table {
 	return New(3, []Route{
@@ -57,3 +61,44 @@
 		t.Errorf("went to %q, want b: the others have weight 0", got)
 	}
 }
+
+// splitShare returns the share of service among the next requests that each of the nodes sends.
+func splitShare(nodes []Splitter, route *Route, requests int, service string) float64 {
+	sent := 0
+	for i := range nodes {
+		for range requests {
+			if nodes[i].Next(route) == service {
+				sent++
+			}
+		}
+	}
+	return float64(sent) / float64(len(nodes)*requests)
+}
+
+// TestSplitHoldsRightAfterAChange guards against credit of former weights, which sent up to fifty requests
+// in a row to one service, and against nodes that all begin with the same service.
+func TestSplitHoldsRightAfterAChange(t *testing.T) {
+	const nodeCount, requests, tolerance = 800, 4, 0.05
+	random := rand.New(rand.NewPCG(1, 2))
+	nodes := make([]Splitter, nodeCount)
+	for i := range nodes {
+		nodes[i] = NewSplitter(random)
+	}
+	for _, share := range []float64{0.99, 0.5, 0.1, 0.5} {
+		route := &Route{Name: "r", Services: []WeightedService{{"a", share}, {"b", 1 - share}}}
+		if share == 0.5 {
+			route.Services = []WeightedService{{"a", 1}, {"b", 1}}
+		}
+		if got := splitShare(nodes, route, requests, "a"); math.Abs(got-share) > tolerance {
+			t.Errorf("share %.2f in the first %d requests of each node, want %.2f", got, requests, share)
+		}
+		splitShare(nodes, route, 30, "a")
+	}
+	var alone Splitter
+	for range 55 {
+		alone.Next(&Route{Name: "r", Services: []WeightedService{{"a", 100}, {"b", 1}}})
+	}
+	if got := splitShare([]Splitter{alone}, &Route{Name: "r", Services: []WeightedService{{"a", 1}, {"b", 1}}}, requests, "a"); got != 0.5 {
+		t.Errorf("share %.2f in the first %d requests after 100:1, want half", got, requests)
+	}
+}
