Test fleet and soak: servers that send rejections twice

The stand-in servers can send a rejection a second time, late, where the answer to the next request of the connection is due.

--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -84,6 +84,10 @@
 	contacts  []contact
 	// isDown makes the server abort every request.
 	isDown bool
+	// repeating sends rejections a second time while it is set to.
+	repeating *repeatingListener
+	// adapterTime is how long an adapter takes to load; until then requests for it are rejected.
+	adapterTime time.Duration
 	// httpServer is set where the test closes the server's connections.
 	httpServer *httptest.Server
 	// startID is the start time in Unix milliseconds; 0 means it is not reported.
@@ -127,11 +131,19 @@
 	for _, model := range models {
 		m.models[model] = make(map[string]bool)
 	}
-	server := httptest.NewServer(m)
+	m.listen(t)
+	return m
+}
+
+// listen starts to serve at an address of its own.
+func (m *modelServer) listen(t *testing.T) {
+	server := httptest.NewUnstartedServer(m)
+	m.repeating = &repeatingListener{Listener: server.Listener}
+	server.Listener = m.repeating
+	server.Start()
 	t.Cleanup(server.Close)
 	m.httpServer = server
 	m.address = strings.TrimPrefix(server.URL, "http://")
-	return m
 }
 
 // register writes the server's entry into the store.
@@ -237,7 +249,7 @@
 	case received.Operation == "unload":
 		delete(m.models, received.Model)
 	case received.Adapter != "":
-		m.models[received.Model][received.Adapter] = true
+		m.loadAdapter(received.Model, received.Adapter)
 	default:
 		m.busy = true
 		m.recordLoad(received.Model)
@@ -256,6 +268,21 @@
 	writer.WriteHeader(http.StatusAccepted)
 }
 
+// loadAdapter loads an adapter, in adapterTime. m.mu is held.
+func (m *modelServer) loadAdapter(model, adapter string) {
+	if m.adapterTime == 0 {
+		m.models[model][adapter] = true
+		return
+	}
+	time.AfterFunc(m.adapterTime, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if adapters := m.models[model]; adapters != nil {
+			adapters[adapter] = true
+		}
+	})
+}
+
 // recordLoad records the start of a load. m.mu is held.
 func (m *modelServer) recordLoad(model string) {
 	m.loads = append(m.loads, time.Now())
--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -64,7 +64,10 @@
 }
 
 // allKinds returns all kinds of faults.
-func allKinds() []kind { return append(fourthKinds(), partKinds()...) }
+func allKinds() []kind { return append(fifthKinds(), surplusKind()) }
+
+// fifthKinds returns the kinds that seeds up to 21,999 were played with.
+func fifthKinds() []kind { return append(fourthKinds(), partKinds()...) }
 
 // fourthKinds returns the kinds that seeds up to 19,999 were played with.
 func fourthKinds() []kind { return append(thirdKinds(), tenantKinds()...) }
@@ -186,6 +189,8 @@
 		return thirdKinds(), nil
 	case "fourth":
 		return fourthKinds(), nil
+	case "fifth":
+		return fifthKinds(), nil
 	}
 	var named []kind
 	for name := range strings.SplitSeq(list, ",") {
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -5,10 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -290,10 +288,8 @@
 	m.onPoison = func(writer http.ResponseWriter, request *http.Request, body string) {
 		s.crashOnPoison(m, writer, request, body)
 	}
-	server := httptest.NewServer(m)
-	s.t.Cleanup(server.Close)
-	m.httpServer, m.startID = server, time.Now().UnixMilli()
-	m.address = strings.TrimPrefix(server.URL, "http://")
+	m.listen(s.t)
+	m.startID = time.Now().UnixMilli()
 	if s.options.hasProxies {
 		m.proxy = newProxy(s.t, "127.0.0.1:0", m.address)
 		m.address = m.proxy.address()
--- a/test/platform/store_test.go
+++ b/test/platform/store_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"maps"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -325,7 +324,7 @@
 		return
 	}
 	if conn, _, err := hijacker.Hijack(); err == nil {
-		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.(interface{ SetLinger(seconds int) error }).SetLinger(0)
 		_ = conn.Close()
 	}
 }
