--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -71,9 +71,12 @@
 	return origins.NewKey(x.head.APIKey, first)
 }
 
+// isGoingOn reports whether the caller has the beginning of the stream, from this attempt or an earlier one.
+func (x *exchange) isGoingOn() bool { return x.headSent || x.isResumption }
+
 // requiredVersion is the software version at which the stream must go on; empty before its first event.
 func (x *exchange) requiredVersion() string {
-	if x.origin == nil || !x.headSent && !x.isResumption {
+	if x.origin == nil || !x.isGoingOn() {
 		return ""
 	}
 	return x.origin.SoftwareVersion
@@ -155,7 +158,7 @@
 // beginEvents records the origin of a stream whose first event is about to be passed on. Where the
 // stream goes on, it reports whether the version that is about to write is the one that began it.
 func (x *exchange) beginEvents(version string, source originSource) bool {
-	if required := x.requiredVersion(); x.headSent || x.isResumption {
+	if required := x.requiredVersion(); x.isGoingOn() {
 		if required != version && !x.servesOneVersion() {
 			return false
 		}
@@ -218,7 +221,7 @@
 // server writes its events.
 func (x *exchange) forgetOriginServer() {
 	x.onFirstEvent = nil
-	if !x.headSent && !x.isResumption {
+	if !x.isGoingOn() {
 		x.originServer, x.originSentAt = origins.Start{}, time.Time{}
 	}
 }
@@ -226,7 +229,7 @@
 // checkVersion reports whether the stream can go on: its version is known, and a server of it takes
 // work. If not it gives the final response, since waiting would not help.
 func (x *exchange) checkVersion() bool {
-	if x.origin == nil || !x.headSent && !x.isResumption {
+	if x.origin == nil || !x.isGoingOn() {
 		return true
 	}
 	if x.origin.SoftwareVersion == "" {
--- a/internal/relay/starts.go
+++ b/internal/relay/starts.go
@@ -76,8 +76,7 @@
 // mustConfirmStart reports whether the server that goes on with the stream has to tell its start before
 // any event is passed on. It need not where one software version serves.
 func (x *exchange) mustConfirmStart() bool {
-	isGoingOn := x.headSent || x.isResumption
-	return isGoingOn && x.needsModel && x.handler.options.CurrentStart != nil && !x.servesOneVersion()
+	return x.isGoingOn() && x.needsModel && x.handler.options.CurrentStart != nil && !x.servesOneVersion()
 }
 
 // isStartConfirmed reports whether the server that is about to go on with a stream is still the start
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -26,7 +26,7 @@
 
 // relayStream passes on an event stream.
 func (x *exchange) relayStream(choice dispatch.Choice, response *backendconn.Response) attemptResult {
-	if start := choice.Attempt.Start(); !x.headSent && !x.isResumption {
+	if start := choice.Attempt.Start(); !x.isGoingOn() {
 		x.originServer, x.originSentAt = origins.Start{ServerID: start.ID, StartedAtMs: start.StartedAtMs}, x.sentAt
 	}
 	if !x.isStartConfirmed(choice) || !x.beginEvents(x.servedVersion(choice), originFromServer) {
