Orders that reach no server count for the leader's reachability

Cause, by its log: order_answered result=not_sent each 400 ms, no lease_ceded. Before, it was written to a kept connection, had no answer, and the report that was asked for then counted as a failure. Orders did not count.

Change: an order for which no connection came up is told apart from one that was not sent for want of time, and counts as a report does.

--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -26,6 +26,9 @@
 	WriteLease(ctx context.Context, record storelease.Record) (at storepos.Position, won bool, err error)
 }
 
+// errOrderUnreached marks an order for which no connection to its server came up.
+var errOrderUnreached = errors.New("no connection to the server of an order came up")
+
 // errCallNotAdmitted marks a report that was not requested.
 var errCallNotAdmitted = errors.New("the call was not admitted: the server is backing off or limited")
 
@@ -374,7 +377,10 @@
 				return l.orderTimeout(term, zone)
 			})
 		}
-		if result == placer.ResultNotSent {
+		if result == placer.ResultUnreached {
+			l.node.reachable.recordCall(order.ServerID, errOrderUnreached)
+		}
+		if result.IsUnsent() {
 			l.node.admissions.ReturnGrant(order.Start(), admitted)
 		}
 		l.node.hints.receiveFromCall(order.Start(), hint, hintFromOrder)
--- a/internal/placer/answers.go
+++ b/internal/placer/answers.go
@@ -109,7 +109,7 @@
 		return
 	}
 	s.pendingOrder = nil
-	if result != ResultBusy && result != ResultNotSent {
+	if result != ResultBusy && !result.IsUnsent() {
 		s.refusals = 0
 	}
 	switch result {
@@ -129,7 +129,7 @@
 		c.rollBackOrder(s, order)
 		s.extendReservation(now, order)
 		c.handleBusy(now, s)
-	case ResultNotSent:
+	case ResultNotSent, ResultUnreached:
 		c.rollBackOrder(s, order)
 		s.pauseUntil = now.Add(s.nextRetryPause(maxUnreachablePause))
 	case ResultUnknown:
--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -54,12 +54,16 @@
 	penalty float64
 }
 
-// evictionFor returns the result of selectVictims, computed once for all models of the same size.
+// evictionFor returns the result of selectVictims, computed once for all models of the same size. The room
+// for a model that an unanswered order may still load there is set aside already.
 func (r *planRound) evictionFor(s *server, model routetable.Model) ([]string, float64) {
 	key := evictionKey{server: s, weightsMB: model.WeightsMB}
+	if s.mayStillLoad(model.Name) {
+		key.weightsMB = 0
+	}
 	cached, ok := r.evictions[key]
 	if !ok {
-		cached.victims, cached.penalty = r.selectVictims(s, model)
+		cached.victims, cached.penalty = r.selectVictims(s, key.weightsMB)
 		if r.evictions == nil {
 			r.evictions = make(map[evictionKey]eviction)
 		}
@@ -68,10 +72,10 @@
 	return cached.victims, cached.penalty
 }
 
-// selectVictims returns the models to evict from the server to make room for one more, and the
+// selectVictims returns the models to evict from the server to make room for weightsMB more, and the
 // total penalty, which is infinite if not enough room can be made.
-func (r *planRound) selectVictims(s *server, model routetable.Model) ([]string, float64) {
-	freeMB := r.engine.MemoryMB - s.usedMB(r.engine) - model.WeightsMB
+func (r *planRound) selectVictims(s *server, weightsMB float64) ([]string, float64) {
+	freeMB := r.engine.MemoryMB - s.usedMB(r.engine) - weightsMB
 	if freeMB >= 0 {
 		return nil, 0
 	}
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -84,13 +84,18 @@
 	ResultUnknown
 	// ResultNotSent means that the order was not sent.
 	ResultNotSent
+	// ResultUnreached means that the order was not sent, as no connection to the server came up.
+	ResultUnreached
 )
 
+// IsUnsent reports whether nothing of the order left this node.
+func (r Result) IsUnsent() bool { return r == ResultNotSent || r == ResultUnreached }
+
 // String returns the name of the result as it appears in logs and metrics.
 func (r Result) String() string {
 	names := map[Result]string{
 		ResultTaken: "taken", ResultHeld: "held", ResultBusy: "busy", ResultFenced: "fenced", ResultGone: "gone",
-		ResultRefused: "refused", ResultUnknown: "unknown", ResultNotSent: "not_sent",
+		ResultRefused: "refused", ResultUnknown: "unknown", ResultNotSent: "not_sent", ResultUnreached: "unreached",
 	}
 	return names[r]
 }
--- a/internal/placer/starts.go
+++ b/internal/placer/starts.go
@@ -93,15 +93,27 @@
 
 // staleOrderMB returns the memory of the models that stale orders may still load.
 func (s *server) staleOrderMB(engine *routetable.Engine) float64 {
-	used := 0.0
+	models := make(map[string]bool)
 	for _, stale := range s.staleOrders {
-		if stale.order.Adapter == "" && !s.hasModel(stale.order.Model) {
-			used += engine.Models[stale.order.Model].WeightsMB
+		isLoading := s.loading != nil && s.loading.model == stale.order.Model
+		if stale.order.Adapter == "" && !s.hasModel(stale.order.Model) && !isLoading {
+			models[stale.order.Model] = true
 		}
 	}
+	used := 0.0
+	for model := range models {
+		used += engine.Models[model].WeightsMB
+	}
 	return used
 }
 
+// mayStillLoad reports whether a stale order may still load the model, which takes room meanwhile.
+func (s *server) mayStillLoad(model string) bool {
+	return !s.hasModel(model) && slices.ContainsFunc(s.staleOrders, func(stale staleOrder) bool {
+		return stale.order.Adapter == "" && stale.order.Model == model
+	})
+}
+
 // staleAdapterOrders returns the number of adapters that stale orders may still load.
 func (s *server) staleAdapterOrders() int {
 	count := 0
--- a/internal/placer/starts_test.go
+++ b/internal/placer/starts_test.go
@@ -241,3 +241,29 @@
 		})
 	}
 }
+
+// TestModelOfAnUnansweredOrderCanBeOrderedAgain guards against counting a model twice that an unanswered
+// order may still load: it was not loaded there until the order had expired.
+func TestModelOfAnUnansweredOrderCanBeOrderedAgain(t *testing.T) {
+	options := Options{Window: window, Overage: overage, FormerOrders: NewFormerOrders()}
+	for range 2 {
+		options.FormerOrders.AddPossibleLoad(begin, "s", "m08", 0)
+	}
+	options.FormerOrders.AddPossibleLoad(begin, "s", "m08", 1)
+	core := New(options)
+	core.SetTable(simTable())
+	core.SetServers(begin, []inventory.Change{{Server: inventory.Server{ID: "s", StartedAtMs: 2, Service: serviceName, Position: storepos.At(0, 4)}}})
+	core.ConfirmReservation()
+	core.Step(begin, true)
+	core.HandleReport(begin, "s", Report{StartedAtMs: 2}, true)
+	engine := core.engineOf(serviceName)
+	engine.MemoryMB = reservedAdapterMB(engine) + engine.Models["m08"].WeightsMB
+	requestModel(core, begin, "m08")
+	orders := core.Step(begin.Add(tick), true).Orders
+	if len(orders) != 1 || orders[0].Operation != Load || orders[0].Model != "m08" {
+		t.Errorf("orders %+v, want the load of the model", orders)
+	}
+	if used := core.servers["s"].usedMB(engine); used > engine.MemoryMB {
+		t.Errorf("%v MB in use of %v", used, engine.MemoryMB)
+	}
+}
