--- a/internal/backend/generate.go
+++ b/internal/backend/generate.go
@@ -140,7 +140,7 @@
 	call = call.WithContext(used.trace(call.Context(), nil))
 	response, err := g.transport.RoundTrip(call)
 	if err != nil {
-		return nil, &SendError{NeverSent: !used.connected.Load(), Err: err}
+		return nil, &SendError{NeverSent: used.conn.Load() == nil, Err: err}
 	}
 	if response.StatusCode != http.StatusOK {
 		if err := used.checkIdentity(call, response); err != nil {
--- a/internal/backend/identity.go
+++ b/internal/backend/identity.go
@@ -10,16 +10,15 @@
 
 // sentOver observes the connection that net/http sends a request over.
 type sentOver struct {
-	connected atomic.Bool
-	reused    atomic.Bool
-	conn      atomic.Pointer[net.Conn]
+	reused atomic.Bool
+	// conn is nil until there is a connection.
+	conn atomic.Pointer[net.Conn]
 }
 
 // trace returns a context with which the observed connection is recorded. onConn is called with it; nil
 // calls nothing.
 func (s *sentOver) trace(ctx context.Context, onConn func(net.Conn)) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		s.connected.Store(true)
 		s.reused.Store(info.Reused)
 		s.conn.Store(&info.Conn)
 		if onConn != nil {
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -105,16 +105,17 @@
 // request with this ID, or a new one. Requests without an ID count as one and the same: nothing tells
 // the responses to two of them apart.
 func (p *Pool) Get(ctx context.Context, address, requestID string) (*Conn, error) {
-	conn, err := p.takeOrDial(ctx, address, requestID)
+	hash := p.hashRequestID(requestID)
+	conn, err := p.takeOrDial(ctx, address, hash)
 	if err == nil {
-		conn.history.add(p.hashRequestID(requestID))
+		conn.history.add(hash)
 	}
 	return conn, err
 }
 
-func (p *Pool) takeOrDial(ctx context.Context, address, requestID string) (*Conn, error) {
+func (p *Pool) takeOrDial(ctx context.Context, address string, requestHash uint64) (*Conn, error) {
 	for {
-		conn := p.takeIdle(address, requestID)
+		conn := p.takeIdle(address, requestHash)
 		if conn == nil {
 			return p.dial(ctx, address)
 		}
@@ -128,13 +129,12 @@
 
 // takeIdle removes the most recently used idle connection that has not carried the request; nil if
 // there is none.
-func (p *Pool) takeIdle(address, requestID string) *Conn {
-	hash := p.hashRequestID(requestID)
+func (p *Pool) takeIdle(address string, requestHash uint64) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
 	for i, conn := range slices.Backward(idle) {
-		if !conn.history.contains(hash) {
+		if !conn.history.contains(requestHash) {
 			p.idle[address] = slices.Delete(idle, i, i+1)
 			return conn
 		}
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -305,20 +304,6 @@
 	l.reserveNow = true
 }
 
-// recallLoadsOfOthers records the loads that the views of earlier leaders tell of: the answers to their
-// orders may have been lost.
-func (l *leader) recallLoadsOfOthers() {
-	l.node.dispatch.Do(func(core *dispatch.Core) {
-		for view, receivedAt := range core.Views {
-			for model := range view.Loading {
-				if !strings.Contains(model, "/") {
-					l.formerOrders.AddPossibleLoad(receivedAt, view.ServerID, model, view.Sequence)
-				}
-			}
-		}
-	})
-}
-
 // applyServerList and applyServerEvents maintain the leader's table of servers, which relies on
 // the store alone.
 func (l *leader) applyServerList(now, requestedAt time.Time, servers []inventory.Server, at storepos.Position) {
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
 )
 
 // maintainLease reads or writes the lease when that is due.
@@ -236,3 +238,17 @@
 		})
 	}()
 }
+
+// recallLoadsOfOthers records the loads that the views of earlier leaders tell of: the answers to their
+// orders may have been lost.
+func (l *leader) recallLoadsOfOthers() {
+	l.node.dispatch.Do(func(core *dispatch.Core) {
+		for view, receivedAt := range core.Views {
+			for model := range view.Loading {
+				if !strings.Contains(model, "/") {
+					l.formerOrders.AddPossibleLoad(receivedAt, view.ServerID, model, view.Sequence)
+				}
+			}
+		}
+	})
+}
