A stream that goes on is admitted once, together with its question

Cause: a stream that goes on needs a grant for its send and one for the question for the server's start. Both were asked for one after the other, from a coordinator that all new streams ask as well; where the second was denied the first was given back. A stream that goes on had to win twice in a row, a new one once.

Change: one grant covers the send and the question, and is charged as two; the coordinator repeats the cost in its answer, so one of an older build, which does not, is asked a second time as before. A stream that goes on ranks one before its priority: it is granted a little ahead of the rate, and only by a coordinator that hears from nearly all nodes. Priorities of 0 and above reserve what they did.

--- a/internal/edge/admissions.go
+++ b/internal/edge/admissions.go
@@ -81,9 +81,9 @@
 }
 
 // Admit implements relay.Admission.
-func (c *admissions) Admit(ctx context.Context, start inventory.Start, priority int) relay.AdmissionDecision {
+func (c *admissions) Admit(ctx context.Context, start inventory.Start, request relay.AdmissionRequest) relay.AdmissionDecision {
 	now := clock.Now()
-	decision := c.admit(ctx, now, start, c.limitsOf(now, start), priority)
+	decision := c.admit(ctx, now, start, c.limitsOf(now, start), request)
 	if decision.Granted {
 		c.admitRisk(ctx, start, &decision)
 	}
@@ -91,17 +91,17 @@
 }
 
 // AdmitInternalCall implements relay.Admission, for orders and questions for reports.
-func (c *admissions) AdmitInternalCall(ctx context.Context, start inventory.Start, priority int) relay.AdmissionDecision {
+func (c *admissions) AdmitInternalCall(ctx context.Context, start inventory.Start, request relay.AdmissionRequest) relay.AdmissionDecision {
 	now := clock.Now()
 	current := c.limitsOf(now, start)
 	current.phase = admission.Warm
-	return c.admit(ctx, now, start, current, priority)
+	return c.admit(ctx, now, start, current, request)
 }
 
-// internalCallPriority is the priority of calls that no caller waits for: behind all urgent requests.
-const internalCallPriority = maxLimitPriority
+// internalCall is the admission request of calls that no caller waits for: behind all urgent requests.
+var internalCall = relay.AdmissionRequest{Priority: maxLimitPriority}
 
-func (c *admissions) admit(ctx context.Context, now time.Time, start inventory.Start, current serverLimits, priority int) relay.AdmissionDecision {
+func (c *admissions) admit(ctx context.Context, now time.Time, start inventory.Start, current serverLimits, request relay.AdmissionRequest) relay.AdmissionDecision {
 	if !current.needsGrant() {
 		return relay.AdmissionDecision{Granted: true}
 	}
@@ -116,25 +116,33 @@
 		// A grant's lifetime counts from its request: preceding calls to unresponsive
 		// coordinators may take longer than the grant lasts.
 		requestedAt := clock.Now()
-		answer := c.node.quotas.ask(ctx, coordinator.Address, grantRequest(requestedAt, start, current, priority))
+		answer := c.node.quotas.ask(ctx, coordinator.Address, grantRequest(requestedAt, start, current, request))
 		if answer == nil {
 			continue
 		}
 		c.receiveLimit(start, answer)
 		return c.countGranted(current, relay.AdmissionDecision{
 			Granted: answer.Kind == peerpb.QuotaCall_GRANTED, ValidUntil: requestedAt.Add(admission.GrantLifetime), GrantedBy: coordinator.Address,
-			RetryAfter: time.Duration(answer.RetryMs) * time.Millisecond,
+			CoversStartQuestion: current.isLimited && answer.Cost >= callsWithQuestion, RetryAfter: time.Duration(answer.RetryMs) * time.Millisecond,
 		})
 	}
 	return c.countGranted(current, c.admitUncoordinated(start, current))
 }
 
+// callsWithQuestion is the cost of a request with the question for its server's start, which a coordinator
+// repeats in its answer if it granted both.
+const callsWithQuestion = 2
+
 // grantRequest builds the call that asks a coordinator for one request to the start.
-func grantRequest(now time.Time, start inventory.Start, current serverLimits, priority int) *peerpb.QuotaCall {
+func grantRequest(now time.Time, start inventory.Start, current serverLimits, request relay.AdmissionRequest) *peerpb.QuotaCall {
+	cost := int64(1)
+	if request.WithStartQuestion {
+		cost = callsWithQuestion
+	}
 	return &peerpb.QuotaCall{
-		Kind: peerpb.QuotaCall_ASK, Server: start.ID, Born: start.StartedAtMs, Service: current.service, Cost: 1,
-		Priority: uint32(max(0, priority)), Ramping: current.phase == admission.Ramp, Warm: current.phase == admission.Warm,
-		Limit: encodeLimit(now, current.limit.Latest()),
+		Kind: peerpb.QuotaCall_ASK, Server: start.ID, Born: start.StartedAtMs, Service: current.service, Cost: cost,
+		Priority: uint32(max(0, request.Priority)), Ramping: current.phase == admission.Ramp, Warm: current.phase == admission.Warm,
+		Limit: encodeLimit(now, current.limit.Latest()), GoingOn: request.IsGoingOn,
 	}
 }
 
@@ -171,7 +179,7 @@
 		return
 	}
 	c.returnedGrants.Add(1)
-	call := grantRequest(clock.Now(), start, current, 0)
+	call := grantRequest(clock.Now(), start, current, relay.AdmissionRequest{})
 	call.Kind, call.Cost, call.Asker = peerpb.QuotaCall_USED, -1, c.node.options.PeerAddress
 	if decision.GrantedBy == c.node.options.PeerAddress {
 		c.decide(clock.Now(), call)
@@ -236,6 +244,15 @@
 // more urgent requests must leave room for one request in a small burst.
 const maxLimitPriority = 2
 
+// limitPriority is the priority of a call for a rate-limited server.
+func limitPriority(call *peerpb.QuotaCall) int {
+	priority := min(int(call.Priority), maxLimitPriority)
+	if call.GoingOn {
+		priority--
+	}
+	return priority
+}
+
 // accountName returns the account name of a start.
 func accountName(start inventory.Start) string {
 	return start.ID + "/" + strconv.FormatInt(start.StartedAtMs, 10)
@@ -268,19 +285,23 @@
 	decision := c.decideLimits(now, call, start, current, reach)
 	answer.Kind, answer.RetryMs = peerpb.QuotaCall_REFUSED, uint32(min(decision.RetryAfter, maxWireAge).Milliseconds())
 	if decision.Granted {
-		answer.Kind = peerpb.QuotaCall_GRANTED
+		answer.Kind, answer.Cost = peerpb.QuotaCall_GRANTED, grantedCalls(call)
 	}
 	return answer
 }
 
-// decideLimits checks every limit of the server; a request needs a grant from each.
+// grantedCalls is how many calls a grant covers.
+func grantedCalls(call *peerpb.QuotaCall) int64 { return min(max(1, call.Cost), callsWithQuestion) }
+
+// decideLimits checks every limit of the server; a request needs a grant from each. The question for the
+// server's start counts for its rate limit alone, since cold servers accept it.
 func (c *admissions) decideLimits(now time.Time, call *peerpb.QuotaCall, start inventory.Start, current serverLimits, reach float64) quota.Decision {
 	limit := admission.RateLimitBound{PerSecond: current.perSecond}.Quota()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	decision := quota.Decision{Granted: true}
 	if current.isLimited {
-		decision = c.limits.Acquire(now, accountName(start), limit, reach, 1, min(int(call.Priority), maxLimitPriority))
+		decision = c.limits.Acquire(now, accountName(start), limit, reach, float64(grantedCalls(call)), limitPriority(call))
 	}
 	if !decision.Granted || call.Warm {
 		return decision
@@ -293,7 +314,9 @@
 	decision = c.warmUps.Acquire(now, call.Server, allowance, reach, 1, int(call.Priority))
 	decision.Granted = decision.Granted && allowance.PerSecond > 0
 	if !decision.Granted && current.isLimited {
-		c.limits.Refund(now, accountName(start), limit, reach)
+		for range grantedCalls(call) {
+			c.limits.Refund(now, accountName(start), limit, reach)
+		}
 	}
 	return decision
 }
--- a/internal/edge/admissions_test.go
+++ b/internal/edge/admissions_test.go
@@ -47,7 +47,7 @@
 func countAdmitted(node *Node, serverID string, requests int) int {
 	count := 0
 	for range requests {
-		if node.admissions.Admit(context.Background(), inventory.Start{ID: serverID}, 0).Granted {
+		if node.admissions.Admit(context.Background(), inventory.Start{ID: serverID}, relay.AdmissionRequest{}).Granted {
 			count++
 		}
 	}
@@ -202,7 +202,7 @@
 	if got := countAdmitted(node, "a", 20); got != 0 {
 		t.Errorf("%d sent, want 0", got)
 	}
-	if verdict := node.admissions.Admit(context.Background(), inventory.Start{ID: "a"}, 0); verdict.RetryAfter < 2*time.Second {
+	if verdict := node.admissions.Admit(context.Background(), inventory.Start{ID: "a"}, relay.AdmissionRequest{}); verdict.RetryAfter < 2*time.Second {
 		t.Errorf("retry after %v, although the server is cold for longer", verdict.RetryAfter)
 	}
 }
@@ -293,7 +293,7 @@
 	_ = silent.peers.conn.Close()
 	countAdmitted(asker, "a", 1) // opens the account
 	time.Sleep(300 * time.Millisecond)
-	verdict := asker.admissions.Admit(context.Background(), inventory.Start{ID: "a"}, 0)
+	verdict := asker.admissions.Admit(context.Background(), inventory.Start{ID: "a"}, relay.AdmissionRequest{})
 	if left := clock.Until(verdict.ValidUntil); !verdict.Granted || left < admission.GrantLifetime-askTimeout/2 {
 		t.Errorf("%+v, usable for only %v", verdict, left)
 	}
@@ -315,7 +315,9 @@
 		receiveServer(node, inventory.Server{ID: "a", StartedAtMs: 7, Service: "plain", Position: storepos.At(0, 4), ReportsCold: true})
 	}
 	introduce(coordinator, asker)
-	ask := func() relay.AdmissionDecision { return asker.admissions.Admit(context.Background(), start, 0) }
+	ask := func() relay.AdmissionDecision {
+		return asker.admissions.Admit(context.Background(), start, relay.AdmissionRequest{})
+	}
 	if !ask().Granted || coordinator.admissions.limitedAdmitted.Load() > 0 {
 		t.Fatal("a server without a limit required a grant")
 	}
@@ -344,6 +346,64 @@
 	}
 }
 
+// newLimitedServer returns a coordinator and a node that asks it, which know a warm server with a limit whose
+// account was open for the given time.
+func newLimitedServer(t *testing.T, perSecond float64, open time.Duration) (coordinator, asker *Node, start inventory.Start) {
+	t.Helper()
+	coordinator, asker = newColdNode(t, 900), newColdNode(t, 100)
+	start = inventory.Start{ID: "a", StartedAtMs: 7}
+	for _, node := range []*Node{coordinator, asker} {
+		receiveServer(node, inventory.Server{ID: "a", StartedAtMs: 7, Service: "plain", Position: storepos.At(0, 4), ReportsCold: true})
+	}
+	introduce(coordinator, asker)
+	receiveRateLimit(asker, start, perSecond)
+	asker.admissions.Admit(context.Background(), start, relay.AdmissionRequest{})
+	time.Sleep(open)
+	return coordinator, asker, start
+}
+
+// TestStreamThatGoesOnNeedsOneGrant guards against refusing streams that go on more often than new ones at
+// a limited server: the send and the question for the server's start are granted as one, and charged as two.
+func TestStreamThatGoesOnNeedsOneGrant(t *testing.T) {
+	_, asker, start := newLimitedServer(t, 10, 150*time.Millisecond)
+	goingOn := relay.AdmissionRequest{IsGoingOn: true, WithStartQuestion: true}
+	first := asker.admissions.Admit(context.Background(), start, goingOn)
+	if !first.Granted || !first.CoversStartQuestion {
+		t.Fatalf("%+v, want a grant that covers both calls", first)
+	}
+	second := asker.admissions.Admit(context.Background(), start, goingOn)
+	if second.Granted || second.CoversStartQuestion || second.RetryAfter < 100*time.Millisecond {
+		t.Errorf("%+v, want a denial until what was granted in advance is earned", second)
+	}
+}
+
+// TestStreamThatGoesOnRanksBeforeNewOnes checks that a stream that has begun is granted a little ahead of
+// the rate, where a new one is not.
+func TestStreamThatGoesOnRanksBeforeNewOnes(t *testing.T) {
+	_, asker, start := newLimitedServer(t, 2, 300*time.Millisecond)
+	if got := asker.admissions.Admit(context.Background(), start, relay.AdmissionRequest{}); got.Granted {
+		t.Fatalf("%+v, want a denial of a new request", got)
+	}
+	if got := asker.admissions.Admit(context.Background(), start, relay.AdmissionRequest{IsGoingOn: true}); !got.Granted {
+		t.Errorf("%+v, want a grant for a stream that goes on", got)
+	}
+}
+
+// TestCallsOfAGrantAreBounded checks that what a peer claims a grant covers is charged as no more than a
+// request and a question, and that an answer of an older build covers the request alone.
+func TestCallsOfAGrantAreBounded(t *testing.T) {
+	for cost, want := range map[int64]int64{math.MinInt64: 1, -1: 1, 0: 1, 1: 1, 2: 2, 3: 2, math.MaxInt64: 2} {
+		if got := grantedCalls(&peerpb.QuotaCall{Cost: cost}); got != want {
+			t.Errorf("a cost of %d is granted as %d calls, want %d", cost, got, want)
+		}
+	}
+	now, start := clock.Now(), inventory.Start{ID: "a", StartedAtMs: 7}
+	request := grantRequest(now, start, serverLimits{isLimited: true}, relay.AdmissionRequest{WithStartQuestion: true})
+	if request.Cost != callsWithQuestion || grantRequest(now, start, serverLimits{}, relay.AdmissionRequest{}).Cost != 1 {
+		t.Errorf("%+v, want the cost of both calls", request)
+	}
+}
+
 // TestRefusalIsNotGivenBack checks that only grants are returned: returning a refusal would let
 // one extra request reach a rate-limited server.
 func TestRefusalIsNotGivenBack(t *testing.T) {
@@ -354,9 +414,9 @@
 	}
 	introduce(coordinator, asker)
 	receiveRateLimit(asker, start, 1)
-	asker.admissions.AdmitInternalCall(context.Background(), start, internalCallPriority) // opens the account
+	asker.admissions.AdmitInternalCall(context.Background(), start, internalCall) // opens the account
 	for range 5 {
-		verdict := asker.admissions.AdmitInternalCall(context.Background(), start, internalCallPriority)
+		verdict := asker.admissions.AdmitInternalCall(context.Background(), start, internalCall)
 		if verdict.Granted || verdict.GrantedBy != coordinator.options.PeerAddress {
 			t.Fatalf("%+v, want a refusal by the coordinator", verdict)
 		}
@@ -383,16 +443,18 @@
 		}
 		return count
 	}
-	request := func() relay.AdmissionDecision { return node.admissions.Admit(context.Background(), start, 0) }
+	request := func() relay.AdmissionDecision {
+		return node.admissions.Admit(context.Background(), start, relay.AdmissionRequest{})
+	}
 	call := func() relay.AdmissionDecision {
-		return node.admissions.AdmitInternalCall(context.Background(), start, internalCallPriority)
+		return node.admissions.AdmitInternalCall(context.Background(), start, internalCall)
 	}
 	if got := granted(request) + granted(call); got > 1 {
 		t.Errorf("%d granted in 1.2 s at 1 a second", got)
 	}
 	receiveServer(node, inventory.Server{ID: "nought", StartedAtMs: 7, Service: "s", Position: storepos.At(0, 5)})
 	node.activateTable(coldTable(0), "read")
-	if node.admissions.Admit(context.Background(), inventory.Start{ID: "nought", StartedAtMs: 7}, 0).Granted {
+	if node.admissions.Admit(context.Background(), inventory.Start{ID: "nought", StartedAtMs: 7}, relay.AdmissionRequest{}).Granted {
 		t.Error("a request was admitted to a cold server with a rate of 0")
 	}
 }
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -352,7 +352,7 @@
 	started := clock.Now()
 	zone := core.ZoneOf(order.ServerID)
 	go func() {
-		admitted := l.node.admissions.AdmitInternalCall(ctx, order.Start(), internalCallPriority)
+		admitted := l.node.admissions.AdmitInternalCall(ctx, order.Start(), internalCall)
 		result, hint := placer.ResultNotSent, inventory.Hint{}
 		if admitted.Granted {
 			result, hint = l.node.options.Engines.Order(ctx, order, l.node.options.Name, term, func() time.Duration {
@@ -407,7 +407,7 @@
 func (l *leader) fetchReport(ctx context.Context, call placer.ReportRequest) {
 	core := l.core
 	go func() {
-		admitted := l.node.admissions.AdmitInternalCall(ctx, call.Start(), internalCallPriority)
+		admitted := l.node.admissions.AdmitInternalCall(ctx, call.Start(), internalCall)
 		report, err := l.askForReport(ctx, call, admitted)
 		l.deliver(ctx, func() {
 			addLimit(l.node.options.Logger.Info(), report.Hint).Str("server", call.ServerID).Int64("sequence", report.Sequence).
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -215,7 +215,7 @@
 	admitted := question.Admitted
 	if !leader.mayCallServer(start, admitted) {
 		o.node.admissions.ReturnGrant(start, admitted)
-		admitted = o.node.admissions.AdmitInternalCall(ctx, start, question.Priority)
+		admitted = o.node.admissions.AdmitInternalCall(ctx, start, question.Admission)
 	}
 	report, err := leader.askForReport(ctx, call, admitted)
 	return inventory.Start{ID: start.ID, StartedAtMs: report.StartedAtMs}, err
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -103,8 +103,8 @@
 // of a request, or half of its own cost if that is more. If it were always the request's
 // own cost, a tenant near its quota would have its large requests refused nearly always and
 // the others hardly ever. If other nodes may grant too, a larger request needs its full
-// cost. The reserve for more urgent requests is added, except for small requests: a short
-// command is not held back by the cost of a report.
+// cost, and nothing is granted in advance. The reserve for more urgent requests is added,
+// except for small requests: a short command is not held back by the cost of a report.
 func (a *account) requiredLevel(limits grantLimits, cost, reach float64, priority int) float64 {
 	meanCost := a.meanCost
 	if meanCost == 0 {
@@ -115,7 +115,7 @@
 	case cost < smallCostShare*meanCost:
 		return cost - smallCostDebt*limits.burst
 	case reach < nearFullReach:
-		return reservedLevel(limits, priority) + max(cost, meanCost)
+		return max(0, reservedLevel(limits, priority)) + max(cost, meanCost)
 	default:
 		return reservedLevel(limits, priority) + max(meanCost, cost/2)
 	}
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -41,8 +41,8 @@
 
 // Acquire grants the request and deducts cost from what is available to the tenant, or
 // refuses it and deducts nothing. reach is the fraction of all nodes that this one hears
-// from. Priority 0 is the highest; requests of other priorities leave a reserve for more
-// urgent ones.
+// from. Requests of priority 0 need what they cost; those of higher values leave a reserve
+// for more urgent ones, and those below 0 are granted a little ahead of the rate.
 func (c *Coordinator) Acquire(now time.Time, tenant string, quota routetable.Quota, reach, cost float64, priority int) Decision {
 	now = c.clampTime(now)
 	account, limits := c.refilledAccount(now, tenant, quota, reach)
@@ -66,16 +66,19 @@
 // nearFullReach is the reach from which a coordinator assumes that no other grants requests.
 const nearFullReach = 0.9
 
-// reservedLevel returns what requests of a priority must leave available to the tenant.
+// reservedLevel returns what requests of a priority must leave available to the tenant; below 0 is what
+// they may use in advance.
 func reservedLevel(limits grantLimits, priority int) float64 {
-	return min(maxReservedShare, reservedSharePerPriority*float64(priority)) * limits.burst
+	return max(-maxAdvanceShare, min(maxReservedShare, reservedSharePerPriority*float64(priority))) * limits.burst
 }
 
 const (
 	// reservedSharePerPriority is the share of the burst, per step of priority, that is reserved
-	// for more urgent requests of the same tenant; maxReservedShare limits the total.
+	// for more urgent requests of the same tenant; maxReservedShare limits the total, and
+	// maxAdvanceShare what is granted in advance.
 	reservedSharePerPriority = 0.15
 	maxReservedShare         = 0.45
+	maxAdvanceShare          = 0.15
 )
 
 // RecordUse records that a node granted cost from its own share; a negative cost is a refund.
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -13,16 +13,27 @@
 // Admission limits, across all nodes, what is sent to cold servers and to servers that announced a
 // rate limit.
 type Admission interface {
-	// Admit asks whether one request may be sent to this start of a server now. Among several
-	// waiting requests those with the lower priority value go first; 0 is the highest.
-	Admit(ctx context.Context, start inventory.Start, priority int) AdmissionDecision
+	// Admit asks whether one request may be sent to this start of a server now.
+	Admit(ctx context.Context, start inventory.Start, request AdmissionRequest) AdmissionDecision
 	// AdmitInternalCall asks the same for a call of the system itself, such as a question for the
 	// current start. Cold servers accept such calls.
-	AdmitInternalCall(ctx context.Context, start inventory.Start, priority int) AdmissionDecision
+	AdmitInternalCall(ctx context.Context, start inventory.Start, request AdmissionRequest) AdmissionDecision
 	// ReturnGrant returns a grant that was not used.
 	ReturnGrant(start inventory.Start, decision AdmissionDecision)
 }
 
+// AdmissionRequest describes a request that is to be sent to a server.
+type AdmissionRequest struct {
+	// Priority ranks waiting requests; 0 is the highest.
+	Priority int
+	// IsGoingOn is set if the request goes on with a stream that has begun. It ranks one before its
+	// priority: what its caller has read is lost otherwise, and no more of them come than streams begin.
+	IsGoingOn bool
+	// WithStartQuestion is set if the server has to be asked for its start after the head of the response:
+	// the grant is to cover both calls.
+	WithStartQuestion bool
+}
+
 // startQuestionLifetime is how long the grant of a question for a server's start may be used: the question
 // follows the head of the answer. No server gets more questions than requests, so within the window of a
 // rate limit the delay adds less than the limit's overage.
@@ -35,6 +46,8 @@
 	ValidUntil time.Time
 	// GrantedBy is the address of the coordinator that granted it; empty where none did.
 	GrantedBy string
+	// CoversStartQuestion is set if the grant covers the question for the server's start as well.
+	CoversStartQuestion bool
 	// RetryAfter is when a denied request may be granted.
 	RetryAfter time.Duration
 	// Settle, where it is set, must be called once it is known whether the server rejected the
@@ -68,14 +81,14 @@
 	if x.handler.options.Admission == nil {
 		return AdmissionDecision{Granted: true}
 	}
-	decision = x.handler.options.Admission.Admit(x.ctx, choice.Attempt.Start(), x.priority())
-	if decision.Granted && x.mustConfirmStart() {
-		x.startQuestion = x.handler.options.Admission.AdmitInternalCall(x.ctx, choice.Attempt.Start(), x.priority())
+	request, mustAsk := x.admissionRequest(), x.mustConfirmStart()
+	request.WithStartQuestion = mustAsk
+	decision = x.handler.options.Admission.Admit(x.ctx, choice.Attempt.Start(), request)
+	if decision.Granted && mustAsk {
+		x.startQuestion = x.admitStartQuestion(choice, decision)
 		if !x.startQuestion.Granted {
 			x.returnGrant(choice, decision)
 			decision = x.startQuestion
-		} else if !x.startQuestion.ValidUntil.IsZero() {
-			x.startQuestion.ValidUntil = clock.Now().Add(startQuestionLifetime)
 		}
 	}
 	if !decision.Granted {
@@ -85,6 +98,24 @@
 	return decision
 }
 
+// admissionRequest describes the request to the admission, without a question for its server's start.
+func (x *exchange) admissionRequest() AdmissionRequest {
+	return AdmissionRequest{Priority: x.priority(), IsGoingOn: x.isGoingOn()}
+}
+
+// admitStartQuestion is the grant of the question for the server's start: that of the request, or one of
+// its own where that one does not cover it.
+func (x *exchange) admitStartQuestion(choice dispatch.Choice, request AdmissionDecision) AdmissionDecision {
+	question := AdmissionDecision{Granted: true, ValidUntil: request.ValidUntil, GrantedBy: request.GrantedBy}
+	if !request.CoversStartQuestion {
+		question = x.handler.options.Admission.AdmitInternalCall(x.ctx, choice.Attempt.Start(), x.admissionRequest())
+	}
+	if question.Granted && !question.ValidUntil.IsZero() {
+		question.ValidUntil = clock.Now().Add(startQuestionLifetime)
+	}
+	return question
+}
+
 // returnStartQuestion returns the grant of the question for the server's start if it was not asked.
 func (x *exchange) returnStartQuestion(choice dispatch.Choice) {
 	x.returnGrant(choice, x.startQuestion)
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -20,6 +20,8 @@
 type scriptedAdmission struct {
 	mu           sync.Mutex
 	askedServers []string
+	// requests are what was asked for.
+	requests []AdmissionRequest
 	// returned are the servers whose grants were returned unused.
 	returned []string
 	decide   func(serverID string, times int) AdmissionDecision
@@ -28,7 +30,7 @@
 	calls      int
 }
 
-func (s *scriptedAdmission) AdmitInternalCall(context.Context, inventory.Start, int) AdmissionDecision {
+func (s *scriptedAdmission) AdmitInternalCall(context.Context, inventory.Start, AdmissionRequest) AdmissionDecision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -38,9 +40,10 @@
 	return s.decideCall(s.calls)
 }
 
-func (s *scriptedAdmission) Admit(_ context.Context, start inventory.Start, _ int) AdmissionDecision {
+func (s *scriptedAdmission) Admit(_ context.Context, start inventory.Start, request AdmissionRequest) AdmissionDecision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.requests = append(s.requests, request)
 	s.askedServers = append(s.askedServers, start.ID)
 	return s.decide(start.ID, len(s.askedServers))
 }
--- a/internal/relay/starts.go
+++ b/internal/relay/starts.go
@@ -16,8 +16,8 @@
 	// Start is the known one.
 	Start   inventory.Start
 	Address string
-	// Priority is that of the request which waits for the answer, for a server that bounds its requests.
-	Priority int
+	// Admission is that of the request which waits for the answer, for a server that limits its requests.
+	Admission AdmissionRequest
 	// Admitted is the grant of the question, if one was taken before.
 	Admitted AdmissionDecision
 }
@@ -38,7 +38,7 @@
 		return true
 	}
 	start := inventory.Start{ID: entry.Server.ServerID, StartedAtMs: entry.Server.StartedAtMs}
-	current, err := x.askCurrentStart(StartQuestion{Start: start, Address: address, Priority: x.priority()})
+	current, err := x.askCurrentStart(StartQuestion{Start: start, Address: address, Admission: x.admissionRequest()})
 	return err != nil || current.StartedAtMs == 0 || current == start
 }
 
@@ -56,7 +56,7 @@
 	}
 	origin, confirmed := *x.origin, x.originEntry(*x.origin)
 	go func() {
-		current, err := x.askCurrentStart(StartQuestion{Start: start, Address: choice.Address, Priority: x.priority()})
+		current, err := x.askCurrentStart(StartQuestion{Start: start, Address: choice.Address, Admission: x.admissionRequest()})
 		if err != nil || current != start || origin.SoftwareVersion == "" {
 			return
 		}
@@ -88,7 +88,7 @@
 	}
 	start, admitted := choice.Attempt.Start(), x.startQuestion
 	x.startQuestion = AdmissionDecision{}
-	current, err := x.askCurrentStart(StartQuestion{Start: start, Address: choice.Address, Priority: x.priority(), Admitted: admitted})
+	current, err := x.askCurrentStart(StartQuestion{Start: start, Address: choice.Address, Admission: x.admissionRequest(), Admitted: admitted})
 	return err == nil && (current.StartedAtMs == 0 || current == start)
 }
 
--- a/internal/relay/versions_test.go
+++ b/internal/relay/versions_test.go
@@ -298,12 +298,17 @@
 	}
 }
 
-// TestStreamGoesOnWithItsQuestionAdmitted guards against cutting an answer that has begun because its
-// server, which bounds its requests, may not be asked for its start: what is not sent with the question
-// admitted waits, and an unused grant is returned.
-func TestStreamGoesOnWithItsQuestionAdmitted(t *testing.T) {
-	servers := []*fakeServer{newFakeServer(t, wholeStream("v1")), newFakeServer(t, wholeStream("v2"))}
-	f := newFixture(t, servers...)
+// limitedGrant is the grant of a coordinator for a server that names a rate limit.
+func limitedGrant() AdmissionDecision {
+	return AdmissionDecision{Granted: true, GrantedBy: "coordinator", ValidUntil: time.Now().Add(200 * time.Millisecond)}
+}
+
+// newLimitedResumption returns a node with a server of each of two software versions, and a stream that
+// began at the first. questions receives what the servers are asked for their starts.
+func newLimitedResumption(t *testing.T, admissions Admission) (f *fixture, servers []*fakeServer, questions chan StartQuestion) {
+	t.Helper()
+	servers = []*fakeServer{newFakeServer(t, wholeStream("v1")), newFakeServer(t, wholeStream("v2"))}
+	f = newFixture(t, servers...)
 	f.handler.SetTable(resumeTable())
 	var changes []inventory.Change
 	for i, s := range servers {
@@ -313,27 +318,32 @@
 		}})
 	}
 	f.dispatch.Do(func(core *dispatch.Core) { core.SetServers(changes) })
-	grant := func() AdmissionDecision {
-		return AdmissionDecision{Granted: true, GrantedBy: "coordinator", ValidUntil: time.Now().Add(200 * time.Millisecond)}
-	}
-	admissions := &scriptedAdmission{
-		decide: func(string, int) AdmissionDecision { return grant() },
-		decideCall: func(times int) AdmissionDecision {
-			if times == 1 {
-				return AdmissionDecision{RetryAfter: 20 * time.Millisecond}
-			}
-			return grant()
-		},
-	}
 	f.handler.options.Admission = admissions
 	f.handler.options.Origins = &fixedOrigins{answer: OriginAnswer{IsKnown: true, Versions: []string{"v1", "v2"}, Entry: origins.Entry{
 		Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"},
 	}}}
-	questions := make(chan StartQuestion, 4)
+	questions = make(chan StartQuestion, 4)
 	f.handler.options.CurrentStart = func(_ context.Context, question StartQuestion) (inventory.Start, error) {
 		questions <- question
 		return question.Start, nil
 	}
+	return f, servers, questions
+}
+
+// TestStreamGoesOnWithItsQuestionAdmitted guards against cutting an answer that has begun because its
+// server, which bounds its requests, may not be asked for its start: what is not sent with the question
+// admitted waits, and an unused grant is returned.
+func TestStreamGoesOnWithItsQuestionAdmitted(t *testing.T) {
+	admissions := &scriptedAdmission{
+		decide: func(string, int) AdmissionDecision { return limitedGrant() },
+		decideCall: func(times int) AdmissionDecision {
+			if times == 1 {
+				return AdmissionDecision{RetryAfter: 20 * time.Millisecond}
+			}
+			return limitedGrant()
+		},
+	}
+	f, servers, questions := newLimitedResumption(t, admissions)
 	got := f.send(t, http.MethodPost, "/resume/", "", "X-Last", "1", "X-Resumes", "r0", "X-Model", "m")
 	if got.body != "id: 2\ndata: v1\n\n" || servers[0].count() != 1 || servers[1].count() != 0 {
 		t.Errorf("got %+v after %d and %d sends, want the rest of the stream after one", got, servers[0].count(), servers[1].count())
@@ -348,3 +358,29 @@
 		t.Errorf("%d grants returned, want that of the send that was denied its question", len(admissions.returned))
 	}
 }
+
+// TestStreamGoesOnWithOneAdmission guards against asking twice in a row where one grant covers the send and
+// the question: new streams, which ask once, were admitted twice as often.
+func TestStreamGoesOnWithOneAdmission(t *testing.T) {
+	admissions := &scriptedAdmission{decide: func(string, int) AdmissionDecision {
+		grant := limitedGrant()
+		grant.CoversStartQuestion = true
+		return grant
+	}}
+	f, _, questions := newLimitedResumption(t, admissions)
+	got := f.send(t, http.MethodPost, "/resume/", "", "X-Last", "1", "X-Resumes", "r0", "X-Model", "m")
+	if got.body != "id: 2\ndata: v1\n\n" || len(admissions.requests) != 1 || admissions.calls != 0 || len(questions) != 1 {
+		t.Fatalf("got %+v after %d admissions, %d of calls and %d questions; want the rest of the stream after one, none and one",
+			got, len(admissions.requests), admissions.calls, len(questions))
+	}
+	if request := admissions.requests[0]; !request.IsGoingOn || !request.WithStartQuestion {
+		t.Errorf("asked for %+v, want a stream that goes on, with its question", request)
+	}
+	if question := <-questions; !question.Admitted.Granted || time.Until(question.Admitted.ValidUntil) < time.Second {
+		t.Errorf("asked with the grant %+v, want one that outlives the wait for the head of the answer", question.Admitted)
+	}
+	f.send(t, http.MethodPost, "/resume/", "", "X-Id", "r2", "X-Model", "m")
+	if request := admissions.requests[1]; request.IsGoingOn || request.WithStartQuestion {
+		t.Errorf("asked for %+v, want a new stream", request)
+	}
+}
--- /dev/null
+++ b/test/platform/limited_streams_test.go
@@ -0,0 +1,195 @@
+package platform
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// limitedServerRate is what each server of a limited fleet names as its limit, in requests a second.
+	limitedServerRate = 8
+	// limitedRunTime is how long new streams begin in a case.
+	limitedRunTime = 8 * time.Second
+	// takenUpEvery is how many new streams come for each one that its caller leaves and takes up again.
+	takenUpEvery = 6
+	// goesOnShare is the share of taken-up streams that have to go on, relative to the share of new
+	// streams that begin.
+	goesOnShare = 0.9
+)
+
+// limitedRun counts what became of the streams of one case.
+type limitedRun struct {
+	mu                            sync.Mutex
+	sent, began                   int
+	takenUp, continued, joined    int
+	newHeld, takenUpHeld, newWait []time.Duration
+}
+
+// play starts perSecond new streams a second at the nodes in turn. Every takenUpEvery-th is left after two
+// events and taken up at another node at once. disrupt is called halfway.
+func (r *limitedRun) play(f *versionedFleet, perSecond float64, disrupt func()) {
+	var running sync.WaitGroup
+	begin, isDisrupted := time.Now(), false
+	for number := 0; time.Since(begin) < limitedRunTime; number++ {
+		running.Go(func() { r.readOne(f, number) })
+		if !isDisrupted && disrupt != nil && time.Since(begin) > limitedRunTime/2 {
+			isDisrupted = true
+			disrupt()
+		}
+		time.Sleep(time.Until(begin.Add(time.Duration(float64(number+1) / perSecond * float64(time.Second)))))
+	}
+	running.Wait()
+}
+
+// readOne reads one new stream, and takes it up again if it was to be left.
+func (r *limitedRun) readOne(f *versionedFleet, number int) {
+	id, stopAfter := "limited-"+strconv.Itoa(number), 0
+	if number%takenUpEvery == 0 {
+		stopAfter = 2
+	}
+	stream := resumption{first: f.nodes[number%len(f.nodes)].readStream(id, resumablePath, stopAfter)}
+	isTakenUp := stopAfter > 0 && stream.first.events >= stopAfter
+	if isTakenUp {
+		stream.second = f.nodes[(number+1)%len(f.nodes)].readStream(id+"-2", resumablePath, 0, "Last-Event-Id", stream.first.lastEvent, "Resumes", id)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	if stream.first.events > 0 {
+		r.began++
+		r.newWait = append(r.newWait, stream.first.took)
+	} else {
+		r.newHeld = append(r.newHeld, stream.first.took)
+	}
+	if !isTakenUp {
+		return
+	}
+	r.takenUp++
+	switch {
+	case stream.joinsVersions():
+		r.joined++
+	case stream.second.isWhole:
+		r.continued++
+	default:
+		r.takenUpHeld = append(r.takenUpHeld, stream.second.took)
+	}
+}
+
+// median returns the middle one of some durations; 0 of none.
+func median(durations []time.Duration) time.Duration {
+	if len(durations) == 0 {
+		return 0
+	}
+	return slices.Sorted(slices.Values(durations))[len(durations)/2].Round(time.Millisecond)
+}
+
+// restartResetting restarts all servers under their IDs at the other version, with their connections.
+func (f *versionedFleet) restartResetting() {
+	for _, m := range f.servers {
+		m.set(func() {
+			m.version = map[string]string{"v1": "v1.1", "v1.1": "v1"}[m.version]
+			m.startID++
+		})
+		m.httpServer.CloseClientConnections()
+		m.register(f.store, "ready")
+	}
+}
+
+// TestStreamsGoOnWhereServersNameALimit guards against streams that are refused more often than new ones
+// where servers of two software versions name a limit: a stream that went on needed two admissions in a
+// row, and a new one needed one.
+func TestStreamsGoOnWhereServersNameALimit(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		demand  float64
+		disrupt func(f *versionedFleet)
+	}{
+		"below the limit":          {demand: 0.6},
+		"a little over the limit":  {demand: 1.4},
+		"three times the limit":    {demand: 3},
+		"connections are reset":    {demand: 1.4, disrupt: func(f *versionedFleet) { f.resetConnections() }},
+		"a node is killed":         {demand: 0.6, disrupt: func(f *versionedFleet) { f.nodes[3].kill(); f.nodes[3].start() }},
+		"servers start once again": {demand: 1.4, disrupt: (*versionedFleet).restartResetting},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newVersionedFleet(t)
+			for _, m := range f.servers {
+				m.setRateLimit(limitedServerRate)
+			}
+			f.readSome(40)
+			time.Sleep(limitSettleTime)
+			begin, run := time.Now(), &limitedRun{}
+			var disrupt func()
+			if c.disrupt != nil {
+				disrupt = func() { c.disrupt(f) }
+			}
+			run.play(f, c.demand*limitedServerRate*float64(len(f.servers)), disrupt)
+			run.check(t)
+			f.checkLimits(t, begin)
+		})
+	}
+}
+
+// readSome reads streams at all nodes, so that these learn what the servers name.
+func (f *versionedFleet) readSome(count int) {
+	for i := range count {
+		f.nodes[i%len(f.nodes)].readStream(fmt.Sprint("before-", i), resumablePath, 0)
+	}
+}
+
+// resetConnections resets all connections of the servers.
+func (f *versionedFleet) resetConnections() {
+	for _, m := range f.servers {
+		m.httpServer.CloseClientConnections()
+	}
+}
+
+// check reports streams that were joined or cut off too often.
+func (r *limitedRun) check(t *testing.T) {
+	t.Helper()
+	t.Logf("%d new, %d began after %v, others held for %v; %d taken up, %d went on, others held for %v; %d joined",
+		r.sent, r.began, median(r.newWait), median(r.newHeld), r.takenUp, r.continued, median(r.takenUpHeld), r.joined)
+	if r.joined > 0 {
+		t.Errorf("%d streams hold events of two software versions", r.joined)
+	}
+	if r.takenUp == 0 || float64(r.continued)*float64(r.sent) < goesOnShare*float64(r.takenUp)*float64(r.began) {
+		t.Errorf("%d of %d streams that were taken up went on, %d of %d new ones began", r.continued, r.takenUp, r.began, r.sent)
+	}
+}
+
+// byStart sorts the contacts of a server by its starts: each has a limit of its own.
+func byStart(contacts []contact) map[int64][]contact {
+	starts := make(map[int64][]contact)
+	for _, one := range contacts {
+		starts[one.startID] = append(starts[one.startID], one)
+	}
+	return starts
+}
+
+// checkLimits reports starts of servers that got more than their limit allows.
+func (f *versionedFleet) checkLimits(t *testing.T, since time.Time) {
+	t.Helper()
+	calls := make(map[string]int)
+	for _, m := range f.servers {
+		contacts := m.contactsSince(since)
+		for path, count := range countPaths(contacts) {
+			calls[path] += count
+		}
+		for startID, contacts := range byStart(contacts) {
+			// Until then not all nodes need to know the limit of a start.
+			settled := contacts[0].at.Add(limitSettleTime)
+			contacts = slices.DeleteFunc(contacts, func(c contact) bool { return c.at.Before(settled) })
+			if busiest := busiestWindow(contacts); len(busiest) > allowedInWindow(limitedServerRate) {
+				t.Errorf("start %d of %s got %d calls within %v, %d are allowed: %v",
+					startID, m.id, len(busiest), limitWindow, allowedInWindow(limitedServerRate), countPaths(busiest))
+			}
+		}
+	}
+	t.Logf("calls: %v", calls)
+}
