The connection tells which start of a server goes on with a stream

What callers saw: where servers of two software versions name a limit, each stream that went on cost its server two calls of the limit, and three where its origin was young. What was spent on questions was missing for streams.

Cause: the start of a server was asked for once for each stream, though a connection ends at one process, and a process at one start: one report settles all connections that were open while its start was alive.

Ruled out: asking beside each new stream at a limited server, which costs a call for each connection whether its streams are taken up or not; reports that the leader reads, told by datagram: how old they are on arrival is not known.

Change: a report tells from when to when its start was alive (from the opening of its connection to the time it was asked for). A stream goes on without a question where the connection was open by then and its request was answered later; idle connections of that kind are preferred for such streams. The origin of a new stream is certain from its first event on where its connection tells, and a question is spared where the origin's server was seen alive since. An origin that is certain at once is repeated to its keepers like any other.

It rests on PROTOCOL, "on a connection it [a server] serves one request at a time" and "every start of a server is a new incarnation". A proxy that hands one connection's requests to different processes would break it.

New tests of relay, backendconn, origins, edge and platform.

--- a/internal/backendconn/history.go
+++ b/internal/backendconn/history.go
@@ -22,6 +22,9 @@
 
 func (h *history) add(hash uint64) { h.hashes = append(h.hashes, hash) }
 
+// removeLast forgets the request that was added last: it was not sent.
+func (h *history) removeLast() { h.hashes = h.hashes[:len(h.hashes)-1] }
+
 func (h *history) isFull() bool { return len(h.hashes) >= maxRequestsPerConn }
 
 // hashRequestID returns what connections remember of a request.
--- a/internal/backendconn/history_test.go
+++ b/internal/backendconn/history_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"testing"
+
+	"github.com/spanlanding/spanlanding/internal/clock"
 )
 
 // acceptingListener accepts connections and keeps them open until the test ends.
@@ -70,3 +72,34 @@
 		t.Errorf("%d connections for %d requests, want 2", count, 2*maxRequestsPerConn)
 	}
 }
+
+// TestIdleConnectionsAreChosenByAge checks that a connection is chosen by when it was open, that it does not
+// carry a request twice either, and that one on which nothing was sent is as before.
+func TestIdleConnectionsAreChosenByAge(t *testing.T) {
+	address, pool := acceptingListener(t), New(Options{})
+	first := takeConn(t, pool, address, "a")
+	openBy := clock.Now()
+	second := takeConn(t, pool, address, "b")
+	first.release(http.Header{})
+	second.release(http.Header{})
+	if first.OpenedAt().After(openBy) || !second.OpenedAt().After(openBy) {
+		t.Fatalf("opened at %v and %v, want before and after %v", first.OpenedAt(), second.OpenedAt(), openBy)
+	}
+	if got := pool.GetIdle(address, "a", openBy); got != nil {
+		t.Error("a request got the connection that carried it")
+	}
+	got := pool.GetIdle(address, "c", openBy)
+	if got != first {
+		t.Fatal("got another connection than the one that was open by then")
+	}
+	if pool.GetIdle(address, "d", openBy) != nil {
+		t.Error("a connection was handed out twice, or one opened since")
+	}
+	got.PutBack()
+	if again := pool.GetIdle(address, "c", openBy); again != first {
+		t.Error("a request did not get the connection that it put back")
+	}
+	if dials := pool.DialCount(); dials != 2 {
+		t.Errorf("%d connections were opened, want 2", dials)
+	}
+}
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -83,6 +83,8 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	history     history
+	// openedAt is when the connection was open for sure.
+	openedAt time.Time
 	// Reused is set if the connection carried a request before.
 	Reused bool
 	// hasDeliveryTimeout is set while the limit of SetDeliveryTimeout is in force.
@@ -101,40 +103,64 @@
 	return port
 }
 
+// OpenedAt returns the time by which the connection was open.
+func (c *Conn) OpenedAt() time.Time { return c.openedAt }
+
 // Get returns a connection to the address for one request: an idle connection that has not carried a
 // request with this ID, or a new one. Requests without an ID count as one and the same: nothing tells
 // the responses to two of them apart.
 func (p *Pool) Get(ctx context.Context, address, requestID string) (*Conn, error) {
 	hash := p.hashRequestID(requestID)
-	conn, err := p.takeOrDial(ctx, address, hash)
-	if err == nil {
+	conn := p.takeReusable(address, func(conn *Conn) bool { return !conn.history.contains(hash) })
+	if conn == nil {
+		var err error
+		if conn, err = p.dial(ctx, address); err != nil {
+			return nil, err
+		}
+	}
+	conn.history.add(hash)
+	return conn, nil
+}
+
+// GetIdle returns an idle connection as Get does that was open by the given time; nil if there is none.
+func (p *Pool) GetIdle(address, requestID string, openBy time.Time) *Conn {
+	hash := p.hashRequestID(requestID)
+	conn := p.takeReusable(address, func(conn *Conn) bool { return !conn.openedAt.After(openBy) && !conn.history.contains(hash) })
+	if conn != nil {
 		conn.history.add(hash)
 	}
-	return conn, err
+	return conn
 }
 
-func (p *Pool) takeOrDial(ctx context.Context, address string, requestHash uint64) (*Conn, error) {
+// PutBack returns a connection on which nothing was sent since Get or GetIdle returned it.
+func (c *Conn) PutBack() {
+	c.history.removeLast()
+	c.pool.keep(c)
+}
+
+// takeReusable removes the most recently used idle connection that is suitable and still usable; nil if
+// there is none.
+func (p *Pool) takeReusable(address string, isSuitable func(*Conn) bool) *Conn {
 	for {
-		conn := p.takeIdle(address, requestHash)
+		conn := p.takeIdle(address, isSuitable)
 		if conn == nil {
-			return p.dial(ctx, address)
+			return nil
 		}
 		if clock.Since(conn.idleSince) < conn.idleTimeout && isReusable(conn.Conn) {
 			conn.Reused = true
-			return conn, nil
+			return conn
 		}
 		_ = conn.Conn.Close()
 	}
 }
 
-// takeIdle removes the most recently used idle connection that has not carried the request; nil if
-// there is none.
-func (p *Pool) takeIdle(address string, requestHash uint64) *Conn {
+// takeIdle removes the most recently used idle connection that is suitable; nil if there is none.
+func (p *Pool) takeIdle(address string, isSuitable func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
 	for i, conn := range slices.Backward(idle) {
-		if !conn.history.contains(requestHash) {
+		if isSuitable(conn) {
 			p.idle[address] = slices.Delete(idle, i, i+1)
 			return conn
 		}
@@ -152,7 +178,7 @@
 	p.mu.Lock()
 	p.dialCount++
 	p.mu.Unlock()
-	return &Conn{Conn: raw, pool: p, address: address, idleTimeout: p.options.IdleTimeout}, nil
+	return &Conn{Conn: raw, pool: p, address: address, openedAt: clock.Now(), idleTimeout: p.options.IdleTimeout}, nil
 }
 
 // DialCount returns the number of connections opened so far.
@@ -214,7 +240,11 @@
 	if timeout, ok := keepAliveTimeout(header); ok {
 		c.idleTimeout = timeout - keepAliveMargin
 	}
-	p := c.pool
+	c.pool.keep(c)
+}
+
+// keep makes the connection idle, or closes it if it cannot be used again.
+func (p *Pool) keep(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.hasDeliveryTimeout || c.history.isFull() || c.idleTimeout <= 0 || len(p.idle[c.address]) >= p.options.MaxIdle {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -224,6 +224,7 @@
 		Origins:   node.origins,
 
 		CurrentStart: node.origins.currentStart,
+		LiveStarts:   node.origins.live,
 		OnHint: func(start inventory.Start, hint inventory.Hint) {
 			node.hints.propagate(start, hint, hintFromAnswer)
 		},
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -34,6 +34,8 @@
 // concurrent use.
 type streamOrigins struct {
 	node *Node
+	// live tells which starts answer on open connections.
+	live *origins.LiveStarts
 
 	mu    sync.Mutex
 	table *origins.Table
@@ -51,7 +53,7 @@
 
 func newStreamOrigins(node *Node) *streamOrigins {
 	return &streamOrigins{
-		node: node, table: origins.NewTable(), starts: origins.NewStarts(dispatch.VersionSettleTime), inProgress: make(map[origins.Key]time.Time), pending: newPendingCalls[*peerpb.OriginCall](),
+		node: node, live: origins.NewLiveStarts(), table: origins.NewTable(), starts: origins.NewStarts(dispatch.VersionSettleTime), inProgress: make(map[origins.Key]time.Time), pending: newPendingCalls[*peerpb.OriginCall](),
 	}
 }
 
@@ -61,12 +63,14 @@
 	now := clock.Now()
 	isMixed := len(o.recentVersions(now, entry.Origin.Service)) > 1
 	o.mu.Lock()
+	_, isKnown := o.table.Find(now, entry.Key)
 	o.table.Put(now, entry)
-	if _, isInProgress := o.inProgress[entry.Key]; isInProgress || !entry.IsCertain {
+	isConfirmation := isKnown && entry.IsCertain
+	if _, isInProgress := o.inProgress[entry.Key]; isInProgress || !isConfirmation {
 		// A confirmation may come after the stream's end.
 		o.inProgress[entry.Key] = now
 	}
-	if isMixed && !entry.IsCertain {
+	if isMixed && !isConfirmation {
 		o.repeats = append(o.repeats, entry.Key)
 	}
 	o.mu.Unlock()
@@ -202,6 +206,7 @@
 }
 
 func (o *streamOrigins) sweep(now time.Time) {
+	o.live.Sweep(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Sweep(now)
--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -79,3 +79,35 @@
 		t.Errorf("%d origins kept, want none", node.origins.size())
 	}
 }
+
+// TestCertainOriginIsSentAgain guards against losing a stream's origin with one datagram where it is certain
+// from the first event on: such an origin is repeated and kept up like any other, until its stream ends.
+func TestCertainOriginIsSentAgain(t *testing.T) {
+	nodes := newVersionedNodes(t, 2, "v1", "v2")
+	entry := origins.Entry{
+		Key: origins.NewKey("caller", "r1"), Origin: origins.Origin{Service: "s", SoftwareVersion: "v1"}, ExpiresAt: clock.Now().Add(time.Minute), IsCertain: true,
+	}
+	nodes[0].origins.Record(entry)
+	awaitSize(t, nodes[1], 1)
+	forget := func() {
+		nodes[1].origins.mu.Lock()
+		nodes[1].origins.table = origins.NewTable()
+		nodes[1].origins.mu.Unlock()
+	}
+	forget()
+	nodes[0].origins.tick(clock.Now())
+	awaitSize(t, nodes[1], 1)
+	forget()
+	nodes[0].origins.mu.Lock()
+	nodes[0].origins.inProgress[entry.Key] = clock.Now().Add(-originRefreshPeriod)
+	nodes[0].origins.mu.Unlock()
+	nodes[0].origins.tick(clock.Now())
+	awaitSize(t, nodes[1], 1)
+	nodes[0].origins.End(entry.Key)
+	nodes[0].origins.Record(entry)
+	nodes[0].origins.mu.Lock()
+	defer nodes[0].origins.mu.Unlock()
+	if _, isInProgress := nodes[0].origins.inProgress[entry.Key]; isInProgress || len(nodes[0].origins.repeats) > 0 {
+		t.Error("a confirmation after the stream's end keeps it in progress")
+	}
+}
--- a/internal/placer/messages.go
+++ b/internal/placer/messages.go
@@ -115,6 +115,9 @@
 	// Hint is the announcement that came with the answer, which may be present even if the report
 	// is not.
 	Hint inventory.Hint
+	// AliveFrom and AliveUntil are times between which the start was alive: when the connection of the
+	// report was open, and when the report was asked for.
+	AliveFrom, AliveUntil time.Time
 }
 
 // String returns the name of the source as it appears in logs.
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -81,10 +81,10 @@
 	if x.handler.options.Admission == nil {
 		return AdmissionDecision{Granted: true}
 	}
-	request, mustAsk := x.admissionRequest(), x.mustConfirmStart()
-	request.WithStartQuestion = mustAsk
+	request := x.admissionRequest()
+	request.WithStartQuestion = x.asksStart
 	decision = x.handler.options.Admission.Admit(x.ctx, choice.Attempt.Start(), request)
-	if decision.Granted && mustAsk {
+	if decision.Granted && x.asksStart {
 		x.startQuestion = x.admitStartQuestion(choice, decision)
 		if !x.startQuestion.Granted {
 			x.returnGrant(choice, decision)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -32,13 +32,18 @@
 func (x *exchange) attempt(choice dispatch.Choice) attemptResult {
 	x.serverID, x.softwareVersion, x.hint = choice.ServerID, choice.SoftwareVersion, inventory.Hint{}
 	x.estimate, x.writingSince, x.writtenEvents, x.localPort = choice.Estimate, time.Time{}, 0, ""
+	conn := x.takeLiveConn(choice)
+	x.asksStart = conn == nil && x.mustConfirmStart()
 	decision := x.requestAdmission(choice)
 	defer func() { x.returnStartQuestion(choice) }()
 	if !decision.Granted {
+		if conn != nil {
+			conn.PutBack()
+		}
 		x.endAttempt(choice, dispatch.OutcomeAbandoned)
 		return attemptNotSent
 	}
-	conn, result, ok := x.connect(choice, &decision)
+	conn, result, ok := x.connect(choice, conn, &decision)
 	if !ok {
 		x.returnGrant(choice, decision)
 		return result
@@ -47,7 +52,7 @@
 		x.sentTo = append(x.sentTo, choice.ServerID)
 	}
 	x.countBytes(choice, len(x.body))
-	x.localPort = conn.LocalPort()
+	x.localPort, x.connOpenedAt = conn.LocalPort(), conn.OpenedAt()
 	x.sentAt = clock.Now()
 	x.sends++
 	accepted := decision.acceptedAfter(admission.RejectionTime)
@@ -75,14 +80,16 @@
 	return x.handleResponse(choice, response, head)
 }
 
-// connect takes a connection to the chosen server and checks that the request may still be sent.
-// Where ok is false nothing was sent, and result says how the attempt ended.
-func (x *exchange) connect(choice dispatch.Choice, decision *AdmissionDecision) (conn *backendconn.Conn, result attemptResult, ok bool) {
-	conn, err := x.handler.options.Pool.Get(x.ctx, choice.Address, x.head.RequestID)
-	if err != nil {
-		x.markUnreachable(choice)
-		x.recordUnreached(choice)
-		return nil, x.handleNotSent(choice), false
+// connect takes a connection to the chosen server, unless there is one, and checks that the request may
+// still be sent. Where ok is false nothing was sent, and result says how the attempt ended.
+func (x *exchange) connect(choice dispatch.Choice, idle *backendconn.Conn, decision *AdmissionDecision) (conn *backendconn.Conn, result attemptResult, ok bool) {
+	if conn = idle; conn == nil {
+		var err error
+		if conn, err = x.handler.options.Pool.Get(x.ctx, choice.Address, x.head.RequestID); err != nil {
+			x.markUnreachable(choice)
+			x.recordUnreached(choice)
+			return nil, x.handleNotSent(choice), false
+		}
 	}
 	result, ok = x.checkBeforeSend(choice, conn, decision)
 	return conn, result, ok
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -99,6 +99,10 @@
 	originSentAt time.Time
 	// isOriginConfirmed is set once that server said, after its first event, that it is still that start.
 	isOriginConfirmed atomic.Bool
+	// asksStart is set if the server of the current attempt has to be asked for its start, and
+	// connOpenedAt is when the connection of the attempt was open.
+	asksStart    bool
+	connOpenedAt time.Time
 	// startQuestion is the grant of the question for the start of the current attempt's server, until it
 	// is asked.
 	startQuestion AdmissionDecision
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/origins"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 	"github.com/spanlanding/spanlanding/internal/waiting"
@@ -111,7 +112,10 @@
 	// CurrentStart asks a model server for its current start; StartedAtMs is 0 if it does not say. nil
 	// takes the known start for the current one.
 	CurrentStart func(ctx context.Context, question StartQuestion) (inventory.Start, error)
-	Logger       *log.Logger
+	// LiveStarts knows which starts were seen alive, and so which of them answer on open connections; nil
+	// asks about each stream.
+	LiveStarts *origins.LiveStarts
+	Logger     *log.Logger
 	// IsReady reports whether the node knows enough to forward requests, and AwaitReady waits until it
 	// does or ctx ends; nil means always ready.
 	IsReady    func() bool
@@ -173,6 +177,9 @@
 	if options.OnUnreadField == nil {
 		options.OnUnreadField = func(string, string) {}
 	}
+	if options.LiveStarts == nil {
+		options.LiveStarts = origins.NewLiveStarts()
+	}
 	return &Handler{
 		options:         options,
 		started:         clock.Now(),
--- a/internal/relay/starts.go
+++ b/internal/relay/starts.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
@@ -37,6 +38,9 @@
 	if !ok {
 		return true
 	}
+	if !x.handler.options.LiveStarts.AliveAt(entry.Server).Before(entry.RecordedAt) {
+		return true
+	}
 	start := inventory.Start{ID: entry.Server.ServerID, StartedAtMs: entry.Server.StartedAtMs}
 	current, err := x.askCurrentStart(StartQuestion{Start: start, Address: address, Admission: x.admissionRequest()})
 	return err != nil || current.StartedAtMs == 0 || current == start
@@ -46,7 +50,7 @@
 // still the start that was chosen, and records that. It need not be where one software version serves,
 // and is not done at the expense of a server that bounds its requests.
 func (x *exchange) confirmOrigin(choice dispatch.Choice) {
-	if x.isResumption || x.forwarded != nil || x.route.RetryPolicy != routetable.RetryResume || !x.needsModel || x.handler.options.CurrentStart == nil || x.servesOneVersion() {
+	if x.isOriginConfirmed.Load() || x.isResumption || x.forwarded != nil || x.route.RetryPolicy != routetable.RetryResume || !x.needsModel || x.handler.options.CurrentStart == nil || x.servesOneVersion() {
 		return
 	}
 	start, isLimited := choice.Attempt.Start(), false
@@ -79,11 +83,35 @@
 	return x.isGoingOn() && x.needsModel && x.handler.options.CurrentStart != nil && !x.servesOneVersion()
 }
 
+// takeLiveConn takes an idle connection at whose other end the chosen start is, if the stream may go on only
+// there: the server need not be asked then. It returns nil if there is none.
+func (x *exchange) takeLiveConn(choice dispatch.Choice) *backendconn.Conn {
+	if !x.mustConfirmStart() {
+		return nil
+	}
+	aliveAt := x.handler.options.LiveStarts.AliveAt(originStart(choice))
+	if aliveAt.IsZero() {
+		return nil
+	}
+	return x.handler.options.Pool.GetIdle(choice.Address, x.head.RequestID, aliveAt)
+}
+
+// isStartKnown reports whether the chosen start is the one that answered on the connection of the attempt.
+func (x *exchange) isStartKnown(choice dispatch.Choice) bool {
+	return x.handler.options.LiveStarts.Answers(originStart(choice), x.connOpenedAt, x.sentAt)
+}
+
+// originStart is the chosen start as origins name it.
+func originStart(choice dispatch.Choice) origins.Start {
+	start := choice.Attempt.Start()
+	return origins.Start{ServerID: start.ID, StartedAtMs: start.StartedAtMs}
+}
+
 // isStartConfirmed reports whether the server that is about to go on with a stream is still the start
 // that was chosen. Of a server that started again under its ID nobody may know yet, so the server itself
-// is asked, after the head of its response and before any event.
+// is asked, after the head of its response and before any event, unless the connection tells.
 func (x *exchange) isStartConfirmed(choice dispatch.Choice) bool {
-	if !x.mustConfirmStart() {
+	if !x.mustConfirmStart() || x.isStartKnown(choice) {
 		return true
 	}
 	start, admitted := choice.Attempt.Start(), x.startQuestion
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -12,7 +12,6 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
-	"github.com/spanlanding/spanlanding/internal/origins"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -26,8 +25,9 @@
 
 // relayStream passes on an event stream.
 func (x *exchange) relayStream(choice dispatch.Choice, response *backendconn.Response) attemptResult {
-	if start := choice.Attempt.Start(); !x.isGoingOn() {
-		x.originServer, x.originSentAt = origins.Start{ServerID: start.ID, StartedAtMs: start.StartedAtMs}, x.sentAt
+	if !x.isGoingOn() {
+		x.originServer, x.originSentAt = originStart(choice), x.sentAt
+		x.isOriginConfirmed.Store(x.isStartKnown(choice))
 	}
 	if !x.isStartConfirmed(choice) || !x.beginEvents(x.servedVersion(choice), originFromServer) {
 		x.handleBrokenResponse(choice)
--- a/internal/relay/versions_test.go
+++ b/internal/relay/versions_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/origins"
@@ -384,3 +385,76 @@
 		t.Errorf("asked for %+v, want a new stream", request)
 	}
 }
+
+// TestOneReportSettlesTheStreamsOfAConnection guards against a call for each stream that goes on: a connection
+// ends at one start of a server, so nothing is asked where that start was seen alive while it was open.
+func TestOneReportSettlesTheStreamsOfAConnection(t *testing.T) {
+	admissions := &scriptedAdmission{decide: func(_ string, times int) AdmissionDecision {
+		if times == 3 {
+			return AdmissionDecision{RetryAfter: time.Millisecond}
+		}
+		grant := limitedGrant()
+		grant.CoversStartQuestion = true
+		return grant
+	}}
+	f, servers, questions := newLimitedResumption(t, admissions)
+	goOn := func(id string) {
+		t.Helper()
+		if got := f.send(t, http.MethodPost, "/resume/", "", "X-Id", id, "X-Last", "1", "X-Resumes", "r0", "X-Model", "m"); got.body != "id: 2\ndata: v1\n\n" {
+			t.Fatalf("%s: got %+v, want the rest of the stream", id, got)
+		}
+	}
+	asked := func() (count int, withQuestion bool) {
+		return len(questions), admissions.requests[len(admissions.requests)-1].WithStartQuestion
+	}
+	goOn("first")
+	if count, withQuestion := asked(); count != 1 || !withQuestion {
+		t.Fatalf("asked %d times, with a question %v; want once about a new connection", count, withQuestion)
+	}
+	start := origins.Start{ServerID: "s0", StartedAtMs: 1}
+	f.handler.options.LiveStarts.Record(start, clock.Now(), clock.Now())
+	goOn("second")
+	if count, withQuestion := asked(); count != 1 || withQuestion {
+		t.Errorf("asked %d times, with a question %v; want none about a connection that was open", count, withQuestion)
+	}
+	// The admission denies this one first: the connection serves it all the same.
+	goOn("third")
+	if count, withQuestion := asked(); count != 1 || withQuestion || servers[0].count() != 3 {
+		t.Errorf("asked %d times, with a question %v, after %d runs; want none and 3", count, withQuestion, servers[0].count())
+	}
+	f.handler.options.LiveStarts.Record(origins.Start{ServerID: "s0", StartedAtMs: 2}, clock.Now(), clock.Now())
+	goOn("fourth")
+	if count, withQuestion := asked(); count != 2 || !withQuestion {
+		t.Errorf("asked %d times, with a question %v; want once more since another start was seen", count, withQuestion)
+	}
+}
+
+// TestStreamOfAKnownConnectionIsCertain checks that the origin of a stream is certain from its first event on
+// where its server was seen alive since the connection was opened.
+func TestStreamOfAKnownConnectionIsCertain(t *testing.T) {
+	f, _, _ := newLimitedResumption(t, nil)
+	recorded := &fixedOrigins{}
+	f.handler.options.Origins, f.handler.options.CurrentStart = recorded, nil
+	isCertain := func(id string) bool {
+		t.Helper()
+		before, _ := recorded.calls()
+		if got := f.send(t, http.MethodPost, "/resume/", "", "X-Id", id, "X-Model", "m"); got.err != nil || got.status != http.StatusOK {
+			t.Fatalf("%s: got %+v", id, got)
+		}
+		entries, _ := recorded.calls()
+		return entries[len(before)].IsCertain
+	}
+	for i := range 8 {
+		if isCertain(fmt.Sprint("before-", i)) {
+			t.Fatal("certain although no start was seen alive")
+		}
+	}
+	for _, id := range []string{"s0", "s1"} {
+		f.handler.options.LiveStarts.Record(origins.Start{ServerID: id, StartedAtMs: 1}, clock.Now(), clock.Now())
+	}
+	for i := range 4 {
+		if !isCertain(fmt.Sprint("after-", i)) {
+			t.Error("uncertain although the connection was open when its server's start was seen")
+		}
+	}
+}
--- a/test/platform/limited_streams_test.go
+++ b/test/platform/limited_streams_test.go
@@ -25,7 +25,8 @@
 type limitedRun struct {
 	mu                            sync.Mutex
 	sent, began                   int
-	takenUp, continued, joined    int
+	takenUp, continued            int
+	joined                        []string
 	newHeld, takenUpHeld, newWait []time.Duration
 }
 
@@ -71,7 +72,7 @@
 	r.takenUp++
 	switch {
 	case stream.joinsVersions():
-		r.joined++
+		r.joined = append(r.joined, fmt.Sprintf("%s: %v, then %v", id, stream.first.versions, stream.second.versions))
 	case stream.second.isWhole:
 		r.continued++
 	default:
@@ -87,14 +88,17 @@
 	return slices.Sorted(slices.Values(durations))[len(durations)/2].Round(time.Millisecond)
 }
 
-// restartResetting restarts all servers under their IDs at the other version, with their connections.
+// restartResetting restarts all servers under their IDs at the other version. No request that reached one
+// start is answered by the next.
 func (f *versionedFleet) restartResetting() {
 	for _, m := range f.servers {
+		m.set(func() { m.isDown = true })
+		m.httpServer.CloseClientConnections()
 		m.set(func() {
 			m.version = map[string]string{"v1": "v1.1", "v1.1": "v1"}[m.version]
 			m.startID++
+			m.isDown = false
 		})
-		m.httpServer.CloseClientConnections()
 		m.register(f.store, "ready")
 	}
 }
@@ -154,9 +158,9 @@
 func (r *limitedRun) check(t *testing.T) {
 	t.Helper()
 	t.Logf("%d new, %d began after %v, others held for %v; %d taken up, %d went on, others held for %v; %d joined",
-		r.sent, r.began, median(r.newWait), median(r.newHeld), r.takenUp, r.continued, median(r.takenUpHeld), r.joined)
-	if r.joined > 0 {
-		t.Errorf("%d streams hold events of two software versions", r.joined)
+		r.sent, r.began, median(r.newWait), median(r.newHeld), r.takenUp, r.continued, median(r.takenUpHeld), len(r.joined))
+	for _, joined := range r.joined {
+		t.Errorf("a stream holds events of two software versions: %s", joined)
 	}
 	if r.takenUp == 0 || float64(r.continued)*float64(r.sent) < goesOnShare*float64(r.takenUp)*float64(r.began) {
 		t.Errorf("%d of %d streams that were taken up went on, %d of %d new ones began", r.continued, r.takenUp, r.began, r.sent)
