A question that was not admitted or answered says nothing of a server's start

Found by TestStreamsGoOnWhereServersNameALimit.

Its caller came back at another node, which knew the recorded start, less than 3 s old, and asked i-3 for its start; the question was not admitted, and that counted as "the server is down": the stream went on at v1.1 behind an event of v1. One error stood for three answers.

Change: an answer is told, down, unanswered or not admitted, in a type, and lines of requests name it (began_check). Only a refused connection counts as down. A question that is not admitted waits for a second at most; one that stays open refuses the stream with the time in which a later start is known everywhere, and ends an answer that has begun without forgetting its origin. Streams that go on are not queued behind refused new ones: their time to come back was that of the queue, 1 to 4 s.

--- a/internal/backendconn/errors.go
+++ b/internal/backendconn/errors.go
@@ -1,6 +1,11 @@
 package backendconn
 
-import "github.com/joomcode/errorx"
+import (
+	"errors"
+	"syscall"
+
+	"github.com/joomcode/errorx"
+)
 
 var errorNamespace = errorx.NewNamespace("backendconn")
 
@@ -11,3 +16,8 @@
 	// ErrMaybeSent means that the request may have reached the server and run there.
 	ErrMaybeSent = errorNamespace.NewType("unknown")
 )
+
+// IsRefused reports whether an error of Pool.Get says that nothing listens at the address.
+func IsRefused(err error) bool {
+	return errorx.IsOfType(err, ErrNotSent) && errors.Is(errorx.Cast(err).Cause(), syscall.ECONNREFUSED)
+}
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
@@ -214,7 +216,7 @@
 }
 
 // currentStart asks a model server for its current start.
-func (o *streamOrigins) currentStart(ctx context.Context, question relay.StartQuestion) (inventory.Start, error) {
+func (o *streamOrigins) currentStart(ctx context.Context, question relay.StartQuestion) relay.StartAnswer {
 	start, leader := question.Start, o.node.leader
 	call := placer.ReportRequest{ServerID: start.ID, StartedAtMs: start.StartedAtMs, Address: question.Address}
 	admitted := question.Admitted
@@ -223,7 +225,25 @@
 		admitted = o.node.admissions.AdmitInternalCall(ctx, start, question.Admission)
 	}
 	report, err := leader.askForReport(ctx, call, admitted)
-	return inventory.Start{ID: start.ID, StartedAtMs: report.StartedAtMs}, err
+	answer := relay.StartAnswer{Outcome: startOutcome(err), Start: inventory.Start{ID: start.ID, StartedAtMs: report.StartedAtMs}}
+	if answer.Outcome == relay.StartNotAdmitted {
+		answer.RetryAfter = admitted.RetryAfter
+	}
+	return answer
+}
+
+// startOutcome says what the error of a report tells of its server.
+func startOutcome(err error) relay.StartOutcome {
+	switch {
+	case err == nil:
+		return relay.StartTold
+	case errors.Is(err, errCallNotAdmitted):
+		return relay.StartNotAdmitted
+	case backendconn.IsRefused(err):
+		return relay.StartServerDown
+	default:
+		return relay.StartUnanswered
+	}
 }
 
 // Find implements relay.Origins. It asks the nodes that may keep the origin at once, and returns with
--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
@@ -111,3 +116,34 @@
 		t.Error("a confirmation after the stream's end keeps it in progress")
 	}
 }
+
+// TestOutcomesOfQuestionsDiffer guards against taking a question that was not asked, or not answered, for one
+// to a server that is down: such a server may have started again.
+func TestOutcomesOfQuestionsDiffer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, refused := backendconn.New(backendconn.Options{}).Get(context.Background(), address, "")
+	timedOut := backendconn.New(backendconn.Options{Dial: func(context.Context, string) (net.Conn, error) { return nil, os.ErrDeadlineExceeded }})
+	_, unreached := timedOut.Get(context.Background(), address, "")
+	cases := map[string]struct {
+		err  error
+		want relay.StartOutcome
+	}{
+		"answered":                       {nil, relay.StartTold},
+		"not admitted":                   {errCallNotAdmitted, relay.StartNotAdmitted},
+		"connection refused":             {refused, relay.StartServerDown},
+		"connection not open in time":    {unreached, relay.StartUnanswered},
+		"connection broke off":           {backendconn.ErrMaybeSent.Wrap(syscall.ECONNRESET, "read response"), relay.StartUnanswered},
+		"answered by something else":     {errors.New("status 421"), relay.StartUnanswered},
+		"broke off as if it was refused": {backendconn.ErrMaybeSent.Wrap(syscall.ECONNREFUSED, "read response"), relay.StartUnanswered},
+	}
+	for name, c := range cases {
+		if got := startOutcome(c.err); got != c.want {
+			t.Errorf("%s: %v is %q, want %q", name, c.err, got, c.want)
+		}
+	}
+}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -152,12 +152,16 @@
 
 // scheduleRetry returns after what time a request that is refused now should be retried, given
 // the missing level. Retries are scheduled one after the other: otherwise all refused requests
-// would return at once, and all but one would be refused again.
-func (a *account) scheduleRetry(now time.Time, limits grantLimits, missing, cost float64) time.Duration {
+// would return at once, and all but one would be refused again. Those that are granted ahead of
+// the rate need not queue.
+func (a *account) scheduleRetry(now time.Time, limits grantLimits, missing, cost float64, priority int) time.Duration {
 	rate := limits.perSecond + limits.paceRate
 	if rate <= 0 {
 		return limits.windowLength
 	}
+	if priority < 0 {
+		return min(limits.windowLength, time.Duration(missing/rate*float64(time.Second)))
+	}
 	start := now
 	if a.lastRetryAt.After(now) {
 		missing, start = 0, a.lastRetryAt
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -50,7 +50,7 @@
 	// A request that costs more than the burst can never be within the quota.
 	missing := account.requiredLevel(limits, cost, reach, priority) - decision.Remaining
 	if missing > 0 || cost > limits.burst {
-		decision.RetryAfter = account.scheduleRetry(now, limits, missing, cost)
+		decision.RetryAfter = account.scheduleRetry(now, limits, missing, cost, priority)
 		return decision
 	}
 	account.charge(now, limits, cost)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -99,6 +99,8 @@
 	originSentAt time.Time
 	// isOriginConfirmed is set once that server said, after its first event, that it is still that start.
 	isOriginConfirmed atomic.Bool
+	// originCheck is what became of the question for the start that began the stream; "" if none was asked.
+	originCheck StartOutcome
 	// asksStart is set if the server of the current attempt has to be asked for its start, and
 	// connOpenedAt is when the connection of the attempt was open.
 	asksStart    bool
@@ -464,6 +466,9 @@
 	if x.origin != nil {
 		entry.Str("began_version", x.origin.SoftwareVersion).Str("began_told_by", string(x.originSource))
 	}
+	if x.originCheck != "" {
+		entry.Str("began_check", string(x.originCheck))
+	}
 	if x.peer != "" {
 		entry.Str("peer", x.peer)
 	}
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -51,9 +51,11 @@
 // Reasons of refusals and broken-off answers of streams that cannot go on.
 const (
 	reasonVersionUnknown = "stream_version_unknown"
-	reasonVersionGone    = "stream_version_gone"
-	reasonServiceGone    = "stream_service_gone"
-	reasonOtherVersion   = "other_software_version"
+	// reasonVersionUnsettled is that of streams whose version will be known soon.
+	reasonVersionUnsettled = "stream_version_unsettled"
+	reasonVersionGone      = "stream_version_gone"
+	reasonServiceGone      = "stream_service_gone"
+	reasonOtherVersion     = "other_software_version"
 )
 
 // partialAnswerRetryDelay is the Retry-After where not all nodes said whether they know a stream.
@@ -94,13 +96,21 @@
 		return true
 	}
 	answer := x.findOrigin()
-	origin := answer.Entry.Origin
+	origin, certainty := answer.Entry.Origin, originCertain
+	isNamed := answer.IsKnown && origin.SoftwareVersion != "" && x.leadsTo(origin.Service)
+	if isNamed && len(answer.Versions) > 1 {
+		certainty = x.checkOrigin(answer.Entry)
+	}
 	switch {
 	case answer.IsKnown && !x.leadsTo(origin.Service):
 		x.handler.Metrics.VersionGone.Add(1)
 		x.refusePermanently(reasonServiceGone)
 		return false
-	case answer.IsKnown && origin.SoftwareVersion != "" && (len(answer.Versions) <= 1 || x.isOriginCertain(answer.Entry)):
+	case isNamed && certainty == originUnsettled:
+		x.handler.Metrics.VersionUnknown.Add(1)
+		x.refuse(reasonVersionUnsettled, originSettlesIn(answer.Entry))
+		return false
+	case isNamed && certainty == originCertain:
 		x.setService(origin.Service)
 		x.setOrigin(origin, answer.Source)
 		x.originServer, x.originSentAt = answer.Entry.Server, answer.Entry.RecordedAt
@@ -197,17 +207,26 @@
 }
 
 // reviewOrigin corrects the origin of a stream that broke off, if its server turns out to have started
-// again: it is uncertain which start wrote its events. version is what its last server runs by now.
-func (x *exchange) reviewOrigin(version string) {
+// again: it is uncertain which start wrote its events. version is what its last server runs by now. It
+// reports whether the stream may go on in this response; where that is not settled yet, its caller may
+// resume it later.
+func (x *exchange) reviewOrigin(version string) bool {
 	if x.origin == nil || x.servesOneVersion() {
-		return
+		return true
 	}
 	entry := origins.Entry{Server: x.originServer, RecordedAt: x.originSentAt, IsCertain: x.isOriginConfirmed.Load()}
-	if entry.IsCertain || version == x.origin.SoftwareVersion && x.isOriginCertain(entry) {
-		return
+	if entry.IsCertain {
+		return true
 	}
-	x.origin.SoftwareVersion = ""
-	x.recordOrigin()
+	certainty := originDoubtful
+	if version == x.origin.SoftwareVersion {
+		certainty = x.checkOrigin(entry)
+	}
+	if certainty == originDoubtful {
+		x.origin.SoftwareVersion = ""
+		x.recordOrigin()
+	}
+	return certainty != originUnsettled
 }
 
 // endOrigin says that this node no longer passes the stream on.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -109,9 +109,8 @@
 	// Origins remembers where streams began; nil disables it, and resumed streams then go on only
 	// where one software version serves.
 	Origins Origins
-	// CurrentStart asks a model server for its current start; StartedAtMs is 0 if it does not say. nil
-	// takes the known start for the current one.
-	CurrentStart func(ctx context.Context, question StartQuestion) (inventory.Start, error)
+	// CurrentStart asks a model server for its current start. nil takes the known start for the current one.
+	CurrentStart func(ctx context.Context, question StartQuestion) StartAnswer
 	// LiveStarts knows which starts were seen alive, and so which of them answer on open connections; nil
 	// asks about each stream.
 	LiveStarts *origins.LiveStarts
--- a/internal/relay/starts.go
+++ b/internal/relay/starts.go
@@ -23,27 +23,101 @@
 	Admitted AdmissionDecision
 }
 
+// StartOutcome says what became of a question for a server's current start.
+type StartOutcome string
+
+const (
+	// StartTold: the server told its start, or does not tell any.
+	StartTold StartOutcome = "told"
+	// StartServerDown: nothing listens at the server's address.
+	StartServerDown StartOutcome = "down"
+	// StartUnanswered: the server was asked and did not answer, or could not be reached.
+	StartUnanswered StartOutcome = "unanswered"
+	// StartNotAdmitted: the server was not asked, since its limits do not admit the question now.
+	StartNotAdmitted StartOutcome = "not_admitted"
+)
+
+// StartAnswer is the answer to a question for a server's current start.
+type StartAnswer struct {
+	Outcome StartOutcome
+	// Start is what the server told; StartedAtMs is 0 if it does not say.
+	Start inventory.Start
+	// RetryAfter is when a question that was not admitted may be.
+	RetryAfter time.Duration
+}
+
+// tells reports whether the server told that it is the start, or does not tell any.
+func (a StartAnswer) tells(start inventory.Start) bool {
+	return a.Outcome == StartTold && (a.Start.StartedAtMs == 0 || a.Start == start)
+}
+
 // startCheckTimeout bounds the question to a server for its current start.
 const startCheckTimeout = 200 * time.Millisecond
 
-// isOriginCertain reports whether the start that was recorded for a stream wrote its first events. Within
-// the time in which a later start of the server may not be known yet, the server itself is asked: if it
-// has started again, either start may have written them. A server that is down has not.
-func (x *exchange) isOriginCertain(entry origins.Entry) bool {
-	if entry.Server.ServerID == "" || entry.IsCertain || x.handler.options.CurrentStart == nil || clock.Since(entry.RecordedAt) > dispatch.VersionSettleTime {
-		return true
+const (
+	// maxQuestionWait bounds the time for which a question waits to be admitted, and minQuestionPause is the
+	// least time between two tries.
+	maxQuestionWait  = time.Second
+	minQuestionPause = 10 * time.Millisecond
+)
+
+// originCertainty says whether the start that was recorded for a stream wrote its first events.
+type originCertainty int
+
+const (
+	originCertain originCertainty = iota + 1
+	// originDoubtful: another start may have written them, and that will not become known.
+	originDoubtful
+	// originUnsettled: it is not known yet, and is once VersionSettleTime has passed.
+	originUnsettled
+)
+
+// checkOrigin finds out whether the start that was recorded for a stream wrote its first events. Within the
+// time in which a later start of the server may not be known yet, the server itself is asked: if it has
+// started again, either start may have written them. A server that is down has not.
+func (x *exchange) checkOrigin(entry origins.Entry) originCertainty {
+	if entry.Server.ServerID == "" || entry.IsCertain || x.handler.options.CurrentStart == nil || originSettlesIn(entry) <= 0 {
+		return originCertain
 	}
 	address, ok := "", false
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { address, ok = core.Address(entry.Server.ServerID) })
-	if !ok {
-		return true
-	}
-	if !x.handler.options.LiveStarts.AliveAt(entry.Server).Before(entry.RecordedAt) {
-		return true
+	if !ok || !x.handler.options.LiveStarts.AliveAt(entry.Server).Before(entry.RecordedAt) {
+		return originCertain
 	}
 	start := inventory.Start{ID: entry.Server.ServerID, StartedAtMs: entry.Server.StartedAtMs}
-	current, err := x.askCurrentStart(StartQuestion{Start: start, Address: address, Admission: x.admissionRequest()})
-	return err != nil || current.StartedAtMs == 0 || current == start
+	answer := x.awaitCurrentStart(StartQuestion{Start: start, Address: address, Admission: x.admissionRequest()})
+	x.originCheck = answer.Outcome
+	switch {
+	case answer.tells(start), answer.Outcome == StartServerDown, originSettlesIn(entry) <= 0:
+		return originCertain
+	case answer.Outcome == StartTold:
+		return originDoubtful
+	default:
+		return originUnsettled
+	}
+}
+
+// originSettlesIn is the time after which a later start of the origin's server would be known.
+func originSettlesIn(entry origins.Entry) time.Duration {
+	return dispatch.VersionSettleTime - clock.Since(entry.RecordedAt)
+}
+
+// awaitCurrentStart asks a server for its current start, and waits until that is admitted if it soon is.
+func (x *exchange) awaitCurrentStart(question StartQuestion) StartAnswer {
+	for began := clock.Now(); ; {
+		answer := x.askCurrentStart(question)
+		pause := max(answer.RetryAfter, minQuestionPause)
+		if answer.Outcome != StartNotAdmitted || clock.Since(began)+pause > maxQuestionWait || clock.Until(x.deadline) <= pause {
+			return answer
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-x.ctx.Done():
+			timer.Stop()
+			return answer
+		}
+	}
 }
 
 // confirmOrigin asks the server that wrote the first event, which was passed on before, whether it is
@@ -60,8 +134,8 @@
 	}
 	origin, confirmed := *x.origin, x.originEntry(*x.origin)
 	go func() {
-		current, err := x.askCurrentStart(StartQuestion{Start: start, Address: choice.Address, Admission: x.admissionRequest()})
-		if err != nil || current != start || origin.SoftwareVersion == "" {
+		answer := x.askCurrentStart(StartQuestion{Start: start, Address: choice.Address, Admission: x.admissionRequest()})
+		if answer.Outcome != StartTold || answer.Start != start || origin.SoftwareVersion == "" {
 			return
 		}
 		x.isOriginConfirmed.Store(true)
@@ -71,7 +145,7 @@
 }
 
 // askCurrentStart asks a server for its current start.
-func (x *exchange) askCurrentStart(question StartQuestion) (inventory.Start, error) {
+func (x *exchange) askCurrentStart(question StartQuestion) StartAnswer {
 	ctx, cancel := context.WithTimeout(x.ctx, startCheckTimeout)
 	defer cancel()
 	return x.handler.options.CurrentStart(ctx, question)
@@ -116,8 +190,7 @@
 	}
 	start, admitted := choice.Attempt.Start(), x.startQuestion
 	x.startQuestion = AdmissionDecision{}
-	current, err := x.askCurrentStart(StartQuestion{Start: start, Address: choice.Address, Admission: x.admissionRequest(), Admitted: admitted})
-	return err == nil && (current.StartedAtMs == 0 || current == start)
+	return x.askCurrentStart(StartQuestion{Start: start, Address: choice.Address, Admission: x.admissionRequest(), Admitted: admitted}).tells(start)
 }
 
 // markVersionUncertain records that a response of the server broke off: it may have started again.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -153,8 +153,10 @@
 func (x *exchange) handleBrokenStream(choice dispatch.Choice) attemptResult {
 	version := x.servedVersion(choice)
 	x.handleBrokenResponse(choice)
-	if x.headSent {
-		x.reviewOrigin(version)
+	if x.headSent && !x.reviewOrigin(version) {
+		x.handler.Metrics.VersionUnknown.Add(1)
+		x.giveUp(reasonVersionUnsettled)
+		return attemptDone
 	}
 	if x.route.RetryPolicy != routetable.RetryResume {
 		x.giveUp("broken_stream")
