Streams that go on do not queue behind refused new ones

What callers saw: on review/2, whose route has priority 1, 18 to 27 of 132 streams that were taken up were refused after 0.2 ms (stream_version_unsettled), while all new ones began.

The question for the start that began the stream waits a second at most, so it was given up at once.

Ruled out: a coordinator that did not answer (each denial names it), and a server that asked to back off.

Change: quota.Coordinator.AcquireAhead, for whatever priority: one rank higher, and told when what is missing is earned. The window's sum counts such grants like others.

TestStreamsGoOnWhereServersNameALimit has cases of a low limit and of servers that start one after the other.

--- a/internal/edge/admissions.go
+++ b/internal/edge/admissions.go
@@ -244,15 +244,6 @@
 // more urgent requests must leave room for one request in a small burst.
 const maxLimitPriority = 2
 
-// limitPriority is the priority of a call for a rate-limited server.
-func limitPriority(call *peerpb.QuotaCall) int {
-	priority := min(int(call.Priority), maxLimitPriority)
-	if call.GoingOn {
-		priority--
-	}
-	return priority
-}
-
 // accountName returns the account name of a start.
 func accountName(start inventory.Start) string {
 	return start.ID + "/" + strconv.FormatInt(start.StartedAtMs, 10)
@@ -301,7 +292,11 @@
 	defer c.mu.Unlock()
 	decision := quota.Decision{Granted: true}
 	if current.isLimited {
-		decision = c.limits.Acquire(now, accountName(start), limit, reach, float64(grantedCalls(call)), limitPriority(call))
+		acquire := c.limits.Acquire
+		if call.GoingOn {
+			acquire = c.limits.AcquireAhead
+		}
+		decision = acquire(now, accountName(start), limit, reach, float64(grantedCalls(call)), min(int(call.Priority), maxLimitPriority))
 	}
 	if !decision.Granted || call.Warm {
 		return decision
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -152,26 +152,23 @@
 
 // scheduleRetry returns after what time a request that is refused now should be retried, given
 // the missing level. Retries are scheduled one after the other: otherwise all refused requests
-// would return at once, and all but one would be refused again. Those that are granted ahead of
-// the rate need not queue.
-func (a *account) scheduleRetry(now time.Time, limits grantLimits, missing, cost float64, priority int) time.Duration {
-	rate := limits.perSecond + limits.paceRate
-	if rate <= 0 {
-		return limits.windowLength
-	}
-	if priority < 0 {
-		return min(limits.windowLength, time.Duration(missing/rate*float64(time.Second)))
-	}
+// would return at once, and all but one would be refused again.
+func (a *account) scheduleRetry(now time.Time, limits grantLimits, missing, cost float64) time.Duration {
 	start := now
 	if a.lastRetryAt.After(now) {
 		missing, start = 0, a.lastRetryAt
 	}
-	retryAt := start.Add(time.Duration((missing + cost) / rate * float64(time.Second)))
-	if latest := now.Add(limits.windowLength); retryAt.After(latest) {
-		retryAt = latest
+	a.lastRetryAt = now.Add(min(limits.windowLength, start.Sub(now)+limits.timeToEarn(missing+cost)))
+	return a.lastRetryAt.Sub(now)
+}
+
+// timeToEarn returns the time after which the level has risen by the amount, the window's length at most.
+func (l grantLimits) timeToEarn(amount float64) time.Duration {
+	rate := l.perSecond + l.paceRate
+	if rate <= 0 {
+		return l.windowLength
 	}
-	a.lastRetryAt = retryAt
-	return retryAt.Sub(now)
+	return time.Duration(min(l.windowLength.Seconds(), amount/rate) * float64(time.Second))
 }
 
 // slotLength is the length of a slot of the window.
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -41,16 +41,31 @@
 
 // Acquire grants the request and deducts cost from what is available to the tenant, or
 // refuses it and deducts nothing. reach is the fraction of all nodes that this one hears
-// from. Requests of priority 0 need what they cost; those of higher values leave a reserve
-// for more urgent ones, and those below 0 are granted a little ahead of the rate.
+// from. Priority 0 is the highest; requests of other priorities leave a reserve for more urgent
+// ones.
 func (c *Coordinator) Acquire(now time.Time, tenant string, quota routetable.Quota, reach, cost float64, priority int) Decision {
+	return c.acquire(now, tenant, quota, reach, cost, priority, false)
+}
+
+// AcquireAhead is Acquire for a request that goes before others of its priority: it counts as one
+// priority higher, above which it is granted a little ahead of the rate, and if refused it does
+// not queue behind those that were refused before.
+func (c *Coordinator) AcquireAhead(now time.Time, tenant string, quota routetable.Quota, reach, cost float64, priority int) Decision {
+	return c.acquire(now, tenant, quota, reach, cost, priority-1, true)
+}
+
+func (c *Coordinator) acquire(now time.Time, tenant string, quota routetable.Quota, reach, cost float64, priority int, isAhead bool) Decision {
 	now = c.clampTime(now)
 	account, limits := c.refilledAccount(now, tenant, quota, reach)
 	decision := Decision{Remaining: account.available(now, limits)}
 	// A request that costs more than the burst can never be within the quota.
 	missing := account.requiredLevel(limits, cost, reach, priority) - decision.Remaining
 	if missing > 0 || cost > limits.burst {
-		decision.RetryAfter = account.scheduleRetry(now, limits, missing, cost, priority)
+		if isAhead {
+			decision.RetryAfter = limits.timeToEarn(missing)
+		} else {
+			decision.RetryAfter = account.scheduleRetry(now, limits, missing, cost)
+		}
 		return decision
 	}
 	account.charge(now, limits, cost)
--- a/test/platform/limited_streams_test.go
+++ b/test/platform/limited_streams_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -10,7 +11,7 @@
 )
 
 const (
-	// limitedServerRate is what each server of a limited fleet names as its limit, in requests a second.
+	// limitedServerRate is what a server names as its limit, in requests a second.
 	limitedServerRate = 8
 	// limitedRunTime is how long new streams begin in a case.
 	limitedRunTime = 8 * time.Second
@@ -39,7 +40,7 @@
 		running.Go(func() { r.readOne(f, number) })
 		if !isDisrupted && time.Since(begin) > limitedRunTime/2 {
 			isDisrupted = true
-			disrupt()
+			running.Go(disrupt)
 		}
 		time.Sleep(time.Until(begin.Add(time.Duration(float64(number+1) / perSecond * float64(time.Second)))))
 	}
@@ -88,40 +89,52 @@
 	return slices.Sorted(slices.Values(durations))[len(durations)/2].Round(time.Millisecond)
 }
 
-// restartResetting restarts all servers under their IDs at the other version. No request that reached one
-// start is answered by the next.
+// restartResetting restarts all servers under their IDs at the other version.
 func (f *versionedFleet) restartResetting() {
 	for _, m := range f.servers {
-		m.set(func() { m.isDown = true })
-		m.httpServer.CloseClientConnections()
-		m.set(func() {
-			m.version = map[string]string{"v1": "v1.1", "v1.1": "v1"}[m.version]
-			m.startID++
-			m.isDown = false
-		})
-		m.register(f.store, "ready")
+		f.restartServer(m)
+	}
+}
+
+// restartInTurn restarts half of the servers one after the other.
+func (f *versionedFleet) restartInTurn() {
+	for _, m := range f.servers[:len(f.servers)/2] {
+		f.restartServer(m)
+		time.Sleep(contactTime / 3)
 	}
 }
 
+// restartServer restarts a server under its ID at the other version. No request that reached one start is
+// answered by the next.
+func (f *versionedFleet) restartServer(m *modelServer) {
+	m.set(func() { m.isDown = true })
+	m.httpServer.CloseClientConnections()
+	m.set(func() {
+		m.version = map[string]string{"v1": "v1.1", "v1.1": "v1"}[m.version]
+		m.startID++
+		m.isDown = false
+	})
+	m.register(f.store, "ready")
+}
+
 // TestStreamsGoOnWhereServersNameALimit guards against streams that are refused more often than new ones
 // where servers of two software versions name a limit: a stream that went on needed two admissions in a
 // row, and a new one needed one.
 func TestStreamsGoOnWhereServersNameALimit(t *testing.T) {
 	t.Parallel()
-	cases := map[string]struct {
-		demand  float64
-		disrupt func(f *versionedFleet)
-	}{
+	cases := map[string]limitedCase{
 		"below the limit":         {demand: 0.6},
 		"a little over the limit": {demand: 1.4},
 		"three times the limit":   {demand: 3},
-		"connections are reset":   {demand: 1.4, disrupt: func(f *versionedFleet) { f.resetConnections() }},
+		"a low limit":             {limit: 2, demand: 1.4},
+		"connections are reset":   {demand: 1.4, disrupt: (*versionedFleet).resetConnections},
 		"a node is killed":        {demand: 0.6, disrupt: func(f *versionedFleet) { f.nodes[3].kill(); f.nodes[3].start() }},
+		"servers start in turn":   {demand: 0.6, disrupt: (*versionedFleet).restartInTurn},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			run := playLimited(t, c.demand, c.disrupt)
+			run := c.play(t)
 			run.checkVersions(t)
 			run.checkShare(t, goesOnShare)
 		})
@@ -133,7 +146,7 @@
 // server that is down.
 func TestStreamsKeepTheirVersionWhereLimitedServersStartAgain(t *testing.T) {
 	t.Parallel()
-	run := playLimited(t, 1.4, (*versionedFleet).restartResetting)
+	run := limitedCase{demand: 1.4, disrupt: (*versionedFleet).restartResetting}.play(t)
 	run.checkVersions(t)
 	run.checkShare(t, continuedShare)
 }
@@ -142,28 +155,35 @@
 // knows that their servers started again.
 func TestStreamsGoOnWhereLimitedServersStartAgain(t *testing.T) {
 	t.Parallel()
-	playLimited(t, 1.4, (*versionedFleet).restartResetting).checkShare(t, goesOnShare)
+	limitedCase{demand: 1.4, disrupt: (*versionedFleet).restartResetting}.play(t).checkShare(t, goesOnShare)
+}
+
+// limitedCase is a load of streams on servers of two software versions that name a limit.
+type limitedCase struct {
+	// limit is that of each server, limitedServerRate if not set; demand is relative to that of all.
+	limit, demand float64
+	// disrupt is called halfway; nil disrupts nothing.
+	disrupt func(f *versionedFleet)
 }
 
-// playLimited plays streams at servers of two software versions that name a limit. demand is relative to
-// the limit of all.
-func playLimited(t *testing.T, demand float64, disrupt func(f *versionedFleet)) *limitedRun {
+// play plays the case.
+func (c limitedCase) play(t *testing.T) *limitedRun {
 	t.Helper()
-	f := newVersionedFleet(t)
+	f, limit := newVersionedFleet(t), cmp.Or(c.limit, limitedServerRate)
 	for _, m := range f.servers {
-		m.setRateLimit(limitedServerRate)
+		m.setRateLimit(limit)
 	}
 	f.readSome(40)
 	time.Sleep(limitSettleTime)
 	begin, run := time.Now(), &limitedRun{}
-	run.play(f, demand*limitedServerRate*float64(len(f.servers)), func() {
-		if disrupt != nil {
-			disrupt(f)
+	run.play(f, c.demand*limit*float64(len(f.servers)), func() {
+		if c.disrupt != nil {
+			c.disrupt(f)
 		}
 	})
 	t.Logf("%d new, %d began after %v, others held for %v; %d taken up, %d went on, others held for %v; %d joined",
 		run.sent, run.began, median(run.newWait), median(run.newHeld), run.takenUp, run.continued, median(run.takenUpHeld), len(run.joined))
-	f.checkLimits(t, begin)
+	f.checkLimits(t, begin, limit)
 	return run
 }
 
@@ -208,7 +228,7 @@
 }
 
 // checkLimits reports starts of servers that got more than their limit allows.
-func (f *versionedFleet) checkLimits(t *testing.T, since time.Time) {
+func (f *versionedFleet) checkLimits(t *testing.T, since time.Time, limit float64) {
 	t.Helper()
 	calls := make(map[string]int)
 	for _, m := range f.servers {
@@ -220,9 +240,9 @@
 			// Until then not all nodes need to know the limit of a start.
 			settled := contacts[0].at.Add(limitSettleTime)
 			contacts = slices.DeleteFunc(contacts, func(c contact) bool { return c.at.Before(settled) })
-			if busiest := busiestWindow(contacts); len(busiest) > allowedInWindow(limitedServerRate) {
+			if busiest := busiestWindow(contacts); len(busiest) > allowedInWindow(limit) {
 				t.Errorf("start %d of %s got %d calls within %v, %d are allowed: %v",
-					startID, m.id, len(busiest), limitWindow, allowedInWindow(limitedServerRate), countPaths(busiest))
+					startID, m.id, len(busiest), limitWindow, allowedInWindow(limit), countPaths(busiest))
 			}
 		}
 	}
