A denied new request does not hold up streams that go on

Cause: a node that was denied a request skips the server for up to 250 ms, and expects the next grant when the coordinator told, up to 4 s later. That hold was one for all requests: where new ones were denied at all servers, a stream that goes on was refused without being asked for, though it would have been granted.

Ruled out: denials of these streams themselves (their lines name no server; the coordinator was not asked).

Change: a hold each for new requests and for those that go on. A denial at a brittle server holds both, since both wait for the same room.

--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -59,9 +59,25 @@
 	limit      RateLimit
 	// limitReportedAt is when the rate limit was last reported as new.
 	limitReportedAt time.Time
-	// heldUntil is until when a rate-limited or brittle server is skipped after a denied request, and
-	// nextGrantAt is when a request may be granted again.
-	heldUntil, nextGrantAt time.Time
+	// holds are in force after denied requests to a rate-limited or brittle server, by what was denied.
+	holds [kindCount]hold
+}
+
+// Kind tells requests apart that a rate-limited server's coordinator grants in a different order.
+type Kind int
+
+const (
+	// KindNew is a request that begins.
+	KindNew Kind = iota
+	// KindGoingOn is one that goes on with a stream, which is granted before new ones.
+	KindGoingOn
+	kindCount
+)
+
+// hold skips a server.
+type hold struct {
+	// until is when the server is no longer skipped, and nextGrantAt when a request may be granted again.
+	until, nextGrantAt time.Time
 }
 
 // Probe is the request that shows whether a half-open server takes work again.
@@ -112,7 +128,7 @@
 // or if it was last reported long ago: peers drop a limit that nobody reports any more.
 func (s *Server) observeLimit(observation Observation) (isNew bool) {
 	if s.limit.Observe(observation) {
-		s.heldUntil, s.nextGrantAt = time.Time{}, time.Time{}
+		s.holds = [kindCount]hold{}
 		s.limitReportedAt = observation.ReceivedAt
 		return true
 	}
@@ -155,15 +171,16 @@
 // IsRateLimited reports whether a rate limit is in force.
 func (s *Server) IsRateLimited() bool { return s != nil && s.limit.limit.IsSet() }
 
-// Check decides whether a caller's request may be sent.
-func (s *Server) Check(now time.Time) Decision {
+// Check decides whether a caller's request of the kind may be sent.
+func (s *Server) Check(now time.Time, kind Kind) Decision {
 	if s == nil {
 		return Decision{}
 	}
-	return s.check(now)
+	return s.check(now, kind)
 }
 
-func (s *Server) check(now time.Time) Decision {
+func (s *Server) check(now time.Time, kind Kind) Decision {
+	held := s.holds[kind]
 	switch {
 	case s.draining:
 		return Decision{Reason: DenyDraining}
@@ -171,8 +188,8 @@
 		return Decision{Reason: DenyBackoff, RetryAfter: s.backoffUntil.Sub(now)}
 	case s.hasProbeInFlight(now):
 		return Decision{Reason: DenyHalfOpen, RetryAfter: ProbeTimeout - now.Sub(s.probe.started)}
-	case now.Before(s.heldUntil):
-		return Decision{Reason: DenyRateLimit, RetryAfter: max(s.heldUntil.Sub(now), s.nextGrantAt.Sub(now))}
+	case now.Before(held.until):
+		return Decision{Reason: DenyRateLimit, RetryAfter: max(held.until.Sub(now), held.nextGrantAt.Sub(now))}
 	default:
 		return Decision{}
 	}
@@ -188,11 +205,16 @@
 }
 
 // RecordDenial records that a request to a rate-limited or brittle server was denied and may be granted after
-// retryAfter. Until then, within minHold and maxHold, the server is skipped.
-func (s *Server) RecordDenial(now time.Time, retryAfter time.Duration, isBrittle bool) {
-	if s != nil && (s.IsRateLimited() || isBrittle) {
-		s.heldUntil = now.Add(min(max(retryAfter, minHold), maxHold))
-		s.nextGrantAt = now.Add(retryAfter)
+// retryAfter. Until then, within minHold and maxHold, the server is skipped: for all requests if it is
+// brittle, else for those of the kind.
+func (s *Server) RecordDenial(now time.Time, retryAfter time.Duration, kind Kind, isBrittle bool) {
+	if s == nil || !s.IsRateLimited() && !isBrittle {
+		return
+	}
+	denied := hold{until: now.Add(min(max(retryAfter, minHold), maxHold)), nextGrantAt: now.Add(retryAfter)}
+	s.holds[kind] = denied
+	if isBrittle {
+		s.holds = [kindCount]hold{KindNew: denied, KindGoingOn: denied}
 	}
 }
 
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -103,13 +103,13 @@
 }
 
 // RecordDenial records that a request was not granted at a server and may be granted after retryIn.
-func (c *Core) RecordDenial(now time.Time, serverID string, retryIn time.Duration) {
+func (c *Core) RecordDenial(now time.Time, serverID string, requirements Requirements, retryIn time.Duration) {
 	if s, ok := c.servers[serverID]; ok {
 		_, isBrittle := c.Brittleness(now, s.info.Service)
 		if isBrittle {
 			c.stateOf(now, s.info.Start())
 		}
-		s.admissionState.RecordDenial(now, retryIn, isBrittle)
+		s.admissionState.RecordDenial(now, retryIn, requirements.kind(), isBrittle)
 		s.cold.warmUp.RecordDenial(now, retryIn)
 		s.cold.retryAt = now.Add(retryIn)
 	}
@@ -230,15 +230,15 @@
 
 // acceptsRequests reports whether a request may be sent to the server now, by the limits that it
 // announced and by its warm-up.
-func (s *server) acceptsRequests(now time.Time) bool {
-	return s.admissionState.Check(now).Admits() && !s.isWarmUpLimited(now)
+func (s *server) acceptsRequests(now time.Time, requirements Requirements) bool {
+	return s.admissionState.Check(now, requirements.kind()).Admits() && !s.isWarmUpLimited(now)
 }
 
 // availableIn returns the time until a request may be sent to a server that meets the requirements
 // but is paused: it is cold, a request was denied there, or a single probe request is finding out
 // whether it takes work. ok is false for any other server.
 func (s *server) availableIn(now time.Time, requirements Requirements) (left time.Duration, ok bool) {
-	decision, isWarmUpLimited := s.admissionState.Check(now), s.isWarmUpLimited(now)
+	decision, isWarmUpLimited := s.admissionState.Check(now, requirements.kind()), s.isWarmUpLimited(now)
 	if decision.Admits() && !isWarmUpLimited || !s.canServe(now, requirements) {
 		return 0, false
 	}
--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -74,7 +74,7 @@
 	core := newColdCore(entry("a", "z", "m", "rare"), entry("b", "z", "m"))
 	updateCold(core, begin, "a", 3*time.Second, 1)
 	updateCold(core, begin, "b", 3*time.Second, 1)
-	core.RecordDenial(begin, "a", 700*time.Millisecond)
+	core.RecordDenial(begin, "a", Requirements{}, 700*time.Millisecond)
 	if got := pick(core, begin, Request{Model: "m"}); got != "b" {
 		t.Errorf("picked %q, want the server without a denial", got)
 	}
@@ -92,7 +92,7 @@
 	if got := pick(core, begin.Add(300*time.Millisecond), Request{Model: "rare"}); got != "a" {
 		t.Errorf("picked %q", got)
 	}
-	core.RecordDenial(begin, "a", time.Second)
+	core.RecordDenial(begin, "a", Requirements{}, time.Second)
 	updateCold(core, begin.Add(time.Millisecond), "a", 0, 2)
 	if got := pick(core, begin.Add(2*time.Millisecond), Request{Model: "rare"}); got != "a" {
 		t.Errorf("picked %q, want the server that turned warm", got)
@@ -108,7 +108,7 @@
 	core.AddWaiting(requirements, 3)
 	waiting := func() int { return core.WaitingForCopies(begin, core.Demand(begin)[0]) }
 	for retryIn, want := range map[time.Duration]int{300 * time.Millisecond: 0, 10 * time.Second: 3} {
-		core.RecordDenial(begin, "a", retryIn)
+		core.RecordDenial(begin, "a", Requirements{}, retryIn)
 		if got := waiting(); got != want {
 			t.Errorf("retry in %v: %d wait for copies, want %d", retryIn, got, want)
 		}
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/locality"
 )
 
@@ -18,6 +19,14 @@
 	SoftwareVersion string
 }
 
+// kind tells requests that go on with a stream, which alone require a software version, from new ones.
+func (r Requirements) kind() admission.Kind {
+	if r.SoftwareVersion != "" {
+		return admission.KindGoingOn
+	}
+	return admission.KindNew
+}
+
 type demand struct {
 	requests     int
 	promptTokens int
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -118,7 +118,7 @@
 		if request.Model != "" && !s.hasUsableModel(now, request.Model, request.Adapter) {
 			continue
 		}
-		if !s.acceptsRequests(now) {
+		if !s.acceptsRequests(now, requirements) {
 			continue
 		}
 		candidates = append(candidates, s)
--- a/internal/dispatch/ratelimit_test.go
+++ b/internal/dispatch/ratelimit_test.go
@@ -51,14 +51,14 @@
 	if !core.HasOnlyRateLimitedServers(begin, requirements) {
 		t.Error("a model on rate-limited servers only is not reported as such")
 	}
-	core.RecordDenial(begin, "a", 3*time.Second)
+	core.RecordDenial(begin, "a", Requirements{}, 3*time.Second)
 	if left, known := core.ReadyIn(begin, requirements); left != 3*time.Second || !known || core.CanPick(begin, request) {
 		t.Errorf("ready in %v, known %v; can be picked: %v", left, known, core.CanPick(begin, request))
 	}
 	if !core.CanPick(begin.Add(250*time.Millisecond), request) {
 		t.Error("a more urgent request can't ask for a grant")
 	}
-	core.RecordDenial(begin, "a", 3*time.Second)
+	core.RecordDenial(begin, "a", Requirements{}, 3*time.Second)
 	core.ReceiveHint(begin.Add(time.Millisecond), limitedStart, rateLimitHint(-1, begin.Add(500*time.Microsecond)))
 	if !core.CanPick(begin.Add(time.Millisecond), request) || core.HasOnlyRateLimitedServers(begin, requirements) {
 		t.Error("still limited although the limit has ended")
@@ -135,3 +135,31 @@
 		t.Errorf("%d starts are kept", len(core.starts))
 	}
 }
+
+// TestDenialOfNewRequestsDoesNotHoldStreams guards against refusing streams that go on, unasked, where new
+// requests of the node were denied: a coordinator grants them earlier.
+func TestDenialOfNewRequestsDoesNotHoldStreams(t *testing.T) {
+	core := New(Options{Zone: "z"})
+	core.SetServers([]inventory.Change{
+		{Server: inventory.Server{ID: "a", Service: "s", Address: "a", Zone: "z", Slots: 8, SoftwareVersion: "v1"}},
+		{Server: inventory.Server{ID: "b", Service: "other", Address: "b", Zone: "z", Slots: 8, SoftwareVersion: "v2"}},
+	})
+	core.ReceiveHint(begin, inventory.Start{ID: "a"}, inventory.Hint{Limit: inventory.NewRateLimit(1), SentAt: begin})
+	newRequest, goingOn := Request{Service: "s"}, Request{Service: "s", SoftwareVersion: "v1"}
+	check := func(at time.Time, wantNew, wantGoingOn bool) {
+		t.Helper()
+		if core.CanPick(at, newRequest) != wantNew || core.CanPick(at, goingOn) != wantGoingOn {
+			t.Errorf("after %v: new %v, going on %v; want %v and %v", at.Sub(begin), core.CanPick(at, newRequest), core.CanPick(at, goingOn), wantNew, wantGoingOn)
+		}
+	}
+	check(begin, true, true)
+	core.RecordDenial(begin, "a", newRequest.requirements(), 3*time.Second)
+	check(begin.Add(time.Millisecond), false, true)
+	if readyIn, ok := core.ReadyIn(begin.Add(time.Millisecond), newRequest.requirements()); !ok || readyIn < 2*time.Second {
+		t.Errorf("a new request is expected to be granted in %v, %v; want what the coordinator told", readyIn, ok)
+	}
+	core.RecordDenial(begin, "a", goingOn.requirements(), 50*time.Millisecond)
+	check(begin.Add(time.Millisecond), false, false)
+	check(begin.Add(60*time.Millisecond), false, true)
+	check(begin.Add(300*time.Millisecond), true, true)
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -116,7 +116,7 @@
 // isBackingOff reports whether nothing may be sent to the server now although it is not draining:
 // it asked this node for a backoff, or a single probe request is finding out whether it takes work.
 func (s *server) isBackingOff(now time.Time) bool {
-	reason := s.admissionState.Check(now).Reason
+	reason := s.admissionState.Check(now, admission.KindNew).Reason
 	return reason == admission.DenyBackoff || reason == admission.DenyHalfOpen
 }
 
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -93,7 +93,9 @@
 	}
 	if !decision.Granted {
 		x.handler.Metrics.ColdHeld.Add(1)
-		x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.RecordDenial(clock.Now(), choice.ServerID, decision.RetryAfter) })
+		x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
+			core.RecordDenial(clock.Now(), choice.ServerID, x.requirements(), decision.RetryAfter)
+		})
 	}
 	return decision
 }
