A peer that takes a stream settles which start began it

A node that is cut off from all servers can't ask the one that began a stream: it would refuse streams that a peer can go on with, and a refused connection, which is what a cut looks like there, would pass for a server that is down: the stream would go on behind another start's events (ORDER).

Cause: the origin was settled before the request was passed to a peer, by the node that reaches no server.

Change: such a node leaves an open origin to the peer, and names no version with the request; the peer finds the origin and asks the server itself. Where no peer takes the request the node settles it as before. A refused connection counts as a server that is down only at a node that reaches others on that way.

Evidence: relay TestPeerSettlesTheOriginOfAForwardedStream, before red in "the server lives" (refused) and "it started again" (went on).

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -99,6 +99,8 @@
 	originSentAt time.Time
 	// isOriginConfirmed is set once that server said, after its first event, that it is still that start.
 	isOriginConfirmed atomic.Bool
+	// isOriginOpen is set until it is known whether the start that was recorded for the stream began it.
+	isOriginOpen bool
 	// originCheck is what became of the question for the start that began the stream; "" if none was asked.
 	originCheck StartOutcome
 	// asksStart is set if the server of the current attempt has to be asked for its start, and
@@ -160,7 +162,7 @@
 	if !x.checkRegions() || !x.resolveOrigin() || !x.takeQuota() {
 		return
 	}
-	if x.shouldForward() && x.forward() {
+	if x.shouldForward() && x.forward() || !x.settleOrigin() {
 		return
 	}
 	x.countRequest()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -191,7 +191,10 @@
 	})
 	state := forwardedState{
 		Service: x.service, ConfigVersion: x.table.Version, Elapsed: clock.Since(x.arrived), SentTo: x.sentTo, MaxServers: maxServers,
-		IsCounted: x.isCounted, IsRetry: x.isRetry, SoftwareVersion: x.requiredVersion(),
+		IsCounted: x.isCounted, IsRetry: x.isRetry,
+	}
+	if !x.isOriginOpen {
+		state.SoftwareVersion = x.requiredVersion()
 	}
 	header.Set(forwardedHeader, state.encode())
 	return backendconn.Request{
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -96,26 +96,19 @@
 		return true
 	}
 	answer := x.findOrigin()
-	origin, certainty := answer.Entry.Origin, originCertain
-	isNamed := answer.IsKnown && origin.SoftwareVersion != "" && x.leadsTo(origin.Service)
-	if isNamed && len(answer.Versions) > 1 {
-		certainty = x.checkOrigin(answer.Entry)
-	}
+	origin := answer.Entry.Origin
 	switch {
 	case answer.IsKnown && !x.leadsTo(origin.Service):
 		x.handler.Metrics.VersionGone.Add(1)
 		x.refusePermanently(reasonServiceGone)
 		return false
-	case isNamed && certainty == originUnsettled:
-		x.handler.Metrics.VersionUnknown.Add(1)
-		x.refuse(reasonVersionUnsettled, originSettlesIn(answer.Entry))
-		return false
-	case isNamed && certainty == originCertain:
+	case answer.IsKnown && origin.SoftwareVersion != "":
 		x.setService(origin.Service)
 		x.setOrigin(origin, answer.Source)
 		x.originServer, x.originSentAt = answer.Entry.Server, answer.Entry.RecordedAt
 		x.isOriginConfirmed.Store(answer.Entry.IsCertain)
-		return true
+		x.isOriginOpen = len(answer.Versions) > 1 && !x.isOriginSettled(answer.Entry)
+		return x.shouldForward() || x.settleOrigin()
 	case len(answer.Versions) <= 1:
 		x.setOrigin(origins.Origin{Service: x.service, SoftwareVersion: onlyVersion(answer.Versions)}, originOneVersion)
 		return true
@@ -129,6 +122,31 @@
 	return false
 }
 
+// settleOrigin finds out whether the recorded start began the stream, unless a peer that takes the request is
+// to do that: a node that reaches no server can't. Where it is false the final response was given.
+func (x *exchange) settleOrigin() bool {
+	if !x.isOriginOpen {
+		return true
+	}
+	x.isOriginOpen = false
+	entry := x.recordedOrigin()
+	switch x.checkOrigin(entry) {
+	case originCertain:
+		return true
+	case originUnsettled:
+		x.refuse(reasonVersionUnsettled, originSettlesIn(entry))
+	default:
+		x.refusePermanently(reasonVersionUnknown)
+	}
+	x.handler.Metrics.VersionUnknown.Add(1)
+	return false
+}
+
+// recordedOrigin is what is known of the start that began the stream.
+func (x *exchange) recordedOrigin() origins.Entry {
+	return origins.Entry{Server: x.originServer, RecordedAt: x.originSentAt, IsCertain: x.isOriginConfirmed.Load()}
+}
+
 // findOrigin asks for the origin of the stream that the caller resumes.
 func (x *exchange) findOrigin() OriginAnswer {
 	if x.handler.options.Origins == nil || x.head.Resumes == "" {
@@ -214,7 +232,7 @@
 	if x.origin == nil || x.servesOneVersion() {
 		return true
 	}
-	entry := origins.Entry{Server: x.originServer, RecordedAt: x.originSentAt, IsCertain: x.isOriginConfirmed.Load()}
+	entry := x.recordedOrigin()
 	if entry.IsCertain {
 		return true
 	}
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -180,7 +180,7 @@
 		x.recordUnreached(choice)
 	}
 	suspects := x.handler.options.Suspects
-	if suspects != nil && x.serverLiveness == backendconn.LivenessEnded && x.endedUnexpectedly(choice) && x.reachesOthers(choice) {
+	if suspects != nil && x.serverLiveness == backendconn.LivenessEnded && x.endedUnexpectedly(choice) && x.reachesOthers(choice.ServerID) {
 		crash := Crash{Request: x.fingerprint(), ServerID: choice.ServerID, RanFor: choice.Attempt.Age(clock.Now())}
 		if !x.ranWell() {
 			crash.Parts = x.sharedParts()
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -36,9 +36,9 @@
 	return x.handler.options.Reachability != nil && x.handler.options.Reachability.IsUnreachable(x.service)
 }
 
-// reachesOthers reports whether this node reaches servers at all: a node that is cut off from all of
-// them may be refused connections to servers that are alive.
-func (x *exchange) reachesOthers(choice dispatch.Choice) bool {
+// reachesOthers reports whether this node reaches servers on the way to this one at all: a node that is
+// cut off from all of them may be refused connections to servers that are alive.
+func (x *exchange) reachesOthers(serverID string) bool {
 	reachability := x.handler.options.Reachability
-	return reachability == nil || reachability.ReachesOthers(x.service, choice.ServerID)
+	return reachability == nil || reachability.ReachesOthers(x.service, serverID)
 }
--- a/internal/relay/starts.go
+++ b/internal/relay/starts.go
@@ -74,21 +74,21 @@
 
 // checkOrigin finds out whether the start that was recorded for a stream wrote its first events. Within the
 // time in which a later start of the server may not be known yet, the server itself is asked: if it has
-// started again, either start may have written them. A server that is down has not.
+// started again, either start may have written them. A server that is down has not, unless it only seems to
+// be from here.
 func (x *exchange) checkOrigin(entry origins.Entry) originCertainty {
-	if entry.Server.ServerID == "" || entry.IsCertain || x.handler.options.CurrentStart == nil || originSettlesIn(entry) <= 0 {
-		return originCertain
-	}
 	address, ok := "", false
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { address, ok = core.Address(entry.Server.ServerID) })
-	if !ok || !x.handler.options.LiveStarts.AliveAt(entry.Server).Before(entry.RecordedAt) {
+	if !ok || x.isOriginSettled(entry) {
 		return originCertain
 	}
 	start := inventory.Start{ID: entry.Server.ServerID, StartedAtMs: entry.Server.StartedAtMs}
 	answer := x.awaitCurrentStart(StartQuestion{Start: start, Address: address, Admission: x.admissionRequest()})
 	x.originCheck = answer.Outcome
 	switch {
-	case answer.tells(start), answer.Outcome == StartServerDown, originSettlesIn(entry) <= 0:
+	case answer.tells(start), originSettlesIn(entry) <= 0:
+		return originCertain
+	case answer.Outcome == StartServerDown && x.reachesOthers(start.ID):
 		return originCertain
 	case answer.Outcome == StartTold:
 		return originDoubtful
@@ -97,6 +97,13 @@
 	}
 }
 
+// isOriginSettled reports whether it is known that the recorded start began the stream: it was seen alive
+// since, or a later start would be known by now. Of an origin without a start nothing more becomes known.
+func (x *exchange) isOriginSettled(entry origins.Entry) bool {
+	return entry.Server.ServerID == "" || entry.IsCertain || x.handler.options.CurrentStart == nil || originSettlesIn(entry) <= 0 ||
+		!x.handler.options.LiveStarts.AliveAt(entry.Server).Before(entry.RecordedAt)
+}
+
 // originSettlesIn is the time after which a later start of the origin's server would be known.
 func originSettlesIn(entry origins.Entry) time.Duration {
 	return dispatch.VersionSettleTime - clock.Since(entry.RecordedAt)
--- a/internal/relay/versions_test.go
+++ b/internal/relay/versions_test.go
@@ -467,3 +467,63 @@
 		}
 	}
 }
+
+// TestPeerSettlesTheOriginOfAForwardedStream guards against refusing streams at a node that reaches no server,
+// and against going on there because the server that began them seems to be down: the peer asks it.
+func TestPeerSettlesTheOriginOfAForwardedStream(t *testing.T) {
+	cases := map[string]struct {
+		// told is the start that the server which began the stream tells the peer; 0 for no answer.
+		told     int64
+		hasPeer  bool
+		goesOn   bool
+		returns  bool
+		nodeSees StartOutcome
+	}{
+		"the server lives":                      {told: 1, hasPeer: true, nodeSees: StartUnanswered, goesOn: true},
+		"it started again":                      {told: 2, hasPeer: true, nodeSees: StartServerDown},
+		"the peer gets no answer either":        {hasPeer: true, nodeSees: StartServerDown, returns: true},
+		"no peer takes it":                      {told: 1, nodeSees: StartUnanswered, returns: true},
+		"no peer takes it, it seems to be down": {told: 1, nodeSees: StartServerDown, returns: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			node, servers, asked := newLimitedResumption(t, nil)
+			peer, peerServers, _ := newLimitedResumption(t, nil)
+			entry := origins.Entry{Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"}, Server: origins.Start{ServerID: "s1", StartedAtMs: 1}, RecordedAt: clock.Now()}
+			for _, f := range []*fixture{node, peer} {
+				f.handler.options.Origins = &fixedOrigins{answer: OriginAnswer{IsKnown: true, Versions: []string{"v1", "v2"}, Entry: entry}}
+			}
+			node.handler.options.CurrentStart = func(_ context.Context, question StartQuestion) StartAnswer {
+				if question.Start.ID == "s0" {
+					return StartAnswer{Outcome: StartTold, Start: question.Start}
+				}
+				asked <- question
+				return StartAnswer{Outcome: c.nodeSees}
+			}
+			peer.handler.options.CurrentStart = func(_ context.Context, question StartQuestion) StartAnswer {
+				switch {
+				case question.Start.ID == "s0":
+					return StartAnswer{Outcome: StartTold, Start: question.Start}
+				case c.told == 0:
+					return StartAnswer{Outcome: StartUnanswered}
+				}
+				return StartAnswer{Outcome: StartTold, Start: inventory.Start{ID: question.Start.ID, StartedAtMs: c.told}}
+			}
+			if c.hasPeer {
+				node.cutOff(peer.newPeer(t))
+			} else {
+				node.cutOff()
+			}
+			got := node.send(t, http.MethodPost, "/resume/", "", "X-Last", "1", "X-Resumes", "r0", "X-Model", "m", "X-Wait", "1s")
+			if (got.body == "id: 2\ndata: v1\n\n") != c.goesOn || strings.Contains(got.body, "v2") {
+				t.Errorf("got %+v, want it to go on: %v", got, c.goesOn)
+			}
+			if !c.goesOn && (got.status != http.StatusServiceUnavailable || (got.header.Get("Retry-After") != "") != c.returns || servers[0].count()+peerServers[0].count() > 0) {
+				t.Errorf("got %+v, want a refusal that says when to come back: %v", got, c.returns)
+			}
+			if c.hasPeer && len(asked) > 0 {
+				t.Error("the node that reaches no server asked one")
+			}
+		})
+	}
+}
