Drawn limits, demands and disruptions beside releases

TestDrawnLimitsBesideReleases plays servers of two software versions that name a limit under demands of 0.3 to 3 times the limit, beside resets, servers that start again under their IDs, killed and stopped nodes.

--- a/test/platform/limited_streams_test.go
+++ b/test/platform/limited_streams_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -158,6 +160,59 @@
 	limitedCase{demand: 1.4, disrupt: (*versionedFleet).restartResetting}.play(t).checkShare(t, goesOnShare)
 }
 
+// drawnLimits are the limits and demands of TestDrawnLimitsBesideReleases.
+var (
+	drawnServerLimits = []float64{2, 8}
+	drawnDemands      = []float64{0.3, 0.6, 1, 1.4, 3}
+)
+
+// TestDrawnLimitsBesideReleases draws limits, demands and disruptions beside servers of two software versions:
+// no stream holds events of both, and those that are taken up go on at least half as often as new ones begin.
+func TestDrawnLimitsBesideReleases(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(*drawnLimitSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 0x11417))
+			c := limitedCase{limit: drawnServerLimits[random.IntN(len(drawnServerLimits))], demand: drawnDemands[random.IntN(len(drawnDemands))]}
+			var done []string
+			c.disrupt = func(f *versionedFleet) { done = f.disruptDrawn(random) }
+			run := c.play(t)
+			t.Logf("limit %v, demand %v: %v", c.limit, c.demand, done)
+			run.checkVersions(t)
+			run.checkShare(t, continuedShare)
+		})
+	}
+}
+
+var drawnLimitSeeds = flag.Int("limits.seeds", 4, "seeds of TestDrawnLimitsBesideReleases")
+
+// disruptDrawn carries out drawn disruptions one after the other, and returns them.
+func (f *versionedFleet) disruptDrawn(random *rand.Rand) (done []string) {
+	const disruptions = 4
+	for range disruptions {
+		m, n := f.servers[random.IntN(len(f.servers))], f.nodes[random.IntN(len(f.nodes))]
+		switch random.IntN(5) {
+		case 0:
+			done = append(done, "all connections reset")
+			f.resetConnections()
+		case 1, 2:
+			done = append(done, m.id+" starts again")
+			f.restartServer(m)
+		case 3:
+			done = append(done, n.name+" is killed")
+			n.kill()
+			n.start()
+		default:
+			done = append(done, n.name+" stops")
+			n.stop()
+			n.start()
+		}
+		time.Sleep(time.Duration(200+random.IntN(600)) * time.Millisecond)
+	}
+	return done
+}
+
 // limitedCase is a load of streams on servers of two software versions that name a limit.
 type limitedCase struct {
 	// limit is that of each server, limitedServerRate if not set; demand is relative to that of all.
