--- a/internal/quota/ahead_test.go
+++ b/internal/quota/ahead_test.go
@@ -134,3 +134,35 @@
 		}
 	}
 }
+
+// TestGoingAheadKeepsTheBound checks that a flood of requests of both kinds stays within the bound of a server's
+// limit, also where a fleet is split and each half has a coordinator. A grant may be used 0.2 s late.
+func TestGoingAheadKeepsTheBound(t *testing.T) {
+	const window, step = 4200 * time.Millisecond, 5 * time.Millisecond
+	for _, limit := range []float64{0, 0.2, 0.5, 1, 8, 50} {
+		for _, reaches := range [][]float64{{1}, {0.55, 0.45}} {
+			quota := routetable.Quota{PerSecond: max(limit, 0.25), Burst: 3 + min(limit, 1)}
+			load := limitedLoad{quota: quota}
+			var coordinators []*Coordinator
+			for range reaches {
+				var coordinator *Coordinator
+				coordinator, load.now = strictCoordinator(quota, 20*time.Second)
+				coordinators = append(coordinators, coordinator)
+			}
+			for end := load.now.Add(20 * time.Second); load.now.Before(end); load.now = load.now.Add(step) {
+				for i, coordinator := range coordinators {
+					coordinator.Observe(load.now)
+					if coordinator.AcquireAhead(load.now, "s", quota, reaches[i], aheadCost, 0).Granted {
+						load.used = append(load.used, load.now, load.now)
+					}
+					if coordinator.Acquire(load.now, "s", quota, reaches[i], 1, 0).Granted {
+						load.used = append(load.used, load.now)
+					}
+				}
+			}
+			if most, allowed := load.busiestWindow(window), 1.5*limit*4+5; float64(most) > allowed {
+				t.Errorf("limit %v, %d coordinators: %d within %v, %.1f are allowed", limit, len(reaches), most, window, allowed)
+			}
+		}
+	}
+}
