A brittle server that falls silent has accepted nothing yet

Cause: a send counted as accepted 50 ms after it was written, though the server had answered nothing. Each 50 ms the node's share was free again, and what lay unread at the server had no bound. A send that was given up counted as accepted, too.

Ruled out: the choice of servers alone (the cost of running requests keeps some away: at 120 requests a second the new test is not red on, at 300 it is).

Change: a send is accepted once its server is heard from, by its own answer or anything else that this node reads from it 25 ms after the send or later. Without that it counts as a rejection after half a second, as an outcome that is never reported did before, and no acceptance that comes later takes another send's place.

--- a/internal/admission/brittle.go
+++ b/internal/admission/brittle.go
@@ -4,7 +4,8 @@
 
 // A brittle server fails once it has to reject more requests in a second than it announced. Nodes
 // bound what it may have to reject: each request counts from its send until the server is known to
-// have accepted it, and for a second more if the server rejected it.
+// have accepted it, and for a second more if the server rejected it. A server that is silent has not
+// accepted anything: it may reject all of it once it goes on.
 
 const (
 	// RejectionTime is how long after a send a server that rejects a request has done so.
@@ -12,8 +13,8 @@
 	// rejectionWindow is the time over which rejections are summed. It exceeds the second over which
 	// the server sums them, since rejections are noticed later than they happen.
 	rejectionWindow = 1200 * time.Millisecond
-	// riskLifetime is the time after which a send whose outcome was never reported counts as rejected.
-	riskLifetime = 500 * time.Millisecond
+	// RiskLifetime is the time after which a send whose outcome was never reported counts as rejected.
+	RiskLifetime = 500 * time.Millisecond
 	// nodeRejectionShare of the announced number is divided among the nodes where each gets at least
 	// one, and coordinatedRejectionShare is what a coordinator grants: two nodes may take themselves
 	// for the coordinator for a moment.
@@ -127,8 +128,8 @@
 
 // expire turns sends without an outcome into rejections, and drops rejections that count no more.
 func (a *rejectionAccount) expire(now time.Time) {
-	for len(a.pending) > 0 && now.Sub(a.pending[0]) > riskLifetime {
-		a.rejected = append(a.rejected, a.pending[0].Add(riskLifetime))
+	for len(a.pending) > 0 && now.Sub(a.pending[0]) > RiskLifetime {
+		a.rejected = append(a.rejected, a.pending[0].Add(RiskLifetime))
 		a.pending = a.pending[1:]
 	}
 	for len(a.rejected) > 0 && now.Sub(a.rejected[0]) > rejectionWindow {
--- a/internal/admission/brittle_test.go
+++ b/internal/admission/brittle_test.go
@@ -41,10 +41,10 @@
 func TestSendWithoutAnOutcomeCountsAsRejected(t *testing.T) {
 	ledger := NewRejectionLedger()
 	ledger.Take(ledgerStart, "s", 1)
-	if ok, _ := ledger.Take(ledgerStart.Add(riskLifetime+time.Second), "s", 1); ok {
+	if ok, _ := ledger.Take(ledgerStart.Add(RiskLifetime+time.Second), "s", 1); ok {
 		t.Error("a send that was never reported counts for nothing")
 	}
-	if ok, _ := ledger.Take(ledgerStart.Add(riskLifetime+rejectionWindow+time.Millisecond), "s", 1); !ok {
+	if ok, _ := ledger.Take(ledgerStart.Add(RiskLifetime+rejectionWindow+time.Millisecond), "s", 1); !ok {
 		t.Error("it counts for ever")
 	}
 }
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -213,6 +213,7 @@
 
 // RecordFirstByte records that the first byte of the response arrived.
 func (c *Core) RecordFirstByte(now time.Time, attempt *Attempt) {
+	c.RecordHeard(now, attempt)
 	if attempt.hasFirstByte || attempt.ended {
 		return
 	}
@@ -227,6 +228,14 @@
 	}
 }
 
+// RecordHeard records that something was read of the response.
+func (c *Core) RecordHeard(now time.Time, attempt *Attempt) { attempt.server.heardAt = now }
+
+// IsHeardSince reports whether anything was read from the attempt's server at that time or later.
+func (c *Core) IsHeardSince(attempt *Attempt, since time.Time) bool {
+	return !attempt.server.heardAt.Before(since)
+}
+
 func (c *Core) clearPending(attempt *Attempt) {
 	attempt.server.pendingTokens = math.Max(0, attempt.server.pendingTokens-attempt.tokens)
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -46,8 +46,10 @@
 	reportedLoad Load
 	reportedAt   time.Time
 	health       health
-	cache        promptCache
-	cold         coldState
+	// heardAt is when this node last read something from the server's responses.
+	heardAt time.Time
+	cache   promptCache
+	cold    coldState
 	// indexedHosted and indexedStored are the models under which the index lists the server,
 	// sorted.
 	indexedHosted, indexedStored []string
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -62,15 +62,6 @@
 	}
 }
 
-// acceptedAfter settles a send as accepted once a server that rejects it would have done so. The timer
-// is nil where there is nothing to settle.
-func (d AdmissionDecision) acceptedAfter(wait time.Duration) *time.Timer {
-	if d.Settle == nil {
-		return nil
-	}
-	return time.AfterFunc(wait, func() { d.Settle(false) })
-}
-
 // isReturnable reports whether a coordinator granted it, so that the grant can be returned.
 func (d AdmissionDecision) isReturnable() bool { return d.Granted && d.GrantedBy != "" }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -8,7 +8,6 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/spanlanding/spanlanding/internal/admission"
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
@@ -55,17 +54,14 @@
 	x.localPort, x.connOpenedAt = conn.LocalPort(), conn.OpenedAt()
 	x.sentAt = clock.Now()
 	x.sends++
-	accepted := decision.acceptedAfter(admission.RejectionTime)
+	x.risk = newSendRisk(x, choice, decision)
 	response, err := conn.RoundTrip(x.ctx, x.serverRequest(choice))
 	var head ResponseHead
 	if err == nil {
 		head = x.handler.options.Dialect.ReadResponseHead(response.Status, response.Header)
 	}
-	if accepted != nil {
-		accepted.Stop()
-		// A server that is not the intended one did not reject anything.
-		decision.settle(err == nil && head.NotRun && response.Status != http.StatusMisdirectedRequest)
-	}
+	// A server that is not the intended one did not reject anything.
+	x.risk.end(err == nil, err == nil && head.NotRun && response.Status != http.StatusMisdirectedRequest)
 	if x.holdsRetry && !errorx.IsOfType(err, backendconn.ErrNotSent) {
 		x.holdsRetry = false
 		x.handler.Metrics.Retries.Add(1)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -107,6 +107,8 @@
 	// connOpenedAt is when the connection of the attempt was open.
 	asksStart    bool
 	connOpenedAt time.Time
+	// risk is the current attempt's send, where its server may have to reject it; nil if that need not be known.
+	risk *sendRisk
 	// startQuestion is the grant of the question for the start of the current attempt's server, until it
 	// is asked.
 	startQuestion AdmissionDecision
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -34,7 +34,10 @@
 		return x.retryOrGiveUp(reasonOtherVersion)
 	}
 	x.onFirstEvent = func() { x.confirmOrigin(choice) }
-	err := x.copyEvents(response, func(count int) { x.countBytes(choice, count) })
+	err := x.copyEvents(response, func(count int) {
+		x.countBytes(choice, count)
+		x.risk.recordHeard()
+	})
 	if errors.Is(err, io.EOF) {
 		return x.finishStream(choice, response)
 	}
--- a/test/platform/brittle_test.go
+++ b/test/platform/brittle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -27,13 +28,18 @@
 type brittleServer struct {
 	id        string
 	announced int
+	// slots is how many requests it runs at a time, each for the time work.
+	slots int
+	work  time.Duration
 
-	mu         sync.Mutex
-	running    int
-	rejections []time.Time
-	downUntil  time.Time
-	falls      []time.Time
-	served     int
+	mu      sync.Mutex
+	running int
+	// silentUntil is until when it neither reads nor answers anything.
+	silentUntil time.Time
+	rejections  []time.Time
+	downUntil   time.Time
+	falls       []time.Time
+	served      int
 }
 
 // ServeHTTP implements http.Handler.
@@ -41,12 +47,17 @@
 	writer.Header().Set("Request-Id", request.Header.Get("Request-Id"))
 	writer.Header().Set("Instance-Id", b.id)
 	writer.Header().Set("Server-Brittle", strconv.Itoa(b.announced))
+	b.awaitSound()
+	if request.Context().Err() != nil {
+		return
+	}
 	if !b.begin() {
 		writer.Header().Set("Not-Executed", "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	time.Sleep(brittleWork)
+	time.Sleep(b.work)
+	b.awaitSound()
 	b.mu.Lock()
 	b.running--
 	b.served++
@@ -63,7 +74,7 @@
 	if now.Before(b.downUntil) {
 		panic(http.ErrAbortHandler)
 	}
-	if b.running < brittleSlots {
+	if b.running < b.slots {
 		b.running++
 		return true
 	}
@@ -75,6 +86,91 @@
 	return false
 }
 
+// awaitSound returns once the server is not silent.
+func (b *brittleServer) awaitSound() {
+	for {
+		b.mu.Lock()
+		left := time.Until(b.silentUntil)
+		b.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
+// fallSilent makes the server neither read nor answer anything for a time.
+func (b *brittleServer) fallSilent(duration time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silentUntil = time.Now().Add(duration)
+}
+
+// startBrittleServers starts servers of the commands' service and lists them in the store.
+func (f *fleet) startBrittleServers(count, slots, announced int) (servers []*brittleServer) {
+	for i := range count {
+		b := &brittleServer{id: fmt.Sprintf("i-%d", i), announced: announced, slots: slots, work: brittleWork}
+		listener := httptest.NewServer(b)
+		f.t.Cleanup(listener.Close)
+		servers = append(servers, b)
+		f.store.put("servers", b.id, map[string]any{
+			"service": "commands", "address": strings.TrimPrefix(listener.URL, "http://"), "zone": "z", "version": "v1",
+			"slots": slots, "state": "ready", "models": []any{}, "sequence": 1, "coldLeftMs": 0,
+		})
+	}
+	return servers
+}
+
+// countFalls returns how often the servers failed since a time.
+func countFalls(servers []*brittleServer, since time.Time) (falls int) {
+	for _, b := range servers {
+		b.mu.Lock()
+		for _, at := range b.falls {
+			if at.After(since) {
+				falls++
+			}
+		}
+		b.mu.Unlock()
+	}
+	return falls
+}
+
+// TestSilentBrittleServersDoNotFall guards against taking what is sent to a silent server for accepted: it has
+// to reject all that it has no room for at once when it goes on.
+func TestSilentBrittleServersDoNotFall(t *testing.T) {
+	t.Parallel()
+	const (
+		silentServers, silentSlots, announced = 3, 6, 4
+		silences                              = 6
+	)
+	for seed := range uint64(*drawnSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 0x51137))
+			f := newEmbeddedFleet(t, 3)
+			servers := f.startBrittleServers(silentServers, silentSlots, announced)
+			f.store.put("config", "main", newConfig(1))
+			f.awaitReady()
+			sendCommands(f.nodes, contactTime, 200*time.Millisecond, time.Second)
+			var disrupting sync.WaitGroup
+			began := time.Now()
+			disrupting.Go(func() {
+				for range silences {
+					servers[random.IntN(len(servers))].fallSilent(time.Duration(200+random.IntN(1300)) * time.Millisecond)
+					time.Sleep(1800 * time.Millisecond)
+				}
+			})
+			served := sendCommands(f.nodes, silences*1800*time.Millisecond, 10*time.Millisecond, 4*time.Second)
+			disrupting.Wait()
+			falls := countFalls(servers, began)
+			t.Logf("%d served, %d falls", served, falls)
+			if falls > allowedFalls {
+				t.Errorf("%d falls of %d brittle servers, at most %d may be", falls, len(servers), allowedFalls)
+			}
+		})
+	}
+}
+
 // TestBrittleServersDoNotFall guards against servers that fail as nodes send more requests than they
 // have room for: the nodes' rejections have to stay within the announced number in sum.
 func TestBrittleServersDoNotFall(t *testing.T) {
@@ -84,33 +180,14 @@
 		t.Run(fmt.Sprintf("%d nodes, %d rejections", c.nodes, c.announced), func(t *testing.T) {
 			t.Parallel()
 			f := newEmbeddedFleet(t, c.nodes)
-			var servers []*brittleServer
-			for i := range brittleServers {
-				b := &brittleServer{id: fmt.Sprintf("i-%d", i), announced: c.announced}
-				listener := httptest.NewServer(b)
-				t.Cleanup(listener.Close)
-				servers = append(servers, b)
-				f.store.put("servers", b.id, map[string]any{
-					"service": "commands", "address": strings.TrimPrefix(listener.URL, "http://"), "zone": "z", "version": "v1",
-					"slots": brittleSlots, "state": "ready", "models": []any{}, "sequence": 1, "coldLeftMs": 0,
-				})
-			}
+			servers := f.startBrittleServers(brittleServers, brittleSlots, c.announced)
 			f.store.put("config", "main", newConfig(1))
 			f.awaitReady()
 			// Nodes learn the size of the fleet, and that the servers are brittle, without a rush.
-			sendCommands(f.nodes, contactTime, 200*time.Millisecond)
+			sendCommands(f.nodes, contactTime, 200*time.Millisecond, time.Second)
 			pressed := time.Now()
-			served := sendCommands(f.nodes, 6*time.Second, time.Duration(c.nodes)*time.Second/600)
-			falls := 0
-			for _, b := range servers {
-				b.mu.Lock()
-				for _, at := range b.falls {
-					if at.After(pressed) {
-						falls++
-					}
-				}
-				b.mu.Unlock()
-			}
+			served := sendCommands(f.nodes, 6*time.Second, time.Duration(c.nodes)*time.Second/600, time.Second)
+			falls := countFalls(servers, pressed)
 			t.Logf("%d served under pressure, %d falls", served, falls)
 			if falls > allowedFalls {
 				t.Errorf("%d of %d brittle servers failed, at most %d may", falls, brittleServers, allowedFalls)
@@ -120,8 +197,8 @@
 }
 
 // sendCommands sends commands to each node at the interval, without waiting for answers, and counts
-// those served.
-func sendCommands(nodes []*node, duration, interval time.Duration) (served int) {
+// those served within their deadline.
+func sendCommands(nodes []*node, duration, interval, deadline time.Duration) (served int) {
 	var mu sync.Mutex
 	var callers sync.WaitGroup
 	begin := time.Now()
@@ -129,7 +206,7 @@
 		for _, n := range nodes {
 			callers.Go(func() {
 				got := n.sendRequest(callerRequest{
-					id: fmt.Sprintf("%s-%d-%d", n.name, number, begin.UnixNano()), path: "/command/x", body: "body", deadline: time.Second,
+					id: fmt.Sprintf("%s-%d-%d", n.name, number, begin.UnixNano()), path: "/command/x", body: "body", deadline: deadline,
 				})
 				if got.status == http.StatusOK {
 					mu.Lock()
--- a/test/platform/limited_streams_test.go
+++ b/test/platform/limited_streams_test.go
@@ -170,7 +170,7 @@
 // no stream holds events of both, and those that are taken up go on at least half as often as new ones begin.
 func TestDrawnLimitsBesideReleases(t *testing.T) {
 	t.Parallel()
-	for seed := range uint64(*drawnLimitSeeds) {
+	for seed := range uint64(*drawnSeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			random := rand.New(rand.NewPCG(seed, 0x11417))
@@ -185,7 +185,8 @@
 	}
 }
 
-var drawnLimitSeeds = flag.Int("limits.seeds", 4, "seeds of TestDrawnLimitsBesideReleases")
+// drawnSeeds is how many schedules each test plays that draws them from a seed given here.
+var drawnSeeds = flag.Int("drawn.seeds", 4, "drawn schedules of a test")
 
 // disruptDrawn carries out drawn disruptions one after the other, and returns them.
 func (f *versionedFleet) disruptDrawn(random *rand.Rand) (done []string) {
