--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -47,21 +47,7 @@
 		x.returnGrant(choice, decision)
 		return result
 	}
-	if !x.wasSentTo(choice.ServerID) {
-		x.sentTo = append(x.sentTo, choice.ServerID)
-	}
-	x.countBytes(choice, len(x.body))
-	x.localPort, x.connOpenedAt = conn.LocalPort(), conn.OpenedAt()
-	x.sentAt = clock.Now()
-	x.sends++
-	x.risk = newSendRisk(x, choice, decision)
-	response, err := conn.RoundTrip(x.ctx, x.serverRequest(choice))
-	var head ResponseHead
-	if err == nil {
-		head = x.handler.options.Dialect.ReadResponseHead(response.Status, response.Header)
-	}
-	// A server that is not the intended one did not reject anything.
-	x.risk.end(err == nil, err == nil && head.NotRun && response.Status != http.StatusMisdirectedRequest)
+	response, head, err := x.send(choice, conn, decision)
 	if x.holdsRetry && !errorx.IsOfType(err, backendconn.ErrNotSent) {
 		x.holdsRetry = false
 		x.handler.Metrics.Retries.Add(1)
@@ -76,6 +62,27 @@
 	return x.handleResponse(choice, response, head)
 }
 
+// send writes the request to the server, and returns its response once the head was read.
+func (x *exchange) send(choice dispatch.Choice, conn *backendconn.Conn, decision AdmissionDecision) (response *backendconn.Response, head ResponseHead, err error) {
+	if !x.wasSentTo(choice.ServerID) {
+		x.sentTo = append(x.sentTo, choice.ServerID)
+	}
+	x.countBytes(choice, len(x.body))
+	x.localPort, x.connOpenedAt = conn.LocalPort(), conn.OpenedAt()
+	x.sentAt = clock.Now()
+	x.sends++
+	x.risk = newSendRisk(x, choice, decision)
+	response, err = conn.RoundTrip(x.ctx, x.serverRequest(choice))
+	if err != nil {
+		x.risk.end(errorx.IsOfType(err, backendconn.ErrNotSent), false)
+		return nil, head, err
+	}
+	head = x.handler.options.Dialect.ReadResponseHead(response.Status, response.Header)
+	// A server that is not the intended one did not reject anything.
+	x.risk.end(true, head.NotRun && response.Status != http.StatusMisdirectedRequest)
+	return response, head, nil
+}
+
 // connect takes a connection to the chosen server, unless there is one, and checks that the request may
 // still be sent. Where ok is false nothing was sent, and result says how the attempt ended.
 func (x *exchange) connect(choice dispatch.Choice, idle *backendconn.Conn, decision *AdmissionDecision) (conn *backendconn.Conn, result attemptResult, ok bool) {
--- a/internal/relay/risk.go
+++ b/internal/relay/risk.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"sync"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/admission"
@@ -16,8 +15,7 @@
 	choice   dispatch.Choice
 	settle   func(isRejected bool)
 	sentAt   time.Time
-
-	once  sync.Once
+	// ended is closed at the end of the exchange.
 	ended chan struct{}
 }
 
@@ -56,14 +54,14 @@
 	return isHeard
 }
 
-// end settles the send once its exchange is over. Without a response it is known to be accepted only if the
-// server was heard from; else it counts until its time is over.
-func (r *sendRisk) end(isAnswered, isRejected bool) {
+// end settles the send once its exchange is over. isKnown is set if there was a response, or nothing was sent;
+// otherwise it is known to be accepted only if the server was heard from, and else counts until its time is over.
+func (r *sendRisk) end(isKnown, isRejected bool) {
 	if r == nil {
 		return
 	}
-	r.once.Do(func() { close(r.ended) })
-	if isAnswered || r.isHeard() {
+	close(r.ended)
+	if isKnown || r.isHeard() {
 		r.settleInTime(isRejected)
 	}
 }
