Lines tell how a rejection is known; promises passed on are counted

What a dialect reads is now the mark alone; that a 421 counts as a rejection is decided in relay. No logic is changed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -79,7 +79,7 @@
 	}
 	head = x.handler.options.Dialect.ReadResponseHead(response.Status, response.Header)
 	// A server that is not the intended one did not reject anything.
-	x.risk.end(true, head.NotRun && response.Status != http.StatusMisdirectedRequest)
+	x.risk.end(true, head.IsMarkedNotRun && response.Status != http.StatusMisdirectedRequest)
 	return response, head, nil
 }
 
@@ -235,8 +235,9 @@
 func (x *exchange) handleResponse(choice dispatch.Choice, response *backendconn.Response, head ResponseHead) attemptResult {
 	defer response.Close()
 	x.recordResponse(choice, head)
+	x.rejectedBy = findRejectionEvidence(choice, response.Status, head)
 	switch {
-	case head.NotRun:
+	case x.rejectedBy != "":
 		return x.handleRejection(choice, response)
 	case x.headSent && response.Status != http.StatusOK:
 		x.mayHaveRun = true
@@ -432,6 +433,9 @@
 	case response.ContentLength >= 0 && !x.route.Stream:
 		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
+	if promisesNotRun(response.Status) {
+		x.handler.Metrics.PromisesPassedOn.Add(1)
+	}
 	x.headSent = true
 	x.writer.WriteHeader(response.Status)
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -107,6 +107,8 @@
 	// connOpenedAt is when the connection of the attempt was open.
 	asksStart    bool
 	connOpenedAt time.Time
+	// rejectedBy says how it is known that the last server to respond did not run the request.
+	rejectedBy rejectionEvidence
 	// risk is the current attempt's send, where its server may have to reject it; nil if that need not be known.
 	risk *sendRisk
 	// startQuestion is the grant of the question for the start of the current attempt's server, until it
@@ -432,6 +434,9 @@
 	if x.localPort != "" {
 		entry.Str("local_port", x.localPort)
 	}
+	if x.rejectedBy != "" {
+		entry.Str("not_run_by", string(x.rejectedBy))
+	}
 	entry.Str("waited_ms", formatMilliseconds(x.totalWaited())).Str("took_ms", formatMilliseconds(clock.Since(x.arrived)))
 	if x.timing.first > 0 {
 		entry.Str("first_ms", formatMilliseconds(x.timing.first)).Str("pause_ms", formatMilliseconds(x.timing.longestPause))
--- /dev/null
+++ b/internal/relay/rejection.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"net/http"
+
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+)
+
+// rejectionEvidence says how it is known that a server did not run a request, in logs; empty if it is not.
+type rejectionEvidence string
+
+const (
+	// evidenceMarked: the response is marked as that to a request that did not run.
+	evidenceMarked rejectionEvidence = "marked"
+	// evidenceOtherServer: another server has the address, and did not take a request for the chosen one.
+	evidenceOtherServer rejectionEvidence = "other_server"
+	// evidenceStatusOnly: nothing but the status says so.
+	evidenceStatusOnly rejectionEvidence = "status_only"
+)
+
+// findRejectionEvidence returns how the response to a send shows that the request did not run.
+func findRejectionEvidence(choice dispatch.Choice, status int, head ResponseHead) rejectionEvidence {
+	switch {
+	case head.IsMarkedNotRun:
+		return evidenceMarked
+	case status != http.StatusMisdirectedRequest:
+		return ""
+	case head.ServerID != "" && head.ServerID != choice.ServerID:
+		return evidenceOtherServer
+	default:
+		return evidenceStatusOnly
+	}
+}
+
+// promisesNotRun reports whether the status tells a caller that its request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,8 +58,9 @@
 
 // ResponseHead is what the headers of a server's response say.
 type ResponseHead struct {
-	// NotRun is set where the server did not run the request.
-	NotRun bool
+	// IsMarkedNotRun is set where the response says, apart from its status, that the server did not run the
+	// request.
+	IsMarkedNotRun bool
 	// Load is nil where the server does not report its load.
 	Load *dispatch.Load
 	// ColdRemaining is how long the server stays cold; nil where it does not say.
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -59,9 +59,9 @@
 func (testDialect) ReadResponseHead(status int, header http.Header) ResponseHead {
 	backoff, _ := time.ParseDuration(header.Get("X-Rest"))
 	return ResponseHead{
-		NotRun:   status == http.StatusMisdirectedRequest || header.Get("X-Not-Run") != "",
-		ServerID: header.Get("X-By"),
-		Hint:     inventory.Hint{Draining: header.Get("X-Leaving") != "", Backoff: backoff},
+		IsMarkedNotRun: header.Get("X-Not-Run") != "",
+		ServerID:       header.Get("X-By"),
+		Hint:           inventory.Hint{Draining: header.Get("X-Leaving") != "", Backoff: backoff},
 	}
 }
 
