Red test: requests that ran are refused with a promise

Servers answer each fifth request that they ran with 408, 421, 429 or 503 and no Not-Executed. After a 421 it is the node's own 503 (request_rejected status=421, not_run_by=status_only).

--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -67,6 +67,9 @@
 	// resetResponses runs requests and then resets their connections; failRequests answers them
 	// with an error.
 	resetResponses, failRequests bool
+	// unmarkedStatus is the status that every fifth request gets after it ran, without a header that
+	// says that it did not run; 0 means none.
+	unmarkedStatus int
 	// onPoison handles poison requests; if nil, they run like any other request.
 	onPoison func(writer http.ResponseWriter, request *http.Request, body string)
 	// coldSince and coldUntil delimit the cold-start phase; zero for servers without one.
@@ -327,7 +330,10 @@
 	}
 	m.headers[id] = request.Header.Clone()
 	m.startedAt[id] = time.Now()
-	loseAnswer, fail, version := m.resetResponses, m.failRequests, m.version
+	loseAnswer, fail, version, unmarked := m.resetResponses, m.failRequests, m.version, m.unmarkedStatus
+	if len(m.runs)%5 != 0 {
+		unmarked = 0
+	}
 	m.mu.Unlock()
 	writer.Header().Set("Server-Stamp", m.id)
 	switch {
@@ -337,6 +343,9 @@
 	case fail:
 		writer.WriteHeader(http.StatusInternalServerError)
 		return
+	case unmarked != 0:
+		writer.WriteHeader(unmarked)
+		return
 	}
 	if model == "" {
 		fmt.Fprintf(writer, "done by %s", m.id)
