A server's refusal that nothing proves is not passed on as a promise

What callers saw: a request that may run once got 503, 429 or 408 from a server that had run it, or the node's own 503 after such a server's 421. These statuses promise that it has not run and never will (REFUSED).

Cause: whether a request ran was read from the mark (Not-Executed) alone for routing, but any other status went to the caller unchanged, and became the node's promise; a 421 counted as a rejection whoever sent it.

Change: a promise needs a proof: the mark, or a 421 of a server that names itself and is not the intended one. Without it the request goes to another server where it may be repeated, and else fails with the node's own 502, which promises nothing and has no stamp. A bare 421 is still a rejection where the request may be repeated.

The row "the server's own failure" of TestNotRunIsToldOnlyWhereItIsTrue demanded that an unmarked 503 is passed on, which is the fault; it demands 502 now, the server's own 500 is kept, and six rows are added.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -144,7 +144,7 @@
 	handlerMetrics := &node.handler.Metrics
 	m.counter("repeats_total", "Requests sent to a server again.", handlerMetrics.Retries.Load)
 	m.counter("resumed_total", "Streams taken up at another server.", handlerMetrics.Resumed.Load)
-	m.counter("promises_passed_on_total", "Answers of servers and peers passed on with a status that promises that the request did not run.", handlerMetrics.PromisesPassedOn.Load)
+	m.counter("unproven_refusals_total", "Answers of servers and peers whose status promises that the request did not run, without a proof.", handlerMetrics.UnprovenRefusals.Load)
 	m.counter("rejected_total", "Sends that a server did not run.", handlerMetrics.Rejected.Load)
 	m.counter("budget_empty_total", "Requests given up for want of a repeat.", handlerMetrics.BudgetEmpty.Load)
 	m.counter("forwarded_total", "Requests that a peer took, as this node reaches no server.", handlerMetrics.Forwarded.Load)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -237,7 +237,10 @@
 	x.recordResponse(choice, head)
 	x.rejectedBy = findRejectionEvidence(choice, response.Status, head)
 	switch {
-	case x.rejectedBy != "":
+	case x.rejectedBy.isProof():
+		return x.handleRejection(choice, response)
+	case x.rejectedBy == evidenceStatusOnly && x.isRetryable():
+		x.mayHaveRun = true
 		return x.handleRejection(choice, response)
 	case x.headSent && response.Status != http.StatusOK:
 		x.mayHaveRun = true
@@ -247,6 +250,9 @@
 	case x.route.Stream && response.Status == http.StatusOK:
 		x.mayHaveRun = true
 		return x.relayStream(choice, response)
+	case promisesNotRun(response.Status):
+		x.mayHaveRun = true
+		return x.handleUnprovenRefusal(choice, response)
 	default:
 		x.mayHaveRun = true
 		return x.relayWhole(choice, response)
@@ -433,9 +439,6 @@
 	case response.ContentLength >= 0 && !x.route.Stream:
 		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
-	if promisesNotRun(response.Status) {
-		x.handler.Metrics.PromisesPassedOn.Add(1)
-	}
 	x.headSent = true
 	x.writer.WriteHeader(response.Status)
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -41,9 +41,9 @@
 	// Forwarded counts the requests that a peer took, ForwardsDeclined the times that a peer did not
 	// take one, and TakenFromPeers the requests taken from peers.
 	Forwarded, ForwardsDeclined, TakenFromPeers atomic.Int64
-	// PromisesPassedOn counts the responses of servers and peers that were passed on with a status which
-	// tells the caller that its request did not run.
-	PromisesPassedOn atomic.Int64
+	// UnprovenRefusals counts the responses of servers and peers whose status promises that the request did
+	// not run, without a proof.
+	UnprovenRefusals atomic.Int64
 	// ColdHeld counts sends that admission denied.
 	ColdHeld atomic.Int64
 }
--- a/internal/relay/rejection.go
+++ b/internal/relay/rejection.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 )
 
@@ -32,6 +33,9 @@
 	}
 }
 
+// isProof reports whether a caller may be told that its request has not run.
+func (e rejectionEvidence) isProof() bool { return e == evidenceMarked || e == evidenceOtherServer }
+
 // promisesNotRun reports whether the status tells a caller that its request has not run and never will.
 func promisesNotRun(status int) bool {
 	switch status {
@@ -41,3 +45,22 @@
 		return false
 	}
 }
+
+// reasonUnprovenRefusal is that of requests whose server refused them without a proof that they did not run.
+const reasonUnprovenRefusal = "unproven_refusal"
+
+// handleUnprovenRefusal handles a response whose status promises that the request did not run, although
+// nothing proves it. Passed on, it would be this node's promise: the request goes to another server where it
+// may be repeated, or fails.
+func (x *exchange) handleUnprovenRefusal(choice dispatch.Choice, response *backendconn.Response) attemptResult {
+	x.handler.Metrics.UnprovenRefusals.Add(1)
+	x.log("request_refused_unproven", response.Status, choice.ServerID)
+	isRetried := x.canRetryElsewhere()
+	x.endAttempt(choice, dispatch.OutcomeFailed)
+	x.failedServers = append(x.failedServers, choice.ServerID)
+	if isRetried {
+		return attemptRetry
+	}
+	x.giveUp(reasonUnprovenRefusal)
+	return attemptDone
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -72,7 +72,13 @@
 		want    int
 	}{
 		{"the server says that it did not run it", respondWith(http.StatusServiceUnavailable, "", "X-Not-Run: 1"), "/once/", 503},
-		{"the server's own failure", respondWith(http.StatusServiceUnavailable, "own", "X-Stamp: s"), "/once/", 503},
+		{"another server at the address does not take it", respondWith(http.StatusMisdirectedRequest, "", "X-By: another"), "/once/", 503},
+		{"the server's own failure", respondWith(http.StatusInternalServerError, "own", "X-Stamp: s"), "/once/", 500},
+		{"unavailable, without a proof", respondWith(http.StatusServiceUnavailable, "own", "X-Stamp: s"), "/once/", 502},
+		{"too many requests, without a proof", respondWith(http.StatusTooManyRequests, "own", "X-Stamp: s"), "/once/", 502},
+		{"timeout, without a proof", respondWith(http.StatusRequestTimeout, "own", "X-Stamp: s"), "/once/", 502},
+		{"misdirected, without a proof", respondWith(http.StatusMisdirectedRequest, "own", "X-Stamp: s"), "/once/", 502},
+		{"misdirected by the intended server, without a proof", respondWith(http.StatusMisdirectedRequest, "", "X-By: s0"), "/once/", 502},
 		{"closed without a response", func(net.Conn, *http.Request) bool { return false }, "/once/", 502},
 		{"reset", func(conn net.Conn, _ *http.Request) bool { return reset(conn) }, "/once/", 502},
 		{"no response in time", func(net.Conn, *http.Request) bool { time.Sleep(2 * time.Second); return false }, "/brief/", 504},
--- a/internal/relay/surplus_test.go
+++ b/internal/relay/surplus_test.go
@@ -14,7 +14,7 @@
 	t.Helper()
 	var rejected atomic.Value
 	return newFakeServer(t, func(conn net.Conn, request *http.Request) bool {
-		rejection := reply(request.Header.Get("X-Id"), http.StatusMisdirectedRequest, "")
+		rejection := reply(request.Header.Get("X-Id"), http.StatusMisdirectedRequest, "", "X-Not-Run: 1")
 		if rejected.CompareAndSwap(nil, conn.RemoteAddr().String()) {
 			write(conn, rejection)
 			return true
--- a/test/platform/promise_test.go
+++ b/test/platform/promise_test.go
@@ -77,12 +77,14 @@
 
 // Guards against a status that promises that a request has not run, passed on from a server that ran it.
 func TestRequestThatRanIsNotRefusedWithAPromise(t *testing.T) {
+	t.Parallel()
 	for _, status := range promiseStatuses {
 		for _, route := range []struct{ path, service, model string }{
 			{"/command/x", "commands", ""},
 			{"/chat/x", "models", "m1"},
 		} {
 			t.Run(fmt.Sprint(status, route.path), func(t *testing.T) {
+				t.Parallel()
 				f := newFleet(t, 3)
 				load := &promiseLoad{fleet: f, path: route.path, model: route.model, duration: 2 * time.Second, interval: 20 * time.Millisecond}
 				for number := range 3 {
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -316,6 +316,7 @@
 	adapters, ok := m.models[model]
 	if model != "" && (!ok || (adapter != "" && !adapters[adapter])) {
 		m.mu.Unlock()
+		writer.Header().Set("Not-Executed", "1")
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/test/platform/surplus_test.go
+++ b/test/platform/surplus_test.go
@@ -54,8 +54,7 @@
 
 // isRejection reports whether the text is the response to a request that did not run.
 func isRejection(text []byte) bool {
-	isNotRun := bytes.HasPrefix(text, []byte("HTTP/1.1 421 ")) || bytes.Contains(text, []byte("\r\nNot-Executed: 1\r\n"))
-	return isNotRun && bytes.Contains(text, []byte("\r\nRequest-Id: ")) && bytes.HasSuffix(text, []byte("\r\n\r\n"))
+	return bytes.Contains(text, []byte("\r\nNot-Executed: 1\r\n")) && bytes.Contains(text, []byte("\r\nRequest-Id: ")) && bytes.HasSuffix(text, []byte("\r\n\r\n"))
 }
 
 // surplusKind has a server send its rejections twice.
