Only a request that has not run is refused

What callers saw: a request that may be repeated, had been sent and perhaps run, and then waited for a second server, got the node's 503 with outcome not-run (queue full, on trial, barred before, stopping).

Cause: refuse() asked only whether the response had begun; each caller had to know whether the request may have run, and some didn't. The rule of callers (REFUSED) concerns requests that can't be repeated; those never got there, as they are sent once. 'Not run' is to be true for all.

Change: refuseWith is the one place that makes the promise, for 503 and 429, and gives up instead (502, 504, or a response broken off) once the request may have run. The checks that stood at four callers go.

TestRequestThatMayHaveRunIsNotRefused failed before: 503 after a send whose server closed the connection.

--- a/internal/relay/evacuate.go
+++ b/internal/relay/evacuate.go
@@ -15,9 +15,5 @@
 // until its deadline would not get it served either. A caller with little time left is told to retry
 // before its deadline.
 func (x *exchange) refuseEvacuated() {
-	if x.mayHaveRun || x.headSent || x.callerGone() {
-		x.giveUp(reasonEvacuated)
-		return
-	}
 	x.refuse(reasonEvacuated, x.retryDelay(min(evacuatedRetryDelay, waiting.MaxRetryDelay(clock.Until(x.deadline)))))
 }
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -289,20 +289,10 @@
 	case found:
 	case isUncertain:
 		x.handler.Metrics.VersionUnknown.Add(1)
-		x.endWithoutVersion(reasonVersionUnknown, func() { x.refuse(reasonVersionUnknown, settlesIn) })
+		x.refuse(reasonVersionUnknown, settlesIn)
 	default:
 		x.handler.Metrics.VersionGone.Add(1)
-		x.endWithoutVersion(reasonVersionGone, func() { x.refusePermanently(reasonVersionGone) })
+		x.refusePermanently(reasonVersionGone)
 	}
 	return found
 }
-
-// endWithoutVersion ends a stream whose version has no server that takes work. refuse refuses a request
-// that has not run: for good where a caller that comes back would find no server either.
-func (x *exchange) endWithoutVersion(reason string, refuse func()) {
-	if x.callerGone() || x.headSent || x.mayHaveRun {
-		x.giveUp(reason)
-		return
-	}
-	refuse()
-}
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strings"
 	"time"
 
@@ -147,10 +146,6 @@
 	for _, cause := range x.suspicion().causes {
 		x.handler.options.Suspects.ReportRefusal(cause)
 	}
-	if x.mayHaveRun {
-		x.fail(http.StatusBadGateway, reasonPoison)
-		return
-	}
 	x.refusePermanently(reasonPoison)
 }
 
--- a/internal/relay/promise_test.go
+++ b/internal/relay/promise_test.go
@@ -59,3 +59,14 @@
 		}
 	}
 }
+
+// Guards against a node's own promise for a request that may have run at a server before, as when the request
+// waits for a second server at a node whose queue is full.
+func TestRequestThatMayHaveRunIsNotRefused(t *testing.T) {
+	server := newFakeServer(t, func(net.Conn, *http.Request) bool { return false })
+	f := newFixture(t, server)
+	f.handler.options.MaxWaiting = -1
+	if got := f.send(t, http.MethodGet, "/often/", ""); got.status != http.StatusBadGateway || server.count() != 1 {
+		t.Errorf("status %d after %d sends, want 502 after one", got.status, server.count())
+	}
+}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -35,21 +35,29 @@
 // nodeStoppingRetryDelay is the Retry-After of a node that ends: other nodes serve at once.
 const nodeStoppingRetryDelay = 100 * time.Millisecond
 
-// refuse responds to a request that did not run and will not. Once the response has begun a refusal is
-// no longer possible, and it is truncated instead.
+// refuse responds to a request that did not run and will not. One that may have run fails instead.
 func (x *exchange) refuse(reason string, delay time.Duration) {
-	x.writer.Header().Set("Retry-After", formatRetryAfter(delay))
-	x.refusePermanently(reason)
+	x.refuseWith(http.StatusServiceUnavailable, reason, func(header http.Header) {
+		header.Set("Retry-After", formatRetryAfter(delay))
+	})
 }
 
 // refusePermanently refuses a request without saying when a retry might succeed.
 func (x *exchange) refusePermanently(reason string) {
-	if x.headSent {
-		x.truncate(reason)
+	x.refuseWith(http.StatusServiceUnavailable, reason, func(http.Header) {})
+}
+
+// refuseWith is the one place that promises a caller that its request has not run, with a status of
+// promisesNotRun.
+func (x *exchange) refuseWith(status int, reason string, setHeader func(header http.Header)) {
+	if x.callerGone() || x.headSent || x.mayHaveRun {
+		x.giveUp(reason)
+		return
 	}
 	x.refundQuota()
-	x.writeProblem(http.StatusServiceUnavailable, outcomeNotRun, reason)
-	x.finish(outcomeRefused, http.StatusServiceUnavailable, reason)
+	setHeader(x.writer.Header())
+	x.writeProblem(status, outcomeNotRun, reason)
+	x.finish(outcomeRefused, status, reason)
 }
 
 // deny responds to a malformed request, or one that the configuration does not allow.
--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -47,15 +47,12 @@
 	return found
 }
 
-// endWithoutRegion ends a request that may run nowhere, as not run if that is true.
+// endWithoutRegion ends a request that may run nowhere.
 func (x *exchange) endWithoutRegion(reason string) {
 	x.handler.Metrics.RegionRefused.Add(1)
-	switch {
-	case x.callerGone() || x.headSent || x.mayHaveRun:
-		x.giveUp(reason)
-	case reason == reasonNoRegion:
+	if reason == reasonNoRegion {
 		x.refusePermanently(reason)
-	default:
+	} else {
 		x.refuse(reason, x.retryDelay(waiting.ServerRegistrationTime))
 	}
 }
--- a/internal/relay/tenant.go
+++ b/internal/relay/tenant.go
@@ -96,9 +96,9 @@
 		x.refuse(reasonQuotaUnknown, decision.RetryAfter)
 		return false
 	}
-	x.writer.Header().Set("Retry-After", formatRetryAfter(decision.RetryAfter))
-	x.writeProblem(http.StatusTooManyRequests, outcomeNotRun, reasonOverQuota)
-	x.finish(outcomeRefused, http.StatusTooManyRequests, reasonOverQuota)
+	x.refuseWith(http.StatusTooManyRequests, reasonOverQuota, func(header http.Header) {
+		header.Set("Retry-After", formatRetryAfter(decision.RetryAfter))
+	})
 	return false
 }
 
