A peer's refusal without a proof is not passed on as a promise

A peer of an earlier build that takes a request does not say whether its refusal is one: its 503 may be that of a server that ran the request. It was counted as one that may have run, and passed on with its status all the same.

Change: 408, 421, 429 and 503 of a peer that does not mark its refusal end as a broken forward: tried again where the request may be repeated, else 502. While builds run side by side some refusals of older peers become 502.

TestPeersRefusalWithoutProofIsNoPromise failed before for all four.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -229,6 +229,9 @@
 	switch {
 	case x.headSent && response.Status != http.StatusOK:
 		return x.endBrokenForward("resume_failed")
+	case promisesNotRun(response.Status):
+		x.handler.Metrics.UnprovenRefusals.Add(1)
+		return x.endBrokenForward(reasonUnprovenRefusal)
 	case x.route.Stream && response.Status == http.StatusOK && !x.beginEvents(version, originFromPeerAnswer):
 		return x.endBrokenForward(reasonOtherVersion)
 	case x.route.Stream && response.Status == http.StatusOK:
--- a/internal/relay/promise_test.go
+++ b/internal/relay/promise_test.go
@@ -60,6 +60,19 @@
 	}
 }
 
+// Guards against a refusal of a peer that does not say whether a server ran the request, as peers of earlier
+// builds do not, passed on as a promise.
+func TestPeersRefusalWithoutProofIsNoPromise(t *testing.T) {
+	for _, status := range promiseStatuses {
+		peer := newFakeServer(t, respondWith(status, "", "Retry-After: 0.1"))
+		f := newFixture(t)
+		f.cutOff(peer.address)
+		if got := f.send(t, http.MethodPost, "/command/", "body"); got.status != http.StatusBadGateway || peer.count() != 1 {
+			t.Errorf("status %d after the peer's %d, which was asked %d times; want 502 and once", got.status, status, peer.count())
+		}
+	}
+}
+
 // Guards against a node's own promise for a request that may have run at a server before, as when the request
 // waits for a second server at a node whose queue is full.
 func TestRequestThatMayHaveRunIsNotRefused(t *testing.T) {
