--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -235,7 +235,7 @@
 func (x *exchange) handleResponse(choice dispatch.Choice, response *backendconn.Response, head ResponseHead) attemptResult {
 	defer response.Close()
 	x.recordResponse(choice, head)
-	x.rejectedBy = findRejectionEvidence(choice, response.Status, head)
+	x.rejectedBy = findRejectionEvidence(choice.ServerID, response.Status, head)
 	switch {
 	case x.rejectedBy.isProof():
 		return x.handleRejection(choice, response)
--- a/internal/relay/rejection.go
+++ b/internal/relay/rejection.go
@@ -20,13 +20,13 @@
 )
 
 // findRejectionEvidence returns how the response to a send shows that the request did not run.
-func findRejectionEvidence(choice dispatch.Choice, status int, head ResponseHead) rejectionEvidence {
+func findRejectionEvidence(serverID string, status int, head ResponseHead) rejectionEvidence {
 	switch {
 	case head.IsMarkedNotRun:
 		return evidenceMarked
 	case status != http.StatusMisdirectedRequest:
 		return ""
-	case head.ServerID != "" && head.ServerID != choice.ServerID:
+	case head.ServerID != "" && head.ServerID != serverID:
 		return evidenceOtherServer
 	default:
 		return evidenceStatusOnly
@@ -36,6 +36,12 @@
 // isProof reports whether a caller may be told that its request has not run.
 func (e rejectionEvidence) isProof() bool { return e == evidenceMarked || e == evidenceOtherServer }
 
+// ProvesNotRun reports whether a response with this head and status proves that the server with that ID did
+// not carry out what was sent to it.
+func (h ResponseHead) ProvesNotRun(serverID string, status int) bool {
+	return findRejectionEvidence(serverID, status, h).isProof()
+}
+
 // promisesNotRun reports whether the status tells a caller that its request has not run and never will.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/internal/relay/rejection_test.go
+++ b/internal/relay/rejection_test.go
@@ -3,12 +3,9 @@
 import (
 	"net/http"
 	"testing"
-
-	"github.com/spanlanding/spanlanding/internal/dispatch"
 )
 
 func TestFindRejectionEvidence(t *testing.T) {
-	choice := dispatch.Choice{ServerID: "s0"}
 	for name, c := range map[string]struct {
 		status int
 		head   ResponseHead
@@ -23,7 +20,7 @@
 		"another server, other status":    {http.StatusServiceUnavailable, ResponseHead{ServerID: "s1"}, ""},
 		"served":                          {http.StatusOK, ResponseHead{}, ""},
 	} {
-		if got := findRejectionEvidence(choice, c.status, c.head); got != c.want {
+		if got := findRejectionEvidence("s0", c.status, c.head); got != c.want {
 			t.Errorf("%s: %q, want %q", name, got, c.want)
 		}
 	}
