Heads of servers' responses are bounded

What was seen: a server that sends a head without end, or bytes that are no answer, costs the node that asked it 320 and 872 MB in 2 s at 100 MB/s (machines have 184 to 536 MB); callers of all its other requests go with it.

Cause: responses are read by http.ReadResponse, which bounds neither lines nor fields. net/http bounds heads in its Transport alone, which can't be used here: it sends requests again and matches no answers.

Change: package bounded has the one reader for this. backendconn reads each head through it: 32 KB and 256 fields, then the connection is reset, and the request may have run.

--- a/internal/backendconn/errors.go
+++ b/internal/backendconn/errors.go
@@ -15,6 +15,8 @@
 	ErrNotSent = errorNamespace.NewType("not_sent")
 	// ErrMaybeSent means that the request may have reached the server and run there.
 	ErrMaybeSent = errorNamespace.NewType("unknown")
+	// ErrTooLong is an ErrMaybeSent: the server sent a longer head than is read.
+	ErrTooLong = ErrMaybeSent.NewSubtype("too_long")
 )
 
 // IsRefused reports whether an error of Pool.Get says that nothing listens at the address.
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -11,6 +11,9 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
+	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/clock"
 )
 
@@ -83,7 +86,8 @@
 		return nil, ErrNotSent.Wrap(err, "request cancelled before it was sent")
 	}
 	c.reader = readers.Get().(*bufio.Reader)
-	c.reader.Reset(c.Conn)
+	c.head = bounded.HeadReader{Source: c.Conn}
+	c.reader.Reset(&c.head)
 	x.write(request)
 	response, err := x.read(request)
 	if err != nil {
@@ -123,8 +127,12 @@
 func (x *exchange) read(request Request) (*Response, error) {
 	method := &http.Request{Method: request.Method}
 	for range maxStaleResponses {
+		x.conn.head.Begin(int(x.conn.pool.maxHeadBytes.Load()))
 		response, err := http.ReadResponse(x.conn.reader, method)
-		if err != nil {
+		switch {
+		case errorx.IsOfType(err, bounded.ErrTooLong):
+			return nil, ErrTooLong.Wrap(err, "read response")
+		case err != nil:
 			return nil, ErrMaybeSent.Wrap(err, "read response")
 		}
 		if response.StatusCode < http.StatusOK {
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/singleflight"
 
+	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/clock"
 )
 
@@ -26,6 +27,8 @@
 	IdleTimeout time.Duration
 	// MaxIdle is the number of idle connections kept per address.
 	MaxIdle int
+	// MaxHeadBytes bounds the head of a response.
+	MaxHeadBytes int
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -52,6 +55,8 @@
 	// probes are the probes in flight, by address.
 	probes   singleflight.Group
 	hashSeed maphash.Seed
+	// maxHeadBytes is Options.MaxHeadBytes, which may change.
+	maxHeadBytes atomic.Int64
 }
 
 // New returns an empty pool.
@@ -71,7 +76,14 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &Pool{options: options, idle: make(map[string][]*Conn), hashSeed: maphash.MakeSeed()}
+	pool := &Pool{options: options, idle: make(map[string][]*Conn), hashSeed: maphash.MakeSeed()}
+	pool.SetMaxHeadBytes(options.MaxHeadBytes)
+	return pool
+}
+
+// SetMaxHeadBytes changes the bound of the head of a response; 0 is the default.
+func (p *Pool) SetMaxHeadBytes(count int) {
+	p.maxHeadBytes.Store(int64(bounded.Limits{HeadBytes: count}.WithDefaults().HeadBytes))
 }
 
 // Conn is a connection to a server, in use by one request.
@@ -80,6 +92,7 @@
 	pool        *Pool
 	address     string
 	reader      *bufio.Reader
+	head        bounded.HeadReader
 	idleSince   time.Time
 	idleTimeout time.Duration
 	history     history
