An event without end is not kept

What callers saw: a stream whose server sends an event that doesn't end gets nothing until its deadline, and the node keeps it all (0.4 GB in 3 s).

Cause: copyEvents kept whatever had come since the last whole event.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
@@ -128,6 +129,8 @@
 	OnUnreadField func(serverID, field string)
 	// MaxWaiting bounds the requests that wait for a server at the same time.
 	MaxWaiting int
+	// MaxEventBytes bounds one event of a stream.
+	MaxEventBytes int
 }
 
 // Handler is the http.Handler for callers.
@@ -144,6 +147,8 @@
 	waiting  atomic.Int64
 	// forwardedActive is the number of requests of peers in flight.
 	forwardedActive atomic.Int64
+	// eventLimit is Options.MaxEventBytes, which may change.
+	eventLimit atomic.Int64
 	// Metrics counts events on the way to responses.
 	Metrics Metrics
 	// OnFinished is called with each final response, by the kind of its route; nil disables it.
@@ -180,7 +185,7 @@
 	if options.LiveStarts == nil {
 		options.LiveStarts = origins.NewLiveStarts()
 	}
-	return &Handler{
+	handler := &Handler{
 		options:         options,
 		started:         clock.Now(),
 		splitter:        routetable.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
@@ -189,8 +194,17 @@
 		longestDeadline: make(map[string]time.Duration),
 		budgetLogged:    make(map[string]loggedBudget),
 	}
+	handler.SetMaxEventBytes(options.MaxEventBytes)
+	return handler
 }
 
+// SetMaxEventBytes changes the bound of one event of a stream; 0 is the default.
+func (h *Handler) SetMaxEventBytes(count int) {
+	h.eventLimit.Store(int64(bounded.Limits{EventBytes: count}.WithDefaults().EventBytes))
+}
+
+func (h *Handler) maxEventBytes() int { return int(h.eventLimit.Load()) }
+
 // SetTable replaces the route table.
 func (h *Handler) SetTable(table *routetable.Table) { h.table.Store(table) }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/routetable"
@@ -45,7 +46,8 @@
 }
 
 // copyEvents passes on the events of a response, each whole and as soon as it is complete, and reports
-// the bytes of each read to onRead. The error is io.EOF if the response ended after a whole event.
+// the bytes of each read to onRead. The error is io.EOF if the response ended after a whole event, and
+// bounded.ErrTooLong if an event is longer than is read.
 func (x *exchange) copyEvents(response *backendconn.Response, onRead func(count int)) error {
 	pooled := streamBuffers.Get().(*[]byte)
 	buffer := (*pooled)[:0]
@@ -68,6 +70,9 @@
 			_ = controller.Flush()
 			buffer = append(buffer[:0], buffer[end:]...)
 		}
+		if len(buffer) > x.handler.maxEventBytes() {
+			return bounded.ErrTooLong.New("an event has more than %d bytes", x.handler.maxEventBytes())
+		}
 		if err == nil {
 			continue
 		}
