Callers do not wait for heads and bodies that nobody needs

What callers saw: a rejection whose body doesn't end is told at the deadline (503 after 2 s), and so is a failure; a head that stops halfway, or comes a byte at a time, holds a request that may be repeated until its deadline.

Cause: the rest of a rejection or failure was read to its end for the sake of the connection, before anything was decided; a head had no time of its own.

Change: a rejection, a refusal without a proof and a failure that goes to another server count as soon as their head is read; of the body 16 KB are read within 20 ms, or the connection is reset. A request that may be repeated waits for the rest of a head that has begun, or of another request's answer, for 1 s. One that may run once still waits until its deadline: its answer may come.

TestBodiesThatNobodyNeedsAreNotAwaited failed before in all eight cases (the server had to give up first), TestHeadThatTricklesIsNotAwaited too.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -29,6 +29,9 @@
 	HasBody bool
 	// Deadline ends the exchange, on the clock of package clock; zero means no deadline.
 	Deadline time.Time
+	// PartialTimeout ends the exchange if a head that has begun, or a response that is passed over, takes
+	// longer; zero means no such limit.
+	PartialTimeout time.Duration
 	// Matches reports whether a response with these headers belongs to this request; nil accepts
 	// any.
 	Matches func(http.Header) bool
@@ -79,14 +82,16 @@
 // connection is reset, which cancels the request at the server.
 func (c *Conn) RoundTrip(ctx context.Context, request Request) (*Response, error) {
 	x := &exchange{conn: c, written: make(chan struct{})}
-	_ = c.SetDeadline(request.connDeadline())
+	deadline := request.connDeadline()
+	_ = c.SetDeadline(deadline)
 	x.stop = context.AfterFunc(ctx, c.reset)
 	if err := ctx.Err(); err != nil {
 		x.abort()
 		return nil, ErrNotSent.Wrap(err, "request cancelled before it was sent")
 	}
 	c.reader = readers.Get().(*bufio.Reader)
-	c.head = bounded.HeadReader{Source: c.Conn}
+	c.source = responseSource{conn: c, deadline: deadline, partialTimeout: request.PartialTimeout}
+	c.head = bounded.HeadReader{Source: &c.source}
 	c.reader.Reset(&c.head)
 	x.write(request)
 	response, err := x.read(request)
@@ -142,9 +147,11 @@
 			request.OnResponse(response.StatusCode, response.Header)
 		}
 		if request.Matches == nil || request.Matches(response.Header) {
+			x.conn.source.endPartial()
 			return x.newResponse(response), nil
 		}
 		x.conn.pool.staleResponses.Add(1)
+		x.conn.source.beginPartial()
 		if err := discardStale(response); err != nil {
 			return nil, err
 		}
@@ -164,6 +171,42 @@
 	}
 }
 
+// responseSource reads the responses of one exchange, and limits the time that a part of one may take.
+type responseSource struct {
+	conn           *Conn
+	deadline       time.Time
+	partialTimeout time.Duration
+	isLimited      bool
+}
+
+// Read implements io.Reader.
+func (s *responseSource) Read(into []byte) (int, error) {
+	if s.conn.head.IsPartial() {
+		s.beginPartial()
+	}
+	return s.conn.Conn.Read(into)
+}
+
+// beginPartial limits the time until endPartial, unless it is limited already.
+func (s *responseSource) beginPartial() {
+	if s.partialTimeout <= 0 || s.isLimited {
+		return
+	}
+	s.isLimited = true
+	limit := time.Now().Add(s.partialTimeout)
+	if s.deadline.IsZero() || limit.Before(s.deadline) {
+		_ = s.conn.SetReadDeadline(limit)
+	}
+}
+
+// endPartial lifts the limit of beginPartial.
+func (s *responseSource) endPartial() {
+	if s.isLimited {
+		s.isLimited = false
+		_ = s.conn.SetReadDeadline(s.deadline)
+	}
+}
+
 // discardStale reads a response that belongs to another request.
 func discardStale(response *http.Response) error {
 	if response.Close || response.ContentLength > maxStaleBytes {
@@ -209,6 +252,23 @@
 	r.conn.release(r.Header)
 }
 
+const (
+	// maxDrainBytes and maxDrainTime limit what is read of a body that nobody needs, so that its connection
+	// can be used again.
+	maxDrainBytes = 16 << 10
+	maxDrainTime  = 20 * time.Millisecond
+)
+
+// Drain ends the exchange as Close does, unless the rest of the body is short and there: then the connection
+// is kept.
+func (r *Response) Drain() {
+	if !r.done {
+		_ = r.conn.SetReadDeadline(time.Now().Add(maxDrainTime))
+		_, _ = io.Copy(io.Discard, io.LimitReader(r, maxDrainBytes))
+	}
+	r.Close()
+}
+
 // Close ends the exchange. If the body was not read to its end, the connection is closed, which
 // cancels the request at the server.
 func (r *Response) Close() {
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -93,6 +93,7 @@
 	address     string
 	reader      *bufio.Reader
 	head        bounded.HeadReader
+	source      responseSource
 	idleSince   time.Time
 	idleTimeout time.Duration
 	history     history
--- a/internal/bounded/head.go
+++ b/internal/bounded/head.go
@@ -11,9 +11,6 @@
 type HeadReader struct {
 	// Source is the connection.
 	Source io.Reader
-	// OnPartialHead is called once after the first bytes of a head that has not ended yet, and OnWholeHead
-	// after its end if OnPartialHead was called; both may be nil.
-	OnPartialHead, OnWholeHead func()
 
 	inHead    bool
 	isPartial bool
@@ -43,21 +40,12 @@
 	if r.err = r.account(into[:count]); r.err != nil {
 		return 0, r.err
 	}
-	switch {
-	case r.inHead && !r.isPartial:
-		r.isPartial = true
-		call(r.OnPartialHead)
-	case !r.inHead && r.isPartial:
-		call(r.OnWholeHead)
-	}
+	r.isPartial = r.inHead
 	return count, err
 }
 
-func call(function func()) {
-	if function != nil {
-		function()
-	}
-}
+// IsPartial reports whether a head has begun and not ended.
+func (r *HeadReader) IsPartial() bool { return r.isPartial }
 
 // account counts the text until the head ends in it.
 func (r *HeadReader) account(text []byte) error {
--- a/internal/bounded/head_test.go
+++ b/internal/bounded/head_test.go
@@ -51,16 +51,19 @@
 }
 
 func TestHeadReaderTellsOfPartialHeads(t *testing.T) {
-	for text, want := range map[string]string{"HTTP/1.1 200 OK\r\n\r\nbody": "", "HTTP/1.1 200 OK\r\n|\r\nbody": "pw", "HTTP|/1.1 200 |OK": "p"} {
-		var calls string
+	for text, want := range map[string]string{"HTTP/1.1 200 OK\r\n\r\nbody": "w", "HTTP/1.1 200 OK\r\n|\r\nbody": "pw", "HTTP|/1.1 200 |OK": "ppp"} {
 		var parts []io.Reader
 		for part := range strings.SplitSeq(text, "|") {
 			parts = append(parts, strings.NewReader(part))
 		}
-		reader := &HeadReader{Source: io.MultiReader(parts...), OnPartialHead: func() { calls += "p" }, OnWholeHead: func() { calls += "w" }}
+		got, reader := "", &HeadReader{Source: io.MultiReader(parts...)}
 		reader.Begin(DefaultHeadBytes)
-		if _, err := io.ReadAll(reader); err != nil || calls != want {
-			t.Errorf("%q: calls %q, error %v, want %q", text, calls, err, want)
+		for range parts {
+			_, _ = reader.Read(make([]byte, 100))
+			got += map[bool]string{true: "p", false: "w"}[reader.IsPartial()]
+		}
+		if got != want {
+			t.Errorf("%q: %q, want %q", text, got, want)
 		}
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -169,13 +169,14 @@
 		Tenant:      x.tenantName(),
 	})
 	return backendconn.Request{
-		Method:   x.request.Method,
-		Target:   x.request.RequestURI,
-		Host:     x.request.Host,
-		Header:   header,
-		Body:     x.body,
-		HasBody:  x.request.ContentLength != 0 || len(x.body) > 0,
-		Deadline: x.deadline,
+		Method:         x.request.Method,
+		Target:         x.request.RequestURI,
+		Host:           x.request.Host,
+		Header:         header,
+		Body:           x.body,
+		HasBody:        x.request.ContentLength != 0 || len(x.body) > 0,
+		Deadline:       x.deadline,
+		PartialTimeout: x.partialTimeout(),
 		Matches: func(response http.Header) bool {
 			return x.handler.options.Dialect.BelongsTo(response, x.head.RequestID)
 		},
@@ -183,6 +184,19 @@
 	}
 }
 
+// partialResponseTimeout is how long a request that may be repeated waits for the rest of a head. It allows
+// for two losses of a packet.
+const partialResponseTimeout = time.Second
+
+// partialTimeout is how long a head that has begun may take; 0 leaves that to the deadline, as for a request
+// that may run once: its response may still come.
+func (x *exchange) partialTimeout() time.Duration {
+	if !x.isRetryable() {
+		return 0
+	}
+	return partialResponseTimeout
+}
+
 // urgency is the scheduling rank that the server is told, 0 first: by the priority of the tenant, then
 // by that of the route. Without a tenant priority it is the route's, and within one route priority
 // retries of refused requests go before new requests. It is below 0 for services without models.
@@ -327,7 +341,7 @@
 // handleRejection handles a server's statement that it did not run the request.
 func (x *exchange) handleRejection(choice dispatch.Choice, response *backendconn.Response) attemptResult {
 	x.handler.Metrics.Rejected.Add(1)
-	_, _ = io.Copy(io.Discard, response)
+	response.Drain()
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
 		now := clock.Now()
 		core.End(now, choice.Attempt, dispatch.OutcomeRejected)
@@ -368,17 +382,18 @@
 // relayWhole passes on a response that is not a stream.
 func (x *exchange) relayWhole(choice dispatch.Choice, response *backendconn.Response) attemptResult {
 	failed := response.Status >= http.StatusInternalServerError
+	if failed && x.canRetryElsewhere() {
+		response.Drain()
+		x.endAttempt(choice, dispatch.OutcomeFailed)
+		x.failedServers = append(x.failedServers, choice.ServerID)
+		return attemptRetry
+	}
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
 	x.countBytes(choice, len(body))
 	if err != nil {
 		x.handleBrokenResponse(choice)
 		return x.retryOrGiveUp("broken_answer")
 	}
-	if failed && x.canRetryElsewhere() {
-		x.endAttempt(choice, dispatch.OutcomeFailed)
-		x.failedServers = append(x.failedServers, choice.ServerID)
-		return attemptRetry
-	}
 	outcome := dispatch.OutcomeServed
 	if failed {
 		outcome = dispatch.OutcomeFailed
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 const (
@@ -70,3 +71,86 @@
 		})
 	}
 }
+
+// answeredFirst has a server send the text, and no more until the caller has its response.
+type answeredFirst struct {
+	text     string
+	answered chan struct{}
+	isLate   atomic.Bool
+}
+
+// mostSilent is how long such a server waits for that.
+const mostSilent = 3 * time.Second
+
+func (a *answeredFirst) respond(conn net.Conn, _ *http.Request) bool {
+	write(conn, a.text)
+	select {
+	case <-a.answered:
+	case <-time.After(mostSilent):
+		a.isLate.Store(true)
+	}
+	return false
+}
+
+// Guards against rejections and failures that are told only once their bodies have ended, at the deadline at
+// worst.
+func TestBodiesThatNobodyNeedsAreNotAwaited(t *testing.T) {
+	const endless = "X-Id: r1\r\nTransfer-Encoding: chunked\r\n"
+	for name, c := range map[string]struct {
+		text, path string
+		want       int
+	}{
+		"rejection":                     {"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n" + endless + "\r\n", "/once/", http.StatusServiceUnavailable},
+		"rejection, body begun":         {"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n" + endless + "\r\n" + chunk("body"), "/once/", http.StatusServiceUnavailable},
+		"refusal without a proof":       {"HTTP/1.1 503 X\r\n" + endless + "\r\n", "/once/", http.StatusBadGateway},
+		"failure that may be repeated":  {"HTTP/1.1 500 X\r\n" + endless + "\r\n", "/often/", http.StatusOK},
+		"refusal that may be repeated":  {"HTTP/1.1 429 X\r\n" + endless + "\r\n", "/often/", http.StatusOK},
+		"half a head, may be repeated":  {"HTTP/1.1 200 OK\r\nX-I", "/often/", http.StatusOK},
+		"half a head, stream":           {"HTTP/1.1 200 OK\r\nX-I", "/resume/", http.StatusOK},
+		"other answer, may be repeated": {"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nhalf", "/often/", http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			silent := &answeredFirst{text: c.text, answered: make(chan struct{})}
+			var isAsked atomic.Bool
+			respond := func(conn net.Conn, request *http.Request) bool {
+				if isAsked.CompareAndSwap(false, true) {
+					return silent.respond(conn, request)
+				}
+				return respondWith(http.StatusOK, events(1))(conn, request)
+			}
+			got := newFixture(t, newFakeServer(t, respond), newFakeServer(t, respond)).send(t, http.MethodPost, c.path, "")
+			close(silent.answered)
+			if got.status != c.want || silent.isLate.Load() {
+				t.Errorf("status %d, error %v, want %d before the body ends", got.status, got.err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a head that never ends, a byte at a time: a request that may be repeated goes to another server.
+func TestHeadThatTricklesIsNotAwaited(t *testing.T) {
+	var isAsked atomic.Bool
+	wasClosed := make(chan bool, 1)
+	respond := func(conn net.Conn, request *http.Request) bool {
+		if !isAsked.CompareAndSwap(false, true) {
+			return respondWith(http.StatusOK, "whole")(conn, request)
+		}
+		write(conn, "HTTP/1.1 200 OK\r\nX-Id: ")
+		for range mostSilent / trickleInterval {
+			if _, err := io.WriteString(conn, "r"); err != nil {
+				wasClosed <- true
+				return false
+			}
+			time.Sleep(trickleInterval)
+		}
+		wasClosed <- false
+		return false
+	}
+	got := newFixture(t, newFakeServer(t, respond), newFakeServer(t, respond)).send(t, http.MethodGet, "/often/", "")
+	if got.status != http.StatusOK || got.body != "whole" || !<-wasClosed {
+		t.Errorf("status %d, %q, error %v, want the response of the second server, and the first connection closed", got.status, got.body, got.err)
+	}
+}
+
+const trickleInterval = 50 * time.Millisecond
--- a/internal/relay/rejection.go
+++ b/internal/relay/rejection.go
@@ -60,6 +60,7 @@
 // may be repeated, or fails.
 func (x *exchange) handleUnprovenRefusal(choice dispatch.Choice, response *backendconn.Response) attemptResult {
 	x.handler.Metrics.UnprovenRefusals.Add(1)
+	response.Drain()
 	x.log("request_refused_unproven", response.Status, choice.ServerID)
 	isRetried := x.canRetryElsewhere()
 	x.endAttempt(choice, dispatch.OutcomeFailed)
