Responses that are too long are counted, and named in the log

Operators could not find the server that sends heads or events without end: its callers' lines say no_answer or broken_stream, as after any reset. response_too_long names the server or peer, the part and the request's ID, heads_too_long_total and events_too_long_total count.

TestHeadsWithoutEndAreCounted: unsafe 502, safe and resumable served by another server, sent by the node and by a peer. Two tables hold what is no response (14 rows) and bodies whose end is in doubt (9 rows): net/http's reader refuses them all already, no row failed before.

--- a/internal/backendconn/endless_test.go
+++ b/internal/backendconn/endless_test.go
@@ -8,10 +8,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 
 	"github.com/spanlanding/spanlanding/internal/bounded"
+	"github.com/spanlanding/spanlanding/internal/clock"
 )
 
 // endlessServer writes the beginning, and then the unit again and again until its connection is closed, or
@@ -77,3 +79,87 @@
 		})
 	}
 }
+
+// respondOnce has a server send the text and then nothing, with its connection open.
+func respondOnce(text string) func(context.Context, string) (net.Conn, error) {
+	return func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = far.Read(make([]byte, 4096))
+			_, _ = io.WriteString(far, text)
+			_, _ = io.Copy(io.Discard, far)
+		}()
+		return near, nil
+	}
+}
+
+// Guards against bytes that are no answer, or several ones, taken for a response.
+func TestWhatIsNoResponseIsNotTakenForOne(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\n"
+	for name, text := range map[string]string{
+		"TLS":                             "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\n",
+		"HTTP/2":                          "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+		"empty line":                      "\r\n",
+		"no status":                       "HTTP/1.1\r\n\r\n",
+		"status that is no number":        "HTTP/1.1 two OK\r\n\r\n",
+		"field without a name":            status + ": v\r\n\r\n",
+		"field without a colon":           status + "Field\r\n\r\n",
+		"NUL in a value":                  status + "Field: a\x00b\r\n\r\n",
+		"bare CR in a value":              status + "Field: a\rb\r\n\r\n",
+		"two lengths":                     status + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+		"negative length":                 status + "Content-Length: -1\r\n\r\n",
+		"length that is no number":        status + "Content-Length: 1x\r\n\r\n",
+		"length beyond 63 bits":           status + "Content-Length: 9223372036854775808\r\n\r\n",
+		"unknown encoding of its framing": status + "Transfer-Encoding: gzip\r\n\r\n",
+	} {
+		pool := New(Options{Dial: respondOnce(text)})
+		conn, err := pool.Get(context.Background(), "server", "r1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		request := Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Deadline: clock.Now().Add(5 * time.Second)}
+		if _, err := conn.RoundTrip(context.Background(), request); !errorx.IsOfType(err, ErrMaybeSent) {
+			t.Errorf("%s: error %v, want that the request may have been sent", name, err)
+		}
+	}
+}
+
+// Guards against a connection that is used again after a response whose end is in doubt, and against a body
+// that looks whole and is not.
+func TestBodiesInDoubtEndTheirConnection(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct {
+		text    string
+		isWhole bool
+	}{
+		"second answer behind the first": {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 200 OK\r\n\r\n", true},
+		"bytes behind the answer":        {chunked + "2\r\nab\r\n0\r\n\r\nxx", true},
+		"chunk of 2^63 bytes":            {chunked + "8000000000000000\r\nab\r\n0\r\n\r\n", false},
+		"chunk of 2^64 bytes":            {chunked + "10000000000000000\r\nab\r\n0\r\n\r\n", false},
+		"chunk without a length":         {chunked + "\r\nab\r\n0\r\n\r\n", false},
+		"negative chunk":                 {chunked + "-2\r\nab\r\n0\r\n\r\n", false},
+		"chunk that is longer":           {chunked + "1\r\nab\r\n0\r\n\r\n", false},
+		"endless extension of a chunk":   {chunked + "2;" + strings.Repeat("x", 1<<20) + "\r\nab\r\n0\r\n\r\n", false},
+		"endless trailer":                {chunked + "2\r\nab\r\n0\r\n" + strings.Repeat("A: b\r\n", 1<<16) + "\r\n", false},
+	} {
+		pool := New(Options{Dial: respondOnce(c.text)})
+		conn, err := pool.Get(context.Background(), "server", "r1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		deadline := clock.Now().Add(time.Second)
+		response, err := conn.RoundTrip(context.Background(), Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Deadline: deadline})
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		body, err := io.ReadAll(response)
+		response.Close()
+		if isWhole := err == nil && string(body) == "ab"; isWhole != c.isWhole {
+			t.Errorf("%s: body %.20q, error %v, want whole: %v", name, body, err, c.isWhole)
+		}
+		if len(pool.idle["server"]) > 0 {
+			t.Errorf("%s: the connection is kept", name)
+		}
+	}
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -145,6 +145,8 @@
 	m.counter("repeats_total", "Requests sent to a server again.", handlerMetrics.Retries.Load)
 	m.counter("resumed_total", "Streams taken up at another server.", handlerMetrics.Resumed.Load)
 	m.counter("unproven_refusals_total", "Answers of servers and peers whose status promises that the request did not run, without a proof.", handlerMetrics.UnprovenRefusals.Load)
+	m.counter("heads_too_long_total", "Answers of servers and peers broken off, as their head was longer than is read.", handlerMetrics.HeadsTooLong.Load)
+	m.counter("events_too_long_total", "Streams of servers and peers broken off, as an event was longer than is read.", handlerMetrics.EventsTooLong.Load)
 	m.counter("rejected_total", "Sends that a server did not run.", handlerMetrics.Rejected.Load)
 	m.counter("budget_empty_total", "Requests given up for want of a repeat.", handlerMetrics.BudgetEmpty.Load)
 	m.counter("forwarded_total", "Requests that a peer took, as this node reaches no server.", handlerMetrics.Forwarded.Load)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -229,6 +229,7 @@
 		return x.handleNotSent(choice)
 	}
 	x.mayHaveRun = true
+	x.countTooLong(choice.ServerID, err, tooLongHead)
 	x.handleBrokenResponse(choice)
 	return x.retryOrGiveUp("no_answer")
 }
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -60,7 +60,8 @@
 				taken.Store(writeEndless(conn, chunk(unit)))
 				return false
 			}
-			got := newFixture(t, newFakeServer(t, respond), newFakeServer(t, respond)).send(t, http.MethodPost, c.path, "")
+			f := newFixture(t, newFakeServer(t, respond), newFakeServer(t, respond))
+			got := f.send(t, http.MethodPost, c.path, "")
 			isWhole := got.err == nil && got.status == http.StatusOK
 			if isWhole != c.isWhole || got.status == http.StatusOK && got.body != c.want {
 				t.Errorf("status %d, %d bytes, error %v, want %q", got.status, len(got.body), got.err, c.want)
@@ -68,6 +69,9 @@
 			if taken.Load() > mostTaken {
 				t.Errorf("%d bytes were taken", taken.Load())
 			}
+			if counted := f.handler.Metrics.EventsTooLong.Load(); counted != 1 {
+				t.Errorf("%d events are counted as too long, want one", counted)
+			}
 		})
 	}
 }
@@ -154,3 +158,37 @@
 }
 
 const trickleInterval = 50 * time.Millisecond
+
+// Guards against heads without end that nobody can find in logs and metrics, and checks what becomes of their
+// requests, sent by the node itself and by a peer.
+func TestHeadsWithoutEndAreCounted(t *testing.T) {
+	unit := strings.Repeat("v", 32<<10)
+	for _, c := range []struct {
+		path string
+		want int
+	}{{"/once/", http.StatusBadGateway}, {"/often/", http.StatusOK}, {"/resume/", http.StatusOK}} {
+		for _, isForwarded := range []bool{false, true} {
+			var isAsked atomic.Bool
+			respond := func(conn net.Conn, request *http.Request) bool {
+				if !isAsked.CompareAndSwap(false, true) {
+					return respondWith(http.StatusOK, events(1))(conn, request)
+				}
+				write(conn, "HTTP/1.1 200 OK\r\nField: ")
+				writeEndless(conn, unit)
+				return false
+			}
+			servers := []*fakeServer{newFakeServer(t, respond), newFakeServer(t, respond)}
+			f := newFixture(t, servers...)
+			asking := f
+			if isForwarded {
+				f, asking, _ = newCutOff(t, servers...)
+			}
+			if got := f.send(t, http.MethodPost, c.path, ""); got.status != c.want {
+				t.Errorf("%s, forwarded %v: status %d, error %v, want %d", c.path, isForwarded, got.status, got.err, c.want)
+			}
+			if counted := asking.handler.Metrics.HeadsTooLong.Load(); counted != 1 {
+				t.Errorf("%s, forwarded %v: %d heads are counted as too long, want one", c.path, isForwarded, counted)
+			}
+		}
+	}
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -119,6 +119,7 @@
 		return forwardDeclined
 	case err != nil:
 		x.countForwardedSend(address, allowed)
+		x.countTooLong(address, err, tooLongHead)
 		x.mayHaveRun = true
 		return x.endBrokenForward("no_answer_from_peer")
 	}
@@ -236,6 +237,7 @@
 		return x.endBrokenForward(reasonOtherVersion)
 	case x.route.Stream && response.Status == http.StatusOK:
 		if err := x.copyEvents(response, func(int) {}); !errors.Is(err, io.EOF) {
+			x.countTooLong(x.peer, err, tooLongEvent)
 			return x.endBrokenForward("broken_stream")
 		}
 		if !x.headSent {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -44,6 +44,9 @@
 	// UnprovenRefusals counts the responses of servers and peers whose status promises that the request did
 	// not run, without a proof.
 	UnprovenRefusals atomic.Int64
+	// HeadsTooLong and EventsTooLong count the responses that were broken off since their head, or an event,
+	// was longer than is read.
+	HeadsTooLong, EventsTooLong atomic.Int64
 	// ColdHeld counts sends that admission denied.
 	ColdHeld atomic.Int64
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -42,6 +42,7 @@
 	if errors.Is(err, io.EOF) {
 		return x.finishStream(choice, response)
 	}
+	x.countTooLong(choice.ServerID, err, tooLongEvent)
 	return x.handleBrokenStream(choice)
 }
 
