--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/traffic"
 )
@@ -63,6 +64,8 @@
 			DialContext:         (&net.Dialer{Timeout: controlDialTimeout}).DialContext,
 			MaxIdleConnsPerHost: controlIdleConnections,
 			IdleConnTimeout:     controlIdleTimeout,
+
+			MaxResponseHeaderBytes: bounded.DefaultHeadBytes,
 		}},
 	}
 }
--- a/internal/backend/generate.go
+++ b/internal/backend/generate.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -64,6 +65,8 @@
 			MaxIdleConnsPerHost: engineIdleConnections,
 			IdleConnTimeout:     engineIdleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: bounded.DefaultHeadBytes,
 		},
 	}
 }
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 )
@@ -77,11 +78,15 @@
 			MaxIdleConnsPerHost: serviceIdleConnections,
 			IdleConnTimeout:     engineIdleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: bounded.DefaultHeadBytes,
 		},
 		singleUse: &http.Transport{
 			DialContext:        dialTracked,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
+
+			MaxResponseHeaderBytes: bounded.DefaultHeadBytes,
 		},
 	}
 }
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
@@ -30,6 +31,9 @@
 	refreshPeriod = 30 * time.Second
 	// snapshotPeers is the number of addresses that a snapshot names.
 	snapshotPeers = 12
+	// maxPeerBodyBytes bounds what one call of a peer, or the response to one, takes. A list of a thousand
+	// servers takes 100 KB.
+	maxPeerBodyBytes = 4 << 20
 )
 
 // snapshots requests and serves snapshots of the data that nodes have from the store.
@@ -56,8 +60,10 @@
 	return &snapshots{
 		node: node,
 		client: &http.Client{
-			Timeout:   snapshotTimeout,
-			Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+			Timeout: snapshotTimeout,
+			Transport: bounded.LimitBodies(&http.Transport{
+				DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: bounded.DefaultHeadBytes,
+			}, maxPeerBodyBytes),
 		},
 		pending: make(chan wantedSnapshot, 1),
 	}
@@ -65,7 +71,7 @@
 
 // serve serves peers on the TCP port with the same number as the node's UDP port.
 func (s *snapshots) serve(ctx context.Context, listener net.Listener) error {
-	calls := peerpb.NewNodesServer(s)
+	calls := http.MaxBytesHandler(peerpb.NewNodesServer(s), maxPeerBodyBytes)
 	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if relay.IsForwarded(request) {
 			s.node.handler.ServePeer(writer, request)
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/traffic"
 )
@@ -27,7 +28,7 @@
 	// maxErrorBytes bounds how much of an error response's body is read.
 	maxErrorBytes = 4 << 10
 	// maxListBytes bounds the body of any other response; lists are the largest.
-	maxListBytes = 256 << 20
+	maxListBytes = 64 << 20
 )
 
 // Client calls the object API and the machine list. It is safe for concurrent
@@ -48,6 +49,8 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: bounded.DefaultHeadBytes,
 	}
 	return &Client{
 		base: strings.TrimSuffix(address, "/"),
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/traffic"
 )
@@ -72,9 +73,11 @@
 		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnectionLimit,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: bounded.DefaultHeadBytes,
 	}
 	return &Pool{
-		client:  &http.Client{Transport: transport},
+		client:  &http.Client{Transport: bounded.LimitBodies(transport, maxPeerBodyBytes)},
 		clients: make(map[string]Clients),
 	}
 }
