What a node keeps for requests is bounded in sum

Change: package membudget. A request reserves 32 KB and its body before it is read, a body in chunks as it comes, a long event as its buffer grows; answers of up to 64 KB are counted. Without room: 503 at once with Retry-After, and nothing is read. A tenant may hold its share among those that hold any and one more, so the next one finds room. One setting, memory.requestBytes, 0.3 of the machine's memory by default; the heap is limited to 0.7 of it, so that the collector works harder before the process ends. The own interface has its bound already (node-overloaded).

Settings of heads and events (responseLimits) are checked with them: 0, negative, text and too small ones are findings with their key and line.

TestRequestsBeyondTheMemoryAreRefused and two beside it: no such bound before.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -74,6 +74,7 @@
 	if err != nil {
 		return err
 	}
+	limitHeap(settings)
 	logOutput := logging.NewBoundedWriter(logging.BoundedWriterOptions{Out: os.Stdout, UnlimitedEvents: unlimitedEvents})
 	defer logOutput.Close()
 	logger := logging.New(logOutput, level, logging.Field{Key: "node", Value: settings.NodeName})
@@ -129,6 +130,13 @@
 	return node.Run(ctx)
 }
 
+// limitHeap sets the limit of the heap by the machine's memory, unless the environment sets one.
+func limitHeap(settings platform.Settings) {
+	if limit := settings.HeapLimit(); limit > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(limit)
+	}
+}
+
 // metricsAddress returns the address and path at which metrics are served, empty
 // for none. The settings take precedence over the flag.
 func metricsAddress(settings platform.Settings, flag string) string {
@@ -171,6 +179,8 @@
 			Extra:  settings.Bounds.BudgetExtra,
 			Window: platform.Seconds(settings.Bounds.BudgetWindowS),
 		},
+		ResponseLimits: settings.BoundedLimits(),
+		RequestMemory:  settings.RequestMemory(),
 	}
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -113,6 +113,8 @@
 		return float64(len(node.peers.roster.Alive(clock.Now())))
 	})
 	m.gauge("services_unreachable", "Services to whose servers no connection comes up.", func() float64 { return float64(len(node.reachable.unreachable())) })
+	m.gauge("requests_bytes", "Memory kept for requests in flight.", func() float64 { used, _ := node.memory.Used(); return float64(used) })
+	m.gauge("requests_bytes_limit", "Memory that may be kept for requests in flight.", func() float64 { _, limit := node.memory.Used(); return float64(limit) })
 	m.gauge("repeats_left", "Repeats that may be sent now, of the service that has least.", func() float64 { return node.handler.MinRetriesRemaining() })
 	for _, state := range []dispatch.State{dispatch.StateReady, dispatch.StateDraining, dispatch.StateBackingOff, dispatch.StateEvacuated, dispatch.StateRateLimited, dispatch.StateSuspect} {
 		m.gauge("servers_"+string(state), "Servers that are "+string(state)+".", func() float64 {
@@ -147,6 +149,7 @@
 	m.counter("unproven_refusals_total", "Answers of servers and peers whose status promises that the request did not run, without a proof.", handlerMetrics.UnprovenRefusals.Load)
 	m.counter("heads_too_long_total", "Answers of servers and peers broken off, as their head was longer than is read.", handlerMetrics.HeadsTooLong.Load)
 	m.counter("events_too_long_total", "Streams of servers and peers broken off, as an event was longer than is read.", handlerMetrics.EventsTooLong.Load)
+	m.counter("memory_refused_total", "Requests for which there was no memory.", handlerMetrics.MemoryRefused.Load)
 	m.counter("rejected_total", "Sends that a server did not run.", handlerMetrics.Rejected.Load)
 	m.counter("budget_empty_total", "Requests given up for want of a repeat.", handlerMetrics.BudgetEmpty.Load)
 	m.counter("forwarded_total", "Requests that a peer took, as this node reaches no server.", handlerMetrics.Forwarded.Load)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -15,11 +16,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/evacuation"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
+	"github.com/spanlanding/spanlanding/internal/membudget"
 	"github.com/spanlanding/spanlanding/internal/quota"
 	"github.com/spanlanding/spanlanding/internal/relay"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
@@ -104,14 +107,23 @@
 	// PeerSeeds are the UDP addresses of some other nodes.
 	PeerSeeds   []string
 	RetryBudget retrybudget.Options
+	// ResponseLimits bound what one server can make this node hold.
+	ResponseLimits bounded.Limits
+	// RequestMemory is the number of bytes kept for requests in flight; 0 is DefaultRequestMemory.
+	RequestMemory int64
 }
 
+// DefaultRequestMemory is the default of Tunables.RequestMemory, in bytes.
+const DefaultRequestMemory = 256 << 20
+
 // Node is one gateway process.
 type Node struct {
-	options     Options
-	dispatch    *dispatch.Shared
-	pool        *backendconn.Pool
-	handler     *relay.Handler
+	options  Options
+	dispatch *dispatch.Shared
+	pool     *backendconn.Pool
+	handler  *relay.Handler
+	// memory is what requests in flight share.
+	memory      *membudget.Budget
 	peers       *peers
 	leader      *leader
 	metrics     *metrics
@@ -199,9 +211,9 @@
 		configRefresh:  make(chan struct{}, 1),
 		serversRefresh: make(chan struct{}, 1),
 		directory:      newDirectory(),
+		memory:         membudget.New(DefaultRequestMemory),
 	}
 	node.seedsQueried.Store(len(options.Tunables.PeerSeeds) == 0)
-	node.gracePeriodNanos.Store(int64(options.Tunables.GracePeriod))
 	node.leader = newLeader(node)
 	node.snapshots = newSnapshots(node)
 	node.quotas = newQuotas(node, options.QuotaTolerance, options.IsBootstrap)
@@ -217,6 +229,7 @@
 		Dispatch:  node.dispatch,
 		Pool:      node.pool,
 		Budget:    options.Tunables.RetryBudget,
+		Memory:    node.memory,
 		Logger:    options.Logger,
 		OnWaiting: func() { node.peers.sendWaitingDemand() },
 		Quotas:    node.quotas,
@@ -237,6 +250,7 @@
 		IsReady:    node.hasRequiredState,
 		AwaitReady: node.awaitRequiredState,
 	})
+	node.UpdateTunables(options.Tunables)
 	node.metrics = newMetrics(node)
 	node.handler.OnFinished = func(route, outcome string, took time.Duration) {
 		node.metrics.requests.WithLabelValues(route, outcome).Observe(took.Seconds())
@@ -248,6 +262,10 @@
 func (n *Node) UpdateTunables(tunables Tunables) {
 	n.gracePeriodNanos.Store(int64(tunables.GracePeriod))
 	n.handler.SetBudget(tunables.RetryBudget)
+	n.handler.SetMaxEventBytes(tunables.ResponseLimits.EventBytes)
+	n.pool.SetMaxHeadBytes(tunables.ResponseLimits.HeadBytes)
+	n.forwarder.pool.SetMaxHeadBytes(tunables.ResponseLimits.HeadBytes)
+	n.memory.SetLimit(cmp.Or(tunables.RequestMemory, DefaultRequestMemory))
 	if n.peers != nil {
 		n.peers.addSeeds(tunables.PeerSeeds)
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -390,6 +390,7 @@
 		return attemptRetry
 	}
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
+	x.countMemory(len(body))
 	x.countBytes(choice, len(body))
 	if err != nil {
 		x.handleBrokenResponse(choice)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,6 +15,7 @@
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
+	"github.com/spanlanding/spanlanding/internal/membudget"
 	"github.com/spanlanding/spanlanding/internal/origins"
 	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/routetable"
@@ -43,9 +43,11 @@
 	// needsModel is set where the servers of the service run models.
 	needsModel bool
 	head       Head
-	body       []byte
-	header     http.Header
-	deadline   time.Time
+	// memory is what the request holds of Options.Memory; nil where that is nil, or before its body is read.
+	memory   *membudget.Reservation
+	body     []byte
+	header   http.Header
+	deadline time.Time
 	// isRetry is set where the caller was probably refused before and has come back.
 	isRetry bool
 
@@ -147,6 +149,7 @@
 
 // serve handles the request to its end.
 func (x *exchange) serve() {
+	defer x.releaseMemory()
 	if x.handler.isClosed.Load() {
 		x.refuse(reasonNodeStopping, nodeStoppingRetryDelay)
 		return
@@ -226,37 +229,6 @@
 	x.deadline = x.arrived.Add(timeout)
 }
 
-// readBody reads the whole body, within the configured size limit.
-func (x *exchange) readBody() bool {
-	limit := x.table.Limits.MaxBodyBytes
-	if limit > 0 && x.request.ContentLength > limit {
-		x.writer.Header().Set("Connection", "close")
-		x.deny(http.StatusRequestEntityTooLarge, "body over the limit")
-		return false
-	}
-	reader := io.Reader(x.request.Body)
-	if limit > 0 {
-		reader = io.LimitReader(reader, limit+1)
-	}
-	var err error
-	if length := x.request.ContentLength; length >= 0 {
-		x.body = make([]byte, length)
-		_, err = io.ReadFull(reader, x.body)
-	} else {
-		x.body, err = io.ReadAll(reader)
-	}
-	switch {
-	case err != nil:
-		x.log("request_unread", 0, err.Error())
-		panic(http.ErrAbortHandler)
-	case limit > 0 && int64(len(x.body)) > limit:
-		x.writer.Header().Set("Connection", "close")
-		x.deny(http.StatusRequestEntityTooLarge, "body over the limit")
-		return false
-	}
-	return true
-}
-
 // connectionHeaders concern one connection only and are not forwarded (RFC 9110, section 7.6.1).
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
+	"github.com/spanlanding/spanlanding/internal/membudget"
 	"github.com/spanlanding/spanlanding/internal/origins"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
 	"github.com/spanlanding/spanlanding/internal/routetable"
@@ -131,6 +132,8 @@
 	MaxWaiting int
 	// MaxEventBytes bounds one event of a stream.
 	MaxEventBytes int
+	// Memory bounds what is kept for requests in flight; nil disables it.
+	Memory *membudget.Budget
 }
 
 // Handler is the http.Handler for callers.
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -220,6 +220,13 @@
 	}, []routetable.Service{{Name: "svc"}, {Name: "none"}}, routetable.Limits{MaxBodyBytes: 1000})
 }
 
+// awaitIdle waits until no request is in flight: the caller has its response a little before that.
+func (f *fixture) awaitIdle() {
+	for f.handler.Active() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // result is a response as the caller sees it.
 type result struct {
 	status int
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -61,6 +61,9 @@
 	controller := http.NewResponseController(x.writer)
 	for {
 		if len(buffer) == cap(buffer) {
+			if !x.reserveMemory(int64(cap(buffer))) {
+				return bounded.ErrTooLong.New("there is no memory for an event of over %d bytes", len(buffer))
+			}
 			buffer = append(buffer, 0)[:len(buffer)]
 		}
 		count, err := response.Read(buffer[len(buffer):cap(buffer)])
