--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -104,6 +104,8 @@
 	hasMetrics bool
 	// bounds holds additional lines of the [bounds] section.
 	bounds string
+	// memoryMb is the memory of each machine; 0 leaves it out of the settings.
+	memoryMb int
 }
 
 func newFleetWithOptions(t *testing.T, options fleetOptions) *fleet {
@@ -125,6 +127,9 @@
 		n.settingsPath = filepath.Join(f.dir, n.name+".toml")
 		text := fmt.Sprintf(settingsTemplate, n.name, ip, f.ports[0], f.ports[0]+1, options.seeds, ip, f.ports[1], ip, f.ports[2], storeAddress)
 		text = strings.Replace(text, "[bounds]\n", "[bounds]\n"+options.bounds, 1)
+		if options.memoryMb > 0 {
+			text += fmt.Sprintf("[limits]\nmemoryMb = %d\n", options.memoryMb)
+		}
 		if err := os.WriteFile(n.settingsPath, []byte(options.setZone(text, i)), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -70,6 +70,13 @@
 	// unmarkedStatus is the status that every fifth request gets after it ran, without a header that
 	// says that it did not run; 0 means none.
 	unmarkedStatus int
+	// endless is the answer that each endlessEach-th request gets as it runs, or in place of a run if it is a
+	// rejection; nil means none.
+	endless     *endlessAnswer
+	endlessEach int
+	// received counts the requests that were not rejected for want of their model, and endlessCount those of
+	// them that got such an answer.
+	received, endlessCount int
 	// onPoison handles poison requests; if nil, they run like any other request.
 	onPoison func(writer http.ResponseWriter, request *http.Request, body string)
 	// coldSince and coldUntil delimit the cold-start phase; zero for servers without one.
@@ -320,6 +327,17 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	m.received++
+	if m.endless != nil && m.received%m.endlessEach == 0 {
+		answer := *m.endless
+		m.endlessCount++
+		if answer.name != "rejection" {
+			m.runs[id]++
+		}
+		m.mu.Unlock()
+		answer.write(writer, id)
+		return
+	}
 	if culprit := culpritOf(request, string(body)); m.onPoison != nil && culprit != "" {
 		m.mu.Unlock()
 		m.onPoison(writer, request, culprit)
