Callers with long bodies get early refusals

Cause: net/http resets a connection whose caller still sends; it closes its own side first and waits only for callers without that header, or once a MaxBytesReader has met its limit.

Change: a response that is written before a body of over 256 KB was read tells net/http so, by such a reader. Shorter bodies are read by net/http.

TestCallersWithLongBodiesGetEarlyResponses failed before in all five cases.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -53,12 +54,13 @@
 		x.denyLongBody()
 		return false
 	}
+	x.isBodyRead = true
 	return true
 }
 
 // denyLongBody responds to a request whose body exceeds the configured limit.
 func (x *exchange) denyLongBody() {
-	x.writer.Header().Set("Connection", "close")
+	x.leaveBody()
 	x.deny(http.StatusRequestEntityTooLarge, "body over the limit")
 }
 
@@ -67,12 +69,28 @@
 	x.body = nil
 	x.releaseMemory()
 	x.handler.Metrics.MemoryRefused.Add(1)
-	if x.request.ContentLength != 0 {
-		x.writer.Header().Set("Connection", "close")
-	}
+	x.leaveBody()
 	x.refuse(reasonMemoryFull, memoryRetryDelay)
 }
 
+// maxDiscardedBytes is how much net/http reads of a body that no handler read, to keep the connection.
+const maxDiscardedBytes = 256 << 10
+
+// leaveLongBody is leaveBody for a body that net/http would not read to its end.
+func (x *exchange) leaveLongBody() {
+	if !x.isBodyRead && x.request.ContentLength > maxDiscardedBytes {
+		x.leaveBody()
+	}
+}
+
+// leaveBody makes the connection close after a response that is written before the body was read. net/http
+// resets such a connection at once while the caller still sends, and the caller does not get the response,
+// unless a MaxBytesReader has met its limit: then it closes its side first and waits a little.
+func (x *exchange) leaveBody() {
+	beyond := http.MaxBytesReader(x.writer, io.NopCloser(strings.NewReader("x")), 0)
+	_, _ = beyond.Read(make([]byte, 1))
+}
+
 // reserveMemory reserves memory for the request, and reports whether there was room.
 func (x *exchange) reserveMemory(bytes int64) bool {
 	switch {
--- a/internal/relay/body_test.go
+++ b/internal/relay/body_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/spanlanding/spanlanding/internal/membudget"
@@ -100,3 +102,42 @@
 		}
 	}
 }
+
+// Guards against refusals and denials that callers with long bodies don't get, as the connection is reset while
+// they still send.
+func TestCallersWithLongBodiesGetEarlyResponses(t *testing.T) {
+	const callers, bodyBytes = 40, 4 << 20
+	body := strings.Repeat("b", bodyBytes)
+	for name, c := range map[string]struct {
+		path    string
+		prepare func(f *fixture)
+		want    int
+	}{
+		"no memory": {"/llm/", func(f *fixture) {
+			f.handler.SetTable(engineTable(0))
+			f.handler.options.Memory = membudget.New(1)
+		}, http.StatusServiceUnavailable},
+		"body too long":    {"/once/", func(*fixture) {}, http.StatusRequestEntityTooLarge},
+		"no route":         {"/unknown/", func(*fixture) {}, http.StatusNotFound},
+		"no configuration": {"/once/", func(f *fixture) { f.handler.table.Store(nil) }, http.StatusServiceUnavailable},
+		"stopping":         {"/once/", func(f *fixture) { f.handler.Close() }, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			c.prepare(f)
+			var group sync.WaitGroup
+			var lost atomic.Int64
+			for range callers {
+				group.Go(func() {
+					if got := f.send(t, http.MethodPost, c.path, body, "Connection", "close"); got.status != c.want {
+						lost.Add(1)
+					}
+				})
+			}
+			group.Wait()
+			if lost.Load() > 0 {
+				t.Errorf("%d of %d callers did not get the response", lost.Load(), callers)
+			}
+		})
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -44,10 +44,12 @@
 	needsModel bool
 	head       Head
 	// memory is what the request holds of Options.Memory; nil where that is nil, or before its body is read.
-	memory   *membudget.Reservation
-	body     []byte
-	header   http.Header
-	deadline time.Time
+	memory *membudget.Reservation
+	body   []byte
+	// isBodyRead is set once the whole body was read.
+	isBodyRead bool
+	header     http.Header
+	deadline   time.Time
 	// isRetry is set where the caller was probably refused before and has come back.
 	isRetry bool
 
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -114,6 +114,7 @@
 		header.Set(failedHeader, "1")
 	}
 	x.setServersHeader(header)
+	x.leaveLongBody()
 	body := `{"status":` + strconv.Itoa(status) + `,"outcome":"` + outcome + `","title":` + strconv.Quote(reason) + `}`
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(status)
