Soak: servers whose answers have no end, and servers that refuse what they ran

Kinds answers-without-end and unmarked-refusals; the judge takes 408 and 421 for promises, too, and reports nodes over the 184 MB of the smallest machines (MEMORY).

--- a/test/platform/endless_test.go
+++ b/test/platform/endless_test.go
@@ -15,6 +15,8 @@
 // again and again.
 type endlessAnswer struct {
 	name, begin, unit string
+	// bytesPerSecond is how fast it is written at most.
+	bytesPerSecond float64
 }
 
 // endlessAnswers lists all of them; REQUEST stands for the ID of the request.
@@ -26,19 +28,20 @@
 	filler := strings.Repeat("x", endlessUnitBytes)
 	piece := fmt.Sprintf("%x\r\n%s\r\n", len(filler), filler)
 	return []endlessAnswer{
-		{"field", "HTTP/1.1 200 OK\r\nField: ", filler},
-		{"fields", "HTTP/1.1 200 OK\r\n", strings.Repeat("Field: value\r\n", endlessUnitBytes/14)},
-		{"junk", "", filler},
-		{"event", identified + "Server-Stamp: s\r\nContent-Type: text/event-stream\r\n" + chunked + "14\r\nid: 1\ndata: m\n\nid: 2\r\n", piece},
-		{"rejection", strings.Replace(identified, "200 OK", "503 X", 1) + "Not-Executed: 1\r\n" + chunked, piece},
-		{"failure", strings.Replace(identified, "200 OK", "500 X", 1) + chunked, piece},
+		{"field", "HTTP/1.1 200 OK\r\nField: ", filler, endlessBytesPerSecond},
+		{"fields", "HTTP/1.1 200 OK\r\n", strings.Repeat("Field: value\r\n", endlessUnitBytes/14), endlessBytesPerSecond},
+		{"junk", "", filler, endlessBytesPerSecond},
+		{"event", identified + "Server-Stamp: s\r\nContent-Type: text/event-stream\r\n" + chunked + "14\r\nid: 1\ndata: m\n\nid: 2\r\n", piece, endlessBytesPerSecond},
+		{"rejection", strings.Replace(identified, "200 OK", "503 X", 1) + "Not-Executed: 1\r\n" + chunked, piece, endlessBytesPerSecond},
+		{"failure", strings.Replace(identified, "200 OK", "500 X", 1) + chunked, "4\r\nbody\r\n", failureBytesPerSecond},
 	}
 }
 
 const (
-	endlessUnitBytes = 64 << 10
-	// endlessBytesPerSecond is how fast such an answer is written at most.
+	endlessUnitBytes      = 64 << 10
 	endlessBytesPerSecond = 100 << 20
+	// failureBytesPerSecond is that of an answer that is passed on to its caller, who may read slowly.
+	failureBytesPerSecond = 1 << 10
 )
 
 // write writes the answer to the request until the connection is closed.
@@ -49,8 +52,11 @@
 	}
 	defer conn.Close()
 	_, err = conn.Write([]byte(strings.ReplaceAll(a.begin, "REQUEST", requestID)))
-	unit := bytes.Repeat([]byte(a.unit), max(1, endlessUnitBytes/len(a.unit)))
-	pause := time.Duration(float64(len(unit)) / endlessBytesPerSecond * float64(time.Second))
+	unit := []byte(a.unit)
+	if a.bytesPerSecond >= endlessUnitBytes {
+		unit = bytes.Repeat(unit, max(1, endlessUnitBytes/len(unit)))
+	}
+	pause := time.Duration(float64(len(unit)) / a.bytesPerSecond * float64(time.Second))
 	for err == nil {
 		_, err = conn.Write(unit)
 		time.Sleep(pause)
--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -64,7 +64,10 @@
 }
 
 // allKinds returns all kinds of faults.
-func allKinds() []kind { return append(fifthKinds(), surplusKind()) }
+func allKinds() []kind { return append(sixthKinds(), answerKinds()...) }
+
+// sixthKinds returns the kinds that seeds up to 23,999 were played with.
+func sixthKinds() []kind { return append(fifthKinds(), surplusKind()) }
 
 // fifthKinds returns the kinds that seeds up to 21,999 were played with.
 func fifthKinds() []kind { return append(fourthKinds(), partKinds()...) }
@@ -191,6 +194,8 @@
 		return fourthKinds(), nil
 	case "fifth":
 		return fifthKinds(), nil
+	case "sixth":
+		return sixthKinds(), nil
 	}
 	var named []kind
 	for name := range strings.SplitSeq(list, ",") {
--- a/test/platform/soak_judge_test.go
+++ b/test/platform/soak_judge_test.go
@@ -26,6 +26,7 @@
 	for !s.isStopping() {
 		time.Sleep(checkInterval)
 		s.checkNewOutcomes()
+		s.recordMemory()
 	}
 }
 
@@ -98,6 +99,7 @@
 	s.checkPoison()
 	s.checkReadiness()
 	s.checkExits()
+	s.checkMemory()
 	s.t.Logf("seed %d: %d requests, answers by status %v, %d disturbances, %d servers, %d versions, %d nodes",
 		s.options.seed, len(s.outcomes), statusCounts, len(s.disturbances), len(s.servers), s.version, len(s.nodes))
 }
@@ -108,7 +110,7 @@
 	switch {
 	case ran > 1 && o.route != "added":
 		s.report("TWICE: %s ran %d times", o.id, ran)
-	case (o.status == 503 || o.status == 429) && ran > 0:
+	case slices.Contains(promiseStatuses, o.status) && ran > 0:
 		s.report("REFUSED: %s got %d although it ran", o.id, o.status)
 	}
 }
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -132,6 +132,8 @@
 	// loudRequests holds the requests of the loud tenant, and loudCount is the number of those sent.
 	loudRequests []loudRequest
 	loudCount    int
+	// peakMemory is the largest memory that each node has taken, in bytes.
+	peakMemory map[string]int64
 	// traps are servers that only unreadable entries name.
 	traps []*modelServer
 
@@ -180,7 +182,7 @@
 		fleet: f, options: options, random: rand.New(rand.NewPCG(options.seed, 0x50a4)),
 		configTimes: make(map[int]time.Time), drainedAt: make(map[string]time.Time), expired: make(map[string]bool),
 		poisons: make(map[string]*soakPoison), ranOlderBuild: make(map[string]bool), crashed: make(map[string]bool),
-		probes: make(map[string][]probe), stop: make(chan struct{}),
+		probes: make(map[string][]probe), peakMemory: make(map[string]int64), stop: make(chan struct{}),
 	}
 }
 
@@ -203,6 +205,9 @@
 	if options.draws(evacuateKind) {
 		settings.bounds = evacuateLine
 	}
+	if options.draws(endlessKind) {
+		settings.memoryMb = machineMemoryMb
+	}
 	if options.draws(loudTenantKind) {
 		settings.bounds += quotaBounds()
 	}
