--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -103,16 +103,16 @@
 }
 
 func (x *exchange) write(request Request) {
-	head := request.head()
-	if len(head)+len(request.Body) <= maxInlineBytes {
-		_, x.writeErr = x.conn.Write(append(head, request.Body...))
+	head, body := request.head(), request.Body
+	if len(head)+len(body) <= maxInlineBytes {
+		_, x.writeErr = x.conn.Write(append(head, body...))
 		close(x.written)
 		return
 	}
 	go func() {
 		defer close(x.written)
 		if _, x.writeErr = x.conn.Write(head); x.writeErr == nil {
-			_, x.writeErr = x.conn.Write(request.Body)
+			_, x.writeErr = x.conn.Write(body)
 		}
 	}()
 }
