Nodes that may lead next hear of new servers from their peers

Cause: the datagram to the two nodes next in line left out news of servers that came, as these watch the store. One of them does not (in fleets of one region): it learnt of new servers and later starts 1.3 to 1.9 s after the others, from a list of its own, and recorded earlier starts as the origins of its streams. In the trace all 21 refused streams had begun at that node.

Ruled out: starts that nobody knows (three of four nodes did), lost datagrams (limits of the same starts arrived within 50 ms).

Change: they get what any target of gossip gets.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -272,21 +272,43 @@
 	if nodes > maxLoadSharingNodes {
 		state.Loads = nil
 	}
-	sameRegion, otherRegion := p.splitByRegion(exclude(targets, append(leader, standbys...)))
-	p.send(trafficGossip, sameRegion, state)
-	state.News = encodeChanges(p.crossRegionChanges(changes))
-	p.send(trafficGossip, otherRegion, state)
-	// The leader and potential leaders learn of new servers from the store.
-	state.News = encodeChanges(slices.DeleteFunc(changes, func(item gossip.ServerChange) bool { return !item.Server.Draining }))
+	gossiped, others := splitByMembership(standbys, targets)
+	p.sendWithChanges(trafficGossip, exclude(targets, append(leader, standbys...)), state, changes)
 	state.Loads, state.ViewsDigests = loads, digests
+	// The leader learns of new servers from the store, and potential leaders as others do.
+	draining := slices.DeleteFunc(slices.Clone(changes), func(item gossip.ServerChange) bool { return !item.Server.Draining })
 	p.setDemand(state, now, p.demandWindowFor(now, leader))
-	p.send(trafficDemand, leader, state)
+	p.sendWithChanges(trafficDemand, leader, state, draining)
 	if len(standbys) > 0 {
 		p.setDemand(state, now, demandWindow)
-		p.send(trafficDemand, standbys, state)
+		p.sendWithChanges(trafficDemand, gossiped, state, changes)
+		p.sendWithChanges(trafficDemand, others, state, draining)
 	}
 }
 
+// sendWithChanges sends the state with the changes of servers that concern each target's region.
+func (p *peers) sendWithChanges(kind trafficKind, targets []string, state *peerpb.NodeState, changes []gossip.ServerChange) {
+	sameRegion, otherRegion := p.splitByRegion(targets)
+	state.News = encodeChanges(changes)
+	p.send(kind, sameRegion, state)
+	if len(otherRegion) > 0 {
+		state.News = encodeChanges(p.crossRegionChanges(changes))
+		p.send(kind, otherRegion, state)
+	}
+}
+
+// splitByMembership divides addresses into those that are in the set and the others.
+func splitByMembership(addresses, set []string) (in, out []string) {
+	for _, address := range addresses {
+		if slices.Contains(set, address) {
+			in = append(in, address)
+		} else {
+			out = append(out, address)
+		}
+	}
+	return in, out
+}
+
 // announceStop tells all nodes at once that this one is stopping: those that ask it, and those that take over
 // from it, would otherwise learn of it one after the other.
 func (p *peers) announceStop() {
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -1,11 +1,17 @@
 package edge
 
 import (
+	"fmt"
+	"net"
+	"slices"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/logging"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
@@ -107,3 +113,55 @@
 		t.Error("candidate although a leader is heard from")
 	}
 }
+
+// TestPotentialLeadersHearOfNewServers guards against a potential leader that watches no store, and learns of
+// new servers and later starts a second after the others: streams that it began meanwhile did not go on.
+func TestPotentialLeadersHearOfNewServers(t *testing.T) {
+	node := newTestNode(t)
+	// The first is the leader, and the next two are the strongest besides it.
+	strengths := []uint32{400, 300, 200, 100}
+	var listeners []*net.UDPConn
+	for number, strength := range strengths {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		listeners = append(listeners, conn)
+		state := &peerpb.NodeState{Node: fmt.Sprint("n", number), Address: conn.LocalAddr().String(), Life: 1, Sequence: 1, Strength: strength}
+		if number == 0 {
+			state.Leader = &peerpb.LeaderState{Term: 7}
+		}
+		node.peers.handleState(state)
+	}
+	now := clock.Now()
+	node.directory.replace(now, now, nil, storepos.At(1, 1))
+	started := inventory.Server{ID: "i-1", StartedAtMs: 5, Service: "s", Address: "127.0.0.1:1", Position: storepos.At(1, 2)}
+	node.directory.apply(now, []inventory.Change{{Server: started}}, storepos.At(1, 2))
+	node.peers.tick()
+	for number, conn := range listeners {
+		if isLeader, isTold := number == 0, hearsOf(t, conn, started.ID); isTold == isLeader {
+			t.Errorf("the node of strength %d heard of the new server: %v", strengths[number], isTold)
+		}
+	}
+}
+
+// hearsOf reports whether a datagram that has been sent to the connection tells of the server.
+func hearsOf(t *testing.T, conn *net.UDPConn, serverID string) bool {
+	t.Helper()
+	buffer := make([]byte, maxDatagram)
+	for {
+		_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		count, err := conn.Read(buffer)
+		if err != nil {
+			return false
+		}
+		state := &peerpb.NodeState{}
+		if err := proto.Unmarshal(buffer[:count], state); err != nil {
+			t.Fatal(err)
+		}
+		if slices.ContainsFunc(state.News, func(news *peerpb.ServerNews) bool { return news.Server == serverID }) {
+			return true
+		}
+	}
+}
