Cleanup: one type for a start of a server, one way to take a connection

origins.Start was inventory.Start once more, with three conversions between them; Pool.Get wrote GetIdle's lines again; checkOrigin took the dispatcher's lock for what a check without it settles; RecordDenial set one hold and then all. No behaviour is changed.

--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -212,9 +212,10 @@
 		return
 	}
 	denied := hold{until: now.Add(min(max(retryAfter, minHold), maxHold)), nextGrantAt: now.Add(retryAfter)}
-	s.holds[kind] = denied
-	if isBrittle {
-		s.holds = [kindCount]hold{KindNew: denied, KindGoingOn: denied}
+	for held := range s.holds {
+		if isBrittle || Kind(held) == kind {
+			s.holds[held] = denied
+		}
 	}
 }
 
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -124,15 +124,14 @@
 // request with this ID, or a new one. Requests without an ID count as one and the same: nothing tells
 // the responses to two of them apart.
 func (p *Pool) Get(ctx context.Context, address, requestID string) (*Conn, error) {
-	hash := p.hashRequestID(requestID)
-	conn := p.takeReusable(address, func(conn *Conn) bool { return !conn.history.contains(hash) })
-	if conn == nil {
-		var err error
-		if conn, err = p.dial(ctx, address); err != nil {
-			return nil, err
-		}
+	if conn := p.GetIdle(address, requestID, clock.Now()); conn != nil {
+		return conn, nil
+	}
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
 	}
-	conn.history.add(hash)
+	conn.history.add(p.hashRequestID(requestID))
 	return conn, nil
 }
 
--- a/internal/edge/leader.go
+++ b/internal/edge/leader.go
@@ -11,7 +11,6 @@
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
-	"github.com/spanlanding/spanlanding/internal/origins"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
 	"github.com/spanlanding/spanlanding/internal/placer"
 	"github.com/spanlanding/spanlanding/internal/relay"
@@ -430,7 +429,7 @@
 	l.node.reachable.recordCall(call.ServerID, err)
 	l.node.hints.receiveFromCall(call.Start(), report.Hint, hintFromReport)
 	if err == nil {
-		l.node.origins.live.Record(origins.Start{ServerID: call.ServerID, StartedAtMs: report.StartedAtMs}, report.AliveFrom, report.AliveUntil)
+		l.node.origins.live.Record(inventory.Start{ID: call.ServerID, StartedAtMs: report.StartedAtMs}, report.AliveFrom, report.AliveUntil)
 	}
 	return report, err
 }
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -140,7 +140,7 @@
 		case change.Gone:
 			o.starts.ObserveGone(now, server.ID)
 		case server.SoftwareVersion != "":
-			o.starts.Observe(now, origins.Start{ServerID: server.ID, StartedAtMs: server.StartedAtMs}, server.SoftwareVersion)
+			o.starts.Observe(now, server.Start(), server.SoftwareVersion)
 		}
 	}
 }
@@ -333,7 +333,7 @@
 	return &peerpb.StreamOrigin{
 		Key: entry.Key[:], Service: entry.Origin.Service, SoftwareVersion: entry.Origin.SoftwareVersion,
 		LeftMs: uint32(max(0, entry.ExpiresAt.Sub(now)).Milliseconds()),
-		Server: entry.Server.ServerID, Born: entry.Server.StartedAtMs, AgeMs: ageMillis(now, entry.RecordedAt),
+		Server: entry.Server.ID, Born: entry.Server.StartedAtMs, AgeMs: ageMillis(now, entry.RecordedAt),
 		Certain: entry.IsCertain,
 	}
 }
@@ -347,7 +347,7 @@
 	return origins.Entry{
 		Key: key, Origin: origins.Origin{Service: encoded.Service, SoftwareVersion: encoded.SoftwareVersion},
 		ExpiresAt: now.Add(time.Duration(encoded.LeftMs) * time.Millisecond),
-		Server:    origins.Start{ServerID: encoded.Server, StartedAtMs: encoded.Born}, RecordedAt: now.Add(-time.Duration(encoded.AgeMs) * time.Millisecond),
+		Server:    inventory.Start{ID: encoded.Server, StartedAtMs: encoded.Born}, RecordedAt: now.Add(-time.Duration(encoded.AgeMs) * time.Millisecond),
 		IsCertain: encoded.Certain,
 	}, ok
 }
--- a/internal/origins/doc.go
+++ b/internal/origins/doc.go
@@ -4,5 +4,5 @@
 // node knows, and Keepers chooses the other nodes that hold a copy. Package relay asks for origins, and
 // package edge exchanges them between nodes. Nothing here does I/O.
 //
-// It may import the standard library and xxhash only.
+// It may import inventory, the standard library and xxhash only.
 package origins
--- a/internal/origins/live.go
+++ b/internal/origins/live.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
 // liveRetention is how long a start is remembered after it was last seen alive. Longer than that it would
@@ -28,33 +30,33 @@
 
 // Record remembers that the start was alive from the one time to the other. What was seen of another
 // start of the server is dropped, unless that was seen later.
-func (l *LiveStarts) Record(server Start, from, until time.Time) {
+func (l *LiveStarts) Record(server inventory.Start, from, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known, ok := l.known[server.ServerID]
+	known, ok := l.known[server.ID]
 	switch {
 	case !ok || known.startedAtMs != server.StartedAtMs && !until.Before(known.until):
-		l.known[server.ServerID] = liveStart{startedAtMs: server.StartedAtMs, from: from, until: until}
+		l.known[server.ID] = liveStart{startedAtMs: server.StartedAtMs, from: from, until: until}
 	case known.startedAtMs == server.StartedAtMs:
-		l.known[server.ServerID] = liveStart{startedAtMs: server.StartedAtMs, from: earlier(known.from, from), until: later(known.until, until)}
+		l.known[server.ID] = liveStart{startedAtMs: server.StartedAtMs, from: earlier(known.from, from), until: later(known.until, until)}
 	}
 }
 
 // Answers reports whether it is certain that the start is the one which answers on a connection: one that
 // was opened at openedAt, and whose request of sentAt was answered.
-func (l *LiveStarts) Answers(server Start, openedAt, sentAt time.Time) bool {
+func (l *LiveStarts) Answers(server inventory.Start, openedAt, sentAt time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known, ok := l.known[server.ServerID]
+	known, ok := l.known[server.ID]
 	return ok && known.startedAtMs == server.StartedAtMs && !openedAt.After(known.until) && !sentAt.Before(known.from)
 }
 
 // AliveAt returns the last time at which the start was seen alive; zero if it was not, or another start
 // was seen since.
-func (l *LiveStarts) AliveAt(server Start) time.Time {
+func (l *LiveStarts) AliveAt(server inventory.Start) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if known, ok := l.known[server.ServerID]; ok && known.startedAtMs == server.StartedAtMs {
+	if known, ok := l.known[server.ID]; ok && known.startedAtMs == server.StartedAtMs {
 		return known.until
 	}
 	return time.Time{}
--- a/internal/origins/live_test.go
+++ b/internal/origins/live_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
 // TestOneReportSettlesTheStartBehindOpenConnections guards against taking one start of a server for
@@ -10,14 +12,14 @@
 func TestOneReportSettlesTheStartBehindOpenConnections(t *testing.T) {
 	begin := time.Unix(1000, 0)
 	at := func(seconds int) time.Time { return begin.Add(time.Duration(seconds) * time.Second) }
-	first, second := Start{ServerID: "a", StartedAtMs: 1}, Start{ServerID: "a", StartedAtMs: 2}
+	first, second := inventory.Start{ID: "a", StartedAtMs: 1}, inventory.Start{ID: "a", StartedAtMs: 2}
 	type seen struct {
-		start       Start
+		start       inventory.Start
 		from, until int
 	}
 	cases := map[string]struct {
 		seen             []seen
-		start            Start
+		start            inventory.Start
 		openedAt, sentAt int
 		want             bool
 	}{
@@ -26,7 +28,7 @@
 		"opened and sent meanwhile":                   {seen: []seen{{first, 10, 12}}, start: first, openedAt: 11, sentAt: 11, want: true},
 		"opened since":                                {seen: []seen{{first, 10, 12}}, start: first, openedAt: 13, sentAt: 15},
 		"answered before only":                        {seen: []seen{{first, 10, 12}}, start: first, openedAt: 5, sentAt: 9},
-		"another server":                              {seen: []seen{{Start{ServerID: "b", StartedAtMs: 1}, 10, 12}}, start: first, openedAt: 5, sentAt: 15},
+		"another server":                              {seen: []seen{{inventory.Start{ID: "b", StartedAtMs: 1}, 10, 12}}, start: first, openedAt: 5, sentAt: 15},
 		"another start":                               {seen: []seen{{second, 10, 12}}, start: first, openedAt: 5, sentAt: 15},
 		"a later start since":                         {seen: []seen{{first, 10, 12}, {second, 20, 22}}, start: first, openedAt: 5, sentAt: 15},
 		"the later start":                             {seen: []seen{{first, 10, 12}, {second, 20, 22}}, start: second, openedAt: 21, sentAt: 23, want: true},
@@ -34,8 +36,8 @@
 		"the earlier start's word comes late":         {seen: []seen{{second, 20, 22}, {first, 10, 12}}, start: second, openedAt: 21, sentAt: 23, want: true},
 		"seen twice, opened and sent in between":      {seen: []seen{{first, 10, 12}, {first, 30, 32}}, start: first, openedAt: 20, sentAt: 21, want: true},
 		"seen twice, the earlier word last":           {seen: []seen{{first, 30, 32}, {first, 10, 12}}, start: first, openedAt: 20, sentAt: 21, want: true},
-		"a start that the server does not tell":       {seen: []seen{{Start{ServerID: "a"}, 10, 12}}, start: Start{ServerID: "a"}, openedAt: 5, sentAt: 15, want: true},
-		"a server that no longer tells its own start": {seen: []seen{{first, 10, 12}, {Start{ServerID: "a"}, 20, 22}}, start: first, openedAt: 5, sentAt: 15},
+		"a start that the server does not tell":       {seen: []seen{{inventory.Start{ID: "a"}, 10, 12}}, start: inventory.Start{ID: "a"}, openedAt: 5, sentAt: 15, want: true},
+		"a server that no longer tells its own start": {seen: []seen{{first, 10, 12}, {inventory.Start{ID: "a"}, 20, 22}}, start: first, openedAt: 5, sentAt: 15},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -51,7 +53,7 @@
 }
 
 func TestLiveStartsAreDropped(t *testing.T) {
-	live, begin, start := NewLiveStarts(), time.Unix(1000, 0), Start{ServerID: "a", StartedAtMs: 1}
+	live, begin, start := NewLiveStarts(), time.Unix(1000, 0), inventory.Start{ID: "a", StartedAtMs: 1}
 	live.Record(start, begin, begin)
 	live.Sweep(begin.Add(liveRetention))
 	if live.AliveAt(start).IsZero() {
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
 // Key identifies a stream by its caller and the caller's attempt that received its first event. It is
@@ -51,18 +53,12 @@
 	maxEntries = 4800
 )
 
-// Start is one start of a server.
-type Start struct {
-	ServerID    string
-	StartedAtMs int64
-}
-
 // Entry is an origin with its stream and expiry.
 type Entry struct {
 	Key    Key
 	Origin Origin
 	// Server is the start of the server that the first events were asked from; zero if unknown.
-	Server Start
+	Server inventory.Start
 	// RecordedAt is when the request was sent to the server.
 	RecordedAt time.Time
 	// IsCertain is set once the server said, after its first event, that it is still that start.
--- a/internal/origins/starts.go
+++ b/internal/origins/starts.go
@@ -1,6 +1,10 @@
 package origins
 
-import "time"
+import (
+	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
+)
 
 // Starts knows when the current starts of servers became known here, and so tells whether an origin is
 // certain: a server may have started again under its ID, at another software version, shortly before
@@ -29,13 +33,13 @@
 }
 
 // Observe records that a server's entry names the start and software version.
-func (s *Starts) Observe(now time.Time, server Start, softwareVersion string) {
-	known, ok := s.known[server.ServerID]
+func (s *Starts) Observe(now time.Time, server inventory.Start, softwareVersion string) {
+	known, ok := s.known[server.ID]
 	if !ok || known.startedAtMs != server.StartedAtMs {
 		known = knownStart{startedAtMs: server.StartedAtMs, knownAt: now, isFirst: !ok}
 	}
 	known.softwareVersion, known.goneAt = softwareVersion, time.Time{}
-	s.known[server.ServerID] = known
+	s.known[server.ID] = known
 }
 
 // ObserveGone records that a server's entry was removed.
@@ -58,9 +62,9 @@
 // Review returns the entry, without its software version if another start of its server may have
 // written the first events.
 func (s *Starts) Review(entry Entry) Entry {
-	current, ok := s.known[entry.Server.ServerID]
+	current, ok := s.known[entry.Server.ID]
 	switch {
-	case !ok || entry.Server.ServerID == "" || entry.IsCertain:
+	case !ok || entry.Server.ID == "" || entry.IsCertain:
 	case current.startedAtMs == entry.Server.StartedAtMs || current.softwareVersion == entry.Origin.SoftwareVersion:
 	case current.isFirst || entry.RecordedAt.After(current.knownAt.Add(-s.settleTime)):
 		entry.Origin.SoftwareVersion = ""
--- a/internal/origins/starts_test.go
+++ b/internal/origins/starts_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
 // TestOriginOfARestartedServerIsUncertain guards against an origin that names the version of a start
@@ -10,7 +12,7 @@
 func TestOriginOfARestartedServerIsUncertain(t *testing.T) {
 	const settle = 3 * time.Second
 	at := func(s float64) time.Time { return begin.Add(time.Duration(s * float64(time.Second))) }
-	former, later := Start{"a", 1}, Start{"a", 2}
+	former, later := inventory.Start{ID: "a", StartedAtMs: 1}, inventory.Start{ID: "a", StartedAtMs: 2}
 	certain := NewStarts(settle)
 	certain.Observe(begin, later, "v2")
 	if certain.Review(Entry{Origin: Origin{SoftwareVersion: "v1"}, Server: former, RecordedAt: begin, IsCertain: true}).Origin.SoftwareVersion != "v1" {
@@ -20,12 +22,12 @@
 		observe func(s *Starts)
 		// recordedAt is in seconds.
 		recordedAt float64
-		server     Start
+		server     inventory.Start
 		isCertain  bool
 	}{
 		"no other start":                  {func(*Starts) {}, 10, former, true},
-		"the server is not known":         {func(*Starts) {}, 10, Start{"b", 1}, true},
-		"the start was not recorded":      {func(s *Starts) { s.Observe(at(11), later, "v2") }, 10, Start{}, true},
+		"the server is not known":         {func(*Starts) {}, 10, inventory.Start{ID: "b", StartedAtMs: 1}, true},
+		"the start was not recorded":      {func(s *Starts) { s.Observe(at(11), later, "v2") }, 10, inventory.Start{}, true},
 		"restarted soon after":            {func(s *Starts) { s.Observe(at(11), later, "v2") }, 10, former, false},
 		"known before":                    {func(s *Starts) { s.Observe(at(9), later, "v2") }, 10, former, false},
 		"restarted long after":            {func(s *Starts) { s.Observe(at(13.1), later, "v2") }, 10, former, true},
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -99,7 +99,7 @@
 	originSource originSource
 	// originServer is the start of the server that the first event was asked from, and originSentAt
 	// when; zero if that is not known.
-	originServer origins.Start
+	originServer inventory.Start
 	originSentAt time.Time
 	// isOriginConfirmed is set once that server said, after its first event, that it is still that start.
 	isOriginConfirmed atomic.Bool
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -7,6 +7,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/origins"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
@@ -259,7 +260,7 @@
 func (x *exchange) forgetOriginServer() {
 	x.onFirstEvent = nil
 	if !x.isGoingOn() {
-		x.originServer, x.originSentAt = origins.Start{}, time.Time{}
+		x.originServer, x.originSentAt = inventory.Start{}, time.Time{}
 	}
 }
 
--- a/internal/relay/starts.go
+++ b/internal/relay/starts.go
@@ -77,12 +77,15 @@
 // started again, either start may have written them. A server that is down has not, unless it only seems to
 // be from here.
 func (x *exchange) checkOrigin(entry origins.Entry) originCertainty {
+	if x.isOriginSettled(entry) {
+		return originCertain
+	}
 	address, ok := "", false
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { address, ok = core.Address(entry.Server.ServerID) })
-	if !ok || x.isOriginSettled(entry) {
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { address, ok = core.Address(entry.Server.ID) })
+	if !ok {
 		return originCertain
 	}
-	start := inventory.Start{ID: entry.Server.ServerID, StartedAtMs: entry.Server.StartedAtMs}
+	start := entry.Server
 	answer := x.awaitCurrentStart(StartQuestion{Start: start, Address: address, Admission: x.admissionRequest()})
 	x.originCheck = answer.Outcome
 	switch {
@@ -100,7 +103,7 @@
 // isOriginSettled reports whether it is known that the recorded start began the stream: it was seen alive
 // since, or a later start would be known by now. Of an origin without a start nothing more becomes known.
 func (x *exchange) isOriginSettled(entry origins.Entry) bool {
-	return entry.Server.ServerID == "" || entry.IsCertain || x.handler.options.CurrentStart == nil || originSettlesIn(entry) <= 0 ||
+	return entry.Server.ID == "" || entry.IsCertain || x.handler.options.CurrentStart == nil || originSettlesIn(entry) <= 0 ||
 		!x.handler.options.LiveStarts.AliveAt(entry.Server).Before(entry.RecordedAt)
 }
 
@@ -170,7 +173,7 @@
 	if !x.mustConfirmStart() {
 		return nil
 	}
-	aliveAt := x.handler.options.LiveStarts.AliveAt(originStart(choice))
+	aliveAt := x.handler.options.LiveStarts.AliveAt(choice.Attempt.Start())
 	if aliveAt.IsZero() {
 		return nil
 	}
@@ -179,13 +182,7 @@
 
 // isStartKnown reports whether the chosen start is the one that answered on the connection of the attempt.
 func (x *exchange) isStartKnown(choice dispatch.Choice) bool {
-	return x.handler.options.LiveStarts.Answers(originStart(choice), x.connOpenedAt, x.sentAt)
-}
-
-// originStart is the chosen start as origins name it.
-func originStart(choice dispatch.Choice) origins.Start {
-	start := choice.Attempt.Start()
-	return origins.Start{ServerID: start.ID, StartedAtMs: start.StartedAtMs}
+	return x.handler.options.LiveStarts.Answers(choice.Attempt.Start(), x.connOpenedAt, x.sentAt)
 }
 
 // isStartConfirmed reports whether the server that is about to go on with a stream is still the start
--- a/internal/relay/starts_test.go
+++ b/internal/relay/starts_test.go
@@ -66,7 +66,7 @@
 				return StartAnswer{Outcome: cmp.Or(outcome, StartTold), Start: start, RetryAfter: 100 * time.Millisecond}
 			}
 			f.handler.options.Origins = &fixedOrigins{answer: OriginAnswer{IsKnown: true, Versions: []string{"v1", "v2"}, Entry: origins.Entry{
-				Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"}, Server: origins.Start{ServerID: "s2", StartedAtMs: 1}, RecordedAt: time.Now().Add(-c.age),
+				Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"}, Server: inventory.Start{ID: "s2", StartedAtMs: 1}, RecordedAt: time.Now().Add(-c.age),
 			}}}
 			got := f.send(t, http.MethodPost, "/resume/", "", "X-Last", "1", "X-Resumes", "r0", "X-Model", "m", "X-Wait", "400ms")
 			if isWhole := got.status == http.StatusOK && got.body == "id: 2\ndata: v1\n\n"; isWhole != c.goesOn || strings.Contains(got.body, "v2") {
@@ -191,7 +191,7 @@
 	if count, withQuestion := asked(); count != 1 || !withQuestion {
 		t.Fatalf("asked %d times, with a question %v; want once about a new connection", count, withQuestion)
 	}
-	start := origins.Start{ServerID: "s0", StartedAtMs: 1}
+	start := inventory.Start{ID: "s0", StartedAtMs: 1}
 	f.handler.options.LiveStarts.Record(start, clock.Now(), clock.Now())
 	goOn("second")
 	if count, withQuestion := asked(); count != 1 || withQuestion {
@@ -202,7 +202,7 @@
 	if count, withQuestion := asked(); count != 1 || withQuestion || servers[0].count() != 3 {
 		t.Errorf("asked %d times, with a question %v, after %d runs; want none and 3", count, withQuestion, servers[0].count())
 	}
-	f.handler.options.LiveStarts.Record(origins.Start{ServerID: "s0", StartedAtMs: 2}, clock.Now(), clock.Now())
+	f.handler.options.LiveStarts.Record(inventory.Start{ID: "s0", StartedAtMs: 2}, clock.Now(), clock.Now())
 	goOn("fourth")
 	if count, withQuestion := asked(); count != 2 || !withQuestion {
 		t.Errorf("asked %d times, with a question %v; want once more since another start was seen", count, withQuestion)
@@ -230,7 +230,7 @@
 		}
 	}
 	for _, id := range []string{"s0", "s1"} {
-		f.handler.options.LiveStarts.Record(origins.Start{ServerID: id, StartedAtMs: 1}, clock.Now(), clock.Now())
+		f.handler.options.LiveStarts.Record(inventory.Start{ID: id, StartedAtMs: 1}, clock.Now(), clock.Now())
 	}
 	for i := range 4 {
 		if !isCertain(fmt.Sprint("after-", i)) {
@@ -260,7 +260,7 @@
 		t.Run(name, func(t *testing.T) {
 			node, servers, asked := newLimitedResumption(t, nil)
 			peer, peerServers, _ := newLimitedResumption(t, nil)
-			entry := origins.Entry{Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"}, Server: origins.Start{ServerID: "s1", StartedAtMs: 1}, RecordedAt: clock.Now()}
+			entry := origins.Entry{Origin: origins.Origin{Service: "svc", SoftwareVersion: "v1"}, Server: inventory.Start{ID: "s1", StartedAtMs: 1}, RecordedAt: clock.Now()}
 			for _, f := range []*fixture{node, peer} {
 				f.handler.options.Origins = &fixedOrigins{answer: OriginAnswer{IsKnown: true, Versions: []string{"v1", "v2"}, Entry: entry}}
 			}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -27,7 +27,7 @@
 // relayStream passes on an event stream.
 func (x *exchange) relayStream(choice dispatch.Choice, response *backendconn.Response) attemptResult {
 	if !x.isGoingOn() {
-		x.originServer, x.originSentAt = originStart(choice), x.sentAt
+		x.originServer, x.originSentAt = choice.Attempt.Start(), x.sentAt
 		x.isOriginConfirmed.Store(x.isStartKnown(choice))
 	}
 	if !x.isStartConfirmed(choice) || !x.beginEvents(x.servedVersion(choice), originFromServer) {
--- a/internal/relay/versions_test.go
+++ b/internal/relay/versions_test.go
@@ -230,14 +230,14 @@
 	peer.setVersions([]*fakeServer{server}, "v1")
 	recorded := &fixedOrigins{}
 	node.handler.options.Origins = recorded
-	x := &exchange{handler: node.handler, originServer: origins.Start{ServerID: "earlier"}, onFirstEvent: func() { t.Error("the earlier server is asked") }}
+	x := &exchange{handler: node.handler, originServer: inventory.Start{ID: "earlier"}, onFirstEvent: func() { t.Error("the earlier server is asked") }}
 	x.forgetOriginServer()
-	if x.originServer != (origins.Start{}) || x.onFirstEvent != nil {
+	if x.originServer != (inventory.Start{}) || x.onFirstEvent != nil {
 		t.Errorf("the server of the earlier attempt is kept: %+v", x.originServer)
 	}
 	node.send(t, http.MethodPost, "/resume/", "")
 	entries, _ := recorded.calls()
-	if len(entries) != 1 || entries[0].Server != (origins.Start{}) || entries[0].Origin.SoftwareVersion != "v1" {
+	if len(entries) != 1 || entries[0].Server != (inventory.Start{}) || entries[0].Origin.SoftwareVersion != "v1" {
 		t.Errorf("recorded %+v, want the version that the peer names, and no server", entries)
 	}
 }
