--- a/internal/edge/suspects_test.go
+++ b/internal/edge/suspects_test.go
@@ -82,3 +82,34 @@
 	}
 	return datagram
 }
+
+// TestStartedNodeTriesARequestThatOnlyLooksAlike guards against a node that starts within a bar, and refuses the
+// callers of a harmless request for all of it: it did not know which servers had crashed under both requests.
+func TestStartedNodeTriesARequestThatOnlyLooksAlike(t *testing.T) {
+	const refusals = 10
+	deadly, alike := poison.NewFingerprint(poison.Identity{Target: "/deadly"}), poison.NewFingerprint(poison.Identity{Target: "/alike"})
+	now := clock.Now()
+	known := newTestNode(t)
+	var reports []poison.Report
+	for number, age := range []time.Duration{8 * time.Second, 6 * time.Second, 4 * time.Second} {
+		for _, fingerprint := range []poison.Fingerprint{alike, deadly} {
+			reports = append(reports, poison.Report{Fingerprint: fingerprint, ServerID: fmt.Sprint("i-", number), Age: age})
+		}
+	}
+	// The third server counts less for what is not barred then.
+	reports = append(reports, poison.Report{Fingerprint: deadly, ServerID: "i-3", Age: 2 * time.Second})
+	known.suspects.recordReports(now, "peer", reports)
+	started := newTestNode(t)
+	started.suspects.receive("peer", known.suspects.greetingReports(now))
+	for _, node := range []*Node{known, started} {
+		if status := node.suspects.Status(alike); status != poison.StatusBarred {
+			t.Fatalf("status %v before any caller was refused, want barred", status)
+		}
+		for range refusals {
+			node.suspects.ReportRefusal(alike)
+		}
+		if status := node.suspects.Status(alike); status != poison.StatusOnTrial {
+			t.Errorf("status %v after %d callers were refused, want on trial", status, refusals)
+		}
+	}
+}
