--- a/internal/relay/rejection.go
+++ b/internal/relay/rejection.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 )
 
@@ -63,7 +64,13 @@
 	response.Drain()
 	x.log("request_refused_unproven", response.Status, choice.ServerID)
 	isRetried := x.canRetryElsewhere()
-	x.endAttempt(choice, dispatch.OutcomeFailed)
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
+		now := clock.Now()
+		core.End(now, choice.Attempt, dispatch.OutcomeFailed)
+		if x.needsModel && response.Status == http.StatusMisdirectedRequest {
+			core.MarkModelAbsent(now, choice.ServerID, x.head.Model, x.head.Adapter)
+		}
+	})
 	x.failedServers = append(x.failedServers, choice.ServerID)
 	if isRetried {
 		return attemptRetry
