A node that starts also learns what explains a bar without being barred

TestStartedNodeTriesARequestThatOnlyLooksAlike, 3 servers: red before; poison TestReportsOnBarsBringTheSameDecisions.

--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -285,24 +285,14 @@
 	return peer.EncodeCrashReports(reports)
 }
 
-// greetingReports returns the reports on barred requests for a node that has just started: the last on each,
-// which bars it, and then the others, by which the node tells a request that only looks like another one from
-// that one.
+// greetingReports returns the reports on barred requests for a node that has just started.
 func (s *suspects) greetingReports(now time.Time) []*peerpb.CrashReport {
 	if !s.nonEmpty.Load() {
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var last, others []poison.Report
-	for _, fingerprint := range s.tally.Barred(now) {
-		last = append(last, s.tally.LastReport(now, fingerprint))
-		if reports := s.tally.Reports(now, fingerprint); len(reports) > 1 {
-			others = append(others, reports[:len(reports)-1]...)
-		}
-	}
-	reports := append(last, others...)
-	return peer.EncodeCrashReports(reports[:min(len(reports), maxGreetingReports)])
+	return peer.EncodeCrashReports(s.tally.ReportsOnBars(now, maxGreetingReports))
 }
 
 // maxStoredBars bounds the barred requests kept in the lease, to about 2 KB.
--- a/internal/edge/suspects_test.go
+++ b/internal/edge/suspects_test.go
@@ -86,6 +86,13 @@
 // TestStartedNodeTriesARequestThatOnlyLooksAlike guards against a node that starts within a bar, and refuses the
 // callers of a harmless request for all of it: it did not know which servers had crashed under both requests.
 func TestStartedNodeTriesARequestThatOnlyLooksAlike(t *testing.T) {
+	for _, serversOfDeadly := range []int{3, 4} {
+		t.Run(fmt.Sprint(serversOfDeadly, " servers"), func(t *testing.T) { testStartedNodeTries(t, serversOfDeadly) })
+	}
+}
+
+// testStartedNodeTries has so many servers end under the deadly request, of which the fourth bars it, too.
+func testStartedNodeTries(t *testing.T, serversOfDeadly int) {
 	const refusals = 10
 	deadly, alike := poison.NewFingerprint(poison.Identity{Target: "/deadly"}), poison.NewFingerprint(poison.Identity{Target: "/alike"})
 	now := clock.Now()
@@ -96,8 +103,9 @@
 			reports = append(reports, poison.Report{Fingerprint: fingerprint, ServerID: fmt.Sprint("i-", number), Age: age})
 		}
 	}
-	// The third server counts less for what is not barred then.
-	reports = append(reports, poison.Report{Fingerprint: deadly, ServerID: "i-3", Age: 2 * time.Second})
+	if serversOfDeadly > 3 {
+		reports = append(reports, poison.Report{Fingerprint: deadly, ServerID: "i-3", Age: 2 * time.Second})
+	}
 	known.suspects.recordReports(now, "peer", reports)
 	started := newTestNode(t)
 	started.suspects.receive("peer", known.suspects.greetingReports(now))
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -465,6 +465,32 @@
 	return reports[len(reports)-1]
 }
 
+// ReportsOnBars are the reports that bring a node which knows nothing to the same decisions on barred requests,
+// limit of them at most: the last one on each, which bars it, then the others, and then those on requests that
+// are not barred and under which the same servers crashed. By these the node tells a request that only looks
+// like another one from that one.
+func (t *Tracker) ReportsOnBars(now time.Time, limit int) []Report {
+	var last, others, related []Report
+	for _, fingerprint := range t.Barred(now) {
+		last = append(last, t.LastReport(now, fingerprint))
+		if reports := t.Reports(now, fingerprint); len(reports) > 1 {
+			others = append(others, reports[:len(reports)-1]...)
+		}
+	}
+	isBarredCrash := func(report Report) bool {
+		return slices.ContainsFunc(append(last, others...), func(barred Report) bool { return barred.ServerID == report.ServerID })
+	}
+	for _, fingerprint := range t.Unbarred(now) {
+		for _, report := range t.Reports(now, fingerprint) {
+			if len(related) < limit && isBarredCrash(report) {
+				related = append(related, report)
+			}
+		}
+	}
+	reports := slices.Concat(last, others, related)
+	return reports[:min(len(reports), limit)]
+}
+
 // CrashCount is the number of servers known to have crashed under a request.
 func (t *Tracker) CrashCount(fingerprint Fingerprint) int {
 	if entry, ok := t.suspects[fingerprint]; ok {
--- a/internal/poison/tally_test.go
+++ b/internal/poison/tally_test.go
@@ -324,3 +324,38 @@
 		}
 	}
 }
+
+// Guards against reports for a node that has just started which leave out why a request was barred, or say more
+// than is asked for.
+func TestReportsOnBarsBringTheSameDecisions(t *testing.T) {
+	tracker, now := NewTracker(), start.Add(time.Minute)
+	record := func(name, server string, age time.Duration) {
+		tracker.Record(now, Report{Fingerprint: requestNamed(name), ServerID: server, Age: age})
+	}
+	for number, server := range []string{"a", "b", "c"} {
+		age := time.Duration(10-number) * time.Second
+		record("alike", server, age)
+		record("deadly", server, age)
+	}
+	record("other", "d", time.Second)
+	reports := tracker.ReportsOnBars(now, 100)
+	if len(reports) != 6 {
+		t.Fatalf("%d reports, want three on each request that crashed a, b and c", len(reports))
+	}
+	if reports[0].Fingerprint != requestNamed("alike") || reports[0].BarredFor <= 0 {
+		t.Errorf("the first report is %+v, want one that bars", reports[0])
+	}
+	if limited := tracker.ReportsOnBars(now, 2); len(limited) != 2 {
+		t.Errorf("%d reports, want two at most", len(limited))
+	}
+	fresh := NewTracker()
+	for _, report := range reports {
+		fresh.Record(now, report)
+	}
+	for range earlyTrialRefusals {
+		fresh.RecordRefusal(requestNamed("alike"))
+	}
+	if status := fresh.Status(now, requestNamed("alike")); status != StatusOnTrial {
+		t.Errorf("status %d at the node that was told, want on trial", status)
+	}
+}
