--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -77,7 +77,7 @@
 		MaxResponseHeaderBytes: bounded.DefaultHeadBytes,
 	}
 	return &Pool{
-		client:  &http.Client{Transport: bounded.LimitBodies(transport, maxPeerBodyBytes)},
+		client:  &http.Client{Transport: transport},
 		clients: make(map[string]Clients),
 	}
 }
@@ -96,13 +96,13 @@
 	if cached, found := p.clients[address]; found {
 		return cached
 	}
-	base := "http://" + address
+	base, client := "http://"+address, &http.Client{Transport: bounded.LimitBodies(p.client.Transport, maxPeerBodyBytes)}
 	clients := Clients{
-		Config:   peerpb.NewConfigProtobufClient(base, p.client),
-		Control:  peerpb.NewControlProtobufClient(base, p.client),
-		Claims:   peerpb.NewClaimsProtobufClient(base, p.client),
-		Suspects: peerpb.NewSuspectsProtobufClient(base, p.client),
-		Quotas:   peerpb.NewQuotasProtobufClient(base, p.client),
+		Config:   peerpb.NewConfigProtobufClient(base, client),
+		Control:  peerpb.NewControlProtobufClient(base, client),
+		Claims:   peerpb.NewClaimsProtobufClient(base, client),
+		Suspects: peerpb.NewSuspectsProtobufClient(base, client),
+		Quotas:   peerpb.NewQuotasProtobufClient(base, client),
 	}
 	p.clients[address] = clients
 	return clients
