Own interface: bodies are bounded in sum before they are read

Change: the gateway reserves a body from a membudget.Budget before it reads it, a body in chunks as it comes, and a tenant keeps its share; the reader that does so and the way to leave a body unread stand once, for both interfaces.

TestBodiesBeyondTheBoundAreNotRead failed before: no answer until the body had come.

--- a/internal/bounded/http.go
+++ b/internal/bounded/http.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 )
 
 // LimitBodies returns a transport whose responses fail with ErrTooLong once more than limit bytes of their
@@ -47,3 +48,21 @@
 	}
 	return count, err
 }
+
+// maxDiscardedBytes is how much net/http reads of a body that no handler read, to keep the connection.
+const maxDiscardedBytes = 256 << 10
+
+// LeaveLongBody is LeaveBody for a request whose body net/http would not read to its end.
+func LeaveLongBody(writer http.ResponseWriter, request *http.Request) {
+	if request.ContentLength > maxDiscardedBytes {
+		LeaveBody(writer)
+	}
+}
+
+// LeaveBody makes the connection close after a response that is written before the request's body was read.
+// net/http resets such a connection at once while the caller still sends, and the caller does not get the
+// response, unless a MaxBytesReader has met its limit: then it closes its side first and waits a little.
+func LeaveBody(writer http.ResponseWriter) {
+	beyond := http.MaxBytesReader(writer, io.NopCloser(strings.NewReader("x")), 0)
+	_, _ = beyond.Read(make([]byte, 1))
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,6 +13,8 @@
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/bounded"
+	"github.com/spanlanding/spanlanding/internal/membudget"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -37,7 +39,9 @@
 	// generatedID is set if the caller sent no valid request ID.
 	generatedID bool
 	arrived     time.Time
-	bodyBytes   int64
+	// memory holds the body, and isBodyRead is set once that was read.
+	memory     *membudget.Reservation
+	isBodyRead bool
 	// inProgress is the counter of concurrent requests that includes this call.
 	inProgress *atomic.Int64
 	// tenant is the authenticated tenant, nil if none is declared; quotaCost is what was
@@ -95,6 +99,9 @@
 		return
 	}
 	c.extendWrite()
+	if !c.isBodyRead {
+		bounded.LeaveLongBody(c.writer, c.request)
+	}
 	failure.write(c.writer, c.id)
 }
 
@@ -106,21 +113,31 @@
 // readBody reads the body within the limits on size and time.
 func (c *call) readBody() ([]byte, *failure) {
 	limits := c.gateway.limits
+	announced := min(max(0, c.request.ContentLength), limits.MaxBodyBytes)
+	if c.memory = c.gateway.memory.Reserve(c.tenantName(), announced); c.memory == nil {
+		return nil, &problemMemoryFull
+	}
 	_ = c.control.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limits.MaxBodyBytes))
-	if err != nil {
+	reader := io.Reader(http.MaxBytesReader(c.writer, c.request.Body, limits.MaxBodyBytes))
+	if c.request.ContentLength < 0 {
+		reader = c.memory.Reader(reader)
+	}
+	body, err := io.ReadAll(reader)
+	switch {
+	case errors.Is(err, membudget.ErrFull):
+		return nil, &problemMemoryFull
+	case err != nil:
 		failure := bodyFailure(err, limits)
 		return nil, &failure
 	}
 	_ = c.control.SetReadDeadline(time.Time{})
-	c.bodyBytes = int64(len(body))
-	if c.gateway.bodyBytes.Add(c.bodyBytes) > limits.MaxBodyBytesTotal {
-		failure := newRefusal(http.StatusServiceUnavailable, codeOverloaded, "this node holds too many bytes of requests").withRetryAfter(time.Second)
-		return nil, &failure
-	}
+	c.isBodyRead = true
 	return body, nil
 }
 
+// problemMemoryFull refuses a request whose body there is no memory for.
+var problemMemoryFull = newRefusal(http.StatusServiceUnavailable, codeOverloaded, "this node holds too many bytes of requests").withRetryAfter(time.Second)
+
 func bodyFailure(err error, limits Limits) failure {
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -216,7 +233,9 @@
 
 // finish releases what the call holds, then logs and counts it.
 func (c *call) finish() {
-	c.gateway.bodyBytes.Add(-c.bodyBytes)
+	if c.memory != nil {
+		c.memory.Release()
+	}
 	if c.inProgress != nil {
 		c.inProgress.Add(-1)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/claim"
 	"github.com/spanlanding/spanlanding/internal/fleet"
+	"github.com/spanlanding/spanlanding/internal/membudget"
 	"github.com/spanlanding/spanlanding/internal/objectstore"
 	"github.com/spanlanding/spanlanding/internal/queue"
 	"github.com/spanlanding/spanlanding/internal/routing"
@@ -78,10 +79,11 @@
 	engineClient  *backend.Generator
 	serviceClient *backend.Services
 	// probes tells crashed servers from broken connections.
-	probes    *backendconn.Pool
-	metrics   *metrics
-	tickets   atomic.Uint64
-	bodyBytes atomic.Int64
+	probes  *backendconn.Pool
+	metrics *metrics
+	tickets atomic.Uint64
+	// memory is what the bodies of all requests share.
+	memory *membudget.Budget
 	// modelCalls and serviceCalls count the requests in progress.
 	modelCalls, serviceCalls atomic.Int64
 
@@ -120,6 +122,7 @@
 		metrics:       newMetrics(options.Registerer),
 		random:        rand.New(rand.NewPCG(options.Seed, seedStream)),
 	}
+	gateway.memory = membudget.New(gateway.limits.MaxBodyBytesTotal)
 	gateway.running.active = make(map[uint64]*activeRequest)
 	gateway.system = options.System
 	if gateway.system == nil {
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -234,3 +235,28 @@
 		t.Errorf("logged %s", lines.String())
 	}
 }
+
+// Guards against bodies that are all read before the bound on their sum is asked for: a request that announces
+// more than there is room for is refused before any of its body has come.
+func TestBodiesBeyondTheBoundAreNotRead(t *testing.T) {
+	const room = 1000
+	h := newHarness(t, func(options *Options) { options.Limits.MaxBodyBytesTotal = room })
+	h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) }))
+	if got := h.do(http.MethodPost, "/turbines/7/stop", strings.Repeat("b", room)); got.status != http.StatusNoContent {
+		t.Errorf("%d %s, want a body that there is room for accepted", got.status, got.body)
+	}
+	conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(conn, "POST /turbines/7/stop HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", 1<<20)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no response before the body has come: %v", err)
+	}
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, %v, want 503 with Retry-After", response.StatusCode, response.Header)
+	}
+}
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -1,7 +1,10 @@
 package membudget
 
 import (
+	"errors"
+	"io"
 	"math/rand/v2"
+	"strings"
 	"testing"
 )
 
@@ -93,3 +96,18 @@
 		}
 	}
 }
+
+func TestReaderReservesWhatItReads(t *testing.T) {
+	budget := New(10)
+	reservation := budget.Reserve("", 4)
+	if text, err := io.ReadAll(reservation.Reader(strings.NewReader("123456"))); err != nil || string(text) != "123456" {
+		t.Errorf("%q, %v, want all that there is room for", text, err)
+	}
+	if _, err := io.ReadAll(reservation.Reader(strings.NewReader("7"))); !errors.Is(err, ErrFull) {
+		t.Errorf("error %v, want that the budget is full", err)
+	}
+	reservation.Release()
+	if used, _ := budget.Used(); used != 0 {
+		t.Errorf("%d bytes are used after the release", used)
+	}
+}
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -4,8 +4,10 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"time"
+
+	"github.com/spanlanding/spanlanding/internal/bounded"
+	"github.com/spanlanding/spanlanding/internal/membudget"
 )
 
 const (
@@ -18,8 +20,6 @@
 	memoryRetryDelay = 500 * time.Millisecond
 )
 
-var errMemoryFull = errors.New("no memory for the request")
-
 // readBody reads the whole body, within the configured size limit and the memory for requests. It responds to
 // requests that exceed either.
 func (x *exchange) readBody() bool {
@@ -41,10 +41,10 @@
 		x.body = make([]byte, length)
 		_, err = io.ReadFull(reader, x.body)
 	} else {
-		x.body, err = io.ReadAll(&reservingReader{source: reader, exchange: x})
+		x.body, err = io.ReadAll(x.reserving(reader))
 	}
 	switch {
-	case errors.Is(err, errMemoryFull):
+	case errors.Is(err, membudget.ErrFull):
 		x.refuseForMemory()
 		return false
 	case err != nil:
@@ -60,7 +60,7 @@
 
 // denyLongBody responds to a request whose body exceeds the configured limit.
 func (x *exchange) denyLongBody() {
-	x.leaveBody()
+	bounded.LeaveBody(x.writer)
 	x.deny(http.StatusRequestEntityTooLarge, "body over the limit")
 }
 
@@ -69,28 +69,10 @@
 	x.body = nil
 	x.releaseMemory()
 	x.handler.Metrics.MemoryRefused.Add(1)
-	x.leaveBody()
+	bounded.LeaveBody(x.writer)
 	x.refuse(reasonMemoryFull, memoryRetryDelay)
 }
 
-// maxDiscardedBytes is how much net/http reads of a body that no handler read, to keep the connection.
-const maxDiscardedBytes = 256 << 10
-
-// leaveLongBody is leaveBody for a body that net/http would not read to its end.
-func (x *exchange) leaveLongBody() {
-	if !x.isBodyRead && x.request.ContentLength > maxDiscardedBytes {
-		x.leaveBody()
-	}
-}
-
-// leaveBody makes the connection close after a response that is written before the body was read. net/http
-// resets such a connection at once while the caller still sends, and the caller does not get the response,
-// unless a MaxBytesReader has met its limit: then it closes its side first and waits a little.
-func (x *exchange) leaveBody() {
-	beyond := http.MaxBytesReader(x.writer, io.NopCloser(strings.NewReader("x")), 0)
-	_, _ = beyond.Read(make([]byte, 1))
-}
-
 // reserveMemory reserves memory for the request, and reports whether there was room.
 func (x *exchange) reserveMemory(bytes int64) bool {
 	switch {
@@ -104,6 +86,14 @@
 	}
 }
 
+// reserving returns a reader that reserves memory for what it reads.
+func (x *exchange) reserving(source io.Reader) io.Reader {
+	if x.memory == nil {
+		return source
+	}
+	return x.memory.Reader(source)
+}
+
 // countMemory counts memory that the request has taken and that is bounded otherwise.
 func (x *exchange) countMemory(bytes int) {
 	if x.memory != nil {
@@ -118,18 +108,3 @@
 		x.memory = nil
 	}
 }
-
-// reservingReader reserves memory for what it reads.
-type reservingReader struct {
-	source   io.Reader
-	exchange *exchange
-}
-
-// Read implements io.Reader.
-func (r *reservingReader) Read(into []byte) (int, error) {
-	count, err := r.source.Read(into)
-	if count > 0 && !r.exchange.reserveMemory(int64(count)) {
-		return 0, errMemoryFull
-	}
-	return count, err
-}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/waiting"
 )
@@ -114,7 +115,9 @@
 		header.Set(failedHeader, "1")
 	}
 	x.setServersHeader(header)
-	x.leaveLongBody()
+	if !x.isBodyRead {
+		bounded.LeaveLongBody(x.writer, x.request)
+	}
 	body := `{"status":` + strconv.Itoa(status) + `,"outcome":"` + outcome + `","title":` + strconv.Quote(reason) + `}`
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(status)
