--- a/internal/backendconn/endless_test.go
+++ b/internal/backendconn/endless_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -163,3 +164,42 @@
 		}
 	}
 }
+
+// Guards against a body that is taken for a head: the head of a response may have come together with a response
+// before it, and what follows is its body, which may be long and slow.
+func TestBodyBehindHeadsThatCameTogetherIsWhole(t *testing.T) {
+	const partialTimeout = 50 * time.Millisecond
+	body := strings.Repeat("a line of the body\n", 20_000)
+	final := "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: " + strconv.Itoa(2*len(body)) + "\r\n\r\n"
+	for name, before := range map[string]string{
+		"alone":                    "",
+		"an informational answer":  "HTTP/1.1 103 Early Hints\r\n\r\n",
+		"an answer to another one": "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nab",
+	} {
+		pool := New(Options{Dial: func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				_, _ = far.Read(make([]byte, 4096))
+				_, _ = io.WriteString(far, before+final+body)
+				time.Sleep(3 * partialTimeout)
+				_, _ = io.WriteString(far, body)
+			}()
+			return near, nil
+		}})
+		conn, err := pool.Get(context.Background(), "server", "r1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := conn.RoundTrip(context.Background(), Request{
+			Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Deadline: clock.Now().Add(10 * time.Second), PartialTimeout: partialTimeout,
+			Matches: func(header http.Header) bool { return header.Get("X-Id") == "r1" },
+		})
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if text, err := io.ReadAll(response); err != nil || string(text) != body+body {
+			t.Errorf("%s: %d bytes of %d, error %v", name, len(text), 2*len(body), err)
+		}
+	}
+}
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -140,6 +140,7 @@
 		case err != nil:
 			return nil, ErrMaybeSent.Wrap(err, "read response")
 		}
+		x.conn.head.End()
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/bounded/head.go
+++ b/internal/bounded/head.go
@@ -6,7 +6,7 @@
 )
 
 // HeadReader is a reader of a connection that carries HTTP/1.1 responses. Between Begin and the end of the
-// head that follows, it fails with ErrTooLong once the head has more bytes or fields than allowed. What
+// head that follows, or End, it fails with ErrTooLong once the head has more bytes or fields than allowed. What
 // follows a head is not bounded.
 type HeadReader struct {
 	// Source is the connection.
@@ -28,6 +28,9 @@
 	r.bytesLeft, r.linesLeft = maxBytes, 1+MaxHeadFields
 }
 
+// End ends the head: whoever reads through a buffer may have had all of it there at Begin.
+func (r *HeadReader) End() { r.inHead, r.isPartial = false, false }
+
 // Read implements io.Reader.
 func (r *HeadReader) Read(into []byte) (int, error) {
 	if r.err != nil {
