Memory budget: no announced length wraps around; reports on bars read in one pass

Found by reading the whole change: a request that announces 2^63 bytes where the configuration bounds no body passed the check of the budget by overflow. TestReservationsStayWithinTheLimit asks for it; it failed before.

--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -43,7 +43,7 @@
 // hasRoom reports whether the tenant may reserve so many bytes more. No tenant may hold more than its share
 // among those that hold any and one more, so that there is room for the next one. b.mu is held.
 func (b *Budget) hasRoom(tenant string, bytes int64) bool {
-	if b.used+bytes > b.limit {
+	if bytes > b.limit-b.used {
 		return false
 	}
 	if tenant == "" {
@@ -53,7 +53,7 @@
 	if _, holds := b.byTenant[tenant]; !holds {
 		holders++
 	}
-	return b.byTenant[tenant]+bytes <= b.limit/(holders+1)
+	return bytes <= b.limit/(holders+1)-b.byTenant[tenant]
 }
 
 // Reservation is what one request holds of a Budget. It is not safe for concurrent use.
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -18,6 +19,9 @@
 	if second == nil || first.Grow(1) {
 		t.Error("the rest is not given, or the limit is not kept by one that grows")
 	}
+	if first.Grow(math.MaxInt64) || budget.Reserve("a", math.MaxInt64) != nil {
+		t.Error("a reservation wraps around")
+	}
 	first.Add(50)
 	if used, _ := budget.Used(); used != 150 {
 		t.Errorf("%d bytes are used, want 150", used)
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -470,24 +470,25 @@
 // are not barred and under which the same servers crashed. By these the node tells a request that only looks
 // like another one from that one.
 func (t *Tracker) ReportsOnBars(now time.Time, limit int) []Report {
-	var last, others, related []Report
+	var last, others []Report
 	for _, fingerprint := range t.Barred(now) {
 		last = append(last, t.LastReport(now, fingerprint))
 		if reports := t.Reports(now, fingerprint); len(reports) > 1 {
 			others = append(others, reports[:len(reports)-1]...)
 		}
 	}
-	isBarredCrash := func(report Report) bool {
-		return slices.ContainsFunc(append(last, others...), func(barred Report) bool { return barred.ServerID == report.ServerID })
+	reports := append(last, others...)
+	crashed := make(map[string]bool, len(reports))
+	for _, report := range reports {
+		crashed[report.ServerID] = true
 	}
 	for _, fingerprint := range t.Unbarred(now) {
 		for _, report := range t.Reports(now, fingerprint) {
-			if len(related) < limit && isBarredCrash(report) {
-				related = append(related, report)
+			if crashed[report.ServerID] {
+				reports = append(reports, report)
 			}
 		}
 	}
-	reports := slices.Concat(last, others, related)
 	return reports[:min(len(reports), limit)]
 }
 
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -28,7 +28,7 @@
 		x.denyLongBody()
 		return false
 	}
-	if !x.reserveMemory(requestOverheadBytes + max(0, length)) {
+	if !x.reserveMemory(requestOverheadBytes) || !x.reserveMemory(max(0, length)) {
 		x.refuseForMemory()
 		return false
 	}
