Soak: a promise that the previous release made is not the current one's

At 13:51:07.537 i-7 began to refuse what it ran with a bare 503 (kind unmarked-refusals). Node-1 passed that status on (request_answered status=503 server=i-7). The current build got three such answers in the same second, at nodes 2, 4 and 6, and made 502 of each (request_refused_unproven).

The check leaves out a request alone which a server refused so, with the status that the caller got, or with 421 where the caller got 503, from a node that has run the previous release. Planted cases hold the conditions: another node, and another status, are still reported.

--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -70,6 +70,8 @@
 	// unmarkedStatus is the status that every fifth request gets after it ran, without a header that
 	// says that it did not run; 0 means none.
 	unmarkedStatus int
+	// unmarkedRefusals holds the status that each request refused so got.
+	unmarkedRefusals map[string]int
 	// endless is the answer that each endlessEach-th request gets as it runs, or in place of a run if it is a
 	// rejection; nil means none.
 	endless     *endlessAnswer
@@ -353,6 +355,9 @@
 	if len(m.runs)%5 != 0 {
 		unmarked = 0
 	}
+	if unmarked != 0 {
+		m.recordUnmarkedRefusal(id, unmarked)
+	}
 	m.mu.Unlock()
 	writer.Header().Set("Server-Stamp", m.id)
 	switch {
@@ -379,6 +384,14 @@
 	}
 }
 
+// recordUnmarkedRefusal records the status of a request that ran and is refused without a mark.
+func (m *modelServer) recordUnmarkedRefusal(id string, status int) {
+	if m.unmarkedRefusals == nil {
+		m.unmarkedRefusals = make(map[string]int)
+	}
+	m.unmarkedRefusals[id] = status
+}
+
 func (m *modelServer) ordersTaken() []order {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/test/platform/soak_planted_test.go
+++ b/test/platform/soak_planted_test.go
@@ -23,6 +23,11 @@
 		{"TWICE", func(s *soak) { s.servers[0].runs["a"] = 2 }},
 		{"REFUSED", func(s *soak) { s.outcomes[0].status = 503 }},
 		{"REFUSED", func(s *soak) { s.outcomes[0].status = 429 }},
+		{"REFUSED", func(s *soak) { s.plantUnmarkedRefusal(503, 503, "node-2") }},
+		{"REFUSED", func(s *soak) { s.plantUnmarkedRefusal(503, 429, "node-1") }},
+		{"REFUSED", func(s *soak) { s.plantUnmarkedRefusal(421, 503, "node-2") }},
+		{"", func(s *soak) { s.plantUnmarkedRefusal(503, 503, "node-1") }},
+		{"", func(s *soak) { s.plantUnmarkedRefusal(421, 503, "node-1") }},
 		{"MEMORY", func(s *soak) { s.peakMemory["node-1"] = machineMemoryMb<<20 + 1 }},
 		{"", func(s *soak) { s.peakMemory["node-1"] = machineMemoryMb << 20 }},
 		{"MIXED", func(s *soak) { s.outcomes[0].bodyComplete = false; s.outcomes[1].bodyComplete = true }},
@@ -236,6 +241,14 @@
 	}
 }
 
+// plantUnmarkedRefusal has a server refuse the first request after it ran, and its caller get the other
+// status from node-1. The named node has run the previous release.
+func (s *soak) plantUnmarkedRefusal(sent, received int, olderNode string) {
+	s.servers[0].recordUnmarkedRefusal("a", sent)
+	s.outcomes[0].status = received
+	s.ranOlderBuild[olderNode] = true
+}
+
 // plantDraining makes the first response announce that the server is leaving, and sends
 // another request to it at the given time.
 func plantDraining(s *soak, at, again time.Time) {
