Soak: the memory of the previous release is not the current one's

Trace: node-4 was replaced by the previous release at 13:56:39.9 (build=ZIl9qxcEapqk), while i-8 and i-1 sent bytes without end (from 13:56:38.8 and 39.8 for 1.9 and 4.2 s).

The memory of a process is recorded where it is of the current build, by the program that it runs, so a node's other lives still count.

--- a/test/platform/soak_endless_test.go
+++ b/test/platform/soak_endless_test.go
@@ -34,9 +34,13 @@
 	}
 }
 
-// recordMemory records the largest memory that each node has taken. A process that has ended is left out.
+// recordMemory records the largest memory that each node has taken. A process that has ended is left out, and so
+// is one of the previous release, which does not bound what it reads.
 func (s *soak) recordMemory() {
 	for _, n := range s.nodes {
+		if n.cmd.Path != binary {
+			continue
+		}
 		peak, err := n.peakMemory()
 		if err != nil {
 			continue
