--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -42,8 +42,9 @@
 	sequence int64
 	arrivals []arrival
 	orders   []order
-	// crashes are the times at which requests crashed it.
+	// crashes are the times at which requests crashed it, and crashed is the last life that ended so.
 	crashes []time.Time
+	crashed int
 }
 
 // arrival is one request that reached a server.
@@ -248,22 +249,31 @@
 		return
 	}
 	if isBad {
-		s.crashUnder(writer, id)
+		s.crashUnder(writer, request, life)
 		return
 	}
 	s.stream(writer, request)
 }
 
-// crashUnder crashes the server as it begins to write an answer. It is back after some seconds.
-func (s *server) crashUnder(writer http.ResponseWriter, id string) {
+// crashUnder crashes the server as it begins to write an answer. It is back after some seconds. A request of a
+// life that another one has crashed ends with it.
+func (s *server) crashUnder(writer http.ResponseWriter, request *http.Request, life int) {
 	time.Sleep(s.pause)
+	s.mu.Lock()
+	isOver := s.life != life || s.crashed == life
+	if !isOver {
+		s.crashed = life
+		s.crashes = append(s.crashes, time.Now())
+	}
+	s.mu.Unlock()
+	if isOver {
+		<-request.Context().Done()
+		return
+	}
 	writer.Header().Set("Content-Type", "text/event-stream")
 	_, _ = io.WriteString(writer, "id: 1\n")
 	_ = http.NewResponseController(writer).Flush()
-	s.mu.Lock()
-	s.crashes = append(s.crashes, time.Now())
-	s.mu.Unlock()
-	s.world.record.add("server %s crashes under request %s", s.id, id)
+	s.world.record.add("server %s crashes under request %s", s.id, request.Header.Get("Request-Id"))
 	s.crash()
 	time.AfterFunc(downTime, func() {
 		s.start()
