--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -18,9 +18,9 @@
 // transport opens a new connection for each attempt.
 var transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 
-// newRequest is a client's attempt at a machine.
-func newRequest(ctx context.Context, n *node, path, id string, deadline time.Duration, header map[string]string) *http.Request {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.frontend()+path, strings.NewReader("body"))
+// newRequest is a client's attempt at a machine. Attempts of one request have the same content.
+func newRequest(ctx context.Context, n *node, path, id, content string, deadline time.Duration, header map[string]string) *http.Request {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.frontend()+path, strings.NewReader("body of "+content))
 	if err != nil {
 		fail("request: %v", err)
 	}
@@ -69,7 +69,7 @@
 	if s.part != "" {
 		parts += s.part + ":20,"
 	}
-	header := map[string]string{"Model": s.model, "Token-Count": "100,80", "Prefix-Hash": parts + fmt.Sprintf("%x", id) + ":20"}
+	header := map[string]string{"Model": s.model, "Token-Count": "100,80", "Prefix-Hash": parts + fmt.Sprintf("%x", s.name) + ":20"}
 	if s.first != "" {
 		header["Resumes"], header["Last-Event-Id"] = s.first, strconv.Itoa(s.last)
 	}
@@ -79,7 +79,7 @@
 	from := s.last
 	w.record.add("client: stream %s, attempt %s to %s, after event %d, resumes %q", s.name, id, n.name, from, s.first)
 	s.status = 0
-	response, err := transport.RoundTrip(newRequest(ctx, n, "/"+cmp.Or(s.route, "chat")+"/"+n.name+"/", id, left, header))
+	response, err := transport.RoundTrip(newRequest(ctx, n, "/"+cmp.Or(s.route, "chat")+"/"+n.name+"/", id, s.name, left, header))
 	if err != nil {
 		w.record.add("client: attempt %s: %v", id, err)
 		return false
