Streams are not joined after all nodes lost power: which versions served is known, or known to be unknown

Cause: a stream whose beginning nobody knows goes on if the service "had one version in the last minute". A process that had run for 0.2 s answered that from an empty memory: "no other version seen" stood for "no other version". Ruled out by the log lines of the joined streams, which say began_told_by=one_version: a wrong origin, and a filter that lets another version through.

Change: whether the history of a service's versions is known is a value of its own, told by nodes with their answers. A node knows it after observing for a minute, or from the record that the first nodes keep in the store. Without it a stream is refused with a Retry-After. The same holds for streams without Resumes, which asked nobody, and for the question to the server that began a stream. The relay's test of streams that nobody knows states now that the history is known, where it was implied, and has the other case beside it.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -117,6 +117,7 @@
 
 		Store:             store,
 		Lease:             store,
+		Checkpoints:       store,
 		Engines:           engines,
 		Pool:              pool,
 		Dialect:           platform.Dialect{},
--- a/internal/dispatch/versions.go
+++ b/internal/dispatch/versions.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// formerVersionRetention is how long after its last server a software version counts as one that
+	// FormerVersionRetention is how long after its last server a software version counts as one that
 	// streams may have begun at: longer than callers wait for a stream.
-	formerVersionRetention = time.Minute
+	FormerVersionRetention = time.Minute
 	// VersionSettleTime is how long after a failed connection the version of a server is uncertain: it
 	// may have started again under its ID at another one, and its entry may not be known here yet.
 	VersionSettleTime = 3 * time.Second
@@ -23,12 +23,38 @@
 
 // rememberVersion records that a server of the version is gone, or runs another one.
 func (c *Core) rememberVersion(former inventory.Server) {
-	history, ok := c.formerVersions[former.Service]
+	c.historyOf(former.Service)[former.SoftwareVersion] = time.Time{}
+}
+
+// historyOf returns the former versions of a service, creating them if necessary.
+func (c *Core) historyOf(service string) versionHistory {
+	history, ok := c.formerVersions[service]
 	if !ok {
 		history = make(versionHistory)
-		c.formerVersions[former.Service] = history
+		c.formerVersions[service] = history
+	}
+	return history
+}
+
+// AddFormerVersion records that servers of the service ran the version before this process observed any.
+func (c *Core) AddFormerVersion(now time.Time, service, version string) {
+	history := c.historyOf(service)
+	if _, ok := history[version]; !ok {
+		history[version] = now
+	}
+}
+
+// VersionsByService returns RecentVersions of all services that have any.
+func (c *Core) VersionsByService(now time.Time) map[string][]string {
+	byService := make(map[string][]string, len(c.versionCounts))
+	for _, services := range [][]string{slices.Collect(maps.Keys(c.versionCounts)), slices.Collect(maps.Keys(c.formerVersions))} {
+		for _, service := range services {
+			if versions := c.RecentVersions(now, service); len(versions) > 0 {
+				byService[service] = versions
+			}
+		}
 	}
-	history[former.SoftwareVersion] = time.Time{}
+	return byService
 }
 
 // RecentVersions returns the software versions of the service's servers, now and within the time for
@@ -39,7 +65,7 @@
 		switch {
 		case lastSeen.IsZero():
 			c.formerVersions[service][version] = now
-		case now.Sub(lastSeen) > formerVersionRetention:
+		case now.Sub(lastSeen) > FormerVersionRetention:
 			delete(c.formerVersions[service], version)
 			continue
 		}
--- a/internal/dispatch/versions_test.go
+++ b/internal/dispatch/versions_test.go
@@ -125,7 +125,7 @@
 	for _, c := range []struct {
 		after time.Duration
 		want  []string
-	}{{0, []string{"v1", "v2"}}, {formerVersionRetention, []string{"v1", "v2"}}, {formerVersionRetention + time.Second, []string{"v2"}}} {
+	}{{0, []string{"v1", "v2"}}, {FormerVersionRetention, []string{"v1", "v2"}}, {FormerVersionRetention + time.Second, []string{"v2"}}} {
 		got := core.RecentVersions(begin.Add(c.after), "s")
 		slices.Sort(got)
 		if !slices.Equal(got, c.want) {
--- /dev/null
+++ b/internal/edge/history.go
@@ -0,0 +1,238 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/spanlanding/spanlanding/internal/checkpoint"
+	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/storepos"
+)
+
+// CheckpointStore reads and writes what outlives all nodes.
+type CheckpointStore interface {
+	ReadCheckpoint(ctx context.Context, name string) (object checkpoint.Object, found bool, err error)
+	// WriteCheckpoint writes the object if it is still at its position; won is false if it is not.
+	WriteCheckpoint(ctx context.Context, object checkpoint.Object) (at storepos.Position, won bool, err error)
+}
+
+const (
+	// historyCheckPeriod is the interval between checks whether the stored record of versions is current.
+	historyCheckPeriod = 200 * time.Millisecond
+	// historyWriters is the number of nodes that write the record: the first one at once, each of the
+	// others historyDelayPerRank later, if it is not written yet.
+	historyWriters      = 3
+	historyDelayPerRank = 500 * time.Millisecond
+	// historyStartDelay is how long a node listens to its peers before it takes part.
+	historyStartDelay = time.Second
+	// historyPrunePeriod is the least time between two writes that only remove versions from the record.
+	historyPrunePeriod = 10 * time.Second
+	// historyRetryPause is the mean pause after a call that failed.
+	historyRetryPause = time.Second
+	// recallTimeout bounds one reading of the record, and recallWait the time for which a request waits for it.
+	recallTimeout = 1500 * time.Millisecond
+	recallWait    = 400 * time.Millisecond
+)
+
+// versionHistory tells whether this node knows all software versions at which streams of a service may have
+// begun: it has observed the servers for long enough, or has read what the fleet recorded before it started.
+// The nodes that come first keep that record in the store. It is safe for concurrent use.
+type versionHistory struct {
+	node *Node
+	// recalls makes requests that wait for the record share one reading.
+	recalls singleflight.Group
+
+	mu sync.Mutex
+	// observedSince is when this node first knew all servers; zero until then.
+	observedSince time.Time
+	// recorded is the record as last read or written here, at position at; nil until then.
+	recorded checkpoint.VersionRecord
+	at       storepos.Position
+
+	// Used by run alone: when the record was first seen to lack a version, when it was last written here,
+	// and when the next call is due after one that failed.
+	lackingSince, writtenAt, nextCall time.Time
+}
+
+func newVersionHistory(node *Node) *versionHistory { return &versionHistory{node: node} }
+
+// observe records that all servers are known.
+func (h *versionHistory) observe(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.observedSince.IsZero() {
+		h.observedSince = now
+	}
+}
+
+// isKnown reports whether the versions that this node saw lately are all at which streams of the service may
+// have begun.
+func (h *versionHistory) isKnown(now time.Time, service string) bool {
+	if h.node.options.Checkpoints == nil {
+		return true
+	}
+	h.mu.Lock()
+	_, isRecorded := h.recorded[service]
+	h.mu.Unlock()
+	return isRecorded || h.hasObservedLongEnough(now)
+}
+
+// recall reads the record unless the history of the service is known. It reports whether it is now.
+func (h *versionHistory) recall(ctx context.Context, service string) bool {
+	if h.isKnown(clock.Now(), service) {
+		return true
+	}
+	read := h.recalls.DoChan("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), recallTimeout)
+		defer cancel()
+		_, err := h.read(ctx)
+		return nil, err
+	})
+	timer := time.NewTimer(recallWait)
+	defer timer.Stop()
+	select {
+	case <-read:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return h.isKnown(clock.Now(), service)
+}
+
+// read reads the record and takes over the versions that this node did not see itself. The object returned
+// has the position at which the record can be replaced.
+func (h *versionHistory) read(ctx context.Context) (checkpoint.Object, error) {
+	object, found, err := h.node.options.Checkpoints.ReadCheckpoint(ctx, checkpoint.VersionsName)
+	if err != nil {
+		h.node.recordStoreFailure("versions", err)
+		return object, err
+	}
+	if !found {
+		return object, nil
+	}
+	record, err := checkpoint.DecodeVersionRecord(object.Data)
+	switch {
+	case err == nil:
+		h.adopt(record, object.Position)
+		return object, nil
+	case h.hasObservedLongEnough(clock.Now()):
+		h.node.options.Logger.Warn().Str("error", err.Error()).Msg("version_record_replaced")
+		return object, nil
+	default:
+		// Replacing it now would turn what it hides into versions that never served.
+		h.node.options.Logger.Warn().Str("error", err.Error()).Msg("version_record_unreadable")
+		return object, err
+	}
+}
+
+// hasObservedLongEnough reports whether this node itself saw all versions that streams may have begun at.
+func (h *versionHistory) hasObservedLongEnough(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.observedSince.IsZero() && now.Sub(h.observedSince) >= dispatch.FormerVersionRetention
+}
+
+// adopt takes over a record that was read. Versions that were in it before are not former ones anew, or they
+// would never leave it.
+func (h *versionHistory) adopt(record checkpoint.VersionRecord, at storepos.Position) {
+	now := clock.Now()
+	h.mu.Lock()
+	known := h.recorded
+	h.mu.Unlock()
+	h.node.dispatch.Do(func(core *dispatch.Core) {
+		for service, versions := range record {
+			for _, version := range versions {
+				if !known.Has(service, version) {
+					core.AddFormerVersion(now, service, version)
+				}
+			}
+		}
+	})
+	isFirst := known == nil
+	h.mu.Lock()
+	if !at.IsBefore(h.at) {
+		h.recorded, h.at = record, at
+	}
+	h.mu.Unlock()
+	if isFirst {
+		h.node.options.Logger.Info().Int("services", len(record)).Str("at", at.String()).Msg("version_record_read")
+	}
+}
+
+// run keeps the record current while this node is one of those that write it.
+func (h *versionHistory) run(ctx context.Context) {
+	if h.node.options.Checkpoints == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		sleep(ctx, historyCheckPeriod)
+		now := clock.Now()
+		if !h.isWriteDue(now, h.recentVersions(now)) {
+			continue
+		}
+		if err := h.update(ctx); err != nil {
+			h.nextCall = clock.Now().Add(historyRetryPause/2 + rand.N(historyRetryPause))
+		}
+	}
+}
+
+func (h *versionHistory) recentVersions(now time.Time) (recent checkpoint.VersionRecord) {
+	h.node.dispatch.Do(func(core *dispatch.Core) { recent = core.VersionsByService(now) })
+	return recent
+}
+
+// isWriteDue reports whether this node should now make the record name the versions.
+func (h *versionHistory) isWriteDue(now time.Time, recent checkpoint.VersionRecord) bool {
+	rank, _ := h.node.peers.rank(now)
+	if rank >= historyWriters || now.Sub(h.node.started) < historyStartDelay || now.Before(h.nextCall) || !h.node.hasServers.Load() {
+		h.lackingSince = time.Time{}
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.recorded.Covers(recent) && h.at.Era >= h.node.directory.position().Era {
+		h.lackingSince = time.Time{}
+		return rank == 0 && !recent.Covers(h.recorded) && now.Sub(h.writtenAt) >= historyPrunePeriod
+	}
+	if h.lackingSince.IsZero() {
+		h.lackingSince = now
+	}
+	return now.Sub(h.lackingSince) >= time.Duration(rank)*historyDelayPerRank
+}
+
+// update reads the record and replaces it if it is not current. What was recorded before this node started
+// stays in it for as long as streams may be resumed.
+func (h *versionHistory) update(ctx context.Context) error {
+	object, err := h.read(ctx)
+	if err != nil {
+		return err
+	}
+	now := clock.Now()
+	recent := h.recentVersions(now)
+	h.mu.Lock()
+	isCurrent := h.at == object.Position && h.recorded.Covers(recent) && recent.Covers(h.recorded)
+	h.mu.Unlock()
+	if isCurrent {
+		return nil
+	}
+	if object.Data, err = recent.Encode(); err != nil {
+		return err
+	}
+	at, won, err := h.node.options.Checkpoints.WriteCheckpoint(ctx, object)
+	if err != nil {
+		h.node.recordStoreFailure("versions", err)
+		return err
+	}
+	if !won {
+		return nil
+	}
+	h.mu.Lock()
+	h.recorded, h.at, h.writtenAt = recent, at, now
+	h.mu.Unlock()
+	h.node.options.Logger.Info().Int("services", len(recent)).Str("at", at.String()).Msg("version_record_written")
+	return nil
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -82,7 +82,9 @@
 	ModelLoadOverage float64
 	Store            Store
 	Lease            LeaseStore
-	Engines          EngineClient
+	// Checkpoints keeps what outlives all nodes; nil if nothing does.
+	Checkpoints CheckpointStore
+	Engines     EngineClient
 	// QuotaTolerance is by how much tenants may exceed their quotas.
 	QuotaTolerance quota.Tolerance
 	// ColdOverage and ColdSlack are by how much the requests sent to a cold server may exceed
@@ -137,8 +139,9 @@
 	evacuations *evacuations
 	// reachable tracks to which services this node can open connections.
 	reachable *reachable
-	// origins remembers where streams began.
+	// origins remembers where streams began, and history at which software versions they may have.
 	origins *streamOrigins
+	history *versionHistory
 	// forwarder passes requests to peers that reach servers which this node does not.
 	forwarder *forwarder
 
@@ -224,6 +227,7 @@
 	node.reachable = newReachable(node)
 	node.forwarder = newForwarder(node)
 	node.origins = newStreamOrigins(node)
+	node.history = newVersionHistory(node)
 	node.handler = relay.New(relay.Options{
 		Dialect:   options.Dialect,
 		Dispatch:  node.dispatch,
@@ -306,6 +310,7 @@
 	group.Go(func() error { n.followServers(ctx); return nil })
 	group.Go(func() error { n.evacuations.follow(ctx); return nil })
 	group.Go(func() error { n.sweep(ctx); return nil })
+	group.Go(func() error { n.history.run(ctx); return nil })
 	group.Go(func() error { n.reachable.run(ctx); return nil })
 	group.Go(func() error { n.peers.receive(ctx); return nil })
 	group.Go(func() error { n.peers.run(ctx); return nil })
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -246,8 +246,7 @@
 	}
 }
 
-// Find implements relay.Origins. It asks the nodes that may keep the origin at once, and returns with
-// the first that knows it.
+// Find implements relay.Origins.
 func (o *streamOrigins) Find(ctx context.Context, key origins.Key, service string) relay.OriginAnswer {
 	now := clock.Now()
 	o.mu.Lock()
@@ -255,9 +254,53 @@
 	entry = o.starts.Review(entry)
 	o.mu.Unlock()
 	if ok {
-		return relay.OriginAnswer{Entry: entry, IsKnown: true, Source: relay.OriginHere, Versions: o.recentVersions(now, entry.Origin.Service)}
+		return relay.OriginAnswer{
+			Entry: entry, IsKnown: true, Source: relay.OriginHere,
+			Versions: o.recentVersions(now, entry.Origin.Service), IsHistoryKnown: o.node.history.isKnown(now, entry.Origin.Service),
+		}
+	}
+	answer := o.askPeers(ctx, now, key, service)
+	if answer.IsKnown || answer.IsHistoryKnown {
+		return answer
+	}
+	return o.recallVersions(ctx, service, answer)
+}
+
+// FindVersions implements relay.Origins.
+func (o *streamOrigins) FindVersions(ctx context.Context, service string) relay.OriginAnswer {
+	now := clock.Now()
+	answer := relay.OriginAnswer{Versions: o.recentVersions(now, service), IsHistoryKnown: o.node.history.isKnown(now, service)}
+	if answer.IsHistoryKnown {
+		return answer
 	}
-	answer := relay.OriginAnswer{Versions: o.recentVersions(now, service)}
+	return o.recallVersions(ctx, service, answer)
+}
+
+// recallVersions adds to the answer what the fleet recorded of the service's versions before all nodes that
+// were asked started.
+func (o *streamOrigins) recallVersions(ctx context.Context, service string, answer relay.OriginAnswer) relay.OriginAnswer {
+	if !o.node.history.recall(ctx, service) {
+		answer.IsPartial = true
+		return answer
+	}
+	answer.IsHistoryKnown = true
+	answer.Versions = mergeVersions(answer.Versions, o.recentVersions(clock.Now(), service))
+	return answer
+}
+
+// mergeVersions returns the versions of both lists.
+func mergeVersions(versions, others []string) []string {
+	for _, version := range others {
+		if !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+	}
+	return versions
+}
+
+// askPeers asks the nodes that may keep the origin at once, and returns with the first that knows it.
+func (o *streamOrigins) askPeers(ctx context.Context, now time.Time, key origins.Key, service string) relay.OriginAnswer {
+	answer := relay.OriginAnswer{Versions: o.recentVersions(now, service), IsHistoryKnown: o.node.history.isKnown(now, service)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	asked := o.askedKeepers(now, key)
@@ -271,11 +314,9 @@
 			answer.IsPartial = true
 			continue
 		}
-		for _, version := range call.Versions {
-			if !slices.Contains(answer.Versions, version) {
-				answer.Versions = append(answer.Versions, version)
-			}
-		}
+		answer.Versions = mergeVersions(answer.Versions, call.Versions)
+		// An older build that is asked has been running while this node started.
+		answer.IsHistoryKnown = answer.IsHistoryKnown || call.History != peerpb.VersionHistory_VERSION_HISTORY_UNKNOWN
 		if entry, ok := decodeOrigin(now, call.Origin); ok {
 			answer.Entry, answer.IsKnown, answer.Source = entry, true, relay.OriginFromPeer
 			break
@@ -320,7 +361,10 @@
 		return
 	}
 	now := clock.Now()
-	answer := &peerpb.OriginCall{IsAnswer: true, Id: call.Id, Versions: o.recentVersions(now, call.Service)}
+	answer := &peerpb.OriginCall{IsAnswer: true, Id: call.Id, Versions: o.recentVersions(now, call.Service), History: peerpb.VersionHistory_VERSION_HISTORY_UNKNOWN}
+	if o.node.history.isKnown(now, call.Service) {
+		answer.History = peerpb.VersionHistory_VERSION_HISTORY_KNOWN
+	}
 	o.mu.Lock()
 	if entry, ok := o.table.Find(now, key); ok {
 		answer.Origin = encodeOrigin(now, o.starts.Review(entry))
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -130,6 +130,7 @@
 	n.leader.deliver(context.Background(), func() { n.leader.applyServerList(now, requestedAt, servers, at) })
 	n.applyServerChanges(changes, "list")
 	n.hasServers.Store(true)
+	n.history.observe(clock.Now())
 	n.announceChanges(hasOutgoing)
 	if at.Era != knownAt.Era && !knownAt.IsZero() {
 		n.options.Logger.Info().Str("at", at.String()).Str("known", knownAt.String()).Int("listed", len(servers)).
@@ -145,6 +146,7 @@
 	changes := n.directory.replaceByPeer(now, list)
 	n.applyServerChanges(changes, "peer_list")
 	n.hasServers.Store(true)
+	n.history.observe(clock.Now())
 	if prior := n.directory.prior(now); prior != knownPrior {
 		n.options.Logger.Info().Str("at", list.Position.String()).Str("prior", prior.String()).Str("known", knownAt.String()).
 			Str("known_prior", knownPrior.String()).Int("listed", len(list.Servers)).Int("changed", len(changes)).Msg("servers_known_before_restore")
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -21,6 +21,9 @@
 	End(key origins.Key)
 	// Find returns the origin of a stream.
 	Find(ctx context.Context, key origins.Key, service string) OriginAnswer
+	// FindVersions returns what is known of a stream that its caller does not identify: the software
+	// versions at which it may have begun.
+	FindVersions(ctx context.Context, service string) OriginAnswer
 }
 
 // OriginAnswer is what the nodes know about the beginning of a stream.
@@ -32,10 +35,16 @@
 	Source originSource
 	// Versions are the software versions that nodes saw in the service lately, this node's included.
 	Versions []string
-	// IsPartial is set if some of the nodes that were asked did not answer.
+	// IsHistoryKnown is set if these are all versions at which a stream may have begun. Nodes that have
+	// just started do not know that by themselves.
+	IsHistoryKnown bool
+	// IsPartial is set if not all of those that may know more have answered.
 	IsPartial bool
 }
 
+// hasOneVersion reports whether all streams of the service began at the same software version.
+func (a OriginAnswer) hasOneVersion() bool { return a.IsHistoryKnown && len(a.Versions) <= 1 }
+
 // originSource says how the origin of a stream became known, in logs.
 type originSource string
 
@@ -108,9 +117,9 @@
 		x.setOrigin(origin, answer.Source)
 		x.originServer, x.originSentAt = answer.Entry.Server, answer.Entry.RecordedAt
 		x.isOriginConfirmed.Store(answer.Entry.IsCertain)
-		x.isOriginOpen = len(answer.Versions) > 1 && !x.isOriginSettled(answer.Entry)
+		x.isOriginOpen = !answer.hasOneVersion() && !x.isOriginSettled(answer.Entry)
 		return x.shouldForward() || x.settleOrigin()
-	case len(answer.Versions) <= 1:
+	case answer.hasOneVersion():
 		x.setOrigin(origins.Origin{Service: x.service, SoftwareVersion: onlyVersion(answer.Versions)}, originOneVersion)
 		return true
 	}
@@ -150,8 +159,11 @@
 
 // findOrigin asks for the origin of the stream that the caller resumes.
 func (x *exchange) findOrigin() OriginAnswer {
-	if x.handler.options.Origins == nil || x.head.Resumes == "" {
-		return OriginAnswer{Versions: x.recentVersions()}
+	switch {
+	case x.handler.options.Origins == nil:
+		return OriginAnswer{Versions: x.recentVersions(), IsHistoryKnown: true}
+	case x.head.Resumes == "":
+		return x.handler.options.Origins.FindVersions(x.ctx, x.service)
 	}
 	return x.handler.options.Origins.Find(x.ctx, x.streamKey(), x.service)
 }
--- a/internal/relay/versions_test.go
+++ b/internal/relay/versions_test.go
@@ -121,6 +121,10 @@
 
 func (o *fixedOrigins) Find(context.Context, origins.Key, string) OriginAnswer { return o.answer }
 
+func (o *fixedOrigins) FindVersions(context.Context, string) OriginAnswer {
+	return OriginAnswer{Versions: o.answer.Versions, IsHistoryKnown: o.answer.IsHistoryKnown, IsPartial: o.answer.IsPartial}
+}
+
 // TestResumedStreamStaysAtItsSoftwareVersion guards against a stream that its caller resumes at a
 // server of another software version, at this node or by way of a peer, and against refusing one that
 // can go on.
@@ -141,7 +145,8 @@
 		"unknown to all nodes":                         {answer: OriginAnswer{Versions: []string{"v1", "v2"}}},
 		"unknown to those nodes that answer":           {answer: OriginAnswer{Versions: []string{"v1", "v2"}, IsPartial: true}, returns: true},
 		"begun at a start that nobody knows for sure":  {answer: known("svc", "")},
-		"unknown, and only one version served of late": {answer: OriginAnswer{Versions: []string{"v2"}}, version: "v2"},
+		"unknown, and only one version served of late": {answer: OriginAnswer{Versions: []string{"v2"}, IsHistoryKnown: true}, version: "v2"},
+		"unknown, and so is which versions served":     {answer: OriginAnswer{Versions: []string{"v2"}, IsPartial: true}, returns: true},
 	}
 	for name, c := range cases {
 		for _, isForwarded := range []bool{false, true} {
--- a/test/platform/versions_test.go
+++ b/test/platform/versions_test.go
@@ -238,6 +238,67 @@
 	}
 }
 
+// leave removes the servers of a version and their entries.
+func (f *versionedFleet) leave(version string) {
+	for _, m := range f.servers {
+		if m.version == version {
+			m.set(func() { m.isDown = true })
+			f.store.remove("servers", m.id)
+		}
+	}
+}
+
+// loseAllNodes kills all nodes at once and starts them again after whatever meanwhile does.
+func (f *versionedFleet) loseAllNodes(meanwhile func()) {
+	var killed sync.WaitGroup
+	for _, n := range f.nodes {
+		killed.Go(n.kill)
+	}
+	killed.Wait()
+	meanwhile()
+	for _, n := range f.nodes {
+		n.start()
+	}
+	f.awaitReady()
+}
+
+// TestStreamsAreNotJoinedAfterAllNodesLostPower guards against nodes that know of no other version once all
+// processes are gone: they let streams of one that has left go on at the one that serves.
+func TestStreamsAreNotJoinedAfterAllNodesLostPower(t *testing.T) {
+	t.Parallel()
+	cases := map[string]func(f *versionedFleet){
+		"the older version has just left":             func(f *versionedFleet) { f.leave("v1"); f.loseAllNodes(func() {}) },
+		"the older version leaves while no node runs": func(f *versionedFleet) { f.loseAllNodes(func() { f.leave("v1") }) },
+		"all servers start again at a version that no node has seen": func(f *versionedFleet) {
+			f.loseAllNodes(func() {
+				for i, m := range f.servers {
+					m.set(func() { m.version, m.startID = "v3", m.startID+1+int64(i) })
+					m.register(f.store, "ready")
+				}
+			})
+		},
+	}
+	for name, meanwhile := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newVersionedFleet(t)
+			begun, joined := 0, 0
+			for _, s := range f.takeUp(f.nodes, f.nodes, func() { meanwhile(f) }) {
+				if s.first.events == 2 {
+					begun++
+				}
+				if s.joinsVersions() {
+					joined++
+				}
+			}
+			t.Logf("%d begun, %d joined", begun, joined)
+			if begun < takenUpStreams/2 || joined > maxJoinedStreams {
+				t.Errorf("%d of %d streams hold events of two software versions", joined, begun)
+			}
+		})
+	}
+}
+
 // uncertainShare is the share of broken streams that have to come to their end while the servers of their
 // version live, although nobody knows for sure which start of each lives.
 const uncertainShare = 0.75
