Nodes that are stopping are asked where streams began, and hand it on to nodes that start

Cause: the list of peers without those that are stopping was used for two questions, who shall keep an origin and who may know one. The refusals came within a millisecond, so nobody was asked, though both nodes that knew lived for another 2 and 4 s. What a node keeps was handed on once, as it began to stop, when no node was left that stayed. Ruled out: that stopping nodes don't answer, or drop what they keep (the test shows that they answer).

Change: all live nodes are asked. A stopping node hands what it keeps to each node that appears, and once more as it ends; where all are stopping they keep origins for each other.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -452,6 +452,7 @@
 		busy = n.callerConns.closeAllIdle()
 	}
 	_ = server.Close()
+	n.origins.handOff(clock.Now())
 	n.handler.LogRetryBudget(clock.Now(), 0)
 	n.options.Logger.Info().Int64("active", n.handler.Active()).Bool("whole", busy == 0).Msg("node_stopped")
 }
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -47,6 +48,8 @@
 	// repeats are those whose origin is sent again in the next period.
 	inProgress map[origins.Key]time.Time
 	repeats    []origins.Key
+	// handedTo holds the nodes that all origins were handed to since this one began to stop.
+	handedTo map[origins.Member]bool
 	// pending holds this node's questions to others.
 	pending *pendingCalls[*peerpb.OriginCall]
 }
@@ -100,16 +103,21 @@
 
 // send sends each origin to the nodes that keep it.
 func (o *streamOrigins) send(now time.Time, entries []origins.Entry) {
-	if len(entries) == 0 {
-		return
+	if len(entries) > 0 {
+		o.sendTo(now, entries, o.node.peers.members(now), func(string) bool { return true })
 	}
-	members := o.node.peers.members(now)
+}
+
+// sendTo sends each origin to those of the members that keep it and are wanted.
+func (o *streamOrigins) sendTo(now time.Time, entries []origins.Entry, members []origins.Member, isWanted func(address string) bool) {
 	entries = o.review(entries)
 	byKeeper := make(map[string][]*peerpb.StreamOrigin)
 	for _, entry := range entries {
 		encoded := encodeOrigin(now, entry)
 		for _, keeper := range origins.Keepers(entry.Key, members, origins.Copies) {
-			byKeeper[keeper] = append(byKeeper[keeper], encoded)
+			if isWanted(keeper) {
+				byKeeper[keeper] = append(byKeeper[keeper], encoded)
+			}
 		}
 	}
 	for keeper, encoded := range byKeeper {
@@ -180,6 +188,9 @@
 	}
 	o.mu.Unlock()
 	o.send(now, o.ofMixedServices(now, due))
+	if o.node.stopping.Load() {
+		o.handToNewcomers(now)
+	}
 }
 
 // ofMixedServices returns the origins in services that run several software versions. In others an
@@ -195,15 +206,40 @@
 	})
 }
 
-// handOff sends all that this node keeps to the nodes that keep it from now on, before the node stops.
+// handOff sends all that this node keeps to the nodes that keep it from now on: when this node begins to stop,
+// and when it ends.
 func (o *streamOrigins) handOff(now time.Time) {
+	o.hand(now, func(origins.Member) bool { return true })
+}
+
+// handToNewcomers sends what this node keeps to nodes that it has not been handed to. While all nodes are
+// restarted in turn, those that know where streams began may end before any that stays has started.
+func (o *streamOrigins) handToNewcomers(now time.Time) {
 	o.mu.Lock()
+	handedTo := o.handedTo
+	o.mu.Unlock()
+	o.hand(now, func(member origins.Member) bool { return !handedTo[member] })
+}
+
+// hand sends all that this node keeps to those of its keepers that are wanted.
+func (o *streamOrigins) hand(now time.Time, isWanted func(member origins.Member) bool) {
+	members := o.node.peers.members(now)
+	wanted, handedTo := make(map[string]bool), make(map[origins.Member]bool)
+	for _, member := range members {
+		wanted[member.Address] = isWanted(member)
+		handedTo[member] = true
+	}
+	o.mu.Lock()
+	o.handedTo = handedTo
 	entries := o.table.All(now)
 	o.mu.Unlock()
+	if !slices.Contains(slices.Collect(maps.Values(wanted)), true) {
+		return
+	}
 	entries = o.ofMixedServices(now, entries)
-	o.send(now, entries)
+	o.sendTo(now, entries, members, func(address string) bool { return wanted[address] })
 	if len(entries) > 0 {
-		o.node.options.Logger.Info().Int("streams", len(entries)).Msg("stream_origins_handed_off")
+		o.node.options.Logger.Info().Int("streams", len(entries)).Int("nodes", len(members)).Msg("stream_origins_handed_off")
 	}
 }
 
@@ -325,9 +361,9 @@
 	return answer
 }
 
-// askedKeepers returns the addresses of the nodes that may keep the origin.
+// askedKeepers returns the addresses of the nodes that may keep the origin, also of those that are stopping.
 func (o *streamOrigins) askedKeepers(now time.Time, key origins.Key) []string {
-	members := o.node.peers.members(now)
+	members := o.node.peers.livingMembers(now)
 	count := len(members)
 	if count >= maxLoadSharingNodes {
 		count = maxAskedKeepers
--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -67,6 +67,26 @@
 	awaitSize(t, newcomer, 1)
 }
 
+// TestStoppingNodesTellWhereStreamsBegan guards against refusing streams for good whose origin only nodes know
+// that are stopping: while all are restarted in turn there may be no others.
+func TestStoppingNodesTellWhereStreamsBegan(t *testing.T) {
+	newcomer, stopping := newVersionedNodes(t, 1, "v1", "v2")[0], newVersionedNodes(t, 1, "v1", "v2")[0]
+	entry := origins.Entry{Key: origins.NewKey("caller", "r1"), Origin: origins.Origin{Service: "s", SoftwareVersion: "v1"}, ExpiresAt: clock.Now().Add(time.Minute)}
+	stopping.origins.Record(entry)
+	stopping.stopping.Store(true)
+	stopping.origins.handOff(clock.Now())
+	newcomer.peers.roster.Observe(clock.Now(), &peerpb.NodeState{Node: "n", Address: stopping.peers.address, Life: 1, Sequence: 1, Leaving: true})
+	if got := newcomer.origins.Find(context.Background(), entry.Key, "s"); !got.IsKnown || got.Entry.Origin != entry.Origin {
+		t.Fatalf("got %+v, want the origin from a node that is stopping", got)
+	}
+	if newcomer.origins.size() != 0 {
+		t.Fatal("the newcomer keeps the origin before it is handed on")
+	}
+	stopping.peers.roster.Observe(clock.Now(), &peerpb.NodeState{Node: "n", Address: newcomer.peers.address, Life: 1, Sequence: 1})
+	stopping.origins.tick(clock.Now())
+	awaitSize(t, newcomer, 1)
+}
+
 // TestUnreadableOriginsAreDropped guards against origins of peers that no stream can have.
 func TestUnreadableOriginsAreDropped(t *testing.T) {
 	node := newTestNode(t)
--- a/internal/edge/peers_roster.go
+++ b/internal/edge/peers_roster.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/clock"
@@ -102,16 +103,23 @@
 	p.alive = alive
 }
 
-// members returns the live nodes but this one, without those that are stopping.
+// members returns the live nodes but this one that are not stopping or, if all are, those too.
 func (p *peers) members(now time.Time) []origins.Member {
+	living := p.livingMembers(now)
+	if staying := slices.DeleteFunc(slices.Clone(living), func(m origins.Member) bool { return m.IsLeaving }); len(staying) > 0 {
+		return staying
+	}
+	return living
+}
+
+// livingMembers returns the live nodes but this one. Those that are stopping answer until they end.
+func (p *peers) livingMembers(now time.Time) []origins.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	alive := p.roster.Alive(now)
 	members := make([]origins.Member, 0, len(alive))
 	for _, peer := range alive {
-		if !peer.Leaving {
-			members = append(members, origins.Member{Address: peer.Address, Zone: peer.Zone})
-		}
+		members = append(members, origins.Member{Address: peer.Address, Zone: peer.Zone, Incarnation: peer.Incarnation, IsLeaving: peer.Leaving})
 	}
 	return members
 }
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -139,6 +139,10 @@
 type Member struct {
 	Address string
 	Zone    string
+	// Incarnation differs between the processes of one address.
+	Incarnation uint64
+	// IsLeaving is set while the node is stopping.
+	IsLeaving bool
 }
 
 // Copies is the number of other nodes that keep the origin of a stream.
--- a/test/platform/versions_test.go
+++ b/test/platform/versions_test.go
@@ -189,6 +189,15 @@
 				f.awaitReady()
 			}
 		}},
+		"after nodes stopped in turn while those before them were stopping": {firsts: []int{0, 1, 2, 3}, seconds: []int{0, 1, 2, 3}, meanwhile: func(f *versionedFleet) {
+			var restarted sync.WaitGroup
+			for _, n := range f.nodes {
+				restarted.Go(func() { n.stop(); n.start() })
+				time.Sleep(overlappingStopGap)
+			}
+			restarted.Wait()
+			f.awaitReady()
+		}},
 		"after all servers started again under their IDs at the other version": {firsts: []int{0, 1}, seconds: []int{2, 3}, meanwhile: (*versionedFleet).restartAll},
 		"with no server of their version left": {firsts: []int{0, 1}, seconds: []int{2, 3}, canNotGoOn: true, meanwhile: func(f *versionedFleet) {
 			for i, m := range f.servers {
@@ -299,6 +308,9 @@
 	}
 }
 
+// overlappingStopGap is the time between two stops that is shorter than a stop.
+const overlappingStopGap = 700 * time.Millisecond
+
 // uncertainShare is the share of broken streams that have to come to their end while the servers of their
 // version live, although nobody knows for sure which start of each lives.
 const uncertainShare = 0.75
