Where streams began is kept in the store while several software versions serve

Cause: an origin is known to four processes and to nothing that outlives them all. The refusals come within a millisecond or two, all nodes having answered, and name no origin: it was not uncertain, it was gone.

Change: shards of origins in the store, each written by one node at most twice a second, after the first event; shards and reads take at most 2 % of the store's rates. A node reads a shard for a stream that no node knows.

--- a/cmd/spanlanding/edge.go
+++ b/cmd/spanlanding/edge.go
@@ -115,9 +115,13 @@
 		ColdOverage: settings.Bounds.ColdOverage,
 		ColdSlack:   settings.Bounds.ColdSlack,
 
-		Store:             store,
-		Lease:             store,
-		Checkpoints:       store,
+		Store:       store,
+		Lease:       store,
+		Checkpoints: store,
+
+		StoreReadsPerSecond:  settings.Platform.ReadsPerS,
+		StoreWritesPerSecond: settings.Platform.WritesPerS,
+
 		Engines:           engines,
 		Pool:              pool,
 		Dialect:           platform.Dialect{},
--- a/internal/dispatch/versions.go
+++ b/internal/dispatch/versions.go
@@ -76,6 +76,16 @@
 	return versions
 }
 
+// HasMixedServices reports whether some service had several software versions lately.
+func (c *Core) HasMixedServices(now time.Time) bool {
+	for _, versions := range c.VersionsByService(now) {
+		if len(versions) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // countVersion adds delta to the number of servers that run the server's software version.
 func (c *Core) countVersion(s *server, delta int) {
 	counts, ok := c.versionCounts[s.info.Service]
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -84,7 +84,10 @@
 	Lease            LeaseStore
 	// Checkpoints keeps what outlives all nodes; nil if nothing does.
 	Checkpoints CheckpointStore
-	Engines     EngineClient
+	// StoreReadsPerSecond and StoreWritesPerSecond are the calls that the store takes from all nodes together;
+	// 0 if it names no rate.
+	StoreReadsPerSecond, StoreWritesPerSecond float64
+	Engines                                   EngineClient
 	// QuotaTolerance is by how much tenants may exceed their quotas.
 	QuotaTolerance quota.Tolerance
 	// ColdOverage and ColdSlack are by how much the requests sent to a cold server may exceed
@@ -311,6 +314,7 @@
 	group.Go(func() error { n.evacuations.follow(ctx); return nil })
 	group.Go(func() error { n.sweep(ctx); return nil })
 	group.Go(func() error { n.history.run(ctx); return nil })
+	group.Go(func() error { n.origins.checkpoints.run(ctx); return nil })
 	group.Go(func() error { n.reachable.run(ctx); return nil })
 	group.Go(func() error { n.peers.receive(ctx); return nil })
 	group.Go(func() error { n.peers.run(ctx); return nil })
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -52,13 +52,16 @@
 	handedTo map[origins.Member]bool
 	// pending holds this node's questions to others.
 	pending *pendingCalls[*peerpb.OriginCall]
+	// checkpoints keeps origins in the store.
+	checkpoints *originCheckpoints
 }
 
 var _ relay.Origins = (*streamOrigins)(nil)
 
 func newStreamOrigins(node *Node) *streamOrigins {
 	return &streamOrigins{
-		node: node, live: origins.NewLiveStarts(), table: origins.NewTable(), starts: origins.NewStarts(dispatch.VersionSettleTime), inProgress: make(map[origins.Key]time.Time), pending: newPendingCalls[*peerpb.OriginCall](),
+		node: node, live: origins.NewLiveStarts(), table: origins.NewTable(), starts: origins.NewStarts(dispatch.VersionSettleTime),
+		inProgress: make(map[origins.Key]time.Time), pending: newPendingCalls[*peerpb.OriginCall](), checkpoints: newOriginCheckpoints(node),
 	}
 }
 
@@ -79,7 +82,20 @@
 		o.repeats = append(o.repeats, entry.Key)
 	}
 	o.mu.Unlock()
+	o.checkpoints.markChanged(entry.Key)
 	o.send(now, []origins.Entry{entry})
+	if isMixed {
+		o.sendToWriter(now, entry)
+	}
+}
+
+// sendToWriter sends the origin to the node that writes it to the store, unless it is one of those that keep it.
+func (o *streamOrigins) sendToWriter(now time.Time, entry origins.Entry) {
+	writer := o.checkpoints.writer(now, entry.Key)
+	if writer == "" || writer == o.node.peers.address || slices.Contains(origins.Keepers(entry.Key, o.node.peers.members(now), origins.Copies), writer) {
+		return
+	}
+	o.node.peers.sendMessage(trafficOrigins, []string{writer}, &peerpb.NodeState{Origins: encodeOrigins(now, o.review([]origins.Entry{entry}))})
 }
 
 // End implements relay.Origins.
@@ -163,6 +179,7 @@
 	for _, one := range encoded {
 		if entry, ok := decodeOrigin(now, one); ok {
 			o.table.Put(now, entry)
+			o.checkpoints.markChanged(entry.Key)
 		}
 	}
 }
@@ -187,7 +204,11 @@
 		}
 	}
 	o.mu.Unlock()
-	o.send(now, o.ofMixedServices(now, due))
+	due = o.ofMixedServices(now, due)
+	o.send(now, due)
+	for _, entry := range due {
+		o.sendToWriter(now, entry)
+	}
 	if o.node.stopping.Load() {
 		o.handToNewcomers(now)
 	}
@@ -245,6 +266,7 @@
 
 func (o *streamOrigins) sweep(now time.Time) {
 	o.live.Sweep(now)
+	o.checkpoints.sweep(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Sweep(now)
@@ -296,10 +318,28 @@
 		}
 	}
 	answer := o.askPeers(ctx, now, key, service)
-	if answer.IsKnown || answer.IsHistoryKnown {
+	if !answer.IsKnown && !answer.IsHistoryKnown {
+		answer = o.recallVersions(ctx, service, answer)
+	}
+	if answer.IsKnown || answer.HasOneVersion() {
 		return answer
 	}
-	return o.recallVersions(ctx, service, answer)
+	return o.recallOrigin(ctx, key, answer)
+}
+
+// recallOrigin adds to the answer where the stream began, if that is in the store.
+func (o *streamOrigins) recallOrigin(ctx context.Context, key origins.Key, answer relay.OriginAnswer) relay.OriginAnswer {
+	if o.node.options.Checkpoints == nil {
+		return answer
+	}
+	entry, ok, err := o.checkpoints.find(ctx, key)
+	switch {
+	case err != nil:
+		answer.IsPartial = true
+	case ok:
+		answer.Entry, answer.IsKnown, answer.Source = o.review([]origins.Entry{entry})[0], true, relay.OriginFromStore
+	}
+	return answer
 }
 
 // FindVersions implements relay.Origins.
@@ -418,6 +458,13 @@
 	}
 }
 
+func encodeOrigins(now time.Time, entries []origins.Entry) (encoded []*peerpb.StreamOrigin) {
+	for _, entry := range entries {
+		encoded = append(encoded, encodeOrigin(now, entry))
+	}
+	return encoded
+}
+
 // decodeOrigin decodes an origin; ok is false if it is absent or invalid.
 func decodeOrigin(now time.Time, encoded *peerpb.StreamOrigin) (entry origins.Entry, ok bool) {
 	if encoded == nil || encoded.Service == "" || max(len(encoded.Service), len(encoded.SoftwareVersion), len(encoded.Server)) > origins.MaxTextBytes {
--- a/internal/edge/peers_roster.go
+++ b/internal/edge/peers_roster.go
@@ -112,6 +112,16 @@
 	return living
 }
 
+// membersAndSelf returns members and, unless it alone is stopping, this node.
+func (p *peers) membersAndSelf(now time.Time) []origins.Member {
+	members := p.members(now)
+	self := origins.Member{Address: p.address, Zone: p.node.options.Zone, Incarnation: p.incarnation, IsLeaving: p.node.stopping.Load()}
+	if self.IsLeaving && slices.ContainsFunc(members, func(m origins.Member) bool { return !m.IsLeaving }) {
+		return members
+	}
+	return append(members, self)
+}
+
 // livingMembers returns the live nodes but this one. Those that are stopping answer until they end.
 func (p *peers) livingMembers(now time.Time) []origins.Member {
 	p.mu.Lock()
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -42,8 +42,8 @@
 	IsPartial bool
 }
 
-// hasOneVersion reports whether all streams of the service began at the same software version.
-func (a OriginAnswer) hasOneVersion() bool { return a.IsHistoryKnown && len(a.Versions) <= 1 }
+// HasOneVersion reports whether all streams of the service began at the same software version.
+func (a OriginAnswer) HasOneVersion() bool { return a.IsHistoryKnown && len(a.Versions) <= 1 }
 
 // originSource says how the origin of a stream became known, in logs.
 type originSource string
@@ -55,6 +55,7 @@
 	// OriginHere and OriginFromPeer are for streams that callers resume.
 	OriginHere       originSource = "here"
 	OriginFromPeer   originSource = "peer"
+	OriginFromStore  originSource = "store"
 	originOneVersion originSource = "one_version"
 )
 
@@ -117,9 +118,9 @@
 		x.setOrigin(origin, answer.Source)
 		x.originServer, x.originSentAt = answer.Entry.Server, answer.Entry.RecordedAt
 		x.isOriginConfirmed.Store(answer.Entry.IsCertain)
-		x.isOriginOpen = !answer.hasOneVersion() && !x.isOriginSettled(answer.Entry)
+		x.isOriginOpen = !answer.HasOneVersion() && !x.isOriginSettled(answer.Entry)
 		return x.shouldForward() || x.settleOrigin()
-	case answer.hasOneVersion():
+	case answer.HasOneVersion():
 		x.setOrigin(origins.Origin{Service: x.service, SoftwareVersion: onlyVersion(answer.Versions)}, originOneVersion)
 		return true
 	}
