A part that crashes servers is barred at any pace up to one request in ten minutes

Cause: a part is barred when the crashes are spread over 0.6 s, and after a pause of 10 s the spread is counted anew. Two crashes of one request are 30 ms apart, so it never came. Ruled out by the log: that crashes are forgotten or taken for one (servers_ended counts on), and that something clears the part (no line says so).

Change: three bursts of crashes, each under other requests, are spread enough. A part is remembered for ten minutes after its last crash, not two. Crashes under three requests within one moment put the part on trial once 0.6 s have passed in which none ran well.

Failed before: TestPartThatCrashesServersNowAndThenIsBarred, each 10.7 s (7 sent late), each minute (5), each five minutes (5), four at once each 15 s (36). It found the last two: two minutes of memory, and the moment.

--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -189,6 +189,63 @@
 	}
 }
 
+// TestPartThatCrashesServersNowAndThenIsBarred guards against a part that is never barred since the requests
+// with it come more than evidenceGap apart, each crashing its servers within one moment.
+func TestPartThatCrashesServersNowAndThenIsBarred(t *testing.T) {
+	cases := map[string]struct {
+		pace time.Duration
+		// requests come together each time, and crash servers each.
+		requests, servers int
+		// succeeds is set where a request with the part runs well in between.
+		succeeds bool
+		want     Status
+	}{
+		"two servers each 10.7 s":                 {pace: 10700 * time.Millisecond, requests: 1, servers: 2, want: StatusBarred},
+		"one server each minute":                  {pace: time.Minute, requests: 1, servers: 1, want: StatusBarred},
+		"one server each five minutes":            {pace: 5 * time.Minute, requests: 1, servers: 1, want: StatusBarred},
+		"four requests at once, two servers each": {pace: 15 * time.Second, requests: 4, servers: 2, want: StatusBarred},
+		"a harmless part on servers that crash":   {pace: 10700 * time.Millisecond, requests: 4, servers: 1, succeeds: true, want: StatusClear},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tracker, part := NewTracker(), NewPartFingerprint("s", "p")
+			var at time.Duration
+			request, crashes, sentLate := 0, 0, 0
+			var knownAt time.Duration
+			for i := range 2 * knownCrashes {
+				at = time.Duration(i) * c.pace
+				for range c.requests {
+					request++
+					switch status := tracker.Status(start.Add(at), part); {
+					case status == StatusBarred, status == StatusOnTrial && !tracker.ClaimTrial(start.Add(at), part):
+						continue
+					}
+					if crashes >= knownCrashes && at > knownAt+knownWithin {
+						sentLate++
+					}
+					for range c.servers {
+						crashes++
+						at += 7 * time.Millisecond
+						crashPart(tracker, at, "p", fmt.Sprint("s", crashes), uint64(request))
+						if crashes == knownCrashes {
+							knownAt = at
+						}
+					}
+				}
+				if c.succeeds {
+					tracker.Record(start.Add(at+time.Second), Report{Fingerprint: part, Acquitted: true})
+				}
+			}
+			if barred := crashes < 2*knownCrashes*c.requests*c.servers; barred != (c.want == StatusBarred) {
+				t.Errorf("%d servers crashed, want barred %v", crashes, c.want == StatusBarred)
+			}
+			if c.want == StatusBarred && sentLate > toleratedSends {
+				t.Errorf("%d requests sent later than %v after the fifth crash", sentLate, knownWithin)
+			}
+		})
+	}
+}
+
 // TestPartIsNotBarredInOneMoment guards against barring a part that all requests share, in the first
 // moments in which servers crash, before any answer on it had time to run well.
 func TestPartIsNotBarredInOneMoment(t *testing.T) {
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -45,9 +45,12 @@
 	maxCrashes = 8
 	// minPartEvidence is the time over which servers must have crashed until a part is barred: requests
 	// that share it run well meanwhile, if it is harmless. Crashes that follow each other by more than
-	// evidenceGap are judged apart.
+	// evidenceGap are judged apart, unless they are CrashLimit bursts: the time between those was enough.
 	minPartEvidence = 600 * time.Millisecond
 	evidenceGap     = 10 * time.Second
+	// partSuspectTTL is how long a part that is not barred is remembered. Requests that share it come from
+	// many callers, at any pace; one of them that runs well clears it.
+	partSuspectTTL = 10 * time.Minute
 	// recentCrash is the time after a crash within which that server is expected to be down.
 	recentCrash = 10 * time.Second
 )
@@ -60,8 +63,8 @@
 	StatusClear Status = iota
 	// StatusSuspect requests were running on servers that crashed.
 	StatusSuspect
-	// StatusOnTrial requests were barred until recently: one node may send them once, after claiming the
-	// trial (Tracker.ClaimTrial).
+	// StatusOnTrial requests were barred until recently, and parts crashed CrashLimit servers in one moment: one
+	// node may send them once, after claiming the trial (Tracker.ClaimTrial).
 	StatusOnTrial
 	// StatusBarred requests crashed CrashLimit servers and are not sent to any.
 	StatusBarred
@@ -121,6 +124,8 @@
 	crashes []crash
 	// evidenceSince is when the first of the crashes happened that followed each other within evidenceGap.
 	evidenceSince time.Time
+	// bursts counts the crashes, those that followed each other within minPartEvidence as one.
+	bursts int
 	// succeededAt is when it last succeeded: earlier crashes do not count.
 	succeededAt time.Time
 	// barredUntil is zero until it is barred; barTime is the length of the current or last bar, barSerial
@@ -164,7 +169,7 @@
 		return StatusClear
 	case now.Before(entry.barredUntil) && (entry.refusals < earlyTrialRefusals || !t.isEarlyTrialDue(now, fingerprint, entry)):
 		return StatusBarred
-	case entry.barTime > 0:
+	case entry.barTime > 0 || entry.awaitsTrial(now):
 		return StatusOnTrial
 	case entry.points() > 0:
 		return StatusSuspect
@@ -238,6 +243,9 @@
 	if len(s.crashes) == 0 || added.at.Sub(s.lastCrashAt()) > evidenceGap {
 		s.evidenceSince = added.at
 	}
+	if len(s.crashes) == 0 || added.at.Sub(s.lastCrashAt()) >= minPartEvidence {
+		s.bursts++
+	}
 	s.crashes = append(s.crashes, added)
 	slices.SortFunc(s.crashes, byTime)
 	s.crashes = s.crashes[max(0, len(s.crashes)-maxCrashes):]
@@ -285,7 +293,27 @@
 // hadTimeToRunWell reports whether requests with the part, if they are harmless, had time to run well
 // elsewhere since servers began to crash. A request itself needs none: it is barred by its own repeats.
 func (s *suspect) hadTimeToRunWell() bool {
-	return s.countRequests() == 0 || s.lastCrashAt().Sub(s.evidenceSince) >= minPartEvidence
+	return s.countRequests() == 0 || s.lastCrashAt().Sub(s.evidenceSince) >= minPartEvidence || s.bursts >= CrashLimit
+}
+
+// countBursts counts the crashes, those that follow each other within minPartEvidence as one.
+func countBursts(crashes []crash) (bursts int) {
+	for i, c := range crashes {
+		if i == 0 || c.at.Sub(crashes[i-1].at) >= minPartEvidence {
+			bursts++
+		}
+	}
+	return bursts
+}
+
+// awaitsTrial reports whether servers crashed under a part often enough to bar it, but in so short a time that
+// none of its requests could run well, and none has since: one more tells.
+func (s *suspect) awaitsTrial(now time.Time) bool {
+	if len(s.crashes) < CrashLimit || s.countRequests() == 0 || now.Sub(s.lastCrashAt()) < minPartEvidence {
+		return false
+	}
+	latest := suspect{crashes: slices.DeleteFunc(slices.Clone(s.crashes), func(c crash) bool { return c.at.Before(s.evidenceSince) })}
+	return latest.points() >= limitPoints
 }
 
 func (s *suspect) pointsOfEvents() int {
@@ -377,6 +405,7 @@
 	}
 	entry.succeededAt = at
 	entry.crashes = slices.DeleteFunc(entry.crashes, func(c crash) bool { return !c.at.After(at) })
+	entry.bursts = countBursts(entry.crashes)
 	entry.resetBar()
 	return true
 }
@@ -388,12 +417,16 @@
 }
 
 // isForgotten reports whether the entry has expired. A request that was barred is remembered for the
-// length of its bar after it, and for suspectTTL at least, so that one more crash bars it again.
+// length of its bar after it, and as long as one that is not at least, so that one more crash bars it again.
 func (s *suspect) isForgotten(now time.Time) bool {
+	ttl := suspectTTL
+	if s.countRequests() > 0 {
+		ttl = partSuspectTTL
+	}
 	if s.barTime > 0 {
-		return now.After(s.barredUntil.Add(max(s.barTime, suspectTTL)))
+		return now.After(s.barredUntil.Add(max(s.barTime, ttl)))
 	}
-	return now.Sub(s.lastCrashAt()) > suspectTTL
+	return now.Sub(s.lastCrashAt()) > ttl
 }
 
 // lastCrashAt is when a server last crashed under the request, or when it was last cleared.
