A node that takes another one's place and name is another holder of the lease

Cause: the lease told holders apart by name. The new node took the record of its own name for its own and led at once, and the old one, in its grace period, read the new one's record back as one of its writes.

Change: a record is a node's own if name and address are.

--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -111,11 +111,11 @@
 	current := l.node.peers.roster.Leader(now)
 	hasLeader := current != nil && current.LeaseExpiredFor < leaseExpiryTolerance
 	if current != nil {
-		l.lease.ObserveWrite(current.LastSeen, current.Name, current.LeasePosition)
+		l.lease.ObserveWrite(current.LastSeen, current.Name, current.Address, current.LeasePosition)
 	}
 	rank := l.node.peers.roster.Rank(now)
 	l.node.peers.mu.Unlock()
-	if l.lease.Record().Holder == l.node.options.Name {
+	if l.lease.IsOwn() {
 		// The lease names this node: it restarted and continues at once.
 		return true
 	}
--- a/internal/storelease/lease.go
+++ b/internal/storelease/lease.go
@@ -8,9 +8,9 @@
 
 // Options configure a Core.
 type Options struct {
-	// Holder names the node; a process that restarts on it is the same holder.
-	Holder string
-	// Address is where peers reach the node; it is written into the record.
+	// Holder names the node, and Address is where peers reach it. A process that restarts on the node is the
+	// same holder. Another node may have its name, at another address.
+	Holder  string
 	Address string
 	// Duration is how long the lease lasts after a write.
 	Duration time.Duration
@@ -108,13 +108,13 @@
 	}
 }
 
-// ObserveWrite handles the holder's own report that it wrote the object at the position.
-func (c *Core) ObserveWrite(now time.Time, holder string, at storepos.Position) {
+// ObserveWrite handles the report of another node that it wrote the object at the position.
+func (c *Core) ObserveWrite(now time.Time, holder, address string, at storepos.Position) {
 	at = at.WithDefaultEra(c.record.Position.Era)
 	if c.known && !at.IsAfter(c.record.Position) {
 		return
 	}
-	c.observe(now, now, Record{Holder: holder, Position: at, Era: at.Era}, false)
+	c.observe(now, now, Record{Holder: holder, Address: address, Position: at, Era: at.Era}, false)
 }
 
 // ObserveAbsent handles the answer to a call made at requestedAt that the object does not exist in the era.
@@ -149,12 +149,20 @@
 	c.known = true
 	c.record = record
 	isHolding := c.term != 0 && c.isRestored && now.Before(c.validUntil)
-	if (c.isRestored || record.Holder != c.options.Holder) && !isHolding {
+	if (c.isRestored || !c.isOwn(record)) && !isHolding {
 		c.term = 0
 	}
 	return true
 }
 
+// isOwn reports whether a process of this node wrote the record. One without an address is told by its name.
+func (c *Core) isOwn(record Record) bool {
+	return record.Holder == c.options.Holder && (record.Address == "" || record.Address == c.options.Address)
+}
+
+// IsOwn reports whether the lease, as last seen, names this node.
+func (c *Core) IsOwn() bool { return c.isOwn(c.record) }
+
 // updateTokenBase derives the token base of the record's era. Without a record every era that the store
 // may have had counts, whichever number it began with. Where the record is gone or its writer knew no
 // eras, the base that this process remembers may be higher.
@@ -186,7 +194,7 @@
 // CanAcquire reports whether this node may try to acquire the lease by a write
 // conditional on the known position.
 func (c *Core) CanAcquire(now time.Time) bool {
-	isFree := c.record.Holder == "" || c.record.Holder == c.options.Holder
+	isFree := c.record.Holder == "" || c.isOwn(c.record)
 	switch {
 	case !c.known:
 		return false
@@ -232,7 +240,7 @@
 		c.pastLoads = c.loadStartTimes(c.record)
 		c.pastLoadsAtOnce = c.record.LoadsAtOnce
 	}
-	c.record = Record{Holder: c.options.Holder, Position: at, Era: at.Era, TokenBase: c.tokenBase}
+	c.record = Record{Holder: c.options.Holder, Address: c.options.Address, Position: at, Era: at.Era, TokenBase: c.tokenBase}
 	c.known = true
 	c.isRestored = false
 	c.positionSeenAt = now
@@ -249,7 +257,7 @@
 	case c.isRestored:
 		earliest = c.positionSeenAt.Add(c.options.Duration + c.options.QuietPeriod + c.options.Margin)
 	case c.record.Holder == "":
-	case c.record.Holder == c.options.Holder:
+	case c.isOwn(c.record):
 		earliest = c.positionSeenAt.Add(c.record.QuietPeriod)
 	default:
 		earliest = c.positionSeenAt.Add(c.options.Duration + c.options.QuietPeriod + c.options.Margin)
--- a/internal/storelease/lease_test.go
+++ b/internal/storelease/lease_test.go
@@ -91,7 +91,7 @@
 
 func TestHeardRevisionStartsTheWait(t *testing.T) {
 	core := New(options("b"))
-	core.ObserveWrite(startTime, "a", storepos.At(0, 5))
+	core.ObserveWrite(startTime, "a", "", storepos.At(0, 5))
 	if core.CanAcquire(at(3 * time.Second)) {
 		t.Error("CanAcquire is true without a read of the store")
 	}
@@ -111,6 +111,49 @@
 }
 
 // The observed LoadsAtOnce reach the next holder through the stored record.
+// TestNodeOfTheSameNameIsAnotherHolder guards against two leaders where a node takes the place, and the name, of
+// one whose process has not ended: it waits for the lease to expire as for that of any other node, and the former
+// holder's term ends once the other one has the lease.
+func TestNodeOfTheSameNameIsAnotherHolder(t *testing.T) {
+	former, replacement := options("a"), options("a")
+	former.Address, replacement.Address = "10.0.0.1:7380", "10.0.0.2:7380"
+	holder, successor := New(former), New(replacement)
+	holder.ObserveAbsent(startTime, startTime, 0)
+	written := holder.NextRecord(startTime)
+	holder.WriteSucceeded(startTime, startTime, storepos.At(0, 5))
+	written.Position = storepos.At(0, 5)
+	for _, observe := range map[string]func(){
+		"read":     func() { successor.Observe(startTime, startTime, written) },
+		"reported": func() { successor.ObserveWrite(startTime, "a", former.Address, storepos.At(0, 5)) },
+	} {
+		successor = New(replacement)
+		observe()
+		if successor.CanAcquire(at(time.Second)) || successor.IsOwn() {
+			t.Fatal("takes the lease of a node of its name while that may hold it")
+		}
+	}
+	expired := at(former.Duration + former.Margin + time.Millisecond)
+	successor.Observe(expired, expired, written)
+	if !successor.CanAcquire(expired) {
+		t.Fatal("does not take the lease once it has expired")
+	}
+	taken := successor.NextRecord(expired)
+	successor.WriteSucceeded(expired, expired, storepos.At(0, 6))
+	if first := successor.FirstOrderAt(); first.Before(at(former.Duration + former.QuietPeriod)) {
+		t.Errorf("the first order may go %v after the last of the former holder may have", first.Sub(at(former.Duration)))
+	}
+	taken.Position = storepos.At(0, 6)
+	holder.Observe(expired, expired, taken)
+	if holder.Term() != 0 || !successor.IsOwn() {
+		t.Errorf("term %d of the former holder, want none", holder.Term())
+	}
+	restarted := New(replacement)
+	restarted.Observe(expired, expired, taken)
+	if !restarted.CanAcquire(expired) {
+		t.Error("a process that restarts on the holder's node waits for its own lease")
+	}
+}
+
 func TestWhatHoldersLearnedIsHandedOn(t *testing.T) {
 	core := New(options("b"))
 	learned := map[string]float64{"svc": 4.2}
@@ -132,7 +175,7 @@
 		"read in the era before": func(core *Core) {
 			core.Observe(startTime, startTime, Record{Holder: "a", Position: storepos.At(2, 9), Era: 2})
 		},
-		"reported by a later holder": func(core *Core) { core.ObserveWrite(startTime, "a", storepos.At(3, 5)) },
+		"reported by a later holder": func(core *Core) { core.ObserveWrite(startTime, "a", "", storepos.At(3, 5)) },
 		"held, and expired": func(core *Core) {
 			core.ObserveAbsent(at(-time.Hour), at(-time.Hour), 2)
 			core.WriteSucceeded(at(-time.Hour), at(-time.Hour), storepos.At(2, 9))
