Readings of checkpoints for callers are paced, also while the store fails

A request that nobody can answer started a reading of the store each time the one before had ended: with a record that lacks the service, or a store that turns calls away, a storm of such requests would have become one of calls. A reading is made twice a second at most, and none within half a second of one that failed. Nodes that do not write the record of versions no longer collect the versions five times a second. Found by reading; edge tests pass.

--- a/internal/edge/history.go
+++ b/internal/edge/history.go
@@ -34,9 +34,10 @@
 	historyPrunePeriod = 10 * time.Second
 	// historyRetryPause is the mean pause after a call that failed.
 	historyRetryPause = time.Second
-	// recallTimeout bounds one reading of the record, and recallWait the time for which a request waits for it.
-	recallTimeout = 1500 * time.Millisecond
-	recallWait    = 400 * time.Millisecond
+	// recallPeriod is the least time between two readings for requests, and recallWait is how long a request
+	// waits for one.
+	recallPeriod = 500 * time.Millisecond
+	recallWait   = 400 * time.Millisecond
 )
 
 // versionHistory tells whether this node knows all software versions at which streams of a service may have
@@ -54,6 +55,8 @@
 	recorded checkpoint.VersionRecord
 	at       storepos.Position
 
+	// recalledAt is when the record was last read for requests; only one such reading is under way.
+	recalledAt time.Time
 	// Used by run alone: when the record was first seen to lack a version, when it was last written here,
 	// and when the next call is due after one that failed.
 	lackingSince, writtenAt, nextCall time.Time
@@ -88,7 +91,11 @@
 		return true
 	}
 	read := h.recalls.DoChan("", func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), recallTimeout)
+		if clock.Since(h.recalledAt) < recallPeriod {
+			return nil, nil
+		}
+		h.recalledAt = clock.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), checkpointTimeout)
 		defer cancel()
 		_, err := h.read(ctx)
 		return nil, err
@@ -168,8 +175,7 @@
 	}
 	for ctx.Err() == nil {
 		sleep(ctx, historyCheckPeriod)
-		now := clock.Now()
-		if !h.isWriteDue(now, h.recentVersions(now)) {
+		if !h.isWriteDue(clock.Now()) {
 			continue
 		}
 		if err := h.update(ctx); err != nil {
@@ -184,13 +190,14 @@
 	return recent
 }
 
-// isWriteDue reports whether this node should now make the record name the versions.
-func (h *versionHistory) isWriteDue(now time.Time, recent checkpoint.VersionRecord) bool {
+// isWriteDue reports whether this node should now make the record name the versions that it saw lately.
+func (h *versionHistory) isWriteDue(now time.Time) bool {
 	rank, _ := h.node.peers.rank(now)
 	if rank >= historyWriters || now.Sub(h.node.started) < historyStartDelay || now.Before(h.nextCall) || !h.node.hasServers.Load() {
 		h.lackingSince = time.Time{}
 		return false
 	}
+	recent := h.recentVersions(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.recorded.Covers(recent) && h.at.Era >= h.node.directory.position().Era {
--- a/internal/edge/origin_checkpoints.go
+++ b/internal/edge/origin_checkpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -43,6 +44,9 @@
 	// read holds the shards that were read for callers.
 	read map[int]readShard
 
+	// failedAt is when a read for callers last failed.
+	failedAt time.Time
+
 	// Used by run alone: the position of each shard that this node writes, and when the next call is due after
 	// one that failed.
 	positions map[int]storepos.Position
@@ -217,9 +221,12 @@
 		ctx, cancel := context.WithTimeout(context.Background(), checkpointTimeout)
 		defer cancel()
 		requestedAt := clock.Now()
+		if c.hasFailedLately(requestedAt) {
+			return readShard{}, errReadPaused
+		}
 		entries, _, err := c.readShard(ctx, shard)
 		if err != nil {
-			c.failures.Add(1)
+			c.recordReadFailure(requestedAt)
 			return readShard{}, err
 		}
 		read := readShard{entries: make(map[origins.Key]origins.Entry, len(entries)), at: requestedAt}
@@ -243,6 +250,22 @@
 	}
 }
 
+// errReadPaused marks a read that was not made, as one has just failed.
+var errReadPaused = errors.New("no checkpoint is read shortly after a read failed")
+
+func (c *originCheckpoints) hasFailedLately(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.failedAt) < recallPeriod
+}
+
+func (c *originCheckpoints) recordReadFailure(now time.Time) {
+	c.failures.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failedAt = now
+}
+
 // sweep drops what was read so long ago that all of it has expired.
 func (c *originCheckpoints) sweep(now time.Time) {
 	c.mu.Lock()
