A stream whose version is uncertain goes on where one version is known to have served

Callers would have seen: in a node's first minute, streams of servers whose entries name no version refused for good when they are taken up, and a question to the server for each stream whose beginning is known.

Cause: a known stream skipped the reading of the record, so that whether one version served stayed unknown; and the question to the server that began a stream asked for a history that a node which knows the stream need not have.

Change: the record is read wherever the version of the beginning is not known. The question depends on the versions seen, as before. The test of a started node has a stream of an unknown version in each case.

--- a/internal/edge/history_test.go
+++ b/internal/edge/history_test.go
@@ -125,6 +125,9 @@
 				node.options.Checkpoints = store
 				node.history.observe(clock.Now().Add(-c.observed))
 			}
+			doubtful := origins.Entry{Key: origins.NewKey("", "r2"), Origin: origins.Origin{Service: "s"}, ExpiresAt: clock.Now().Add(time.Minute)}
+			nodes[1].origins.Record(doubtful)
+			atUnknownVersion := nodes[0].origins.Find(context.Background(), doubtful.Key, "s")
 			find := nodes[0].origins.Find(context.Background(), origins.NewKey("", "r1"), "s")
 			unidentified := nodes[0].origins.FindVersions(context.Background(), "s")
 			for _, got := range []struct {
@@ -132,7 +135,7 @@
 				versions []string
 				known    bool
 				partial  bool
-			}{{"Find", find.Versions, find.IsHistoryKnown, find.IsPartial}, {"FindVersions", unidentified.Versions, unidentified.IsHistoryKnown, unidentified.IsPartial}} {
+			}{{"Find, of a stream that began at an unknown version", atUnknownVersion.Versions, atUnknownVersion.IsHistoryKnown, atUnknownVersion.IsPartial}, {"Find", find.Versions, find.IsHistoryKnown, find.IsPartial}, {"FindVersions", unidentified.Versions, unidentified.IsHistoryKnown, unidentified.IsPartial}} {
 				slices.Sort(got.versions)
 				if !slices.Equal(got.versions, c.versions) || got.known != c.isKnown || got.partial != c.isPartial {
 					t.Errorf("%s: versions %v, known %v, partial %v; want %v, %v, %v", got.what, got.versions, got.known, got.partial, c.versions, c.isKnown, c.isPartial)
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -304,21 +304,13 @@
 	}
 }
 
-// Find implements relay.Origins.
+// Find implements relay.Origins. What the nodes that live know decides; the store is asked for the rest.
 func (o *streamOrigins) Find(ctx context.Context, key origins.Key, service string) relay.OriginAnswer {
-	now := clock.Now()
-	o.mu.Lock()
-	entry, ok := o.table.Find(now, key)
-	entry = o.starts.Review(entry)
-	o.mu.Unlock()
-	if ok {
-		return relay.OriginAnswer{
-			Entry: entry, IsKnown: true, Source: relay.OriginHere,
-			Versions: o.recentVersions(now, entry.Origin.Service), IsHistoryKnown: o.node.history.isKnown(now, entry.Origin.Service),
-		}
+	answer := o.findAtNodes(ctx, key, service)
+	if answer.Entry.Origin.SoftwareVersion != "" {
+		return answer
 	}
-	answer := o.askPeers(ctx, now, key, service)
-	if !answer.IsKnown && !answer.IsHistoryKnown {
+	if !answer.IsHistoryKnown {
 		answer = o.recallVersions(ctx, service, answer)
 	}
 	if answer.IsKnown || answer.HasOneVersion() {
@@ -327,6 +319,22 @@
 	return o.recallOrigin(ctx, key, answer)
 }
 
+// findAtNodes returns what this node knows about the beginning of a stream or, if it does not, what others do.
+func (o *streamOrigins) findAtNodes(ctx context.Context, key origins.Key, service string) relay.OriginAnswer {
+	now := clock.Now()
+	o.mu.Lock()
+	entry, ok := o.table.Find(now, key)
+	entry = o.starts.Review(entry)
+	o.mu.Unlock()
+	if !ok {
+		return o.askPeers(ctx, now, key, service)
+	}
+	return relay.OriginAnswer{
+		Entry: entry, IsKnown: true, Source: relay.OriginHere,
+		Versions: o.recentVersions(now, entry.Origin.Service), IsHistoryKnown: o.node.history.isKnown(now, entry.Origin.Service),
+	}
+}
+
 // recallOrigin adds to the answer where the stream began, if that is in the store.
 func (o *streamOrigins) recallOrigin(ctx context.Context, key origins.Key, answer relay.OriginAnswer) relay.OriginAnswer {
 	if o.node.options.Checkpoints == nil {
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -118,7 +118,7 @@
 		x.setOrigin(origin, answer.Source)
 		x.originServer, x.originSentAt = answer.Entry.Server, answer.Entry.RecordedAt
 		x.isOriginConfirmed.Store(answer.Entry.IsCertain)
-		x.isOriginOpen = !answer.HasOneVersion() && !x.isOriginSettled(answer.Entry)
+		x.isOriginOpen = len(answer.Versions) > 1 && !x.isOriginSettled(answer.Entry)
 		return x.shouldForward() || x.settleOrigin()
 	case answer.HasOneVersion():
 		x.setOrigin(origins.Origin{Service: x.service, SoftwareVersion: onlyVersion(answer.Versions)}, originOneVersion)
