Test: drawn losses of all nodes beside releases

Four losses of all nodes a seed, with servers that start again at drawn versions before them and while no node runs: no stream may be joined, and of those whose version two servers run, half have to go on.

takeUp names its streams by the call, so that one fleet can be used again. The schedules of the other drawn test stay as they were.

--- a/test/platform/versions_test.go
+++ b/test/platform/versions_test.go
@@ -85,6 +85,8 @@
 type versionedFleet struct {
 	*fleet
 	servers []*modelServer
+	// taken counts the calls of takeUp.
+	taken int
 }
 
 const resumablePath = "/resumable/x"
@@ -130,7 +132,8 @@
 // node after whatever meanwhile does.
 func (f *versionedFleet) takeUp(firsts, seconds []*node, meanwhile func()) []resumption {
 	streams := make([]resumption, takenUpStreams)
-	requestID := func(i, attempt int) string { return fmt.Sprintf("s%d-%d", i, attempt) }
+	f.taken++
+	requestID := func(i, attempt int) string { return fmt.Sprintf("t%d-s%d-%d", f.taken, i, attempt) }
 	f.eachStream(func(i int) { streams[i].first = firsts[i%len(firsts)].readStream(requestID(i, 1), resumablePath, 2) })
 	meanwhile()
 	f.eachStream(func(i int) {
@@ -439,12 +442,10 @@
 
 // disrupt carries out one drawn disruption.
 func (r *drawnRelease) disrupt() {
-	m, n := r.servers[r.random.IntN(len(r.servers))], r.nodes[r.random.IntN(len(r.nodes))]
+	m, n := r.drawServer(), r.nodes[r.random.IntN(len(r.nodes))]
 	switch r.random.IntN(4) {
 	case 0:
-		m.set(func() { m.version, m.startID = []string{"v1", "v1.1", "v1.2"}[r.random.IntN(3)], m.startID+1 })
-		m.httpServer.CloseClientConnections()
-		m.register(r.store, "ready")
+		r.restartServer(m)
 	case 1:
 		m.httpServer.CloseClientConnections()
 	case 2:
@@ -491,3 +492,84 @@
 		})
 	}
 }
+
+// drawServer returns one of the servers.
+func (r *drawnRelease) drawServer() *modelServer { return r.servers[r.random.IntN(len(r.servers))] }
+
+// restartServer starts a server again under its ID, at a drawn version.
+func (r *drawnRelease) restartServer(m *modelServer) { r.restartServerAt(m, r.drawVersion()) }
+
+func (r *drawnRelease) drawVersion() string { return []string{"v1", "v1.1", "v1.2"}[r.random.IntN(3)] }
+
+func (r *drawnRelease) restartServerAt(m *modelServer, version string) {
+	m.set(func() { m.version, m.startID = version, m.startID+1 })
+	m.httpServer.CloseClientConnections()
+	m.register(r.store, "ready")
+}
+
+// moveServers starts some servers again at drawn versions, at times all of one version, so that it is gone, or
+// all at one.
+func (r *drawnRelease) moveServers() {
+	switch version := r.drawServer().version; r.random.IntN(4) {
+	case 0:
+		for range r.random.IntN(4) {
+			r.restartServer(r.drawServer())
+		}
+	case 1:
+		for _, m := range r.servers {
+			if m.version == version {
+				r.restartServer(m)
+			}
+		}
+	case 2:
+		for _, m := range r.servers {
+			r.restartServerAt(m, version)
+		}
+	}
+}
+
+// canGoOn reports whether two servers run a version that wrote the attempt's events.
+func (r *drawnRelease) canGoOn(attempt streamAttempt) bool {
+	serving := 0
+	for _, m := range r.servers {
+		if attempt.versions[m.version] {
+			serving++
+		}
+	}
+	return serving >= 2
+}
+
+// TestDrawnLossesOfAllNodesKeepStreamsWhole draws losses of all nodes beside releases: whatever changes before,
+// during and after them, and however soon the next one comes, streams are not joined from two software versions.
+func TestDrawnLossesOfAllNodesKeepStreamsWhole(t *testing.T) {
+	t.Parallel()
+	const (
+		losses  = 4
+		maxWait = time.Second
+	)
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			r := &drawnRelease{versionedFleet: newVersionedFleet(t), random: rand.New(rand.NewPCG(seed, 0xda2c))}
+			wait := func() { time.Sleep(time.Duration(r.random.Int64N(int64(maxWait)))) }
+			for range losses {
+				streams := r.takeUp(r.nodes, r.nodes, func() {
+					wait()
+					r.moveServers()
+					wait()
+					r.loseAllNodes(r.moveServers)
+				})
+				for _, s := range streams {
+					r.count(s.first.events > 0, r.canGoOn(s.first), s.joinsVersions(), s.second.isWhole)
+				}
+			}
+			t.Logf("%d begun, %d joined, %d of %d whose version serves went on", r.begun, r.joined, r.continued, r.resumed)
+			if r.begun < takenUpStreams || r.joined > maxJoinedStreams {
+				t.Errorf("%d of %d streams hold events of two software versions", r.joined, r.begun)
+			}
+			if float64(r.continued) < continuedShare*float64(r.resumed) {
+				t.Errorf("%d of %d streams whose version serves went on", r.continued, r.resumed)
+			}
+		})
+	}
+}
