--- a/test/platform/endless_test.go
+++ b/test/platform/endless_test.go
@@ -65,7 +65,7 @@
 
 // peakMemory returns the largest resident memory of the node's process so far, in bytes.
 func (n *node) peakMemory() (int64, error) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process().Process.Pid))
 	if err != nil {
 		return 0, err
 	}
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -31,8 +31,10 @@
 	name         string
 	ip           string
 	settingsPath string
-	cmd          *exec.Cmd
-	exited       chan error
+	// processMu guards cmd and exited, which are set together once a process has started.
+	processMu sync.Mutex
+	cmd       *exec.Cmd
+	exited    chan error
 	// binary is the program to run from the next start on; empty means the build under test.
 	binary string
 	// arguments are additional command-line arguments.
--- a/test/platform/node_test.go
+++ b/test/platform/node_test.go
@@ -35,17 +35,25 @@
 }
 
 func (n *node) start() {
-	n.cmd = exec.Command(cmp.Or(n.binary, binary), append([]string{"edge"}, n.arguments...)...)
-	n.cmd.Env = append(os.Environ(), "SPANLANDING_BOOT="+n.settingsPath)
-	n.cmd.Stdout, n.cmd.Stderr = n, n
-	if err := n.cmd.Start(); err != nil {
+	process, ended := exec.Command(cmp.Or(n.binary, binary), append([]string{"edge"}, n.arguments...)...), make(chan error, 1)
+	process.Env = append(os.Environ(), "SPANLANDING_BOOT="+n.settingsPath)
+	process.Stdout, process.Stderr = n, n
+	if err := process.Start(); err != nil {
 		n.fleet.t.Fatal(err)
 	}
-	n.exited = make(chan error, 1)
-	process, ended := n.cmd, n.exited
+	n.processMu.Lock()
+	n.cmd, n.exited = process, ended
+	n.processMu.Unlock()
 	go func() { ended <- process.Wait() }()
 }
 
+// process returns the node's last process, for callers beside the one that starts and stops it.
+func (n *node) process() *exec.Cmd {
+	n.processMu.Lock()
+	defer n.processMu.Unlock()
+	return n.cmd
+}
+
 func (n *node) kill() {
 	_ = n.cmd.Process.Kill()
 	<-n.exited
--- a/test/platform/soak_endless_test.go
+++ b/test/platform/soak_endless_test.go
@@ -38,7 +38,7 @@
 // is one of the previous release, which does not bound what it reads.
 func (s *soak) recordMemory() {
 	for _, n := range s.nodes {
-		if n.cmd.Path != binary {
+		if n.process().Path != binary {
 			continue
 		}
 		peak, err := n.peakMemory()
