--- a/test/platform/versions_test.go
+++ b/test/platform/versions_test.go
@@ -92,11 +92,17 @@
 const resumablePath = "/resumable/x"
 
 func newVersionedFleet(t *testing.T) *versionedFleet {
+	t.Helper()
+	return newFleetOfVersions(t, "v1", "v1.1")
+}
+
+// newFleetOfVersions returns a fleet whose servers run the versions in turn.
+func newFleetOfVersions(t *testing.T, versions ...string) *versionedFleet {
 	t.Helper()
 	f := &versionedFleet{fleet: newFleet(t, 4)}
 	for i := range 6 {
 		m := newServer(t, f.store, fmt.Sprintf("i-%d", i), "models", 50*time.Millisecond)
-		m.version = "v1" + strings.Repeat(".1", i%2)
+		m.version = versions[i%len(versions)]
 		m.set(func() {
 			m.models["m1"] = map[string]bool{}
 			m.streamPause, m.startID = 20*time.Millisecond, time.Now().UnixMilli()
@@ -322,6 +328,37 @@
 	}
 }
 
+// TestStreamsGoOnWhereAVersionJoinsWhileNoNodeRuns guards against refusing streams whose version serves on, as
+// another one has come while no node ran: nobody knows which of the two began them.
+func TestStreamsGoOnWhereAVersionJoinsWhileNoNodeRuns(t *testing.T) {
+	t.Parallel()
+	f := newFleetOfVersions(t, "v1")
+	begun, joined, continued := 0, 0, 0
+	streams := f.takeUp(f.nodes, f.nodes, func() {
+		time.Sleep(checkpointTime)
+		f.loseAllNodes(func() {
+			for _, m := range f.servers[:3] {
+				m.set(func() { m.version, m.startID = "v1.1", m.startID+1 })
+				m.register(f.store, "ready")
+			}
+		})
+	})
+	for _, s := range streams {
+		if s.first.events > 0 {
+			begun++
+		}
+		if s.joinsVersions() {
+			joined++
+		} else if s.second.isWhole {
+			continued++
+		}
+	}
+	t.Logf("%d begun, %d joined, %d went on", begun, joined, continued)
+	if joined > maxJoinedStreams || float64(continued) < continuedShare*float64(begun) {
+		t.Errorf("%d of %d streams went on, %d joined versions", continued, begun, joined)
+	}
+}
+
 // checkpointTime is the time within which nodes write to the store where streams began.
 const checkpointTime = 700 * time.Millisecond
 
