--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -31,6 +31,13 @@
 	return nodes
 }
 
+// observe makes the node hear of another one, beside what its socket brings.
+func (n *Node) observe(state *peerpb.NodeState) {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	n.peers.roster.Observe(clock.Now(), state)
+}
+
 // awaitSize waits until the node keeps that many origins.
 func awaitSize(t *testing.T, node *Node, size int) {
 	t.Helper()
@@ -75,14 +82,14 @@
 	stopping.origins.Record(entry)
 	stopping.stopping.Store(true)
 	stopping.origins.handOff(clock.Now())
-	newcomer.peers.roster.Observe(clock.Now(), &peerpb.NodeState{Node: "n", Address: stopping.peers.address, Life: 1, Sequence: 1, Leaving: true})
+	newcomer.observe(&peerpb.NodeState{Node: "n", Address: stopping.peers.address, Life: 1, Sequence: 1, Leaving: true})
 	if got := newcomer.origins.Find(context.Background(), entry.Key, "s"); !got.IsKnown || got.Entry.Origin != entry.Origin {
 		t.Fatalf("got %+v, want the origin from a node that is stopping", got)
 	}
 	if newcomer.origins.size() != 0 {
 		t.Fatal("the newcomer keeps the origin before it is handed on")
 	}
-	stopping.peers.roster.Observe(clock.Now(), &peerpb.NodeState{Node: "n", Address: newcomer.peers.address, Life: 1, Sequence: 1})
+	stopping.observe(&peerpb.NodeState{Node: "n", Address: newcomer.peers.address, Life: 1, Sequence: 1})
 	stopping.origins.tick(clock.Now())
 	awaitSize(t, newcomer, 1)
 }
