--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -246,6 +246,22 @@
 	}
 }
 
+// TestLiftedPartIsJudgedAnew guards against bursts of crashes that are counted on after an operator lifted the bar.
+func TestLiftedPartIsJudgedAnew(t *testing.T) {
+	tracker, part := NewTracker(), NewPartFingerprint("s", "p")
+	for i := range CrashLimit {
+		crashPart(tracker, time.Duration(i)*time.Minute, "p", fmt.Sprint("a", i), uint64(i+1))
+	}
+	lifted := CrashLimit * time.Minute
+	tracker.Record(start.Add(lifted), Report{Fingerprint: part, Lifted: true})
+	for i := range CrashLimit {
+		crashPart(tracker, lifted+time.Duration(1+i)*2*sameEventWindow, "p", fmt.Sprint("b", i), uint64(10+i))
+	}
+	if got := tracker.Status(start.Add(lifted+10*sameEventWindow), part); got == StatusBarred {
+		t.Error("barred by crashes of one moment after its bar was lifted")
+	}
+}
+
 // TestPartIsNotBarredInOneMoment guards against barring a part that all requests share, in the first
 // moments in which servers crash, before any answer on it had time to run well.
 func TestPartIsNotBarredInOneMoment(t *testing.T) {
--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -71,7 +71,7 @@
 		return false
 	}
 	entry.liftedAt = at
-	entry.crashes = nil
+	entry.crashes, entry.bursts = nil, 0
 	entry.resetBar()
 	return true
 }
