--- a/test/platform/node_test.go
+++ b/test/platform/node_test.go
@@ -19,6 +19,10 @@
 var binary string
 
 func TestMain(m *testing.M) {
+	if settings := os.Getenv(streamServerVariable); settings != "" {
+		fmt.Fprintln(os.Stderr, runStreamServer(settings))
+		os.Exit(1)
+	}
 	dir, err := os.MkdirTemp("", "spanlanding-platform")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/test/platform/stream_server_test.go
@@ -0,0 +1,271 @@
+package platform
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// streamScript says how a streamServer writes its streams. The n-th event of a stream holds the number n.
+type streamScript struct {
+	Framing streamFraming
+	// LineEnd ends the lines of events; empty means a line feed.
+	LineEnd string
+	Events  int
+	Pause   time.Duration
+	// BreakEach is how often a stream is broken off, 0 never, and Break how.
+	BreakEach int
+	Break     streamBreak
+	// ResumeOffset shifts the event at which a stream goes on that is taken up again; restarts sets that
+	// to the first one.
+	ResumeOffset int
+	Restarts     bool
+	// IDEach is how often an event carries its number as ID; 0 means each does, -1 none.
+	IDEach int
+	// Padding is the number of bytes that each event has beside its number.
+	Padding int
+	// HasComments puts a comment before each event.
+	HasComments bool
+}
+
+// streamFraming says how the end of a body is told.
+type streamFraming string
+
+const (
+	framedByChunks streamFraming = "chunks"
+	framedByClose  streamFraming = "close"
+	framedByLength streamFraming = "length"
+)
+
+// streamBreak is a way in which a server breaks off a stream.
+type streamBreak string
+
+const (
+	// breakBetween and breakWithin close the connection between two events and within one, and
+	// resetBetween and resetWithin reset it.
+	breakBetween streamBreak = "closed between events"
+	breakWithin  streamBreak = "closed within an event"
+	resetBetween streamBreak = "reset between events"
+	resetWithin  streamBreak = "reset within an event"
+)
+
+func (b streamBreak) isWithin() bool { return b == breakWithin || b == resetWithin }
+func (b streamBreak) isReset() bool  { return b == resetBetween || b == resetWithin }
+
+func (s streamScript) lineEnd() string {
+	if s.LineEnd == "" {
+		return "\n"
+	}
+	return s.LineEnd
+}
+
+// event is the n-th event.
+func (s streamScript) event(n int) string {
+	text := ""
+	if s.HasComments {
+		text = ": still here\n\n"
+	}
+	if s.IDEach >= 0 && n%max(1, s.IDEach) == 0 {
+		text += fmt.Sprintf("id: %d\n", n)
+	}
+	text += fmt.Sprintf("data: %d%s\n\n", n, strings.Repeat(" ", s.Padding))
+	return strings.ReplaceAll(text, "\n", s.lineEnd())
+}
+
+// streamServer is a model server that writes its answers byte by byte as a script says.
+type streamServer struct {
+	id       string
+	listener net.Listener
+	script   streamScript
+	served   atomic.Int64
+	born     int64
+}
+
+func newStreamServer(id string, script streamScript) (*streamServer, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &streamServer{id: id, listener: listener, script: script, born: time.Now().UnixMilli()}
+	go s.run()
+	return s, nil
+}
+
+func (s *streamServer) address() string { return s.listener.Addr().String() }
+
+func (s *streamServer) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			s.serve(conn.(*net.TCPConn))
+		}()
+	}
+}
+
+// serve answers the requests of one connection.
+func (s *streamServer) serve(conn *net.TCPConn) {
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		id := request.Header.Get("Request-Id")
+		switch {
+		case request.URL.Path == "/api/report":
+			report, _ := json.Marshal(map[string]any{"models": []loadedModel{{Name: "m1", Version: 1, Adapters: []string{}}}, "busy": false, "sequence": 0, "born": s.born})
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+		case request.URL.Path == "/api/order":
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		case request.Header.Get("Expect-Instance") != s.id:
+			fmt.Fprintf(conn, "HTTP/1.1 421 X\r\nInstance-Id: %s\r\nNot-Executed: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id, id)
+		case !s.stream(conn, id, request.Header.Get("Last-Event-Id")):
+			return
+		}
+	}
+}
+
+// stream writes one stream. It returns false if the connection is to be closed.
+func (s *streamServer) stream(conn *net.TCPConn, id, lastEventID string) bool {
+	first := s.script.firstEvent(lastEventID)
+	end, isBroken := s.script.Events, false
+	if number := int(s.served.Add(1)); s.script.BreakEach > 0 && number%s.script.BreakEach == 0 {
+		end, isBroken = min(end, first+number/s.script.BreakEach%5-1), true
+	}
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: " + s.id + "\r\nContent-Type: text/event-stream\r\n"
+	length := 0
+	for n := first; n <= s.script.Events; n++ {
+		length += len(s.script.event(n))
+	}
+	switch s.script.Framing {
+	case framedByChunks:
+		head += "Transfer-Encoding: chunked\r\n"
+	case framedByClose:
+		head += "Connection: close\r\n"
+	case framedByLength:
+		head += "Content-Length: " + strconv.Itoa(length) + "\r\n"
+	}
+	_, _ = io.WriteString(conn, head+"\r\n")
+	for n := first; n <= end; n++ {
+		s.write(conn, s.script.event(n))
+		time.Sleep(s.script.Pause)
+	}
+	if isBroken {
+		s.breakOff(conn, end+1)
+		return false
+	}
+	if s.script.Framing == framedByChunks {
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+	return s.script.Framing != framedByClose
+}
+
+// breakOff ends the connection where the n-th event is due.
+func (s *streamServer) breakOff(conn *net.TCPConn, n int) {
+	if event := s.script.event(n); s.script.Break.isWithin() {
+		s.write(conn, event[:len(event)/2])
+	}
+	if s.script.Break.isReset() {
+		time.Sleep(resetDelay)
+		_ = conn.SetLinger(0)
+	}
+}
+
+// resetDelay lets what was written arrive before a reset.
+const resetDelay = 2 * time.Millisecond
+
+func (s *streamServer) write(conn net.Conn, text string) {
+	if s.script.Framing == framedByChunks {
+		text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+	}
+	_, _ = io.WriteString(conn, text)
+}
+
+// firstEvent is the event with which a stream begins that goes on behind the one with the ID.
+func (s streamScript) firstEvent(lastEventID string) int {
+	last, err := strconv.Atoi(lastEventID)
+	if err != nil || s.Restarts {
+		return 1
+	}
+	return max(1, last+1+s.ResumeOffset)
+}
+
+// register writes the server's entry into the store.
+func registerStreamServer(s *store, id, address string) {
+	s.put("servers", id, map[string]any{
+		"service": "models", "address": address, "zone": "z", "version": "v1", "slots": 8, "state": "ready",
+		"models": []loadedModel{{Name: "m1", Version: 1, Adapters: []string{}}}, "sequence": 1, "coldLeftMs": 0,
+	})
+}
+
+// streamServerVariable holds the ID and the script of a process that is a streamServer.
+const streamServerVariable = "SPANLANDING_TEST_STREAM_SERVER"
+
+type streamServerSettings struct {
+	ID     string
+	Script streamScript
+}
+
+// runStreamServer makes this process a streamServer that prints its address.
+func runStreamServer(settings string) error {
+	var decoded streamServerSettings
+	if err := json.Unmarshal([]byte(settings), &decoded); err != nil {
+		return err
+	}
+	server, err := newStreamServer(decoded.ID, decoded.Script)
+	if err != nil {
+		return err
+	}
+	fmt.Println(server.address())
+	select {}
+}
+
+// streamServerProcess is a streamServer that is a process of its own, so that it can be killed.
+type streamServerProcess struct {
+	id, address string
+	cmd         *exec.Cmd
+}
+
+func startStreamServerProcess(t *testing.T, id string, script streamScript) *streamServerProcess {
+	t.Helper()
+	settings, err := json.Marshal(streamServerSettings{ID: id, Script: script})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), streamServerVariable+"="+string(settings))
+	output, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p := &streamServerProcess{id: id, cmd: cmd}
+	t.Cleanup(p.kill)
+	if p.address, err = bufio.NewReader(output).ReadString('\n'); err != nil {
+		t.Fatalf("%s does not start: %v", id, err)
+	}
+	p.address = strings.TrimSpace(p.address)
+	return p
+}
+
+func (p *streamServerProcess) kill() {
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+}
