--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -53,11 +54,36 @@
 	Status        int
 	Header        http.Header
 	ContentLength int64
-	body          io.Reader
-	conn          *Conn
-	exchange      *exchange
-	keepAlive     bool
-	done          bool
+	// Framing says how the end of the body is told.
+	Framing   Framing
+	body      io.Reader
+	conn      *Conn
+	exchange  *exchange
+	keepAlive bool
+	done      bool
+}
+
+// Framing is a way to tell the end of a response's body (RFC 9112, section 6.3).
+type Framing string
+
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByClose means that the body ends with its connection. What the kernel of a server that was
+	// killed sends looks the same.
+	FramedByClose Framing = "close"
+)
+
+// framingOf returns how the end of a response's body is told. One without a body counts as FramedByLength.
+func framingOf(response *http.Response) Framing {
+	switch {
+	case slices.Contains(response.TransferEncoding, "chunked"):
+		return FramedByChunks
+	case response.ContentLength < 0 && response.Body != http.NoBody:
+		return FramedByClose
+	default:
+		return FramedByLength
+	}
 }
 
 // maxInlineBytes is the size up to which a request is written before its response is read. Longer
@@ -165,6 +191,7 @@
 		Status:        response.StatusCode,
 		Header:        response.Header,
 		ContentLength: response.ContentLength,
+		Framing:       framingOf(response),
 		body:          response.Body,
 		conn:          x.conn,
 		exchange:      x,
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -390,6 +390,7 @@
 		return attemptRetry
 	}
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
+	x.recordEnding(response, err)
 	x.countMemory(len(body))
 	x.countBytes(choice, len(body))
 	if err != nil {
@@ -414,6 +415,7 @@
 	_, _ = x.writer.Write(begin)
 	if len(begin) == maxBufferedBytes {
 		copied, err := io.Copy(x.writer, response)
+		x.recordEnding(response, err)
 		onRead(int(copied))
 		if err != nil {
 			x.truncate("broken_answer")
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -82,6 +82,13 @@
 	// lastEventID is the ID of the last whole event that the caller got.
 	lastEventID string
 	eventCount  int
+	// isAtJoint is set until the first event of a response that goes on with the stream, and joint is the
+	// last such place.
+	isAtJoint bool
+	joint     joint
+	// framing is that of the last response, and ending how its body ended; "" before.
+	framing backendconn.Framing
+	ending  bodyEnding
 	// onFirstEvent is called after the first event of the response was passed on; nil for forwarded ones.
 	onFirstEvent func()
 	timing       eventTiming
@@ -430,6 +437,7 @@
 	if x.hint.Limit.IsSet() {
 		entry.Float64("server_limit", x.hint.Limit.PerSecond)
 	}
+	x.logEnding(entry)
 	if x.serverLiveness != "" {
 		entry.Str("fingerprint", x.fingerprint().String()).Str("server_end", string(x.serverLiveness)).
 			Str("parts", formatParts(x.sharedParts()))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -39,6 +39,7 @@
 		x.countBytes(choice, count)
 		x.risk.recordHeard()
 	})
+	x.recordEnding(response, err)
 	if errors.Is(err, io.EOF) {
 		return x.finishStream(choice, response)
 	}
@@ -50,6 +51,7 @@
 // the bytes of each read to onRead. The error is io.EOF if the response ended after a whole event, and
 // bounded.ErrTooLong if an event is longer than is read.
 func (x *exchange) copyEvents(response *backendconn.Response, onRead func(count int)) error {
+	x.isAtJoint = x.isGoingOn()
 	pooled := streamBuffers.Get().(*[]byte)
 	buffer := (*pooled)[:0]
 	defer func() {
@@ -106,6 +108,10 @@
 	}
 	x.timing.record(clock.Since(x.arrived))
 	isFirst := x.eventCount == 0
+	if x.isAtJoint {
+		x.isAtJoint = false
+		x.recordJoint(eventID(events))
+	}
 	x.recordProgress(bytes.Count(events, eventTerminator))
 	for len(events) > 0 {
 		end := bytes.Index(events, eventTerminator) + len(eventTerminator)
