An answer that ends with its connection is not whole if its server has ended

Cause: the kernel of a process that is killed closes its connections with FIN. Where the answer has neither a length nor chunks, and events are written whole, that is how a whole answer ends. Class: a connection that ends in order is taken for an answer that does. Ruled out for callers of HTTP/1.1: any other framing.

Change: at such an end the node opens a connection to the server, and looks for 20 ms whether it is closed again. If nothing listens there, and others are reached, the answer broke off: a stream is taken up at another server, a command gets 502, a long body is broken off. A stream without any event is never taken for whole so. Works since a server is back after seconds. The 20 ms are needed: the kernel may close the listening socket of a process last.

--- a/internal/backendconn/liveness.go
+++ b/internal/backendconn/liveness.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"os"
 	"syscall"
 	"time"
 )
@@ -32,16 +34,45 @@
 }
 
 func (p *Pool) probe(address string) Liveness {
+	conn, liveness := p.open(address)
+	if conn != nil {
+		_ = conn.Close()
+	}
+	return liveness
+}
+
+// open opens a connection for a probe; it is nil unless the server is alive.
+func (p *Pool) open(address string) (net.Conn, Liveness) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	conn, err := p.options.Dial(ctx, address)
 	switch {
 	case err == nil:
-		_ = conn.Close()
-		return LivenessAlive
+		return conn, LivenessAlive
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return LivenessEnded
+		return nil, LivenessEnded
 	default:
-		return LivenessUnknown
+		return nil, LivenessUnknown
+	}
+}
+
+// closeTime is the time within which the kernel closes all sockets of a process that has ended, on a busy
+// machine too.
+const closeTime = 20 * time.Millisecond
+
+// ProbeAfterClose probes a server that has just closed a connection. The sockets of a process that has ended
+// are closed one after another, the listening one maybe last: a connection that comes up meanwhile is reset
+// within closeTime.
+func (p *Pool) ProbeAfterClose(address string) Liveness {
+	conn, liveness := p.open(address)
+	if conn == nil {
+		return liveness
+	}
+	defer conn.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(closeTime))
+	if _, err := conn.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return LivenessAlive
 	}
+	// A server that has too many connections resets new ones as well.
+	return p.probe(address)
 }
--- /dev/null
+++ b/internal/backendconn/liveness_test.go
@@ -0,0 +1,51 @@
+package backendconn
+
+import (
+	"context"
+	"net"
+	"testing"
+)
+
+// TestServerThatIsJustClosingItsSocketsIsNotAlive guards against taking a process that was killed for alive
+// while its kernel still closes its sockets: a connection comes up until the listening one is closed.
+func TestServerThatIsJustClosingItsSocketsIsNotAlive(t *testing.T) {
+	for name, c := range map[string]struct {
+		// ends closes the listening socket after a connection has come up, and accepts takes it before.
+		ends, accepts, closes bool
+		want                  Liveness
+	}{
+		"ends after the connection came up":   {ends: true, want: LivenessEnded},
+		"ends after it took the connection":   {ends: true, accepts: true, closes: true, want: LivenessEnded},
+		"serves on":                           {want: LivenessAlive},
+		"serves on and resets the connection": {accepts: true, closes: true, want: LivenessAlive},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			dials := 0
+			pool := New(Options{})
+			dial := pool.options.Dial
+			pool.options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+				conn, err := dial(ctx, address)
+				if dials++; dials > 1 {
+					return conn, err
+				}
+				if c.accepts {
+					if taken, err := listener.Accept(); err == nil && c.closes {
+						_ = taken.Close()
+					}
+				}
+				if c.ends {
+					_ = listener.Close()
+				}
+				return conn, err
+			}
+			if got := pool.ProbeAfterClose(listener.Addr().String()); got != c.want {
+				t.Errorf("%s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -393,7 +393,8 @@
 	x.recordEnding(response, err)
 	x.countMemory(len(body))
 	x.countBytes(choice, len(body))
-	if err != nil {
+	isLong := len(body) == maxBufferedBytes
+	if err != nil || !isLong && !x.isEndBelieved(choice, response) {
 		x.handleBrokenResponse(choice)
 		return x.retryOrGiveUp("broken_answer")
 	}
@@ -404,22 +405,22 @@
 		x.reportSuccess()
 	}
 	defer x.endAttempt(choice, outcome)
-	x.passWhole(response, body, func(count int) { x.countBytes(choice, count) })
+	x.passWhole(response, body, func() bool {
+		copied, err := io.Copy(x.writer, response)
+		x.recordEnding(response, err)
+		x.countBytes(choice, int(copied))
+		return err == nil && x.isEndBelieved(choice, response)
+	})
 	return attemptDone
 }
 
-// passWhole passes on a response of which the beginning was read, and reports the number of the other
-// bytes to onRead.
-func (x *exchange) passWhole(response *backendconn.Response, begin []byte, onRead func(count int)) {
+// passWhole passes on a response of which the beginning was read. copyRest passes on the rest of a longer
+// one, and reports whether that came to its end.
+func (x *exchange) passWhole(response *backendconn.Response, begin []byte, copyRest func() bool) {
 	x.writeResponseHead(response, len(begin) < maxBufferedBytes, len(begin))
 	_, _ = x.writer.Write(begin)
-	if len(begin) == maxBufferedBytes {
-		copied, err := io.Copy(x.writer, response)
-		x.recordEnding(response, err)
-		onRead(int(copied))
-		if err != nil {
-			x.truncate("broken_answer")
-		}
+	if len(begin) == maxBufferedBytes && !copyRest() {
+		x.truncate("broken_answer")
 	}
 	x.finish(outcomeAnswered, response.Status, "")
 }
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/dispatch"
 )
 
 // bodyEnding says how the body of a response ended.
@@ -17,6 +18,8 @@
 	endedWhole bodyEnding = "whole"
 	// endedEarly: the connection was closed before that.
 	endedEarly bodyEnding = "early"
+	// endedWithServer: as its framing says it, but its server has ended too.
+	endedWithServer bodyEnding = "server_ended"
 	// endedByError: the connection was reset, or what it brought could not be read.
 	endedByError bodyEnding = "error"
 )
@@ -55,6 +58,26 @@
 	}
 }
 
+// isEndBelieved reports whether a body that ended as its framing says it is whole. One that ends with its
+// connection is not if its server has ended as well: the kernel closes the connections of a process that
+// was killed as if the process had done so. A node that is cut off from all servers learns nothing of one.
+func (x *exchange) isEndBelieved(choice dispatch.Choice, response *backendconn.Response) bool {
+	if response.Framing != backendconn.FramedByClose || x.handler.options.Pool.ProbeAfterClose(choice.Address) == backendconn.LivenessAlive ||
+		!x.reachesOthers(choice.ServerID) {
+		return true
+	}
+	x.ending = endedWithServer
+	x.handler.Metrics.EndedWithServer.Add(1)
+	return false
+}
+
+// isStreamBelieved reports whether a stream that ended as its framing says it is whole. Streams have
+// events, so that one without any may have been cut.
+func (x *exchange) isStreamBelieved(choice dispatch.Choice, response *backendconn.Response) bool {
+	isEmpty := !x.isGoingOn() && response.Framing == backendconn.FramedByClose
+	return !isEmpty && x.isEndBelieved(choice, response)
+}
+
 // logEnding adds how the last response was framed and ended, and where streams were joined.
 func (x *exchange) logEnding(entry *log.Entry) {
 	if x.framing != "" {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -250,7 +250,10 @@
 	if err != nil {
 		return x.endBrokenForward("broken_answer")
 	}
-	x.passWhole(response, body, func(int) {})
+	x.passWhole(response, body, func() bool {
+		_, err := io.Copy(x.writer, response)
+		return err == nil
+	})
 	return forwardDone
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -47,8 +47,9 @@
 	// HeadsTooLong and EventsTooLong count the responses that were broken off since their head, or an event,
 	// was longer than is read.
 	HeadsTooLong, EventsTooLong atomic.Int64
-	// UnframedEnds counts the responses of servers that ended with their connection, in order.
-	UnframedEnds atomic.Int64
+	// UnframedEnds counts the responses of servers that ended with their connection, in order, and
+	// EndedWithServer counts those of them that were not taken for whole, as their server had ended too.
+	UnframedEnds, EndedWithServer atomic.Int64
 	// MemoryRefused counts the requests for which there was no memory.
 	MemoryRefused atomic.Int64
 	// ColdHeld counts sends that admission denied.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -40,7 +40,7 @@
 		x.risk.recordHeard()
 	})
 	x.recordEnding(response, err)
-	if errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) && x.isStreamBelieved(choice, response) {
 		return x.finishStream(choice, response)
 	}
 	x.countTooLong(choice.ServerID, err, tooLongEvent)
