Callers without chunks can tell an answer that broke off

Cause: a node ends such a connection in order, and so does the kernel of a node that is killed. Evidence: lines request_cut with protocol=HTTP/1.0, whose callers had 200 and an end.

Change: while such an answer is being written, the kernel is told to reset the connection when it is closed, by whomever; once all of it is written and flushed, the ordinary close is restored. Callers of HTTP/1.1 see a missing chunk, and those of answers with a length a missing byte, as before. The context key of a caller's connection moved from edge to callerconn.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -1,12 +1,12 @@
 package edge
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/callerconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 )
 
@@ -106,18 +106,10 @@
 	return count
 }
 
-// connKey is the context key for a request's connection.
-type connKey struct{}
-
-// withConn is the http.Server's ConnContext hook.
-func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
-
 // rejectClosed passes on only requests whose connections are open.
 func (c *callerConns) rejectClosed(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		conn, ok := request.Context().Value(connKey{}).(net.Conn)
+		conn, ok := callerconn.FromContext(request.Context())
 		if ok && !c.beginRequest(conn) {
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/edge/callers_test.go
+++ b/internal/edge/callers_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/callerconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 )
 
@@ -83,7 +84,7 @@
 	conns.onConnState(conn, http.StateIdle)
 	conns.closeAllIdle()
 	request := httptest.NewRequest(http.MethodGet, "/", nil)
-	request = request.WithContext(withConn(request.Context(), conn))
+	request = request.WithContext(callerconn.WithConn(request.Context(), conn))
 	func() {
 		defer func() { _ = recover() }()
 		handler.ServeHTTP(httptest.NewRecorder(), request)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/bounded"
+	"github.com/spanlanding/spanlanding/internal/callerconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/evacuation"
@@ -353,7 +354,7 @@
 		IdleTimeout:       defaultIdleTimeout,
 		MaxHeaderBytes:    defaultMaxHeaderBytes,
 		ConnState:         n.callerConns.onConnState,
-		ConnContext:       withConn,
+		ConnContext:       callerconn.WithConn,
 	}
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -422,6 +422,7 @@
 	if len(begin) == maxBufferedBytes && !copyRest() {
 		x.truncate("broken_answer")
 	}
+	x.releaseEnd()
 	x.finish(outcomeAnswered, response.Status, "")
 }
 
@@ -460,5 +461,6 @@
 		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	x.headSent = true
+	x.guardEnd(header)
 	x.writer.WriteHeader(response.Status)
 }
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 
 	"github.com/phuslu/log"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/callerconn"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 )
 
@@ -78,6 +80,23 @@
 	return !isEmpty && x.isEndBelieved(choice, response)
 }
 
+// guardEnd makes sure that the caller can tell a response with this header from a part of it, also if this
+// node is killed: one without a length ends with its connection for callers that know no chunks.
+func (x *exchange) guardEnd(header http.Header) {
+	if x.request.ProtoAtLeast(1, 1) || header.Get("Content-Length") != "" {
+		return
+	}
+	x.isEndGuarded = true
+	callerconn.ResetOnClose(x.request.Context())
+}
+
+// releaseEnd is called once the response was written to its end.
+func (x *exchange) releaseEnd() {
+	if x.isEndGuarded && http.NewResponseController(x.writer).Flush() == nil {
+		callerconn.CloseInOrder(x.request.Context())
+	}
+}
+
 // logEnding adds how the last response was framed and ended, and where streams were joined.
 func (x *exchange) logEnding(entry *log.Entry) {
 	if x.framing != "" {
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -1,10 +1,14 @@
 package relay
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
@@ -95,3 +99,52 @@
 		t.Errorf("%d answers ended with their server, want 1", ended)
 	}
 }
+
+// readUnframed sends a request by HTTP/1.0 and reads its response slowly.
+func (f *fixture) readUnframed(t *testing.T, path string) result {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	write(conn, "POST "+path+" HTTP/1.0\r\nHost: 127.0.0.1\r\nX-Id: r1\r\nX-Wait: 5s\r\nContent-Length: 1\r\n\r\nb")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.awaitIdle()
+	text, err := io.ReadAll(response.Body)
+	return result{status: response.StatusCode, header: response.Header, body: string(text), err: err}
+}
+
+// TestCallersWithoutChunksSeeBrokenAnswers guards against callers of HTTP/1.0 who take an answer that was
+// broken off for whole, and against an answer that is whole and reset.
+func TestCallersWithoutChunksSeeBrokenAnswers(t *testing.T) {
+	events := strings.Repeat("id: 1\ndata: "+strings.Repeat("x", 1000)+"\n\n", 300)
+	for name, c := range map[string]struct {
+		path, body string
+		isBroken   bool
+	}{
+		"broken stream":      {"/stream/x", events, true},
+		"whole stream":       {"/stream/x", events, false},
+		"broken long answer": {"/command/x", events, true},
+		"whole long answer":  {"/command/x", events, false},
+		"whole short answer": {"/command/x", "short", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, newFakeServer(t, func(conn net.Conn, request *http.Request) bool {
+				write(conn, "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"+strconv.FormatInt(int64(len(c.body)), 16)+"\r\n"+c.body+"\r\n")
+				if !c.isBroken {
+					write(conn, "0\r\n\r\n")
+				}
+				return !c.isBroken
+			}))
+			got := f.readUnframed(t, c.path)
+			if (got.err != nil) != c.isBroken || !c.isBroken && got.body != c.body {
+				t.Errorf("%d bytes of %d, error %v", len(got.body), len(c.body), got.err)
+			}
+		})
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -89,6 +89,8 @@
 	// framing is that of the last response, and ending how its body ended; "" before.
 	framing backendconn.Framing
 	ending  bodyEnding
+	// isEndGuarded is set while the connection is reset if the response ends now.
+	isEndGuarded bool
 	// onFirstEvent is called after the first event of the response was passed on; nil for forwarded ones.
 	onFirstEvent func()
 	timing       eventTiming
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -243,6 +243,7 @@
 		if !x.headSent {
 			x.writeResponseHead(response, true, 0)
 		}
+		x.releaseEnd()
 		x.finish(outcomeAnswered, response.Status, "")
 		return forwardDone
 	}
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
+	"github.com/spanlanding/spanlanding/internal/callerconn"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/logging"
@@ -200,7 +201,9 @@
 	}
 	shared.Do(func(core *dispatch.Core) { core.SetServers(changes) })
 	handler.SetTable(testTable())
-	server := httptest.NewServer(handler)
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ConnContext = callerconn.WithConn
+	server.Start()
 	t.Cleanup(server.Close)
 	f.url = server.URL
 	return f
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -161,6 +161,7 @@
 	if !x.headSent {
 		x.writeResponseHead(response, true, 0)
 	}
+	x.releaseEnd()
 	x.endAttempt(choice, dispatch.OutcomeServed)
 	x.reportSuccess()
 	x.finish(outcomeAnswered, response.Status, "")
