Streams are passed on whatever ends their lines

Cause: an event was found by two line feeds alone, so that no event ever ended; whole streams counted as broken off within an event, at each server that was tried.

Change: package eventstream finds events and reads their IDs by the standard's rules, and looks at each byte once however often more come. An event that ends in a carriage return goes on at once; a line feed that comes behind it begins no event. Comments alone no longer count as events: they prove nothing of the parts of a prompt.

--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -6,6 +6,6 @@
 // work of dispatch, and deciding how long to wait that of waiting. A node of package edge creates one
 // Handler and serves callers with it.
 //
-// It may import routetable, dispatch, admission, waiting, poison, retrybudget, bounded, membudget and
-// backendconn. The names of headers come from a Dialect.
+// It may import routetable, dispatch, admission, waiting, poison, retrybudget, bounded, membudget, eventstream,
+// callerconn and backendconn. The names of headers come from a Dialect.
 package relay
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -281,31 +281,6 @@
 	}}, []routetable.Service{{Name: "svc", Engine: engine}}, routetable.Limits{})
 }
 
-// FuzzEvents splits a stream at arbitrary points: only whole events are passed on, and no byte is lost
-// or duplicated.
-func FuzzEvents(f *testing.F) {
-	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\n"), uint8(3))
-	f.Fuzz(func(t *testing.T, text []byte, step uint8) {
-		var passed, buffer []byte
-		for remaining := text; len(remaining) > 0; {
-			count := min(int(step)+1, len(remaining))
-			buffer = append(buffer, remaining[:count]...)
-			remaining = remaining[count:]
-			if end := endOfLastEvent(buffer); end > 0 {
-				passed = append(passed, buffer[:end]...)
-				buffer = append([]byte(nil), buffer[end:]...)
-			}
-		}
-		if string(passed)+string(buffer) != string(text) {
-			t.Errorf("%q became %q and %q", text, passed, buffer)
-		}
-		if len(passed) > 0 && !strings.HasSuffix(string(passed), "\n\n") {
-			t.Errorf("passed on a part of an event: %q", passed)
-		}
-		_ = eventID(text)
-	})
-}
-
 func (testDialect) IsEndToEnd(name string) bool { return name == "X-Model" }
 
 func (testDialect) DropReserved(header http.Header) { header.Del("X-Reserved") }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -1,11 +1,9 @@
 package relay
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -13,6 +11,7 @@
 	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/eventstream"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 )
 
@@ -61,6 +60,7 @@
 		}
 	}()
 	controller := http.NewResponseController(x.writer)
+	var splitter eventstream.Splitter
 	for {
 		if len(buffer) == cap(buffer) {
 			if !x.reserveMemory(int64(cap(buffer))) {
@@ -71,10 +71,9 @@
 		count, err := response.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+count]
 		onRead(count)
-		if end := endOfLastEvent(buffer); end > 0 {
-			x.writeEvents(response, buffer[:end])
+		if passed := x.passEvents(response, &splitter, buffer); passed > 0 {
 			_ = controller.Flush()
-			buffer = append(buffer[:0], buffer[end:]...)
+			buffer = append(buffer[:0], buffer[passed:]...)
 		}
 		if len(buffer) > x.handler.maxEventBytes() {
 			return bounded.ErrTooLong.New("an event has more than %d bytes", x.handler.maxEventBytes())
@@ -82,47 +81,59 @@
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(buffer) > 0 {
+		if !errors.Is(err, io.EOF) {
+			return err
+		}
+		if !eventstream.IsBlank(buffer) {
 			return io.ErrUnexpectedEOF
 		}
+		if x.headSent {
+			_, _ = x.writer.Write(buffer)
+		}
 		return err
 	}
 }
 
-// eventTerminator separates events.
-var eventTerminator = []byte("\n\n")
-
-// endOfLastEvent is the length of the whole events in the buffer; 0 if there is none.
-func endOfLastEvent(buffer []byte) int {
-	end := bytes.LastIndex(buffer, eventTerminator)
-	if end < 0 {
-		return 0
+// passEvents passes on the whole events at the beginning of the buffer, and returns their length.
+func (x *exchange) passEvents(response *backendconn.Response, splitter *eventstream.Splitter, buffer []byte) (passed int) {
+	for {
+		length := splitter.Next(buffer[passed:])
+		if length == 0 {
+			return passed
+		}
+		if passed == 0 {
+			x.beginWrite(response)
+		}
+		x.writeEvent(buffer[passed : passed+length])
+		passed += length
 	}
-	return end + len(eventTerminator)
 }
 
-// writeEvents writes whole events to the caller.
-func (x *exchange) writeEvents(response *backendconn.Response, events []byte) {
+// beginWrite sends the head of the response before its first event, and records the time of a write.
+func (x *exchange) beginWrite(response *backendconn.Response) {
 	if !x.headSent {
 		x.writeResponseHead(response, false, 0)
 	}
 	x.timing.record(clock.Since(x.arrived))
-	isFirst := x.eventCount == 0
+}
+
+// writeEvent writes an event, or comments, to the caller.
+func (x *exchange) writeEvent(text []byte) {
+	event := eventstream.Parse(text)
+	_, _ = x.writer.Write(text)
+	if !event.HasFields {
+		return
+	}
 	if x.isAtJoint {
 		x.isAtJoint = false
-		x.recordJoint(eventID(events))
+		x.recordJoint(event.ID)
 	}
-	x.recordProgress(bytes.Count(events, eventTerminator))
-	for len(events) > 0 {
-		end := bytes.Index(events, eventTerminator) + len(eventTerminator)
-		if id := eventID(events[:end]); id != "" {
-			x.lastEventID = id
-		}
-		x.eventCount++
-		_, _ = x.writer.Write(events[:end])
-		events = events[end:]
+	if event.ID != "" {
+		x.lastEventID = event.ID
 	}
-	if isFirst && x.onFirstEvent != nil {
+	x.recordProgress(1)
+	x.eventCount++
+	if x.eventCount == 1 && x.onFirstEvent != nil {
 		x.onFirstEvent()
 	}
 }
@@ -146,16 +157,6 @@
 	t.last = at
 }
 
-// eventID is the value of the event's id field; empty if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return strings.TrimSpace(string(value))
-		}
-	}
-	return ""
-}
-
 // finishStream ends a request whose stream was relayed to its end.
 func (x *exchange) finishStream(choice dispatch.Choice, response *backendconn.Response) attemptResult {
 	if !x.headSent {
