What a run that goes on writes is compared with what the caller has

What callers saw: events twice, or none at all before later ones, in one answer with status 200: 17, 19 and 16 of 60 streams of servers whose runs start again, repeat the last event or leave one out; 6 and 7 of 60 where few or no events have an ID; a number that goes back in a first run is passed on.

Cause: the last ID was remembered for the next server, and compared with nothing that came. Events without an ID behind it are written again by a server that does what it is asked. Class: an answer that is asked for is taken for the one that comes. Evidence: joined_behind and joined_with of 58 joints: 3 and 1, 3 and 3, 1 and 3. Ruled out: events that go on out of order at a good server (0 of 60, comments, 40 KB, any framing).

Change: eventstream.Order decides on each event. IDs have to rise, within a run as well. Behind a joint, events without an ID that the caller has are dropped if they are the same ones, and end the run if not. Where a service's IDs rise by one, as each node learns from 8 steps on, a run may not begin further on; elsewhere a gap may be rightful. A run that fails is left for another server, or broken off; callers that take a stream up get 502, so that they can ask once more.

--- a/internal/eventstream/event.go
+++ b/internal/eventstream/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"iter"
 	"strings"
 )
 
@@ -77,20 +78,27 @@
 
 // Parse reads an event. Fields that it does not know do not matter, as the standard says.
 func Parse(text []byte) (event Event) {
-	for len(text) > 0 {
-		line := text
-		if end := bytes.IndexAny(text, lineEnds); end >= 0 {
-			line, text = text[:end], text[end+1:]
-		} else {
-			text = nil
-		}
-		if len(line) == 0 || line[0] == ':' {
-			continue
-		}
+	for field := range fields(text) {
 		event.HasFields = true
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok && bytes.IndexByte(id, 0) < 0 {
+		if id, ok := bytes.CutPrefix(field, []byte("id:")); ok && bytes.IndexByte(id, 0) < 0 {
 			event.ID = strings.TrimSpace(string(id))
 		}
 	}
 	return event
 }
+
+// fields yields the lines of an event but comments and empty ones.
+func fields(text []byte) iter.Seq[[]byte] {
+	return func(yield func(field []byte) bool) {
+		for len(text) > 0 {
+			line, rest := text, []byte(nil)
+			if end := bytes.IndexAny(text, lineEnds); end >= 0 {
+				line, rest = text[:end], text[end+1:]
+			}
+			text = rest
+			if len(line) > 0 && line[0] != ':' && !yield(line) {
+				return
+			}
+		}
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/eventstream"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/locality"
 	"github.com/spanlanding/spanlanding/internal/membudget"
@@ -82,10 +83,10 @@
 	// lastEventID is the ID of the last whole event that the caller got.
 	lastEventID string
 	eventCount  int
-	// isAtJoint is set until the first event of a response that goes on with the stream, and joint is the
-	// last such place.
-	isAtJoint bool
-	joint     joint
+	// order decides which events may follow those that the caller has.
+	order eventstream.Order
+	// joint is where the last response went on with the stream.
+	joint joint
 	// framing is that of the last response, and ending how its body ended; "" before.
 	framing backendconn.Framing
 	ending  bodyEnding
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -238,7 +238,7 @@
 	case x.route.Stream && response.Status == http.StatusOK:
 		if err := x.copyEvents(response, func(int) {}); !errors.Is(err, io.EOF) {
 			x.countTooLong(x.peer, err, tooLongEvent)
-			return x.endBrokenForward("broken_stream")
+			return x.endBrokenStreamOfPeer(err)
 		}
 		if !x.headSent {
 			x.writeResponseHead(response, true, 0)
@@ -258,6 +258,19 @@
 	return forwardDone
 }
 
+// endBrokenStreamOfPeer decides whether a stream that ended with the error at a peer is taken up again.
+func (x *exchange) endBrokenStreamOfPeer(err error) forwardResult {
+	switch {
+	case !x.order.CanResume():
+		x.giveUp("broken_stream")
+		return forwardDone
+	case isDisorder(err):
+		return x.endBrokenForward(reasonDisorder)
+	default:
+		return x.endBrokenForward("broken_stream")
+	}
+}
+
 // endBrokenForward decides whether a request whose peer broke off is sent once more.
 func (x *exchange) endBrokenForward(reason string) forwardResult {
 	if x.callerGone() {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -50,6 +50,8 @@
 	// UnframedEnds counts the responses of servers that ended with their connection, in order, and
 	// EndedWithServer counts those of them that were not taken for whole, as their server had ended too.
 	UnframedEnds, EndedWithServer atomic.Int64
+	// EventsOutOfOrder counts the events that were not passed on, as they may not follow the ones before.
+	EventsOutOfOrder atomic.Int64
 	// MemoryRefused counts the requests for which there was no memory.
 	MemoryRefused atomic.Int64
 	// ColdHeld counts sends that admission denied.
--- /dev/null
+++ b/internal/relay/order_test.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+// TestStreamsGoOnWithTheNextEvent guards against callers whose events come twice, out of order or not at all,
+// since a server does not go on behind the last one.
+func TestStreamsGoOnWithTheNextEvent(t *testing.T) {
+	numbered := func(numbers string) string {
+		text := ""
+		for number := range strings.FieldsSeq(numbers) {
+			text += "id: " + number + "\ndata: x\n\n"
+		}
+		return text
+	}
+	for name, c := range map[string]struct {
+		first, second string
+		isWhole       bool
+	}{
+		"goes on":                         {numbered("1 2"), numbered("3 4"), true},
+		"starts again":                    {numbered("1 2"), numbered("1 2 3 4"), false},
+		"repeats the last event":          {numbered("1 2"), numbered("2 3 4"), false},
+		"leaves an event out":             {numbered("1 2"), numbered("4"), false},
+		"a number goes back in the first": {numbered("1 2 1"), numbered("3 4"), true},
+		"events without ID come again":    {numbered("1 2") + "data: y\n\n", "data: y\n\n" + numbered("3"), true},
+		"other events without ID come":    {numbered("1 2") + "data: y\n\n", "data: z\n\n" + numbered("3"), false},
+		"the rest is missing":             {numbered("1 2") + "data: y\n\n", "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sends atomic.Int32
+			server := func(conn net.Conn, _ *http.Request) bool {
+				if sends.Add(1) > 1 {
+					write(conn, reply("r1", http.StatusOK, c.second))
+					return true
+				}
+				write(conn, streamHead+chunk(c.first))
+				return reset(conn)
+			}
+			f := newFixture(t, newFakeServer(t, server), newFakeServer(t, server))
+			warmUp := newFixture(t, newFakeServer(t, respondWith(http.StatusOK, numbered("1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18"))))
+			warmUp.send(t, http.MethodPost, "/stream/x", "b")
+			f.handler.steps = warmUp.handler.steps
+			got := f.send(t, http.MethodPost, "/resume/x", "b")
+			if (got.err == nil) != c.isWhole || !strings.HasPrefix(got.body, numbered("1 2")) || strings.Count(got.body, "id: 2\n") != 1 || strings.Count(got.body, "data: y") > 1 {
+				t.Errorf("%q, error %v", got.body, got.err)
+			}
+			if isCounted := f.handler.Metrics.EventsOutOfOrder.Load() > 0; isCounted != (name != "goes on" && name != "events without ID come again" && name != "the rest is missing") {
+				t.Errorf("%d events counted as out of order", f.handler.Metrics.EventsOutOfOrder.Load())
+			}
+		})
+	}
+}
+
+// TestCallersThatResumeGetNoEventTwice guards against events that a caller has already.
+func TestCallersThatResumeGetNoEventTwice(t *testing.T) {
+	f := newFixture(t, newFakeServer(t, respondWith(http.StatusOK, "id: 2\ndata: x\n\nid: 3\ndata: x\n\n")))
+	if got := f.send(t, http.MethodPost, "/resume/x", "b", "X-Last", "2", "X-Resumes", "r0"); got.status != http.StatusBadGateway {
+		t.Errorf("%d, %q", got.status, got.body)
+	}
+	if got := f.send(t, http.MethodPost, "/resume/x", "b", "X-Last", "1", "X-Resumes", "r0"); got.status != http.StatusOK || got.err != nil {
+		t.Errorf("%d, %q, error %v", got.status, got.body, got.err)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/eventstream"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/membudget"
 	"github.com/spanlanding/spanlanding/internal/origins"
@@ -164,6 +165,8 @@
 	// longestDeadline is the longest deadline seen on each route: a caller that retries has less time
 	// left.
 	longestDeadline map[string]time.Duration
+	// steps is what is known of the IDs of each service's events.
+	steps map[string]eventstream.StepCounter
 	// budgetLogged is the last log line on each service's retry budget.
 	budgetLogged map[string]loggedBudget
 }
@@ -195,6 +198,7 @@
 		budget:          retrybudget.New(options.Budget),
 		retrySchedule:   waiting.NewRetrySchedule(),
 		longestDeadline: make(map[string]time.Duration),
+		steps:           make(map[string]eventstream.StepCounter),
 		budgetLogged:    make(map[string]loggedBudget),
 	}
 	handler.SetMaxEventBytes(options.MaxEventBytes)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -39,18 +39,23 @@
 		x.risk.recordHeard()
 	})
 	x.recordEnding(response, err)
-	if errors.Is(err, io.EOF) && x.isStreamBelieved(choice, response) {
+	switch {
+	case errors.Is(err, io.EOF) && x.isStreamBelieved(choice, response):
 		return x.finishStream(choice, response)
+	case isDisorder(err):
+		return x.handleDisorder(choice)
 	}
 	x.countTooLong(choice.ServerID, err, tooLongEvent)
 	return x.handleBrokenStream(choice)
 }
 
 // copyEvents passes on the events of a response, each whole and as soon as it is complete, and reports
-// the bytes of each read to onRead. The error is io.EOF if the response ended after a whole event, and
-// bounded.ErrTooLong if an event is longer than is read.
+// the bytes of each read to onRead. The error is io.EOF if the response ended after a whole event,
+// bounded.ErrTooLong if an event is longer than is read, and one of isDisorder if an event may not follow
+// what the caller has.
 func (x *exchange) copyEvents(response *backendconn.Response, onRead func(count int)) error {
-	x.isAtJoint = x.isGoingOn()
+	run := x.beginRun()
+	defer x.endRun(run)
 	pooled := streamBuffers.Get().(*[]byte)
 	buffer := (*pooled)[:0]
 	defer func() {
@@ -60,7 +65,6 @@
 		}
 	}()
 	controller := http.NewResponseController(x.writer)
-	var splitter eventstream.Splitter
 	for {
 		if len(buffer) == cap(buffer) {
 			if !x.reserveMemory(int64(cap(buffer))) {
@@ -71,10 +75,14 @@
 		count, err := response.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+count]
 		onRead(count)
-		if passed := x.passEvents(response, &splitter, buffer); passed > 0 {
+		passed, disorder := x.passEvents(response, run, buffer)
+		if passed > 0 {
 			_ = controller.Flush()
 			buffer = append(buffer[:0], buffer[passed:]...)
 		}
+		if disorder != nil {
+			return disorder
+		}
 		if len(buffer) > x.handler.maxEventBytes() {
 			return bounded.ErrTooLong.New("an event has more than %d bytes", x.handler.maxEventBytes())
 		}
@@ -84,7 +92,7 @@
 		if !errors.Is(err, io.EOF) {
 			return err
 		}
-		if !eventstream.IsBlank(buffer) {
+		if !eventstream.IsBlank(buffer) || x.order.IsShort() {
 			return io.ErrUnexpectedEOF
 		}
 		if x.headSent {
@@ -94,18 +102,30 @@
 	}
 }
 
-// passEvents passes on the whole events at the beginning of the buffer, and returns their length.
-func (x *exchange) passEvents(response *backendconn.Response, splitter *eventstream.Splitter, buffer []byte) (passed int) {
-	for {
-		length := splitter.Next(buffer[passed:])
+// passEvents passes on the whole events at the beginning of the buffer, and returns their length. The error is
+// one of isDisorder.
+func (x *exchange) passEvents(response *backendconn.Response, run *eventRun, buffer []byte) (passed int, err error) {
+	for isWriting := false; ; {
+		length := run.splitter.Next(buffer[passed:])
 		if length == 0 {
-			return passed
+			return passed, nil
 		}
-		if passed == 0 {
-			x.beginWrite(response)
+		text := buffer[passed : passed+length]
+		event := eventstream.Parse(text)
+		passes, err := x.order.Next(event, text, run.steps)
+		if err != nil {
+			x.logDisorder(err, event)
+			return passed, err
 		}
-		x.writeEvent(buffer[passed : passed+length])
 		passed += length
+		if !passes {
+			continue
+		}
+		if !isWriting {
+			isWriting = true
+			x.beginWrite(response)
+		}
+		x.writeEvent(run, event, text)
 	}
 }
 
@@ -118,18 +138,18 @@
 }
 
 // writeEvent writes an event, or comments, to the caller.
-func (x *exchange) writeEvent(text []byte) {
-	event := eventstream.Parse(text)
+func (x *exchange) writeEvent(run *eventRun, event eventstream.Event, text []byte) {
 	_, _ = x.writer.Write(text)
 	if !event.HasFields {
 		return
 	}
-	if x.isAtJoint {
-		x.isAtJoint = false
+	if run.isAtJoint {
+		run.isAtJoint = false
 		x.recordJoint(event.ID)
 	}
 	if event.ID != "" {
-		x.lastEventID = event.ID
+		run.counted.Record(run.lastID, event.ID)
+		run.lastID, x.lastEventID = event.ID, event.ID
 	}
 	x.recordProgress(1)
 	x.eventCount++
@@ -178,10 +198,16 @@
 		x.giveUp(reasonVersionUnsettled)
 		return attemptDone
 	}
-	if x.route.RetryPolicy != routetable.RetryResume {
-		x.giveUp("broken_stream")
+	return x.resumeOrGiveUp("broken_stream")
+}
+
+// resumeOrGiveUp has another server go on with the stream where that is allowed, and can be compared with what
+// the caller has.
+func (x *exchange) resumeOrGiveUp(reason string) attemptResult {
+	if x.route.RetryPolicy != routetable.RetryResume || !x.order.CanResume() {
+		x.giveUp(reason)
 		return attemptDone
 	}
 	x.handler.Metrics.Resumed.Add(1)
-	return x.retryOrGiveUp("broken_stream")
+	return x.retryOrGiveUp(reason)
 }
--- a/test/platform/stream_joints_test.go
+++ b/test/platform/stream_joints_test.go
@@ -32,6 +32,41 @@
 	return script
 }
 
+// TestStreamsGoOnBehindTheirLastEvent guards against streams whose events come twice, out of order or not at
+// all, since a server that takes a run up does not go on just behind the last event.
+func TestStreamsGoOnBehindTheirLastEvent(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		change func(s *streamScript)
+		// tries is how often callers ask: those whose events have no IDs can't say what they have.
+		tries int
+	}{
+		"runs go on":                  {func(*streamScript) {}, 4},
+		"runs start again":            {func(s *streamScript) { s.Restarts = true }, 4},
+		"runs repeat an event":        {func(s *streamScript) { s.ResumeOffset = -1 }, 4},
+		"runs leave an event out":     {func(s *streamScript) { s.ResumeOffset = 1 }, 4},
+		"few events have an ID":       {func(s *streamScript) { s.IDEach = 3 }, 1},
+		"no event has an ID":          {func(s *streamScript) { s.IDEach = -1 }, 1},
+		"comments stand in between":   {func(s *streamScript) { s.HasComments = true }, 4},
+		"events of many kilobytes":    {func(s *streamScript) { s.Padding = 40000 }, 4},
+		"lines end in CRLF":           {func(s *streamScript) { s.LineEnd = "\r\n" }, 4},
+		"the connection is closed":    {func(s *streamScript) { s.Break = breakBetween }, 4},
+		"a body with a length ends":   {func(s *streamScript) { s.Framing, s.Break = framedByLength, breakBetween }, 4},
+		"a body without one is reset": {func(s *streamScript) { s.Framing, s.Break = framedByClose, resetBetween }, 4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newStreamPlay(t, brokenStreams(c.change))
+			p.run(caller{path: resumablePath, protocol: "1.1", tries: c.tries}, scriptedStreams)
+			p.checkOrder(name)
+			if p.verdicts[streamWhole] < scriptedStreams/2 {
+				t.Errorf("%s: %s", name, p.describe())
+			}
+		})
+	}
+}
+
 // TestStreamsWithAnyLineEndsAreServed guards against streams that are never passed on, since their lines do
 // not end in a line feed alone.
 func TestStreamsWithAnyLineEndsAreServed(t *testing.T) {
