The crash of a server whose kernel still closes its sockets is reported

What callers saw: nothing yet; the evidence against requests, and parts of prompts, that crash servers was lost.

Cause: the probe right after a connection broke found the listening socket, which the kernel may close last.

Change: where the first probe finds the server alive, a second one looks on beside the request, which does not wait for it, and reports the crash if the server turns out to have ended. Red before: TestCrashOfAServerThatIsStillClosingIsReported.

--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -175,15 +175,34 @@
 		x.recordUnreached(choice)
 	}
 	suspects := x.handler.options.Suspects
-	if suspects != nil && x.serverLiveness == backendconn.LivenessEnded && x.endedUnexpectedly(choice) && x.reachesOthers(choice.ServerID) {
-		crash := Crash{Request: x.fingerprint(), ServerID: choice.ServerID, RanFor: choice.Attempt.Age(clock.Now())}
-		if !x.ranWell() {
-			crash.Parts = x.sharedParts()
-		}
+	if suspects == nil || x.serverLiveness == backendconn.LivenessUnknown || !x.endedUnexpectedly(choice) {
+		return
+	}
+	crash := Crash{Request: x.fingerprint(), ServerID: choice.ServerID, RanFor: choice.Attempt.Age(clock.Now())}
+	if !x.ranWell() {
+		crash.Parts = x.sharedParts()
+	}
+	if x.serverLiveness == backendconn.LivenessAlive {
+		go x.handler.reportIfEnding(choice, x.service, crash)
+	} else if x.reachesOthers(choice.ServerID) {
 		suspects.ReportCrash(crash)
 	}
 }
 
+// reportIfEnding reports the crash of a server that has closed its connection and still accepted another one,
+// if it turns out to have ended: the kernel may close the listening socket of a process last. The request
+// does not wait for that.
+func (h *Handler) reportIfEnding(choice dispatch.Choice, service string, crash Crash) {
+	if h.options.Pool.ProbeAfterClose(choice.Address) != backendconn.LivenessEnded {
+		return
+	}
+	h.options.Dispatch.Do(func(core *dispatch.Core) { core.MarkUnreachable(clock.Now(), choice.ServerID) })
+	if h.options.Reachability == nil || h.options.Reachability.ReachesOthers(service, choice.ServerID) {
+		h.options.Logger.Info().Str("server", choice.ServerID).Str("fingerprint", crash.Request.String()).Msg("server_ended_late")
+		h.options.Suspects.ReportCrash(crash)
+	}
+}
+
 // A server that writes a response for provenRunTime, and provenEvents of it, proves the parts of the prompt
 // harmless: one that crashes servers does so as they begin to write. The time alone proves nothing of a
 // slow server, which may still be about to write the next of its first events.
--- a/internal/relay/poison_parts_test.go
+++ b/internal/relay/poison_parts_test.go
@@ -161,3 +161,28 @@
 		t.Errorf("%d parts watched, want %d", len(ranWell), maxSharedParts)
 	}
 }
+
+// TestCrashOfAServerThatIsStillClosingIsReported guards against a request that crashes each server and is
+// never suspected: the kernel may close the listening socket of a process that was killed after its
+// connections.
+func TestCrashOfAServerThatIsStillClosingIsReported(t *testing.T) {
+	var server *fakeServer
+	server = newFakeServer(t, func(conn net.Conn, _ *http.Request) bool { return reset(conn) })
+	f := newFixture(t, server)
+	suspects := newPartSuspects(nil)
+	f.handler.options.Suspects = suspects
+	dials := 0
+	f.onDial = func() {
+		// The first probe, after the dial of the request itself, still finds the socket.
+		if dials++; dials == 3 {
+			_ = server.listener.Close()
+		}
+	}
+	f.send(t, http.MethodPost, "/command/", "body", "X-Parts", "a,own")
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if crashed, _, _, _ := suspects.reported(); slices.Equal(crashed, partsNamed("a")) {
+			return
+		}
+	}
+	t.Error("the crash was not reported")
+}
