--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -64,7 +64,6 @@
 			streamBuffers.Put(pooled)
 		}
 	}()
-	controller := http.NewResponseController(x.writer)
 	for {
 		if len(buffer) == cap(buffer) {
 			if !x.reserveMemory(int64(cap(buffer))) {
@@ -76,36 +75,41 @@
 		buffer = buffer[:len(buffer)+count]
 		onRead(count)
 		passed, disorder := x.passEvents(response, run, buffer)
-		if passed > 0 {
-			_ = controller.Flush()
-			buffer = append(buffer[:0], buffer[passed:]...)
-		}
-		if disorder != nil {
+		buffer = append(buffer[:0], buffer[passed:]...)
+		switch {
+		case disorder != nil:
 			return disorder
-		}
-		if len(buffer) > x.handler.maxEventBytes() {
+		case len(buffer) > x.handler.maxEventBytes():
 			return bounded.ErrTooLong.New("an event has more than %d bytes", x.handler.maxEventBytes())
-		}
-		if err == nil {
-			continue
-		}
-		if !errors.Is(err, io.EOF) {
+		case errors.Is(err, io.EOF):
+			return x.endEvents(buffer)
+		case err != nil:
 			return err
 		}
-		if !eventstream.IsBlank(buffer) || x.order.IsShort() {
-			return io.ErrUnexpectedEOF
-		}
-		if x.headSent {
-			_, _ = x.writer.Write(buffer)
-		}
-		return err
 	}
 }
 
+// endEvents ends a response of which the rest was read. The error is io.EOF unless it ended within an event.
+func (x *exchange) endEvents(rest []byte) error {
+	if !eventstream.IsBlank(rest) || x.order.IsShort() {
+		return io.ErrUnexpectedEOF
+	}
+	if x.headSent {
+		_, _ = x.writer.Write(rest)
+	}
+	return io.EOF
+}
+
 // passEvents passes on the whole events at the beginning of the buffer, and returns their length. The error is
 // one of isDisorder.
 func (x *exchange) passEvents(response *backendconn.Response, run *eventRun, buffer []byte) (passed int, err error) {
-	for isWriting := false; ; {
+	isWriting := false
+	defer func() {
+		if isWriting {
+			_ = http.NewResponseController(x.writer).Flush()
+		}
+	}()
+	for {
 		length := run.splitter.Next(buffer[passed:])
 		if length == 0 {
 			return passed, nil
