An answer without a length is not whole if its server was killed, whoever else was

Cause: a refused probe counted only if this node reached other servers, of which those of the same zone are asked; they were dead too. That caution is for partitions that refuse connections. But a FIN has just come on that very way, and a caller can't tell who sent it.

Change: for a stream only a server that accepts a connection is believed, within a retransmission (1.2 s): its events are out by then, and its end may wait. Any other answer is broken off only if nothing listens at the address of a server that had not announced its end: a lost packet or a full accept queue loses no answer, and a server that leaves may end behind its last one. Answers that end at once share a probe, which begins after they asked (50 ends cost 2 connections, 50 before). A long answer that is broken off acquits nothing any more.

The case of ending_test.go in which a node that reaches no server believed the end asserted this fault; all cases now run with such a node and want the opposite.

--- a/internal/backendconn/liveness.go
+++ b/internal/backendconn/liveness.go
@@ -34,7 +34,7 @@
 }
 
 func (p *Pool) probe(address string) Liveness {
-	conn, liveness := p.open(address)
+	conn, liveness := p.open(address, probeTimeout)
 	if conn != nil {
 		_ = conn.Close()
 	}
@@ -42,8 +42,8 @@
 }
 
 // open opens a connection for a probe; it is nil unless the server is alive.
-func (p *Pool) open(address string) (net.Conn, Liveness) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+func (p *Pool) open(address string, timeout time.Duration) (net.Conn, Liveness) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	conn, err := p.options.Dial(ctx, address)
 	switch {
@@ -56,15 +56,77 @@
 	}
 }
 
-// closeTime is the time within which the kernel closes all sockets of a process that has ended, on a busy
-// machine too.
-const closeTime = 20 * time.Millisecond
+const (
+	// closeTime is the time within which the kernel closes all sockets of a process that has ended, on a
+	// busy machine too.
+	closeTime = 20 * time.Millisecond
+	// patientProbeTimeout limits a probe whose first packet may be lost once.
+	patientProbeTimeout = 1200 * time.Millisecond
+)
 
 // ProbeAfterClose probes a server that has just closed a connection. The sockets of a process that has ended
 // are closed one after another, the listening one maybe last: a connection that comes up meanwhile is reset
-// within closeTime.
-func (p *Pool) ProbeAfterClose(address string) Liveness {
-	conn, liveness := p.open(address)
+// within closeTime. A server has one such probe at a time; those who ask meanwhile share the next one, which
+// begins after they asked. If ctx ends before there is an answer, the liveness is unknown.
+func (p *Pool) ProbeAfterClose(ctx context.Context, address string) Liveness {
+	probe := p.queueProbe(address)
+	select {
+	case <-probe.done:
+		return probe.liveness
+	case <-ctx.Done():
+		return LivenessUnknown
+	}
+}
+
+// closeProbe is a probe of ProbeAfterClose. liveness is set once done is closed.
+type closeProbe struct {
+	done     chan struct{}
+	liveness Liveness
+}
+
+// closeProbes are the probes of one address. queued is nil unless somebody waits for the one after that
+// which is under way.
+type closeProbes struct{ queued *closeProbe }
+
+// queueProbe returns the next probe of the address that has not begun.
+func (p *Pool) queueProbe(address string) *closeProbe {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	probes, isRunning := p.closeProbes[address]
+	if !isRunning {
+		probes = &closeProbes{}
+		p.closeProbes[address] = probes
+	}
+	if probes.queued == nil {
+		probes.queued = &closeProbe{done: make(chan struct{})}
+	}
+	queued := probes.queued
+	if !isRunning {
+		go p.runProbes(address, probes)
+	}
+	return queued
+}
+
+// runProbes carries out the probes of an address until nobody waits for one.
+func (p *Pool) runProbes(address string, probes *closeProbes) {
+	for {
+		p.mu.Lock()
+		probe := probes.queued
+		probes.queued = nil
+		if probe == nil {
+			delete(p.closeProbes, address)
+		}
+		p.mu.Unlock()
+		if probe == nil {
+			return
+		}
+		probe.liveness = p.probeAfterClose(address)
+		close(probe.done)
+	}
+}
+
+func (p *Pool) probeAfterClose(address string) Liveness {
+	conn, liveness := p.open(address, patientProbeTimeout)
 	if conn == nil {
 		return liveness
 	}
--- a/internal/backendconn/liveness_test.go
+++ b/internal/backendconn/liveness_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -43,9 +45,54 @@
 				}
 				return conn, err
 			}
-			if got := pool.ProbeAfterClose(listener.Addr().String()); got != c.want {
+			if got := pool.ProbeAfterClose(context.Background(), listener.Addr().String()); got != c.want {
 				t.Errorf("%s, want %s", got, c.want)
 			}
 		})
 	}
 }
+
+// TestProbesAfterCloseAreShared guards against a connection for each of many answers that end at once, and
+// against an answer of a probe that began before the question.
+func TestProbesAfterCloseAreShared(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	pool := New(Options{})
+	dial, begun, mayGoOn := pool.options.Dial, make(chan struct{}), make(chan struct{})
+	var dials atomic.Int32
+	pool.options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if dials.Add(1) == 1 {
+			close(begun)
+			<-mayGoOn
+		}
+		return dial(ctx, address)
+	}
+	address := listener.Addr().String()
+	var asking sync.WaitGroup
+	ask := func() {
+		if got := pool.ProbeAfterClose(context.Background(), address); got != LivenessAlive {
+			t.Errorf("%s, want alive", got)
+		}
+	}
+	asking.Go(ask)
+	<-begun
+	const others = 50
+	queued := make([]*closeProbe, others)
+	for i := range queued {
+		queued[i] = pool.queueProbe(address)
+		asking.Go(func() { <-queued[i].done })
+	}
+	close(mayGoOn)
+	asking.Wait()
+	if got := dials.Load(); got != 2 {
+		t.Errorf("%d connections, want 2", got)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if got := pool.ProbeAfterClose(ctx, "127.0.0.1:1"); got == LivenessAlive {
+		t.Error("a probe that nobody waits for tells")
+	}
+}
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -53,8 +53,10 @@
 	// staleResponses counts the responses that were discarded as they belong to another request.
 	staleResponses atomic.Int64
 	// probes are the probes in flight, by address.
-	probes   singleflight.Group
-	hashSeed maphash.Seed
+	probes singleflight.Group
+	// closeProbes are the addresses that are probed after a close.
+	closeProbes map[string]*closeProbes
+	hashSeed    maphash.Seed
 	// maxHeadBytes is Options.MaxHeadBytes, which may change.
 	maxHeadBytes atomic.Int64
 }
@@ -76,7 +78,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	pool := &Pool{options: options, idle: make(map[string][]*Conn), hashSeed: maphash.MakeSeed()}
+	pool := &Pool{options: options, idle: make(map[string][]*Conn), closeProbes: make(map[string]*closeProbes), hashSeed: maphash.MakeSeed()}
 	pool.SetMaxHeadBytes(options.MaxHeadBytes)
 	return pool
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -401,16 +401,25 @@
 	outcome := dispatch.OutcomeServed
 	if failed {
 		outcome = dispatch.OutcomeFailed
-	} else {
-		x.reportSuccess()
 	}
-	defer x.endAttempt(choice, outcome)
+	defer func() { x.endAttempt(choice, outcome) }()
 	x.passWhole(response, body, func() bool {
 		copied, err := io.Copy(x.writer, response)
 		x.recordEnding(response, err)
 		x.countBytes(choice, int(copied))
-		return err == nil && x.isEndBelieved(choice, response)
+		if err == nil && x.isEndBelieved(choice, response) {
+			return true
+		}
+		outcome = dispatch.OutcomeFailed
+		if !x.callerGone() {
+			x.reportIfCrashed(choice)
+			x.markVersionUncertain(choice)
+		}
+		return false
 	})
+	if !failed {
+		x.reportSuccess()
+	}
 	return attemptDone
 }
 
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -60,24 +62,44 @@
 	}
 }
 
+// answerProbeWait is how long an answer that is no stream waits to hear whether its server has ended.
+const answerProbeWait = 100 * time.Millisecond
+
 // isEndBelieved reports whether a body that ended as its framing says it is whole. One that ends with its
 // connection is not if its server has ended as well: the kernel closes the connections of a process that
-// was killed as if the process had done so. A node that is cut off from all servers learns nothing of one.
+// was killed as if the process had done so. A server that has announced its end may end behind its answer.
 func (x *exchange) isEndBelieved(choice dispatch.Choice, response *backendconn.Response) bool {
-	if response.Framing != backendconn.FramedByClose || x.handler.options.Pool.ProbeAfterClose(choice.Address) == backendconn.LivenessAlive ||
-		!x.reachesOthers(choice.ServerID) {
+	if response.Framing != backendconn.FramedByClose {
 		return true
 	}
-	x.ending = endedWithServer
-	x.handler.Metrics.EndedWithServer.Add(1)
+	ctx, cancel := context.WithTimeout(x.ctx, answerProbeWait)
+	defer cancel()
+	if x.handler.options.Pool.ProbeAfterClose(ctx, choice.Address) != backendconn.LivenessEnded || !x.endedUnexpectedly(choice) {
+		return true
+	}
+	x.recordServerEnd()
 	return false
 }
 
-// isStreamBelieved reports whether a stream that ended as its framing says it is whole. Streams have
+// isStreamBelieved is isEndBelieved for a stream, whose end may wait, and whose events tell nothing of how
+// many are missing: a server that does not answer, or has announced its end, may have cut it. Streams have
 // events, so that one without any may have been cut.
 func (x *exchange) isStreamBelieved(choice dispatch.Choice, response *backendconn.Response) bool {
-	isEmpty := !x.isGoingOn() && response.Framing == backendconn.FramedByClose
-	return !isEmpty && x.isEndBelieved(choice, response)
+	if response.Framing != backendconn.FramedByClose {
+		return true
+	}
+	isEmpty := x.eventCount == 0 && !x.isResumption
+	if !isEmpty && x.handler.options.Pool.ProbeAfterClose(x.ctx, choice.Address) == backendconn.LivenessAlive {
+		return true
+	}
+	x.recordServerEnd()
+	return false
+}
+
+// recordServerEnd records that a body which ended in order is not taken for whole.
+func (x *exchange) recordServerEnd() {
+	x.ending = endedWithServer
+	x.handler.Metrics.EndedWithServer.Add(1)
 }
 
 // guardEnd makes sure that the caller can tell a response with this header from a part of it, also if this
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,17 +15,13 @@
 	"github.com/spanlanding/spanlanding/internal/inventory"
 )
 
-// unframed is a response that ends with its connection.
-func unframed(id, body string) string {
-	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nConnection: close\r\n\r\n" + body
-}
-
 // endingServer responds with a body that ends with its connection, and stops listening before that if it ends.
-func endingServer(t *testing.T, body string, ends bool) *fakeServer {
+func endingServer(t *testing.T, body string, ends bool, headers ...string) *fakeServer {
 	t.Helper()
 	var server *fakeServer
 	server = newFakeServer(t, func(conn net.Conn, request *http.Request) bool {
-		write(conn, unframed(request.Header.Get("X-Id"), body))
+		head := strings.Join(append([]string{"HTTP/1.1 200 OK", "X-Id: " + request.Header.Get("X-Id"), "Connection: close"}, headers...), "\r\n")
+		write(conn, head+"\r\n\r\n"+body)
 		if ends {
 			_ = server.listener.Close()
 		}
@@ -33,44 +30,54 @@
 	return server
 }
 
-// cutOff is a node that reaches no server.
-type cutOff struct{}
-
-func (cutOff) IsUnreachable(string) bool         { return false }
-func (cutOff) RecordContact(string, string)      {}
-func (cutOff) RecordFailure(string, string)      {}
-func (cutOff) ReachesOthers(string, string) bool { return false }
-
 // TestAnswersThatEndWithTheirServerAreNotWhole guards against callers who get a part of an answer that looks
-// whole: the kernel of a server that is killed closes its connections in order.
+// whole: the kernel of a server that is killed closes its connections in order. A node that reaches no server
+// is told no more than others: all servers may have been killed.
 func TestAnswersThatEndWithTheirServerAreNotWhole(t *testing.T) {
 	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	long := strings.Repeat("x", maxBufferedBytes+1)
+	type server struct {
+		ends, isLeaving, isSilent bool
+	}
+	ended, alive, silent, left := server{ends: true}, server{}, server{isSilent: true}, server{ends: true, isLeaving: true}
 	cases := map[string]struct {
 		path, body string
-		ends       bool
-		isCutOff   bool
+		server     server
 		wantStatus int
-		wantErr    bool
+		wantBroken bool
 	}{
-		"stream of a server that ended":                    {"/stream/x", events, true, false, http.StatusOK, true},
-		"stream of a server that serves on":                {"/stream/x", events, false, false, http.StatusOK, false},
-		"stream without events of a server that serves on": {"/stream/x", "", false, false, http.StatusBadGateway, false},
-		"stream, and no server is reached":                 {"/stream/x", events, true, true, http.StatusOK, false},
-		"answer of a server that ended":                    {"/command/x", "part", true, false, http.StatusBadGateway, false},
-		"answer of a server that serves on":                {"/command/x", "whole", false, false, http.StatusOK, false},
-		"empty answer of a server that serves on":          {"/command/x", "", false, false, http.StatusOK, false},
-		"long answer of a server that ended":               {"/command/x", long, true, false, http.StatusOK, true},
-		"long answer of a server that serves on":           {"/command/x", long, false, false, http.StatusOK, false},
+		"stream of a server that ended":              {"/stream/x", events, ended, http.StatusOK, true},
+		"stream of a server that serves on":          {"/stream/x", events, alive, http.StatusOK, false},
+		"stream of a server that does not answer":    {"/stream/x", events, silent, http.StatusOK, true},
+		"stream of a server that ended as announced": {"/stream/x", events, left, http.StatusOK, true},
+		"stream without events":                      {"/stream/x", "", alive, http.StatusBadGateway, false},
+		"stream of comments alone":                   {"/stream/x", ": comment\n\n", alive, http.StatusOK, true},
+		"answer of a server that ended":              {"/command/x", "part", ended, http.StatusBadGateway, false},
+		"answer of a server that serves on":          {"/command/x", "whole", alive, http.StatusOK, false},
+		"answer of a server that does not answer":    {"/command/x", "whole", silent, http.StatusOK, false},
+		"answer of a server that ended as announced": {"/command/x", "whole", left, http.StatusOK, false},
+		"empty answer of a server that serves on":    {"/command/x", "", alive, http.StatusOK, false},
+		"long answer of a server that ended":         {"/command/x", long, ended, http.StatusOK, true},
+		"long answer of a server that serves on":     {"/command/x", long, alive, http.StatusOK, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, endingServer(t, c.body, c.ends))
-			if c.isCutOff {
-				f.handler.options.Reachability = cutOff{}
+			t.Parallel()
+			var headers []string
+			if c.server.isLeaving {
+				headers = append(headers, "X-Leaving: 1")
+			}
+			f := newFixture(t, endingServer(t, c.body, c.server.ends, headers...))
+			f.handler.options.Reachability = cutOff{}
+			if dials := 0; c.server.isSilent {
+				f.onDial = func() {
+					if dials++; dials > 1 {
+						time.Sleep(2 * time.Second)
+					}
+				}
 			}
 			got := f.send(t, http.MethodPost, c.path, "b")
-			if got.status != c.wantStatus || (got.err != nil) != c.wantErr {
+			if got.status != c.wantStatus || (got.err != nil) != c.wantBroken {
 				t.Errorf("status %d, error %v, %d bytes", got.status, got.err, len(got.body))
 			}
 			if got.status == http.StatusOK && got.err == nil && got.body != c.body {
@@ -80,6 +87,27 @@
 	}
 }
 
+// cutOff is a node that reaches no server.
+type cutOff struct{}
+
+func (cutOff) IsUnreachable(string) bool         { return false }
+func (cutOff) RecordContact(string, string)      {}
+func (cutOff) RecordFailure(string, string)      {}
+func (cutOff) ReachesOthers(string, string) bool { return false }
+
+// TestLongAnswerOfACrashedServerClearsNobody guards against a crash that acquits what caused it, as the
+// beginning of an answer was passed on.
+func TestLongAnswerOfACrashedServerClearsNobody(t *testing.T) {
+	f := newFixture(t, endingServer(t, strings.Repeat("x", maxBufferedBytes+1), true))
+	suspects := newPartSuspects(nil)
+	f.handler.options.Suspects = suspects
+	f.send(t, http.MethodPost, "/command/x", "b", "X-Parts", "a,own")
+	f.awaitIdle()
+	if crashed, ranWell, _, _ := suspects.reported(); len(ranWell) > 0 || !slices.Equal(crashed, partsNamed("a")) {
+		t.Errorf("crashed under %v, ran well %v", crashed, ranWell)
+	}
+}
+
 // TestStreamGoesOnWhereItsServerEnded guards against streams that could go on at another server.
 func TestStreamGoesOnWhereItsServerEnded(t *testing.T) {
 	first := endingServer(t, "id: 1\ndata: a\n\n", true)
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -182,18 +182,23 @@
 	if !x.ranWell() {
 		crash.Parts = x.sharedParts()
 	}
-	if x.serverLiveness == backendconn.LivenessAlive {
+	if x.serverLiveness != backendconn.LivenessEnded {
 		go x.handler.reportIfEnding(choice, x.service, crash)
 	} else if x.reachesOthers(choice.ServerID) {
 		suspects.ReportCrash(crash)
 	}
 }
 
-// reportIfEnding reports the crash of a server that has closed its connection and still accepted another one,
-// if it turns out to have ended: the kernel may close the listening socket of a process last. The request
+// lateEndWait bounds the time in which a server that seemed alive may turn out to have ended.
+const lateEndWait = time.Second
+
+// reportIfEnding reports the crash of a server that has closed its connection and then accepted another one, or
+// did not answer, if it turns out to have ended: the kernel may close the listening socket of a process last. The request
 // does not wait for that.
 func (h *Handler) reportIfEnding(choice dispatch.Choice, service string, crash Crash) {
-	if h.options.Pool.ProbeAfterClose(choice.Address) != backendconn.LivenessEnded {
+	ctx, cancel := context.WithTimeout(context.Background(), lateEndWait)
+	defer cancel()
+	if h.options.Pool.ProbeAfterClose(ctx, choice.Address) != backendconn.LivenessEnded {
 		return
 	}
 	h.options.Dispatch.Do(func(core *dispatch.Core) { core.MarkUnreachable(clock.Now(), choice.ServerID) })
--- a/test/platform/stream_joints_test.go
+++ b/test/platform/stream_joints_test.go
@@ -16,7 +16,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = server.listener.Close() })
-		registerStreamServer(p.store, server.id, server.address())
+		registerStreamServer(p.store, "z", server.id, server.address())
 	}
 	p.awaitServing()
 	return p
--- a/test/platform/stream_order_test.go
+++ b/test/platform/stream_order_test.go
@@ -221,14 +221,14 @@
 	}
 }
 
-// killServersInTurn keeps killing one of the server processes, and starts another one in its place, until
-// stop is called.
-func (p *streamPlay) killServersInTurn() (stop func()) {
+// killServersInTurn keeps killing server processes, some together, and starts others in their places, until
+// stop is called. The servers of a zone are killed together.
+func (p *streamPlay) killServersInTurn(together int) (stop func()) {
 	p.t.Helper()
 	servers := make([]*streamServerProcess, streamServerCount)
 	start := func(i, generation int) {
 		servers[i] = startStreamServerProcess(p.t, fmt.Sprintf("i-%d-%d", i, generation), p.script)
-		registerStreamServer(p.store, servers[i].id, servers[i].address)
+		registerStreamServer(p.store, []string{"z", "far"}[i/together%2], servers[i].id, servers[i].address)
 	}
 	for i := range servers {
 		start(i, 0)
@@ -243,12 +243,16 @@
 				return
 			case <-time.After(serverKillPause):
 			}
-			i := round % len(servers)
-			killed := servers[i]
-			p.t.Logf("%s %s is killed", time.Now().UTC().Format("15:04:05.000"), killed.id)
-			killed.kill()
-			time.AfterFunc(entryLapse, func() { p.store.remove("servers", killed.id) })
-			start(i, round+1)
+			first := round * together % len(servers)
+			for i := first; i < first+together; i++ {
+				killed := servers[i]
+				p.t.Logf("%s %s is killed", time.Now().UTC().Format("15:04:05.000"), killed.id)
+				killed.kill()
+				time.AfterFunc(entryLapse, func() { p.store.remove("servers", killed.id) })
+			}
+			for i := first; i < first+together; i++ {
+				start(i, round+1)
+			}
 		}
 	})
 	return func() {
@@ -263,15 +267,17 @@
 	t.Parallel()
 	for _, framing := range []streamFraming{framedByChunks, framedByClose} {
 		for _, c := range streamCallers() {
-			t.Run(fmt.Sprintf("%s, %s, HTTP %s", framing, strings.Split(c.path, "/")[1], c.protocol), func(t *testing.T) {
-				t.Parallel()
-				script := streamScript{Framing: framing, Events: 12, Pause: 15 * time.Millisecond}
-				p := &streamPlay{fleet: newStreamFleet(t), script: script, verdicts: make(map[streamVerdict]int)}
-				stop := p.killServersInTurn()
-				p.run(c, killedServerStreams)
-				stop()
-				p.checkOrder(string(framing))
-			})
+			for _, together := range []int{1, 2} {
+				t.Run(fmt.Sprintf("%s, %s, HTTP %s, %d together", framing, strings.Split(c.path, "/")[1], c.protocol, together), func(t *testing.T) {
+					t.Parallel()
+					script := streamScript{Framing: framing, Events: 12, Pause: 15 * time.Millisecond}
+					p := &streamPlay{fleet: newStreamFleet(t), script: script, verdicts: make(map[streamVerdict]int)}
+					stop := p.killServersInTurn(together)
+					p.run(c, killedServerStreams)
+					stop()
+					p.checkOrder(string(framing))
+				})
+			}
 		}
 	}
 }
--- a/test/platform/stream_server_test.go
+++ b/test/platform/stream_server_test.go
@@ -205,10 +205,10 @@
 	return max(1, last+1+s.ResumeOffset)
 }
 
-// register writes the server's entry into the store.
-func registerStreamServer(s *store, id, address string) {
+// registerStreamServer writes the server's entry into the store.
+func registerStreamServer(s *store, zone, id, address string) {
 	s.put("servers", id, map[string]any{
-		"service": "models", "address": address, "zone": "z", "version": "v1", "slots": 8, "state": "ready",
+		"service": "models", "address": address, "zone": zone, "version": "v1", "slots": 8, "state": "ready",
 		"models": []loadedModel{{Name: "m1", Version: 1, Adapters: []string{}}}, "sequence": 1, "coldLeftMs": 0,
 	})
 }
