A probe that meets a closing socket is repeated

Unknown ended the search.

Change: such a dial is made once more, and a server that did not answer is looked at again beside the request as well. Red before: TestProbeThatIsResetByAClosingSocketIsRepeated.

--- a/internal/backendconn/liveness.go
+++ b/internal/backendconn/liveness.go
@@ -41,11 +41,15 @@
 	return liveness
 }
 
-// open opens a connection for a probe; it is nil unless the server is alive.
+// open opens a connection for a probe; it is nil unless the server is alive. A connection that comes up as
+// the listening socket is being closed is reset: the next one tells.
 func (p *Pool) open(address string, timeout time.Duration) (net.Conn, Liveness) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	conn, err := p.options.Dial(ctx, address)
+	if errors.Is(err, syscall.ECONNRESET) {
+		conn, err = p.options.Dial(ctx, address)
+	}
 	switch {
 	case err == nil:
 		return conn, LivenessAlive
--- a/internal/backendconn/liveness_test.go
+++ b/internal/backendconn/liveness_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 )
 
@@ -96,3 +98,24 @@
 		t.Error("a probe that nobody waits for tells")
 	}
 }
+
+// TestProbeThatIsResetByAClosingSocketIsRepeated guards against a server that ended and counts as unknown: a
+// connection that comes up while the listening socket is being closed is reset.
+func TestProbeThatIsResetByAClosingSocketIsRepeated(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	pool := New(Options{})
+	dial, dials := pool.options.Dial, 0
+	pool.options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if dials++; dials == 1 {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNRESET)}
+		}
+		return dial(ctx, address)
+	}
+	if got := pool.Probe(listener.Addr().String()); got != LivenessEnded {
+		t.Errorf("%s, want ended", got)
+	}
+}
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -175,7 +175,7 @@
 		x.recordUnreached(choice)
 	}
 	suspects := x.handler.options.Suspects
-	if suspects == nil || x.serverLiveness == backendconn.LivenessUnknown || !x.endedUnexpectedly(choice) {
+	if suspects == nil || !x.endedUnexpectedly(choice) {
 		return
 	}
 	crash := Crash{Request: x.fingerprint(), ServerID: choice.ServerID, RanFor: choice.Attempt.Age(clock.Now())}
