Steps of event IDs are learned by software version, and forgotten

Now 32 steps are needed, a new software version starts anew, older steps fade, and at most 256 writers are kept.

--- a/internal/eventstream/order.go
+++ b/internal/eventstream/order.go
@@ -113,9 +113,11 @@
 
 const (
 	// minSteps is the number of steps of one after which the next one is expected to be one as well.
-	minSteps = 8
+	minSteps = 32
 	// maxOtherShare is the share of other steps up to which these count as faults of servers.
 	maxOtherShare = 0.01
+	// maxCounted bounds what is counted: beyond, older steps count half.
+	maxCounted = 4096
 )
 
 // StepCounter learns the steps of a service's IDs within runs of its servers. The zero value has seen none.
@@ -132,10 +134,13 @@
 	}
 }
 
-// Add adds what another counter has seen.
-func (c *StepCounter) Add(other StepCounter) {
-	c.ones += other.ones
-	c.others += other.others
+// Add adds what another counter has seen later.
+func (c *StepCounter) Add(later StepCounter) {
+	if c.ones+c.others > maxCounted {
+		c.ones, c.others = c.ones/2, c.others/2
+	}
+	c.ones += later.ones
+	c.others += later.others
 }
 
 // Steps is what the counter has learned.
--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -127,4 +127,11 @@
 	if record(minSteps-1, 0) != StepsUnknown || record(minSteps, 0) != StepsOfOne || record(minSteps, 1) != StepsUnknown || record(200, 2) != StepsOfOne {
 		t.Error("steps of one are not told from others")
 	}
+	counter, run := StepCounter{}, StepCounter{ones: 99}
+	for range 1_000_000 {
+		counter.Add(run)
+	}
+	if counter.Add(StepCounter{others: 99}); counter.Steps() != StepsUnknown {
+		t.Error("a long history hides that the steps have changed")
+	}
 }
--- a/internal/relay/order.go
+++ b/internal/relay/order.go
@@ -10,12 +10,19 @@
 // reasonDisorder is the reason of streams that end since no server goes on with them in order.
 const reasonDisorder = "events_out_of_order"
 
+// eventWriter is what writes events alike: one software version of a service.
+type eventWriter struct{ service, softwareVersion string }
+
+// maxEventWriters bounds the writers whose IDs are known.
+const maxEventWriters = 256
+
 // eventRun is one response's part of a stream.
 type eventRun struct {
 	splitter eventstream.Splitter
 	// isAtJoint is set until the first event that goes on with what an earlier response has brought.
 	isAtJoint bool
-	// steps is what is known of the service's IDs, counted what this run adds to that, and lastID its last ID.
+	// steps is what is known of the writer's IDs, counted what this run adds to that, and lastID its last ID.
+	writer  eventWriter
 	steps   eventstream.Steps
 	counted eventstream.StepCounter
 	lastID  string
@@ -23,7 +30,8 @@
 
 // beginRun begins to compare a response's events with those that the caller has.
 func (x *exchange) beginRun() *eventRun {
-	run := &eventRun{isAtJoint: x.isGoingOn(), steps: x.handler.stepsOf(x.service)}
+	run := &eventRun{isAtJoint: x.isGoingOn(), writer: eventWriter{x.service, x.softwareVersion}}
+	run.steps = x.handler.stepsOf(run.writer)
 	if run.isAtJoint {
 		x.order.Resume(x.lastEventID)
 	} else {
@@ -32,23 +40,26 @@
 	return run
 }
 
-// endRun keeps what the response told of its service's IDs.
-func (x *exchange) endRun(run *eventRun) { x.handler.countSteps(x.service, run.counted) }
+// endRun keeps what the response told of its writer's IDs.
+func (x *exchange) endRun(run *eventRun) { x.handler.countSteps(run.writer, run.counted) }
 
-// stepsOf is what is known of the IDs of the service's events.
-func (h *Handler) stepsOf(service string) eventstream.Steps {
+// stepsOf is what is known of the IDs of the writer's events.
+func (h *Handler) stepsOf(writer eventWriter) eventstream.Steps {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	counter := h.steps[service]
+	counter := h.steps[writer]
 	return counter.Steps()
 }
 
-func (h *Handler) countSteps(service string, counted eventstream.StepCounter) {
+func (h *Handler) countSteps(writer eventWriter, counted eventstream.StepCounter) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	counter := h.steps[service]
+	counter, isKnown := h.steps[writer]
+	if !isKnown && len(h.steps) >= maxEventWriters {
+		clear(h.steps)
+	}
 	counter.Add(counted)
-	h.steps[service] = counter
+	h.steps[writer] = counter
 }
 
 // isDisorder reports whether an event came that may not follow what the caller has.
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+
+	"github.com/spanlanding/spanlanding/internal/eventstream"
 )
 
 // TestStreamsGoOnWithTheNextEvent guards against callers whose events come twice, out of order or not at all,
@@ -42,9 +44,11 @@
 				return reset(conn)
 			}
 			f := newFixture(t, newFakeServer(t, server), newFakeServer(t, server))
-			warmUp := newFixture(t, newFakeServer(t, respondWith(http.StatusOK, numbered("1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18"))))
-			warmUp.send(t, http.MethodPost, "/stream/x", "b")
-			f.handler.steps = warmUp.handler.steps
+			var learned eventstream.StepCounter
+			for range 100 {
+				learned.Record("1", "2")
+			}
+			f.handler.countSteps(eventWriter{service: "svc"}, learned)
 			got := f.send(t, http.MethodPost, "/resume/x", "b")
 			if (got.err == nil) != c.isWhole || !strings.HasPrefix(got.body, numbered("1 2")) || strings.Count(got.body, "id: 2\n") != 1 || strings.Count(got.body, "data: y") > 1 {
 				t.Errorf("%q, error %v", got.body, got.err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -165,8 +165,8 @@
 	// longestDeadline is the longest deadline seen on each route: a caller that retries has less time
 	// left.
 	longestDeadline map[string]time.Duration
-	// steps is what is known of the IDs of each service's events.
-	steps map[string]eventstream.StepCounter
+	// steps is what is known of the IDs of events, by their writer.
+	steps map[eventWriter]eventstream.StepCounter
 	// budgetLogged is the last log line on each service's retry budget.
 	budgetLogged map[string]loggedBudget
 }
@@ -198,7 +198,7 @@
 		budget:          retrybudget.New(options.Budget),
 		retrySchedule:   waiting.NewRetrySchedule(),
 		longestDeadline: make(map[string]time.Duration),
-		steps:           make(map[string]eventstream.StepCounter),
+		steps:           make(map[eventWriter]eventstream.StepCounter),
 		budgetLogged:    make(map[string]loggedBudget),
 	}
 	handler.SetMaxEventBytes(options.MaxEventBytes)
--- a/test/platform/stream_order_test.go
+++ b/test/platform/stream_order_test.go
@@ -157,14 +157,21 @@
 	return f
 }
 
-// awaitServing waits until each node has served a whole stream, or takes none for whole.
+// warmUpStreams is the number of whole streams from which a node knows how a service numbers its events.
+const warmUpStreams = 4
+
+// awaitServing waits until each node has served some whole streams, or takes none for whole.
 func (p *streamPlay) awaitServing() {
 	p.awaitReady()
 	for i, n := range p.nodes {
+		served := 0
 		eventually(p.t, n.name+" takes requests for streams", func() bool {
 			p.warmUps++
 			got := caller{path: resumablePath, protocol: "1.1", tries: 1}.readFrom(p.fleet, i, fmt.Sprint("warm-", p.warmUps))
-			return len(got.numbers) == p.script.Events || got.status == http.StatusBadGateway
+			if len(got.numbers) == p.script.Events {
+				served++
+			}
+			return served == warmUpStreams || got.status == http.StatusBadGateway && served == 0
 		})
 	}
 }
