Test: a server that seemed alive is not blamed later either

The check for late reports of crashes read what another goroutine writes, and ended before a late report could come.

--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -268,7 +268,7 @@
 			}
 		}()
 		f.send(t, http.MethodPost, "/once/x", "body")
-		if blamed := len(suspects.crashReports) > 0; blamed != reachesOthers {
+		if blamed := len(suspects.blamedServers()) > 0; blamed != reachesOthers {
 			t.Errorf("reaches other servers: %v, the request is blamed: %v", reachesOthers, blamed)
 		}
 	}
--- a/internal/relay/poison_test.go
+++ b/internal/relay/poison_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -38,6 +39,13 @@
 	s.crashReports = append(s.crashReports, crash.ServerID)
 }
 
+// blamedServers are the servers of the reported crashes.
+func (s *fakeSuspects) blamedServers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.crashReports)
+}
+
 func (s *fakeSuspects) ReportSuccess(*poison.Fingerprint, []poison.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -205,8 +213,14 @@
 			if got.status != http.StatusBadGateway {
 				t.Errorf("status %d, want 502: it may have run", got.status)
 			}
-			if len(suspects.crashReports) != test.wantReports {
-				t.Errorf("crashes reported for %v, want %d reports", suspects.crashReports, test.wantReports)
+			// A server that seemed alive is looked at once more beside the request.
+			for end := time.Now().Add(lateEndWait / 4); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				if blamed := suspects.blamedServers(); len(blamed) > test.wantReports {
+					t.Fatalf("crashes reported for %v, want %d reports", blamed, test.wantReports)
+				}
+			}
+			if blamed := suspects.blamedServers(); len(blamed) != test.wantReports {
+				t.Errorf("crashes reported for %v, want %d reports", blamed, test.wantReports)
 			}
 		})
 	}
