An answer that ends with its connection is not whole if its service has ended

What callers saw: status 200 with the part of an answer, or no body, that came before its service was killed; for a command with an Idempotency-Key the keepers were told that it ran, and kept that part for each repeat.

Cause: Services.Call took any end of an answer without a length or chunks for its end. Class: as on the edge nodes, a connection that ends in order is taken for an answer that does; the kernel closes those of a killed process so. Evidence: the eight cases of the test whose service stops listening: 200 and "turbine 7 is" or "", stored as run. Ruled out: answers with a length or chunks, and HEAD, whose ends net/http tells.

Change: the gateway probes the service after such an end, with the probe of the edge nodes. If nothing listens there and others are reached, the connection broke: a command gets 502 with the outcome unknown and its key stays uncertain, so that it is made at most once; what may be repeated is asked elsewhere; the break counts against the request as others do. A refusal that says it ran nothing needs no body, and is believed.

Red before: TestAnswersThatEndWithTheirServiceAreNotWhole (8 of 14 cases).

--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -53,6 +53,9 @@
 	Location    string
 	RetryAfter  string
 	Body        []byte
+	// EndedByClose is set if the response had neither a length nor chunks, so that the end of its connection
+	// ended its body.
+	EndedByClose bool
 	// NotRun is set if the backend states that nothing was executed.
 	NotRun bool
 	// Hint holds what the backend announced about its availability.
@@ -141,11 +144,18 @@
 		Body:        body,
 		NotRun:      response.Header.Get(HeaderNotRun) == "true",
 		Hint:        readHint(response),
+
+		EndedByClose: isEndedByClose(response),
 	}
 	answer.Hint.Draining = answer.Hint.Draining || answer.NotRun && isDrainingProblem(body)
 	return answer, nil
 }
 
+// isEndedByClose reports whether the response's body ends with its connection (RFC 9112, section 6.3).
+func isEndedByClose(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+}
+
 func (s *Services) setHeader(header http.Header, call ServiceCall) {
 	header.Set(HeaderRequestID, string(call.RequestID))
 	header.Set(HeaderAttempt, strconv.Itoa(call.Attempt))
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -124,7 +124,10 @@
 // others. Back ends that ended before are no witnesses, and one without others is its own.
 func (g *Gateway) reachesOthers(target fleet.Backend) bool {
 	tables, _ := g.options.Views.RouteTables.Get()
-	ended := g.options.Suspects.EndedRecently()
+	var ended []string
+	if g.options.Suspects != nil {
+		ended = g.options.Suspects.EndedRecently()
+	}
 	var alike, others []process
 	for _, other := range processes(tables[target.Zone]) {
 		switch {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"net/http"
 	"path"
@@ -11,6 +12,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/claim"
 	"github.com/spanlanding/spanlanding/internal/fleet"
@@ -271,6 +273,9 @@
 		ContentType: request.Header.Get("Content-Type"), Accept: request.Header.Get("Accept"), Key: r.key, Body: r.body,
 		Repeatable: r.route.Repeatable, MayStart: r.mayStart,
 	})
+	if err == nil && !r.isEndBelieved(answer) {
+		err = errEndedWithServer
+	}
 	if err != nil {
 		cause := failureFromError(open.Connection, err)
 		if ctx.Err() != nil || !r.mayStart() {
@@ -290,6 +295,17 @@
 	return attempt.Answered{Connection: open.Connection}
 }
 
+var errEndedWithServer = errors.New("the answer ended when its back end did")
+
+// isEndBelieved reports whether the answer is whole. One that ends with its connection is not if its back end
+// has ended as well: the kernel closes the connections of a process that was killed as if the process had done
+// so. A node that is cut off from all back ends learns nothing of one.
+func (r *serviceRun) isEndBelieved(answer *backend.ServiceAnswer) bool {
+	gateway := r.caller.gateway
+	return !answer.EndedByClose || answer.NotRun || gateway.probes.ProbeAfterClose(r.target.Address) == backendconn.LivenessAlive ||
+		!gateway.reachesOthers(r.target)
+}
+
 // isUnavailable reports statuses after which a repeatable call is retried at
 // another back end.
 func isUnavailable(status int) bool {
