Engines' streams are read in each form of the standard

What callers saw: no token of an engine whose lines end in CR, and 502 once its stream had ended; the same where a chunk's data takes several lines, or an event has empty data.

Cause: Stream looked for line feeds alone, and took each data line for a chunk. Evidence: 22 of 42 cases of the test, all that have CR, several lines or empty data; none with LF or CRLF otherwise.

Change: a line ends with CR, LF or both. Data that is no whole chunk on its line is joined with the lines behind it, to the end of the event; empty data is no event. A chunk that is whole on its line is passed on before the event ends, as before. The bounds on a line hold for an event's data.

A stream that is cut at any byte, whatever ends its lines, is never taken for whole, also within [DONE]; TestStreamCutAnywhereIsNeverWhole holds that, and does not depend on this change.

Red before: TestStreamsAreReadInEachFormOfTheStandard (22 of 42 cases), TestChunkIsReadBeforeTheNextByte (CR hangs).

--- a/internal/backend/fuzz_test.go
+++ b/internal/backend/fuzz_test.go
@@ -42,6 +42,7 @@
 	for _, seed := range []string{
 		"data: {\"id\":\"a\",\"attempt\":1,\"sequence\":0,\"text\":\"x\"}\n\ndata: [DONE]\n\n",
 		"data: {\"id\":\"a\",\"attempt\":1,\"sequence\":0,\"text\":\"x\"}", "event: x\r\n\r\ndata:[DONE]\r\n", ": ping\n\n", "data: {\n",
+		"data: {\"id\":\"a\",\rdata: \"sequence\":0}\r\rdata: [DONE]\r", "data: {\r\n\ndata: }\n\r",
 	} {
 		f.Add([]byte(seed))
 	}
@@ -59,8 +60,8 @@
 			}
 			var protocol *ProtocolError
 			isExpectedEnd := errors.Is(err, ErrDone) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &protocol)
-			if !isExpectedEnd || cap(stream.longLine) > 2*(maxEventBytes+streamBufferBytes) {
-				t.Fatalf("stream ended with %v and a line buffer of %d bytes", err, cap(stream.longLine))
+			if !isExpectedEnd || max(cap(stream.longLine), cap(stream.data)) > 2*(maxEventBytes+streamBufferBytes) {
+				t.Fatalf("stream ended with %v and buffers of %d and %d bytes", err, cap(stream.longLine), cap(stream.data))
 			}
 			return
 		}
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// maxEventBytes limits one line of a response stream.
+	// maxEventBytes limits one line of a response stream, and the data of one event.
 	maxEventBytes     = 256 << 10
 	streamBufferBytes = 4 << 10
 )
@@ -20,15 +20,23 @@
 	eventDone   = []byte("[DONE]")
 )
 
+// lineEnds are the bytes that end lines: either alone, or both in this order.
+const lineEnds = "\r\n"
+
 // ErrDone is returned by Stream.Next at the stream's terminator.
 var ErrDone = errors.New("answer stream is complete")
 
-// Stream is an engine's response stream. It is not safe for concurrent use.
+// Stream is an engine's response stream, in any form that the standard allows (text/event-stream, WHATWG HTML,
+// section 9.2.6). It is not safe for concurrent use.
 type Stream struct {
 	body   io.ReadCloser
 	reader *bufio.Reader
-	// longLine holds a line that exceeds the reader's buffer.
+	// longLine holds the parts of a line that has come in several.
 	longLine []byte
+	// isAfterReturn is set if a carriage return ended the last line: a line feed that follows belongs to it.
+	isAfterReturn bool
+	// data is what an event has brought on several lines.
+	data []byte
 	// hint holds the availability hint in the response headers.
 	hint inventory.Hint
 }
@@ -41,6 +49,7 @@
 // io.ErrUnexpectedEOF if the stream ends without one, a *ProtocolError for
 // malformed data, and otherwise the error of the connection.
 func (s *Stream) Next(chunk *Chunk) error {
+	s.data = s.data[:0]
 	for {
 		line, err := s.readLine()
 		if err != nil {
@@ -50,17 +59,25 @@
 			return err
 		}
 		data, found := bytes.CutPrefix(line, eventPrefix)
-		if !found {
+		switch data = bytes.TrimSpace(data); {
+		case len(line) == 0 && len(s.data) > 0:
+			if err := decodeChunk(s.data, chunk.RequestID, chunk); err != nil {
+				return &ProtocolError{Detail: err.Error()}
+			}
+			return nil
+		case !found, len(data) == 0:
 			continue
-		}
-		data = bytes.TrimSpace(data)
-		if bytes.Equal(data, eventDone) {
+		case bytes.Equal(data, eventDone):
 			return ErrDone
 		}
-		if err := decodeChunk(data, chunk.RequestID, chunk); err != nil {
-			return &ProtocolError{Detail: err.Error()}
+		// A chunk that is whole on one line does not wait for the end of its event.
+		if len(s.data) == 0 && decodeChunk(data, chunk.RequestID, chunk) == nil {
+			return nil
 		}
-		return nil
+		if len(s.data)+len(data) > maxEventBytes {
+			return &ProtocolError{Detail: "an event is too long"}
+		}
+		s.data = append(append(s.data, data...), '\n')
 	}
 }
 
@@ -69,7 +86,7 @@
 // otherwise an event would stay unflushed until the next one arrives.
 func (s *Stream) Buffered() bool {
 	buffered, _ := s.reader.Peek(s.reader.Buffered())
-	return bytes.IndexByte(bytes.TrimLeft(buffered, "\r\n"), '\n') >= 0
+	return lineEnd(bytes.TrimLeft(buffered, lineEnds)) >= 0
 }
 
 // Close closes the stream and its connection.
@@ -77,25 +94,51 @@
 	_ = s.body.Close()
 }
 
-// readLine returns the next line, which is valid until the following call.
+// readLine returns the next line without its end, valid until the following call.
 func (s *Stream) readLine() ([]byte, error) {
-	line, err := s.reader.ReadSlice('\n')
-	if err == nil {
-		return line, nil
-	}
-	if !errors.Is(err, bufio.ErrBufferFull) {
-		return nil, err
-	}
-	s.longLine = append(s.longLine[:0], line...)
-	for errors.Is(err, bufio.ErrBufferFull) {
+	s.longLine = s.longLine[:0]
+	for {
+		if _, err := s.reader.Peek(1); err != nil {
+			return nil, err
+		}
+		buffered, _ := s.reader.Peek(s.reader.Buffered())
+		if s.isAfterReturn && buffered[0] == '\n' {
+			s.isAfterReturn = false
+			s.discard(1)
+			continue
+		}
+		s.isAfterReturn = false
+		end := lineEnd(buffered)
+		if end >= 0 {
+			s.isAfterReturn = buffered[end] == '\r'
+			s.discard(end + 1)
+			if len(s.longLine) == 0 {
+				return buffered[:end], nil
+			}
+			s.longLine = append(s.longLine, buffered[:end]...)
+			return s.longLine, nil
+		}
+		s.longLine = append(s.longLine, buffered...)
+		s.discard(len(buffered))
 		if len(s.longLine) > maxEventBytes {
 			return nil, &ProtocolError{Detail: "a line is too long"}
 		}
-		line, err = s.reader.ReadSlice('\n')
-		s.longLine = append(s.longLine, line...)
 	}
-	if err != nil {
-		return nil, err
+}
+
+// discard drops bytes that are buffered.
+func (s *Stream) discard(count int) {
+	_, _ = s.reader.Discard(count)
+}
+
+// lineEnd returns where the first line of the text ends; -1 if it does not.
+func lineEnd(text []byte) int {
+	end := bytes.IndexByte(text, '\n')
+	if end >= 0 {
+		text = text[:end]
+	}
+	if carriageReturn := bytes.IndexByte(text, '\r'); carriageReturn >= 0 {
+		return carriageReturn
 	}
-	return s.longLine, nil
+	return end
 }
--- a/internal/backend/stream_test.go
+++ b/internal/backend/stream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 )
 
 func TestStreamNext(t *testing.T) {
@@ -22,6 +23,8 @@
 		"not JSON":         {"data: {]\n\n", 0, isProtocolError},
 		"long but bounded": {`data: {"text":"` + strings.Repeat("x", 3*streamBufferBytes) + `"}` + "\n", 1,
 			func(err error) bool { return errors.Is(err, io.ErrUnexpectedEOF) }},
+		"event never ends": {"data: {\n" + strings.Repeat("data: "+strings.Repeat("x", streamBufferBytes)+"\n", 2*maxEventBytes/streamBufferBytes),
+			0, isProtocolError},
 		"line never ends": {"data: " + strings.Repeat("x", 2*maxEventBytes), 0, isProtocolError},
 	}
 	for name, test := range tests {
@@ -40,6 +43,84 @@
 	}
 }
 
+// TestStreamsAreReadInEachFormOfTheStandard guards against streams that are never read, as their lines end
+// otherwise or their data takes several.
+func TestStreamsAreReadInEachFormOfTheStandard(t *testing.T) {
+	const first = `data: {"id":"r1","attempt":1,"sequence":0,"text":" a"}` + "\n\n"
+	const last = `data: {"id":"r1","attempt":1,"sequence":1,"finish":"stop"}` + "\n\ndata: [DONE]\n\n"
+	severalLines := strings.ReplaceAll(first, `,"`, `,`+"\ndata: "+`"`)
+	for name, text := range map[string]string{
+		"one line each":       first + last,
+		"comments":            ": here\n\n" + first + ": here\n: still\n" + last,
+		"ids and other names": "retry: 9\nid: 1\nevent: token\n" + first + "id: 2\ndatabase: x\ndata\n\n" + last,
+		"several lines":       severalLines + last,
+		"empty data":          "data:\n\ndata: \ndata:\n\n" + first + last,
+		"no space":            strings.ReplaceAll(first+last, "data: ", "data:"),
+		"long comments":       ":" + strings.Repeat(" ", streamBufferBytes-2) + "\n" + first + last,
+	} {
+		for ending, lineEnd := range map[string]string{"LF": "\n", "CRLF": "\r\n", "CR": "\r"} {
+			for way, limit := range map[string]func(io.Reader) io.Reader{"at once": asIs, "bytewise": iotest.OneByteReader} {
+				t.Run(name+" "+ending+" "+way, func(t *testing.T) {
+					answer := strings.ReplaceAll(text, "\n", lineEnd)
+					stream := newStream(io.NopCloser(limit(strings.NewReader(answer))))
+					var one, two, none Chunk
+					for index, err := range []error{stream.Next(&one), stream.Next(&two), stream.Next(&none)} {
+						if isEnd := index == 2; isEnd && !errors.Is(err, ErrDone) || !isEnd && err != nil {
+							t.Fatalf("chunk %d: %v", index, err)
+						}
+					}
+					if one.Text != " a" || two.Sequence != 1 || two.Finish != "stop" {
+						t.Errorf("%+v, %+v", one, two)
+					}
+				})
+			}
+		}
+	}
+}
+
+func asIs(reader io.Reader) io.Reader { return reader }
+
+// TestChunkIsReadBeforeTheNextByte guards against tokens that wait for the next one: a carriage return ends a
+// line whether or not a line feed follows.
+func TestChunkIsReadBeforeTheNextByte(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		reader, writer := io.Pipe()
+		stream := newStream(reader)
+		go func() {
+			_, _ = io.WriteString(writer, `data: {"id":"r1","attempt":1,"sequence":0,"text":"a"}`+lineEnd+lineEnd)
+		}()
+		var chunk Chunk
+		if err := stream.Next(&chunk); err != nil || chunk.Text != "a" || stream.Buffered() {
+			t.Errorf("%q: %+v, %v", lineEnd, chunk, err)
+		}
+		stream.Close()
+	}
+}
+
+// TestStreamCutAnywhereIsNeverWhole guards against taking an end of the connection for one of the stream.
+func TestStreamCutAnywhereIsNeverWhole(t *testing.T) {
+	const answer = `data: {"id":"r1","attempt":1,"sequence":0,"text":" a"}` + "\n\n" +
+		`data: {"id":"r1","attempt":1,"sequence":10,"finish":"stop"}` + "\n\ndata: [DONE]"
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		text := strings.ReplaceAll(answer, "\n", lineEnd)
+		for length := range len(text) + 1 {
+			stream := newStream(io.NopCloser(strings.NewReader(text[:length])))
+			var chunk Chunk
+			var err error
+			for err == nil {
+				chunk = Chunk{}
+				err = stream.Next(&chunk)
+				if err == nil && chunk.Text != " a" && chunk.Sequence != 10 {
+					t.Errorf("%q was read from %q", chunk.Text, text[:length])
+				}
+			}
+			if !errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Errorf("%q ended with %v", text[:length], err)
+			}
+		}
+	}
+}
+
 func isProtocolError(err error) bool {
 	var protocol *ProtocolError
 	return errors.As(err, &protocol)
