A run that repeats a token differently is not joined to what the caller has

What callers saw: one answer made of two runs ("0 1 2 differ "), or a short one that ends with [DONE] ("0 1 2 " of six tokens), after an engine that went on with a broken stream had started another answer, or counted from its own beginning.

Cause: chunks with a number that the caller has were dropped as duplicates, whatever their text; the chunks behind them, or a finish chunk whose number happened to be the next, were accepted. Class: as on the edge nodes, what a run that goes on writes was not compared with what the caller has. Evidence: both ways at a resume and at a continuation elsewhere.

Change: attempt.Core compares such a chunk with the token that it keeps for a continuation. Another text, a negative number, or an end before what the caller has leaves the run for another engine, without asking the same one again; equal ones are dropped and counted as before. After the finish chunk nothing matters. Events of the edge nodes have IDs and no numbers, so eventstream.Order is not used; tokens beyond the first megabyte are not kept, and so not compared.

Ruled out, each at a resume and at a continuation: runs that start again with the same tokens, repeat one, leave one out, swap two, end with a number too high, or give no number.

--- a/internal/attempt/stream.go
+++ b/internal/attempt/stream.go
@@ -4,7 +4,8 @@
 
 // handleChunk accepts a chunk only if its request, attempt and sequence number match: late, crossed and
 // duplicated chunks are discarded and counted, and a gap ends the connection so that the missing tokens
-// are requested again.
+// are requested again. A run that repeats a token differently is not the one that the caller has the
+// beginning of, and is left for another back end.
 func (c *Core) handleChunk(now time.Time, chunk *Chunk) {
 	c.settleHedge(chunk)
 	if c.options.Defects.NoSequenceCheck {
@@ -16,6 +17,8 @@
 		c.dropped.Crossed++
 	case c.phase != phaseConnected || chunk.Connection != c.connection || chunk.Attempt != c.attempt:
 		c.dropped.Late++
+	case c.differs(chunk):
+		c.resumeOrRetry(now, Failure{Evidence: MaybeSent, NoResume: true, Detail: "a part of the answer came again and differs"})
 	case chunk.Sequence < c.nextSequence:
 		c.dropped.Duplicated++
 	case chunk.Sequence > c.nextSequence:
@@ -25,6 +28,18 @@
 	}
 }
 
+// differs reports whether the chunk has another token, or an end, in place of one that the caller has. Nothing
+// differs once the answer is whole, nor can tokens that are not kept be compared.
+func (c *Core) differs(chunk *Chunk) bool {
+	if !c.options.Resumable || c.finishReason != "" || chunk.Sequence >= c.nextSequence {
+		return false
+	}
+	if chunk.Sequence < 0 || chunk.FinishReason != "" {
+		return true
+	}
+	return chunk.Sequence < len(c.keptTokens) && c.keptTokens[chunk.Sequence] != chunk.Text
+}
+
 // acceptChunk delivers a token, or remembers the finish reason.
 func (c *Core) acceptChunk(now time.Time, chunk *Chunk) {
 	if chunk.FinishReason != "" {
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -95,3 +96,98 @@
 		}
 	}
 }
+
+// TestRunsThatGoOnDifferentlyAreNotJoined guards against answers made of two runs, or short ones: what an engine
+// writes when it goes on behind the third token need not be the rest of what the caller has.
+func TestRunsThatGoOnDifferentlyAreNotJoined(t *testing.T) {
+	for name, goOn := range map[string]func(engine scriptedEngine){
+		"starts again": func(engine scriptedEngine) {
+			engine.tokens(0, 6)
+			engine.end(6)
+		},
+		"repeats a token": func(engine scriptedEngine) {
+			engine.tokens(2, 6)
+			engine.end(6)
+		},
+		"leaves a token out": func(engine scriptedEngine) {
+			engine.tokens(4, 6)
+			engine.end(6)
+		},
+		"swaps two tokens": func(engine scriptedEngine) {
+			engine.tokens(4, 5)
+			engine.tokens(3, 4)
+			engine.tokens(5, 6)
+			engine.end(6)
+		},
+		"starts another answer": func(engine scriptedEngine) {
+			engine.numbered(0, "other ", "words ", "that ", "differ ")
+			engine.end(4)
+		},
+		"counts from its own beginning": func(engine scriptedEngine) {
+			engine.numbered(0, "3 ", "4 ", "5 ")
+			engine.end(3)
+		},
+		"ends before what the caller has": func(engine scriptedEngine) { engine.end(2) },
+		"ends with a number too high":     func(engine scriptedEngine) { engine.end(5) },
+		"gives no number":                 func(engine scriptedEngine) { engine.numbered(-1, "3 ") },
+	} {
+		resumed := func(h *harness) {
+			h.addEngine("e1", h.backend(func(writer http.ResponseWriter, request *http.Request) {
+				engine := scriptedEngine{writer, request}
+				switch {
+				case isCancel(request):
+				case isResume(request):
+					goOn(engine)
+				default:
+					engine.tokens(0, 3)
+					h.addEngine("e2", h.backend(completeEngine))
+					abortConnection()
+				}
+			}))
+		}
+		continued := func(h *harness) {
+			diverging := h.backend(func(writer http.ResponseWriter, request *http.Request) {
+				if isCancel(request) || isResume(request) {
+					http.NotFound(writer, request)
+					return
+				}
+				goOn(scriptedEngine{writer, request})
+			})
+			h.addEngine("e1", h.backend(func(writer http.ResponseWriter, request *http.Request) {
+				if isCancel(request) || isResume(request) {
+					http.NotFound(writer, request)
+					return
+				}
+				scriptedEngine{writer, request}.tokens(0, 3)
+				h.addEngine("e2", diverging)
+				abortConnection()
+			}))
+		}
+		for place, prepare := range map[string]func(*harness){"resumed": resumed, "continued": continued} {
+			t.Run(name+" "+place, func(t *testing.T) {
+				h := newHarness(t, nil)
+				prepare(h)
+				got := h.do(http.MethodPost, backend.PathCompletions, streamBody)
+				text, isWhole := streamText(got.body)
+				if got.status != http.StatusOK || isWhole && text != completeText || !strings.HasPrefix(completeText, text) {
+					t.Errorf("%d, %q, whole %t", got.status, text, isWhole)
+				}
+				if place == "resumed" && !isWhole {
+					t.Errorf("not continued at the other engine: %q", got.body)
+				}
+			})
+		}
+	}
+}
+
+// numbered sends tokens whose numbers begin with first; all have it if it is negative.
+func (s scriptedEngine) numbered(first int, texts ...string) {
+	for index, text := range texts {
+		chunk := s.header()
+		chunk.Sequence, chunk.Text = first, text
+		if first >= 0 {
+			chunk.Sequence += index
+		}
+		s.send(chunk)
+	}
+}
