Streams of the gateway that break off are seen by callers without chunks

What callers saw: to a caller of HTTP/1.0, also a proxy that speaks it, a stream whose node closed its connection looked like one that had ended: whole events, and then the end that says so. Only what is missing told it apart: [DONE], or an error event, which a proxy does not look for.

Cause: as on the edge nodes; the end of a connection is the end of an answer without a length, and a node that aborts an answer, or is killed, closes it in order. Evidence: two tokens and io.EOF in each of five runs. Ruled out: streams that end with an error event, whose end is one; answers with a length, as whole completions and problems have; callers of HTTP/1.1.

Change: what relay does moved to callerconn (GuardEnd, ReleaseEnd), and the gateway guards its streams with it: the connection is reset when it is closed, until the terminator or the error event is flushed. The listeners of a node give their handlers the connection. An error event that can't be written aborts the answer instead of being ignored.

Since: five runs with -race; relay and edge, which use the moved code, too.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -1,5 +1,5 @@
 // Package callerconn gives the handler of an HTTP request a say in how its caller's connection is closed.
-// The servers of edge and node install WithConn; relay uses the rest.
+// The servers of edge and node install WithConn; relay and gateway use the rest.
 //
 // It may import the standard library only.
 package callerconn
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 )
 
 type contextKey struct{}
@@ -28,12 +29,24 @@
 	lingerDefault = -1
 )
 
-// ResetOnClose has the kernel reset the connection when it is closed, even if this process is killed, until
-// CloseInOrder is called. The end of a body that ends with its connection looks whole otherwise.
-func ResetOnClose(ctx context.Context) { setLinger(ctx, lingerReset) }
+// GuardEnd makes sure that the caller can tell a response with this header from a part of it, also if this
+// process is killed: one without a length ends with its connection for callers of HTTP/1.0, who know no chunks,
+// and the end of a connection that is closed in order looks whole. The kernel is told to reset the connection
+// when it is closed, until ReleaseEnd is called, which is due if the end is guarded.
+func GuardEnd(request *http.Request, header http.Header) (isGuarded bool) {
+	if request.ProtoAtLeast(1, 1) || header.Get("Content-Length") != "" {
+		return false
+	}
+	setLinger(request.Context(), lingerReset)
+	return true
+}
 
-// CloseInOrder restores the ordinary close. All that was written has to be flushed before.
-func CloseInOrder(ctx context.Context) { setLinger(ctx, lingerDefault) }
+// ReleaseEnd is called once the response was written to its end.
+func ReleaseEnd(writer http.ResponseWriter, request *http.Request) {
+	if http.NewResponseController(writer).Flush() == nil {
+		setLinger(request.Context(), lingerDefault)
+	}
+}
 
 func setLinger(ctx context.Context, seconds int) {
 	conn, _ := FromContext(ctx)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/callerconn"
 )
 
 var errAnswerTooLarge = errors.New("the answer is larger than a node holds")
@@ -21,7 +22,9 @@
 	chat   bool
 	model  string
 	// headerSent is set once the status line has been written.
-	headerSent    bool
+	headerSent bool
+	// isEndGuarded is set while the connection is reset if the response ends now.
+	isEndGuarded  bool
 	created       int64
 	eventPrefix   []byte
 	eventBuffer   []byte
@@ -65,6 +68,7 @@
 	header.Set("Cache-Control", "no-store")
 	a.call.setAttemptHeaders()
 	a.eventPrefix = a.newEventPrefix()
+	a.isEndGuarded = callerconn.GuardEnd(a.call.request, header)
 	a.call.writer.WriteHeader(http.StatusOK)
 }
 
@@ -109,6 +113,18 @@
 	return a.call.control.Flush()
 }
 
+// writeLast writes what ends the stream.
+func (a *completionWriter) writeLast(events []byte) error {
+	a.hasMore = nil
+	if err := a.writeEvent(events); err != nil {
+		return err
+	}
+	if a.isEndGuarded {
+		callerconn.ReleaseEnd(a.call.writer, a.call.request)
+	}
+	return nil
+}
+
 // finish ends a complete response.
 func (a *completionWriter) finish(finish attempt.Finish) error {
 	if !a.stream {
@@ -117,8 +133,7 @@
 	if !a.headerSent {
 		a.sendHeader("text/event-stream")
 	}
-	a.hasMore = nil
-	return a.writeEvent(a.finalEvents(finish.Reason))
+	return a.writeLast(a.finalEvents(finish.Reason))
 }
 
 func (a *completionWriter) finalEvents(reason string) []byte {
@@ -197,8 +212,9 @@
 	}
 	body, _ := json.Marshal(failure.problem(a.call.id))
 	event := append([]byte("event: error\ndata: "), body...)
-	a.hasMore = nil
-	_ = a.writeEvent(append(event, "\n\n"...))
+	if err := a.writeLast(append(event, "\n\n"...)); err != nil {
+		a.call.aborted = true
+	}
 }
 
 const hexDigits = "0123456789abcdef"
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -6,6 +6,6 @@
 // requests and the choice of back ends. The last two belong to the dispatchers,
 // which are protoactor actors; tokens do not pass through them. Package node
 // creates the Gateway and mounts it as an http.Handler.
-// It may import attempt, backend, backendconn, bounded, catalog, claim, fleet, membudget,
-// queue, routing and views.
+// It may import attempt, backend, backendconn, bounded, callerconn, catalog, claim, fleet,
+// membudget, queue, routing and views.
 package gateway
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -191,3 +192,66 @@
 		s.send(chunk)
 	}
 }
+
+// askOldProtocol sends a request by HTTP/1.0 and returns its response; the body is read to its end, or to an error,
+// by read.
+func (h *harness) askOldProtocol(method, path, body string) (answer *http.Response, read func() (string, error)) {
+	h.t.Helper()
+	conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { _ = conn.Close() })
+	if _, err := fmt.Fprintf(conn, "%s %s HTTP/1.0\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body); err != nil {
+		h.t.Fatal(err)
+	}
+	answer, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return answer, func() (string, error) {
+		text, err := io.ReadAll(answer.Body)
+		return string(text), err
+	}
+}
+
+// TestCallersWithoutChunksSeeBrokenStreams guards against callers of HTTP/1.0, and proxies that use it, who take a
+// stream that was broken off for whole, and against streams that are whole, or end with an error, and are reset.
+func TestCallersWithoutChunksSeeBrokenStreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		// next is what the engine does behind its first tokens.
+		next     func(h *harness, engine scriptedEngine)
+		last     string
+		isBroken bool
+	}{
+		"whole": {func(_ *harness, engine scriptedEngine) {
+			engine.tokens(2, 6)
+			engine.end(6)
+		}, "data: [DONE]\n\n", false},
+		"ends with an error": {func(*harness, scriptedEngine) { abortConnection() }, "}\n\n", false},
+		"the node closes its connections": {func(h *harness, _ scriptedEngine) {
+			h.server.CloseClientConnections()
+		}, "", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			mayGoOn := make(chan struct{})
+			h.addEngine("e1", h.backend(func(writer http.ResponseWriter, request *http.Request) {
+				engine := scriptedEngine{writer, request}
+				if isResume(request) || isCancel(request) || len(engine.body().ContinueFrom) > 0 {
+					http.NotFound(writer, request)
+					return
+				}
+				engine.tokens(0, 2)
+				<-mayGoOn
+				c.next(h, engine)
+			}))
+			_, read := h.askOldProtocol(http.MethodPost, backend.PathCompletions, streamBody)
+			close(mayGoOn)
+			text, err := read()
+			if (err != nil) != c.isBroken || !c.isBroken && !strings.HasSuffix(text, c.last) {
+				t.Errorf("%q, error %v", text, err)
+			}
+		})
+	}
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/backend"
+	"github.com/spanlanding/spanlanding/internal/callerconn"
 	"github.com/spanlanding/spanlanding/internal/catalog"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 	"github.com/spanlanding/spanlanding/internal/standin/memnet"
@@ -155,6 +156,7 @@
 		_ = server.Listener.Close()
 		server.Listener = h.network.Listen()
 	}
+	server.Config.ConnContext = callerconn.WithConn
 	server.Start()
 	return server
 }
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/spanlanding/spanlanding/internal/callerconn"
 	"github.com/spanlanding/spanlanding/internal/fleet"
 )
 
@@ -69,6 +70,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       keepAliveTimeout,
+		ConnContext:       callerconn.WithConn,
 	}
 	s.all = append(s.all, server)
 	go pprof.Do(context.Background(), profileLabels(s.node, name), func(context.Context) {
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -102,20 +102,15 @@
 	x.handler.Metrics.EndedWithServer.Add(1)
 }
 
-// guardEnd makes sure that the caller can tell a response with this header from a part of it, also if this
-// node is killed: one without a length ends with its connection for callers that know no chunks.
+// guardEnd makes sure that the caller can tell a response with this header from a part of it.
 func (x *exchange) guardEnd(header http.Header) {
-	if x.request.ProtoAtLeast(1, 1) || header.Get("Content-Length") != "" {
-		return
-	}
-	x.isEndGuarded = true
-	callerconn.ResetOnClose(x.request.Context())
+	x.isEndGuarded = callerconn.GuardEnd(x.request, header)
 }
 
 // releaseEnd is called once the response was written to its end.
 func (x *exchange) releaseEnd() {
-	if x.isEndGuarded && http.NewResponseController(x.writer).Flush() == nil {
-		callerconn.CloseInOrder(x.request.Context())
+	if x.isEndGuarded {
+		callerconn.ReleaseEnd(x.writer, x.request)
 	}
 }
 
