Whole answers of the gateway name their length

What callers saw: answers of services over 2 KB had no Content-Length. A caller of HTTP/1.0 can't tell one from a part of it if the node is killed, or gives up a slow reader; HEAD told nothing of the length that the service had told.

Cause: the length was left to net/http, which names it only for short bodies. Evidence: 210,000 bytes to a caller of HTTP/1.0 without a length, as success and as failure. Ruled out: problems and whole completions, which named it; 204 and 304, which have none, and keep none.

Change: answers whose body is at hand (services, answers kept for a key, lists of models) name its length; to HEAD, the length that the service has announced is passed on. A body that can't be written is logged.

Red before: TestAnswersNameTheirLength (long answer, long failure, HEAD).

--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -53,6 +53,9 @@
 	Location    string
 	RetryAfter  string
 	Body        []byte
+	// Length is the length in bytes that the service announced for the body, also in response to HEAD; negative
+	// if none.
+	Length int64
 	// EndedByClose is set if the response had neither a length nor chunks, so that the end of its connection
 	// ended its body.
 	EndedByClose bool
@@ -145,6 +148,7 @@
 		NotRun:      response.Header.Get(HeaderNotRun) == "true",
 		Hint:        readHint(response),
 
+		Length:       response.ContentLength,
 		EndedByClose: isEndedByClose(response),
 	}
 	answer.Hint.Draining = answer.Hint.Draining || answer.NotRun && isDrainingProblem(body)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -105,6 +105,17 @@
 	failure.write(c.writer, c.id)
 }
 
+// writeWhole writes a response whose body is at hand. It names the length, by which each caller can tell it from a
+// part of it.
+func (c *call) writeWhole(status int, body []byte) {
+	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.extendWrite()
+	c.writer.WriteHeader(status)
+	if _, err := c.writer.Write(body); err != nil {
+		c.record.detail = err.Error()
+	}
+}
+
 // extendWrite moves the write deadline on for the next write.
 func (c *call) extendWrite() {
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.gateway.limits.WriteTimeout))
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -255,3 +255,47 @@
 		})
 	}
 }
+
+// TestAnswersNameTheirLength guards against answers that a caller of HTTP/1.0 can't tell from a part of them, and
+// against a length where there is no body.
+func TestAnswersNameTheirLength(t *testing.T) {
+	long := strings.Repeat("turbine 7 is stopped\n", 10_000)
+	for name, c := range map[string]struct {
+		method, path string
+		status       int
+		body         string
+		// length is the one announced to a HEAD, and want what the caller is told.
+		length, want string
+	}{
+		"long answer":           {http.MethodPost, "/turbines/7", http.StatusOK, long, "", "210000"},
+		"long failure":          {http.MethodPost, "/turbines/7", http.StatusInternalServerError, long, "", "210000"},
+		"no body":               {http.MethodPost, "/turbines/7", http.StatusOK, "", "", "0"},
+		"no content":            {http.MethodPost, "/turbines/7", http.StatusNoContent, "", "", ""},
+		"not modified":          {http.MethodGet, "/turbines/7", http.StatusNotModified, "", "", ""},
+		"HEAD":                  {http.MethodHead, "/turbines/7", http.StatusOK, "", "210000", "210000"},
+		"HEAD without a length": {http.MethodHead, "/turbines/7", http.StatusOK, "", "", ""},
+		"list of models":        {http.MethodGet, "/v1/models", http.StatusOK, "", "", "95"},
+		"HEAD of the models":    {http.MethodHead, "/v1/models", http.StatusOK, "", "", "95"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			h.addService("s1", h.backend(func(writer http.ResponseWriter, _ *http.Request) {
+				if c.length != "" {
+					writer.Header().Set("Content-Length", c.length)
+				}
+				writer.WriteHeader(c.status)
+				_, _ = io.WriteString(writer, c.body)
+			}))
+			answer, read := h.askOldProtocol(c.method, c.path, "")
+			length := strings.Join(answer.Header["Content-Length"], ",")
+			if answer.StatusCode != c.status || length != c.want {
+				t.Errorf("%d, Content-Length %q", answer.StatusCode, length)
+			}
+			if c.method == http.MethodPost {
+				if text, err := read(); text != c.body || err != nil {
+					t.Errorf("%d bytes of %d, %v", len(text), len(c.body), err)
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -162,6 +162,5 @@
 	c.record.status = http.StatusOK
 	body, _ := json.Marshal(value)
 	c.writer.Header().Set("Content-Type", "application/json")
-	c.extendWrite()
-	_, _ = c.writer.Write(body)
+	c.writeWhole(http.StatusOK, body)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"path"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
@@ -405,6 +406,9 @@
 	if r.result.RetryAfter != "" {
 		r.caller.writer.Header().Set("Retry-After", r.result.RetryAfter)
 	}
+	if r.caller.request.Method == http.MethodHead && r.result.Length >= 0 {
+		r.caller.writer.Header().Set("Content-Length", strconv.FormatInt(r.result.Length, 10))
+	}
 	r.write(r.result.Status, r.result.ContentType, r.result.Body)
 }
 
@@ -415,7 +419,10 @@
 		c.writer.Header().Set("Content-Type", contentType)
 	}
 	c.setAttemptHeaders()
-	c.extendWrite()
-	c.writer.WriteHeader(status)
-	_, _ = c.writer.Write(body)
+	if c.request.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
+		c.extendWrite()
+		c.writer.WriteHeader(status)
+		return
+	}
+	c.writeWhole(status, body)
 }
