Own interface: ends of answers and crashes are judged as at the edge

Now an answer breaks off if nothing listens at the address of a back end that had not announced its end, and a back end that seems alive behind a broken call is looked at once more. The tests of gateway, backend, attempt, relay pass with -race.

--- a/internal/backendconn/liveness.go
+++ b/internal/backendconn/liveness.go
@@ -64,6 +64,10 @@
 	// closeTime is the time within which the kernel closes all sockets of a process that has ended, on a
 	// busy machine too.
 	closeTime = 20 * time.Millisecond
+	// AnswerProbeWait is how long an answer that is no stream waits to hear whether its server has ended.
+	AnswerProbeWait = 100 * time.Millisecond
+	// LateProbeWait bounds the time in which a server that seemed alive may turn out to have ended.
+	LateProbeWait = time.Second
 	// patientProbeTimeout limits a probe whose first packet may be lost once.
 	patientProbeTimeout = 1200 * time.Millisecond
 )
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -100,11 +100,27 @@
 		return
 	}
 	s.isTrial = false
-	if s.gateway.probes.Probe(target.Address) != backendconn.LivenessEnded {
+	if s.gateway.probes.Probe(target.Address) == backendconn.LivenessEnded {
+		s.gateway.blame(s.fingerprint, target)
 		return
 	}
-	if serverID, isStaying := s.gateway.serverProcess(target); isStaying && s.gateway.reachesOthers(target) {
-		s.gateway.options.Suspects.Blame(s.fingerprint, serverID)
+	s.gateway.background.Go(func() { s.gateway.blameIfEnding(s.fingerprint, target) })
+}
+
+// blame blames the request for the end of its server, if that had not announced it.
+func (g *Gateway) blame(fingerprint poison.Fingerprint, target fleet.Backend) {
+	if serverID, isStaying := g.serverProcess(target); isStaying && g.reachesOthers(target) {
+		g.options.Suspects.Blame(fingerprint, serverID)
+	}
+}
+
+// blameIfEnding blames the request if its server, which has broken a connection and then accepted another one,
+// turns out to have ended: the kernel may close the listening socket of a process last.
+func (g *Gateway) blameIfEnding(fingerprint poison.Fingerprint, target fleet.Backend) {
+	ctx, cancel := context.WithTimeout(context.Background(), backendconn.LateProbeWait)
+	defer cancel()
+	if g.probes.ProbeAfterClose(ctx, target.Address) == backendconn.LivenessEnded {
+		g.blame(fingerprint, target)
 	}
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -274,7 +274,7 @@
 		ContentType: request.Header.Get("Content-Type"), Accept: request.Header.Get("Accept"), Key: r.key, Body: r.body,
 		Repeatable: r.route.Repeatable, MayStart: r.mayStart,
 	})
-	if err == nil && !r.isEndBelieved(answer) {
+	if err == nil && !r.isEndBelieved(ctx, answer) {
 		err = errEndedWithServer
 	}
 	if err != nil {
@@ -300,11 +300,19 @@
 
 // isEndBelieved reports whether the answer is whole. One that ends with its connection is not if its back end
 // has ended as well: the kernel closes the connections of a process that was killed as if the process had done
-// so. A node that is cut off from all back ends learns nothing of one.
-func (r *serviceRun) isEndBelieved(answer *backend.ServiceAnswer) bool {
+// so. A back end that has announced its end may end behind its answer.
+func (r *serviceRun) isEndBelieved(ctx context.Context, answer *backend.ServiceAnswer) bool {
+	if !answer.EndedByClose || answer.NotRun {
+		return true
+	}
 	gateway := r.caller.gateway
-	return !answer.EndedByClose || answer.NotRun || gateway.probes.ProbeAfterClose(r.target.Address) == backendconn.LivenessAlive ||
-		!gateway.reachesOthers(r.target)
+	ctx, cancel := context.WithTimeout(ctx, backendconn.AnswerProbeWait)
+	defer cancel()
+	if gateway.probes.ProbeAfterClose(ctx, r.target.Address) != backendconn.LivenessEnded {
+		return true
+	}
+	_, isStaying := gateway.serverProcess(r.target)
+	return !isStaying
 }
 
 // isUnavailable reports statuses after which a repeatable call is retried at
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/phuslu/log"
 
@@ -62,9 +61,6 @@
 	}
 }
 
-// answerProbeWait is how long an answer that is no stream waits to hear whether its server has ended.
-const answerProbeWait = 100 * time.Millisecond
-
 // isEndBelieved reports whether a body that ended as its framing says it is whole. One that ends with its
 // connection is not if its server has ended as well: the kernel closes the connections of a process that
 // was killed as if the process had done so. A server that has announced its end may end behind its answer.
@@ -72,7 +68,7 @@
 	if response.Framing != backendconn.FramedByClose {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(x.ctx, answerProbeWait)
+	ctx, cancel := context.WithTimeout(x.ctx, backendconn.AnswerProbeWait)
 	defer cancel()
 	if x.handler.options.Pool.ProbeAfterClose(ctx, choice.Address) != backendconn.LivenessEnded || !x.endedUnexpectedly(choice) {
 		return true
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -189,14 +189,11 @@
 	}
 }
 
-// lateEndWait bounds the time in which a server that seemed alive may turn out to have ended.
-const lateEndWait = time.Second
-
 // reportIfEnding reports the crash of a server that has closed its connection and then accepted another one, or
 // did not answer, if it turns out to have ended: the kernel may close the listening socket of a process last. The request
 // does not wait for that.
 func (h *Handler) reportIfEnding(choice dispatch.Choice, service string, crash Crash) {
-	ctx, cancel := context.WithTimeout(context.Background(), lateEndWait)
+	ctx, cancel := context.WithTimeout(context.Background(), backendconn.LateProbeWait)
 	defer cancel()
 	if h.options.Pool.ProbeAfterClose(ctx, choice.Address) != backendconn.LivenessEnded {
 		return
--- a/internal/relay/poison_test.go
+++ b/internal/relay/poison_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/spanlanding/spanlanding/internal/backendconn"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/poison"
@@ -214,7 +215,7 @@
 				t.Errorf("status %d, want 502: it may have run", got.status)
 			}
 			// A server that seemed alive is looked at once more beside the request.
-			for end := time.Now().Add(lateEndWait / 4); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			for end := time.Now().Add(backendconn.LateProbeWait / 4); time.Now().Before(end); time.Sleep(time.Millisecond) {
 				if blamed := suspects.blamedServers(); len(blamed) > test.wantReports {
 					t.Fatalf("crashes reported for %v, want %d reports", blamed, test.wantReports)
 				}
