A peer's answer whose end only its connection tells is not believed

What callers saw: nothing. Nodes answer each other with a length, so this needs an answer that went through something else, or another program at a peer's address.

Cause: a part of a protobuf message may be a message. Class: a connection that ends in order is taken for an answer that does, as of unframed answers of servers.

Ruled out: a cut head, and answers with a length or chunks, cut after each byte, closed or reset (0 believed, in six forms).

Change: the transport for peers fails such a response with ErrUnframed, before anything of it is read. Red before: TestPartOfAPeersAnswerIsNotBelieved (an empty body is believed), TestPartOfASnapshotIsNotBelieved (position 9 is taken from 111 of 120 bytes).

--- a/internal/bounded/http.go
+++ b/internal/bounded/http.go
@@ -7,7 +7,8 @@
 )
 
 // LimitBodies returns a transport whose responses fail with ErrTooLong once more than limit bytes of their
-// body were read. Their heads are bounded by http.Transport.MaxResponseHeaderBytes.
+// body were read, and with ErrUnframed at once if they have neither a length nor chunks: a part of one looks
+// whole. Their heads are bounded by http.Transport.MaxResponseHeaderBytes.
 func LimitBodies(next http.RoundTripper, limit int64) http.RoundTripper {
 	return &bodyLimiter{next: next, limit: limit}
 }
@@ -23,10 +24,20 @@
 	if err != nil {
 		return nil, err
 	}
+	if isUnframed(response) {
+		_ = response.Body.Close()
+		return nil, ErrUnframed.New("the response with status %d has neither a length nor chunks", response.StatusCode)
+	}
 	response.Body = &limitedBody{ReadCloser: response.Body, left: l.limit}
 	return response, nil
 }
 
+// isUnframed reports whether the body ends with its connection. The length of a body that net/http decompresses is
+// not known either.
+func isUnframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed
+}
+
 // CloseIdleConnections closes those of the underlying transport, as http.Client does.
 func (l *bodyLimiter) CloseIdleConnections() {
 	if closer, ok := l.next.(interface{ CloseIdleConnections() }); ok {
--- a/internal/bounded/limits.go
+++ b/internal/bounded/limits.go
@@ -45,6 +45,9 @@
 // ErrTooLong reports that more was sent than is read.
 var ErrTooLong = errorNamespace.NewType("too_long")
 
+// ErrUnframed reports that only the end of a connection tells where a body ends.
+var ErrUnframed = errorNamespace.NewType("unframed")
+
 // ReadAll reads to the end, or fails with ErrTooLong once more than limit bytes were read.
 func ReadAll(reader io.Reader, limit int64) ([]byte, error) {
 	text, err := io.ReadAll(io.LimitReader(reader, limit+1))
