An answer to HEAD keeps the length that its server tells

What callers saw: a 200 with Content-Length 0 to every HEAD, whatever the server said (500, or no length), at once and by way of a peer, on plain routes and streams. A caller that trusts it takes the resource for empty.

Cause: the length was set to that of the body which was read, and an answer to HEAD has none. 204 and 304 are not concerned: net/http leaves the field out of them.

Change: to HEAD, the server's length is passed on, and none is added. Such an answer ends with its head, so that its connection needs no reset for callers of HTTP/1.0.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -463,10 +463,12 @@
 	if _, ok := response.Header["Content-Type"]; !ok {
 		header["Content-Type"] = nil
 	}
+	// The length in an answer to HEAD is that of the body which GET would bring.
+	isToHead := x.request.Method == http.MethodHead
 	switch {
-	case isWhole:
+	case isWhole && !isToHead:
 		header.Set("Content-Length", strconv.Itoa(length))
-	case response.ContentLength >= 0 && !x.route.Stream:
+	case response.ContentLength >= 0 && (isToHead || !x.route.Stream):
 		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	x.headSent = true
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -100,7 +100,7 @@
 
 // guardEnd makes sure that the caller can tell a response with this header from a part of it.
 func (x *exchange) guardEnd(header http.Header) {
-	x.isEndGuarded = callerconn.GuardEnd(x.request, header)
+	x.isEndGuarded = x.request.Method != http.MethodHead && callerconn.GuardEnd(x.request, header)
 }
 
 // releaseEnd is called once the response was written to its end.
