A peer's answer to a forwarded request that has neither a length nor chunks broke off

What callers saw: nothing. Nodes frame what they write for each other, so this needs another program at a peer's address.

Cause: whoever passes a peer's answer on took one that ends with its connection for whole; for answers of servers that is asked of the server. Change: such an answer of a peer counts as broken off.

Played beside it: answers to commands, streams, HEAD and 204 in eight forms (a length last or first, line feeds, chunks, a trailer, behind a 103, no length, HTTP/1.0), cut after each byte and closed, or after each seventh and reset, from a server, from a peer, and on a kept connection behind an answer to an earlier request.

Red before: TestCutAnswerOfAPeerIsNotWhole (commands, streams and errors without a length: a 200 or 500 with an empty body).

--- a/internal/cutanswer/form.go
+++ b/internal/cutanswer/form.go
@@ -81,13 +81,21 @@
 	return c.Offset == c.Length && (!c.Form.IsUnframed || c.Ending == Closed)
 }
 
-// ForEach has the server give every part of the answer in each of its forms, and calls check for each.
+// resetStride is the distance between the offsets at which connections are reset: a part of an answer that ends with
+// a reset is never more believable than one that ends in order.
+const resetStride = 7
+
+// ForEach has the server give the parts of the answer in each of its forms, and calls check for each: every part for
+// connections that are closed in order, and every resetStride-th, the whole included, for those that are reset.
 func (s *Server) ForEach(t *testing.T, status, fields, body string, check func(t *testing.T, cut Cut)) {
 	t.Helper()
 	for _, form := range Forms {
 		text, headLength := form.Write(status, fields, body)
 		for _, ending := range Endings {
 			for offset := range len(text) + 1 {
+				if ending == Reset && (len(text)-offset)%resetStride != 0 {
+					continue
+				}
 				s.Answer(text[:offset], ending)
 				check(t, Cut{Form: form, Ending: ending, Offset: offset, HeadLength: headLength, Length: len(text)})
 				if t.Failed() {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -228,6 +228,9 @@
 func (x *exchange) passFromPeer(response *backendconn.Response, version string) forwardResult {
 	x.forgetOriginServer()
 	switch {
+	case response.Framing == backendconn.FramedByClose:
+		// Peers frame what they write, so that a part of it never looks whole.
+		return x.endBrokenForward("broken_answer")
 	case x.headSent && response.Status != http.StatusOK:
 		return x.endBrokenForward("resume_failed")
 	case promisesNotRun(response.Status):
