A late record of where a stream began no longer replaces a later one

What callers saw: nothing shown yet. A stream that is taken up may be refused, or asked about at its server, though its version had been told for certain, and a version that had turned out to be doubtful may count again.

Cause: origins.Table.Put kept the record that arrived last. Only a certain record was kept against an uncertain one of the same start. Records are sent again each 2 s, at the end of a node and through the store, so a late one is often the older one; with a record of a second stream under the same request ID, the first one's came back.

Change: origins.Merge decides by what the records say, not by when they arrive: the later start of two streams, then what its server confirmed, then a doubt before the version in doubt. A known record stays if the other one says the same, so that the time of the request, which is told by ages, no longer drifts. By design no node takes back a doubt until the server confirms the version; before, the next record without it did.

--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -77,7 +77,7 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{entries: make(map[Key]Entry)} }
 
-// Put records an origin, or replaces it. When the table is full the oldest one is dropped.
+// Put records an origin, or merges it with the known one. When the table is full the oldest one is dropped.
 func (t *Table) Put(now time.Time, entry Entry) {
 	if limit := now.Add(MaxLifetime); entry.ExpiresAt.After(limit) {
 		entry.ExpiresAt = limit
@@ -86,12 +86,8 @@
 		return
 	}
 	known, isKnown := t.entries[entry.Key]
-	if isKnown && known.ExpiresAt.After(entry.ExpiresAt) {
-		entry.ExpiresAt = known.ExpiresAt
-	}
-	if isKnown && known.IsCertain && !entry.IsCertain && known.Server == entry.Server {
-		known.ExpiresAt = entry.ExpiresAt
-		entry = known
+	if isKnown {
+		entry = Merge(known, entry)
 	}
 	t.entries[entry.Key] = entry
 	if isKnown {
