What a shard of origins says for certain outlives a new writer

What callers saw: nothing shown yet. After a loss of all nodes, a stream whose version had been told for certain is asked about again, or refused.

Cause: a node that begins to write a shard dropped each stored record of a stream that it knows itself, and replaced it by its own, which may be the earlier one: the confirmation went to the writer before. The same cause as in a node's table.

Change: both are merged, here and in what is written. Red before: TestStoredOriginsAreNotReplacedByEarlierOnes.

--- a/internal/edge/origin_checkpoints.go
+++ b/internal/edge/origin_checkpoints.go
@@ -286,17 +286,23 @@
 	return o.review(o.ofMixedServices(now, entries))
 }
 
-// mergeStored returns the entries after those of the stored ones that are not known here, which are kept from
-// now on.
+// mergeStored keeps the stored entries, and returns what is known by now of those and of the given ones, the stored
+// ones that were not known here first.
 func (o *streamOrigins) mergeStored(now time.Time, entries, stored []origins.Entry) []origins.Entry {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	stored = slices.DeleteFunc(stored, func(entry origins.Entry) bool {
-		_, isKnown := o.table.Find(now, entry.Key)
-		if !isKnown {
-			o.table.Put(now, entry)
+	at := make(map[origins.Key]int, len(entries))
+	for i, entry := range entries {
+		at[entry.Key] = i
+	}
+	var added []origins.Entry
+	for _, entry := range stored {
+		o.table.Put(now, entry)
+		if i, isListed := at[entry.Key]; isListed {
+			entries[i] = origins.Merge(entries[i], entry)
+		} else if known, ok := o.table.Find(now, entry.Key); ok {
+			added = append(added, known)
 		}
-		return isKnown
-	})
-	return append(stored, entries...)
+	}
+	return append(added, entries...)
 }
--- a/internal/edge/origin_checkpoints_test.go
+++ b/internal/edge/origin_checkpoints_test.go
@@ -134,3 +134,24 @@
 		t.Errorf("%d writes, want none where nothing changed or one version serves", store.writes)
 	}
 }
+
+// TestStoredOriginsAreNotReplacedByEarlierOnes guards against a node that begins to write a shard, and replaces what
+// its predecessor knew for certain by what it knows itself.
+func TestStoredOriginsAreNotReplacedByEarlierOnes(t *testing.T) {
+	store := newFakeCheckpoints()
+	node := newCheckpointedNodes(t, store, 1)[0]
+	checkpoints := node.origins.checkpoints
+	known := newOrigin("a", "v1")
+	node.origins.Record(known)
+	known.IsCertain = true
+	stored, err := proto.Marshal(&peerpb.OriginShard{Origins: encodeOrigins(clock.Now(), []origins.Entry{known})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.putData(checkpoints.shards.Name(0), stored)
+	checkpoints.writeDue(context.Background())
+	entries, _, err := checkpoints.readShard(context.Background(), 0)
+	if err != nil || store.writes != 1 || len(entries) != 1 || !entries[0].IsCertain {
+		t.Errorf("%+v after %d writes, %v; want the certain origin after one", entries, store.writes, err)
+	}
+}
