Streams that begin while their shard is written are written too

After a loss of all nodes, a stream that began in that moment is refused, as no node knows where it began.

Cause: that a shard has changed was forgotten after its streams were collected and, at the first write, after the call that read it; what came in between waited for the next change of the shard. Ruled out: the repeat of each record after a period, which does not go to the node that recorded it.

Change: a change is forgotten before the streams are collected, and remembered again where nothing was written. Red before: TestOriginsThatComeDuringAWriteAreWritten (1 of 2 streams in the store).

--- a/internal/edge/history_test.go
+++ b/internal/edge/history_test.go
@@ -25,6 +25,8 @@
 	revision int64
 	writes   int
 	fails    bool
+	// duringRead, if set, is called once while an object is read.
+	duringRead func()
 }
 
 var errFakeStore = errors.New("the store is away")
@@ -41,6 +43,10 @@
 	}
 	object, found := f.objects[name]
 	object.Name = name
+	if during := f.duringRead; during != nil {
+		f.duringRead = nil
+		during()
+	}
 	return object, found, nil
 }
 
--- a/internal/edge/origin_checkpoints.go
+++ b/internal/edge/origin_checkpoints.go
@@ -109,7 +109,7 @@
 			delete(c.positions, shard)
 		case !c.isDue(shard):
 		default:
-			if err := c.write(ctx, now, shard); err != nil {
+			if err := c.update(ctx, now, shard); err != nil {
 				c.failures.Add(1)
 				c.node.options.Logger.Warn().Str("name", c.shards.Name(shard)).Str("error", err.Error()).Msg("checkpoint_not_written")
 				c.nextCall = clock.Now().Add(checkpointRetryPause/2 + rand.N(checkpointRetryPause))
@@ -135,11 +135,22 @@
 	return c.changed[shard]
 }
 
-// write writes a shard. What others have written there since this node last did is read before, and kept.
-func (c *originCheckpoints) write(ctx context.Context, now time.Time, shard int) error {
+// update writes a shard. What changes meanwhile is written the next time.
+func (c *originCheckpoints) update(ctx context.Context, now time.Time, shard int) error {
+	c.setChanged(shard, false)
+	isWritten, err := c.write(ctx, now, shard)
+	if !isWritten {
+		c.setChanged(shard, true)
+	}
+	return err
+}
+
+// write writes a shard and reports whether that was done. What others have written there since this node last did is
+// read before, and kept.
+func (c *originCheckpoints) write(ctx context.Context, now time.Time, shard int) (isWritten bool, err error) {
 	entries := c.node.origins.entriesOf(now, func(key origins.Key) bool { return c.shards.Of(key) == shard })
 	if len(entries) == 0 {
-		return nil
+		return false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, checkpointTimeout)
 	defer cancel()
@@ -147,7 +158,7 @@
 	if !isKnown {
 		stored, storedAt, err := c.readShard(ctx, shard)
 		if err != nil {
-			return err
+			return false, err
 		}
 		at = storedAt
 		entries = c.node.origins.mergeStored(now, entries, stored)
@@ -155,18 +166,16 @@
 	entries = entries[max(0, len(entries)-checkpoint.MaxShardEntries):]
 	data, err := proto.Marshal(&peerpb.OriginShard{Origins: encodeOrigins(now, entries)})
 	if err != nil {
-		return err
+		return false, err
 	}
-	c.setChanged(shard, false)
 	at, won, err := c.node.options.Checkpoints.WriteCheckpoint(ctx, checkpoint.Object{Name: c.shards.Name(shard), Data: data, Position: at})
 	if err != nil || !won {
-		c.setChanged(shard, true)
 		delete(c.positions, shard)
-		return err
+		return false, err
 	}
 	c.writes.Add(1)
 	c.positions[shard] = at
-	return nil
+	return true, nil
 }
 
 func (c *originCheckpoints) setChanged(shard int, isChanged bool) {
--- a/internal/edge/origin_checkpoints_test.go
+++ b/internal/edge/origin_checkpoints_test.go
@@ -155,3 +155,20 @@
 		t.Errorf("%+v after %d writes, %v; want the certain origin after one", entries, store.writes, err)
 	}
 }
+
+// TestOriginsThatComeDuringAWriteAreWritten guards against streams that are never written, as they began while their
+// shard was read: the write that did not contain them settled them too.
+func TestOriginsThatComeDuringAWriteAreWritten(t *testing.T) {
+	store := newFakeCheckpoints()
+	node := newCheckpointedNodes(t, store, 1)[0]
+	checkpoints := node.origins.checkpoints
+	node.origins.Record(newOrigin("a", "v1"))
+	store.duringRead = func() { node.origins.Record(newOrigin("b", "v1")) }
+	for range 2 {
+		checkpoints.writeDue(context.Background())
+	}
+	entries, _, err := checkpoints.readShard(context.Background(), 0)
+	if err != nil || len(entries) != 2 {
+		t.Errorf("%d streams in the store, %v; want two", len(entries), err)
+	}
+}
