A late answer about the record of versions no longer replaces a later one

What callers saw: nothing shown yet. Streams may be refused for a minute more, as a version that had left the record counts again; a write that another node's write followed was taken for the record that stands.

Cause: a read that was answered late brought back the versions of the record before, though that record itself was left out, and what a node wrote was taken for current whatever had been read meanwhile. Reads for requests and for updates run side by side.

Change: an answer that another one overtook changes nothing; one that was asked for after the later record was seen still counts, as the store may have gone back. Versions are known before their record is, as before. TestLateReadOfTheVersionRecordChangesNothing draws reads, writes and eras in any order; it fails without the comparison.

--- a/internal/edge/history.go
+++ b/internal/edge/history.go
@@ -51,9 +51,10 @@
 	mu sync.Mutex
 	// observedSince is when this node first knew all servers; zero until then.
 	observedSince time.Time
-	// recorded is the record as last read or written here, at position at; nil until then.
+	// recorded is the record as last read or written here, at position at, since seenAt; nil until then.
 	recorded checkpoint.VersionRecord
 	at       storepos.Position
+	seenAt   time.Time
 
 	// recalledAt is when the record was last read for requests; only one such reading is under way.
 	recalledAt time.Time
@@ -113,6 +114,7 @@
 // read reads the record and takes over the versions that this node did not see itself. The object returned
 // has the position at which the record can be replaced.
 func (h *versionHistory) read(ctx context.Context) (checkpoint.Object, error) {
+	requestedAt := clock.Now()
 	object, found, err := h.node.options.Checkpoints.ReadCheckpoint(ctx, checkpoint.VersionsName)
 	if err != nil {
 		return object, err
@@ -123,7 +125,7 @@
 	record, err := checkpoint.DecodeVersionRecord(object.Data)
 	switch {
 	case err == nil:
-		h.adopt(record, object.Position)
+		h.adopt(requestedAt, record, object.Position)
 		return object, nil
 	case h.hasObservedLongEnough(clock.Now()):
 		h.node.options.Logger.Warn().Str("error", err.Error()).Msg("version_record_replaced")
@@ -141,13 +143,31 @@
 	return !h.observedSince.IsZero() && now.Sub(h.observedSince) >= dispatch.FormerVersionRetention
 }
 
-// adopt takes over a record that was read. Versions that were in it before are not former ones anew, or they
-// would never leave it.
-func (h *versionHistory) adopt(record checkpoint.VersionRecord, at storepos.Position) {
-	now := clock.Now()
+// isOvertaken reports whether a call made at requestedAt, which tells of the record at the position, was overtaken by
+// another one that told of a later record. h.mu must be held.
+func (h *versionHistory) isOvertaken(requestedAt time.Time, at storepos.Position) bool {
+	return at.IsBefore(h.at) && !requestedAt.After(h.seenAt)
+}
+
+// replace makes the record that a call made at requestedAt read or wrote the known one, unless it was overtaken.
+func (h *versionHistory) replace(requestedAt time.Time, record checkpoint.VersionRecord, at storepos.Position) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.isOvertaken(requestedAt, at) {
+		h.recorded, h.at, h.seenAt = record, at, clock.Now()
+	}
+}
+
+// adopt takes over a record that was read by a call made at requestedAt. Versions that were in it before are not
+// former ones anew, or they would never leave it. The record counts as known once its versions do.
+func (h *versionHistory) adopt(requestedAt time.Time, record checkpoint.VersionRecord, at storepos.Position) {
 	h.mu.Lock()
-	known := h.recorded
+	known, isOvertaken := h.recorded, h.isOvertaken(requestedAt, at)
 	h.mu.Unlock()
+	if isOvertaken {
+		return
+	}
+	now := clock.Now()
 	h.node.dispatch.Do(func(core *dispatch.Core) {
 		for service, versions := range record {
 			for _, version := range versions {
@@ -157,13 +177,8 @@
 			}
 		}
 	})
-	isFirst := known == nil
-	h.mu.Lock()
-	if !at.IsBefore(h.at) {
-		h.recorded, h.at = record, at
-	}
-	h.mu.Unlock()
-	if isFirst {
+	h.replace(requestedAt, record, at)
+	if known == nil {
 		h.node.options.Logger.Info().Int("services", len(record)).Str("at", at.String()).Msg("version_record_read")
 	}
 }
@@ -235,9 +250,8 @@
 	if !won {
 		return nil
 	}
-	h.mu.Lock()
-	h.recorded, h.at, h.writtenAt = recent, at, now
-	h.mu.Unlock()
+	h.writtenAt = now
+	h.replace(now, recent, at)
 	h.node.options.Logger.Info().Int("services", len(recent)).Str("at", at.String()).Msg("version_record_written")
 	return nil
 }
--- a/internal/edge/history_test.go
+++ b/internal/edge/history_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"github.com/spanlanding/spanlanding/internal/checkpoint"
 	"github.com/spanlanding/spanlanding/internal/clock"
@@ -16,6 +18,7 @@
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/origins"
 	"github.com/spanlanding/spanlanding/internal/storepos"
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 // fakeCheckpoints keeps checkpoints in memory.
@@ -184,3 +187,50 @@
 	node.history.observedSince = clock.Now().Add(-dispatch.FormerVersionRetention)
 	update(checkpoint.VersionRecord{"s": {"v2", "v3"}}, 4)
 }
+
+// TestLateReadOfTheVersionRecordChangesNothing guards against versions that return to the record after they left it,
+// and against a record that is taken for current, as a read or a write of an earlier one was answered late.
+func TestLateReadOfTheVersionRecordChangesNothing(t *testing.T) {
+	node := newVersionedNodes(t, 1, "v2")[0]
+	rapid.Check(t, func(t *rapid.T) {
+		node.history = newVersionHistory(node)
+		requestedAt := clock.Now()
+		count := rapid.IntRange(1, 4).Draw(t, "records")
+		answers := rapid.Permutation(answersOf(t, count)).Draw(t, "order")
+		latest := storepos.Position{}
+		for _, at := range answers {
+			service := fmt.Sprintf("s-%v", at)
+			record := checkpoint.VersionRecord{service: {"v1"}}
+			var versions []string
+			if rapid.Bool().Draw(t, "is a write") {
+				node.history.replace(requestedAt, record, at)
+			} else {
+				node.dispatch.Do(func(core *dispatch.Core) {
+					core.RecentVersions(clock.Now().Add(2*dispatch.FormerVersionRetention), service)
+				})
+				node.history.adopt(requestedAt, record, at)
+				node.dispatch.Do(func(core *dispatch.Core) { versions = core.RecentVersions(clock.Now(), service) })
+			}
+			if at.IsBefore(latest) && len(versions) > 0 {
+				t.Fatalf("versions %v of the record at %v, known after the one at %v", versions, at, latest)
+			}
+			latest = storepos.Later(latest, at)
+			if node.history.at != latest || !node.history.recorded.Has(fmt.Sprintf("s-%v", latest), "v1") {
+				t.Fatalf("the record is %v at %v, want the one at %v", node.history.recorded, node.history.at, latest)
+			}
+		}
+	})
+}
+
+// answersOf draws the positions of that many records, also of a store that came back from a copy in between.
+func answersOf(t *rapid.T, count int) (answers []storepos.Position) {
+	era := int64(storepos.FirstEra)
+	for i := range count {
+		revision := int64(10 + i)
+		if rapid.Bool().Draw(t, "went back") {
+			era, revision = era+1, int64(i)
+		}
+		answers = append(answers, storepos.At(era, revision))
+	}
+	return answers
+}
