Changes of servers take effect in the order in which a node takes them

What callers saw: shown on a node alone. Requests go to a server that left, refused or answered by what has its address by now, until the process ends; or to none of the starts of a server that came back.

Cause: the directory orders what the store and peers say, but its changes were put into effect after its lock was released, by the goroutine that brought them. A peer's news that was overtaken there by the store's removal put the server back, and as the directory did not list it, no later list took it away. Class: an order that is decided in one place and not kept on the way. Ruled out: the directory itself (it did not have the server), reports that a server leaves (these carry their position to the dispatcher).

Change: one lock covers both, as it does for the configuration and for evacuations.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -174,6 +174,8 @@
 	failingSince atomic.Int64
 	// activation is held while a configuration is compared with the one in force and replaces it.
 	activation sync.Mutex
+	// serversActivation is held while changes of the servers are taken into the directory and put into effect.
+	serversActivation sync.Mutex
 	// storeSucceededAt is when a call to the store last succeeded, relative to the start.
 	storeSucceededAt atomic.Int64
 	hasServers       atomic.Bool
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -126,9 +126,12 @@
 	known, knownAt, _ := n.directory.listAvailable()
 	n.logStaleAnswer("list", len(servers), at, knownAt)
 	servers = n.expiryGrace.addMissing(now, servers, known)
-	changes, hasOutgoing := n.directory.replace(now, requestedAt, servers, at)
 	n.leader.deliver(context.Background(), func() { n.leader.applyServerList(now, requestedAt, servers, at) })
-	n.applyServerChanges(changes, "list")
+	hasOutgoing := false
+	changes := n.changeServers("list", func() (changes []inventory.Change) {
+		changes, hasOutgoing = n.directory.replace(now, requestedAt, servers, at)
+		return changes
+	})
 	n.hasServers.Store(true)
 	n.history.observe(clock.Now())
 	n.announceChanges(hasOutgoing)
@@ -143,8 +146,7 @@
 func (n *Node) applyPeerServerList(list inventory.PeerList) {
 	now := clock.Now()
 	knownAt, knownPrior := n.directory.position(), n.directory.prior(now)
-	changes := n.directory.replaceByPeer(now, list)
-	n.applyServerChanges(changes, "peer_list")
+	changes := n.changeServers("peer_list", func() []inventory.Change { return n.directory.replaceByPeer(now, list) })
 	n.hasServers.Store(true)
 	n.history.observe(clock.Now())
 	if prior := n.directory.prior(now); prior != knownPrior {
@@ -161,8 +163,11 @@
 	if len(events) > 0 {
 		n.leader.deliver(context.Background(), func() { n.leader.applyServerEvents(now, events, at) })
 	}
-	changes, hasOutgoing := n.directory.apply(now, events, at)
-	n.applyServerChanges(changes, "watch")
+	hasOutgoing := false
+	n.changeServers("watch", func() (changes []inventory.Change) {
+		changes, hasOutgoing = n.directory.apply(now, events, at)
+		return changes
+	})
 	n.announceChanges(hasOutgoing)
 }
 
@@ -185,11 +190,10 @@
 // receivePeerChanges applies changes announced by a peer. Entries older than a server's removal
 // may still be on their way to the dispatcher; they do not bring the server back.
 func (n *Node) receivePeerChanges(now time.Time, items []gossip.ServerChange) {
-	changes := n.directory.applyPeerChanges(now, items)
+	changes := n.changeServers("peer", func() []inventory.Change { return n.directory.applyPeerChanges(now, items) })
 	if len(changes) == 0 {
 		return
 	}
-	n.applyServerChanges(changes, "peer")
 	n.dispatch.Do(func(core *dispatch.Core) {
 		for _, change := range changes {
 			if change.Server.Draining {
@@ -199,6 +203,16 @@
 	})
 }
 
+// changeServers changes the directory and puts the changes into effect, in the order in which the directory
+// takes them: it orders what the store and the peers say, and nothing else does.
+func (n *Node) changeServers(from string, change func() []inventory.Change) []inventory.Change {
+	n.serversActivation.Lock()
+	defer n.serversActivation.Unlock()
+	changes := change()
+	n.applyServerChanges(changes, from)
+	return changes
+}
+
 // applyServerChanges puts changes into effect.
 func (n *Node) applyServerChanges(changes []inventory.Change, from string) {
 	if len(changes) == 0 {
