A leader's view that comes late no longer takes back a later one

What callers saw: nothing shown yet. For up to some 100 ms, until digests are compared, requests go to a server that is unloading their model (421), or wait although one has loaded it.

Cause: views of one server were compared by its count of orders alone. What it holds also changes without an order: when a load ends, and when an order to unload is on its way. Views of servers without an entry were compared by nothing. Views that a spreader sends on come late as a rule, and are applied on purpose. A copy that came twice made the time that a load takes begin anew.

Change: a view carries the number of the datagram that brought it; in one term there is one sender. The count of orders decides where a view came in none, at the leader itself.

--- a/internal/dispatch/views.go
+++ b/internal/dispatch/views.go
@@ -9,6 +9,9 @@
 	// StartedAtMs identifies the start of the server that the view is about; 0 if unknown.
 	StartedAtMs int64
 	Sequence    int64
+	// Datagram numbers the leader's datagrams in its term; 0 for views that did not come in one. What a server
+	// holds also changes without an order.
+	Datagram uint64
 	// Held are the adapters that may be used, by model.
 	Held map[string][]string
 	// Loading are the remaining load times, by MODEL or MODEL/ADAPTER.
@@ -21,6 +24,14 @@
 	Digest uint64
 }
 
+// isNewerThan reports whether the view was published after another one of the same server and term.
+func (v *View) isNewerThan(other *View) bool {
+	if v.Datagram != 0 && other.Datagram != 0 {
+		return v.Datagram > other.Datagram
+	}
+	return v.Sequence >= other.Sequence
+}
+
 // SetViews applies views of servers from the leader of a term.
 func (c *Core) SetViews(now time.Time, term int64, views []View) {
 	if term < c.term {
@@ -31,13 +42,15 @@
 	for i := range views {
 		known, ok := c.servers[views[i].ServerID]
 		if !ok {
-			c.pendingViews[views[i].ServerID] = pendingView{view: &views[i], at: now}
+			if pending, isPending := c.pendingViews[views[i].ServerID]; !isPending || views[i].isNewerThan(pending.view) {
+				c.pendingViews[views[i].ServerID] = pendingView{view: &views[i], at: now}
+			}
 			continue
 		}
 		if known = c.serverForStart(known, &views[i]); known == nil {
 			continue
 		}
-		if known.view != nil && known.viewTerm == term && known.view.Sequence > views[i].Sequence {
+		if known.view != nil && known.viewTerm == term && !views[i].isNewerThan(known.view) {
 			continue
 		}
 		known.setView(now, term, &views[i])
--- a/internal/edge/builds_test.go
+++ b/internal/edge/builds_test.go
@@ -70,7 +70,7 @@
 		},
 		"view": func(node *Node) {
 			node.dispatch.Do(func(core *dispatch.Core) {
-				core.SetViews(clock.Now(), 5, decodeViews([]*peerpb.ServerView{{Server: "a"}}))
+				core.SetViews(clock.Now(), 5, decodeViews([]*peerpb.ServerView{{Server: "a"}}, 1))
 			})
 		},
 	} {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -184,7 +184,7 @@
 	isOlder := !isNewer && p.roster.Knows(state.Address, state.Life)
 	p.mu.Unlock()
 	if isOlder {
-		p.applyLateViews(now, state.Leader)
+		p.applyLateViews(now, state.Leader, state.Sequence)
 	}
 	if !isNewer {
 		return
@@ -205,7 +205,7 @@
 			core.SetFleetLoads(now, state.Leader.Term, decodeLoads(state.Leader.Loads))
 		}
 		if state.Leader != nil && len(state.Leader.Views) > 0 {
-			core.SetViews(now, state.Leader.Term, decodeViews(state.Leader.Views))
+			core.SetViews(now, state.Leader.Term, decodeViews(state.Leader.Views, state.Sequence))
 		}
 	})
 	if state.Leader != nil {
--- a/internal/edge/spread.go
+++ b/internal/edge/spread.go
@@ -64,11 +64,11 @@
 
 // applyLateViews applies the views of a datagram that a later one from the same sender overtook:
 // the later one may have come directly, and this one through a spreader.
-func (p *peers) applyLateViews(now time.Time, leader *peerpb.LeaderState) {
+func (p *peers) applyLateViews(now time.Time, leader *peerpb.LeaderState, datagram uint64) {
 	if leader == nil || len(leader.Views) == 0 {
 		return
 	}
-	p.node.dispatch.Do(func(core *dispatch.Core) { core.SetViews(now, leader.Term, decodeViews(leader.Views)) })
+	p.node.dispatch.Do(func(core *dispatch.Core) { core.SetViews(now, leader.Term, decodeViews(leader.Views, datagram)) })
 }
 
 // areViewsOverdue reports whether there is a live leader whose views have not arrived for too
--- a/internal/edge/spread_test.go
+++ b/internal/edge/spread_test.go
@@ -266,7 +266,7 @@
 			t.Fatalf("burst %d has %d bytes", bursts, sent)
 		}
 		for state := peer.next(); state != nil; state = peer.next() {
-			for _, view := range decodeViews(state.Leader.Views) {
+			for _, view := range decodeViews(state.Leader.Views, state.Sequence) {
 				received[view.ServerID]++
 				all ^= view.Digest
 			}
--- a/internal/edge/starts_test.go
+++ b/internal/edge/starts_test.go
@@ -77,7 +77,7 @@
 	node.applyServerList(clock.Now(), []inventory.Server{{ID: "a", StartedAtMs: 7, Service: "s", Address: "127.0.0.1:1", Zone: "z", Position: storepos.At(0, 3)}}, storepos.At(0, 3))
 	applyView := func(born int64) {
 		node.dispatch.Do(func(core *dispatch.Core) {
-			core.SetViews(clock.Now(), 5, decodeViews([]*peerpb.ServerView{{Server: "a", Born: born, Held: []*peerpb.HeldModel{{Model: "m"}}}}))
+			core.SetViews(clock.Now(), 5, decodeViews([]*peerpb.ServerView{{Server: "a", Born: born, Held: []*peerpb.HeldModel{{Model: "m"}}}}, 1))
 		})
 	}
 	for _, step := range []struct{ received, want int64 }{{0, 7}, {6, 7}, {8, 8}, {7, 8}} {
--- a/internal/edge/wire.go
+++ b/internal/edge/wire.go
@@ -33,13 +33,15 @@
 	return encoded
 }
 
-func decodeViews(wire []*peerpb.ServerView) []dispatch.View {
+// decodeViews decodes the views of the leader's datagram with that number.
+func decodeViews(wire []*peerpb.ServerView, datagram uint64) []dispatch.View {
 	views := make([]dispatch.View, 0, len(wire))
 	for _, encoded := range wire {
 		view := dispatch.View{
 			ServerID:    encoded.Server,
 			StartedAtMs: encoded.Born,
 			Sequence:    encoded.Sequence,
+			Datagram:    datagram,
 			Held:        make(map[string][]string, len(encoded.Held)),
 			Loading:     make(map[string]time.Duration, len(encoded.Loading)),
 			InMemory:    encoded.InMemory,
