Late reports of demand no longer count requests twice

What callers saw: nothing shown yet. The leader sees more demand than there is, and may load copies that nobody needs.

Cause: the leader counts what a node's totals have risen by, and kept the total that came last, also where it was lower than the one before: the next one counted the difference again. A report from the process before, behind one of its successor, counted all totals of that process, and then all of the successor, anew. Nodes number a datagram as it is written and not as its totals are read, so that reports cross without a network that reorders.

Change: the highest total counts, and a process that reports behind its successor goes on with its own totals.

--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -39,6 +39,8 @@
 	seenFromStart bool
 	// isFirstUpdate is set while the first report of the node is processed.
 	isFirstUpdate bool
+	// former are the counts of the process that reported before this one, whose reports may still come.
+	former *nodeCounts
 }
 
 // previousCount is the last count that a node reported for one record.
@@ -75,7 +77,7 @@
 }
 
 // SetCounts applies the counts reported by a node. The incarnation changes when the node
-// restarts.
+// restarts. Reports may come late or twice: a count that is lower than a known one is an earlier one.
 func (d *Demand) SetCounts(now time.Time, node string, incarnation uint64, counts []RequestCount) {
 	state := d.nodeState(node, incarnation)
 	state.lastSeen = now
@@ -90,25 +92,30 @@
 }
 
 // nodeState returns the state of a node in an incarnation; a new incarnation starts with empty
-// counts.
+// counts, and the one before goes on with its own.
 func (d *Demand) nodeState(node string, incarnation uint64) *nodeCounts {
 	existing, ok := d.nodes[node]
 	if ok && existing.incarnation == incarnation {
 		return existing
 	}
-	created := &nodeCounts{incarnation: incarnation, counts: make(map[*demandRecord]previousCount), seenFromStart: ok, isFirstUpdate: !ok}
+	current := &nodeCounts{incarnation: incarnation, counts: make(map[*demandRecord]previousCount), seenFromStart: ok, isFirstUpdate: !ok}
 	if ok {
-		created.waiting = existing.waiting
+		if existing.former != nil && existing.former.incarnation == incarnation {
+			current = existing.former
+		}
+		current.waiting, current.former = existing.waiting, existing
+		existing.waiting, existing.former = nil, nil
 	}
-	d.nodes[node] = created
-	return created
+	d.nodes[node] = current
+	return current
 }
 
 // applyCount adds what is new in a count, for an adapter also to the record of its model.
 func (d *Demand) applyCount(now time.Time, node string, state *nodeCounts, count RequestCount) {
 	record := d.recordFor(count.Requirements)
 	requests, tokens := state.newRequests(record, count)
-	state.counts[record] = previousCount{requests: count.Requests, tokens: count.PromptTokens}
+	known := state.counts[record]
+	state.counts[record] = previousCount{requests: max(known.requests, count.Requests), tokens: max(known.tokens, count.PromptTokens)}
 	if count.Waiting > 0 {
 		record.waiting[node] = waitingCount{count: count.Waiting, receivedAt: now}
 		state.waiting = append(state.waiting, record)
@@ -162,6 +169,9 @@
 		if now.Sub(state.lastSeen) > nodeStateTTL {
 			delete(d.nodes, node)
 		}
+		if state.former != nil && now.Sub(state.former.lastSeen) > nodeStateTTL {
+			state.former = nil
+		}
 	}
 }
 
@@ -169,6 +179,9 @@
 func (d *Demand) forget(record *demandRecord) {
 	for _, state := range d.nodes {
 		delete(state.counts, record)
+		if state.former != nil {
+			delete(state.former.counts, record)
+		}
 	}
 }
 
