Bars in the lease run on while nobody renews it

What callers saw: shown on a node alone. A request whose bar was over is refused once more, for as long as was left of the bar when the lease was last renewed: up to two hours after an outage of the store, or a while without a leader.

Cause: the lease tells how much is left of each bar, and each read of the same record counted that from the read. A node that had lived through the end of the bar took it for another one, and told the others. The loads in the same record are counted from when it was first seen. Class: an age that is told, without the time for which it has been known. Ruled out: bars that peers tell of, which have a number and an age.

Change: bars of the lease are counted from when the node first saw that record; one that is older than the known one tells of none. Red before: TestBarsInTheLeaseRunOn (barred once more after 30 s of a bar of 20 s).

--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -8,6 +8,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/dispatch"
+	"github.com/spanlanding/spanlanding/internal/storelease"
 )
 
 // maintainLease reads or writes the lease when that is due.
@@ -149,12 +150,7 @@
 			case err != nil:
 				l.node.recordStoreFailure("lease", err)
 			case found:
-				l.lease.Observe(requestedAt, now, record)
-				l.node.quotas.raiseFleetSize(now, record.Nodes)
-				l.node.admissions.learnFleetSize(record.Nodes)
-				l.node.suspects.receiveStoredBars(now, record.Barred)
-				// The holder gives access to the other nodes if no seed address is valid.
-				l.node.peers.addSeeds([]string{record.Address})
+				l.receiveLease(requestedAt, now, record)
 				if l.lease.CanAcquire(now) {
 					l.nextCall = now
 				}
@@ -168,6 +164,19 @@
 	}()
 }
 
+// receiveLease applies the lease as read by a call that was made at requestedAt, with what its holder told of the
+// fleet. The bars in it have run on since it was first seen.
+func (l *leader) receiveLease(requestedAt, now time.Time, record storelease.Record) {
+	l.lease.Observe(requestedAt, now, record)
+	l.node.quotas.raiseFleetSize(now, record.Nodes)
+	l.node.admissions.learnFleetSize(record.Nodes)
+	if l.lease.Record().Position == record.Position {
+		l.node.suspects.receiveStoredBars(now, record.Barred, l.lease.RecordAge(now))
+	}
+	// The holder gives access to the other nodes if no seed address is valid.
+	l.node.peers.addSeeds([]string{record.Address})
+}
+
 func (l *leader) writeLease(ctx context.Context, now time.Time) {
 	l.callPending = true
 	record := l.lease.NextRecord(now)
--- a/internal/edge/lease_test.go
+++ b/internal/edge/lease_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/clock"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/poison"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 	"github.com/spanlanding/spanlanding/internal/storelease"
 	"github.com/spanlanding/spanlanding/internal/storepos"
@@ -80,3 +81,29 @@
 		t.Error("leaves the fleet without a leader if the stronger node does not lead")
 	}
 }
+
+// TestBarsInTheLeaseRunOn guards against requests that are barred anew each time that the same lease is read, after
+// their bar was over: nobody renews the lease while the store is away, or while no node leads.
+func TestBarsInTheLeaseRunOn(t *testing.T) {
+	node := newCandidate(t)
+	fingerprint := poison.Fingerprint{1}
+	record := storelease.Record{Holder: "other", Position: storepos.At(0, 3), Barred: map[string]time.Duration{fingerprint.String(): 20 * time.Second}}
+	now := clock.Now()
+	for _, step := range []struct {
+		readAt time.Time
+		want   poison.Status
+	}{
+		{now.Add(-30 * time.Second), poison.StatusOnTrial},
+		{now, poison.StatusOnTrial},
+	} {
+		node.leader.receiveLease(step.readAt, step.readAt, record)
+		if got := node.suspects.Status(fingerprint); got != step.want {
+			t.Errorf("a lease first read %v ago, and now: status %v, want %v", now.Sub(step.readAt), got, step.want)
+		}
+	}
+	record.Position = storepos.At(0, 4)
+	node.leader.receiveLease(now, now, record)
+	if got := node.suspects.Status(fingerprint); got != poison.StatusBarred {
+		t.Errorf("after a renewed lease: status %v, want it barred", got)
+	}
+}
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -318,12 +318,13 @@
 	return bars
 }
 
-// receiveStoredBars applies the barred requests of the lease, and notifies the others of those
+// receiveStoredBars applies the barred requests of a lease of the given age, and notifies the others of those
 // that were unknown here.
-func (s *suspects) receiveStoredBars(now time.Time, bars map[string]time.Duration) {
+func (s *suspects) receiveStoredBars(now time.Time, bars map[string]time.Duration, age time.Duration) {
 	var reports []poison.Report
-	for name, remaining := range bars {
-		if fingerprint, ok := poison.ParseFingerprint(name); ok && s.Status(fingerprint) != poison.StatusBarred {
+	for name, stored := range bars {
+		remaining := stored - age
+		if fingerprint, ok := poison.ParseFingerprint(name); ok && remaining > 0 && s.Status(fingerprint) != poison.StatusBarred {
 			reports = append(reports, poison.Report{Fingerprint: fingerprint, BarredFor: remaining})
 		}
 	}
--- a/internal/storelease/lease.go
+++ b/internal/storelease/lease.go
@@ -184,6 +184,9 @@
 // Record returns the object as last seen.
 func (c *Core) Record() Record { return c.record }
 
+// RecordAge returns the time since the object was first seen as Record returns it. It was written before.
+func (c *Core) RecordAge(now time.Time) time.Duration { return max(0, now.Sub(c.positionSeenAt)) }
+
 // IsRestored reports whether the store was restored from a backup and the object has not been
 // written since.
 func (c *Core) IsRestored() bool { return c.isRestored }
