--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -70,3 +70,23 @@
 		t.Errorf("%d, %q, error %v", got.status, got.body, got.err)
 	}
 }
+
+// TestVersionsOfWeightsArePassedOnInOrder guards against callers who take the events of one version of the weights for
+// those of another: the version of the head is the first server's, and events keep the version that they name.
+func TestVersionsOfWeightsArePassedOnInOrder(t *testing.T) {
+	const first, second = "id: 1\ndata: x\n\nweight-versions: 3\nid: 2\ndata: x\n\n", "weight-versions: 4\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n"
+	const versionOfHead = "Weight-Versions: "
+	server := func(conn net.Conn, request *http.Request) bool {
+		if request.Header.Get("X-Last") == "2" {
+			write(conn, reply("r1", http.StatusOK, second, versionOfHead+"3"))
+			return true
+		}
+		write(conn, strings.Replace(streamHead, "\r\n\r\n", "\r\n"+versionOfHead+"2\r\n\r\n", 1)+chunk(first))
+		return reset(conn)
+	}
+	f := newFixture(t, newFakeServer(t, server), newFakeServer(t, server))
+	got := f.send(t, http.MethodPost, "/resume/x", "b")
+	if got.err != nil || got.header.Get("Weight-Versions") != "2" || got.body != first+second {
+		t.Errorf("head %v, body %q, error %v", got.header, got.body, got.err)
+	}
+}
