Datagrams of the process before are applied once

A node that has just started seems to be stopping, or to lead by its former term, until its next datagram: 0.2 s, and longer in a large fleet.

Cause: datagrams are numbered within a process, and the table of nodes remembered the number of the process heard last. One of the process before that came once more, sent on by another node as all that is broadcast, counted as that of a new process; behind it, old ones of the later process counted too.

Change: the last number of the process before is remembered as well. Which of two processes is the later one is still not told: a datagram that was never heard, of the process before, is applied until the next one comes.

--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -53,7 +53,23 @@
 	CannotOrder bool
 	// AcceptsForwarded is set if the node takes requests that others forward.
 	AcceptsForwarded bool
-	sequence         uint64
+	// sequence is the number of the datagram, and former the last one of the process before.
+	sequence uint64
+	former   datagramNumber
+}
+
+// datagramNumber identifies a datagram of one address.
+type datagramNumber struct{ incarnation, sequence uint64 }
+
+// isKnown reports whether a datagram of the peer, or a later one of the same process, was applied before.
+// Which of two processes is the later one their incarnations don't tell.
+func (p *Peer) isKnown(number datagramNumber) bool {
+	for _, known := range []datagramNumber{{p.Incarnation, p.sequence}, p.former} {
+		if known.incarnation == number.incarnation {
+			return number.sequence <= known.sequence
+		}
+	}
+	return false
 }
 
 // Roster is the table of known nodes. It is not safe for concurrent use.
@@ -135,13 +151,17 @@
 		return false
 	}
 	known, ok := r.peers[state.Address]
-	if ok && known.Incarnation == state.Life && state.Sequence <= known.sequence {
+	number := datagramNumber{state.Life, state.Sequence}
+	if ok && known.isKnown(number) {
 		return false
 	}
 	if !ok {
-		known = &Peer{Address: state.Address}
+		known = &Peer{Address: state.Address, Incarnation: state.Life}
 		r.add(known)
 	}
+	if known.Incarnation != state.Life {
+		known.former = datagramNumber{known.Incarnation, known.sequence}
+	}
 	previousInputs, previousLastSeen := known.summaryInputs(), known.LastSeen
 	known.Name = state.Node
 	known.Incarnation = state.Life
--- a/internal/gossip/roster_test.go
+++ b/internal/gossip/roster_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	_ "github.com/spanlanding/spanlanding/internal/testseed"
 )
 
 var startTime = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
@@ -36,6 +39,28 @@
 	}
 }
 
+// TestNoDatagramIsAppliedTwice guards against a node that seems to be stopping, or to lead, as what its process before
+// said comes once more: by another node that sends it on.
+func TestNoDatagramIsAppliedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var states []*peerpb.NodeState
+		for life := range uint64(2) {
+			for sequence := range rapid.Uint64Range(1, 4).Draw(t, "datagrams") {
+				states = append(states, nodeState("b", 1+life, 1+sequence))
+			}
+		}
+		again := rapid.SliceOfN(rapid.SampledFrom(states), 0, 4).Draw(t, "came twice")
+		roster, applied := New("a", nil, 1), make(map[uint64]uint64)
+		for _, state := range rapid.Permutation(append(states, again...)).Draw(t, "order") {
+			isNewer := state.Sequence > applied[state.Life]
+			if got := roster.Observe(startTime, state); got != isNewer {
+				t.Fatalf("datagram %d of process %d behind its datagram %d: applied %v", state.Sequence, state.Life, applied[state.Life], got)
+			}
+			applied[state.Life] = max(applied[state.Life], state.Sequence)
+		}
+	})
+}
+
 func TestSilentNodesAreNotAliveButCounted(t *testing.T) {
 	roster := New("a", []string{"a", "b", "s"}, 1)
 	roster.Observe(startTime, nodeState("b", 1, 1))
