An advisory on quotas that comes late vouches for no tenant

What callers saw: nothing shown yet. Requests of a tenant near its quota are granted without asking, for up to 0.5 s, or until the coordinator's next advisory.

Cause: the advisory of a coordinator that came last counted. Class: a message that carries no order. Advisories are sent as they fall due by several goroutines, after the lock under which they are made.

Change: a coordinator numbers its advisories, in a field of the message that they left empty. An earlier one is left out while the later one is valid, so that a coordinator that starts again is heard half a second later at the most; until then nodes ask. Advisories of earlier builds count in the order of arrival, as before.

--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -52,9 +52,10 @@
 	pending      *pendingCalls[*peerpb.QuotaCall]
 	// unresponsive holds the coordinators that missed calls.
 	unresponsive map[string]missedAnswers
-	// publishedClosed lists the tenants near their quota in the last advisory, and publishedAt
-	// is when that was sent.
+	// publishedClosed lists the tenants near their quota in the last advisory, publishedAt
+	// is when that was sent, and publishedCount its number.
 	publishedClosed string
+	publishedCount  uint64
 	// loggedAsCoordinator is whether this node coordinated by the last log line. Only its ticks use it.
 	loggedAsCoordinator bool
 	publishedAt         time.Time
--- a/internal/edge/quotas_coordinator.go
+++ b/internal/edge/quotas_coordinator.go
@@ -27,7 +27,7 @@
 		}
 	case peerpb.QuotaCall_ADVISORY:
 		q.mu.Lock()
-		q.advisories.Observe(now, call.Asker, call.Closed)
+		q.advisories.Observe(now, call.Asker, call.Id, call.Closed)
 		q.mu.Unlock()
 	default:
 		q.pending.resolve(call.Id, call)
@@ -90,11 +90,13 @@
 	due := joined != q.publishedClosed || now.Sub(q.publishedAt) >= period-gossipPeriod/4
 	if due {
 		q.publishedClosed, q.publishedAt = joined, now
-		q.advisories.Observe(now, q.node.options.PeerAddress, closed)
+		q.publishedCount++
+		q.advisories.Observe(now, q.node.options.PeerAddress, q.publishedCount, closed)
 	}
+	number := q.publishedCount
 	q.mu.Unlock()
 	if due {
-		q.node.peers.broadcastQuota(&peerpb.QuotaCall{Kind: peerpb.QuotaCall_ADVISORY, Asker: q.node.options.PeerAddress, Closed: closed})
+		q.node.peers.broadcastQuota(&peerpb.QuotaCall{Kind: peerpb.QuotaCall_ADVISORY, Id: number, Asker: q.node.options.PeerAddress, Closed: closed})
 	}
 }
 
--- a/internal/quota/advisory.go
+++ b/internal/quota/advisory.go
@@ -19,6 +19,7 @@
 }
 
 type advisory struct {
+	number     uint64
 	nearQuota  map[string]bool
 	receivedAt time.Time
 }
@@ -26,9 +27,14 @@
 // NewAdvisories returns an empty Advisories.
 func NewAdvisories() *Advisories { return &Advisories{coordinators: make(map[string]advisory)} }
 
-// Observe records a coordinator's advisory.
-func (a *Advisories) Observe(now time.Time, coordinator string, nearQuota []string) {
-	received := advisory{nearQuota: make(map[string]bool, len(nearQuota)), receivedAt: now}
+// Observe records a coordinator's advisory, unless a later one is known. Coordinators number theirs from 1, also after
+// a restart; 0 is that of an earlier build, which counts in the order of arrival.
+func (a *Advisories) Observe(now time.Time, coordinator string, number uint64, nearQuota []string) {
+	known, ok := a.coordinators[coordinator]
+	if ok && number > 0 && number <= known.number && now.Sub(known.receivedAt) <= AdvisoryLifetime {
+		return
+	}
+	received := advisory{number: number, nearQuota: make(map[string]bool, len(nearQuota)), receivedAt: now}
 	for _, tenant := range nearQuota {
 		received.nearQuota[tenant] = true
 	}
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -29,7 +29,7 @@
 	for i := range 4 {
 		nearQuota = append(nearQuota, fmt.Sprint("busy", i))
 	}
-	advisories.Observe(startTime, "coordinator", nearQuota)
+	advisories.Observe(startTime, "coordinator", 1, nearQuota)
 	b.ReportAllocs()
 	for b.Loop() {
 		if advisories.IsFarBelowQuota(startTime, "t") {
--- a/internal/quota/schedule_test.go
+++ b/internal/quota/schedule_test.go
@@ -108,10 +108,12 @@
 	partition int
 	downUntil time.Time
 	// lastHeard is when the node last heard from each other node.
-	lastHeard   []time.Time
-	fleet       FleetSize
-	advisories  *Advisories
-	isNearQuota bool
+	lastHeard  []time.Time
+	fleet      FleetSize
+	advisories *Advisories
+	// sentAdvisories counts the advisories of this process.
+	sentAdvisories uint64
+	isNearQuota    bool
 }
 
 type grant struct {
@@ -157,6 +159,7 @@
 func (f *simFleet) restart(i int) {
 	node := f.nodes[i]
 	node.coordinator, node.share, node.fleet, node.advisories = NewCoordinator(tolerance), NewShare(tolerance, f.now.Equal(startTime)), FleetSize{}, NewAdvisories()
+	node.sentAdvisories = 0
 	if f.defect == defectStartsFull {
 		node.coordinator.initialLevel = tolerance.grantLimits(f.quota, 1).burst
 	}
@@ -343,9 +346,10 @@
 // sendAdvisory sends a coordinator's advisory to all nodes that it reaches, and
 // sendAdvisoryIfChanged does so if the advisory has changed.
 func (f *simFleet) sendAdvisory(coordinator int) {
+	f.nodes[coordinator].sentAdvisories++
 	for other := range f.nodes {
 		if other == coordinator || f.reaches(coordinator, other) {
-			f.nodes[other].advisories.Observe(f.now, fmt.Sprint(coordinator), f.nodes[coordinator].coordinator.NearQuota([]string{"t"}))
+			f.nodes[other].advisories.Observe(f.now, fmt.Sprint(coordinator), f.nodes[coordinator].sentAdvisories, f.nodes[coordinator].coordinator.NearQuota([]string{"t"}))
 		}
 	}
 }
