Ticks of a node are made one after the other

What callers saw: nothing shown. Bars on requests may be told twice in a second or skipped, and what one tick read may go out behind what a later one did.

Cause: a node ticks each period, and at once when the store or a peer tells of a change, from up to four goroutines. What is due is kept in fields that are written as if one of them did (when bars were last told, which is next, when traffic was logged).

Change: one tick at a time. Found while looking for numbers of datagrams that cross.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -64,10 +64,12 @@
 
 // peers is the node's UDP socket to the other nodes, with what it knows of them.
 type peers struct {
-	node           *Node
-	conn           packetConn
-	incarnation    uint64
-	address        string
+	node        *Node
+	conn        packetConn
+	incarnation uint64
+	address     string
+	// ticking is held during a tick.
+	ticking        sync.Mutex
 	mu             sync.Mutex
 	roster         *gossip.Roster
 	sequence       uint64
@@ -233,7 +235,11 @@
 	}
 }
 
+// tick sends the node's state and does what is due. Changes that others have to learn at once make it come before the
+// period is over.
 func (p *peers) tick() {
+	p.ticking.Lock()
+	defer p.ticking.Unlock()
 	now := clock.Now()
 	p.refreshOnSentinel()
 	p.mu.Lock()
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,6 +15,8 @@
 	"github.com/spanlanding/spanlanding/internal/inventory"
 	"github.com/spanlanding/spanlanding/internal/logging"
 	"github.com/spanlanding/spanlanding/internal/peer/peerpb"
+	"github.com/spanlanding/spanlanding/internal/poison"
+	"github.com/spanlanding/spanlanding/internal/relay"
 	"github.com/spanlanding/spanlanding/internal/retrybudget"
 	"github.com/spanlanding/spanlanding/internal/routetable"
 	"github.com/spanlanding/spanlanding/internal/storelease"
@@ -165,3 +168,23 @@
 		}
 	}
 }
+
+// TestTicksAreMadeOneAfterTheOther guards against states that cross, and bars that are told twice or not at all, as the
+// news of the store or of a peer come while the period's datagrams are sent. It needs the race detector.
+func TestTicksAreMadeOneAfterTheOther(t *testing.T) {
+	const nodes, tickers = 40, 4
+	for range nodes {
+		node := newTestNode(t)
+		node.suspects.ReportCrash(relay.Crash{Request: poison.Fingerprint{1}, ServerID: "a", RanFor: time.Second})
+		var ticks sync.WaitGroup
+		begin := make(chan struct{})
+		for range tickers {
+			ticks.Go(func() {
+				<-begin
+				node.peers.tick()
+			})
+		}
+		close(begin)
+		ticks.Wait()
+	}
+}
