Cut answers are replaced by another server's whole one: played at any byte

What callers saw: nothing. Safe requests and resumable streams, sent to a server or by way of a peer, whose answer is cut in eight forms after each byte, or after each seventh with a reset, come whole from the next server or peer. Bodies that end in order without a length, at a server that serves on, are the exception: they may be whole. No fault was found.

--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/spanlanding/spanlanding/internal/backendconn"
@@ -117,3 +119,63 @@
 		})
 	}
 }
+
+// restServer gives the events that the caller doesn't have, or the whole answer.
+func restServer(t *testing.T, c cutCase, events []string) *fakeServer {
+	return newFakeServer(t, func(conn net.Conn, request *http.Request) bool {
+		body := c.body
+		if last, err := strconv.Atoi(request.Header.Get("X-Last")); err == nil {
+			body = strings.Join(events[last:], "")
+		}
+		write(conn, reply("r1", http.StatusOK, body))
+		return true
+	})
+}
+
+// Guards against requests that may be repeated, and streams that may be resumed, which don't come whole from another
+// server, or by another peer, though the answer of the first was cut.
+func TestCutAnswerIsReplacedByAnotherServer(t *testing.T) {
+	events := []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}
+	for name, c := range map[string]cutCase{
+		"safe request":     {http.MethodGet, "/often/x", "200 OK", "whole"},
+		"resumable stream": {http.MethodPost, "/resume/x", "200 OK", strings.Join(events, "")},
+	} {
+		check := func(t *testing.T, f *fixture, cut cutanswer.Cut) {
+			t.Helper()
+			// The budget for retries grows with the requests.
+			for range 10 {
+				f.handler.countRequest("svc")
+			}
+			got := f.send(t, c.method, c.path, "")
+			mayBeShort := cut.Form.IsUnframed && cut.Ending == cutanswer.Closed && cut.IsHeadWhole()
+			if got.status != http.StatusOK || got.err != nil || got.body != c.body && !mayBeShort {
+				t.Errorf("status %d, %q, error %v", got.status, got.body, got.err)
+			}
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server, other := cutanswer.NewServer(t), restServer(t, c, events)
+			f := newFixture(t, &fakeServer{address: server.Address})
+			server.ForEach(t, c.status, "X-Id: r1\r\n", c.body, func(t *testing.T, cut cutanswer.Cut) {
+				f.replaceServer(server.Address)
+				id := "other" + strconv.Itoa(f.replaced)
+				f.dispatch.Do(func(core *dispatch.Core) {
+					core.SetServers([]inventory.Change{
+						{Server: inventory.Server{ID: "other" + strconv.Itoa(f.replaced-1)}, Gone: true},
+						{Server: inventory.Server{ID: id, Service: "svc", Address: other.address, Zone: "far", Slots: 8}},
+					})
+				})
+				check(t, f, cut)
+			})
+		})
+		t.Run(name+", by a peer", func(t *testing.T) {
+			t.Parallel()
+			peer, other := cutanswer.NewServer(t), newFixture(t, restServer(t, c, events))
+			f := newFixture(t)
+			f.cutOff(peer.Address, other.newPeer(t)).pool = backendconn.New(backendconn.Options{DialTimeout: fixtureDialTimeout})
+			peer.ForEach(t, c.status, "X-Id: r1\r\n"+serversHeader+": 1\r\n", c.body, func(t *testing.T, cut cutanswer.Cut) {
+				check(t, f, cut)
+			})
+		})
+	}
+}
