--- a/internal/relay/poison_parts_test.go
+++ b/internal/relay/poison_parts_test.go
@@ -166,8 +166,7 @@
 // never suspected: the kernel may close the listening socket of a process that was killed after its
 // connections.
 func TestCrashOfAServerThatIsStillClosingIsReported(t *testing.T) {
-	var server *fakeServer
-	server = newFakeServer(t, func(conn net.Conn, _ *http.Request) bool { return reset(conn) })
+	server := newFakeServer(t, func(conn net.Conn, _ *http.Request) bool { return reset(conn) })
 	f := newFixture(t, server)
 	suspects := newPartSuspects(nil)
 	f.handler.options.Suspects = suspects
