The end of long answers is cut at any byte

What callers saw: nothing. An answer of 64 KB and more, which is passed on as it comes, cut after each of its last 40 bytes (its last chunk's line and its trailer among them), closed or reset, from a server or a peer, ends with an error for its caller in all six framed forms. No fault was found.

--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -179,3 +179,36 @@
 		})
 	}
 }
+
+// Guards against a long answer, which is passed on as it comes, that looks whole though its end was cut.
+func TestCutLongAnswerIsBrokenOff(t *testing.T) {
+	const lastBytes = 40
+	body := strings.Repeat("x", maxBufferedBytes+10)
+	for _, form := range cutanswer.Forms {
+		if form.IsUnframed {
+			continue
+		}
+		t.Run(form.Name, func(t *testing.T) {
+			t.Parallel()
+			server := cutanswer.NewServer(t)
+			direct, byPeer := newFixture(t, &fakeServer{address: server.Address}), newFixture(t)
+			byPeer.cutOff(server.Address).pool = backendconn.New(backendconn.Options{DialTimeout: fixtureDialTimeout})
+			text, _ := form.Write("200 OK", "X-Id: r1\r\n"+serversHeader+": 1\r\n", body)
+			for _, ending := range cutanswer.Endings {
+				for offset := len(text) - lastBytes; offset <= len(text); offset++ {
+					server.Answer(text[:offset], ending)
+					direct.replaceServer(server.Address)
+					for how, f := range map[string]*fixture{"at once": direct, "by a peer": byPeer} {
+						got := f.send(t, http.MethodPost, "/command/x", "")
+						isWhole := got.status == http.StatusOK && got.err == nil
+						// A reset may overtake what the kernel has not sent yet.
+						mustBeWhole := offset == len(text) && ending == cutanswer.Closed
+						if isWhole && (offset < len(text) || got.body != body) || !isWhole && mustBeWhole {
+							t.Errorf("%s, %s after %d of %d bytes: status %d, %d bytes, error %v", how, ending, offset, len(text), got.status, len(got.body), got.err)
+						}
+					}
+				}
+			}
+		})
+	}
+}
