IDs beside numbers of 64 bits are compared too

Cause: what is no number of 64 bits was only compared for equality with the last ID, and a run had to begin just behind it only where IDs rise by one. Class: a check that knows one form of what the format allows.

Change: the number at the end of an ID is compared, whatever its length, where what stands before it is the same. IDs without an order may not come twice in a stream. A node learns by which amount the IDs of a service rise, one or another.

Red before: TestStreamsGoOnBehindTheirLastEvent (named IDs start again, wide IDs start again, tens leave an event out).

--- a/internal/eventstream/order.go
+++ b/internal/eventstream/order.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"hash/maphash"
-	"strconv"
 )
 
 // Errors of Order.Next.
@@ -16,8 +15,13 @@
 	ErrOtherEvents = errors.New("a run that goes on differs from the one before")
 )
 
-// maxUnidentified bounds the events behind the last ID that are remembered.
-const maxUnidentified = 1024
+const (
+	// maxUnidentified bounds the events behind the last ID that are remembered.
+	maxUnidentified = 1024
+	// maxNames bounds the IDs that are remembered since they have no order. A run that starts again writes the
+	// first ones again.
+	maxNames = 1024
+)
 
 var hashSeed = maphash.MakeSeed()
 
@@ -25,6 +29,8 @@
 // value is that of a caller that has no event. It is not safe for concurrent use.
 type Order struct {
 	lastID string
+	// names are hashes of the IDs so far that could not be compared with the one before.
+	names map[uint64]bool
 	// unidentified are hashes of the events without an ID behind lastID, which a run that goes on there
 	// writes once more.
 	unidentified []uint64
@@ -72,16 +78,34 @@
 		o.isAtJoint = false
 		return true, nil
 	}
-	if !rises(o.lastID, event.ID) {
+	if !o.rises(event.ID) {
 		return false, ErrNotRising
 	}
-	if o.isAtJoint && steps == StepsOfOne && stepBetween(o.lastID, event.ID) > 1 {
+	if o.isAtJoint && steps != StepsUnknown && stepBetween(o.lastID, event.ID) > uint64(steps) {
 		return false, ErrGap
 	}
 	o.lastID, o.unidentified, o.hasForgotten, o.isAtJoint = event.ID, o.unidentified[:0], false, false
 	return true, nil
 }
 
+// rises reports whether the ID may follow the last one. IDs that have no order may not come twice.
+func (o *Order) rises(id string) bool {
+	if order, ok := compareIDs(o.lastID, id); ok {
+		return order < 0
+	}
+	name := maphash.String(hashSeed, id)
+	if o.names[name] {
+		return false
+	}
+	if len(o.names) < maxNames {
+		if o.names == nil {
+			o.names = make(map[uint64]bool)
+		}
+		o.names[name] = true
+	}
+	return true
+}
+
 func (o *Order) rememberUnidentified(text []byte) {
 	if len(o.unidentified) == maxUnidentified {
 		o.hasForgotten = true
@@ -100,74 +124,3 @@
 	}
 	return hash.Sum64()
 }
-
-// Steps says by how much the IDs of a service's events rise.
-type Steps int
-
-const (
-	// StepsUnknown: too few were seen, or they rise by different amounts.
-	StepsUnknown Steps = iota
-	// StepsOfOne: each follows the one before.
-	StepsOfOne
-)
-
-const (
-	// minSteps is the number of steps of one after which the next one is expected to be one as well.
-	minSteps = 32
-	// maxOtherShare is the share of other steps up to which these count as faults of servers.
-	maxOtherShare = 0.01
-	// maxCounted bounds what is counted: beyond, older steps count half.
-	maxCounted = 4096
-)
-
-// StepCounter learns the steps of a service's IDs within runs of its servers. The zero value has seen none.
-type StepCounter struct{ ones, others int }
-
-// Record records the step between two successive events of one run.
-func (c *StepCounter) Record(lastID, id string) {
-	switch stepBetween(lastID, id) {
-	case 0:
-	case 1:
-		c.ones++
-	default:
-		c.others++
-	}
-}
-
-// Add adds what another counter has seen later.
-func (c *StepCounter) Add(later StepCounter) {
-	if c.ones+c.others > maxCounted {
-		c.ones, c.others = c.ones/2, c.others/2
-	}
-	c.ones += later.ones
-	c.others += later.others
-}
-
-// Steps is what the counter has learned.
-func (c *StepCounter) Steps() Steps {
-	if c.ones < minSteps || float64(c.others) > maxOtherShare*float64(c.ones) {
-		return StepsUnknown
-	}
-	return StepsOfOne
-}
-
-// rises reports whether the ID may follow the last one. IDs that are no numbers can only be compared for
-// equality.
-func rises(lastID, id string) bool {
-	last, lastErr := strconv.ParseUint(lastID, 10, 64)
-	number, err := strconv.ParseUint(id, 10, 64)
-	if lastErr != nil || err != nil {
-		return id != lastID
-	}
-	return number > last
-}
-
-// stepBetween is the difference of two IDs; 0 if it does not rise or is not known.
-func stepBetween(lastID, id string) uint64 {
-	last, lastErr := strconv.ParseUint(lastID, 10, 64)
-	number, err := strconv.ParseUint(id, 10, 64)
-	if lastErr != nil || err != nil || number <= last {
-		return 0
-	}
-	return number - last
-}
--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -69,6 +69,18 @@
 		"a first ID behind events without one":  {StepsOfOne, []string{"=a =b", "=a =b 3=c"}, "=a =b 3=c", nil},
 		"an ID in place of events without one":  {StepsOfOne, []string{"=a =b", "3=c"}, "=a =b", ErrOtherEvents},
 		"number behind an ID that is no number": {StepsUnknown, []string{"x=a", "1=b"}, "x=a 1=b", nil},
+		"names that start again":                {StepsUnknown, []string{"x=a y=b", "x=a y=b z=c"}, "x=a y=b", ErrNotRising},
+		"numbered names":                        {StepsOfOne, []string{"e-9=a", "e-10=b"}, "e-9=a e-10=b", nil},
+		"numbered names that start again":       {StepsOfOne, []string{"e-1=a e-2=b e-3=c", "e-2=b"}, "e-1=a e-2=b e-3=c", ErrNotRising},
+		"numbered names without one event":      {StepsOfOne, []string{"e-1=a e-2=b", "e-4=d"}, "e-1=a e-2=b", ErrGap},
+		"leading zeros":                         {StepsOfOne, []string{"08=a 9=b", "010=c"}, "08=a 9=b 010=c", nil},
+		"leading zeros, with the last event":    {StepsOfOne, []string{"00=a 01=b", "1=b"}, "00=a 01=b", ErrNotRising},
+		"steps of ten":                          {10, []string{"10=a 20=b", "30=c"}, "10=a 20=b 30=c", nil},
+		"steps of ten without one event":        {10, []string{"10=a 20=b", "40=c"}, "10=a 20=b", ErrGap},
+		"steps of ten, a smaller one":           {10, []string{"10=a 20=b", "24=c"}, "10=a 20=b 24=c", nil},
+		"over 64 bits":                          {StepsOfOne, []string{"99999999999999999999=a", "100000000000000000000=b"}, "99999999999999999999=a 100000000000000000000=b", nil},
+		"over 64 bits, starting again":          {StepsOfOne, []string{"99999999999999999998=a 99999999999999999999=b", "99999999999999999998=a"}, "99999999999999999998=a 99999999999999999999=b", ErrNotRising},
+		"over 64 bits, without one event":       {StepsOfOne, []string{"99999999999999999999=a", "100000000000000000001=b"}, "99999999999999999999=a", ErrGap},
 		"number that does not fit into 64 bits": {StepsUnknown, []string{"99999999999999999999=a", "99999999999999999999=a"}, "99999999999999999999=a", ErrNotRising},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -110,28 +122,54 @@
 	}
 }
 
+// TestStepsAreLearned guards against runs that leave events out, since nothing is known of their IDs, and against
+// refusing those whose IDs rise by different amounts.
 func TestStepsAreLearned(t *testing.T) {
-	record := func(ones, twos int) Steps {
+	record := func(counts map[string]int) Steps {
 		var counter, all StepCounter
-		for range ones {
-			counter.Record("1", "2")
-		}
-		for range twos {
-			counter.Record("1", "3")
+		for id, count := range counts {
+			for range count {
+				counter.Record("1", id)
+			}
 		}
 		counter.Record("x", "y")
 		counter.Record("", "7")
 		all.Add(counter)
 		return all.Steps()
 	}
-	if record(minSteps-1, 0) != StepsUnknown || record(minSteps, 0) != StepsOfOne || record(minSteps, 1) != StepsUnknown || record(200, 2) != StepsOfOne {
-		t.Error("steps of one are not told from others")
+	for name, c := range map[string]struct {
+		counts map[string]int
+		want   Steps
+	}{
+		"too few":           {map[string]int{"2": minSteps - 1}, StepsUnknown},
+		"enough":            {map[string]int{"2": minSteps}, StepsOfOne},
+		"another one":       {map[string]int{"2": minSteps, "3": 1}, StepsUnknown},
+		"two of many":       {map[string]int{"2": 200, "3": 2}, StepsOfOne},
+		"steps of ten":      {map[string]int{"11": minSteps}, 10},
+		"as many sizes":     {map[string]int{"2": 2, "3": 2, "4": 2, "5": 2, "6": 2, "7": 2}, StepsUnknown},
+		"steps of any size": {map[string]int{"2": 32, "3": 32, "4": 32, "5": 32, "6": 32, "7": 32}, StepsUnknown},
+	} {
+		if got := record(c.counts); got != c.want {
+			t.Errorf("%s: steps of %d, want %d", name, got, c.want)
+		}
+	}
+	counted := func(id string) (run StepCounter) {
+		for range 99 {
+			run.Record("1", id)
+		}
+		return run
 	}
-	counter, run := StepCounter{}, StepCounter{ones: 99}
-	for range 1_000_000 {
-		counter.Add(run)
+	var counter StepCounter
+	for range 100_000 {
+		counter.Add(counted("2"))
 	}
-	if counter.Add(StepCounter{others: 99}); counter.Steps() != StepsUnknown {
+	if counter.Add(counted("6")); counter.Steps() != StepsUnknown {
 		t.Error("a long history hides that the steps have changed")
 	}
+	for range 1000 {
+		counter.Add(counted("6"))
+	}
+	if counter.Steps() != 5 {
+		t.Errorf("steps of %d after long, want 5", counter.Steps())
+	}
 }
--- a/test/platform/stream_joints_test.go
+++ b/test/platform/stream_joints_test.go
@@ -16,7 +16,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = server.listener.Close() })
-		registerStreamServer(p.store, "z", server.id, server.address())
+		registerStreamServer(p.store, "z", server.id, server.address(), server.born)
 	}
 	p.awaitServing()
 	return p
@@ -52,6 +52,14 @@
 		"lines end in CRLF":           {func(s *streamScript) { s.LineEnd = "\r\n" }, 4},
 		"the connection is closed":    {func(s *streamScript) { s.Break = breakBetween }, 4},
 		"a body with a length ends":   {func(s *streamScript) { s.Framing, s.Break = framedByLength, breakBetween }, 4},
+		"a number goes back":          {func(s *streamScript) { s.GoesBack = true }, 4},
+		"each byte comes by itself":   {func(s *streamScript) { s.IsBytewise = true }, 4},
+		"heads come with events":      {func(s *streamScript) { s.IsOnePacket = true }, 4},
+		"wide IDs start again":        {func(s *streamScript) { s.IDs, s.Restarts = wideIDs, true }, 4},
+		"wide IDs go on":              {func(s *streamScript) { s.IDs = wideIDs }, 4},
+		"named IDs start again":       {func(s *streamScript) { s.IDs, s.Restarts = namedIDs, true }, 4},
+		"tens leave an event out":     {func(s *streamScript) { s.IDs, s.ResumeOffset = tenfoldIDs, 1 }, 4},
+		"padded IDs go on":            {func(s *streamScript) { s.IDs = paddedIDs }, 4},
 		"a body without one is reset": {func(s *streamScript) { s.Framing, s.Break = framedByClose, resetBetween }, 4},
 	}
 	for name, c := range cases {
--- a/test/platform/stream_order_test.go
+++ b/test/platform/stream_order_test.go
@@ -235,7 +235,7 @@
 	servers := make([]*streamServerProcess, streamServerCount)
 	start := func(i, generation int) {
 		servers[i] = startStreamServerProcess(p.t, fmt.Sprintf("i-%d-%d", i, generation), p.script)
-		registerStreamServer(p.store, []string{"z", "far"}[i/together%2], servers[i].id, servers[i].address)
+		registerStreamServer(p.store, []string{"z", "far"}[i/together%2], servers[i].id, servers[i].address, servers[i].born)
 	}
 	for i := range servers {
 		start(i, 0)
--- a/test/platform/stream_server_test.go
+++ b/test/platform/stream_server_test.go
@@ -36,6 +36,43 @@
 	Padding int
 	// HasComments puts a comment before each event.
 	HasComments bool
+	// IDs is how the IDs of events are written.
+	IDs idStyle
+	// GoesBack gives the sixth event of a first run the number 4.
+	GoesBack bool
+	// IsBytewise writes each byte by itself, and IsOnePacket the head with the first event.
+	IsBytewise, IsOnePacket bool
+	// PlainBytes is the length of the answers to commands.
+	PlainBytes int
+}
+
+// idStyle says how the IDs of events are written.
+type idStyle string
+
+const (
+	// numberedIDs rise by one, tenfoldIDs by ten, and wideIDs exceed 64 bits.
+	numberedIDs idStyle = ""
+	tenfoldIDs  idStyle = "tens"
+	wideIDs     idStyle = "wide"
+	// paddedIDs have leading zeros, and namedIDs are no numbers.
+	paddedIDs idStyle = "padded"
+	namedIDs  idStyle = "named"
+)
+
+// id is the ID of the n-th event.
+func (s streamScript) id(n int) string {
+	switch s.IDs {
+	case tenfoldIDs:
+		return strconv.Itoa(10 * n)
+	case wideIDs:
+		return "1000000000000000000000" + fmt.Sprintf("%04d", n)
+	case paddedIDs:
+		return fmt.Sprintf("%06d", n)
+	case namedIDs:
+		return fmt.Sprintf("event-%d", n)
+	default:
+		return strconv.Itoa(n)
+	}
 }
 
 // streamFraming says how the end of a body is told.
@@ -76,7 +113,7 @@
 		text = ": still here\n\n"
 	}
 	if s.IDEach >= 0 && n%max(1, s.IDEach) == 0 {
-		text += fmt.Sprintf("id: %d\n", n)
+		text += "id: " + s.id(n) + "\n"
 	}
 	text += fmt.Sprintf("data: %d%s\n\n", n, strings.Repeat(" ", s.Padding))
 	return strings.ReplaceAll(text, "\n", s.lineEnd())
@@ -92,7 +129,12 @@
 }
 
 func newStreamServer(id string, script streamScript) (*streamServer, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return newStreamServerAt("127.0.0.1:0", id, script)
+}
+
+// newStreamServerAt listens at the address; port 0 picks a free one.
+func newStreamServerAt(address, id string, script streamScript) (*streamServer, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -134,6 +176,10 @@
 			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		case request.Header.Get("Expect-Instance") != s.id:
 			fmt.Fprintf(conn, "HTTP/1.1 421 X\r\nInstance-Id: %s\r\nNot-Executed: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id, id)
+		case strings.HasPrefix(request.URL.Path, "/command/"):
+			if !s.answer(conn, id) {
+				return
+			}
 		case !s.stream(conn, id, request.Header.Get("Last-Event-Id")):
 			return
 		}
@@ -160,9 +206,22 @@
 	case framedByLength:
 		head += "Content-Length: " + strconv.Itoa(length) + "\r\n"
 	}
-	_, _ = io.WriteString(conn, head+"\r\n")
+	head += "\r\n"
+	if !s.script.IsOnePacket || first > end {
+		_, _ = io.WriteString(conn, head)
+		head = ""
+	}
 	for n := first; n <= end; n++ {
-		s.write(conn, s.script.event(n))
+		event := s.script.event(n)
+		if s.script.GoesBack && first == 1 && n == 6 {
+			event = s.script.event(4)
+		}
+		if head != "" {
+			_, _ = io.WriteString(conn, head+s.framed(event))
+			head = ""
+		} else {
+			s.write(conn, event)
+		}
 		time.Sleep(s.script.Pause)
 	}
 	if isBroken {
@@ -189,27 +248,63 @@
 // resetDelay lets what was written arrive before a reset.
 const resetDelay = 2 * time.Millisecond
 
-func (s *streamServer) write(conn net.Conn, text string) {
+// answer answers a command, in pieces with pauses between. It returns false if the connection is to be closed.
+func (s *streamServer) answer(conn net.Conn, id string) bool {
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: " + s.id + "\r\n"
 	if s.script.Framing == framedByChunks {
-		text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+		head += "Transfer-Encoding: chunked\r\n"
+	} else {
+		head += "Connection: close\r\n"
 	}
-	_, _ = io.WriteString(conn, text)
+	_, _ = io.WriteString(conn, head+"\r\n")
+	piece := max(1, s.script.PlainBytes/plainPieces)
+	for written := 0; written < s.script.PlainBytes; written += piece {
+		s.write(conn, strings.Repeat("x", min(piece, s.script.PlainBytes-written)))
+		time.Sleep(s.script.Pause)
+	}
+	if s.script.Framing == framedByChunks {
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+	return s.script.Framing == framedByChunks
+}
+
+// plainPieces is the number of pieces in which an answer to a command is written.
+const plainPieces = 8
+
+func (s *streamServer) write(conn net.Conn, text string) {
+	text = s.framed(text)
+	if !s.script.IsBytewise {
+		_, _ = io.WriteString(conn, text)
+		return
+	}
+	for i := range len(text) {
+		_, _ = io.WriteString(conn, text[i:i+1])
+	}
+}
+
+// framed is the text as a part of a body.
+func (s *streamServer) framed(text string) string {
+	if s.script.Framing != framedByChunks {
+		return text
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 }
 
 // firstEvent is the event with which a stream begins that goes on behind the one with the ID.
 func (s streamScript) firstEvent(lastEventID string) int {
-	last, err := strconv.Atoi(lastEventID)
-	if err != nil || s.Restarts {
-		return 1
+	for n := s.Events; n > 0 && !s.Restarts; n-- {
+		if s.id(n) == lastEventID {
+			return max(1, n+1+s.ResumeOffset)
+		}
 	}
-	return max(1, last+1+s.ResumeOffset)
+	return 1
 }
 
-// registerStreamServer writes the server's entry into the store.
-func registerStreamServer(s *store, zone, id, address string) {
+// registerStreamServer writes the server's entry into the store. born is the Unix millisecond of its start.
+func registerStreamServer(s *store, zone, id, address string, born int64) {
 	s.put("servers", id, map[string]any{
 		"service": "models", "address": address, "zone": zone, "version": "v1", "slots": 8, "state": "ready",
-		"models": []loadedModel{{Name: "m1", Version: 1, Adapters: []string{}}}, "sequence": 1, "coldLeftMs": 0,
+		"models": []loadedModel{{Name: "m1", Version: 1, Adapters: []string{}}}, "sequence": 1, "coldLeftMs": 0, "born": born,
 	})
 }
 
@@ -217,8 +312,9 @@
 const streamServerVariable = "SPANLANDING_TEST_STREAM_SERVER"
 
 type streamServerSettings struct {
-	ID     string
-	Script streamScript
+	ID      string
+	Address string
+	Script  streamScript
 }
 
 // runStreamServer makes this process a streamServer that prints its address.
@@ -227,23 +323,30 @@
 	if err := json.Unmarshal([]byte(settings), &decoded); err != nil {
 		return err
 	}
-	server, err := newStreamServer(decoded.ID, decoded.Script)
+	server, err := newStreamServerAt(decoded.Address, decoded.ID, decoded.Script)
 	if err != nil {
 		return err
 	}
-	fmt.Println(server.address())
+	fmt.Println(server.address(), server.born)
 	select {}
 }
 
 // streamServerProcess is a streamServer that is a process of its own, so that it can be killed.
 type streamServerProcess struct {
 	id, address string
+	born        int64
 	cmd         *exec.Cmd
 }
 
 func startStreamServerProcess(t *testing.T, id string, script streamScript) *streamServerProcess {
 	t.Helper()
-	settings, err := json.Marshal(streamServerSettings{ID: id, Script: script})
+	return startStreamServerProcessAt(t, "127.0.0.1:0", id, script)
+}
+
+// startStreamServerProcessAt starts a server that listens at the address.
+func startStreamServerProcessAt(t *testing.T, address, id string, script streamScript) *streamServerProcess {
+	t.Helper()
+	settings, err := json.Marshal(streamServerSettings{ID: id, Address: address, Script: script})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -258,10 +361,9 @@
 	}
 	p := &streamServerProcess{id: id, cmd: cmd}
 	t.Cleanup(p.kill)
-	if p.address, err = bufio.NewReader(output).ReadString('\n'); err != nil {
+	if _, err := fmt.Fscan(output, &p.address, &p.born); err != nil {
 		t.Fatalf("%s does not start: %v", id, err)
 	}
-	p.address = strings.TrimSpace(p.address)
 	return p
 }
 
