--- a/test/platform/stream_server_test.go
+++ b/test/platform/stream_server_test.go
@@ -315,6 +315,8 @@
 	ID      string
 	Address string
 	Script  streamScript
+	// IsStandby has the process wait for a line before it listens.
+	IsStandby bool
 }
 
 // runStreamServer makes this process a streamServer that prints its address.
@@ -323,6 +325,11 @@
 	if err := json.Unmarshal([]byte(settings), &decoded); err != nil {
 		return err
 	}
+	if decoded.IsStandby {
+		if _, err := bufio.NewReader(os.Stdin).ReadString('\n'); err != nil {
+			return err
+		}
+	}
 	server, err := newStreamServerAt(decoded.Address, decoded.ID, decoded.Script)
 	if err != nil {
 		return err
@@ -336,38 +343,57 @@
 	id, address string
 	born        int64
 	cmd         *exec.Cmd
+	input       io.Writer
+	output      io.Reader
 }
 
 func startStreamServerProcess(t *testing.T, id string, script streamScript) *streamServerProcess {
 	t.Helper()
-	return startStreamServerProcessAt(t, "127.0.0.1:0", id, script)
+	p := newStreamServerProcess(t, streamServerSettings{ID: id, Address: "127.0.0.1:0", Script: script})
+	p.awaitListening(t)
+	return p
 }
 
-// startStreamServerProcessAt starts a server that listens at the address.
-func startStreamServerProcessAt(t *testing.T, address, id string, script streamScript) *streamServerProcess {
+// newStreamServerProcess starts a process that may not listen yet.
+func newStreamServerProcess(t *testing.T, settings streamServerSettings) *streamServerProcess {
 	t.Helper()
-	settings, err := json.Marshal(streamServerSettings{ID: id, Address: address, Script: script})
+	text, err := json.Marshal(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), streamServerVariable+"="+string(settings))
-	output, err := cmd.StdoutPipe()
-	if err != nil {
+	p := &streamServerProcess{id: settings.ID, cmd: exec.Command(os.Args[0])}
+	p.cmd.Env = append(os.Environ(), streamServerVariable+"="+string(text))
+	if p.output, err = p.cmd.StdoutPipe(); err != nil {
 		t.Fatal(err)
 	}
-	if err := cmd.Start(); err != nil {
+	if p.input, err = p.cmd.StdinPipe(); err != nil {
 		t.Fatal(err)
 	}
-	p := &streamServerProcess{id: id, cmd: cmd}
-	t.Cleanup(p.kill)
-	if _, err := fmt.Fscan(output, &p.address, &p.born); err != nil {
-		t.Fatalf("%s does not start: %v", id, err)
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(p.kill)
 	return p
 }
 
-func (p *streamServerProcess) kill() {
-	_ = p.cmd.Process.Kill()
+// listen has a standby listen.
+func (p *streamServerProcess) listen(t *testing.T) {
+	t.Helper()
+	_, _ = io.WriteString(p.input, "\n")
+	p.awaitListening(t)
+}
+
+func (p *streamServerProcess) awaitListening(t *testing.T) {
+	t.Helper()
+	if _, err := fmt.Fscan(p.output, &p.address, &p.born); err != nil {
+		t.Errorf("%s does not start: %v", p.id, err)
+	}
+}
+
+func (p *streamServerProcess) kill() { p.end(os.Kill) }
+
+// end sends the process a signal under which it ends at once.
+func (p *streamServerProcess) end(signal os.Signal) {
+	_ = p.cmd.Process.Signal(signal)
 	_ = p.cmd.Wait()
 }
