A server that was down for a moment has ended

Cause, by its times: the node was paused while it asked for the start. The question was refused, as nothing listened yet; the probe that followed came up, as the server did again meanwhile. What the first word proved was dropped for a later one.

Red before: TestAnswersOfServersThatStartedAgainAreNotWhole (it was down, and listens again).

--- a/internal/relay/ended_start_test.go
+++ b/internal/relay/ended_start_test.go
@@ -28,6 +28,7 @@
 		"another one answers once it is asked anew": {[]StartAnswer{{Outcome: StartUnanswered}, {Outcome: StartTold, Start: other}}, false, false},
 		"it tells no start":                         {[]StartAnswer{{Outcome: StartTold}}, false, true},
 		"it does not answer, and listens":           {[]StartAnswer{{Outcome: StartUnanswered}, {Outcome: StartUnanswered}}, false, true},
+		"it was down, and listens again":            {[]StartAnswer{{Outcome: StartServerDown}}, false, false},
 		"it is not asked, and listens":              {[]StartAnswer{{Outcome: StartNotAdmitted}}, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -46,7 +47,7 @@
 			asked := 0
 			f.handler.options.CurrentStart = func(context.Context, StartQuestion) StartAnswer {
 				asked++
-				return c.answers[asked-1]
+				return c.answers[min(asked, len(c.answers))-1]
 			}
 			got := f.send(t, http.MethodPost, "/resume/", "b", "X-Model", "m", "X-Wait", "400ms")
 			if isWhole := got.status == http.StatusOK && got.err == nil; isWhole != c.isWhole || asked == 0 {
