--- a/test/platform/stream_cut_test.go
+++ b/test/platform/stream_cut_test.go
@@ -87,6 +87,30 @@
 	s.checkForwarded()
 }
 
+// TestStreamsOfKilledServersAreNotTakenForWholeByNodesThatAreCutOff guards against callers who get a part of a
+// stream that looks whole, since its node was cut off before its server was killed.
+func TestStreamsOfKilledServersAreNotTakenForWholeByNodesThatAreCutOff(t *testing.T) {
+	t.Parallel()
+	embedded := newEmbeddedFleet(t, 4)
+	embedded.putStreamRoutes()
+	s := newServerScheduleAt(embedded.fleet, "models", streamScript{Framing: framedByClose, Events: 12, Pause: 15 * time.Millisecond}, drawnBy(1))
+	s.awaitServing()
+	stop := repeatUntil(cutDisruptionPause, func() {
+		for _, path := range embedded.paths {
+			path.set(&cutKind{name: "new connections refused", refuses: true})
+		}
+		s.endServer(s.random.IntN(len(s.servers)), os.Kill)
+		for _, path := range embedded.paths {
+			path.set(nil)
+		}
+	})
+	for _, c := range streamCallers() {
+		s.run(c, drawnStreams)
+	}
+	stop()
+	s.checkOrder("nodes that are cut off")
+}
+
 // checkForwarded fails the test unless peers took the requests of the first node.
 func (s *streamSchedule) checkForwarded() {
 	s.t.Helper()
