--- a/test/platform/stream_schedule_test.go
+++ b/test/platform/stream_schedule_test.go
@@ -77,8 +77,7 @@
 // replace starts a new server at a new address.
 func (s *streamSchedule) replace(i int) {
 	s.generations++
-	port := freePort(s.t)
-	s.servers[i] = s.standby(fmt.Sprintf("i-%d-%d", i, s.generations), fmt.Sprintf("127.0.0.1:%d", port))
+	s.servers[i] = s.standby(fmt.Sprintf("i-%d-%d", i, s.generations), anyAddress)
 	s.servers[i].listen(s.t)
 	s.register(s.servers[i])
 }
@@ -137,7 +136,7 @@
 	next := make([]*streamServerProcess, len(s.servers))
 	for i := range next {
 		s.generations++
-		next[i] = s.standby(fmt.Sprintf("i-%d-%d", i, s.generations), fmt.Sprintf("127.0.0.1:%d", freePort(s.t)))
+		next[i] = s.standby(fmt.Sprintf("i-%d-%d", i, s.generations), anyAddress)
 	}
 	for _, ended := range s.servers {
 		_ = ended.cmd.Process.Kill()
--- a/test/platform/stream_server_test.go
+++ b/test/platform/stream_server_test.go
@@ -129,10 +129,13 @@
 }
 
 func newStreamServer(id string, script streamScript) (*streamServer, error) {
-	return newStreamServerAt("127.0.0.1:0", id, script)
+	return newStreamServerAt(anyAddress, id, script)
 }
 
-// newStreamServerAt listens at the address; port 0 picks a free one.
+// anyAddress has the kernel pick a free port.
+const anyAddress = "127.0.0.1:0"
+
+// newStreamServerAt listens at the address.
 func newStreamServerAt(address, id string, script streamScript) (*streamServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -355,7 +358,7 @@
 
 func startStreamServerProcess(t *testing.T, id string, script streamScript) *streamServerProcess {
 	t.Helper()
-	p := newStreamServerProcess(t, streamServerSettings{ID: id, Address: "127.0.0.1:0", Script: script})
+	p := newStreamServerProcess(t, streamServerSettings{ID: id, Address: anyAddress, Script: script})
 	p.awaitListening(t)
 	return p
 }
