Streams begin at a version that the record names before one that just came

What callers saw: nothing by itself. A version that joins is used at once, and the record of versions names it some 0.2 to 1 s later.

Change: a request that begins a resumable stream prefers servers whose version the record is known to name, or has been seen here for 2.5 s: by then each of the three writers has had its turn. Only servers with a free slot are preferred, so that a release which replaces most servers at once does not wait for the few that are left; where there is none, all are used at once. A node that starts beside several versions reads the record as soon as it knows the servers; where each service has one version, and at nodes that have run for a minute, nothing more is read.

Weighed: to hold such streams until the record is written (late, and not at all while the store is away); to have each node read the record when a version joins (a call of all nodes at once, in the middle of a release).

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -40,6 +40,8 @@
 	versionCounts map[string]map[string]int
 	// formerVersions holds the software versions of servers that are gone, by service.
 	formerVersions map[string]versionHistory
+	// seenVersions holds what is known of the versions that RecentVersions returned last, by service.
+	seenVersions map[string]map[string]seenVersion
 	// term is the highest leader term seen.
 	term int64
 	// leaderSeenAt is when the leader last reported that it holds its lease, and ordersFrom the
@@ -70,6 +72,7 @@
 		pendingViews:   make(map[string]pendingView),
 		starts:         make(map[inventory.Start]*startState),
 		formerVersions: make(map[string]versionHistory),
+		seenVersions:   make(map[string]map[string]seenVersion),
 		versionCounts:  make(map[string]map[string]int),
 		brittle:        make(map[string]brittleness),
 		changed:        make(chan struct{}),
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -29,6 +29,8 @@
 	Regions locality.Regions
 	// SoftwareVersion is the version at which a stream must go on; empty allows any.
 	SoftwareVersion string
+	// BeginsStream is set if callers may resume the response, and have nothing of it yet.
+	BeginsStream bool
 }
 
 // requirements returns what the request needs from a server.
@@ -87,8 +89,11 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	if request.SoftwareVersion != "" {
+	switch {
+	case request.SoftwareVersion != "":
 		candidates = c.preferCertainVersions(now, candidates)
+	case request.BeginsStream && request.ColocationKey == 0:
+		candidates = c.preferRecordedVersions(now, candidates)
 	}
 	chosen, cost, tokens := c.cheapest(now, request, keys, candidates)
 	chosen.cache.add(now, keys)
--- a/internal/dispatch/versions.go
+++ b/internal/dispatch/versions.go
@@ -15,8 +15,19 @@
 	// VersionSettleTime is how long after a failed connection the version of a server is uncertain: it
 	// may have started again under its ID at another one, and its entry may not be known here yet.
 	VersionSettleTime = 3 * time.Second
+	// VersionRecordTime is how long after a software version is first seen here the fleet's record of
+	// versions names it, unless the store is away.
+	VersionRecordTime = 2500 * time.Millisecond
 )
 
+// seenVersion is what this process knows of a software version that a service had lately.
+type seenVersion struct {
+	// since is when it was first seen.
+	since time.Time
+	// isRecorded is set if the fleet's record of versions is known to name it.
+	isRecorded bool
+}
+
 // versionHistory holds the software versions of one service's servers that are gone, and when each
 // was last seen; zero until the next call that tells the time.
 type versionHistory map[string]time.Time
@@ -73,9 +84,34 @@
 			versions = append(versions, version)
 		}
 	}
+	c.recordSeen(now, service, versions)
 	return versions
 }
 
+// recordSeen notes which versions the service has had lately.
+func (c *Core) recordSeen(now time.Time, service string, versions []string) {
+	seen, ok := c.seenVersions[service]
+	if !ok {
+		seen = make(map[string]seenVersion)
+		c.seenVersions[service] = seen
+	}
+	maps.DeleteFunc(seen, func(version string, _ seenVersion) bool { return !slices.Contains(versions, version) })
+	for _, version := range versions {
+		if _, ok := seen[version]; !ok {
+			seen[version] = seenVersion{since: now}
+		}
+	}
+}
+
+// MarkVersionRecorded records that the fleet's record of versions names the version of the service.
+func (c *Core) MarkVersionRecorded(now time.Time, service, version string) {
+	c.RecentVersions(now, service)
+	if known, ok := c.seenVersions[service][version]; ok {
+		known.isRecorded = true
+		c.seenVersions[service][version] = known
+	}
+}
+
 // HasMixedServices reports whether some service had several software versions lately.
 func (c *Core) HasMixedServices(now time.Time) bool {
 	for _, versions := range c.VersionsByService(now) {
@@ -124,6 +160,29 @@
 	return certain
 }
 
+// preferRecordedVersions leaves out servers at whose version hardly any stream has begun yet, as the fleet's
+// record may not name it, and those without a free slot; unless there are no others. If all nodes are lost
+// before it is recorded, nobody knows that streams may have begun at it.
+func (c *Core) preferRecordedVersions(now time.Time, candidates []*server) []*server {
+	if len(candidates) == 0 || len(c.RecentVersions(now, candidates[0].info.Service)) == 1 {
+		return candidates
+	}
+	recorded := slices.DeleteFunc(slices.Clone(candidates), func(s *server) bool {
+		running, _ := s.load(now)
+		return !c.isVersionRecorded(now, s) || s.info.Slots > 0 && running >= s.info.Slots
+	})
+	if len(recorded) == 0 {
+		return candidates
+	}
+	return recorded
+}
+
+// isVersionRecorded reports whether the record of versions names the server's version, as far as is known.
+func (c *Core) isVersionRecorded(now time.Time, s *server) bool {
+	seen := c.seenVersions[s.info.Service][s.info.SoftwareVersion]
+	return seen.isRecorded || now.Sub(seen.since) >= VersionRecordTime
+}
+
 // VersionsSettleIn returns when it will be certain whether a server meets the requirements, if now only
 // servers of uncertain versions may; ok is false if there are none.
 func (c *Core) VersionsSettleIn(now time.Time, requirements Requirements) (settleIn time.Duration, ok bool) {
--- a/internal/dispatch/versions_test.go
+++ b/internal/dispatch/versions_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -133,3 +134,49 @@
 		}
 	}
 }
+
+// TestStreamsBeginAtRecordedVersions guards against streams that begin at a version which nobody knows of once
+// all nodes are lost, while a server of one that is recorded has a free slot.
+func TestStreamsBeginAtRecordedVersions(t *testing.T) {
+	later := begin.Add(VersionRecordTime)
+	beginning := Request{Model: "m", BeginsStream: true}
+	cases := map[string]struct {
+		change  func(core *Core)
+		at      time.Time
+		request Request
+		want    []string
+	}{
+		"a version has just joined":            {at: later, request: beginning, want: []string{"a"}},
+		"it joined some time ago":              {at: later.Add(VersionRecordTime), request: beginning, want: []string{"a", "b"}},
+		"it is recorded":                       {change: func(c *Core) { c.MarkVersionRecorded(later, "s", "v2") }, at: later, request: beginning, want: []string{"a", "b"}},
+		"callers cannot resume the request":    {at: later, request: Request{Model: "m"}, want: []string{"a", "b"}},
+		"the other server has no free slot":    {change: func(c *Core) { c.servers["a"].running = 8 }, at: later, request: beginning, want: []string{"b"}},
+		"the other server was tried":           {at: later, request: Request{Model: "m", BeginsStream: true, Exclude: []string{"a"}}, want: []string{"b"}},
+		"the other version left and came":      {change: func(c *Core) { c.SetServers([]inventory.Change{versionEntry("a", "v1", 2, 3)}) }, at: later, request: beginning, want: []string{"a"}},
+		"a third version that is not recorded": {change: func(c *Core) { c.SetServers([]inventory.Change{versionEntry("c", "v3", 1, 3)}) }, at: later, request: beginning, want: []string{"a"}},
+	}
+	for name, c := range cases {
+		core := newCoreAt("n1", versionEntry("a", "v1", 1, 1))
+		core.RecentVersions(begin, "s")
+		core.SetServers([]inventory.Change{versionEntry("b", "v2", 1, 2)})
+		core.RecentVersions(later, "s")
+		if c.change != nil {
+			c.change(core)
+		}
+		got := make(map[string]bool)
+		for range 60 {
+			got[pick(core, c.at, c.request)] = true
+		}
+		if picked := slices.Sorted(maps.Keys(got)); !slices.Equal(picked, c.want) {
+			t.Errorf("%s: picked %q, want %q", name, picked, c.want)
+		}
+	}
+	started := newCoreAt("n1", versionEntry("a", "v1", 1, 1), versionEntry("b", "v2", 1, 1))
+	got := make(map[string]bool)
+	for range 60 {
+		got[pick(started, begin, beginning)] = true
+	}
+	if len(got) != 2 {
+		t.Errorf("picked %v where no version is known to be recorded, want both", got)
+	}
+}
--- a/internal/edge/history.go
+++ b/internal/edge/history.go
@@ -47,6 +47,8 @@
 	node *Node
 	// recalls makes requests that wait for the record share one reading.
 	recalls singleflight.Group
+	// observed is closed once this node knows all servers.
+	observed chan struct{}
 
 	mu sync.Mutex
 	// observedSince is when this node first knew all servers; zero until then.
@@ -55,6 +57,8 @@
 	recorded checkpoint.VersionRecord
 	at       storepos.Position
 	seenAt   time.Time
+	// isRead is set once the record was read, or found to be missing or damaged.
+	isRead bool
 
 	// recalledAt is when the record was last read for requests; only one such reading is under way.
 	recalledAt time.Time
@@ -63,7 +67,9 @@
 	lackingSince, writtenAt, nextCall time.Time
 }
 
-func newVersionHistory(node *Node) *versionHistory { return &versionHistory{node: node} }
+func newVersionHistory(node *Node) *versionHistory {
+	return &versionHistory{node: node, observed: make(chan struct{})}
+}
 
 // observe records that all servers are known.
 func (h *versionHistory) observe(now time.Time) {
@@ -71,6 +77,7 @@
 	defer h.mu.Unlock()
 	if h.observedSince.IsZero() {
 		h.observedSince = now
+		close(h.observed)
 	}
 }
 
@@ -119,6 +126,9 @@
 	if err != nil {
 		return object, err
 	}
+	h.mu.Lock()
+	h.isRead = true
+	h.mu.Unlock()
 	if !found {
 		return object, nil
 	}
@@ -177,27 +187,61 @@
 			}
 		}
 	})
+	h.markRecorded(now, record)
 	h.replace(requestedAt, record, at)
 	if known == nil {
 		h.node.options.Logger.Info().Int("services", len(record)).Str("at", at.String()).Msg("version_record_read")
 	}
 }
 
-// run keeps the record current while this node is one of those that write it.
+// markRecorded tells the dispatcher which versions the record names.
+func (h *versionHistory) markRecorded(now time.Time, record checkpoint.VersionRecord) {
+	h.node.dispatch.Do(func(core *dispatch.Core) {
+		for service, versions := range record {
+			for _, version := range versions {
+				core.MarkVersionRecorded(now, service, version)
+			}
+		}
+	})
+}
+
+// run reads the record where it tells which versions served before this node started, and keeps it current
+// while this node is one of those that write it.
 func (h *versionHistory) run(ctx context.Context) {
 	if h.node.options.Checkpoints == nil {
 		return
 	}
+	select {
+	case <-h.observed:
+	case <-ctx.Done():
+	}
 	for ctx.Err() == nil {
-		sleep(ctx, historyCheckPeriod)
-		if !h.isWriteDue(clock.Now()) {
-			continue
-		}
-		if err := h.update(ctx); err != nil {
-			h.node.options.Logger.Warn().Str("error", err.Error()).Msg("version_record_not_updated")
-			h.nextCall = clock.Now().Add(historyRetryPause/2 + rand.N(historyRetryPause))
+		switch now := clock.Now(); {
+		case h.isReadDue(now):
+			_, err := h.read(ctx)
+			h.pauseAfter(err, "version_record_not_read")
+		case h.isWriteDue(now):
+			h.pauseAfter(h.update(ctx), "version_record_not_updated")
 		}
+		sleep(ctx, historyCheckPeriod)
+	}
+}
+
+// pauseAfter logs an error of a call, and puts off the next one.
+func (h *versionHistory) pauseAfter(err error, event string) {
+	if err == nil {
+		return
 	}
+	h.node.options.Logger.Warn().Str("error", err.Error()).Msg(event)
+	h.nextCall = clock.Now().Add(historyRetryPause/2 + rand.N(historyRetryPause))
+}
+
+// isReadDue reports whether this node has started too lately to know which of several versions are recorded.
+func (h *versionHistory) isReadDue(now time.Time) bool {
+	h.mu.Lock()
+	isRead := h.isRead
+	h.mu.Unlock()
+	return !isRead && !now.Before(h.nextCall) && !h.hasObservedLongEnough(now) && h.node.origins.checkpoints.hasMixedServices(now)
 }
 
 func (h *versionHistory) recentVersions(now time.Time) (recent checkpoint.VersionRecord) {
@@ -252,6 +296,7 @@
 	}
 	h.writtenAt = now
 	h.replace(now, recent, at)
+	h.markRecorded(now, recent)
 	h.node.options.Logger.Info().Int("services", len(recent)).Str("at", at.String()).Msg("version_record_written")
 	return nil
 }
--- a/internal/edge/history_test.go
+++ b/internal/edge/history_test.go
@@ -234,3 +234,35 @@
 	}
 	return answers
 }
+
+// TestStartedNodeLearnsWhichVersionsAreRecorded guards against nodes that begin streams, right after all were lost,
+// at a version that the record does not name yet, and against a record that is written later than they expect.
+func TestStartedNodeLearnsWhichVersionsAreRecorded(t *testing.T) {
+	if latest := historyCheckPeriod + (historyWriters-1)*historyDelayPerRank + historyStartDelay; latest > dispatch.VersionRecordTime {
+		t.Errorf("the last writer begins after %v, later than streams wait for the record", latest)
+	}
+	store := newFakeCheckpoints()
+	store.putVersions(t, checkpoint.VersionRecord{"s": {"v1"}})
+	node := newVersionedNodes(t, 1, "v1", "v2")[0]
+	node.options.Checkpoints = store
+	node.history.observe(clock.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { node.history.run(ctx); close(ended) }()
+	for end := time.Now().Add(10 * time.Second); node.history.isReadDue(clock.Now()); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the record was not read")
+		}
+	}
+	cancel()
+	<-ended
+	if !node.history.isKnown(clock.Now(), "s") {
+		t.Error("the record was not taken over")
+	}
+	single := newVersionedNodes(t, 1, "v1")[0]
+	single.options.Checkpoints = store
+	single.history.observe(clock.Now())
+	if single.history.isReadDue(clock.Now()) {
+		t.Error("the record is read where one version serves")
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -333,6 +333,7 @@
 // ColocationKey, so that they run on the same server.
 func (x *exchange) dispatchRequest() dispatch.Request {
 	request := dispatch.Request{Service: x.service, Exclude: x.failedServers, Regions: x.currentRegions(), SoftwareVersion: x.requiredVersion()}
+	request.BeginsStream = x.route.RetryPolicy == routetable.RetryResume && !x.isGoingOn()
 	if x.needsModel {
 		request.Model, request.Adapter = x.head.Model, x.head.Adapter
 		request.Parts = x.head.PromptParts
