Streams of the one version that served go on after all nodes were lost

Cause: the record of versions names v1 alone, and was not believed, as nothing told a stream that began before the loss from one that began later, or at a version in the moment before it was recorded.

Change: a node says at which versions lost streams may have begun (OriginCall.lost_streams; older builds say any): at the one that the record named when it was first read, unless this node saw a version join, has run for a minute, has dropped a stream of another version, or has seen more nodes end than keep a stream. It names it only once all servers of other versions have told that they took no order since they started: servers start empty. A stream goes on if all asked answered and none contradicts. A node that has just started asks its peers once more after a second before it gives a stream up: it may not have known them.

Weighed: the record itself says that a version joined while no node ran (after a second loss nothing tells which loss it means); origins in the store also beside one version (200 KB/s at a node, computed, and no start is certain there); the words of started processes without the proof of the servers.

--- a/internal/dispatch/versions.go
+++ b/internal/dispatch/versions.go
@@ -112,6 +112,36 @@
 	}
 }
 
+// HasVersionJoined reports whether one of the service's versions was first seen after that time.
+func (c *Core) HasVersionJoined(now time.Time, service string, after time.Time) bool {
+	c.RecentVersions(now, service)
+	for _, seen := range c.seenVersions[service] {
+		if seen.since.After(after) {
+			return true
+		}
+	}
+	return false
+}
+
+// ServersBeside returns the service's servers at other software versions than this one. ok is false if one of
+// them is gone or has started again, or if no server of the version holds models.
+func (c *Core) ServersBeside(now time.Time, service, version string) (servers []inventory.Server, ok bool) {
+	c.RecentVersions(now, service)
+	for former := range c.formerVersions[service] {
+		if former != version {
+			return nil, false
+		}
+	}
+	for _, s := range c.byService[service] {
+		if s.info.SoftwareVersion != version {
+			servers = append(servers, s.info)
+		} else if len(s.info.Models) > 0 {
+			ok = true
+		}
+	}
+	return servers, ok
+}
+
 // HasMixedServices reports whether some service had several software versions lately.
 func (c *Core) HasMixedServices(now time.Time) bool {
 	for _, versions := range c.VersionsByService(now) {
--- a/internal/edge/history.go
+++ b/internal/edge/history.go
@@ -47,6 +47,8 @@
 	node *Node
 	// recalls makes requests that wait for the record share one reading.
 	recalls singleflight.Group
+	// witness tells where streams began that no node knows any more.
+	witness *lossWitness
 	// observed is closed once this node knows all servers.
 	observed chan struct{}
 
@@ -57,8 +59,6 @@
 	recorded checkpoint.VersionRecord
 	at       storepos.Position
 	seenAt   time.Time
-	// isRead is set once the record was read, or found to be missing or damaged.
-	isRead bool
 
 	// recalledAt is when the record was last read for requests; only one such reading is under way.
 	recalledAt time.Time
@@ -68,11 +68,15 @@
 }
 
 func newVersionHistory(node *Node) *versionHistory {
-	return &versionHistory{node: node, observed: make(chan struct{})}
+	return &versionHistory{node: node, witness: newLossWitness(node), observed: make(chan struct{})}
 }
 
-// observe records that all servers are known.
+// observe records that all servers are known. The versions of later ones have joined since.
 func (h *versionHistory) observe(now time.Time) {
+	if _, isObserved := h.observationBegan(); isObserved {
+		return
+	}
+	h.recentVersions(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.observedSince.IsZero() {
@@ -126,13 +130,12 @@
 	if err != nil {
 		return object, err
 	}
-	h.mu.Lock()
-	h.isRead = true
-	h.mu.Unlock()
 	if !found {
+		h.witness.recordRead(nil)
 		return object, nil
 	}
 	record, err := checkpoint.DecodeVersionRecord(object.Data)
+	h.witness.recordRead(record)
 	switch {
 	case err == nil:
 		h.adopt(requestedAt, record, object.Position)
@@ -223,10 +226,22 @@
 		case h.isWriteDue(now):
 			h.pauseAfter(h.update(ctx), "version_record_not_updated")
 		}
+		h.serveAsWitness(ctx, clock.Now())
 		sleep(ctx, historyCheckPeriod)
 	}
 }
 
+// serveAsWitness finds out what this node can say of lost streams. Others learn it from the nodes that come first.
+func (h *versionHistory) serveAsWitness(ctx context.Context, now time.Time) {
+	if h.hasObservedLongEnough(now) {
+		return
+	}
+	h.witness.observePeers(now)
+	if rank, _ := h.node.peers.rank(now); rank < historyWriters && now.Sub(h.node.started) >= historyStartDelay {
+		h.witness.proveAll(ctx, now)
+	}
+}
+
 // pauseAfter logs an error of a call, and puts off the next one.
 func (h *versionHistory) pauseAfter(err error, event string) {
 	if err == nil {
@@ -238,10 +253,7 @@
 
 // isReadDue reports whether this node has started too lately to know which of several versions are recorded.
 func (h *versionHistory) isReadDue(now time.Time) bool {
-	h.mu.Lock()
-	isRead := h.isRead
-	h.mu.Unlock()
-	return !isRead && !now.Before(h.nextCall) && !h.hasObservedLongEnough(now) && h.node.origins.checkpoints.hasMixedServices(now)
+	return !h.witness.hasRead() && !now.Before(h.nextCall) && !h.hasObservedLongEnough(now) && h.node.origins.checkpoints.hasMixedServices(now)
 }
 
 func (h *versionHistory) recentVersions(now time.Time) (recent checkpoint.VersionRecord) {
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -265,11 +265,15 @@
 }
 
 func (o *streamOrigins) sweep(now time.Time) {
+	hasObserved := o.node.history.hasObservedLongEnough(now)
 	o.live.Sweep(now)
 	o.checkpoints.sweep(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Sweep(now)
+	if hasObserved {
+		o.table.ForgetDropped()
+	}
 	o.starts.Sweep(now)
 }
 
@@ -304,8 +308,21 @@
 	}
 }
 
-// Find implements relay.Origins. What the nodes that live know decides; the store is asked for the rest.
+// Find implements relay.Origins. What the nodes that live know decides; the store is asked for the rest. A node
+// that has just started may not know yet whom to ask.
 func (o *streamOrigins) Find(ctx context.Context, key origins.Key, service string) relay.OriginAnswer {
+	answer := o.findNow(ctx, key, service)
+	if answer.IsKnown || answer.HasOneVersion() {
+		return answer
+	}
+	hasWaited := o.node.history.awaitPeers(ctx)
+	if isProven := o.node.history.witness.prove(ctx, service); isProven || hasWaited {
+		return o.findNow(ctx, key, service)
+	}
+	return answer
+}
+
+func (o *streamOrigins) findNow(ctx context.Context, key origins.Key, service string) relay.OriginAnswer {
 	answer := o.findAtNodes(ctx, key, service)
 	if answer.Entry.Origin.SoftwareVersion != "" {
 		return answer
@@ -384,7 +401,9 @@
 
 // askPeers asks the nodes that may keep the origin at once, and returns with the first that knows it.
 func (o *streamOrigins) askPeers(ctx context.Context, now time.Time, key origins.Key, service string) relay.OriginAnswer {
-	answer := relay.OriginAnswer{Versions: o.recentVersions(now, service), IsHistoryKnown: o.node.history.isKnown(now, service)}
+	answer := relay.OriginAnswer{
+		Versions: o.recentVersions(now, service), IsHistoryKnown: o.node.history.isKnown(now, service), Lost: o.node.history.witness.word(now, service),
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	asked := o.askedKeepers(now, key)
@@ -399,6 +418,7 @@
 			continue
 		}
 		answer.Versions = mergeVersions(answer.Versions, call.Versions)
+		answer.Lost = answer.Lost.And(decodeLostStreams(call))
 		// An older build that is asked has been running while this node started.
 		answer.IsHistoryKnown = answer.IsHistoryKnown || call.History != peerpb.VersionHistory_VERSION_HISTORY_UNKNOWN
 		if entry, ok := decodeOrigin(now, call.Origin); ok {
@@ -449,6 +469,7 @@
 	if o.node.history.isKnown(now, call.Service) {
 		answer.History = peerpb.VersionHistory_VERSION_HISTORY_KNOWN
 	}
+	encodeLostStreams(answer, o.node.history.witness.word(now, call.Service))
 	o.mu.Lock()
 	if entry, ok := o.table.Find(now, key); ok {
 		answer.Origin = encodeOrigin(now, o.starts.Review(entry))
@@ -456,33 +477,3 @@
 	o.mu.Unlock()
 	o.node.peers.sendMessage(trafficOrigins, []string{call.Asker}, &peerpb.NodeState{OriginCall: answer})
 }
-
-func encodeOrigin(now time.Time, entry origins.Entry) *peerpb.StreamOrigin {
-	return &peerpb.StreamOrigin{
-		Key: entry.Key[:], Service: entry.Origin.Service, SoftwareVersion: entry.Origin.SoftwareVersion,
-		LeftMs: uint32(max(0, entry.ExpiresAt.Sub(now)).Milliseconds()),
-		Server: entry.Server.ID, Born: entry.Server.StartedAtMs, AgeMs: ageMillis(now, entry.RecordedAt),
-		Certain: entry.IsCertain,
-	}
-}
-
-func encodeOrigins(now time.Time, entries []origins.Entry) (encoded []*peerpb.StreamOrigin) {
-	for _, entry := range entries {
-		encoded = append(encoded, encodeOrigin(now, entry))
-	}
-	return encoded
-}
-
-// decodeOrigin decodes an origin; ok is false if it is absent or invalid.
-func decodeOrigin(now time.Time, encoded *peerpb.StreamOrigin) (entry origins.Entry, ok bool) {
-	if encoded == nil || encoded.Service == "" || max(len(encoded.Service), len(encoded.SoftwareVersion), len(encoded.Server)) > origins.MaxTextBytes {
-		return entry, false
-	}
-	key, ok := origins.DecodeKey(encoded.Key)
-	return origins.Entry{
-		Key: key, Origin: origins.Origin{Service: encoded.Service, SoftwareVersion: encoded.SoftwareVersion},
-		ExpiresAt: now.Add(time.Duration(encoded.LeftMs) * time.Millisecond),
-		Server:    inventory.Start{ID: encoded.Server, StartedAtMs: encoded.Born}, RecordedAt: now.Add(-time.Duration(encoded.AgeMs) * time.Millisecond),
-		IsCertain: encoded.Certain,
-	}, ok
-}
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -72,10 +72,14 @@
 	entries map[Key]Entry
 	// order lists the keys from the oldest to the newest; it may hold keys that are gone.
 	order []Key
+	// forgotten holds where streams began that were dropped.
+	forgotten map[Origin]bool
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: make(map[Key]Entry)} }
+func NewTable() *Table {
+	return &Table{entries: make(map[Key]Entry), forgotten: make(map[Origin]bool)}
+}
 
 // Put records an origin, or merges it with the known one. When the table is full the oldest one is dropped.
 func (t *Table) Put(now time.Time, entry Entry) {
@@ -83,6 +87,7 @@
 		entry.ExpiresAt = limit
 	}
 	if !entry.ExpiresAt.After(now) {
+		t.forgotten[entry.Origin] = true
 		return
 	}
 	known, isKnown := t.entries[entry.Key]
@@ -95,7 +100,7 @@
 	}
 	t.order = append(t.order, entry.Key)
 	for len(t.entries) > maxEntries {
-		delete(t.entries, t.order[0])
+		t.drop(t.order[0])
 		t.order = t.order[1:]
 	}
 }
@@ -126,11 +131,37 @@
 		if _, ok := t.Find(now, key); ok {
 			return false
 		}
-		delete(t.entries, key)
+		t.drop(key)
 		return true
 	})
 }
 
+func (t *Table) drop(key Key) {
+	if entry, ok := t.entries[key]; ok {
+		t.forgotten[entry.Origin] = true
+		delete(t.entries, key)
+	}
+}
+
+// HasForgottenOther reports whether a stream was dropped that began in the service at another software version
+// than this one, or at an unknown one.
+func (t *Table) HasForgottenOther(now time.Time, origin Origin) bool {
+	for forgotten := range t.forgotten {
+		if forgotten.Service == origin.Service && forgotten != origin {
+			return true
+		}
+	}
+	for _, entry := range t.entries {
+		if entry.Origin.Service == origin.Service && entry.Origin != origin && !entry.ExpiresAt.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// ForgetDropped clears what HasForgottenOther reports of streams that were dropped before.
+func (t *Table) ForgetDropped() { clear(t.forgotten) }
+
 // Member is a node that may keep origins.
 type Member struct {
 	Address string
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -40,11 +40,20 @@
 	IsHistoryKnown bool
 	// IsPartial is set if not all of those that may know more have answered.
 	IsPartial bool
+	// Lost says at which versions a stream may have begun that no node knows, by all that answered.
+	Lost origins.LostStreams
 }
 
 // HasOneVersion reports whether all streams of the service began at the same software version.
 func (a OriginAnswer) HasOneVersion() bool { return a.IsHistoryKnown && len(a.Versions) <= 1 }
 
+// lostVersion returns the version at which a stream began that nobody knows any more; ok is false if that may be
+// any.
+func (a OriginAnswer) lostVersion() (version string, ok bool) {
+	version, ok = a.Lost.Version()
+	return version, ok && !a.IsKnown && !a.IsPartial
+}
+
 // originSource says how the origin of a stream became known, in logs.
 type originSource string
 
@@ -57,6 +66,8 @@
 	OriginFromPeer   originSource = "peer"
 	OriginFromStore  originSource = "store"
 	originOneVersion originSource = "one_version"
+	// originBeforeLoss is for streams that began before all nodes were lost.
+	originBeforeLoss originSource = "before_loss"
 )
 
 // Reasons of refusals and broken-off answers of streams that cannot go on.
@@ -124,6 +135,12 @@
 		x.setOrigin(origins.Origin{Service: x.service, SoftwareVersion: onlyVersion(answer.Versions)}, originOneVersion)
 		return true
 	}
+	// Another service of the route may have begun a stream that nobody knows, and servers without models do not
+	// tell whether they did.
+	if version, ok := answer.lostVersion(); ok && x.needsModel && len(x.route.Services) == 1 {
+		x.setOrigin(origins.Origin{Service: x.service, SoftwareVersion: version}, originBeforeLoss)
+		return true
+	}
 	x.handler.Metrics.VersionUnknown.Add(1)
 	if answer.IsPartial {
 		x.refuse(reasonVersionUnknown, partialAnswerRetryDelay)
