A node that waits for its peers does not decide by the record that it has just written

Cause: the first fleet was lost 0.7 s after its start, before it had written a record. Started nodes found none, and held the streams until they were a second old, when the first writer names what serves now; that was then taken for what served before (began_told_by=one_version). Before the wait they were refused at once.

Change: a node waits only where the record is known. Red before: edge TestStartedNodeDoesNotBelieveItsOwnRecord. That a record which the nodes wrote themselves is believed once it is there is older and stays; it is named in the design's "What is left".

--- a/internal/edge/lost_streams_test.go
+++ b/internal/edge/lost_streams_test.go
@@ -126,3 +126,22 @@
 		t.Errorf("got %+v, want the origin from the peer", got)
 	}
 }
+
+// TestStartedNodeDoesNotBelieveItsOwnRecord guards against streams that wait for peers until this node has written a
+// record where none was, and then go on at the one version that it names.
+func TestStartedNodeDoesNotBelieveItsOwnRecord(t *testing.T) {
+	store := newFakeCheckpoints()
+	node := newVersionedNodes(t, 1, "v2")[0]
+	node.options.Checkpoints = store
+	node.history.observe(clock.Now())
+	node.started = clock.Now()
+	written := make(chan error, 1)
+	time.AfterFunc(historyStartDelay/4, func() { written <- node.history.update(context.Background()) })
+	got := node.origins.Find(context.Background(), origins.NewKey("", "lost"), "s")
+	if got.IsKnown || got.HasOneVersion() {
+		t.Errorf("got %+v, want a stream of unknown version", got)
+	}
+	if err := <-written; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -312,7 +312,8 @@
 // that has just started may not know yet whom to ask.
 func (o *streamOrigins) Find(ctx context.Context, key origins.Key, service string) relay.OriginAnswer {
 	answer := o.findNow(ctx, key, service)
-	if answer.IsKnown || answer.HasOneVersion() {
+	if answer.IsKnown || answer.HasOneVersion() || !answer.IsHistoryKnown {
+		// A record that is written meanwhile names what serves now, and would be taken for what served before.
 		return answer
 	}
 	hasWaited := o.node.history.awaitPeers(ctx)
