Tokens do not wait at the node for something that is none

Cause: a token was not flushed if any further line was buffered, whatever it held; what is no token flushes nothing. Found while comments were tried; no token was lost or out of order by it.

Change: the stream says when it is about to wait for bytes, and the tokens are flushed then, and before the node waits for another connection. Tokens that come together still go on together. TestTheBlankLineAfterAnEventIsNoFurtherEvent asked what is gone now (Buffered); TestNextSaysThatItWaits asks the same four cases of the wait itself, and two more.

--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -20,9 +20,6 @@
 	eventDone   = []byte("[DONE]")
 )
 
-// lineEnds are the bytes that end lines: either alone, or both in this order.
-const lineEnds = "\r\n"
-
 // ErrDone is returned by Stream.Next at the stream's terminator.
 var ErrDone = errors.New("answer stream is complete")
 
@@ -37,6 +34,8 @@
 	isAfterReturn bool
 	// data is what an event has brought on several lines.
 	data []byte
+	// beforeWait is nil if nobody wants to know.
+	beforeWait func() error
 	// hint holds the availability hint in the response headers.
 	hint inventory.Hint
 }
@@ -81,13 +80,9 @@
 	}
 }
 
-// Buffered reports whether another event can be read without blocking. The blank
-// line that ends an event does not count, and neither does a partial line:
-// otherwise an event would stay unflushed until the next one arrives.
-func (s *Stream) Buffered() bool {
-	buffered, _ := s.reader.Peek(s.reader.Buffered())
-	return lineEnd(bytes.TrimLeft(buffered, lineEnds)) >= 0
-}
+// BeforeWait sets a function that is called whenever Next is about to wait for bytes. Its error ends Next, which
+// returns it.
+func (s *Stream) BeforeWait(call func() error) { s.beforeWait = call }
 
 // Close closes the stream and its connection.
 func (s *Stream) Close() {
@@ -98,7 +93,7 @@
 func (s *Stream) readLine() ([]byte, error) {
 	s.longLine = s.longLine[:0]
 	for {
-		if _, err := s.reader.Peek(1); err != nil {
+		if err := s.await(); err != nil {
 			return nil, err
 		}
 		buffered, _ := s.reader.Peek(s.reader.Buffered())
@@ -126,6 +121,17 @@
 	}
 }
 
+// await returns once a byte is buffered.
+func (s *Stream) await() error {
+	if s.reader.Buffered() == 0 && s.beforeWait != nil {
+		if err := s.beforeWait(); err != nil {
+			return err
+		}
+	}
+	_, err := s.reader.Peek(1)
+	return err
+}
+
 // discard drops bytes that are buffered.
 func (s *Stream) discard(count int) {
 	_, _ = s.reader.Discard(count)
--- a/internal/backend/stream_test.go
+++ b/internal/backend/stream_test.go
@@ -90,7 +90,7 @@
 			_, _ = io.WriteString(writer, `data: {"id":"r1","attempt":1,"sequence":0,"text":"a"}`+lineEnd+lineEnd)
 		}()
 		var chunk Chunk
-		if err := stream.Next(&chunk); err != nil || chunk.Text != "a" || stream.Buffered() {
+		if err := stream.Next(&chunk); err != nil || chunk.Text != "a" {
 			t.Errorf("%q: %+v, %v", lineEnd, chunk, err)
 		}
 		stream.Close()
@@ -141,27 +141,31 @@
 	}
 }
 
-func TestTheBlankLineAfterAnEventIsNoFurtherEvent(t *testing.T) {
+// TestNextSaysThatItWaits guards against tokens that are held for others which have not come: neither the blank line
+// behind an event, nor a comment, nor a part of the next event ends the wait.
+func TestNextSaysThatItWaits(t *testing.T) {
 	const event = `data: {"id":"r","attempt":1,"sequence":0,"text":"a"}` + "\n\n"
-	tests := []struct {
-		name string
+	errWaits := errors.New("waits")
+	for name, c := range map[string]struct {
 		text string
-		want bool
+		want error
 	}{
-		{"alone", event, false},
-		{"with carriage returns", strings.ReplaceAll(event, "\n", "\r\n"), false},
-		{"followed by the next", event + event, true},
-		{"followed by half of the next", event + event[:20], false},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			stream := newStream(io.NopCloser(strings.NewReader(test.text)))
+		"alone":                        {event, errWaits},
+		"with carriage returns":        {strings.ReplaceAll(event, "\n", "\r\n"), errWaits},
+		"followed by the next":         {event + event, nil},
+		"followed by half of the next": {event + event[:20], errWaits},
+		"followed by a comment":        {event + ": here\n\n", errWaits},
+		"followed by the end":          {event + "data: [DONE]\n\n", ErrDone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stream := newStream(io.NopCloser(strings.NewReader(c.text)))
 			var chunk Chunk
 			if err := stream.Next(&chunk); err != nil {
 				t.Fatal(err)
 			}
-			if got := stream.Buffered(); got != test.want {
-				t.Errorf("Buffered() = %t, want %t", got, test.want)
+			stream.BeforeWait(func() error { return errWaits })
+			if err := stream.Next(&chunk); !errors.Is(err, c.want) {
+				t.Errorf("%v, want %v", err, c.want)
 			}
 		})
 	}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -30,9 +30,9 @@
 	eventBuffer   []byte
 	bufferedText  []byte
 	deadlineSetAt time.Time
-	// hasMore reports whether the engine's next token is already buffered, so that
-	// the flush can wait for it.
-	hasMore func() bool
+	// isUnflushed is set while events wait for those behind them, which have come from the engine together with
+	// them.
+	isUnflushed bool
 }
 
 func newCompletionWriter(c *call, header backend.CompletionRequest, chat bool) *completionWriter {
@@ -98,27 +98,34 @@
 	return "}]}\n\n"
 }
 
-// writeEvent writes an event and flushes it unless the next one is already buffered.
+// writeEvent writes an event, which waits for flush.
 func (a *completionWriter) writeEvent(event []byte) error {
 	if now := time.Now(); now.Sub(a.deadlineSetAt) > a.call.gateway.limits.WriteTimeout/4 {
 		a.call.extendWrite()
 		a.deadlineSetAt = now
 	}
-	if _, err := a.call.writer.Write(event); err != nil {
-		return err
-	}
-	if a.hasMore != nil && a.hasMore() {
+	a.isUnflushed = true
+	_, err := a.call.writer.Write(event)
+	return err
+}
+
+// flush sends what has been written to the caller. It is due before anything else is waited for.
+func (a *completionWriter) flush() error {
+	if !a.isUnflushed {
 		return nil
 	}
+	a.isUnflushed = false
 	return a.call.control.Flush()
 }
 
 // writeLast writes what ends the stream.
 func (a *completionWriter) writeLast(events []byte) error {
-	a.hasMore = nil
 	if err := a.writeEvent(events); err != nil {
 		return err
 	}
+	if err := a.flush(); err != nil {
+		return err
+	}
 	if a.isEndGuarded {
 		callerconn.ReleaseEnd(a.call.writer, a.call.request)
 	}
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -169,7 +169,7 @@
 	r.isLimited = winner.isLimited
 	r.record.backend, r.record.attempts = winner.engine.Name, max(r.record.attempts, winner.attempt)
 	if winner.connection.stream != nil {
-		r.response.hasMore = winner.connection.stream.Buffered
+		winner.connection.stream.BeforeWait(r.flush)
 	}
 }
 
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -137,7 +137,7 @@
 		return r.connectionLost(err)
 	}
 	r.connection.stream = stream
-	r.response.hasMore = stream.Buffered
+	stream.BeforeWait(r.flush)
 	return nil
 }
 
@@ -165,7 +165,7 @@
 // connectionLost returns the message for the end of a connection.
 func (r *modelRun) connectionLost(err error) attempt.Message {
 	switch {
-	case r.request.Context().Err() != nil:
+	case r.request.Context().Err() != nil, r.deliveryErr != nil:
 		return attempt.CallerGone{}
 	case r.connection.timedOut.Load():
 		return attempt.Tick{}
--- a/internal/gateway/model_run.go
+++ b/internal/gateway/model_run.go
@@ -91,6 +91,10 @@
 // results from the blocking effect, if there was one.
 func (r *modelRun) perform(effects []attempt.Effect) (next attempt.Message, finish *attempt.Finish) {
 	for _, effect := range effects {
+		if isWait(effect) && r.flush() != nil {
+			next = attempt.CallerGone{}
+			continue
+		}
 		switch effect := effect.(type) {
 		case *attempt.Deliver:
 			r.reportFirstToken()
@@ -118,6 +122,15 @@
 	return next, finish
 }
 
+// isWait reports whether the effect waits for a back end.
+func isWait(effect attempt.Effect) bool {
+	switch effect.(type) {
+	case attempt.Open, attempt.Resume, attempt.Reassign:
+		return true
+	}
+	return false
+}
+
 // reportFirstToken reports each attempt's first token to the dispatcher once.
 func (r *modelRun) reportFirstToken() {
 	if r.firstTokenSent {
@@ -127,6 +140,15 @@
 	r.gateway.models.send(firstTokenReceived{ticket: r.ticket, latency: r.gateway.now().Sub(r.openedAt)})
 }
 
+// flush sends the tokens that have been written to the caller.
+func (r *modelRun) flush() error {
+	err := r.response.flush()
+	if err != nil {
+		r.deliveryErr = err
+	}
+	return err
+}
+
 // deliveryFailed tells the core that the caller no longer receives the response.
 func (r *modelRun) deliveryFailed(err error) attempt.Message {
 	r.deliveryErr = err
