--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -9,10 +9,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/spanlanding/spanlanding/internal/attempt"
 	"github.com/spanlanding/spanlanding/internal/backend"
 	"github.com/spanlanding/spanlanding/internal/claim"
+	"github.com/spanlanding/spanlanding/internal/poison"
 )
 
 // unframedService answers each request with a body that ends with its connection, once onRequest has returned.
@@ -98,6 +100,42 @@
 	}
 }
 
+// TestCrashOfAServerThatIsStillClosingIsBlamed guards against requests that end servers unseen: while the kernel
+// closes the sockets of a process, a connection still comes up.
+func TestCrashOfAServerThatIsStillClosingIsBlamed(t *testing.T) {
+	suspects := &localSuspects{tracker: poison.NewTracker()}
+	h := newHarness(t, func(options *Options) { options.Suspects = suspects })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := h.backend(func(http.ResponseWriter, *http.Request) {})
+	go func() {
+		defer listener.Close()
+		running, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if request, err := http.ReadRequest(bufio.NewReader(running)); err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		h.addService("s2", other)
+		_ = running.Close()
+		if probe, err := listener.Accept(); err == nil {
+			_ = probe.Close()
+		}
+	}()
+	h.addService("s1", listener.Addr().String())
+	if got := h.do(http.MethodPost, "/turbines/7/stop", "now"); got.status != http.StatusBadGateway {
+		t.Errorf("%d %+v", got.status, got.problem)
+	}
+	for limit := time.Now().Add(10 * time.Second); len(suspects.EndedRecently()) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("nothing was blamed")
+		}
+	}
+}
+
 // TestRunsThatGoOnDifferentlyAreNotJoined guards against answers made of two runs, or short ones: what an engine
 // writes when it goes on behind the third token need not be the rest of what the caller has.
 func TestRunsThatGoOnDifferentlyAreNotJoined(t *testing.T) {
