Soak: servers that are killed while they answer without a length, and callers of HTTP/1.0

The kind servers-killed closes a server's listener and its connections in order, as the kernel of a process that is killed does; another server comes in its place. Runs that draw it have answers that end with their connections, and two callers of HTTP/1.0 at each node. The judge takes a success with missing events for MIXED, as ever.

--- a/test/platform/network_test.go
+++ b/test/platform/network_test.go
@@ -123,6 +123,18 @@
 	}
 }
 
+// end closes the listener and all connections, as a kernel does when a process ends.
+func (p *proxy) end() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	conns := slices.Clone(p.conns)
+	p.conns = nil
+	p.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
+
 func (p *proxy) accept() {
 	for {
 		conn, err := p.listener.Accept()
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -79,6 +79,8 @@
 	// received counts the requests that were not rejected for want of their model, and endlessCount those of
 	// them that got such an answer.
 	received, endlessCount int
+	// endsWithConnection has answers end with their connections, without a length.
+	endsWithConnection bool
 	// onPoison handles poison requests; if nil, they run like any other request.
 	onPoison func(writer http.ResponseWriter, request *http.Request, body string)
 	// coldSince and coldUntil delimit the cold-start phase; zero for servers without one.
@@ -360,6 +362,10 @@
 	}
 	m.mu.Unlock()
 	writer.Header().Set("Server-Stamp", m.id)
+	if m.endsWithConnection {
+		writer.Header().Set("Connection", "close")
+		writer.Header().Set("Transfer-Encoding", "identity")
+	}
 	switch {
 	case loseAnswer:
 		resetConnection(writer)
--- a/test/platform/soak_callers_test.go
+++ b/test/platform/soak_callers_test.go
@@ -47,6 +47,7 @@
 // startCallers starts all callers.
 func (s *soak) startCallers() {
 	s.startCaller(s.callPooled)
+	s.startSimpleCallers()
 	for i, c := range s.controls {
 		s.startCaller(func() { s.pollReadiness(c) })
 		s.startCaller(func() { s.probeKeys(c.node) })
--- a/test/platform/soak_faults_test.go
+++ b/test/platform/soak_faults_test.go
@@ -64,7 +64,10 @@
 }
 
 // allKinds returns all kinds of faults.
-func allKinds() []kind { return append(sixthKinds(), answerKinds()...) }
+func allKinds() []kind { return append(seventhKinds(), killKind()) }
+
+// seventhKinds returns the kinds that seeds up to 29,999 were played with.
+func seventhKinds() []kind { return append(sixthKinds(), answerKinds()...) }
 
 // sixthKinds returns the kinds that seeds up to 23,999 were played with.
 func sixthKinds() []kind { return append(fifthKinds(), surplusKind()) }
@@ -196,6 +199,8 @@
 		return fifthKinds(), nil
 	case "sixth":
 		return sixthKinds(), nil
+	case "seventh":
+		return seventhKinds(), nil
 	}
 	var named []kind
 	for name := range strings.SplitSeq(list, ",") {
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -293,6 +293,7 @@
 	m.onPoison = func(writer http.ResponseWriter, request *http.Request, body string) {
 		s.crashOnPoison(m, writer, request, body)
 	}
+	m.endsWithConnection = s.options.draws(killedServerKind)
 	m.listen(s.t)
 	m.startID = time.Now().UnixMilli()
 	if s.options.hasProxies {
