A server that does not answer is not known to live

Cause: where the question for the start got no answer, the probe decided, and an address that accepts connections was a sign of life. A proxy or a supervisor that holds the address accepts them for a server that is gone.

Change: where starts are told, only an answer is a sign of life. The probe decides where the server is not asked: it limits its requests, or its service tells no starts. Whole streams without a length of a server that resets each new connection, and has none open, are broken off, or taken up, as well.

--- a/internal/relay/ended_start_test.go
+++ b/internal/relay/ended_start_test.go
@@ -27,7 +27,7 @@
 		"another one that answered the request":     {[]StartAnswer{{Outcome: StartTold, Start: other}}, true, true},
 		"another one answers once it is asked anew": {[]StartAnswer{{Outcome: StartUnanswered}, {Outcome: StartTold, Start: other}}, false, false},
 		"it tells no start":                         {[]StartAnswer{{Outcome: StartTold}}, false, true},
-		"it does not answer, and listens":           {[]StartAnswer{{Outcome: StartUnanswered}, {Outcome: StartUnanswered}}, false, true},
+		"it does not answer, and listens":           {[]StartAnswer{{Outcome: StartUnanswered}, {Outcome: StartUnanswered}}, false, false},
 		"it was down, and listens again":            {[]StartAnswer{{Outcome: StartServerDown}}, false, false},
 		"it is not asked, and listens":              {[]StartAnswer{{Outcome: StartNotAdmitted}}, false, true},
 	} {
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -98,7 +98,7 @@
 	switch x.checkStart(choice) {
 	case startLives:
 		return true
-	case startDown, startReplaced:
+	case startSilent, startReplaced:
 		return false
 	default:
 		return x.handler.options.Pool.ProbeAfterClose(x.ctx, choice.Address) == backendconn.LivenessAlive
@@ -109,11 +109,11 @@
 type startCheck int
 
 const (
-	// startUntold: the server said nothing, or does not tell starts.
+	// startUntold: the server was not asked, or does not tell starts.
 	startUntold startCheck = iota
 	startLives
-	// startDown: nothing listens at the address. Something may again at once.
-	startDown
+	// startSilent: the server does not answer. What listens at its address may be another start, or a proxy.
+	startSilent
 	// startReplaced: another start answers at the address, and may not be the one that answered the request.
 	startReplaced
 )
@@ -136,14 +136,16 @@
 			return startLives
 		case answer.Outcome == StartTold:
 			return startReplaced
+		case answer.Outcome == StartNotAdmitted:
+			return x.knownReplacement(start)
 		case answer.Outcome == StartServerDown:
-			return startDown
+			return startSilent
 		}
 	}
-	return x.knownReplacement(start)
+	return startSilent
 }
 
-// knownReplacement is what the server's entry tells where the server itself does not.
+// knownReplacement is what the server's entry tells where the server is not asked.
 func (x *exchange) knownReplacement(start inventory.Start) (check startCheck) {
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) {
 		if core.KnowsOtherStart(start) {
--- a/test/platform/soak_kept_test.go
+++ b/test/platform/soak_kept_test.go
@@ -31,6 +31,7 @@
 	{seed: 13002, kinds: "third", duration: 10 * time.Second, cause: "a node that was frozen during a store rollback passed on an evacuation that had ended; only 4 of 8 running servers were considered usable"},
 	{seed: 16019, kinds: "third", duration: 10 * time.Second, cause: "a node that noticed an outage late took all servers for gone, whose entries had expired in it; only 4 of 8 running servers were considered usable after the store went back"},
 	{seed: 4032, kinds: "third", duration: 10 * time.Second, cause: "a node took all servers for gone whose entries expired in an outage that none of its calls saw, and those who heard of it held that against the restored copy for 30 s; only 6 of 8 running servers were considered usable"},
+	{seed: 11, kinds: "servers-killed,kill,freeze,stop,same-id-again", duration: time.Second, cause: "an address that accepted connections was taken for a server that lives, so that short streams of servers that were starting again looked whole"},
 	{seed: 513, kinds: "first", cause: "a notice about a retained entry had no effect beyond the choice of servers; only 1 of 8 running servers was considered usable"},
 }
 
