--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -48,7 +48,8 @@
 	// was longer than is read.
 	HeadsTooLong, EventsTooLong atomic.Int64
 	// UnframedEnds counts the responses of servers that ended with their connection, in order, and
-	// EndedWithServer counts those of them that were not taken for whole, as their server had ended too.
+	// EndedWithServer counts those of them that were not taken for whole, as their server had ended too or gave no
+	// sign of life.
 	UnframedEnds, EndedWithServer atomic.Int64
 	// EventsOutOfOrder counts the events that were not passed on, as they may not follow the ones before.
 	EventsOutOfOrder atomic.Int64
