Long IDs of events are logged by their beginning, and cost no arithmetic

An ID may be as long as an event: a server that writes such ones made each line on the request as long, and numbers of a million digits were parsed and subtracted.

--- a/internal/eventstream/id.go
+++ b/internal/eventstream/id.go
@@ -28,8 +28,8 @@
 	return cmp.Or(cmp.Compare(len(aNumber), len(bNumber)), strings.Compare(aNumber, bNumber)), true
 }
 
-// stepBetween is the difference of the numbers of two IDs; 0 if it does not rise, is not known, or has more
-// than 64 bits.
+// stepBetween is the difference of the numbers of two IDs; 0 if it does not rise, is not known, has more than 64
+// bits, or is that of numbers of more than maxDigits.
 func stepBetween(lastID, id string) uint64 {
 	if order, ok := compareIDs(lastID, id); !ok || order >= 0 {
 		return 0
@@ -44,8 +44,14 @@
 	return wideStep(last, number)
 }
 
+// maxDigits bounds the numbers that are subtracted: an ID may be as long as an event.
+const maxDigits = 128
+
 // wideStep is stepBetween for numbers of more than 64 bits.
 func wideStep(last, number string) uint64 {
+	if len(number) > maxDigits {
+		return 0
+	}
 	from, fromOK := new(big.Int).SetString(last, 10)
 	to, toOK := new(big.Int).SetString(number, 10)
 	if !fromOK || !toOK {
--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -173,3 +173,19 @@
 		t.Errorf("steps of %d after long, want 5", counter.Steps())
 	}
 }
+
+// TestLongIDsCostNoArithmetic guards against servers whose IDs are as long as events may be.
+func TestLongIDsCostNoArithmetic(t *testing.T) {
+	long := strings.Repeat("9", 1<<20)
+	if step := stepBetween(long[:len(long)-1]+"8", long); step != 0 {
+		t.Errorf("a step of %d", step)
+	}
+	var order Order
+	order.Resume(long)
+	if _, err := order.Next(Event{ID: "1" + long, HasFields: true}, nil, StepsOfOne); err != nil {
+		t.Error(err)
+	}
+	if _, err := order.Next(Event{ID: long, HasFields: true}, nil, StepsOfOne); !errors.Is(err, ErrNotRising) {
+		t.Errorf("%v, want %v", err, ErrNotRising)
+	}
+}
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -116,12 +116,18 @@
 		entry.Str("framing", string(x.framing)).Str("ending", string(x.ending))
 	}
 	if x.lastEventID != "" {
-		entry.Str("last_event", x.lastEventID)
+		entry.Str("last_event", loggedID(x.lastEventID))
 	}
 	if x.joint.count > 0 {
-		entry.Int("joints", x.joint.count).Str("joined_behind", x.joint.behind).Str("joined_with", x.joint.first)
+		entry.Int("joints", x.joint.count).Str("joined_behind", loggedID(x.joint.behind)).Str("joined_with", loggedID(x.joint.first))
 	}
 	if !x.request.ProtoAtLeast(1, 1) {
 		entry.Str("protocol", x.request.Proto)
 	}
 }
+
+// maxLoggedIDBytes bounds the ID of an event in a line: it may be as long as an event.
+const maxLoggedIDBytes = 64
+
+// loggedID is the beginning of an event's ID.
+func loggedID(id string) string { return id[:min(len(id), maxLoggedIDBytes)] }
--- a/internal/relay/order.go
+++ b/internal/relay/order.go
@@ -78,5 +78,5 @@
 func (x *exchange) logDisorder(err error, event eventstream.Event) {
 	x.handler.Metrics.EventsOutOfOrder.Add(1)
 	x.handler.options.Logger.Warn().Str("request", x.head.RequestID).Str("service", x.service).Str("server", x.serverID).
-		Str("last_event", x.order.LastID()).Str("event_id", event.ID).Int("events", x.eventCount).Err(err).Msg("event_out_of_order")
+		Str("last_event", loggedID(x.order.LastID())).Str("event_id", loggedID(event.ID)).Int("events", x.eventCount).Err(err).Msg("event_out_of_order")
 }
