--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -189,3 +189,36 @@
 		t.Errorf("%v, want %v", err, ErrNotRising)
 	}
 }
+
+// FuzzOrder plays two runs of arbitrary events: IDs that can be compared rise from one event that is passed on to the
+// next, over the joint as well.
+func FuzzOrder(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\ndata: b\n\n"), []byte("data: b\n\nid: 2\n\n"), uint8(1))
+	f.Add([]byte("id: e-9\n\nid: e-10\n\n"), []byte("id: e-9\n\n"), uint8(0))
+	f.Add([]byte("id: 99999999999999999999\n\n"), []byte("id: 100000000000000000000\r\n\r\n"), uint8(2))
+	f.Fuzz(func(t *testing.T, first, second []byte, steps uint8) {
+		var order Order
+		last := ""
+		for _, run := range [][]byte{first, second} {
+			order.Resume(order.LastID())
+			events, _ := split(string(run))
+			for _, text := range events {
+				event := Parse([]byte(text))
+				pass, err := order.Next(event, []byte(text), Steps(steps))
+				if err != nil {
+					break
+				}
+				if !pass || event.ID == "" {
+					continue
+				}
+				if compared, ok := compareIDs(last, event.ID); ok && compared >= 0 {
+					t.Errorf("%q is passed on behind %q", event.ID, last)
+				}
+				last = event.ID
+			}
+		}
+		if order.LastID() != last {
+			t.Errorf("the last ID is %q, want %q", order.LastID(), last)
+		}
+	})
+}
