Test: commands through peers begin once the node that is cut off has noticed that

In one run of all tests 146 of 192 commands were refused (too_many_sends within 0.1 ms, before the node had asked whether any server is reached), so that too few were forwarded for the check. It waits until a command has been served by a peer.

--- a/test/platform/stream_cut_test.go
+++ b/test/platform/stream_cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -82,6 +83,8 @@
 func TestAnswersThroughPeersAreNotTakenForWhole(t *testing.T) {
 	t.Parallel()
 	s := newCutSchedule(t, "commands", streamScript{Framing: framedByClose, PlainBytes: 200_000, Pause: 20 * time.Millisecond}, 1)
+	s.awaitReady()
+	eventually(t, "the node that is cut off serves commands by its peers", func() bool { return s.nodes[0].send("/command/x", "").status == http.StatusOK })
 	stop := s.disruptUntil(cutDisruptionPause, serverKilled, nodeKilled, nodePaused)
 	for _, protocol := range []string{"1.1", "1.0"} {
 		s.runCommands(protocol, scheduledStreams)
