Test: cut answers to orders and reports are played with a long limit on dials

At load 79 a connection on loopback took longer than 0.5 s, so that no order was sent and the check on the number of sends failed. relay's tests of the same kind have such a limit.

--- a/internal/cutanswer/server.go
+++ b/internal/cutanswer/server.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // Ending is how a connection ends.
@@ -20,6 +21,9 @@
 	Reset Ending = "reset"
 )
 
+// DialTimeout is longer than any connection on loopback takes on a busy machine.
+const DialTimeout = 10 * time.Second
+
 // Endings are all of them.
 var Endings = []Ending{Closed, Reset}
 
