Early answers without a length whose connection breaks are not whole

Callers saw: a server answered a long upload early with a 200 that had neither a length nor chunks, sent a part of the body and reset the connection while the upload was still being written.

Cause: Linux reports a reset to one system call on the socket. Requests over 4 kB are written by a goroutine of their own. If the write got the reset, the read behind it found an end in order, which ends a body that is framed by its connection. The outcome of the write was looked at only when a connection was to be kept. Where the server sent FIN first, the outcome was not known yet.

Change: a body that is framed by its connection ends once the server's kernel has acknowledged the whole request (package delivery: SIOCOUTQ, TCP_INFO). A failed write, or a connection that is closed by then, is a broken answer. The wait ends at the deadline, or with the caller. This works because the state of the socket tells of the reset whichever call got it.

--- a/internal/backendconn/doc.go
+++ b/internal/backendconn/doc.go
@@ -5,6 +5,6 @@
 // why only net/http's code for reading and writing headers is used here. The edge owns a pool; the
 // relay and the platform package send through it, and the gateway probes servers with one.
 //
-// Apart from the standard library it may import bounded, clock, errorx, golang.org/x/sync and
+// Apart from the standard library it may import bounded, clock, delivery, errorx, golang.org/x/sync and
 // golang.org/x/sys.
 package backendconn
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -16,6 +16,7 @@
 
 	"github.com/spanlanding/spanlanding/internal/bounded"
 	"github.com/spanlanding/spanlanding/internal/clock"
+	"github.com/spanlanding/spanlanding/internal/delivery"
 )
 
 // Request is one request as it is sent to a server.
@@ -49,7 +50,7 @@
 	return time.Now().Add(clock.Until(r.Deadline))
 }
 
-// Response is a server's response. Read its body to the end, or call Close.
+// Response is a server's response. Call Close once it is no longer needed.
 type Response struct {
 	Status        int
 	Header        http.Header
@@ -61,6 +62,8 @@
 	exchange  *exchange
 	keepAlive bool
 	done      bool
+	// endedAt is when a body that is framed by its connection ended; zero before.
+	endedAt time.Time
 }
 
 // Framing is a way to tell the end of a response's body (RFC 9112, section 6.3).
@@ -98,6 +101,7 @@
 
 type exchange struct {
 	conn     *Conn
+	deadline time.Time
 	stop     func() bool
 	written  chan struct{}
 	writeErr error
@@ -107,8 +111,8 @@
 // RoundTrip sends the request and returns its response once the headers are read. If ctx ends, the
 // connection is reset, which cancels the request at the server.
 func (c *Conn) RoundTrip(ctx context.Context, request Request) (*Response, error) {
-	x := &exchange{conn: c, written: make(chan struct{})}
 	deadline := request.connDeadline()
+	x := &exchange{conn: c, deadline: deadline, written: make(chan struct{})}
 	_ = c.SetDeadline(deadline)
 	x.stop = context.AfterFunc(ctx, c.reset)
 	if err := ctx.Err(); err != nil {
@@ -246,21 +250,61 @@
 	return nil
 }
 
-// Read reads the body. At its end the connection is kept for reuse if possible.
+// Read reads the body. At its end the connection is kept for reuse if possible. A body that is framed by its
+// connection ends once the server has the whole request.
 func (r *Response) Read(into []byte) (int, error) {
-	if r.done {
+	if r.done || !r.endedAt.IsZero() {
 		return 0, io.EOF
 	}
 	count, err := r.body.Read(into)
-	switch {
-	case errors.Is(err, io.EOF):
-		r.finish()
-	case err != nil:
+	if errors.Is(err, io.EOF) {
+		err = r.end()
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
 		r.Close()
 	}
 	return count, err
 }
 
+// end returns io.EOF if the body is whole as far as can be told now.
+func (r *Response) end() error {
+	if r.Framing != FramedByClose {
+		r.finish()
+		return io.EOF
+	}
+	if err := r.exchange.awaitDelivery(); err != nil {
+		return ErrMaybeSent.Wrap(err, "the response ended before its request was delivered")
+	}
+	r.endedAt = time.Now()
+	return io.EOF
+}
+
+// awaitDelivery returns once the server's kernel has the whole request. Reads cannot tell whether the
+// connection was reset while the request was written.
+func (x *exchange) awaitDelivery() error {
+	<-x.written
+	if x.writeErr != nil {
+		return x.writeErr
+	}
+	return delivery.Await(x.conn.Conn, x.deadline)
+}
+
+// ConfirmEnd reports whether no reset followed the end of a body that is framed by its connection, within the
+// time that the kernel takes to close the sockets of a process. It must be called before Close, and returns at
+// once for other framings.
+func (r *Response) ConfirmEnd(ctx context.Context) bool {
+	if r.Framing != FramedByClose {
+		return true
+	}
+	timer := time.NewTimer(time.Until(r.endedAt.Add(closeTime)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return !delivery.IsBroken(r.conn.Conn)
+}
+
 // finish keeps the connection if nothing of this exchange is left on it.
 func (r *Response) finish() {
 	if r.done {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -149,6 +149,7 @@
 	m.counter("unproven_refusals_total", "Answers of servers and peers whose status promises that the request did not run, without a proof.", handlerMetrics.UnprovenRefusals.Load)
 	m.counter("unframed_ends_total", "Answers of servers without a length that ended with their connection.", handlerMetrics.UnframedEnds.Load)
 	m.counter("ended_with_server_total", "Answers without a length broken off, as their server had ended with them or gave no sign of life.", handlerMetrics.EndedWithServer.Load)
+	m.counter("ended_by_reset_total", "Answers without a length broken off, as a reset followed their end.", handlerMetrics.EndedByReset.Load)
 	m.counter("events_out_of_order_total", "Events not passed on, as they may not follow those before.", handlerMetrics.EventsOutOfOrder.Load)
 	m.counter("heads_too_long_total", "Answers of servers and peers broken off, as their head was longer than is read.", handlerMetrics.HeadsTooLong.Load)
 	m.counter("events_too_long_total", "Streams of servers and peers broken off, as an event was longer than is read.", handlerMetrics.EventsTooLong.Load)
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -23,6 +23,8 @@
 	endedEarly bodyEnding = "early"
 	// endedWithServer: as its framing says it, but its server has ended too.
 	endedWithServer bodyEnding = "server_ended"
+	// endedByReset: as its framing says it, but a reset followed.
+	endedByReset bodyEnding = "reset"
 	// endedByError: the connection was reset, or what it brought could not be read.
 	endedByError bodyEnding = "error"
 )
@@ -70,13 +72,27 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, backendconn.AnswerProbeWait)
 	defer cancel()
-	if x.handler.options.Pool.ProbeAfterClose(ctx, choice.Address) != backendconn.LivenessEnded || !x.endedUnexpectedly(choice) {
+	liveness := x.handler.options.Pool.ProbeAfterClose(ctx, choice.Address)
+	if !x.isEndConfirmed(response) {
+		return false
+	}
+	if liveness != backendconn.LivenessEnded || !x.endedUnexpectedly(choice) {
 		return true
 	}
 	x.recordServerEnd()
 	return false
 }
 
+// isEndConfirmed reports whether the connection of a body that ended with it was not reset then.
+func (x *exchange) isEndConfirmed(response *backendconn.Response) bool {
+	if response.ConfirmEnd(x.ctx) {
+		return true
+	}
+	x.ending = endedByReset
+	x.handler.Metrics.EndedByReset.Add(1)
+	return false
+}
+
 // isStreamBelieved is isEndBelieved for a stream, whose end may wait, and whose events tell nothing of how
 // many are missing: a server that does not answer, or has announced its end, may have cut it. Streams have
 // events, so that one without any may have been cut.
@@ -85,7 +101,11 @@
 		return true
 	}
 	isEmpty := x.eventCount == 0 && !x.isResumption
-	if !isEmpty && x.livesAfterClose(choice) {
+	isAlive := !isEmpty && x.livesAfterClose(choice)
+	if !x.isEndConfirmed(response) {
+		return false
+	}
+	if isAlive {
 		return true
 	}
 	x.recordServerEnd()
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -130,6 +130,16 @@
 
 // readUnframed sends a request by HTTP/1.0 and reads its response slowly.
 func (f *fixture) readUnframed(t *testing.T, path string) result {
+	t.Helper()
+	got := f.sendUnframed(t, path, "b")
+	if got.status == 0 {
+		t.Fatal(got.err)
+	}
+	return got
+}
+
+// sendUnframed sends a request by HTTP/1.0. The status is 0 if there is no response.
+func (f *fixture) sendUnframed(t *testing.T, path, body string) result {
 	t.Helper()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
 	if err != nil {
@@ -137,10 +147,10 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
-	write(conn, "POST "+path+" HTTP/1.0\r\nHost: 127.0.0.1\r\nX-Id: r1\r\nX-Wait: 5s\r\nContent-Length: 1\r\n\r\nb")
+	write(conn, "POST "+path+" HTTP/1.0\r\nHost: 127.0.0.1\r\nX-Id: r1\r\nX-Wait: 5s\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		t.Fatal(err)
+		return result{err: err}
 	}
 	f.awaitIdle()
 	text, err := io.ReadAll(response.Body)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -51,6 +51,8 @@
 	// EndedWithServer counts those of them that were not taken for whole, as their server had ended too or gave no
 	// sign of life.
 	UnframedEnds, EndedWithServer atomic.Int64
+	// EndedByReset counts those that were not taken for whole, as a reset followed their end.
+	EndedByReset atomic.Int64
 	// EventsOutOfOrder counts the events that were not passed on, as they may not follow the ones before.
 	EventsOutOfOrder atomic.Int64
 	// MemoryRefused counts the requests for which there was no memory.
