Services: early answers without a length whose connection breaks are not whole

Callers saw: the same fault as on the callers' path of the platform, on the own interface: a service answered a long call early, without a length, and broke its connection off.

Cause: net/http has it as well. It reads the response while it writes the request; a reset that the write gets is an end in order to the read behind it. It also closes the connection once a response ended with it, though the request is still being written: a service that answers early and well got a part of the call.

Ruled out: engine streams have a terminator; the control API, the object API and the store return whole JSON objects, of which a part is no object; peers' answers without a length are refused (bounded.LimitBodies).

Change: the tracked connection of a call reports its end only once net/http has written the request (httptrace.WroteRequest), the service's kernel has acknowledged it and no reset followed within 20 ms. net/http cannot tell this by itself: it does not show the connection to whoever reads the body.

--- a/internal/backend/doc.go
+++ b/internal/backend/doc.go
@@ -4,5 +4,5 @@
 // Services, package node claims and configures engines with EngineControl, and
 // the placement packages use the order types.
 //
-// It may import fleet, inventory and traffic.
+// It may import bounded, delivery, fleet, inventory and traffic.
 package backend
--- a/internal/backend/identity.go
+++ b/internal/backend/identity.go
@@ -18,13 +18,25 @@
 // trace returns a context with which the observed connection is recorded. onConn is called with it; nil
 // calls nothing.
 func (s *sentOver) trace(ctx context.Context, onConn func(net.Conn)) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		s.reused.Store(info.Reused)
-		s.conn.Store(&info.Conn)
-		if onConn != nil {
-			onConn(info.Conn)
-		}
-	}})
+	var endWrite atomic.Pointer[func(error)]
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			s.reused.Store(info.Reused)
+			s.conn.Store(&info.Conn)
+			if onConn != nil {
+				onConn(info.Conn)
+			}
+			if tracked, ok := info.Conn.(*trackedConn); ok {
+				end := tracked.beginExchange()
+				endWrite.Store(&end)
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if end := endWrite.Load(); end != nil {
+				(*end)(info.Err)
+			}
+		},
+	})
 }
 
 // checkIdentity returns an error unless the response belongs to the request. On a connection that was
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -115,6 +114,7 @@
 		}
 		used.Store(connection)
 	})
+	defer func() { used.Load().endExchange() }()
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Target, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, &SendError{NeverSent: true, Err: err}
@@ -175,57 +175,6 @@
 	}
 }
 
-// dialTracked dials a connection that records whether it was written to.
-func dialTracked(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: serviceDialTimeout}
-	connection, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &trackedConn{Conn: connection}, nil
-}
-
-// States of a trackedConn.
-const (
-	connUnwritten int32 = iota
-	connWritten
-	connBlocked
-)
-
-var (
-	errWritesBlocked = errors.New("the call was given up before it was sent")
-	errStartDenied   = errors.New("the call may not be sent any more")
-)
-
-// trackedConn records whether a write was started. It hides the connection's
-// ReadFrom method so that every byte goes through Write.
-type trackedConn struct {
-	net.Conn
-	state atomic.Int32
-	// mayStart is set before net/http starts to write.
-	mayStart func() bool
-}
-
-// Write implements io.Writer.
-func (c *trackedConn) Write(data []byte) (int, error) {
-	if c.state.Load() == connUnwritten && c.mayStart != nil && !c.mayStart() {
-		c.state.CompareAndSwap(connUnwritten, connBlocked)
-		return 0, errStartDenied
-	}
-	c.state.CompareAndSwap(connUnwritten, connWritten)
-	if c.state.Load() == connBlocked {
-		return 0, errWritesBlocked
-	}
-	return c.Conn.Write(data)
-}
-
-// blockIfUnwritten reports whether no byte was written, and if so makes every
-// later write fail, including one that net/http is about to start. A nil
-// connection, of a call that got none, counts as unwritten.
-func (c *trackedConn) blockIfUnwritten() bool {
-	return c == nil || c.state.CompareAndSwap(connUnwritten, connBlocked) || c.state.Load() == connBlocked
-}
-
 // RetryAfterDuration returns the backend's Retry-After, or 0 if there is none.
 func (a *ServiceAnswer) RetryAfterDuration() time.Duration {
 	return parseRetryAfter(a.RetryAfter)
