Malformed heads of answers are not passed on

Other systems saw: a server in trouble sent an answer whose status was 000, or in whose head the name of a field held a blank or a control byte; the client got it as an answer, with a body that was not the server's.

Here, before: a blank in a name, before a colon too, of a head, a 103, a trailer, a surplus answer or a rejection was accepted. That field was left out of what callers got: `Content-Length : 2` made the body last to the end of the connection, and `Transfer-Encoding : chunked` put the sizes of chunks into the body (200, MIXED). A head with status 000 or 050 and another head right behind it was passed over. HTTP/0.9, 2.0 and 3.7 were taken for HTTP/1.1.

Cause: heads are read by net/http, which accepts blanks in names (but no other byte that a token may not have), any version, and any status of three digits.

A folded line, and a length beside chunks, are read as RFC 9112 allows. RFC 9112 (5.1) would have a proxy remove a blank before a colon; a server in trouble is not believed so far.

Change: bounded.CheckHead and CheckFields, asked by backendconn for each head that it reads, and for trailers. It carries the callers' path, orders, reports, questions for a start and forwarded requests. Peers' messages are checked in LimitBodies. A malformed answer counts as one that may have run, a rejection too.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -57,7 +57,7 @@
 	ContentLength int64
 	// Framing says how the end of the body is told.
 	Framing   Framing
-	body      io.Reader
+	message   *http.Response
 	conn      *Conn
 	exchange  *exchange
 	keepAlive bool
@@ -171,6 +171,9 @@
 			return nil, ErrMaybeSent.Wrap(err, "read response")
 		}
 		x.conn.head.End()
+		if err := bounded.CheckHead(response); err != nil {
+			return nil, ErrMaybeSent.Wrap(err, "read response")
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -196,7 +199,7 @@
 		Header:        response.Header,
 		ContentLength: response.ContentLength,
 		Framing:       framingOf(response),
-		body:          response.Body,
+		message:       response,
 		conn:          x.conn,
 		exchange:      x,
 		keepAlive:     !response.Close,
@@ -256,7 +259,7 @@
 	if r.done || !r.endedAt.IsZero() {
 		return 0, io.EOF
 	}
-	count, err := r.body.Read(into)
+	count, err := r.message.Body.Read(into)
 	if errors.Is(err, io.EOF) {
 		err = r.end()
 	}
@@ -268,6 +271,9 @@
 
 // end returns io.EOF if the body is whole as far as can be told now.
 func (r *Response) end() error {
+	if err := bounded.CheckFields(r.message.Trailer); err != nil {
+		return ErrMaybeSent.Wrap(err, "read trailer")
+	}
 	if r.Framing != FramedByClose {
 		r.finish()
 		return io.EOF
--- a/internal/bounded/http.go
+++ b/internal/bounded/http.go
@@ -8,7 +8,7 @@
 
 // LimitBodies returns a transport whose responses fail with ErrTooLong once more than limit bytes of their
 // body were read, and with ErrUnframed at once if they have neither a length nor chunks: a part of one looks
-// whole. Their heads are bounded by http.Transport.MaxResponseHeaderBytes.
+// whole. Heads that are malformed fail as CheckHead says; they are bounded by http.Transport.MaxResponseHeaderBytes.
 func LimitBodies(next http.RoundTripper, limit int64) http.RoundTripper {
 	return &bodyLimiter{next: next, limit: limit}
 }
@@ -24,14 +24,21 @@
 	if err != nil {
 		return nil, err
 	}
-	if isUnframed(response) {
+	if err := l.check(response); err != nil {
 		_ = response.Body.Close()
-		return nil, ErrUnframed.New("the response with status %d has neither a length nor chunks", response.StatusCode)
+		return nil, err
 	}
 	response.Body = &limitedBody{ReadCloser: response.Body, left: l.limit}
 	return response, nil
 }
 
+func (l *bodyLimiter) check(response *http.Response) error {
+	if isUnframed(response) {
+		return ErrUnframed.New("the response with status %d has neither a length nor chunks", response.StatusCode)
+	}
+	return CheckHead(response)
+}
+
 // isUnframed reports whether the body ends with its connection. The length of a body that net/http decompresses is
 // not known either.
 func isUnframed(response *http.Response) bool {
