Malformed heads of engines, services and stores are not believed

Callers of the own interface saw: an answer of a service whose head held a blank in a name, or whose first line said HTTP/3.7, was passed on, and one with status 000 ended the handler in a panic, so that the connection closed with no answer. Orders, streams, reads and writes of the store were taken for answered in the same way: a write whose answer said `503` in such a head counted as never applied.

Control bytes in names were refused before.

Change: bounded.CheckHead where each of these clients gets its response, since the traffic counters wrap its transport. What it refuses counts as no answer: the call may have run, or may have been applied.

Not covered: heads of 1xx answers that net/http's transport passes over; nothing of them is used.

--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -105,6 +105,9 @@
 		return fleet.EngineState{}, &UnavailableError{Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := bounded.CheckHead(response); err != nil {
+		return fleet.EngineState{}, &UnavailableError{Cause: err}
+	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
 	if err != nil {
 		return fleet.EngineState{}, &UnavailableError{Cause: err}
--- a/internal/backend/generate.go
+++ b/internal/backend/generate.go
@@ -145,6 +145,10 @@
 	if err != nil {
 		return nil, &SendError{NeverSent: used.conn.Load() == nil, Err: err}
 	}
+	if err := bounded.CheckHead(response); err != nil {
+		_ = response.Body.Close()
+		return nil, &SendError{Err: err}
+	}
 	if response.StatusCode != http.StatusOK {
 		if err := used.checkIdentity(call, response); err != nil {
 			return nil, err
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -128,11 +128,17 @@
 	if err != nil {
 		return nil, &SendError{NeverSent: used.Load().blockIfUnwritten(), Err: err}
 	}
+	defer response.Body.Close()
+	if err := bounded.CheckHead(response); err != nil {
+		return nil, &SendError{Err: err}
+	}
 	if err := sent.checkIdentity(request, response); err != nil {
 		return nil, err
 	}
-	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxServiceAnswerBytes+1))
+	if err == nil {
+		err = bounded.CheckFields(response.Trailer)
+	}
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -152,12 +152,16 @@
 	response, err := c.http.Do(request)
 	switch {
 	case err == nil:
-		return response, nil
 	case isDialError(err):
 		return nil, NotSent.Wrap(err, "%s %s", method, path)
 	default:
 		return nil, Unavailable.Wrap(err, "%s %s", method, path)
 	}
+	if err := bounded.CheckHead(response); err != nil {
+		_ = response.Body.Close()
+		return nil, Unavailable.Wrap(err, "%s %s", method, path)
+	}
+	return response, nil
 }
 
 // isDialError reports whether no connection could be made.
