Late requests in a planned stop are refused, or answered when it ends

Callers saw: requests that came late in the grace period of a planned stop were passed on, and cut with no answer when it ended, among them commands, which may not be repeated (LOST).

Cause: three. A node refused requests by when their header came, 3.1 s after SIGTERM; a body that came later was passed on. It passed on what could not end in time. At the end of the grace period it closed all connections, whatever was in flight.

Ruled out: kept connections (each brings one more request, its answer closes it); the own interface, which refuses from SIGTERM on and answers what its drain limit ends (TestDrainLimitCutsAndSaysSo).

A request that may run once is refused (503, not run, Retry-After) if its route's usually outlast the stop: mean and deviation of their durations, as in RFC 6298, asked when it comes and before it is sent. At the end of the grace period what is in flight gets 502, which says that it may have run; its server is not blamed. That takes up to 0.1 of the 0.3 s that were left before the process is killed.

Others than those that may run once are still passed on before 2.9 s: their callers may repeat or resume them.

Streams whose head is out are cut as before.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -428,12 +428,17 @@
 	// entryDrainDelay is how long new connections still arrive after the node reports that it is
 	// not ready. A later request on a kept connection might not finish within the grace period.
 	entryDrainDelay = 2600 * time.Millisecond
+	// lastRequestDelay is how long requests are passed on: later ones than 3 s after the signal may not be cut,
+	// whatever their servers take.
+	lastRequestDelay = 2900 * time.Millisecond
 	// stopMargin is left before the process is killed.
 	stopMargin = 300 * time.Millisecond
 	// refusalMargin is left for requests without a server, so that they are refused rather than
 	// cut off.
 	refusalMargin = 1200 * time.Millisecond
 	sweepPeriod   = time.Second
+	// lastAnswersTime is the part of stopMargin in which requests that have not ended get a response.
+	lastAnswersTime = 100 * time.Millisecond
 	// drainCheckPeriod is the interval between checks for requests in progress.
 	drainCheckPeriod = 25 * time.Millisecond
 )
@@ -445,25 +450,35 @@
 	n.stopping.Store(true)
 	n.peers.announceStop()
 	n.origins.handOff(clock.Now())
-	n.handler.SetDraining(deadline.Add(stopMargin - refusalMargin))
+	n.handler.SetDraining(relay.StopSchedule{RefuseWaitingAt: deadline.Add(stopMargin - refusalMargin), EndAt: deadline})
 	n.options.Logger.Info().Int64("active", n.handler.Active()).Msg("node_draining")
 	time.Sleep(entryDrainDelay)
 	_ = frontend.Close()
 	// Connections that were accepted until now may still bring their first request.
-	time.AfterFunc(newConnGrace, n.handler.Close)
+	time.AfterFunc(lastRequestDelay-entryDrainDelay, n.handler.Close)
 	// http.Server.Shutdown would close connections whose request it has read but not yet
 	// counted.
-	busy := n.callerConns.closeAllIdle()
-	for busy+int(n.handler.ForwardedActive()) > 0 && clock.Now().Before(deadline) {
-		time.Sleep(drainCheckPeriod)
-		busy = n.callerConns.closeAllIdle()
-	}
+	busy := n.awaitIdle(deadline)
+	n.handler.EndRequests()
+	n.awaitIdle(deadline.Add(lastAnswersTime))
 	_ = server.Close()
 	n.origins.handOff(clock.Now())
 	n.handler.LogRetryBudget(clock.Now(), 0)
 	n.options.Logger.Info().Int64("active", n.handler.Active()).Bool("whole", busy == 0).Msg("node_stopped")
 }
 
+// awaitIdle closes idle connections until no request is in flight, or until the deadline. It returns the number of
+// callers' connections that are busy.
+func (n *Node) awaitIdle(deadline time.Time) (busy int) {
+	for {
+		busy = n.callerConns.closeAllIdle()
+		if busy+int(n.handler.ForwardedActive()) == 0 || !clock.Now().Before(deadline) {
+			return busy
+		}
+		time.Sleep(drainCheckPeriod)
+	}
+}
+
 func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -105,6 +105,10 @@
 // request barred for the same time again.
 func (x *exchange) checkBeforeSend(choice dispatch.Choice, conn *backendconn.Conn, decision *AdmissionDecision) (result attemptResult, ok bool) {
 	switch {
+	case x.sends == 0 && x.wouldOutlastStop(), x.handler.isEnded():
+		x.abandonSend(choice, conn)
+		x.giveUp(reasonNodeStopping)
+		return attemptDone, false
 	case !x.isStillAdmitted(choice, decision):
 		x.abandonSend(choice, conn)
 		return attemptNotSent, false
@@ -239,7 +243,10 @@
 func (x *exchange) retryOrGiveUp(reason string) attemptResult {
 	expired := clock.Until(x.deadline) <= waiting.ResponseMargin
 	isLeftToPeer := x.forwarded != nil && x.headSent
-	if expired || isLeftToPeer || !x.isRetryable() || len(x.sentTo) >= x.maxServers() {
+	if x.handler.isEnded() {
+		reason = reasonNodeStopping
+	}
+	if expired || x.handler.isEnded() || isLeftToPeer || !x.isRetryable() || len(x.sentTo) >= x.maxServers() {
 		x.giveUp(reason)
 		return attemptDone
 	}
@@ -411,7 +418,7 @@
 			return true
 		}
 		outcome = dispatch.OutcomeFailed
-		if !x.callerGone() {
+		if !x.callerGone() && !x.handler.isEnded() {
 			x.reportIfCrashed(choice)
 			x.markVersionUncertain(choice)
 		}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -171,11 +171,13 @@
 		x.refuse(reasonNoConfiguration, configurationRetryDelay)
 		return
 	}
-	if !x.prepare() {
+	// The body may have come long after the header.
+	if !x.prepare() || x.refuseIfStopping() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(x.request.Context(), clock.Until(x.deadline))
 	defer cancel()
+	defer x.endAtStop(cancel)()
 	x.ctx = ctx
 	if !x.checkRegions() || !x.resolveOrigin() || !x.takeQuota() {
 		return
@@ -368,6 +370,9 @@
 // finish logs and reports the final response.
 func (x *exchange) finish(outcome string, status int, reason string) {
 	x.endOrigin()
+	if outcome == outcomeAnswered && x.sends > 0 {
+		x.handler.durations.record(x.route.Name, clock.Since(x.sentAt))
+	}
 	if x.handler.OnFinished != nil {
 		x.handler.OnFinished(x.routeKind(), outcome, clock.Since(x.arrived))
 	}
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -156,6 +156,10 @@
 		x.endAttempt(choice, dispatch.OutcomeAbandoned)
 		x.endCallerGone()
 	}
+	if x.handler.isEnded() {
+		x.endAttempt(choice, dispatch.OutcomeAbandoned)
+		return
+	}
 	x.reportIfCrashed(choice)
 	x.markVersionUncertain(choice)
 	x.endAttempt(choice, dispatch.OutcomeFailed)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -142,13 +142,17 @@
 	options  Options
 	table    atomic.Pointer[routetable.Table]
 	draining atomic.Bool
-	// refuseWaitingAt is when a stopping node refuses the requests that still wait; nil if not stopping.
-	refuseWaitingAt atomic.Pointer[time.Time]
+	// stopSchedule is nil if the node is not stopping.
+	stopSchedule atomic.Pointer[StopSchedule]
 	// isClosed is set once a stopping node refuses all further requests.
 	isClosed atomic.Bool
-	started  time.Time
-	active   atomic.Int64
-	waiting  atomic.Int64
+	// lifetime is done once EndRequests was called.
+	lifetime    context.Context
+	endRequests context.CancelFunc
+	durations   durationEstimates
+	started     time.Time
+	active      atomic.Int64
+	waiting     atomic.Int64
 	// forwardedActive is the number of requests of peers in flight.
 	forwardedActive atomic.Int64
 	// eventLimit is Options.MaxEventBytes, which may change.
@@ -200,7 +204,9 @@
 		longestDeadline: make(map[string]time.Duration),
 		steps:           make(map[eventWriter]eventstream.StepCounter),
 		budgetLogged:    make(map[string]loggedBudget),
+		durations:       durationEstimates{routes: make(map[string]*durationEstimate)},
 	}
+	handler.lifetime, handler.endRequests = context.WithCancel(context.Background())
 	handler.SetMaxEventBytes(options.MaxEventBytes)
 	return handler
 }
@@ -218,17 +224,6 @@
 // Table is the current route table, or nil.
 func (h *Handler) Table() *routetable.Table { return h.table.Load() }
 
-// SetDraining makes responses close their callers' connections, and refuses requests that still wait
-// for a server at the time until.
-func (h *Handler) SetDraining(until time.Time) {
-	h.refuseWaitingAt.Store(&until)
-	h.draining.Store(true)
-}
-
-// Close refuses all further requests: one that arrives on a connection which was busy until now would be cut
-// when the node ends.
-func (h *Handler) Close() { h.isClosed.Store(true) }
-
 // Active is the number of requests in flight.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -186,7 +186,7 @@
 	server := newFakeServer(t, respondWith(http.StatusOK, "ok"))
 	f := newFixture(t, server)
 	f.send(t, http.MethodPost, "/once/", "")
-	f.handler.SetDraining(time.Now().Add(time.Minute))
+	f.handler.SetDraining(StopSchedule{RefuseWaitingAt: time.Now().Add(time.Minute), EndAt: time.Now().Add(time.Hour)})
 	f.handler.Close()
 	got := f.send(t, http.MethodPost, "/once/", "")
 	if got.status != http.StatusServiceUnavailable || server.count() != 1 {
@@ -456,7 +456,7 @@
 func TestStoppingNodeRefusesWhatWaits(t *testing.T) {
 	f := newFixture(t, newFakeServer(t, respondWith(http.StatusOK, "ok")))
 	f.handler.SetTable(engineTable(5 * time.Second))
-	f.handler.SetDraining(time.Now())
+	f.handler.SetDraining(StopSchedule{RefuseWaitingAt: time.Now(), EndAt: time.Now().Add(time.Hour)})
 	got := f.send(t, http.MethodPost, "/llm/", "", "X-Model", "m")
 	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("got %+v, want a refusal with Retry-After", got)
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -148,13 +148,13 @@
 
 // waitingState is the request's current state for package waiting.
 func (x *exchange) waitingState() waiting.State {
-	refuseAt := x.handler.refuseWaitingAt.Load()
+	schedule := x.handler.stopSchedule.Load()
 	suspicion := x.suspicion()
 	return waiting.State{
 		CallerGone:      x.callerGone(),
 		IsBarred:        suspicion.isBarred,
 		IsOnTrial:       x.isTrial || suspicion.onTrial != nil,
-		NodeStopping:    refuseAt != nil && !clock.Now().Before(*refuseAt),
+		NodeStopping:    schedule != nil && !clock.Now().Before(schedule.RefuseWaitingAt),
 		AllServersTried: !x.needsModel && len(x.failedServers) > 0,
 		MayHaveRun:      x.headSent || x.mayHaveRun,
 	}
--- a/test/platform/server_test.go
+++ b/test/platform/server_test.go
@@ -39,6 +39,9 @@
 	zone        string
 	loadTime    time.Duration
 	streamPause time.Duration
+	// commandTime is how long a command takes, and slots how many run at a time; 0 means 8.
+	commandTime time.Duration
+	slots       int
 	// version is the version of the server's software, which its events name; empty means v1, and
 	// events that name none.
 	version string
@@ -166,7 +169,7 @@
 	models, born := m.loadedModels(), m.startID
 	m.mu.Unlock()
 	entry := map[string]any{
-		"service": m.service, "address": m.address, "zone": m.zone, "version": cmp.Or(m.version, "v1"), "slots": 8, "state": state, "models": models, "sequence": 1,
+		"service": m.service, "address": m.address, "zone": m.zone, "version": cmp.Or(m.version, "v1"), "slots": cmp.Or(m.slots, 8), "state": state, "models": models, "sequence": 1,
 		"coldLeftMs": max(0, time.Until(m.coldUntil).Milliseconds()),
 	}
 	if born > 0 {
@@ -378,6 +381,7 @@
 		return
 	}
 	if model == "" {
+		time.Sleep(m.commandTime)
 		fmt.Fprintf(writer, "done by %s", m.id)
 		return
 	}
