Nodes with a short grace period end before they are killed

Callers would see: all requests in flight at a node that is stopped in order are cut with no answer, if its grace period is shorter than 2.6 s.

Cause: a stopping node waited for new connections for 2.6 s, whatever its grace period.

Evidence: TestRequestsInAShortGracePeriodAreAnswered with grace periods of 1 and 1.5 s, the node killed 0.5 s behind these: 40 and 30 commands ran and were cut, the process ended by the kill.

Change: the wait ends with the grace period.

After: 0 cut, the processes end by themselves.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -452,7 +452,7 @@
 	n.origins.handOff(clock.Now())
 	n.handler.SetDraining(relay.StopSchedule{RefuseWaitingAt: deadline.Add(stopMargin - refusalMargin), EndAt: deadline})
 	n.options.Logger.Info().Int64("active", n.handler.Active()).Msg("node_draining")
-	time.Sleep(entryDrainDelay)
+	time.Sleep(min(entryDrainDelay, clock.Until(deadline)))
 	_ = frontend.Close()
 	// Connections that were accepted until now may still bring their first request.
 	time.AfterFunc(lastRequestDelay-entryDrainDelay, n.handler.Close)
--- a/internal/relay/stopping.go
+++ b/internal/relay/stopping.go
@@ -27,8 +27,12 @@
 // when the node ends.
 func (h *Handler) Close() { h.isClosed.Store(true) }
 
-// EndRequests gives the requests in flight their final response, which says that they may have run.
-func (h *Handler) EndRequests() { h.endRequests() }
+// EndRequests gives the requests in flight their final response, which says that they may have run, and refuses all
+// further ones.
+func (h *Handler) EndRequests() {
+	h.Close()
+	h.endRequests()
+}
 
 // isEnded reports whether EndRequests was called.
 func (h *Handler) isEnded() bool { return h.lifetime.Err() != nil }
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // fleet is a set of node processes that share one fake platform.
@@ -108,6 +109,8 @@
 	hasMetrics bool
 	// bounds holds additional lines of the [bounds] section.
 	bounds string
+	// grace replaces the grace period of the template; zero leaves it.
+	grace time.Duration
 	// memoryMb is the memory of each machine; 0 leaves it out of the settings.
 	memoryMb int
 }
@@ -131,6 +134,9 @@
 		n.settingsPath = filepath.Join(f.dir, n.name+".toml")
 		text := fmt.Sprintf(settingsTemplate, n.name, ip, f.ports[0], f.ports[0]+1, options.seeds, ip, f.ports[1], ip, f.ports[2], storeAddress)
 		text = strings.Replace(text, "[bounds]\n", "[bounds]\n"+options.bounds, 1)
+		if options.grace > 0 {
+			text = strings.Replace(text, "graceS = 4\n", fmt.Sprintf("graceS = %g\n", options.grace.Seconds()), 1)
+		}
 		if options.memoryMb > 0 {
 			text += fmt.Sprintf("[limits]\nmemoryMb = %d\n", options.memoryMb)
 		}
--- a/test/platform/late_requests_test.go
+++ b/test/platform/late_requests_test.go
@@ -20,6 +20,8 @@
 	lateInterval    = 50 * time.Millisecond
 	// servedBeforeStop is the number of requests by which a node knows how long a route takes.
 	servedBeforeStop = 12
+	// killDelay is how long after the grace period a node is killed that has not ended: a busy machine is slow.
+	killDelay = 500 * time.Millisecond
 )
 
 // lateRequest is a request whose body ends after its node was told to stop.
@@ -67,16 +69,7 @@
 		for _, isKnown := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%v, known: %v", work, isKnown), func(t *testing.T) {
 				t.Parallel()
-				f := newFleet(t, 3)
-				var servers []*modelServer
-				for number := range 3 {
-					m := newUnlistedServer(t, "z", fmt.Sprint("i-commands", number), "commands", 0)
-					m.set(func() { m.commandTime, m.slots = work, lateConnections })
-					m.register(f.store, "ready")
-					servers = append(servers, m)
-				}
-				f.store.put("config", "main", newConfig(1))
-				f.awaitReady()
+				f, servers := newLateFleet(t, fleetOptions{}, work)
 				if isKnown {
 					f.nodes[0].sendAtOnce(servedBeforeStop)
 				}
@@ -87,6 +80,38 @@
 	}
 }
 
+// TestRequestsInAShortGracePeriodAreAnswered guards against nodes that still wait for late requests when their grace
+// period ends, and are killed with those in flight.
+func TestRequestsInAShortGracePeriodAreAnswered(t *testing.T) {
+	t.Parallel()
+	for _, grace := range []time.Duration{time.Second, 1500 * time.Millisecond} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			f, servers := newLateFleet(t, fleetOptions{grace: grace}, 5*time.Second)
+			n := f.nodes[0]
+			time.AfterFunc(grace+killDelay, func() { _ = n.cmd.Process.Kill() })
+			judgeLate(t, f.stopWithLateRequests(n), servers)
+		})
+	}
+}
+
+// newLateFleet starts nodes before servers whose commands take that long.
+func newLateFleet(t *testing.T, options fleetOptions, work time.Duration) (*fleet, []*modelServer) {
+	t.Helper()
+	options.count, options.seeds = 3, `"127.0.0.1:1", "127.0.0.2:1"`
+	f := newFleetWithOptions(t, options)
+	var servers []*modelServer
+	for number := range 3 {
+		m := newUnlistedServer(t, "z", fmt.Sprint("i-commands", number), "commands", 0)
+		m.set(func() { m.commandTime, m.slots = work, lateConnections })
+		m.register(f.store, "ready")
+		servers = append(servers, m)
+	}
+	f.store.put("config", "main", newConfig(1))
+	f.awaitReady()
+	return f, servers
+}
+
 // sendAtOnce sends that many commands at the same time and waits for their answers.
 func (n *node) sendAtOnce(count int) {
 	var group sync.WaitGroup
