Test fleets: no process is started while a port is probed

Cause: a process that another test starts at that moment has the probing socket too, until it has run its program. The probe closes its own copy; the port stays taken for some ms.

Ruled out: ephemeral ports (from 32768 on), fleets that draw the same port, sockets in TIME_WAIT.

Change: probes hold syscall.ForkLock, which os/exec holds until the program runs.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -222,8 +223,10 @@
 }
 
 // isPortFree checks all addresses, since nodes of another test run use other addresses than
-// this run.
+// this run. A process that is started meanwhile would hold the port until it has run its program.
 func isPortFree(port int) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	address := net.JoinHostPort("0.0.0.0", strconv.Itoa(port))
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
