Streams are not joined at a node that has not heard of a release

Here: where servers start again under their IDs at another version, a node that was cut off from its peers still takes them for what they were. It joined streams of v1 with events of v1.1 and the other way round.

Cause: whether the servers of a stream have started again was asked only where the node itself knew of two versions. It did not count what other nodes told as they were asked for the origin, and a node that keeps the origin asks none.

Change: versions that other nodes know count (heardVersions). Where one is known, the server that is to go on with a stream and, while its origin is unsettled, the one that began it are asked for their starts as well, unless the connection tells. Only a server that tells another start counts: one that is silent, or names a limit, is believed as before, so that trouble beside one version costs no stream.

Left: a server that starts again while nobody knows, whose stream breaks at the node through which it began; and one that names a limit.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -110,6 +110,9 @@
 	// when; zero if that is not known.
 	originServer inventory.Start
 	originSentAt time.Time
+	// heardVersions is the number of the service's software versions that the nodes know which were asked where the
+	// stream began; 0 if none was asked.
+	heardVersions int
 	// isOriginConfirmed is set once that server said, after its first event, that it is still that start.
 	isOriginConfirmed atomic.Bool
 	// isOriginOpen is set until it is known whether the start that was recorded for the stream began it.
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -118,6 +118,7 @@
 		return true
 	}
 	answer := x.findOrigin()
+	x.heardVersions = len(answer.Versions)
 	origin := answer.Entry.Origin
 	switch {
 	case answer.IsKnown && !x.leadsTo(origin.Service):
@@ -129,8 +130,17 @@
 		x.setOrigin(origin, answer.Source)
 		x.originServer, x.originSentAt = answer.Entry.Server, answer.Entry.RecordedAt
 		x.isOriginConfirmed.Store(answer.Entry.IsCertain)
-		x.isOriginOpen = len(answer.Versions) > 1 && !x.isOriginSettled(answer.Entry)
-		return x.shouldForward() || x.settleOrigin()
+		isMixed := len(answer.Versions) > 1
+		x.isOriginOpen = isMixed && !x.isOriginSettled(answer.Entry)
+		if x.shouldForward() {
+			return true
+		}
+		if !isMixed && x.mayBeOfLaterStart(answer.Entry) {
+			x.handler.Metrics.VersionUnknown.Add(1)
+			x.refusePermanently(reasonVersionUnknown)
+			return false
+		}
+		return x.settleOrigin()
 	case answer.HasOneVersion():
 		x.setOrigin(origins.Origin{Service: x.service, SoftwareVersion: onlyVersion(answer.Versions)}, originOneVersion)
 		return true
@@ -231,8 +241,11 @@
 	return true
 }
 
-// servesOneVersion reports whether the service had one software version lately, known or not.
-func (x *exchange) servesOneVersion() bool { return len(x.recentVersions()) <= 1 }
+// servesOneVersion reports whether the service had one software version lately, known or not. A node that was cut
+// off may hear of others only as it asks where a stream began.
+func (x *exchange) servesOneVersion() bool {
+	return x.heardVersions <= 1 && len(x.recentVersions()) <= 1
+}
 
 // recordOrigin tells other nodes where the stream began. A node that takes a forwarded stream leaves
 // that to the node of the caller.
--- a/internal/relay/starts.go
+++ b/internal/relay/starts.go
@@ -80,8 +80,7 @@
 	if x.isOriginSettled(entry) {
 		return originCertain
 	}
-	address, ok := "", false
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { address, ok = core.Address(entry.Server.ID) })
+	address, ok := x.addressOf(entry.Server)
 	if !ok {
 		return originCertain
 	}
@@ -137,9 +136,8 @@
 	if x.isOriginConfirmed.Load() || x.isResumption || x.forwarded != nil || x.route.RetryPolicy != routetable.RetryResume || !x.needsModel || x.handler.options.CurrentStart == nil || x.servesOneVersion() {
 		return
 	}
-	start, isLimited := choice.Attempt.Start(), false
-	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { _, isLimited = core.RateLimit(start) })
-	if isLimited {
+	start := choice.Attempt.Start()
+	if x.isRateLimited(start) {
 		return
 	}
 	origin, confirmed := *x.origin, x.originEntry(*x.origin)
@@ -189,14 +187,50 @@
 // that was chosen. Of a server that started again under its ID nobody may know yet, so the server itself
 // is asked, after the head of its response and before any event, unless the connection tells.
 func (x *exchange) isStartConfirmed(choice dispatch.Choice) bool {
-	if !x.mustConfirmStart() || x.isStartKnown(choice) {
+	switch {
+	case !x.isGoingOn() || !x.needsModel || x.handler.options.CurrentStart == nil || x.isStartKnown(choice):
 		return true
+	case !x.mustConfirmStart():
+		return !x.hasStartedAgain(choice.Attempt.Start(), choice.Address)
 	}
 	start, admitted := choice.Attempt.Start(), x.startQuestion
 	x.startQuestion = AdmissionDecision{}
 	return x.askCurrentStart(StartQuestion{Start: start, Address: choice.Address, Admission: x.admissionRequest(), Admitted: admitted}).tells(start)
 }
 
+// hasStartedAgain reports whether the server tells another start than the known one. Nobody may know of that yet, nor
+// that a second software version serves. A server that bounds its requests is not asked, and one that does not answer
+// is believed.
+func (x *exchange) hasStartedAgain(start inventory.Start, address string) bool {
+	if start.StartedAtMs == 0 || x.isRateLimited(start) {
+		return false
+	}
+	answer := x.askCurrentStart(StartQuestion{Start: start, Address: address, Admission: x.admissionRequest()})
+	return answer.Outcome == StartTold && !answer.tells(start)
+}
+
+// mayBeOfLaterStart reports whether another start than the recorded one may have begun the stream, where one software
+// version serves as far as the nodes know.
+func (x *exchange) mayBeOfLaterStart(entry origins.Entry) bool {
+	if x.isOriginSettled(entry) {
+		return false
+	}
+	address, ok := x.addressOf(entry.Server)
+	return ok && x.hasStartedAgain(entry.Server, address)
+}
+
+// isRateLimited reports whether the server bounds its requests.
+func (x *exchange) isRateLimited(start inventory.Start) (isLimited bool) {
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { _, isLimited = core.RateLimit(start) })
+	return isLimited
+}
+
+// addressOf returns the address of the server; ok is false if it is not known.
+func (x *exchange) addressOf(start inventory.Start) (address string, ok bool) {
+	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { address, ok = core.Address(start.ID) })
+	return address, ok
+}
+
 // markVersionUncertain records that a response of the server broke off: it may have started again.
 func (x *exchange) markVersionUncertain(choice dispatch.Choice) {
 	x.handler.options.Dispatch.Do(func(core *dispatch.Core) { core.MarkVersionUncertain(clock.Now(), choice.ServerID) })
--- a/test/platform/versions_test.go
+++ b/test/platform/versions_test.go
@@ -101,24 +101,35 @@
 	t.Helper()
 	f := &versionedFleet{fleet: newFleet(t, 4)}
 	for i := range 6 {
-		m := newServer(t, f.store, fmt.Sprintf("i-%d", i), "models", 50*time.Millisecond)
-		m.version = versions[i%len(versions)]
-		m.set(func() {
-			m.models["m1"] = map[string]bool{}
-			m.streamPause, m.startID = 20*time.Millisecond, time.Now().UnixMilli()
-		})
-		m.register(f.store, "ready")
-		f.servers = append(f.servers, m)
+		f.addServer(fmt.Sprintf("i-%d", i), versions[i%len(versions)])
 	}
+	f.putResumableRoute()
+	return f
+}
+
+// addServer starts a server of the version that holds the model.
+func (f *versionedFleet) addServer(id, version string) {
+	m := newServer(f.t, f.store, id, "models", 50*time.Millisecond)
+	m.version = version
+	m.set(func() {
+		m.models["m1"] = map[string]bool{}
+		m.streamPause, m.startID = 20*time.Millisecond, time.Now().UnixMilli()
+	})
+	m.register(f.store, "ready")
+	f.servers = append(f.servers, m)
+}
+
+// putResumableRoute makes the nodes serve resumable streams, and waits until they do.
+func (f *versionedFleet) putResumableRoute() {
+	f.t.Helper()
 	f.store.put("config", "main", newConfig(1, map[string]any{
 		"name": "resumable", "host": "host.example", "pathPrefix": "/resumable/", "type": "streaming", "resumable": true,
 		"service": "models", "goalMs": 5000, "timeoutMs": 8000, "maxAttempts": 3, "sticky": true,
 	}))
 	f.awaitReady()
 	for _, n := range f.nodes {
-		eventually(t, n.name+" serves streams", func() bool { return n.readStream("warm-"+n.name, resumablePath, 0).isWhole })
+		eventually(f.t, n.name+" serves streams", func() bool { return n.readStream("warm-"+n.name, resumablePath, 0).isWhole })
 	}
-	return f
 }
 
 // resumption is a stream that its caller takes up again.
@@ -150,10 +161,13 @@
 }
 
 // eachStream runs the function for each stream, a few at a time.
-func (f *versionedFleet) eachStream(run func(i int)) {
+func (f *versionedFleet) eachStream(run func(i int)) { f.each(takenUpStreams, run) }
+
+// each runs the function that many times, a few at a time.
+func (f *versionedFleet) each(count int, run func(i int)) {
 	var running sync.WaitGroup
 	places := make(chan struct{}, 6)
-	for i := range takenUpStreams {
+	for i := range count {
 		places <- struct{}{}
 		running.Go(func() { run(i); <-places })
 	}
