--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -428,8 +428,8 @@
 	// entryDrainDelay is how long new connections still arrive after the node reports that it is
 	// not ready. A later request on a kept connection might not finish within the grace period.
 	entryDrainDelay = 2600 * time.Millisecond
-	// lastRequestDelay is how long requests are passed on: later ones than 3 s after the signal may not be cut,
-	// whatever their servers take.
+	// lastRequestDelay is how long requests are passed on. Operators excuse that the grace period cuts a request only
+	// if it was sent within 3 s of the signal.
 	lastRequestDelay = 2900 * time.Millisecond
 	// stopMargin is left before the process is killed.
 	stopMargin = 300 * time.Millisecond
--- a/internal/relay/starts.go
+++ b/internal/relay/starts.go
@@ -161,8 +161,11 @@
 
 // mustConfirmStart reports whether the server that goes on with the stream has to tell its start before
 // any event is passed on. It need not where one software version serves.
-func (x *exchange) mustConfirmStart() bool {
-	return x.isGoingOn() && x.needsModel && x.handler.options.CurrentStart != nil && !x.servesOneVersion()
+func (x *exchange) mustConfirmStart() bool { return x.mayAskStart() && !x.servesOneVersion() }
+
+// mayAskStart reports whether the stream goes on at a server that can be asked for its start.
+func (x *exchange) mayAskStart() bool {
+	return x.isGoingOn() && x.needsModel && x.handler.options.CurrentStart != nil
 }
 
 // takeLiveConn takes an idle connection at whose other end the chosen start is, if the stream may go on only
@@ -188,7 +191,7 @@
 // is asked, after the head of its response and before any event, unless the connection tells.
 func (x *exchange) isStartConfirmed(choice dispatch.Choice) bool {
 	switch {
-	case !x.isGoingOn() || !x.needsModel || x.handler.options.CurrentStart == nil || x.isStartKnown(choice):
+	case !x.mayAskStart() || x.isStartKnown(choice):
 		return true
 	case !x.mustConfirmStart():
 		return !x.hasStartedAgain(choice.Attempt.Start(), choice.Address)
