Test: the counter of questions is read without a race

Cause, by the detector's stacks: the test counts questions in a plain variable, which the handler writes in a goroutine of its own and the test reads after the answer; nothing but the socket orders the two. The test's fault, since it was written; the product is not concerned.

--- a/internal/relay/ended_start_test.go
+++ b/internal/relay/ended_start_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,14 +46,13 @@
 			if c.isKnown {
 				f.handler.options.LiveStarts.Record(other, time.Now().Add(-time.Minute), time.Now().Add(time.Minute))
 			}
-			asked := 0
+			var asked atomic.Int64
 			f.handler.options.CurrentStart = func(context.Context, StartQuestion) StartAnswer {
-				asked++
-				return c.answers[min(asked, len(c.answers))-1]
+				return c.answers[min(int(asked.Add(1)), len(c.answers))-1]
 			}
 			got := f.send(t, http.MethodPost, "/resume/", "b", "X-Model", "m", "X-Wait", "3s")
-			if isWhole := got.status == http.StatusOK && got.err == nil; isWhole != c.isWhole || asked == 0 {
-				t.Errorf("status %d, error %v, %q, %d questions", got.status, got.err, got.body, asked)
+			if isWhole := got.status == http.StatusOK && got.err == nil; isWhole != c.isWhole || asked.Load() == 0 {
+				t.Errorf("status %d, error %v, %q, %d questions", got.status, got.err, got.body, asked.Load())
 			}
 		})
 	}
