Stand-ins of answers: one accept loop

The three servers of cutanswer, which only tests import, each had their own. No assertion, bound or answer changes.

--- a/internal/cutanswer/early.go
+++ b/internal/cutanswer/early.go
@@ -85,21 +85,8 @@
 // NewEarlyServer starts a server, which is closed with the test.
 func NewEarlyServer(t testing.TB, text string, ending EarlyEnding) *EarlyServer {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &EarlyServer{Address: listener.Addr().String(), Text: text, Ending: ending}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn.(*net.TCPConn))
-		}
-	}()
+	s := &EarlyServer{Text: text, Ending: ending}
+	s.Address = listen(t, s.serve)
 	return s
 }
 
--- a/internal/cutanswer/endless.go
+++ b/internal/cutanswer/endless.go
@@ -53,7 +53,7 @@
 		t.Run(answer.name, func(t *testing.T) {
 			t.Parallel()
 			server := &endlessServer{begin: answer.begin, unit: strings.Repeat(answer.unit, endlessUnit/len(answer.unit)+1)}
-			address := server.listen(t)
+			address := listen(t, server.serve)
 			ctx, cancel := context.WithTimeout(t.Context(), endlessCallTime)
 			defer cancel()
 			call(ctx, address)
@@ -72,26 +72,7 @@
 	written     atomic.Int64
 }
 
-func (s *endlessServer) listen(t *testing.T) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-func (s *endlessServer) serve(conn net.Conn) {
+func (s *endlessServer) serve(conn *net.TCPConn) {
 	defer conn.Close()
 	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 		return
--- a/internal/cutanswer/server.go
+++ b/internal/cutanswer/server.go
@@ -42,21 +42,8 @@
 // NewServer starts a server, which is closed with the test.
 func NewServer(t testing.TB) *Server {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &Server{Address: listener.Addr().String()}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
+	s := &Server{}
+	s.Address = listen(t, s.serve)
 	return s
 }
 
@@ -71,7 +58,7 @@
 // Requests returns how many requests came.
 func (s *Server) Requests() int64 { return s.requests.Load() }
 
-func (s *Server) serve(conn net.Conn) {
+func (s *Server) serve(conn *net.TCPConn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -86,8 +73,8 @@
 		if !isLast {
 			continue
 		}
-		if tcp, ok := conn.(*net.TCPConn); ok && ending == Reset {
-			_ = tcp.SetLinger(0)
+		if ending == Reset {
+			_ = conn.SetLinger(0)
 		}
 		return
 	}
